--- /dev/null
+++ b/packages/table/src/mod.ts
@@ -0,0 +1,13 @@
+/**
+ * The operators' table and what is done with it.
+ *
+ * @module
+ */
+export type {
+  Class,
+  LatencyTarget,
+  Row,
+  Service,
+  Table,
+  Workspace,
+} from "./table.ts";
--- /dev/null
+++ b/scripts/test.mjs
@@ -0,0 +1,50 @@
+// Runs the built tests with Node's test runner.
+// Usage: node scripts/test.mjs [WORD...], where each WORD must occur in the
+// path of a test file for it to run; without words every test runs.
+import { spawnSync } from "node:child_process";
+import { existsSync, readdirSync } from "node:fs";
+import { dirname, join, relative } from "node:path";
+import process from "node:process";
+import { fileURLToPath } from "node:url";
+
+const root = dirname(dirname(fileURLToPath(import.meta.url)));
+const CONCURRENCY = 4;
+const words = process.argv.slice(2);
+
+/** Sources decide what runs, so a stale built file of a deleted test does not. */
+function testFiles() {
+  const found = [];
+  for (const name of readdirSync(join(root, "packages"))) {
+    const home = join(root, "packages", name);
+    for (const part of ["src", "tests"]) {
+      const folder = join(home, part);
+      if (!existsSync(folder)) continue;
+      for (const entry of readdirSync(folder, { recursive: true })) {
+        if (!entry.endsWith("_test.ts")) continue;
+        found.push(
+          join(home, "dist", part, entry.replace(/\.ts$/, ".js")),
+        );
+      }
+    }
+  }
+  return found.sort();
+}
+
+const chosen = testFiles().filter((file) =>
+  words.every((word) => relative(root, file).includes(word))
+);
+if (chosen.length === 0) {
+  console.error(`No test file matches ${JSON.stringify(words)}`);
+  process.exit(1);
+}
+const run = spawnSync(
+  process.execPath,
+  [
+    "--test",
+    `--test-concurrency=${CONCURRENCY}`,
+    "--test-reporter=spec",
+    ...chosen,
+  ],
+  { cwd: root, stdio: "inherit" },
+);
+process.exit(run.status ?? 1);
