Name the log's interface

Cause: every part of the daemon logs decisions. Change: Log with events, decisions and coded warnings. Conclusion: parts take a Log and tests pass a small fake.

--- /dev/null
+++ b/packages/daemon/src/process/log.ts
@@ -0,0 +1,20 @@
+/**
+ * Structured log of the daemon.
+ *
+ * @module
+ */
+
+/** Values of one event, by key; undefined ones are left out. */
+export type Fields = Readonly<
+  Record<string, string | number | boolean | undefined>
+>;
+
+/** Writes one line of key=value pairs for each event. */
+export interface Log {
+  /** An ordinary event. `name` is stable, in snake_case. */
+  event(name: string, fields: Fields): void;
+  /** A routing or placement decision; kept a while for `umbermastctl why`. */
+  decision(name: string, fields: Fields & { readonly requestId: string }): void;
+  /** Something an operator should see. `code` is listed in docs/codes.md. */
+  warning(code: string, fields: Fields): void;
+}
