Add the store over HTTP, and first claims and published versions

Cause: Other parts need the store, claims and version propagation to build on. Change: HttpStore; MemoryStore with faults as @umbermast/coordination/testing; ClaimsInStore does one conditional update a claim; Published lists and watches one object. The interface Peers moves to process/, where longer-lived parts may import it, and is re-exported from connection/.

--- a/packages/coordination/src/connection/peers.ts
+++ b/packages/coordination/src/connection/peers.ts
@@ -1,40 +1,11 @@
 /**
- * Messages between members, over authenticated links.
+ * Messages between members. The interface lives as long as the process and is
+ * defined there, so that longer-lived parts can name it.
  *
  * @module
  */
-import type * as Effect from "effect/Effect";
-
-/** A message could not be sent, or its answer did not come. */
-export interface PeerUnreachable {
-  readonly _tag: "PeerUnreachable";
-  readonly peer: string;
-  readonly reason: "no-link" | "timeout" | "closed" | "refused";
-}
-
-/** Receives the messages of one channel. */
-export type MessageHandler = (
-  from: string,
-  message: unknown,
-) => Effect.Effect<unknown>;
-
-/**
- * Links to all members. A message belongs to a named channel; the value is any
- * CBOR item, which the receiver checks.
- */
-export interface Peers {
-  /** Sends without waiting for an answer; false when there is no link or it is full. */
-  send(to: string, channel: string, message: unknown): boolean;
-  /** Sends and waits for the answer of the other end's handler. */
-  request(
-    to: string,
-    message: { readonly channel: string; readonly body: unknown },
-    options: { readonly timeoutMs: number },
-  ): Effect.Effect<unknown, PeerUnreachable>;
-  /** Sets the handler of a channel; a second one for the same channel throws. */
-  handle(channel: string, handler: MessageHandler): void;
-  /** Calls the listener when a link goes up or down. Returns the end of the subscription. */
-  subscribe(
-    listener: (peer: string, state: "up" | "down") => void,
-  ): () => void;
-}
+export type {
+  MessageHandler,
+  Peers,
+  PeerUnreachable,
+} from "../process/peers.ts";
--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -23,4 +23,18 @@
   MessageHandler,
   Peers,
   PeerUnreachable,
-} from "./connection/peers.ts";
+} from "./process/peers.ts";
+export type {
+  Claim,
+  ClaimOutcome,
+  Claims,
+  ClaimSettlement,
+  ClaimUnavailable,
+  KeptAnswer,
+} from "./process/claims.ts";
+export { ClaimsInStore } from "./process/claims_in_store.ts";
+export type { ClaimsInStoreOptions } from "./process/claims_in_store.ts";
+export { HttpStore } from "./process/http_store.ts";
+export type { HttpStoreOptions, StoreCounters } from "./process/http_store.ts";
+export { Published } from "./version/published.ts";
+export type { PublishedOptions, VersionedValue } from "./version/published.ts";
--- /dev/null
+++ b/packages/coordination/src/process/http_exchange.ts
@@ -0,0 +1,190 @@
+/**
+ * One HTTP request and its answer, on kept connections.
+ *
+ * @module
+ */
+import * as Effect from "effect/Effect";
+import { Agent, request } from "node:http";
+import type { ClientRequest, IncomingMessage } from "node:http";
+import type { Unavailable } from "./store.ts";
+
+const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+const MS_PER_SECOND = 1_000;
+
+/** An answer of the store, whole. */
+export interface StoreReply {
+  readonly status: number;
+  /** Decoded JSON; absent when there was none. */
+  readonly body?: unknown;
+  readonly retryAfterMs?: number;
+}
+
+/** A request to the store. */
+export interface StoreRequest {
+  readonly method: "GET" | "PUT" | "DELETE";
+  readonly path: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string | undefined;
+}
+
+/** Sends requests to one address. */
+export class HttpExchange {
+  readonly #base: URL;
+  readonly #agent: Agent;
+
+  constructor(base: URL, options: { readonly maxSockets: number }) {
+    this.#base = base;
+    this.#agent = new Agent({
+      keepAlive: true,
+      maxSockets: options.maxSockets,
+      scheduling: "lifo",
+    });
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    this.#agent.destroy();
+  }
+
+  /** Sends one request; interruption closes its connection. */
+  send(
+    message: StoreRequest,
+    options: { readonly timeoutMs: number },
+  ): Effect.Effect<StoreReply, Unavailable> {
+    return Effect.callback<StoreReply, Unavailable>((resume) => {
+      const exchange = new Exchange(message.method !== "GET");
+      const finish = (result: Effect.Effect<StoreReply, Unavailable>) => {
+        clearTimeout(timer);
+        resume(result);
+      };
+      const outgoing = request({
+        agent: this.#agent,
+        host: this.#base.hostname,
+        port: this.#base.port,
+        method: message.method,
+        path: message.path,
+        headers: headersOf(message),
+      });
+      const timer = setTimeout(() => {
+        finish(Effect.fail(exchange.failure("No answer in time")));
+        outgoing.destroy();
+        this.#dropIdle();
+      }, options.timeoutMs);
+      exchange.follow(outgoing);
+      outgoing.on("error", (error) => {
+        finish(Effect.fail(exchange.failure(error.message)));
+      });
+      outgoing.on("response", (incoming) => {
+        collect(incoming, (reply) => {
+          finish(
+            typeof reply === "string"
+              ? Effect.fail(exchange.failure(reply))
+              : Effect.succeed(reply),
+          );
+        });
+      });
+      outgoing.end(message.body);
+      return Effect.sync(() => {
+        clearTimeout(timer);
+        outgoing.destroy();
+      });
+    });
+  }
+
+  /** Idle connections share the path of one that went silent. */
+  #dropIdle(): void {
+    for (const sockets of Object.values(this.#agent.freeSockets)) {
+      for (const socket of sockets ?? []) socket.destroy();
+    }
+  }
+}
+
+/** Knows whether any byte of a request can have left this process. */
+class Exchange {
+  readonly #writes: boolean;
+  #connected = false;
+
+  constructor(writes: boolean) {
+    this.#writes = writes;
+  }
+
+  follow(outgoing: ClientRequest): void {
+    outgoing.on("socket", (socket) => {
+      if (!socket.connecting) {
+        this.#connected = true;
+        return;
+      }
+      socket.once("connect", () => {
+        this.#connected = true;
+      });
+    });
+  }
+
+  failure(reason: string): Unavailable {
+    return {
+      _tag: "Unavailable",
+      reason,
+      // Before the connection stands nothing can have reached the store. After
+      // that nothing is known, so a write must be read back by its caller.
+      mayHaveWritten: this.#writes && this.#connected,
+    };
+  }
+}
+
+function headersOf(message: StoreRequest): Record<string, string | number> {
+  if (message.body === undefined) return { ...message.headers };
+  return {
+    ...message.headers,
+    "content-type": "application/json",
+    "content-length": Buffer.byteLength(message.body),
+  };
+}
+
+function collect(
+  incoming: IncomingMessage,
+  done: (reply: StoreReply | string) => void,
+): void {
+  const parts: Buffer[] = [];
+  let size = 0;
+  incoming.on("data", (part: Buffer) => {
+    size += part.length;
+    if (size > MAX_ANSWER_BYTES) {
+      incoming.destroy();
+      done("The answer is too large");
+      return;
+    }
+    parts.push(part);
+  });
+  incoming.on("error", (error) => done(error.message));
+  incoming.on("aborted", () => done("The answer broke off"));
+  incoming.on("end", () => {
+    if (incoming.complete) done(replyOf(incoming, Buffer.concat(parts)));
+  });
+}
+
+function replyOf(
+  incoming: IncomingMessage,
+  bytes: Buffer,
+): StoreReply | string {
+  const retryAfter = Number(incoming.headers["retry-after"]);
+  const status = incoming.statusCode ?? 0;
+  const body = bytes.length === 0 ? undefined : parse(bytes);
+  if (body instanceof SyntaxError && status === 200) {
+    return "The answer is not JSON";
+  }
+  return {
+    status,
+    ...(body instanceof SyntaxError ? {} : { body }),
+    ...(Number.isFinite(retryAfter)
+      ? { retryAfterMs: retryAfter * MS_PER_SECOND }
+      : {}),
+  };
+}
+
+function parse(bytes: Buffer): unknown {
+  try {
+    return JSON.parse(bytes.toString("utf8"));
+  } catch (error) {
+    return error;
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/process/http_store.ts
@@ -0,0 +1,294 @@
+/**
+ * The platform's object store over HTTP.
+ *
+ * @module
+ */
+import * as Effect from "effect/Effect";
+import { HttpExchange } from "./http_exchange.ts";
+import type { StoreReply } from "./http_exchange.ts";
+import { SYSTEM_CLOCK } from "./clock.ts";
+import type { Clock } from "./clock.ts";
+import { StoreHold } from "./store_hold.ts";
+import type {
+  Conflict,
+  Store,
+  StoredObject,
+  StoreEvent,
+  Unavailable,
+} from "./store.ts";
+
+const DEFAULT_TIMEOUT_MS = 2_000;
+const DEFAULT_MAX_CONCURRENT = 32;
+/** How much longer than its own wait a long poll may take. */
+const WATCH_MARGIN_MS = 2_000;
+
+/** Settings of an {@linkcode HttpStore}. */
+export interface HttpStoreOptions {
+  /** Address of the store, such as `http://10.0.0.1:7000`. */
+  readonly url: string;
+  /** Longest time of one call, in milliseconds, waiting for its turn included; 2,000 by default. */
+  readonly timeoutMs?: number;
+  /** Calls under way at once, watches apart; 32 by default. */
+  readonly maxConcurrent?: number;
+  readonly clock?: Clock;
+}
+
+/** Calls made since the start, for metrics. */
+export interface StoreCounters {
+  readonly reads: number;
+  readonly writes: number;
+  readonly watches: number;
+  /** Conditional writes that met another version. */
+  readonly conflicts: number;
+  /** Calls that ended without an answer that could be used. */
+  readonly failures: number;
+  /** Calls not made because the store had asked to wait. */
+  readonly held: number;
+}
+
+type CountersDraft = { -readonly [K in keyof StoreCounters]: number };
+
+/**
+ * {@linkcode Store} over Node's HTTP client, with kept connections.
+ *
+ * A call that is not answered in time fails and its connection is closed, along
+ * with the idle ones: a path that has lost track of one connection has often
+ * lost the others, and a new one works.
+ *
+ * @example
+ * ```ts
+ * const store = new HttpStore({ url: "http://127.0.0.1:7000" });
+ * const object = await Effect.runPromise(store.read("table", "current"));
+ * store.close();
+ * ```
+ */
+export class HttpStore implements Store {
+  readonly #calls: HttpExchange;
+  readonly #watches: HttpExchange;
+  readonly #timeoutMs: number;
+  readonly #readHold: StoreHold;
+  readonly #writeHold: StoreHold;
+  readonly #counters: CountersDraft = {
+    reads: 0,
+    writes: 0,
+    watches: 0,
+    conflicts: 0,
+    failures: 0,
+    held: 0,
+  };
+
+  constructor(options: HttpStoreOptions) {
+    const clock = options.clock ?? SYSTEM_CLOCK;
+    const base = new URL(options.url);
+    const maxSockets = options.maxConcurrent ?? DEFAULT_MAX_CONCURRENT;
+    this.#calls = new HttpExchange(base, { maxSockets });
+    this.#watches = new HttpExchange(base, { maxSockets: Infinity });
+    this.#timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS;
+    this.#readHold = new StoreHold(clock);
+    this.#writeHold = new StoreHold(clock);
+  }
+
+  /** Calls made so far. */
+  get counters(): StoreCounters {
+    return { ...this.#counters };
+  }
+
+  /** Closes all connections; calls under way fail. */
+  close(): void {
+    this.#calls.close();
+    this.#watches.close();
+  }
+
+  read(
+    kind: string,
+    name: string,
+  ): Effect.Effect<StoredObject | undefined, Unavailable> {
+    const call = this.#read(pathOf(kind, name));
+    return Effect.flatMap(call, (reply) => {
+      if (reply.status === 404) return Effect.succeed(undefined);
+      return this.#body<StoredObject>(reply);
+    });
+  }
+
+  write(
+    object: {
+      readonly kind: string;
+      readonly name: string;
+      readonly value: unknown;
+    },
+    options: { readonly ifVersion: number },
+  ): Effect.Effect<number, Conflict | Unavailable> {
+    const call = this.#write("PUT", pathOf(object.kind, object.name), {
+      ifVersion: options.ifVersion,
+      value: object.value,
+    });
+    return Effect.flatMap(call, (reply) => {
+      const version = versionIn(reply);
+      if (reply.status === 200 && version !== undefined) {
+        return Effect.succeed(version);
+      }
+      return this.#writeFailure(reply);
+    });
+  }
+
+  remove(
+    object: { readonly kind: string; readonly name: string },
+    options: { readonly ifVersion: number },
+  ): Effect.Effect<void, Conflict | Unavailable> {
+    const path = pathOf(object.kind, object.name);
+    const call = this.#write("DELETE", path, options);
+    return Effect.flatMap(call, (reply) => {
+      if (reply.status === 200) return Effect.void;
+      if (reply.status === 404) return this.#conflict(0);
+      return this.#writeFailure(reply);
+    });
+  }
+
+  list(kind: string): Effect.Effect<
+    { readonly revision: number; readonly items: readonly StoredObject[] },
+    Unavailable
+  > {
+    return Effect.flatMap(
+      this.#read(pathOf(kind)),
+      (reply) =>
+        Effect.map(
+          this.#body<{ revision: number; items: readonly StoredObject[] }>(
+            reply,
+          ),
+          (body) => ({
+            revision: body.revision,
+            items: body.items.map((item) => ({ ...item, kind })),
+          }),
+        ),
+    );
+  }
+
+  watch(
+    kind: string,
+    options: { readonly from: number; readonly waitMs: number },
+  ): Effect.Effect<
+    { readonly revision: number; readonly events: readonly StoreEvent[] },
+    Unavailable
+  > {
+    const path = `/watch/${
+      encodeURIComponent(kind)
+    }?from=${options.from}&wait=${options.waitMs}`;
+    const call = Effect.suspend(() => {
+      this.#counters.watches += 1;
+      return this.#watches.send({ method: "GET", path }, {
+        timeoutMs: options.waitMs + WATCH_MARGIN_MS,
+      });
+    });
+    return Effect.flatMap(
+      this.#guarded(this.#readHold, call),
+      (reply) =>
+        this.#body<{ revision: number; events: readonly StoreEvent[] }>(reply),
+    );
+  }
+
+  #read(path: string): Effect.Effect<StoreReply, Unavailable> {
+    const call = Effect.suspend(() => {
+      this.#counters.reads += 1;
+      return this.#calls.send({ method: "GET", path }, {
+        timeoutMs: this.#timeoutMs,
+      });
+    });
+    return this.#guarded(this.#readHold, call);
+  }
+
+  #write(
+    method: "PUT" | "DELETE",
+    path: string,
+    options: { readonly ifVersion: number; readonly value?: unknown },
+  ): Effect.Effect<StoreReply, Unavailable> {
+    const call = Effect.suspend(() => {
+      this.#counters.writes += 1;
+      const headers = { "if-version": String(options.ifVersion) };
+      const body = method === "PUT" ? JSON.stringify(options.value) : undefined;
+      return this.#calls.send({ method, path, headers, body }, {
+        timeoutMs: this.#timeoutMs,
+      });
+    });
+    return this.#guarded(this.#writeHold, call);
+  }
+
+  #guarded(
+    hold: StoreHold,
+    call: Effect.Effect<StoreReply, Unavailable>,
+  ): Effect.Effect<StoreReply, Unavailable> {
+    return Effect.suspend(() => {
+      const remainingMs = hold.remainingMs();
+      if (remainingMs > 0) {
+        this.#counters.held += 1;
+        return Effect.fail<Unavailable>({
+          _tag: "Unavailable",
+          reason: "The store asked to wait",
+          mayHaveWritten: false,
+          retryAfterMs: remainingMs,
+        });
+      }
+      return Effect.tapError(call, () => this.#failed()).pipe(
+        Effect.tap((reply) => Effect.sync(() => hold.note(reply))),
+      );
+    });
+  }
+
+  #writeFailure(
+    reply: StoreReply,
+  ): Effect.Effect<never, Conflict | Unavailable> {
+    const version = versionIn(reply);
+    if (reply.status === 409 && version !== undefined) {
+      return this.#conflict(version);
+    }
+    // 4xx and 503 are the store's own refusals. Any other answer may come from
+    // something between the two ends, after the store did the write.
+    const refused = reply.status >= 400 && reply.status < 500 ||
+      reply.status === 503;
+    return this.#unusable(reply, !refused);
+  }
+
+  #conflict(version: number): Effect.Effect<never, Conflict> {
+    return Effect.suspend(() => {
+      this.#counters.conflicts += 1;
+      return Effect.fail<Conflict>({ _tag: "Conflict", version });
+    });
+  }
+
+  #body<T>(reply: StoreReply): Effect.Effect<T, Unavailable> {
+    if (reply.status === 200 && reply.body !== undefined) {
+      return Effect.succeed(reply.body as T);
+    }
+    return this.#unusable(reply, false);
+  }
+
+  #unusable(
+    reply: StoreReply,
+    mayHaveWritten: boolean,
+  ): Effect.Effect<never, Unavailable> {
+    const failure: Unavailable = {
+      _tag: "Unavailable",
+      reason: `The store answered with status ${reply.status}`,
+      mayHaveWritten,
+      ...(reply.retryAfterMs === undefined
+        ? {}
+        : { retryAfterMs: reply.retryAfterMs }),
+    };
+    return Effect.andThen(this.#failed(), Effect.fail(failure));
+  }
+
+  #failed(): Effect.Effect<void> {
+    return Effect.sync(() => {
+      this.#counters.failures += 1;
+    });
+  }
+}
+
+function pathOf(kind: string, name?: string): string {
+  const path = `/objects/${encodeURIComponent(kind)}`;
+  return name === undefined ? path : `${path}/${encodeURIComponent(name)}`;
+}
+
+function versionIn(reply: StoreReply): number | undefined {
+  const version = (reply.body as { version?: unknown } | undefined)?.version;
+  return typeof version === "number" ? version : undefined;
+}
--- /dev/null
+++ b/packages/coordination/src/process/http_store_test.ts
@@ -0,0 +1,162 @@
+import assert from "node:assert/strict";
+import { createServer } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { test } from "node:test";
+import type { TestContext } from "node:test";
+import * as Effect from "effect/Effect";
+import { HttpStore } from "./http_store.ts";
+import type { HttpStoreOptions } from "./http_store.ts";
+import type { Unavailable } from "./store.ts";
+
+type Handler = (incoming: IncomingMessage, outgoing: ServerResponse) => void;
+
+async function storeBehind(
+  t: TestContext,
+  handler: Handler,
+  options: Partial<HttpStoreOptions> = {},
+): Promise<{ readonly store: HttpStore; readonly server: Server }> {
+  const server = createServer((incoming, outgoing) => {
+    incoming.resume();
+    incoming.on("end", () => handler(incoming, outgoing));
+  });
+  await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
+  const { port } = server.address() as AddressInfo;
+  const store = new HttpStore({ url: `http://127.0.0.1:${port}`, ...options });
+  t.after(() => {
+    store.close();
+    server.closeAllConnections();
+    server.close();
+  });
+  return { store, server };
+}
+
+function answer(outgoing: ServerResponse, status: number, body: unknown) {
+  outgoing.writeHead(status, { "content-type": "application/json" });
+  outgoing.end(JSON.stringify(body));
+}
+
+function write(store: HttpStore) {
+  return Effect.runPromise(Effect.flip(
+    store.write({ kind: "k", name: "n", value: 1 }, { ifVersion: 3 }),
+  ));
+}
+
+test("a conditional write carries its version and returns the new one", async (t) => {
+  const seen: (string | string[] | undefined)[] = [];
+  const { store } = await storeBehind(t, (incoming, outgoing) => {
+    seen.push(incoming.url, incoming.headers["if-version"]);
+    answer(outgoing, 200, { version: 9 });
+  });
+  const version = await Effect.runPromise(
+    store.write({ kind: "k", name: "a/b", value: {} }, { ifVersion: 3 }),
+  );
+  assert.equal(version, 9);
+  assert.deepEqual(seen, ["/objects/k/a%2Fb", "3"]);
+});
+
+test("an absent object reads as undefined", async (t) => {
+  const { store } = await storeBehind(
+    t,
+    (_, outgoing) => answer(outgoing, 404, {}),
+  );
+  assert.equal(await Effect.runPromise(store.read("k", "n")), undefined);
+});
+
+test("a conflict tells the version in the store", async (t) => {
+  const { store } = await storeBehind(
+    t,
+    (_, outgoing) => answer(outgoing, 409, { version: 5 }),
+  );
+  assert.deepEqual(await write(store), { _tag: "Conflict", version: 5 });
+  assert.equal(store.counters.conflicts, 1);
+});
+
+test("a write to a store that does not listen cannot have taken effect", async (t) => {
+  const { store, server } = await storeBehind(t, () => {});
+  await new Promise((done) => server.close(done));
+  const failure = await write(store) as Unavailable;
+  assert.equal(failure._tag, "Unavailable");
+  assert.equal(failure.mayHaveWritten, false);
+});
+
+test("a write whose connection breaks before the reply may have taken effect", async (t) => {
+  // The store applies the write and its connection breaks before the reply. The
+  // writer must not take this for a failed write: it would tell its caller that
+  // nothing happened.
+  const { store } = await storeBehind(
+    t,
+    (incoming) => incoming.socket.destroy(),
+  );
+  const failure = await write(store) as Unavailable;
+  assert.equal(failure.mayHaveWritten, true);
+});
+
+test("a refusal by the store did not write, and an error between may have", async (t) => {
+  let status = 429;
+  const { store } = await storeBehind(
+    t,
+    (_, outgoing) => answer(outgoing, status, {}),
+  );
+  const outcomes: boolean[] = [];
+  for (status of [413, 429, 503, 502, 500]) {
+    outcomes.push((await write(store) as Unavailable).mayHaveWritten);
+  }
+  assert.deepEqual(outcomes, [false, false, false, true, true]);
+});
+
+test("a store that asks to wait is left alone until then", async (t) => {
+  // The store refuses for exceeding its rate. Callers that ask again at once
+  // would keep it over its rate for good, so calls fail here without being made.
+  let now = 0;
+  let calls = 0;
+  const clock = { now: () => now, monotonic: () => now };
+  const { store } = await storeBehind(t, (_, outgoing) => {
+    calls += 1;
+    outgoing.setHeader("retry-after", "2");
+    answer(outgoing, 429, {});
+  }, { clock });
+  assert.equal((await write(store) as Unavailable).retryAfterMs, 2_000);
+  assert.equal((await write(store) as Unavailable).retryAfterMs, 2_000);
+  assert.equal(calls, 1);
+  assert.equal(store.counters.held, 1);
+  now = 2_000;
+  await write(store);
+  assert.equal(calls, 2);
+});
+
+test("a silent connection is given up and a new one is used", async (t) => {
+  // Something between the two ends loses track of an open connection: requests
+  // on it vanish. Nothing tells the caller, so only the time bound ends the
+  // call, and the connection must not be used again.
+  const silent = new Set<unknown>();
+  const { store } = await storeBehind(t, (incoming, outgoing) => {
+    if (silent.size === 0) silent.add(incoming.socket);
+    if (silent.has(incoming.socket)) return;
+    answer(outgoing, 200, { kind: "k", name: "n", version: 1, value: "new" });
+  }, { timeoutMs: 200 });
+  const failure = await Effect.runPromise(Effect.flip(store.read("k", "n")));
+  assert.equal(failure.mayHaveWritten, false);
+  const found = await Effect.runPromise(store.read("k", "n"));
+  assert.equal(found?.value, "new");
+});
+
+test("calls beyond the bound wait for their turn", async (t) => {
+  let underWay = 0;
+  let most = 0;
+  const pending: ServerResponse[] = [];
+  const { store } = await storeBehind(t, (_, outgoing) => {
+    underWay += 1;
+    most = Math.max(most, underWay);
+    pending.push(outgoing);
+    if (pending.length === 2) {
+      for (const held of pending.splice(0)) {
+        underWay -= 1;
+        answer(held, 404, {});
+      }
+    }
+  }, { maxConcurrent: 2, timeoutMs: 60_000 });
+  const reads = Array.from({ length: 6 }, () => store.read("k", "n"));
+  await Effect.runPromise(Effect.all(reads, { concurrency: "unbounded" }));
+  assert.equal(most, 2);
+});
--- /dev/null
+++ b/packages/coordination/src/testing/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Fakes of the interfaces of coordination, for tests.
+ *
+ * @module
+ */
+export { MemoryStore } from "./memory_store.ts";
+export type { FaultPlan, StoreCall, StoreFault } from "./memory_store.ts";
