--- /dev/null
+++ b/packages/coordination/src/process/claim_client.ts
@@ -0,0 +1,95 @@
+/**
+ * Finds a member to decide a claim, and decides it here when none answers.
+ *
+ * @module
+ */
+import * as Effect from "effect/Effect";
+import type { PartitionRequest, Verdict } from "./claim_decision.ts";
+import type { ClaimLayout } from "./claim_layout.ts";
+import {
+  CLAIMS_CHANNEL,
+  decodeVerdict,
+  encodeMessage,
+} from "./claim_message.ts";
+import type { Undecided } from "./claim_partition.ts";
+import { partitionOf, servers } from "./claim_routing.ts";
+import type { ClaimServer } from "./claim_server.ts";
+import type { Clock } from "./clock.ts";
+import type { Membership } from "./membership.ts";
+import type { Peers, PeerUnreachable } from "./peers.ts";
+
+/**
+ * Members asked before deciding here. With one only, the loss of a server would
+ * make every other member write the partition at once, until the view shows it.
+ */
+const MOST_ASKED = 2;
+
+/** What a {@linkcode ClaimClient} needs. */
+export interface ClaimClientOptions {
+  readonly server: ClaimServer;
+  readonly layout: ClaimLayout;
+  readonly peers: Peers;
+  readonly membership: Membership;
+  readonly clock: Clock;
+}
+
+/** Routes requests to the members that serve their partitions. */
+export class ClaimClient {
+  readonly #options: ClaimClientOptions;
+
+  constructor(options: ClaimClientOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Decides a request within the time given. When it can't, the request may
+   * still be recorded later by a member that was asked.
+   */
+  decide(
+    request: PartitionRequest,
+    options: { readonly timeoutMs: number },
+  ): Effect.Effect<Verdict, Undecided> {
+    const { layout, membership, server, clock } = this.#options;
+    return Effect.gen({ self: this }, function* () {
+      const deadline = clock.monotonic() + options.timeoutMs;
+      const partition = partitionOf(request.key, layout.partitions);
+      const self = membership.self.name;
+      const asked = servers(membership.view(), partition).slice(0, MOST_ASKED);
+      for (const name of asked) {
+        if (name === self) break;
+        const budgetMs = Math.floor((deadline - clock.monotonic()) / 2);
+        if (budgetMs <= 0) break;
+        const verdict = yield* this.#ask(name, {
+          partition,
+          request,
+          budgetMs,
+        });
+        if (verdict._tag === "PeerUnreachable") continue;
+        if (verdict._tag === "Undecided") break;
+        return verdict;
+      }
+      const timeoutMs = Math.max(0, deadline - clock.monotonic());
+      return yield* server.submit(partition, request, { timeoutMs });
+    });
+  }
+
+  #ask(
+    name: string,
+    message: {
+      readonly partition: number;
+      readonly request: PartitionRequest;
+      readonly budgetMs: number;
+    },
+  ): Effect.Effect<Verdict | Undecided | PeerUnreachable> {
+    const answer = this.#options.peers.request(name, {
+      channel: CLAIMS_CHANNEL,
+      body: encodeMessage(message),
+    }, { timeoutMs: message.budgetMs });
+    return Effect.match(answer, {
+      onFailure: (unreachable) => unreachable,
+      onSuccess: (value) =>
+        decodeVerdict(value) ??
+          { _tag: "Undecided", reason: "The verdict is not valid" },
+    });
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/process/claim_message.ts
@@ -0,0 +1,98 @@
+/**
+ * Messages between a claimant and the member that serves a partition.
+ *
+ * @module
+ */
+import type { PartitionRequest, Verdict } from "./claim_decision.ts";
+import type { Undecided } from "./claim_partition.ts";
+import { decodeRecord, encodeRecord } from "./claim_record.ts";
+import type { ClaimState } from "./claim_record.ts";
+
+/** Channel of the messages. */
+export const CLAIMS_CHANNEL = "claims";
+
+const LONGEST_BUDGET_MS = 60_000;
+const STATES = ["running", "answered", "may-have-run", "withdrawn"];
+
+/** A request, with how long its sender will wait for the verdict. */
+export interface ClaimMessage {
+  readonly partition: number;
+  readonly request: PartitionRequest;
+  readonly budgetMs: number;
+}
+
+/** Form of a request on the wire; a claim is a running record. */
+export function encodeMessage(message: ClaimMessage): unknown {
+  const { partition, request, budgetMs } = message;
+  const state = request._tag === "Claim" ? "running" : request.state;
+  return { partition, budgetMs, record: encodeRecord({ ...request, state }) };
+}
+
+/** Reads a request; undefined when it is not valid. */
+export function decodeMessage(value: unknown): ClaimMessage | undefined {
+  const message = value as Partial<Record<string, unknown>> | null;
+  const record = decodeRecord(message?.["record"]);
+  const partition = message?.["partition"];
+  const budgetMs = message?.["budgetMs"];
+  if (record === undefined) return undefined;
+  if (!isCount(partition) || !isCount(budgetMs)) return undefined;
+  if (budgetMs > LONGEST_BUDGET_MS) return undefined;
+  const { key, digest, id, by, state } = record;
+  const request: PartitionRequest = state === "running"
+    ? { _tag: "Claim", key, digest, id, by }
+    : { _tag: "Settle", ...record, state };
+  return { partition, request, budgetMs };
+}
+
+/** Reads a verdict; undefined when it is not valid. */
+export function decodeVerdict(value: unknown): Verdict | Undecided | undefined {
+  const verdict = value as Partial<Record<string, unknown>> | null;
+  switch (verdict?.["_tag"]) {
+    case "Claimed":
+    case "Mismatch":
+    case "Withdrawn":
+    case "Full":
+    case "Settled":
+      return { _tag: verdict["_tag"] };
+    case "Taken":
+      return decodeTaken(verdict);
+    case "Answered":
+      return decodeAnswered(verdict);
+    case "Undecided":
+      return { _tag: "Undecided", reason: String(verdict["reason"]) };
+    default:
+      return undefined;
+  }
+}
+
+function decodeTaken(
+  verdict: Partial<Record<string, unknown>>,
+): Verdict | undefined {
+  const { by, state } = verdict;
+  if (typeof by !== "string" || !STATES.includes(state as string)) {
+    return undefined;
+  }
+  return { _tag: "Taken", by, state: state as ClaimState };
+}
+
+function decodeAnswered(
+  verdict: Partial<Record<string, unknown>>,
+): Verdict | undefined {
+  const answer = verdict["answer"] as Record<string, unknown> | undefined;
+  const headers = answer?.["headers"];
+  const status = answer?.["status"];
+  const body = answer?.["body"];
+  if (typeof status !== "number" || !(body instanceof Uint8Array)) {
+    return undefined;
+  }
+  if (!Array.isArray(headers)) return undefined;
+  const named = headers.map((header: Record<string, unknown>) => ({
+    name: String(header?.["name"]),
+    value: String(header?.["value"]),
+  }));
+  return { _tag: "Answered", answer: { status, headers: named, body } };
+}
+
+function isCount(value: unknown): value is number {
+  return Number.isSafeInteger(value) && (value as number) >= 0;
+}
--- /dev/null
+++ b/packages/coordination/src/process/claim_objects.ts
@@ -0,0 +1,195 @@
+/**
+ * The objects in the store that hold a partition's claims.
+ *
+ * @module
+ */
+import * as Effect from "effect/Effect";
+import type { ClaimLedger, Composition, KnownSegment } from "./claim_ledger.ts";
+import { decodeHead, decodeRecords, encodeHead } from "./claim_record.ts";
+import { encodeRecords } from "./claim_record.ts";
+import type { ClaimHead, UnreadableClaims } from "./claim_record.ts";
+import type { Clock } from "./clock.ts";
+import type { CrashPoints } from "./crash_points.ts";
+import type { Conflict, Store, StoredObject, Unavailable } from "./store.ts";
+
+/** Kind of the heads. */
+export const CLAIMS_KIND = "claims";
+/** More missing segments than this are read by one list. */
+const MOST_SINGLE_READS = 4;
+
+/** Why a partition could not be read or written. */
+export type ClaimStoreFailure = Conflict | Unavailable | UnreadableClaims;
+
+/** What {@linkcode ClaimObjects} needs. */
+export interface ClaimObjectsOptions {
+  readonly store: Store;
+  readonly clock: Clock;
+  readonly crashPoints: CrashPoints;
+}
+
+/**
+ * Reads and writes a partition: a head, and the sealed segments that it names.
+ * Only the head's conditional update decides anything. A segment that no head
+ * names, left by a crash between the two writes, is of no effect.
+ */
+export class ClaimObjects {
+  readonly #options: ClaimObjectsOptions;
+  readonly #headName: string;
+  readonly #segmentKind: string;
+
+  constructor(index: number, options: ClaimObjectsOptions) {
+    this.#options = options;
+    this.#headName = `head-${index}`;
+    this.#segmentKind = `${CLAIMS_KIND}-${index}`;
+  }
+
+  /** Brings the ledger to the head in the store. */
+  load(ledger: ClaimLedger): Effect.Effect<void, ClaimStoreFailure> {
+    const { store } = this.#options;
+    return Effect.gen({ self: this }, function* () {
+      const found = yield* store.read(CLAIMS_KIND, this.#headName);
+      if (found === undefined) return;
+      if (found.version === ledger.version) return;
+      const head = decodeHead(found.value);
+      if ("_tag" in head) return yield* Effect.fail(head);
+      yield* this.#loadSegments(ledger, head, found.version);
+      ledger.adopt(head, found.version);
+    });
+  }
+
+  /** Seals if the composition says so, then writes the head. */
+  save(
+    ledger: ClaimLedger,
+    composition: Composition,
+  ): Effect.Effect<void, ClaimStoreFailure> {
+    const { store, crashPoints } = this.#options;
+    const head = composition.head;
+    if (head === undefined) return Effect.void;
+    return Effect.gen({ self: this }, function* () {
+      yield* this.#seal(ledger, composition);
+      yield* crashPoints.reached("claim.before_write");
+      const dropped = composition.dropped.map((name) => ({
+        name,
+        version: ledger.segment(name)?.version ?? 0,
+      }));
+      const version = yield* store.write({
+        kind: CLAIMS_KIND,
+        name: this.#headName,
+        value: encodeHead(head),
+      }, { ifVersion: ledger.version });
+      ledger.adopt(head, version);
+      yield* crashPoints.reached("claim.after_write");
+      yield* Effect.forEach(dropped, (segment) => this.#discard(segment));
+    });
+  }
+
+  #seal(
+    ledger: ClaimLedger,
+    composition: Composition,
+  ): Effect.Effect<void, ClaimStoreFailure> {
+    const { store, clock, crashPoints } = this.#options;
+    const { sealed } = composition;
+    if (sealed === undefined) return Effect.void;
+    const name = ledger.version;
+    return Effect.gen({ self: this }, function* () {
+      yield* crashPoints.reached("claim.before_seal");
+      const version = yield* store.write({
+        kind: this.#segmentKind,
+        name: String(name),
+        value: encodeRecords(sealed),
+      }, { ifVersion: 0 }).pipe(
+        // The name holds the head's version, and a version has one content: who
+        // sealed it before wrote the same.
+        Effect.catchTag("Conflict", (met) => Effect.succeed(met.version)),
+      );
+      // Learnt now at the earliest; the head that names it comes later still.
+      ledger.learn(name, {
+        records: sealed,
+        version,
+        learntAt: clock.monotonic(),
+      });
+      yield* crashPoints.reached("claim.after_seal");
+    });
+  }
+
+  #loadSegments(
+    ledger: ClaimLedger,
+    head: ClaimHead,
+    headVersion: number,
+  ): Effect.Effect<void, ClaimStoreFailure> {
+    const missing = ledger.missing(head);
+    return Effect.gen({ self: this }, function* () {
+      const objects = missing.length > MOST_SINGLE_READS
+        ? yield* this.#listSegments(head, headVersion)
+        : yield* Effect.forEach(missing, (name) => this.#readSegment(name));
+      const byName = new Map(objects.map((item) => [Number(item.name), item]));
+      for (const name of missing) {
+        const segment = this.#known(byName.get(name), name);
+        if ("_tag" in segment) return yield* Effect.fail(segment);
+        ledger.learn(name, segment);
+      }
+    });
+  }
+
+  #readSegment(
+    name: number,
+  ): Effect.Effect<StoredObject, Unavailable | UnreadableClaims> {
+    const { store } = this.#options;
+    return Effect.flatMap(
+      store.read(this.#segmentKind, String(name)),
+      (found) =>
+        found === undefined
+          ? Effect.fail(this.#absent(name))
+          : Effect.succeed(found),
+    );
+  }
+
+  #listSegments(
+    head: ClaimHead,
+    headVersion: number,
+  ): Effect.Effect<readonly StoredObject[], Unavailable> {
+    const { store } = this.#options;
+    return Effect.gen({ self: this }, function* () {
+      const { items } = yield* store.list(this.#segmentKind);
+      const named = new Set(head.segments);
+      for (const item of items) {
+        const name = Number(item.name);
+        // Only the head that follows version `name` may name this segment. The
+        // head has moved past it without, so no head ever will.
+        if (named.has(name) || name >= headVersion) continue;
+        yield* this.#discard({ name, version: item.version });
+      }
+      return items;
+    });
+  }
+
+  #known(
+    object: StoredObject | undefined,
+    name: number,
+  ): KnownSegment | UnreadableClaims {
+    // Without a segment its keys would look free, so nothing is claimed.
+    if (object === undefined) return this.#absent(name);
+    const records = decodeRecords(object.value);
+    if ("_tag" in records) return records;
+    const learntAt = this.#options.clock.monotonic();
+    return { records, version: object.version, learntAt };
+  }
+
+  #absent(name: number): UnreadableClaims {
+    return {
+      _tag: "UnreadableClaims",
+      message: `Cannot read claims: no segment "${this.#segmentKind}/${name}"`,
+    };
+  }
+
+  /** Frees the store's memory; a segment left behind does no harm. */
+  #discard(
+    segment: { readonly name: number; readonly version: number },
+  ): Effect.Effect<void> {
+    const object = { kind: this.#segmentKind, name: String(segment.name) };
+    const remove = this.#options.store.remove(object, {
+      ifVersion: segment.version,
+    });
+    return Effect.ignore(remove);
+  }
+}
--- a/packages/coordination/src/process/claims_in_store.ts
+++ b/packages/coordination/src/process/claims_in_store.ts
@@ -3,8 +3,10 @@
  *
  * @module
  */
-import { createHash, randomUUID } from "node:crypto";
+import { randomBytes } from "node:crypto";
+import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
+import * as Schedule from "effect/Schedule";
 import type * as Scope from "effect/Scope";
 import type {
   Claim,
@@ -13,21 +15,32 @@
   ClaimSettlement,
   ClaimUnavailable,
 } from "./claims.ts";
+import { ClaimClient } from "./claim_client.ts";
+import type { ClaimRequest, SettleRequest, Verdict } from "./claim_decision.ts";
+import { agreeLayout } from "./claim_layout.ts";
+import type { ClaimLayout } from "./claim_layout.ts";
+import type { Undecided } from "./claim_partition.ts";
+import { answerBytes, bodyDigest, keyDigest } from "./claim_record.ts";
+import { ClaimServer } from "./claim_server.ts";
+import { claimSettings } from "./claim_settings.ts";
+import type { ClaimSettings } from "./claim_settings.ts";
 import { SYSTEM_CLOCK } from "./clock.ts";
 import type { Clock } from "./clock.ts";
+import { NO_CRASH_POINTS } from "./crash_points.ts";
+import type { CrashPoints } from "./crash_points.ts";
 import type { Membership } from "./membership.ts";
 import type { Peers } from "./peers.ts";
-import type { Conflict, Store, StoredObject, Unavailable } from "./store.ts";
+import type { Store } from "./store.ts";
 
-const KIND = "claims";
-const START_WITHIN_MS = 5_000;
+const ID_BYTES = 9;
 const RETRY_AFTER_MS = 1_000;
-
-interface Entry {
-  readonly id: string;
-  readonly digest: string;
-  readonly by: string;
-}
+const RETRY_WHEN_FULL_MS = 30_000;
+const LAYOUT_PAUSE_MS = 500;
+const SETTLE_PAUSE_MS = 1_000;
+/** Part of the bound after which a decision gives up, so that it can say why. */
+const DECIDE_PART = 0.9;
+/** Settlements that wait for the store; more are given up, their claims stand. */
+const MAX_PENDING_SETTLEMENTS = 10_000;
 
 /** Settings of {@linkcode ClaimsInStore}. */
 export interface ClaimsInStoreOptions {
@@ -35,95 +48,300 @@
   readonly peers: Peers;
   readonly membership: Membership;
   readonly clock?: Clock;
+  readonly crashPoints?: CrashPoints;
+  readonly settings?: Partial<ClaimSettings>;
 }
 
-/** {@linkcode Claims} that are safe by conditional update alone. */
+/**
+ * {@linkcode Claims} that are safe by conditional update alone; see
+ * docs/design/claims.md. Life: construct, {@linkcode ClaimsInStore.start} in the
+ * daemon's scope, claim and settle, {@linkcode ClaimsInStore.drain} when leaving.
+ *
+ * @example
+ * ```ts
+ * const claims = new ClaimsInStore({ store, peers, membership });
+ * yield* claims.start();
+ * const outcome = yield* claims.claim("a/quotes/42", { digest });
+ * if (outcome._tag !== "Claimed" || !outcome.claim.mayStart()) return;
+ * const answer = yield* send();
+ * yield* outcome.claim.settle({ _tag: "Answered", answer });
+ * ```
+ */
 export class ClaimsInStore implements Claims {
   readonly #options: ClaimsInStoreOptions;
+  readonly #settings: ClaimSettings;
   readonly #clock: Clock;
+  readonly #crashPoints: CrashPoints;
+  readonly #client = Deferred.makeUnsafe<ClaimClient>();
+  #scope: Scope.Scope | undefined;
+  #pending = 0;
 
   constructor(options: ClaimsInStoreOptions) {
     this.#options = options;
+    this.#settings = claimSettings(options.settings);
     this.#clock = options.clock ?? SYSTEM_CLOCK;
+    this.#crashPoints = options.crashPoints ?? NO_CRASH_POINTS;
   }
 
-  /** Serves other members' claims until the scope closes. */
+  /** Settlements that are not recorded yet. */
+  get pendingSettlements(): number {
+    return this.#pending;
+  }
+
+  /** Makes and serves claims until the scope closes. */
   start(): Effect.Effect<void, never, Scope.Scope> {
-    return Effect.void;
+    return Effect.gen({ self: this }, function* () {
+      const scope = yield* Effect.scope;
+      this.#scope = scope;
+      yield* Effect.forkIn(this.#open(scope), scope);
+    });
+  }
+
+  /** Ends when all settlements are recorded; the caller bounds the time. */
+  drain(): Effect.Effect<void> {
+    const POLL_MS = 20;
+    return Effect.gen({ self: this }, function* () {
+      while (this.#pending > 0) yield* Effect.sleep(POLL_MS);
+    });
   }
 
   claim(
     key: string,
     options: { readonly digest: string },
   ): Effect.Effect<ClaimOutcome, ClaimUnavailable> {
-    const name = createHash("sha256").update(key).digest("base64url");
-    const entry: Entry = {
-      id: randomUUID(),
-      digest: options.digest,
-      by: this.#options.membership.self.name,
-    };
-    const { store } = this.#options;
-    const write = store.write({ kind: KIND, name, value: entry }, {
-      ifVersion: 0,
-    });
-    return Effect.matchEffect(write, {
-      onSuccess: () => Effect.succeed(this.#claimed(key, name, entry)),
-      onFailure: (failure) => this.#resolve(key, name, { entry, failure }),
+    return Effect.suspend(() => {
+      const request: ClaimRequest = {
+        _tag: "Claim",
+        key: keyDigest(key),
+        digest: bodyDigest(options.digest),
+        id: randomBytes(ID_BYTES).toString("base64url"),
+        by: this.#options.membership.self.name,
+      };
+      const startedAt = this.#clock.monotonic();
+      return Effect.matchEffect(this.#ask(request), {
+        onFailure: (undecided) => this.#giveUp(request, undecided),
+        onSuccess: (verdict) =>
+          this.#conclude(verdict, { key, request, startedAt }),
+      }).pipe(Effect.onInterrupt(() => this.#withdraw(request)));
     });
   }
 
-  /** A conflict may be one's own write whose reply was lost. */
-  #resolve(
-    key: string,
-    name: string,
-    met: { readonly entry: Entry; readonly failure: Conflict | Unavailable },
-  ): Effect.Effect<ClaimOutcome, ClaimUnavailable> {
-    if (met.failure._tag === "Unavailable" && !met.failure.mayHaveWritten) {
-      return Effect.fail(unavailable(met.failure));
-    }
-    const read = Effect.mapError(
-      this.#options.store.read(KIND, name),
-      unavailable,
-    );
-    return Effect.flatMap(read, (found) => {
-      if (found === undefined) return Effect.fail(unavailable());
-      return Effect.succeed(this.#judge(key, found, met.entry));
-    });
+  #ask(request: ClaimRequest): Effect.Effect<Verdict, Undecided> {
+    const { timeoutMs } = this.#settings;
+    return Effect.gen({ self: this }, function* () {
+      yield* this.#crashPoints.reached("claim.before_ask");
+      const client = yield* Deferred.await(this.#client);
+      const verdict = yield* client.decide(request, {
+        timeoutMs: timeoutMs * DECIDE_PART,
+      });
+      yield* this.#crashPoints.reached("claim.after_ask");
+      return verdict;
+    }).pipe(Effect.timeoutOrElse({
+      duration: timeoutMs,
+      orElse: () =>
+        Effect.fail<Undecided>({
+          _tag: "Undecided",
+          reason: "No verdict in time",
+        }),
+    }));
   }
 
-  #judge(key: string, found: StoredObject, own: Entry): ClaimOutcome {
-    const entry = found.value as Entry;
-    if (entry.id === own.id) return this.#claimed(key, found.name, own);
-    if (entry.digest !== own.digest) return { _tag: "Mismatch" };
-    return { _tag: "Taken", by: entry.by, state: "may-have-run" };
+  #conclude(
+    verdict: Verdict,
+    asked: {
+      readonly key: string;
+      readonly request: ClaimRequest;
+      readonly startedAt: number;
+    },
+  ): Effect.Effect<ClaimOutcome, ClaimUnavailable> {
+    const { request } = asked;
+    switch (verdict._tag) {
+      case "Claimed":
+        return this.#claimed(asked);
+      case "Answered":
+      case "Mismatch":
+        return Effect.succeed(verdict);
+      case "Taken":
+        return Effect.succeed(this.#taken(verdict));
+      case "Full":
+        return Effect.fail({
+          _tag: "ClaimUnavailable",
+          reason: "full",
+          message: "Cannot claim: the partition of the key is full",
+          retryAfterMs: RETRY_WHEN_FULL_MS,
+        });
+      default:
+        return this.#giveUp(request, {
+          _tag: "Undecided",
+          reason: `Unexpected verdict "${verdict._tag}"`,
+        });
+    }
   }
 
-  #claimed(key: string, name: string, entry: Entry): ClaimOutcome {
-    const startBy = this.#clock.monotonic() + START_WITHIN_MS;
+  /**
+   * A process that was paused while it asked may find its claim made long ago,
+   * even aged out since; its caller has gone and may have tried elsewhere.
+   */
+  #claimed(
+    asked: {
+      readonly key: string;
+      readonly request: ClaimRequest;
+      readonly startedAt: number;
+    },
+  ): Effect.Effect<ClaimOutcome, ClaimUnavailable> {
+    const { key, request, startedAt } = asked;
+    const { timeoutMs, startWithinMs } = this.#settings;
+    const elapsed = () => this.#clock.monotonic() - startedAt;
+    if (elapsed() > timeoutMs) {
+      return this.#giveUp(request, {
+        _tag: "Undecided",
+        reason: "The verdict came too late",
+      });
+    }
     const claim: Claim = {
       key,
-      id: entry.id,
-      mayStart: () => this.#clock.monotonic() < startBy,
-      settle: (settlement) => this.#settle(name, settlement),
+      id: request.id,
+      mayStart: () => elapsed() < timeoutMs + startWithinMs,
+      settle: (settlement) => this.#settle(request, settlement),
     };
-    return { _tag: "Claimed", claim };
+    return Effect.succeed({ _tag: "Claimed", claim });
   }
 
-  #settle(name: string, settlement: ClaimSettlement): Effect.Effect<void> {
-    if (settlement._tag !== "NotRun") return Effect.void;
-    const { store } = this.#options;
-    return Effect.flatMap(store.read(KIND, name), (found) => {
-      if (found === undefined) return Effect.void;
-      return store.remove({ kind: KIND, name }, { ifVersion: found.version });
+  #taken(verdict: Verdict & { readonly _tag: "Taken" }): ClaimOutcome {
+    const { by } = verdict;
+    const { members } = this.#options.membership.view();
+    const lives = members.some(({ member }) => member.name === by);
+    if (verdict.state === "answered") {
+      return { _tag: "Taken", by, state: "answered" };
+    }
+    const running = verdict.state === "running" && lives;
+    return { _tag: "Taken", by, state: running ? "running" : "may-have-run" };
+  }
+
+  /** The claim will not be used, so it is taken back where it may stand. */
+  #giveUp(
+    request: ClaimRequest,
+    undecided: Undecided,
+  ): Effect.Effect<never, ClaimUnavailable> {
+    const failure: ClaimUnavailable = {
+      _tag: "ClaimUnavailable",
+      reason: "store",
+      message: `Cannot claim: ${undecided.reason}`,
+      retryAfterMs: undecided.retryAfterMs ?? RETRY_AFTER_MS,
+    };
+    return Effect.andThen(this.#withdraw(request), Effect.fail(failure));
+  }
+
+  #withdraw(request: ClaimRequest): Effect.Effect<void> {
+    return this.#settle(request, { _tag: "NotRun" });
+  }
+
+  #settle(
+    request: ClaimRequest,
+    settlement: ClaimSettlement,
+  ): Effect.Effect<void> {
+    return Effect.suspend(() => {
+      const scope = this.#scope;
+      if (scope === undefined || this.#pending >= MAX_PENDING_SETTLEMENTS) {
+        return Effect.void;
+      }
+      this.#pending += 1;
+      const record = this.#record(settleRequest(request, settlement, {
+        maxAnswerBytes: this.#settings.maxAnswerBytes,
+      }));
+      const counted = Effect.ensuring(
+        record,
+        Effect.sync(() => {
+          this.#pending -= 1;
+        }),
+      );
+      return Effect.asVoid(Effect.forkIn(counted, scope));
+    });
+  }
+
+  /** Tries until it is recorded or nobody can be waiting for it. */
+  #record(request: SettleRequest): Effect.Effect<void> {
+    const { timeoutMs, settlePatienceMs } = this.#settings;
+    const giveUpAt = this.#clock.monotonic() + settlePatienceMs;
+    return Effect.gen({ self: this }, function* () {
+      yield* this.#crashPoints.reached("claim.before_settle");
+      const client = yield* Deferred.await(this.#client);
+      while (this.#clock.monotonic() < giveUpAt) {
+        const decided = client.decide(request, { timeoutMs });
+        const done = yield* Effect.match(decided, {
+          onFailure: () => false,
+          onSuccess: () => true,
+        });
+        if (done) break;
+        yield* Effect.sleep(SETTLE_PAUSE_MS);
+      }
+      yield* this.#crashPoints.reached("claim.after_settle");
+    });
+  }
+
+  /** Agrees on the layout; until then claims time out as unavailable. */
+  #open(scope: Scope.Scope): Effect.Effect<void> {
+    const { store, peers, membership } = this.#options;
+    const { partitions, windowMs } = this.#settings;
+    return Effect.gen({ self: this }, function* () {
+      const layout = yield* Effect.retry(
+        agreeLayout(store, { partitions, windowMs }),
+        { schedule: Schedule.spaced(LAYOUT_PAUSE_MS) },
+      );
+      const server = this.#server(layout, scope);
+      yield* server.serve(peers);
+      const client = new ClaimClient({
+        server,
+        layout,
+        peers,
+        membership,
+        clock: this.#clock,
+      });
+      Deferred.doneUnsafe(this.#client, Effect.succeed(client));
     }).pipe(Effect.ignore);
   }
+
+  #server(layout: ClaimLayout, scope: Scope.Scope): ClaimServer {
+    const { writesPerSecond, limits } = this.#settings;
+    return new ClaimServer(layout, {
+      scope,
+      store: this.#options.store,
+      clock: this.#clock,
+      crashPoints: this.#crashPoints,
+      writesPerSecond: writesPerSecond / layout.partitions,
+      limits: { ...limits, retentionMs: this.#retentionMs(layout) },
+    });
+  }
+
+  /** The window, and whatever time may pass before a claim is used or judged. */
+  #retentionMs(layout: ClaimLayout): number {
+    const CLOCK_DRIFT = 0.01;
+    const { timeoutMs, startWithinMs } = this.#settings;
+    return layout.windowMs * (1 + CLOCK_DRIFT) + 2 * timeoutMs + startWithinMs;
+  }
 }
 
-function unavailable(failure?: Unavailable): ClaimUnavailable {
-  return {
-    _tag: "ClaimUnavailable",
-    reason: "store",
-    message: failure?.reason ?? "The claim could not be confirmed",
-    retryAfterMs: failure?.retryAfterMs ?? RETRY_AFTER_MS,
-  };
+function settleRequest(
+  request: ClaimRequest,
+  settlement: ClaimSettlement,
+  options: { readonly maxAnswerBytes: number },
+): SettleRequest {
+  const { _tag: _, ...identity } = request;
+  switch (settlement._tag) {
+    case "NotRun":
+      return { _tag: "Settle", ...identity, state: "withdrawn" };
+    case "MayHaveRun":
+      return { _tag: "Settle", ...identity, state: "may-have-run" };
+    case "Answered": {
+      const { answer } = settlement;
+      const kept = answer !== undefined &&
+        answerBytes(answer) <= options.maxAnswerBytes;
+      return {
+        _tag: "Settle",
+        ...identity,
+        state: "answered",
+        ...(kept ? { answer } : {}),
+      };
+    }
+  }
 }
--- a/packages/coordination/src/testing/mod.ts
+++ b/packages/coordination/src/testing/mod.ts
@@ -3,5 +3,9 @@
  *
  * @module
  */
+export { FakeClock } from "./fake_clock.ts";
+export { FakeMembership, memberNamed } from "./fake_membership.ts";
+export { MemoryNetwork } from "./memory_network.ts";
+export type { Delivery, DeliveryFate } from "./memory_network.ts";
 export { MemoryStore } from "./memory_store.ts";
 export type { FaultPlan, StoreCall, StoreFault } from "./memory_store.ts";
--- /dev/null
+++ b/packages/coordination/tests/claims_crash_test.ts
@@ -0,0 +1,59 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import * as Deferred from "effect/Deferred";
+import * as Effect from "effect/Effect";
+import type { CrashPoint } from "../src/process/crash_points.ts";
+import type { ClaimsInStore } from "../src/process/claims_in_store.ts";
+import { ClaimFleet } from "./claims_fixture.ts";
+
+const POINTS: readonly CrashPoint[] = [
+  "claim.before_ask",
+  "claim.after_ask",
+  "claim.before_write",
+  "claim.after_write",
+  "claim.before_settle",
+  "claim.after_settle",
+];
+
+/** One try as the entry makes it: claim, send, settle. */
+function tryOnce(claims: ClaimsInStore, run: () => void) {
+  return Effect.gen(function* () {
+    const outcome = yield* claims.claim("key", { digest: "body" });
+    if (outcome._tag !== "Claimed") return outcome._tag;
+    if (!outcome.claim.mayStart()) return "TooLate";
+    run();
+    yield* outcome.claim.settle({ _tag: "Answered" });
+    return "Ran";
+  }).pipe(Effect.catch(({ _tag }) => Effect.succeed(_tag)));
+}
+
+for (const point of POINTS) {
+  test(`a daemon that stops at ${point} leaves at most one run`, async (t) => {
+    // A daemon stops for good between two steps. The caller tries again through
+    // another daemon, which must either run the request or know that it can't.
+    const fleet = new ClaimFleet(t, ["a", "b"]);
+    const stopped = Deferred.makeUnsafe<void>();
+    let runs = 0;
+    const run = () => void (runs += 1);
+    const a = await fleet.daemon("a", {
+      membership: fleet.membership("a"),
+      crashPoints: {
+        reached: (reached) => {
+          if (reached !== point) return Effect.void;
+          Deferred.doneUnsafe(stopped, Effect.void);
+          return Effect.never;
+        },
+      },
+    });
+    // Cut off, it serves its claims itself, so that each point is passed there.
+    fleet.network.fate = () => "refuse";
+    const first = Effect.runFork(tryOnce(a, run));
+    await Effect.runPromise(Deferred.await(stopped));
+    const b = await fleet.daemon("b");
+    const second = await Effect.runPromise(tryOnce(b, run));
+    assert.ok(runs <= 1, `${runs} runs`);
+    const free = point === "claim.before_ask" || point === "claim.before_write";
+    assert.equal(second, free ? "Ran" : "Taken");
+    first.interruptUnsafe();
+  });
+}
--- /dev/null
+++ b/packages/coordination/tests/claims_exploration_test.ts
@@ -0,0 +1,333 @@
+// Explores every interleaving of the claim protocol's steps, within the bounds
+// of each scenario, over the decision functions that the daemon runs. A path is
+// a list of choices (who moves, and what becomes of its store call); each is
+// replayed from the start, so that a finding names its path.
+//
+// Invariant: within the window at most one claim of a key is delivered, and it
+// is delivered only while its record is in the store.
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ClaimLedger } from "../src/process/claim_ledger.ts";
+import type { PartitionRequest } from "../src/process/claim_decision.ts";
+import type { ClaimHead, ClaimRecord } from "../src/process/claim_record.ts";
+
+type Fate = "ok" | "lose-reply" | "lose-request";
+/** Yields the fates that its next step may have, and is told the chosen one. */
+type Actor = Generator<readonly Fate[], void, Fate>;
+
+const CALM: readonly Fate[] = ["ok"];
+const READ: readonly Fate[] = ["ok", "lose-request"];
+const WRITE: readonly Fate[] = ["ok", "lose-reply", "lose-request"];
+const MOST_ATTEMPTS = 3;
+const WINDOW = 10;
+const TIMEOUT = 1;
+
+interface Rules {
+  /** Whether the store checks versions; off, to see that the search finds it. */
+  readonly conditional: boolean;
+  readonly retentionMs: number;
+  readonly sealBytes: number;
+  /** A claim is not used when its verdict took longer. */
+  readonly timeoutMs: number;
+}
+
+const RULES: Rules = {
+  conditional: true,
+  // The first verdict and the second may each take the whole time bound.
+  retentionMs: WINDOW + 2 * TIMEOUT + 1,
+  timeoutMs: TIMEOUT,
+  sealBytes: 1_000_000,
+};
+
+class World {
+  readonly rules: Rules;
+  readonly findings: string[] = [];
+  time = 0;
+  #versions = 0;
+  #head: { readonly head: ClaimHead; readonly version: number } | undefined;
+  readonly #segments = new Map<number, readonly ClaimRecord[]>();
+  readonly #delivered: { readonly id: string; readonly at: number }[] = [];
+
+  constructor(rules: Rules) {
+    this.rules = rules;
+  }
+
+  read() {
+    return this.#head;
+  }
+
+  segment(name: number) {
+    return this.#segments.get(name);
+  }
+
+  seal(name: number, records: readonly ClaimRecord[]) {
+    if (!this.#segments.has(name)) this.#segments.set(name, records);
+  }
+
+  write(head: ClaimHead, ifVersion: number): number | undefined {
+    const present = this.#head?.version ?? 0;
+    if (this.rules.conditional && present !== ifVersion) return undefined;
+    this.#versions += 1;
+    this.#head = { head, version: this.#versions };
+    return this.#versions;
+  }
+
+  /** The claimant is told that it may send. */
+  deliver(id: string, askedAt: number) {
+    if (!this.#stored(id)) this.findings.push(`"${id}" is not in the store`);
+    for (const earlier of this.#delivered) {
+      if (askedAt - earlier.at > WINDOW) continue;
+      this.findings.push(`"${id}" was delivered after "${earlier.id}"`);
+    }
+    this.#delivered.push({ id, at: this.time });
+  }
+
+  #stored(id: string): boolean {
+    const head = this.#head?.head;
+    const sealed = (head?.segments ?? []).flatMap((name) =>
+      this.#segments.get(name) ?? []
+    );
+    return [...sealed, ...head?.records ?? []].some((record) =>
+      record.id === id && record.state === "running"
+    );
+  }
+}
+
+/** Reads what the ledger lacks, as ClaimObjects.load does. */
+function load(world: World, ledger: ClaimLedger): boolean {
+  const found = world.read();
+  if (found === undefined) return true;
+  for (const name of ledger.missing(found.head)) {
+    const records = world.segment(name);
+    if (records === undefined) return false;
+    ledger.learn(name, { records, version: 1, learntAt: world.time });
+  }
+  ledger.adopt(found.head, found.version);
+  return true;
+}
+
+/** Decides one request at one server, as ClaimPartition does, step by step. */
+function* serve(
+  world: World,
+  ledger: ClaimLedger,
+  request: PartitionRequest,
+): Generator<readonly Fate[], string, Fate> {
+  const { sealBytes, retentionMs } = world.rules;
+  const limits = { sealBytes, retentionMs, answerBytes: 0, maxSegments: 99 };
+  let current = ledger.version > 0;
+  for (let attempt = 0; attempt < MOST_ATTEMPTS; attempt += 1) {
+    if (!current) {
+      if ((yield READ) !== "ok" || !load(world, ledger)) continue;
+    }
+    current = false;
+    const composed = ledger.compose([request], { now: world.time, limits });
+    const verdict = composed.verdicts[0]?._tag ?? "none";
+    if (composed.head === undefined) return verdict;
+    const ifVersion = ledger.version;
+    if (composed.sealed !== undefined) {
+      yield CALM;
+      world.seal(ifVersion, composed.sealed);
+      ledger.learn(ifVersion, {
+        records: composed.sealed,
+        version: 1,
+        learntAt: world.time,
+      });
+    }
+    const fate = yield WRITE;
+    if (fate === "lose-request") continue;
+    const version = world.write(composed.head, ifVersion);
+    if (version === undefined || fate === "lose-reply") continue;
+    ledger.adopt(composed.head, version);
+    return request._tag === "Claim" ? "Claimed" : "Settled";
+  }
+  return "Undecided";
+}
+
+function claimRequest(id: string, key = "k"): PartitionRequest {
+  return { _tag: "Claim", key, digest: "d", id, by: "m" };
+}
+
+function withdrawal(id: string): PartitionRequest {
+  const identity = { key: "k", digest: "d", id, by: "m" };
+  return { _tag: "Settle", ...identity, state: "withdrawn" };
+}
+
+/** Asks one server, and takes the claim back when no verdict comes. */
+function* claimant(world: World, ledger: ClaimLedger, id: string): Actor {
+  yield CALM;
+  const askedAt = world.time;
+  const verdict = yield* serve(world, ledger, claimRequest(id));
+  const inTime = world.time - askedAt <= world.rules.timeoutMs;
+  if (verdict === "Claimed" && inTime) return world.deliver(id, askedAt);
+  if (verdict === "Claimed" || verdict === "Undecided") {
+    yield* serve(world, ledger, withdrawal(id));
+  }
+}
+
+/** Asks two servers, the second while the first may still be at work. */
+function twice(world: World, servers: readonly ClaimLedger[], id: string) {
+  let done = false;
+  const askedAt = world.time;
+  return servers.map(function* (ledger): Actor {
+    const verdict = yield* serve(world, ledger, claimRequest(id));
+    if (done || verdict !== "Claimed") return;
+    done = true;
+    world.deliver(id, askedAt);
+  });
+}
+
+/** A request whose sender has left; nobody acts on its verdict. */
+function* orphan(
+  world: World,
+  ledger: ClaimLedger,
+  request: PartitionRequest,
+): Actor {
+  yield* serve(world, ledger, request);
+}
+
+/** Claims other keys, which seals and drops segments. */
+function* filler(world: World, ledger: ClaimLedger, count: number): Actor {
+  for (let index = 0; index < count; index += 1) {
+    yield* serve(world, ledger, claimRequest(`f${index}`, `filler ${index}`));
+  }
+}
+
+function* passing(world: World, steps: readonly number[]): Actor {
+  for (const step of steps) {
+    yield CALM;
+    world.time += step;
+  }
+}
+
+interface Exploration {
+  readonly paths: number;
+  readonly findings: readonly string[];
+}
+
+/** Replays every path with at most `faults` faulty store calls. */
+function explore(
+  rules: Rules,
+  actors: (world: World) => readonly Actor[],
+  faults: number,
+): Exploration {
+  const findings: string[] = [];
+  const pending: number[][] = [[]];
+  let paths = 0;
+  while (pending.length > 0) {
+    const path = pending.pop() ?? [];
+    const end = replay(rules, actors, { path, faults, pending });
+    paths += 1;
+    for (const finding of end.findings) {
+      findings.push(`${finding} on path ${end.path.join(" ")}`);
+    }
+  }
+  return { paths, findings };
+}
+
+interface Choice {
+  readonly actor: number;
+  readonly fate: Fate;
+}
+
+function replay(
+  rules: Rules,
+  actors: (world: World) => readonly Actor[],
+  options: {
+    readonly path: readonly number[];
+    readonly faults: number;
+    readonly pending: number[][];
+  },
+) {
+  const world = new World(rules);
+  const tasks = actors(world).map((actor) => ({ actor, next: actor.next() }));
+  const taken: number[] = [];
+  let faults = options.faults;
+  while (true) {
+    const choices = tasks.flatMap(({ next }, actor): Choice[] => {
+      if (next.done) return [];
+      const fates = faults > 0 ? next.value : CALM;
+      return fates.map((fate) => ({ actor, fate }));
+    });
+    if (choices.length === 0) return { findings: world.findings, path: taken };
+    const depth = taken.length;
+    const index = options.path[depth] ?? 0;
+    if (depth >= options.path.length) {
+      for (let other = 1; other < choices.length; other += 1) {
+        options.pending.push([...taken, other]);
+      }
+    }
+    const choice = choices[index] as Choice;
+    const task = tasks[choice.actor] as (typeof tasks)[number];
+    if (choice.fate !== "ok") faults -= 1;
+    task.next = task.actor.next(choice.fate);
+    taken.push(index);
+  }
+}
+
+function check(found: Exploration, atLeast: number) {
+  assert.deepEqual(found.findings.slice(0, 3), []);
+  assert.ok(found.paths > atLeast, `only ${found.paths} paths`);
+}
+
+const rivals = (world: World) => [
+  claimant(world, new ClaimLedger(), "first"),
+  claimant(world, new ClaimLedger(), "second"),
+];
+
+const handover = (world: World) => {
+  const [a, b] = [new ClaimLedger(), new ClaimLedger()];
+  return [
+    ...twice(world, [a, b], "first"),
+    claimant(world, new ClaimLedger(), "second"),
+  ];
+};
+
+const leaving = (world: World) => [
+  orphan(world, new ClaimLedger(), claimRequest("first")),
+  orphan(world, new ClaimLedger(), withdrawal("first")),
+  claimant(world, new ClaimLedger(), "second"),
+];
+
+const ageing = (world: World) => {
+  const [a, b] = [new ClaimLedger(), new ClaimLedger()];
+  const first = claimant(world, a, "first");
+  while (!first.next("ok").done);
+  return [
+    filler(world, a, 3),
+    claimant(world, b, "second"),
+    passing(world, [WINDOW, 2 * TIMEOUT + 1]),
+  ];
+};
+
+const AGEING = { ...RULES, sealBytes: 1 };
+
+test("two servers, lost replies and lost requests claim a key once", () => {
+  check(explore(RULES, rivals, 2), 1_000);
+});
+
+test("a claim asked of two servers at once, and a rival, claim a key once", () => {
+  check(explore(RULES, handover, 1), 5_000);
+});
+
+test("a claim given up while it is being made leaves the key to one rival", () => {
+  check(explore(RULES, leaving, 1), 5_000);
+});
+
+test("a retry within the window never runs again, whoever seals and drops", () => {
+  check(explore(AGEING, ageing, 1), 10_000);
+});
+
+test("the exploration finds two runs when the store checks no version", () => {
+  const unsafe = explore({ ...RULES, conditional: false }, rivals, 0);
+  assert.notEqual(unsafe.findings.length, 0);
+});
+
+test("the exploration finds two runs when a late verdict is used", () => {
+  const patient = { ...AGEING, timeoutMs: Infinity };
+  assert.notEqual(explore(patient, ageing, 0).findings.length, 0);
+});
+
+test("the exploration finds two runs when claims age out too early", () => {
+  const early = { ...AGEING, retentionMs: WINDOW / 2 };
+  assert.notEqual(explore(early, ageing, 0).findings.length, 0);
+});
--- /dev/null
+++ b/packages/coordination/tests/claims_fixture.ts
@@ -0,0 +1,77 @@
+import type { TestContext } from "node:test";
+import * as Effect from "effect/Effect";
+import * as Exit from "effect/Exit";
+import * as Scope from "effect/Scope";
+import { ClaimsInStore } from "../src/process/claims_in_store.ts";
+import type { ClaimsInStoreOptions } from "../src/process/claims_in_store.ts";
+import type { ClaimOutcome, ClaimUnavailable } from "../src/process/claims.ts";
+import { servers } from "../src/process/claim_routing.ts";
+import {
+  FakeMembership,
+  memberNamed,
+  MemoryNetwork,
+  MemoryStore,
+} from "../src/testing/mod.ts";
+
+/** Daemons that share a store and a network. */
+export class ClaimFleet {
+  readonly store = new MemoryStore();
+  readonly network = new MemoryNetwork();
+  readonly #test: TestContext;
+  readonly #names: readonly string[];
+
+  constructor(t: TestContext, names: readonly string[]) {
+    this.#test = t;
+    this.#names = names;
+  }
+
+  /** Starts one daemon; one partition, so that the server of a key is known. */
+  async daemon(
+    name: string,
+    options: Partial<ClaimsInStoreOptions> = {},
+  ): Promise<ClaimsInStore> {
+    const claims = new ClaimsInStore({
+      store: this.store,
+      peers: this.network.peers(name),
+      membership: this.membership(name),
+      ...options,
+      settings: { partitions: 1, writesPerSecond: 10_000, ...options.settings },
+    });
+    const scope = Scope.makeUnsafe();
+    await Effect.runPromise(Scope.provide(claims.start(), scope));
+    this.#test.after(() => Effect.runPromise(Scope.close(scope, Exit.void)));
+    return claims;
+  }
+
+  /** A view of all daemons of the fleet. */
+  membership(name: string): FakeMembership {
+    const others = this.#names.filter((other) => other !== name);
+    return new FakeMembership(
+      memberNamed(name),
+      others.map((other) => memberNamed(other)),
+    );
+  }
+
+  /** The daemons in the order in which they are asked. */
+  order(): readonly string[] {
+    return servers(this.membership(this.#names[0] ?? "").view(), 0);
+  }
+}
+
+/** The outcome or the failure, as one value. */
+export function claimed(
+  claims: ClaimsInStore,
+  key: string,
+  digest = "body",
+): Promise<ClaimOutcome | ClaimUnavailable> {
+  return Effect.runPromise(Effect.match(claims.claim(key, { digest }), {
+    onFailure: (failure) => failure,
+    onSuccess: (outcome) => outcome,
+  }));
+}
+
+/** The claim, where one is expected. */
+export function claimOf(outcome: ClaimOutcome | ClaimUnavailable) {
+  if (outcome._tag === "Claimed") return outcome.claim;
+  throw new Error(`Not claimed: ${JSON.stringify(outcome)}`);
+}
--- /dev/null
+++ b/packages/coordination/tests/claims_test.ts
@@ -0,0 +1,255 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import * as Deferred from "effect/Deferred";
+import * as Effect from "effect/Effect";
+import { FakeClock, FakeMembership, memberNamed } from "../src/testing/mod.ts";
+import type { StoreCall, StoreFault } from "../src/testing/mod.ts";
+import { claimed, ClaimFleet, claimOf } from "./claims_fixture.ts";
+
+const ANSWER = {
+  status: 201,
+  headers: [{ name: "content-type", value: "text/plain" }],
+  body: new Uint8Array([104, 105]),
+};
+
+function writesHead(call: StoreCall): boolean {
+  return call.operation === "write" && call.name === "head-0";
+}
+
+/** Fails the head's first writes, one fault each. */
+function faultyHead(faults: StoreFault[]) {
+  return (call: StoreCall): StoreFault =>
+    writesHead(call) ? faults.shift() ?? "none" : "none";
+}
+
+test("a second try through another daemon meets the first's claim", async (t) => {
+  const fleet = new ClaimFleet(t, ["a", "b", "c"]);
+  const [a, b] = [await fleet.daemon("a"), await fleet.daemon("b")];
+  await fleet.daemon("c");
+  assert.equal((await claimed(a, "key"))._tag, "Claimed");
+  assert.deepEqual(await claimed(b, "key"), {
+    _tag: "Taken",
+    by: "a",
+    state: "running",
+  });
+  assert.equal((await claimed(b, "key", "other body"))._tag, "Mismatch");
+  assert.equal((await claimed(b, "other key"))._tag, "Claimed");
+});
+
+test("a second try gets the first's answer while it is kept", async (t) => {
+  const fleet = new ClaimFleet(t, ["a", "b"]);
+  const [a, b] = [await fleet.daemon("a"), await fleet.daemon("b")];
+  const claim = claimOf(await claimed(a, "key"));
+  await Effect.runPromise(claim.settle({ _tag: "Answered", answer: ANSWER }));
+  await Effect.runPromise(a.drain());
+  const second = await claimed(b, "key");
+  assert.equal(second._tag, "Answered");
+  assert.deepEqual(
+    second._tag === "Answered" && {
+      ...second.answer,
+      body: [...second.answer.body],
+    },
+    { ...ANSWER, body: [104, 105] },
+  );
+});
+
+test("an answer too large to keep is told as answered, not given", async (t) => {
+  const fleet = new ClaimFleet(t, ["a"]);
+  const a = await fleet.daemon("a");
+  const claim = claimOf(await claimed(a, "key"));
+  const answer = { ...ANSWER, body: new Uint8Array(100_000) };
+  await Effect.runPromise(claim.settle({ _tag: "Answered", answer }));
+  await Effect.runPromise(a.drain());
+  assert.deepEqual(await claimed(a, "key"), {
+    _tag: "Taken",
+    by: "a",
+    state: "answered",
+  });
+});
+
+test("a claim settled as not run frees its key", async (t) => {
+  const fleet = new ClaimFleet(t, ["a", "b"]);
+  const [a, b] = [await fleet.daemon("a"), await fleet.daemon("b")];
+  const claim = claimOf(await claimed(a, "key"));
+  await Effect.runPromise(claim.settle({ _tag: "NotRun" }));
+  await Effect.runPromise(a.drain());
+  assert.equal((await claimed(b, "key", "other body"))._tag, "Claimed");
+});
+
+test("a claim whose holder has gone may have run", async (t) => {
+  const fleet = new ClaimFleet(t, ["a", "b"]);
+  const a = await fleet.daemon("a");
+  const membership = fleet.membership("b");
+  const b = await fleet.daemon("b", { membership });
+  await claimed(a, "key");
+  membership.set([memberNamed("b")]);
+  assert.deepEqual(await claimed(b, "key"), {
+    _tag: "Taken",
+    by: "a",
+    state: "may-have-run",
+  });
+});
+
+test("many claims share few writes", async (t) => {
+  const fleet = new ClaimFleet(t, ["a"]);
+  const a = await fleet.daemon("a");
+  const keys = Array.from({ length: 300 }, (_, index) => `key ${index}`);
+  const outcomes = await Promise.all(keys.map((key) => claimed(a, key)));
+  assert.ok(outcomes.every(({ _tag }) => _tag === "Claimed"));
+  const writes = fleet.store.calls.filter(writesHead);
+  assert.ok(writes.length <= 3, `${writes.length} writes`);
+});
+
+test("a claim whose write took effect and lost its reply is made once", async (t) => {
+  // The store records the claim and its reply is lost. Taken for a failure, the
+  // caller is refused though the key is taken; taken for a stranger's claim, the
+  // first try is told that it may have run. Reading back finds the own claim id.
+  const fleet = new ClaimFleet(t, ["a"]);
+  const a = await fleet.daemon("a");
+  fleet.store.plan = faultyHead(["lose-reply", "lose-reply"]);
+  assert.equal((await claimed(a, "key"))._tag, "Claimed");
+  assert.equal((await claimed(a, "key"))._tag, "Taken");
+});
+
+test("a claim whose write was lost on the way is made by the next", async (t) => {
+  const fleet = new ClaimFleet(t, ["a"]);
+  const a = await fleet.daemon("a");
+  fleet.store.plan = faultyHead(["lose-request", "refuse"]);
+  assert.equal((await claimed(a, "key"))._tag, "Claimed");
+});
+
+test("a daemon that reaches no server of the partition claims by itself", async (t) => {
+  const fleet = new ClaimFleet(t, ["a", "b", "c"]);
+  const name = fleet.order()[2] ?? "";
+  const entry = await fleet.daemon(name);
+  assert.equal((await claimed(entry, "key"))._tag, "Claimed");
+  assert.equal((await claimed(entry, "key"))._tag, "Taken");
+});
+
+test("a claim is not lost with the server's answer", async (t) => {
+  // The server makes the claim and its answer is lost. The claimant asks the
+  // store itself after a bounded wait, finds its own id and may send.
+  const fleet = new ClaimFleet(t, ["a", "b"]);
+  const [server = "", entry = ""] = fleet.order();
+  await fleet.daemon(server);
+  const claims = await fleet.daemon(entry, { settings: { timeoutMs: 2_000 } });
+  fleet.network.fate = ({ kind }) => kind === "answer" ? "lose" : "deliver";
+  assert.equal((await claimed(claims, "key"))._tag, "Claimed");
+  assert.equal((await claimed(claims, "key"))._tag, "Taken");
+});
+
+test("two servers of one partition give a key to one claimant", async (t) => {
+  // The members' views differ: each of two daemons believes to serve the
+  // partition alone. Both judge the key free and write at the same time.
+  const fleet = new ClaimFleet(t, ["a", "b"]);
+  const alone = (name: string) =>
+    fleet.daemon(name, { membership: new FakeMembership(memberNamed(name)) });
+  const [a, b] = [await alone("a"), await alone("b")];
+  const keys = Array.from({ length: 40 }, (_, index) => `key ${index}`);
+  for (const key of keys) {
+    const outcomes = await Promise.all([claimed(a, key), claimed(b, key)]);
+    const tags = outcomes.map(({ _tag }) => _tag).sort();
+    assert.deepEqual(tags, ["Claimed", "Taken"]);
+  }
+});
+
+test("a paused server's late write does not claim", async (t) => {
+  // A judges the key free and is paused before its write reaches the store. B
+  // claims the key meanwhile. A's write, sent when it wakes, meets the newer
+  // head; without the condition it would take B's claim out and run again.
+  const fleet = new ClaimFleet(t, ["a", "b"]);
+  const paused = Deferred.makeUnsafe<void>();
+  const woken = Deferred.makeUnsafe<StoreFault>();
+  const store = fleet.store.withPlan((call) => {
+    if (!writesHead(call)) return "none";
+    Deferred.doneUnsafe(paused, Effect.void);
+    return Deferred.await(woken);
+  });
+  const membership = new FakeMembership(memberNamed("a"));
+  const a = await fleet.daemon("a", { store, membership });
+  const b = await fleet.daemon("b", {
+    membership: new FakeMembership(memberNamed("b")),
+  });
+  const late = claimed(a, "key");
+  await Effect.runPromise(Deferred.await(paused));
+  assert.equal((await claimed(b, "key"))._tag, "Claimed");
+  Deferred.doneUnsafe(woken, Effect.succeed<StoreFault>("none"));
+  assert.equal((await late)._tag, "Taken");
+});
+
+test("a store that is down refuses within the bound, and the key stays free", async (t) => {
+  const fleet = new ClaimFleet(t, ["a"]);
+  const a = await fleet.daemon("a", { settings: { timeoutMs: 200 } });
+  assert.equal((await claimed(a, "warm"))._tag, "Claimed");
+  fleet.store.plan = () => "refuse";
+  const refused = await claimed(a, "key");
+  assert.equal(refused._tag, "ClaimUnavailable");
+  fleet.store.plan = () => "none";
+  await Effect.runPromise(a.drain());
+  assert.equal((await claimed(a, "key"))._tag, "Claimed");
+});
+
+test("a claim given up while the store went down is taken back later", async (t) => {
+  // The write takes effect, its reply is lost, and the store goes down before it
+  // can be read back. The caller is told "not run", and its next try must run.
+  const fleet = new ClaimFleet(t, ["a"]);
+  const a = await fleet.daemon("a", { settings: { timeoutMs: 200 } });
+  let down = false;
+  fleet.store.plan = (call) => {
+    if (down) return "refuse";
+    down = writesHead(call);
+    return down ? "lose-reply" : "none";
+  };
+  assert.equal((await claimed(a, "key"))._tag, "ClaimUnavailable");
+  fleet.store.plan = () => "none";
+  await Effect.runPromise(a.drain());
+  assert.equal((await claimed(a, "key"))._tag, "Claimed");
+});
+
+test("a verdict that comes after a pause is not used", async (t) => {
+  // The claimant is paused between its claim's write and the verdict, for longer
+  // than its bound. Its caller has left and may have tried again elsewhere.
+  const fleet = new ClaimFleet(t, ["a"]);
+  const clock = new FakeClock();
+  const a = await fleet.daemon("a", {
+    clock,
+    crashPoints: {
+      reached: (point) =>
+        Effect.sync(() => {
+          if (point === "claim.after_write") clock.advance(2_001);
+        }),
+    },
+  });
+  assert.equal((await claimed(a, "key"))._tag, "ClaimUnavailable");
+});
+
+test("a claim can't be used after a pause before the send", async (t) => {
+  const fleet = new ClaimFleet(t, ["a"]);
+  const clock = new FakeClock();
+  const a = await fleet.daemon("a", { clock });
+  const claim = claimOf(await claimed(a, "key"));
+  assert.equal(claim.mayStart(), true);
+  clock.advance(7_001);
+  assert.equal(claim.mayStart(), false);
+});
+
+test("a process that can't read the claims in the store claims nothing", async (t) => {
+  const fleet = new ClaimFleet(t, ["a"]);
+  const broken = { segments: [], records: [["key"]] };
+  await Effect.runPromise(
+    fleet.store.write({ kind: "claims", name: "head-0", value: broken }, {
+      ifVersion: 0,
+    }),
+  );
+  const a = await fleet.daemon("a", { settings: { timeoutMs: 100 } });
+  const outcome = await claimed(a, "key");
+  assert.equal(outcome._tag, "ClaimUnavailable");
+  assert.match(JSON.stringify(outcome), /record 0 is not valid/);
+});
+
+test("the layout of the first process holds for later ones", async (t) => {
+  const fleet = new ClaimFleet(t, ["a"]);
+  await claimed(await fleet.daemon("a"), "key");
+  const later = await fleet.daemon("a", { settings: { partitions: 64 } });
+  assert.equal((await claimed(later, "key"))._tag, "Taken");
+});
