--- a/packages/table/src/mod.ts
+++ b/packages/table/src/mod.ts
@@ -11,3 +11,15 @@
   Table,
   Workspace,
 } from "./table.ts";
+export type { Finding } from "./finding.ts";
+export { pointer } from "./finding.ts";
+export { parseTable } from "./parse.ts";
+export type { Change, Entry, Section, SectionEntries } from "./change.ts";
+export { diffTables, entriesByKey, keyOf, SECTIONS } from "./change.ts";
+export type { EditNote, HistoryEntry, StoredTable } from "./stored_table.ts";
+export {
+  parseStoredTable,
+  storedTable,
+  TABLE_KIND,
+  TABLE_NAME,
+} from "./stored_table.ts";
--- /dev/null
+++ b/packages/table/src/schema.ts
@@ -0,0 +1,162 @@
+/**
+ * The table's JSON schema: the shape and range of each field. What one entry
+ * says of another is checked in `references.ts`.
+ *
+ * @module
+ */
+import * as Cause from "effect/Cause";
+import * as Exit from "effect/Exit";
+import * as Schema from "effect/Schema";
+import * as SchemaIssue from "effect/SchemaIssue";
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import { pointer } from "./finding.ts";
+import type { Finding } from "./finding.ts";
+import type { Table } from "./table.ts";
+
+/** Lowest priority that a class may have. */
+export const MAX_TIER = 31;
+
+const NAME = Schema.String.check(
+  Schema.isPattern(/^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$/, {
+    expected:
+      'a name of 1 to 64 letters, digits, ".", "_" or "-" that starts with a letter or digit',
+  }),
+);
+const MODEL = Schema.String.check(
+  Schema.isPattern(/^[A-Za-z0-9][A-Za-z0-9._:/@+-]{0,127}$/, {
+    expected: "a model name of 1 to 128 characters without spaces",
+  }),
+);
+const KEY_DIGEST = Schema.String.check(
+  Schema.isPattern(/^[0-9a-f]{64}$/, {
+    expected: "a SHA-256 digest of 64 lower-case hexadecimal digits",
+  }),
+);
+const POSITIVE = Schema.Finite.check(
+  Schema.isGreaterThan(0, { expected: "a number greater than 0" }),
+);
+const POSITIVE_INTEGER = Schema.Int.check(
+  Schema.isGreaterThan(0, { expected: "an integer greater than 0" }),
+);
+const TIER = Schema.Int.check(
+  Schema.isBetween({ minimum: 0, maximum: MAX_TIER }, {
+    expected: `an integer from 0 to ${MAX_TIER}`,
+  }),
+);
+const SHARE = Schema.Finite.check(
+  Schema.isBetween({ minimum: 0, maximum: 1 }, {
+    expected: "a number from 0 to 1",
+  }),
+);
+
+const LATENCY_TARGET = Schema.Struct({
+  firstTokenMs: Schema.optionalKey(POSITIVE),
+  betweenTokensMs: Schema.optionalKey(POSITIVE),
+  wholeAnswerMs: Schema.optionalKey(POSITIVE),
+});
+
+const CLASS = Schema.Struct({
+  name: NAME,
+  tier: TIER,
+  target: LATENCY_TARGET,
+  timeoutMs: POSITIVE,
+  minimumShare: SHARE,
+});
+
+const WORKSPACE = Schema.Struct({
+  name: NAME,
+  keyDigests: Schema.Array(KEY_DIGEST),
+  defaultClass: NAME,
+});
+
+const ROW = Schema.Struct({
+  workspace: NAME,
+  class: NAME,
+  weight: POSITIVE,
+  requestsPerSecond: Schema.optionalKey(POSITIVE),
+  tokensPerSecond: Schema.optionalKey(POSITIVE),
+  inFlight: Schema.optionalKey(POSITIVE_INTEGER),
+});
+
+const SERVICE = Schema.Struct({
+  name: NAME,
+  kind: Schema.Literals(["model", "plain"]),
+  models: Schema.Array(MODEL),
+  checksFencing: Schema.Boolean,
+  slotsPerRunner: POSITIVE_INTEGER,
+});
+
+const TABLE = Schema.Struct({
+  classes: Schema.Array(CLASS),
+  workspaces: Schema.Array(WORKSPACE),
+  rows: Schema.Array(ROW),
+  services: Schema.Array(SERVICE),
+});
+
+const decode = Schema.decodeUnknownExit(TABLE, {
+  errors: "all",
+  onExcessProperty: "error",
+});
+const format = SchemaIssue.makeFormatterStandardSchemaV1();
+
+/**
+ * Checks shape and ranges alone, reporting every finding.
+ *
+ * @internal
+ */
+export function decodeTable(
+  value: unknown,
+): Result<Table, readonly Finding[]> {
+  const exit = decode(value);
+  if (Exit.isSuccess(exit)) return ok(exit.value);
+  const error = Cause.squash(exit.cause);
+  if (!Schema.isSchemaError(error)) throw error;
+  return err(findingsOf(error.issue, value));
+}
+
+function findingsOf(
+  issue: SchemaIssue.Issue,
+  value: unknown,
+): readonly Finding[] {
+  // A number may fail several checks at once; the first says what is needed.
+  const found = new Map<string, Finding>();
+  for (const { message, path } of format(issue).issues) {
+    const segments = (path ?? []).map((segment) =>
+      typeof segment === "object" ? segment.key : segment
+    );
+    const place = pointer(segments);
+    if (found.has(place)) continue;
+    found.set(place, {
+      place,
+      message: `${message}${gotten(value, segments)}`,
+    });
+  }
+  return [...found.values()];
+}
+
+function gotten(value: unknown, segments: readonly PropertyKey[]): string {
+  const found = valueAt(value, segments);
+  return found === undefined ? "" : `, got ${shortly(found)}`;
+}
+
+function valueAt(value: unknown, segments: readonly PropertyKey[]): unknown {
+  let at = value;
+  for (const segment of segments) {
+    if (typeof at !== "object" || at === null) return undefined;
+    at = Reflect.get(at, segment);
+  }
+  return at;
+}
+
+const SHOWN_LENGTH = 60;
+
+function shortly(value: unknown): string {
+  // JSON has no word for these numbers and would show them as null.
+  const text = typeof value === "number"
+    ? String(value)
+    : JSON.stringify(value) ?? String(value);
+  return text.length <= SHOWN_LENGTH
+    ? text
+    : `${text.slice(0, SHOWN_LENGTH)}...`;
+}
