Edit the table by conditional update, resolving lost replies

Cause: two operators edit at once, replies get lost, the store goes down. Change: applyEdit merges and writes if the version is unchanged; an edit id in the history tells whether a lost reply's write took effect; older entries move to pages named by their last sequence, written before they leave the table's object; resolveEdit closes an edit that is not there, so that a late write is refused; rollback inverts the history into a new edit. packages/table now stands on packages/coordination for the Store (layer check, references, lock).

--- /dev/null
+++ b/packages/table/src/edit.ts
@@ -0,0 +1,216 @@
+/**
+ * Edits of the stored table.
+ *
+ * @module
+ */
+import type { Store, Unavailable } from "@umbermast/coordination";
+import * as Effect from "effect/Effect";
+import type { Change } from "./change.ts";
+import { commit } from "./commit.ts";
+import type {
+  CommitFailure,
+  CommitOptions,
+  Decision,
+  TableRead,
+} from "./commit.ts";
+import { entriesBack } from "./history.ts";
+import type { HistoryMissing } from "./history.ts";
+import type { EditNote, HistoryEntry } from "./history_entry.ts";
+import { mergeChanges } from "./merge.ts";
+import type { Merged, MergeFailure } from "./merge.ts";
+import { storedTable } from "./stored_table.ts";
+import type { StoredTable } from "./stored_table.ts";
+import type { Table } from "./table.ts";
+
+/** An edit to be accepted. */
+export interface Edit extends EditNote {
+  /** Sequence of the version that the edit was made from. */
+  readonly baseSequence: number;
+  readonly changes: readonly Change[];
+}
+
+/** The edit is durable in the store. */
+export interface Accepted {
+  readonly _tag: "Accepted";
+  /** A version of the object that contains the edit. */
+  readonly version: number;
+  readonly entry: HistoryEntry;
+}
+
+/** The table already is as the edit wants it; nothing was written. */
+export interface Unchanged {
+  readonly _tag: "Unchanged";
+  readonly version: number;
+}
+
+/** There is no table to edit. */
+export interface TableMissing {
+  readonly _tag: "TableMissing";
+}
+
+/** The store has a table already. */
+export interface TableExists {
+  readonly _tag: "TableExists";
+  readonly version: number;
+}
+
+/** Someone has resolved the edit as not accepted, and so it stays. */
+export interface EditClosed {
+  readonly _tag: "EditClosed";
+  readonly entry: HistoryEntry;
+}
+
+/** Why an edit was not accepted, or is not known to be. */
+export type EditFailure =
+  | CommitFailure
+  | MergeFailure
+  | TableMissing
+  | EditClosed;
+
+/**
+ * Applies an edit by conditional update.
+ *
+ * Edits of others that came between are merged when they touch other entries;
+ * on the same entry the edit fails with a conflict. A write whose reply was
+ * lost is resolved by reading back and looking for the edit's id, so the edit
+ * is reported as accepted exactly when it was and never applied twice, also
+ * when this function is called again with the same id.
+ *
+ * @example
+ * ```ts
+ * const outcome = await Effect.runPromise(applyEdit(store, {
+ *   editId: newEditId(read.stored.sequence),
+ *   editor: "ana",
+ *   at: Date.now(),
+ *   baseSequence: read.stored.sequence,
+ *   changes: diffTables(read.stored.table, wanted),
+ * }));
+ * ```
+ */
+export function applyEdit(
+  store: Store,
+  edit: Edit,
+  options: CommitOptions = {},
+): Effect.Effect<Accepted | Unchanged, EditFailure> {
+  return commit(store, (read) => decideEdit(store, edit, read), options);
+}
+
+/** Writes the first version of the table. */
+export function createTable(
+  store: Store,
+  first: { readonly table: Table; readonly note: EditNote },
+  options: CommitOptions = {},
+): Effect.Effect<Accepted, CommitFailure | TableExists> {
+  const value = storedTable(first.table, first.note);
+  const entry = value.history[0] as HistoryEntry;
+  return commit(store, (read) =>
+    Effect.succeed(
+      read === undefined
+        ? write(value, entry)
+        : created(read, first.note.editId, entry),
+    ), options);
+}
+
+/**
+ * Finds an edit in the history: its own entry, or the one that closed it.
+ *
+ * @internal
+ */
+export function findEdit(
+  store: Store,
+  read: TableRead,
+  edit: { readonly editId: string; readonly baseSequence: number },
+): Effect.Effect<HistoryEntry | undefined, Unavailable | HistoryMissing> {
+  const matches = (entry: HistoryEntry) =>
+    entry.editId === edit.editId || entry.closes === edit.editId;
+  const entries = entriesBack(store, read.stored, {
+    after: edit.baseSequence,
+    until: matches,
+  });
+  return Effect.map(entries, (found) => found.find(matches));
+}
+
+/** The stored value after one more edit. @internal */
+export function afterEdit(
+  stored: StoredTable,
+  edit: EditNote & { readonly closes?: string },
+  merged: Merged,
+): StoredTable {
+  const { editId, editor, at, note, closes } = edit;
+  const sequence = stored.sequence + 1;
+  const written: EditNote = {
+    editId,
+    editor,
+    at,
+    ...(note === undefined ? {} : { note }),
+  };
+  const entry: HistoryEntry = {
+    ...written,
+    sequence,
+    ...(closes === undefined ? {} : { closes }),
+    changes: merged.changes,
+  };
+  return {
+    table: merged.table,
+    ...written,
+    sequence,
+    history: [...stored.history, entry],
+  };
+}
+
+/** A decision to write a value whose last entry is the edit. @internal */
+export function write(
+  value: StoredTable,
+  entry: HistoryEntry,
+): Decision<Accepted, never> {
+  return {
+    _tag: "Write",
+    value,
+    written: (version) => ({ _tag: "Accepted", version, entry }),
+  };
+}
+
+function decideEdit(
+  store: Store,
+  edit: Edit,
+  read: TableRead | undefined,
+): Effect.Effect<
+  Decision<Accepted | Unchanged, MergeFailure | TableMissing | EditClosed>,
+  Unavailable | HistoryMissing
+> {
+  return Effect.gen(function* () {
+    if (read === undefined) {
+      return { _tag: "Refused", error: { _tag: "TableMissing" } } as const;
+    }
+    const { version, stored } = read;
+    const entry = yield* findEdit(store, read, edit);
+    if (entry?.closes === edit.editId) {
+      return { _tag: "Refused", error: { _tag: "EditClosed", entry } } as const;
+    }
+    if (entry !== undefined) {
+      const result: Accepted = { _tag: "Accepted", version, entry };
+      return { _tag: "Done", result } as const;
+    }
+    const merged = mergeChanges(stored.table, edit.changes);
+    if (merged.isErr()) {
+      return { _tag: "Refused", error: merged.error } as const;
+    }
+    if (merged.value.changes.length === 0) {
+      const result: Unchanged = { _tag: "Unchanged", version };
+      return { _tag: "Done", result } as const;
+    }
+    const value = afterEdit(stored, edit, merged.value);
+    return write(value, value.history.at(-1) as HistoryEntry);
+  });
+}
+
+function created(
+  { version, stored }: TableRead,
+  editId: string,
+  entry: HistoryEntry,
+): Decision<Accepted, TableExists> {
+  const own = stored.sequence === 1 && stored.editId === editId;
+  return own
+    ? { _tag: "Done", result: { _tag: "Accepted", version, entry } }
+    : { _tag: "Refused", error: { _tag: "TableExists", version } };
+}
--- /dev/null
+++ b/packages/table/src/edit_property_test.ts
@@ -0,0 +1,106 @@
+import { MemoryStore } from "@umbermast/coordination/testing";
+import type { StoreFault } from "@umbermast/coordination/testing";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import * as Effect from "effect/Effect";
+import * as fc from "fast-check";
+import { diffTables } from "./change.ts";
+import { readTable } from "./commit.ts";
+import { applyEdit, createTable } from "./edit.ts";
+import { runFast } from "./fast_clock.ts";
+import { rowOf, tableOf } from "./fixtures.ts";
+import { entriesBack } from "./history.ts";
+import { resolveEdit } from "./resolve.ts";
+
+const FAULTS: readonly StoreFault[] = [
+  "none",
+  "none",
+  "none",
+  "lose-reply",
+  "lose-request",
+  "refuse",
+];
+
+/** What one operator was told of one edit. */
+interface Told {
+  readonly editId: string;
+  readonly accepted: boolean;
+}
+
+/** One operator who makes edits, resolving each that is unknown. */
+function operator(
+  store: MemoryStore,
+  options: {
+    readonly name: string;
+    readonly weights: readonly number[];
+    readonly nextFault: () => StoreFault;
+  },
+): Effect.Effect<readonly Told[]> {
+  const faulty = store.withPlan(options.nextFault);
+  return Effect.forEach(
+    options.weights,
+    (weight, at) =>
+      Effect.gen(function* () {
+        const editId = `${options.name}-${at}`;
+        const read = yield* readTable(store);
+        assert.ok(read !== undefined);
+        const { table, sequence } = read.stored;
+        const [first, ...rest] = table.rows;
+        const rows = [{ ...(first ?? rowOf()), weight }, ...rest];
+        const note = { editId, editor: options.name, at };
+        const accepted = yield* applyEdit(faulty, {
+          ...note,
+          baseSequence: sequence,
+          changes: diffTables(table, { ...table, rows }),
+        }, { giveUpAfterMs: 300 }).pipe(
+          Effect.map(({ _tag }) => _tag === "Accepted"),
+          Effect.catchTag("UnknownWhetherAccepted", () =>
+            resolveEdit(store, {
+              editId,
+              closing: { ...note, editId: `${editId}-closing` },
+            }).pipe(
+              Effect.map(({ _tag }) => _tag === "Accepted"),
+            )),
+          Effect.catch(() => Effect.succeed(false)),
+        );
+        return { editId, accepted };
+      }).pipe(Effect.orDie),
+  );
+}
+
+// Two operators edit one row while the store refuses calls and loses requests
+// and replies. Whatever the order, the history must hold exactly the edits that
+// were reported as accepted, each once, and each made from what was there.
+test("under any faults an edit is reported as accepted exactly when it is in the history, once", async () => {
+  const weights = fc.array(fc.integer({ min: 1, max: 5 }), { maxLength: 6 });
+  const faults = fc.array(fc.constantFrom(...FAULTS), { maxLength: 60 });
+  await fc.assert(
+    fc.asyncProperty(weights, weights, faults, async (one, other, planned) => {
+      const store = new MemoryStore();
+      const note = { editId: "first", editor: "ana", at: 0 };
+      await runFast(createTable(store, { table: tableOf(), note }));
+      const left = [...planned];
+      const nextFault = () => left.pop() ?? "none";
+      const told = await runFast(Effect.all([
+        operator(store, { name: "one", weights: one, nextFault }),
+        operator(store, { name: "other", weights: other, nextFault }),
+      ], { concurrency: "unbounded" }));
+      const accepted = told.flat().filter((each) => each.accepted);
+      const read = await runFast(readTable(store));
+      assert.ok(read !== undefined);
+      const entries = await runFast(
+        entriesBack(store, read.stored, { after: 0 }),
+      );
+      const edits = entries.filter(({ changes }) => changes.length > 0);
+      assert.deepEqual(
+        edits.map(({ editId }) => editId).sort(),
+        accepted.map(({ editId }) => editId).sort(),
+      );
+      assert.deepEqual(
+        entries.map(({ sequence }) => sequence),
+        entries.map((_, at) => entries.length - at),
+      );
+    }),
+    { seed: 41, numRuns: 150 },
+  );
+});
--- a/packages/table/src/mod.ts
+++ b/packages/table/src/mod.ts
@@ -21,10 +21,38 @@
 export { COLUMNS } from "./csv_columns.ts";
 export { importRows, MAX_CSV_BYTES } from "./csv_read.ts";
 export { rowsToCsv } from "./csv_write.ts";
-export type { EditNote, HistoryEntry, StoredTable } from "./stored_table.ts";
+export type { EditNote, HistoryEntry } from "./history_entry.ts";
+export type { StoredTable } from "./stored_table.ts";
 export {
   parseStoredTable,
   storedTable,
   TABLE_KIND,
   TABLE_NAME,
 } from "./stored_table.ts";
+export type {
+  CommitFailure,
+  CommitOptions,
+  NotAccepted,
+  StoredInvalid,
+  TableRead,
+  TooLarge,
+  UnknownWhetherAccepted,
+} from "./commit.ts";
+export { readTable } from "./commit.ts";
+export type { HistoryMissing } from "./history.ts";
+export { entriesBack, HISTORY_KIND } from "./history.ts";
+export type {
+  Accepted,
+  Edit,
+  EditClosed,
+  EditFailure,
+  TableExists,
+  TableMissing,
+  Unchanged,
+} from "./edit.ts";
+export { applyEdit, createTable } from "./edit.ts";
+export { newEditId } from "./edit_id.ts";
+export type { Closed } from "./resolve.ts";
+export { resolveEdit } from "./resolve.ts";
+export type { EditNotFound } from "./rollback.ts";
+export { rollbackChanges } from "./rollback.ts";
--- a/packages/table/src/stored_table.ts
+++ b/packages/table/src/stored_table.ts
@@ -3,10 +3,10 @@
  *
  * @module
  */
-import { err, ok } from "neverthrow";
-import type { Result } from "neverthrow";
-import type { Change } from "./change.ts";
+import { err, Result } from "neverthrow";
 import type { Finding } from "./finding.ts";
+import { decodeHistory } from "./history_entry.ts";
+import type { EditNote, HistoryEntry } from "./history_entry.ts";
 import { parseTable } from "./parse.ts";
 import type { Table } from "./table.ts";
 
@@ -16,24 +16,6 @@
 /** Name of the object in the store. */
 export const TABLE_NAME = "main";
 
-/** Who edits, when and why. */
-export interface EditNote {
-  /** Unique for each edit; an edit that is tried again keeps it. */
-  readonly editId: string;
-  /** Name of the operator. */
-  readonly editor: string;
-  /** Epoch milliseconds. */
-  readonly at: number;
-  readonly note?: string;
-}
-
-/** One accepted edit, as the history keeps it. */
-export interface HistoryEntry extends EditNote {
-  /** 1 for the first edit of a table, then without gaps. */
-  readonly sequence: number;
-  readonly changes: readonly Change[];
-}
-
 /** The value of the stored object. */
 export interface StoredTable extends EditNote {
   readonly table: Table;
@@ -71,27 +53,34 @@
   if (typeof value !== "object" || value === null || !("table" in value)) {
     return err([{ place: "", message: 'Expected an object with a "table"' }]);
   }
-  const stored = value as Partial<StoredTable>;
-  return parseTable(stored.table)
-    .mapErr((findings) =>
-      findings.map(({ place, message }) => ({
-        place: `/table${place}`,
-        message,
-      }))
-    )
-    .andThen((table) =>
-      ok({
-        table,
-        editId: text(stored.editId),
-        editor: text(stored.editor),
-        at: typeof stored.at === "number" ? stored.at : 0,
-        ...(typeof stored.note === "string" ? { note: stored.note } : {}),
-        sequence: Number.isInteger(stored.sequence)
-          ? stored.sequence as number
-          : 0,
-        history: Array.isArray(stored.history) ? stored.history : [],
-      })
-    );
+  const stored: Partial<Record<keyof StoredTable, unknown>> = value;
+  const parsed = Result.combineWithAllErrors([
+    parseTable(stored.table).mapErr((findings) => under("/table", findings)),
+    decodeHistory(stored.history ?? []).mapErr((findings) =>
+      under("/history", findings)
+    ),
+  ]);
+  return parsed
+    .mapErr((findings) => findings.flat())
+    .map(([table, history]) => ({
+      table,
+      editId: text(stored.editId),
+      editor: text(stored.editor),
+      at: typeof stored.at === "number" ? stored.at : 0,
+      ...(typeof stored.note === "string" ? { note: stored.note } : {}),
+      sequence: typeof stored.sequence === "number" ? stored.sequence : 0,
+      history,
+    }));
+}
+
+function under(
+  place: string,
+  findings: readonly Finding[],
+): readonly Finding[] {
+  return findings.map((finding) => ({
+    ...finding,
+    place: `${place}${finding.place}`,
+  }));
 }
 
 function text(value: unknown): string {
--- a/scripts/check_layers.mjs
+++ b/scripts/check_layers.mjs
@@ -9,7 +9,8 @@
 const root = dirname(dirname(fileURLToPath(import.meta.url)));
 const SPANS = ["request", "connection", "version", "process"];
 const LAYERS = [
-  ["coordination", "table"],
+  ["coordination"],
+  ["table"],
   ["daemon", "cli", "testing"],
   ["bench"],
 ];
