--- a/packages/cli/src/mod.ts
+++ b/packages/cli/src/mod.ts
@@ -1,1 +1,9 @@
-export {};
+/**
+ * The command line of umbermast, for use from other programs.
+ *
+ * @module
+ */
+export { runCli } from "./cli.ts";
+export { EXIT_CODE } from "./process/exit_codes.ts";
+export type { ExitCode } from "./process/exit_codes.ts";
+export type { Io } from "./process/io.ts";
--- a/packages/table/src/edit_test.ts
+++ b/packages/table/src/edit_test.ts
@@ -12,7 +12,7 @@
 import { rowOf, tableOf } from "./fixtures.ts";
 import { entriesBack } from "./history.ts";
 import { resolveEdit } from "./resolve.ts";
-import { rollbackChanges } from "./rollback.ts";
+import { tableAt } from "./rollback.ts";
 import { TABLE_KIND } from "./stored_table.ts";
 import type { Row } from "./table.ts";
 
@@ -337,20 +337,18 @@
     await runFast(applyEdit(store, edit));
   }
   const read = await readFrom(store);
-  const changes = await runFast(
-    rollbackChanges(store, { read, editId: "e3" }),
-  );
+  const earlier = await runFast(tableAt(store, { read, editId: "e3" }));
   const edit: Edit = {
     editId: "back",
     editor: "bo",
     at: 4,
     baseSequence: read.stored.sequence,
-    changes,
+    changes: diffTables(read.stored.table, earlier),
   };
   await runFast(applyEdit(store, edit));
   assert.equal(await weightOf(store, "office/quote"), 4);
   assert.equal((await historyOf(store)).length, 102);
-  const missing = rollbackChanges(store, { read, editId: "nothing" });
+  const missing = tableAt(store, { read, editId: "nothing" });
   assert.equal((await failureOf(missing))._tag, "EditNotFound");
 });
 
--- a/packages/table/src/mod.ts
+++ b/packages/table/src/mod.ts
@@ -55,4 +55,4 @@
 export type { Closed } from "./resolve.ts";
 export { resolveEdit } from "./resolve.ts";
 export type { EditNotFound } from "./rollback.ts";
-export { rollbackChanges } from "./rollback.ts";
+export { tableAt } from "./rollback.ts";
--- a/packages/table/src/rollback.ts
+++ b/packages/table/src/rollback.ts
@@ -1,12 +1,12 @@
 /**
- * Going back to an earlier version of the table, by a new edit.
+ * Earlier versions of the table, worked out from the history.
  *
  * @module
  */
 import type { Store, Unavailable } from "@umbermast/coordination";
 import * as Effect from "effect/Effect";
-import { diffTables } from "./change.ts";
-import type { Change } from "./change.ts";
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
 import type { TableRead } from "./commit.ts";
 import { entriesBack } from "./history.ts";
 import type { HistoryMissing } from "./history.ts";
@@ -22,21 +22,20 @@
 }
 
 /**
- * The changes that bring the table back to how it was right after an edit, to
- * be applied as an edit of their own.
+ * The table as it stood right after an edit. Its difference from the table of
+ * now, applied as an edit, is a rollback.
  *
  * @example
  * ```ts
- * const changes = await Effect.runPromise(
- *   rollbackChanges(store, { read, editId }),
- * );
+ * const earlier = await Effect.runPromise(tableAt(store, { read, editId }));
+ * const changes = diffTables(read.stored.table, earlier);
  * ```
  */
-export function rollbackChanges(
+export function tableAt(
   store: Store,
   target: { readonly read: TableRead; readonly editId: string },
 ): Effect.Effect<
-  readonly Change[],
+  Table,
   Unavailable | HistoryMissing | EditNotFound | MergeFailure
 > {
   return Effect.gen(function* () {
@@ -48,10 +47,10 @@
     if (entries.at(-1)?.editId !== editId) {
       return yield* Effect.fail<EditNotFound>({ _tag: "EditNotFound", editId });
     }
-    const later = entries.slice(0, -1);
-    const back = withoutEdits(read.stored.table, later);
-    if (back._tag !== "Back") return yield* Effect.fail(back);
-    return diffTables(read.stored.table, back.table);
+    const before = withoutEdits(read.stored.table, entries.slice(0, -1));
+    return yield* before.isOk()
+      ? Effect.succeed(before.value)
+      : Effect.fail(before.error);
   });
 }
 
@@ -59,12 +58,12 @@
 function withoutEdits(
   table: Table,
   newestFirst: readonly HistoryEntry[],
-): { readonly _tag: "Back"; readonly table: Table } | MergeFailure {
-  let back = table;
+): Result<Table, MergeFailure> {
+  let before = table;
   for (const { changes } of newestFirst) {
-    const merged = mergeChanges(back, invertChanges(changes));
-    if (merged.isErr()) return merged.error;
-    back = merged.value.table;
+    const merged = mergeChanges(before, invertChanges(changes));
+    if (merged.isErr()) return err(merged.error);
+    before = merged.value.table;
   }
-  return { _tag: "Back", table: back };
+  return ok(before);
 }
