--- a/packages/testing/src/mod.ts
+++ b/packages/testing/src/mod.ts
@@ -1,1 +1,44 @@
-export {};
+/**
+ * Stand-ins, fault proxy and launcher for tests and development.
+ *
+ * @module
+ */
+export { startEngine } from "./engine.ts";
+export type { EngineConfig } from "./engine.ts";
+export { startPlainService } from "./plain_service.ts";
+export type { PlainConfig } from "./plain_service.ts";
+export { startPlatform } from "./platform.ts";
+export type { Calls, PlatformConfig } from "./platform.ts";
+export { startStandIn } from "./process/child.ts";
+export type { Child, LoggedChild, StandInChild } from "./process/child.ts";
+export {
+  DEPLOYMENT_NAMES,
+  digestKey,
+  findDeployment,
+  initialTable,
+  keyOf,
+} from "./process/deployment.ts";
+export type {
+  Deployment,
+  DeploymentName,
+  Sender,
+  Traffic,
+} from "./process/deployment.ts";
+export { FaultProxy } from "./process/fault_proxy.ts";
+export type { ProxyFault } from "./process/fault_proxy.ts";
+export type { Fault, FaultName } from "./process/faults.ts";
+export type { ListedHost } from "./process/host_list.ts";
+export type { StandIn } from "./process/http_server.ts";
+export { fetchJson } from "./process/json_client.ts";
+export type { JsonAnswer } from "./process/json_client.ts";
+export { startStack } from "./process/launcher.ts";
+export type {
+  Stack,
+  StackDaemon,
+  StackOptions,
+  StackRunner,
+} from "./process/launcher.ts";
+export type { LedgerEntry, RunEnd } from "./process/ledger.ts";
+export type { OrderEntry } from "./process/orders.ts";
+export { seededRandom } from "./process/random.ts";
+export { countTokens, digestPrefix } from "./request/prompt.ts";
--- /dev/null
+++ b/packages/testing/src/process/fault_proxy.ts
@@ -0,0 +1,159 @@
+/**
+ * A TCP proxy that shows faults of the network between two ends.
+ *
+ * @module
+ */
+import { createServer, type Server } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
+import { Link, type LinkFaults } from "./link.ts";
+
+/** Faults of a proxy. Each holds until `none`, or for `seconds`. */
+export type ProxyFault =
+  /** Each chunk is `delayMs` late in both directions. */
+  | {
+    readonly fault: "delay";
+    readonly delayMs: number;
+    readonly seconds?: number;
+  }
+  /** Open connections are cut, and new ones while it holds. */
+  | { readonly fault: "cut"; readonly seconds?: number }
+  /**
+   * Open connections swallow everything for good; new ones work. `direction`
+   * names the only way that is swallowed, `up` being towards the target.
+   */
+  | { readonly fault: "silent"; readonly direction?: "up" | "down" }
+  /** The next `count` answers (1) are lost, and their connections cut. */
+  | { readonly fault: "lose-reply"; readonly count?: number }
+  /** The next `count` answers (1) are held back whole for `holdMs`. */
+  | {
+    readonly fault: "reorder";
+    readonly holdMs: number;
+    readonly count?: number;
+  }
+  /** Ends delay and cut; what was silenced stays silent. */
+  | { readonly fault: "none" };
+
+const ADDRESS = "127.0.0.1";
+const MS_PER_SECOND = 1000;
+
+/**
+ * A proxy before one address.
+ *
+ * @example
+ * ```ts
+ * const proxy = await FaultProxy.start({ address: "127.0.0.1", port: 8080 });
+ * proxy.order({ fault: "silent" });
+ * await proxy.close();
+ * ```
+ */
+export class FaultProxy {
+  readonly port: number;
+  readonly #server: Server;
+  readonly #target: { readonly address: string; readonly port: number };
+  readonly #links = new Set<Link>();
+  #delay = { ms: 0, until: 0 };
+  #cutUntil = 0;
+  #repliesToLose = 0;
+  #held = { count: 0, holdMs: 0 };
+  #accepted = 0;
+
+  /** @internal Use `FaultProxy.start`. */
+  constructor(
+    server: Server,
+    target: { readonly address: string; readonly port: number },
+  ) {
+    this.#server = server;
+    this.#target = target;
+    this.port = (server.address() as AddressInfo).port;
+    server.on("connection", (socket) => this.#accept(socket));
+  }
+
+  /** Listens on 127.0.0.1, on a port of the system's choice by default. */
+  static async start(
+    target: { readonly address: string; readonly port: number },
+    options: { readonly port?: number } = {},
+  ): Promise<FaultProxy> {
+    const server = createServer({ allowHalfOpen: true });
+    await new Promise<void>((resolve, reject) => {
+      server.once("error", reject);
+      server.listen(options.port ?? 0, ADDRESS, resolve);
+    });
+    return new FaultProxy(server, target);
+  }
+
+  /** Base URL, for HTTP behind the proxy. */
+  get url(): string {
+    return `http://${ADDRESS}:${this.port}`;
+  }
+
+  /** Connections that are open now. */
+  get open(): number {
+    return this.#links.size;
+  }
+
+  /** Connections accepted since the start. */
+  get accepted(): number {
+    return this.#accepted;
+  }
+
+  /** Starts or ends a fault. */
+  order(order: ProxyFault): void {
+    switch (order.fault) {
+      case "delay":
+        this.#delay = { ms: order.delayMs, until: until(order.seconds) };
+        return;
+      case "cut":
+        this.#cutUntil = order.seconds === undefined ? 0 : until(order.seconds);
+        for (const link of this.#links) link.cut();
+        return;
+      case "silent":
+        for (const link of this.#links) link.silence(order.direction);
+        return;
+      case "lose-reply":
+        this.#repliesToLose = order.count ?? 1;
+        return;
+      case "reorder":
+        this.#held = { count: order.count ?? 1, holdMs: order.holdMs };
+        return;
+      case "none":
+        this.#delay = { ms: 0, until: 0 };
+        this.#cutUntil = 0;
+        this.#repliesToLose = 0;
+        this.#held = { count: 0, holdMs: 0 };
+    }
+  }
+
+  /** Ends the proxy and all its connections. */
+  close(): Promise<void> {
+    for (const link of this.#links) link.cut();
+    return new Promise((resolve) => this.#server.close(() => resolve()));
+  }
+
+  #accept(caller: Socket): void {
+    this.#accepted += 1;
+    if (Date.now() < this.#cutUntil) {
+      caller.destroy();
+      return;
+    }
+    const link = new Link(caller, this.#target, this.#faults());
+    this.#links.add(link);
+    link.ended.then(() => this.#links.delete(link));
+  }
+
+  #faults(): LinkFaults {
+    return {
+      delayMs: () => Date.now() < this.#delay.until ? this.#delay.ms : 0,
+      losesReply: () => this.#repliesToLose > 0 && this.#repliesToLose-- > 0,
+      holdMs: () => {
+        if (this.#held.count <= 0) return 0;
+        this.#held = { ...this.#held, count: this.#held.count - 1 };
+        return this.#held.holdMs;
+      },
+    };
+  }
+}
+
+function until(seconds: number | undefined): number {
+  if (seconds === undefined) return Infinity;
+  return Date.now() + seconds * MS_PER_SECOND;
+}
--- /dev/null
+++ b/packages/testing/src/process/link.ts
@@ -0,0 +1,127 @@
+/**
+ * One connection through the fault proxy.
+ *
+ * @module
+ */
+import { connect, type Socket } from "node:net";
+
+/** Faults of the proxy that a connection asks about. */
+export interface LinkFaults {
+  /** Milliseconds that a chunk is late now. */
+  delayMs(): number;
+  /** Whether the answer that begins now is lost. */
+  losesReply(): boolean;
+  /** Milliseconds that the answer that begins now is held back; 0 for none. */
+  holdMs(): number;
+}
+
+/** One way of the connection. */
+interface Way {
+  readonly from: Socket;
+  readonly to: Socket;
+  readonly name: "up" | "down";
+}
+
+/** A pair of sockets whose bytes go through faults. */
+export class Link {
+  /** Ends when both sockets are closed. */
+  readonly ended: Promise<void>;
+  readonly #caller: Socket;
+  readonly #target: Socket;
+  readonly #faults: LinkFaults;
+  readonly #silenced = { up: false, down: false };
+  /** When the latest delayed act of each way is due. */
+  readonly #lastDue = { up: 0, down: 0 };
+  /** The next bytes from the target begin an answer. */
+  #answerBegins = true;
+  /** Time before which no byte may go down, because an answer is held. */
+  #heldUntil = 0;
+
+  constructor(
+    caller: Socket,
+    target: { readonly address: string; readonly port: number },
+    faults: LinkFaults,
+  ) {
+    this.#caller = caller;
+    this.#faults = faults;
+    this.#target = connect({
+      host: target.address,
+      port: target.port,
+      allowHalfOpen: true,
+    });
+    const up = { from: caller, to: this.#target, name: "up" } as const;
+    const down = { from: this.#target, to: caller, name: "down" } as const;
+    this.ended = Promise.all([this.#carry(up), this.#carry(down)]).then(
+      () => undefined,
+    );
+  }
+
+  /** Breaks the connection at both ends. */
+  cut(): void {
+    this.#caller.destroy();
+    this.#target.destroy();
+  }
+
+  /**
+   * Swallows all later bytes for good, in one direction or both, and does not
+   * pass on that an end has closed: the ends cannot tell it from a slow network.
+   */
+  silence(direction?: "up" | "down"): void {
+    if (direction !== "down") this.#silenced.up = true;
+    if (direction !== "up") this.#silenced.down = true;
+    // What back-pressure has paused must be read on, to be swallowed.
+    this.#caller.resume();
+    this.#target.resume();
+  }
+
+  #carry(way: Way): Promise<void> {
+    const { from, to } = way;
+    from.setNoDelay(true);
+    from.on("error", () => {});
+    from.on("data", (chunk) => this.#pass(way, chunk));
+    to.on("drain", () => from.resume());
+    from.on("end", () => this.#later(way, () => to.end()));
+    return new Promise((resolve) => {
+      from.on("close", (broken) => {
+        if (broken) this.#later(way, () => to.destroy());
+        resolve();
+      });
+    });
+  }
+
+  #pass(way: Way, chunk: Buffer): void {
+    if (this.#silenced[way.name]) return;
+    if (way.name === "up") this.#answerBegins = true;
+    else if (this.#answerBegins && !this.#beginAnswer()) return;
+    this.#later(way, () => {
+      if (!way.to.write(chunk)) way.from.pause();
+    });
+  }
+
+  /** Applies what strikes a whole answer; false when the answer is lost. */
+  #beginAnswer(): boolean {
+    this.#answerBegins = false;
+    if (this.#faults.losesReply()) {
+      this.cut();
+      return false;
+    }
+    const holdMs = this.#faults.holdMs();
+    if (holdMs > 0) this.#heldUntil = Date.now() + holdMs;
+    return true;
+  }
+
+  /** Acts at once, or when delay and hold are over; order is kept. */
+  #later(way: Way, act: () => void): void {
+    const now = Date.now();
+    const held = way.name === "down" ? this.#heldUntil - now : 0;
+    const waitMs = Math.max(this.#faults.delayMs(), held);
+    const guarded = () => {
+      if (!this.#silenced[way.name] && !way.to.destroyed) act();
+    };
+    const last = this.#lastDue[way.name];
+    const dueAt = Math.max(now + waitMs, last);
+    if (dueAt <= now) return guarded();
+    this.#lastDue[way.name] = dueAt;
+    setTimeout(guarded, dueAt - now);
+  }
+}
