Add a caller, tests of the stand-ins and the demo

Cause: tests and measurements need answers checked token by token, and the stand-ins themselves need proof that they show what they claim. Change: a caller that types each ending and checks ownership and wholeness, a seeded mix, the demo, and focused tests of engine, platform and proxy. Conclusion: the demo has not run yet; it needs the daemon's binary.

--- a/packages/testing/src/engine.ts
+++ b/packages/testing/src/engine.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Batch } from "./process/batch.ts";
 import { CacheFeed } from "./process/cache_feed.ts";
+import { ENGINE_DEFAULTS, type EngineConfig } from "./process/engine_config.ts";
 import { Faults } from "./process/faults.ts";
 import {
   header,
@@ -21,60 +22,7 @@
 import { seededRandom } from "./process/random.ts";
 import { Completion } from "./request/completion.ts";
 import { type Prompt, readPrompt } from "./request/prompt.ts";
-
-/** Settings of an engine. */
-export interface EngineConfig {
-  readonly name: string;
-  /** 0 lets the system choose. */
-  readonly port: number;
-  readonly models: readonly string[];
-  readonly role: string;
-  readonly incarnation: number;
-  readonly checksFencing: boolean;
-  readonly loadMs: number;
-  /** Sequences that run at once. */
-  readonly maxBatch: number;
-  /** Sequences that may wait. */
-  readonly maxWaiting: number;
-  readonly baseStepMs: number;
-  readonly stepMsPerSequence: number;
-  readonly prefillMsPerToken: number;
-  readonly prefillTokensPerStep: number;
-  /** Bound of the prefix cache. */
-  readonly cacheTokens: number;
-  readonly kvTotal: number;
-  readonly loadLagMs: number;
-  readonly cacheEventLagMs: number;
-  /** Share of cache events that are lost, 0 to 1. */
-  readonly cacheEventLoss: number;
-  /** Mean output length of a request that does not bound it. */
-  readonly meanTokens: number;
-  readonly seed: string;
-}
-
-/** Defaults of an engine's settings. */
-export const ENGINE_DEFAULTS: EngineConfig = {
-  name: "engine",
-  port: 0,
-  models: ["umber-small"],
-  role: "mixed",
-  incarnation: 1,
-  checksFencing: true,
-  loadMs: 500,
-  maxBatch: 16,
-  maxWaiting: 64,
-  baseStepMs: 3,
-  stepMsPerSequence: 0.1,
-  prefillMsPerToken: 0.02,
-  prefillTokensPerStep: 512,
-  cacheTokens: 20_000,
-  kvTotal: 100_000,
-  loadLagMs: 500,
-  cacheEventLagMs: 300,
-  cacheEventLoss: 0.1,
-  meanTokens: 120,
-  seed: "engine",
-};
+import { refuse } from "./request/refusal.ts";
 
 const MAX_OUTPUT_TOKENS = 4096;
 const DEFAULT_STRAGGLE = 5;
@@ -83,8 +31,6 @@
 const BAD_REQUEST = 400;
 const NOT_FOUND = 404;
 const PRECONDITION_FAILED = 412;
-const TOO_MANY_REQUESTS = 429;
-const UNAVAILABLE = 503;
 
 /** Starts an engine in this process. */
 export async function startEngine(
@@ -193,17 +139,17 @@
       promptTokens: prompt?.promptTokens ?? 0,
     });
     if (prompt === undefined) {
-      return refuse(response, run, [BAD_REQUEST, "bad_request"]);
+      return refuse(response, run, { code: "bad_request" });
     }
     if (!this.#orders.models.includes(prompt.model)) {
-      return refuse(response, run, [NOT_FOUND, "model_not_found"]);
+      return refuse(response, run, { code: "model_not_found" });
     }
     if (this.faults.get("leaving")?.factor === 0) {
-      return refuse(response, run, [UNAVAILABLE, "leaving"]);
+      return refuse(response, run, { code: "leaving" });
     }
     const completion = this.#completion(request, { prompt, run });
     if (!this.#batch.submit(completion)) {
-      return refuse(response, run, [TOO_MANY_REQUESTS, "queue_full"]);
+      return refuse(response, run, { code: "queue_full" });
     }
     this.#completions.set(run.requestId, completion);
     completion.attach(response, { attemptId: run.attemptId, offset: 0 });
@@ -335,22 +281,3 @@
     };
   }
 }
-
-/** Refuses before starting. */
-function refuse(
-  response: ServerResponse,
-  run: Run,
-  answer: readonly [status: number, code: string],
-): void {
-  run.finish("refused");
-  const [status, code] = answer;
-  sendJson(response, { error: { code, message: `Refused: ${code}` } }, {
-    status,
-    headers: {
-      "umbermast-started": "false",
-      "umbermast-request-id": run.requestId,
-      "umbermast-attempt-id": run.attemptId,
-      ...(status === BAD_REQUEST ? {} : { "retry-after": "1" }),
-    },
-  });
-}
--- a/packages/testing/src/mod.ts
+++ b/packages/testing/src/mod.ts
@@ -4,7 +4,7 @@
  * @module
  */
 export { startEngine } from "./engine.ts";
-export type { EngineConfig } from "./engine.ts";
+export type { EngineConfig } from "./process/engine_config.ts";
 export { startPlainService } from "./plain_service.ts";
 export type { PlainConfig } from "./plain_service.ts";
 export { startPlatform } from "./platform.ts";
@@ -37,8 +37,16 @@
   StackDaemon,
   StackOptions,
   StackRunner,
-} from "./process/launcher.ts";
+} from "./process/stack_handle.ts";
 export type { LedgerEntry, RunEnd } from "./process/ledger.ts";
 export type { OrderEntry } from "./process/orders.ts";
 export { seededRandom } from "./process/random.ts";
 export { countTokens, digestPrefix } from "./request/prompt.ts";
+export { Caller } from "./client.ts";
+export type {
+  CallerOptions,
+  CallOptions,
+  ChatOptions,
+  PlainOptions,
+} from "./client.ts";
+export type { Answer, Outcome, PlainEcho } from "./request/answer.ts";
--- /dev/null
+++ b/packages/testing/src/process/daemon_program.ts
@@ -0,0 +1,57 @@
+/**
+ * The daemon as the launcher sees it: its program, settings and first log line.
+ *
+ * @module
+ */
+import { fileURLToPath } from "node:url";
+
+/** File of the daemon's program. */
+export const DAEMON = fileURLToPath(
+  new URL("../../../../daemon/dist/src/umbermastd.js", import.meta.url),
+);
+
+/** The log line that tells where a daemon listens. */
+export const LISTENING = new RegExp(
+  "event=listening .*?" + ["callers", "operators", "peers"]
+    .map((name) => `${name}="?(?<${name}>[\\d.]+:\\d+)"?`).join(".*?"),
+);
+
+/** Addresses as `IP:PORT`. */
+export interface Listening {
+  readonly callers: string;
+  readonly operators: string;
+  readonly peers: string;
+}
+
+/** The addresses in a match of `LISTENING`. */
+export function readListening(match: RegExpMatchArray): Listening {
+  const { callers = "", operators = "", peers = "" } = match.groups ?? {};
+  return { callers, operators, peers };
+}
+
+/** What the settings of a daemon say of its place and secrets. */
+export interface DaemonPlace {
+  readonly name: string;
+  readonly address: string;
+  readonly region: string;
+  readonly failureDomain: string;
+  readonly operatorToken: string;
+  readonly peerKey: string;
+  readonly platformUrl: string;
+  readonly scheduler: string;
+}
+
+/** Settings of a daemon that listens on ports of the system's choice. */
+export function daemonSettings(place: DaemonPlace): object {
+  const { name, region, failureDomain, address, scheduler } = place;
+  return {
+    name,
+    region,
+    failureDomain,
+    listen: { address, port: 0 },
+    operators: { address, port: 0, token: place.operatorToken },
+    peers: { address, port: 0, key: place.peerKey },
+    platform: { url: place.platformUrl },
+    scheduler,
+  };
+}
--- a/packages/testing/src/process/fault_proxy.ts
+++ b/packages/testing/src/process/fault_proxy.ts
@@ -30,7 +30,7 @@
     readonly holdMs: number;
     readonly count?: number;
   }
-  /** Ends delay and cut; what was silenced stays silent. */
+  /** Ends all but silence, and lets go of what was late or held back. */
   | { readonly fault: "none" };
 
 const ADDRESS = "127.0.0.1";
@@ -120,6 +120,7 @@
         this.#cutUntil = 0;
         this.#repliesToLose = 0;
         this.#held = { count: 0, holdMs: 0 };
+        for (const link of this.#links) link.release();
     }
   }
 
--- /dev/null
+++ b/packages/testing/src/process/fault_proxy_test.ts
@@ -0,0 +1,96 @@
+import assert from "node:assert/strict";
+import { Agent } from "node:http";
+import { describe, it, type TestContext } from "node:test";
+import { Caller } from "../client.ts";
+import { startPlainService } from "../plain_service.ts";
+import { FaultProxy } from "./fault_proxy.ts";
+import { fetchJson } from "./json_client.ts";
+import type { LedgerEntry } from "./ledger.ts";
+
+async function serviceBehindProxy(t: TestContext) {
+  const service = await startPlainService({ serviceMs: 0 });
+  const proxy = await FaultProxy.start({
+    address: "127.0.0.1",
+    port: service.port,
+  });
+  const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  const kept = new Caller(proxy.url, { agent });
+  t.after(async () => {
+    kept.close();
+    await proxy.close();
+    await service.close();
+  });
+  return {
+    proxy,
+    /** Sends on one connection that is kept open. */
+    kept: (requestId: string, signal?: AbortSignal) =>
+      kept.plain("/x", {
+        headers: { "umbermast-request-id": requestId },
+        ...(signal === undefined ? {} : { signal }),
+      }),
+    /** Sends on a connection of its own. */
+    fresh: async (requestId: string) => {
+      const caller = new Caller(proxy.url);
+      const headers = { "umbermast-request-id": requestId };
+      const answer = await caller.plain("/x", { headers });
+      caller.close();
+      return answer;
+    },
+    /** Requests that have run to their end. */
+    ids: async () => {
+      const { body } = await fetchJson(`${service.url}/ledger`);
+      return (body as readonly LedgerEntry[])
+        .filter((entry) => entry.end === "complete")
+        .map((entry) => entry.requestId);
+    },
+  };
+}
+
+describe("fault proxy", () => {
+  // An open connection goes silent: the request sent on it never arrives and no
+  // error tells so. A new connection works at once.
+  it("silences open connections for good, while new ones work", async (t) => {
+    const { proxy, kept, fresh, ids } = await serviceBehindProxy(t);
+    assert.equal((await kept("before")).outcome, "complete");
+    proxy.order({ fault: "silent" });
+    const leave = new AbortController();
+    const silent = kept("silent", leave.signal);
+    assert.equal((await fresh("new")).outcome, "complete");
+    proxy.order({ fault: "none" });
+    leave.abort();
+    assert.equal((await silent).outcome, "cancelled");
+    assert.deepEqual(await ids(), ["before", "new"]);
+  });
+
+  // The answer's way is swallowed and the request's is not: the request runs
+  // and its caller hears nothing.
+  it("silences one direction", async (t) => {
+    const { proxy, kept, fresh, ids } = await serviceBehindProxy(t);
+    await kept("before");
+    proxy.order({ fault: "silent", direction: "down" });
+    const leave = new AbortController();
+    const silent = kept("silent", leave.signal);
+    while (!(await ids()).includes("silent"));
+    assert.equal((await fresh("new")).outcome, "complete");
+    leave.abort();
+    assert.equal((await silent).outcome, "cancelled");
+  });
+
+  it("loses one reply of a request that ran", async (t) => {
+    const { proxy, fresh, ids } = await serviceBehindProxy(t);
+    proxy.order({ fault: "lose-reply" });
+    assert.equal((await fresh("lost")).outcome, "unknown");
+    assert.equal((await fresh("next")).outcome, "complete");
+    assert.deepEqual(await ids(), ["lost", "next"]);
+  });
+
+  it("holds an answer back whole until later ones have passed", async (t) => {
+    const { proxy, kept, fresh, ids } = await serviceBehindProxy(t);
+    proxy.order({ fault: "reorder", holdMs: 600_000 });
+    const held = kept("held");
+    while (!(await ids()).includes("held"));
+    assert.equal((await fresh("passing")).outcome, "complete");
+    proxy.order({ fault: "none" });
+    assert.equal((await held).outcome, "complete");
+  });
+});
--- a/packages/testing/src/process/launcher.ts
+++ b/packages/testing/src/process/launcher.ts
@@ -7,122 +7,37 @@
 import { mkdtemp, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { fileURLToPath } from "node:url";
 import type { Table } from "@umbermast/table";
+import { type Child, startLogged, startStandIn } from "./child.ts";
 import {
-  type Child,
-  type LoggedChild,
-  startLogged,
-  startStandIn,
-} from "./child.ts";
+  DAEMON,
+  daemonSettings,
+  LISTENING,
+  readListening,
+} from "./daemon_program.ts";
 import {
   type Deployment,
-  type DeploymentName,
   findDeployment,
   initialTable,
   keyOf,
 } from "./deployment.ts";
 import { FaultProxy } from "./fault_proxy.ts";
 import type { ListedHost } from "./host_list.ts";
-import { fetchJson, type JsonAnswer } from "./json_client.ts";
-
-/** What to start. */
-export interface StackOptions {
-  /** Daemons to start; 3 by default. */
-  readonly daemons?: number;
-  /** Model runners to start; 8 by default. */
-  readonly runners?: number;
-  /** Plain runners to start; 3 by default. */
-  readonly plainRunners?: number;
-  /** The co-operative by default. */
-  readonly deployment?: DeploymentName;
-  /** Seed of the keys and of the engines' chance; 1 by default. */
-  readonly seed?: number;
-  /** `umbermast` by default. */
-  readonly scheduler?: "umbermast" | "fifo" | "random";
-  /** Settings laid over each daemon's own. */
-  readonly daemonSettings?: object;
-  /** Settings laid over each engine's own. */
-  readonly engineConfig?: object;
-  /** Settings laid over each plain runner's own. */
-  readonly plainConfig?: object;
-  /** Settings laid over the platform's own. */
-  readonly platformConfig?: object;
-  /** Changes the table before it is stored. */
-  readonly table?: (table: Table) => Table;
-  /** Links that get a fault proxy each. */
-  readonly proxies?: {
-    /** Between the daemons and each runner. */
-    readonly runners?: boolean;
-    /** Between each daemon and the platform. */
-    readonly platform?: boolean;
-    /** Between the callers and each daemon. */
-    readonly callers?: boolean;
-  };
-}
-
-/** A daemon of the stack. */
-export interface StackDaemon {
-  readonly name: string;
-  /** Base URL for callers. */
-  readonly url: string;
-  readonly operatorUrl: string;
-  readonly pid: number;
-  readonly logFile: string;
-  readonly child: LoggedChild;
-  /** Between callers and this daemon, when asked for. */
-  readonly callerProxy?: FaultProxy;
-  /** Between this daemon and the platform, when asked for. */
-  readonly platformProxy?: FaultProxy;
-}
-
-/** A runner of the stack. */
-export interface StackRunner {
-  readonly name: string;
-  /** Base URL of the runner itself, also when it is behind a proxy. */
-  readonly url: string;
-  readonly service: string;
-  readonly pid: number;
-  readonly host: ListedHost;
-  readonly child: Child;
-  /** Between the daemons and this runner, when asked for. */
-  readonly proxy?: FaultProxy;
-}
-
-/** A running deployment. */
-export interface Stack {
-  readonly deployment: Deployment;
-  readonly daemons: readonly StackDaemon[];
-  readonly runners: readonly StackRunner[];
-  readonly platform: { readonly url: string; readonly pid: number };
-  /** Key of each workspace. */
-  readonly keys: Readonly<Record<string, string>>;
-  readonly operatorToken: string;
-  readonly table: Table;
-  /** File that holds the initial table as JSON. */
-  readonly tableFile: string;
-  /** Folder of the daemons' logs and settings. */
-  readonly logs: string;
-  /** Starts one more daemon, or one in place of another under the same name. */
-  startDaemon(name: string): Promise<StackDaemon>;
-  /** Lists a host on the platform, or takes it off when `host` is undefined. */
-  setHost(
-    name: string,
-    host: ListedHost | undefined,
-    options?: { readonly lagMs?: number },
-  ): Promise<void>;
-  /** Orders a fault at a stand-in, given its URL. */
-  control(url: string, fault: object): Promise<void>;
-  /** Ends everything that was started. */
-  close(): Promise<void>;
-}
+import { fetchJson } from "./json_client.ts";
+import {
+  orderFault,
+  putTable,
+  removeHost,
+  setHost,
+} from "./platform_client.ts";
+import type {
+  Stack,
+  StackDaemon,
+  StackOptions,
+  StackRunner,
+} from "./stack_handle.ts";
 
 const ADDRESS = "127.0.0.1";
-const DAEMON = fileURLToPath(
-  new URL("../../../../daemon/dist/src/umbermastd.js", import.meta.url),
-);
-const LISTENING =
-  /event=listening callers="?([\d.]+:\d+)"? operators="?([\d.]+:\d+)"? peers="?([\d.]+:\d+)"?/;
 const DEFAULT_DAEMONS = 3;
 const DEFAULT_RUNNERS = 8;
 const DEFAULT_PLAIN_RUNNERS = 3;
@@ -191,10 +106,12 @@
     });
     this.#standIns.push(platform);
     this.#platformUrl = platform.url;
+    this.#options.signal?.throwIfAborted();
     const [runners, tableFile] = await Promise.all([
       this.#startRunners(),
       this.#storeTable(),
     ]);
+    this.#options.signal?.throwIfAborted();
     const count = this.#options.daemons ?? DEFAULT_DAEMONS;
     const names = Array.from({ length: count }, (_, at) => `entry-${at + 1}`);
     const daemons = await settled(names.map((name) => this.#startDaemon(name)));
@@ -217,8 +134,9 @@
         await this.#ready(daemon);
         return daemon;
       },
-      setHost: (name, host, given) => this.#setHost(name, host, given),
-      control,
+      setHost: (host, given) => setHost(platform.url, host, given),
+      removeHost: (name, given) => removeHost(platform.url, name, given),
+      control: orderFault,
       close: () => this.close(),
     };
   }
@@ -237,18 +155,7 @@
   async #storeTable(): Promise<string> {
     const tableFile = join(this.#logs, "table.json");
     await writeFile(tableFile, JSON.stringify(this.#table, null, 2));
-    const value = {
-      table: this.#table,
-      editId: "initial",
-      editor: "stack",
-      at: Date.now(),
-    };
-    const answer = await fetchJson(`${this.#platformUrl}/objects/tables/main`, {
-      method: "PUT",
-      headers: { "if-version": "0" },
-      body: value,
-    });
-    expectOk(answer, "store the table");
+    await putTable(this.#platformUrl, this.#table);
     return tableFile;
   }
 
@@ -303,7 +210,7 @@
       ...this.#place(at),
       port: proxy?.port ?? Number(new URL(child.url).port),
     };
-    await this.#setHost(name, host);
+    await setHost(this.#platformUrl, host);
     const { url, pid } = child;
     const runner = { name, url, service, pid, host, child };
     return proxy === undefined ? runner : { ...runner, proxy };
@@ -316,18 +223,24 @@
       : undefined;
     const settingsFile = join(this.#logs, `${name}-${at}.json`);
     const logFile = join(this.#logs, `${name}-${at}.log`);
-    await writeFile(
-      settingsFile,
-      JSON.stringify(this.#settings(name, { at, platformProxy }), null, 2),
-    );
+    const settings = daemonSettings({
+      name,
+      ...this.#place(at),
+      operatorToken: this.#operatorToken,
+      peerKey: this.#peerKey,
+      platformUrl: platformProxy?.url ?? this.#platformUrl,
+      scheduler: this.#options.scheduler ?? "umbermast",
+    });
+    const all = { ...settings, ...this.#options.daemonSettings };
+    await writeFile(settingsFile, JSON.stringify(all, null, 2));
     const child = startLogged([DAEMON, "--settings", settingsFile], {
       logFile,
     });
     this.#daemons.push(child);
-    const [, callers = "", operators = "", peers = ""] = await child.logged(
-      LISTENING,
+    const { callers, operators, peers } = readListening(
+      await child.logged(LISTENING),
     );
-    await this.#setHost(name, {
+    await setHost(this.#platformUrl, {
       name,
       role: "entry",
       ...this.#place(at),
@@ -349,28 +262,6 @@
     };
   }
 
-  #settings(
-    name: string,
-    options: {
-      readonly at: number;
-      readonly platformProxy: FaultProxy | undefined;
-    },
-  ): object {
-    const { region, failureDomain } = this.#place(options.at);
-    const { daemonSettings, scheduler } = this.#options;
-    return {
-      name,
-      region,
-      failureDomain,
-      listen: { address: ADDRESS, port: 0 },
-      operators: { address: ADDRESS, port: 0, token: this.#operatorToken },
-      peers: { address: ADDRESS, port: 0, key: this.#peerKey },
-      platform: { url: options.platformProxy?.url ?? this.#platformUrl },
-      scheduler: scheduler ?? "umbermast",
-      ...daemonSettings,
-    };
-  }
-
   #place(at: number) {
     const { failureDomains, region } = this.#deployment;
     return {
@@ -389,22 +280,10 @@
     return proxy;
   }
 
-  async #setHost(
-    name: string,
-    host: ListedHost | undefined,
-    options: { readonly lagMs?: number } = {},
-  ): Promise<void> {
-    const place = `${this.#platformUrl}/hosts/${encodeURIComponent(name)}`;
-    const answer = await fetchJson(`${place}?lag=${options.lagMs ?? 0}`, {
-      method: host === undefined ? "DELETE" : "PUT",
-      body: host,
-    });
-    expectOk(answer, `list the host "${name}"`);
-  }
-
   async #ready(daemon: StackDaemon): Promise<void> {
     const until = Date.now() + READY_LIMIT_MS;
     while (Date.now() < until) {
+      this.#options.signal?.throwIfAborted();
       const answer = await fetchJson(`${daemon.operatorUrl}/readyz`, {
         headers: { authorization: `Bearer ${this.#operatorToken}` },
       }).catch(() => undefined);
@@ -417,20 +296,6 @@
   }
 }
 
-async function control(url: string, fault: object): Promise<void> {
-  const answer = await fetchJson(`${url}/control`, {
-    method: "POST",
-    body: fault,
-  });
-  expectOk(answer, "order a fault");
-}
-
-function expectOk(answer: JsonAnswer, action: string): void {
-  if (answer.status === HTTP_OK) return;
-  const body = JSON.stringify(answer.body);
-  throw new Error(`Cannot ${action}: status ${answer.status}, ${body}`);
-}
-
 /** Waits for all, also when one fails, so that none is left starting. */
 async function settled<T>(
   starts: readonly Promise<T>[],
--- a/packages/testing/src/process/link.ts
+++ b/packages/testing/src/process/link.ts
@@ -22,6 +22,40 @@
   readonly name: "up" | "down";
 }
 
+/** Acts in the order given, each not before it is due. */
+class DelayLine {
+  #queue: { readonly dueAt: number; readonly act: () => void }[] = [];
+  #timer: NodeJS.Timeout | undefined;
+
+  add(dueAt: number, act: () => void): void {
+    if (this.#queue.length === 0 && dueAt <= Date.now()) return act();
+    this.#queue.push({ dueAt, act });
+    this.#wait();
+  }
+
+  /** Does everything now. */
+  flush(): void {
+    clearTimeout(this.#timer);
+    this.#timer = undefined;
+    const queue = this.#queue;
+    this.#queue = [];
+    for (const { act } of queue) act();
+  }
+
+  #wait(): void {
+    const [first] = this.#queue;
+    if (first === undefined || this.#timer !== undefined) return;
+    this.#timer = setTimeout(() => this.#next(), first.dueAt - Date.now());
+    this.#timer.unref();
+  }
+
+  #next(): void {
+    this.#timer = undefined;
+    this.#queue.shift()?.act();
+    this.#wait();
+  }
+}
+
 /** A pair of sockets whose bytes go through faults. */
 export class Link {
   /** Ends when both sockets are closed. */
@@ -30,8 +64,7 @@
   readonly #target: Socket;
   readonly #faults: LinkFaults;
   readonly #silenced = { up: false, down: false };
-  /** When the latest delayed act of each way is due. */
-  readonly #lastDue = { up: 0, down: 0 };
+  readonly #lines = { up: new DelayLine(), down: new DelayLine() };
   /** The next bytes from the target begin an answer. */
   #answerBegins = true;
   /** Time before which no byte may go down, because an answer is held. */
@@ -74,6 +107,13 @@
     this.#target.resume();
   }
 
+  /** Lets go at once of all that is late or held back. */
+  release(): void {
+    this.#heldUntil = 0;
+    this.#lines.up.flush();
+    this.#lines.down.flush();
+  }
+
   #carry(way: Way): Promise<void> {
     const { from, to } = way;
     from.setNoDelay(true);
@@ -115,13 +155,8 @@
     const now = Date.now();
     const held = way.name === "down" ? this.#heldUntil - now : 0;
     const waitMs = Math.max(this.#faults.delayMs(), held);
-    const guarded = () => {
+    this.#lines[way.name].add(now + waitMs, () => {
       if (!this.#silenced[way.name] && !way.to.destroyed) act();
-    };
-    const last = this.#lastDue[way.name];
-    const dueAt = Math.max(now + waitMs, last);
-    if (dueAt <= now) return guarded();
-    this.#lastDue[way.name] = dueAt;
-    setTimeout(guarded, dueAt - now);
+    });
   }
 }
--- a/packages/testing/src/stack.ts
+++ b/packages/testing/src/stack.ts
@@ -7,7 +7,8 @@
 import process from "node:process";
 import { Command, InvalidArgumentError, Option } from "commander";
 import { DEPLOYMENT_NAMES, type DeploymentName } from "./process/deployment.ts";
-import { type Stack, startStack } from "./process/launcher.ts";
+import { startStack } from "./process/launcher.ts";
+import type { Stack } from "./process/stack_handle.ts";
 
 interface Options {
   readonly daemons: number;
@@ -57,18 +58,22 @@
   console.log(`logs ${stack.logs}`);
 }
 
-function stopped(): Promise<void> {
-  return new Promise((resolve) => {
-    process.once("SIGTERM", resolve);
-    process.once("SIGINT", resolve);
-  });
+/** Aborts at the first SIGTERM or SIGINT. */
+function stopSignal(): AbortSignal {
+  const controller = new AbortController();
+  const stop = () => controller.abort(new Error("Stopped while starting"));
+  process.once("SIGTERM", stop);
+  process.once("SIGINT", stop);
+  return controller.signal;
 }
 
 async function run(options: Options): Promise<void> {
-  const stop = stopped();
-  const stack = await startStack(options);
+  const signal = stopSignal();
+  const stack = await startStack({ ...options, signal });
   print(stack, options);
-  await stop;
+  if (!signal.aborted) {
+    await new Promise((resolve) => signal.addEventListener("abort", resolve));
+  }
   await stack.close();
 }
 
--- a/packages/testing/src/stand_in.ts
+++ b/packages/testing/src/stand_in.ts
@@ -8,10 +8,11 @@
  */
 import process from "node:process";
 import { Command } from "commander";
-import { ENGINE_DEFAULTS, startEngine } from "./engine.ts";
+import { startEngine } from "./engine.ts";
 import { PLAIN_DEFAULTS, startPlainService } from "./plain_service.ts";
 import { PLATFORM_DEFAULTS, startPlatform } from "./platform.ts";
 import { readConfig } from "./process/config.ts";
+import { ENGINE_DEFAULTS } from "./process/engine_config.ts";
 import type { StandIn } from "./process/http_server.ts";
 
 const EXIT_CONFIG = 78;
