Leave a whole answer without a time to its first token

Cause: the demo counted a whole answer's end as its first token. Change: only streamed answers carry the time to the first token. Conclusion: the report's column now means what its head says.

--- a/packages/testing/src/request/readers.ts
+++ b/packages/testing/src/request/readers.ts
@@ -142,10 +142,7 @@
     check.take(body?.choices?.[0]?.message?.content ?? "");
     check.total(body?.usage?.completion_tokens);
     const { tokens, finding } = check;
-    const firstTokenMs = this.#call.elapsedMs;
-    if (finding === undefined) {
-      return this.#call.answer("complete", { tokens, firstTokenMs });
-    }
+    if (finding === undefined) return this.#call.answer("complete", { tokens });
     return this.#call.answer("corrupt", { tokens, finding });
   }
 }
