Relay calls to runners, whole and streamed

Cause: nothing carries a granted request to its runner and back. Change: RetryingCallRunner acquires a slot, sends over bounded kept-alive connections, relays whole events or complete answers, resumes broken streams, retries elsewhere within a budget and settles the slot with true counts.

--- /dev/null
+++ b/packages/daemon/src/connection/runner_answer.ts
@@ -0,0 +1,192 @@
+/**
+ * One request to a runner and the bytes of its answer.
+ *
+ * @module
+ */
+import type * as http from "node:http";
+import * as Effect from "effect/Effect";
+import type { Runner } from "../process/runner.ts";
+import type { RunnerConnections, RunnerRequest } from "./runner_connections.ts";
+
+/** No answer's head came. */
+export interface NoAnswer {
+  readonly _tag: "NoAnswer";
+  /**
+   * Whether bytes of the request may have reached the runner. False only when
+   * no connection was ever made.
+   */
+  readonly mayHaveArrived: boolean;
+  readonly reason: "refused" | "reset" | "silent" | "malformed";
+  readonly message: string;
+}
+
+/** The answer stopped before its end. */
+export interface AnswerBroken {
+  readonly _tag: "AnswerBroken";
+  readonly reason: "reset" | "silent";
+}
+
+/** Time limits on the way to an answer's head, in milliseconds. */
+export interface HeadLimits {
+  readonly connectMs: number;
+  /** From the send to the head. */
+  readonly headMs: number;
+}
+
+/** An answer whose head has come; its body is read piece by piece. */
+export class RunnerAnswer {
+  readonly response: http.IncomingMessage;
+  #wake: (() => void) | undefined;
+  #ended = false;
+  #broken: AnswerBroken["reason"] | undefined;
+  #timer: NodeJS.Timeout | undefined;
+  #timerMs = 0;
+
+  constructor(response: http.IncomingMessage) {
+    this.response = response;
+    const wake = () => this.#wake?.();
+    response.on("readable", wake);
+    response.on("end", () => {
+      this.#ended = response.complete;
+      if (!response.complete) this.#broken ??= "reset";
+      wake();
+    });
+    response.on("error", () => {
+      this.#broken ??= "reset";
+      wake();
+    });
+    response.on("close", () => {
+      if (!this.#ended) this.#broken ??= "reset";
+      wake();
+    });
+  }
+
+  get status(): number {
+    return this.response.statusCode ?? 0;
+  }
+
+  header(name: string): string | undefined {
+    const value = this.response.headers[name];
+    return Array.isArray(value) ? value[0] : value;
+  }
+
+  /**
+   * The next bytes; `undefined` at the declared end of the answer. Only time
+   * spent here counts as silence, so a slow caller is not taken for a silent
+   * runner.
+   */
+  next(idleMs: number): Effect.Effect<Buffer | undefined, AnswerBroken> {
+    const ready = this.#take();
+    if (ready !== undefined) return ready;
+    return Effect.callback((resume) => {
+      this.#arm(idleMs);
+      this.#wake = () => {
+        const taken = this.#take();
+        if (taken === undefined) return;
+        this.#wake = undefined;
+        resume(taken);
+      };
+      // The state may have changed between the look above and here.
+      this.#wake();
+      return Effect.sync(() => {
+        this.#wake = undefined;
+      });
+    });
+  }
+
+  /** Closes the connection; the runner sees it dropped. */
+  destroy(): void {
+    clearTimeout(this.#timer);
+    this.response.destroy();
+  }
+
+  #take(): Effect.Effect<Buffer | undefined, AnswerBroken> | undefined {
+    const bytes = this.response.read() as Buffer | null;
+    if (bytes !== null) return Effect.succeed(bytes);
+    if (this.#ended) {
+      clearTimeout(this.#timer);
+      return END;
+    }
+    if (this.#broken === undefined) return undefined;
+    clearTimeout(this.#timer);
+    return Effect.fail({ _tag: "AnswerBroken", reason: this.#broken });
+  }
+
+  /** One timer for an answer, pushed on at each wait: no timer for each token. */
+  #arm(idleMs: number): void {
+    if (this.#timer !== undefined && this.#timerMs === idleMs) {
+      this.#timer.refresh();
+      return;
+    }
+    clearTimeout(this.#timer);
+    this.#timerMs = idleMs;
+    this.#timer = setTimeout(() => {
+      if (this.#wake === undefined) return;
+      this.#broken ??= "silent";
+      this.response.destroy();
+      this.#wake();
+    }, idleMs);
+  }
+}
+
+const END: Effect.Effect<undefined> = Effect.succeed(undefined);
+
+/**
+ * Sends a request and waits for the head of its answer. Interruption closes
+ * the connection.
+ */
+export function exchange(
+  to: { readonly connections: RunnerConnections; readonly runner: Runner },
+  request: RunnerRequest,
+  limits: HeadLimits,
+): Effect.Effect<RunnerAnswer, NoAnswer> {
+  return Effect.callback((resume) => {
+    const outgoing = to.connections.send(to.runner, request);
+    let connected = false;
+    let settled = false;
+    let timer = setTimeout(onTimeout, limits.connectMs);
+
+    function settle(end: Effect.Effect<RunnerAnswer, NoAnswer>): void {
+      if (settled) return;
+      settled = true;
+      clearTimeout(timer);
+      resume(end);
+    }
+    function fail(reason: NoAnswer["reason"], message: string): void {
+      const mayHaveArrived = connected;
+      settle(
+        Effect.fail({ _tag: "NoAnswer", mayHaveArrived, reason, message }),
+      );
+    }
+    function onTimeout(): void {
+      fail("silent", connected ? "No answer in time" : "No connection in time");
+      outgoing.destroy();
+    }
+    function onConnected(): void {
+      if (settled) return;
+      connected = true;
+      clearTimeout(timer);
+      timer = setTimeout(onTimeout, limits.headMs);
+    }
+
+    outgoing.on("socket", (socket) => {
+      if (!socket.connecting) return onConnected();
+      socket.once("connect", onConnected);
+    });
+    outgoing.on("response", (response) => {
+      const answer = new RunnerAnswer(response);
+      if (settled) return answer.destroy();
+      settle(Effect.succeed(answer));
+    });
+    outgoing.on("error", (error: NodeJS.ErrnoException) => {
+      const malformed = error.code?.startsWith("HPE_") === true;
+      if (malformed) return fail("malformed", error.message);
+      fail(connected ? "reset" : "refused", error.message);
+    });
+    return Effect.sync(() => {
+      settled = true;
+      clearTimeout(timer);
+      outgoing.destroy();
+    });
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/request/outcome.ts
@@ -0,0 +1,101 @@
+/**
+ * How attempts end, and what the caller is told of it.
+ *
+ * @module
+ */
+import type { Refusal } from "./ask.ts";
+import type { CallerGone, Problem, Standing } from "./call.ts";
+
+/** How one attempt ended. */
+export type AttemptEnd =
+  | { readonly _tag: "Complete"; readonly status: number }
+  | { readonly _tag: "CallerLeft"; readonly reason: CallerGone["reason"] }
+  | NotRun
+  | Lost;
+
+/** The attempt did not run: nothing was sent, or the runner refused to start. */
+export interface NotRun {
+  readonly _tag: "NotRun";
+  readonly code: "runner_unreachable" | "runner_refused" | "grant_expired";
+  readonly message: string;
+  readonly retryAfterMs?: number;
+}
+
+/** The attempt may have run, and its answer is not whole. */
+export interface Lost {
+  readonly _tag: "Lost";
+  /** `failed`: the runner had begun to answer; `unknown`: nothing came back. */
+  readonly standing: "failed" | "unknown";
+  readonly code:
+    | "runner_failed"
+    | "runner_silent"
+    | "answer_lost"
+    | "answer_broken"
+    | "answer_crossed"
+    | "deadline_passed";
+  readonly message: string;
+  /** The stream may go on at the same runner on a new connection. */
+  readonly resumable: boolean;
+}
+
+/** Status with which a caller is told of each code. */
+const STATUS_OF = {
+  runner_unreachable: 503,
+  runner_refused: 503,
+  grant_expired: 503,
+  runner_failed: 502,
+  answer_lost: 502,
+  answer_broken: 502,
+  answer_crossed: 502,
+  runner_silent: 504,
+  deadline_passed: 504,
+} as const;
+
+/** Wait that is suggested when nothing better is known, in milliseconds. */
+export const DEFAULT_RETRY_AFTER_MS = 1_000;
+
+/**
+ * Tells the caller that its request ended with the attempt given.
+ *
+ * @param before what earlier attempts leave standing; an attempt that did not
+ * run says nothing about those before it.
+ */
+export function problemOf(end: NotRun | Lost, before: Standing): Problem {
+  const status = STATUS_OF[end.code];
+  const problem = { status, code: end.code, message: end.message };
+  if (end._tag === "Lost") {
+    return { ...problem, outcome: worse(before, end.standing) };
+  }
+  return {
+    ...problem,
+    outcome: before,
+    retryAfterMs: end.retryAfterMs ?? DEFAULT_RETRY_AFTER_MS,
+  };
+}
+
+/** Status with which a caller is told of each refusal of a slot. */
+const STATUS_OF_REFUSAL = {
+  queue_full: 503,
+  limit_reached: 429,
+  deadline_passed: 503,
+  no_runner: 503,
+  leaving: 503,
+} as const;
+
+/** Tells the caller that no slot was granted. */
+export function problemOfRefusal(refusal: Refusal, before: Standing): Problem {
+  return {
+    status: STATUS_OF_REFUSAL[refusal.code],
+    code: refusal.code,
+    message: refusal.message,
+    outcome: before,
+    retryAfterMs: refusal.retryAfterMs,
+  };
+}
+
+/** The standing that claims less: unknown, then failed, then not run. */
+export function worse(a: Standing, b: Standing): Standing {
+  if (a === "unknown" || b === "unknown") return "unknown";
+  if (a === "failed" || b === "failed") return "failed";
+  return "not-run";
+}
--- /dev/null
+++ b/packages/daemon/src/request/retrying_call_runner.ts
@@ -0,0 +1,247 @@
+/**
+ * Runs calls: asks for a slot, sends, relays, retries and settles.
+ *
+ * @module
+ */
+import * as Effect from "effect/Effect";
+import * as Exit from "effect/Exit";
+import type { RetryBudget } from "../process/retry_budget.ts";
+import type { Ask, Grant, Refusal, Settlement } from "./ask.ts";
+import { Attempt, type AttemptServices } from "./attempt.ts";
+import type {
+  Call,
+  CallRunner,
+  Ending,
+  Problem,
+  Reply,
+  Standing,
+} from "./call.ts";
+import {
+  type AttemptEnd,
+  type Lost,
+  type NotRun,
+  problemOf,
+  problemOfRefusal,
+  worse,
+} from "./outcome.ts";
+import type { Scheduler } from "./scheduler.ts";
+
+/** What the runner of calls needs of the daemon. */
+export interface CallServices extends AttemptServices {
+  readonly scheduler: Scheduler;
+  readonly budget: RetryBudget;
+}
+
+/** What is known of a call between its attempts. */
+interface Journey {
+  readonly call: Call;
+  readonly reply: Reply;
+  /** Monotonic milliseconds. */
+  readonly deadlineAt: number;
+  standing: Standing;
+  /** Attempts that may have reached a runner, or were refused by one. */
+  attempts: number;
+  /** Slots asked for. */
+  asks: number;
+  excluded: readonly string[];
+  /** End of the attempt before, when it was not the call's end. */
+  last: NotRun | Lost | undefined;
+}
+
+/** Slots that may pass unused before a call is given up. */
+const MAX_UNUSED_GRANTS = 5;
+
+/**
+ * Runs each call in this order: acquire a slot; send; relay; settle the slot;
+ * then end, or start again at another runner. A call is tried again only when
+ * the attempt did not run, or when it is repeatable and the caller was given
+ * nothing yet.
+ */
+export class RetryingCallRunner implements CallRunner {
+  readonly #services: CallServices;
+
+  constructor(services: CallServices) {
+    this.#services = services;
+  }
+
+  run(call: Call, reply: Reply): Effect.Effect<Ending> {
+    return Effect.gen({ self: this }, function* () {
+      const journey = this.#start(call, reply);
+      for (;;) {
+        const step = yield* Effect.result(this.#tryOnce(journey));
+        if (step._tag === "Failure") {
+          return refuse(journey, problemAfter(journey, step.failure));
+        }
+        const end = step.success;
+        if (end._tag === "Complete") {
+          this.#services.budget.succeeded();
+          return end;
+        }
+        if (end._tag === "CallerLeft") return end;
+        if (!this.#mayRetry(journey, end)) {
+          const problem = problemOf(end, journey.standing);
+          return refuse(journey, problem);
+        }
+        journey.last = end;
+      }
+    });
+  }
+
+  #start(call: Call, reply: Reply): Journey {
+    const { clock } = this.#services;
+    return {
+      call,
+      reply,
+      deadlineAt: clock.monotonic() + (call.deadline - clock.now()),
+      standing: "not-run",
+      attempts: 0,
+      asks: 0,
+      excluded: [],
+      last: undefined,
+    };
+  }
+
+  /** One slot and one attempt in it; the slot is given back in every case. */
+  #tryOnce(journey: Journey): Effect.Effect<AttemptEnd, Refusal> {
+    const { scheduler, clock } = this.#services;
+    return Effect.uninterruptibleMask((restore) =>
+      Effect.gen({ self: this }, function* () {
+        const grant = yield* restore(scheduler.acquire(askOf(journey)));
+        const { call, reply, deadlineAt } = journey;
+        const attempt = new Attempt(this.#services, {
+          call,
+          reply,
+          grant,
+          number: journey.asks,
+          grantUntil: clock.monotonic() + (grant.expiresAt - clock.now()),
+          deadlineAt,
+        });
+        const exit = yield* Effect.exit(restore(attempt.run()));
+        const end = Exit.isSuccess(exit) ? exit.value : undefined;
+        if (end?._tag !== "Complete") attempt.abandon();
+        const settlement = settle(attempt, end);
+        grant.release(settlement);
+        this.#note(journey, grant, { end, settlement });
+        return yield* exit;
+      })
+    );
+  }
+
+  /** Records the attempt's end in the journey and in the log. */
+  #note(
+    journey: Journey,
+    grant: Grant,
+    how: {
+      readonly end: AttemptEnd | undefined;
+      readonly settlement: Settlement;
+    },
+  ): void {
+    const { call } = journey;
+    const { end, settlement } = how;
+    this.#services.log.decision("attempt_ended", {
+      requestId: call.requestId,
+      attempt: journey.asks,
+      runner: grant.runner.name,
+      outcome: settlement.outcome,
+      code: end !== undefined && "code" in end ? end.code : undefined,
+      outputTokens: settlement.outputTokens,
+      firstTokenMs: settlement.firstTokenMs,
+    });
+    if (end?._tag === "Lost") {
+      journey.standing = worse(journey.standing, end.standing);
+    }
+    if (end?._tag === "NotRun" && end.code === "grant_expired") return;
+    journey.attempts += 1;
+    journey.excluded = [...journey.excluded, grant.runner.name];
+  }
+
+  #mayRetry(journey: Journey, end: NotRun | Lost): boolean {
+    const { call, reply } = journey;
+    const verdict = this.#retryVerdict(journey, end);
+    if (!reply.begun) {
+      this.#services.log.decision("retry_decided", {
+        requestId: call.requestId,
+        verdict,
+        cause: end.code,
+      });
+    }
+    return verdict === "retry";
+  }
+
+  #retryVerdict(journey: Journey, end: NotRun | Lost): string {
+    const { call, reply } = journey;
+    const { clock, settings, budget } = this.#services;
+    if (reply.begun) return "already_begun";
+    if (end._tag === "Lost" && !call.repeatable) return "not_repeatable";
+    if (clock.monotonic() >= journey.deadlineAt) return "deadline_passed";
+    if (journey.attempts >= settings.attempts) return "attempts_spent";
+    const unused = journey.asks - journey.attempts;
+    if (unused >= MAX_UNUSED_GRANTS) return "grants_unused";
+    if (end.code === "grant_expired") return "retry";
+    if (!budget.take()) return "budget_spent";
+    return "retry";
+  }
+}
+
+function askOf(journey: Journey): Ask {
+  const { call } = journey;
+  journey.asks += 1;
+  return {
+    askId: `${call.requestId}.${journey.asks}`,
+    requestId: call.requestId,
+    service: call.service,
+    workspace: call.workspace,
+    class: call.class,
+    promptTokens: call.promptTokens,
+    deadline: call.deadline,
+    excluded: journey.excluded,
+    ...(call.model !== undefined && { model: call.model }),
+    ...(call.maxTokens !== undefined && { maxTokens: call.maxTokens }),
+    ...(call.prefixDigest !== undefined && { prefixDigest: call.prefixDigest }),
+  };
+}
+
+function settle(attempt: Attempt, end: AttemptEnd | undefined): Settlement {
+  const { firstTokenMs, betweenTokensMs } = attempt;
+  return {
+    outcome: outcomeOf(end),
+    promptTokens: attempt.promptTokens,
+    outputTokens: attempt.tokens,
+    ...(firstTokenMs !== undefined && { firstTokenMs }),
+    ...(betweenTokensMs !== undefined && { betweenTokensMs }),
+  };
+}
+
+function outcomeOf(end: AttemptEnd | undefined): Settlement["outcome"] {
+  if (end === undefined) return "cancelled";
+  switch (end._tag) {
+    case "Complete":
+      return "complete";
+    case "CallerLeft":
+      return "cancelled";
+    case "NotRun":
+      return end.code === "grant_expired" ? "cancelled" : "refused";
+    case "Lost":
+      return end.code === "runner_silent" ? "silent" : "failed";
+  }
+}
+
+/**
+ * When no other runner is left for a retry, the failure of the attempt says
+ * more to the caller than the lack of another runner.
+ */
+function problemAfter(journey: Journey, refusal: Refusal): Problem {
+  const { last, standing } = journey;
+  if (last === undefined || refusal.code !== "no_runner") {
+    return problemOfRefusal(refusal, standing);
+  }
+  return problemOf(last, standing);
+}
+
+/** Ends the caller's answer in the only way that is still open. */
+function refuse(journey: Journey, problem: Problem): Ending {
+  const { reply } = journey;
+  if (reply.begun) reply.breakOff(problem);
+  else reply.refuse(problem);
+  return { _tag: "Ended", problem };
+}
--- /dev/null
+++ b/packages/daemon/src/request/stream_relay.ts
@@ -0,0 +1,123 @@
+/**
+ * Passes a streamed answer on to the caller, whole events at a time.
+ *
+ * @module
+ */
+import * as Effect from "effect/Effect";
+import type { RunnerAnswer } from "../connection/runner_answer.ts";
+import type { Clock } from "@umbermast/coordination";
+import { passedHead } from "./answer_head.ts";
+import type { AttemptSettings } from "./attempt_settings.ts";
+import type { CallerGone, Reply } from "./call.ts";
+import { EventScanner } from "./event_scanner.ts";
+
+const DONE_EVENT = new TextEncoder().encode("data: [DONE]\n\n");
+
+/**
+ * How long the end of the connection is awaited after `[DONE]`, in
+ * milliseconds. The answer is whole by then; the wait only lets the connection
+ * be used again.
+ */
+const TRAILER_MS = 250;
+
+/** What the caller has of a streamed answer, over all attempts. */
+export class StreamProgress {
+  /** Token events delivered. */
+  tokens = 0;
+  /** The event with the finish reason was delivered. */
+  finished = false;
+  /** Monotonic milliseconds of the first and the last token. */
+  firstAt: number | undefined;
+  lastAt: number | undefined;
+  /** The last token event, which carries the usage. */
+  lastEvent: Buffer | undefined;
+}
+
+/** How a stream's relay ended. */
+export type StreamEnd =
+  | { readonly _tag: "Whole" }
+  | {
+    readonly _tag: "Cut";
+    readonly reason:
+      | "reset"
+      | "silent"
+      | "oversized"
+      | "engine-error"
+      | "no-end-mark";
+  };
+
+/** What a relay needs besides the answer. */
+export interface RelayContext {
+  readonly reply: Reply;
+  readonly settings: AttemptSettings;
+  readonly clock: Clock;
+  readonly progress: StreamProgress;
+  /** Longest wait for the first bytes of this answer, in milliseconds. */
+  readonly firstMs: number;
+}
+
+/**
+ * Relays until the answer's end. The caller's answer begins with the first
+ * whole event, so that until then another runner may still answer; `[DONE]` is
+ * written only once a finish reason and the engine's own `[DONE]` have come.
+ * The caller's answer is ended here only when it is whole.
+ */
+export function relayStream(
+  answer: RunnerAnswer,
+  context: RelayContext,
+): Effect.Effect<StreamEnd, CallerGone> {
+  const { reply, settings, clock, progress } = context;
+  const scanner = new EventScanner();
+  return Effect.gen(function* () {
+    let idleMs = context.firstMs;
+    while (!scanner.done) {
+      const step = yield* readPiece(answer, idleMs);
+      if (!(step instanceof Uint8Array)) return step;
+      const before = scanner.tokens;
+      const events = scanner.push(step);
+      if (events.length > 0) {
+        note(progress, scanner, scanner.tokens - before);
+        progress.lastAt = clock.monotonic();
+        progress.firstAt ??= progress.lastAt;
+        if (!reply.begun) reply.begin(passedHead(answer));
+        idleMs = settings.betweenTokensMs;
+        yield* reply.write(events);
+      }
+      if (scanner.oversized) return cut("oversized");
+      if (scanner.failed) return cut("engine-error");
+    }
+    if (!progress.finished) return cut("no-end-mark");
+    if (!reply.begun) reply.begin(passedHead(answer));
+    yield* reply.write(DONE_EVENT);
+    reply.end();
+    yield* Effect.ignore(answer.next(TRAILER_MS));
+    return { _tag: "Whole" };
+  });
+}
+
+function readPiece(
+  answer: RunnerAnswer,
+  idleMs: number,
+): Effect.Effect<Buffer | StreamEnd> {
+  return Effect.match(answer.next(idleMs), {
+    onFailure: (broken): Buffer | StreamEnd => cut(broken.reason),
+    onSuccess: (bytes) => bytes ?? cut("no-end-mark"),
+  });
+}
+
+function cut(
+  reason: Extract<StreamEnd, { readonly _tag: "Cut" }>["reason"],
+): StreamEnd {
+  return { _tag: "Cut", reason };
+}
+
+function note(
+  progress: StreamProgress,
+  scanner: EventScanner,
+  tokens: number,
+): void {
+  if (tokens === 0) return;
+  progress.tokens += tokens;
+  progress.finished ||= scanner.finished;
+  progress.lastEvent = scanner.last;
+}
--- /dev/null
+++ b/packages/daemon/src/request/whole_relay.ts
@@ -0,0 +1,148 @@
+/**
+ * Passes a whole answer on to the caller once it is known to be complete.
+ *
+ * @module
+ */
+import * as Effect from "effect/Effect";
+import type {
+  AnswerBroken,
+  RunnerAnswer,
+} from "../connection/runner_answer.ts";
+import { passedHead } from "./answer_head.ts";
+import type { AttemptSettings } from "./attempt_settings.ts";
+import type { AnswerHead, Call, CallerGone, Header, Reply } from "./call.ts";
+import { parseJson, type Usage, usageOf } from "./usage.ts";
+
+/** How the relay of a whole answer ended. */
+export type WholeEnd =
+  | { readonly _tag: "Whole"; readonly usage: Usage }
+  | { readonly _tag: "Cut"; readonly reason: "reset" | "silent" | "no-end" };
+
+/** What a relay needs besides the answer. */
+export interface WholeContext {
+  readonly call: Call;
+  readonly reply: Reply;
+  readonly settings: AttemptSettings;
+}
+
+const NO_USAGE: Usage = { promptTokens: undefined, outputTokens: undefined };
+
+/**
+ * Reads up to `heldAnswerBytes` before the caller sees anything, so that a
+ * broken answer can still be replaced or told as an error. A longer answer is
+ * passed on as it comes; when that one breaks, the caller's connection breaks
+ * too, and the declared length or the missing last chunk shows it.
+ */
+export function relayWhole(
+  answer: RunnerAnswer,
+  context: WholeContext,
+): Effect.Effect<WholeEnd, CallerGone> {
+  return Effect.gen(function* () {
+    const held = yield* Effect.result(hold(answer, context.settings));
+    if (held._tag === "Failure") return cut(held.failure.reason);
+    const { pieces, ended } = held.success;
+    if (!ended) return yield* passOn(answer, pieces, context);
+    const body = Buffer.concat(pieces);
+    const verdict = check(answer, body, context.call);
+    if (verdict._tag === "Cut") return verdict;
+    context.reply.begin(exactHead(answer, body, context.call));
+    if (body.length > 0) yield* context.reply.write(body);
+    context.reply.end();
+    return verdict;
+  });
+}
+
+interface Held {
+  readonly pieces: Buffer[];
+  /** Whether the declared end was reached within the bound. */
+  readonly ended: boolean;
+}
+
+function hold(
+  answer: RunnerAnswer,
+  settings: AttemptSettings,
+): Effect.Effect<Held, AnswerBroken> {
+  return Effect.gen(function* () {
+    const pieces: Buffer[] = [];
+    let size = 0;
+    while (size <= settings.heldAnswerBytes) {
+      const piece = yield* answer.next(settings.bodyIdleMs);
+      if (piece === undefined) return { pieces, ended: true };
+      pieces.push(piece);
+      size += piece.length;
+    }
+    return { pieces, ended: false };
+  });
+}
+
+function passOn(
+  answer: RunnerAnswer,
+  pieces: readonly Buffer[],
+  context: WholeContext,
+): Effect.Effect<WholeEnd, CallerGone> {
+  return Effect.gen(function* () {
+    const { reply, settings } = context;
+    if (!declaresEnd(answer, context.call)) return cut("no-end");
+    reply.begin(passedHead(answer));
+    for (const piece of pieces) yield* reply.write(piece);
+    for (;;) {
+      const next = yield* Effect.result(answer.next(settings.bodyIdleMs));
+      if (next._tag === "Failure") return cut(next.failure.reason);
+      if (next.success === undefined) break;
+      yield* reply.write(next.success);
+    }
+    reply.end();
+    return { _tag: "Whole", usage: NO_USAGE };
+  });
+}
+
+/**
+ * An answer that neither declares its length nor ends in a last chunk ends
+ * when the connection closes, which a crash looks like too. It counts as whole
+ * only if it is JSON that parses. An engine's JSON is always parsed: it holds
+ * the usage.
+ */
+function check(answer: RunnerAnswer, body: Buffer, call: Call): WholeEnd {
+  const declared = declaresEnd(answer, call);
+  const json = answer.header("content-type")?.includes("json") === true;
+  if (!json) return declared ? whole(NO_USAGE) : cut("no-end");
+  if (call.model === undefined && declared) return whole(NO_USAGE);
+  const value = parseJson(body.toString("utf8"));
+  if (value === undefined) return cut("no-end");
+  return whole(usageOf(value));
+}
+
+function declaresEnd(answer: RunnerAnswer, call: Call): boolean {
+  if (call.method === "HEAD") return true;
+  if (answer.status === 204 || answer.status === 304) return true;
+  if (answer.header("content-length") !== undefined) return true;
+  return answer.header("transfer-encoding")?.includes("chunked") === true;
+}
+
+/** Gives the exact length, so that the caller can check the answer too. */
+function exactHead(
+  answer: RunnerAnswer,
+  body: Buffer,
+  call: Call,
+): AnswerHead {
+  const head = passedHead(answer);
+  const headers: Header[] = [...head.headers];
+  const known = headers.some((header) => header.name === "content-length");
+  const bodiless = call.method === "HEAD" || head.status === 204 ||
+    head.status === 304;
+  if (!known && !bodiless) {
+    headers.push({ name: "content-length", value: String(body.length) });
+  }
+  if (call.model !== undefined && head.status >= 400) {
+    headers.push({ name: "umbermast-outcome", value: "failed" });
+  }
+  return { status: head.status, headers };
+}
+
+function whole(usage: Usage): WholeEnd {
+  return { _tag: "Whole", usage };
+}
+
+function cut(reason: "reset" | "silent" | "no-end"): WholeEnd {
+  return { _tag: "Cut", reason };
+}
