Test each way an attempt can fail, and tell withheld retries

Cause: identity, not-run, resume and completeness had no test by failure, and a retry that the budget withheld did not say when to come back.

--- a/packages/daemon/src/connection/runner_answer.ts
+++ b/packages/daemon/src/connection/runner_answer.ts
@@ -47,8 +47,8 @@
     const wake = () => this.#wake?.();
     response.on("readable", wake);
     response.on("end", () => {
-      this.#ended = response.complete;
-      if (!response.complete) this.#broken ??= "reset";
+      // Node ends a message that broke off with an error, never with "end".
+      this.#ended = true;
       wake();
     });
     response.on("error", () => {
--- /dev/null
+++ b/packages/daemon/src/request/event_scanner_test.ts
@@ -0,0 +1,71 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import * as fc from "fast-check";
+import { EventScanner, MAX_EVENT_BYTES } from "./event_scanner.ts";
+
+function token(text: string, finish: string | null = null): string {
+  const choice = { delta: { content: text }, finish_reason: finish };
+  return `data: ${JSON.stringify({ choices: [choice] })}\n\n`;
+}
+
+function scan(pieces: readonly string[]) {
+  const scanner = new EventScanner();
+  const passed = pieces.map((piece) =>
+    scanner.push(Buffer.from(piece)).toString("utf8")
+  );
+  return { scanner, passed };
+}
+
+test("events pass unchanged and are counted, however the bytes are cut", () => {
+  const stream = token("a") + ": note\n\n" +
+    token("b").replaceAll("\n", "\r\n") +
+    token("c", "stop") + "data: [DONE]\n\n";
+  const whole = stream.slice(0, stream.indexOf("data: [DONE]"));
+  fc.assert(fc.property(
+    fc.array(fc.nat({ max: stream.length }), { maxLength: 12 }),
+    (cuts) => {
+      const points = [0, ...cuts.sort((a, b) => a - b), stream.length];
+      const pieces = points.slice(1).map((end, i) =>
+        stream.slice(points[i], end)
+      );
+      const { scanner, passed } = scan(pieces);
+      assert.equal(passed.join(""), whole);
+      assert.equal(scanner.tokens, 3);
+      assert.equal(scanner.finished, true);
+      assert.equal(scanner.done, true);
+    },
+  ));
+});
+
+test("a partial event is never passed on", () => {
+  const { scanner, passed } = scan([token("a") + token("b").slice(0, 10)]);
+  assert.deepEqual(passed, [token("a")]);
+  assert.equal(scanner.tokens, 1);
+});
+
+test("the end mark is held back, with and without a space", () => {
+  for (const mark of ["data: [DONE]\n\n", "data:[DONE]\n\n"]) {
+    const { scanner, passed } = scan([token("a", "stop") + mark + "junk"]);
+    assert.deepEqual(passed, [token("a", "stop")]);
+    assert.equal(scanner.done, true);
+  }
+});
+
+test("a finish reason quoted inside the model's text does not finish the answer", () => {
+  const { scanner } = scan([token('"finish_reason":"stop"')]);
+  assert.equal(scanner.finished, false);
+});
+
+test("an error event of the engine is held back and marks the stream as failed", () => {
+  const { scanner, passed } = scan([
+    token("a") + 'data: {"error":{"message":"out of memory"}}\n\n',
+  ]);
+  assert.deepEqual(passed, [token("a")]);
+  assert.equal(scanner.failed, true);
+});
+
+test("an event without an end is given up at the bound", () => {
+  const scanner = new EventScanner();
+  scanner.push(Buffer.alloc(MAX_EVENT_BYTES + 1, 0x61));
+  assert.equal(scanner.oversized, true);
+});
--- a/packages/daemon/src/request/outcome.ts
+++ b/packages/daemon/src/request/outcome.ts
@@ -59,18 +59,23 @@
  *
  * @param before what earlier attempts leave standing; an attempt that did not
  * run says nothing about those before it.
+ * @param options.withheld a retry was possible and not made, so the caller is
+ * told when to come back itself.
  */
-export function problemOf(end: NotRun | Lost, before: Standing): Problem {
+export function problemOf(
+  end: NotRun | Lost,
+  before: Standing,
+  options: { readonly withheld?: boolean } = {},
+): Problem {
   const status = STATUS_OF[end.code];
   const problem = { status, code: end.code, message: end.message };
-  if (end._tag === "Lost") {
-    return { ...problem, outcome: worse(before, end.standing) };
+  if (end._tag === "NotRun") {
+    const retryAfterMs = end.retryAfterMs ?? DEFAULT_RETRY_AFTER_MS;
+    return { ...problem, outcome: before, retryAfterMs };
   }
-  return {
-    ...problem,
-    outcome: before,
-    retryAfterMs: end.retryAfterMs ?? DEFAULT_RETRY_AFTER_MS,
-  };
+  const outcome = worse(before, end.standing);
+  if (options.withheld !== true) return { ...problem, outcome };
+  return { ...problem, outcome, retryAfterMs: DEFAULT_RETRY_AFTER_MS };
 }
 
 /** Status with which a caller is told of each refusal of a slot. */
--- a/packages/daemon/src/request/retrying_call_runner.ts
+++ b/packages/daemon/src/request/retrying_call_runner.ts
@@ -48,6 +48,16 @@
   last: NotRun | Lost | undefined;
 }
 
+/** Why a call starts again, or does not. */
+type RetryVerdict =
+  | "retry"
+  | "already_begun"
+  | "not_repeatable"
+  | "deadline_passed"
+  | "attempts_spent"
+  | "grants_unused"
+  | "budget_spent";
+
 /** Slots that may pass unused before a call is given up. */
 const MAX_UNUSED_GRANTS = 5;
 
@@ -78,8 +88,10 @@
           return end;
         }
         if (end._tag === "CallerLeft") return end;
-        if (!this.#mayRetry(journey, end)) {
-          const problem = problemOf(end, journey.standing);
+        const verdict = this.#retryVerdict(journey, end);
+        if (verdict !== "retry") {
+          const withheld = verdict === "budget_spent";
+          const problem = problemOf(end, journey.standing, { withheld });
           return refuse(journey, problem);
         }
         journey.last = end;
@@ -155,20 +167,19 @@
     journey.excluded = [...journey.excluded, grant.runner.name];
   }
 
-  #mayRetry(journey: Journey, end: NotRun | Lost): boolean {
-    const { call, reply } = journey;
-    const verdict = this.#retryVerdict(journey, end);
-    if (!reply.begun) {
-      this.#services.log.decision("retry_decided", {
-        requestId: call.requestId,
-        verdict,
-        cause: end.code,
-      });
-    }
-    return verdict === "retry";
+  /** Decides whether a call starts again elsewhere, and logs why. */
+  #retryVerdict(journey: Journey, end: NotRun | Lost): RetryVerdict {
+    const verdict = this.#judge(journey, end);
+    this.#services.log.decision("retry_decided", {
+      requestId: journey.call.requestId,
+      verdict,
+      cause: end.code,
+      attempts: journey.attempts,
+    });
+    return verdict;
   }
 
-  #retryVerdict(journey: Journey, end: NotRun | Lost): string {
+  #judge(journey: Journey, end: NotRun | Lost): RetryVerdict {
     const { call, reply } = journey;
     const { clock, settings, budget } = this.#services;
     if (reply.begun) return "already_begun";
