Run the thin path from caller to runner in umbermastd

Cause: nothing served a caller yet. Change: add settings by schema with findings, the callers' port with request parsing and OpenAI-shaped errors, the operators' port, log lines, and a thin scheduler, runner client and platform poll that the full parts replace. Conclusion: parts can be wired in as they land.

--- /dev/null
+++ b/packages/daemon/src/process/setting_types.ts
@@ -0,0 +1,158 @@
+/**
+ * Kinds of settings: each checks its value and says what it expects, so that a
+ * finding can name what is needed and the settings page can be generated.
+ *
+ * @module
+ */
+import { isIP } from "node:net";
+import * as Effect from "effect/Effect";
+import * as Schema from "effect/Schema";
+
+/** What is said of a setting besides its type. */
+export interface Description<A> {
+  /** Use, unit and consequence, in one or two sentences. */
+  readonly text: string;
+  /** Value when the key is absent; a setting without one is required. */
+  readonly default?: A;
+}
+
+function leaf<A>(
+  accepts: (value: unknown) => value is A,
+  expected: string,
+  description: Description<A>,
+) {
+  return Schema.declare(accepts, {
+    expected,
+    description: description.text,
+  });
+}
+
+/** A setting that must be present. */
+function required<A>(
+  accepts: (value: unknown) => value is A,
+  expected: string,
+  text: string,
+) {
+  return leaf(accepts, expected, { text });
+}
+
+/** A setting that may be absent. */
+function optional<A>(
+  accepts: (value: unknown) => value is A,
+  expected: string,
+  description: Description<A> & { readonly default: A },
+) {
+  return leaf(accepts, expected, description).pipe(
+    Schema.withDecodingDefaultKey(Effect.succeed(description.default)),
+  ).annotate({
+    description: description.text,
+    expected,
+    defaultValue: description.default,
+  });
+}
+
+function integerBetween(from: number, to: number) {
+  return (value: unknown): value is number =>
+    Number.isInteger(value) && (value as number) >= from &&
+    (value as number) <= to;
+}
+
+/** An integer with a default. */
+export function integer(
+  from: number,
+  to: number,
+  description: Description<number> & { readonly default: number },
+) {
+  return optional(
+    integerBetween(from, to),
+    `an integer from ${from} to ${to}`,
+    description,
+  );
+}
+
+const LAST_PORT = 65_535;
+
+/** A TCP port; 0 lets the system choose one. */
+export function port(text: string) {
+  return required(
+    integerBetween(0, LAST_PORT),
+    `an integer from 0 to ${LAST_PORT}`,
+    text,
+  );
+}
+
+function isAddress(value: unknown): value is string {
+  return typeof value === "string" && isIP(value) !== 0;
+}
+
+/** An IP address. */
+export function address(text: string) {
+  return required(isAddress, "an IP address", text);
+}
+
+const NAME = /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/;
+
+function isName(value: unknown): value is string {
+  return typeof value === "string" && NAME.test(value);
+}
+
+/** A name that may stand in logs, metrics and object names. */
+export function name(text: string) {
+  return required(
+    isName,
+    "a name of 1 to 63 letters, digits, dots, hyphens and underscores",
+    text,
+  );
+}
+
+const MIN_SECRET_LENGTH = 8;
+
+function isSecret(value: unknown): value is string {
+  return typeof value === "string" && value.length >= MIN_SECRET_LENGTH;
+}
+
+/** A secret; its value never appears in findings or logs. */
+export function secret(text: string) {
+  return required(
+    isSecret,
+    `a secret of at least ${MIN_SECRET_LENGTH} characters`,
+    text,
+  );
+}
+
+/** Whether an expectation belongs to a secret, whose value must not be shown. */
+export function expectsSecret(expected: string): boolean {
+  return expected.startsWith("a secret");
+}
+
+function isHttpUrl(value: unknown): value is string {
+  if (typeof value !== "string" || !URL.canParse(value)) return false;
+  const url = new URL(value);
+  return url.protocol === "http:" && url.username === "" && url.search === "";
+}
+
+/** The root of an HTTP service. */
+export function httpUrl(text: string) {
+  return required(isHttpUrl, "a URL that starts with http://", text);
+}
+
+/** The root of an HTTP service that may be left out. */
+export function optionalHttpUrl(text: string) {
+  return Schema.optionalKey(
+    leaf(isHttpUrl, "a URL that starts with http://", { text }),
+  ).annotate({
+    description: text,
+    expected: "a URL that starts with http://",
+  });
+}
+
+/** One of a few words, with a default. */
+export function choice<const Word extends string>(
+  words: readonly Word[],
+  description: Description<Word> & { readonly default: Word },
+) {
+  const accepts = (value: unknown): value is Word =>
+    (words as readonly unknown[]).includes(value);
+  const listed = words.map((word) => `"${word}"`).join(", ");
+  return optional(accepts, `one of ${listed}`, description);
+}
--- /dev/null
+++ b/packages/daemon/src/request/admission.ts
@@ -0,0 +1,108 @@
+/**
+ * Decides from a request's head whether it is taken.
+ *
+ * @module
+ */
+import type { IncomingMessage } from "node:http";
+import type { Table } from "@umbermast/table";
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import type { Header, Problem } from "./call.ts";
+import {
+  chatCall,
+  checkJsonType,
+  findPlainService,
+  serviceCall,
+} from "./call_parser.ts";
+import type { CallerRequest } from "./call_parser.ts";
+import type { Call } from "./call.ts";
+import { readCallerHead } from "./caller_head.ts";
+import { problem } from "./problems.ts";
+import { routeOf } from "./route.ts";
+import type { Route } from "./route.ts";
+
+/** A request as it arrived. */
+export interface Arrival {
+  readonly requestId: string;
+  readonly request: IncomingMessage;
+  readonly headers: readonly Header[];
+  /** Epoch milliseconds. */
+  readonly arrivedAt: number;
+}
+
+/** A request whose head is right; its body has not been read. */
+export interface Admission {
+  readonly route: Route;
+  readonly table: Table;
+  readonly callerRequest: CallerRequest;
+}
+
+/** Checks what the connection's protocol asks of a request. */
+function checkProtocol(request: IncomingMessage): Result<void, Problem> {
+  if (request.httpVersion !== "1.1") {
+    return err(problem(
+      "http_version_unsupported",
+      `Cannot serve HTTP/${request.httpVersion}: HTTP/1.1 is needed`,
+      { place: "request-line" },
+    ));
+  }
+  const coding = request.headers["transfer-encoding"];
+  if (coding === undefined || coding.toLowerCase() === "chunked") {
+    return ok(undefined);
+  }
+  // With any other coding this end and one behind it could disagree on where
+  // the body stops, and a second request could be smuggled in it.
+  return err(problem(
+    "transfer_encoding_unsupported",
+    `Cannot read transfer-encoding "${coding}": only "chunked" is supported`,
+    { place: "header/transfer-encoding" },
+  ));
+}
+
+function checkRoute(
+  route: Route,
+  options: { readonly request: IncomingMessage; readonly table: Table },
+): Result<unknown, Problem> {
+  if (route._tag === "Chat") return checkJsonType(options.request);
+  if (route._tag === "Models") return ok(undefined);
+  return findPlainService(options.table, route.service);
+}
+
+/** Checks the head of a request against the table in force. */
+export function admit(
+  arrival: Arrival,
+  table: Table | undefined,
+): Result<Admission, Problem> {
+  const { request, headers } = arrival;
+  const protocol = checkProtocol(request);
+  if (protocol.isErr()) return err(protocol.error);
+  const method = request.method ?? "";
+  const route = routeOf(method, request.url ?? "");
+  if (route.isErr()) return err(route.error);
+  if (table === undefined) {
+    const message = "Cannot serve yet: the table has not been read";
+    return err(problem("not_ready", message));
+  }
+  const head = readCallerHead(headers, table);
+  if (head.isErr()) return err(head.error);
+  const checked = checkRoute(route.value, { request, table });
+  if (checked.isErr()) return err(checked.error);
+  const { requestId, arrivedAt } = arrival;
+  return ok({
+    route: route.value,
+    table,
+    callerRequest: { requestId, method, headers, head: head.value, arrivedAt },
+  });
+}
+
+/** Makes the call of an admitted request and its body. */
+export function callOf(
+  admission: Admission,
+  body: Uint8Array,
+): Result<Call, Problem> {
+  const { route, table, callerRequest } = admission;
+  if (route._tag === "Service") {
+    return ok(serviceCall(callerRequest, { route, body }));
+  }
+  return chatCall(callerRequest, { table, body });
+}
--- /dev/null
+++ b/packages/daemon/src/request/call_parser.ts
@@ -0,0 +1,144 @@
+/**
+ * Makes a call of a caller's request.
+ *
+ * @module
+ */
+import type { IncomingMessage } from "node:http";
+import type { Service, Table } from "@umbermast/table";
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import type { Call, Header, Problem } from "./call.ts";
+import type { CallerHead } from "./caller_head.ts";
+import { parseChatBody } from "./chat_body.ts";
+import { requestHeaders } from "./end_to_end_headers.ts";
+import { problem } from "./problems.ts";
+import type { Route } from "./route.ts";
+
+/** Methods whose repetition has the effect of one (RFC 9110, section 9.2.2). */
+const IDEMPOTENT_METHODS: ReadonlySet<string> = new Set([
+  "GET",
+  "HEAD",
+  "OPTIONS",
+  "PUT",
+  "DELETE",
+  "TRACE",
+]);
+
+/** A request of which everything but the body's meaning is known. */
+export interface CallerRequest {
+  readonly requestId: string;
+  readonly method: string;
+  readonly headers: readonly Header[];
+  readonly head: CallerHead;
+  /** Epoch milliseconds of arrival. */
+  readonly arrivedAt: number;
+}
+
+/** The facts that every call shares. */
+function commonFacts({ requestId, method, head, arrivedAt }: CallerRequest) {
+  return {
+    requestId,
+    method,
+    workspace: head.workspace.name,
+    class: head.class,
+    tier: head.tier,
+    arrivedAt,
+    deadline: arrivedAt + head.timeoutMs,
+    ...(head.idempotencyKey === undefined
+      ? {}
+      : { idempotencyKey: head.idempotencyKey }),
+  };
+}
+
+function modelService(table: Table, model: string): Service | undefined {
+  return table.services.find((service) =>
+    service.kind === "model" && service.models.includes(model)
+  );
+}
+
+/** Makes a call of a chat completion. */
+export function chatCall(
+  request: CallerRequest,
+  options: { readonly table: Table; readonly body: Uint8Array },
+): Result<Call, Problem> {
+  const facts = parseChatBody(options.body);
+  if (facts.isErr()) return err(facts.error);
+  const service = modelService(options.table, facts.value.model);
+  if (service === undefined) {
+    const message =
+      `Cannot find model "${facts.value.model}": no service has it`;
+    return err(problem("model_unknown", message, { place: "body/model" }));
+  }
+  // Engines answer uncompressed, so that the end of an answer can be checked.
+  const headers = requestHeaders(request.headers)
+    .filter(({ name }) => name !== "accept-encoding");
+  return ok({
+    ...commonFacts(request),
+    ...facts.value,
+    service: service.name,
+    path: "/v1/chat/completions",
+    headers,
+    body: options.body,
+    repeatable: request.head.repeatable ?? true,
+  });
+}
+
+/** Finds the plain service of a route. */
+export function findPlainService(
+  table: Table,
+  name: string,
+): Result<Service, Problem> {
+  const service = table.services.find((each) => each.name === name);
+  if (service?.kind === "plain") return ok(service);
+  const reason = service === undefined
+    ? "the table has no such service"
+    : "it is a model service, reached at /v1/chat/completions";
+  const message = `Cannot call service "${name}": ${reason}`;
+  return err(problem("service_unknown", message, { place: "path" }));
+}
+
+/** Makes a call to a plain service. */
+export function serviceCall(
+  request: CallerRequest,
+  options: {
+    readonly route: Extract<Route, { readonly _tag: "Service" }>;
+    readonly body: Uint8Array;
+  },
+): Call {
+  return {
+    ...commonFacts(request),
+    service: options.route.service,
+    path: options.route.path,
+    headers: requestHeaders(request.headers),
+    body: options.body,
+    streamed: false,
+    repeatable: request.head.repeatable ??
+      IDEMPOTENT_METHODS.has(request.method),
+    promptTokens: 0,
+  };
+}
+
+const JSON_TYPE = /^application\/json *(;|$)/i;
+
+/** Checks that a body is JSON, as far as its headers tell. */
+export function checkJsonType(
+  request: IncomingMessage,
+): Result<void, Problem> {
+  const type = request.headers["content-type"];
+  if (type === undefined || !JSON_TYPE.test(type)) {
+    return err(problem(
+      "content_type_unsupported",
+      `Cannot read the body: expected content-type "application/json", got "${
+        type ?? "none"
+      }"`,
+      { place: "header/content-type" },
+    ));
+  }
+  const encoding = request.headers["content-encoding"];
+  if (encoding === undefined || encoding === "identity") return ok(undefined);
+  return err(problem(
+    "content_type_unsupported",
+    `Cannot read the body: content-encoding "${encoding}" is not supported`,
+    { place: "header/content-encoding" },
+  ));
+}
--- /dev/null
+++ b/packages/daemon/src/request/caller_requests.ts
@@ -0,0 +1,207 @@
+/**
+ * Serves callers' requests, each in a fibre of its own.
+ *
+ * @module
+ */
+import { randomUUID } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Table } from "@umbermast/table";
+import * as Cause from "effect/Cause";
+import * as Effect from "effect/Effect";
+import * as Exit from "effect/Exit";
+import type * as Fiber from "effect/Fiber";
+import type { Result } from "neverthrow";
+import type { Log } from "../process/log.ts";
+import type { CallerLimits } from "../process/settings.ts";
+import { admit, callOf } from "./admission.ts";
+import type { Arrival } from "./admission.ts";
+import { readBody } from "./body_reader.ts";
+import type { Call, CallRunner, Ending, Problem } from "./call.ts";
+import { headerLines } from "./end_to_end_headers.ts";
+import { HttpReply } from "./http_reply.ts";
+import { modelList } from "./model_list.ts";
+import { problem } from "./problems.ts";
+
+/** Counts ended requests. */
+export interface RequestObserver {
+  /** A call that was run has ended. */
+  ended(call: Call, ending: Ending): void;
+  /** A request was refused before it became a call. */
+  refused(problem: Problem): void;
+}
+
+/** What serving needs from the process. */
+export interface CallerEnvironment {
+  readonly runner: CallRunner;
+  readonly limits: CallerLimits;
+  readonly log: Log;
+  readonly observer: RequestObserver;
+  /** The table in force; undefined until one has been read. */
+  readonly table: () => Table | undefined;
+  /** Whether the daemon is leaving and takes no new requests. */
+  readonly leaving: () => boolean;
+}
+
+/** What an ending shows in the log. */
+function endingFields(ending: Ending) {
+  if (ending._tag === "Complete") {
+    return { outcome: "complete", status: ending.status };
+  }
+  if (ending._tag === "CallerLeft") {
+    return { outcome: "caller-left", reason: ending.reason };
+  }
+  const { outcome, code, status } = ending.problem;
+  return { outcome, code, status };
+}
+
+/** Lifts a result into an effect. */
+function fromResult<A>(result: Result<A, Problem>): Effect.Effect<A, Problem> {
+  return result.match<Effect.Effect<A, Problem>>(Effect.succeed, Effect.fail);
+}
+
+/** Serves callers' requests. */
+export class CallerRequests {
+  readonly #environment: CallerEnvironment;
+  readonly #fibers = new Set<Fiber.Fiber<void>>();
+  #whenIdle: (() => void)[] = [];
+
+  constructor(environment: CallerEnvironment) {
+    this.#environment = environment;
+  }
+
+  /** Requests being served. */
+  get inFlight(): number {
+    return this.#fibers.size;
+  }
+
+  /** Ends when no request is being served. */
+  readonly idle: Effect.Effect<void> = Effect.callback((resume) => {
+    if (this.#fibers.size === 0) return resume(Effect.void);
+    this.#whenIdle.push(() => resume(Effect.void));
+  });
+
+  /** Interrupts every request, which gives each answer a broken end. */
+  stopAll(): void {
+    for (const fiber of this.#fibers) fiber.interruptUnsafe();
+  }
+
+  /** Serves one request. */
+  serve(request: IncomingMessage, response: ServerResponse): void {
+    const arrival: Arrival = {
+      requestId: randomUUID(),
+      request,
+      headers: headerLines(request.rawHeaders),
+      arrivedAt: Date.now(),
+    };
+    const reply = new HttpReply(response, {
+      requestId: arrival.requestId,
+      writeTimeoutMs: this.#environment.limits.callerWriteTimeoutMs,
+      leaving: this.#environment.leaving,
+    });
+    const fiber = Effect.runFork(this.#answer(arrival, reply));
+    this.#fibers.add(fiber);
+    // The caller has left: what it asked for is of no use, so the fibre is
+    // interrupted at once and with it the engine's work.
+    response.once("close", () => {
+      if (!response.writableFinished) fiber.interruptUnsafe();
+    });
+    fiber.addObserver((exit) => {
+      this.#fibers.delete(fiber);
+      if (Exit.isFailure(exit)) {
+        this.#crashed(arrival, { reply, cause: exit.cause });
+      }
+      this.#signalIdle();
+    });
+  }
+
+  #answer(arrival: Arrival, reply: HttpReply): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      const { leaving, limits, runner, table } = this.#environment;
+      if (leaving()) return yield* Effect.fail(leavingProblem());
+      const admission = yield* fromResult(admit(arrival, table()));
+      if (this.#fibers.size > limits.queuedRequests) {
+        return yield* Effect.fail(fullProblem(limits.queuedRequests));
+      }
+      const body = yield* readBody(arrival.request, limits);
+      if (admission.route._tag === "Models") {
+        return reply.whole(modelList(admission.table));
+      }
+      const call = yield* fromResult(callOf(admission, body));
+      const ending = yield* runner.run(call, reply);
+      this.#ended(call, ending);
+    }).pipe(
+      Effect.catch((problem) =>
+        Effect.sync(() => this.#refuse(arrival, { reply, problem }))
+      ),
+    );
+  }
+
+  #ended(call: Call, ending: Ending): void {
+    this.#environment.observer.ended(call, ending);
+    this.#environment.log.event("request_ended", {
+      requestId: call.requestId,
+      workspace: call.workspace,
+      class: call.class,
+      service: call.service,
+      ...endingFields(ending),
+      durationMs: Date.now() - call.arrivedAt,
+    });
+  }
+
+  #refuse(
+    arrival: Arrival,
+    { reply, problem }: {
+      readonly reply: HttpReply;
+      readonly problem: Problem;
+    },
+  ): void {
+    reply.refuse(problem);
+    this.#environment.observer.refused(problem);
+    this.#environment.log.event("request_refused", {
+      requestId: arrival.requestId,
+      code: problem.code,
+      status: problem.status,
+      place: problem.place,
+    });
+  }
+
+  /** The fibre ended without an ending: it was interrupted, or has a fault. */
+  #crashed(
+    arrival: Arrival,
+    { reply, cause }: {
+      readonly reply: HttpReply;
+      readonly cause: Cause.Cause<never>;
+    },
+  ): void {
+    const { requestId } = arrival;
+    if (Cause.hasInterruptsOnly(cause)) {
+      this.#environment.log.event("request_interrupted", { requestId });
+    } else {
+      this.#environment.log.warning("internal", {
+        requestId,
+        reason: Cause.pretty(cause),
+      });
+    }
+    reply.abandon(problem("internal", "Cannot finish the answer", {
+      outcome: "unknown",
+    }));
+  }
+
+  #signalIdle(): void {
+    if (this.#fibers.size > 0) return;
+    const waiting = this.#whenIdle;
+    this.#whenIdle = [];
+    for (const resume of waiting) resume();
+  }
+}
+
+function leavingProblem(): Problem {
+  return problem("leaving", "Cannot take the request: this daemon is leaving");
+}
+
+function fullProblem(limit: number): Problem {
+  return problem(
+    "too_many_requests",
+    `Cannot take the request: ${limit} requests are held already`,
+  );
+}
--- /dev/null
+++ b/packages/daemon/src/request/end_to_end_headers.ts
@@ -0,0 +1,67 @@
+/**
+ * Which headers pass between a caller and a runner.
+ *
+ * @module
+ */
+import type { Header } from "./call.ts";
+
+/** Headers that concern one connection only (RFC 9110, section 7.6.1). */
+const HOP_BY_HOP: ReadonlySet<string> = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+]);
+
+/** Request headers that this daemon consumes or writes anew. */
+const OWN_REQUEST: ReadonlySet<string> = new Set([
+  "authorization",
+  "content-length",
+  "expect",
+  "host",
+  "idempotency-key",
+]);
+
+const OWN_PREFIX = "umbermast-";
+
+/** Pairs up Node's flat list of names and values, names in lower case. */
+export function headerLines(raw: readonly string[]): readonly Header[] {
+  const lines: Header[] = [];
+  for (let i = 0; i + 1 < raw.length; i += 2) {
+    lines.push({ name: raw[i]!.toLowerCase(), value: raw[i + 1]! });
+  }
+  return lines;
+}
+
+/** Names that `connection` lists as belonging to this connection. */
+function namedInConnection(headers: readonly Header[]): ReadonlySet<string> {
+  const names = headers
+    .filter(({ name }) => name === "connection")
+    .flatMap(({ value }) => value.split(","))
+    .map((name) => name.trim().toLowerCase());
+  return new Set(names);
+}
+
+function endToEnd(headers: readonly Header[]): readonly Header[] {
+  const named = namedInConnection(headers);
+  return headers.filter(({ name }) =>
+    !HOP_BY_HOP.has(name) && !named.has(name)
+  );
+}
+
+/** Headers of a caller's request that go to the runner. */
+export function requestHeaders(headers: readonly Header[]): readonly Header[] {
+  return endToEnd(headers).filter(({ name }) =>
+    !OWN_REQUEST.has(name) && !name.startsWith(OWN_PREFIX)
+  );
+}
+
+/** Headers of a runner's answer that go to the caller. */
+export function answerHeaders(headers: readonly Header[]): readonly Header[] {
+  return endToEnd(headers).filter(({ name }) => !name.startsWith(OWN_PREFIX));
+}
--- /dev/null
+++ b/packages/daemon/src/request/http_reply.ts
@@ -0,0 +1,156 @@
+/**
+ * The way back to a caller over HTTP.
+ *
+ * @module
+ */
+import type { ServerResponse } from "node:http";
+import * as Effect from "effect/Effect";
+import type { AnswerHead, CallerGone, Problem, Reply } from "./call.ts";
+import { answerHeaders } from "./end_to_end_headers.ts";
+import { problemBody, retryAfterSeconds } from "./problems.ts";
+
+const EVENT_STREAM = "text/event-stream";
+
+/** Adds the daemon's own headers of an error. */
+function setProblemHeaders(response: ServerResponse, problem: Problem): void {
+  response.setHeader("umbermast-outcome", problem.outcome);
+  if (problem.retryAfterMs === undefined) return;
+  response.setHeader("retry-after", retryAfterSeconds(problem.retryAfterMs));
+}
+
+/** Writes to one caller; a caller that reads too slowly loses its connection. */
+export class HttpReply implements Reply {
+  readonly #response: ServerResponse;
+  readonly #requestId: string;
+  readonly #writeTimeoutMs: number;
+  readonly #leaving: () => boolean;
+  #streamed = false;
+  #gone: CallerGone | undefined;
+
+  constructor(
+    response: ServerResponse,
+    options: {
+      readonly requestId: string;
+      readonly writeTimeoutMs: number;
+      /** Whether the connection is to be closed after the answer. */
+      readonly leaving: () => boolean;
+    },
+  ) {
+    this.#response = response;
+    this.#requestId = options.requestId;
+    this.#writeTimeoutMs = options.writeTimeoutMs;
+    this.#leaving = options.leaving;
+    response.setHeader("umbermast-request-id", options.requestId);
+    response.once("close", () => {
+      this.#gone ??= { _tag: "CallerGone", reason: "closed" };
+    });
+  }
+
+  get begun(): boolean {
+    return this.#response.headersSent;
+  }
+
+  begin(head: AnswerHead): void {
+    for (const { name, value } of answerHeaders(head.headers)) {
+      this.#response.appendHeader(name, value);
+      if (name === "content-type") {
+        this.#streamed = value.toLowerCase().startsWith(EVENT_STREAM);
+      }
+    }
+    if (this.#leaving()) this.#response.setHeader("connection", "close");
+    this.#response.writeHead(head.status);
+  }
+
+  write(bytes: Uint8Array): Effect.Effect<void, CallerGone> {
+    return Effect.suspend(() => {
+      if (this.#gone !== undefined) return Effect.fail(this.#gone);
+      if (this.#response.write(bytes)) return Effect.void;
+      return this.#room();
+    });
+  }
+
+  end(): void {
+    this.#response.end();
+    this.#boundFlush();
+  }
+
+  breakOff(problem: Problem): void {
+    const response = this.#response;
+    if (!this.#streamed) {
+      response.destroy();
+      return;
+    }
+    const body = problemBody(problem, this.#requestId);
+    // The connection is cut after the event, without the last chunk: a client
+    // that knows no error events still sees an answer that is not whole.
+    response.write(`data: ${body}\n\n`, () => response.destroy());
+    this.#boundFlush();
+  }
+
+  refuse(problem: Problem): void {
+    const body = problemBody(problem, this.#requestId);
+    const response = this.#response;
+    setProblemHeaders(response, problem);
+    response.setHeader("content-type", "application/json");
+    response.setHeader("content-length", Buffer.byteLength(body));
+    if (this.#leaving() || !response.req.complete) {
+      response.setHeader("connection", "close");
+    }
+    response.writeHead(problem.status);
+    response.end(body);
+    this.#boundFlush();
+  }
+
+  /** Answers with a whole JSON document of the daemon's own. */
+  whole(body: string): void {
+    this.#response.setHeader("content-type", "application/json");
+    this.#response.setHeader("content-length", Buffer.byteLength(body));
+    if (this.#leaving()) this.#response.setHeader("connection", "close");
+    this.#response.writeHead(200);
+    this.end();
+  }
+
+  /** Ends an answer whose fibre is gone, by whatever its state allows. */
+  abandon(problem: Problem): void {
+    if (this.#gone !== undefined || this.#response.writableEnded) return;
+    if (this.begun) this.breakOff(problem);
+    else this.refuse(problem);
+  }
+
+  /** Waits until the caller has read enough, for a bounded time. */
+  #room(): Effect.Effect<void, CallerGone> {
+    return Effect.callback<void, CallerGone>((resume) => {
+      const response = this.#response;
+      const stop = () => {
+        clearTimeout(timer);
+        response.off("drain", drained);
+        response.off("close", closed);
+      };
+      const drained = () => {
+        stop();
+        resume(Effect.void);
+      };
+      const closed = () => {
+        stop();
+        resume(
+          Effect.fail(this.#gone ?? { _tag: "CallerGone", reason: "closed" }),
+        );
+      };
+      const timer = setTimeout(() => {
+        this.#gone = { _tag: "CallerGone", reason: "slow" };
+        response.destroy();
+      }, this.#writeTimeoutMs);
+      response.once("drain", drained);
+      response.once("close", closed);
+      return Effect.sync(stop);
+    });
+  }
+
+  /** The end of an answer waits for the caller no longer than any other part. */
+  #boundFlush(): void {
+    const response = this.#response;
+    if (response.writableFinished || response.closed) return;
+    const timer = setTimeout(() => response.destroy(), this.#writeTimeoutMs);
+    response.once("close", () => clearTimeout(timer));
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/request/problems.ts
@@ -0,0 +1,67 @@
+/**
+ * Errors as callers are told of them.
+ *
+ * @module
+ */
+import { PROBLEM_STATUS } from "../process/codes.ts";
+import type { ProblemCode } from "../process/codes.ts";
+import type { Problem, Standing } from "./call.ts";
+
+const DEFAULT_RETRY_AFTER_MS = 1000;
+const TOO_MANY_REQUESTS = 429;
+const UNAVAILABLE = 503;
+
+/** Builds a problem with the status of its code. */
+export function problem(
+  code: ProblemCode,
+  message: string,
+  options: {
+    readonly outcome?: Standing;
+    readonly place?: string;
+    readonly retryAfterMs?: number;
+  } = {},
+): Problem {
+  const status = PROBLEM_STATUS[code];
+  const comesBack = status === TOO_MANY_REQUESTS || status === UNAVAILABLE;
+  const retryAfterMs = options.retryAfterMs ??
+    (comesBack ? DEFAULT_RETRY_AFTER_MS : undefined);
+  return {
+    status,
+    code,
+    message,
+    outcome: options.outcome ?? "not-run",
+    ...(options.place === undefined ? {} : { place: options.place }),
+    ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+  };
+}
+
+const MS_PER_SECOND = 1000;
+const FIRST_SERVER_STATUS = 500;
+
+/** The type of an OpenAI-shaped error. */
+function typeOf(status: number): string {
+  if (status === 401) return "authentication_error";
+  if (status === TOO_MANY_REQUESTS) return "rate_limit_error";
+  return status >= FIRST_SERVER_STATUS
+    ? "server_error"
+    : "invalid_request_error";
+}
+
+/** The JSON body of an error, in the OpenAI shape. */
+export function problemBody(problem: Problem, requestId: string): string {
+  return JSON.stringify({
+    error: {
+      message: problem.message,
+      type: typeOf(problem.status),
+      param: problem.place ?? null,
+      code: problem.code,
+      outcome: problem.outcome,
+      request_id: requestId,
+    },
+  });
+}
+
+/** Whole seconds for `retry-after`: at least one, never less than asked. */
+export function retryAfterSeconds(retryAfterMs: number): number {
+  return Math.max(1, Math.ceil(retryAfterMs / MS_PER_SECOND));
+}
--- /dev/null
+++ b/packages/daemon/src/umbermastd.ts
@@ -0,0 +1,60 @@
+#!/usr/bin/env node
+/**
+ * The daemon's program: `umbermastd --settings FILE`, `umbermastd check FILE`.
+ *
+ * @module
+ */
+import { readFileSync } from "node:fs";
+import process from "node:process";
+import { Command } from "commander";
+import * as Effect from "effect/Effect";
+import { runDaemon } from "./daemon.ts";
+import { parseSettings } from "./process/settings.ts";
+import type { Settings } from "./process/settings.ts";
+
+/** Exit status for bad settings (`EX_CONFIG` of sysexits). */
+const EXIT_CONFIG = 78;
+
+function report(lines: readonly string[]): never {
+  for (const line of lines) process.stderr.write(`${line}\n`);
+  process.exit(EXIT_CONFIG);
+}
+
+function readText(file: string): string {
+  try {
+    return readFileSync(file, "utf8");
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    return report([`Cannot read settings: ${reason}`]);
+  }
+}
+
+function readSettings(file: string): Settings {
+  const checked = parseSettings(readText(file));
+  if (checked.isErr()) return report(checked.error.map(({ text }) => text));
+  return checked.value;
+}
+
+function run(file: string): void {
+  const settings = readSettings(file);
+  Effect.runCallback(runDaemon(settings), {
+    onExit: (exit) => process.exit(exit._tag === "Success" ? exit.value : 1),
+  });
+}
+
+const program = new Command("umbermastd")
+  .description("Routes language-model traffic with service levels");
+
+program.command("run", { isDefault: true })
+  .description("runs the daemon until SIGTERM")
+  .requiredOption("--settings <file>", "settings in JSON")
+  .action((options: { readonly settings: string }) => run(options.settings));
+
+program.command("check <file>")
+  .description("only checks settings; exit status 78 when they are bad")
+  .action((file: string) => {
+    readSettings(file);
+    process.stdout.write(`${file}: settings are valid\n`);
+  });
+
+program.parse();
