Answer faults of callers' connections, expectations and pipelining

Cause: what Node's parser refuses got no request id, outcome or code; a pipelined request held a slot behind the answer before it; a refusal of a long body was lost in a connection reset. Change: write such refusals like all others, refuse pipelined requests, take the rest of a refused body for a bounded time before closing.

--- a/packages/daemon/src/connection/caller_server.ts
+++ b/packages/daemon/src/connection/caller_server.ts
@@ -4,68 +4,124 @@
  * @module
  */
 import { createServer } from "node:http";
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
 import * as Effect from "effect/Effect";
 import type { CallerLimits } from "../process/settings.ts";
+import { connectionFault } from "./connection_fault.ts";
+import type { ConnectionFault } from "./connection_fault.ts";
+import { listen, placeOf } from "./listener.ts";
+import type { ListenAt } from "./listener.ts";
 
-/** Serves one request of a connection. */
-export type RequestHandler = (
-  request: IncomingMessage,
-  response: ServerResponse,
-) => void;
+/** Serves what comes on the connections. */
+export interface CallerHandler {
+  /**
+   * Serves one request.
+   *
+   * @param pipelined whether an answer on the same connection has not ended.
+   */
+  serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+    options: { readonly pipelined: boolean },
+  ): void;
+  /** The whole answer, head and body, to what is not a request. */
+  faultAnswer(fault: ConnectionFault): string;
+  /** A connection beyond the limit was closed. */
+  dropped(): void;
+}
 
 /** How often Node looks for connections past their limits. */
-const CHECK_INTERVAL_MS = 500;
+const CHECK_INTERVAL_MS = 250;
+/** Idle time after which the system probes whether a caller is still there. */
+const KEEP_ALIVE_PROBE_MS = 10_000;
 
-/** A caller's port that is open. */
+/** A callers' port that is open. */
 export interface CallerServer {
   /** Address and port, as `IP:PORT`. */
   readonly place: string;
-  /** Accepts no new connections; open ones stay until their answers end. */
+  /** Connections that are open. */
+  readonly connections: number;
+  /**
+   * Accepts no new connections and closes idle ones; the others stay until
+   * their answers end.
+   */
   close(): void;
   /** Cuts every connection. */
   cut(): void;
 }
 
-/** Writes a bound address as `IP:PORT`. */
-export function placeOf(server: Server): string {
-  const { address, family, port } = server.address() as AddressInfo;
-  return family === "IPv6" ? `[${address}]:${port}` : `${address}:${port}`;
-}
+/** Answers of one connection that have not ended. */
+class OpenAnswers {
+  readonly #last = new WeakMap<Duplex, ServerResponse>();
 
-/** Listens on an address; fails when it cannot be had. */
-export function listen(
-  server: Server,
-  at: { readonly address: string; readonly port: number },
-): Effect.Effect<void, Error> {
-  return Effect.callback<void, Error>((resume) => {
-    server.once("error", (error) => resume(Effect.fail(error)));
-    server.listen(at.port, at.address, () => resume(Effect.void));
-  });
+  /** Whether an answer on the connection has not ended. */
+  has(socket: Duplex): boolean {
+    return this.#last.get(socket)?.writableEnded === false;
+  }
+
+  add(socket: Duplex, response: ServerResponse): void {
+    this.#last.set(socket, response);
+  }
 }
 
 /** Opens the callers' port. */
 export const openCallerServer = Effect.fnUntraced(function* (
-  at: { readonly address: string; readonly port: number },
-  options: { readonly limits: CallerLimits; readonly handler: RequestHandler },
+  at: ListenAt,
+  options: { readonly limits: CallerLimits; readonly handler: CallerHandler },
 ) {
   const { limits, handler } = options;
+  const open = new OpenAnswers();
+  const serve = (request: IncomingMessage, response: ServerResponse) => {
+    const pipelined = open.has(request.socket);
+    open.add(request.socket, response);
+    handler.serve(request, response, { pipelined });
+  };
+  const refuse = (socket: Duplex, fault: ConnectionFault) => {
+    // An answer on its way must not be continued with the text of another.
+    if (!socket.writable || open.has(socket)) return socket.destroy();
+    socket.end(handler.faultAnswer(fault), () => socket.destroy());
+  };
   const server = createServer({
     maxHeaderSize: limits.headerBytes,
     headersTimeout: limits.headerTimeoutMs,
-    requestTimeout: limits.bodyTimeoutMs,
+    // Bodies have their own limit, whose error answer says what was late.
+    requestTimeout: 0,
     keepAliveTimeout: limits.idleCallerMs,
     connectionsCheckingInterval: CHECK_INTERVAL_MS,
     highWaterMark: limits.callerBufferBytes,
     noDelay: true,
-  }, handler);
+    keepAlive: true,
+    keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS,
+  }, serve);
+  const sockets = new Set<Socket>();
   server.maxConnections = limits.connections;
+  server.on("connection", (socket) => {
+    sockets.add(socket);
+    socket.once("close", () => sockets.delete(socket));
+  });
+  server.on("checkContinue", serve);
+  server.on("checkExpectation", serve);
+  server.on("connect", (_request, socket) => refuse(socket, CONNECT_FAULT));
+  server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
+    refuse(socket, connectionFault(error));
+  });
+  server.on("drop", () => handler.dropped());
   yield* listen(server, at);
   const opened: CallerServer = {
     place: placeOf(server),
+    get connections() {
+      return sockets.size;
+    },
     close: () => server.close(),
     cut: () => server.closeAllConnections(),
   };
   return opened;
 });
+
+const CONNECT_FAULT: ConnectionFault = {
+  code: "method_unsupported",
+  message: 'Cannot serve method "CONNECT"',
+  place: "method",
+};
--- /dev/null
+++ b/packages/daemon/src/connection/connection_fault.ts
@@ -0,0 +1,35 @@
+/**
+ * What goes wrong on a caller's connection before there is a request.
+ *
+ * @module
+ */
+import type { ProblemCode } from "../process/codes.ts";
+
+/** Something that is not a request, or not in time. */
+export interface ConnectionFault {
+  readonly code: Extract<
+    ProblemCode,
+    | "header_too_large"
+    | "header_timeout"
+    | "request_invalid"
+    | "method_unsupported"
+  >;
+  readonly message: string;
+  readonly place: string;
+}
+
+/** Reads the error that Node's parser or its limits gave. */
+export function connectionFault(error: NodeJS.ErrnoException): ConnectionFault {
+  if (error.code === "HPE_HEADER_OVERFLOW") {
+    const message = "Cannot read the request: its head is too large";
+    return { code: "header_too_large", message, place: "header" };
+  }
+  if (error.code === "ERR_HTTP_REQUEST_TIMEOUT") {
+    const message = "Cannot read the request: its head did not come in time";
+    return { code: "header_timeout", message, place: "header" };
+  }
+  // The parser's codes name the rule that was broken and quote nothing.
+  const rule = error.code?.startsWith("HPE_") ? ` (${error.code})` : "";
+  const message = `Cannot read the request: it is not valid HTTP/1.1${rule}`;
+  return { code: "request_invalid", message, place: "request" };
+}
--- /dev/null
+++ b/packages/daemon/src/connection/listener.ts
@@ -0,0 +1,47 @@
+/**
+ * Binds an HTTP server to its address.
+ *
+ * @module
+ */
+import type { Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import * as Effect from "effect/Effect";
+
+/** Where to listen. */
+export interface ListenAt {
+  /** IP address. */
+  readonly address: string;
+  /** 0 lets the system pick one. */
+  readonly port: number;
+}
+
+/** An address could not be listened on. */
+export interface ListenFailed {
+  readonly _tag: "ListenFailed";
+  readonly message: string;
+}
+
+/** Listens on an address. */
+export function listen(
+  server: Server,
+  at: ListenAt,
+): Effect.Effect<void, ListenFailed> {
+  return Effect.callback<void, ListenFailed>((resume) => {
+    const refused = (error: Error) => {
+      const message =
+        `Cannot listen on ${at.address} port ${at.port}: ${error.message}`;
+      resume(Effect.fail({ _tag: "ListenFailed", message }));
+    };
+    server.once("error", refused);
+    server.listen(at.port, at.address, () => {
+      server.off("error", refused);
+      resume(Effect.void);
+    });
+  });
+}
+
+/** Writes the address a server is bound to as `IP:PORT`. */
+export function placeOf(server: Server): string {
+  const { address, family, port } = server.address() as AddressInfo;
+  return family === "IPv6" ? `[${address}]:${port}` : `${address}:${port}`;
+}
--- a/packages/daemon/src/connection/operator_server.ts
+++ b/packages/daemon/src/connection/operator_server.ts
@@ -7,7 +7,8 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import * as Effect from "effect/Effect";
-import { listen, placeOf } from "./caller_server.ts";
+import { listen, placeOf } from "./listener.ts";
+import type { ListenAt } from "./listener.ts";
 
 /** An answer to an operator. */
 export interface OperatorAnswer {
@@ -99,11 +100,7 @@
 
 /** Opens the operators' port. */
 export const openOperatorServer = Effect.fnUntraced(function* (
-  at: {
-    readonly address: string;
-    readonly port: number;
-    readonly token: string;
-  },
+  at: ListenAt & { readonly token: string },
   resources: OperatorResources,
 ) {
   const server = createServer(
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -10,6 +10,7 @@
   jsonAnswer,
   openOperatorServer,
 } from "./connection/operator_server.ts";
+import type { ListenFailed } from "./connection/listener.ts";
 import { DecisionHistory } from "./process/decisions.ts";
 import { LineLog } from "./process/log_lines.ts";
 import { PlatformPoll } from "./process/platform_poll.ts";
@@ -28,7 +29,9 @@
  *
  * @returns the exit status of the process.
  */
-export function runDaemon(settings: Settings): Effect.Effect<number, Error> {
+export function runDaemon(
+  settings: Settings,
+): Effect.Effect<number, ListenFailed> {
   return Effect.gen(function* () {
     const decisions = new DecisionHistory();
     const log = new LineLog((line) => process.stdout.write(`${line}\n`), {
@@ -42,13 +45,13 @@
       ),
       limits: settings.limits,
       log,
-      observer: { ended: () => {}, refused: () => {} },
+      observer: { ended: () => {}, refused: () => {}, dropped: () => {} },
       table: () => poll.table,
       leaving: () => leaving,
     });
     const callers = yield* openCallerServer(settings.listen, {
       limits: settings.limits,
-      handler: (request, response) => requests.serve(request, response),
+      handler: requests,
     });
     const ready = () => poll.table !== undefined && !leaving;
     const operators = yield* openOperatorServer(settings.operators, {
--- a/packages/daemon/src/process/codes.ts
+++ b/packages/daemon/src/process/codes.ts
@@ -5,8 +5,11 @@
  * @module
  */
 
-/** Codes of errors told to callers, with the HTTP status of each. */
+/** Codes of errors told to callers, with the usual HTTP status of each. */
 export const PROBLEM_STATUS = {
+  answer_broken: 502,
+  answer_crossed: 502,
+  answer_lost: 502,
   body_invalid: 400,
   body_timeout: 408,
   body_too_large: 413,
@@ -14,6 +17,7 @@
   content_type_unsupported: 415,
   deadline_passed: 503,
   expectation_unsupported: 417,
+  grant_expired: 503,
   header_timeout: 408,
   header_too_large: 431,
   http_version_unsupported: 426,
@@ -32,6 +36,9 @@
   repeatable_invalid: 400,
   request_invalid: 400,
   runner_failed: 502,
+  runner_refused: 503,
+  runner_silent: 504,
+  runner_unreachable: 503,
   service_unknown: 404,
   stopped: 503,
   too_many_requests: 503,
--- a/packages/daemon/src/request/admission.ts
+++ b/packages/daemon/src/request/admission.ts
@@ -26,6 +26,8 @@
   readonly requestId: string;
   readonly request: IncomingMessage;
   readonly headers: readonly Header[];
+  /** An earlier answer on the same connection has not ended. */
+  readonly pipelined: boolean;
   /** Epoch milliseconds. */
   readonly arrivedAt: number;
 }
@@ -37,8 +39,20 @@
   readonly callerRequest: CallerRequest;
 }
 
+const CONTINUE = /^100-continue$/i;
+
 /** Checks what the connection's protocol asks of a request. */
-function checkProtocol(request: IncomingMessage): Result<void, Problem> {
+function checkProtocol(
+  { request, pipelined }: Arrival,
+): Result<void, Problem> {
+  if (pipelined) {
+    // Answers on one connection go out in order, so this one would wait for
+    // the whole of the one before it, holding a slot and its bytes.
+    return err(problem(
+      "pipelining_unsupported",
+      "Cannot take a request before the answer to the one before it has ended",
+    ));
+  }
   if (request.httpVersion !== "1.1") {
     return err(problem(
       "http_version_unsupported",
@@ -46,6 +60,14 @@
       { place: "request-line" },
     ));
   }
+  const expectation = request.headers.expect;
+  if (expectation !== undefined && !CONTINUE.test(expectation)) {
+    return err(problem(
+      "expectation_unsupported",
+      `Cannot meet expectation "${expectation}": only "100-continue" is supported`,
+      { place: "header/expect" },
+    ));
+  }
   const coding = request.headers["transfer-encoding"];
   if (coding === undefined || coding.toLowerCase() === "chunked") {
     return ok(undefined);
@@ -74,7 +96,7 @@
   table: Table | undefined,
 ): Result<Admission, Problem> {
   const { request, headers } = arrival;
-  const protocol = checkProtocol(request);
+  const protocol = checkProtocol(arrival);
   if (protocol.isErr()) return err(protocol.error);
   const method = request.method ?? "";
   const route = routeOf(method, request.url ?? "");
--- a/packages/daemon/src/request/caller_requests.ts
+++ b/packages/daemon/src/request/caller_requests.ts
@@ -11,6 +11,8 @@
 import * as Exit from "effect/Exit";
 import type * as Fiber from "effect/Fiber";
 import type { Result } from "neverthrow";
+import type { CallerHandler } from "../connection/caller_server.ts";
+import type { ConnectionFault } from "../connection/connection_fault.ts";
 import type { Log } from "../process/log.ts";
 import type { CallerLimits } from "../process/settings.ts";
 import { admit, callOf } from "./admission.ts";
@@ -20,7 +22,7 @@
 import { headerLines } from "./end_to_end_headers.ts";
 import { HttpReply } from "./http_reply.ts";
 import { modelList } from "./model_list.ts";
-import { problem } from "./problems.ts";
+import { problem, rawAnswer } from "./problems.ts";
 
 /** Counts ended requests. */
 export interface RequestObserver {
@@ -28,6 +30,8 @@
   ended(call: Call, ending: Ending): void;
   /** A request was refused before it became a call. */
   refused(problem: Problem): void;
+  /** A connection beyond the limit was closed. */
+  dropped(): void;
 }
 
 /** What serving needs from the process. */
@@ -60,7 +64,7 @@
 }
 
 /** Serves callers' requests. */
-export class CallerRequests {
+export class CallerRequests implements CallerHandler {
   readonly #environment: CallerEnvironment;
   readonly #fibers = new Set<Fiber.Fiber<void>>();
   #whenIdle: (() => void)[] = [];
@@ -86,10 +90,15 @@
   }
 
   /** Serves one request. */
-  serve(request: IncomingMessage, response: ServerResponse): void {
+  serve(
+    request: IncomingMessage,
+    response: ServerResponse,
+    options: { readonly pipelined: boolean },
+  ): void {
     const arrival: Arrival = {
       requestId: randomUUID(),
       request,
+      pipelined: options.pipelined,
       headers: headerLines(request.rawHeaders),
       arrivedAt: Date.now(),
     };
@@ -114,6 +123,18 @@
     });
   }
 
+  faultAnswer(fault: ConnectionFault): string {
+    const { code, message, place } = fault;
+    const requestId = randomUUID();
+    const found = problem(code, message, { place });
+    this.#noteRefusal(requestId, found);
+    return rawAnswer(found, requestId);
+  }
+
+  dropped(): void {
+    this.#environment.observer.dropped();
+  }
+
   #answer(arrival: Arrival, reply: HttpReply): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       const { leaving, limits, runner, table } = this.#environment;
@@ -122,6 +143,7 @@
       if (this.#fibers.size > limits.queuedRequests) {
         return yield* Effect.fail(fullProblem(limits.queuedRequests));
       }
+      reply.askForBody();
       const body = yield* readBody(arrival.request, limits);
       if (admission.route._tag === "Models") {
         return reply.whole(modelList(admission.table));
@@ -156,9 +178,13 @@
     },
   ): void {
     reply.refuse(problem);
+    this.#noteRefusal(arrival.requestId, problem);
+  }
+
+  #noteRefusal(requestId: string, problem: Problem): void {
     this.#environment.observer.refused(problem);
     this.#environment.log.event("request_refused", {
-      requestId: arrival.requestId,
+      requestId,
       code: problem.code,
       status: problem.status,
       place: problem.place,
--- a/packages/daemon/src/request/http_reply.ts
+++ b/packages/daemon/src/request/http_reply.ts
@@ -7,16 +7,12 @@
 import * as Effect from "effect/Effect";
 import type { AnswerHead, CallerGone, Problem, Reply } from "./call.ts";
 import { answerHeaders } from "./end_to_end_headers.ts";
-import { problemBody, retryAfterSeconds } from "./problems.ts";
+import { problemBody, problemHeaders } from "./problems.ts";
 
 const EVENT_STREAM = "text/event-stream";
 
-/** Adds the daemon's own headers of an error. */
-function setProblemHeaders(response: ServerResponse, problem: Problem): void {
-  response.setHeader("umbermast-outcome", problem.outcome);
-  if (problem.retryAfterMs === undefined) return;
-  response.setHeader("retry-after", retryAfterSeconds(problem.retryAfterMs));
-}
+/** How long a refused request's remaining bytes are taken and thrown away. */
+const LINGER_MS = 1000;
 
 /** Writes to one caller; a caller that reads too slowly loses its connection. */
 export class HttpReply implements Reply {
@@ -41,6 +37,9 @@
     this.#writeTimeoutMs = options.writeTimeoutMs;
     this.#leaving = options.leaving;
     response.setHeader("umbermast-request-id", options.requestId);
+    // Node reports a write to a connection that is gone here as well; the close
+    // event tells all that is needed.
+    response.on("error", () => {});
     response.once("close", () => {
       this.#gone ??= { _tag: "CallerGone", reason: "closed" };
     });
@@ -50,6 +49,12 @@
     return this.#response.headersSent;
   }
 
+  /** Tells a caller that waits for it to send the body. */
+  askForBody(): void {
+    const { expect } = this.#response.req.headers;
+    if (expect !== undefined) this.#response.writeContinue();
+  }
+
   begin(head: AnswerHead): void {
     for (const { name, value } of answerHeaders(head.headers)) {
       this.#response.appendHeader(name, value);
@@ -90,15 +95,40 @@
   refuse(problem: Problem): void {
     const body = problemBody(problem, this.#requestId);
     const response = this.#response;
-    setProblemHeaders(response, problem);
+    for (const { name, value } of problemHeaders(problem)) {
+      response.setHeader(name, value);
+    }
     response.setHeader("content-type", "application/json");
     response.setHeader("content-length", Buffer.byteLength(body));
-    if (this.#leaving() || !response.req.complete) {
+    const { complete } = response.req;
+    if (this.#leaving() || !complete) {
       response.setHeader("connection", "close");
     }
     response.writeHead(problem.status);
-    response.end(body);
-    this.#boundFlush();
+    if (complete) {
+      response.end(body);
+      this.#boundFlush();
+      return;
+    }
+    response.write(body);
+    this.#endAfterBody();
+  }
+
+  /**
+   * Ends a refusal once the rest of the request has come, or a short time has
+   * passed. Closing at once with bytes unread makes the system reset the
+   * connection, and the caller, still sending, would lose the refusal.
+   */
+  #endAfterBody(): void {
+    const { req: request } = this.#response;
+    const end = () => {
+      clearTimeout(timer);
+      this.end();
+    };
+    const timer = setTimeout(end, LINGER_MS);
+    request.once("end", end);
+    request.once("close", end);
+    request.resume();
   }
 
   /** Answers with a whole JSON document of the daemon's own. */
--- a/packages/daemon/src/request/problems.ts
+++ b/packages/daemon/src/request/problems.ts
@@ -3,9 +3,10 @@
  *
  * @module
  */
+import { STATUS_CODES } from "node:http";
 import { PROBLEM_STATUS } from "../process/codes.ts";
 import type { ProblemCode } from "../process/codes.ts";
-import type { Problem, Standing } from "./call.ts";
+import type { Header, Problem, Standing } from "./call.ts";
 
 const DEFAULT_RETRY_AFTER_MS = 1000;
 const TOO_MANY_REQUESTS = 429;
@@ -65,3 +66,36 @@
 export function retryAfterSeconds(retryAfterMs: number): number {
   return Math.max(1, Math.ceil(retryAfterMs / MS_PER_SECOND));
 }
+
+/** Headers of an error besides those of its body. */
+export function problemHeaders(problem: Problem): readonly Header[] {
+  const outcome = { name: "umbermast-outcome", value: problem.outcome };
+  const headers: Header[] = [outcome];
+  if (problem.code === "http_version_unsupported") {
+    headers.push({ name: "upgrade", value: "HTTP/1.1" });
+  }
+  if (problem.code === "key_invalid") {
+    headers.push({ name: "www-authenticate", value: "Bearer" });
+  }
+  if (problem.retryAfterMs !== undefined) {
+    const value = String(retryAfterSeconds(problem.retryAfterMs));
+    headers.push({ name: "retry-after", value });
+  }
+  return headers;
+}
+
+/** Writes a whole answer for a connection that had no valid request. */
+export function rawAnswer(problem: Problem, requestId: string): string {
+  const body = problemBody(problem, requestId);
+  const headers: readonly Header[] = [
+    { name: "umbermast-request-id", value: requestId },
+    ...problemHeaders(problem),
+    { name: "content-type", value: "application/json" },
+    { name: "content-length", value: String(Buffer.byteLength(body)) },
+    { name: "connection", value: "close" },
+  ];
+  const lines = headers.map(({ name, value }) => `${name}: ${value}`);
+  const { status } = problem;
+  const first = `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ""}`;
+  return [first, ...lines, "", body].join("\r\n");
+}
