Link members over authenticated TCP and follow the host list

Cause: no member can send another one a message yet. Change: frames bounded before allocation, a mutual HMAC handshake whose frames are checked before anything is decoded, sequence-bound tags on every later frame, links dialled on demand with heartbeats, requests, cancellation and a bound on handlers in progress; a long-polling host list client; startNode with a membership from the host list alone. PeerUnreachable gains "handler-failed".

--- /dev/null
+++ b/packages/coordination/src/connection/dial.ts
@@ -0,0 +1,82 @@
+/**
+ * Opening TCP connections.
+ *
+ * @module
+ */
+import { connect, createServer } from "node:net";
+import type { AddressInfo, Server, Socket } from "node:net";
+import * as Effect from "effect/Effect";
+import type { Scope } from "effect/Scope";
+import type { LinkClosed } from "./frame.ts";
+import { linkClosed } from "./frame.ts";
+
+/** Where a member listens. */
+export interface Endpoint {
+  /** IP address. */
+  readonly address: string;
+  readonly port: number;
+}
+
+/** The address or port cannot be listened on. */
+export interface ListenFailed {
+  readonly _tag: "ListenFailed";
+  readonly endpoint: Endpoint;
+  readonly message: string;
+}
+
+/** Makes a {@linkcode ListenFailed}. */
+export function listenFailed(
+  endpoint: Endpoint,
+  cause: Error,
+): ListenFailed {
+  const { address, port } = endpoint;
+  const message =
+    `Cannot listen on "${address}" port ${port}: ${cause.message}`;
+  return { _tag: "ListenFailed", endpoint, message };
+}
+
+/** Connects; interrupting destroys the socket. */
+export function dial(endpoint: Endpoint): Effect.Effect<Socket, LinkClosed> {
+  return Effect.callback((resume) => {
+    const socket = connect({
+      host: endpoint.address,
+      port: endpoint.port,
+      noDelay: true,
+    });
+    socket.on("error", (error) => {
+      socket.destroy();
+      resume(Effect.fail(linkClosed("error", error.message)));
+    });
+    socket.once("connect", () => resume(Effect.succeed(socket)));
+    return Effect.sync(() => socket.destroy());
+  });
+}
+
+/** Listens until the scope closes. */
+export function listen(
+  endpoint: Endpoint,
+  onConnection: (socket: Socket) => void,
+): Effect.Effect<Endpoint, ListenFailed, Scope> {
+  const open = Effect.callback<Server, ListenFailed>((resume) => {
+    const server = createServer({ noDelay: true }, (socket) => {
+      // An error also closes the socket, which the reader sees; unhandled, it
+      // would end the process.
+      socket.on("error", () => socket.destroy());
+      onConnection(socket);
+    });
+    server.once(
+      "error",
+      (error) => resume(Effect.fail(listenFailed(endpoint, error))),
+    );
+    server.listen(endpoint.port, endpoint.address, () => {
+      resume(Effect.succeed(server));
+    });
+  });
+  return Effect.acquireRelease(
+    open,
+    (server) => Effect.sync(() => server.close()),
+  ).pipe(Effect.map((server) => {
+    const { port } = server.address() as AddressInfo;
+    return { address: endpoint.address, port };
+  }));
+}
--- /dev/null
+++ b/packages/coordination/src/connection/frame.ts
@@ -0,0 +1,138 @@
+/**
+ * Frames of a link: a 4-byte big-endian length and that many bytes.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import type { Socket } from "node:net";
+import * as Effect from "effect/Effect";
+
+/** Bytes of the length before each frame. */
+export const LENGTH_BYTES = 4;
+
+/** Why a link can no longer be used. */
+export interface LinkClosed {
+  readonly _tag: "LinkClosed";
+  readonly reason:
+    | "ended"
+    | "error"
+    | "frame-too-large"
+    | "forged"
+    | "malformed"
+    | "refused"
+    | "silent"
+    | "idle"
+    | "stopped";
+  /** More for the log; never holds a key or a message. */
+  readonly detail?: string;
+}
+
+/** Makes a {@linkcode LinkClosed}. */
+export function linkClosed(
+  reason: LinkClosed["reason"],
+  detail?: string,
+): LinkClosed {
+  return detail === undefined
+    ? { _tag: "LinkClosed", reason }
+    : { _tag: "LinkClosed", reason, detail };
+}
+
+/** Puts the length before the parts of one frame. */
+export function encodeFrame(parts: readonly Uint8Array[]): Buffer {
+  let length = 0;
+  for (const part of parts) length += part.length;
+  const head = Buffer.allocUnsafe(LENGTH_BYTES);
+  head.writeUInt32BE(length);
+  return Buffer.concat([head, ...parts], LENGTH_BYTES + length);
+}
+
+/**
+ * Reads frames from a socket, one at a time.
+ *
+ * The socket stays paused between frames, so a slow reader holds the sender
+ * back through TCP. A length over the limit closes the link before any space
+ * is taken for the frame: otherwise four bytes of a stranger could claim 4 GiB.
+ */
+export class FrameReader {
+  readonly #socket: Socket;
+  #limit: number;
+  #length: number | undefined;
+  #closed: LinkClosed | undefined;
+  #wake: (() => void) | undefined;
+
+  constructor(socket: Socket, limit: number) {
+    this.#socket = socket;
+    this.#limit = limit;
+    socket.on("readable", () => this.#wake?.());
+    socket.on("end", () => this.#close(linkClosed("ended")));
+    socket.on("close", () => this.#close(linkClosed("ended")));
+    socket.on(
+      "error",
+      (error) => this.#close(linkClosed("error", error.message)),
+    );
+  }
+
+  /** Sets the largest frame accepted from now on, in bytes. */
+  setLimit(limit: number): void {
+    this.#limit = limit;
+  }
+
+  /** Waits for the next frame. */
+  next(): Effect.Effect<Buffer, LinkClosed> {
+    return Effect.suspend(() => this.#take() ?? this.#wait());
+  }
+
+  #wait(): Effect.Effect<Buffer, LinkClosed> {
+    return Effect.callback((resume) => {
+      const attempt = () => {
+        const taken = this.#take();
+        if (taken === undefined) return;
+        this.#wake = undefined;
+        resume(taken);
+      };
+      this.#wake = attempt;
+      attempt();
+      return Effect.sync(() => {
+        this.#wake = undefined;
+      });
+    });
+  }
+
+  #take(): Effect.Effect<Buffer, LinkClosed> | undefined {
+    if (this.#length === undefined) {
+      const head = this.#read(LENGTH_BYTES);
+      if (head === undefined) return this.#failure();
+      const length = head.readUInt32BE();
+      if (length > this.#limit) {
+        return Effect.fail(
+          linkClosed("frame-too-large", `${length} over ${this.#limit} bytes`),
+        );
+      }
+      this.#length = length;
+    }
+    if (this.#length === 0) {
+      this.#length = undefined;
+      return Effect.succeed(Buffer.alloc(0));
+    }
+    const body = this.#read(this.#length);
+    if (body === undefined) return this.#failure();
+    this.#length = undefined;
+    return Effect.succeed(body);
+  }
+
+  /** At the end of the stream `read` returns what is left, which is no frame. */
+  #read(bytes: number): Buffer | undefined {
+    const chunk: Buffer | null = this.#socket.read(bytes);
+    if (chunk === null || chunk.length < bytes) return undefined;
+    return chunk;
+  }
+
+  #failure(): Effect.Effect<never, LinkClosed> | undefined {
+    return this.#closed === undefined ? undefined : Effect.fail(this.#closed);
+  }
+
+  #close(reason: LinkClosed): void {
+    this.#closed ??= reason;
+    this.#wake?.();
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/connection/handshake.ts
@@ -0,0 +1,199 @@
+/**
+ * Mutual authentication at the start of a link.
+ *
+ * Four frames, the dialling end first:
+ *
+ * 1. hello: magic, lowest and highest version spoken, 32 random bytes.
+ * 2. hello of the accepting end.
+ * 3. proof: HMAC-SHA256 over both hellos and the sender's identity, and that
+ *    identity.
+ * 4. proof of the accepting end, which also covers the dialling end's identity.
+ *
+ * The accepting end proves itself only after the dialling end has, so that a
+ * stranger gets nothing but random bytes. Hellos have a fixed layout and an
+ * identity is decoded only after its HMAC has been checked, so nothing of a
+ * stranger's reaches the CBOR decoder.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import {
+  createHmac,
+  hkdfSync,
+  randomBytes,
+  timingSafeEqual,
+} from "node:crypto";
+import type { Socket } from "node:net";
+import * as Effect from "effect/Effect";
+import { decodeItem, encodeItem } from "../process/codec.ts";
+import type { FrameReader, LinkClosed } from "./frame.ts";
+import { encodeFrame, linkClosed } from "./frame.ts";
+import { Opener, Sealer } from "./session.ts";
+import type { Session } from "./session.ts";
+
+/** Largest frame before the other end is authenticated, in bytes. */
+export const HANDSHAKE_LIMIT = 512;
+
+/** Lowest version of the link protocol that this code speaks. */
+export const LOWEST_VERSION = 1;
+
+/** Highest version of the link protocol that this code speaks. */
+export const HIGHEST_VERSION = 1;
+
+const MAGIC = Buffer.from("umbl");
+const NONCE_BYTES = 32;
+const PROOF_BYTES = 32;
+const KEY_BYTES = 32;
+const LOWEST_AT = MAGIC.length;
+const HIGHEST_AT = LOWEST_AT + 1;
+const NONCE_AT = HIGHEST_AT + 1;
+const HELLO_BYTES = NONCE_AT + NONCE_BYTES;
+
+/** Who an end says it is. */
+export interface Identity {
+  readonly name: string;
+  readonly incarnation: number;
+}
+
+/** What one end brings to the handshake. */
+export interface HandshakeOptions {
+  readonly socket: Socket;
+  readonly reader: FrameReader;
+  /** The key that all members share. */
+  readonly key: Uint8Array;
+  readonly self: Identity;
+}
+
+interface Transcript {
+  readonly dialler: Buffer;
+  readonly accepter: Buffer;
+  readonly version: number;
+}
+
+function makeHello(): Buffer {
+  const versions = Buffer.of(LOWEST_VERSION, HIGHEST_VERSION);
+  return Buffer.concat([MAGIC, versions, randomBytes(NONCE_BYTES)]);
+}
+
+function checkHello(hello: Buffer): Effect.Effect<number, LinkClosed> {
+  const known = hello.length === HELLO_BYTES &&
+    hello.subarray(0, MAGIC.length).equals(MAGIC);
+  if (!known) return Effect.fail(linkClosed("refused", "no hello"));
+  const lowest = hello.readUInt8(LOWEST_AT);
+  const highest = hello.readUInt8(HIGHEST_AT);
+  const version = Math.min(highest, HIGHEST_VERSION);
+  if (version >= Math.max(lowest, LOWEST_VERSION)) {
+    return Effect.succeed(version);
+  }
+  return Effect.fail(
+    linkClosed("refused", `no common version with ${lowest}..${highest}`),
+  );
+}
+
+type Role = "dialler" | "accepter";
+
+/** The role is part of the proof, so that one end's cannot be played back to it. */
+function proofOf(
+  key: Uint8Array,
+  role: Role,
+  covered: readonly Uint8Array[],
+): Buffer {
+  const hmac = createHmac("sha256", key).update(`umbermast link ${role}`);
+  for (const part of covered) hmac.update(part);
+  return hmac.digest();
+}
+
+function isIdentity(value: unknown): value is Identity {
+  if (typeof value !== "object" || value === null) return false;
+  const { name, incarnation } = value as Partial<Identity>;
+  return typeof name === "string" && Number.isSafeInteger(incarnation);
+}
+
+function checkProof(
+  frame: Buffer,
+  expected: (identity: Buffer) => Buffer,
+): Effect.Effect<Identity, LinkClosed> {
+  if (frame.length <= PROOF_BYTES) return Effect.fail(linkClosed("forged"));
+  const identity = frame.subarray(PROOF_BYTES);
+  const proof = frame.subarray(0, PROOF_BYTES);
+  if (!timingSafeEqual(proof, expected(identity))) {
+    return Effect.fail(linkClosed("forged", "wrong key"));
+  }
+  const decoded = decodeItem(identity);
+  if (decoded.isErr() || !isIdentity(decoded.value)) {
+    return Effect.fail(linkClosed("malformed", "identity"));
+  }
+  return Effect.succeed(decoded.value);
+}
+
+function sessionKey(key: Uint8Array, from: Role, link: Transcript): Buffer {
+  const salt = Buffer.concat([link.dialler, link.accepter]);
+  const info = `umbermast link v${link.version} from ${from}`;
+  return Buffer.from(hkdfSync("sha256", key, salt, info, KEY_BYTES));
+}
+
+/**
+ * Authenticates as the end that dialled.
+ *
+ * @param expected name of the member that was dialled: another one at the same
+ * address is refused, since a host that was replaced may reuse it.
+ */
+export const dialHandshake = Effect.fnUntraced(function* (
+  options: HandshakeOptions,
+  expected: string,
+): Effect.fn.Return<Session, LinkClosed> {
+  const { socket, reader, key } = options;
+  const dialler = makeHello();
+  socket.write(encodeFrame([dialler]));
+  const accepter = yield* reader.next();
+  const version = yield* checkHello(accepter);
+  const link: Transcript = { dialler, accepter, version };
+  const own = encodeItem(options.self);
+  const proof = proofOf(key, "dialler", [dialler, accepter, own]);
+  socket.write(encodeFrame([proof, own]));
+  const answer = yield* reader.next();
+  const peer = yield* checkProof(
+    answer,
+    (theirs) => proofOf(key, "accepter", [dialler, accepter, own, theirs]),
+  );
+  if (peer.name !== expected) {
+    return yield* Effect.fail(
+      linkClosed("refused", `dialled "${expected}", met "${peer.name}"`),
+    );
+  }
+  return {
+    peer: peer.name,
+    incarnation: peer.incarnation,
+    version,
+    sealer: new Sealer(sessionKey(key, "dialler", link)),
+    opener: new Opener(sessionKey(key, "accepter", link)),
+  };
+});
+
+/** Authenticates as the end that was dialled. */
+export const acceptHandshake = Effect.fnUntraced(function* (
+  options: HandshakeOptions,
+): Effect.fn.Return<Session, LinkClosed> {
+  const { socket, reader, key } = options;
+  const dialler = yield* reader.next();
+  const version = yield* checkHello(dialler);
+  const accepter = makeHello();
+  socket.write(encodeFrame([accepter]));
+  const link: Transcript = { dialler, accepter, version };
+  const proof = yield* reader.next();
+  const theirs = proof.subarray(PROOF_BYTES);
+  const peer = yield* checkProof(
+    proof,
+    (identity) => proofOf(key, "dialler", [dialler, accepter, identity]),
+  );
+  const own = encodeItem(options.self);
+  const answer = proofOf(key, "accepter", [dialler, accepter, theirs, own]);
+  socket.write(encodeFrame([answer, own]));
+  return {
+    peer: peer.name,
+    incarnation: peer.incarnation,
+    version,
+    sealer: new Sealer(sessionKey(key, "accepter", link)),
+    opener: new Opener(sessionKey(key, "dialler", link)),
+  };
+});
--- /dev/null
+++ b/packages/coordination/src/connection/link_message.ts
@@ -0,0 +1,158 @@
+/**
+ * Messages on a link.
+ *
+ * On the wire each is a CBOR array that starts with its kind, since at the
+ * planned size the names of fields would take a good part of a daemon's control
+ * traffic.
+ *
+ * @module
+ */
+import type { Buffer } from "node:buffer";
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+import { decodeItem, encodeItem } from "../process/codec.ts";
+import type { LinkClosed } from "./frame.ts";
+import { linkClosed } from "./frame.ts";
+
+/** A message that is not answered. */
+export interface Send {
+  readonly kind: "send";
+  readonly channel: string;
+  readonly body: unknown;
+}
+
+/** A message whose handler's result goes back as {@linkcode Answer}. */
+export interface Request {
+  readonly kind: "request";
+  readonly id: number;
+  readonly channel: string;
+  readonly body: unknown;
+}
+
+/** What the handler of a request returned. */
+export interface Answer {
+  readonly kind: "answer";
+  readonly id: number;
+  readonly body: unknown;
+}
+
+/** Why a request has no answer. */
+export type FailureReason = "no-handler" | "busy" | "handler-failed";
+
+/** A request that was refused, or whose handler failed. */
+export interface Failure {
+  readonly kind: "failure";
+  readonly id: number;
+  readonly reason: FailureReason;
+}
+
+/** The requester no longer waits; the handler is interrupted. */
+export interface Cancel {
+  readonly kind: "cancel";
+  readonly id: number;
+}
+
+/** Says that this end is there, and carries its digest. */
+export interface Heartbeat {
+  readonly kind: "heartbeat";
+  readonly digest: unknown;
+}
+
+/** The sender closes the link in good order. */
+export interface Goodbye {
+  readonly kind: "goodbye";
+}
+
+/** Any message on a link. */
+export type LinkMessage =
+  | Send
+  | Request
+  | Answer
+  | Failure
+  | Cancel
+  | Heartbeat
+  | Goodbye;
+
+const KIND = {
+  send: 0,
+  request: 1,
+  answer: 2,
+  failure: 3,
+  cancel: 4,
+  heartbeat: 5,
+  goodbye: 6,
+} as const;
+
+const FAILURES: readonly FailureReason[] = [
+  "no-handler",
+  "busy",
+  "handler-failed",
+];
+
+function fieldsOf(message: LinkMessage): readonly unknown[] {
+  switch (message.kind) {
+    case "send":
+      return [message.channel, message.body];
+    case "request":
+      return [message.id, message.channel, message.body];
+    case "answer":
+      return [message.id, message.body];
+    case "failure":
+      return [message.id, FAILURES.indexOf(message.reason)];
+    case "cancel":
+      return [message.id];
+    case "heartbeat":
+      return [message.digest];
+    case "goodbye":
+      return [];
+  }
+}
+
+/** Encodes a message as the payload of a frame. */
+export function encodeLinkMessage(message: LinkMessage): Buffer {
+  return encodeItem([KIND[message.kind], ...fieldsOf(message)]);
+}
+
+function isId(value: unknown): value is number {
+  return Number.isSafeInteger(value);
+}
+
+function parse(item: readonly unknown[]): LinkMessage | undefined {
+  const [kind, first, second, third] = item;
+  switch (kind) {
+    case KIND.send:
+      if (typeof first !== "string") return undefined;
+      return { kind: "send", channel: first, body: second };
+    case KIND.request:
+      if (!isId(first) || typeof second !== "string") return undefined;
+      return { kind: "request", id: first, channel: second, body: third };
+    case KIND.answer:
+      return isId(first)
+        ? { kind: "answer", id: first, body: second }
+        : undefined;
+    case KIND.failure: {
+      const reason = FAILURES[Number(second)];
+      if (!isId(first) || reason === undefined) return undefined;
+      return { kind: "failure", id: first, reason };
+    }
+    case KIND.cancel:
+      return isId(first) ? { kind: "cancel", id: first } : undefined;
+    case KIND.heartbeat:
+      return { kind: "heartbeat", digest: first };
+    case KIND.goodbye:
+      return { kind: "goodbye" };
+    default:
+      return undefined;
+  }
+}
+
+/** Decodes the payload of an authentic frame. */
+export function decodeLinkMessage(
+  payload: Uint8Array,
+): Result<LinkMessage, LinkClosed> {
+  const decoded = decodeItem(payload);
+  if (decoded.isErr()) return err(linkClosed("malformed"));
+  if (!Array.isArray(decoded.value)) return err(linkClosed("malformed"));
+  const message = parse(decoded.value);
+  return message === undefined ? err(linkClosed("malformed")) : ok(message);
+}
--- /dev/null
+++ b/packages/coordination/src/connection/linked_peers.ts
@@ -0,0 +1,240 @@
+/**
+ * Links to all members, dialled when they are needed.
+ *
+ * @module
+ */
+import type { Socket } from "node:net";
+import * as Effect from "effect/Effect";
+import * as Scope from "effect/Scope";
+import type { Clock } from "../process/clock.ts";
+import type { Endpoint, ListenFailed } from "./dial.ts";
+import { listen } from "./dial.ts";
+import { FrameReader, linkClosed } from "./frame.ts";
+import type { Identity } from "./handshake.ts";
+import { acceptHandshake, HANDSHAKE_LIMIT } from "./handshake.ts";
+import { Link } from "./link.ts";
+import type { LinkHost } from "./link.ts";
+import type { LinkSettings } from "./link_settings.ts";
+import { Peer } from "./peer.ts";
+import type { PeerHost } from "./peer.ts";
+import type {
+  MessageHandler,
+  Peers,
+  PeerUnreachable,
+} from "../process/peers.ts";
+import { peerUnreachable } from "../process/peers.ts";
+
+/** What is known of the state of this process and its peers. */
+export interface Digest {
+  /** A small CBOR value that rides on heartbeats and probes. */
+  read(): unknown;
+  /** Takes in the digest of another member; must not throw. */
+  receive(from: string, digest: unknown): void;
+}
+
+/** A digest that says nothing. */
+export const NO_DIGEST: Digest = { read: () => null, receive: () => {} };
+
+/** What links need. */
+export interface LinkedPeersOptions {
+  /** Where to listen; port 0 takes a free one. */
+  readonly endpoint: Endpoint;
+  /** The key that all members share. */
+  readonly key: Uint8Array;
+  readonly settings: LinkSettings;
+  readonly clock: Clock;
+  readonly digest: Digest;
+  /** This process, as it is now. */
+  self(): Identity;
+  /** Where a member listens; undefined for a name that is not known. */
+  resolve(name: string): Endpoint | undefined;
+}
+
+/** Messages between members over TCP. */
+export class LinkedPeers implements Peers {
+  readonly #options: LinkedPeersOptions;
+  readonly #scope: Scope.Scope;
+  readonly #peers = new Map<string, Peer>();
+  readonly #handlers = new Map<string, MessageHandler>();
+  readonly #listeners = new Set<
+    (peer: string, state: "up" | "down") => void
+  >();
+  readonly #host: PeerHost;
+  #handshakes = 0;
+
+  /** @internal Use {@linkcode LinkedPeers.make}. */
+  constructor(options: LinkedPeersOptions, scope: Scope.Scope) {
+    this.#options = options;
+    this.#scope = scope;
+    const linkHost: LinkHost = {
+      clock: options.clock,
+      settings: options.settings,
+      handlers: this.#handlers,
+      scope,
+      digest: () => options.digest.read(),
+      receiveDigest: (from, digest) => options.digest.receive(from, digest),
+    };
+    this.#host = {
+      ...linkHost,
+      key: options.key,
+      self: () => options.self(),
+      resolve: (name) => options.resolve(name),
+      changed: (peer, state) => {
+        for (const listener of [...this.#listeners]) listener(peer, state);
+      },
+    };
+  }
+
+  /** Listens, and keeps links until the scope closes. */
+  static readonly make = Effect.fnUntraced(function* (
+    options: LinkedPeersOptions,
+  ): Effect.fn.Return<
+    { readonly peers: LinkedPeers; readonly endpoint: Endpoint },
+    ListenFailed,
+    Scope.Scope
+  > {
+    const scope = yield* Effect.scope;
+    const peers = new LinkedPeers(options, scope);
+    const fork = Effect.runForkWith(yield* Effect.context());
+    const endpoint = yield* listen(options.endpoint, (socket) => {
+      fork(peers.#accept(socket).pipe(Effect.forkIn(scope)));
+    });
+    yield* Effect.addFinalizer(() => Effect.sync(() => peers.#stop()));
+    yield* peers.#sweep().pipe(Effect.forkScoped);
+    return { peers, endpoint };
+  });
+
+  /** Sends without waiting for an answer. */
+  send(to: string, channel: string, message: unknown): boolean {
+    if (to === this.#options.self().name) {
+      const handler = this.#handlers.get(channel);
+      if (handler === undefined) return false;
+      const run = Effect.suspend(() => handler(to, message));
+      Effect.runFork(run.pipe(Effect.forkIn(this.#scope)));
+      return true;
+    }
+    return this.#peer(to).send({ kind: "send", channel, body: message });
+  }
+
+  /** Sends and waits for the answer of the other end's handler. */
+  request(
+    to: string,
+    message: { readonly channel: string; readonly body: unknown },
+    options: { readonly timeoutMs: number },
+  ): Effect.Effect<unknown, PeerUnreachable> {
+    return Effect.suspend(() =>
+      to === this.#options.self().name
+        ? this.#requestSelf(message)
+        : this.#requestPeer(to, message)
+    ).pipe(
+      Effect.timeoutOrElse({
+        duration: options.timeoutMs,
+        orElse: () => Effect.fail(peerUnreachable(to, "timeout")),
+      }),
+    );
+  }
+
+  /** Sets the handler of a channel. */
+  handle(channel: string, handler: MessageHandler): void {
+    if (this.#handlers.has(channel)) {
+      throw new Error(`Cannot handle channel "${channel}": it has a handler`);
+    }
+    this.#handlers.set(channel, handler);
+  }
+
+  /** Calls the listener when a link goes up or down. */
+  subscribe(
+    listener: (peer: string, state: "up" | "down") => void,
+  ): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  #peer(name: string): Peer {
+    const known = this.#peers.get(name);
+    if (known !== undefined) return known;
+    const peer = new Peer(name, this.#host);
+    this.#peers.set(name, peer);
+    return peer;
+  }
+
+  #requestPeer(
+    to: string,
+    message: { readonly channel: string; readonly body: unknown },
+  ): Effect.Effect<unknown, PeerUnreachable> {
+    return this.#peer(to).link().pipe(
+      Effect.flatMap((link) => link.request(message.channel, message.body)),
+    );
+  }
+
+  #requestSelf(
+    message: { readonly channel: string; readonly body: unknown },
+  ): Effect.Effect<unknown, PeerUnreachable> {
+    const self = this.#options.self().name;
+    const handler = this.#handlers.get(message.channel);
+    if (handler === undefined) {
+      return Effect.fail(peerUnreachable(self, "refused"));
+    }
+    return handler(self, message.body).pipe(
+      Effect.catchDefect(() =>
+        Effect.fail(peerUnreachable(self, "handler-failed"))
+      ),
+    );
+  }
+
+  /** The task of a connection that another member dialled. */
+  #accept(socket: Socket): Effect.Effect<void> {
+    const { settings, key } = this.#options;
+    // A stranger that connects and says nothing holds a place for the dial
+    // timeout only, and no more than this many can at once.
+    if (this.#handshakes >= settings.maxHandshakes) {
+      return Effect.sync(() => socket.destroy());
+    }
+    this.#handshakes += 1;
+    const reader = new FrameReader(socket, HANDSHAKE_LIMIT);
+    const self = this.#options.self();
+    return acceptHandshake({ socket, reader, key, self }).pipe(
+      Effect.timeoutOrElse({
+        duration: settings.dialTimeoutMs,
+        orElse: () => Effect.fail(linkClosed("silent", "handshake")),
+      }),
+      Effect.ensuring(Effect.sync(() => {
+        this.#handshakes -= 1;
+      })),
+      Effect.flatMap((session) => {
+        const dialler = session.peer;
+        const link = new Link(this.#host, { socket, session, dialler });
+        return this.#peer(session.peer).serve(link, reader);
+      }),
+      Effect.ensuring(Effect.sync(() => socket.destroy())),
+      Effect.ignore,
+    );
+  }
+
+  /** Heartbeats, silence and idleness of all links, in one task. */
+  #sweep(): Effect.Effect<never> {
+    const { clock, settings } = this.#options;
+    const intervalMs = settings.heartbeatMs / 2;
+    let last = clock.monotonic();
+    const once = Effect.sync(() => {
+      const now = clock.monotonic();
+      // After a pause of this very process every link looks silent, though
+      // what the others sent meanwhile waits unread in the sockets.
+      const paused = now - last > settings.silentMs / 2;
+      last = now;
+      for (const [name, peer] of this.#peers) {
+        if (paused) peer.forgiveSilence();
+        peer.tick();
+        if (peer.disposable) this.#peers.delete(name);
+      }
+    });
+    return Effect.sleep(intervalMs).pipe(
+      Effect.andThen(once),
+      Effect.forever,
+    );
+  }
+
+  #stop(): void {
+    for (const peer of this.#peers.values()) peer.stop();
+  }
+}
--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -3,8 +3,24 @@
  *
  * @module
  */
+export { DEFAULT_LINK_SETTINGS } from "./connection/link_settings.ts";
+export type { LinkSettings } from "./connection/link_settings.ts";
+export { NO_DIGEST } from "./connection/linked_peers.ts";
+export type { Digest } from "./connection/linked_peers.ts";
+export type { Endpoint, ListenFailed } from "./connection/dial.ts";
+export { startNode } from "./node.ts";
+export type { CoordinationNode, NodeOptions } from "./node.ts";
 export { SYSTEM_CLOCK } from "./process/clock.ts";
 export type { Clock } from "./process/clock.ts";
+export { fixedHostList, readHosts } from "./process/host_list.ts";
+export type {
+  Host,
+  HostFinding,
+  HostList,
+  HostReading,
+} from "./process/host_list.ts";
+export { followHostList } from "./process/host_list_client.ts";
+export type { HostListClientOptions } from "./process/host_list_client.ts";
 export type {
   Member,
   Membership,
@@ -19,6 +35,7 @@
   StoreEvent,
   Unavailable,
 } from "./process/store.ts";
+export { peerUnreachable } from "./process/peers.ts";
 export type {
   MessageHandler,
   Peers,
--- /dev/null
+++ b/packages/coordination/src/process/host_list_client.ts
@@ -0,0 +1,216 @@
+/**
+ * The host list over HTTP, by long polls.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import { Agent, get } from "node:http";
+import type { IncomingMessage } from "node:http";
+import * as Effect from "effect/Effect";
+import * as Random from "effect/Random";
+import type { Scope } from "effect/Scope";
+import type { Host, HostFinding, HostList } from "./host_list.ts";
+import { readHosts } from "./host_list.ts";
+
+/** How the platform is asked for its hosts. */
+export interface HostListClientOptions {
+  /** Base URL of the platform, such as `http://10.0.0.1:8080`. */
+  readonly url: string;
+  /** Hosts to go by until the platform has answered. Default: none. */
+  readonly initial?: readonly Host[];
+  /** How long the platform may hold a poll, in milliseconds. Default 30,000. */
+  readonly waitMs?: number;
+  /**
+   * Pause between two polls, in milliseconds. Default 1,000. Many hosts that
+   * change at once then cost a few polls instead of one each.
+   */
+  readonly pauseMs?: number;
+  /** Told of hosts that cannot be read. */
+  readonly onFindings?: (findings: readonly HostFinding[]) => void;
+  /** Told when the platform stops or starts answering. */
+  readonly onCurrent?: (current: boolean, reason: string) => void;
+}
+
+/** The platform did not answer a poll, or not with a list. */
+interface PollFailed {
+  readonly _tag: "PollFailed";
+  readonly reason: string;
+  /** The revision asked from is too old. */
+  readonly gone: boolean;
+}
+
+interface HostAnswer {
+  readonly revision: number;
+  readonly hosts: readonly unknown[];
+}
+
+const DEFAULT_WAIT_MS = 30_000;
+const DEFAULT_PAUSE_MS = 1000;
+const MIN_BACKOFF_MS = 200;
+const MAX_BACKOFF_MS = 10_000;
+/** Beyond the wait: an answer that is later never comes. */
+const ANSWER_MARGIN_MS = 5000;
+const MAX_BODY_BYTES = 16 * 1024 * 1024;
+const HTTP_OK = 200;
+const HTTP_GONE = 410;
+
+function pollFailed(reason: string, gone = false): PollFailed {
+  return { _tag: "PollFailed", reason, gone };
+}
+
+function isAnswer(value: unknown): value is HostAnswer {
+  if (typeof value !== "object" || value === null) return false;
+  const { revision, hosts } = value as Partial<HostAnswer>;
+  return Number.isSafeInteger(revision) && Array.isArray(hosts);
+}
+
+function parseAnswer(text: string): Effect.Effect<HostAnswer, PollFailed> {
+  try {
+    const value: unknown = JSON.parse(text);
+    if (isAnswer(value)) return Effect.succeed(value);
+  } catch {
+    // Reported below, like any other answer that is no list.
+  }
+  return Effect.fail(pollFailed("answer is no host list"));
+}
+
+function collect(
+  response: IncomingMessage,
+  resume: (result: Effect.Effect<HostAnswer, PollFailed>) => void,
+): void {
+  const status = response.statusCode ?? 0;
+  if (status !== HTTP_OK) {
+    response.resume();
+    resume(Effect.fail(pollFailed(`status ${status}`, status === HTTP_GONE)));
+    return;
+  }
+  const chunks: Buffer[] = [];
+  let bytes = 0;
+  response.on("data", (chunk: Buffer) => {
+    bytes += chunk.length;
+    if (bytes > MAX_BODY_BYTES) response.destroy(new Error("answer too large"));
+    else chunks.push(chunk);
+  });
+  response.on("error", (error) => {
+    resume(Effect.fail(pollFailed(error.message)));
+  });
+  response.on("end", () => {
+    resume(parseAnswer(Buffer.concat(chunks).toString("utf8")));
+  });
+}
+
+function poll(url: URL, agent: Agent): Effect.Effect<HostAnswer, PollFailed> {
+  return Effect.callback((resume) => {
+    const request = get(url, { agent }, (response) => {
+      collect(response, resume);
+    });
+    request.on("error", (error) => {
+      resume(Effect.fail(pollFailed(error.message)));
+    });
+    return Effect.sync(() => request.destroy());
+  });
+}
+
+class PolledHostList implements HostList {
+  readonly #options: HostListClientOptions;
+  readonly #agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  readonly #listeners = new Set<(hosts: readonly Host[]) => void>();
+  #hosts: readonly Host[];
+  #revision: number | undefined;
+  #current = false;
+
+  constructor(options: HostListClientOptions) {
+    this.#options = options;
+    this.#hosts = options.initial ?? [];
+  }
+
+  hosts(): readonly Host[] {
+    return this.#hosts;
+  }
+
+  current(): boolean {
+    return this.#current;
+  }
+
+  subscribe(listener: (hosts: readonly Host[]) => void): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  /** Polls for ever, straight down. */
+  readonly run = Effect.fnUntraced(
+    { self: this },
+    function* (): Effect.fn.Return<never> {
+      let backoffMs = MIN_BACKOFF_MS;
+      while (true) {
+        const failure = yield* this.#pollOnce();
+        if (failure === undefined) {
+          backoffMs = MIN_BACKOFF_MS;
+          yield* Effect.sleep(this.#options.pauseMs ?? DEFAULT_PAUSE_MS);
+          continue;
+        }
+        if (failure.gone) this.#revision = undefined;
+        this.#setCurrent(false, failure.reason);
+        // Spread, so that the fleet does not come back in one moment.
+        yield* Effect.sleep(
+          yield* Random.nextBetween(backoffMs / 2, backoffMs),
+        );
+        backoffMs = Math.min(backoffMs * 2, MAX_BACKOFF_MS);
+      }
+    },
+  );
+
+  #pollOnce(): Effect.Effect<PollFailed | undefined> {
+    const waitMs = this.#options.waitMs ?? DEFAULT_WAIT_MS;
+    const url = new URL("/hosts", this.#options.url);
+    if (this.#revision !== undefined) {
+      url.searchParams.set("from", String(this.#revision));
+      url.searchParams.set("wait", String(waitMs));
+    }
+    return poll(url, this.#agent).pipe(
+      Effect.timeoutOrElse({
+        duration: waitMs + ANSWER_MARGIN_MS,
+        orElse: () => Effect.fail(pollFailed("no answer")),
+      }),
+      Effect.match({
+        onFailure: (failure) => failure,
+        onSuccess: (answer) => this.#accept(answer),
+      }),
+    );
+  }
+
+  #accept(answer: HostAnswer): undefined {
+    this.#setCurrent(true, "answered");
+    if (answer.revision === this.#revision) return;
+    this.#revision = answer.revision;
+    const { hosts, findings } = readHosts(answer.hosts);
+    if (findings.length > 0) this.#options.onFindings?.(findings);
+    this.#hosts = hosts;
+    for (const listener of [...this.#listeners]) listener(hosts);
+  }
+
+  #setCurrent(current: boolean, reason: string): void {
+    if (this.#current === current) return;
+    this.#current = current;
+    this.#options.onCurrent?.(current, reason);
+  }
+}
+
+/**
+ * Follows the platform's host list until the scope closes. Returns at once; the
+ * list is that of `initial` until the platform has answered, and keeps what it
+ * has while the platform is down.
+ *
+ * @example
+ * ```ts
+ * const list = yield* followHostList({ url: "http://10.0.0.1:8080" });
+ * list.subscribe((hosts) => console.log(hosts.length));
+ * ```
+ */
+export const followHostList = Effect.fnUntraced(function* (
+  options: HostListClientOptions,
+): Effect.fn.Return<HostList, never, Scope> {
+  const list = new PolledHostList(options);
+  yield* list.run().pipe(Effect.forkScoped);
+  return list;
+});
--- a/packages/coordination/src/process/peers.ts
+++ b/packages/coordination/src/process/peers.ts
@@ -5,11 +5,27 @@
  */
 import type * as Effect from "effect/Effect";
 
-/** A message could not be sent, or its answer did not come. */
+/**
+ * A message could not be sent, or its answer did not come. After `no-link` and
+ * `refused` the handler has not run; after the others it may have.
+ */
 export interface PeerUnreachable {
   readonly _tag: "PeerUnreachable";
   readonly peer: string;
-  readonly reason: "no-link" | "timeout" | "closed" | "refused";
+  readonly reason:
+    | "no-link"
+    | "timeout"
+    | "closed"
+    | "refused"
+    | "handler-failed";
+}
+
+/** Makes a {@linkcode PeerUnreachable}. */
+export function peerUnreachable(
+  peer: string,
+  reason: PeerUnreachable["reason"],
+): PeerUnreachable {
+  return { _tag: "PeerUnreachable", peer, reason };
 }
 
 /** Receives the messages of one channel. */
--- /dev/null
+++ b/packages/coordination/src/process/result.ts
@@ -0,0 +1,21 @@
+/**
+ * The one adapter from neverthrow's results to effects.
+ *
+ * @module
+ */
+import * as Effect from "effect/Effect";
+import type { Result } from "neverthrow";
+
+/**
+ * Turns a result into an effect that succeeds or fails alike.
+ *
+ * @example
+ * ```ts
+ * const value = yield* fromResult(decodeItem(bytes));
+ * ```
+ */
+export function fromResult<A, E>(result: Result<A, E>): Effect.Effect<A, E> {
+  return result.isOk()
+    ? Effect.succeed(result.value)
+    : Effect.fail(result.error);
+}
--- /dev/null
+++ b/packages/coordination/tests/link_fixture.ts
@@ -0,0 +1,68 @@
+/**
+ * Two ends of links, for tests.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import * as Effect from "effect/Effect";
+import type { Scope } from "effect/Scope";
+import type { Endpoint, ListenFailed } from "../src/connection/dial.ts";
+import { LinkedPeers, NO_DIGEST } from "../src/connection/linked_peers.ts";
+import type { Digest } from "../src/connection/linked_peers.ts";
+import { DEFAULT_LINK_SETTINGS } from "../src/connection/link_settings.ts";
+import type { LinkSettings } from "../src/connection/link_settings.ts";
+import type { Peers } from "../src/process/peers.ts";
+import { SYSTEM_CLOCK } from "../src/process/clock.ts";
+import type { Clock } from "../src/process/clock.ts";
+
+export const TEST_KEY = Buffer.from("a key for tests only");
+
+export interface EndOptions {
+  readonly name: string;
+  readonly key?: Uint8Array;
+  readonly incarnation?: number;
+  readonly port?: number;
+  readonly settings?: Partial<LinkSettings>;
+  readonly clock?: Clock;
+  readonly digest?: Digest;
+  readonly resolve?: (name: string) => Endpoint | undefined;
+}
+
+/** One end that listens on a free port of the loopback interface. */
+export function linkEnd(options: EndOptions): Effect.Effect<
+  { readonly peers: LinkedPeers; readonly endpoint: Endpoint },
+  ListenFailed,
+  Scope
+> {
+  const { name, incarnation = 1 } = options;
+  return LinkedPeers.make({
+    endpoint: { address: "127.0.0.1", port: options.port ?? 0 },
+    key: options.key ?? TEST_KEY,
+    settings: { ...DEFAULT_LINK_SETTINGS, ...options.settings },
+    clock: options.clock ?? SYSTEM_CLOCK,
+    digest: options.digest ?? NO_DIGEST,
+    self: () => ({ name, incarnation }),
+    resolve: options.resolve ?? (() => undefined),
+  });
+}
+
+export interface PairOptions {
+  readonly settings?: Partial<LinkSettings>;
+  readonly bKnowsA?: boolean;
+  readonly onA?: (peers: Peers) => void;
+  readonly onB?: (peers: Peers) => void;
+}
+
+/** Ends "a" and "b" that know each other's address. */
+export const linkPair = Effect.fnUntraced(function* (options: PairOptions) {
+  const known = new Map<string, Endpoint>();
+  const resolve = (name: string) => known.get(name);
+  const settings = options.settings ?? {};
+  const a = yield* linkEnd({ name: "a", settings, resolve });
+  const b = yield* linkEnd({ name: "b", settings, resolve });
+  if (options.bKnowsA !== false) known.set("a", a.endpoint);
+  known.set("b", b.endpoint);
+  options.onA?.(a.peers);
+  options.onB?.(b.peers);
+  return { a: a.peers, b: b.peers };
+});
