Probe members over UDP and believe those that answer

Cause: the platform's list lags by seconds and is down at times, so it cannot say who answers. Change: SWIM probing with Lifeguard's suspicion and local health over authenticated datagrams; self-announced leaving; refutation; removed members probed again at a constant low rate; a later start on an address ends the earlier one; unlisted holders of the key take part; a digest on each probe.

--- a/packages/coordination/src/connection/dial.ts
+++ b/packages/coordination/src/connection/dial.ts
@@ -7,34 +7,11 @@
 import type { AddressInfo, Server, Socket } from "node:net";
 import * as Effect from "effect/Effect";
 import type { Scope } from "effect/Scope";
+import type { Endpoint, ListenFailed } from "../process/endpoint.ts";
+import { listenFailed } from "../process/endpoint.ts";
 import type { LinkClosed } from "./frame.ts";
 import { linkClosed } from "./frame.ts";
 
-/** Where a member listens. */
-export interface Endpoint {
-  /** IP address. */
-  readonly address: string;
-  readonly port: number;
-}
-
-/** The address or port cannot be listened on. */
-export interface ListenFailed {
-  readonly _tag: "ListenFailed";
-  readonly endpoint: Endpoint;
-  readonly message: string;
-}
-
-/** Makes a {@linkcode ListenFailed}. */
-export function listenFailed(
-  endpoint: Endpoint,
-  cause: Error,
-): ListenFailed {
-  const { address, port } = endpoint;
-  const message =
-    `Cannot listen on "${address}" port ${port}: ${cause.message}`;
-  return { _tag: "ListenFailed", endpoint, message };
-}
-
 /** Connects; interrupting destroys the socket. */
 export function dial(endpoint: Endpoint): Effect.Effect<Socket, LinkClosed> {
   return Effect.callback((resume) => {
--- a/packages/coordination/src/connection/linked_peers.ts
+++ b/packages/coordination/src/connection/linked_peers.ts
@@ -7,7 +7,8 @@
 import * as Effect from "effect/Effect";
 import * as Scope from "effect/Scope";
 import type { Clock } from "../process/clock.ts";
-import type { Endpoint, ListenFailed } from "./dial.ts";
+import type { Digest } from "../process/digest.ts";
+import type { Endpoint, ListenFailed } from "../process/endpoint.ts";
 import { listen } from "./dial.ts";
 import { FrameReader, linkClosed } from "./frame.ts";
 import type { Identity } from "./handshake.ts";
@@ -24,17 +25,6 @@
 } from "../process/peers.ts";
 import { peerUnreachable } from "../process/peers.ts";
 
-/** What is known of the state of this process and its peers. */
-export interface Digest {
-  /** A small CBOR value that rides on heartbeats and probes. */
-  read(): unknown;
-  /** Takes in the digest of another member; must not throw. */
-  receive(from: string, digest: unknown): void;
-}
-
-/** A digest that says nothing. */
-export const NO_DIGEST: Digest = { read: () => null, receive: () => {} };
-
 /** What links need. */
 export interface LinkedPeersOptions {
   /** Where to listen; port 0 takes a free one. */
--- a/packages/coordination/src/connection/peer.ts
+++ b/packages/coordination/src/connection/peer.ts
@@ -5,7 +5,7 @@
  */
 import type { Socket } from "node:net";
 import * as Effect from "effect/Effect";
-import type { Endpoint } from "./dial.ts";
+import type { Endpoint } from "../process/endpoint.ts";
 import { dial } from "./dial.ts";
 import { FrameReader, linkClosed } from "./frame.ts";
 import type { LinkClosed } from "./frame.ts";
--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -5,13 +5,13 @@
  */
 export { DEFAULT_LINK_SETTINGS } from "./connection/link_settings.ts";
 export type { LinkSettings } from "./connection/link_settings.ts";
-export { NO_DIGEST } from "./connection/linked_peers.ts";
-export type { Digest } from "./connection/linked_peers.ts";
-export type { Endpoint, ListenFailed } from "./connection/dial.ts";
 export { startNode } from "./node.ts";
 export type { CoordinationNode, NodeOptions } from "./node.ts";
 export { SYSTEM_CLOCK } from "./process/clock.ts";
 export type { Clock } from "./process/clock.ts";
+export { NO_DIGEST } from "./process/digest.ts";
+export type { Digest } from "./process/digest.ts";
+export type { Endpoint, ListenFailed } from "./process/endpoint.ts";
 export { fixedHostList, readHosts } from "./process/host_list.ts";
 export type {
   Host,
@@ -21,6 +21,16 @@
 } from "./process/host_list.ts";
 export { followHostList } from "./process/host_list_client.ts";
 export type { HostListClientOptions } from "./process/host_list_client.ts";
+export type {
+  DoubtRefuted,
+  MemberChanged,
+  MembershipEvent,
+  ProcessPaused,
+  StartOutdated,
+} from "./process/membership_event.ts";
+export type { Health } from "./process/membership_record.ts";
+export { DEFAULT_PROBE_SETTINGS } from "./process/membership_settings.ts";
+export type { ProbeSettings } from "./process/membership_settings.ts";
 export type {
   Member,
   Membership,
--- a/packages/coordination/src/node.ts
+++ b/packages/coordination/src/node.ts
@@ -5,27 +5,36 @@
  */
 import { Buffer } from "node:buffer";
 import * as Effect from "effect/Effect";
-import type { Scope } from "effect/Scope";
-import type { Endpoint, ListenFailed } from "./connection/dial.ts";
-import { LinkedPeers, NO_DIGEST } from "./connection/linked_peers.ts";
-import type { Digest } from "./connection/linked_peers.ts";
+import * as Exit from "effect/Exit";
+import * as Scope from "effect/Scope";
+import { LinkedPeers } from "./connection/linked_peers.ts";
 import { DEFAULT_LINK_SETTINGS } from "./connection/link_settings.ts";
 import type { LinkSettings } from "./connection/link_settings.ts";
 import type { Peers } from "./process/peers.ts";
 import { SYSTEM_CLOCK } from "./process/clock.ts";
 import type { Clock } from "./process/clock.ts";
+import { NO_DIGEST } from "./process/digest.ts";
+import type { Digest } from "./process/digest.ts";
+import type { Endpoint, ListenFailed } from "./process/endpoint.ts";
 import type { HostList } from "./process/host_list.ts";
-import { ListedMembership } from "./process/membership_listed.ts";
-import type { Member, Membership } from "./process/membership.ts";
+import type { MembershipEvent } from "./process/membership_event.ts";
+import { ProbedMembership } from "./process/membership_probed.ts";
+import { DEFAULT_PROBE_SETTINGS } from "./process/membership_settings.ts";
+import type { ProbeSettings } from "./process/membership_settings.ts";
+import { openUdp } from "./process/membership_transport.ts";
+import type { ProbeTransport } from "./process/membership_transport.ts";
+import type { Membership } from "./process/membership.ts";
 
 /** How this process takes part. */
 export interface NodeOptions {
   /** Unique over the deployment. */
   readonly name: string;
-  /** IP address to listen on, which others dial. */
+  /** IP address that others dial. */
   readonly address: string;
-  /** Port for TCP and UDP; 0 takes a free one. */
+  /** Port that others dial, TCP and UDP; 0 takes a free one. */
   readonly port: number;
+  /** Where to listen, if that differs from what others dial. */
+  readonly listen?: Endpoint;
   readonly region: string;
   readonly failureDomain: string;
   /**
@@ -40,7 +49,10 @@
   /** Rides on heartbeats and probes. Default: nothing. */
   readonly digest?: Digest;
   readonly links?: Partial<LinkSettings>;
+  readonly probes?: Partial<ProbeSettings>;
   readonly clock?: Clock;
+  /** Told of each change of membership that is worth a log line. */
+  readonly onEvent?: (event: MembershipEvent) => void;
 }
 
 /** A process that takes part. */
@@ -71,38 +83,79 @@
  */
 export const startNode = Effect.fnUntraced(function* (
   options: NodeOptions,
-): Effect.fn.Return<CoordinationNode, ListenFailed, Scope> {
+): Effect.fn.Return<CoordinationNode, ListenFailed, Scope.Scope> {
   const clock = options.clock ?? SYSTEM_CLOCK;
+  const key = Buffer.from(options.key);
+  const digest = options.digest ?? NO_DIGEST;
   const incarnation = options.incarnation ?? Math.floor(clock.now());
   const { name, address, region, failureDomain, hostList } = options;
-  const endpoints = new Map<string, Endpoint>();
-  const started = yield* LinkedPeers.make({
-    endpoint: { address, port: options.port },
-    key: Buffer.from(options.key),
+  // Links find members through the membership, which needs their port first.
+  const late: { membership?: ProbedMembership } = {};
+  const { peers, transport, port } = yield* listenTwice(options, {
+    key,
     settings: { ...DEFAULT_LINK_SETTINGS, ...options.links },
     clock,
-    digest: options.digest ?? NO_DIGEST,
-    self: () => ({ name, incarnation }),
-    resolve: (peer) => endpoints.get(peer),
+    digest,
+    self: () => late.membership?.self ?? { name, incarnation },
+    resolve: (peer) => late.membership?.member(peer),
   });
-  const { port } = started.endpoint;
-  const self: Member = {
-    name,
-    address,
-    port,
-    region,
-    failureDomain,
-    incarnation,
-  };
-  const membership = new ListedMembership(self, hostList);
-  const index = () => {
-    endpoints.clear();
-    for (const { member } of membership.view().members) {
-      endpoints.set(member.name, member);
-    }
-  };
-  index();
-  membership.subscribe(index);
-  const leave = Effect.void;
-  return { peers: started.peers, membership, hostList, leave };
+  const membership = yield* ProbedMembership.make({
+    self: { name, address, port, region, failureDomain, incarnation },
+    hostList,
+    transport,
+    settings: { ...DEFAULT_PROBE_SETTINGS, ...options.probes },
+    clock,
+    digest,
+    key,
+    onEvent: options.onEvent ?? (() => {}),
+  });
+  late.membership = membership;
+  // A link that cannot be dialled again hints at a host that is gone; probing
+  // decides, since it may be just this link's path that is cut.
+  peers.subscribe((peer, state) => {
+    if (state === "down") membership.probeSoon(peer);
+  });
+  return { peers, membership, hostList, leave: membership.leave() };
 });
+
+interface Listeners {
+  readonly peers: LinkedPeers;
+  readonly transport: ProbeTransport;
+  /** What others dial. */
+  readonly port: number;
+}
+
+const PORT_ATTEMPTS = 10;
+
+/** Listens on TCP and UDP with one port number. */
+function listenTwice(
+  options: NodeOptions,
+  links: Omit<Parameters<typeof LinkedPeers.make>[0], "endpoint">,
+): Effect.Effect<Listeners, ListenFailed, Scope.Scope> {
+  const listen = options.listen ?? options;
+  const attempt = Effect.gen(function* () {
+    const endpoint = { address: listen.address, port: listen.port };
+    const tcp = yield* LinkedPeers.make({ ...links, endpoint });
+    const transport = yield* openUdp(tcp.endpoint);
+    const port = options.listen === undefined
+      ? tcp.endpoint.port
+      : options.port;
+    return { peers: tcp.peers, transport, port };
+  });
+  // A port that is free for TCP may be taken for UDP; then take another one.
+  const attempts = listen.port === 0 ? PORT_ATTEMPTS : 1;
+  return inOwnScope(attempt).pipe(Effect.retry({ times: attempts - 1 }));
+}
+
+/** Closes at once what a failed attempt opened, not only with the outer scope. */
+function inOwnScope<A, E>(
+  effect: Effect.Effect<A, E, Scope.Scope>,
+): Effect.Effect<A, E, Scope.Scope> {
+  return Effect.gen(function* () {
+    const outer = yield* Effect.scope;
+    const inner = yield* Scope.fork(outer);
+    return yield* Scope.provide(effect, inner).pipe(
+      Effect.onError((cause) => Scope.close(inner, Exit.failCause(cause))),
+    );
+  });
+}
--- /dev/null
+++ b/packages/coordination/src/process/membership_transport.ts
@@ -0,0 +1,74 @@
+/**
+ * Datagrams between members.
+ *
+ * @module
+ */
+import { createSocket } from "node:dgram";
+import type { Socket } from "node:dgram";
+import { isIPv6 } from "node:net";
+import * as Effect from "effect/Effect";
+import type { Scope } from "effect/Scope";
+import type { Endpoint, ListenFailed } from "./endpoint.ts";
+import { listenFailed } from "./endpoint.ts";
+
+/** Sends and receives datagrams, some of which get lost. */
+export interface ProbeTransport {
+  /** Sends without knowing whether it arrives. */
+  send(datagram: Uint8Array, to: Endpoint): void;
+  /** Sets the one listener. */
+  listen(listener: (datagram: Uint8Array) => void): void;
+}
+
+class UdpTransport implements ProbeTransport {
+  readonly #socket: Socket;
+  #sending = 0;
+  #onSent: (() => void) | undefined;
+
+  constructor(socket: Socket) {
+    this.#socket = socket;
+    // A send that fails is a datagram lost, which probing allows for; without a
+    // listener it would end the process.
+    socket.on("error", () => {});
+  }
+
+  send(datagram: Uint8Array, to: Endpoint): void {
+    this.#sending += 1;
+    this.#socket.send(datagram, to.port, to.address, () => {
+      this.#sending -= 1;
+      if (this.#sending === 0) this.#onSent?.();
+    });
+  }
+
+  listen(listener: (datagram: Uint8Array) => void): void {
+    this.#socket.on("message", listener);
+  }
+
+  /** Lets the last datagrams out, which say that this process is gone. */
+  close(): Effect.Effect<void> {
+    return Effect.callback((resume) => {
+      const end = () => this.#socket.close(() => resume(Effect.void));
+      if (this.#sending === 0) end();
+      else this.#onSent = end;
+    });
+  }
+}
+
+/** Receives datagrams at an endpoint until the scope closes. */
+export function openUdp(
+  endpoint: Endpoint,
+): Effect.Effect<ProbeTransport, ListenFailed, Scope> {
+  const open = Effect.callback<UdpTransport, ListenFailed>((resume) => {
+    const type = isIPv6(endpoint.address) ? "udp6" : "udp4";
+    const socket = createSocket({ type });
+    const fail = (error: Error) => {
+      socket.close();
+      resume(Effect.fail(listenFailed(endpoint, error)));
+    };
+    socket.once("error", fail);
+    socket.bind(endpoint.port, endpoint.address, () => {
+      socket.off("error", fail);
+      resume(Effect.succeed(new UdpTransport(socket)));
+    });
+  });
+  return Effect.acquireRelease(open, (transport) => transport.close());
+}
--- /dev/null
+++ b/packages/coordination/tests/fleet_fixture.ts
@@ -0,0 +1,285 @@
+/**
+ * Members on a network in memory, in the time of a test clock.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import * as Clock from "effect/Clock";
+import * as Effect from "effect/Effect";
+import * as Exit from "effect/Exit";
+import * as Random from "effect/Random";
+import * as Scope from "effect/Scope";
+import * as TestClock from "effect/testing/TestClock";
+import type { Clock as Clocks } from "../src/process/clock.ts";
+import { NO_DIGEST } from "../src/process/digest.ts";
+import type { Digest } from "../src/process/digest.ts";
+import type { Endpoint } from "../src/process/endpoint.ts";
+import type { Host, HostList } from "../src/process/host_list.ts";
+import type { MembershipEvent } from "../src/process/membership_event.ts";
+import type { Health } from "../src/process/membership_record.ts";
+import { ProbedMembership } from "../src/process/membership_probed.ts";
+import { DEFAULT_PROBE_SETTINGS } from "../src/process/membership_settings.ts";
+import type { ProbeSettings } from "../src/process/membership_settings.ts";
+import type { ProbeTransport } from "../src/process/membership_transport.ts";
+import type { Member } from "../src/process/membership.ts";
+
+export const FLEET_KEY = Buffer.from("a fleet of tests");
+
+const ADDRESS = "10.0.0.1";
+const FIRST_PORT = 7000;
+
+/** Whether a datagram is lost between two members. */
+export type Loss = (from: string, to: string) => boolean;
+
+/** A host list that the test sets. */
+export class SettableHostList implements HostList {
+  readonly #listeners = new Set<(hosts: readonly Host[]) => void>();
+  #hosts: readonly Host[] = [];
+
+  hosts(): readonly Host[] {
+    return this.#hosts;
+  }
+
+  current(): boolean {
+    return true;
+  }
+
+  subscribe(listener: (hosts: readonly Host[]) => void): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  set(hosts: readonly Host[]): void {
+    this.#hosts = hosts;
+    for (const listener of [...this.#listeners]) listener(hosts);
+  }
+}
+
+export function memberNamed(
+  name: string,
+  change: Partial<Member> = {},
+): Member {
+  return {
+    name,
+    address: ADDRESS,
+    port: FIRST_PORT + Number(name.replace(/\D/g, "")),
+    region: "kingston",
+    failureDomain: "portmore",
+    incarnation: 1,
+    ...change,
+  };
+}
+
+export function hostOf(member: Member, change: Partial<Host> = {}): Host {
+  return { ...member, role: "entry", state: "live", ...change };
+}
+
+interface Running {
+  readonly membership: ProbedMembership;
+  readonly scope: Scope.Closeable;
+}
+
+export interface FleetOptions {
+  readonly settings?: Partial<ProbeSettings>;
+  readonly latencyMs?: number;
+}
+
+/** Members that share a host list and a network. */
+export class Fleet {
+  readonly list = new SettableHostList();
+  readonly events: { readonly at: string; readonly event: MembershipEvent }[] =
+    [];
+  /** Loses nothing until a test says otherwise. */
+  loss: Loss = () => false;
+  datagrams = 0;
+  bytes = 0;
+  readonly #options: FleetOptions;
+  readonly #clock: Clocks;
+  readonly #scope: Scope.Scope;
+  readonly #running = new Map<string, Running>();
+  readonly #listeners = new Map<
+    string,
+    { readonly name: string; readonly receive: (datagram: Uint8Array) => void }
+  >();
+
+  constructor(options: FleetOptions, clock: Clock.Clock, scope: Scope.Scope) {
+    this.#options = options;
+    this.#scope = scope;
+    this.#clock = {
+      now: () => clock.currentTimeMillisUnsafe(),
+      monotonic: () => clock.currentTimeMillisUnsafe(),
+    };
+  }
+
+  get clock(): Clocks {
+    return this.#clock;
+  }
+
+  /** Lists members as live hosts. */
+  listAll(members: readonly Member[]): void {
+    this.list.set(members.map((member) => hostOf(member)));
+  }
+
+  readonly start = Effect.fnUntraced(
+    { self: this },
+    function* (
+      self: Member,
+      given: { readonly digest?: Digest; readonly hostList?: HostList } = {},
+    ): Effect.fn.Return<ProbedMembership> {
+      const scope = yield* Scope.fork(this.#scope);
+      const membership = yield* ProbedMembership.make({
+        self,
+        hostList: given.hostList ?? this.list,
+        transport: this.#attach(self),
+        settings: { ...DEFAULT_PROBE_SETTINGS, ...this.#options.settings },
+        clock: this.#clock,
+        digest: given.digest ?? NO_DIGEST,
+        key: FLEET_KEY,
+        onEvent: (event) => this.events.push({ at: self.name, event }),
+      }).pipe(Scope.provide(scope));
+      this.#running.set(self.name, { membership, scope });
+      return membership;
+    },
+  );
+
+  /** Starts listed members, all at once. */
+  readonly startAll = Effect.fnUntraced(
+    { self: this },
+    function* (members: readonly Member[]): Effect.fn.Return<void> {
+      this.listAll(members);
+      for (const member of members) yield* this.start(member);
+    },
+  );
+
+  /** Ends a member without a word. */
+  kill(name: string): Effect.Effect<void> {
+    return Effect.suspend(() => {
+      for (const [place, listener] of this.#listeners) {
+        if (listener.name === name) this.#listeners.delete(place);
+      }
+      return this.stop(name);
+    });
+  }
+
+  /** Ends a member in good order. */
+  stop(name: string): Effect.Effect<void> {
+    return Effect.suspend(() => {
+      const running = this.#running.get(name);
+      if (running === undefined) return Effect.void;
+      this.#running.delete(name);
+      return Scope.close(running.scope, Exit.void);
+    });
+  }
+
+  member(name: string): ProbedMembership {
+    const running = this.#running.get(name);
+    if (running === undefined) throw new Error(`Cannot find member "${name}"`);
+    return running.membership;
+  }
+
+  /** The view of a member: its names, with a state other than alive after "=". */
+  viewOf(name: string): string {
+    return this.member(name).view().members
+      .map(({ member, state }) =>
+        state === "alive" ? member.name : `${member.name}=${state}`
+      )
+      .join(" ");
+  }
+
+  /** The views of all running members. */
+  views(): readonly string[] {
+    return [...this.#running.keys()].map((name) => this.viewOf(name));
+  }
+
+  /** Each time that a member came to believe another removed. */
+  removals(): readonly string[] {
+    return this.#changesTo("removed");
+  }
+
+  /** Each time that a member came to believe another suspect. */
+  suspicions(): readonly string[] {
+    return this.#changesTo("suspect");
+  }
+
+  #changesTo(health: Health): readonly string[] {
+    return this.events.flatMap(({ at, event }) =>
+      event.type === "changed" && event.health === health
+        ? [`${event.name} at ${at}`]
+        : []
+    );
+  }
+
+  #attach(self: Member): ProbeTransport {
+    const place = placeOf(self);
+    const connected = { name: self.name, receive: (_: Uint8Array) => {} };
+    this.#listeners.set(place, connected);
+    return {
+      listen: (receive) => {
+        connected.receive = receive;
+      },
+      send: (datagram, to) => {
+        if (this.#listeners.get(place) !== connected) return;
+        this.#carry(self.name, placeOf(to), datagram);
+      },
+    };
+  }
+
+  #carry(from: string, place: string, datagram: Uint8Array): void {
+    this.datagrams += 1;
+    this.bytes += datagram.length;
+    const to = this.#listeners.get(place);
+    if (to === undefined || this.loss(from, to.name)) return;
+    this.#deliver(place, datagram);
+  }
+
+  #deliver: (place: string, datagram: Uint8Array) => void = () => {};
+
+  /** Connects the network to the fibres of the test. */
+  readonly open = Effect.fnUntraced(
+    { self: this },
+    function* (): Effect.fn.Return<void> {
+      const run = Effect.runForkWith(yield* Effect.context());
+      const latencyMs = this.#options.latencyMs ?? 2;
+      this.#deliver = (place, datagram) => {
+        const arrive = Effect.sync(() =>
+          this.#listeners.get(place)?.receive(datagram)
+        );
+        run(
+          Effect.sleep(latencyMs).pipe(
+            Effect.andThen(arrive),
+            Effect.forkIn(this.#scope),
+          ),
+        );
+      };
+    },
+  );
+}
+
+function placeOf(endpoint: Endpoint): string {
+  return `${endpoint.address}:${endpoint.port}`;
+}
+
+/** Runs a test with a fleet, in the time of a test clock. */
+export function withFleet(
+  test: (fleet: Fleet) => Effect.Effect<void>,
+  options: FleetOptions & { readonly seed?: number } = {},
+): Promise<void> {
+  const run = Effect.gen(function* () {
+    const clock = yield* Clock.clockWith(Effect.succeed);
+    const scope = yield* Effect.scope;
+    const fleet = new Fleet(options, clock, scope);
+    yield* fleet.open();
+    yield* test(fleet);
+  });
+  return Effect.runPromise(
+    Effect.scoped(run).pipe(
+      Random.withSeed(options.seed ?? 1),
+      Effect.provide(TestClock.layer()),
+    ),
+  );
+}
+
+/** Lets the given virtual seconds pass. */
+export function pass(seconds: number): Effect.Effect<void> {
+  return TestClock.adjust(seconds * 1000);
+}
--- a/packages/coordination/tests/link_fixture.ts
+++ b/packages/coordination/tests/link_fixture.ts
@@ -6,14 +6,15 @@
 import { Buffer } from "node:buffer";
 import * as Effect from "effect/Effect";
 import type { Scope } from "effect/Scope";
-import type { Endpoint, ListenFailed } from "../src/connection/dial.ts";
-import { LinkedPeers, NO_DIGEST } from "../src/connection/linked_peers.ts";
-import type { Digest } from "../src/connection/linked_peers.ts";
+import { LinkedPeers } from "../src/connection/linked_peers.ts";
 import { DEFAULT_LINK_SETTINGS } from "../src/connection/link_settings.ts";
 import type { LinkSettings } from "../src/connection/link_settings.ts";
 import type { Peers } from "../src/process/peers.ts";
 import { SYSTEM_CLOCK } from "../src/process/clock.ts";
 import type { Clock } from "../src/process/clock.ts";
+import { NO_DIGEST } from "../src/process/digest.ts";
+import type { Digest } from "../src/process/digest.ts";
+import type { Endpoint, ListenFailed } from "../src/process/endpoint.ts";
 
 export const TEST_KEY = Buffer.from("a key for tests only");
 
