--- /dev/null
+++ b/packages/bench/src/experiments.ts
@@ -0,0 +1,19 @@
+/**
+ * The experiments by name. Each is loaded only when it is asked for, so that
+ * one cannot slow or break another.
+ *
+ * @module
+ */
+import type { Experiment } from "./experiment.ts";
+
+/** A module that holds an experiment. */
+export interface ExperimentModule {
+  readonly experiment: Experiment;
+}
+
+/** How to load each experiment; one line each, in order of name. */
+export const EXPERIMENTS: Readonly<
+  Record<string, () => Promise<ExperimentModule>>
+> = {
+  arrivals: () => import("./arrivals_experiment.ts"),
+};
