Generate docs/CAPACITY.md from measured slopes

Cause: the page must follow from slopes and be redone when they change. Change: least-squares lines, the plan's arithmetic, the budget, what failures of each size do, and a script that writes the page; a test fails when page and JSON disagree. Figures: none measured yet, and the page says so line by line. Conclusion: a measured role fills its lines by itself.

--- /dev/null
+++ b/packages/bench/src/capacity_store.ts
@@ -0,0 +1,45 @@
+/**
+ * Calls to the platform's store by the whole fleet.
+ *
+ * @module
+ */
+import { BUDGET, derive, DESIGN, PLAN } from "./capacity_plan.ts";
+import type { SlopesResult } from "./slopes_result.ts";
+
+const ONE_DECIMAL = 1;
+
+function writesOfClaims(result: SlopesResult): string {
+  const fit = result.fits.partitionOwner;
+  if (fit === undefined) return "not measured yet";
+  const calls = fit.lines.storeCalls;
+  const perSecond = Math.max(
+    0,
+    calls.intercept + calls.slope * derive().claimsPerSecond,
+  );
+  const share = perSecond / BUDGET.storeWritesPerSecond;
+  return `${perSecond.toFixed(ONE_DECIMAL)} calls/s at ` +
+    `${derive().claimsPerSecond} claims/s, by the line that was measured ` +
+    `(${(100 * share).toFixed(0)}% of ${BUDGET.storeWritesPerSecond} writes/s)`;
+}
+
+/** A list of the fleet's calls, against the store's rates. */
+export function storeLines(result: SlopesResult): string {
+  const size = derive();
+  const watches = size.watchers;
+  const share = (100 * watches / BUDGET.storeReadsPerSecond).toFixed(
+    ONE_DECIMAL,
+  );
+  return [
+    `- Watches on the table: ${watches} wait at any time ` +
+    `(${DESIGN.watchersPerFailureDomain} in each of ${PLAN.failureDomains} ` +
+    `failure domains), ${share}% of ${BUDGET.storeReadsPerSecond} reads/s if ` +
+    `each counts as one read a second. They grow with failure domains, not ` +
+    `with daemons.`,
+    `- Edits: ${size.editsPerSecond.toFixed(3)} writes/s on average, ` +
+    `${size.editsPerSecondBunched.toFixed(2)} while people work.`,
+    `- Claims: ${writesOfClaims(result)}.`,
+    `- Restarts: ${(PLAN.hostRestartsPerDay + PLAN.hostFailuresPerDay)} a ` +
+    `day read the table from a peer first; even as reads of the store they ` +
+    `would be ${size.membershipChangesPerSecond.toFixed(4)} a second.`,
+  ].join("\n");
+}
--- /dev/null
+++ b/packages/bench/src/capacity_test.ts
@@ -0,0 +1,99 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { expectedPage, keptPage } from "./capacity.ts";
+import { costs, total } from "./capacity_arithmetic.ts";
+import { capacityPage } from "./capacity_page.ts";
+import { derive } from "./capacity_plan.ts";
+import type { Carrier, Load } from "./capacity_roles.ts";
+import { fitSamples, type Role, type SlopesResult } from "./slopes_result.ts";
+
+function loadOf(role: Role, changes: Partial<Load> = {}): Load {
+  return {
+    role,
+    title: role,
+    mean: 10,
+    most: 20,
+    working: "given",
+    control: true,
+    held: false,
+    ...changes,
+  };
+}
+
+function carrierOf(loads: readonly Load[]): Carrier {
+  return { name: "Test", mechanism: "none", modules: [], loads };
+}
+
+/** Slopes 3 µs, 100 bytes, 2 messages, 50 bytes of state; base 1,000 of each. */
+function resultOf(roles: readonly Role[]): SlopesResult {
+  const samples = [1, 2, 3].map((x) => ({
+    x,
+    cpuMicros: 1_000 + 3 * x,
+    bytes: 1_000 + 100 * x,
+    messages: 1_000 + 2 * x,
+    stateBytes: 1_000 + 50 * x,
+    storeCalls: 0,
+  }));
+  const fit = fitSamples(samples, { per: "thing", how: "By hand." });
+  return {
+    command: "none",
+    date: "2026-12-02",
+    machine: { cores: 1, memoryGiB: 1, node: "v20" },
+    slopes: {},
+    fits: Object.fromEntries(roles.map((role) => [role, fit])),
+  };
+}
+
+test("the plan divides as the design's arithmetic says", () => {
+  const size = derive();
+  assert.equal(Math.round(size.tokensPerAnswer), 329);
+  assert.equal(Math.round(size.answerSeconds), 21);
+  assert.equal(Math.round(size.openStreams / 1_000), 294);
+  assert.equal(Math.round(size.requestsPerDaemon), 37);
+  assert.equal(Math.round(size.streamsPerRunner), 123);
+  assert.equal(size.shards, 150);
+  assert.equal(size.mostShardsPerDaemon, 1);
+  assert.equal(size.rows, 1_860);
+});
+
+test("cost is slope times amount, the idle process counted once", () => {
+  const carrier = carrierOf([loadOf("broker"), loadOf("member")]);
+  const lines = costs([carrier], resultOf(["broker", "member"]));
+  assert.equal(Math.round(lines[0]?.mean?.cpuMicros ?? 0), 30);
+  assert.equal(Math.round(lines[0]?.most?.bytes ?? 0), 2_000);
+  assert.equal(Math.round(lines[1]?.mean?.cpuMicros ?? 0), 1_030);
+  assert.equal(Math.round(total(lines).mean.cpuMicros), 1_060);
+});
+
+test("what is held costs state only", () => {
+  const carrier = carrierOf([loadOf("brokerGrant", { held: true })]);
+  const [line] = costs([carrier], resultOf(["brokerGrant"]));
+  assert.equal(line?.mean?.cpuMicros, 0);
+  assert.equal(Math.round(line?.mean?.stateBytes ?? 0), 500);
+});
+
+test("bytes of answers are no part of the control sums", () => {
+  const carrier = carrierOf([loadOf("entryToken", { control: false })]);
+  const sum = total(costs([carrier], resultOf(["entryToken"])));
+  assert.equal(sum.mean.bytes, 0);
+});
+
+test("loads without a slope are named and not counted as nothing", () => {
+  const carrier = carrierOf([loadOf("broker"), loadOf("entry")]);
+  const sum = total(costs([carrier], resultOf(["broker"])));
+  assert.deepEqual(sum.missing.map((load) => load.role), ["entry"]);
+  const page = capacityPage(resultOf([]));
+  assert.match(page, /not measured yet/);
+  assert.doesNotMatch(page, /\| within/);
+});
+
+test("what exceeds the budget is said, with the change that closes it", () => {
+  const dear = resultOf(["member", "link"]);
+  const page = capacityPage(dear);
+  assert.match(page, /Traffic is over the budget/);
+  assert.match(page, /`link` alone takes/);
+});
+
+test("docs/CAPACITY.md is what docs/capacity/slopes.json gives", () => {
+  assert.equal(keptPage(), expectedPage());
+});
