--- /dev/null
+++ b/scripts/check_docs.mjs
@@ -0,0 +1,140 @@
+// Checks the pages: links and paths lead somewhere, every command that is shown
+// is run by CI, and codes, events and metrics that operators' pages name exist
+// in the code. With --run, also runs the commands that nothing else runs.
+import { execFileSync } from "node:child_process";
+import { existsSync, readdirSync, readFileSync } from "node:fs";
+import { dirname, join, relative } from "node:path";
+import process from "node:process";
+import { fileURLToPath } from "node:url";
+import { COMMANDS } from "./docs_commands.mjs";
+
+const root = dirname(dirname(fileURLToPath(import.meta.url)));
+const SKIPPED = new Set(["node_modules", "dist", ".git", "golden"]);
+const LINK = /\[[^\]]*\]\(([^)\s]+)\)/g;
+const PATH = /`((?:packages|docs|scripts|\.ci)\/[\w./-]+)`/g;
+const METRIC = /`(umbermast_[a-z0-9_]+)(?:\{[^`]*\})?`/g;
+const NAME = /`([a-z]+(?:_[a-z0-9]+)+)`/g;
+const BLOCK = /^```sh\n([\s\S]*?)^```$/gm;
+const HISTOGRAM_PART = /_(?:bucket|sum|count)$/;
+
+function filesUnder(folder, ending) {
+  const found = [];
+  for (const entry of readdirSync(folder, { withFileTypes: true })) {
+    if (SKIPPED.has(entry.name)) continue;
+    const path = join(folder, entry.name);
+    if (entry.isDirectory()) found.push(...filesUnder(path, ending));
+    else if (entry.name.endsWith(ending)) found.push(path);
+  }
+  return found;
+}
+
+function anchorsOf(text) {
+  return [...text.matchAll(/^#+ (.*)$/gm)].map((match) =>
+    match[1].toLowerCase().replace(/[^\w\s-]/g, "").trim().replace(/\s/g, "-")
+  );
+}
+
+function linkFindings(page) {
+  const found = [];
+  for (const [, target] of page.text.matchAll(LINK)) {
+    if (/^[a-z]+:/.test(target)) continue;
+    const [path, anchor] = target.split("#");
+    const file = path === "" ? page.path : join(dirname(page.path), path);
+    if (!existsSync(file)) {
+      found.push(`${page.name}: link "${target}" leads nowhere`);
+      continue;
+    }
+    if (anchor === undefined || !file.endsWith(".md")) continue;
+    if (anchorsOf(readFileSync(file, "utf8")).includes(anchor)) continue;
+    found.push(`${page.name}: link "${target}" has no such heading`);
+  }
+  return found;
+}
+
+function pathFindings(page) {
+  return [...page.text.matchAll(PATH)]
+    .map(([, path]) => path)
+    .filter((path) => !existsSync(join(root, path)))
+    .map((path) => `${page.name}: path "${path}" does not exist`);
+}
+
+function commandsIn(page) {
+  return [...page.text.matchAll(BLOCK)].flatMap(([, block]) =>
+    block.replaceAll("\\\n", " ").split("\n")
+      .map((line) => line.replace(/\s+#.*$/, "").replace(/\s+/g, " ").trim())
+      .filter((line) => line !== "" && !line.startsWith("#"))
+  );
+}
+
+function proofFinding(command, place) {
+  const known = COMMANDS.find(({ pattern }) => pattern.test(command));
+  if (known === undefined) {
+    return `${place}: nothing in CI runs "${command}"`;
+  }
+  if (known.run !== undefined) return undefined;
+  const file = known.ci === undefined ? known.test : ".ci/run";
+  const text = known.ci ?? known.text;
+  const path = join(root, file);
+  if (existsSync(path) && readFileSync(path, "utf8").includes(text)) {
+    return undefined;
+  }
+  return `${place}: "${file}" no longer runs "${command}" by "${text}"`;
+}
+
+function commandFindings(page) {
+  return commandsIn(page)
+    .map((command) => proofFinding(command, page.name))
+    .filter((finding) => finding !== undefined);
+}
+
+function nameFindings(page, sources) {
+  const metrics = [...page.text.matchAll(METRIC)]
+    .map(([, name]) => name)
+    .filter((name) =>
+      !sources.includes(`"${name}"`) &&
+      !sources.includes(`"${name.replace(HISTOGRAM_PART, "")}"`)
+    )
+    .map((name) => `${page.name}: metric "${name}" is not in the code`);
+  const names = [...page.text.matchAll(NAME)]
+    .map(([, name]) => name)
+    .filter((name) => !name.startsWith("umbermast_"))
+    .filter((name) => !sources.includes(`"${name}"`))
+    .map((name) => `${page.name}: name "${name}" is not in the code`);
+  return [...metrics, ...names];
+}
+
+function sourceText() {
+  return filesUnder(join(root, "packages"), ".ts")
+    .filter((path) => !path.endsWith("_test.ts"))
+    .map((path) => readFileSync(path, "utf8"))
+    .join("\n");
+}
+
+function runCommands() {
+  for (const { run } of COMMANDS) {
+    if (run === undefined) continue;
+    console.error(`Running ${run.join(" ")}`);
+    execFileSync(run[0], run.slice(1), {
+      cwd: root,
+      stdio: ["ignore", "ignore", 2],
+    });
+  }
+}
+
+const sources = sourceText();
+const pages = filesUnder(root, ".md").map((path) => ({
+  path,
+  name: relative(root, path),
+  text: readFileSync(path, "utf8"),
+}));
+const findings = pages.flatMap((page) => [
+  ...linkFindings(page),
+  ...pathFindings(page),
+  ...commandFindings(page),
+  ...(page.name.startsWith("docs/operators/")
+    ? nameFindings(page, sources)
+    : []),
+]);
+for (const finding of findings) console.error(finding);
+if (findings.length > 0) process.exit(1);
+if (process.argv.includes("--run")) runCommands();
--- /dev/null
+++ b/scripts/docs_commands.mjs
@@ -0,0 +1,34 @@
+// The commands that pages show in blocks marked `sh`, and what runs each in CI:
+// `ci` is a line of .ci/run, `test` a test file that holds `text`, and `run` a
+// command that scripts/check_docs.mjs runs itself. `pattern` matches the whole
+// line as shown.
+export const COMMANDS = [
+  { pattern: /^npm test$/, ci: "npm test" },
+  {
+    pattern: /^node scripts\/test\.mjs judge$/,
+    run: ["node", "scripts/test.mjs", "judge"],
+  },
+  { pattern: /^npm run build$/, ci: "npm run --silent build" },
+  { pattern: /^npm run lint$/, ci: "npm run --silent lint" },
+  {
+    pattern: /^npm run capacity( -- --check)?$/,
+    run: ["npm", "run", "--silent", "capacity", "--", "--check"],
+  },
+  {
+    pattern: /^npm run bench -- slopes --json$/,
+    run: ["npm", "run", "--silent", "bench", "--", "slopes", "--help"],
+  },
+  {
+    pattern: /^npm run bench -- arrivals --mix metro$/,
+    run: [
+      "npm",
+      "run",
+      "--silent",
+      "bench",
+      "--",
+      "arrivals",
+      "--mix",
+      "metro",
+    ],
+  },
+];
