--- a/packages/bench/src/arrivals_experiment.ts
+++ b/packages/bench/src/arrivals_experiment.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { DEPLOYMENT_NAMES, type DeploymentName } from "@umbermast/testing";
 import { type Arrival, arrivals } from "./arrivals.ts";
 import { mixOf } from "./arrivals_mixes.ts";
 import type { Experiment } from "./experiment.ts";
@@ -32,6 +33,13 @@
   };
 }
 
+function deploymentOf(name: string): DeploymentName {
+  const found = DEPLOYMENT_NAMES.find((known) => known === name);
+  if (found !== undefined) return found;
+  const names = DEPLOYMENT_NAMES.map((known) => `"${known}"`).join(" or ");
+  throw new RangeError(`Cannot find mix "${name}": expected ${names}`);
+}
+
 /** Counts the requests and tokens of a mix. */
 export const experiment: Experiment = {
   name: "arrivals",
@@ -42,7 +50,7 @@
     { name: "seconds", summary: "length of the calm phase", fallback: 60 },
   ],
   run(settings) {
-    const mix = mixOf(settings.text("mix"));
+    const mix = mixOf(deploymentOf(settings.text("mix")));
     const seconds = settings.number("seconds");
     const sent = arrivals(mix, {
       seed: settings.number("seed"),
--- a/scripts/check_docs.mjs
+++ b/scripts/check_docs.mjs
@@ -14,7 +14,7 @@
 const PATH = /`((?:packages|docs|scripts|\.ci)\/[\w./-]+)`/g;
 const METRIC = /`(umbermast_[a-z0-9_]+)(?:\{[^`]*\})?`/g;
 const NAME = /`([a-z]+(?:_[a-z0-9]+)+)`/g;
-const BLOCK = /^```sh\n([\s\S]*?)^```$/gm;
+const BLOCK = /^[ \t]*```sh\n([\s\S]*?)^[ \t]*```$/gm;
 const HISTOGRAM_PART = /_(?:bucket|sum|count)$/;
 
 function filesUnder(folder, ending) {
