--- /dev/null
+++ b/packages/daemon/src/process/placement/placement_demand.ts
@@ -0,0 +1,133 @@
+/**
+ * Demand for each model over all daemons.
+ *
+ * @module
+ */
+import type { Membership, Peers } from "@umbermast/coordination";
+import * as Effect from "effect/Effect";
+import * as Result from "effect/Result";
+
+const CHANNEL = "placement-demand";
+const TIMEOUT_MS = 1_000;
+const CONCURRENCY = 16;
+/** Share of the daemons that must answer for a low figure to be believed. */
+const QUORUM = 0.5;
+
+/** Requests waiting or being served, by model. */
+export interface Demand {
+  readonly requests: ReadonlyMap<string, number>;
+  /** Whether enough daemons were heard to believe that demand is low. */
+  readonly complete: boolean;
+}
+
+/** Reads the demand. */
+export interface DemandReader {
+  read(): Effect.Effect<Demand>;
+}
+
+/** Counts this daemon's requests by model. */
+export class DemandCounter {
+  readonly #counts = new Map<string, number>();
+
+  /**
+   * Counts one request in.
+   *
+   * @returns a function that counts it out; later calls have no effect.
+   */
+  enter(model: string): () => void {
+    this.#add(model, 1);
+    let counted = true;
+    return () => {
+      if (!counted) return;
+      counted = false;
+      this.#add(model, -1);
+    };
+  }
+
+  counts(): ReadonlyMap<string, number> {
+    return this.#counts;
+  }
+
+  #add(model: string, change: number): void {
+    const count = (this.#counts.get(model) ?? 0) + change;
+    if (count === 0) this.#counts.delete(model);
+    else this.#counts.set(model, count);
+  }
+}
+
+/**
+ * Asks every member for its counts. Only the holder of a placement lease asks,
+ * once a round, so the cost stays with one daemon.
+ */
+export class PeerDemand implements DemandReader {
+  readonly #counter: DemandCounter;
+  readonly #membership: Membership;
+  readonly #peers: Peers;
+
+  constructor(parts: {
+    readonly counter: DemandCounter;
+    readonly membership: Membership;
+    readonly peers: Peers;
+  }) {
+    this.#counter = parts.counter;
+    this.#membership = parts.membership;
+    this.#peers = parts.peers;
+    this.#peers.handle(
+      CHANNEL,
+      () => Effect.sync(() => [...this.#counter.counts()]),
+    );
+  }
+
+  read(): Effect.Effect<Demand> {
+    const own = this.#membership.self.name;
+    const others = this.#membership.view().members
+      .map(({ member }) => member.name)
+      .filter((name) => name !== own);
+    const asked = Effect.forEach(others, (name) => this.#ask(name), {
+      concurrency: CONCURRENCY,
+    });
+    return Effect.map(asked, (answers) => {
+      const heard = answers.filter((answer) => answer !== undefined);
+      return {
+        requests: summed([this.#counter.counts(), ...heard]),
+        complete: heard.length >= others.length * QUORUM,
+      };
+    });
+  }
+
+  #ask(name: string): Effect.Effect<ReadonlyMap<string, number> | undefined> {
+    const message = { channel: CHANNEL, body: null };
+    const options = { timeoutMs: TIMEOUT_MS };
+    return Effect.map(
+      Effect.result(this.#peers.request(name, message, options)),
+      (answer) => {
+        if (Result.isFailure(answer)) return undefined;
+        return countsIn(answer.success);
+      },
+    );
+  }
+}
+
+function countsIn(body: unknown): ReadonlyMap<string, number> {
+  const pairs: readonly unknown[] = Array.isArray(body) ? body : [];
+  const counts = new Map<string, number>();
+  for (const pair of pairs) {
+    if (!Array.isArray(pair)) continue;
+    const [model, count] = pair as readonly unknown[];
+    if (typeof model !== "string" || typeof count !== "number") continue;
+    if (Number.isFinite(count) && count > 0) counts.set(model, count);
+  }
+  return counts;
+}
+
+function summed(
+  all: readonly ReadonlyMap<string, number>[],
+): ReadonlyMap<string, number> {
+  const sum = new Map<string, number>();
+  for (const counts of all) {
+    for (const [model, count] of counts) {
+      sum.set(model, (sum.get(model) ?? 0) + count);
+    }
+  }
+  return sum;
+}
--- /dev/null
+++ b/packages/daemon/src/process/placement/placement_plan.ts
@@ -0,0 +1,109 @@
+/**
+ * Which engine is to load or unload which model.
+ *
+ * @module
+ */
+import type { EngineOrder } from "./placement_order.ts";
+
+/** What is known of an engine in this round. */
+export interface EngineState {
+  readonly runner: string;
+  /** Models that it holds for certain. */
+  readonly models: ReadonlySet<string>;
+  /** Models that it has been ordered to load. */
+  readonly loading: ReadonlySet<string>;
+  /** Models that it refused a short while ago. */
+  readonly refused: ReadonlySet<string>;
+  /** Requests in it. */
+  readonly requests: number;
+}
+
+/** Copies wanted of a model. */
+export interface CopiesWanted {
+  readonly model: string;
+  readonly copies: number;
+}
+
+/** A decision with what it was chosen from. */
+export interface PlacementDecision extends EngineOrder {
+  readonly runner: string;
+  readonly runnersUp: readonly string[];
+  readonly reason: string;
+}
+
+/**
+ * Decides at most one order for each model.
+ *
+ * A copy is unloaded only where another model stays, since an engine without a
+ * model serves nobody, and only while another engine certainly holds it.
+ *
+ * @param engines live engines whose state is known in this round; one that is
+ * leaving or silent is no copy to rely on.
+ */
+export function planPlacement(
+  wanted: readonly CopiesWanted[],
+  engines: readonly EngineState[],
+): readonly PlacementDecision[] {
+  return wanted.flatMap((each) => decide(each, engines));
+}
+
+function decide(
+  { model, copies }: CopiesWanted,
+  engines: readonly EngineState[],
+): readonly PlacementDecision[] {
+  const holding = engines.filter(({ models }) => models.has(model));
+  const loading = engines.filter(({ loading }) => loading.has(model));
+  const present = holding.length + loading.length;
+  const figures =
+    `wanted=${copies} holding=${holding.length} loading=${loading.length}`;
+  if (present < copies) {
+    const free = engines.filter((engine) => canLoad(engine, model));
+    return chosen({ order: "load", model }, free.sort(byRoom), figures);
+  }
+  // A copy that is still loading may fail, so it is none to rely on.
+  const spare = holding.length > copies && holding.length > 1;
+  if (!spare) return [];
+  const able = holding.filter(({ models }) => models.size > 1);
+  return chosen({ order: "unload", model }, able.sort(byCrowding), figures);
+}
+
+function chosen(
+  order: EngineOrder,
+  candidates: readonly EngineState[],
+  reason: string,
+): readonly PlacementDecision[] {
+  const [first, ...others] = candidates.map(({ runner }) => runner);
+  if (first === undefined) return [];
+  return [{
+    ...order,
+    runner: first,
+    runnersUp: others.slice(0, RUNNERS_UP),
+    reason,
+  }];
+}
+
+/** Runners-up named in a decision's log line. */
+const RUNNERS_UP = 3;
+
+function canLoad(engine: EngineState, model: string): boolean {
+  return !engine.models.has(model) && !engine.loading.has(model) &&
+    !engine.refused.has(model);
+}
+
+function byRoom(one: EngineState, other: EngineState): number {
+  return modelCount(one) - modelCount(other) ||
+    one.requests - other.requests || byName(one, other);
+}
+
+function byCrowding(one: EngineState, other: EngineState): number {
+  return modelCount(other) - modelCount(one) ||
+    one.requests - other.requests || byName(one, other);
+}
+
+function modelCount({ models, loading }: EngineState): number {
+  return models.size + loading.size;
+}
+
+function byName(one: EngineState, other: EngineState): number {
+  return one.runner < other.runner ? -1 : 1;
+}
--- /dev/null
+++ b/packages/daemon/src/process/placement/placement_reports.ts
@@ -0,0 +1,72 @@
+/**
+ * What engines report of their models, read when placement looks.
+ *
+ * @module
+ */
+import { get } from "node:http";
+import * as Effect from "effect/Effect";
+import type { Runner } from "../runner.ts";
+import type { EngineReport } from "./placement_memory.ts";
+
+const TIMEOUT_MS = 1_000;
+const MAX_BYTES = 64_000;
+
+/** Reads engines' reports. */
+export interface EngineReports {
+  /** `undefined` when the engine does not answer in time. */
+  read(runner: Runner): Effect.Effect<EngineReport | undefined>;
+}
+
+/** {@linkcode EngineReports} from `GET /load`. */
+export class HttpEngineReports implements EngineReports {
+  read(runner: Runner): Effect.Effect<EngineReport | undefined> {
+    return Effect.callback((resume) => {
+      const finish = (report?: EngineReport) => resume(Effect.succeed(report));
+      const call = get({
+        host: runner.address,
+        port: runner.port,
+        path: "/load",
+        agent: false,
+        signal: AbortSignal.timeout(TIMEOUT_MS),
+      }, (response) => {
+        const chunks: Uint8Array[] = [];
+        let bytes = 0;
+        response.on("data", (chunk: Uint8Array) => {
+          bytes += chunk.length;
+          if (bytes > MAX_BYTES) call.destroy();
+          chunks.push(chunk);
+        });
+        response.on("error", () => finish());
+        response.on("end", () => finish(parseEngineReport(chunks)));
+      });
+      call.on("error", () => finish());
+      call.on("close", () => finish());
+      return Effect.sync(() => call.destroy());
+    });
+  }
+}
+
+function parseEngineReport(
+  chunks: readonly Uint8Array[],
+): EngineReport | undefined {
+  let value: unknown;
+  try {
+    value = JSON.parse(Buffer.concat(chunks).toString("utf8"));
+  } catch {
+    return undefined;
+  }
+  if (typeof value !== "object" || value === null) return undefined;
+  const { models, running, waiting, leaving } = value as Partial<
+    Record<string, unknown>
+  >;
+  if (!Array.isArray(models)) return undefined;
+  return {
+    models: models.filter((model) => typeof model === "string"),
+    requests: countOf(running) + countOf(waiting),
+    leaving: leaving === true,
+  };
+}
+
+function countOf(value: unknown): number {
+  return typeof value === "number" && value > 0 ? value : 0;
+}
--- /dev/null
+++ b/packages/daemon/src/process/placement/placement_task.ts
@@ -0,0 +1,176 @@
+/**
+ * The placement task of one service.
+ *
+ * @module
+ */
+import type { Clock } from "@umbermast/coordination";
+import type { Service } from "@umbermast/table";
+import * as Effect from "effect/Effect";
+import type { Log } from "../log.ts";
+import type { Runner } from "../runner.ts";
+import type { DemandReader } from "./placement_demand.ts";
+import { PlacementMemory, REPORT_LAG_MS } from "./placement_memory.ts";
+import { LONGEST_SEND_MS } from "./placement_order.ts";
+import type { EngineOrders, OrderLease, Tenure } from "./placement_order.ts";
+import { planPlacement } from "./placement_plan.ts";
+import type { EngineState, PlacementDecision } from "./placement_plan.ts";
+import type { EngineReports } from "./placement_reports.ts";
+import { CopyTargets } from "./placement_targets.ts";
+
+const DEFAULT_INTERVAL_MS = 10_000;
+const REPORT_CONCURRENCY = 16;
+
+/** What a placement task works with. */
+export interface PlacementParts {
+  readonly service: string;
+  readonly lease: OrderLease;
+  readonly orders: EngineOrders;
+  readonly reports: EngineReports;
+  readonly demand: DemandReader;
+  readonly clock: Clock;
+  readonly log: Log;
+  /** The service in the table in force, if it is there. */
+  readonly definition: () => Service | undefined;
+  /** The service's runners, as the platform lists them. */
+  readonly runners: () => readonly Runner[];
+  /** Milliseconds between two rounds; 10,000 by default. */
+  readonly intervalMs?: number;
+}
+
+/** What one holder remembers, for as long as it holds the lease. */
+interface Term {
+  readonly tenure: Tenure;
+  readonly memory: PlacementMemory;
+  readonly targets: Map<number, CopyTargets>;
+}
+
+/**
+ * Keeps the models of a service where the demand is. The steps, in order:
+ *
+ * 1. wait for the lease;
+ * 2. wait out the former holder: its longest send, and the lag of the reports
+ *    that would show its last orders;
+ * 3. in rounds, read every engine's report and all daemons' demand, decide, and
+ *    give the orders, each checked against the remaining tenure;
+ * 4. stop when the lease is lost or an engine reports a higher fencing number.
+ *
+ * Each round starts from what the engines report, so an order that was lost, or
+ * that a former holder's network delivered late, is made good by the next one.
+ */
+export class PlacementTask {
+  readonly #parts: PlacementParts;
+
+  constructor(parts: PlacementParts) {
+    this.#parts = parts;
+  }
+
+  /** Runs for as long as the process. */
+  run(): Effect.Effect<never> {
+    const { lease } = this.#parts;
+    return Effect.forever(lease.hold((tenure) => this.#serve(tenure)));
+  }
+
+  #serve(tenure: Tenure): Effect.Effect<void> {
+    const { clock, log, service, intervalMs } = this.#parts;
+    const { fencing } = tenure;
+    const term: Term = {
+      tenure,
+      memory: new PlacementMemory(clock),
+      targets: new Map(),
+    };
+    return Effect.gen({ self: this }, function* () {
+      log.event("placement_lease_held", { service, fencing });
+      yield* Effect.sleep(LONGEST_SEND_MS + REPORT_LAG_MS);
+      while (tenure.remainingMs() > 0) {
+        const superseded = yield* this.#round(term);
+        if (superseded) break;
+        yield* Effect.sleep(intervalMs ?? DEFAULT_INTERVAL_MS);
+      }
+      log.event("placement_lease_ended", { service, fencing });
+    });
+  }
+
+  /** One round; true when an engine has seen a newer holder. */
+  #round(term: Term): Effect.Effect<boolean> {
+    return Effect.gen({ self: this }, function* () {
+      const definition = this.#parts.definition();
+      if (definition?.kind !== "model") return false;
+      const engines = yield* this.#engines(term);
+      const wanted = yield* this.#wanted(term, { definition, engines });
+      for (const decision of planPlacement(wanted, engines)) {
+        const superseded = yield* this.#order(term, decision);
+        if (superseded) return true;
+      }
+      return false;
+    });
+  }
+
+  #engines(term: Term): Effect.Effect<readonly EngineState[]> {
+    const { reports, runners } = this.#parts;
+    const live = runners().filter(({ state }) => state === "live");
+    const states = Effect.forEach(
+      live,
+      (runner) =>
+        Effect.map(reports.read(runner), (report) => {
+          if (report === undefined || report.leaving) return [];
+          return [term.memory.stateOf(runner, report)];
+        }),
+      { concurrency: REPORT_CONCURRENCY },
+    );
+    return Effect.map(states, (found) => found.flat());
+  }
+
+  #wanted(
+    term: Term,
+    seen: {
+      readonly definition: Service;
+      readonly engines: readonly EngineState[];
+    },
+  ) {
+    const { slotsPerRunner, models } = seen.definition;
+    const targets = term.targets.get(slotsPerRunner) ??
+      new CopyTargets({ slotsPerRunner });
+    term.targets.set(slotsPerRunner, targets);
+    return Effect.map(
+      this.#parts.demand.read(),
+      ({ requests, complete }) =>
+        models.map((model) => {
+          const holding = seen.engines.filter((engine) =>
+            engine.models.has(model)
+          );
+          const copies = targets.update({
+            model,
+            requests: requests.get(model) ?? 0,
+            copies: holding.length,
+            complete,
+          });
+          return { model, copies };
+        }),
+    );
+  }
+
+  #order(term: Term, decision: PlacementDecision): Effect.Effect<boolean> {
+    const { log, orders, runners, service } = this.#parts;
+    const { model, order, reason, runnersUp } = decision;
+    const runner = runners().find(({ name }) => name === decision.runner);
+    if (runner === undefined) return Effect.succeed(false);
+    const { memory, tenure } = term;
+    return Effect.map(
+      orders.give(runner, { order, model }, { tenure }),
+      (outcome) => {
+        memory.note(runner, decision, outcome);
+        log.event("placement_decision", {
+          service,
+          order,
+          model,
+          chosen: runner.name,
+          runnersUp: runnersUp.join(","),
+          why: reason,
+          fencing: tenure.fencing,
+          outcome: outcome._tag,
+        });
+        return outcome._tag === "Stale";
+      },
+    );
+  }
+}
