Test the whole path, the stack and the demo with real processes

Cause: the parts were tested alone; nothing ran from caller to runner. Change: tests of the path, of faults behind the proxy, of the stack's line and its end, of the demo; the proxy as a process with a control port; a runner's "silent" swallows also what ends an answer, and never a test's own steering: a ledger request caught between its connect and its first byte was silenced at first, which failed one run of the package's tests. The stack's test of a start that fails half way fails without the launcher's clean-up and passes with it. Conclusion: whole, streamed and plain calls run once and end whole; claims, resume and silent connections wait for their parts.

--- a/packages/testing/src/engine_test.ts
+++ b/packages/testing/src/engine_test.ts
@@ -3,6 +3,7 @@
 import { Caller, type ChatOptions } from "./client.ts";
 import { startEngine } from "./engine.ts";
 import { fetchJson } from "./process/json_client.ts";
+import { orderFault } from "./process/platform_client.ts";
 import type { LedgerEntry } from "./process/ledger.ts";
 
 const MODEL = "umber-small";
@@ -126,6 +127,29 @@
     assert.deepEqual(entries.map(({ resumes }) => resumes), [1]);
   });
 
+  // The engine goes silent in the middle of a stream: the connection stays open
+  // and nothing more comes. A connection that is opened afterwards works.
+  it("silences open connections for good", async (t) => {
+    const engine = await engineWith(t, {});
+    const leave = new AbortController();
+    let silenced: Promise<void> | undefined;
+    const silent = engine.chat("s", {
+      testTokens: 100,
+      signal: leave.signal,
+      onTokens: () => {
+        silenced ??= orderFault(engine.url, { fault: "silent" })
+          .then(() => orderFault(engine.url, { fault: "none" }));
+      },
+    });
+    await engine.until(([entry]) => entry?.end === "complete");
+    await silenced;
+    assert.equal((await engine.chat("next", {})).outcome, "complete");
+    leave.abort();
+    const answer = await silent;
+    assert.equal(answer.outcome, "cancelled");
+    assert.ok(answer.tokens < 100);
+  });
+
   it("answers whole, and tells a wrong model that it did not run", async (t) => {
     const engine = await engineWith(t, {});
     const whole = await engine.chat("w", { streamed: false, testTokens: 7 });
--- a/packages/testing/src/mod.ts
+++ b/packages/testing/src/mod.ts
@@ -29,6 +29,8 @@
 export type { Fault, FaultName } from "./process/faults.ts";
 export type { ListedHost } from "./process/host_list.ts";
 export type { StandIn } from "./process/http_server.ts";
+export { startProxy } from "./proxy.ts";
+export type { ProxyConfig } from "./proxy.ts";
 export { fetchJson } from "./process/json_client.ts";
 export type { JsonAnswer } from "./process/json_client.ts";
 export { startStack } from "./process/launcher.ts";
--- a/packages/testing/src/process/child.ts
+++ b/packages/testing/src/process/child.ts
@@ -11,8 +11,10 @@
 /** A running child. */
 export interface Child {
   readonly pid: number;
-  /** Ends when the process has ended. */
-  readonly ended: Promise<void>;
+  /** Gives the exit status when the process has ended; null after a signal. */
+  readonly ended: Promise<number | null>;
+  /** Sends a signal. */
+  kill(signal: NodeJS.Signals): void;
   /** Sends SIGTERM, and SIGKILL when the process has not ended in time. */
   stop(graceMs: number): Promise<void>;
 }
@@ -27,13 +29,16 @@
 const STAND_IN = fileURLToPath(new URL("../stand_in.js", import.meta.url));
 
 function adopt(child: ChildProcess): Child {
-  const ended = new Promise<void>((resolve) => {
-    child.once("exit", () => resolve());
-    child.once("error", () => resolve());
+  const ended = new Promise<number | null>((resolve) => {
+    child.once("close", resolve);
+    child.once("error", () => resolve(null));
   });
   return {
     pid: child.pid ?? 0,
     ended,
+    kill: (signal) => {
+      child.kill(signal);
+    },
     stop: async (graceMs) => {
       child.kill("SIGTERM");
       // A stopped process takes no SIGTERM until it is woken.
--- a/packages/testing/src/process/daemon_program.ts
+++ b/packages/testing/src/process/daemon_program.ts
@@ -4,6 +4,11 @@
  * @module
  */
 import { fileURLToPath } from "node:url";
+import { fetchJson } from "./json_client.ts";
+
+const READY_LIMIT_MS = 30_000;
+const POLL_MS = 25;
+const HTTP_OK = 200;
 
 /** File of the daemon's program. */
 export const DAEMON = fileURLToPath(
@@ -55,3 +60,23 @@
     scheduler,
   };
 }
+
+/** Waits until a daemon's operators' port says that it is ready. */
+export async function waitReady(
+  operatorUrl: string,
+  options: {
+    readonly token: string;
+    readonly signal: AbortSignal | undefined;
+  },
+): Promise<void> {
+  const until = Date.now() + READY_LIMIT_MS;
+  while (Date.now() < until) {
+    options.signal?.throwIfAborted();
+    const answer = await fetchJson(`${operatorUrl}/readyz`, {
+      headers: { authorization: `Bearer ${options.token}` },
+    }).catch(() => undefined);
+    if (answer?.status === HTTP_OK) return;
+    await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+  }
+  throw new Error(`Cannot start daemon: "${operatorUrl}" does not get ready`);
+}
--- a/packages/testing/src/process/fault_proxy.ts
+++ b/packages/testing/src/process/fault_proxy.ts
@@ -158,3 +158,23 @@
   if (seconds === undefined) return Infinity;
   return Date.now() + seconds * MS_PER_SECOND;
 }
+
+const FAULTS = ["delay", "cut", "silent", "lose-reply", "reorder", "none"];
+
+/** Reads an order of `POST /control`; a text when it is not one. */
+export function readProxyFault(value: unknown): ProxyFault | string {
+  if (typeof value !== "object" || value === null) {
+    return "/: expected an object";
+  }
+  const given = value as Record<string, unknown>;
+  if (!FAULTS.includes(given.fault as string)) {
+    return `/fault: expected one of ${FAULTS.join(", ")}`;
+  }
+  if (given.fault === "delay" && !(Number(given.delayMs) >= 0)) {
+    return "/delayMs: expected a number of at least 0";
+  }
+  if (given.fault === "reorder" && !(Number(given.holdMs) >= 0)) {
+    return "/holdMs: expected a number of at least 0";
+  }
+  return value as ProxyFault;
+}
--- a/packages/testing/src/process/http_server.ts
+++ b/packages/testing/src/process/http_server.ts
@@ -23,6 +23,8 @@
   /** Base URL of its HTTP server. */
   readonly url: string;
   readonly port: number;
+  /** Where it takes `POST /control`, when not at `url`. */
+  readonly controlUrl?: string;
   /** Ends the server and all its connections. */
   close(): Promise<void>;
 }
@@ -83,9 +85,8 @@
 
 /** Silences a connection for good: takes everything, gives nothing back. */
 function swallow(socket: Socket): void {
-  // Node's HTTP server pairs each cork with an uncork of its own, so that one
-  // more cork keeps every later byte back.
-  socket.cork();
+  socket.write = () => true;
+  socket.end = () => socket;
 }
 
 /** Serves a handler behind `POST /control` and the faults it orders. */
@@ -95,6 +96,10 @@
 ): Promise<StandIn> {
   const { faults } = options;
   const sockets = new Set<Socket>();
+  /** Connections that carry an answer at present, steering apart. */
+  const busy = new Set<Socket>();
+  /** Connections that give nothing more, steering apart. */
+  const silenced = new WeakSet<Socket>();
 
   async function control(
     request: IncomingMessage,
@@ -106,13 +111,11 @@
       return;
     }
     faults.order(order);
-    for (const socket of sockets) {
-      if (socket === request.socket) continue;
-      if (order.fault === "silent") swallow(socket);
+    if (order.fault === "silent") {
+      for (const socket of sockets) silenced.add(socket);
+      for (const socket of busy) swallow(socket);
     }
-    sendJson(response, { fault: order.fault }, {
-      headers: { connection: "close" },
-    });
+    sendJson(response, { fault: order.fault });
   }
 
   async function answer(
@@ -120,14 +123,18 @@
     response: ServerResponse,
   ): Promise<void> {
     const path = request.url ?? "/";
-    if (request.method === "POST" && path === "/control") {
+    if (STEERING.test(path)) {
+      if (!path.startsWith("/control")) return await handler(request, response);
       return await control(request, response);
     }
-    if (STEERING.test(path)) return await handler(request, response);
-    if (faults.strike("silent") !== undefined) {
-      swallow(request.socket);
+    const { socket } = request;
+    if (silenced.has(socket) || faults.strike("silent") !== undefined) {
+      silenced.add(socket);
+      swallow(socket);
       return;
     }
+    busy.add(socket);
+    response.once("close", () => busy.delete(socket));
     const slow = faults.strike("slow");
     if (slow !== undefined) await pause(slow.delayMs ?? DEFAULT_SLOW_MS);
     await handler(request, response);
--- a/packages/testing/src/process/launcher.ts
+++ b/packages/testing/src/process/launcher.ts
@@ -14,6 +14,7 @@
   daemonSettings,
   LISTENING,
   readListening,
+  waitReady,
 } from "./daemon_program.ts";
 import {
   type Deployment,
@@ -23,7 +24,6 @@
 } from "./deployment.ts";
 import { FaultProxy } from "./fault_proxy.ts";
 import type { ListedHost } from "./host_list.ts";
-import { fetchJson } from "./json_client.ts";
 import {
   orderFault,
   putTable,
@@ -44,10 +44,7 @@
 const SLOTS_PER_RUNNER = 16;
 const DAEMON_GRACE_MS = 5000;
 const STAND_IN_GRACE_MS = 1000;
-const READY_LIMIT_MS = 30_000;
-const POLL_MS = 25;
 const TOKEN_BYTES = 16;
-const HTTP_OK = 200;
 
 /**
  * Starts a deployment and waits until every daemon is ready. What was started
@@ -105,6 +102,7 @@
       ...this.#options.platformConfig,
     });
     this.#standIns.push(platform);
+    this.#options.started?.(platform.pid);
     this.#platformUrl = platform.url;
     this.#options.signal?.throwIfAborted();
     const [runners, tableFile] = await Promise.all([
@@ -197,6 +195,7 @@
     const { name, at } = options;
     const child = await startStandIn(kind, options.config);
     this.#standIns.push(child);
+    this.#options.started?.(child.pid);
     const proxy = this.#options.proxies?.runners
       ? await this.#proxy(child.url)
       : undefined;
@@ -237,6 +236,7 @@
       logFile,
     });
     this.#daemons.push(child);
+    this.#options.started?.(child.pid);
     const { callers, operators, peers } = readListening(
       await child.logged(LISTENING),
     );
@@ -273,27 +273,19 @@
     } as const;
   }
 
+  #ready(daemon: StackDaemon): Promise<void> {
+    return waitReady(daemon.operatorUrl, {
+      token: this.#operatorToken,
+      signal: this.#options.signal,
+    });
+  }
+
   async #proxy(targetUrl: string): Promise<FaultProxy> {
     const port = Number(new URL(targetUrl).port);
     const proxy = await FaultProxy.start({ address: ADDRESS, port });
     this.#proxies.push(proxy);
     return proxy;
   }
-
-  async #ready(daemon: StackDaemon): Promise<void> {
-    const until = Date.now() + READY_LIMIT_MS;
-    while (Date.now() < until) {
-      this.#options.signal?.throwIfAborted();
-      const answer = await fetchJson(`${daemon.operatorUrl}/readyz`, {
-        headers: { authorization: `Bearer ${this.#operatorToken}` },
-      }).catch(() => undefined);
-      if (answer?.status === HTTP_OK) return;
-      await new Promise((resolve) => setTimeout(resolve, POLL_MS));
-    }
-    throw new Error(
-      `Cannot start "${daemon.name}": not ready; see ${this.#logs}`,
-    );
-  }
 }
 
 /** Waits for all, also when one fails, so that none is left starting. */
--- a/packages/testing/src/process/stack_handle.ts
+++ b/packages/testing/src/process/stack_handle.ts
@@ -33,6 +33,8 @@
   readonly platformConfig?: object;
   /** Aborted while the stack starts: what was started is ended again. */
   readonly signal?: AbortSignal;
+  /** Called with the pid of each process that is started. */
+  readonly started?: (pid: number) => void;
   /** Changes the table before it is stored. */
   readonly table?: (table: Table) => Table;
   /** Links that get a fault proxy each. */
--- a/packages/testing/src/stand_in.ts
+++ b/packages/testing/src/stand_in.ts
@@ -1,6 +1,6 @@
 /**
  * One stand-in as a process of its own:
- * `node stand_in.js engine|plain|platform --config JSON`.
+ * `node stand_in.js engine|plain|platform|proxy --config JSON`.
  *
  * The first line on standard output is a JSON object with its URL and pid.
  *
@@ -13,6 +13,7 @@
 import { PLATFORM_DEFAULTS, startPlatform } from "./platform.ts";
 import { readConfig } from "./process/config.ts";
 import { ENGINE_DEFAULTS } from "./process/engine_config.ts";
+import { PROXY_DEFAULTS, startProxy } from "./proxy.ts";
 import type { StandIn } from "./process/http_server.ts";
 
 const EXIT_CONFIG = 78;
@@ -50,7 +51,8 @@
   process.once("SIGINT", end);
   // A launcher that dies without a word leaves nothing running behind it.
   if (options.untilStdinEnds) process.stdin.resume().once("end", end);
-  console.log(JSON.stringify({ url: standIn.url, pid: process.pid }));
+  const { url, controlUrl } = standIn;
+  console.log(JSON.stringify({ url, controlUrl, pid: process.pid }));
 }
 
 const program = new Command("stand_in").description("Runs one stand-in");
@@ -74,4 +76,5 @@
 command("engine", { defaults: ENGINE_DEFAULTS, start: startEngine });
 command("plain", { defaults: PLAIN_DEFAULTS, start: startPlainService });
 command("platform", { defaults: PLATFORM_DEFAULTS, start: startPlatform });
+command("proxy", { defaults: PROXY_DEFAULTS, start: startProxy });
 await program.parseAsync();
--- /dev/null
+++ b/packages/testing/tests/fixtures.ts
@@ -0,0 +1,107 @@
+/**
+ * Whole deployments for tests: real processes, with callers and ledgers.
+ *
+ * @module
+ */
+import type { TestContext } from "node:test";
+import {
+  Caller,
+  type CallerOptions,
+  fetchJson,
+  type LedgerEntry,
+  type Stack,
+  type StackDaemon,
+  type StackOptions,
+  type StackRunner,
+  startStack,
+} from "../src/mod.ts";
+
+/** A deployment under test. */
+export interface Deployed {
+  readonly stack: Stack;
+  readonly model: string;
+  /** Path of a call of the plain service. */
+  readonly cardPath: string;
+  /** A caller of one daemon, by the daemon's place; closed after the test. */
+  caller(daemon: number, workspace: string, options?: CallerOptions): Caller;
+  daemon(at: number): StackDaemon;
+  modelRunners(): readonly StackRunner[];
+  plainRunners(): readonly StackRunner[];
+  /** Every run of every runner that still answers. */
+  ledger(): Promise<readonly LedgerEntry[]>;
+  /** Waits until the ledger is as wanted, and returns it. */
+  ledgerWhen(
+    wanted: (entries: readonly LedgerEntry[]) => boolean,
+  ): Promise<readonly LedgerEntry[]>;
+}
+
+/** Starts a deployment that ends after the test or suite. */
+export async function deploy(
+  t: Pick<TestContext, "after">,
+  options: StackOptions,
+): Promise<Deployed> {
+  const stack = await startStack(options);
+  const callers: Caller[] = [];
+  t.after(async () => {
+    for (const caller of callers) caller.close();
+    await stack.close();
+  });
+  const { modelService, plainService, model } = stack.deployment;
+
+  async function ledger(): Promise<readonly LedgerEntry[]> {
+    const lists = await Promise.all(stack.runners.map(async ({ url }) => {
+      const answer = await fetchJson(`${url}/ledger`).catch(() => undefined);
+      return (answer?.body ?? []) as readonly LedgerEntry[];
+    }));
+    return lists.flat();
+  }
+
+  function daemon(at: number): StackDaemon {
+    const found = stack.daemons[at];
+    if (found === undefined) throw new Error(`Cannot find daemon ${at}`);
+    return found;
+  }
+
+  return {
+    stack,
+    model,
+    cardPath: `/services/${plainService}/cards`,
+    daemon,
+    caller(at, workspace, given = {}) {
+      const key = stack.keys[workspace] ?? "";
+      const caller = new Caller(daemon(at).url, { key, ...given });
+      callers.push(caller);
+      return caller;
+    },
+    modelRunners: () =>
+      stack.runners.filter(({ service }) => service === modelService),
+    plainRunners: () =>
+      stack.runners.filter(({ service }) => service === plainService),
+    ledger,
+    async ledgerWhen(wanted) {
+      for (;;) {
+        const entries = await ledger();
+        if (wanted(entries)) return entries;
+      }
+    },
+  };
+}
+
+/** A signal that aborts once tokens arrive. */
+export function leaveAtFirstToken(): {
+  readonly signal: AbortSignal;
+  readonly onTokens: () => void;
+} {
+  const controller = new AbortController();
+  return { signal: controller.signal, onTokens: () => controller.abort() };
+}
+
+/** A promise that the first tokens of a call resolve. */
+export function firstTokens(): {
+  readonly arrived: Promise<void>;
+  readonly onTokens: () => void;
+} {
+  let resolve = () => {};
+  const arrived = new Promise<void>((settle) => resolve = settle);
+  return { arrived, onTokens: () => resolve() };
+}
