Store the stack's first table in the table package's own form

Cause: the launcher wrote the value by hand, without sequence and history. Change: it uses storedTable, TABLE_KIND and TABLE_NAME. Conclusion: one place knows the value's form.

--- a/packages/testing/src/process/platform_client.ts
+++ b/packages/testing/src/process/platform_client.ts
@@ -3,7 +3,13 @@
  *
  * @module
  */
-import type { Table } from "@umbermast/table";
+import {
+  newEditId,
+  storedTable,
+  type Table,
+  TABLE_KIND,
+  TABLE_NAME,
+} from "@umbermast/table";
 import type { ListedHost } from "./host_list.ts";
 import { fetchJson } from "./json_client.ts";
 
@@ -14,9 +20,10 @@
   platformUrl: string,
   table: Table,
 ): Promise<void> {
-  await change(`${platformUrl}/objects/tables/main`, "PUT", {
+  const edit = { editId: newEditId(0), editor: "stack", at: Date.now() };
+  await change(`${platformUrl}/objects/${TABLE_KIND}/${TABLE_NAME}`, "PUT", {
     headers: { "if-version": "0" },
-    body: { table, editId: "initial", editor: "stack", at: Date.now() },
+    body: storedTable(table, edit),
   });
 }
 
