Judge the demo's answers in a part of their own

Cause: what makes the demo exit non-zero could not be tested. Change: mixFindings names each answer that is not whole and each that is missing; the mix and its judge are exported for measurements.

--- a/packages/testing/src/demo.ts
+++ b/packages/testing/src/demo.ts
@@ -8,8 +8,8 @@
 import { reportClasses } from "./process/class_report.ts";
 import { startStack } from "./process/launcher.ts";
 import type { Stack } from "./process/stack_handle.ts";
-import type { Answer } from "./request/answer.ts";
-import { drawMix, type MixedCall, sendMixed } from "./request/mix.ts";
+import { drawMix, sendMixed } from "./request/mix.ts";
+import { mixFindings, type MixResult } from "./request/mix_findings.ts";
 
 const DAEMONS = 3;
 const RUNNERS = 4;
@@ -20,17 +20,12 @@
 const SEED = 1;
 const SCALE = 0.5;
 
-interface Result {
-  readonly call: MixedCall;
-  readonly answer: Answer;
-}
-
 function pause(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
 
 /** Sends the mix, each call through the next daemon in turn. */
-async function sendAll(stack: Stack): Promise<readonly Result[]> {
+async function sendAll(stack: Stack): Promise<readonly MixResult[]> {
   const callers = stack.daemons.map((daemon) =>
     new Map(
       Object.entries(stack.keys).map(([workspace, key]) =>
@@ -44,7 +39,7 @@
     seed: SEED,
     scale: SCALE,
   });
-  const results: Promise<Result>[] = [];
+  const results: Promise<MixResult>[] = [];
   for (const call of mix) {
     const daemon = callers[call.number % callers.length];
     const caller = daemon?.get(call.workspace);
@@ -62,7 +57,7 @@
   return all;
 }
 
-function print(stack: Stack, results: readonly Result[]): void {
+function print(stack: Stack, results: readonly MixResult[]): void {
   const classes = stack.deployment.traffic.map((traffic) => traffic.class);
   console.log(reportClasses(classes, (name) =>
     results
@@ -76,18 +71,6 @@
   docs/                  pages for operators and developers`);
 }
 
-/** Prints what is wrong with the answers that are not whole. */
-function complain(results: readonly Result[]): boolean {
-  const broken = results.filter(({ answer }) => answer.outcome !== "complete");
-  for (const { call, answer } of broken) {
-    const { outcome, status, code = "", finding = "", requestId } = answer;
-    console.error(
-      `${call.traffic.class} ${requestId}: ${outcome} ${status} ${code} ${finding}`,
-    );
-  }
-  return broken.length > 0 || results.length < CALLS;
-}
-
 const stack = await startStack({
   daemons: DAEMONS,
   runners: RUNNERS,
@@ -98,7 +81,9 @@
 try {
   const results = await sendAll(stack);
   print(stack, results);
-  if (complain(results)) process.exitCode = 1;
+  const findings = mixFindings(results, { sent: CALLS });
+  for (const finding of findings) console.error(finding);
+  if (findings.length > 0) process.exitCode = 1;
 } finally {
   await stack.close();
 }
--- a/packages/testing/src/mod.ts
+++ b/packages/testing/src/mod.ts
@@ -52,3 +52,7 @@
   PlainOptions,
 } from "./client.ts";
 export type { Answer, Outcome, PlainEcho } from "./request/answer.ts";
+export { drawMix, sendMixed } from "./request/mix.ts";
+export type { MixedCall, MixOptions } from "./request/mix.ts";
+export { mixFindings } from "./request/mix_findings.ts";
+export type { MixResult } from "./request/mix_findings.ts";
