--- a/packages/testing/src/mod.ts
+++ b/packages/testing/src/mod.ts
@@ -29,6 +29,8 @@
 export type { Fault, FaultName } from "./process/faults.ts";
 export type { ListedHost } from "./process/host_list.ts";
 export type { StandIn } from "./process/http_server.ts";
+export { startProxy } from "./proxy.ts";
+export type { ProxyConfig } from "./proxy.ts";
 export { fetchJson } from "./process/json_client.ts";
 export type { JsonAnswer } from "./process/json_client.ts";
 export { startStack } from "./process/launcher.ts";
@@ -50,3 +52,7 @@
   PlainOptions,
 } from "./client.ts";
 export type { Answer, Outcome, PlainEcho } from "./request/answer.ts";
+export { drawMix, sendMixed } from "./request/mix.ts";
+export type { MixedCall, MixOptions } from "./request/mix.ts";
+export { mixFindings } from "./request/mix_findings.ts";
+export type { MixResult } from "./request/mix_findings.ts";
