Run a keyed, non-repeatable call at most once over retries and crashes

Cause: a second try of a job card with the same key was sent again. Change: IdempotentCallRunner claims the key before the slot and the send, keeps the answer for a second try, runs on when the caller leaves, and takes a new claim when the old one has aged while it waited. Crash points of the claims' own names stand between claim, send, answer and release. The test of a caller that leaves after its send failed first: the interruption waited for the send's end, hid how it had ended, and the key was freed: two runs. The region is now uninterruptible but for the waits for slot and claim. Conclusion: at most one run holds at each point; "may have run" is the cost from the claim's write until its settlement.

--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -60,6 +60,8 @@
   ClaimUnavailable,
   KeptAnswer,
 } from "./process/claims.ts";
+export { NO_CRASH_POINTS } from "./process/crash_points.ts";
+export type { CrashPoint, CrashPoints } from "./process/crash_points.ts";
 export { ClaimsInStore } from "./process/claims_in_store.ts";
 export type { ClaimsInStoreOptions } from "./process/claims_in_store.ts";
 export { HttpStore } from "./process/http_store.ts";
--- a/packages/daemon/src/connection/runner_answer.ts
+++ b/packages/daemon/src/connection/runner_answer.ts
@@ -31,6 +31,7 @@
   readonly connectMs: number;
   /** From the send to the head. */
   readonly headMs: number;
+  readonly afterSend?: Effect.Effect<void>;
 }
 
 /** An answer whose head has come; its body is read piece by piece. */
@@ -134,59 +135,105 @@
 /**
  * Sends a request and waits for the head of its answer. Interruption closes
  * the connection.
+ *
+ * @param limits.afterSend runs once the request's bytes are handed to the
+ * system, before the head is awaited.
  */
 export function exchange(
   to: { readonly connections: RunnerConnections; readonly runner: Runner },
   request: RunnerRequest,
   limits: HeadLimits,
 ): Effect.Effect<RunnerAnswer, NoAnswer> {
-  return Effect.callback((resume) => {
-    const outgoing = to.connections.send(to.runner, request);
-    let connected = false;
-    let settled = false;
-    let timer = setTimeout(onTimeout, limits.connectMs);
-
-    function settle(end: Effect.Effect<RunnerAnswer, NoAnswer>): void {
-      if (settled) return;
-      settled = true;
-      clearTimeout(timer);
-      resume(end);
-    }
-    function fail(reason: NoAnswer["reason"], message: string): void {
-      const mayHaveArrived = connected;
-      settle(
-        Effect.fail({ _tag: "NoAnswer", mayHaveArrived, reason, message }),
-      );
-    }
-    function onTimeout(): void {
-      fail("silent", connected ? "No answer in time" : "No connection in time");
-      outgoing.destroy();
-    }
-    function onConnected(): void {
-      if (settled) return;
-      connected = true;
-      clearTimeout(timer);
-      timer = setTimeout(onTimeout, limits.headMs);
-    }
+  return Effect.suspend(() => {
+    const sent = new SentRequest(
+      to.connections.send(to.runner, request),
+      limits,
+    );
+    const { afterSend } = limits;
+    const head = afterSend === undefined
+      ? sent.head()
+      : Effect.andThen(Effect.andThen(sent.flushed(), afterSend), sent.head());
+    return Effect.onInterrupt(head, () => Effect.sync(() => sent.abort()));
+  });
+}
+
+/** A request on its way, until the head of its answer has come. */
+class SentRequest {
+  readonly #outgoing: http.ClientRequest;
+  #connected = false;
+  #end: Effect.Effect<RunnerAnswer, NoAnswer> | undefined;
+  #wake: (() => void) | undefined;
+  #timer: NodeJS.Timeout;
 
+  constructor(outgoing: http.ClientRequest, limits: HeadLimits) {
+    this.#outgoing = outgoing;
+    this.#timer = setTimeout(() => this.#timeOut(), limits.connectMs);
+    const connected = () => {
+      if (this.#end !== undefined) return;
+      this.#connected = true;
+      clearTimeout(this.#timer);
+      this.#timer = setTimeout(() => this.#timeOut(), limits.headMs);
+    };
     outgoing.on("socket", (socket) => {
-      if (!socket.connecting) return onConnected();
-      socket.once("connect", onConnected);
+      if (!socket.connecting) return connected();
+      socket.once("connect", connected);
     });
     outgoing.on("response", (response) => {
       const answer = new RunnerAnswer(response);
-      if (settled) return answer.destroy();
-      settle(Effect.succeed(answer));
+      if (this.#end !== undefined) return answer.destroy();
+      this.#settle(Effect.succeed(answer));
     });
     outgoing.on("error", (error: NodeJS.ErrnoException) => {
       const malformed = error.code?.startsWith("HPE_") === true;
-      if (malformed) return fail("malformed", error.message);
-      fail(connected ? "reset" : "refused", error.message);
+      if (malformed) return this.#fail("malformed", error.message);
+      this.#fail(this.#connected ? "reset" : "refused", error.message);
     });
-    return Effect.sync(() => {
-      settled = true;
-      clearTimeout(timer);
-      outgoing.destroy();
+  }
+
+  /** Ends when the request is handed to the system, or was answered or failed. */
+  flushed(): Effect.Effect<void> {
+    return Effect.callback((resume) => {
+      if (this.#outgoing.writableFinished || this.#end !== undefined) {
+        return resume(Effect.void);
+      }
+      this.#outgoing.once("finish", () => resume(Effect.void));
+      this.#wake = () => resume(Effect.void);
     });
-  });
+  }
+
+  head(): Effect.Effect<RunnerAnswer, NoAnswer> {
+    return Effect.callback((resume) => {
+      if (this.#end !== undefined) return resume(this.#end);
+      this.#wake = () => {
+        if (this.#end !== undefined) resume(this.#end);
+      };
+    });
+  }
+
+  /** Closes the connection; an answer that comes all the same is dropped. */
+  abort(): void {
+    this.#end ??= Effect.never;
+    clearTimeout(this.#timer);
+    this.#outgoing.destroy();
+  }
+
+  #settle(end: Effect.Effect<RunnerAnswer, NoAnswer>): void {
+    if (this.#end !== undefined) return;
+    this.#end = end;
+    clearTimeout(this.#timer);
+    this.#wake?.();
+  }
+
+  #fail(reason: NoAnswer["reason"], message: string): void {
+    const mayHaveArrived = this.#connected;
+    this.#settle(
+      Effect.fail({ _tag: "NoAnswer", mayHaveArrived, reason, message }),
+    );
+  }
+
+  #timeOut(): void {
+    const what = this.#connected ? "answer" : "connection";
+    this.#fail("silent", `No ${what} in time`);
+    this.#outgoing.destroy();
+  }
 }
--- a/packages/daemon/src/request/attempt.ts
+++ b/packages/daemon/src/request/attempt.ts
@@ -3,11 +3,10 @@
  *
  * @module
  */
-import type { Clock } from "@umbermast/coordination";
+import type { Clock, CrashPoints } from "@umbermast/coordination";
 import * as Effect from "effect/Effect";
 import {
   exchange,
-  type HeadLimits,
   type NoAnswer,
   type RunnerAnswer,
 } from "../connection/runner_answer.ts";
@@ -15,12 +14,19 @@
 import type { Log } from "../process/log.ts";
 import { type AttemptMark, requestHeaders } from "./answer_head.ts";
 import type { Grant } from "./ask.ts";
+import { headLimits } from "./attempt_limits.ts";
 import type { AttemptSettings } from "./attempt_settings.ts";
 import type { Call, CallerGone, Reply } from "./call.ts";
-import type { AttemptEnd, Lost, NotRun } from "./outcome.ts";
+import {
+  type AttemptEnd,
+  type Lost,
+  lost,
+  notRun,
+  refused,
+} from "./outcome.ts";
 import { cancelAtEngine } from "./engine_cancel.ts";
-import { relayStream, StreamProgress } from "./stream_relay.ts";
-import { type Usage, usageOfEvent } from "./usage.ts";
+import { AttemptMeter } from "./attempt_meter.ts";
+import { relayStream } from "./stream_relay.ts";
 import { relayWhole } from "./whole_relay.ts";
 
 /** What attempts need of the daemon. */
@@ -29,6 +35,8 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly settings: AttemptSettings;
+  /** Set in tests only. */
+  readonly crashPoints?: CrashPoints;
 }
 
 /** One caller's request on its way through its attempts. */
@@ -45,46 +53,20 @@
 }
 
 const EVENT_STREAM = "text/event-stream";
-const MS_PER_SECOND = 1_000;
 
 /** Sends one request and relays its answer; resumes a stream that breaks. */
 export class Attempt {
   readonly #services: AttemptServices;
   readonly #target: AttemptTarget;
-  readonly #progress = new StreamProgress();
+  /** What the attempt has cost and delivered so far. */
+  readonly meter: AttemptMeter;
   #answer: RunnerAnswer | undefined;
-  #sentAt: number | undefined;
   #sends = 0;
-  #usage: Usage | undefined;
-  #firstByteAt: number | undefined;
 
   constructor(services: AttemptServices, target: AttemptTarget) {
     this.#services = services;
     this.#target = target;
-  }
-
-  /** Tokens that the caller was given. */
-  get tokens(): number {
-    return this.#usage?.outputTokens ?? this.#progress.tokens;
-  }
-
-  get promptTokens(): number {
-    return this.#usage?.promptTokens ?? this.#target.call.promptTokens;
-  }
-
-  /** Milliseconds from the send to the first token. */
-  get firstTokenMs(): number | undefined {
-    const first = this.#progress.firstAt ?? this.#firstByteAt;
-    if (first === undefined || this.#sentAt === undefined) return undefined;
-    return first - this.#sentAt;
-  }
-
-  /** Mean milliseconds between tokens. */
-  get betweenTokensMs(): number | undefined {
-    const { firstAt, lastAt, tokens } = this.#progress;
-    if (firstAt === undefined || lastAt === undefined) return undefined;
-    if (tokens < 2) return undefined;
-    return (lastAt - firstAt) / (tokens - 1);
+    this.meter = new AttemptMeter(target.call);
   }
 
   /** Runs to the end. After interruption, `abandon` must be called. */
@@ -94,14 +76,11 @@
       let fruitless = 0;
       while (end._tag === "Lost" && end.resumable) {
         if (fruitless >= this.#services.settings.fruitlessResumes) break;
-        const before = this.#progress.tokens;
+        const before = this.meter.progress.tokens;
         const resumed = yield* this.#resume(end);
         if (resumed === undefined) break;
         end = resumed;
-        fruitless = this.#progress.tokens > before ? 0 : fruitless + 1;
-      }
-      if (this.#progress.tokens > 0) {
-        this.#usage = usageOfEvent(this.#progress.lastEvent);
+        fruitless = this.meter.progress.tokens > before ? 0 : fruitless + 1;
       }
       return end;
     });
@@ -113,7 +92,7 @@
    */
   abandon(): void {
     this.#answer?.destroy();
-    if (this.#sentAt === undefined || !this.#mayResume()) return;
+    if (this.meter.sentAt === undefined || !this.#mayResume()) return;
     const { call, grant } = this.#target;
     cancelAtEngine(this.#services.connections, grant.runner, call);
   }
@@ -128,9 +107,12 @@
   #send(
     resume: { readonly offset?: number },
   ): Effect.Effect<AttemptEnd> {
-    const { call, grant, grantUntil, number } = this.#target;
-    const { clock, connections, settings } = this.#services;
+    const { call, grant, grantUntil, deadlineAt, number } = this.#target;
+    const { clock, connections, settings, crashPoints } = this.#services;
     return Effect.gen({ self: this }, function* () {
+      if (crashPoints !== undefined) {
+        yield* crashPoints.reached("send.before_bytes");
+      }
       // A daemon that was paused wakes with grants that the broker has given
       // to others since; using one would overload the runner.
       if (resume.offset === undefined && clock.monotonic() >= grantUntil) {
@@ -147,8 +129,12 @@
         ...(resume.offset !== undefined && { resumeOffset: resume.offset }),
       };
       const sentAt = clock.monotonic();
-      this.#sentAt ??= sentAt;
-      const limits = this.#headLimits(resume.offset !== undefined);
+      this.meter.sentAt ??= sentAt;
+      const limits = headLimits(call, settings, {
+        resumed: resume.offset !== undefined,
+        leftMs: deadlineAt - sentAt,
+        crashPoints,
+      });
       const head = yield* Effect.result(exchange(
         { connections, runner: grant.runner },
         {
@@ -165,6 +151,9 @@
       ));
       if (head._tag === "Failure") return this.#unanswered(head.failure);
       this.#answer = head.success;
+      if (crashPoints !== undefined) {
+        yield* crashPoints.reached("answer.before_end");
+      }
       const end = yield* this.#relay(head.success, {
         attemptId,
         firstMs: limits.headMs,
@@ -178,7 +167,7 @@
   #resume(end: Lost): Effect.Effect<AttemptEnd | undefined> {
     const { call, grant } = this.#target;
     return Effect.gen({ self: this }, function* () {
-      const offset = this.#progress.tokens;
+      const offset = this.meter.progress.tokens;
       const next = yield* this.#send({ offset });
       this.#services.log.decision("stream_resumed", {
         requestId: call.requestId,
@@ -191,31 +180,6 @@
     });
   }
 
-  #headLimits(resumed: boolean): HeadLimits {
-    const { call, deadlineAt } = this.#target;
-    const { clock, settings } = this.#services;
-    const left = Math.max(1, deadlineAt - clock.monotonic());
-    const connectMs = Math.min(settings.connectMs, left);
-    if (resumed) return { connectMs, headMs: settings.resumeHeadMs };
-    if (!call.streamed) return { connectMs, headMs: this.#wholeMs() };
-    return { connectMs, headMs: Math.min(settings.firstTokenMs, left) };
-  }
-
-  /**
-   * A whole answer shows no progress before its head, so its limit follows
-   * from the most tokens that it can have.
-   */
-  #wholeMs(): number {
-    const { call } = this.#target;
-    const { settings } = this.#services;
-    if (call.model === undefined || call.maxTokens === undefined) {
-      return settings.wholeAnswerMs;
-    }
-    const expected = settings.firstTokenMs +
-      call.maxTokens * settings.wholeAnswerTokenMs;
-    return Math.min(settings.wholeAnswerMs, expected);
-  }
-
   #unanswered(failure: NoAnswer): AttemptEnd {
     const { connections } = this.#services;
     if (failure.reason === "silent") {
@@ -248,7 +212,7 @@
     }
     if (answer.header("umbermast-started") === "false") {
       answer.destroy();
-      return Effect.succeed(refused(answer));
+      return Effect.succeed(refused(answer.header("retry-after")));
     }
     const { call } = this.#target;
     const streams = answer.header("content-type")?.startsWith(EVENT_STREAM);
@@ -268,7 +232,7 @@
   ): Effect.Effect<AttemptEnd, CallerGone> {
     const { reply } = this.#target;
     const { clock, settings, connections } = this.#services;
-    const progress = this.#progress;
+    const progress = this.meter.progress;
     return Effect.gen({ self: this }, function* () {
       const end = yield* relayStream(answer, {
         reply,
@@ -297,9 +261,8 @@
 
   #relayWhole(answer: RunnerAnswer): Effect.Effect<AttemptEnd, CallerGone> {
     const { call, reply } = this.#target;
-    const { clock, settings } = this.#services;
+    const { settings } = this.#services;
     return Effect.gen({ self: this }, function* () {
-      this.#firstByteAt = clock.monotonic();
       // An engine's own failure is told as such, so that a repeatable request
       // can be tried elsewhere. A plain service's answers are all its own.
       if (call.model !== undefined && answer.status >= 500) {
@@ -307,7 +270,7 @@
       }
       const end = yield* relayWhole(answer, { call, reply, settings });
       if (end._tag === "Whole") {
-        this.#usage = end.usage;
+        this.meter.usage = end.usage;
         return { _tag: "Complete", status: answer.status } as const;
       }
       const code = end.reason === "silent" ? "runner_silent" : "answer_broken";
@@ -326,30 +289,3 @@
       Effect.succeed<AttemptEnd>({ _tag: "CallerLeft", reason: gone.reason }),
   );
 }
-
-function notRun(code: NotRun["code"], message: string): NotRun {
-  return { _tag: "NotRun", code, message };
-}
-
-function refused(answer: RunnerAnswer): NotRun {
-  const end = notRun("runner_refused", "The runner refused to start");
-  const seconds = Number(answer.header("retry-after"));
-  if (!Number.isFinite(seconds) || seconds <= 0) return end;
-  return { ...end, retryAfterMs: seconds * MS_PER_SECOND };
-}
-
-const LOST_MESSAGES: Readonly<Record<Lost["code"], string>> = {
-  runner_failed: "The runner failed while it worked on the request",
-  runner_silent: "The runner stopped answering",
-  answer_lost: "The connection broke before an answer came",
-  answer_broken: "The answer broke off before its end",
-  answer_crossed: "The answer received belongs to another attempt",
-  deadline_passed: "The deadline passed before an answer began",
-};
-
-function lost(
-  code: Lost["code"],
-  more: Pick<Lost, "standing" | "resumable">,
-): Lost {
-  return { _tag: "Lost", code, message: LOST_MESSAGES[code], ...more };
-}
--- /dev/null
+++ b/packages/daemon/src/request/attempt_limits.ts
@@ -0,0 +1,49 @@
+/**
+ * How long the head of an answer is awaited.
+ *
+ * @module
+ */
+import type { CrashPoints } from "@umbermast/coordination";
+import type { HeadLimits } from "../connection/runner_answer.ts";
+import type { AttemptSettings } from "./attempt_settings.ts";
+import type { Call } from "./call.ts";
+
+/** What the limits of one send depend on besides its call. */
+export interface SendCircumstances {
+  /** The rest of a stream is asked for. */
+  readonly resumed: boolean;
+  /** Milliseconds left until the request's deadline. */
+  readonly leftMs: number;
+  /** Set in tests only. */
+  readonly crashPoints: CrashPoints | undefined;
+}
+
+/**
+ * The limits of one send. The deadline bounds connecting and the first token;
+ * it does not bound a whole answer, which shows no beginning before its end.
+ */
+export function headLimits(
+  call: Call,
+  settings: AttemptSettings,
+  circumstances: SendCircumstances,
+): HeadLimits {
+  const { resumed, crashPoints } = circumstances;
+  const leftMs = Math.max(1, circumstances.leftMs);
+  const connectMs = Math.min(settings.connectMs, leftMs);
+  if (resumed) return { connectMs, headMs: settings.resumeHeadMs };
+  const headMs = call.streamed
+    ? Math.min(settings.firstTokenMs, leftMs)
+    : wholeMs(call, settings);
+  if (crashPoints === undefined) return { connectMs, headMs };
+  const afterSend = crashPoints.reached("send.after_bytes");
+  return { connectMs, headMs, afterSend };
+}
+
+/** A whole answer's limit follows from the most tokens that it can have. */
+function wholeMs(call: Call, settings: AttemptSettings): number {
+  const { wholeAnswerMs, wholeAnswerTokenMs, firstTokenMs } = settings;
+  if (call.model === undefined) return wholeAnswerMs;
+  if (call.maxTokens === undefined) return wholeAnswerMs;
+  const expected = firstTokenMs + call.maxTokens * wholeAnswerTokenMs;
+  return Math.min(wholeAnswerMs, expected);
+}
--- /dev/null
+++ b/packages/daemon/src/request/attempt_meter.ts
@@ -0,0 +1,47 @@
+/**
+ * What an attempt costs and delivers.
+ *
+ * @module
+ */
+import type { Call } from "./call.ts";
+import { StreamProgress } from "./stream_relay.ts";
+import { type Usage, usageOfEvent } from "./usage.ts";
+
+/** Counts and times of one attempt; times in monotonic milliseconds. */
+export class AttemptMeter {
+  readonly progress = new StreamProgress();
+  sentAt: number | undefined;
+  /** What the engine reported with a whole answer. */
+  usage: Usage | undefined;
+  readonly #call: Call;
+
+  constructor(call: Call) {
+    this.#call = call;
+  }
+
+  /** Tokens that the caller was given. */
+  get tokens(): number {
+    return this.usage?.outputTokens ?? this.progress.tokens;
+  }
+
+  /** Tokens of the prompt: the engine's count, or the estimate. */
+  get promptTokens(): number {
+    const usage = this.usage ?? usageOfEvent(this.progress.lastEvent);
+    return usage.promptTokens ?? this.#call.promptTokens;
+  }
+
+  /** Milliseconds from the send to the first token. */
+  get firstTokenMs(): number | undefined {
+    const first = this.progress.firstAt;
+    if (first === undefined || this.sentAt === undefined) return undefined;
+    return first - this.sentAt;
+  }
+
+  /** Mean milliseconds between tokens. */
+  get betweenTokensMs(): number | undefined {
+    const { firstAt, lastAt, tokens } = this.progress;
+    if (firstAt === undefined || lastAt === undefined) return undefined;
+    if (tokens < 2) return undefined;
+    return (lastAt - firstAt) / (tokens - 1);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/request/idempotent_call_runner.ts
@@ -0,0 +1,285 @@
+/**
+ * Runs calls that may not be repeated and carry an idempotency key.
+ *
+ * @module
+ */
+import type {
+  Claim,
+  ClaimOutcome,
+  Claims,
+  ClaimSettlement,
+  ClaimUnavailable,
+  CrashPoints,
+  KeptAnswer,
+} from "@umbermast/coordination";
+import { createHash } from "node:crypto";
+import * as Effect from "effect/Effect";
+import * as Exit from "effect/Exit";
+import type { Log } from "../process/log.ts";
+import type { Call, CallRunner, Ending, Problem, Reply } from "./call.ts";
+import { KeptReply } from "./kept_reply.ts";
+import type { Denial } from "./journey.ts";
+import type { RetryingCallRunner } from "./retrying_call_runner.ts";
+
+/** What the runner needs of the daemon. */
+export interface IdempotentServices {
+  readonly claims: Claims;
+  readonly log: Log;
+  /** Set in tests only. */
+  readonly crashPoints?: CrashPoints;
+}
+
+/** Marks an answer that was made for an earlier try. */
+const REPLAYED = { name: "idempotent-replayed", value: "true" };
+
+/** Tries to claim a key again, and the pause between them in milliseconds. */
+const MAX_RECLAIMS = 3;
+const RECLAIM_PAUSE_MS = 100;
+
+/** Wait that is suggested while the first try is still running, in milliseconds. */
+const RUNNING_RETRY_MS = 1_000;
+
+/**
+ * Claims the key of a call before its send, in this order: claim; acquire a
+ * slot; send; deliver; settle the claim. A key is claimed before the slot is
+ * asked for, so that a second try gets the first's answer, or hears that it may
+ * have run, also when no slot is free.
+ *
+ * Calls that may be repeated, or have no key, pass straight through: without a
+ * key nothing ties a second try to the first, so all that can be promised is
+ * that this try is sent once.
+ */
+export class IdempotentCallRunner implements CallRunner {
+  readonly #runner: RetryingCallRunner;
+  readonly #services: IdempotentServices;
+
+  constructor(runner: RetryingCallRunner, services: IdempotentServices) {
+    this.#runner = runner;
+    this.#services = services;
+  }
+
+  run(call: Call, reply: Reply): Effect.Effect<Ending> {
+    const { idempotencyKey } = call;
+    if (call.repeatable || idempotencyKey === undefined) {
+      return this.#runner.run(call, reply);
+    }
+    return Effect.uninterruptibleMask((restore) =>
+      Effect.gen({ self: this }, function* () {
+        const claimant = new Claimant(call, this.#services);
+        const first = yield* Effect.exit(restore(claimant.claim()));
+        if (Exit.isFailure(first)) {
+          const denied = Exit.findErrorOption(first);
+          if (denied._tag === "None") return yield* Effect.interrupt;
+          return yield* restore(denied.value.answer(reply));
+        }
+        const kept = new KeptReply(reply);
+        const run = this.#runner.runUnder(call, kept, {
+          permit: claimant.permit(),
+        });
+        const exit = yield* Effect.exit(run);
+        const settlement = settlementOf(exit, kept);
+        const { crashPoints } = this.#services;
+        if (crashPoints !== undefined) {
+          yield* crashPoints.reached("answer.after_end");
+        }
+        yield* claimant.settle(settlement);
+        return yield* exit;
+      })
+    );
+  }
+}
+
+/** The claim of one call, renewed when the send comes late. */
+class Claimant {
+  readonly #call: Call;
+  readonly #services: IdempotentServices;
+  readonly #digest: string;
+  #claim: Claim | undefined;
+
+  constructor(call: Call, services: IdempotentServices) {
+    this.#call = call;
+    this.#services = services;
+    this.#digest = digestOf(call);
+  }
+
+  claim(): Effect.Effect<void, Denial> {
+    const asked = this.#services.claims.claim(keyOf(this.#call), {
+      digest: this.#digest,
+    });
+    return Effect.matchEffect(asked, {
+      onFailure: (unavailable) => {
+        this.#note("unavailable");
+        return Effect.fail(denial(problemOfUnavailable(unavailable)));
+      },
+      onSuccess: (outcome) => {
+        this.#note(outcome._tag);
+        if (outcome._tag !== "Claimed") {
+          return Effect.fail(denialOf(outcome));
+        }
+        this.#claim = outcome.claim;
+        return Effect.void;
+      },
+    });
+  }
+
+  /**
+   * Lets the send start only under a fresh claim. A process that was paused, or
+   * whose request waited long for a slot, may hold a claim that has aged out,
+   * and a second try may have claimed the key since: sending would make two
+   * runs. The old claim is given back and a new one decides.
+   */
+  permit(): Effect.Effect<void, Denial> {
+    return Effect.suspend(() => {
+      const claim = this.#claim;
+      if (claim === undefined) return this.claim();
+      if (claim.mayStart()) return Effect.void;
+      this.#claim = undefined;
+      const returned = claim.settle({ _tag: "NotRun" });
+      return Effect.andThen(returned, this.#claimAgain());
+    });
+  }
+
+  /** The claim given back may still be on its way out of the store. */
+  #claimAgain(): Effect.Effect<void, Denial> {
+    return Effect.gen({ self: this }, function* () {
+      for (let tries = 1; tries < MAX_RECLAIMS; tries++) {
+        const exit = yield* Effect.exit(this.claim());
+        if (Exit.isSuccess(exit)) return;
+        yield* Effect.sleep(RECLAIM_PAUSE_MS);
+      }
+      yield* this.claim();
+    });
+  }
+
+  settle(settlement: ClaimSettlement): Effect.Effect<void> {
+    const claim = this.#claim;
+    if (claim === undefined) return Effect.void;
+    return claim.settle(settlement);
+  }
+
+  #note(outcome: string): void {
+    this.#services.log.decision("claim_decided", {
+      requestId: this.#call.requestId,
+      outcome,
+    });
+  }
+}
+
+/** Keys are a workspace's own, for each service. */
+function keyOf(call: Call): string {
+  return JSON.stringify([call.workspace, call.service, call.idempotencyKey]);
+}
+
+function digestOf(call: Call): string {
+  return createHash("sha256")
+    .update(JSON.stringify([call.method, call.path]))
+    .update(call.body)
+    .digest("base64url");
+}
+
+/**
+ * What is recorded of a call's end. Interruption strikes such a call only
+ * before its send: afterwards it runs to its end.
+ */
+function settlementOf(
+  exit: Exit.Exit<Ending>,
+  kept: KeptReply,
+): ClaimSettlement {
+  if (Exit.isFailure(exit)) {
+    return Exit.hasInterrupts(exit)
+      ? { _tag: "NotRun" }
+      : { _tag: "MayHaveRun" };
+  }
+  const ending = exit.value;
+  if (ending._tag === "Complete") {
+    const answer = kept.kept;
+    return answer === undefined
+      ? { _tag: "Answered" }
+      : { _tag: "Answered", answer };
+  }
+  const notRun = ending._tag === "Ended" &&
+    ending.problem.outcome === "not-run";
+  return { _tag: notRun ? "NotRun" : "MayHaveRun" };
+}
+
+function denialOf(outcome: Exclude<ClaimOutcome, { _tag: "Claimed" }>): Denial {
+  switch (outcome._tag) {
+    case "Answered":
+      return {
+        _tag: "Denial",
+        answer: (reply) => replay(outcome.answer, reply),
+      };
+    case "Mismatch":
+      return denial({
+        status: 422,
+        code: "idempotency_key_reused",
+        message:
+          "The idempotency key was used with another request; use a new key",
+        outcome: "not-run",
+        place: "headers/idempotency-key",
+      });
+    case "Taken":
+      return denial(problemOfTaken(outcome.state));
+  }
+}
+
+function problemOfTaken(
+  state: "running" | "answered" | "may-have-run",
+): Problem {
+  const problem = {
+    status: 409,
+    code: "may_have_run",
+    outcome: "unknown",
+  } as const;
+  switch (state) {
+    case "running":
+      return {
+        ...problem,
+        message: "An earlier try with this key is running; ask again for it",
+        retryAfterMs: RUNNING_RETRY_MS,
+      };
+    case "answered":
+      return {
+        ...problem,
+        message: "An earlier try with this key ran; its answer is not kept",
+      };
+    case "may-have-run":
+      return {
+        ...problem,
+        message: "An earlier try with this key may have run",
+      };
+  }
+}
+
+function problemOfUnavailable(unavailable: ClaimUnavailable): Problem {
+  return {
+    status: 503,
+    code: "claims_unavailable",
+    message: unavailable.message,
+    outcome: "not-run",
+    retryAfterMs: unavailable.retryAfterMs,
+  };
+}
+
+function denial(problem: Problem): Denial {
+  return {
+    _tag: "Denial",
+    answer: (reply) =>
+      Effect.sync(() => {
+        reply.refuse(problem);
+        return { _tag: "Ended", problem };
+      }),
+  };
+}
+
+function replay(answer: KeptAnswer, reply: Reply): Effect.Effect<Ending> {
+  const { status, headers, body } = answer;
+  reply.begin({ status, headers: [...headers, REPLAYED] });
+  return Effect.match(reply.write(body), {
+    onFailure: (gone): Ending => ({ _tag: "CallerLeft", reason: gone.reason }),
+    onSuccess: (): Ending => {
+      reply.end();
+      return { _tag: "Complete", status };
+    },
+  });
+}
--- a/packages/daemon/src/request/outcome.ts
+++ b/packages/daemon/src/request/outcome.ts
@@ -31,8 +31,7 @@
     | "runner_silent"
     | "answer_lost"
     | "answer_broken"
-    | "answer_crossed"
-    | "deadline_passed";
+    | "answer_crossed";
   readonly message: string;
   /** The stream may go on at the same runner on a new connection. */
   readonly resumable: boolean;
@@ -48,9 +47,10 @@
   answer_broken: 502,
   answer_crossed: 502,
   runner_silent: 504,
-  deadline_passed: 504,
 } as const;
 
+const MS_PER_SECOND = 1_000;
+
 /** Wait that is suggested when nothing better is known, in milliseconds. */
 export const DEFAULT_RETRY_AFTER_MS = 1_000;
 
@@ -104,3 +104,32 @@
   if (a === "failed" || b === "failed") return "failed";
   return "not-run";
 }
+
+/** An attempt that did not run. */
+export function notRun(code: NotRun["code"], message: string): NotRun {
+  return { _tag: "NotRun", code, message };
+}
+
+/** A refusal before starting, with the runner's wish for when to come back. */
+export function refused(retryAfter: string | undefined): NotRun {
+  const end = notRun("runner_refused", "The runner refused to start");
+  const seconds = Number(retryAfter);
+  if (!Number.isFinite(seconds) || seconds <= 0) return end;
+  return { ...end, retryAfterMs: seconds * MS_PER_SECOND };
+}
+
+const LOST_MESSAGES: Readonly<Record<Lost["code"], string>> = {
+  runner_failed: "The runner failed while it worked on the request",
+  runner_silent: "The runner stopped answering",
+  answer_lost: "The connection broke before an answer came",
+  answer_broken: "The answer broke off before its end",
+  answer_crossed: "The answer received belongs to another attempt",
+};
+
+/** An attempt that may have run. */
+export function lost(
+  code: Lost["code"],
+  more: Pick<Lost, "standing" | "resumable">,
+): Lost {
+  return { _tag: "Lost", code, message: LOST_MESSAGES[code], ...more };
+}
--- a/packages/daemon/src/request/retrying_call_runner.ts
+++ b/packages/daemon/src/request/retrying_call_runner.ts
@@ -6,16 +6,10 @@
 import * as Effect from "effect/Effect";
 import * as Exit from "effect/Exit";
 import type { RetryBudget } from "../process/retry_budget.ts";
-import type { Ask, Grant, Refusal, Settlement } from "./ask.ts";
+import type { Grant, Refusal, Settlement } from "./ask.ts";
 import { Attempt, type AttemptServices } from "./attempt.ts";
-import type {
-  Call,
-  CallRunner,
-  Ending,
-  Problem,
-  Reply,
-  Standing,
-} from "./call.ts";
+import type { Call, CallRunner, Ending, Problem, Reply } from "./call.ts";
+import { askOf, type CallTerms, type Denial, type Journey } from "./journey.ts";
 import {
   type AttemptEnd,
   type Lost,
@@ -25,6 +19,7 @@
   worse,
 } from "./outcome.ts";
 import type { Scheduler } from "./scheduler.ts";
+import { settlementOf } from "./settlement.ts";
 
 /** What the runner of calls needs of the daemon. */
 export interface CallServices extends AttemptServices {
@@ -32,22 +27,6 @@
   readonly budget: RetryBudget;
 }
 
-/** What is known of a call between its attempts. */
-interface Journey {
-  readonly call: Call;
-  readonly reply: Reply;
-  /** Monotonic milliseconds. */
-  readonly deadlineAt: number;
-  standing: Standing;
-  /** Attempts that may have reached a runner, or were refused by one. */
-  attempts: number;
-  /** Slots asked for. */
-  asks: number;
-  excluded: readonly string[];
-  /** End of the attempt before, when it was not the call's end. */
-  last: NotRun | Lost | undefined;
-}
-
 /** Why a call starts again, or does not. */
 type RetryVerdict =
   | "retry"
@@ -75,12 +54,28 @@
   }
 
   run(call: Call, reply: Reply): Effect.Effect<Ending> {
+    return this.runUnder(call, reply, undefined);
+  }
+
+  /**
+   * Runs a call under terms. Once sent, such a call is not interrupted when its
+   * caller leaves: the answer is wanted all the same. To be run in an
+   * uninterruptible region, so that an interruption that waits for the send's
+   * end does not hide how it ended; waiting for a slot stays interruptible.
+   */
+  runUnder(
+    call: Call,
+    reply: Reply,
+    terms: CallTerms | undefined,
+  ): Effect.Effect<Ending> {
     return Effect.gen({ self: this }, function* () {
-      const journey = this.#start(call, reply);
+      const journey = this.#start(call, reply, terms);
       for (;;) {
         const step = yield* Effect.result(this.#tryOnce(journey));
         if (step._tag === "Failure") {
-          return refuse(journey, problemAfter(journey, step.failure));
+          const failure = step.failure;
+          if (failure._tag === "Denial") return yield* failure.answer(reply);
+          return refuse(journey, problemAfter(journey, failure));
         }
         const end = step.success;
         if (end._tag === "Complete") {
@@ -99,11 +94,16 @@
     });
   }
 
-  #start(call: Call, reply: Reply): Journey {
+  #start(
+    call: Call,
+    reply: Reply,
+    terms: CallTerms | undefined,
+  ): Journey {
     const { clock } = this.#services;
     return {
       call,
       reply,
+      terms,
       deadlineAt: clock.monotonic() + (call.deadline - clock.now()),
       standing: "not-run",
       attempts: 0,
@@ -114,12 +114,14 @@
   }
 
   /** One slot and one attempt in it; the slot is given back in every case. */
-  #tryOnce(journey: Journey): Effect.Effect<AttemptEnd, Refusal> {
-    const { scheduler, clock } = this.#services;
-    return Effect.uninterruptibleMask((restore) =>
+  #tryOnce(journey: Journey): Effect.Effect<AttemptEnd, Refusal | Denial> {
+    const { scheduler, clock, crashPoints } = this.#services;
+    return Effect.uninterruptible(
       Effect.gen({ self: this }, function* () {
-        const grant = yield* restore(scheduler.acquire(askOf(journey)));
-        const { call, reply, deadlineAt } = journey;
+        const grant = yield* Effect.interruptible(
+          scheduler.acquire(askOf(journey)),
+        );
+        const { call, reply, deadlineAt, terms } = journey;
         const attempt = new Attempt(this.#services, {
           call,
           reply,
@@ -128,14 +130,32 @@
           grantUntil: clock.monotonic() + (grant.expiresAt - clock.now()),
           deadlineAt,
         });
-        const exit = yield* Effect.exit(restore(attempt.run()));
+        if (terms !== undefined) {
+          yield* Effect.onError(
+            Effect.interruptible(terms.permit),
+            () =>
+              Effect.sync(() =>
+                grant.release(settlementOf(attempt, undefined))
+              ),
+          );
+        }
+        const run = terms === undefined
+          ? Effect.interruptible(attempt.run())
+          : attempt.run();
+        const exit = yield* Effect.exit(run);
         const end = Exit.isSuccess(exit) ? exit.value : undefined;
         if (end?._tag !== "Complete") attempt.abandon();
-        const settlement = settle(attempt, end);
+        const settlement = settlementOf(attempt, end);
+        if (crashPoints !== undefined) {
+          yield* crashPoints.reached("release.before");
+        }
         grant.release(settlement);
+        if (crashPoints !== undefined) {
+          yield* crashPoints.reached("release.after");
+        }
         this.#note(journey, grant, { end, settlement });
         return yield* exit;
-      })
+      }),
     );
   }
 
@@ -194,49 +214,6 @@
   }
 }
 
-function askOf(journey: Journey): Ask {
-  const { call } = journey;
-  journey.asks += 1;
-  return {
-    askId: `${call.requestId}.${journey.asks}`,
-    requestId: call.requestId,
-    service: call.service,
-    workspace: call.workspace,
-    class: call.class,
-    promptTokens: call.promptTokens,
-    deadline: call.deadline,
-    excluded: journey.excluded,
-    ...(call.model !== undefined && { model: call.model }),
-    ...(call.maxTokens !== undefined && { maxTokens: call.maxTokens }),
-    ...(call.prefixDigest !== undefined && { prefixDigest: call.prefixDigest }),
-  };
-}
-
-function settle(attempt: Attempt, end: AttemptEnd | undefined): Settlement {
-  const { firstTokenMs, betweenTokensMs } = attempt;
-  return {
-    outcome: outcomeOf(end),
-    promptTokens: attempt.promptTokens,
-    outputTokens: attempt.tokens,
-    ...(firstTokenMs !== undefined && { firstTokenMs }),
-    ...(betweenTokensMs !== undefined && { betweenTokensMs }),
-  };
-}
-
-function outcomeOf(end: AttemptEnd | undefined): Settlement["outcome"] {
-  if (end === undefined) return "cancelled";
-  switch (end._tag) {
-    case "Complete":
-      return "complete";
-    case "CallerLeft":
-      return "cancelled";
-    case "NotRun":
-      return end.code === "grant_expired" ? "cancelled" : "refused";
-    case "Lost":
-      return end.code === "runner_silent" ? "silent" : "failed";
-  }
-}
-
 /**
  * When no other runner is left for a retry, the failure of the attempt says
  * more to the caller than the lack of another runner.
--- a/packages/daemon/tests/call_fixture.ts
+++ b/packages/daemon/tests/call_fixture.ts
@@ -9,6 +9,7 @@
 import * as http from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { RunnerConnections } from "../src/connection/runner_connections.ts";
+import type { Log } from "../src/process/log.ts";
 import { RetryBudget } from "../src/process/retry_budget.ts";
 import type { Runner } from "../src/process/runner.ts";
 import type { Ask, Grant, Refusal, Settlement } from "../src/request/ask.ts";
@@ -230,12 +231,48 @@
   readonly settlements: Settlement[] = [];
   grantMs = 60_000;
   readonly #runners: readonly Runner[];
+  #held = false;
+  #asked: () => void = () => {};
+  #wake: () => void = () => {};
 
   constructor(runners: readonly Runner[]) {
     this.#runners = runners;
   }
 
+  /**
+   * Lets the next ask wait until `letGo`.
+   *
+   * @returns a promise that ends when the ask has come.
+   */
+  holdNext(): Promise<void> {
+    this.#held = true;
+    return new Promise((asked) => {
+      this.#asked = asked;
+    });
+  }
+
+  /** Grants the ask that waits. */
+  letGo(): void {
+    this.#wake();
+  }
+
   acquire(ask: Ask): Effect.Effect<Grant, Refusal> {
+    if (!this.#held) return this.#grant(ask);
+    this.#held = false;
+    return Effect.andThen(
+      Effect.callback<void>((resume) => {
+        this.#wake = () => resume(Effect.void);
+        this.#asked();
+      }),
+      this.#grant(ask),
+    );
+  }
+
+  #grant(ask: Ask): Effect.Effect<Grant, Refusal> {
+    return Effect.suspend(() => this.#grantNow(ask));
+  }
+
+  #grantNow(ask: Ask): Effect.Effect<Grant, Refusal> {
     this.asks.push(ask);
     const runner = this.#runners.find((each) =>
       !ask.excluded.includes(each.name)
@@ -274,6 +311,7 @@
   readonly budget: RetryBudget;
   readonly callRunner: RetryingCallRunner;
   readonly connections: RunnerConnections;
+  readonly log: Log;
 }
 
 /** Builds a runner of calls; short limits replace the defaults where given. */
@@ -286,6 +324,11 @@
 ): CallBench {
   const scheduler = new FixtureScheduler(runners);
   const logged: Logged[] = [];
+  const log: Log = {
+    event: (name, fields) => logged.push({ name, ...fields }),
+    decision: (name, fields) => logged.push({ name, ...fields }),
+    warning: (name, fields) => logged.push({ name, ...fields }),
+  };
   const budget = new RetryBudget({ share: 0.1, burst: 5 });
   const connections = new RunnerConnections();
   const callRunner = new RetryingCallRunner({
@@ -293,15 +336,11 @@
     budget,
     connections,
     clock: SYSTEM_CLOCK,
-    log: {
-      event: (name, fields) => logged.push({ name, ...fields }),
-      decision: (name, fields) => logged.push({ name, ...fields }),
-      warning: (name, fields) => logged.push({ name, ...fields }),
-    },
+    log,
     settings: { ...DEFAULT_ATTEMPT_SETTINGS, ...options.settings },
     ...options.services,
   });
-  return { scheduler, logged, budget, callRunner, connections };
+  return { scheduler, logged, log, budget, callRunner, connections };
 }
 
 /** Headers that a well-behaved runner echoes. */
