--- a/packages/daemon/src/connection/caller_server.ts
+++ b/packages/daemon/src/connection/caller_server.ts
@@ -52,17 +52,27 @@
   cut(): void;
 }
 
-/** Answers of one connection that have not ended. */
-class OpenAnswers {
+/** The last answer of each connection. */
+class LastAnswers {
   readonly #last = new WeakMap<Duplex, ServerResponse>();
 
+  set(socket: Duplex, response: ServerResponse): void {
+    this.#last.set(socket, response);
+  }
+
   /** Whether an answer on the connection has not ended. */
-  has(socket: Duplex): boolean {
+  isOpen(socket: Duplex): boolean {
     return this.#last.get(socket)?.writableEnded === false;
   }
 
-  add(socket: Duplex, response: ServerResponse): void {
-    this.#last.set(socket, response);
+  /**
+   * Whether text on the connection would be taken for part of an answer, or
+   * for the answer to a request that came whole and may be running.
+   */
+  isOwed(socket: Duplex): boolean {
+    const last = this.#last.get(socket);
+    if (last === undefined || last.writableEnded) return false;
+    return last.headersSent || last.req.complete;
   }
 }
 
@@ -72,15 +82,14 @@
   options: { readonly limits: CallerLimits; readonly handler: CallerHandler },
 ) {
   const { limits, handler } = options;
-  const open = new OpenAnswers();
+  const answers = new LastAnswers();
   const serve = (request: IncomingMessage, response: ServerResponse) => {
-    const pipelined = open.has(request.socket);
-    open.add(request.socket, response);
+    const pipelined = answers.isOpen(request.socket);
+    answers.set(request.socket, response);
     handler.serve(request, response, { pipelined });
   };
   const refuse = (socket: Duplex, fault: ConnectionFault) => {
-    // An answer on its way must not be continued with the text of another.
-    if (!socket.writable || open.has(socket)) return socket.destroy();
+    if (!socket.writable || answers.isOwed(socket)) return socket.destroy();
     socket.end(handler.faultAnswer(fault), () => socket.destroy());
   };
   const server = createServer({
--- a/packages/daemon/src/request/admission.ts
+++ b/packages/daemon/src/request/admission.ts
@@ -28,6 +28,8 @@
   readonly headers: readonly Header[];
   /** An earlier answer on the same connection has not ended. */
   readonly pipelined: boolean;
+  /** As many requests as may be held at once were held when it came. */
+  readonly excess: boolean;
   /** Epoch milliseconds. */
   readonly arrivedAt: number;
 }
--- a/packages/daemon/src/request/caller_requests.ts
+++ b/packages/daemon/src/request/caller_requests.ts
@@ -99,6 +99,7 @@
       requestId: randomUUID(),
       request,
       pipelined: options.pipelined,
+      excess: this.#fibers.size >= this.#environment.limits.queuedRequests,
       headers: headerLines(request.rawHeaders),
       arrivedAt: Date.now(),
     };
@@ -110,9 +111,11 @@
     const fiber = Effect.runFork(this.#answer(arrival, reply));
     this.#fibers.add(fiber);
     // The caller has left: what it asked for is of no use, so the fibre is
-    // interrupted at once and with it the engine's work.
+    // interrupted at once and with it the engine's work. A write that gave up
+    // on a slow caller fails by itself and says so.
     response.once("close", () => {
-      if (!response.writableFinished) fiber.interruptUnsafe();
+      if (response.writableFinished || reply.gone?.reason === "slow") return;
+      fiber.interruptUnsafe();
     });
     fiber.addObserver((exit) => {
       this.#fibers.delete(fiber);
@@ -140,7 +143,7 @@
       const { leaving, limits, runner, table } = this.#environment;
       if (leaving()) return yield* Effect.fail(leavingProblem());
       const admission = yield* fromResult(admit(arrival, table()));
-      if (this.#fibers.size > limits.queuedRequests) {
+      if (arrival.excess) {
         return yield* Effect.fail(fullProblem(limits.queuedRequests));
       }
       reply.askForBody();
--- a/packages/daemon/src/request/http_reply.ts
+++ b/packages/daemon/src/request/http_reply.ts
@@ -21,6 +21,8 @@
   readonly #writeTimeoutMs: number;
   readonly #leaving: () => boolean;
   #streamed = false;
+  /** The caller sends its body only when asked, and has not been. */
+  #bodyHeldBack: boolean;
   #gone: CallerGone | undefined;
 
   constructor(
@@ -36,6 +38,7 @@
     this.#requestId = options.requestId;
     this.#writeTimeoutMs = options.writeTimeoutMs;
     this.#leaving = options.leaving;
+    this.#bodyHeldBack = response.req.headers.expect !== undefined;
     response.setHeader("umbermast-request-id", options.requestId);
     // Node reports a write to a connection that is gone here as well; the close
     // event tells all that is needed.
@@ -49,10 +52,16 @@
     return this.#response.headersSent;
   }
 
+  /** Why the caller can no longer be written to; undefined while it can. */
+  get gone(): CallerGone | undefined {
+    return this.#gone;
+  }
+
   /** Tells a caller that waits for it to send the body. */
   askForBody(): void {
-    const { expect } = this.#response.req.headers;
-    if (expect !== undefined) this.#response.writeContinue();
+    if (!this.#bodyHeldBack) return;
+    this.#bodyHeldBack = false;
+    this.#response.writeContinue();
   }
 
   begin(head: AnswerHead): void {
@@ -105,7 +114,7 @@
       response.setHeader("connection", "close");
     }
     response.writeHead(problem.status);
-    if (complete) {
+    if (complete || this.#bodyHeldBack) {
       response.end(body);
       this.#boundFlush();
       return;
@@ -137,7 +146,8 @@
     this.#response.setHeader("content-length", Buffer.byteLength(body));
     if (this.#leaving()) this.#response.setHeader("connection", "close");
     this.#response.writeHead(200);
-    this.end();
+    this.#response.end(body);
+    this.#boundFlush();
   }
 
   /** Ends an answer whose fibre is gone, by whatever its state allows. */
