Compose peers, table, retries, metrics and lifecycle in the daemon

Cause: the daemon polled the platform and sent each request once. Change: join the fleet by startNode, follow the table by Published, run calls by RetryingCallRunner; metrics, operators' resources, one named life cycle with a drained shutdown; settings of attempts, retries and scheduling.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,78 +1,157 @@
 /**
- * Composes the parts of the daemon.
+ * Composes the parts of the daemon and runs them through its life.
  *
  * @module
  */
 import process from "node:process";
+import type { ListenFailed as PeersListenFailed } from "@umbermast/coordination";
 import * as Effect from "effect/Effect";
+import * as Schedule from "effect/Schedule";
+import type * as Scope from "effect/Scope";
 import { openCallerServer } from "./connection/caller_server.ts";
-import {
-  jsonAnswer,
-  openOperatorServer,
-} from "./connection/operator_server.ts";
 import type { ListenFailed } from "./connection/listener.ts";
+import { openOperatorServer } from "./connection/operator_server.ts";
+import { joinFleet } from "./fleet.ts";
+import type { Fleet } from "./fleet.ts";
+import { operatorResources } from "./operator_resources.ts";
 import { DecisionHistory } from "./process/decisions.ts";
+import { Lifecycle } from "./process/lifecycle.ts";
+import type { Log } from "./process/log.ts";
 import { LineLog } from "./process/log_lines.ts";
-import { PlatformPoll } from "./process/platform_poll.ts";
+import { Metrics } from "./process/metrics.ts";
 import type { Settings } from "./process/settings.ts";
+import { listenForSignals } from "./process/signals.ts";
+import type { EndSignals } from "./process/signals.ts";
 import { CallerRequests } from "./request/caller_requests.ts";
-import { LeastInFlightScheduler } from "./request/least_in_flight_scheduler.ts";
-import { SingleAttemptRunner } from "./request/single_attempt_runner.ts";
+import { RequestMetrics } from "./request/request_metrics.ts";
+import { makeCallRunner } from "./routing.ts";
 
-/** Ends when SIGTERM comes. */
-const terminated = Effect.callback<void>((resume) => {
-  process.once("SIGTERM", () => resume(Effect.void));
-});
+const EXIT_WHOLE = 0;
+const EXIT_CUT_OFF = 1;
+const READINESS_CHECK_MS = 100;
+
+/** An address could not be listened on. */
+export type StartFailed = ListenFailed | PeersListenFailed;
+
+/** What readiness needs. */
+function requirements(fleet: Fleet) {
+  return [
+    {
+      reason: "table_unread",
+      met: () => fleet.feed.current() !== undefined,
+    },
+    {
+      reason: "hosts_unread",
+      met: () => fleet.node.hostList.hosts().length > 0,
+    },
+  ];
+}
 
 /**
- * Runs a daemon until SIGTERM.
+ * Lets requests in flight end, until the grace is over or a second signal comes.
  *
  * @returns the exit status of the process.
  */
-export function runDaemon(
+function drain(
+  requests: CallerRequests,
+  options: { readonly signals: EndSignals; readonly graceMs: number },
+): Effect.Effect<number> {
+  const cut = Effect.race(
+    Effect.as(options.signals.stop, EXIT_CUT_OFF),
+    Effect.as(Effect.sleep(options.graceMs), EXIT_CUT_OFF),
+  );
+  return Effect.race(Effect.as(requests.idle, EXIT_WHOLE), cut);
+}
+
+/** Number of items by what a function names them. */
+function countBy<A>(
+  items: readonly A[],
+  nameOf: (item: A) => string,
+): Readonly<Record<string, number>> {
+  const counts: Record<string, number> = {};
+  for (const item of items) {
+    const name = nameOf(item);
+    counts[name] = (counts[name] ?? 0) + 1;
+  }
+  return counts;
+}
+
+/** Runs a daemon until it is told to end; see {@linkcode Lifecycle}. */
+function live(
   settings: Settings,
-): Effect.Effect<number, ListenFailed> {
+  tools: { readonly log: Log; readonly decisions: DecisionHistory },
+): Effect.Effect<number, StartFailed, Scope.Scope> {
+  const { log, decisions } = tools;
   return Effect.gen(function* () {
-    const decisions = new DecisionHistory();
-    const log = new LineLog((line) => process.stdout.write(`${line}\n`), {
-      decisions,
-    });
-    const poll = new PlatformPoll(settings.platform, log);
-    let leaving = false;
+    const signals = yield* listenForSignals;
+    const fleet = yield* joinFleet(settings, log);
+    const lifecycle = new Lifecycle(log, requirements(fleet));
+    const metrics = new Metrics(() => ({
+      requestsInFlight: requests.inFlight,
+      callerConnections: callers.connections,
+      tableVersion: fleet.feed.current()?.version ?? 0,
+      members: countBy(fleet.node.membership.view().members, (it) => it.state),
+      runners: countBy(fleet.directory.all(), (it) => it.service),
+    }));
     const requests = new CallerRequests({
-      runner: new SingleAttemptRunner(
-        new LeastInFlightScheduler(() => poll.runners),
-      ),
+      runner: yield* makeCallRunner(fleet, { settings, log }),
       limits: settings.limits,
       log,
-      observer: { ended: () => {}, refused: () => {}, dropped: () => {} },
-      table: () => poll.table,
-      leaving: () => leaving,
+      observer: new RequestMetrics(metrics),
+      table: () => fleet.feed.current()?.table,
+      leaving: () => lifecycle.leaving,
     });
     const callers = yield* openCallerServer(settings.listen, {
       limits: settings.limits,
       handler: requests,
     });
-    const ready = () => poll.table !== undefined && !leaving;
-    const operators = yield* openOperatorServer(settings.operators, {
-      "/healthz": () => jsonAnswer({ healthy: true }),
-      "/readyz": () => jsonAnswer({ ready: ready() }, ready() ? 200 : 503),
-      "/runners": () => jsonAnswer({ runners: poll.runners }),
-      "/table": () => jsonAnswer({ version: poll.version, table: poll.table }),
-      "/decisions": (query) =>
-        jsonAnswer({ decisions: decisions.of(query.get("request") ?? "") }),
-    });
+    const operators = yield* openOperatorServer(
+      settings.operators,
+      operatorResources({
+        ...fleet,
+        settings,
+        lifecycle,
+        metrics,
+        decisions,
+        requests,
+        connections: () => callers.connections,
+      }),
+    );
+    const { address, port } = fleet.node.membership.self;
     log.event("listening", {
       callers: callers.place,
       operators: operators.place,
-      peers: `${settings.peers.address}:${settings.peers.port}`,
+      peers: `${address}:${port}`,
     });
-    yield* Effect.forkDetach(poll.run);
-    yield* terminated;
-    leaving = true;
-    callers.close();
+    yield* Effect.sync(() => lifecycle.readiness()).pipe(
+      Effect.repeat(Schedule.spaced(READINESS_CHECK_MS)),
+      Effect.forkScoped,
+    );
+    yield* signals.leave;
+    lifecycle.enter("leaving");
+    yield* fleet.node.leave;
+    const { graceMs } = settings.shutdown;
+    const status = yield* drain(requests, { signals, graceMs });
+    lifecycle.enter("stopping");
+    requests.stopAll();
     yield* requests.idle;
+    callers.close();
     operators.close();
-    return 0;
+    log.event("stopped", { status });
+    return status;
   });
 }
+
+/**
+ * Runs a daemon until SIGTERM.
+ *
+ * @returns the exit status of the process.
+ */
+export function runDaemon(
+  settings: Settings,
+): Effect.Effect<number, StartFailed> {
+  const decisions = new DecisionHistory();
+  const write = (line: string) => process.stdout.write(`${line}\n`);
+  const log = new LineLog(write, { decisions });
+  return Effect.scoped(live(settings, { log, decisions }));
+}
--- /dev/null
+++ b/packages/daemon/src/fleet.ts
@@ -0,0 +1,133 @@
+/**
+ * Composes what the daemon knows of its surroundings: the host list, the other
+ * daemons, the runners and the table.
+ *
+ * @module
+ */
+import {
+  followHostList,
+  HttpStore,
+  Published,
+  startNode,
+} from "@umbermast/coordination";
+import type {
+  CoordinationNode,
+  Host,
+  HostList,
+  ListenFailed,
+  MembershipEvent,
+  Store,
+} from "@umbermast/coordination";
+import { TABLE_KIND, TABLE_NAME } from "@umbermast/table";
+import * as Effect from "effect/Effect";
+import type * as Scope from "effect/Scope";
+import type { Log } from "./process/log.ts";
+import type { Runner } from "./process/runner.ts";
+import { RunnerDirectory } from "./process/runner_directory.ts";
+import type { Settings } from "./process/settings.ts";
+import { SourcedTableFeed } from "./version/table_feed.ts";
+import type { TableFeed } from "./version/table_feed.ts";
+
+/** The daemon's surroundings. */
+export interface Fleet {
+  readonly node: CoordinationNode;
+  readonly store: Store;
+  readonly directory: RunnerDirectory;
+  readonly feed: TableFeed;
+}
+
+/** Joins the fleet; leaves its sockets and connections when the scope closes. */
+export function joinFleet(
+  settings: Settings,
+  log: Log,
+): Effect.Effect<Fleet, ListenFailed, Scope.Scope> {
+  return Effect.gen(function* () {
+    const node = yield* joinPeers(settings, log);
+    const directory = new RunnerDirectory();
+    yield* followRunners(node.hostList, directory);
+    const store = yield* openStore(settings);
+    const feed = yield* followTable({ store, node, log });
+    return { node, store, directory, feed };
+  });
+}
+
+function joinPeers(settings: Settings, log: Log) {
+  const { name, region, failureDomain, peers, platform } = settings;
+  return Effect.gen(function* () {
+    const hostList = yield* followHostList({
+      url: platform.hostsUrl ?? platform.url,
+      onFindings: (findings) =>
+        log.warning("hosts_invalid", {
+          findings: findings.length,
+          first: findings[0]?.message,
+        }),
+      onCurrent: (current, reason) =>
+        log.event("host_list_changed", { current, reason }),
+    });
+    return yield* startNode({
+      name,
+      region,
+      failureDomain,
+      ...peers,
+      hostList,
+      onEvent: (event) => logMembership(event, log),
+    });
+  });
+}
+
+/** Logs what happens to members. */
+function logMembership(event: MembershipEvent, log: Log): void {
+  const { type, ...fields } = event;
+  log.event(`member_${type}`, fields);
+}
+
+function isRunner(host: Host): host is Host & Runner {
+  return host.role === "runner" && host.service !== undefined;
+}
+
+/** Keeps the directory at what the host list says. */
+function followRunners(
+  hostList: HostList,
+  directory: RunnerDirectory,
+): Effect.Effect<void, never, Scope.Scope> {
+  const replace = () => directory.replace(hostList.hosts().filter(isRunner));
+  const follow = Effect.sync(() => {
+    replace();
+    return hostList.subscribe(replace);
+  });
+  return Effect.asVoid(
+    Effect.acquireRelease(follow, (end) => Effect.sync(end)),
+  );
+}
+
+function openStore(
+  settings: Settings,
+): Effect.Effect<HttpStore, never, Scope.Scope> {
+  const open = Effect.sync(() => new HttpStore({ url: settings.platform.url }));
+  return Effect.acquireRelease(
+    open,
+    (store) => Effect.sync(() => store.close()),
+  );
+}
+
+function followTable(parts: {
+  readonly store: Store;
+  readonly node: CoordinationNode;
+  readonly log: Log;
+}) {
+  const { store, node, log } = parts;
+  return Effect.gen(function* () {
+    const published = new Published<unknown>({
+      store,
+      peers: node.peers,
+      membership: node.membership,
+      kind: TABLE_KIND,
+      name: TABLE_NAME,
+      // The feed checks values, and warns of those it does not put in force.
+      decode: (value) => value,
+    });
+    const feed = new SourcedTableFeed(published, log);
+    yield* published.start();
+    return feed;
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/operator_resources.ts
@@ -0,0 +1,102 @@
+/**
+ * What operators can ask of a daemon.
+ *
+ * @module
+ */
+import process from "node:process";
+import type { CoordinationNode } from "@umbermast/coordination";
+import { jsonAnswer } from "./connection/operator_server.ts";
+import type { OperatorResources } from "./connection/operator_server.ts";
+import type { DecisionHistory } from "./process/decisions.ts";
+import type { Lifecycle } from "./process/lifecycle.ts";
+import type { Metrics } from "./process/metrics.ts";
+import type { RunnerDirectory } from "./process/runner_directory.ts";
+import type { Settings } from "./process/settings.ts";
+import type { TableFeed } from "./version/table_feed.ts";
+
+/** The parts of the daemon that operators look into. */
+export interface ObservedParts {
+  readonly settings: Settings;
+  readonly lifecycle: Lifecycle;
+  readonly metrics: Metrics;
+  readonly decisions: DecisionHistory;
+  readonly node: CoordinationNode;
+  readonly directory: RunnerDirectory;
+  readonly feed: TableFeed;
+  readonly requests: { readonly inFlight: number };
+  readonly connections: () => number;
+}
+
+const HTTP_OK = 200;
+const HTTP_BAD_REQUEST = 400;
+const HTTP_UNAVAILABLE = 503;
+
+function statusOf(parts: ObservedParts) {
+  const { settings, lifecycle, node, feed, directory } = parts;
+  const { ready, phase, reasons } = lifecycle.readiness();
+  const { name, region, failureDomain, scheduler } = settings;
+  return {
+    name,
+    region,
+    failureDomain,
+    incarnation: node.membership.self.incarnation,
+    phase,
+    ready,
+    reasons,
+    scheduler,
+    tableVersion: feed.current()?.version ?? 0,
+    requestsInFlight: parts.requests.inFlight,
+    callerConnections: parts.connections(),
+    daemons: node.membership.view().members.length,
+    runners: directory.all().length,
+    platformCurrent: node.hostList.current(),
+    uptimeSeconds: Math.round(process.uptime()),
+    memoryBytes: process.memoryUsage.rss(),
+  };
+}
+
+function daemonsOf({ node }: ObservedParts) {
+  const self = node.membership.self.name;
+  return node.membership.view().members.map(({ member, state }) => ({
+    ...member,
+    state,
+    self: member.name === self,
+  }));
+}
+
+function tableOf({ feed, settings }: ObservedParts) {
+  const current = feed.current();
+  return {
+    name: settings.name,
+    version: current?.version ?? null,
+    editId: current?.editId ?? null,
+    table: current?.table ?? null,
+  };
+}
+
+/** The resources of the operators' port. */
+export function operatorResources(parts: ObservedParts): OperatorResources {
+  const { lifecycle, metrics, decisions, directory } = parts;
+  return {
+    "/healthz": () => jsonAnswer({ healthy: true }),
+    "/readyz": () => {
+      const readiness = lifecycle.readiness();
+      const status = readiness.ready ? HTTP_OK : HTTP_UNAVAILABLE;
+      return jsonAnswer(readiness, status);
+    },
+    "/metrics": async () => ({ status: HTTP_OK, ...await metrics.text() }),
+    "/status": () => jsonAnswer(statusOf(parts)),
+    "/runners": () => jsonAnswer({ runners: directory.all() }),
+    "/daemons": () => jsonAnswer({ daemons: daemonsOf(parts) }),
+    "/table": () => jsonAnswer(tableOf(parts)),
+    "/decisions": (query) => {
+      const requestId = query.get("request");
+      if (requestId === null) {
+        const message = 'Cannot look up decisions: expected "?request=ID"';
+        const error = { code: "request_missing", message };
+        return jsonAnswer({ error }, HTTP_BAD_REQUEST);
+      }
+      return jsonAnswer({ requestId, decisions: decisions.of(requestId) });
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/process/runner_directory.ts
@@ -0,0 +1,56 @@
+/**
+ * The runners of each service, as the platform's host list last told.
+ *
+ * @module
+ */
+import type { Runner } from "./runner.ts";
+
+/** Keeps the latest list of runners and tells of its changes. */
+export class RunnerDirectory {
+  #byService: ReadonlyMap<string, readonly Runner[]> = new Map();
+  #byName: ReadonlyMap<string, Runner> = new Map();
+  readonly #listeners = new Set<() => void>();
+
+  /** Takes a whole list in place of the former one. */
+  replace(runners: readonly Runner[]): void {
+    const byService = new Map<string, Runner[]>();
+    for (const runner of runners) {
+      const known = byService.get(runner.service) ?? [];
+      known.push(runner);
+      byService.set(runner.service, known);
+    }
+    this.#byService = byService;
+    this.#byName = new Map(runners.map((runner) => [runner.name, runner]));
+    for (const listener of this.#listeners) listener();
+  }
+
+  /** Names of the services that have runners. */
+  services(): readonly string[] {
+    return [...this.#byService.keys()];
+  }
+
+  /** All runners of a service, leaving ones too. */
+  runners(service: string): readonly Runner[] {
+    return this.#byService.get(service) ?? [];
+  }
+
+  /** The runner of that name, if the list holds it. */
+  find(name: string): Runner | undefined {
+    return this.#byName.get(name);
+  }
+
+  /** All runners. */
+  all(): readonly Runner[] {
+    return [...this.#byName.values()];
+  }
+
+  /**
+   * Calls the listener after each change.
+   *
+   * @returns a function that ends the subscription.
+   */
+  subscribe(listener: () => void): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+}
--- a/packages/daemon/src/process/setting_types.ts
+++ b/packages/daemon/src/process/setting_types.ts
@@ -156,3 +156,30 @@
   const listed = words.map((word) => `"${word}"`).join(", ");
   return optional(accepts, `one of ${listed}`, description);
 }
+
+function numberBetween(from: number, to: number) {
+  return (value: unknown): value is number =>
+    typeof value === "number" && value >= from && value <= to;
+}
+
+/** A number with a default. */
+export function number(
+  from: number,
+  to: number,
+  description: Description<number> & { readonly default: number },
+) {
+  return optional(
+    numberBetween(from, to),
+    `a number from ${from} to ${to}`,
+    description,
+  );
+}
+
+function isBoolean(value: unknown): value is boolean {
+  return typeof value === "boolean";
+}
+
+/** A switch that is on unless it is set to false. */
+export function flag(text: string) {
+  return optional(isBoolean, "true or false", { text, default: true });
+}
--- a/packages/daemon/src/process/settings.ts
+++ b/packages/daemon/src/process/settings.ts
@@ -10,59 +10,18 @@
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
 import * as setting from "./setting_types.ts";
+import {
+  ATTEMPT_LIMITS,
+  CALLER_LIMITS,
+  RETRY_LIMITS,
+  SCHEDULING,
+  SHUTDOWN,
+  SWITCHES,
+} from "./settings_limits.ts";
 import { settingFindings } from "./setting_findings.ts";
 import type { SettingFinding } from "./setting_findings.ts";
 
-const MIB = 1_048_576;
-const HOUR_MS = 3_600_000;
-const MANY = 1_000_000;
-
-/** Limits towards callers. */
-const LIMITS = {
-  bodyBytes: setting.integer(1, 64 * MIB, {
-    text: "Largest request body, in bytes. A longer one is refused with 413.",
-    default: 8 * MIB,
-  }),
-  headerBytes: setting.integer(1024, MIB, {
-    text:
-      "Largest request head, in bytes. A longer one is refused with 431 and the connection is closed.",
-    default: 16_384,
-  }),
-  headerTimeoutMs: setting.integer(1, HOUR_MS, {
-    text:
-      "Time for a caller to send a whole request head, in milliseconds. A slower one is refused with 408.",
-    default: 10_000,
-  }),
-  bodyTimeoutMs: setting.integer(1, HOUR_MS, {
-    text:
-      "Time for a caller to send a whole request, in milliseconds. A slower one is refused with 408.",
-    default: 30_000,
-  }),
-  idleCallerMs: setting.integer(1, HOUR_MS, {
-    text:
-      "Time without a request after which a caller's connection is closed, in milliseconds.",
-    default: 60_000,
-  }),
-  callerWriteTimeoutMs: setting.integer(1, HOUR_MS, {
-    text:
-      "Time that a caller may take to make room for more of its answer, in milliseconds. A slower one loses its connection, and its engine work is cancelled.",
-    default: 20_000,
-  }),
-  callerBufferBytes: setting.integer(1024, 16 * MIB, {
-    text:
-      "Bytes of an answer held for a caller that reads slowly. Beyond it the runner's answer is no longer read until the caller has caught up.",
-    default: 65_536,
-  }),
-  connections: setting.integer(1, MANY, {
-    text: "Open connections of callers. Further ones are closed at once.",
-    default: 10_000,
-  }),
-  queuedRequests: setting.integer(1, MANY, {
-    text:
-      "Requests of callers held at once, waiting or being served. Further ones are refused with 503.",
-    default: 10_000,
-  }),
-} as const;
+const NO_SETTINGS = Effect.succeed({});
 
 /** Settings of a daemon. */
 export const SETTINGS = Schema.Struct({
@@ -98,16 +57,24 @@
       'Order of service. "fifo" and "random" are baselines for measurement.',
     default: "umbermast",
   }),
-  limits: Schema.Struct(LIMITS).pipe(
-    Schema.withDecodingDefaultKey(Effect.succeed({})),
+  scheduling: Schema.Struct({
+    ...SCHEDULING,
+    switches: Schema.Struct(SWITCHES).pipe(
+      Schema.withDecodingDefaultKey(NO_SETTINGS),
+    ),
+  }).pipe(Schema.withDecodingDefaultKey(NO_SETTINGS)),
+  limits: Schema.Struct(CALLER_LIMITS).pipe(
+    Schema.withDecodingDefaultKey(NO_SETTINGS),
+  ),
+  attempts: Schema.Struct(ATTEMPT_LIMITS).pipe(
+    Schema.withDecodingDefaultKey(NO_SETTINGS),
+  ),
+  retries: Schema.Struct(RETRY_LIMITS).pipe(
+    Schema.withDecodingDefaultKey(NO_SETTINGS),
+  ),
+  shutdown: Schema.Struct(SHUTDOWN).pipe(
+    Schema.withDecodingDefaultKey(NO_SETTINGS),
   ),
-  shutdown: Schema.Struct({
-    graceMs: setting.integer(0, HOUR_MS, {
-      text:
-        "Time for requests in flight to end after SIGTERM, in milliseconds. Those left then get a broken end.",
-      default: 300_000,
-    }),
-  }).pipe(Schema.withDecodingDefaultKey(Effect.succeed({}))),
 });
 
 /** Settings of a daemon, with the defaults filled in. */
--- /dev/null
+++ b/packages/daemon/src/process/settings_limits.ts
@@ -0,0 +1,156 @@
+/**
+ * Settings of limits: towards callers, towards runners, and of retries.
+ *
+ * @module
+ */
+import * as setting from "./setting_types.ts";
+
+const MIB = 1_048_576;
+const HOUR_MS = 3_600_000;
+const MANY = 1_000_000;
+
+/** Limits towards callers. */
+export const CALLER_LIMITS = {
+  bodyBytes: setting.integer(1, 64 * MIB, {
+    text: "Largest request body, in bytes. A longer one is refused with 413.",
+    default: 8 * MIB,
+  }),
+  headerBytes: setting.integer(1024, MIB, {
+    text:
+      "Largest request head, in bytes. A longer one is refused with 431 and the connection is closed.",
+    default: 16_384,
+  }),
+  headerTimeoutMs: setting.integer(1, HOUR_MS, {
+    text:
+      "Time for a caller to send a whole request head, in milliseconds. A slower one is refused with 408.",
+    default: 10_000,
+  }),
+  bodyTimeoutMs: setting.integer(1, HOUR_MS, {
+    text:
+      "Time for a caller to send a whole body, in milliseconds. A slower one is refused with 408.",
+    default: 30_000,
+  }),
+  idleCallerMs: setting.integer(1, HOUR_MS, {
+    text:
+      "Time without a request after which a caller's connection is closed, in milliseconds.",
+    default: 60_000,
+  }),
+  callerWriteTimeoutMs: setting.integer(1, HOUR_MS, {
+    text:
+      "Time that a caller may take to make room for more of its answer, in milliseconds. A slower one loses its connection, and its engine work is cancelled.",
+    default: 20_000,
+  }),
+  callerBufferBytes: setting.integer(1024, 16 * MIB, {
+    text:
+      "Bytes of an answer held for a caller that reads slowly. Beyond it the runner's answer is not read until the caller has caught up.",
+    default: 65_536,
+  }),
+  connections: setting.integer(1, MANY, {
+    text: "Open connections of callers. Further ones are closed at once.",
+    default: 10_000,
+  }),
+  queuedRequests: setting.integer(1, MANY, {
+    text:
+      "Requests of callers held at once, waiting or being served. Further ones are refused with 503.",
+    default: 10_000,
+  }),
+} as const;
+
+/** Limits of attempts at runners. */
+export const ATTEMPT_LIMITS = {
+  connectMs: setting.integer(1, HOUR_MS, {
+    text: "Time to connect to a runner, in milliseconds.",
+    default: 1000,
+  }),
+  firstTokenMs: setting.integer(1, HOUR_MS, {
+    text:
+      "Time from the send to the first byte of a streamed answer, in milliseconds. A runner that takes longer counts as silent.",
+    default: 10_000,
+  }),
+  betweenTokensMs: setting.integer(1, HOUR_MS, {
+    text:
+      "Time between two pieces of a streamed answer, in milliseconds. After it the stream is resumed on a new connection.",
+    default: 2000,
+  }),
+  wholeAnswerMs: setting.integer(1, HOUR_MS, {
+    text:
+      "Time from the send to the head of a whole answer, in milliseconds, at most.",
+    default: 120_000,
+  }),
+  wholeAnswerTokenMs: setting.integer(1, HOUR_MS, {
+    text:
+      "Time allowed for each token that a whole answer of an engine may have, in milliseconds.",
+    default: 100,
+  }),
+  bodyIdleMs: setting.integer(1, HOUR_MS, {
+    text:
+      "Time between two pieces of a whole answer's body, in milliseconds. After it the attempt is lost.",
+    default: 5000,
+  }),
+  resumeHeadMs: setting.integer(1, HOUR_MS, {
+    text:
+      "Time from asking for the rest of a stream to its head, in milliseconds.",
+    default: 2000,
+  }),
+  resumableS: setting.integer(0, 3600, {
+    text: "Seconds for which an engine keeps a dropped stream for a resume.",
+    default: 10,
+  }),
+  fruitlessResumes: setting.integer(0, 100, {
+    text: "Resumes in a row without a token before a stream is given up.",
+    default: 2,
+  }),
+  attempts: setting.integer(1, 100, {
+    text: "Attempts of one request, the first included.",
+    default: 3,
+  }),
+  heldAnswerBytes: setting.integer(0, 64 * MIB, {
+    text:
+      "Largest whole answer held until it is known to be complete, in bytes. Longer ones are passed on as they come; when one breaks, so does the caller's connection.",
+    default: 4 * MIB,
+  }),
+} as const;
+
+/** The budget of retries. */
+export const RETRY_LIMITS = {
+  share: setting.number(0, 1, {
+    text:
+      "Retries earned by each request that was answered whole. Bounds the load that retries add during an outage.",
+    default: 0.1,
+  }),
+  burst: setting.integer(0, MANY, {
+    text: "Most retries saved up; also what a new daemon starts with.",
+    default: 20,
+  }),
+} as const;
+
+/** How the scheduler works. */
+export const SCHEDULING = {
+  reportIntervalMs: setting.integer(10, HOUR_MS, {
+    text: "Time between two load reports asked of a runner, in milliseconds.",
+    default: 250,
+  }),
+} as const;
+
+/** Mechanisms of the scheduler, which are switched off only to measure them. */
+export const SWITCHES = {
+  tiers: setting.flag("Strict priority between tiers."),
+  minimumShare: setting.flag("Minimum share of service of a waiting class."),
+  fairQueueing: setting.flag("Weighted fair queueing between workspaces."),
+  costEstimate: setting.flag("Costs estimated from observed output lengths."),
+  lateLast: setting.flag("Requests that miss their target anyway yield."),
+  earlyRefusal: setting.flag("Refusal of what cannot start in time."),
+  adaptiveSlots: setting.flag("Slots of a runner adapted to its latency."),
+  headroom: setting.flag("Slots kept free for the tiers above."),
+  affinity: setting.flag("Preference for a runner that holds the prefix."),
+  ejection: setting.flag("Ejection of stragglers and crashed runners."),
+} as const;
+
+/** How the daemon ends. */
+export const SHUTDOWN = {
+  graceMs: setting.integer(0, HOUR_MS, {
+    text:
+      "Time for requests in flight to end after SIGTERM, in milliseconds. Those left then get a broken end and the exit status is 1.",
+    default: 300_000,
+  }),
+} as const;
--- /dev/null
+++ b/packages/daemon/src/process/signals.ts
@@ -0,0 +1,40 @@
+/**
+ * Signals that end the daemon.
+ *
+ * @module
+ */
+import process from "node:process";
+import * as Deferred from "effect/Deferred";
+import * as Effect from "effect/Effect";
+import type * as Scope from "effect/Scope";
+
+/** The first and the second signal to end. */
+export interface EndSignals {
+  /** Ends at the first: leave, and finish what is in flight. */
+  readonly leave: Effect.Effect<void>;
+  /** Ends at the second: stop at once. */
+  readonly stop: Effect.Effect<void>;
+}
+
+const SIGNALS = ["SIGTERM", "SIGINT"] as const;
+
+/** Listens for SIGTERM and SIGINT until the scope closes. */
+export const listenForSignals: Effect.Effect<
+  EndSignals,
+  never,
+  Scope.Scope
+> = Effect.gen(function* () {
+  const first = Deferred.makeUnsafe<void>();
+  const second = Deferred.makeUnsafe<void>();
+  const receive = () => {
+    const next = Deferred.isDoneUnsafe(first) ? second : first;
+    Deferred.doneUnsafe(next, Effect.void);
+  };
+  for (const signal of SIGNALS) process.on(signal, receive);
+  yield* Effect.addFinalizer(() =>
+    Effect.sync(() => {
+      for (const signal of SIGNALS) process.off(signal, receive);
+    })
+  );
+  return { leave: Deferred.await(first), stop: Deferred.await(second) };
+});
--- a/packages/daemon/src/request/caller_requests.ts
+++ b/packages/daemon/src/request/caller_requests.ts
@@ -27,7 +27,14 @@
 /** Counts ended requests. */
 export interface RequestObserver {
   /** A call that was run has ended. */
-  ended(call: Call, ending: Ending): void;
+  ended(
+    call: Call,
+    options: {
+      readonly ending: Ending;
+      /** Epoch milliseconds of the answer's head; undefined without one. */
+      readonly answerAt: number | undefined;
+    },
+  ): void;
   /** A request was refused before it became a call. */
   refused(problem: Problem): void;
   /** A connection beyond the limit was closed. */
@@ -153,7 +160,7 @@
       }
       const call = yield* fromResult(callOf(admission, body));
       const ending = yield* runner.run(call, reply);
-      this.#ended(call, ending);
+      this.#ended(call, { ending, reply });
     }).pipe(
       Effect.catch((problem) =>
         Effect.sync(() => this.#refuse(arrival, { reply, problem }))
@@ -161,14 +168,19 @@
     );
   }
 
-  #ended(call: Call, ending: Ending): void {
-    this.#environment.observer.ended(call, ending);
+  #ended(
+    call: Call,
+    { ending, reply }: { readonly ending: Ending; readonly reply: HttpReply },
+  ): void {
+    const { begunAt: answerAt } = reply;
+    this.#environment.observer.ended(call, { ending, answerAt });
     this.#environment.log.event("request_ended", {
       requestId: call.requestId,
       workspace: call.workspace,
       class: call.class,
       service: call.service,
       ...endingFields(ending),
+      answerMs: answerAt === undefined ? undefined : answerAt - call.arrivedAt,
       durationMs: Date.now() - call.arrivedAt,
     });
   }
--- a/packages/daemon/src/request/http_reply.ts
+++ b/packages/daemon/src/request/http_reply.ts
@@ -24,6 +24,7 @@
   /** The caller sends its body only when asked, and has not been. */
   #bodyHeldBack: boolean;
   #gone: CallerGone | undefined;
+  #begunAt: number | undefined;
 
   constructor(
     response: ServerResponse,
@@ -48,6 +49,11 @@
     });
   }
 
+  /** Epoch milliseconds when an answer began; undefined before, or without one. */
+  get begunAt(): number | undefined {
+    return this.#begunAt;
+  }
+
   get begun(): boolean {
     return this.#response.headersSent;
   }
@@ -73,6 +79,7 @@
     }
     if (this.#leaving()) this.#response.setHeader("connection", "close");
     this.#response.writeHead(head.status);
+    this.#begunAt = Date.now();
   }
 
   write(bytes: Uint8Array): Effect.Effect<void, CallerGone> {
--- /dev/null
+++ b/packages/daemon/src/routing.ts
@@ -0,0 +1,53 @@
+/**
+ * Composes the way of a call to a runner: scheduler, attempts and retries.
+ *
+ * @module
+ */
+import { SYSTEM_CLOCK } from "@umbermast/coordination";
+import * as Effect from "effect/Effect";
+import type * as Scope from "effect/Scope";
+import { RunnerConnections } from "./connection/runner_connections.ts";
+import type { Fleet } from "./fleet.ts";
+import type { Log } from "./process/log.ts";
+import { RetryBudget } from "./process/retry_budget.ts";
+import type { RunnerDirectory } from "./process/runner_directory.ts";
+import type { Settings } from "./process/settings.ts";
+import type { CallRunner } from "./request/call.ts";
+import { LeastInFlightScheduler } from "./request/least_in_flight_scheduler.ts";
+import { RetryingCallRunner } from "./request/retrying_call_runner.ts";
+
+/** Opens connections to runners, and forgets those of runners that are gone. */
+function openConnections(
+  directory: RunnerDirectory,
+): Effect.Effect<RunnerConnections, never, Scope.Scope> {
+  return Effect.gen(function* () {
+    const connections = new RunnerConnections();
+    const end = directory.subscribe(() => connections.retain(directory.all()));
+    yield* Effect.addFinalizer(() =>
+      Effect.sync(() => {
+        end();
+        connections.close();
+      })
+    );
+    return connections;
+  });
+}
+
+/** Makes the runner of calls; it works until the scope closes. */
+export function makeCallRunner(
+  fleet: Fleet,
+  options: { readonly settings: Settings; readonly log: Log },
+): Effect.Effect<CallRunner, never, Scope.Scope> {
+  const { settings, log } = options;
+  return Effect.gen(function* () {
+    const connections = yield* openConnections(fleet.directory);
+    return new RetryingCallRunner({
+      connections,
+      log,
+      clock: SYSTEM_CLOCK,
+      settings: settings.attempts,
+      budget: new RetryBudget(settings.retries),
+      scheduler: new LeastInFlightScheduler(() => fleet.directory.all()),
+    });
+  });
+}
--- a/packages/daemon/src/umbermastd.ts
+++ b/packages/daemon/src/umbermastd.ts
@@ -7,11 +7,15 @@
 import { readFileSync } from "node:fs";
 import process from "node:process";
 import { Command } from "commander";
+import * as Cause from "effect/Cause";
 import * as Effect from "effect/Effect";
+import * as Exit from "effect/Exit";
 import { runDaemon } from "./daemon.ts";
+import type { StartFailed } from "./daemon.ts";
 import { parseSettings } from "./process/settings.ts";
 import type { Settings } from "./process/settings.ts";
 
+const EXIT_FAILED = 1;
 /** Exit status for bad settings (`EX_CONFIG` of sysexits). */
 const EXIT_CONFIG = 78;
 
@@ -35,10 +39,20 @@
   return checked.value;
 }
 
+function reasonOf(cause: Cause.Cause<StartFailed>): string {
+  const failure = Cause.findErrorOption(cause);
+  if (failure._tag === "Some") return failure.value.message;
+  return Cause.pretty(cause);
+}
+
 function run(file: string): void {
   const settings = readSettings(file);
   Effect.runCallback(runDaemon(settings), {
-    onExit: (exit) => process.exit(exit._tag === "Success" ? exit.value : 1),
+    onExit: (exit) => {
+      if (Exit.isSuccess(exit)) process.exit(exit.value);
+      process.stderr.write(`${reasonOf(exit.cause)}\n`);
+      process.exit(EXIT_FAILED);
+    },
   });
 }
 
