--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -79,14 +79,18 @@
 /** Runs a daemon until it is told to end; see {@linkcode Lifecycle}. */
 function live(
   settings: Settings,
-  tools: { readonly log: Log; readonly decisions: DecisionHistory },
+  tools: {
+    readonly log: Log;
+    readonly decisions: DecisionHistory;
+    readonly metrics: Metrics;
+  },
 ): Effect.Effect<number, StartFailed, Scope.Scope> {
-  const { log, decisions } = tools;
+  const { log, decisions, metrics } = tools;
   return Effect.gen(function* () {
     const signals = yield* listenForSignals;
     const fleet = yield* joinFleet(settings, log);
     const lifecycle = new Lifecycle(log, requirements(fleet));
-    const metrics = new Metrics(() => ({
+    metrics.follow(() => ({
       requestsInFlight: requests.inFlight,
       callerConnections: callers.connections,
       tableVersion: fleet.feed.current()?.version ?? 0,
@@ -98,7 +102,7 @@
       limits: settings.limits,
       log,
       observer: new RequestMetrics(metrics),
-      table: () => fleet.feed.current()?.table,
+      table: () => fleet.feed.current(),
       leaving: () => lifecycle.leaving,
     });
     const callers = yield* openCallerServer(settings.listen, {
@@ -152,6 +156,8 @@
 ): Effect.Effect<number, StartFailed> {
   const decisions = new DecisionHistory();
   const write = (line: string) => process.stdout.write(`${line}\n`);
-  const log = new LineLog(write, { decisions });
-  return Effect.scoped(live(settings, { log, decisions }));
+  const metrics = new Metrics();
+  const warned = (code: string) => metrics.warned(code);
+  const log = new LineLog(write, { decisions, warned });
+  return Effect.scoped(live(settings, { log, decisions, metrics }));
 }
--- a/packages/daemon/src/process/log_lines.ts
+++ b/packages/daemon/src/process/log_lines.ts
@@ -53,6 +53,7 @@
   readonly #logger: Logger<{ readonly line: string }>;
   readonly #decisions: DecisionHistory;
   readonly #now: () => number;
+  readonly #warned: (code: string) => void;
 
   constructor(
     sink: LineSink,
@@ -60,10 +61,13 @@
       readonly decisions: DecisionHistory;
       /** Epoch milliseconds. */
       readonly now?: () => number;
+      /** Told of each warning's code. */
+      readonly warned?: (code: string) => void;
     },
   ) {
     this.#decisions = options.decisions;
     this.#now = options.now ?? Date.now;
+    this.#warned = options.warned ?? (() => {});
     this.#logger = new Logger({
       type: "hidden",
       hideLogPositionForProduction: true,
@@ -85,6 +89,7 @@
   }
 
   warning(code: string, fields: Fields): void {
+    this.#warned(code);
     this.#logger.warn({ line: this.#line("warning", { code, ...fields }) });
   }
 
--- a/packages/daemon/src/process/metrics.ts
+++ b/packages/daemon/src/process/metrics.ts
@@ -94,8 +94,12 @@
     registers: [this.#registry],
   });
 
-  constructor(gauges: () => Gauges) {
+  constructor() {
     collectDefaultMetrics({ register: this.#registry });
+  }
+
+  /** Reads gauges when metrics are asked for; to be called once. */
+  follow(gauges: () => Gauges): void {
     this.#gauge("umbermast_requests_in_flight", {
       help: "Requests of callers that are held, waiting or being served",
       read: () => gauges().requestsInFlight,
--- a/packages/daemon/src/request/admission.ts
+++ b/packages/daemon/src/request/admission.ts
@@ -4,9 +4,9 @@
  * @module
  */
 import type { IncomingMessage } from "node:http";
-import type { Table } from "@umbermast/table";
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
+import type { TableVersion } from "../version/table_feed.ts";
 import type { Header, Problem } from "./call.ts";
 import {
   chatCall,
@@ -37,7 +37,7 @@
 /** A request whose head is right; its body has not been read. */
 export interface Admission {
   readonly route: Route;
-  readonly table: Table;
+  readonly table: TableVersion;
   readonly callerRequest: CallerRequest;
 }
 
@@ -85,7 +85,7 @@
 
 function checkRoute(
   route: Route,
-  options: { readonly request: IncomingMessage; readonly table: Table },
+  options: { readonly request: IncomingMessage; readonly table: TableVersion },
 ): Result<unknown, Problem> {
   if (route._tag === "Chat") return checkJsonType(options.request);
   if (route._tag === "Models") return ok(undefined);
@@ -95,7 +95,7 @@
 /** Checks the head of a request against the table in force. */
 export function admit(
   arrival: Arrival,
-  table: Table | undefined,
+  table: TableVersion | undefined,
 ): Result<Admission, Problem> {
   const { request, headers } = arrival;
   const protocol = checkProtocol(arrival);
--- a/packages/daemon/src/request/call_parser.ts
+++ b/packages/daemon/src/request/call_parser.ts
@@ -4,9 +4,10 @@
  * @module
  */
 import type { IncomingMessage } from "node:http";
-import type { Service, Table } from "@umbermast/table";
+import type { Service } from "@umbermast/table";
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
+import type { TableVersion } from "../version/table_feed.ts";
 import type { Call, Header, Problem } from "./call.ts";
 import type { CallerHead } from "./caller_head.ts";
 import { parseChatBody } from "./chat_body.ts";
@@ -50,20 +51,14 @@
   };
 }
 
-function modelService(table: Table, model: string): Service | undefined {
-  return table.services.find((service) =>
-    service.kind === "model" && service.models.includes(model)
-  );
-}
-
 /** Makes a call of a chat completion. */
 export function chatCall(
   request: CallerRequest,
-  options: { readonly table: Table; readonly body: Uint8Array },
+  options: { readonly table: TableVersion; readonly body: Uint8Array },
 ): Result<Call, Problem> {
   const facts = parseChatBody(options.body);
   if (facts.isErr()) return err(facts.error);
-  const service = modelService(options.table, facts.value.model);
+  const service = options.table.servicesByModel.get(facts.value.model);
   if (service === undefined) {
     const message =
       `Cannot find model "${facts.value.model}": no service has it`;
@@ -85,10 +80,10 @@
 
 /** Finds the plain service of a route. */
 export function findPlainService(
-  table: Table,
+  table: TableVersion,
   name: string,
 ): Result<Service, Problem> {
-  const service = table.services.find((each) => each.name === name);
+  const service = table.servicesByName.get(name);
   if (service?.kind === "plain") return ok(service);
   const reason = service === undefined
     ? "the table has no such service"
--- a/packages/daemon/src/request/caller_head.ts
+++ b/packages/daemon/src/request/caller_head.ts
@@ -4,9 +4,10 @@
  * @module
  */
 import { createHash } from "node:crypto";
-import type { Table, Workspace } from "@umbermast/table";
+import type { Class, Workspace } from "@umbermast/table";
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
+import type { TableVersion } from "../version/table_feed.ts";
 import type { Header, Problem } from "./call.ts";
 import { problem } from "./problems.ts";
 
@@ -49,7 +50,7 @@
 
 function findWorkspace(
   headers: readonly Header[],
-  table: Table,
+  table: TableVersion,
 ): Result<Workspace, Problem> {
   const name = "authorization";
   const value = single(headers, name);
@@ -62,9 +63,7 @@
     return err(headerProblem("key_invalid", name, message));
   }
   const digest = createHash("sha256").update(key).digest("hex");
-  const workspace = table.workspaces.find(({ keyDigests }) =>
-    keyDigests.includes(digest)
-  );
+  const workspace = table.workspacesByKeyDigest.get(digest);
   if (workspace !== undefined) return ok(workspace);
   const message =
     `Cannot accept the key in header "${name}": no workspace has it`;
@@ -73,15 +72,15 @@
 
 function findClass(
   headers: readonly Header[],
-  options: { readonly table: Table; readonly workspace: Workspace },
-): Result<Table["classes"][number], Problem> {
+  options: { readonly table: TableVersion; readonly workspace: Workspace },
+): Result<Class, Problem> {
   const name = "umbermast-class";
   const value = single(headers, name);
   if (value.isErr()) {
     return err(headerProblem("class_unknown", name, value.error));
   }
   const wanted = value.value ?? options.workspace.defaultClass;
-  const found = options.table.classes.find((each) => each.name === wanted);
+  const found = options.table.classesByName.get(wanted);
   if (found !== undefined) return ok(found);
   const message = `Cannot find class "${wanted}": the table has no such class`;
   return err(headerProblem("class_unknown", name, message));
@@ -124,7 +123,7 @@
 /** Reads the head of a request against the table in force. */
 export function readCallerHead(
   headers: readonly Header[],
-  table: Table,
+  table: TableVersion,
 ): Result<CallerHead, Problem> {
   const workspace = findWorkspace(headers, table);
   if (workspace.isErr()) return err(workspace.error);
--- a/packages/daemon/src/request/caller_requests.ts
+++ b/packages/daemon/src/request/caller_requests.ts
@@ -5,7 +5,6 @@
  */
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Table } from "@umbermast/table";
 import * as Cause from "effect/Cause";
 import * as Effect from "effect/Effect";
 import * as Exit from "effect/Exit";
@@ -15,6 +14,7 @@
 import type { ConnectionFault } from "../connection/connection_fault.ts";
 import type { Log } from "../process/log.ts";
 import type { CallerLimits } from "../process/settings.ts";
+import type { TableVersion } from "../version/table_feed.ts";
 import { admit, callOf } from "./admission.ts";
 import type { Arrival } from "./admission.ts";
 import { readBody } from "./body_reader.ts";
@@ -48,7 +48,7 @@
   readonly log: Log;
   readonly observer: RequestObserver;
   /** The table in force; undefined until one has been read. */
-  readonly table: () => Table | undefined;
+  readonly table: () => TableVersion | undefined;
   /** Whether the daemon is leaving and takes no new requests. */
   readonly leaving: () => boolean;
 }
@@ -156,7 +156,7 @@
       reply.askForBody();
       const body = yield* readBody(arrival.request, limits);
       if (admission.route._tag === "Models") {
-        return reply.whole(modelList(admission.table));
+        return reply.whole(modelList(admission.table.table));
       }
       const call = yield* fromResult(callOf(admission, body));
       const ending = yield* runner.run(call, reply);
--- a/packages/daemon/tests/caller_connections_test.ts
+++ b/packages/daemon/tests/caller_connections_test.ts
@@ -299,7 +299,7 @@
 });
 
 test("a daemon without a table is not ready", async (context) => {
-  const { port } = await opened(context, { table: () => undefined });
+  const { port } = await opened(context, { table: null });
   const error = errorOf(await exchange(port, chatText()));
   assert.equal(error.status, 503);
   assert.equal(error.code, "not_ready");
--- a/packages/daemon/tests/caller_fixture.ts
+++ b/packages/daemon/tests/caller_fixture.ts
@@ -15,6 +15,7 @@
 import type { CallerLimits } from "../src/process/settings.ts";
 import type { Call, Ending, Reply } from "../src/request/call.ts";
 import { CallerRequests } from "../src/request/caller_requests.ts";
+import { indexTable } from "../src/version/table_feed.ts";
 
 export const KEY = "front-office-key";
 
@@ -116,11 +117,15 @@
 export async function openCallerSide(options: {
   readonly play?: Play;
   readonly limits?: Partial<CallerLimits>;
-  readonly table?: () => Table | undefined;
+  /** The table that is in force; none when `null`. */
+  readonly table?: Table | null;
 } = {}): Promise<CallerSide> {
   const lines: string[] = [];
   const limits = { ...LIMITS, ...options.limits };
-  const table = exampleTable();
+  const { table = exampleTable() } = options;
+  const inForce = table === null
+    ? undefined
+    : indexTable(table, { version: 1, editId: "first" });
   let leaving = false;
   const requests = new CallerRequests({
     runner: { run: options.play ?? echo },
@@ -129,7 +134,7 @@
       decisions: new DecisionHistory(),
     }),
     observer: { ended: () => {}, refused: () => {}, dropped: () => {} },
-    table: options.table ?? (() => table),
+    table: () => inForce,
     leaving: () => leaving,
   });
   const server = await Effect.runPromise(openCallerServer(
