--- a/packages/daemon/src/process/setting_types.ts
+++ b/packages/daemon/src/process/setting_types.ts
@@ -143,6 +143,7 @@
   ).annotate({
     description: text,
     expected: "a URL that starts with http://",
+    mayBeAbsent: true,
   });
 }
 
--- a/packages/daemon/src/request/call.ts
+++ b/packages/daemon/src/request/call.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type * as Effect from "effect/Effect";
+import type { ProblemCode } from "../process/codes.ts";
 
 /** One header line as received; names in lower case. */
 export interface Header {
@@ -79,7 +80,7 @@
   /** HTTP status. */
   readonly status: number;
   /** Stable code, listed in docs/codes.md. */
-  readonly code: string;
+  readonly code: ProblemCode;
   /** What failed and what is needed. */
   readonly message: string;
   readonly outcome: Standing;
--- a/packages/daemon/src/request/problems.ts
+++ b/packages/daemon/src/request/problems.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { STATUS_CODES } from "node:http";
-import { PROBLEM_STATUS } from "../process/codes.ts";
+import { PROBLEM_STATUSES } from "../process/codes.ts";
 import type { ProblemCode } from "../process/codes.ts";
 import type { Header, Problem, Standing } from "./call.ts";
 
@@ -22,7 +22,7 @@
     readonly retryAfterMs?: number;
   } = {},
 ): Problem {
-  const status = PROBLEM_STATUS[code];
+  const status = PROBLEM_STATUSES[code][0];
   const comesBack = status === TOO_MANY_REQUESTS || status === UNAVAILABLE;
   const retryAfterMs = options.retryAfterMs ??
     (comesBack ? DEFAULT_RETRY_AFTER_MS : undefined);
