--- a/packages/daemon/src/request/answer_head.ts
+++ b/packages/daemon/src/request/answer_head.ts
@@ -5,6 +5,7 @@
  */
 import type { RunnerAnswer } from "../connection/runner_answer.ts";
 import type { AnswerHead, Call, Header } from "./call.ts";
+import { answerHeaders, headerLines } from "./end_to_end_headers.ts";
 
 /** What tells one attempt from another on the wire. */
 export interface AttemptMark {
@@ -15,22 +16,6 @@
   readonly resumeOffset?: number;
 }
 
-/** Not passed on: they speak of one connection only, or are this router's own. */
-const NOT_PASSED = new Set([
-  "connection",
-  "keep-alive",
-  "proxy-authenticate",
-  "proxy-connection",
-  "te",
-  "trailer",
-  "transfer-encoding",
-  "upgrade",
-  "umbermast-attempt-id",
-  "umbermast-request-id",
-  "umbermast-started",
-  "umbermast-outcome",
-]);
-
 /** Headers of one attempt's request. */
 export function requestHeaders(
   call: Call,
@@ -64,12 +49,6 @@
 
 /** The head that the caller is given for a runner's answer. */
 export function passedHead(answer: RunnerAnswer): AnswerHead {
-  const headers: Header[] = [];
-  const raw = answer.response.rawHeaders;
-  for (let i = 0; i + 1 < raw.length; i += 2) {
-    const name = raw[i]?.toLowerCase() ?? "";
-    if (NOT_PASSED.has(name)) continue;
-    headers.push({ name, value: raw[i + 1] ?? "" });
-  }
+  const headers = answerHeaders(headerLines(answer.response.rawHeaders));
   return { status: answer.status, headers };
 }
--- a/packages/daemon/src/request/call.ts
+++ b/packages/daemon/src/request/call.ts
@@ -45,6 +45,7 @@
 /** The head of an answer. */
 export interface AnswerHead {
   readonly status: number;
+  /** End-to-end headers only. */
   readonly headers: readonly Header[];
 }
 
--- a/packages/daemon/src/request/http_reply.ts
+++ b/packages/daemon/src/request/http_reply.ts
@@ -6,7 +6,6 @@
 import type { ServerResponse } from "node:http";
 import * as Effect from "effect/Effect";
 import type { AnswerHead, CallerGone, Problem, Reply } from "./call.ts";
-import { answerHeaders } from "./end_to_end_headers.ts";
 import { problemBody, problemHeaders } from "./problems.ts";
 
 const EVENT_STREAM = "text/event-stream";
@@ -71,7 +70,7 @@
   }
 
   begin(head: AnswerHead): void {
-    for (const { name, value } of answerHeaders(head.headers)) {
+    for (const { name, value } of head.headers) {
       this.#response.appendHeader(name, value);
       if (name === "content-type") {
         this.#streamed = value.toLowerCase().startsWith(EVENT_STREAM);
