--- a/packages/daemon/src/request/caller_requests.ts
+++ b/packages/daemon/src/request/caller_requests.ts
@@ -5,7 +5,6 @@
  */
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Table } from "@umbermast/table";
 import * as Cause from "effect/Cause";
 import * as Effect from "effect/Effect";
 import * as Exit from "effect/Exit";
@@ -15,6 +14,7 @@
 import type { ConnectionFault } from "../connection/connection_fault.ts";
 import type { Log } from "../process/log.ts";
 import type { CallerLimits } from "../process/settings.ts";
+import type { TableVersion } from "../version/table_feed.ts";
 import { admit, callOf } from "./admission.ts";
 import type { Arrival } from "./admission.ts";
 import { readBody } from "./body_reader.ts";
@@ -27,7 +27,14 @@
 /** Counts ended requests. */
 export interface RequestObserver {
   /** A call that was run has ended. */
-  ended(call: Call, ending: Ending): void;
+  ended(
+    call: Call,
+    options: {
+      readonly ending: Ending;
+      /** Epoch milliseconds of the answer's head; undefined without one. */
+      readonly answerAt: number | undefined;
+    },
+  ): void;
   /** A request was refused before it became a call. */
   refused(problem: Problem): void;
   /** A connection beyond the limit was closed. */
@@ -41,7 +48,7 @@
   readonly log: Log;
   readonly observer: RequestObserver;
   /** The table in force; undefined until one has been read. */
-  readonly table: () => Table | undefined;
+  readonly table: () => TableVersion | undefined;
   /** Whether the daemon is leaving and takes no new requests. */
   readonly leaving: () => boolean;
 }
@@ -99,6 +106,7 @@
       requestId: randomUUID(),
       request,
       pipelined: options.pipelined,
+      excess: this.#fibers.size >= this.#environment.limits.queuedRequests,
       headers: headerLines(request.rawHeaders),
       arrivedAt: Date.now(),
     };
@@ -110,9 +118,11 @@
     const fiber = Effect.runFork(this.#answer(arrival, reply));
     this.#fibers.add(fiber);
     // The caller has left: what it asked for is of no use, so the fibre is
-    // interrupted at once and with it the engine's work.
+    // interrupted at once and with it the engine's work. A write that gave up
+    // on a slow caller fails by itself and says so.
     response.once("close", () => {
-      if (!response.writableFinished) fiber.interruptUnsafe();
+      if (response.writableFinished || reply.gone?.reason === "slow") return;
+      fiber.interruptUnsafe();
     });
     fiber.addObserver((exit) => {
       this.#fibers.delete(fiber);
@@ -140,17 +150,17 @@
       const { leaving, limits, runner, table } = this.#environment;
       if (leaving()) return yield* Effect.fail(leavingProblem());
       const admission = yield* fromResult(admit(arrival, table()));
-      if (this.#fibers.size > limits.queuedRequests) {
+      if (arrival.excess) {
         return yield* Effect.fail(fullProblem(limits.queuedRequests));
       }
       reply.askForBody();
       const body = yield* readBody(arrival.request, limits);
       if (admission.route._tag === "Models") {
-        return reply.whole(modelList(admission.table));
+        return reply.whole(modelList(admission.table.table));
       }
       const call = yield* fromResult(callOf(admission, body));
       const ending = yield* runner.run(call, reply);
-      this.#ended(call, ending);
+      this.#ended(call, { ending, reply });
     }).pipe(
       Effect.catch((problem) =>
         Effect.sync(() => this.#refuse(arrival, { reply, problem }))
@@ -158,14 +168,19 @@
     );
   }
 
-  #ended(call: Call, ending: Ending): void {
-    this.#environment.observer.ended(call, ending);
+  #ended(
+    call: Call,
+    { ending, reply }: { readonly ending: Ending; readonly reply: HttpReply },
+  ): void {
+    const { begunAt: answerAt } = reply;
+    this.#environment.observer.ended(call, { ending, answerAt });
     this.#environment.log.event("request_ended", {
       requestId: call.requestId,
       workspace: call.workspace,
       class: call.class,
       service: call.service,
       ...endingFields(ending),
+      answerMs: answerAt === undefined ? undefined : answerAt - call.arrivedAt,
       durationMs: Date.now() - call.arrivedAt,
     });
   }
--- a/packages/daemon/src/request/http_reply.ts
+++ b/packages/daemon/src/request/http_reply.ts
@@ -6,7 +6,6 @@
 import type { ServerResponse } from "node:http";
 import * as Effect from "effect/Effect";
 import type { AnswerHead, CallerGone, Problem, Reply } from "./call.ts";
-import { answerHeaders } from "./end_to_end_headers.ts";
 import { problemBody, problemHeaders } from "./problems.ts";
 
 const EVENT_STREAM = "text/event-stream";
@@ -21,7 +20,10 @@
   readonly #writeTimeoutMs: number;
   readonly #leaving: () => boolean;
   #streamed = false;
+  /** The caller sends its body only when asked, and has not been. */
+  #bodyHeldBack: boolean;
   #gone: CallerGone | undefined;
+  #begunAt: number | undefined;
 
   constructor(
     response: ServerResponse,
@@ -36,6 +38,7 @@
     this.#requestId = options.requestId;
     this.#writeTimeoutMs = options.writeTimeoutMs;
     this.#leaving = options.leaving;
+    this.#bodyHeldBack = response.req.headers.expect !== undefined;
     response.setHeader("umbermast-request-id", options.requestId);
     // Node reports a write to a connection that is gone here as well; the close
     // event tells all that is needed.
@@ -45,18 +48,29 @@
     });
   }
 
+  /** Epoch milliseconds when an answer began; undefined before, or without one. */
+  get begunAt(): number | undefined {
+    return this.#begunAt;
+  }
+
   get begun(): boolean {
     return this.#response.headersSent;
   }
 
+  /** Why the caller can no longer be written to; undefined while it can. */
+  get gone(): CallerGone | undefined {
+    return this.#gone;
+  }
+
   /** Tells a caller that waits for it to send the body. */
   askForBody(): void {
-    const { expect } = this.#response.req.headers;
-    if (expect !== undefined) this.#response.writeContinue();
+    if (!this.#bodyHeldBack) return;
+    this.#bodyHeldBack = false;
+    this.#response.writeContinue();
   }
 
   begin(head: AnswerHead): void {
-    for (const { name, value } of answerHeaders(head.headers)) {
+    for (const { name, value } of head.headers) {
       this.#response.appendHeader(name, value);
       if (name === "content-type") {
         this.#streamed = value.toLowerCase().startsWith(EVENT_STREAM);
@@ -64,6 +78,7 @@
     }
     if (this.#leaving()) this.#response.setHeader("connection", "close");
     this.#response.writeHead(head.status);
+    this.#begunAt = Date.now();
   }
 
   write(bytes: Uint8Array): Effect.Effect<void, CallerGone> {
@@ -105,7 +120,7 @@
       response.setHeader("connection", "close");
     }
     response.writeHead(problem.status);
-    if (complete) {
+    if (complete || this.#bodyHeldBack) {
       response.end(body);
       this.#boundFlush();
       return;
@@ -137,7 +152,8 @@
     this.#response.setHeader("content-length", Buffer.byteLength(body));
     if (this.#leaving()) this.#response.setHeader("connection", "close");
     this.#response.writeHead(200);
-    this.end();
+    this.#response.end(body);
+    this.#boundFlush();
   }
 
   /** Ends an answer whose fibre is gone, by whatever its state allows. */
