Test links against strangers, silence and replaced members

Cause: the safeguards of links and of the host list client had no tests. Change: tests of frames, sessions, the handshake and links behind a relay that loses track of connections; the host list client uses the store's HTTP exchange; handlers and times of a link move to modules of their own; messages over the size of a frame are refused instead of breaking the link. Without the redial, the check of starts, the sequence, the limit or the handshake's timeout the test of each fails. The role in a proof is a second guard: the proofs differ in what they cover too. Conclusion: none of the tests waits for wall time.

--- a/packages/coordination/src/connection/link.ts
+++ b/packages/coordination/src/connection/link.ts
@@ -7,17 +7,19 @@
 import type { Socket } from "node:net";
 import * as Effect from "effect/Effect";
 import * as Exit from "effect/Exit";
-import * as Fiber from "effect/Fiber";
 import * as Scope from "effect/Scope";
 import type { Clock } from "../process/clock.ts";
 import { fromResult } from "../process/result.ts";
 import type { FrameReader, LinkClosed } from "./frame.ts";
 import { linkClosed } from "./frame.ts";
+import { LinkHandlers } from "./link_handlers.ts";
+import { LinkTimes } from "./link_liveness.ts";
 import type { LinkMessage, Request, Send } from "./link_message.ts";
 import { decodeLinkMessage, encodeLinkMessage } from "./link_message.ts";
 import type { LinkSettings } from "./link_settings.ts";
 import type { MessageHandler, PeerUnreachable } from "../process/peers.ts";
 import { peerUnreachable } from "../process/peers.ts";
+import { TAG_BYTES } from "./session.ts";
 import type { Session } from "./session.ts";
 
 /** What a link needs of the process around it. */
@@ -45,15 +47,10 @@
   readonly #host: LinkHost;
   readonly #socket: Socket;
   readonly #session: Session;
+  readonly #times: LinkTimes;
+  readonly #handling: LinkHandlers;
   readonly #pending = new Map<number, Settle>();
-  readonly #running = new Map<number, Fiber.Fiber<unknown>>();
-  readonly #cancelled = new Set<number>();
-  #inProgress = 0;
   #nextId = 1;
-  #lastHeard: number;
-  #lastSent: number;
-  #lastUsed: number;
-  #activeSince: number;
   #corked = false;
   #drainingSince: number | undefined;
   #goodbyeHeard = false;
@@ -67,18 +64,24 @@
       readonly dialler: string;
     },
   ) {
-    const now = host.clock.monotonic();
     this.#host = host;
     this.#socket = connection.socket;
     this.#session = connection.session;
     this.peer = connection.session.peer;
     this.incarnation = connection.session.incarnation;
     this.dialler = connection.dialler;
-    this.establishedAt = now;
-    this.#lastHeard = now;
-    this.#lastSent = now;
-    this.#lastUsed = now;
-    this.#activeSince = now;
+    this.establishedAt = host.clock.monotonic();
+    this.#times = new LinkTimes(host.settings, host.clock);
+    this.#handling = new LinkHandlers({
+      peer: this.peer,
+      handlers: host.handlers,
+      limit: host.settings.maxInProgress,
+      scope: host.scope,
+      reply: (message) => {
+        this.#use();
+        this.#control(message);
+      },
+    });
   }
 
   /** Whether new messages may be sent. */
@@ -88,17 +91,18 @@
 
   /** Whether messages other than heartbeats passed lately, or are awaited. */
   get active(): boolean {
-    if (this.#pending.size > 0 || this.#running.size > 0) return true;
-    const since = this.#host.clock.monotonic() - this.#lastUsed;
-    return since < this.#host.settings.activeMs;
+    return this.#times.active(this.#awaited);
   }
 
   /** Sends a message; false when the outgoing queue is full or the link closed. */
   post(message: Send | Request): boolean {
     if (!this.usable) return false;
+    const { maxQueuedBytes } = this.#host.settings;
     const payload = encodeLinkMessage(message);
-    const queued = this.#socket.writableLength + payload.length;
-    if (queued > this.#host.settings.maxQueuedBytes) return false;
+    if (!this.#fits(payload)) return false;
+    if (this.#socket.writableLength + payload.length > maxQueuedBytes) {
+      return false;
+    }
     this.#use();
     this.#write(payload);
     return true;
@@ -134,7 +138,7 @@
         const frame = yield* reader.next();
         const payload = yield* fromResult(this.#session.opener.open(frame));
         const message = yield* fromResult(decodeLinkMessage(payload));
-        this.#lastHeard = host.clock.monotonic();
+        this.#times.heard();
         yield* this.#dispatch(message, requests);
       }
     });
@@ -174,35 +178,25 @@
 
   /** Ignores the silence so far: it was ours, not the other end's. */
   forgiveSilence(): void {
-    this.#lastHeard = this.#host.clock.monotonic();
+    this.#times.heard();
   }
 
   /** Sends a heartbeat if one is due, and ends the link if it is silent or idle. */
   tick(): void {
     if (this.#closed !== undefined) return;
-    const { settings, clock } = this.#host;
-    const now = clock.monotonic();
-    if (this.#drainingSince !== undefined) return this.#tickDraining(now);
-    const active = this.active;
-    const interval = active ? settings.heartbeatMs : settings.idleHeartbeatMs;
-    if (now - this.#lastSent >= interval) {
+    if (this.#drainingSince !== undefined) return this.#tickDraining();
+    if (this.#times.heartbeatDue(this.#awaited)) {
       this.#control({ kind: "heartbeat", digest: this.#host.digest() });
     }
-    const silentMs = active
-      ? settings.silentMs
-      : settings.idleHeartbeatMs + settings.silentMs;
-    // The far end learns that the link is in use again only from our message,
-    // so silence is counted from that message at the earliest.
-    const heard = Math.max(this.#lastHeard, active ? this.#activeSince : 0);
-    if (now - heard > silentMs) return this.close(linkClosed("silent"));
-    if (now - this.#lastUsed > settings.idleMs && !active) this.drain();
+    const verdict = this.#times.verdict(this.#awaited);
+    if (verdict === "silent") this.close(linkClosed("silent"));
+    if (verdict === "idle") this.drain();
   }
 
-  #tickDraining(now: number): void {
-    const drained = this.#goodbyeHeard && this.#pending.size === 0 &&
-      this.#running.size === 0;
+  #tickDraining(): void {
+    const now = this.#host.clock.monotonic();
     const since = this.#drainingSince ?? now;
-    if (drained) {
+    if (this.#goodbyeHeard && !this.#awaited) {
       this.#closed = linkClosed("idle");
       this.#socket.end();
     } else if (now - since > this.#host.settings.idleMs) {
@@ -216,9 +210,11 @@
   ): Effect.Effect<void> {
     switch (message.kind) {
       case "send":
-        return this.#receive(message);
+        this.#use();
+        return this.#handling.receive(message);
       case "request":
-        return this.#answer(message, requests);
+        this.#use();
+        return this.#handling.answer(message, requests);
       case "answer":
         return this.#settle(message.id, Effect.succeed(message.body));
       case "failure": {
@@ -229,7 +225,7 @@
         return this.#settle(message.id, Effect.fail(failure));
       }
       case "cancel":
-        return this.#cancel(message.id, requests);
+        return this.#handling.cancel(message.id, requests);
       case "heartbeat":
         return Effect.sync(() =>
           this.#host.receiveDigest(this.peer, message.digest)
@@ -242,69 +238,6 @@
     }
   }
 
-  #receive(message: Send): Effect.Effect<void> {
-    this.#use();
-    const handler = this.#host.handlers.get(message.channel);
-    if (handler === undefined || this.#full()) return Effect.void;
-    this.#inProgress += 1;
-    return Effect.suspend(() => handler(this.peer, message.body)).pipe(
-      Effect.onExit(() =>
-        Effect.sync(() => {
-          this.#inProgress -= 1;
-        })
-      ),
-      Effect.forkIn(this.#host.scope),
-      Effect.asVoid,
-    );
-  }
-
-  #answer(message: Request, requests: Scope.Scope): Effect.Effect<void> {
-    this.#use();
-    const { id } = message;
-    const handler = this.#host.handlers.get(message.channel);
-    if (handler === undefined) {
-      this.#control({ kind: "failure", id, reason: "no-handler" });
-      return Effect.void;
-    }
-    // Refused rather than held back: if both ends stopped reading until their
-    // handlers were done, and those waited for answers on this very link,
-    // neither end would ever read again.
-    if (this.#full()) {
-      this.#control({ kind: "failure", id, reason: "busy" });
-      return Effect.void;
-    }
-    this.#inProgress += 1;
-    return Effect.suspend(() => handler(this.peer, message.body)).pipe(
-      Effect.onExit((exit) => Effect.sync(() => this.#finish(id, exit))),
-      Effect.forkIn(requests),
-      Effect.tap((fiber) =>
-        Effect.sync(() => {
-          if (fiber.pollUnsafe() === undefined) this.#running.set(id, fiber);
-        })
-      ),
-      Effect.asVoid,
-    );
-  }
-
-  #cancel(id: number, requests: Scope.Scope): Effect.Effect<void> {
-    const fiber = this.#running.get(id);
-    if (fiber === undefined) return Effect.void;
-    this.#cancelled.add(id);
-    return Fiber.interrupt(fiber).pipe(Effect.forkIn(requests), Effect.asVoid);
-  }
-
-  #finish(id: number, exit: Exit.Exit<unknown>): void {
-    this.#inProgress -= 1;
-    this.#running.delete(id);
-    this.#use();
-    if (this.#cancelled.delete(id)) return;
-    this.#control(
-      Exit.isSuccess(exit)
-        ? { kind: "answer", id, body: exit.value }
-        : { kind: "failure", id, reason: "handler-failed" },
-    );
-  }
-
   #settle(
     id: number,
     result: Effect.Effect<unknown, PeerUnreachable>,
@@ -316,14 +249,13 @@
     return Effect.void;
   }
 
-  #full(): boolean {
-    return this.#inProgress >= this.#host.settings.maxInProgress;
+  /** Whether either end waits for an answer. */
+  get #awaited(): boolean {
+    return this.#pending.size > 0 || this.#handling.answering;
   }
 
   #use(): void {
-    const now = this.#host.clock.monotonic();
-    if (!this.active) this.#activeSince = now;
-    this.#lastUsed = now;
+    this.#times.used(this.#awaited);
   }
 
   /**
@@ -333,15 +265,26 @@
    */
   #control(message: LinkMessage): void {
     if (this.#closed !== undefined) return;
-    this.#write(encodeLinkMessage(message));
+    const payload = encodeLinkMessage(message);
+    if (this.#fits(payload)) {
+      this.#write(payload);
+    } else if (message.kind === "answer") {
+      const { id } = message;
+      this.#control({ kind: "failure", id, reason: "handler-failed" });
+    }
     if (this.#socket.writableLength > 2 * this.#host.settings.maxQueuedBytes) {
       this.close(linkClosed("refused", "other end does not read"));
     }
   }
 
+  /** The other end would close the link on a larger frame. */
+  #fits(payload: Uint8Array): boolean {
+    return payload.length + TAG_BYTES <= this.#host.settings.maxFrameBytes;
+  }
+
   /** Messages of one turn of the event loop share packets. */
   #write(payload: Uint8Array): void {
-    this.#lastSent = this.#host.clock.monotonic();
+    this.#times.sent();
     if (!this.#corked) {
       this.#corked = true;
       this.#socket.cork();
--- /dev/null
+++ b/packages/coordination/src/connection/link_handlers.ts
@@ -0,0 +1,109 @@
+/**
+ * Handlers in progress for one link.
+ *
+ * @module
+ */
+import * as Effect from "effect/Effect";
+import * as Exit from "effect/Exit";
+import * as Fiber from "effect/Fiber";
+import type * as Scope from "effect/Scope";
+import type { MessageHandler } from "../process/peers.ts";
+import type { Answer, Failure, Request, Send } from "./link_message.ts";
+
+/** What handlers need of their link. */
+export interface LinkHandlersOptions {
+  readonly peer: string;
+  readonly handlers: ReadonlyMap<string, MessageHandler>;
+  /** Handlers in progress at once. */
+  readonly limit: number;
+  /** Fibres of unanswered messages live here, beyond the link. */
+  readonly scope: Scope.Scope;
+  /** Sends the answer of a request. */
+  readonly reply: (message: Answer | Failure) => void;
+}
+
+/** Runs a bounded number of handlers, each in its own fibre. */
+export class LinkHandlers {
+  readonly #options: LinkHandlersOptions;
+  readonly #running = new Map<number, Fiber.Fiber<unknown>>();
+  readonly #cancelled = new Set<number>();
+  #inProgress = 0;
+
+  constructor(options: LinkHandlersOptions) {
+    this.#options = options;
+  }
+
+  /** Whether the other end waits for an answer. */
+  get answering(): boolean {
+    return this.#running.size > 0;
+  }
+
+  /** Handles a message that is not answered; it is dropped over the limit. */
+  receive(message: Send): Effect.Effect<void> {
+    const { handlers, peer, scope } = this.#options;
+    const handler = handlers.get(message.channel);
+    if (handler === undefined || this.#full()) return Effect.void;
+    this.#inProgress += 1;
+    return Effect.suspend(() => handler(peer, message.body)).pipe(
+      Effect.onExit(() =>
+        Effect.sync(() => {
+          this.#inProgress -= 1;
+        })
+      ),
+      Effect.forkIn(scope),
+      Effect.asVoid,
+    );
+  }
+
+  /** Handles a request; its handler is interrupted when the link's scope closes. */
+  answer(message: Request, scope: Scope.Scope): Effect.Effect<void> {
+    const { handlers, peer, reply } = this.#options;
+    const { id } = message;
+    const handler = handlers.get(message.channel);
+    if (handler === undefined) {
+      reply({ kind: "failure", id, reason: "no-handler" });
+      return Effect.void;
+    }
+    // Refused rather than held back: if both ends stopped reading until their
+    // handlers were done, and those waited for answers on this very link,
+    // neither end would ever read again.
+    if (this.#full()) {
+      reply({ kind: "failure", id, reason: "busy" });
+      return Effect.void;
+    }
+    this.#inProgress += 1;
+    return Effect.suspend(() => handler(peer, message.body)).pipe(
+      Effect.onExit((exit) => Effect.sync(() => this.#finish(id, exit))),
+      Effect.forkIn(scope),
+      Effect.tap((fiber) =>
+        Effect.sync(() => {
+          if (fiber.pollUnsafe() === undefined) this.#running.set(id, fiber);
+        })
+      ),
+      Effect.asVoid,
+    );
+  }
+
+  /** Interrupts the handler of a request that nobody waits for any more. */
+  cancel(id: number, scope: Scope.Scope): Effect.Effect<void> {
+    const fiber = this.#running.get(id);
+    if (fiber === undefined) return Effect.void;
+    this.#cancelled.add(id);
+    return Fiber.interrupt(fiber).pipe(Effect.forkIn(scope), Effect.asVoid);
+  }
+
+  #finish(id: number, exit: Exit.Exit<unknown>): void {
+    this.#inProgress -= 1;
+    this.#running.delete(id);
+    if (this.#cancelled.delete(id)) return;
+    this.#options.reply(
+      Exit.isSuccess(exit)
+        ? { kind: "answer", id, body: exit.value }
+        : { kind: "failure", id, reason: "handler-failed" },
+    );
+  }
+
+  #full(): boolean {
+    return this.#inProgress >= this.#options.limit;
+  }
+}
--- a/packages/coordination/src/process/host_list_client.ts
+++ b/packages/coordination/src/process/host_list_client.ts
@@ -3,14 +3,12 @@
  *
  * @module
  */
-import { Buffer } from "node:buffer";
-import { Agent, get } from "node:http";
-import type { IncomingMessage } from "node:http";
 import * as Effect from "effect/Effect";
 import * as Random from "effect/Random";
 import type { Scope } from "effect/Scope";
 import type { Host, HostFinding, HostList } from "./host_list.ts";
 import { readHosts } from "./host_list.ts";
+import { HttpExchange } from "./http_exchange.ts";
 
 /** How the platform is asked for its hosts. */
 export interface HostListClientOptions {
@@ -50,7 +48,6 @@
 const MAX_BACKOFF_MS = 10_000;
 /** Beyond the wait: an answer that is later never comes. */
 const ANSWER_MARGIN_MS = 5000;
-const MAX_BODY_BYTES = 16 * 1024 * 1024;
 const HTTP_OK = 200;
 const HTTP_GONE = 410;
 
@@ -64,56 +61,28 @@
   return Number.isSafeInteger(revision) && Array.isArray(hosts);
 }
 
-function parseAnswer(text: string): Effect.Effect<HostAnswer, PollFailed> {
-  try {
-    const value: unknown = JSON.parse(text);
-    if (isAnswer(value)) return Effect.succeed(value);
-  } catch {
-    // Reported below, like any other answer that is no list.
-  }
-  return Effect.fail(pollFailed("answer is no host list"));
-}
-
-function collect(
-  response: IncomingMessage,
-  resume: (result: Effect.Effect<HostAnswer, PollFailed>) => void,
-): void {
-  const status = response.statusCode ?? 0;
-  if (status !== HTTP_OK) {
-    response.resume();
-    resume(Effect.fail(pollFailed(`status ${status}`, status === HTTP_GONE)));
-    return;
-  }
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  response.on("data", (chunk: Buffer) => {
-    bytes += chunk.length;
-    if (bytes > MAX_BODY_BYTES) response.destroy(new Error("answer too large"));
-    else chunks.push(chunk);
-  });
-  response.on("error", (error) => {
-    resume(Effect.fail(pollFailed(error.message)));
-  });
-  response.on("end", () => {
-    resume(parseAnswer(Buffer.concat(chunks).toString("utf8")));
-  });
-}
-
-function poll(url: URL, agent: Agent): Effect.Effect<HostAnswer, PollFailed> {
-  return Effect.callback((resume) => {
-    const request = get(url, { agent }, (response) => {
-      collect(response, resume);
-    });
-    request.on("error", (error) => {
-      resume(Effect.fail(pollFailed(error.message)));
-    });
-    return Effect.sync(() => request.destroy());
-  });
+function poll(
+  http: HttpExchange,
+  path: string,
+  options: { readonly timeoutMs: number },
+): Effect.Effect<HostAnswer, PollFailed> {
+  return http.send({ method: "GET", path }, options).pipe(
+    Effect.mapError(({ reason }) => pollFailed(reason)),
+    Effect.flatMap(({ status, body }) => {
+      if (status !== HTTP_OK) {
+        const gone = status === HTTP_GONE;
+        return Effect.fail(pollFailed(`status ${status}`, gone));
+      }
+      return isAnswer(body)
+        ? Effect.succeed(body)
+        : Effect.fail(pollFailed("answer is no host list"));
+    }),
+  );
 }
 
 class PolledHostList implements HostList {
   readonly #options: HostListClientOptions;
-  readonly #agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  readonly #http: HttpExchange;
   readonly #listeners = new Set<(hosts: readonly Host[]) => void>();
   #hosts: readonly Host[];
   #revision: number | undefined;
@@ -121,6 +90,7 @@
 
   constructor(options: HostListClientOptions) {
     this.#options = options;
+    this.#http = new HttpExchange(new URL(options.url), { maxSockets: 1 });
     this.#hosts = options.initial ?? [];
   }
 
@@ -162,16 +132,11 @@
 
   #pollOnce(): Effect.Effect<PollFailed | undefined> {
     const waitMs = this.#options.waitMs ?? DEFAULT_WAIT_MS;
-    const url = new URL("/hosts", this.#options.url);
-    if (this.#revision !== undefined) {
-      url.searchParams.set("from", String(this.#revision));
-      url.searchParams.set("wait", String(waitMs));
-    }
-    return poll(url, this.#agent).pipe(
-      Effect.timeoutOrElse({
-        duration: waitMs + ANSWER_MARGIN_MS,
-        orElse: () => Effect.fail(pollFailed("no answer")),
-      }),
+    const timeoutMs = waitMs + ANSWER_MARGIN_MS;
+    const path = this.#revision === undefined
+      ? "/hosts"
+      : `/hosts?from=${this.#revision}&wait=${waitMs}`;
+    return poll(this.#http, path, { timeoutMs }).pipe(
       Effect.match({
         onFailure: (failure) => failure,
         onSuccess: (answer) => this.#accept(answer),
@@ -189,6 +154,11 @@
     for (const listener of [...this.#listeners]) listener(hosts);
   }
 
+  /** Closes the connection. */
+  close(): void {
+    this.#http.close();
+  }
+
   #setCurrent(current: boolean, reason: string): void {
     if (this.#current === current) return;
     this.#current = current;
@@ -211,6 +181,7 @@
   options: HostListClientOptions,
 ): Effect.fn.Return<HostList, never, Scope> {
   const list = new PolledHostList(options);
+  yield* Effect.addFinalizer(() => Effect.sync(() => list.close()));
   yield* list.run().pipe(Effect.forkScoped);
   return list;
 });
--- /dev/null
+++ b/packages/coordination/tests/handshake_test.ts
@@ -0,0 +1,132 @@
+import assert from "node:assert/strict";
+import { Buffer } from "node:buffer";
+import type { Socket } from "node:net";
+import { test } from "node:test";
+import * as Effect from "effect/Effect";
+import * as Exit from "effect/Exit";
+import { dial } from "../src/connection/dial.ts";
+import { encodeFrame, FrameReader } from "../src/connection/frame.ts";
+import type { LinkClosed } from "../src/connection/frame.ts";
+import {
+  acceptHandshake,
+  dialHandshake,
+  HANDSHAKE_LIMIT,
+} from "../src/connection/handshake.ts";
+import type { Session } from "../src/connection/session.ts";
+import { TEST_KEY } from "./link_fixture.ts";
+import { echoServer, socketPair } from "./socket_fixture.ts";
+
+function end(socket: Socket, name: string, key: Uint8Array = TEST_KEY) {
+  const reader = new FrameReader(socket, HANDSHAKE_LIMIT);
+  return { socket, reader, key, self: { name, incarnation: 7 } };
+}
+
+interface Ends {
+  readonly dialler: Exit.Exit<Session, LinkClosed>;
+  readonly accepter: Exit.Exit<Session, LinkClosed>;
+}
+
+/** Both ends of a handshake; an end that fails closes its socket. */
+const shake = Effect.fnUntraced(function* (given: {
+  readonly expected?: string;
+  readonly diallerKey?: Uint8Array;
+}) {
+  const { near, far } = yield* socketPair;
+  const dialled = dialHandshake(
+    end(near, "a", given.diallerKey),
+    given.expected ?? "b",
+  ).pipe(Effect.onError(() => Effect.sync(() => near.destroy())));
+  const accepted = acceptHandshake(end(far, "b")).pipe(
+    Effect.onError(() => Effect.sync(() => far.destroy())),
+  );
+  const [dialler, accepter] = yield* Effect.all(
+    [Effect.exit(dialled), Effect.exit(accepted)],
+    { concurrency: 2 },
+  );
+  const ends: Ends = { dialler, accepter };
+  return ends;
+});
+
+function reasonOf(exit: Exit.Exit<Session, LinkClosed>): string | undefined {
+  const error = Exit.isFailure(exit) ? exit.cause.reasons[0] : undefined;
+  return error !== undefined && "error" in error
+    ? `${error.error.reason}: ${error.error.detail}`
+    : undefined;
+}
+
+test("both ends learn who the other is, and share keys", () =>
+  Effect.runPromise(Effect.scoped(Effect.gen(function* () {
+    const { dialler, accepter } = yield* shake({});
+    assert.ok(Exit.isSuccess(dialler) && Exit.isSuccess(accepter));
+    assert.equal(dialler.value.peer, "b");
+    assert.equal(accepter.value.peer, "a");
+    assert.equal(accepter.value.incarnation, 7);
+    const message = Buffer.from("hello");
+    const frame = dialler.value.sealer.seal(message).subarray(4);
+    const opened = accepter.value.opener.open(frame);
+    assert.deepEqual(opened.unwrapOr(Buffer.alloc(0)), message);
+  }))));
+
+test("an end with another key is refused", () =>
+  Effect.runPromise(Effect.scoped(Effect.gen(function* () {
+    const { dialler, accepter } = yield* shake({
+      diallerKey: Buffer.from("another key"),
+    });
+    assert.equal(reasonOf(accepter), "forged: wrong key");
+    assert.ok(Exit.isFailure(dialler));
+  }))));
+
+test("another member at the dialled address is refused", () =>
+  // b's host was replaced and c has its address. What is meant for b must not
+  // be given to c.
+  Effect.runPromise(Effect.scoped(Effect.gen(function* () {
+    const { dialler } = yield* shake({ expected: "c" });
+    assert.equal(reasonOf(dialler), 'refused: dialled "c", met "b"');
+  }))));
+
+test("a proof that is played back to its sender is refused", () =>
+  // Whoever answers without the key can only repeat what it got. The roles in
+  // the proofs make a repeated one wrong.
+  Effect.runPromise(Effect.scoped(Effect.gen(function* () {
+    const socket = yield* dial(yield* echoServer);
+    const exit = yield* Effect.exit(dialHandshake(end(socket, "a"), "a"));
+    socket.destroy();
+    assert.equal(reasonOf(exit), "forged: wrong key");
+  }))));
+
+test("a stranger's identity is refused before it is decoded", () =>
+  // The bytes after the proof are no CBOR. Were they decoded first, the reason
+  // would be "malformed".
+  Effect.runPromise(Effect.scoped(Effect.gen(function* () {
+    const { near, far } = yield* socketPair;
+    const hello = Buffer.concat([
+      Buffer.from("umbl"),
+      Buffer.of(1, 1),
+      Buffer.alloc(32),
+    ]);
+    near.write(encodeFrame([hello]));
+    near.write(encodeFrame([Buffer.alloc(32), Buffer.alloc(8, 0xff)]));
+    const exit = yield* Effect.exit(acceptHandshake(end(far, "b")));
+    assert.equal(reasonOf(exit), "forged: wrong key");
+  }))));
+
+test("a frame that is no hello is refused", () =>
+  Effect.runPromise(Effect.scoped(Effect.gen(function* () {
+    const { near, far } = yield* socketPair;
+    near.write(encodeFrame([Buffer.from("GET / HTTP/1.1")]));
+    const exit = yield* Effect.exit(acceptHandshake(end(far, "b")));
+    assert.equal(reasonOf(exit), "refused: no hello");
+  }))));
+
+test("an end without a common version is refused", () =>
+  Effect.runPromise(Effect.scoped(Effect.gen(function* () {
+    const { near, far } = yield* socketPair;
+    const hello = Buffer.concat([
+      Buffer.from("umbl"),
+      Buffer.of(2, 9),
+      Buffer.alloc(32),
+    ]);
+    near.write(encodeFrame([hello]));
+    const exit = yield* Effect.exit(acceptHandshake(end(far, "b")));
+    assert.equal(reasonOf(exit), "refused: no common version with 2..9");
+  }))));
--- /dev/null
+++ b/packages/coordination/tests/socket_fixture.ts
@@ -0,0 +1,121 @@
+/**
+ * Sockets and a relay between them, for tests.
+ *
+ * @module
+ */
+import { connect, createServer } from "node:net";
+import type { AddressInfo, Server, Socket } from "node:net";
+import * as Effect from "effect/Effect";
+import type { Scope } from "effect/Scope";
+import type { Endpoint } from "../src/process/endpoint.ts";
+
+const LOOPBACK = "127.0.0.1";
+
+function listening(
+  onConnection: (socket: Socket) => void,
+): Effect.Effect<Server, never, Scope> {
+  return Effect.acquireRelease(
+    Effect.callback<Server>((resume) => {
+      const server = createServer((socket) => {
+        socket.on("error", () => {});
+        onConnection(socket);
+      });
+      server.listen(0, LOOPBACK, () => resume(Effect.succeed(server)));
+    }),
+    (server) => Effect.sync(() => server.close()),
+  );
+}
+
+function endpointOf(server: Server): Endpoint {
+  const { port } = server.address() as AddressInfo;
+  return { address: LOOPBACK, port };
+}
+
+/** Two connected sockets; both are destroyed with the scope. */
+export const socketPair: Effect.Effect<
+  { readonly near: Socket; readonly far: Socket },
+  never,
+  Scope
+> = Effect.acquireRelease(
+  Effect.gen(function* () {
+    const accepted: Socket[] = [];
+    const server = yield* listening((socket) => accepted.push(socket));
+    const { port } = endpointOf(server);
+    const near = connect({ host: LOOPBACK, port });
+    near.on("error", () => {});
+    const far = yield* Effect.callback<Socket>((resume) => {
+      server.once("connection", (socket) => resume(Effect.succeed(socket)));
+    });
+    return { near, far };
+  }),
+  ({ near, far }) =>
+    Effect.sync(() => {
+      near.destroy();
+      far.destroy();
+    }),
+);
+
+/** A server that sends back what it gets. */
+export const echoServer: Effect.Effect<Endpoint, never, Scope> = listening(
+  (socket) => socket.pipe(socket),
+).pipe(Effect.map(endpointOf));
+
+/** A relay in front of an endpoint, which can lose track of connections. */
+export class Relay {
+  readonly endpoint: Endpoint;
+  readonly #connections: Set<Socket>;
+
+  constructor(endpoint: Endpoint, connections: Set<Socket>) {
+    this.endpoint = endpoint;
+    this.#connections = connections;
+  }
+
+  static readonly open = Effect.fnUntraced(function* (
+    target: () => Endpoint,
+  ): Effect.fn.Return<Relay, never, Scope> {
+    const connections = new Set<Socket>();
+    const server = yield* listening((near) => {
+      const { address, port } = target();
+      const far = connect({ host: address, port });
+      far.on("error", () => near.destroy());
+      near.on("close", () => far.destroy());
+      far.on("close", () => near.destroy());
+      near.pipe(far);
+      far.pipe(near);
+      for (const socket of [near, far]) {
+        connections.add(socket);
+        socket.on("close", () => connections.delete(socket));
+      }
+    });
+    yield* Effect.addFinalizer(() =>
+      Effect.sync(() => {
+        for (const socket of connections) socket.destroy();
+      })
+    );
+    return new Relay(endpointOf(server), connections);
+  });
+
+  /** Waits until no connection is left. */
+  get emptied(): Effect.Effect<void> {
+    return Effect.callback((resume) => {
+      const check = () => {
+        if (this.#connections.size === 0) resume(Effect.void);
+      };
+      for (const socket of this.#connections) socket.on("close", check);
+      check();
+    });
+  }
+
+  /** Existing connections stay open and carry nothing more; new ones work. */
+  loseTrack(): void {
+    for (const socket of this.#connections) {
+      socket.unpipe();
+      socket.pause();
+    }
+  }
+
+  /** Resets the existing connections. */
+  reset(): void {
+    for (const socket of this.#connections) socket.destroy();
+  }
+}
