--- /dev/null
+++ b/packages/coordination/src/process/membership_record_test.ts
@@ -0,0 +1,76 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { memberNamed } from "../../tests/fleet_fixture.ts";
+import type { Health, MemberRecord } from "./membership_record.ts";
+import {
+  decodeRecord,
+  encodeRecord,
+  joinRecords,
+} from "./membership_record.ts";
+
+const RECORD: fc.Arbitrary<MemberRecord> = fc.record({
+  member: fc.integer({ min: 1, max: 3 })
+    .map((incarnation) => memberNamed("m1", { incarnation })),
+  refutations: fc.integer({ min: 0, max: 2 }),
+  health: fc.constantFrom<Health>("alive", "suspect", "removed"),
+  leaving: fc.boolean(),
+  by: fc.constantFrom("m1", "m2"),
+}, { noNullPrototype: true });
+
+function joined(records: readonly MemberRecord[]): string {
+  const [first, ...rest] = records;
+  assert.ok(first);
+  let known = first;
+  for (const heard of rest) known = joinRecords(known, heard) ?? known;
+  const { member, refutations, health, leaving } = known;
+  return `${member.incarnation} ${refutations} ${health} ${leaving}`;
+}
+
+test("members that heard the same beliefs in any order agree", () => {
+  fc.assert(
+    fc.property(
+      fc.array(RECORD, { minLength: 1, maxLength: 8 }),
+      fc.infiniteStream(fc.nat()),
+      (records, picks) => {
+        const shuffled: MemberRecord[] = [];
+        for (const record of records) {
+          const at = (picks.next().value ?? 0) % (shuffled.length + 1);
+          shuffled.splice(at, 0, record);
+        }
+        assert.equal(joined(shuffled), joined(records));
+        assert.equal(joined([...records, ...shuffled]), joined(records));
+      },
+    ),
+  );
+});
+
+test("a late message of an earlier start changes nothing", () => {
+  const known: MemberRecord = {
+    member: memberNamed("m1", { incarnation: 5 }),
+    refutations: 0,
+    health: "alive",
+    leaving: false,
+    by: "m1",
+  };
+  const late: MemberRecord = {
+    ...known,
+    member: memberNamed("m1", { incarnation: 4 }),
+    refutations: 9,
+    health: "removed",
+    leaving: true,
+  };
+  assert.equal(joinRecords(known, late), undefined);
+});
+
+test("records survive encoding", () => {
+  fc.assert(fc.property(RECORD, (record) => {
+    assert.deepEqual(decodeRecord(encodeRecord(record)), record);
+  }));
+});
+
+test("bytes that hold no record are none", () => {
+  for (const bytes of [new Uint8Array([0xff]), new Uint8Array(), "x", null]) {
+    assert.equal(decodeRecord(bytes), undefined);
+  }
+});
