Cut the prober and the book of members into smaller modules

Change: sending, waiting probes and the process's own record are modules. Conclusion: no change of behaviour.

--- a/packages/coordination/src/process/membership_book.ts
+++ b/packages/coordination/src/process/membership_book.ts
@@ -9,6 +9,7 @@
 import { News, RecordSpace, Rotation } from "./membership_news.ts";
 import type { MemberRecord } from "./membership_record.ts";
 import { hasLeft, joinRecords, supersedes } from "./membership_record.ts";
+import { SelfRecord } from "./membership_self.ts";
 import type { ProbeSettings } from "./membership_settings.ts";
 import { Suspicions } from "./membership_suspicion.ts";
 import { buildView } from "./membership_view.ts";
@@ -33,7 +34,7 @@
   readonly #suspicions: Suspicions;
   readonly #news = new News();
   #listed: ReadonlyMap<string, Host> = new Map();
-  #self: MemberRecord;
+  readonly #self: SelfRecord;
   #version = 1;
   #view: View | undefined;
   readonly #rotation: Rotation;
@@ -41,20 +42,20 @@
   constructor(options: MemberBookOptions) {
     this.#options = options;
     this.#suspicions = new Suspicions(options.settings);
-    this.#self = {
-      member: options.self,
-      refutations: 0,
-      health: "alive",
-      leaving: false,
-      by: options.self.name,
-    };
-    this.#news.add(this.#self);
+    this.#self = new SelfRecord({
+      ...options,
+      onChange: (record) => {
+        this.#news.add(record);
+        this.#changed();
+      },
+    });
+    this.#news.add(this.self);
     this.#rotation = new Rotation(this.#records);
   }
 
   /** This process, as it believes itself to be. */
   get self(): MemberRecord {
-    return this.#self;
+    return this.#self.record;
   }
 
   /** Whether there is news to send. */
@@ -64,14 +65,12 @@
 
   /** What is believed of a member; undefined for one never heard of. */
   record(name: string): MemberRecord | undefined {
-    return name === this.#self.member.name
-      ? this.#self
-      : this.#records.get(name);
+    return name === this.self.member.name ? this.self : this.#records.get(name);
   }
 
   /** The present view. */
   view(): View {
-    const records = [this.#self, ...this.#records.values()];
+    const records = [this.self, ...this.#records.values()];
     this.#view ??= buildView(this.#version, records, this.#listed);
     return this.#view;
   }
@@ -106,7 +105,7 @@
   /** Takes in the belief of another member. */
   hear(heard: MemberRecord): void {
     const { name } = heard.member;
-    if (name === this.#self.member.name) return this.#hearOfSelf(heard);
+    if (name === this.self.member.name) return this.#self.hear(heard);
     const known = this.#records.get(name);
     if (known === undefined) return this.#hearOfStranger(heard);
     const shared = heard.health === "suspect" && known.health === "suspect" &&
@@ -120,14 +119,14 @@
   suspect(name: string): void {
     const known = this.#records.get(name);
     if (known === undefined || known.health === "removed") return;
-    const by = this.#self.member.name;
+    const by = this.self.member.name;
     if (known.health === "suspect") return this.#suspect(name, by);
     this.#set({ ...known, health: "suspect", by });
   }
 
   /** Removes the members whose suspicion has run out. */
   removeExpired(): void {
-    const by = this.#self.member.name;
+    const by = this.self.member.name;
     for (const name of this.#suspicions.expired(this.#now())) {
       const known = this.#records.get(name);
       this.#suspicions.clear(name);
@@ -144,17 +143,17 @@
   resume(pausedMs: number): void {
     this.#suspicions.extend(pausedMs);
     this.#options.onEvent({ type: "paused", pausedMs });
-    this.#setSelf({ refutations: this.#self.refutations + 1 });
+    this.#self.affirm();
   }
 
   /** Marks this process as leaving. */
   leave(): void {
-    if (!this.#self.leaving) this.#setSelf({ leaving: true });
+    this.#self.leave();
   }
 
   /** Marks this process as gone, for the last datagrams that it sends. */
   depart(): void {
-    this.#setSelf({ health: "removed" });
+    this.#self.depart();
   }
 
   /** Takes in the platform's list. */
@@ -198,32 +197,6 @@
     return taken.records();
   }
 
-  /** Another says something of this process: contradict what is wrong. */
-  #hearOfSelf(heard: MemberRecord): void {
-    const self = this.#self;
-    if (self.health === "removed") return;
-    if (heard.member.incarnation > self.member.incarnation) {
-      // A clock that went back made this start look older than the one before
-      // it; without a higher number all that it says would be ignored.
-      const incarnation = heard.member.incarnation + 1;
-      this.#options.onEvent({ type: "outdated", incarnation });
-      this.#setSelf({
-        member: { ...self.member, incarnation },
-        refutations: 0,
-      });
-      return;
-    }
-    if (heard.member.incarnation < self.member.incarnation) return;
-    if (heard.health === "alive") return;
-    if (heard.refutations < self.refutations) return;
-    this.#options.onEvent({
-      type: "refuted",
-      health: heard.health,
-      by: heard.by,
-    });
-    this.#setSelf({ refutations: heard.refutations + 1 });
-  }
-
   #hearOfStranger(heard: MemberRecord): void {
     // Nothing follows from the end of one that was never known here.
     if (heard.health === "removed" && !this.#listed.has(heard.member.name)) {
@@ -282,12 +255,6 @@
     this.#suspicions.add(name, by, { now: this.#now(), members });
   }
 
-  #setSelf(change: Partial<MemberRecord>): void {
-    this.#self = { ...this.#self, ...change };
-    this.#news.add(this.#self);
-    this.#changed();
-  }
-
   /** Drops removed members that will not be probed again, to bound the space. */
   #forget(): void {
     const { settings } = this.#options;
--- a/packages/coordination/src/process/membership_prober.ts
+++ b/packages/coordination/src/process/membership_prober.ts
@@ -9,17 +9,16 @@
  *
  * @module
  */
-import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import * as Random from "effect/Random";
 import type { Clock } from "./clock.ts";
-import { encodeItem } from "./codec.ts";
 import type { Digest } from "./digest.ts";
-import type { Endpoint } from "./endpoint.ts";
 import type { MemberBook } from "./membership_book.ts";
-import { PROBE_OVERHEAD_BYTES, ProbeCodec } from "./membership_datagram.ts";
-import type { Probe, ProbeKind } from "./membership_datagram.ts";
-import { encodeRecord } from "./membership_record.ts";
+import { ProbeCodec } from "./membership_datagram.ts";
+import type { Probe } from "./membership_datagram.ts";
+import { Outcomes } from "./membership_outcomes.ts";
+import type { Outcome } from "./membership_outcomes.ts";
+import { ProbeOutbox } from "./membership_outbox.ts";
 import type { ProbeSettings } from "./membership_settings.ts";
 import { Targets } from "./membership_targets.ts";
 import type { ProbeTransport } from "./membership_transport.ts";
@@ -39,12 +38,6 @@
   readonly onChange: () => void;
 }
 
-interface Outcome {
-  readonly answered: Deferred.Deferred<void>;
-  nacks: number;
-}
-
-const MAX_DIGEST_BYTES = 128;
 /** Periods in which a new member asks for as many records as fit. */
 const LEARNING_PERIODS = 10;
 /** Lets datagrams that already wait in the socket be read. */
@@ -54,9 +47,9 @@
 export class Prober {
   readonly #options: ProberOptions;
   readonly #codec: ProbeCodec;
+  readonly #outbox: ProbeOutbox;
   readonly #targets: Targets;
-  readonly #outcomes = new Map<number, Outcome>();
-  #sequence = 0;
+  readonly #outcomes = new Outcomes();
   #periods = 0;
   #slowness = 0;
   #judgesFrom = Number.NEGATIVE_INFINITY;
@@ -66,6 +59,7 @@
     this.#targets = new Targets(options.book, random);
     const { key, settings } = options;
     this.#codec = new ProbeCodec(key, settings.maxDatagramBytes);
+    this.#outbox = new ProbeOutbox({ ...options, codec: this.#codec });
     options.transport.listen((datagram) => this.#receive(datagram));
   }
 
@@ -124,11 +118,11 @@
       this.#options.onChange();
       const told = this.#targets.sample(settings.leaveFanout, []);
       if (told.length === 0) return;
-      const sequence = this.#nextSequence();
-      const outcome = this.#expect(sequence);
-      for (const name of told) this.#send("ping", name, { sequence });
-      yield* this.#answeredWithin(outcome, settings.periodMs);
-      this.#outcomes.delete(sequence);
+      yield* this.#outcomes.during((outcome) => {
+        const { sequence } = outcome;
+        for (const name of told) this.#outbox.send("ping", name, { sequence });
+        return outcome.answeredWithin(settings.periodMs);
+      });
     },
   );
 
@@ -149,44 +143,42 @@
     book.resume(pausedMs);
     this.#judgesFrom = clock.monotonic() + 2 * settings.periodMs;
     for (const name of this.#targets.sample(settings.helpers, [])) {
-      this.#send("ping", name, { wantsRecords: true });
+      this.#outbox.send("ping", name, { wantsRecords: true });
     }
   }
 
   #probe(target: string): Effect.Effect<void> {
-    const sequence = this.#nextSequence();
-    const outcome = this.#expect(sequence);
-    return this.#awaitAnswer(target, sequence, outcome).pipe(
-      Effect.ensuring(Effect.sync(() => this.#outcomes.delete(sequence))),
+    return this.#outcomes.during((outcome) =>
+      this.#awaitAnswer(target, outcome)
     );
   }
 
   readonly #awaitAnswer = Effect.fnUntraced(
     { self: this },
-    function* (
-      target: string,
-      sequence: number,
-      outcome: Outcome,
-    ): Effect.fn.Return<void> {
+    function* (target: string, outcome: Outcome): Effect.fn.Return<void> {
+      const { sequence } = outcome;
       const { settings, clock, book } = this.#options;
       const startedAt = clock.monotonic();
       const stretch = 1 + this.#slowness;
       const wantsRecords = this.#periods <= LEARNING_PERIODS;
-      this.#send("ping", target, { sequence, wantsRecords });
+      this.#outbox.send("ping", target, { sequence, wantsRecords });
       const answerMs = settings.answerMs * stretch;
-      if (yield* this.#answeredWithin(outcome, answerMs)) {
+      if (yield* outcome.answeredWithin(answerMs)) {
         return this.#setSlowness(-1);
       }
       const helpers = this.#targets.sample(settings.helpers, [target]);
       for (const helper of helpers) {
-        this.#send("ping-request", helper, { sequence, subject: target });
+        this.#outbox.send("ping-request", helper, {
+          sequence,
+          subject: target,
+        });
       }
       const restMs = settings.periodMs * stretch - answerMs;
-      if (yield* this.#answeredWithin(outcome, restMs)) {
+      if (yield* outcome.answeredWithin(restMs)) {
         return this.#setSlowness(-1);
       }
       // The timer may have fired late, before the socket was read.
-      if (yield* this.#answeredWithin(outcome, READING_MS)) return;
+      if (yield* outcome.answeredWithin(READING_MS)) return;
       const expectedMs = settings.periodMs * stretch + READING_MS;
       const lateMs = clock.monotonic() - startedAt - expectedMs;
       // Helpers say when they got no answer either. If they too are silent,
@@ -197,24 +189,14 @@
     },
   );
 
-  #answeredWithin(outcome: Outcome, ms: number): Effect.Effect<boolean> {
-    return Deferred.await(outcome.answered).pipe(
-      Effect.as(true),
-      Effect.timeoutOrElse({
-        duration: ms,
-        orElse: () => Effect.succeed(false),
-      }),
-    );
-  }
-
   #reprobe(): void {
     const name = this.#targets.pick(this.#options.book.returning());
-    if (name !== undefined) this.#send("ping", name, {});
+    if (name !== undefined) this.#outbox.send("ping", name, {});
   }
 
   #gossip(fanout: number): void {
     for (const name of this.#targets.sample(fanout, [])) {
-      this.#send("gossip", name, {});
+      this.#outbox.send("gossip", name, {});
     }
   }
 
@@ -245,7 +227,7 @@
       case "ping":
         // An earlier start is answered too: should it be a later one whose
         // clock went back, it learns so from our record of it.
-        return this.#sendTo(sender, {
+        return this.#outbox.sendTo(sender, {
           kind: "ack",
           to: sender.name,
           sequence: probe.sequence,
@@ -254,108 +236,29 @@
       case "ping-request":
         if (!outdated) this.#options.fork(this.#help(probe));
         return;
-      case "ack": {
-        const outcome = this.#outcomes.get(probe.sequence);
-        if (outcome === undefined || outdated) return;
-        Deferred.doneUnsafe(outcome.answered, Effect.void);
+      case "ack":
+        if (!outdated) this.#outcomes.of(probe.sequence)?.ack();
         return;
-      }
-      case "nack": {
-        const outcome = this.#outcomes.get(probe.sequence);
-        if (outcome !== undefined) outcome.nacks += 1;
-        return;
-      }
+      case "nack":
+        return this.#outcomes.of(probe.sequence)?.nack();
       case "gossip":
         return;
     }
   }
 
   /** Probes a member for another that got no answer from it. */
-  readonly #help = Effect.fnUntraced(
-    { self: this },
-    function* (request: Probe): Effect.fn.Return<void> {
-      const { sequence: asked, subject } = request;
+  #help(request: Probe): Effect.Effect<void> {
+    const { subject } = request;
+    if (subject === null) return Effect.void;
+    return this.#outcomes.during((outcome) => {
+      const { sequence } = outcome;
+      this.#outbox.send("ping", subject, { sequence });
+      return outcome.answeredWithin(this.#options.settings.answerMs);
+    }).pipe(Effect.map((answered) => {
       const asker = request.sender.member.name;
-      if (subject === null) return;
-      const sequence = this.#nextSequence();
-      const outcome = this.#expect(sequence);
-      this.#send("ping", subject, { sequence });
-      const { answerMs } = this.#options.settings;
-      const answered = yield* this.#answeredWithin(outcome, answerMs);
-      this.#outcomes.delete(sequence);
-      this.#send(answered ? "ack" : "nack", asker, { sequence: asked });
-    },
-  );
-
-  #send(
-    kind: ProbeKind,
-    to: string,
-    about: {
-      readonly sequence?: number;
-      readonly subject?: string;
-      readonly wantsRecords?: boolean;
-    },
-  ): void {
-    const record = this.#options.book.record(to);
-    if (record !== undefined) {
-      this.#sendTo(record.member, { kind, to, ...about });
-    }
-  }
-
-  #sendTo(
-    endpoint: Endpoint,
-    about: {
-      readonly kind: ProbeKind;
-      readonly to: string;
-      readonly sequence?: number;
-      readonly subject?: string;
-      readonly wantsRecords?: boolean;
-    },
-  ): void {
-    const { book, settings, transport } = this.#options;
-    const { kind, to, sequence = 0, subject = null } = about;
-    const wantsRecords = about.wantsRecords ?? false;
-    const sender = book.self;
-    const digest = this.#digest();
-    const used = PROBE_OVERHEAD_BYTES + digest.bytes + to.length +
-      (subject?.length ?? 0) + encodeRecord(sender).length;
-    const rotating = kind === "ack" && wantsRecords
-      ? Number.POSITIVE_INFINITY
-      : settings.rotatingRecords;
-    const bytes = settings.maxDatagramBytes - used;
-    const records = book.recordsFor(to, { bytes, rotating });
-    transport.send(
-      this.#codec.seal({
-        kind,
-        sequence,
-        to,
-        subject,
-        wantsRecords,
-        digest: digest.value,
-        sender,
-        records,
-      }),
-      endpoint,
-    );
-  }
-
-  #digest(): { readonly value: unknown; readonly bytes: number } {
-    const value = this.#options.digest.read();
-    const bytes = encodeItem(value).length;
-    return bytes > MAX_DIGEST_BYTES
-      ? { value: null, bytes: 1 }
-      : { value, bytes };
-  }
-
-  #expect(sequence: number): Outcome {
-    const outcome = { answered: Deferred.makeUnsafe<void>(), nacks: 0 };
-    this.#outcomes.set(sequence, outcome);
-    return outcome;
-  }
-
-  #nextSequence(): number {
-    this.#sequence += 1;
-    return this.#sequence;
+      const { sequence } = request;
+      this.#outbox.send(answered ? "ack" : "nack", asker, { sequence });
+    }));
   }
 
   #setSlowness(change: number): void {
