Measure the slopes of members, links and claims, and price each role by them

Cause: docs/CAPACITY.md must rest on slopes measured from real modules. Change: bench slopes starts real members in processes of their own, counts their sockets' bytes, messages, store calls, processor time and heap from outside, and fits lines; the page prices amounts of today's code and those after the changes that it names, and subtracts what the process spends without the role. Conclusion: a role's rig is one module.

--- a/packages/bench/src/capacity_arithmetic.ts
+++ b/packages/bench/src/capacity_arithmetic.ts
@@ -3,30 +3,40 @@
  *
  * @module
  */
-import type { Carrier, Load } from "./capacity_roles.ts";
-import type { Fit, SlopesResult } from "./slopes_result.ts";
+import type { Amounts, Carrier, Load } from "./capacity_load.ts";
+import { PLAN } from "./capacity_plan.ts";
 
-/** What a load costs a daemon; `undefined` where it was not measured. */
-export interface Cost {
-  readonly cpuMicros: number;
-  readonly bytes: number;
-  readonly messages: number;
-  readonly stateBytes: number;
-  readonly storeCalls: number;
+import type { Fit, Quantity, SlopesResult } from "./slopes_result.ts";
+
+/** What loads cost a daemon, a second or held. */
+export type Cost = Readonly<Record<Quantity, number>>;
+
+/** A load's cost with the amounts of today's code, or with those to come. */
+export interface Priced {
+  /** On each daemon that bears it. */
+  readonly borne: Cost;
+  /** Spread over all daemons. */
+  readonly mean: Cost;
+  /** On the daemon that has most of it. */
+  readonly most: Cost;
 }
 
-/** A load with its cost. */
+/** A load with its costs; `undefined` where its slope was not measured. */
 export interface Line {
   readonly carrier: string;
   readonly load: Load;
-  readonly mean: Cost | undefined;
-  readonly most: Cost | undefined;
+  readonly today: Priced | undefined;
+  /** Once the changes that the page names are made. */
+  readonly later: Priced | undefined;
 }
 
+/** Costs of all loads together. */
+export type Sum = Pick<Priced, "mean" | "most">;
+
 /** What a daemon spends in all its roles together. */
 export interface Total {
-  readonly mean: Cost;
-  readonly most: Cost;
+  readonly today: Sum;
+  readonly later: Sum;
   /** Loads that were not measured and so are missing from the sums. */
   readonly missing: readonly Load[];
 }
@@ -39,22 +49,37 @@
   storeCalls: 0,
 };
 
+function each(value: (quantity: Quantity) => number): Cost {
+  return {
+    cpuMicros: value("cpuMicros"),
+    bytes: value("bytes"),
+    messages: value("messages"),
+    stateBytes: value("stateBytes"),
+    storeCalls: value("storeCalls"),
+  };
+}
+
 /**
- * Cost of `amount` units. The intercept is that of an idle process, which
- * every rig has; it is counted once, with the members.
+ * Cost of `amount` units, by the line, less what the process spends without the
+ * role. What an idle process spends is counted once, with the members, whose
+ * fits have no idle sample.
  */
 function costOf(fit: Fit, load: Load, amount: number): Cost {
-  const base = load.role === "member" ? 1 : 0;
-  const at = (line: { slope: number; intercept: number }) =>
-    Math.max(0, line.slope * amount + base * line.intercept);
-  const state = at(fit.lines.stateBytes);
-  if (load.held) return { ...NOTHING, stateBytes: state };
+  if (amount <= 0) return NOTHING;
+  return each((quantity) => {
+    if (load.held && quantity !== "stateBytes") return 0;
+    const { slope, intercept } = fit.lines[quantity];
+    return Math.max(0, intercept + slope * amount - fit.idle[quantity]);
+  });
+}
+
+function priced(fit: Fit, load: Load, amounts: Amounts): Priced {
+  const share = amounts.bearers / PLAN.daemons;
+  const borne = costOf(fit, load, amounts.amount);
   return {
-    cpuMicros: at(fit.lines.cpuMicros),
-    bytes: at(fit.lines.bytes),
-    messages: at(fit.lines.messages),
-    stateBytes: state,
-    storeCalls: at(fit.lines.storeCalls),
+    borne,
+    mean: each((quantity) => borne[quantity] * share),
+    most: costOf(fit, load, amounts.most),
   };
 }
 
@@ -69,20 +94,22 @@
       return {
         carrier: carrier.name,
         load,
-        mean: fit && costOf(fit, load, load.mean),
-        most: fit && costOf(fit, load, load.most),
+        today: fit && priced(fit, load, load.today),
+        later: fit && priced(fit, load, load.later ?? load.today),
       };
     })
   );
 }
 
 function add(a: Cost, b: Cost): Cost {
+  return each((quantity) => a[quantity] + b[quantity]);
+}
+
+function sum(all: readonly (Priced | undefined)[]): Sum {
+  const known = all.filter((one) => one !== undefined);
   return {
-    cpuMicros: a.cpuMicros + b.cpuMicros,
-    bytes: a.bytes + b.bytes,
-    messages: a.messages + b.messages,
-    stateBytes: a.stateBytes + b.stateBytes,
-    storeCalls: a.storeCalls + b.storeCalls,
+    mean: known.reduce((total, { mean }) => add(total, mean), NOTHING),
+    most: known.reduce((total, { most }) => add(total, most), NOTHING),
   };
 }
 
@@ -90,14 +117,10 @@
 export function total(lines: readonly Line[]): Total {
   const control = lines.filter((line) => line.load.control);
   return {
-    mean: control.reduce((sum, line) => add(sum, line.mean ?? NOTHING), {
-      ...NOTHING,
-    }),
-    most: control.reduce((sum, line) => add(sum, line.most ?? NOTHING), {
-      ...NOTHING,
-    }),
+    today: sum(control.map((line) => line.today)),
+    later: sum(control.map((line) => line.later)),
     missing: control
-      .filter((line) => line.mean === undefined)
+      .filter((line) => line.today === undefined)
       .map((line) => line.load),
   };
 }
--- a/packages/bench/src/capacity_plan.ts
+++ b/packages/bench/src/capacity_plan.ts
@@ -44,6 +44,9 @@
   /** Messages between daemons for a request: ask, grant, release. */
   messagesPerRequest: 3,
   watchersPerFailureDomain: 2,
+  partitions: 16,
+  /** A claim's window of ten minutes, and what is added to it. */
+  claimRetentionSeconds: 615,
   /**
    * Requests that carry an idempotency key and may not be repeated. The plan
    * does not say; one in twenty is an assumption of this page.
--- a/packages/bench/src/capacity_remedies.ts
+++ b/packages/bench/src/capacity_remedies.ts
@@ -12,127 +12,182 @@
   readonly change: string;
 }
 
+const BATCH =
+  "one frame, one authentication tag and one wake-up for all messages that " +
+  "go to one daemon within a millisecond";
+const COMPACT =
+  "arrays with interned names in place of maps with field names, and " +
+  "hand-written checks of their fields in place of a schema's decoder";
+
 const TRAFFIC: readonly Remedy[] = [
+  { role: "brokerRunner", change: "as its table says" },
   {
-    role: "link",
-    change: "carry liveness of rarely used links in the members' probes and " +
-      "let a link's heartbeat interval grow with the number of links in use; " +
-      "ask within a subset of brokers per entry, so that links in use do not " +
-      "grow with daemons",
+    role: "partitionOwner",
+    change: "each write carries the whole head of a partition: seal heads at " +
+      "a few KiB in place of 48, which shortens each write as much",
+  },
+  {
+    role: "watcher",
+    change:
+      "a watch brings the whole table for an edit of one row: keep rows " +
+      "in one object for each workspace, so that an edit brings one of them",
   },
+  { role: "broker", change: `${COMPACT}; ${BATCH}` },
+  { role: "brokerEntry", change: "as its table says" },
+  { role: "entry", change: COMPACT },
+  { role: "entryBroker", change: "as its table says" },
   {
-    role: "entry",
-    change: "send asks, grants and releases as arrays with interned names in " +
-      "place of maps, and put all that go to one broker within a " +
-      "millisecond into one frame",
+    role: "link",
+    change:
+      "let the heartbeat interval grow with the number of links in use, " +
+      "and an entry ask a subset of the brokers",
   },
   {
-    role: "broker",
-    change: "the same as for the entry: each message has two ends",
+    role: "member",
+    change: "bound the news that a probe carries by rate as well as by size",
   },
 ];
 
 const PROCESSOR: readonly Remedy[] = [
+  { role: "brokerRunner", change: "as its table says" },
+  { role: "broker", change: `${COMPACT}; ${BATCH}` },
+  { role: "brokerEntry", change: `as its table says; ${BATCH}` },
   {
-    role: "broker",
-    change: "one frame, one authentication tag and one wake-up for all " +
-      "messages of a millisecond between two daemons",
+    role: "brokerGrant",
+    change: "count what an entry holds as it changes, not at each beat",
   },
+  { role: "entry", change: `${COMPACT}; ${BATCH}` },
+  { role: "entryBroker", change: "as its table says" },
   {
-    role: "entry",
-    change: "the same batching, and one message fewer by letting the release " +
-      "of one request ride with the next ask",
+    role: "partitionOwner",
+    change: "smaller heads, so that less is encoded and parsed a write, and " +
+      "64 partitions, so that each owner has fewer claims",
   },
+  { role: "watcher", change: "one object for each workspace's rows" },
   {
-    role: "brokerRunner",
-    change: "ask runners for their load over one kept connection less often " +
-      "while their in-flight count explains it",
+    role: "link",
+    change:
+      "one timer for all links, and heartbeats less often on links that " +
+      "carry little",
   },
   {
     role: "member",
-    change: "stretch the probe interval with the size of the view",
-  },
-  {
-    role: "link",
-    change: "as for traffic: fewer links in use, fewer heartbeats",
+    change: "most of it is timers of an idle process: fewer and slower ones",
   },
 ];
 
 const MEMORY: readonly Remedy[] = [
   {
     role: "member",
-    change: "most of it is Node and the libraries before any load; subpath " +
-      "imports, a smaller young generation and no source maps in production " +
-      "reduce it, and the rest is a fixed cost that does not grow",
+    change: "most of it is Node and the libraries before any load; a fixed " +
+      "cost that does not grow with the fleet",
   },
+  { role: "link", change: "fewer links in use, with smaller buffers" },
+  { role: "brokerGrant", change: "as its table says" },
   {
-    role: "link",
-    change: "fewer links in use, with smaller socket buffers",
+    role: "claimKept",
+    change:
+      "keep digests of sealed claims in a sorted byte array in place of " +
+      "a map of objects",
   },
 ];
 
+/** Shares of the budget below this are not worth a line. */
 const ENOUGH = 0.1;
 
-function part(
-  name: string,
-  options: {
-    readonly most: number;
-    readonly limit: number;
-    readonly shares: ReadonlyMap<Role, number>;
-    readonly remedies: readonly Remedy[];
+/** A quantity with a budget, and who may be asked to spend less. */
+interface Budgeted {
+  readonly name: string;
+  readonly quantity: "cpuMicros" | "bytes" | "stateBytes";
+  readonly limit: number;
+  readonly remedies: readonly Remedy[];
+}
+
+const BUDGETED: readonly Budgeted[] = [
+  {
+    name: "Traffic",
+    quantity: "bytes",
+    limit: BUDGET.bytesPerSecond,
+    remedies: TRAFFIC,
   },
-): string | undefined {
-  const { most, limit, shares, remedies } = options;
-  if (most <= limit) return undefined;
-  const lines = remedies
-    .filter(({ role }) => (shares.get(role) ?? 0) > ENOUGH * limit)
-    .sort((a, b) => (shares.get(b.role) ?? 0) - (shares.get(a.role) ?? 0))
-    .map(({ role, change }) => {
-      const times = ((shares.get(role) ?? 0) / limit).toFixed(2);
-      return `  - \`${role}\` alone takes ${times} of the budget: ${change}.`;
-    });
-  return [`- **${name} is over the budget.** What closes it:`, ...lines]
-    .join("\n");
+  {
+    name: "Processor time",
+    quantity: "cpuMicros",
+    limit: BUDGET.cpuMicrosPerSecond,
+    remedies: PROCESSOR,
+  },
+  {
+    name: "Memory",
+    quantity: "stateBytes",
+    limit: BUDGET.memoryBytes,
+    remedies: MEMORY,
+  },
+];
+
+function times(value: number): string {
+  return value >= 10 ? value.toFixed(0) : value.toPrecision(2);
+}
+
+function shareOf(
+  lines: readonly Line[],
+  options: { readonly role: Role; readonly budgeted: Budgeted },
+): { readonly today: number; readonly later: number } {
+  const { role, budgeted } = options;
+  const { quantity, limit } = budgeted;
+  const line = lines.find(({ load }) => load.role === role);
+  return {
+    today: (line?.today?.most[quantity] ?? 0) / limit,
+    later: (line?.later?.most[quantity] ?? 0) / limit,
+  };
 }
 
-function sharesOf(
+function remedyLines(
   lines: readonly Line[],
-  quantity: "cpuMicros" | "bytes" | "stateBytes",
-): ReadonlyMap<Role, number> {
-  return new Map(
-    lines
-      .filter((line) => line.load.control)
-      .map((line) => [line.load.role, line.most?.[quantity] ?? 0]),
-  );
+  budgeted: Budgeted,
+): readonly string[] {
+  return budgeted.remedies
+    .map((remedy) => ({
+      ...remedy,
+      ...shareOf(lines, { role: remedy.role, budgeted }),
+    }))
+    .filter(({ today, later }) => Math.max(today, later) > ENOUGH)
+    .sort((a, b) => b.today - a.today)
+    .map(({ role, change, today, later }) => {
+      const after = later === today
+        ? ""
+        : `, ${times(later)} after the change in its role's table`;
+      return `  - \`${role}\` takes ${times(today)} of the budget${after}: ` +
+        `${change}.`;
+    });
+}
+
+function part(
+  budgeted: Budgeted,
+  options: { readonly lines: readonly Line[]; readonly sum: Total },
+): string | undefined {
+  const { lines, sum } = options;
+  const { name, quantity, limit } = budgeted;
+  const today = sum.today.most[quantity] / limit;
+  const later = sum.later.most[quantity] / limit;
+  if (Math.max(today, later) <= 1) return undefined;
+  const still = later > 1
+    ? `and ${times(later)} times after the changes in the roles' tables`
+    : "and within it after the changes in the roles' tables";
+  return [
+    `- **${name} is over the budget** on the busiest daemon: ` +
+    `${times(today)} times as the code is, ${still}. What is more to do:`,
+    ...remedyLines(lines, budgeted),
+  ].join("\n");
 }
 
 /** A list of what is over, each with the change that closes it. */
 export function remedies(lines: readonly Line[], sum: Total): string {
-  const parts = [
-    part("Traffic", {
-      most: sum.most.bytes,
-      limit: BUDGET.bytesPerSecond,
-      shares: sharesOf(lines, "bytes"),
-      remedies: TRAFFIC,
-    }),
-    part("Processor time", {
-      most: sum.most.cpuMicros,
-      limit: BUDGET.cpuMicrosPerSecond,
-      shares: sharesOf(lines, "cpuMicros"),
-      remedies: PROCESSOR,
-    }),
-    part("Memory", {
-      most: sum.most.stateBytes,
-      limit: BUDGET.memoryBytes,
-      shares: sharesOf(lines, "stateBytes"),
-      remedies: MEMORY,
-    }),
-  ].filter((text) => text !== undefined);
-  if (parts.length === 0 && sum.missing.length > 0) {
+  const parts = BUDGETED
+    .map((budgeted) => part(budgeted, { lines, sum }))
+    .filter((text) => text !== undefined);
+  if (parts.length > 0) return parts.join("\n");
+  if (sum.missing.length > 0) {
     return "What was measured so far does not pass the budget; what is missing may.";
   }
-  if (parts.length === 0) {
-    return "Control is within the budget, also on the busiest daemon.";
-  }
-  return parts.join("\n");
+  return "Control is within the budget, also on the busiest daemon.";
 }
--- a/packages/bench/src/capacity_roles.ts
+++ b/packages/bench/src/capacity_roles.ts
@@ -4,44 +4,16 @@
  *
  * @module
  */
+import { type Carrier, control, everywhere, spread } from "./capacity_load.ts";
 import { derive, DESIGN, PLAN } from "./capacity_plan.ts";
-import type { Role } from "./slopes_result.ts";
-
-/** How much of a measured unit one daemon sees. */
-export interface Load {
-  readonly role: Role;
-  /** What it is, for readers. */
-  readonly title: string;
-  /** On an average daemon. */
-  readonly mean: number;
-  /** On the daemon that has most of it. */
-  readonly most: number;
-  /** How `mean` and `most` were worked out. */
-  readonly working: string;
-  /** False for the bytes of answers, which are not control. */
-  readonly control: boolean;
-  /** Counted at once rather than a second: only its state is multiplied by it. */
-  readonly held: boolean;
-}
-
-/** A role with the mechanism that carries it. */
-export interface Carrier {
-  readonly name: string;
-  readonly mechanism: string;
-  /** Paths in the repository. */
-  readonly modules: readonly string[];
-  readonly loads: readonly Load[];
-}
 
 const size = derive();
-
-function load(
-  role: Role,
-  title: string,
-  rest: Pick<Load, "mean" | "most" | "working"> & Partial<Load>,
-): Load {
-  return { role, title, control: true, held: false, ...rest };
-}
+const ALL = PLAN.daemons;
+/** A broker serves a whole service today, and there is one for each model. */
+const BROKERS_TODAY = PLAN.models;
+/** Beats and reports five and four times a second today, once a second later. */
+const BEATS_LATER = 0.2;
+const REPORTS_LATER = 0.25;
 
 const ENTRY: Carrier = {
   name: "Entry",
@@ -54,50 +26,115 @@
     "packages/daemon/src/request/",
   ],
   loads: [
-    load("entry", "requests/s, as asker", {
-      mean: size.requestsPerDaemon,
-      most: size.requestsPerDaemon,
-      working: "14,000 / 380; the platform's balancer spreads them",
+    control("entry", "requests/s for which it asks", {
+      today: everywhere(
+        size.requestsPerDaemon,
+        "14,000 / 380; the platform's balancer spreads them",
+      ),
     }),
-    load("entryStream", "open streams", {
-      mean: size.streamsPerDaemon,
-      most: size.streamsPerDaemon,
-      working: "14,000 requests/s × 329 tokens × 64 ms / 380",
-      held: true,
-      control: false,
+    control("entryBroker", "brokers that it uses", {
+      today: everywhere(BROKERS_TODAY, "one for each of 11 models' services"),
+      later: {
+        ...everywhere(
+          size.shards * BEATS_LATER,
+          "150 shards, beats once a second instead of five times",
+        ),
+        change: "beat once a second, and only where asks wait",
+      },
     }),
-    load("entryToken", "token events/s, relayed", {
-      mean: size.tokensPerDaemon,
-      most: size.tokensPerDaemon,
-      working: "4.6 M / 380",
+    {
+      role: "entryRequest",
+      title: "requests/s of callers, HTTP on both sides",
+      today: everywhere(size.requestsPerDaemon, "14,000 / 380"),
       control: false,
-    }),
+      held: false,
+    },
+    {
+      role: "entryToken",
+      title: "token events/s relayed",
+      today: everywhere(size.tokensPerDaemon, "4.6 M / 380"),
+      control: false,
+      held: false,
+    },
+    {
+      role: "entryStream",
+      title: "open streams",
+      today: everywhere(
+        size.streamsPerDaemon,
+        "14,000 requests/s × 329 tokens × 64 ms / 380",
+      ),
+      control: false,
+      held: true,
+    },
   ],
 };
 
 const BROKER: Carrier = {
   name: "Broker",
   mechanism:
-    "Each shard of about 16 runners is brokered by the live daemon that " +
-    "rendezvous hashing with bounded load names. Its state is soft: a new " +
-    "broker learns held and waiting slots from the entries.",
+    "A service's waiting asks are ordered by the live daemon that rendezvous " +
+    "hashing with bounded load names; at the planned size each shard of about " +
+    "16 runners has its own. Its state is soft: a new broker learns held and " +
+    "waiting slots from the entries.",
   modules: ["packages/daemon/src/process/scheduling/"],
   loads: [
-    load("broker", "asks/s", {
-      mean: size.requestsPerDaemon,
-      most: size.asksPerShard * size.mostShardsPerDaemon,
-      working: "14,000 / 380; at most 14,000 / 150 shards for one shard",
+    control("broker", "asks/s", {
+      today: spread(BROKERS_TODAY, {
+        total: PLAN.requestsPerSecond,
+        working: "one broker for each of 11 models' services",
+      }),
+      later: {
+        ...spread(size.shards, {
+          total: PLAN.requestsPerSecond,
+          working: "150 shards of 16 runners, at most one for a daemon",
+        }),
+        change: "cut a service's runners into shards of 16, each with a broker",
+      },
     }),
-    load("brokerRunner", "runners watched", {
-      mean: PLAN.runners / PLAN.daemons,
-      most: DESIGN.runnersPerShard * size.mostShardsPerDaemon,
-      working: "2,400 / 380; at most the 16 of one shard",
+    control("brokerEntry", "entries that use it", {
+      today: {
+        bearers: BROKERS_TODAY,
+        amount: ALL,
+        most: ALL,
+        working: "every daemon asks every broker",
+      },
+      later: {
+        bearers: size.shards,
+        amount: ALL * BEATS_LATER,
+        most: ALL * BEATS_LATER,
+        working: "380 entries, beats once a second instead of five times",
+        change: "beat once a second, and only where asks wait",
+      },
     }),
-    load("brokerGrant", "grants held", {
-      mean: size.streamsPerDaemon,
-      most: size.streamsPerShard * size.mostShardsPerDaemon,
-      working: "as many as open streams; at most those of one shard",
+    {
+      role: "brokerGrant",
+      title: "grants held",
+      today: spread(BROKERS_TODAY, {
+        total: size.openStreams,
+        working: "as many as open streams, over 11 brokers",
+      }),
+      later: {
+        ...spread(size.shards, {
+          total: size.openStreams,
+          working: "over 150 shards",
+        }),
+        change: "cut a service's runners into shards of 16, each with a broker",
+      },
+      control: true,
       held: true,
+    },
+    control("brokerRunner", "runners watched", {
+      today: everywhere(
+        PLAN.runners,
+        "every daemon asks every runner for its load, four times a second",
+      ),
+      later: {
+        bearers: size.shards,
+        amount: DESIGN.runnersPerShard * REPORTS_LATER,
+        most: DESIGN.runnersPerShard * REPORTS_LATER,
+        working: "the 16 of one shard, once a second instead of four times",
+        change: "ask only the runners of one's own shards, once a second",
+      },
     }),
   ],
 };
@@ -105,39 +142,66 @@
 const PARTITION_OWNER: Carrier = {
   name: "Partition owner",
   mechanism:
-    "Claims on idempotency keys are committed in groups: the owner of a key's " +
-    "partition, by rendezvous hash, adds all claims of a few milliseconds to " +
-    "one conditional update of the partition's object. Safety is in the " +
-    "conditional update, ownership gives speed.",
+    "Claims on idempotency keys are committed in groups: the server of a " +
+    "key's partition, by rendezvous hash, adds all claims of a few " +
+    "milliseconds to one conditional update of the partition's object. Safety " +
+    "is in the conditional update, ownership gives speed.",
   modules: ["packages/coordination/src/process/claims_in_store.ts"],
   loads: [
-    load("partitionOwner", "claims/s", {
-      mean: size.claimsPerSecond / PLAN.daemons,
-      most: size.claimsPerSecond / PLAN.daemons,
-      working: "5% of 14,000 (assumed) / 380",
+    control("partitionOwner", "claims/s", {
+      today: spread(DESIGN.partitions, {
+        total: size.claimsPerSecond,
+        working: "5% of 14,000 (assumed) over 16 partitions",
+      }),
     }),
+    {
+      role: "claimKept",
+      title: "claims kept",
+      today: spread(DESIGN.partitions, {
+        total: size.claimsPerSecond * DESIGN.claimRetentionSeconds,
+        working: "those of ten minutes and a little",
+      }),
+      control: true,
+      held: true,
+    },
   ],
 };
 
 const WATCHER: Carrier = {
   name: "Watcher",
   mechanism:
-    "Two daemons in each failure domain hold a watch on the table; the others " +
-    "get changes from peers, and versions ride on heartbeats and probes, so a " +
-    "gap is seen and filled.",
+    "Two daemons in each failure domain hold a watch on the table and pass " +
+    "changes on as deltas to their domain and to the other domains' watchers; " +
+    "every daemon also compares versions with another one each second, so " +
+    "that a gap is seen and filled.",
   modules: ["packages/coordination/src/version/published.ts"],
   loads: [
-    load("watcher", "edits/s taken in and passed on", {
-      mean: size.editsPerSecondBunched,
-      most: size.editsPerSecondBunched,
-      working: "1,600 a day, ten times as dense while people work (assumed)",
+    control("watcher", "edits/s taken from the store and passed on", {
+      today: {
+        bearers: size.watchers,
+        amount: size.editsPerSecondBunched,
+        most: size.editsPerSecondBunched,
+        working: "1,600 a day, ten times as dense while people work (assumed)",
+      },
     }),
-    load("watcherRow", "rows of the table held", {
-      mean: size.rows,
-      most: size.rows,
-      working: "310 workspaces × 6 tiers, at every daemon",
-      held: true,
+    control("follower", "edits/s taken from a watcher", {
+      today: {
+        bearers: ALL - size.watchers,
+        amount: size.editsPerSecondBunched,
+        most: 0,
+        working: "the same, at all other daemons",
+      },
     }),
+    {
+      role: "watcherRow",
+      title: "rows of the table held",
+      today: everywhere(
+        size.rows,
+        "310 workspaces × 6 tiers, at every daemon",
+      ),
+      control: true,
+      held: true,
+    },
   ],
 };
 
@@ -147,12 +211,16 @@
     "A row's limit is divided among the shards that see its demand by the " +
     "daemon that rendezvous hashing of the row names. Shares expire, so their " +
     "sum stays under the limit when the owner is lost.",
-  modules: ["packages/coordination/src/process/"],
+  modules: [],
   loads: [
-    load("shareOwner", "rows owned", {
-      mean: size.rowsPerDaemon,
-      most: Math.ceil(size.rowsPerDaemon) * 2,
-      working: "1,860 / 380; twice that for the unluckiest",
+    control("shareOwner", "rows owned", {
+      today: {
+        ...spread(ALL, {
+          total: size.rows,
+          working: "1,860 over 380; twice that for the unluckiest",
+        }),
+        most: 2 * size.rows / ALL,
+      },
     }),
   ],
 };
@@ -168,16 +236,23 @@
     "packages/coordination/src/connection/",
   ],
   loads: [
-    load("member", "members in the view", {
-      mean: PLAN.daemons,
-      most: PLAN.daemons,
-      working: "380",
+    control("member", "members in the view", {
+      today: everywhere(PLAN.daemons, "380"),
     }),
-    load("link", "links in use", {
-      mean: PLAN.daemons - 1,
-      most: PLAN.daemons - 1,
-      working:
-        "an entry asks all 150 brokers within seconds, and is asked if it is one",
+    control("link", "links in use", {
+      today: {
+        bearers: ALL,
+        amount: 2 * BROKERS_TODAY,
+        most: ALL - 1,
+        working: "to 11 brokers, and from 380 entries at each of those",
+      },
+      later: {
+        bearers: ALL,
+        amount: size.shards * (1 + (ALL - size.shards) / ALL),
+        most: ALL - 1,
+        working: "to 150 brokers, and from 380 entries at each of those",
+        change: "the price of more brokers",
+      },
     }),
   ],
 };
--- a/packages/bench/src/capacity_store.ts
+++ b/packages/bench/src/capacity_store.ts
@@ -11,15 +11,15 @@
 function writesOfClaims(result: SlopesResult): string {
   const fit = result.fits.partitionOwner;
   if (fit === undefined) return "not measured yet";
-  const calls = fit.lines.storeCalls;
-  const perSecond = Math.max(
-    0,
-    calls.intercept + calls.slope * derive().claimsPerSecond,
-  );
+  const { slope, intercept } = fit.lines.storeCalls;
+  const each = derive().claimsPerSecond / DESIGN.partitions;
+  const perSecond = DESIGN.partitions * (intercept + slope * each);
   const share = perSecond / BUDGET.storeWritesPerSecond;
   return `${perSecond.toFixed(ONE_DECIMAL)} calls/s at ` +
-    `${derive().claimsPerSecond} claims/s, by the line that was measured ` +
-    `(${(100 * share).toFixed(0)}% of ${BUDGET.storeWritesPerSecond} writes/s)`;
+    `${derive().claimsPerSecond} claims/s over ${DESIGN.partitions} ` +
+    `partitions, by the line that was measured (${(100 * share).toFixed(0)}% ` +
+    `of ${BUDGET.storeWritesPerSecond} writes/s); writes are paced, so that ` +
+    `more claims make them larger, not more`;
 }
 
 /** A list of the fleet's calls, against the store's rates. */
--- a/packages/bench/src/experiments.ts
+++ b/packages/bench/src/experiments.ts
@@ -16,4 +16,5 @@
   Record<string, () => Promise<ExperimentModule>>
 > = {
   arrivals: () => import("./arrivals_experiment.ts"),
+  slopes: () => import("./slopes.ts"),
 };
--- a/packages/bench/src/slopes_fit_test.ts
+++ b/packages/bench/src/slopes_fit_test.ts
@@ -4,6 +4,12 @@
 import { fitSamples, slopeOf } from "./slopes_result.ts";
 
 const NEAR = 1e-9;
+const PROVENANCE = {
+  per: "ask",
+  how: "By hand.",
+  command: "none",
+  date: "2026-12-02",
+};
 
 test("points on a line give that line", () => {
   const line = fitLine([1, 4, 9, 30].map((x) => ({ x, y: 2.5 * x + 7 })));
@@ -54,7 +60,7 @@
     stateBytes: 1_000 + 50 * x,
     storeCalls: 2,
   }));
-  const fit = fitSamples(samples, { per: "ask", how: "by hand" });
+  const fit = fitSamples(samples, PROVENANCE);
   const slope = slopeOf(fit);
   assert.equal(Math.round(slope.cpuMicros), 3);
   assert.equal(Math.round(slope.bytes), 200);
@@ -63,3 +69,16 @@
   assert.equal(Math.round(fit.lines.cpuMicros.intercept), 100);
   assert.equal(Math.round(fit.lines.storeCalls.intercept), 2);
 });
+
+test("a role with a cost from its first load on is fitted without the idle sample", () => {
+  const nothing = { bytes: 0, messages: 0, stateBytes: 0, storeCalls: 0 };
+  const samples = [
+    { ...nothing, x: 0, cpuMicros: 5 },
+    { ...nothing, x: 10, cpuMicros: 120 },
+    { ...nothing, x: 20, cpuMicros: 140 },
+  ];
+  const fit = fitSamples(samples, { ...PROVENANCE, withoutIdle: true });
+  assert.equal(Math.round(fit.lines.cpuMicros.slope), 2);
+  assert.equal(Math.round(fit.lines.cpuMicros.intercept), 100);
+  assert.equal(fit.idle.cpuMicros, 5);
+});
--- /dev/null
+++ b/packages/bench/src/slopes_process.ts
@@ -0,0 +1,145 @@
+/**
+ * Starts the processes of a measurement and talks to them.
+ *
+ * @module
+ */
+import { type ChildProcess, fork } from "node:child_process";
+import { fileURLToPath } from "node:url";
+import type { Reading } from "./slopes_meter.ts";
+import type { Sample } from "./slopes_result.ts";
+
+/** To a child: a command, or without one a request for its counters. */
+export interface ParentMessage {
+  readonly id: number;
+  readonly command?: unknown;
+}
+
+/** From a child; id 0 says that it is ready. */
+export interface ChildMessage {
+  readonly id: number;
+  readonly value?: unknown;
+  readonly error?: string | undefined;
+}
+
+interface Waiting {
+  resolve(value: unknown): void;
+  reject(error: Error): void;
+}
+
+const CHILD = fileURLToPath(new URL("./slopes_child.js", import.meta.url));
+const MILLIS = 1_000;
+
+/** A process that runs one part. */
+export class RigProcess {
+  readonly #child: ChildProcess;
+  readonly #waiting = new Map<number, Waiting>();
+  #nextId = 1;
+  #info: unknown;
+
+  private constructor(part: string, config: object) {
+    this.#child = fork(CHILD, [part, JSON.stringify(config)], {
+      execArgv: ["--expose-gc"],
+      stdio: ["ignore", "ignore", "inherit", "ipc"],
+    });
+    this.#child.on("message", (message) => this.#take(message as ChildMessage));
+    this.#child.on("exit", () => {
+      for (const { reject } of this.#waiting.values()) {
+        reject(new Error(`Cannot go on: the process of "${part}" has ended`));
+      }
+    });
+  }
+
+  /** Starts a part and waits until it is ready. */
+  static async start(part: string, config: object): Promise<RigProcess> {
+    const process = new RigProcess(part, config);
+    process.#info = await process.#answer(0);
+    return process;
+  }
+
+  /** What the part tells of itself. */
+  get info(): unknown {
+    return this.#info;
+  }
+
+  /** Has the part carry out a command. */
+  call(command: unknown): Promise<unknown> {
+    const id = this.#nextId++;
+    const answer = this.#answer(id);
+    this.#child.send({ id, command } satisfies ParentMessage);
+    return answer;
+  }
+
+  /** Reads the process's counters. */
+  async read(): Promise<Reading> {
+    const id = this.#nextId++;
+    const answer = this.#answer(id);
+    this.#child.send({ id } satisfies ParentMessage);
+    return await answer as Reading;
+  }
+
+  /** Ends the process and waits until it is gone. */
+  stop(): Promise<void> {
+    return new Promise((resolve) => {
+      if (this.#child.exitCode !== null) return resolve();
+      this.#child.once("exit", () => resolve());
+      this.#child.kill("SIGKILL");
+    });
+  }
+
+  #answer(id: number): Promise<unknown> {
+    return new Promise((resolve, reject) =>
+      this.#waiting.set(id, { resolve, reject })
+    );
+  }
+
+  #take(message: ChildMessage): void {
+    const waiting = this.#waiting.get(message.id);
+    this.#waiting.delete(message.id);
+    if (message.error === undefined) waiting?.resolve(message.value);
+    else waiting?.reject(new Error(message.error));
+  }
+}
+
+/** Waits. */
+export function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
+/** Watches a process for a while and gives its rates at load `x`. */
+export async function sampleProcess(
+  process: RigProcess,
+  options: { readonly x: number; readonly seconds: number },
+): Promise<Sample> {
+  const from = await process.read();
+  await pause(options.seconds * MILLIS);
+  const to = await process.read();
+  const seconds = (to.atMs - from.atMs) / MILLIS;
+  const rate = (key: "cpuMicros" | "bytes" | "messages" | "storeCalls") =>
+    (to[key] - from[key]) / seconds;
+  return {
+    x: options.x,
+    cpuMicros: rate("cpuMicros"),
+    bytes: rate("bytes"),
+    messages: rate("messages"),
+    storeCalls: rate("storeCalls"),
+    stateBytes: to.stateBytes,
+  };
+}
+
+/** Runs a measurement with processes that are stopped however it ends. */
+export async function withProcesses<T>(
+  run: (
+    start: (part: string, config: object) => Promise<RigProcess>,
+  ) => Promise<T>,
+): Promise<T> {
+  const started: RigProcess[] = [];
+  try {
+    return await run(async (part, config) => {
+      const process = await RigProcess.start(part, config);
+      started.push(process);
+      return process;
+    });
+  } finally {
+    await Promise.all(started.map((process) => process.stop()));
+  }
+}
--- a/packages/bench/src/slopes_result.ts
+++ b/packages/bench/src/slopes_result.ts
@@ -11,13 +11,18 @@
  */
 export const ROLES = [
   "entry",
+  "entryBroker",
+  "entryRequest",
   "entryToken",
   "entryStream",
   "broker",
-  "brokerRunner",
+  "brokerEntry",
   "brokerGrant",
+  "brokerRunner",
   "partitionOwner",
+  "claimKept",
   "watcher",
+  "follower",
   "watcherRow",
   "shareOwner",
   "member",
@@ -61,7 +66,15 @@
   readonly per: string;
   /** How it was measured, in a sentence. */
   readonly how: string;
+  readonly command: string;
+  /** Day of the run, as `2026-12-02`. */
+  readonly date: string;
   readonly samples: readonly Sample[];
+  /**
+   * The same process without the load: what is not the role's own. Zero where
+   * no such sample can be taken, as for a member.
+   */
+  readonly idle: Sample;
   readonly lines: Readonly<Record<Quantity, Line>>;
 }
 
@@ -85,9 +98,6 @@
 
 /** All that was measured. Roles that were not are absent. */
 export interface SlopesResult {
-  readonly command: string;
-  /** Day of the run, as `2026-12-02`. */
-  readonly date: string;
   readonly machine: Machine;
   /**
    * Resident memory of a process that runs the coordination library alone,
@@ -98,16 +108,41 @@
   readonly fits: Readonly<Partial<Record<Role, Fit>>>;
 }
 
-/** Fits a line to each quantity of a role's samples. */
+const NOTHING: Sample = {
+  x: 0,
+  cpuMicros: 0,
+  bytes: 0,
+  messages: 0,
+  stateBytes: 0,
+  storeCalls: 0,
+};
+
+/** Where a fit comes from. */
+export interface Provenance {
+  readonly per: string;
+  readonly how: string;
+  readonly command: string;
+  readonly date: string;
+}
+
+/**
+ * Fits a line to each quantity of a role's samples. The sample at load 0, if
+ * there is one, is what the process spends without the role; with
+ * `withoutIdle` the lines are fitted to the others alone, for a role that costs
+ * something as soon as it has any load.
+ */
 export function fitSamples(
   samples: readonly Sample[],
-  options: { readonly per: string; readonly how: string },
+  options: Provenance & { readonly withoutIdle?: boolean },
 ): Fit {
+  const { withoutIdle = false, ...provenance } = options;
+  const fitted = samples.filter(({ x }) => x > 0 || !withoutIdle);
   const line = (quantity: Quantity) =>
-    fitLine(samples.map((sample) => ({ x: sample.x, y: sample[quantity] })));
+    fitLine(fitted.map((sample) => ({ x: sample.x, y: sample[quantity] })));
   return {
-    ...options,
+    ...provenance,
     samples,
+    idle: samples.find(({ x }) => x === 0) ?? NOTHING,
     lines: {
       cpuMicros: line("cpuMicros"),
       bytes: line("bytes"),
--- /dev/null
+++ b/packages/bench/src/slopes_rig_claims.ts
@@ -0,0 +1,155 @@
+/**
+ * Slopes of a partition owner: in claims a second, and in claims kept.
+ *
+ * @module
+ */
+import { startStandIn } from "@umbermast/testing";
+import type {
+  ClaimsCommand,
+  ClaimsCounts,
+  ClaimsInfo,
+} from "./slopes_part_claims.ts";
+import {
+  pause,
+  type RigProcess,
+  sampleProcess,
+  withProcesses,
+} from "./slopes_process.ts";
+import type { Sample } from "./slopes_result.ts";
+import {
+  type Measured,
+  measured,
+  type Rig,
+  type RigOptions,
+} from "./slopes_rig.ts";
+
+const CLAIM_RATES = [0, 10, 20, 44, 80];
+const KEPT_COUNTS = [0, 2_000, 4_000, 8_000];
+const MEMBERS = 4;
+/** One of sixteen partitions with its part of the writes. */
+const PARTITIONS = 1;
+const WRITES_PER_SECOND = 7;
+const SETTLE_MS = 4_000;
+const STAND_IN_GRACE_MS = 1_000;
+
+interface Fleet {
+  readonly owner: RigProcess;
+  readonly others: readonly RigProcess[];
+}
+
+function command(process: RigProcess, given: ClaimsCommand): Promise<unknown> {
+  return process.call(given);
+}
+
+async function toAll(
+  processes: readonly RigProcess[],
+  given: ClaimsCommand,
+): Promise<void> {
+  await Promise.all(processes.map((process) => command(process, given)));
+}
+
+/** The owner is the one that writes when another claims. */
+async function findOwner(processes: readonly RigProcess[]): Promise<Fleet> {
+  const before = await Promise.all(processes.map((each) => each.read()));
+  await toAll(processes, { type: "make", claims: 20 });
+  const after = await Promise.all(processes.map((each) => each.read()));
+  const calls = after.map((reading, i) =>
+    reading.storeCalls - (before[i]?.storeCalls ?? 0)
+  );
+  const owner = processes[calls.indexOf(Math.max(...calls))];
+  if (owner === undefined) throw new Error("Cannot find the owner");
+  return { owner, others: processes.filter((each) => each !== owner) };
+}
+
+async function checkClaims(processes: readonly RigProcess[]): Promise<void> {
+  for (const process of processes) {
+    const counts = await command(process, { type: "counts" }) as ClaimsCounts;
+    if (counts.failed <= counts.claimed / 100) continue;
+    throw new Error(`Cannot measure: ${counts.failed} claims failed`);
+  }
+}
+
+async function rateSamples(
+  fleet: Fleet,
+  options: RigOptions,
+): Promise<readonly Sample[]> {
+  const samples: Sample[] = [];
+  const { seconds } = options;
+  for (const rate of CLAIM_RATES) {
+    const claimsPerSecond = rate / fleet.others.length;
+    await toAll(fleet.others, { type: "load", claimsPerSecond });
+    await pause(SETTLE_MS);
+    samples.push(await sampleProcess(fleet.owner, { x: rate, seconds }));
+  }
+  await toAll(fleet.others, { type: "load", claimsPerSecond: 0 });
+  await pause(SETTLE_MS);
+  return samples;
+}
+
+/** Claims stay for the window, so that only what is kept grows. */
+async function keptSamples(
+  fleet: Fleet,
+  options: RigOptions,
+): Promise<readonly Sample[]> {
+  const samples: Sample[] = [];
+  const { seconds } = options;
+  let kept = 0;
+  for (const count of KEPT_COUNTS) {
+    const claims = Math.round((count - kept) / fleet.others.length);
+    await toAll(fleet.others, { type: "make", claims });
+    kept = count;
+    await pause(SETTLE_MS);
+    samples.push(await sampleProcess(fleet.owner, { x: count, seconds }));
+  }
+  return samples;
+}
+
+async function run(options: RigOptions): Promise<readonly Measured[]> {
+  const platform = await startStandIn("platform", {});
+  try {
+    return await withProcesses(async (start) => {
+      const processes = await Promise.all(
+        Array.from({ length: MEMBERS }, (_, i) =>
+          start("claims", {
+            name: `daemon-${i}`,
+            storeUrl: platform.url,
+            partitions: PARTITIONS,
+            writesPerSecond: WRITES_PER_SECOND,
+          })),
+      );
+      const hosts = processes.map((each) => (each.info as ClaimsInfo).host);
+      await toAll(processes, { type: "hosts", hosts });
+      await pause(SETTLE_MS);
+      const fleet = await findOwner(processes);
+      const rates = await rateSamples(fleet, options);
+      const kept = await keptSamples(fleet, options);
+      await checkClaims(processes);
+      return [
+        measured("partitionOwner", rates, {
+          run: options,
+          // Writes are paced, so that their cost is there from the first few
+          // claims a second on.
+          withoutIdle: true,
+          per: "claim/s",
+          how: `The owner of one of sixteen partitions (${WRITES_PER_SECOND} ` +
+            `writes/s); ${MEMBERS - 1} other daemons claim and settle.`,
+        }),
+        measured("claimKept", kept, {
+          run: options,
+          per: "claim kept",
+          how: "The same owner after so many more claims, all within the " +
+            "window.",
+        }),
+      ];
+    });
+  } finally {
+    await platform.stop(STAND_IN_GRACE_MS);
+  }
+}
+
+/** The partition owner's rig. */
+export const CLAIMS_RIG: Rig = {
+  name: "claims",
+  roles: ["partitionOwner", "claimKept"],
+  run,
+};
--- a/scripts/check_docs.mjs
+++ b/scripts/check_docs.mjs
@@ -1,10 +1,11 @@
 // Checks the pages: links and paths lead somewhere, every command that is shown
 // is run by CI, and codes, events and metrics that operators' pages name exist
 // in the code. With --run, also runs the commands that nothing else runs.
-import { execFileSync } from "node:child_process";
+import { execFileSync, spawn } from "node:child_process";
 import { existsSync, readdirSync, readFileSync } from "node:fs";
 import { dirname, join, relative } from "node:path";
 import process from "node:process";
+import { createInterface } from "node:readline";
 import { fileURLToPath } from "node:url";
 import { COMMANDS } from "./docs_commands.mjs";
 
@@ -71,7 +72,7 @@
   if (known === undefined) {
     return `${place}: nothing in CI runs "${command}"`;
   }
-  if (known.run !== undefined) return undefined;
+  if (known.run !== undefined || known.serve !== undefined) return undefined;
   const file = known.ci === undefined ? known.test : ".ci/run";
   const text = known.ci ?? known.text;
   const path = join(root, file);
@@ -110,10 +111,33 @@
     .join("\n");
 }
 
-function runCommands() {
-  for (const { run } of COMMANDS) {
-    if (run === undefined) continue;
-    console.error(`Running ${run.join(" ")}`);
+/** Runs a command that stays up, until it has told where it is. */
+async function serveCommand([program, ...args]) {
+  const child = spawn(program, args, {
+    cwd: root,
+    stdio: ["ignore", "pipe", 2],
+  });
+  const ended = new Promise((resolve) => child.once("exit", resolve));
+  const lines = createInterface({ input: child.stdout });
+  const first = await new Promise((resolve) => {
+    lines.once("line", resolve);
+    lines.once("close", () => resolve(""));
+  });
+  child.kill("SIGTERM");
+  const code = await ended;
+  if (code !== 0) throw new Error(`"${program}" ended with ${code}`);
+  JSON.parse(first);
+}
+
+async function runCommands() {
+  for (const { run, serve } of COMMANDS) {
+    const command = run ?? serve;
+    if (command === undefined) continue;
+    console.error(`Running ${command.join(" ")}`);
+    if (serve !== undefined) {
+      await serveCommand(serve);
+      continue;
+    }
     execFileSync(run[0], run.slice(1), {
       cwd: root,
       stdio: ["ignore", "ignore", 2],
@@ -137,4 +161,4 @@
 ]);
 for (const finding of findings) console.error(finding);
 if (findings.length > 0) process.exit(1);
-if (process.argv.includes("--run")) runCommands();
+if (process.argv.includes("--run")) await runCommands();
--- a/scripts/docs_commands.mjs
+++ b/scripts/docs_commands.mjs
@@ -1,13 +1,36 @@
 // The commands that pages show in blocks marked `sh`, and what runs each in CI:
 // `ci` is a line of .ci/run, `test` a test file that holds `text`, and `run` a
-// command that scripts/check_docs.mjs runs itself. `pattern` matches the whole
-// line as shown.
+// command that scripts/check_docs.mjs runs itself, `serve` one that it runs until
+// the first line on standard output, which must be JSON, and then ends by SIGTERM.
+// `pattern` matches the whole line as shown.
 export const COMMANDS = [
   { pattern: /^npm test$/, ci: "npm test" },
   {
     pattern: /^node scripts\/test\.mjs judge$/,
     run: ["node", "scripts/test.mjs", "judge"],
   },
+  {
+    pattern: /^npm run demo$/,
+    run: ["npm", "run", "--silent", "demo"],
+  },
+  {
+    pattern:
+      /^npm run stack -- --daemons 3 --runners 8 --deployment cooperative --json$/,
+    serve: [
+      "npm",
+      "run",
+      "--silent",
+      "stack",
+      "--",
+      "--daemons",
+      "3",
+      "--runners",
+      "8",
+      "--deployment",
+      "cooperative",
+      "--json",
+    ],
+  },
   { pattern: /^npm run build$/, ci: "npm run --silent build" },
   { pattern: /^npm run lint$/, ci: "npm run --silent lint" },
   {
