--- a/scripts/check_docs.mjs
+++ b/scripts/check_docs.mjs
@@ -99,7 +99,9 @@
   const names = [...page.text.matchAll(NAME)]
     .map(([, name]) => name)
     .filter((name) => !name.startsWith("umbermast_"))
-    .filter((name) => !sources.includes(`"${name}"`))
+    .filter((name) =>
+      !sources.includes(`"${name}"`) && !sources.includes(`  ${name}:`)
+    )
     .map((name) => `${page.name}: name "${name}" is not in the code`);
   return [...metrics, ...names];
 }
