--- a/packages/testing/tests/faults_test.ts
+++ b/packages/testing/tests/faults_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import type { Answer } from "../src/mod.ts";
-import { deploy, firstTokens } from "./fixtures.ts";
+import { deploy, firstTokens, LIMIT } from "./fixtures.ts";
 
 const BEHIND_PROXIES = {
   daemons: 1,
@@ -22,7 +22,7 @@
   );
 }
 
-describe("faults between daemon and runner", () => {
+describe("faults between daemon and runner", LIMIT, () => {
   // The runner makes the job card, and its answer is lost on the way back. The
   // caller said not to repeat it, so it is told that the outcome is unknown; a
   // second send would put two vans on the road.
@@ -94,7 +94,7 @@
   });
 });
 
-describe("faults around the daemon", () => {
+describe("faults around the daemon", LIMIT, () => {
   // The host is to be replaced: SIGTERM comes while a stream is under way. The
   // caller gets the rest of it, and only then the process ends.
   it("finishes what is in flight at SIGTERM", async (t) => {
--- a/packages/testing/tests/fixtures.ts
+++ b/packages/testing/tests/fixtures.ts
@@ -16,6 +16,9 @@
   startStack,
 } from "../src/mod.ts";
 
+/** Ends a suite that waits for something that never comes. */
+export const LIMIT = { timeout: 180_000 };
+
 /** A deployment under test. */
 export interface Deployed {
   readonly stack: Stack;
--- a/packages/testing/tests/stack_test.ts
+++ b/packages/testing/tests/stack_test.ts
@@ -4,6 +4,7 @@
 import { describe, it } from "node:test";
 import { fileURLToPath } from "node:url";
 import { startStack } from "../src/mod.ts";
+import { LIMIT } from "./fixtures.ts";
 
 const STACK = fileURLToPath(new URL("../src/stack.js", import.meta.url));
 
@@ -34,7 +35,7 @@
   }
 }
 
-describe("stack", () => {
+describe("stack", LIMIT, () => {
   it("tells where everything is, and ends it all at SIGTERM", async () => {
     const args = ["--daemons", "2", "--runners", "2", "--json"];
     const program = spawn(process.execPath, [STACK, ...args], {
--- a/packages/testing/tests/whole_path_test.ts
+++ b/packages/testing/tests/whole_path_test.ts
@@ -2,7 +2,7 @@
 import { describe, it } from "node:test";
 import type { Answer } from "../src/mod.ts";
 import { drawMix, sendMixed } from "../src/request/mix.ts";
-import { deploy, leaveAtFirstToken } from "./fixtures.ts";
+import { deploy, leaveAtFirstToken, LIMIT } from "./fixtures.ts";
 
 const SMALL = { daemons: 1, runners: 1, plainRunners: 1 };
 
@@ -10,7 +10,7 @@
   assert.equal(answer.outcome, "complete", JSON.stringify(answer));
 }
 
-describe("the path from caller to runner and back", () => {
+describe("the path from caller to runner and back", LIMIT, () => {
   it("carries streamed, whole and plain calls, each run once", async (t) => {
     const deployed = await deploy(t, SMALL);
     const caller = deployed.caller(0, "front-office");
