--- a/packages/testing/src/request/mix.ts
+++ b/packages/testing/src/request/mix.ts
@@ -76,12 +76,18 @@
 export function sendMixed(
   caller: Caller,
   call: MixedCall,
-  options: { readonly model: string; readonly scale?: number },
+  options: {
+    readonly model: string;
+    readonly scale?: number;
+    /** Silence after which the caller gives up. */
+    readonly idleMs?: number;
+  },
 ): Promise<Answer> {
   const { traffic, workspace, number } = call;
   const common = {
     class: traffic.class,
     repeatable: traffic.repeatable,
+    ...(options.idleMs === undefined ? {} : { idleMs: options.idleMs }),
     ...(traffic.repeatable ? {} : { idempotencyKey: `${workspace}-${number}` }),
   };
   if (traffic.outputTokens === undefined) {
