Test the engine's cache events and KV transfer

Cause: nothing showed that the stand-in tells of its cache as the protocols say. Change: one test of store, eviction, export and import. Conclusion: cache-aware routing has something true to work with.

--- a/packages/testing/src/engine_test.ts
+++ b/packages/testing/src/engine_test.ts
@@ -4,6 +4,7 @@
 import { startEngine } from "./engine.ts";
 import { fetchJson } from "./process/json_client.ts";
 import { orderFault } from "./process/platform_client.ts";
+import { digestPrefix } from "./request/prompt.ts";
 import type { LedgerEntry } from "./process/ledger.ts";
 
 const MODEL = "umber-small";
@@ -164,6 +165,30 @@
     assert.deepEqual(entries.map(({ end }) => end), ["complete", "refused"]);
   });
 
+  it("tells of its prefix cache, and gives and takes its content", async (t) => {
+    const { url, chat } = await engineWith(t, {
+      cacheTokens: 20,
+      cacheEventLoss: 0,
+      cacheEventLagMs: 0,
+    });
+    const system = "x".repeat(60);
+    const prefix = digestPrefix(system);
+    await chat("p", { system, testTokens: 1 });
+    const held = await fetchJson(`${url}/kv/${prefix}`);
+    assert.deepEqual(held.body, { prefix, tokens: 15 });
+    const body = { tokens: 10 };
+    await fetchJson(`${url}/kv/other`, { method: "PUT", body });
+    const { body: feed } = await fetchJson(`${url}/cache-events?from=0`);
+    assert.deepEqual(feed, {
+      next: 3,
+      events: [
+        { type: "stored", prefix },
+        { type: "evicted", prefix },
+        { type: "stored", prefix: "other" },
+      ],
+    });
+  });
+
   it("refuses an old fencing number only when it checks", async (t) => {
     const order = (fencing: number) => ({ order: "role", role: "x", fencing });
     for (const checksFencing of [true, false]) {
