Pass versions on by watchers, deltas and comparison

Cause: Each daemon watched the store, a paused or cut-off one stayed behind, and an edit accepted just before an outage came into force only after it. Change: Two daemons of each failure domain watch; members tell each other, as deltas where smaller, and compare each second; a daemon is ready only after it has compared with store and peers, and again after a pause. Conclusion: store calls grow with failure domains; nothing reverts.

--- /dev/null
+++ b/packages/coordination/src/process/pause_watch.ts
@@ -0,0 +1,69 @@
+/**
+ * Notices that this process did not run for a while.
+ *
+ * @module
+ */
+import * as Effect from "effect/Effect";
+import type * as Scope from "effect/Scope";
+import { SYSTEM_CLOCK } from "./clock.ts";
+import type { Clock } from "./clock.ts";
+
+const TICK_MS = 250;
+const DEFAULT_THRESHOLD_MS = 2_000;
+
+/** Settings of a {@linkcode PauseWatch}. */
+export interface PauseWatchOptions {
+  readonly clock?: Clock;
+  /** Shortest pause that is told, in milliseconds; 2,000 by default. */
+  readonly thresholdMs?: number;
+}
+
+/**
+ * A process that was stopped, or starved of processor time, wakes with beliefs
+ * that may be long out of date. After a pause the first tick comes only when its
+ * turn comes, so whoever is about to act on a belief calls
+ * {@linkcode PauseWatch.check} first.
+ */
+export class PauseWatch {
+  readonly #clock: Clock;
+  readonly #thresholdMs: number;
+  readonly #listeners = new Set<(pausedMs: number) => void>();
+  #lastTick: number;
+
+  constructor(options: PauseWatchOptions = {}) {
+    this.#clock = options.clock ?? SYSTEM_CLOCK;
+    this.#thresholdMs = options.thresholdMs ?? DEFAULT_THRESHOLD_MS;
+    this.#lastTick = this.#clock.monotonic();
+  }
+
+  /**
+   * Calls the listener after a pause, with its length in milliseconds.
+   *
+   * @returns a function that ends the subscription.
+   */
+  subscribe(listener: (pausedMs: number) => void): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  /** Tells the listeners of a pause, if there was one since the last check. */
+  check(): void {
+    const now = this.#clock.monotonic();
+    const pausedMs = now - this.#lastTick;
+    this.#lastTick = now;
+    if (pausedMs < this.#thresholdMs) return;
+    for (const listener of [...this.#listeners]) listener(pausedMs);
+  }
+
+  /** Checks regularly until the scope closes. */
+  start(): Effect.Effect<void, never, Scope.Scope> {
+    const tick = Effect.sleep(TICK_MS).pipe(
+      Effect.andThen(Effect.sync(() => this.check())),
+      Effect.forever,
+    );
+    return Effect.suspend(() => {
+      this.#lastTick = this.#clock.monotonic();
+      return Effect.asVoid(Effect.forkScoped(tick));
+    });
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/version/json_delta.ts
@@ -0,0 +1,160 @@
+/**
+ * Differences between two JSON values.
+ *
+ * @module
+ */
+
+/** A JSON value. */
+export type Json =
+  | null
+  | boolean
+  | number
+  | string
+  | readonly Json[]
+  | { readonly [key: string]: Json };
+
+/** How to make one value from another. */
+export type JsonDelta =
+  /** Nothing changes. */
+  | { readonly op: "same" }
+  /** Another value altogether. */
+  | { readonly op: "set"; readonly value: Json }
+  /** Items between the common head and tail of two lists are replaced. */
+  | {
+    readonly op: "splice";
+    readonly head: number;
+    readonly tail: number;
+    readonly items: readonly Json[];
+  }
+  /** Fields of an object change or go. */
+  | {
+    readonly op: "fields";
+    readonly changed: { readonly [key: string]: JsonDelta };
+    readonly removed: readonly string[];
+  };
+
+/** A delta does not fit the value it was applied to. */
+export class DeltaMismatch extends Error {
+  override readonly name = "DeltaMismatch";
+}
+
+/**
+ * Finds how to make `to` from `from`.
+ *
+ * @example
+ * ```ts
+ * const delta = makeDelta([1, 2, 3], [1, 9, 3]);
+ * applyDelta([1, 2, 3], delta); // [1, 9, 3]
+ * ```
+ */
+export function makeDelta(from: Json, to: Json): JsonDelta {
+  if (equal(from, to)) return { op: "same" };
+  if (isList(from) && isList(to)) return makeSplice(from, to);
+  if (isFields(from) && isFields(to)) return makeFields(from, to);
+  return { op: "set", value: to };
+}
+
+/** Makes the new value; throws {@linkcode DeltaMismatch} if it does not fit. */
+export function applyDelta(from: Json, delta: JsonDelta): Json {
+  switch (delta.op) {
+    case "same":
+      return from;
+    case "set":
+      return delta.value;
+    case "splice":
+      return applySplice(from, delta);
+    case "fields":
+      return applyFields(from, delta);
+  }
+}
+
+function makeSplice(from: readonly Json[], to: readonly Json[]): JsonDelta {
+  const shorter = Math.min(from.length, to.length);
+  let head = 0;
+  while (head < shorter && equal(from[head], to[head])) head += 1;
+  let tail = 0;
+  while (tail < shorter - head && equal(from.at(-1 - tail), to.at(-1 - tail))) {
+    tail += 1;
+  }
+  return { op: "splice", head, tail, items: to.slice(head, to.length - tail) };
+}
+
+function makeFields(from: Fields, to: Fields): JsonDelta {
+  const changed: Record<string, JsonDelta> = {};
+  for (const [key, value] of Object.entries(to)) {
+    const before = Object.hasOwn(from, key) ? from[key] : undefined;
+    const delta: JsonDelta = before === undefined
+      ? { op: "set", value }
+      : makeDelta(before, value);
+    if (delta.op !== "same") put(changed, key, delta);
+  }
+  const removed = Object.keys(from).filter((key) => !Object.hasOwn(to, key));
+  return { op: "fields", changed, removed };
+}
+
+function applySplice(
+  from: Json,
+  delta: JsonDelta & { readonly op: "splice" },
+): Json {
+  const { head, tail, items } = delta;
+  if (!isList(from) || from.length < head + tail) {
+    throw new DeltaMismatch("Cannot apply delta: the list is too short");
+  }
+  return [
+    ...from.slice(0, head),
+    ...items,
+    ...from.slice(from.length - tail),
+  ];
+}
+
+function applyFields(
+  from: Json,
+  delta: JsonDelta & { readonly op: "fields" },
+): Json {
+  if (!isFields(from)) {
+    throw new DeltaMismatch("Cannot apply delta: the value is not an object");
+  }
+  const removed = new Set(delta.removed);
+  const next: Record<string, Json> = {};
+  for (const [key, value] of Object.entries(from)) {
+    if (!removed.has(key)) put(next, key, value);
+  }
+  for (const [key, change] of Object.entries(delta.changed)) {
+    const before = Object.hasOwn(from, key) ? from[key] : undefined;
+    put(next, key, applyDelta(before ?? null, change));
+  }
+  return next;
+}
+
+/** An own field even when it is named `__proto__`. */
+function put<T>(object: Record<string, T>, key: string, value: T): void {
+  Object.defineProperty(object, key, {
+    value,
+    enumerable: true,
+    configurable: true,
+    writable: true,
+  });
+}
+
+type Fields = { readonly [key: string]: Json };
+
+function isList(value: Json): value is readonly Json[] {
+  return Array.isArray(value);
+}
+
+function isFields(value: Json): value is Fields {
+  return typeof value === "object" && value !== null && !isList(value);
+}
+
+function equal(a: Json | undefined, b: Json | undefined): boolean {
+  if (a === b) return true;
+  if (a === undefined || b === undefined) return false;
+  if (isList(a)) {
+    return isList(b) && a.length === b.length &&
+      a.every((item, index) => equal(item, b[index]));
+  }
+  if (!isFields(a) || !isFields(b)) return false;
+  const keys = Object.keys(a);
+  return keys.length === Object.keys(b).length &&
+    keys.every((key) => Object.hasOwn(b, key) && equal(a[key], b[key]));
+}
--- /dev/null
+++ b/packages/coordination/src/version/json_delta_test.ts
@@ -0,0 +1,40 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { applyDelta, DeltaMismatch, makeDelta } from "./json_delta.ts";
+import type { Json } from "./json_delta.ts";
+
+const json = fc.jsonValue({ maxDepth: 4 }) as fc.Arbitrary<Json>;
+
+/** Through the wire, where -0 becomes 0. */
+function sent(value: Json): Json {
+  return JSON.parse(JSON.stringify(value)) as Json;
+}
+
+test("a delta makes the later value from the earlier one", () => {
+  fc.assert(
+    fc.property(json, json, (a, b) => {
+      const [from, to] = [sent(a), sent(b)];
+      const delta = sent(makeDelta(from, to) as unknown as Json);
+      assert.deepEqual(applyDelta(from, delta as never), to);
+    }),
+    { seed: 1, numRuns: 2_000 },
+  );
+});
+
+test("a changed row makes a delta of that row only", () => {
+  const rows = Array.from(
+    { length: 500 },
+    (_, index) => ({ index, weight: 1 }),
+  );
+  const changed = rows.map((row) =>
+    row.index === 7 ? { ...row, weight: 2 } : row
+  );
+  const delta = makeDelta({ rows, title: "t" }, { rows: changed, title: "t" });
+  assert.ok(JSON.stringify(delta).length < 200, JSON.stringify(delta));
+});
+
+test("a delta for another value is refused", () => {
+  const delta = makeDelta([1, 2, 3], [1, 9, 3]);
+  assert.throws(() => applyDelta([1], delta), DeltaMismatch);
+});
--- a/packages/coordination/src/version/published.ts
+++ b/packages/coordination/src/version/published.ts
@@ -6,12 +6,21 @@
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import type * as Scope from "effect/Scope";
+import { SYSTEM_CLOCK } from "../process/clock.ts";
+import type { Clock } from "../process/clock.ts";
 import type { Membership } from "../process/membership.ts";
+import { PauseWatch } from "../process/pause_watch.ts";
 import type { Peers } from "../process/peers.ts";
 import type { Store } from "../process/store.ts";
+import type { Json } from "./json_delta.ts";
+import { StoreFollower } from "./store_follower.ts";
+import { VersionExchange } from "./version_exchange.ts";
+import type { VersionSource } from "./version_exchange.ts";
+import { VersionHistory } from "./version_history.ts";
+import { chooseWatchers } from "./watchers.ts";
 
-const WATCH_WAIT_MS = 30_000;
-const PAUSE_AFTER_FAILURE_MS = 500;
+const COMPARE_EVERY_MS = 1_000;
+const SYNC_AGAIN_MS = 1_000;
 
 /** A value with the version that the store gave it. */
 export interface VersionedValue<T> {
@@ -29,20 +38,69 @@
   readonly name: string;
   /** Checks a value from the store or a peer; throws when it is not valid. */
   readonly decode: (value: unknown) => T;
+  /** Told of a version that `decode` refuses; the former one stays in force. */
+  readonly onRejected?: (version: number, error: unknown) => void;
+  readonly clock?: Clock;
+  /** Notices pauses of the process; its own by default. */
+  readonly pauseWatch?: PauseWatch;
 }
 
 /**
- * Follows one object of the store. Daemons apply only higher versions, so what
- * is in force never reverts.
+ * Keeps the newest version of one object of the store in force.
+ *
+ * Two members of each failure domain watch the store and tell their domain; each
+ * member also compares with another one each second, so that what a message lost
+ * or a cut kept away comes by another way. A version is applied only when it is
+ * higher than the one in force, whoever sends it, so nothing reverts.
+ *
+ * Life: construct, {@linkcode Published.start}, await {@linkcode Published.ready}.
+ *
+ * @example
+ * ```ts
+ * const table = new Published({ store, peers, membership, kind: "table",
+ *   name: "current", decode });
+ * yield* table.start();
+ * const { version, value } = yield* table.ready;
+ * ```
  */
 export class Published<T> {
   readonly #options: PublishedOptions<T>;
+  readonly #history = new VersionHistory();
+  readonly #exchange: VersionExchange;
+  readonly #follower: StoreFollower;
+  readonly #pauseWatch: PauseWatch;
   readonly #listeners = new Set<(value: VersionedValue<T>) => void>();
-  readonly #ready = Deferred.makeUnsafe<VersionedValue<T>>();
+  #ready = Deferred.makeUnsafe<VersionedValue<T>>();
+  #synced = false;
   #current: VersionedValue<T> | undefined;
+  #rejected = 0;
 
   constructor(options: PublishedOptions<T>) {
     this.#options = options;
+    const clock = options.clock ?? SYSTEM_CLOCK;
+    const { store, peers, membership, kind, name } = options;
+    const channel = `published/${kind}/${name}`;
+    this.#pauseWatch = options.pauseWatch ?? new PauseWatch({ clock });
+    this.#exchange = new VersionExchange({
+      peers,
+      membership,
+      clock,
+      channel,
+      history: this.#history,
+      take: (candidate, source) => this.#take(candidate, source),
+      have: () => Math.max(this.#history.version, this.#rejected),
+    });
+    this.#follower = new StoreFollower({
+      store,
+      kind,
+      name,
+      watches: () =>
+        chooseWatchers(membership.view(), membership.self, channel).watches,
+      silenceMs: () => this.#exchange.silenceMs,
+      take: ({ version, value }) => {
+        this.#take({ version, value: value as Json }, "store");
+      },
+    });
   }
 
   /** The value in force here; undefined until the first is known. */
@@ -50,11 +108,30 @@
     return this.#current;
   }
 
-  /** Ends when a value is in force here. */
+  /**
+   * Ends when the value in force has been compared with the store's and the
+   * peers': after the start, and again after a pause of the process.
+   */
   get ready(): Effect.Effect<VersionedValue<T>> {
-    return Deferred.await(this.#ready);
+    return Effect.suspend(() => {
+      this.#pauseWatch.check();
+      return Deferred.await(this.#ready);
+    });
+  }
+
+  /** Whether {@linkcode Published.ready} would end at once. */
+  get isReady(): boolean {
+    this.#pauseWatch.check();
+    return Deferred.isDoneUnsafe(this.#ready);
   }
 
+  /** The version in force, to ride on heartbeats. */
+  readonly digest = {
+    read: (): unknown => this.#history.version,
+    receive: (from: string, digest: unknown): void =>
+      this.#exchange.heard(from, digest),
+  };
+
   /**
    * Calls the listener after each change, with the value in force.
    *
@@ -65,39 +142,99 @@
     return () => this.#listeners.delete(listener);
   }
 
-  /** Puts a value in force that this process has written, if it is newer. */
+  /**
+   * Puts a value in force that this process has written to the store, and tells
+   * the others at once, so that an outage of the store does not hold it back.
+   */
   offer(candidate: { readonly version: number; readonly value: unknown }) {
-    if (candidate.version <= (this.#current?.version ?? 0)) return;
-    const value = this.#options.decode(candidate.value);
-    this.#current = { version: candidate.version, value };
-    Deferred.doneUnsafe(this.#ready, Effect.succeed(this.#current));
-    for (const listener of [...this.#listeners]) listener(this.#current);
+    const { version, value } = candidate;
+    this.#take({ version, value: value as Json }, "own");
+  }
+
+  /**
+   * The version in force at each other member; undefined for those that can't be
+   * reached.
+   */
+  survey(): Effect.Effect<ReadonlyMap<string, number | undefined>> {
+    return this.#exchange.survey();
   }
 
   /** Follows the object until the scope closes. */
   start(): Effect.Effect<void, never, Scope.Scope> {
-    return Effect.asVoid(Effect.forkScoped(this.#follow()));
+    return Effect.gen({ self: this }, function* () {
+      const scope = yield* Effect.scope;
+      this.#exchange.serve();
+      const end = this.#pauseWatch.subscribe(() => {
+        this.#doubt();
+        Effect.runFork(Effect.forkIn(this.#sync(), scope));
+      });
+      yield* Effect.addFinalizer(() => Effect.sync(end));
+      if (this.#options.pauseWatch === undefined) {
+        yield* this.#pauseWatch.start();
+      }
+      yield* Effect.forkScoped(this.#sync());
+      yield* Effect.forkScoped(this.#follower.run());
+      const compare = Effect.andThen(
+        Effect.sleep(COMPARE_EVERY_MS),
+        this.#exchange.compare(),
+      );
+      yield* Effect.forkScoped(Effect.forever(compare));
+    });
   }
 
-  #follow(): Effect.Effect<never> {
-    const { store, kind, name } = this.#options;
+  /** Compares with the store and all peers, until one of them has answered. */
+  #sync(): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
-      const listed = yield* store.list(kind);
-      for (const item of listed.items) {
-        if (item.name === name) this.offer(item);
-      }
-      let from = listed.revision;
       while (true) {
-        const seen = yield* store.watch(kind, { from, waitMs: WATCH_WAIT_MS });
-        for (const event of seen.events) {
-          if (event.name !== name || event.type !== "put") continue;
-          this.offer({ version: event.version, value: event.value });
-        }
-        from = seen.revision;
+        const [stored, { reached }] = yield* Effect.all([
+          Effect.match(this.#follower.read(), {
+            onFailure: () => false,
+            onSuccess: () => true,
+          }),
+          this.#exchange.catchUp(),
+        ], { concurrency: "unbounded" });
+        const known = this.#current !== undefined;
+        // A daemon that knew a value before its pause goes on with it when it
+        // reaches nobody: refusing all callers would not make it any newer.
+        if (stored || reached > 0 || known) break;
+        yield* Effect.sleep(SYNC_AGAIN_MS);
       }
-    }).pipe(
-      Effect.catch(() => Effect.sleep(PAUSE_AFTER_FAILURE_MS)),
-      Effect.forever,
-    );
+      this.#synced = true;
+      this.#announceReady();
+    });
+  }
+
+  #doubt(): void {
+    this.#synced = false;
+    if (!Deferred.isDoneUnsafe(this.#ready)) return;
+    this.#ready = Deferred.makeUnsafe();
+  }
+
+  #announceReady(): void {
+    if (!this.#synced || this.#current === undefined) return;
+    Deferred.doneUnsafe(this.#ready, Effect.succeed(this.#current));
+  }
+
+  #take(
+    candidate: { readonly version: number; readonly value: Json },
+    source: VersionSource,
+  ): boolean {
+    const { version, value } = candidate;
+    const before = this.#history.version;
+    if (version <= Math.max(before, this.#rejected)) return false;
+    let decoded: T;
+    try {
+      decoded = this.#options.decode(value);
+    } catch (error) {
+      this.#rejected = version;
+      this.#options.onRejected?.(version, error);
+      return false;
+    }
+    this.#current = { version, value: decoded };
+    this.#history.add(version, value);
+    this.#exchange.push(source, { before });
+    for (const listener of [...this.#listeners]) listener(this.#current);
+    this.#announceReady();
+    return true;
   }
 }
--- /dev/null
+++ b/packages/coordination/src/version/watchers.ts
@@ -0,0 +1,70 @@
+/**
+ * Chooses the members that watch the store for the others.
+ *
+ * @module
+ */
+import { createHash } from "node:crypto";
+import type { Member, MemberStatus, View } from "../process/membership.ts";
+
+/** One may fail, and be believed alive for a while, without delay to others. */
+const WATCHERS_PER_DOMAIN = 2;
+
+/** Members by their part in passing a value on. */
+export interface Watchers {
+  /** Whether this process watches the store. */
+  readonly watches: boolean;
+  /** Other members of this process's failure domain. */
+  readonly domain: readonly string[];
+  /** Watchers of the other failure domains. */
+  readonly foreign: readonly string[];
+}
+
+/**
+ * Chooses two watchers in each failure domain by rendezvous hash, so that the
+ * store's calls grow with the domains. Processes with different views may choose
+ * differently, which costs a few calls more.
+ */
+export function chooseWatchers(
+  view: View,
+  self: Member,
+  channel: string,
+): Watchers {
+  const others = view.members.filter(({ member }) => member.name !== self.name);
+  const own = others.filter(({ member }) =>
+    member.failureDomain === self.failureDomain
+  );
+  const me: MemberStatus = { member: self, state: "alive" };
+  const watching = topOf([...own, me], channel);
+  const foreign = [...byDomain(others)]
+    .filter(([domain]) => domain !== self.failureDomain)
+    .flatMap(([, members]) => topOf(members, channel));
+  return {
+    watches: watching.includes(self.name),
+    domain: own.map(({ member }) => member.name),
+    foreign,
+  };
+}
+
+function topOf(members: readonly MemberStatus[], channel: string): string[] {
+  const weighed = members
+    .filter(({ state }) => state === "alive")
+    .map(({ member }) => ({
+      name: member.name,
+      weight: createHash("sha256").update(`${channel}/${member.name}`)
+        .digest("hex"),
+    }));
+  weighed.sort((a, b) => a.weight < b.weight ? -1 : 1);
+  return weighed.slice(0, WATCHERS_PER_DOMAIN).map(({ name }) => name);
+}
+
+function byDomain(
+  members: readonly MemberStatus[],
+): ReadonlyMap<string, readonly MemberStatus[]> {
+  const domains = new Map<string, MemberStatus[]>();
+  for (const status of members) {
+    const { failureDomain } = status.member;
+    const known = domains.get(failureDomain) ?? [];
+    domains.set(failureDomain, [...known, status]);
+  }
+  return domains;
+}
--- /dev/null
+++ b/packages/coordination/tests/published_test.ts
@@ -0,0 +1,292 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { TestContext } from "node:test";
+import * as Deferred from "effect/Deferred";
+import * as Effect from "effect/Effect";
+import * as Exit from "effect/Exit";
+import * as Scope from "effect/Scope";
+import { PauseWatch } from "../src/process/pause_watch.ts";
+import { Published } from "../src/version/published.ts";
+import type { PublishedOptions } from "../src/version/published.ts";
+import {
+  FakeClock,
+  FakeMembership,
+  memberNamed,
+  MemoryNetwork,
+  MemoryStore,
+} from "../src/testing/mod.ts";
+import type { FaultPlan } from "../src/testing/mod.ts";
+
+const KIND = "table";
+const NAME = "current";
+const CHANNEL = "published/table/current";
+const MEMBERS = ["a1", "a2", "a3", "b1", "b2", "b3"].map((name) =>
+  memberNamed(name, { failureDomain: name.slice(0, 1) })
+);
+
+function textOf(value: unknown): string {
+  if (typeof value !== "string") throw new Error("Not a text");
+  return value;
+}
+
+class Fleet {
+  readonly store = new MemoryStore();
+  readonly network = new MemoryNetwork();
+  readonly #test: TestContext;
+
+  constructor(t: TestContext) {
+    this.#test = t;
+  }
+
+  async daemon(
+    name: string,
+    options: Partial<PublishedOptions<string>> & {
+      readonly plan?: FaultPlan;
+    } = {},
+  ): Promise<Published<string>> {
+    const { plan = () => "none" } = options;
+    const self = MEMBERS.find((member) => member.name === name);
+    if (self === undefined) throw new Error(`No member "${name}"`);
+    const others = MEMBERS.filter((member) => member !== self);
+    const published = new Published({
+      store: this.store.withPlan(plan),
+      peers: this.network.peers(name),
+      membership: new FakeMembership(self, others),
+      kind: KIND,
+      name: NAME,
+      decode: textOf,
+      ...options,
+    });
+    const scope = Scope.makeUnsafe();
+    await Effect.runPromise(Scope.provide(published.start(), scope));
+    this.#test.after(() => Effect.runPromise(Scope.close(scope, Exit.void)));
+    return published;
+  }
+
+  async write(value: string): Promise<number> {
+    const found = await Effect.runPromise(this.store.read(KIND, NAME));
+    const object = { kind: KIND, name: NAME, value };
+    const ifVersion = found?.version ?? 0;
+    return Effect.runPromise(this.store.write(object, { ifVersion }));
+  }
+}
+
+function inForce(
+  published: Published<string>,
+  version: number,
+): Promise<string> {
+  return new Promise((done) => {
+    const look = () => {
+      const current = published.current();
+      if (current !== undefined && current.version >= version) {
+        done(current.value);
+      }
+    };
+    published.subscribe(look);
+    look();
+  });
+}
+
+function ready(published: Published<string>) {
+  return Effect.runPromise(published.ready);
+}
+
+test("an edit comes into force everywhere, and two of a domain watch for it", async (t) => {
+  const fleet = new Fleet(t);
+  await fleet.write("first");
+  const watching = new Set<string>();
+  const daemons = await Promise.all(
+    MEMBERS.map(({ name }) =>
+      fleet.daemon(name, {
+        plan: ({ operation }) => {
+          if (operation === "watch") watching.add(name.slice(0, 1) + name);
+          return "none";
+        },
+      })
+    ),
+  );
+  await Promise.all(daemons.map(ready));
+  const version = await fleet.write("second");
+  const values = await Promise.all(
+    daemons.map((daemon) => inForce(daemon, version)),
+  );
+  assert.deepEqual(new Set(values), new Set(["second"]));
+  assert.equal(watching.size, 4);
+});
+
+test("a daemon cut off from the store gets edits from its peers", async (t) => {
+  const fleet = new Fleet(t);
+  await fleet.write("first");
+  const cut = await fleet.daemon("a1", { plan: () => "refuse" });
+  const rest = await Promise.all(
+    ["a2", "a3", "b1"].map((name) => fleet.daemon(name)),
+  );
+  await Promise.all(rest.map(ready));
+  assert.equal((await ready(cut)).value, "first");
+  const version = await fleet.write("second");
+  assert.equal(await inForce(cut, version), "second");
+});
+
+test("an edit accepted just before an outage of the store comes into force", async (t) => {
+  // The store takes the edit and goes down before any watch tells of it. The
+  // daemon through which it was made tells the others; nobody can read the store.
+  const fleet = new Fleet(t);
+  await fleet.write("first");
+  let down = false;
+  const plan: FaultPlan = ({ operation }) =>
+    operation === "watch" ? Effect.never : down ? "refuse" : "none";
+  const daemons = await Promise.all(
+    MEMBERS.map(({ name }) => fleet.daemon(name, { plan })),
+  );
+  await Promise.all(daemons.map(ready));
+  down = true;
+  const version = await fleet.write("second");
+  daemons[0]?.offer({ version, value: "second" });
+  const values = await Promise.all(
+    daemons.map((daemon) => inForce(daemon, version)),
+  );
+  assert.deepEqual(new Set(values), new Set(["second"]));
+});
+
+test("an edit whose announcements are all lost is found by comparing", async (t) => {
+  const fleet = new Fleet(t);
+  await fleet.write("first");
+  const cut = await fleet.daemon("a1", { plan: () => "refuse" });
+  const other = await fleet.daemon("a2");
+  await Promise.all([ready(cut), ready(other)]);
+  fleet.network.fate = ({ kind }) => kind === "send" ? "lose" : "deliver";
+  const version = await fleet.write("second");
+  assert.equal(await inForce(cut, version), "second");
+});
+
+test("a version on a heartbeat is fetched from its sender", async (t) => {
+  const fleet = new Fleet(t);
+  const from = await fleet.daemon("b1", { plan: () => "refuse" });
+  const to = await fleet.daemon("a1", { plan: () => "refuse" });
+  fleet.network.fate = ({ kind }) => kind === "send" ? "lose" : "deliver";
+  from.offer({ version: 7, value: "seventh" });
+  to.digest.receive("b1", from.digest.read());
+  assert.equal(await inForce(to, 7), "seventh");
+});
+
+test("an older copy from a peer does not revert what is in force", async (t) => {
+  // A peer that was paused, or cut off, wakes and announces the version that it
+  // held. Applied, it would undo an accepted edit here.
+  const fleet = new Fleet(t);
+  const daemon = await fleet.daemon("a1", { plan: () => "refuse" });
+  daemon.offer({ version: 9, value: "ninth" });
+  const stale = fleet.network.peers("b1");
+  const update = { kind: "whole", version: 8, value: "eighth" };
+  const answer = await Effect.runPromise(
+    stale.request("a1", { channel: CHANNEL, body: update }, {
+      timeoutMs: 10_000,
+    }),
+  );
+  assert.equal(answer, null);
+  assert.deepEqual(daemon.current(), { version: 9, value: "ninth" });
+});
+
+test("a daemon that starts while the store is down takes its peers' highest", async (t) => {
+  const fleet = new Fleet(t);
+  const versions = [["a2", 4], ["b1", 6], ["b2", 5]] as const;
+  fleet.network.fate = () => "lose";
+  for (const [name, version] of versions) {
+    const peer = await fleet.daemon(name, { plan: () => "refuse" });
+    peer.offer({ version, value: `version ${version}` });
+  }
+  fleet.network.fate = () => "deliver";
+  const late = await fleet.daemon("a1", { plan: () => "refuse" });
+  assert.deepEqual(await ready(late), { version: 6, value: "version 6" });
+});
+
+test("a daemon that starts with neither store nor peers waits", async (t) => {
+  const fleet = new Fleet(t);
+  await fleet.write("first");
+  const tried = Deferred.makeUnsafe<void>();
+  let down = true;
+  const daemon = await fleet.daemon("a1", {
+    plan: ({ operation }) => {
+      if (operation === "read") Deferred.doneUnsafe(tried, Effect.void);
+      return down ? "refuse" : "none";
+    },
+  });
+  await Effect.runPromise(Deferred.await(tried));
+  assert.equal(daemon.isReady, false);
+  down = false;
+  assert.equal((await ready(daemon)).value, "first");
+});
+
+test("a daemon that was paused compares before it is ready again", async (t) => {
+  // The process is stopped while an edit comes into force elsewhere. Woken, it
+  // believes the old value; it must not serve by it before it has compared.
+  const fleet = new Fleet(t);
+  const clock = new FakeClock();
+  const pauseWatch = new PauseWatch({ clock });
+  await fleet.write("first");
+  let down = false;
+  const plan: FaultPlan = ({ operation }) =>
+    operation === "watch" ? Effect.never : down ? "refuse" : "none";
+  const daemon = await fleet.daemon("a1", { plan, clock, pauseWatch });
+  await ready(daemon);
+  fleet.network.fate = () => "lose";
+  const peer = await fleet.daemon("a2", { plan: () => "refuse" });
+  const version = await fleet.write("second");
+  peer.offer({ version, value: "second" });
+  fleet.network.fate = () => "deliver";
+  down = true;
+  clock.advance(60_000);
+  assert.equal(daemon.isReady, false);
+  assert.equal(daemon.current()?.value, "first");
+  assert.deepEqual(await ready(daemon), { version, value: "second" });
+});
+
+test("a daemon that hears no peer reads the store itself", async (t) => {
+  const fleet = new Fleet(t);
+  await fleet.write("first");
+  const clock = new FakeClock();
+  // One of the three does not watch. Nothing pauses, so nothing else reads.
+  const pauseWatch = new PauseWatch({ clock: new FakeClock() });
+  const isolated = await Promise.all(
+    ["a1", "a2", "a3"].map((name) =>
+      fleet.daemon(name, {
+        clock,
+        plan: ({ operation }) => operation === "watch" ? Effect.never : "none",
+      })
+    ),
+  );
+  await Promise.all(isolated.map(ready));
+  fleet.network.fate = () => "refuse";
+  const version = await fleet.write("second");
+  clock.advance(5_000);
+  const first = await Promise.race(
+    isolated.map((daemon) => inForce(daemon, version)),
+  );
+  assert.equal(first, "second");
+});
+
+test("a value that is not valid is refused and the former one stays", async (t) => {
+  const fleet = new Fleet(t);
+  const rejected: number[] = [];
+  const daemon = await fleet.daemon("a1", {
+    plan: () => "refuse",
+    onRejected: (version) => rejected.push(version),
+  });
+  daemon.offer({ version: 3, value: "third" });
+  daemon.offer({ version: 4, value: 4 });
+  assert.equal(daemon.current()?.version, 3);
+  assert.deepEqual(rejected, [4]);
+  daemon.offer({ version: 5, value: "fifth" });
+  assert.equal(daemon.current()?.version, 5);
+});
+
+test("a survey names the members that are behind or out of reach", async (t) => {
+  const fleet = new Fleet(t);
+  const daemon = await fleet.daemon("a1", { plan: () => "refuse" });
+  await fleet.daemon("a2", { plan: () => "refuse" });
+  fleet.network.fate = ({ kind }) => kind === "send" ? "lose" : "deliver";
+  daemon.offer({ version: 3, value: "third" });
+  const versions = await Effect.runPromise(daemon.survey());
+  assert.equal(versions.get("a2"), 0);
+  assert.equal(versions.get("b1"), undefined);
+  assert.equal(versions.size, MEMBERS.length - 1);
+});
