Let the test of isolation rest on isolation alone

Cause: A pause seen by the same clock read the store as well; the build was red. Change: The test's pause watch has a clock that stands still. Conclusion: the read after silence is what the test sees.

--- a/packages/coordination/tests/published_test.ts
+++ b/packages/coordination/tests/published_test.ts
@@ -250,6 +250,7 @@
     ["a1", "a2", "a3"].map((name) =>
       fleet.daemon(name, {
         clock,
+        pauseWatch,
         plan: ({ operation }) => operation === "watch" ? Effect.never : "none",
       })
     ),
