Isolate the test's daemons from the start

Cause: A message under way when the links were cut counted as contact, so the test waited for a read that never came. Change: The links are cut before the daemons start. Conclusion: the read after silence is what the test sees.

--- a/packages/coordination/tests/published_test.ts
+++ b/packages/coordination/tests/published_test.ts
@@ -242,6 +242,7 @@
 
 test("a daemon that hears no peer reads the store itself", async (t) => {
   const fleet = new Fleet(t);
+  fleet.network.fate = () => "refuse";
   await fleet.write("first");
   const clock = new FakeClock();
   // One of the three does not watch. Nothing pauses, so nothing else reads.
@@ -256,7 +257,6 @@
     ),
   );
   await Promise.all(isolated.map(ready));
-  fleet.network.fate = () => "refuse";
   const version = await fleet.write("second");
   clock.advance(5_000);
   const first = await Promise.race(
