--- a/packages/coordination/src/process/claim_client.ts
+++ b/packages/coordination/src/process/claim_client.ts
@@ -12,7 +12,7 @@
   encodeMessage,
 } from "./claim_message.ts";
 import type { Undecided } from "./claim_partition.ts";
-import { partitionOf, servers } from "./claim_routing.ts";
+import { ClaimRoutes, partitionOf } from "./claim_routing.ts";
 import type { ClaimServer } from "./claim_server.ts";
 import type { Clock } from "./clock.ts";
 import type { Membership } from "./membership.ts";
@@ -36,6 +36,7 @@
 /** Routes requests to the members that serve their partitions. */
 export class ClaimClient {
   readonly #options: ClaimClientOptions;
+  readonly #routes = new ClaimRoutes();
 
   constructor(options: ClaimClientOptions) {
     this.#options = options;
@@ -54,7 +55,8 @@
       const deadline = clock.monotonic() + options.timeoutMs;
       const partition = partitionOf(request.key, layout.partitions);
       const self = membership.self.name;
-      const asked = servers(membership.view(), partition).slice(0, MOST_ASKED);
+      const asked = this.#routes.servers(membership.view(), partition)
+        .slice(0, MOST_ASKED);
       for (const name of asked) {
         if (name === self) break;
         const budgetMs = Math.floor((deadline - clock.monotonic()) / 2);
--- a/packages/coordination/src/process/claim_routing.ts
+++ b/packages/coordination/src/process/claim_routing.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import { createHash } from "node:crypto";
-import type { View } from "./membership.ts";
+import type { MemberState, View } from "./membership.ts";
+import { rendezvous } from "./rendezvous.ts";
 
 /** Partition of a key, from its digest. */
 export function partitionOf(keyDigest: string, partitions: number): number {
@@ -18,18 +19,32 @@
  * costs conflicts and no more.
  */
 export function servers(view: View, partition: number): readonly string[] {
-  const chosen = view.members
-    .filter(({ state }) => state !== "leaving")
-    .map(({ member, state }) => ({
-      name: member.name,
-      suspect: state === "suspect",
-      weight: hash32(`${partition}/${member.name}`),
-    }));
-  chosen.sort((a, b) =>
-    Number(a.suspect) - Number(b.suspect) || b.weight - a.weight ||
-    (a.name < b.name ? -1 : 1)
-  );
-  return chosen.map(({ name }) => name);
+  const key = `claims/${partition}`;
+  const inState = (wanted: MemberState) =>
+    view.members
+      .filter(({ state }) => state === wanted)
+      .map(({ member }) => member.name);
+  return [
+    ...rendezvous(key, inState("alive")),
+    ...rendezvous(key, inState("suspect")),
+  ];
+}
+
+/** The servers of each partition, worked out once for a view. */
+export class ClaimRoutes {
+  #view: View | undefined;
+  readonly #servers = new Map<number, readonly string[]>();
+
+  /** As {@linkcode servers}. */
+  servers(view: View, partition: number): readonly string[] {
+    if (view !== this.#view) {
+      this.#view = view;
+      this.#servers.clear();
+    }
+    const known = this.#servers.get(partition) ?? servers(view, partition);
+    this.#servers.set(partition, known);
+    return known;
+  }
 }
 
 function hash32(text: string): number {
--- a/packages/coordination/src/version/watchers.ts
+++ b/packages/coordination/src/version/watchers.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import { createHash } from "node:crypto";
 import type { Member, MemberStatus, View } from "../process/membership.ts";
+import { rendezvous } from "../process/rendezvous.ts";
 
 /** One may fail, and be believed alive for a while, without delay to others. */
 const WATCHERS_PER_DOMAIN = 2;
@@ -46,15 +46,9 @@
 }
 
 function topOf(members: readonly MemberStatus[], channel: string): string[] {
-  const weighed = members
-    .filter(({ state }) => state === "alive")
-    .map(({ member }) => ({
-      name: member.name,
-      weight: createHash("sha256").update(`${channel}/${member.name}`)
-        .digest("hex"),
-    }));
-  weighed.sort((a, b) => a.weight < b.weight ? -1 : 1);
-  return weighed.slice(0, WATCHERS_PER_DOMAIN).map(({ name }) => name);
+  const alive = members.filter(({ state }) => state === "alive");
+  const names = alive.map(({ member }) => member.name);
+  return rendezvous(channel, names).slice(0, WATCHERS_PER_DOMAIN);
 }
 
 function byDomain(
--- /dev/null
+++ b/packages/coordination/tests/lease_test.ts
@@ -0,0 +1,245 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { TestContext } from "node:test";
+import * as Deferred from "effect/Deferred";
+import * as Effect from "effect/Effect";
+import * as Fiber from "effect/Fiber";
+import { Lease } from "../src/process/lease.ts";
+import type { LeaseOptions, Tenure } from "../src/process/lease.ts";
+import { LeaseObject } from "../src/process/lease_object.ts";
+import type { LeaseTerm } from "../src/process/lease_object.ts";
+import { NO_CRASH_POINTS } from "../src/process/crash_points.ts";
+import { FakeClock, MemoryStore } from "../src/testing/mod.ts";
+import type { FaultPlan, StoreFault } from "../src/testing/mod.ts";
+
+const DURATION_MS = 1_000;
+
+function lease(store: MemoryStore, options: Partial<LeaseOptions> = {}) {
+  return new Lease({
+    store,
+    name: "service",
+    holder: "a",
+    durationMs: DURATION_MS,
+    ...options,
+  });
+}
+
+function objectOf(
+  store: MemoryStore,
+  options: {
+    readonly holderId: string;
+    readonly clock: FakeClock;
+    readonly plan?: FaultPlan;
+  },
+) {
+  const { holderId, clock, plan = () => "none" } = options;
+  return new LeaseObject({
+    store: store.withPlan(plan),
+    clock,
+    crashPoints: NO_CRASH_POINTS,
+    name: "service",
+    holder: holderId,
+    holderId,
+    durationMs: DURATION_MS,
+  });
+}
+
+function acquired(object: LeaseObject): Promise<LeaseTerm | undefined> {
+  return Effect.runPromise(object.tryAcquire());
+}
+
+/** Holds until the test ends; resolves once held. */
+function holding(t: TestContext, held: Lease): Promise<Tenure> {
+  const tenure = Deferred.makeUnsafe<Tenure>();
+  const fiber = Effect.runFork(held.hold((given) => {
+    Deferred.doneUnsafe(tenure, Effect.succeed(given));
+    return Effect.never;
+  }));
+  t.after(() => Effect.runPromise(Fiber.interrupt(fiber)));
+  return Effect.runPromise(Deferred.await(tenure));
+}
+
+function writes(faults: StoreFault[]): FaultPlan {
+  return ({ operation }) =>
+    operation === "write" ? faults.shift() ?? "none" : "none";
+}
+
+test("each term has a higher fencing number than all before", async (t) => {
+  const store = new MemoryStore();
+  const numbers: number[] = [];
+  for (let term = 0; term < 4; term += 1) {
+    const held = lease(store);
+    await Effect.runPromise(held.hold((tenure) =>
+      Effect.sync(() => {
+        numbers.push(tenure.fencing);
+      })
+    ));
+  }
+  const last = await holding(t, lease(store));
+  const rising = [...numbers, last.fencing];
+  assert.deepEqual(rising, rising.toSorted((a, b) => a - b));
+  assert.equal(new Set(rising).size, 5);
+});
+
+test("a lease given up is taken at once", async () => {
+  const store = new MemoryStore();
+  const clock = new FakeClock();
+  const a = objectOf(store, { holderId: "a", clock });
+  const b = objectOf(store, { holderId: "b", clock });
+  const term = await acquired(a);
+  assert.ok(term);
+  assert.equal(await acquired(b), undefined);
+  await Effect.runPromise(a.release(term));
+  assert.ok(await acquired(b));
+});
+
+test("a silent holder's lease is taken only after it was watched for its duration", async () => {
+  const store = new MemoryStore();
+  const clock = new FakeClock();
+  const a = objectOf(store, { holderId: "a", clock });
+  // Its clock shows another year: only the time that it watched counts.
+  const other = new FakeClock({ at: 1e12, skew: 1e12 });
+  const b = objectOf(store, { holderId: "b", clock: other });
+  const term = await acquired(a);
+  assert.equal(await acquired(b), undefined);
+  other.advance(DURATION_MS - 1);
+  assert.equal(await acquired(b), undefined);
+  other.advance(1);
+  const next = await acquired(b);
+  assert.ok(term && next && next.fencing > term.fencing);
+});
+
+test("a renewal starts the watching anew", async () => {
+  const store = new MemoryStore();
+  const clock = new FakeClock();
+  const a = objectOf(store, { holderId: "a", clock });
+  const b = objectOf(store, { holderId: "b", clock });
+  const term = await acquired(a);
+  assert.ok(term);
+  assert.equal(await acquired(b), undefined);
+  clock.advance(DURATION_MS - 1);
+  assert.equal(await Effect.runPromise(a.renew(term)), false);
+  clock.advance(DURATION_MS - 1);
+  assert.equal(await acquired(b), undefined);
+});
+
+test("two processes that find the lease free take it once", async () => {
+  const store = new MemoryStore();
+  const clock = new FakeClock();
+  const objects = ["a", "b", "c"].map((holderId) =>
+    objectOf(store, { holderId, clock })
+  );
+  const terms = await Promise.all(objects.map(acquired));
+  assert.equal(terms.filter((term) => term !== undefined).length, 1);
+});
+
+test("an acquisition whose reply was lost is found by the holder's id", async () => {
+  const store = new MemoryStore();
+  const clock = new FakeClock();
+  const a = objectOf(store, {
+    holderId: "a",
+    clock,
+    plan: writes(["lose-reply"]),
+  });
+  assert.ok(await acquired(a));
+});
+
+test("a renewal found late counts from the write that stands", async () => {
+  // A renewal takes effect and its reply is lost, and the store can't be read
+  // back. The next attempt meets a conflict with it. Counted from the later
+  // attempt, the holder would act on while another process, which counts from
+  // the write, takes over.
+  const store = new MemoryStore();
+  const clock = new FakeClock();
+  const faults: StoreFault[] = ["none", "lose-reply"];
+  let blind = false;
+  const a = objectOf(store, {
+    holderId: "a",
+    clock,
+    plan: (call) => {
+      if (call.operation === "read" && blind) return "refuse";
+      return writes(faults)(call);
+    },
+  });
+  const term = await acquired(a);
+  assert.ok(term);
+  clock.advance(100);
+  blind = true;
+  assert.equal(await Effect.runPromise(a.renew(term)), false);
+  assert.equal(term.renewedAt, 0);
+  blind = false;
+  clock.advance(500);
+  assert.equal(await Effect.runPromise(a.renew(term)), false);
+  assert.equal(term.renewedAt, 0);
+  assert.equal(await Effect.runPromise(a.renew(term)), false);
+  assert.equal(term.renewedAt, 600);
+});
+
+test("a holder that was paused past its end may not act when it wakes", async (t) => {
+  // The holder is stopped, its lease ends and another process takes it. Woken,
+  // it still believes to hold it, and no timer of its own has run yet. It must
+  // be told so at the first question.
+  const store = new MemoryStore();
+  const clock = new FakeClock();
+  const tenure = await holding(t, lease(store, { clock }));
+  assert.equal(tenure.remainingMs(), DURATION_MS * 0.8);
+  clock.advance(DURATION_MS);
+  assert.ok(tenure.remainingMs() <= 0);
+});
+
+test("a holder stops before another may start, at any moment of its renewals", async () => {
+  const store = new MemoryStore();
+  const clock = new FakeClock();
+  const a = objectOf(store, { holderId: "a", clock });
+  const b = objectOf(store, { holderId: "b", clock });
+  const term = await acquired(a);
+  assert.ok(term);
+  for (const pauseMs of [0, 300, 799]) {
+    clock.advance(pauseMs);
+    await Effect.runPromise(a.renew(term));
+    assert.equal(await acquired(b), undefined);
+  }
+  const endsAt = term.renewedAt + DURATION_MS * 0.8;
+  clock.advance(DURATION_MS - 1);
+  assert.equal(await acquired(b), undefined);
+  clock.advance(1);
+  assert.ok(await acquired(b));
+  assert.ok(endsAt < clock.monotonic());
+  assert.equal(await Effect.runPromise(a.renew(term)), true);
+  assert.equal(term.ended, true);
+});
+
+test("the work ends when the store can't be reached until the lease's end", async () => {
+  const store = new MemoryStore();
+  const held = lease(store, { durationMs: 100 });
+  let down = false;
+  store.plan = () => down ? "refuse" : "none";
+  let interrupted = false;
+  await Effect.runPromise(held.hold(() => {
+    down = true;
+    return Effect.onInterrupt(
+      Effect.never,
+      () => Effect.sync(() => void (interrupted = true)),
+    );
+  }));
+  assert.equal(interrupted, true);
+});
+
+test("a process that is not wanted does not take the lease", async () => {
+  const store = new MemoryStore();
+  let wanted = false;
+  const asked = Deferred.makeUnsafe<void>();
+  const held = lease(store, {
+    durationMs: 50,
+    wanted: () => {
+      Deferred.doneUnsafe(asked, Effect.void);
+      return wanted;
+    },
+  });
+  const done = Effect.runPromise(held.hold(() => Effect.void));
+  await Effect.runPromise(Deferred.await(asked));
+  assert.equal(store.calls.length, 0);
+  wanted = true;
+  await done;
+  assert.notEqual(store.calls.length, 0);
+});
