--- a/packages/daemon/src/connection/caller_server.ts
+++ b/packages/daemon/src/connection/caller_server.ts
@@ -45,9 +45,9 @@
   readonly connections: number;
   /**
    * Accepts no new connections and closes idle ones; the others stay until
-   * their answers end.
+   * their answers have gone out. The effect ends when none is left.
    */
-  close(): void;
+  readonly close: Effect.Effect<void>;
   /** Cuts every connection. */
   cut(): void;
 }
@@ -123,7 +123,11 @@
     get connections() {
       return sockets.size;
     },
-    close: () => server.close(),
+    close: Effect.callback((resume) => {
+      // A connection whose answer ends from now on has no time to be idle.
+      server.keepAliveTimeout = 1;
+      server.close(() => resume(Effect.void));
+    }),
     cut: () => server.closeAllConnections(),
   };
   return opened;
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -29,6 +29,12 @@
 const EXIT_WHOLE = 0;
 const EXIT_CUT_OFF = 1;
 const READINESS_CHECK_MS = 100;
+/** Time for interrupted requests to end, before their callers are cut off. */
+const INTERRUPTION_MS = 1000;
+/** Time for callers to read why their answers were cut off. */
+const CUT_OFF_FLUSH_MS = 1000;
+/** Time to record how claims ended; one that is not recorded stands. */
+const CLAIMS_DRAIN_MS = 2000;
 
 /** An address could not be listened on. */
 export type StartFailed = ListenFailed | PeersListenFailed;
@@ -63,6 +69,20 @@
   return Effect.race(Effect.as(requests.idle, EXIT_WHOLE), cut);
 }
 
+/** Ends when an effect has ended or its time is over. */
+function within(limitMs: number, effect: Effect.Effect<void>) {
+  return Effect.race(effect, Effect.sleep(limitMs));
+}
+
+/** Gives every request that is left a broken end. */
+function stopRequests(requests: CallerRequests): Effect.Effect<void> {
+  return Effect.gen(function* () {
+    requests.interruptAll();
+    yield* within(INTERRUPTION_MS, requests.idle);
+    requests.abandonAll();
+  });
+}
+
 /** Number of items by what a function names them. */
 function countBy<A>(
   items: readonly A[],
@@ -137,9 +157,13 @@
     const { graceMs } = settings.shutdown;
     const status = yield* drain(requests, { signals, graceMs });
     lifecycle.enter("stopping");
-    requests.stopAll();
-    yield* requests.idle;
-    callers.close();
+    yield* stopRequests(requests);
+    const flushMs = settings.limits.callerWriteTimeoutMs;
+    yield* status === EXIT_WHOLE
+      ? within(flushMs, Effect.race(callers.close, signals.stop))
+      : within(CUT_OFF_FLUSH_MS, callers.close);
+    callers.cut();
+    yield* within(CLAIMS_DRAIN_MS, fleet.claims.drain());
     operators.close();
     log.event("stopped", { status });
     return status;
--- a/packages/daemon/src/request/caller_requests.ts
+++ b/packages/daemon/src/request/caller_requests.ts
@@ -73,8 +73,9 @@
 /** Serves callers' requests. */
 export class CallerRequests implements CallerHandler {
   readonly #environment: CallerEnvironment;
-  readonly #fibers = new Set<Fiber.Fiber<void>>();
+  readonly #held = new Map<Fiber.Fiber<void>, HttpReply>();
   #whenIdle: (() => void)[] = [];
+  #stopped = false;
 
   constructor(environment: CallerEnvironment) {
     this.#environment = environment;
@@ -82,18 +83,24 @@
 
   /** Requests being served. */
   get inFlight(): number {
-    return this.#fibers.size;
+    return this.#held.size;
   }
 
   /** Ends when no request is being served. */
   readonly idle: Effect.Effect<void> = Effect.callback((resume) => {
-    if (this.#fibers.size === 0) return resume(Effect.void);
+    if (this.#held.size === 0) return resume(Effect.void);
     this.#whenIdle.push(() => resume(Effect.void));
   });
 
-  /** Interrupts every request, which gives each answer a broken end. */
-  stopAll(): void {
-    for (const fiber of this.#fibers) fiber.interruptUnsafe();
+  /** Interrupts every request; each answer gets a broken end. */
+  interruptAll(): void {
+    this.#stopped = true;
+    for (const fiber of this.#held.keys()) fiber.interruptUnsafe();
+  }
+
+  /** Gives a broken end to answers whose fibres cannot be interrupted. */
+  abandonAll(): void {
+    for (const reply of this.#held.values()) this.#abandon(reply);
   }
 
   /** Serves one request. */
@@ -106,7 +113,7 @@
       requestId: randomUUID(),
       request,
       pipelined: options.pipelined,
-      excess: this.#fibers.size >= this.#environment.limits.queuedRequests,
+      excess: this.#held.size >= this.#environment.limits.queuedRequests,
       headers: headerLines(request.rawHeaders),
       arrivedAt: Date.now(),
     };
@@ -116,7 +123,7 @@
       leaving: this.#environment.leaving,
     });
     const fiber = Effect.runFork(this.#answer(arrival, reply));
-    this.#fibers.add(fiber);
+    this.#held.set(fiber, reply);
     // The caller has left: what it asked for is of no use, so the fibre is
     // interrupted at once and with it the engine's work. A write that gave up
     // on a slow caller fails by itself and says so.
@@ -125,7 +132,7 @@
       fiber.interruptUnsafe();
     });
     fiber.addObserver((exit) => {
-      this.#fibers.delete(fiber);
+      this.#held.delete(fiber);
       if (Exit.isFailure(exit)) {
         this.#crashed(arrival, { reply, cause: exit.cause });
       }
@@ -223,13 +230,17 @@
         reason: Cause.pretty(cause),
       });
     }
-    reply.abandon(problem("internal", "Cannot finish the answer", {
-      outcome: "unknown",
-    }));
+    this.#abandon(reply);
+  }
+
+  #abandon(reply: HttpReply): void {
+    const outcome = reply.begun ? "failed" : "unknown";
+    const code = this.#stopped ? "stopped" : "internal";
+    reply.abandon(problem(code, "Cannot finish the answer", { outcome }));
   }
 
   #signalIdle(): void {
-    if (this.#fibers.size > 0) return;
+    if (this.#held.size > 0) return;
     const waiting = this.#whenIdle;
     this.#whenIdle = [];
     for (const resume of waiting) resume();
--- a/packages/daemon/src/request/idempotent_call_runner.ts
+++ b/packages/daemon/src/request/idempotent_call_runner.ts
@@ -216,7 +216,7 @@
         message:
           "The idempotency key was used with another request; use a new key",
         outcome: "not-run",
-        place: "headers/idempotency-key",
+        place: "header/idempotency-key",
       });
     case "Taken":
       return denial(problemOfTaken(outcome.state));
--- a/packages/daemon/tests/caller_fixture.ts
+++ b/packages/daemon/tests/caller_fixture.ts
@@ -150,8 +150,9 @@
       leaving = true;
     },
     close: async () => {
-      server.close();
+      const closed = Effect.runPromise(server.close);
       server.cut();
+      await closed;
       await Effect.runPromise(requests.idle);
     },
   };
--- a/packages/testing/tests/golden_fixture.ts
+++ b/packages/testing/tests/golden_fixture.ts
@@ -76,6 +76,8 @@
   readonly #name: string;
   parts: Part[] = [];
   play: Play = (socket) => socket.destroy();
+  /** Requests that are answered with 200 and not recorded. */
+  unrecorded: RegExp | undefined;
   /** Ends at the next request that is recorded. */
   #arrival: (() => void)[] = [];
 
@@ -147,6 +149,10 @@
       socket.write(answerText("200 OK", { body: LOAD }));
       return;
     }
+    if (this.unrecorded?.test(request)) {
+      socket.write(answerText("200 OK"));
+      return;
+    }
     this.#record("gets", request);
     const waiting = this.#arrival;
     this.#arrival = [];
@@ -266,10 +272,14 @@
   } as const;
   const [daemon] = stack.daemons;
   if (daemon === undefined) throw new Error("Cannot record: no daemon");
+  // Nothing listens where this runner is listed.
+  const closed = await PlayedRunner.open("closed");
   const listed = [
     { name: "drafting", service: modelService, port: model.port },
     { name: "yard", service: plainService, port: plain.port },
+    { name: "closed", service: "closed-app", port: closed.port },
   ];
+  closed.close();
   for (const host of listed) await stack.setHost({ ...place, ...host });
   await knowsRunners(stack, { daemon, count: listed.length });
   return {
--- a/packages/testing/tests/golden_sessions_test.ts
+++ b/packages/testing/tests/golden_sessions_test.ts
@@ -137,6 +137,7 @@
   model.send(stream, chunk(DONE) + "0\r\n\r\n");
   await caller.ended();
   const status = await daemon.child.ended;
+  assertGolden("errors/leaving", [idle.sends, idle.gets]);
   assertGolden("shutdown", [
     caller.sends,
     ...model.parts,
