Prove answers under faults with real processes, and wire claims

Cause: only small servers in one process stood for runners and crashes. The daemon claims keys by ClaimsInStore (the smallest change to its composition).

--- a/packages/bench/src/experiments.ts
+++ b/packages/bench/src/experiments.ts
@@ -17,4 +17,5 @@
 > = {
   arrivals: () => import("./arrivals_experiment.ts"),
   slopes: () => import("./slopes.ts"),
+  overhead: () => import("./overhead.ts"),
 };
--- a/packages/daemon/src/fleet.ts
+++ b/packages/daemon/src/fleet.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import {
+  ClaimsInStore,
   followHostList,
   HttpStore,
   Published,
@@ -32,6 +33,7 @@
 export interface Fleet {
   readonly node: CoordinationNode;
   readonly store: Store;
+  readonly claims: ClaimsInStore;
   readonly directory: RunnerDirectory;
   readonly feed: TableFeed;
 }
@@ -47,7 +49,10 @@
     yield* followRunners(node.hostList, directory);
     const store = yield* openStore(settings);
     const feed = yield* followTable({ store, node, log });
-    return { node, store, directory, feed };
+    const { peers, membership } = node;
+    const claims = new ClaimsInStore({ store, peers, membership });
+    yield* claims.start();
+    return { node, store, claims, directory, feed };
   });
 }
 
--- a/packages/daemon/src/routing.ts
+++ b/packages/daemon/src/routing.ts
@@ -1,5 +1,5 @@
 /**
- * Composes the way of a call to a runner: scheduler, attempts and retries.
+ * Composes the way of a call to a runner: scheduler, attempts, retries and claims.
  *
  * @module
  */
@@ -14,6 +14,7 @@
 import type { Settings } from "./process/settings.ts";
 import type { CallRunner } from "./request/call.ts";
 import { LeastInFlightScheduler } from "./request/least_in_flight_scheduler.ts";
+import { IdempotentCallRunner } from "./request/idempotent_call_runner.ts";
 import { RetryingCallRunner } from "./request/retrying_call_runner.ts";
 
 /** Opens connections to runners, and forgets those of runners that are gone. */
@@ -41,7 +42,7 @@
   const { settings, log } = options;
   return Effect.gen(function* () {
     const connections = yield* openConnections(fleet.directory);
-    return new RetryingCallRunner({
+    const runner = new RetryingCallRunner({
       connections,
       log,
       clock: SYSTEM_CLOCK,
@@ -49,5 +50,6 @@
       budget: new RetryBudget(settings.retries),
       scheduler: new LeastInFlightScheduler(() => fleet.directory.all()),
     });
+    return new IdempotentCallRunner(runner, { claims: fleet.claims, log });
   });
 }
--- /dev/null
+++ b/packages/testing/tests/once_cards_test.ts
@@ -0,0 +1,104 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import type { LedgerEntry, StackOptions } from "../src/mod.ts";
+import { deploy, type Deployed } from "./fixtures.ts";
+
+const CARD = { repeatable: false, body: '{"card":7}' };
+const KEYED = { ...CARD, idempotencyKey: "card-7" };
+
+function runsOf(
+  entries: readonly LedgerEntry[],
+): readonly LedgerEntry[] {
+  return entries.filter(({ refused }) => !refused);
+}
+
+function small(
+  t: Parameters<typeof deploy>[0],
+  options: StackOptions = {},
+): Promise<Deployed> {
+  return deploy(t, {
+    ...options,
+    daemons: 2,
+    runners: 0,
+    plainRunners: 1,
+    proxies: { runners: true },
+  });
+}
+
+describe("a job card under faults, with real processes", () => {
+  // The card is made and its answer is lost on the way back. The caller tries
+  // again through another daemon: a second card would send two vans, and "not
+  // run" would be a lie.
+  it("is made once when its answer is lost, and the retry is told so", async (t) => {
+    const deployed = await small(t);
+    const [runner] = deployed.plainRunners();
+    runner?.proxy?.order({ fault: "lose-reply", count: 1 });
+    const first = await deployed.caller(0, "yard-desk")
+      .plain(deployed.cardPath, KEYED);
+    const second = await deployed.caller(1, "yard-desk")
+      .plain(deployed.cardPath, KEYED);
+    assert.equal(first.outcome, "unknown", JSON.stringify(first));
+    assert.equal(second.outcome, "unknown", JSON.stringify(second));
+    assert.equal(second.status, 409);
+    assert.equal(runsOf(await deployed.ledger()).length, 1);
+  });
+
+  it("is answered again from what was kept, without a second run", async (t) => {
+    const deployed = await small(t);
+    const first = await deployed.caller(0, "yard-desk")
+      .plain(deployed.cardPath, KEYED);
+    assert.equal(first.outcome, "complete", JSON.stringify(first));
+    const retry = deployed.caller(1, "yard-desk");
+    // The answer is recorded after the caller has it, so a retry may come
+    // before; until then it is told that the first try is running.
+    let second = await retry.plain(deployed.cardPath, KEYED);
+    while (second.status === 409) {
+      second = await retry.plain(deployed.cardPath, KEYED);
+    }
+    assert.equal(second.status, first.status);
+    assert.deepEqual(second.body?.callId, first.body?.callId);
+    assert.equal(runsOf(await deployed.ledger()).length, 1);
+  });
+
+  it("without a key is sent exactly once when its answer is lost", async (t) => {
+    const deployed = await small(t);
+    const [runner] = deployed.plainRunners();
+    runner?.proxy?.order({ fault: "lose-reply", count: 1 });
+    const answer = await deployed.caller(0, "yard-desk")
+      .plain(deployed.cardPath, CARD);
+    assert.equal(answer.outcome, "unknown", JSON.stringify(answer));
+    assert.equal(runsOf(await deployed.ledger()).length, 1);
+  });
+
+  // The platform's store is down, so no claim can be made: the card is refused
+  // rather than sent without one, and the caller knows that it did not run.
+  it("is refused as not run while the store is down", async (t) => {
+    const deployed = await small(t);
+    await deployed.stack.control(deployed.stack.platform.url, {
+      fault: "down",
+      part: "objects",
+    });
+    const answer = await deployed.caller(0, "yard-desk")
+      .plain(deployed.cardPath, KEYED);
+    assert.equal(answer.outcome, "not-run", JSON.stringify(answer));
+    assert.equal(answer.status, 503);
+    assert.notEqual(answer.retryAfterMs, undefined);
+    assert.deepEqual(await deployed.ledger(), []);
+  });
+
+  // The daemon that holds the claim is killed while the card is being made.
+  // Its caller tries again with the same key through the other daemon.
+  it("is made at most once when its daemon is killed", async (t) => {
+    const deployed = await small(t, { plainConfig: { serviceMs: 5_000 } });
+    const lost = deployed.caller(0, "yard-desk")
+      .plain(deployed.cardPath, KEYED);
+    await deployed.ledgerWhen((entries) => entries.length === 1);
+    process.kill(deployed.daemon(0).pid, "SIGKILL");
+    await lost;
+    const second = await deployed.caller(1, "yard-desk")
+      .plain(deployed.cardPath, KEYED);
+    assert.equal(second.outcome, "unknown", JSON.stringify(second));
+    assert.equal(second.status, 409);
+    assert.equal(runsOf(await deployed.ledger()).length, 1);
+  });
+});
