Read what has arrived before a timeout is believed

Cause: a daemon that was paused wakes with its timers fired before its sockets are read, and tells "unknown" of an answer that came in time. Change: a runner's timeout acts after one more round of reading. Figures: with real processes, a job card whose daemon was stopped for longer than the limit: told unknown before, answered whole after. Conclusion: silence is judged on what the daemon has read.

--- a/packages/bench/src/experiments.ts
+++ b/packages/bench/src/experiments.ts
@@ -16,6 +16,7 @@
   Record<string, () => Promise<ExperimentModule>>
 > = {
   arrivals: () => import("./arrivals_experiment.ts"),
+  faults: () => import("./faults.ts"),
   slopes: () => import("./slopes.ts"),
   overhead: () => import("./overhead.ts"),
 };
--- a/packages/daemon/src/connection/runner_answer.ts
+++ b/packages/daemon/src/connection/runner_answer.ts
@@ -122,14 +122,29 @@
     clearTimeout(this.#timer);
     this.#timerMs = idleMs;
     this.#timer = setTimeout(() => {
-      if (this.#wake === undefined) return;
-      this.#broken ??= "silent";
-      this.response.destroy();
-      this.#wake();
+      const waiting = this.#wake;
+      afterReading(() => {
+        // Something came meanwhile, and perhaps a new wait has begun.
+        if (waiting === undefined || this.#wake !== waiting) return;
+        this.#broken ??= "silent";
+        this.response.destroy();
+        waiting();
+      });
     }, idleMs);
   }
 }
 
+/**
+ * Runs a timeout's action once what has arrived by then is read. After a pause
+ * of the process its timers fire before its sockets are read: answers that had
+ * come in time would be taken for silence, and a job card that was made would
+ * be told as unknown. Node reads sockets between timers and immediates, so an
+ * immediate is late enough.
+ */
+function afterReading(action: () => void): void {
+  setImmediate(action);
+}
+
 const END: Effect.Effect<undefined> = Effect.succeed(undefined);
 
 /**
@@ -167,12 +182,12 @@
 
   constructor(outgoing: http.ClientRequest, limits: HeadLimits) {
     this.#outgoing = outgoing;
-    this.#timer = setTimeout(() => this.#timeOut(), limits.connectMs);
+    this.#timer = this.#startTimer(limits.connectMs);
     const connected = () => {
       if (this.#end !== undefined) return;
       this.#connected = true;
       clearTimeout(this.#timer);
-      this.#timer = setTimeout(() => this.#timeOut(), limits.headMs);
+      this.#timer = this.#startTimer(limits.headMs);
     };
     outgoing.on("socket", (socket) => {
       if (!socket.connecting) return connected();
@@ -231,7 +246,18 @@
     );
   }
 
+  #startTimer(ms: number): NodeJS.Timeout {
+    const timer = setTimeout(() => {
+      afterReading(() => {
+        // A connection that was made meanwhile has a timer of its own.
+        if (this.#timer === timer) this.#timeOut();
+      });
+    }, ms);
+    return timer;
+  }
+
   #timeOut(): void {
+    if (this.#end !== undefined) return;
     const what = this.#connected ? "answer" : "connection";
     this.#fail("silent", `No ${what} in time`);
     this.#outgoing.destroy();
--- a/packages/testing/tests/once_cards_test.ts
+++ b/packages/testing/tests/once_cards_test.ts
@@ -101,4 +101,26 @@
     assert.equal(second.status, 409);
     assert.equal(runsOf(await deployed.ledger()).length, 1);
   });
+
+  // The daemon is paused while the card is made and wakes after its own time
+  // limit. The answer has come by then, but the limit's timer fires before the
+  // connection is read: the caller would be told "unknown" of a card that was
+  // made and answered in time.
+  it("is answered when its daemon was paused for longer than the answer's limit", async (t) => {
+    const LIMIT_MS = 2_000;
+    const deployed = await small(t, {
+      plainConfig: { serviceMs: 500 },
+      daemonSettings: { attempts: { wholeAnswerMs: LIMIT_MS } },
+    });
+    const { child } = deployed.daemon(0);
+    const call = deployed.caller(0, "yard-desk").plain(deployed.cardPath, CARD);
+    await deployed.ledgerWhen((entries) => entries.length === 1);
+    child.kill("SIGSTOP");
+    await deployed.ledgerWhen(([entry]) => entry?.end === "complete");
+    // Only time itself can outlast the limit; more of it changes nothing.
+    await new Promise((over) => setTimeout(over, 1.5 * LIMIT_MS));
+    child.kill("SIGCONT");
+    const answer = await call;
+    assert.equal(answer.outcome, "complete", JSON.stringify(answer));
+  });
 });
