--- /dev/null
+++ b/packages/daemon/src/process/retry_budget_test.ts
@@ -0,0 +1,24 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { RetryBudget } from "./retry_budget.ts";
+
+test("a budget starts full and runs dry", () => {
+  const budget = new RetryBudget({ share: 0.5, burst: 2 });
+  assert.deepEqual([budget.take(), budget.take(), budget.take()], [
+    true,
+    true,
+    false,
+  ]);
+});
+
+test("successes earn retries by their share, up to the burst", () => {
+  const budget = new RetryBudget({ share: 0.5, burst: 1 });
+  assert.equal(budget.take(), true);
+  budget.succeeded();
+  assert.equal(budget.take(), false);
+  budget.succeeded();
+  assert.equal(budget.take(), true);
+  for (let n = 0; n < 10; n++) budget.succeeded();
+  assert.equal(budget.take(), true);
+  assert.equal(budget.take(), false);
+});
