--- a/packages/bench/src/faults_callers.ts
+++ b/packages/bench/src/faults_callers.ts
@@ -25,6 +25,7 @@
   readonly slotName: string;
 }
 
+const CONFLICT = 409;
 const MAX_TRIES = 4;
 const PAUSE_MS = 250;
 /** Silence after which a caller gives its connection up. */
@@ -38,14 +39,15 @@
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
 
-/** A try that ended so may be followed by another. */
-function mayRetry(arrival: Arrival, answer: Answer): boolean {
-  if (answer.outcome === "complete" || answer.outcome === "corrupt") {
-    return false;
-  }
-  if (arrival.repeatable || answer.outcome === "not-run") return true;
-  // Under the same key a retry is safe, and may fetch the first's answer.
-  return answer.outcome === "unknown" || answer.status === 0;
+/**
+ * Whether a try may be followed by another. What may not be repeated has a key
+ * in this bench, so a retry is safe and may fetch the first try's answer; a
+ * conflict without a time to come back is final.
+ */
+function mayRetry(answer: Answer): boolean {
+  if (answer.outcome === "complete") return false;
+  if (answer.outcome === "corrupt") return false;
+  return answer.status !== CONFLICT || answer.retryAfterMs !== undefined;
 }
 
 /** Sends every arrival when it is due, and follows each to its end. */
@@ -76,7 +78,7 @@
   for (let at = 0; at < MAX_TRIES; at++) {
     const record = await sendOnce(arrival, { ...from, at, dueAt });
     tries.push(record);
-    if (!mayRetry(arrival, record.answer)) break;
+    if (!mayRetry(record.answer)) break;
     await pause(record.answer.retryAfterMs ?? PAUSE_MS);
   }
   return { arrival, tries };
