Let the proxy strike only the answers that a test means

Cause: an answer to a poll of the runner's load could be held or lost in place of the answer to the call under test. Change: lose-reply and reorder take a text that the answer's first bytes hold. Conclusion: faults no longer depend on what else goes over the link.

--- a/packages/testing/src/process/fault_proxy.ts
+++ b/packages/testing/src/process/fault_proxy.ts
@@ -7,6 +7,13 @@
 import type { AddressInfo, Socket } from "node:net";
 import { Link, type LinkFaults } from "./link.ts";
 
+/** Which answers a fault strikes. */
+export interface Struck {
+  readonly count?: number;
+  /** Only answers whose first bytes hold this text, such as a header's name. */
+  readonly match?: string;
+}
+
 /** Faults of a proxy. Each holds until `none`, or for `seconds`. */
 export type ProxyFault =
   /** Each chunk is `delayMs` late in both directions. */
@@ -23,13 +30,9 @@
    */
   | { readonly fault: "silent"; readonly direction?: "up" | "down" }
   /** The next `count` answers (1) are lost, and their connections cut. */
-  | { readonly fault: "lose-reply"; readonly count?: number }
+  | { readonly fault: "lose-reply" } & Struck
   /** The next `count` answers (1) are held back whole for `holdMs`. */
-  | {
-    readonly fault: "reorder";
-    readonly holdMs: number;
-    readonly count?: number;
-  }
+  | { readonly fault: "reorder"; readonly holdMs: number } & Struck
   /** Ends all but silence, and lets go of what was late or held back. */
   | { readonly fault: "none" };
 
@@ -53,8 +56,8 @@
   readonly #links = new Set<Link>();
   #delay = { ms: 0, until: 0 };
   #cutUntil = 0;
-  #repliesToLose = 0;
-  #held = { count: 0, holdMs: 0 };
+  #lost = NONE_STRUCK;
+  #held = { ...NONE_STRUCK, holdMs: 0 };
   #accepted = 0;
 
   /** @internal Use `FaultProxy.start`. */
@@ -110,16 +113,16 @@
         for (const link of this.#links) link.silence(order.direction);
         return;
       case "lose-reply":
-        this.#repliesToLose = order.count ?? 1;
+        this.#lost = strikeNext(order);
         return;
       case "reorder":
-        this.#held = { count: order.count ?? 1, holdMs: order.holdMs };
+        this.#held = { ...strikeNext(order), holdMs: order.holdMs };
         return;
       case "none":
         this.#delay = { ms: 0, until: 0 };
         this.#cutUntil = 0;
-        this.#repliesToLose = 0;
-        this.#held = { count: 0, holdMs: 0 };
+        this.#lost = NONE_STRUCK;
+        this.#held = { ...NONE_STRUCK, holdMs: 0 };
         for (const link of this.#links) link.release();
     }
   }
@@ -144,16 +147,31 @@
   #faults(): LinkFaults {
     return {
       delayMs: () => Date.now() < this.#delay.until ? this.#delay.ms : 0,
-      losesReply: () => this.#repliesToLose > 0 && this.#repliesToLose-- > 0,
-      holdMs: () => {
-        if (this.#held.count <= 0) return 0;
-        this.#held = { ...this.#held, count: this.#held.count - 1 };
-        return this.#held.holdMs;
-      },
+      losesReply: (start) => strikes(this.#lost, start),
+      holdMs: (start) => strikes(this.#held, start) ? this.#held.holdMs : 0,
     };
   }
 }
 
+/** Answers still to be struck. */
+interface ToStrike {
+  left: number;
+  readonly match: string;
+}
+
+const NONE_STRUCK: ToStrike = { left: 0, match: "" };
+
+function strikeNext(order: Struck): ToStrike {
+  return { left: order.count ?? 1, match: order.match ?? "" };
+}
+
+/** Whether the answer that begins so is struck; counts it if it is. */
+function strikes(answers: ToStrike, start: Buffer): boolean {
+  if (answers.left <= 0 || !start.includes(answers.match)) return false;
+  answers.left -= 1;
+  return true;
+}
+
 function until(seconds: number | undefined): number {
   if (seconds === undefined) return Infinity;
   return Date.now() + seconds * MS_PER_SECOND;
--- a/packages/testing/src/process/link.ts
+++ b/packages/testing/src/process/link.ts
@@ -9,10 +9,10 @@
 export interface LinkFaults {
   /** Milliseconds that a chunk is late now. */
   delayMs(): number;
-  /** Whether the answer that begins now is lost. */
-  losesReply(): boolean;
-  /** Milliseconds that the answer that begins now is held back; 0 for none. */
-  holdMs(): number;
+  /** Whether the answer that begins with these bytes is lost. */
+  losesReply(start: Buffer): boolean;
+  /** Milliseconds that the answer is held back; 0 for none. */
+  holdMs(start: Buffer): number;
 }
 
 /** One way of the connection. */
@@ -132,20 +132,20 @@
   #pass(way: Way, chunk: Buffer): void {
     if (this.#silenced[way.name]) return;
     if (way.name === "up") this.#answerBegins = true;
-    else if (this.#answerBegins && !this.#beginAnswer()) return;
+    else if (this.#answerBegins && !this.#beginAnswer(chunk)) return;
     this.#later(way, () => {
       if (!way.to.write(chunk)) way.from.pause();
     });
   }
 
   /** Applies what strikes a whole answer; false when the answer is lost. */
-  #beginAnswer(): boolean {
+  #beginAnswer(start: Buffer): boolean {
     this.#answerBegins = false;
-    if (this.#faults.losesReply()) {
+    if (this.#faults.losesReply(start)) {
       this.cut();
       return false;
     }
-    const holdMs = this.#faults.holdMs();
+    const holdMs = this.#faults.holdMs(start);
     if (holdMs > 0) this.#heldUntil = Date.now() + holdMs;
     return true;
   }
--- a/packages/testing/tests/faults_test.ts
+++ b/packages/testing/tests/faults_test.ts
@@ -10,6 +10,8 @@
   proxies: { runners: true },
 } as const;
 const LONG = 4000;
+/** A header that answers of runs have, and answers to polls have not. */
+const ANSWER_OF_A_RUN = "umbermast-attempt-id";
 /** Long enough that no test waits for its end. */
 const HOLD_MS = 600_000;
 
@@ -46,7 +48,11 @@
     const [runner] = deployed.modelRunners();
     const first = deployed.caller(0, "front-office");
     const second = deployed.caller(0, "homeowners");
-    runner?.proxy?.order({ fault: "reorder", holdMs: HOLD_MS });
+    runner?.proxy?.order({
+      fault: "reorder",
+      holdMs: HOLD_MS,
+      match: ANSWER_OF_A_RUN,
+    });
     const held = first.chat(deployed.model, { streamed: false, testTokens: 9 });
     await deployed.ledgerWhen(([entry]) => entry?.end === "complete");
     const passing = await second.chat(deployed.model, { testTokens: 12 });
--- a/packages/testing/tests/storm_test.ts
+++ b/packages/testing/tests/storm_test.ts
@@ -22,6 +22,9 @@
 const KILL_DAEMON_AT = 160;
 const KILL_RUNNER_AT = 80;
 
+/** The answers of the next two runs, and not of polls in between. */
+const TWO_RUNS = { count: 2, match: "umbermast-attempt-id" };
+
 function pause(ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms));
 }
@@ -39,8 +42,8 @@
       () => proxy?.order({ fault: "cut" }),
       () => proxy?.order({ fault: "silent" }),
       () => proxy?.order({ fault: "silent", direction: "down" }),
-      () => proxy?.order({ fault: "lose-reply", count: 2 }),
-      () => proxy?.order({ fault: "reorder", holdMs: 300, count: 2 }),
+      () => proxy?.order({ fault: "lose-reply", ...TWO_RUNS }),
+      () => proxy?.order({ fault: "reorder", holdMs: 300, ...TWO_RUNS }),
       () => proxy?.order({ fault: "delay", delayMs: 80, seconds: 1 }),
       () => stack.control(url, { fault: "crash-mid-answer", count: 2 }),
       () => stack.control(url, { fault: "lose-reply", count: 2 }),
