End each watch of the store after 3 s

Cause: a watch whose connection went silent told nothing for 25 s and its margin of 2 s; an edit made meanwhile came into force only then. Change: a watch waits for 3 s; at the planned size two watchers in each of six failure domains ask 4 times a second in place of 0.5.

--- a/packages/coordination/src/version/store_follower.ts
+++ b/packages/coordination/src/version/store_follower.ts
@@ -6,7 +6,11 @@
 import * as Effect from "effect/Effect";
 import type { Store, StoredObject, Unavailable } from "../process/store.ts";
 
-const WATCH_WAIT_MS = 25_000;
+/**
+ * A watch whose connection has gone silent looks like one that has nothing to
+ * tell, until its time is over: an edit made meanwhile is in force only then.
+ */
+const WATCH_WAIT_MS = 3_000;
 const SHORTEST_PAUSE_MS = 250;
 const LONGEST_PAUSE_MS = 5_000;
 /** How often a member that is not to watch looks whether it is now. */
--- a/packages/testing/tests/platform_faults_test.ts
+++ b/packages/testing/tests/platform_faults_test.ts
@@ -57,8 +57,11 @@
 describe("faults of the platform", LIMIT, () => {
   it("puts an edit in force at every daemon", async (t) => {
     const deployed = await deploy(t, SMALL);
+    const editedAt = performance.now();
     await editTable(deployed.stack, withNewKey);
     await newKeyInForce(deployed);
+    const elapsedMs = performance.now() - editedAt;
+    t.diagnostic(`in force everywhere after ${elapsedMs.toFixed(0)} ms`);
   });
 
   // The watches of the daemons go silent: their connections stay open and
@@ -69,8 +72,11 @@
     for (const { platformProxy } of deployed.stack.daemons) {
       platformProxy?.order({ fault: "silent" });
     }
+    const editedAt = performance.now();
     await editTable(deployed.stack, withNewKey);
     await newKeyInForce(deployed);
+    const elapsedMs = performance.now() - editedAt;
+    t.diagnostic(`in force everywhere after ${elapsedMs.toFixed(0)} ms`);
   });
 
   it("catches up with an edit made in an outage", async (t) => {
@@ -78,8 +84,11 @@
     for (const { platformProxy } of deployed.stack.daemons) {
       platformProxy?.order({ fault: "cut", seconds: 3 });
     }
+    const editedAt = performance.now();
     await editTable(deployed.stack, withNewKey);
     await newKeyInForce(deployed);
+    const elapsedMs = performance.now() - editedAt;
+    t.diagnostic(`in force everywhere after ${elapsedMs.toFixed(0)} ms`);
   });
 
   // A runner is about to go. Once a daemon has seen so, nothing new may go
