Measure claims by their rate, and let two servers through

Cause: Two servers of a partition at the same pace met a conflict each time, as each read first and then waited for its turn. Change: After a conflict the turn is awaited first and the write follows the read at once. bench claims measures the added time and the store's calls.

--- a/packages/bench/src/experiments.ts
+++ b/packages/bench/src/experiments.ts
@@ -19,4 +19,5 @@
   faults: () => import("./faults.ts"),
   slopes: () => import("./slopes.ts"),
   overhead: () => import("./overhead.ts"),
+  claims: () => import("./claims.ts"),
 };
--- a/packages/coordination/src/process/claim_partition.ts
+++ b/packages/coordination/src/process/claim_partition.ts
@@ -62,6 +62,7 @@
   readonly #waiting = new Set<Waiting>();
   readonly #wake = Latch.makeUnsafe(false);
   #current = false;
+  #contended = false;
   #lastFailure: ClaimStoreFailure | undefined;
   #usedAt: number;
 
@@ -124,6 +125,11 @@
   /** Decides what waits, with one write at most. */
   #turn(): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
+      // Two processes that write at the same pace would meet a conflict each
+      // time if they read first and waited for their turn then. So after a
+      // conflict the turn comes first, and the write follows the read at once.
+      const waited = this.#contended;
+      if (waited) yield* this.#budget.take();
       if (!this.#current) {
         yield* this.#objects.load(this.#ledger);
         this.#current = true;
@@ -131,7 +137,7 @@
       const early = this.#compose();
       this.#resolve(early.batch, early.composition);
       if (early.composition.head === undefined) return;
-      yield* this.#budget.take();
+      if (!waited) yield* this.#budget.take();
       const { batch, composition } = this.#compose();
       if (composition.head === undefined) {
         return this.#resolve(batch, composition);
@@ -167,6 +173,7 @@
       }
       yield* this.#objects.save(this.#ledger, composition);
       this.#current = true;
+      this.#contended = false;
       this.#lastFailure = undefined;
       this.#budget.succeeded();
     });
@@ -195,7 +202,8 @@
     return Effect.suspend(() => {
       this.#current = false;
       this.#lastFailure = failure;
-      if (failure._tag === "Conflict") {
+      this.#contended = failure._tag === "Conflict";
+      if (this.#contended) {
         this.#budget.conflicted();
         return Effect.void;
       }
--- a/packages/coordination/src/process/write_budget.ts
+++ b/packages/coordination/src/process/write_budget.ts
@@ -10,7 +10,7 @@
 const BURST = 2;
 const LONGEST_INTERVAL_MS = 1_000;
 /** Two writers need not be slow to let each other through. */
-const MOST_GROWTH_BY_CONFLICT = 4;
+const MOST_GROWTH_BY_CONFLICT = 2;
 
 /**
  * A token bucket whose interval doubles while the store refuses or fails, grows
