--- a/packages/bench/src/experiments.ts
+++ b/packages/bench/src/experiments.ts
@@ -20,4 +20,5 @@
   slopes: () => import("./slopes.ts"),
   overhead: () => import("./overhead.ts"),
   claims: () => import("./claims.ts"),
+  slopes: () => import("./slopes.ts"),
 };
--- /dev/null
+++ b/packages/coordination/src/process/claim_settler.ts
@@ -0,0 +1,125 @@
+/**
+ * Records what became of claims, in the background.
+ *
+ * @module
+ */
+import * as Effect from "effect/Effect";
+import type * as Scope from "effect/Scope";
+import type { ClaimClient } from "./claim_client.ts";
+import type { ClaimRequest, SettleRequest } from "./claim_decision.ts";
+import { answerBytes } from "./claim_record.ts";
+import type { ClaimSettings } from "./claim_settings.ts";
+import type { ClaimSettlement } from "./claims.ts";
+import type { Clock } from "./clock.ts";
+import type { CrashPoints } from "./crash_points.ts";
+
+const PAUSE_MS = 1_000;
+const DRAIN_POLL_MS = 20;
+/** Settlements that wait for the store; more are given up, their claims stand. */
+const MAX_PENDING = 10_000;
+
+/** What a {@linkcode ClaimSettler} needs. */
+export interface ClaimSettlerOptions {
+  readonly clock: Clock;
+  readonly crashPoints: CrashPoints;
+  readonly settings: ClaimSettings;
+  /** Ends when claims can be made. */
+  readonly client: Effect.Effect<ClaimClient>;
+}
+
+/** Settles claims, trying for a while when the store can't be reached. */
+export class ClaimSettler {
+  readonly #options: ClaimSettlerOptions;
+  #scope: Scope.Scope | undefined;
+  #pending = 0;
+
+  constructor(options: ClaimSettlerOptions) {
+    this.#options = options;
+  }
+
+  /** Settlements that are not recorded yet. */
+  get pending(): number {
+    return this.#pending;
+  }
+
+  /** Sets the scope in which settlements are recorded. */
+  open(scope: Scope.Scope): void {
+    this.#scope = scope;
+  }
+
+  /** Queues a settlement; a claim that can't be settled stands. */
+  settle(
+    request: ClaimRequest,
+    settlement: ClaimSettlement,
+  ): Effect.Effect<void> {
+    return Effect.suspend(() => {
+      const scope = this.#scope;
+      if (scope === undefined || this.#pending >= MAX_PENDING) {
+        return Effect.void;
+      }
+      this.#pending += 1;
+      const { maxAnswerBytes } = this.#options.settings;
+      const settle = settleRequest(request, settlement, { maxAnswerBytes });
+      const counted = Effect.ensuring(
+        this.#record(settle),
+        Effect.sync(() => {
+          this.#pending -= 1;
+        }),
+      );
+      return Effect.asVoid(Effect.forkIn(counted, scope));
+    });
+  }
+
+  /** Ends when all settlements are recorded or given up. */
+  drain(): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      while (this.#pending > 0) yield* Effect.sleep(DRAIN_POLL_MS);
+    });
+  }
+
+  /** Tries until it is recorded or nobody can be waiting for it. */
+  #record(request: SettleRequest): Effect.Effect<void> {
+    const { clock, crashPoints, settings } = this.#options;
+    const { timeoutMs, settlePatienceMs } = settings;
+    const giveUpAt = clock.monotonic() + settlePatienceMs;
+    return Effect.gen({ self: this }, function* () {
+      yield* crashPoints.reached("claim.before_settle");
+      const client = yield* this.#options.client;
+      while (clock.monotonic() < giveUpAt) {
+        const decided = client.decide(request, { timeoutMs });
+        const done = yield* Effect.match(decided, {
+          onFailure: () => false,
+          onSuccess: () => true,
+        });
+        if (done) break;
+        yield* Effect.sleep(PAUSE_MS);
+      }
+      yield* crashPoints.reached("claim.after_settle");
+    });
+  }
+}
+
+function settleRequest(
+  request: ClaimRequest,
+  settlement: ClaimSettlement,
+  options: { readonly maxAnswerBytes: number },
+): SettleRequest {
+  const { _tag: _, ...identity } = request;
+  switch (settlement._tag) {
+    case "NotRun":
+      return { _tag: "Settle", ...identity, state: "withdrawn" };
+    case "MayHaveRun":
+      return { _tag: "Settle", ...identity, state: "may-have-run" };
+    case "Answered": {
+      const { answer } = settlement;
+      const kept = answer !== undefined &&
+        answerBytes(answer) <= options.maxAnswerBytes;
+      return {
+        _tag: "Settle",
+        ...identity,
+        state: "answered",
+        ...(kept ? { answer } : {}),
+      };
+    }
+  }
+}
--- a/packages/coordination/src/process/claims_in_store.ts
+++ b/packages/coordination/src/process/claims_in_store.ts
@@ -12,16 +12,16 @@
   Claim,
   ClaimOutcome,
   Claims,
-  ClaimSettlement,
   ClaimUnavailable,
 } from "./claims.ts";
 import { ClaimClient } from "./claim_client.ts";
-import type { ClaimRequest, SettleRequest, Verdict } from "./claim_decision.ts";
+import type { ClaimRequest, Verdict } from "./claim_decision.ts";
 import { agreeLayout } from "./claim_layout.ts";
 import type { ClaimLayout } from "./claim_layout.ts";
 import type { Undecided } from "./claim_partition.ts";
-import { answerBytes, bodyDigest, keyDigest } from "./claim_record.ts";
+import { bodyDigest, keyDigest } from "./claim_record.ts";
 import { ClaimServer } from "./claim_server.ts";
+import { ClaimSettler } from "./claim_settler.ts";
 import { claimSettings } from "./claim_settings.ts";
 import type { ClaimSettings } from "./claim_settings.ts";
 import { SYSTEM_CLOCK } from "./clock.ts";
@@ -36,11 +36,8 @@
 const RETRY_AFTER_MS = 1_000;
 const RETRY_WHEN_FULL_MS = 30_000;
 const LAYOUT_PAUSE_MS = 500;
-const SETTLE_PAUSE_MS = 1_000;
 /** Part of the bound after which a decision gives up, so that it can say why. */
 const DECIDE_PART = 0.9;
-/** Settlements that wait for the store; more are given up, their claims stand. */
-const MAX_PENDING_SETTLEMENTS = 10_000;
 
 /** Settings of {@linkcode ClaimsInStore}. */
 export interface ClaimsInStoreOptions {
@@ -73,36 +70,38 @@
   readonly #clock: Clock;
   readonly #crashPoints: CrashPoints;
   readonly #client = Deferred.makeUnsafe<ClaimClient>();
-  #scope: Scope.Scope | undefined;
-  #pending = 0;
+  readonly #settler: ClaimSettler;
 
   constructor(options: ClaimsInStoreOptions) {
     this.#options = options;
     this.#settings = claimSettings(options.settings);
     this.#clock = options.clock ?? SYSTEM_CLOCK;
     this.#crashPoints = options.crashPoints ?? NO_CRASH_POINTS;
+    this.#settler = new ClaimSettler({
+      clock: this.#clock,
+      crashPoints: this.#crashPoints,
+      settings: this.#settings,
+      client: Deferred.await(this.#client),
+    });
   }
 
   /** Settlements that are not recorded yet. */
   get pendingSettlements(): number {
-    return this.#pending;
+    return this.#settler.pending;
   }
 
   /** Makes and serves claims until the scope closes. */
   start(): Effect.Effect<void, never, Scope.Scope> {
     return Effect.gen({ self: this }, function* () {
       const scope = yield* Effect.scope;
-      this.#scope = scope;
+      this.#settler.open(scope);
       yield* Effect.forkIn(this.#open(scope), scope);
     });
   }
 
   /** Ends when all settlements are recorded; the caller bounds the time. */
   drain(): Effect.Effect<void> {
-    const POLL_MS = 20;
-    return Effect.gen({ self: this }, function* () {
-      while (this.#pending > 0) yield* Effect.sleep(POLL_MS);
-    });
+    return this.#settler.drain();
   }
 
   claim(
@@ -202,7 +201,7 @@
       key,
       id: request.id,
       mayStart: () => elapsed() < timeoutMs + startWithinMs,
-      settle: (settlement) => this.#settle(request, settlement),
+      settle: (settlement) => this.#settler.settle(request, settlement),
     };
     return Effect.succeed({ _tag: "Claimed", claim });
   }
@@ -233,50 +232,7 @@
   }
 
   #withdraw(request: ClaimRequest): Effect.Effect<void> {
-    return this.#settle(request, { _tag: "NotRun" });
-  }
-
-  #settle(
-    request: ClaimRequest,
-    settlement: ClaimSettlement,
-  ): Effect.Effect<void> {
-    return Effect.suspend(() => {
-      const scope = this.#scope;
-      if (scope === undefined || this.#pending >= MAX_PENDING_SETTLEMENTS) {
-        return Effect.void;
-      }
-      this.#pending += 1;
-      const record = this.#record(settleRequest(request, settlement, {
-        maxAnswerBytes: this.#settings.maxAnswerBytes,
-      }));
-      const counted = Effect.ensuring(
-        record,
-        Effect.sync(() => {
-          this.#pending -= 1;
-        }),
-      );
-      return Effect.asVoid(Effect.forkIn(counted, scope));
-    });
-  }
-
-  /** Tries until it is recorded or nobody can be waiting for it. */
-  #record(request: SettleRequest): Effect.Effect<void> {
-    const { timeoutMs, settlePatienceMs } = this.#settings;
-    const giveUpAt = this.#clock.monotonic() + settlePatienceMs;
-    return Effect.gen({ self: this }, function* () {
-      yield* this.#crashPoints.reached("claim.before_settle");
-      const client = yield* Deferred.await(this.#client);
-      while (this.#clock.monotonic() < giveUpAt) {
-        const decided = client.decide(request, { timeoutMs });
-        const done = yield* Effect.match(decided, {
-          onFailure: () => false,
-          onSuccess: () => true,
-        });
-        if (done) break;
-        yield* Effect.sleep(SETTLE_PAUSE_MS);
-      }
-      yield* this.#crashPoints.reached("claim.after_settle");
-    });
+    return this.#settler.settle(request, { _tag: "NotRun" });
   }
 
   /** Agrees on the layout; until then claims time out as unavailable. */
@@ -320,28 +276,3 @@
     return layout.windowMs * (1 + CLOCK_DRIFT) + 2 * timeoutMs + startWithinMs;
   }
 }
-
-function settleRequest(
-  request: ClaimRequest,
-  settlement: ClaimSettlement,
-  options: { readonly maxAnswerBytes: number },
-): SettleRequest {
-  const { _tag: _, ...identity } = request;
-  switch (settlement._tag) {
-    case "NotRun":
-      return { _tag: "Settle", ...identity, state: "withdrawn" };
-    case "MayHaveRun":
-      return { _tag: "Settle", ...identity, state: "may-have-run" };
-    case "Answered": {
-      const { answer } = settlement;
-      const kept = answer !== undefined &&
-        answerBytes(answer) <= options.maxAnswerBytes;
-      return {
-        _tag: "Settle",
-        ...identity,
-        state: "answered",
-        ...(kept ? { answer } : {}),
-      };
-    }
-  }
-}
