End terms and claims by the longer of two clocks

Cause: While a whole machine is suspended the clock that never goes back stands still, so a holder woke with time left on a lease that had long ended. Change: Lease, PauseWatch and the use of a claim count by the clock that shows more; ages of claims still rest on the one that never goes back. Conclusion: a shown time that jumps ahead only ends a term early.

--- a/packages/coordination/src/process/claims_in_store.ts
+++ b/packages/coordination/src/process/claims_in_store.ts
@@ -24,8 +24,8 @@
 import { ClaimSettler } from "./claim_settler.ts";
 import { claimSettings } from "./claim_settings.ts";
 import type { ClaimSettings } from "./claim_settings.ts";
-import { SYSTEM_CLOCK } from "./clock.ts";
-import type { Clock } from "./clock.ts";
+import { elapsedSince, momentOf, SYSTEM_CLOCK } from "./clock.ts";
+import type { Clock, Moment } from "./clock.ts";
 import { NO_CRASH_POINTS } from "./crash_points.ts";
 import type { CrashPoints } from "./crash_points.ts";
 import type { Membership } from "./membership.ts";
@@ -116,7 +116,7 @@
         id: randomBytes(ID_BYTES).toString("base64url"),
         by: this.#options.membership.self.name,
       };
-      const startedAt = this.#clock.monotonic();
+      const startedAt = momentOf(this.#clock);
       return Effect.matchEffect(this.#ask(request), {
         onFailure: (undecided) => this.#giveUp(request, undecided),
         onSuccess: (verdict) =>
@@ -150,7 +150,7 @@
     asked: {
       readonly key: string;
       readonly request: ClaimRequest;
-      readonly startedAt: number;
+      readonly startedAt: Moment;
     },
   ): Effect.Effect<ClaimOutcome, ClaimUnavailable> {
     const { request } = asked;
@@ -185,12 +185,12 @@
     asked: {
       readonly key: string;
       readonly request: ClaimRequest;
-      readonly startedAt: number;
+      readonly startedAt: Moment;
     },
   ): Effect.Effect<ClaimOutcome, ClaimUnavailable> {
     const { key, request, startedAt } = asked;
     const { timeoutMs, startWithinMs } = this.#settings;
-    const elapsed = () => this.#clock.monotonic() - startedAt;
+    const elapsed = () => elapsedSince(startedAt, this.#clock);
     if (elapsed() > timeoutMs) {
       return this.#giveUp(request, {
         _tag: "Undecided",
--- a/packages/coordination/src/process/clock.ts
+++ b/packages/coordination/src/process/clock.ts
@@ -25,3 +25,27 @@
   now: () => Date.now(),
   monotonic: () => performance.now(),
 };
+
+/** A moment by both clocks. */
+export interface Moment {
+  readonly monotonic: number;
+  readonly shown: number;
+}
+
+/** The present moment. */
+export function momentOf(clock: Clock): Moment {
+  return { monotonic: clock.monotonic(), shown: clock.now() };
+}
+
+/**
+ * Milliseconds since a moment, by the clock that shows more. The clock that
+ * never goes back stands still while a whole machine is suspended, and whoever
+ * acts under a lease would not notice; the shown one is set right after that. A
+ * shown time that jumps ahead by mistake only makes the caller too careful.
+ */
+export function elapsedSince(moment: Moment, clock: Clock): number {
+  return Math.max(
+    clock.monotonic() - moment.monotonic,
+    clock.now() - moment.shown,
+  );
+}
--- a/packages/coordination/src/process/lease.ts
+++ b/packages/coordination/src/process/lease.ts
@@ -5,7 +5,7 @@
  */
 import { randomBytes } from "node:crypto";
 import * as Effect from "effect/Effect";
-import { SYSTEM_CLOCK } from "./clock.ts";
+import { elapsedSince, SYSTEM_CLOCK } from "./clock.ts";
 import type { Clock } from "./clock.ts";
 import { NO_CRASH_POINTS } from "./crash_points.ts";
 import type { CrashPoints } from "./crash_points.ts";
@@ -140,7 +140,7 @@
   #remainingMs(term: LeaseTerm): number {
     if (term.ended) return 0;
     const usableMs = this.#durationMs * (1 - MARGIN_PART);
-    return term.renewedAt + usableMs - this.#clock.monotonic();
+    return usableMs - elapsedSince(term.renewedAt, this.#clock);
   }
 
   #stepMs(): number {
--- a/packages/coordination/src/process/lease_object.ts
+++ b/packages/coordination/src/process/lease_object.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import * as Effect from "effect/Effect";
-import type { Clock } from "./clock.ts";
+import { momentOf } from "./clock.ts";
+import type { Clock, Moment } from "./clock.ts";
 import type { CrashPoints } from "./crash_points.ts";
 import type { Conflict, Store, StoredObject, Unavailable } from "./store.ts";
 
@@ -27,8 +28,8 @@
 /** A time of holding; changes with each renewal. */
 export interface LeaseTerm {
   readonly fencing: number;
-  /** When the last write that is known to stand was sent, by the own clock. */
-  renewedAt: number;
+  /** When the last write that is known to stand was sent. */
+  renewedAt: Moment;
   /** Version on which the next write builds. */
   version: number;
   /** The lease was given up or taken by another process. */
@@ -73,7 +74,7 @@
       const ifVersion = found?.version ?? 0;
       // Versions only grow, so this is above the number of any earlier term.
       const fencing = ifVersion + 1;
-      const sentAt = clock.monotonic();
+      const sentAt = momentOf(clock);
       const written = yield* this.#write(this.#value(fencing), ifVersion);
       if (written._tag !== "Written") return undefined;
       const { version } = written;
@@ -85,7 +86,7 @@
   renew(term: LeaseTerm): Effect.Effect<boolean> {
     const { clock } = this.#options;
     return Effect.gen({ self: this }, function* () {
-      const sentAt = clock.monotonic();
+      const sentAt = momentOf(clock);
       const value = this.#value(term.fencing);
       const written = yield* this.#write(value, term.version);
       if (written._tag === "Unsure") return false;
--- a/packages/coordination/src/process/pause_watch.ts
+++ b/packages/coordination/src/process/pause_watch.ts
@@ -5,8 +5,8 @@
  */
 import * as Effect from "effect/Effect";
 import type * as Scope from "effect/Scope";
-import { SYSTEM_CLOCK } from "./clock.ts";
-import type { Clock } from "./clock.ts";
+import { elapsedSince, momentOf, SYSTEM_CLOCK } from "./clock.ts";
+import type { Clock, Moment } from "./clock.ts";
 
 const TICK_MS = 250;
 const DEFAULT_THRESHOLD_MS = 2_000;
@@ -28,12 +28,12 @@
   readonly #clock: Clock;
   readonly #thresholdMs: number;
   readonly #listeners = new Set<(pausedMs: number) => void>();
-  #lastTick: number;
+  #lastTick: Moment;
 
   constructor(options: PauseWatchOptions = {}) {
     this.#clock = options.clock ?? SYSTEM_CLOCK;
     this.#thresholdMs = options.thresholdMs ?? DEFAULT_THRESHOLD_MS;
-    this.#lastTick = this.#clock.monotonic();
+    this.#lastTick = momentOf(this.#clock);
   }
 
   /**
@@ -48,9 +48,8 @@
 
   /** Tells the listeners of a pause, if there was one since the last check. */
   check(): void {
-    const now = this.#clock.monotonic();
-    const pausedMs = now - this.#lastTick;
-    this.#lastTick = now;
+    const pausedMs = elapsedSince(this.#lastTick, this.#clock);
+    this.#lastTick = momentOf(this.#clock);
     if (pausedMs < this.#thresholdMs) return;
     for (const listener of [...this.#listeners]) listener(pausedMs);
   }
@@ -62,7 +61,7 @@
       Effect.forever,
     );
     return Effect.suspend(() => {
-      this.#lastTick = this.#clock.monotonic();
+      this.#lastTick = momentOf(this.#clock);
       return Effect.asVoid(Effect.forkScoped(tick));
     });
   }
--- a/packages/coordination/tests/lease_test.ts
+++ b/packages/coordination/tests/lease_test.ts
@@ -166,13 +166,13 @@
   clock.advance(100);
   blind = true;
   assert.equal(await Effect.runPromise(a.renew(term)), false);
-  assert.equal(term.renewedAt, 0);
+  assert.equal(term.renewedAt.monotonic, 0);
   blind = false;
   clock.advance(500);
   assert.equal(await Effect.runPromise(a.renew(term)), false);
-  assert.equal(term.renewedAt, 0);
+  assert.equal(term.renewedAt.monotonic, 0);
   assert.equal(await Effect.runPromise(a.renew(term)), false);
-  assert.equal(term.renewedAt, 600);
+  assert.equal(term.renewedAt.monotonic, 600);
 });
 
 test("a holder that was paused past its end may not act when it wakes", async (t) => {
@@ -187,6 +187,18 @@
   assert.ok(tenure.remainingMs() <= 0);
 });
 
+test("a holder on a machine that was suspended may not act when it wakes", async (t) => {
+  // The whole machine stands still, and with it the clock that never goes back.
+  // Only the shown time, set right by the host, tells that the lease has ended.
+  const store = new MemoryStore();
+  let shown = 0;
+  const clock = { monotonic: () => 0, now: () => shown };
+  const tenure = await holding(t, lease(store, { clock }));
+  assert.ok(tenure.remainingMs() > 0);
+  shown = DURATION_MS;
+  assert.ok(tenure.remainingMs() <= 0);
+});
+
 test("a holder stops before another may start, at any moment of its renewals", async () => {
   const store = new MemoryStore();
   const clock = new FakeClock();
@@ -199,7 +211,7 @@
     await Effect.runPromise(a.renew(term));
     assert.equal(await acquired(b), undefined);
   }
-  const endsAt = term.renewedAt + DURATION_MS * 0.8;
+  const endsAt = term.renewedAt.monotonic + DURATION_MS * 0.8;
   clock.advance(DURATION_MS - 1);
   assert.equal(await acquired(b), undefined);
   clock.advance(1);
