--- a/packages/coordination/src/process/claims.ts
+++ b/packages/coordination/src/process/claims.ts
@@ -62,7 +62,7 @@
 /** No claim was made, and none will be used: the request was not run. */
 export interface ClaimUnavailable {
   readonly _tag: "ClaimUnavailable";
-  readonly reason: "store" | "full" | "leaving";
+  readonly reason: "store" | "full";
   readonly message: string;
   readonly retryAfterMs: number;
 }
--- a/packages/coordination/src/process/http_store_test.ts
+++ b/packages/coordination/src/process/http_store_test.ts
@@ -4,6 +4,7 @@
 import type { AddressInfo } from "node:net";
 import { test } from "node:test";
 import type { TestContext } from "node:test";
+import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import { HttpStore } from "./http_store.ts";
 import type { HttpStoreOptions } from "./http_store.ts";
@@ -160,3 +161,45 @@
   await Effect.runPromise(Effect.all(reads, { concurrency: "unbounded" }));
   assert.equal(most, 2);
 });
+
+test("a list names the kind of each object, and a watch where it goes on", async (t) => {
+  const item = { name: "n", version: 4, value: 1 };
+  const event = { type: "put", ...item };
+  const urls: (string | undefined)[] = [];
+  const { store } = await storeBehind(t, (incoming, outgoing) => {
+    urls.push(incoming.url);
+    const events = incoming.url?.startsWith("/watch");
+    answer(
+      outgoing,
+      200,
+      events
+        ? { revision: 5, events: [event] }
+        : { revision: 4, items: [item] },
+    );
+  });
+  assert.deepEqual(await Effect.runPromise(store.list("k")), {
+    revision: 4,
+    items: [{ ...item, kind: "k" }],
+  });
+  const seen = await Effect.runPromise(
+    store.watch("k", { from: 3, waitMs: 50 }),
+  );
+  assert.deepEqual(seen, { revision: 5, events: [event] });
+  assert.deepEqual(urls, ["/objects/k", "/watch/k?from=3&wait=50"]);
+});
+
+test("a call whose caller leaves closes its connection", async (t) => {
+  const closed = Deferred.makeUnsafe<void>();
+  const asked = Deferred.makeUnsafe<void>();
+  const { store } = await storeBehind(t, (incoming) => {
+    incoming.socket.once(
+      "close",
+      () => Deferred.doneUnsafe(closed, Effect.void),
+    );
+    Deferred.doneUnsafe(asked, Effect.void);
+  }, { timeoutMs: 60_000 });
+  const fiber = Effect.runFork(store.read("k", "n"));
+  await Effect.runPromise(Deferred.await(asked));
+  fiber.interruptUnsafe();
+  await Effect.runPromise(Deferred.await(closed));
+});
