Take back only claims that may stand

Cause: During an outage each refused claim waited to be withdrawn, up to the bound of 10,000, so that answers of requests that did run found no room. Change: A failure tells whether the claim may be recorded; only then it is withdrawn. Settlements that can't be recorded wait longer each time. Conclusion: what waits during an outage is what ran.

--- a/packages/coordination/src/process/claim_client.ts
+++ b/packages/coordination/src/process/claim_client.ts
@@ -43,8 +43,8 @@
   }
 
   /**
-   * Decides a request within the time given. When it can't, the request may
-   * still be recorded later by a member that was asked.
+   * Decides a request within the time given. When it can't, the failure tells
+   * whether the request may still be recorded by a member that was asked.
    */
   decide(
     request: PartitionRequest,
@@ -57,6 +57,7 @@
       const self = membership.self.name;
       const asked = this.#routes.servers(membership.view(), partition)
         .slice(0, MOST_ASKED);
+      let mayStand = false;
       for (const name of asked) {
         if (name === self) break;
         const budgetMs = Math.floor((deadline - clock.monotonic()) / 2);
@@ -66,12 +67,21 @@
           request,
           budgetMs,
         });
-        if (verdict._tag === "PeerUnreachable") continue;
-        if (verdict._tag === "Undecided") break;
-        return verdict;
+        if (verdict._tag === "PeerUnreachable") {
+          mayStand ||= mayHaveArrived(verdict);
+          continue;
+        }
+        if (verdict._tag !== "Undecided") return verdict;
+        mayStand ||= verdict.mayStand;
+        break;
       }
       const timeoutMs = Math.max(0, deadline - clock.monotonic());
-      return yield* server.submit(partition, request, { timeoutMs });
+      return yield* server.submit(partition, request, { timeoutMs }).pipe(
+        Effect.mapError((undecided) => ({
+          ...undecided,
+          mayStand: mayStand || undecided.mayStand,
+        })),
+      );
     });
   }
 
@@ -91,7 +101,15 @@
       onFailure: (unreachable) => unreachable,
       onSuccess: (value) =>
         decodeVerdict(value) ??
-          { _tag: "Undecided", reason: "The verdict is not valid" },
+          {
+            _tag: "Undecided",
+            reason: "The verdict is not valid",
+            mayStand: true,
+          },
     });
   }
 }
+
+function mayHaveArrived({ reason }: PeerUnreachable): boolean {
+  return reason !== "no-link" && reason !== "refused";
+}
--- a/packages/coordination/src/process/claim_message.ts
+++ b/packages/coordination/src/process/claim_message.ts
@@ -59,7 +59,11 @@
     case "Answered":
       return decodeAnswered(verdict);
     case "Undecided":
-      return { _tag: "Undecided", reason: String(verdict["reason"]) };
+      return {
+        _tag: "Undecided",
+        reason: String(verdict["reason"]),
+        mayStand: verdict["mayStand"] !== false,
+      };
     default:
       return undefined;
   }
--- a/packages/coordination/src/process/claim_partition.ts
+++ b/packages/coordination/src/process/claim_partition.ts
@@ -23,10 +23,12 @@
 /** Bounds the head: half a megabyte at the longest names. */
 const MAX_BATCH = 1_000;
 
-/** A request could not be decided in time; it may still be recorded later. */
+/** A request could not be decided in time. */
 export interface Undecided {
   readonly _tag: "Undecided";
   readonly reason: string;
+  /** It may be recorded, now or later; false when it certainly never will. */
+  readonly mayStand: boolean;
   readonly retryAfterMs?: number;
 }
 
@@ -43,6 +45,8 @@
 interface Waiting {
   readonly request: PartitionRequest;
   readonly done: Deferred.Deferred<Verdict>;
+  /** A write that carries it may have taken effect. */
+  tried: boolean;
 }
 
 /**
@@ -90,14 +94,14 @@
   ): Effect.Effect<Verdict, Undecided> {
     return Effect.suspend(() => {
       const done = Deferred.makeUnsafe<Verdict>();
-      const item: Waiting = { request, done };
+      const item: Waiting = { request, done, tried: false };
       this.#usedAt = this.#options.clock.monotonic();
       this.#waiting.add(item);
       this.#rouse(request);
       return Deferred.await(done).pipe(
         Effect.timeoutOrElse({
           duration: options.timeoutMs,
-          orElse: () => Effect.fail(this.#undecided()),
+          orElse: () => Effect.fail(this.#undecided(item)),
         }),
         Effect.ensuring(Effect.sync(() => this.#waiting.delete(item))),
       );
@@ -142,7 +146,7 @@
       if (composition.head === undefined) {
         return this.#resolve(batch, composition);
       }
-      yield* this.#write(composition);
+      yield* this.#write(batch, composition);
       this.#resolve(batch, composition, { written: true });
     }).pipe(
       Effect.catch((failure) => this.#retreat(failure)),
@@ -163,7 +167,11 @@
     };
   }
 
-  #write(composition: Composition): Effect.Effect<void, ClaimStoreFailure> {
+  #write(
+    batch: readonly Waiting[],
+    composition: Composition,
+  ): Effect.Effect<void, ClaimStoreFailure> {
+    const before = batch.map(({ tried }) => tried);
     return Effect.gen({ self: this }, function* () {
       // Unknown until the write has succeeded: an interruption in between must
       // lead to a fresh read, as after a lost reply.
@@ -171,12 +179,19 @@
       if (composition.sealed !== undefined) {
         yield* this.#budget.take();
       }
+      for (const item of batch) item.tried = true;
       yield* this.#objects.save(this.#ledger, composition);
       this.#current = true;
       this.#contended = false;
       this.#lastFailure = undefined;
       this.#budget.succeeded();
-    });
+    }).pipe(Effect.tapError((failure) =>
+      Effect.sync(() => {
+        for (const [index, item] of batch.entries()) {
+          item.tried = mayStand(failure, before[index] ?? true);
+        }
+      })
+    ));
   }
 
   #resolve(
@@ -214,26 +229,41 @@
     });
   }
 
-  #undecided(): Undecided {
+  #undecided(item: Waiting): Undecided {
+    const { tried: mayStand } = item;
     const failure = this.#lastFailure;
-    if (failure === undefined) {
-      return { _tag: "Undecided", reason: "No verdict in time" };
-    }
-    if (failure._tag === "Conflict") {
-      return { _tag: "Undecided", reason: "Too many conflicts" };
-    }
-    if (failure._tag === "UnreadableClaims") {
-      return { _tag: "Undecided", reason: failure.message };
-    }
-    const { reason, retryAfterMs } = failure;
+    const unavailable = failure?._tag === "Unavailable" ? failure : undefined;
+    const retryAfterMs = unavailable?.retryAfterMs;
     return {
       _tag: "Undecided",
-      reason,
+      reason: reasonOf(failure),
+      mayStand,
       ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
     };
   }
 }
 
+function reasonOf(failure: ClaimStoreFailure | undefined): string {
+  switch (failure?._tag) {
+    case "Conflict":
+      return "Too many conflicts";
+    case "Unavailable":
+      return failure.reason;
+    case "UnreadableClaims":
+      return failure.message;
+    default:
+      return "No verdict in time";
+  }
+}
+
+/**
+ * Whether an item may be recorded after a write with it failed. A conflict says
+ * that this write was not made; it may be with an earlier one that was.
+ */
+function mayStand(failure: ClaimStoreFailure, before: boolean): boolean {
+  return before || failure._tag === "Unavailable" && failure.mayHaveWritten;
+}
+
 function outcomeOf(request: PartitionRequest): Verdict {
   return { _tag: request._tag === "Claim" ? "Claimed" : "Settled" };
 }
--- a/packages/coordination/src/process/claim_server.ts
+++ b/packages/coordination/src/process/claim_server.ts
@@ -66,6 +66,7 @@
       const refused: Undecided = {
         _tag: "Undecided",
         reason: "The message is not valid",
+        mayStand: false,
       };
       return Effect.succeed(refused);
     }
--- a/packages/coordination/src/process/claim_settler.ts
+++ b/packages/coordination/src/process/claim_settler.ts
@@ -13,7 +13,8 @@
 import type { Clock } from "./clock.ts";
 import type { CrashPoints } from "./crash_points.ts";
 
-const PAUSE_MS = 1_000;
+const SHORTEST_PAUSE_MS = 500;
+const LONGEST_PAUSE_MS = 8_000;
 const DRAIN_POLL_MS = 20;
 /** Settlements that wait for the store; more are given up, their claims stand. */
 const MAX_PENDING = 10_000;
@@ -85,6 +86,7 @@
     return Effect.gen({ self: this }, function* () {
       yield* crashPoints.reached("claim.before_settle");
       const client = yield* this.#options.client;
+      let pauseMs = SHORTEST_PAUSE_MS;
       while (clock.monotonic() < giveUpAt) {
         const decided = client.decide(request, { timeoutMs });
         const done = yield* Effect.match(decided, {
@@ -92,7 +94,8 @@
           onSuccess: () => true,
         });
         if (done) break;
-        yield* Effect.sleep(PAUSE_MS);
+        yield* Effect.sleep(pauseMs);
+        pauseMs = Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
       }
       yield* crashPoints.reached("claim.after_settle");
     });
--- a/packages/coordination/src/process/claims_in_store.ts
+++ b/packages/coordination/src/process/claims_in_store.ts
@@ -141,6 +141,7 @@
         Effect.fail<Undecided>({
           _tag: "Undecided",
           reason: "No verdict in time",
+          mayStand: Deferred.isDoneUnsafe(this.#client),
         }),
     }));
   }
@@ -173,6 +174,7 @@
         return this.#giveUp(request, {
           _tag: "Undecided",
           reason: `Unexpected verdict "${verdict._tag}"`,
+          mayStand: true,
         });
     }
   }
@@ -195,6 +197,7 @@
       return this.#giveUp(request, {
         _tag: "Undecided",
         reason: "The verdict came too late",
+        mayStand: true,
       });
     }
     const claim: Claim = {
@@ -228,7 +231,12 @@
       message: `Cannot claim: ${undecided.reason}`,
       retryAfterMs: undecided.retryAfterMs ?? RETRY_AFTER_MS,
     };
-    return Effect.andThen(this.#withdraw(request), Effect.fail(failure));
+    // During an outage of the store most claims were never written; taking them
+    // back would crowd out the settlements of those that were.
+    const withdrawal = undecided.mayStand
+      ? this.#withdraw(request)
+      : Effect.void;
+    return Effect.andThen(withdrawal, Effect.fail(failure));
   }
 
   #withdraw(request: ClaimRequest): Effect.Effect<void> {
--- a/packages/coordination/tests/claims_test.ts
+++ b/packages/coordination/tests/claims_test.ts
@@ -189,6 +189,18 @@
   assert.equal((await claimed(a, "key"))._tag, "Claimed");
 });
 
+test("claims refused before any write leave nothing to take back", async (t) => {
+  // During an outage each refused claim would otherwise wait to be withdrawn,
+  // and the answers of requests that did run would find no room to be kept.
+  const fleet = new ClaimFleet(t, ["a"]);
+  const a = await fleet.daemon("a", { settings: { timeoutMs: 200 } });
+  assert.equal((await claimed(a, "warm"))._tag, "Claimed");
+  fleet.store.plan = () => "refuse";
+  const keys = Array.from({ length: 20 }, (_, index) => `key ${index}`);
+  await Promise.all(keys.map((key) => claimed(a, key)));
+  assert.equal(a.pendingSettlements, 0);
+});
+
 test("a claim given up while the store went down is taken back later", async (t) => {
   // The write takes effect, its reply is lost, and the store goes down before it
   // can be read back. The caller is told "not run", and its next try must run.
