--- a/packages/bench/src/experiments.ts
+++ b/packages/bench/src/experiments.ts
@@ -16,9 +16,8 @@
   Record<string, () => Promise<ExperimentModule>>
 > = {
   arrivals: () => import("./arrivals_experiment.ts"),
+  claims: () => import("./claims.ts"),
   faults: () => import("./faults.ts"),
   slopes: () => import("./slopes.ts"),
   overhead: () => import("./overhead.ts"),
-  claims: () => import("./claims.ts"),
-  slopes: () => import("./slopes.ts"),
 };
