--- a/packages/bench/src/claims.ts
+++ b/packages/bench/src/claims.ts
@@ -140,6 +140,11 @@
     },
     { name: "seconds", summary: "length of each rate", fallback: 10 },
     { name: "members", summary: "members that claim", fallback: 3 },
+    {
+      name: "partitions",
+      summary: "partitions of the keys; 0 for the default",
+      fallback: 0,
+    },
     { name: "answerBytes", summary: "size of kept answers", fallback: 200 },
   ],
   async run(settings) {
@@ -147,7 +152,11 @@
     const seconds = settings.number("seconds");
     const answerBytes = settings.number("answerBytes");
     const members = settings.number("members");
-    const fleet = await ClaimFleet.start(members);
+    const partitions = settings.number("partitions");
+    const fleet = await ClaimFleet.start(
+      members,
+      partitions === 0 ? {} : { partitions },
+    );
     try {
       // The first claims read the partitions, which later ones need not.
       await measure(fleet, { rate: 100, seconds: 1, answerBytes });
--- a/packages/bench/src/claims_fleet.ts
+++ b/packages/bench/src/claims_fleet.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import {
+  type ClaimSettings,
   ClaimsInStore,
   type CoordinationNode,
   type Host,
@@ -60,18 +61,27 @@
 /** Members of one deployment. */
 export class ClaimFleet {
   readonly #platform: StandInChild;
+  readonly #settings: Partial<ClaimSettings>;
   readonly #scope = Scope.makeUnsafe();
   readonly #hostList = new FleetHostList();
   readonly #members: ClaimMember[] = [];
   #next = 0;
 
-  private constructor(platform: StandInChild) {
+  private constructor(
+    platform: StandInChild,
+    settings: Partial<ClaimSettings>,
+  ) {
     this.#platform = platform;
+    this.#settings = settings;
   }
 
   /** Starts a platform and members, and waits until all know each other. */
-  static async start(members: number): Promise<ClaimFleet> {
-    const fleet = new ClaimFleet(await startStandIn("platform", {}));
+  static async start(
+    members: number,
+    settings: Partial<ClaimSettings>,
+  ): Promise<ClaimFleet> {
+    const platform = await startStandIn("platform", {});
+    const fleet = new ClaimFleet(platform, settings);
     try {
       for (let index = 0; index < members; index += 1) {
         await fleet.#join(`member-${index}`);
@@ -122,7 +132,12 @@
     }));
     const store = new HttpStore({ url: this.#platform.url });
     const { peers, membership } = node;
-    const claims = new ClaimsInStore({ store, peers, membership });
+    const claims = new ClaimsInStore({
+      store,
+      peers,
+      membership,
+      settings: this.#settings,
+    });
     await this.#run(claims.start());
     this.#members.push({ node, claims, store });
   }
