Let the table's version ride on heartbeats

Cause: Heartbeats carry a digest, and the daemon put nothing into it; a gap was found only by the comparison of each second. Change: DigestBoard carries several named digests; the daemon (fleet.ts) adds the table's. A version that many announce at once is fetched once. Conclusion: a gap is seen with the next heartbeat.

--- a/packages/coordination/src/version/version_exchange.ts
+++ b/packages/coordination/src/version/version_exchange.ts
@@ -43,6 +43,7 @@
 export class VersionExchange {
   readonly #options: VersionExchangeOptions;
   #lastContact: number;
+  #fetching = false;
 
   constructor(options: VersionExchangeOptions) {
     this.#options = options;
@@ -125,7 +126,17 @@
   heard(from: string, version: unknown): void {
     if (!isVersion(version)) return;
     this.#touch();
-    if (version > this.#options.have()) Effect.runFork(this.pull(from));
+    if (version > this.#options.have()) this.#fetch(from);
+  }
+
+  /** One fetch at a time: a new version is announced by many at once. */
+  #fetch(from: string): void {
+    if (this.#fetching) return;
+    this.#fetching = true;
+    const done = Effect.sync(() => {
+      this.#fetching = false;
+    });
+    Effect.runFork(Effect.ensuring(this.pull(from), done));
   }
 
   #received(from: string, message: unknown): Effect.Effect<unknown> {
@@ -136,7 +147,7 @@
       if (query?.["ask"] === "update") return this.#answer(from, query["have"]);
       const update = decodeUpdate(message);
       if (update === undefined) return null;
-      if (!this.#apply(from, update)) Effect.runFork(this.pull(from));
+      if (!this.#apply(from, update)) this.#fetch(from);
       return null;
     });
   }
--- a/packages/daemon/src/fleet.ts
+++ b/packages/daemon/src/fleet.ts
@@ -6,6 +6,7 @@
  */
 import {
   ClaimsInStore,
+  DigestBoard,
   followHostList,
   HttpStore,
   Published,
@@ -44,11 +45,12 @@
   log: Log,
 ): Effect.Effect<Fleet, ListenFailed, Scope.Scope> {
   return Effect.gen(function* () {
-    const node = yield* joinPeers(settings, log);
+    const digest = new DigestBoard();
+    const node = yield* joinPeers(settings, { log, digest });
     const directory = new RunnerDirectory();
     yield* followRunners(node.hostList, directory);
     const store = yield* openStore(settings);
-    const feed = yield* followTable({ store, node, log });
+    const feed = yield* followTable({ store, node, digest, log });
     const { peers, membership } = node;
     const claims = new ClaimsInStore({ store, peers, membership });
     yield* claims.start();
@@ -56,8 +58,12 @@
   });
 }
 
-function joinPeers(settings: Settings, log: Log) {
+function joinPeers(
+  settings: Settings,
+  parts: { readonly log: Log; readonly digest: DigestBoard },
+) {
   const { name, region, failureDomain, peers, platform } = settings;
+  const { log, digest } = parts;
   return Effect.gen(function* () {
     const hostList = yield* followHostList({
       url: platform.hostsUrl ?? platform.url,
@@ -75,6 +81,7 @@
       failureDomain,
       ...peers,
       hostList,
+      digest,
       onEvent: (event) => logMembership(event, log),
     });
   });
@@ -118,9 +125,10 @@
 function followTable(parts: {
   readonly store: Store;
   readonly node: CoordinationNode;
+  readonly digest: DigestBoard;
   readonly log: Log;
 }) {
-  const { store, node, log } = parts;
+  const { store, node, digest, log } = parts;
   return Effect.gen(function* () {
     const published = new Published<unknown>({
       store,
@@ -133,6 +141,7 @@
     });
     const feed = new SourcedTableFeed(published, log);
     yield* published.start();
+    digest.add("table", published.digest);
     return feed;
   });
 }
