--- a/packages/coordination/tests/published_test.ts
+++ b/packages/coordination/tests/published_test.ts
@@ -151,7 +151,12 @@
 test("an edit whose announcements are all lost is found by comparing", async (t) => {
   const fleet = new Fleet(t);
   await fleet.write("first");
-  const cut = await fleet.daemon("a1", { plan: () => "refuse" });
+  // They know of each other only, so that each comparison meets the other.
+  const [self = memberNamed(""), peer = memberNamed("")] = MEMBERS;
+  const cut = await fleet.daemon("a1", {
+    plan: () => "refuse",
+    membership: new FakeMembership(self, [peer]),
+  });
   const other = await fleet.daemon("a2");
   await Promise.all([ready(cut), ready(other)]);
   fleet.network.fate = ({ kind }) => kind === "send" ? "lose" : "deliver";
