Drop the calls' idle connections when a watch goes silent

Cause: the list that follows a silent watch was sent on a kept connection that was silent as well, and waited for its whole 2 s. Change: a watch that fails drops the idle connections of the calls too.

--- a/packages/coordination/src/process/http_exchange.ts
+++ b/packages/coordination/src/process/http_exchange.ts
@@ -68,7 +68,7 @@
       const timer = setTimeout(() => {
         finish(Effect.fail(exchange.failure("No answer in time")));
         outgoing.destroy();
-        this.#dropIdle();
+        this.dropIdle();
       }, options.timeoutMs);
       exchange.follow(outgoing);
       outgoing.on("error", (error) => {
@@ -91,8 +91,11 @@
     });
   }
 
-  /** Idle connections share the path of one that went silent. */
-  #dropIdle(): void {
+  /**
+   * Closes idle connections. They share the path of one that went silent, and
+   * each would cost the next request its whole time.
+   */
+  dropIdle(): void {
     for (const sockets of Object.values(this.#agent.freeSockets)) {
       for (const socket of sockets ?? []) socket.destroy();
     }
--- a/packages/coordination/src/process/http_store.ts
+++ b/packages/coordination/src/process/http_store.ts
@@ -178,7 +178,11 @@
       return this.#watches.send({ method: "GET", path }, {
         timeoutMs: options.waitMs + WATCH_MARGIN_MS,
       });
-    });
+    }).pipe(
+      // What silenced the watch has silenced the idle connections of the calls
+      // as well, and the list that follows would wait for one of them in vain.
+      Effect.tapError(() => Effect.sync(() => this.#calls.dropIdle())),
+    );
     return Effect.flatMap(
       this.#guarded(this.#readHold, call),
       (reply) =>
