Put the links between daemons behind fault proxies

Cause: what daemons send one another could not be delayed, cut or silenced. Change: /peers/listen in the daemon's settings names where to listen when others dial another address; the proxy relays datagrams too, on its port; the launcher puts one before each daemon on request.

--- a/packages/daemon/src/process/setting_findings.ts
+++ b/packages/daemon/src/process/setting_findings.ts
@@ -60,17 +60,18 @@
   return schema as Schema.Top;
 }
 
-/** Fields of a section, also where the section has a default. */
+/** Fields of a section, also where it has a default or may be absent. */
 export function fieldsOf(
   schema: unknown,
 ): Readonly<Record<string, Schema.Top>> | undefined {
   const section = schema as {
     readonly fields?: Readonly<Record<string, Schema.Top>>;
     readonly to?: unknown;
+    readonly schema?: unknown;
   };
   if (section.fields !== undefined) return section.fields;
-  if (section.to === undefined) return undefined;
-  return fieldsOf(section.to);
+  const inner = section.to ?? section.schema;
+  return inner === undefined ? undefined : fieldsOf(inner);
 }
 
 /** What a setting expects, in words. */
--- a/packages/daemon/src/process/settings.ts
+++ b/packages/daemon/src/process/settings.ts
@@ -45,6 +45,15 @@
       "TCP and UDP port that other daemons connect to; 0 lets the system pick.",
     ),
     key: setting.secret("Key that all daemons of the deployment share."),
+    // Absent when other daemons reach this one where it listens.
+    listen: Schema.optionalKey(Schema.Struct({
+      address: setting.address(
+        "Address to listen on, where other daemons come through address translation. `/peers/listen` may be absent.",
+      ),
+      port: setting.port(
+        "TCP and UDP port to listen on; 0 lets the system pick.",
+      ),
+    })),
   }),
   platform: Schema.Struct({
     url: setting.httpUrl("Root of the platform's object API."),
--- a/packages/testing/src/process/child.ts
+++ b/packages/testing/src/process/child.ts
@@ -129,3 +129,11 @@
     },
   };
 }
+
+/** Waits for all, also when one fails, so that none is left starting. */
+export async function settled<T>(
+  starts: readonly Promise<T>[],
+): Promise<readonly T[]> {
+  await Promise.allSettled(starts);
+  return await Promise.all(starts);
+}
--- a/packages/testing/src/process/daemon_program.ts
+++ b/packages/testing/src/process/daemon_program.ts
@@ -44,6 +44,16 @@
   readonly peerKey: string;
   readonly platformUrl: string;
   readonly scheduler: string;
+  /** Port of the proxy before its peer listener, when there is one. */
+  readonly peersBehind?: number;
+}
+
+/** Where a daemon listens for its peers when a proxy is before it. */
+export const PEER_ADDRESS = "127.0.0.2";
+
+function peersOf({ address, peersBehind: port }: DaemonPlace): object {
+  if (port === undefined) return { address, port: 0 };
+  return { address, port, listen: { address: PEER_ADDRESS, port } };
 }
 
 /** Settings of a daemon that listens on ports of the system's choice. */
@@ -55,7 +65,7 @@
     failureDomain,
     listen: { address, port: 0 },
     operators: { address, port: 0, token: place.operatorToken },
-    peers: { address, port: 0, key: place.peerKey },
+    peers: { ...peersOf(place), key: place.peerKey },
     platform: { url: place.platformUrl },
     scheduler,
   };
--- a/packages/testing/src/process/fault_proxy.ts
+++ b/packages/testing/src/process/fault_proxy.ts
@@ -5,6 +5,7 @@
  */
 import { createServer, type Server } from "node:net";
 import type { AddressInfo, Socket } from "node:net";
+import { DatagramRelay, type Place } from "./datagram_relay.ts";
 import { Link, type LinkFaults } from "./link.ts";
 
 /** Which answers a fault strikes. */
@@ -16,13 +17,13 @@
 
 /** Faults of a proxy. Each holds until `none`, or for `seconds`. */
 export type ProxyFault =
-  /** Each chunk is `delayMs` late in both directions. */
+  /** Each chunk is `delayMs` late in both directions, and each datagram. */
   | {
     readonly fault: "delay";
     readonly delayMs: number;
     readonly seconds?: number;
   }
-  /** Open connections are cut, and new ones while it holds. */
+  /** Open connections are cut, and new ones and datagrams while it holds. */
   | { readonly fault: "cut"; readonly seconds?: number }
   /**
    * Open connections swallow everything for good; new ones work. `direction`
@@ -38,6 +39,7 @@
 
 const ADDRESS = "127.0.0.1";
 const MS_PER_SECOND = 1000;
+const PORT_ATTEMPTS = 10;
 
 /**
  * A proxy before one address.
@@ -52,7 +54,7 @@
 export class FaultProxy {
   readonly port: number;
   readonly #server: Server;
-  readonly #target: { readonly address: string; readonly port: number };
+  readonly #target: Place;
   readonly #links = new Set<Link>();
   #delay = { ms: 0, until: 0 };
   #cutUntil = 0;
@@ -60,28 +62,42 @@
   #held = { ...NONE_STRUCK, holdMs: 0 };
   #accepted = 0;
 
+  #datagrams: DatagramRelay | undefined;
+
   /** @internal Use `FaultProxy.start`. */
-  constructor(
-    server: Server,
-    target: { readonly address: string; readonly port: number },
-  ) {
+  constructor(server: Server, target: (port: number) => Place) {
     this.#server = server;
-    this.#target = target;
     this.port = (server.address() as AddressInfo).port;
+    this.#target = target(this.port);
     server.on("connection", (socket) => this.#accept(socket));
   }
 
   /** Listens on 127.0.0.1, on a port of the system's choice by default. */
   static async start(
-    target: { readonly address: string; readonly port: number },
+    target: Place,
     options: { readonly port?: number } = {},
   ): Promise<FaultProxy> {
-    const server = createServer({ allowHalfOpen: true });
-    await new Promise<void>((resolve, reject) => {
-      server.once("error", reject);
-      server.listen(options.port ?? 0, ADDRESS, resolve);
-    });
-    return new FaultProxy(server, target);
+    const server = await listen(options.port ?? 0);
+    return new FaultProxy(server, () => target);
+  }
+
+  /**
+   * Listens for TCP and UDP on 127.0.0.1, on one port of the system's choice,
+   * before the same port of another address of this machine.
+   */
+  static async startBefore(address: string): Promise<FaultProxy> {
+    for (let attempt = 1;; attempt++) {
+      const server = await listen(0);
+      const proxy = new FaultProxy(server, (port) => ({ address, port }));
+      try {
+        await proxy.#relayDatagrams();
+        return proxy;
+      } catch (error) {
+        // A port that is free for TCP may be taken for UDP; take another one.
+        await proxy.close();
+        if (attempt === PORT_ATTEMPTS) throw error;
+      }
+    }
   }
 
   /** Base URL, for HTTP behind the proxy. */
@@ -128,9 +144,25 @@
   }
 
   /** Ends the proxy and all its connections. */
-  close(): Promise<void> {
+  async close(): Promise<void> {
     for (const link of this.#links) link.cut();
-    return new Promise((resolve) => this.#server.close(() => resolve()));
+    await this.#datagrams?.close();
+    await new Promise((resolve) => this.#server.close(resolve));
+  }
+
+  async #relayDatagrams(): Promise<void> {
+    const place = { address: ADDRESS, port: this.port };
+    this.#datagrams = await DatagramRelay.open(place, {
+      target: this.#target,
+      faults: {
+        cut: () => Date.now() < this.#cutUntil,
+        delayMs: () => this.#delayMs(),
+      },
+    });
+  }
+
+  #delayMs(): number {
+    return Date.now() < this.#delay.until ? this.#delay.ms : 0;
   }
 
   #accept(caller: Socket): void {
@@ -146,13 +178,22 @@
 
   #faults(): LinkFaults {
     return {
-      delayMs: () => Date.now() < this.#delay.until ? this.#delay.ms : 0,
+      delayMs: () => this.#delayMs(),
       losesReply: (start) => strikes(this.#lost, start),
       holdMs: (start) => strikes(this.#held, start) ? this.#held.holdMs : 0,
     };
   }
 }
 
+async function listen(port: number): Promise<Server> {
+  const server = createServer({ allowHalfOpen: true });
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, ADDRESS, resolve);
+  });
+  return server;
+}
+
 /** Answers still to be struck. */
 interface ToStrike {
   left: number;
--- a/packages/testing/src/process/launcher.ts
+++ b/packages/testing/src/process/launcher.ts
@@ -8,11 +8,12 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import type { Table } from "@umbermast/table";
-import { type Child, startLogged, startStandIn } from "./child.ts";
+import { type Child, settled, startLogged, startStandIn } from "./child.ts";
 import {
   DAEMON,
   daemonSettings,
   LISTENING,
+  PEER_ADDRESS,
   readListening,
   waitReady,
 } from "./daemon_program.ts";
@@ -220,6 +221,9 @@
     const platformProxy = this.#options.proxies?.platform
       ? await this.#proxy(this.#platformUrl)
       : undefined;
+    const peerProxy = this.#options.proxies?.peers
+      ? this.#adopt(await FaultProxy.startBefore(PEER_ADDRESS))
+      : undefined;
     const settingsFile = join(this.#logs, `${name}-${at}.json`);
     const logFile = join(this.#logs, `${name}-${at}.log`);
     const settings = daemonSettings({
@@ -227,6 +231,7 @@
       ...this.#place(at),
       operatorToken: this.#operatorToken,
       peerKey: this.#peerKey,
+      ...(peerProxy === undefined ? {} : { peersBehind: peerProxy.port }),
       platformUrl: platformProxy?.url ?? this.#platformUrl,
       scheduler: this.#options.scheduler ?? "umbermast",
     });
@@ -258,6 +263,7 @@
       logFile,
       child,
       ...(callerProxy === undefined ? {} : { callerProxy }),
+      ...(peerProxy === undefined ? {} : { peerProxy }),
       ...(platformProxy === undefined ? {} : { platformProxy }),
     };
   }
@@ -282,16 +288,11 @@
 
   async #proxy(targetUrl: string): Promise<FaultProxy> {
     const port = Number(new URL(targetUrl).port);
-    const proxy = await FaultProxy.start({ address: ADDRESS, port });
+    return this.#adopt(await FaultProxy.start({ address: ADDRESS, port }));
+  }
+
+  #adopt(proxy: FaultProxy): FaultProxy {
     this.#proxies.push(proxy);
     return proxy;
   }
 }
-
-/** Waits for all, also when one fails, so that none is left starting. */
-async function settled<T>(
-  starts: readonly Promise<T>[],
-): Promise<readonly T[]> {
-  await Promise.allSettled(starts);
-  return await Promise.all(starts);
-}
--- a/packages/testing/src/process/stack_handle.ts
+++ b/packages/testing/src/process/stack_handle.ts
@@ -45,6 +45,8 @@
     readonly platform?: boolean;
     /** Between the callers and each daemon. */
     readonly callers?: boolean;
+    /** Before each daemon, for what other daemons send it. Needs 127.0.0.2. */
+    readonly peers?: boolean;
   };
 }
 
@@ -59,6 +61,8 @@
   readonly child: LoggedChild;
   /** Between callers and this daemon, when asked for. */
   readonly callerProxy?: FaultProxy;
+  /** Before this daemon, for what other daemons send it, when asked for. */
+  readonly peerProxy?: FaultProxy;
   /** Between this daemon and the platform, when asked for. */
   readonly platformProxy?: FaultProxy;
 }
