Count parts of limits, held grants and news in the capacity page

Cause: shares and brokers' polls changed since the page's amounts were set. Change: amounts of brokers, entries, watched runners and parts of limits as the code now gives rise to them; news and presentations after a failure.

--- a/packages/bench/src/capacity_failures.ts
+++ b/packages/bench/src/capacity_failures.ts
@@ -22,6 +22,18 @@
 
 /** Hosts in a rack; the plan does not say. */
 const HOSTS_PER_RACK = 20;
+/** Of membership's defaults: periods from suspicion to removal, and stretch. */
+const SUSPICION_SECONDS = 3 * Math.log10(PLAN.daemons);
+const SUSPICION_STRETCH = 3;
+/** Of membership's defaults: times that an item of news is sent by a member. */
+const NEWS_SENT = 3 * Math.log2(PLAN.daemons);
+/** Of membership's defaults: 2 datagrams of 1,400 bytes four times a second. */
+const NEWS_BYTES_PER_SECOND = 8 * 1_400;
+/** Size of one item of news, an estimate from its fields. */
+const NEWS_BYTES = 70;
+/** Size of a held slot in a presentation, an estimate from its fields. */
+const HELD_BYTES = 100;
+const KILO = 1_000;
 const PERCENT = 100;
 
 const size = derive();
@@ -46,8 +58,8 @@
   const growth = PLAN.daemons / (PLAN.daemons - lost.daemons) - 1;
   return `${whole(entries)} streams break with their daemons and end for the ` +
     `caller in a broken connection, never in \`[DONE]\`; ` +
-    `${whole(engines)} break at runners and are resumed, retried within the ` +
-    `retry budget, or ended in an error event. Each remaining daemon gets ` +
+    `${whole(engines)} break at runners and are resumed, retried (at most ` +
+    `one for ten successes), or ended in an error event. Each remaining daemon gets ` +
     `${(PERCENT * growth).toFixed(1)}% more requests.`;
 }
 
@@ -55,7 +67,10 @@
   const shards = size.shards * lost.daemons / PLAN.daemons;
   const resent = shards * size.streamsPerShard;
   return `About ${shards.toFixed(1)} of ${whole(size.shards)} shards get a ` +
-    `new broker, which learns ${whole(resent)} held grants from the entries; ` +
+    `new broker, which learns ${whole(resent)} held grants (about ` +
+    `${
+      whole(resent * HELD_BYTES / KILO)
+    } KB over the fleet) from the entries; ` +
     `until then entries fall back to the next daemon in hash order, higher ` +
     `tiers first. ${
       percent(lost.runners, PLAN.runners)
@@ -82,11 +97,14 @@
 }
 
 function memberText(lost: Lost): string {
-  return `${
-    whole(lost.daemons)
-  } removals travel as gossip on probes that are ` +
-    `sent anyway; the rate of probes does not change, a burst only makes ` +
-    `them fuller, up to one datagram each.`;
+  const newsSeconds = lost.daemons * NEWS_SENT * NEWS_BYTES /
+    NEWS_BYTES_PER_SECOND;
+  const most = 2 * NEWS_BYTES_PER_SECOND / KILO;
+  return `Suspected within a second or two, removed after ` +
+    `${SUSPICION_SECONDS.toFixed(1)} s when several share the suspicion and ` +
+    `${(SUSPICION_STRETCH * SUSPICION_SECONDS).toFixed(0)} s when none does. ` +
+    `The news keeps each member busy for ${newsSeconds.toFixed(1)} s, at up ` +
+    `to ${most.toFixed(0)} KB/s both ways; probes stay one a second.`;
 }
 
 function effectsOf(lost: Lost): readonly Effect[] {
--- a/packages/bench/src/capacity_plan.ts
+++ b/packages/bench/src/capacity_plan.ts
@@ -52,6 +52,8 @@
    * does not say; one in twenty is an assumption of this page.
    */
   claimShare: 0.05,
+  /** Models that the requests of one row go to. An assumption. */
+  modelsPerRow: 2,
   /** Edits of a day fall in working hours, bunched. An assumption. */
   editBunching: 10,
 } as const;
--- a/packages/bench/src/capacity_remedies.ts
+++ b/packages/bench/src/capacity_remedies.ts
@@ -20,7 +20,10 @@
   "hand-written checks of their fields in place of a schema's decoder";
 
 const TRAFFIC: readonly Remedy[] = [
-  { role: "brokerRunner", change: "as its table says" },
+  {
+    role: "brokerRunner",
+    change: "ask a runner less often while its in-flight count explains it",
+  },
   {
     role: "partitionOwner",
     change: "each write carries the whole head of a partition: seal heads at " +
@@ -33,15 +36,26 @@
       "in one object for each workspace, so that an edit brings one of them",
   },
   { role: "broker", change: `${COMPACT}; ${BATCH}` },
-  { role: "brokerEntry", change: "as its table says" },
+  {
+    role: "brokerEntry",
+    change:
+      "let heartbeats of the link stand for the beats of what is only held",
+  },
   { role: "entry", change: COMPACT },
-  { role: "entryBroker", change: "as its table says" },
+  { role: "entryBroker", change: "the same as for brokerEntry" },
   {
     role: "link",
     change:
       "let the heartbeat interval grow with the number of links in use, " +
       "and an entry ask a subset of the brokers",
   },
+  {
+    role: "shareHolder",
+    change:
+      "report a part only when its demand has changed or its grant runs " +
+      "out, so that idle rows cost nothing",
+  },
+  { role: "shareOwner", change: "the same" },
   {
     role: "member",
     change: "bound the news that a probe carries by rate as well as by size",
@@ -49,21 +63,36 @@
 ];
 
 const PROCESSOR: readonly Remedy[] = [
-  { role: "brokerRunner", change: "as its table says" },
+  {
+    role: "brokerRunner",
+    change: "ask a runner less often while its in-flight count explains it",
+  },
   { role: "broker", change: `${COMPACT}; ${BATCH}` },
-  { role: "brokerEntry", change: `as its table says; ${BATCH}` },
+  {
+    role: "brokerEntry",
+    change: "heartbeats of the link in place of beats; " + BATCH,
+  },
   {
     role: "brokerGrant",
     change: "count what an entry holds as it changes, not at each beat",
   },
   { role: "entry", change: `${COMPACT}; ${BATCH}` },
-  { role: "entryBroker", change: "as its table says" },
+  {
+    role: "entryBroker",
+    change: "count what is at a broker as it changes, not at each beat",
+  },
   {
     role: "partitionOwner",
     change: "smaller heads, so that less is encoded and parsed a write, and " +
       "64 partitions, so that each owner has fewer claims",
   },
   { role: "watcher", change: "one object for each workspace's rows" },
+  {
+    role: "shareHolder",
+    change: "hash the members' names once for each view, not for each limit; " +
+      "report only parts whose demand has changed",
+  },
+  { role: "shareOwner", change: "fewer reports, as for traffic" },
   {
     role: "link",
     change:
--- a/packages/bench/src/capacity_roles.ts
+++ b/packages/bench/src/capacity_roles.ts
@@ -11,9 +11,9 @@
 const ALL = PLAN.daemons;
 /** A broker serves a whole service today, and there is one for each model. */
 const BROKERS_TODAY = PLAN.models;
-/** Beats and reports five and four times a second today, once a second later. */
-const BEATS_LATER = 0.2;
-const REPORTS_LATER = 0.25;
+const PARTS_TODAY = size.rows * DESIGN.modelsPerRow;
+const PARTS_LATER = PARTS_TODAY * size.shardsPerModel;
+const SHARDS = "cut a service's runners into shards of 16, each with a broker";
 
 const ENTRY: Carrier = {
   name: "Entry",
@@ -35,11 +35,8 @@
     control("entryBroker", "brokers that it uses", {
       today: everywhere(BROKERS_TODAY, "one for each of 11 models' services"),
       later: {
-        ...everywhere(
-          size.shards * BEATS_LATER,
-          "150 shards, beats once a second instead of five times",
-        ),
-        change: "beat once a second, and only where asks wait",
+        ...everywhere(size.shards, "150 shards, all used within seconds"),
+        change: SHARDS,
       },
     }),
     {
@@ -88,7 +85,7 @@
           total: PLAN.requestsPerSecond,
           working: "150 shards of 16 runners, at most one for a daemon",
         }),
-        change: "cut a service's runners into shards of 16, each with a broker",
+        change: SHARDS,
       },
     }),
     control("brokerEntry", "entries that use it", {
@@ -100,10 +97,10 @@
       },
       later: {
         bearers: size.shards,
-        amount: ALL * BEATS_LATER,
-        most: ALL * BEATS_LATER,
-        working: "380 entries, beats once a second instead of five times",
-        change: "beat once a second, and only where asks wait",
+        amount: ALL,
+        most: ALL,
+        working: "the same, at more brokers",
+        change: SHARDS,
       },
     }),
     {
@@ -118,22 +115,22 @@
           total: size.openStreams,
           working: "over 150 shards",
         }),
-        change: "cut a service's runners into shards of 16, each with a broker",
+        change: SHARDS,
       },
       control: true,
       held: true,
     },
     control("brokerRunner", "runners watched", {
-      today: everywhere(
-        PLAN.runners,
-        "every daemon asks every runner for its load, four times a second",
-      ),
+      today: spread(BROKERS_TODAY, {
+        total: PLAN.runners,
+        working: "a broker asks the runners of its service for their load",
+      }),
       later: {
-        bearers: size.shards,
-        amount: DESIGN.runnersPerShard * REPORTS_LATER,
-        most: DESIGN.runnersPerShard * REPORTS_LATER,
-        working: "the 16 of one shard, once a second instead of four times",
-        change: "ask only the runners of one's own shards, once a second",
+        ...spread(size.shards, {
+          total: PLAN.runners,
+          working: "the 16 of one shard",
+        }),
+        change: SHARDS,
       },
     }),
   ],
@@ -208,18 +205,41 @@
 const SHARE_OWNER: Carrier = {
   name: "Share owner",
   mechanism:
-    "A row's limit is divided among the shards that see its demand by the " +
+    "A row's limit is divided among the brokers that see its demand by the " +
     "daemon that rendezvous hashing of the row names. Shares expire, so their " +
     "sum stays under the limit when the owner is lost.",
-  modules: [],
+  modules: ["packages/coordination/src/process/shares.ts"],
   loads: [
-    control("shareOwner", "rows owned", {
+    control("shareOwner", "parts of limits owned", {
       today: {
         ...spread(ALL, {
-          total: size.rows,
-          working: "1,860 over 380; twice that for the unluckiest",
+          total: PARTS_TODAY,
+          working:
+            "1,860 rows × 2 models each (assumed), one broker a model; " +
+            "twice as many for the unluckiest",
+        }),
+        most: 2 * PARTS_TODAY / ALL,
+      },
+      later: {
+        ...spread(ALL, {
+          total: PARTS_LATER,
+          working: "the same with 13.6 shards a model",
+        }),
+        most: 2 * PARTS_LATER / ALL,
+        change: SHARDS,
+      },
+    }),
+    control("shareHolder", "parts of limits held", {
+      today: spread(BROKERS_TODAY, {
+        total: PARTS_TODAY,
+        working: "the same parts, at the brokers that hold them",
+      }),
+      later: {
+        ...spread(size.shards, {
+          total: PARTS_LATER,
+          working: "the same, over 150 shards' brokers",
         }),
-        most: 2 * size.rows / ALL,
+        change: SHARDS,
       },
     }),
   ],
--- a/packages/bench/src/slopes_result.ts
+++ b/packages/bench/src/slopes_result.ts
@@ -25,6 +25,7 @@
   "follower",
   "watcherRow",
   "shareOwner",
+  "shareHolder",
   "member",
   "link",
 ] as const;
