--- a/packages/bench/src/slopes.ts
+++ b/packages/bench/src/slopes.ts
@@ -18,9 +18,18 @@
   type SlopesResult,
 } from "./slopes_result.ts";
 import { CLAIMS_RIG } from "./slopes_rig_claims.ts";
+import { ENTRY_RIG } from "./slopes_rig_entry.ts";
 import { MEMBER_RIG } from "./slopes_rig_member.ts";
+import { PUBLISHED_RIG } from "./slopes_rig_published.ts";
+import { SHARES_RIG } from "./slopes_rig_shares.ts";
 
-const RIGS: readonly Rig[] = [MEMBER_RIG, CLAIMS_RIG];
+const RIGS: readonly Rig[] = [
+  ENTRY_RIG,
+  CLAIMS_RIG,
+  PUBLISHED_RIG,
+  SHARES_RIG,
+  MEMBER_RIG,
+];
 const GIB = 2 ** 30;
 const DATE_LENGTH = 10;
 const SIGNIFICANT = 6;
--- a/packages/bench/src/slopes_parts.ts
+++ b/packages/bench/src/slopes_parts.ts
@@ -9,4 +9,6 @@
 export const PARTS: Readonly<Record<string, () => Promise<PartModule>>> = {
   claims: () => import("./slopes_part_claims.ts"),
   members: () => import("./slopes_part_members.ts"),
+  published: () => import("./slopes_part_published.ts"),
+  shares: () => import("./slopes_part_shares.ts"),
 };
--- a/packages/bench/src/slopes_rig_member.ts
+++ b/packages/bench/src/slopes_rig_member.ts
@@ -23,8 +23,10 @@
 const LINK_COUNTS = [0, 20, 60, 120, 180];
 /** Members that share a process when they are not measured themselves. */
 const MEMBERS_PER_PROCESS = 10;
-/** News of so many joins goes round for a while. */
-const SETTLE_MS = 20_000;
+/** Probes alone are about four messages a second; news of joins adds to them. */
+const CALM_MESSAGES = 6;
+const CALM_LIMIT_MS = 120_000;
+const CALM_SAMPLE_SECONDS = 3;
 const USE_SETTLE_MS = 6_000;
 const USE_EVERY_MS = 4_000;
 const POLL_MS = 250;
@@ -62,11 +64,24 @@
     all.map((process) => command(process, { type: "hosts", hosts })),
   );
   await settled(all, count);
+  await calm(own);
   const names = others.flatMap(hostsOf).map((host) => host.name);
   return { measured: own, others, names };
 }
 
-/** Waits until every member sees all of them alive, and then a little. */
+/** Waits until the news of the joins has gone round, but not for ever. */
+async function calm(process: RigProcess): Promise<void> {
+  const until = performance.now() + CALM_LIMIT_MS;
+  while (performance.now() < until) {
+    const sample = await sampleProcess(process, {
+      x: 0,
+      seconds: CALM_SAMPLE_SECONDS,
+    });
+    if (sample.messages < CALM_MESSAGES) return;
+  }
+}
+
+/** Waits until every member sees all of them alive. */
 async function settled(
   processes: readonly RigProcess[],
   count: number,
@@ -82,7 +97,6 @@
     }
     await pause(POLL_MS);
   }
-  await pause(SETTLE_MS);
 }
 
 async function viewSamples(options: RigOptions): Promise<{
@@ -139,12 +153,15 @@
           run: options,
           per: "member in the view",
           how: "One member in a process of its own, the others ten to a " +
-            "process, all started by `startNode`; after every view is whole.",
+            "process, all started by `startNode`; after every view is whole and " +
+            "the news of the joins has gone round, or after two minutes.",
         }),
         rssBytes,
       },
       measured("link", links, {
         run: options,
+        // The first links start timers that further ones share.
+        withoutIdle: true,
         per: "link in use",
         how: "The same; one member sends a small message to each of so many " +
           `others every ${USE_EVERY_MS / 1_000} s.`,
