--- a/scripts/check_docs.mjs
+++ b/scripts/check_docs.mjs
@@ -2,7 +2,15 @@
 // is run by CI, and codes, events and metrics that operators' pages name exist
 // in the code. With --run, also runs the commands that nothing else runs.
 import { execFileSync, spawn } from "node:child_process";
-import { existsSync, readdirSync, readFileSync } from "node:fs";
+import {
+  existsSync,
+  mkdtempSync,
+  readdirSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from "node:fs";
+import { tmpdir } from "node:os";
 import { dirname, join, relative } from "node:path";
 import process from "node:process";
 import { createInterface } from "node:readline";
@@ -16,6 +24,7 @@
 const METRIC = /`(umbermast_[a-z0-9_]+)(?:\{[^`]*\})?`/g;
 const NAME = /`([a-z]+(?:_[a-z0-9]+)+)`/g;
 const BLOCK = /^[ \t]*```sh\n([\s\S]*?)^[ \t]*```$/gm;
+const SETTINGS = /^```json settings\n([\s\S]*?)^```$/gm;
 const HISTOGRAM_PART = /_(?:bucket|sum|count)$/;
 
 function filesUnder(folder, ending) {
@@ -131,6 +140,23 @@
   JSON.parse(first);
 }
 
+/** Settings that a page shows must be ones that the daemon takes. */
+function checkSettings(pages) {
+  const folder = mkdtempSync(join(tmpdir(), "umbermast-docs-"));
+  const file = join(folder, "settings.json");
+  const daemon = join(root, "packages/daemon/dist/src/umbermastd.js");
+  for (const page of pages) {
+    for (const [, settings] of page.text.matchAll(SETTINGS)) {
+      console.error(`Checking the settings that ${page.name} shows`);
+      writeFileSync(file, settings);
+      execFileSync(process.execPath, [daemon, "check", file], {
+        stdio: ["ignore", "ignore", 2],
+      });
+    }
+  }
+  rmSync(folder, { recursive: true });
+}
+
 async function runCommands() {
   for (const { run, serve } of COMMANDS) {
     const command = run ?? serve;
@@ -147,20 +173,41 @@
   }
 }
 
+/** A page that nothing links to is one that nobody finds. */
+function orphanFindings(pages) {
+  const linked = new Set();
+  for (const page of pages) {
+    for (const [, target] of page.text.matchAll(LINK)) {
+      const [path] = target.split("#");
+      if (path === "" || /^[a-z]+:/.test(path)) continue;
+      const file = join(dirname(page.path), path);
+      linked.add(file.replace(/\/$/, ""));
+      linked.add(join(file, "README.md"));
+    }
+  }
+  return pages
+    .filter((page) => page.name !== "README.md" && !linked.has(page.path))
+    .map((page) => `${page.name}: no page links to it`);
+}
+
 const sources = sourceText();
 const pages = filesUnder(root, ".md").map((path) => ({
   path,
   name: relative(root, path),
   text: readFileSync(path, "utf8"),
 }));
-const findings = pages.flatMap((page) => [
+const findings = orphanFindings(pages);
+findings.push(...pages.flatMap((page) => [
   ...linkFindings(page),
   ...pathFindings(page),
   ...commandFindings(page),
   ...(page.name.startsWith("docs/operators/")
     ? nameFindings(page, sources)
     : []),
-]);
+]));
 for (const finding of findings) console.error(finding);
 if (findings.length > 0) process.exit(1);
-if (process.argv.includes("--run")) await runCommands();
+if (process.argv.includes("--run")) {
+  checkSettings(pages);
+  await runCommands();
+}
