--- a/scripts/check_docs.mjs
+++ b/scripts/check_docs.mjs
@@ -81,7 +81,7 @@
   if (known === undefined) {
     return `${place}: nothing in CI runs "${command}"`;
   }
-  if (known.run !== undefined || known.serve !== undefined) return undefined;
+  if (known.run ?? known.serve ?? known.tour) return undefined;
   const file = known.ci === undefined ? known.test : ".ci/run";
   const text = known.ci ?? known.text;
   const path = join(root, file);
@@ -122,22 +122,43 @@
     .join("\n");
 }
 
-/** Runs a command that stays up, until it has told where it is. */
-async function serveCommand([program, ...args]) {
+/** Runs the commands of the tour one after the other, as one shell would. */
+function runTour(pages, folder) {
+  const tour = pages.flatMap(commandsIn).filter((command) =>
+    COMMANDS.some(({ pattern, tour }) => tour && pattern.test(command))
+  );
+  const script = ["set -euo pipefail", ...tour].join("\n")
+    .replaceAll("stack.json", join(folder, "stack.json"))
+    .replaceAll("rows.csv", join(folder, "rows.csv"));
+  execFileSync("bash", ["-c", script], {
+    cwd: root,
+    stdio: ["ignore", "ignore", 2],
+  });
+}
+
+/** Runs a command that stays up, and the tour against what it tells. */
+async function serveCommand([program, ...args], pages) {
+  const folder = mkdtempSync(join(tmpdir(), "umbermast-docs-"));
   const child = spawn(program, args, {
     cwd: root,
     stdio: ["ignore", "pipe", 2],
   });
   const ended = new Promise((resolve) => child.once("exit", resolve));
-  const lines = createInterface({ input: child.stdout });
-  const first = await new Promise((resolve) => {
-    lines.once("line", resolve);
-    lines.once("close", () => resolve(""));
-  });
-  child.kill("SIGTERM");
+  try {
+    const lines = createInterface({ input: child.stdout });
+    const first = await new Promise((resolve) => {
+      lines.once("line", resolve);
+      lines.once("close", () => resolve(""));
+    });
+    JSON.parse(first);
+    writeFileSync(join(folder, "stack.json"), first);
+    runTour(pages, folder);
+  } finally {
+    child.kill("SIGTERM");
+    rmSync(folder, { recursive: true });
+  }
   const code = await ended;
   if (code !== 0) throw new Error(`"${program}" ended with ${code}`);
-  JSON.parse(first);
 }
 
 /** Settings that a page shows must be ones that the daemon takes. */
@@ -157,13 +178,13 @@
   rmSync(folder, { recursive: true });
 }
 
-async function runCommands() {
+async function runCommands(pages) {
   for (const { run, serve } of COMMANDS) {
     const command = run ?? serve;
     if (command === undefined) continue;
     console.error(`Running ${command.join(" ")}`);
     if (serve !== undefined) {
-      await serveCommand(serve);
+      await serveCommand(serve, pages);
       continue;
     }
     execFileSync(run[0], run.slice(1), {
@@ -209,5 +230,5 @@
 if (findings.length > 0) process.exit(1);
 if (process.argv.includes("--run")) {
   checkSettings(pages);
-  await runCommands();
+  await runCommands(pages);
 }
--- a/scripts/docs_commands.mjs
+++ b/scripts/docs_commands.mjs
@@ -1,7 +1,8 @@
 // The commands that pages show in blocks marked `sh`, and what runs each in CI:
 // `ci` is a line of .ci/run, `test` a test file that holds `text`, and `run` a
 // command that scripts/check_docs.mjs runs itself, `serve` one that it runs until
-// the first line on standard output, which must be JSON, and then ends by SIGTERM.
+// the first line on standard output, which must be JSON, and then ends by SIGTERM;
+// meanwhile it runs, in the pages' order, all commands that are marked `tour`.
 // `pattern` matches the whole line as shown.
 export const COMMANDS = [
   { pattern: /^npm test$/, ci: "npm test" },
@@ -15,7 +16,7 @@
   },
   {
     pattern:
-      /^npm run stack -- --daemons 3 --runners 8 --deployment cooperative --json$/,
+      /^npm run stack -- --daemons 3 --runners 8 --deployment cooperative --json \| tee stack\.json$/,
     serve: [
       "npm",
       "run",
@@ -31,6 +32,9 @@
       "--json",
     ],
   },
+  { pattern: /^eval "\$\(node scripts\/stack_environment/, tour: true },
+  { pattern: /^curl -sif "\$UMBERMAST_URL/, tour: true },
+  { pattern: /^node packages\/cli\/dist\/src\/umbermastctl\.js /, tour: true },
   { pattern: /^npm run build$/, ci: "npm run --silent build" },
   { pattern: /^npm run lint$/, ci: "npm run --silent lint" },
   {
