--- a/packages/bench/src/slopes_rig_entry.ts
+++ b/packages/bench/src/slopes_rig_entry.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { setMaxListeners } from "node:events";
 import type { Table } from "@umbermast/table";
 import { Caller, type Stack, startStack } from "@umbermast/testing";
 import { ledgersOf } from "./judge_ledgers.ts";
@@ -82,12 +83,19 @@
   return runs.reduce((sum, run) => sum + run.tokens, 0);
 }
 
+/** Resident memory grows with garbage too, which is no state of a rate. */
+function stateless(sample: Sample): Sample {
+  return { ...sample, stateBytes: 0 };
+}
+
 /** Streams that do not end stay open while their tokens are relayed. */
 async function streamSamples(options: RigOptions) {
   const byTokens: Sample[] = [];
   const byStreams: Sample[] = [];
   await withStack(async (stack, caller) => {
     const leave = new AbortController();
+    // One signal ends all streams, each of which listens to it.
+    setMaxListeners(0, leave.signal);
     const { model } = stack.deployment;
     let open = 0;
     for (const count of STREAM_COUNTS) {
@@ -102,7 +110,7 @@
         seconds: options.seconds,
         loadOf: () => tokensOf(stack),
       });
-      byTokens.push(sample);
+      byTokens.push(stateless(sample));
       byStreams.push({ ...sample, x: count });
     }
     leave.abort();
@@ -120,12 +128,11 @@
         void caller.chat(model, { testTokens: TOKENS_OF_REQUEST });
       }, MILLIS / rate);
       await pause(SETTLE_MS);
-      samples.push(
-        await sampleProc(pidOf(stack), {
-          seconds: options.seconds,
-          loadOf: async () => (await ledgersOf(stack)).length,
-        }),
-      );
+      const sample = await sampleProc(pidOf(stack), {
+        seconds: options.seconds,
+        loadOf: async () => (await ledgersOf(stack)).length,
+      });
+      samples.push(stateless(sample));
       clearInterval(timer);
     }
   });
