--- a/packages/bench/src/capacity_page.ts
+++ b/packages/bench/src/capacity_page.ts
@@ -184,7 +184,8 @@
     "## Roles",
     "Costs are those of one daemon that bears the load. They follow the " +
     "fitted line, less what the same process spent without the load; what a " +
-    "process spends while it does nothing is counted once, with the members.",
+    "process spends while it does nothing is counted once, with the members. " +
+    "In brackets: the share of a daemon's budget.",
     ...sections,
     "## The platform's store",
     storeLines(result),
--- a/packages/bench/src/capacity_section.ts
+++ b/packages/bench/src/capacity_section.ts
@@ -5,18 +5,30 @@
  */
 import type { Cost, Line, Priced } from "./capacity_arithmetic.ts";
 import type { Amounts, Carrier } from "./capacity_load.ts";
-import { PLAN } from "./capacity_plan.ts";
+import { BUDGET, PLAN } from "./capacity_plan.ts";
 import { KILO, MEGA, short, table } from "./capacity_text.ts";
 
 const NOT_MEASURED = "not measured yet";
+const PERCENT = 100;
+
+/** A cost with its share of the budget. */
+function shared(
+  value: number,
+  options: { readonly unit: number; readonly limit: number },
+): string {
+  const { unit, limit } = options;
+  return `${short(value / unit)} (${
+    short(Math.round(PERCENT * value / limit))
+  }%)`;
+}
 
 function costCells(cost: Cost | undefined): readonly string[] {
   if (cost === undefined) return [NOT_MEASURED, "", "", "", ""];
   return [
-    short(cost.cpuMicros / KILO),
-    short(cost.bytes / KILO),
+    shared(cost.cpuMicros, { unit: KILO, limit: BUDGET.cpuMicrosPerSecond }),
+    shared(cost.bytes, { unit: KILO, limit: BUDGET.bytesPerSecond }),
     short(cost.messages),
-    short(cost.stateBytes / MEGA),
+    shared(cost.stateBytes, { unit: MEGA, limit: BUDGET.memoryBytes }),
     short(cost.storeCalls),
   ];
 }
