--- a/scripts/check_docs.mjs
+++ b/scripts/check_docs.mjs
@@ -2,7 +2,15 @@
 // is run by CI, and codes, events and metrics that operators' pages name exist
 // in the code. With --run, also runs the commands that nothing else runs.
 import { execFileSync, spawn } from "node:child_process";
-import { existsSync, readdirSync, readFileSync } from "node:fs";
+import {
+  existsSync,
+  mkdtempSync,
+  readdirSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from "node:fs";
+import { tmpdir } from "node:os";
 import { dirname, join, relative } from "node:path";
 import process from "node:process";
 import { createInterface } from "node:readline";
@@ -16,6 +24,7 @@
 const METRIC = /`(umbermast_[a-z0-9_]+)(?:\{[^`]*\})?`/g;
 const NAME = /`([a-z]+(?:_[a-z0-9]+)+)`/g;
 const BLOCK = /^[ \t]*```sh\n([\s\S]*?)^[ \t]*```$/gm;
+const SETTINGS = /^```json settings\n([\s\S]*?)^```$/gm;
 const HISTOGRAM_PART = /_(?:bucket|sum|count)$/;
 
 function filesUnder(folder, ending) {
@@ -72,7 +81,7 @@
   if (known === undefined) {
     return `${place}: nothing in CI runs "${command}"`;
   }
-  if (known.run !== undefined || known.serve !== undefined) return undefined;
+  if (known.run ?? known.serve ?? known.tour) return undefined;
   const file = known.ci === undefined ? known.test : ".ci/run";
   const text = known.ci ?? known.text;
   const path = join(root, file);
@@ -113,31 +122,69 @@
     .join("\n");
 }
 
-/** Runs a command that stays up, until it has told where it is. */
-async function serveCommand([program, ...args]) {
+/** Runs the commands of the tour one after the other, as one shell would. */
+function runTour(pages, folder) {
+  const tour = pages.flatMap(commandsIn).filter((command) =>
+    COMMANDS.some(({ pattern, tour }) => tour && pattern.test(command))
+  );
+  const script = ["set -euo pipefail", ...tour].join("\n")
+    .replaceAll("stack.json", join(folder, "stack.json"))
+    .replaceAll("rows.csv", join(folder, "rows.csv"));
+  execFileSync("bash", ["-c", script], {
+    cwd: root,
+    stdio: ["ignore", "ignore", 2],
+  });
+}
+
+/** Runs a command that stays up, and the tour against what it tells. */
+async function serveCommand([program, ...args], pages) {
+  const folder = mkdtempSync(join(tmpdir(), "umbermast-docs-"));
   const child = spawn(program, args, {
     cwd: root,
     stdio: ["ignore", "pipe", 2],
   });
   const ended = new Promise((resolve) => child.once("exit", resolve));
-  const lines = createInterface({ input: child.stdout });
-  const first = await new Promise((resolve) => {
-    lines.once("line", resolve);
-    lines.once("close", () => resolve(""));
-  });
-  child.kill("SIGTERM");
+  try {
+    const lines = createInterface({ input: child.stdout });
+    const first = await new Promise((resolve) => {
+      lines.once("line", resolve);
+      lines.once("close", () => resolve(""));
+    });
+    JSON.parse(first);
+    writeFileSync(join(folder, "stack.json"), first);
+    runTour(pages, folder);
+  } finally {
+    child.kill("SIGTERM");
+    rmSync(folder, { recursive: true });
+  }
   const code = await ended;
   if (code !== 0) throw new Error(`"${program}" ended with ${code}`);
-  JSON.parse(first);
 }
 
-async function runCommands() {
+/** Settings that a page shows must be ones that the daemon takes. */
+function checkSettings(pages) {
+  const folder = mkdtempSync(join(tmpdir(), "umbermast-docs-"));
+  const file = join(folder, "settings.json");
+  const daemon = join(root, "packages/daemon/dist/src/umbermastd.js");
+  for (const page of pages) {
+    for (const [, settings] of page.text.matchAll(SETTINGS)) {
+      console.error(`Checking the settings that ${page.name} shows`);
+      writeFileSync(file, settings);
+      execFileSync(process.execPath, [daemon, "check", file], {
+        stdio: ["ignore", "ignore", 2],
+      });
+    }
+  }
+  rmSync(folder, { recursive: true });
+}
+
+async function runCommands(pages) {
   for (const { run, serve } of COMMANDS) {
     const command = run ?? serve;
     if (command === undefined) continue;
     console.error(`Running ${command.join(" ")}`);
     if (serve !== undefined) {
-      await serveCommand(serve);
+      await serveCommand(serve, pages);
       continue;
     }
     execFileSync(run[0], run.slice(1), {
@@ -147,20 +194,41 @@
   }
 }
 
+/** A page that nothing links to is one that nobody finds. */
+function orphanFindings(pages) {
+  const linked = new Set();
+  for (const page of pages) {
+    for (const [, target] of page.text.matchAll(LINK)) {
+      const [path] = target.split("#");
+      if (path === "" || /^[a-z]+:/.test(path)) continue;
+      const file = join(dirname(page.path), path);
+      linked.add(file.replace(/\/$/, ""));
+      linked.add(join(file, "README.md"));
+    }
+  }
+  return pages
+    .filter((page) => page.name !== "README.md" && !linked.has(page.path))
+    .map((page) => `${page.name}: no page links to it`);
+}
+
 const sources = sourceText();
 const pages = filesUnder(root, ".md").map((path) => ({
   path,
   name: relative(root, path),
   text: readFileSync(path, "utf8"),
 }));
-const findings = pages.flatMap((page) => [
+const findings = orphanFindings(pages);
+findings.push(...pages.flatMap((page) => [
   ...linkFindings(page),
   ...pathFindings(page),
   ...commandFindings(page),
   ...(page.name.startsWith("docs/operators/")
     ? nameFindings(page, sources)
     : []),
-]);
+]));
 for (const finding of findings) console.error(finding);
 if (findings.length > 0) process.exit(1);
-if (process.argv.includes("--run")) await runCommands();
+if (process.argv.includes("--run")) {
+  checkSettings(pages);
+  await runCommands(pages);
+}
