Give engines orders under a lease, within its remaining time

Cause: a holder that was paused past its lease wakes and gives an order; an engine that ignores fencing numbers would let it stand last. Change: one placement task for each service; an order's first byte leaves only while its longest send fits in the remaining tenure, checked in the turn of the write, and a send that takes longer is reset; a new holder waits out the longest send and the lag of reports; targets follow demand with hysteresis; no model loses its last copy and no engine its last model; each decision is logged.

--- /dev/null
+++ b/packages/daemon/src/process/placement/placement_fixtures.ts
@@ -0,0 +1,92 @@
+/**
+ * Fixtures for tests of placement.
+ *
+ * @internal
+ * @module
+ */
+import type { Clock } from "@umbermast/coordination";
+import * as EffectClock from "effect/Clock";
+import * as Duration from "effect/Duration";
+import * as Effect from "effect/Effect";
+import type { Runner } from "../runner.ts";
+import type { Tenure } from "./placement_order.ts";
+import type { EngineState } from "./placement_plan.ts";
+
+const NANOS_PER_MS = 1_000_000n;
+
+/** A runner of the service "pool". */
+export function runnerOf(fields: Partial<Runner> = {}): Runner {
+  return {
+    name: "r1",
+    service: "pool",
+    address: "127.0.0.1",
+    port: 1,
+    region: "here",
+    failureDomain: "a",
+    state: "live",
+    incarnation: 1,
+    ...fields,
+  };
+}
+
+/** An engine that holds the given models. */
+export function engineOf(
+  runner: string,
+  models: readonly string[],
+  fields: Partial<EngineState> = {},
+): EngineState {
+  return {
+    runner,
+    models: new Set(models),
+    loading: new Set(),
+    refused: new Set(),
+    requests: 0,
+    ...fields,
+  };
+}
+
+/** A tenure that lasts, unless told otherwise. */
+export function tenureOf(
+  remainingMs: () => number = () => 60_000,
+  fencing = 1,
+): Tenure {
+  return { fencing, remainingMs };
+}
+
+/** Time that jumps over pauses, for effects and for a process's clock alike. */
+export class JumpingClock implements Clock {
+  #now = 0;
+
+  now(): number {
+    return this.#now;
+  }
+
+  monotonic(): number {
+    return this.#now;
+  }
+
+  advance(ms: number): void {
+    this.#now += ms;
+  }
+
+  /** Runs an effect whose pauses are over at once. */
+  run<A>(effect: Effect.Effect<A>): Promise<A> {
+    const nanos = () => BigInt(Math.round(this.#now)) * NANOS_PER_MS;
+    const clock: EffectClock.Clock = {
+      currentTimeMillisUnsafe: () => this.#now,
+      currentTimeMillis: Effect.sync(() => this.#now),
+      currentTimeNanosUnsafe: nanos,
+      currentTimeNanos: Effect.sync(nanos),
+      monotonicTimeNanosUnsafe: nanos,
+      monotonicTimeNanos: Effect.sync(nanos),
+      sleep: (duration) =>
+        Effect.andThen(
+          Effect.sync(() => this.advance(Duration.toMillis(duration))),
+          Effect.yieldNow,
+        ),
+    };
+    return Effect.runPromise(
+      Effect.provideService(effect, EffectClock.Clock, clock),
+    );
+  }
+}
--- a/packages/daemon/src/process/placement/placement_memory.ts
+++ b/packages/daemon/src/process/placement/placement_memory.ts
@@ -8,8 +8,6 @@
 import type { EngineOrder, OrderOutcome } from "./placement_order.ts";
 import type { EngineState } from "./placement_plan.ts";
 
-/** Longest time that a load report lags, loading a model included. */
-export const REPORT_LAG_MS = 30_000;
 /** How long a refused model is not tried again at the same engine. */
 const REFUSED_MS = 120_000;
 
@@ -32,10 +30,18 @@
  */
 export class PlacementMemory {
   readonly #clock: Clock;
+  readonly #reportLagMs: number;
   readonly #given = new Map<string, Map<string, Given>>();
 
-  constructor(clock: Clock) {
+  constructor(
+    clock: Clock,
+    options: {
+      /** Longest time until a report shows an order, a load included. */
+      readonly reportLagMs: number;
+    },
+  ) {
     this.#clock = clock;
+    this.#reportLagMs = options.reportLagMs;
   }
 
   /** Notes an order and what came of it. */
@@ -44,7 +50,7 @@
     if (effect === undefined) return;
     const key = keyOf(runner);
     const orders = this.#given.get(key) ?? new Map<string, Given>();
-    const lastsMs = effect === "refused" ? REFUSED_MS : REPORT_LAG_MS;
+    const lastsMs = effect === "refused" ? REFUSED_MS : this.#reportLagMs;
     const until = this.#clock.monotonic() + lastsMs;
     orders.set(order.model, { effect, until });
     this.#given.set(key, orders);
--- a/packages/daemon/src/process/placement/placement_plan.ts
+++ b/packages/daemon/src/process/placement/placement_plan.ts
@@ -44,13 +44,33 @@
   wanted: readonly CopiesWanted[],
   engines: readonly EngineState[],
 ): readonly PlacementDecision[] {
-  return wanted.flatMap((each) => decide(each, engines));
+  const decisions: PlacementDecision[] = [];
+  let states = engines;
+  for (const each of wanted) {
+    const decision = decide(each, states);
+    if (decision === undefined) continue;
+    decisions.push(decision);
+    // Two models' decisions must not empty one engine between them.
+    states = states.map((state) => after(state, decision));
+  }
+  return decisions;
+}
+
+/** The state to decide from once an order is given. */
+function after(state: EngineState, decision: PlacementDecision): EngineState {
+  if (state.runner !== decision.runner) return state;
+  const { model, order } = decision;
+  if (order === "load") {
+    return { ...state, loading: new Set([...state.loading, model]) };
+  }
+  const models = [...state.models].filter((held) => held !== model);
+  return { ...state, models: new Set(models) };
 }
 
 function decide(
   { model, copies }: CopiesWanted,
   engines: readonly EngineState[],
-): readonly PlacementDecision[] {
+): PlacementDecision | undefined {
   const holding = engines.filter(({ models }) => models.has(model));
   const loading = engines.filter(({ loading }) => loading.has(model));
   const present = holding.length + loading.length;
@@ -62,7 +82,7 @@
   }
   // A copy that is still loading may fail, so it is none to rely on.
   const spare = holding.length > copies && holding.length > 1;
-  if (!spare) return [];
+  if (!spare) return undefined;
   const able = holding.filter(({ models }) => models.size > 1);
   return chosen({ order: "unload", model }, able.sort(byCrowding), figures);
 }
@@ -71,15 +91,11 @@
   order: EngineOrder,
   candidates: readonly EngineState[],
   reason: string,
-): readonly PlacementDecision[] {
+): PlacementDecision | undefined {
   const [first, ...others] = candidates.map(({ runner }) => runner);
-  if (first === undefined) return [];
-  return [{
-    ...order,
-    runner: first,
-    runnersUp: others.slice(0, RUNNERS_UP),
-    reason,
-  }];
+  if (first === undefined) return undefined;
+  const runnersUp = others.slice(0, RUNNERS_UP);
+  return { ...order, runner: first, runnersUp, reason };
 }
 
 /** Runners-up named in a decision's log line. */
--- a/packages/daemon/src/process/placement/placement_targets.ts
+++ b/packages/daemon/src/process/placement/placement_targets.ts
@@ -33,16 +33,14 @@
  * late costs a class its target, one that is unloaded too early costs a load.
  */
 export class CopyTargets {
-  readonly #slotsPerRunner: number;
   readonly #targets = new Map<string, Target>();
 
-  constructor(options: { readonly slotsPerRunner: number }) {
-    this.#slotsPerRunner = options.slotsPerRunner;
-  }
-
   /** Takes one round's demand in and gives the copies wanted. */
-  update(demand: ModelDemand): number {
-    const perCopy = this.#slotsPerRunner * PLANNED_USE;
+  update(
+    demand: ModelDemand,
+    options: { readonly slotsPerRunner: number },
+  ): number {
+    const perCopy = options.slotsPerRunner * PLANNED_USE;
     const wanted = Math.max(1, Math.ceil(demand.requests / perCopy));
     const target = this.#targetOf(demand, wanted);
     target.above = wanted > target.copies ? target.above + 1 : 0;
--- a/packages/daemon/src/process/placement/placement_task.ts
+++ b/packages/daemon/src/process/placement/placement_task.ts
@@ -9,7 +9,7 @@
 import type { Log } from "../log.ts";
 import type { Runner } from "../runner.ts";
 import type { DemandReader } from "./placement_demand.ts";
-import { PlacementMemory, REPORT_LAG_MS } from "./placement_memory.ts";
+import { PlacementMemory } from "./placement_memory.ts";
 import { LONGEST_SEND_MS } from "./placement_order.ts";
 import type { EngineOrders, OrderLease, Tenure } from "./placement_order.ts";
 import { planPlacement } from "./placement_plan.ts";
@@ -18,6 +18,7 @@
 import { CopyTargets } from "./placement_targets.ts";
 
 const DEFAULT_INTERVAL_MS = 10_000;
+const DEFAULT_REPORT_LAG_MS = 30_000;
 const REPORT_CONCURRENCY = 16;
 
 /** What a placement task works with. */
@@ -35,13 +36,15 @@
   readonly runners: () => readonly Runner[];
   /** Milliseconds between two rounds; 10,000 by default. */
   readonly intervalMs?: number;
+  /** Longest time until a report shows an order; 30,000 by default. */
+  readonly reportLagMs?: number;
 }
 
 /** What one holder remembers, for as long as it holds the lease. */
 interface Term {
   readonly tenure: Tenure;
   readonly memory: PlacementMemory;
-  readonly targets: Map<number, CopyTargets>;
+  readonly targets: CopyTargets;
 }
 
 /**
@@ -72,15 +75,16 @@
 
   #serve(tenure: Tenure): Effect.Effect<void> {
     const { clock, log, service, intervalMs } = this.#parts;
+    const reportLagMs = this.#parts.reportLagMs ?? DEFAULT_REPORT_LAG_MS;
     const { fencing } = tenure;
     const term: Term = {
       tenure,
-      memory: new PlacementMemory(clock),
-      targets: new Map(),
+      memory: new PlacementMemory(clock, { reportLagMs }),
+      targets: new CopyTargets(),
     };
     return Effect.gen({ self: this }, function* () {
       log.event("placement_lease_held", { service, fencing });
-      yield* Effect.sleep(LONGEST_SEND_MS + REPORT_LAG_MS);
+      yield* Effect.sleep(LONGEST_SEND_MS + reportLagMs);
       while (tenure.remainingMs() > 0) {
         const superseded = yield* this.#round(term);
         if (superseded) break;
@@ -128,9 +132,6 @@
     },
   ) {
     const { slotsPerRunner, models } = seen.definition;
-    const targets = term.targets.get(slotsPerRunner) ??
-      new CopyTargets({ slotsPerRunner });
-    term.targets.set(slotsPerRunner, targets);
     return Effect.map(
       this.#parts.demand.read(),
       ({ requests, complete }) =>
@@ -138,12 +139,12 @@
           const holding = seen.engines.filter((engine) =>
             engine.models.has(model)
           );
-          const copies = targets.update({
+          const copies = term.targets.update({
             model,
             requests: requests.get(model) ?? 0,
             copies: holding.length,
             complete,
-          });
+          }, { slotsPerRunner });
           return { model, copies };
         }),
     );
--- /dev/null
+++ b/packages/daemon/src/process/placement/placement_task_test.ts
@@ -0,0 +1,233 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import * as Effect from "effect/Effect";
+import type { Log } from "../log.ts";
+import type { DemandReader } from "./placement_demand.ts";
+import { JumpingClock, runnerOf } from "./placement_fixtures.ts";
+import type { EngineReport } from "./placement_memory.ts";
+import { LONGEST_SEND_MS } from "./placement_order.ts";
+import type {
+  EngineOrders,
+  OrderLease,
+  OrderOutcome,
+  Tenure,
+} from "./placement_order.ts";
+import type { EngineReports } from "./placement_reports.ts";
+import { PlacementTask } from "./placement_task.ts";
+
+/** Several rounds of 10 s. */
+const REPORT_LAG_MS = 45_000;
+const LEASE_MS = 900_000;
+
+/** How late reports are; less than the task allows for. */
+const LAG_MS = REPORT_LAG_MS - 1_000;
+
+/** An engine that takes orders at once and reports them late. */
+class FakeEngine {
+  fencing = 0;
+  readonly checksFencing: boolean;
+  readonly #changes: { readonly at: number; readonly models: Set<string> }[];
+
+  constructor(models: readonly string[], checksFencing = false) {
+    this.#changes = [{ at: -Infinity, models: new Set(models) }];
+    this.checksFencing = checksFencing;
+  }
+
+  get models(): ReadonlySet<string> {
+    return this.modelsAt(Infinity);
+  }
+
+  modelsAt(at: number): ReadonlySet<string> {
+    return this.#changes.findLast((change) => change.at <= at)?.models ??
+      new Set();
+  }
+
+  take(order: string, model: string, at: number): void {
+    const models = new Set(this.models);
+    if (order === "load") models.add(model);
+    else models.delete(model);
+    this.#changes.push({ at, models });
+  }
+}
+
+interface Given {
+  readonly runner: string;
+  readonly order: string;
+  readonly model: string;
+  readonly fencing: number;
+  readonly at: number;
+}
+
+/** Engines, the orders that reached them and the events of one daemon. */
+class Pool {
+  readonly clock = new JumpingClock();
+  readonly given: Given[] = [];
+  readonly events: string[] = [];
+  readonly engines: ReadonlyMap<string, FakeEngine>;
+  requests: ReadonlyMap<string, number> = new Map();
+  #reads = 0;
+  /** Called before each order is sent. */
+  beforeSend: () => void = () => {};
+
+  constructor(engines: Readonly<Record<string, FakeEngine>>) {
+    this.engines = new Map(Object.entries(engines));
+  }
+
+  readonly orders: EngineOrders = {
+    give: (runner, order, { tenure }) =>
+      Effect.sync((): OrderOutcome => {
+        this.beforeSend();
+        if (tenure.remainingMs() < LONGEST_SEND_MS) {
+          return { _tag: "NotSent", reason: "over" };
+        }
+        const engine = this.engines.get(runner.name);
+        if (engine === undefined) return { _tag: "Refused", status: 404 };
+        if (engine.checksFencing && tenure.fencing < engine.fencing) {
+          return { _tag: "Stale", fencing: engine.fencing };
+        }
+        engine.fencing = Math.max(engine.fencing, tenure.fencing);
+        const { fencing } = tenure;
+        const at = this.clock.monotonic();
+        engine.take(order.order, order.model, at);
+        this.given.push({ runner: runner.name, ...order, fencing, at });
+        return { _tag: "Taken" };
+      }),
+  };
+
+  readonly reports: EngineReports = {
+    read: ({ name }) =>
+      Effect.sync((): EngineReport | undefined => {
+        const engine = this.engines.get(name);
+        if (engine === undefined) return undefined;
+        const shown = engine.modelsAt(this.clock.monotonic() - LAG_MS);
+        // Load moves between reports, so that choices do too.
+        this.#reads += 1;
+        const requests = (this.#reads * 7) % 5;
+        return { models: [...shown], requests, leaving: false };
+      }),
+  };
+
+  readonly demand: DemandReader = {
+    read: () =>
+      Effect.sync(() => ({ requests: this.requests, complete: true })),
+  };
+
+  readonly log: Log = {
+    event: (name, fields) =>
+      this.events.push(`${name} ${fields["chosen"] ?? ""}`),
+    decision: () => {},
+    warning: () => {},
+  };
+
+  task(lease: OrderLease, models: readonly string[]): PlacementTask {
+    return new PlacementTask({
+      service: "pool",
+      lease,
+      orders: this.orders,
+      reports: this.reports,
+      demand: this.demand,
+      clock: this.clock,
+      log: this.log,
+      definition: () => ({
+        name: "pool",
+        kind: "model",
+        models,
+        checksFencing: false,
+        slotsPerRunner: 10,
+      }),
+      runners: () => [...this.engines.keys()].map((name) => runnerOf({ name })),
+      reportLagMs: REPORT_LAG_MS,
+    });
+  }
+
+  /** A lease that is held once, from now on for a fixed time. */
+  lease(fencing: number, onEnd: () => void): OrderLease {
+    let held = false;
+    return {
+      hold: (during) =>
+        Effect.suspend(() => {
+          if (held) {
+            return Effect.sync(onEnd).pipe(Effect.andThen(Effect.never));
+          }
+          held = true;
+          const end = this.clock.monotonic() + LEASE_MS;
+          const tenure: Tenure = {
+            fencing,
+            remainingMs: () => end - this.clock.monotonic(),
+          };
+          return during(tenure);
+        }),
+    };
+  }
+
+  /** Runs one holder until its tenure is over. */
+  async serve(fencing: number, models: readonly string[]): Promise<void> {
+    let ended = () => {};
+    const over = new Promise<void>((resolve) => ended = resolve);
+    const task = this.task(this.lease(fencing, ended), models);
+    await this.clock.run(
+      Effect.race(task.run(), Effect.promise(() => over)),
+    );
+  }
+}
+
+test("a model that is wanted and held nowhere is loaded once", async () => {
+  const pool = new Pool({
+    r1: new FakeEngine(["a"]),
+    r2: new FakeEngine(["a", "x"]),
+  });
+  await pool.serve(1, ["a", "b"]);
+  const orders = pool.given.filter(({ model }) => model === "b");
+  assert.deepEqual(orders.map(({ runner, order }) => `${order} ${runner}`), [
+    "load r1",
+  ]);
+  assert.ok(pool.events.includes("placement_decision r1"));
+});
+
+test("a new holder waits out the former one's longest send and report lag", async () => {
+  const pool = new Pool({ r1: new FakeEngine(["a"]) });
+  await pool.serve(1, ["a", "b"]);
+  assert.equal(pool.given[0]?.at, LONGEST_SEND_MS + REPORT_LAG_MS);
+});
+
+// Reports lag: after an unload they still list the model. Counting that copy
+// would let the next round unload another one, and at last the only true one.
+test("reports that lag do not lead to the last copy being unloaded", async () => {
+  const pool = new Pool({
+    r1: new FakeEngine(["a", "b"]),
+    r2: new FakeEngine(["a", "b"]),
+    r3: new FakeEngine(["a", "b"]),
+  });
+  for (let fencing = 1; fencing <= 4; fencing += 1) {
+    await pool.serve(fencing, ["a", "b"]);
+  }
+  const held = [...pool.engines.values()].map(({ models }) => models);
+  assert.ok(pool.given.length > 0);
+  assert.ok(held.some((models) => models.has("a")));
+  assert.ok(held.some((models) => models.has("b")));
+  assert.ok(held.every((models) => models.size > 0));
+});
+
+// The holder is paused between its decision and the send, for longer than its
+// lease, and wakes still believing that it holds it. Meanwhile a new holder has
+// given orders. The engine ignores fencing numbers, so nothing but the check of
+// the tenure at the send keeps the older order from standing last.
+test("a holder paused past its lease sends nothing when it wakes", async () => {
+  const pool = new Pool({ r1: new FakeEngine(["a"]) });
+  pool.beforeSend = () => pool.clock.advance(LEASE_MS);
+  await pool.serve(1, ["a", "b"]);
+  assert.deepEqual(pool.given, []);
+  assert.ok(pool.events.includes("placement_lease_ended "));
+});
+
+test("a holder that an engine calls stale gives no further order", async () => {
+  const engine = new FakeEngine(["a"], true);
+  engine.fencing = 5;
+  const pool = new Pool({ r1: engine });
+  await pool.serve(4, ["a", "b", "c"]);
+  assert.deepEqual(pool.given, []);
+  const decisions = pool.events.filter((event) =>
+    event.startsWith("placement_decision")
+  );
+  assert.equal(decisions.length, 1);
+});
