Offer an accepted version to the daemons

Cause: the store may go down right after it has accepted an edit, before any daemon has read it; the edit would stay out of force until the store is back. Change: umbermastctl posts the accepted version to the operators' ports, best effort; Accepted carries the stored value. Conclusion: the tool's side is tested; the whole once the daemon takes offers.

--- a/packages/cli/src/fixtures.ts
+++ b/packages/cli/src/fixtures.ts
@@ -47,15 +47,18 @@
 /** Daemons that answer by URL and path; anything else is unreachable. */
 export function operatorsOf(
   answer: (url: string, path: string) => unknown,
+  take: (url: string, body: unknown) => unknown = () => undefined,
 ): Operators {
+  const reach = (url: string, value: () => unknown) =>
+    Effect.suspend(() => {
+      const found = value();
+      if (found !== undefined) return Effect.succeed(found);
+      const reason = "connect ECONNREFUSED";
+      return Effect.fail({ _tag: "OperatorFailure", url, reason } as const);
+    });
   return {
-    get: (url, path) =>
-      Effect.suspend(() => {
-        const value = answer(url, path);
-        if (value !== undefined) return Effect.succeed(value);
-        const reason = "connect ECONNREFUSED";
-        return Effect.fail({ _tag: "OperatorFailure", url, reason } as const);
-      }),
+    get: (url, path) => reach(url, () => answer(url, path)),
+    post: (url, { body }) => reach(url, () => take(url, body)),
   };
 }
 
--- a/packages/cli/src/process/operators.ts
+++ b/packages/cli/src/process/operators.ts
@@ -22,6 +22,11 @@
 export interface Operators {
   /** Gets a resource, such as `/status`, of the daemon at a root URL. */
   get(url: string, path: string): Effect.Effect<unknown, OperatorFailure>;
+  /** Posts JSON to a resource of the daemon at a root URL. */
+  post(
+    url: string,
+    message: { readonly path: string; readonly body: unknown },
+  ): Effect.Effect<unknown, OperatorFailure>;
 }
 
 /** {@linkcode Operators} over HTTP. */
@@ -33,9 +38,38 @@
   }
 
   get(url: string, path: string): Effect.Effect<unknown, OperatorFailure> {
-    const headers = this.#token === undefined
-      ? {}
-      : { authorization: `Bearer ${this.#token}` };
+    return this.#call(url, { method: "GET", path });
+  }
+
+  post(
+    url: string,
+    message: { readonly path: string; readonly body: unknown },
+  ): Effect.Effect<unknown, OperatorFailure> {
+    const { path, body } = message;
+    return this.#call(url, { method: "POST", path, body });
+  }
+
+  #call(
+    url: string,
+    message: {
+      readonly method: "GET" | "POST";
+      readonly path: string;
+      readonly body?: unknown;
+    },
+  ): Effect.Effect<unknown, OperatorFailure> {
+    const { method, path } = message;
+    const content = message.body === undefined
+      ? undefined
+      : JSON.stringify(message.body);
+    const headers = {
+      ...(this.#token === undefined
+        ? {}
+        : { authorization: `Bearer ${this.#token}` }),
+      ...(content === undefined ? {} : {
+        "content-type": "application/json",
+        "content-length": Buffer.byteLength(content),
+      }),
+    };
     return Effect.callback((resume) => {
       const fail = (reason: string, status?: number) =>
         resume(Effect.fail<OperatorFailure>({
@@ -47,7 +81,7 @@
       const target = new URL(path, url);
       // A daemon that is paused accepts and stays silent: bound the whole call.
       const signal = AbortSignal.timeout(TIMEOUT_MS);
-      const call = request(target, { headers, signal }, (response) => {
+      const call = request(target, { method, headers, signal }, (response) => {
         const chunks: Uint8Array[] = [];
         let bytes = 0;
         response.on("data", (chunk: Uint8Array) => {
@@ -69,7 +103,7 @@
         fail(
           signal.aborted ? `No answer in ${TIMEOUT_MS} ms` : error.message,
         ));
-      call.end();
+      call.end(content);
       return Effect.sync(() => call.destroy());
     });
   }
--- a/packages/cli/src/request/edit.ts
+++ b/packages/cli/src/request/edit.ts
@@ -12,6 +12,7 @@
 import { changeLines } from "./change_text.ts";
 import type { Context } from "./context.ts";
 import { storeFailure } from "./failures.ts";
+import { offerVersion } from "./offer.ts";
 import { failure } from "./report.ts";
 import type { CommandFailure, Report } from "./report.ts";
 import { waitInForce } from "./wait.ts";
@@ -77,6 +78,8 @@
       (error) => storeFailure(error, editId),
     );
     if (outcome._tag === "Unchanged") return unchanged(outcome.version);
+    const { operatorUrls } = context.settings;
+    yield* offerVersion(context.operators, operatorUrls, outcome);
     return yield* acceptedReport(context, outcome, flags);
   });
 }
--- a/packages/cli/src/request/table_commands_test.ts
+++ b/packages/cli/src/request/table_commands_test.ts
@@ -272,3 +272,26 @@
   assert.equal(exit, 4);
   assert.match(error, /platform_unreachable/);
 });
+
+// The store goes down right after it has accepted an edit, before any daemon
+// has read it. The tool still holds the accepted version and offers it.
+test("an accepted version is offered to the daemons", async () => {
+  const store = await storeWithTable();
+  const offered: string[] = [];
+  const operators = operatorsOf(() => undefined, (url, body) => {
+    const { version, value } = body as {
+      readonly version: number;
+      readonly value: { readonly sequence: number };
+    };
+    offered.push(`${url} ${version} ${value.sequence}`);
+    return url === "http://b" ? {} : undefined;
+  });
+  const env = { UMBERMAST_OPERATOR_URLS: "http://a,http://b" };
+  const { exit } = await run(
+    "table set quote office weight=3 --yes",
+    { store, operators },
+    { env },
+  );
+  assert.equal(exit, 0);
+  assert.deepEqual(offered, ["http://a 2 2", "http://b 2 2"]);
+});
--- a/packages/cli/src/request/table_write.ts
+++ b/packages/cli/src/request/table_write.ts
@@ -28,6 +28,7 @@
 import { inputFailure, storeFailure } from "./failures.ts";
 import { parseImport } from "./import_file.ts";
 import type { ImportFile } from "./import_file.ts";
+import { offerVersion } from "./offer.ts";
 import { failure } from "./report.ts";
 import type { CommandFailure, Report } from "./report.ts";
 import { parseRowSetting, withoutRow, withRowSet } from "./row_fields.ts";
@@ -199,10 +200,13 @@
       editor: context.settings.editor,
       at: Date.now(),
     };
-    const { version, entry } = yield* Effect.mapError(
+    const accepted = yield* Effect.mapError(
       createTable(store, { table, note }),
       (error) => storeFailure(error, note.editId),
     );
+    const { version, entry } = accepted;
+    const { operatorUrls } = context.settings;
+    yield* offerVersion(context.operators, operatorUrls, accepted);
     return {
       text: `Wrote the first table as ${entry.editId} at version ${version}`,
       json: { accepted: true, editId: entry.editId, version, changes: [] },
--- a/packages/table/src/commit.ts
+++ b/packages/table/src/commit.ts
@@ -69,7 +69,8 @@
   | {
     readonly _tag: "Write";
     readonly value: StoredTable;
-    readonly written: (version: number) => A;
+    /** The result, given what was written; older history may have left it. */
+    readonly written: (read: TableRead) => A;
   };
 
 /** Settings of an edit. */
@@ -186,7 +187,7 @@
       { kind: TABLE_KIND, name: TABLE_NAME, value },
       { ifVersion: read?.version ?? 0 },
     );
-    return decision.written(version);
+    return decision.written({ version, stored: value });
   }).pipe(
     Effect.catchTag(
       ["StoredInvalid", "HistoryMissing"],
--- a/packages/table/src/edit.ts
+++ b/packages/table/src/edit.ts
@@ -34,6 +34,8 @@
   readonly _tag: "Accepted";
   /** A version of the object that contains the edit. */
   readonly version: number;
+  /** The stored value at that version. */
+  readonly stored: StoredTable;
   readonly entry: HistoryEntry;
 }
 
@@ -166,7 +168,7 @@
   return {
     _tag: "Write",
     value,
-    written: (version) => ({ _tag: "Accepted", version, entry }),
+    written: (read) => ({ _tag: "Accepted", ...read, entry }),
   };
 }
 
@@ -188,7 +190,7 @@
       return { _tag: "Refused", error: { _tag: "EditClosed", entry } } as const;
     }
     if (entry !== undefined) {
-      const result: Accepted = { _tag: "Accepted", version, entry };
+      const result: Accepted = { _tag: "Accepted", version, stored, entry };
       return { _tag: "Done", result } as const;
     }
     const merged = mergeChanges(stored.table, edit.changes);
@@ -211,6 +213,6 @@
 ): Decision<Accepted, TableExists> {
   const own = stored.sequence === 1 && stored.editId === editId;
   return own
-    ? { _tag: "Done", result: { _tag: "Accepted", version, entry } }
+    ? { _tag: "Done", result: { _tag: "Accepted", version, stored, entry } }
     : { _tag: "Refused", error: { _tag: "TableExists", version } };
 }
--- a/packages/table/src/resolve.ts
+++ b/packages/table/src/resolve.ts
@@ -67,8 +67,9 @@
     const baseSequence = baseSequenceOf(editId);
     const entry = yield* findEdit(store, read, { editId, baseSequence });
     if (entry !== undefined) {
-      const _tag = entry.editId === editId ? "Accepted" : "Closed";
-      const result: Accepted | Closed = { _tag, version, entry };
+      const result: Accepted | Closed = entry.editId === editId
+        ? { _tag: "Accepted", version, stored, entry }
+        : { _tag: "Closed", version, entry };
       return { _tag: "Done", result } as const;
     }
     const value = afterEdit(stored, { ...closing, closes: editId }, {
@@ -80,9 +81,9 @@
     if (decision._tag !== "Write") return decision;
     return {
       ...decision,
-      written: (written: number): Closed => ({
+      written: (written: TableRead): Closed => ({
         _tag: "Closed",
-        version: written,
+        version: written.version,
         entry: last,
       }),
     };
