Add the experiment of edits

Cause: it must be shown when an accepted edit is in force everywhere, and that none is lost, doubled or reverted while things fail.

--- a/packages/bench/src/experiments.ts
+++ b/packages/bench/src/experiments.ts
@@ -16,7 +16,8 @@
   Record<string, () => Promise<ExperimentModule>>
 > = {
   arrivals: () => import("./arrivals_experiment.ts"),
+  edit: () => import("./edit.ts"),
   faults: () => import("./faults.ts"),
-  slopes: () => import("./slopes.ts"),
   overhead: () => import("./overhead.ts"),
+  slopes: () => import("./slopes.ts"),
 };
