Take accepted versions at the operators' port

Cause: an outage right after an acceptance would keep the edit out of force. Change: POST /table at the operators' port takes a version that the tool's edit was accepted at, checks it and puts it in force if it is higher; the peers get it from there.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -13,7 +13,7 @@
 import { openOperatorServer } from "./connection/operator_server.ts";
 import { joinFleet } from "./fleet.ts";
 import type { Fleet } from "./fleet.ts";
-import { operatorResources } from "./operator_resources.ts";
+import { operatorIntakes, operatorResources } from "./operator_resources.ts";
 import { DecisionHistory } from "./process/decisions.ts";
 import { Lifecycle } from "./process/lifecycle.ts";
 import type { Log } from "./process/log.ts";
@@ -140,6 +140,7 @@
         requests,
         connections: () => callers.connections,
       }),
+      { intakes: operatorIntakes(fleet) },
     );
     const { address, port } = fleet.node.membership.self;
     log.event("listening", {
--- a/packages/daemon/src/fleet.ts
+++ b/packages/daemon/src/fleet.ts
@@ -27,7 +27,7 @@
 import { RunnerDirectory } from "./process/runner_directory.ts";
 import type { Settings } from "./process/settings.ts";
 import { SourcedTableFeed } from "./version/table_feed.ts";
-import type { TableFeed } from "./version/table_feed.ts";
+import type { TableFeed, VersionedValue } from "./version/table_feed.ts";
 
 /** The daemon's surroundings. */
 export interface Fleet {
@@ -36,6 +36,8 @@
   readonly claims: ClaimsInStore;
   readonly directory: RunnerDirectory;
   readonly feed: TableFeed;
+  /** Puts in force what an operator's tool says that the store has accepted. */
+  readonly offerTable: (offered: VersionedValue) => void;
 }
 
 /** Joins the fleet; leaves its sockets and connections when the scope closes. */
@@ -48,11 +50,11 @@
     const directory = new RunnerDirectory();
     yield* followRunners(node.hostList, directory);
     const store = yield* openStore(settings);
-    const feed = yield* followTable({ store, node, log });
+    const { feed, offerTable } = yield* followTable({ store, node, log });
     const { peers, membership } = node;
     const claims = new ClaimsInStore({ store, peers, membership });
     yield* claims.start();
-    return { node, store, claims, directory, feed };
+    return { node, store, claims, directory, feed, offerTable };
   });
 }
 
@@ -133,6 +135,7 @@
     });
     const feed = new SourcedTableFeed(published, log);
     yield* published.start();
-    return feed;
+    const offerTable = (offered: VersionedValue) => published.offer(offered);
+    return { feed, offerTable };
   });
 }
--- a/packages/daemon/src/operator_resources.ts
+++ b/packages/daemon/src/operator_resources.ts
@@ -6,13 +6,18 @@
 import process from "node:process";
 import type { CoordinationNode } from "@umbermast/coordination";
 import { jsonAnswer } from "./connection/operator_server.ts";
-import type { OperatorResources } from "./connection/operator_server.ts";
+import type {
+  OperatorIntakes,
+  OperatorResources,
+} from "./connection/operator_server.ts";
+import type { Fleet } from "./fleet.ts";
 import type { DecisionHistory } from "./process/decisions.ts";
 import type { Lifecycle } from "./process/lifecycle.ts";
 import type { Metrics } from "./process/metrics.ts";
 import type { RunnerDirectory } from "./process/runner_directory.ts";
 import type { Settings } from "./process/settings.ts";
 import type { TableFeed } from "./version/table_feed.ts";
+import { parseOffer } from "./version/table_offer.ts";
 
 /** The parts of the daemon that operators look into. */
 export interface ObservedParts {
@@ -74,6 +79,24 @@
   };
 }
 
+/** What operators may post: an accepted version of the table. */
+export function operatorIntakes(
+  fleet: Pick<Fleet, "feed" | "offerTable">,
+): OperatorIntakes {
+  return {
+    "/table": (body) => {
+      const offer = parseOffer(body);
+      if (offer.isErr()) {
+        const message = "Cannot take the offered table";
+        const error = { code: "offer_invalid", message, findings: offer.error };
+        return jsonAnswer({ error }, HTTP_BAD_REQUEST);
+      }
+      fleet.offerTable(offer.value);
+      return jsonAnswer({ version: fleet.feed.current()?.version ?? null });
+    },
+  };
+}
+
 /** The resources of the operators' port. */
 export function operatorResources(parts: ObservedParts): OperatorResources {
   const { lifecycle, metrics, decisions, directory } = parts;
