--- a/packages/bench/src/experiments.ts
+++ b/packages/bench/src/experiments.ts
@@ -17,7 +17,8 @@
 > = {
   arrivals: () => import("./arrivals_experiment.ts"),
   claims: () => import("./claims.ts"),
+  edit: () => import("./edit.ts"),
   faults: () => import("./faults.ts"),
-  slopes: () => import("./slopes.ts"),
   overhead: () => import("./overhead.ts"),
+  slopes: () => import("./slopes.ts"),
 };
