--- a/packages/daemon/src/fleet.ts
+++ b/packages/daemon/src/fleet.ts
@@ -20,7 +20,7 @@
   MembershipEvent,
   Store,
 } from "@umbermast/coordination";
-import { TABLE_KIND, TABLE_NAME } from "@umbermast/table";
+import { parseStoredTable, TABLE_KIND, TABLE_NAME } from "@umbermast/table";
 import * as Effect from "effect/Effect";
 import type * as Scope from "effect/Scope";
 import type { Log } from "./process/log.ts";
@@ -136,8 +136,9 @@
       membership: node.membership,
       kind: TABLE_KIND,
       name: TABLE_NAME,
-      // The feed checks values, and warns of those it does not put in force.
-      decode: (value) => value,
+      decode: checkStoredTable,
+      onRejected: (version, error) =>
+        log.warning("table_invalid", { version, reason: String(error) }),
     });
     const feed = new SourcedTableFeed(published, log);
     yield* published.start();
@@ -145,3 +146,12 @@
     return feed;
   });
 }
+
+/** Passes a value on as it is when it is a table; else throws what is wrong. */
+function checkStoredTable(value: unknown): unknown {
+  const parsed = parseStoredTable(value);
+  if (parsed.isOk()) return value;
+  const [first] = parsed.error;
+  const count = parsed.error.length;
+  throw new Error(`${count} findings, ${first?.place}: ${first?.message}`);
+}
