Order requests at brokers, with random and fifo to compare

Cause: requests need a slot at a runner, in an order that keeps the tiers. Change: a runner directory, polled load reports, a broker a service (tiers, minimum shares, fair queueing, row limits, adaptive slots, ejection), the scheduler that asks it over peers, and two baselines, chosen by settings.

--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -16,3 +16,15 @@
 export type { IdempotentServices } from "./request/idempotent_call_runner.ts";
 export { RetryingCallRunner } from "./request/retrying_call_runner.ts";
 export type { CallServices } from "./request/retrying_call_runner.ts";
+export { makeScheduler } from "./request/scheduling.ts";
+export type {
+  Policy,
+  SchedulerParts,
+  SchedulingSettings,
+} from "./request/scheduling.ts";
+export type { Scheduler } from "./request/scheduler.ts";
+export type { Ask, Grant, Refusal, Settlement } from "./request/ask.ts";
+export { RunnerDirectory } from "./process/runner_directory.ts";
+export type { Runner } from "./process/runner.ts";
+export type { TableSource } from "./process/table_source.ts";
+export type { Fields, Log } from "./process/log.ts";
--- /dev/null
+++ b/packages/daemon/src/process/scheduling/broker_finder.ts
@@ -0,0 +1,46 @@
+/**
+ * Which daemon this one takes for the broker of a service, in view of which
+ * members answer.
+ *
+ * @module
+ */
+import type { Membership } from "@umbermast/coordination";
+import type { RunnerDirectory } from "../runner_directory.ts";
+import { assignBrokers, brokerCandidates } from "./broker_choice.ts";
+
+/** Orders the daemons for each service by the present view. */
+export class BrokerFinder {
+  readonly #membership: Membership | undefined;
+  readonly #directory: RunnerDirectory;
+  #ranks: ReadonlyMap<string, readonly string[]> = new Map();
+  #key = "";
+
+  constructor(parts: {
+    readonly membership: Membership | undefined;
+    readonly directory: RunnerDirectory;
+  }) {
+    this.#membership = parts.membership;
+    this.#directory = parts.directory;
+  }
+
+  /** This daemon's name; empty when it has no peers. */
+  get self(): string {
+    return this.#membership?.self.name ?? "";
+  }
+
+  /** The daemons for a service, the broker first, then its successors. */
+  rank(service: string): readonly string[] {
+    if (this.#membership === undefined) return [this.self];
+    this.#refresh(this.#membership);
+    return this.#ranks.get(service) ?? [this.self];
+  }
+
+  #refresh(membership: Membership): void {
+    const names = brokerCandidates(membership.view());
+    const services = [...this.#directory.services()].sort();
+    const key = JSON.stringify([names, services]);
+    if (key === this.#key) return;
+    this.#key = key;
+    this.#ranks = assignBrokers(names, services);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/process/scheduling/broker_host.ts
@@ -0,0 +1,158 @@
+/**
+ * The brokers that run at this daemon, one for each service it is asked for.
+ *
+ * A daemon brokers for whoever takes it for the broker, whatever its own view
+ * says: views differ for moments, and a refusal would leave the asker without
+ * any broker just then.
+ *
+ * @module
+ */
+import type { Membership, Peers, View } from "@umbermast/coordination";
+import * as Effect from "effect/Effect";
+import type * as Scope from "effect/Scope";
+import { Broker, type BrokerParts } from "./broker.ts";
+import {
+  type BrokerMessage,
+  type EntryMessage,
+  readBrokerMessage,
+  TO_BROKER,
+  TO_ENTRY,
+} from "./messages.ts";
+
+const TICK_MS = 100;
+/** Services come from asks, so a faulty peer could name any number of them. */
+const BROKERS_LIMIT = 1_000;
+
+/** What a broker host works with. */
+export interface BrokerHostParts extends Omit<BrokerParts, "send" | "members"> {
+  /** Absent in a daemon without peers. */
+  readonly peers?: Peers;
+  readonly membership?: Membership;
+}
+
+/** Runs brokers and passes messages between them and the entries. */
+export class BrokerHost {
+  readonly #parts: BrokerHostParts;
+  readonly #brokers = new Map<string, Broker>();
+  #toOwnEntry: (message: EntryMessage) => void = () => {};
+  #members: ReadonlySet<string> = new Set();
+
+  constructor(parts: BrokerHostParts) {
+    this.#parts = parts;
+  }
+
+  /** The broker of a service, if it was ever asked for here. */
+  find(service: string): Broker | undefined {
+    return this.#brokers.get(service);
+  }
+
+  /** Sets where grants and refusals for this daemon's own entry go. */
+  connectOwnEntry(deliver: (message: EntryMessage) => void): void {
+    this.#toOwnEntry = deliver;
+  }
+
+  /** Takes a message of an entry; `self` for this daemon's own. */
+  receive(from: string, message: BrokerMessage): void {
+    const broker = this.#brokerOf(message.service);
+    if (broker === undefined) return;
+    switch (message.type) {
+      case "ask":
+        return broker.ask(from, message);
+      case "withdraw":
+        return broker.withdraw(from, message.askId);
+      case "release":
+        return broker.release(from, message);
+      case "present":
+        return broker.present(from, message);
+      case "beat":
+        return broker.beat(from, message);
+    }
+  }
+
+  /** Serves peers and follows runners, reports, table and view until the scope closes. */
+  start(): Effect.Effect<void, never, Scope.Scope> {
+    return Effect.gen({ self: this }, function* () {
+      const { directory, reports, table, peers, membership } = this.#parts;
+      peers?.handle(
+        TO_BROKER,
+        (from, message) =>
+          Effect.sync(() => this.#receiveUnread(from, message)),
+      );
+      const ends = [
+        directory.subscribe(() => {
+          for (const broker of this.#brokers.values()) broker.runnersChanged();
+        }),
+        reports.subscribe((runner) => {
+          const service = directory.find(runner)?.service ?? "";
+          this.#brokers.get(service)?.reported(runner);
+        }),
+        table.subscribe(() => {
+          const current = table.current();
+          for (const broker of this.#brokers.values()) {
+            broker.tableChanged(current);
+          }
+        }),
+      ];
+      if (membership !== undefined) {
+        this.#viewChanged(membership.view());
+        ends.push(membership.subscribe((view) => this.#viewChanged(view)));
+      }
+      yield* Effect.addFinalizer(() =>
+        Effect.sync(() => {
+          for (const end of ends) end();
+        })
+      );
+      yield* Effect.forkScoped(this.#ticks());
+    });
+  }
+
+  #ticks(): Effect.Effect<never> {
+    return Effect.forever(Effect.gen({ self: this }, function* () {
+      yield* Effect.sleep(TICK_MS);
+      for (const broker of this.#brokers.values()) broker.tick();
+    }));
+  }
+
+  #receiveUnread(from: string, message: unknown): void {
+    const read = readBrokerMessage(message);
+    if (read !== undefined) return this.receive(from, read);
+    this.#parts.log.warning("scheduler_message_malformed", { from });
+  }
+
+  #viewChanged(view: View): void {
+    const present = new Set(view.members.map((it) => it.member.name));
+    for (const gone of this.#members) {
+      if (present.has(gone)) continue;
+      for (const broker of this.#brokers.values()) broker.entryGone(gone);
+    }
+    this.#members = present;
+  }
+
+  #brokerOf(service: string): Broker | undefined {
+    const known = this.#brokers.get(service);
+    if (known !== undefined) return known;
+    if (this.#brokers.size >= BROKERS_LIMIT) return undefined;
+    const made = new Broker(service, {
+      ...this.#parts,
+      send: (entry, message) => this.#send(entry, message),
+      members: () => this.#members.size,
+    });
+    this.#brokers.set(service, made);
+    return made;
+  }
+
+  #send(entry: string, message: EntryMessage): void {
+    if (entry === this.#self) {
+      // Delivered later, as over a link: an answer that came back within the
+      // broker's own step would change its books halfway through.
+      return queueMicrotask(() => this.#toOwnEntry(message));
+    }
+    // A grant that no link takes is found by the entry's next beat, whose count
+    // differs from the broker's account of it.
+    this.#parts.peers?.send(entry, TO_ENTRY, message);
+  }
+
+  get #self(): string {
+    return this.#parts.membership?.self.name ?? "";
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/process/scheduling/ejection.ts
@@ -0,0 +1,56 @@
+/**
+ * Takes a runner that fails or lags out of use, and lets it back by probing.
+ *
+ * @module
+ */
+
+const FIRST_BACKOFF_MS = 500;
+const LAST_BACKOFF_MS = 8_000;
+
+/** Why a runner is out of use. */
+export type EjectionCause = "failure" | "straggler";
+
+/** The state of one runner. */
+export class Ejection {
+  #cause: EjectionCause | undefined;
+  #strikes = 0;
+  #probeAt = 0;
+  #probing: string | undefined;
+
+  /** Why the runner is out of use; `undefined` when it is in use. */
+  get cause(): EjectionCause | undefined {
+    return this.#cause;
+  }
+
+  /** Takes the runner out of use, longer with each time in a row. */
+  eject(cause: EjectionCause, now: number): void {
+    this.#cause = cause;
+    const backoff = FIRST_BACKOFF_MS * 2 ** this.#strikes;
+    this.#strikes = Math.min(this.#strikes + 1, 10);
+    this.#probeAt = now + Math.min(LAST_BACKOFF_MS, backoff);
+    this.#probing = undefined;
+  }
+
+  /** Whether it may be given a request now, be it as a probe. */
+  admits(now: number): boolean {
+    if (this.#cause === undefined) return true;
+    return this.#probing === undefined && now >= this.#probeAt;
+  }
+
+  /** A request was given to it; while ejected, that one is the probe. */
+  started(askId: string): void {
+    if (this.#cause !== undefined) this.#probing = askId;
+  }
+
+  /** A request ended without telling anything of the runner. */
+  ended(askId: string): void {
+    if (this.#probing === askId) this.#probing = undefined;
+  }
+
+  /** The runner was observed to be well: back into use. */
+  recovered(): void {
+    this.#cause = undefined;
+    this.#strikes = 0;
+    this.#probing = undefined;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/process/scheduling/fair_queue.ts
@@ -0,0 +1,277 @@
+/**
+ * The order in which waiting asks are served and shed.
+ *
+ * Strict priority between tiers; a class that has received less than its
+ * minimum share of the service given while it waited goes before the tiers.
+ * Within a tier, workspaces share by weight (start-time fair queueing on
+ * estimated cost, corrected when the true cost is known).
+ *
+ * @module
+ */
+import type { Class, Table } from "@umbermast/table";
+import { Flow } from "./flow.ts";
+import type { Switches } from "./switches.ts";
+import type { Waiting } from "./waiting.ts";
+
+/** Bounds of what may wait. */
+export interface QueueBounds {
+  readonly count: number;
+  readonly bytes: number;
+  /** Most that one workspace may have waiting in one class. */
+  readonly perWorkspace: number;
+}
+
+/** Bounds that a small host can hold: about 4 MB of asks a broker. */
+export const DEFAULT_BOUNDS: QueueBounds = {
+  count: 8_000,
+  bytes: 4 * 1024 * 1024,
+  perWorkspace: 1_000,
+};
+
+/** Tier of a class that the table does not name; served after all others. */
+const UNKNOWN_TIER = 1_000;
+/** Unpaid share that a class may save up, in multiples of its next cost. */
+const CREDIT_BOUND = 4;
+
+/** What an offer of an ask to the queue came to. */
+export interface Offer {
+  readonly accepted: boolean;
+  /** Asks shed to make room, the offered one among them if not accepted. */
+  readonly shed: readonly Waiting[];
+}
+
+/** Waiting asks of one broker. */
+export class FairQueue {
+  readonly #switches: Switches;
+  readonly #bounds: QueueBounds;
+  readonly #flows = new Map<string, Flow>();
+  /** Share owed to each class and not yet served, in cost. */
+  readonly #credit = new Map<string, number>();
+  /** Virtual time of each tier: the pass of the flow served last. */
+  readonly #virtual = new Map<number, number>();
+  #classes: ReadonlyMap<string, Class> = new Map();
+  #weights: ReadonlyMap<string, number> = new Map();
+  #count = 0;
+  #bytes = 0;
+
+  constructor(
+    table: Table,
+    options: { readonly switches: Switches; readonly bounds?: QueueBounds },
+  ) {
+    this.#switches = options.switches;
+    this.#bounds = options.bounds ?? DEFAULT_BOUNDS;
+    this.setTable(table);
+  }
+
+  get length(): number {
+    return this.#count;
+  }
+
+  /** Takes a new table; it orders what already waits, too. */
+  setTable(table: Table): void {
+    this.#classes = new Map(table.classes.map((it) => [it.name, it]));
+    this.#weights = new Map(
+      table.rows.map((row) => [flowKey(row.workspace, row.class), row.weight]),
+    );
+  }
+
+  /** Tier of a class. */
+  tierOf(className: string): number {
+    if (!this.#switches.tiers) return 0;
+    return this.#classes.get(className)?.tier ?? UNKNOWN_TIER;
+  }
+
+  /** All that waits, in no order that matters. */
+  *all(): Generator<Waiting> {
+    for (const flow of this.#flows.values()) yield* flow.items;
+  }
+
+  /**
+   * Offers an ask. When a bound is passed, the newest ask of the lowest tier
+   * present goes, from the workspace that has the most waiting for its weight.
+   */
+  offer(waiting: Waiting): Offer {
+    const flow = this.#flowOf(waiting);
+    // One workspace's burst would fill the queue and push out the others'; its
+    // own bound makes it lose its own newest asks first.
+    if (flow.length >= this.#bounds.perWorkspace) {
+      return { accepted: false, shed: [waiting] };
+    }
+    this.#add(flow, waiting);
+    const shed: Waiting[] = [];
+    while (
+      this.#count > this.#bounds.count || this.#bytes > this.#bounds.bytes
+    ) {
+      const victim = this.#victim();
+      if (victim === undefined) break;
+      this.remove(victim);
+      shed.push(victim);
+    }
+    return { accepted: !shed.includes(waiting), shed };
+  }
+
+  /** Takes an ask out without serving it. */
+  remove(waiting: Waiting): boolean {
+    const { workspace, class: className } = waiting.ask;
+    const key = flowKey(workspace, className);
+    const flow = this.#flows.get(key);
+    if (flow === undefined || !flow.remove(waiting)) return false;
+    this.#count--;
+    this.#bytes -= waiting.bytes;
+    if (flow.length === 0) this.#forgetClaim(className);
+    return true;
+  }
+
+  /** Flows that wait, the one to serve first at the head. */
+  order(): readonly Flow[] {
+    const waiting = [...this.#flows.values()].filter((it) => it.length > 0);
+    return waiting.sort((left, right) => this.#compare(left, right));
+  }
+
+  /** The ask of a flow to serve next. */
+  headOf(flow: Flow, now: number): Waiting | undefined {
+    return flow.head(this.#switches.lateLast ? now : undefined);
+  }
+
+  /** Takes an ask out to serve it, and charges its cost. */
+  take(flow: Flow, waiting: Waiting): void {
+    const tier = this.tierOf(flow.class);
+    this.#virtual.set(tier, Math.max(this.#virtual.get(tier) ?? 0, flow.pass));
+    this.#charge(flow, waiting.cost);
+    this.remove(waiting);
+  }
+
+  /** Corrects a charge: what the answer cost beyond its estimate, or less. */
+  settle(
+    served: { readonly workspace: string; readonly class: string },
+    excess: number,
+  ): void {
+    const flow = this.#flows.get(flowKey(served.workspace, served.class));
+    if (flow !== undefined) this.#charge(flow, excess);
+  }
+
+  /** Cost that would be served before a new ask of this workspace and class. */
+  costAhead(workspace: string, className: string): number {
+    const tier = this.tierOf(className);
+    const own = this.#flows.get(flowKey(workspace, className));
+    const ownWeight = this.#weightOf(workspace, className);
+    let higher = 0;
+    let same = 0;
+    let weights = ownWeight;
+    for (const flow of this.#flows.values()) {
+      if (flow.length === 0) continue;
+      const flowTier = this.tierOf(flow.class);
+      if (flowTier < tier) higher += flow.cost;
+      if (flowTier !== tier) continue;
+      same += flow.cost;
+      if (flow !== own) weights += this.#weightOf(flow.workspace, flow.class);
+    }
+    if (!this.#switches.fairQueueing) return higher + same;
+    const ownShare = (own?.cost ?? 0) * weights / ownWeight;
+    return higher + Math.min(same, ownShare);
+  }
+
+  /** Whether a class is owed service under its minimum share. */
+  isOwed(className: string): boolean {
+    return this.#switches.minimumShare &&
+      (this.#credit.get(className) ?? 0) > 0;
+  }
+
+  #compare(left: Flow, right: Flow): number {
+    const owed = this.#claim(right.class) - this.#claim(left.class);
+    if (owed !== 0) return owed;
+    const tiers = this.tierOf(left.class) - this.tierOf(right.class);
+    if (tiers !== 0) return tiers;
+    if (this.#switches.fairQueueing && left.pass !== right.pass) {
+      return left.pass - right.pass;
+    }
+    return left.items[0]!.arrivedAt - right.items[0]!.arrivedAt;
+  }
+
+  /** What a class is owed in proportion to its share; 0 when nothing. */
+  #claim(className: string): number {
+    if (!this.isOwed(className)) return 0;
+    const share = this.#classes.get(className)?.minimumShare ?? 0;
+    return share > 0 ? (this.#credit.get(className) ?? 0) / share : 0;
+  }
+
+  #add(flow: Flow, waiting: Waiting): void {
+    if (flow.length === 0) {
+      // An idle flow must not save up service: it starts at the present.
+      const virtual = this.#virtual.get(this.tierOf(flow.class)) ?? 0;
+      flow.pass = Math.max(flow.pass, virtual);
+    }
+    flow.add(waiting);
+    this.#count++;
+    this.#bytes += waiting.bytes;
+  }
+
+  #charge(flow: Flow, cost: number): void {
+    flow.pass += cost / this.#weightOf(flow.workspace, flow.class);
+    if (!this.#switches.minimumShare) return;
+    for (const [name, headCost] of this.#waitingClasses()) {
+      const share = this.#classes.get(name)?.minimumShare ?? 0;
+      if (share <= 0) continue;
+      const credit = (this.#credit.get(name) ?? 0) + share * cost;
+      this.#credit.set(name, Math.min(credit, CREDIT_BOUND * headCost));
+    }
+    // A class pays for its service only down to one such cost: service beyond
+    // its share is the tiers' gift and must not be held against it later.
+    const paid = (this.#credit.get(flow.class) ?? 0) - cost;
+    this.#credit.set(flow.class, Math.max(paid, -Math.abs(cost)));
+  }
+
+  /** Classes that wait, with the cost of one of their next asks. */
+  #waitingClasses(): ReadonlyMap<string, number> {
+    const found = new Map<string, number>();
+    for (const flow of this.#flows.values()) {
+      const head = flow.items[0];
+      if (head === undefined) continue;
+      found.set(flow.class, Math.max(found.get(flow.class) ?? 0, head.cost));
+    }
+    return found;
+  }
+
+  /** A class with nothing waiting has no claim left; its debts stay. */
+  #forgetClaim(className: string): void {
+    for (const flow of this.#flows.values()) {
+      if (flow.class === className && flow.length > 0) return;
+    }
+    const credit = this.#credit.get(className) ?? 0;
+    this.#credit.set(className, Math.min(0, credit));
+  }
+
+  #victim(): Waiting | undefined {
+    let worst: Flow | undefined;
+    for (const flow of this.#flows.values()) {
+      if (flow.length === 0) continue;
+      if (worst === undefined || this.#shedBefore(flow, worst)) worst = flow;
+    }
+    return worst?.newest;
+  }
+
+  #shedBefore(left: Flow, right: Flow): boolean {
+    const tiers = this.tierOf(left.class) - this.tierOf(right.class);
+    if (tiers !== 0) return tiers > 0;
+    return left.bytes / this.#weightOf(left.workspace, left.class) >
+      right.bytes / this.#weightOf(right.workspace, right.class);
+  }
+
+  #weightOf(workspace: string, className: string): number {
+    return this.#weights.get(flowKey(workspace, className)) ?? 1;
+  }
+
+  #flowOf(waiting: Waiting): Flow {
+    const { workspace, class: className } = waiting.ask;
+    const key = flowKey(workspace, className);
+    const known = this.#flows.get(key);
+    if (known !== undefined) return known;
+    const made = new Flow(workspace, className);
+    this.#flows.set(key, made);
+    return made;
+  }
+}
+
+function flowKey(workspace: string, className: string): string {
+  return `${className}\n${workspace}`;
+}
--- /dev/null
+++ b/packages/daemon/src/process/scheduling/load_reports.ts
@@ -0,0 +1,175 @@
+/**
+ * Load reports of the runners, polled from their `GET /load`.
+ *
+ * @module
+ */
+import http from "node:http";
+import type { Clock } from "@umbermast/coordination";
+import * as Effect from "effect/Effect";
+import * as Fiber from "effect/Fiber";
+import type * as Scope from "effect/Scope";
+import type { Runner } from "../runner.ts";
+import type { RunnerDirectory } from "../runner_directory.ts";
+
+/** What a runner last said of itself. It lags the truth and may be wrong. */
+export interface LoadReport {
+  /** Requests in its batch. */
+  readonly running: number;
+  /** Requests queued inside the runner. */
+  readonly waiting: number;
+  /** Requests that it says it can run at once; 0 when it does not say. */
+  readonly slots: number;
+  /** Milliseconds of its last step; 0 when it has none. */
+  readonly stepMs: number;
+  readonly leaving: boolean;
+  /** Monotonic milliseconds of this process when the report came. */
+  readonly receivedAt: number;
+}
+
+const DEFAULT_INTERVAL_MS = 250;
+const TIMEOUT_MS = 1_000;
+const BODY_LIMIT_BYTES = 64 * 1024;
+
+/** Polls runners and keeps the last report of each. */
+export class LoadReports {
+  readonly #clock: Clock;
+  readonly #intervalMs: number;
+  readonly #agent = new http.Agent({ keepAlive: true });
+  readonly #reports = new Map<string, LoadReport>();
+  readonly #listeners = new Set<(runner: string) => void>();
+
+  constructor(options: {
+    readonly clock: Clock;
+    /** Milliseconds between two polls of a runner; 250 by default. */
+    readonly intervalMs?: number;
+  }) {
+    this.#clock = options.clock;
+    this.#intervalMs = options.intervalMs ?? DEFAULT_INTERVAL_MS;
+  }
+
+  /** The last report of a runner, however old. */
+  get(runner: string): LoadReport | undefined {
+    return this.#reports.get(runner);
+  }
+
+  /** Keeps a report that came by another way. */
+  record(runner: string, report: LoadReport): void {
+    this.#reports.set(runner, report);
+    for (const listener of this.#listeners) listener(runner);
+  }
+
+  /** Calls the listener after each report. Returns the end of the subscription. */
+  subscribe(listener: (runner: string) => void): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  /** Polls every runner of the directory until the scope closes: one fibre each. */
+  follow(directory: RunnerDirectory): Effect.Effect<void, never, Scope.Scope> {
+    return Effect.gen({ self: this }, function* () {
+      const scope = yield* Effect.scope;
+      const running = new Map<string, Fiber.Fiber<void>>();
+      const adjust = () => {
+        const wanted = new Map(directory.all().map((it) => [keyOf(it), it]));
+        for (const [key, fiber] of running) {
+          if (wanted.has(key)) continue;
+          running.delete(key);
+          this.#reports.delete(key.slice(key.indexOf(" ") + 1));
+          Effect.runFork(Fiber.interrupt(fiber));
+        }
+        for (const [key, runner] of wanted) {
+          if (running.has(key)) continue;
+          const poll = Effect.forkIn(this.#poll(runner), scope);
+          running.set(key, Effect.runSync(poll));
+        }
+      };
+      adjust();
+      const end = directory.subscribe(adjust);
+      yield* Effect.addFinalizer(() =>
+        Effect.sync(() => {
+          end();
+          this.#agent.destroy();
+        })
+      );
+    });
+  }
+
+  #poll(runner: Runner): Effect.Effect<void> {
+    return Effect.gen({ self: this }, function* () {
+      while (true) {
+        const body = yield* this.#fetch(runner);
+        const report = parseReport(body, this.#clock.monotonic());
+        if (report !== undefined) this.record(runner.name, report);
+        yield* Effect.sleep(this.#intervalMs);
+      }
+    });
+  }
+
+  /** The body of one report; empty when none came in time. */
+  #fetch(runner: Runner): Effect.Effect<string> {
+    return Effect.callback<string>((resume) => {
+      const request = http.get({
+        host: runner.address,
+        port: runner.port,
+        path: "/load",
+        agent: this.#agent,
+      }, (response) => {
+        const parts: Buffer[] = [];
+        let size = 0;
+        response.on("data", (part: Buffer) => {
+          size += part.length;
+          if (size > BODY_LIMIT_BYTES) return request.destroy();
+          parts.push(part);
+        });
+        response.on("end", () => done(Buffer.concat(parts).toString("utf8")));
+        response.on("error", () => done(""));
+        response.on("close", () => done(""));
+      });
+      // A runner that accepts and then says nothing would hold its poll for
+      // good and freeze its report; the whole exchange is bounded instead.
+      const timer = setTimeout(() => request.destroy(), TIMEOUT_MS);
+      const done = (body: string) => {
+        clearTimeout(timer);
+        resume(Effect.succeed(body));
+      };
+      request.on("error", () => done(""));
+      request.on("close", () => done(""));
+      return Effect.sync(() => {
+        clearTimeout(timer);
+        request.destroy();
+      });
+    });
+  }
+}
+
+function keyOf(runner: Runner): string {
+  return `${runner.address}:${runner.port}/${runner.incarnation} ${runner.name}`;
+}
+
+/** Reads a report; `undefined` when it is not one. */
+export function parseReport(
+  body: string,
+  receivedAt: number,
+): LoadReport | undefined {
+  if (body === "") return undefined;
+  try {
+    const value: unknown = JSON.parse(body);
+    if (typeof value !== "object" || value === null) return undefined;
+    const fields = new Map(Object.entries(value));
+    return {
+      running: count(fields.get("running")),
+      waiting: count(fields.get("waiting")),
+      slots: count(fields.get("slots")),
+      stepMs: count(fields.get("stepMs")),
+      leaving: fields.get("leaving") === true,
+      receivedAt,
+    };
+  } catch {
+    return undefined;
+  }
+}
+
+function count(value: unknown): number {
+  if (typeof value !== "number" || !Number.isFinite(value)) return 0;
+  return Math.max(0, value);
+}
--- /dev/null
+++ b/packages/daemon/src/process/scheduling/messages.ts
@@ -0,0 +1,167 @@
+/**
+ * Messages between an entry daemon and the broker of a service.
+ *
+ * Times travel as durations, never as moments, because daemons' clocks differ.
+ *
+ * @module
+ */
+import * as Exit from "effect/Exit";
+import * as Schema from "effect/Schema";
+
+/** Channel of messages from entries to brokers. */
+export const TO_BROKER = "broker";
+/** Channel of messages from brokers to entries. */
+export const TO_ENTRY = "entry";
+
+const NAME_LIMIT = 256;
+const LIST_LIMIT = 20_000;
+
+const Name = Schema.String.check(Schema.isMaxLength(NAME_LIMIT));
+const Amount = Schema.Finite.check(Schema.isGreaterThanOrEqualTo(0));
+
+const AskBody = Schema.Struct({
+  type: Schema.Literal("ask"),
+  askId: Name,
+  /** Grows when the entry asks anew elsewhere; a grant echoes it. */
+  epoch: Amount,
+  requestId: Name,
+  service: Name,
+  model: Schema.optionalKey(Name),
+  workspace: Name,
+  class: Name,
+  promptTokens: Amount,
+  maxTokens: Schema.optionalKey(Amount),
+  prefixDigest: Schema.optionalKey(Name),
+  /** Milliseconds until the answer is of no use. */
+  remainingMs: Amount,
+  /** Milliseconds since the request arrived. */
+  waitedMs: Amount,
+  excluded: Schema.Array(Name),
+  /** The entry reaches no broker and acts alone: grant within a small cap. */
+  alone: Schema.Boolean,
+});
+
+const SettlementBody = Schema.Struct({
+  outcome: Schema.Literals([
+    "complete",
+    "cancelled",
+    "refused",
+    "failed",
+    "silent",
+  ]),
+  promptTokens: Amount,
+  outputTokens: Amount,
+  firstTokenMs: Schema.optionalKey(Amount),
+  betweenTokensMs: Schema.optionalKey(Amount),
+});
+
+const WithdrawBody = Schema.Struct({
+  type: Schema.Literal("withdraw"),
+  service: Name,
+  askId: Name,
+});
+
+const ReleaseBody = Schema.Struct({
+  type: Schema.Literal("release"),
+  service: Name,
+  askId: Name,
+  settlement: SettlementBody,
+});
+
+const HeldBody = Schema.Struct({
+  askId: Name,
+  runner: Name,
+  workspace: Name,
+  class: Name,
+  promptTokens: Amount,
+});
+
+const PresentBody = Schema.Struct({
+  type: Schema.Literal("present"),
+  service: Name,
+  waiting: Schema.Array(Name).check(Schema.isMaxLength(LIST_LIMIT)),
+  held: Schema.Array(HeldBody).check(Schema.isMaxLength(LIST_LIMIT)),
+});
+
+const BeatBody = Schema.Struct({
+  type: Schema.Literal("beat"),
+  service: Name,
+  waiting: Amount,
+  held: Amount,
+});
+
+const GrantBody = Schema.Struct({
+  type: Schema.Literal("grant"),
+  askId: Name,
+  epoch: Amount,
+  runner: Name,
+  validForMs: Amount,
+});
+
+const RefuseBody = Schema.Struct({
+  type: Schema.Literal("refuse"),
+  askId: Name,
+  epoch: Amount,
+  code: Schema.Literals([
+    "queue_full",
+    "limit_reached",
+    "deadline_passed",
+    "no_runner",
+    "leaving",
+  ]),
+  retryAfterMs: Amount,
+});
+
+const BeatReplyBody = Schema.Struct({
+  type: Schema.Literal("beat_reply"),
+  service: Name,
+  /** The broker's books differ from the beat: the entry presents all it has. */
+  resync: Schema.Boolean,
+});
+
+const ToBroker = Schema.Union([
+  AskBody,
+  WithdrawBody,
+  ReleaseBody,
+  PresentBody,
+  BeatBody,
+]);
+const ToEntry = Schema.Union([GrantBody, RefuseBody, BeatReplyBody]);
+
+/** An entry asks for a slot. A second one with the same id changes nothing. */
+export type AskMessage = typeof AskBody.Type;
+/** An entry no longer wants the slot it asked for. */
+export type WithdrawMessage = typeof WithdrawBody.Type;
+/** An entry gives a slot back. */
+export type ReleaseMessage = typeof ReleaseBody.Type;
+/** A slot that an entry holds. */
+export type HeldSlot = typeof HeldBody.Type;
+/** All that an entry has at a broker; what is not listed is gone. */
+export type PresentMessage = typeof PresentBody.Type;
+/** Sign of life of an entry that has something at a broker. */
+export type BeatMessage = typeof BeatBody.Type;
+/** A slot for an ask. */
+export type GrantMessage = typeof GrantBody.Type;
+/** No slot for an ask; it was not run. */
+export type RefuseMessage = typeof RefuseBody.Type;
+/** Answer to a beat. */
+export type BeatReplyMessage = typeof BeatReplyBody.Type;
+/** Any message to a broker. */
+export type BrokerMessage = typeof ToBroker.Type;
+/** Any message to an entry. */
+export type EntryMessage = typeof ToEntry.Type;
+
+const decodeToBroker = Schema.decodeUnknownExit(ToBroker);
+const decodeToEntry = Schema.decodeUnknownExit(ToEntry);
+
+/** Checks a message to a broker; `undefined` when it is malformed. */
+export function readBrokerMessage(value: unknown): BrokerMessage | undefined {
+  const exit = decodeToBroker(value);
+  return Exit.isSuccess(exit) ? exit.value : undefined;
+}
+
+/** Checks a message to an entry; `undefined` when it is malformed. */
+export function readEntryMessage(value: unknown): EntryMessage | undefined {
+  const exit = decodeToEntry(value);
+  return Exit.isSuccess(exit) ? exit.value : undefined;
+}
--- /dev/null
+++ b/packages/daemon/src/process/scheduling/row_limits.ts
@@ -0,0 +1,131 @@
+/**
+ * Limits of the table's rows: requests a second, tokens a second, in flight.
+ *
+ * @module
+ */
+import type { Row } from "@umbermast/table";
+
+/** Seconds of unused allowance that a row may save up. */
+const BURST_SECONDS = 1;
+const SECOND_MS = 1_000;
+
+/** What a row has used. */
+interface Usage {
+  requests: number;
+  tokens: number;
+  refilledAt: number;
+  inFlight: number;
+}
+
+/** Whether a row may start one more request, and when it may if not now. */
+export interface Admission {
+  readonly admitted: boolean;
+  /** Milliseconds until it may; infinite when only a release helps. */
+  readonly waitMs: number;
+}
+
+const ADMITTED: Admission = { admitted: true, waitMs: 0 };
+
+/** Counts what each row has started and allows what its limits leave. */
+export class RowLimits {
+  readonly #usage = new Map<string, Usage>();
+
+  /** Whether the row may start a request now. */
+  check(row: Row | undefined, now: number): Admission {
+    if (row === undefined) return ADMITTED;
+    const usage = this.#usageOf(row, now);
+    if (row.inFlight !== undefined && usage.inFlight >= row.inFlight) {
+      return { admitted: false, waitMs: Infinity };
+    }
+    const waitMs = Math.max(
+      waitFor(1 - usage.requests, row.requestsPerSecond),
+      // Tokens go into debt by the last request's cost, so that a request that
+      // costs more than the burst can start at all.
+      usage.tokens > 0 ? 0 : waitFor(-usage.tokens + 1, row.tokensPerSecond),
+    );
+    return waitMs > 0 ? { admitted: false, waitMs } : ADMITTED;
+  }
+
+  /** Charges a start. */
+  start(
+    row: Row | undefined,
+    charge: { readonly cost: number; readonly now: number },
+  ): void {
+    if (row === undefined) return;
+    const usage = this.#usageOf(row, charge.now);
+    usage.requests -= 1;
+    usage.tokens -= charge.cost;
+    usage.inFlight += 1;
+  }
+
+  /** Counts a request that another broker started. */
+  adopt(row: Row | undefined, now: number): void {
+    if (row === undefined) return;
+    this.#usageOf(row, now).inFlight += 1;
+  }
+
+  /** Settles an end: the cost in excess of the charge, or less than it. */
+  end(
+    key: { readonly workspace: string; readonly class: string },
+    excess: number,
+  ): void {
+    const usage = this.#usage.get(keyOf(key));
+    if (usage === undefined) return;
+    usage.inFlight = Math.max(0, usage.inFlight - 1);
+    usage.tokens -= excess;
+  }
+
+  /** Requests of a row in flight. */
+  inFlight(
+    key: { readonly workspace: string; readonly class: string },
+  ): number {
+    return this.#usage.get(keyOf(key))?.inFlight ?? 0;
+  }
+
+  #usageOf(row: Row, now: number): Usage {
+    const key = keyOf(row);
+    let usage = this.#usage.get(key);
+    if (usage === undefined) {
+      usage = {
+        requests: burst(row.requestsPerSecond),
+        tokens: burst(row.tokensPerSecond),
+        refilledAt: now,
+        inFlight: 0,
+      };
+      this.#usage.set(key, usage);
+      return usage;
+    }
+    const seconds = Math.max(0, now - usage.refilledAt) / SECOND_MS;
+    usage.refilledAt = now;
+    usage.requests = refill(usage.requests, seconds, row.requestsPerSecond);
+    usage.tokens = refill(usage.tokens, seconds, row.tokensPerSecond);
+    return usage;
+  }
+}
+
+function keyOf(
+  key: { readonly workspace: string; readonly class: string },
+): string {
+  return `${key.class}\n${key.workspace}`;
+}
+
+/** At least one, so that a row of less than one request a second can start. */
+function burst(rate: number | undefined): number {
+  return rate === undefined ? Infinity : Math.max(1, rate * BURST_SECONDS);
+}
+
+function refill(
+  left: number,
+  seconds: number,
+  rate: number | undefined,
+): number {
+  if (rate === undefined) return Infinity;
+  // A row that had no limit so far starts with a full burst.
+  if (left === Infinity) return burst(rate);
+  return Math.min(burst(rate), left + seconds * rate);
+}
+
+function waitFor(missing: number, rate: number | undefined): number {
+  if (rate === undefined || missing <= 0) return 0;
+  return rate > 0 ? missing / rate * SECOND_MS : Infinity;
+}
--- /dev/null
+++ b/packages/daemon/src/process/scheduling/slot_limit.ts
@@ -0,0 +1,63 @@
+/**
+ * How many requests a runner is given at once: additive increase,
+ * multiplicative decrease on observed latency.
+ *
+ * @module
+ */
+
+/** Latency in proportion to its target above which slots are taken away. */
+const TOO_SLOW = 1;
+/** Latency in proportion to its target below which slots may be added. */
+const COMFORTABLE = 0.85;
+const DECREASE = 0.85;
+/** Observations of one congested moment must count once. */
+const DECREASE_INTERVAL_MS = 500;
+/** Bounds in multiples of the table's number of slots. */
+const LEAST = 0.25;
+const MOST = 4;
+
+/** The adapted number of slots of one runner. */
+export class SlotLimit {
+  #base: number;
+  #value: number;
+  #decreasedAt = -Infinity;
+
+  constructor(base: number) {
+    this.#base = Math.max(1, base);
+    this.#value = this.#base;
+  }
+
+  /** Whole slots; at least 1. */
+  get slots(): number {
+    return Math.max(1, Math.floor(this.#value));
+  }
+
+  /** Takes another number from the table, keeping the adaptation's proportion. */
+  setBase(base: number): void {
+    if (base === this.#base) return;
+    this.#value = this.#value / this.#base * Math.max(1, base);
+    this.#base = Math.max(1, base);
+  }
+
+  /**
+   * Learns from one observation.
+   *
+   * @param ratio observed latency over the tightest target being served.
+   * @param at the moment, and whether all slots were in use: a limit that is
+   * not reached shows nothing about a higher one.
+   */
+  observe(
+    ratio: number,
+    at: { readonly now: number; readonly saturated: boolean },
+  ): void {
+    if (ratio > TOO_SLOW) return this.#decrease(at.now);
+    if (ratio > COMFORTABLE || !at.saturated) return;
+    this.#value = Math.min(this.#base * MOST, this.#value + 1 / this.#value);
+  }
+
+  #decrease(now: number): void {
+    if (now - this.#decreasedAt < DECREASE_INTERVAL_MS) return;
+    this.#decreasedAt = now;
+    this.#value = Math.max(1, this.#base * LEAST, this.#value * DECREASE);
+  }
+}
--- a/packages/daemon/src/request/ask.ts
+++ b/packages/daemon/src/request/ask.ts
@@ -4,6 +4,9 @@
  * @module
  */
 import type { Runner } from "../process/runner.ts";
+import type { Settlement } from "../process/scheduling/settlement.ts";
+
+export type { Settlement };
 
 /** A request for a slot at a runner. */
 export interface Ask {
@@ -27,17 +30,6 @@
   readonly excluded: readonly string[];
 }
 
-/** How an attempt that held a slot ended. */
-export interface Settlement {
-  readonly outcome: "complete" | "cancelled" | "refused" | "failed" | "silent";
-  readonly promptTokens: number;
-  readonly outputTokens: number;
-  /** Milliseconds from the send to the first token; absent if none came. */
-  readonly firstTokenMs?: number;
-  /** Mean milliseconds between tokens; absent with fewer than two. */
-  readonly betweenTokensMs?: number;
-}
-
 /** A slot at a runner, held until it is released. */
 export interface Grant {
   readonly askId: string;
--- /dev/null
+++ b/packages/daemon/src/request/random_scheduler.ts
@@ -0,0 +1,57 @@
+/**
+ * Baseline: any live runner, at once.
+ *
+ * @module
+ */
+import * as Effect from "effect/Effect";
+import type { Clock } from "@umbermast/coordination";
+import type { RunnerDirectory } from "../process/runner_directory.ts";
+import type { Log } from "../process/log.ts";
+import type { Ask, Grant, Refusal } from "./ask.ts";
+import type { Scheduler } from "./scheduler.ts";
+import { noRunner } from "./refusals.ts";
+
+const GRANT_MS = 5_000;
+
+/** Grants every ask at once, at a live runner taken at random. */
+export class RandomScheduler implements Scheduler {
+  readonly #parts: {
+    readonly directory: RunnerDirectory;
+    readonly clock: Clock;
+    readonly log: Log;
+    /** A number from 0 to less than 1. */
+    readonly random: () => number;
+  };
+
+  constructor(parts: {
+    readonly directory: RunnerDirectory;
+    readonly clock: Clock;
+    readonly log: Log;
+    readonly random: () => number;
+  }) {
+    this.#parts = parts;
+  }
+
+  acquire(ask: Ask): Effect.Effect<Grant, Refusal> {
+    return Effect.suspend(() => {
+      const { directory, clock, log, random } = this.#parts;
+      const live = directory.runners(ask.service).filter((runner) =>
+        runner.state === "live" && !ask.excluded.includes(runner.name)
+      );
+      const runner = live[Math.floor(random() * live.length)];
+      if (runner === undefined) return Effect.fail(noRunner(ask));
+      log.decision("slot_granted", {
+        requestId: ask.requestId,
+        askId: ask.askId,
+        runner: runner.name,
+        why: "random",
+      });
+      return Effect.succeed<Grant>({
+        askId: ask.askId,
+        runner,
+        expiresAt: clock.now() + GRANT_MS,
+        release: () => {},
+      });
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/request/refusals.ts
@@ -0,0 +1,76 @@
+/**
+ * Refusals of asks. Each tells the caller when to come back.
+ *
+ * @module
+ */
+import type { Ask, Refusal } from "./ask.ts";
+
+const NO_RUNNER_RETRY_MS = 1_000;
+const LEAVING_RETRY_MS = 100;
+
+/** No live runner may serve the ask. */
+export function noRunner(ask: Ask): Refusal {
+  return {
+    _tag: "Refusal",
+    code: "no_runner",
+    message:
+      `Cannot serve the request: service "${ask.service}" has no runner for it`,
+    retryAfterMs: NO_RUNNER_RETRY_MS,
+  };
+}
+
+/** The queue has no room for the ask. */
+export function queueFull(ask: Ask, retryAfterMs: number): Refusal {
+  return {
+    _tag: "Refusal",
+    code: "queue_full",
+    message:
+      `Cannot serve the request: the queue of class "${ask.class}" is full`,
+    retryAfterMs,
+  };
+}
+
+/** The ask's deadline has passed, or will have before a slot is free. */
+export function deadlinePassed(ask: Ask, retryAfterMs: number): Refusal {
+  return {
+    _tag: "Refusal",
+    code: "deadline_passed",
+    message:
+      `Cannot serve the request: no slot comes before the timeout of class "${ask.class}"`,
+    retryAfterMs,
+  };
+}
+
+/** This daemon is shutting down. */
+export function leaving(): Refusal {
+  return {
+    _tag: "Refusal",
+    code: "leaving",
+    message: "Cannot serve the request: this daemon is leaving",
+    retryAfterMs: LEAVING_RETRY_MS,
+  };
+}
+
+const MESSAGES: Readonly<Record<Refusal["code"], string>> = {
+  queue_full: "the queue has no room for it",
+  limit_reached: "its workspace has reached its limit",
+  deadline_passed: "no slot came before its timeout",
+  no_runner: "no runner may serve it",
+  leaving: "this daemon is leaving",
+};
+
+/** A refusal that a broker decided. */
+export function refusalOf(
+  ask: Ask,
+  code: Refusal["code"],
+  options: { readonly retryAfterMs: number },
+): Refusal {
+  return {
+    _tag: "Refusal",
+    code,
+    message: `Cannot serve the request of class "${ask.class}": ${
+      MESSAGES[code]
+    }`,
+    retryAfterMs: options.retryAfterMs,
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/request/scheduling.ts
@@ -0,0 +1,80 @@
+/**
+ * Makes the scheduler that the settings name.
+ *
+ * @module
+ */
+import type { Clock, Membership, Peers } from "@umbermast/coordination";
+import * as Effect from "effect/Effect";
+import type * as Scope from "effect/Scope";
+import type { Log } from "../process/log.ts";
+import type { RunnerDirectory } from "../process/runner_directory.ts";
+import { BrokerHost } from "../process/scheduling/broker_host.ts";
+import { LoadReports } from "../process/scheduling/load_reports.ts";
+import { ALL_ON, type Switches } from "../process/scheduling/switches.ts";
+import type { TableSource } from "../process/table_source.ts";
+import { BrokeredScheduler } from "./brokered_scheduler.ts";
+import { FifoScheduler } from "./fifo_scheduler.ts";
+import { RandomScheduler } from "./random_scheduler.ts";
+import type { Scheduler } from "./scheduler.ts";
+
+/** Names of the policies. */
+export type Policy = "umbermast" | "fifo" | "random";
+
+/** The `scheduling` section of the settings. */
+export interface SchedulingSettings {
+  /** `umbermast` by default; the others are baselines for measurement. */
+  readonly policy?: Policy;
+  /** Mechanisms to switch off for measurement; all are on by default. */
+  readonly switches?: Partial<Switches>;
+  /** Milliseconds between two load reports of a runner; 250 by default. */
+  readonly reportIntervalMs?: number;
+}
+
+/** What a scheduler works with. */
+export interface SchedulerParts {
+  readonly directory: RunnerDirectory;
+  readonly table: TableSource;
+  readonly clock: Clock;
+  readonly log: Log;
+  /** Absent in a daemon without peers, which then brokers for itself. */
+  readonly peers?: Peers;
+  readonly membership?: Membership;
+}
+
+/**
+ * Makes the scheduler of the settings and runs what it needs until the scope
+ * closes.
+ */
+export function makeScheduler(
+  parts: SchedulerParts,
+  settings: SchedulingSettings = {},
+): Effect.Effect<Scheduler, never, Scope.Scope> {
+  return Effect.gen(function* () {
+    const { clock, directory, log } = parts;
+    const policy = settings.policy ?? "umbermast";
+    log.event("scheduler_chosen", { policy });
+    if (policy === "random") {
+      return new RandomScheduler({
+        directory,
+        clock,
+        log,
+        random: Math.random,
+      });
+    }
+    const { reportIntervalMs } = settings;
+    const reports = new LoadReports({
+      clock,
+      ...(reportIntervalMs === undefined
+        ? {}
+        : { intervalMs: reportIntervalMs }),
+    });
+    yield* reports.follow(directory);
+    if (policy === "fifo") return new FifoScheduler({ ...parts, reports });
+    const switches = { ...ALL_ON, ...settings.switches };
+    const host = new BrokerHost({ ...parts, reports, switches });
+    const scheduler = new BrokeredScheduler({ ...parts, host });
+    yield* host.start();
+    yield* scheduler.start();
+    return scheduler;
+  });
+}
