Never turn a higher tier away while a lower one waits

Cause: the per-workspace bound and the early refusal looked only at the ask's own flow, so a top-tier ask could be refused while lower tiers kept their places; a runner lost from the directory left its limits counted. Change: both checks rest while a lower tier waits, a row's own rate refuses at once what cannot meet its deadline, and limits end with a lost runner. Conclusion: shedding starts from the lowest tier in every path.

--- a/packages/daemon/src/process/scheduling/broker.ts
+++ b/packages/daemon/src/process/scheduling/broker.ts
@@ -211,7 +211,10 @@
     const lost = this.#pool.setRunners(
       this.#parts.directory.runners(this.#service),
     );
-    for (const held of lost) this.#forgetHeld(held);
+    for (const held of lost) {
+      this.#limits.end(held, 0);
+      this.#forgetHeld(held);
+    }
     this.#drain();
   }
 
@@ -358,16 +361,35 @@
     now: number,
   ): Pick<RefuseMessage, "code" | "retryAfterMs"> | undefined {
     if (!this.#parts.switches.earlyRefusal) return undefined;
-    if (this.#queue.length === 0) return undefined;
+    const left = (waiting.deadlineAt - now) * HOPELESS;
+    const limitMs = this.#limitWait(waiting);
+    if (limitMs > left) {
+      return { code: "limit_reached", retryAfterMs: retryAfter(limitMs) };
+    }
+    // A higher tier is never turned away while a lower one waits.
+    const tier = this.#queue.tierOf(waiting.ask.class);
+    if (this.#queue.length === 0 || this.#queue.hasBelow(tier)) {
+      return undefined;
+    }
     const rate = this.#rate.perSecond;
     if (rate === undefined || rate <= 0) return undefined;
     const { workspace, class: className } = waiting.ask;
     const ahead = this.#queue.costAhead(workspace, className);
     const waitMs = ahead / rate * 1_000;
-    if (waitMs <= (waiting.deadlineAt - now) * HOPELESS) return undefined;
+    if (waitMs <= left) return undefined;
     return { code: "queue_full", retryAfterMs: retryAfter(waitMs) };
   }
 
+  /** Milliseconds that the row's own rates make the ask wait. */
+  #limitWait(waiting: Waiting): number {
+    const row = this.#rowOf(waiting.ask);
+    const { count, cost } = this.#queue.backlog(waiting.ask);
+    return Math.max(
+      count / (row?.requestsPerSecond ?? Infinity),
+      cost / (row?.tokensPerSecond ?? Infinity),
+    ) * 1_000;
+  }
+
   #shed(waiting: Waiting): void {
     const { ask } = waiting;
     this.#waiting.delete(ask.askId);
--- a/packages/daemon/src/process/scheduling/fair_queue.ts
+++ b/packages/daemon/src/process/scheduling/fair_queue.ts
@@ -40,6 +40,12 @@
   readonly shed: readonly Waiting[];
 }
 
+/** What waits of one workspace and class. */
+export interface Backlog {
+  readonly count: number;
+  readonly cost: number;
+}
+
 /** Waiting asks of one broker. */
 export class FairQueue {
   readonly #switches: Switches;
@@ -92,9 +98,11 @@
    */
   offer(waiting: Waiting): Offer {
     const flow = this.#flowOf(waiting);
-    // One workspace's burst would fill the queue and push out the others'; its
-    // own bound makes it lose its own newest asks first.
-    if (flow.length >= this.#bounds.perWorkspace) {
+    // One workspace's burst would fill the queue for all; its own bound makes it
+    // lose its own newest asks first. While a lower tier waits the bound rests:
+    // shedding here would shed a higher tier before a lower one.
+    const full = flow.length >= this.#bounds.perWorkspace;
+    if (full && !this.hasBelow(this.tierOf(flow.class))) {
       return { accepted: false, shed: [waiting] };
     }
     this.#add(flow, waiting);
@@ -171,6 +179,22 @@
     return higher + Math.min(same, ownShare);
   }
 
+  /** Whether anything of a lower tier waits. */
+  hasBelow(tier: number): boolean {
+    for (const flow of this.#flows.values()) {
+      if (flow.length > 0 && this.tierOf(flow.class) > tier) return true;
+    }
+    return false;
+  }
+
+  /** Asks and cost of a workspace and class that wait. */
+  backlog(
+    key: { readonly workspace: string; readonly class: string },
+  ): Backlog {
+    const flow = this.#flows.get(flowKey(key.workspace, key.class));
+    return { count: flow?.length ?? 0, cost: flow?.cost ?? 0 };
+  }
+
   /** Whether a class is owed service under its minimum share. */
   isOwed(className: string): boolean {
     return this.#switches.minimumShare &&
--- a/packages/daemon/tests/scheduling/fixtures.ts
+++ b/packages/daemon/tests/scheduling/fixtures.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { SYSTEM_CLOCK } from "@umbermast/coordination";
 import type {
   Clock,
   Member,
@@ -14,6 +15,7 @@
 } from "@umbermast/coordination";
 import type { Class, Row, Table } from "@umbermast/table";
 import * as Effect from "effect/Effect";
+import type * as Scope from "effect/Scope";
 import type { Fields, Log } from "../../src/process/log.ts";
 import type { Runner } from "../../src/process/runner.ts";
 import { RunnerDirectory } from "../../src/process/runner_directory.ts";
@@ -21,6 +23,7 @@
   Broker,
   type BrokerParts,
 } from "../../src/process/scheduling/broker.ts";
+import { BrokerHost } from "../../src/process/scheduling/broker_host.ts";
 import { LoadReports } from "../../src/process/scheduling/load_reports.ts";
 import type {
   AskMessage,
@@ -28,7 +31,8 @@
 } from "../../src/process/scheduling/messages.ts";
 import { ALL_ON } from "../../src/process/scheduling/switches.ts";
 import type { TableSource } from "../../src/process/table_source.ts";
-import type { Ask } from "../../src/request/ask.ts";
+import type { Ask, Settlement } from "../../src/request/ask.ts";
+import { BrokeredScheduler } from "../../src/request/brokered_scheduler.ts";
 
 export const SERVICE = "drafting-llm";
 
@@ -364,3 +368,58 @@
     return true;
   }
 }
+
+/** A daemon's part in scheduling, in this process. */
+export interface TestDaemon {
+  readonly name: string;
+  readonly host: BrokerHost;
+  readonly scheduler: BrokeredScheduler;
+  readonly membership: TestMembership;
+  readonly directory: RunnerDirectory;
+  readonly log: TestLog;
+}
+
+/** Daemons that reach each other over a network, all with the same view. */
+export function daemonsOf(
+  network: TestNetwork,
+  options: {
+    readonly names: readonly string[];
+    readonly runners: readonly Runner[];
+  },
+): Effect.Effect<readonly TestDaemon[], never, Scope.Scope> {
+  const table = new TestTable(tableOf());
+  return Effect.forEach(options.names, (name) =>
+    Effect.gen(function* () {
+      const directory = new RunnerDirectory();
+      directory.replace(options.runners);
+      const membership = new TestMembership(name, options.names);
+      const log = new TestLog();
+      const parts = {
+        directory,
+        membership,
+        log,
+        table,
+        clock: SYSTEM_CLOCK,
+        peers: network.peersOf(name),
+      };
+      const reports = new LoadReports({ clock: SYSTEM_CLOCK });
+      const host = new BrokerHost({ ...parts, reports, switches: ALL_ON });
+      const scheduler = new BrokeredScheduler({ ...parts, host });
+      yield* host.start();
+      yield* scheduler.start();
+      return { name, host, scheduler, membership, directory, log };
+    }));
+}
+
+/** Waits until something is so; the test's own time limit bounds the wait. */
+export function until(isSo: () => boolean): Effect.Effect<void> {
+  return Effect.suspend(() =>
+    isSo() ? Effect.void : Effect.andThen(Effect.sleep(5), until(isSo))
+  );
+}
+
+export const SETTLED: Settlement = {
+  outcome: "complete",
+  promptTokens: 100,
+  outputTokens: 50,
+};
