--- a/packages/daemon/src/process/scheduling/broker.ts
+++ b/packages/daemon/src/process/scheduling/broker.ts
@@ -83,6 +83,7 @@
   readonly #held = new Map<string, Held>();
   #rows: ReadonlyMap<string, Row>;
   #tickedAt: number;
+  #opensAt = -Infinity;
 
   constructor(service: string, parts: BrokerParts) {
     this.#service = service;
@@ -109,6 +110,15 @@
     return this.#held.size;
   }
 
+  /**
+   * Grants nothing for a while. A broker that has just begun knows only the
+   * slots of the entries that have presented theirs; granting at once would
+   * give the others' slots a second time.
+   */
+  holdBack(ms: number): void {
+    this.#opensAt = this.#now + ms;
+  }
+
   /** Takes an ask. One that is known already changes nothing but its epoch. */
   ask(entry: string, ask: AskMessage): void {
     const now = this.#wake();
@@ -441,6 +451,7 @@
   /** Grants what can be granted, in the queue's order. */
   #drain(): void {
     const now = this.#now;
+    if (now < this.#opensAt) return;
     while (this.#queue.length > 0) {
       if (!this.#grantOne(now)) return;
     }
--- a/packages/daemon/src/process/scheduling/broker_host.ts
+++ b/packages/daemon/src/process/scheduling/broker_host.ts
@@ -11,6 +11,7 @@
 import * as Effect from "effect/Effect";
 import type * as Scope from "effect/Scope";
 import { Broker, type BrokerParts } from "./broker.ts";
+import { BrokerFinder } from "./broker_finder.ts";
 import {
   type BrokerMessage,
   type EntryMessage,
@@ -19,7 +20,9 @@
   TO_ENTRY,
 } from "./messages.ts";
 
-const TICK_MS = 100;
+const TICK_MS = 50;
+/** Entries present what they hold within this time of a change of broker. */
+const HAND_OVER_MS = 150;
 /** Services come from asks, so a faulty peer could name any number of them. */
 const BROKERS_LIMIT = 1_000;
 
@@ -37,8 +40,16 @@
   #toOwnEntry: (message: EntryMessage) => void = () => {};
   #members: ReadonlySet<string> = new Set();
 
+  readonly #finder: BrokerFinder;
+  /** Services that this daemon takes itself to be the broker of. */
+  readonly #owned = new Set<string>();
+
   constructor(parts: BrokerHostParts) {
     this.#parts = parts;
+    this.#finder = new BrokerFinder({
+      membership: parts.membership,
+      directory: parts.directory,
+    });
   }
 
   /** The broker of a service, if it was ever asked for here. */
@@ -126,6 +137,12 @@
       for (const broker of this.#brokers.values()) broker.entryGone(gone);
     }
     this.#members = present;
+    for (const [service, broker] of this.#brokers) {
+      const owns = this.#finder.rank(service)[0] === this.#self;
+      if (owns && !this.#owned.has(service)) broker.holdBack(HAND_OVER_MS);
+      if (owns) this.#owned.add(service);
+      else this.#owned.delete(service);
+    }
   }
 
   #brokerOf(service: string): Broker | undefined {
@@ -138,6 +155,8 @@
       members: () => this.#members.size,
     });
     this.#brokers.set(service, made);
+    if (this.#members.size > 1) made.holdBack(HAND_OVER_MS);
+    if (this.#finder.rank(service)[0] === this.#self) this.#owned.add(service);
     return made;
   }
 
--- a/packages/daemon/src/request/brokered_scheduler.ts
+++ b/packages/daemon/src/request/brokered_scheduler.ts
@@ -71,6 +71,22 @@
   silentSince: number | undefined;
 }
 
+/** Services at brokers, each pair once. */
+class Places {
+  readonly #services = new Map<string, Set<string>>();
+
+  add(broker: string, service: string): void {
+    const known = this.#services.get(broker) ?? new Set();
+    this.#services.set(broker, known.add(service));
+  }
+
+  *all(): Generator<readonly [broker: string, service: string]> {
+    for (const [broker, services] of this.#services) {
+      for (const service of services) yield [broker, service];
+    }
+  }
+}
+
 /** Gets slots from brokers. */
 export class BrokeredScheduler implements Scheduler {
   readonly #parts: BrokeredParts;
@@ -149,28 +165,32 @@
 
   /** Moves what is at a daemon that is no longer the one to ask. */
   #follow(): void {
+    const left = new Places();
+    const reached = new Places();
+    const asked: Pending[] = [];
     for (const pending of this.#pending.values()) {
       const broker = this.#brokerFor(pending.ask);
       if (broker === pending.broker) continue;
-      const { service, askId } = pending.ask;
-      this.#send(pending.broker, { type: "withdraw", service, askId });
+      left.add(pending.broker, pending.ask.service);
+      reached.add(broker, pending.ask.service);
       pending.broker = broker;
       pending.epoch += 1;
-      this.#sendAsk(pending);
+      asked.push(pending);
     }
-    const moved = new Map<string, Set<string>>();
     for (const held of this.#held.values()) {
-      const { service } = held.ask;
       const broker = this.#brokerFor(held.ask);
       if (broker === held.broker) continue;
-      for (const name of [held.broker, broker]) {
-        moved.set(name, (moved.get(name) ?? new Set()).add(service));
-      }
+      left.add(held.broker, held.ask.service);
+      reached.add(broker, held.ask.service);
       held.broker = broker;
     }
-    for (const [broker, services] of moved) {
-      for (const service of services) this.#present(broker, service);
+    // What is held goes before what waits: a broker that hears of the waiting
+    // first would grant them slots that are in use.
+    for (const [broker, service] of reached.all()) {
+      this.#present(broker, service);
     }
+    for (const pending of asked) this.#sendAsk(pending);
+    for (const [broker, service] of left.all()) this.#present(broker, service);
   }
 
   /**
--- a/packages/daemon/tests/scheduling/fixtures.ts
+++ b/packages/daemon/tests/scheduling/fixtures.ts
@@ -411,11 +411,16 @@
     }));
 }
 
-/** Waits until something is so; the test's own time limit bounds the wait. */
-export function until(isSo: () => boolean): Effect.Effect<void> {
-  return Effect.suspend(() =>
-    isSo() ? Effect.void : Effect.andThen(Effect.sleep(5), until(isSo))
-  );
+const LOOKS = 4_000;
+const LOOK_MS = 5;
+
+/** Waits until something is so; dies when it does not come, so that no test hangs. */
+export function until(isSo: () => boolean, looks = LOOKS): Effect.Effect<void> {
+  return Effect.suspend(() => {
+    if (isSo()) return Effect.void;
+    if (looks === 0) return Effect.die(new Error(`Never came: ${isSo}`));
+    return Effect.andThen(Effect.sleep(LOOK_MS), until(isSo, looks - 1));
+  });
 }
 
 export const SETTLED: Settlement = {
