--- a/packages/bench/src/experiments.ts
+++ b/packages/bench/src/experiments.ts
@@ -20,4 +20,5 @@
   faults: () => import("./faults.ts"),
   slopes: () => import("./slopes.ts"),
   overhead: () => import("./overhead.ts"),
+  surge: () => import("./surge.ts"),
 };
