Read the table in force from its feed in the scheduler

Cause: the scheduler needs the table, the daemon has a feed of versions. Conclusion: the daemon can be wired.

--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -27,4 +27,5 @@
 export { RunnerDirectory } from "./process/runner_directory.ts";
 export type { Runner } from "./process/runner.ts";
 export type { TableSource } from "./process/table_source.ts";
+export { tableSourceOf } from "./version/feed_table_source.ts";
 export type { Fields, Log } from "./process/log.ts";
