Poll only brokered runners, and beat only while something waits

Change: reports are polled for services brokered here, twice a second; beats go every 200 ms only to brokers that owe an answer, else every 2 s. Conclusion: the cost follows the shards that a daemon brokers.

--- a/packages/daemon/src/process/scheduling/broker.ts
+++ b/packages/daemon/src/process/scheduling/broker.ts
@@ -84,6 +84,7 @@
   #rows: ReadonlyMap<string, Row>;
   #tickedAt: number;
   #opensAt = -Infinity;
+  #heardAt: number;
 
   constructor(service: string, parts: BrokerParts) {
     this.#service = service;
@@ -98,6 +99,12 @@
     this.#pool.setRunners(parts.directory.runners(service));
     this.#rows = rowsOf(table);
     this.#tickedAt = this.#now;
+    this.#heardAt = this.#now;
+  }
+
+  /** Milliseconds since an entry was last heard. */
+  get idleMs(): number {
+    return this.#now - this.#heardAt;
   }
 
   /** Asks that wait here. */
@@ -122,7 +129,7 @@
   /** Takes an ask. One that is known already changes nothing but its epoch. */
   ask(entry: string, ask: AskMessage): void {
     const now = this.#wake();
-    const account = this.#entries.heard(entry, now);
+    const account = this.#heard(entry, now);
     const held = this.#held.get(ask.askId);
     if (held !== undefined) {
       // The entry asks again since it did not get the grant: the link dropped
@@ -141,7 +148,7 @@
   /** Forgets an ask, or frees the slot that was granted to it meanwhile. */
   withdraw(entry: string, askId: string): void {
     const now = this.#wake();
-    this.#entries.heard(entry, now);
+    this.#heard(entry, now);
     const waiting = this.#waiting.get(askId);
     if (waiting?.entry === entry) this.#forgetWaiting(waiting);
     const held = this.#held.get(askId);
@@ -152,7 +159,7 @@
   /** Frees a slot and settles what it cost. */
   release(entry: string, message: ReleaseMessage): void {
     const now = this.#wake();
-    this.#entries.heard(entry, now);
+    this.#heard(entry, now);
     const held = this.#held.get(message.askId);
     if (held === undefined) return;
     const { settlement } = message;
@@ -177,7 +184,7 @@
   /** Takes all that an entry has in place of what was known of it. */
   present(entry: string, message: PresentMessage): void {
     const now = this.#wake();
-    const account = this.#entries.heard(entry, now);
+    const account = this.#heard(entry, now);
     account.mismatches = 0;
     const waiting = new Set(message.waiting);
     const held = new Map(message.held.map((it) => [it.askId, it]));
@@ -203,7 +210,7 @@
   /** Answers a sign of life, and asks for a presentation when books differ. */
   beat(entry: string, message: BeatMessage): void {
     const now = this.#wake();
-    const account = this.#entries.heard(entry, now);
+    const account = this.#heard(entry, now);
     const agrees = account.waiting.size === message.waiting &&
       account.held.size === message.held;
     // Messages under way make books differ for a moment; only a difference that
@@ -263,6 +270,11 @@
     if (this.#queue.length > 0) this.#drain();
   }
 
+  #heard(entry: string, now: number): EntryAccount {
+    this.#heardAt = now;
+    return this.#entries.heard(entry, now);
+  }
+
   get #now(): number {
     return this.#parts.clock.monotonic();
   }
--- a/packages/daemon/src/process/scheduling/broker_host.ts
+++ b/packages/daemon/src/process/scheduling/broker_host.ts
@@ -23,6 +23,8 @@
 const TICK_MS = 50;
 /** Entries present what they hold within this time of a change of broker. */
 const HAND_OVER_MS = 150;
+/** A daemon that no longer brokers a service stops polling its runners. */
+const IDLE_MS = 60_000;
 /** Services come from asks, so a faulty peer could name any number of them. */
 const BROKERS_LIMIT = 1_000;
 
@@ -120,10 +122,20 @@
   #ticks(): Effect.Effect<never> {
     return Effect.forever(Effect.gen({ self: this }, function* () {
       yield* Effect.sleep(TICK_MS);
-      for (const broker of this.#brokers.values()) broker.tick();
+      for (const [service, broker] of this.#brokers) {
+        broker.tick();
+        if (broker.idleMs > IDLE_MS) this.#close(service);
+      }
     }));
   }
 
+  /** Forgets a broker that nobody has asked for a while. */
+  #close(service: string): void {
+    this.#brokers.delete(service);
+    this.#owned.delete(service);
+    this.#parts.reports.unwatch(service);
+  }
+
   #receiveUnread(from: string, message: unknown): void {
     const read = readBrokerMessage(message);
     if (read !== undefined) return this.receive(from, read);
@@ -155,6 +167,7 @@
       members: () => this.#members.size,
     });
     this.#brokers.set(service, made);
+    this.#parts.reports.watch(service);
     if (this.#members.size > 1) made.holdBack(HAND_OVER_MS);
     if (this.#finder.rank(service)[0] === this.#self) this.#owned.add(service);
     return made;
--- a/packages/daemon/src/process/scheduling/load_reports.ts
+++ b/packages/daemon/src/process/scheduling/load_reports.ts
@@ -26,7 +26,7 @@
   readonly receivedAt: number;
 }
 
-const DEFAULT_INTERVAL_MS = 250;
+const DEFAULT_INTERVAL_MS = 500;
 const TIMEOUT_MS = 1_000;
 const BODY_LIMIT_BYTES = 64 * 1024;
 
@@ -37,10 +37,12 @@
   readonly #agent = new http.Agent({ keepAlive: true });
   readonly #reports = new Map<string, LoadReport>();
   readonly #listeners = new Set<(runner: string) => void>();
+  readonly #watched = new Set<string>();
+  #adjust: () => void = () => {};
 
   constructor(options: {
     readonly clock: Clock;
-    /** Milliseconds between two polls of a runner; 250 by default. */
+    /** Milliseconds between two polls of a runner; 500 by default. */
     readonly intervalMs?: number;
   }) {
     this.#clock = options.clock;
@@ -64,13 +66,29 @@
     return () => this.#listeners.delete(listener);
   }
 
-  /** Polls every runner of the directory until the scope closes: one fibre each. */
+  /**
+   * Polls the runners of a service from now on. Only a daemon that brokers it
+   * has a use for them: polling all of them from all daemons would cost each
+   * runner hundreds of polls a second at full size.
+   */
+  watch(service: string): void {
+    if (this.#watched.has(service)) return;
+    this.#watched.add(service);
+    this.#adjust();
+  }
+
+  /** Ends the polling of a service's runners. */
+  unwatch(service: string): void {
+    if (this.#watched.delete(service)) this.#adjust();
+  }
+
+  /** Polls the runners of watched services until the scope closes: one fibre each. */
   follow(directory: RunnerDirectory): Effect.Effect<void, never, Scope.Scope> {
     return Effect.gen({ self: this }, function* () {
       const scope = yield* Effect.scope;
       const running = new Map<string, Fiber.Fiber<void>>();
-      const adjust = () => {
-        const wanted = new Map(directory.all().map((it) => [keyOf(it), it]));
+      this.#adjust = () => {
+        const wanted = this.#wanted(directory);
         for (const [key, fiber] of running) {
           if (wanted.has(key)) continue;
           running.delete(key);
@@ -83,17 +101,23 @@
           running.set(key, Effect.runSync(poll));
         }
       };
-      adjust();
-      const end = directory.subscribe(adjust);
+      this.#adjust();
+      const end = directory.subscribe(() => this.#adjust());
       yield* Effect.addFinalizer(() =>
         Effect.sync(() => {
           end();
+          this.#adjust = () => {};
           this.#agent.destroy();
         })
       );
     });
   }
 
+  #wanted(directory: RunnerDirectory): ReadonlyMap<string, Runner> {
+    const watched = [...this.#watched].flatMap((it) => directory.runners(it));
+    return new Map(watched.map((it) => [keyOf(it), it]));
+  }
+
   #poll(runner: Runner): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       while (true) {
--- a/packages/daemon/src/request/brokered_scheduler.ts
+++ b/packages/daemon/src/request/brokered_scheduler.ts
@@ -28,7 +28,10 @@
 import { deadlinePassed, refusalOf } from "./refusals.ts";
 import type { Scheduler } from "./scheduler.ts";
 
+/** Beats while something waits at a broker: its silence is noticed by them. */
 const BEAT_MS = 200;
+/** Beats while slots are only held there: a sign of life is enough. */
+const HELD_BEAT_MS = 2_000;
 /** A broker that answers no beat for this long is passed over by tier 0. */
 const SILENCE_MS = 600;
 /** Each lower tier waits this much longer, so that higher ones fall back first. */
@@ -156,15 +159,23 @@
   }
 
   #beats(): Effect.Effect<never> {
+    let beats = 0;
     return Effect.forever(Effect.gen({ self: this }, function* () {
       yield* Effect.sleep(BEAT_MS);
       this.#follow();
-      for (const broker of this.#brokersInUse()) this.#beat(broker);
+      beats += 1;
+      const all = beats % (HELD_BEAT_MS / BEAT_MS) === 0;
+      for (
+        const broker of all ? this.#brokersInUse() : this.#brokersAwaited()
+      ) {
+        this.#beat(broker);
+      }
     }));
   }
 
   /** Moves what is at a daemon that is no longer the one to ask. */
   #follow(): void {
+    this.#forgetStrangers();
     const left = new Places();
     const reached = new Places();
     const asked: Pending[] = [];
@@ -193,6 +204,15 @@
     for (const [broker, service] of left.all()) this.#present(broker, service);
   }
 
+  /** A silent daemon that has left the view would be asked for ever. */
+  #forgetStrangers(): void {
+    const members = this.#parts.membership?.view().members ?? [];
+    const names = new Set(members.map((it) => it.member.name));
+    for (const name of this.#contacts.keys()) {
+      if (!names.has(name)) this.#contacts.delete(name);
+    }
+  }
+
   /**
    * The daemon to ask: the broker, or the first of its successors that answers.
    * A higher tier passes a silent one over earlier, so that it is not behind
@@ -223,9 +243,15 @@
   }
 
   #brokersInUse(): ReadonlySet<string> {
+    const names = new Set(this.#brokersAwaited());
+    for (const held of this.#held.values()) names.add(held.broker);
+    return names;
+  }
+
+  /** Brokers that owe an answer. */
+  #brokersAwaited(): ReadonlySet<string> {
     const names = new Set<string>();
     for (const pending of this.#pending.values()) names.add(pending.broker);
-    for (const held of this.#held.values()) names.add(held.broker);
     // A silent one is asked on, so that its return is noticed.
     for (const [name, contact] of this.#contacts) {
       if (contact.silentSince !== undefined) names.add(name);
--- a/packages/daemon/src/request/fifo_scheduler.ts
+++ b/packages/daemon/src/request/fifo_scheduler.ts
@@ -81,6 +81,7 @@
     if (known !== undefined) return known;
     const made: Waiting[] = [];
     this.#queues.set(service, made);
+    this.#parts.reports.watch(service);
     return made;
   }
 
