--- a/packages/daemon/src/process/scheduling/broker.ts
+++ b/packages/daemon/src/process/scheduling/broker.ts
@@ -29,6 +29,7 @@
   ReleaseMessage,
 } from "./messages.ts";
 import { RowLimits } from "./row_limits.ts";
+import { RunnerLearning } from "./runner_learning.ts";
 import { type Choice, RunnerPool } from "./runner_pool.ts";
 import type { Held } from "./runner_state.ts";
 import { ServiceRate } from "./service_rate.ts";
@@ -75,6 +76,7 @@
   readonly #parts: BrokerParts;
   readonly #queue: FairQueue;
   readonly #pool: RunnerPool;
+  readonly #learning: RunnerLearning;
   readonly #limits = new RowLimits();
   readonly #costs = new CostEstimator();
   readonly #rate = new ServiceRate();
@@ -97,6 +99,7 @@
     });
     this.#pool = new RunnerPool(service, { table, switches });
     this.#pool.setRunners(parts.directory.runners(service));
+    this.#learning = new RunnerLearning(this.#pool, switches);
     this.#rows = rowsOf(table);
     this.#tickedAt = this.#now;
     this.#heardAt = this.#now;
@@ -163,7 +166,7 @@
     const held = this.#held.get(message.askId);
     if (held === undefined) return;
     const { settlement } = message;
-    this.#pool.free(held.askId, { runner: held.runner, settlement, now });
+    this.#learning.settled(held, { settlement, now });
     this.#forgetHeld(held);
     const cost = costOf(settlement.promptTokens, settlement.outputTokens);
     this.#limits.end(held, cost - held.cost);
@@ -247,7 +250,7 @@
   reported(runner: string): void {
     const report = this.#parts.reports.get(runner);
     if (report === undefined) return;
-    this.#pool.report(runner, report, this.#now);
+    this.#learning.reported(runner, report, this.#now);
     this.#drain();
   }
 
@@ -371,7 +374,7 @@
     }
     if (target?.wholeAnswerMs !== undefined) {
       const tokens = this.#costs.output(ask.workspace, ask.class);
-      const stepMs = this.#pool.medianStepMs();
+      const stepMs = this.#learning.medianStepMs();
       bounds.push(target.wholeAnswerMs - tokens * stepMs);
     }
     return bounds.length === 0 ? Infinity : arrivedAt + Math.min(...bounds);
--- /dev/null
+++ b/packages/daemon/src/process/scheduling/runner_learning.ts
@@ -0,0 +1,150 @@
+/**
+ * What is learned of runners from reports and settled attempts: how many slots
+ * they bear, and which of them fail or straggle.
+ *
+ * @module
+ */
+import type { LoadReport } from "./load_reports.ts";
+import type { RunnerPool } from "./runner_pool.ts";
+import type { Held, RunnerState } from "./runner_state.ts";
+import type { Settlement } from "./settlement.ts";
+import type { Switches } from "./switches.ts";
+
+/** A runner that takes this many times the median between tokens is ejected. */
+const STRAGGLER_FACTOR = 2.5;
+/** Steps shorter than this are noise, whatever their proportion. */
+const STRAGGLER_FLOOR_MS = 6;
+const DEFAULT_STEP_MS = 10;
+
+/** How an attempt ended, and when. */
+export interface AttemptEnd {
+  readonly settlement: Settlement;
+  readonly now: number;
+}
+
+/** Watches the runners of a pool. */
+export class RunnerLearning {
+  readonly #pool: RunnerPool;
+  readonly #switches: Switches;
+
+  constructor(pool: RunnerPool, switches: Switches) {
+    this.#pool = pool;
+    this.#switches = switches;
+  }
+
+  /** Learns a report. */
+  reported(runner: string, report: LoadReport, now: number): void {
+    const state = this.#pool.state(runner);
+    state.setReport(report);
+    if (report.stepMs <= 0 || report.running === 0) return;
+    const target = this.#tightest(state);
+    if (this.#switches.adaptiveSlots && target !== undefined) {
+      const saturated = state.freeSlots(now) <= 0;
+      state.limit.observe(report.stepMs / target, { now, saturated });
+    }
+    this.#judge(runner, now);
+  }
+
+  /** Gives a slot back and learns from how its attempt went. */
+  settled(held: Held, end: AttemptEnd): void {
+    const state = this.#pool.state(held.runner);
+    const saturated = state.freeSlots(end.now) <= 0;
+    if (state.free(held.askId) === undefined) return;
+    const { settlement, now } = end;
+    const { outcome } = settlement;
+    if (outcome === "failed" || outcome === "silent" || outcome === "refused") {
+      // A runner that crashed answers nothing; without ejection its slots free
+      // at once and it draws every following request in turn.
+      if (this.#switches.ejection) state.ejection.eject("failure", now);
+      return;
+    }
+    this.#learnStep(state, settlement);
+    const ratio = this.#ratio(state, { held, settlement });
+    if (this.#switches.adaptiveSlots && ratio !== undefined) {
+      state.limit.observe(ratio, { now, saturated });
+    }
+    if (outcome === "complete") this.#judge(held.runner, now, held.askId);
+    else state.ejection.ended(held.askId);
+  }
+
+  /** The median time between tokens over the runners; a guess without any. */
+  medianStepMs(): number {
+    return this.#median(this.#pool.live().map((it) => it.name)) ??
+      DEFAULT_STEP_MS;
+  }
+
+  #learnStep(state: RunnerState, settlement: Settlement): void {
+    const { betweenTokensMs } = settlement;
+    if (betweenTokensMs === undefined) return;
+    // What was smoothed before the ejection would condemn the probe as well.
+    if (state.ejection.cause !== undefined) state.forgetSteps();
+    state.observeStep(betweenTokensMs);
+  }
+
+  /** Observed latency over target, the worse of first and further tokens. */
+  #ratio(
+    state: RunnerState,
+    end: { readonly held: Held; readonly settlement: Settlement },
+  ): number | undefined {
+    const { firstTokenMs, betweenTokensMs } = end.settlement;
+    const target = this.#pool.classOf(end.held.class)?.target;
+    const first = target?.firstTokenMs ?? target?.wholeAnswerMs;
+    const between = this.#tightest(state) ?? target?.betweenTokensMs;
+    const ratios: number[] = [];
+    if (firstTokenMs !== undefined && first !== undefined) {
+      ratios.push(firstTokenMs / first);
+    }
+    if (betweenTokensMs !== undefined && between !== undefined) {
+      ratios.push(betweenTokensMs / between);
+    }
+    return ratios.length === 0 ? undefined : Math.max(...ratios);
+  }
+
+  /** The tightest time between tokens promised to what runs there. */
+  #tightest(state: RunnerState): number | undefined {
+    const targets = state.classes
+      .map((name) => this.#pool.classOf(name)?.target.betweenTokensMs)
+      .filter((it) => it !== undefined);
+    return targets.length === 0 ? undefined : Math.min(...targets);
+  }
+
+  /** Ejects a straggler, or lets back one whose probe went well. */
+  #judge(runner: string, now: number, probe?: string): void {
+    if (!this.#switches.ejection) return;
+    const { ejection } = this.#pool.state(runner);
+    const { cause } = ejection;
+    const slow = this.#isStraggler(runner);
+    if (slow && cause === undefined && this.#mayEject()) {
+      ejection.eject("straggler", now);
+    }
+    if (probe === undefined || cause === undefined) return;
+    if (slow) ejection.eject("straggler", now);
+    else ejection.recovered();
+  }
+
+  #isStraggler(runner: string): boolean {
+    const own = this.#pool.state(runner).stepMs;
+    const others = this.#pool.live().map((it) => it.name)
+      .filter((it) => it !== runner);
+    const median = this.#median(others);
+    if (own === undefined || median === undefined) return false;
+    return own > STRAGGLER_FLOOR_MS && own > median * STRAGGLER_FACTOR;
+  }
+
+  #median(runners: readonly string[]): number | undefined {
+    const steps = runners
+      .map((it) => this.#pool.state(it).stepMs)
+      .filter((it) => it !== undefined)
+      .sort((left, right) => left - right);
+    return steps[steps.length >> 1];
+  }
+
+  /** At most half may be out: a slow median is congestion, not a straggler. */
+  #mayEject(): boolean {
+    const live = this.#pool.live();
+    const out = live.filter((it) =>
+      this.#pool.state(it.name).ejection.cause !== undefined
+    );
+    return (out.length + 1) * 2 <= live.length;
+  }
+}
--- a/packages/daemon/src/process/scheduling/runner_pool.ts
+++ b/packages/daemon/src/process/scheduling/runner_pool.ts
@@ -3,25 +3,18 @@
  *
  * @module
  */
-import type { Service, Table } from "@umbermast/table";
+import type { Class, Service, Table } from "@umbermast/table";
 import type { Runner } from "../runner.ts";
-import type { LoadReport } from "./load_reports.ts";
 import type { AskMessage } from "./messages.ts";
 import { PrefixHomes } from "./prefix_homes.ts";
 import { type Held, RunnerState } from "./runner_state.ts";
-import type { Settlement } from "./settlement.ts";
 import type { Switches } from "./switches.ts";
 
 const DEFAULT_SLOTS = 16;
-const DEFAULT_STEP_MS = 10;
 /** A prefix draws a request to a runner this much fuller than the emptiest. */
 const AFFINITY_BOUND = 0.25;
 /** Share of all slots that only the highest tier may use. */
 const HEADROOM = 0.05;
-/** A runner that takes this many times the median between tokens is ejected. */
-const STRAGGLER_FACTOR = 2.5;
-/** Steps shorter than this are noise, whatever their proportion. */
-const STRAGGLER_FLOOR_MS = 6;
 const RUNNERS_UP = 2;
 
 /** A runner chosen for an ask. */
@@ -49,7 +42,7 @@
   readonly #states = new Map<string, RunnerState>();
   readonly #homes = new PrefixHomes();
   #runners: readonly Runner[] = [];
-  #table: Table;
+  #classes: ReadonlyMap<string, Class> = new Map();
   #service: Service | undefined;
 
   constructor(
@@ -57,13 +50,12 @@
     options: { readonly table: Table; readonly switches: Switches },
   ) {
     this.#switches = options.switches;
-    this.#table = options.table;
     this.setTable(options.table, service);
   }
 
   /** Takes a new table. */
   setTable(table: Table, service: string): void {
-    this.#table = table;
+    this.#classes = new Map(table.classes.map((it) => [it.name, it]));
     this.#service = table.services.find((it) => it.name === service);
     for (const state of this.#states.values()) state.limit.setBase(this.#base);
   }
@@ -90,18 +82,14 @@
     return made;
   }
 
-  /** All states, by runner. */
-  get states(): ReadonlyMap<string, RunnerState> {
-    return this.#states;
+  /** Runners that may be given something new. */
+  live(): readonly Runner[] {
+    return this.#runners.filter((it) => it.state === "live");
   }
 
-  /** Slots of all runners in use now. */
-  slots(): number {
-    let sum = 0;
-    for (const runner of this.#runners) {
-      if (runner.state === "live") sum += this.state(runner.name).limit.slots;
-    }
-    return sum;
+  /** A class of the table in force. */
+  classOf(name: string): Class | undefined {
+    return this.#classes.get(name);
   }
 
   /** Chooses a runner for an ask of the given tier. */
@@ -206,36 +194,6 @@
     state.ejection.started(held.askId);
   }
 
-  /** Learns a report. */
-  report(runner: string, report: LoadReport, now: number): void {
-    const state = this.state(runner);
-    state.setReport(report);
-    if (report.stepMs <= 0 || report.running === 0) return;
-    const target = this.#tightest(state);
-    if (this.#switches.adaptiveSlots && target !== undefined) {
-      const saturated = state.freeSlots(now) <= 0;
-      state.limit.observe(report.stepMs / target, { now, saturated });
-    }
-    this.#judge(runner, now);
-  }
-
-  /** Gives a slot back and learns from how it went. */
-  free(
-    askId: string,
-    end: {
-      readonly runner: string;
-      readonly settlement: Settlement;
-      readonly now: number;
-    },
-  ): Held | undefined {
-    const state = this.state(end.runner);
-    const saturated = state.freeSlots(end.now) <= 0;
-    const held = state.free(askId);
-    if (held === undefined) return undefined;
-    this.#learn(state, { held, saturated, ...end });
-    return held;
-  }
-
   /** Gives a slot back without learning anything from it. */
   abandon(held: Held): void {
     const state = this.state(held.runner);
@@ -243,109 +201,6 @@
     state.ejection.ended(held.askId);
   }
 
-  /** The median time between tokens over the runners; a guess without any. */
-  medianStepMs(): number {
-    const steps = [...this.#states.values()]
-      .map((it) => it.stepMs)
-      .filter((it) => it !== undefined)
-      .sort((left, right) => left - right);
-    return steps[steps.length >> 1] ?? DEFAULT_STEP_MS;
-  }
-
-  #learn(
-    state: RunnerState,
-    end: {
-      readonly held: Held;
-      readonly saturated: boolean;
-      readonly runner: string;
-      readonly settlement: Settlement;
-      readonly now: number;
-    },
-  ): void {
-    const { settlement, now } = end;
-    const { outcome } = settlement;
-    if (outcome === "failed" || outcome === "silent" || outcome === "refused") {
-      // A runner that crashed answers nothing; without ejection its slots free
-      // at once and it draws every following request in turn.
-      if (this.#switches.ejection) state.ejection.eject("failure", now);
-      return;
-    }
-    if (settlement.betweenTokensMs !== undefined) {
-      state.observeStep(settlement.betweenTokensMs);
-    }
-    const ratio = this.#ratio(state, end);
-    if (this.#switches.adaptiveSlots && ratio !== undefined) {
-      state.limit.observe(ratio, { now, saturated: end.saturated });
-    }
-    if (outcome === "complete") {
-      this.#judge(end.runner, now, end.held.askId);
-    } else state.ejection.ended(end.held.askId);
-  }
-
-  /** Observed latency over target, the worse of first and further tokens. */
-  #ratio(
-    state: RunnerState,
-    end: { readonly held: Held; readonly settlement: Settlement },
-  ): number | undefined {
-    const { firstTokenMs, betweenTokensMs } = end.settlement;
-    const target = this.#classOf(end.held.class)?.target;
-    const first = target?.firstTokenMs ?? target?.wholeAnswerMs;
-    const between = this.#tightest(state) ?? target?.betweenTokensMs;
-    const ratios: number[] = [];
-    if (firstTokenMs !== undefined && first !== undefined) {
-      ratios.push(firstTokenMs / first);
-    }
-    if (betweenTokensMs !== undefined && between !== undefined) {
-      ratios.push(betweenTokensMs / between);
-    }
-    return ratios.length === 0 ? undefined : Math.max(...ratios);
-  }
-
-  /** The tightest time between tokens promised to what runs there. */
-  #tightest(state: RunnerState): number | undefined {
-    const targets = state.classes
-      .map((name) => this.#classOf(name)?.target.betweenTokensMs)
-      .filter((it) => it !== undefined);
-    return targets.length === 0 ? undefined : Math.min(...targets);
-  }
-
-  /** Ejects a straggler, or lets back one whose probe went well. */
-  #judge(runner: string, now: number, probe?: string): void {
-    if (!this.#switches.ejection) return;
-    const state = this.state(runner);
-    const cause = state.ejection.cause;
-    const slow = this.#isStraggler(runner);
-    if (slow && cause === undefined && this.#mayEject()) {
-      state.ejection.eject("straggler", now);
-    }
-    if (probe === undefined || cause === undefined) return;
-    if (slow) state.ejection.eject("straggler", now);
-    else state.ejection.recovered();
-  }
-
-  #isStraggler(runner: string): boolean {
-    const own = this.state(runner).stepMs;
-    const others = this.#runners
-      .filter((it) => it.name !== runner && it.state === "live")
-      .map((it) => this.state(it.name).stepMs)
-      .filter((it) => it !== undefined)
-      .sort((left, right) => left - right);
-    const median = others[others.length >> 1];
-    if (own === undefined || median === undefined) return false;
-    return own > STRAGGLER_FLOOR_MS && own > median * STRAGGLER_FACTOR;
-  }
-
-  /** At most half may be out: a slow median is congestion, not a straggler. */
-  #mayEject(): boolean {
-    const live = this.#runners.filter((it) => it.state === "live");
-    const out = live.filter((it) => !this.#inUse(it)).length;
-    return (out + 1) * 2 <= live.length;
-  }
-
-  #classOf(name: string) {
-    return this.#table.classes.find((it) => it.name === name);
-  }
-
   get #base(): number {
     return this.#service?.slotsPerRunner ?? DEFAULT_SLOTS;
   }
--- a/packages/daemon/src/process/scheduling/runner_state.ts
+++ b/packages/daemon/src/process/scheduling/runner_state.ts
@@ -89,6 +89,11 @@
     }
   }
 
+  /** Forgets the times between tokens. */
+  forgetSteps(): void {
+    this.#stepMs = undefined;
+  }
+
   /** Learns one time between tokens. */
   observeStep(stepMs: number): void {
     const known = this.#stepMs ?? stepMs;
