--- a/packages/daemon/src/process/scheduling/broker.ts
+++ b/packages/daemon/src/process/scheduling/broker.ts
@@ -15,9 +15,11 @@
 import type { Log } from "../log.ts";
 import type { RunnerDirectory } from "../runner_directory.ts";
 import type { TableSource } from "../table_source.ts";
-import { CostEstimator, costOf } from "./cost_estimator.ts";
-import { type EntryAccount, EntryBook } from "./entry_book.ts";
+import { AskAppraisal } from "./ask_appraisal.ts";
+import { BrokerAnswers } from "./broker_answers.ts";
+import { BrokerBooks } from "./broker_books.ts";
 import { FairQueue, type QueueBounds } from "./fair_queue.ts";
+
 import type { LoadReports } from "./load_reports.ts";
 import type {
   AskMessage,
@@ -25,14 +27,13 @@
   EntryMessage,
   HeldSlot,
   PresentMessage,
-  RefuseMessage,
   ReleaseMessage,
 } from "./messages.ts";
 import { RowLimits } from "./row_limits.ts";
+import { RowIndex } from "./row_index.ts";
 import { RunnerLearning } from "./runner_learning.ts";
 import { type Choice, RunnerPool } from "./runner_pool.ts";
 import type { Held } from "./runner_state.ts";
-import { ServiceRate } from "./service_rate.ts";
 import type { Switches } from "./switches.ts";
 import type { Waiting } from "./waiting.ts";
 
@@ -51,8 +52,6 @@
   readonly members: () => number;
 }
 
-/** A grant that was not used by then is of no use. */
-export const GRANT_MS = 5_000;
 /** An entry that says nothing for this long is granted nothing. */
 const QUIET_MS = 2_000;
 /** An entry that says nothing for this long has lost what it asked and held. */
@@ -60,15 +59,6 @@
 /** A longer gap between two ticks means that this process was paused. */
 const PAUSE_MS = 1_500;
 const MISMATCHES_BEFORE_RESYNC = 2;
-const FIXED_COST = 100;
-/** A refusal on arrival needs a wait this many times what is left. */
-const HOPELESS = 1.25;
-const SHED_RETRY_MS = 1_000;
-const LEAST_RETRY_MS = 100;
-const MOST_RETRY_MS = 30_000;
-const BYTES_OF_ASK = 300;
-/** A first token takes this share of its target at a runner with room. */
-const START_SHARE = 0.3;
 
 /** The broker of one service. */
 export class Broker {
@@ -77,30 +67,34 @@
   readonly #queue: FairQueue;
   readonly #pool: RunnerPool;
   readonly #learning: RunnerLearning;
+  readonly #appraisal: AskAppraisal;
+  readonly #answers: BrokerAnswers;
   readonly #limits = new RowLimits();
-  readonly #costs = new CostEstimator();
-  readonly #rate = new ServiceRate();
-  readonly #entries = new EntryBook();
-  readonly #waiting = new Map<string, Waiting>();
-  readonly #held = new Map<string, Held>();
-  #rows: ReadonlyMap<string, Row>;
+  readonly #books = new BrokerBooks();
+  #rows: RowIndex;
   #tickedAt: number;
-  #opensAt = -Infinity;
   #heardAt: number;
+  #opensAt = -Infinity;
 
   constructor(service: string, parts: BrokerParts) {
     this.#service = service;
     this.#parts = parts;
     const table = parts.table.current();
-    const { switches, bounds } = parts;
+    const { switches } = parts;
+    const { bounds } = parts;
+    this.#rows = new RowIndex(table);
     this.#queue = new FairQueue(table, {
       switches,
       ...(bounds === undefined ? {} : { bounds }),
     });
-    this.#pool = new RunnerPool(service, { table, switches });
-    this.#pool.setRunners(parts.directory.runners(service));
-    this.#learning = new RunnerLearning(this.#pool, switches);
-    this.#rows = rowsOf(table);
+    const queue = this.#queue;
+    const pool = new RunnerPool(service, { table, switches });
+    const learning = new RunnerLearning(pool, switches);
+    pool.setRunners(parts.directory.runners(service));
+    this.#pool = pool;
+    this.#learning = learning;
+    this.#appraisal = new AskAppraisal({ queue, pool, learning, switches });
+    this.#answers = new BrokerAnswers(parts);
     this.#tickedAt = this.#now;
     this.#heardAt = this.#now;
   }
@@ -112,12 +106,12 @@
 
   /** Asks that wait here. */
   get waiting(): number {
-    return this.#waiting.size;
+    return this.#books.waiting;
   }
 
   /** Slots in use through this broker. */
   get inFlight(): number {
-    return this.#held.size;
+    return this.#books.inFlight;
   }
 
   /**
@@ -131,116 +125,85 @@
 
   /** Takes an ask. One that is known already changes nothing but its epoch. */
   ask(entry: string, ask: AskMessage): void {
-    const now = this.#wake();
-    const account = this.#heard(entry, now);
-    const held = this.#held.get(ask.askId);
+    const now = this.#hear(entry);
+    const held = this.#books.findHeld(ask.askId);
     if (held !== undefined) {
       // The entry asks again since it did not get the grant: the link dropped
       // it. The same slot is granted again, so none is lost and none doubled.
-      this.#replace(held, { ...held, entry, epoch: ask.epoch });
-      return this.#sendGrant(held, ask.epoch);
+      const again: Held = { ...held, entry, epoch: ask.epoch };
+      this.#books.addHeld(again);
+      return this.#answers.repeat(again);
     }
-    const former = this.#waiting.get(ask.askId);
-    if (former !== undefined) this.#forgetWaiting(former);
-    const waiting = this.#admit(entry, { ask, now });
-    if (waiting === undefined) return;
-    account.waiting.add(ask.askId);
+    const former = this.#books.findWaiting(ask.askId);
+    if (former !== undefined) this.#forget(former);
+    this.#admit(this.#appraisal.describe(entry, { ask, now }), now);
     this.#drain();
   }
 
   /** Forgets an ask, or frees the slot that was granted to it meanwhile. */
   withdraw(entry: string, askId: string): void {
-    const now = this.#wake();
-    this.#heard(entry, now);
-    const waiting = this.#waiting.get(askId);
-    if (waiting?.entry === entry) this.#forgetWaiting(waiting);
-    const held = this.#held.get(askId);
+    this.#hear(entry);
+    const waiting = this.#books.findWaiting(askId);
+    if (waiting?.entry === entry) this.#forget(waiting);
+    const held = this.#books.findHeld(askId);
     if (held?.entry === entry) this.#abandon(held);
     this.#drain();
   }
 
   /** Frees a slot and settles what it cost. */
   release(entry: string, message: ReleaseMessage): void {
-    const now = this.#wake();
-    this.#heard(entry, now);
-    const held = this.#held.get(message.askId);
+    const now = this.#hear(entry);
+    const held = this.#books.findHeld(message.askId);
     if (held === undefined) return;
-    const { settlement } = message;
-    this.#learning.settled(held, { settlement, now });
-    this.#forgetHeld(held);
-    const cost = costOf(settlement.promptTokens, settlement.outputTokens);
-    this.#limits.end(held, cost - held.cost);
-    this.#queue.settle(
-      held,
-      this.#parts.switches.costEstimate ? cost - held.cost : 0,
-    );
-    this.#rate.served(cost, { now, backlogged: this.#queue.length > 0 });
-    if (settlement.outcome === "complete") {
-      this.#costs.learn(held.workspace, {
-        class: held.class,
-        outputTokens: settlement.outputTokens,
-      });
-    }
+    const end = { settlement: message.settlement, now };
+    this.#learning.settled(held, end);
+    const excess = this.#appraisal.learn(held, end) - held.cost;
+    this.#limits.end(held, excess);
+    if (this.#parts.switches.costEstimate) this.#queue.settle(held, excess);
+    this.#books.removeHeld(held);
     this.#drain();
   }
 
   /** Takes all that an entry has in place of what was known of it. */
   present(entry: string, message: PresentMessage): void {
-    const now = this.#wake();
-    const account = this.#heard(entry, now);
-    account.mismatches = 0;
+    const now = this.#hear(entry);
+    this.#books.reconciled(entry);
     const waiting = new Set(message.waiting);
-    const held = new Map(message.held.map((it) => [it.askId, it]));
-    for (const askId of [...account.waiting]) {
-      const known = this.#waiting.get(askId);
-      if (known !== undefined && !waiting.has(askId)) {
-        this.#forgetWaiting(known);
-      }
+    const held = new Set(message.held.map((it) => it.askId));
+    for (const known of this.#books.allWaiting(entry)) {
+      if (!waiting.has(known.ask.askId)) this.#forget(known);
     }
-    for (const askId of [...account.held]) {
-      const known = this.#held.get(askId);
+    for (const known of this.#books.allHeld(entry)) {
       // One that the entry still waits for is on its way to it, or was lost on
       // the way: the ask that follows gets the same grant again.
-      if (known === undefined || held.has(askId) || waiting.has(askId)) {
-        continue;
-      }
+      if (held.has(known.askId) || waiting.has(known.askId)) continue;
       this.#abandon(known);
     }
-    for (const slot of held.values()) this.#adopt(entry, { slot, now });
+    for (const slot of message.held) this.#adopt(entry, slot, { now });
     this.#drain();
   }
 
   /** Answers a sign of life, and asks for a presentation when books differ. */
   beat(entry: string, message: BeatMessage): void {
-    const now = this.#wake();
-    const account = this.#heard(entry, now);
-    const agrees = account.waiting.size === message.waiting &&
-      account.held.size === message.held;
-    // Messages under way make books differ for a moment; only a difference that
-    // stays means that one was lost.
-    account.mismatches = agrees ? 0 : account.mismatches + 1;
-    this.#parts.send(entry, {
-      type: "beat_reply",
-      service: this.#service,
-      resync: account.mismatches >= MISMATCHES_BEFORE_RESYNC,
-    });
+    this.#hear(entry);
+    const mismatches = this.#books.compare(entry, message);
+    const resync = mismatches >= MISMATCHES_BEFORE_RESYNC;
+    this.#answers.alive(entry, { service: this.#service, resync });
   }
 
   /** The list of runners has changed. */
   runnersChanged(): void {
-    const lost = this.#pool.setRunners(
-      this.#parts.directory.runners(this.#service),
-    );
-    for (const held of lost) {
+    const runners = this.#parts.directory.runners(this.#service);
+    for (const held of this.#pool.setRunners(runners)) {
       this.#limits.end(held, 0);
-      this.#forgetHeld(held);
+      this.#books.removeHeld(held);
     }
     this.#drain();
   }
 
   /** The table has changed; what waits is ordered and limited by it at once. */
   tableChanged(table: Table): void {
-    this.#rows = rowsOf(table);
+    this.#rows = new RowIndex(table);
     this.#queue.setTable(table);
     this.#pool.setTable(table, this.#service);
     this.#drain();
@@ -256,32 +219,35 @@
 
   /** An entry has left or died: its asks go, and its slots after a while. */
   entryGone(entry: string): void {
-    const account = this.#entries.find(entry);
-    if (account === undefined) return;
-    this.#dropWaiting(account);
+    for (const waiting of this.#books.allWaiting(entry)) this.#forget(waiting);
     this.#drain();
   }
 
   /** To be called several times a second. */
   tick(): void {
     const now = this.#wake();
-    for (const account of this.#entries.all()) {
-      if (now - account.heardAt > QUIET_MS) this.#dropWaiting(account);
-      if (now - account.heardAt > LOST_MS) this.#dropEntry(account);
+    for (const entry of this.#books.entries) {
+      const quietMs = this.#books.quietMs(entry, now);
+      if (quietMs > LOST_MS) this.#dropEntry(entry);
+      else if (quietMs > QUIET_MS) this.entryGone(entry);
     }
-    this.#dropExpired(now);
-    if (this.#queue.length > 0) this.#drain();
-  }
-
-  #heard(entry: string, now: number): EntryAccount {
-    this.#heardAt = now;
-    return this.#entries.heard(entry, now);
+    for (const waiting of this.#books.allWaiting()) {
+      if (waiting.deadlineAt <= now) this.#expire(waiting);
+    }
+    this.#drain();
   }
 
   get #now(): number {
     return this.#parts.clock.monotonic();
   }
 
+  #hear(entry: string): number {
+    const now = this.#wake();
+    this.#heardAt = now;
+    this.#books.heard(entry, now);
+    return now;
+  }
+
   /**
    * The present moment, after a check that this process was not paused. A
    * broker that wakes from a pause believes in asks that its entries have long
@@ -290,177 +256,36 @@
    */
   #wake(): number {
     const now = this.#now;
-    const gap = now - this.#tickedAt;
+    const gapMs = Math.round(now - this.#tickedAt);
     this.#tickedAt = now;
-    if (gap <= PAUSE_MS) return now;
-    this.#parts.log.event("broker_woke", {
-      service: this.#service,
-      gapMs: Math.round(gap),
-      waiting: this.#waiting.size,
-      held: this.#held.size,
-    });
-    for (const account of this.#entries.all()) {
-      this.#dropEntry(account);
-      this.#parts.send(account.name, {
-        type: "beat_reply",
-        service: this.#service,
-        resync: true,
-      });
+    if (gapMs <= PAUSE_MS) return now;
+    const { waiting, inFlight } = this.#books;
+    const service = this.#service;
+    this.#parts.log.event("broker_woke", { service, gapMs, waiting, inFlight });
+    for (const entry of this.#books.entries) {
+      this.#dropEntry(entry);
+      this.#answers.alive(entry, { service, resync: true });
     }
     return now;
   }
 
-  #admit(
-    entry: string,
-    asked: { readonly ask: AskMessage; readonly now: number },
-  ): Waiting | undefined {
-    const { ask, now } = asked;
+  #admit(waiting: Waiting, now: number): void {
+    const { ask, entry } = waiting;
     if (ask.remainingMs <= 0) {
-      this.#refuse(entry, { ask, code: "deadline_passed" });
-      return undefined;
-    }
-    const waiting = this.#describe(entry, asked);
-    const hopeless = this.#hopeless(waiting, now);
-    if (hopeless !== undefined) {
-      this.#refuse(entry, { ask, ...hopeless });
-      return undefined;
-    }
-    const offer = this.#queue.offer(waiting);
-    if (offer.accepted) this.#waiting.set(ask.askId, waiting);
-    for (const shed of offer.shed) this.#shed(shed);
-    return offer.accepted ? waiting : undefined;
-  }
-
-  #describe(
-    entry: string,
-    asked: { readonly ask: AskMessage; readonly now: number },
-  ): Waiting {
-    const { ask, now } = asked;
-    const arrivedAt = now - ask.waitedMs;
-    return {
-      ask,
-      entry,
-      cost: this.#costOf(ask),
-      bytes: BYTES_OF_ASK + ask.excluded.join().length,
-      arrivedAt,
-      deadlineAt: now + ask.remainingMs,
-      startBy: this.#startBy(ask, arrivedAt),
-    };
-  }
-
-  #costOf(
-    ask: {
-      readonly workspace: string;
-      readonly class: string;
-      readonly promptTokens: number;
-      readonly maxTokens?: number;
-    },
-  ): number {
-    if (!this.#parts.switches.costEstimate) return FIXED_COST;
-    const expected = this.#costs.output(ask.workspace, ask.class);
-    return costOf(
-      ask.promptTokens,
-      Math.min(expected, ask.maxTokens ?? Infinity),
-    );
-  }
-
-  /** When the ask must start for its answer to meet the class's target. */
-  #startBy(ask: AskMessage, arrivedAt: number): number {
-    const target = this.#parts.table.current().classes
-      .find((it) => it.name === ask.class)?.target;
-    const bounds: number[] = [];
-    if (target?.firstTokenMs !== undefined) {
-      bounds.push(target.firstTokenMs * (1 - START_SHARE));
+      return this.#answers.refuse(entry, ask, { code: "deadline_passed" });
     }
-    if (target?.wholeAnswerMs !== undefined) {
-      const tokens = this.#costs.output(ask.workspace, ask.class);
-      const stepMs = this.#learning.medianStepMs();
-      bounds.push(target.wholeAnswerMs - tokens * stepMs);
-    }
-    return bounds.length === 0 ? Infinity : arrivedAt + Math.min(...bounds);
-  }
-
-  /** Why no slot will come in time, when that is known on arrival. */
-  #hopeless(
-    waiting: Waiting,
-    now: number,
-  ): Pick<RefuseMessage, "code" | "retryAfterMs"> | undefined {
-    if (!this.#parts.switches.earlyRefusal) return undefined;
-    const left = (waiting.deadlineAt - now) * HOPELESS;
-    const limitMs = this.#limitWait(waiting);
-    if (limitMs > left) {
-      return { code: "limit_reached", retryAfterMs: retryAfter(limitMs) };
-    }
-    // A higher tier is never turned away while a lower one waits.
-    const tier = this.#queue.tierOf(waiting.ask.class);
-    if (this.#queue.length === 0 || this.#queue.hasBelow(tier)) {
-      return undefined;
+    const row = this.#rows.find(ask);
+    const verdict = this.#appraisal.hopeless(waiting, { now, row });
+    if (verdict !== undefined) return this.#answers.refuse(entry, ask, verdict);
+    const { shed } = this.#queue.offer(waiting);
+    this.#books.addWaiting(waiting);
+    for (const victim of shed) {
+      this.#books.removeWaiting(victim);
+      this.#answers.shed(victim, {
+        tier: this.#queue.tierOf(victim.ask.class),
+        waiting: this.#queue.length,
+      });
     }
-    const rate = this.#rate.perSecond;
-    if (rate === undefined || rate <= 0) return undefined;
-    const { workspace, class: className } = waiting.ask;
-    const ahead = this.#queue.costAhead(workspace, className);
-    const waitMs = ahead / rate * 1_000;
-    if (waitMs <= left) return undefined;
-    return { code: "queue_full", retryAfterMs: retryAfter(waitMs) };
-  }
-
-  /** Milliseconds that the row's own rates make the ask wait. */
-  #limitWait(waiting: Waiting): number {
-    const row = this.#rowOf(waiting.ask);
-    const { count, cost } = this.#queue.backlog(waiting.ask);
-    return Math.max(
-      count / (row?.requestsPerSecond ?? Infinity),
-      cost / (row?.tokensPerSecond ?? Infinity),
-    ) * 1_000;
-  }
-
-  #shed(waiting: Waiting): void {
-    const { ask } = waiting;
-    this.#waiting.delete(ask.askId);
-    this.#entries.find(waiting.entry)?.waiting.delete(ask.askId);
-    this.#parts.log.decision("ask_shed", {
-      requestId: ask.requestId,
-      askId: ask.askId,
-      workspace: ask.workspace,
-      class: ask.class,
-      tier: this.#queue.tierOf(ask.class),
-      waiting: this.#queue.length,
-      why: "queue_full",
-    });
-    this.#refuse(waiting.entry, {
-      ask,
-      code: "queue_full",
-      retryAfterMs: SHED_RETRY_MS,
-    });
-  }
-
-  #refuse(
-    entry: string,
-    refusal: Pick<RefuseMessage, "code"> & {
-      readonly ask: AskMessage;
-      readonly retryAfterMs?: number;
-    },
-  ): void {
-    const { ask, code } = refusal;
-    const retryAfterMs = refusal.retryAfterMs ?? SHED_RETRY_MS;
-    this.#parts.log.decision("ask_refused", {
-      requestId: ask.requestId,
-      askId: ask.askId,
-      workspace: ask.workspace,
-      class: ask.class,
-      why: code,
-      waiting: this.#queue.length,
-      retryAfterMs,
-    });
-    const { askId, epoch } = ask;
-    this.#parts.send(entry, {
-      type: "refuse",
-      askId,
-      epoch,
-      code,
-      retryAfterMs,
-    });
   }
 
   /** Grants what can be granted, in the queue's order. */
@@ -468,55 +293,41 @@
     const now = this.#now;
     if (now < this.#opensAt) return;
     while (this.#queue.length > 0) {
-      if (!this.#grantOne(now)) return;
+      if (!this.#serveOne(now)) return;
     }
   }
 
   /** Grants or refuses one ask; false when nothing can be done now. */
-  #grantOne(now: number): boolean {
+  #serveOne(now: number): boolean {
     const order = this.#queue.order();
-    const highest = Math.min(
-      ...order.map((it) => this.#queue.tierOf(it.class)),
-    );
     for (const flow of order) {
-      const row = this.#rowOf(flow);
+      const row = this.#rows.find(flow);
       if (!this.#limits.check(row, now).admitted) continue;
       const waiting = this.#queue.headOf(flow, now);
       if (waiting === undefined) continue;
-      if (waiting.deadlineAt <= now) {
-        this.#forgetWaiting(waiting);
-        this.#refuse(waiting.entry, {
-          ask: waiting.ask,
-          code: "deadline_passed",
-        });
-        return true;
-      }
-      const choice = this.#pool.choose(waiting.ask, {
-        now,
-        highest: this.#isHighest(flow.class),
-        share: waiting.ask.alone ? 1 / Math.max(1, this.#parts.members()) : 1,
-      });
+      if (waiting.deadlineAt <= now) return this.#expire(waiting);
+      const choice = this.#choose(waiting, now);
+      if (choice._tag === "Busy") continue;
       if (choice._tag === "None") {
-        this.#forgetWaiting(waiting);
-        this.#refuse(waiting.entry, { ask: waiting.ask, code: "no_runner" });
+        this.#forget(waiting);
+        this.#answers.refuse(waiting.entry, waiting.ask, { code: "no_runner" });
         return true;
       }
-      if (choice._tag === "Busy") continue;
-      const owed = this.#queue.isOwed(flow.class) &&
-        this.#queue.tierOf(flow.class) > highest;
+      const order = this.#queue.isOwed(flow.class) ? "minimum_share" : "tier";
       this.#queue.take(flow, waiting);
-      this.#grant(waiting, { choice, now, row, owed });
+      this.#grant(waiting, { choice, now, row, order });
       return true;
     }
     return false;
   }
 
-  /** Whether no class of the table comes before this one. */
-  #isHighest(className: string): boolean {
-    const tier = this.#queue.tierOf(className);
-    return this.#parts.table.current().classes.every((it) =>
-      this.#queue.tierOf(it.name) >= tier
-    );
+  #choose(waiting: Waiting, now: number) {
+    const { ask } = waiting;
+    return this.#pool.choose(ask, {
+      now,
+      highest: this.#queue.isHighest(ask.class),
+      share: ask.alone ? 1 / Math.max(1, this.#parts.members()) : 1,
+    });
   }
 
   #grant(
@@ -525,15 +336,11 @@
       readonly choice: Choice;
       readonly now: number;
       readonly row: Row | undefined;
-      readonly owed: boolean;
+      readonly order: "tier" | "minimum_share";
     },
   ): void {
     const { ask, entry, cost } = waiting;
-    const { choice, now } = given;
-    const account = this.#entries.find(entry);
-    this.#waiting.delete(ask.askId);
-    account?.waiting.delete(ask.askId);
-    account?.held.add(ask.askId);
+    const { choice, now, row, order } = given;
     const held: Held = {
       askId: ask.askId,
       runner: choice.runner.name,
@@ -545,119 +352,53 @@
       grantedAt: now,
       epoch: ask.epoch,
     };
-    this.#held.set(ask.askId, held);
+    this.#books.removeWaiting(waiting);
+    this.#books.addHeld(held);
     this.#pool.hold(held);
-    this.#limits.start(given.row, { cost, now });
-    this.#parts.log.decision("slot_granted", {
-      requestId: ask.requestId,
-      askId: ask.askId,
-      entry,
-      workspace: ask.workspace,
-      class: ask.class,
-      runner: choice.runner.name,
-      runnersUp: choice.runnersUp.join(","),
-      why: choice.why,
-      order: given.owed ? "minimum_share" : "tier",
-      waitedMs: Math.round(now - waiting.arrivedAt),
+    this.#limits.start(row, { cost, now });
+    this.#answers.grant(held, ask, {
+      choice,
+      order,
+      waitedMs: now - waiting.arrivedAt,
       stillWaiting: this.#queue.length,
     });
-    this.#sendGrant(held, ask.epoch);
-  }
-
-  #sendGrant(held: Held, epoch: number): void {
-    this.#parts.send(held.entry, {
-      type: "grant",
-      askId: held.askId,
-      epoch,
-      runner: held.runner,
-      validForMs: GRANT_MS,
-    });
   }
 
-  #adopt(
-    entry: string,
-    known: { readonly slot: HeldSlot; readonly now: number },
-  ): void {
-    const { slot, now } = known;
-    if (this.#held.has(slot.askId)) return;
-    const waiting = this.#waiting.get(slot.askId);
-    if (waiting !== undefined) this.#forgetWaiting(waiting);
-    const cost = this.#costOf(slot);
-    const held: Held = { ...slot, entry, cost, grantedAt: now, epoch: 0 };
-    this.#held.set(slot.askId, held);
-    this.#entries.find(entry)?.held.add(slot.askId);
+  /** Takes in a slot that another broker granted. */
+  #adopt(entry: string, slot: HeldSlot, at: { readonly now: number }): void {
+    if (this.#books.findHeld(slot.askId) !== undefined) return;
+    const waiting = this.#books.findWaiting(slot.askId);
+    if (waiting !== undefined) this.#forget(waiting);
+    const cost = this.#appraisal.costOf(slot);
+    const held: Held = { ...slot, entry, cost, grantedAt: at.now, epoch: 0 };
+    this.#books.addHeld(held);
     this.#pool.hold(held);
-    this.#limits.adopt(this.#rowOf(slot), now);
-  }
-
-  #replace(former: Held, held: Held): void {
-    this.#held.set(held.askId, held);
-    this.#entries.find(former.entry)?.held.delete(held.askId);
-    this.#entries.find(held.entry)?.held.add(held.askId);
+    this.#limits.adopt(this.#rows.find(slot), at.now);
   }
 
   /** Frees a slot without learning anything from it. */
   #abandon(held: Held): void {
     this.#pool.abandon(held);
     this.#limits.end(held, 0);
-    this.#forgetHeld(held);
-  }
-
-  #forgetHeld(held: Held): void {
-    this.#held.delete(held.askId);
-    this.#entries.find(held.entry)?.held.delete(held.askId);
+    this.#books.removeHeld(held);
   }
 
-  #forgetWaiting(waiting: Waiting): void {
+  #forget(waiting: Waiting): void {
     this.#queue.remove(waiting);
-    this.#waiting.delete(waiting.ask.askId);
-    this.#entries.find(waiting.entry)?.waiting.delete(waiting.ask.askId);
-  }
-
-  #dropWaiting(account: EntryAccount): void {
-    for (const askId of [...account.waiting]) {
-      const waiting = this.#waiting.get(askId);
-      if (waiting !== undefined) this.#forgetWaiting(waiting);
-    }
+    this.#books.removeWaiting(waiting);
   }
 
-  #dropEntry(account: EntryAccount): void {
-    this.#dropWaiting(account);
-    for (const askId of [...account.held]) {
-      const held = this.#held.get(askId);
-      if (held !== undefined) this.#abandon(held);
-    }
-    this.#entries.remove(account.name);
-  }
-
-  #dropExpired(now: number): void {
-    for (const waiting of [...this.#waiting.values()]) {
-      if (waiting.deadlineAt > now) continue;
-      this.#forgetWaiting(waiting);
-      this.#refuse(waiting.entry, {
-        ask: waiting.ask,
-        code: "deadline_passed",
-      });
-    }
+  #expire(waiting: Waiting): true {
+    this.#forget(waiting);
+    this.#answers.refuse(waiting.entry, waiting.ask, {
+      code: "deadline_passed",
+    });
+    return true;
   }
 
-  #rowOf(
-    key: { readonly workspace: string; readonly class: string },
-  ): Row | undefined {
-    return this.#rows.get(rowKey(key));
+  #dropEntry(entry: string): void {
+    for (const waiting of this.#books.allWaiting(entry)) this.#forget(waiting);
+    for (const held of this.#books.allHeld(entry)) this.#abandon(held);
+    this.#books.removeEntry(entry);
   }
 }
-
-function rowsOf(table: Table): ReadonlyMap<string, Row> {
-  return new Map(table.rows.map((row) => [rowKey(row), row]));
-}
-
-function rowKey(
-  key: { readonly workspace: string; readonly class: string },
-): string {
-  return `${key.class}\n${key.workspace}`;
-}
-
-function retryAfter(waitMs: number): number {
-  return Math.round(Math.min(MOST_RETRY_MS, Math.max(LEAST_RETRY_MS, waitMs)));
-}
--- a/packages/daemon/src/process/scheduling/fair_queue.ts
+++ b/packages/daemon/src/process/scheduling/fair_queue.ts
@@ -57,6 +57,8 @@
   readonly #virtual = new Map<number, number>();
   #classes: ReadonlyMap<string, Class> = new Map();
   #weights: ReadonlyMap<string, number> = new Map();
+  /** Tier of the class that is served first. */
+  #highest = 0;
   #count = 0;
   #bytes = 0;
 
@@ -76,6 +78,9 @@
   /** Takes a new table; it orders what already waits, too. */
   setTable(table: Table): void {
     this.#classes = new Map(table.classes.map((it) => [it.name, it]));
+    this.#highest = Math.min(
+      ...table.classes.map((it) => this.tierOf(it.name)),
+    );
     this.#weights = new Map(
       table.rows.map((row) => [flowKey(row.workspace, row.class), row.weight]),
     );
@@ -87,6 +92,11 @@
     return this.#classes.get(className)?.tier ?? UNKNOWN_TIER;
   }
 
+  /** Whether no class of the table comes before this one. */
+  isHighest(className: string): boolean {
+    return this.tierOf(className) <= this.#highest;
+  }
+
   /** All that waits, in no order that matters. */
   *all(): Generator<Waiting> {
     for (const flow of this.#flows.values()) yield* flow.items;
