--- a/packages/daemon/src/routing.ts
+++ b/packages/daemon/src/routing.ts
@@ -13,9 +13,10 @@
 import type { RunnerDirectory } from "./process/runner_directory.ts";
 import type { Settings } from "./process/settings.ts";
 import type { CallRunner } from "./request/call.ts";
-import { LeastInFlightScheduler } from "./request/least_in_flight_scheduler.ts";
 import { IdempotentCallRunner } from "./request/idempotent_call_runner.ts";
 import { RetryingCallRunner } from "./request/retrying_call_runner.ts";
+import { makeScheduler } from "./request/scheduling.ts";
+import { tableSourceOf } from "./version/feed_table_source.ts";
 
 /** Opens connections to runners, and forgets those of runners that are gone. */
 function openConnections(
@@ -42,13 +43,21 @@
   const { settings, log } = options;
   return Effect.gen(function* () {
     const connections = yield* openConnections(fleet.directory);
+    const scheduler = yield* makeScheduler({
+      directory: fleet.directory,
+      table: tableSourceOf(fleet.feed),
+      clock: SYSTEM_CLOCK,
+      log,
+      peers: fleet.node.peers,
+      membership: fleet.node.membership,
+    }, { policy: settings.scheduler, ...settings.scheduling });
     const runner = new RetryingCallRunner({
       connections,
       log,
       clock: SYSTEM_CLOCK,
       settings: settings.attempts,
       budget: new RetryBudget(settings.retries),
-      scheduler: new LeastInFlightScheduler(() => fleet.directory.all()),
+      scheduler,
     });
     return new IdempotentCallRunner(runner, { claims: fleet.claims, log });
   });
