--- a/packages/daemon/src/process/scheduling/broker.ts
+++ b/packages/daemon/src/process/scheduling/broker.ts
@@ -10,48 +10,25 @@
  *
  * @module
  */
-import type { Clock } from "@umbermast/coordination";
-import type { Row, Table } from "@umbermast/table";
-import type { Log } from "../log.ts";
-import type { RunnerDirectory } from "../runner_directory.ts";
-import type { TableSource } from "../table_source.ts";
+import type { Table } from "@umbermast/table";
 import { AskAppraisal } from "./ask_appraisal.ts";
 import { BrokerAnswers } from "./broker_answers.ts";
 import { BrokerBooks } from "./broker_books.ts";
-import { FairQueue, type QueueBounds } from "./fair_queue.ts";
+import type { BrokerParts } from "./broker_parts.ts";
+import { FairQueue } from "./fair_queue.ts";
 
-import type { LoadReports } from "./load_reports.ts";
 import type {
   AskMessage,
   BeatMessage,
-  EntryMessage,
   HeldSlot,
   PresentMessage,
   ReleaseMessage,
 } from "./messages.ts";
-import { RowLimits } from "./row_limits.ts";
-import { RowIndex } from "./row_index.ts";
 import { RunnerLearning } from "./runner_learning.ts";
 import { type Choice, RunnerPool } from "./runner_pool.ts";
-import type { Held } from "./runner_state.ts";
-import type { Switches } from "./switches.ts";
+import { SlotLedger } from "./slot_ledger.ts";
 import type { Waiting } from "./waiting.ts";
 
-/** What a broker works with. */
-export interface BrokerParts {
-  readonly directory: RunnerDirectory;
-  readonly reports: LoadReports;
-  readonly table: TableSource;
-  readonly clock: Clock;
-  readonly log: Log;
-  readonly switches: Switches;
-  readonly bounds?: QueueBounds;
-  /** Sends to an entry; this daemon's own entry too. */
-  readonly send: (entry: string, message: EntryMessage) => void;
-  /** Daemons that take part; a lone one gets its share of the slots. */
-  readonly members: () => number;
-}
-
 /** An entry that says nothing for this long is granted nothing. */
 const QUIET_MS = 2_000;
 /** An entry that says nothing for this long has lost what it asked and held. */
@@ -69,9 +46,8 @@
   readonly #learning: RunnerLearning;
   readonly #appraisal: AskAppraisal;
   readonly #answers: BrokerAnswers;
-  readonly #limits = new RowLimits();
   readonly #books = new BrokerBooks();
-  #rows: RowIndex;
+  readonly #slots: SlotLedger;
   #tickedAt: number;
   #heardAt: number;
   #opensAt = -Infinity;
@@ -80,9 +56,7 @@
     this.#service = service;
     this.#parts = parts;
     const table = parts.table.current();
-    const { switches } = parts;
-    const { bounds } = parts;
-    this.#rows = new RowIndex(table);
+    const { switches, bounds } = parts;
     this.#queue = new FairQueue(table, {
       switches,
       ...(bounds === undefined ? {} : { bounds }),
@@ -95,6 +69,7 @@
     this.#learning = learning;
     this.#appraisal = new AskAppraisal({ queue, pool, learning, switches });
     this.#answers = new BrokerAnswers(parts);
+    this.#slots = new SlotLedger({ pool, books: this.#books, table });
     this.#tickedAt = this.#now;
     this.#heardAt = this.#now;
   }
@@ -130,7 +105,7 @@
     if (held !== undefined) {
       // The entry asks again since it did not get the grant: the link dropped
       // it. The same slot is granted again, so none is lost and none doubled.
-      const again: Held = { ...held, entry, epoch: ask.epoch };
+      const again = { ...held, entry, epoch: ask.epoch };
       this.#books.addHeld(again);
       return this.#answers.repeat(again);
     }
@@ -146,7 +121,7 @@
     const waiting = this.#books.findWaiting(askId);
     if (waiting?.entry === entry) this.#forget(waiting);
     const held = this.#books.findHeld(askId);
-    if (held?.entry === entry) this.#abandon(held);
+    if (held?.entry === entry) this.#slots.abandon(held);
     this.#drain();
   }
 
@@ -158,9 +133,8 @@
     const end = { settlement: message.settlement, now };
     this.#learning.settled(held, end);
     const excess = this.#appraisal.learn(held, end) - held.cost;
-    this.#limits.end(held, excess);
+    this.#slots.settle(held, excess);
     if (this.#parts.switches.costEstimate) this.#queue.settle(held, excess);
-    this.#books.removeHeld(held);
     this.#drain();
   }
 
@@ -177,9 +151,9 @@
       // One that the entry still waits for is on its way to it, or was lost on
       // the way: the ask that follows gets the same grant again.
       if (held.has(known.askId) || waiting.has(known.askId)) continue;
-      this.#abandon(known);
+      this.#slots.abandon(known);
     }
-    for (const slot of message.held) this.#adopt(entry, slot, { now });
+    for (const slot of message.held) this.#adopt(entry, slot, now);
     this.#drain();
   }
 
@@ -194,16 +168,13 @@
   /** The list of runners has changed. */
   runnersChanged(): void {
     const runners = this.#parts.directory.runners(this.#service);
-    for (const held of this.#pool.setRunners(runners)) {
-      this.#limits.end(held, 0);
-      this.#books.removeHeld(held);
-    }
+    for (const held of this.#pool.setRunners(runners)) this.#slots.lose(held);
     this.#drain();
   }
 
   /** The table has changed; what waits is ordered and limited by it at once. */
   tableChanged(table: Table): void {
-    this.#rows = new RowIndex(table);
+    this.#slots.setTable(table);
     this.#queue.setTable(table);
     this.#pool.setTable(table, this.#service);
     this.#drain();
@@ -274,7 +245,7 @@
     if (ask.remainingMs <= 0) {
       return this.#answers.refuse(entry, ask, { code: "deadline_passed" });
     }
-    const row = this.#rows.find(ask);
+    const row = this.#slots.rowOf(ask);
     const verdict = this.#appraisal.hopeless(waiting, { now, row });
     if (verdict !== undefined) return this.#answers.refuse(entry, ask, verdict);
     const { shed } = this.#queue.offer(waiting);
@@ -301,8 +272,7 @@
   #serveOne(now: number): boolean {
     const order = this.#queue.order();
     for (const flow of order) {
-      const row = this.#rows.find(flow);
-      if (!this.#limits.check(row, now).admitted) continue;
+      if (!this.#slots.admits(flow, now)) continue;
       const waiting = this.#queue.headOf(flow, now);
       if (waiting === undefined) continue;
       if (waiting.deadlineAt <= now) return this.#expire(waiting);
@@ -315,7 +285,7 @@
       }
       const order = this.#queue.isOwed(flow.class) ? "minimum_share" : "tier";
       this.#queue.take(flow, waiting);
-      this.#grant(waiting, { choice, now, row, order });
+      this.#grant(waiting, { choice, now, order });
       return true;
     }
     return false;
@@ -335,28 +305,16 @@
     given: {
       readonly choice: Choice;
       readonly now: number;
-      readonly row: Row | undefined;
       readonly order: "tier" | "minimum_share";
     },
   ): void {
-    const { ask, entry, cost } = waiting;
-    const { choice, now, row, order } = given;
-    const held: Held = {
-      askId: ask.askId,
-      runner: choice.runner.name,
-      workspace: ask.workspace,
-      class: ask.class,
-      promptTokens: ask.promptTokens,
-      entry,
-      cost,
-      grantedAt: now,
-      epoch: ask.epoch,
-    };
+    const { choice, now, order } = given;
     this.#books.removeWaiting(waiting);
-    this.#books.addHeld(held);
-    this.#pool.hold(held);
-    this.#limits.start(row, { cost, now });
-    this.#answers.grant(held, ask, {
+    const held = this.#slots.take(waiting, {
+      runner: choice.runner.name,
+      now,
+    });
+    this.#answers.grant(held, waiting.ask, {
       choice,
       order,
       waitedMs: now - waiting.arrivedAt,
@@ -365,22 +323,11 @@
   }
 
   /** Takes in a slot that another broker granted. */
-  #adopt(entry: string, slot: HeldSlot, at: { readonly now: number }): void {
-    if (this.#books.findHeld(slot.askId) !== undefined) return;
+  #adopt(entry: string, slot: HeldSlot, now: number): void {
     const waiting = this.#books.findWaiting(slot.askId);
     if (waiting !== undefined) this.#forget(waiting);
     const cost = this.#appraisal.costOf(slot);
-    const held: Held = { ...slot, entry, cost, grantedAt: at.now, epoch: 0 };
-    this.#books.addHeld(held);
-    this.#pool.hold(held);
-    this.#limits.adopt(this.#rows.find(slot), at.now);
-  }
-
-  /** Frees a slot without learning anything from it. */
-  #abandon(held: Held): void {
-    this.#pool.abandon(held);
-    this.#limits.end(held, 0);
-    this.#books.removeHeld(held);
+    this.#slots.adopt({ ...slot, entry, cost, grantedAt: now, epoch: 0 });
   }
 
   #forget(waiting: Waiting): void {
@@ -398,7 +345,7 @@
 
   #dropEntry(entry: string): void {
     for (const waiting of this.#books.allWaiting(entry)) this.#forget(waiting);
-    for (const held of this.#books.allHeld(entry)) this.#abandon(held);
+    for (const held of this.#books.allHeld(entry)) this.#slots.abandon(held);
     this.#books.removeEntry(entry);
   }
 }
--- a/packages/daemon/src/process/scheduling/broker_host.ts
+++ b/packages/daemon/src/process/scheduling/broker_host.ts
@@ -10,7 +10,8 @@
 import type { Membership, Peers, View } from "@umbermast/coordination";
 import * as Effect from "effect/Effect";
 import type * as Scope from "effect/Scope";
-import { Broker, type BrokerParts } from "./broker.ts";
+import { Broker } from "./broker.ts";
+import type { BrokerParts } from "./broker_parts.ts";
 import { BrokerFinder } from "./broker_finder.ts";
 import {
   type BrokerMessage,
--- /dev/null
+++ b/packages/daemon/src/process/scheduling/slot_ledger.ts
@@ -0,0 +1,100 @@
+/**
+ * Slots in use at a broker: taken, adopted and given back in one place, so that
+ * runners, rows and books never disagree.
+ *
+ * @module
+ */
+import type { Row, Table } from "@umbermast/table";
+import type { BrokerBooks } from "./broker_books.ts";
+import { RowIndex } from "./row_index.ts";
+import { RowLimits } from "./row_limits.ts";
+import type { RunnerPool } from "./runner_pool.ts";
+import type { Held } from "./runner_state.ts";
+import type { Waiting } from "./waiting.ts";
+
+/** A workspace and class. */
+interface RowKey {
+  readonly workspace: string;
+  readonly class: string;
+}
+
+/** Books slots at runners and under the limits of rows. */
+export class SlotLedger {
+  readonly #pool: RunnerPool;
+  readonly #books: BrokerBooks;
+  readonly #limits = new RowLimits();
+  #rows: RowIndex;
+
+  constructor(parts: {
+    readonly pool: RunnerPool;
+    readonly books: BrokerBooks;
+    readonly table: Table;
+  }) {
+    this.#pool = parts.pool;
+    this.#books = parts.books;
+    this.#rows = new RowIndex(parts.table);
+  }
+
+  /** Takes a new table; its limits count what is in flight already. */
+  setTable(table: Table): void {
+    this.#rows = new RowIndex(table);
+  }
+
+  /** The row of a workspace and class, if there is one. */
+  rowOf(key: RowKey): Row | undefined {
+    return this.#rows.find(key);
+  }
+
+  /** Whether the limits of a row allow one more request now. */
+  admits(key: RowKey, now: number): boolean {
+    return this.#limits.check(this.rowOf(key), now).admitted;
+  }
+
+  /** Takes a slot for an ask. */
+  take(
+    waiting: Waiting,
+    at: { readonly runner: string; readonly now: number },
+  ): Held {
+    const { ask, entry, cost } = waiting;
+    const held: Held = {
+      askId: ask.askId,
+      runner: at.runner,
+      workspace: ask.workspace,
+      class: ask.class,
+      promptTokens: ask.promptTokens,
+      entry,
+      cost,
+      grantedAt: at.now,
+      epoch: ask.epoch,
+    };
+    this.#books.addHeld(held);
+    this.#pool.hold(held);
+    this.#limits.start(this.rowOf(ask), { cost, now: at.now });
+    return held;
+  }
+
+  /** Books a slot that another broker granted; known ones stay as they are. */
+  adopt(held: Held): void {
+    if (this.#books.findHeld(held.askId) !== undefined) return;
+    this.#books.addHeld(held);
+    this.#pool.hold(held);
+    this.#limits.adopt(this.rowOf(held), held.grantedAt);
+  }
+
+  /** An attempt has ended; its slot is free at the runner already. */
+  settle(held: Held, excess: number): void {
+    this.#limits.end(held, excess);
+    this.#books.removeHeld(held);
+  }
+
+  /** Frees a slot without learning anything from it. */
+  abandon(held: Held): void {
+    this.#pool.abandon(held);
+    this.settle(held, 0);
+  }
+
+  /** The runner is gone, and the slot with it. */
+  lose(held: Held): void {
+    this.settle(held, 0);
+  }
+}
--- a/packages/daemon/tests/scheduling/fixtures.ts
+++ b/packages/daemon/tests/scheduling/fixtures.ts
@@ -19,10 +19,8 @@
 import type { Fields, Log } from "../../src/process/log.ts";
 import type { Runner } from "../../src/process/runner.ts";
 import { RunnerDirectory } from "../../src/process/runner_directory.ts";
-import {
-  Broker,
-  type BrokerParts,
-} from "../../src/process/scheduling/broker.ts";
+import { Broker } from "../../src/process/scheduling/broker.ts";
+import type { BrokerParts } from "../../src/process/scheduling/broker_parts.ts";
 import { BrokerHost } from "../../src/process/scheduling/broker_host.ts";
 import { LoadReports } from "../../src/process/scheduling/load_reports.ts";
 import type {
