--- a/packages/daemon/src/request/brokered_scheduler.ts
+++ b/packages/daemon/src/request/brokered_scheduler.ts
@@ -23,8 +23,16 @@
   TO_BROKER,
   TO_ENTRY,
 } from "../process/scheduling/messages.ts";
+import { Contacts } from "../process/scheduling/contacts.ts";
 import type { TableSource } from "../process/table_source.ts";
 import type { Ask, Grant, Refusal, Settlement } from "./ask.ts";
+import {
+  OwnRequests,
+  type Pending,
+  type Place,
+  Places,
+  type Using,
+} from "./own_requests.ts";
 import { deadlinePassed, refusalOf } from "./refusals.ts";
 import type { Scheduler } from "./scheduler.ts";
 
@@ -51,52 +59,12 @@
   readonly membership?: Membership;
 }
 
-/** An ask that waits for its answer. */
-interface Pending {
-  readonly ask: Ask;
-  readonly askedAt: number;
-  readonly resume: (end: Effect.Effect<Grant, Refusal>) => void;
-  readonly timer: NodeJS.Timeout;
-  epoch: number;
-  broker: string;
-}
-
-/** A slot that an attempt of this daemon uses. */
-interface Held {
-  readonly ask: Ask;
-  readonly runner: string;
-  broker: string;
-}
-
-/** What is known of a daemon that was asked. */
-interface Contact {
-  /** Monotonic milliseconds since when an answer is awaited; absent if none is. */
-  silentSince: number | undefined;
-}
-
-/** Services at brokers, each pair once. */
-class Places {
-  readonly #services = new Map<string, Set<string>>();
-
-  add(broker: string, service: string): void {
-    const known = this.#services.get(broker) ?? new Set();
-    this.#services.set(broker, known.add(service));
-  }
-
-  *all(): Generator<readonly [broker: string, service: string]> {
-    for (const [broker, services] of this.#services) {
-      for (const service of services) yield [broker, service];
-    }
-  }
-}
-
 /** Gets slots from brokers. */
 export class BrokeredScheduler implements Scheduler {
   readonly #parts: BrokeredParts;
   readonly #finder: BrokerFinder;
-  readonly #pending = new Map<string, Pending>();
-  readonly #held = new Map<string, Held>();
-  readonly #contacts = new Map<string, Contact>();
+  readonly #contacts: Contacts;
+  readonly #own = new OwnRequests();
 
   constructor(parts: BrokeredParts) {
     this.#parts = parts;
@@ -104,6 +72,7 @@
       membership: parts.membership,
       directory: parts.directory,
     });
+    this.#contacts = new Contacts(parts.clock);
     parts.host.connectOwnEntry((message) =>
       this.#receive(this.#finder.self, message)
     );
@@ -121,8 +90,8 @@
         }));
       const ends = [
         membership?.subscribe(() => this.#follow()),
-        peers?.subscribe((_peer, state) => {
-          if (state === "up") this.#presentAll();
+        peers?.subscribe((peer, state) => {
+          if (state === "up") this.#resyncAll(peer);
         }),
       ];
       yield* Effect.addFinalizer(() =>
@@ -148,7 +117,7 @@
         epoch: 1,
         broker: this.#brokerFor(ask),
       };
-      this.#pending.set(ask.askId, pending);
+      this.#own.pending.set(ask.askId, pending);
       this.#sendAsk(pending);
       return Effect.sync(() => this.#withdraw(pending));
     });
@@ -165,9 +134,9 @@
       this.#follow();
       beats += 1;
       const all = beats % (HELD_BEAT_MS / BEAT_MS) === 0;
-      for (
-        const broker of all ? this.#brokersInUse() : this.#brokersAwaited()
-      ) {
+      const brokers = all ? this.#own.brokers() : this.#own.awaitedBrokers();
+      // A silent one is asked on, so that its return is noticed.
+      for (const broker of new Set([...brokers, ...this.#contacts.awaited])) {
         this.#beat(broker);
       }
     }));
@@ -175,42 +144,26 @@
 
   /** Moves what is at a daemon that is no longer the one to ask. */
   #follow(): void {
-    this.#forgetStrangers();
+    const members = this.#parts.membership?.view().members ?? [];
+    this.#contacts.retain(new Set(members.map((it) => it.member.name)));
     const left = new Places();
     const reached = new Places();
-    const asked: Pending[] = [];
-    for (const pending of this.#pending.values()) {
-      const broker = this.#brokerFor(pending.ask);
-      if (broker === pending.broker) continue;
-      left.add(pending.broker, pending.ask.service);
-      reached.add(broker, pending.ask.service);
-      pending.broker = broker;
-      pending.epoch += 1;
-      asked.push(pending);
-    }
-    for (const held of this.#held.values()) {
-      const broker = this.#brokerFor(held.ask);
-      if (broker === held.broker) continue;
-      left.add(held.broker, held.ask.service);
-      reached.add(broker, held.ask.service);
-      held.broker = broker;
-    }
-    // What is held goes before what waits: a broker that hears of the waiting
+    const move = (it: Pending | Using): boolean => {
+      const broker = this.#brokerFor(it.ask);
+      const { service } = it.ask;
+      if (broker === it.broker) return false;
+      left.add({ broker: it.broker, service });
+      reached.add({ broker, service });
+      it.broker = broker;
+      return true;
+    };
+    const asked = [...this.#own.pending.values()].filter(move);
+    for (const it of this.#own.using.values()) move(it);
+    // What is in use goes before what waits: a broker that hears of the waiting
     // first would grant them slots that are in use.
-    for (const [broker, service] of reached.all()) {
-      this.#present(broker, service);
-    }
-    for (const pending of asked) this.#sendAsk(pending);
-    for (const [broker, service] of left.all()) this.#present(broker, service);
-  }
-
-  /** A silent daemon that has left the view would be asked for ever. */
-  #forgetStrangers(): void {
-    const members = this.#parts.membership?.view().members ?? [];
-    const names = new Set(members.map((it) => it.member.name));
-    for (const name of this.#contacts.keys()) {
-      if (!names.has(name)) this.#contacts.delete(name);
-    }
+    for (const place of reached.all()) this.#present(place);
+    for (const pending of asked) this.#askAnew(pending);
+    for (const place of left.all()) this.#present(place);
   }
 
   /**
@@ -219,14 +172,12 @@
    * lower ones at the successor.
    */
   #brokerFor(ask: Ask): string {
-    const rank = this.#finder.rank(ask.service);
+    const [first, second] = this.#finder.rank(ask.service);
     const patience = this.#patience(ask.class);
-    const [first, second] = rank;
-    if (first === undefined) return this.#finder.self;
-    if (!this.#isSilent(first, patience)) return first;
-    if (second !== undefined && !this.#isSilent(second, patience)) {
-      return second;
-    }
+    const answers = (name: string) =>
+      name === this.#finder.self || !this.#contacts.isSilent(name, patience);
+    if (first !== undefined && answers(first)) return first;
+    if (second !== undefined && answers(second)) return second;
     return this.#finder.self;
   }
 
@@ -236,114 +187,65 @@
     return Math.min(MOST_SILENCE_MS, SILENCE_MS + tier * SILENCE_STEP_MS);
   }
 
-  #isSilent(name: string, patienceMs: number): boolean {
-    if (name === this.#finder.self) return false;
-    const since = this.#contacts.get(name)?.silentSince;
-    return since !== undefined && this.#now - since > patienceMs;
-  }
-
-  #brokersInUse(): ReadonlySet<string> {
-    const names = new Set(this.#brokersAwaited());
-    for (const held of this.#held.values()) names.add(held.broker);
-    return names;
-  }
-
-  /** Brokers that owe an answer. */
-  #brokersAwaited(): ReadonlySet<string> {
-    const names = new Set<string>();
-    for (const pending of this.#pending.values()) names.add(pending.broker);
-    // A silent one is asked on, so that its return is noticed.
-    for (const [name, contact] of this.#contacts) {
-      if (contact.silentSince !== undefined) names.add(name);
-    }
-    return names;
-  }
-
   #beat(broker: string): void {
-    for (const service of this.#servicesAt(broker)) {
-      let waiting = 0;
-      let held = 0;
-      for (const it of this.#pending.values()) {
-        if (it.broker === broker && it.ask.service === service) waiting++;
-      }
-      for (const it of this.#held.values()) {
-        if (it.broker === broker && it.ask.service === service) held++;
-      }
-      this.#awaitAnswer(broker);
-      this.#send(broker, { type: "beat", service, waiting, held });
-    }
-  }
-
-  #awaitAnswer(broker: string): void {
-    if (broker === this.#finder.self) return;
-    const contact = this.#contacts.get(broker);
-    if (contact?.silentSince !== undefined) return;
-    this.#contacts.set(broker, { silentSince: this.#now });
-  }
-
-  /** Services of which something is at the broker; any one, if nothing is. */
-  #servicesAt(broker: string): ReadonlySet<string> {
-    const services = new Set<string>();
-    for (const it of this.#pending.values()) {
-      if (it.broker === broker) services.add(it.ask.service);
-    }
-    for (const it of this.#held.values()) {
-      if (it.broker === broker) services.add(it.ask.service);
-    }
+    const services = this.#own.servicesAt(broker);
     const any = this.#parts.directory.services()[0];
-    if (services.size === 0 && any !== undefined) services.add(any);
-    return services;
+    const asked = services.size === 0 && any !== undefined ? [any] : services;
+    for (const service of asked) {
+      const place = { broker, service };
+      const waiting = this.#own.pendingAt(place).length;
+      const held = this.#own.usingAt(place).length;
+      this.#sendAwaiting(broker, { type: "beat", service, waiting, held });
+    }
   }
 
   #receive(from: string, message: EntryMessage): void {
-    const contact = this.#contacts.get(from);
-    if (contact !== undefined) contact.silentSince = undefined;
+    this.#contacts.answered(from);
     switch (message.type) {
       case "grant":
         return this.#granted(from, message);
       case "refuse":
         return this.#refused(from, message);
       case "beat_reply":
-        if (message.resync) this.#resync(from, message.service);
+        if (!message.resync) return;
+        return this.#resync({ broker: from, service: message.service });
     }
   }
 
   #granted(from: string, message: GrantMessage): void {
-    const held = this.#held.get(message.askId);
+    const using = this.#own.using.get(message.askId);
     // The same grant again: the broker did not know that it had arrived.
-    if (held?.runner === message.runner && held.broker === from) return;
-    const pending = this.#pending.get(message.askId);
-    const runner = this.#parts.directory.find(message.runner);
-    const current = pending?.broker === from && pending.epoch === message.epoch;
-    if (pending === undefined || !current) {
+    if (using?.runner === message.runner && using.broker === from) return;
+    const pending = this.#own.pending.get(message.askId);
+    if (pending?.broker !== from || pending.epoch !== message.epoch) {
       return this.#giveBack(from, message.askId);
     }
+    const runner = this.#parts.directory.find(message.runner);
     if (runner === undefined || runner.state === "leaving") {
       // The broker does not know yet that the runner leaves; it must get
       // nothing new, so the slot goes back and the ask is made again.
       this.#giveBack(from, message.askId);
-      pending.epoch += 1;
-      return this.#sendAsk(pending, message.runner);
+      return this.#askAnew(pending, message.runner);
     }
     this.#settle(pending);
     const { ask } = pending;
-    this.#held.set(ask.askId, { ask, runner: runner.name, broker: from });
+    const { askId } = ask;
+    this.#own.using.set(askId, { ask, runner: runner.name, broker: from });
     pending.resume(Effect.succeed({
-      askId: ask.askId,
+      askId,
       runner,
       expiresAt: this.#parts.clock.now() + message.validForMs,
-      release: (settlement) => this.#release(ask.askId, settlement),
+      release: (settlement) => this.#release(askId, settlement),
     }));
   }
 
   #refused(from: string, message: RefuseMessage): void {
-    const pending = this.#pending.get(message.askId);
-    if (pending === undefined || pending.broker !== from) return;
-    if (pending.epoch !== message.epoch) return;
+    const pending = this.#own.pending.get(message.askId);
+    if (pending?.broker !== from || pending.epoch !== message.epoch) return;
     this.#settle(pending);
-    pending.resume(Effect.fail(
-      refusalOf(pending.ask, message.code, message),
-    ));
+    pending.resume(
+      Effect.fail(refusalOf(pending.ask, message.code, message)),
+    );
   }
 
   /** Tells a broker that a slot it granted is not wanted here. */
@@ -354,11 +256,11 @@
   }
 
   #release(askId: string, settlement: Settlement): void {
-    const held = this.#held.get(askId);
-    if (held === undefined) return;
-    this.#held.delete(askId);
-    const { service } = held.ask;
-    this.#send(held.broker, { type: "release", service, askId, settlement });
+    const using = this.#own.using.get(askId);
+    if (using === undefined) return;
+    this.#own.using.delete(askId);
+    const { service } = using.ask;
+    this.#send(using.broker, { type: "release", service, askId, settlement });
   }
 
   #expire(pending: Pending): void {
@@ -368,83 +270,76 @@
 
   #withdraw(pending: Pending): void {
     const { askId, service } = pending.ask;
-    if (this.#pending.get(askId) !== pending) return;
+    if (this.#own.pending.get(askId) !== pending) return;
     this.#settle(pending);
     this.#send(pending.broker, { type: "withdraw", service, askId });
   }
 
   #settle(pending: Pending): void {
     clearTimeout(pending.timer);
-    this.#pending.delete(pending.ask.askId);
+    this.#own.pending.delete(pending.ask.askId);
   }
 
-  #presentAll(): void {
-    for (const broker of this.#brokersInUse()) {
-      for (const service of this.#servicesAt(broker)) {
-        this.#resync(broker, service);
-      }
+  /** A link is back, and may have lost what was under way. */
+  #resyncAll(broker: string): void {
+    for (const service of this.#own.servicesAt(broker)) {
+      this.#resync({ broker, service });
     }
   }
 
-  /** Presents all that is at a broker and asks anew for what waits there. */
-  #resync(broker: string, service: string): void {
-    this.#present(broker, service);
-    for (const pending of this.#pending.values()) {
-      if (pending.broker !== broker || pending.ask.service !== service) {
-        continue;
-      }
-      this.#sendAsk(pending);
-    }
+  /** Presents all that is at a place and asks anew for what waits there. */
+  #resync(place: Place): void {
+    this.#present(place);
+    for (const pending of this.#own.pendingAt(place)) this.#sendAsk(pending);
   }
 
-  #present(broker: string, service: string): void {
-    const waiting = [...this.#pending.values()]
-      .filter((it) => it.broker === broker && it.ask.service === service)
-      .map((it) => it.ask.askId);
-    const held = [...this.#held.values()]
-      .filter((it) => it.broker === broker && it.ask.service === service)
-      .map(({ ask, runner }) => ({
-        askId: ask.askId,
-        runner,
-        workspace: ask.workspace,
-        class: ask.class,
-        promptTokens: ask.promptTokens,
-      }));
-    this.#send(broker, { type: "present", service, waiting, held });
+  #present(place: Place): void {
+    const held = this.#own.usingAt(place).map(({ ask, runner }) => ({
+      askId: ask.askId,
+      runner,
+      workspace: ask.workspace,
+      class: ask.class,
+      promptTokens: ask.promptTokens,
+    }));
+    const waiting = this.#own.pendingAt(place).map((it) => it.ask.askId);
+    const { service } = place;
+    this.#send(place.broker, { type: "present", service, waiting, held });
+  }
+
+  /** Asks again; an answer to the former ask is not taken any more. */
+  #askAnew(pending: Pending, excluded?: string): void {
+    pending.epoch += 1;
+    this.#sendAsk(pending, excluded);
   }
 
   #sendAsk(pending: Pending, excluded?: string): void {
     const { ask, epoch, askedAt, broker } = pending;
+    const { deadline, ...told } = ask;
     const rank = this.#finder.rank(ask.service);
-    this.#awaitAnswer(broker);
-    this.#send(broker, {
+    const isBroker = rank.slice(0, 2).includes(broker);
+    this.#sendAwaiting(broker, {
       type: "ask",
-      askId: ask.askId,
+      ...told,
       epoch,
-      requestId: ask.requestId,
-      service: ask.service,
-      ...(ask.model === undefined ? {} : { model: ask.model }),
-      workspace: ask.workspace,
-      class: ask.class,
-      promptTokens: ask.promptTokens,
-      ...(ask.maxTokens === undefined ? {} : { maxTokens: ask.maxTokens }),
-      ...(ask.prefixDigest === undefined
-        ? {}
-        : { prefixDigest: ask.prefixDigest }),
-      remainingMs: Math.max(0, ask.deadline - this.#parts.clock.now()),
+      remainingMs: Math.max(0, deadline - this.#parts.clock.now()),
       waitedMs: Math.max(0, this.#now - askedAt),
       excluded: excluded === undefined
         ? ask.excluded
         : [...ask.excluded, excluded],
-      alone: broker === this.#finder.self && !rank.slice(0, 2).includes(broker),
+      alone: broker === this.#finder.self && !isBroker,
     });
   }
 
+  /** Sends what the broker has to answer. */
+  #sendAwaiting(broker: string, message: BrokerMessage): void {
+    if (broker !== this.#finder.self) this.#contacts.asked(broker);
+    this.#send(broker, message);
+  }
+
   #send(broker: string, message: BrokerMessage): void {
-    if (broker !== this.#finder.self) {
-      this.#parts.peers?.send(broker, TO_BROKER, message);
-      return;
+    if (broker === this.#finder.self) {
+      return this.#parts.host.receive(broker, message);
     }
-    this.#parts.host.receive(broker, message);
+    this.#parts.peers?.send(broker, TO_BROKER, message);
   }
 }
