Keep the last runner of a service in use

Cause: a service with one runner refused all for the backoff after one failure. Change: the last runner that is in use is not ejected; the refusal without a runner names the service as before. Conclusion: ejection never empties a service.

--- a/packages/daemon/src/process/scheduling/runner_learning.ts
+++ b/packages/daemon/src/process/scheduling/runner_learning.ts
@@ -55,7 +55,9 @@
     if (outcome === "failed" || outcome === "silent" || outcome === "refused") {
       // A runner that crashed answers nothing; without ejection its slots free
       // at once and it draws every following request in turn.
-      if (this.#switches.ejection) state.ejection.eject("failure", now);
+      if (this.#switches.ejection && !this.#isLast(held.runner)) {
+        state.ejection.eject("failure", now);
+      }
       return;
     }
     this.#learnStep(state, settlement);
@@ -139,6 +141,17 @@
     return steps[steps.length >> 1];
   }
 
+  /**
+   * Whether no other runner is in use. The last one stays: a service that has
+   * ejected all of its runners would refuse what one of them might serve.
+   */
+  #isLast(runner: string): boolean {
+    return this.#pool.live().every((it) =>
+      it.name === runner ||
+      this.#pool.state(it.name).ejection.cause !== undefined
+    );
+  }
+
   /** At most half may be out: a slow median is congestion, not a straggler. */
   #mayEject(): boolean {
     const live = this.#pool.live();
--- a/packages/daemon/src/request/refusals.ts
+++ b/packages/daemon/src/request/refusals.ts
@@ -51,11 +51,12 @@
   };
 }
 
-const MESSAGES: Readonly<Record<Refusal["code"], string>> = {
+const MESSAGES: Readonly<
+  Record<Exclude<Refusal["code"], "no_runner">, string>
+> = {
   queue_full: "the queue has no room for it",
   limit_reached: "its workspace has reached its limit",
   deadline_passed: "no slot came before its timeout",
-  no_runner: "no runner may serve it",
   leaving: "this daemon is leaving",
 };
 
@@ -65,6 +66,7 @@
   code: Refusal["code"],
   options: { readonly retryAfterMs: number },
 ): Refusal {
+  if (code === "no_runner") return noRunner(ask);
   return {
     _tag: "Refusal",
     code,
--- a/packages/testing/tests/faults_test.ts
+++ b/packages/testing/tests/faults_test.ts
@@ -29,9 +29,7 @@
   it("runs a lost job card once and calls it unknown", async (t) => {
     const deployed = await deploy(t, BEHIND_PROXIES);
     const [runner] = deployed.plainRunners();
-    // Ordered at the runner: the proxy would lose the answer to whichever
-    // request comes first, which may be a poll of the runner's load.
-    await deployed.stack.control(runner?.url ?? "", { fault: "lose-reply" });
+    runner?.proxy?.order({ fault: "lose-reply" });
     const caller = deployed.caller(0, "yard-desk");
     const answer = await caller.plain(deployed.cardPath, {
       repeatable: false,
