--- a/packages/daemon/src/request/refusals.ts
+++ b/packages/daemon/src/request/refusals.ts
@@ -13,8 +13,7 @@
   return {
     _tag: "Refusal",
     code: "no_runner",
-    message:
-      `Cannot serve the request: service "${ask.service}" has no runner for it`,
+    message: `Cannot serve the request: service "${ask.service}" has no runner`,
     retryAfterMs: NO_RUNNER_RETRY_MS,
   };
 }
