--- a/packages/bench/src/experiments.ts
+++ b/packages/bench/src/experiments.ts
@@ -21,4 +21,5 @@
   faults: () => import("./faults.ts"),
   overhead: () => import("./overhead.ts"),
   slopes: () => import("./slopes.ts"),
+  surge: () => import("./surge.ts"),
 };
--- /dev/null
+++ b/packages/daemon/src/process/scheduling/broker.ts
@@ -0,0 +1,351 @@
+/**
+ * The broker of one service: orders the asks of all entry daemons and grants
+ * them slots at the runners.
+ *
+ * Its state is soft. The entries hold the truth and present it to whichever
+ * daemon they take for the broker, so a broker may vanish, or two may act at
+ * once, without a grant being lost or doubled: an ask is known by its id, a
+ * grant names the ask's epoch, and an entry takes only the one of the epoch in
+ * which it last asked.
+ *
+ * @module
+ */
+import type { Table } from "@umbermast/table";
+import { AskAppraisal } from "./ask_appraisal.ts";
+import { BrokerAnswers } from "./broker_answers.ts";
+import { BrokerBooks } from "./broker_books.ts";
+import type { BrokerParts } from "./broker_parts.ts";
+import { FairQueue } from "./fair_queue.ts";
+
+import type {
+  AskMessage,
+  BeatMessage,
+  HeldSlot,
+  PresentMessage,
+  ReleaseMessage,
+} from "./messages.ts";
+import { RunnerLearning } from "./runner_learning.ts";
+import { type Choice, RunnerPool } from "./runner_pool.ts";
+import { SlotLedger } from "./slot_ledger.ts";
+import type { Waiting } from "./waiting.ts";
+
+/** An entry that says nothing for this long is granted nothing. */
+const QUIET_MS = 2_000;
+/** An entry that says nothing for this long has lost what it asked and held. */
+const LOST_MS = 6_000;
+/** A longer gap between two ticks means that this process was paused. */
+const PAUSE_MS = 1_500;
+const MISMATCHES_BEFORE_RESYNC = 2;
+
+/** The broker of one service. */
+export class Broker {
+  readonly #service: string;
+  readonly #parts: BrokerParts;
+  readonly #queue: FairQueue;
+  readonly #pool: RunnerPool;
+  readonly #learning: RunnerLearning;
+  readonly #appraisal: AskAppraisal;
+  readonly #answers: BrokerAnswers;
+  readonly #books = new BrokerBooks();
+  readonly #slots: SlotLedger;
+  #tickedAt: number;
+  #heardAt: number;
+  #opensAt = -Infinity;
+
+  constructor(service: string, parts: BrokerParts) {
+    this.#service = service;
+    this.#parts = parts;
+    const table = parts.table.current();
+    const { switches, bounds } = parts;
+    this.#queue = new FairQueue(table, {
+      switches,
+      ...(bounds === undefined ? {} : { bounds }),
+    });
+    const queue = this.#queue;
+    const pool = new RunnerPool(service, { table, switches });
+    const learning = new RunnerLearning(pool, switches);
+    pool.setRunners(parts.directory.runners(service));
+    this.#pool = pool;
+    this.#learning = learning;
+    this.#appraisal = new AskAppraisal({ queue, pool, learning, switches });
+    this.#answers = new BrokerAnswers(parts);
+    this.#slots = new SlotLedger({ pool, books: this.#books, table });
+    this.#tickedAt = this.#now;
+    this.#heardAt = this.#now;
+  }
+
+  /** Milliseconds since an entry was last heard. */
+  get idleMs(): number {
+    return this.#now - this.#heardAt;
+  }
+
+  /** Asks that wait here. */
+  get waiting(): number {
+    return this.#books.waiting;
+  }
+
+  /** Slots in use through this broker. */
+  get inFlight(): number {
+    return this.#books.inFlight;
+  }
+
+  /**
+   * Grants nothing for a while. A broker that has just begun knows only the
+   * slots of the entries that have presented theirs; granting at once would
+   * give the others' slots a second time.
+   */
+  holdBack(ms: number): void {
+    this.#opensAt = this.#now + ms;
+  }
+
+  /** Takes an ask. One that is known already changes nothing but its epoch. */
+  ask(entry: string, ask: AskMessage): void {
+    const now = this.#hear(entry);
+    const held = this.#books.findHeld(ask.askId);
+    if (held !== undefined) {
+      // The entry asks again since it did not get the grant: the link dropped
+      // it. The same slot is granted again, so none is lost and none doubled.
+      const again = { ...held, entry, epoch: ask.epoch };
+      this.#books.addHeld(again);
+      return this.#answers.repeat(again);
+    }
+    const former = this.#books.findWaiting(ask.askId);
+    if (former !== undefined) this.#forget(former);
+    this.#admit(this.#appraisal.describe(entry, { ask, now }), now);
+    this.#drain();
+  }
+
+  /** Forgets an ask, or frees the slot that was granted to it meanwhile. */
+  withdraw(entry: string, askId: string): void {
+    this.#hear(entry);
+    const waiting = this.#books.findWaiting(askId);
+    if (waiting?.entry === entry) this.#forget(waiting);
+    const held = this.#books.findHeld(askId);
+    if (held?.entry === entry) this.#slots.abandon(held);
+    this.#drain();
+  }
+
+  /** Frees a slot and settles what it cost. */
+  release(entry: string, message: ReleaseMessage): void {
+    const now = this.#hear(entry);
+    const held = this.#books.findHeld(message.askId);
+    if (held === undefined) return;
+    const end = { settlement: message.settlement, now };
+    this.#learning.settled(held, end);
+    const excess = this.#appraisal.learn(held, end) - held.cost;
+    this.#slots.settle(held, excess);
+    if (this.#parts.switches.costEstimate) this.#queue.settle(held, excess);
+    this.#drain();
+  }
+
+  /** Takes all that an entry has in place of what was known of it. */
+  present(entry: string, message: PresentMessage): void {
+    const now = this.#hear(entry);
+    this.#books.reconciled(entry);
+    const waiting = new Set(message.waiting);
+    const held = new Set(message.held.map((it) => it.askId));
+    for (const known of this.#books.allWaiting(entry)) {
+      if (!waiting.has(known.ask.askId)) this.#forget(known);
+    }
+    for (const known of this.#books.allHeld(entry)) {
+      // One that the entry still waits for is on its way to it, or was lost on
+      // the way: the ask that follows gets the same grant again.
+      if (held.has(known.askId) || waiting.has(known.askId)) continue;
+      this.#slots.abandon(known);
+    }
+    for (const slot of message.held) this.#adopt(entry, slot, now);
+    this.#drain();
+  }
+
+  /** Answers a sign of life, and asks for a presentation when books differ. */
+  beat(entry: string, message: BeatMessage): void {
+    this.#hear(entry);
+    const mismatches = this.#books.compare(entry, message);
+    const resync = mismatches >= MISMATCHES_BEFORE_RESYNC;
+    this.#answers.alive(entry, { service: this.#service, resync });
+  }
+
+  /** The list of runners has changed. */
+  runnersChanged(): void {
+    const runners = this.#parts.directory.runners(this.#service);
+    for (const held of this.#pool.setRunners(runners)) this.#slots.lose(held);
+    this.#drain();
+  }
+
+  /** The table has changed; what waits is ordered and limited by it at once. */
+  tableChanged(table: Table): void {
+    this.#slots.setTable(table);
+    this.#queue.setTable(table);
+    this.#pool.setTable(table, this.#service);
+    this.#drain();
+  }
+
+  /** A runner has reported its load. */
+  reported(runner: string): void {
+    const report = this.#parts.reports.get(runner);
+    if (report === undefined) return;
+    this.#learning.reported(runner, report, this.#now);
+    this.#drain();
+  }
+
+  /** An entry has left or died: its asks go, and its slots after a while. */
+  entryGone(entry: string): void {
+    for (const waiting of this.#books.allWaiting(entry)) this.#forget(waiting);
+    this.#drain();
+  }
+
+  /** To be called several times a second. */
+  tick(): void {
+    const now = this.#wake();
+    for (const entry of this.#books.entries) {
+      const quietMs = this.#books.quietMs(entry, now);
+      if (quietMs > LOST_MS) this.#dropEntry(entry);
+      else if (quietMs > QUIET_MS) this.entryGone(entry);
+    }
+    for (const waiting of this.#books.allWaiting()) {
+      if (waiting.deadlineAt <= now) this.#expire(waiting);
+    }
+    this.#drain();
+  }
+
+  get #now(): number {
+    return this.#parts.clock.monotonic();
+  }
+
+  #hear(entry: string): number {
+    const now = this.#wake();
+    this.#heardAt = now;
+    this.#books.heard(entry, now);
+    return now;
+  }
+
+  /**
+   * The present moment, after a check that this process was not paused. A
+   * broker that wakes from a pause believes in asks that its entries have long
+   * taken elsewhere; granting them would fill runners with work that nobody
+   * sends. All is forgotten; the entries that still hold to it present anew.
+   */
+  #wake(): number {
+    const now = this.#now;
+    const gapMs = Math.round(now - this.#tickedAt);
+    this.#tickedAt = now;
+    if (gapMs <= PAUSE_MS) return now;
+    const { waiting, inFlight } = this.#books;
+    const service = this.#service;
+    this.#parts.log.event("broker_woke", { service, gapMs, waiting, inFlight });
+    for (const entry of this.#books.entries) {
+      this.#dropEntry(entry);
+      this.#answers.alive(entry, { service, resync: true });
+    }
+    return now;
+  }
+
+  #admit(waiting: Waiting, now: number): void {
+    const { ask, entry } = waiting;
+    if (ask.remainingMs <= 0) {
+      return this.#answers.refuse(entry, ask, { code: "deadline_passed" });
+    }
+    const row = this.#slots.rowOf(ask);
+    const verdict = this.#appraisal.hopeless(waiting, { now, row });
+    if (verdict !== undefined) return this.#answers.refuse(entry, ask, verdict);
+    const { shed } = this.#queue.offer(waiting);
+    this.#books.addWaiting(waiting);
+    for (const victim of shed) {
+      this.#books.removeWaiting(victim);
+      this.#answers.shed(victim, {
+        tier: this.#queue.tierOf(victim.ask.class),
+        waiting: this.#queue.length,
+      });
+    }
+  }
+
+  /** Grants what can be granted, in the queue's order. */
+  #drain(): void {
+    const now = this.#now;
+    if (now < this.#opensAt) return;
+    while (this.#queue.length > 0) {
+      if (!this.#serveOne(now)) return;
+    }
+  }
+
+  /** Grants or refuses one ask; false when nothing can be done now. */
+  #serveOne(now: number): boolean {
+    const order = this.#queue.order();
+    for (const flow of order) {
+      if (!this.#slots.admits(flow, now)) continue;
+      const waiting = this.#queue.headOf(flow, now);
+      if (waiting === undefined) continue;
+      if (waiting.deadlineAt <= now) return this.#expire(waiting);
+      const choice = this.#choose(waiting, now);
+      if (choice._tag === "Busy") continue;
+      if (choice._tag === "None") {
+        this.#forget(waiting);
+        this.#answers.refuse(waiting.entry, waiting.ask, { code: "no_runner" });
+        return true;
+      }
+      const order = this.#queue.isOwed(flow.class) ? "minimum_share" : "tier";
+      this.#queue.take(flow, waiting);
+      this.#grant(waiting, { choice, now, order });
+      return true;
+    }
+    return false;
+  }
+
+  #choose(waiting: Waiting, now: number) {
+    const { ask } = waiting;
+    return this.#pool.choose(ask, {
+      now,
+      highest: this.#queue.isHighest(ask.class),
+      share: ask.alone ? 1 / Math.max(1, this.#parts.members()) : 1,
+    });
+  }
+
+  #grant(
+    waiting: Waiting,
+    given: {
+      readonly choice: Choice;
+      readonly now: number;
+      readonly order: "tier" | "minimum_share";
+    },
+  ): void {
+    const { choice, now, order } = given;
+    this.#books.removeWaiting(waiting);
+    const held = this.#slots.take(waiting, {
+      runner: choice.runner.name,
+      now,
+    });
+    this.#answers.grant(held, waiting.ask, {
+      choice,
+      order,
+      waitedMs: now - waiting.arrivedAt,
+      stillWaiting: this.#queue.length,
+    });
+  }
+
+  /** Takes in a slot that another broker granted. */
+  #adopt(entry: string, slot: HeldSlot, now: number): void {
+    const waiting = this.#books.findWaiting(slot.askId);
+    if (waiting !== undefined) this.#forget(waiting);
+    const cost = this.#appraisal.costOf(slot);
+    this.#slots.adopt({ ...slot, entry, cost, grantedAt: now, epoch: 0 });
+  }
+
+  #forget(waiting: Waiting): void {
+    this.#queue.remove(waiting);
+    this.#books.removeWaiting(waiting);
+  }
+
+  #expire(waiting: Waiting): true {
+    this.#forget(waiting);
+    this.#answers.refuse(waiting.entry, waiting.ask, {
+      code: "deadline_passed",
+    });
+    return true;
+  }
+
+  #dropEntry(entry: string): void {
+    for (const waiting of this.#books.allWaiting(entry)) this.#forget(waiting);
+    for (const held of this.#books.allHeld(entry)) this.#slots.abandon(held);
+    this.#books.removeEntry(entry);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/request/brokered_scheduler.ts
@@ -0,0 +1,345 @@
+/**
+ * Asks the broker of a service for a slot, wherever the broker is.
+ *
+ * This daemon holds the truth about its own requests: what waits and what holds
+ * a slot. The broker's state is a copy that is rebuilt from here whenever the
+ * broker changes, forgets or falls silent.
+ *
+ * @module
+ */
+import type { Clock, Membership, Peers } from "@umbermast/coordination";
+import * as Effect from "effect/Effect";
+import type * as Scope from "effect/Scope";
+import type { Log } from "../process/log.ts";
+import type { RunnerDirectory } from "../process/runner_directory.ts";
+import { BrokerFinder } from "../process/scheduling/broker_finder.ts";
+import type { BrokerHost } from "../process/scheduling/broker_host.ts";
+import {
+  type BrokerMessage,
+  type EntryMessage,
+  type GrantMessage,
+  readEntryMessage,
+  type RefuseMessage,
+  TO_BROKER,
+  TO_ENTRY,
+} from "../process/scheduling/messages.ts";
+import { Contacts } from "../process/scheduling/contacts.ts";
+import type { TableSource } from "../process/table_source.ts";
+import type { Ask, Grant, Refusal, Settlement } from "./ask.ts";
+import {
+  OwnRequests,
+  type Pending,
+  type Place,
+  Places,
+  type Using,
+} from "./own_requests.ts";
+import { deadlinePassed, refusalOf } from "./refusals.ts";
+import type { Scheduler } from "./scheduler.ts";
+
+/** Beats while something waits at a broker: its silence is noticed by them. */
+const BEAT_MS = 200;
+/** Beats while slots are only held there: a sign of life is enough. */
+const HELD_BEAT_MS = 2_000;
+/** A broker that answers no beat for this long is passed over by tier 0. */
+const SILENCE_MS = 600;
+/** Each lower tier waits this much longer, so that higher ones fall back first. */
+const SILENCE_STEP_MS = 200;
+const MOST_SILENCE_MS = 2_000;
+const RETRY_MS = 1_000;
+
+/** What the scheduler works with. */
+export interface BrokeredParts {
+  readonly host: BrokerHost;
+  readonly directory: RunnerDirectory;
+  readonly table: TableSource;
+  readonly clock: Clock;
+  readonly log: Log;
+  /** Absent in a daemon without peers. */
+  readonly peers?: Peers;
+  readonly membership?: Membership;
+}
+
+/** Gets slots from brokers. */
+export class BrokeredScheduler implements Scheduler {
+  readonly #parts: BrokeredParts;
+  readonly #finder: BrokerFinder;
+  readonly #contacts: Contacts;
+  readonly #own = new OwnRequests();
+
+  constructor(parts: BrokeredParts) {
+    this.#parts = parts;
+    this.#finder = new BrokerFinder({
+      membership: parts.membership,
+      directory: parts.directory,
+    });
+    this.#contacts = new Contacts(parts.clock);
+    parts.host.connectOwnEntry((message) =>
+      this.#receive(this.#finder.self, message)
+    );
+  }
+
+  /** Serves answers and follows the view until the scope closes. */
+  start(): Effect.Effect<void, never, Scope.Scope> {
+    return Effect.gen({ self: this }, function* () {
+      const { peers, membership, log } = this.#parts;
+      peers?.handle(TO_ENTRY, (from, message) =>
+        Effect.sync(() => {
+          const read = readEntryMessage(message);
+          if (read !== undefined) return this.#receive(from, read);
+          log.warning("scheduler_message_malformed", { from });
+        }));
+      const ends = [
+        membership?.subscribe(() => this.#follow()),
+        peers?.subscribe((peer, state) => {
+          if (state === "up") this.#resyncAll(peer);
+        }),
+      ];
+      yield* Effect.addFinalizer(() =>
+        Effect.sync(() => {
+          for (const end of ends) end?.();
+        })
+      );
+      yield* Effect.forkScoped(this.#beats());
+    });
+  }
+
+  acquire(ask: Ask): Effect.Effect<Grant, Refusal> {
+    return Effect.callback<Grant, Refusal>((resume) => {
+      const left = ask.deadline - this.#parts.clock.now();
+      if (left <= 0) return resume(Effect.fail(deadlinePassed(ask, RETRY_MS)));
+      const pending: Pending = {
+        ask,
+        askedAt: this.#now,
+        resume,
+        // The caller gets its final answer at the deadline whatever happens to
+        // the broker meanwhile.
+        timer: setTimeout(() => this.#expire(pending), left),
+        epoch: 1,
+        broker: this.#brokerFor(ask),
+      };
+      this.#own.pending.set(ask.askId, pending);
+      this.#sendAsk(pending);
+      return Effect.sync(() => this.#withdraw(pending));
+    });
+  }
+
+  get #now(): number {
+    return this.#parts.clock.monotonic();
+  }
+
+  #beats(): Effect.Effect<never> {
+    let beats = 0;
+    return Effect.forever(Effect.gen({ self: this }, function* () {
+      yield* Effect.sleep(BEAT_MS);
+      this.#follow();
+      beats += 1;
+      const all = beats % (HELD_BEAT_MS / BEAT_MS) === 0;
+      const brokers = all ? this.#own.brokers() : this.#own.awaitedBrokers();
+      // A silent one is asked on, so that its return is noticed.
+      for (const broker of new Set([...brokers, ...this.#contacts.awaited])) {
+        this.#beat(broker);
+      }
+    }));
+  }
+
+  /** Moves what is at a daemon that is no longer the one to ask. */
+  #follow(): void {
+    const members = this.#parts.membership?.view().members ?? [];
+    this.#contacts.retain(new Set(members.map((it) => it.member.name)));
+    const left = new Places();
+    const reached = new Places();
+    const move = (it: Pending | Using): boolean => {
+      const broker = this.#brokerFor(it.ask);
+      const { service } = it.ask;
+      if (broker === it.broker) return false;
+      left.add({ broker: it.broker, service });
+      reached.add({ broker, service });
+      it.broker = broker;
+      return true;
+    };
+    const asked = [...this.#own.pending.values()].filter(move);
+    for (const it of this.#own.using.values()) move(it);
+    // What is in use goes before what waits: a broker that hears of the waiting
+    // first would grant them slots that are in use.
+    for (const place of reached.all()) this.#present(place);
+    for (const pending of asked) this.#askAnew(pending);
+    for (const place of left.all()) this.#present(place);
+  }
+
+  /**
+   * The daemon to ask: the broker, or the first of its successors that answers.
+   * A higher tier passes a silent one over earlier, so that it is not behind
+   * lower ones at the successor.
+   */
+  #brokerFor(ask: Ask): string {
+    const [first, second] = this.#finder.rank(ask.service);
+    const patience = this.#patience(ask.class);
+    const answers = (name: string) =>
+      name === this.#finder.self || !this.#contacts.isSilent(name, patience);
+    if (first !== undefined && answers(first)) return first;
+    if (second !== undefined && answers(second)) return second;
+    return this.#finder.self;
+  }
+
+  #patience(className: string): number {
+    const tier = this.#parts.table.current().classes
+      .find((it) => it.name === className)?.tier ?? MOST_SILENCE_MS;
+    return Math.min(MOST_SILENCE_MS, SILENCE_MS + tier * SILENCE_STEP_MS);
+  }
+
+  #beat(broker: string): void {
+    const services = this.#own.servicesAt(broker);
+    const any = this.#parts.directory.services()[0];
+    const asked = services.size === 0 && any !== undefined ? [any] : services;
+    for (const service of asked) {
+      const place = { broker, service };
+      const waiting = this.#own.pendingAt(place).length;
+      const held = this.#own.usingAt(place).length;
+      this.#sendAwaiting(broker, { type: "beat", service, waiting, held });
+    }
+  }
+
+  #receive(from: string, message: EntryMessage): void {
+    this.#contacts.answered(from);
+    switch (message.type) {
+      case "grant":
+        return this.#granted(from, message);
+      case "refuse":
+        return this.#refused(from, message);
+      case "beat_reply":
+        if (!message.resync) return;
+        return this.#resync({ broker: from, service: message.service });
+    }
+  }
+
+  #granted(from: string, message: GrantMessage): void {
+    const using = this.#own.using.get(message.askId);
+    // The same grant again: the broker did not know that it had arrived.
+    if (using?.runner === message.runner && using.broker === from) return;
+    const pending = this.#own.pending.get(message.askId);
+    if (pending?.broker !== from || pending.epoch !== message.epoch) {
+      return this.#giveBack(from, message.askId);
+    }
+    const runner = this.#parts.directory.find(message.runner);
+    if (runner === undefined || runner.state === "leaving") {
+      // The broker does not know yet that the runner leaves; it must get
+      // nothing new, so the slot goes back and the ask is made again.
+      this.#giveBack(from, message.askId);
+      return this.#askAnew(pending, message.runner);
+    }
+    this.#settle(pending);
+    const { ask } = pending;
+    const { askId } = ask;
+    this.#own.using.set(askId, { ask, runner: runner.name, broker: from });
+    pending.resume(Effect.succeed({
+      askId,
+      runner,
+      expiresAt: this.#parts.clock.now() + message.validForMs,
+      release: (settlement) => this.#release(askId, settlement),
+    }));
+  }
+
+  #refused(from: string, message: RefuseMessage): void {
+    const pending = this.#own.pending.get(message.askId);
+    if (pending?.broker !== from || pending.epoch !== message.epoch) return;
+    this.#settle(pending);
+    pending.resume(
+      Effect.fail(refusalOf(pending.ask, message.code, message)),
+    );
+  }
+
+  /** Tells a broker that a slot it granted is not wanted here. */
+  #giveBack(broker: string, askId: string): void {
+    for (const service of this.#parts.directory.services()) {
+      this.#send(broker, { type: "withdraw", service, askId });
+    }
+  }
+
+  #release(askId: string, settlement: Settlement): void {
+    const using = this.#own.using.get(askId);
+    if (using === undefined) return;
+    this.#own.using.delete(askId);
+    const { service } = using.ask;
+    this.#send(using.broker, { type: "release", service, askId, settlement });
+  }
+
+  #expire(pending: Pending): void {
+    this.#withdraw(pending);
+    pending.resume(Effect.fail(deadlinePassed(pending.ask, RETRY_MS)));
+  }
+
+  #withdraw(pending: Pending): void {
+    const { askId, service } = pending.ask;
+    if (this.#own.pending.get(askId) !== pending) return;
+    this.#settle(pending);
+    this.#send(pending.broker, { type: "withdraw", service, askId });
+  }
+
+  #settle(pending: Pending): void {
+    clearTimeout(pending.timer);
+    this.#own.pending.delete(pending.ask.askId);
+  }
+
+  /** A link is back, and may have lost what was under way. */
+  #resyncAll(broker: string): void {
+    for (const service of this.#own.servicesAt(broker)) {
+      this.#resync({ broker, service });
+    }
+  }
+
+  /** Presents all that is at a place and asks anew for what waits there. */
+  #resync(place: Place): void {
+    this.#present(place);
+    for (const pending of this.#own.pendingAt(place)) this.#sendAsk(pending);
+  }
+
+  #present(place: Place): void {
+    const held = this.#own.usingAt(place).map(({ ask, runner }) => ({
+      askId: ask.askId,
+      runner,
+      workspace: ask.workspace,
+      class: ask.class,
+      promptTokens: ask.promptTokens,
+    }));
+    const waiting = this.#own.pendingAt(place).map((it) => it.ask.askId);
+    const { service } = place;
+    this.#send(place.broker, { type: "present", service, waiting, held });
+  }
+
+  /** Asks again; an answer to the former ask is not taken any more. */
+  #askAnew(pending: Pending, excluded?: string): void {
+    pending.epoch += 1;
+    this.#sendAsk(pending, excluded);
+  }
+
+  #sendAsk(pending: Pending, excluded?: string): void {
+    const { ask, epoch, askedAt, broker } = pending;
+    const { deadline, ...told } = ask;
+    const rank = this.#finder.rank(ask.service);
+    const isBroker = rank.slice(0, 2).includes(broker);
+    this.#sendAwaiting(broker, {
+      type: "ask",
+      ...told,
+      epoch,
+      remainingMs: Math.max(0, deadline - this.#parts.clock.now()),
+      waitedMs: Math.max(0, this.#now - askedAt),
+      excluded: excluded === undefined
+        ? ask.excluded
+        : [...ask.excluded, excluded],
+      alone: broker === this.#finder.self && !isBroker,
+    });
+  }
+
+  /** Sends what the broker has to answer. */
+  #sendAwaiting(broker: string, message: BrokerMessage): void {
+    if (broker !== this.#finder.self) this.#contacts.asked(broker);
+    this.#send(broker, message);
+  }
+
+  #send(broker: string, message: BrokerMessage): void {
+    if (broker === this.#finder.self) {
+      return this.#parts.host.receive(broker, message);
+    }
+    this.#parts.peers?.send(broker, TO_BROKER, message);
+  }
+}
