Cut the keys of claims in eight partitions

Cause: Under load the time that a claim adds is the pace of its partition's writes, and more partitions mean a slower pace each. Change: Eight partitions by default; a partition with over a quarter of its segments keeps no more answers, so that claims keep their room.

--- a/packages/coordination/src/process/claim_ledger.ts
+++ b/packages/coordination/src/process/claim_ledger.ts
@@ -8,6 +8,9 @@
 import { storedBytes } from "./claim_record.ts";
 import type { ClaimHead, ClaimRecord } from "./claim_record.ts";
 
+/** Part of its segments beyond which a partition keeps no more answers. */
+const CROWDED_PART = 0.25;
+
 /** Bounds of a partition's objects. */
 export interface ClaimLimits {
   /** A head whose records take more bytes is sealed by the next write. */
@@ -110,7 +113,10 @@
       return this.#composeFull(requests);
     }
     const next = new Map(seals ? [] : this.#head);
-    let answerRoom = limits.answerBytes - answersIn(next.values());
+    const crowded = kept.length > limits.maxSegments * CROWDED_PART;
+    let answerRoom = crowded
+      ? 0
+      : limits.answerBytes - answersIn(next.values());
     const verdicts = requests.map((request) => {
       const found = next.get(request.key) ?? this.find(request.key);
       const verdict = judge(found, request);
--- a/packages/coordination/src/process/claim_settings.ts
+++ b/packages/coordination/src/process/claim_settings.ts
@@ -16,7 +16,7 @@
    * minutes by default. The first process that ever starts fixes it in the store.
    */
   readonly windowMs: number;
-  /** Number of partitions, 16 by default; fixed in the store like the window. */
+  /** Number of partitions, 8 by default; fixed in the store like the window. */
   readonly partitions: number;
   /** Bound on the writes for all claims of the deployment a second; 112 by default. */
   readonly writesPerSecond: number;
@@ -32,7 +32,7 @@
   timeoutMs: 2_000,
   startWithinMs: 5_000,
   windowMs: 600_000,
-  partitions: 16,
+  partitions: 8,
   writesPerSecond: 112,
   maxAnswerBytes: 4_096,
   settlePatienceMs: 60_000,
--- a/packages/coordination/tests/claims_age_test.ts
+++ b/packages/coordination/tests/claims_age_test.ts
@@ -5,7 +5,7 @@
 import * as Effect from "effect/Effect";
 import type { ClaimSettings } from "../src/process/claim_settings.ts";
 import { FakeClock } from "../src/testing/mod.ts";
-import { claimed, ClaimFleet } from "./claims_fixture.ts";
+import { claimed, ClaimFleet, claimOf } from "./claims_fixture.ts";
 
 const TIMEOUT_MS = 20_000;
 const WINDOW_MS = 60_000;
@@ -96,6 +96,24 @@
   assert.equal((await claimed(a, "key 39"))._tag, "Claimed");
 });
 
+test("a partition that fills keeps claims and no more answers", async (t) => {
+  const fleet = new ClaimFleet(t, ["a"]);
+  const a = await fleet.daemon("a", { settings: settings({ maxSegments: 8 }) });
+  const answer = { status: 200, headers: [], body: new Uint8Array(10) };
+  const answered: string[] = [];
+  for (let index = 0; index < 30; index += 1) {
+    const key = `key ${index}`;
+    const claim = claimOf(await claimed(a, key));
+    await Effect.runPromise(claim.settle({ _tag: "Answered", answer }));
+    await Effect.runPromise(a.drain());
+    const second = await claimed(a, key);
+    answered.push(second._tag);
+    if (second._tag === "Taken") break;
+  }
+  assert.equal(answered[0], "Answered");
+  assert.equal(answered.at(-1), "Taken");
+});
+
 test("a crash between sealing and the head's write loses no claim", async (t) => {
   // The process seals the head's records in an object and stops before the head
   // names it. The head still holds the records; the object left behind must
