Try keys through all members over faults of the store

Cause: The claims' tests used fakes alone. Change: A test with real links and the platform in a process of its own loses replies, slows the store and takes it down, while each key is tried through every member at once.

--- a/packages/bench/src/claims_fleet.ts
+++ b/packages/bench/src/claims_fleet.ts
@@ -15,6 +15,7 @@
 } from "@umbermast/coordination";
 import {
   type Calls,
+  type Fault,
   fetchJson,
   type StandInChild,
   startStandIn,
@@ -102,6 +103,12 @@
     return member.claims;
   }
 
+  /** Orders a fault of the platform. */
+  async order(fault: Fault): Promise<void> {
+    const url = `${this.#platform.url}/control`;
+    await fetchJson(url, { method: "POST", body: fault });
+  }
+
   /** Calls that the platform has counted. */
   async calls(): Promise<Calls> {
     const { body } = await fetchJson(`${this.#platform.url}/calls`);
