--- a/packages/bench/src/claims.ts
+++ b/packages/bench/src/claims.ts
@@ -11,6 +11,7 @@
 
 const TICK_MS = 5;
 const MS_PER_SECOND = 1_000;
+const BYTES_PER_KB = 1_000;
 const DIGEST = "a digest of the body";
 
 /** What was measured at one rate. */
@@ -22,6 +23,8 @@
   readonly claimsPerSecond: number;
   readonly storeWritesPerSecond: number;
   readonly storeReadsPerSecond: number;
+  /** Bytes of values written to the store, in thousands. */
+  readonly storeWrittenKbPerSecond: number;
   /** Calls that the store refused for exceeding its rate. */
   readonly limited: number;
   /** Time that the claim adds to the request, in milliseconds. */
@@ -99,6 +102,7 @@
   const { rate, seconds, answerBytes } = options;
   const run = new RateRun(fleet, { name: randomUUID(), answerBytes });
   const before = await fleet.calls();
+  const bytesBefore = fleet.writtenBytes;
   const startedAt = performance.now();
   await run.send(rate, seconds);
   await fleet.drain();
@@ -112,6 +116,8 @@
     claimsPerSecond: run.claimed / took,
     storeWritesPerSecond: (after.writes - before.writes) / took,
     storeReadsPerSecond: reads / took,
+    storeWrittenKbPerSecond: (fleet.writtenBytes - bytesBefore) / took /
+      BYTES_PER_KB,
     limited: after.limited - before.limited,
     addedMs: {
       p50: quantile(run.addedMs, 0.5) ?? NaN,
@@ -176,12 +182,21 @@
 
 function gridOf(results: readonly RateResult[]) {
   return {
-    columns: ["REQUESTS/S", "CLAIMS/S", "WRITES/S", "READS/S", "P50", "P99"],
+    columns: [
+      "REQUESTS/S",
+      "CLAIMS/S",
+      "WRITES/S",
+      "READS/S",
+      "KB/S",
+      "P50",
+      "P99",
+    ],
     rows: results.map((each) => [
       round(each.requestsPerSecond),
       round(each.claimsPerSecond, 1),
       round(each.storeWritesPerSecond, 1),
       round(each.storeReadsPerSecond, 1),
+      round(each.storeWrittenKbPerSecond, 0),
       `${round(each.addedMs.p50, 1)}ms`,
       `${round(each.addedMs.p99, 1)}ms`,
     ]),
--- a/packages/bench/src/claims_fleet.ts
+++ b/packages/bench/src/claims_fleet.ts
@@ -115,6 +115,14 @@
     return body as Calls;
   }
 
+  /** Bytes of values that the members have written to the store. */
+  get writtenBytes(): number {
+    return this.#members.reduce(
+      (total, { store }) => total + store.counters.writtenBytes,
+      0,
+    );
+  }
+
   /** Ends when every settlement is recorded. */
   async drain(): Promise<void> {
     const drains = this.#members.map(({ claims }) => claims.drain());
--- a/packages/coordination/src/process/http_store.ts
+++ b/packages/coordination/src/process/http_store.ts
@@ -37,6 +37,8 @@
 export interface StoreCounters {
   readonly reads: number;
   readonly writes: number;
+  /** Bytes of the values written. */
+  readonly writtenBytes: number;
   readonly watches: number;
   /** Conditional writes that met another version. */
   readonly conflicts: number;
@@ -71,6 +73,7 @@
   readonly #counters: CountersDraft = {
     reads: 0,
     writes: 0,
+    writtenBytes: 0,
     watches: 0,
     conflicts: 0,
     failures: 0,
@@ -209,6 +212,7 @@
       this.#counters.writes += 1;
       const headers = { "if-version": String(options.ifVersion) };
       const body = method === "PUT" ? JSON.stringify(options.value) : undefined;
+      this.#counters.writtenBytes += Buffer.byteLength(body ?? "");
       return this.#calls.send({ method, path, headers, body }, {
         timeoutMs: this.#timeoutMs,
       });
