--- a/packages/bench/src/claims_fleet.ts
+++ b/packages/bench/src/claims_fleet.ts
@@ -15,6 +15,7 @@
 } from "@umbermast/coordination";
 import {
   type Calls,
+  type Fault,
   fetchJson,
   type StandInChild,
   startStandIn,
@@ -102,12 +103,26 @@
     return member.claims;
   }
 
+  /** Orders a fault of the platform. */
+  async order(fault: Fault): Promise<void> {
+    const url = `${this.#platform.url}/control`;
+    await fetchJson(url, { method: "POST", body: fault });
+  }
+
   /** Calls that the platform has counted. */
   async calls(): Promise<Calls> {
     const { body } = await fetchJson(`${this.#platform.url}/calls`);
     return body as Calls;
   }
 
+  /** Bytes of values that the members have written to the store. */
+  get writtenBytes(): number {
+    return this.#members.reduce(
+      (total, { store }) => total + store.counters.writtenBytes,
+      0,
+    );
+  }
+
   /** Ends when every settlement is recorded. */
   async drain(): Promise<void> {
     const drains = this.#members.map(({ claims }) => claims.drain());
