Tell a deadline that passed before a stream began

Cause: the engine's silence until the deadline was told as the runner's, and the rest of an answer of no use was still asked for. Change: such a stream ends with deadline_passed, 504, unknown; it is cancelled at the engine and not resumed.

--- a/packages/daemon/src/request/attempt.ts
+++ b/packages/daemon/src/request/attempt.ts
@@ -22,6 +22,7 @@
   type Lost,
   lost,
   notRun,
+  orGone,
   refused,
 } from "./outcome.ts";
 import { cancelAtEngine } from "./engine_cancel.ts";
@@ -180,6 +181,13 @@
     });
   }
 
+  /** Whether the deadline passed before the answer began. */
+  #isLate(): boolean {
+    const { call, deadlineAt } = this.#target;
+    if (!call.streamed || this.meter.progress.tokens > 0) return false;
+    return this.#services.clock.monotonic() >= deadlineAt;
+  }
+
   #unanswered(failure: NoAnswer): AttemptEnd {
     const { connections } = this.#services;
     if (failure.reason === "silent") {
@@ -188,6 +196,10 @@
     if (!failure.mayHaveArrived) {
       return notRun("runner_unreachable", "The runner cannot be reached");
     }
+    // Nothing that still comes would be of use, so it is not asked for.
+    if (this.#isLate()) {
+      return lost("deadline_passed", { standing: "unknown", resumable: false });
+    }
     const resumable = this.#mayResume();
     if (failure.reason === "silent") {
       return lost("runner_silent", { standing: "unknown", resumable });
@@ -278,14 +290,3 @@
     });
   }
 }
-
-/** The caller's leaving ends the attempt as an ordinary value. */
-function orGone(
-  relay: Effect.Effect<AttemptEnd, CallerGone>,
-): Effect.Effect<AttemptEnd> {
-  return Effect.catch(
-    relay,
-    (gone) =>
-      Effect.succeed<AttemptEnd>({ _tag: "CallerLeft", reason: gone.reason }),
-  );
-}
--- a/packages/daemon/src/request/outcome.ts
+++ b/packages/daemon/src/request/outcome.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import * as Effect from "effect/Effect";
 import type { Refusal } from "./ask.ts";
 import type { CallerGone, Problem, Standing } from "./call.ts";
 
@@ -31,7 +32,8 @@
     | "runner_silent"
     | "answer_lost"
     | "answer_broken"
-    | "answer_crossed";
+    | "answer_crossed"
+    | "deadline_passed";
   readonly message: string;
   /** The stream may go on at the same runner on a new connection. */
   readonly resumable: boolean;
@@ -47,6 +49,7 @@
   answer_broken: 502,
   answer_crossed: 502,
   runner_silent: 504,
+  deadline_passed: 504,
 } as const;
 
 const MS_PER_SECOND = 1_000;
@@ -124,6 +127,7 @@
   answer_lost: "The connection broke before an answer came",
   answer_broken: "The answer broke off before its end",
   answer_crossed: "The answer received belongs to another attempt",
+  deadline_passed: "The deadline passed before an answer began",
 };
 
 /** An attempt that may have run. */
@@ -133,3 +137,14 @@
 ): Lost {
   return { _tag: "Lost", code, message: LOST_MESSAGES[code], ...more };
 }
+
+/** The caller's leaving ends the attempt as an ordinary value. */
+export function orGone(
+  relay: Effect.Effect<AttemptEnd, CallerGone>,
+): Effect.Effect<AttemptEnd> {
+  return Effect.catch(
+    relay,
+    (gone) =>
+      Effect.succeed<AttemptEnd>({ _tag: "CallerLeft", reason: gone.reason }),
+  );
+}
--- a/packages/daemon/tests/resume_test.ts
+++ b/packages/daemon/tests/resume_test.ts
@@ -228,3 +228,28 @@
   bench.connections.close();
   await runner.close();
 });
+
+// The engine is so late that the answer, were it to come, would be of no use.
+// Asking for the rest of it, or starting it elsewhere, would waste engine time.
+test("a stream that has not begun by the deadline is cancelled and told so", async () => {
+  const silent = await startRunner("a", () => {});
+  const other = await startRunner(
+    "b",
+    ({ request, response }) => sendRest(request, response),
+  );
+  const bench = callBench([silent.runner, other.runner]);
+  const reply = new RecordingReply();
+  const call = callOf({ deadline: Date.now() + 100 });
+
+  await Effect.runPromise(bench.callRunner.run(call, reply));
+  await silent.cancelled();
+
+  assert.equal(reply.problem?.code, "deadline_passed");
+  assert.equal(reply.problem?.status, 504);
+  assert.equal(reply.problem?.outcome, "unknown");
+  assert.equal(silent.received.length, 1);
+  assert.equal(other.received.length, 0);
+  bench.connections.close();
+  await silent.close();
+  await other.close();
+});
