--- a/packages/daemon/tests/resume_test.ts
+++ b/packages/daemon/tests/resume_test.ts
@@ -253,3 +253,27 @@
   await silent.close();
   await other.close();
 });
+
+// An engine that does not know of resumes would take one for a new request, and
+// run a second time what may run once only.
+test("a stream that may not be repeated is neither kept for a resume nor resumed", async () => {
+  const runner = await startRunner("a", ({ request, response }) => {
+    streamHead(request, response);
+    response.write(
+      tokenEvents({ from: 1, to: 2, of: OF }),
+      () => response.destroy(),
+    );
+  });
+  const bench = callBench([runner.runner]);
+  const reply = new RecordingReply();
+  const call = callOf({ repeatable: false });
+
+  await Effect.runPromise(bench.callRunner.run(call, reply));
+
+  assert.equal(runner.received.length, 1);
+  const [sent] = runner.received;
+  assert.equal(sent?.headers["umbermast-resumable"], undefined);
+  assert.equal(reply.broken?.outcome, "failed");
+  bench.connections.close();
+  await runner.close();
+});
