--- a/packages/coordination/src/connection/link.ts
+++ b/packages/coordination/src/connection/link.ts
@@ -10,8 +10,9 @@
 import * as Scope from "effect/Scope";
 import type { Clock } from "../process/clock.ts";
 import { fromResult } from "../process/result.ts";
+import type { TrafficCounter } from "../process/traffic.ts";
 import type { FrameReader, LinkClosed } from "./frame.ts";
-import { linkClosed } from "./frame.ts";
+import { LENGTH_BYTES, linkClosed } from "./frame.ts";
 import { LinkHandlers } from "./link_handlers.ts";
 import { LinkTimes } from "./link_liveness.ts";
 import type { LinkMessage, Request, Send } from "./link_message.ts";
@@ -26,6 +27,7 @@
 export interface LinkHost {
   readonly clock: Clock;
   readonly settings: LinkSettings;
+  readonly traffic: TrafficCounter;
   readonly handlers: ReadonlyMap<string, MessageHandler>;
   /** Fibres of unanswered messages live here, beyond the link. */
   readonly scope: Scope.Scope;
@@ -136,6 +138,7 @@
       const requests = yield* Effect.scope;
       while (true) {
         const frame = yield* reader.next();
+        host.traffic.addReceived(frame.length + LENGTH_BYTES);
         const payload = yield* fromResult(this.#session.opener.open(frame));
         const message = yield* fromResult(decodeLinkMessage(payload));
         this.#times.heard();
@@ -293,6 +296,8 @@
         this.#socket.uncork();
       });
     }
-    this.#socket.write(this.#session.sealer.seal(payload));
+    const frame = this.#session.sealer.seal(payload);
+    this.#host.traffic.addSent(frame.length);
+    this.#socket.write(frame);
   }
 }
--- a/packages/coordination/src/connection/linked_peers.ts
+++ b/packages/coordination/src/connection/linked_peers.ts
@@ -9,6 +9,7 @@
 import type { Clock } from "../process/clock.ts";
 import type { Digest } from "../process/digest.ts";
 import type { Endpoint, ListenFailed } from "../process/endpoint.ts";
+import type { TrafficCounter } from "../process/traffic.ts";
 import { listen } from "./dial.ts";
 import { FrameReader, linkClosed } from "./frame.ts";
 import type { Identity } from "./handshake.ts";
@@ -34,6 +35,7 @@
   readonly settings: LinkSettings;
   readonly clock: Clock;
   readonly digest: Digest;
+  readonly traffic: TrafficCounter;
   /** This process, as it is now. */
   self(): Identity;
   /** Where a member listens; undefined for a name that is not known. */
@@ -59,6 +61,7 @@
     const linkHost: LinkHost = {
       clock: options.clock,
       settings: options.settings,
+      traffic: options.traffic,
       handlers: this.#handlers,
       scope,
       digest: () => options.digest.read(),
--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -6,7 +6,7 @@
 export { DEFAULT_LINK_SETTINGS } from "./connection/link_settings.ts";
 export type { LinkSettings } from "./connection/link_settings.ts";
 export { startNode } from "./node.ts";
-export type { CoordinationNode, NodeOptions } from "./node.ts";
+export type { CoordinationNode, NodeOptions, NodeTraffic } from "./node.ts";
 export { SYSTEM_CLOCK } from "./process/clock.ts";
 export type { Clock } from "./process/clock.ts";
 export { DigestBoard } from "./process/digest_board.ts";
@@ -77,3 +77,4 @@
 export type { ShareTimes } from "./process/share_holding.ts";
 export { Published } from "./version/published.ts";
 export type { PublishedOptions, VersionedValue } from "./version/published.ts";
+export type { Traffic } from "./process/traffic.ts";
--- a/packages/coordination/src/node.ts
+++ b/packages/coordination/src/node.ts
@@ -24,6 +24,8 @@
 import { openUdp } from "./process/membership_transport.ts";
 import type { ProbeTransport } from "./process/membership_transport.ts";
 import type { Membership } from "./process/membership.ts";
+import { TrafficCounter } from "./process/traffic.ts";
+import type { Traffic } from "./process/traffic.ts";
 
 /** How this process takes part. */
 export interface NodeOptions {
@@ -62,6 +64,16 @@
   readonly hostList: HostList;
   /** Announces that this process leaves; it goes on answering. */
   readonly leave: Effect.Effect<void>;
+  /** What was sent and received so far, for metrics. */
+  traffic(): NodeTraffic;
+}
+
+/** Traffic of a member by protocol. */
+export interface NodeTraffic {
+  /** Datagrams of membership. */
+  readonly probes: Traffic;
+  /** Frames of links, without those of the handshake. */
+  readonly links: Traffic;
 }
 
 /**
@@ -91,7 +103,10 @@
   const { name, address, region, failureDomain, hostList } = options;
   // Links find members through the membership, which needs their port first.
   const late: { membership?: ProbedMembership } = {};
-  const { peers, transport, port } = yield* listenTwice(options, {
+  const probes = new TrafficCounter();
+  const links = new TrafficCounter();
+  const { peers, transport, port } = yield* listenTwice(options, probes, {
+    traffic: links,
     key,
     settings: { ...DEFAULT_LINK_SETTINGS, ...options.links },
     clock,
@@ -115,7 +130,13 @@
   peers.subscribe((peer, state) => {
     if (state === "down") membership.probeSoon(peer);
   });
-  return { peers, membership, hostList, leave: membership.leave() };
+  return {
+    peers,
+    membership,
+    hostList,
+    leave: membership.leave(),
+    traffic: () => ({ probes: probes.read(), links: links.read() }),
+  };
 });
 
 interface Listeners {
@@ -130,13 +151,14 @@
 /** Listens on TCP and UDP with one port number. */
 function listenTwice(
   options: NodeOptions,
+  probes: TrafficCounter,
   links: Omit<Parameters<typeof LinkedPeers.make>[0], "endpoint">,
 ): Effect.Effect<Listeners, ListenFailed, Scope.Scope> {
   const listen = options.listen ?? options;
   const attempt = Effect.gen(function* () {
     const endpoint = { address: listen.address, port: listen.port };
     const tcp = yield* LinkedPeers.make({ ...links, endpoint });
-    const transport = yield* openUdp(tcp.endpoint);
+    const transport = yield* openUdp(tcp.endpoint, probes);
     const port = options.listen === undefined
       ? tcp.endpoint.port
       : options.port;
--- a/packages/coordination/src/process/membership_transport.ts
+++ b/packages/coordination/src/process/membership_transport.ts
@@ -10,6 +10,7 @@
 import type { Scope } from "effect/Scope";
 import type { Endpoint, ListenFailed } from "./endpoint.ts";
 import { listenFailed } from "./endpoint.ts";
+import type { TrafficCounter } from "./traffic.ts";
 
 /** Sends and receives datagrams, some of which get lost. */
 export interface ProbeTransport {
@@ -21,11 +22,13 @@
 
 class UdpTransport implements ProbeTransport {
   readonly #socket: Socket;
+  readonly #traffic: TrafficCounter;
   #sending = 0;
   #onSent: (() => void) | undefined;
 
-  constructor(socket: Socket) {
+  constructor(socket: Socket, traffic: TrafficCounter) {
     this.#socket = socket;
+    this.#traffic = traffic;
     // A send that fails is a datagram lost, which probing allows for; without a
     // listener it would end the process.
     socket.on("error", () => {});
@@ -33,6 +36,7 @@
 
   send(datagram: Uint8Array, to: Endpoint): void {
     this.#sending += 1;
+    this.#traffic.addSent(datagram.length);
     this.#socket.send(datagram, to.port, to.address, () => {
       this.#sending -= 1;
       if (this.#sending === 0) this.#onSent?.();
@@ -40,7 +44,10 @@
   }
 
   listen(listener: (datagram: Uint8Array) => void): void {
-    this.#socket.on("message", listener);
+    this.#socket.on("message", (datagram: Uint8Array) => {
+      this.#traffic.addReceived(datagram.length);
+      listener(datagram);
+    });
   }
 
   /** Lets the last datagrams out, which say that this process is gone. */
@@ -56,6 +63,7 @@
 /** Receives datagrams at an endpoint until the scope closes. */
 export function openUdp(
   endpoint: Endpoint,
+  traffic: TrafficCounter,
 ): Effect.Effect<ProbeTransport, ListenFailed, Scope> {
   const open = Effect.callback<UdpTransport, ListenFailed>((resume) => {
     const type = isIPv6(endpoint.address) ? "udp6" : "udp4";
@@ -67,7 +75,7 @@
     socket.once("error", fail);
     socket.bind(endpoint.port, endpoint.address, () => {
       socket.off("error", fail);
-      resume(Effect.succeed(new UdpTransport(socket)));
+      resume(Effect.succeed(new UdpTransport(socket, traffic)));
     });
   });
   return Effect.acquireRelease(open, (transport) => transport.close());
--- a/packages/coordination/tests/link_fixture.ts
+++ b/packages/coordination/tests/link_fixture.ts
@@ -14,6 +14,7 @@
 import type { Clock } from "../src/process/clock.ts";
 import { NO_DIGEST } from "../src/process/digest.ts";
 import type { Digest } from "../src/process/digest.ts";
+import { TrafficCounter } from "../src/process/traffic.ts";
 import type { Endpoint, ListenFailed } from "../src/process/endpoint.ts";
 
 export const TEST_KEY = Buffer.from("a key for tests only");
@@ -42,6 +43,7 @@
     settings: { ...DEFAULT_LINK_SETTINGS, ...options.settings },
     clock: options.clock ?? SYSTEM_CLOCK,
     digest: options.digest ?? NO_DIGEST,
+    traffic: new TrafficCounter(),
     self: () => ({ name, incarnation }),
     resolve: options.resolve ?? (() => undefined),
   });
