Let others hear of each member that shares a suspicion

Cause: a member that came to share a suspicion kept that to itself, so removals waited for the longest time, 9 s at ten members. Change: the first members to share a suspicion spread it as news. The test fails without it.

--- a/packages/coordination/src/process/membership_book.ts
+++ b/packages/coordination/src/process/membership_book.ts
@@ -110,7 +110,7 @@
     if (known === undefined) return this.#hearOfStranger(heard);
     const shared = heard.health === "suspect" && known.health === "suspect" &&
       !supersedes(heard, known) && !supersedes(known, heard);
-    if (shared) this.#suspect(name, heard.by);
+    if (shared) this.#confirm(known, heard.by);
     const joined = joinRecords(known, heard);
     if (joined !== undefined) this.#set(joined);
   }
@@ -120,7 +120,7 @@
     const known = this.#records.get(name);
     if (known === undefined || known.health === "removed") return;
     const by = this.self.member.name;
-    if (known.health === "suspect") return this.#suspect(name, by);
+    if (known.health === "suspect") return this.#confirm(known, by);
     this.#set({ ...known, health: "suspect", by });
   }
 
@@ -250,9 +250,15 @@
     }
   }
 
-  #suspect(name: string, by: string): void {
+  /** One more member shares a suspicion; unless told, the others wait longer. */
+  #confirm(suspect: MemberRecord, by: string): void {
+    const isNew = this.#suspect(suspect.member.name, by);
+    if (isNew) this.#news.add({ ...suspect, by });
+  }
+
+  #suspect(name: string, by: string): boolean {
     const members = this.others().length + 1;
-    this.#suspicions.add(name, by, { now: this.#now(), members });
+    return this.#suspicions.add(name, by, { now: this.#now(), members });
   }
 
   /** Drops removed members that will not be probed again, to bound the space. */
--- a/packages/coordination/src/process/membership_suspicion.ts
+++ b/packages/coordination/src/process/membership_suspicion.ts
@@ -30,16 +30,23 @@
     this.#settings = settings;
   }
 
-  /** Starts a suspicion, or adds one more member that shares it. */
+  /**
+   * Starts a suspicion, or adds one more member that shares it.
+   *
+   * @returns whether this shortens the suspicion of others too, so that they
+   * should hear of it.
+   */
   add(
     name: string,
     by: string,
     at: { readonly now: number; readonly members: number },
-  ): void {
+  ): boolean {
     const running = this.#running.get(name);
     if (running !== undefined) {
-      running.sharedBy.add(by);
-      return;
+      const { sharedBy, needed } = running;
+      if (sharedBy.has(by) || sharedBy.size > needed) return false;
+      sharedBy.add(by);
+      return true;
     }
     const settings = this.#settings;
     const scale = Math.max(1, Math.log10(at.members));
@@ -54,6 +61,7 @@
       longestMs: shortestMs * settings.suspicionStretch,
       needed: Math.min(settings.suspicionConfirmations, sharers),
     });
+    return true;
   }
 
   /** Ends a suspicion. */
--- a/packages/coordination/tests/membership_test.ts
+++ b/packages/coordination/tests/membership_test.ts
@@ -43,6 +43,20 @@
     })
   ));
 
+test("a suspicion that several share runs out sooner than one alone", () =>
+  // Of ten members one dies. Each finds out by its own probes in some seconds;
+  // three that share the suspicion are enough, also for those that did not
+  // probe it, so the 9 s of a suspicion alone need not pass.
+  withFleet((fleet) =>
+    Effect.gen(function* () {
+      yield* fleet.startAll(members(10));
+      yield* pass(5);
+      yield* fleet.kill("m3");
+      yield* pass(7);
+      for (const view of fleet.views()) assert.ok(!/m3/.test(view), view);
+    })
+  ));
+
 test("a member that announces its leaving is leaving everywhere at once", () =>
   withFleet((fleet) =>
     Effect.gen(function* () {
