--- a/packages/bench/src/experiments.ts
+++ b/packages/bench/src/experiments.ts
@@ -19,6 +19,7 @@
   claims: () => import("./claims.ts"),
   edit: () => import("./edit.ts"),
   faults: () => import("./faults.ts"),
+  membership: () => import("./membership_experiment.ts"),
   overhead: () => import("./overhead.ts"),
   slopes: () => import("./slopes.ts"),
   surge: () => import("./surge.ts"),
