Take the end of a link after both goodbyes for agreed

Cause: the test of idle links failed once: an end that read the other's end of stream before its own next look at its links called the other one down. Change: after a goodbye the end of the stream counts as idle. Conclusion: an idle link no more looks like a dead member.

--- a/packages/coordination/src/connection/link.ts
+++ b/packages/coordination/src/connection/link.ts
@@ -147,6 +147,9 @@
     });
     return Effect.scoped(run).pipe(
       Effect.flip,
+      // After both goodbyes the end of the stream is the agreed one, also when
+      // it is read before this end's own turn to close.
+      Effect.map((reason) => this.#goodbyeHeard ? linkClosed("idle") : reason),
       Effect.map((reason) => this.#closed ?? reason),
       Effect.onExit((exit) =>
         Effect.sync(() =>
--- a/packages/coordination/tests/link_faults_test.ts
+++ b/packages/coordination/tests/link_faults_test.ts
@@ -5,10 +5,14 @@
 import * as Deferred from "effect/Deferred";
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
+import { dial } from "../src/connection/dial.ts";
+import { FrameReader } from "../src/connection/frame.ts";
+import { dialHandshake, HANDSHAKE_LIMIT } from "../src/connection/handshake.ts";
+import { encodeLinkMessage } from "../src/connection/link_message.ts";
 import type { LinkedPeers } from "../src/connection/linked_peers.ts";
 import type { LinkSettings } from "../src/connection/link_settings.ts";
 import type { Endpoint } from "../src/process/endpoint.ts";
-import { linkEnd } from "./link_fixture.ts";
+import { linkEnd, TEST_KEY } from "./link_fixture.ts";
 import { Relay } from "./socket_fixture.ts";
 
 const PATIENT = { timeoutMs: 60_000 };
@@ -111,6 +115,23 @@
     assert.deepEqual(seen, ["b up"]);
   }))));
 
+test("an end that takes leave and closes at once is not called down", () =>
+  // b says goodbye and ends the connection before a's next look at its links.
+  // a reads the end right after the goodbye, and must take it for agreed.
+  Effect.runPromise(Effect.scoped(Effect.gen(function* () {
+    const a = yield* linkEnd({ name: "a" });
+    const seen = states(a.peers);
+    const socket = yield* dial(a.endpoint);
+    const reader = new FrameReader(socket, HANDSHAKE_LIMIT);
+    const self = { name: "b", incarnation: 1 };
+    const key = TEST_KEY;
+    const { sealer } = yield* dialHandshake({ socket, reader, key, self }, "a");
+    const goodbye = encodeLinkMessage({ kind: "goodbye" });
+    socket.end(sealer.seal(goodbye));
+    yield* Effect.flip(Effect.forever(reader.next()));
+    assert.deepEqual(seen, ["b up"]);
+  }))));
+
 test("heartbeats carry the digest both ways", () =>
   Effect.runPromise(Effect.scoped(Effect.gen(function* () {
     const heardByA = yield* Deferred.make<unknown>();
