Refuse records and hosts that nobody could send to

Cause: a member that advertised port 0 ended the processes that heard of it: Node throws on a bad port, and the record came from an authentic datagram. Change: addresses must be IP addresses and ports 1 to 65535, in records and in the host list; a node that listens apart from its advertised port may leave the latter to the system.

--- a/packages/coordination/src/node.ts
+++ b/packages/coordination/src/node.ts
@@ -159,9 +159,7 @@
     const endpoint = { address: listen.address, port: listen.port };
     const tcp = yield* LinkedPeers.make({ ...links, endpoint });
     const transport = yield* openUdp(tcp.endpoint, probes);
-    const port = options.listen === undefined
-      ? tcp.endpoint.port
-      : options.port;
+    const port = options.port === 0 ? tcp.endpoint.port : options.port;
     return { peers: tcp.peers, transport, port };
   });
   // A port that is free for TCP may be taken for UDP; then take another one.
--- a/packages/coordination/src/process/host_list.ts
+++ b/packages/coordination/src/process/host_list.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+import { isAddress, isPort } from "./endpoint.ts";
+
 /** A host as the platform lists it. */
 export interface Host {
   readonly name: string;
@@ -61,6 +63,14 @@
   return Number.isSafeInteger(value) ? undefined : "expected a whole number";
 }
 
+function ipAddress(value: unknown): string | undefined {
+  return isAddress(value) ? undefined : "expected an IP address";
+}
+
+function port(value: unknown): string | undefined {
+  return isPort(value) ? undefined : "expected a port from 1 to 65535";
+}
+
 function oneOf(...words: readonly string[]): Check {
   const listed = words.map((word) => `"${word}"`).join(" or ");
   return (value) =>
@@ -73,8 +83,8 @@
   name,
   role: oneOf("entry", "runner"),
   service: (value) => value === undefined ? undefined : text(value),
-  address: name,
-  port: whole,
+  address: ipAddress,
+  port,
   region: text,
   failureDomain: text,
   state: oneOf("live", "leaving"),
--- a/packages/coordination/src/process/host_list_client_test.ts
+++ b/packages/coordination/src/process/host_list_client_test.ts
@@ -170,7 +170,7 @@
     assert.deepEqual(found.map(({ index }) => index), [1]);
     assert.equal(
       found[0]?.message,
-      '"port": expected a whole number; "state": expected "live" or "leaving"',
+      '"port": expected a port from 1 to 65535; "state": expected "live" or "leaving"',
     );
   }))));
 
--- a/packages/coordination/src/process/membership_record.ts
+++ b/packages/coordination/src/process/membership_record.ts
@@ -5,6 +5,7 @@
  */
 import type { Buffer } from "node:buffer";
 import { decodeItem, encodeItem } from "./codec.ts";
+import { isAddress, isPort } from "./endpoint.ts";
 import type { Member } from "./membership.ts";
 
 /** Whether a member answers. A removed one is absent from the view. */
@@ -97,9 +98,9 @@
   const item: readonly unknown[] = decoded.value;
   const [name, incarnation, refutations, state, address, port, ...rest] = item;
   const [region, failureDomain, by] = rest;
-  if (typeof name !== "string" || typeof address !== "string") return undefined;
+  if (typeof name !== "string" || !isAddress(address)) return undefined;
   if (!isCount(incarnation) || !isCount(refutations)) return undefined;
-  if (!isCount(state) || !isCount(port)) return undefined;
+  if (!isCount(state) || !isPort(port)) return undefined;
   if (typeof region !== "string") return undefined;
   if (typeof failureDomain !== "string") return undefined;
   const health = HEALTHS[state & HEALTH_MASK];
--- a/packages/coordination/src/process/membership_record_test.ts
+++ b/packages/coordination/src/process/membership_record_test.ts
@@ -74,3 +74,20 @@
     assert.equal(decodeRecord(bytes), undefined);
   }
 });
+
+test("a record that nobody could send to is none", () => {
+  // Node throws on port 0 or 70,000, and looks names up. One such record,
+  // heard or listed, would end each process that came to probe the member.
+  const record: MemberRecord = {
+    member: memberNamed("m1"),
+    refutations: 0,
+    health: "alive",
+    leaving: false,
+    by: "m1",
+  };
+  const broken = [{ port: 0 }, { port: 70_000 }, { address: "localhost" }];
+  for (const change of broken) {
+    const member = { ...record.member, ...change };
+    assert.equal(decodeRecord(encodeRecord({ ...record, member })), undefined);
+  }
+});
