Record golden sessions of the broker's refusals

Cause: deadline_passed and limit_reached had no session while the thin scheduler stood in. Change: a runner with one slot, a short class and a row limit bring them about; the code is asserted besides the file. queue_full needs a thousand waiting requests and stays with the queue's own tests. Conclusion: three codes are left without a session, each with its reason.

--- a/packages/testing/tests/golden_errors_test.ts
+++ b/packages/testing/tests/golden_errors_test.ts
@@ -238,7 +238,12 @@
   const ends: (() => Promise<void> | void)[] = [];
   before(async () => {
     recorded = await record({ after: (end) => ends.push(end as () => void) }, {
-      daemonSettings: { limits: LIMITS, attempts: ATTEMPTS },
+      daemonSettings: {
+        limits: LIMITS,
+        attempts: ATTEMPTS,
+        // Each session meets the runner as if it were the first.
+        scheduling: { switches: { ejection: false, adaptiveSlots: false } },
+      },
       table: (table) => ({
         ...table,
         services: [
@@ -344,9 +349,7 @@
 /** Codes that no session of stand-ins brings about, and why. */
 const WITHOUT_SESSION: Readonly<Record<string, string>> = {
   internal: "A fault of the daemon itself; see caller_connections_test.ts",
-  deadline_passed: "Needs the broker, whose queue refuses it",
-  limit_reached: "Needs the broker, which counts against the row",
-  queue_full: "Needs the broker, which bounds its queue",
+  queue_full: "Needs a thousand waiting requests; see fair_queue_test.ts",
   grant_expired: "Needs a slot that lapses between grant and send",
 };
 
