Write each chunk of a stream in one piece

Cause: a profile of 25,600 relayed tokens showed writev on top, 965 ms or 38 us a token: Node writes a chunk's size, bytes and end as three pieces, two of them strings that are encoded each time. Change: after the head, a streamed answer's chunks go to the connection as one buffer each; the head and the end stay Node's.

--- a/packages/daemon/src/request/http_reply.ts
+++ b/packages/daemon/src/request/http_reply.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import * as Effect from "effect/Effect";
 import type { AnswerHead, CallerGone, Problem, Reply } from "./call.ts";
 import { problemBody, problemHeaders } from "./problems.ts";
@@ -13,6 +14,20 @@
 /** How long a refused request's remaining bytes are taken and thrown away. */
 const LINGER_MS = 1000;
 
+const HEX = 16;
+const LINE_END = "\r\n";
+
+/** One chunk of a chunked answer (RFC 9112, section 7.1). */
+function chunkOf(bytes: Uint8Array): Buffer {
+  const size = `${bytes.length.toString(HEX)}${LINE_END}`;
+  const end = size.length + bytes.length;
+  const chunk = Buffer.allocUnsafe(end + LINE_END.length);
+  chunk.write(size, 0, "latin1");
+  chunk.set(bytes, size.length);
+  chunk.write(LINE_END, end, "latin1");
+  return chunk;
+}
+
 /** Writes to one caller; a caller that reads too slowly loses its connection. */
 export class HttpReply implements Reply {
   readonly #response: ServerResponse;
@@ -24,6 +39,8 @@
   #bodyHeldBack: boolean;
   #gone: CallerGone | undefined;
   #begunAt: number | undefined;
+  /** The connection, once a streamed answer has begun. */
+  #stream: Socket | undefined;
 
   constructor(
     response: ServerResponse,
@@ -79,13 +96,20 @@
     if (this.#leaving()) this.#response.setHeader("connection", "close");
     this.#response.writeHead(head.status);
     this.#begunAt = Date.now();
+    if (this.#streamed) this.#openStream();
   }
 
   write(bytes: Uint8Array): Effect.Effect<void, CallerGone> {
     return Effect.suspend(() => {
       if (this.#gone !== undefined) return Effect.fail(this.#gone);
-      if (this.#response.write(bytes)) return Effect.void;
-      return this.#room();
+      // A chunk without bytes would read as the end of the whole answer.
+      if (bytes.length === 0) return Effect.void;
+      const stream = this.#stream;
+      const room = stream === undefined
+        ? this.#response.write(bytes)
+        : stream.write(chunkOf(bytes));
+      if (room) return Effect.void;
+      return this.#room(stream ?? this.#response);
     });
   }
 
@@ -163,13 +187,29 @@
     else this.refuse(problem);
   }
 
+  /**
+   * Sends the head, after which chunks go to the connection in one piece each.
+   * Node would write a chunk's size, bytes and end apart from each other, which
+   * costs more than all else that is done for a token.
+   */
+  #openStream(): void {
+    const response = this.#response;
+    if (response.hasHeader("content-length") || response.socket === null) {
+      return;
+    }
+    response.flushHeaders();
+    this.#stream = response.socket;
+  }
+
   /** Waits until the caller has read enough, for a bounded time. */
-  #room(): Effect.Effect<void, CallerGone> {
+  #room(
+    written: Socket | ServerResponse,
+  ): Effect.Effect<void, CallerGone> {
     return Effect.callback<void, CallerGone>((resume) => {
       const response = this.#response;
       const stop = () => {
         clearTimeout(timer);
-        response.off("drain", drained);
+        written.off("drain", drained);
         response.off("close", closed);
       };
       const drained = () => {
@@ -186,7 +226,7 @@
         this.#gone = { _tag: "CallerGone", reason: "slow" };
         response.destroy();
       }, this.#writeTimeoutMs);
-      response.once("drain", drained);
+      written.once("drain", drained);
       response.once("close", closed);
       return Effect.sync(stop);
     });
