Let a shutdown wait for slow readers, and test the program's ends

Cause: Node's close of a server counts a connection as idle once its answer has ended, and destroyed it with what a slow caller had not taken yet; a broken pipe of the log ended the daemon with status 1. No test ran the program for bad settings, a taken port, the configured limit of a shutdown or a slow reader. Conclusion: a graceful shutdown cuts off no answer that its caller still reads.

--- a/packages/daemon/src/connection/caller_server.ts
+++ b/packages/daemon/src/connection/caller_server.ts
@@ -43,13 +43,10 @@
   readonly place: string;
   /** Connections that are open. */
   readonly connections: number;
-  /**
-   * Accepts no new connections and closes idle ones; the others stay until
-   * their answers have gone out. The effect ends when none is left.
-   */
-  readonly close: Effect.Effect<void>;
-  /** Cuts every connection. */
-  cut(): void;
+  /** Ends when every answer that has ended has also gone out. */
+  readonly flushed: Effect.Effect<void>;
+  /** Accepts no new connections, and cuts those that are open. */
+  close(): void;
 }
 
 /** The last answer of each connection. */
@@ -76,6 +73,33 @@
   }
 }
 
+/**
+ * Answers whose last byte has not been handed to the system. Node's own close
+ * counts a connection as idle once its answer has ended, and destroys it with
+ * what a slow caller has not taken yet: that answer would be cut off.
+ */
+class UnsentAnswers {
+  readonly #open = new Set<ServerResponse>();
+  #waiting: (() => void)[] = [];
+
+  /** Ends when there is none. */
+  readonly none: Effect.Effect<void> = Effect.callback((resume) => {
+    if (this.#open.size === 0) return resume(Effect.void);
+    this.#waiting.push(() => resume(Effect.void));
+  });
+
+  add(response: ServerResponse): void {
+    this.#open.add(response);
+    response.once("close", () => {
+      this.#open.delete(response);
+      if (this.#open.size > 0) return;
+      const waiting = this.#waiting;
+      this.#waiting = [];
+      for (const resume of waiting) resume();
+    });
+  }
+}
+
 /** Opens the callers' port. */
 export const openCallerServer = Effect.fnUntraced(function* (
   at: ListenAt,
@@ -83,9 +107,11 @@
 ) {
   const { limits, handler } = options;
   const answers = new LastAnswers();
+  const unsent = new UnsentAnswers();
   const serve = (request: IncomingMessage, response: ServerResponse) => {
     const pipelined = answers.isOpen(request.socket);
     answers.set(request.socket, response);
+    unsent.add(response);
     handler.serve(request, response, { pipelined });
   };
   const refuse = (socket: Duplex, fault: ConnectionFault) => {
@@ -123,12 +149,11 @@
     get connections() {
       return sockets.size;
     },
-    close: Effect.callback((resume) => {
-      // A connection whose answer ends from now on has no time to be idle.
-      server.keepAliveTimeout = 1;
-      server.close(() => resume(Effect.void));
-    }),
-    cut: () => server.closeAllConnections(),
+    flushed: unsent.none,
+    close: () => {
+      server.close();
+      server.closeAllConnections();
+    },
   };
   return opened;
 });
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -161,9 +161,9 @@
     yield* stopRequests(requests);
     const flushMs = settings.limits.callerWriteTimeoutMs;
     yield* status === EXIT_WHOLE
-      ? within(flushMs, Effect.race(callers.close, signals.stop))
-      : within(CUT_OFF_FLUSH_MS, callers.close);
-    callers.cut();
+      ? within(flushMs, Effect.race(callers.flushed, signals.stop))
+      : within(CUT_OFF_FLUSH_MS, callers.flushed);
+    callers.close();
     yield* within(CLAIMS_DRAIN_MS, fleet.claims.drain());
     operators.close();
     log.event("stopped", { status });
@@ -180,6 +180,9 @@
   settings: Settings,
 ): Effect.Effect<number, StartFailed> {
   const decisions = new DecisionHistory();
+  // Whoever reads the log may end first. Without a listener its broken pipe
+  // would end the daemon too, and cut off every answer that is under way.
+  process.stdout.on("error", () => {});
   const write = (line: string) => process.stdout.write(`${line}\n`);
   const metrics = new Metrics();
   const warned = (code: string) => metrics.warned(code);
--- a/packages/daemon/tests/caller_fixture.ts
+++ b/packages/daemon/tests/caller_fixture.ts
@@ -150,9 +150,7 @@
       leaving = true;
     },
     close: async () => {
-      const closed = Effect.runPromise(server.close);
-      server.cut();
-      await closed;
+      server.close();
       await Effect.runPromise(requests.idle);
     },
   };
--- a/packages/testing/tests/golden_fixture.ts
+++ b/packages/testing/tests/golden_fixture.ts
@@ -204,6 +204,15 @@
     this.#socket.destroy();
   }
 
+  /** Stops reading; what comes fills the buffers on the way. */
+  pause(): void {
+    this.#socket.pause();
+  }
+
+  resume(): void {
+    this.#socket.resume();
+  }
+
   /** Waits until the connection is closed. */
   async ended(): Promise<void> {
     await this.#ended;
