Relay tokens without an effect for each

Cause: each piece of a stream ran through three effects (read, match, write); the profile showed them beside the writes to the caller's socket. Change: Reply gains push and room; a stream is pumped from the runner's socket to the caller's in plain callbacks, and effects run only when the caller's side is full, the stream ends or falls silent. A connection that closes without an error is told as reset at once. In the profile after it, writev takes 17 parts in 100 of the busy time, the largest single part: a token is one write of four pieces, and tokens of a stream come a step apart, so they cannot share one unless they are held back.

--- a/packages/daemon/src/connection/runner_answer.ts
+++ b/packages/daemon/src/connection/runner_answer.ts
@@ -42,6 +42,8 @@
   #broken: AnswerBroken["reason"] | undefined;
   #timer: NodeJS.Timeout | undefined;
   #timerMs = 0;
+  /** Pieces read so far. */
+  #reads = 0;
 
   constructor(response: http.IncomingMessage) {
     this.response = response;
@@ -77,18 +79,37 @@
    * runner.
    */
   next(idleMs: number): Effect.Effect<Buffer | undefined, AnswerBroken> {
-    const ready = this.#take();
-    if (ready !== undefined) return ready;
+    return Effect.suspend(() => {
+      let piece: Buffer | undefined;
+      const pumped = this.pump(idleMs, (bytes) => {
+        piece = bytes;
+        return false;
+      });
+      return Effect.map(pumped, () => piece);
+    });
+  }
+
+  /**
+   * Gives pieces to a function as they come, until it returns false or the
+   * declared end is reached. Between two pieces nothing but the function runs.
+   *
+   * @returns whether the end was reached.
+   */
+  pump(
+    idleMs: number,
+    take: (bytes: Buffer) => boolean,
+  ): Effect.Effect<boolean, AnswerBroken> {
     return Effect.callback((resume) => {
-      this.#arm(idleMs);
-      this.#wake = () => {
-        const taken = this.#take();
-        if (taken === undefined) return;
+      const step = () => {
+        const end = this.#drain(take);
+        if (end === undefined) return this.#arm(idleMs);
         this.#wake = undefined;
-        resume(taken);
+        clearTimeout(this.#timer);
+        this.#timer = undefined;
+        resume(end);
       };
-      // The state may have changed between the look above and here.
-      this.#wake();
+      this.#wake = step;
+      step();
       return Effect.sync(() => {
         this.#wake = undefined;
       });
@@ -101,15 +122,18 @@
     this.response.destroy();
   }
 
-  #take(): Effect.Effect<Buffer | undefined, AnswerBroken> | undefined {
-    const bytes = this.response.read() as Buffer | null;
-    if (bytes !== null) return Effect.succeed(bytes);
-    if (this.#ended) {
-      clearTimeout(this.#timer);
-      return END;
+  /** Gives out what there is; `undefined` when more has to be awaited. */
+  #drain(
+    take: (bytes: Buffer) => boolean,
+  ): Effect.Effect<boolean, AnswerBroken> | undefined {
+    for (;;) {
+      const bytes = this.response.read() as Buffer | null;
+      if (bytes === null) break;
+      this.#reads += 1;
+      if (!take(bytes)) return STOPPED;
     }
+    if (this.#ended) return ENDED;
     if (this.#broken === undefined) return undefined;
-    clearTimeout(this.#timer);
     return Effect.fail({ _tag: "AnswerBroken", reason: this.#broken });
   }
 
@@ -122,13 +146,13 @@
     clearTimeout(this.#timer);
     this.#timerMs = idleMs;
     this.#timer = setTimeout(() => {
-      const waiting = this.#wake;
+      const reads = this.#reads;
       afterReading(() => {
-        // Something came meanwhile, and perhaps a new wait has begun.
-        if (waiting === undefined || this.#wake !== waiting) return;
+        // Nobody waits any more, or something came meanwhile.
+        if (this.#wake === undefined || this.#reads !== reads) return;
         this.#broken ??= "silent";
         this.response.destroy();
-        waiting();
+        this.#wake();
       });
     }, idleMs);
   }
@@ -145,7 +169,8 @@
   setImmediate(action);
 }
 
-const END: Effect.Effect<undefined> = Effect.succeed(undefined);
+const STOPPED: Effect.Effect<boolean> = Effect.succeed(false);
+const ENDED: Effect.Effect<boolean> = Effect.succeed(true);
 
 /**
  * Sends a request and waits for the head of its answer. Interruption closes
@@ -203,6 +228,8 @@
       if (malformed) return this.#fail("malformed", error.message);
       this.#fail(this.#connected ? "reset" : "refused", error.message);
     });
+    // An answer that asks for another protocol is closed without an error.
+    outgoing.on("close", () => this.#fail("reset", "The connection closed"));
   }
 
   /** Ends when the request is handed to the system, or was answered or failed. */
--- a/packages/daemon/src/request/call.ts
+++ b/packages/daemon/src/request/call.ts
@@ -56,13 +56,20 @@
 }
 
 /**
- * The way back to the caller. Order of use: `begin` once, `write` any number of
- * times, then one of `end` and `breakOff`; or `refuse` alone.
+ * The way back to the caller. Order of use: `begin` once, `write` or `push` any
+ * number of times, then one of `end` and `breakOff`; or `refuse` alone.
  */
 export interface Reply {
   /** Whether the head has been sent. */
   readonly begun: boolean;
   begin(head: AnswerHead): void;
+  /**
+   * Writes bytes at once. False when there is no room for more, or the caller
+   * has gone: `room` tells which, and must end before more is pushed.
+   */
+  push(bytes: Uint8Array): boolean;
+  /** Ends when the caller's side has room for more. */
+  room(): Effect.Effect<void, CallerGone>;
   /** Writes bytes; the effect ends when the caller's side has room for more. */
   write(bytes: Uint8Array): Effect.Effect<void, CallerGone>;
   /** Ends a whole answer. */
--- a/packages/daemon/src/request/http_reply.ts
+++ b/packages/daemon/src/request/http_reply.ts
@@ -81,14 +81,22 @@
     this.#begunAt = Date.now();
   }
 
-  write(bytes: Uint8Array): Effect.Effect<void, CallerGone> {
+  push(bytes: Uint8Array): boolean {
+    return this.#gone === undefined && this.#response.write(bytes);
+  }
+
+  room(): Effect.Effect<void, CallerGone> {
     return Effect.suspend(() => {
       if (this.#gone !== undefined) return Effect.fail(this.#gone);
-      if (this.#response.write(bytes)) return Effect.void;
-      return this.#room();
+      if (!this.#response.writableNeedDrain) return Effect.void;
+      return this.#drained();
     });
   }
 
+  write(bytes: Uint8Array): Effect.Effect<void, CallerGone> {
+    return Effect.suspend(() => this.push(bytes) ? Effect.void : this.room());
+  }
+
   end(): void {
     this.#response.end();
     this.#boundFlush();
@@ -164,7 +172,7 @@
   }
 
   /** Waits until the caller has read enough, for a bounded time. */
-  #room(): Effect.Effect<void, CallerGone> {
+  #drained(): Effect.Effect<void, CallerGone> {
     return Effect.callback<void, CallerGone>((resume) => {
       const response = this.#response;
       const stop = () => {
--- a/packages/daemon/src/request/kept_reply.ts
+++ b/packages/daemon/src/request/kept_reply.ts
@@ -50,19 +50,29 @@
     this.#reply.begin(head);
   }
 
+  push(bytes: Uint8Array): boolean {
+    this.#size += bytes.length;
+    if (this.#size <= MAX_KEPT_BYTES) this.#pieces.push(bytes);
+    else this.#pieces = [];
+    return this.#gone || this.#reply.push(bytes);
+  }
+
+  room(): Effect.Effect<void, CallerGone> {
+    return Effect.suspend(() =>
+      this.#gone
+        ? Effect.void
+        : Effect.catch(this.#reply.room(), () => this.#leave)
+    );
+  }
+
   write(bytes: Uint8Array): Effect.Effect<void, CallerGone> {
-    return Effect.suspend(() => {
-      this.#size += bytes.length;
-      if (this.#size <= MAX_KEPT_BYTES) this.#pieces.push(bytes);
-      else this.#pieces = [];
-      if (this.#gone) return Effect.void;
-      return Effect.catch(this.#reply.write(bytes), () => {
-        this.#gone = true;
-        return Effect.void;
-      });
-    });
+    return Effect.suspend(() => this.push(bytes) ? Effect.void : this.room());
   }
 
+  readonly #leave = Effect.sync(() => {
+    this.#gone = true;
+  });
+
   end(): void {
     this.#whole = true;
     this.#reply.end();
--- a/packages/daemon/src/request/stream_relay.ts
+++ b/packages/daemon/src/request/stream_relay.ts
@@ -66,25 +66,19 @@
   answer: RunnerAnswer,
   context: RelayContext,
 ): Effect.Effect<StreamEnd, CallerGone> {
-  const { reply, settings, clock, progress } = context;
+  const { reply, settings, progress } = context;
   const scanner = new EventScanner();
+  const take = taker(answer, scanner, context);
   return Effect.gen(function* () {
     let idleMs = context.firstMs;
     while (!scanner.done) {
-      const step = yield* readPiece(answer, idleMs);
-      if (!(step instanceof Uint8Array)) return step;
-      const before = scanner.tokens;
-      const events = scanner.push(step);
-      if (events.length > 0) {
-        note(progress, scanner, scanner.tokens - before);
-        progress.lastAt = clock.monotonic();
-        progress.firstAt ??= progress.lastAt;
-        if (!reply.begun) reply.begin(passedHead(answer));
-        idleMs = settings.betweenTokensMs;
-        yield* reply.write(events);
-      }
+      const pumped = yield* Effect.result(answer.pump(idleMs, take));
+      if (pumped._tag === "Failure") return cut(pumped.failure.reason);
       if (scanner.oversized) return cut("oversized");
       if (scanner.failed) return cut("engine-error");
+      if (pumped.success) return cut("no-end-mark");
+      if (reply.begun) idleMs = settings.betweenTokensMs;
+      yield* reply.room();
     }
     if (!progress.finished) return cut("no-end-mark");
     if (!reply.begun) reply.begin(passedHead(answer));
@@ -95,14 +89,29 @@
   });
 }
 
-function readPiece(
+/**
+ * Passes the whole events of a piece on. Stops the pump when the caller's side
+ * is full, when the stream is over, and after the first events, from which on
+ * another limit of silence holds.
+ */
+function taker(
   answer: RunnerAnswer,
-  idleMs: number,
-): Effect.Effect<Buffer | StreamEnd> {
-  return Effect.match(answer.next(idleMs), {
-    onFailure: (broken): Buffer | StreamEnd => cut(broken.reason),
-    onSuccess: (bytes) => bytes ?? cut("no-end-mark"),
-  });
+  scanner: EventScanner,
+  context: RelayContext,
+): (piece: Buffer) => boolean {
+  const { reply, clock, progress } = context;
+  return (piece) => {
+    const before = scanner.tokens;
+    const events = scanner.push(piece);
+    const goesOn = !scanner.done && !scanner.failed && !scanner.oversized;
+    if (events.length === 0) return goesOn;
+    note(progress, scanner, scanner.tokens - before);
+    progress.lastAt = clock.monotonic();
+    progress.firstAt ??= progress.lastAt;
+    const first = !reply.begun;
+    if (first) reply.begin(passedHead(answer));
+    return reply.push(events) && goesOn && !first;
+  };
 }
 
 function cut(
--- a/packages/daemon/tests/call_fixture.ts
+++ b/packages/daemon/tests/call_fixture.ts
@@ -186,18 +186,25 @@
     this.head = head;
   }
 
-  write(bytes: Uint8Array): Effect.Effect<void, CallerGone> {
+  push(bytes: Uint8Array): boolean {
     if (this.head === undefined) throw new Error("Written before the head");
     if (this.ended) throw new Error("Written after the end");
     this.#writes += 1;
-    if (this.#writes > this.goneAfter) {
-      return Effect.fail({ _tag: "CallerGone", reason: "closed" });
-    }
+    if (this.#writes > this.goneAfter) return false;
     this.body += Buffer.from(bytes).toString("utf8");
     for (const { text, wake } of this.#waiting) {
       if (this.body.includes(text)) wake();
     }
-    return Effect.void;
+    return true;
+  }
+
+  room(): Effect.Effect<void, CallerGone> {
+    if (this.#writes <= this.goneAfter) return Effect.void;
+    return Effect.fail({ _tag: "CallerGone", reason: "closed" });
+  }
+
+  write(bytes: Uint8Array): Effect.Effect<void, CallerGone> {
+    return this.push(bytes) ? Effect.void : this.room();
   }
 
   end(): void {
