Compare overhead at one engine, and let the host list lag in faults

Cause: with several engines, where the daemon sends a request counted as its overhead. The list showed a leaving runner at once, which no real list does. Change: the comparison runs on a stack with one engine; the list lags 2 s behind the runner's own sign.

--- a/packages/bench/src/faults_effects.ts
+++ b/packages/bench/src/faults_effects.ts
@@ -7,6 +7,7 @@
 import type { FaultKind } from "./faults_schedule.ts";
 
 const MS_PER_SECOND = 1_000;
+const LIST_LAG_MS = 2_000;
 const STRAGGLE_FACTOR = 8;
 const STORE_DELAY_MS = 500;
 const ANSWERS_HELD = 20;
@@ -146,8 +147,12 @@
   async #leave(holdS: number): Promise<void> {
     const runner = this.#anyRunner();
     const at = Date.now();
-    await this.#stack.setHost({ ...runner.host, state: "leaving" });
-    await this.#order(runner, holdS, { fault: "leaving" });
+    // The runner says so itself; the platform's list follows after its lag.
+    const leaving = this.#order(runner, holdS, { fault: "leaving" });
+    await this.#stack.setHost({ ...runner.host, state: "leaving" }, {
+      lagMs: LIST_LAG_MS,
+    });
+    await leaving;
     await this.#stack.setHost(runner.host);
     const { name, url } = runner;
     this.departures.push({ runner: name, url, at, until: Date.now() });
--- a/packages/bench/src/overhead.ts
+++ b/packages/bench/src/overhead.ts
@@ -159,43 +159,52 @@
   options: [
     { name: "rate", summary: "requests a second each way", fallback: 200 },
     { name: "seconds", summary: "length of the comparison", fallback: 15 },
-    { name: "runners", summary: "model runners", fallback: 4 },
+    { name: "runners", summary: "runners of the streams", fallback: 4 },
     { name: "streams", summary: "streams held open at once", fallback: 64 },
     { name: "tokens", summary: "tokens of each stream", fallback: 1_500 },
   ],
   async run(settings) {
-    const stack = await startStack({
-      daemons: 1,
-      runners: settings.number("runners"),
-      plainRunners: 0,
-    });
-    const ways = new Ways(stack);
-    try {
-      const rate = settings.number("rate");
+    const rate = settings.number("rate");
+    // One runner, so that both ways meet the same engine: with several, where
+    // the daemon sends a request would count as its overhead.
+    const found = await onStack(1, async (ways) => {
       await compare(ways, { rate, seconds: WARM_UP_S });
-      const found = await compare(ways, {
-        rate,
-        seconds: settings.number("seconds"),
-      });
-      const carried = await carry(ways, {
+      const seconds = settings.number("seconds");
+      return await compare(ways, { rate, seconds });
+    });
+    const runners = settings.number("runners");
+    const carried = await onStack(runners, (ways, stack) =>
+      carry(ways, {
         pid: stack.daemons[0]?.pid ?? 0,
         streams: settings.number("streams"),
         tokens: settings.number("tokens"),
-      });
-      return findings(found, carried, rate);
-    } finally {
-      ways.close();
-      await stack.close();
-    }
+      }));
+    return findings(found, carried, rate);
   },
 };
 
+/** Measures on a stack of one daemon that ends with the measurement. */
+async function onStack<A>(
+  runners: number,
+  measure: (ways: Ways, stack: Stack) => Promise<A>,
+): Promise<A> {
+  const stack = await startStack({ daemons: 1, runners, plainRunners: 0 });
+  const ways = new Ways(stack);
+  try {
+    return await measure(ways, stack);
+  } finally {
+    ways.close();
+    await stack.close();
+  }
+}
+
 function findings(found: FirstBytes, carried: Carried, rate: number) {
   const result = {
     rate,
     pairs: found.through.length,
     failed: found.failed + carried.failed,
     addedP50Ms: added(found, 0.5),
+    addedP95Ms: added(found, 0.95),
     addedP99Ms: added(found, 0.99),
     straightP50Ms: round(quantile(found.straight, 0.5) ?? NaN, 2),
     straightP99Ms: round(quantile(found.straight, 0.99) ?? NaN, 2),
