--- a/packages/daemon/src/request/http_reply.ts
+++ b/packages/daemon/src/request/http_reply.ts
@@ -99,20 +99,27 @@
     if (this.#streamed) this.#openStream();
   }
 
-  write(bytes: Uint8Array): Effect.Effect<void, CallerGone> {
+  push(bytes: Uint8Array): boolean {
+    if (this.#gone !== undefined) return false;
+    // A chunk without bytes would read as the end of the whole answer.
+    if (bytes.length === 0) return true;
+    if (this.#stream === undefined) return this.#response.write(bytes);
+    return this.#stream.write(chunkOf(bytes));
+  }
+
+  room(): Effect.Effect<void, CallerGone> {
     return Effect.suspend(() => {
       if (this.#gone !== undefined) return Effect.fail(this.#gone);
-      // A chunk without bytes would read as the end of the whole answer.
-      if (bytes.length === 0) return Effect.void;
-      const stream = this.#stream;
-      const room = stream === undefined
-        ? this.#response.write(bytes)
-        : stream.write(chunkOf(bytes));
-      if (room) return Effect.void;
-      return this.#room(stream ?? this.#response);
+      const written = this.#stream ?? this.#response;
+      if (!written.writableNeedDrain) return Effect.void;
+      return this.#drained(written);
     });
   }
 
+  write(bytes: Uint8Array): Effect.Effect<void, CallerGone> {
+    return Effect.suspend(() => this.push(bytes) ? Effect.void : this.room());
+  }
+
   end(): void {
     this.#response.end();
     this.#boundFlush();
@@ -202,7 +209,7 @@
   }
 
   /** Waits until the caller has read enough, for a bounded time. */
-  #room(
+  #drained(
     written: Socket | ServerResponse,
   ): Effect.Effect<void, CallerGone> {
     return Effect.callback<void, CallerGone>((resume) => {
