Count callers that leave, and tell emptiness in one place

Cause: a caller that left interrupted its fibre before the end was counted or logged; the wait until a set is empty stood twice. Change: an interrupted call ends as caller-left, or as stopped while the daemon stops; TrackedSet holds requests and answers that have not gone out.

--- a/packages/daemon/src/connection/caller_server.ts
+++ b/packages/daemon/src/connection/caller_server.ts
@@ -9,6 +9,7 @@
 import type { Duplex } from "node:stream";
 import * as Effect from "effect/Effect";
 import type { CallerLimits } from "../process/settings.ts";
+import { TrackedSet } from "../process/tracked_set.ts";
 import { connectionFault } from "./connection_fault.ts";
 import type { ConnectionFault } from "./connection_fault.ts";
 import { listen, placeOf } from "./listener.ts";
@@ -73,33 +74,6 @@
   }
 }
 
-/**
- * Answers whose last byte has not been handed to the system. Node's own close
- * counts a connection as idle once its answer has ended, and destroys it with
- * what a slow caller has not taken yet: that answer would be cut off.
- */
-class UnsentAnswers {
-  readonly #open = new Set<ServerResponse>();
-  #waiting: (() => void)[] = [];
-
-  /** Ends when there is none. */
-  readonly none: Effect.Effect<void> = Effect.callback((resume) => {
-    if (this.#open.size === 0) return resume(Effect.void);
-    this.#waiting.push(() => resume(Effect.void));
-  });
-
-  add(response: ServerResponse): void {
-    this.#open.add(response);
-    response.once("close", () => {
-      this.#open.delete(response);
-      if (this.#open.size > 0) return;
-      const waiting = this.#waiting;
-      this.#waiting = [];
-      for (const resume of waiting) resume();
-    });
-  }
-}
-
 /** Opens the callers' port. */
 export const openCallerServer = Effect.fnUntraced(function* (
   at: ListenAt,
@@ -107,11 +81,15 @@
 ) {
   const { limits, handler } = options;
   const answers = new LastAnswers();
-  const unsent = new UnsentAnswers();
+  // Node's own close counts a connection as idle once its answer has ended, and
+  // destroys it with what a slow caller has not taken yet: that answer would be
+  // cut off. So it is known here which answers have not gone out.
+  const unsent = new TrackedSet<ServerResponse>();
   const serve = (request: IncomingMessage, response: ServerResponse) => {
     const pipelined = answers.isOpen(request.socket);
     answers.set(request.socket, response);
     unsent.add(response);
+    response.once("close", () => unsent.delete(response));
     handler.serve(request, response, { pipelined });
   };
   const refuse = (socket: Duplex, fault: ConnectionFault) => {
@@ -149,7 +127,7 @@
     get connections() {
       return sockets.size;
     },
-    flushed: unsent.none,
+    flushed: unsent.empty,
     close: () => {
       server.close();
       server.closeAllConnections();
--- /dev/null
+++ b/packages/daemon/src/process/tracked_set.ts
@@ -0,0 +1,39 @@
+/**
+ * A set that tells when it is empty.
+ *
+ * @module
+ */
+import * as Effect from "effect/Effect";
+
+/** Holds items, such as requests under way, and tells when none is left. */
+export class TrackedSet<Item> {
+  readonly #items = new Set<Item>();
+  #waiting: (() => void)[] = [];
+
+  /** Ends when the set is empty; at once if it is. */
+  readonly empty: Effect.Effect<void> = Effect.callback((resume) => {
+    if (this.#items.size === 0) return resume(Effect.void);
+    this.#waiting.push(() => resume(Effect.void));
+  });
+
+  get size(): number {
+    return this.#items.size;
+  }
+
+  add(item: Item): void {
+    this.#items.add(item);
+  }
+
+  delete(item: Item): void {
+    this.#items.delete(item);
+    if (this.#items.size > 0) return;
+    const waiting = this.#waiting;
+    this.#waiting = [];
+    for (const resume of waiting) resume();
+  }
+
+  /** The items, in order of addition. */
+  [Symbol.iterator](): Iterator<Item> {
+    return this.#items.values();
+  }
+}
--- a/packages/daemon/src/request/caller_requests.ts
+++ b/packages/daemon/src/request/caller_requests.ts
@@ -15,6 +15,7 @@
 import type { Log } from "../process/log.ts";
 import type { CallerLimits } from "../process/settings.ts";
 import type { TableVersion } from "../version/table_feed.ts";
+import { TrackedSet } from "../process/tracked_set.ts";
 import { admit, callOf } from "./admission.ts";
 import type { Arrival } from "./admission.ts";
 import { readBody } from "./body_reader.ts";
@@ -53,6 +54,12 @@
   readonly leaving: () => boolean;
 }
 
+/** A request under way. */
+interface HeldRequest {
+  readonly fiber: Fiber.Fiber<void>;
+  readonly reply: HttpReply;
+}
+
 /** What an ending shows in the log. */
 function endingFields(ending: Ending) {
   if (ending._tag === "Complete") {
@@ -73,8 +80,7 @@
 /** Serves callers' requests. */
 export class CallerRequests implements CallerHandler {
   readonly #environment: CallerEnvironment;
-  readonly #held = new Map<Fiber.Fiber<void>, HttpReply>();
-  #whenIdle: (() => void)[] = [];
+  readonly #held = new TrackedSet<HeldRequest>();
   #stopped = false;
 
   constructor(environment: CallerEnvironment) {
@@ -87,20 +93,17 @@
   }
 
   /** Ends when no request is being served. */
-  readonly idle: Effect.Effect<void> = Effect.callback((resume) => {
-    if (this.#held.size === 0) return resume(Effect.void);
-    this.#whenIdle.push(() => resume(Effect.void));
-  });
+  readonly idle: Effect.Effect<void> = this.#held.empty;
 
   /** Interrupts every request; each answer gets a broken end. */
   interruptAll(): void {
     this.#stopped = true;
-    for (const fiber of this.#held.keys()) fiber.interruptUnsafe();
+    for (const { fiber } of this.#held) fiber.interruptUnsafe();
   }
 
   /** Gives a broken end to answers whose fibres cannot be interrupted. */
   abandonAll(): void {
-    for (const reply of this.#held.values()) this.#abandon(reply);
+    for (const { reply } of this.#held) this.#abandon(reply);
   }
 
   /** Serves one request. */
@@ -123,7 +126,8 @@
       leaving: this.#environment.leaving,
     });
     const fiber = Effect.runFork(this.#answer(arrival, reply));
-    this.#held.set(fiber, reply);
+    const held = { fiber, reply };
+    this.#held.add(held);
     // The caller has left: what it asked for is of no use, so the fibre is
     // interrupted at once and with it the engine's work. A write that gave up
     // on a slow caller fails by itself and says so.
@@ -132,11 +136,10 @@
       fiber.interruptUnsafe();
     });
     fiber.addObserver((exit) => {
-      this.#held.delete(fiber);
       if (Exit.isFailure(exit)) {
         this.#crashed(arrival, { reply, cause: exit.cause });
       }
-      this.#signalIdle();
+      this.#held.delete(held);
     });
   }
 
@@ -166,7 +169,13 @@
         return reply.whole(modelList(admission.table.table));
       }
       const call = yield* fromResult(callOf(admission, body));
-      const ending = yield* runner.run(call, reply);
+      const ending = yield* runner.run(call, reply).pipe(
+        Effect.onInterrupt(() =>
+          Effect.sync(() =>
+            this.#ended(call, { ending: this.#interruption(reply), reply })
+          )
+        ),
+      );
       this.#ended(call, { ending, reply });
     }).pipe(
       Effect.catch((problem) =>
@@ -233,17 +242,22 @@
     this.#abandon(reply);
   }
 
-  #abandon(reply: HttpReply): void {
+  /** What an interruption means: the caller has left, or the daemon stops. */
+  #interruption(reply: HttpReply): Ending {
+    if (this.#stopped) {
+      return { _tag: "Ended", problem: this.#unfinished(reply) };
+    }
+    return { _tag: "CallerLeft", reason: "closed" };
+  }
+
+  #unfinished(reply: HttpReply): Problem {
     const outcome = reply.begun ? "failed" : "unknown";
     const code = this.#stopped ? "stopped" : "internal";
-    reply.abandon(problem(code, "Cannot finish the answer", { outcome }));
+    return problem(code, "Cannot finish the answer", { outcome });
   }
 
-  #signalIdle(): void {
-    if (this.#held.size > 0) return;
-    const waiting = this.#whenIdle;
-    this.#whenIdle = [];
-    for (const resume of waiting) resume();
+  #abandon(reply: HttpReply): void {
+    reply.abandon(this.#unfinished(reply));
   }
 }
 
--- a/packages/daemon/tests/caller_connections_test.ts
+++ b/packages/daemon/tests/caller_connections_test.ts
@@ -252,6 +252,11 @@
   socket.destroy();
   await Effect.runPromise(Deferred.await(interrupted));
   await Effect.runPromise(side.requests.idle);
+  const ended = side.lines.filter((line) =>
+    line.startsWith("event=request_ended") &&
+    line.includes("outcome=caller-left reason=closed")
+  );
+  assert.equal(ended.length, 1);
 });
 
 test("a stream that is broken off ends in an error event and no last chunk", async (context) => {
