Run placement under leases in the daemon

Cause: placement had no lease, no demand and no place in the daemon. Change: each model service has a task at the two daemons that rendezvous hashing names first; the lease is of packages/coordination; calls are counted by model from arrival to end and asked for over the peer links by the holder; settings switch it off and set its interval and the lag of reports.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -14,6 +14,7 @@
 import { joinFleet } from "./fleet.ts";
 import type { Fleet } from "./fleet.ts";
 import { operatorIntakes, operatorResources } from "./operator_resources.ts";
+import { startPlacement } from "./placement.ts";
 import { DecisionHistory } from "./process/decisions.ts";
 import { Lifecycle } from "./process/lifecycle.ts";
 import type { Log } from "./process/log.ts";
@@ -23,6 +24,7 @@
 import { listenForSignals } from "./process/signals.ts";
 import type { EndSignals } from "./process/signals.ts";
 import { CallerRequests } from "./request/caller_requests.ts";
+import { CountedCallRunner } from "./request/placement_demand.ts";
 import { RequestMetrics } from "./request/request_metrics.ts";
 import { makeCallRunner } from "./routing.ts";
 
@@ -117,8 +119,12 @@
       members: countBy(fleet.node.membership.view().members, (it) => it.state),
       runners: countBy(fleet.directory.all(), (it) => it.service),
     }));
+    const placement = yield* startPlacement(fleet, { settings, log });
     const requests = new CallerRequests({
-      runner: yield* makeCallRunner(fleet, { settings, log }),
+      runner: new CountedCallRunner(
+        yield* makeCallRunner(fleet, { settings, log }),
+        placement.counter,
+      ),
       limits: settings.limits,
       log,
       observer: new RequestMetrics(metrics),
--- a/packages/daemon/src/process/placement/placement_fixtures.ts
+++ b/packages/daemon/src/process/placement/placement_fixtures.ts
@@ -4,12 +4,12 @@
  * @internal
  * @module
  */
-import type { Clock } from "@umbermast/coordination";
+import type { Clock, Tenure } from "@umbermast/coordination";
 import * as EffectClock from "effect/Clock";
 import * as Duration from "effect/Duration";
 import * as Effect from "effect/Effect";
 import type { Runner } from "../runner.ts";
-import type { Tenure } from "./placement_order.ts";
+
 import type { EngineState } from "./placement_plan.ts";
 
 const NANOS_PER_MS = 1_000_000n;
--- a/packages/daemon/src/process/placement/placement_order.ts
+++ b/packages/daemon/src/process/placement/placement_order.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { Tenure } from "@umbermast/coordination";
 import type * as Effect from "effect/Effect";
 import type { Runner } from "../runner.ts";
 
@@ -12,17 +13,6 @@
   readonly model: string;
 }
 
-/** The right to give orders, with the number that engines may check. */
-export interface Tenure {
-  /** Higher than that of every earlier holder. */
-  readonly fencing: number;
-  /**
-   * Milliseconds for which orders may still be under way, by this process's
-   * monotonic clock and with the margin taken off; 0 or less when it is over.
-   */
-  remainingMs(): number;
-}
-
 /** Lets one holder at a time give orders for a service. */
 export interface OrderLease {
   /**
--- a/packages/daemon/src/process/placement/placement_orders_http.ts
+++ b/packages/daemon/src/process/placement/placement_orders_http.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { Tenure } from "@umbermast/coordination";
 import { request } from "node:http";
 import type { ClientRequest, IncomingMessage } from "node:http";
 import { connect } from "node:net";
@@ -14,7 +15,6 @@
   EngineOrder,
   EngineOrders,
   OrderOutcome,
-  Tenure,
 } from "./placement_order.ts";
 
 const CONNECT_TIMEOUT_MS = 1_000;
--- a/packages/daemon/src/process/placement/placement_orders_http_test.ts
+++ b/packages/daemon/src/process/placement/placement_orders_http_test.ts
@@ -1,3 +1,4 @@
+import type { Tenure } from "@umbermast/coordination";
 import assert from "node:assert/strict";
 import { once } from "node:events";
 import { createServer } from "node:http";
@@ -8,7 +9,7 @@
 import type { TestContext } from "node:test";
 import * as Effect from "effect/Effect";
 import { runnerOf, tenureOf } from "./placement_fixtures.ts";
-import type { OrderOutcome, Tenure } from "./placement_order.ts";
+import type { OrderOutcome } from "./placement_order.ts";
 import { HttpEngineOrders } from "./placement_orders_http.ts";
 
 async function portOf(context: TestContext, server: Server): Promise<number> {
--- a/packages/daemon/src/process/placement/placement_task.ts
+++ b/packages/daemon/src/process/placement/placement_task.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Clock } from "@umbermast/coordination";
+import type { Clock, Tenure } from "@umbermast/coordination";
 import type { Service } from "@umbermast/table";
 import * as Effect from "effect/Effect";
 import type { Log } from "../log.ts";
@@ -11,7 +11,7 @@
 import type { DemandReader } from "./placement_demand.ts";
 import { PlacementMemory } from "./placement_memory.ts";
 import { LONGEST_SEND_MS } from "./placement_order.ts";
-import type { EngineOrders, OrderLease, Tenure } from "./placement_order.ts";
+import type { EngineOrders, OrderLease } from "./placement_order.ts";
 import { planPlacement } from "./placement_plan.ts";
 import type { EngineState, PlacementDecision } from "./placement_plan.ts";
 import type { EngineReports } from "./placement_reports.ts";
@@ -86,19 +86,26 @@
       log.event("placement_lease_held", { service, fencing });
       yield* Effect.sleep(LONGEST_SEND_MS + reportLagMs);
       while (tenure.remainingMs() > 0) {
-        const superseded = yield* this.#round(term);
-        if (superseded) break;
+        const last = yield* this.#round(term);
+        if (last) break;
         yield* Effect.sleep(intervalMs ?? DEFAULT_INTERVAL_MS);
       }
-      log.event("placement_lease_ended", { service, fencing });
-    });
+    }).pipe(
+      // The lease interrupts this effect when it is lost.
+      Effect.ensuring(
+        Effect.sync(() =>
+          log.event("placement_lease_ended", { service, fencing })
+        ),
+      ),
+    );
   }
 
-  /** One round; true when an engine has seen a newer holder. */
+  /** One round; true when it must be the last. */
   #round(term: Term): Effect.Effect<boolean> {
     return Effect.gen({ self: this }, function* () {
       const definition = this.#parts.definition();
-      if (definition?.kind !== "model") return false;
+      // The service has left the table: give the lease up.
+      if (definition?.kind !== "model") return true;
       const engines = yield* this.#engines(term);
       const wanted = yield* this.#wanted(term, { definition, engines });
       for (const decision of planPlacement(wanted, engines)) {
--- a/packages/daemon/src/process/placement/placement_task_test.ts
+++ b/packages/daemon/src/process/placement/placement_task_test.ts
@@ -1,3 +1,4 @@
+import type { Tenure } from "@umbermast/coordination";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import * as Effect from "effect/Effect";
@@ -10,7 +11,6 @@
   EngineOrders,
   OrderLease,
   OrderOutcome,
-  Tenure,
 } from "./placement_order.ts";
 import type { EngineReports } from "./placement_reports.ts";
 import { PlacementTask } from "./placement_task.ts";
--- a/packages/daemon/src/process/settings.ts
+++ b/packages/daemon/src/process/settings.ts
@@ -13,6 +13,7 @@
 import {
   ATTEMPT_LIMITS,
   CALLER_LIMITS,
+  PLACEMENT,
   RETRY_LIMITS,
   SCHEDULING,
   SHUTDOWN,
@@ -81,6 +82,9 @@
   retries: Schema.Struct(RETRY_LIMITS).pipe(
     Schema.withDecodingDefaultKey(NO_SETTINGS),
   ),
+  placement: Schema.Struct(PLACEMENT).pipe(
+    Schema.withDecodingDefaultKey(NO_SETTINGS),
+  ),
   shutdown: Schema.Struct(SHUTDOWN).pipe(
     Schema.withDecodingDefaultKey(NO_SETTINGS),
   ),
--- a/packages/daemon/src/process/settings_limits.ts
+++ b/packages/daemon/src/process/settings_limits.ts
@@ -154,3 +154,20 @@
     default: 300_000,
   }),
 } as const;
+
+/** Orders to engines. */
+export const PLACEMENT = {
+  enabled: setting.flag(
+    "Whether this daemon may give engines orders to load and unload models. Off, it leaves that to the others.",
+  ),
+  intervalMs: setting.integer(100, HOUR_MS, {
+    text:
+      "Time between two looks at demand and engines, in milliseconds. Shorter follows demand sooner and asks every engine more often.",
+    default: 10_000,
+  }),
+  reportLagMs: setting.integer(0, HOUR_MS, {
+    text:
+      "Longest time until an engine's load report shows an order, the loading of a model included, in milliseconds. Too short a time orders twice; a new holder of the lease waits it out.",
+    default: 30_000,
+  }),
+} as const;
