--- a/packages/bench/src/edit.ts
+++ b/packages/bench/src/edit.ts
@@ -39,6 +39,11 @@
   options: [
     { name: "daemons", summary: "daemons to start", fallback: 9 },
     { name: "edits", summary: "edits in each scenario", fallback: 200 },
+    {
+      name: "withoutOffers",
+      summary: "daemons learn of edits from the store and peers alone",
+      fallback: false,
+    },
     { name: "seed", summary: "seed of the operators' choices", fallback: 1 },
     {
       name: "scenarios",
@@ -150,6 +155,7 @@
       store: stores[at] as HttpStore,
       operators: new HttpOperators(stack.operatorToken),
       urls: () => watch.urls(),
+      offers: !settings.flag("withoutOffers"),
       random: seededRandom(`edit-${seed}-${name}`),
       edits: Math.ceil(settings.number("edits") / OPERATORS.length),
       thinkMs: THINK_MS,
--- a/packages/bench/src/edit_operator.ts
+++ b/packages/bench/src/edit_operator.ts
@@ -32,6 +32,8 @@
   readonly urls: () => readonly string[];
   /** Draws a number from 0 up to 1. */
   readonly random: () => number;
+  /** Whether accepted versions are offered to the daemons. */
+  readonly offers: boolean;
   /** Edits to make. */
   readonly edits: number;
   /** Longest time between reading the table and sending the edit. */
@@ -84,7 +86,7 @@
 }
 
 function accepted(
-  { operators, urls }: OperatorDesk,
+  { operators, urls, offers }: OperatorDesk,
   editId: string,
   outcome: Accepted | Unchanged | Closed,
 ): Effect.Effect<EditRecord> {
@@ -93,7 +95,8 @@
   }
   const acceptedAt = performance.now();
   const { version } = outcome;
-  return Effect.as(offerVersion(operators, urls(), outcome), {
+  const takers = offers ? urls() : [];
+  return Effect.as(offerVersion(operators, takers, outcome), {
     editId,
     fate: "accepted",
     acceptedAt,
--- a/scripts/docs_commands.mjs
+++ b/scripts/docs_commands.mjs
@@ -58,4 +58,18 @@
       "metro",
     ],
   },
+  ...[
+    { shown: "table get", text: '"table get"' },
+    { shown: "table set", text: "table set quote office weight=3" },
+    { shown: "table edit", text: "table edit --row office/quote:weight=3" },
+    { shown: "table export", text: '"table", "export"' },
+    { shown: "table import", text: '"table", "import"' },
+    { shown: "table history", text: '"table history"' },
+    { shown: "table rollback", text: "table rollback first --yes" },
+    { shown: "table resolve", text: '"table", "resolve"' },
+  ].map(({ shown, text }) => ({
+    pattern: new RegExp(`^umbermastctl ${shown}( |$)`),
+    test: "packages/cli/src/request/table_commands_test.ts",
+    text,
+  })),
 ];
