--- /dev/null
+++ b/packages/daemon/src/version/table_feed_test.ts
@@ -0,0 +1,126 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { storedTable } from "@umbermast/table";
+import type { Table } from "@umbermast/table";
+import type { Log } from "../process/log.ts";
+import { SourcedTableFeed } from "./table_feed.ts";
+import type { VersionedValue, VersionSource } from "./table_feed.ts";
+
+const DIGEST = "a".repeat(64);
+
+function tableOf(weight: number): Table {
+  return {
+    classes: [{
+      name: "quote",
+      tier: 0,
+      target: {},
+      timeoutMs: 1,
+      minimumShare: 0,
+    }],
+    workspaces: [{
+      name: "office",
+      keyDigests: [DIGEST],
+      defaultClass: "quote",
+    }],
+    rows: [{ workspace: "office", class: "quote", weight }],
+    services: [{
+      name: "pool",
+      kind: "model",
+      models: ["m"],
+      checksFencing: false,
+      slotsPerRunner: 1,
+    }],
+  };
+}
+
+/** A source that gives what the test puts in, in any order. */
+class FakeSource implements VersionSource {
+  readonly #listeners = new Set<(value: VersionedValue) => void>();
+  #current: VersionedValue | undefined;
+
+  put(version: number, value: unknown): void {
+    this.#current = { version, value };
+    for (const listener of this.#listeners) listener(this.#current);
+  }
+
+  putWeight(version: number, weight: number): void {
+    const note = { editId: `e${version}`, editor: "ana", at: 0 };
+    this.put(version, storedTable(tableOf(weight), note));
+  }
+
+  current(): VersionedValue | undefined {
+    return this.#current;
+  }
+
+  subscribe(listener: (value: VersionedValue) => void): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+}
+
+function feedOf(source: VersionSource) {
+  const warnings: string[] = [];
+  const log: Log = {
+    event: () => {},
+    decision: () => {},
+    warning: (code, { first }) => warnings.push(`${code} ${first}`),
+  };
+  return { feed: new SourcedTableFeed(source, log), warnings };
+}
+
+test("a version known before the feed is in force at once", () => {
+  const source = new FakeSource();
+  source.putWeight(3, 1);
+  assert.equal(feedOf(source).feed.current()?.version, 3);
+});
+
+test("requests find workspace, class, row and service", () => {
+  const source = new FakeSource();
+  source.putWeight(1, 5);
+  const current = feedOf(source).feed.current();
+  assert.equal(current?.workspacesByKeyDigest.get(DIGEST)?.name, "office");
+  assert.equal(current?.workspacesByName.get("office")?.defaultClass, "quote");
+  assert.equal(current?.classesByName.get("quote")?.tier, 0);
+  assert.equal(current?.servicesByName.get("pool")?.kind, "model");
+  assert.equal(current?.servicesByModel.get("m")?.name, "pool");
+  assert.equal(current?.row("office", "quote")?.weight, 5);
+  assert.equal(current?.row("office", "other"), undefined);
+});
+
+// A peer that was cut off comes back with an older copy, or a message is late.
+// Putting it in force would undo an edit that its operator was told is accepted.
+test("a lower version and the same one again change nothing", () => {
+  const source = new FakeSource();
+  const { feed } = feedOf(source);
+  const seen: number[] = [];
+  feed.subscribe(({ version }) => seen.push(version));
+  source.putWeight(5, 1);
+  source.putWeight(4, 2);
+  source.putWeight(5, 3);
+  source.putWeight(6, 4);
+  assert.deepEqual(seen, [5, 6]);
+  assert.equal(feed.current()?.row("office", "quote")?.weight, 4);
+});
+
+test("an invalid table is refused with a warning, the next valid one is not", () => {
+  const source = new FakeSource();
+  const { feed, warnings } = feedOf(source);
+  source.putWeight(1, 1);
+  source.put(2, { table: { ...tableOf(1), rows: "none" } });
+  assert.equal(feed.current()?.version, 1);
+  assert.equal(warnings.length, 1);
+  assert.match(warnings[0] ?? "", /^table_invalid \/table\/rows: /);
+  source.putWeight(3, 2);
+  assert.equal(feed.current()?.version, 3);
+});
+
+test("a subscription ends", () => {
+  const source = new FakeSource();
+  const { feed } = feedOf(source);
+  const seen: number[] = [];
+  const end = feed.subscribe(({ version }) => seen.push(version));
+  source.putWeight(1, 1);
+  end();
+  source.putWeight(2, 1);
+  assert.deepEqual(seen, [1]);
+});
--- a/packages/table/src/mod.ts
+++ b/packages/table/src/mod.ts
@@ -54,5 +54,5 @@
 export { newEditId } from "./edit_id.ts";
 export type { Closed } from "./resolve.ts";
 export { resolveEdit } from "./resolve.ts";
-export type { EditNotFound } from "./rollback.ts";
-export { tableAt } from "./rollback.ts";
+export type { EditNotFound } from "./table_at.ts";
+export { tableAt } from "./table_at.ts";
