Test a start with neither store nor peer

Cause: nothing showed that a daemon which knows no table waits and says so. Change: a test with real processes kills the only daemon, takes the store down, and looks at /readyz of the next one until the store is back. Conclusion: it answers 503 with table_unread and takes the table when it can.

--- a/packages/testing/tests/table_in_force_test.ts
+++ b/packages/testing/tests/table_in_force_test.ts
@@ -1,5 +1,8 @@
 import assert from "node:assert/strict";
+import { readdirSync, readFileSync } from "node:fs";
+import { join } from "node:path";
 import { describe, it } from "node:test";
+import { fetchJson } from "../src/mod.ts";
 import { deploy, LIMIT } from "./fixtures.ts";
 import { inForceAt, setWeight, versionAt } from "./table_fixtures.ts";
 
@@ -14,6 +17,24 @@
 const CUT = { fault: "cut", seconds: FOR_GOOD_SECONDS } as const;
 const DOWN = { fault: "down", part: "objects", seconds: FOR_GOOD_SECONDS };
 
+/** Operators' URL of a daemon whose log has come since, as it says itself. */
+async function startedAt(
+  logs: string,
+  before: readonly string[],
+): Promise<string> {
+  for (;;) {
+    const fresh = readdirSync(logs).filter((name) =>
+      name.endsWith(".log") && !before.includes(name)
+    );
+    for (const name of fresh) {
+      const text = readFileSync(join(logs, name), "utf8");
+      const place = / operators=([\d.]+:\d+)/.exec(text)?.[1];
+      if (place !== undefined) return `http://${place}`;
+    }
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
 describe("an accepted edit", LIMIT, () => {
   it("is in force at every live daemon when --wait returns", async (t) => {
     const { stack } = await deploy(t, FLEET);
@@ -54,6 +75,26 @@
     assert.ok(await versionAt(stack, started) >= version);
   });
 
+  // The store is down and no peer is there to ask. A daemon that served by no
+  // table would refuse every caller as unknown; it says what it waits for.
+  it("is waited for by a daemon that starts with neither store nor peer", async (t) => {
+    const { stack, daemon } = await deploy(t, { ...FLEET, daemons: 1 });
+    const version = await setWeight(stack, 7);
+    await stack.control(stack.platform.url, DOWN);
+    daemon(0).child.kill("SIGKILL");
+    const before = readdirSync(stack.logs);
+    const starting = stack.startDaemon(daemon(0).name);
+    const operatorUrl = await startedAt(stack.logs, before);
+    const headers = { authorization: `Bearer ${stack.operatorToken}` };
+    const { status, body } = await fetchJson(`${operatorUrl}/readyz`, {
+      headers,
+    });
+    assert.equal(status, 503);
+    assert.match(JSON.stringify(body), /table_unread/);
+    await stack.control(stack.platform.url, { fault: "none" });
+    await inForceAt(stack, await starting, version);
+  });
+
   // A daemon is paused over two edits and wakes with an old copy, while the
   // store is down. It must catch up from its peers, and they must not take its
   // older copy for news.
