--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -11,9 +11,9 @@
 import { daemons, runners, status, why } from "./request/fleet.ts";
 import type { CommandFailure, Report } from "./request/report.ts";
 import { tableExport, tableGet, tableHistory } from "./request/table_read.ts";
+import { tableImport } from "./request/table_import.ts";
 import {
   tableEdit,
-  tableImport,
   tableResolve,
   tableRollback,
   tableSet,
--- a/packages/cli/src/request/edit.ts
+++ b/packages/cli/src/request/edit.ts
@@ -84,7 +84,8 @@
   });
 }
 
-function confirm(
+/** Shows the difference and asks, unless the flags say not to. */
+export function confirm(
   context: Context,
   lines: readonly string[],
   flags: EditFlags,
@@ -119,7 +120,8 @@
   };
 }
 
-function dryRun(
+/** What would change, when nothing is to be changed. */
+export function dryRun(
   changes: readonly Change[],
   lines: readonly string[],
 ): Report {
--- a/packages/cli/src/request/failures.ts
+++ b/packages/cli/src/request/failures.ts
@@ -10,6 +10,8 @@
   Finding,
   TableExists,
 } from "@umbermast/table";
+import * as Effect from "effect/Effect";
+import type { Result } from "neverthrow";
 import { EXIT_CODE } from "../process/exit_codes.ts";
 import { escapeText } from "../process/text.ts";
 import { conflictLines } from "./change_text.ts";
@@ -87,6 +89,16 @@
   }
 }
 
+/** The value, or what is wrong with the operator's input. */
+export function orInputFailure<A>(
+  result: Result<A, readonly Finding[]>,
+  what: string,
+): Effect.Effect<A, CommandFailure> {
+  return result.isOk() ? Effect.succeed(result.value) : Effect.fail(
+    inputFailure(`Cannot accept ${escapeText(what)}`, result.error),
+  );
+}
+
 /** Findings of input that the operator gave. */
 export function inputFailure(
   message: string,
--- a/packages/cli/src/request/table_commands_test.ts
+++ b/packages/cli/src/request/table_commands_test.ts
@@ -223,6 +223,8 @@
   const missing = await run("table get", { store });
   assert.match(missing.error, /table_missing/);
   const input = JSON.stringify(tableOf());
+  const blind = await run("table import -", { store }, { input });
+  assert.match(blind.error, /confirmation_missing/);
   const { exit } = await run("table import - --yes", { store }, { input });
   assert.equal(exit, 0);
   assert.match((await run("table get", { store })).out, /office/);
--- a/packages/cli/src/request/table_write.ts
+++ b/packages/cli/src/request/table_write.ts
@@ -1,17 +1,13 @@
 /**
- * Commands that edit the table: set, edit, import, rollback, resolve.
+ * Commands that edit the table: set, edit, rollback, resolve.
  *
  * @module
  */
-import { readFileSync } from "node:fs";
-import type { Store } from "@umbermast/coordination";
 import {
-  createTable,
   diffTables,
   importRows,
   newEditId,
   parseTable,
-  readTable,
   resolveEdit,
   tableAt,
 } from "@umbermast/table";
@@ -25,10 +21,7 @@
 import type { Context } from "./context.ts";
 import { runEdit } from "./edit.ts";
 import type { EditFlags } from "./edit.ts";
-import { inputFailure, storeFailure } from "./failures.ts";
-import { parseImport } from "./import_file.ts";
-import type { ImportFile } from "./import_file.ts";
-import { offerVersion } from "./offer.ts";
+import { orInputFailure, storeFailure } from "./failures.ts";
 import { failure } from "./report.ts";
 import type { CommandFailure, Report } from "./report.ts";
 import { parseRowSetting, withoutRow, withRowSet } from "./row_fields.ts";
@@ -83,43 +76,6 @@
   });
 }
 
-/** `table import`: rows from CSV, or the whole table from JSON. */
-export function tableImport(
-  context: Context,
-  options: { readonly file: string; readonly base?: string },
-  flags: EditFlags,
-): Effect.Effect<Report, CommandFailure> {
-  return Effect.gen(function* () {
-    const store = yield* storeOf(context);
-    const text = yield* readInput(context, options.file);
-    const read = yield* Effect.mapError(
-      readTable(store),
-      (error) => storeFailure(error),
-    );
-    const source = parseImport(text, options.file);
-    if (source.isErr()) {
-      return yield* Effect.fail(
-        inputFailure(`Cannot read "${escapeText(options.file)}"`, source.error),
-      );
-    }
-    const file = source.value;
-    if (read === undefined) return yield* importFirst(context, store, file);
-    const baseId = options.base ?? file.editId;
-    // Changes are worked out against what the file was made from, so that
-    // edits accepted since then stand, or conflict, instead of being undone.
-    const base = baseId === undefined || baseId === read.stored.editId
-      ? read.stored.table
-      : yield* Effect.mapError(
-        tableAt(store, { read, editId: baseId }),
-        (error) => storeFailure(error),
-      );
-    const wanted = yield* orInputFailure(file.apply(base), options.file);
-    const changes = diffTables(base, wanted);
-    const note = `import ${options.file}`;
-    return yield* runEdit(context, { store, read, changes, note }, flags);
-  });
-}
-
 /** `table rollback`: the table as it stood right after an edit. */
 export function tableRollback(
   context: Context,
@@ -187,33 +143,6 @@
   });
 }
 
-function importFirst(
-  context: Context,
-  store: Store,
-  file: ImportFile,
-): Effect.Effect<Report, CommandFailure> {
-  return Effect.gen(function* () {
-    const empty = { classes: [], workspaces: [], rows: [], services: [] };
-    const table = yield* orInputFailure(file.apply(empty), "the first table");
-    const note = {
-      editId: newEditId(0),
-      editor: context.settings.editor,
-      at: Date.now(),
-    };
-    const accepted = yield* Effect.mapError(
-      createTable(store, { table, note }),
-      (error) => storeFailure(error, note.editId),
-    );
-    const { version, entry } = accepted;
-    const { operatorUrls } = context.settings;
-    yield* offerVersion(context.operators, operatorUrls, accepted);
-    return {
-      text: `Wrote the first table as ${entry.editId} at version ${version}`,
-      json: { accepted: true, editId: entry.editId, version, changes: [] },
-    };
-  });
-}
-
 function applyAll(
   start: Result<Table, readonly Finding[]>,
   steps: readonly ((table: Table) => Result<Table, readonly Finding[]>)[],
@@ -228,29 +157,3 @@
   }
   return findings.length === 0 ? ok(table) : err(findings);
 }
-
-function orInputFailure<A>(
-  result: Result<A, readonly Finding[]>,
-  what: string,
-): Effect.Effect<A, CommandFailure> {
-  return result.isOk() ? Effect.succeed(result.value) : Effect.fail(
-    inputFailure(`Cannot accept ${escapeText(what)}`, result.error),
-  );
-}
-
-function readInput(
-  context: Context,
-  file: string,
-): Effect.Effect<string, CommandFailure> {
-  if (file === "-") return Effect.promise(() => context.io.input());
-  return Effect.try({
-    try: () => readFileSync(file, "utf8"),
-    catch: (error) =>
-      failure(EXIT_CODE.usage, {
-        code: "file_not_read",
-        message: `Cannot read "${escapeText(file)}": ${
-          error instanceof Error ? error.message : String(error)
-        }`,
-      }),
-  });
-}
