--- a/packages/cli/src/request/edit.ts
+++ b/packages/cli/src/request/edit.ts
@@ -10,6 +10,7 @@
 import { EXIT_CODE } from "../process/exit_codes.ts";
 import { escapeText } from "../process/text.ts";
 import { changeLines } from "./change_text.ts";
+import { operatorUrlsOf } from "./context.ts";
 import type { Context } from "./context.ts";
 import { storeFailure } from "./failures.ts";
 import { offerVersion } from "./offer.ts";
@@ -55,6 +56,8 @@
 ): Effect.Effect<Report, CommandFailure> {
   return Effect.gen(function* () {
     const { store, read } = request;
+    // Without a daemon to ask, "in force everywhere" would be said of none.
+    if (flags.wait === true) yield* operatorUrlsOf(context);
     const merged = mergeChanges(read.stored.table, request.changes);
     if (merged.isErr()) return yield* Effect.fail(storeFailure(merged.error));
     const { changes } = merged.value;
