Bound an edit that meets another one each time

Cause: conflicts were retried without an end; a store that always answers with a conflict would hold the tool for good. Change: conflicts count against the same time as outages. Conclusion: an edit ends within its time whatever the store answers.

--- a/packages/cli/src/request/failures.ts
+++ b/packages/cli/src/request/failures.ts
@@ -45,7 +45,7 @@
     case "Unavailable":
       return failure(EXIT_CODE.unreachable, {
         code: "platform_unreachable",
-        message: `Cannot reach the platform: ${
+        message: `Cannot use the platform: ${
           escapeText(error.reason)
         }. Nothing was changed`,
       });
--- a/packages/table/src/commit.ts
+++ b/packages/table/src/commit.ts
@@ -128,18 +128,17 @@
       if (failure._tag === "Refused") {
         return yield* Effect.fail(failure.error);
       }
-      if (failure._tag === "Conflict") {
-        yield* Effect.sleep(yield* Random.nextBetween(0, CONFLICT_PAUSE_MS));
-        continue;
-      }
-      mayBeWritten ||= failure.mayHaveWritten;
-      const waitMs = Math.max(pauseMs, failure.retryAfterMs ?? 0);
-      const now = yield* monotonicMs;
-      if (now + waitMs > giveUpAt) {
-        return yield* Effect.fail(givenUp(failure.reason, mayBeWritten));
+      const conflict = failure._tag === "Conflict";
+      if (!conflict) mayBeWritten ||= failure.mayHaveWritten;
+      const waitMs = conflict
+        ? yield* Random.nextBetween(0, CONFLICT_PAUSE_MS)
+        : Math.max(pauseMs, failure.retryAfterMs ?? 0);
+      if ((yield* monotonicMs) + waitMs > giveUpAt) {
+        const reason = conflict ? "Others edit all the time" : failure.reason;
+        return yield* Effect.fail(givenUp(reason, mayBeWritten));
       }
       yield* Effect.sleep(waitMs);
-      pauseMs = Math.min(pauseMs * 2, LONGEST_PAUSE_MS);
+      if (!conflict) pauseMs = Math.min(pauseMs * 2, LONGEST_PAUSE_MS);
     }
   });
 }
--- a/packages/table/src/edit_test.ts
+++ b/packages/table/src/edit_test.ts
@@ -1,3 +1,4 @@
+import type { Store } from "@umbermast/coordination";
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import * as Effect from "effect/Effect";
@@ -173,3 +174,17 @@
   }));
   assert.equal(failure._tag, "TooLarge");
 });
+
+test("an edit that meets another one each time gives up", async () => {
+  const store = await storeWithTable();
+  const edit = await editOf(store, rowOf({ weight: 5 }));
+  const conflicting: Store = {
+    read: (kind, name) => store.read(kind, name),
+    list: (kind) => store.list(kind),
+    watch: (kind, options) => store.watch(kind, options),
+    remove: (object, options) => store.remove(object, options),
+    write: () => Effect.fail({ _tag: "Conflict", version: 99 } as const),
+  };
+  const failure = await failureOf(applyEdit(conflicting, edit));
+  assert.equal(failure._tag, "NotAccepted");
+});
