--- a/packages/coordination/src/process/claims.ts
+++ b/packages/coordination/src/process/claims.ts
@@ -63,7 +63,10 @@
 export interface ClaimUnavailable {
   readonly _tag: "ClaimUnavailable";
   readonly reason: "store" | "full";
+  /** For callers; the same for the same reason. */
   readonly message: string;
+  /** For operators: what failed last. */
+  readonly detail?: string;
   readonly retryAfterMs: number;
 }
 
--- a/packages/coordination/src/process/claims_in_store.ts
+++ b/packages/coordination/src/process/claims_in_store.ts
@@ -167,7 +167,7 @@
         return Effect.fail({
           _tag: "ClaimUnavailable",
           reason: "full",
-          message: "Cannot claim: the partition of the key is full",
+          message: "Cannot claim the key: its partition is full",
           retryAfterMs: RETRY_WHEN_FULL_MS,
         });
       default:
@@ -228,7 +228,9 @@
     const failure: ClaimUnavailable = {
       _tag: "ClaimUnavailable",
       reason: "store",
-      message: `Cannot claim: ${undecided.reason}`,
+      message:
+        "Cannot claim the key: the store can't be reached or is too slow",
+      detail: undecided.reason,
       retryAfterMs: undecided.retryAfterMs ?? RETRY_AFTER_MS,
     };
     // During an outage of the store most claims were never written; taking them
