Keep the heads of claims small

Cause: Each write carries the whole head, up to 48 KiB, so that a partition's server sent far more than its budget of bytes. Change: Heads are sealed at 8 KiB while segments are few, growing to the bound with the segments, and after eight batches at the earliest. Answers are kept until half of the segments are used.

--- a/packages/coordination/src/process/claim_ledger.ts
+++ b/packages/coordination/src/process/claim_ledger.ts
@@ -9,11 +9,18 @@
 import type { ClaimHead, ClaimRecord } from "./claim_record.ts";
 
 /** Part of its segments beyond which a partition keeps no more answers. */
-const CROWDED_PART = 0.25;
+const CROWDED_PART = 0.5;
+/** Bytes of a small segment's records; a partition with few segments has these. */
+const SMALL_SEGMENT_BYTES = 8_192;
+/** Segments at which a new one has twice the size of a small one. */
+const DOUBLING_SEGMENTS = 512;
+/** Writes that a head takes before it is sealed, at the least. */
+const WRITES_PER_SEAL = 8;
+const TYPICAL_RECORD_BYTES = 100;
 
 /** Bounds of a partition's objects. */
 export interface ClaimLimits {
-  /** A head whose records take more bytes is sealed by the next write. */
+  /** Most bytes of a head's records; more are sealed by the next write. */
   readonly sealBytes: number;
   /** Bytes of kept answers in a head; an answer beyond them is not kept. */
   readonly answerBytes: number;
@@ -108,7 +115,10 @@
     const dropped = this.#expired(options);
     const kept = this.#segments.slice(dropped.length);
     const records = [...this.#head.values()];
-    const seals = sum(records.map(storedBytes)) >= limits.sealBytes;
+    const seals = sum(records.map(storedBytes)) >= sealThreshold(limits, {
+      segments: kept.length,
+      requests: requests.length,
+    });
     if (seals && kept.length >= limits.maxSegments) {
       return this.#composeFull(requests);
     }
@@ -175,6 +185,21 @@
   }
 }
 
+/**
+ * Bytes at which a head is sealed. Each write carries the whole head and the
+ * names of all segments, so heads are small while segments are few. A seal is a
+ * write, too, so a head takes several batches.
+ */
+function sealThreshold(
+  limits: ClaimLimits,
+  load: { readonly segments: number; readonly requests: number },
+): number {
+  const bySegments = SMALL_SEGMENT_BYTES *
+    (1 + load.segments / DOUBLING_SEGMENTS);
+  const byBatch = WRITES_PER_SEAL * TYPICAL_RECORD_BYTES * load.requests;
+  return Math.min(limits.sealBytes, Math.max(bySegments, byBatch));
+}
+
 /** A claim matters more than its answer, so an answer without room goes. */
 function fitted(record: ClaimRecord, answerRoom: number): ClaimRecord {
   if (answersIn([record]) <= answerRoom) return record;
