--- a/packages/bench/src/slopes_process.ts
+++ b/packages/bench/src/slopes_process.ts
@@ -63,6 +63,9 @@
 
   /** Has the part carry out a command. */
   call(command: unknown): Promise<unknown> {
+    if (!this.#child.connected) {
+      return Promise.reject(new Error("Cannot call a process that has ended"));
+    }
     const id = this.#nextId++;
     const answer = this.#answer(id);
     this.#child.send({ id, command } satisfies ParentMessage);
