Add the rig of entry and broker

Cause: the scheduler has landed and its slopes can be measured. Change: bench slopes measures an entry in asks and brokers used, a broker in asks, entries, grants and runners.

--- a/packages/bench/src/slopes.ts
+++ b/packages/bench/src/slopes.ts
@@ -21,10 +21,12 @@
 import { ENTRY_RIG } from "./slopes_rig_entry.ts";
 import { MEMBER_RIG } from "./slopes_rig_member.ts";
 import { PUBLISHED_RIG } from "./slopes_rig_published.ts";
+import { SCHEDULER_RIG } from "./slopes_rig_scheduler.ts";
 import { SHARES_RIG } from "./slopes_rig_shares.ts";
 
 const RIGS: readonly Rig[] = [
   ENTRY_RIG,
+  SCHEDULER_RIG,
   CLAIMS_RIG,
   PUBLISHED_RIG,
   SHARES_RIG,
--- /dev/null
+++ b/packages/bench/src/slopes_rig_scheduler.ts
@@ -0,0 +1,248 @@
+/**
+ * Slopes of entry and broker: in asks, in each other's number, in grants held
+ * and in runners.
+ *
+ * @module
+ */
+import {
+  pause,
+  type RigProcess,
+  sampleProcess,
+  withProcesses,
+} from "./slopes_process.ts";
+import type { Sample } from "./slopes_result.ts";
+import {
+  type Measured,
+  measured,
+  type Rig,
+  type RigOptions,
+} from "./slopes_rig.ts";
+import {
+  checkGrants,
+  command,
+  findBroker,
+  startRunners,
+  startSchedulers,
+  toAll,
+} from "./slopes_scheduler_fleet.ts";
+
+const ENTRIES = 4;
+const ASK_RATES = [0, 20, 40, 100, 200];
+const ENTRY_RATES = [0, 10, 20, 40, 80];
+const RUNNER_COUNTS = [1, 16, 64, 128, 256];
+const GRANT_COUNTS = [0, 500, 1_000, 2_000, 4_000];
+const PAIR_COUNTS = [0, 10, 20, 40];
+const SLOTS_OF_PAIR = 5;
+const RUNNERS = 16;
+const HOLD_MS = 500;
+const SETTLE_MS = 3_000;
+
+/** Names of lone members, then of a crowd that shares a process. */
+function groups(lone: number, crowd: number): readonly (readonly string[])[] {
+  const names = (count: number, prefix: string) =>
+    Array.from({ length: count }, (_, i) => `${prefix}-${i}`);
+  const alone = names(lone, "daemon").map((name) => [name]);
+  return crowd === 0 ? alone : [...alone, names(crowd, "crowd")];
+}
+
+/** The broker is measured; the asks come from the other daemons. */
+async function brokerSamples(
+  fleet: Awaited<ReturnType<typeof findBroker>>,
+  options: RigOptions,
+): Promise<readonly Sample[]> {
+  const { broker, entries } = fleet;
+  const { seconds } = options;
+  const samples: Sample[] = [];
+  for (const rate of ASK_RATES) {
+    const asksPerSecond = rate / entries.length;
+    await toAll(entries, { type: "load", asksPerSecond, holdMs: HOLD_MS });
+    await pause(SETTLE_MS);
+    samples.push(await sampleProcess(broker, { x: rate, seconds }));
+  }
+  await toAll(entries, { type: "load", asksPerSecond: 0, holdMs: HOLD_MS });
+  return samples;
+}
+
+/** One daemon that does not broker is measured, and asks alone. */
+async function entrySamples(
+  entry: RigProcess,
+  options: RigOptions,
+): Promise<readonly Sample[]> {
+  const { seconds } = options;
+  const samples: Sample[] = [];
+  for (const asksPerSecond of ENTRY_RATES) {
+    await command(entry, { type: "load", asksPerSecond, holdMs: HOLD_MS });
+    await pause(SETTLE_MS);
+    samples.push(await sampleProcess(entry, { x: asksPerSecond, seconds }));
+  }
+  await command(entry, { type: "load", asksPerSecond: 0, holdMs: HOLD_MS });
+  return samples;
+}
+
+/** Grants are kept, so that only what is held grows. */
+async function grantSamples(
+  fleet: Awaited<ReturnType<typeof findBroker>>,
+  options: RigOptions,
+): Promise<readonly Sample[]> {
+  const { broker, entries } = fleet;
+  const { seconds } = options;
+  const samples: Sample[] = [];
+  let held = 0;
+  for (const count of GRANT_COUNTS) {
+    const slots = Math.round((count - held) / entries.length);
+    await toAll(entries, { type: "hold", slots, services: 1 });
+    held = count;
+    await pause(SETTLE_MS);
+    samples.push(await sampleProcess(broker, { x: count, seconds }));
+  }
+  return samples;
+}
+
+async function askSamples(options: RigOptions) {
+  return await withProcesses(async (start) => {
+    const ports = await startRunners(start, RUNNERS);
+    const all = await startSchedulers(start, {
+      groups: groups(ENTRIES + 1, 0),
+      ports,
+      services: 1,
+    });
+    const fleet = await findBroker(all);
+    const broker = await brokerSamples(fleet, options);
+    const [first] = fleet.entries;
+    if (first === undefined) throw new Error("Cannot measure without an entry");
+    const entry = await entrySamples(first, options);
+    const grants = await grantSamples(fleet, options);
+    await checkGrants(all);
+    return { broker, entry, grants };
+  });
+}
+
+/** A lone daemon brokers for itself and watches more and more runners. */
+async function runnerSamples(options: RigOptions): Promise<readonly Sample[]> {
+  const { seconds } = options;
+  return await withProcesses(async (start) => {
+    const ports = await startRunners(start, Math.max(...RUNNER_COUNTS));
+    const [daemon] = await startSchedulers(start, {
+      groups: groups(1, 0),
+      ports: ports.slice(0, 1),
+      services: 1,
+    });
+    if (daemon === undefined) throw new Error("Cannot start a daemon");
+    await command(daemon, { type: "hold", slots: 1, services: 1 });
+    const samples: Sample[] = [];
+    for (const count of RUNNER_COUNTS) {
+      await command(daemon, { type: "runners", ports: ports.slice(0, count) });
+      await pause(SETTLE_MS);
+      samples.push(await sampleProcess(daemon, { x: count, seconds }));
+    }
+    return samples;
+  });
+}
+
+/** More and more entries hold a few slots each at one broker. */
+async function brokerEntrySamples(
+  options: RigOptions,
+): Promise<readonly Sample[]> {
+  const { seconds } = options;
+  return await withProcesses(async (start) => {
+    const ports = await startRunners(start, 1);
+    const most = Math.max(...PAIR_COUNTS);
+    const all = await startSchedulers(start, {
+      groups: groups(ENTRIES + 1, most),
+      ports,
+      services: 1,
+    });
+    const crowd = all.at(-1);
+    if (crowd === undefined) throw new Error("Cannot start a crowd");
+    const { broker } = await findBroker(all.slice(0, -1));
+    const samples: Sample[] = [];
+    for (const members of PAIR_COUNTS) {
+      const slots = SLOTS_OF_PAIR;
+      await command(crowd, { type: "hold", slots, services: 1, members });
+      await pause(SETTLE_MS);
+      samples.push(await sampleProcess(broker, { x: members, seconds }));
+    }
+    return samples;
+  });
+}
+
+/** One entry holds a few slots at more and more services' brokers. */
+async function entryBrokerSamples(
+  options: RigOptions,
+): Promise<readonly Sample[]> {
+  const { seconds } = options;
+  return await withProcesses(async (start) => {
+    const ports = await startRunners(start, 1);
+    const most = Math.max(...PAIR_COUNTS);
+    const [entry] = await startSchedulers(start, {
+      groups: groups(1, 2 * most),
+      ports,
+      services: most,
+    });
+    if (entry === undefined) throw new Error("Cannot start an entry");
+    const samples: Sample[] = [];
+    for (const services of PAIR_COUNTS) {
+      await command(entry, { type: "hold", slots: SLOTS_OF_PAIR, services });
+      await pause(SETTLE_MS);
+      samples.push(await sampleProcess(entry, { x: services, seconds }));
+    }
+    return samples;
+  });
+}
+
+async function run(options: RigOptions): Promise<readonly Measured[]> {
+  const { broker, entry, grants } = await askSamples(options);
+  const runners = await runnerSamples(options);
+  const brokerEntries = await brokerEntrySamples(options);
+  const entryBrokers = await entryBrokerSamples(options);
+  return [
+    measured("entry", entry, {
+      run: options,
+      per: "request/s",
+      how: "A daemon's scheduler asks another daemon for slots and releases " +
+        `each after ${HOLD_MS} ms; the callers' and runners' HTTP is not ` +
+        "part of it.",
+    }),
+    measured("entryBroker", entryBrokers, {
+      run: options,
+      per: "broker used",
+      how: `A daemon holds ${SLOTS_OF_PAIR} slots at each of so many ` +
+        "services, brokered by others.",
+    }),
+    measured("broker", broker, {
+      run: options,
+      per: "ask/s",
+      how: `The daemon that brokers for ${ENTRIES} others, ${RUNNERS} ` +
+        "runners; ask, grant, release.",
+    }),
+    measured("brokerEntry", brokerEntries, {
+      run: options,
+      per: "entry",
+      how: `The broker while so many entries hold ${SLOTS_OF_PAIR} slots each.`,
+    }),
+    measured("brokerGrant", grants, {
+      run: options,
+      per: "grant held",
+      how: `The broker while ${ENTRIES} others hold so many slots.`,
+    }),
+    measured("brokerRunner", runners, {
+      run: options,
+      per: "runner watched",
+      how: "A daemon that brokers and asks so many runners for their load.",
+    }),
+  ];
+}
+
+/** The scheduler's rig. */
+export const SCHEDULER_RIG: Rig = {
+  name: "scheduler",
+  roles: [
+    "entry",
+    "entryBroker",
+    "broker",
+    "brokerEntry",
+    "brokerGrant",
+    "brokerRunner",
+  ],
+  run,
+};
