Let the news of joins go round before a rig measures

Cause: two lines of the scheduler's rig were bent: the broker was among the crowd, and news of members that had just started was counted. Change: crowd members are named so that none brokers; rigs wait until a process sends its probes alone; a daemon without runners is the idle sample.

--- a/packages/bench/src/slopes_process.ts
+++ b/packages/bench/src/slopes_process.ts
@@ -28,6 +28,10 @@
 
 const CHILD = fileURLToPath(new URL("./slopes_child.js", import.meta.url));
 const MILLIS = 1_000;
+const CALM_LIMIT_MS = 120_000;
+const CALM_SAMPLE_SECONDS = 3;
+/** Probes of a member that nothing else uses, a second, with room. */
+export const PROBE_MESSAGES = 6;
 
 /** A process that runs one part. */
 export class RigProcess {
@@ -129,6 +133,25 @@
   };
 }
 
+/**
+ * Waits until a process sends and receives at most so many messages a second,
+ * such as its probes alone: news of members that started goes round for a while.
+ * Gives up waiting, and goes on, after two minutes.
+ */
+export async function untilCalm(
+  process: RigProcess,
+  messagesPerSecond: number,
+): Promise<void> {
+  const until = performance.now() + CALM_LIMIT_MS;
+  while (performance.now() < until) {
+    const sample = await sampleProcess(process, {
+      x: 0,
+      seconds: CALM_SAMPLE_SECONDS,
+    });
+    if (sample.messages <= messagesPerSecond) return;
+  }
+}
+
 /** Runs a measurement with processes that are stopped however it ends. */
 export async function withProcesses<T>(
   run: (
--- a/packages/bench/src/slopes_rig_member.ts
+++ b/packages/bench/src/slopes_rig_member.ts
@@ -7,8 +7,10 @@
 import type { MembersCommand, MembersInfo } from "./slopes_part_members.ts";
 import {
   pause,
+  PROBE_MESSAGES,
   type RigProcess,
   sampleProcess,
+  untilCalm,
   withProcesses,
 } from "./slopes_process.ts";
 import type { Sample } from "./slopes_result.ts";
@@ -23,10 +25,6 @@
 const LINK_COUNTS = [0, 20, 60, 120, 180];
 /** Members that share a process when they are not measured themselves. */
 const MEMBERS_PER_PROCESS = 10;
-/** Probes alone are about four messages a second; news of joins adds to them. */
-const CALM_MESSAGES = 6;
-const CALM_LIMIT_MS = 120_000;
-const CALM_SAMPLE_SECONDS = 3;
 const USE_SETTLE_MS = 6_000;
 const USE_EVERY_MS = 4_000;
 const POLL_MS = 250;
@@ -64,23 +62,11 @@
     all.map((process) => command(process, { type: "hosts", hosts })),
   );
   await settled(all, count);
-  await calm(own);
+  await untilCalm(own, PROBE_MESSAGES);
   const names = others.flatMap(hostsOf).map((host) => host.name);
   return { measured: own, others, names };
 }
 
-/** Waits until the news of the joins has gone round, but not for ever. */
-async function calm(process: RigProcess): Promise<void> {
-  const until = performance.now() + CALM_LIMIT_MS;
-  while (performance.now() < until) {
-    const sample = await sampleProcess(process, {
-      x: 0,
-      seconds: CALM_SAMPLE_SECONDS,
-    });
-    if (sample.messages < CALM_MESSAGES) return;
-  }
-}
-
 /** Waits until every member sees all of them alive. */
 async function settled(
   processes: readonly RigProcess[],
--- a/packages/bench/src/slopes_rig_published.ts
+++ b/packages/bench/src/slopes_rig_published.ts
@@ -18,6 +18,7 @@
   pause,
   type RigProcess,
   sampleProcess,
+  untilCalm,
   withProcesses,
 } from "./slopes_process.ts";
 import type { Sample } from "./slopes_result.ts";
@@ -38,6 +39,8 @@
 const FOREIGN_DOMAINS = 5;
 const OWN_DOMAIN = "domain-0";
 const MEMBERS_PER_PROCESS = 12;
+/** Probes, and comparing with another member each second, with room. */
+const COMPARING_MESSAGES = 14;
 const SETTLE_MS = 6_000;
 const MILLIS = 1_000;
 const STAND_IN_GRACE_MS = 1_000;
@@ -143,6 +146,7 @@
     if (watcher === undefined || follower === undefined) {
       throw new Error("Cannot measure without a watcher and a follower");
     }
+    await untilCalm(watcher, COMPARING_MESSAGES);
     const watching: Sample[] = [];
     const following: Sample[] = [];
     for (const x of EDIT_RATES) {
--- a/packages/bench/src/slopes_rig_scheduler.ts
+++ b/packages/bench/src/slopes_rig_scheduler.ts
@@ -4,10 +4,13 @@
  *
  * @module
  */
+import { rendezvous } from "@umbermast/coordination";
 import {
   pause,
+  PROBE_MESSAGES,
   type RigProcess,
   sampleProcess,
+  untilCalm,
   withProcesses,
 } from "./slopes_process.ts";
 import type { Sample } from "./slopes_result.ts";
@@ -29,7 +32,7 @@
 const ENTRIES = 4;
 const ASK_RATES = [0, 20, 40, 100, 200];
 const ENTRY_RATES = [0, 10, 20, 40, 80];
-const RUNNER_COUNTS = [1, 16, 64, 128, 256];
+const RUNNER_COUNTS = [16, 64, 128, 256];
 const GRANT_COUNTS = [0, 500, 1_000, 2_000, 4_000];
 const PAIR_COUNTS = [0, 10, 20, 40];
 const SLOTS_OF_PAIR = 5;
@@ -37,12 +40,20 @@
 const HOLD_MS = 500;
 const SETTLE_MS = 3_000;
 
-/** Names of lone members, then of a crowd that shares a process. */
+/**
+ * Names of lone members, then of a crowd that shares a process, none of which
+ * hashing would name as broker of the first service.
+ */
 function groups(lone: number, crowd: number): readonly (readonly string[])[] {
-  const names = (count: number, prefix: string) =>
-    Array.from({ length: count }, (_, i) => `${prefix}-${i}`);
-  const alone = names(lone, "daemon").map((name) => [name]);
-  return crowd === 0 ? alone : [...alone, names(crowd, "crowd")];
+  const alone = Array.from({ length: lone }, (_, i) => `daemon-${i}`);
+  const others: string[] = [];
+  for (let i = 0; others.length < crowd; i++) {
+    const name = `crowd-${i}`;
+    const [broker] = rendezvous("service-0", [...alone, name]);
+    if (broker !== name) others.push(name);
+  }
+  const apart = alone.map((name) => [name]);
+  return crowd === 0 ? apart : [...apart, others];
 }
 
 /** The broker is measured; the asks come from the other daemons. */
@@ -128,8 +139,8 @@
       services: 1,
     });
     if (daemon === undefined) throw new Error("Cannot start a daemon");
+    const samples = [await sampleProcess(daemon, { x: 0, seconds })];
     await command(daemon, { type: "hold", slots: 1, services: 1 });
-    const samples: Sample[] = [];
     for (const count of RUNNER_COUNTS) {
       await command(daemon, { type: "runners", ports: ports.slice(0, count) });
       await pause(SETTLE_MS);
@@ -155,6 +166,7 @@
     const crowd = all.at(-1);
     if (crowd === undefined) throw new Error("Cannot start a crowd");
     const { broker } = await findBroker(all.slice(0, -1));
+    await untilCalm(broker, PROBE_MESSAGES);
     const samples: Sample[] = [];
     for (const members of PAIR_COUNTS) {
       const slots = SLOTS_OF_PAIR;
@@ -180,6 +192,7 @@
       services: most,
     });
     if (entry === undefined) throw new Error("Cannot start an entry");
+    await untilCalm(entry, PROBE_MESSAGES);
     const samples: Sample[] = [];
     for (const services of PAIR_COUNTS) {
       await command(entry, { type: "hold", slots: SLOTS_OF_PAIR, services });
