Choose the measured watcher as the code does, and check that it watches

Cause: watchers are chosen by another hash now, and the rig measured a follower. Change: the rig names it by the same rendezvous hash and fails when the watcher makes no store calls or the follower makes some; store calls of watches on the page are measured ones.

--- a/packages/bench/src/capacity_store.ts
+++ b/packages/bench/src/capacity_store.ts
@@ -22,19 +22,25 @@
     `more claims make them larger, not more`;
 }
 
+function callsOfWatches(result: SlopesResult): string {
+  const fit = result.fits.watcher;
+  if (fit === undefined) return "not measured yet";
+  const { slope } = fit.lines.storeCalls;
+  const each = fit.idle.storeCalls + slope * derive().editsPerSecondBunched;
+  const perSecond = derive().watchers * each;
+  const share = 100 * perSecond / BUDGET.storeReadsPerSecond;
+  return `${perSecond.toFixed(ONE_DECIMAL)} calls/s as measured, ` +
+    `${share.toFixed(ONE_DECIMAL)}% of ${BUDGET.storeReadsPerSecond} reads/s`;
+}
+
 /** A list of the fleet's calls, against the store's rates. */
 export function storeLines(result: SlopesResult): string {
   const size = derive();
-  const watches = size.watchers;
-  const share = (100 * watches / BUDGET.storeReadsPerSecond).toFixed(
-    ONE_DECIMAL,
-  );
   return [
-    `- Watches on the table: ${watches} wait at any time ` +
+    `- Watches on the table: ${size.watchers} wait at any time ` +
     `(${DESIGN.watchersPerFailureDomain} in each of ${PLAN.failureDomains} ` +
-    `failure domains), ${share}% of ${BUDGET.storeReadsPerSecond} reads/s if ` +
-    `each counts as one read a second. They grow with failure domains, not ` +
-    `with daemons.`,
+    `failure domains), ${callsOfWatches(result)}. They grow with failure ` +
+    `domains, not with daemons.`,
     `- Edits: ${size.editsPerSecond.toFixed(3)} writes/s on average, ` +
     `${size.editsPerSecondBunched.toFixed(2)} while people work.`,
     `- Claims: ${writesOfClaims(result)}.`,
--- a/packages/bench/src/slopes_rig_published.ts
+++ b/packages/bench/src/slopes_rig_published.ts
@@ -4,8 +4,7 @@
  *
  * @module
  */
-import { createHash } from "node:crypto";
-import { HttpStore } from "@umbermast/coordination";
+import { HttpStore, rendezvous } from "@umbermast/coordination";
 import { TABLE_KIND, TABLE_NAME } from "@umbermast/table";
 import { startStandIn } from "@umbermast/testing";
 import * as Effect from "effect/Effect";
@@ -93,11 +92,20 @@
 
 /** Members of the measured domain in the order in which they become watchers. */
 function inWatcherOrder(names: readonly string[]): readonly string[] {
-  const weightOf = (name: string) =>
-    createHash("sha256")
-      .update(`published/${TABLE_KIND}/${TABLE_NAME}/${name}`)
-      .digest("hex");
-  return names.toSorted((a, b) => weightOf(a) < weightOf(b) ? -1 : 1);
+  return rendezvous(`published/${TABLE_KIND}/${TABLE_NAME}`, names);
+}
+
+/** A watcher calls the store and a follower does not, or others were measured. */
+function checkParts(
+  watching: readonly Sample[],
+  following: readonly Sample[],
+): void {
+  if (!watching.every(({ storeCalls }) => storeCalls > 0)) {
+    throw new Error("Cannot measure: the watcher does not watch the store");
+  }
+  if (!following.every(({ storeCalls }) => storeCalls === 0)) {
+    throw new Error("Cannot measure: the follower watches the store");
+  }
 }
 
 function members(): readonly PublishedMember[] {
@@ -162,6 +170,7 @@
       following.push(other);
     }
     editor.every(0);
+    checkParts(watching, following);
     return { watching, following };
   });
 }
