Prove the embedding example by its test

Cause: the coordination package's page shows how to start two members. Change: scripts/docs_commands.mjs names the test that runs that text.

--- a/scripts/docs_commands.mjs
+++ b/scripts/docs_commands.mjs
@@ -35,6 +35,11 @@
   { pattern: /^eval "\$\(node scripts\/stack_environment/, tour: true },
   { pattern: /^curl -sif "\$UMBERMAST_URL/, tour: true },
   { pattern: /^node packages\/cli\/dist\/src\/umbermastctl\.js /, tour: true },
+  {
+    pattern: /^node member\.mjs /,
+    test: "packages/coordination/tests/readme_test.ts",
+    text: "README.md",
+  },
   { pattern: /^npm run build$/, ci: "npm run --silent build" },
   { pattern: /^npm run lint$/, ci: "npm run --silent lint" },
   {
