--- a/packages/bench/src/capacity_remedies.ts
+++ b/packages/bench/src/capacity_remedies.ts
@@ -126,7 +126,7 @@
     change: "hold members in arrays in place of objects",
   },
   { role: "link", change: "fewer links in use, with smaller buffers" },
-  { role: "brokerGrant", change: "as its table says" },
+  { role: "brokerGrant", change: "keep ids as bytes in place of text" },
   {
     role: "claimKept",
     change:
@@ -210,7 +210,8 @@
       const after = later === today
         ? ""
         : `, ${times(later)} after the change in its role's table`;
-      return `  - ${title}: ${times(today)} of the budget${after}. ` +
+      const now = today === 0 ? "nothing" : times(today);
+      return `  - ${title}: ${now} of the budget${after}. ` +
         `${change[0]?.toUpperCase()}${change.slice(1)}.`;
     });
 }
