--- a/packages/bench/src/slopes_rig_published.ts
+++ b/packages/bench/src/slopes_rig_published.ts
@@ -4,8 +4,7 @@
  *
  * @module
  */
-import { createHash } from "node:crypto";
-import { HttpStore } from "@umbermast/coordination";
+import { HttpStore, rendezvous } from "@umbermast/coordination";
 import { TABLE_KIND, TABLE_NAME } from "@umbermast/table";
 import { startStandIn } from "@umbermast/testing";
 import * as Effect from "effect/Effect";
@@ -18,6 +17,7 @@
   pause,
   type RigProcess,
   sampleProcess,
+  untilCalm,
   withProcesses,
 } from "./slopes_process.ts";
 import type { Sample } from "./slopes_result.ts";
@@ -38,6 +38,8 @@
 const FOREIGN_DOMAINS = 5;
 const OWN_DOMAIN = "domain-0";
 const MEMBERS_PER_PROCESS = 12;
+/** Probes, and comparing with another member each second, with room. */
+const COMPARING_MESSAGES = 14;
 const SETTLE_MS = 6_000;
 const MILLIS = 1_000;
 const STAND_IN_GRACE_MS = 1_000;
@@ -90,11 +92,20 @@
 
 /** Members of the measured domain in the order in which they become watchers. */
 function inWatcherOrder(names: readonly string[]): readonly string[] {
-  const weightOf = (name: string) =>
-    createHash("sha256")
-      .update(`published/${TABLE_KIND}/${TABLE_NAME}/${name}`)
-      .digest("hex");
-  return names.toSorted((a, b) => weightOf(a) < weightOf(b) ? -1 : 1);
+  return rendezvous(`published/${TABLE_KIND}/${TABLE_NAME}`, names);
+}
+
+/** A watcher calls the store and a follower does not, or others were measured. */
+function checkParts(
+  watching: readonly Sample[],
+  following: readonly Sample[],
+): void {
+  if (!watching.every(({ storeCalls }) => storeCalls > 0)) {
+    throw new Error("Cannot measure: the watcher does not watch the store");
+  }
+  if (!following.every(({ storeCalls }) => storeCalls === 0)) {
+    throw new Error("Cannot measure: the follower watches the store");
+  }
 }
 
 function members(): readonly PublishedMember[] {
@@ -143,6 +154,7 @@
     if (watcher === undefined || follower === undefined) {
       throw new Error("Cannot measure without a watcher and a follower");
     }
+    await untilCalm(watcher, COMPARING_MESSAGES);
     const watching: Sample[] = [];
     const following: Sample[] = [];
     for (const x of EDIT_RATES) {
@@ -158,6 +170,7 @@
       following.push(other);
     }
     editor.every(0);
+    checkParts(watching, following);
     return { watching, following };
   });
 }
