--- a/packages/bench/src/surge.ts
+++ b/packages/bench/src/surge.ts
@@ -27,6 +27,7 @@
   "earlyRefusal",
   "adaptiveSlots",
   "headroom",
+  "prefillPacing",
   "affinity",
   "ejection",
 ];
--- a/packages/daemon/src/process/scheduling/ask_appraisal.ts
+++ b/packages/daemon/src/process/scheduling/ask_appraisal.ts
@@ -5,6 +5,7 @@
  */
 import type { Row } from "@umbermast/table";
 import { CostEstimator, costOf } from "./cost_estimator.ts";
+import { DecayedQuantile } from "./decayed_quantile.ts";
 import type { FairQueue } from "./fair_queue.ts";
 import type { AskMessage, HeldSlot, RefuseMessage } from "./messages.ts";
 import type { RunnerLearning } from "./runner_learning.ts";
@@ -18,8 +19,12 @@
 const BYTES_OF_ASK = 300;
 /** A refusal on arrival needs a wait this many times what is left. */
 const HOPELESS = 1.25;
-/** A first token takes this share of its target at a runner with room. */
-const START_SHARE = 0.3;
+/** First tokens come within the margin for this share of the requests. */
+const FIRST_TOKEN_QUANTILE = 0.9;
+const FIRST_TOKEN_STEP = 0.2;
+/** Bounds of the margin, as shares of the target. */
+const LEAST_MARGIN = 0.2;
+const MOST_MARGIN = 0.9;
 const LEAST_RETRY_MS = 100;
 const MOST_RETRY_MS = 30_000;
 const SECOND_MS = 1_000;
@@ -40,6 +45,7 @@
   readonly #parts: AppraisalParts;
   readonly #costs = new CostEstimator();
   readonly #rate = new ServiceRate();
+  readonly #firstTokens = new Map<string, DecayedQuantile>();
 
   constructor(parts: AppraisalParts) {
     this.#parts = parts;
@@ -86,6 +92,7 @@
   ): number {
     const { promptTokens, outputTokens, outcome } = end.settlement;
     const cost = costOf(promptTokens, outputTokens);
+    this.#learnFirstToken(slot.class, end.settlement.firstTokenMs);
     const backlogged = this.#parts.queue.length > 0;
     this.#rate.served(cost, { now: end.now, backlogged });
     if (outcome === "complete") {
@@ -124,7 +131,9 @@
     const target = pool.classOf(ask.class)?.target;
     const bounds: number[] = [];
     if (target?.firstTokenMs !== undefined) {
-      bounds.push(target.firstTokenMs * (1 - START_SHARE));
+      bounds.push(
+        target.firstTokenMs - this.#margin(ask.class, target.firstTokenMs),
+      );
     }
     if (target?.wholeAnswerMs !== undefined) {
       const tokens = this.#costs.output(ask.workspace, ask.class);
@@ -133,6 +142,23 @@
     return arrivedAt + Math.min(Infinity, ...bounds);
   }
 
+  /** Time from the grant to the first token, as lately observed. */
+  #margin(className: string, targetMs: number): number {
+    const observed = this.#firstTokens.get(className)?.value ?? 0;
+    return Math.min(
+      targetMs * MOST_MARGIN,
+      Math.max(targetMs * LEAST_MARGIN, observed),
+    );
+  }
+
+  #learnFirstToken(className: string, firstTokenMs: number | undefined): void {
+    if (firstTokenMs === undefined) return;
+    const known = this.#firstTokens.get(className) ??
+      new DecayedQuantile(FIRST_TOKEN_QUANTILE, FIRST_TOKEN_STEP);
+    known.observe(firstTokenMs);
+    this.#firstTokens.set(className, known);
+  }
+
   /** Milliseconds that the row's own rates make the ask wait. */
   #limitWait(waiting: Waiting, row: Row | undefined): number {
     const { count, cost } = this.#parts.queue.backlog(waiting.ask);
--- a/packages/daemon/src/process/scheduling/broker.ts
+++ b/packages/daemon/src/process/scheduling/broker.ts
@@ -59,6 +59,7 @@
     const { switches, bounds } = parts;
     this.#queue = new FairQueue(table, {
       switches,
+      usage: this.#books,
       ...(bounds === undefined ? {} : { bounds }),
     });
     const queue = this.#queue;
--- a/packages/daemon/src/process/scheduling/broker_books.ts
+++ b/packages/daemon/src/process/scheduling/broker_books.ts
@@ -21,6 +21,7 @@
   readonly #waiting = new Map<string, Waiting>();
   readonly #held = new Map<string, Held>();
   readonly #accounts = new Map<string, Account>();
+  readonly #heldByClass = new Map<string, number>();
 
   /** Asks that wait. */
   get waiting(): number {
@@ -32,6 +33,11 @@
     return this.#held.size;
   }
 
+  /** Slots in use by a class. */
+  inFlightOf(className: string): number {
+    return this.#heldByClass.get(className) ?? 0;
+  }
+
   /** Entries that have been heard. */
   get entries(): readonly string[] {
     return [...this.#accounts.keys()];
@@ -85,11 +91,13 @@
     const former = this.#held.get(held.askId);
     if (former !== undefined) this.removeHeld(former);
     this.#held.set(held.askId, held);
+    this.#countClass(held.class, 1);
     this.#account(held.entry).held.add(held.askId);
   }
 
   removeHeld(held: Held): void {
-    this.#held.delete(held.askId);
+    if (!this.#held.delete(held.askId)) return;
+    this.#countClass(held.class, -1);
     this.#accounts.get(held.entry)?.held.delete(held.askId);
   }
 
@@ -120,6 +128,10 @@
     this.#account(entry).mismatches = 0;
   }
 
+  #countClass(className: string, change: number): void {
+    this.#heldByClass.set(className, this.inFlightOf(className) + change);
+  }
+
   #account(entry: string): Account {
     const known = this.#accounts.get(entry);
     if (known !== undefined) return known;
--- a/packages/daemon/src/process/scheduling/cost_estimator.ts
+++ b/packages/daemon/src/process/scheduling/cost_estimator.ts
@@ -4,13 +4,15 @@
  * @module
  */
 
-/** Tokens of output that cost as much as one token of prompt. */
+import { DecayedQuantile } from "./decayed_quantile.ts";
+
+/** Cost of a token of prompt, in tokens of output. */
 export const PROMPT_TOKEN_COST = 0.05;
 
 const FIRST_GUESS_TOKENS = 100;
 /** The estimate sits where this share of outputs is shorter. */
 const QUANTILE = 0.6;
-const STEP = 0.08;
+const STEP = 0.16;
 const ENTRIES_LIMIT = 10_000;
 
 /** Cost of tokens served, in tokens of output. At least 1. */
@@ -20,12 +22,12 @@
 
 /** Tracks a decayed quantile of output lengths per workspace and class. */
 export class CostEstimator {
-  readonly #outputs = new Map<string, number>();
+  readonly #outputs = new Map<string, DecayedQuantile>();
 
   /** Expected tokens of output. */
   output(workspace: string, className: string): number {
-    return this.#outputs.get(keyOf(workspace, className)) ??
-      this.#outputs.get(keyOf("", className)) ?? FIRST_GUESS_TOKENS;
+    return this.#outputs.get(keyOf(workspace, className))?.value ??
+      this.#outputs.get(keyOf("", className))?.value ?? FIRST_GUESS_TOKENS;
   }
 
   /** Learns from a whole answer. */
@@ -38,19 +40,14 @@
   }
 
   #learn(key: string, tokens: number): void {
-    const known = this.#outputs.get(key);
+    let known = this.#outputs.get(key);
     if (known === undefined) {
       // Names come from the table, but an edit may bring many in turn.
       if (this.#outputs.size >= ENTRIES_LIMIT) this.#outputs.clear();
-      this.#outputs.set(key, tokens);
-      return;
+      known = new DecayedQuantile(QUANTILE, STEP);
+      this.#outputs.set(key, known);
     }
-    const direction = tokens > known ? QUANTILE : QUANTILE - 1;
-    this.#outputs.set(
-      key,
-      Math.max(0, known * (1 + STEP * direction * 2)) +
-        (tokens > known ? 1 : 0),
-    );
+    known.observe(tokens);
   }
 }
 
--- a/packages/daemon/src/process/scheduling/fair_queue.ts
+++ b/packages/daemon/src/process/scheduling/fair_queue.ts
@@ -33,6 +33,14 @@
 /** Unpaid share that a class may save up, in multiples of its next cost. */
 const CREDIT_BOUND = 4;
 
+/** Slots in use now. */
+export interface SlotUsage {
+  /** Of all classes. */
+  readonly inFlight: number;
+  /** Of one class. */
+  inFlightOf(className: string): number;
+}
+
 /** What an offer of an ask to the queue came to. */
 export interface Offer {
   readonly accepted: boolean;
@@ -50,6 +58,7 @@
 export class FairQueue {
   readonly #switches: Switches;
   readonly #bounds: QueueBounds;
+  readonly #usage: SlotUsage | undefined;
   readonly #flows = new Map<string, Flow>();
   /** Share owed to each class and not yet served, in cost. */
   readonly #credit = new Map<string, number>();
@@ -64,10 +73,16 @@
 
   constructor(
     table: Table,
-    options: { readonly switches: Switches; readonly bounds?: QueueBounds },
+    options: {
+      readonly switches: Switches;
+      readonly bounds?: QueueBounds;
+      /** Absent: minimum shares are kept by cost alone. */
+      readonly usage?: SlotUsage;
+    },
   ) {
     this.#switches = options.switches;
     this.#bounds = options.bounds ?? DEFAULT_BOUNDS;
+    this.#usage = options.usage;
     this.setTable(table);
   }
 
@@ -207,8 +222,7 @@
 
   /** Whether a class is owed service under its minimum share. */
   isOwed(className: string): boolean {
-    return this.#switches.minimumShare &&
-      (this.#credit.get(className) ?? 0) > 0;
+    return this.#claim(className) > 0;
   }
 
   #compare(left: Flow, right: Flow): number {
@@ -222,11 +236,23 @@
     return left.items[0]!.arrivedAt - right.items[0]!.arrivedAt;
   }
 
-  /** What a class is owed in proportion to its share; 0 when nothing. */
+  /**
+   * What a class is owed in proportion to its share; 0 when nothing. Where its
+   * share makes whole slots, it is owed those at every moment: engines serve
+   * all that runs alike, and a debt counted by cost would be paid only when the
+   * long answers that it pays for end. A share of less than a slot is kept over
+   * time, by cost.
+   */
   #claim(className: string): number {
-    if (!this.isOwed(className)) return 0;
+    if (!this.#switches.minimumShare) return 0;
     const share = this.#classes.get(className)?.minimumShare ?? 0;
-    return share > 0 ? (this.#credit.get(className) ?? 0) / share : 0;
+    if (share <= 0) return 0;
+    const slots = Math.floor(share * ((this.#usage?.inFlight ?? 0) + 1));
+    if (slots === 0) {
+      return Math.max(0, (this.#credit.get(className) ?? 0) / share);
+    }
+    const used = this.#usage?.inFlightOf(className) ?? 0;
+    return Math.max(0, (slots - used) / slots);
   }
 
   #add(flow: Flow, waiting: Waiting): void {
--- a/packages/daemon/src/process/scheduling/runner_learning.ts
+++ b/packages/daemon/src/process/scheduling/runner_learning.ts
@@ -49,6 +49,7 @@
   settled(held: Held, end: AttemptEnd): void {
     const state = this.#pool.state(held.runner);
     const saturated = state.freeSlots(end.now) <= 0;
+    const debt = state.debtOf(held.askId);
     if (state.free(held.askId) === undefined) return;
     const { settlement, now } = end;
     const { outcome } = settlement;
@@ -61,6 +62,7 @@
       return;
     }
     this.#learnStep(state, settlement);
+    this.#pool.speed.observe(debt, settlement.firstTokenMs ?? 0);
     const ratio = this.#ratio(state, { held, settlement });
     if (this.#switches.adaptiveSlots && ratio !== undefined) {
       state.limit.observe(ratio, { now, saturated });
