Keep minimum shares by whole slots, and bound slots by what runners report

Pacing of long prompts was tried with them and taken out again. Conclusion: kept but for the pacing; to be measured on real processes.

--- a/packages/bench/src/surge.ts
+++ b/packages/bench/src/surge.ts
@@ -27,7 +27,6 @@
   "earlyRefusal",
   "adaptiveSlots",
   "headroom",
-  "prefillPacing",
   "affinity",
   "ejection",
 ];
--- a/packages/daemon/src/process/scheduling/broker.ts
+++ b/packages/daemon/src/process/scheduling/broker.ts
@@ -296,7 +296,8 @@
     const { ask } = waiting;
     return this.#pool.choose(ask, {
       now,
-      highest: this.#queue.isHighest(ask.class),
+      highest: this.#queue.isHighest(ask.class) ||
+        this.#queue.isOwed(ask.class),
       share: ask.alone ? 1 / Math.max(1, this.#parts.members()) : 1,
     });
   }
--- a/packages/daemon/src/process/scheduling/fair_queue.ts
+++ b/packages/daemon/src/process/scheduling/fair_queue.ts
@@ -247,7 +247,8 @@
     if (!this.#switches.minimumShare) return 0;
     const share = this.#classes.get(className)?.minimumShare ?? 0;
     if (share <= 0) return 0;
-    const slots = Math.floor(share * ((this.#usage?.inFlight ?? 0) + 1));
+    const exact = share * ((this.#usage?.inFlight ?? 0) + 1);
+    const slots = exact < 1 ? 0 : Math.ceil(exact);
     if (slots === 0) {
       return Math.max(0, (this.#credit.get(className) ?? 0) / share);
     }
--- a/packages/daemon/src/process/scheduling/fair_queue_test.ts
+++ b/packages/daemon/src/process/scheduling/fair_queue_test.ts
@@ -107,6 +107,20 @@
   assert.equal(queue.headOf(queue.order()[0]!, 10), timely);
 });
 
+test("owes a waiting class the whole slots of its share", () => {
+  const inUse = new Map([["quote", 19], ["cut-sheet", 1]]);
+  const usage = {
+    inFlight: 20,
+    inFlightOf: (name: string) => inUse.get(name) ?? 0,
+  };
+  const queue = new FairQueue(tableOf(), { switches: ALL_ON, usage });
+  queue.offer(waitingOf({ class: "quote" }));
+  queue.offer(waitingOf({ class: "cut-sheet" }));
+  assert.equal(queue.order()[0]?.class, "cut-sheet");
+  inUse.set("cut-sheet", 3);
+  assert.equal(queue.order()[0]?.class, "quote");
+});
+
 const arbitraryClass = fc.constantFrom("quote", "query", "cut-sheet");
 
 test("never sheds a higher tier for a lower one, and keeps its bounds", () => {
--- a/packages/daemon/src/process/scheduling/runner_learning.ts
+++ b/packages/daemon/src/process/scheduling/runner_learning.ts
@@ -15,6 +15,11 @@
 /** Steps shorter than this are noise, whatever their proportion. */
 const STRAGGLER_FLOOR_MS = 6;
 const DEFAULT_STEP_MS = 10;
+/**
+ * Share of the time to the first token that may pass at the runner; the rest is
+ * for the queue, where waiting can still be put in another order.
+ */
+const FIRST_TOKEN_SHARE = 0.4;
 
 /** How an attempt ended, and when. */
 export interface AttemptEnd {
@@ -36,6 +41,7 @@
   reported(runner: string, report: LoadReport, now: number): void {
     const state = this.#pool.state(runner);
     state.setReport(report);
+    if (this.#switches.adaptiveSlots) state.limit.setCapacity(report.slots);
     if (report.stepMs <= 0 || report.running === 0) return;
     const target = this.#tightest(state);
     if (this.#switches.adaptiveSlots && target !== undefined) {
@@ -49,7 +55,6 @@
   settled(held: Held, end: AttemptEnd): void {
     const state = this.#pool.state(held.runner);
     const saturated = state.freeSlots(end.now) <= 0;
-    const debt = state.debtOf(held.askId);
     if (state.free(held.askId) === undefined) return;
     const { settlement, now } = end;
     const { outcome } = settlement;
@@ -62,7 +67,6 @@
       return;
     }
     this.#learnStep(state, settlement);
-    this.#pool.speed.observe(debt, settlement.firstTokenMs ?? 0);
     const ratio = this.#ratio(state, { held, settlement });
     if (this.#switches.adaptiveSlots && ratio !== undefined) {
       state.limit.observe(ratio, { now, saturated });
@@ -96,7 +100,7 @@
     const between = this.#tightest(state) ?? target?.betweenTokensMs;
     const ratios: number[] = [];
     if (firstTokenMs !== undefined && first !== undefined) {
-      ratios.push(firstTokenMs / first);
+      ratios.push(firstTokenMs / (first * FIRST_TOKEN_SHARE));
     }
     if (betweenTokensMs !== undefined && between !== undefined) {
       ratios.push(betweenTokensMs / between);
--- a/packages/daemon/src/process/scheduling/runner_pool.ts
+++ b/packages/daemon/src/process/scheduling/runner_pool.ts
@@ -6,7 +6,6 @@
 import type { Class, Service, Table } from "@umbermast/table";
 import type { Runner } from "../runner.ts";
 import type { AskMessage } from "./messages.ts";
-import { PrefillSpeed } from "./prefill_debt.ts";
 import { PrefixHomes } from "./prefix_homes.ts";
 import { type Held, RunnerState } from "./runner_state.ts";
 import type { Switches } from "./switches.ts";
@@ -16,11 +15,6 @@
 const AFFINITY_BOUND = 0.25;
 /** Share of all slots that only the highest tier may use. */
 const HEADROOM = 0.05;
-/**
- * Prompts of lower tiers may keep a runner busy for this share of the tightest
- * time to the first token.
- */
-const PREFILL_SHARE = 0.3;
 const RUNNERS_UP = 2;
 
 /** A runner chosen for an ask. */
@@ -47,13 +41,9 @@
   readonly #switches: Switches;
   readonly #states = new Map<string, RunnerState>();
   readonly #homes = new PrefixHomes();
-  /** Speed at which runners work through prompts. */
-  readonly speed = new PrefillSpeed();
   #runners: readonly Runner[] = [];
   #classes: ReadonlyMap<string, Class> = new Map();
   #service: Service | undefined;
-  /** Tightest time to the first token that the table promises. */
-  #tightestFirstMs = Infinity;
 
   constructor(
     service: string,
@@ -66,9 +56,6 @@
   /** Takes a new table. */
   setTable(table: Table, service: string): void {
     this.#classes = new Map(table.classes.map((it) => [it.name, it]));
-    const firsts = table.classes.map((it) => it.target.firstTokenMs)
-      .filter((it) => it !== undefined);
-    this.#tightestFirstMs = Math.min(Infinity, ...firsts);
     this.#service = table.services.find((it) => it.name === service);
     for (const state of this.#states.values()) state.limit.setBase(this.#base);
   }
@@ -90,7 +77,7 @@
   state(runner: string): RunnerState {
     const known = this.#states.get(runner);
     if (known !== undefined) return known;
-    const made = new RunnerState(this.#base, this.speed);
+    const made = new RunnerState(this.#base);
     this.#states.set(runner, made);
     return made;
   }
@@ -125,8 +112,7 @@
     if (probe !== undefined) return probe;
     const sound = possible.filter((it) => this.#inUse(it));
     const open = (sound.length > 0 ? sound : possible).filter((it) =>
-      this.#hasRoom(it, at) && this.#isPaced(it, at) &&
-      this.state(it.name).ejection.admits(at.now)
+      this.#hasRoom(it, at) && this.state(it.name).ejection.admits(at.now)
     );
     if (open.length === 0) return { _tag: "Busy" };
     if (!at.highest && !this.#leavesHeadroom(at.now)) return { _tag: "Busy" };
@@ -140,7 +126,7 @@
     const ranked = at.open
       .map((runner) => ({
         runner,
-        occupancy: this.#fullness(runner, at.now),
+        occupancy: this.state(runner.name).occupancy(at.now),
       }))
       .sort((left, right) => left.occupancy - right.occupancy);
     const least = ranked[0]!;
@@ -188,24 +174,6 @@
     return state.inFlight < cap;
   }
 
-  /** Slots in use and prompts to be read, each against what is bearable. */
-  #fullness(runner: Runner, now: number): number {
-    const state = this.state(runner.name);
-    const occupancy = state.occupancy(now);
-    if (!this.#switches.prefillPacing) return occupancy;
-    return occupancy + state.prefill.ms(now) / this.#tightestFirstMs;
-  }
-
-  /** Whether a prompt of that tier may be added to what the runner reads. */
-  #isPaced(
-    runner: Runner,
-    at: { readonly now: number; readonly highest: boolean },
-  ): boolean {
-    if (!this.#switches.prefillPacing || at.highest) return true;
-    const debtMs = this.state(runner.name).prefill.ms(at.now);
-    return debtMs <= this.#tightestFirstMs * PREFILL_SHARE;
-  }
-
   #leavesHeadroom(now: number): boolean {
     if (!this.#switches.headroom) return true;
     let free = 0;
--- a/packages/daemon/src/process/scheduling/runner_state.ts
+++ b/packages/daemon/src/process/scheduling/runner_state.ts
@@ -6,7 +6,6 @@
 import { Ejection } from "./ejection.ts";
 import type { LoadReport } from "./load_reports.ts";
 import type { HeldSlot } from "./messages.ts";
-import { PrefillDebt, type PrefillSpeed } from "./prefill_debt.ts";
 import { SlotLimit } from "./slot_limit.ts";
 
 /** A slot that is in use. */
@@ -30,11 +29,8 @@
 /** Slots in use at one runner, and what was observed of it. */
 export class RunnerState {
   readonly limit: SlotLimit;
-  readonly prefill: PrefillDebt;
   readonly ejection = new Ejection();
   readonly #held = new Map<string, Held>();
-  /** Prefill debt at the start, in tokens, by ask. */
-  readonly #debts = new Map<string, number>();
   readonly #byClass = new Map<string, number>();
   #peak = 0;
   #formerPeak = 0;
@@ -42,9 +38,8 @@
   #stepMs: number | undefined;
   #report: LoadReport | undefined;
 
-  constructor(slots: number, speed: PrefillSpeed) {
+  constructor(slots: number) {
     this.limit = new SlotLimit(slots);
-    this.prefill = new PrefillDebt(speed);
   }
 
   /** Slots in use through this broker. */
@@ -73,10 +68,6 @@
   hold(held: Held): void {
     if (this.#held.has(held.askId)) return;
     this.#held.set(held.askId, held);
-    this.#debts.set(
-      held.askId,
-      this.prefill.add(held.promptTokens, held.grantedAt),
-    );
     this.#byClass.set(held.class, (this.#byClass.get(held.class) ?? 0) + 1);
     this.#peak = Math.max(this.#peak, this.inFlight);
   }
@@ -85,18 +76,12 @@
     const held = this.#held.get(askId);
     if (held === undefined) return undefined;
     this.#held.delete(askId);
-    this.#debts.delete(askId);
     const left = (this.#byClass.get(held.class) ?? 1) - 1;
     if (left > 0) this.#byClass.set(held.class, left);
     else this.#byClass.delete(held.class);
     return held;
   }
 
-  /** Prompt tokens that were to be worked through before an ask's first token. */
-  debtOf(askId: string): number {
-    return this.#debts.get(askId) ?? 0;
-  }
-
   setReport(report: LoadReport): void {
     this.#report = report;
     if (report.stepMs > 0 && report.running > 0) {
--- a/packages/daemon/src/process/scheduling/slot_limit.ts
+++ b/packages/daemon/src/process/scheduling/slot_limit.ts
@@ -15,16 +15,19 @@
 /** Bounds in multiples of the table's number of slots. */
 const LEAST = 0.25;
 const MOST = 4;
+const LEAST_REPORTED = 0.5;
 
 /** The adapted number of slots of one runner. */
 export class SlotLimit {
   #base: number;
   #value: number;
+  #ceiling: number;
   #decreasedAt = -Infinity;
 
   constructor(base: number) {
     this.#base = Math.max(1, base);
     this.#value = this.#base;
+    this.#ceiling = this.#base * MOST;
   }
 
   /** Whole slots; at least 1. */
@@ -32,11 +35,24 @@
     return Math.max(1, Math.floor(this.#value));
   }
 
+  /**
+   * Learns how many requests the runner says it can run at once. What it says
+   * can take away no more than half of the table's number, so that a wrong
+   * report costs little.
+   */
+  setCapacity(slots: number): void {
+    if (slots <= 0) return;
+    const least = Math.max(1, this.#base * LEAST_REPORTED);
+    this.#ceiling = Math.min(this.#base * MOST, Math.max(least, slots));
+    this.#value = Math.min(this.#value, this.#ceiling);
+  }
+
   /** Takes another number from the table, keeping the adaptation's proportion. */
   setBase(base: number): void {
     if (base === this.#base) return;
     this.#value = this.#value / this.#base * Math.max(1, base);
     this.#base = Math.max(1, base);
+    this.#ceiling = this.#base * MOST;
   }
 
   /**
@@ -52,7 +68,7 @@
   ): void {
     if (ratio > TOO_SLOW) return this.#decrease(at.now);
     if (ratio > COMFORTABLE || !at.saturated) return;
-    this.#value = Math.min(this.#base * MOST, this.#value + 1 / this.#value);
+    this.#value = Math.min(this.#ceiling, this.#value + 1 / this.#value);
   }
 
   #decrease(now: number): void {
--- a/packages/daemon/src/process/scheduling/switches.ts
+++ b/packages/daemon/src/process/scheduling/switches.ts
@@ -22,8 +22,6 @@
   readonly adaptiveSlots: boolean;
   /** Slots kept free for the tiers above. */
   readonly headroom: boolean;
-  /** Long prompts of lower tiers given to a runner one after the other. */
-  readonly prefillPacing: boolean;
   /** Prefix affinity within a load bound. */
   readonly affinity: boolean;
   /** Ejection of stragglers and crashed runners. */
@@ -40,7 +38,6 @@
   earlyRefusal: true,
   adaptiveSlots: true,
   headroom: true,
-  prefillPacing: true,
   affinity: true,
   ejection: true,
 };
--- a/packages/daemon/src/process/settings_limits.ts
+++ b/packages/daemon/src/process/settings_limits.ts
@@ -142,7 +142,6 @@
   earlyRefusal: setting.flag("Refusal of what cannot start in time."),
   adaptiveSlots: setting.flag("Slots of a runner adapted to its latency."),
   headroom: setting.flag("Slots kept free for the tiers above."),
-  prefillPacing: setting.flag("Long prompts of lower tiers one by one."),
   affinity: setting.flag("Preference for a runner that holds the prefix."),
   ejection: setting.flag("Ejection of stragglers and crashed runners."),
 } as const;
