Give classes under their minimum share a fifth more slots

Cause: in bursts of the top class the lowest class got 0.76 to 0.94 of its minimum share; a slot of long prompts does less work than a slot of short ones. Change: the share of slots is multiplied by 1.2.

--- a/packages/daemon/src/process/scheduling/fair_queue.ts
+++ b/packages/daemon/src/process/scheduling/fair_queue.ts
@@ -48,6 +48,9 @@
   readonly shed: readonly Waiting[];
 }
 
+/** A slot of long prompts does less work than others; its class gets more slots. */
+const SHARE_MARGIN = 1.2;
+
 /** What waits of one workspace and class. */
 export interface Backlog {
   readonly count: number;
@@ -247,7 +250,7 @@
     if (!this.#switches.minimumShare) return 0;
     const share = this.#classes.get(className)?.minimumShare ?? 0;
     if (share <= 0) return 0;
-    const exact = share * ((this.#usage?.inFlight ?? 0) + 1);
+    const exact = SHARE_MARGIN * share * ((this.#usage?.inFlight ?? 0) + 1);
     const slots = exact < 1 ? 0 : Math.ceil(exact);
     if (slots === 0) {
       return Math.max(0, (this.#credit.get(className) ?? 0) / share);
