--- a/packages/daemon/src/process/scheduling/broker.ts
+++ b/packages/daemon/src/process/scheduling/broker.ts
@@ -17,6 +17,7 @@
 import type { BrokerParts } from "./broker_parts.ts";
 import { FairQueue } from "./fair_queue.ts";
 
+import { Granting } from "./granting.ts";
 import type {
   AskMessage,
   BeatMessage,
@@ -24,8 +25,9 @@
   PresentMessage,
   ReleaseMessage,
 } from "./messages.ts";
+import { PauseWatch } from "./pause_watch.ts";
 import { RunnerLearning } from "./runner_learning.ts";
-import { type Choice, RunnerPool } from "./runner_pool.ts";
+import { RunnerPool } from "./runner_pool.ts";
 import { SlotLedger } from "./slot_ledger.ts";
 import type { Waiting } from "./waiting.ts";
 
@@ -33,8 +35,6 @@
 const QUIET_MS = 2_000;
 /** An entry that says nothing for this long has lost what it asked and held. */
 const LOST_MS = 6_000;
-/** A longer gap between two ticks means that this process was paused. */
-const PAUSE_MS = 1_500;
 const MISMATCHES_BEFORE_RESYNC = 2;
 
 /** The broker of one service. */
@@ -48,7 +48,8 @@
   readonly #answers: BrokerAnswers;
   readonly #books = new BrokerBooks();
   readonly #slots: SlotLedger;
-  #tickedAt: number;
+  readonly #granting: Granting;
+  readonly #pauses: PauseWatch;
   #heardAt: number;
   #opensAt = -Infinity;
 
@@ -71,7 +72,15 @@
     this.#appraisal = new AskAppraisal({ queue, pool, learning, switches });
     this.#answers = new BrokerAnswers(parts);
     this.#slots = new SlotLedger({ pool, books: this.#books, table });
-    this.#tickedAt = this.#now;
+    this.#granting = new Granting({
+      queue,
+      pool,
+      books: this.#books,
+      slots: this.#slots,
+      answers: this.#answers,
+      members: parts.members,
+    });
+    this.#pauses = new PauseWatch(parts.clock);
     this.#heardAt = this.#now;
   }
 
@@ -111,7 +120,7 @@
       return this.#answers.repeat(again);
     }
     const former = this.#books.findWaiting(ask.askId);
-    if (former !== undefined) this.#forget(former);
+    if (former !== undefined) this.#granting.forget(former);
     this.#admit(this.#appraisal.describe(entry, { ask, now }), now);
     this.#drain();
   }
@@ -120,7 +129,7 @@
   withdraw(entry: string, askId: string): void {
     this.#hear(entry);
     const waiting = this.#books.findWaiting(askId);
-    if (waiting?.entry === entry) this.#forget(waiting);
+    if (waiting?.entry === entry) this.#granting.forget(waiting);
     const held = this.#books.findHeld(askId);
     if (held?.entry === entry) this.#slots.abandon(held);
     this.#drain();
@@ -146,7 +155,7 @@
     const waiting = new Set(message.waiting);
     const held = new Set(message.held.map((it) => it.askId));
     for (const known of this.#books.allWaiting(entry)) {
-      if (!waiting.has(known.ask.askId)) this.#forget(known);
+      if (!waiting.has(known.ask.askId)) this.#granting.forget(known);
     }
     for (const known of this.#books.allHeld(entry)) {
       // One that the entry still waits for is on its way to it, or was lost on
@@ -191,7 +200,9 @@
 
   /** An entry has left or died: its asks go, and its slots after a while. */
   entryGone(entry: string): void {
-    for (const waiting of this.#books.allWaiting(entry)) this.#forget(waiting);
+    for (const waiting of this.#books.allWaiting(entry)) {
+      this.#granting.forget(waiting);
+    }
     this.#drain();
   }
 
@@ -204,7 +215,7 @@
       else if (quietMs > QUIET_MS) this.entryGone(entry);
     }
     for (const waiting of this.#books.allWaiting()) {
-      if (waiting.deadlineAt <= now) this.#expire(waiting);
+      if (waiting.deadlineAt <= now) this.#granting.expire(waiting);
     }
     this.#drain();
   }
@@ -228,9 +239,8 @@
    */
   #wake(): number {
     const now = this.#now;
-    const gapMs = Math.round(now - this.#tickedAt);
-    this.#tickedAt = now;
-    if (gapMs <= PAUSE_MS) return now;
+    const gapMs = this.#pauses.look();
+    if (gapMs === 0) return now;
     const { waiting, inFlight } = this.#books;
     const service = this.#service;
     this.#parts.log.event("broker_woke", { service, gapMs, waiting, inFlight });
@@ -260,93 +270,23 @@
     }
   }
 
-  /** Grants what can be granted, in the queue's order. */
   #drain(): void {
     const now = this.#now;
-    if (now < this.#opensAt) return;
-    while (this.#queue.length > 0) {
-      if (!this.#serveOne(now)) return;
-    }
-  }
-
-  /** Grants or refuses one ask; false when nothing can be done now. */
-  #serveOne(now: number): boolean {
-    const order = this.#queue.order();
-    for (const flow of order) {
-      if (!this.#slots.admits(flow, now)) continue;
-      const waiting = this.#queue.headOf(flow, now);
-      if (waiting === undefined) continue;
-      if (waiting.deadlineAt <= now) return this.#expire(waiting);
-      const choice = this.#choose(waiting, now);
-      if (choice._tag === "Busy") continue;
-      if (choice._tag === "None") {
-        this.#forget(waiting);
-        this.#answers.refuse(waiting.entry, waiting.ask, { code: "no_runner" });
-        return true;
-      }
-      const order = this.#queue.isOwed(flow.class) ? "minimum_share" : "tier";
-      this.#queue.take(flow, waiting);
-      this.#grant(waiting, { choice, now, order });
-      return true;
-    }
-    return false;
-  }
-
-  #choose(waiting: Waiting, now: number) {
-    const { ask } = waiting;
-    return this.#pool.choose(ask, {
-      now,
-      highest: this.#queue.isHighest(ask.class) ||
-        this.#queue.isOwed(ask.class),
-      share: ask.alone ? 1 / Math.max(1, this.#parts.members()) : 1,
-    });
-  }
-
-  #grant(
-    waiting: Waiting,
-    given: {
-      readonly choice: Choice;
-      readonly now: number;
-      readonly order: "tier" | "minimum_share";
-    },
-  ): void {
-    const { choice, now, order } = given;
-    this.#books.removeWaiting(waiting);
-    const held = this.#slots.take(waiting, {
-      runner: choice.runner.name,
-      now,
-    });
-    this.#answers.grant(held, waiting.ask, {
-      choice,
-      order,
-      waitedMs: now - waiting.arrivedAt,
-      stillWaiting: this.#queue.length,
-    });
+    if (now >= this.#opensAt) this.#granting.drain(now);
   }
 
   /** Takes in a slot that another broker granted. */
   #adopt(entry: string, slot: HeldSlot, now: number): void {
     const waiting = this.#books.findWaiting(slot.askId);
-    if (waiting !== undefined) this.#forget(waiting);
+    if (waiting !== undefined) this.#granting.forget(waiting);
     const cost = this.#appraisal.costOf(slot);
     this.#slots.adopt({ ...slot, entry, cost, grantedAt: now, epoch: 0 });
   }
 
-  #forget(waiting: Waiting): void {
-    this.#queue.remove(waiting);
-    this.#books.removeWaiting(waiting);
-  }
-
-  #expire(waiting: Waiting): true {
-    this.#forget(waiting);
-    this.#answers.refuse(waiting.entry, waiting.ask, {
-      code: "deadline_passed",
-    });
-    return true;
-  }
-
   #dropEntry(entry: string): void {
-    for (const waiting of this.#books.allWaiting(entry)) this.#forget(waiting);
+    for (const waiting of this.#books.allWaiting(entry)) {
+      this.#granting.forget(waiting);
+    }
     for (const held of this.#books.allHeld(entry)) this.#slots.abandon(held);
     this.#books.removeEntry(entry);
   }
--- a/packages/daemon/src/process/scheduling/fair_queue.ts
+++ b/packages/daemon/src/process/scheduling/fair_queue.ts
@@ -10,6 +10,7 @@
  */
 import type { Class, Table } from "@umbermast/table";
 import { Flow } from "./flow.ts";
+import { MinimumShares, type SlotUsage } from "./minimum_shares.ts";
 import type { Switches } from "./switches.ts";
 import type { Waiting } from "./waiting.ts";
 
@@ -30,17 +31,6 @@
 
 /** Tier of a class that the table does not name; served after all others. */
 const UNKNOWN_TIER = 1_000;
-/** Unpaid share that a class may save up, in multiples of its next cost. */
-const CREDIT_BOUND = 4;
-
-/** Slots in use now. */
-export interface SlotUsage {
-  /** Of all classes. */
-  readonly inFlight: number;
-  /** Of one class. */
-  inFlightOf(className: string): number;
-}
-
 /** What an offer of an ask to the queue came to. */
 export interface Offer {
   readonly accepted: boolean;
@@ -48,9 +38,6 @@
   readonly shed: readonly Waiting[];
 }
 
-/** A slot of long prompts does less work than others; its class gets more slots. */
-const SHARE_MARGIN = 1.2;
-
 /** What waits of one workspace and class. */
 export interface Backlog {
   readonly count: number;
@@ -61,10 +48,8 @@
 export class FairQueue {
   readonly #switches: Switches;
   readonly #bounds: QueueBounds;
-  readonly #usage: SlotUsage | undefined;
   readonly #flows = new Map<string, Flow>();
-  /** Share owed to each class and not yet served, in cost. */
-  readonly #credit = new Map<string, number>();
+  readonly #shares: MinimumShares;
   /** Virtual time of each tier: the pass of the flow served last. */
   readonly #virtual = new Map<number, number>();
   #classes: ReadonlyMap<string, Class> = new Map();
@@ -85,7 +70,7 @@
   ) {
     this.#switches = options.switches;
     this.#bounds = options.bounds ?? DEFAULT_BOUNDS;
-    this.#usage = options.usage;
+    this.#shares = new MinimumShares(options.usage);
     this.setTable(table);
   }
 
@@ -96,6 +81,7 @@
   /** Takes a new table; it orders what already waits, too. */
   setTable(table: Table): void {
     this.#classes = new Map(table.classes.map((it) => [it.name, it]));
+    this.#shares.setClasses(this.#classes);
     this.#highest = Math.min(
       ...table.classes.map((it) => this.tierOf(it.name)),
     );
@@ -239,24 +225,9 @@
     return left.items[0]!.arrivedAt - right.items[0]!.arrivedAt;
   }
 
-  /**
-   * What a class is owed in proportion to its share; 0 when nothing. Where its
-   * share makes whole slots, it is owed those at every moment: engines serve
-   * all that runs alike, and a debt counted by cost would be paid only when the
-   * long answers that it pays for end. A share of less than a slot is kept over
-   * time, by cost.
-   */
+  /** What a class is owed; 0 when nothing. */
   #claim(className: string): number {
-    if (!this.#switches.minimumShare) return 0;
-    const share = this.#classes.get(className)?.minimumShare ?? 0;
-    if (share <= 0) return 0;
-    const exact = SHARE_MARGIN * share * ((this.#usage?.inFlight ?? 0) + 1);
-    const slots = exact < 1 ? 0 : Math.ceil(exact);
-    if (slots === 0) {
-      return Math.max(0, (this.#credit.get(className) ?? 0) / share);
-    }
-    const used = this.#usage?.inFlightOf(className) ?? 0;
-    return Math.max(0, (slots - used) / slots);
+    return this.#switches.minimumShare ? this.#shares.claim(className) : 0;
   }
 
   #add(flow: Flow, waiting: Waiting): void {
@@ -272,17 +243,7 @@
 
   #charge(flow: Flow, cost: number): void {
     flow.pass += cost / this.#weightOf(flow.workspace, flow.class);
-    if (!this.#switches.minimumShare) return;
-    for (const [name, headCost] of this.#waitingClasses()) {
-      const share = this.#classes.get(name)?.minimumShare ?? 0;
-      if (share <= 0) continue;
-      const credit = (this.#credit.get(name) ?? 0) + share * cost;
-      this.#credit.set(name, Math.min(credit, CREDIT_BOUND * headCost));
-    }
-    // A class pays for its service only down to one such cost: service beyond
-    // its share is the tiers' gift and must not be held against it later.
-    const paid = (this.#credit.get(flow.class) ?? 0) - cost;
-    this.#credit.set(flow.class, Math.max(paid, -Math.abs(cost)));
+    this.#shares.charge(flow.class, cost, this.#waitingClasses());
   }
 
   /** Classes that wait, with the cost of one of their next asks. */
@@ -296,13 +257,11 @@
     return found;
   }
 
-  /** A class with nothing waiting has no claim left; its debts stay. */
   #forgetClaim(className: string): void {
     for (const flow of this.#flows.values()) {
       if (flow.class === className && flow.length > 0) return;
     }
-    const credit = this.#credit.get(className) ?? 0;
-    this.#credit.set(className, Math.min(0, credit));
+    this.#shares.forget(className);
   }
 
   #victim(): Waiting | undefined {
