--- a/packages/daemon/src/request/brokered_scheduler.ts
+++ b/packages/daemon/src/request/brokered_scheduler.ts
@@ -15,16 +15,15 @@
 import { BrokerFinder } from "../process/scheduling/broker_finder.ts";
 import type { BrokerHost } from "../process/scheduling/broker_host.ts";
 import {
-  type BrokerMessage,
   type EntryMessage,
   type GrantMessage,
   readEntryMessage,
   type RefuseMessage,
-  TO_BROKER,
   TO_ENTRY,
 } from "../process/scheduling/messages.ts";
 import { Contacts } from "../process/scheduling/contacts.ts";
 import type { TableSource } from "../process/table_source.ts";
+import { BrokerLink } from "./broker_link.ts";
 import type { Ask, Grant, Refusal, Settlement } from "./ask.ts";
 import {
   OwnRequests,
@@ -65,6 +64,7 @@
   readonly #finder: BrokerFinder;
   readonly #contacts: Contacts;
   readonly #own = new OwnRequests();
+  readonly #link: BrokerLink;
 
   constructor(parts: BrokeredParts) {
     this.#parts = parts;
@@ -73,6 +73,12 @@
       directory: parts.directory,
     });
     this.#contacts = new Contacts(parts.clock);
+    this.#link = new BrokerLink({
+      ...parts,
+      own: this.#own,
+      finder: this.#finder,
+      contacts: this.#contacts,
+    });
     parts.host.connectOwnEntry((message) =>
       this.#receive(this.#finder.self, message)
     );
@@ -118,7 +124,7 @@
         broker: this.#brokerFor(ask),
       };
       this.#own.pending.set(ask.askId, pending);
-      this.#sendAsk(pending);
+      this.#link.ask(pending);
       return Effect.sync(() => this.#withdraw(pending));
     });
   }
@@ -137,7 +143,7 @@
       const brokers = all ? this.#own.brokers() : this.#own.awaitedBrokers();
       // A silent one is asked on, so that its return is noticed.
       for (const broker of new Set([...brokers, ...this.#contacts.awaited])) {
-        this.#beat(broker);
+        this.#link.beat(broker);
       }
     }));
   }
@@ -161,9 +167,9 @@
     for (const it of this.#own.using.values()) move(it);
     // What is in use goes before what waits: a broker that hears of the waiting
     // first would grant them slots that are in use.
-    for (const place of reached.all()) this.#present(place);
+    for (const place of reached.all()) this.#link.present(place);
     for (const pending of asked) this.#askAnew(pending);
-    for (const place of left.all()) this.#present(place);
+    for (const place of left.all()) this.#link.present(place);
   }
 
   /**
@@ -187,18 +193,6 @@
     return Math.min(MOST_SILENCE_MS, SILENCE_MS + tier * SILENCE_STEP_MS);
   }
 
-  #beat(broker: string): void {
-    const services = this.#own.servicesAt(broker);
-    const any = this.#parts.directory.services()[0];
-    const asked = services.size === 0 && any !== undefined ? [any] : services;
-    for (const service of asked) {
-      const place = { broker, service };
-      const waiting = this.#own.pendingAt(place).length;
-      const held = this.#own.usingAt(place).length;
-      this.#sendAwaiting(broker, { type: "beat", service, waiting, held });
-    }
-  }
-
   #receive(from: string, message: EntryMessage): void {
     this.#contacts.answered(from);
     switch (message.type) {
@@ -251,7 +245,7 @@
   /** Tells a broker that a slot it granted is not wanted here. */
   #giveBack(broker: string, askId: string): void {
     for (const service of this.#parts.directory.services()) {
-      this.#send(broker, { type: "withdraw", service, askId });
+      this.#link.send(broker, { type: "withdraw", service, askId });
     }
   }
 
@@ -260,7 +254,12 @@
     if (using === undefined) return;
     this.#own.using.delete(askId);
     const { service } = using.ask;
-    this.#send(using.broker, { type: "release", service, askId, settlement });
+    this.#link.send(using.broker, {
+      type: "release",
+      service,
+      askId,
+      settlement,
+    });
   }
 
   #expire(pending: Pending): void {
@@ -272,7 +271,7 @@
     const { askId, service } = pending.ask;
     if (this.#own.pending.get(askId) !== pending) return;
     this.#settle(pending);
-    this.#send(pending.broker, { type: "withdraw", service, askId });
+    this.#link.send(pending.broker, { type: "withdraw", service, askId });
   }
 
   #settle(pending: Pending): void {
@@ -289,57 +288,13 @@
 
   /** Presents all that is at a place and asks anew for what waits there. */
   #resync(place: Place): void {
-    this.#present(place);
-    for (const pending of this.#own.pendingAt(place)) this.#sendAsk(pending);
-  }
-
-  #present(place: Place): void {
-    const held = this.#own.usingAt(place).map(({ ask, runner }) => ({
-      askId: ask.askId,
-      runner,
-      workspace: ask.workspace,
-      class: ask.class,
-      promptTokens: ask.promptTokens,
-    }));
-    const waiting = this.#own.pendingAt(place).map((it) => it.ask.askId);
-    const { service } = place;
-    this.#send(place.broker, { type: "present", service, waiting, held });
+    this.#link.present(place);
+    for (const pending of this.#own.pendingAt(place)) this.#link.ask(pending);
   }
 
   /** Asks again; an answer to the former ask is not taken any more. */
   #askAnew(pending: Pending, excluded?: string): void {
     pending.epoch += 1;
-    this.#sendAsk(pending, excluded);
-  }
-
-  #sendAsk(pending: Pending, excluded?: string): void {
-    const { ask, epoch, askedAt, broker } = pending;
-    const { deadline, ...told } = ask;
-    const rank = this.#finder.rank(ask.service);
-    const isBroker = rank.slice(0, 2).includes(broker);
-    this.#sendAwaiting(broker, {
-      type: "ask",
-      ...told,
-      epoch,
-      remainingMs: Math.max(0, deadline - this.#parts.clock.now()),
-      waitedMs: Math.max(0, this.#now - askedAt),
-      excluded: excluded === undefined
-        ? ask.excluded
-        : [...ask.excluded, excluded],
-      alone: broker === this.#finder.self && !isBroker,
-    });
-  }
-
-  /** Sends what the broker has to answer. */
-  #sendAwaiting(broker: string, message: BrokerMessage): void {
-    if (broker !== this.#finder.self) this.#contacts.asked(broker);
-    this.#send(broker, message);
-  }
-
-  #send(broker: string, message: BrokerMessage): void {
-    if (broker === this.#finder.self) {
-      return this.#parts.host.receive(broker, message);
-    }
-    this.#parts.peers?.send(broker, TO_BROKER, message);
+    this.#link.ask(pending, excluded);
   }
 }
