Prove that silent links, wrong reports and crashed runners cost little

Change: a test over real daemons behind silent links; tests of the broker with a wrong and then a frozen report, and with a runner that fails and returns.

--- a/packages/daemon/src/process/scheduling/broker_test.ts
+++ b/packages/daemon/src/process/scheduling/broker_test.ts
@@ -7,6 +7,7 @@
   release,
   rowOf,
   runnerOf,
+  SERVICE,
   tableOf,
 } from "../../../tests/scheduling/fixtures.ts";
 
@@ -70,3 +71,60 @@
   const last = bench.sent.at(-1)?.message;
   assert.equal(last?.type === "beat_reply" && last.resync, true);
 });
+
+test("keeps a slot open whatever a runner reports, and forgets old reports", () => {
+  // A load report is wrong, then its runner stops reporting. Were it believed,
+  // or believed for ever, the runner would stand idle while requests wait.
+  const bench = brokerWith();
+  bench.reports.record("runner-1", {
+    running: 1_000_000,
+    waiting: 1_000_000,
+    slots: 0,
+    stepMs: 0,
+    leaving: false,
+    receivedAt: bench.clock.monotonic(),
+  });
+  for (let i = 0; i < 2; i++) bench.broker.ask("entry-1", askOf());
+  assert.equal(granted(bench).length, 1);
+  for (let i = 0; i < 3; i++) {
+    bench.clock.advance(1_000);
+    bench.broker.beat("entry-1", {
+      type: "beat",
+      service: SERVICE,
+      waiting: 1,
+      held: 1,
+    });
+  }
+  bench.broker.tick();
+  assert.equal(granted(bench).length, 2);
+});
+
+test("takes a crashed runner out of use and lets it back by a probe", () => {
+  // A runner fails each request at once, so its slots are always the freest and
+  // every next request goes to it, and fails. Taken out of use it gets nothing,
+  // then one request, and after a good one it is like the others again.
+  const bench = brokerWith({ runners: [runnerOf("bad"), runnerOf("good")] });
+  const ask = () => {
+    const message = askOf();
+    bench.broker.ask("entry-1", message);
+    const last = bench.sent.at(-1)?.message;
+    assert.ok(last?.type === "grant");
+    return { askId: message.askId, runner: last.runner };
+  };
+  const end = (askId: string, outcome: "failed" | "complete") =>
+    bench.broker.release("entry-1", {
+      type: "release",
+      service: SERVICE,
+      askId,
+      settlement: { outcome, promptTokens: 1, outputTokens: 0 },
+    });
+  const first = ask();
+  assert.equal(first.runner, "bad");
+  end(first.askId, "failed");
+  assert.deepEqual([ask().runner, ask().runner], ["good", "good"]);
+  bench.clock.advance(600);
+  const probe = ask();
+  assert.equal(probe.runner, "bad");
+  end(probe.askId, "complete");
+  assert.deepEqual([ask().runner, ask().runner], ["bad", "bad"]);
+});
--- a/packages/testing/tests/broker_failures_test.ts
+++ b/packages/testing/tests/broker_failures_test.ts
@@ -1,7 +1,12 @@
 import assert from "node:assert/strict";
 import { readFileSync } from "node:fs";
 import { describe, it, type TestContext } from "node:test";
-import type { Answer, LedgerEntry, StackDaemon } from "../src/mod.ts";
+import type {
+  Answer,
+  LedgerEntry,
+  StackDaemon,
+  StackOptions,
+} from "../src/mod.ts";
 import { deploy, type Deployed, firstTokens, LIMIT } from "./fixtures.ts";
 
 /** One runner that serves one request at a time, so that the others wait. */
@@ -42,8 +47,9 @@
  */
 async function started(
   t: TestContext,
+  options: StackOptions = {},
 ): Promise<{ readonly deployed: Deployed; readonly broker: StackDaemon }> {
-  const deployed = await deploy(t, NARROW);
+  const deployed = await deploy(t, { ...NARROW, ...options });
   const { daemons } = deployed.stack;
   for (;;) {
     const before = daemons.map(grantsOf);
@@ -122,4 +128,18 @@
     assertAllWhole([...answers, ...later]);
     assertEachRanOnce(await deployed.ledger(), [...answers, ...later]);
   });
+
+  // Everything between the daemons goes silent for good while calls wait at the
+  // broker: the open links swallow, and no end is told. Entries must stop
+  // waiting for it; new links may or may not come up meanwhile.
+  it("falls silent on all links, and every call is answered", async (t) => {
+    const { deployed, broker } = await started(t, { proxies: { peers: true } });
+    const calls = await queueUp(deployed, entriesOf(deployed, broker));
+    for (const { peerProxy } of deployed.stack.daemons) {
+      peerProxy?.order({ fault: "silent" });
+    }
+    const answers = await Promise.all(calls);
+    assertAllWhole(answers);
+    assertEachRanOnce(await deployed.ledger(), answers);
+  });
 });
