--- /dev/null
+++ b/packages/daemon/src/process/scheduling/load_reports_test.ts
@@ -0,0 +1,63 @@
+import assert from "node:assert/strict";
+import http from "node:http";
+import type { AddressInfo } from "node:net";
+import { test } from "node:test";
+import { SYSTEM_CLOCK } from "@umbermast/coordination";
+import * as Effect from "effect/Effect";
+import {
+  runnerOf,
+  SERVICE,
+  until,
+} from "../../../tests/scheduling/fixtures.ts";
+import { RunnerDirectory } from "../runner_directory.ts";
+import { LoadReports, parseReport } from "./load_reports.ts";
+
+const REPORT = { running: 3, waiting: 1, slots: 16, stepMs: 4.5 };
+
+test("reads a report, and takes what is missing or wrong as nothing", () => {
+  const report = parseReport('{"running":3,"waiting":-1,"stepMs":"x"}', 7);
+  assert.deepEqual(report, {
+    running: 3,
+    waiting: 0,
+    slots: 0,
+    stepMs: 0,
+    leaving: false,
+    receivedAt: 7,
+  });
+  for (const body of ["", "null", "[", '"text"']) {
+    assert.equal(parseReport(body, 7), undefined);
+  }
+});
+
+test("polls the runners of watched services only", { timeout: 30_000 }, () => {
+  // A daemon that polled all runners would cost each of them hundreds of polls a
+  // second at full size; only the broker of a service has a use for its reports.
+  const paths: string[] = [];
+  const server = http.createServer((request, response) => {
+    paths.push(request.url ?? "");
+    response.end(JSON.stringify(REPORT));
+  });
+  const program = Effect.gen(function* () {
+    yield* Effect.promise(() =>
+      new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve))
+    );
+    const { port } = server.address() as AddressInfo;
+    const directory = new RunnerDirectory();
+    directory.replace([
+      runnerOf("watched", { port }),
+      runnerOf("other", { port, service: "yard-app" }),
+    ]);
+    const reports = new LoadReports({ clock: SYSTEM_CLOCK, intervalMs: 5 });
+    yield* reports.follow(directory);
+    reports.watch(SERVICE);
+    yield* until(() => paths.length >= 3);
+    assert.equal(reports.get("watched")?.running, REPORT.running);
+    assert.equal(reports.get("other"), undefined);
+    reports.unwatch(SERVICE);
+    assert.equal(reports.get("watched"), undefined);
+  });
+  return Effect.runPromise(Effect.scoped(program)).finally(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+});
--- a/packages/daemon/src/process/scheduling/row_limits.ts
+++ b/packages/daemon/src/process/scheduling/row_limits.ts
@@ -17,33 +17,20 @@
   inFlight: number;
 }
 
-/** Whether a row may start one more request, and when it may if not now. */
-export interface Admission {
-  readonly admitted: boolean;
-  /** Milliseconds until it may; infinite when only a release helps. */
-  readonly waitMs: number;
-}
-
-const ADMITTED: Admission = { admitted: true, waitMs: 0 };
-
 /** Counts what each row has started and allows what its limits leave. */
 export class RowLimits {
   readonly #usage = new Map<string, Usage>();
 
   /** Whether the row may start a request now. */
-  check(row: Row | undefined, now: number): Admission {
-    if (row === undefined) return ADMITTED;
+  admits(row: Row | undefined, now: number): boolean {
+    if (row === undefined) return true;
     const usage = this.#usageOf(row, now);
     if (row.inFlight !== undefined && usage.inFlight >= row.inFlight) {
-      return { admitted: false, waitMs: Infinity };
+      return false;
     }
-    const waitMs = Math.max(
-      waitFor(1 - usage.requests, row.requestsPerSecond),
-      // Tokens go into debt by the last request's cost, so that a request that
-      // costs more than the burst can start at all.
-      usage.tokens > 0 ? 0 : waitFor(-usage.tokens + 1, row.tokensPerSecond),
-    );
-    return waitMs > 0 ? { admitted: false, waitMs } : ADMITTED;
+    // Tokens go into debt by the last request's cost, so that a request that
+    // costs more than the burst can start at all.
+    return usage.requests >= 1 && usage.tokens > 0;
   }
 
   /** Charges a start. */
@@ -124,8 +111,3 @@
   if (left === Infinity) return burst(rate);
   return Math.min(burst(rate), left + seconds * rate);
 }
-
-function waitFor(missing: number, rate: number | undefined): number {
-  if (rate === undefined || missing <= 0) return 0;
-  return rate > 0 ? missing / rate * SECOND_MS : Infinity;
-}
--- a/packages/daemon/src/process/scheduling/slot_ledger.ts
+++ b/packages/daemon/src/process/scheduling/slot_ledger.ts
@@ -47,7 +47,7 @@
 
   /** Whether the limits of a row allow one more request now. */
   admits(key: RowKey, now: number): boolean {
-    return this.#limits.check(this.rowOf(key), now).admitted;
+    return this.#limits.admits(this.rowOf(key), now);
   }
 
   /** Takes a slot for an ask. */
