--- a/packages/bench/src/surge.ts
+++ b/packages/bench/src/surge.ts
@@ -9,7 +9,12 @@
 import type { PhaseFigures } from "./surge_judge.ts";
 import { surgePhases } from "./surge_plan.ts";
 import { runVariant, type Variant } from "./surge_run.ts";
-import { medianOf, type PolicyFigures, summarise } from "./surge_summary.ts";
+import {
+  medianOf,
+  mergeSummaries,
+  type PolicyFigures,
+  summarise,
+} from "./surge_summary.ts";
 
 const POLICIES: readonly Variant[] = [
   { name: "random", scheduler: "random" },
@@ -37,6 +42,11 @@
   readonly phases: readonly PhaseFigures[];
 }
 
+interface DeploymentResults {
+  readonly deployment: DeploymentName;
+  readonly results: readonly Result[];
+}
+
 function listOf(text: string): readonly string[] {
   return text.split(",").map((it) => it.trim()).filter((it) => it !== "");
 }
@@ -90,6 +100,31 @@
   });
 }
 
+function isPolicy(name: string): boolean {
+  return POLICIES.some((policy) => policy.name === name);
+}
+
+/** Figures over both deployments, by variant. */
+function merged(
+  all: readonly DeploymentResults[],
+  wanted: (name: string) => boolean,
+): Readonly<Record<string, PolicyFigures>> {
+  const names = all[0]?.results.map((it) => it.variant).filter(wanted) ?? [];
+  return Object.fromEntries(names.map((name) => {
+    const same = all.flatMap(({ results }) =>
+      results.filter((it) => it.variant === name).map((it) => it.summary)
+    );
+    return [name, mergeSummaries(same)];
+  }));
+}
+
+/** Figures of each phase, by variant. */
+function phasesOf(
+  { results }: DeploymentResults,
+): Readonly<Record<string, readonly PhaseFigures[]>> {
+  return Object.fromEntries(results.map((it) => [it.variant, it.phases]));
+}
+
 function gridOf(results: readonly Result[]): Grid {
   const rows = results.flatMap(({ variant, phases }) =>
     phases.flatMap((phase) =>
@@ -159,30 +194,24 @@
     const names = DEPLOYMENT_NAMES.filter((it) =>
       wanted === "both" || wanted === it
     );
-    const deployments: Record<string, object> = {};
-    const grids: Grid[] = [];
-    for (const name of names) {
-      const results = await measure(name, settings);
-      const policies = results.filter((it) =>
-        POLICIES.some((policy) => policy.name === it.variant)
-      );
-      const switches = results.filter((it) => !policies.includes(it));
-      deployments[name] = {
-        policies: Object.fromEntries(
-          policies.map((
-            it,
-          ) => [it.variant, { ...it.summary, phases: it.phases }]),
-        ),
-        switches: Object.fromEntries(
-          switches.map((
-            it,
-          ) => [it.variant, { ...it.summary, phases: it.phases }]),
-        ),
-      };
-      grids.push(gridOf(results));
+    const results: DeploymentResults[] = [];
+    for (const deployment of names) {
+      const found = await measure(deployment, settings);
+      results.push({ deployment, results: found });
     }
     const seeds = settings.number("seeds");
     const seconds = settings.number("seconds");
-    return { result: { seeds, seconds, ...deployments }, grids };
+    return {
+      result: {
+        seeds,
+        seconds,
+        policies: merged(results, isPolicy),
+        switches: merged(results, (name) => !isPolicy(name)),
+        deployments: Object.fromEntries(
+          results.map((it) => [it.deployment, phasesOf(it)]),
+        ),
+      },
+      grids: results.map((it) => gridOf(it.results)),
+    };
   },
 };
--- a/packages/bench/src/surge_summary.ts
+++ b/packages/bench/src/surge_summary.ts
@@ -80,6 +80,27 @@
   };
 }
 
+/** Brings deployments together; their classes have different names. */
+export function mergeSummaries(
+  figures: readonly PolicyFigures[],
+): PolicyFigures {
+  const join = (
+    read: (it: PolicyFigures) => Readonly<Record<string, number>>,
+  ) =>
+    Object.assign({}, ...figures.map(read)) as Readonly<Record<string, number>>;
+  const least = (read: (it: PolicyFigures) => number) =>
+    Math.min(...figures.map(read));
+  return {
+    attainment: join((it) => it.attainment),
+    goodput: least((it) => it.goodput),
+    goodputOfCapacity: least((it) => it.goodputOfCapacity),
+    wastedWork: Math.max(...figures.map((it) => it.wastedWork)),
+    minServiceShare: join((it) => it.minServiceShare),
+    shed: join((it) => it.shed),
+    p99FirstTokenMs: join((it) => it.p99FirstTokenMs),
+  };
+}
+
 function byClass(
   phases: readonly PhaseFigures[],
   read: (it: ClassFigures) => number,
