Let a retried request keep its place in the queue

Cause: a retry asks anew, and its place was counted from the new ask; a grant that is not wanted was given back for every service. Change: the time waited is what is gone of the class timeout; grants name their service. Conclusion: retries do not go to the end of the queue.

--- a/packages/daemon/src/process/scheduling/broker.ts
+++ b/packages/daemon/src/process/scheduling/broker.ts
@@ -70,7 +70,7 @@
     this.#pool = pool;
     this.#learning = learning;
     this.#appraisal = new AskAppraisal({ queue, pool, learning, switches });
-    this.#answers = new BrokerAnswers(parts);
+    this.#answers = new BrokerAnswers(service, parts);
     this.#slots = new SlotLedger({ pool, books: this.#books, table });
     this.#granting = new Granting({
       queue,
@@ -172,7 +172,7 @@
     this.#hear(entry);
     const mismatches = this.#books.compare(entry, message);
     const resync = mismatches >= MISMATCHES_BEFORE_RESYNC;
-    this.#answers.alive(entry, { service: this.#service, resync });
+    this.#answers.alive(entry, { resync });
   }
 
   /** The list of runners has changed. */
@@ -246,7 +246,7 @@
     this.#parts.log.event("broker_woke", { service, gapMs, waiting, inFlight });
     for (const entry of this.#books.entries) {
       this.#dropEntry(entry);
-      this.#answers.alive(entry, { service, resync: true });
+      this.#answers.alive(entry, { resync: true });
     }
     return now;
   }
--- a/packages/daemon/src/process/scheduling/broker_answers.ts
+++ b/packages/daemon/src/process/scheduling/broker_answers.ts
@@ -26,13 +26,15 @@
 
 /** Sends grants and refusals. */
 export class BrokerAnswers {
+  readonly #service: string;
   readonly #log: Log;
   readonly #send: (entry: string, message: EntryMessage) => void;
 
-  constructor(parts: {
+  constructor(service: string, parts: {
     readonly log: Log;
     readonly send: (entry: string, message: EntryMessage) => void;
   }) {
+    this.#service = service;
     this.#log = parts.log;
     this.#send = parts.send;
   }
@@ -57,6 +59,7 @@
   repeat(held: Held): void {
     this.#send(held.entry, {
       type: "grant",
+      service: this.#service,
       askId: held.askId,
       epoch: held.epoch,
       runner: held.runner,
@@ -96,11 +99,9 @@
   }
 
   /** Answers a beat; `resync` asks the entry to present all that it has. */
-  alive(
-    entry: string,
-    reply: { readonly service: string; readonly resync: boolean },
-  ): void {
-    this.#send(entry, { type: "beat_reply", ...reply });
+  alive(entry: string, reply: { readonly resync: boolean }): void {
+    const service = this.#service;
+    this.#send(entry, { type: "beat_reply", service, ...reply });
   }
 
   #refuse(entry: string, ask: AskMessage, verdict: Verdict): void {
--- a/packages/daemon/src/process/scheduling/messages.ts
+++ b/packages/daemon/src/process/scheduling/messages.ts
@@ -92,6 +92,7 @@
 
 const GrantBody = Schema.Struct({
   type: Schema.Literal("grant"),
+  service: Name,
   askId: Name,
   epoch: Amount,
   runner: Name,
--- a/packages/daemon/src/request/broker_link.ts
+++ b/packages/daemon/src/request/broker_link.ts
@@ -12,6 +12,7 @@
   type BrokerMessage,
   TO_BROKER,
 } from "../process/scheduling/messages.ts";
+import type { TableSource } from "../process/table_source.ts";
 import type { OwnRequests, Pending, Place } from "./own_requests.ts";
 
 /** What a link works with. */
@@ -21,6 +22,7 @@
   readonly contacts: Contacts;
   readonly host: BrokerHost;
   readonly directory: RunnerDirectory;
+  readonly table: TableSource;
   readonly clock: Clock;
   /** Absent in a daemon without peers. */
   readonly peers?: Peers;
@@ -63,16 +65,17 @@
 
   /** Asks for a slot, also again. */
   ask(pending: Pending, excluded?: string): void {
-    const { ask, epoch, askedAt, broker } = pending;
+    const { ask, epoch, broker } = pending;
     const { deadline, ...told } = ask;
+    const remainingMs = Math.max(0, deadline - this.#parts.clock.now());
     const rank = this.#parts.finder.rank(ask.service);
     const isBroker = rank.slice(0, 2).includes(broker);
     this.#sendAwaiting(broker, {
       type: "ask",
       ...told,
       epoch,
-      remainingMs: Math.max(0, deadline - this.#parts.clock.now()),
-      waitedMs: Math.max(0, this.#parts.clock.monotonic() - askedAt),
+      remainingMs,
+      waitedMs: this.#waitedMs(pending, remainingMs),
       excluded: excluded === undefined
         ? ask.excluded
         : [...ask.excluded, excluded],
@@ -80,6 +83,19 @@
     });
   }
 
+  /**
+   * Milliseconds since the request arrived. A retry asks anew, so the time of
+   * its ask would send it to the end of the queue; what is left of the class's
+   * timeout tells how long its caller has waited.
+   */
+  #waitedMs(pending: Pending, remainingMs: number): number {
+    const { ask, askedAt } = pending;
+    const timeoutMs = this.#parts.table.current().classes
+      .find((it) => it.name === ask.class)?.timeoutMs ?? 0;
+    const sinceAsk = this.#parts.clock.monotonic() - askedAt;
+    return Math.max(0, sinceAsk, timeoutMs - remainingMs);
+  }
+
   /** Sends what the broker has to answer. */
   #sendAwaiting(broker: string, message: BrokerMessage): void {
     if (broker !== this.#parts.finder.self) this.#parts.contacts.asked(broker);
--- a/packages/daemon/src/request/brokered_scheduler.ts
+++ b/packages/daemon/src/request/brokered_scheduler.ts
@@ -212,13 +212,13 @@
     if (using?.runner === message.runner && using.broker === from) return;
     const pending = this.#own.pending.get(message.askId);
     if (pending?.broker !== from || pending.epoch !== message.epoch) {
-      return this.#giveBack(from, message.askId);
+      return this.#giveBack(from, message);
     }
     const runner = this.#parts.directory.find(message.runner);
     if (runner === undefined || runner.state === "leaving") {
       // The broker does not know yet that the runner leaves; it must get
       // nothing new, so the slot goes back and the ask is made again.
-      this.#giveBack(from, message.askId);
+      this.#giveBack(from, message);
       return this.#askAnew(pending, message.runner);
     }
     this.#settle(pending);
@@ -243,10 +243,9 @@
   }
 
   /** Tells a broker that a slot it granted is not wanted here. */
-  #giveBack(broker: string, askId: string): void {
-    for (const service of this.#parts.directory.services()) {
-      this.#link.send(broker, { type: "withdraw", service, askId });
-    }
+  #giveBack(broker: string, grant: GrantMessage): void {
+    const { service, askId } = grant;
+    this.#link.send(broker, { type: "withdraw", service, askId });
   }
 
   #release(askId: string, settlement: Settlement): void {
