Keep the slots a runner runs at once when first tokens are late

Change: late first tokens take slots away only down to what the runner runs at once; times between tokens still do so down to a quarter.

--- a/packages/daemon/src/process/scheduling/runner_learning.ts
+++ b/packages/daemon/src/process/scheduling/runner_learning.ts
@@ -8,6 +8,7 @@
 import type { RunnerPool } from "./runner_pool.ts";
 import type { Held, RunnerState } from "./runner_state.ts";
 import type { Settlement } from "./settlement.ts";
+import type { LatencyRatios } from "./slot_limit.ts";
 import type { Switches } from "./switches.ts";
 
 /** A runner that takes this many times the median between tokens is ejected. */
@@ -46,7 +47,10 @@
     const target = this.#tightest(state);
     if (this.#switches.adaptiveSlots && target !== undefined) {
       const saturated = state.freeSlots(now) <= 0;
-      state.limit.observe(report.stepMs / target, { now, saturated });
+      state.limit.observe({ between: report.stepMs / target }, {
+        now,
+        saturated,
+      });
     }
     this.#judge(runner, now);
   }
@@ -67,9 +71,9 @@
       return;
     }
     this.#learnStep(state, settlement);
-    const ratio = this.#ratio(state, { held, settlement });
-    if (this.#switches.adaptiveSlots && ratio !== undefined) {
-      state.limit.observe(ratio, { now, saturated });
+    if (this.#switches.adaptiveSlots) {
+      const ratios = this.#ratios(state, { held, settlement });
+      state.limit.observe(ratios, { now, saturated });
     }
     if (outcome === "complete") this.#judge(held.runner, now, held.askId);
     else state.ejection.ended(held.askId);
@@ -89,23 +93,23 @@
     state.observeStep(betweenTokensMs);
   }
 
-  /** Observed latency over target, the worse of first and further tokens. */
-  #ratio(
+  /** Observed latencies over their targets. */
+  #ratios(
     state: RunnerState,
     end: { readonly held: Held; readonly settlement: Settlement },
-  ): number | undefined {
+  ): LatencyRatios {
     const { firstTokenMs, betweenTokensMs } = end.settlement;
     const target = this.#pool.classOf(end.held.class)?.target;
     const first = target?.firstTokenMs ?? target?.wholeAnswerMs;
     const between = this.#tightest(state) ?? target?.betweenTokensMs;
-    const ratios: number[] = [];
-    if (firstTokenMs !== undefined && first !== undefined) {
-      ratios.push(firstTokenMs / (first * FIRST_TOKEN_SHARE));
-    }
-    if (betweenTokensMs !== undefined && between !== undefined) {
-      ratios.push(betweenTokensMs / between);
-    }
-    return ratios.length === 0 ? undefined : Math.max(...ratios);
+    return {
+      ...(firstTokenMs === undefined || first === undefined
+        ? {}
+        : { first: firstTokenMs / (first * FIRST_TOKEN_SHARE) }),
+      ...(betweenTokensMs === undefined || between === undefined
+        ? {}
+        : { between: betweenTokensMs / between }),
+    };
   }
 
   /** The tightest time between tokens promised to what runs there. */
--- a/packages/daemon/src/process/scheduling/slot_limit.ts
+++ b/packages/daemon/src/process/scheduling/slot_limit.ts
@@ -17,17 +17,28 @@
 const MOST = 4;
 const LEAST_REPORTED = 0.5;
 
+/** Observed latencies over their targets; absent ones were not observed. */
+export interface LatencyRatios {
+  /** Time between tokens. */
+  readonly between?: number;
+  /** Time from the send to the first token. */
+  readonly first?: number;
+}
+
 /** The adapted number of slots of one runner. */
 export class SlotLimit {
   #base: number;
   #value: number;
   #ceiling: number;
+  /** What the runner runs at once, as far as is known. */
+  #capacity: number;
   #decreasedAt = -Infinity;
 
   constructor(base: number) {
     this.#base = Math.max(1, base);
     this.#value = this.#base;
     this.#ceiling = this.#base * MOST;
+    this.#capacity = this.#base;
   }
 
   /** Whole slots; at least 1. */
@@ -44,6 +55,7 @@
     if (slots <= 0) return;
     const least = Math.max(1, this.#base * LEAST_REPORTED);
     this.#ceiling = Math.min(this.#base * MOST, Math.max(least, slots));
+    this.#capacity = Math.min(this.#base, Math.max(least, slots));
     this.#value = Math.min(this.#value, this.#ceiling);
   }
 
@@ -53,27 +65,35 @@
     this.#value = this.#value / this.#base * Math.max(1, base);
     this.#base = Math.max(1, base);
     this.#ceiling = this.#base * MOST;
+    this.#capacity = this.#base;
   }
 
   /**
    * Learns from one observation.
    *
-   * @param ratio observed latency over the tightest target being served.
+   * @param ratios observed latencies over the tightest targets being served.
    * @param at the moment, and whether all slots were in use: a limit that is
    * not reached shows nothing about a higher one.
    */
   observe(
-    ratio: number,
+    ratios: LatencyRatios,
     at: { readonly now: number; readonly saturated: boolean },
   ): void {
-    if (ratio > TOO_SLOW) return this.#decrease(at.now);
-    if (ratio > COMFORTABLE || !at.saturated) return;
+    const { between = 0, first = 0 } = ratios;
+    if (between > TOO_SLOW) return this.#decrease(at.now, this.#base * LEAST);
+    // Late first tokens come from a queue inside the runner, or from a burst of
+    // long prompts, which fewer slots do not cure: taking slots away below what
+    // the runner runs at once would leave it idle for nothing.
+    if (first > TOO_SLOW) return this.#decrease(at.now, this.#capacity);
+    const worst = Math.max(between, first);
+    if (worst > COMFORTABLE || !at.saturated) return;
     this.#value = Math.min(this.#ceiling, this.#value + 1 / this.#value);
   }
 
-  #decrease(now: number): void {
+  #decrease(now: number, least: number): void {
     if (now - this.#decreasedAt < DECREASE_INTERVAL_MS) return;
+    if (this.#value <= least) return;
     this.#decreasedAt = now;
-    this.#value = Math.max(1, this.#base * LEAST, this.#value * DECREASE);
+    this.#value = Math.max(1, least, this.#value * DECREASE);
   }
 }
--- a/packages/daemon/src/process/scheduling/slot_limit_test.ts
+++ b/packages/daemon/src/process/scheduling/slot_limit_test.ts
@@ -6,7 +6,7 @@
 
 function observeAll(limit: SlotLimit, ratios: readonly number[]): void {
   for (const [index, ratio] of ratios.entries()) {
-    limit.observe(ratio, { now: index * 1_000, ...BUSY });
+    limit.observe({ between: ratio }, { now: index * 1_000, ...BUSY });
   }
 }
 
@@ -18,15 +18,21 @@
 
 test("takes slots away once for one congested moment", () => {
   const limit = new SlotLimit(16);
-  for (let i = 0; i < 20; i++) limit.observe(2, { now: 0, ...BUSY });
+  for (let i = 0; i < 20; i++) {
+    limit.observe({ between: 2 }, { now: 0, ...BUSY });
+  }
   assert.equal(limit.slots, 13);
 });
 
 test("grows only while all slots are in use", () => {
   const limit = new SlotLimit(4);
-  for (let i = 0; i < 50; i++) limit.observe(0.1, { now: 0, saturated: false });
+  for (let i = 0; i < 50; i++) {
+    limit.observe({ between: 0.1 }, { now: 0, saturated: false });
+  }
   assert.equal(limit.slots, 4);
-  for (let i = 0; i < 50; i++) limit.observe(0.1, { now: 0, ...BUSY });
+  for (let i = 0; i < 50; i++) {
+    limit.observe({ between: 0.1 }, { now: 0, ...BUSY });
+  }
   assert.ok(limit.slots > 8);
 });
 
@@ -37,3 +43,13 @@
   limit.setCapacity(1);
   assert.equal(limit.slots, 8);
 });
+
+test("keeps the slots that a runner runs at once when first tokens are late", () => {
+  // A burst of long prompts delays first tokens whatever the number of slots.
+  // Were slots taken away for it, the runner would stand half idle in a burst.
+  const limit = new SlotLimit(16);
+  for (let now = 0; now < 20_000; now += 1_000) {
+    limit.observe({ first: 3 }, { now, ...BUSY });
+  }
+  assert.equal(limit.slots, 16);
+});
