--- a/packages/daemon/src/process/scheduling/fair_queue.ts
+++ b/packages/daemon/src/process/scheduling/fair_queue.ts
@@ -10,6 +10,7 @@
  */
 import type { Class, Table } from "@umbermast/table";
 import { Flow } from "./flow.ts";
+import { MinimumShares, type SlotUsage } from "./minimum_shares.ts";
 import type { Switches } from "./switches.ts";
 import type { Waiting } from "./waiting.ts";
 
@@ -30,9 +31,6 @@
 
 /** Tier of a class that the table does not name; served after all others. */
 const UNKNOWN_TIER = 1_000;
-/** Unpaid share that a class may save up, in multiples of its next cost. */
-const CREDIT_BOUND = 4;
-
 /** What an offer of an ask to the queue came to. */
 export interface Offer {
   readonly accepted: boolean;
@@ -51,8 +49,7 @@
   readonly #switches: Switches;
   readonly #bounds: QueueBounds;
   readonly #flows = new Map<string, Flow>();
-  /** Share owed to each class and not yet served, in cost. */
-  readonly #credit = new Map<string, number>();
+  readonly #shares: MinimumShares;
   /** Virtual time of each tier: the pass of the flow served last. */
   readonly #virtual = new Map<number, number>();
   #classes: ReadonlyMap<string, Class> = new Map();
@@ -64,10 +61,16 @@
 
   constructor(
     table: Table,
-    options: { readonly switches: Switches; readonly bounds?: QueueBounds },
+    options: {
+      readonly switches: Switches;
+      readonly bounds?: QueueBounds;
+      /** Absent: minimum shares are kept by cost alone. */
+      readonly usage?: SlotUsage;
+    },
   ) {
     this.#switches = options.switches;
     this.#bounds = options.bounds ?? DEFAULT_BOUNDS;
+    this.#shares = new MinimumShares(options.usage);
     this.setTable(table);
   }
 
@@ -78,6 +81,7 @@
   /** Takes a new table; it orders what already waits, too. */
   setTable(table: Table): void {
     this.#classes = new Map(table.classes.map((it) => [it.name, it]));
+    this.#shares.setClasses(this.#classes);
     this.#highest = Math.min(
       ...table.classes.map((it) => this.tierOf(it.name)),
     );
@@ -207,8 +211,7 @@
 
   /** Whether a class is owed service under its minimum share. */
   isOwed(className: string): boolean {
-    return this.#switches.minimumShare &&
-      (this.#credit.get(className) ?? 0) > 0;
+    return this.#claim(className) > 0;
   }
 
   #compare(left: Flow, right: Flow): number {
@@ -222,11 +225,9 @@
     return left.items[0]!.arrivedAt - right.items[0]!.arrivedAt;
   }
 
-  /** What a class is owed in proportion to its share; 0 when nothing. */
+  /** What a class is owed; 0 when nothing. */
   #claim(className: string): number {
-    if (!this.isOwed(className)) return 0;
-    const share = this.#classes.get(className)?.minimumShare ?? 0;
-    return share > 0 ? (this.#credit.get(className) ?? 0) / share : 0;
+    return this.#switches.minimumShare ? this.#shares.claim(className) : 0;
   }
 
   #add(flow: Flow, waiting: Waiting): void {
@@ -242,17 +243,7 @@
 
   #charge(flow: Flow, cost: number): void {
     flow.pass += cost / this.#weightOf(flow.workspace, flow.class);
-    if (!this.#switches.minimumShare) return;
-    for (const [name, headCost] of this.#waitingClasses()) {
-      const share = this.#classes.get(name)?.minimumShare ?? 0;
-      if (share <= 0) continue;
-      const credit = (this.#credit.get(name) ?? 0) + share * cost;
-      this.#credit.set(name, Math.min(credit, CREDIT_BOUND * headCost));
-    }
-    // A class pays for its service only down to one such cost: service beyond
-    // its share is the tiers' gift and must not be held against it later.
-    const paid = (this.#credit.get(flow.class) ?? 0) - cost;
-    this.#credit.set(flow.class, Math.max(paid, -Math.abs(cost)));
+    this.#shares.charge(flow.class, cost, this.#waitingClasses());
   }
 
   /** Classes that wait, with the cost of one of their next asks. */
@@ -266,13 +257,11 @@
     return found;
   }
 
-  /** A class with nothing waiting has no claim left; its debts stay. */
   #forgetClaim(className: string): void {
     for (const flow of this.#flows.values()) {
       if (flow.class === className && flow.length > 0) return;
     }
-    const credit = this.#credit.get(className) ?? 0;
-    this.#credit.set(className, Math.min(0, credit));
+    this.#shares.forget(className);
   }
 
   #victim(): Waiting | undefined {
