Test job cards under two faults at once, and a claim whose reply is lost

Cause: only single faults struck job cards in tests with real processes. Change: a lost reply to the claim's write; a silent answer and a killed daemon. Conclusion: one run at most in each ledger.

--- a/packages/testing/tests/once_cards_test.ts
+++ b/packages/testing/tests/once_cards_test.ts
@@ -123,4 +123,42 @@
     const answer = await call;
     assert.equal(answer.outcome, "complete", JSON.stringify(answer));
   });
+
+  // The claim takes effect in the store and the reply to its write is lost, so
+  // the daemon cannot know whether it has the key. It reads back and finds its
+  // own claim: the card is made, once, and a retry gets the same answer.
+  it("is made once when the reply to its claim is lost", async (t) => {
+    const deployed = await small(t);
+    await deployed.stack.control(deployed.stack.platform.url, {
+      fault: "lose-reply",
+      part: "objects",
+      count: 1,
+    });
+    const caller = deployed.caller(0, "yard-desk");
+    let answer = await caller.plain(deployed.cardPath, KEYED);
+    while (answer.outcome !== "complete") {
+      // Anything else would be final, and the card would never be made.
+      assert.notEqual(answer.retryAfterMs, undefined, JSON.stringify(answer));
+      answer = await caller.plain(deployed.cardPath, KEYED);
+    }
+    assert.equal(runsOf(await deployed.ledger()).length, 1);
+  });
+
+  // Two faults at once: the runner's answer is lost and the daemon that waits
+  // for it is killed right after. Neither may lead to a second card.
+  it("is made at most once when its answer is lost and its daemon killed", async (t) => {
+    const deployed = await small(t, { plainConfig: { serviceMs: 1_000 } });
+    const [runner] = deployed.plainRunners();
+    const lost = deployed.caller(0, "yard-desk")
+      .plain(deployed.cardPath, KEYED);
+    await deployed.ledgerWhen((entries) => entries.length === 1);
+    runner?.proxy?.order({ fault: "silent" });
+    await deployed.ledgerWhen(([entry]) => entry?.end === "complete");
+    process.kill(deployed.daemon(0).pid, "SIGKILL");
+    await lost;
+    const second = await deployed.caller(1, "yard-desk")
+      .plain(deployed.cardPath, KEYED);
+    assert.equal(second.outcome, "unknown", JSON.stringify(second));
+    assert.equal(runsOf(await deployed.ledger()).length, 1);
+  });
 });
