--- a/packages/coordination/src/process/peers.ts
+++ b/packages/coordination/src/process/peers.ts
@@ -39,9 +39,19 @@
  * CBOR item, which the receiver checks.
  */
 export interface Peers {
-  /** Sends without waiting for an answer; false when there is no link or it is full. */
+  /**
+   * Sends without waiting for an answer. A link that is not there yet is dialled
+   * and the message waits for it.
+   *
+   * @returns false when the message is dropped at once: the member is not known
+   * or could not be reached a moment ago, the queue is full, or the message is
+   * larger than a frame. True is no promise that it arrives.
+   */
   send(to: string, channel: string, message: unknown): boolean;
-  /** Sends and waits for the answer of the other end's handler. */
+  /**
+   * Sends and waits for the answer of the other end's handler. Interrupting the
+   * effect, or its timeout, interrupts that handler.
+   */
   request(
     to: string,
     message: { readonly channel: string; readonly body: unknown },
@@ -49,7 +59,14 @@
   ): Effect.Effect<unknown, PeerUnreachable>;
   /** Sets the handler of a channel; a second one for the same channel throws. */
   handle(channel: string, handler: MessageHandler): void;
-  /** Calls the listener when a link goes up or down. Returns the end of the subscription. */
+  /**
+   * Calls the listener when a member can be reached over a link after it could
+   * not, and when a link that failed in use could not be replaced. That an idle
+   * link closes is not told, so `down` hints at a member that is gone, and
+   * `membership` decides.
+   *
+   * @returns a function that ends the subscription.
+   */
   subscribe(
     listener: (peer: string, state: "up" | "down") => void,
   ): () => void;
