Keep a host leaving that the list withdrew and then dropped

Cause: a host that the platform called leaving looked alive again as soon as the list no longer named it, while it still answered probes. Change: it stays leaving until the list calls it live. Conclusion: a withdrawn host gets no new work back.

--- a/packages/coordination/src/process/membership_book.ts
+++ b/packages/coordination/src/process/membership_book.ts
@@ -33,7 +33,9 @@
   readonly #removedAt = new Map<string, number>();
   readonly #suspicions: Suspicions;
   readonly #news = new News();
-  #listed: ReadonlyMap<string, Host> = new Map();
+  /** Hosts that the list called leaving and has not called live since. */
+  readonly #drained = new Set<string>();
+  #listed: ReadonlySet<string> = new Set();
   readonly #self: SelfRecord;
   #version = 1;
   #view: View | undefined;
@@ -71,7 +73,7 @@
   /** The present view. */
   view(): View {
     const records = [this.self, ...this.#records.values()];
-    this.#view ??= buildView(this.#version, records, this.#listed);
+    this.#view ??= buildView(this.#version, records, this.#drained);
     return this.#view;
   }
 
@@ -163,9 +165,11 @@
   /** Takes in the platform's list. */
   list(hosts: readonly Host[]): void {
     const entries = hosts.filter((host) => host.role === "entry");
-    this.#listed = new Map(entries.map((host) => [host.name, host]));
+    this.#listed = new Set(entries.map((host) => host.name));
     for (const host of entries) {
       const { name, address, port, region, failureDomain, incarnation } = host;
+      if (host.state === "leaving") this.#drained.add(name);
+      else this.#drained.delete(name);
       const listed: MemberRecord = {
         member: { name, address, port, region, failureDomain, incarnation },
         refutations: 0,
@@ -273,6 +277,7 @@
     for (const [name, at] of this.#removedAt) {
       if (now - at < settings.reprobeForMs || this.#listed.has(name)) continue;
       this.#removedAt.delete(name);
+      this.#drained.delete(name);
       this.#records.delete(name);
     }
   }
--- a/packages/coordination/src/process/membership_view.ts
+++ b/packages/coordination/src/process/membership_view.ts
@@ -3,31 +3,34 @@
  *
  * @module
  */
-import type { Host } from "./host_list.ts";
 import type { MemberRecord } from "./membership_record.ts";
 import type { MemberStatus, View } from "./membership.ts";
 
 function statusOf(
   record: MemberRecord,
-  listed: Host | undefined,
+  drained: ReadonlySet<string>,
 ): MemberStatus {
   const { member, health, leaving } = record;
-  if (leaving || listed?.state === "leaving") {
+  if (leaving || drained.has(member.name)) {
     return { member, state: "leaving" };
   }
   return { member, state: health === "suspect" ? "suspect" : "alive" };
 }
 
-/** Builds the view: removed members are absent, the others in order of name. */
+/**
+ * Builds the view: removed members are absent, the others in order of name.
+ *
+ * @param drained names of the hosts that the platform called leaving.
+ */
 export function buildView(
   version: number,
   records: Iterable<MemberRecord>,
-  listed: ReadonlyMap<string, Host>,
+  drained: ReadonlySet<string>,
 ): View {
   const members: MemberStatus[] = [];
   for (const record of records) {
     if (record.health === "removed") continue;
-    members.push(statusOf(record, listed.get(record.member.name)));
+    members.push(statusOf(record, drained));
   }
   members.sort((a, b) => a.member.name < b.member.name ? -1 : 1);
   return { version, members };
--- a/packages/coordination/tests/membership_test.ts
+++ b/packages/coordination/tests/membership_test.ts
@@ -272,6 +272,23 @@
     })
   ));
 
+test("a host that the list called leaving and then drops stays leaving", () =>
+  // The platform withdraws m2 and drops it from the list while m2 still answers
+  // probes. It must not look fit for new work again.
+  withFleet((fleet) =>
+    Effect.gen(function* () {
+      const [m1, m2] = members(2);
+      assert.ok(m1 && m2);
+      yield* fleet.startAll([m1, m2]);
+      fleet.list.set([hostOf(m1), hostOf(m2, { state: "leaving" })]);
+      fleet.list.set([hostOf(m1)]);
+      yield* pass(5);
+      assert.equal(fleet.viewOf("m1"), "m1 m2=leaving");
+      fleet.list.set([hostOf(m1), hostOf(m2)]);
+      assert.equal(fleet.viewOf("m1"), "m1 m2");
+    })
+  ));
+
 test("runners of the list are no members", () =>
   withFleet((fleet) =>
     Effect.gen(function* () {
