Leave news out of ping requests and nacks

Cause: while a failure domain of 63 was gone, a member of 380 sent 16.1 KB in the worst second, 32 KB/s with what it received, over the budget of 29 KB/s. Change: datagrams on behalf of a failed probe hold only what their receiver has to contradict.

--- a/packages/coordination/src/process/membership_outbox.ts
+++ b/packages/coordination/src/process/membership_outbox.ts
@@ -31,6 +31,15 @@
 
 const MAX_DIGEST_BYTES = 128;
 
+/**
+ * Datagrams on behalf of a probe that failed. While a failure domain is gone
+ * there are several for each of many probes, and were they filled with news too
+ * they would take the control traffic over its bound; pings, acks and gossip
+ * spread it as fast. There is room for what the receiver has to contradict.
+ */
+const ERRANDS: readonly ProbeKind[] = ["ping-request", "nack"];
+const ERRAND_RECORD_BYTES = 200;
+
 /** Sends probes. */
 export class ProbeOutbox {
   readonly #options: ProbeOutboxOptions;
@@ -61,7 +70,9 @@
     const rotating = kind === "ack" && wantsRecords
       ? Number.POSITIVE_INFINITY
       : settings.rotatingRecords;
-    const bytes = settings.maxDatagramBytes - used;
+    const bytes = ERRANDS.includes(kind)
+      ? ERRAND_RECORD_BYTES
+      : settings.maxDatagramBytes - used;
     const records = book.recordsFor(to, { bytes, rotating });
     const datagram = codec.seal({
       kind,
