--- a/packages/daemon/src/fleet.ts
+++ b/packages/daemon/src/fleet.ts
@@ -94,10 +94,18 @@
   });
 }
 
+/** Names of the log's events, written out so that a search for one finds it. */
+const MEMBERSHIP_EVENTS: Readonly<Record<MembershipEvent["type"], string>> = {
+  changed: "member_changed",
+  refuted: "member_refuted",
+  paused: "member_paused",
+  outdated: "member_outdated",
+};
+
 /** Logs what happens to members. */
 function logMembership(event: MembershipEvent, log: Log): void {
   const { type, ...fields } = event;
-  log.event(`member_${type}`, fields);
+  log.event(MEMBERSHIP_EVENTS[type], fields);
 }
 
 function isRunner(host: Host): host is Host & Runner {
