Remove a stack's folder of logs at its end unless it is kept

Cause: each test left a folder of logs and settings behind. Change: the folder goes with the stack; the demo and npm run stack keep it.

--- a/packages/testing/src/demo.ts
+++ b/packages/testing/src/demo.ts
@@ -77,6 +77,7 @@
   plainRunners: PLAIN_RUNNERS,
   deployment: "cooperative",
   seed: SEED,
+  keepLogs: true,
 });
 try {
   const results = await sendAll(stack);
--- a/packages/testing/src/process/launcher.ts
+++ b/packages/testing/src/process/launcher.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { randomBytes } from "node:crypto";
-import { mkdtemp, writeFile } from "node:fs/promises";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import type { Table } from "@umbermast/table";
@@ -149,6 +149,8 @@
       ...this.#standIns.map((child) => child.stop(STAND_IN_GRACE_MS)),
       ...this.#proxies.map((proxy) => proxy.close()),
     ]);
+    if (this.#options.keepLogs || this.#logs === "") return;
+    await rm(this.#logs, { recursive: true, force: true });
   }
 
   async #storeTable(): Promise<string> {
--- a/packages/testing/src/process/stack_handle.ts
+++ b/packages/testing/src/process/stack_handle.ts
@@ -33,6 +33,8 @@
   readonly platformConfig?: object;
   /** Aborted while the stack starts: what was started is ended again. */
   readonly signal?: AbortSignal;
+  /** Keep the folder of logs and settings after the end; false by default. */
+  readonly keepLogs?: boolean;
   /** Called with the pid of each process that is started. */
   readonly started?: (pid: number) => void;
   /** Changes the table before it is stored. */
--- a/packages/testing/src/stack.ts
+++ b/packages/testing/src/stack.ts
@@ -69,7 +69,7 @@
 
 async function run(options: Options): Promise<void> {
   const signal = stopSignal();
-  const stack = await startStack({ ...options, signal });
+  const stack = await startStack({ ...options, signal, keepLogs: true });
   print(stack, options);
   if (!signal.aborted) {
     await new Promise((resolve) => signal.addEventListener("abort", resolve));
