Send each request to a runner on a new connection

Cause: a connection kept to an engine may have gone silent unseen. A quote sent on it waited for its whole deadline of 10 s and was lost (504 runner_silent, outcome unknown), although a new connection would have worked.

--- a/packages/daemon/src/request/attempt.ts
+++ b/packages/daemon/src/request/attempt.ts
@@ -143,10 +143,12 @@
           path: call.path,
           headers: requestHeaders(call, mark),
           body: call.body,
-          // A kept connection may have been closed by the runner unseen. Its
-          // reset does not tell whether the request had arrived before; on a
-          // new one, a connection that was refused is proof that it had not.
-          fresh: !call.repeatable || resume.offset !== undefined,
+          // A kept connection may have gone silent unseen: a quote sent on it
+          // would wait until its deadline for an engine that never got it. It
+          // may also have been closed, and its reset does not tell whether the
+          // request had arrived. A new connection has just been answered, and
+          // one that was refused is proof that nothing had arrived.
+          fresh: true,
         },
         limits,
       ));
--- a/packages/testing/tests/recovery_test.ts
+++ b/packages/testing/tests/recovery_test.ts
@@ -83,4 +83,20 @@
       assert.equal(answer.outcome, "complete", JSON.stringify(answer));
     }
   });
+
+  // The connections kept to an engine went silent while they were idle. A quote
+  // that is sent on one of them goes nowhere, and must not wait there for long:
+  // a new connection would have worked.
+  it("answers a quote when kept connections are silent", async (t) => {
+    const deployed = await deploy(t, ONE_ENGINE);
+    const caller = deployed.caller(0, "front-office");
+    const before = await caller.chat(deployed.model, { testTokens: 5 });
+    assert.equal(before.outcome, "complete", JSON.stringify(before));
+    for (const { proxy } of deployed.modelRunners()) {
+      proxy?.order({ fault: "silent" });
+    }
+    const answer = await caller.chat(deployed.model, { testTokens: 5 });
+    assert.equal(answer.outcome, "complete", JSON.stringify(answer));
+    t.diagnostic(`first token after ${answer.firstTokenMs?.toFixed(0)} ms`);
+  });
 });
