Keep one host list that is set from outside

Cause: the members of bench claims, membership and slopes and the fixture of the membership tests each had a class of their own for the same host list. Change: SettableHostList stands in @umbermast/coordination/testing and serves all four; the tests change only where they import it from.

--- a/packages/bench/src/claims_fleet.ts
+++ b/packages/bench/src/claims_fleet.ts
@@ -9,10 +9,10 @@
   ClaimsInStore,
   type CoordinationNode,
   type Host,
-  type HostList,
   HttpStore,
   startNode,
 } from "@umbermast/coordination";
+import { SettableHostList } from "@umbermast/coordination/testing";
 import {
   type Calls,
   type Fault,
@@ -29,30 +29,6 @@
 const STOP_GRACE_MS = 2_000;
 const LINK_POLL_MS = 20;
 
-/** A host list that the fleet fills once the ports are known. */
-class FleetHostList implements HostList {
-  #hosts: readonly Host[] = [];
-  readonly #listeners = new Set<(hosts: readonly Host[]) => void>();
-
-  hosts(): readonly Host[] {
-    return this.#hosts;
-  }
-
-  current(): boolean {
-    return true;
-  }
-
-  subscribe(listener: (hosts: readonly Host[]) => void): () => void {
-    this.#listeners.add(listener);
-    return () => this.#listeners.delete(listener);
-  }
-
-  replace(hosts: readonly Host[]): void {
-    this.#hosts = hosts;
-    for (const listener of [...this.#listeners]) listener(hosts);
-  }
-}
-
 interface ClaimMember {
   readonly node: CoordinationNode;
   readonly claims: ClaimsInStore;
@@ -64,7 +40,7 @@
   readonly #platform: StandInChild;
   readonly #settings: Partial<ClaimSettings>;
   readonly #scope = Scope.makeUnsafe();
-  readonly #hostList = new FleetHostList();
+  readonly #hostList = new SettableHostList();
   readonly #members: ClaimMember[] = [];
   #next = 0;
 
@@ -163,7 +139,7 @@
       role: "entry",
       state: "live",
     }));
-    this.#hostList.replace(hosts);
+    this.#hostList.set(hosts);
     const met = () =>
       this.#members.every(({ node }) =>
         node.membership.view().members.length === hosts.length
--- a/packages/bench/src/membership_member.ts
+++ b/packages/bench/src/membership_member.ts
@@ -8,39 +8,14 @@
 import * as Effect from "effect/Effect";
 import type {
   CoordinationNode,
-  Host,
-  HostList,
   MembershipEvent,
 } from "@umbermast/coordination";
 import { startNode } from "@umbermast/coordination";
+import { SettableHostList } from "@umbermast/coordination/testing";
 import type { MemberNotice, MemberOrder } from "./membership_message.ts";
 
 const [name = "", failureDomain = ""] = process.argv.slice(2);
 
-/** The list that the parent sends. */
-class SentHostList implements HostList {
-  readonly #listeners = new Set<(hosts: readonly Host[]) => void>();
-  #hosts: readonly Host[] = [];
-
-  hosts(): readonly Host[] {
-    return this.#hosts;
-  }
-
-  current(): boolean {
-    return true;
-  }
-
-  subscribe(listener: (hosts: readonly Host[]) => void): () => void {
-    this.#listeners.add(listener);
-    return () => this.#listeners.delete(listener);
-  }
-
-  set(hosts: readonly Host[]): void {
-    this.#hosts = hosts;
-    for (const listener of [...this.#listeners]) listener(hosts);
-  }
-}
-
 function tell(notice: MemberNotice): void {
   process.send?.(notice);
 }
@@ -72,7 +47,7 @@
 }
 
 const program = Effect.gen(function* () {
-  const list = new SentHostList();
+  const list = new SettableHostList();
   const node = yield* startNode({
     name,
     address: "127.0.0.1",
--- a/packages/bench/src/slopes_node.ts
+++ b/packages/bench/src/slopes_node.ts
@@ -7,13 +7,13 @@
 import {
   type CoordinationNode,
   type Host,
-  type HostList,
   type MessageHandler,
   type Peers,
   type PeerUnreachable,
   startNode,
   type Store,
 } from "@umbermast/coordination";
+import { SettableHostList } from "@umbermast/coordination/testing";
 import * as Effect from "effect/Effect";
 import * as Scope from "effect/Scope";
 import type { Meter } from "./slopes_meter.ts";
@@ -21,31 +21,6 @@
 const KEY = "a key for measurements only";
 const ADDRESS = "127.0.0.1";
 
-/** A host list that is set from outside. */
-export class RigHostList implements HostList {
-  #hosts: readonly Host[] = [];
-  readonly #listeners = new Set<(hosts: readonly Host[]) => void>();
-
-  hosts(): readonly Host[] {
-    return this.#hosts;
-  }
-
-  current(): boolean {
-    return true;
-  }
-
-  subscribe(listener: (hosts: readonly Host[]) => void): () => void {
-    this.#listeners.add(listener);
-    return () => this.#listeners.delete(listener);
-  }
-
-  /** Takes a whole list in place of the former one. */
-  replace(hosts: readonly Host[]): void {
-    this.#hosts = hosts;
-    for (const listener of [...this.#listeners]) listener(hosts);
-  }
-}
-
 /** Messages between members, counted; heartbeats are not. */
 export class MeteredPeers implements Peers {
   readonly #peers: Peers;
@@ -130,7 +105,7 @@
 export interface RigNode {
   readonly node: CoordinationNode;
   readonly peers: MeteredPeers;
-  readonly hostList: RigHostList;
+  readonly hostList: SettableHostList;
   /** This member as the platform would list it. */
   readonly host: Host;
 }
@@ -140,7 +115,7 @@
   name: string,
   options: { readonly meter: Meter; readonly failureDomain?: string },
 ): Promise<RigNode> {
-  const hostList = new RigHostList();
+  const hostList = new SettableHostList();
   const failureDomain = options.failureDomain ?? "domain-1";
   const incarnation = 1;
   const node = await runHere(startNode({
--- a/packages/bench/src/slopes_part_claims.ts
+++ b/packages/bench/src/slopes_part_claims.ts
@@ -67,7 +67,7 @@
     const given = command as ClaimsCommand;
     switch (given.type) {
       case "hosts":
-        return this.#rig.hostList.replace(given.hosts);
+        return this.#rig.hostList.set(given.hosts);
       case "load":
         return this.#load(given.claimsPerSecond);
       case "make":
--- a/packages/bench/src/slopes_part_members.ts
+++ b/packages/bench/src/slopes_part_members.ts
@@ -49,7 +49,7 @@
     const given = command as MembersCommand;
     switch (given.type) {
       case "hosts":
-        for (const { hostList } of this.#nodes) hostList.replace(given.hosts);
+        for (const { hostList } of this.#nodes) hostList.set(given.hosts);
         return Promise.resolve();
       case "use":
         this.#use(given.names, given.everyMs);
--- a/packages/bench/src/slopes_part_published.ts
+++ b/packages/bench/src/slopes_part_published.ts
@@ -66,7 +66,7 @@
     switch (given.type) {
       case "hosts":
         for (const { rig } of this.#followers) {
-          rig.hostList.replace(given.hosts);
+          rig.hostList.set(given.hosts);
         }
         return undefined;
       case "follow":
--- a/packages/bench/src/slopes_part_scheduler.ts
+++ b/packages/bench/src/slopes_part_scheduler.ts
@@ -232,7 +232,7 @@
     const given = command as SchedulerCommand;
     switch (given.type) {
       case "hosts":
-        for (const { rig } of this.#askers) rig.hostList.replace(given.hosts);
+        for (const { rig } of this.#askers) rig.hostList.set(given.hosts);
         return undefined;
       case "runners":
         for (const asker of this.#askers) asker.setRunners(given.ports);
--- a/packages/bench/src/slopes_part_shares.ts
+++ b/packages/bench/src/slopes_part_shares.ts
@@ -48,7 +48,7 @@
 
   call(command: unknown): Promise<unknown> {
     const given = command as SharesCommand;
-    if (given.type === "hosts") this.#rig.hostList.replace(given.hosts);
+    if (given.type === "hosts") this.#rig.hostList.set(given.hosts);
     else this.#hold(given.limits, given.holders);
     return Promise.resolve();
   }
--- a/packages/coordination/src/testing/mod.ts
+++ b/packages/coordination/src/testing/mod.ts
@@ -9,3 +9,4 @@
 export type { Delivery, DeliveryFate } from "./memory_network.ts";
 export { MemoryStore } from "./memory_store.ts";
 export type { FaultPlan, StoreCall, StoreFault } from "./memory_store.ts";
+export { SettableHostList } from "./settable_host_list.ts";
--- a/packages/coordination/tests/fleet_fixture.ts
+++ b/packages/coordination/tests/fleet_fixture.ts
@@ -22,6 +22,7 @@
 import type { ProbeSettings } from "../src/process/membership_settings.ts";
 import type { ProbeTransport } from "../src/process/membership_transport.ts";
 import type { Member } from "../src/process/membership.ts";
+import { SettableHostList } from "../src/testing/settable_host_list.ts";
 
 export const FLEET_KEY = Buffer.from("a fleet of tests");
 
@@ -31,30 +32,6 @@
 /** Whether a datagram is lost between two members. */
 export type Loss = (from: string, to: string) => boolean;
 
-/** A host list that the test sets. */
-export class SettableHostList implements HostList {
-  readonly #listeners = new Set<(hosts: readonly Host[]) => void>();
-  #hosts: readonly Host[] = [];
-
-  hosts(): readonly Host[] {
-    return this.#hosts;
-  }
-
-  current(): boolean {
-    return true;
-  }
-
-  subscribe(listener: (hosts: readonly Host[]) => void): () => void {
-    this.#listeners.add(listener);
-    return () => this.#listeners.delete(listener);
-  }
-
-  set(hosts: readonly Host[]): void {
-    this.#hosts = hosts;
-    for (const listener of [...this.#listeners]) listener(hosts);
-  }
-}
-
 export function memberNamed(
   name: string,
   change: Partial<Member> = {},
--- a/packages/coordination/tests/membership_test.ts
+++ b/packages/coordination/tests/membership_test.ts
@@ -1,13 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import * as Effect from "effect/Effect";
-import {
-  hostOf,
-  memberNamed,
-  pass,
-  SettableHostList,
-  withFleet,
-} from "./fleet_fixture.ts";
+import { hostOf, memberNamed, pass, withFleet } from "./fleet_fixture.ts";
+import { SettableHostList } from "../src/testing/settable_host_list.ts";
 
 function members(count: number) {
   return Array.from({ length: count }, (_, i) => memberNamed(`m${i + 1}`));
