Wait in the bench with the timer that Node has

Cause: eight modules of the bench each had a function "pause" around setTimeout, three waited with the same promise written out, two called Node's own one "sleep". Change: all import setTimeout of node:timers/promises as "pause". The test of slopes changes its import alone. Conclusion: one way to wait, none of it ours.

--- a/packages/bench/src/claims_fleet.ts
+++ b/packages/bench/src/claims_fleet.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { setTimeout as pause } from "node:timers/promises";
 import {
   type ClaimSettings,
   ClaimsInStore,
@@ -145,7 +146,7 @@
         node.membership.view().members.length === hosts.length
       );
     while (!met()) {
-      await new Promise((done) => setTimeout(done, LINK_POLL_MS));
+      await pause(LINK_POLL_MS);
     }
   }
 
--- a/packages/bench/src/edit.ts
+++ b/packages/bench/src/edit.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { setTimeout as pause } from "node:timers/promises";
 import { HttpOperators } from "@umbermast/cli";
 import { HttpStore } from "@umbermast/coordination";
 import { entriesBack, readTable } from "@umbermast/table";
@@ -187,7 +188,7 @@
   let read: TableRead | undefined;
   while (read === undefined || !watch.allAt(read.version)) {
     if (read !== undefined && performance.now() > giveUpAt) break;
-    await new Promise((resolve) => setTimeout(resolve, SETTLE_CHECK_MS));
+    await pause(SETTLE_CHECK_MS);
     read = await Effect.runPromise(
       Effect.orElseSucceed(readTable(store), () => undefined),
     );
--- a/packages/bench/src/edit_scenarios.ts
+++ b/packages/bench/src/edit_scenarios.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { setTimeout as pause } from "node:timers/promises";
 import type { Stack, StackDaemon } from "@umbermast/testing";
 import type { VersionWatch } from "./edit_watch.ts";
 
@@ -75,7 +76,3 @@
   daemons.set(name, started);
   watch.add(name, started.operatorUrl);
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/bench/src/edit_watch.ts
+++ b/packages/bench/src/edit_watch.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { setTimeout as pause } from "node:timers/promises";
 import { fetchJson } from "@umbermast/testing";
 import type { Absence, Sighting } from "./edit_record.ts";
 
@@ -61,7 +62,7 @@
     while (!this.#stopped && this.#urls.get(daemon) === url) {
       const version = await this.#versionAt(url);
       if (version !== undefined) this.#note(daemon, version);
-      await new Promise((resolve) => setTimeout(resolve, EVERY_MS));
+      await pause(EVERY_MS);
     }
   }
 
--- a/packages/bench/src/faults.ts
+++ b/packages/bench/src/faults.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import process from "node:process";
+import { setTimeout as pause } from "node:timers/promises";
 import {
   DEPLOYMENT_NAMES,
   fetchJson,
@@ -29,10 +30,6 @@
 
 const MS_PER_SECOND = 1_000;
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 async function strikeAll(faulty: FaultyStack, slot: Slot): Promise<void> {
   await pause(LEAD_S * MS_PER_SECOND);
   await Promise.all(
--- a/packages/bench/src/faults_callers.ts
+++ b/packages/bench/src/faults_callers.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import { Agent } from "node:http";
+import { setTimeout as pause } from "node:timers/promises";
 import { type Answer, Caller } from "@umbermast/testing";
 import type { Arrival } from "./arrivals.ts";
 import type { CallerRecord } from "./load_record.ts";
@@ -35,10 +36,6 @@
   return performance.timeOrigin + performance.now();
 }
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 /**
  * Whether a try may be followed by another. What may not be repeated has a key
  * in this bench, so a retry is safe and may fetch the first try's answer; a
--- a/packages/bench/src/faults_effects.ts
+++ b/packages/bench/src/faults_effects.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { setTimeout as pause } from "node:timers/promises";
 import type { Stack, StackDaemon, StackRunner } from "@umbermast/testing";
 import type { FaultKind } from "./faults_schedule.ts";
 
@@ -31,10 +32,6 @@
   readonly at: number;
 }
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 /** A stack whose daemons come and go. */
 export class FaultyStack {
   readonly departures: Departure[] = [];
--- a/packages/bench/src/load.ts
+++ b/packages/bench/src/load.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import { Agent } from "node:http";
+import { setTimeout as pause } from "node:timers/promises";
 import { Caller, type CallOptions } from "@umbermast/testing";
 import type { Arrival } from "./arrivals.ts";
 import type { CallerRecord } from "./load_record.ts";
@@ -42,10 +43,6 @@
   return performance.timeOrigin + performance.now();
 }
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 function words(start: string, tokens: number): string {
   const length = Math.max(1, tokens * CHARACTERS_PER_TOKEN);
   return `${start} `.padEnd(length, "word ").slice(0, length);
--- a/packages/bench/src/membership_experiment.ts
+++ b/packages/bench/src/membership_experiment.ts
@@ -6,7 +6,7 @@
  */
 import { freemem } from "node:os";
 import process from "node:process";
-import { setTimeout as sleep } from "node:timers/promises";
+import { setTimeout as pause } from "node:timers/promises";
 import type { Experiment, Settings } from "./experiment.ts";
 import { MemberFleet } from "./membership_fleet.ts";
 import { measureBusyPhase, measurePhase } from "./membership_phase.ts";
@@ -75,10 +75,10 @@
   const fleet = new MemberFleet();
   try {
     await fleet.start(processes);
-    await sleep(SETTLE_MS);
+    await pause(SETTLE_MS);
     const calm = await measurePhase(fleet, settings.number("calmSeconds"));
     const busy = await measureBusyPhase(fleet, settings.number("busySeconds"));
-    await sleep(SETTLE_MS);
+    await pause(SETTLE_MS);
     const killedMs = await detectKills(fleet);
     const leavingMs = await detectLeaving(fleet);
     return { processes, killedMs, leavingMs, calm, busy };
--- a/packages/bench/src/membership_phase.ts
+++ b/packages/bench/src/membership_phase.ts
@@ -6,7 +6,7 @@
 import { type ChildProcess, fork } from "node:child_process";
 import { availableParallelism } from "node:os";
 import { fileURLToPath } from "node:url";
-import { setTimeout as sleep } from "node:timers/promises";
+import { setTimeout as pause } from "node:timers/promises";
 import type { Traffic } from "@umbermast/coordination";
 import type { MemberFleet, Sighting } from "./membership_fleet.ts";
 import type { MemberSample } from "./membership_message.ts";
@@ -56,7 +56,7 @@
   const sightings = fleet.sightings.length;
   const startedAt = Date.now();
   const before = await fleet.sample();
-  await sleep(seconds * MS_PER_SECOND);
+  await pause(seconds * MS_PER_SECOND);
   const after = await fleet.sample();
   const elapsed = (Date.now() - startedAt) / MS_PER_SECOND;
   const wrong = fleet.sightings.slice(sightings);
--- a/packages/bench/src/overhead.ts
+++ b/packages/bench/src/overhead.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { readFile } from "node:fs/promises";
+import { setTimeout as pause } from "node:timers/promises";
 import {
   type Answer,
   Caller,
@@ -77,10 +78,6 @@
   }
 }
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 /** Sends on a fixed clock, alternating between the two ways. */
 async function compare(
   ways: Ways,
--- a/packages/bench/src/slopes_proc.ts
+++ b/packages/bench/src/slopes_proc.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { readFileSync } from "node:fs";
-import { pause } from "./slopes_process.ts";
+import { setTimeout as pause } from "node:timers/promises";
 import type { Sample } from "./slopes_result.ts";
 
 const MICROS_PER_TICK = 10_000;
--- a/packages/bench/src/slopes_process.ts
+++ b/packages/bench/src/slopes_process.ts
@@ -5,6 +5,7 @@
  */
 import { type ChildProcess, fork } from "node:child_process";
 import { fileURLToPath } from "node:url";
+import { setTimeout as pause } from "node:timers/promises";
 import type { Reading } from "./slopes_meter.ts";
 import type { Sample } from "./slopes_result.ts";
 
@@ -107,11 +108,6 @@
   }
 }
 
-/** Waits. */
-export function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
 /** Watches a process for a while and gives its rates at load `x`. */
 export async function sampleProcess(
   process: RigProcess,
--- a/packages/bench/src/slopes_rig_claims.ts
+++ b/packages/bench/src/slopes_rig_claims.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { setTimeout as pause } from "node:timers/promises";
 import { startStandIn } from "@umbermast/testing";
 import type {
   ClaimsCommand,
@@ -10,7 +11,6 @@
   ClaimsInfo,
 } from "./slopes_part_claims.ts";
 import {
-  pause,
   type RigProcess,
   sampleProcess,
   withProcesses,
--- a/packages/bench/src/slopes_rig_entry.ts
+++ b/packages/bench/src/slopes_rig_entry.ts
@@ -5,11 +5,11 @@
  * @module
  */
 import { setMaxListeners } from "node:events";
+import { setTimeout as pause } from "node:timers/promises";
 import type { Table } from "@umbermast/table";
 import { Caller, type Stack, startStack } from "@umbermast/testing";
 import { ledgersOf } from "./judge_ledgers.ts";
 import { sampleProc } from "./slopes_proc.ts";
-import { pause } from "./slopes_process.ts";
 import type { Sample } from "./slopes_result.ts";
 import {
   type Measured,
--- a/packages/bench/src/slopes_rig_member.ts
+++ b/packages/bench/src/slopes_rig_member.ts
@@ -3,10 +3,10 @@
  *
  * @module
  */
+import { setTimeout as pause } from "node:timers/promises";
 import type { Host } from "@umbermast/coordination";
 import type { MembersCommand, MembersInfo } from "./slopes_part_members.ts";
 import {
-  pause,
   PROBE_MESSAGES,
   type RigProcess,
   sampleProcess,
--- a/packages/bench/src/slopes_rig_published.ts
+++ b/packages/bench/src/slopes_rig_published.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { setTimeout as pause } from "node:timers/promises";
 import { HttpStore, rendezvous } from "@umbermast/coordination";
 import { TABLE_KIND, TABLE_NAME } from "@umbermast/table";
 import { startStandIn } from "@umbermast/testing";
@@ -14,7 +15,6 @@
   PublishedMember,
 } from "./slopes_part_published.ts";
 import {
-  pause,
   type RigProcess,
   sampleProcess,
   untilCalm,
--- a/packages/bench/src/slopes_rig_scheduler.ts
+++ b/packages/bench/src/slopes_rig_scheduler.ts
@@ -4,9 +4,9 @@
  *
  * @module
  */
+import { setTimeout as pause } from "node:timers/promises";
 import { rendezvous } from "@umbermast/coordination";
 import {
-  pause,
   PROBE_MESSAGES,
   type RigProcess,
   sampleProcess,
--- a/packages/bench/src/slopes_rig_shares.ts
+++ b/packages/bench/src/slopes_rig_shares.ts
@@ -4,10 +4,10 @@
  *
  * @module
  */
+import { setTimeout as pause } from "node:timers/promises";
 import { rendezvous } from "@umbermast/coordination";
 import type { SharesCommand, SharesInfo } from "./slopes_part_shares.ts";
 import {
-  pause,
   type RigProcess,
   sampleProcess,
   withProcesses,
--- a/packages/bench/src/slopes_scheduler_fleet.ts
+++ b/packages/bench/src/slopes_scheduler_fleet.ts
@@ -3,13 +3,14 @@
  *
  * @module
  */
+import { setTimeout as pause } from "node:timers/promises";
 import type { RunnersInfo } from "./slopes_part_runners.ts";
 import type {
   SchedulerCommand,
   SchedulerCounts,
   SchedulerInfo,
 } from "./slopes_part_scheduler.ts";
-import { pause, type RigProcess } from "./slopes_process.ts";
+import type { RigProcess } from "./slopes_process.ts";
 
 const SETTLE_MS = 3_000;
 const PROBE_MS = 1_000;
--- a/packages/bench/src/surge_run.ts
+++ b/packages/bench/src/surge_run.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import process from "node:process";
+import { setTimeout as pause } from "node:timers/promises";
 import { type DeploymentName, startStack } from "@umbermast/testing";
 import type { Stack } from "@umbermast/testing";
 import type { Table } from "@umbermast/table";
@@ -139,7 +140,3 @@
   process.kill(victim.pid, "SIGKILL");
   return ledgers;
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/bench/tests/slopes_test.ts
+++ b/packages/bench/tests/slopes_test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { setTimeout as pause } from "node:timers/promises";
 import type { MembersInfo } from "../src/slopes_part_members.ts";
 import {
-  pause,
   type RigProcess,
   sampleProcess,
   withProcesses,
