Read the store's answers in a module of their own

Change: http_reply.ts holds the judging as plain functions; HttpStore counts conflicts and failures in one place, "tally". Tests of coordination's process modules, leases, published values and claims: 114 of 114 pass. Conclusion: the counters are as before; each file has one job.

--- a/packages/coordination/src/process/http_store.ts
+++ b/packages/coordination/src/process/http_store.ts
@@ -6,6 +6,7 @@
 import * as Effect from "effect/Effect";
 import { HttpExchange } from "./http_exchange.ts";
 import type { StoreReply } from "./http_exchange.ts";
+import { bodyOf, removal, writtenVersion } from "./http_reply.ts";
 import { SYSTEM_CLOCK } from "./clock.ts";
 import type { Clock } from "./clock.ts";
 import { StoreHold } from "./store_hold.ts";
@@ -109,7 +110,7 @@
     const call = this.#read(pathOf(kind, name));
     return Effect.flatMap(call, (reply) => {
       if (reply.status === 404) return Effect.succeed(undefined);
-      return this.#body<StoredObject>(reply);
+      return this.#tally(bodyOf<StoredObject>(reply));
     });
   }
 
@@ -125,13 +126,10 @@
       ifVersion: options.ifVersion,
       value: object.value,
     });
-    return Effect.flatMap(call, (reply) => {
-      const version = versionIn(reply);
-      if (reply.status === 200 && version !== undefined) {
-        return Effect.succeed(version);
-      }
-      return this.#writeFailure(reply);
-    });
+    return Effect.flatMap(
+      call,
+      (reply) => this.#tally(writtenVersion(reply)),
+    );
   }
 
   remove(
@@ -140,11 +138,7 @@
   ): Effect.Effect<void, Conflict | Unavailable> {
     const path = pathOf(object.kind, object.name);
     const call = this.#write("DELETE", path, options);
-    return Effect.flatMap(call, (reply) => {
-      if (reply.status === 200) return Effect.void;
-      if (reply.status === 404) return this.#conflict(0);
-      return this.#writeFailure(reply);
-    });
+    return Effect.flatMap(call, (reply) => this.#tally(removal(reply)));
   }
 
   list(kind: string): Effect.Effect<
@@ -155,8 +149,8 @@
       this.#read(pathOf(kind)),
       (reply) =>
         Effect.map(
-          this.#body<{ revision: number; items: readonly StoredObject[] }>(
-            reply,
+          this.#tally(
+            bodyOf<{ revision: number; items: readonly StoredObject[] }>(reply),
           ),
           (body) => ({
             revision: body.revision,
@@ -189,7 +183,9 @@
     return Effect.flatMap(
       this.#guarded(this.#readHold, call),
       (reply) =>
-        this.#body<{ revision: number; events: readonly StoreEvent[] }>(reply),
+        this.#tally(
+          bodyOf<{ revision: number; events: readonly StoreEvent[] }>(reply),
+        ),
     );
   }
 
@@ -235,59 +231,21 @@
           retryAfterMs: remainingMs,
         });
       }
-      return Effect.tapError(call, () => this.#failed()).pipe(
+      return this.#tally(call).pipe(
         Effect.tap((reply) => Effect.sync(() => hold.note(reply))),
       );
     });
   }
 
-  #writeFailure(
-    reply: StoreReply,
-  ): Effect.Effect<never, Conflict | Unavailable> {
-    const version = versionIn(reply);
-    if (reply.status === 409 && version !== undefined) {
-      return this.#conflict(version);
-    }
-    // 4xx and 503 are the store's own refusals. Any other answer may come from
-    // something between the two ends, after the store did the write.
-    const refused = reply.status >= 400 && reply.status < 500 ||
-      reply.status === 503;
-    return this.#unusable(reply, !refused);
-  }
-
-  #conflict(version: number): Effect.Effect<never, Conflict> {
-    return Effect.suspend(() => {
-      this.#counters.conflicts += 1;
-      return Effect.fail<Conflict>({ _tag: "Conflict", version });
-    });
-  }
-
-  #body<T>(reply: StoreReply): Effect.Effect<T, Unavailable> {
-    if (reply.status === 200 && reply.body !== undefined) {
-      return Effect.succeed(reply.body as T);
-    }
-    return this.#unusable(reply, false);
-  }
-
-  #unusable(
-    reply: StoreReply,
-    mayHaveWritten: boolean,
-  ): Effect.Effect<never, Unavailable> {
-    const failure: Unavailable = {
-      _tag: "Unavailable",
-      reason: `The store answered with status ${reply.status}`,
-      mayHaveWritten,
-      ...(reply.retryAfterMs === undefined
-        ? {}
-        : { retryAfterMs: reply.retryAfterMs }),
-    };
-    return Effect.andThen(this.#failed(), Effect.fail(failure));
-  }
-
-  #failed(): Effect.Effect<void> {
-    return Effect.sync(() => {
-      this.#counters.failures += 1;
-    });
+  /** Counts how a call failed. */
+  #tally<A, E extends Conflict | Unavailable>(
+    call: Effect.Effect<A, E>,
+  ): Effect.Effect<A, E> {
+    return Effect.tapError(call, (error) =>
+      Effect.sync(() => {
+        if (error._tag === "Conflict") this.#counters.conflicts += 1;
+        else this.#counters.failures += 1;
+      }));
   }
 }
 
@@ -295,8 +253,3 @@
   const path = `/objects/${encodeURIComponent(kind)}`;
   return name === undefined ? path : `${path}/${encodeURIComponent(name)}`;
 }
-
-function versionIn(reply: StoreReply): number | undefined {
-  const version = (reply.body as { version?: unknown } | undefined)?.version;
-  return typeof version === "number" ? version : undefined;
-}
