Name what the store is asked and answers

Cause: the interface Store and its three classes in coordination each wrote the shapes of keys, writes, conditions, listings and watches out. Change: store.ts names them (ObjectKey, ObjectWrite, WriteCondition, StoreListing, WatchRange, StoreChanges); all use the names. Types alone change. Conclusion: one place tells what ifVersion, from and waitMs mean.

--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -42,10 +42,16 @@
 export { boundedOwners, Rendezvous, rendezvous } from "./process/rendezvous.ts";
 export type {
   Conflict,
+  ObjectKey,
+  ObjectWrite,
   Store,
+  StoreChanges,
   StoredObject,
   StoreEvent,
+  StoreListing,
   Unavailable,
+  WatchRange,
+  WriteCondition,
 } from "./process/store.ts";
 export { peerUnreachable } from "./process/peers.ts";
 export type {
--- a/packages/coordination/src/process/http_store.ts
+++ b/packages/coordination/src/process/http_store.ts
@@ -12,10 +12,15 @@
 import { StoreHold } from "./store_hold.ts";
 import type {
   Conflict,
+  ObjectKey,
+  ObjectWrite,
   Store,
+  StoreChanges,
   StoredObject,
-  StoreEvent,
+  StoreListing,
   Unavailable,
+  WatchRange,
+  WriteCondition,
 } from "./store.ts";
 
 const DEFAULT_TIMEOUT_MS = 2_000;
@@ -115,12 +120,8 @@
   }
 
   write(
-    object: {
-      readonly kind: string;
-      readonly name: string;
-      readonly value: unknown;
-    },
-    options: { readonly ifVersion: number },
+    object: ObjectWrite,
+    options: WriteCondition,
   ): Effect.Effect<number, Conflict | Unavailable> {
     const call = this.#write("PUT", pathOf(object.kind, object.name), {
       ifVersion: options.ifVersion,
@@ -133,24 +134,21 @@
   }
 
   remove(
-    object: { readonly kind: string; readonly name: string },
-    options: { readonly ifVersion: number },
+    object: ObjectKey,
+    options: WriteCondition,
   ): Effect.Effect<void, Conflict | Unavailable> {
     const path = pathOf(object.kind, object.name);
     const call = this.#write("DELETE", path, options);
     return Effect.flatMap(call, (reply) => this.#tally(removal(reply)));
   }
 
-  list(kind: string): Effect.Effect<
-    { readonly revision: number; readonly items: readonly StoredObject[] },
-    Unavailable
-  > {
+  list(kind: string): Effect.Effect<StoreListing, Unavailable> {
     return Effect.flatMap(
       this.#read(pathOf(kind)),
       (reply) =>
         Effect.map(
           this.#tally(
-            bodyOf<{ revision: number; items: readonly StoredObject[] }>(reply),
+            bodyOf<StoreListing>(reply),
           ),
           (body) => ({
             revision: body.revision,
@@ -162,11 +160,8 @@
 
   watch(
     kind: string,
-    options: { readonly from: number; readonly waitMs: number },
-  ): Effect.Effect<
-    { readonly revision: number; readonly events: readonly StoreEvent[] },
-    Unavailable
-  > {
+    options: WatchRange,
+  ): Effect.Effect<StoreChanges, Unavailable> {
     const path = `/watch/${
       encodeURIComponent(kind)
     }?from=${options.from}&wait=${options.waitMs}`;
@@ -184,7 +179,7 @@
       this.#guarded(this.#readHold, call),
       (reply) =>
         this.#tally(
-          bodyOf<{ revision: number; events: readonly StoreEvent[] }>(reply),
+          bodyOf<StoreChanges>(reply),
         ),
     );
   }
--- a/packages/coordination/src/process/store.ts
+++ b/packages/coordination/src/process/store.ts
@@ -14,6 +14,46 @@
   readonly value: unknown;
 }
 
+/** Which object a write or removal means. */
+export interface ObjectKey {
+  readonly kind: string;
+  readonly name: string;
+}
+
+/** An object as it shall be. */
+export interface ObjectWrite extends ObjectKey {
+  readonly value: unknown;
+}
+
+/** What must still hold for a write or removal to take effect. */
+export interface WriteCondition {
+  /** Version of the object; 0 when it must not exist. */
+  readonly ifVersion: number;
+}
+
+/** The objects of a kind. */
+export interface StoreListing {
+  /** Where a watch goes on from. */
+  readonly revision: number;
+  readonly items: readonly StoredObject[];
+}
+
+/** Which changes a watch waits for, and how long. */
+export interface WatchRange {
+  /** Changes later than this revision. */
+  readonly from: number;
+  /** Longest wait for a first change, in milliseconds. */
+  readonly waitMs: number;
+}
+
+/** The changes that a watch saw. */
+export interface StoreChanges {
+  /** Where the next watch goes on from. */
+  readonly revision: number;
+  /** Empty when none came in time. */
+  readonly events: readonly StoreEvent[];
+}
+
 /** A change seen by a watch. */
 export interface StoreEvent {
   readonly type: "put" | "delete";
@@ -55,32 +95,22 @@
    * @returns the new version.
    */
   write(
-    object: {
-      readonly kind: string;
-      readonly name: string;
-      readonly value: unknown;
-    },
-    options: { readonly ifVersion: number },
+    object: ObjectWrite,
+    options: WriteCondition,
   ): Effect.Effect<number, Conflict | Unavailable>;
 
   /** Removes one object if its version is still `ifVersion`. */
   remove(
-    object: { readonly kind: string; readonly name: string },
-    options: { readonly ifVersion: number },
+    object: ObjectKey,
+    options: WriteCondition,
   ): Effect.Effect<void, Conflict | Unavailable>;
 
   /** Lists a kind, with the revision to watch from. */
-  list(kind: string): Effect.Effect<
-    { readonly revision: number; readonly items: readonly StoredObject[] },
-    Unavailable
-  >;
+  list(kind: string): Effect.Effect<StoreListing, Unavailable>;
 
   /** Waits for changes later than `from`; an empty answer means none came. */
   watch(
     kind: string,
-    options: { readonly from: number; readonly waitMs: number },
-  ): Effect.Effect<
-    { readonly revision: number; readonly events: readonly StoreEvent[] },
-    Unavailable
-  >;
+    options: WatchRange,
+  ): Effect.Effect<StoreChanges, Unavailable>;
 }
--- a/packages/coordination/src/testing/memory_store.ts
+++ b/packages/coordination/src/testing/memory_store.ts
@@ -6,10 +6,16 @@
 import * as Effect from "effect/Effect";
 import type {
   Conflict,
+  ObjectKey,
+  ObjectWrite,
   Store,
+  StoreChanges,
   StoredObject,
   StoreEvent,
+  StoreListing,
   Unavailable,
+  WatchRange,
+  WriteCondition,
 } from "../process/store.ts";
 
 /** A call about to be made. */
@@ -66,12 +72,8 @@
   }
 
   write(
-    object: {
-      readonly kind: string;
-      readonly name: string;
-      readonly value: unknown;
-    },
-    options: { readonly ifVersion: number },
+    object: ObjectWrite,
+    options: WriteCondition,
   ): Effect.Effect<number, Conflict | Unavailable> {
     return this.faulty(
       { operation: "write", ...object },
@@ -89,8 +91,8 @@
   }
 
   remove(
-    object: { readonly kind: string; readonly name: string },
-    options: { readonly ifVersion: number },
+    object: ObjectKey,
+    options: WriteCondition,
   ): Effect.Effect<void, Conflict | Unavailable> {
     const { kind, name } = object;
     return this.faulty(
@@ -104,10 +106,7 @@
     );
   }
 
-  list(kind: string): Effect.Effect<
-    { readonly revision: number; readonly items: readonly StoredObject[] },
-    Unavailable
-  > {
+  list(kind: string): Effect.Effect<StoreListing, Unavailable> {
     return this.faulty(
       { operation: "list", kind },
       this.plan,
@@ -120,11 +119,8 @@
 
   watch(
     kind: string,
-    options: { readonly from: number; readonly waitMs: number },
-  ): Effect.Effect<
-    { readonly revision: number; readonly events: readonly StoreEvent[] },
-    Unavailable
-  > {
+    options: WatchRange,
+  ): Effect.Effect<StoreChanges, Unavailable> {
     return this.faulty(
       { operation: "watch", kind },
       this.plan,
@@ -154,7 +150,7 @@
   }
 
   #conditional<A>(
-    object: { readonly kind: string; readonly name: string },
+    object: ObjectKey,
     ifVersion: number,
     change: () => A,
   ): Effect.Effect<A, Conflict> {
@@ -170,15 +166,13 @@
 
   #changes(
     kind: string,
-    options: { readonly from: number; readonly waitMs: number },
+    options: WatchRange,
   ) {
     const later = () =>
       this.#events.filter((event) =>
         event.kind === kind && event.version > options.from
       );
-    return Effect.callback<
-      { readonly revision: number; readonly events: readonly StoreEvent[] }
-    >((resume) => {
+    return Effect.callback<StoreChanges>((resume) => {
       const answer = () => {
         clearTimeout(timer);
         this.#waiting.delete(look);
@@ -224,8 +218,8 @@
   }
 
   write(
-    object: { readonly kind: string; readonly name: string; value: unknown },
-    options: { readonly ifVersion: number },
+    object: ObjectWrite,
+    options: WriteCondition,
   ) {
     const call = { operation: "write", ...object } as const;
     const write = this.#store.write(object, options);
@@ -233,8 +227,8 @@
   }
 
   remove(
-    object: { readonly kind: string; readonly name: string },
-    options: { readonly ifVersion: number },
+    object: ObjectKey,
+    options: WriteCondition,
   ) {
     const call = { operation: "remove", ...object } as const;
     const remove = this.#store.remove(object, options);
@@ -248,7 +242,7 @@
 
   watch(
     kind: string,
-    options: { readonly from: number; readonly waitMs: number },
+    options: WatchRange,
   ) {
     const call = { operation: "watch", kind } as const;
     const watch = this.#store.watch(kind, options);
