Write a link's frames in a module of their own

Change: link_writer.ts holds the outgoing half; Link keeps the queue's bound, since its two uses differ. A link's memory, one object more, was not measured.

--- a/packages/coordination/src/connection/link.ts
+++ b/packages/coordination/src/connection/link.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import process from "node:process";
 import type { Socket } from "node:net";
 import * as Effect from "effect/Effect";
 import * as Exit from "effect/Exit";
@@ -20,7 +19,7 @@
 import type { LinkSettings } from "./link_settings.ts";
 import type { MessageHandler, PeerUnreachable } from "../process/peers.ts";
 import { peerUnreachable } from "../process/peers.ts";
-import { TAG_BYTES } from "./session.ts";
+import { LinkWriter } from "./link_writer.ts";
 import type { Session } from "./session.ts";
 
 /** What a link needs of the process around it. */
@@ -49,11 +48,11 @@
   readonly #host: LinkHost;
   readonly #socket: Socket;
   readonly #session: Session;
+  readonly #writer: LinkWriter;
   readonly #times: LinkTimes;
   readonly #handling: LinkHandlers;
   readonly #pending = new Map<number, Settle>();
   #nextId = 1;
-  #corked = false;
   #drainingSince: number | undefined;
   #goodbyeHeard = false;
   #closed: LinkClosed | undefined;
@@ -73,6 +72,12 @@
     this.incarnation = connection.session.incarnation;
     this.dialler = connection.dialler;
     this.establishedAt = host.clock.monotonic();
+    this.#writer = new LinkWriter({
+      socket: connection.socket,
+      sealer: connection.session.sealer,
+      traffic: host.traffic,
+      maxFrameBytes: host.settings.maxFrameBytes,
+    });
     this.#times = new LinkTimes(host.settings, host.clock);
     this.#handling = new LinkHandlers({
       peer: this.peer,
@@ -101,8 +106,8 @@
     if (!this.usable) return false;
     const { maxQueuedBytes } = this.#host.settings;
     const payload = encodeLinkMessage(message);
-    if (!this.#fits(payload)) return false;
-    if (this.#socket.writableLength + payload.length > maxQueuedBytes) {
+    if (!this.#writer.fits(payload)) return false;
+    if (this.#writer.queuedBytes + payload.length > maxQueuedBytes) {
       return false;
     }
     this.#use();
@@ -272,35 +277,19 @@
   #control(message: LinkMessage): void {
     if (this.#closed !== undefined) return;
     const payload = encodeLinkMessage(message);
-    if (this.#fits(payload)) {
+    if (this.#writer.fits(payload)) {
       this.#write(payload);
     } else if (message.kind === "answer") {
       const { id } = message;
       this.#control({ kind: "failure", id, reason: "handler-failed" });
     }
-    if (this.#socket.writableLength > 2 * this.#host.settings.maxQueuedBytes) {
+    if (this.#writer.queuedBytes > 2 * this.#host.settings.maxQueuedBytes) {
       this.close(linkClosed("refused", "other end does not read"));
     }
   }
 
-  /** The other end would close the link on a larger frame. */
-  #fits(payload: Uint8Array): boolean {
-    return payload.length + TAG_BYTES <= this.#host.settings.maxFrameBytes;
-  }
-
-  /** Messages of one turn of the event loop share packets. */
   #write(payload: Uint8Array): void {
     this.#times.sent();
-    if (!this.#corked) {
-      this.#corked = true;
-      this.#socket.cork();
-      process.nextTick(() => {
-        this.#corked = false;
-        this.#socket.uncork();
-      });
-    }
-    const frame = this.#session.sealer.seal(payload);
-    this.#host.traffic.addSent(frame.length);
-    this.#socket.write(frame);
+    this.#writer.write(payload);
   }
 }
