Say in ten comments what their names do not

Cause: "Judges a phase", "Sends probes", "Divides the plan" and seven others repeated the name below them; what counts, what fits and what is returned had to be read from the code. Change: each tells the rule or the result. Comments alone. Conclusion: the shortest comments of both packages were read; the others add to their names.

--- a/packages/bench/src/capacity.ts
+++ b/packages/bench/src/capacity.ts
@@ -32,7 +32,7 @@
   return format(capacityPage(result));
 }
 
-/** The page that is kept. */
+/** The capacity page as it stands in the repository. */
 export function keptPage(): string {
   return readFileSync(PAGE, "utf8");
 }
--- a/packages/bench/src/capacity_plan.ts
+++ b/packages/bench/src/capacity_plan.ts
@@ -89,7 +89,7 @@
   readonly membershipChangesPerSecond: number;
 }
 
-/** Divides the plan. */
+/** Works out what the plan asks of one daemon, runner, shard and domain. */
 export function derive(): Derived {
   const tokensPerAnswer = PLAN.tokensPerSecond / PLAN.requestsPerSecond;
   const answerSeconds = tokensPerAnswer * PLAN.betweenTokensMs / MILLIS;
--- a/packages/bench/src/edit.ts
+++ b/packages/bench/src/edit.ts
@@ -33,7 +33,7 @@
 const SETTLE_LIMIT_MS = 30_000;
 const SETTLE_CHECK_MS = 50;
 
-/** The experiment. */
+/** Runs scenarios of faults under edits and judges each, then all as one. */
 export const experiment: Experiment = {
   name: "edit",
   summary: "edits of the table by two operators, and when they are in force",
--- a/packages/bench/src/slopes_result.ts
+++ b/packages/bench/src/slopes_result.ts
@@ -154,7 +154,7 @@
   };
 }
 
-/** The short form of a fit. */
+/** Slopes of a fit's lines; `r2` tells how well the one of CPU time fits. */
 export function slopeOf(fit: Fit): Slope {
   return {
     per: fit.per,
--- a/packages/bench/src/surge_judge.ts
+++ b/packages/bench/src/surge_judge.ts
@@ -61,7 +61,10 @@
   readonly timely: boolean;
 }
 
-/** Judges a phase. */
+/**
+ * Sums a phase up. Only tokens within target are goodput; tokens of runs whose
+ * answer did not reach its caller whole are wasted work, as a share of all.
+ */
 export function judgePhase(evidence: PhaseEvidence): PhaseFigures {
   const work = workOf(evidence);
   const total = sum(work.map((it) => it.ms));
--- a/packages/coordination/src/connection/dial.ts
+++ b/packages/coordination/src/connection/dial.ts
@@ -29,7 +29,11 @@
   });
 }
 
-/** Listens until the scope closes. */
+/**
+ * Listens until the scope closes.
+ *
+ * @returns where it listens: port 0 has become the one that was given.
+ */
 export function listen(
   endpoint: Endpoint,
   onConnection: (socket: Socket) => void,
--- a/packages/coordination/src/process/claim_server.ts
+++ b/packages/coordination/src/process/claim_server.ts
@@ -48,7 +48,7 @@
     return Effect.asVoid(Effect.forkIn(sweep, this.#scope));
   }
 
-  /** Decides one request. */
+  /** Has a partition decide a request, and starts the partition if need be. */
   submit(
     partition: number,
     request: PartitionRequest,
--- a/packages/coordination/src/process/lease_object.ts
+++ b/packages/coordination/src/process/lease_object.ts
@@ -54,7 +54,11 @@
   | { readonly _tag: "Lost" }
   | { readonly _tag: "Unsure" };
 
-/** Reads and writes a lease. */
+/**
+ * The object of one lease in the store. It is free for this process when it is
+ * absent, given up or its own, or when its version has stood for the lease's
+ * length by this process's own clock.
+ */
 export class LeaseObject {
   readonly #options: LeaseObjectOptions;
   /** The version last seen, and when it was first seen. */
--- a/packages/coordination/src/process/membership_outbox.ts
+++ b/packages/coordination/src/process/membership_outbox.ts
@@ -40,7 +40,7 @@
 const ERRANDS: readonly ProbeKind[] = ["ping-request", "nack"];
 const ERRAND_RECORD_BYTES = 200;
 
-/** Sends probes. */
+/** Sends probes, each with the digest and as much news as still fits. */
 export class ProbeOutbox {
   readonly #options: ProbeOutboxOptions;
 
--- a/packages/coordination/src/process/traffic.ts
+++ b/packages/coordination/src/process/traffic.ts
@@ -12,7 +12,7 @@
   readonly receivedBytes: number;
 }
 
-/** Counts traffic. */
+/** Adds up the {@linkcode Traffic} of a process's links, or of its probes. */
 export class TrafficCounter {
   #sent = 0;
   #sentBytes = 0;
