Load and command the processes of slopes in one way

Cause: four rigs each had "command" and "toAll" to type a part's commands, three had the type Start, two a platform that is stopped at the end, and eight loops set a load, waited and took a sample. Change: RigProcess carries the type of its commands; callAll, Start and sampleLoads stand in slopes_process.ts, withPlatform in slopes_platform.ts. Order, loads and waits are as before. Tests of bench's tests folder pass. The rigs "shares", "published" and "member" were not run whole; their parts were started, joined and sampled.

--- a/packages/bench/src/slopes_process.ts
+++ b/packages/bench/src/slopes_process.ts
@@ -34,8 +34,8 @@
 /** Probes of a member that nothing else uses, a second, with room. */
 export const PROBE_MESSAGES = 6;
 
-/** A process that runs one part. */
-export class RigProcess {
+/** A process that runs one part, which carries out `Command`s. */
+export class RigProcess<Command = unknown> {
   readonly #child: ChildProcess;
   readonly #waiting = new Map<number, Waiting>();
   #nextId = 1;
@@ -55,8 +55,11 @@
   }
 
   /** Starts a part and waits until it is ready. */
-  static async start(part: string, config: object): Promise<RigProcess> {
-    const process = new RigProcess(part, config);
+  static async start<Command>(
+    part: string,
+    config: object,
+  ): Promise<RigProcess<Command>> {
+    const process = new RigProcess<Command>(part, config);
     process.#info = await process.#answer(0);
     return process;
   }
@@ -67,7 +70,7 @@
   }
 
   /** Has the part carry out a command. */
-  call(command: unknown): Promise<unknown> {
+  call(command: Command): Promise<unknown> {
     if (!this.#child.connected) {
       return Promise.reject(new Error("Cannot call a process that has ended"));
     }
@@ -108,6 +111,20 @@
   }
 }
 
+/** Starts a part in a process of its own. */
+export type Start = <Command>(
+  part: string,
+  config: object,
+) => Promise<RigProcess<Command>>;
+
+/** Has all processes carry out a command; gives their answers in that order. */
+export function callAll<Command>(
+  processes: readonly RigProcess<Command>[],
+  command: NoInfer<Command>,
+): Promise<readonly unknown[]> {
+  return Promise.all(processes.map((process) => process.call(command)));
+}
+
 /** Watches a process for a while and gives its rates at load `x`. */
 export async function sampleProcess(
   process: RigProcess,
@@ -129,6 +146,26 @@
   };
 }
 
+/** Watches a process at one load after another. */
+export async function sampleLoads(
+  process: RigProcess,
+  options: {
+    readonly loads: readonly number[];
+    /** Time from the setting of a load until it is watched, in milliseconds. */
+    readonly settleMs: number;
+    readonly seconds: number;
+    readonly setLoad: (load: number) => Promise<unknown>;
+  },
+): Promise<readonly Sample[]> {
+  const samples: Sample[] = [];
+  for (const x of options.loads) {
+    await options.setLoad(x);
+    await pause(options.settleMs);
+    samples.push(await sampleProcess(process, { x, seconds: options.seconds }));
+  }
+  return samples;
+}
+
 /**
  * Waits until a process sends and receives at most so many messages a second,
  * such as its probes alone: news of members that started goes round for a while.
@@ -150,14 +187,12 @@
 
 /** Runs a measurement with processes that are stopped however it ends. */
 export async function withProcesses<T>(
-  run: (
-    start: (part: string, config: object) => Promise<RigProcess>,
-  ) => Promise<T>,
+  run: (start: Start) => Promise<T>,
 ): Promise<T> {
   const started: RigProcess[] = [];
   try {
-    return await run(async (part, config) => {
-      const process = await RigProcess.start(part, config);
+    return await run(async <Command>(part: string, config: object) => {
+      const process = await RigProcess.start<Command>(part, config);
       started.push(process);
       return process;
     });
--- a/packages/bench/src/slopes_rig_claims.ts
+++ b/packages/bench/src/slopes_rig_claims.ts
@@ -4,17 +4,18 @@
  * @module
  */
 import { setTimeout as pause } from "node:timers/promises";
-import { startStandIn } from "@umbermast/testing";
 import type {
   ClaimsCommand,
   ClaimsCounts,
   ClaimsInfo,
 } from "./slopes_part_claims.ts";
 import {
+  callAll,
   type RigProcess,
-  sampleProcess,
+  sampleLoads,
   withProcesses,
 } from "./slopes_process.ts";
+import { withPlatform } from "./slopes_platform.ts";
 import type { Sample } from "./slopes_result.ts";
 import {
   type Measured,
@@ -30,28 +31,18 @@
 const PARTITIONS = 1;
 const WRITES_PER_SECOND = 7;
 const SETTLE_MS = 4_000;
-const STAND_IN_GRACE_MS = 1_000;
 
-interface Fleet {
-  readonly owner: RigProcess;
-  readonly others: readonly RigProcess[];
-}
+type ClaimsProcess = RigProcess<ClaimsCommand>;
 
-function command(process: RigProcess, given: ClaimsCommand): Promise<unknown> {
-  return process.call(given);
-}
-
-async function toAll(
-  processes: readonly RigProcess[],
-  given: ClaimsCommand,
-): Promise<void> {
-  await Promise.all(processes.map((process) => command(process, given)));
+interface Fleet {
+  readonly owner: ClaimsProcess;
+  readonly others: readonly ClaimsProcess[];
 }
 
 /** The owner is the one that writes when another claims. */
-async function findOwner(processes: readonly RigProcess[]): Promise<Fleet> {
+async function findOwner(processes: readonly ClaimsProcess[]): Promise<Fleet> {
   const before = await Promise.all(processes.map((each) => each.read()));
-  await toAll(processes, { type: "make", claims: 20 });
+  await callAll(processes, { type: "make", claims: 20 });
   const after = await Promise.all(processes.map((each) => each.read()));
   const calls = after.map((reading, i) =>
     reading.storeCalls - (before[i]?.storeCalls ?? 0)
@@ -61,9 +52,9 @@
   return { owner, others: processes.filter((each) => each !== owner) };
 }
 
-async function checkClaims(processes: readonly RigProcess[]): Promise<void> {
+async function checkClaims(processes: readonly ClaimsProcess[]): Promise<void> {
   for (const process of processes) {
-    const counts = await command(process, { type: "counts" }) as ClaimsCounts;
+    const counts = await process.call({ type: "counts" }) as ClaimsCounts;
     if (counts.failed <= counts.claimed / 100) continue;
     throw new Error(`Cannot measure: ${counts.failed} claims failed`);
   }
@@ -73,15 +64,15 @@
   fleet: Fleet,
   options: RigOptions,
 ): Promise<readonly Sample[]> {
-  const samples: Sample[] = [];
-  const { seconds } = options;
-  for (const rate of CLAIM_RATES) {
-    const claimsPerSecond = rate / fleet.others.length;
-    await toAll(fleet.others, { type: "load", claimsPerSecond });
-    await pause(SETTLE_MS);
-    samples.push(await sampleProcess(fleet.owner, { x: rate, seconds }));
-  }
-  await toAll(fleet.others, { type: "load", claimsPerSecond: 0 });
+  const { owner, others } = fleet;
+  const samples = await sampleLoads(owner, {
+    loads: CLAIM_RATES,
+    settleMs: SETTLE_MS,
+    seconds: options.seconds,
+    setLoad: (rate) =>
+      callAll(others, { type: "load", claimsPerSecond: rate / others.length }),
+  });
+  await callAll(others, { type: "load", claimsPerSecond: 0 });
   await pause(SETTLE_MS);
   return samples;
 }
@@ -91,34 +82,34 @@
   fleet: Fleet,
   options: RigOptions,
 ): Promise<readonly Sample[]> {
-  const samples: Sample[] = [];
-  const { seconds } = options;
+  const { owner, others } = fleet;
   let kept = 0;
-  for (const count of KEPT_COUNTS) {
-    const claims = Math.round((count - kept) / fleet.others.length);
-    await toAll(fleet.others, { type: "make", claims });
-    kept = count;
-    await pause(SETTLE_MS);
-    samples.push(await sampleProcess(fleet.owner, { x: count, seconds }));
-  }
-  return samples;
+  return await sampleLoads(owner, {
+    loads: KEPT_COUNTS,
+    settleMs: SETTLE_MS,
+    seconds: options.seconds,
+    setLoad: async (count) => {
+      const claims = Math.round((count - kept) / others.length);
+      await callAll(others, { type: "make", claims });
+      kept = count;
+    },
+  });
 }
 
-async function run(options: RigOptions): Promise<readonly Measured[]> {
-  const platform = await startStandIn("platform", {});
-  try {
-    return await withProcesses(async (start) => {
+function run(options: RigOptions): Promise<readonly Measured[]> {
+  return withPlatform((storeUrl) =>
+    withProcesses(async (start) => {
       const processes = await Promise.all(
         Array.from({ length: MEMBERS }, (_, i) =>
-          start("claims", {
+          start<ClaimsCommand>("claims", {
             name: `daemon-${i}`,
-            storeUrl: platform.url,
+            storeUrl,
             partitions: PARTITIONS,
             writesPerSecond: WRITES_PER_SECOND,
           })),
       );
       const hosts = processes.map((each) => (each.info as ClaimsInfo).host);
-      await toAll(processes, { type: "hosts", hosts });
+      await callAll(processes, { type: "hosts", hosts });
       await pause(SETTLE_MS);
       const fleet = await findOwner(processes);
       const rates = await rateSamples(fleet, options);
@@ -141,10 +132,8 @@
             "window.",
         }),
       ];
-    });
-  } finally {
-    await platform.stop(STAND_IN_GRACE_MS);
-  }
+    })
+  );
 }
 
 /** The partition owner's rig. */
--- a/packages/bench/src/slopes_rig_member.ts
+++ b/packages/bench/src/slopes_rig_member.ts
@@ -7,9 +7,12 @@
 import type { Host } from "@umbermast/coordination";
 import type { MembersCommand, MembersInfo } from "./slopes_part_members.ts";
 import {
+  callAll,
   PROBE_MESSAGES,
   type RigProcess,
+  sampleLoads,
   sampleProcess,
+  type Start,
   untilCalm,
   withProcesses,
 } from "./slopes_process.ts";
@@ -30,37 +33,31 @@
 const POLL_MS = 250;
 const SETTLE_LIMIT_MS = 60_000;
 
-type Start = (part: string, config: object) => Promise<RigProcess>;
+type MembersProcess = RigProcess<MembersCommand>;
 
 interface Fleet {
-  readonly measured: RigProcess;
-  readonly others: readonly RigProcess[];
+  readonly measured: MembersProcess;
+  readonly others: readonly MembersProcess[];
   readonly names: readonly string[];
 }
 
-function command(process: RigProcess, given: MembersCommand): Promise<unknown> {
-  return process.call(given);
-}
-
 function hostsOf(process: RigProcess): readonly Host[] {
   return (process.info as MembersInfo).hosts;
 }
 
 /** Starts `count` members: one in a process of its own, the others packed. */
 async function startFleet(start: Start, count: number): Promise<Fleet> {
-  const own = await start("members", { names: ["member-0"] });
-  const starts: Promise<RigProcess>[] = [];
+  const own = await start<MembersCommand>("members", { names: ["member-0"] });
+  const starts: Promise<MembersProcess>[] = [];
   for (let first = 1; first < count; first += MEMBERS_PER_PROCESS) {
     const size = Math.min(MEMBERS_PER_PROCESS, count - first);
     const names = Array.from({ length: size }, (_, i) => `member-${first + i}`);
-    starts.push(start("members", { names }));
+    starts.push(start<MembersCommand>("members", { names }));
   }
   const others = await Promise.all(starts);
   const all = [own, ...others];
   const hosts = all.flatMap(hostsOf);
-  await Promise.all(
-    all.map((process) => command(process, { type: "hosts", hosts })),
-  );
+  await callAll(all, { type: "hosts", hosts });
   await settled(all, count);
   await untilCalm(own, PROBE_MESSAGES);
   const names = others.flatMap(hostsOf).map((host) => host.name);
@@ -69,14 +66,14 @@
 
 /** Waits until every member sees all of them alive. */
 async function settled(
-  processes: readonly RigProcess[],
+  processes: readonly MembersProcess[],
   count: number,
 ): Promise<void> {
   const until = performance.now() + SETTLE_LIMIT_MS;
   while (true) {
-    const counts = await Promise.all(
-      processes.map((process) => command(process, { type: "alive" })),
-    ) as readonly (readonly number[])[];
+    const counts = await callAll(processes, {
+      type: "alive",
+    }) as readonly (readonly number[])[];
     if (counts.flat().every((alive) => alive === count)) break;
     if (performance.now() > until) {
       throw new Error(`Cannot measure: not all of ${count} members are seen`);
@@ -110,19 +107,16 @@
   return await withProcesses(async (start) => {
     const most = Math.max(...LINK_COUNTS);
     const fleet = await startFleet(start, most + 1);
-    const samples: Sample[] = [];
-    for (const count of LINK_COUNTS) {
-      const names = fleet.names.slice(0, count);
-      await command(fleet.measured, {
-        type: "use",
-        names,
-        everyMs: USE_EVERY_MS,
-      });
-      await pause(USE_SETTLE_MS);
-      const { seconds } = options;
-      samples.push(await sampleProcess(fleet.measured, { x: count, seconds }));
-    }
-    return samples;
+    return await sampleLoads(fleet.measured, {
+      loads: LINK_COUNTS,
+      settleMs: USE_SETTLE_MS,
+      seconds: options.seconds,
+      setLoad: (count) => {
+        const names = fleet.names.slice(0, count);
+        const everyMs = USE_EVERY_MS;
+        return fleet.measured.call({ type: "use", names, everyMs });
+      },
+    });
   });
 }
 
--- a/packages/bench/src/slopes_rig_published.ts
+++ b/packages/bench/src/slopes_rig_published.ts
@@ -7,7 +7,6 @@
 import { setTimeout as pause } from "node:timers/promises";
 import { HttpStore, rendezvous } from "@umbermast/coordination";
 import { TABLE_KIND, TABLE_NAME } from "@umbermast/table";
-import { startStandIn } from "@umbermast/testing";
 import * as Effect from "effect/Effect";
 import type {
   PublishedCommand,
@@ -15,11 +14,14 @@
   PublishedMember,
 } from "./slopes_part_published.ts";
 import {
+  callAll,
   type RigProcess,
   sampleProcess,
+  type Start,
   untilCalm,
   withProcesses,
 } from "./slopes_process.ts";
+import { withPlatform } from "./slopes_platform.ts";
 import type { Sample } from "./slopes_result.ts";
 import {
   type Measured,
@@ -42,23 +44,6 @@
 const COMPARING_MESSAGES = 14;
 const SETTLE_MS = 6_000;
 const MILLIS = 1_000;
-const STAND_IN_GRACE_MS = 1_000;
-
-type Start = (part: string, config: object) => Promise<RigProcess>;
-
-function command(
-  process: RigProcess,
-  given: PublishedCommand,
-): Promise<unknown> {
-  return process.call(given);
-}
-
-async function toAll(
-  processes: readonly RigProcess[],
-  given: PublishedCommand,
-): Promise<void> {
-  await Promise.all(processes.map((process) => command(process, given)));
-}
 
 /** Writes the table, without regard to who else does. */
 class Editor {
@@ -124,7 +109,7 @@
 async function startMembers(
   start: Start,
   storeUrl: string,
-): Promise<readonly RigProcess[]> {
+): Promise<readonly RigProcess<PublishedCommand>[]> {
   const all = members();
   const watcher = all.slice(0, 1);
   const follower = all.slice(DOMAIN_SIZE - 1, DOMAIN_SIZE);
@@ -136,12 +121,14 @@
     groups.push(rest.slice(first, first + MEMBERS_PER_PROCESS));
   }
   const processes = await Promise.all(
-    groups.map((group) => start("published", { members: group, storeUrl })),
+    groups.map((group) =>
+      start<PublishedCommand>("published", { members: group, storeUrl })
+    ),
   );
   const hosts = processes.flatMap((each) => (each.info as PublishedInfo).hosts);
-  await toAll(processes, { type: "hosts", hosts });
+  await callAll(processes, { type: "hosts", hosts });
   await pause(SETTLE_MS);
-  await toAll(processes, { type: "follow" });
+  await callAll(processes, { type: "follow" });
   await pause(SETTLE_MS);
   return processes;
 }
@@ -178,34 +165,30 @@
 async function rowSamples(options: RigOptions): Promise<readonly Sample[]> {
   const samples: Sample[] = [];
   for (const rows of ROW_COUNTS) {
-    const platform = await startStandIn("platform", {});
-    try {
-      await new Editor(platform.url, rows).edit();
+    await withPlatform(async (storeUrl) => {
+      await new Editor(storeUrl, rows).edit();
       await withProcesses(async (start) => {
-        const lone = await start("published", {
+        const lone = await start<PublishedCommand>("published", {
           members: [{ name: "lone", failureDomain: OWN_DOMAIN }],
-          storeUrl: platform.url,
+          storeUrl,
         });
-        await command(lone, {
+        await lone.call({
           type: "hosts",
           hosts: (lone.info as PublishedInfo).hosts,
         });
-        await command(lone, { type: "follow" });
+        await lone.call({ type: "follow" });
         await pause(SETTLE_MS);
         const { seconds } = options;
         samples.push(await sampleProcess(lone, { x: rows, seconds }));
       });
-    } finally {
-      await platform.stop(STAND_IN_GRACE_MS);
-    }
+    });
   }
   return samples;
 }
 
-async function run(options: RigOptions): Promise<readonly Measured[]> {
-  const platform = await startStandIn("platform", {});
-  try {
-    const { watching, following } = await editSamples(options, platform.url);
+function run(options: RigOptions): Promise<readonly Measured[]> {
+  return withPlatform(async (storeUrl) => {
+    const { watching, following } = await editSamples(options, storeUrl);
     const rows = await rowSamples(options);
     const fleet = `${DOMAIN_SIZE} daemons of a failure domain and the ` +
       `${FOREIGN_WATCHERS} watchers of five others, ${ROWS} rows`;
@@ -226,9 +209,7 @@
         how: "A lone daemon that has so many rows in force.",
       }),
     ];
-  } finally {
-    await platform.stop(STAND_IN_GRACE_MS);
-  }
+  });
 }
 
 /** The watcher's rig. */
--- a/packages/bench/src/slopes_rig_scheduler.ts
+++ b/packages/bench/src/slopes_rig_scheduler.ts
@@ -4,11 +4,11 @@
  *
  * @module
  */
-import { setTimeout as pause } from "node:timers/promises";
 import { rendezvous } from "@umbermast/coordination";
 import {
+  callAll,
   PROBE_MESSAGES,
-  type RigProcess,
+  sampleLoads,
   sampleProcess,
   untilCalm,
   withProcesses,
@@ -22,11 +22,10 @@
 } from "./slopes_rig.ts";
 import {
   checkGrants,
-  command,
   findBroker,
+  type SchedulerProcess,
   startRunners,
   startSchedulers,
-  toAll,
 } from "./slopes_scheduler_fleet.ts";
 
 const ENTRIES = 4;
@@ -62,31 +61,36 @@
   options: RigOptions,
 ): Promise<readonly Sample[]> {
   const { broker, entries } = fleet;
-  const { seconds } = options;
-  const samples: Sample[] = [];
-  for (const rate of ASK_RATES) {
-    const asksPerSecond = rate / entries.length;
-    await toAll(entries, { type: "load", asksPerSecond, holdMs: HOLD_MS });
-    await pause(SETTLE_MS);
-    samples.push(await sampleProcess(broker, { x: rate, seconds }));
-  }
-  await toAll(entries, { type: "load", asksPerSecond: 0, holdMs: HOLD_MS });
+  const load = (rate: number) =>
+    callAll(entries, {
+      type: "load",
+      asksPerSecond: rate / entries.length,
+      holdMs: HOLD_MS,
+    });
+  const samples = await sampleLoads(broker, {
+    loads: ASK_RATES,
+    settleMs: SETTLE_MS,
+    seconds: options.seconds,
+    setLoad: load,
+  });
+  await load(0);
   return samples;
 }
 
 /** One daemon that does not broker is measured, and asks alone. */
 async function entrySamples(
-  entry: RigProcess,
+  entry: SchedulerProcess,
   options: RigOptions,
 ): Promise<readonly Sample[]> {
-  const { seconds } = options;
-  const samples: Sample[] = [];
-  for (const asksPerSecond of ENTRY_RATES) {
-    await command(entry, { type: "load", asksPerSecond, holdMs: HOLD_MS });
-    await pause(SETTLE_MS);
-    samples.push(await sampleProcess(entry, { x: asksPerSecond, seconds }));
-  }
-  await command(entry, { type: "load", asksPerSecond: 0, holdMs: HOLD_MS });
+  const load = (asksPerSecond: number) =>
+    entry.call({ type: "load", asksPerSecond, holdMs: HOLD_MS });
+  const samples = await sampleLoads(entry, {
+    loads: ENTRY_RATES,
+    settleMs: SETTLE_MS,
+    seconds: options.seconds,
+    setLoad: load,
+  });
+  await load(0);
   return samples;
 }
 
@@ -96,17 +100,17 @@
   options: RigOptions,
 ): Promise<readonly Sample[]> {
   const { broker, entries } = fleet;
-  const { seconds } = options;
-  const samples: Sample[] = [];
   let held = 0;
-  for (const count of GRANT_COUNTS) {
-    const slots = Math.round((count - held) / entries.length);
-    await toAll(entries, { type: "hold", slots, services: 1 });
-    held = count;
-    await pause(SETTLE_MS);
-    samples.push(await sampleProcess(broker, { x: count, seconds }));
-  }
-  return samples;
+  return await sampleLoads(broker, {
+    loads: GRANT_COUNTS,
+    settleMs: SETTLE_MS,
+    seconds: options.seconds,
+    setLoad: async (count) => {
+      const slots = Math.round((count - held) / entries.length);
+      await callAll(entries, { type: "hold", slots, services: 1 });
+      held = count;
+    },
+  });
 }
 
 async function askSamples(options: RigOptions) {
@@ -139,14 +143,16 @@
       services: 1,
     });
     if (daemon === undefined) throw new Error("Cannot start a daemon");
-    const samples = [await sampleProcess(daemon, { x: 0, seconds })];
-    await command(daemon, { type: "hold", slots: 1, services: 1 });
-    for (const count of RUNNER_COUNTS) {
-      await command(daemon, { type: "runners", ports: ports.slice(0, count) });
-      await pause(SETTLE_MS);
-      samples.push(await sampleProcess(daemon, { x: count, seconds }));
-    }
-    return samples;
+    const idle = await sampleProcess(daemon, { x: 0, seconds });
+    await daemon.call({ type: "hold", slots: 1, services: 1 });
+    const samples = await sampleLoads(daemon, {
+      loads: RUNNER_COUNTS,
+      settleMs: SETTLE_MS,
+      seconds,
+      setLoad: (count) =>
+        daemon.call({ type: "runners", ports: ports.slice(0, count) }),
+    });
+    return [idle, ...samples];
   });
 }
 
@@ -154,7 +160,6 @@
 async function brokerEntrySamples(
   options: RigOptions,
 ): Promise<readonly Sample[]> {
-  const { seconds } = options;
   return await withProcesses(async (start) => {
     const ports = await startRunners(start, 1);
     const most = Math.max(...PAIR_COUNTS);
@@ -167,14 +172,14 @@
     if (crowd === undefined) throw new Error("Cannot start a crowd");
     const { broker } = await findBroker(all.slice(0, -1));
     await untilCalm(broker, PROBE_MESSAGES);
-    const samples: Sample[] = [];
-    for (const members of PAIR_COUNTS) {
-      const slots = SLOTS_OF_PAIR;
-      await command(crowd, { type: "hold", slots, services: 1, members });
-      await pause(SETTLE_MS);
-      samples.push(await sampleProcess(broker, { x: members, seconds }));
-    }
-    return samples;
+    const slots = SLOTS_OF_PAIR;
+    return await sampleLoads(broker, {
+      loads: PAIR_COUNTS,
+      settleMs: SETTLE_MS,
+      seconds: options.seconds,
+      setLoad: (members) =>
+        crowd.call({ type: "hold", slots, services: 1, members }),
+    });
   });
 }
 
@@ -182,7 +187,6 @@
 async function entryBrokerSamples(
   options: RigOptions,
 ): Promise<readonly Sample[]> {
-  const { seconds } = options;
   return await withProcesses(async (start) => {
     const ports = await startRunners(start, 1);
     const most = Math.max(...PAIR_COUNTS);
@@ -193,13 +197,13 @@
     });
     if (entry === undefined) throw new Error("Cannot start an entry");
     await untilCalm(entry, PROBE_MESSAGES);
-    const samples: Sample[] = [];
-    for (const services of PAIR_COUNTS) {
-      await command(entry, { type: "hold", slots: SLOTS_OF_PAIR, services });
-      await pause(SETTLE_MS);
-      samples.push(await sampleProcess(entry, { x: services, seconds }));
-    }
-    return samples;
+    return await sampleLoads(entry, {
+      loads: PAIR_COUNTS,
+      settleMs: SETTLE_MS,
+      seconds: options.seconds,
+      setLoad: (services) =>
+        entry.call({ type: "hold", slots: SLOTS_OF_PAIR, services }),
+    });
   });
 }
 
--- a/packages/bench/src/slopes_rig_shares.ts
+++ b/packages/bench/src/slopes_rig_shares.ts
@@ -7,11 +7,7 @@
 import { setTimeout as pause } from "node:timers/promises";
 import { rendezvous } from "@umbermast/coordination";
 import type { SharesCommand, SharesInfo } from "./slopes_part_shares.ts";
-import {
-  type RigProcess,
-  sampleProcess,
-  withProcesses,
-} from "./slopes_process.ts";
+import { callAll, sampleProcess, withProcesses } from "./slopes_process.ts";
 import type { Sample } from "./slopes_result.ts";
 import {
   type Measured,
@@ -26,17 +22,6 @@
 const OWNER = "owner";
 const SETTLE_MS = 5_000;
 
-function command(process: RigProcess, given: SharesCommand): Promise<unknown> {
-  return process.call(given);
-}
-
-async function toAll(
-  processes: readonly RigProcess[],
-  given: SharesCommand,
-): Promise<void> {
-  await Promise.all(processes.map((process) => command(process, given)));
-}
-
 /** Limits that hashing gives to the measured owner. */
 function limitsOwned(
   names: readonly string[],
@@ -55,23 +40,23 @@
   const owning: Sample[] = [];
   const holding: Sample[] = [];
   await withProcesses(async (start) => {
-    const owner = await start("shares", { name: OWNER });
+    const owner = await start<SharesCommand>("shares", { name: OWNER });
     const holders = await Promise.all(
       Array.from(
         { length: HOLDERS },
-        (_, i) => start("shares", { name: `holder-${i}` }),
+        (_, i) => start<SharesCommand>("shares", { name: `holder-${i}` }),
       ),
     );
     const all = [owner, ...holders];
     const hosts = all.map((each) => (each.info as SharesInfo).host);
-    await toAll(all, { type: "hosts", hosts });
+    await callAll(all, { type: "hosts", hosts });
     const names = hosts.map((host) => host.name);
     const most = limitsOwned(names, Math.max(...LIMIT_COUNTS));
     const [holder] = holders;
     if (holder === undefined) throw new Error("Cannot measure no holder");
     for (const count of LIMIT_COUNTS) {
       const limits = most.slice(0, count);
-      await toAll(holders, { type: "hold", limits, holders: HOLDERS });
+      await callAll(holders, { type: "hold", limits, holders: HOLDERS });
       await pause(SETTLE_MS);
       const [one, other] = await Promise.all([
         sampleProcess(owner, { x: count * HOLDERS, seconds }),
--- a/packages/bench/src/slopes_scheduler_fleet.ts
+++ b/packages/bench/src/slopes_scheduler_fleet.ts
@@ -10,31 +10,15 @@
   SchedulerCounts,
   SchedulerInfo,
 } from "./slopes_part_scheduler.ts";
-import type { RigProcess } from "./slopes_process.ts";
+import { callAll, type RigProcess, type Start } from "./slopes_process.ts";
 
 const SETTLE_MS = 3_000;
 const PROBE_MS = 1_000;
 const LIGHT_LOAD = { asksPerSecond: 20, holdMs: 1 };
 const NO_LOAD = { asksPerSecond: 0, holdMs: 1 };
 
-/** Starts a part in a process of its own. */
-export type Start = (part: string, config: object) => Promise<RigProcess>;
-
-/** Tells one process. */
-export function command(
-  process: RigProcess,
-  given: SchedulerCommand,
-): Promise<unknown> {
-  return process.call(given);
-}
-
-/** Tells all processes. */
-export async function toAll(
-  processes: readonly RigProcess[],
-  given: SchedulerCommand,
-): Promise<void> {
-  await Promise.all(processes.map((process) => command(process, given)));
-}
+/** A process whose members schedule. */
+export type SchedulerProcess = RigProcess<SchedulerCommand>;
 
 /** Starts runners that answer for their load; gives their ports. */
 export async function startRunners(
@@ -53,14 +37,16 @@
     readonly ports: readonly number[];
     readonly services: number;
   },
-): Promise<readonly RigProcess[]> {
+): Promise<readonly SchedulerProcess[]> {
   const { groups, ports, services } = options;
   const processes = await Promise.all(
-    groups.map((names) => start("scheduler", { names, services })),
+    groups.map((names) =>
+      start<SchedulerCommand>("scheduler", { names, services })
+    ),
   );
   const hosts = processes.flatMap((each) => (each.info as SchedulerInfo).hosts);
-  await toAll(processes, { type: "hosts", hosts });
-  await toAll(processes, { type: "runners", ports });
+  await callAll(processes, { type: "hosts", hosts });
+  await callAll(processes, { type: "runners", ports });
   await pause(SETTLE_MS);
   return processes;
 }
@@ -70,17 +56,17 @@
  * while they ask. Each process must hold one member.
  */
 export async function findBroker(
-  processes: readonly RigProcess[],
+  processes: readonly SchedulerProcess[],
 ): Promise<{
-  readonly broker: RigProcess;
-  readonly entries: readonly RigProcess[];
+  readonly broker: SchedulerProcess;
+  readonly entries: readonly SchedulerProcess[];
 }> {
-  await toAll(processes, { type: "load", ...LIGHT_LOAD });
+  await callAll(processes, { type: "load", ...LIGHT_LOAD });
   await pause(PROBE_MS);
   const before = await Promise.all(processes.map((each) => each.read()));
   await pause(PROBE_MS);
   const after = await Promise.all(processes.map((each) => each.read()));
-  await toAll(processes, { type: "load", ...NO_LOAD });
+  await callAll(processes, { type: "load", ...NO_LOAD });
   const counts = after.map((reading, i) =>
     reading.messages - (before[i]?.messages ?? 0)
   );
@@ -91,10 +77,10 @@
 
 /** Fails when asks were refused: then something else was measured. */
 export async function checkGrants(
-  processes: readonly RigProcess[],
+  processes: readonly SchedulerProcess[],
 ): Promise<void> {
   for (const process of processes) {
-    const { refused } = await command(process, {
+    const { refused } = await process.call({
       type: "counts",
     }) as SchedulerCounts;
     if (refused === 0) continue;
