--- a/packages/bench/src/edit.ts
+++ b/packages/bench/src/edit.ts
@@ -4,6 +4,7 @@
  *
  * @module
  */
+import { setTimeout as pause } from "node:timers/promises";
 import { HttpOperators } from "@umbermast/cli";
 import { HttpStore } from "@umbermast/coordination";
 import { entriesBack, readTable } from "@umbermast/table";
@@ -32,7 +33,7 @@
 const SETTLE_LIMIT_MS = 30_000;
 const SETTLE_CHECK_MS = 50;
 
-/** The experiment. */
+/** Runs scenarios of faults under edits and judges each, then all as one. */
 export const experiment: Experiment = {
   name: "edit",
   summary: "edits of the table by two operators, and when they are in force",
@@ -187,7 +188,7 @@
   let read: TableRead | undefined;
   while (read === undefined || !watch.allAt(read.version)) {
     if (read !== undefined && performance.now() > giveUpAt) break;
-    await new Promise((resolve) => setTimeout(resolve, SETTLE_CHECK_MS));
+    await pause(SETTLE_CHECK_MS);
     read = await Effect.runPromise(
       Effect.orElseSucceed(readTable(store), () => undefined),
     );
