Say clearly that a body is not JSON, and where

Cause: The 400 said "expected JSON, which fails", and its position was the first match of "position N" in the parser's error, which may quote the body: the body `position 99` was refused "at position 99". Change: The message is "Cannot read body: expected JSON; parsing fails at position N", with the position only where the parser's error ends in one. Conclusion: No text of the body reaches the message.

--- a/packages/daemon/src/request/chat_body.ts
+++ b/packages/daemon/src/request/chat_body.ts
@@ -24,6 +24,13 @@
 /** Long enough to hold a shared brief, short enough that a digest is cheap. */
 const PREFIX_CHARS = 1024;
 const DIGEST_LENGTH = 16;
+/**
+ * Where the parser's error ends in a position. Only the position is passed on,
+ * since errors of another form quote the body, which holds a prompt. Those end
+ * in "is not valid JSON", so a quoted body is never taken for a position.
+ */
+const PARSER_POSITION =
+  / in JSON at position (\d+)(?: \(line \d+ column \d+\))?$/;
 
 function invalid(place: string, needed: string): Problem {
   return problem("body_invalid", `Cannot read ${place}: ${needed}`, { place });
@@ -39,10 +46,9 @@
   try {
     return ok(JSON.parse(text));
   } catch (error) {
-    // Only the position is passed on: the rest quotes the prompt.
-    const position = /position \d+/.exec(String(error))?.[0];
-    const at = position === undefined ? "" : ` at ${position}`;
-    return err(invalid("body", `expected JSON, which fails${at}`));
+    const position = PARSER_POSITION.exec(String(error))?.[1];
+    const at = position === undefined ? "" : ` at position ${position}`;
+    return err(invalid("body", `expected JSON; parsing fails${at}`));
   }
 }
 
