Log why no claim could be made

Cause: `ClaimUnavailable.detail`, which is meant for operators, was dropped: the daemon's `claim_decided` line said only `outcome=unavailable`. Figures: `node scripts/test.mjs idempotency_test`: with the new assertions and without the change 20 of 21 pass ("undefined" for "store"), after 21 of 21. Conclusion: A store that is down and a full partition differ in the log.

--- a/packages/daemon/src/request/idempotent_call_runner.ts
+++ b/packages/daemon/src/request/idempotent_call_runner.ts
@@ -15,7 +15,7 @@
 import { createHash } from "node:crypto";
 import * as Effect from "effect/Effect";
 import * as Exit from "effect/Exit";
-import type { Log } from "../process/log.ts";
+import type { Fields, Log } from "../process/log.ts";
 import type { Call, CallRunner, Ending, Problem, Reply } from "./call.ts";
 import { KeptReply } from "./kept_reply.ts";
 import type { Denial } from "./journey.ts";
@@ -108,7 +108,8 @@
     });
     return Effect.matchEffect(asked, {
       onFailure: (unavailable) => {
-        this.#note("unavailable");
+        const { reason, detail } = unavailable;
+        this.#note("unavailable", { reason, detail });
         return Effect.fail(denial(problemOfUnavailable(unavailable)));
       },
       onSuccess: (outcome) => {
@@ -157,10 +158,11 @@
     return claim.settle(settlement);
   }
 
-  #note(outcome: string): void {
+  #note(outcome: string, failure: Fields = {}): void {
     this.#services.log.decision("claim_decided", {
       requestId: this.#call.requestId,
       outcome,
+      ...failure,
     });
   }
 }
--- a/packages/daemon/tests/idempotency_test.ts
+++ b/packages/daemon/tests/idempotency_test.ts
@@ -146,6 +146,13 @@
   assert.ok((reply.problem?.retryAfterMs ?? 0) > 0);
   assert.equal(runner.received.length, 0);
   assert.equal(one.bench.scheduler.asks.length, 0);
+  const [decision] = one.bench.logged.filter(({ name }) =>
+    name === "claim_decided"
+  );
+  assert.equal(decision?.["outcome"], "unavailable");
+  assert.equal(decision?.["reason"], "store");
+  assert.ok(typeof decision?.["detail"] === "string");
+  assert.ok(decision["detail"].length > 0);
 });
 
 // A fitter's tablet loses its connection while the card is being made. The
