Give the daemon settings for claims

Cause: Claims ran with their built-in defaults; no setting of the daemon changed the window, partitions, kept answers or batching, though docs/design/claims.md says that operators choose. Change: A checked section `claims` (windowMs, partitions, maxAnswerBytes, batchMs, writesPerSecond) goes to the claims of the fleet. Its defaults are coordination's own, now exported; the millisecond in which claims share a write was a constant and is now `batchMs`. Conclusion: Defaults are as before.

--- a/packages/coordination/src/mod.ts
+++ b/packages/coordination/src/mod.ts
@@ -69,6 +69,7 @@
 export type { HttpStoreOptions, StoreCounters } from "./process/http_store.ts";
 export { Lease } from "./process/lease.ts";
 export type { LeaseOptions, Tenure } from "./process/lease.ts";
+export { DEFAULT_CLAIM_SETTINGS } from "./process/claim_settings.ts";
 export type { ClaimSettings } from "./process/claim_settings.ts";
 export { PauseWatch } from "./process/pause_watch.ts";
 export type { PauseWatchOptions } from "./process/pause_watch.ts";
--- a/packages/coordination/src/process/claim_partition.ts
+++ b/packages/coordination/src/process/claim_partition.ts
@@ -16,8 +16,6 @@
 import type { Store } from "./store.ts";
 import { WriteBudget } from "./write_budget.ts";
 
-/** Claims that come together within this time share a write. */
-const JOIN_MS = 1;
 /** How long a settlement waits for claims to share their write. */
 const SETTLE_DELAY_MS = 100;
 /** Bounds the head: half a megabyte at the longest names. */
@@ -38,6 +36,8 @@
   readonly clock: Clock;
   readonly crashPoints: CrashPoints;
   readonly limits: ClaimLimits;
+  /** Claims that come together within this time share a write. */
+  readonly batchMs: number;
   /** Bound on the writes of this partition by this process. */
   readonly writesPerSecond: number;
 }
@@ -113,7 +113,7 @@
     return Effect.gen({ self: this }, function* () {
       yield* this.#wake.await;
       this.#wake.closeUnsafe();
-      yield* Effect.sleep(JOIN_MS);
+      yield* Effect.sleep(this.#options.batchMs);
       if (this.#waiting.size === 0) return;
       yield* this.#turn();
       if (this.#waiting.size > 0) this.#wake.openUnsafe();
--- a/packages/coordination/src/process/claim_settings.ts
+++ b/packages/coordination/src/process/claim_settings.ts
@@ -18,6 +18,8 @@
   readonly windowMs: number;
   /** Number of partitions, 8 by default; fixed in the store like the window. */
   readonly partitions: number;
+  /** How long claims are gathered into one write, in milliseconds; 1 by default. */
+  readonly batchMs: number;
   /** Bound on the writes for all claims of the deployment a second; 112 by default. */
   readonly writesPerSecond: number;
   /** Largest answer that is kept, as stored; 4 KiB by default. */
@@ -28,11 +30,13 @@
   readonly limits: Omit<ClaimLimits, "retentionMs">;
 }
 
-const DEFAULTS: ClaimSettings = {
+/** Settings of claims where none are given. */
+export const DEFAULT_CLAIM_SETTINGS: ClaimSettings = {
   timeoutMs: 2_000,
   startWithinMs: 5_000,
   windowMs: 600_000,
   partitions: 8,
+  batchMs: 1,
   writesPerSecond: 112,
   maxAnswerBytes: 4_096,
   settlePatienceMs: 60_000,
@@ -43,5 +47,5 @@
 export function claimSettings(
   given: Partial<ClaimSettings> = {},
 ): ClaimSettings {
-  return { ...DEFAULTS, ...given };
+  return { ...DEFAULT_CLAIM_SETTINGS, ...given };
 }
--- a/packages/coordination/src/process/claims_in_store.ts
+++ b/packages/coordination/src/process/claims_in_store.ts
@@ -268,12 +268,13 @@
   }
 
   #server(layout: ClaimLayout, scope: Scope.Scope): ClaimServer {
-    const { writesPerSecond, limits } = this.#settings;
+    const { writesPerSecond, batchMs, limits } = this.#settings;
     return new ClaimServer(layout, {
       scope,
       store: this.#options.store,
       clock: this.#clock,
       crashPoints: this.#crashPoints,
+      batchMs,
       writesPerSecond: writesPerSecond / layout.partitions,
       limits: { ...limits, retentionMs: this.#retentionMs(layout) },
     });
--- a/packages/daemon/src/fleet.ts
+++ b/packages/daemon/src/fleet.ts
@@ -59,7 +59,12 @@
       log,
     });
     const { peers, membership } = node;
-    const claims = new ClaimsInStore({ store, peers, membership });
+    const claims = new ClaimsInStore({
+      store,
+      peers,
+      membership,
+      settings: settings.claims,
+    });
     yield* claims.start();
     return { node, store, claims, directory, feed, offerTable };
   });
--- a/packages/daemon/src/process/settings.ts
+++ b/packages/daemon/src/process/settings.ts
@@ -19,6 +19,7 @@
   SHUTDOWN,
   SWITCHES,
 } from "./settings_limits.ts";
+import { CLAIMS } from "./settings_claims.ts";
 import { settingFindings } from "./setting_findings.ts";
 import type { SettingFinding } from "./setting_findings.ts";
 
@@ -82,6 +83,9 @@
   retries: Schema.Struct(RETRY_LIMITS).pipe(
     Schema.withDecodingDefaultKey(NO_SETTINGS),
   ),
+  claims: Schema.Struct(CLAIMS).pipe(
+    Schema.withDecodingDefaultKey(NO_SETTINGS),
+  ),
   placement: Schema.Struct(PLACEMENT).pipe(
     Schema.withDecodingDefaultKey(NO_SETTINGS),
   ),
--- a/packages/daemon/src/process/settings_test.ts
+++ b/packages/daemon/src/process/settings_test.ts
@@ -39,6 +39,23 @@
   assert.equal(settings.limits.idleCallerMs, 60_000);
 });
 
+test("claims have settings with their present defaults, checked like others", () => {
+  const settings = checkSettings(exampleSettings())._unsafeUnwrap();
+  assert.deepEqual(settings.claims, {
+    windowMs: 600_000,
+    partitions: 8,
+    maxAnswerBytes: 4_096,
+    batchMs: 1,
+    writesPerSecond: 112,
+  });
+  const claims = { windowMs: 1, partitions: 0, batchMs: -1 };
+  assert.deepEqual([...findingsOf(exampleSettings({ claims }))].sort(), [
+    "/claims/batchMs: expected an integer from 0 to 500, got -1",
+    "/claims/partitions: expected an integer from 1 to 32, got 0",
+    "/claims/windowMs: expected an integer from 10000 to 86400000, got 1",
+  ]);
+});
+
 test("all findings are reported together, each with its pointer", () => {
   const findings = findingsOf(exampleSettings({
     listen: { address: "here", port: "x" },
