Write settings that are time limits by one function

Cause: Eleven rows repeated the same bounds, an hour at most in milliseconds. Change: `timeLimit(text, defaultMs)` in setting_types.ts; rows with bounds of their own stay as they are. Conclusion: No setting changed.

--- a/packages/daemon/src/process/setting_types.ts
+++ b/packages/daemon/src/process/setting_types.ts
@@ -70,6 +70,13 @@
   );
 }
 
+const LONGEST_LIMIT_MS = 3_600_000;
+
+/** A time that something may take, in milliseconds, up to an hour. */
+export function timeLimit(text: string, defaultMs: number) {
+  return integer(1, LONGEST_LIMIT_MS, { text, default: defaultMs });
+}
+
 const LAST_PORT = 65_535;
 
 /** A TCP port; 0 lets the system choose one. */
--- a/packages/daemon/src/process/settings_limits.ts
+++ b/packages/daemon/src/process/settings_limits.ts
@@ -20,26 +20,22 @@
       "Largest request head, in bytes. A longer one is refused with 431 and the connection is closed.",
     default: 16_384,
   }),
-  headerTimeoutMs: setting.integer(1, HOUR_MS, {
-    text:
-      "Time for a caller to send a whole request head, in milliseconds. A slower one is refused with 408.",
-    default: 10_000,
-  }),
-  bodyTimeoutMs: setting.integer(1, HOUR_MS, {
-    text:
-      "Time for a caller to send a whole body, in milliseconds. A slower one is refused with 408.",
-    default: 30_000,
-  }),
-  idleCallerMs: setting.integer(1, HOUR_MS, {
-    text:
-      "Time without a request after which a caller's connection is closed, in milliseconds.",
-    default: 60_000,
-  }),
-  callerWriteTimeoutMs: setting.integer(1, HOUR_MS, {
-    text:
-      "Time that a caller may take to make room for more of its answer, in milliseconds. A slower one loses its connection, and its engine work is cancelled.",
-    default: 20_000,
-  }),
+  headerTimeoutMs: setting.timeLimit(
+    "Time for a caller to send a whole request head, in milliseconds. A slower one is refused with 408.",
+    10_000,
+  ),
+  bodyTimeoutMs: setting.timeLimit(
+    "Time for a caller to send a whole body, in milliseconds. A slower one is refused with 408.",
+    30_000,
+  ),
+  idleCallerMs: setting.timeLimit(
+    "Time without a request after which a caller's connection is closed, in milliseconds.",
+    60_000,
+  ),
+  callerWriteTimeoutMs: setting.timeLimit(
+    "Time that a caller may take to make room for more of its answer, in milliseconds. A slower one loses its connection, and its engine work is cancelled.",
+    20_000,
+  ),
   callerBufferBytes: setting.integer(1024, 16 * MIB, {
     text:
       "Bytes of an answer held for a caller that reads slowly. Beyond it the runner's answer is not read until the caller has caught up.",
@@ -58,40 +54,34 @@
 
 /** Limits of attempts at runners. */
 export const ATTEMPT_LIMITS = {
-  connectMs: setting.integer(1, HOUR_MS, {
-    text: "Time to connect to a runner, in milliseconds.",
-    default: 1000,
-  }),
-  firstTokenMs: setting.integer(1, HOUR_MS, {
-    text:
-      "Time from the send to the first byte of a streamed answer, in milliseconds. A runner that takes longer counts as silent.",
-    default: 10_000,
-  }),
-  betweenTokensMs: setting.integer(1, HOUR_MS, {
-    text:
-      "Time between two pieces of a streamed answer, in milliseconds. After it the stream is resumed on a new connection.",
-    default: 2000,
-  }),
-  wholeAnswerMs: setting.integer(1, HOUR_MS, {
-    text:
-      "Time from the send to the head of a whole answer, in milliseconds, at most.",
-    default: 120_000,
-  }),
-  wholeAnswerTokenMs: setting.integer(1, HOUR_MS, {
-    text:
-      "Time allowed for each token that a whole answer of an engine may have, in milliseconds.",
-    default: 100,
-  }),
-  bodyIdleMs: setting.integer(1, HOUR_MS, {
-    text:
-      "Time between two pieces of a whole answer's body, in milliseconds. After it the attempt is lost.",
-    default: 5000,
-  }),
-  resumeHeadMs: setting.integer(1, HOUR_MS, {
-    text:
-      "Time from asking for the rest of a stream to its head, in milliseconds.",
-    default: 2000,
-  }),
+  connectMs: setting.timeLimit(
+    "Time to connect to a runner, in milliseconds.",
+    1000,
+  ),
+  firstTokenMs: setting.timeLimit(
+    "Time from the send to the first byte of a streamed answer, in milliseconds. A runner that takes longer counts as silent.",
+    10_000,
+  ),
+  betweenTokensMs: setting.timeLimit(
+    "Time between two pieces of a streamed answer, in milliseconds. After it the stream is resumed on a new connection.",
+    2000,
+  ),
+  wholeAnswerMs: setting.timeLimit(
+    "Time from the send to the head of a whole answer, in milliseconds, at most.",
+    120_000,
+  ),
+  wholeAnswerTokenMs: setting.timeLimit(
+    "Time allowed for each token that a whole answer of an engine may have, in milliseconds.",
+    100,
+  ),
+  bodyIdleMs: setting.timeLimit(
+    "Time between two pieces of a whole answer's body, in milliseconds. After it the attempt is lost.",
+    5000,
+  ),
+  resumeHeadMs: setting.timeLimit(
+    "Time from asking for the rest of a stream to its head, in milliseconds.",
+    2000,
+  ),
   resumableS: setting.integer(0, 3600, {
     text: "Seconds for which an engine keeps a dropped stream for a resume.",
     default: 10,
