Use coordination's fake clock in the daemon's tests

Cause: The fixtures of placement and of scheduling each had a clock that is moved by hand, the same as `FakeClock`. Change: JumpingClock extends FakeClock; TestClock gives way to `clockOf()`. Conclusion: One clock for tests instead of three.

--- a/packages/daemon/src/process/placement/placement_fixtures.ts
+++ b/packages/daemon/src/process/placement/placement_fixtures.ts
@@ -4,12 +4,12 @@
  * @internal
  * @module
  */
-import type { Clock, Tenure } from "@umbermast/coordination";
+import type { Tenure } from "@umbermast/coordination";
+import { FakeClock } from "@umbermast/coordination/testing";
 import * as EffectClock from "effect/Clock";
 import * as Duration from "effect/Duration";
 import * as Effect from "effect/Effect";
 import type { Runner } from "../runner.ts";
-
 import type { EngineState } from "./placement_plan.ts";
 
 const NANOS_PER_MS = 1_000_000n;
@@ -54,27 +54,13 @@
 }
 
 /** Time that jumps over pauses, for effects and for a process's clock alike. */
-export class JumpingClock implements Clock {
-  #now = 0;
-
-  now(): number {
-    return this.#now;
-  }
-
-  monotonic(): number {
-    return this.#now;
-  }
-
-  advance(ms: number): void {
-    this.#now += ms;
-  }
-
+export class JumpingClock extends FakeClock {
   /** Runs an effect whose pauses are over at once. */
   run<A>(effect: Effect.Effect<A>): Promise<A> {
-    const nanos = () => BigInt(Math.round(this.#now)) * NANOS_PER_MS;
+    const nanos = () => BigInt(Math.round(this.now())) * NANOS_PER_MS;
     const clock: EffectClock.Clock = {
-      currentTimeMillisUnsafe: () => this.#now,
-      currentTimeMillis: Effect.sync(() => this.#now),
+      currentTimeMillisUnsafe: () => this.now(),
+      currentTimeMillis: Effect.sync(() => this.now()),
       currentTimeNanosUnsafe: nanos,
       currentTimeNanos: Effect.sync(nanos),
       monotonicTimeNanosUnsafe: nanos,
--- a/packages/daemon/src/request/fifo_scheduler_test.ts
+++ b/packages/daemon/src/request/fifo_scheduler_test.ts
@@ -4,11 +4,11 @@
 import * as Exit from "effect/Exit";
 import * as Fiber from "effect/Fiber";
 import {
+  clockOf,
   requestOf,
   runnerOf,
   SETTLED,
   tableOf,
-  TestClock,
   TestLog,
   TestTable,
 } from "../../tests/scheduling/fixtures.ts";
@@ -17,7 +17,7 @@
 import { FifoScheduler } from "./fifo_scheduler.ts";
 
 function fifoWith(names: readonly string[]) {
-  const clock = new TestClock();
+  const clock = clockOf();
   const directory = new RunnerDirectory();
   directory.replace(names.map((name) => runnerOf(name)));
   const reports = new LoadReports({ clock });
--- a/packages/daemon/tests/scheduling/fixtures.ts
+++ b/packages/daemon/tests/scheduling/fixtures.ts
@@ -13,6 +13,7 @@
   Peers,
   View,
 } from "@umbermast/coordination";
+import { FakeClock } from "@umbermast/coordination/testing";
 import type { Class, Row, Table } from "@umbermast/table";
 import * as Effect from "effect/Effect";
 import type * as Scope from "effect/Scope";
@@ -34,21 +35,9 @@
 
 export const SERVICE = "drafting-llm";
 
-/** A clock that tests set. */
-export class TestClock implements Clock {
-  #now = 1_000_000;
-
-  now(): number {
-    return this.#now;
-  }
-
-  monotonic(): number {
-    return this.#now;
-  }
-
-  advance(ms: number): void {
-    this.#now += ms;
-  }
+/** A clock that tests move; it starts late enough to look back from. */
+export function clockOf(): FakeClock {
+  return new FakeClock({ at: 1_000_000 });
 }
 
 /** One line of the log. */
@@ -198,7 +187,7 @@
 /** A broker with what stands around it. */
 export interface Bench {
   readonly broker: Broker;
-  readonly clock: TestClock;
+  readonly clock: FakeClock;
   readonly log: TestLog;
   readonly table: TestTable;
   readonly directory: RunnerDirectory;
@@ -214,7 +203,7 @@
     readonly parts?: Partial<BrokerParts>;
   } = {},
 ): Bench {
-  const clock = new TestClock();
+  const clock = clockOf();
   const log = new TestLog();
   const table = new TestTable(options.table ?? tableOf());
   const directory = new RunnerDirectory();
