Merge what the tests of keyed calls and of streams repeat

Cause: idempotency_test.ts set up the same runner and fleet in each test; once_streams_test.ts and recovery_test.ts began the same stream four times. Change: `yard` and `streamUnderWay` do so once. The runner that is down in "a key whose request did not run is free again" is now named "down". Conclusion: What each test does stands out from its setting.

--- a/packages/daemon/tests/idempotency_test.ts
+++ b/packages/daemon/tests/idempotency_test.ts
@@ -2,6 +2,7 @@
 import { FakeClock } from "@umbermast/coordination/testing";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import type { TestContext } from "node:test";
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
 import type { Call } from "../src/request/call.ts";
@@ -31,6 +32,13 @@
   response.end(MADE);
 };
 
+/** A runner that answers by a script, and daemons that share one store. */
+async function yard(t: TestContext, script: Script = make) {
+  const runner = await startRunner("a", script);
+  t.after(() => runner.close());
+  return { runner, fleet: new ClaimingFleet(t) };
+}
+
 function keyed(requestId: string, fields: Partial<Call> = {}): Call {
   return jobCard({ requestId, idempotencyKey: "card-7", ...fields });
 }
@@ -46,9 +54,7 @@
 }
 
 test("a second try through another daemon gets the first's answer, and one run is made", async (t) => {
-  const runner = await startRunner("a", make);
-  t.after(() => runner.close());
-  const fleet = new ClaimingFleet(t);
+  const { runner, fleet } = await yard(t);
   const runners = [runner.runner];
   const one = await fleet.daemon("one", { runners });
   const two = await fleet.daemon("two", { runners });
@@ -65,9 +71,7 @@
 });
 
 test("the same key with another body is refused with 422 and not run", async (t) => {
-  const runner = await startRunner("a", make);
-  t.after(() => runner.close());
-  const fleet = new ClaimingFleet(t);
+  const { runner, fleet } = await yard(t);
   const one = await fleet.daemon("one", { runners: [runner.runner] });
 
   await send(one, keyed("r1"));
@@ -80,9 +84,7 @@
 });
 
 test("keys of different workspaces do not meet", async (t) => {
-  const runner = await startRunner("a", make);
-  t.after(() => runner.close());
-  const fleet = new ClaimingFleet(t);
+  const { runner, fleet } = await yard(t);
   const one = await fleet.daemon("one", { runners: [runner.runner] });
 
   await send(one, keyed("r1"));
@@ -94,9 +96,7 @@
 // The runner made the job card and its answer was lost on the way. A second
 // try must not make another, and must not hear that none was made.
 test("after a lost answer a second try is told that it may have run", async (t) => {
-  const runner = await startRunner("a", ({ socket }) => socket.destroy());
-  t.after(() => runner.close());
-  const fleet = new ClaimingFleet(t);
+  const { runner, fleet } = await yard(t, ({ socket }) => socket.destroy());
   const runners = [runner.runner];
   const one = await fleet.daemon("one", { runners });
   const two = await fleet.daemon("two", { runners });
@@ -112,10 +112,8 @@
 });
 
 test("a key whose request did not run is free again", async (t) => {
-  const runner = await startRunner("b", make);
-  t.after(() => runner.close());
-  const fleet = new ClaimingFleet(t);
-  const down = runnerAt("a", await closedPort());
+  const { runner, fleet } = await yard(t);
+  const down = runnerAt("down", await closedPort());
   const one = await fleet.daemon("one", { runners: [down] });
   const two = await fleet.daemon("two", { runners: [runner.runner] });
 
@@ -127,9 +125,7 @@
 });
 
 test("while the store is down a keyed request is refused as not run, with when to come back", async (t) => {
-  const runner = await startRunner("a", make);
-  t.after(() => runner.close());
-  const fleet = new ClaimingFleet(t);
+  const { runner, fleet } = await yard(t);
   fleet.store.plan = () => "refuse";
   const one = await fleet.daemon("one", {
     runners: [runner.runner],
@@ -163,12 +159,10 @@
     answer = resolve;
   });
   let finish: () => void = () => {};
-  const runner = await startRunner("a", (exchange) => {
+  const { runner, fleet } = await yard(t, (exchange) => {
     finish = () => make(exchange);
     answer();
   });
-  t.after(() => runner.close());
-  const fleet = new ClaimingFleet(t);
   const one = await fleet.daemon("one", { runners: [runner.runner] });
 
   const reply = new RecordingReply();
@@ -186,9 +180,7 @@
 });
 
 test("a caller that leaves while it waits for a slot frees its key", async (t) => {
-  const runner = await startRunner("a", make);
-  t.after(() => runner.close());
-  const fleet = new ClaimingFleet(t);
+  const { runner, fleet } = await yard(t);
   const one = await fleet.daemon("one", { runners: [runner.runner] });
   const asked = one.bench.scheduler.holdNext();
 
@@ -209,9 +201,7 @@
 // second try may have claimed the key and run since. The old claim is given
 // back, and only a new one, made now, lets the send start.
 test("an owner that was paused sends only under a new claim", async (t) => {
-  const runner = await startRunner("a", make);
-  t.after(() => runner.close());
-  const fleet = new ClaimingFleet(t);
+  const { runner, fleet } = await yard(t);
   const clock = new FakeClock();
   const one = await fleet.daemon("one", {
     runners: [runner.runner],
@@ -264,12 +254,10 @@
     const reachedRunner = new Promise<void>((resolve) => {
       arrived = resolve;
     });
-    const runner = await startRunner("a", (exchange) => {
+    const { runner, fleet } = await yard(t, (exchange) => {
       make(exchange);
       arrived();
     });
-    t.after(() => runner.close());
-    const fleet = new ClaimingFleet(t);
     const crash = new CrashAt(point);
     const runners = [runner.runner];
     const one = await fleet.daemon("one", { runners, crashPoints: crash });
--- a/packages/testing/tests/fixtures.ts
+++ b/packages/testing/tests/fixtures.ts
@@ -5,6 +5,7 @@
  */
 import type { TestContext } from "node:test";
 import {
+  type Answer,
   Caller,
   type CallerOptions,
   fetchJson,
@@ -25,6 +26,9 @@
  */
 export const ANSWER_OF_A_RUN = "umbermast-attempt-id";
 
+/** Tokens of an answer that is long enough to meet a fault on its way. */
+const STREAM_TOKENS = 400;
+
 /** A deployment under test. */
 export interface Deployed {
   readonly stack: Stack;
@@ -128,3 +132,16 @@
   const arrived = new Promise<void>((settle) => resolve = settle);
   return { arrived, onTokens: () => resolve() };
 }
+
+/** A long streamed answer of the first daemon, once its first tokens are here. */
+export async function streamUnderWay(
+  deployed: Deployed,
+): Promise<{ readonly answer: Promise<Answer> }> {
+  const tokens = firstTokens();
+  const answer = deployed.caller(0, "fitters-east").chat(deployed.model, {
+    testTokens: STREAM_TOKENS,
+    onTokens: tokens.onTokens,
+  });
+  await tokens.arrived;
+  return { answer };
+}
--- a/packages/testing/tests/once_streams_test.ts
+++ b/packages/testing/tests/once_streams_test.ts
@@ -1,11 +1,16 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { deploy, firstTokens } from "./fixtures.ts";
+import { deploy, streamUnderWay } from "./fixtures.ts";
 
-/** Short limits, so that silence is seen soon; none is asserted on. */
-const QUICK = {
-  attempts: { firstTokenMs: 3_000, betweenTokensMs: 1_000 },
-};
+const ONE_ENGINE = {
+  daemons: 1,
+  runners: 1,
+  plainRunners: 0,
+  // Short limits, so that silence is seen soon; none is asserted on.
+  daemonSettings: {
+    attempts: { firstTokenMs: 3_000, betweenTokensMs: 1_000 },
+  },
+} as const;
 
 describe("a streamed answer under faults, with real processes", () => {
   // Something between daemon and engine loses track of the connection in the
@@ -14,21 +19,12 @@
   // made each once.
   it("is resumed when its connection goes silent", async (t) => {
     const deployed = await deploy(t, {
-      daemons: 1,
-      runners: 1,
-      plainRunners: 0,
+      ...ONE_ENGINE,
       proxies: { runners: true },
-      daemonSettings: QUICK,
     });
-    const caller = deployed.caller(0, "fitters-east");
-    const begun = firstTokens();
-    const call = caller.chat(deployed.model, {
-      testTokens: 400,
-      onTokens: begun.onTokens,
-    });
-    await begun.arrived;
+    const stream = await streamUnderWay(deployed);
     deployed.modelRunners()[0]?.proxy?.order({ fault: "silent" });
-    const answer = await call;
+    const answer = await stream.answer;
     assert.equal(answer.outcome, "complete", JSON.stringify(answer));
     assert.equal(answer.tokens, 400);
     const runs = await deployed.ledger();
@@ -39,22 +35,13 @@
   // The connection is cut, not silent: the same rest is asked for at once.
   it("is resumed when its connection is cut", async (t) => {
     const deployed = await deploy(t, {
-      daemons: 1,
-      runners: 1,
-      plainRunners: 0,
+      ...ONE_ENGINE,
       proxies: { runners: true },
-      daemonSettings: QUICK,
-    });
-    const caller = deployed.caller(0, "fitters-east");
-    const begun = firstTokens();
-    const call = caller.chat(deployed.model, {
-      testTokens: 400,
-      onTokens: begun.onTokens,
     });
-    await begun.arrived;
+    const stream = await streamUnderWay(deployed);
     const proxy = deployed.modelRunners()[0]?.proxy;
     proxy?.order({ fault: "cut", seconds: 0 });
-    const answer = await call;
+    const answer = await stream.answer;
     assert.equal(answer.outcome, "complete", JSON.stringify(answer));
     assert.equal((await deployed.ledger()).length, 1);
   });
@@ -63,12 +50,7 @@
   // tokens that the caller has cannot be taken back and the rest is lost: the
   // answer ends in an error event and a broken end, never in the end mark.
   it("never looks whole after the engine crashed in it", async (t) => {
-    const deployed = await deploy(t, {
-      daemons: 1,
-      runners: 1,
-      plainRunners: 0,
-      daemonSettings: QUICK,
-    });
+    const deployed = await deploy(t, ONE_ENGINE);
     const [runner] = deployed.modelRunners();
     await deployed.stack.control(runner?.url ?? "", {
       fault: "crash-mid-answer",
@@ -85,12 +67,7 @@
   // A runner process is gone, but the platform still lists it. Nothing was
   // sent to it, so the request is served by another runner.
   it("comes from another runner when the one chosen is down", async (t) => {
-    const deployed = await deploy(t, {
-      daemons: 1,
-      runners: 2,
-      plainRunners: 0,
-      daemonSettings: QUICK,
-    });
+    const deployed = await deploy(t, { ...ONE_ENGINE, runners: 2 });
     const [first] = deployed.modelRunners();
     process.kill(first?.pid ?? 0, "SIGKILL");
     const caller = deployed.caller(0, "front-office");
--- a/packages/testing/tests/recovery_test.ts
+++ b/packages/testing/tests/recovery_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { deploy, firstTokens, LIMIT } from "./fixtures.ts";
+import { deploy, LIMIT, streamUnderWay } from "./fixtures.ts";
 
 const ONE_ENGINE = {
   daemons: 1,
@@ -16,15 +16,9 @@
   it("resumes a stream whose connection broke", async (t) => {
     const deployed = await deploy(t, ONE_ENGINE);
     const [runner] = deployed.modelRunners();
-    const caller = deployed.caller(0, "fitters-east");
-    const tokens = firstTokens();
-    const call = caller.chat(deployed.model, {
-      testTokens: 400,
-      onTokens: tokens.onTokens,
-    });
-    await tokens.arrived;
+    const stream = await streamUnderWay(deployed);
     runner?.proxy?.order({ fault: "cut" });
-    const answer = await call;
+    const answer = await stream.answer;
     assert.equal(answer.outcome, "complete", JSON.stringify(answer));
     assert.equal(answer.tokens, 400);
     const runs = await deployed.ledger();
@@ -38,15 +32,9 @@
   it("resumes a stream whose connection went silent", async (t) => {
     const deployed = await deploy(t, ONE_ENGINE);
     const [runner] = deployed.modelRunners();
-    const caller = deployed.caller(0, "fitters-east");
-    const tokens = firstTokens();
-    const call = caller.chat(deployed.model, {
-      testTokens: 400,
-      onTokens: tokens.onTokens,
-    });
-    await tokens.arrived;
+    const stream = await streamUnderWay(deployed);
     runner?.proxy?.order({ fault: "silent" });
-    const answer = await call;
+    const answer = await stream.answer;
     assert.equal(answer.outcome, "complete", JSON.stringify(answer));
     assert.equal(answer.tokens, 400);
     const runs = await deployed.ledger();
