Split the fixtures of calls by job

Change: runner_fixture, reply_fixture, scheduler_fixture, stream_fixture and call_fixture, moved as they are; tests change in their imports alone. Conclusion: Each file has one job.

--- a/packages/daemon/tests/answers_test.ts
+++ b/packages/daemon/tests/answers_test.ts
@@ -1,16 +1,10 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import * as Effect from "effect/Effect";
-import {
-  callBench,
-  callOf,
-  DONE,
-  echo,
-  RecordingReply,
-  startRunner,
-  streamHead,
-  tokenEvents,
-} from "./call_fixture.ts";
+import { callBench, callOf } from "./call_fixture.ts";
+import { RecordingReply } from "./reply_fixture.ts";
+import { echo, startRunner } from "./runner_fixture.ts";
+import { DONE, streamHead, tokenEvents } from "./stream_fixture.ts";
 
 test("a streamed answer reaches the caller byte for byte, and its slot is settled with true counts", async () => {
   const runner = await startRunner("a", ({ request, response }) => {
--- a/packages/daemon/tests/claim_fixture.ts
+++ b/packages/daemon/tests/claim_fixture.ts
@@ -23,7 +23,8 @@
 import type { Runner } from "../src/process/runner.ts";
 import type { CallRunner } from "../src/request/call.ts";
 import { IdempotentCallRunner } from "../src/request/idempotent_call_runner.ts";
-import { type CallBench, callBench } from "./call_fixture.ts";
+import { callBench } from "./call_fixture.ts";
+import type { CallBench } from "./call_fixture.ts";
 
 /** A daemon with claims of its own. */
 export interface ClaimingDaemon {
--- a/packages/daemon/tests/idempotency_test.ts
+++ b/packages/daemon/tests/idempotency_test.ts
@@ -11,15 +11,10 @@
   ClaimingFleet,
   CrashAt,
 } from "./claim_fixture.ts";
-import {
-  closedPort,
-  echo,
-  jobCard,
-  RecordingReply,
-  runnerAt,
-  type Script,
-  startRunner,
-} from "./call_fixture.ts";
+import { jobCard } from "./call_fixture.ts";
+import { RecordingReply } from "./reply_fixture.ts";
+import { closedPort, echo, runnerAt, startRunner } from "./runner_fixture.ts";
+import type { Script } from "./runner_fixture.ts";
 
 const MADE = '{"card":7}';
 
--- a/packages/daemon/tests/not_run_test.ts
+++ b/packages/daemon/tests/not_run_test.ts
@@ -1,19 +1,10 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import * as Effect from "effect/Effect";
-import {
-  callBench,
-  callOf,
-  closedPort,
-  DONE,
-  echo,
-  jobCard,
-  RecordingReply,
-  runnerAt,
-  startRunner,
-  streamHead,
-  tokenEvents,
-} from "./call_fixture.ts";
+import { callBench, callOf, jobCard } from "./call_fixture.ts";
+import { RecordingReply } from "./reply_fixture.ts";
+import { closedPort, echo, runnerAt, startRunner } from "./runner_fixture.ts";
+import { DONE, streamHead, tokenEvents } from "./stream_fixture.ts";
 
 const STREAM = tokenEvents({ from: 1, to: 2, of: 2 }) + DONE;
 
--- a/packages/daemon/tests/resume_test.ts
+++ b/packages/daemon/tests/resume_test.ts
@@ -2,18 +2,11 @@
 import { test } from "node:test";
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
-import {
-  callBench,
-  callOf,
-  DONE,
-  echo,
-  type Received,
-  RecordingReply,
-  startRunner,
-  streamHead,
-  tokenEvent,
-  tokenEvents,
-} from "./call_fixture.ts";
+import { callBench, callOf } from "./call_fixture.ts";
+import { RecordingReply } from "./reply_fixture.ts";
+import { echo, startRunner } from "./runner_fixture.ts";
+import type { Received } from "./runner_fixture.ts";
+import { DONE, streamHead, tokenEvent, tokenEvents } from "./stream_fixture.ts";
 
 const OF = 5;
 const WHOLE = tokenEvents({ from: 1, to: OF, of: OF }) + DONE;
--- a/packages/daemon/tests/whole_answer_test.ts
+++ b/packages/daemon/tests/whole_answer_test.ts
@@ -1,14 +1,9 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import * as Effect from "effect/Effect";
-import {
-  callBench,
-  callOf,
-  echo,
-  jobCard,
-  RecordingReply,
-  startRunner,
-} from "./call_fixture.ts";
+import { callBench, callOf, jobCard } from "./call_fixture.ts";
+import { RecordingReply } from "./reply_fixture.ts";
+import { echo, startRunner } from "./runner_fixture.ts";
 
 const ANSWER = '{"choices":[],"usage":{"completion_tokens":3}}';
 
