Split the fixtures of the scheduler by job

Cause: tests/scheduling/fixtures.ts held a log, a table, asks, a broker, a network and daemons. Change: One file for each, moved as they are; tests change in their imports alone. Conclusion: Each file has one job.

--- a/packages/daemon/src/process/scheduling/broker_test.ts
+++ b/packages/daemon/src/process/scheduling/broker_test.ts
@@ -1,15 +1,13 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { askOf } from "../../../tests/scheduling/ask_fixture.ts";
 import {
-  askOf,
   brokerWith,
   granted,
   release,
-  rowOf,
-  runnerOf,
-  SERVICE,
-  tableOf,
-} from "../../../tests/scheduling/fixtures.ts";
+} from "../../../tests/scheduling/broker_fixture.ts";
+import { runnerOf, SERVICE } from "../../../tests/scheduling/runner_fixture.ts";
+import { rowOf, tableOf } from "../../../tests/scheduling/table_fixture.ts";
 
 test("grants a higher tier first, whatever came first", () => {
   const bench = brokerWith();
--- a/packages/daemon/src/process/scheduling/fair_queue_test.ts
+++ b/packages/daemon/src/process/scheduling/fair_queue_test.ts
@@ -2,12 +2,12 @@
 import { test } from "node:test";
 import fc from "fast-check";
 import type { Class, Row } from "@umbermast/table";
+import { askOf } from "../../../tests/scheduling/ask_fixture.ts";
 import {
-  askOf,
   classOf,
   rowOf,
   tableOf,
-} from "../../../tests/scheduling/fixtures.ts";
+} from "../../../tests/scheduling/table_fixture.ts";
 import { FairQueue, type QueueBounds } from "./fair_queue.ts";
 import { ALL_ON } from "./switches.ts";
 import type { Waiting } from "./waiting.ts";
--- a/packages/daemon/src/process/scheduling/load_reports_test.ts
+++ b/packages/daemon/src/process/scheduling/load_reports_test.ts
@@ -4,11 +4,8 @@
 import { test } from "node:test";
 import { SYSTEM_CLOCK } from "@umbermast/coordination";
 import * as Effect from "effect/Effect";
-import {
-  runnerOf,
-  SERVICE,
-  until,
-} from "../../../tests/scheduling/fixtures.ts";
+import { until } from "../../../tests/scheduling/daemons_fixture.ts";
+import { runnerOf, SERVICE } from "../../../tests/scheduling/runner_fixture.ts";
 import { RunnerDirectory } from "../runner_directory.ts";
 import { LoadReports, parseReport } from "./load_reports.ts";
 
--- a/packages/daemon/src/process/scheduling/row_limits_test.ts
+++ b/packages/daemon/src/process/scheduling/row_limits_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
-import { rowOf } from "../../../tests/scheduling/fixtures.ts";
+import { rowOf } from "../../../tests/scheduling/table_fixture.ts";
 import { RowLimits } from "./row_limits.ts";
 
 const SECOND_MS = 1_000;
--- a/packages/daemon/src/request/fifo_scheduler_test.ts
+++ b/packages/daemon/src/request/fifo_scheduler_test.ts
@@ -3,15 +3,11 @@
 import * as Effect from "effect/Effect";
 import * as Exit from "effect/Exit";
 import * as Fiber from "effect/Fiber";
-import {
-  clockOf,
-  requestOf,
-  runnerOf,
-  SETTLED,
-  tableOf,
-  TestLog,
-  TestTable,
-} from "../../tests/scheduling/fixtures.ts";
+import { requestOf, SETTLED } from "../../tests/scheduling/ask_fixture.ts";
+import { clockOf } from "../../tests/scheduling/clock_fixture.ts";
+import { TestLog } from "../../tests/scheduling/log_fixture.ts";
+import { runnerOf } from "../../tests/scheduling/runner_fixture.ts";
+import { tableOf, TestTable } from "../../tests/scheduling/table_fixture.ts";
 import { RunnerDirectory } from "../process/runner_directory.ts";
 import { LoadReports } from "../process/scheduling/load_reports.ts";
 import { FifoScheduler } from "./fifo_scheduler.ts";
--- a/packages/daemon/tests/scheduling/broker_property_test.ts
+++ b/packages/daemon/tests/scheduling/broker_property_test.ts
@@ -4,16 +4,11 @@
 import type { Row } from "@umbermast/table";
 import { ALL_ON } from "../../src/process/scheduling/switches.ts";
 import type { AskMessage } from "../../src/process/scheduling/messages.ts";
-import {
-  askOf,
-  type Bench,
-  brokerWith,
-  release,
-  rowOf,
-  runnerOf,
-  SERVICE,
-  tableOf,
-} from "./fixtures.ts";
+import { askOf } from "./ask_fixture.ts";
+import { brokerWith, release } from "./broker_fixture.ts";
+import type { Bench } from "./broker_fixture.ts";
+import { runnerOf, SERVICE } from "./runner_fixture.ts";
+import { rowOf, tableOf } from "./table_fixture.ts";
 
 /** One thing that happens to a broker. */
 type Step =
--- a/packages/daemon/tests/scheduling/hand_over_test.ts
+++ b/packages/daemon/tests/scheduling/hand_over_test.ts
@@ -4,16 +4,11 @@
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
 import { assignBrokers } from "../../src/process/scheduling/broker_choice.ts";
-import {
-  daemonsOf,
-  requestOf,
-  runnerOf,
-  SERVICE,
-  SETTLED,
-  type TestDaemon,
-  TestNetwork,
-  until,
-} from "./fixtures.ts";
+import { requestOf, SETTLED } from "./ask_fixture.ts";
+import { daemonsOf, until } from "./daemons_fixture.ts";
+import type { TestDaemon } from "./daemons_fixture.ts";
+import { TestNetwork } from "./network_fixture.ts";
+import { runnerOf, SERVICE } from "./runner_fixture.ts";
 
 const NAMES = ["daemon-1", "daemon-2", "daemon-3"];
 const TIME_LIMIT = { timeout: 30_000 };
