Split the fixtures of recorded sessions by job

Change: golden_message, golden_engine, golden_runner, golden_caller and golden_fixture, moved as they are; tests change in their imports alone. The golden tests and shutdown_test: 44 of 44 pass, no golden file changed. Conclusion: Each file has one job.

--- a/packages/testing/tests/golden_broker_test.ts
+++ b/packages/testing/tests/golden_broker_test.ts
@@ -3,8 +3,10 @@
 import type { Row } from "@umbermast/table";
 import { fetchJson } from "../src/mod.ts";
 import type { StackOptions } from "../src/mod.ts";
-import { chatText, record, wholeAnswer } from "./golden_fixture.ts";
-import type { Recorded, RecordedCaller } from "./golden_fixture.ts";
+import type { RecordedCaller } from "./golden_caller.ts";
+import { wholeAnswer } from "./golden_engine.ts";
+import { chatText, record } from "./golden_fixture.ts";
+import type { Recorded } from "./golden_fixture.ts";
 import { assertGolden } from "./golden_text.ts";
 
 const SCHEDULING = { switches: { adaptiveSlots: false, headroom: false } };
--- a/packages/testing/tests/golden_claims_test.ts
+++ b/packages/testing/tests/golden_claims_test.ts
@@ -1,6 +1,8 @@
 import { test } from "node:test";
-import { answerText, echoed, record, requestText } from "./golden_fixture.ts";
-import type { Play, Recorded } from "./golden_fixture.ts";
+import { record } from "./golden_fixture.ts";
+import type { Recorded } from "./golden_fixture.ts";
+import { answerText, echoed, requestText } from "./golden_message.ts";
+import type { Play } from "./golden_runner.ts";
 import { assertGolden } from "./golden_text.ts";
 
 /** A job card, which may not be made twice, with an idempotency key. */
--- a/packages/testing/tests/golden_errors_test.ts
+++ b/packages/testing/tests/golden_errors_test.ts
@@ -12,19 +12,12 @@
   LISTENING,
   readListening,
 } from "../src/process/daemon_program.ts";
-import {
-  answerText,
-  chatText,
-  chunk,
-  echoed,
-  record,
-  RecordedCaller,
-  requestText,
-  streamHead,
-  tokenEvent,
-  wholeAnswer,
-} from "./golden_fixture.ts";
-import type { Play, Recorded } from "./golden_fixture.ts";
+import { RecordedCaller } from "./golden_caller.ts";
+import { streamHead, tokenEvent, wholeAnswer } from "./golden_engine.ts";
+import { chatText, record } from "./golden_fixture.ts";
+import type { Recorded } from "./golden_fixture.ts";
+import { answerText, chunk, echoed, requestText } from "./golden_message.ts";
+import type { Play } from "./golden_runner.ts";
 import { assertGolden } from "./golden_text.ts";
 
 /** A session that ends in the error it is named after. */
--- a/packages/testing/tests/golden_sessions_test.ts
+++ b/packages/testing/tests/golden_sessions_test.ts
@@ -2,18 +2,9 @@
 import { once } from "node:events";
 import type { Socket } from "node:net";
 import { test } from "node:test";
-import {
-  answerText,
-  chatText,
-  chunk,
-  DONE,
-  echoed,
-  record,
-  requestText,
-  streamHead,
-  tokenEvent,
-  wholeAnswer,
-} from "./golden_fixture.ts";
+import { DONE, streamHead, tokenEvent, wholeAnswer } from "./golden_engine.ts";
+import { chatText, record } from "./golden_fixture.ts";
+import { answerText, chunk, echoed, requestText } from "./golden_message.ts";
 import { assertGolden } from "./golden_text.ts";
 
 test("a whole answer", async (context) => {
--- a/packages/testing/tests/shutdown_test.ts
+++ b/packages/testing/tests/shutdown_test.ts
@@ -1,13 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import {
-  chatText,
-  chunk,
-  DONE,
-  record,
-  streamHead,
-  tokenEvent,
-} from "./golden_fixture.ts";
+import { DONE, streamHead, tokenEvent } from "./golden_engine.ts";
+import { chatText, record } from "./golden_fixture.ts";
+import { chunk } from "./golden_message.ts";
 
 /** More than the system's buffers hold, and less than the daemon's. */
 const LARGE_EVENTS = 100;
