Say what the daemon's short names and comments stand for

Cause: Locals such as `own`, `any` and `cut` needed their line to be understood, and some comments repeated the name below them. Change: They are named after what they hold (ownStepMs, ownFlow, someService and so on); such comments say use and consequence, or go where nothing is exported. Conclusion: No behaviour changed.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -64,11 +64,11 @@
   requests: CallerRequests,
   options: { readonly signals: EndSignals; readonly graceMs: number },
 ): Effect.Effect<number> {
-  const cut = Effect.race(
+  const cutOff = Effect.race(
     Effect.as(options.signals.stop, EXIT_CUT_OFF),
     Effect.as(Effect.sleep(options.graceMs), EXIT_CUT_OFF),
   );
-  return Effect.race(Effect.as(requests.idle, EXIT_WHOLE), cut);
+  return Effect.race(Effect.as(requests.idle, EXIT_WHOLE), cutOff);
 }
 
 /** Ends when an effect has ended or its time is over. */
--- a/packages/daemon/src/process/metrics.ts
+++ b/packages/daemon/src/process/metrics.ts
@@ -53,7 +53,7 @@
 ];
 const DURATION_BUCKETS_S = [0.01, 0.05, 0.1, 0.5, 1, 2.5, 5, 10, 30, 60, 300];
 
-/** The daemon's metrics. */
+/** What the daemon counts and times, in a registry of its own. */
 export class Metrics {
   readonly #registry = new Registry();
   readonly #requests = new Counter({
--- a/packages/daemon/src/process/scheduling/broker.ts
+++ b/packages/daemon/src/process/scheduling/broker.ts
@@ -37,7 +37,7 @@
 const LOST_MS = 6_000;
 const MISMATCHES_BEFORE_RESYNC = 2;
 
-/** The broker of one service. */
+/** Grants the slots of one service's runners to the asks of all entry daemons. */
 export class Broker {
   readonly #service: string;
   readonly #parts: BrokerParts;
@@ -175,7 +175,7 @@
     this.#answers.alive(entry, { resync });
   }
 
-  /** The list of runners has changed. */
+  /** Takes the runners that the directory has now; slots at others are lost. */
   runnersChanged(): void {
     const runners = this.#parts.directory.runners(this.#service);
     for (const held of this.#pool.setRunners(runners)) this.#slots.lose(held);
@@ -190,7 +190,7 @@
     this.#drain();
   }
 
-  /** A runner has reported its load. */
+  /** Learns from a runner's newest report, and grants what it makes room for. */
   reported(runner: string): void {
     const report = this.#parts.reports.get(runner);
     if (report === undefined) return;
--- a/packages/daemon/src/process/scheduling/contacts.ts
+++ b/packages/daemon/src/process/scheduling/contacts.ts
@@ -26,7 +26,7 @@
     this.#awaited.set(name, this.#clock.monotonic());
   }
 
-  /** A daemon has sent something. */
+  /** Takes anything that a daemon sends for the answer that it owes. */
   answered(name: string): void {
     this.#awaited.delete(name);
   }
--- a/packages/daemon/src/process/scheduling/ejection.ts
+++ b/packages/daemon/src/process/scheduling/ejection.ts
@@ -10,7 +10,7 @@
 /** Why a runner is out of use. */
 export type EjectionCause = "failure" | "straggler";
 
-/** The state of one runner. */
+/** Whether one runner is in use; if not, when a probe may be sent to it. */
 export class Ejection {
   #cause: EjectionCause | undefined;
   #strikes = 0;
--- a/packages/daemon/src/process/scheduling/fair_queue.ts
+++ b/packages/daemon/src/process/scheduling/fair_queue.ts
@@ -175,7 +175,7 @@
   /** Cost that would be served before a new ask of this workspace and class. */
   costAhead(workspace: string, className: string): number {
     const tier = this.tierOf(className);
-    const own = this.#flows.get(flowKey(workspace, className));
+    const ownFlow = this.#flows.get(flowKey(workspace, className));
     const ownWeight = this.#weightOf(workspace, className);
     let higher = 0;
     let same = 0;
@@ -186,10 +186,12 @@
       if (flowTier < tier) higher += flow.cost;
       if (flowTier !== tier) continue;
       same += flow.cost;
-      if (flow !== own) weights += this.#weightOf(flow.workspace, flow.class);
+      if (flow !== ownFlow) {
+        weights += this.#weightOf(flow.workspace, flow.class);
+      }
     }
     if (!this.#switches.fairQueueing) return higher + same;
-    const ownShare = (own?.cost ?? 0) * weights / ownWeight;
+    const ownShare = (ownFlow?.cost ?? 0) * weights / ownWeight;
     return higher + Math.min(same, ownShare);
   }
 
--- a/packages/daemon/src/process/scheduling/messages.ts
+++ b/packages/daemon/src/process/scheduling/messages.ts
@@ -141,7 +141,7 @@
 export type PresentMessage = typeof PresentBody.Type;
 /** Sign of life of an entry that has something at a broker. */
 export type BeatMessage = typeof BeatBody.Type;
-/** A slot for an ask. */
+/** A broker grants an ask a slot at a runner. */
 export type GrantMessage = typeof GrantBody.Type;
 /** No slot for an ask; it was not run. */
 export type RefuseMessage = typeof RefuseBody.Type;
--- a/packages/daemon/src/process/scheduling/runner_learning.ts
+++ b/packages/daemon/src/process/scheduling/runner_learning.ts
@@ -135,12 +135,13 @@
   }
 
   #isStraggler(runner: string): boolean {
-    const own = this.#pool.state(runner).stepMs;
+    const ownStepMs = this.#pool.state(runner).stepMs;
     const others = this.#pool.live().map((it) => it.name)
       .filter((it) => it !== runner);
     const median = this.#median(others);
-    if (own === undefined || median === undefined) return false;
-    return own > STRAGGLER_FLOOR_MS && own > median * STRAGGLER_FACTOR;
+    if (ownStepMs === undefined || median === undefined) return false;
+    return ownStepMs > STRAGGLER_FLOOR_MS &&
+      ownStepMs > median * STRAGGLER_FACTOR;
   }
 
   #median(runners: readonly string[]): number | undefined {
--- a/packages/daemon/src/process/scheduling/runner_state.ts
+++ b/packages/daemon/src/process/scheduling/runner_state.ts
@@ -110,8 +110,8 @@
     const report = this.#report;
     if (report === undefined) return 0;
     if (now - report.receivedAt > REPORT_FRESH_MS) return 0;
-    const own = Math.max(this.#peak, this.#formerPeak);
-    const beyond = report.running + report.waiting - own;
+    const ownPeak = Math.max(this.#peak, this.#formerPeak);
+    const beyond = report.running + report.waiting - ownPeak;
     return Math.max(0, Math.min(beyond, this.limit.slots - 1));
   }
 
--- a/packages/daemon/src/process/scheduling/slot_ledger.ts
+++ b/packages/daemon/src/process/scheduling/slot_ledger.ts
@@ -12,7 +12,6 @@
 import type { Held } from "./runner_state.ts";
 import type { Waiting } from "./waiting.ts";
 
-/** A workspace and class. */
 interface RowKey {
   readonly workspace: string;
   readonly class: string;
--- a/packages/daemon/src/request/broker_link.ts
+++ b/packages/daemon/src/request/broker_link.ts
@@ -39,8 +39,10 @@
   /** Gives a sign of life, with counts that the broker sets against its books. */
   beat(broker: string): void {
     const services = this.#parts.own.servicesAt(broker);
-    const any = this.#parts.directory.services()[0];
-    const asked = services.size === 0 && any !== undefined ? [any] : services;
+    const someService = this.#parts.directory.services()[0];
+    const asked = services.size === 0 && someService !== undefined
+      ? [someService]
+      : services;
     for (const service of asked) {
       const place = { broker, service };
       const waiting = this.#parts.own.pendingAt(place).length;
--- a/packages/daemon/src/request/caller_requests.ts
+++ b/packages/daemon/src/request/caller_requests.ts
@@ -54,7 +54,6 @@
   readonly leaving: () => boolean;
 }
 
-/** A request under way. */
 interface HeldRequest {
   readonly fiber: Fiber.Fiber<void>;
   readonly reply: HttpReply;
--- a/packages/daemon/src/request/fifo_scheduler.ts
+++ b/packages/daemon/src/request/fifo_scheduler.ts
@@ -19,7 +19,6 @@
 const DEFAULT_SLOTS = 16;
 const RETRY_MS = 1_000;
 
-/** A waiting ask. */
 interface Waiting {
   readonly ask: Ask;
   readonly resume: (end: Effect.Effect<Grant, Refusal>) => void;
@@ -130,11 +129,11 @@
 
   #loadOf(runner: Runner): number {
     const report = this.#parts.reports.get(runner.name);
-    const own = this.#inFlight.get(runner.name) ?? 0;
-    if (report === undefined) return own;
+    const ownInFlight = this.#inFlight.get(runner.name) ?? 0;
+    if (report === undefined) return ownInFlight;
     const reported = report.running + report.waiting;
     return Math.max(
-      own,
+      ownInFlight,
       reported + (this.#sinceReport.get(runner.name) ?? 0),
     );
   }
--- a/packages/daemon/src/request/journey.ts
+++ b/packages/daemon/src/request/journey.ts
@@ -37,7 +37,7 @@
   last: NotRun | Lost | undefined;
 }
 
-/** The next ask of a call. */
+/** Counts a further ask of the call, and gives it an id of its own. */
 export function askOf(journey: Journey): Ask {
   const { call } = journey;
   journey.asks += 1;
--- a/packages/daemon/src/request/outcome.ts
+++ b/packages/daemon/src/request/outcome.ts
@@ -108,7 +108,7 @@
   return "not-run";
 }
 
-/** An attempt that did not run. */
+/** End of an attempt of which nothing ran, so another may be made. */
 export function notRun(code: NotRun["code"], message: string): NotRun {
   return { _tag: "NotRun", code, message };
 }
@@ -130,7 +130,7 @@
   deadline_passed: "The deadline passed before an answer began",
 };
 
-/** An attempt that may have run. */
+/** End of an attempt that may have run; the message goes by the code. */
 export function lost(
   code: Lost["code"],
   more: Pick<Lost, "standing" | "resumable">,
