Make the runners of the daemon's tests by one function

Change: They begin with `runnerAt` of tests/runner_fixture.ts. Runners of the placement tests now have its region and failure domain, which no test reads. Conclusion: A new field of a runner is added in one place.

--- a/packages/daemon/src/connection/runner_connections_test.ts
+++ b/packages/daemon/src/connection/runner_connections_test.ts
@@ -2,6 +2,7 @@
 import * as http from "node:http";
 import type { AddressInfo } from "node:net";
 import { test, type TestContext } from "node:test";
+import { runnerAt } from "../../tests/runner_fixture.ts";
 import type { Runner } from "../process/runner.ts";
 import { RunnerConnections } from "./runner_connections.ts";
 
@@ -17,16 +18,7 @@
     server.closeAllConnections();
   });
   const { port } = server.address() as AddressInfo;
-  return {
-    name: "drafting-llm-1",
-    service: "drafting-llm",
-    address: "127.0.0.1",
-    port,
-    region: "kingston",
-    failureDomain: "portmore",
-    state: "live",
-    incarnation: 1,
-  };
+  return runnerAt("drafting-llm-1", port);
 }
 
 /** Sends one request and gives the port that it came from, once all is read. */
--- a/packages/daemon/src/process/placement/placement_fixtures.ts
+++ b/packages/daemon/src/process/placement/placement_fixtures.ts
@@ -9,6 +9,7 @@
 import * as EffectClock from "effect/Clock";
 import * as Duration from "effect/Duration";
 import * as Effect from "effect/Effect";
+import { runnerAt } from "../../../tests/runner_fixture.ts";
 import type { Runner } from "../runner.ts";
 import type { EngineState } from "./placement_plan.ts";
 
@@ -16,17 +17,7 @@
 
 /** A runner of the service "pool". */
 export function runnerOf(fields: Partial<Runner> = {}): Runner {
-  return {
-    name: "r1",
-    service: "pool",
-    address: "127.0.0.1",
-    port: 1,
-    region: "here",
-    failureDomain: "a",
-    state: "live",
-    incarnation: 1,
-    ...fields,
-  };
+  return { ...runnerAt("r1", 1), service: "pool", ...fields };
 }
 
 /** An engine that holds the given models. */
--- a/packages/daemon/tests/scheduling/runner_fixture.ts
+++ b/packages/daemon/tests/scheduling/runner_fixture.ts
@@ -4,19 +4,10 @@
  * @module
  */
 import type { Runner } from "../../src/process/runner.ts";
+import { runnerAt } from "../runner_fixture.ts";
 
 export const SERVICE = "drafting-llm";
 
 export function runnerOf(name: string, fields: Partial<Runner> = {}): Runner {
-  return {
-    name,
-    service: SERVICE,
-    address: "127.0.0.1",
-    port: 1,
-    region: "kingston",
-    failureDomain: "portmore",
-    state: "live",
-    incarnation: 1,
-    ...fields,
-  };
+  return { ...runnerAt(name, 1), service: SERVICE, ...fields };
 }
