Test that an answer holds what came while nobody asked

Cause: a change of how pieces are read could lose or double what arrives while the caller's side is full, and no test of this module would have seen it. Change: two tests of RunnerAnswer over real connections. Conclusion: holding and the order before a break are covered.

--- /dev/null
+++ b/packages/daemon/src/connection/runner_answer_test.ts
@@ -0,0 +1,52 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import * as http from "node:http";
+import type { AddressInfo } from "node:net";
+import { test } from "node:test";
+import * as Effect from "effect/Effect";
+import { RunnerAnswer } from "./runner_answer.ts";
+
+const LONG_MS = 60_000;
+
+async function open() {
+  const server = http.createServer().listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const asked = once(server, "request");
+  const request = http.get({ port, host: "127.0.0.1" });
+  const [, outgoing] = await asked as [unknown, http.ServerResponse];
+  outgoing.write("one");
+  const [response] = await once(request, "response") as [http.IncomingMessage];
+  return { answer: new RunnerAnswer(response), outgoing, response, server };
+}
+
+// A caller reads slowly, so no pump runs. Meanwhile the runner sends more and
+// its connection breaks. The caller then misses tokens that had arrived, or
+// gets one twice, if what was held is not read out, once, before the break.
+test("gives what came while nobody asked, once, before the break", async () => {
+  const { answer, outgoing, response, server } = await open();
+  const first = await Effect.runPromise(answer.next(LONG_MS));
+  const closed = new Promise((resolve) => response.once("close", resolve));
+  outgoing.write("two", () => outgoing.destroy());
+  await closed;
+  const second = await Effect.runPromise(answer.next(LONG_MS));
+  const end = await Effect.runPromise(Effect.flip(answer.next(LONG_MS)));
+  assert.deepEqual([String(first), String(second)], ["one", "two"]);
+  assert.deepEqual(end, { _tag: "AnswerBroken", reason: "reset" });
+  server.close();
+});
+
+test("gives pieces one by one to one pump, and then the end", async () => {
+  const { answer, outgoing, server } = await open();
+  const pieces: string[] = [];
+  const ended = await Effect.runPromise(answer.pump(LONG_MS, (piece) => {
+    pieces.push(String(piece));
+    if (pieces.length === 1) outgoing.write("two");
+    else outgoing.end();
+    return true;
+  }));
+  assert.equal(ended, true);
+  assert.deepEqual(pieces, ["one", "two"]);
+  server.close();
+  server.closeAllConnections();
+});
