Keep tslog from searching each log line for keys to mask

Cause: tslog looks through every record for a key "password" and copies the record for it. A record here is one finished line and has no such key. Change: no keys to mask.

--- a/packages/daemon/src/process/log_lines.ts
+++ b/packages/daemon/src/process/log_lines.ts
@@ -71,6 +71,9 @@
     this.#logger = new Logger({
       type: "hidden",
       hideLogPositionForProduction: true,
+      // The record is one finished line, with no keys in it to mask; looking
+      // for them copies each record.
+      maskValuesOfKeys: [],
       attachedTransports: [(record) => sink(record.line)],
     });
   }
