Route requests on the users' platform through a lean router

Change: packages/router (routes, keys, forwarding, streams, resume, retries within a budget, pooled connections, placement, hand-over), platform/ (names, formats and calls), deploy/ (bundle, settings by template). The layer check keeps the platform's words in platform/. Key=value lines stand once, in the router, and the daemon uses them.

--- a/packages/daemon/src/process/log.ts
+++ b/packages/daemon/src/process/log.ts
@@ -4,10 +4,9 @@
  * @module
  */
 
-/** Values of one event, by key; undefined ones are left out. */
-export type Fields = Readonly<
-  Record<string, string | number | boolean | undefined>
->;
+import type { Fields } from "@umbermast/router/line";
+
+export type { Fields };
 
 /** Writes one line of key=value pairs for each event. */
 export interface Log {
--- /dev/null
+++ b/packages/router/src/mod.ts
@@ -0,0 +1,34 @@
+/**
+ * A router of language-model traffic, to be joined to a platform.
+ *
+ * @module
+ */
+export { BufferedLog } from "./process/event_log.ts";
+export type { EventLog, TextSink } from "./process/event_log.ts";
+export { FeedError } from "./process/feed.ts";
+export type { Changes, Feed, Listing } from "./process/feed.ts";
+export type { PromptPart } from "./process/prefix_record.ts";
+export type { ReportedLoad } from "./process/runner_load.ts";
+export type { Runner } from "./process/runner_directory.ts";
+export { parseSettings } from "./process/settings.ts";
+export type { RouterSettings, SettingFinding } from "./process/settings.ts";
+export type {
+  AnswerHead,
+  CallHead,
+  Dialect,
+  RawHeaders,
+  SendHead,
+} from "./request/call.ts";
+export { endToEndHeaders, headerOf } from "./request/headers.ts";
+export { Router } from "./router.ts";
+export type { Platform } from "./router.ts";
+export type {
+  CallerLimits,
+  Configuration,
+  Destination,
+  Engine,
+  Repetition,
+  Route,
+  Service,
+  Workspace,
+} from "./version/configuration.ts";
--- /dev/null
+++ b/packages/router/src/process/metrics.ts
@@ -0,0 +1,94 @@
+/**
+ * Counters and latency histograms.
+ *
+ * @module
+ */
+// The library's entry module also loads clustering and tracing: 79 ms of
+// processor time instead of 8, which after a restart on a third of a core is a
+// quarter of a second without service.
+import Counter from "prom-client/lib/counter.js";
+import Gauge from "prom-client/lib/gauge.js";
+import Histogram from "prom-client/lib/histogram.js";
+import Registry from "prom-client/lib/registry.js";
+import type {
+  Counter as CounterType,
+  Gauge as GaugeType,
+  Histogram as HistogramType,
+  Registry as RegistryType,
+} from "prom-client";
+
+const MS_PER_SECOND = 1_000;
+/** Seconds; around the targets of interactive classes, up to long streams. */
+const LATENCY_BUCKETS = [0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5, 10, 30];
+
+/** Measures of the daemon, as text for a collector. */
+export class RequestMetrics {
+  readonly #registry: RegistryType;
+  readonly #ended: CounterType<"service" | "outcome">;
+  readonly #seconds: HistogramType<"service">;
+  readonly #connections: CounterType<"service">;
+  readonly #version: GaugeType;
+  readonly #dependency: GaugeType<"dependency">;
+
+  constructor() {
+    const registry = new Registry();
+    const registers = [registry];
+    this.#registry = registry;
+    this.#ended = new Counter({
+      name: "umbermast_requests_total",
+      help: "Requests that ended, by service and outcome",
+      labelNames: ["service", "outcome"],
+      registers,
+    });
+    this.#seconds = new Histogram({
+      name: "umbermast_request_seconds",
+      help: "Seconds from a request's head to the end of its answer",
+      labelNames: ["service"],
+      buckets: LATENCY_BUCKETS,
+      registers,
+    });
+    this.#connections = new Counter({
+      name: "umbermast_runner_connections_total",
+      help: "New connections to runners, by service",
+      labelNames: ["service"],
+      registers,
+    });
+    this.#version = new Gauge({
+      name: "umbermast_configuration_version",
+      help: "Version of the configuration in force",
+      registers,
+    });
+    this.#dependency = new Gauge({
+      name: "umbermast_dependency_up",
+      help: "1 while a dependency answers, 0 while it does not",
+      labelNames: ["dependency"],
+      registers,
+    });
+  }
+
+  /** Counts a request that ended. */
+  ended(service: string, outcome: string, elapsedMs: number): void {
+    this.#ended.inc({ service, outcome });
+    this.#seconds.observe({ service }, elapsedMs / MS_PER_SECOND);
+  }
+
+  /** Counts a new connection to a runner. */
+  connected(service: string): void {
+    this.#connections.inc({ service });
+  }
+
+  /** Sets the version in force. */
+  version(version: number): void {
+    this.#version.set(version);
+  }
+
+  /** Sets whether a dependency answers. */
+  dependency(dependency: string, up: boolean): void {
+    this.#dependency.set({ dependency }, up ? 1 : 0);
+  }
+
+  /** All measures in the text format of Prometheus. */
+  text(): Promise<string> {
+    return this.#registry.metrics();
+  }
+}
--- /dev/null
+++ b/packages/router/src/process/settings.ts
@@ -0,0 +1,136 @@
+/**
+ * Settings of the router, in JSON.
+ *
+ * @module
+ */
+import { err, ok } from "neverthrow";
+import type { Result } from "neverthrow";
+
+/** Where a server listens, or another one is reached. */
+export interface ListenAddress {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** All that a router is told at its start. */
+export interface RouterSettings {
+  /** Name of the host, unique in the fleet. */
+  readonly name: string;
+  readonly failureDomain: string;
+  /** Where callers connect. */
+  readonly callers: ListenAddress;
+  /** Where the balancer asks whether the daemon is ready, and the path. */
+  readonly readiness: ListenAddress & { readonly path: string };
+  /** Where collectors read metrics, and the path. */
+  readonly metrics: ListenAddress & { readonly path: string };
+  /** Where other daemons connect. */
+  readonly peers: ListenAddress;
+  /** The platform's store. */
+  readonly store: ListenAddress;
+  /** Most open connections of callers. */
+  readonly maxConnections: number;
+  /** Milliseconds from SIGTERM to the kill by the platform. */
+  readonly graceMs: number;
+  readonly retries: {
+    readonly ratio: number;
+    readonly extra: number;
+    readonly windowMs: number;
+  };
+}
+
+/** One thing wrong with the settings. */
+export interface SettingFinding {
+  /** Where, as in `callers.port`. */
+  readonly place: string;
+  readonly text: string;
+}
+
+/** Reads values and collects what is wrong with them. */
+class Reader {
+  readonly findings: SettingFinding[] = [];
+
+  text(from: unknown, place: string): string {
+    const value = valueAt(from, place);
+    if (typeof value === "string" && value !== "") return value;
+    return this.#wrong(place, "a text", value, "");
+  }
+
+  number(from: unknown, place: string): number {
+    const value = valueAt(from, place);
+    if (typeof value === "number" && Number.isFinite(value)) return value;
+    return this.#wrong(place, "a number", value, 0);
+  }
+
+  address(from: unknown, place: string): ListenAddress {
+    const text = this.text(from, place);
+    const match = /^(.+):(\d{1,5})$/.exec(text);
+    if (match !== null) return { host: match[1]!, port: Number(match[2]) };
+    return this.#wrong(place, "an address like 10.0.0.1:80", text, {
+      host: "",
+      port: 0,
+    });
+  }
+
+  #wrong<T>(place: string, wanted: string, value: unknown, instead: T): T {
+    const found = JSON.stringify(value) ?? "nothing";
+    const text =
+      `Cannot read settings: "${place}" needs ${wanted}, not ${found}`;
+    this.findings.push({ place, text });
+    return instead;
+  }
+}
+
+function valueAt(from: unknown, place: string): unknown {
+  let value = from;
+  for (const name of place.split(".")) {
+    if (typeof value !== "object" || value === null) return undefined;
+    value = (value as Readonly<Record<string, unknown>>)[name];
+  }
+  return value;
+}
+
+/**
+ * Reads settings from JSON text.
+ *
+ * @returns the settings, or all findings with their places.
+ *
+ * @example
+ * ```ts
+ * const settings = parseSettings(readFileSync("router.json", "utf8"));
+ * ```
+ */
+export function parseSettings(
+  text: string,
+): Result<RouterSettings, readonly SettingFinding[]> {
+  let json: unknown;
+  try {
+    json = JSON.parse(text);
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    return err([{ place: "", text: `Cannot read settings: ${reason}` }]);
+  }
+  const reader = new Reader();
+  const settings: RouterSettings = {
+    name: reader.text(json, "name"),
+    failureDomain: reader.text(json, "failureDomain"),
+    callers: reader.address(json, "callers"),
+    readiness: {
+      ...reader.address(json, "readiness.address"),
+      path: reader.text(json, "readiness.path"),
+    },
+    metrics: {
+      ...reader.address(json, "metrics.address"),
+      path: reader.text(json, "metrics.path"),
+    },
+    peers: reader.address(json, "peers"),
+    store: reader.address(json, "store"),
+    maxConnections: reader.number(json, "maxConnections"),
+    graceMs: reader.number(json, "graceMs"),
+    retries: {
+      ratio: reader.number(json, "retries.ratio"),
+      extra: reader.number(json, "retries.extra"),
+      windowMs: reader.number(json, "retries.windowMs"),
+    },
+  };
+  return reader.findings.length === 0 ? ok(settings) : err(reader.findings);
+}
--- /dev/null
+++ b/packages/router/src/request/attempt.ts
@@ -0,0 +1,168 @@
+/**
+ * One send of a request to one runner.
+ *
+ * @module
+ */
+import { request } from "node:http";
+import type { ClientRequest, IncomingMessage } from "node:http";
+import type { Buffer } from "node:buffer";
+import type { RunnerConnections } from "../connection/runner_connections.ts";
+import type { Runner } from "../process/runner_directory.ts";
+import type { AnswerHead, Dialect } from "./call.ts";
+
+/**
+ * Milliseconds to open a connection. A round trip between failure domains takes
+ * about 3; the system sends a lost opening packet again after 1,000, and by
+ * then another runner has long answered.
+ */
+const CONNECT_TIMEOUT_MS = 300;
+
+/** What is sent. */
+export interface Send {
+  readonly id: string;
+  readonly method: string;
+  /** Path with query. */
+  readonly target: string;
+  /** Names and values in turn. */
+  readonly headers: string[];
+  readonly body: Buffer;
+}
+
+/** How a send went, up to the head of the answer. */
+export type Sent =
+  /** An answer to this request; its body follows. */
+  | {
+    readonly kind: "answer";
+    readonly status: number;
+    readonly head: AnswerHead;
+    readonly incoming: IncomingMessage;
+  }
+  /** The runner says that the request has not run. */
+  | {
+    readonly kind: "not-run";
+    readonly status: number;
+    readonly head: AnswerHead;
+  }
+  /** Nothing of the request left for the runner. */
+  | { readonly kind: "unsent"; readonly reason: string }
+  /** The request may have run; there is no answer to it. */
+  | { readonly kind: "broken"; readonly reason: string };
+
+function hasNoBody(send: Send): boolean {
+  return send.body.length === 0 &&
+    (send.method === "GET" || send.method === "HEAD");
+}
+
+/** Sends a request once; {@linkcode cancel} ends it at any time. */
+export class Attempt {
+  readonly runner: Runner;
+  readonly #dialect: Dialect;
+  readonly #send: Send;
+  readonly #outgoing: ClientRequest;
+  #left = false;
+  #incoming: IncomingMessage | undefined;
+  #settle: (sent: Sent) => void = () => {};
+
+  constructor(
+    runner: Runner,
+    send: Send,
+    tools: {
+      readonly dialect: Dialect;
+      readonly connections: RunnerConnections;
+      /** Told of each new connection that was opened. */
+      readonly onConnect: () => void;
+    },
+  ) {
+    this.runner = runner;
+    this.#dialect = tools.dialect;
+    this.#send = send;
+    const length = hasNoBody(send)
+      ? []
+      : ["Content-Length", String(send.body.length)];
+    this.#outgoing = request({
+      agent: tools.connections.agent(runner),
+      host: runner.address,
+      port: runner.port,
+      method: send.method,
+      path: send.target,
+      headers: [...send.headers, ...length],
+    });
+    this.#watchConnection(tools.onConnect);
+  }
+
+  /** Whether any byte of the request may have reached the runner. */
+  get left(): boolean {
+    return this.#left;
+  }
+
+  /** Waits for the head of the answer. */
+  start(): Promise<Sent> {
+    return new Promise((resolve) => {
+      this.#settle = resolve;
+      this.#outgoing.on(
+        "response",
+        (incoming) => resolve(this.#read(incoming)),
+      );
+      this.#outgoing.on("error", (error) => this.#failed(error));
+      this.#outgoing.on("close", () => this.#fail("closed"));
+      this.#outgoing.end(this.#send.body);
+    });
+  }
+
+  /** Ends the send; the runner sees its connection close and stops work. */
+  cancel(reason: string): void {
+    this.#fail(reason);
+    this.#outgoing.destroy();
+  }
+
+  #watchConnection(onConnect: () => void): void {
+    const timer = setTimeout(
+      () => this.#outgoing.destroy(new Error("connect timeout")),
+      CONNECT_TIMEOUT_MS,
+    );
+    this.#outgoing.once("close", () => clearTimeout(timer));
+    this.#outgoing.once("socket", (socket) => {
+      const connected = () => {
+        clearTimeout(timer);
+        this.#left = true;
+      };
+      if (!socket.connecting) return connected();
+      onConnect();
+      socket.setNoDelay(true);
+      socket.once("connect", connected);
+    });
+  }
+
+  /**
+   * Ends an answer whose connection failed. Node's parser takes the reset of a
+   * connection for the end of an answer without length, so a part of the body
+   * would pass for the whole.
+   */
+  #failed(error: Error): void {
+    this.#fail(error.message);
+    this.#incoming?.destroy(error);
+  }
+
+  #fail(reason: string): void {
+    this.#settle({ kind: this.#left ? "broken" : "unsent", reason });
+  }
+
+  #read(incoming: IncomingMessage): Sent {
+    const status = incoming.statusCode!;
+    const head = this.#dialect.readAnswer(status, incoming.rawHeaders);
+    if (head.id !== undefined && head.id !== this.#send.id) {
+      // A late second answer to an earlier request: ours may still come, but
+      // nothing on this connection can be trusted to belong to us any more.
+      incoming.on("error", () => {});
+      this.#outgoing.destroy();
+      return { kind: "broken", reason: "answer to another request" };
+    }
+    if (head.notRun) {
+      incoming.on("error", () => {});
+      incoming.resume();
+      return { kind: "not-run", status, head };
+    }
+    this.#incoming = incoming;
+    return { kind: "answer", status, head, incoming };
+  }
+}
--- /dev/null
+++ b/packages/router/src/request/call.ts
@@ -0,0 +1,69 @@
+/**
+ * A caller's request and a runner's answer, as the platform's words say them.
+ *
+ * @module
+ */
+
+import type { PromptPart } from "../process/prefix_record.ts";
+import type { ReportedLoad } from "../process/runner_load.ts";
+
+/** Names and values as received, in turn, with repeated names. */
+export type RawHeaders = readonly string[];
+
+/** What the head of a caller's request says. */
+export interface CallHead {
+  /** Names this try of the caller; runners echo it. Empty when absent. */
+  readonly id: string;
+  readonly host: string;
+  /** Key of a workspace. */
+  readonly key: string | undefined;
+  /** Milliseconds that the caller will wait. */
+  readonly deadlineMs: number | undefined;
+  /** Tokens of the prompt. */
+  readonly promptTokens: number;
+  /** Most tokens of the answer. */
+  readonly answerTokens: number;
+  /** Parts of the prompt in order; the last one is the request's own. */
+  readonly prompt: readonly PromptPart[];
+  /** Last event that the caller has of a stream that it resumes. */
+  readonly lastEventId: number | undefined;
+}
+
+/** What a runner is told beside the caller's own headers. */
+export interface SendHead {
+  readonly runnerId: string;
+  /** Milliseconds that are left. */
+  readonly deadlineMs: number;
+  readonly workspace: string | undefined;
+  /** 0 is the most urgent; absent for plain services. */
+  readonly tier: number | undefined;
+  /** Last event that was delivered of a stream that goes on. */
+  readonly lastEventId: number | undefined;
+}
+
+/** What the head of a runner's answer says. */
+export interface AnswerHead {
+  /** Try that the answer belongs to; absent when the runner named none. */
+  readonly id: string | undefined;
+  /** Whether the runner vouches that the answer is its own. */
+  readonly sealed: boolean;
+  /** Whether the runner says that the request has not run. */
+  readonly notRun: boolean;
+  /** Whether the address now belongs to another runner. */
+  readonly otherRunner: boolean;
+  /** Whether the body has an encoding, which no runner applies. */
+  readonly encoded: boolean;
+  readonly load: ReportedLoad | undefined;
+}
+
+/** How heads are spelled between callers, this daemon and runners. */
+export interface Dialect {
+  /** Reads the head of a caller's request. */
+  readCall(headers: RawHeaders): CallHead;
+  /** Headers for the runner: the caller's own, less those that are ours to set. */
+  sendHeaders(headers: RawHeaders, head: SendHead): string[];
+  /** Reads the head of a runner's answer. */
+  readAnswer(status: number, headers: RawHeaders): AnswerHead;
+  /** Id of an event of a stream, given the event's text. */
+  eventId(event: string): number | undefined;
+}
--- /dev/null
+++ b/packages/router/src/request/daemon.ts
@@ -0,0 +1,36 @@
+/**
+ * What the work on a request uses of the daemon.
+ *
+ * @module
+ */
+import type { RunnerConnections } from "../connection/runner_connections.ts";
+import type { EventLog } from "../process/event_log.ts";
+import type { PrefixRecord } from "../process/prefix_record.ts";
+import type { RetryBudget } from "../process/retry_budget.ts";
+import type { RunnerLoads } from "../process/runner_load.ts";
+import type { RequestMetrics } from "../process/metrics.ts";
+import type { RoutingTable } from "../version/routing_table.ts";
+import type { Dialect } from "./call.ts";
+import type { Fleet } from "./placement.ts";
+
+/** Parts that live as long as the process. */
+export interface Daemon {
+  readonly dialect: Dialect;
+  readonly connections: RunnerConnections;
+  readonly log: EventLog;
+  readonly loads: RunnerLoads;
+  readonly metrics: RequestMetrics;
+  readonly prefixes: PrefixRecord;
+  /** Steady milliseconds. */
+  now(): number;
+  /** In [0, 1). */
+  random(): number;
+  /** The newest configuration; absent until there is one. */
+  table(): RoutingTable | undefined;
+  /** Runners of a service and what is known of them. */
+  fleet(service: string): Fleet;
+  /** Milliseconds since the list of runners was last confirmed. */
+  runnersAgeMs(): number;
+  /** Repeats that may be sent to a service. */
+  budget(service: string): RetryBudget;
+}
--- /dev/null
+++ b/packages/router/src/request/exchange.ts
@@ -0,0 +1,489 @@
+/**
+ * The path of one request, from its head to its final answer.
+ *
+ * @module
+ */
+import type { Buffer } from "node:buffer";
+import type { Placed, RunnerLoad } from "../process/runner_load.ts";
+import type { Route, Service, Workspace } from "../version/configuration.ts";
+import { destinationAt } from "../version/routing_table.ts";
+import type { RoutingTable } from "../version/routing_table.ts";
+import { Attempt } from "./attempt.ts";
+import type { Sent } from "./attempt.ts";
+import type { CallHead } from "./call.ts";
+import type { Caller, Refusal } from "./caller.ts";
+import type { Daemon } from "./daemon.ts";
+import { chooseRunner } from "./placement.ts";
+import type { Choice } from "./placement.ts";
+import { StreamRelay } from "./stream_relay.ts";
+import { readWhole } from "./whole_body.ts";
+
+/** Largest answer that is held to be checked before it is passed on, in bytes. */
+const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+/** Milliseconds after which a refused caller may come back; spread by as much. */
+const RETRY_AFTER_MS = 250;
+/** Milliseconds left under which no other runner is tried. */
+const LEAST_TIME_MS = 30;
+const FIRST_ERROR = 400;
+const FIRST_SERVER_ERROR = 500;
+
+/** How the work on a request ended, for the log and the metrics. */
+type Outcome =
+  | { readonly kind: "answered"; readonly status: number }
+  | { readonly kind: "refused"; readonly refusal: Refusal }
+  | { readonly kind: "broken"; readonly reason: string }
+  | { readonly kind: "left" };
+
+/** What one try came to. */
+type Try =
+  | { readonly kind: "done"; readonly outcome: Outcome }
+  /** Another runner may be tried; `fallback` is the answer if none is. */
+  | {
+    readonly kind: "again";
+    readonly reason: string;
+    readonly fallback: Outcome;
+  };
+
+/** What is known of a request once its route is found. */
+interface Subject {
+  readonly call: CallHead;
+  readonly route: Route;
+  readonly service: Service;
+  readonly workspace: Workspace | undefined;
+  readonly version: number;
+}
+
+/** Works on one request. */
+export class Exchange {
+  readonly #daemon: Daemon;
+  readonly #caller: Caller;
+  readonly #startedAt: number;
+  readonly #tried = new Set<string>();
+  #attempt: Attempt | undefined;
+  #relay: StreamRelay | undefined;
+  #attempts = 0;
+  /** Whether any byte may have reached a runner that did not refuse it. */
+  #mayHaveRun = false;
+  #expired = false;
+  #expiresAt = Infinity;
+
+  constructor(daemon: Daemon, caller: Caller) {
+    this.#daemon = daemon;
+    this.#caller = caller;
+    this.#startedAt = daemon.now();
+  }
+
+  /** Works until the caller has its final answer or has left. */
+  async run(): Promise<void> {
+    const call = this.#daemon.dialect.readCall(this.#caller.request.rawHeaders);
+    const found = this.#find(call);
+    if ("status" in found) {
+      return this.#end(call, { kind: "refused", refusal: found });
+    }
+    const timer = this.#startTimer(found);
+    this.#caller.response.once(
+      "close",
+      () => this.#attempt?.cancel("caller left"),
+    );
+    try {
+      const outcome = await this.#serve(found);
+      this.#end(call, outcome, found);
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  #find(call: CallHead): Subject | Refusal {
+    const table = this.#daemon.table();
+    if (table === undefined) {
+      return { status: 503, code: "not_ready", retryAfterMs: 1_000 };
+    }
+    const route = table.route(call.host, this.#caller.request.url ?? "/");
+    if (route === undefined) return { status: 404, code: "no_route" };
+    const workspace = this.#authenticate(table, route, call);
+    if (workspace === "unknown") return { status: 401, code: "unknown_key" };
+    const name = destinationAt(route, this.#daemon.random());
+    const service = name === undefined ? undefined : table.service(name);
+    if (service === undefined) {
+      return { status: 503, code: "no_service", retryAfterMs: 1_000 };
+    }
+    return { call, route, service, workspace, version: table.version };
+  }
+
+  #authenticate(
+    table: RoutingTable,
+    route: Route,
+    call: CallHead,
+  ): Workspace | undefined | "unknown" {
+    const workspace = call.key === undefined
+      ? undefined
+      : table.workspace(call.key);
+    if (workspace !== undefined) return workspace;
+    if (route.anonymous || !table.hasWorkspaces) return undefined;
+    return "unknown";
+  }
+
+  /** The caller gets its final answer at the timeout, not some time after it. */
+  #startTimer(subject: Subject): NodeJS.Timeout {
+    const { call, route } = subject;
+    const span = Math.min(route.timeoutMs, call.deadlineMs ?? Infinity);
+    this.#expiresAt = this.#startedAt + span;
+    return setTimeout(() => {
+      this.#expired = true;
+      this.#attempt?.cancel("timeout");
+    }, span);
+  }
+
+  async #serve(subject: Subject): Promise<Outcome> {
+    const limits = this.#daemon.table()!.limits;
+    const whole = await readWhole(this.#caller.request, limits.maxBodyBytes);
+    if (whole.kind === "broken") return { kind: "left" };
+    if (whole.kind === "too-large") {
+      const refusal = { status: 413, code: "body_too_large", close: true };
+      return { kind: "refused", refusal };
+    }
+    this.#daemon.budget(subject.service.name).request(this.#daemon.now());
+    return await this.#tryRunners(subject, whole.body);
+  }
+
+  async #tryRunners(subject: Subject, body: Buffer): Promise<Outcome> {
+    let fallback: Outcome | undefined;
+    for (;;) {
+      if (this.#caller.left) return { kind: "left" };
+      const over = this.#expired || this.#left() < LEAST_TIME_MS;
+      if (over) return fallback ?? this.#timeoutOutcome();
+      const choice = this.#choose(subject);
+      if (choice === undefined) return fallback ?? this.#refusal("no_runner");
+      const result = await this.#try(subject, choice, body);
+      if (result.kind === "done") return result.outcome;
+      this.#daemon.log.decision("attempt_failed", subject.call.id, {
+        runner: choice.runner.id,
+        reason: result.reason,
+        attempt: this.#attempts,
+      });
+      if (this.#expired) return this.#timeoutOutcome();
+      fallback = result.fallback;
+      if (!this.#mayTryAgain(subject)) return fallback;
+    }
+  }
+
+  #choose(subject: Subject): Choice | undefined {
+    const { call, route, service } = subject;
+    const choice = chooseRunner(this.#daemon.fleet(service.name), {
+      prompt: call.prompt,
+      promptTokens: call.promptTokens,
+      targetMs: route.targetMs,
+      gapTargetMs: route.gapTargetMs,
+      engine: service.engine,
+    }, this.#tried);
+    return choice;
+  }
+
+  /** Sends to one runner and passes on what comes. */
+  async #try(subject: Subject, choice: Choice, body: Buffer): Promise<Try> {
+    const { call, route } = subject;
+    const { runner } = choice;
+    const load = this.#daemon.loads.of(runner.id);
+    const placed: Placed = {
+      unreadTokens: choice.unreadTokens,
+      gapTargetMs: route.gapTargetMs,
+    };
+    this.#tried.add(runner.id);
+    this.#logChoice(subject, choice, load);
+    load.place(placed);
+    this.#daemon.prefixes.read(runner.id, call.prompt, this.#daemon.now());
+    const attempt = this.#newAttempt(subject, choice, body);
+    this.#attempt = attempt;
+    const silence = this.#watchSilence(subject, attempt);
+    try {
+      const sent = await attempt.start();
+      if (attempt.left) this.#attempts += 1;
+      return await this.#take(subject, sent, {
+        load,
+        placed,
+        attempt,
+        silence,
+      });
+    } finally {
+      silence.stop();
+      load.release(placed);
+    }
+  }
+
+  #newAttempt(subject: Subject, choice: Choice, body: Buffer): Attempt {
+    const { call, route, service, workspace } = subject;
+    const { request } = this.#caller;
+    const tier = workspace?.tier ?? route.tier;
+    return new Attempt(choice.runner, {
+      id: call.id,
+      method: request.method!,
+      target: request.url!,
+      headers: this.#daemon.dialect.sendHeaders(request.rawHeaders, {
+        runnerId: choice.runner.id,
+        deadlineMs: Math.max(1, Math.floor(this.#left())),
+        workspace: workspace?.name,
+        tier: service.engine === undefined ? undefined : tier,
+        lastEventId: this.#relay?.lastId,
+      }),
+      body,
+    }, {
+      dialect: this.#daemon.dialect,
+      connections: this.#daemon.connections,
+      onConnect: () => this.#daemon.metrics.connected(service.name),
+    });
+  }
+
+  /**
+   * A runner that says nothing for long is given up where another one may go
+   * on: callers leave a silent stream after two seconds or more.
+   */
+  #watchSilence(subject: Subject, attempt: Attempt): Silence {
+    const { route } = subject;
+    if (
+      route.repetition === "never" || route.maxAttempts <= this.#attempts + 1
+    ) {
+      return new Silence(() => {});
+    }
+    const silence = new Silence(() => attempt.cancel("silent"));
+    silence.expect(2 * route.targetMs);
+    return silence;
+  }
+
+  async #take(subject: Subject, sent: Sent, parts: TryParts): Promise<Try> {
+    const { load } = parts;
+    const now = this.#daemon.now();
+    switch (sent.kind) {
+      case "unsent":
+        if (!this.#endedByUs()) load.failed(now);
+        return this.#again(sent.reason, this.#refusal("runner_unreachable"));
+      case "broken":
+        if (!this.#endedByUs()) load.failed(now);
+        this.#mayHaveRun = true;
+        return this.#repeat(subject, sent.reason, this.#failure(sent.reason));
+      case "not-run":
+        if (sent.head.load !== undefined) load.reported(sent.head.load, now);
+        if (sent.head.otherRunner) load.failed(now);
+        return this.#again("refused by runner", this.#refusal("runner_full"));
+      case "answer":
+        this.#mayHaveRun = true;
+        if (sent.head.load !== undefined) load.reported(sent.head.load, now);
+        return await this.#passOn(subject, sent, parts);
+    }
+  }
+
+  #passOn(subject: Subject, sent: Answer, parts: TryParts): Promise<Try> {
+    const { status, head } = sent;
+    const success = status < FIRST_ERROR;
+    if (success && (!head.sealed || head.encoded)) {
+      parts.attempt.cancel("not the runner's own answer");
+      parts.load.failed(this.#daemon.now());
+      const reason = "answer without seal";
+      return Promise.resolve(
+        this.#repeat(subject, reason, this.#failure(reason)),
+      );
+    }
+    if (subject.route.streaming && success) {
+      return this.#passStream(subject, sent, parts);
+    }
+    return this.#passWhole(subject, sent, parts);
+  }
+
+  async #passWhole(
+    subject: Subject,
+    sent: Answer,
+    parts: TryParts,
+  ): Promise<Try> {
+    const whole = await readWhole(sent.incoming, MAX_ANSWER_BYTES);
+    if (whole.kind !== "whole") {
+      parts.attempt.cancel("answer broke off");
+      if (!this.#endedByUs()) parts.load.failed(this.#daemon.now());
+      return this.#repeat(subject, whole.kind, this.#failure(whole.kind));
+    }
+    parts.load.succeeded();
+    const { status } = sent;
+    const answer = (): Outcome => {
+      this.#caller.answer(status, sent.incoming.rawHeaders, whole.body);
+      return { kind: "answered", status };
+    };
+    if (status < FIRST_SERVER_ERROR || !this.#mayRepeat(subject)) {
+      return { kind: "done", outcome: answer() };
+    }
+    // The runner failed by itself; its answer stands if no other does better.
+    const retried = await this.#retryWhole(subject, `status ${status}`);
+    return retried ?? { kind: "done", outcome: answer() };
+  }
+
+  /** Whether a second runner is to be tried; undefined when not. */
+  #retryWhole(subject: Subject, reason: string): Try | undefined {
+    if (!this.#mayTryAgain(subject)) return undefined;
+    return { kind: "again", reason, fallback: this.#failure(reason) };
+  }
+
+  async #passStream(
+    subject: Subject,
+    sent: Answer,
+    parts: TryParts,
+  ): Promise<Try> {
+    const { route } = subject;
+    const { status, incoming } = sent;
+    this.#relay ??= new StreamRelay(this.#caller.response, {
+      dialect: this.#daemon.dialect,
+      onEvent: () => {},
+    });
+    let begun = false;
+    const end = await this.#relay.relay(incoming, () => {
+      if (!begun) {
+        begun = true;
+        parts.load.started(parts.placed);
+        parts.load.succeeded();
+        this.#caller.beginStream(status, incoming.rawHeaders);
+      }
+      parts.silence.expect(4 * (route.gapTargetMs ?? route.targetMs));
+    });
+    if (end.kind === "complete") {
+      this.#caller.beginStream(status, incoming.rawHeaders);
+      this.#caller.endStream();
+      return { kind: "done", outcome: { kind: "answered", status } };
+    }
+    parts.attempt.cancel("stream broke off");
+    if (!this.#endedByUs()) parts.load.failed(this.#daemon.now());
+    return this.#repeat(subject, end.reason, this.#failure(end.reason));
+  }
+
+  #again(reason: string, fallback: Outcome): Try {
+    return { kind: "again", reason, fallback };
+  }
+
+  /** Another try after one that may have run, where the route allows it. */
+  #repeat(subject: Subject, reason: string, fallback: Outcome): Try {
+    if (this.#mayRepeat(subject)) return this.#again(reason, fallback);
+    if (this.#expired) return { kind: "done", outcome: this.#timeoutOutcome() };
+    return { kind: "done", outcome: fallback };
+  }
+
+  #mayRepeat(subject: Subject): boolean {
+    return subject.route.repetition !== "never" && !this.#expired &&
+      !this.#caller.left;
+  }
+
+  #mayTryAgain(subject: Subject): boolean {
+    const { route, service } = subject;
+    if (this.#expired || this.#caller.left) return false;
+    if (this.#attempts >= route.maxAttempts) return false;
+    if (this.#mayHaveRun && route.repetition === "never") return false;
+    // What never left for a runner is no repeat.
+    if (this.#attempts === 0) return this.#tried.size < MAX_UNSENT;
+    return this.#daemon.budget(service.name).take(this.#daemon.now());
+  }
+
+  #endedByUs(): boolean {
+    return this.#expired || this.#caller.left;
+  }
+
+  #left(): number {
+    return this.#expiresAt - this.#daemon.now();
+  }
+
+  #refusal(code: string): Outcome {
+    if (this.#mayHaveRun) return this.#failure(code);
+    const retryAfterMs = RETRY_AFTER_MS * (1 + this.#daemon.random());
+    return { kind: "refused", refusal: { status: 503, code, retryAfterMs } };
+  }
+
+  #failure(reason: string): Outcome {
+    if (this.#caller.answered) return { kind: "broken", reason };
+    return { kind: "refused", refusal: { status: 502, code: "runner_failed" } };
+  }
+
+  #timeoutOutcome(): Outcome {
+    if (this.#caller.answered) return { kind: "broken", reason: "timeout" };
+    if (!this.#mayHaveRun && this.#attempts === 0) {
+      return this.#refusal("timeout");
+    }
+    return { kind: "refused", refusal: { status: 504, code: "timeout" } };
+  }
+
+  #logChoice(subject: Subject, choice: Choice, load: RunnerLoad): void {
+    const { call, route, service, version } = subject;
+    const now = this.#daemon.now();
+    this.#daemon.log.decision("runner_chosen", call.id, {
+      route: route.name,
+      service: service.name,
+      version,
+      runner: choice.runner.id,
+      reason: choice.reason,
+      candidates: choice.candidates,
+      in_flight: load.inFlight,
+      reported: load.requests(now),
+      unread_tokens: choice.unreadTokens,
+      runners_age_ms: Math.round(this.#daemon.runnersAgeMs()),
+      left_ms: Math.round(this.#left()),
+    });
+  }
+
+  #end(call: CallHead, outcome: Outcome, subject?: Subject): void {
+    if (outcome.kind === "refused") this.#caller.refuse(outcome.refusal);
+    if (outcome.kind === "broken") this.#caller.breakOff();
+    const elapsedMs = this.#daemon.now() - this.#startedAt;
+    const result = outcome.kind === "answered"
+      ? String(outcome.status)
+      : outcome.kind === "refused"
+      ? outcome.refusal.code
+      : outcome.kind;
+    this.#daemon.metrics.ended(
+      subject?.service.name ?? "none",
+      result,
+      elapsedMs,
+    );
+    this.#daemon.log.decision("request_ended", call.id, {
+      route: subject?.route.name,
+      outcome: result,
+      reason: outcome.kind === "broken" ? outcome.reason : undefined,
+      attempts: this.#attempts,
+      events: this.#relay?.events,
+      elapsed_ms: Math.round(elapsedMs),
+      config: subject?.version ?? this.#daemon.table()?.version,
+    });
+  }
+}
+
+/** Runners that are tried one after the other while none can be reached. */
+const MAX_UNSENT = 3;
+
+type Answer = Extract<Sent, { readonly kind: "answer" }>;
+
+/** What belongs to one try. */
+interface TryParts {
+  readonly load: RunnerLoad;
+  readonly placed: Placed;
+  readonly attempt: Attempt;
+  readonly silence: Silence;
+}
+
+/** Calls back when nothing was heard for as long as was last expected. */
+class Silence {
+  readonly #onSilent: () => void;
+  #timer: NodeJS.Timeout | undefined;
+  #deadline = 0;
+
+  constructor(onSilent: () => void) {
+    this.#onSilent = onSilent;
+  }
+
+  /** Expects something within a time, from now on. */
+  expect(ms: number): void {
+    this.#deadline = performance.now() + ms;
+    this.#timer ??= setTimeout(() => this.#check(), ms);
+  }
+
+  /** Expects nothing any more. */
+  stop(): void {
+    clearTimeout(this.#timer);
+  }
+
+  #check(): void {
+    const left = this.#deadline - performance.now();
+    if (left <= 0) return this.#onSilent();
+    this.#timer = setTimeout(() => this.#check(), left);
+  }
+}
--- /dev/null
+++ b/packages/router/src/request/headers.ts
@@ -0,0 +1,60 @@
+/**
+ * Headers that concern one connection only.
+ *
+ * @module
+ */
+import type { RawHeaders } from "./call.ts";
+
+/** Named by RFC 9110, section 7.6.1, and the ones around them. */
+const HOP_BY_HOP: ReadonlySet<string> = new Set([
+  "connection",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+]);
+
+/** Names that `connection` lists as belonging to this connection. */
+function namedInConnection(headers: RawHeaders): ReadonlySet<string> {
+  const names = new Set<string>();
+  for (let i = 0; i + 1 < headers.length; i += 2) {
+    if (headers[i]!.toLowerCase() !== "connection") continue;
+    for (const name of headers[i + 1]!.split(",")) {
+      names.add(name.trim().toLowerCase());
+    }
+  }
+  return names;
+}
+
+/**
+ * Leaves out the headers of one connection and those that `dropped` holds, in
+ * lower case.
+ */
+export function endToEndHeaders(
+  headers: RawHeaders,
+  dropped: ReadonlySet<string>,
+): string[] {
+  const named = namedInConnection(headers);
+  const kept: string[] = [];
+  for (let i = 0; i + 1 < headers.length; i += 2) {
+    const name = headers[i]!.toLowerCase();
+    if (HOP_BY_HOP.has(name) || named.has(name) || dropped.has(name)) continue;
+    kept.push(headers[i]!, headers[i + 1]!);
+  }
+  return kept;
+}
+
+/** The first value of a header, by its name in lower case. */
+export function headerOf(
+  headers: RawHeaders,
+  name: string,
+): string | undefined {
+  for (let i = 0; i + 1 < headers.length; i += 2) {
+    if (headers[i]!.toLowerCase() === name) return headers[i + 1];
+  }
+  return undefined;
+}
--- /dev/null
+++ b/packages/router/src/request/stream_relay.ts
@@ -0,0 +1,87 @@
+/**
+ * Events of a runner's stream on their way to the caller.
+ *
+ * @module
+ */
+import type { Buffer } from "node:buffer";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Dialect } from "./call.ts";
+import { EventSplitter } from "./event_splitter.ts";
+
+/** How a stream ended. */
+export type StreamEnd =
+  | { readonly kind: "complete" }
+  | { readonly kind: "broken"; readonly reason: string };
+
+/**
+ * The stream of one answer, from one runner or from several in turn. Events
+ * that the caller already has are left out when a later runner repeats them.
+ */
+export class StreamRelay {
+  readonly #response: ServerResponse;
+  readonly #dialect: Dialect;
+  readonly #onEvent: () => void;
+  #lastId: number | undefined;
+  #events = 0;
+
+  /** @param onEvent called for each event that comes from a runner. */
+  constructor(
+    response: ServerResponse,
+    options: { readonly dialect: Dialect; readonly onEvent: () => void },
+  ) {
+    this.#response = response;
+    this.#dialect = options.dialect;
+    this.#onEvent = options.onEvent;
+  }
+
+  /** Id of the last event that was passed on. */
+  get lastId(): number | undefined {
+    return this.#lastId;
+  }
+
+  /** Events that were passed on. */
+  get events(): number {
+    return this.#events;
+  }
+
+  /**
+   * Passes on a runner's events until its answer ends.
+   *
+   * @param begin called once before the first event, to write the head.
+   */
+  relay(incoming: IncomingMessage, begin: () => void): Promise<StreamEnd> {
+    const splitter = new EventSplitter();
+    return new Promise((resolve) => {
+      const broken = (reason: string) => resolve({ kind: "broken", reason });
+      incoming.on("data", (chunk: Buffer) => {
+        for (const event of splitter.push(chunk)) {
+          begin();
+          if (!this.#pass(event)) this.#pause(incoming);
+        }
+      });
+      incoming.on("end", () => {
+        if (!incoming.complete) return broken("ended early");
+        if (splitter.pending) return broken("ended within an event");
+        resolve({ kind: "complete" });
+      });
+      incoming.on("error", (error) => broken(error.message));
+      incoming.on("close", () => broken("closed"));
+    });
+  }
+
+  #pass(event: Buffer): boolean {
+    this.#onEvent();
+    const id = this.#dialect.eventId(event.toString("latin1"));
+    if (id !== undefined) {
+      if (this.#lastId !== undefined && id <= this.#lastId) return true;
+      this.#lastId = id;
+    }
+    this.#events += 1;
+    return this.#response.write(event);
+  }
+
+  #pause(incoming: IncomingMessage): void {
+    incoming.pause();
+    this.#response.once("drain", () => incoming.resume());
+  }
+}
--- /dev/null
+++ b/packages/router/src/request/whole_body.ts
@@ -0,0 +1,40 @@
+/**
+ * Bodies that are read whole before anything is done with them.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import type { IncomingMessage } from "node:http";
+
+/** A whole body, or why there is none. */
+export type WholeBody =
+  | { readonly kind: "whole"; readonly body: Buffer }
+  | { readonly kind: "too-large" }
+  | { readonly kind: "broken"; readonly reason: string };
+
+/** Reads a message to its end; one that breaks off is never taken as whole. */
+export function readWhole(
+  incoming: IncomingMessage,
+  maxBytes: number,
+): Promise<WholeBody> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    incoming.on("data", (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > maxBytes) return resolve({ kind: "too-large" });
+      chunks.push(chunk);
+    });
+    incoming.on("end", () => {
+      if (!incoming.complete) {
+        return resolve({ kind: "broken", reason: "ended early" });
+      }
+      const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
+      resolve({ kind: "whole", body });
+    });
+    incoming.on("error", (error) => {
+      resolve({ kind: "broken", reason: error.message });
+    });
+    incoming.on("close", () => resolve({ kind: "broken", reason: "closed" }));
+  });
+}
--- /dev/null
+++ b/packages/router/src/router.ts
@@ -0,0 +1,235 @@
+/**
+ * The router as one process.
+ *
+ * @module
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { CallerServer, listen } from "./connection/caller_server.ts";
+import { RunnerConnections } from "./connection/runner_connections.ts";
+import {
+  createMetricsServer,
+  createReadinessServer,
+} from "./connection/status_server.ts";
+import type { EventLog } from "./process/event_log.ts";
+import { Follower } from "./process/feed.ts";
+import type { ContactListener, Feed } from "./process/feed.ts";
+import { Lifecycle } from "./process/lifecycle.ts";
+import { RequestMetrics } from "./process/metrics.ts";
+import { PrefixRecord } from "./process/prefix_record.ts";
+import { RetryBudget } from "./process/retry_budget.ts";
+import { RunnerDirectory } from "./process/runner_directory.ts";
+import type { Runner } from "./process/runner_directory.ts";
+import { RunnerLoads } from "./process/runner_load.ts";
+import type { RouterSettings } from "./process/settings.ts";
+import type { Dialect } from "./request/call.ts";
+import { Caller } from "./request/caller.ts";
+import type { Daemon } from "./request/daemon.ts";
+import { Exchange } from "./request/exchange.ts";
+import type { Fleet } from "./request/placement.ts";
+import type { Configuration } from "./version/configuration.ts";
+import { RoutingTable } from "./version/routing_table.ts";
+
+/** What the platform provides. */
+export interface Platform {
+  readonly dialect: Dialect;
+  readonly configurations: Feed<Configuration>;
+  readonly runners: Feed<Runner>;
+}
+
+/**
+ * Milliseconds after SIGTERM for which connections are still taken: the
+ * balancer asks once a second and turns away after two misses.
+ */
+const ACCEPT_MS = 2_600;
+/** Milliseconds before the kill at which the process exits by itself. */
+const EXIT_MARGIN_MS = 300;
+const CHECK_MS = 50;
+/** Daemons among which extra repeats are divided until peers are counted. */
+const ASSUMED_DAEMONS = 16;
+
+/** Routes requests from its start until SIGTERM. */
+export class Router implements Daemon {
+  readonly dialect: Dialect;
+  readonly connections = new RunnerConnections();
+  readonly loads = new RunnerLoads();
+  readonly prefixes = new PrefixRecord();
+  readonly metrics = new RequestMetrics();
+  readonly log: EventLog;
+  readonly #settings: RouterSettings;
+  readonly #lifecycle: Lifecycle;
+  readonly #server: CallerServer;
+  readonly #directory = new RunnerDirectory();
+  readonly #budgets = new Map<string, RetryBudget>();
+  readonly #configurations: Follower<Configuration>;
+  readonly #runners: Follower<Runner>;
+  #table: RoutingTable | undefined;
+
+  constructor(settings: RouterSettings, platform: Platform, log: EventLog) {
+    this.#settings = settings;
+    this.dialect = platform.dialect;
+    this.log = log;
+    this.#lifecycle = new Lifecycle(log);
+    this.#lifecycle.require("configuration", () => this.#table !== undefined);
+    this.#lifecycle.require("runners", () => this.#directory.revision > 0);
+    this.#server = new CallerServer(
+      (request, response) => this.#handle(request, response),
+      settings.maxConnections,
+    );
+    this.#configurations = this.#followConfigurations(platform.configurations);
+    this.#runners = this.#followRunners(platform.runners);
+    this.#directory.onChange(() => this.#runnersChanged());
+  }
+
+  now(): number {
+    return performance.now();
+  }
+
+  random(): number {
+    return Math.random();
+  }
+
+  table(): RoutingTable | undefined {
+    return this.#table;
+  }
+
+  fleet(service: string): Fleet {
+    return {
+      runners: this.#directory.ready(service),
+      loads: this.loads,
+      prefixes: this.prefixes,
+      failureDomain: this.#settings.failureDomain,
+      now: this.now(),
+    };
+  }
+
+  runnersAgeMs(): number {
+    return this.now() - this.#runners.confirmedAt;
+  }
+
+  budget(service: string): RetryBudget {
+    const known = this.#budgets.get(service);
+    if (known !== undefined) return known;
+    const budget = new RetryBudget(
+      this.#settings.retries,
+      () => ASSUMED_DAEMONS,
+    );
+    this.#budgets.set(service, budget);
+    return budget;
+  }
+
+  /** Opens the ports and starts to follow the store. */
+  async start(): Promise<void> {
+    const { readiness, metrics } = this.#settings;
+    const readinessServer = createReadinessServer(
+      readiness.path,
+      this.#lifecycle,
+    );
+    await Promise.all([
+      this.#server.open(this.#settings.callers),
+      listen(readinessServer, readiness),
+      listen(createMetricsServer(metrics.path, this.metrics), metrics),
+    ]);
+    this.log.event("started", { name: this.#settings.name });
+    void this.#configurations.run();
+    void this.#runners.run();
+  }
+
+  /**
+   * Hands over: not ready from now on, but serving what arrives until the
+   * balancer has turned away; then finishing what is in flight.
+   *
+   * @returns whether nothing was cut off.
+   */
+  async leave(): Promise<boolean> {
+    const startedAt = this.now();
+    const left = () =>
+      this.#settings.graceMs - EXIT_MARGIN_MS - (this.now() - startedAt);
+    this.#lifecycle.leave();
+    this.log.event("leaving", { in_flight: this.#server.inFlight });
+    await pause(ACCEPT_MS);
+    this.#server.stopAccepting();
+    while (this.#server.inFlight > 0 && left() > 0) await pause(CHECK_MS);
+    const cut = this.#server.inFlight;
+    this.log.event("stopped", {
+      cut,
+      after_ms: Math.round(this.now() - startedAt),
+    });
+    return cut === 0;
+  }
+
+  #handle(request: IncomingMessage, response: ServerResponse): void {
+    const caller = new Caller(
+      request,
+      response,
+      () => this.#lifecycle.leaving,
+    );
+    new Exchange(this, caller).run().catch((error: unknown) => {
+      const reason = error instanceof Error ? error.stack : String(error);
+      this.log.event("request_failed", { reason });
+      caller.breakOff();
+    });
+  }
+
+  #followConfigurations(feed: Feed<Configuration>): Follower<Configuration> {
+    const take = (values: readonly Configuration[]) => {
+      for (const value of values) this.#adopt(value, "store");
+    };
+    return new Follower(feed, {
+      listed: ({ values }) => take(values),
+      changed: ({ entered }) => take(entered),
+    }, { contact: this.#contactListener("store_configuration") });
+  }
+
+  #followRunners(feed: Feed<Runner>): Follower<Runner> {
+    return new Follower(feed, {
+      listed: ({ revision, values }) => {
+        this.#directory.replace({ revision, runners: values });
+      },
+      changed: ({ revision, entered, left }) => {
+        this.#directory.change(revision, entered, left);
+      },
+    }, { contact: this.#contactListener("store_runners") });
+  }
+
+  /** Puts a configuration in force unless a newer one is. */
+  #adopt(configuration: Configuration, source: string): void {
+    const current = this.#table?.version ?? -1;
+    if (configuration.version <= current) return;
+    this.#table = new RoutingTable(configuration);
+    this.#server.limit(configuration.limits);
+    this.metrics.version(configuration.version);
+    this.log.event("configuration_in_force", {
+      version: configuration.version,
+      before: current,
+      source,
+      routes: configuration.routes.length,
+    });
+  }
+
+  #runnersChanged(): void {
+    const ids = new Set(this.#directory.list.runners.map(({ id }) => id));
+    this.connections.retain(ids);
+    this.loads.retain(ids);
+    this.prefixes.retain(ids);
+  }
+
+  #contactListener(dependency: string): ContactListener {
+    return {
+      lost: (reason) => {
+        this.metrics.dependency(dependency, false);
+        this.log.event("dependency_lost", { dependency, reason });
+      },
+      regained: (afterMs) => {
+        this.metrics.dependency(dependency, true);
+        this.log.event("dependency_regained", {
+          dependency,
+          after_ms: Math.round(afterMs),
+        });
+      },
+    };
+  }
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -14,8 +14,9 @@
 /** Sources decide what runs, so a stale built file of a deleted test does not. */
 function testFiles() {
   const found = [];
-  for (const name of readdirSync(join(root, "packages"))) {
-    const home = join(root, "packages", name);
+  const packages = readdirSync(join(root, "packages"));
+  const homes = packages.map((name) => join(root, "packages", name));
+  for (const home of [...homes, join(root, "platform")]) {
     for (const part of ["src", "tests"]) {
       const folder = join(home, part);
       if (!existsSync(folder)) continue;
