Pass unframed answers on unframed, and close idle connections at hand-over

Ruled out: a reset seen as an end; the log of socket events shows a plain end. Change: no length on ours where the runner gave none; own count of requests on each connection; requests after the hand-over's accepting time get a 503.

--- a/packages/router/src/connection/caller_server.ts
+++ b/packages/router/src/connection/caller_server.ts
@@ -6,6 +6,7 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { ListenAddress } from "../process/settings.ts";
+import type { Socket } from "node:net";
 import type { CallerLimits } from "../version/configuration.ts";
 
 /** Milliseconds between checks for requests that take too long to arrive. */
@@ -33,6 +34,8 @@
 /** Takes connections of callers and keeps them by the limits in force. */
 export class CallerServer {
   readonly #server: Server;
+  /** Requests in flight on each open connection. */
+  readonly #connections = new Map<Socket, number>();
   #inFlight = 0;
 
   constructor(handler: RequestHandler, maxConnections: number) {
@@ -42,10 +45,15 @@
       keepAlive: true,
       noDelay: true,
     }, (request, response) => {
-      this.#inFlight += 1;
-      response.once("close", () => this.#inFlight -= 1);
+      const { socket } = request;
+      this.#count(socket, 1);
+      response.once("close", () => this.#count(socket, -1));
       handler(request, response);
     });
+    this.#server.on("connection", (socket) => {
+      this.#connections.set(socket, 0);
+      socket.once("close", () => this.#connections.delete(socket));
+    });
     this.#server.maxConnections = maxConnections;
   }
 
@@ -67,9 +75,20 @@
       limits.headerTimeoutMs;
   }
 
-  /** Takes no new connections and closes those that have no request. */
+  /**
+   * Takes no new connections and closes those that have no request, among them
+   * connections that never had one, which Node itself does not count as idle.
+   */
   stopAccepting(): void {
     this.#server.close();
-    this.#server.closeIdleConnections();
+    for (const [socket, inFlight] of this.#connections) {
+      if (inFlight === 0) socket.end();
+    }
+  }
+
+  #count(socket: Socket, change: number): void {
+    this.#inFlight += change;
+    const before = this.#connections.get(socket);
+    if (before !== undefined) this.#connections.set(socket, before + change);
   }
 }
--- a/packages/router/src/process/lifecycle.ts
+++ b/packages/router/src/process/lifecycle.ts
@@ -5,22 +5,12 @@
  */
 import type { EventLog } from "./event_log.ts";
 
-/** Spans of the hand-over after SIGTERM, in ms. */
-export interface HandOver {
-  /**
-   * How long new connections are still taken: until the balancer, which asks
-   * once a second and believes two misses, has turned away.
-   */
-  readonly acceptMs: number;
-  /** When the process exits, finished or not; below the kill by the platform. */
-  readonly graceMs: number;
-}
-
 /** Whether the daemon takes traffic, and why not. */
 export class Lifecycle {
   readonly #log: EventLog;
   readonly #requirements = new Map<string, () => boolean>();
   #leaving = false;
+  #closed = false;
   #ready = false;
 
   constructor(log: EventLog) {
@@ -37,6 +27,16 @@
     return this.#leaving;
   }
 
+  /** Whether the time to take requests after SIGTERM is over. */
+  get closed(): boolean {
+    return this.#closed;
+  }
+
+  /** From now on requests are refused: they might not end before the kill. */
+  close(): void {
+    this.#closed = true;
+  }
+
   /** Names of all that is missing; empty when the daemon is ready. */
   missing(): readonly string[] {
     const missing = [...this.#requirements]
--- a/packages/router/src/request/caller.ts
+++ b/packages/router/src/request/caller.ts
@@ -5,7 +5,7 @@
  */
 import { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { endToEndHeaders } from "./headers.ts";
+import { endToEndHeaders, headerOf } from "./headers.ts";
 import type { RawHeaders } from "./call.ts";
 
 /** An answer of this daemon's own. */
@@ -23,6 +23,16 @@
 /** The daemon writes the length of a body anew. */
 const OWN_ANSWER_HEADERS: ReadonlySet<string> = new Set(["content-length"]);
 
+/**
+ * Whether a runner's answer tells where its body ends. One that does not may
+ * have been cut off unseen; it goes to the caller without length too, so that
+ * the caller knows as much, instead of a length that vouches for a part.
+ */
+function isFramed(headers: RawHeaders): boolean {
+  return headerOf(headers, "content-length") !== undefined ||
+    headerOf(headers, "transfer-encoding") !== undefined;
+}
+
 /** Answers one request, exactly once. */
 export class Caller {
   readonly request: IncomingMessage;
@@ -69,11 +79,13 @@
   /** Passes on a runner's whole answer. */
   answer(status: number, headers: RawHeaders, body: Buffer): void {
     if (this.answered || this.left) return;
+    const framed = isFramed(headers);
     this.#head(status, endToEndHeaders(headers, OWN_ANSWER_HEADERS), {
-      length: body.length,
-      close: false,
+      length: framed ? body.length : undefined,
+      close: !framed,
     });
-    this.response.end(body);
+    this.response.write(body);
+    this.response.end();
   }
 
   /** Passes on the head of a runner's stream. */
@@ -81,7 +93,7 @@
     if (this.answered || this.left) return;
     this.#head(status, endToEndHeaders(headers, OWN_ANSWER_HEADERS), {
       length: undefined,
-      close: false,
+      close: !isFramed(headers),
     });
   }
 
@@ -110,6 +122,10 @@
       headers.push("Connection", "close");
       this.response.shouldKeepAlive = false;
     }
+    if (options.close && options.length === undefined) {
+      // Node then writes the body as it is, up to the end of the connection.
+      this.response.useChunkedEncodingByDefault = false;
+    }
     this.response.writeHead(status, headers);
   }
 }
--- a/packages/router/src/request/daemon.ts
+++ b/packages/router/src/request/daemon.ts
@@ -21,6 +21,8 @@
   readonly loads: RunnerLoads;
   readonly metrics: RequestMetrics;
   readonly prefixes: PrefixRecord;
+  /** Whether new requests are refused, because the process ends soon. */
+  readonly closed: boolean;
   /** Steady milliseconds. */
   now(): number;
   /** In [0, 1). */
--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -95,6 +95,9 @@
 
   #find(call: CallHead): Subject | Refusal {
     const table = this.#daemon.table();
+    if (this.#daemon.closed) {
+      return { status: 503, code: "leaving", retryAfterMs: 0, close: true };
+    }
     if (table === undefined) {
       return { status: 503, code: "not_ready", retryAfterMs: 1_000 };
     }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -80,6 +80,10 @@
     this.#directory.onChange(() => this.#runnersChanged());
   }
 
+  get closed(): boolean {
+    return this.#lifecycle.closed;
+  }
+
   now(): number {
     return performance.now();
   }
@@ -147,6 +151,7 @@
     this.#lifecycle.leave();
     this.log.event("leaving", { in_flight: this.#server.inFlight });
     await pause(ACCEPT_MS);
+    this.#lifecycle.close();
     this.#server.stopAccepting();
     while (this.#server.inFlight > 0 && left() > 0) await pause(CHECK_MS);
     const cut = this.#server.inFlight;
