Share load, prompts read and versions between daemons

Change: peers on one link each tell what changed every 4 ms a peer; versions ride along and are fetched from whoever has newer; three daemons of a failure domain watch. Runners are chosen by estimated wait, reading and harm.

--- a/packages/coordination/src/connection/frame.ts
+++ b/packages/coordination/src/connection/frame.ts
@@ -6,9 +6,9 @@
 import { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
 import * as Effect from "effect/Effect";
+import { encodeFrame, LENGTH_BYTES } from "./frame_bytes.ts";
 
-/** Bytes of the length before each frame. */
-export const LENGTH_BYTES = 4;
+export { encodeFrame, LENGTH_BYTES };
 
 /** Why a link can no longer be used. */
 export interface LinkClosed {
@@ -37,15 +37,6 @@
     : { _tag: "LinkClosed", reason, detail };
 }
 
-/** Puts the length before the parts of one frame. */
-export function encodeFrame(parts: readonly Uint8Array[]): Buffer {
-  let length = 0;
-  for (const part of parts) length += part.length;
-  const head = Buffer.allocUnsafe(LENGTH_BYTES);
-  head.writeUInt32BE(length);
-  return Buffer.concat([head, ...parts], LENGTH_BYTES + length);
-}
-
 /**
  * Reads frames from a socket, one at a time.
  *
--- /dev/null
+++ b/packages/router/src/connection/peer_link.ts
@@ -0,0 +1,87 @@
+/**
+ * A connection to another daemon: CBOR messages in frames.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import type { Socket } from "node:net";
+import { decodeItem, encodeItem } from "@umbermast/coordination/codec";
+import { encodeFrame, LENGTH_BYTES } from "@umbermast/coordination/frame_bytes";
+import type { PeerMessage } from "./peer_message.ts";
+
+/** Bytes of the largest frame; a configuration of a megabyte fits. */
+const MAX_FRAME_BYTES = 8 * 1024 * 1024;
+/**
+ * Bytes that may wait for a slow peer. Beyond them the link is closed: a state
+ * that arrives seconds late misleads, and a new link begins with a fresh one.
+ */
+const MAX_WAITING_BYTES = 1024 * 1024;
+/** Milliseconds of silence after which a link is closed. */
+const SILENCE_MS = 1_500;
+
+/** Encodes a message once, to be sent on many links. */
+export function encodeMessage(message: PeerMessage): Buffer {
+  return encodeFrame([encodeItem(message)]);
+}
+
+/** Sends and receives messages until it is closed. */
+export class PeerLink {
+  readonly #socket: Socket;
+  readonly #onMessage: (message: PeerMessage) => void;
+  #chunks: Buffer[] = [];
+  #size = 0;
+
+  constructor(
+    socket: Socket,
+    handlers: {
+      readonly onMessage: (message: PeerMessage) => void;
+      readonly onClose: () => void;
+    },
+  ) {
+    this.#socket = socket;
+    this.#onMessage = handlers.onMessage;
+    socket.setNoDelay(true);
+    // Counts as activity only what moves on the connection; both sides send
+    // heartbeats well within it.
+    socket.setTimeout(SILENCE_MS, () => socket.destroy());
+    socket.on("data", (chunk: Buffer) => this.#receive(chunk));
+    // The close that follows tells all that matters.
+    socket.on("error", () => {});
+    socket.once("close", handlers.onClose);
+  }
+
+  /** Sends a message; on a link that is closed it is lost. */
+  send(message: PeerMessage): void {
+    this.sendEncoded(encodeMessage(message));
+  }
+
+  /** Sends a message that is already encoded. */
+  sendEncoded(frame: Buffer): void {
+    if (this.#socket.destroyed) return;
+    if (this.#socket.writableLength > MAX_WAITING_BYTES) return this.close();
+    this.#socket.write(frame);
+  }
+
+  close(): void {
+    this.#socket.destroy();
+  }
+
+  #receive(chunk: Buffer): void {
+    this.#chunks.push(chunk);
+    this.#size += chunk.length;
+    if (this.#size < LENGTH_BYTES) return;
+    let bytes = this.#chunks.length === 1 ? chunk : Buffer.concat(this.#chunks);
+    while (bytes.length >= LENGTH_BYTES) {
+      const length = bytes.readUInt32BE(0);
+      if (length > MAX_FRAME_BYTES) return this.close();
+      if (bytes.length < LENGTH_BYTES + length) break;
+      const item = bytes.subarray(LENGTH_BYTES, LENGTH_BYTES + length);
+      bytes = bytes.subarray(LENGTH_BYTES + length);
+      const message = decodeItem(item);
+      if (message.isErr()) return this.close();
+      this.#onMessage(message.value as PeerMessage);
+    }
+    this.#chunks = bytes.length === 0 ? [] : [bytes];
+    this.#size = bytes.length;
+  }
+}
--- /dev/null
+++ b/packages/router/src/connection/peer_message.ts
@@ -0,0 +1,65 @@
+/**
+ * Messages between daemons.
+ *
+ * @module
+ */
+import type { RunnerList } from "../process/runner_directory.ts";
+import type { Configuration } from "../version/configuration.ts";
+
+/** Load that one daemon puts on one runner. */
+export interface LoadShare {
+  readonly runner: string;
+  readonly inFlight: number;
+  /** Prompt tokens of its requests that have no first event yet. */
+  readonly unreadTokens: number;
+  /** Its streams there that bear only short pauses. */
+  readonly tight: number;
+}
+
+/** Parts of prompts that a daemon has sent to a runner. */
+export interface PartsRead {
+  readonly runner: string;
+  readonly parts: readonly string[];
+}
+
+/** First message on a link, in both directions. */
+export interface Hello {
+  readonly kind: "hello";
+  readonly name: string;
+  /** Differs at each start of a daemon. */
+  readonly incarnation: string;
+  /** Where the daemon is reached, as "IP:PORT". */
+  readonly address: string;
+  readonly failureDomain: string;
+  /** Addresses of other daemons that it knows. */
+  readonly known: readonly string[];
+}
+
+/** What changed since the last one; also the heartbeat of a link. */
+export interface State {
+  readonly kind: "state";
+  /** Version of the configuration in force; -1 without one. */
+  readonly configuration: number;
+  /** Revision of the list of runners; 0 without one. */
+  readonly runners: number;
+  readonly loads: readonly LoadShare[];
+  readonly reads: readonly PartsRead[];
+}
+
+/** Asks for what the other side has newer. */
+export interface Want {
+  readonly kind: "want";
+  readonly configuration: boolean;
+  readonly runners: boolean;
+}
+
+/** Answers a {@linkcode Want}. */
+export interface Give {
+  readonly kind: "give";
+  readonly configuration: Configuration | undefined;
+  readonly runners: RunnerList | undefined;
+}
+
+/** A message between daemons. */
+export type PeerMessage = Hello | State | Want | Give;
+
--- a/packages/router/src/connection/runner_connections.ts
+++ b/packages/router/src/connection/runner_connections.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { Agent } from "node:http";
-import type { AgentOptions } from "node:http";
+import type { ClientRequest } from "node:http";
 import type { Socket } from "node:net";
 import type { Runner } from "../process/runner_directory.ts";
 
@@ -36,10 +36,6 @@
 
 /** Node's agent, with idle timeouts that stay below the runner's. */
 class RunnerAgent extends Agent {
-  constructor(options: AgentOptions) {
-    super(options);
-  }
-
   // Called by Node when a connection becomes idle; false closes it.
   override keepSocketAlive(socket: Socket): boolean {
     const idleMs = idleMsOf(socket as KeptSocket);
@@ -50,7 +46,8 @@
   }
 
   // Called by Node when an idle connection gets a request.
-  override reuseSocket(socket: Socket): void {
+  override reuseSocket(socket: Socket, request: ClientRequest): void {
+    super.reuseSocket(socket, request);
     socket.setTimeout(0);
   }
 }
--- /dev/null
+++ b/packages/router/src/connection/sharing.ts
@@ -0,0 +1,154 @@
+/**
+ * What daemons tell each other: versions, and the load they put on runners.
+ *
+ * @module
+ */
+import type { PrefixRecord } from "../process/prefix_record.ts";
+import type { RunnerDirectory } from "../process/runner_directory.ts";
+import type { RunnerLoads } from "../process/runner_load.ts";
+import type { Configuration } from "../version/configuration.ts";
+import type { LoadShare, PeerMessage, State } from "./peer_message.ts";
+import type { Peer, PeerListener, Peers } from "./peers.ts";
+
+/**
+ * Milliseconds between two states for each peer: with 7 daemons one every 28
+ * ms, with 65 one every 260. So a daemon sends and reads at most 250 states a
+ * second, about 1% of a core, however large the fleet.
+ */
+const PERIOD_PER_PEER_MS = 4;
+const SHORTEST_PERIOD_MS = 20;
+/** Longest time without a state, so that silence tells a lost peer. */
+const HEARTBEAT_MS = 400;
+/** Milliseconds before newer data is asked for again. */
+const WANT_AGAIN_MS = 300;
+
+/** What is shared, and who takes what peers give. */
+export interface SharedKnowledge {
+  readonly loads: RunnerLoads;
+  readonly prefixes: PrefixRecord;
+  readonly directory: RunnerDirectory;
+  /** The configuration in force. */
+  configuration(): Configuration | undefined;
+  /** Takes a configuration from a peer. */
+  adopt(configuration: Configuration, source: string): void;
+}
+
+/**
+ * Tells peers what changed, and takes what they tell.
+ *
+ * Every daemon chooses runners by itself; without this it sees only its own
+ * part of their load, and several choose the same runner at the same time.
+ * Versions ride on every state, so a change that one daemon knows reaches the
+ * others also while the store turns them away.
+ */
+export class Sharing implements PeerListener {
+  readonly #known: SharedKnowledge;
+  readonly #peers: () => Peers;
+  #timer: NodeJS.Timeout | undefined;
+  #sentAt = 0;
+  #sentVersions = "";
+  #wantedAt = -Infinity;
+
+  constructor(known: SharedKnowledge, peers: () => Peers) {
+    this.#known = known;
+    this.#peers = peers;
+  }
+
+  start(): void {
+    this.#schedule();
+  }
+
+  stop(): void {
+    clearTimeout(this.#timer);
+  }
+
+  joined(peer: Peer): void {
+    peer.link.send(this.#state(this.#known.loads.loaded(), []));
+  }
+
+  left(peer: Peer): void {
+    this.#known.loads.forget(peer.name);
+  }
+
+  received(peer: Peer, message: PeerMessage): void {
+    switch (message.kind) {
+      case "hello":
+        return;
+      case "state":
+        return this.#take(peer, message);
+      case "want":
+        return peer.link.send({
+          kind: "give",
+          configuration: message.configuration
+            ? this.#known.configuration()
+            : undefined,
+          runners: message.runners ? this.#known.directory.list : undefined,
+        });
+      case "give":
+        this.#wantedAt = -Infinity;
+        if (message.configuration) {
+          this.#known.adopt(message.configuration, `peer ${peer.name}`);
+        }
+        if (message.runners) this.#known.directory.replace(message.runners);
+    }
+  }
+
+  #take(peer: Peer, state: State): void {
+    const now = performance.now();
+    for (const share of state.loads) {
+      this.#known.loads.of(share.runner).toldBy(peer.name, share);
+    }
+    for (const { runner, parts } of state.reads) {
+      this.#known.prefixes.readParts(runner, parts, now);
+    }
+    const configuration = state.configuration > this.#version;
+    const runners = state.runners > this.#known.directory.revision;
+    if (!configuration && !runners) return;
+    if (now - this.#wantedAt < WANT_AGAIN_MS) return;
+    this.#wantedAt = now;
+    peer.link.send({ kind: "want", configuration, runners });
+  }
+
+  get #version(): number {
+    return this.#known.configuration()?.version ?? -1;
+  }
+
+  #schedule(): void {
+    const period = Math.max(
+      SHORTEST_PERIOD_MS,
+      PERIOD_PER_PEER_MS * this.#peers().count,
+    );
+    this.#timer = setTimeout(() => {
+      this.#tick();
+      this.#schedule();
+    }, period);
+  }
+
+  #tick(): void {
+    const now = performance.now();
+    const changed = this.#known.loads.takeChanged();
+    const reads = this.#known.prefixes.takeNews();
+    const versions = `${this.#version}/${this.#known.directory.revision}`;
+    const news = changed.length > 0 || reads.length > 0 ||
+      versions !== this.#sentVersions;
+    if (!news && now - this.#sentAt < HEARTBEAT_MS) return;
+    this.#sentAt = now;
+    this.#sentVersions = versions;
+    this.#peers().broadcast(this.#state(changed, reads));
+  }
+
+  #state(changed: readonly string[], reads: State["reads"]): State {
+    return {
+      kind: "state",
+      configuration: this.#version,
+      runners: this.#known.directory.revision,
+      loads: changed.map((runner) => this.#share(runner)),
+      reads,
+    };
+  }
+
+  #share(runner: string): LoadShare {
+    const { inFlight, unreadTokens, tight } = this.#known.loads.of(runner).own;
+    return { runner, inFlight, unreadTokens, tight };
+  }
+}
--- a/packages/router/src/mod.ts
+++ b/packages/router/src/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export type { DaemonRegistry } from "./process/daemon_registry.ts";
 export { BufferedLog } from "./process/event_log.ts";
 export type { EventLog, TextSink } from "./process/event_log.ts";
 export { FeedError } from "./process/feed.ts";
--- a/packages/router/src/process/feed.ts
+++ b/packages/router/src/process/feed.ts
@@ -32,8 +32,12 @@
 /** Reads one kind of object. Both calls throw {@linkcode FeedError}. */
 export interface Feed<T> {
   list(): Promise<Listing<T>>;
-  /** Waits up to `waitMs` for changes; none when the time is over. */
-  watch(since: number, waitMs: number): Promise<Changes<T>>;
+  /**
+   * Waits up to `waitMs` for changes; none when the time is over.
+   *
+   * @param signal ends the wait early, as unavailable.
+   */
+  watch(since: number, waitMs: number, signal: AbortSignal): Promise<Changes<T>>;
 }
 
 /** Takes what a follower reads. */
@@ -42,25 +46,23 @@
   changed(changes: Changes<T>): void;
 }
 
-/** How a follower waits, in ms. */
+/** How a follower waits. */
 export interface FollowerTiming {
   /**
-   * Longest wait of one watch. A connection that went silent is found when
-   * the wait and the time for an answer are over, so this bounds how long a
-   * change can be missed; each wait costs one call.
+   * Longest wait of the next watch, in ms. A connection that went silent is
+   * found when the wait and the time for an answer are over, so this bounds how
+   * long a change can be missed; each wait costs one call.
    */
-  readonly waitMs: number;
-  /** First pause after a failure; doubled up to the longest. */
-  readonly firstPauseMs: number;
-  readonly longestPauseMs: number;
+  waitMs(): number;
+  /** Whether to read the store now; asked again every while when not. */
+  active(): boolean;
 }
 
-/** Used unless told otherwise: 2 s is the usual bound on a change in force. */
-export const FOLLOWER_TIMING: FollowerTiming = {
-  waitMs: 1_500,
-  firstPauseMs: 50,
-  longestPauseMs: 400,
-};
+/** First pause after a failure, in ms; doubled up to the longest. */
+const FIRST_PAUSE_MS = 50;
+const LONGEST_PAUSE_MS = 400;
+/** Milliseconds between two questions whether to become active. */
+const IDLE_MS = 200;
 
 /** Told of lost and regained contact. */
 export interface ContactListener {
@@ -78,21 +80,21 @@
   #revision: number | undefined;
   #confirmedAt = -Infinity;
   #lostAt: number | undefined;
-  #pauseMs: number;
+  #pauseMs = FIRST_PAUSE_MS;
+  #abort = new AbortController();
 
   constructor(
     feed: Feed<T>,
     sink: FeedSink<T>,
     options: {
       readonly contact: ContactListener;
-      readonly timing?: FollowerTiming;
+      readonly timing: FollowerTiming;
     },
   ) {
     this.#feed = feed;
     this.#sink = sink;
     this.#contact = options.contact;
-    this.#timing = options.timing ?? FOLLOWER_TIMING;
-    this.#pauseMs = this.#timing.firstPauseMs;
+    this.#timing = options.timing;
   }
 
   /** Steady milliseconds at which the store last answered. */
@@ -108,19 +110,29 @@
   /** Reads until {@linkcode stop}. */
   async run(): Promise<void> {
     while (!this.#stopped) {
+      if (!this.#timing.active()) {
+        await pause(IDLE_MS);
+        continue;
+      }
       try {
         await this.#step();
         this.#heard();
       } catch (error) {
         if (!(error instanceof FeedError)) throw error;
         if (error.kind === "expired") this.#revision = undefined;
-        else await this.#failed(error.message);
+        else if (!this.#abort.signal.aborted) await this.#failed(error.message);
       }
     }
   }
 
   stop(): void {
     this.#stopped = true;
+    this.hurry();
+  }
+
+  /** Ends the present wait, so that the next one starts on a new connection. */
+  hurry(): void {
+    this.#abort.abort();
   }
 
   async #step(): Promise<void> {
@@ -130,7 +142,12 @@
       this.#revision = listing.revision;
       return;
     }
-    const changes = await this.#feed.watch(this.#revision, this.#timing.waitMs);
+    this.#abort = new AbortController();
+    const changes = await this.#feed.watch(
+      this.#revision,
+      this.#timing.waitMs(),
+      this.#abort.signal,
+    );
     if (changes.revision <= this.#revision) return;
     this.#sink.changed(changes);
     this.#revision = changes.revision;
@@ -138,7 +155,7 @@
 
   #heard(): void {
     this.#confirmedAt = performance.now();
-    this.#pauseMs = this.#timing.firstPauseMs;
+    this.#pauseMs = FIRST_PAUSE_MS;
     if (this.#lostAt === undefined) return;
     const afterMs = this.#confirmedAt - this.#lostAt;
     this.#lostAt = undefined;
@@ -151,7 +168,11 @@
       this.#contact.lost(reason);
     }
     const pauseMs = this.#pauseMs * (0.5 + Math.random());
-    this.#pauseMs = Math.min(2 * this.#pauseMs, this.#timing.longestPauseMs);
-    await new Promise((resolve) => setTimeout(resolve, pauseMs));
+    this.#pauseMs = Math.min(2 * this.#pauseMs, LONGEST_PAUSE_MS);
+    await pause(pauseMs);
   }
 }
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- a/packages/router/src/process/runner_load.ts
+++ b/packages/router/src/process/runner_load.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+
 /** Load of a runner as it told with an answer. */
 export interface ReportedLoad {
   readonly running: number;
@@ -14,10 +15,20 @@
 export interface Placed {
   /** Prompt tokens that the runner has to read, as estimated. */
   readonly unreadTokens: number;
-  /** Longest pause between its events that is on time, in ms. */
-  readonly gapTargetMs: number | undefined;
+  /** Whether it is a stream that bears only short pauses. */
+  readonly tight: boolean;
+}
+
+/** Load that one daemon puts on a runner. */
+export interface Share {
+  readonly inFlight: number;
+  /** Prompt tokens of requests that have no first event yet. */
+  readonly unreadTokens: number;
+  /** Streams that bear only short pauses. */
+  readonly tight: number;
 }
 
+const NO_SHARE: Share = { inFlight: 0, unreadTokens: 0, tight: 0 };
 /** Failures in a row after which a runner gets no work for a while. */
 const FAILURES_TO_EJECT = 2;
 /** First span without work, in ms; doubled at each further failure. */
@@ -31,20 +42,28 @@
 export class RunnerLoad {
   readonly #placed = new Set<Placed>();
   readonly #starting = new Set<Placed>();
-  #unreadTokens = 0;
+  readonly #others = new Map<string, Share>();
+  readonly #onChange: () => void;
+  #own = NO_SHARE;
+  #all = NO_SHARE;
   #failures = 0;
   #ejectedUntil = 0;
   #report: ReportedLoad | undefined;
-  #reportedAt = 0;
+  #reportedAt = -Infinity;
 
-  /** Requests of this daemon that are at the runner. */
-  get inFlight(): number {
-    return this.#placed.size;
+  /** @param onChange called when the load that this daemon puts on it changes. */
+  constructor(onChange: () => void = () => {}) {
+    this.#onChange = onChange;
   }
 
-  /** Prompt tokens of this daemon's requests that have no first event yet. */
-  get unreadTokens(): number {
-    return this.#unreadTokens;
+  /** Load of this daemon. */
+  get own(): Share {
+    return this.#own;
+  }
+
+  /** Load of all daemons, as far as they have told. */
+  get all(): Share {
+    return this.#all;
   }
 
   /** Failures since the last success. */
@@ -56,20 +75,37 @@
   place(placed: Placed): void {
     this.#placed.add(placed);
     this.#starting.add(placed);
-    this.#unreadTokens += placed.unreadTokens;
+    this.#change({
+      inFlight: 1,
+      unreadTokens: placed.unreadTokens,
+      tight: placed.tight ? 1 : 0,
+    });
   }
 
   /** Its prompt has been read: the first event came. */
   started(placed: Placed): void {
-    if (this.#starting.delete(placed)) {
-      this.#unreadTokens -= placed.unreadTokens;
-    }
+    if (!this.#starting.delete(placed)) return;
+    this.#change({ inFlight: 0, unreadTokens: -placed.unreadTokens, tight: 0 });
   }
 
   /** It is no longer at the runner. */
   release(placed: Placed): void {
     this.started(placed);
-    this.#placed.delete(placed);
+    if (!this.#placed.delete(placed)) return;
+    this.#change({ inFlight: -1, unreadTokens: 0, tight: placed.tight ? -1 : 0 });
+  }
+
+  /** Takes the load that another daemon puts on the runner. */
+  toldBy(daemon: string, share: Share): void {
+    const before = this.#others.get(daemon) ?? NO_SHARE;
+    this.#others.set(daemon, share);
+    this.#all = add(this.#all, minus(share, before));
+  }
+
+  /** Forgets a daemon that cannot be heard any more. */
+  forget(daemon: string): void {
+    this.toldBy(daemon, NO_SHARE);
+    this.#others.delete(daemon);
   }
 
   /** Takes the load that the runner told with an answer. */
@@ -78,16 +114,11 @@
     this.#reportedAt = now;
   }
 
-  /** Requests at the runner, of all daemons, as far as known. */
+  /** Requests at the runner, as far as known. */
   requests(now: number): number {
     const report = this.#freshReport(now);
-    if (report === undefined) return this.inFlight;
-    return Math.max(this.inFlight, report.running + report.waiting);
-  }
-
-  /** Requests that wait at the runner for a slot, as far as known. */
-  waiting(now: number): number {
-    return this.#freshReport(now)?.waiting ?? 0;
+    if (report === undefined) return this.#all.inFlight;
+    return Math.max(this.#all.inFlight, report.running + report.waiting);
   }
 
   /** An answer came that shows that the runner works. */
@@ -117,28 +148,70 @@
     return now < this.#ejectedUntil;
   }
 
+  #change(change: Share): void {
+    this.#own = add(this.#own, change);
+    this.#all = add(this.#all, change);
+    this.#onChange();
+  }
+
   #freshReport(now: number): ReportedLoad | undefined {
     return now - this.#reportedAt < REPORT_LIFE_MS ? this.#report : undefined;
   }
 }
 
+function add(one: Share, other: Share): Share {
+  return {
+    inFlight: one.inFlight + other.inFlight,
+    unreadTokens: one.unreadTokens + other.unreadTokens,
+    tight: one.tight + other.tight,
+  };
+}
+
+function minus(one: Share, other: Share): Share {
+  return {
+    inFlight: one.inFlight - other.inFlight,
+    unreadTokens: one.unreadTokens - other.unreadTokens,
+    tight: one.tight - other.tight,
+  };
+}
+
 /** The loads of all runners, by their ids. */
 export class RunnerLoads {
   readonly #loads = new Map<string, RunnerLoad>();
+  readonly #changed = new Set<string>();
 
   /** The load of a runner; an unknown one starts empty. */
   of(id: string): RunnerLoad {
     const known = this.#loads.get(id);
     if (known !== undefined) return known;
-    const load = new RunnerLoad();
+    const load = new RunnerLoad(() => this.#changed.add(id));
     this.#loads.set(id, load);
     return load;
   }
 
+  /** Ids of runners on which the own load has changed since the last call. */
+  takeChanged(): readonly string[] {
+    const changed = [...this.#changed];
+    this.#changed.clear();
+    return changed;
+  }
+
+  /** Ids of runners on which this daemon has load. */
+  loaded(): readonly string[] {
+    return [...this.#loads]
+      .filter(([, load]) => load.own.inFlight > 0)
+      .map(([id]) => id);
+  }
+
+  /** Forgets a daemon that cannot be heard any more. */
+  forget(daemon: string): void {
+    for (const load of this.#loads.values()) load.forget(daemon);
+  }
+
   /** Forgets runners that are not listed and have nothing in flight. */
   retain(ids: ReadonlySet<string>): void {
     for (const [id, load] of this.#loads) {
-      if (!ids.has(id) && load.inFlight === 0) this.#loads.delete(id);
+      if (!ids.has(id) && load.own.inFlight === 0) this.#loads.delete(id);
     }
   }
 }
--- a/packages/router/src/process/settings.ts
+++ b/packages/router/src/process/settings.ts
@@ -25,6 +25,8 @@
   readonly metrics: ListenAddress & { readonly path: string };
   /** Where other daemons connect. */
   readonly peers: ListenAddress;
+  /** Addresses of daemons that may be there, as "IP:PORT". */
+  readonly seeds: readonly string[];
   /** The platform's store. */
   readonly store: ListenAddress;
   /** Most open connections of callers. */
@@ -55,6 +57,14 @@
     return this.#wrong(place, "a text", value, "");
   }
 
+  texts(from: unknown, place: string): readonly string[] {
+    const value = valueAt(from, place);
+    if (Array.isArray(value) && value.every((each) => typeof each === "string")) {
+      return value;
+    }
+    return this.#wrong(place, "a list of texts", value, []);
+  }
+
   number(from: unknown, place: string): number {
     const value = valueAt(from, place);
     if (typeof value === "number" && Number.isFinite(value)) return value;
@@ -123,6 +133,7 @@
       path: reader.text(json, "metrics.path"),
     },
     peers: reader.address(json, "peers"),
+    seeds: reader.texts(json, "seeds"),
     store: reader.address(json, "store"),
     maxConnections: reader.number(json, "maxConnections"),
     graceMs: reader.number(json, "graceMs"),
--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -184,12 +184,12 @@
 
   /** Sends to one runner and passes on what comes. */
   async #try(subject: Subject, choice: Choice, body: Buffer): Promise<Try> {
-    const { call, route } = subject;
+    const { call } = subject;
     const { runner } = choice;
     const load = this.#daemon.loads.of(runner.id);
     const placed: Placed = {
       unreadTokens: choice.unreadTokens,
-      gapTargetMs: route.gapTargetMs,
+      tight: choice.tight,
     };
     this.#tried.add(runner.id);
     this.#logChoice(subject, choice, load);
@@ -416,8 +416,9 @@
       runner: choice.runner.id,
       reason: choice.reason,
       candidates: choice.candidates,
-      in_flight: load.inFlight,
+      in_flight: load.all.inFlight,
       reported: load.requests(now),
+      backlog_tokens: load.all.unreadTokens,
       unread_tokens: choice.unreadTokens,
       runners_age_ms: Math.round(this.#daemon.runnersAgeMs()),
       left_ms: Math.round(this.#left()),
--- a/packages/router/src/request/placement.ts
+++ b/packages/router/src/request/placement.ts
@@ -35,6 +35,8 @@
   readonly runner: Runner;
   /** Prompt tokens that the runner has to read, as estimated. */
   readonly unreadTokens: number;
+  /** Whether the request is a stream that bears only short pauses. */
+  readonly tight: boolean;
   readonly candidates: number;
   readonly reason: "home" | "spread" | "least-loaded";
 }
@@ -46,10 +48,22 @@
 const CHUNK_STEP_MS = 40;
 /** Part of a service's runners that serve streams with tight gaps. */
 const TIGHT_SHARE = 0.3;
-/** How far a runner may exceed the mean of requests in flight, as a factor. */
-const LOAD_FACTOR = 1.5;
-/** Requests that a runner may have beyond the factor, so that few do not spread. */
-const LOAD_SLACK = 3;
+/** Tokens of prompts that an engine reads in a ms, with its other work. */
+const READ_TOKENS_PER_MS = 50;
+/** Milliseconds of wait that a prompt's home may have more than another runner. */
+const AWAY_MS = 30;
+/** What a stream with tight gaps risks among long prompts, in ms of wait. */
+const AMONG_LONG_MS = 150;
+/** What a long prompt costs where tight streams are at home, in ms of wait. */
+const AMONG_TIGHT_MS = 100;
+/** Reading in ms that streams with tight gaps bear without a late event. */
+const BEARABLE_MS = 100;
+/** What a late tight stream is worth, in ms of a runner's time. */
+const TIGHT_STREAM_MS = 100;
+/** What a runner's other requests slow down one more, in ms each. */
+const BESIDE_MS = 4;
+/** What each failure since the last success counts, in ms of wait. */
+const FAILURE_MS = 300;
 /** Requests that a runner in another failure domain must have less to be taken. */
 const DOMAIN_PENALTY = 0.7;
 
@@ -84,7 +98,7 @@
     const far = runner.failureDomain === fleet.failureDomain
       ? 0
       : DOMAIN_PENALTY;
-    const requests = Math.max(load.inFlight, load.requests(fleet.now));
+    const requests = load.requests(fleet.now);
     return (requests + far + load.failures) / Math.max(1, runner.slots);
   };
   let best = runners[0]!;
@@ -94,49 +108,95 @@
   return {
     runner: best,
     unreadTokens: 0,
+    tight: false,
     candidates: runners.length,
     reason: "least-loaded",
   };
 }
 
-/** Runners kept for tight streams, or the others. */
-function poolFor(
-  demand: Demand,
-  runners: readonly Runner[],
-): readonly Runner[] {
-  if (runners.length < 2) return runners;
+/** What a runner would cost a request, in ms. */
+interface Quote {
+  readonly runner: Runner;
+  readonly unreadTokens: number;
+  readonly costMs: number;
+}
+
+/** Ids of the runners that are kept for tight streams. */
+function tightRunners(runners: readonly Runner[]): ReadonlySet<string> {
+  if (runners.length < 2) return new Set();
   const ranked = new Rendezvous(runners.map(({ id }) => id)).order("tight");
   const count = Math.max(1, Math.round(runners.length * TIGHT_SHARE));
-  const tight = new Set(ranked.slice(0, count));
-  const wanted = isTight(demand);
-  return runners.filter(({ id }) => tight.has(id) === wanted);
+  return new Set(ranked.slice(0, count));
 }
 
-function byPrefix(
+/** Milliseconds in which an engine reads tokens of prompts. */
+function readMs(tokens: number): number {
+  return tokens / READ_TOKENS_PER_MS;
+}
+
+function quoteOf(
   fleet: Fleet,
   demand: Demand,
-  runners: readonly Runner[],
-): Choice {
-  const part = sharedPart(demand.prompt)!;
-  const byId = new Map(runners.map((runner) => [runner.id, runner]));
-  const order = new Rendezvous([...byId.keys()]).order(part.id);
-  const inFlight = runners.reduce(
-    (sum, { id }) => sum + fleet.loads.of(id).inFlight,
-    0,
-  );
-  const bound = LOAD_FACTOR * inFlight / runners.length + LOAD_SLACK;
-  const place = order.findIndex((id) => fleet.loads.of(id).inFlight < bound);
-  const runner = byId.get(order[Math.max(0, place)]!)!;
+  place: {
+    readonly runner: Runner;
+    /** Place in the order of the prompt's rendezvous hash, 0 being its home. */
+    readonly rank: number;
+    readonly kept: boolean;
+  },
+): Quote {
+  const { runner, rank, kept } = place;
+  const load = fleet.loads.of(runner.id);
   const cached = fleet.prefixes.cachedTokens(
     runner.id,
     demand.prompt,
     fleet.now,
   );
+  const unreadTokens = Math.max(0, demand.promptTokens - cached);
+  const tight = isTight(demand);
+  const waitMs = readMs(load.all.unreadTokens);
+  const ownMs = readMs(unreadTokens);
+  const away = rank === 0 ? 0 : AWAY_MS;
+  const misplaced = tight === kept
+    ? 0
+    : tight
+    ? AMONG_LONG_MS
+    : AMONG_TIGHT_MS;
+  const harm = !tight && waitMs + ownMs > BEARABLE_MS
+    ? TIGHT_STREAM_MS * load.all.tight
+    : 0;
+  const batch = load.all.inFlight * BESIDE_MS;
+  const costMs = waitMs + ownMs + away + misplaced + harm + batch +
+    FAILURE_MS * load.failures;
+  return { runner, unreadTokens, costMs };
+}
+
+function byPrefix(
+  fleet: Fleet,
+  demand: Demand,
+  runners: readonly Runner[],
+): Choice {
+  const kept = tightRunners(runners);
+  const tight = isTight(demand);
+  const byId = new Map(runners.map((runner) => [runner.id, runner]));
+  const pool = runners.filter(({ id }) => kept.has(id) === tight);
+  const part = sharedPart(demand.prompt)!;
+  const order = new Rendezvous(pool.map(({ id }) => id)).order(part.id);
+  const ranks = new Map(order.map((id, rank) => [id, rank]));
+  let best: Quote | undefined;
+  for (const runner of byId.values()) {
+    const quote = quoteOf(fleet, demand, {
+      runner,
+      rank: ranks.get(runner.id) ?? order.length,
+      kept: kept.has(runner.id),
+    });
+    if (best === undefined || quote.costMs < best.costMs) best = quote;
+  }
   return {
-    runner,
-    unreadTokens: Math.max(0, demand.promptTokens - cached),
+    runner: best!.runner,
+    unreadTokens: best!.unreadTokens,
+    tight,
     candidates: runners.length,
-    reason: place <= 0 ? "home" : "spread",
+    reason: best!.runner.id === order[0] ? "home" : "spread",
   };
 }
 
@@ -159,5 +219,5 @@
   if (demand.engine === undefined || demand.prompt.length === 0) {
     return leastLoaded(fleet, runners);
   }
-  return byPrefix(fleet, demand, poolFor(demand, runners));
+  return byPrefix(fleet, demand, runners);
 }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -4,15 +4,21 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { randomUUID } from "node:crypto";
 import { CallerServer, listen } from "./connection/caller_server.ts";
+import { Peers } from "./connection/peers.ts";
+import type { Peer } from "./connection/peers.ts";
 import { RunnerConnections } from "./connection/runner_connections.ts";
+import { Sharing } from "./connection/sharing.ts";
 import {
   createMetricsServer,
   createReadinessServer,
 } from "./connection/status_server.ts";
+import { Registration } from "./process/daemon_registry.ts";
+import type { DaemonRegistry } from "./process/daemon_registry.ts";
 import type { EventLog } from "./process/event_log.ts";
 import { Follower } from "./process/feed.ts";
-import type { ContactListener, Feed } from "./process/feed.ts";
+import type { ContactListener, Feed, FollowerTiming } from "./process/feed.ts";
 import { Lifecycle } from "./process/lifecycle.ts";
 import { RequestMetrics } from "./process/metrics.ts";
 import { PrefixRecord } from "./process/prefix_record.ts";
@@ -34,6 +40,7 @@
   readonly dialect: Dialect;
   readonly configurations: Feed<Configuration>;
   readonly runners: Feed<Runner>;
+  readonly daemons: DaemonRegistry;
 }
 
 /**
@@ -44,8 +51,25 @@
 /** Milliseconds before the kill at which the process exits by itself. */
 const EXIT_MARGIN_MS = 300;
 const CHECK_MS = 50;
-/** Daemons among which extra repeats are divided until peers are counted. */
-const ASSUMED_DAEMONS = 16;
+/**
+ * Fewest daemons among which extra repeats are divided: until the others are
+ * known, each takes a share that is safe for this many.
+ */
+const LEAST_DAEMONS = 8;
+/**
+ * Milliseconds of a watch for each daemon that watches. With the versions that
+ * daemons tell each other, one answer suffices for all: their waits end at
+ * different times, so a change that connections hide is found within about one
+ * such span by one of them.
+ */
+const WAIT_PER_WATCHER_MS = 700;
+/** Shortest wait of a watch, in ms: what a daemon without peers uses. */
+const SHORTEST_WAIT_MS = 1_500;
+const LONGEST_WAIT_MS = 10_000;
+/** Least part of a wait, so that waits that began together come apart. */
+const LEAST_WAIT_SHARE = 0.7;
+/** Daemons of a failure domain that watch the store; the others hear of it. */
+const WATCHERS_PER_DOMAIN = 3;
 
 /** Routes requests from its start until SIGTERM. */
 export class Router implements Daemon {
@@ -62,6 +86,10 @@
   readonly #budgets = new Map<string, RetryBudget>();
   readonly #configurations: Follower<Configuration>;
   readonly #runners: Follower<Runner>;
+  readonly #peers: Peers;
+  readonly #sharing: Sharing;
+  readonly #registration: Registration;
+  #configuration: Configuration | undefined;
   #table: RoutingTable | undefined;
 
   constructor(settings: RouterSettings, platform: Platform, log: EventLog) {
@@ -75,6 +103,29 @@
       (request, response) => this.#handle(request, response),
       settings.maxConnections,
     );
+    const address = `${settings.peers.host}:${settings.peers.port}`;
+    const own = {
+      name: settings.name,
+      incarnation: randomUUID(),
+      address,
+      failureDomain: settings.failureDomain,
+    };
+    this.#sharing = new Sharing({
+      loads: this.loads,
+      prefixes: this.prefixes,
+      directory: this.#directory,
+      configuration: () => this.#configuration,
+      adopt: (configuration, source) => this.#adopt(configuration, source),
+    }, () => this.#peers);
+    this.#peers = new Peers(() => own, {
+      listener: {
+        joined: (peer) => this.#sharing.joined(peer),
+        left: (peer) => this.#peerLeft(peer),
+        received: (peer, message) => this.#sharing.received(peer, message),
+      },
+      log,
+    });
+    this.#registration = new Registration(platform.daemons, own, log);
     this.#configurations = this.#followConfigurations(platform.configurations);
     this.#runners = this.#followRunners(platform.runners);
     this.#directory.onChange(() => this.#runnersChanged());
@@ -115,7 +166,7 @@
     if (known !== undefined) return known;
     const budget = new RetryBudget(
       this.#settings.retries,
-      () => ASSUMED_DAEMONS,
+      () => Math.max(LEAST_DAEMONS, this.#peers.fleetSize),
     );
     this.#budgets.set(service, budget);
     return budget;
@@ -130,12 +181,20 @@
     );
     await Promise.all([
       this.#server.open(this.#settings.callers),
+      this.#peers.open(this.#settings.peers),
       listen(readinessServer, readiness),
       listen(createMetricsServer(metrics.path, this.metrics), metrics),
     ]);
     this.log.event("started", { name: this.#settings.name });
+    this.#peers.learn(this.#settings.seeds);
+    this.#sharing.start();
     void this.#configurations.run();
     void this.#runners.run();
+    void this.#registration.enter();
+    void this.#registration.search(
+      () => this.#peers.count === 0,
+      (addresses) => this.#peers.learn(addresses),
+    );
   }
 
   /**
@@ -149,6 +208,7 @@
     const left = () =>
       this.#settings.graceMs - EXIT_MARGIN_MS - (this.now() - startedAt);
     this.#lifecycle.leave();
+    void this.#registration.leave();
     this.log.event("leaving", { in_flight: this.#server.inFlight });
     await pause(ACCEPT_MS);
     this.#lifecycle.close();
@@ -182,7 +242,10 @@
     return new Follower(feed, {
       listed: ({ values }) => take(values),
       changed: ({ entered }) => take(entered),
-    }, { contact: this.#contactListener("store_configuration") });
+    }, {
+      contact: this.#contactListener("store_configuration"),
+      timing: this.#timing(() => this.#table !== undefined),
+    });
   }
 
   #followRunners(feed: Feed<Runner>): Follower<Runner> {
@@ -193,13 +256,58 @@
       changed: ({ revision, entered, left }) => {
         this.#directory.change(revision, entered, left);
       },
-    }, { contact: this.#contactListener("store_runners") });
+    }, {
+      contact: this.#contactListener("store_runners"),
+      timing: this.#timing(() => this.#directory.revision > 0),
+    });
+  }
+
+  /** How the store is followed, given whether there is something to go on with. */
+  #timing(known: () => boolean): FollowerTiming {
+    return {
+      waitMs: () => {
+        const watchers = 1 + this.#peers.alive.filter((peer) =>
+          this.#watches(peer.name, peer.failureDomain)
+        ).length;
+        const wait = Math.min(
+          LONGEST_WAIT_MS,
+          Math.max(SHORTEST_WAIT_MS, WAIT_PER_WATCHER_MS * watchers),
+        );
+        const share = LEAST_WAIT_SHARE + (1 - LEAST_WAIT_SHARE) * Math.random();
+        return Math.round(wait * share);
+      },
+      active: () =>
+        !known() || this.#peers.count === 0 ||
+        this.#watches(this.#settings.name, this.#settings.failureDomain),
+    };
+  }
+
+  /** Whether a daemon is among those that watch for its failure domain. */
+  #watches(name: string, failureDomain: string): boolean {
+    let before = 0;
+    const rivals = this.#peers.alive
+      .filter((peer) => peer.failureDomain === failureDomain)
+      .map((peer) => peer.name);
+    if (failureDomain === this.#settings.failureDomain) {
+      rivals.push(this.#settings.name);
+    }
+    for (const rival of rivals) if (rival < name) before += 1;
+    return before < WATCHERS_PER_DOMAIN;
+  }
+
+  #peerLeft(peer: Peer): void {
+    this.#sharing.left(peer);
+    if (this.#peers.count > 0) return;
+    // Alone, the watches must find by themselves what peers would have told.
+    this.#configurations.hurry();
+    this.#runners.hurry();
   }
 
   /** Puts a configuration in force unless a newer one is. */
   #adopt(configuration: Configuration, source: string): void {
     const current = this.#table?.version ?? -1;
     if (configuration.version <= current) return;
+    this.#configuration = configuration;
     this.#table = new RoutingTable(configuration);
     this.#server.limit(configuration.limits);
     this.metrics.version(configuration.version);
