--- a/packages/router/src/process/feed.ts
+++ b/packages/router/src/process/feed.ts
@@ -162,7 +162,12 @@
     this.#contact.regained(afterMs);
   }
 
+  /**
+   * Reads everything again after a failure: a watch that goes on from the old
+   * revision may be deaf to what changed while the store dropped its history.
+   */
   async #failed(reason: string): Promise<void> {
+    this.#revision = undefined;
     if (this.#lostAt === undefined) {
       this.#lostAt = performance.now();
       this.#contact.lost(reason);
