Admit by work, slots and memory in flight; weigh reading above waiting

Cause: under a burst engines read prompts without pause, streams crawl at one token a step of 40 ms and run into their timeouts; cold prompts were read at two runners to save a wait. Change: limits on work, slots and memory in flight, kept back for more urgent tiers; half a target's wait, then 503 with Retry-After; reading counts 2.5 times waiting.

--- a/packages/router/src/connection/peer_message.ts
+++ b/packages/router/src/connection/peer_message.ts
@@ -4,17 +4,13 @@
  * @module
  */
 import type { PartsNews } from "../process/prefix_record.ts";
+import type { Share } from "../process/runner_load.ts";
 import type { RunnerList } from "../process/runner_directory.ts";
 import type { Configuration } from "../version/configuration.ts";
 
 /** Load that one daemon puts on one runner. */
-export interface LoadShare {
+export interface LoadShare extends Share {
   readonly runner: string;
-  readonly inFlight: number;
-  /** Prompt tokens of its requests that have no first event yet. */
-  readonly unreadTokens: number;
-  /** Its streams there that bear only short pauses. */
-  readonly tight: number;
 }
 
 /** First message on a link, in both directions. */
--- a/packages/router/src/connection/sharing.ts
+++ b/packages/router/src/connection/sharing.ts
@@ -146,7 +146,6 @@
   }
 
   #share(runner: string): LoadShare {
-    const { inFlight, unreadTokens, tight } = this.#known.loads.of(runner).own;
-    return { runner, inFlight, unreadTokens, tight };
+    return { runner, ...this.#known.loads.of(runner).own };
   }
 }
--- a/packages/router/src/process/runner_load.ts
+++ b/packages/router/src/process/runner_load.ts
@@ -15,6 +15,8 @@
 export interface Placed {
   /** Prompt tokens that the runner has to read, as estimated. */
   readonly unreadTokens: number;
+  /** Tokens of its prompt and of the longest answer. */
+  readonly memoryTokens: number;
   /** Whether it is a stream that bears only short pauses. */
   readonly tight: boolean;
 }
@@ -24,11 +26,21 @@
   readonly inFlight: number;
   /** Prompt tokens of requests that have no first event yet. */
   readonly unreadTokens: number;
+  /** Prompt tokens that the runner read, or will, for all that is in flight. */
+  readonly workTokens: number;
+  /** Tokens that all that is in flight may come to hold in memory. */
+  readonly memoryTokens: number;
   /** Streams that bear only short pauses. */
   readonly tight: number;
 }
 
-const NO_SHARE: Share = { inFlight: 0, unreadTokens: 0, tight: 0 };
+const NO_SHARE: Share = {
+  inFlight: 0,
+  unreadTokens: 0,
+  workTokens: 0,
+  memoryTokens: 0,
+  tight: 0,
+};
 /** Failures in a row after which a runner gets no work for a while. */
 const FAILURES_TO_EJECT = 2;
 /** First span without work, in ms; doubled at each further failure. */
@@ -78,6 +90,8 @@
     this.#change({
       inFlight: 1,
       unreadTokens: placed.unreadTokens,
+      workTokens: placed.unreadTokens,
+      memoryTokens: placed.memoryTokens,
       tight: placed.tight ? 1 : 0,
     });
   }
@@ -85,14 +99,20 @@
   /** Its prompt has been read: the first event came. */
   started(placed: Placed): void {
     if (!this.#starting.delete(placed)) return;
-    this.#change({ inFlight: 0, unreadTokens: -placed.unreadTokens, tight: 0 });
+    this.#change({ ...NO_SHARE, unreadTokens: -placed.unreadTokens });
   }
 
   /** It is no longer at the runner. */
   release(placed: Placed): void {
     this.started(placed);
     if (!this.#placed.delete(placed)) return;
-    this.#change({ inFlight: -1, unreadTokens: 0, tight: placed.tight ? -1 : 0 });
+    this.#change({
+      inFlight: -1,
+      unreadTokens: 0,
+      workTokens: -placed.unreadTokens,
+      memoryTokens: -placed.memoryTokens,
+      tight: placed.tight ? -1 : 0,
+    });
   }
 
   /** Takes the load that another daemon puts on the runner. */
@@ -163,6 +183,8 @@
   return {
     inFlight: one.inFlight + other.inFlight,
     unreadTokens: one.unreadTokens + other.unreadTokens,
+    workTokens: one.workTokens + other.workTokens,
+    memoryTokens: one.memoryTokens + other.memoryTokens,
     tight: one.tight + other.tight,
   };
 }
@@ -171,6 +193,8 @@
   return {
     inFlight: one.inFlight - other.inFlight,
     unreadTokens: one.unreadTokens - other.unreadTokens,
+    workTokens: one.workTokens - other.workTokens,
+    memoryTokens: one.memoryTokens - other.memoryTokens,
     tight: one.tight - other.tight,
   };
 }
--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -22,6 +22,12 @@
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 /** Milliseconds after which a refused caller may come back; spread by as much. */
 const RETRY_AFTER_MS = 250;
+/** Part of a request's target for which it waits for a runner with less work. */
+const HOLD_SHARE = 0.5;
+/** Milliseconds between two looks for such a runner. */
+const HOLD_STEP_MS = 20;
+/** Part of its time that a caller will stay away when told so. */
+const RETURN_SHARE = 0.33;
 /** Milliseconds left under which no other runner is tried. */
 const LEAST_TIME_MS = 30;
 const FIRST_ERROR = 400;
@@ -155,7 +161,8 @@
       if (this.#caller.left) return { kind: "left" };
       const over = this.#expired || this.#left() < LEAST_TIME_MS;
       if (over) return fallback ?? this.#timeoutOutcome();
-      const choice = this.#choose(subject);
+      const choice = await this.#chooseOrWait(subject);
+      if (choice === "overloaded") return fallback ?? this.#refuseOverload();
       if (choice === undefined) return fallback ?? this.#refusal("no_runner");
       const result = await this.#try(subject, choice, body);
       if (result.kind === "done") return result.outcome;
@@ -170,13 +177,35 @@
     }
   }
 
+  /**
+   * Chooses a runner; while all that suit have too much work, waits a while for
+   * one. Most waits end within it, and a refusal costs the caller more.
+   */
+  async #chooseOrWait(
+    subject: Subject,
+  ): Promise<Choice | undefined | "overloaded"> {
+    const until = this.#daemon.now() + HOLD_SHARE * subject.route.targetMs;
+    for (;;) {
+      const choice = this.#choose(subject);
+      if (choice === undefined || !choice.overloaded) return choice;
+      if (this.#attempts > 0) return choice;
+      if (this.#expired || this.#caller.left) return "overloaded";
+      if (this.#daemon.now() > until) return "overloaded";
+      await pause(HOLD_STEP_MS);
+    }
+  }
+
   #choose(subject: Subject): Choice | undefined {
     const { call, route, service } = subject;
     const choice = chooseRunner(this.#daemon.fleet(service.name), {
       prompt: call.prompt,
       promptTokens: call.promptTokens,
+      answerTokens: call.answerTokens,
       targetMs: route.targetMs,
       gapTargetMs: route.gapTargetMs,
+      tiersBelow: this.#daemon.table()!.tiersBelow(
+        subject.workspace?.tier ?? route.tier,
+      ),
       engine: service.engine,
     }, this.#tried);
     return choice;
@@ -189,6 +218,7 @@
     const load = this.#daemon.loads.of(runner.id);
     const placed: Placed = {
       unreadTokens: choice.unreadTokens,
+      memoryTokens: call.promptTokens + call.answerTokens,
       tight: choice.tight,
     };
     this.#tried.add(runner.id);
@@ -401,6 +431,17 @@
     return { kind: "refused", refusal: { status: 503, code, retryAfterMs } };
   }
 
+  /**
+   * Sends the caller away for as long as it will wait: overload lasts seconds,
+   * and callers that come back at once find the same.
+   */
+  #refuseOverload(): Outcome {
+    const longest = this.#left() * RETURN_SHARE;
+    const retryAfterMs = longest * (1 - this.#daemon.random() / 2);
+    const refusal = { status: 503, code: "overloaded", retryAfterMs };
+    return { kind: "refused", refusal };
+  }
+
   #failure(reason: string): Outcome {
     if (this.#caller.answered) return { kind: "broken", reason };
     return { kind: "refused", refusal: { status: 502, code: "runner_failed" } };
@@ -460,6 +501,10 @@
   }
 }
 
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
+
 /** Runners that are tried one after the other while none can be reached. */
 const MAX_UNSENT = 3;
 
--- a/packages/router/src/request/placement.ts
+++ b/packages/router/src/request/placement.ts
@@ -13,8 +13,12 @@
 export interface Demand {
   readonly prompt: readonly PromptPart[];
   readonly promptTokens: number;
+  /** Most tokens of the answer. */
+  readonly answerTokens: number;
   readonly targetMs: number;
   readonly gapTargetMs: number | undefined;
+  /** Tiers in use that are less urgent. */
+  readonly tiersBelow: number;
   /** Absent for a plain service. */
   readonly engine: Engine | undefined;
 }
@@ -39,6 +43,8 @@
   readonly fetchFrom: Runner | undefined;
   /** Whether the request is a stream that bears only short pauses. */
   readonly tight: boolean;
+  /** Whether the runner has so much work that the request had better not start. */
+  readonly overloaded: boolean;
   readonly candidates: number;
   readonly reason: "home" | "spread" | "least-loaded";
 }
@@ -52,6 +58,11 @@
 const TIGHT_SHARE = 0.3;
 /** Tokens of prompts that an engine reads in a ms, with its other work. */
 const READ_TOKENS_PER_MS = 50;
+/**
+ * What a ms of reading counts against a ms of waiting. Reading a prompt twice
+ * takes from everybody, waiting only from the one that waits.
+ */
+const WORK_WEIGHT = 2.5;
 /** Milliseconds of wait that a prompt's home may have more than another runner. */
 const AWAY_MS = 30;
 /**
@@ -69,6 +80,14 @@
 const TIGHT_STREAM_MS = 100;
 /** What a runner's other requests slow down one more, in ms each. */
 const BESIDE_MS = 4;
+/** Work in ms that a runner may have in flight when the least urgent start. */
+const MAX_WORK_MS = 2_500;
+/** Part of a runner's slots and memory that the least urgent may fill. */
+const FILL_SHARE = 0.6;
+/** How much more of them each more urgent tier may fill. */
+const FILL_BY_TIER = 0.2;
+/** How much more it may have for each tier that a request is more urgent. */
+const WORK_BY_TIER = 1.6;
 /** What each failure since the last success counts, in ms of wait. */
 const FAILURE_MS = 300;
 /** Requests that a runner in another failure domain must have less to be taken. */
@@ -117,6 +136,7 @@
     unreadTokens: 0,
     fetchFrom: undefined,
     tight: false,
+    overloaded: false,
     candidates: runners.length,
     reason: "least-loaded",
   };
@@ -179,7 +199,7 @@
     ? TIGHT_STREAM_MS * load.all.tight
     : 0;
   const batch = load.all.inFlight * BESIDE_MS;
-  const costMs = waitMs + ownMs + away + misplaced + harm + batch +
+  const costMs = waitMs + WORK_WEIGHT * ownMs + away + misplaced + harm + batch +
     FAILURE_MS * load.failures;
   return {
     runner,
@@ -217,6 +237,27 @@
   return best;
 }
 
+/**
+ * Whether a runner already works on so much that one more request of this tier
+ * would keep those that are there from their ends.
+ *
+ * While an engine reads prompts without pause, streams get one token a step of
+ * 40 ms instead of 6; those that need hundreds then run into their timeouts,
+ * and all the work on them is lost. With less in flight, reading pauses and
+ * they end. Slots and memory are kept back for more urgent tiers, which would
+ * otherwise wait for streams of seconds to end, or preempt them.
+ */
+function isOverloaded(fleet: Fleet, demand: Demand, runner: Runner): boolean {
+  const { workTokens, inFlight, memoryTokens } =
+    fleet.loads.of(runner.id).all;
+  const { engine, tiersBelow } = demand;
+  const share = Math.min(1, FILL_SHARE + FILL_BY_TIER * tiersBelow);
+  const memory = memoryTokens + demand.promptTokens + demand.answerTokens;
+  return readMs(workTokens) > MAX_WORK_MS * WORK_BY_TIER ** tiersBelow ||
+    inFlight >= share * engine!.slots ||
+    memory > share * engine!.memoryTokens;
+}
+
 function byPrefix(
   fleet: Fleet,
   demand: Demand,
@@ -224,14 +265,14 @@
 ): Choice {
   const kept = tightRunners(runners);
   const tight = isTight(demand);
-  const byId = new Map(runners.map((runner) => [runner.id, runner]));
   const pool = runners.filter(({ id }) => kept.has(id) === tight);
   const part = sharedPart(demand.prompt)!;
   const order = new Rendezvous(pool.map(({ id }) => id)).order(part.id);
   const ranks = new Map(order.map((id, rank) => [id, rank]));
   const holder = holderOf(fleet, demand, runners);
+  const free = runners.filter((each) => !isOverloaded(fleet, demand, each));
   let best: Quote | undefined;
-  for (const runner of byId.values()) {
+  for (const runner of free.length > 0 ? free : runners) {
     const quote = quoteOf(fleet, demand, {
       runner,
       rank: ranks.get(runner.id) ?? order.length,
@@ -245,6 +286,7 @@
     unreadTokens: best!.unreadTokens,
     fetchFrom: best!.fetchFrom,
     tight,
+    overloaded: free.length === 0,
     candidates: runners.length,
     reason: best!.runner.id === order[0] ? "home" : "spread",
   };
--- a/packages/router/src/version/routing_table.ts
+++ b/packages/router/src/version/routing_table.ts
@@ -58,6 +58,8 @@
   readonly #hosts: ReadonlyMap<string, HostRoutes>;
   readonly #services: ReadonlyMap<string, Service>;
   readonly #workspaces: ReadonlyMap<string, Workspace>;
+  /** Tiers in use, each once. */
+  readonly #tiers: readonly number[];
 
   constructor(configuration: Configuration) {
     this.version = configuration.version;
@@ -66,6 +68,9 @@
     this.#services = new Map(
       configuration.services.map((service) => [service.name, service]),
     );
+    const tiers = [...configuration.routes, ...configuration.workspaces]
+      .flatMap(({ tier }) => tier === undefined ? [] : [tier]);
+    this.#tiers = [...new Set(tiers)];
     this.#workspaces = new Map(
       configuration.workspaces.flatMap((workspace) =>
         workspace.keys.map((key) => [key, workspace] as const)
@@ -101,6 +106,11 @@
     return this.#services.get(name);
   }
 
+  /** How many tiers in use are less urgent than one. */
+  tiersBelow(tier: number): number {
+    return this.#tiers.filter((each) => each > tier).length;
+  }
+
   /** Names of all services, for metrics and bookkeeping. */
   get serviceNames(): readonly string[] {
     return [...this.#services.keys()];
