Survey what engines hold when a daemon starts

Change: unknown prompts go to their home unless it is 200 ms behind; a daemon that starts asks the first peer for what runners hold, and its part of the runners themselves (kv list, one call a runner).

--- a/packages/router/src/connection/peer_message.ts
+++ b/packages/router/src/connection/peer_message.ts
@@ -42,6 +42,8 @@
   readonly kind: "want";
   readonly configuration: boolean;
   readonly runners: boolean;
+  /** What runners hold, for a daemon that has just started. */
+  readonly parts: boolean;
 }
 
 /** Answers a {@linkcode Want}. */
@@ -49,6 +51,7 @@
   readonly kind: "give";
   readonly configuration: Configuration | undefined;
   readonly runners: RunnerList | undefined;
+  readonly parts: readonly PartsNews[] | undefined;
 }
 
 /** A message between daemons. */
--- a/packages/router/src/connection/sharing.ts
+++ b/packages/router/src/connection/sharing.ts
@@ -48,6 +48,7 @@
   #sentAt = 0;
   #sentVersions = "";
   #wantedAt = -Infinity;
+  #asked = false;
 
   constructor(known: SharedKnowledge, peers: () => Peers) {
     this.#known = known;
@@ -64,6 +65,15 @@
 
   joined(peer: Peer): void {
     peer.link.send(this.#state(this.#known.loads.loaded(), []));
+    if (this.#asked) return;
+    // The first peer tells what runners hold; one copy of it is enough.
+    this.#asked = true;
+    peer.link.send({
+      kind: "want",
+      configuration: true,
+      runners: true,
+      parts: true,
+    });
   }
 
   left(peer: Peer): void {
@@ -83,6 +93,7 @@
             ? this.#known.configuration()
             : undefined,
           runners: message.runners ? this.#known.directory.list : undefined,
+          parts: message.parts ? this.#known.prefixes.all() : undefined,
         });
       case "give":
         this.#wantedAt = -Infinity;
@@ -90,6 +101,9 @@
           this.#known.adopt(message.configuration, `peer ${peer.name}`);
         }
         if (message.runners) this.#known.directory.replace(message.runners);
+        for (const news of message.parts ?? []) {
+          this.#known.prefixes.take(news, performance.now());
+        }
     }
   }
 
@@ -104,7 +118,7 @@
     if (!configuration && !runners) return;
     if (now - this.#wantedAt < WANT_AGAIN_MS) return;
     this.#wantedAt = now;
-    peer.link.send({ kind: "want", configuration, runners });
+    peer.link.send({ kind: "want", configuration, runners, parts: false });
   }
 
   get #version(): number {
--- a/packages/router/src/mod.ts
+++ b/packages/router/src/mod.ts
@@ -8,6 +8,7 @@
 export type { EventLog, TextSink } from "./process/event_log.ts";
 export { FeedError } from "./process/feed.ts";
 export type { Changes, Feed, Listing } from "./process/feed.ts";
+export type { EngineMemory } from "./process/memory_survey.ts";
 export type { PromptPart } from "./process/prefix_record.ts";
 export type { ReportedLoad } from "./process/runner_load.ts";
 export type { Runner } from "./process/runner_directory.ts";
--- /dev/null
+++ b/packages/router/src/process/memory_survey.ts
@@ -0,0 +1,80 @@
+/**
+ * Asks engines what they hold, when daemons know nothing.
+ *
+ * @module
+ */
+import { Rendezvous } from "@umbermast/coordination/rendezvous";
+import type { EventLog } from "./event_log.ts";
+import type { PrefixRecord, PromptPart } from "./prefix_record.ts";
+import type { Runner } from "./runner_directory.ts";
+
+/** Reads the parts of prompts in a runner's memory. */
+export interface EngineMemory {
+  /** Rejects when the runner gives no list. */
+  held(runner: Runner): Promise<readonly PromptPart[]>;
+}
+
+/**
+ * Milliseconds from the start to the survey: by then peers are linked, so each
+ * runner is asked by one daemon only.
+ */
+const SETTLE_MS = 400;
+
+/** What a survey reads. */
+export interface SurveyedFleet {
+  /** Runners that hold prompts. */
+  engines(): readonly Runner[];
+  /** Names of all daemons that answer, and this one. */
+  daemons(): readonly string[];
+}
+
+/**
+ * One survey at the start of a daemon. When all daemons were killed at once,
+ * runners still hold most prompts, but nobody knows which: read again, they
+ * cost a second of each engine's time within the first seconds of traffic.
+ * Daemons divide the runners and tell each other what they learn.
+ */
+export class MemorySurvey {
+  readonly #memory: EngineMemory;
+  readonly #prefixes: PrefixRecord;
+  readonly #name: string;
+  readonly #log: EventLog;
+
+  constructor(
+    memory: EngineMemory,
+    options: {
+      readonly prefixes: PrefixRecord;
+      readonly name: string;
+      readonly log: EventLog;
+    },
+  ) {
+    this.#memory = memory;
+    this.#prefixes = options.prefixes;
+    this.#name = options.name;
+    this.#log = options.log;
+  }
+
+  /** Asks this daemon's part of the runners. */
+  async run(fleet: SurveyedFleet): Promise<void> {
+    await new Promise((resolve) => setTimeout(resolve, SETTLE_MS));
+    const daemons = new Rendezvous(fleet.daemons());
+    const own = fleet.engines().filter(({ id }) =>
+      daemons.order(id)[0] === this.#name
+    );
+    await Promise.all(own.map((runner) => this.#ask(runner)));
+  }
+
+  async #ask(runner: Runner): Promise<void> {
+    try {
+      const parts = await this.#memory.held(runner);
+      this.#prefixes.found(runner.id, parts, performance.now());
+      this.#log.event("memory_surveyed", {
+        runner: runner.id,
+        parts: parts.length,
+      });
+    } catch (error) {
+      const reason = error instanceof Error ? error.message : String(error);
+      this.#log.event("memory_unknown", { runner: runner.id, reason });
+    }
+  }
+}
--- a/packages/router/src/process/prefix_record.ts
+++ b/packages/router/src/process/prefix_record.ts
@@ -49,6 +49,22 @@
     this.#tell({ runner, parts: shared(prompt), read: true }, now);
   }
 
+  /** Notes what a runner said that it holds. */
+  found(runner: string, parts: readonly PromptPart[], now: number): void {
+    this.#tell({ runner, parts, read: true }, now);
+  }
+
+  /** All that runners have read, for a daemon that knows nothing. */
+  all(): readonly PartsNews[] {
+    return [...this.#parts].map(([runner, held]) => ({
+      runner,
+      parts: [...held]
+        .filter(([, { read }]) => read)
+        .map(([id, { tokens }]) => ({ id, tokens })),
+      read: true,
+    }));
+  }
+
   /** Takes what another daemon has noted. */
   take(news: PartsNews, now: number): void {
     const held = this.#parts.get(news.runner) ?? new Map<string, Held>();
--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -470,6 +470,9 @@
       backlog_tokens: load.all.unreadTokens,
       unread_tokens: choice.unreadTokens,
       fetch_from: choice.fetchFrom?.id,
+      prompt_tokens: call.promptTokens,
+      shared_part: call.prompt.at(-2)?.id,
+      tier: subject.workspace?.tier ?? route.tier,
       runners_age_ms: Math.round(this.#daemon.runnersAgeMs()),
       left_ms: Math.round(this.#left()),
     });
--- a/packages/router/src/request/placement.ts
+++ b/packages/router/src/request/placement.ts
@@ -65,6 +65,11 @@
 const WORK_WEIGHT = 2.5;
 /** Milliseconds of wait that a prompt's home may have more than another runner. */
 const AWAY_MS = 30;
+/**
+ * The same for a prompt that nobody is known to hold. Daemons that have all
+ * been restarted know nothing, but runners still hold most prompts, at home.
+ */
+const AWAY_UNKNOWN_MS = 200;
 /**
  * What a fetch from another runner costs beside its time, in ms: a second copy
  * takes memory from other prompts.
@@ -189,7 +194,11 @@
   const tight = isTight(demand);
   const waitMs = readMs(load.all.unreadTokens);
   const ownMs = readMs(unreadTokens) + (fetches ? fetchMs + FETCH_MS : 0);
-  const away = rank === 0 ? 0 : AWAY_MS;
+  const away = rank === 0
+    ? 0
+    : holder === undefined
+    ? AWAY_UNKNOWN_MS
+    : AWAY_MS;
   const misplaced = tight === kept
     ? 0
     : tight
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -19,6 +19,8 @@
 import type { EventLog } from "./process/event_log.ts";
 import { Follower } from "./process/feed.ts";
 import type { ContactListener, Feed, FollowerTiming } from "./process/feed.ts";
+import { MemorySurvey } from "./process/memory_survey.ts";
+import type { EngineMemory } from "./process/memory_survey.ts";
 import { Lifecycle } from "./process/lifecycle.ts";
 import { RequestMetrics } from "./process/metrics.ts";
 import { PrefixRecord } from "./process/prefix_record.ts";
@@ -41,6 +43,7 @@
   readonly configurations: Feed<Configuration>;
   readonly runners: Feed<Runner>;
   readonly daemons: DaemonRegistry;
+  readonly memory: EngineMemory;
 }
 
 /**
@@ -89,6 +92,8 @@
   readonly #peers: Peers;
   readonly #sharing: Sharing;
   readonly #registration: Registration;
+  readonly #survey: MemorySurvey;
+  #surveyed = false;
   #configuration: Configuration | undefined;
   #table: RoutingTable | undefined;
 
@@ -125,6 +130,11 @@
       },
       log,
     });
+    this.#survey = new MemorySurvey(platform.memory, {
+      prefixes: this.prefixes,
+      name: settings.name,
+      log,
+    });
     this.#registration = new Registration(platform.daemons, own, log);
     this.#configurations = this.#followConfigurations(platform.configurations);
     this.#runners = this.#followRunners(platform.runners);
@@ -317,6 +327,7 @@
       source,
       routes: configuration.routes.length,
     });
+    this.#surveyOnce();
   }
 
   #runnersChanged(): void {
@@ -324,6 +335,22 @@
     this.connections.retain(ids);
     this.loads.retain(ids);
     this.prefixes.retain(ids);
+    this.#surveyOnce();
+  }
+
+  /** Asks engines what they hold, once both lists are known. */
+  #surveyOnce(): void {
+    if (this.#surveyed || this.#table === undefined) return;
+    if (this.#directory.revision === 0) return;
+    this.#surveyed = true;
+    const { name } = this.#settings;
+    void this.#survey.run({
+      engines: () =>
+        this.#directory.list.runners.filter(({ service }) =>
+          this.#table?.service(service)?.engine !== undefined
+        ),
+      daemons: () => [name, ...this.#peers.alive.map((peer) => peer.name)],
+    });
   }
 
   #contactListener(dependency: string): ContactListener {
