--- a/packages/router/src/connection/caller_server.ts
+++ b/packages/router/src/connection/caller_server.ts
@@ -6,7 +6,7 @@
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { ListenAddress } from "../process/settings.ts";
-import type { Socket } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import type { CallerLimits } from "../version/configuration.ts";
 
 /** Milliseconds between checks for requests that take too long to arrive. */
@@ -62,6 +62,11 @@
     return this.#inFlight;
   }
 
+  /** The port that it listens on. */
+  get port(): number {
+    return (this.#server.address() as AddressInfo).port;
+  }
+
   open(address: ListenAddress): Promise<void> {
     return listen(this.#server, address);
   }
@@ -86,6 +91,12 @@
     }
   }
 
+  /** Closes everything at once. */
+  destroy(): void {
+    this.#server.close();
+    for (const socket of this.#connections.keys()) socket.destroy();
+  }
+
   #count(socket: Socket, change: number): void {
     this.#inFlight += change;
     const before = this.#connections.get(socket);
--- a/packages/router/src/connection/peer_message.ts
+++ b/packages/router/src/connection/peer_message.ts
@@ -56,4 +56,3 @@
 
 /** A message between daemons. */
 export type PeerMessage = Hello | State | Want | Give;
-
--- a/packages/router/src/connection/peers.ts
+++ b/packages/router/src/connection/peers.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { connect, createServer } from "node:net";
-import type { Server, Socket } from "node:net";
+import type { AddressInfo, Server, Socket } from "node:net";
 import type { EventLog } from "../process/event_log.ts";
 import type { ListenAddress } from "../process/settings.ts";
 import { encodeMessage, PeerLink } from "./peer_link.ts";
@@ -90,6 +90,11 @@
     return this.#targets.size + 1;
   }
 
+  /** The port that it listens on. */
+  get port(): number {
+    return (this.#server.address() as AddressInfo).port;
+  }
+
   open(address: ListenAddress): Promise<void> {
     return new Promise((resolve, reject) => {
       this.#server.once("error", reject);
@@ -100,7 +105,9 @@
   /** Learns of addresses and dials those that are new. */
   learn(addresses: readonly string[]): void {
     for (const address of addresses) {
-      if (address === this.#own().address || this.#targets.has(address)) continue;
+      if (address === this.#own().address || this.#targets.has(address)) {
+        continue;
+      }
       this.#targets.set(address, { dials: 0, timer: undefined });
       this.#dial(address);
     }
--- a/packages/router/src/process/daemon_registry.ts
+++ b/packages/router/src/process/daemon_registry.ts
@@ -30,6 +30,7 @@
   readonly #name: string;
   readonly #address: string;
   readonly #log: EventLog;
+  #stopped = false;
 
   constructor(
     registry: DaemonRegistry,
@@ -42,9 +43,14 @@
     this.#log = log;
   }
 
+  /** Makes no further calls. */
+  stop(): void {
+    this.#stopped = true;
+  }
+
   /** Enters this daemon, however long the store is away. */
   async enter(): Promise<void> {
-    for (;;) {
+    while (!this.#stopped) {
       if (await this.#done("enter", () => this.#enter())) return;
       await pause(RETRY_MS);
     }
@@ -55,7 +61,7 @@
     alone: () => boolean,
     found: (addresses: readonly string[]) => void,
   ): Promise<void> {
-    for (;;) {
+    while (!this.#stopped) {
       if (alone()) {
         await this.#done("search", async () => {
           found(await this.#registry.addresses());
@@ -87,5 +93,5 @@
 }
 
 function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
+  return new Promise((resolve) => setTimeout(resolve, ms).unref());
 }
--- a/packages/router/src/process/feed.ts
+++ b/packages/router/src/process/feed.ts
@@ -37,7 +37,11 @@
    *
    * @param signal ends the wait early, as unavailable.
    */
-  watch(since: number, waitMs: number, signal: AbortSignal): Promise<Changes<T>>;
+  watch(
+    since: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<Changes<T>>;
 }
 
 /** Takes what a follower reads. */
--- /dev/null
+++ b/packages/router/src/process/feed_test.ts
@@ -0,0 +1,91 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { FeedError, Follower } from "./feed.ts";
+import type { Changes, Feed, Listing } from "./feed.ts";
+
+/** Plays the answers of a store one after the other, then is silent. */
+class PlayedFeed implements Feed<string> {
+  readonly calls: string[] = [];
+  readonly #answers: (Listing<string> | Changes<string> | FeedError)[];
+  readonly #end: () => void;
+
+  constructor(
+    answers: (Listing<string> | Changes<string> | FeedError)[],
+    end: () => void,
+  ) {
+    this.#answers = answers;
+    this.#end = end;
+  }
+
+  list(): Promise<Listing<string>> {
+    this.calls.push("list");
+    return this.#next() as Promise<Listing<string>>;
+  }
+
+  watch(since: number): Promise<Changes<string>> {
+    this.calls.push(`watch ${since}`);
+    return this.#next() as Promise<Changes<string>>;
+  }
+
+  #next(): Promise<unknown> {
+    const answer = this.#answers.shift();
+    if (answer instanceof FeedError) return Promise.reject(answer);
+    if (answer !== undefined) return Promise.resolve(answer);
+    this.#end();
+    return new Promise(() => {});
+  }
+}
+
+async function follow(
+  answers: (Listing<string> | Changes<string> | FeedError)[],
+): Promise<{ calls: readonly string[]; seen: readonly string[] }> {
+  const seen: string[] = [];
+  let feed: PlayedFeed | undefined;
+  await new Promise<void>((resolve) => {
+    feed = new PlayedFeed(answers, resolve);
+    const follower = new Follower(feed, {
+      listed: ({ values }) => seen.push(`listed ${values}`),
+      changed: ({ entered }) => seen.push(`changed ${entered}`),
+    }, {
+      contact: {
+        lost: (reason) => seen.push(`lost ${reason}`),
+        regained: () => seen.push("regained"),
+      },
+      timing: { waitMs: () => 1, active: () => true },
+    });
+    void follower.run();
+  });
+  return { calls: feed!.calls, seen };
+}
+
+// The store drops its history while a watch is cut. Going on from the old
+// revision, the next watch waits for changes that it will never be told of,
+// and requests are routed by an old version for seconds.
+test("after a watch was cut, everything is read again", async () => {
+  const { calls, seen } = await follow([
+    { revision: 3, values: ["a"] },
+    new FeedError("unavailable", "reset"),
+    { revision: 9, values: ["b"] },
+  ]);
+  assert.deepEqual(calls, ["list", "watch 3", "list", "watch 9"]);
+  assert.deepEqual(seen, ["listed a", "lost reset", "listed b", "regained"]);
+});
+
+test("expired history is read again without being a loss", async () => {
+  const { calls, seen } = await follow([
+    { revision: 3, values: ["a"] },
+    new FeedError("expired", "gone"),
+    { revision: 9, values: ["b"] },
+  ]);
+  assert.deepEqual(calls, ["list", "watch 3", "list", "watch 9"]);
+  assert.deepEqual(seen, ["listed a", "listed b"]);
+});
+
+test("changes move the revision on; an empty wait does not", async () => {
+  const { calls } = await follow([
+    { revision: 3, values: [] },
+    { revision: 3, entered: [], left: [] },
+    { revision: 5, entered: ["b"], left: [] },
+  ]);
+  assert.deepEqual(calls, ["list", "watch 3", "watch 3", "watch 5"]);
+});
--- a/packages/router/src/process/prefix_record.ts
+++ b/packages/router/src/process/prefix_record.ts
@@ -93,8 +93,10 @@
     prompt: readonly PromptPart[],
     now: number,
   ): number {
-    return this.#tokens(runner, prompt, (held) =>
-      now - held.at < (held.read ? PART_LIFE_MS : SENT_LIFE_MS)
+    return this.#tokens(
+      runner,
+      prompt,
+      (held) => now - held.at < (held.read ? PART_LIFE_MS : SENT_LIFE_MS),
     );
   }
 
--- /dev/null
+++ b/packages/router/src/process/prefix_record_test.ts
@@ -0,0 +1,45 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { PrefixRecord } from "./prefix_record.ts";
+
+const PROMPT = [
+  { id: "brief", tokens: 13_000 },
+  { id: "own", tokens: 3_000 },
+];
+
+// A request was sent to a runner that has not read it yet. Another runner that
+// fetched from it would get nothing and read the prompt a second time.
+test("a prompt can be fetched only once it has been read", () => {
+  const record = new PrefixRecord();
+  record.sent("r-1", PROMPT, 0);
+  assert.equal(record.cachedTokens("r-1", PROMPT, 10), 13_000);
+  assert.equal(record.readTokens("r-1", PROMPT, 10), 0);
+  record.read("r-1", PROMPT, 20);
+  assert.equal(record.readTokens("r-1", PROMPT, 30), 13_000);
+});
+
+test("a part counts only if all parts before it are there", () => {
+  const record = new PrefixRecord();
+  record.read("r-1", [{ id: "b", tokens: 5 }, { id: "x", tokens: 1 }], 0);
+  const prompt = [{ id: "a", tokens: 7 }, { id: "b", tokens: 5 }];
+  assert.equal(record.cachedTokens("r-1", prompt, 1), 0);
+});
+
+test("another daemon's news count as one's own, and are not told again", () => {
+  const near = new PrefixRecord();
+  const far = new PrefixRecord();
+  near.read("r-1", PROMPT, 0);
+  for (const news of near.takeNews()) far.take(news, 5);
+  assert.equal(far.readTokens("r-1", PROMPT, 6), 13_000);
+  assert.deepEqual(far.takeNews(), []);
+  assert.deepEqual(near.takeNews(), []);
+});
+
+test("what was not read for long counts no more", () => {
+  const record = new PrefixRecord();
+  record.sent("r-1", PROMPT, 0);
+  assert.equal(record.cachedTokens("r-1", PROMPT, 6_000), 0);
+  record.read("r-1", PROMPT, 6_000);
+  assert.equal(record.cachedTokens("r-1", PROMPT, 31_000), 13_000);
+  assert.equal(record.cachedTokens("r-1", PROMPT, 40_000), 0);
+});
--- /dev/null
+++ b/packages/router/src/process/runner_load_test.ts
@@ -0,0 +1,57 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { RunnerLoads } from "./runner_load.ts";
+import type { Share } from "./runner_load.ts";
+
+const PLACED = { unreadTokens: 100, memoryTokens: 120, tight: true };
+const SHARE: Share = {
+  inFlight: 2,
+  unreadTokens: 50,
+  workTokens: 70,
+  memoryTokens: 90,
+  tight: 1,
+};
+
+test("load ends in steps: the prompt is read, then the request is over", () => {
+  const load = new RunnerLoads().of("r-1");
+  load.place(PLACED);
+  assert.deepEqual(load.all, {
+    inFlight: 1,
+    unreadTokens: 100,
+    workTokens: 100,
+    memoryTokens: 120,
+    tight: 1,
+  });
+  load.started(PLACED);
+  assert.equal(load.all.unreadTokens, 0);
+  assert.equal(load.all.workTokens, 100);
+  load.release(PLACED);
+  load.release(PLACED);
+  assert.deepEqual(Object.values(load.all), [0, 0, 0, 0, 0]);
+});
+
+// A daemon dies with requests at a runner. Counted for ever, they would keep
+// all others away from a runner that is idle.
+test("the load of a daemon that is lost is forgotten", () => {
+  const loads = new RunnerLoads();
+  loads.of("r-1").toldBy("host-2", SHARE);
+  loads.of("r-1").toldBy("host-2", { ...SHARE, inFlight: 3 });
+  assert.equal(loads.of("r-1").all.inFlight, 3);
+  loads.forget("host-2");
+  assert.equal(loads.of("r-1").all.inFlight, 0);
+});
+
+// A runner goes dark. Without a pause, each request of its share would wait for
+// a timeout; with one that never ended, it would stay empty after its return.
+test("a runner that fails twice rests, longer each time, and comes back", () => {
+  const load = new RunnerLoads().of("r-1");
+  load.failed(0);
+  assert.equal(load.ejected(1), false);
+  load.failed(0);
+  assert.equal(load.ejected(400), true);
+  assert.equal(load.ejected(600), false);
+  load.failed(600);
+  assert.equal(load.ejected(1_500), true);
+  load.succeeded();
+  assert.equal(load.ejected(1_500), false);
+});
--- a/packages/router/src/process/settings.ts
+++ b/packages/router/src/process/settings.ts
@@ -59,7 +59,9 @@
 
   texts(from: unknown, place: string): readonly string[] {
     const value = valueAt(from, place);
-    if (Array.isArray(value) && value.every((each) => typeof each === "string")) {
+    if (
+      Array.isArray(value) && value.every((each) => typeof each === "string")
+    ) {
       return value;
     }
     return this.#wrong(place, "a list of texts", value, []);
--- /dev/null
+++ b/packages/router/src/request/event_splitter_test.ts
@@ -0,0 +1,34 @@
+import assert from "node:assert/strict";
+import { Buffer } from "node:buffer";
+import { test } from "node:test";
+import fc from "fast-check";
+import { EventSplitter } from "./event_splitter.ts";
+
+// A runner stops in the middle of an event. What reached the caller must end
+// with a whole event, wherever the bytes were cut on the way.
+test("only whole events come out, however the bytes are cut", () => {
+  const text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata";
+  const whole = text.slice(0, text.indexOf("id: 3"));
+  fc.assert(fc.property(
+    fc.array(fc.nat({ max: text.length }), { maxLength: 8 }),
+    (cuts) => {
+      const splitter = new EventSplitter();
+      const ends = [...cuts, text.length].sort((one, other) => one - other);
+      let start = 0;
+      let out = "";
+      let events = 0;
+      for (const end of ends) {
+        for (
+          const event of splitter.push(Buffer.from(text.slice(start, end)))
+        ) {
+          out += event.toString();
+          events += 1;
+        }
+        start = end;
+      }
+      assert.equal(out, whole);
+      assert.equal(events, 2);
+      assert.equal(splitter.pending, true);
+    },
+  ));
+});
--- a/packages/router/src/request/placement.ts
+++ b/packages/router/src/request/placement.ts
@@ -199,16 +199,13 @@
     : holder === undefined
     ? AWAY_UNKNOWN_MS
     : AWAY_MS;
-  const misplaced = tight === kept
-    ? 0
-    : tight
-    ? AMONG_LONG_MS
-    : AMONG_TIGHT_MS;
+  const misplaced = tight === kept ? 0 : tight ? AMONG_LONG_MS : AMONG_TIGHT_MS;
   const harm = !tight && waitMs + ownMs > BEARABLE_MS
     ? TIGHT_STREAM_MS * load.all.tight
     : 0;
   const batch = load.all.inFlight * BESIDE_MS;
-  const costMs = waitMs + WORK_WEIGHT * ownMs + away + misplaced + harm + batch +
+  const costMs = waitMs + WORK_WEIGHT * ownMs + away + misplaced + harm +
+    batch +
     FAILURE_MS * load.failures;
   return {
     runner,
@@ -257,8 +254,7 @@
  * otherwise wait for streams of seconds to end, or preempt them.
  */
 function isOverloaded(fleet: Fleet, demand: Demand, runner: Runner): boolean {
-  const { workTokens, inFlight, memoryTokens } =
-    fleet.loads.of(runner.id).all;
+  const { workTokens, inFlight, memoryTokens } = fleet.loads.of(runner.id).all;
   const { engine, tiersBelow } = demand;
   const share = Math.min(1, FILL_SHARE + FILL_BY_TIER * tiersBelow);
   const memory = memoryTokens + demand.promptTokens + demand.answerTokens;
--- /dev/null
+++ b/packages/router/src/request/placement_test.ts
@@ -0,0 +1,197 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { PrefixRecord } from "../process/prefix_record.ts";
+import type { Runner } from "../process/runner_directory.ts";
+import { RunnerLoads } from "../process/runner_load.ts";
+import { chooseRunner } from "./placement.ts";
+import type { Demand, Fleet } from "./placement.ts";
+
+const ENGINE = {
+  slots: 64,
+  memoryTokens: 600_000,
+  eventTokens: 5,
+  fetchMsPerToken: 0.0012,
+};
+
+function fleetOf(count: number): Fleet {
+  const runners: Runner[] = Array.from({ length: count }, (_, index) => ({
+    id: `r-${index}`,
+    service: "llm",
+    address: "10.0.0.1",
+    port: index,
+    failureDomain: `d-${index % 2}`,
+    slots: 64,
+    draining: false,
+    warmUpMs: 0,
+  }));
+  return {
+    runners,
+    loads: new RunnerLoads(),
+    prefixes: new PrefixRecord(),
+    failureDomain: "d-0",
+    now: 1_000,
+  };
+}
+
+function longPrompt(subject: string): Demand {
+  return {
+    prompt: [{ id: subject, tokens: 13_000 }, {
+      id: `${subject}-own`,
+      tokens: 3_000,
+    }],
+    promptTokens: 16_000,
+    answerTokens: 200,
+    targetMs: 1_500,
+    gapTargetMs: 800,
+    tiersBelow: 0,
+    engine: ENGINE,
+  };
+}
+
+function tightStream(subject: string): Demand {
+  return {
+    ...longPrompt(subject),
+    prompt: [{ id: subject, tokens: 300 }, {
+      id: `${subject}-own`,
+      tokens: 800,
+    }],
+    promptTokens: 1_100,
+    targetMs: 300,
+    gapTargetMs: 200,
+    tiersBelow: 2,
+  };
+}
+
+function plain(): Demand {
+  return { ...longPrompt("x"), prompt: [], engine: undefined };
+}
+
+const NONE: ReadonlySet<string> = new Set();
+
+/** Chooses for demands in turn, all of which stay in flight. */
+function placeAll(fleet: Fleet, demands: readonly Demand[]) {
+  return demands.map((demand) => {
+    const choice = chooseRunner(fleet, demand, NONE)!;
+    fleet.loads.of(choice.runner.id).place({
+      unreadTokens: choice.unreadTokens,
+      memoryTokens: demand.promptTokens + demand.answerTokens,
+      tight: choice.tight,
+    });
+    fleet.prefixes.sent(choice.runner.id, demand.prompt, fleet.now);
+    return choice;
+  });
+}
+
+test("daemons that know nothing of each other choose the same home", () => {
+  const chosen = ["a", "b", "c"].map((subject) => {
+    const homes = [fleetOf(8), fleetOf(8)].map((fleet) =>
+      chooseRunner(fleet, longPrompt(subject), NONE)!.runner.id
+    );
+    assert.equal(homes[0], homes[1]);
+    return homes[0];
+  });
+  assert.ok(new Set(chosen).size > 1);
+});
+
+test("a second request finds the runner that reads its prompt", () => {
+  const fleet = fleetOf(8);
+  const [first, second] = placeAll(fleet, [longPrompt("a"), longPrompt("a")]);
+  assert.equal(second!.runner.id, first!.runner.id);
+  assert.equal(second!.unreadTokens, 3_000);
+});
+
+// Many requests share one prompt. Its home alone would make the last of them
+// wait seconds; others must take some, and fetch the prompt instead of reading.
+test("a hot prompt spreads by fetching, not by reading it again", () => {
+  const fleet = fleetOf(8);
+  const [first] = placeAll(fleet, [longPrompt("a")]);
+  fleet.prefixes.read(first!.runner.id, longPrompt("a").prompt, fleet.now);
+  const rest = placeAll(
+    fleet,
+    Array.from({ length: 20 }, () => longPrompt("a")),
+  );
+  const used = new Set(rest.map(({ runner }) => runner.id));
+  assert.ok(used.size >= 3, `${used.size} runners`);
+  assert.ok(rest.every(({ unreadTokens }) => unreadTokens <= 3_000));
+  assert.ok(rest.some(({ fetchFrom }) => fetchFrom !== undefined));
+});
+
+// Chunks of long prompts delay every token of the streams beside them. Replies
+// with pauses of 200 ms at most must not run where briefs are read.
+test("long prompts and tight streams do not meet while there is room", () => {
+  const fleet = fleetOf(8);
+  const subjects = Array.from({ length: 12 }, (_, index) => `s-${index}`);
+  const choices = placeAll(
+    fleet,
+    subjects.flatMap((subject) => [
+      longPrompt(subject),
+      tightStream(subject),
+    ]),
+  );
+  const long = choices.filter(({ tight }) => !tight);
+  const tight = new Set(
+    choices.filter((each) => each.tight).map(({ runner }) => runner.id),
+  );
+  assert.ok(long.every(({ runner }) => !tight.has(runner.id)));
+});
+
+// A burst of long prompts fills every runner. More of them would leave streams
+// at one token a step and none would end in time; an urgent one still fits.
+test("a burst of the least urgent leaves room for the urgent", () => {
+  const fleet = fleetOf(4);
+  let started = 0;
+  for (let i = 0; i < 500; i += 1) {
+    const demand = longPrompt(`s-${i}`);
+    if (chooseRunner(fleet, demand, NONE)!.overloaded) break;
+    placeAll(fleet, [demand]);
+    started += 1;
+  }
+  assert.ok(started > 10 && started < 100, `${started} started`);
+  assert.equal(chooseRunner(fleet, longPrompt("x"), NONE)!.overloaded, true);
+  assert.equal(chooseRunner(fleet, tightStream("y"), NONE)!.overloaded, false);
+});
+
+test("a lost runner moves only its own prompts", () => {
+  const all = fleetOf(8);
+  const subjects = Array.from({ length: 60 }, (_, index) => `s-${index}`);
+  const homeOf = (fleet: Fleet, subject: string) =>
+    chooseRunner(fleet, longPrompt(subject), NONE)!.runner.id;
+  const before = subjects.map((subject) => homeOf(all, subject));
+  const lost = before[0]!;
+  const left = { ...all, runners: all.runners.filter(({ id }) => id !== lost) };
+  const moved = subjects.filter((subject, index) =>
+    before[index] !== lost && homeOf(left, subject) !== before[index]
+  );
+  // A runner may change sides between the two pools; its prompts move too.
+  assert.ok(moved.length <= 25, `${moved.length} moved`);
+});
+
+test("plain requests go to the least loaded, near ones first", () => {
+  const fleet = fleetOf(4);
+  const near = chooseRunner(fleet, plain(), NONE)!.runner;
+  assert.equal(near.failureDomain, "d-0");
+  for (const { id, failureDomain } of fleet.runners) {
+    if (failureDomain === "d-1") continue;
+    const placed = { unreadTokens: 0, memoryTokens: 0, tight: false };
+    fleet.loads.of(id).place(placed);
+  }
+  assert.equal(
+    chooseRunner(fleet, plain(), NONE)!.runner.failureDomain,
+    "d-1",
+  );
+});
+
+// Every runner looks dead, most likely because this daemon was cut off. Sending
+// nothing until the pauses are over would add to the outage.
+test("when all runners rest, one is tried all the same", () => {
+  const fleet = fleetOf(2);
+  for (const { id } of fleet.runners) {
+    fleet.loads.of(id).failed(fleet.now);
+    fleet.loads.of(id).failed(fleet.now);
+  }
+  assert.notEqual(chooseRunner(fleet, plain(), NONE), undefined);
+  assert.equal(
+    chooseRunner(fleet, plain(), new Set(["r-0", "r-1"])),
+    undefined,
+  );
+});
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { randomUUID } from "node:crypto";
 import { CallerServer, listen } from "./connection/caller_server.ts";
 import { Peers } from "./connection/peers.ts";
@@ -94,6 +94,7 @@
   readonly #registration: Registration;
   readonly #survey: MemorySurvey;
   #surveyed = false;
+  #statusServers: readonly Server[] = [];
   #configuration: Configuration | undefined;
   #table: RoutingTable | undefined;
 
@@ -182,6 +183,21 @@
     return budget;
   }
 
+  /** The port that callers connect to. */
+  get callersPort(): number {
+    return this.#server.port;
+  }
+
+  /** The port that other daemons connect to. */
+  get peersPort(): number {
+    return this.#peers.port;
+  }
+
+  /** Whether the daemon asks for traffic. */
+  get ready(): boolean {
+    return this.#lifecycle.missing().length === 0;
+  }
+
   /** Opens the ports and starts to follow the store. */
   async start(): Promise<void> {
     const { readiness, metrics } = this.#settings;
@@ -189,11 +205,13 @@
       readiness.path,
       this.#lifecycle,
     );
+    const metricsServer = createMetricsServer(metrics.path, this.metrics);
+    this.#statusServers = [readinessServer, metricsServer];
     await Promise.all([
       this.#server.open(this.#settings.callers),
       this.#peers.open(this.#settings.peers),
       listen(readinessServer, readiness),
-      listen(createMetricsServer(metrics.path, this.metrics), metrics),
+      listen(metricsServer, metrics),
     ]);
     this.log.event("started", { name: this.#settings.name });
     this.#peers.learn(this.#settings.seeds);
@@ -207,6 +225,17 @@
     );
   }
 
+  /** Ends at once, without hand-over. */
+  stop(): void {
+    this.#configurations.stop();
+    this.#runners.stop();
+    this.#sharing.stop();
+    this.#peers.stop();
+    this.#registration.stop();
+    this.#server.destroy();
+    for (const server of this.#statusServers) server.close();
+  }
+
   /**
    * Hands over: not ready from now on, but serving what arrives until the
    * balancer has turned away; then finishing what is in flight.
@@ -276,9 +305,10 @@
   #timing(known: () => boolean): FollowerTiming {
     return {
       waitMs: () => {
-        const watchers = 1 + this.#peers.alive.filter((peer) =>
-          this.#watches(peer.name, peer.failureDomain)
-        ).length;
+        const watchers = 1 +
+          this.#peers.alive.filter((peer) =>
+            this.#watches(peer.name, peer.failureDomain)
+          ).length;
         const wait = Math.min(
           LONGEST_WAIT_MS,
           Math.max(SHORTEST_WAIT_MS, WAIT_PER_WATCHER_MS * watchers),
--- /dev/null
+++ b/packages/router/tests/fixtures.ts
@@ -0,0 +1,326 @@
+/**
+ * A router with a played platform and played runners, in one process.
+ *
+ * @module
+ */
+import { once } from "node:events";
+import { request } from "node:http";
+import { createServer } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
+import { text } from "node:stream/consumers";
+import type { TestContext } from "node:test";
+import type { DaemonRegistry } from "../src/process/daemon_registry.ts";
+import type { EventLog } from "../src/process/event_log.ts";
+import { FeedError } from "../src/process/feed.ts";
+import type { Changes, Feed, Listing } from "../src/process/feed.ts";
+import type { Runner } from "../src/process/runner_directory.ts";
+import type { RouterSettings } from "../src/process/settings.ts";
+import type { Dialect } from "../src/request/call.ts";
+import { endToEndHeaders, headerOf } from "../src/request/headers.ts";
+import { Router } from "../src/router.ts";
+import type { Configuration, Route } from "../src/version/configuration.ts";
+
+const LOCALHOST = "127.0.0.1";
+
+/** A log that keeps nothing. */
+export const SILENT_LOG: EventLog = { event() {}, decision() {} };
+
+/** Headers that these tests use; any platform's could stand here. */
+export const TEST_DIALECT: Dialect = {
+  readCall: (headers) => ({
+    id: headerOf(headers, "x-id") ?? "",
+    host: headerOf(headers, "host") ?? "",
+    key: headerOf(headers, "x-key"),
+    deadlineMs: Number(headerOf(headers, "x-deadline") ?? 5_000),
+    promptTokens: 0,
+    answerTokens: 0,
+    prompt: [],
+    lastEventId: undefined,
+  }),
+  sendHeaders: (headers, head) => [
+    ...endToEndHeaders(headers, new Set(["x-key", "x-tenant", "x-deadline"])),
+    "X-Tenant",
+    head.workspace ?? "",
+    "X-Runner",
+    head.runnerId,
+    ...(head.lastEventId === undefined
+      ? []
+      : ["Last-Event-Id", String(head.lastEventId)]),
+  ],
+  readAnswer: (status, headers) => ({
+    id: headerOf(headers, "x-id"),
+    sealed: headerOf(headers, "x-seal") !== undefined,
+    notRun: headerOf(headers, "x-not-run") !== undefined,
+    otherRunner: status === 421,
+    encoded: false,
+    load: undefined,
+  }),
+  eventId: (event) => {
+    const id = /^id: (\d+)$/m.exec(event)?.[1];
+    return id === undefined ? undefined : Number(id);
+  },
+};
+
+/** A feed whose values a test sets. */
+export class SettableFeed<T> implements Feed<T> {
+  #listing: Listing<T>;
+  #wake: (() => void)[] = [];
+  /** Whether every call fails. */
+  down = false;
+
+  constructor(values: readonly T[]) {
+    this.#listing = { revision: 1, values };
+  }
+
+  set(values: readonly T[]): void {
+    this.#listing = { revision: this.#listing.revision + 1, values };
+    for (const wake of this.#wake.splice(0)) wake();
+  }
+
+  list(): Promise<Listing<T>> {
+    if (this.down) return Promise.reject(new FeedError("unavailable", "down"));
+    return Promise.resolve(this.#listing);
+  }
+
+  async watch(
+    since: number,
+    _waitMs: number,
+    signal: AbortSignal,
+  ): Promise<Changes<T>> {
+    if (this.down) throw new FeedError("unavailable", "down");
+    if (this.#listing.revision <= since) {
+      await new Promise<void>((resolve) => {
+        this.#wake.push(resolve);
+        signal.addEventListener("abort", () => resolve());
+      });
+    }
+    const { revision, values } = this.#listing;
+    return { revision, entered: values, left: [] };
+  }
+}
+
+/** A route to service `service`, for every path of host `test`. */
+export function testRoute(fields: Partial<Route> = {}): Route {
+  return {
+    name: "route",
+    host: "test",
+    pathPrefix: "/",
+    repetition: "never",
+    streaming: false,
+    timeoutMs: 2_000,
+    targetMs: 500,
+    gapTargetMs: undefined,
+    tier: 0,
+    destinations: [{ service: "service", weight: 1 }],
+    maxAttempts: 1,
+    anonymous: true,
+    ...fields,
+  };
+}
+
+/** A configuration with the routes given. */
+export function testConfiguration(
+  routes: readonly Route[],
+  fields: Partial<Configuration> = {},
+): Configuration {
+  return {
+    version: 1,
+    routes,
+    services: [
+      { name: "service", maxConnections: 10, engine: undefined },
+    ],
+    workspaces: [],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1_000,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 10_000,
+    },
+    ...fields,
+  };
+}
+
+/** Plays a runner's side of one request, given its text. */
+export type Play = (socket: Socket, request: string, id: string) => void;
+
+/** A runner that a test plays byte by byte. */
+export interface PlayedRunner {
+  readonly runner: Runner;
+  /** Texts of the requests that came. */
+  readonly requests: string[];
+  /** Requests whose connection has closed. */
+  closed: number;
+}
+
+/** Opens a runner. */
+export async function playRunner(
+  context: TestContext,
+  id: string,
+  play: Play,
+): Promise<PlayedRunner> {
+  const requests: string[] = [];
+  const sockets = new Set<Socket>();
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on("error", () => {});
+    socket.on("close", () => {
+      sockets.delete(socket);
+      played.closed += 1;
+    });
+    socket.on("data", (chunk) => {
+      const received = chunk.toString("latin1");
+      requests.push(received);
+      play(socket, received, /x-id: (\S+)/i.exec(received)?.[1] ?? "");
+    });
+  });
+  server.listen(0, LOCALHOST);
+  await once(server, "listening");
+  context.after(() => {
+    server.close();
+    for (const socket of sockets) socket.destroy();
+  });
+  const { port } = server.address() as AddressInfo;
+  const played: PlayedRunner = {
+    runner: {
+      id,
+      service: "service",
+      address: LOCALHOST,
+      port,
+      failureDomain: "a",
+      slots: 8,
+      draining: false,
+      warmUpMs: 0,
+    },
+    requests,
+    closed: 0,
+  };
+  return played;
+}
+
+/** A whole answer of a runner. */
+export function answer(
+  id: string,
+  body: string,
+  options: { readonly status?: string; readonly headers?: string } = {},
+): string {
+  return `HTTP/1.1 ${options.status ?? "200 OK"}\r\nX-Id: ${id}\r\n` +
+    `X-Seal: s\r\n${options.headers ?? ""}` +
+    `Content-Length: ${body.length}\r\n\r\n${body}`;
+}
+
+/** The head of a stream, and its parts as chunks. */
+export function streamHead(id: string): string {
+  return `HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nX-Seal: s\r\n` +
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+/** One chunk of a body. */
+export function chunk(part: string): string {
+  return `${part.length.toString(16)}\r\n${part}\r\n`;
+}
+
+function testSettings(fields: Partial<RouterSettings>): RouterSettings {
+  const address = { host: LOCALHOST, port: 0 };
+  return {
+    name: "host-1",
+    failureDomain: "a",
+    callers: address,
+    readiness: { ...address, path: "/ready" },
+    metrics: { ...address, path: "/metrics" },
+    peers: address,
+    seeds: [],
+    store: address,
+    maxConnections: 100,
+    graceMs: 3_000,
+    retries: { ratio: 10, extra: 100, windowMs: 10_000 },
+    ...fields,
+  };
+}
+
+const NO_DAEMONS: DaemonRegistry = {
+  enter: () => Promise.resolve(),
+  leave: () => Promise.resolve(),
+  addresses: () => Promise.resolve([]),
+};
+
+/** A router that is ready, unless it has no configuration. */
+export async function startRouter(
+  context: TestContext,
+  parts: {
+    readonly configurations: Feed<Configuration>;
+    readonly runners: Feed<Runner>;
+    readonly settings?: Partial<RouterSettings>;
+    readonly log?: EventLog;
+  },
+): Promise<Router> {
+  const router = new Router(testSettings(parts.settings ?? {}), {
+    dialect: TEST_DIALECT,
+    configurations: parts.configurations,
+    runners: parts.runners,
+    daemons: NO_DAEMONS,
+    memory: { held: () => Promise.resolve([]) },
+  }, parts.log ?? SILENT_LOG);
+  await router.start();
+  context.after(() => router.stop());
+  return router;
+}
+
+/** Waits until something holds, asking again at each turn of the loop. */
+export async function until(holds: () => boolean): Promise<void> {
+  while (!holds()) await new Promise((resolve) => setTimeout(resolve, 5));
+}
+
+/** A router with one route to the runners given. */
+export async function routeTo(
+  context: TestContext,
+  route: Partial<Route>,
+  runners: readonly PlayedRunner[],
+  fields: Partial<Configuration> = {},
+): Promise<Router> {
+  const router = await startRouter(context, {
+    configurations: new SettableFeed([
+      testConfiguration([testRoute(route)], fields),
+    ]),
+    runners: new SettableFeed(runners.map(({ runner }) => runner)),
+  });
+  await until(() => router.ready);
+  return router;
+}
+
+/** What a caller got. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly body: string;
+  /** Whether the connection broke off before the end of the answer. */
+  readonly broken: boolean;
+}
+
+/** Sends a request as a caller. */
+export async function call(
+  router: Router,
+  options: {
+    readonly method?: string;
+    readonly path?: string;
+    readonly body?: string;
+    readonly headers?: Readonly<Record<string, string>>;
+  } = {},
+): Promise<CallerAnswer> {
+  const outgoing = request({
+    host: LOCALHOST,
+    port: router.callersPort,
+    method: options.method ?? "GET",
+    path: options.path ?? "/",
+    headers: { host: "test", "x-id": "try-1", ...options.headers },
+    agent: false,
+  });
+  outgoing.end(options.body);
+  const [incoming] = await once(outgoing, "response");
+  const { statusCode: status, headers } = incoming;
+  try {
+    const body = await text(incoming);
+    return { status, headers, body, broken: false };
+  } catch {
+    return { status, headers, body: "", broken: true };
+  }
+}
