Bound the backlog of reading; limits, reload, connection shares

Change: less urgent requests start only where at most 600 ms of reading is ahead, and wait for that up to their target, then get 503 with Retry-After. Work in flight up to 4,000 ms.

--- a/packages/router/src/connection/runner_connections.ts
+++ b/packages/router/src/connection/runner_connections.ts
@@ -56,15 +56,24 @@
 export class RunnerConnections {
   readonly #agents = new Map<string, Agent>();
 
-  /** The agent for a runner; a new life of it shares no connection. */
-  agent(runner: Runner): Agent {
+  /**
+   * The agent for a runner; a new life of it shares no connection.
+   *
+   * @param maxConnections this daemon's part of what the runner accepts; beyond
+   * it the runner resets connections, and requests with them.
+   */
+  agent(runner: Runner, maxConnections: number): Agent {
     const known = this.#agents.get(runner.id);
-    if (known !== undefined) return known;
+    if (known !== undefined) {
+      known.maxSockets = maxConnections;
+      return known;
+    }
     const agent = new RunnerAgent({
       keepAlive: true,
       // The connection that rested longest: a second answer to an earlier
       // request has had the most time to arrive there and be found.
       scheduling: "fifo",
+      maxSockets: maxConnections,
     });
     this.#agents.set(runner.id, agent);
     return agent;
--- a/packages/router/src/request/attempt.ts
+++ b/packages/router/src/request/attempt.ts
@@ -69,6 +69,8 @@
     tools: {
       readonly dialect: Dialect;
       readonly connections: RunnerConnections;
+      /** Most connections to one runner. */
+      readonly maxConnections: number;
       /** Told of each new connection that was opened. */
       readonly onConnect: () => void;
     },
@@ -80,7 +82,7 @@
       ? []
       : ["Content-Length", String(send.body.length)];
     this.#outgoing = request({
-      agent: tools.connections.agent(runner),
+      agent: tools.connections.agent(runner, tools.maxConnections),
       host: runner.address,
       port: runner.port,
       method: send.method,
--- a/packages/router/src/request/daemon.ts
+++ b/packages/router/src/request/daemon.ts
@@ -9,6 +9,7 @@
 import type { RetryBudget } from "../process/retry_budget.ts";
 import type { RunnerLoads } from "../process/runner_load.ts";
 import type { RequestMetrics } from "../process/metrics.ts";
+import type { Service } from "../version/configuration.ts";
 import type { RoutingTable } from "../version/routing_table.ts";
 import type { Dialect } from "./call.ts";
 import type { Fleet } from "./placement.ts";
@@ -33,6 +34,8 @@
   fleet(service: string): Fleet;
   /** Milliseconds since the list of runners was last confirmed. */
   runnersAgeMs(): number;
+  /** Connections that this daemon may have to one runner of a service. */
+  connectionShare(service: Service): number;
   /** Repeats that may be sent to a service. */
   budget(service: string): RetryBudget;
 }
--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -12,6 +12,7 @@
 import type { Sent } from "./attempt.ts";
 import type { CallHead } from "./call.ts";
 import type { Caller, Refusal } from "./caller.ts";
+import { headerBytes } from "./headers.ts";
 import type { Daemon } from "./daemon.ts";
 import { chooseRunner } from "./placement.ts";
 import type { Choice } from "./placement.ts";
@@ -23,7 +24,7 @@
 /** Milliseconds after which a refused caller may come back; spread by as much. */
 const RETRY_AFTER_MS = 250;
 /** Part of a request's target for which it waits for a runner with less work. */
-const HOLD_SHARE = 0.5;
+const HOLD_SHARE = 1;
 /** Milliseconds between two looks for such a runner. */
 const HOLD_STEP_MS = 20;
 /** Part of its time that a caller will stay away when told so. */
@@ -107,6 +108,10 @@
     if (table === undefined) {
       return { status: 503, code: "not_ready", retryAfterMs: 1_000 };
     }
+    const { rawHeaders } = this.#caller.request;
+    if (headerBytes(rawHeaders) > table.limits.maxHeaderBytes) {
+      return { status: 431, code: "header_too_large", close: true };
+    }
     const route = table.route(call.host, this.#caller.request.url ?? "/");
     if (route === undefined) return { status: 404, code: "no_route" };
     const workspace = this.#authenticate(table, route, call);
@@ -265,6 +270,7 @@
     }, {
       dialect: this.#daemon.dialect,
       connections: this.#daemon.connections,
+      maxConnections: this.#daemon.connectionShare(service),
       onConnect: () => this.#daemon.metrics.connected(service.name),
     });
   }
@@ -365,6 +371,7 @@
     this.#relay ??= new StreamRelay(this.#caller.response, {
       dialect: this.#daemon.dialect,
       onEvent: () => {},
+      lastId: subject.call.lastEventId,
     });
     let begun = false;
     const end = await this.#relay.relay(incoming, () => {
--- a/packages/router/src/request/headers.ts
+++ b/packages/router/src/request/headers.ts
@@ -48,6 +48,11 @@
   return kept;
 }
 
+/** Bytes that headers take on the wire, with separators and line ends. */
+export function headerBytes(headers: RawHeaders): number {
+  return headers.reduce((sum, text) => sum + text.length + 2, 0);
+}
+
 /** The first value of a header, by its name in lower case. */
 export function headerOf(
   headers: RawHeaders,
--- a/packages/router/src/request/placement.ts
+++ b/packages/router/src/request/placement.ts
@@ -86,13 +86,21 @@
 /** What a runner's other requests slow down one more, in ms each. */
 const BESIDE_MS = 4;
 /** Work in ms that a runner may have in flight when the least urgent start. */
-const MAX_WORK_MS = 2_500;
+const MAX_WORK_MS = 4_000;
 /** Part of a runner's slots and memory that the least urgent may fill. */
 const FILL_SHARE = 0.6;
 /** How much more of them each more urgent tier may fill. */
 const FILL_BY_TIER = 0.2;
+/**
+ * Reading in ms that may be ahead of the least urgent when it starts. Engines
+ * read the prompts that they have admitted in turn, whatever their tiers, so
+ * this bounds what an urgent request waits for.
+ */
+const MAX_BACKLOG_MS = 600;
 /** How much more it may have for each tier that a request is more urgent. */
 const WORK_BY_TIER = 1.6;
+/** How much slower a runner is taken to be while it warms up. */
+const WARM_UP_FACTOR = 2;
 /** What each failure since the last success counts, in ms of wait. */
 const FAILURE_MS = 300;
 /** Requests that a runner in another failure domain must have less to be taken. */
@@ -130,7 +138,9 @@
       ? 0
       : DOMAIN_PENALTY;
     const requests = load.requests(fleet.now);
-    return (requests + far + load.failures) / Math.max(1, runner.slots);
+    const slow = runner.warmUpMs > 0 ? WARM_UP_FACTOR : 1;
+    return slow * (1 + requests + far + load.failures) /
+      Math.max(1, runner.slots);
   };
   let best = runners[0]!;
   for (const runner of runners) {
@@ -204,7 +214,9 @@
     ? TIGHT_STREAM_MS * load.all.tight
     : 0;
   const batch = load.all.inFlight * BESIDE_MS;
-  const costMs = waitMs + WORK_WEIGHT * ownMs + away + misplaced + harm +
+  const slow = runner.warmUpMs > 0 ? WARM_UP_FACTOR : 1;
+  const costMs = slow * (waitMs + WORK_WEIGHT * ownMs) + away + misplaced +
+    harm +
     batch +
     FAILURE_MS * load.failures;
   return {
@@ -250,15 +262,18 @@
  * While an engine reads prompts without pause, streams get one token a step of
  * 40 ms instead of 6; those that need hundreds then run into their timeouts,
  * and all the work on them is lost. With less in flight, reading pauses and
- * they end. Slots and memory are kept back for more urgent tiers, which would
+ * they end. A runner's backlog is bounded too. Slots and memory are kept back for more urgent tiers, which would
  * otherwise wait for streams of seconds to end, or preempt them.
  */
 function isOverloaded(fleet: Fleet, demand: Demand, runner: Runner): boolean {
-  const { workTokens, inFlight, memoryTokens } = fleet.loads.of(runner.id).all;
+  const { workTokens, unreadTokens, inFlight, memoryTokens } =
+    fleet.loads.of(runner.id).all;
   const { engine, tiersBelow } = demand;
   const share = Math.min(1, FILL_SHARE + FILL_BY_TIER * tiersBelow);
   const memory = memoryTokens + demand.promptTokens + demand.answerTokens;
-  return readMs(workTokens) > MAX_WORK_MS * WORK_BY_TIER ** tiersBelow ||
+  const more = WORK_BY_TIER ** tiersBelow;
+  return readMs(workTokens) > MAX_WORK_MS * more ||
+    readMs(unreadTokens) > MAX_BACKLOG_MS * more ||
     inFlight >= share * engine!.slots ||
     memory > share * engine!.memoryTokens;
 }
--- a/packages/router/src/request/stream_relay.ts
+++ b/packages/router/src/request/stream_relay.ts
@@ -21,17 +21,23 @@
   readonly #response: ServerResponse;
   readonly #dialect: Dialect;
   readonly #onEvent: () => void;
+  /** Before any event, the last one that the caller says it has. */
   #lastId: number | undefined;
   #events = 0;
 
   /** @param onEvent called for each event that comes from a runner. */
   constructor(
     response: ServerResponse,
-    options: { readonly dialect: Dialect; readonly onEvent: () => void },
+    options: {
+      readonly dialect: Dialect;
+      readonly onEvent: () => void;
+      readonly lastId: number | undefined;
+    },
   ) {
     this.#response = response;
     this.#dialect = options.dialect;
     this.#onEvent = options.onEvent;
+    this.#lastId = options.lastId;
   }
 
   /** Id of the last event that was passed on. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -34,7 +34,7 @@
 import type { Daemon } from "./request/daemon.ts";
 import { Exchange } from "./request/exchange.ts";
 import type { Fleet } from "./request/placement.ts";
-import type { Configuration } from "./version/configuration.ts";
+import type { Configuration, Service } from "./version/configuration.ts";
 import { RoutingTable } from "./version/routing_table.ts";
 
 /** What the platform provides. */
@@ -59,6 +59,13 @@
  * known, each takes a share that is safe for this many.
  */
 const LEAST_DAEMONS = 8;
+/**
+ * Part of a runner's connections that daemons take together; the rest is for
+ * daemons that are not known yet.
+ */
+const CONNECTION_SHARE = 0.8;
+/** Connections to a runner that a daemon takes in any case. */
+const LEAST_CONNECTIONS = 2;
 /**
  * Milliseconds of a watch for each daemon that watches. With the versions that
  * daemons tell each other, one answer suffices for all: their waits end at
@@ -74,6 +81,13 @@
 /** Daemons of a failure domain that watch the store; the others hear of it. */
 const WATCHERS_PER_DOMAIN = 3;
 
+/** Settings that take effect without a restart. */
+const CHANGEABLE: ReadonlySet<keyof RouterSettings> = new Set([
+  "seeds",
+  "retries",
+  "graceMs",
+]);
+
 /** Routes requests from its start until SIGTERM. */
 export class Router implements Daemon {
   readonly dialect: Dialect;
@@ -82,7 +96,7 @@
   readonly prefixes = new PrefixRecord();
   readonly metrics = new RequestMetrics();
   readonly log: EventLog;
-  readonly #settings: RouterSettings;
+  #settings: RouterSettings;
   readonly #lifecycle: Lifecycle;
   readonly #server: CallerServer;
   readonly #directory = new RunnerDirectory();
@@ -172,6 +186,12 @@
     return this.now() - this.#runners.confirmedAt;
   }
 
+  connectionShare(service: Service): number {
+    const share = CONNECTION_SHARE * service.maxConnections /
+      this.#peers.fleetSize;
+    return Math.max(LEAST_CONNECTIONS, Math.floor(share));
+  }
+
   budget(service: string): RetryBudget {
     const known = this.#budgets.get(service);
     if (known !== undefined) return known;
@@ -225,6 +245,26 @@
     );
   }
 
+  /**
+   * Takes changed settings, as far as a running process can: seeds, the bounds
+   * of retries and the time for the hand-over. Addresses stay until a restart.
+   */
+  apply(settings: RouterSettings): void {
+    const names = Object.keys(settings) as (keyof RouterSettings)[];
+    const changed = names.filter((name) =>
+      JSON.stringify(settings[name]) !== JSON.stringify(this.#settings[name])
+    );
+    if (changed.length === 0) return;
+    const restart = changed.filter((name) => !CHANGEABLE.has(name));
+    this.log.event("settings_changed", {
+      changed: changed.join(","),
+      need_restart: restart.length === 0 ? undefined : restart.join(","),
+    });
+    this.#settings = settings;
+    this.#budgets.clear();
+    this.#peers.learn(settings.seeds);
+  }
+
   /** Ends at once, without hand-over. */
   stop(): void {
     this.#configurations.stop();
