--- a/packages/daemon/src/request/end_to_end_headers.ts
+++ b/packages/daemon/src/request/end_to_end_headers.ts
@@ -3,21 +3,9 @@
  *
  * @module
  */
+import { HOP_BY_HOP } from "@umbermast/router/headers";
 import type { Header } from "./call.ts";
 
-/** Headers that concern one connection only (RFC 9110, section 7.6.1). */
-const HOP_BY_HOP: ReadonlySet<string> = new Set([
-  "connection",
-  "keep-alive",
-  "proxy-authenticate",
-  "proxy-authorization",
-  "proxy-connection",
-  "te",
-  "trailer",
-  "transfer-encoding",
-  "upgrade",
-]);
-
 /** Request headers that this daemon consumes or writes anew. */
 const OWN_REQUEST: ReadonlySet<string> = new Set([
   "authorization",
--- a/packages/router/src/process/daemon_registry.ts
+++ b/packages/router/src/process/daemon_registry.ts
@@ -5,6 +5,7 @@
  */
 import type { EventLog } from "./event_log.ts";
 import { FeedError } from "./feed.ts";
+import { pause } from "./pause.ts";
 
 /** Entries of daemons that outlive them. All calls throw {@linkcode FeedError}. */
 export interface DaemonRegistry {
@@ -52,7 +53,7 @@
   async enter(): Promise<void> {
     while (!this.#stopped) {
       if (await this.#done("enter", () => this.#enter())) return;
-      await pause(RETRY_MS);
+      await pause(RETRY_MS, { background: true });
     }
   }
 
@@ -67,7 +68,7 @@
           found(await this.#registry.addresses());
         });
       }
-      await pause(ALONE_MS * (0.5 + Math.random()));
+      await pause(ALONE_MS * (0.5 + Math.random()), { background: true });
     }
   }
 
@@ -91,7 +92,3 @@
     }
   }
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms).unref());
-}
--- a/packages/router/src/process/feed.ts
+++ b/packages/router/src/process/feed.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import { pause } from "./pause.ts";
+
 /** All objects at one revision of the store. */
 export interface Listing<T> {
   readonly revision: number;
@@ -181,7 +183,3 @@
     await pause(pauseMs);
   }
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/router/src/process/memory_survey.ts
+++ b/packages/router/src/process/memory_survey.ts
@@ -5,6 +5,7 @@
  */
 import { Rendezvous } from "@umbermast/coordination/rendezvous";
 import type { EventLog } from "./event_log.ts";
+import { pause } from "./pause.ts";
 import type { PrefixRecord, PromptPart } from "./prefix_record.ts";
 import type { Runner } from "./runner_directory.ts";
 
@@ -56,7 +57,7 @@
 
   /** Asks this daemon's part of the runners. */
   async run(fleet: SurveyedFleet): Promise<void> {
-    await new Promise((resolve) => setTimeout(resolve, SETTLE_MS));
+    await pause(SETTLE_MS);
     const daemons = new Rendezvous(fleet.daemons());
     const own = fleet.engines().filter(({ id }) =>
       daemons.order(id)[0] === this.#name
--- a/packages/router/src/process/runner_load.ts
+++ b/packages/router/src/process/runner_load.ts
@@ -47,6 +47,12 @@
 const FIRST_EJECTION_MS = 500;
 /** Longest span, so that a runner that recovers is found within it. */
 const LONGEST_EJECTION_MS = 4_000;
+/**
+ * Milliseconds without a word on any request that is at a runner, after which
+ * it is taken to be dark. Runners with a stream send an event each 30 to 250 ms,
+ * and plain services answer within 450.
+ */
+const SILENCE_MS = 900;
 /** Age in ms at which a reported load says nothing more. */
 const REPORT_LIFE_MS = 1_000;
 
@@ -62,6 +68,8 @@
   #ejectedUntil = 0;
   #report: ReportedLoad | undefined;
   #reportedAt = -Infinity;
+  /** When the runner last said anything, or got work after having had none. */
+  #heardAt = 0;
 
   /** @param onChange called when the load that this daemon puts on it changes. */
   constructor(onChange: () => void = () => {}) {
@@ -84,7 +92,8 @@
   }
 
   /** Counts a request that is about to be sent. */
-  place(placed: Placed): void {
+  place(placed: Placed, now: number): void {
+    if (this.#own.inFlight === 0) this.#heardAt = now;
     this.#placed.add(placed);
     this.#starting.add(placed);
     this.#change({
@@ -102,6 +111,11 @@
     this.#change({ ...NO_SHARE, unreadTokens: -placed.unreadTokens });
   }
 
+  /** Something came from the runner, whatever it was. */
+  heard(now: number): void {
+    this.#heardAt = now;
+  }
+
   /** It is no longer at the runner. */
   release(placed: Placed): void {
     this.started(placed);
@@ -163,9 +177,14 @@
     this.#ejectedUntil = now + span;
   }
 
-  /** Whether the runner is left out for now. */
+  /**
+   * Whether the runner is left out for now: it rests after failures, or says
+   * nothing on all that is there. What is there goes on, as silence alone is no
+   * reason to break it off; but more requests would only wait beside it.
+   */
   ejected(now: number): boolean {
-    return now < this.#ejectedUntil;
+    if (now < this.#ejectedUntil) return true;
+    return this.#own.inFlight > 0 && now - this.#heardAt > SILENCE_MS;
   }
 
   #change(change: Share): void {
--- a/packages/router/src/process/runner_load_test.ts
+++ b/packages/router/src/process/runner_load_test.ts
@@ -14,7 +14,7 @@
 
 test("load ends in steps: the prompt is read, then the request is over", () => {
   const load = new RunnerLoads().of("r-1");
-  load.place(PLACED);
+  load.place(PLACED, 0);
   assert.deepEqual(load.all, {
     inFlight: 1,
     unreadTokens: 100,
@@ -55,3 +55,18 @@
   load.succeeded();
   assert.equal(load.ejected(1_500), false);
 });
+
+// A runner goes dark with kept connections open: requests that are sent on them
+// hang until their timeouts, and more would follow them there.
+test("a runner that says nothing on all it has gets no more", () => {
+  const load = new RunnerLoads().of("r-1");
+  load.place(PLACED, 5_000);
+  assert.equal(load.ejected(5_500), false);
+  assert.equal(load.ejected(6_000), true);
+  load.heard(6_100);
+  assert.equal(load.ejected(6_200), false);
+  load.release(PLACED);
+  assert.equal(load.ejected(60_000), false);
+  load.place(PLACED, 60_000);
+  assert.equal(load.ejected(60_100), false);
+});
--- /dev/null
+++ b/packages/router/src/process/watch_plan.ts
@@ -0,0 +1,53 @@
+/**
+ * Which daemons watch the store, and for how long at a time.
+ *
+ * @module
+ */
+
+/**
+ * Milliseconds of a watch for each daemon that watches. With the versions that
+ * daemons tell each other, one answer suffices for all: their waits end at
+ * different times, so a change that connections hide is found within about one
+ * such span by one of them.
+ */
+const WAIT_PER_WATCHER_MS = 700;
+/** Shortest wait of a watch, in ms: what a daemon without peers uses. */
+const SHORTEST_WAIT_MS = 1_500;
+const LONGEST_WAIT_MS = 10_000;
+/** Least part of a wait, so that waits that began together come apart. */
+const LEAST_WAIT_SHARE = 0.7;
+/** Daemons of a failure domain that watch the store; the others hear of it. */
+const WATCHERS_PER_DOMAIN = 3;
+
+/** A daemon, as others see it. */
+export interface Watcher {
+  readonly name: string;
+  readonly failureDomain: string;
+}
+
+/**
+ * Whether a daemon is among those that watch for its failure domain: the first
+ * ones by name. All daemons that see the same fleet agree without asking; where
+ * they do not, one more or less watches.
+ */
+export function watches(one: Watcher, fleet: readonly Watcher[]): boolean {
+  const before = fleet.filter(({ name, failureDomain }) =>
+    failureDomain === one.failureDomain && name < one.name
+  );
+  return before.length < WATCHERS_PER_DOMAIN;
+}
+
+/**
+ * Milliseconds for which the next watch waits.
+ *
+ * @param point in [0, 1), from a random number generator.
+ */
+export function watchMs(fleet: readonly Watcher[], point: number): number {
+  const watchers = fleet.filter((each) => watches(each, fleet)).length;
+  const wait = Math.min(
+    LONGEST_WAIT_MS,
+    Math.max(SHORTEST_WAIT_MS, WAIT_PER_WATCHER_MS * watchers),
+  );
+  const share = LEAST_WAIT_SHARE + (1 - LEAST_WAIT_SHARE) * point;
+  return Math.round(wait * share);
+}
--- /dev/null
+++ b/packages/router/src/process/watch_plan_test.ts
@@ -0,0 +1,29 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { watches, watchMs } from "./watch_plan.ts";
+import type { Watcher } from "./watch_plan.ts";
+
+function fleetOf(daemons: number): readonly Watcher[] {
+  return Array.from({ length: daemons }, (_, index) => ({
+    name: `host-${index}`,
+    failureDomain: `d-${index % 3}`,
+  }));
+}
+
+// Every watch counts as a call, and the store's rates grow more slowly than the
+// fleet. Calls must follow failure domains, not daemons.
+test("the calls of watches do not grow with the fleet", () => {
+  const rateOf = (daemons: number) => {
+    const fleet = fleetOf(daemons);
+    const watching = fleet.filter((each) => watches(each, fleet)).length;
+    return 1_000 * watching / watchMs(fleet, 0.5);
+  };
+  assert.ok(Math.abs(rateOf(65) - rateOf(380)) < 0.1);
+  assert.ok(rateOf(380) < 2);
+});
+
+test("a daemon alone watches, and for a short time", () => {
+  const [alone] = fleetOf(1);
+  assert.equal(watches(alone!, [alone!]), true);
+  assert.ok(watchMs([alone!], 0.99) <= 1_500);
+});
--- /dev/null
+++ b/packages/router/src/request/admission.ts
@@ -0,0 +1,50 @@
+/**
+ * Whether a runner has room for one more request of a tier.
+ *
+ * @module
+ */
+import type { Runner } from "../process/runner_directory.ts";
+import { readMs } from "./demand.ts";
+import type { Demand, Fleet } from "./demand.ts";
+
+/** Work in ms that a runner may have in flight when the least urgent start. */
+const MAX_WORK_MS = 4_000;
+/** Part of a runner's slots and memory that the least urgent may fill. */
+const FILL_SHARE = 0.6;
+/** How much more of them each more urgent tier may fill. */
+const FILL_BY_TIER = 0.2;
+/**
+ * Reading in ms that may be ahead of the least urgent when it starts. Engines
+ * read the prompts that they have admitted in turn, whatever their tiers, so
+ * this bounds what an urgent request waits for.
+ */
+const MAX_BACKLOG_MS = 600;
+/** How much more it may have for each tier that a request is more urgent. */
+const WORK_BY_TIER = 1.6;
+
+/**
+ * Whether a runner already works on so much that one more request of this tier
+ * would keep those that are there from their ends.
+ *
+ * While an engine reads prompts without pause, streams get one token a step of
+ * 40 ms instead of 6; those that need hundreds then run into their timeouts,
+ * and all the work on them is lost. With less in flight, reading pauses and
+ * they end. Slots and memory are kept back for more urgent tiers, which would
+ * otherwise wait for streams of seconds to end, or preempt them.
+ */
+export function isOverloaded(
+  fleet: Fleet,
+  demand: Demand,
+  runner: Runner,
+): boolean {
+  const { workTokens, unreadTokens, inFlight, memoryTokens } =
+    fleet.loads.of(runner.id).all;
+  const { engine, tiersBelow } = demand;
+  const share = Math.min(1, FILL_SHARE + FILL_BY_TIER * tiersBelow);
+  const memory = memoryTokens + demand.promptTokens + demand.answerTokens;
+  const more = WORK_BY_TIER ** tiersBelow;
+  return readMs(workTokens) > MAX_WORK_MS * more ||
+    readMs(unreadTokens) > MAX_BACKLOG_MS * more ||
+    inFlight >= share * engine!.slots ||
+    memory > share * engine!.memoryTokens;
+}
--- a/packages/router/src/request/daemon.ts
+++ b/packages/router/src/request/daemon.ts
@@ -12,7 +12,7 @@
 import type { Service } from "../version/configuration.ts";
 import type { RoutingTable } from "../version/routing_table.ts";
 import type { Dialect } from "./call.ts";
-import type { Fleet } from "./placement.ts";
+import type { Fleet } from "./demand.ts";
 
 /** Parts that live as long as the process. */
 export interface Daemon {
--- /dev/null
+++ b/packages/router/src/request/demand.ts
@@ -0,0 +1,59 @@
+/**
+ * What a request asks of a fleet of runners.
+ *
+ * @module
+ */
+import type { PrefixRecord, PromptPart } from "../process/prefix_record.ts";
+import type { Runner } from "../process/runner_directory.ts";
+import type { RunnerLoads } from "../process/runner_load.ts";
+import type { Engine } from "../version/configuration.ts";
+
+/** What a request asks of a runner. */
+export interface Demand {
+  readonly prompt: readonly PromptPart[];
+  readonly promptTokens: number;
+  /** Most tokens of the answer. */
+  readonly answerTokens: number;
+  readonly targetMs: number;
+  readonly gapTargetMs: number | undefined;
+  /** Tiers in use that are less urgent. */
+  readonly tiersBelow: number;
+  /** Absent for a plain service. */
+  readonly engine: Engine | undefined;
+}
+
+/** What a choice is made from. */
+export interface Fleet {
+  readonly runners: readonly Runner[];
+  readonly loads: RunnerLoads;
+  readonly prefixes: PrefixRecord;
+  /** Failure domain of this daemon. */
+  readonly failureDomain: string;
+  /** Steady milliseconds. */
+  readonly now: number;
+}
+
+/**
+ * Milliseconds of one engine step that also reads a chunk of a prompt: 2,048
+ * tokens at 62 tokens a ms, and a share for attention to what was read.
+ */
+const CHUNK_STEP_MS = 40;
+/** Room for the steps between chunks, as a factor. */
+const GAP_ROOM = 1.25;
+/** Tokens of prompts that an engine reads in a ms, with its other work. */
+const READ_TOKENS_PER_MS = 50;
+
+/**
+ * Whether chunks of prompts beside a stream make its gaps too long. An event
+ * holds several tokens, and each takes a whole step.
+ */
+export function isTight(demand: Demand): boolean {
+  const { engine, gapTargetMs } = demand;
+  if (engine === undefined || gapTargetMs === undefined) return false;
+  return gapTargetMs <= GAP_ROOM * engine.eventTokens * CHUNK_STEP_MS;
+}
+
+/** Milliseconds in which an engine reads tokens of prompts. */
+export function readMs(tokens: number): number {
+  return tokens / READ_TOKENS_PER_MS;
+}
--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -4,19 +4,22 @@
  * @module
  */
 import type { Buffer } from "node:buffer";
+import { pause } from "../process/pause.ts";
 import type { Placed, RunnerLoad } from "../process/runner_load.ts";
-import type { Route, Service, Workspace } from "../version/configuration.ts";
-import { destinationAt } from "../version/routing_table.ts";
-import type { RoutingTable } from "../version/routing_table.ts";
 import { Attempt } from "./attempt.ts";
 import type { Sent } from "./attempt.ts";
 import type { CallHead } from "./call.ts";
-import type { Caller, Refusal } from "./caller.ts";
-import { headerBytes } from "./headers.ts";
+import type { Caller } from "./caller.ts";
 import type { Daemon } from "./daemon.ts";
+import { logChoice, logOverload } from "./exchange_log.ts";
+import { outcomeName } from "./outcome.ts";
+import type { Outcome } from "./outcome.ts";
 import { chooseRunner } from "./placement.ts";
 import type { Choice } from "./placement.ts";
+import { Silence } from "./silence.ts";
 import { StreamRelay } from "./stream_relay.ts";
+import { findSubject, tierOf } from "./subject.ts";
+import type { Subject } from "./subject.ts";
 import { readWhole } from "./whole_body.ts";
 
 /** Largest answer that is held to be checked before it is passed on, in bytes. */
@@ -27,39 +30,31 @@
 const HOLD_SHARE = 1;
 /** Milliseconds between two looks for such a runner. */
 const HOLD_STEP_MS = 20;
+/** Targets without a first event after which a stream is tried elsewhere. */
+const STREAM_SILENCE = 2;
+/** Longest pauses on time without an event after which it goes on elsewhere. */
+const GAP_SILENCE = 4;
+/** Targets without an answer after which an idempotent request is. */
+const WHOLE_SILENCE = 1;
 /** Part of its time that a caller will stay away when told so. */
 const RETURN_SHARE = 0.33;
 /** Milliseconds left under which no other runner is tried. */
 const LEAST_TIME_MS = 30;
+/** Runners that are tried one after the other while none can be reached. */
+const MAX_UNSENT = 3;
 const FIRST_ERROR = 400;
 const FIRST_SERVER_ERROR = 500;
 
-/** How the work on a request ended, for the log and the metrics. */
-type Outcome =
-  | { readonly kind: "answered"; readonly status: number }
-  | { readonly kind: "refused"; readonly refusal: Refusal }
-  | { readonly kind: "broken"; readonly reason: string }
-  | { readonly kind: "left" };
-
 /** What one try came to. */
 type Try =
   | { readonly kind: "done"; readonly outcome: Outcome }
-  /** Another runner may be tried; `fallback` is the answer if none is. */
+  /** Another runner may be tried; `fallback` answers if none is. */
   | {
     readonly kind: "again";
     readonly reason: string;
-    readonly fallback: Outcome;
+    readonly fallback: () => Outcome;
   };
 
-/** What is known of a request once its route is found. */
-interface Subject {
-  readonly call: CallHead;
-  readonly route: Route;
-  readonly service: Service;
-  readonly workspace: Workspace | undefined;
-  readonly version: number;
-}
-
 /** Works on one request. */
 export class Exchange {
   readonly #daemon: Daemon;
@@ -83,7 +78,7 @@
   /** Works until the caller has its final answer or has left. */
   async run(): Promise<void> {
     const call = this.#daemon.dialect.readCall(this.#caller.request.rawHeaders);
-    const found = this.#find(call);
+    const found = findSubject(this.#daemon, this.#caller.request, call);
     if ("status" in found) {
       return this.#end(call, { kind: "refused", refusal: found });
     }
@@ -100,43 +95,6 @@
     }
   }
 
-  #find(call: CallHead): Subject | Refusal {
-    const table = this.#daemon.table();
-    if (this.#daemon.closed) {
-      return { status: 503, code: "leaving", retryAfterMs: 0, close: true };
-    }
-    if (table === undefined) {
-      return { status: 503, code: "not_ready", retryAfterMs: 1_000 };
-    }
-    const { rawHeaders } = this.#caller.request;
-    if (headerBytes(rawHeaders) > table.limits.maxHeaderBytes) {
-      return { status: 431, code: "header_too_large", close: true };
-    }
-    const route = table.route(call.host, this.#caller.request.url ?? "/");
-    if (route === undefined) return { status: 404, code: "no_route" };
-    const workspace = this.#authenticate(table, route, call);
-    if (workspace === "unknown") return { status: 401, code: "unknown_key" };
-    const name = destinationAt(route, this.#daemon.random());
-    const service = name === undefined ? undefined : table.service(name);
-    if (service === undefined) {
-      return { status: 503, code: "no_service", retryAfterMs: 1_000 };
-    }
-    return { call, route, service, workspace, version: table.version };
-  }
-
-  #authenticate(
-    table: RoutingTable,
-    route: Route,
-    call: CallHead,
-  ): Workspace | undefined | "unknown" {
-    const workspace = call.key === undefined
-      ? undefined
-      : table.workspace(call.key);
-    if (workspace !== undefined) return workspace;
-    if (route.anonymous || !table.hasWorkspaces) return undefined;
-    return "unknown";
-  }
-
   /** The caller gets its final answer at the timeout, not some time after it. */
   #startTimer(subject: Subject): NodeJS.Timeout {
     const { call, route } = subject;
@@ -161,24 +119,30 @@
   }
 
   async #tryRunners(subject: Subject, body: Buffer): Promise<Outcome> {
-    let fallback: Outcome | undefined;
+    let fallback: (() => Outcome) | undefined;
     for (;;) {
       if (this.#caller.left) return { kind: "left" };
       const over = this.#expired || this.#left() < LEAST_TIME_MS;
-      if (over) return fallback ?? this.#timeoutOutcome();
+      if (over) return fallback?.() ?? this.#timeoutOutcome();
       const choice = await this.#chooseOrWait(subject);
-      if (choice === "overloaded") return fallback ?? this.#refuseOverload();
-      if (choice === undefined) return fallback ?? this.#refusal("no_runner");
+      if (choice === "overloaded") {
+        return fallback?.() ?? this.#refuseOverload();
+      }
+      if (choice === undefined) {
+        return fallback?.() ?? this.#refusal("no_runner");
+      }
       const result = await this.#try(subject, choice, body);
       if (result.kind === "done") return result.outcome;
+      const again = !this.#expired && this.#mayTryAgain(subject);
       this.#daemon.log.decision("attempt_failed", subject.call.id, {
         runner: choice.runner.id,
         reason: result.reason,
         attempt: this.#attempts,
+        again,
       });
       if (this.#expired) return this.#timeoutOutcome();
       fallback = result.fallback;
-      if (!this.#mayTryAgain(subject)) return fallback;
+      if (!again) return fallback();
     }
   }
 
@@ -194,26 +158,27 @@
       const choice = this.#choose(subject);
       if (choice === undefined || !choice.overloaded) return choice;
       if (this.#attempts > 0) return choice;
-      if (this.#expired || this.#caller.left) return "overloaded";
-      if (this.#daemon.now() > until) return "overloaded";
+      const over = this.#daemon.now() > until;
+      if (over || this.#expired || this.#caller.left) {
+        const waitedMs = this.#daemon.now() - this.#startedAt;
+        logOverload(this.#daemon, subject, { choice, waitedMs });
+        return "overloaded";
+      }
       await pause(HOLD_STEP_MS);
     }
   }
 
   #choose(subject: Subject): Choice | undefined {
     const { call, route, service } = subject;
-    const choice = chooseRunner(this.#daemon.fleet(service.name), {
+    return chooseRunner(this.#daemon.fleet(service.name), {
       prompt: call.prompt,
       promptTokens: call.promptTokens,
       answerTokens: call.answerTokens,
       targetMs: route.targetMs,
       gapTargetMs: route.gapTargetMs,
-      tiersBelow: this.#daemon.table()!.tiersBelow(
-        subject.workspace?.tier ?? route.tier,
-      ),
+      tiersBelow: this.#daemon.table()!.tiersBelow(tierOf(subject)),
       engine: service.engine,
     }, this.#tried);
-    return choice;
   }
 
   /** Sends to one runner and passes on what comes. */
@@ -227,8 +192,8 @@
       tight: choice.tight,
     };
     this.#tried.add(runner.id);
-    this.#logChoice(subject, choice, load);
-    load.place(placed);
+    logChoice(this.#daemon, subject, { choice, leftMs: this.#left() });
+    load.place(placed, this.#daemon.now());
     this.#daemon.prefixes.sent(runner.id, call.prompt, this.#daemon.now());
     const attempt = this.#newAttempt(subject, choice, body);
     this.#attempt = attempt;
@@ -249,9 +214,9 @@
   }
 
   #newAttempt(subject: Subject, choice: Choice, body: Buffer): Attempt {
-    const { call, route, service, workspace } = subject;
+    const { call, service, workspace } = subject;
     const { request } = this.#caller;
-    const tier = workspace?.tier ?? route.tier;
+    const tier = tierOf(subject);
     return new Attempt(choice.runner, {
       id: call.id,
       method: request.method!,
@@ -287,25 +252,37 @@
       return new Silence(() => {});
     }
     const silence = new Silence(() => attempt.cancel("silent"));
-    silence.expect(2 * route.targetMs);
+    const spans = route.streaming ? STREAM_SILENCE : WHOLE_SILENCE;
+    silence.expect(spans * route.targetMs);
     return silence;
   }
 
   async #take(subject: Subject, sent: Sent, parts: TryParts): Promise<Try> {
     const { load } = parts;
     const now = this.#daemon.now();
+    if (sent.kind === "answer" || sent.kind === "not-run") load.heard(now);
     switch (sent.kind) {
       case "unsent":
         if (!this.#endedByUs()) load.failed(now);
-        return this.#again(sent.reason, this.#refusal("runner_unreachable"));
+        return this.#again(
+          sent.reason,
+          () => this.#refusal("runner_unreachable"),
+        );
       case "broken":
         if (!this.#endedByUs()) load.failed(now);
         this.#mayHaveRun = true;
-        return this.#repeat(subject, sent.reason, this.#failure(sent.reason));
+        // The connection may have gone silent, and its siblings with it.
+        if (!this.#caller.left) {
+          this.#daemon.connections.dropIdle(parts.attempt.runner);
+        }
+        return this.#repeat(subject, sent.reason);
       case "not-run":
         if (sent.head.load !== undefined) load.reported(sent.head.load, now);
         if (sent.head.otherRunner) load.failed(now);
-        return this.#again("refused by runner", this.#refusal("runner_full"));
+        return this.#again(
+          "refused by runner",
+          () => this.#refusal("runner_full"),
+        );
       case "answer":
         this.#mayHaveRun = true;
         if (sent.head.load !== undefined) load.reported(sent.head.load, now);
@@ -321,7 +298,7 @@
       parts.load.failed(this.#daemon.now());
       const reason = "answer without seal";
       return Promise.resolve(
-        this.#repeat(subject, reason, this.#failure(reason)),
+        this.#repeat(subject, reason),
       );
     }
     if (subject.route.streaming && success) {
@@ -339,7 +316,7 @@
     if (whole.kind !== "whole") {
       parts.attempt.cancel("answer broke off");
       if (!this.#endedByUs()) parts.load.failed(this.#daemon.now());
-      return this.#repeat(subject, whole.kind, this.#failure(whole.kind));
+      return this.#repeat(subject, whole.kind);
     }
     parts.load.succeeded();
     const { status } = sent;
@@ -351,14 +328,7 @@
       return { kind: "done", outcome: answer() };
     }
     // The runner failed by itself; its answer stands if no other does better.
-    const retried = await this.#retryWhole(subject, `status ${status}`);
-    return retried ?? { kind: "done", outcome: answer() };
-  }
-
-  /** Whether a second runner is to be tried; undefined when not. */
-  #retryWhole(subject: Subject, reason: string): Try | undefined {
-    if (!this.#mayTryAgain(subject)) return undefined;
-    return { kind: "again", reason, fallback: this.#failure(reason) };
+    return this.#again(`status ${status}`, answer);
   }
 
   async #passStream(
@@ -370,7 +340,10 @@
     const { status, incoming } = sent;
     this.#relay ??= new StreamRelay(this.#caller.response, {
       dialect: this.#daemon.dialect,
-      onEvent: () => {},
+      onEvent: () => {
+        const { id } = this.#attempt!.runner;
+        this.#daemon.loads.of(id).heard(this.#daemon.now());
+      },
       lastId: subject.call.lastEventId,
     });
     let begun = false;
@@ -386,7 +359,7 @@
         parts.load.succeeded();
         this.#caller.beginStream(status, incoming.rawHeaders);
       }
-      parts.silence.expect(4 * (route.gapTargetMs ?? route.targetMs));
+      parts.silence.expect(GAP_SILENCE * (route.gapTargetMs ?? route.targetMs));
     });
     if (end.kind === "complete") {
       this.#caller.beginStream(status, incoming.rawHeaders);
@@ -395,18 +368,19 @@
     }
     parts.attempt.cancel("stream broke off");
     if (!this.#endedByUs()) parts.load.failed(this.#daemon.now());
-    return this.#repeat(subject, end.reason, this.#failure(end.reason));
+    return this.#repeat(subject, end.reason);
   }
 
-  #again(reason: string, fallback: Outcome): Try {
+  #again(reason: string, fallback: () => Outcome): Try {
     return { kind: "again", reason, fallback };
   }
 
   /** Another try after one that may have run, where the route allows it. */
-  #repeat(subject: Subject, reason: string, fallback: Outcome): Try {
+  #repeat(subject: Subject, reason: string): Try {
+    const fallback = () => this.#failure(reason);
     if (this.#mayRepeat(subject)) return this.#again(reason, fallback);
     if (this.#expired) return { kind: "done", outcome: this.#timeoutOutcome() };
-    return { kind: "done", outcome: fallback };
+    return { kind: "done", outcome: fallback() };
   }
 
   #mayRepeat(subject: Subject): boolean {
@@ -462,38 +436,11 @@
     return { kind: "refused", refusal: { status: 504, code: "timeout" } };
   }
 
-  #logChoice(subject: Subject, choice: Choice, load: RunnerLoad): void {
-    const { call, route, service, version } = subject;
-    const now = this.#daemon.now();
-    this.#daemon.log.decision("runner_chosen", call.id, {
-      route: route.name,
-      service: service.name,
-      version,
-      runner: choice.runner.id,
-      reason: choice.reason,
-      candidates: choice.candidates,
-      in_flight: load.all.inFlight,
-      reported: load.requests(now),
-      backlog_tokens: load.all.unreadTokens,
-      unread_tokens: choice.unreadTokens,
-      fetch_from: choice.fetchFrom?.id,
-      prompt_tokens: call.promptTokens,
-      shared_part: call.prompt.at(-2)?.id,
-      tier: subject.workspace?.tier ?? route.tier,
-      runners_age_ms: Math.round(this.#daemon.runnersAgeMs()),
-      left_ms: Math.round(this.#left()),
-    });
-  }
-
   #end(call: CallHead, outcome: Outcome, subject?: Subject): void {
     if (outcome.kind === "refused") this.#caller.refuse(outcome.refusal);
     if (outcome.kind === "broken") this.#caller.breakOff();
     const elapsedMs = this.#daemon.now() - this.#startedAt;
-    const result = outcome.kind === "answered"
-      ? String(outcome.status)
-      : outcome.kind === "refused"
-      ? outcome.refusal.code
-      : outcome.kind;
+    const result = outcomeName(outcome);
     this.#daemon.metrics.ended(
       subject?.service.name ?? "none",
       result,
@@ -511,13 +458,6 @@
   }
 }
 
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
-
-/** Runners that are tried one after the other while none can be reached. */
-const MAX_UNSENT = 3;
-
 type Answer = Extract<Sent, { readonly kind: "answer" }>;
 
 /** What belongs to one try. */
@@ -527,31 +467,3 @@
   readonly attempt: Attempt;
   readonly silence: Silence;
 }
-
-/** Calls back when nothing was heard for as long as was last expected. */
-class Silence {
-  readonly #onSilent: () => void;
-  #timer: NodeJS.Timeout | undefined;
-  #deadline = 0;
-
-  constructor(onSilent: () => void) {
-    this.#onSilent = onSilent;
-  }
-
-  /** Expects something within a time, from now on. */
-  expect(ms: number): void {
-    this.#deadline = performance.now() + ms;
-    this.#timer ??= setTimeout(() => this.#check(), ms);
-  }
-
-  /** Expects nothing any more. */
-  stop(): void {
-    clearTimeout(this.#timer);
-  }
-
-  #check(): void {
-    const left = this.#deadline - performance.now();
-    if (left <= 0) return this.#onSilent();
-    this.#timer = setTimeout(() => this.#check(), left);
-  }
-}
--- /dev/null
+++ b/packages/router/src/request/exchange_log.ts
@@ -0,0 +1,60 @@
+/**
+ * Lines of the log on the decisions for a request.
+ *
+ * @module
+ */
+import type { Daemon } from "./daemon.ts";
+import type { Choice } from "./placement.ts";
+import { tierOf } from "./subject.ts";
+import type { Subject } from "./subject.ts";
+
+/** Tells that no runner had room, and how full the best of them was. */
+export function logOverload(
+  daemon: Daemon,
+  subject: Subject,
+  overload: { readonly choice: Choice; readonly waitedMs: number },
+): void {
+  const { choice, waitedMs } = overload;
+  const { all } = daemon.loads.of(choice.runner.id);
+  daemon.log.decision("overload_found", subject.call.id, {
+    service: subject.service.name,
+    runner: choice.runner.id,
+    tier: tierOf(subject),
+    candidates: choice.candidates,
+    in_flight: all.inFlight,
+    backlog_tokens: all.unreadTokens,
+    work_tokens: all.workTokens,
+    memory_tokens: all.memoryTokens,
+    waited_ms: Math.round(waitedMs),
+    runners_age_ms: Math.round(daemon.runnersAgeMs()),
+  });
+}
+
+/** Tells which runner was chosen, and what was known of it. */
+export function logChoice(
+  daemon: Daemon,
+  subject: Subject,
+  chosen: { readonly choice: Choice; readonly leftMs: number },
+): void {
+  const { call, route, service, version } = subject;
+  const { choice, leftMs } = chosen;
+  const load = daemon.loads.of(choice.runner.id);
+  daemon.log.decision("runner_chosen", call.id, {
+    route: route.name,
+    service: service.name,
+    version,
+    runner: choice.runner.id,
+    reason: choice.reason,
+    candidates: choice.candidates,
+    in_flight: load.all.inFlight,
+    reported: load.requests(daemon.now()),
+    backlog_tokens: load.all.unreadTokens,
+    unread_tokens: choice.unreadTokens,
+    fetch_from: choice.fetchFrom?.id,
+    prompt_tokens: call.promptTokens,
+    shared_part: call.prompt.at(-2)?.id,
+    tier: tierOf(subject),
+    runners_age_ms: Math.round(daemon.runnersAgeMs()),
+    left_ms: Math.round(leftMs),
+  });
+}
--- a/packages/router/src/request/headers.ts
+++ b/packages/router/src/request/headers.ts
@@ -5,8 +5,8 @@
  */
 import type { RawHeaders } from "./call.ts";
 
-/** Named by RFC 9110, section 7.6.1, and the ones around them. */
-const HOP_BY_HOP: ReadonlySet<string> = new Set([
+/** Headers that concern one connection only (RFC 9110, section 7.6.1). */
+export const HOP_BY_HOP: ReadonlySet<string> = new Set([
   "connection",
   "keep-alive",
   "proxy-authenticate",
--- a/packages/router/src/request/placement_test.ts
+++ b/packages/router/src/request/placement_test.ts
@@ -4,7 +4,7 @@
 import type { Runner } from "../process/runner_directory.ts";
 import { RunnerLoads } from "../process/runner_load.ts";
 import { chooseRunner } from "./placement.ts";
-import type { Demand, Fleet } from "./placement.ts";
+import type { Demand, Fleet } from "./demand.ts";
 
 const ENGINE = {
   slots: 64,
@@ -76,7 +76,7 @@
       unreadTokens: choice.unreadTokens,
       memoryTokens: demand.promptTokens + demand.answerTokens,
       tight: choice.tight,
-    });
+    }, fleet.now);
     fleet.prefixes.sent(choice.runner.id, demand.prompt, fleet.now);
     return choice;
   });
@@ -135,22 +135,44 @@
   assert.ok(long.every(({ runner }) => !tight.has(runner.id)));
 });
 
+/** Sends long prompts until one had better not start; tells how many did. */
+function startBurst(fleet: Fleet, options: { readonly read: boolean }): number {
+  for (let started = 0; started < 500; started += 1) {
+    const demand = longPrompt(`s-${started}`);
+    const choice = chooseRunner(fleet, demand, NONE)!;
+    if (choice.overloaded) return started;
+    const placed = {
+      unreadTokens: choice.unreadTokens,
+      memoryTokens: demand.promptTokens + demand.answerTokens,
+      tight: choice.tight,
+    };
+    const load = fleet.loads.of(choice.runner.id);
+    load.place(placed, fleet.now);
+    if (options.read) load.started(placed);
+  }
+  return Infinity;
+}
+
 // A burst of long prompts fills every runner. More of them would leave streams
 // at one token a step and none would end in time; an urgent one still fits.
 test("a burst of the least urgent leaves room for the urgent", () => {
   const fleet = fleetOf(4);
-  let started = 0;
-  for (let i = 0; i < 500; i += 1) {
-    const demand = longPrompt(`s-${i}`);
-    if (chooseRunner(fleet, demand, NONE)!.overloaded) break;
-    placeAll(fleet, [demand]);
-    started += 1;
-  }
-  assert.ok(started > 10 && started < 100, `${started} started`);
+  const started = startBurst(fleet, { read: true });
+  assert.ok(started > 20 && started < 100, `${started} started`);
   assert.equal(chooseRunner(fleet, longPrompt("x"), NONE)!.overloaded, true);
   assert.equal(chooseRunner(fleet, tightStream("y"), NONE)!.overloaded, false);
 });
 
+// Engines read the prompts that they have admitted in turn, whatever their
+// tiers. Behind a queue of long ones, an urgent request waits for seconds.
+test("little reading is ahead of an urgent request, whatever the burst", () => {
+  const fleet = fleetOf(4);
+  startBurst(fleet, { read: false });
+  const urgent = chooseRunner(fleet, tightStream("y"), NONE)!;
+  const { unreadTokens } = fleet.loads.of(urgent.runner.id).all;
+  assert.ok(unreadTokens / 50 < 1_000, `${unreadTokens} tokens ahead`);
+});
+
 test("a lost runner moves only its own prompts", () => {
   const all = fleetOf(8);
   const subjects = Array.from({ length: 60 }, (_, index) => `s-${index}`);
@@ -173,7 +195,7 @@
   for (const { id, failureDomain } of fleet.runners) {
     if (failureDomain === "d-1") continue;
     const placed = { unreadTokens: 0, memoryTokens: 0, tight: false };
-    fleet.loads.of(id).place(placed);
+    fleet.loads.of(id).place(placed, fleet.now);
   }
   assert.equal(
     chooseRunner(fleet, plain(), NONE)!.runner.failureDomain,
--- /dev/null
+++ b/packages/router/src/request/runner_cost.ts
@@ -0,0 +1,126 @@
+/**
+ * What a runner would cost a request, in ms of its time and of others'.
+ *
+ * @module
+ */
+import type { Runner } from "../process/runner_directory.ts";
+import { isTight, readMs } from "./demand.ts";
+import type { Demand, Fleet } from "./demand.ts";
+
+/**
+ * What a ms of reading counts against a ms of waiting. Reading a prompt twice
+ * takes from everybody, waiting only from the one that waits.
+ */
+const WORK_WEIGHT = 2.5;
+/** Milliseconds of wait that a prompt's home may have more than another runner. */
+const AWAY_MS = 30;
+/**
+ * The same for a prompt that nobody is known to hold. Daemons that have all
+ * been restarted know nothing, but runners still hold most prompts, at home.
+ */
+const AWAY_UNKNOWN_MS = 200;
+/**
+ * What a fetch from another runner costs beside its time, in ms: a second copy
+ * takes memory from other prompts.
+ */
+const FETCH_MS = 30;
+/** What a stream with tight gaps risks among long prompts, in ms of wait. */
+const AMONG_LONG_MS = 150;
+/** What a long prompt costs where tight streams are at home, in ms of wait. */
+const AMONG_TIGHT_MS = 100;
+/** Reading in ms that streams with tight gaps bear without a late event. */
+const BEARABLE_MS = 100;
+/** What a late tight stream is worth, in ms of a runner's time. */
+const TIGHT_STREAM_MS = 100;
+/** What a runner's other requests slow down one more, in ms each. */
+const BESIDE_MS = 4;
+/** How much slower a runner is taken to be while it warms up. */
+export const WARM_UP_FACTOR = 2;
+/** What each failure since the last success counts, in ms of wait. */
+const FAILURE_MS = 300;
+
+/** What a runner would cost a request, in ms. */
+export interface Quote {
+  readonly runner: Runner;
+  readonly unreadTokens: number;
+  readonly fetchFrom: Runner | undefined;
+  readonly costMs: number;
+}
+
+/** A runner that holds part of a prompt. */
+export interface Holder {
+  readonly runner: Runner;
+  readonly tokens: number;
+}
+
+function cachedTokens(fleet: Fleet, demand: Demand, runner: Runner): number {
+  return fleet.prefixes.cachedTokens(runner.id, demand.prompt, fleet.now);
+}
+
+/** The runner that holds most of a prompt; none when nobody has read it. */
+export function holderOf(
+  fleet: Fleet,
+  demand: Demand,
+  runners: readonly Runner[],
+): Holder | undefined {
+  let best: Holder | undefined;
+  for (const runner of runners) {
+    const tokens = fleet.prefixes.readTokens(
+      runner.id,
+      demand.prompt,
+      fleet.now,
+    );
+    if (tokens > (best?.tokens ?? 0)) best = { runner, tokens };
+  }
+  return best;
+}
+
+/** What a runner would cost a request. */
+export function quoteOf(
+  fleet: Fleet,
+  demand: Demand,
+  place: {
+    readonly runner: Runner;
+    /** Place in the order of the prompt's rendezvous hash, 0 being its home. */
+    readonly rank: number;
+    readonly kept: boolean;
+    /** The runner that holds most of the prompt. */
+    readonly holder: Holder | undefined;
+  },
+): Quote {
+  const { runner, rank, kept, holder } = place;
+  const load = fleet.loads.of(runner.id);
+  const cached = cachedTokens(fleet, demand, runner);
+  const missing = holder === undefined ? 0 : holder.tokens - cached;
+  const fetchMsPerToken = demand.engine!.fetchMsPerToken ?? Infinity;
+  const fetchMs = missing * fetchMsPerToken;
+  const fetches = missing > 0 && fetchMs < readMs(missing);
+  const unreadTokens = Math.max(
+    0,
+    demand.promptTokens - cached - (fetches ? missing : 0),
+  );
+  const tight = isTight(demand);
+  const waitMs = readMs(load.all.unreadTokens);
+  const ownMs = readMs(unreadTokens) + (fetches ? fetchMs + FETCH_MS : 0);
+  const away = rank === 0
+    ? 0
+    : holder === undefined
+    ? AWAY_UNKNOWN_MS
+    : AWAY_MS;
+  const misplaced = tight === kept ? 0 : tight ? AMONG_LONG_MS : AMONG_TIGHT_MS;
+  const harm = !tight && waitMs + ownMs > BEARABLE_MS
+    ? TIGHT_STREAM_MS * load.all.tight
+    : 0;
+  const batch = load.all.inFlight * BESIDE_MS;
+  const slow = runner.warmUpMs > 0 ? WARM_UP_FACTOR : 1;
+  const costMs = slow * (waitMs + WORK_WEIGHT * ownMs) + away + misplaced +
+    harm +
+    batch +
+    FAILURE_MS * load.failures;
+  return {
+    runner,
+    unreadTokens,
+    fetchFrom: fetches ? holder!.runner : undefined,
+    costMs,
+  };
+}
--- /dev/null
+++ b/packages/router/src/request/subject.ts
@@ -0,0 +1,71 @@
+/**
+ * What a request is about: its route, service and workspace.
+ *
+ * @module
+ */
+import type { IncomingMessage } from "node:http";
+import type { Route, Service, Workspace } from "../version/configuration.ts";
+import { destinationAt } from "../version/routing_table.ts";
+import type { RoutingTable } from "../version/routing_table.ts";
+import type { CallHead } from "./call.ts";
+import type { Refusal } from "./caller.ts";
+import type { Daemon } from "./daemon.ts";
+import { headerBytes } from "./headers.ts";
+
+/** Milliseconds after which a daemon that knows too little may know more. */
+const KNOWN_LATER_MS = 1_000;
+
+/** What is known of a request once its route is found. */
+export interface Subject {
+  readonly call: CallHead;
+  readonly route: Route;
+  readonly service: Service;
+  readonly workspace: Workspace | undefined;
+  readonly version: number;
+}
+
+/** The tier of a request: its workspace's, or else its route's. */
+export function tierOf({ workspace, route }: Subject): number {
+  return workspace?.tier ?? route.tier;
+}
+
+/** Finds what a request is about, or why it is refused. */
+export function findSubject(
+  daemon: Daemon,
+  request: IncomingMessage,
+  call: CallHead,
+): Subject | Refusal {
+  const table = daemon.table();
+  if (daemon.closed) {
+    return { status: 503, code: "leaving", retryAfterMs: 0, close: true };
+  }
+  if (table === undefined) {
+    return { status: 503, code: "not_ready", retryAfterMs: KNOWN_LATER_MS };
+  }
+  if (headerBytes(request.rawHeaders) > table.limits.maxHeaderBytes) {
+    return { status: 431, code: "header_too_large", close: true };
+  }
+  const route = table.route(call.host, request.url ?? "/");
+  if (route === undefined) return { status: 404, code: "no_route" };
+  const workspace = authenticate(table, route, call);
+  if (workspace === "unknown") return { status: 401, code: "unknown_key" };
+  const name = destinationAt(route, daemon.random());
+  const service = name === undefined ? undefined : table.service(name);
+  if (service === undefined) {
+    return { status: 503, code: "no_service", retryAfterMs: KNOWN_LATER_MS };
+  }
+  return { call, route, service, workspace, version: table.version };
+}
+
+function authenticate(
+  table: RoutingTable,
+  route: Route,
+  call: CallHead,
+): Workspace | undefined | "unknown" {
+  const workspace = call.key === undefined
+    ? undefined
+    : table.workspace(call.key);
+  if (workspace !== undefined) return workspace;
+  if (route.anonymous || !table.hasWorkspaces) return undefined;
+  return "unknown";
+}
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -23,17 +23,19 @@
 import type { EngineMemory } from "./process/memory_survey.ts";
 import { Lifecycle } from "./process/lifecycle.ts";
 import { RequestMetrics } from "./process/metrics.ts";
+import { pause } from "./process/pause.ts";
 import { PrefixRecord } from "./process/prefix_record.ts";
 import { RetryBudget } from "./process/retry_budget.ts";
 import { RunnerDirectory } from "./process/runner_directory.ts";
 import type { Runner } from "./process/runner_directory.ts";
 import { RunnerLoads } from "./process/runner_load.ts";
 import type { RouterSettings } from "./process/settings.ts";
+import { watches, watchMs } from "./process/watch_plan.ts";
 import type { Dialect } from "./request/call.ts";
 import { Caller } from "./request/caller.ts";
 import type { Daemon } from "./request/daemon.ts";
 import { Exchange } from "./request/exchange.ts";
-import type { Fleet } from "./request/placement.ts";
+import type { Fleet } from "./request/demand.ts";
 import type { Configuration, Service } from "./version/configuration.ts";
 import { RoutingTable } from "./version/routing_table.ts";
 
@@ -66,21 +68,6 @@
 const CONNECTION_SHARE = 0.8;
 /** Connections to a runner that a daemon takes in any case. */
 const LEAST_CONNECTIONS = 2;
-/**
- * Milliseconds of a watch for each daemon that watches. With the versions that
- * daemons tell each other, one answer suffices for all: their waits end at
- * different times, so a change that connections hide is found within about one
- * such span by one of them.
- */
-const WAIT_PER_WATCHER_MS = 700;
-/** Shortest wait of a watch, in ms: what a daemon without peers uses. */
-const SHORTEST_WAIT_MS = 1_500;
-const LONGEST_WAIT_MS = 10_000;
-/** Least part of a wait, so that waits that began together come apart. */
-const LEAST_WAIT_SHARE = 0.7;
-/** Daemons of a failure domain that watch the store; the others hear of it. */
-const WATCHERS_PER_DOMAIN = 3;
-
 /** Settings that take effect without a restart. */
 const CHANGEABLE: ReadonlySet<keyof RouterSettings> = new Set([
   "seeds",
@@ -343,38 +330,16 @@
 
   /** How the store is followed, given whether there is something to go on with. */
   #timing(known: () => boolean): FollowerTiming {
+    const { name, failureDomain } = this.#settings;
+    const own = { name, failureDomain };
+    const fleet = () => [own, ...this.#peers.alive];
     return {
-      waitMs: () => {
-        const watchers = 1 +
-          this.#peers.alive.filter((peer) =>
-            this.#watches(peer.name, peer.failureDomain)
-          ).length;
-        const wait = Math.min(
-          LONGEST_WAIT_MS,
-          Math.max(SHORTEST_WAIT_MS, WAIT_PER_WATCHER_MS * watchers),
-        );
-        const share = LEAST_WAIT_SHARE + (1 - LEAST_WAIT_SHARE) * Math.random();
-        return Math.round(wait * share);
-      },
+      waitMs: () => watchMs(fleet(), this.random()),
       active: () =>
-        !known() || this.#peers.count === 0 ||
-        this.#watches(this.#settings.name, this.#settings.failureDomain),
+        !known() || this.#peers.count === 0 || watches(own, fleet()),
     };
   }
 
-  /** Whether a daemon is among those that watch for its failure domain. */
-  #watches(name: string, failureDomain: string): boolean {
-    let before = 0;
-    const rivals = this.#peers.alive
-      .filter((peer) => peer.failureDomain === failureDomain)
-      .map((peer) => peer.name);
-    if (failureDomain === this.#settings.failureDomain) {
-      rivals.push(this.#settings.name);
-    }
-    for (const rival of rivals) if (rival < name) before += 1;
-    return before < WATCHERS_PER_DOMAIN;
-  }
-
   #peerLeft(peer: Peer): void {
     this.#sharing.left(peer);
     if (this.#peers.count > 0) return;
@@ -439,7 +404,3 @@
     };
   }
 }
-
-function pause(ms: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/router/tests/forwarding_test.ts
+++ b/packages/router/tests/forwarding_test.ts
@@ -144,6 +144,35 @@
   ]);
 });
 
+// A runner fails by itself and the budget allows no repeat. The runner's own
+// answer must reach the caller, and one repeat must not be paid for twice.
+test("without a repeat left, the runner's own failure reaches the caller", async (t) => {
+  const runners = await Promise.all(
+    ["r-1", "r-2"].map((id) =>
+      playRunner(t, id, (socket, _, tryId) => {
+        socket.write(answer(tryId, "failed", { status: "500 Error" }));
+      })
+    ),
+  );
+  const router = await startRouter(t, {
+    configurations: new SettableFeed([
+      testConfiguration([
+        testRoute({ repetition: "idempotent", maxAttempts: 2 }),
+      ]),
+    ]),
+    runners: new SettableFeed(runners.map(({ runner }) => runner)),
+    // Half of the extra repeats, divided among 8 daemons: one.
+    settings: { retries: { ratio: 0, extra: 16, windowMs: 10_000 } },
+  });
+  await until(() => router.ready);
+  const arrivals = () =>
+    runners.reduce((sum, { requests }) => sum + requests.length, 0);
+  assert.equal((await call(router)).status, 500);
+  assert.equal(arrivals(), 2);
+  assert.equal((await call(router)).status, 500);
+  assert.equal(arrivals(), 3);
+});
+
 test("a runner's refusal becomes a 503 with a time to come back", async (t) => {
   const full = await playRunner(t, "r-1", (socket, _, id) => {
     const headers = "X-Not-Run: 1\r\n";
