--- a/packages/router/src/request/runner_cost.ts
+++ b/packages/router/src/request/runner_cost.ts
@@ -23,7 +23,7 @@
  * What a fetch from another runner costs beside its time, in ms: a second copy
  * takes memory from other prompts.
  */
-const FETCH_MS = 30;
+const FETCH_MS = 120;
 /** What a stream with tight gaps risks among long prompts, in ms of wait. */
 const AMONG_LONG_MS = 150;
 /** What a long prompt costs where tight streams are at home, in ms of wait. */
