Survive answers and messages of another shape; 408 for a late body

Cause, by reading: an answer of the store or a message of a peer in another shape than promised threw out of an event handler and ended the process, on every host alike; a body that did not come had no final answer at its route's timeout; a stream whose caller had left was logged as broken. Ruled out: ending the process, which the platform would start again to meet the same answer. Change: both count as a lost dependency or link, and are logged; 408 at the timeout; the outcome is left.

--- a/packages/router/src/connection/peer_link.ts
+++ b/packages/router/src/connection/peer_link.ts
@@ -28,6 +28,7 @@
 export class PeerLink {
   readonly #socket: Socket;
   readonly #onMessage: (message: PeerMessage) => void;
+  readonly #onFault: (reason: string) => void;
   #chunks: Buffer[] = [];
   #size = 0;
 
@@ -36,10 +37,13 @@
     handlers: {
       readonly onMessage: (message: PeerMessage) => void;
       readonly onClose: () => void;
+      /** Told why a message could not be taken; the link closes. */
+      readonly onFault: (reason: string) => void;
     },
   ) {
     this.#socket = socket;
     this.#onMessage = handlers.onMessage;
+    this.#onFault = handlers.onFault;
     socket.setNoDelay(true);
     // Counts as activity only what moves on the connection; both sides send
     // heartbeats well within it.
@@ -66,6 +70,20 @@
     this.#socket.destroy();
   }
 
+  /**
+   * Whether a message could be taken. One of another version may have another
+   * shape; the link to that daemon ends, and not the process.
+   */
+  #handle(message: PeerMessage): boolean {
+    try {
+      this.#onMessage(message);
+      return true;
+    } catch (error) {
+      this.#onFault(String(error));
+      return false;
+    }
+  }
+
   #receive(chunk: Buffer): void {
     this.#chunks.push(chunk);
     this.#size += chunk.length;
@@ -79,7 +97,7 @@
       bytes = bytes.subarray(LENGTH_BYTES + length);
       const message = decodeItem(item);
       if (message.isErr()) return this.close();
-      this.#onMessage(message.value as PeerMessage);
+      if (!this.#handle(message.value as PeerMessage)) return this.close();
     }
     this.#chunks = bytes.length === 0 ? [] : [bytes];
     this.#size = bytes.length;
--- /dev/null
+++ b/packages/router/src/connection/peer_link_test.ts
@@ -0,0 +1,72 @@
+import assert from "node:assert/strict";
+import { Buffer } from "node:buffer";
+import { once } from "node:events";
+import { connect, createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { test } from "node:test";
+import type { TestContext } from "node:test";
+import { encodeMessage, PeerLink } from "./peer_link.ts";
+import type { PeerMessage } from "./peer_message.ts";
+
+const WANT: PeerMessage = {
+  kind: "want",
+  configuration: true,
+  runners: false,
+  parts: false,
+};
+
+/** A link whose far end the test writes byte by byte. */
+async function openLink(
+  context: TestContext,
+  onMessage: (message: PeerMessage) => void,
+) {
+  const server = createServer();
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const far = connect((server.address() as AddressInfo).port, "127.0.0.1");
+  const [near] = await once(server, "connection");
+  const faults: string[] = [];
+  const closed = new Promise<void>((resolve) => {
+    new PeerLink(near, {
+      onMessage,
+      onClose: resolve,
+      onFault: (reason) => faults.push(reason),
+    });
+  });
+  context.after(() => {
+    server.close();
+    far.destroy();
+  });
+  return { far, closed, faults };
+}
+
+test("messages arrive whole, however their bytes are cut", async (t) => {
+  const received: PeerMessage[] = [];
+  const { far, closed } = await openLink(
+    t,
+    (message) => received.push(message),
+  );
+  const bytes = Buffer.concat([encodeMessage(WANT), encodeMessage(WANT)]);
+  for (const byte of bytes) far.write(Buffer.from([byte]));
+  far.end();
+  await closed;
+  assert.deepEqual(received, [WANT, WANT]);
+});
+
+// A daemon of another version sends a message of another shape. The handler
+// throws; without a guard around it the whole process would end, on every host
+// that the new version reaches.
+test("a message that cannot be taken closes the link, not the process", async (t) => {
+  const { far, closed, faults } = await openLink(t, () => {
+    throw new TypeError("no loads");
+  });
+  far.write(encodeMessage(WANT));
+  await closed;
+  assert.deepEqual(faults, ["TypeError: no loads"]);
+});
+
+test("a frame that is too long closes the link", async (t) => {
+  const { far, closed } = await openLink(t, () => {});
+  far.write(Buffer.from([0xff, 0xff, 0xff, 0xff]));
+  await closed;
+});
--- a/packages/router/src/connection/peers.ts
+++ b/packages/router/src/connection/peers.ts
@@ -177,6 +177,9 @@
         }
         if (peer !== undefined) this.#listener.received(peer, message);
       },
+      onFault: (reason) => {
+        this.#log.event("peer_message_bad", { name: peer?.name, reason });
+      },
       onClose: () => {
         if (peer !== undefined) this.#lost(peer);
         const address = dialledAddress ?? peer?.address;
--- a/packages/router/src/process/feed.ts
+++ b/packages/router/src/process/feed.ts
@@ -124,9 +124,7 @@
         await this.#step();
         this.#heard();
       } catch (error) {
-        if (!(error instanceof FeedError)) throw error;
-        if (error.kind === "expired") this.#revision = undefined;
-        else if (!this.#abort.signal.aborted) await this.#failed(error.message);
+        await this.#caught(error);
       }
     }
   }
@@ -168,6 +166,20 @@
     this.#contact.regained(afterMs);
   }
 
+  /**
+   * Goes on after any error. One that is no {@linkcode FeedError} comes from an
+   * answer of another shape than promised; ending the process for it would have
+   * every daemon restart for ever.
+   */
+  async #caught(error: unknown): Promise<void> {
+    const expired = error instanceof FeedError && error.kind === "expired";
+    if (expired) this.#revision = undefined;
+    else if (!this.#abort.signal.aborted) {
+      const reason = error instanceof FeedError ? error.message : String(error);
+      await this.#failed(reason);
+    }
+  }
+
   /**
    * Reads everything again after a failure: a watch that goes on from the old
    * revision may be deaf to what changed while the store dropped its history.
--- a/packages/router/src/process/feed_test.ts
+++ b/packages/router/src/process/feed_test.ts
@@ -6,11 +6,11 @@
 /** Plays the answers of a store one after the other, then is silent. */
 class PlayedFeed implements Feed<string> {
   readonly calls: string[] = [];
-  readonly #answers: (Listing<string> | Changes<string> | FeedError)[];
+  readonly #answers: (Listing<string> | Changes<string> | Error)[];
   readonly #end: () => void;
 
   constructor(
-    answers: (Listing<string> | Changes<string> | FeedError)[],
+    answers: (Listing<string> | Changes<string> | Error)[],
     end: () => void,
   ) {
     this.#answers = answers;
@@ -29,7 +29,7 @@
 
   #next(): Promise<unknown> {
     const answer = this.#answers.shift();
-    if (answer instanceof FeedError) return Promise.reject(answer);
+    if (answer instanceof Error) return Promise.reject(answer);
     if (answer !== undefined) return Promise.resolve(answer);
     this.#end();
     return new Promise(() => {});
@@ -37,7 +37,7 @@
 }
 
 async function follow(
-  answers: (Listing<string> | Changes<string> | FeedError)[],
+  answers: (Listing<string> | Changes<string> | Error)[],
 ): Promise<{ calls: readonly string[]; seen: readonly string[] }> {
   const seen: string[] = [];
   let feed: PlayedFeed | undefined;
@@ -68,7 +68,12 @@
     { revision: 9, values: ["b"] },
   ]);
   assert.deepEqual(calls, ["list", "watch 3", "list", "watch 9"]);
-  assert.deepEqual(seen, ["listed a", "lost reset", "listed b", "regained"]);
+  assert.deepEqual(seen, [
+    "listed a",
+    "lost reset",
+    "listed b",
+    "regained",
+  ]);
 });
 
 test("expired history is read again without being a loss", async () => {
@@ -89,3 +94,18 @@
   ]);
   assert.deepEqual(calls, ["list", "watch 3", "watch 3", "watch 5"]);
 });
+
+// The store answers in a shape that nobody promised. If the process ended, the
+// platform would start it again to meet the same answer, on every host.
+test("an answer of another shape is a lost dependency, not the end", async () => {
+  const { calls, seen } = await follow([
+    new TypeError("no entries"),
+    { revision: 3, values: ["a"] },
+  ]);
+  assert.deepEqual(calls, ["list", "list", "watch 3"]);
+  assert.deepEqual(seen, [
+    "lost TypeError: no entries",
+    "listed a",
+    "regained",
+  ]);
+});
--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -67,6 +67,8 @@
   /** Whether any byte may have reached a runner that did not refuse it. */
   #mayHaveRun = false;
   #expired = false;
+  /** Whether the caller's body is still on its way. */
+  #reading = false;
   #expiresAt = Infinity;
 
   constructor(daemon: Daemon, caller: Caller) {
@@ -103,12 +105,16 @@
     return setTimeout(() => {
       this.#expired = true;
       this.#attempt?.cancel("timeout");
+      if (!this.#reading) return;
+      this.#caller.refuse({ status: 408, code: "body_timeout", close: true });
     }, span);
   }
 
   async #serve(subject: Subject): Promise<Outcome> {
     const limits = this.#daemon.table()!.limits;
+    this.#reading = true;
     const whole = await readWhole(this.#caller.request, limits.maxBodyBytes);
+    this.#reading = false;
     if (whole.kind === "broken") return { kind: "left" };
     if (whole.kind === "too-large") {
       const refusal = { status: 413, code: "body_too_large", close: true };
@@ -436,7 +442,9 @@
     return { kind: "refused", refusal: { status: 504, code: "timeout" } };
   }
 
-  #end(call: CallHead, outcome: Outcome, subject?: Subject): void {
+  #end(call: CallHead, ended: Outcome, subject?: Subject): void {
+    const gone = this.#caller.left && ended.kind !== "answered";
+    const outcome: Outcome = gone ? { kind: "left" } : ended;
     if (outcome.kind === "refused") this.#caller.refuse(outcome.refusal);
     if (outcome.kind === "broken") this.#caller.breakOff();
     const elapsedMs = this.#daemon.now() - this.#startedAt;
--- a/packages/router/tests/forwarding_test.ts
+++ b/packages/router/tests/forwarding_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { connect } from "node:net";
+import { text } from "node:stream/consumers";
 import { test } from "node:test";
 import {
   answer,
@@ -295,3 +296,21 @@
   const router = await routeTo(t, {}, [runner]);
   assert.equal((await call(router)).status, 503);
 });
+
+// A caller sends the head of a request and half of its body, then nothing. It
+// gets its final answer at the route's timeout, and nothing reaches a runner.
+test("a body that does not come ends in 408 at the route's timeout", async (t) => {
+  const runner = await playRunner(t, "r-1", () => {});
+  const router = await routeTo(t, { timeoutMs: 100 }, [runner]);
+  const socket = connect(router.callersPort, "127.0.0.1");
+  const lines = [
+    "POST / HTTP/1.1",
+    "Host: test",
+    "Content-Length: 9",
+    "",
+    "ha",
+  ];
+  socket.write(lines.join("\r\n"));
+  assert.match(await text(socket), /^HTTP\/1\.1 408 /);
+  assert.equal(runner.requests.length, 0);
+});
