Keep bursts of long prompts off the runners of tight streams

Change: long prompts start at such a runner only if it has no tight streams or they bear the reading.

--- a/packages/router/src/request/admission.ts
+++ b/packages/router/src/request/admission.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Runner } from "../process/runner_directory.ts";
-import { readMs } from "./demand.ts";
+import { BEARABLE_MS, readMs } from "./demand.ts";
 import type { Demand, Fleet } from "./demand.ts";
 
 /** Work in ms that a runner may have in flight when the least urgent start. */
@@ -48,3 +48,21 @@
     inFlight >= share * engine!.slots ||
     memory > share * engine!.memoryTokens;
 }
+
+/**
+ * Whether a long prompt would make streams with tight gaps late that are at a
+ * runner which is kept for them. In a burst, when all other runners are full,
+ * long prompts would otherwise fill these too, and urgent streams would wait
+ * for seconds behind them.
+ */
+export function disturbsTight(
+  fleet: Fleet,
+  demand: Demand,
+  runner: Runner,
+): boolean {
+  const { tight, unreadTokens } = fleet.loads.of(runner.id).all;
+  if (tight === 0) return false;
+  const { prompt, promptTokens } = demand;
+  const cached = fleet.prefixes.cachedTokens(runner.id, prompt, fleet.now);
+  return readMs(unreadTokens + promptTokens - cached) > BEARABLE_MS;
+}
--- a/packages/router/src/request/demand.ts
+++ b/packages/router/src/request/demand.ts
@@ -40,6 +40,8 @@
 const CHUNK_STEP_MS = 40;
 /** Room for the steps between chunks, as a factor. */
 const GAP_ROOM = 1.25;
+/** Reading in ms that streams with tight gaps bear without a late event. */
+export const BEARABLE_MS = 100;
 /** Tokens of prompts that an engine reads in a ms, with its other work. */
 const READ_TOKENS_PER_MS = 50;
 
--- a/packages/router/src/request/placement.ts
+++ b/packages/router/src/request/placement.ts
@@ -6,7 +6,7 @@
 import { Rendezvous } from "@umbermast/coordination/rendezvous";
 import type { PromptPart } from "../process/prefix_record.ts";
 import type { Runner } from "../process/runner_directory.ts";
-import { isOverloaded } from "./admission.ts";
+import { disturbsTight, isOverloaded } from "./admission.ts";
 import { isTight } from "./demand.ts";
 import type { Demand, Fleet } from "./demand.ts";
 import { holderOf, quoteOf, WARM_UP_FACTOR } from "./runner_cost.ts";
@@ -93,7 +93,10 @@
   const order = new Rendezvous(pool.map(({ id }) => id)).order(part.id);
   const ranks = new Map(order.map((id, rank) => [id, rank]));
   const holder = holderOf(fleet, demand, runners);
-  const free = runners.filter((each) => !isOverloaded(fleet, demand, each));
+  const free = runners.filter((each) =>
+    !isOverloaded(fleet, demand, each) &&
+    (tight || !kept.has(each.id) || !disturbsTight(fleet, demand, each))
+  );
   let best: Quote | undefined;
   for (const runner of free.length > 0 ? free : runners) {
     const quote = quoteOf(fleet, demand, {
--- a/packages/router/src/request/placement_test.ts
+++ b/packages/router/src/request/placement_test.ts
@@ -173,6 +173,21 @@
   assert.ok(unreadTokens / 50 < 1_000, `${unreadTokens} tokens ahead`);
 });
 
+// Long prompts burst in while replies stream. When the other runners are full,
+// the long ones must wait or be refused: at the replies' runners, each reply
+// after them would wait for seconds, and callers give up after two.
+test("a burst of long prompts does not spill over tight streams", () => {
+  const fleet = fleetOf(8);
+  const replies = Array.from({ length: 12 }, (_, index) => `t-${index}`);
+  const kept = new Set(
+    placeAll(fleet, replies.map(tightStream)).map(({ runner }) => runner.id),
+  );
+  const before = [...kept].map((id) => fleet.loads.of(id).all.unreadTokens);
+  assert.ok(startBurst(fleet, { read: false }) < 100);
+  const after = [...kept].map((id) => fleet.loads.of(id).all.unreadTokens);
+  assert.deepEqual(after, before);
+});
+
 test("a lost runner moves only its own prompts", () => {
   const all = fleetOf(8);
   const subjects = Array.from({ length: 60 }, (_, index) => `s-${index}`);
--- a/packages/router/src/request/runner_cost.ts
+++ b/packages/router/src/request/runner_cost.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Runner } from "../process/runner_directory.ts";
-import { isTight, readMs } from "./demand.ts";
+import { BEARABLE_MS, isTight, readMs } from "./demand.ts";
 import type { Demand, Fleet } from "./demand.ts";
 
 /**
@@ -28,8 +28,6 @@
 const AMONG_LONG_MS = 150;
 /** What a long prompt costs where tight streams are at home, in ms of wait. */
 const AMONG_TIGHT_MS = 100;
-/** Reading in ms that streams with tight gaps bear without a late event. */
-const BEARABLE_MS = 100;
 /** What a late tight stream is worth, in ms of a runner's time. */
 const TIGHT_STREAM_MS = 100;
 /** What a runner's other requests slow down one more, in ms each. */
