--- a/packages/router/src/connection/runner_connections.ts
+++ b/packages/router/src/connection/runner_connections.ts
@@ -86,9 +86,7 @@
   dropIdle(runner: Runner): void {
     const agent = this.#agents.get(runner.id);
     if (agent === undefined) return;
-    for (const sockets of Object.values(agent.freeSockets)) {
-      for (const socket of sockets ?? []) socket.destroy();
-    }
+    closeIdle(agent);
   }
 
   /** Closes the idle connections of runners that are not listed. */
@@ -97,9 +95,13 @@
       if (ids.has(id)) continue;
       this.#agents.delete(id);
       agent.maxFreeSockets = 0;
-      for (const sockets of Object.values(agent.freeSockets)) {
-        for (const socket of sockets ?? []) socket.destroy();
-      }
+      closeIdle(agent);
     }
   }
 }
+
+function closeIdle(agent: Agent): void {
+  for (const sockets of Object.values(agent.freeSockets)) {
+    for (const socket of sockets ?? []) socket.destroy();
+  }
+}
--- a/packages/router/src/process/feed.ts
+++ b/packages/router/src/process/feed.ts
@@ -108,11 +108,6 @@
     return this.#confirmedAt;
   }
 
-  /** Whether the last call failed. */
-  get lost(): boolean {
-    return this.#lostAt !== undefined;
-  }
-
   /** Reads until {@linkcode stop}. */
   async run(): Promise<void> {
     while (!this.#stopped) {
--- a/packages/router/src/process/runner_directory.ts
+++ b/packages/router/src/process/runner_directory.ts
@@ -78,11 +78,6 @@
     return this.#byService.get(service) ?? [];
   }
 
-  /** Whether a runner is listed and not leaving. */
-  isReady(runner: Runner): boolean {
-    return this.ready(runner.service).some(({ id }) => id === runner.id);
-  }
-
   #set(list: RunnerList): void {
     this.#list = list;
     const ready = list.runners.filter(({ draining }) => !draining);
--- a/packages/router/src/version/routing_table.ts
+++ b/packages/router/src/version/routing_table.ts
@@ -110,11 +110,6 @@
   tiersBelow(tier: number): number {
     return this.#tiers.filter((each) => each > tier).length;
   }
-
-  /** Names of all services, for metrics and bookkeeping. */
-  get serviceNames(): readonly string[] {
-    return [...this.#services.keys()];
-  }
 }
 
 /**
