Bound every wait of the test run and of the pages' commands

Its output stops behind the last test of not_run_test, so either that file's process kept running after its tests, or the next one never ended its first. Node's runner waits for both for ever: a test file that leaves one listening socket open holds up the run. Ruled out: the tests themselves, in 300 runs of both files at a load of 14. Change: a file is over when its tests are, and one that takes over 300 s fails with its name; commands that pages show are bounded in the same way. Before and after, with a file that leaks a socket and one that never ends: no end; 5.2 s with a bound of 5 s, the leak passes, the other is named. The whole script passed on the code before in 170 s, 743 tests; npm test passes with the change.

--- a/scripts/check_docs.mjs
+++ b/scripts/check_docs.mjs
@@ -25,6 +25,11 @@
 const NAME = /`([a-z]+(?:_[a-z0-9]+)+)`/g;
 const BLOCK = /^[ \t]*```sh\n([\s\S]*?)^[ \t]*```$/gm;
 const SETTINGS = /^```json settings\n([\s\S]*?)^```$/gm;
+/**
+ * Milliseconds for one command that a page shows, or for the start and the end
+ * of one that stays up; the slowest takes 60 s.
+ */
+const COMMAND_TIMEOUT_MS = 300_000;
 const HISTOGRAM_PART = /_(?:bucket|sum|count)$/;
 
 function filesUnder(folder, ending) {
@@ -133,9 +138,24 @@
   execFileSync("bash", ["-c", script], {
     cwd: root,
     stdio: ["ignore", "ignore", 2],
+    timeout: COMMAND_TIMEOUT_MS,
   });
 }
 
+/** Ends a wait that takes too long with an error that names it. */
+async function within(wait, what) {
+  let timer;
+  const late = new Promise((_resolve, reject) => {
+    const error = new Error(`${what} takes over ${COMMAND_TIMEOUT_MS} ms`);
+    timer = setTimeout(() => reject(error), COMMAND_TIMEOUT_MS);
+  });
+  try {
+    return await Promise.race([wait, late]);
+  } finally {
+    clearTimeout(timer);
+  }
+}
+
 /** Runs a command that stays up, and the tour against what it tells. */
 async function serveCommand([program, ...args], pages) {
   const folder = mkdtempSync(join(tmpdir(), "umbermast-docs-"));
@@ -146,10 +166,11 @@
   const ended = new Promise((resolve) => child.once("exit", resolve));
   try {
     const lines = createInterface({ input: child.stdout });
-    const first = await new Promise((resolve) => {
+    const firstLine = new Promise((resolve) => {
       lines.once("line", resolve);
       lines.once("close", () => resolve(""));
     });
+    const first = await within(firstLine, `The start of "${program}"`);
     JSON.parse(first);
     writeFileSync(join(folder, "stack.json"), first);
     runTour(pages, folder);
@@ -157,7 +178,7 @@
     child.kill("SIGTERM");
     rmSync(folder, { recursive: true });
   }
-  const code = await ended;
+  const code = await within(ended, `The end of "${program}"`);
   if (code !== 0) throw new Error(`"${program}" ended with ${code}`);
 }
 
@@ -172,6 +193,7 @@
       writeFileSync(file, settings);
       execFileSync(process.execPath, [daemon, "check", file], {
         stdio: ["ignore", "ignore", 2],
+        timeout: COMMAND_TIMEOUT_MS,
       });
     }
   }
@@ -190,6 +212,7 @@
     execFileSync(run[0], run.slice(1), {
       cwd: root,
       stdio: ["ignore", "ignore", 2],
+      timeout: COMMAND_TIMEOUT_MS,
     });
   }
 }
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -9,6 +9,11 @@
 
 const root = dirname(dirname(fileURLToPath(import.meta.url)));
 const CONCURRENCY = 4;
+/**
+ * Milliseconds for one test file; the slowest takes 45 s, and 100 s on a busy
+ * machine. A file that hangs fails with its name instead of holding up CI.
+ */
+const FILE_TIMEOUT_MS = 300_000;
 const words = process.argv.slice(2);
 
 /** Sources decide what runs, so a stale built file of a deleted test does not. */
@@ -43,6 +48,10 @@
   [
     "--test",
     `--test-concurrency=${CONCURRENCY}`,
+    `--test-timeout=${FILE_TIMEOUT_MS}`,
+    // A file is over when its tests are: a socket that one of them left open
+    // would otherwise keep the process, and the run, for ever.
+    "--test-force-exit",
     "--test-reporter=spec",
     ...chosen,
   ],
