Let requests that wait for a runner go there in turn, and rank them by route too

Cause, from the log of a small twin of the grown site (16 daemons, 23 engines): requests that were told of no room looked at all runners again each 20 ms, so those of every daemon went to the first one that became free: 22 prompts within 50 ms, 230,000 tokens in one second and none for three. An engine that reads without pause gives a stream a token each 40 ms instead of 6, and 125 of 2,017 long answers ran into their timeouts with 14 to 40 events out. And a prompt whose home was full was read again elsewhere: 5.4 of 20.4 million tokens. Besides, all but one workspace have one tier, which goes before the route's: urgent and long requests had the same rank at daemons and engines.

Change: a request that finds its best runner full waits for that one, tells all daemons, and is sent after one and a half rounds of states, when no other goes before it; ranks are the pairs of the workspace's and the route's tier; reading weighs 5 times waiting (2.5), a fetched copy 40 ms (120); tight streams bear 160 ms of reading (100); waits last 0.4 of the time a caller has.

The new tests of the turn and of waiting at home fail on the code before: 240,000 tokens at one runner at once, 30,000 now.

--- a/packages/router/src/connection/peer_message.ts
+++ b/packages/router/src/connection/peer_message.ts
@@ -8,9 +8,18 @@
 import type { RunnerList } from "../process/runner_directory.ts";
 import type { Configuration } from "../version/configuration.ts";
 
-/** Load that one daemon puts on one runner. */
+/** A request that waits at the sender of a message. */
+export interface WaitingNews {
+  readonly rank: number;
+  /** Milliseconds since it came. */
+  readonly ageMs: number;
+  readonly unreadTokens: number;
+}
+
+/** Load that one daemon puts on one runner, or is about to. */
 export interface LoadShare extends Share {
   readonly runner: string;
+  readonly waiting: readonly WaitingNews[];
 }
 
 /** First message on a link, in both directions. */
--- a/packages/router/src/connection/sharing.ts
+++ b/packages/router/src/connection/sharing.ts
@@ -110,7 +110,11 @@
   #take(peer: Peer, state: State): void {
     const now = performance.now();
     for (const share of state.loads) {
-      this.#known.loads.of(share.runner).toldBy(peer.name, share);
+      const waiting = share.waiting.map(({ ageMs, ...each }) => ({
+        ...each,
+        since: now - ageMs,
+      }));
+      this.#known.loads.of(share.runner).toldBy(peer.name, share, waiting);
     }
     for (const news of state.parts) this.#known.prefixes.take(news, now);
     const configuration = state.configuration > this.#version;
@@ -125,15 +129,19 @@
     return this.#known.configuration()?.version ?? -1;
   }
 
-  #schedule(): void {
-    const period = Math.max(
+  /** Milliseconds between two states. */
+  get periodMs(): number {
+    return Math.max(
       SHORTEST_PERIOD_MS,
       PERIOD_PER_PEER_MS * this.#peers().count,
     );
+  }
+
+  #schedule(): void {
     this.#timer = setTimeout(() => {
       this.#tick();
       this.#schedule();
-    }, period);
+    }, this.periodMs);
   }
 
   #tick(): void {
@@ -160,6 +168,12 @@
   }
 
   #share(runner: string): LoadShare {
-    return { runner, ...this.#known.loads.of(runner).own };
+    const load = this.#known.loads.of(runner);
+    const now = performance.now();
+    const waiting = load.waiting.map(({ since, ...each }) => ({
+      ...each,
+      ageMs: Math.round(now - since),
+    }));
+    return { runner, ...load.own, waiting };
   }
 }
--- a/packages/router/src/request/admission.ts
+++ b/packages/router/src/request/admission.ts
@@ -22,6 +22,9 @@
 /** How much more it may have for each tier that a request is more urgent. */
 const WORK_BY_TIER = 1.6;
 
+/** Kinds of requests beyond which a more urgent one gets no more. */
+const MAX_STEPS = 2;
+
 /**
  * Whether a runner already works on so much that one more request of this tier
  * would keep those that are there from their ends.
@@ -37,14 +40,16 @@
   demand: Demand,
   runner: Runner,
 ): boolean {
-  const { workTokens, unreadTokens, inFlight, memoryTokens } =
-    fleet.loads.of(runner.id).all;
-  const { engine, tiersBelow } = demand;
-  const share = Math.min(1, FILL_SHARE + FILL_BY_TIER * tiersBelow);
+  const load = fleet.loads.of(runner.id);
+  const { workTokens, unreadTokens, inFlight, memoryTokens } = load.all;
+  const { engine, ranksBelow } = demand;
+  const above = Math.min(MAX_STEPS, ranksBelow);
+  const share = Math.min(1, FILL_SHARE + FILL_BY_TIER * above);
   const memory = memoryTokens + demand.promptTokens + demand.answerTokens;
-  const more = WORK_BY_TIER ** tiersBelow;
+  const more = WORK_BY_TIER ** above;
   return readMs(workTokens) > MAX_WORK_MS * more ||
-    readMs(unreadTokens) > MAX_BACKLOG_MS * more ||
+    readMs(unreadTokens + load.aheadTokens(demand.turn)) >
+      MAX_BACKLOG_MS * more ||
     inFlight >= share * engine!.slots ||
     memory > share * engine!.memoryTokens;
 }
--- a/packages/router/src/request/call.ts
+++ b/packages/router/src/request/call.ts
@@ -36,7 +36,7 @@
   readonly deadlineMs: number;
   readonly workspace: string | undefined;
   /** 0 is the most urgent; absent for plain services. */
-  readonly tier: number | undefined;
+  readonly rank: number | undefined;
   /** Address of a runner that holds part of the prompt, as "IP:PORT". */
   readonly fetchFrom: string | undefined;
   /** Last event that was delivered of a stream that goes on. */
--- a/packages/router/src/request/daemon.ts
+++ b/packages/router/src/request/daemon.ts
@@ -36,6 +36,8 @@
   runnersAgeMs(): number;
   /** Connections that this daemon may have to one runner of a service. */
   connectionShare(service: Service): number;
+  /** Milliseconds in which a change here is known to all other daemons. */
+  settleMs(): number;
   /** Repeats that may be sent to a service. */
   budget(service: string): RetryBudget;
 }
--- a/packages/router/src/request/demand.ts
+++ b/packages/router/src/request/demand.ts
@@ -5,7 +5,7 @@
  */
 import type { PrefixRecord, PromptPart } from "../process/prefix_record.ts";
 import type { Runner } from "../process/runner_directory.ts";
-import type { RunnerLoads } from "../process/runner_load.ts";
+import type { RunnerLoads, Turn } from "../process/runner_load.ts";
 import type { Engine } from "../version/configuration.ts";
 
 /** What a request asks of a runner. */
@@ -16,8 +16,10 @@
   readonly answerTokens: number;
   readonly targetMs: number;
   readonly gapTargetMs: number | undefined;
-  /** Tiers in use that are less urgent. */
-  readonly tiersBelow: number;
+  /** Where it stands among requests that wait for the same runner. */
+  readonly turn: Turn;
+  /** Kinds of requests that are less urgent. */
+  readonly ranksBelow: number;
   /** Absent for a plain service. */
   readonly engine: Engine | undefined;
 }
@@ -41,7 +43,7 @@
 /** Room for the steps between chunks, as a factor. */
 const GAP_ROOM = 1.25;
 /** Reading in ms that streams with tight gaps bear without a late event. */
-export const BEARABLE_MS = 100;
+export const BEARABLE_MS = 160;
 /** Tokens of prompts that an engine reads in a ms, with its other work. */
 const READ_TOKENS_PER_MS = 50;
 
--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -5,7 +5,7 @@
  */
 import type { Buffer } from "node:buffer";
 import { pause } from "../process/pause.ts";
-import type { Placed, RunnerLoad } from "../process/runner_load.ts";
+import type { Placed, RunnerLoad, Turn } from "../process/runner_load.ts";
 import { Attempt } from "./attempt.ts";
 import type { Sent } from "./attempt.ts";
 import type { CallHead } from "./call.ts";
@@ -16,9 +16,10 @@
 import type { Outcome } from "./outcome.ts";
 import { chooseRunner } from "./placement.ts";
 import type { Choice } from "./placement.ts";
+import { RoomWait } from "./room_wait.ts";
 import { Silence } from "./silence.ts";
 import { StreamRelay } from "./stream_relay.ts";
-import { findSubject, tierOf } from "./subject.ts";
+import { findSubject } from "./subject.ts";
 import type { Subject } from "./subject.ts";
 import { readWhole } from "./whole_body.ts";
 
@@ -26,8 +27,11 @@
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 /** Milliseconds after which a refused caller may come back; spread by as much. */
 const RETRY_AFTER_MS = 250;
-/** Part of a request's target for which it waits for a runner with less work. */
-const HOLD_SHARE = 1;
+/**
+ * Part of the time that a caller has for which its request waits for room. The
+ * rest is for the answer: a long one takes 3 s of the 8 that its callers have.
+ */
+const HOLD_SHARE = 0.4;
 /** Milliseconds between two looks for such a runner. */
 const HOLD_STEP_MS = 20;
 /** Targets without a first event after which a stream is tried elsewhere. */
@@ -153,27 +157,42 @@
   }
 
   /**
-   * Chooses a runner; while all that suit have too much work, waits a while for
-   * one. Most waits end within it, and a refusal costs the caller more.
+   * Chooses a runner; while the one that suits best has too much work, waits a
+   * while for it. Most waits end within it, and a refusal costs the caller more.
    */
   async #chooseOrWait(
     subject: Subject,
   ): Promise<Choice | undefined | "overloaded"> {
-    const until = this.#daemon.now() + HOLD_SHARE * subject.route.targetMs;
-    for (;;) {
-      const choice = this.#choose(subject);
-      if (choice === undefined || !choice.overloaded) return choice;
-      if (this.#attempts > 0) return choice;
-      const over = this.#daemon.now() > until;
-      if (over || this.#expired || this.#caller.left) {
-        const waitedMs = this.#daemon.now() - this.#startedAt;
-        logOverload(this.#daemon, subject, { choice, waitedMs });
-        return "overloaded";
+    const span = Math.min(this.#left(), subject.route.patienceMs);
+    const until = this.#daemon.now() + HOLD_SHARE * span;
+    const wait = new RoomWait(this.#turn(subject));
+    try {
+      for (;;) {
+        const choice = this.#choose(subject);
+        if (choice === undefined || this.#attempts > 0) return choice;
+        const now = this.#daemon.now();
+        const load = this.#daemon.loads.of(choice.runner.id);
+        const settleMs = this.#daemon.settleMs();
+        if (!choice.overloaded && wait.maySend(load, { now, settleMs })) {
+          return choice;
+        }
+        if (now > until || this.#expired || this.#caller.left) {
+          const waitedMs = now - this.#startedAt;
+          logOverload(this.#daemon, subject, { choice, waitedMs });
+          return "overloaded";
+        }
+        wait.at(load, { unreadTokens: choice.unreadTokens, now });
+        await pause(HOLD_STEP_MS);
       }
-      await pause(HOLD_STEP_MS);
+    } finally {
+      wait.end();
     }
   }
 
+  #turn(subject: Subject): Turn {
+    return { rank: subject.rank, since: this.#startedAt };
+  }
+
   #choose(subject: Subject): Choice | undefined {
     const { call, route, service } = subject;
     return chooseRunner(this.#daemon.fleet(service.name), {
@@ -182,7 +201,8 @@
       answerTokens: call.answerTokens,
       targetMs: route.targetMs,
       gapTargetMs: route.gapTargetMs,
-      tiersBelow: this.#daemon.table()!.tiersBelow(tierOf(subject)),
+      turn: this.#turn(subject),
+      ranksBelow: subject.ranksBelow,
       engine: service.engine,
     }, this.#tried);
   }
@@ -222,7 +242,6 @@
   #newAttempt(subject: Subject, choice: Choice, body: Buffer): Attempt {
     const { call, service, workspace } = subject;
     const { request } = this.#caller;
-    const tier = tierOf(subject);
     return new Attempt(choice.runner, {
       id: call.id,
       method: request.method!,
@@ -231,7 +250,7 @@
         runnerId: choice.runner.id,
         deadlineMs: Math.max(1, Math.floor(this.#left())),
         workspace: workspace?.name,
-        tier: service.engine === undefined ? undefined : tier,
+        rank: service.engine === undefined ? undefined : subject.rank,
         fetchFrom: choice.fetchFrom === undefined
           ? undefined
           : `${choice.fetchFrom.address}:${choice.fetchFrom.port}`,
--- a/packages/router/src/request/exchange_log.ts
+++ b/packages/router/src/request/exchange_log.ts
@@ -5,7 +5,6 @@
  */
 import type { Daemon } from "./daemon.ts";
 import type { Choice } from "./placement.ts";
-import { tierOf } from "./subject.ts";
 import type { Subject } from "./subject.ts";
 
 /** Tells that no runner had room, and how full the best of them was. */
@@ -19,7 +18,7 @@
   daemon.log.decision("overload_found", subject.call.id, {
     service: subject.service.name,
     runner: choice.runner.id,
-    tier: tierOf(subject),
+    rank: subject.rank,
     candidates: choice.candidates,
     in_flight: all.inFlight,
     backlog_tokens: all.unreadTokens,
@@ -53,7 +52,7 @@
     fetch_from: choice.fetchFrom?.id,
     prompt_tokens: call.promptTokens,
     shared_part: call.prompt.at(-2)?.id,
-    tier: tierOf(subject),
+    rank: subject.rank,
     runners_age_ms: Math.round(daemon.runnersAgeMs()),
     left_ms: Math.round(leftMs),
   });
--- a/packages/router/src/request/placement.ts
+++ b/packages/router/src/request/placement.ts
@@ -93,12 +93,11 @@
   const order = new Rendezvous(pool.map(({ id }) => id)).order(part.id);
   const ranks = new Map(order.map((id, rank) => [id, rank]));
   const holder = holderOf(fleet, demand, runners);
-  const free = runners.filter((each) =>
-    !isOverloaded(fleet, demand, each) &&
-    (tight || !kept.has(each.id) || !disturbsTight(fleet, demand, each))
+  const bearable = runners.filter((each) =>
+    tight || !kept.has(each.id) || !disturbsTight(fleet, demand, each)
   );
   let best: Quote | undefined;
-  for (const runner of free.length > 0 ? free : runners) {
+  for (const runner of bearable.length > 0 ? bearable : runners) {
     const quote = quoteOf(fleet, demand, {
       runner,
       rank: ranks.get(runner.id) ?? order.length,
@@ -112,7 +111,8 @@
     unreadTokens: best!.unreadTokens,
     fetchFrom: best!.fetchFrom,
     tight,
-    overloaded: free.length === 0,
+    overloaded: bearable.length === 0 ||
+      isOverloaded(fleet, demand, best!.runner),
     candidates: runners.length,
     reason: best!.runner.id === order[0] ? "home" : "spread",
   };
--- /dev/null
+++ b/packages/router/src/request/room_wait.ts
@@ -0,0 +1,63 @@
+/**
+ * A request's wait for room on a runner, told to all daemons.
+ *
+ * @module
+ */
+import type { RunnerLoad, Turn, Waiting } from "../process/runner_load.ts";
+
+interface Place {
+  readonly load: RunnerLoad;
+  readonly waiting: Waiting;
+  readonly since: number;
+}
+
+/**
+ * The place of one request among those that wait for a runner.
+ *
+ * A request that was told of no room joins the others at the runner of its
+ * choice, and is sent only after all daemons can have heard of that. Sent as
+ * soon as room is seen, requests that wait at every daemon go to the one runner
+ * that is free: 22 prompts within 50 ms, which it reads for 5 s without pause,
+ * while its streams get a token each 40 ms and run into their timeouts.
+ */
+export class RoomWait {
+  readonly #turn: Turn;
+  #place: Place | undefined;
+
+  constructor(turn: Turn) {
+    this.#turn = turn;
+  }
+
+  /** Waits at a runner from now on, unless it does already. */
+  at(load: RunnerLoad, options: {
+    readonly unreadTokens: number;
+    readonly now: number;
+  }): void {
+    if (this.#place?.load === load) return;
+    this.end();
+    const { unreadTokens, now } = options;
+    const waiting = { ...this.#turn, unreadTokens };
+    this.#place = { load, waiting, since: now };
+    load.wait(waiting);
+  }
+
+  /**
+   * Whether the request may be sent to a runner that has room: it has not
+   * waited at all, or there for long enough that all daemons know.
+   */
+  maySend(load: RunnerLoad, options: {
+    readonly now: number;
+    /** Milliseconds in which a change is known to all daemons. */
+    readonly settleMs: number;
+  }): boolean {
+    if (this.#place === undefined) return true;
+    const { now, settleMs } = options;
+    return this.#place.load === load && now - this.#place.since > settleMs;
+  }
+
+  /** Waits no more. */
+  end(): void {
+    this.#place?.load.endWait(this.#place.waiting);
+    this.#place = undefined;
+  }
+}
--- /dev/null
+++ b/packages/router/src/request/room_wait_test.ts
@@ -0,0 +1,140 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { RunnerLoads } from "../process/runner_load.ts";
+import type { Placed } from "../process/runner_load.ts";
+import { RoomWait } from "./room_wait.ts";
+
+const DAEMONS = 8;
+const PROMPT_TOKENS = 15_000;
+/** What an engine reads in a ms. */
+const READ_TOKENS_PER_MS = 50;
+const STEP_MS = 20;
+const SHARE_EVERY_MS = 60;
+/** Backlog of reading at which daemons send no more, in tokens. */
+const FULL_TOKENS = 20_000;
+
+/** One daemon with requests that wait for the runner. */
+interface Daemon {
+  readonly name: string;
+  readonly loads: RunnerLoads;
+  readonly held: { readonly since: number; readonly wait: RoomWait }[];
+}
+
+function daemonWith(name: string, count: number, first: number): Daemon {
+  const held = Array.from({ length: count }, (_, index) => {
+    const since = first + index;
+    return { since, wait: new RoomWait({ rank: 0, since }) };
+  });
+  return { name, loads: new RunnerLoads(), held };
+}
+
+function share(daemons: readonly Daemon[]): void {
+  for (const from of daemons) {
+    const { own, waiting } = from.loads.of("r");
+    for (const to of daemons) {
+      if (to === from) continue;
+      to.loads.of("r").toldBy(from.name, own, waiting);
+    }
+  }
+}
+
+/** Sends what one daemon may; tells the tokens that went out. */
+function sendWhatFits(daemon: Daemon, options: {
+  readonly now: number;
+  readonly settleMs: number;
+  readonly sent: { readonly daemon: Daemon; readonly placed: Placed }[];
+}): void {
+  const { now, settleMs, sent } = options;
+  const load = daemon.loads.of("r");
+  for (const request of [...daemon.held]) {
+    const turn = { rank: 0, since: request.since };
+    const ahead = load.all.unreadTokens + load.aheadTokens(turn);
+    const room = ahead <= FULL_TOKENS;
+    if (room && request.wait.maySend(load, { now, settleMs })) {
+      request.wait.end();
+      daemon.held.splice(daemon.held.indexOf(request), 1);
+      const placed = {
+        unreadTokens: PROMPT_TOKENS,
+        memoryTokens: PROMPT_TOKENS,
+        tight: false,
+      };
+      load.place(placed, now);
+      sent.push({ daemon, placed });
+      continue;
+    }
+    request.wait.at(load, { unreadTokens: PROMPT_TOKENS, now });
+  }
+}
+
+/** Plays until all prompts are read; tells the most that lay unread at once. */
+function play(settleMs: number): { mostTokens: number; endedAt: number } {
+  const daemons = Array.from(
+    { length: DAEMONS },
+    (_, index) => daemonWith(`d-${index}`, 4, index * 4),
+  );
+  const unread: { readonly daemon: Daemon; readonly placed: Placed }[] = [];
+  let budget = 0;
+  let mostTokens = 0;
+  // The requests waited elsewhere, and all see at once that this one is free.
+  for (const { held, loads } of daemons) {
+    for (const { wait } of held) {
+      wait.at(new RunnerLoads().of("elsewhere"), { unreadTokens: 0, now: -1 });
+    }
+    loads.of("r");
+  }
+  for (let now = 0; now < 60_000; now += STEP_MS) {
+    for (const daemon of daemons) {
+      sendWhatFits(daemon, { now, settleMs, sent: unread });
+    }
+    if (now % SHARE_EVERY_MS === SHARE_EVERY_MS - STEP_MS) share(daemons);
+    mostTokens = Math.max(mostTokens, unread.length * PROMPT_TOKENS);
+    budget += STEP_MS * READ_TOKENS_PER_MS;
+    while (unread.length > 0 && budget >= PROMPT_TOKENS) {
+      const { daemon, placed } = unread.shift()!;
+      daemon.loads.of("r").release(placed);
+      budget -= PROMPT_TOKENS;
+    }
+    if (unread.length === 0) budget = 0;
+    const left = daemons.some(({ held }) => held.length > 0);
+    if (!left && unread.length === 0) return { mostTokens, endedAt: now };
+  }
+  return { mostTokens, endedAt: Infinity };
+}
+
+// Long prompts wait at every daemon, and one runner becomes free. Each daemon
+// sees that at the same moment. If all send at once, the runner reads 32
+// prompts for ten seconds without pause: its streams get a token each 40 ms,
+// run into their timeouts, and what was read for them is lost.
+test("requests that wait at several daemons go to a free runner in turn", () => {
+  const { mostTokens, endedAt } = play(1.5 * SHARE_EVERY_MS);
+  assert.ok(mostTokens <= 4 * PROMPT_TOKENS, `${mostTokens} tokens at once`);
+  const reading = DAEMONS * 4 * PROMPT_TOKENS / READ_TOKENS_PER_MS;
+  assert.ok(endedAt < 1.25 * reading, `ended after ${endedAt} ms`);
+});
+
+test("the oldest of the most urgent goes first, whatever daemon it is at", () => {
+  const load = new RunnerLoads().of("r");
+  load.wait({ rank: 1, since: 5, unreadTokens: 10 });
+  const share = load.own;
+  load.toldBy("other", share, [
+    { rank: 1, since: 3, unreadTokens: 100 },
+    { rank: 0, since: 9, unreadTokens: 1_000 },
+  ]);
+  assert.equal(load.aheadTokens({ rank: 0, since: 1 }), 0);
+  assert.equal(load.aheadTokens({ rank: 1, since: 1 }), 1_000);
+  assert.equal(load.aheadTokens({ rank: 1, since: 4 }), 1_100);
+  assert.equal(load.aheadTokens({ rank: 2, since: 0 }), 1_110);
+  load.forget("other");
+  assert.equal(load.aheadTokens({ rank: 2, since: 0 }), 10);
+});
+
+test("a request that has not waited is sent at once", () => {
+  const load = new RunnerLoads().of("r");
+  const wait = new RoomWait({ rank: 0, since: 0 });
+  assert.equal(wait.maySend(load, { now: 0, settleMs: 90 }), true);
+  wait.at(load, { unreadTokens: 5, now: 0 });
+  assert.equal(wait.maySend(load, { now: 90, settleMs: 90 }), false);
+  assert.equal(wait.maySend(load, { now: 91, settleMs: 90 }), true);
+  wait.end();
+  assert.deepEqual(load.waiting, []);
+});
--- a/packages/router/src/request/runner_cost.ts
+++ b/packages/router/src/request/runner_cost.ts
@@ -11,7 +11,7 @@
  * What a ms of reading counts against a ms of waiting. Reading a prompt twice
  * takes from everybody, waiting only from the one that waits.
  */
-const WORK_WEIGHT = 2.5;
+const WORK_WEIGHT = 5;
 /** Milliseconds of wait that a prompt's home may have more than another runner. */
 const AWAY_MS = 30;
 /**
@@ -23,7 +23,7 @@
  * What a fetch from another runner costs beside its time, in ms: a second copy
  * takes memory from other prompts.
  */
-const FETCH_MS = 120;
+const FETCH_MS = 40;
 /** What a stream with tight gaps risks among long prompts, in ms of wait. */
 const AMONG_LONG_MS = 150;
 /** What a long prompt costs where tight streams are at home, in ms of wait. */
@@ -98,7 +98,9 @@
     demand.promptTokens - cached - (fetches ? missing : 0),
   );
   const tight = isTight(demand);
-  const waitMs = readMs(load.all.unreadTokens);
+  const waitMs = readMs(
+    load.all.unreadTokens + load.aheadTokens(demand.turn),
+  );
   const ownMs = readMs(unreadTokens) + (fetches ? fetchMs + FETCH_MS : 0);
   const away = rank === 0
     ? 0
--- a/packages/router/src/request/subject.ts
+++ b/packages/router/src/request/subject.ts
@@ -22,11 +22,10 @@
   readonly service: Service;
   readonly workspace: Workspace | undefined;
   readonly version: number;
-}
-
-/** The tier of a request: its workspace's, or else its route's. */
-export function tierOf({ workspace, route }: Subject): number {
-  return workspace?.tier ?? route.tier;
+  /** Its rank among all kinds of requests, 0 being the most urgent. */
+  readonly rank: number;
+  /** Kinds of requests that are less urgent. */
+  readonly ranksBelow: number;
 }
 
 /** Finds what a request is about, or why it is refused. */
@@ -54,7 +53,16 @@
   if (service === undefined) {
     return { status: 503, code: "no_service", retryAfterMs: KNOWN_LATER_MS };
   }
-  return { call, route, service, workspace, version: table.version };
+  const rank = table.rank(route, workspace);
+  return {
+    call,
+    route,
+    service,
+    workspace,
+    version: table.version,
+    rank,
+    ranksBelow: table.ranksBelow(rank),
+  };
 }
 
 function authenticate(
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -179,6 +179,10 @@
     return Math.max(LEAST_CONNECTIONS, Math.floor(share));
   }
 
+  settleMs(): number {
+    return this.#peers.count === 0 ? 0 : 1.5 * this.#sharing.periodMs;
+  }
+
   budget(service: string): RetryBudget {
     const known = this.#budgets.get(service);
     if (known !== undefined) return known;
--- a/packages/router/src/version/configuration.ts
+++ b/packages/router/src/version/configuration.ts
@@ -34,6 +34,8 @@
   readonly targetMs: number;
   /** Longest pause between two events that is still on time, in ms. */
   readonly gapTargetMs: number | undefined;
+  /** Milliseconds for which callers bear to hear nothing of a stream. */
+  readonly patienceMs: number;
   /** Tier of the route, 0 being the most urgent. */
   readonly tier: number;
   readonly destinations: readonly Destination[];
--- a/packages/router/src/version/routing_table.ts
+++ b/packages/router/src/version/routing_table.ts
@@ -58,8 +58,8 @@
   readonly #hosts: ReadonlyMap<string, HostRoutes>;
   readonly #services: ReadonlyMap<string, Service>;
   readonly #workspaces: ReadonlyMap<string, Workspace>;
-  /** Tiers in use, each once. */
-  readonly #tiers: readonly number[];
+  /** Pairs of tiers in use, each once, the most urgent first. */
+  readonly #urgencies: readonly number[];
 
   constructor(configuration: Configuration) {
     this.version = configuration.version;
@@ -68,9 +68,7 @@
     this.#services = new Map(
       configuration.services.map((service) => [service.name, service]),
     );
-    const tiers = [...configuration.routes, ...configuration.workspaces]
-      .flatMap(({ tier }) => tier === undefined ? [] : [tier]);
-    this.#tiers = [...new Set(tiers)];
+    this.#urgencies = urgenciesOf(configuration);
     this.#workspaces = new Map(
       configuration.workspaces.flatMap((workspace) =>
         workspace.keys.map((key) => [key, workspace] as const)
@@ -106,10 +104,39 @@
     return this.#services.get(name);
   }
 
-  /** How many tiers in use are less urgent than one. */
-  tiersBelow(tier: number): number {
-    return this.#tiers.filter((each) => each > tier).length;
+  /**
+   * The rank of a request among all kinds that may come, 0 being the most
+   * urgent. A workspace's tier goes before its routes' tiers; among requests of
+   * workspaces of one tier, the routes' tiers decide.
+   */
+  rank(route: Route, workspace: Workspace | undefined): number {
+    const urgency = urgencyOf(route.tier, workspace?.tier);
+    return this.#urgencies.filter((each) => each < urgency).length;
   }
+
+  /** How many kinds of requests are less urgent than a rank. */
+  ranksBelow(rank: number): number {
+    return this.#urgencies.length - 1 - rank;
+  }
+}
+
+/** More than any tier of a route. */
+const TIER_RANGE = 1_000;
+
+function urgencyOf(routeTier: number, workspaceTier?: number): number {
+  return (workspaceTier ?? routeTier) * TIER_RANGE + routeTier;
+}
+
+function urgenciesOf(configuration: Configuration): readonly number[] {
+  const { routes, workspaces } = configuration;
+  const workspaceTiers = workspaces.length === 0
+    ? [undefined]
+    : [...new Set(workspaces.map(({ tier }) => tier))];
+  const anonymous = routes.some((route) => route.anonymous) ? [undefined] : [];
+  const urgencies = routes.flatMap((route) =>
+    [...workspaceTiers, ...anonymous].map((tier) => urgencyOf(route.tier, tier))
+  );
+  return [...new Set(urgencies)].sort((one, other) => one - other);
 }
 
 /**
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -110,6 +110,7 @@
     timeoutMs: 2_000,
     targetMs: 500,
     gapTargetMs: undefined,
+    patienceMs: 2_000,
     tier: 0,
     destinations: [{ service: "service", weight: 1 }],
     maxAttempts: 1,
