Review a wait only after it has settled, and stay where it is

Cause: at full size a change is known everywhere after 390 ms, but a request that waits looked for a better runner each 200 ms, and each move began a new wait (one request's log: 6 moves in 1.2 s, then refused). Change: reviews come after two such times; a runner that is waited for may cost 100 ms more than another one.

--- a/packages/router/src/request/demand.ts
+++ b/packages/router/src/request/demand.ts
@@ -18,6 +18,8 @@
   readonly gapTargetMs: number | undefined;
   /** Where it stands among requests that wait for the same runner. */
   readonly turn: Turn;
+  /** Id of the runner that it waits for. */
+  readonly waitsFor: string | undefined;
   /** Kinds of requests that are less urgent. */
   readonly ranksBelow: number;
   /** Absent for a plain service. */
--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -41,6 +41,11 @@
  * one takes 0.2 ms; each 20 ms, 50 requests that wait take a third of a core.
  */
 const REVIEW_MS = 200;
+/**
+ * Times in which a wait settles until it is reviewed. A request that moved
+ * sooner would wait anew each time, and be sent nowhere.
+ */
+const REVIEW_SETTLES = 2;
 /** Targets without a first event after which a stream is tried elsewhere. */
 const STREAM_SILENCE = 2;
 /** Longest pauses on time without an event after which it goes on elsewhere. */
@@ -176,11 +181,12 @@
     const wait = new RoomWait(turn);
     try {
       for (;;) {
-        const choice = this.#choose(subject);
+        const choice = this.#choose(subject, wait.runner);
         if (choice === undefined || this.#attempts > 0) return choice;
         const now = this.#daemon.now();
         const load = this.#daemon.loads.of(choice.runner.id);
         const settleMs = this.#daemon.settleMs();
+        const reviewMs = Math.max(REVIEW_MS, REVIEW_SETTLES * settleMs);
         if (!choice.overloaded && wait.maySend(load, { now, settleMs })) {
           return choice;
         }
@@ -189,12 +195,13 @@
           logOverload(this.#daemon, subject, { choice, waitedMs });
           return "overloaded";
         }
-        if (wait.at(load, { unreadTokens: choice.unreadTokens, now })) {
+        const { runner, unreadTokens } = choice;
+        if (wait.at(load, { runner: runner.id, unreadTokens, now })) {
           logWait(this.#daemon, subject, { choice, turn });
         }
         await this.#watchRoom(subject, {
-          runner: choice.runner,
-          until: Math.min(until, now + REVIEW_MS),
+          runner,
+          until: Math.min(until, now + reviewMs),
           settled: () =>
             wait.maySend(load, { now: this.#daemon.now(), settleMs }),
         });
@@ -224,15 +231,15 @@
     return { rank: subject.rank, since: this.#startedAt };
   }
 
-  #choose(subject: Subject): Choice | undefined {
+  #choose(subject: Subject, waitsFor?: string): Choice | undefined {
     return chooseRunner(
       this.#daemon.fleet(subject.service.name),
-      this.#demand(subject),
+      this.#demand(subject, waitsFor),
       this.#tried,
     );
   }
 
-  #demand(subject: Subject): Demand {
+  #demand(subject: Subject, waitsFor?: string): Demand {
     const { call, route, service } = subject;
     return {
       prompt: call.prompt,
@@ -241,6 +248,7 @@
       targetMs: route.targetMs,
       gapTargetMs: route.gapTargetMs,
       turn: this.#turn(subject),
+      waitsFor,
       ranksBelow: subject.ranksBelow,
       engine: service.engine,
     };
--- a/packages/router/src/request/placement_test.ts
+++ b/packages/router/src/request/placement_test.ts
@@ -44,6 +44,7 @@
     targetMs: 1_500,
     gapTargetMs: 800,
     turn: { rank: 2, since: 0 },
+    waitsFor: undefined,
     ranksBelow: 0,
     engine: ENGINE,
   };
--- a/packages/router/src/request/room_wait.ts
+++ b/packages/router/src/request/room_wait.ts
@@ -6,6 +6,7 @@
 import type { RunnerLoad, Turn, Waiting } from "../process/runner_load.ts";
 
 interface Place {
+  readonly runner: string;
   readonly load: RunnerLoad;
   readonly waiting: Waiting;
   readonly since: number;
@@ -34,14 +35,16 @@
    * @returns whether the wait there is new.
    */
   at(load: RunnerLoad, options: {
+    /** Id of the runner. */
+    readonly runner: string;
     readonly unreadTokens: number;
     readonly now: number;
   }): boolean {
     if (this.#place?.load === load) return false;
     this.end();
-    const { unreadTokens, now } = options;
+    const { runner, unreadTokens, now } = options;
     const waiting = { ...this.#turn, unreadTokens };
-    this.#place = { load, waiting, since: now };
+    this.#place = { runner, load, waiting, since: now };
     load.wait(waiting);
     return true;
   }
@@ -60,6 +63,11 @@
     return this.#place.load === load && now - this.#place.since > settleMs;
   }
 
+  /** Id of the runner that it waits for. */
+  get runner(): string | undefined {
+    return this.#place?.runner;
+  }
+
   /** Waits no more. */
   end(): void {
     this.#place?.load.endWait(this.#place.waiting);
--- a/packages/router/src/request/runner_cost.ts
+++ b/packages/router/src/request/runner_cost.ts
@@ -34,6 +34,11 @@
 const BESIDE_MS = 4;
 /** How much slower a runner is taken to be while it warms up. */
 export const WARM_UP_FACTOR = 2;
+/**
+ * Milliseconds of wait that the runner which a request waits for may have more
+ * than another one. Each move begins a new wait.
+ */
+const STAY_MS = 100;
 /** What each failure since the last success counts, in ms of wait. */
 const FAILURE_MS = 300;
 
@@ -109,10 +114,11 @@
     : 0;
   const batch = load.all.inFlight * BESIDE_MS;
   const slow = runner.warmUpMs > 0 ? WARM_UP_FACTOR : 1;
+  const stays = demand.waitsFor === runner.id ? STAY_MS : 0;
   const costMs = slow * (waitMs + WORK_WEIGHT * ownMs) + away + misplaced +
     harm +
     batch +
-    FAILURE_MS * load.failures;
+    FAILURE_MS * load.failures - stays;
   return {
     runner,
     unreadTokens,
