--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -4,21 +4,17 @@
  * @module
  */
 import type { Buffer } from "node:buffer";
-import { pause } from "../process/pause.ts";
-import type { Runner } from "../process/runner_directory.ts";
-import type { Placed, RunnerLoad, Turn } from "../process/runner_load.ts";
+import type { Placed, RunnerLoad } from "../process/runner_load.ts";
 import { Attempt } from "./attempt.ts";
 import type { Sent } from "./attempt.ts";
 import type { CallHead } from "./call.ts";
 import type { Caller } from "./caller.ts";
 import type { Daemon } from "./daemon.ts";
-import type { Demand } from "./demand.ts";
-import { logChoice, logOverload, logWait } from "./exchange_log.ts";
+import { logChoice } from "./exchange_log.ts";
 import { outcomeName } from "./outcome.ts";
 import type { Outcome } from "./outcome.ts";
-import { chooseRunner, hasRoom } from "./placement.ts";
 import type { Choice } from "./placement.ts";
-import { RoomWait } from "./room_wait.ts";
+import { RunnerSearch } from "./runner_search.ts";
 import { Silence } from "./silence.ts";
 import { StreamRelay } from "./stream_relay.ts";
 import { findSubject } from "./subject.ts";
@@ -29,23 +25,6 @@
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 /** Milliseconds after which a refused caller may come back; spread by as much. */
 const RETRY_AFTER_MS = 250;
-/**
- * Part of the time that a caller has for which its request waits for room. The
- * rest is for the answer: a long one takes 3 s of the 8 that its callers have.
- */
-const HOLD_SHARE = 0.4;
-/** Milliseconds between two looks whether the runner that it waits for has room. */
-const HOLD_STEP_MS = 20;
-/**
- * Milliseconds between two looks at all runners while it waits. At 98 runners
- * one takes 0.2 ms; each 20 ms, 50 requests that wait take a third of a core.
- */
-const REVIEW_MS = 200;
-/**
- * Times in which a wait settles until it is reviewed. A request that moved
- * sooner would wait anew each time, and be sent nowhere.
- */
-const REVIEW_SETTLES = 2;
 /** Targets without a first event after which a stream is tried elsewhere. */
 const STREAM_SILENCE = 2;
 /** Longest pauses on time without an event after which it goes on elsewhere. */
@@ -142,11 +121,19 @@
 
   async #tryRunners(subject: Subject, body: Buffer): Promise<Outcome> {
     let fallback: (() => Outcome) | undefined;
+    const search = new RunnerSearch(this.#daemon, subject, {
+      since: this.#startedAt,
+      expiresAt: this.#expiresAt,
+      over: () => this.#expired || this.#caller.left,
+    });
     for (;;) {
       if (this.#caller.left) return { kind: "left" };
       const over = this.#expired || this.#left() < LEAST_TIME_MS;
       if (over) return fallback?.() ?? this.#timeoutOutcome();
-      const choice = await this.#chooseOrWait(subject);
+      const choice = await search.find({
+        tried: this.#tried,
+        reachedNone: this.#attempts === 0,
+      });
       if (choice === "overloaded") {
         return fallback?.() ?? this.#refuseOverload();
       }
@@ -168,92 +155,6 @@
     }
   }
 
-  /**
-   * Chooses a runner; while the one that suits best has too much work, waits a
-   * while for it. Most waits end within it, and a refusal costs the caller more.
-   */
-  async #chooseOrWait(
-    subject: Subject,
-  ): Promise<Choice | undefined | "overloaded"> {
-    const span = Math.min(this.#left(), subject.route.patienceMs);
-    const until = this.#daemon.now() + HOLD_SHARE * span;
-    const turn = this.#turn(subject);
-    const wait = new RoomWait(turn);
-    try {
-      for (;;) {
-        const choice = this.#choose(subject, wait.runner);
-        if (choice === undefined || this.#attempts > 0) return choice;
-        const now = this.#daemon.now();
-        const load = this.#daemon.loads.of(choice.runner.id);
-        const settleMs = this.#daemon.settleMs();
-        const reviewMs = Math.max(REVIEW_MS, REVIEW_SETTLES * settleMs);
-        if (!choice.overloaded && wait.maySend(load, { now, settleMs })) {
-          return choice;
-        }
-        if (now > until || this.#expired || this.#caller.left) {
-          const waitedMs = now - this.#startedAt;
-          logOverload(this.#daemon, subject, { choice, waitedMs });
-          return "overloaded";
-        }
-        const { runner, unreadTokens } = choice;
-        if (wait.at(load, { runner: runner.id, unreadTokens, now })) {
-          logWait(this.#daemon, subject, { choice, turn });
-        }
-        await this.#watchRoom(subject, {
-          runner,
-          until: Math.min(until, now + reviewMs),
-          settled: () =>
-            wait.maySend(load, { now: this.#daemon.now(), settleMs }),
-        });
-      }
-    } finally {
-      wait.end();
-    }
-  }
-
-  /** Looks at one runner until it has room and the wait is settled. */
-  async #watchRoom(subject: Subject, options: {
-    readonly runner: Runner;
-    readonly until: number;
-    readonly settled: () => boolean;
-  }): Promise<void> {
-    const { runner, until, settled } = options;
-    const demand = this.#demand(subject);
-    do {
-      await pause(HOLD_STEP_MS);
-      if (this.#expired || this.#caller.left) return;
-      const fleet = this.#daemon.fleet(subject.service.name);
-      if (settled() && hasRoom(fleet, demand, runner)) return;
-    } while (this.#daemon.now() < until);
-  }
-
-  #turn(subject: Subject): Turn {
-    return { rank: subject.rank, since: this.#startedAt };
-  }
-
-  #choose(subject: Subject, waitsFor?: string): Choice | undefined {
-    return chooseRunner(
-      this.#daemon.fleet(subject.service.name),
-      this.#demand(subject, waitsFor),
-      this.#tried,
-    );
-  }
-
-  #demand(subject: Subject, waitsFor?: string): Demand {
-    const { call, route, service } = subject;
-    return {
-      prompt: call.prompt,
-      promptTokens: call.promptTokens,
-      answerTokens: call.answerTokens,
-      targetMs: route.targetMs,
-      gapTargetMs: route.gapTargetMs,
-      turn: this.#turn(subject),
-      waitsFor,
-      ranksBelow: subject.ranksBelow,
-      engine: service.engine,
-    };
-  }
-
   /** Sends to one runner and passes on what comes. */
   async #try(subject: Subject, choice: Choice, body: Buffer): Promise<Try> {
     const { call } = subject;
--- /dev/null
+++ b/packages/router/src/request/runner_search.ts
@@ -0,0 +1,167 @@
+/**
+ * How a request finds the runner that it is sent to.
+ *
+ * @module
+ */
+import { pause } from "../process/pause.ts";
+import type { Runner } from "../process/runner_directory.ts";
+import type { Turn } from "../process/runner_load.ts";
+import type { Daemon } from "./daemon.ts";
+import type { Demand } from "./demand.ts";
+import { logOverload, logWait } from "./exchange_log.ts";
+import { chooseRunner, hasRoom } from "./placement.ts";
+import type { Choice } from "./placement.ts";
+import { RoomWait } from "./room_wait.ts";
+import type { Subject } from "./subject.ts";
+
+/**
+ * Part of the time that a caller has for which its request waits for room. The
+ * rest is for the answer: a long one takes 3 s of the 8 that its callers have.
+ */
+const HOLD_SHARE = 0.4;
+/** Milliseconds between two looks whether the runner that it waits for has room. */
+const HOLD_STEP_MS = 20;
+/**
+ * Milliseconds between two looks at all runners while it waits. At 98 runners
+ * one takes 0.2 ms; each 20 ms, 50 requests that wait take a third of a core.
+ */
+const REVIEW_MS = 200;
+/**
+ * Times in which a wait settles until it is reviewed. A request that moved
+ * sooner would wait anew each time, and be sent nowhere.
+ */
+const REVIEW_SETTLES = 2;
+
+/** What a search knows of its request. Times are steady milliseconds. */
+export interface SearchLimits {
+  /** When the request came. */
+  readonly since: number;
+  /** When its caller gets a final answer in any case. */
+  readonly expiresAt: number;
+  /** Whether nobody waits for an answer any more. */
+  over(): boolean;
+}
+
+/** Finds runners for one request, one for each try. */
+export class RunnerSearch {
+  readonly #daemon: Daemon;
+  readonly #subject: Subject;
+  readonly #limits: SearchLimits;
+  readonly #turn: Turn;
+
+  constructor(daemon: Daemon, subject: Subject, limits: SearchLimits) {
+    this.#daemon = daemon;
+    this.#subject = subject;
+    this.#limits = limits;
+    this.#turn = { rank: subject.rank, since: limits.since };
+  }
+
+  /**
+   * Chooses a runner that was not tried. While the one that suits best has too
+   * much work, a request that has reached no runner yet waits a while for it:
+   * most waits end within it, and a refusal costs the caller more.
+   *
+   * @returns none when no runner is left.
+   */
+  async find(options: {
+    readonly tried: ReadonlySet<string>;
+    readonly reachedNone: boolean;
+  }): Promise<Choice | undefined | "overloaded"> {
+    const { tried, reachedNone } = options;
+    if (!reachedNone) return this.#choose(tried);
+    const wait = new RoomWait(this.#turn);
+    try {
+      return await this.#findRoom(wait, tried);
+    } finally {
+      wait.end();
+    }
+  }
+
+  async #findRoom(
+    wait: RoomWait,
+    tried: ReadonlySet<string>,
+  ): Promise<Choice | undefined | "overloaded"> {
+    const { since, expiresAt } = this.#limits;
+    const startedAt = this.#daemon.now();
+    const left = expiresAt - startedAt;
+    const { patienceMs } = this.#subject.route;
+    const until = startedAt + HOLD_SHARE * Math.min(left, patienceMs);
+    for (;;) {
+      const choice = this.#choose(tried, wait.runner);
+      if (choice === undefined) return undefined;
+      const now = this.#daemon.now();
+      if (!choice.overloaded && this.#maySend(wait, choice.runner)) {
+        return choice;
+      }
+      if (now > until || this.#limits.over()) {
+        logOverload(this.#daemon, this.#subject, {
+          choice,
+          waitedMs: now - since,
+        });
+        return "overloaded";
+      }
+      this.#waitAt(wait, choice);
+      await this.#watchRoom(wait, choice.runner, until);
+    }
+  }
+
+  #waitAt(wait: RoomWait, choice: Choice): void {
+    const { runner, unreadTokens } = choice;
+    const begun = wait.at(this.#daemon.loads.of(runner.id), {
+      runner: runner.id,
+      unreadTokens,
+      now: this.#daemon.now(),
+    });
+    if (!begun) return;
+    logWait(this.#daemon, this.#subject, { choice, turn: this.#turn });
+  }
+
+  /** Looks at one runner until it has room and the wait is settled. */
+  async #watchRoom(
+    wait: RoomWait,
+    runner: Runner,
+    until: number,
+  ): Promise<void> {
+    const settleMs = this.#daemon.settleMs();
+    const reviewMs = Math.max(REVIEW_MS, REVIEW_SETTLES * settleMs);
+    const reviewAt = Math.min(until, this.#daemon.now() + reviewMs);
+    const demand = this.#demand();
+    do {
+      await pause(HOLD_STEP_MS);
+      if (this.#limits.over()) return;
+      const fleet = this.#daemon.fleet(this.#subject.service.name);
+      const room = hasRoom(fleet, demand, runner);
+      if (room && this.#maySend(wait, runner)) return;
+    } while (this.#daemon.now() < reviewAt);
+  }
+
+  #maySend(wait: RoomWait, runner: Runner): boolean {
+    return wait.maySend(this.#daemon.loads.of(runner.id), {
+      now: this.#daemon.now(),
+      settleMs: this.#daemon.settleMs(),
+    });
+  }
+
+  #choose(
+    tried: ReadonlySet<string>,
+    waitsFor?: string,
+  ): Choice | undefined {
+    const fleet = this.#daemon.fleet(this.#subject.service.name);
+    return chooseRunner(fleet, this.#demand(waitsFor), tried);
+  }
+
+  #demand(waitsFor?: string): Demand {
+    const { call, route, service, ranksBelow } = this.#subject;
+    return {
+      prompt: call.prompt,
+      promptTokens: call.promptTokens,
+      answerTokens: call.answerTokens,
+      targetMs: route.targetMs,
+      gapTargetMs: route.gapTargetMs,
+      turn: this.#turn,
+      waitsFor,
+      ranksBelow,
+      engine: service.engine,
+    };
+  }
+}
