--- a/packages/bench/src/capacity_page.ts
+++ b/packages/bench/src/capacity_page.ts
@@ -197,6 +197,11 @@
     storeLines(result),
     "## What failures do",
     failureSections(),
+    "## The router",
+    "The roles above are those of `umbermastd`. The router that runs on the " +
+    "users' platform has no broker, claims or orders; its state, messages and " +
+    "processor time at this size, with what is over the budget, stand in " +
+    "[its design note](design/platform.md#state-and-what-it-costs).",
     "## Redo it",
     "```sh\nnpm run bench -- slopes --json\nnpm run capacity\n```\n\n" +
     "The first prints the JSON that stands in docs/capacity/slopes.json " +
