Fail a member process that cannot start instead of waiting for it

The member process ran, but listened on nothing: the port, looked up for UDP only, had been taken by an outgoing TCP connection, its error went nowhere, and its IPC channel kept it alive. Ruled out: the library's start, which reported the port in use. Change: the process tells why and ends with 1; a wait for its notices then rejects; ports are taken below those of outgoing connections and tried for TCP and UDP. Before: no end.

--- a/packages/testing/tests/member_fixture.ts
+++ b/packages/testing/tests/member_fixture.ts
@@ -4,7 +4,9 @@
  * @module
  */
 import { type ChildProcess, fork } from "node:child_process";
+import { randomInt } from "node:crypto";
 import { createSocket } from "node:dgram";
+import { createServer } from "node:net";
 import { fileURLToPath } from "node:url";
 import type { Member, MembershipEvent } from "@umbermast/coordination";
 
@@ -42,7 +44,7 @@
   readonly notices: MemberNotice[] = [];
   readonly #child: ChildProcess;
   readonly #ended: Promise<void>;
-  readonly #waiting = new Set<() => void>();
+  readonly #waiting = new Map<() => void, (error: Error) => void>();
 
   constructor(start: MemberStart) {
     const { advertised = 0, listened = advertised, knows = [] } = start;
@@ -58,20 +60,27 @@
       JSON.stringify(hosts),
     ], { stdio: ["ignore", "ignore", "inherit", "ipc"] });
     this.#ended = new Promise((resolve) => {
-      this.#child.once("close", () => resolve());
+      this.#child.once("close", (code) => {
+        const error = new Error(`Member "${start.name}" ended with ${code}`);
+        for (const reject of this.#waiting.values()) reject(error);
+        resolve();
+      });
     });
     this.#child.on("message", (notice: MemberNotice) => {
       this.notices.push(notice);
-      for (const check of [...this.#waiting]) check();
+      for (const check of [...this.#waiting.keys()]) check();
     });
   }
 
-  /** Waits for a notice, from the given place in `notices` on. */
+  /**
+   * Waits for a notice, from the given place in `notices` on; rejects when the
+   * process ends before.
+   */
   notice<A>(
     find: (notice: MemberNotice) => A | undefined,
     from = 0,
   ): Promise<A> {
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
       const check = () => {
         for (const notice of this.notices.slice(from)) {
           const found = find(notice);
@@ -80,7 +89,7 @@
           return resolve(found);
         }
       };
-      this.#waiting.add(check);
+      this.#waiting.set(check, reject);
       check();
     });
   }
@@ -136,14 +145,36 @@
   });
 }
 
+/**
+ * First of the ports that tests take, and how many: below those from which
+ * systems give outgoing connections theirs, so that none of these takes a port
+ * between the look and its use.
+ */
+const FIRST_PORT = 20_000;
+const PORTS = 12_000;
+const MAX_TRIES = 100;
+
 /** A port that was free a moment ago, for TCP and UDP. */
-export function freePort(): Promise<number> {
-  return new Promise((resolve, reject) => {
+export async function freePort(): Promise<number> {
+  for (let tried = 0; tried < MAX_TRIES; tried += 1) {
+    const port = FIRST_PORT + randomInt(PORTS);
+    if (await canListen(port) && await canReceive(port)) return port;
+  }
+  throw new Error(`Cannot find a free port in ${MAX_TRIES} tries`);
+}
+
+function canListen(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.once("error", () => resolve(false));
+    server.listen(port, LOOPBACK, () => server.close(() => resolve(true)));
+  });
+}
+
+function canReceive(port: number): Promise<boolean> {
+  return new Promise((resolve) => {
     const socket = createSocket("udp4");
-    socket.once("error", reject);
-    socket.bind(0, LOOPBACK, () => {
-      const { port } = socket.address();
-      socket.close(() => resolve(port));
-    });
+    socket.once("error", () => resolve(false));
+    socket.bind(port, LOOPBACK, () => socket.close(() => resolve(true)));
   });
 }
--- a/packages/testing/tests/member_process.ts
+++ b/packages/testing/tests/member_process.ts
@@ -53,4 +53,8 @@
 });
 
 process.on("disconnect", () => process.exit(0));
-Effect.runFork(Effect.scoped(program));
+// The channel to the test would keep a process alive that could not start.
+Effect.runPromise(Effect.scoped(program)).catch((error: unknown) => {
+  console.error(`Cannot run member "${name}": ${JSON.stringify(error)}`);
+  process.exit(1);
+});
--- a/packages/testing/tests/membership_faults_test.ts
+++ b/packages/testing/tests/membership_faults_test.ts
@@ -1,4 +1,7 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
 import { test } from "node:test";
 import { FaultProxy } from "../src/process/fault_proxy.ts";
 import {
@@ -34,6 +37,24 @@
     !states.some((state) => state.startsWith(`${name} `));
 }
 
+// Another process has the port that a member is to listen on. The member could
+// not start, but its channel to the test kept it alive, and the test waited for
+// its first word for ever.
+test("a member process that cannot listen fails its test", async () => {
+  const server = createServer();
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  try {
+    await withMembers(async (start) => {
+      const member = start({ name: "b", advertised: port, listened: port });
+      await assert.rejects(member.self(), /"b" ended with 1/);
+    });
+  } finally {
+    server.close();
+  }
+});
+
 test("a silent link between processes is replaced, and its far end never called down", async () => {
   // a reaches b through a proxy, which loses track of their open connection and
   // swallows all that either sends on it; new connections work. a's request
