Correct two comments that told unmeasured figures, and name the settling time

The comment on reviews said 0.2 ms for a choice, measured are 55 us; the one on states said 30 bytes instead of 100, measured are 26 and 8, under 0.4 of the plain size. The 1.5 periods after which a change is known had no name or reason; a local hid a function's name. No change of behaviour.

--- a/packages/router/src/connection/peer_encoding.ts
+++ b/packages/router/src/connection/peer_encoding.ts
@@ -80,9 +80,10 @@
 
 /**
  * Lays out a message for the wire. States, nearly all of the traffic, go as
- * lists without the names of their fields: 30 bytes for a runner's load instead
- * of 100. With 65 daemons each sends 250 states a second, and the slowest links
- * carry 1.2 MB a second with the requests of callers.
+ * lists without the names of their fields: 26 bytes for a runner's load and 8
+ * for each request that waits, under 0.4 of what they take with names. With 65
+ * daemons each sends 250 states a second, and the slowest links carry 1.2 MB a
+ * second with the requests of callers.
  */
 export function packMessage(message: PeerMessage): unknown {
   if (message.kind !== "state") return message;
--- a/packages/router/src/request/placement.ts
+++ b/packages/router/src/request/placement.ts
@@ -96,8 +96,9 @@
 ): Choice {
   const pools = poolsOf(fleet.runners);
   const tight = isTight(demand);
-  const usable = new Set(runners.map(({ id }) => id));
-  const home = pools.home(sharedPart(demand.prompt)!.id, { tight, usable });
+  const part = sharedPart(demand.prompt)!;
+  const ids = new Set(runners.map(({ id }) => id));
+  const home = pools.home(part.id, { tight, usable: ids });
   const holder = holderOf(fleet, demand, runners);
   const bearable = runners.filter((each) => isBearable(fleet, demand, each));
   let best: Quote | undefined;
--- a/packages/router/src/request/runner_search.ts
+++ b/packages/router/src/request/runner_search.ts
@@ -22,8 +22,9 @@
 /** Milliseconds between two looks whether the runner that it waits for has room. */
 const HOLD_STEP_MS = 20;
 /**
- * Milliseconds between two looks at all runners while it waits. At 98 runners
- * one takes 0.2 ms; each 20 ms, 50 requests that wait take a third of a core.
+ * Milliseconds between two looks at all runners while it waits. One takes 55 us
+ * with 98 runners, a look at one of them 0.2 us: each 20 ms, 50 requests that
+ * wait would take 14% of a core, with 200 ms they take 1.4%.
  */
 const REVIEW_MS = 200;
 /**
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -68,6 +68,12 @@
 const CONNECTION_SHARE = 0.8;
 /** Connections to a runner that a daemon takes in any case. */
 const LEAST_CONNECTIONS = 2;
+/**
+ * Periods between states after which all daemons know of a change here: one
+ * until it is sent, and half of one for the way and the timers. Without this
+ * time a free runner is sent 240,000 tokens of prompts at once instead of 30,000.
+ */
+const SETTLE_PERIODS = 1.5;
 /** Settings that take effect without a restart. */
 const CHANGEABLE: ReadonlySet<keyof RouterSettings> = new Set([
   "seeds",
@@ -180,7 +186,9 @@
   }
 
   settleMs(): number {
-    return this.#peers.count === 0 ? 0 : 1.5 * this.#sharing.periodMs;
+    return this.#peers.count === 0
+      ? 0
+      : SETTLE_PERIODS * this.#sharing.periodMs;
   }
 
   budget(service: string): RetryBudget {
