--- a/packages/router/src/process/settings.ts
+++ b/packages/router/src/process/settings.ts
@@ -25,6 +25,11 @@
   readonly metrics: ListenAddress & { readonly path: string };
   /** Where other daemons connect. */
   readonly peers: ListenAddress;
+  /**
+   * Where other daemons reach this one, if not at `peers`: the address before
+   * it of a host that translates addresses.
+   */
+  readonly advertised: ListenAddress | undefined;
   /** Addresses of daemons that may be there, as "IP:PORT". */
   readonly seeds: readonly string[];
   /** The platform's store. */
@@ -83,6 +88,11 @@
     });
   }
 
+  optionalAddress(from: unknown, place: string): ListenAddress | undefined {
+    if (valueAt(from, place) === undefined) return undefined;
+    return this.address(from, place);
+  }
+
   #wrong<T>(place: string, wanted: string, value: unknown, instead: T): T {
     const found = JSON.stringify(value) ?? "nothing";
     const text =
@@ -135,6 +145,7 @@
       path: reader.text(json, "metrics.path"),
     },
     peers: reader.address(json, "peers"),
+    advertised: reader.optionalAddress(json, "advertised"),
     seeds: reader.texts(json, "seeds"),
     store: reader.address(json, "store"),
     maxConnections: reader.number(json, "maxConnections"),
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -116,7 +116,8 @@
       (request, response) => this.#handle(request, response),
       settings.maxConnections,
     );
-    const address = `${settings.peers.host}:${settings.peers.port}`;
+    const { host, port } = settings.advertised ?? settings.peers;
+    const address = `${host}:${port}`;
     const own = {
       name: settings.name,
       incarnation: randomUUID(),
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -229,6 +229,7 @@
     readiness: { ...address, path: "/ready" },
     metrics: { ...address, path: "/metrics" },
     peers: address,
+    advertised: undefined,
     seeds: [],
     store: address,
     maxConnections: 100,
--- a/packages/testing/src/mod.ts
+++ b/packages/testing/src/mod.ts
@@ -26,6 +26,7 @@
 } from "./process/deployment.ts";
 export { FaultProxy } from "./process/fault_proxy.ts";
 export type { ProxyFault } from "./process/fault_proxy.ts";
+export { freePort } from "./process/free_port.ts";
 export type { Fault, FaultName } from "./process/faults.ts";
 export type { ListedHost } from "./process/host_list.ts";
 export type { StandIn } from "./process/http_server.ts";
--- a/packages/testing/tests/membership_faults_test.ts
+++ b/packages/testing/tests/membership_faults_test.ts
@@ -4,8 +4,8 @@
 import type { AddressInfo } from "node:net";
 import { test } from "node:test";
 import { FaultProxy } from "../src/process/fault_proxy.ts";
+import { freePort } from "../src/process/free_port.ts";
 import {
-  freePort,
   MemberProcess,
   type MemberStart,
   relayDatagrams,
