Pause between failed calls to the store also after the last peer was lost

Cause: a daemon that is cut off from everything made 3,000 calls to the store a second and used 0.6 of a core. Losing the last peer ends the present wait for changes; where there was no wait, the ended one of before stayed in place, and each later failure counted as a wait that was ended on purpose: no pause.

Ruled out: dials to peers and the search for daemons (their pauses held; the port was the store's alone).

Change: only a wait in progress can be ended, and one that was ended is no sign of life of the store.

Before: "a hurry between two failures does not end the pauses" fails, the store is called nine times while no time passes.

--- a/packages/router/src/process/feed.ts
+++ b/packages/router/src/process/feed.ts
@@ -87,7 +87,8 @@
   #confirmedAt = -Infinity;
   #lostAt: number | undefined;
   #pauseMs = FIRST_PAUSE_MS;
-  #abort = new AbortController();
+  /** Ends the wait for changes, while there is one. */
+  #wait: AbortController | undefined;
 
   constructor(
     feed: Feed<T>,
@@ -116,8 +117,7 @@
         continue;
       }
       try {
-        await this.#step();
-        this.#heard();
+        if (await this.#step()) this.#heard();
       } catch (error) {
         await this.#caught(error);
       }
@@ -129,27 +129,44 @@
     this.hurry();
   }
 
-  /** Ends the present wait, so that the next one starts on a new connection. */
+  /**
+   * Ends the present wait for changes, so that the next one starts on a new
+   * connection. Without a wait it changes nothing, or failures that follow
+   * would count as hurries and have no pause between them.
+   */
   hurry(): void {
-    this.#abort.abort();
+    this.#wait?.abort();
   }
 
-  async #step(): Promise<void> {
+  /** @returns whether the store has answered. */
+  async #step(): Promise<boolean> {
     if (this.#revision === undefined) {
       const listing = await this.#feed.list();
       this.#sink.listed(listing);
       this.#revision = listing.revision;
-      return;
+      return true;
     }
-    this.#abort = new AbortController();
-    const changes = await this.#feed.watch(
-      this.#revision,
-      this.#timing.waitMs(),
-      this.#abort.signal,
-    );
-    if (changes.revision <= this.#revision) return;
+    const changes = await this.#watch(this.#revision);
+    if (changes === undefined) return false;
+    if (changes.revision <= this.#revision) return true;
     this.#sink.changed(changes);
     this.#revision = changes.revision;
+    return true;
+  }
+
+  /** Waits for changes; none when the wait was ended by a hurry. */
+  async #watch(revision: number): Promise<Changes<T> | undefined> {
+    const wait = new AbortController();
+    this.#wait = wait;
+    try {
+      const waitMs = this.#timing.waitMs();
+      return await this.#feed.watch(revision, waitMs, wait.signal);
+    } catch (error) {
+      if (wait.signal.aborted) return undefined;
+      throw error;
+    } finally {
+      this.#wait = undefined;
+    }
   }
 
   #heard(): void {
@@ -168,11 +185,12 @@
    */
   async #caught(error: unknown): Promise<void> {
     const expired = error instanceof FeedError && error.kind === "expired";
-    if (expired) this.#revision = undefined;
-    else if (!this.#abort.signal.aborted) {
-      const reason = error instanceof FeedError ? error.message : String(error);
-      await this.#failed(reason);
+    if (expired) {
+      this.#revision = undefined;
+      return;
     }
+    const reason = error instanceof FeedError ? error.message : String(error);
+    await this.#failed(reason);
   }
 
   /**
--- a/packages/router/src/process/feed_test.ts
+++ b/packages/router/src/process/feed_test.ts
@@ -1,5 +1,5 @@
 import assert from "node:assert/strict";
-import { test } from "node:test";
+import { mock, test } from "node:test";
 import { FeedError, Follower } from "./feed.ts";
 import type { Changes, Feed, Listing } from "./feed.ts";
 
@@ -109,3 +109,28 @@
     "regained",
   ]);
 });
+
+// A daemon is cut off from everything: its callers wait, and once the link is
+// back it is late with all it does. The store fails, then the last peer is lost,
+// and the follower is told to hurry while it does not wait for changes. From
+// then on each failure counted as such a hurry, and the next call followed
+// without a pause: 3,000 a second, all that the processor gives.
+test("a hurry between two failures does not end the pauses", async (t) => {
+  mock.timers.enable({ apis: ["setTimeout"] });
+  t.after(() => mock.timers.reset());
+  const failures = Array.from(
+    { length: 9 },
+    () => new FeedError("unavailable", "down"),
+  );
+  const feed = new PlayedFeed(failures, () => {});
+  const follower = new Follower(feed, { listed() {}, changed() {} }, {
+    contact: { lost: () => follower.hurry(), regained() {} },
+    timing: { waitMs: () => 1, active: () => true },
+  });
+  void follower.run();
+  for (let turn = 0; turn < 10; turn++) await new Promise(setImmediate);
+  assert.deepEqual(feed.calls, ["list"], "no time has passed");
+  mock.timers.tick(100);
+  for (let turn = 0; turn < 10; turn++) await new Promise(setImmediate);
+  assert.deepEqual(feed.calls, ["list", "list"]);
+});
