Judge a runner's silence by what it has to read

A daemon has one or two requests at each of 98 runners; while a runner read a second of other daemons' prompts, it took the silence of 900 ms for a dark runner, left it out (7 of 98 at any moment, `candidates` in `runner_chosen`) and had prompts that it holds read elsewhere.

Ruled out: lost news of parts (all 64 links up at each daemon, one loss in 14 s; no message dropped), parts forgotten (30 s), memory (peak far below).

Change: where no stream has begun at a runner, the time for the prompts to be read there is added; a prompt that was read for another daemon is a sign of life.

--- a/packages/router/src/connection/sharing.ts
+++ b/packages/router/src/connection/sharing.ts
@@ -114,7 +114,8 @@
         ...each,
         since: now - ageMs,
       }));
-      this.#known.loads.of(share.runner).toldBy(peer.name, share, waiting);
+      const load = this.#known.loads.of(share.runner);
+      load.toldBy(peer.name, share, { now, waiting });
     }
     for (const news of state.parts) this.#known.prefixes.take(news, now);
     const configuration = state.configuration > this.#version;
--- a/packages/router/src/process/runner_load.ts
+++ b/packages/router/src/process/runner_load.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { readMs } from "./reading.ts";
 import { RunnerQueue } from "./runner_queue.ts";
 import type { Waiting } from "./runner_queue.ts";
 
@@ -52,7 +53,8 @@
 /**
  * Milliseconds without a word on any request that is at a runner, after which
  * it is taken to be dark. Runners with a stream send an event each 30 to 250 ms,
- * and plain services answer within 450.
+ * and plain services answer within 450. Where no stream has begun, the time for
+ * the prompts that are to be read there is added.
  */
 const SILENCE_MS = 900;
 /** Age in ms at which a reported load says nothing more. */
@@ -118,7 +120,7 @@
 
   /** Something came from the runner, whatever it was. */
   heard(now: number): void {
-    this.#heardAt = now;
+    this.#heardAt = Math.max(this.#heardAt, now);
   }
 
   /** It is no longer at the runner. */
@@ -134,13 +136,24 @@
     });
   }
 
-  /** Takes what another daemon has at the runner, and what waits there for it. */
+  /**
+   * Takes what another daemon has at the runner, and what waits there for it. A
+   * prompt that has been read for another daemon shows that the runner works.
+   */
   toldBy(
     daemon: string,
     share: Share,
-    waiting: readonly Waiting[] = [],
+    told: {
+      /** Steady milliseconds. */
+      readonly now: number;
+      readonly waiting?: readonly Waiting[];
+    },
   ): void {
+    const { now, waiting = [] } = told;
     const before = this.#others.get(daemon) ?? NO_SHARE;
+    const began = share.unreadTokens < before.unreadTokens &&
+      share.inFlight >= before.inFlight;
+    if (began) this.heard(now);
     this.#others.set(daemon, share);
     this.queue.toldBy(daemon, waiting);
     this.#all = add(this.#all, minus(share, before));
@@ -148,7 +161,7 @@
 
   /** Forgets a daemon that cannot be heard any more. */
   forget(daemon: string): void {
-    this.toldBy(daemon, NO_SHARE);
+    this.toldBy(daemon, NO_SHARE, { now: -Infinity });
     this.#others.delete(daemon);
   }
 
@@ -194,7 +207,18 @@
    */
   ejected(now: number): boolean {
     if (now < this.#ejectedUntil) return true;
-    return this.#own.inFlight > 0 && now - this.#heardAt > SILENCE_MS;
+    return this.#own.inFlight > 0 && now - this.#heardAt > this.#silenceMs();
+  }
+
+  /**
+   * How long a sound runner may say nothing. A fixed time would call runners
+   * dark that are reading: with one or two requests at each of 98 runners and a
+   * second of prompts ahead of them, a daemon left 7 out at any moment, and had
+   * the prompts that they hold read again elsewhere.
+   */
+  #silenceMs(): number {
+    const begun = this.#placed.size > this.#starting.size;
+    return SILENCE_MS + (begun ? 0 : readMs(this.#all.unreadTokens));
   }
 
   #change(change: Share): void {
--- a/packages/router/src/request/admission.ts
+++ b/packages/router/src/request/admission.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import type { Runner } from "../process/runner_directory.ts";
-import { BEARABLE_MS, readMs } from "./demand.ts";
+import { readMs } from "../process/reading.ts";
+import { BEARABLE_MS } from "./demand.ts";
 import type { Demand, Fleet } from "./demand.ts";
 
 /** Work in ms that a runner may have in flight when the least urgent start. */
--- a/packages/router/src/request/demand.ts
+++ b/packages/router/src/request/demand.ts
@@ -52,8 +52,6 @@
  * of 1,510.
  */
 export const BEARABLE_MS = 160;
-/** Tokens of prompts that an engine reads in a ms, with its other work. */
-const READ_TOKENS_PER_MS = 50;
 
 /**
  * Whether chunks of prompts beside a stream make its gaps too long. An event
@@ -64,8 +62,3 @@
   if (engine === undefined || gapTargetMs === undefined) return false;
   return gapTargetMs <= GAP_ROOM * engine.eventTokens * CHUNK_STEP_MS;
 }
-
-/** Milliseconds in which an engine reads tokens of prompts. */
-export function readMs(tokens: number): number {
-  return tokens / READ_TOKENS_PER_MS;
-}
--- a/packages/router/src/request/runner_cost.ts
+++ b/packages/router/src/request/runner_cost.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import type { Runner } from "../process/runner_directory.ts";
-import { BEARABLE_MS, isTight, readMs } from "./demand.ts";
+import { readMs } from "../process/reading.ts";
+import { BEARABLE_MS, isTight } from "./demand.ts";
 import type { Demand, Fleet } from "./demand.ts";
 
 /**
