Pass states on by one daemon of each failure domain in large fleets

Cause: with 65 daemons each told each other one directly, 16,000 states a second in all, every one 260 ms old when it came. Daemons chose runners by what had been there a quarter of a second ago: prompts were read again, replies came late.

Change: from 25 daemons on, each sends its state every 20 ms to the daemon with the widest link of its failure domain; that one sends batches every 40 ms to its domain and to the other relays. Who relays follows from subscriptions, so daemons that see different fleets still hear of each other; a lost relay is replaced within 1.5 s, with whole states. Links between other daemons have a heartbeat each 4 s. Small fleets are as before. Setting `linkMbps`.

--- a/packages/router/src/connection/peer_encoding.ts
+++ b/packages/router/src/connection/peer_encoding.ts
@@ -4,7 +4,13 @@
  * @module
  */
 import type { PartsNews } from "../process/prefix_record.ts";
-import type { LoadShare, PeerMessage, WaitingNews } from "./peer_message.ts";
+import type {
+  Batch,
+  DaemonState,
+  LoadShare,
+  PeerMessage,
+  WaitingNews,
+} from "./peer_message.ts";
 
 type PackedWaiting = readonly [rank: number, ageMs: number, tokens: number];
 
@@ -27,10 +33,29 @@
 type PackedState = readonly [
   configuration: number,
   runners: number,
+  whole: boolean,
   loads: readonly PackedLoad[],
   parts: readonly PackedParts[],
 ];
 
+type PackedDaemon = readonly [
+  daemon: string,
+  whole: boolean,
+  loads: readonly PackedLoad[],
+  parts: readonly PackedParts[],
+];
+
+/** Begins a batch; a state begins with a number. */
+const BATCH = "batch";
+
+type PackedBatch = readonly [
+  mark: typeof BATCH,
+  configuration: number,
+  runners: number,
+  states: readonly PackedDaemon[],
+  gone: readonly string[],
+];
+
 function packLoad(load: LoadShare): PackedLoad {
   return [
     load.runner,
@@ -78,19 +103,43 @@
   return { runner, read, parts };
 }
 
+function packBatch(batch: Batch): PackedBatch {
+  const { configuration, runners, states, gone } = batch;
+  const packed = states.map(({ daemon, whole, loads, parts }) =>
+    [daemon, whole, loads.map(packLoad), parts.map(packParts)] as const
+  );
+  return [BATCH, configuration, runners, packed, gone];
+}
+
+function unpackBatch(packed: PackedBatch): Batch {
+  const [, configuration, runners, states, gone] = packed;
+  return {
+    kind: "batch",
+    configuration,
+    runners,
+    states: states.map(([daemon, whole, loads, parts]): DaemonState => ({
+      daemon,
+      whole,
+      loads: loads.map(unpackLoad),
+      parts: parts.map(unpackParts),
+    })),
+    gone,
+  };
+}
+
 /**
  * Lays out a message for the wire. States, nearly all of the traffic, go as
  * lists without the names of their fields: 26 bytes for a runner's load and 8
- * for each request that waits, under 0.4 of what they take with names. With 65
- * daemons each sends 250 states a second, and the slowest links carry 1.2 MB a
- * second with the requests of callers.
+ * for each request that waits, under 0.4 of what they take with names.
  */
 export function packMessage(message: PeerMessage): unknown {
+  if (message.kind === "batch") return packBatch(message);
   if (message.kind !== "state") return message;
-  const { configuration, runners, loads, parts } = message;
+  const { configuration, runners, whole, loads, parts } = message;
   const state: PackedState = [
     configuration,
     runners,
+    whole,
     loads.map(packLoad),
     parts.map(packParts),
   ];
@@ -104,11 +153,14 @@
  */
 export function unpackMessage(item: unknown): PeerMessage {
   if (!Array.isArray(item)) return item as PeerMessage;
-  const [configuration, runners, loads, parts] = item as unknown as PackedState;
+  if (item[0] === BATCH) return unpackBatch(item as unknown as PackedBatch);
+  const [configuration, runners, whole, loads, parts] =
+    item as unknown as PackedState;
   return {
     kind: "state",
     configuration,
     runners,
+    whole,
     loads: loads.map(unpackLoad),
     parts: parts.map(unpackParts),
   };
--- a/packages/router/src/connection/peer_link.ts
+++ b/packages/router/src/connection/peer_link.ts
@@ -17,8 +17,8 @@
  * that arrives seconds late misleads, and a new link begins with a fresh one.
  */
 const MAX_WAITING_BYTES = 1024 * 1024;
-/** Milliseconds of silence after which a link is closed. */
-const SILENCE_MS = 1_500;
+/** Milliseconds of silence after which a link is closed, unless set. */
+export const SILENCE_MS = 1_500;
 
 /** Encodes a message once, to be sent on many links. */
 export function encodeMessage(message: PeerMessage): Buffer {
@@ -30,6 +30,7 @@
   readonly #socket: Socket;
   readonly #onMessage: (message: PeerMessage) => void;
   readonly #onFault: (reason: string) => void;
+  #silenceMs = SILENCE_MS;
   #chunks: Buffer[] = [];
   #size = 0;
 
@@ -48,7 +49,8 @@
     socket.setNoDelay(true);
     // Counts as activity only what moves on the connection; both sides send
     // heartbeats well within it.
-    socket.setTimeout(SILENCE_MS, () => socket.destroy());
+    socket.setTimeout(SILENCE_MS);
+    socket.on("timeout", () => socket.destroy());
     socket.on("data", (chunk: Buffer) => this.#receive(chunk));
     // The close that follows tells all that matters.
     socket.on("error", () => {});
@@ -67,6 +69,13 @@
     this.#socket.write(frame);
   }
 
+  /** Sets the silence after which the link is closed, in ms. */
+  allowSilence(millis: number): void {
+    if (this.#silenceMs === millis) return;
+    this.#silenceMs = millis;
+    this.#socket.setTimeout(millis);
+  }
+
   close(): void {
     this.#socket.destroy();
   }
--- a/packages/router/src/connection/peer_link_test.ts
+++ b/packages/router/src/connection/peer_link_test.ts
@@ -62,6 +62,7 @@
     kind: "state",
     configuration: 3,
     runners: 700,
+    whole: false,
     loads: Array.from({ length: 8 }, (_, index) => ({
       runner: `i-00ff00ff0${index}`,
       inFlight: 2,
--- a/packages/router/src/connection/peer_message.ts
+++ b/packages/router/src/connection/peer_message.ts
@@ -31,6 +31,8 @@
   /** Where the daemon is reached, as "IP:PORT". */
   readonly address: string;
   readonly failureDomain: string;
+  /** Width of its network link, in Mbit/s; 0 when unknown. */
+  readonly linkMbps: number;
   /** Addresses of other daemons that it knows. */
   readonly known: readonly string[];
 }
@@ -42,6 +44,8 @@
   readonly configuration: number;
   /** Revision of the list of runners; 0 without one. */
   readonly runners: number;
+  /** Whether it names all of the sender's loads, not only changed ones. */
+  readonly whole: boolean;
   readonly loads: readonly LoadShare[];
   readonly parts: readonly PartsNews[];
 }
@@ -63,5 +67,47 @@
   readonly parts: readonly PartsNews[] | undefined;
 }
 
+/** Asks a daemon to pass on the states of others, or no more. */
+export interface Subscribe {
+  readonly kind: "subscribe";
+  /**
+   * `fleet` for the states of all daemons, from one that sends its own in turn;
+   * `domain` for those of the daemon and of its subscribers for `fleet`.
+   */
+  readonly scope: "fleet" | "domain" | "none";
+}
+
+/** Tells whether a daemon passes on the states of others. */
+export interface Relaying {
+  readonly kind: "relaying";
+  readonly on: boolean;
+}
+
+/** What changed at one daemon. */
+export interface DaemonState {
+  readonly daemon: string;
+  /** Whether it names all of its loads, not only changed ones. */
+  readonly whole: boolean;
+  readonly loads: readonly LoadShare[];
+  readonly parts: readonly PartsNews[];
+}
+
+/** States that a relay passes on, with its own versions; also its heartbeat. */
+export interface Batch {
+  readonly kind: "batch";
+  readonly configuration: number;
+  readonly runners: number;
+  readonly states: readonly DaemonState[];
+  /** Daemons whose links to their relay are down. */
+  readonly gone: readonly string[];
+}
+
 /** A message between daemons. */
-export type PeerMessage = Hello | State | Want | Give;
+export type PeerMessage =
+  | Hello
+  | State
+  | Want
+  | Give
+  | Subscribe
+  | Relaying
+  | Batch;
--- a/packages/router/src/connection/peers.ts
+++ b/packages/router/src/connection/peers.ts
@@ -27,6 +27,7 @@
   readonly incarnation: string;
   readonly address: string;
   readonly failureDomain: string;
+  readonly linkMbps: number;
   readonly link: PeerLink;
   /** Whether this daemon dialled it. */
   readonly dialled: boolean;
@@ -80,6 +81,11 @@
     return [...this.#peers.values()];
   }
 
+  /** Whether the link to a daemon is up. */
+  has(name: string): boolean {
+    return this.#peers.has(name);
+  }
+
   /** How many links are up. */
   get count(): number {
     return this.#peers.size;
@@ -190,13 +196,21 @@
   }
 
   #greeted(hello: Hello, link: PeerLink, dialled: boolean): Peer | undefined {
-    const { name, incarnation, address, failureDomain } = hello;
+    const { name, incarnation, address, failureDomain, linkMbps } = hello;
     const own = this.#own();
     if (name === own.name) {
       link.close();
       return undefined;
     }
-    const peer = { name, incarnation, address, failureDomain, link, dialled };
+    const peer = {
+      name,
+      incarnation,
+      address,
+      failureDomain,
+      linkMbps,
+      link,
+      dialled,
+    };
     const before = this.#peers.get(name);
     if (before !== undefined && before.incarnation === incarnation) {
       const dialler = dialled ? own.address : address;
--- a/packages/router/src/connection/sharing.ts
+++ b/packages/router/src/connection/sharing.ts
@@ -4,21 +4,47 @@
  * @module
  */
 import type { PrefixRecord } from "../process/prefix_record.ts";
+import { isRelayed } from "../process/relay_plan.ts";
+import type { RelayCandidate } from "../process/relay_plan.ts";
 import type { RunnerDirectory } from "../process/runner_directory.ts";
-import type { RunnerLoads } from "../process/runner_load.ts";
+import type { RunnerLoads, Share } from "../process/runner_load.ts";
+import type { Waiting } from "../process/runner_queue.ts";
 import type { Configuration } from "../version/configuration.ts";
-import type { LoadShare, PeerMessage, State } from "./peer_message.ts";
+import { SILENCE_MS } from "./peer_link.ts";
+import type {
+  Batch,
+  DaemonState,
+  LoadShare,
+  PeerMessage,
+  State,
+} from "./peer_message.ts";
 import type { Peer, PeerListener, Peers } from "./peers.ts";
+import { BATCH_MS, Relays } from "./relays.ts";
 
 /**
- * Milliseconds between two states for each peer: with 7 daemons one every 28
- * ms, with 65 one every 260. So a daemon sends and reads at most 250 states a
- * second, about 1% of a core, however large the fleet.
+ * Milliseconds between two states for each peer that is told directly: with 7
+ * daemons one every 28 ms. So a daemon sends and reads at most 250 states a
+ * second, about 1% of a core.
  */
 const PERIOD_PER_PEER_MS = 4;
 const SHORTEST_PERIOD_MS = 20;
 /** Longest time without a state, so that silence tells a lost peer. */
 const HEARTBEAT_MS = 400;
+/**
+ * The same between daemons that hear of each other through relays: a tenth of
+ * the messages, and a lost relay is found by those that it owes batches to.
+ */
+const FAR_HEARTBEAT_MS = 4_000;
+/** Silence after which such a link is closed, in ms: two heartbeats and a half. */
+const FAR_SILENCE_MS = 10_000;
+/**
+ * Periods between states after which all daemons know of a change here: one
+ * until it is sent, and half of one for the way and the timers. Without this
+ * time a free runner is sent 240,000 tokens of prompts at once instead of 30,000.
+ */
+const SETTLE_PERIODS = 1.5;
+/** Batches that a state may wait for on its way through two relays. */
+const BATCHES = 2;
 /** Milliseconds before newer data is asked for again. */
 const WANT_AGAIN_MS = 300;
 
@@ -42,17 +68,33 @@
  * others also while the store turns them away.
  */
 export class Sharing implements PeerListener {
+  readonly #own: RelayCandidate;
   readonly #known: SharedKnowledge;
   readonly #peers: () => Peers;
+  readonly #relays: Relays;
   #timer: NodeJS.Timeout | undefined;
+  #relayed = false;
   #sentAt = 0;
+  #sentFarAt = 0;
   #sentVersions = "";
   #wantedAt = -Infinity;
   #asked = false;
 
-  constructor(known: SharedKnowledge, peers: () => Peers) {
+  constructor(
+    own: RelayCandidate,
+    known: SharedKnowledge,
+    peers: () => Peers,
+  ) {
+    this.#own = own;
     this.#known = known;
     this.#peers = peers;
+    this.#relays = new Relays({
+      own,
+      peers: () => peers().alive,
+      versions: () => this.#versions,
+      ownState: () => this.#wholeState(),
+      allStates: () => this.#allStates(),
+    });
   }
 
   start(): void {
@@ -64,7 +106,9 @@
   }
 
   joined(peer: Peer): void {
-    peer.link.send(this.#state(this.#known.loads.loaded(), []));
+    peer.link.send(this.#message(this.#wholeState()));
+    this.#relays.joined(peer);
+    this.#allowSilence();
     if (this.#asked) return;
     // The first peer tells what runners hold; one copy of it is enough.
     this.#asked = true;
@@ -77,15 +121,22 @@
   }
 
   left(peer: Peer): void {
+    this.#relays.left(peer);
     this.#known.loads.forget(peer.name);
   }
 
   received(peer: Peer, message: PeerMessage): void {
+    this.#relays.received(peer, message);
     switch (message.kind) {
       case "hello":
+      case "subscribe":
+      case "relaying":
         return;
       case "state":
-        return this.#take(peer, message);
+        this.#apply({ ...message, daemon: peer.name });
+        return this.#compare(peer, message);
+      case "batch":
+        return this.#takeBatch(peer, message);
       case "want":
         return peer.link.send({
           kind: "give",
@@ -107,20 +158,38 @@
     }
   }
 
-  #take(peer: Peer, state: State): void {
+  #takeBatch(peer: Peer, batch: Batch): void {
+    for (const state of batch.states) {
+      if (state.daemon !== this.#own.name) this.#apply(state);
+    }
+    for (const daemon of batch.gone) {
+      // A link to its relay that broke says little of one that is heard here.
+      if (!this.#peers().has(daemon)) this.#known.loads.forget(daemon);
+    }
+    this.#compare(peer, batch);
+  }
+
+  /** Takes what one daemon told, directly or through relays. */
+  #apply(state: DaemonState): void {
     const now = performance.now();
+    if (state.whole) this.#known.loads.forget(state.daemon);
     for (const share of state.loads) {
       const waiting = share.waiting.map(({ ageMs, ...each }) => ({
         ...each,
         since: now - ageMs,
       }));
       const load = this.#known.loads.of(share.runner);
-      load.toldBy(peer.name, share, { now, waiting });
+      load.toldBy(state.daemon, share, { now, waiting });
     }
     for (const news of state.parts) this.#known.prefixes.take(news, now);
-    const configuration = state.configuration > this.#version;
-    const runners = state.runners > this.#known.directory.revision;
+  }
+
+  /** Asks a peer for what it has newer. */
+  #compare(peer: Peer, told: Pick<State, "configuration" | "runners">): void {
+    const configuration = told.configuration > this.#version;
+    const runners = told.runners > this.#known.directory.revision;
     if (!configuration && !runners) return;
+    const now = performance.now();
     if (now - this.#wantedAt < WANT_AGAIN_MS) return;
     this.#wantedAt = now;
     peer.link.send({ kind: "want", configuration, runners, parts: false });
@@ -130,8 +199,16 @@
     return this.#known.configuration()?.version ?? -1;
   }
 
+  /** Milliseconds in which a change here is known to all daemons. */
+  get settleMs(): number {
+    if (this.#peers().count === 0) return 0;
+    const relays = this.#relayed ? BATCHES * BATCH_MS : 0;
+    return SETTLE_PERIODS * this.#periodMs + relays;
+  }
+
   /** Milliseconds between two states. */
-  get periodMs(): number {
+  get #periodMs(): number {
+    if (this.#relayed) return SHORTEST_PERIOD_MS;
     return Math.max(
       SHORTEST_PERIOD_MS,
       PERIOD_PER_PEER_MS * this.#peers().count,
@@ -142,39 +219,109 @@
     this.#timer = setTimeout(() => {
       this.#tick();
       this.#schedule();
-    }, this.periodMs);
+    }, this.#periodMs);
   }
 
   #tick(): void {
     const now = performance.now();
+    this.#chooseWay();
     const changed = this.#known.loads.takeChanged();
     const parts = this.#known.prefixes.takeNews();
+    if (this.#relayed) this.#relays.tick(now);
     const versions = `${this.#version}/${this.#known.directory.revision}`;
     const news = changed.length > 0 || parts.length > 0 ||
       versions !== this.#sentVersions;
-    if (!news && now - this.#sentAt < HEARTBEAT_MS) return;
-    this.#sentAt = now;
-    this.#sentVersions = versions;
-    this.#peers().broadcast(this.#state(changed, parts));
+    if (news || now - this.#sentAt >= HEARTBEAT_MS) {
+      this.#sentAt = now;
+      this.#sentVersions = versions;
+      this.#tell(this.#changedState(changed, parts));
+    }
+    if (!this.#relayed || now - this.#sentFarAt < FAR_HEARTBEAT_MS) return;
+    this.#sentFarAt = now;
+    this.#peers().broadcast(this.#message(this.#changedState([], [])));
+  }
+
+  #tell(state: DaemonState): void {
+    if (!this.#relayed) return this.#peers().broadcast(this.#message(state));
+    this.#relays.tell(state);
+    this.#allowSilence();
+  }
+
+  /** Tells all peers directly, or through relays once they are many. */
+  #chooseWay(): void {
+    const relayed = isRelayed(this.#peers().fleetSize);
+    if (relayed === this.#relayed) return;
+    this.#relayed = relayed;
+    if (!relayed) this.#relays.stop();
+    this.#allowSilence();
   }
 
-  #state(changed: readonly string[], parts: State["parts"]): State {
+  #allowSilence(): void {
+    for (const peer of this.#peers().alive) {
+      const far = this.#relayed && !this.#relays.isClose(peer);
+      peer.link.allowSilence(far ? FAR_SILENCE_MS : SILENCE_MS);
+    }
+  }
+
+  get #versions(): Pick<State, "configuration" | "runners"> {
     return {
-      kind: "state",
       configuration: this.#version,
       runners: this.#known.directory.revision,
-      loads: changed.map((runner) => this.#share(runner)),
-      parts,
     };
   }
 
-  #share(runner: string): LoadShare {
-    const load = this.#known.loads.of(runner);
-    const now = performance.now();
-    const waiting = load.queue.waiting.map(({ since, ...each }) => ({
-      ...each,
-      ageMs: Math.round(now - since),
+  #message({ whole, loads, parts }: DaemonState): State {
+    return { kind: "state", ...this.#versions, whole, loads, parts };
+  }
+
+  #wholeState(): DaemonState {
+    const state = this.#changedState(this.#known.loads.loaded(), []);
+    return { ...state, whole: true };
+  }
+
+  #changedState(
+    changed: readonly string[],
+    parts: DaemonState["parts"],
+  ): DaemonState {
+    const loads = changed.map((runner) => {
+      const { own, queue } = this.#known.loads.of(runner);
+      return shareOf(runner, own, queue.waiting);
+    });
+    return { daemon: this.#own.name, whole: false, loads, parts };
+  }
+
+  /** All that is known of loads, by daemon. */
+  #allStates(): readonly DaemonState[] {
+    const states = new Map<string, LoadShare[]>();
+    for (const [runner, load] of this.#known.loads.entries()) {
+      for (const [daemon, share] of load.others) {
+        const told = states.get(daemon) ?? [];
+        states.set(daemon, told);
+        told.push(shareOf(runner, share, load.queue.waitingAt(daemon)));
+      }
+    }
+    const others = [...states].map(([daemon, loads]) => ({
+      daemon,
+      whole: true,
+      loads,
+      parts: [],
     }));
-    return { runner, ...load.own, waiting };
+    return [this.#wholeState(), ...others];
   }
 }
+
+function shareOf(
+  runner: string,
+  share: Share,
+  waiting: readonly Waiting[],
+): LoadShare {
+  const now = performance.now();
+  return {
+    runner,
+    ...share,
+    waiting: waiting.map(({ since, ...each }) => ({
+      ...each,
+      ageMs: Math.round(now - since),
+    })),
+  };
+}
--- a/packages/router/src/process/runner_load.ts
+++ b/packages/router/src/process/runner_load.ts
@@ -88,6 +88,11 @@
     return this.#own;
   }
 
+  /** Loads that other daemons have told, by their names. */
+  get others(): ReadonlyMap<string, Share> {
+    return this.#others;
+  }
+
   /** Load of all daemons, as far as they have told. */
   get all(): Share {
     return this.#all;
@@ -282,6 +287,11 @@
       .map(([id]) => id);
   }
 
+  /** Each runner's id with its load. */
+  entries(): Iterable<readonly [string, RunnerLoad]> {
+    return this.#loads;
+  }
+
   /** Forgets a daemon that cannot be heard any more. */
   forget(daemon: string): void {
     for (const load of this.#loads.values()) load.forget(daemon);
--- a/packages/router/src/process/runner_queue.ts
+++ b/packages/router/src/process/runner_queue.ts
@@ -39,6 +39,11 @@
     return [...this.#own];
   }
 
+  /** Requests that wait at another daemon. */
+  waitingAt(daemon: string): readonly Waiting[] {
+    return this.#others.get(daemon) ?? [];
+  }
+
   /** Counts a request that waits here until the runner has room. */
   join(waiting: Waiting): void {
     this.#own.add(waiting);
--- a/packages/router/src/process/settings.ts
+++ b/packages/router/src/process/settings.ts
@@ -30,6 +30,8 @@
    * it of a host that translates addresses.
    */
   readonly advertised: ListenAddress | undefined;
+  /** Width of the host's network link, in Mbit/s; 0 when unknown. */
+  readonly linkMbps: number;
   /** Addresses of daemons that may be there, as "IP:PORT". */
   readonly seeds: readonly string[];
   /** The platform's store. */
@@ -78,6 +80,11 @@
     return this.#wrong(place, "a number", value, 0);
   }
 
+  numberOr(from: unknown, place: string, otherwise: number): number {
+    if (valueAt(from, place) === undefined) return otherwise;
+    return this.number(from, place);
+  }
+
   address(from: unknown, place: string): ListenAddress {
     const text = this.text(from, place);
     const match = /^(.+):(\d{1,5})$/.exec(text);
@@ -146,6 +153,7 @@
     },
     peers: reader.address(json, "peers"),
     advertised: reader.optionalAddress(json, "advertised"),
+    linkMbps: reader.numberOr(json, "linkMbps", 0),
     seeds: reader.texts(json, "seeds"),
     store: reader.address(json, "store"),
     maxConnections: reader.number(json, "maxConnections"),
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -68,12 +68,6 @@
 const CONNECTION_SHARE = 0.8;
 /** Connections to a runner that a daemon takes in any case. */
 const LEAST_CONNECTIONS = 2;
-/**
- * Periods between states after which all daemons know of a change here: one
- * until it is sent, and half of one for the way and the timers. Without this
- * time a free runner is sent 240,000 tokens of prompts at once instead of 30,000.
- */
-const SETTLE_PERIODS = 1.5;
 /** Settings that take effect without a restart. */
 const CHANGEABLE: ReadonlySet<keyof RouterSettings> = new Set([
   "seeds",
@@ -123,8 +117,9 @@
       incarnation: randomUUID(),
       address,
       failureDomain: settings.failureDomain,
+      linkMbps: settings.linkMbps,
     };
-    this.#sharing = new Sharing({
+    this.#sharing = new Sharing(own, {
       loads: this.loads,
       prefixes: this.prefixes,
       directory: this.#directory,
@@ -187,9 +182,7 @@
   }
 
   settleMs(): number {
-    return this.#peers.count === 0
-      ? 0
-      : SETTLE_PERIODS * this.#sharing.periodMs;
+    return this.#sharing.settleMs;
   }
 
   budget(service: string): RetryBudget {
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -230,6 +230,7 @@
     metrics: { ...address, path: "/metrics" },
     peers: address,
     advertised: undefined,
+    linkMbps: 0,
     seeds: [],
     store: address,
     maxConnections: 100,
