Pass answers on in a module of their own

Cause: exchange.ts had 444 lines and two jobs, the course of tries and the passing of answers. No change of behaviour: the 82 tests of the router pass unchanged. exchange.ts has 370 lines now, answer_relay.ts 154.

--- /dev/null
+++ b/packages/router/src/request/answer_relay.ts
@@ -0,0 +1,154 @@
+/**
+ * Passing a runner's answer on to the caller.
+ *
+ * @module
+ */
+import type { Placed, RunnerLoad } from "../process/runner_load.ts";
+import type { Attempt, Sent } from "./attempt.ts";
+import type { Caller } from "./caller.ts";
+import type { Daemon } from "./daemon.ts";
+import type { Silence } from "./silence.ts";
+import { StreamRelay } from "./stream_relay.ts";
+import type { Subject } from "./subject.ts";
+import { readWhole } from "./whole_body.ts";
+
+/** Largest answer that is held to be checked before it is passed on, in bytes. */
+const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+/** Longest pauses on time without an event after which it goes on elsewhere. */
+const GAP_SILENCE = 4;
+const FIRST_ERROR = 400;
+const FIRST_SERVER_ERROR = 500;
+
+/** An answer that a runner has begun. */
+export type Answer = Extract<Sent, { readonly kind: "answer" }>;
+
+/** What belongs to one try. */
+export interface TryParts {
+  readonly load: RunnerLoad;
+  readonly placed: Placed;
+  readonly attempt: Attempt;
+  readonly silence: Silence;
+}
+
+/** What became of an answer. */
+export type Passed =
+  /** The caller has all of it. */
+  | { readonly kind: "answered"; readonly status: number }
+  /** The runner broke off, or the answer is not its own. */
+  | { readonly kind: "broken"; readonly reason: string }
+  /** The runner failed by itself; `answer` tells the caller so. */
+  | {
+    readonly kind: "failed";
+    readonly status: number;
+    readonly answer: () => void;
+  };
+
+/**
+ * Passes on the answers of one request's tries: whole ones after their end, and
+ * streams by whole events, as one stream however many runners it comes from.
+ */
+export class AnswerRelay {
+  readonly #daemon: Daemon;
+  readonly #caller: Caller;
+  /** Whether this daemon ended the try, so the runner is not to blame. */
+  readonly #endedByUs: () => boolean;
+  #stream: StreamRelay | undefined;
+
+  constructor(
+    daemon: Daemon,
+    caller: Caller,
+    options: { readonly endedByUs: () => boolean },
+  ) {
+    this.#daemon = daemon;
+    this.#caller = caller;
+    this.#endedByUs = options.endedByUs;
+  }
+
+  /** Last event of a stream that the caller has. */
+  get lastId(): number | undefined {
+    return this.#stream?.lastId;
+  }
+
+  /** Events that were passed on; none when the answer is no stream. */
+  get events(): number | undefined {
+    return this.#stream?.events;
+  }
+
+  /** Passes one answer on, if its runner vouches for it. */
+  pass(subject: Subject, sent: Answer, parts: TryParts): Promise<Passed> {
+    const { status, head } = sent;
+    const success = status < FIRST_ERROR;
+    if (success && (!head.sealed || head.encoded)) {
+      parts.attempt.cancel("not the runner's own answer");
+      parts.load.failed(this.#daemon.now());
+      return Promise.resolve({ kind: "broken", reason: "answer without seal" });
+    }
+    if (subject.route.streaming && success) {
+      return this.#passStream(subject, sent, parts);
+    }
+    return this.#passWhole(sent, parts);
+  }
+
+  async #passWhole(sent: Answer, parts: TryParts): Promise<Passed> {
+    const { status, incoming } = sent;
+    const whole = await readWhole(incoming, MAX_ANSWER_BYTES);
+    if (whole.kind !== "whole") {
+      return this.#brokeOff(parts, "answer broke off", whole.kind);
+    }
+    parts.load.succeeded();
+    const answer = () =>
+      this.#caller.answer(status, incoming.rawHeaders, whole.body);
+    if (status >= FIRST_SERVER_ERROR) return { kind: "failed", status, answer };
+    answer();
+    return { kind: "answered", status };
+  }
+
+  async #passStream(
+    subject: Subject,
+    sent: Answer,
+    parts: TryParts,
+  ): Promise<Passed> {
+    const { route } = subject;
+    const { status, incoming } = sent;
+    const stream = this.#streamOf(subject);
+    let begun = false;
+    const end = await stream.relay(incoming, () => {
+      parts.load.heard(this.#daemon.now());
+      if (!begun) {
+        begun = true;
+        this.#begin(subject, sent, parts);
+      }
+      parts.silence.expect(GAP_SILENCE * (route.gapTargetMs ?? route.targetMs));
+    });
+    if (end.kind !== "complete") {
+      return this.#brokeOff(parts, "stream broke off", end.reason);
+    }
+    this.#caller.beginStream(status, incoming.rawHeaders);
+    this.#caller.endStream();
+    return { kind: "answered", status };
+  }
+
+  #streamOf(subject: Subject): StreamRelay {
+    this.#stream ??= new StreamRelay(this.#caller.response, {
+      dialect: this.#daemon.dialect,
+      lastId: subject.call.lastEventId,
+    });
+    return this.#stream;
+  }
+
+  /** The first event came: the prompt has been read. */
+  #begin(subject: Subject, sent: Answer, parts: TryParts): void {
+    const { load, placed, attempt } = parts;
+    load.started(placed);
+    load.succeeded();
+    const { prompt } = subject.call;
+    this.#daemon.prefixes.read(attempt.runner.id, prompt, this.#daemon.now());
+    this.#caller.beginStream(sent.status, sent.incoming.rawHeaders);
+  }
+
+  #brokeOff(parts: TryParts, cause: string, reason: string): Passed {
+    parts.attempt.cancel(cause);
+    if (!this.#endedByUs()) parts.load.failed(this.#daemon.now());
+    return { kind: "broken", reason };
+  }
+}
--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -4,7 +4,9 @@
  * @module
  */
 import type { Buffer } from "node:buffer";
-import type { Placed, RunnerLoad } from "../process/runner_load.ts";
+import type { Placed } from "../process/runner_load.ts";
+import { AnswerRelay } from "./answer_relay.ts";
+import type { Passed, TryParts } from "./answer_relay.ts";
 import { Attempt } from "./attempt.ts";
 import type { Sent } from "./attempt.ts";
 import type { CallHead } from "./call.ts";
@@ -16,19 +18,14 @@
 import type { Choice } from "./placement.ts";
 import { RunnerSearch } from "./runner_search.ts";
 import { Silence } from "./silence.ts";
-import { StreamRelay } from "./stream_relay.ts";
 import { findSubject } from "./subject.ts";
 import type { Subject } from "./subject.ts";
 import { readWhole } from "./whole_body.ts";
 
-/** Largest answer that is held to be checked before it is passed on, in bytes. */
-const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 /** Milliseconds after which a refused caller may come back; spread by as much. */
 const RETRY_AFTER_MS = 250;
 /** Targets without a first event after which a stream is tried elsewhere. */
 const STREAM_SILENCE = 2;
-/** Longest pauses on time without an event after which it goes on elsewhere. */
-const GAP_SILENCE = 4;
 /** Targets without an answer after which an idempotent request is. */
 const WHOLE_SILENCE = 1;
 /** Part of its time that a caller will stay away when told so. */
@@ -37,8 +34,6 @@
 const LEAST_TIME_MS = 30;
 /** Runners that are tried one after the other while none can be reached. */
 const MAX_UNSENT = 3;
-const FIRST_ERROR = 400;
-const FIRST_SERVER_ERROR = 500;
 
 /** What one try came to. */
 type Try =
@@ -57,7 +52,7 @@
   readonly #startedAt: number;
   readonly #tried = new Set<string>();
   #attempt: Attempt | undefined;
-  #relay: StreamRelay | undefined;
+  readonly #relay: AnswerRelay;
   #attempts = 0;
   /** Whether any byte may have reached a runner that did not refuse it. */
   #mayHaveRun = false;
@@ -70,6 +65,9 @@
     this.#daemon = daemon;
     this.#caller = caller;
     this.#startedAt = daemon.now();
+    this.#relay = new AnswerRelay(daemon, caller, {
+      endedByUs: () => this.#endedByUs(),
+    });
   }
 
   /** Works until the caller has its final answer or has left. */
@@ -202,7 +200,7 @@
         fetchFrom: choice.fetchFrom === undefined
           ? undefined
           : `${choice.fetchFrom.address}:${choice.fetchFrom.port}`,
-        lastEventId: this.#relay?.lastId,
+        lastEventId: this.#relay.lastId,
       }),
       body,
     }, {
@@ -259,89 +257,27 @@
       case "answer":
         this.#mayHaveRun = true;
         if (sent.head.load !== undefined) load.reported(sent.head.load, now);
-        return await this.#passOn(subject, sent, parts);
-    }
-  }
-
-  #passOn(subject: Subject, sent: Answer, parts: TryParts): Promise<Try> {
-    const { status, head } = sent;
-    const success = status < FIRST_ERROR;
-    if (success && (!head.sealed || head.encoded)) {
-      parts.attempt.cancel("not the runner's own answer");
-      parts.load.failed(this.#daemon.now());
-      const reason = "answer without seal";
-      return Promise.resolve(
-        this.#repeat(subject, reason),
-      );
-    }
-    if (subject.route.streaming && success) {
-      return this.#passStream(subject, sent, parts);
+        return this.#ended(
+          subject,
+          await this.#relay.pass(subject, sent, parts),
+        );
     }
-    return this.#passWhole(subject, sent, parts);
   }
 
-  async #passWhole(
-    subject: Subject,
-    sent: Answer,
-    parts: TryParts,
-  ): Promise<Try> {
-    const whole = await readWhole(sent.incoming, MAX_ANSWER_BYTES);
-    if (whole.kind !== "whole") {
-      parts.attempt.cancel("answer broke off");
-      if (!this.#endedByUs()) parts.load.failed(this.#daemon.now());
-      return this.#repeat(subject, whole.kind);
-    }
-    parts.load.succeeded();
-    const { status } = sent;
-    const answer = (): Outcome => {
-      this.#caller.answer(status, sent.incoming.rawHeaders, whole.body);
-      return { kind: "answered", status };
+  #ended(subject: Subject, passed: Passed): Try {
+    if (passed.kind === "broken") return this.#repeat(subject, passed.reason);
+    const { status } = passed;
+    const outcome: Outcome = { kind: "answered", status };
+    if (passed.kind === "answered") return { kind: "done", outcome };
+    const answer = () => {
+      passed.answer();
+      return outcome;
     };
-    if (status < FIRST_SERVER_ERROR || !this.#mayRepeat(subject)) {
-      return { kind: "done", outcome: answer() };
-    }
     // The runner failed by itself; its answer stands if no other does better.
-    return this.#again(`status ${status}`, answer);
-  }
-
-  async #passStream(
-    subject: Subject,
-    sent: Answer,
-    parts: TryParts,
-  ): Promise<Try> {
-    const { route } = subject;
-    const { status, incoming } = sent;
-    this.#relay ??= new StreamRelay(this.#caller.response, {
-      dialect: this.#daemon.dialect,
-      onEvent: () => {
-        const { id } = this.#attempt!.runner;
-        this.#daemon.loads.of(id).heard(this.#daemon.now());
-      },
-      lastId: subject.call.lastEventId,
-    });
-    let begun = false;
-    const end = await this.#relay.relay(incoming, () => {
-      if (!begun) {
-        begun = true;
-        parts.load.started(parts.placed);
-        this.#daemon.prefixes.read(
-          parts.attempt.runner.id,
-          subject.call.prompt,
-          this.#daemon.now(),
-        );
-        parts.load.succeeded();
-        this.#caller.beginStream(status, incoming.rawHeaders);
-      }
-      parts.silence.expect(GAP_SILENCE * (route.gapTargetMs ?? route.targetMs));
-    });
-    if (end.kind === "complete") {
-      this.#caller.beginStream(status, incoming.rawHeaders);
-      this.#caller.endStream();
-      return { kind: "done", outcome: { kind: "answered", status } };
+    if (this.#mayRepeat(subject)) {
+      return this.#again(`status ${status}`, answer);
     }
-    parts.attempt.cancel("stream broke off");
-    if (!this.#endedByUs()) parts.load.failed(this.#daemon.now());
-    return this.#repeat(subject, end.reason);
+    return { kind: "done", outcome: answer() };
   }
 
   #again(reason: string, fallback: () => Outcome): Try {
@@ -426,19 +362,9 @@
       outcome: result,
       reason: outcome.kind === "broken" ? outcome.reason : undefined,
       attempts: this.#attempts,
-      events: this.#relay?.events,
+      events: this.#relay.events,
       elapsed_ms: Math.round(elapsedMs),
       config: subject?.version ?? this.#daemon.table()?.version,
     });
   }
 }
-
-type Answer = Extract<Sent, { readonly kind: "answer" }>;
-
-/** What belongs to one try. */
-interface TryParts {
-  readonly load: RunnerLoad;
-  readonly placed: Placed;
-  readonly attempt: Attempt;
-  readonly silence: Silence;
-}
--- a/packages/router/src/request/stream_relay.ts
+++ b/packages/router/src/request/stream_relay.ts
@@ -20,23 +20,19 @@
 export class StreamRelay {
   readonly #response: ServerResponse;
   readonly #dialect: Dialect;
-  readonly #onEvent: () => void;
   /** Before any event, the last one that the caller says it has. */
   #lastId: number | undefined;
   #events = 0;
 
-  /** @param onEvent called for each event that comes from a runner. */
   constructor(
     response: ServerResponse,
     options: {
       readonly dialect: Dialect;
-      readonly onEvent: () => void;
       readonly lastId: number | undefined;
     },
   ) {
     this.#response = response;
     this.#dialect = options.dialect;
-    this.#onEvent = options.onEvent;
     this.#lastId = options.lastId;
   }
 
@@ -53,15 +49,15 @@
   /**
    * Passes on a runner's events until its answer ends.
    *
-   * @param begin called once before the first event, to write the head.
+   * @param onEvent called before each event, at the first one to write the head.
    */
-  relay(incoming: IncomingMessage, begin: () => void): Promise<StreamEnd> {
+  relay(incoming: IncomingMessage, onEvent: () => void): Promise<StreamEnd> {
     const splitter = new EventSplitter();
     return new Promise((resolve) => {
       const broken = (reason: string) => resolve({ kind: "broken", reason });
       incoming.on("data", (chunk: Buffer) => {
         for (const event of splitter.push(chunk)) {
-          begin();
+          onEvent();
           if (!this.#pass(event)) this.#pause(incoming);
         }
       });
@@ -76,7 +72,6 @@
   }
 
   #pass(event: Buffer): boolean {
-    this.#onEvent();
     const id = this.#dialect.eventId(event.toString("latin1"));
     if (id !== undefined) {
       if (this.#lastId !== undefined && id <= this.#lastId) return true;
