--- a/packages/router/src/connection/relays.ts
+++ b/packages/router/src/connection/relays.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { EventLog } from "../process/event_log.ts";
 import type { PartsNews } from "../process/prefix_record.ts";
 import { relayOf } from "../process/relay_plan.ts";
 import type { RelayCandidate } from "../process/relay_plan.ts";
@@ -28,6 +29,7 @@
 /** What relays are told by, and tell. */
 export interface RelayHost {
   readonly own: RelayCandidate;
+  readonly log: EventLog;
   /** Peers whose links are up. */
   peers(): readonly Peer[];
   /** Versions that ride on each batch. */
@@ -218,6 +220,7 @@
   #act(acting: boolean): void {
     if (this.#acting === acting) return;
     this.#acting = acting;
+    this.#host.log.event("relaying_changed", { relaying: acting });
     for (const { link } of this.#host.peers()) {
       link.send({ kind: "relaying", on: acting });
     }
@@ -229,6 +232,7 @@
     const peer = this.#peer(name);
     peer?.link.send({ kind: "subscribe", scope });
     if (scope !== "fleet") return;
+    this.#host.log.event("relay_chosen", { relay: name });
     peer?.link.send(this.#stateMessage(this.#host.ownState()));
   }
 
--- a/packages/router/src/connection/relays_test.ts
+++ b/packages/router/src/connection/relays_test.ts
@@ -69,6 +69,7 @@
       received: 0,
       relays: new Relays({
         own,
+        log: { event() {}, decision() {} },
         peers: () => this.#peersOf(member),
         versions: () => ({ configuration: 1, runners: 1 }),
         ownState: () => ({ ...stateOf(name, 0), whole: true }),
--- a/packages/router/src/connection/sharing.ts
+++ b/packages/router/src/connection/sharing.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
+import type { EventLog } from "../process/event_log.ts";
 import type { PrefixRecord } from "../process/prefix_record.ts";
-import { isRelayed } from "../process/relay_plan.ts";
 import type { RelayCandidate } from "../process/relay_plan.ts";
 import type { RunnerDirectory } from "../process/runner_directory.ts";
 import type { RunnerLoads, Share } from "../process/runner_load.ts";
@@ -72,6 +72,7 @@
   readonly #known: SharedKnowledge;
   readonly #peers: () => Peers;
   readonly #relays: Relays;
+  readonly #relaysFrom: number;
   #timer: NodeJS.Timeout | undefined;
   #relayed = false;
   #sentAt = 0;
@@ -80,16 +81,21 @@
   #wantedAt = -Infinity;
   #asked = false;
 
-  constructor(
-    own: RelayCandidate,
-    known: SharedKnowledge,
-    peers: () => Peers,
-  ) {
+  constructor(known: SharedKnowledge, options: {
+    readonly own: RelayCandidate;
+    readonly peers: () => Peers;
+    readonly log: EventLog;
+    /** Daemons from which on states go through relays. */
+    readonly relaysFrom: number;
+  }) {
+    const { own, peers, log, relaysFrom } = options;
+    this.#relaysFrom = relaysFrom;
     this.#own = own;
     this.#known = known;
     this.#peers = peers;
     this.#relays = new Relays({
       own,
+      log,
       peers: () => peers().alive,
       versions: () => this.#versions,
       ownState: () => this.#wholeState(),
@@ -249,7 +255,7 @@
 
   /** Tells all peers directly, or through relays once they are many. */
   #chooseWay(): void {
-    const relayed = isRelayed(this.#peers().fleetSize);
+    const relayed = this.#peers().fleetSize >= this.#relaysFrom;
     if (relayed === this.#relayed) return;
     this.#relayed = relayed;
     if (!relayed) this.#relays.stop();
--- a/packages/router/src/process/relay_plan.ts
+++ b/packages/router/src/process/relay_plan.ts
@@ -12,18 +12,6 @@
   readonly linkMbps: number;
 }
 
-/**
- * Daemons from which on states go through relays. Up to here each daemon tells
- * all others directly, every 4 ms for each of them: 96 ms with 24 daemons, as
- * long as the way through two relays takes.
- */
-const RELAYED_FROM = 25;
-
-/** Whether a fleet of so many daemons passes states on by relays. */
-export function isRelayed(daemons: number): boolean {
-  return daemons >= RELAYED_FROM;
-}
-
 /**
  * The relay of a failure domain: the daemon with the widest link, the first by
  * name among equals. It sends each state of the fleet to every daemon of its
--- a/packages/router/src/process/relay_plan_test.ts
+++ b/packages/router/src/process/relay_plan_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { isRelayed, relayOf } from "./relay_plan.ts";
+import { relayOf } from "./relay_plan.ts";
 
 const FLEET = [
   { name: "a-1", failureDomain: "a", linkMbps: 10 },
@@ -15,8 +15,3 @@
   assert.equal(relayOf("b", FLEET)?.name, "b-1");
   assert.equal(relayOf("c", FLEET), undefined);
 });
-
-test("small fleets tell each other directly", () => {
-  assert.equal(isRelayed(9), false);
-  assert.equal(isRelayed(58), true);
-});
--- a/packages/router/src/process/settings.ts
+++ b/packages/router/src/process/settings.ts
@@ -12,6 +12,13 @@
   readonly port: number;
 }
 
+/**
+ * Daemons from which on states go through relays, unless set. Up to here each
+ * daemon tells all others directly, every 4 ms for each of them: 96 ms with 24
+ * daemons, as long as the way through two relays takes.
+ */
+const RELAYS_FROM = 25;
+
 /** All that a router is told at its start. */
 export interface RouterSettings {
   /** Name of the host, unique in the fleet. */
@@ -32,6 +39,8 @@
   readonly advertised: ListenAddress | undefined;
   /** Width of the host's network link, in Mbit/s; 0 when unknown. */
   readonly linkMbps: number;
+  /** Daemons from which on states go through relays. */
+  readonly relaysFrom: number;
   /** Addresses of daemons that may be there, as "IP:PORT". */
   readonly seeds: readonly string[];
   /** The platform's store. */
@@ -154,6 +163,7 @@
     peers: reader.address(json, "peers"),
     advertised: reader.optionalAddress(json, "advertised"),
     linkMbps: reader.numberOr(json, "linkMbps", 0),
+    relaysFrom: reader.numberOr(json, "relaysFrom", RELAYS_FROM),
     seeds: reader.texts(json, "seeds"),
     store: reader.address(json, "store"),
     maxConnections: reader.number(json, "maxConnections"),
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -119,13 +119,18 @@
       failureDomain: settings.failureDomain,
       linkMbps: settings.linkMbps,
     };
-    this.#sharing = new Sharing(own, {
+    this.#sharing = new Sharing({
       loads: this.loads,
       prefixes: this.prefixes,
       directory: this.#directory,
       configuration: () => this.#configuration,
       adopt: (configuration, source) => this.#adopt(configuration, source),
-    }, () => this.#peers);
+    }, {
+      own,
+      peers: () => this.#peers,
+      log,
+      relaysFrom: settings.relaysFrom,
+    });
     this.#peers = new Peers(() => own, {
       listener: {
         joined: (peer) => this.#sharing.joined(peer),
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -231,6 +231,7 @@
     peers: address,
     advertised: undefined,
     linkMbps: 0,
+    relaysFrom: 25,
     seeds: [],
     store: address,
     maxConnections: 100,
