Rest 100 ms between a change of the store and the next wait

Runners that start together and edits in a storm come tens of ms apart, and each ended the wait of each watcher by itself.

Ruled out: the watches' length (3.4 calls a second in all, whatever the fleet); lists at the start (five calls a daemon).

Change: after a change a watcher rests 100 ms; what comes meanwhile is read with the next answer. The first change of a group is known as soon as before, the others at most 100 ms later, within bounds of 2 to 3 s.

--- a/packages/router/src/process/feed.ts
+++ b/packages/router/src/process/feed.ts
@@ -67,6 +67,12 @@
 /** First pause after a failure, in ms; doubled up to the longest. */
 const FIRST_PAUSE_MS = 50;
 const LONGEST_PAUSE_MS = 400;
+/**
+ * Milliseconds after a change until the next wait begins. Runners that start or
+ * leave together, and edits in a storm, come some tens of ms apart; without the
+ * rest each of them costs each watcher a call.
+ */
+const REST_MS = 100;
 /** Milliseconds between two questions whether to become active. */
 const IDLE_MS = 200;
 
@@ -151,6 +157,7 @@
     if (changes.revision <= this.#revision) return true;
     this.#sink.changed(changes);
     this.#revision = changes.revision;
+    await pause(REST_MS);
     return true;
   }
 
--- a/packages/router/src/process/feed_test.ts
+++ b/packages/router/src/process/feed_test.ts
@@ -134,3 +134,30 @@
   for (let turn = 0; turn < 10; turn++) await new Promise(setImmediate);
   assert.deepEqual(feed.calls, ["list", "list"]);
 });
+
+// Eleven runners start within a second. A watcher that asks again at once makes
+// eleven calls for them, each of which all watchers pay.
+test("changes that follow each other at once are read together", async (t) => {
+  mock.timers.enable({ apis: ["setTimeout"] });
+  t.after(() => mock.timers.reset());
+  const feed = new PlayedFeed([
+    { revision: 3, values: [] },
+    { revision: 4, entered: ["a"], left: [] },
+    { revision: 9, entered: ["b", "c"], left: [] },
+  ], () => {});
+  const seen: string[] = [];
+  const follower = new Follower(feed, {
+    listed() {},
+    changed: ({ entered }) => seen.push(...entered),
+  }, {
+    contact: { lost() {}, regained() {} },
+    timing: { waitMs: () => 1, active: () => true },
+  });
+  void follower.run();
+  for (let turn = 0; turn < 10; turn++) await new Promise(setImmediate);
+  assert.deepEqual(seen, ["a"], "known at once");
+  assert.deepEqual(feed.calls, ["list", "watch 3"]);
+  mock.timers.tick(100);
+  for (let turn = 0; turn < 10; turn++) await new Promise(setImmediate);
+  assert.deepEqual(seen, ["a", "b", "c"]);
+});
