Send long answers to runners that read little

Cause: in a burst a fifth of the cut sheets ended in their deadline: while an engine reads prompts without pause, a token takes a step of 40 ms, and answers of more than some 165 tokens do not come in 8 s. What the caller expects of the answer's length was not used.

Change: an answer that would take over three quarters of its route's time at 40 ms a token counts 300 ms for runners which are not kept for tight streams, and nothing for those which are, as far as its prompt disturbs no stream there.

--- a/packages/router/src/request/call.ts
+++ b/packages/router/src/request/call.ts
@@ -23,6 +23,8 @@
   readonly promptTokens: number;
   /** Most tokens of the answer. */
   readonly answerTokens: number;
+  /** Tokens of the answer that the caller expects; often far off. */
+  readonly expectedTokens: number | undefined;
   /** Parts of the prompt in order; the last one is the request's own. */
   readonly prompt: readonly PromptPart[];
   /** Last event that the caller has of a stream that it resumes. */
--- a/packages/router/src/request/demand.ts
+++ b/packages/router/src/request/demand.ts
@@ -15,6 +15,10 @@
   readonly promptTokens: number;
   /** Most tokens of the answer. */
   readonly answerTokens: number;
+  /** Tokens of the answer that the caller expects, if it says so. */
+  readonly expectedTokens: number | undefined;
+  /** Milliseconds from the request to its final answer, at most. */
+  readonly timeoutMs: number;
   readonly targetMs: number;
   readonly gapTargetMs: number | undefined;
   /** Where it stands among requests that wait for the same runner. */
@@ -43,6 +47,13 @@
  * tokens at 62 tokens a ms, and a share for attention to what was read.
  */
 const CHUNK_STEP_MS = 40;
+/**
+ * Part of a request's time that an answer may take where an engine reads prompts
+ * without pause. Beyond it, the wait for the first token leaves too little: in
+ * a burst 20 in 100 long prompts had answers of over 150 tokens, and nearly all
+ * that ran into their timeout of 8 s were among them.
+ */
+const LONG_ANSWER_SHARE = 0.75;
 /** Room for the steps between chunks, as a factor. */
 const GAP_ROOM = 1.25;
 /**
@@ -62,3 +73,14 @@
   if (engine === undefined || gapTargetMs === undefined) return false;
   return gapTargetMs <= GAP_ROOM * engine.eventTokens * CHUNK_STEP_MS;
 }
+
+/**
+ * Whether an answer would hardly end in time where prompts are read without
+ * pause, and each token takes a step with a chunk. What callers expect is right
+ * in the middle and often far off; it only decides between runners.
+ */
+export function isLongAnswer(demand: Demand): boolean {
+  const { expectedTokens, timeoutMs } = demand;
+  if (expectedTokens === undefined) return false;
+  return expectedTokens * CHUNK_STEP_MS > LONG_ANSWER_SHARE * timeoutMs;
+}
--- a/packages/router/src/request/placement_test.ts
+++ b/packages/router/src/request/placement_test.ts
@@ -41,6 +41,8 @@
     }],
     promptTokens: 16_000,
     answerTokens: 200,
+    expectedTokens: undefined,
+    timeoutMs: 8_000,
     targetMs: 1_500,
     gapTargetMs: 800,
     turn: { rank: 2, since: 0 },
@@ -275,3 +277,31 @@
   const other = chooseRunner(fleet, longPrompt("b"), NONE)!;
   assert.notEqual(other.runner.id, first!.runner.id, "nobody reads this one");
 });
+
+// Callers of long answers get a part and then the end of their connection. Where
+// prompts are read without pause each token takes 40 ms, so 300 of them do not
+// come in 8 s; at the runners of tight streams, which read little, they do.
+test("long answers go where little is read", () => {
+  const fleet = fleetOf(8);
+  const subjects = Array.from({ length: 12 }, (_, index) => `s-${index}`);
+  const runnersOf = (demandOf: (subject: string) => Demand) =>
+    new Set(
+      subjects.map((subject) =>
+        chooseRunner(fleet, demandOf(subject), NONE)!.runner.id
+      ),
+    );
+  const brief = (subject: string): Demand => ({
+    ...longPrompt(subject),
+    prompt: [{ id: subject, tokens: 2_000 }, { id: "own", tokens: 1_000 }],
+    promptTokens: 3_000,
+  });
+  const calm = runnersOf(tightStream);
+  const short = runnersOf(brief);
+  const long = runnersOf((subject) => ({
+    ...brief(subject),
+    expectedTokens: 300,
+  }));
+  assert.equal(calm.size, 2, "runners that are kept for tight streams");
+  assert.ok([...short].every((id) => !calm.has(id)));
+  assert.ok([...long].every((id) => calm.has(id)));
+});
--- a/packages/router/src/request/runner_cost.ts
+++ b/packages/router/src/request/runner_cost.ts
@@ -5,7 +5,7 @@
  */
 import type { Runner } from "../process/runner_directory.ts";
 import { readMs } from "../process/reading.ts";
-import { BEARABLE_MS, isTight } from "./demand.ts";
+import { BEARABLE_MS, isLongAnswer, isTight } from "./demand.ts";
 import type { Demand, Fleet } from "./demand.ts";
 
 /**
@@ -39,6 +39,12 @@
 const AMONG_LONG_MS = 150;
 /** What a long prompt costs where tight streams are at home, in ms of wait. */
 const AMONG_TIGHT_MS = 100;
+/**
+ * What a long answer risks where prompts are read without pause, in ms of wait:
+ * it would not end in time. At the runners of tight streams it does, as far as
+ * its prompt disturbs none of them.
+ */
+const LONG_ANSWER_MS = 300;
 /** What a late tight stream is worth, in ms of a runner's time. */
 const TIGHT_STREAM_MS = 100;
 /** What a runner's other requests slow down one more, in ms each. */
@@ -98,6 +104,13 @@
   return { holder, promisedTokens };
 }
 
+/** What a request risks, or makes others risk, by the runner's kind, in ms. */
+function misplacedMs(demand: Demand, kept: boolean): number {
+  if (isTight(demand)) return kept ? 0 : AMONG_LONG_MS;
+  if (isLongAnswer(demand)) return kept ? 0 : LONG_ANSWER_MS;
+  return kept ? AMONG_TIGHT_MS : 0;
+}
+
 /** What a runner would cost a request. */
 export function quoteOf(
   fleet: Fleet,
@@ -127,7 +140,7 @@
   );
   const ownMs = readMs(unreadTokens) + (fetches ? fetchMs + FETCH_MS : 0);
   const away = atHome ? 0 : holder === undefined ? AWAY_UNKNOWN_MS : AWAY_MS;
-  const misplaced = tight === kept ? 0 : tight ? AMONG_LONG_MS : AMONG_TIGHT_MS;
+  const misplaced = misplacedMs(demand, kept);
   const harm = !tight && waitMs + ownMs > BEARABLE_MS
     ? TIGHT_STREAM_MS * load.all.tight
     : 0;
--- a/packages/router/src/request/runner_search.ts
+++ b/packages/router/src/request/runner_search.ts
@@ -154,6 +154,8 @@
       prompt: call.prompt,
       promptTokens: call.promptTokens,
       answerTokens: call.answerTokens,
+      expectedTokens: call.expectedTokens,
+      timeoutMs: route.timeoutMs,
       targetMs: route.targetMs,
       gapTargetMs: route.gapTargetMs,
       turn: this.#turn,
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -34,6 +34,7 @@
     deadlineMs: Number(headerOf(headers, "x-deadline") ?? 5_000),
     promptTokens: 0,
     answerTokens: 0,
+    expectedTokens: undefined,
     prompt: [],
     lastEventId: undefined,
   }),
