--- /dev/null
+++ b/packages/router/src/connection/load_states.ts
@@ -0,0 +1,72 @@
+/**
+ * What daemons tell of the load on runners, put together to be sent.
+ *
+ * @module
+ */
+import type { RunnerLoads, Share } from "../process/runner_load.ts";
+import type { Waiting } from "../process/runner_queue.ts";
+import type { DaemonState, LoadShare } from "./peer_message.ts";
+
+/** Puts states together from the loads that this daemon knows. */
+export class LoadStates {
+  readonly #name: string;
+  readonly #loads: RunnerLoads;
+
+  /** @param name of this daemon. */
+  constructor(name: string, loads: RunnerLoads) {
+    this.#name = name;
+    this.#loads = loads;
+  }
+
+  /** All loads of this daemon. */
+  whole(): DaemonState {
+    return { ...this.changed(this.#loads.loaded(), []), whole: true };
+  }
+
+  /** The loads of this daemon on some runners, and what is new of prompts. */
+  changed(
+    runners: readonly string[],
+    parts: DaemonState["parts"],
+  ): DaemonState {
+    const loads = runners.map((runner) => {
+      const { own, queue } = this.#loads.of(runner);
+      return shareOf(runner, own, queue.waiting);
+    });
+    return { daemon: this.#name, whole: false, loads, parts };
+  }
+
+  /** All loads that are known, by daemon. */
+  all(): readonly DaemonState[] {
+    const told = new Map<string, LoadShare[]>();
+    for (const [runner, load] of this.#loads.entries()) {
+      for (const [daemon, share] of load.others) {
+        const shares = told.get(daemon) ?? [];
+        told.set(daemon, shares);
+        shares.push(shareOf(runner, share, load.queue.waitingAt(daemon)));
+      }
+    }
+    const others = [...told].map(([daemon, loads]) => ({
+      daemon,
+      whole: true,
+      loads,
+      parts: [],
+    }));
+    return [this.whole(), ...others];
+  }
+}
+
+function shareOf(
+  runner: string,
+  share: Share,
+  waiting: readonly Waiting[],
+): LoadShare {
+  const now = performance.now();
+  return {
+    runner,
+    ...share,
+    waiting: waiting.map(({ since, ...each }) => ({
+      ...each,
+      ageMs: Math.round(now - since),
+    })),
+  };
+}
--- a/packages/router/src/connection/sharing.ts
+++ b/packages/router/src/connection/sharing.ts
@@ -7,17 +7,11 @@
 import type { PrefixRecord } from "../process/prefix_record.ts";
 import type { RelayCandidate } from "../process/relay_plan.ts";
 import type { RunnerDirectory } from "../process/runner_directory.ts";
-import type { RunnerLoads, Share } from "../process/runner_load.ts";
-import type { Waiting } from "../process/runner_queue.ts";
+import type { RunnerLoads } from "../process/runner_load.ts";
 import type { Configuration } from "../version/configuration.ts";
+import { LoadStates } from "./load_states.ts";
 import { SILENCE_MS } from "./peer_link.ts";
-import type {
-  Batch,
-  DaemonState,
-  LoadShare,
-  PeerMessage,
-  State,
-} from "./peer_message.ts";
+import type { Batch, DaemonState, PeerMessage, State } from "./peer_message.ts";
 import type { Peer, PeerListener, Peers } from "./peers.ts";
 import { BATCH_MS, Relays } from "./relays.ts";
 
@@ -70,6 +64,7 @@
 export class Sharing implements PeerListener {
   readonly #own: RelayCandidate;
   readonly #known: SharedKnowledge;
+  readonly #states: LoadStates;
   readonly #peers: () => Peers;
   readonly #relays: Relays;
   readonly #relaysFrom: number;
@@ -92,14 +87,15 @@
     this.#relaysFrom = relaysFrom;
     this.#own = own;
     this.#known = known;
+    this.#states = new LoadStates(own.name, known.loads);
     this.#peers = peers;
     this.#relays = new Relays({
       own,
       log,
       peers: () => peers().alive,
       versions: () => this.#versions,
-      ownState: () => this.#wholeState(),
-      allStates: () => this.#allStates(),
+      ownState: () => this.#states.whole(),
+      allStates: () => this.#states.all(),
     });
   }
 
@@ -112,7 +108,7 @@
   }
 
   joined(peer: Peer): void {
-    peer.link.send(this.#message(this.#wholeState()));
+    peer.link.send(this.#message(this.#states.whole()));
     this.#relays.joined(peer);
     this.#allowSilence();
     if (this.#asked) return;
@@ -240,11 +236,11 @@
     if (news || now - this.#sentAt >= HEARTBEAT_MS) {
       this.#sentAt = now;
       this.#sentVersions = versions;
-      this.#tell(this.#changedState(changed, parts));
+      this.#tell(this.#states.changed(changed, parts));
     }
     if (!this.#relayed || now - this.#sentFarAt < FAR_HEARTBEAT_MS) return;
     this.#sentFarAt = now;
-    this.#peers().broadcast(this.#message(this.#changedState([], [])));
+    this.#peers().broadcast(this.#message(this.#states.changed([], [])));
   }
 
   #tell(state: DaemonState): void {
@@ -279,55 +275,4 @@
   #message({ whole, loads, parts }: DaemonState): State {
     return { kind: "state", ...this.#versions, whole, loads, parts };
   }
-
-  #wholeState(): DaemonState {
-    const state = this.#changedState(this.#known.loads.loaded(), []);
-    return { ...state, whole: true };
-  }
-
-  #changedState(
-    changed: readonly string[],
-    parts: DaemonState["parts"],
-  ): DaemonState {
-    const loads = changed.map((runner) => {
-      const { own, queue } = this.#known.loads.of(runner);
-      return shareOf(runner, own, queue.waiting);
-    });
-    return { daemon: this.#own.name, whole: false, loads, parts };
-  }
-
-  /** All that is known of loads, by daemon. */
-  #allStates(): readonly DaemonState[] {
-    const states = new Map<string, LoadShare[]>();
-    for (const [runner, load] of this.#known.loads.entries()) {
-      for (const [daemon, share] of load.others) {
-        const told = states.get(daemon) ?? [];
-        states.set(daemon, told);
-        told.push(shareOf(runner, share, load.queue.waitingAt(daemon)));
-      }
-    }
-    const others = [...states].map(([daemon, loads]) => ({
-      daemon,
-      whole: true,
-      loads,
-      parts: [],
-    }));
-    return [this.#wholeState(), ...others];
-  }
-}
-
-function shareOf(
-  runner: string,
-  share: Share,
-  waiting: readonly Waiting[],
-): LoadShare {
-  const now = performance.now();
-  return {
-    runner,
-    ...share,
-    waiting: waiting.map(({ since, ...each }) => ({
-      ...each,
-      ageMs: Math.round(now - since),
-    })),
-  };
 }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -10,6 +10,7 @@
 import type { Peer } from "./connection/peers.ts";
 import { RunnerConnections } from "./connection/runner_connections.ts";
 import { Sharing } from "./connection/sharing.ts";
+import { StoreFollowers } from "./connection/store_followers.ts";
 import {
   createMetricsServer,
   createReadinessServer,
@@ -17,8 +18,7 @@
 import { Registration } from "./process/daemon_registry.ts";
 import type { DaemonRegistry } from "./process/daemon_registry.ts";
 import type { EventLog } from "./process/event_log.ts";
-import { Follower } from "./process/feed.ts";
-import type { ContactListener, Feed, FollowerTiming } from "./process/feed.ts";
+import type { Feed } from "./process/feed.ts";
 import { MemorySurvey } from "./process/memory_survey.ts";
 import type { EngineMemory } from "./process/memory_survey.ts";
 import { Lifecycle } from "./process/lifecycle.ts";
@@ -31,7 +31,6 @@
 import type { Runner } from "./process/runner_directory.ts";
 import { RunnerLoads } from "./process/runner_load.ts";
 import type { RouterSettings } from "./process/settings.ts";
-import { watches, watchMs } from "./process/watch_plan.ts";
 import type { Dialect } from "./request/call.ts";
 import { Caller } from "./request/caller.ts";
 import type { Daemon } from "./request/daemon.ts";
@@ -92,8 +91,7 @@
   readonly #server: CallerServer;
   readonly #directory = new RunnerDirectory();
   readonly #budgets = new Map<string, RetryBudget>();
-  readonly #configurations: Follower<Configuration>;
-  readonly #runners: Follower<Runner>;
+  readonly #followers: StoreFollowers;
   readonly #peers: Peers;
   readonly #sharing: Sharing;
   readonly #registration: Registration;
@@ -149,8 +147,16 @@
       log,
     });
     this.#registration = new Registration(platform.daemons, own, log);
-    this.#configurations = this.#followConfigurations(platform.configurations);
-    this.#runners = this.#followRunners(platform.runners);
+    this.#followers = new StoreFollowers({
+      own,
+      log,
+      metrics: this.metrics,
+      directory: this.#directory,
+      peers: () => this.#peers.alive,
+      random: () => this.random(),
+      configured: () => this.#table !== undefined,
+      adopt: (configuration) => this.#adopt(configuration, "store"),
+    }, platform);
     this.#directory.onChange(() => this.#runnersChanged());
   }
 
@@ -181,7 +187,7 @@
   }
 
   runnersAgeMs(): number {
-    return this.now() - this.#runners.confirmedAt;
+    return this.now() - this.#followers.runnersConfirmedAt;
   }
 
   connectionShare(service: Service): number {
@@ -238,8 +244,7 @@
     this.log.event("started", { name: this.#settings.name });
     this.#peers.learn(this.#settings.seeds);
     this.#sharing.start();
-    void this.#configurations.run();
-    void this.#runners.run();
+    this.#followers.start();
     void this.#registration.enter();
     void this.#registration.search(
       () => this.#peers.count === 0,
@@ -269,8 +274,7 @@
 
   /** Ends at once, without hand-over. */
   stop(): void {
-    this.#configurations.stop();
-    this.#runners.stop();
+    this.#followers.stop();
     this.#sharing.stop();
     this.#peers.stop();
     this.#registration.stop();
@@ -316,51 +320,11 @@
     });
   }
 
-  #followConfigurations(feed: Feed<Configuration>): Follower<Configuration> {
-    const take = (values: readonly Configuration[]) => {
-      for (const value of values) this.#adopt(value, "store");
-    };
-    return new Follower(feed, {
-      listed: ({ values }) => take(values),
-      changed: ({ entered }) => take(entered),
-    }, {
-      contact: this.#contactListener("store_configuration"),
-      timing: this.#timing(() => this.#table !== undefined),
-    });
-  }
-
-  #followRunners(feed: Feed<Runner>): Follower<Runner> {
-    return new Follower(feed, {
-      listed: ({ revision, values }) => {
-        this.#directory.replace({ revision, runners: values });
-      },
-      changed: ({ revision, entered, left }) => {
-        this.#directory.change(revision, entered, left);
-      },
-    }, {
-      contact: this.#contactListener("store_runners"),
-      timing: this.#timing(() => this.#directory.revision > 0),
-    });
-  }
-
-  /** How the store is followed, given whether there is something to go on with. */
-  #timing(known: () => boolean): FollowerTiming {
-    const { name, failureDomain } = this.#settings;
-    const own = { name, failureDomain };
-    const fleet = () => [own, ...this.#peers.alive];
-    return {
-      waitMs: () => watchMs(fleet(), this.random()),
-      active: () =>
-        !known() || this.#peers.count === 0 || watches(own, fleet()),
-    };
-  }
-
   #peerLeft(peer: Peer): void {
     this.#sharing.left(peer);
     if (this.#peers.count > 0) return;
     // Alone, the watches must find by themselves what peers would have told.
-    this.#configurations.hurry();
-    this.#runners.hurry();
+    this.#followers.hurry();
   }
 
   /** Puts a configuration in force unless a newer one is. */
@@ -402,20 +366,4 @@
       daemons: () => [name, ...this.#peers.alive.map((peer) => peer.name)],
     });
   }
-
-  #contactListener(dependency: string): ContactListener {
-    return {
-      lost: (reason) => {
-        this.metrics.dependency(dependency, false);
-        this.log.event("dependency_lost", { dependency, reason });
-      },
-      regained: (afterMs) => {
-        this.metrics.dependency(dependency, true);
-        this.log.event("dependency_regained", {
-          dependency,
-          after_ms: Math.round(afterMs),
-        });
-      },
-    };
-  }
 }
