--- a/packages/router/src/connection/load_states.ts
+++ b/packages/router/src/connection/load_states.ts
@@ -5,7 +5,7 @@
  */
 import type { RunnerLoads, Share } from "../process/runner_load.ts";
 import type { Waiting } from "../process/runner_queue.ts";
-import type { DaemonState, LoadShare } from "./peer_message.ts";
+import type { DaemonState, LoadShare, State } from "./peer_message.ts";
 
 /** Puts states together from the loads that this daemon knows. */
 export class LoadStates {
@@ -55,6 +55,14 @@
   }
 }
 
+/** The message in which a daemon tells its own state, with its versions. */
+export function stateMessage(
+  versions: Pick<State, "configuration" | "runners">,
+  { whole, loads, parts }: DaemonState,
+): State {
+  return { kind: "state", ...versions, whole, loads, parts };
+}
+
 function shareOf(
   runner: string,
   share: Share,
--- a/packages/router/src/connection/relays.ts
+++ b/packages/router/src/connection/relays.ts
@@ -7,13 +7,13 @@
 import type { PartsNews } from "../process/prefix_record.ts";
 import { relayOf } from "../process/relay_plan.ts";
 import type { RelayCandidate } from "../process/relay_plan.ts";
+import { stateMessage } from "./load_states.ts";
 import { encodeMessage } from "./peer_link.ts";
 import type {
   Batch,
   DaemonState,
   LoadShare,
   PeerMessage,
-  State,
   Subscribe,
 } from "./peer_message.ts";
 import type { Peer } from "./peers.ts";
@@ -170,7 +170,7 @@
   tell(state: DaemonState): void {
     if (this.#acting) return this.#near.add(state);
     const relay = this.#relay();
-    relay?.link.send(this.#stateMessage(state));
+    relay?.link.send(stateMessage(this.#host.versions(), state));
   }
 
   /** Sees to it that subscriptions fit the fleet, and sends what is due. */
@@ -233,11 +233,7 @@
     peer?.link.send({ kind: "subscribe", scope });
     if (scope !== "fleet") return;
     this.#host.log.event("relay_chosen", { relay: name });
-    peer?.link.send(this.#stateMessage(this.#host.ownState()));
-  }
-
-  #stateMessage({ whole, loads, parts }: DaemonState): State {
-    return { kind: "state", ...this.#host.versions(), whole, loads, parts };
+    peer?.link.send(stateMessage(this.#host.versions(), this.#host.ownState()));
   }
 
   #subscribed(peer: Peer, scope: Subscribe["scope"]): void {
--- a/packages/router/src/connection/sharing.ts
+++ b/packages/router/src/connection/sharing.ts
@@ -9,7 +9,7 @@
 import type { RunnerDirectory } from "../process/runner_directory.ts";
 import type { RunnerLoads } from "../process/runner_load.ts";
 import type { Configuration } from "../version/configuration.ts";
-import { LoadStates } from "./load_states.ts";
+import { LoadStates, stateMessage } from "./load_states.ts";
 import { SILENCE_MS } from "./peer_link.ts";
 import type { Batch, DaemonState, PeerMessage, State } from "./peer_message.ts";
 import type { Peer, PeerListener, Peers } from "./peers.ts";
@@ -272,7 +272,7 @@
     };
   }
 
-  #message({ whole, loads, parts }: DaemonState): State {
-    return { kind: "state", ...this.#versions, whole, loads, parts };
+  #message(state: DaemonState): State {
+    return stateMessage(this.#versions, state);
   }
 }
