--- /dev/null
+++ b/packages/router/src/connection/hand_over.ts
@@ -0,0 +1,49 @@
+/**
+ * Leaving without losing a request.
+ *
+ * @module
+ */
+import type { EventLog } from "../process/event_log.ts";
+import type { Lifecycle } from "../process/lifecycle.ts";
+import { pause } from "../process/pause.ts";
+import type { CallerServer } from "./caller_server.ts";
+
+/**
+ * Milliseconds after SIGTERM for which connections are still taken: the
+ * balancer asks once a second and turns away after two misses.
+ */
+const ACCEPT_MS = 2_600;
+/** Milliseconds before the kill at which the process exits by itself. */
+const EXIT_MARGIN_MS = 300;
+/** Milliseconds between two looks whether all requests have ended. */
+const CHECK_MS = 50;
+
+/**
+ * Serves what arrives until the balancer has turned away, then finishes what is
+ * in flight, as far as the grace allows.
+ *
+ * @returns how many requests were cut off.
+ */
+export async function handOver(
+  server: CallerServer,
+  options: {
+    /** Time from SIGTERM to the kill, in ms; it may change meanwhile. */
+    readonly graceMs: () => number;
+    readonly lifecycle: Lifecycle;
+    readonly log: EventLog;
+  },
+): Promise<number> {
+  const { graceMs, lifecycle, log } = options;
+  const startedAt = performance.now();
+  const elapsedMs = () => performance.now() - startedAt;
+  log.event("leaving", { in_flight: server.inFlight });
+  await pause(ACCEPT_MS);
+  lifecycle.close();
+  server.stopAccepting();
+  while (server.inFlight > 0 && elapsedMs() < graceMs() - EXIT_MARGIN_MS) {
+    await pause(CHECK_MS);
+  }
+  const cut = server.inFlight;
+  log.event("stopped", { cut, after_ms: Math.round(elapsedMs()) });
+  return cut;
+}
--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -7,12 +7,13 @@
 import type { Placed } from "../process/runner_load.ts";
 import { AnswerRelay } from "./answer_relay.ts";
 import type { Passed, TryParts } from "./answer_relay.ts";
-import { Attempt } from "./attempt.ts";
-import type { Sent } from "./attempt.ts";
+import type { Attempt, Sent } from "./attempt.ts";
+import { attemptOf } from "./attempt_of.ts";
 import type { CallHead } from "./call.ts";
 import type { Caller } from "./caller.ts";
 import type { Daemon } from "./daemon.ts";
 import { logChoice } from "./exchange_log.ts";
+import { notRun, overloaded } from "./not_run.ts";
 import { outcomeName } from "./outcome.ts";
 import type { Outcome } from "./outcome.ts";
 import type { Choice } from "./placement.ts";
@@ -22,14 +23,10 @@
 import type { Subject } from "./subject.ts";
 import { readWhole } from "./whole_body.ts";
 
-/** Milliseconds after which a refused caller may come back; spread by as much. */
-const RETRY_AFTER_MS = 250;
 /** Targets without a first event after which a stream is tried elsewhere. */
 const STREAM_SILENCE = 2;
 /** Targets without an answer after which an idempotent request is. */
 const WHOLE_SILENCE = 1;
-/** Part of its time that a caller will stay away when told so. */
-const RETURN_SHARE = 0.33;
 /** Milliseconds left under which no other runner is tried. */
 const LEAST_TIME_MS = 30;
 /** Runners that are tried one after the other while none can be reached. */
@@ -167,7 +164,13 @@
     logChoice(this.#daemon, subject, { choice, leftMs: this.#left() });
     load.place(placed, this.#daemon.now());
     this.#daemon.prefixes.sent(runner.id, call.prompt, this.#daemon.now());
-    const attempt = this.#newAttempt(subject, choice, body);
+    const attempt = attemptOf(this.#daemon, subject, {
+      request: this.#caller.request,
+      choice,
+      body,
+      leftMs: this.#left(),
+      lastEventId: this.#relay.lastId,
+    });
     this.#attempt = attempt;
     const silence = this.#watchSilence(subject, attempt);
     try {
@@ -185,32 +188,6 @@
     }
   }
 
-  #newAttempt(subject: Subject, choice: Choice, body: Buffer): Attempt {
-    const { call, service, workspace } = subject;
-    const { request } = this.#caller;
-    return new Attempt(choice.runner, {
-      id: call.id,
-      method: request.method!,
-      target: request.url!,
-      headers: this.#daemon.dialect.sendHeaders(request.rawHeaders, {
-        runnerId: choice.runner.id,
-        deadlineMs: Math.max(1, Math.floor(this.#left())),
-        workspace: workspace?.name,
-        rank: service.engine === undefined ? undefined : subject.rank,
-        fetchFrom: choice.fetchFrom === undefined
-          ? undefined
-          : `${choice.fetchFrom.address}:${choice.fetchFrom.port}`,
-        lastEventId: this.#relay.lastId,
-      }),
-      body,
-    }, {
-      dialect: this.#daemon.dialect,
-      connections: this.#daemon.connections,
-      maxConnections: this.#daemon.connectionShare(service),
-      onConnect: () => this.#daemon.metrics.connected(service.name),
-    });
-  }
-
   /**
    * A runner that says nothing for long is given up where another one may go
    * on: callers leave a silent stream after two seconds or more.
@@ -317,18 +294,12 @@
 
   #refusal(code: string): Outcome {
     if (this.#mayHaveRun) return this.#failure(code);
-    const retryAfterMs = RETRY_AFTER_MS * (1 + this.#daemon.random());
-    return { kind: "refused", refusal: { status: 503, code, retryAfterMs } };
+    const refusal = notRun(code, this.#daemon.random());
+    return { kind: "refused", refusal };
   }
 
-  /**
-   * Sends the caller away for as long as it will wait: overload lasts seconds,
-   * and callers that come back at once find the same.
-   */
   #refuseOverload(): Outcome {
-    const longest = this.#left() * RETURN_SHARE;
-    const retryAfterMs = longest * (1 - this.#daemon.random() / 2);
-    const refusal = { status: 503, code: "overloaded", retryAfterMs };
+    const refusal = overloaded(this.#left(), this.#daemon.random());
     return { kind: "refused", refusal };
   }
 
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -5,6 +5,7 @@
  */
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { randomUUID } from "node:crypto";
+import { handOver } from "./connection/hand_over.ts";
 import { CallerServer, listen } from "./connection/caller_server.ts";
 import { Peers } from "./connection/peers.ts";
 import type { Peer } from "./connection/peers.ts";
@@ -23,7 +24,6 @@
 import type { EngineMemory } from "./process/memory_survey.ts";
 import { Lifecycle } from "./process/lifecycle.ts";
 import { RequestMetrics } from "./process/metrics.ts";
-import { pause } from "./process/pause.ts";
 import { Pulse } from "./process/pulse.ts";
 import { PrefixRecord } from "./process/prefix_record.ts";
 import { RetryBudget } from "./process/retry_budget.ts";
@@ -48,14 +48,6 @@
   readonly memory: EngineMemory;
 }
 
-/**
- * Milliseconds after SIGTERM for which connections are still taken: the
- * balancer asks once a second and turns away after two misses.
- */
-const ACCEPT_MS = 2_600;
-/** Milliseconds before the kill at which the process exits by itself. */
-const EXIT_MARGIN_MS = 300;
-const CHECK_MS = 50;
 /** Milliseconds between two looks of waiting requests whether there is room. */
 const ROOM_LOOK_MS = 20;
 /**
@@ -283,26 +275,17 @@
   }
 
   /**
-   * Hands over: not ready from now on, but serving what arrives until the
-   * balancer has turned away; then finishing what is in flight.
+   * Hands over; see {@linkcode handOver}.
    *
    * @returns whether nothing was cut off.
    */
   async leave(): Promise<boolean> {
-    const startedAt = this.now();
-    const left = () =>
-      this.#settings.graceMs - EXIT_MARGIN_MS - (this.now() - startedAt);
     this.#lifecycle.leave();
     void this.#registration.leave();
-    this.log.event("leaving", { in_flight: this.#server.inFlight });
-    await pause(ACCEPT_MS);
-    this.#lifecycle.close();
-    this.#server.stopAccepting();
-    while (this.#server.inFlight > 0 && left() > 0) await pause(CHECK_MS);
-    const cut = this.#server.inFlight;
-    this.log.event("stopped", {
-      cut,
-      after_ms: Math.round(this.now() - startedAt),
+    const cut = await handOver(this.#server, {
+      graceMs: () => this.#settings.graceMs,
+      lifecycle: this.#lifecycle,
+      log: this.log,
     });
     return cut === 0;
   }
