Send less to runners of plain services that fail

A runner that fails at once has nothing in flight, so the least loaded one is the one that fails: it was chosen 19 times where a sound one was chosen 10 times, and a push that may not be repeated fails for good.

Ruled out: ejecting it after failures in a row, as for runners that do not answer: plain services fail a seventh of their requests while nothing is wrong.

Change: each daemon counts whole answers and failures by runner and tells both with its load; failures of the last seconds make a runner count as more loaded.

--- a/packages/router/src/connection/peer_encoding.ts
+++ b/packages/router/src/connection/peer_encoding.ts
@@ -22,6 +22,8 @@
   memoryTokens: number,
   tight: number,
   waiting: readonly PackedWaiting[],
+  answered: number,
+  failed: number,
 ];
 
 type PackedParts = readonly [
@@ -67,6 +69,8 @@
     load.waiting.map(({ rank, ageMs, unreadTokens }) =>
       [rank, ageMs, unreadTokens] as const
     ),
+    load.answered,
+    load.failed,
   ];
 }
 
@@ -78,7 +82,7 @@
 function unpackLoad(packed: PackedLoad): LoadShare {
   const [runner, inFlight, unreadTokens, workTokens, memoryTokens, tight] =
     packed;
-  const waiting = packed[6].map(unpackWaiting);
+  const [, , , , , , waiting, answered = 0, failed = 0] = packed;
   return {
     runner,
     inFlight,
@@ -86,7 +90,9 @@
     workTokens,
     memoryTokens,
     tight,
-    waiting,
+    answered,
+    failed,
+    waiting: waiting.map(unpackWaiting),
   };
 }
 
--- a/packages/router/src/connection/peer_link_test.ts
+++ b/packages/router/src/connection/peer_link_test.ts
@@ -70,6 +70,8 @@
       workTokens: 30_000,
       memoryTokens: 40_000,
       tight: 0,
+      answered: 70,
+      failed: 9,
       waiting: [{ rank: 2, ageMs: 400, unreadTokens: 16_000 }],
     })),
     parts: [{
--- a/packages/router/src/connection/relays_test.ts
+++ b/packages/router/src/connection/relays_test.ts
@@ -126,6 +126,8 @@
     workTokens: 0,
     memoryTokens: 0,
     tight: 0,
+    answered: 0,
+    failed: 0,
     waiting: [{ rank: 0, ageMs: 5, unreadTokens: 100 }],
   };
   return { daemon, whole: false, loads: [load], parts: [] };
--- a/packages/router/src/process/runner_load.ts
+++ b/packages/router/src/process/runner_load.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { FailureRate } from "./failure_rate.ts";
 import { readMs } from "./reading.ts";
 import { RunnerQueue } from "./runner_queue.ts";
 import type { Waiting } from "./runner_queue.ts";
@@ -53,6 +54,7 @@
   #own = NO_SHARE;
   #all = NO_SHARE;
   #failures = 0;
+  readonly #failureRate = new FailureRate();
   #ejectedUntil = 0;
   #report: ReportedLoad | undefined;
   #reportedAt = -Infinity;
@@ -91,6 +93,7 @@
     this.#placed.add(placed);
     this.#starting.add(placed);
     this.#change({
+      ...NO_SHARE,
       inFlight: 1,
       unreadTokens: placed.unreadTokens,
       workTokens: placed.unreadTokens,
@@ -115,8 +118,8 @@
     this.started(placed);
     if (!this.#placed.delete(placed)) return;
     this.#change({
+      ...NO_SHARE,
       inFlight: -1,
-      unreadTokens: 0,
       workTokens: -placed.unreadTokens,
       memoryTokens: -placed.memoryTokens,
       tight: placed.tight ? -1 : 0,
@@ -137,10 +140,16 @@
     },
   ): void {
     const { now, waiting = [] } = told;
-    const before = this.#others.get(daemon) ?? NO_SHARE;
+    const known = this.#others.get(daemon);
+    const before = known ?? NO_SHARE;
     const began = share.unreadTokens < before.unreadTokens &&
       share.inFlight >= before.inFlight;
     if (began) this.heard(now);
+    // Of a daemon that is new here, it is not known when it had its answers.
+    if (known !== undefined && share.answered > known.answered) {
+      const answered = share.answered - known.answered;
+      this.#failureRate.note(answered, share.failed - known.failed, now);
+    }
     this.#others.set(daemon, share);
     this.queue.toldBy(daemon, waiting);
     this.#all = add(this.#all, minus(share, before));
@@ -165,6 +174,18 @@
     return Math.max(this.#all.inFlight, report.running + report.waiting);
   }
 
+  /** Part of the whole answers to all daemons that were failures lately. */
+  failureShare(now: number): number {
+    return this.#failureRate.share(now);
+  }
+
+  /** A whole answer came; it may be a failure of the runner's own. */
+  answered(failed: boolean, now: number): void {
+    const count = failed ? 1 : 0;
+    this.#failureRate.note(1, count, now);
+    this.#change({ ...NO_SHARE, answered: 1, failed: count });
+  }
+
   /** An answer came that shows that the runner works. */
   succeeded(): void {
     this.#failures = 0;
--- a/packages/router/src/process/runner_load_test.ts
+++ b/packages/router/src/process/runner_load_test.ts
@@ -10,6 +10,8 @@
   workTokens: 70,
   memoryTokens: 90,
   tight: 1,
+  answered: 0,
+  failed: 0,
 };
 
 test("load ends in steps: the prompt is read, then the request is over", () => {
@@ -21,13 +23,15 @@
     workTokens: 100,
     memoryTokens: 120,
     tight: 1,
+    answered: 0,
+    failed: 0,
   });
   load.started(PLACED);
   assert.equal(load.all.unreadTokens, 0);
   assert.equal(load.all.workTokens, 100);
   load.release(PLACED);
   load.release(PLACED);
-  assert.deepEqual(Object.values(load.all), [0, 0, 0, 0, 0]);
+  assert.deepEqual(Object.values(load.all), [0, 0, 0, 0, 0, 0, 0]);
 });
 
 // A daemon dies with requests at a runner. Counted for ever, they would keep
@@ -97,3 +101,14 @@
   assert.equal(load.ejected(900), false);
   assert.equal(load.ejected(1_100), true);
 });
+
+// One of three runners begins to fail. Each daemon has an answer of it every two
+// seconds; alone, each would send it several requests to find out.
+test("failures that other daemons had count, from when they are known", () => {
+  const load = new RunnerLoads().of("r-1");
+  load.toldBy("host-2", { ...SHARE, answered: 900, failed: 300 }, { now: 0 });
+  assert.equal(load.failureShare(0), 0, "those may be from hours ago");
+  load.toldBy("host-2", { ...SHARE, answered: 908, failed: 308 }, { now: 9 });
+  assert.ok(load.failureShare(9) > 0.5);
+  assert.ok(load.failureShare(20_000) < 0.05, "and they are forgotten");
+});
--- a/packages/router/src/process/share.ts
+++ b/packages/router/src/process/share.ts
@@ -15,6 +15,10 @@
   readonly memoryTokens: number;
   /** Streams that bear only short pauses. */
   readonly tight: number;
+  /** Whole answers that the daemon has had from the runner since it began. */
+  readonly answered: number;
+  /** Those of them that were failures of the runner. */
+  readonly failed: number;
 }
 
 /** No load at all. */
@@ -24,6 +28,8 @@
   workTokens: 0,
   memoryTokens: 0,
   tight: 0,
+  answered: 0,
+  failed: 0,
 };
 
 /** Two loads together. */
@@ -34,6 +40,8 @@
     workTokens: one.workTokens + other.workTokens,
     memoryTokens: one.memoryTokens + other.memoryTokens,
     tight: one.tight + other.tight,
+    answered: one.answered + other.answered,
+    failed: one.failed + other.failed,
   };
 }
 
@@ -45,5 +53,7 @@
     workTokens: one.workTokens - other.workTokens,
     memoryTokens: one.memoryTokens - other.memoryTokens,
     tight: one.tight - other.tight,
+    answered: one.answered - other.answered,
+    failed: one.failed - other.failed,
   };
 }
--- a/packages/router/src/request/answer_relay.ts
+++ b/packages/router/src/request/answer_relay.ts
@@ -96,9 +96,11 @@
       return this.#brokeOff(parts, "answer broke off", whole.kind);
     }
     parts.load.succeeded();
+    const failed = status >= FIRST_SERVER_ERROR;
+    parts.load.answered(failed, this.#daemon.now());
     const answer = () =>
       this.#caller.answer(status, incoming.rawHeaders, whole.body);
-    if (status >= FIRST_SERVER_ERROR) return { kind: "failed", status, answer };
+    if (failed) return { kind: "failed", status, answer };
     answer();
     return { kind: "answered", status };
   }
--- a/packages/router/src/request/exchange_log.ts
+++ b/packages/router/src/request/exchange_log.ts
@@ -69,6 +69,7 @@
     candidates: choice.candidates,
     in_flight: load.all.inFlight,
     reported: load.requests(daemon.now()),
+    failed_percent: Math.round(100 * load.failureShare(daemon.now())),
     backlog_tokens: load.all.unreadTokens,
     unread_tokens: choice.unreadTokens,
     fetch_from: choice.fetchFrom?.id,
--- a/packages/router/src/request/placement.ts
+++ b/packages/router/src/request/placement.ts
@@ -30,6 +30,14 @@
 /** Requests that a runner in another failure domain must have less to be taken. */
 const DOMAIN_PENALTY = 0.7;
 
+/**
+ * How much more a runner of a plain service costs when all its answers are
+ * failures. One that fails at once seems idle and drew 19 of 46 requests in two
+ * seconds, half of which failed; with 16, a runner that fails 4 of 10 is chosen
+ * only when the others have seven times its load.
+ */
+const FAILED_WEIGHT = 16;
+
 /** The part of a prompt that most decides what a runner can reuse. */
 function sharedPart(prompt: readonly PromptPart[]): PromptPart | undefined {
   return prompt.at(-2) ?? prompt[0];
@@ -53,7 +61,8 @@
       : DOMAIN_PENALTY;
     const requests = load.requests(fleet.now);
     const slow = runner.warmUpMs > 0 ? WARM_UP_FACTOR : 1;
-    return slow * (1 + requests + far + load.failures) /
+    const vain = 1 + FAILED_WEIGHT * load.failureShare(fleet.now);
+    return slow * vain * (1 + requests + far + load.failures) /
       Math.max(1, runner.slots);
   };
   let best = runners[0]!;
--- a/packages/router/src/request/placement_test.ts
+++ b/packages/router/src/request/placement_test.ts
@@ -305,3 +305,36 @@
   assert.ok([...short].every((id) => !calm.has(id)));
   assert.ok([...long].every((id) => calm.has(id)));
 });
+
+// A plain service has three runners, and one of them begins to fail 4 of 10
+// requests at once. It seems idle, so it is sent more than its share, and callers
+// whose requests may not be repeated get its failures.
+test("a runner that fails some requests at once is sent few", () => {
+  const steps = 4_000;
+  const fleet = fleetOf(3);
+  const busy: { readonly id: string; readonly endsAt: number }[] = [];
+  const placed = { unreadTokens: 0, memoryTokens: 0, tight: false };
+  let seed = 7;
+  const random = () => (seed = seed * 48_271 % 2_147_483_647) / 2_147_483_647;
+  let failures = 0;
+  let sent = 0;
+  for (let now = 0; now < steps; now += 10) {
+    for (const each of busy.filter(({ endsAt }) => endsAt <= now)) {
+      fleet.loads.of(each.id).release(placed);
+      busy.splice(busy.indexOf(each), 1);
+    }
+    if (random() > 0.4) continue;
+    const demand = { ...longPrompt("x"), engine: undefined };
+    const { runner } = chooseRunner({ ...fleet, now }, demand, new Set())!;
+    const load = fleet.loads.of(runner.id);
+    const fails = random() < (runner.id === "r-0" ? 0.4 : 0.05);
+    sent += 1;
+    failures += fails ? 1 : 0;
+    load.answered(fails, now);
+    if (fails) continue;
+    load.place(placed, now);
+    busy.push({ id: runner.id, endsAt: now + 90 });
+  }
+  // 42 of 188 fail without regard to failures; 9 would if all runners were sound.
+  assert.ok(failures < 0.12 * sent, `${failures} of ${sent} failed`);
+});
