--- a/packages/router/src/connection/relays.ts
+++ b/packages/router/src/connection/relays.ts
@@ -14,7 +14,6 @@
   DaemonState,
   LoadShare,
   PeerMessage,
-  State,
   Subscribe,
 } from "./peer_message.ts";
 import type { Peer } from "./peers.ts";
@@ -52,7 +51,8 @@
   closenessChanged(): void;
 }
 
-function isNews({ whole, loads, parts }: State): boolean {
+/** Whether a state says more than that its daemon lives. */
+function isNews({ whole, loads, parts }: Omit<DaemonState, "daemon">): boolean {
   return whole || loads.length > 0 || parts.length > 0;
 }
 
@@ -189,9 +189,7 @@
         return;
       case "state":
         if (this.#subscribers.get(peer.name) !== "fleet") return;
-        // Passed on, heartbeats alone would fill a batch each 40 ms.
-        if (!isNews(message)) return;
-        return this.#near.add({ ...message, daemon: peer.name });
+        return this.#pass({ ...message, daemon: peer.name });
       case "batch":
         if (this.#subscriptions.get(peer.name) !== "domain") return;
         for (const state of message.states) this.#far.add(state);
@@ -201,11 +199,16 @@
 
   /** Tells what changed at this daemon. */
   tell(state: DaemonState): void {
-    if (this.#acting) return this.#near.add(state);
+    if (this.#acting) return this.#pass(state);
     const relay = this.#relay();
     relay?.link.send(stateMessage(this.#host.versions(), state));
   }
 
+  /** Passes on what is new; heartbeats alone would fill a batch each 40 ms. */
+  #pass(state: DaemonState): void {
+    if (isNews(state)) this.#near.add(state);
+  }
+
   /** Sees to it that subscriptions fit the fleet, and sends what is due. */
   tick(now: number): void {
     if (now - this.#settledAt >= BATCH_MS - EARLY_MS) {
--- a/packages/router/src/connection/sharing.ts
+++ b/packages/router/src/connection/sharing.ts
@@ -131,6 +131,7 @@
     if (!this.#started) return;
     const dueAt = this.#tickedAt + this.#periodMs;
     if (this.#awake && this.#dueAt <= dueAt) return;
+    this.#awake = true;
     this.#schedule(Math.max(0, dueAt - performance.now()));
   }
 
@@ -251,26 +252,20 @@
   }
 
   #schedule(ms: number): void {
-    this.#awake = true;
     this.#dueAt = performance.now() + ms;
     clearTimeout(this.#timer);
     this.#timer = setTimeout(() => {
       this.#awake = false;
       this.#tickedAt = performance.now();
       this.#tick();
-      this.#rest();
+      // What woke it meanwhile has set the timer already.
+      if (this.#awake) return;
+      // A relay sends a batch each period, of what it has been told meanwhile.
+      this.#awake = this.#relays.acting;
+      this.#schedule(this.#awake ? BATCH_MS : REST_MS);
     }, ms);
   }
 
-  /** Looks again later, if nothing wakes this before. */
-  #rest(): void {
-    // A relay sends a batch each period, of what it has been told meanwhile.
-    if (this.#relays.acting) return this.#schedule(BATCH_MS);
-    if (this.#awake) return;
-    this.#schedule(REST_MS);
-    this.#awake = false;
-  }
-
   #tick(): void {
     const now = performance.now();
     this.#chooseWay();
