Review waits at most 40 times a second at a daemon

The log of one daemon with a third of a core: 49 requests wait at once, each is reviewed 4.5 times a second, and 119 a second move to another runner. Each move is told twice by each of 58 daemons to all others, some 14,000 changes a second; the daemons spend their processors on hearing of them.

Change: a review comes 25 ms later for each request that waits at the daemon. With eight or fewer nothing changes on the small sites.

--- a/packages/router/src/process/runner_loads.ts
+++ b/packages/router/src/process/runner_loads.ts
@@ -32,6 +32,13 @@
     return this.#awaited.size > 0;
   }
 
+  /** How many requests of this daemon wait. */
+  get waiting(): number {
+    let count = 0;
+    for (const id of this.#awaited) count += this.of(id).queue.waiting.length;
+    return count;
+  }
+
   /** Ids of runners on which the own load has changed since the last call. */
   takeChanged(): readonly string[] {
     const changed = [...this.#changed];
--- a/packages/router/src/request/runner_search.ts
+++ b/packages/router/src/request/runner_search.ts
@@ -29,6 +29,23 @@
  * sooner would wait anew each time, and be sent nowhere.
  */
 const REVIEW_SETTLES = 2;
+/**
+ * Milliseconds of a review for each request that waits at this daemon: 40 reviews
+ * a second at most. In a burst on 98 runners 49 requests waited at a daemon, were
+ * reviewed 200 times a second and moved 119 times; 58 daemons told each other
+ * 14,000 changes a second, and daemons with a third of a core sent requests on a
+ * second after their callers had left.
+ */
+const REVIEW_PER_WAIT_MS = 25;
+
+/** Milliseconds after which a request that waits looks at all runners again. */
+export function reviewMs(waiting: number, settleMs: number): number {
+  return Math.max(
+    REVIEW_MS,
+    REVIEW_SETTLES * settleMs,
+    REVIEW_PER_WAIT_MS * waiting,
+  );
+}
 
 /** What a search knows of its request. Times are steady milliseconds. */
 export interface SearchLimits {
@@ -120,12 +137,12 @@
     runner: Runner,
     until: number,
   ): Promise<void> {
-    const settleMs = this.#daemon.settleMs();
-    const reviewMs = Math.max(REVIEW_MS, REVIEW_SETTLES * settleMs);
-    const reviewAt = Math.min(until, this.#daemon.now() + reviewMs);
+    const { pulse, loads } = this.#daemon;
+    const spanMs = reviewMs(loads.waiting, this.#daemon.settleMs());
+    const reviewAt = Math.min(until, this.#daemon.now() + spanMs);
     const demand = this.#demand();
     do {
-      await this.#daemon.pulse.next();
+      await pulse.next();
       if (this.#limits.over()) return;
       const fleet = this.#daemon.fleet(this.#subject.service.name);
       const room = hasRoom(fleet, demand, runner);
