--- a/packages/router/src/process/memory_survey.ts
+++ b/packages/router/src/process/memory_survey.ts
@@ -7,12 +7,22 @@
 import type { EventLog } from "./event_log.ts";
 import { pause } from "./pause.ts";
 import type { PrefixRecord, PromptPart } from "./prefix_record.ts";
+import { runnerId } from "./runner_directory.ts";
 import type { Runner } from "./runner_directory.ts";
 
-/** Reads the parts of prompts in a runner's memory. */
+/** What a runner holds. */
+export interface HeldMemory {
+  /** When the life of the runner that answered began, if it tells. */
+  readonly startedAtMs: number | undefined;
+  readonly parts: readonly PromptPart[];
+}
+
+/** Asks runners about themselves. Both calls reject when there is no answer. */
 export interface EngineMemory {
-  /** Rejects when the runner gives no list. */
-  held(runner: Runner): Promise<readonly PromptPart[]>;
+  /** The parts of prompts in a runner's memory. */
+  held(runner: Runner): Promise<HeldMemory>;
+  /** When the present life of a runner began, in Unix ms, if it tells. */
+  startedAt(runner: Runner): Promise<number | undefined>;
 }
 
 /**
@@ -67,10 +77,12 @@
 
   async #ask(runner: Runner): Promise<void> {
     try {
-      const parts = await this.#memory.held(runner);
-      this.#prefixes.found(runner.id, parts, performance.now());
+      const { startedAtMs, parts } = await this.#memory.held(runner);
+      // The runner may have started again since it was listed.
+      const id = runnerId(runner.name, startedAtMs ?? runner.startedAtMs);
+      this.#prefixes.found(id, parts, performance.now());
       this.#log.event("memory_surveyed", {
-        runner: runner.id,
+        runner: id,
         parts: parts.length,
       });
     } catch (error) {
--- /dev/null
+++ b/packages/router/src/process/restart_watch_test.ts
@@ -0,0 +1,76 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { RestartWatch } from "./restart_watch.ts";
+import { RunnerDirectory, runnerId } from "./runner_directory.ts";
+import type { Runner } from "./runner_directory.ts";
+
+function life(startedAtMs: number | undefined): Runner {
+  return {
+    id: runnerId("a", startedAtMs),
+    name: "a",
+    startedAtMs,
+    service: "s",
+    address: "10.0.0.1",
+    port: 1,
+    failureDomain: "z",
+    slots: 1,
+    draining: false,
+    warmUpMs: 0,
+  };
+}
+
+/** A watch over one runner, whose answers a test gives in turn. */
+function watchOver(
+  runner: Runner,
+  answers: readonly (number | Error | undefined)[],
+) {
+  const directory = new RunnerDirectory();
+  directory.replace({ revision: 1, runners: [runner] });
+  let asked = 0;
+  const watch = new RestartWatch({
+    held: () => Promise.resolve({ startedAtMs: undefined, parts: [] }),
+    startedAt() {
+      const answer = answers[asked++];
+      return answer instanceof Error
+        ? Promise.reject(answer)
+        : Promise.resolve(answer);
+    },
+  }, { directory, log: { event() {}, decision() {} } });
+  return { directory, watch, asked: () => asked };
+}
+
+// The store is down, a runner crashes and comes back under its name two seconds
+// later. Callers' prompts would go where they were once read, and be read anew
+// beside those whose home it is, until its entry can be written again.
+test("a runner whose connection broke is asked when it began", async (t) => {
+  t.mock.timers.enable({ apis: ["setTimeout"] });
+  const runner = life(100);
+  const { directory, watch, asked } = watchOver(runner, [
+    new Error("refused"),
+    new Error("refused"),
+    200,
+  ]);
+  const asking = watch.suspect(runner);
+  void watch.suspect(runner);
+  for (let second = 0; second < 3; second++) {
+    await new Promise((resolve) => setImmediate(resolve));
+    t.mock.timers.tick(1_000);
+  }
+  await asking;
+  assert.equal(asked(), 3);
+  assert.equal(directory.ready("s")[0]?.startedAtMs, 200);
+});
+
+test("a runner that does not tell when it began is not asked", async () => {
+  const runner = life(undefined);
+  const { watch, asked } = watchOver(runner, [200]);
+  await watch.suspect(runner);
+  assert.equal(asked(), 0);
+});
+
+test("a runner that goes on is still the same", async () => {
+  const runner = life(100);
+  const { directory, watch } = watchOver(runner, [100]);
+  await watch.suspect(runner);
+  assert.equal(directory.ready("s")[0]?.id, runner.id);
+});
--- a/packages/router/src/process/runner_directory.ts
+++ b/packages/router/src/process/runner_directory.ts
@@ -5,10 +5,16 @@
  */
 
 import { groupBy } from "./group.ts";
+import { isLate, LateEntries } from "./late_entries.ts";
 
-/** One life of a runner: a restart has another id. */
+/** One life of a runner: a restart has another id, if not another name. */
 export interface Runner {
+  /** Names this life alone; see {@linkcode runnerId}. */
   readonly id: string;
+  /** Name in the platform's list, which a restart may keep. */
+  readonly name: string;
+  /** When this life began, in Unix ms of its own clock, if it tells. */
+  readonly startedAtMs: number | undefined;
   readonly service: string;
   /** IP address. */
   readonly address: string;
@@ -22,6 +28,26 @@
   readonly warmUpMs: number;
 }
 
+const RADIX = 36;
+
+/**
+ * Names one life of a runner, by its name and start. All that is known of a
+ * runner is kept by this id: what a life held, failed or had in flight is never
+ * taken for that of the next one, also when a peer tells of it late.
+ *
+ * @example
+ * ```ts
+ * runnerId("i-7f3a", 1_789_070_168_000); // "i-7f3a~mtvzsp8g"
+ * ```
+ */
+export function runnerId(
+  name: string,
+  startedAtMs: number | undefined,
+): string {
+  if (startedAtMs === undefined) return name;
+  return `${name}~${startedAtMs.toString(RADIX)}`;
+}
+
 /** All runners at one revision of the platform's store. */
 export interface RunnerList {
   readonly revision: number;
@@ -35,6 +61,7 @@
  */
 export class RunnerDirectory {
   readonly #changed: (() => void)[] = [];
+  readonly #late = new LateEntries((runner) => this.#accept(runner));
   #list: RunnerList = { revision: 0, runners: [] };
   #byService: ReadonlyMap<string, readonly Runner[]> = new Map();
 
@@ -56,7 +83,10 @@
   /** Takes a whole list; one that is not newer changes nothing. */
   replace(list: RunnerList): boolean {
     if (list.revision <= this.#list.revision) return false;
-    this.#set(list);
+    const known = this.#byName();
+    this.#late.clear();
+    const runners = list.runners.map((each) => this.#newest(known, each));
+    this.#set({ revision: list.revision, runners });
     return true;
   }
 
@@ -67,17 +97,55 @@
     left: readonly string[],
   ): void {
     if (revision <= this.#list.revision) return;
-    const runners = new Map(this.#list.runners.map((each) => [each.id, each]));
-    for (const id of left) runners.delete(id);
-    for (const runner of entered) runners.set(runner.id, runner);
+    const runners = this.#byName();
+    for (const name of left) {
+      runners.delete(name);
+      this.#late.forget(name);
+    }
+    for (const runner of entered) {
+      runners.set(runner.name, this.#newest(runners, runner));
+    }
     this.#set({ revision, runners: [...runners.values()] });
   }
 
+  /**
+   * Takes what a runner says itself of its start, which may be known sooner than
+   * its new entry: the store may be down, or this daemon cut off from it.
+   */
+  startedAt(name: string, startedAtMs: number): void {
+    const known = this.#byName().get(name);
+    if (known === undefined) return;
+    const runner = { ...known, id: runnerId(name, startedAtMs), startedAtMs };
+    if (runner.id === known.id || isLate(runner, known)) return;
+    this.#accept(runner);
+  }
+
   /** Runners of a service that take new work. */
   ready(service: string): readonly Runner[] {
     return this.#byService.get(service) ?? [];
   }
 
+  #byName(): Map<string, Runner> {
+    return new Map(this.#list.runners.map((each) => [each.name, each]));
+  }
+
+  /** The entry to use: not one of an earlier life that comes late. */
+  #newest(known: ReadonlyMap<string, Runner>, entry: Runner): Runner {
+    const current = known.get(entry.name);
+    this.#late.forget(entry.name);
+    if (current === undefined || !isLate(entry, current)) return entry;
+    this.#late.hold(entry);
+    return current;
+  }
+
+  #accept(runner: Runner): void {
+    const { revision, runners } = this.#list;
+    this.#set({
+      revision,
+      runners: runners.map((each) => each.name === runner.name ? runner : each),
+    });
+  }
+
   #set(list: RunnerList): void {
     this.#list = list;
     const ready = list.runners.filter(({ draining }) => !draining);
--- a/packages/router/src/process/runner_directory_test.ts
+++ b/packages/router/src/process/runner_directory_test.ts
@@ -6,6 +6,8 @@
 function runner(id: string, draining = false): Runner {
   return {
     id,
+    name: id,
+    startedAtMs: undefined,
     service: "s",
     address: "10.0.0.1",
     port: 1,
@@ -36,3 +38,71 @@
   directory.change(3, [runner("a")], []);
   assert.deepEqual(directory.ready("s"), []);
 });
+
+function life(startedAtMs: number, fields: Partial<Runner> = {}): Runner {
+  return { ...runner("a"), id: `a~${startedAtMs}`, startedAtMs, ...fields };
+}
+
+// A runner has told that it leaves and crashes; it starts again under its name
+// and is ready. Callers would wait in vain for its capacity if what was known of
+// the life before counted for the next one.
+test("a runner that crashed while it drained is used after its restart", () => {
+  const directory = new RunnerDirectory();
+  directory.replace({ revision: 1, runners: [life(100, { draining: true })] });
+  directory.change(2, [life(200)], []);
+  assert.deepEqual(directory.ready("s").map(({ id }) => id), ["a~200"]);
+});
+
+// A runner writes its entry, the write is held up, the runner starts again and
+// enters itself; then the old write is done. Callers' prompts would be sent by
+// what the old life held, or nowhere because it said that it drains.
+test("an entry of the life before that comes late is not believed", () => {
+  const directory = new RunnerDirectory();
+  directory.replace({ revision: 1, runners: [life(200)] });
+  directory.change(2, [life(100, { draining: true })], []);
+  assert.deepEqual(directory.ready("s").map(({ id }) => id), ["a~200"]);
+  const runners = [life(100, { draining: true })];
+  directory.replace({ revision: 3, runners });
+  assert.deepEqual(directory.ready("s").map(({ id }) => id), ["a~200"]);
+});
+
+// A host's clock is set back, then its runner starts again: the new life claims
+// an earlier start than the old one. Were it taken for a late entry for ever, its
+// drain, or its return, would never be seen.
+test("an earlier start that stands is taken after a while", (context) => {
+  context.mock.timers.enable({ apis: ["setTimeout"] });
+  const directory = new RunnerDirectory();
+  directory.replace({ revision: 1, runners: [life(200)] });
+  directory.change(2, [life(100, { draining: true })], []);
+  context.mock.timers.tick(5_000);
+  assert.deepEqual(directory.ready("s"), []);
+});
+
+// The same late entry, but the living runner's next one follows, as it does
+// within about a second: the late one must not come to life by the clock.
+test("a late entry that is replaced never counts", (context) => {
+  context.mock.timers.enable({ apis: ["setTimeout"] });
+  const directory = new RunnerDirectory();
+  directory.replace({ revision: 1, runners: [life(200)] });
+  directory.change(2, [life(100, { draining: true })], []);
+  directory.change(3, [life(200)], []);
+  context.mock.timers.tick(5_000);
+  assert.deepEqual(directory.ready("s").map(({ id }) => id), ["a~200"]);
+});
+
+// The store is down. A runner starts again under its name and says so itself;
+// a peer that does not know yet tells its list of the same revision.
+test("a start that the runner tells itself counts before its entry", () => {
+  const directory = new RunnerDirectory();
+  directory.replace({ revision: 5, runners: [life(100)] });
+  directory.startedAt("a", 300);
+  directory.replace({ revision: 5, runners: [life(100)] });
+  assert.deepEqual(directory.ready("s").map(({ startedAtMs }) => startedAtMs), [
+    300,
+  ]);
+  directory.startedAt("a", 200);
+  directory.startedAt("unknown", 400);
+  assert.deepEqual(directory.ready("s").map(({ startedAtMs }) => startedAtMs), [
+    300,
+  ]);
+});
--- a/packages/router/src/process/runner_loads.ts
+++ b/packages/router/src/process/runner_loads.ts
@@ -65,10 +65,13 @@
     for (const load of this.#loads.values()) load.forget(daemon);
   }
 
-  /** Forgets runners that are not listed and have nothing in flight. */
+  /**
+   * Forgets runners that are not listed and have no load. One that only others
+   * have load on may have entered where this daemon has not seen it yet.
+   */
   retain(ids: ReadonlySet<string>): void {
     for (const [id, load] of this.#loads) {
-      if (ids.has(id) || load.own.inFlight > 0) continue;
+      if (ids.has(id) || load.all.inFlight > 0) continue;
       if (load.queue.waiting.length === 0) this.#loads.delete(id);
     }
   }
--- a/packages/router/src/request/answer_relay.ts
+++ b/packages/router/src/request/answer_relay.ts
@@ -150,7 +150,10 @@
 
   #brokeOff(parts: TryParts, cause: string, reason: string): Passed {
     parts.attempt.cancel(cause);
-    if (!this.#endedByUs()) parts.load.failed(this.#daemon.now());
+    if (!this.#endedByUs()) {
+      parts.load.failed(this.#daemon.now());
+      this.#daemon.connectionBroke(parts.attempt.runner);
+    }
     return { kind: "broken", reason };
   }
 }
--- a/packages/router/src/request/attempt_of.ts
+++ b/packages/router/src/request/attempt_of.ts
@@ -31,7 +31,7 @@
   const { call, service, workspace } = subject;
   const { runner, fetchFrom } = choice;
   const headers = daemon.dialect.sendHeaders(request.rawHeaders, {
-    runnerId: runner.id,
+    runnerName: runner.name,
     deadlineMs: Math.max(1, Math.floor(leftMs)),
     workspace: workspace?.name,
     rank: service.engine === undefined ? undefined : subject.rank,
--- a/packages/router/src/request/call.ts
+++ b/packages/router/src/request/call.ts
@@ -33,7 +33,8 @@
 
 /** What a runner is told beside the caller's own headers. */
 export interface SendHead {
-  readonly runnerId: string;
+  /** Name of the runner that is meant; no other one may run the request. */
+  readonly runnerName: string;
   /** Milliseconds that are left. */
   readonly deadlineMs: number;
   readonly workspace: string | undefined;
--- a/packages/router/src/request/daemon.ts
+++ b/packages/router/src/request/daemon.ts
@@ -9,6 +9,7 @@
 import type { PrefixRecord } from "../process/prefix_record.ts";
 import type { RetryBudget } from "../process/retry_budget.ts";
 import type { RunnerLoads } from "../process/runner_loads.ts";
+import type { Runner } from "../process/runner_directory.ts";
 import type { RequestMetrics } from "../process/metrics.ts";
 import type { Service } from "../version/configuration.ts";
 import type { RoutingTable } from "../version/routing_table.ts";
@@ -41,6 +42,8 @@
   connectionShare(service: Service): number;
   /** Milliseconds in which a change here is known to all other daemons. */
   settleMs(): number;
+  /** A connection to a runner broke while a request was there. */
+  connectionBroke(runner: Runner): void;
   /** Repeats that may be sent to a service. */
   budget(service: string): RetryBudget;
 }
--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -223,6 +223,9 @@
         if (!this.#caller.left) {
           this.#daemon.connections.dropIdle(parts.attempt.runner);
         }
+        if (!this.#endedByUs()) {
+          this.#daemon.connectionBroke(parts.attempt.runner);
+        }
         return this.#repeat(subject, sent.reason);
       case "not-run":
         if (sent.head.load !== undefined) load.reported(sent.head.load, now);
--- a/packages/router/src/request/placement.ts
+++ b/packages/router/src/request/placement.ts
@@ -94,7 +94,7 @@
 }
 
 function isBearable(fleet: Fleet, demand: Demand, runner: Runner): boolean {
-  return isTight(demand) || !poolsOf(fleet.runners).kept.has(runner.id) ||
+  return isTight(demand) || !poolsOf(fleet.runners).kept.has(runner.name) ||
     !disturbsTight(fleet, demand, runner);
 }
 
@@ -106,16 +106,16 @@
   const pools = poolsOf(fleet.runners);
   const tight = isTight(demand);
   const part = sharedPart(demand.prompt)!;
-  const ids = new Set(runners.map(({ id }) => id));
-  const home = pools.home(part.id, { tight, usable: ids });
+  const names = new Set(runners.map(({ name }) => name));
+  const home = pools.home(part.id, { tight, usable: names });
   const holdings = holdingsOf(fleet, demand, runners);
   const bearable = runners.filter((each) => isBearable(fleet, demand, each));
   let best: Quote | undefined;
   for (const runner of bearable.length > 0 ? bearable : runners) {
     const quote = quoteOf(fleet, demand, {
       runner,
-      atHome: runner.id === home,
-      kept: pools.kept.has(runner.id),
+      atHome: runner.name === home,
+      kept: pools.kept.has(runner.name),
       holdings,
     });
     if (best === undefined || quote.costMs < best.costMs) best = quote;
@@ -128,7 +128,7 @@
     tight,
     overloaded: !hasRoom(fleet, demand, runner),
     candidates: runners.length,
-    reason: runner.id === home ? "home" : "spread",
+    reason: runner.name === home ? "home" : "spread",
   };
 }
 
--- a/packages/router/src/request/placement_test.ts
+++ b/packages/router/src/request/placement_test.ts
@@ -16,6 +16,8 @@
 function fleetOf(count: number): Fleet {
   const runners: Runner[] = Array.from({ length: count }, (_, index) => ({
     id: `r-${index}`,
+    name: `r-${index}`,
+    startedAtMs: undefined,
     service: "llm",
     address: "10.0.0.1",
     port: index,
--- a/packages/router/src/request/runner_pools.ts
+++ b/packages/router/src/request/runner_pools.ts
@@ -17,8 +17,8 @@
   readonly #members: Rendezvous;
   readonly #orders = new Map<string, readonly string[]>();
 
-  constructor(ids: readonly string[]) {
-    this.#members = new Rendezvous(ids);
+  constructor(names: readonly string[]) {
+    this.#members = new Rendezvous(names);
   }
 
   order(part: string): readonly string[] {
@@ -33,24 +33,25 @@
 
 /** The runners of a service at one revision of their list. */
 export class RunnerPools {
-  /** Ids of the runners that are kept for tight streams. */
+  /** Names of the runners that are kept for tight streams. */
   readonly kept: ReadonlySet<string>;
   readonly #tight: Pool;
   readonly #others: Pool;
 
   constructor(runners: readonly Runner[]) {
-    const ids = runners.map(({ id }) => id);
-    const count = ids.length < 2
+    const names = runners.map(({ name }) => name);
+    const count = names.length < 2
       ? 0
-      : Math.max(1, Math.round(ids.length * TIGHT_SHARE));
-    this.kept = new Set(new Rendezvous(ids).order("tight").slice(0, count));
-    this.#tight = new Pool(ids.filter((id) => this.kept.has(id)));
-    this.#others = new Pool(ids.filter((id) => !this.kept.has(id)));
+      : Math.max(1, Math.round(names.length * TIGHT_SHARE));
+    this.kept = new Set(new Rendezvous(names).order("tight").slice(0, count));
+    this.#tight = new Pool(names.filter((name) => this.kept.has(name)));
+    this.#others = new Pool(names.filter((name) => !this.kept.has(name)));
   }
 
   /**
-   * The runner at which a part of a prompt is at home: the first usable one in
-   * an order that is the same at every daemon.
+   * Name of the runner at which a part of a prompt is at home: the first usable
+   * one in an order that is the same at every daemon. Names decide, so that a
+   * restart under the same name changes nobody's home.
    */
   home(
     part: string,
@@ -60,7 +61,7 @@
     },
   ): string | undefined {
     const pool = options.tight ? this.#tight : this.#others;
-    return pool.order(part).find((id) => options.usable.has(id));
+    return pool.order(part).find((name) => options.usable.has(name));
   }
 }
 
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -26,6 +26,7 @@
 import { RequestMetrics } from "./process/metrics.ts";
 import { Pulse } from "./process/pulse.ts";
 import { PrefixRecord } from "./process/prefix_record.ts";
+import { RestartWatch } from "./process/restart_watch.ts";
 import { RetryBudget } from "./process/retry_budget.ts";
 import { RunnerDirectory } from "./process/runner_directory.ts";
 import type { Runner } from "./process/runner_directory.ts";
@@ -88,6 +89,7 @@
   readonly #sharing: Sharing;
   readonly #registration: Registration;
   readonly #survey: MemorySurvey;
+  readonly #restarts: RestartWatch;
   #surveyed = false;
   #statusServers: readonly Server[] = [];
   #configuration: Configuration | undefined;
@@ -138,6 +140,10 @@
       name: settings.name,
       log,
     });
+    this.#restarts = new RestartWatch(platform.memory, {
+      directory: this.#directory,
+      log,
+    });
     this.#registration = new Registration(platform.daemons, own, log);
     this.#followers = new StoreFollowers({
       own,
@@ -192,6 +198,11 @@
     return this.#sharing.settleMs;
   }
 
+  connectionBroke(runner: Runner): void {
+    if (this.#table?.service(runner.service)?.engine === undefined) return;
+    void this.#restarts.suspect(runner);
+  }
+
   budget(service: string): RetryBudget {
     const known = this.#budgets.get(service);
     if (known !== undefined) return known;
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -43,7 +43,7 @@
     "X-Tenant",
     head.workspace ?? "",
     "X-Runner",
-    head.runnerId,
+    head.runnerName,
     ...(head.lastEventId === undefined
       ? []
       : ["Last-Event-Id", String(head.lastEventId)]),
@@ -185,6 +185,8 @@
   const played: PlayedRunner = {
     runner: {
       id,
+      name: id,
+      startedAtMs: undefined,
       service: "service",
       address: LOCALHOST,
       port,
@@ -263,7 +265,10 @@
     configurations: parts.configurations,
     runners: parts.runners,
     daemons: NO_DAEMONS,
-    memory: { held: () => Promise.resolve([]) },
+    memory: {
+      held: () => Promise.resolve({ startedAtMs: undefined, parts: [] }),
+      startedAt: () => Promise.resolve(undefined),
+    },
   }, parts.log ?? SILENT_LOG);
   await router.start();
   context.after(() => router.stop());
