Begin no answer that would not end in its caller's time

Engines read a burst without pause, a token takes 40 ms instead of 8, and what is read and made for them is lost to those that wait.

Change: daemons observe the time between events, as ms for a token of each runner and of the service, decayed by half in 1.5 s. A request is sent only if its prompt and the answer that its caller expects fit in the time left at that pace; if not it is refused at once, with Retry-After. More urgent ones get 1.6 and 2.6 times the time, since less urgent ones are refused before them.

--- a/packages/router/src/request/answer_relay.ts
+++ b/packages/router/src/request/answer_relay.ts
@@ -113,9 +113,12 @@
     const { route } = subject;
     const { status, incoming } = sent;
     const stream = this.#streamOf(subject);
+    const pace = this.#paceOf(subject, parts);
     let begun = false;
     const end = await stream.relay(incoming, () => {
-      parts.load.heard(this.#daemon.now());
+      const now = this.#daemon.now();
+      parts.load.heard(now);
+      pace(now);
       if (!begun) {
         begun = true;
         this.#begin(subject, sent, parts);
@@ -130,6 +133,22 @@
     return { kind: "answered", status };
   }
 
+  /** Takes the times of a stream's events. */
+  #paceOf(subject: Subject, parts: TryParts): (now: number) => void {
+    const { service } = subject;
+    if (service.engine === undefined) return () => {};
+    const { eventTokens: tokens } = service.engine;
+    const pace = this.#daemon.pace(service.name);
+    const { id } = parts.attempt.runner;
+    let before: number | undefined;
+    return (now) => {
+      if (before !== undefined) {
+        pace.note(id, { ms: now - before, tokens, now });
+      }
+      before = now;
+    };
+  }
+
   #streamOf(subject: Subject): StreamRelay {
     this.#stream ??= new StreamRelay(this.#caller.response, {
       dialect: this.#daemon.dialect,
--- a/packages/router/src/request/daemon.ts
+++ b/packages/router/src/request/daemon.ts
@@ -8,6 +8,7 @@
 import type { Pulse } from "../process/pulse.ts";
 import type { PrefixRecord } from "../process/prefix_record.ts";
 import type { RetryBudget } from "../process/retry_budget.ts";
+import type { StreamPace } from "../process/stream_pace.ts";
 import type { RunnerLoads } from "../process/runner_loads.ts";
 import type { Runner } from "../process/runner_directory.ts";
 import type { RequestMetrics } from "../process/metrics.ts";
@@ -44,6 +45,8 @@
   settleMs(): number;
   /** A connection to a runner broke while a request was there. */
   connectionBroke(runner: Runner): void;
+  /** How fast the runners of a service make tokens. */
+  pace(service: string): StreamPace;
   /** Repeats that may be sent to a service. */
   budget(service: string): RetryBudget;
 }
--- /dev/null
+++ b/packages/router/src/request/ending_test.ts
@@ -0,0 +1,60 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { StreamPace } from "../process/stream_pace.ts";
+import { endsInTime } from "./ending.ts";
+
+const EVENT_TOKENS = 5;
+
+/** A pace after streams whose events came `ms` apart, until `until`. */
+function paceOf(runner: string, ms: number, until: number): StreamPace {
+  const pace = new StreamPace();
+  for (let now = 0; now <= until; now += ms) {
+    pace.note(runner, { ms, tokens: EVENT_TOKENS, now });
+  }
+  return pace;
+}
+
+function answerOf(tokens: number, msPerToken: number | undefined) {
+  return {
+    leftMs: 8_000,
+    unreadTokens: 3_000,
+    answerTokens: tokens,
+    ranksBelow: 0,
+    msPerToken,
+  };
+}
+
+// Engines read a burst of prompts without pause, and a token takes 40 ms instead
+// of 8. A long answer that begins now ends at its caller's deadline, in the
+// middle. Its caller is told at once; short ones, and long ones before and after
+// the burst, are served.
+test("a long answer is not begun where it cannot end", () => {
+  const calm = paceOf("r", 8 * EVENT_TOKENS, 2_000).msPerToken("r", 2_000);
+  const burst = paceOf("r", 40 * EVENT_TOKENS, 4_000).msPerToken("r", 4_000);
+  assert.equal(endsInTime(answerOf(300, calm)), true);
+  assert.equal(endsInTime(answerOf(300, burst)), false);
+  assert.equal(endsInTime(answerOf(100, burst)), true);
+});
+
+// The same burst, and an urgent answer that seems to need half more time than
+// there is. Refused, it would get nothing while the less urgent prompts that slow
+// its runner down go on; they are refused before it, and the pace rises again.
+test("an urgent answer is not refused for what less urgent ones do", () => {
+  const answer = { ...answerOf(300, 40) };
+  assert.equal(endsInTime(answer), false);
+  assert.equal(endsInTime({ ...answer, ranksBelow: 2 }), true);
+});
+
+test("nothing is refused before a pace is known", () => {
+  const pace = new StreamPace();
+  assert.equal(endsInTime(answerOf(300, pace.msPerToken("r", 0))), true);
+});
+
+test("the pace of one runner does not hide that of another", () => {
+  const pace = paceOf("slow", 40 * EVENT_TOKENS, 4_000);
+  for (let now = 0; now <= 4_000; now += 40) {
+    pace.note("fast", { ms: 40, tokens: EVENT_TOKENS, now });
+  }
+  assert.ok(pace.msPerToken("slow", 4_000)! > 25);
+  assert.ok(pace.msPerToken("fast", 4_000)! < 12);
+});
--- a/packages/router/src/request/runner_search.ts
+++ b/packages/router/src/request/runner_search.ts
@@ -8,6 +8,7 @@
 import type { Daemon } from "./daemon.ts";
 import type { Demand } from "./demand.ts";
 import { logOverload, logWait } from "./exchange_log.ts";
+import { endsInTime } from "./ending.ts";
 import { chooseRunner, hasRoom } from "./placement.ts";
 import type { Choice } from "./placement.ts";
 import { RoomWait } from "./room_wait.ts";
@@ -121,10 +122,11 @@
       const choice = this.#choose(tried, wait.runner);
       if (choice === undefined) return undefined;
       const now = this.#daemon.now();
-      if (!choice.overloaded && this.#maySend(wait, choice.runner)) {
+      const inTime = this.#endsInTime(choice, expiresAt - now);
+      if (inTime && !choice.overloaded && this.#maySend(wait, choice.runner)) {
         return choice;
       }
-      if (now > until || this.#limits.over()) {
+      if (!inTime || now > until || this.#limits.over()) {
         logOverload(this.#daemon, this.#subject, {
           choice,
           waitedMs: now - since,
@@ -136,6 +138,24 @@
     }
   }
 
+  /**
+   * Whether the answer would end before the caller's time is over. One that does
+   * not is read and made in vain, and slows down those that would.
+   */
+  #endsInTime(choice: Choice, leftMs: number): boolean {
+    const { call, service, ranksBelow } = this.#subject;
+    if (service.engine === undefined) return true;
+    const msPerToken = this.#daemon.pace(service.name)
+      .msPerToken(choice.runner.id, this.#daemon.now());
+    return endsInTime({
+      leftMs,
+      unreadTokens: choice.unreadTokens,
+      answerTokens: Math.min(call.answerTokens, call.expectedTokens ?? 0),
+      ranksBelow,
+      msPerToken,
+    });
+  }
+
   #waitAt(wait: RoomWait, choice: Choice): void {
     const { runner, unreadTokens } = choice;
     const begun = wait.at(this.#daemon.loads.of(runner.id), {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -31,6 +31,7 @@
 import { RunnerDirectory } from "./process/runner_directory.ts";
 import type { Runner } from "./process/runner_directory.ts";
 import { RunnerLoads } from "./process/runner_loads.ts";
+import { StreamPace } from "./process/stream_pace.ts";
 import type { RouterSettings } from "./process/settings.ts";
 import type { Dialect } from "./request/call.ts";
 import { Caller } from "./request/caller.ts";
@@ -84,6 +85,7 @@
   readonly #server: CallerServer;
   readonly #directory = new RunnerDirectory();
   readonly #budgets = new Map<string, RetryBudget>();
+  readonly #paces = new Map<string, StreamPace>();
   readonly #followers: StoreFollowers;
   readonly #peers: Peers;
   readonly #sharing: Sharing;
@@ -198,6 +200,12 @@
     return this.#sharing.settleMs;
   }
 
+  pace(service: string): StreamPace {
+    const known = this.#paces.get(service) ?? new StreamPace();
+    this.#paces.set(service, known);
+    return known;
+  }
+
   connectionBroke(runner: Runner): void {
     if (this.#table?.service(runner.service)?.engine === undefined) return;
     void this.#restarts.suspect(runner);
@@ -344,6 +352,7 @@
     this.connections.retain(ids);
     this.loads.retain(ids);
     this.prefixes.retain(ids);
+    for (const pace of this.#paces.values()) pace.retain(ids);
     this.#surveyOnce();
   }
 
