Say in the log why a request was refused for overload

overload_found told how full the best runner was, but not that the answer would not have ended in its caller's time, nor the pace that said so. It carries in_time, ms_per_token and expected_tokens now. No decision changes.

--- a/packages/router/src/request/exchange_log.ts
+++ b/packages/router/src/request/exchange_log.ts
@@ -8,13 +8,20 @@
 import type { Choice } from "./placement.ts";
 import type { Subject } from "./subject.ts";
 
-/** Tells that no runner had room, and how full the best of them was. */
+/** Tells why no runner was sent a request, and how full the best was. */
 export function logOverload(
   daemon: Daemon,
   subject: Subject,
-  overload: { readonly choice: Choice; readonly waitedMs: number },
+  overload: {
+    readonly choice: Choice;
+    readonly waitedMs: number;
+    /** Whether its answer would have ended in its caller's time. */
+    readonly inTime: boolean;
+  },
 ): void {
-  const { choice, waitedMs } = overload;
+  const { choice, waitedMs, inTime } = overload;
+  const pace = daemon.pace(subject.service.name)
+    .msPerToken(choice.runner.id, daemon.now());
   const { all } = daemon.loads.of(choice.runner.id);
   daemon.log.decision("overload_found", subject.call.id, {
     service: subject.service.name,
@@ -26,6 +33,9 @@
     work_tokens: all.workTokens,
     memory_tokens: all.memoryTokens,
     waited_ms: Math.round(waitedMs),
+    in_time: inTime,
+    ms_per_token: pace === undefined ? undefined : Math.round(pace),
+    expected_tokens: subject.call.expectedTokens,
     runners_age_ms: Math.round(daemon.runnersAgeMs()),
   });
 }
--- a/packages/router/src/request/runner_search.ts
+++ b/packages/router/src/request/runner_search.ts
@@ -130,6 +130,7 @@
         logOverload(this.#daemon, this.#subject, {
           choice,
           waitedMs: now - since,
+          inTime,
         });
         return "overloaded";
       }
