Give the type of a runner a module of its own

The directory of runners and the entries that come late imported each other's types; both take the runner from its own module now. No decision changes.

--- a/packages/router/src/connection/runner_connections.ts
+++ b/packages/router/src/connection/runner_connections.ts
@@ -6,7 +6,7 @@
 import { Agent } from "node:http";
 import type { ClientRequest } from "node:http";
 import type { Socket } from "node:net";
-import type { Runner } from "../process/runner_directory.ts";
+import type { Runner } from "../process/runner.ts";
 
 /** Milliseconds that an idle connection is kept when the runner names none. */
 const DEFAULT_IDLE_MS = 1_500;
--- a/packages/router/src/mod.ts
+++ b/packages/router/src/mod.ts
@@ -11,8 +11,8 @@
 export type { EngineMemory, HeldMemory } from "./process/memory_survey.ts";
 export type { PromptPart } from "./process/prefix_record.ts";
 export type { ReportedLoad } from "./process/runner_load.ts";
-export { runnerId } from "./process/runner_directory.ts";
-export type { Runner } from "./process/runner_directory.ts";
+export { runnerId } from "./process/runner.ts";
+export type { Runner } from "./process/runner.ts";
 export { parseSettings } from "./process/settings.ts";
 export type { RouterSettings, SettingFinding } from "./process/settings.ts";
 export type {
--- a/packages/router/src/process/late_entries.ts
+++ b/packages/router/src/process/late_entries.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Runner } from "./runner_directory.ts";
+import type { Runner } from "./runner.ts";
 
 /**
  * Milliseconds for which an entry of an earlier life is not believed. A write that
--- a/packages/router/src/process/memory_survey.ts
+++ b/packages/router/src/process/memory_survey.ts
@@ -7,8 +7,8 @@
 import type { EventLog } from "./event_log.ts";
 import { pause } from "./pause.ts";
 import type { PrefixRecord, PromptPart } from "./prefix_record.ts";
-import { runnerId } from "./runner_directory.ts";
-import type { Runner } from "./runner_directory.ts";
+import { runnerId } from "./runner.ts";
+import type { Runner } from "./runner.ts";
 
 /** What a runner holds. */
 export interface HeldMemory {
--- a/packages/router/src/process/restart_watch.ts
+++ b/packages/router/src/process/restart_watch.ts
@@ -6,7 +6,8 @@
 import type { EventLog } from "./event_log.ts";
 import type { EngineMemory } from "./memory_survey.ts";
 import { pause } from "./pause.ts";
-import type { Runner, RunnerDirectory } from "./runner_directory.ts";
+import type { Runner } from "./runner.ts";
+import type { RunnerDirectory } from "./runner_directory.ts";
 
 /** Milliseconds between two questions to a runner that does not answer. */
 const AGAIN_MS = 1_000;
--- a/packages/router/src/process/restart_watch_test.ts
+++ b/packages/router/src/process/restart_watch_test.ts
@@ -1,8 +1,9 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { RestartWatch } from "./restart_watch.ts";
-import { RunnerDirectory, runnerId } from "./runner_directory.ts";
-import type { Runner } from "./runner_directory.ts";
+import { runnerId } from "./runner.ts";
+import { RunnerDirectory } from "./runner_directory.ts";
+import type { Runner } from "./runner.ts";
 
 function life(startedAtMs: number | undefined): Runner {
   return {
--- a/packages/router/src/process/runner_directory_test.ts
+++ b/packages/router/src/process/runner_directory_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { RunnerDirectory } from "./runner_directory.ts";
-import type { Runner } from "./runner_directory.ts";
+import type { Runner } from "./runner.ts";
 
 function runner(id: string, draining = false): Runner {
   return {
--- a/packages/router/src/request/admission_test.ts
+++ b/packages/router/src/request/admission_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { PrefixRecord } from "../process/prefix_record.ts";
-import type { Runner } from "../process/runner_directory.ts";
+import type { Runner } from "../process/runner.ts";
 import type { Turn } from "../process/runner_queue.ts";
 import { RunnerLoads } from "../process/runner_loads.ts";
 import { isOverloaded } from "./admission.ts";
--- a/packages/router/src/request/attempt.ts
+++ b/packages/router/src/request/attempt.ts
@@ -7,7 +7,7 @@
 import type { ClientRequest, IncomingMessage } from "node:http";
 import type { Buffer } from "node:buffer";
 import type { RunnerConnections } from "../connection/runner_connections.ts";
-import type { Runner } from "../process/runner_directory.ts";
+import type { Runner } from "../process/runner.ts";
 import type { AnswerHead, Dialect } from "./call.ts";
 
 /**
--- a/packages/router/src/request/daemon.ts
+++ b/packages/router/src/request/daemon.ts
@@ -10,7 +10,7 @@
 import type { RetryBudget } from "../process/retry_budget.ts";
 import type { StreamPace } from "../process/stream_pace.ts";
 import type { RunnerLoads } from "../process/runner_loads.ts";
-import type { Runner } from "../process/runner_directory.ts";
+import type { Runner } from "../process/runner.ts";
 import type { RequestMetrics } from "../process/metrics.ts";
 import type { Service } from "../version/configuration.ts";
 import type { RoutingTable } from "../version/routing_table.ts";
--- a/packages/router/src/request/demand.ts
+++ b/packages/router/src/request/demand.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { PrefixRecord, PromptPart } from "../process/prefix_record.ts";
-import type { Runner } from "../process/runner_directory.ts";
+import type { Runner } from "../process/runner.ts";
 import type { RunnerLoads } from "../process/runner_loads.ts";
 import type { Turn } from "../process/runner_queue.ts";
 import type { Engine } from "../version/configuration.ts";
--- a/packages/router/src/request/placement.ts
+++ b/packages/router/src/request/placement.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { PromptPart } from "../process/prefix_record.ts";
-import type { Runner } from "../process/runner_directory.ts";
+import type { Runner } from "../process/runner.ts";
 import { disturbsTight, isOverloaded } from "./admission.ts";
 import { isTight } from "./demand.ts";
 import type { Demand, Fleet } from "./demand.ts";
--- a/packages/router/src/request/runner_cost.ts
+++ b/packages/router/src/request/runner_cost.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Runner } from "../process/runner_directory.ts";
+import type { Runner } from "../process/runner.ts";
 import { readMs } from "../process/reading.ts";
 import { BEARABLE_MS, isLongAnswer, isTight } from "./demand.ts";
 import type { Demand, Fleet } from "./demand.ts";
--- a/packages/router/src/request/runner_pools.ts
+++ b/packages/router/src/request/runner_pools.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { Rendezvous } from "@umbermast/coordination/rendezvous";
-import type { Runner } from "../process/runner_directory.ts";
+import type { Runner } from "../process/runner.ts";
 
 /** Part of a service's runners that serve streams with tight gaps. */
 const TIGHT_SHARE = 0.3;
--- a/packages/router/src/request/runner_search.ts
+++ b/packages/router/src/request/runner_search.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Runner } from "../process/runner_directory.ts";
+import type { Runner } from "../process/runner.ts";
 import type { Turn } from "../process/runner_queue.ts";
 import type { Daemon } from "./daemon.ts";
 import type { Demand } from "./demand.ts";
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -29,7 +29,7 @@
 import { RestartWatch } from "./process/restart_watch.ts";
 import { RetryBudget } from "./process/retry_budget.ts";
 import { RunnerDirectory } from "./process/runner_directory.ts";
-import type { Runner } from "./process/runner_directory.ts";
+import type { Runner } from "./process/runner.ts";
 import { RunnerLoads } from "./process/runner_loads.ts";
 import { StreamPace } from "./process/stream_pace.ts";
 import type { RouterSettings } from "./process/settings.ts";
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -13,7 +13,7 @@
 import type { EventLog } from "../src/process/event_log.ts";
 import { FeedError } from "../src/process/feed.ts";
 import type { Changes, Feed, Listing } from "../src/process/feed.ts";
-import type { Runner } from "../src/process/runner_directory.ts";
+import type { Runner } from "../src/process/runner.ts";
 import type { RouterSettings } from "../src/process/settings.ts";
 import type { Dialect } from "../src/request/call.ts";
 import { endToEndHeaders, headerOf } from "../src/request/headers.ts";
--- a/packages/router/tests/restart_test.ts
+++ b/packages/router/tests/restart_test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import { LoadStates } from "../src/connection/load_states.ts";
 import { PrefixRecord } from "../src/process/prefix_record.ts";
-import { runnerId } from "../src/process/runner_directory.ts";
+import { runnerId } from "../src/process/runner.ts";
 import { RunnerLoads } from "../src/process/runner_loads.ts";
 import {
   answer,
