Tell a timeout in the same words, whoever notices it first

A timeout ends at the broker and at the entry at the same moment; the broker refused with "no slot came before its timeout", the entry with "no slot comes before the timeout of class". On a quiet machine the entry is first.

Change: one message for both. The new test fails without it; the golden file is as it was.

--- a/packages/daemon/src/request/refusals.ts
+++ b/packages/daemon/src/request/refusals.ts
@@ -51,21 +51,26 @@
 }
 
 const MESSAGES: Readonly<
-  Record<Exclude<Refusal["code"], "no_runner">, string>
+  Record<Exclude<Refusal["code"], "no_runner" | "deadline_passed">, string>
 > = {
   queue_full: "the queue has no room for it",
   limit_reached: "its workspace has reached its limit",
-  deadline_passed: "no slot came before its timeout",
   leaving: "this daemon is leaving",
 };
 
-/** A refusal that a broker decided. */
+/**
+ * A refusal that a broker decided. A timeout ends at the broker and at the entry
+ * at the same moment, and whichever is first tells the caller: both say the same.
+ */
 export function refusalOf(
   ask: Ask,
   code: Refusal["code"],
   options: { readonly retryAfterMs: number },
 ): Refusal {
   if (code === "no_runner") return noRunner(ask);
+  if (code === "deadline_passed") {
+    return deadlinePassed(ask, options.retryAfterMs);
+  }
   return {
     _tag: "Refusal",
     code,
