--- a/packages/router/src/connection/packed_configuration_test.ts
+++ b/packages/router/src/connection/packed_configuration_test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import { encodeItem } from "@umbermast/coordination/codec";
 import type { Configuration, Route } from "../version/configuration.ts";
+import { testConfiguration, testRoute } from "../../tests/fixtures.ts";
 import { packConfiguration } from "./packed_configuration.ts";
 import { packMessage, unpackMessage } from "./peer_encoding.ts";
 
@@ -10,36 +11,20 @@
 function routeOf(index: number): Route {
   // Names as random as those that operators' tools make.
   const name = (index * 2_654_435_761 % 4_294_967_296).toString(36);
-  return {
+  return testRoute({
     name: `r-${name}`,
     host: "ficu95.example",
     pathPrefix: `/${name}/`,
-    repetition: "never",
-    streaming: false,
-    timeoutMs: 1_000,
     targetMs: Infinity,
-    gapTargetMs: undefined,
-    patienceMs: 2_000,
     tier: index % 4,
-    destinations: [{ service: "notices", weight: 1 }],
-    maxAttempts: 1,
-    anonymous: false,
-  };
+  });
 }
 
 function configurationOf(routes: number): Configuration {
-  return {
-    version: 30,
-    routes: Array.from({ length: routes }, (_, index) => routeOf(index)),
-    services: [{ name: "notices", maxConnections: 10, engine: undefined }],
-    workspaces: [],
-    limits: {
-      maxHeaderBytes: 16_384,
-      maxBodyBytes: 1_000,
-      headerTimeoutMs: 3_000,
-      idleTimeoutMs: 10_000,
-    },
-  };
+  return testConfiguration(
+    Array.from({ length: routes }, (_, index) => routeOf(index)),
+    { version: 30 },
+  );
 }
 
 function giveOf(configuration: Configuration | undefined) {
