Forget observations by one piece of code

failure_rate.ts and stream_pace.ts, both of late, held the same decay by half-lives with small differences; both call Decay now. Values are the same while time goes forward, as steady time does.

--- a/packages/router/src/process/failure_rate.ts
+++ b/packages/router/src/process/failure_rate.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import { Decay } from "./decay.ts";
+
 /**
  * Milliseconds after which an answer counts half. A runner that begins to fail, or
  * to work again, is known for it within some seconds.
@@ -19,7 +21,7 @@
 export class FailureRate {
   #answered = 0;
   #failed = 0;
-  #at = 0;
+  readonly #age = new Decay(HALF_LIFE_MS);
 
   /** Notes answers, and how many of them were failures. */
   note(answered: number, failed: number, now: number): void {
@@ -35,10 +37,8 @@
   }
 
   #decay(now: number): void {
-    if (now <= this.#at) return;
-    const left = 0.5 ** ((now - this.#at) / HALF_LIFE_MS);
+    const left = this.#age.left(now);
     this.#answered *= left;
     this.#failed *= left;
-    this.#at = now;
   }
 }
--- a/packages/router/src/process/stream_pace.ts
+++ b/packages/router/src/process/stream_pace.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import { Decay } from "./decay.ts";
+
 /**
  * Milliseconds after which an observation counts half. A burst of prompts slows
  * an engine's streams to a fifth of their pace within a second.
@@ -21,7 +23,7 @@
 class DecayedMean {
   #ms = 0;
   #tokens = 0;
-  #at = 0;
+  readonly #age = new Decay(HALF_LIFE_MS);
 
   note(ms: number, tokens: number, now: number): void {
     this.#decay(now);
@@ -35,10 +37,9 @@
   }
 
   #decay(now: number): void {
-    const left = 0.5 ** (Math.max(0, now - this.#at) / HALF_LIFE_MS);
+    const left = this.#age.left(now);
     this.#ms *= left;
     this.#tokens *= left;
-    this.#at = now;
   }
 }
 
