Have few daemons read the store at a start, and six of the fleet watch it

Cause: on the large site 183 of 195 daemons read both lists by themselves at the start: 30 ms after it each has met a few others, none of them of its own failure domain, and took itself for one of those that read for it. 400 of 804 calls were watches of ten daemons, two a domain, each woken by each of 126 changes of runners while these warm up.

Ruled out: a longer rest after a change (delays all that depends on the list).

Change: at the start a daemon reads at once if it is a seed, alone, or among the first two by rank of all that it knows; six daemons watch, divided among the failure domains, instead of two for each of them.

--- a/packages/router/src/connection/neighbourhood.ts
+++ b/packages/router/src/connection/neighbourhood.ts
@@ -5,6 +5,7 @@
  */
 import { Registration } from "../process/daemon_registry.ts";
 import type { DaemonRegistry } from "../process/daemon_registry.ts";
+import { ranksBefore } from "../process/contact.ts";
 import type { Contact } from "../process/contact.ts";
 import type { EventLog } from "../process/event_log.ts";
 import type { Feed } from "../process/feed.ts";
@@ -21,6 +22,9 @@
 import type { SharedKnowledge } from "./sharing.ts";
 import { StoreFollowers } from "./store_followers.ts";
 
+/** Daemons of all that are known which read the store at their start for others. */
+const FIRST_READERS = 2;
+
 /** What the platform's store holds. */
 export interface SharedStore {
   readonly configurations: Feed<Configuration>;
@@ -144,7 +148,9 @@
   start(seeds: readonly string[]): void {
     this.seek(seeds);
     this.#sharing.start();
-    this.#followers.start(this.#gate.wait(() => !this.#isContact()));
+    // Others ask a seed first; it has something for them as soon as can be.
+    if (seeds.includes(this.#own.address)) this.#gate.open();
+    this.#followers.start(this.#gate.wait(() => !this.#readsForOthers()));
     this.#registration.start();
   }
 
@@ -178,6 +184,17 @@
     return this.#sharing.reachable;
   }
 
+  /**
+   * Whether this daemon reads the store though it may be given the same. While
+   * all start, few others of its failure domain are known yet, so it is ranked
+   * among all that are.
+   */
+  #readsForOthers(): boolean {
+    const known = this.#sharing.known();
+    const before = known.filter((each) => ranksBefore(each, this.#own));
+    return this.#peers.count === 0 || before.length < FIRST_READERS;
+  }
+
   /** The daemons that watch the store for their failure domain are found there. */
   #isContact(): boolean {
     return this.#peers.count === 0 ||
--- a/packages/router/src/process/start_gate.ts
+++ b/packages/router/src/process/start_gate.ts
@@ -20,6 +20,7 @@
   #open = () => {};
   #timer: NodeJS.Timeout | undefined;
   #offered = false;
+  #isOpen = false;
 
   constructor() {
     this.#opened = new Promise((resolve) => {
@@ -33,6 +34,7 @@
    * @param relies whether this daemon has neighbours that read the store for it.
    */
   wait(relies: () => boolean): Promise<void> {
+    if (this.#isOpen) return this.#opened;
     this.#timer ??= setTimeout(() => {
       if (!relies()) return this.open();
       this.#timer = setTimeout(() => this.open(), GIVE_MS - MEET_MS);
@@ -42,7 +44,7 @@
 
   /** A neighbour has what is needed, and was asked for it. */
   offered(): void {
-    if (this.#offered || this.#timer === undefined) return;
+    if (this.#offered || this.#isOpen || this.#timer === undefined) return;
     this.#offered = true;
     clearTimeout(this.#timer);
     this.#timer = setTimeout(() => this.open(), GIVE_MS);
@@ -50,6 +52,7 @@
 
   /** There is nothing to wait for any longer. */
   open(): void {
+    this.#isOpen = true;
     clearTimeout(this.#timer);
     this.#open();
   }
--- a/packages/router/src/process/watch_plan.ts
+++ b/packages/router/src/process/watch_plan.ts
@@ -19,11 +19,11 @@
 /** Least part of a wait, so that waits that began together come apart. */
 const LEAST_WAIT_SHARE = 0.7;
 /**
- * Daemons of a failure domain that watch the store; the others hear of it. Each
- * one more is a call more for each change: with three domains, 2 and waits of a
- * second each took 0.6 of the calls that 3 and 0.7 s did.
+ * Daemons of the fleet that watch the store, as far as its failure domains can be
+ * divided evenly; the others hear of it. Each one more is a call more for each
+ * change. One that watches for nobody else costs the others a second.
  */
-const WATCHERS_PER_DOMAIN = 2;
+const WATCHERS = 6;
 
 /** A daemon, as others see it. */
 export type Watcher = Pick<Contact, "name" | "failureDomain" | "linkMbps">;
@@ -36,10 +36,12 @@
  * @param fleet daemons that are known: those that rank first suffice.
  */
 export function watches(one: Watcher, fleet: readonly Watcher[]): boolean {
+  const domains = new Set(fleet.map(({ failureDomain }) => failureDomain));
+  const perDomain = Math.max(1, Math.floor(WATCHERS / domains.size));
   const before = fleet.filter((each) =>
     each.failureDomain === one.failureDomain && ranksBefore(each, one)
   );
-  return before.length < WATCHERS_PER_DOMAIN;
+  return before.length < perDomain;
 }
 
 /**
