--- /dev/null
+++ b/packages/router/src/connection/load_sums_test.ts
@@ -0,0 +1,55 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { RunnerLoads } from "../process/runner_loads.ts";
+import type { Waiting } from "../process/runner_queue.ts";
+import { NO_SHARE } from "../process/share.ts";
+import { LoadSums } from "./load_sums.ts";
+
+function waiting(rank: number, since: number): Waiting {
+  return { rank, since, startBy: since + 500, requests: 1, unreadTokens: 100 };
+}
+
+test("nobody is told what came from itself", () => {
+  const loads = new RunnerLoads();
+  const load = loads.of("r");
+  load.place({ unreadTokens: 10, memoryTokens: 20, tight: false }, 0);
+  load.toldBy("child-1", { ...NO_SHARE, inFlight: 3 }, { now: 0 });
+  load.toldBy("child-2", { ...NO_SHARE, inFlight: 5 }, { now: 0 });
+  const [told] = new LoadSums(loads).all((name) => name !== "child-1");
+  assert.equal(told?.inFlight, 6);
+});
+
+// In a burst hundreds of requests wait for one runner. One by one they would fill
+// the links; told as a few, their order and their number must stay.
+test("many that wait are told as a few, ranks apart and none lost", () => {
+  const loads = new RunnerLoads();
+  const many = Array.from(
+    { length: 300 },
+    (_, index) => waiting(index % 3, index),
+  );
+  loads.of("r").toldBy("child", NO_SHARE, { now: 0, waiting: many });
+  const [told] = new LoadSums(loads).all(() => true);
+  assert.ok(told!.waiting.length <= 12);
+  for (const rank of [0, 1, 2]) {
+    const ofRank = told!.waiting.filter((each) => each.rank === rank);
+    const requests = ofRank.reduce((sum, each) => sum + each.requests, 0);
+    const tokens = ofRank.reduce((sum, each) => sum + each.unreadTokens, 0);
+    assert.equal(requests, 100);
+    assert.equal(tokens, 10_000);
+    assert.ok(ofRank[0]!.ageMs > ofRank.at(-1)!.ageMs);
+  }
+});
+
+// A daemon with a long history moves to another relay. Its answers of an hour
+// would count as if a runner had failed them just now.
+test("answers from before a neighbour was known do not count", () => {
+  const loads = new RunnerLoads();
+  const load = loads.of("r");
+  load.toldBy("child", { ...NO_SHARE, answered: 900, failed: 300 }, { now: 0 });
+  assert.equal(load.failureShare(0), 0);
+  load.toldBy("child", { ...NO_SHARE, answered: 910, failed: 300 }, { now: 1 });
+  const [told] = new LoadSums(loads).all(() => true);
+  assert.equal(told?.answered, 10);
+  load.toldBy("child", { ...NO_SHARE, answered: 400, failed: 100 }, { now: 2 });
+  assert.equal(load.all.answered, 10);
+});
--- /dev/null
+++ b/packages/router/src/process/allowance_test.ts
@@ -0,0 +1,12 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Allowance } from "./allowance.ts";
+
+test("what is sent keeps to the rate, bursts apart", () => {
+  const allowance = new Allowance({ perSecond: 1_000, burstSeconds: 2 });
+  assert.equal(allowance.left(0), 2_000);
+  allowance.take(2_500);
+  assert.equal(allowance.left(0), -500);
+  assert.equal(allowance.left(1_000), 500);
+  assert.equal(allowance.left(60_000), 2_000);
+});
--- /dev/null
+++ b/packages/router/src/process/contact_book_test.ts
@@ -0,0 +1,66 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Contact } from "./contact.ts";
+import { ContactBook } from "./contact_book.ts";
+
+function contact(name: string, fields: Partial<Contact> = {}): Contact {
+  return {
+    name,
+    incarnation: "1",
+    address: `10.0.0.1:${name.length}`,
+    failureDomain: name[0]!,
+    linkMbps: 10,
+    ...fields,
+  };
+}
+
+function namesIn(book: ContactBook): readonly string[] {
+  return book.all().map(({ name }) => name).sort();
+}
+
+// Books of daemons that heard of the same fleet in another order must agree, as
+// relays are chosen by them.
+test("a full book keeps the first of each failure domain, in any order", () => {
+  const fleet = ["a", "b"].flatMap((domain) =>
+    Array.from(
+      { length: 9 },
+      (_, index) => contact(`${domain}-${index}`, { linkMbps: index }),
+    )
+  );
+  const one = new ContactBook(contact("a-own"), 6);
+  const other = new ContactBook(contact("b-own"), 6);
+  for (const each of fleet) one.add(each, 0);
+  for (const each of [...fleet].reverse()) other.add(each, 0);
+  const first = ["a-6", "a-7", "a-8", "b-6", "b-7", "b-8"];
+  assert.deepEqual(namesIn(one), first);
+  assert.deepEqual(namesIn(other), first);
+});
+
+// A host died. Daemons that have not heard of it go on naming it; entered again
+// each time, it would be dialled by everybody for as long as anybody names it.
+test("a dead daemon is not entered again because others name it", () => {
+  const book = new ContactBook(contact("own"), 6);
+  book.add(contact("a"), 0);
+  assert.equal(book.remove(contact("a"), 0), true);
+  assert.equal(book.add(contact("a"), 1_000), false);
+  assert.equal(book.add(contact("a", { incarnation: "2" }), 1_000), true);
+});
+
+test("a daemon that answers is entered, whatever was told of it", () => {
+  const book = new ContactBook(contact("own"), 6);
+  book.add(contact("a"), 0);
+  book.remove(contact("a"), 0);
+  assert.equal(book.met(contact("a")), true);
+  assert.deepEqual(namesIn(book), ["a"]);
+});
+
+test("what did not change a book is not told again", () => {
+  const book = new ContactBook(contact("own"), 6);
+  book.add(contact("a"), 0);
+  assert.equal(book.takeNews().contacts.length, 1);
+  book.add(contact("a"), 1);
+  book.add(contact("own"), 1);
+  assert.equal(book.hasNews, false);
+  book.remove(contact("a"), 2);
+  assert.deepEqual(book.takeNews().gone, [{ name: "a", incarnation: "1" }]);
+});
--- /dev/null
+++ b/packages/router/src/process/start_gate_test.ts
@@ -0,0 +1,52 @@
+import assert from "node:assert/strict";
+import { mock, test } from "node:test";
+import { StartGate } from "./start_gate.ts";
+
+function openedAt(
+  t: { after(run: () => void): void },
+  gate: StartGate,
+  options: {
+    readonly relies: boolean;
+    readonly events?: Readonly<Record<number, () => void>>;
+  },
+): Promise<number> {
+  const { relies, events = {} } = options;
+  mock.timers.enable({ apis: ["setTimeout"] });
+  t.after(() => mock.timers.reset());
+  let opened = -1;
+  let now = 0;
+  void gate.wait(() => relies).then(() => {
+    opened = now;
+  });
+  return (async () => {
+    for (now = 1; now < 500 && opened < 0; now++) {
+      events[now]?.();
+      mock.timers.tick(1);
+      await Promise.resolve();
+    }
+    return opened;
+  })();
+}
+
+test("a daemon that meets nobody reads the store after a moment", async (t) => {
+  const at = await openedAt(t, new StartGate(), { relies: false });
+  assert.ok(at <= 40, `${at} ms`);
+});
+
+// Neighbours promise what they cannot give: their own store is down, or the link
+// breaks. No daemon may stay without a configuration for it.
+test("an offer that is not kept delays the store by little", async (t) => {
+  const gate = new StartGate();
+  const events = { 10: () => gate.offered(), 100: () => gate.offered() };
+  const at = await openedAt(t, gate, { relies: true, events });
+  assert.ok(at <= 170, `${at} ms`);
+});
+
+test("a daemon that was given everything waits no longer", async (t) => {
+  const gate = new StartGate();
+  const at = await openedAt(t, gate, {
+    relies: true,
+    events: { 12: () => gate.open() },
+  });
+  assert.ok(at <= 13, `${at} ms`);
+});
