Tell the first requests that wait one by one, and average the pace over a minute

Each change of a runner told up to four waiting entries of each rank again, so the 29 KB a second that a neighbour is told were used up after four seconds of a burst, and what was known of runners was some 0.4 s old.

Ruled out: no bound at all (29 KB a second is what control may take on average).

Change: of all that wait for a runner the first four are told singly, then one entry for each rank; the pace is averaged over a minute; a relay serves some 20 daemons instead of 12, so that a state passes fewer of them; what is told to children is added up once.

Roles that stand are kept.

--- a/packages/router/src/connection/load_sums.ts
+++ b/packages/router/src/connection/load_sums.ts
@@ -5,17 +5,19 @@
  */
 import { groupBy } from "../process/group.ts";
 import type { RunnerLoads } from "../process/runner_loads.ts";
+import { goesBefore } from "../process/runner_queue.ts";
 import type { Neighbours, Waiting } from "../process/runner_queue.ts";
 import type { LoadShare, WaitingNews } from "./peer_message.ts";
 
 /** Milliseconds told of a request without target. */
 const LONGEST_LEFT_MS = 3_600_000;
 /**
- * Entries that wait for a runner, of one rank: beyond them the nearest in age are
- * told as one. Who goes first among hundreds that wait is then off by a few
- * requests, and a runner with a long queue takes no more bytes than another.
+ * Requests that wait for a runner and are told one by one: those that go first.
+ * The others of each rank are told as one, so that a long queue takes no more
+ * bytes than a short one. None of them goes before the first ones have gone, and
+ * until then what changed has been told again.
  */
-const MAX_ENTRIES = 4;
+const TOLD_SINGLY = 4;
 
 /** Adds up what is known here of the loads on runners. */
 export class LoadSums {
@@ -31,21 +33,36 @@
    */
   of(runners: Iterable<string>, counts: Neighbours): readonly LoadShare[] {
     const now = performance.now();
-    return [...runners].map((runner) => {
-      const load = this.#loads.of(runner);
-      return {
-        runner,
-        ...load.sumBy(counts),
-        waiting: merged(load.queue.waitingBy(counts))
-          .map((each) => newsOf(each, now)),
-      };
-    });
+    return [...runners].map((runner) => this.#sum(runner, counts, now));
+  }
+
+  /** The same loads for one neighbour, without what came from itself. */
+  without(
+    neighbour: string,
+    loads: readonly LoadShare[],
+  ): readonly LoadShare[] {
+    const now = performance.now();
+    return loads.map((each) =>
+      this.#loads.of(each.runner).isToldBy(neighbour)
+        ? this.#sum(each.runner, (name) => name !== neighbour, now)
+        : each
+    );
   }
 
   /** All loads that there are. */
   all(counts: Neighbours): readonly LoadShare[] {
     return this.of(this.#loads.known(), counts).filter(isLoaded);
   }
+
+  #sum(runner: string, counts: Neighbours, now: number): LoadShare {
+    const load = this.#loads.of(runner);
+    const waiting = inFewEntries(load.queue.waitingBy(counts), now);
+    return {
+      runner,
+      ...load.sumBy(counts),
+      waiting: waiting.map((each) => newsOf(each, now)),
+    };
+  }
 }
 
 function isLoaded({ inFlight, answered, waiting }: LoadShare): boolean {
@@ -63,23 +80,20 @@
   };
 }
 
-/** The same requests in few entries, those of a rank that are nearest in age joined. */
-function merged(waiting: readonly Waiting[]): readonly Waiting[] {
-  if (waiting.length <= MAX_ENTRIES) return waiting;
-  const ranks = groupBy(waiting, ({ rank }) => rank);
-  return [...ranks.values()].flatMap((ofRank) => {
-    ofRank.sort((one, other) => one.since - other.since);
-    const size = Math.ceil(ofRank.length / MAX_ENTRIES);
-    return chunksOf(ofRank, size).map(joined);
-  });
-}
-
-function chunksOf<T>(items: readonly T[], size: number): readonly T[][] {
-  const chunks = [];
-  for (let at = 0; at < items.length; at += size) {
-    chunks.push(items.slice(at, at + size));
-  }
-  return chunks;
+/** The same requests in few entries: the first ones, then one for each rank. */
+function inFewEntries(
+  waiting: readonly Waiting[],
+  now: number,
+): readonly Waiting[] {
+  if (waiting.length <= TOLD_SINGLY) return waiting;
+  const ordered = [...waiting].sort((one, other) =>
+    goesBefore(one, other, now) ? -1 : 1
+  );
+  const others = groupBy(ordered.slice(TOLD_SINGLY), ({ rank }) => rank);
+  return [
+    ...ordered.slice(0, TOLD_SINGLY),
+    ...[...others.values()].map(joined),
+  ];
 }
 
 /** Some requests of one rank as one entry, of their mean age. */
--- a/packages/router/src/connection/membership_counts.ts
+++ b/packages/router/src/connection/membership_counts.ts
@@ -15,9 +15,9 @@
 /**
  * The same for the size of the own failure domain, from which the number of its
  * relays follows: while a relay is lost, the daemons behind it are not heard of,
- * and all others would be divided anew.
+ * and all others would be divided anew. By then they have another one.
  */
-const DOMAIN_MS = 10_000;
+const DOMAIN_MS = 2_000;
 
 /** Adds up for how many daemons each neighbour speaks. */
 export class MembershipCounts {
--- a/packages/router/src/connection/overlay.ts
+++ b/packages/router/src/connection/overlay.ts
@@ -265,9 +265,11 @@
     this.#relayed = relayed;
     this.#stale = true;
     log.event("relaying_changed", { relayed, size });
-    // What was told directly, or added up, is told again in the other way.
+    // What was told directly is void. Neighbours in the tree stay: they have told
+    // the whole of what they know, and would not tell it again.
     for (const peer of this.#host.peers.alive) {
-      this.#host.roleChanged(peer, this.role(peer.name));
+      if (this.role(peer.name) !== undefined) continue;
+      this.#host.roleChanged(peer, undefined);
     }
   }
 
--- a/packages/router/src/connection/sharing.ts
+++ b/packages/router/src/connection/sharing.ts
@@ -11,7 +11,7 @@
 import type { ContactNews } from "../process/contact_book.ts";
 import type { EventLog } from "../process/event_log.ts";
 import { groupBy } from "../process/group.ts";
-import { DAEMONS_PER_RELAY } from "../process/link_plan.ts";
+import { relaysOf } from "../process/link_plan.ts";
 import type { PartsNews, PrefixRecord } from "../process/prefix_record.ts";
 import type { RunnerDirectory } from "../process/runner_directory.ts";
 import type { RunnerLoads } from "../process/runner_loads.ts";
@@ -79,8 +79,11 @@
 const WANT_AGAIN_MS = 300;
 /** Bytes of a runner's load in a message, about. */
 const LOAD_BYTES = 40;
-/** Seconds for which a neighbour may be told at full pace after a pause. */
-const BURST_SECONDS = 10;
+/**
+ * Seconds over which that is averaged. In a burst, when what is known of runners
+ * matters most, a neighbour is told at the full pace.
+ */
+const BURST_SECONDS = 60;
 /**
  * Contacts that a daemon keeps: eight of each of six failure domains, enough to
  * choose relays from, and all of a fleet in which everybody tells everybody.
@@ -431,7 +434,7 @@
     if (this.#peers().count === 0) return 0;
     if (!this.#overlay.relayed) return SETTLE_PERIODS * this.#periodMs;
     const { domain } = this.#counts.recent(performance.now());
-    const relays = domain > DAEMONS_PER_RELAY
+    const relays = relaysOf(domain) > 1
       ? RELAYS_OF_LARGE_DOMAINS
       : RELAYS_OF_SMALL_DOMAINS;
     return SETTLE_PERIODS * SHORTEST_PERIOD_MS + relays * SETTLE_PER_RELAY_MS;
@@ -515,9 +518,10 @@
   #tellChildren(now: number): void {
     const left = this.#allAllowance.left(now);
     const post = this.#all.take(Math.max(0, left / LOAD_BYTES));
+    const everything = this.#sums.of(post.runners, () => true);
     let most = 0;
     for (const { name, link } of this.#overlay.peersWith("child")) {
-      const frame = this.#frameFor(name, post);
+      const frame = this.#frameFor(name, post, everything);
       most = Math.max(most, frame.length);
       link.sendEncoded(frame);
     }
@@ -525,9 +529,13 @@
   }
 
   /** What a child is told: all but what came from itself. */
-  #frameFor(child: string, post: Post): Buffer {
+  #frameFor(
+    child: string,
+    post: Post,
+    everything: readonly LoadShare[],
+  ): Buffer {
     const others: Neighbours = (name) => name !== child;
-    const loads = this.#sums.of(post.runners, others);
+    const loads = this.#sums.without(child, everything);
     const parts = post.parts.filter(({ from }) => from !== child);
     return encodeMessage(this.#state({ ...post, parts }, loads, others));
   }
--- a/packages/router/src/process/link_plan.ts
+++ b/packages/router/src/process/link_plan.ts
@@ -9,11 +9,12 @@
 import { groupBy } from "./group.ts";
 
 /**
- * Daemons for which one relay passes on loads. Each of them sends up to 25 states
- * a second while requests wait, and each costs about 0.2 ms to read: with 12 a
- * relay spends a fifth of a third of a core.
+ * Daemons for which one relay passes on loads, about. Each of them sends up to 25
+ * states a second while requests wait, and each costs about 0.2 ms to read: with
+ * 20 a relay spends a tenth of a core. With fewer there are more relays on the
+ * way, and what is known of a runner is older by a batch at each.
  */
-export const DAEMONS_PER_RELAY = 12;
+export const DAEMONS_PER_RELAY = 20;
 
 /** The links of one daemon. */
 export interface LinkPlan {
@@ -30,7 +31,7 @@
 
 /**
  * Plans the links of one daemon, in a tree for each failure domain: the first
- * daemons by rank are relays, one for each {@linkcode DAEMONS_PER_RELAY}; the
+ * daemons by rank are relays, one for some {@linkcode DAEMONS_PER_RELAY}; the
  * others are divided among them by a hash; the first relay is the head, to which
  * the other relays link, and heads of all failure domains link to each other.
  *
@@ -48,7 +49,7 @@
   const domains = groupBy(contacts, ({ failureDomain }) => failureDomain);
   const near = domains.get(own.failureDomain) ?? [];
   const ranked = inRankOrder([own, ...near]);
-  const count = Math.max(1, Math.ceil(domainSize / DAEMONS_PER_RELAY));
+  const count = relaysOf(domainSize);
   const relays = ranked.slice(0, count);
   const head = relays[0]!;
   if (head === own) {
@@ -56,14 +57,16 @@
     const heads = others.map(([, domain]) => inRankOrder(domain)[0]!);
     return { parent: undefined, spare: undefined, heads };
   }
-  if (relays.includes(own)) {
-    const spare = relays.find((each) => each !== own && each !== head);
-    return { parent: head, spare, heads: [] };
-  }
-  // The next one by rank stands by where there is one relay only.
-  const choice = count > 1 ? relays : ranked.slice(0, 2);
-  const [parent, spare] = count > 1 ? byHash(own.name, choice) : choice;
-  return { parent, spare: spare === own ? undefined : spare, heads: [] };
+  const order = relays.includes(own) ? relays : byHash(own.name, relays);
+  const parent = order[0]!;
+  const spare = [...order, ...ranked]
+    .find((each) => each !== own && each !== parent);
+  return { parent, spare, heads: [] };
+}
+
+/** Relays of a failure domain of so many daemons. */
+export function relaysOf(domainSize: number): number {
+  return Math.max(1, Math.round(domainSize / DAEMONS_PER_RELAY));
 }
 
 function byHash(
--- a/packages/router/src/process/runner_load.ts
+++ b/packages/router/src/process/runner_load.ts
@@ -89,6 +89,11 @@
     return sum;
   }
 
+  /** Whether a neighbour tells of load, now or before. */
+  isToldBy(neighbour: string): boolean {
+    return this.#others.has(neighbour);
+  }
+
   /** Failures since the last success. */
   get failures(): number {
     return this.#failures;
--- a/packages/router/src/process/runner_queue.ts
+++ b/packages/router/src/process/runner_queue.ts
@@ -37,7 +37,7 @@
  * in a burst that engines cannot serve whole: each is sent when its own target
  * has passed, and half of what is served is of little use to its caller.
  */
-function goesBefore(one: Turn, other: Turn, now: number): boolean {
+export function goesBefore(one: Turn, other: Turn, now: number): boolean {
   if (one.rank !== other.rank) return one.rank < other.rank;
   const late = one.startBy < now;
   if (late !== other.startBy < now) return !late;
