Tell versions to those that lack them, and members right with them

Cause: found in memory at 380 daemons. A message that told a child a newer version spoke for the daemons that a parent is told of, so the child took its failure domain for smaller, and each change of the configuration or of runners had some tens of daemons choose another relay. Beside it, each of them was told each version by all its peers, also by those that had it from it.

Change: a peer is told of versions only when it has not told them itself, and for whom a message speaks follows from its receiver at one place. Changes of runners alone wait for up to 100 ms at each daemon. The plan is looked at again when the number of relays changes, not at the next event.

--- a/packages/router/src/connection/overlay.ts
+++ b/packages/router/src/connection/overlay.ts
@@ -7,7 +7,7 @@
 import type { Contact } from "../process/contact.ts";
 import type { ContactBook } from "../process/contact_book.ts";
 import type { EventLog } from "../process/event_log.ts";
-import { planLinks } from "../process/link_plan.ts";
+import { planLinks, relaysOf } from "../process/link_plan.ts";
 import type { LinkPlan } from "../process/link_plan.ts";
 import type { Members, Subscribe } from "./peer_message.ts";
 import type { Peer, Peers } from "./peers.ts";
@@ -51,7 +51,7 @@
  * Daemons that one that has just started links to at first in a fleet that looks
  * small: which of the others it will need shows when it has heard of them all.
  */
-const FIRST_LINKS = 8;
+const FIRST_LINKS = 5;
 /** Milliseconds after which it has. */
 const MEET_MS = 500;
 
@@ -100,6 +100,8 @@
   #relayed = false;
   #smallSince = Infinity;
   #plannedAt = -Infinity;
+  /** Relays of the own failure domain in the last plan. */
+  #relays = 1;
   #stale = true;
 
   constructor(host: OverlayHost) {
@@ -219,6 +221,7 @@
 
   /** Whether time alone may have changed the plan. */
   #isDue(now: number): boolean {
+    if (relaysOf(this.#host.members().domain) !== this.#relays) return true;
     return now - this.#plannedAt >= LOST_MS &&
       (this.#absent.size > 0 || this.#idleSince.size > 0);
   }
@@ -284,11 +287,9 @@
   }
 
   #plan(now: number): LinkPlan {
-    return planLinks(
-      this.#own,
-      this.present(now),
-      this.#host.members().domain,
-    );
+    const { domain } = this.#host.members();
+    this.#relays = relaysOf(domain);
+    return planLinks(this.#own, this.present(now), domain);
   }
 
   /** Subscribes where the plan says, as far as links are up. */
--- a/packages/router/src/connection/sharing.ts
+++ b/packages/router/src/connection/sharing.ts
@@ -52,6 +52,12 @@
  * last room at one runner, and then requests wait.
  */
 const CALM_HOP_MS = 80;
+/**
+ * The same where only the list of runners is newer. It changes many times a
+ * second while runners start, and passes five daemons at most within the seconds
+ * that one that drains serves on.
+ */
+const RUNNERS_HOP_MS = 100;
 /** Longest time without a state, so that silence tells a lost peer. */
 const HEARTBEAT_MS = 400;
 /**
@@ -152,7 +158,10 @@
   #dueAt = -Infinity;
   #sentAt = -Infinity;
   #sentSpareAt = -Infinity;
-  #sentVersions = "";
+  /** Versions that peers without news were told last. */
+  #toldVersions: Versions = { configuration: -1, runners: 0 };
+  /** Versions that each peer has told to have. */
+  readonly #versionsOf = new WeakMap<Peer, Versions>();
   #countsChanged = false;
   readonly #offered: () => void;
   #givenAt = -Infinity;
@@ -306,6 +315,8 @@
   }
 
   #takeState(peer: Peer, state: State): void {
+    const { configuration, runners } = state;
+    this.#versionsOf.set(peer, { configuration, runners });
     this.#takeContacts(state);
     const role = this.#overlay.role(peer.name);
     if (role !== undefined || !this.#overlay.relayed) {
@@ -418,10 +429,6 @@
     return this.#known.configuration()?.version ?? -1;
   }
 
-  get #versionsText(): string {
-    return `${this.#version}/${this.#known.directory.revision}`;
-  }
-
   get #versions(): Versions {
     return {
       configuration: this.#version,
@@ -446,7 +453,9 @@
       const direct = PERIOD_PER_PEER_MS * this.#peers().count;
       return Math.max(SHORTEST_PERIOD_MS, direct);
     }
-    if (this.#versionsText !== this.#sentVersions) return SHORTEST_PERIOD_MS;
+    const { configuration, runners } = this.#toldVersions;
+    if (this.#version > configuration) return SHORTEST_PERIOD_MS;
+    if (this.#known.directory.revision > runners) return RUNNERS_HOP_MS;
     const urgent = this.#near.urgent || this.#all.urgent;
     if (urgent || this.#known.loads.waits) return HOP_MS;
     return CALM_HOP_MS;
@@ -468,20 +477,14 @@
     const now = performance.now();
     this.#overlay.settle(now);
     this.#collect();
-    const versions = this.#versionsText;
-    const newer = versions !== this.#sentVersions;
-    if (newer || now - this.#sentSpareAt >= SPARE_HEARTBEAT_MS) {
-      this.#sentSpareAt = now;
-      this.#tellSpares();
+    const news = this.#countsChanged || !this.#near.empty || !this.#all.empty;
+    if (news || now - this.#sentAt >= HEARTBEAT_MS) {
+      this.#sentAt = now;
+      this.#countsChanged = false;
+      this.#tellNear(now);
+      this.#tellChildren(now);
     }
-    const news = newer || this.#countsChanged || !this.#near.empty ||
-      !this.#all.empty;
-    if (!news && now - this.#sentAt < HEARTBEAT_MS) return;
-    this.#sentAt = now;
-    this.#sentVersions = versions;
-    this.#countsChanged = false;
-    this.#tellNear(now);
-    this.#tellChildren(now);
+    this.#tellVersions(now);
     if (!this.#near.empty || !this.#all.empty) this.wake();
   }
 
@@ -540,24 +543,48 @@
     return encodeMessage(this.#state({ ...post, parts }, loads, others));
   }
 
-  /** Tells peers without a role which versions there are. */
-  #tellSpares(): void {
-    if (!this.#overlay.relayed) return;
-    const spares = this.#peers().alive
-      .filter(({ name }) => this.#overlay.role(name) === undefined);
-    if (spares.length === 0) return;
-    const frame = encodeMessage(this.#state(NOTHING, [], this.#isChild));
-    for (const { link } of spares) link.sendEncoded(frame);
+  /**
+   * Tells peers which versions there are: those that may lack them, and now and
+   * then those that are told nothing else. Who told a newer version, or the same,
+   * is not told it back.
+   */
+  #tellVersions(now: number): void {
+    const { configuration, runners } = this.#toldVersions;
+    const newer = this.#version > configuration ||
+      this.#known.directory.revision > runners;
+    const due = now - this.#sentSpareAt >= SPARE_HEARTBEAT_MS;
+    if (!newer && !due) return;
+    this.#toldVersions = this.#versions;
+    if (due) this.#sentSpareAt = now;
+    const told = this.#peers().alive.filter((peer) =>
+      (due && this.#isSpare(peer)) || (newer && this.#lacksVersions(peer))
+    );
+    for (const peer of told) {
+      peer.link.send(this.#state(NOTHING, [], this.#toldTo(peer)));
+    }
+  }
+
+  /** Whose loads and number a peer is told, beside those of this daemon. */
+  #toldTo({ name }: Peer): Neighbours {
+    if (this.#overlay.role(name) !== "child") return this.#isChild;
+    return (other) => other !== name;
+  }
+
+  #isSpare({ name }: Peer): boolean {
+    return this.#overlay.relayed && this.#overlay.role(name) === undefined;
+  }
+
+  #lacksVersions(peer: Peer): boolean {
+    const known = this.#versionsOf.get(peer);
+    if (known === undefined) return true;
+    return known.configuration < this.#version ||
+      known.runners < this.#known.directory.revision;
   }
 
   /** All that a peer is to know when it becomes a neighbour, or a link is up. */
   #whole(peer: Peer): State {
-    const role = this.#overlay.role(peer.name);
-    const counts: Neighbours = role === "child"
-      ? (name) => name !== peer.name
-      : this.#isChild;
-    const silent = role === undefined && this.#overlay.relayed;
-    const loads = silent ? [] : this.#sums.all(counts);
+    const counts = this.#toldTo(peer);
+    const loads = this.#isSpare(peer) ? [] : this.#sums.all(counts);
     return { ...this.#state(NOTHING, loads, counts), whole: true };
   }
 
@@ -581,10 +608,9 @@
     this.#overlay.role(name) === "child";
 
   #allowSilence(): void {
-    for (const { name, link } of this.#peers().alive) {
-      const spare = this.#overlay.relayed &&
-        this.#overlay.role(name) === undefined;
-      link.allowSilence(spare ? SPARE_SILENCE_MS : SILENCE_MS);
+    for (const peer of this.#peers().alive) {
+      const silence = this.#isSpare(peer) ? SPARE_SILENCE_MS : SILENCE_MS;
+      peer.link.allowSilence(silence);
     }
   }
 }
