Make the capacity page anew from counts, and remove the rigs of the old one

Cause: the page was worked out from slopes of brokers, claims, shares and memberships of packages/daemon, none of which runs at the users'; its rigs were 4,700 lines of packages/bench (slopes_*, capacity_*, docs/capacity/slopes.json). The users want no scale run of our own.

Ruled out: slopes of the router by the same rigs (processes of our own at scale).

Change: docs/CAPACITY.md from what fleet_counts_test.ts counts and the bench measures; rigs, page generator, `npm run capacity` and `bench -- slopes` are gone, with their tests (capacity_test.ts, slopes_test.ts, and of slopes_fit_test.ts the two tests of slopes_result.ts). The fit of lines, which the membership experiment uses, is line_fit.ts with its four tests.

--- a/packages/bench/src/membership_experiment.ts
+++ b/packages/bench/src/membership_experiment.ts
@@ -12,8 +12,8 @@
 import { measureBusyPhase, measurePhase } from "./membership_phase.ts";
 import type { Phase } from "./membership_phase.ts";
 import { quantile, round } from "./report.ts";
-import { fitLine } from "./slopes_fit.ts";
-import type { Line } from "./slopes_fit.ts";
+import { fitLine } from "./line_fit.ts";
+import type { Line } from "./line_fit.ts";
 
 /** How long it took until the members knew, in milliseconds. */
 interface Delays {
--- a/scripts/docs_commands.mjs
+++ b/scripts/docs_commands.mjs
@@ -42,14 +42,6 @@
   },
   { pattern: /^npm run build$/, ci: "npm run --silent build" },
   { pattern: /^npm run lint$/, ci: "npm run --silent lint" },
-  {
-    pattern: /^npm run capacity( -- --check)?$/,
-    run: ["npm", "run", "--silent", "capacity", "--", "--check"],
-  },
-  {
-    pattern: /^npm run bench -- slopes --json$/,
-    run: ["npm", "run", "--silent", "bench", "--", "slopes", "--help"],
-  },
   {
     pattern: /^npm run bench -- arrivals --mix metro$/,
     run: [
