--- a/packages/router/src/connection/overlay.ts
+++ b/packages/router/src/connection/overlay.ts
@@ -127,6 +127,11 @@
     return headed ? "head" : undefined;
   }
 
+  /** Whether a peer's link carries versions only. */
+  isSpare({ name }: Peer): boolean {
+    return this.#relayed && this.role(name) === undefined;
+  }
+
   /** Peers with one of these roles. */
   peersWith(...roles: readonly Role[]): readonly Peer[] {
     return this.#host.peers.alive.filter(({ name }) => {
