--- a/packages/router/src/connection/peer_link_test.ts
+++ b/packages/router/src/connection/peer_link_test.ts
@@ -7,6 +7,8 @@
 import type { TestContext } from "node:test";
 import { encodeItem } from "@umbermast/coordination/codec";
 import { encodeMessage, PeerLink } from "./peer_link.ts";
+import { NO_SHARE } from "../process/share.ts";
+import { PROTOCOL } from "./peer_message.ts";
 import type { PeerMessage } from "./peer_message.ts";
 
 const WANT: PeerMessage = {
@@ -118,3 +120,49 @@
   far.write(Buffer.from([0xff, 0xff, 0xff, 0xff]));
   await closed;
 });
+
+// A daemon with a fault tells that less than nothing is at a runner. Added up, it
+// would draw the requests of all daemons to that runner; only its link may suffer.
+test("a sum that cannot be closes the link", async (t) => {
+  const received: PeerMessage[] = [];
+  const { far, closed, faults } = await openLink(
+    t,
+    (message) => received.push(message),
+  );
+  far.end(encodeMessage({
+    kind: "state",
+    configuration: 1,
+    runners: 1,
+    whole: false,
+    loads: [{ ...NO_SHARE, runner: "r", inFlight: -40, waiting: [] }],
+    parts: [],
+    members: { fleet: 1, domain: 1 },
+    contacts: [],
+    gone: [],
+  }));
+  await closed;
+  assert.deepEqual(received, []);
+  assert.equal(faults.length, 1);
+  assert.match(faults[0]!, /"inFlight"/);
+});
+
+// One contact of many is no address. The others are as good as ever.
+test("a contact that cannot be dialled is left out", async (t) => {
+  const received: PeerMessage[] = [];
+  const { far, closed } = await openLink(
+    t,
+    (message) => received.push(message),
+  );
+  const sound = {
+    name: "host-2",
+    incarnation: "1",
+    address: "10.0.0.2:8229",
+    failureDomain: "a",
+    linkMbps: 10,
+  };
+  const known = [sound, { ...sound, address: "nowhere" }];
+  const hello = { kind: "hello", protocol: PROTOCOL, ...sound, known } as const;
+  far.end(encodeMessage(hello));
+  await closed;
+  assert.deepEqual(received, [{ ...hello, known: [sound] }]);
+});
--- a/packages/router/tests/fleet.ts
+++ b/packages/router/tests/fleet.ts
@@ -53,7 +53,7 @@
 }
 
 /** One end of a link in memory. */
-class FakeLink implements Link {
+export class FakeLink implements Link {
   readonly #from: Member;
   readonly #to: Member;
   #far: FakeLink | undefined;
--- a/packages/router/tests/fleet_test.ts
+++ b/packages/router/tests/fleet_test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import type { TestContext } from "node:test";
 import { FakeClock } from "./fake_clock.ts";
-import { Fleet } from "./fleet.ts";
+import { FakeLink, Fleet } from "./fleet.ts";
 import type { FleetShape, Member } from "./fleet.ts";
 
 const SIZES: readonly FleetShape[] = [
@@ -79,6 +79,21 @@
     }
   });
 
+  // What tells a child of a new version speaks for daemons, too. Were these not
+  // those that it hears of through its parent, it would take its failure domain
+  // for another size and choose another relay, at each edit of the table.
+  test(`a new version has none of ${daemons} daemons choose new links`, async (t) => {
+    const { clock, fleet } = await settledFleet(t, shape);
+    fleet.resetCounts();
+    fleet.configure(2);
+    await clock.pass(5_000);
+    const dials = fleet.members.reduce(
+      (sum, { counts }) => sum + counts.dials,
+      0,
+    );
+    assert.equal(dials, 0);
+  });
+
   // Callers find runners full. The daemon that passed on the loads of its domain
   // loses power: until another one does, all others place requests without
   // knowing what this domain has in flight; and what it had itself must not stay.
@@ -222,3 +237,28 @@
   const dials = fleet.alive.reduce((sum, { counts }) => sum + counts.dials, 0);
   assert.ok(dials < 72, `${dials} dials in 10 s`);
 });
+
+// In a roll, daemons of the version before dial those of this one. They cannot
+// understand each other's sums: no link stays, and the log is not filled.
+test("a daemon of another protocol gets no link, and one line", async (t) => {
+  const { clock, fleet } = await settledFleet(t, LARGE);
+  const [head] = fleet.domain(0);
+  const other = fleet.domain(1)[5]!;
+  for (let count = 0; count < 3; count++) {
+    const [near, far] = FakeLink.pair(other, head!);
+    head!.accept!(far.opening);
+    near.send({
+      kind: "hello",
+      ...other.contact,
+      name: "host-old",
+      protocol: 1,
+      known: [],
+    });
+    await clock.pass(100);
+    assert.equal(other.links.has(near), false);
+  }
+  const lines = head!.events.filter(({ name }) =>
+    name === "peer_version_other"
+  );
+  assert.equal(lines.length, 1);
+});
