--- a/packages/router/src/connection/overlay.ts
+++ b/packages/router/src/connection/overlay.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { Absences, LOST_MS } from "../process/absences.ts";
 import { inRankOrder, ranksBefore } from "../process/contact.ts";
 import type { Contact } from "../process/contact.ts";
 import type { ContactBook } from "../process/contact_book.ts";
@@ -20,11 +21,6 @@
 
 /** Shortest time between two plans, in ms, so that news in a burst is taken together. */
 const PLAN_MS = 100;
-/** Milliseconds for which a daemon whose link broke is not planned with. */
-const LOST_MS = 1_000;
-/** The same for one that nobody answers for, at first; doubled each time. */
-const FIRST_UNREACHABLE_MS = 1_000;
-const LONGEST_UNREACHABLE_MS = 4_000;
 /**
  * Times without answer after which others are told that a daemon is gone, so that
  * one of them need not dial each dead daemon that ranked before it.
@@ -69,12 +65,6 @@
   roleChanged(peer: Peer, before: Role | undefined): void;
 }
 
-interface Absence {
-  readonly incarnation: string;
-  readonly until: number;
-  readonly times: number;
-}
-
 /**
  * Keeps the links that {@linkcode planLinks} names, once the fleet is so large
  * that not everybody can tell everybody. Roles come from subscriptions: a child
@@ -90,7 +80,7 @@
   readonly #asked = new Map<string, Subscribe["scope"]>();
   /** Who has subscribed here, and for what. */
   readonly #askedBy = new Map<string, Subscribe["scope"]>();
-  readonly #absent = new Map<string, Absence>();
+  readonly #absences = new Absences();
   readonly #idleSince = new Map<string, number>();
   /** Peers to keep links to, whether they have a role or not. */
   #planned: ReadonlySet<string> = new Set();
@@ -142,7 +132,7 @@
 
   /** A link is up. */
   joined(peer: Peer): void {
-    this.#absent.delete(peer.name);
+    this.#absences.met(peer.name);
     this.changed();
     this.#chooseWay(performance.now());
   }
@@ -153,7 +143,8 @@
     this.#asked.delete(peer.name);
     this.#askedBy.delete(peer.name);
     this.#idleSince.delete(peer.name);
-    if (!this.#parting.has(peer)) this.#miss(peer, LOST_MS, 0);
+    const chosen = this.#parting.has(peer);
+    if (!chosen) this.#absences.lost(peer, performance.now());
     if (before !== undefined) this.#host.roleChanged(peer, before);
     this.changed();
   }
@@ -163,19 +154,19 @@
     const { book, log } = this.#host;
     const contact = book.all().find((each) => each.address === address);
     if (contact === undefined) return;
-    const times = (this.#absent.get(contact.name)?.times ?? 0) + 1;
-    const span = FIRST_UNREACHABLE_MS * 2 ** Math.min(times - 1, 8);
-    this.#miss(contact, Math.min(LONGEST_UNREACHABLE_MS, span), times);
+    const now = performance.now();
+    const times = this.#absences.unanswered(contact, now);
     this.changed();
     if (!this.#isGone(contact, times)) return;
-    if (book.remove(contact, performance.now())) {
+    if (book.remove(contact, now)) {
       log.event("daemon_gone", { name: contact.name, address, times });
     }
   }
 
   /** Daemons that are taken to live, as far as known. */
   present(now: number): readonly Contact[] {
-    return this.#host.book.all().filter((each) => this.#isPresent(each, now));
+    return this.#host.book.all()
+      .filter((each) => this.#absences.isPresent(each, now));
   }
 
   /** A peer does not need its link any more. */
@@ -228,7 +219,7 @@
   #isDue(now: number): boolean {
     if (relaysOf(this.#host.members().domain) !== this.#relays) return true;
     return now - this.#plannedAt >= LOST_MS &&
-      (this.#absent.size > 0 || this.#idleSince.size > 0);
+      (this.#absences.any || this.#idleSince.size > 0);
   }
 
   #mayAsk(peer: Peer, scope: Subscribe["scope"]): boolean {
@@ -247,18 +238,6 @@
     return ofDomain.length > LEAST_CONTACTS;
   }
 
-  #miss(contact: Contact, span: number, times: number): void {
-    const { name, incarnation } = contact;
-    const until = performance.now() + span;
-    this.#absent.set(name, { incarnation, until, times });
-  }
-
-  #isPresent({ name, incarnation }: Contact, now: number): boolean {
-    const absence = this.#absent.get(name);
-    if (absence === undefined) return true;
-    return absence.incarnation !== incarnation || absence.until <= now;
-  }
-
   #chooseWay(now: number): void {
     const { book, relaysFrom, members, log } = this.#host;
     const size = Math.max(book.size + 1, members().fleet);
