Average what a neighbour is told over ten minutes

In an overload of 20 s the minute's allowance of 29 KB a second was used up (80 KB a second are told while requests wait), and from second 18 on what was known of runners was a second old.

Ruled out: a higher bound for all times (29 KB a second is what control may take).

Change: the same bound, averaged over ten minutes; a load in a message is reckoned as the 100 bytes that it takes while requests wait.

--- a/packages/router/src/connection/neighbour_news.ts
+++ b/packages/router/src/connection/neighbour_news.ts
@@ -18,13 +18,14 @@
 import type { LoadShare, State, Versions } from "./peer_message.ts";
 import type { Peer, Peers } from "./peers.ts";
 
-/** Bytes of a runner's load in a message, about. */
-const LOAD_BYTES = 40;
+/** Bytes of a runner's load in a message, about, while requests wait for it. */
+const LOAD_BYTES = 100;
 /**
- * Seconds over which the bytes that a neighbour is told are averaged. In a burst,
- * when what is known of runners matters most, it is told at the full pace.
+ * Seconds over which the bytes that a neighbour is told are averaged. In a burst
+ * of minutes, when what is known of runners matters most, it is told at the full
+ * pace; held back then, daemons send to runners that others have filled.
  */
-const BURST_SECONDS = 60;
+const BURST_SECONDS = 600;
 
 /** A message without news. */
 const NOTHING: Pick<Post, "parts" | "contacts"> = {
