Forget old absences and versions of hosts that were replaced

Both grew by a name for each host that ever went; what a daemon holds must not grow with the history of the fleet either.

--- a/packages/router/src/connection/peers.ts
+++ b/packages/router/src/connection/peers.ts
@@ -25,6 +25,9 @@
  */
 const MAX_LINKS = 500;
 
+/** Daemons of another version that are remembered, so that each is logged once. */
+const MAX_FOREIGN = 1_000;
+
 /** A daemon whose link is up. */
 export interface Peer extends Contact {
   readonly link: Link;
@@ -284,6 +287,7 @@
     if (name === this.#own.name) return false;
     if (protocol === PROTOCOL) return this.#peers.size < MAX_LINKS;
     if (!this.#foreign.has(address)) {
+      if (this.#foreign.size >= MAX_FOREIGN) this.#foreign.clear();
       this.#foreign.add(address);
       this.#log.event("peer_version_other", { name, address, protocol });
     }
--- a/packages/router/src/process/absences.ts
+++ b/packages/router/src/process/absences.ts
@@ -11,6 +11,9 @@
 const FIRST_UNREACHABLE_MS = 1_000;
 const LONGEST_UNREACHABLE_MS = 4_000;
 
+/** Milliseconds after its end for which an absence is remembered. */
+const REMEMBERED_MS = 60_000;
+
 interface Absence {
   readonly incarnation: string;
   readonly until: number;
@@ -32,6 +35,7 @@
 
   /** Its link broke. */
   lost({ name, incarnation }: Contact, now: number): void {
+    this.#forgetOld(now);
     this.#absent.set(name, { incarnation, until: now + LOST_MS, times: 0 });
   }
 
@@ -59,4 +63,11 @@
     if (absence === undefined) return true;
     return absence.incarnation !== incarnation || absence.until <= now;
   }
+
+  /** Hosts that were replaced do not come back under their names. */
+  #forgetOld(now: number): void {
+    for (const [name, { until }] of this.#absent) {
+      if (now - until > REMEMBERED_MS) this.#absent.delete(name);
+    }
+  }
 }
