Test the pace of what daemons tell, and that heartbeats are not passed on

Two promises of relays_test.ts, which went with its mechanism, had no test of their own left: that states are rarer while nothing waits, and that what tells nothing new goes no further.

--- a/packages/router/tests/fleet_counts_test.ts
+++ b/packages/router/tests/fleet_counts_test.ts
@@ -19,6 +19,8 @@
 const CALLS_AT_START = 1.5;
 const SETTLED_MS = 8_000;
 const REST_MS = 8_000;
+/** Longest time that a neighbour may hear nothing, in ms, so that silence tells. */
+const HEARTBEAT_MS = 400;
 const WAIT_MS = 2_000;
 /** Milliseconds after the last daemon has started in which the others are met. */
 const STARTED_MS = 2_000;
@@ -135,6 +137,12 @@
       t.diagnostic(`${shape.daemons} daemons, ${name}: ${shown(phase)}`);
     }
   }
+  // At rest each link has heartbeats alone, and they are not passed on.
+  for (const { shape, life } of lives) {
+    const { messages, links } = life.rest.mean;
+    const heartbeats = links * REST_MS / HEARTBEAT_MS;
+    assert.ok(messages <= heartbeats + 1, `${shape.daemons}: ${messages}`);
+  }
   const [least, ...larger] = lives.slice(-LARGE.length);
   for (const { shape, life } of larger) {
     for (const name of ["start", "restart", "rest", "waiting"] as const) {
