Remove what the tree made dead, and take a contact out of a message at one place

Found on the last reading: Peers.broadcast, ContactBook.of and Outbox.clear were called by nobody any more; the fields of a contact were picked in peers.ts and in sharing.ts. A comment of the watch plan says what the number is divided by.

--- a/packages/router/src/connection/outbox.ts
+++ b/packages/router/src/connection/outbox.ts
@@ -84,11 +84,6 @@
     this.#contacts = [];
     return post;
   }
-
-  /** Forgets everything: whoever it was for is told the whole. */
-  clear(): void {
-    this.take(Infinity);
-  }
 }
 
 /** Takes the first of a set out of it. */
--- a/packages/router/src/connection/peers.ts
+++ b/packages/router/src/connection/peers.ts
@@ -3,10 +3,10 @@
  *
  * @module
  */
+import { contactOf } from "../process/contact.ts";
 import type { Contact } from "../process/contact.ts";
 import type { EventLog } from "../process/event_log.ts";
 import type { ListenAddress } from "../process/settings.ts";
-import { encodeMessage } from "./peer_link.ts";
 import type { Link } from "./peer_link.ts";
 import { PROTOCOL } from "./peer_message.ts";
 import type { Hello, PeerMessage } from "./peer_message.ts";
@@ -133,13 +133,6 @@
     for (const address of addresses) this.#dialSoon(address);
   }
 
-  /** Sends a message to all peers. */
-  broadcast(message: PeerMessage): void {
-    if (this.#peers.size === 0) return;
-    const frame = encodeMessage(message);
-    for (const { link } of this.#peers.values()) link.sendEncoded(frame);
-  }
-
   /** Closes all links. */
   stop(): void {
     this.#stopped = true;
@@ -253,8 +246,8 @@
       link.close();
       return undefined;
     }
-    const { name, incarnation, address, failureDomain, linkMbps } = hello;
-    const contact = { name, incarnation, address, failureDomain, linkMbps };
+    const contact = contactOf(hello);
+    const { name, incarnation, address } = contact;
     const peer = { ...contact, link, dialled };
     if (!dialled) link.send(this.#hello(contact));
     const before = this.#peers.get(name);
--- a/packages/router/src/connection/sharing.ts
+++ b/packages/router/src/connection/sharing.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { inRankOrder } from "../process/contact.ts";
+import { contactOf, inRankOrder } from "../process/contact.ts";
 import type { Contact } from "../process/contact.ts";
 import { ContactBook } from "../process/contact_book.ts";
 import type { ContactNews } from "../process/contact_book.ts";
@@ -371,8 +371,3 @@
     }
   }
 }
-
-function contactOf(peer: Peer): Contact {
-  const { name, incarnation, address, failureDomain, linkMbps } = peer;
-  return { name, incarnation, address, failureDomain, linkMbps };
-}
--- a/packages/router/src/process/contact.ts
+++ b/packages/router/src/process/contact.ts
@@ -36,3 +36,9 @@
 ): readonly Each[] {
   return [...contacts].sort((one, other) => ranksBefore(one, other) ? -1 : 1);
 }
+
+/** The contact in something that says more of the same daemon. */
+export function contactOf(of: Contact): Contact {
+  const { name, incarnation, address, failureDomain, linkMbps } = of;
+  return { name, incarnation, address, failureDomain, linkMbps };
+}
--- a/packages/router/src/process/contact_book.ts
+++ b/packages/router/src/process/contact_book.ts
@@ -66,11 +66,6 @@
     return [...this.#contacts.values()];
   }
 
-  /** The contact of that name. */
-  of(name: string): Contact | undefined {
-    return this.#contacts.get(name);
-  }
-
   /**
    * Enters a contact that another daemon names.
    *
--- a/packages/router/src/process/watch_plan.ts
+++ b/packages/router/src/process/watch_plan.ts
@@ -19,8 +19,8 @@
 /** Least part of a wait, so that waits that began together come apart. */
 const LEAST_WAIT_SHARE = 0.7;
 /**
- * Daemons of the fleet that watch the store, as far as its failure domains can be
- * divided evenly; the others hear of it. Each one more is a call more for each
+ * Daemons of the fleet that watch the store, the same number in each failure
+ * domain and one at least; the others hear of it. Each one more is a call more for each
  * change. One that watches for nobody else costs the others a second.
  */
 const WATCHERS = 6;
