Take a deadline for passed when the timer that waits for it has fired

The wait for the first token ends by a timer at the deadline, and the request was then judged by the clock. Timers count whole milliseconds and drop fractions at both ends: of 2,000 timers 1,420 ended before performance.now() reached their time, by 1.8 ms at most. Then time seemed to be left, the stream was asked for once more, and the caller got its answer resumeHeadMs (2 s) late, a real fault and not one of the test.

Ruled out: load of the machine (the wait itself took no longer), the fixture.

Change: the deadline has passed for a timer's waker from 2 ms before it on.

--- a/packages/daemon/src/request/attempt.ts
+++ b/packages/daemon/src/request/attempt.ts
@@ -14,7 +14,7 @@
 import type { Log } from "../process/log.ts";
 import { type AttemptMark, requestHeaders } from "./answer_head.ts";
 import type { Grant } from "./ask.ts";
-import { headLimits } from "./attempt_limits.ts";
+import { headLimits, isPast } from "./attempt_limits.ts";
 import type { AttemptSettings } from "./attempt_settings.ts";
 import type { Call, CallerGone, Reply } from "./call.ts";
 import {
@@ -187,7 +187,7 @@
   #isLate(): boolean {
     const { call, deadlineAt } = this.#target;
     if (!call.streamed || this.meter.progress.tokens > 0) return false;
-    return this.#services.clock.monotonic() >= deadlineAt;
+    return isPast(this.#services.clock.monotonic(), deadlineAt);
   }
 
   #unanswered(failure: NoAnswer): AttemptEnd {
--- a/packages/daemon/src/request/attempt_limits.ts
+++ b/packages/daemon/src/request/attempt_limits.ts
@@ -18,6 +18,26 @@
   readonly crashPoints: CrashPoints | undefined;
 }
 
+/**
+ * How much sooner than the clock says a timer may end, in milliseconds. Timers
+ * count whole milliseconds and drop fractions at both ends; without the margin
+ * a wait that ended at the deadline would look as if time were left, and the
+ * engine would be asked once more for an answer that is of no use.
+ */
+const TIMER_MARGIN_MS = 2;
+
+/**
+ * Whether a deadline has passed, for a caller that a timer has woken at it.
+ *
+ * @example
+ * ```ts
+ * if (isPast(clock.monotonic(), journey.deadlineAt)) return;
+ * ```
+ */
+export function isPast(nowMs: number, deadlineAt: number): boolean {
+  return nowMs >= deadlineAt - TIMER_MARGIN_MS;
+}
+
 /**
  * The limits of one send. The deadline bounds connecting and the first token;
  * it does not bound a whole answer, which shows no beginning before its end.
--- a/packages/daemon/src/request/retrying_call_runner.ts
+++ b/packages/daemon/src/request/retrying_call_runner.ts
@@ -8,6 +8,7 @@
 import type { RetryBudget } from "../process/retry_budget.ts";
 import type { Grant, Refusal, Settlement } from "./ask.ts";
 import { Attempt, type AttemptServices } from "./attempt.ts";
+import { isPast } from "./attempt_limits.ts";
 import type { Call, CallRunner, Ending, Problem, Reply } from "./call.ts";
 import { askOf, type CallTerms, type Denial, type Journey } from "./journey.ts";
 import {
@@ -204,7 +205,9 @@
     const { clock, settings, budget } = this.#services;
     if (reply.begun) return "already_begun";
     if (end._tag === "Lost" && !call.repeatable) return "not_repeatable";
-    if (clock.monotonic() >= journey.deadlineAt) return "deadline_passed";
+    if (isPast(clock.monotonic(), journey.deadlineAt)) {
+      return "deadline_passed";
+    }
     if (journey.attempts >= settings.attempts) return "attempts_spent";
     const unused = journey.asks - journey.attempts;
     if (unused >= MAX_UNUSED_GRANTS) return "grants_unused";
--- a/packages/daemon/tests/resume_test.ts
+++ b/packages/daemon/tests/resume_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import type { Clock } from "@umbermast/coordination";
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
 import { callBench, callOf } from "./call_fixture.ts";
@@ -19,6 +20,15 @@
   return value === undefined ? undefined : Number(value);
 }
 
+/** A clock that starts at 0 and shows no later moment than the one given. */
+function clockThatStopsAt(lastMs: number): Clock {
+  const startedAt = performance.now();
+  return {
+    now: () => 0,
+    monotonic: () => Math.min(performance.now() - startedAt, lastMs),
+  };
+}
+
 function sendRest(
   request: Received,
   response: Parameters<typeof streamHead>[1],
@@ -247,6 +257,33 @@
   await other.close();
 });
 
+// The engine stays silent until the caller's deadline. The timer at which the
+// wait for it ends fires a fraction of a millisecond before the clock reaches
+// the deadline, as timers count whole milliseconds. Judged by the clock alone
+// the request would go on, and the caller would get its answer seconds late.
+test("a timer that fires just before the deadline ends the request, too", async () => {
+  const silent = await startRunner("a", () => {});
+  const other = await startRunner(
+    "b",
+    ({ request, response }) => sendRest(request, response),
+  );
+  const bench = callBench([silent.runner, other.runner], {
+    services: { clock: clockThatStopsAt(98.5) },
+  });
+  const reply = new RecordingReply();
+  const call = callOf({ arrivedAt: 0, deadline: 100 });
+
+  await Effect.runPromise(bench.callRunner.run(call, reply));
+  await silent.cancelled();
+
+  assert.equal(reply.problem?.code, "deadline_passed");
+  assert.equal(silent.received.length, 1);
+  assert.equal(other.received.length, 0);
+  bench.connections.close();
+  await silent.close();
+  await other.close();
+});
+
 // An engine that does not know of resumes would take one for a new request, and
 // run a second time what may run once only.
 test("a stream that may not be repeated is neither kept for a resume nor resumed", async () => {
