--- a/packages/router/src/connection/store_followers.ts
+++ b/packages/router/src/connection/store_followers.ts
@@ -7,6 +7,7 @@
 import { Follower } from "../process/feed.ts";
 import type { ContactListener, Feed, FollowerTiming } from "../process/feed.ts";
 import { pause } from "../process/pause.ts";
+import { Pulse } from "../process/pulse.ts";
 import type { RequestMetrics } from "../process/metrics.ts";
 import type { Runner } from "../process/runner.ts";
 import type { RunnerDirectory } from "../process/runner_directory.ts";
@@ -24,6 +25,12 @@
  */
 const LOOK_AGAIN_MS = 15_000;
 
+/**
+ * Milliseconds between two questions whether to watch the store. Another watcher
+ * of the domain and those of the others go on meanwhile.
+ */
+const LOOK_MS = 500;
+
 /** Who is told, and what decides how often the store is read. */
 export interface FollowerHost {
   readonly own: Watcher;
@@ -47,6 +54,8 @@
   readonly #host: FollowerHost;
   readonly #configurations: Follower<Configuration>;
   readonly #runners: Follower<Runner>;
+  /** Wakes both followers at once while this daemon does not watch. */
+  readonly #looks = new Pulse(LOOK_MS);
 
   constructor(host: FollowerHost, feeds: {
     readonly configurations: Feed<Configuration>;
@@ -147,6 +156,7 @@
       active: () =>
         peers().length === 0 || watches(own, [own, ...peers()]) ||
         (!known() && this.#isUninformed(follower())),
+      rest: () => this.#looks.next(),
     };
   }
 
--- a/packages/router/src/process/feed.ts
+++ b/packages/router/src/process/feed.ts
@@ -61,8 +61,10 @@
    * long a change can be missed; each wait costs one call.
    */
   waitMs(): number;
-  /** Whether to read the store now; asked again every while when not. */
+  /** Whether to read the store now. */
   active(): boolean;
+  /** Waits until {@linkcode active} is to be asked again. */
+  rest(): Promise<void>;
 }
 
 /** First pause after a failure, in ms; doubled up to the longest. */
@@ -74,12 +76,6 @@
  * rest each of them costs each watcher a call.
  */
 const REST_MS = 100;
-/**
- * Milliseconds between two questions whether to become active. Another watcher of
- * the domain and those of the others go on meanwhile.
- */
-const IDLE_MS = 500;
-
 /** Told of lost and regained contact. */
 export interface ContactListener {
   lost(reason: string): void;
@@ -130,7 +126,7 @@
   async run(): Promise<void> {
     while (!this.#stopped) {
       if (this.#timing.active()) await this.#tryStep();
-      else await pause(IDLE_MS);
+      else await this.#timing.rest();
     }
   }
 
--- a/packages/router/src/process/feed_test.ts
+++ b/packages/router/src/process/feed_test.ts
@@ -51,7 +51,11 @@
         lost: (reason) => seen.push(`lost ${reason}`),
         regained: () => seen.push("regained"),
       },
-      timing: { waitMs: () => 1, active: () => true },
+      timing: {
+        waitMs: () => 1,
+        active: () => true,
+        rest: () => Promise.resolve(),
+      },
     });
     void follower.run();
   });
@@ -125,7 +129,11 @@
   const feed = new PlayedFeed(failures, () => {});
   const follower = new Follower(feed, { listed() {}, changed() {} }, {
     contact: { lost: () => follower.hurry(), regained() {} },
-    timing: { waitMs: () => 1, active: () => true },
+    timing: {
+      waitMs: () => 1,
+      active: () => true,
+      rest: () => Promise.resolve(),
+    },
   });
   void follower.run();
   for (let turn = 0; turn < 10; turn++) await new Promise(setImmediate);
@@ -151,7 +159,11 @@
     changed: ({ entered }) => seen.push(...entered),
   }, {
     contact: { lost() {}, regained() {} },
-    timing: { waitMs: () => 1, active: () => true },
+    timing: {
+      waitMs: () => 1,
+      active: () => true,
+      rest: () => Promise.resolve(),
+    },
   });
   void follower.run();
   for (let turn = 0; turn < 10; turn++) await new Promise(setImmediate);
