--- a/packages/daemon/src/request/attempt_limits.ts
+++ b/packages/daemon/src/request/attempt_limits.ts
@@ -19,8 +19,8 @@
 }
 
 /**
- * How much sooner than the clock says a timer may end, in milliseconds. Timers
- * count whole milliseconds and drop fractions at both ends; without the margin
+ * How much sooner than the clock says a timer may end, in milliseconds: timers
+ * count whole ones and drop fractions at both ends. Without the margin
  * a wait that ended at the deadline would look as if time were left, and the
  * engine would be asked once more for an answer that is of no use.
  */
--- a/packages/router/src/connection/compressed_item.ts
+++ b/packages/router/src/connection/compressed_item.ts
@@ -15,9 +15,8 @@
 /**
  * Compresses a value that does not change any more, once for all peers that ask
  * for it. Entries of configurations and of lists of runners differ in little but
- * their names. Plain, a daemon behind a link of 7 Mbit/s takes 0.4 s for each
- * peer that it gives 1,600 routes to, and 0.2 s for 1,000 runners: the last of
- * those that ask has them seconds later.
+ * their names. Plain, they fill the link of a daemon that many ask at once, and
+ * the last of them has a new version seconds late; answers to callers wait, too.
  *
  * @example
  * ```ts
--- a/packages/router/src/request/runner_pools.ts
+++ b/packages/router/src/request/runner_pools.ts
@@ -12,7 +12,7 @@
 /** Sets of runners whose pools are remembered; a service has one at a time. */
 const MAX_POOLS = 16;
 
-/** The runners of a service at one revision of their list. */
+/** The runners of a service while none of them comes or goes. */
 export class RunnerPools {
   /** Names of the runners that are kept for tight streams. */
   readonly kept: ReadonlySet<string>;
@@ -53,18 +53,22 @@
 /**
  * The pools of a list of runners, worked out once for each set of names. A list
  * changes many times a second while runners start or are replaced, mostly by what
- * one of them tells of itself. Worked out for each list, 998 runners took 10 to 20
- * ms at each change: half of a daemon's part of a core, when all had lost power
- * and all callers came back.
+ * one of them tells of itself. Worked out for each list, the pools of a thousand
+ * runners would take most of a daemon's processor in the seconds after a loss of
+ * all daemons, when all callers come back.
  */
 export function poolsOf(runners: readonly Runner[]): RunnerPools {
   const before = ofList.get(runners);
   if (before !== undefined) return before;
   const names = runners.map(({ name }) => name).sort();
   const key = names.join("\n");
-  const pools = ofNames.get(key) ?? new RunnerPools(names);
+  const pools = ofNames.get(key) ?? remembered(key, new RunnerPools(names));
+  ofList.set(runners, pools);
+  return pools;
+}
+
+function remembered(key: string, pools: RunnerPools): RunnerPools {
   if (ofNames.size >= MAX_POOLS) ofNames.clear();
   ofNames.set(key, pools);
-  ofList.set(runners, pools);
   return pools;
 }
