Find who asks a runner what it holds by one pass, as a prompt's home is found

Behaviour is the same (rendezvous_test.ts, "the first that is accepted is the first of the order that is").

--- a/packages/router/src/process/memory_survey.ts
+++ b/packages/router/src/process/memory_survey.ts
@@ -70,7 +70,7 @@
     await pause(SETTLE_MS);
     const daemons = new Rendezvous(fleet.daemons());
     const own = fleet.engines().filter(({ id }) =>
-      daemons.order(id)[0] === this.#name
+      daemons.first(id, () => true) === this.#name
     );
     await Promise.all(own.map((runner) => this.#ask(runner)));
   }
