Say in the log which tries are one request, and that a runner has ended

With it the hypotheses tell apart: requests that end their runners are at each end by one fingerprint, victims at one. Tests: crash_watch_test.ts, fingerprint_test.ts.

--- /dev/null
+++ b/packages/router/src/connection/crash_watch.ts
@@ -0,0 +1,88 @@
+/**
+ * Finding out whether a runner has ended when it breaks off answers.
+ *
+ * @module
+ */
+import { connect } from "node:net";
+import type { EventLog } from "../process/event_log.ts";
+import type { RequestMetrics } from "../process/metrics.ts";
+import type { Runner } from "../process/runner.ts";
+
+/**
+ * Milliseconds from the first answer that breaks off until the runner is looked
+ * at: those of the other requests there break off in this time, too.
+ */
+const LOOK_AFTER_MS = 30;
+/** Milliseconds for a runner that lives to take a connection. */
+const CONNECT_MS = 300;
+/** Fingerprints that a line of the log names. */
+const MAX_NAMED = 8;
+
+/** A request that was at a runner when its connection broke. */
+export interface BrokenRun {
+  /** The same for each try of the request. */
+  readonly fingerprint: string;
+  /** When its answer began or, without one, when it was sent; steady ms. */
+  readonly beganAt: number;
+}
+
+/**
+ * Looks at a runner once after answers of it broke off. Only one that refuses a
+ * connection has ended: a single answer also breaks off where a connection has
+ * been reset on its way, or when a runner fails part of its requests.
+ */
+export class CrashWatch {
+  readonly #log: EventLog;
+  readonly #metrics: Pick<RequestMetrics, "runnerEnded">;
+  readonly #broken = new Map<string, BrokenRun[]>();
+
+  constructor(options: {
+    readonly log: EventLog;
+    readonly metrics: Pick<RequestMetrics, "runnerEnded">;
+  }) {
+    this.#log = options.log;
+    this.#metrics = options.metrics;
+  }
+
+  /** An answer of the runner broke off, and not by this daemon. */
+  brokeOff(runner: Runner, run: BrokenRun): void {
+    const known = this.#broken.get(runner.id);
+    if (known !== undefined) {
+      known.push(run);
+      return;
+    }
+    this.#broken.set(runner.id, [run]);
+    setTimeout(() => void this.#look(runner), LOOK_AFTER_MS).unref();
+  }
+
+  async #look(runner: Runner): Promise<void> {
+    const ended = await refusesConnections(runner);
+    const runs = this.#broken.get(runner.id) ?? [];
+    this.#broken.delete(runner.id);
+    if (ended) this.#metrics.runnerEnded(runner.service);
+    const named = runs.slice(0, MAX_NAMED).map((each) => each.fingerprint);
+    this.#log.event("runner_looked_at", {
+      runner: runner.id,
+      service: runner.service,
+      ended,
+      broken_off: runs.length,
+      fingerprints: named.join(","),
+    });
+  }
+}
+
+function refusesConnections({ address, port }: Runner): Promise<boolean> {
+  return new Promise((resolve) => {
+    const socket = connect({ host: address, port });
+    const decide = (refused: boolean) => {
+      clearTimeout(timer);
+      socket.destroy();
+      resolve(refused);
+    };
+    const timer = setTimeout(() => decide(false), CONNECT_MS);
+    socket.once("connect", () => decide(false));
+    socket.on("error", (error: NodeJS.ErrnoException) => {
+      decide(error.code === "ECONNREFUSED");
+    });
+  });
+}
--- /dev/null
+++ b/packages/router/src/connection/crash_watch_test.ts
@@ -0,0 +1,43 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { playRunner, until } from "../../tests/fixtures.ts";
+import type { PlayedRunner } from "../../tests/fixtures.ts";
+import type { Fields } from "../process/line.ts";
+import { CrashWatch } from "./crash_watch.ts";
+
+/** A watch, and what it has found out. */
+function watch(): { readonly watch: CrashWatch; readonly found: Fields[] } {
+  const found: Fields[] = [];
+  const log = {
+    event: (_: string, fields: Fields) => void found.push(fields),
+    decision() {},
+  };
+  return {
+    watch: new CrashWatch({ log, metrics: { runnerEnded() {} } }),
+    found,
+  };
+}
+
+function breakTwo(watch: CrashWatch, { runner }: PlayedRunner): void {
+  watch.brokeOff(runner, { fingerprint: "one", beganAt: 0 });
+  watch.brokeOff(runner, { fingerprint: "two", beganAt: 0 });
+}
+
+test("a runner that ended is found out once, with all that was there", async (t) => {
+  const played = await playRunner(t, "i-1", () => {});
+  const { watch: watched, found } = watch();
+  await played.end();
+  breakTwo(watched, played);
+  await until(() => found.length > 0);
+  assert.equal(found.length, 1);
+  assert.equal(found[0]!.ended, true);
+  assert.equal(found[0]!.fingerprints, "one,two");
+});
+
+test("a runner that broke off answers and lives has not ended", async (t) => {
+  const played = await playRunner(t, "i-1", () => {});
+  const { watch: watched, found } = watch();
+  breakTwo(watched, played);
+  await until(() => found.length > 0);
+  assert.equal(found[0]!.ended, false);
+});
--- a/packages/router/src/process/metrics.ts
+++ b/packages/router/src/process/metrics.ts
@@ -27,6 +27,7 @@
   readonly #ended: CounterType<"service" | "outcome">;
   readonly #seconds: HistogramType<"service">;
   readonly #connections: CounterType<"service">;
+  readonly #ends: CounterType<"service">;
   readonly #version: GaugeType;
   readonly #dependency: GaugeType<"dependency">;
 
@@ -53,6 +54,12 @@
       labelNames: ["service"],
       registers,
     });
+    this.#ends = new Counter({
+      name: "umbermast_runner_ends_total",
+      help: "Runners that ended with requests of this daemon, by service",
+      labelNames: ["service"],
+      registers,
+    });
     this.#version = new Gauge({
       name: "umbermast_configuration_version",
       help: "Version of the configuration in force",
@@ -77,6 +84,11 @@
     this.#connections.inc({ service });
   }
 
+  /** Counts a runner that ended while it had requests of this daemon. */
+  runnerEnded(service: string): void {
+    this.#ends.inc({ service });
+  }
+
   /** Sets the version in force. */
   version(version: number): void {
     this.#version.set(version);
--- a/packages/router/src/request/answer_relay.ts
+++ b/packages/router/src/request/answer_relay.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { BrokenRun } from "../connection/crash_watch.ts";
 import type { Placed, RunnerLoad } from "../process/runner_load.ts";
 import type { Attempt, Sent } from "./attempt.ts";
 import type { Caller } from "./caller.ts";
@@ -28,6 +29,7 @@
   readonly placed: Placed;
   readonly attempt: Attempt;
   readonly silence: Silence;
+  readonly run: BrokenRun;
 }
 
 /** What became of an answer. */
@@ -171,7 +173,7 @@
     parts.attempt.cancel(cause);
     if (!this.#endedByUs()) {
       parts.load.failed(this.#daemon.now());
-      this.#daemon.connectionBroke(parts.attempt.runner);
+      this.#daemon.connectionBroke(parts.attempt.runner, parts.run);
     }
     return { kind: "broken", reason };
   }
--- a/packages/router/src/request/daemon.ts
+++ b/packages/router/src/request/daemon.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { BrokenRun } from "../connection/crash_watch.ts";
 import type { RunnerConnections } from "../connection/runner_connections.ts";
 import type { EventLog } from "../process/event_log.ts";
 import type { Pulse } from "../process/pulse.ts";
@@ -44,7 +45,7 @@
   /** Milliseconds in which a change here is known to all other daemons. */
   settleMs(): number;
   /** A connection to a runner broke while a request was there. */
-  connectionBroke(runner: Runner): void;
+  connectionBroke(runner: Runner, run: BrokenRun): void;
   /** How fast the runners of a service make tokens. */
   pace(service: string): StreamPace;
   /** Repeats that may be sent to a service. */
--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -13,6 +13,7 @@
 import type { Caller } from "./caller.ts";
 import type { Daemon } from "./daemon.ts";
 import { logChoice } from "./exchange_log.ts";
+import { fingerprintOf } from "./fingerprint.ts";
 import { notRun, overloaded } from "./not_run.ts";
 import { outcomeName } from "./outcome.ts";
 import type { Outcome } from "./outcome.ts";
@@ -57,6 +58,8 @@
   /** Whether the caller's body is still on its way. */
   #reading = false;
   #expiresAt = Infinity;
+  /** The same for each try of the request; known once its body is. */
+  #fingerprint = "";
 
   constructor(daemon: Daemon, caller: Caller) {
     this.#daemon = daemon;
@@ -110,10 +113,22 @@
       const refusal = { status: 413, code: "body_too_large", close: true };
       return { kind: "refused", refusal };
     }
+    this.#fingerprint = this.#fingerprintOf(subject, whole.body);
     this.#daemon.budget(subject.service.name).request(this.#daemon.now());
     return await this.#tryRunners(subject, whole.body);
   }
 
+  #fingerprintOf({ call, workspace }: Subject, body: Buffer): string {
+    const { method, url } = this.#caller.request;
+    return fingerprintOf({
+      host: call.host,
+      method: method!,
+      target: url!,
+      workspace: workspace?.name,
+      body,
+    });
+  }
+
   async #tryRunners(subject: Subject, body: Buffer): Promise<Outcome> {
     let fallback: (() => Outcome) | undefined;
     const search = new RunnerSearch(this.#daemon, subject, {
@@ -139,6 +154,7 @@
       if (result.kind === "done") return result.outcome;
       const again = !this.#expired && this.#mayTryAgain(subject);
       this.#daemon.log.decision("attempt_failed", subject.call.id, {
+        fingerprint: this.#fingerprint,
         runner: choice.runner.id,
         reason: result.reason,
         attempt: this.#attempts,
@@ -161,8 +177,13 @@
       tight: choice.tight,
     };
     this.#tried.add(runner.id);
-    logChoice(this.#daemon, subject, { choice, leftMs: this.#left() });
-    load.place(placed, this.#daemon.now());
+    const sentAt = this.#daemon.now();
+    logChoice(this.#daemon, subject, {
+      choice,
+      fingerprint: this.#fingerprint,
+      leftMs: this.#left(),
+    });
+    load.place(placed, sentAt);
     this.#daemon.prefixes.sent(runner.id, call.prompt, this.#daemon.now());
     const attempt = attemptOf(this.#daemon, subject, {
       request: this.#caller.request,
@@ -181,6 +202,10 @@
         placed,
         attempt,
         silence,
+        run: {
+          fingerprint: this.#fingerprint,
+          beganAt: sent.kind === "answer" ? this.#daemon.now() : sentAt,
+        },
       });
     } finally {
       silence.stop();
@@ -224,9 +249,9 @@
           this.#daemon.connections.dropIdle(parts.attempt.runner);
         }
         if (!this.#endedByUs()) {
-          this.#daemon.connectionBroke(parts.attempt.runner);
+          this.#daemon.connectionBroke(parts.attempt.runner, parts.run);
         }
-        return this.#repeat(subject, sent.reason);
+        return this.#repeat(sent.reason);
       case "not-run":
         if (sent.head.load !== undefined) load.reported(sent.head.load, now);
         if (sent.head.otherRunner) load.failed(now);
@@ -245,7 +270,7 @@
   }
 
   #ended(subject: Subject, passed: Passed): Try {
-    if (passed.kind === "broken") return this.#repeat(subject, passed.reason);
+    if (passed.kind === "broken") return this.#repeat(passed.reason);
     const { status } = passed;
     const outcome: Outcome = { kind: "answered", status };
     if (passed.kind === "answered") return { kind: "done", outcome };
@@ -265,11 +290,9 @@
   }
 
   /** Another try after one that may have run, where the route allows it. */
-  #repeat(subject: Subject, reason: string): Try {
-    const fallback = () => this.#failure(reason);
-    if (this.#mayRepeat(subject)) return this.#again(reason, fallback);
+  #repeat(reason: string): Try {
     if (this.#expired) return { kind: "done", outcome: this.#timeoutOutcome() };
-    return { kind: "done", outcome: fallback() };
+    return this.#again(reason, () => this.#failure(reason));
   }
 
   #mayRepeat(subject: Subject): boolean {
--- a/packages/router/src/request/exchange_log.ts
+++ b/packages/router/src/request/exchange_log.ts
@@ -65,12 +65,18 @@
 export function logChoice(
   daemon: Daemon,
   subject: Subject,
-  chosen: { readonly choice: Choice; readonly leftMs: number },
+  chosen: {
+    readonly choice: Choice;
+    /** The same for each try of the request. */
+    readonly fingerprint: string;
+    readonly leftMs: number;
+  },
 ): void {
   const { call, route, service, version } = subject;
-  const { choice, leftMs } = chosen;
+  const { choice, fingerprint, leftMs } = chosen;
   const load = daemon.loads.of(choice.runner.id);
   daemon.log.decision("runner_chosen", call.id, {
+    fingerprint,
     route: route.name,
     service: service.name,
     version,
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -7,6 +7,8 @@
 import { randomBytes } from "node:crypto";
 import { handOver } from "./connection/hand_over.ts";
 import { CallerServer, listen } from "./connection/caller_server.ts";
+import { CrashWatch } from "./connection/crash_watch.ts";
+import type { BrokenRun } from "./connection/crash_watch.ts";
 import { Neighbourhood } from "./connection/neighbourhood.ts";
 import type { SharedStore } from "./connection/neighbourhood.ts";
 import { TcpPeerNetwork } from "./connection/peer_network.ts";
@@ -84,6 +86,7 @@
   readonly #neighbourhood: Neighbourhood;
   readonly #survey: MemorySurvey;
   readonly #restarts: RestartWatch;
+  readonly #crashes: CrashWatch;
   #surveyed = false;
   #statusServers: readonly Server[] = [];
   #configuration: Configuration | undefined;
@@ -134,6 +137,7 @@
       directory: this.#directory,
       log,
     });
+    this.#crashes = new CrashWatch({ log, metrics: this.metrics });
     this.#directory.onChange(() => this.#runnersChanged());
   }
 
@@ -183,7 +187,8 @@
     return known;
   }
 
-  connectionBroke(runner: Runner): void {
+  connectionBroke(runner: Runner, run: BrokenRun): void {
+    this.#crashes.brokeOff(runner, run);
     if (this.#table?.service(runner.service)?.engine === undefined) return;
     void this.#restarts.suspect(runner);
   }
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -152,6 +152,8 @@
   readonly requests: string[];
   /** Requests whose connection has closed. */
   closed: number;
+  /** Ends as a crash does: its connections break, its port refuses others. */
+  end(): Promise<void>;
 }
 
 /** Opens a runner. */
@@ -175,12 +177,16 @@
       play(socket, received, /x-id: (\S+)/i.exec(received)?.[1] ?? "");
     });
   });
+  const end = () => {
+    const closed = new Promise<void>((resolve) => {
+      server.close(() => resolve());
+    });
+    for (const socket of sockets) socket.destroy();
+    return closed;
+  };
   server.listen(0, LOCALHOST);
   await once(server, "listening");
-  context.after(() => {
-    server.close();
-    for (const socket of sockets) socket.destroy();
-  });
+  context.after(() => end());
   const { port } = server.address() as AddressInfo;
   const played: PlayedRunner = {
     runner: {
@@ -197,6 +203,7 @@
     },
     requests,
     closed: 0,
+    end,
   };
   return played;
 }
