--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -1,11 +1,20 @@
 // Runs the built tests with Node's test runner.
 // Usage: node scripts/test.mjs [WORD...], where each WORD must occur in the
-// path of a test file for it to run; without words every test runs.
+// path of a test file for it to run; without words every test runs. Tests that
+// KNOWN-RED.txt lists may fail, and are printed if they do.
 import { spawnSync } from "node:child_process";
-import { existsSync, readdirSync } from "node:fs";
-import { dirname, join, relative } from "node:path";
+import {
+  existsSync,
+  mkdtempSync,
+  readdirSync,
+  readFileSync,
+  rmSync,
+} from "node:fs";
+import { tmpdir } from "node:os";
+import { dirname, join, relative, sep } from "node:path";
 import process from "node:process";
 import { fileURLToPath } from "node:url";
+import { readKnownRed } from "./known_red.mjs";
 
 const root = dirname(dirname(fileURLToPath(import.meta.url)));
 const CONCURRENCY = 4;
@@ -16,6 +25,14 @@
 const FILE_TIMEOUT_MS = 300_000;
 const words = process.argv.slice(2);
 
+/** The built file of a source. */
+function builtFileOf(source) {
+  const place = relative(root, source).split(sep);
+  const depth = place[0] === "packages" ? 2 : 1;
+  const built = [...place.slice(0, depth), "dist", ...place.slice(depth)];
+  return join(root, ...built).replace(/\.ts$/, ".js");
+}
+
 /** Sources decide what runs, so a stale built file of a deleted test does not. */
 function testFiles() {
   const found = [];
@@ -27,9 +44,7 @@
       if (!existsSync(folder)) continue;
       for (const entry of readdirSync(folder, { recursive: true })) {
         if (!entry.endsWith("_test.ts")) continue;
-        found.push(
-          join(home, "dist", part, entry.replace(/\.ts$/, ".js")),
-        );
+        found.push(builtFileOf(join(home, part, entry)));
       }
     }
   }
@@ -43,6 +58,12 @@
   console.error(`No test file matches ${JSON.stringify(words)}`);
   process.exit(1);
 }
+const { entries, findings } = readKnownRed(root);
+for (const finding of findings) console.error(finding);
+if (findings.length > 0) process.exit(1);
+
+const folder = mkdtempSync(join(tmpdir(), "umbermast-test-"));
+const failuresFile = join(folder, "failures");
 const run = spawnSync(
   process.execPath,
   [
@@ -53,8 +74,32 @@
     // would otherwise keep the process, and the run, for ever.
     "--test-force-exit",
     "--test-reporter=spec",
+    "--test-reporter-destination=stdout",
+    `--test-reporter=${join(root, "scripts/failures_reporter.mjs")}`,
+    `--test-reporter-destination=${failuresFile}`,
     ...chosen,
   ],
   { cwd: root, stdio: "inherit" },
 );
-process.exit(run.status ?? 1);
+const failures = readFileSync(failuresFile, "utf8").split("\n")
+  .filter((line) => line !== "")
+  .map((line) => JSON.parse(line));
+rmSync(folder, { recursive: true });
+
+/** The entry of a test that failed; none for one that must not. */
+function entryOf({ name, file }) {
+  return entries.find((entry) =>
+    entry.test === name && builtFileOf(join(root, entry.file)) === file
+  );
+}
+
+const known = new Set(failures.map(entryOf));
+for (const entry of known) {
+  if (entry === undefined) continue;
+  console.log(
+    `KNOWN RED, passed over: ${entry.file}: "${entry.test}" (issue ${entry.issue})`,
+  );
+}
+const onlyKnown = run.status === 1 && failures.length > 0 &&
+  !known.has(undefined);
+process.exit(onlyKnown ? 0 : run.status ?? 1);
