--- /dev/null
+++ b/packages/router/src/connection/crash_ages.ts
@@ -0,0 +1,74 @@
+/**
+ * What is known of requests at runners that ended, as daemons tell each other.
+ *
+ * @module
+ */
+import type {
+  CrashedRun,
+  CrashNews,
+  SoundRun,
+} from "../process/crash_record.ts";
+import { groupBy } from "../process/group.ts";
+
+/** Requests that were at one runner when it ended. */
+export interface RunnerCrash {
+  /** Id of the runner's life. */
+  readonly runner: string;
+  readonly runs: readonly {
+    readonly fingerprint: string;
+    readonly beganAgoMs: number;
+    readonly endedAgoMs: number;
+  }[];
+}
+
+/** A request that was answered whole. */
+export interface SoundAge {
+  readonly fingerprint: string;
+  readonly agoMs: number;
+}
+
+/** The news in ms before the message, as hosts share no clock. */
+export interface CrashAges {
+  readonly crashed: readonly RunnerCrash[];
+  readonly sound: readonly SoundAge[];
+}
+
+/** Nothing to tell. */
+export const NO_CRASHES: CrashAges = { crashed: [], sound: [] };
+
+/** Puts news in ages, for a message that is sent now. */
+export function agesOf({ crashed, sound }: CrashNews, now: number): CrashAges {
+  const byRunner = groupBy(crashed, ({ runner }) => runner);
+  return {
+    crashed: [...byRunner].map(([runner, runs]) => ({
+      runner,
+      runs: runs.map(({ fingerprint, beganAt, endedAt }) => ({
+        fingerprint,
+        beganAgoMs: Math.round(now - beganAt),
+        endedAgoMs: Math.round(now - endedAt),
+      })),
+    })),
+    sound: sound.map(({ fingerprint, at }) => ({
+      fingerprint,
+      agoMs: Math.round(now - at),
+    })),
+  };
+}
+
+/** Reads ages of a message that came now. */
+export function newsOf({ crashed, sound }: CrashAges, now: number): CrashNews {
+  return {
+    crashed: crashed.flatMap(({ runner, runs }) =>
+      runs.map(({ fingerprint, beganAgoMs, endedAgoMs }): CrashedRun => ({
+        fingerprint,
+        runner,
+        beganAt: now - beganAgoMs,
+        endedAt: now - endedAgoMs,
+      }))
+    ),
+    sound: sound.map(({ fingerprint, agoMs }): SoundRun => ({
+      fingerprint,
+      at: now - agoMs,
+    })),
+  };
+}
--- a/packages/router/src/connection/crash_watch.ts
+++ b/packages/router/src/connection/crash_watch.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { connect } from "node:net";
+import type { CrashedRun, CrashRecord } from "../process/crash_record.ts";
 import type { EventLog } from "../process/event_log.ts";
 import type { RequestMetrics } from "../process/metrics.ts";
 import type { Runner } from "../process/runner.ts";
@@ -18,13 +19,11 @@
 /** Fingerprints that a line of the log names. */
 const MAX_NAMED = 8;
 
-/** A request that was at a runner when its connection broke. */
-export interface BrokenRun {
-  /** The same for each try of the request. */
-  readonly fingerprint: string;
-  /** When its answer began or, without one, when it was sent; steady ms. */
-  readonly beganAt: number;
-}
+/**
+ * A request that was at a runner when its connection broke. It began when its
+ * answer did or, without one, when it was sent.
+ */
+export type BrokenRun = Pick<CrashedRun, "fingerprint" | "beganAt">;
 
 /**
  * Looks at a runner once after answers of it broke off. Only one that refuses a
@@ -34,18 +33,23 @@
 export class CrashWatch {
   readonly #log: EventLog;
   readonly #metrics: Pick<RequestMetrics, "runnerEnded">;
-  readonly #broken = new Map<string, BrokenRun[]>();
+  readonly #record: CrashRecord;
+  readonly #broken = new Map<string, CrashedRun[]>();
 
   constructor(options: {
     readonly log: EventLog;
     readonly metrics: Pick<RequestMetrics, "runnerEnded">;
+    /** Told of the requests that were at a runner which has ended. */
+    readonly record: CrashRecord;
   }) {
     this.#log = options.log;
+    this.#record = options.record;
     this.#metrics = options.metrics;
   }
 
   /** An answer of the runner broke off, and not by this daemon. */
-  brokeOff(runner: Runner, run: BrokenRun): void {
+  brokeOff(runner: Runner, broken: BrokenRun): void {
+    const run = { ...broken, runner: runner.id, endedAt: performance.now() };
     const known = this.#broken.get(runner.id);
     if (known !== undefined) {
       known.push(run);
@@ -60,6 +64,7 @@
     const runs = this.#broken.get(runner.id) ?? [];
     this.#broken.delete(runner.id);
     if (ended) this.#metrics.runnerEnded(runner.service);
+    if (ended) this.#record.crashed(runs, performance.now());
     const named = runs.slice(0, MAX_NAMED).map((each) => each.fingerprint);
     this.#log.event("runner_looked_at", {
       runner: runner.id,
--- a/packages/router/src/connection/crash_watch_test.ts
+++ b/packages/router/src/connection/crash_watch_test.ts
@@ -1,7 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { playRunner, until } from "../../tests/fixtures.ts";
+import { playRunner, SILENT_LOG, until } from "../../tests/fixtures.ts";
 import type { PlayedRunner } from "../../tests/fixtures.ts";
+import { CrashRecord } from "../process/crash_record.ts";
 import type { Fields } from "../process/line.ts";
 import { CrashWatch } from "./crash_watch.ts";
 
@@ -13,7 +14,11 @@
     decision() {},
   };
   return {
-    watch: new CrashWatch({ log, metrics: { runnerEnded() {} } }),
+    watch: new CrashWatch({
+      log,
+      metrics: { runnerEnded() {} },
+      record: new CrashRecord(SILENT_LOG),
+    }),
     found,
   };
 }
--- a/packages/router/src/connection/neighbour_news.ts
+++ b/packages/router/src/connection/neighbour_news.ts
@@ -5,14 +5,16 @@
  */
 import type { Buffer } from "node:buffer";
 import { Allowance } from "../process/allowance.ts";
-import type { ContactBook } from "../process/contact_book.ts";
+import type { ContactBook, ContactNews } from "../process/contact_book.ts";
+import type { CrashNews, CrashRecord } from "../process/crash_record.ts";
 import type { PartsNews, PrefixRecord } from "../process/prefix_record.ts";
 import type { RunnerLoads } from "../process/runner_loads.ts";
 import type { Neighbours } from "../process/runner_queue.ts";
+import { agesOf } from "./crash_ages.ts";
 import { LoadSums } from "./load_sums.ts";
 import type { MembershipCounts } from "./membership_counts.ts";
 import { Outbox } from "./outbox.ts";
-import type { Post } from "./outbox.ts";
+import type { Post, Told } from "./outbox.ts";
 import type { Overlay, Role } from "./overlay.ts";
 import { encodeMessage } from "./peer_link.ts";
 import type { LoadShare, State, Versions } from "./peer_message.ts";
@@ -27,16 +29,25 @@
  */
 const BURST_SECONDS = 600;
 
+/** What a message tells beside loads. */
+interface StateNews {
+  readonly parts: readonly PartsNews[];
+  readonly contacts: ContactNews;
+  readonly crashes: CrashNews;
+}
+
 /** A message without news. */
-const NOTHING: Pick<Post, "parts" | "contacts"> = {
+const NOTHING: StateNews = {
   parts: [],
   contacts: { contacts: [], gone: [] },
+  crashes: { crashed: [], sound: [] },
 };
 
 /** What is told, and to whom. */
 export interface NewsSources {
   readonly loads: RunnerLoads;
   readonly prefixes: PrefixRecord;
+  readonly crashes: CrashRecord;
   readonly book: ContactBook;
   readonly counts: MembershipCounts;
   readonly overlay: Overlay;
@@ -47,12 +58,14 @@
   readonly controlBytesPerS: number;
 }
 
-/** Loads that a neighbour told, to be passed on. */
-export interface ToldLoads {
+/** What a neighbour told, to be passed on. */
+export interface ToldNews {
   /** Ids of runners. */
   readonly changed: ReadonlySet<string>;
   readonly parts: readonly PartsNews[];
-  /** Whether requests wait for them. */
+  /** What of it was not known here. */
+  readonly crashes: CrashNews;
+  /** Whether requests wait for the runners. */
   readonly urgent: boolean;
 }
 
@@ -94,14 +107,16 @@
 
   /** Notes what is new at this daemon. */
   collect(): void {
-    const { loads, prefixes, book, overlay } = this.#sources;
+    const { loads, prefixes, crashes, book, overlay } = this.#sources;
     const changed = loads.takeChanged();
     const parts = prefixes.takeNews();
+    const crashNews = crashes.takeNews();
     const contacts = book.hasNews ? book.takeNews() : undefined;
     const outboxes = overlay.relays ? [this.#near, this.#all] : [this.#near];
     for (const outbox of outboxes) {
       outbox.addRunners(changed, loads.waits);
       outbox.addParts(parts);
+      outbox.addCrashes(crashNews);
       if (contacts !== undefined) outbox.addContacts(contacts);
     }
   }
@@ -111,14 +126,20 @@
    *
    * @returns whether there is anybody to tell.
    */
-  passOn({ name }: Peer, { changed, parts, urgent }: ToldLoads): boolean {
+  passOn({ name }: Peer, told: ToldNews): boolean {
+    const { changed, parts, crashes, urgent } = told;
     const { overlay } = this.#sources;
-    if (!overlay.relays || changed.size + parts.length === 0) return false;
-    this.#all.addRunners(changed, urgent);
-    this.#all.addParts(parts, name);
-    if (overlay.role(name) !== "child") return true;
-    this.#near.addRunners(changed, urgent);
-    this.#near.addParts(parts, name);
+    const count = changed.size + parts.length + crashes.crashed.length +
+      crashes.sound.length;
+    if (!overlay.relays || count === 0) return false;
+    const outboxes = overlay.role(name) === "child"
+      ? [this.#all, this.#near]
+      : [this.#all];
+    for (const outbox of outboxes) {
+      outbox.addRunners(changed, urgent);
+      outbox.addParts(parts, name);
+      outbox.addCrashes(crashes, name);
+    }
     return true;
   }
 
@@ -139,8 +160,11 @@
   whole(peer: Peer): State {
     const counts = this.#toldTo(peer);
     const silent = this.#sources.overlay.isSpare(peer);
-    const loads = silent ? [] : this.#sums.all(counts);
-    return { ...this.#state(NOTHING, loads, counts), whole: true };
+    if (silent) return { ...this.versionsFor(peer), whole: true };
+    const crashes = this.#sources.crashes.all(performance.now());
+    const loads = this.#sums.all(counts);
+    const state = this.#state({ ...NOTHING, crashes }, loads, counts);
+    return { ...state, whole: true };
   }
 
   /** A message that tells a peer versions only. */
@@ -181,12 +205,18 @@
   ): Buffer {
     const others: Neighbours = (name) => name !== child;
     const loads = this.#sums.without(child, everything);
-    const parts = post.parts.filter(({ from }) => from !== child);
-    return encodeMessage(this.#state({ ...post, parts }, loads, others));
+    const isOthers = ({ from }: Told) => from !== child;
+    const parts = post.parts.filter(isOthers);
+    const crashes = {
+      crashed: post.crashes.crashed.filter(isOthers),
+      sound: post.crashes.sound.filter(isOthers),
+    };
+    const news = { ...post, parts, crashes };
+    return encodeMessage(this.#state(news, loads, others));
   }
 
   #state(
-    { parts, contacts }: Pick<Post, "parts" | "contacts">,
+    { parts, contacts, crashes }: StateNews,
     loads: readonly LoadShare[],
     counts: Neighbours,
   ): State {
@@ -197,6 +227,7 @@
       whole: false,
       loads,
       parts,
+      crashes: agesOf(crashes, performance.now()),
       members: this.#sources.counts.sumBy(counts),
     };
   }
--- a/packages/router/src/connection/outbox.ts
+++ b/packages/router/src/connection/outbox.ts
@@ -4,6 +4,11 @@
  * @module
  */
 import type { ContactNews } from "../process/contact_book.ts";
+import type {
+  CrashedRun,
+  CrashNews,
+  SoundRun,
+} from "../process/crash_record.ts";
 import type { PartsNews } from "../process/prefix_record.ts";
 
 /**
@@ -11,18 +16,37 @@
  * a prompt that another one holds, once.
  */
 const MAX_PARTS = 2_000;
+/**
+ * Requests at runners that ended which one message tells: about 1 KB, with as
+ * many answers that clear some. When hundreds of runners end at once, the others
+ * wait for the next message.
+ */
+const MAX_CRASHES = 25;
+/**
+ * Those that wait; of more the oldest are left out. What ends its runners comes
+ * again, and is told then.
+ */
+const MAX_CRASHES_WAITING = 1_000;
 
-interface Told {
+/** Who told something. */
+export interface Told {
   /** Name of the neighbour that told it; none for what comes from here. */
   readonly from: string | undefined;
 }
 
+/** Requests at runners that ended, with the neighbours that told of them. */
+export interface ToldCrashes {
+  readonly crashed: readonly (CrashedRun & Told)[];
+  readonly sound: readonly (SoundRun & Told)[];
+}
+
 /** What goes out with the next messages. */
 export interface Post {
   /** Ids of runners whose loads have changed. */
   readonly runners: readonly string[];
   readonly parts: readonly (PartsNews & Told)[];
   readonly contacts: ContactNews;
+  readonly crashes: ToldCrashes;
 }
 
 /** Collects what has changed until it is sent to one group of neighbours. */
@@ -31,6 +55,8 @@
   readonly #calm = new Set<string>();
   #parts: (PartsNews & Told)[] = [];
   #contacts: ContactNews[] = [];
+  readonly #crashed: (CrashedRun & Told)[] = [];
+  readonly #sound: (SoundRun & Told)[] = [];
 
   /** Notes changed loads; urgent ones, where requests wait, go first. */
   addRunners(runners: Iterable<string>, urgent: boolean): void {
@@ -55,9 +81,15 @@
     this.#contacts.push(news);
   }
 
+  addCrashes({ crashed, sound }: CrashNews, from?: string): void {
+    wait(this.#crashed, crashed, from);
+    wait(this.#sound, sound, from);
+  }
+
   get empty(): boolean {
     return this.#urgent.size === 0 && this.#calm.size === 0 &&
-      this.#parts.length === 0 && this.#contacts.length === 0;
+      this.#parts.length === 0 && this.#contacts.length === 0 &&
+      this.#crashed.length === 0 && this.#sound.length === 0;
   }
 
   /** Whether others should know soon. */
@@ -79,6 +111,10 @@
         contacts: this.#contacts.flatMap(({ contacts }) => contacts),
         gone: this.#contacts.flatMap(({ gone }) => gone),
       },
+      crashes: {
+        crashed: this.#crashed.splice(0, MAX_CRASHES),
+        sound: this.#sound.splice(0, MAX_CRASHES),
+      },
     };
     this.#parts = [];
     this.#contacts = [];
@@ -86,6 +122,17 @@
   }
 }
 
+/** Adds crashes to those that wait, as far as there is room. */
+function wait<Item>(
+  waiting: (Item & Told)[],
+  items: readonly Item[],
+  from: string | undefined,
+): void {
+  for (const item of items) waiting.push({ ...item, from });
+  const over = waiting.length - MAX_CRASHES_WAITING;
+  if (over > 0) waiting.splice(0, over);
+}
+
 /** Takes the first of a set out of it. */
 function takeFrom(set: Set<string>, most: number): readonly string[] {
   const taken = [];
--- a/packages/router/src/connection/peer_encoding.ts
+++ b/packages/router/src/connection/peer_encoding.ts
@@ -4,6 +4,10 @@
  * @module
  */
 import { compressItem, expandItem } from "./compressed_item.ts";
+import { checkCount } from "./counts.ts";
+import { NO_CRASHES } from "./crash_ages.ts";
+import { hasCrashes, packCrashes, unpackCrashes } from "./crash_encoding.ts";
+import type { PackedCrashes } from "./crash_encoding.ts";
 import type { Contact } from "../process/contact.ts";
 import type { DeadContact } from "../process/contact_book.ts";
 import type { PartsNews } from "../process/prefix_record.ts";
@@ -64,16 +68,12 @@
   domain: number,
   contacts: readonly PackedContact[],
   gone: readonly PackedDead[],
+  /** Left out when there are none, as by daemons that know of none. */
+  crashes?: PackedCrashes,
 ];
 
 const ADDRESS = /^[^\s:]+:\d{1,5}$/;
 
-/** A count, or the sum of some. */
-function checkCount(value: unknown, field: string): number {
-  if (typeof value === "number" && value >= 0 && value < Infinity) return value;
-  throw new TypeError(`Cannot read state: "${field}" is no count`);
-}
-
 function packLoad(load: LoadShare): PackedLoad {
   return [
     load.runner,
@@ -151,7 +151,7 @@
 
 function packState(state: State): PackedState {
   const { configuration, runners, whole, members } = state;
-  return [
+  const packed = [
     configuration,
     runners,
     whole,
@@ -161,7 +161,9 @@
     members.domain,
     state.contacts.map(packContact),
     state.gone.map(({ name, incarnation }) => [name, incarnation] as const),
-  ];
+  ] as const;
+  const { crashes } = state;
+  return hasCrashes(crashes) ? [...packed, packCrashes(crashes)] : packed;
 }
 
 function unpackDead([name, incarnation]: PackedDead): DeadContact {
@@ -170,7 +172,7 @@
 
 function unpackState(packed: PackedState): State {
   const [configuration, runners, whole, loads, parts, fleet, domain] = packed;
-  const [, , , , , , , contacts, gone] = packed;
+  const [, , , , , , , contacts, gone, crashes] = packed;
   return {
     kind: "state",
     configuration,
@@ -184,6 +186,7 @@
     },
     contacts: unpackContacts(contacts),
     gone: gone.map(unpackDead),
+    crashes: crashes === undefined ? NO_CRASHES : unpackCrashes(crashes),
   };
 }
 
--- a/packages/router/src/connection/peer_link_test.ts
+++ b/packages/router/src/connection/peer_link_test.ts
@@ -6,6 +6,9 @@
 import { test } from "node:test";
 import type { TestContext } from "node:test";
 import { encodeItem } from "@umbermast/coordination/codec";
+import { encodeFrame } from "@umbermast/coordination/frame_bytes";
+import { testState } from "../../tests/fixtures.ts";
+import type { CrashAges } from "./crash_ages.ts";
 import { encodeMessage, PeerLink } from "./peer_link.ts";
 import { NO_SHARE } from "../process/share.ts";
 import { PROTOCOL } from "./peer_message.ts";
@@ -60,11 +63,9 @@
 // took up slow links: what one daemon knew of a runner reached the others after
 // a second, and prompts were read again at a third of all requests.
 test("a state arrives as it was, in a third of its plain size", async (t) => {
-  const state: PeerMessage = {
-    kind: "state",
+  const state = testState({
     configuration: 3,
     runners: 700,
-    whole: false,
     loads: Array.from({ length: 8 }, (_, index) => ({
       runner: `i-00ff00ff0${index}`,
       inFlight: 2,
@@ -88,9 +89,7 @@
       parts: [{ id: "104e7d4de2c2", tokens: 13_300 }],
     }],
     members: { fleet: 13, domain: 13 },
-    contacts: [],
-    gone: [],
-  };
+  });
   const received: PeerMessage[] = [];
   const { far, closed } = await openLink(
     t,
@@ -129,23 +128,60 @@
     t,
     (message) => received.push(message),
   );
-  far.end(encodeMessage({
-    kind: "state",
-    configuration: 1,
-    runners: 1,
-    whole: false,
+  far.end(encodeMessage(testState({
     loads: [{ ...NO_SHARE, runner: "r", inFlight: -40, waiting: [] }],
-    parts: [],
-    members: { fleet: 1, domain: 1 },
-    contacts: [],
-    gone: [],
-  }));
+  })));
   await closed;
   assert.deepEqual(received, []);
   assert.equal(faults.length, 1);
   assert.match(faults[0]!, /"inFlight"/);
 });
 
+const CRASHES: CrashAges = {
+  crashed: [{
+    runner: "r",
+    runs: [
+      { fingerprint: "one", beganAgoMs: 90, endedAgoMs: 40 },
+      { fingerprint: "two", beganAgoMs: 70, endedAgoMs: 40 },
+    ],
+  }],
+  sound: [{ fingerprint: "three", agoMs: 10 }],
+};
+
+test("what ended runners arrives as it was", async (t) => {
+  const received: PeerMessage[] = [];
+  const { far, closed } = await openLink(
+    t,
+    (message) => received.push(message),
+  );
+  const state = testState({ crashes: CRASHES });
+  far.end(encodeMessage(state));
+  await closed;
+  assert.deepEqual(received, [state]);
+});
+
+test("an age that cannot be closes the link", async (t) => {
+  const { far, closed, faults } = await openLink(t, () => {});
+  const [sound] = CRASHES.sound;
+  const crashes = { crashed: [], sound: [{ ...sound!, agoMs: NaN }] };
+  far.end(encodeMessage(testState({ crashes })));
+  await closed;
+  assert.match(faults[0]!, /"crashes.agoMs"/);
+});
+
+// Guards against daemons that lose their links while a fleet is replaced in a roll.
+test("a daemon that has no word for crashes is understood", async (t) => {
+  const received: PeerMessage[] = [];
+  const { far, closed } = await openLink(
+    t,
+    (message) => received.push(message),
+  );
+  const fields = [1, 1, false, [], [], 1, 1, [], []];
+  far.end(encodeFrame([encodeItem(fields)]));
+  await closed;
+  assert.deepEqual(received, [testState()]);
+});
+
 // One contact of many is no address. The others are as good as ever.
 test("a contact that cannot be dialled is left out", async (t) => {
   const received: PeerMessage[] = [];
--- a/packages/router/src/connection/peer_message.ts
+++ b/packages/router/src/connection/peer_message.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { CrashAges } from "./crash_ages.ts";
 import type { Contact } from "../process/contact.ts";
 import type { ContactNews } from "../process/contact_book.ts";
 import type { PartsNews } from "../process/prefix_record.ts";
@@ -62,6 +63,8 @@
   readonly whole: boolean;
   readonly loads: readonly LoadShare[];
   readonly parts: readonly PartsNews[];
+  /** Requests at runners that ended, and answers that clear some of them. */
+  readonly crashes: CrashAges;
 }
 
 /** What changed since the last one; also the heartbeat of a link. */
--- a/packages/router/src/connection/sharing.ts
+++ b/packages/router/src/connection/sharing.ts
@@ -7,9 +7,11 @@
 import type { Contact } from "../process/contact.ts";
 import { ContactBook } from "../process/contact_book.ts";
 import type { ContactNews } from "../process/contact_book.ts";
+import type { CrashRecord } from "../process/crash_record.ts";
 import type { EventLog } from "../process/event_log.ts";
 import { groupBy } from "../process/group.ts";
 import type { RunnerLoads } from "../process/runner_loads.ts";
+import { newsOf } from "./crash_ages.ts";
 import { MembershipCounts } from "./membership_counts.ts";
 import { NeighbourNews } from "./neighbour_news.ts";
 import { Overlay } from "./overlay.ts";
@@ -45,6 +47,7 @@
 /** What is shared, and who takes what peers give. */
 export interface SharedKnowledge extends VersionedKnowledge {
   readonly loads: RunnerLoads;
+  readonly crashes: CrashRecord;
 }
 
 /** Whom a daemon shares with. */
@@ -113,6 +116,7 @@
     this.#news = new NeighbourNews({
       loads: known.loads,
       prefixes: known.prefixes,
+      crashes: known.crashes,
       book: this.#book,
       counts: this.#counts,
       overlay: this.#overlay,
@@ -126,6 +130,7 @@
     this.#started = true;
     this.#known.loads.onChange(() => this.wake());
     this.#known.prefixes.onNews(() => this.wake());
+    this.#known.crashes.onNews(() => this.wake());
     this.#known.directory.onChange(() => this.wake());
     this.wake();
   }
@@ -259,8 +264,9 @@
     this.wake();
   }
 
-  /** Takes loads, and notes them for those neighbours that lack them. */
-  #takeLoads(peer: Peer, { whole, loads, parts }: State): void {
+  /** Takes what is new of runners, and notes it for neighbours that lack it. */
+  #takeLoads(peer: Peer, state: State): void {
+    const { whole, loads, parts } = state;
     const now = performance.now();
     const changed = new Set(whole ? this.#known.loads.forget(peer.name) : []);
     for (const share of loads) {
@@ -279,7 +285,9 @@
     }
     for (const news of parts) this.#known.prefixes.take(news, now);
     const urgent = loads.some(({ waiting }) => waiting.length > 0);
-    if (this.#news.passOn(peer, { changed, parts, urgent })) this.wake();
+    const crashes = this.#known.crashes.take(newsOf(state.crashes, now), now);
+    const told = { changed, parts, crashes, urgent };
+    if (this.#news.passOn(peer, told)) this.wake();
   }
 
   #roleChanged(peer: Peer, before: Role | undefined): void {
--- a/packages/router/src/connection/sharing_test.ts
+++ b/packages/router/src/connection/sharing_test.ts
@@ -4,6 +4,8 @@
 import type { TestContext } from "node:test";
 import { decodeItem } from "@umbermast/coordination/codec";
 import { LENGTH_BYTES } from "@umbermast/coordination/frame_bytes";
+import { SILENT_LOG } from "../../tests/fixtures.ts";
+import { CrashRecord } from "../process/crash_record.ts";
 import { PrefixRecord } from "../process/prefix_record.ts";
 import { RunnerDirectory } from "../process/runner_directory.ts";
 import { RunnerLoads } from "../process/runner_loads.ts";
@@ -26,6 +28,7 @@
     this.#sharing = new Sharing({
       loads: this.loads,
       prefixes: new PrefixRecord(),
+      crashes: new CrashRecord(SILENT_LOG),
       directory: new RunnerDirectory(),
       configuration: () => undefined,
       adopt() {},
@@ -38,7 +41,7 @@
         linkMbps: 10,
       },
       peers: () => this.#peers(),
-      log: { event() {}, decision() {} },
+      log: SILENT_LOG,
       relaysFrom: 25,
       controlBytesPerS: 29_000,
       offered() {},
--- /dev/null
+++ b/packages/router/src/process/crash_record.ts
@@ -0,0 +1,308 @@
+/**
+ * Which requests were at runners when these ended, and which are therefore not
+ * sent any more.
+ *
+ * @module
+ */
+import type { EventLog } from "./event_log.ts";
+
+/** A run of a request at a runner that ended meanwhile; steady ms. */
+export interface CrashedRun {
+  /** The same for each try of the request. */
+  readonly fingerprint: string;
+  /** Id of the runner's life that ended. */
+  readonly runner: string;
+  readonly beganAt: number;
+  readonly endedAt: number;
+}
+
+/** A run of a request that its runner answered whole. */
+export interface SoundRun {
+  readonly fingerprint: string;
+  /** When the answer ended, in steady ms. */
+  readonly at: number;
+}
+
+/** What is to be told to other daemons, or was told by one. */
+export interface CrashNews {
+  readonly crashed: readonly CrashedRun[];
+  /** Runs of requests that were at runners which ended before or after. */
+  readonly sound: readonly SoundRun[];
+}
+
+/** Why a request is not sent. */
+export interface Quarantine {
+  /** Runners that ended under it, one after the other. */
+  readonly ends: number;
+  /** Steady ms of the last of these ends. */
+  readonly lastEndAt: number;
+  /** Milliseconds after which it may be sent again. */
+  readonly leftMs: number;
+}
+
+/** Ends after which a request is not sent any more. */
+const ENDS = 3;
+/**
+ * The same for a request that has been answered whole before: one that comes over
+ * and over may well be at three runners in turn that end for another reason.
+ */
+const ENDS_OF_SOUND = 6;
+/** Milliseconds after the last end for which a request is not sent. */
+const QUARANTINE_MS = 600_000;
+/**
+ * Milliseconds for which ends, and whole answers, are remembered. A request that
+ * is sent again after its quarantine goes back to it at the first end.
+ */
+const MEMORY_MS = 3_600_000;
+/** Runners that are remembered of one request. */
+const MAX_RUNS = 8;
+/** Requests that are remembered: about 1 MB with the runs of each. */
+const MAX_REQUESTS = 2_000;
+/** Requests answered whole that are remembered: some 0.4 MB. */
+const MAX_SOUND = 4_000;
+/** Runs of which a daemon is told that has just been met. */
+const MAX_TOLD = 200;
+/**
+ * Milliseconds between two whole answers that count as one: what is told of them
+ * goes several ways, and each gives it another age.
+ */
+const SAME_ANSWER_MS = 2_000;
+
+interface Entry {
+  readonly runs: readonly CrashedRun[];
+  readonly soundAt: number | undefined;
+  /** Ends in turn since it was answered whole. */
+  readonly ends: number;
+  readonly lastEndAt: number;
+}
+
+const NO_RUNS: Entry = {
+  runs: [],
+  soundAt: undefined,
+  ends: 0,
+  lastEndAt: -Infinity,
+};
+
+/**
+ * Remembers, for each request that was at a runner which ended, at how many
+ * runners that happened in turn. A request that crashes whatever runs it comes
+ * again at any daemon, with another id each time: what is remembered of runners
+ * alone has it sent to the next sound runner for as long as it comes.
+ *
+ * All that is at a runner that ends is suspect. What tells the one that caused it
+ * from the others is that it was sent again after an end and the next runner
+ * ended as well: others are at one end, or are answered in between.
+ *
+ * @example
+ * ```ts
+ * const record = new CrashRecord(log);
+ * record.crashed(runs, performance.now());
+ * record.quarantine(fingerprint, performance.now())?.leftMs;
+ * ```
+ */
+export class CrashRecord {
+  readonly #log: EventLog;
+  /** By fingerprint, the one whose last end was noted first, first. */
+  readonly #entries = new Map<string, Entry>();
+  /** When requests were last answered whole, the oldest first. */
+  readonly #sound = new Map<string, number>();
+  readonly #listeners: (() => void)[] = [];
+  #crashedNews: CrashedRun[] = [];
+  #soundNews: SoundRun[] = [];
+
+  constructor(log: EventLog) {
+    this.#log = log;
+  }
+
+  /** Calls `listener` whenever something is noted here that others lack. */
+  onNews(listener: () => void): void {
+    this.#listeners.push(listener);
+  }
+
+  /** Why a request must not be sent to any runner now, if so. */
+  quarantine(fingerprint: string, now: number): Quarantine | undefined {
+    const entry = this.#entries.get(fingerprint);
+    if (entry === undefined || !isBlamed(entry)) return undefined;
+    const { ends, lastEndAt } = entry;
+    const leftMs = lastEndAt + QUARANTINE_MS - now;
+    return leftMs > 0 ? { ends, lastEndAt, leftMs } : undefined;
+  }
+
+  /** Notes requests of this daemon that were at a runner when it ended. */
+  crashed(runs: readonly CrashedRun[], now: number): void {
+    const news = runs.filter((run) => this.#add(run, now));
+    if (news.length === 0) return;
+    this.#crashedNews.push(...news);
+    this.#tell();
+  }
+
+  /** Notes that a runner has answered a request whole, here. */
+  answered(fingerprint: string, now: number): void {
+    this.#remember({ fingerprint, at: now });
+    const entry = this.#entries.get(fingerprint);
+    if (entry === undefined || entry.ends === 0) return;
+    this.#vouch({ fingerprint, at: now });
+  }
+
+  /**
+   * Takes what another daemon tells.
+   *
+   * @returns what was not known here, to be passed on.
+   */
+  take({ crashed, sound }: CrashNews, now: number): CrashNews {
+    return {
+      crashed: crashed.filter((run) => this.#add(run, now)),
+      sound: sound.filter((run) => this.#takeSound(run)),
+    };
+  }
+
+  /** What was noted here since the last call. */
+  takeNews(): CrashNews {
+    const news = { crashed: this.#crashedNews, sound: this.#soundNews };
+    this.#crashedNews = [];
+    this.#soundNews = [];
+    return news;
+  }
+
+  /**
+   * What a daemon needs to know that has just been met: first of requests that
+   * are not sent any more, then what was noted last.
+   */
+  all(now: number): CrashNews {
+    this.#forgetOld(now);
+    const entries = [...this.#entries].reverse();
+    const blamed = entries.filter(([, entry]) => isBlamed(entry));
+    const others = entries.filter(([, entry]) => !isBlamed(entry));
+    const crashed: CrashedRun[] = [];
+    const sound: SoundRun[] = [];
+    for (const [fingerprint, { runs, soundAt }] of [...blamed, ...others]) {
+      if (crashed.length + runs.length > MAX_TOLD) break;
+      crashed.push(...runs);
+      if (soundAt !== undefined) sound.push({ fingerprint, at: soundAt });
+    }
+    return { crashed, sound };
+  }
+
+  /** @returns whether the run was not known. */
+  #add(run: CrashedRun, now: number): boolean {
+    const { fingerprint, runner } = run;
+    this.#forgetOld(now);
+    const before = this.#entries.get(fingerprint) ?? NO_RUNS;
+    if (now - run.endedAt > MEMORY_MS) return false;
+    if (before.runs.some((each) => each.runner === runner)) return false;
+    const vouched = before.soundAt === undefined &&
+      this.#sound.has(fingerprint);
+    const runs = [...before.runs, run]
+      .sort((one, other) => one.endedAt - other.endedAt)
+      .slice(-MAX_RUNS);
+    this.#entries.delete(fingerprint);
+    this.#set(fingerprint, { runs, soundAt: before.soundAt });
+    if (vouched) {
+      this.#vouch({ fingerprint, at: this.#sound.get(fingerprint)! });
+    }
+    this.#logIfBlamed(fingerprint, before);
+    return true;
+  }
+
+  /** Has it known here and elsewhere that a request does not end runners. */
+  #vouch(run: SoundRun): void {
+    if (!this.#clear(run)) return;
+    this.#soundNews.push(run);
+    this.#tell();
+  }
+
+  #takeSound(run: SoundRun): boolean {
+    const known = this.#sound.get(run.fingerprint) ?? -Infinity;
+    if (run.at - known <= SAME_ANSWER_MS) return false;
+    this.#remember(run);
+    this.#clear(run);
+    return true;
+  }
+
+  /** @returns whether it changes what is known. */
+  #clear({ fingerprint, at }: SoundRun): boolean {
+    const entry = this.#entries.get(fingerprint);
+    if (entry === undefined) return false;
+    const { runs, soundAt = -Infinity } = entry;
+    if (at <= soundAt) return false;
+    this.#set(fingerprint, { runs, soundAt: at });
+    return true;
+  }
+
+  #remember({ fingerprint, at }: SoundRun): void {
+    this.#sound.delete(fingerprint);
+    this.#sound.set(fingerprint, at);
+    for (const [oldest, since] of this.#sound) {
+      const old = at - since > MEMORY_MS;
+      if (!old && this.#sound.size <= MAX_SOUND) break;
+      this.#sound.delete(oldest);
+    }
+  }
+
+  #set(
+    fingerprint: string,
+    entry: Pick<Entry, "runs" | "soundAt">,
+  ): void {
+    const { runs, soundAt } = entry;
+    this.#entries.set(fingerprint, {
+      runs,
+      soundAt,
+      ends: endsInTurn(runs, soundAt ?? -Infinity),
+      lastEndAt: runs.at(-1)!.endedAt,
+    });
+  }
+
+  /** Makes room, first of what is too old, then of requests that are still sent. */
+  #forgetOld(now: number): void {
+    for (const [fingerprint, { lastEndAt }] of this.#entries) {
+      if (now - lastEndAt <= MEMORY_MS) break;
+      this.#entries.delete(fingerprint);
+    }
+    for (const unblamed of [true, false]) {
+      for (const [fingerprint, entry] of this.#entries) {
+        if (this.#entries.size <= MAX_REQUESTS) return;
+        if (unblamed && isBlamed(entry)) continue;
+        this.#entries.delete(fingerprint);
+      }
+    }
+  }
+
+  #tell(): void {
+    for (const listener of this.#listeners) listener();
+  }
+
+  #logIfBlamed(fingerprint: string, before: Entry): void {
+    const entry = this.#entries.get(fingerprint)!;
+    if (!isBlamed(entry) || isBlamed(before)) return;
+    this.#log.event("request_quarantined", {
+      fingerprint,
+      ends: entry.ends,
+      runners: entry.runs.map(({ runner }) => runner).join(","),
+      span_ms: Math.round(entry.lastEndAt - entry.runs[0]!.beganAt),
+      answered_before: entry.soundAt !== undefined,
+    });
+  }
+}
+
+function isBlamed({ ends, soundAt }: Entry): boolean {
+  return ends >= (soundAt === undefined ? ENDS : ENDS_OF_SOUND);
+}
+
+/**
+ * How many runs each began after the one before had ended its runner. Runs that
+ * overlap count once: when a failure domain loses power, all runners at which a
+ * request is end at once, whatever the request.
+ *
+ * @param runs in the order of their ends.
+ * @param since steady ms before which none counts.
+ */
+function endsInTurn(runs: readonly CrashedRun[], since: number): number {
+  let ends = 0;
+  let free = since;
+  for (const { beganAt, endedAt } of runs) {
+    if (beganAt < free) continue;
+    ends += 1;
+    free = endedAt;
+  }
+  return ends;
+}
--- a/packages/router/src/request/daemon.ts
+++ b/packages/router/src/request/daemon.ts
@@ -5,6 +5,7 @@
  */
 import type { BrokenRun } from "../connection/crash_watch.ts";
 import type { RunnerConnections } from "../connection/runner_connections.ts";
+import type { CrashRecord } from "../process/crash_record.ts";
 import type { EventLog } from "../process/event_log.ts";
 import type { Pulse } from "../process/pulse.ts";
 import type { PrefixRecord } from "../process/prefix_record.ts";
@@ -26,6 +27,8 @@
   readonly loads: RunnerLoads;
   readonly metrics: RequestMetrics;
   readonly prefixes: PrefixRecord;
+  /** Requests that end the runners which run them. */
+  readonly crashes: CrashRecord;
   /** Wakes requests that wait for room. */
   readonly pulse: Pulse;
   /** Whether new requests are refused, because the process ends soon. */
--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Buffer } from "node:buffer";
+import type { Quarantine } from "../process/crash_record.ts";
 import type { Placed } from "../process/runner_load.ts";
 import { AnswerRelay } from "./answer_relay.ts";
 import type { Passed, TryParts } from "./answer_relay.ts";
@@ -12,9 +13,9 @@
 import type { CallHead } from "./call.ts";
 import type { Caller } from "./caller.ts";
 import type { Daemon } from "./daemon.ts";
-import { logChoice } from "./exchange_log.ts";
+import { logChoice, logQuarantine } from "./exchange_log.ts";
 import { fingerprintOf } from "./fingerprint.ts";
-import { notRun, overloaded } from "./not_run.ts";
+import { notRun, overloaded, quarantined } from "./not_run.ts";
 import { outcomeName } from "./outcome.ts";
 import type { Outcome } from "./outcome.ts";
 import type { Choice } from "./placement.ts";
@@ -115,6 +116,8 @@
     }
     this.#fingerprint = this.#fingerprintOf(subject, whole.body);
     this.#daemon.budget(subject.service.name).request(this.#daemon.now());
+    const quarantine = this.#quarantine();
+    if (quarantine !== undefined) return this.#refuse(subject, quarantine);
     return await this.#tryRunners(subject, whole.body);
   }
 
@@ -134,7 +137,7 @@
     const search = new RunnerSearch(this.#daemon, subject, {
       since: this.#startedAt,
       expiresAt: this.#expiresAt,
-      over: () => this.#expired || this.#caller.left,
+      over: () => this.#endedByUs() || this.#quarantine() !== undefined,
     });
     for (;;) {
       if (this.#caller.left) return { kind: "left" };
@@ -144,6 +147,10 @@
         tried: this.#tried,
         reachedNone: this.#attempts === 0,
       });
+      const quarantine = this.#quarantine();
+      if (quarantine !== undefined) {
+        return fallback?.() ?? this.#refuse(subject, quarantine);
+      }
       if (choice === "overloaded") {
         return fallback?.() ?? this.#refuseOverload();
       }
@@ -271,6 +278,7 @@
 
   #ended(subject: Subject, passed: Passed): Try {
     if (passed.kind === "broken") return this.#repeat(passed.reason);
+    this.#daemon.crashes.answered(this.#fingerprint, this.#daemon.now());
     const { status } = passed;
     const outcome: Outcome = { kind: "answered", status };
     if (passed.kind === "answered") return { kind: "done", outcome };
@@ -324,6 +332,23 @@
     return { kind: "refused", refusal };
   }
 
+  /** Whether the request must not be sent, as runners end that run it. */
+  #quarantine(): Quarantine | undefined {
+    const { crashes } = this.#daemon;
+    return crashes.quarantine(this.#fingerprint, this.#daemon.now());
+  }
+
+  #refuse({ call }: Subject, quarantine: Quarantine): Outcome {
+    const code = "quarantined";
+    logQuarantine(this.#daemon, call.id, {
+      quarantine,
+      fingerprint: this.#fingerprint,
+    });
+    if (this.#mayHaveRun) return this.#failure(code);
+    const refusal = quarantined(quarantine.leftMs);
+    return { kind: "refused", refusal };
+  }
+
   #refuseOverload(): Outcome {
     const refusal = overloaded(this.#left(), this.#daemon.random());
     return { kind: "refused", refusal };
--- a/packages/router/src/request/exchange_log.ts
+++ b/packages/router/src/request/exchange_log.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { Quarantine } from "../process/crash_record.ts";
 import type { Turn } from "../process/runner_queue.ts";
 import type { Daemon } from "./daemon.ts";
 import type { Choice } from "./placement.ts";
@@ -61,6 +62,21 @@
   });
 }
 
+/** Tells that a request is not sent since runners end under it. */
+export function logQuarantine(
+  daemon: Daemon,
+  requestId: string,
+  refused: { readonly quarantine: Quarantine; readonly fingerprint: string },
+): void {
+  const { quarantine, fingerprint } = refused;
+  daemon.log.decision("quarantine_kept", requestId, {
+    fingerprint,
+    ends: quarantine.ends,
+    last_end_age_ms: Math.round(daemon.now() - quarantine.lastEndAt),
+    left_ms: Math.round(quarantine.leftMs),
+  });
+}
+
 /** Tells which runner was chosen, and what was known of it. */
 export function logChoice(
   daemon: Daemon,
--- a/packages/router/src/request/not_run.ts
+++ b/packages/router/src/request/not_run.ts
@@ -22,6 +22,16 @@
   return { status: UNAVAILABLE, code, retryAfterMs };
 }
 
+/**
+ * Refuses what has ended the runners that ran it. It would end the next one too,
+ * so there is no use in coming back before that may have changed.
+ *
+ * @param leftMs time for which it is not sent.
+ */
+export function quarantined(leftMs: number): Refusal {
+  return { status: UNAVAILABLE, code: "quarantined", retryAfterMs: leftMs };
+}
+
 /**
  * Sends the caller away for as long as it will wait: overload lasts seconds,
  * and callers that come back at once find the same.
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -17,6 +17,7 @@
   createMetricsServer,
   createReadinessServer,
 } from "./connection/status_server.ts";
+import { CrashRecord } from "./process/crash_record.ts";
 import type { EventLog } from "./process/event_log.ts";
 import { MemorySurvey } from "./process/memory_survey.ts";
 import type { EngineMemory } from "./process/memory_survey.ts";
@@ -74,6 +75,7 @@
   readonly connections = new RunnerConnections();
   readonly loads = new RunnerLoads();
   readonly prefixes = new PrefixRecord();
+  readonly crashes: CrashRecord;
   readonly pulse = new Pulse(ROOM_LOOK_MS);
   readonly metrics = new RequestMetrics();
   readonly log: EventLog;
@@ -86,7 +88,7 @@
   readonly #neighbourhood: Neighbourhood;
   readonly #survey: MemorySurvey;
   readonly #restarts: RestartWatch;
-  readonly #crashes: CrashWatch;
+  readonly #crashWatch: CrashWatch;
   #surveyed = false;
   #statusServers: readonly Server[] = [];
   #configuration: Configuration | undefined;
@@ -96,6 +98,7 @@
     this.#settings = settings;
     this.dialect = platform.dialect;
     this.log = log;
+    this.crashes = new CrashRecord(log);
     this.#lifecycle = new Lifecycle(log);
     this.#lifecycle.require("configuration", () => this.#table !== undefined);
     this.#lifecycle.require("runners", () => this.#directory.revision > 0);
@@ -115,6 +118,7 @@
     this.#neighbourhood = new Neighbourhood({
       loads: this.loads,
       prefixes: this.prefixes,
+      crashes: this.crashes,
       directory: this.#directory,
       configuration: () => this.#configuration,
       adopt: (configuration, source) => this.#adopt(configuration, source),
@@ -137,7 +141,11 @@
       directory: this.#directory,
       log,
     });
-    this.#crashes = new CrashWatch({ log, metrics: this.metrics });
+    this.#crashWatch = new CrashWatch({
+      log,
+      metrics: this.metrics,
+      record: this.crashes,
+    });
     this.#directory.onChange(() => this.#runnersChanged());
   }
 
@@ -188,7 +196,7 @@
   }
 
   connectionBroke(runner: Runner, run: BrokenRun): void {
-    this.#crashes.brokeOff(runner, run);
+    this.#crashWatch.brokeOff(runner, run);
     if (this.#table?.service(runner.service)?.engine === undefined) return;
     void this.#restarts.suspect(runner);
   }
--- a/packages/router/tests/crashing_fleet.ts
+++ b/packages/router/tests/crashing_fleet.ts
@@ -56,6 +56,7 @@
   readonly #listed = new Map<string, Runner>();
   readonly #route: Partial<Route>;
   #names = 0;
+  #size = 0;
   #over = false;
 
   private constructor(context: TestContext, route: Partial<Route>) {
@@ -71,6 +72,7 @@
     readonly route?: Partial<Route>;
   }): Promise<CrashingFleet> {
     const fleet = new CrashingFleet(context, shape.route ?? {});
+    fleet.#size = shape.runners;
     for (let index = 0; index < shape.runners; index++) await fleet.#enter();
     for (let index = 0; index < shape.routers; index++) await fleet.addRouter();
     return fleet;
@@ -104,6 +106,18 @@
     return router;
   }
 
+  /** Waits until another runner has taken the place of each that ended. */
+  async restored(): Promise<void> {
+    await until(() => this.#listed.size === this.#size);
+    const names = [...this.#listed.keys()].sort().join();
+    await until(() =>
+      this.routers.every((router) =>
+        router.fleet("service").runners.map(({ id }) => id).sort().join() ===
+          names
+      )
+    );
+  }
+
   /** Requests whose body begins so that have reached runners. */
   arrived(body: string): number {
     return this.arrivals.filter((each) => each.startsWith(body)).length;
--- a/packages/router/tests/crashing_request_test.ts
+++ b/packages/router/tests/crashing_request_test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import { setTimeout as pause } from "node:timers/promises";
 import { CRASHING, CrashingFleet } from "./crashing_fleet.ts";
-import { call } from "./fixtures.ts";
+import { call, until } from "./fixtures.ts";
 import type { CallerAnswer } from "./fixtures.ts";
 
 /** Milliseconds in which daemons that are in touch know what one of them does. */
@@ -12,6 +12,7 @@
 /** Sends of it that are allowed after that. */
 const ALLOWED = 3;
 const TRIES = 20;
+const SHAPE = { routers: 3, runners: 8 };
 
 interface Sender {
   /** Sends a request with a body to the next router. */
@@ -32,6 +33,16 @@
   };
 }
 
+/** Sends the request that ends runners until all routers know it for that. */
+async function endRunners(fleet: CrashingFleet, send: Sender): Promise<void> {
+  while (fleet.ends < ENDS) await send(CRASHING);
+  const refused = new Set<number>();
+  for (let tries = 0; refused.size < fleet.routers.length; tries++) {
+    const { status } = await send(CRASHING);
+    if (status === 503) refused.add(tries % fleet.routers.length);
+  }
+}
+
 // Guards against a request that is known to end its runners being sent to more.
 test("a request that ended three runners is sent to no more than three others", async (t) => {
   const fleet = await CrashingFleet.start(t, { routers: 7, runners: 12 });
@@ -41,5 +52,58 @@
   const before = fleet.arrived(CRASHING);
   for (let tries = 0; tries < TRIES; tries++) await send(CRASHING);
   const arrived = fleet.arrived(CRASHING) - before;
+  t.diagnostic(`${fleet.ends} ends, sent ${arrived} times after`);
   assert.ok(arrived <= ALLOWED, `sent ${arrived} times more`);
 });
+
+// Guards against refusals of what only resembles the request that ends runners.
+test("other bodies of its caller on its path, and repeated ones, stay served", async (t) => {
+  const fleet = await CrashingFleet.start(t, SHAPE);
+  const send = callerOf(fleet);
+  while (fleet.ends < ENDS) {
+    await Promise.all([send(CRASHING), send("poll"), send("poll")]);
+  }
+  await fleet.restored();
+  for (let tries = 0; tries < TRIES; tries++) {
+    const [same, other] = [await send("poll"), await send(`other-${tries}`)];
+    assert.deepEqual([same.status, other.status], [200, 200]);
+  }
+});
+
+// Guards against "not run" for what has run, and against callers left waiting.
+test("it is refused at once, told when to come back, and has not run", async (t) => {
+  const fleet = await CrashingFleet.start(t, SHAPE);
+  const send = callerOf(fleet);
+  await endRunners(fleet, send);
+  const before = fleet.arrivals.length;
+  const { status, body, headers } = await send(CRASHING);
+  assert.equal(status, 503);
+  assert.deepEqual(JSON.parse(body), { error: "quarantined" });
+  assert.ok(Number(headers["retry-after"]) > 0);
+  assert.equal(fleet.arrivals.length, before);
+});
+
+// Guards against own retries that carry the request from runner to runner.
+test("one try that may be repeated ends few runners and is not told not to have run", async (t) => {
+  const route = {
+    repetition: "idempotent",
+    maxAttempts: 8,
+    targetMs: 2_000,
+  } as const;
+  const fleet = await CrashingFleet.start(t, { ...SHAPE, route });
+  const { status } = await callerOf(fleet)(CRASHING);
+  assert.equal(status, 502);
+  assert.ok(fleet.ends <= ENDS + ALLOWED, `${fleet.ends} ends`);
+});
+
+// Guards against a restarted daemon that has to learn by ends of runners.
+test("a daemon that starts later refuses it from its peers' word", async (t) => {
+  const fleet = await CrashingFleet.start(t, SHAPE);
+  await endRunners(fleet, callerOf(fleet));
+  const router = await fleet.addRouter();
+  const send = () => call(router, { method: "POST", body: CRASHING });
+  const before = fleet.arrived(CRASHING);
+  await until(() => router.crashes.all(router.now()).crashed.length > 0);
+  assert.equal((await send()).status, 503);
+  assert.equal(fleet.arrived(CRASHING), before);
+});
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -9,6 +9,8 @@
 import type { AddressInfo, Socket } from "node:net";
 import { text } from "node:stream/consumers";
 import type { TestContext } from "node:test";
+import { NO_CRASHES } from "../src/connection/crash_ages.ts";
+import type { State } from "../src/connection/peer_message.ts";
 import type { DaemonRegistry } from "../src/process/daemon_registry.ts";
 import type { EventLog } from "../src/process/event_log.ts";
 import { FeedError } from "../src/process/feed.ts";
@@ -66,6 +68,23 @@
   return "name" in value ? String(value.name) : undefined;
 }
 
+/** A message between daemons that tells nothing. */
+export function testState(fields: Partial<State> = {}): State {
+  return {
+    kind: "state",
+    configuration: 1,
+    runners: 1,
+    whole: false,
+    loads: [],
+    parts: [],
+    crashes: NO_CRASHES,
+    members: { fleet: 1, domain: 1 },
+    contacts: [],
+    gone: [],
+    ...fields,
+  };
+}
+
 /** A feed whose values a test sets. */
 export class SettableFeed<T extends object> implements Feed<T> {
   #listing: Listing<T>;
--- a/packages/router/tests/fleet.ts
+++ b/packages/router/tests/fleet.ts
@@ -17,6 +17,7 @@
   PeerNetwork,
 } from "../src/connection/peer_network.ts";
 import type { Contact } from "../src/process/contact.ts";
+import { CrashRecord } from "../src/process/crash_record.ts";
 import { FeedError } from "../src/process/feed.ts";
 import type { Changes, Feed, Listing } from "../src/process/feed.ts";
 import type { Fields } from "../src/process/line.ts";
@@ -26,7 +27,8 @@
 import { RunnerLoads } from "../src/process/runner_loads.ts";
 import type { Placed } from "../src/process/runner_load.ts";
 import type { Configuration } from "../src/version/configuration.ts";
-import type { FakeClock } from "./fake_clock.ts";
+import type { TestContext } from "node:test";
+import { FakeClock } from "./fake_clock.ts";
 import { testConfiguration } from "./fixtures.ts";
 
 /** One way between daemons, in ms. */
@@ -246,6 +248,7 @@
   readonly contact: Contact;
   readonly loads = new RunnerLoads();
   readonly prefixes = new PrefixRecord();
+  readonly crashes: CrashRecord;
   readonly directory = new RunnerDirectory();
   readonly links = new Set<FakeLink>();
   readonly events: { readonly name: string; readonly fields: Fields }[] = [];
@@ -273,9 +276,11 @@
       },
       decision() {},
     };
+    this.crashes = new CrashRecord(log);
     this.neighbourhood = new Neighbourhood({
       loads: this.loads,
       prefixes: this.prefixes,
+      crashes: this.crashes,
       directory: this.directory,
       configuration: () => this.configuration,
       adopt: (configuration) => this.#adopt(configuration),
@@ -488,3 +493,28 @@
     warmUpMs: 0,
   }));
 }
+
+/** Fleets of today, of the large deployments and of the planned size. */
+export const SIZES: readonly FleetShape[] = [
+  { daemons: 8, domains: 3 },
+  { daemons: 72, domains: 3 },
+  { daemons: 380, domains: 6 },
+];
+
+/** Milliseconds after a start in which all links are as they stay. */
+const SETTLED_MS = 8_000;
+
+/** A fleet that has been up for a while, with its clock. */
+export async function settledFleet(
+  t: TestContext,
+  shape: FleetShape,
+  seed = 1,
+): Promise<{ readonly clock: FakeClock; readonly fleet: Fleet }> {
+  const clock = new FakeClock(t, seed);
+  const fleet = new Fleet(clock, shape);
+  await fleet.startAll();
+  fleet.configure(1);
+  await clock.pass(SETTLED_MS);
+  fleet.resetCounts();
+  return { clock, fleet };
+}
--- a/packages/router/tests/fleet_test.ts
+++ b/packages/router/tests/fleet_test.ts
@@ -1,39 +1,14 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { TestContext } from "node:test";
-import { FakeClock } from "./fake_clock.ts";
-import { FakeLink, Fleet } from "./fleet.ts";
+import { FakeLink, settledFleet, SIZES } from "./fleet.ts";
 import type { FleetShape, Member } from "./fleet.ts";
+import { testState } from "./fixtures.ts";
 
-const SIZES: readonly FleetShape[] = [
-  { daemons: 8, domains: 3 },
-  { daemons: 72, domains: 3 },
-  { daemons: 380, domains: 6 },
-];
 /** Two hops in a failure domain, one between them, two in the other one. */
 const SPREAD_MS = 500;
 /** From a lost neighbour until its successor serves, its silence included. */
 const TAKEOVER_MS = 5_000;
-const SETTLED_MS = 8_000;
-
-interface Settled {
-  readonly clock: FakeClock;
-  readonly fleet: Fleet;
-}
-
-async function settledFleet(
-  t: TestContext,
-  shape: FleetShape,
-  seed = 1,
-): Promise<Settled> {
-  const clock = new FakeClock(t, seed);
-  const fleet = new Fleet(clock, shape);
-  await fleet.startAll();
-  fleet.configure(1);
-  await clock.pass(SETTLED_MS);
-  fleet.resetCounts();
-  return { clock, fleet };
-}
 
 /** Each daemon knows of all requests at a runner, each of them once. */
 function assertAllBelieve(
@@ -211,14 +186,7 @@
   const { clock, fleet } = await settledFleet(t, LARGE);
   const [head] = fleet.domain(0);
   const liar = [...head!.links][0]!;
-  liar.send({
-    kind: "state",
-    configuration: 1,
-    runners: 1,
-    whole: false,
-    loads: [],
-    parts: [],
-    members: { fleet: 1, domain: 1 },
+  liar.send(testState({
     contacts: Array.from({ length: 8 }, (_, index) => ({
       name: `ghost-${index}`,
       incarnation: "1",
@@ -226,8 +194,7 @@
       failureDomain: "d-0",
       linkMbps: 10_000,
     })),
-    gone: [],
-  });
+  }));
   await clock.pass(20_000);
   fleet.members[7]!.place("r-1");
   await clock.pass(SPREAD_MS);
