--- a/packages/testing/src/process/fault_proxy.ts
+++ b/packages/testing/src/process/fault_proxy.ts
@@ -143,6 +143,17 @@
     }
   }
 
+  /** Refuses connections, as the target does when its process has ended. */
+  refuse(): void {
+    this.#server.close();
+  }
+
+  /** Takes connections again, at the same port. */
+  async accept(): Promise<void> {
+    if (this.#server.listening) return;
+    await listenOn(this.#server, this.port);
+  }
+
   /** Ends the proxy and all its connections. */
   async close(): Promise<void> {
     for (const link of this.#links) link.cut();
@@ -187,11 +198,15 @@
 
 async function listen(port: number): Promise<Server> {
   const server = createServer({ allowHalfOpen: true });
-  await new Promise<void>((resolve, reject) => {
+  await listenOn(server, port);
+  return server;
+}
+
+function listenOn(server: Server, port: number): Promise<void> {
+  return new Promise((resolve, reject) => {
     server.once("error", reject);
     server.listen(port, ADDRESS, resolve);
   });
-  return server;
 }
 
 /** Answers still to be struck. */
