--- /dev/null
+++ b/packages/router/src/request/runner_tries.ts
@@ -0,0 +1,194 @@
+/**
+ * One try of a request at the runner that was chosen for it.
+ *
+ * @module
+ */
+import type { Buffer } from "node:buffer";
+import type { Placed } from "../process/runner_load.ts";
+import { AnswerRelay } from "./answer_relay.ts";
+import type { Passed, TryParts } from "./answer_relay.ts";
+import type { Attempt, Sent } from "./attempt.ts";
+import { attemptOf } from "./attempt_of.ts";
+import type { Caller } from "./caller.ts";
+import type { Daemon } from "./daemon.ts";
+import { logChoice } from "./exchange_log.ts";
+import type { Outcome } from "./outcome.ts";
+import type { OwnOutcomes } from "./own_outcomes.ts";
+import type { Choice } from "./placement.ts";
+import type { Progress } from "./progress.ts";
+import { Silence } from "./silence.ts";
+import type { Subject } from "./subject.ts";
+
+/** Targets without a first event after which a stream is tried elsewhere. */
+const STREAM_SILENCE = 2;
+/** Targets without an answer after which an idempotent request is. */
+const WHOLE_SILENCE = 1;
+
+/** What one try came to. */
+export type Tried =
+  | { readonly kind: "done"; readonly outcome: Outcome }
+  /** Another runner may be tried; `fallback` answers if none is. */
+  | {
+    readonly kind: "again";
+    readonly reason: string;
+    readonly fallback: () => Outcome;
+  };
+
+/** Tries runners for one request, one after the other. */
+export class RunnerTries {
+  readonly #daemon: Daemon;
+  readonly #caller: Caller;
+  readonly #progress: Progress;
+  readonly #own: OwnOutcomes;
+  readonly #relay: AnswerRelay;
+  #attempt: Attempt | undefined;
+
+  constructor(daemon: Daemon, caller: Caller, parts: {
+    readonly progress: Progress;
+    readonly own: OwnOutcomes;
+  }) {
+    this.#daemon = daemon;
+    this.#caller = caller;
+    this.#progress = parts.progress;
+    this.#own = parts.own;
+    this.#relay = new AnswerRelay(daemon, caller, {
+      endedByUs: () => parts.progress.over,
+    });
+  }
+
+  /** Events that were passed on; none when the answer is no stream. */
+  get events(): number | undefined {
+    return this.#relay.events;
+  }
+
+  /** Ends the try that goes on, if any. */
+  cancel(reason: string): void {
+    this.#attempt?.cancel(reason);
+  }
+
+  /** Sends to one runner and passes on what comes. */
+  async at(choice: Choice, subject: Subject, body: Buffer): Promise<Tried> {
+    const { call } = subject;
+    const { runner } = choice;
+    const { fingerprint, leftMs } = this.#progress;
+    const load = this.#daemon.loads.of(runner.id);
+    const placed: Placed = {
+      unreadTokens: choice.unreadTokens,
+      memoryTokens: call.promptTokens + call.answerTokens,
+      tight: choice.tight,
+    };
+    const sentAt = this.#daemon.now();
+    this.#progress.tried.add(runner.id);
+    logChoice(this.#daemon, subject, { choice, fingerprint, leftMs });
+    load.place(placed, sentAt);
+    this.#daemon.prefixes.sent(runner.id, call.prompt, sentAt);
+    const attempt = attemptOf(this.#daemon, subject, {
+      request: this.#caller.request,
+      choice,
+      body,
+      leftMs,
+      lastEventId: this.#relay.lastId,
+    });
+    this.#attempt = attempt;
+    const silence = this.#watchSilence(subject, attempt);
+    try {
+      const sent = await attempt.start();
+      if (attempt.left) this.#progress.attempts += 1;
+      const beganAt = sent.kind === "answer" ? this.#daemon.now() : sentAt;
+      return await this.#take(subject, sent, {
+        load,
+        placed,
+        attempt,
+        silence,
+        run: { fingerprint, beganAt },
+      });
+    } finally {
+      silence.stop();
+      load.release(placed);
+    }
+  }
+
+  /**
+   * A runner that says nothing for long is given up where another one may go
+   * on: callers leave a silent stream after two seconds or more.
+   */
+  #watchSilence({ route }: Subject, attempt: Attempt): Silence {
+    const last = route.maxAttempts <= this.#progress.attempts + 1;
+    if (route.repetition === "never" || last) return new Silence(() => {});
+    const silence = new Silence(() => attempt.cancel("silent"));
+    const spans = route.streaming ? STREAM_SILENCE : WHOLE_SILENCE;
+    silence.expect(spans * route.targetMs);
+    return silence;
+  }
+
+  async #take(subject: Subject, sent: Sent, parts: TryParts): Promise<Tried> {
+    const { load } = parts;
+    const now = this.#daemon.now();
+    if (sent.kind === "answer" || sent.kind === "not-run") load.heard(now);
+    switch (sent.kind) {
+      case "unsent":
+        if (!this.#progress.over) load.failed(now);
+        return again(
+          sent.reason,
+          () => this.#own.refusal("runner_unreachable"),
+        );
+      case "broken":
+        return this.#broke(sent.reason, parts);
+      case "not-run":
+        if (sent.head.load !== undefined) load.reported(sent.head.load, now);
+        if (sent.head.otherRunner) load.failed(now);
+        return again(
+          "refused by runner",
+          () => this.#own.refusal("runner_full"),
+        );
+      case "answer":
+        this.#progress.mayHaveRun = true;
+        if (sent.head.load !== undefined) load.reported(sent.head.load, now);
+        return this.#ended(
+          subject,
+          await this.#relay.pass(subject, sent, parts),
+        );
+    }
+  }
+
+  /** The connection broke before the head of an answer. */
+  #broke(reason: string, { attempt, load, run }: TryParts): Tried {
+    this.#progress.mayHaveRun = true;
+    // The connection may have gone silent, and its siblings with it.
+    if (!this.#caller.left) this.#daemon.connections.dropIdle(attempt.runner);
+    if (!this.#progress.over) {
+      load.failed(this.#daemon.now());
+      this.#daemon.connectionBroke(attempt.runner, run);
+    }
+    return this.#repeat(reason);
+  }
+
+  #ended(subject: Subject, passed: Passed): Tried {
+    if (passed.kind === "broken") return this.#repeat(passed.reason);
+    const { fingerprint, over } = this.#progress;
+    this.#daemon.crashes.answered(fingerprint, this.#daemon.now());
+    const { status } = passed;
+    const outcome: Outcome = { kind: "answered", status };
+    if (passed.kind === "answered") return { kind: "done", outcome };
+    const answer = () => {
+      passed.answer();
+      return outcome;
+    };
+    // The runner failed by itself; its answer stands if no other does better.
+    const mayRepeat = subject.route.repetition !== "never" && !over;
+    if (mayRepeat) return again(`status ${status}`, answer);
+    return { kind: "done", outcome: answer() };
+  }
+
+  /** Another try after one that may have run, where the route allows it. */
+  #repeat(reason: string): Tried {
+    if (this.#progress.expired) {
+      return { kind: "done", outcome: this.#own.timeout() };
+    }
+    return again(reason, () => this.#own.failure(reason));
+  }
+}
+
+function again(reason: string, fallback: () => Outcome): Tried {
+  return { kind: "again", reason, fallback };
+}
