Take back from runners a request that has just been quarantined

A try that waits in a runner's queue when the third runner ends is run there a moment later, and that runner ends, too, with all that is there.

A try without a head of an answer is cancelled when its request is quarantined; its caller gets 502, as it may have run. Test: crashing_request_test.ts, "tries that wait at runners are taken back from them", which waits for the route's timeout without the change. What is known of one request (crash_entry.ts) is a module of its own now.

--- a/packages/router/src/connection/crash_ages.ts
+++ b/packages/router/src/connection/crash_ages.ts
@@ -3,11 +3,8 @@
  *
  * @module
  */
-import type {
-  CrashedRun,
-  CrashNews,
-  SoundRun,
-} from "../process/crash_record.ts";
+import type { CrashedRun, SoundRun } from "../process/crash_entry.ts";
+import type { CrashNews } from "../process/crash_record.ts";
 import { groupBy } from "../process/group.ts";
 
 /** Requests that were at one runner when it ended. */
--- a/packages/router/src/connection/crash_watch.ts
+++ b/packages/router/src/connection/crash_watch.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import { connect } from "node:net";
-import type { CrashedRun, CrashRecord } from "../process/crash_record.ts";
+import type { CrashedRun } from "../process/crash_entry.ts";
+import type { CrashRecord } from "../process/crash_record.ts";
 import type { EventLog } from "../process/event_log.ts";
 import type { RequestMetrics } from "../process/metrics.ts";
 import type { Runner } from "../process/runner.ts";
--- a/packages/router/src/connection/outbox.ts
+++ b/packages/router/src/connection/outbox.ts
@@ -4,11 +4,8 @@
  * @module
  */
 import type { ContactNews } from "../process/contact_book.ts";
-import type {
-  CrashedRun,
-  CrashNews,
-  SoundRun,
-} from "../process/crash_record.ts";
+import type { CrashedRun, SoundRun } from "../process/crash_entry.ts";
+import type { CrashNews } from "../process/crash_record.ts";
 import type { PartsNews } from "../process/prefix_record.ts";
 
 /**
--- a/packages/router/src/process/crash_record.ts
+++ b/packages/router/src/process/crash_record.ts
@@ -4,25 +4,10 @@
  *
  * @module
  */
+import { isBlamed, NO_ENDS, withAnswer, withRun } from "./crash_entry.ts";
+import type { CrashedRun, CrashEntry, SoundRun } from "./crash_entry.ts";
 import type { EventLog } from "./event_log.ts";
 
-/** A run of a request at a runner that ended meanwhile; steady ms. */
-export interface CrashedRun {
-  /** The same for each try of the request. */
-  readonly fingerprint: string;
-  /** Id of the runner's life that ended. */
-  readonly runner: string;
-  readonly beganAt: number;
-  readonly endedAt: number;
-}
-
-/** A run of a request that its runner answered whole. */
-export interface SoundRun {
-  readonly fingerprint: string;
-  /** When the answer ended, in steady ms. */
-  readonly at: number;
-}
-
 /** What is to be told to other daemons, or was told by one. */
 export interface CrashNews {
   readonly crashed: readonly CrashedRun[];
@@ -40,13 +25,6 @@
   readonly leftMs: number;
 }
 
-/** Ends after which a request is not sent any more. */
-const ENDS = 3;
-/**
- * The same for a request that has been answered whole before: one that comes over
- * and over may well be at three runners in turn that end for another reason.
- */
-const ENDS_OF_SOUND = 6;
 /** Milliseconds after the last end for which a request is not sent. */
 const QUARANTINE_MS = 600_000;
 /**
@@ -54,8 +32,6 @@
  * is sent again after its quarantine goes back to it at the first end.
  */
 const MEMORY_MS = 3_600_000;
-/** Runners that are remembered of one request. */
-const MAX_RUNS = 8;
 /** Requests that are remembered: about 1 MB with the runs of each. */
 const MAX_REQUESTS = 2_000;
 /** Requests answered whole that are remembered: some 0.4 MB. */
@@ -68,21 +44,6 @@
  */
 const SAME_ANSWER_MS = 2_000;
 
-interface Entry {
-  readonly runs: readonly CrashedRun[];
-  readonly soundAt: number | undefined;
-  /** Ends in turn since it was answered whole. */
-  readonly ends: number;
-  readonly lastEndAt: number;
-}
-
-const NO_RUNS: Entry = {
-  runs: [],
-  soundAt: undefined,
-  ends: 0,
-  lastEndAt: -Infinity,
-};
-
 /**
  * Remembers, for each request that was at a runner which ended, at how many
  * runners that happened in turn. A request that crashes whatever runs it comes
@@ -103,10 +64,12 @@
 export class CrashRecord {
   readonly #log: EventLog;
   /** By fingerprint, the one whose last end was noted first, first. */
-  readonly #entries = new Map<string, Entry>();
+  readonly #entries = new Map<string, CrashEntry>();
   /** When requests were last answered whole, the oldest first. */
   readonly #sound = new Map<string, number>();
   readonly #listeners: (() => void)[] = [];
+  /** Called when a request is quarantined, by its fingerprint. */
+  readonly #watchers = new Map<string, Set<() => void>>();
   #crashedNews: CrashedRun[] = [];
   #soundNews: SoundRun[] = [];
 
@@ -128,6 +91,21 @@
     return leftMs > 0 ? { ends, lastEndAt, leftMs } : undefined;
   }
 
+  /**
+   * Calls `quarantined` if the request is quarantined from now on.
+   *
+   * @returns what ends the watch.
+   */
+  watch(fingerprint: string, quarantined: () => void): () => void {
+    const watchers = this.#watchers.get(fingerprint) ?? new Set();
+    this.#watchers.set(fingerprint, watchers);
+    watchers.add(quarantined);
+    return () => {
+      watchers.delete(quarantined);
+      if (watchers.size === 0) this.#watchers.delete(fingerprint);
+    };
+  }
+
   /** Notes requests of this daemon that were at a runner when it ended. */
   crashed(runs: readonly CrashedRun[], now: number): void {
     const news = runs.filter((run) => this.#add(run, now));
@@ -187,20 +165,18 @@
   #add(run: CrashedRun, now: number): boolean {
     const { fingerprint, runner } = run;
     this.#forgetOld(now);
-    const before = this.#entries.get(fingerprint) ?? NO_RUNS;
+    const before = this.#entries.get(fingerprint) ?? NO_ENDS;
     if (now - run.endedAt > MEMORY_MS) return false;
     if (before.runs.some((each) => each.runner === runner)) return false;
     const vouched = before.soundAt === undefined &&
       this.#sound.has(fingerprint);
-    const runs = [...before.runs, run]
-      .sort((one, other) => one.endedAt - other.endedAt)
-      .slice(-MAX_RUNS);
     this.#entries.delete(fingerprint);
-    this.#set(fingerprint, { runs, soundAt: before.soundAt });
+    this.#entries.set(fingerprint, withRun(before, run));
     if (vouched) {
       this.#vouch({ fingerprint, at: this.#sound.get(fingerprint)! });
     }
-    this.#logIfBlamed(fingerprint, before);
+    const blamed = isBlamed(this.#entries.get(fingerprint)!);
+    if (blamed && !isBlamed(before)) this.#quarantined(fingerprint);
     return true;
   }
 
@@ -223,9 +199,8 @@
   #clear({ fingerprint, at }: SoundRun): boolean {
     const entry = this.#entries.get(fingerprint);
     if (entry === undefined) return false;
-    const { runs, soundAt = -Infinity } = entry;
-    if (at <= soundAt) return false;
-    this.#set(fingerprint, { runs, soundAt: at });
+    if (entry.soundAt !== undefined && at <= entry.soundAt) return false;
+    this.#entries.set(fingerprint, withAnswer(entry, at));
     return true;
   }
 
@@ -239,19 +214,6 @@
     }
   }
 
-  #set(
-    fingerprint: string,
-    entry: Pick<Entry, "runs" | "soundAt">,
-  ): void {
-    const { runs, soundAt } = entry;
-    this.#entries.set(fingerprint, {
-      runs,
-      soundAt,
-      ends: endsInTurn(runs, soundAt ?? -Infinity),
-      lastEndAt: runs.at(-1)!.endedAt,
-    });
-  }
-
   /** Makes room, first of what is too old, then of requests that are still sent. */
   #forgetOld(now: number): void {
     for (const [fingerprint, { lastEndAt }] of this.#entries) {
@@ -271,9 +233,9 @@
     for (const listener of this.#listeners) listener();
   }
 
-  #logIfBlamed(fingerprint: string, before: Entry): void {
+  #quarantined(fingerprint: string): void {
     const entry = this.#entries.get(fingerprint)!;
-    if (!isBlamed(entry) || isBlamed(before)) return;
+    for (const watcher of this.#watchers.get(fingerprint) ?? []) watcher();
     this.#log.event("request_quarantined", {
       fingerprint,
       ends: entry.ends,
@@ -283,26 +245,3 @@
     });
   }
 }
-
-function isBlamed({ ends, soundAt }: Entry): boolean {
-  return ends >= (soundAt === undefined ? ENDS : ENDS_OF_SOUND);
-}
-
-/**
- * How many runs each began after the one before had ended its runner. Runs that
- * overlap count once: when a failure domain loses power, all runners at which a
- * request is end at once, whatever the request.
- *
- * @param runs in the order of their ends.
- * @param since steady ms before which none counts.
- */
-function endsInTurn(runs: readonly CrashedRun[], since: number): number {
-  let ends = 0;
-  let free = since;
-  for (const { beganAt, endedAt } of runs) {
-    if (beganAt < free) continue;
-    ends += 1;
-    free = endedAt;
-  }
-  return ends;
-}
--- a/packages/router/src/process/crash_record_test.ts
+++ b/packages/router/src/process/crash_record_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { CrashRecord } from "./crash_record.ts";
-import type { CrashedRun } from "./crash_record.ts";
+import type { CrashedRun } from "./crash_entry.ts";
 import type { Fields } from "./line.ts";
 
 /** Milliseconds from a run's beginning to the end of its runner. */
--- a/packages/router/src/request/attempt.ts
+++ b/packages/router/src/request/attempt.ts
@@ -97,6 +97,11 @@
     return this.#left;
   }
 
+  /** Whether the runner has begun to answer. */
+  get answered(): boolean {
+    return this.#incoming !== undefined;
+  }
+
   /** Waits for the head of the answer. */
   start(): Promise<Sent> {
     return new Promise((resolve) => {
--- a/packages/router/src/request/progress.ts
+++ b/packages/router/src/request/progress.ts
@@ -19,6 +19,8 @@
   mayHaveRun = false;
   /** Whether the time until the final answer is over. */
   expired = false;
+  /** Whether it was taken back from a runner before that began to run it. */
+  withdrawn = false;
   /** Steady ms at which it is. */
   expiresAt = Infinity;
   /** The same for each try of the request; known once its body is. */
@@ -32,7 +34,7 @@
 
   /** Whether nobody waits for a runner's answer any more. */
   get over(): boolean {
-    return this.expired || this.#caller.left;
+    return this.expired || this.withdrawn || this.#caller.left;
   }
 
   /** Milliseconds until the final answer is due. */
--- a/packages/router/src/request/runner_tries.ts
+++ b/packages/router/src/request/runner_tries.ts
@@ -91,6 +91,10 @@
     });
     this.#attempt = attempt;
     const silence = this.#watchSilence(subject, attempt);
+    const unwatch = this.#daemon.crashes.watch(
+      fingerprint,
+      () => this.#withdraw(attempt),
+    );
     try {
       const sent = await attempt.start();
       if (attempt.left) this.#progress.attempts += 1;
@@ -103,11 +107,19 @@
         run: { fingerprint, beganAt },
       });
     } finally {
+      unwatch();
       silence.stop();
       load.release(placed);
     }
   }
 
+  /** The runner would end under the request, which still waits there. */
+  #withdraw(attempt: Attempt): void {
+    if (attempt.answered) return;
+    this.#progress.withdrawn = true;
+    attempt.cancel("quarantined");
+  }
+
   /**
    * A runner that says nothing for long is given up where another one may go
    * on: callers leave a silent stream after two seconds or more.
--- a/packages/router/tests/crashing_fleet.ts
+++ b/packages/router/tests/crashing_fleet.ts
@@ -52,6 +52,10 @@
   readonly arrivals: string[] = [];
   /** Runners that have ended. */
   ends = 0;
+  /** Requests that end runners which wait there, of those that come next. */
+  waiting = 0;
+  /** Requests that were taken back while they waited. */
+  withdrawn = 0;
   readonly #context: TestContext;
   readonly #listed = new Map<string, Runner>();
   readonly #route: Partial<Route>;
@@ -146,6 +150,11 @@
       run.socket.write(answer(run.id, body));
       return;
     }
+    if (this.waiting > 0) {
+      this.waiting -= 1;
+      run.socket.once("close", () => this.withdrawn += 1);
+      return;
+    }
     await pause(CRASH_MS);
     if (!this.#listed.delete(played.runner.id)) return;
     this.ends += 1;
--- a/packages/router/tests/crashing_request_test.ts
+++ b/packages/router/tests/crashing_request_test.ts
@@ -83,6 +83,19 @@
   assert.equal(fleet.arrivals.length, before);
 });
 
+// Guards against runners that end under tries which they had in their queues.
+test("tries that wait at runners are taken back from them", async (t) => {
+  const fleet = await CrashingFleet.start(t, SHAPE);
+  const send = callerOf(fleet);
+  fleet.waiting = 2;
+  const waiting = [send(CRASHING), send(CRASHING)];
+  await until(() => fleet.arrived(CRASHING) === 2);
+  await endRunners(fleet, send);
+  const answers = await Promise.all(waiting);
+  assert.deepEqual(answers.map(({ status }) => status), [502, 502]);
+  assert.equal(fleet.withdrawn, 2);
+});
+
 // Guards against own retries that carry the request from runner to runner.
 test("one try that may be repeated ends few runners and is not told not to have run", async (t) => {
   const route = {
