Say in the log which limits runners name

A runner in need names in its answers how many requests a second it takes from all daemons together. Nothing read it, so no log could show whether daemons had heard of it. Nothing acts on it yet.

--- a/packages/router/src/mod.ts
+++ b/packages/router/src/mod.ts
@@ -11,6 +11,7 @@
 export type { EngineMemory, HeldMemory } from "./process/memory_survey.ts";
 export type { PromptPart } from "./process/prefix_record.ts";
 export type { ReportedLoad } from "./process/runner_load.ts";
+export type { StatedLimit } from "./process/runner_limits.ts";
 export { runnerId } from "./process/runner.ts";
 export type { Runner } from "./process/runner.ts";
 export { parseSettings } from "./process/settings.ts";
--- a/packages/router/src/request/call.ts
+++ b/packages/router/src/request/call.ts
@@ -6,6 +6,7 @@
 
 import type { PromptPart } from "../process/prefix_record.ts";
 import type { ReportedLoad } from "../process/runner_load.ts";
+import type { StatedLimit } from "../process/runner_limits.ts";
 
 /** Names and values as received, in turn, with repeated names. */
 export type RawHeaders = readonly string[];
@@ -59,6 +60,8 @@
   /** Whether the body has an encoding, which no runner applies. */
   readonly encoded: boolean;
   readonly load: ReportedLoad | undefined;
+  /** What it says of how much it takes; absent when it says nothing. */
+  readonly limit: StatedLimit | undefined;
 }
 
 /** How heads are spelled between callers, this daemon and runners. */
--- a/packages/router/src/request/daemon.ts
+++ b/packages/router/src/request/daemon.ts
@@ -12,6 +12,7 @@
 import type { RetryBudget } from "../process/retry_budget.ts";
 import type { StreamPace } from "../process/stream_pace.ts";
 import type { RunnerLoads } from "../process/runner_loads.ts";
+import type { RunnerLimits } from "../process/runner_limits.ts";
 import type { Runner } from "../process/runner.ts";
 import type { RequestMetrics } from "../process/metrics.ts";
 import type { Service } from "../version/configuration.ts";
@@ -27,6 +28,8 @@
   readonly loads: RunnerLoads;
   readonly metrics: RequestMetrics;
   readonly prefixes: PrefixRecord;
+  /** How much runners say that they take. */
+  readonly limits: RunnerLimits;
   /** Requests that end the runners which run them. */
   readonly crashes: CrashRecord;
   /** Wakes requests that wait for room. */
--- a/packages/router/src/request/exchange_log.ts
+++ b/packages/router/src/request/exchange_log.ts
@@ -101,6 +101,7 @@
     candidates: choice.candidates,
     in_flight: load.all.inFlight,
     reported: load.requests(daemon.now()),
+    limit_per_s: daemon.limits.of(choice.runner.id),
     failed_percent: Math.round(100 * load.failureShare(daemon.now())),
     backlog_tokens: load.all.unreadTokens,
     unread_tokens: choice.unreadTokens,
--- a/packages/router/src/request/runner_tries.ts
+++ b/packages/router/src/request/runner_tries.ts
@@ -136,7 +136,10 @@
   async #take(subject: Subject, sent: Sent, parts: TryParts): Promise<Tried> {
     const { load } = parts;
     const now = this.#daemon.now();
-    if (sent.kind === "answer" || sent.kind === "not-run") load.heard(now);
+    if (sent.kind === "answer" || sent.kind === "not-run") {
+      load.heard(now);
+      this.#daemon.limits.heard(parts.attempt.runner.id, sent.head.limit);
+    }
     switch (sent.kind) {
       case "unsent":
         if (!this.#progress.over) load.failed(now);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -29,6 +29,7 @@
 import { RetryBudget } from "./process/retry_budget.ts";
 import { RunnerDirectory } from "./process/runner_directory.ts";
 import type { Runner } from "./process/runner.ts";
+import { RunnerLimits } from "./process/runner_limits.ts";
 import { RunnerLoads } from "./process/runner_loads.ts";
 import { StreamPace } from "./process/stream_pace.ts";
 import type { RouterSettings } from "./process/settings.ts";
@@ -76,6 +77,7 @@
   readonly loads = new RunnerLoads();
   readonly prefixes = new PrefixRecord();
   readonly crashes: CrashRecord;
+  readonly limits: RunnerLimits;
   readonly pulse = new Pulse(ROOM_LOOK_MS);
   readonly metrics = new RequestMetrics();
   readonly log: EventLog;
@@ -99,6 +101,7 @@
     this.dialect = platform.dialect;
     this.log = log;
     this.crashes = new CrashRecord(log);
+    this.limits = new RunnerLimits(log);
     this.#lifecycle = new Lifecycle(log);
     this.#lifecycle.require("configuration", () => this.#table !== undefined);
     this.#lifecycle.require("runners", () => this.#directory.revision > 0);
@@ -325,6 +328,7 @@
     this.connections.retain(ids);
     this.loads.retain(ids);
     this.prefixes.retain(ids);
+    this.limits.retain(ids);
     for (const pace of this.#paces.values()) pace.retain(ids);
     this.#surveyOnce();
   }
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -16,6 +16,7 @@
 import { FeedError } from "../src/process/feed.ts";
 import type { Changes, Feed, Listing } from "../src/process/feed.ts";
 import type { Runner } from "../src/process/runner.ts";
+import type { StatedLimit } from "../src/process/runner_limits.ts";
 import type { RouterSettings } from "../src/process/settings.ts";
 import type { Dialect } from "../src/request/call.ts";
 import { endToEndHeaders, headerOf } from "../src/request/headers.ts";
@@ -27,6 +28,10 @@
 /** A log that keeps nothing. */
 export const SILENT_LOG: EventLog = { event() {}, decision() {} };
 
+function limitIn(text: string | undefined): StatedLimit | undefined {
+  return text === undefined ? undefined : { kind: "limit", perS: Number(text) };
+}
+
 /** Headers that these tests use; any platform's could stand here. */
 export const TEST_DIALECT: Dialect = {
   readCall: (headers) => ({
@@ -57,6 +62,7 @@
     otherRunner: status === 421,
     encoded: false,
     load: undefined,
+    limit: limitIn(headerOf(headers, "x-limit")),
   }),
   eventId: (event) => {
     const id = /^id: (\d+)$/m.exec(event)?.[1];
