--- a/packages/router/tests/crashing_fleet.ts
+++ b/packages/router/tests/crashing_fleet.ts
@@ -1,26 +1,16 @@
 /**
- * Routers that are linked to each other, before runners that one request ends.
+ * Linked routers before runners that one request ends.
  *
  * @module
  */
-import { once } from "node:events";
-import { createServer } from "node:net";
-import type { AddressInfo, Socket } from "node:net";
+import type { Socket } from "node:net";
 import type { TestContext } from "node:test";
 import { setTimeout as pause } from "node:timers/promises";
 import type { Runner } from "../src/process/runner.ts";
-import type { Router } from "../src/router.ts";
 import type { Route } from "../src/version/configuration.ts";
-import {
-  answer,
-  playRunner,
-  SettableFeed,
-  startRouter,
-  testConfiguration,
-  testRoute,
-  until,
-} from "./fixtures.ts";
+import { answer, playRunner, until } from "./fixtures.ts";
 import type { PlayedRunner } from "./fixtures.ts";
+import { LinkedRouters } from "./linked_routers.ts";
 
 /** Milliseconds from the arrival of the request until its runner ends. */
 const CRASH_MS = 45;
@@ -31,23 +21,9 @@
 /** What the body of the request that ends runners begins with. */
 export const CRASHING = "crash";
 
-const LOCALHOST = "127.0.0.1";
-
-/** A port that nobody listens on. */
-async function unusedPort(): Promise<number> {
-  const server = createServer();
-  server.listen(0, LOCALHOST);
-  await once(server, "listening");
-  const { port } = server.address() as AddressInfo;
-  server.close();
-  await once(server, "close");
-  return port;
-}
-
 /** Routers and runners of one test. */
 export class CrashingFleet {
-  readonly routers: Router[] = [];
-  readonly runners = new SettableFeed<Runner>([]);
+  readonly linked: LinkedRouters;
   /** Bodies of all requests that reached runners, in turn. */
   readonly arrivals: string[] = [];
   /** Runners that have ended. */
@@ -58,14 +34,13 @@
   withdrawn = 0;
   readonly #context: TestContext;
   readonly #listed = new Map<string, Runner>();
-  readonly #route: Partial<Route>;
   #names = 0;
   #size = 0;
   #over = false;
 
   private constructor(context: TestContext, route: Partial<Route>) {
     this.#context = context;
-    this.#route = route;
+    this.linked = new LinkedRouters(context, route);
     context.after(() => this.#over = true);
   }
 
@@ -78,44 +53,18 @@
     const fleet = new CrashingFleet(context, shape.route ?? {});
     fleet.#size = shape.runners;
     for (let index = 0; index < shape.runners; index++) await fleet.#enter();
-    for (let index = 0; index < shape.routers; index++) await fleet.addRouter();
+    for (let index = 0; index < shape.routers; index++) {
+      await fleet.linked.add();
+    }
     return fleet;
   }
 
-  /** Starts one more router, which finds the others. */
-  async addRouter(): Promise<Router> {
-    const seeds = this.routers.map(({ peersPort }) =>
-      `${LOCALHOST}:${peersPort}`
-    );
-    const port = await unusedPort();
-    let links = 0;
-    const log = {
-      event: (name: string) => void (links += name === "peer_joined" ? 1 : 0),
-      decision() {},
-    };
-    const router = await startRouter(this.#context, {
-      configurations: new SettableFeed([
-        testConfiguration([testRoute(this.#route)]),
-      ]),
-      runners: this.runners,
-      log,
-      settings: {
-        name: `host-${this.routers.length}`,
-        peers: { host: LOCALHOST, port },
-        seeds,
-      },
-    });
-    this.routers.push(router);
-    await until(() => router.ready && links >= seeds.length);
-    return router;
-  }
-
   /** Waits until another runner has taken the place of each that ended. */
   async restored(): Promise<void> {
     await until(() => this.#listed.size === this.#size);
     const names = [...this.#listed.keys()].sort().join();
     await until(() =>
-      this.routers.every((router) =>
+      this.linked.routers.every((router) =>
         router.fleet("service").runners.map(({ id }) => id).sort().join() ===
           names
       )
@@ -135,7 +84,7 @@
       (socket, text, id) => void this.#run(played, { socket, text, id }),
     );
     this.#listed.set(played.runner.id, played.runner);
-    this.runners.set([...this.#listed.values()]);
+    this.linked.runners.set([...this.#listed.values()]);
   }
 
   async #run(played: PlayedRunner, run: {
--- a/packages/router/tests/crashing_request_test.ts
+++ b/packages/router/tests/crashing_request_test.ts
@@ -3,7 +3,6 @@
 import { setTimeout as pause } from "node:timers/promises";
 import { CRASHING, CrashingFleet } from "./crashing_fleet.ts";
 import { call, until } from "./fixtures.ts";
-import type { CallerAnswer } from "./fixtures.ts";
 
 /** Milliseconds in which daemons that are in touch know what one of them does. */
 const CONTACT_MS = 3_000;
@@ -14,43 +13,22 @@
 const TRIES = 20;
 const SHAPE = { routers: 3, runners: 8 };
 
-interface Sender {
-  /** Sends a request with a body to the next router. */
-  (body: string): Promise<CallerAnswer>;
-}
-
-/** A caller that goes to each router in turn; each try has an id of its own. */
-function callerOf({ routers }: CrashingFleet): Sender {
-  let tries = 0;
-  return (body) => {
-    const router = routers[tries % routers.length]!;
-    tries += 1;
-    return call(router, {
-      method: "POST",
-      body,
-      headers: { "x-id": `try-${tries}` },
-    });
-  };
-}
-
 /** Sends the request that ends runners until all routers know it for that. */
-async function endRunners(fleet: CrashingFleet, send: Sender): Promise<void> {
-  while (fleet.ends < ENDS) await send(CRASHING);
-  const refused = new Set<number>();
-  for (let tries = 0; refused.size < fleet.routers.length; tries++) {
-    const { status } = await send(CRASHING);
-    if (status === 503) refused.add(tries % fleet.routers.length);
+async function endRunners({ linked }: CrashingFleet): Promise<void> {
+  const { length } = linked.routers;
+  for (let refused = 0; refused < length;) {
+    const { status } = await linked.send(CRASHING);
+    refused = status === 503 ? refused + 1 : 0;
   }
 }
 
 // Guards against a request that is known to end its runners being sent to more.
 test("a request that ended three runners is sent to no more than three others", async (t) => {
   const fleet = await CrashingFleet.start(t, { routers: 7, runners: 12 });
-  const send = callerOf(fleet);
-  while (fleet.ends < ENDS) await send(CRASHING);
+  while (fleet.ends < ENDS) await fleet.linked.send(CRASHING);
   await pause(CONTACT_MS);
   const before = fleet.arrived(CRASHING);
-  for (let tries = 0; tries < TRIES; tries++) await send(CRASHING);
+  for (let tries = 0; tries < TRIES; tries++) await fleet.linked.send(CRASHING);
   const arrived = fleet.arrived(CRASHING) - before;
   t.diagnostic(`${fleet.ends} ends, sent ${arrived} times after`);
   assert.ok(arrived <= ALLOWED, `sent ${arrived} times more`);
@@ -59,13 +37,17 @@
 // Guards against refusals of what only resembles the request that ends runners.
 test("other bodies of its caller on its path, and repeated ones, stay served", async (t) => {
   const fleet = await CrashingFleet.start(t, SHAPE);
-  const send = callerOf(fleet);
   while (fleet.ends < ENDS) {
-    await Promise.all([send(CRASHING), send("poll"), send("poll")]);
+    await Promise.all(
+      [CRASHING, "poll", "poll"].map((body) => fleet.linked.send(body)),
+    );
   }
   await fleet.restored();
   for (let tries = 0; tries < TRIES; tries++) {
-    const [same, other] = [await send("poll"), await send(`other-${tries}`)];
+    const [same, other] = [
+      await fleet.linked.send("poll"),
+      await fleet.linked.send(`other-${tries}`),
+    ];
     assert.deepEqual([same.status, other.status], [200, 200]);
   }
 });
@@ -73,10 +55,9 @@
 // Guards against "not run" for what has run, and against callers left waiting.
 test("it is refused at once, told when to come back, and has not run", async (t) => {
   const fleet = await CrashingFleet.start(t, SHAPE);
-  const send = callerOf(fleet);
-  await endRunners(fleet, send);
+  await endRunners(fleet);
   const before = fleet.arrivals.length;
-  const { status, body, headers } = await send(CRASHING);
+  const { status, body, headers } = await fleet.linked.send(CRASHING);
   assert.equal(status, 503);
   assert.deepEqual(JSON.parse(body), { error: "quarantined" });
   assert.ok(Number(headers["retry-after"]) > 0);
@@ -86,11 +67,10 @@
 // Guards against runners that end under tries which they had in their queues.
 test("tries that wait at runners are taken back from them", async (t) => {
   const fleet = await CrashingFleet.start(t, SHAPE);
-  const send = callerOf(fleet);
   fleet.waiting = 2;
-  const waiting = [send(CRASHING), send(CRASHING)];
+  const waiting = [fleet.linked.send(CRASHING), fleet.linked.send(CRASHING)];
   await until(() => fleet.arrived(CRASHING) === 2);
-  await endRunners(fleet, send);
+  await endRunners(fleet);
   const answers = await Promise.all(waiting);
   assert.deepEqual(answers.map(({ status }) => status), [502, 502]);
   assert.equal(fleet.withdrawn, 2);
@@ -104,7 +84,7 @@
     targetMs: 2_000,
   } as const;
   const fleet = await CrashingFleet.start(t, { ...SHAPE, route });
-  const { status } = await callerOf(fleet)(CRASHING);
+  const { status } = await fleet.linked.send(CRASHING);
   assert.equal(status, 502);
   assert.ok(fleet.ends <= ENDS + ALLOWED, `${fleet.ends} ends`);
 });
@@ -112,8 +92,8 @@
 // Guards against a restarted daemon that has to learn by ends of runners.
 test("a daemon that starts later refuses it from its peers' word", async (t) => {
   const fleet = await CrashingFleet.start(t, SHAPE);
-  await endRunners(fleet, callerOf(fleet));
-  const router = await fleet.addRouter();
+  await endRunners(fleet);
+  const router = await fleet.linked.add();
   const send = () => call(router, { method: "POST", body: CRASHING });
   const before = fleet.arrived(CRASHING);
   await until(() => router.crashes.all(router.now()).crashed.length > 0);
--- /dev/null
+++ b/packages/router/tests/linked_routers.ts
@@ -0,0 +1,88 @@
+/**
+ * Routers that are linked to each other, before the same runners.
+ *
+ * @module
+ */
+import { once } from "node:events";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import type { TestContext } from "node:test";
+import type { Runner } from "../src/process/runner.ts";
+import type { Router } from "../src/router.ts";
+import type { Route } from "../src/version/configuration.ts";
+import {
+  call,
+  SettableFeed,
+  startRouter,
+  testConfiguration,
+  testRoute,
+  until,
+} from "./fixtures.ts";
+import type { CallerAnswer } from "./fixtures.ts";
+
+const LOCALHOST = "127.0.0.1";
+
+/** A port that nobody listens on. */
+async function unusedPort(): Promise<number> {
+  const server = createServer();
+  server.listen(0, LOCALHOST);
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  server.close();
+  await once(server, "close");
+  return port;
+}
+
+/** Routers of one test, each of them linked to all others. */
+export class LinkedRouters {
+  readonly routers: Router[] = [];
+  /** The runners that they know. */
+  readonly runners = new SettableFeed<Runner>([]);
+  readonly #context: TestContext;
+  readonly #route: Partial<Route>;
+  #tries = 0;
+
+  constructor(context: TestContext, route: Partial<Route> = {}) {
+    this.#context = context;
+    this.#route = route;
+  }
+
+  /** Starts one more router and waits until it is ready and linked. */
+  async add(): Promise<Router> {
+    const seeds = this.routers.map(({ peersPort }) =>
+      `${LOCALHOST}:${peersPort}`
+    );
+    const port = await unusedPort();
+    let links = 0;
+    const log = {
+      event: (name: string) => void (links += name === "peer_joined" ? 1 : 0),
+      decision() {},
+    };
+    const router = await startRouter(this.#context, {
+      configurations: new SettableFeed([
+        testConfiguration([testRoute(this.#route)]),
+      ]),
+      runners: this.runners,
+      log,
+      settings: {
+        name: `host-${this.routers.length}`,
+        peers: { host: LOCALHOST, port },
+        seeds,
+      },
+    });
+    this.routers.push(router);
+    await until(() => router.ready && links >= seeds.length);
+    return router;
+  }
+
+  /** Sends a request to the next router; each try has an id of its own. */
+  send(body: string): Promise<CallerAnswer> {
+    const router = this.routers[this.#tries % this.routers.length]!;
+    this.#tries += 1;
+    return call(router, {
+      method: "POST",
+      body,
+      headers: { "x-id": `try-${this.#tries}` },
+    });
+  }
+}
