Ask each runner what it holds by one daemon, however many start

A list of what it holds delays a runner's work, and is asked for in the very second in which all daemons and callers come back. Daemons divided the runners among the names that each of them knew, itself always among these: in a fleet of relays they know different ones, and each took more runners for its own than it should.

Found while looking for other numbers that are meant for all daemons together. They are divided among the names that all know now, as limits are: 1.0 to 1.1, at most 2 (sharers_test.ts fails without it). Sixteen are asked at a time, as fewer daemons ask more runners each.

--- a/packages/router/src/connection/neighbourhood.ts
+++ b/packages/router/src/connection/neighbourhood.ts
@@ -9,7 +9,7 @@
 import type { Contact } from "../process/contact.ts";
 import type { EventLog } from "../process/event_log.ts";
 import type { Feed } from "../process/feed.ts";
-import type { Sharers } from "../process/limit_share.ts";
+import type { Sharers } from "../process/sharers.ts";
 import type { RequestMetrics } from "../process/metrics.ts";
 import type { Runner } from "../process/runner.ts";
 import type { ListenAddress } from "../process/settings.ts";
@@ -130,12 +130,7 @@
     return this.#sharing.settleMs;
   }
 
-  /** Names of the daemons that do for the others what needs doing once. */
-  get contacts(): readonly string[] {
-    return [this.#own, ...this.#reachable].map(({ name }) => name);
-  }
-
-  /** Daemons among which what is scarce is divided. */
+  /** Daemons that divide what is to be done, or may be done, once for all. */
   get sharers(): Sharers {
     return this.#sharing.sharers;
   }
--- a/packages/router/src/connection/sharing.ts
+++ b/packages/router/src/connection/sharing.ts
@@ -10,7 +10,7 @@
 import type { CrashRecord } from "../process/crash_record.ts";
 import type { EventLog } from "../process/event_log.ts";
 import { groupBy } from "../process/group.ts";
-import type { Sharers } from "../process/limit_share.ts";
+import type { Sharers } from "../process/sharers.ts";
 import type { RunnerLimits } from "../process/runner_limits.ts";
 import type { RunnerLoads } from "../process/runner_loads.ts";
 import { newsOf } from "./crash_ages.ts";
--- a/packages/router/src/process/limit_share.ts
+++ b/packages/router/src/process/limit_share.ts
@@ -4,19 +4,7 @@
  * @module
  */
 import { Rendezvous } from "@umbermast/coordination/rendezvous";
-
-/** The daemons among which limits are divided, as one of them sees them. */
-export interface Sharers {
-  /** Name of the daemon that asks. */
-  readonly own: string;
-  /**
-   * Names of daemons that all others know, too: all of a small fleet, some of a
-   * large one, of which `own` need not be one.
-   */
-  readonly names: readonly string[];
-  /** How many daemons there are in all. */
-  readonly fleetSize: number;
-}
+import type { Sharers } from "./sharers.ts";
 
 /** A part of a limit. */
 export interface LimitPart {
--- a/packages/router/src/process/memory_survey.ts
+++ b/packages/router/src/process/memory_survey.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { Rendezvous } from "@umbermast/coordination/rendezvous";
+import type { Sharers } from "./sharers.ts";
 import type { EventLog } from "./event_log.ts";
 import { pause } from "./pause.ts";
 import type { PrefixRecord, PromptPart } from "./prefix_record.ts";
@@ -31,12 +32,15 @@
  */
 const SETTLE_MS = 400;
 
+/** Runners that are asked at the same time. */
+const AT_ONCE = 16;
+
 /** What a survey reads. */
 export interface SurveyedFleet {
   /** Runners that hold prompts. */
   engines(): readonly Runner[];
-  /** Names of all daemons that answer, and this one. */
-  daemons(): readonly string[];
+  /** Daemons that divide them. */
+  sharers(): Sharers;
 }
 
 /**
@@ -48,7 +52,6 @@
 export class MemorySurvey {
   readonly #memory: EngineMemory;
   readonly #prefixes: PrefixRecord;
-  readonly #name: string;
   readonly #log: EventLog;
   readonly #mayAsk: (runner: Runner) => boolean;
 
@@ -56,7 +59,6 @@
     memory: EngineMemory,
     options: {
       readonly prefixes: PrefixRecord;
-      readonly name: string;
       readonly log: EventLog;
       /** Whether the runner takes a question now; counts it if so. */
       readonly mayAsk: (runner: Runner) => boolean;
@@ -64,7 +66,6 @@
   ) {
     this.#memory = memory;
     this.#prefixes = options.prefixes;
-    this.#name = options.name;
     this.#log = options.log;
     this.#mayAsk = options.mayAsk;
   }
@@ -72,12 +73,17 @@
   /** Asks this daemon's part of the runners. */
   async run(fleet: SurveyedFleet): Promise<void> {
     await pause(SETTLE_MS);
-    const daemons = new Rendezvous(fleet.daemons());
-    const own = fleet.engines().filter(({ id }) =>
-      daemons.first(id, () => true) === this.#name
+    const { own, names } = fleet.sharers();
+    const daemons = new Rendezvous(names);
+    const engines = fleet.engines().filter(({ id }) =>
+      daemons.first(id, () => true) === own
     );
-    const asked = own.filter((runner) => this.#mayAsk(runner));
-    await Promise.all(asked.map((runner) => this.#ask(runner)));
+    const askOne = async () => {
+      for (let next = engines.pop(); next !== undefined; next = engines.pop()) {
+        if (this.#mayAsk(next)) await this.#ask(next);
+      }
+    };
+    await Promise.all(Array.from({ length: AT_ONCE }, askOne));
   }
 
   async #ask(runner: Runner): Promise<void> {
--- a/packages/router/src/process/runner_limits.ts
+++ b/packages/router/src/process/runner_limits.ts
@@ -5,7 +5,8 @@
  */
 import type { EventLog } from "./event_log.ts";
 import { NO_PART, partOf } from "./limit_share.ts";
-import type { LimitPart, Sharers } from "./limit_share.ts";
+import type { LimitPart } from "./limit_share.ts";
+import type { Sharers } from "./sharers.ts";
 
 /** What a runner's answer says of how much the runner takes. */
 export type StatedLimit =
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -139,7 +139,6 @@
     const mayAsk = ({ id }: Runner) => this.#mayAsk(id);
     this.#survey = new MemorySurvey(platform.memory, {
       prefixes: this.prefixes,
-      name: settings.name,
       log,
       mayAsk,
     });
@@ -356,7 +355,7 @@
         this.#directory.list.runners.filter(({ service }) =>
           this.#table?.service(service)?.engine !== undefined
         ),
-      daemons: () => this.#neighbourhood.contacts,
+      sharers: () => this.#neighbourhood.sharers,
     });
   }
 }
--- /dev/null
+++ b/packages/router/tests/sharers_test.ts
@@ -0,0 +1,33 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { Rendezvous } from "@umbermast/coordination/rendezvous";
+import { settledFleet, SIZES } from "./fleet.ts";
+import type { Member } from "./fleet.ts";
+
+const RUNNERS = 200;
+
+/** How many daemons take each runner for theirs to ask. */
+function askersOf(members: readonly Member[]): readonly number[] {
+  const askers = Array.from({ length: RUNNERS }, () => 0);
+  for (const { neighbourhood } of members) {
+    const { own, names } = neighbourhood.sharers;
+    const daemons = new Rendezvous(names);
+    askers.forEach((_, index) => {
+      const first = daemons.first(`r-${index}`, () => true);
+      if (first === own) askers[index]! += 1;
+    });
+  }
+  return askers;
+}
+
+// Guards against runners that each of many daemons asks what they hold.
+for (const shape of SIZES) {
+  test(`of ${shape.daemons} daemons one asks a runner what it holds`, async (t) => {
+    const { fleet } = await settledFleet(t, shape);
+    const askers = askersOf(fleet.members);
+    assert.equal(Math.min(...askers), 1);
+    assert.ok(Math.max(...askers) <= 2, `${Math.max(...askers)} askers`);
+    const sum = askers.reduce((total, count) => total + count, 0);
+    assert.ok(sum <= 1.1 * RUNNERS, `${sum} questions`);
+  });
+}
