Say when a quarantine begins again, and look at a runner five times a second at most

A request that went back to quarantine after ten minutes was refused, but without a line in the log, and its tries that waited at runners were not taken back: both were done at the third end alone. And each answer that a runner lost had it looked at, with a connection each time; a runner that loses many is looked at each 200 ms. Tests: crash_record_test.ts, "a request is sent again after its quarantine, until the next end", fails without the first.

--- a/packages/router/src/connection/crash_watch.ts
+++ b/packages/router/src/connection/crash_watch.ts
@@ -15,6 +15,8 @@
  * at: those of the other requests there break off in this time, too.
  */
 const LOOK_AFTER_MS = 30;
+/** Milliseconds between two looks at a runner that breaks off many answers. */
+const LOOK_AGAIN_MS = 200;
 /** Milliseconds for a runner that lives to take a connection. */
 const CONNECT_MS = 300;
 /** Fingerprints that a line of the log names. */
@@ -36,6 +38,8 @@
   readonly #metrics: Pick<RequestMetrics, "runnerEnded">;
   readonly #record: CrashRecord;
   readonly #broken = new Map<string, CrashedRun[]>();
+  /** Ids of runners that were looked at a moment ago. */
+  readonly #seen = new Set<string>();
 
   constructor(options: {
     readonly log: EventLog;
@@ -57,13 +61,16 @@
       return;
     }
     this.#broken.set(runner.id, [run]);
-    setTimeout(() => void this.#look(runner), LOOK_AFTER_MS).unref();
+    const waitMs = this.#seen.has(runner.id) ? LOOK_AGAIN_MS : LOOK_AFTER_MS;
+    setTimeout(() => void this.#look(runner), waitMs).unref();
   }
 
   async #look(runner: Runner): Promise<void> {
     const ended = await refusesConnections(runner);
     const runs = this.#broken.get(runner.id) ?? [];
     this.#broken.delete(runner.id);
+    this.#seen.add(runner.id);
+    setTimeout(() => this.#seen.delete(runner.id), LOOK_AGAIN_MS).unref();
     if (ended) this.#metrics.runnerEnded(runner.service);
     if (ended) this.#record.crashed(runs, performance.now());
     const named = runs.slice(0, MAX_NAMED).map((each) => each.fingerprint);
--- a/packages/router/src/process/crash_record.ts
+++ b/packages/router/src/process/crash_record.ts
@@ -166,6 +166,7 @@
     const { fingerprint, runner } = run;
     this.#forgetOld(now);
     const before = this.#entries.get(fingerprint) ?? NO_ENDS;
+    const held = this.quarantine(fingerprint, now) !== undefined;
     if (now - run.endedAt > MEMORY_MS) return false;
     if (before.runs.some((each) => each.runner === runner)) return false;
     const vouched = before.soundAt === undefined &&
@@ -175,8 +176,8 @@
     if (vouched) {
       this.#vouch({ fingerprint, at: this.#sound.get(fingerprint)! });
     }
-    const blamed = isBlamed(this.#entries.get(fingerprint)!);
-    if (blamed && !isBlamed(before)) this.#quarantined(fingerprint);
+    const begins = !held && this.quarantine(fingerprint, now) !== undefined;
+    if (begins) this.#quarantined(fingerprint);
     return true;
   }
 
--- a/packages/router/src/process/crash_record_test.ts
+++ b/packages/router/src/process/crash_record_test.ts
@@ -141,13 +141,17 @@
 });
 
 test("a request is sent again after its quarantine, until the next end", () => {
-  const { record } = recordWithLog();
+  const { record, logged } = recordWithLog();
   endRunners(record, { count: 3 });
   const freeAt = 200 + RUN_MS + QUARANTINE_MS;
   assert.equal(isRefused(record, "bad", freeAt - 1), true);
   assert.equal(isRefused(record, "bad", freeAt), false);
+  let watched = 0;
+  record.watch("bad", () => watched += 1);
   endRunners(record, { count: 1, from: freeAt });
   assert.equal(isRefused(record, "bad", freeAt + 100), true);
+  assert.equal(watched, 1);
+  assert.equal(logged.length, 2);
 });
 
 test("ends are forgotten after an hour", () => {
