--- a/packages/router/src/connection/crash_ages.ts
+++ b/packages/router/src/connection/crash_ages.ts
@@ -33,6 +33,11 @@
 /** Nothing to tell. */
 export const NO_CRASHES: CrashAges = { crashed: [], sound: [] };
 
+/** Milliseconds since a moment; both in steady ms. */
+export function ageOf(at: number, now: number): number {
+  return Math.max(0, Math.round(now - at));
+}
+
 /** Puts news in ages, for a message that is sent now. */
 export function agesOf({ crashed, sound }: CrashNews, now: number): CrashAges {
   const byRunner = groupBy(crashed, ({ runner }) => runner);
@@ -41,13 +46,13 @@
       runner,
       runs: runs.map(({ fingerprint, beganAt, endedAt }) => ({
         fingerprint,
-        beganAgoMs: Math.round(now - beganAt),
-        endedAgoMs: Math.round(now - endedAt),
+        beganAgoMs: ageOf(beganAt, now),
+        endedAgoMs: ageOf(endedAt, now),
       })),
     })),
     sound: sound.map(({ fingerprint, at }) => ({
       fingerprint,
-      agoMs: Math.round(now - at),
+      agoMs: ageOf(at, now),
     })),
   };
 }
--- a/packages/router/src/connection/neighbour_news.ts
+++ b/packages/router/src/connection/neighbour_news.ts
@@ -12,7 +12,7 @@
 import type { LimitNews, RunnerLimits } from "../process/runner_limits.ts";
 import type { RunnerLoads } from "../process/runner_loads.ts";
 import type { Neighbours } from "../process/runner_queue.ts";
-import { agesOf } from "./crash_ages.ts";
+import { ageOf, agesOf } from "./crash_ages.ts";
 import { LoadSums } from "./load_sums.ts";
 import type { MembershipCounts } from "./membership_counts.ts";
 import { Outbox } from "./outbox.ts";
@@ -257,7 +257,7 @@
       limits: limits.map(({ runner, perS, at }) => ({
         runner,
         perS,
-        agoMs: Math.round(now - at),
+        agoMs: ageOf(at, now),
       })),
       members: this.#sources.counts.sumBy(counts),
     };
--- a/packages/router/src/connection/peer_encoding.ts
+++ b/packages/router/src/connection/peer_encoding.ts
@@ -59,7 +59,7 @@
 
 type PackedDead = readonly [name: string, incarnation: string];
 
-/** Without a second field the runner names no limit any more. */
+/** Without its last field the runner names no limit any more. */
 type PackedLimit = readonly [runner: string, agoMs: number, perS?: number];
 
 type PackedState = readonly [
--- a/packages/router/src/connection/sharing.ts
+++ b/packages/router/src/connection/sharing.ts
@@ -3,17 +3,13 @@
  *
  * @module
  */
-import { contactOf, inRankOrder } from "../process/contact.ts";
+import { contactOf } from "../process/contact.ts";
 import type { Contact } from "../process/contact.ts";
 import { ContactBook } from "../process/contact_book.ts";
 import type { ContactNews } from "../process/contact_book.ts";
-import type { CrashRecord } from "../process/crash_record.ts";
 import type { EventLog } from "../process/event_log.ts";
-import { groupBy } from "../process/group.ts";
+import { knownToAll, toldTo } from "../process/known_daemons.ts";
 import type { Sharers } from "../process/sharers.ts";
-import type { RunnerLimits } from "../process/runner_limits.ts";
-import type { RunnerLoads } from "../process/runner_loads.ts";
-import { newsOf } from "./crash_ages.ts";
 import { MembershipCounts } from "./membership_counts.ts";
 import { NeighbourNews } from "./neighbour_news.ts";
 import { Overlay } from "./overlay.ts";
@@ -21,8 +17,11 @@
 import { SILENCE_MS } from "./peer_link.ts";
 import type { Members, PeerMessage, State } from "./peer_message.ts";
 import type { Peer, PeerListener, Peers } from "./peers.ts";
+import { StateTimer } from "./state_timer.ts";
 import { periodMs, settleMs } from "./sharing_pace.ts";
 import type { SharingMoment } from "./sharing_pace.ts";
+import { takeNews } from "./told_news.ts";
+import type { RunnerKnowledge } from "./told_news.ts";
 import { VersionExchange } from "./version_exchange.ts";
 import type { VersionedKnowledge } from "./version_exchange.ts";
 
@@ -43,29 +42,8 @@
  */
 const MAX_CONTACTS = 48;
 
-/** Contacts of each other failure domain that a new peer is told. */
-const TOLD_OF_OTHER_DOMAINS = 2;
-
-/** The same of the own one, where there is no other. */
-const KNOWN_OF_ONLY_DOMAIN = 6;
-
-/** Of each failure domain those daemons that the others know, too. */
-function firstOfDomains(contacts: readonly Contact[]): readonly Contact[] {
-  const domains = groupBy(contacts, ({ failureDomain }) => failureDomain);
-  const most = domains.size === 1
-    ? KNOWN_OF_ONLY_DOMAIN
-    : TOLD_OF_OTHER_DOMAINS;
-  return [...domains.values()].flatMap((domain) =>
-    inRankOrder(domain).slice(0, most)
-  );
-}
-
 /** What is shared, and who takes what peers give. */
-export interface SharedKnowledge extends VersionedKnowledge {
-  readonly loads: RunnerLoads;
-  readonly crashes: CrashRecord;
-  readonly limits: RunnerLimits;
-}
+export interface SharedKnowledge extends VersionedKnowledge, RunnerKnowledge {}
 
 /** Whom a daemon shares with. */
 export interface SharingOptions {
@@ -102,12 +80,10 @@
   readonly #overlay: Overlay;
   readonly #versions: VersionExchange;
   readonly #news: NeighbourNews;
-  #timer: NodeJS.Timeout | undefined;
-  /** Whether the timer is set for the next state, and not to rest. */
-  #awake = false;
-  #started = false;
-  #tickedAt = -Infinity;
-  #dueAt = -Infinity;
+  readonly #timer = new StateTimer({
+    periodMs: () => periodMs(this.#moment),
+    restMs: REST_MS,
+  }, () => this.#tick());
   #sentAt = -Infinity;
   #sentSpareAt = -Infinity;
   #countsChanged = false;
@@ -146,18 +122,16 @@
   }
 
   start(): void {
-    this.#started = true;
     this.#known.loads.onChange(() => this.wake());
     this.#known.prefixes.onNews(() => this.wake());
     this.#known.crashes.onNews(() => this.wake());
     this.#known.limits.onNews(() => this.wake());
     this.#known.directory.onChange(() => this.wake());
-    this.wake();
+    this.#timer.start();
   }
 
   stop(): void {
-    this.#started = false;
-    clearTimeout(this.#timer);
+    this.#timer.stop();
   }
 
   /** Daemons of the fleet: the most that were heard of lately. */
@@ -185,7 +159,7 @@
     const { name: own } = this.#own;
     const { fleetSize } = this;
     const all = [this.#own, ...this.reachable];
-    const known = this.#overlay.relayed ? firstOfDomains(all) : all;
+    const known = this.#overlay.relayed ? knownToAll(all) : all;
     return { own, fleetSize, names: known.map(({ name }) => name) };
   }
 
@@ -194,31 +168,17 @@
     return this.#book.all();
   }
 
-  /**
-   * Daemons that a peer is told of when a link is up: all of a small fleet; of a
-   * large one those that it may link to in its failure domain, and two of each
-   * other one.
-   */
+  /** Daemons that a peer is told of when a link is up: all of a small fleet. */
   knownFor(
     peer: Pick<Contact, "failureDomain"> | undefined,
   ): readonly Contact[] {
     const known = this.#book.all();
-    if (!this.#overlay.relayed) return known;
-    const domains = groupBy(known, ({ failureDomain }) => failureDomain);
-    return [...domains].flatMap(([domain, contacts]) =>
-      domain === peer?.failureDomain
-        ? contacts
-        : inRankOrder(contacts).slice(0, TOLD_OF_OTHER_DOMAINS)
-    );
+    return this.#overlay.relayed ? toldTo(peer?.failureDomain, known) : known;
   }
 
-  /** Tells soon what has changed: one period after the last state, or at once. */
+  /** Tells soon what has changed. */
   wake(): void {
-    if (!this.#started) return;
-    const dueAt = this.#tickedAt + this.#periodMs;
-    if (this.#awake && this.#dueAt <= dueAt) return;
-    this.#awake = true;
-    this.#schedule(Math.max(0, dueAt - performance.now()));
+    this.#timer.wake();
   }
 
   joined(peer: Peer, known: readonly Contact[]): void {
@@ -265,7 +225,8 @@
     const { relayed } = this.#overlay;
     if (role !== undefined || !relayed) {
       this.#takeMembers(peer, state.members);
-      this.#takeLoads(peer, state);
+      const told = takeNews(this.#known, peer.name, state);
+      if (this.#news.passOn(peer, told)) this.wake();
     }
     const mayGiveParts = !relayed || role === "parent" || role === "head";
     this.#versions.compare(peer, state, { mayGiveParts });
@@ -296,36 +257,6 @@
     this.wake();
   }
 
-  /** Takes what is new of runners, and notes it for neighbours that lack it. */
-  #takeLoads(peer: Peer, state: State): void {
-    const { whole, loads, parts } = state;
-    const now = performance.now();
-    const changed = new Set(whole ? this.#known.loads.forget(peer.name) : []);
-    for (const share of loads) {
-      changed.add(share.runner);
-      const waiting = share.waiting.map(
-        ({ rank, ageMs, leftMs, requests, unreadTokens }) => ({
-          rank,
-          requests,
-          unreadTokens,
-          since: now - ageMs,
-          startBy: now + leftMs,
-        }),
-      );
-      const load = this.#known.loads.of(share.runner);
-      load.toldBy(peer.name, share, { now, waiting });
-    }
-    for (const news of parts) this.#known.prefixes.take(news, now);
-    const urgent = loads.some(({ waiting }) => waiting.length > 0);
-    const crashes = this.#known.crashes.take(newsOf(state.crashes, now), now);
-    const limits = this.#known.limits.takeAll(
-      state.limits.map(({ agoMs, ...news }) => ({ ...news, at: now - agoMs })),
-      now,
-    );
-    const told = { changed, parts, crashes, limits, urgent };
-    if (this.#news.passOn(peer, told)) this.wake();
-  }
-
   #roleChanged(peer: Peer, before: Role | undefined): void {
     this.#forget(peer, before);
     this.#allowSilence();
@@ -347,10 +278,6 @@
     return settleMs(this.#moment);
   }
 
-  get #periodMs(): number {
-    return periodMs(this.#moment);
-  }
-
   get #moment(): SharingMoment {
     return {
       peers: this.#peers().count,
@@ -361,18 +288,6 @@
     };
   }
 
-  #schedule(ms: number): void {
-    this.#dueAt = performance.now() + ms;
-    clearTimeout(this.#timer);
-    this.#timer = setTimeout(() => {
-      this.#awake = false;
-      this.#tickedAt = performance.now();
-      this.#tick();
-      // What woke it meanwhile has set the timer already.
-      if (!this.#awake) this.#schedule(REST_MS);
-    }, ms);
-  }
-
   #tick(): void {
     const now = performance.now();
     this.#overlay.settle(now);
--- /dev/null
+++ b/packages/router/src/connection/told_news.ts
@@ -0,0 +1,67 @@
+/**
+ * Taking what a neighbour tells of runners.
+ *
+ * @module
+ */
+import type { CrashRecord } from "../process/crash_record.ts";
+import type { PrefixRecord } from "../process/prefix_record.ts";
+import type { RunnerLimits } from "../process/runner_limits.ts";
+import type { RunnerLoads } from "../process/runner_loads.ts";
+import { newsOf } from "./crash_ages.ts";
+import type { ToldNews } from "./neighbour_news.ts";
+import type { LoadShare, State } from "./peer_message.ts";
+
+/** What daemons tell each other of runners. */
+export interface RunnerKnowledge {
+  readonly loads: RunnerLoads;
+  readonly prefixes: PrefixRecord;
+  readonly crashes: CrashRecord;
+  readonly limits: RunnerLimits;
+}
+
+/**
+ * Takes what a neighbour tells.
+ *
+ * @returns what of it others may lack.
+ */
+export function takeNews(
+  known: RunnerKnowledge,
+  neighbour: string,
+  state: State,
+): ToldNews {
+  const { whole, loads, parts, crashes, limits } = state;
+  const now = performance.now();
+  const changed = new Set(whole ? known.loads.forget(neighbour) : []);
+  for (const share of loads) {
+    changed.add(share.runner);
+    takeLoad(known.loads, neighbour, { share, now });
+  }
+  for (const news of parts) known.prefixes.take(news, now);
+  return {
+    changed,
+    parts,
+    crashes: known.crashes.take(newsOf(crashes, now), now),
+    limits: known.limits.takeAll(
+      limits.map(({ agoMs, ...news }) => ({ ...news, at: now - agoMs })),
+      now,
+    ),
+    urgent: loads.some(({ waiting }) => waiting.length > 0),
+  };
+}
+
+function takeLoad(loads: RunnerLoads, neighbour: string, told: {
+  readonly share: LoadShare;
+  readonly now: number;
+}): void {
+  const { share, now } = told;
+  const waiting = share.waiting.map(
+    ({ rank, ageMs, leftMs, requests, unreadTokens }) => ({
+      rank,
+      requests,
+      unreadTokens,
+      since: now - ageMs,
+      startBy: now + leftMs,
+    }),
+  );
+  loads.of(share.runner).toldBy(neighbour, share, { now, waiting });
+}
