Call whole answers answers, and cut fleets in memory by one piece

Read as a newcomer: "sound" said neither that a request was answered whole nor that this clears it. Three tests cut a failure domain off by loops of their own; the fleet does it now.

--- a/packages/router/src/connection/crash_ages.ts
+++ b/packages/router/src/connection/crash_ages.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { CrashedRun, SoundRun } from "../process/crash_entry.ts";
+import type { CrashedRun, WholeAnswer } from "../process/crash_entry.ts";
 import type { CrashNews } from "../process/crash_record.ts";
 import { groupBy } from "../process/group.ts";
 
@@ -19,7 +19,7 @@
 }
 
 /** A request that was answered whole. */
-export interface SoundAge {
+export interface AnswerAge {
   readonly fingerprint: string;
   readonly agoMs: number;
 }
@@ -27,11 +27,11 @@
 /** The news in ms before the message, as hosts share no clock. */
 export interface CrashAges {
   readonly crashed: readonly RunnerCrash[];
-  readonly sound: readonly SoundAge[];
+  readonly answers: readonly AnswerAge[];
 }
 
 /** Nothing to tell. */
-export const NO_CRASHES: CrashAges = { crashed: [], sound: [] };
+export const NO_CRASHES: CrashAges = { crashed: [], answers: [] };
 
 /** Milliseconds since a moment; both in steady ms. */
 export function ageOf(at: number, now: number): number {
@@ -39,7 +39,10 @@
 }
 
 /** Puts news in ages, for a message that is sent now. */
-export function agesOf({ crashed, sound }: CrashNews, now: number): CrashAges {
+export function agesOf(
+  { crashed, answers }: CrashNews,
+  now: number,
+): CrashAges {
   const byRunner = groupBy(crashed, ({ runner }) => runner);
   return {
     crashed: [...byRunner].map(([runner, runs]) => ({
@@ -50,7 +53,7 @@
         endedAgoMs: ageOf(endedAt, now),
       })),
     })),
-    sound: sound.map(({ fingerprint, at }) => ({
+    answers: answers.map(({ fingerprint, at }) => ({
       fingerprint,
       agoMs: ageOf(at, now),
     })),
@@ -58,7 +61,10 @@
 }
 
 /** Reads ages of a message that came now. */
-export function newsOf({ crashed, sound }: CrashAges, now: number): CrashNews {
+export function newsOf(
+  { crashed, answers }: CrashAges,
+  now: number,
+): CrashNews {
   return {
     crashed: crashed.flatMap(({ runner, runs }) =>
       runs.map(({ fingerprint, beganAgoMs, endedAgoMs }): CrashedRun => ({
@@ -68,7 +74,7 @@
         endedAt: now - endedAgoMs,
       }))
     ),
-    sound: sound.map(({ fingerprint, agoMs }): SoundRun => ({
+    answers: answers.map(({ fingerprint, agoMs }): WholeAnswer => ({
       fingerprint,
       at: now - agoMs,
     })),
--- a/packages/router/src/connection/crash_encoding.ts
+++ b/packages/router/src/connection/crash_encoding.ts
@@ -20,10 +20,10 @@
 
 /** Fields of one run in a list of several. */
 const RUN_FIELDS = 3;
-const SOUND_FIELDS = 2;
+const ANSWER_FIELDS = 2;
 
 /** Lays out crashes: some 20 bytes for each request. */
-export function packCrashes({ crashed, sound }: CrashAges): PackedCrashes {
+export function packCrashes({ crashed, answers }: CrashAges): PackedCrashes {
   return [
     crashed.map(({ runner, runs }) => [
       runner,
@@ -31,7 +31,7 @@
         { fingerprint, beganAgoMs, endedAgoMs },
       ) => [fingerprint, beganAgoMs, endedAgoMs]),
     ]),
-    sound.flatMap(({ fingerprint, agoMs }) => [fingerprint, agoMs]),
+    answers.flatMap(({ fingerprint, agoMs }) => [fingerprint, agoMs]),
   ];
 }
 
@@ -59,10 +59,10 @@
 }
 
 /** Reads what {@linkcode packCrashes} laid out. */
-export function unpackCrashes([crashed, sound]: PackedCrashes): CrashAges {
+export function unpackCrashes([crashed, answers]: PackedCrashes): CrashAges {
   return {
     crashed: crashed.map(unpackCrash),
-    sound: rowsOf(sound, SOUND_FIELDS).map(([fingerprint, ago]) => ({
+    answers: rowsOf(answers, ANSWER_FIELDS).map(([fingerprint, ago]) => ({
       fingerprint: String(fingerprint),
       agoMs: checkCount(ago, "crashes.agoMs"),
     })),
@@ -70,6 +70,6 @@
 }
 
 /** Whether there is anything to tell. */
-export function hasCrashes({ crashed, sound }: CrashAges): boolean {
-  return crashed.length + sound.length > 0;
+export function hasCrashes({ crashed, answers }: CrashAges): boolean {
+  return crashed.length + answers.length > 0;
 }
--- a/packages/router/src/connection/neighbour_news.ts
+++ b/packages/router/src/connection/neighbour_news.ts
@@ -43,7 +43,7 @@
 const NOTHING: StateNews = {
   parts: [],
   contacts: { contacts: [], gone: [] },
-  crashes: { crashed: [], sound: [] },
+  crashes: { crashed: [], answers: [] },
   limits: [],
 };
 
@@ -140,7 +140,7 @@
     const { changed, parts, crashes, limits, urgent } = told;
     const { overlay } = this.#sources;
     const count = changed.size + parts.length + crashes.crashed.length +
-      crashes.sound.length + limits.length;
+      crashes.answers.length + limits.length;
     if (!overlay.relays || count === 0) return false;
     const outboxes = overlay.role(name) === "child"
       ? [this.#all, this.#near]
@@ -233,7 +233,7 @@
     const parts = post.parts.filter(isOthers);
     const crashes = {
       crashed: post.crashes.crashed.filter(isOthers),
-      sound: post.crashes.sound.filter(isOthers),
+      answers: post.crashes.answers.filter(isOthers),
     };
     const limits = post.limits.filter(isOthers);
     const news = { ...post, parts, crashes, limits };
--- a/packages/router/src/connection/outbox.ts
+++ b/packages/router/src/connection/outbox.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { ContactNews } from "../process/contact_book.ts";
-import type { CrashedRun, SoundRun } from "../process/crash_entry.ts";
+import type { CrashedRun, WholeAnswer } from "../process/crash_entry.ts";
 import type { CrashNews } from "../process/crash_record.ts";
 import type { LimitNews } from "../process/runner_limits.ts";
 import type { PartsNews } from "../process/prefix_record.ts";
@@ -38,7 +38,7 @@
 /** Requests at runners that ended, with the neighbours that told of them. */
 export interface ToldCrashes {
   readonly crashed: readonly (CrashedRun & Told)[];
-  readonly sound: readonly (SoundRun & Told)[];
+  readonly answers: readonly (WholeAnswer & Told)[];
 }
 
 /** What goes out with the next messages. */
@@ -58,7 +58,7 @@
   #parts: (PartsNews & Told)[] = [];
   #contacts: ContactNews[] = [];
   readonly #crashed: (CrashedRun & Told)[] = [];
-  readonly #sound: (SoundRun & Told)[] = [];
+  readonly #answers: (WholeAnswer & Told)[] = [];
   /** What each runner said last. */
   readonly #limits = new Map<string, LimitNews & Told>();
 
@@ -85,9 +85,9 @@
     this.#contacts.push(news);
   }
 
-  addCrashes({ crashed, sound }: CrashNews, from?: string): void {
+  addCrashes({ crashed, answers }: CrashNews, from?: string): void {
     wait(this.#crashed, crashed, from);
-    wait(this.#sound, sound, from);
+    wait(this.#answers, answers, from);
   }
 
   addLimits(limits: readonly LimitNews[], from?: string): void {
@@ -97,7 +97,7 @@
   get empty(): boolean {
     return this.#urgent.size === 0 && this.#calm.size === 0 &&
       this.#parts.length === 0 && this.#contacts.length === 0 &&
-      this.#crashed.length === 0 && this.#sound.length === 0 &&
+      this.#crashed.length === 0 && this.#answers.length === 0 &&
       this.#limits.size === 0;
   }
 
@@ -122,7 +122,7 @@
       },
       crashes: {
         crashed: this.#crashed.splice(0, MAX_CRASHES),
-        sound: this.#sound.splice(0, MAX_CRASHES),
+        answers: this.#answers.splice(0, MAX_CRASHES),
       },
       limits: [...this.#limits.values()].slice(0, MAX_LIMITS),
     };
--- a/packages/router/src/connection/peer_link_test.ts
+++ b/packages/router/src/connection/peer_link_test.ts
@@ -145,7 +145,7 @@
       { fingerprint: "two", beganAgoMs: 70, endedAgoMs: 40 },
     ],
   }],
-  sound: [{ fingerprint: "three", agoMs: 10 }],
+  answers: [{ fingerprint: "three", agoMs: 10 }],
 };
 
 test("what ended runners arrives as it was", async (t) => {
@@ -162,8 +162,8 @@
 
 test("an age that cannot be closes the link", async (t) => {
   const { far, closed, faults } = await openLink(t, () => {});
-  const [sound] = CRASHES.sound;
-  const crashes = { crashed: [], sound: [{ ...sound!, agoMs: NaN }] };
+  const [answer] = CRASHES.answers;
+  const crashes = { crashed: [], answers: [{ ...answer!, agoMs: NaN }] };
   far.end(encodeMessage(testState({ crashes })));
   await closed;
   assert.match(faults[0]!, /"crashes.agoMs"/);
--- a/packages/router/src/process/crash_entry.ts
+++ b/packages/router/src/process/crash_entry.ts
@@ -15,7 +15,7 @@
 }
 
 /** A run of a request that its runner answered whole. */
-export interface SoundRun {
+export interface WholeAnswer {
   readonly fingerprint: string;
   /** When the answer ended, in steady ms. */
   readonly at: number;
@@ -27,15 +27,16 @@
  * The same for a request that has been answered whole before: one that comes over
  * and over may well be at three runners in turn that end for another reason.
  */
-const ENDS_OF_SOUND = 6;
+const ENDS_ONCE_ANSWERED = 6;
 /** Runners that are remembered of one request. */
 const MAX_RUNS = 8;
+
 /** Ends of runners under one request, and answers to it. */
 export interface CrashEntry {
   /** In the order of their ends. */
   readonly runs: readonly CrashedRun[];
   /** When it was answered whole, if ever. */
-  readonly soundAt: number | undefined;
+  readonly answeredAt: number | undefined;
   /** Ends in turn since then. */
   readonly ends: number;
   readonly lastEndAt: number;
@@ -44,7 +45,7 @@
 /** Of a request that was at no runner that ended. */
 export const NO_ENDS: CrashEntry = {
   runs: [],
-  soundAt: undefined,
+  answeredAt: undefined,
   ends: 0,
   lastEndAt: -Infinity,
 };
@@ -54,7 +55,7 @@
   const runs = [...entry.runs, run]
     .sort((one, other) => one.endedAt - other.endedAt)
     .slice(-MAX_RUNS);
-  return entryOf(runs, entry.soundAt);
+  return entryOf(runs, entry.answeredAt);
 }
 
 /** The entry after the request was answered whole. */
@@ -63,18 +64,18 @@
 }
 
 /** Whether the request has ended so many runners that it must not be sent. */
-export function isBlamed({ ends, soundAt }: CrashEntry): boolean {
-  return ends >= (soundAt === undefined ? ENDS : ENDS_OF_SOUND);
+export function isBlamed({ ends, answeredAt }: CrashEntry): boolean {
+  return ends >= (answeredAt === undefined ? ENDS : ENDS_ONCE_ANSWERED);
 }
 
 function entryOf(
   runs: readonly CrashedRun[],
-  soundAt: number | undefined,
+  answeredAt: number | undefined,
 ): CrashEntry {
   return {
     runs,
-    soundAt,
-    ends: endsInTurn(runs, soundAt ?? -Infinity),
+    answeredAt,
+    ends: endsInTurn(runs, answeredAt ?? -Infinity),
     lastEndAt: runs.at(-1)!.endedAt,
   };
 }
--- a/packages/router/src/process/crash_record.ts
+++ b/packages/router/src/process/crash_record.ts
@@ -5,14 +5,14 @@
  * @module
  */
 import { isBlamed, NO_ENDS, withAnswer, withRun } from "./crash_entry.ts";
-import type { CrashedRun, CrashEntry, SoundRun } from "./crash_entry.ts";
+import type { CrashedRun, CrashEntry, WholeAnswer } from "./crash_entry.ts";
 import type { EventLog } from "./event_log.ts";
 
 /** What is to be told to other daemons, or was told by one. */
 export interface CrashNews {
   readonly crashed: readonly CrashedRun[];
   /** Runs of requests that were at runners which ended before or after. */
-  readonly sound: readonly SoundRun[];
+  readonly answers: readonly WholeAnswer[];
 }
 
 /** Why a request is not sent. */
@@ -35,7 +35,7 @@
 /** Requests that are remembered: about 1 MB with the runs of each. */
 const MAX_REQUESTS = 2_000;
 /** Requests answered whole that are remembered: some 0.4 MB. */
-const MAX_SOUND = 4_000;
+const MAX_ANSWERS = 4_000;
 /** Runs of which a daemon is told that has just been met. */
 const MAX_TOLD = 200;
 /**
@@ -66,12 +66,12 @@
   /** By fingerprint, the one whose last end was noted first, first. */
   readonly #entries = new Map<string, CrashEntry>();
   /** When requests were last answered whole, the oldest first. */
-  readonly #sound = new Map<string, number>();
+  readonly #answers = new Map<string, number>();
   readonly #listeners: (() => void)[] = [];
   /** Called when a request is quarantined, by its fingerprint. */
   readonly #watchers = new Map<string, Set<() => void>>();
   #crashedNews: CrashedRun[] = [];
-  #soundNews: SoundRun[] = [];
+  #answerNews: WholeAnswer[] = [];
 
   constructor(log: EventLog) {
     this.#log = log;
@@ -127,18 +127,18 @@
    *
    * @returns what was not known here, to be passed on.
    */
-  take({ crashed, sound }: CrashNews, now: number): CrashNews {
+  take({ crashed, answers }: CrashNews, now: number): CrashNews {
     return {
       crashed: crashed.filter((run) => this.#add(run, now)),
-      sound: sound.filter((run) => this.#takeSound(run)),
+      answers: answers.filter((run) => this.#takeAnswer(run)),
     };
   }
 
   /** What was noted here since the last call. */
   takeNews(): CrashNews {
-    const news = { crashed: this.#crashedNews, sound: this.#soundNews };
+    const news = { crashed: this.#crashedNews, answers: this.#answerNews };
     this.#crashedNews = [];
-    this.#soundNews = [];
+    this.#answerNews = [];
     return news;
   }
 
@@ -152,13 +152,15 @@
     const blamed = entries.filter(([, entry]) => isBlamed(entry));
     const others = entries.filter(([, entry]) => !isBlamed(entry));
     const crashed: CrashedRun[] = [];
-    const sound: SoundRun[] = [];
-    for (const [fingerprint, { runs, soundAt }] of [...blamed, ...others]) {
+    const answers: WholeAnswer[] = [];
+    for (const [fingerprint, { runs, answeredAt }] of [...blamed, ...others]) {
       if (crashed.length + runs.length > MAX_TOLD) break;
       crashed.push(...runs);
-      if (soundAt !== undefined) sound.push({ fingerprint, at: soundAt });
+      if (answeredAt !== undefined) {
+        answers.push({ fingerprint, at: answeredAt });
+      }
     }
-    return { crashed, sound };
+    return { crashed, answers };
   }
 
   /** @returns whether the run was not known. */
@@ -169,12 +171,12 @@
     const held = this.quarantine(fingerprint, now) !== undefined;
     if (now - run.endedAt > MEMORY_MS) return false;
     if (before.runs.some((each) => each.runner === runner)) return false;
-    const vouched = before.soundAt === undefined &&
-      this.#sound.has(fingerprint);
+    const vouched = before.answeredAt === undefined &&
+      this.#answers.has(fingerprint);
     this.#entries.delete(fingerprint);
     this.#entries.set(fingerprint, withRun(before, run));
     if (vouched) {
-      this.#vouch({ fingerprint, at: this.#sound.get(fingerprint)! });
+      this.#vouch({ fingerprint, at: this.#answers.get(fingerprint)! });
     }
     const begins = !held && this.quarantine(fingerprint, now) !== undefined;
     if (begins) this.#quarantined(fingerprint);
@@ -182,14 +184,14 @@
   }
 
   /** Has it known here and elsewhere that a request does not end runners. */
-  #vouch(run: SoundRun): void {
+  #vouch(run: WholeAnswer): void {
     if (!this.#clear(run)) return;
-    this.#soundNews.push(run);
+    this.#answerNews.push(run);
     this.#tell();
   }
 
-  #takeSound(run: SoundRun): boolean {
-    const known = this.#sound.get(run.fingerprint) ?? -Infinity;
+  #takeAnswer(run: WholeAnswer): boolean {
+    const known = this.#answers.get(run.fingerprint) ?? -Infinity;
     if (run.at - known <= SAME_ANSWER_MS) return false;
     this.#remember(run);
     this.#clear(run);
@@ -197,21 +199,21 @@
   }
 
   /** @returns whether it changes what is known. */
-  #clear({ fingerprint, at }: SoundRun): boolean {
+  #clear({ fingerprint, at }: WholeAnswer): boolean {
     const entry = this.#entries.get(fingerprint);
     if (entry === undefined) return false;
-    if (entry.soundAt !== undefined && at <= entry.soundAt) return false;
+    if (entry.answeredAt !== undefined && at <= entry.answeredAt) return false;
     this.#entries.set(fingerprint, withAnswer(entry, at));
     return true;
   }
 
-  #remember({ fingerprint, at }: SoundRun): void {
-    this.#sound.delete(fingerprint);
-    this.#sound.set(fingerprint, at);
-    for (const [oldest, since] of this.#sound) {
+  #remember({ fingerprint, at }: WholeAnswer): void {
+    this.#answers.delete(fingerprint);
+    this.#answers.set(fingerprint, at);
+    for (const [oldest, since] of this.#answers) {
       const old = at - since > MEMORY_MS;
-      if (!old && this.#sound.size <= MAX_SOUND) break;
-      this.#sound.delete(oldest);
+      if (!old && this.#answers.size <= MAX_ANSWERS) break;
+      this.#answers.delete(oldest);
     }
   }
 
@@ -242,7 +244,7 @@
       ends: entry.ends,
       runners: entry.runs.map(({ runner }) => runner).join(","),
       span_ms: Math.round(entry.lastEndAt - entry.runs[0]!.beganAt),
-      answered_before: entry.soundAt !== undefined,
+      answered_before: entry.answeredAt !== undefined,
     });
   }
 }
--- a/packages/router/src/process/crash_record_test.ts
+++ b/packages/router/src/process/crash_record_test.ts
@@ -75,7 +75,7 @@
   const { record } = recordWithLog();
   for (const delay of [0, 100, 200]) {
     const told = runAt(delay, { runner: "r" });
-    record.take({ crashed: [told], sound: [] }, 300);
+    record.take({ crashed: [told], answers: [] }, 300);
   }
   assert.equal(isRefused(record, "bad", 300), false);
 });
@@ -95,7 +95,7 @@
   for (const order of [[0, 1, 2], [2, 1, 0], [1, 2, 0]]) {
     const { record } = recordWithLog();
     for (const index of order) {
-      record.take({ crashed: [runs[index]!], sound: [] }, 300);
+      record.take({ crashed: [runs[index]!], answers: [] }, 300);
     }
     assert.equal(isRefused(record, "bad", 300), true);
   }
@@ -127,7 +127,7 @@
   endRunners(seeing, { count: 2, from: 100 });
   vouching.take(seeing.takeNews(), 300);
   const told = vouching.takeNews();
-  assert.deepEqual(told.sound, [{ fingerprint: "bad", at: 0 }]);
+  assert.deepEqual(told.answers, [{ fingerprint: "bad", at: 0 }]);
   seeing.take(told, 300);
   endRunners(seeing, { count: 1, from: 400 });
   assert.equal(isRefused(seeing, "bad", 500), false);
@@ -135,9 +135,12 @@
 
 test("only what was not known is passed on", () => {
   const { record } = recordWithLog();
-  const news = { crashed: [runAt(0)], sound: [{ fingerprint: "bad", at: 90 }] };
+  const news = {
+    crashed: [runAt(0)],
+    answers: [{ fingerprint: "bad", at: 90 }],
+  };
   assert.deepEqual(record.take(news, 100), news);
-  assert.deepEqual(record.take(news, 100), { crashed: [], sound: [] });
+  assert.deepEqual(record.take(news, 100), { crashed: [], answers: [] });
 });
 
 test("a request is sent again after its quarantine, until the next end", () => {
@@ -176,7 +179,7 @@
   assert.ok(crashed.length <= 200, `${crashed.length} told`);
   assert.equal(crashed[0]!.fingerprint, "bad");
   record.answered("varied-0", 20_000);
-  assert.deepEqual(record.takeNews().sound, []);
+  assert.deepEqual(record.takeNews().answers, []);
 });
 
 test("a daemon that has just been met knows what is not sent any more", () => {
--- a/packages/router/tests/crash_news_test.ts
+++ b/packages/router/tests/crash_news_test.ts
@@ -72,21 +72,15 @@
 // Guards against a cut failure domain that learns nothing of what it missed.
 test("a failure domain that was cut off catches up, and others with it", async (t) => {
   const { clock, fleet } = await settledFleet(t, LARGE);
-  const isInside = ({ contact }: Member) => contact.failureDomain === "d-0";
-  const inside = fleet.members.filter(isInside);
-  const outside = fleet.members.filter((each) => !isInside(each));
-  for (const [from, to] of [[inside, outside], [outside, inside]] as const) {
-    for (const one of from) {
-      for (const { contact } of to) one.deafTo.add(contact.name);
-    }
-  }
+  const [inside, outside] = fleet.sides("d-0");
+  fleet.cutOff("d-0");
   await endThree(clock, inside, "bad-inside");
   await endThree(clock, outside, "bad-outside");
   await clock.pass(10_000);
   assertAllRefuse(inside, "bad-inside");
   assertAllRefuse(outside, "bad-outside");
   assert.equal(refusing(outside, "bad-inside").length, 0);
-  for (const member of fleet.members) member.deafTo.clear();
+  fleet.heal();
   await clock.pass(10_000);
   assertAllRefuse(fleet.members, "bad-inside");
   assertAllRefuse(fleet.members, "bad-outside");
--- a/packages/router/tests/fleet.ts
+++ b/packages/router/tests/fleet.ts
@@ -398,6 +398,30 @@
       );
   }
 
+  /** The daemons of a failure domain, and all others. */
+  sides(domain: string): readonly [readonly Member[], readonly Member[]] {
+    const isInside = ({ contact }: Member) => contact.failureDomain === domain;
+    return [
+      this.members.filter(isInside),
+      this.members.filter((each) => !isInside(each)),
+    ];
+  }
+
+  /** Cuts a failure domain off from all others. */
+  cutOff(domain: string): void {
+    const [inside, outside] = this.sides(domain);
+    for (const [from, to] of [[inside, outside], [outside, inside]] as const) {
+      for (const one of from) {
+        for (const { contact } of to) one.deafTo.add(contact.name);
+      }
+    }
+  }
+
+  /** Ends all cuts. */
+  heal(): void {
+    for (const { deafTo } of this.members) deafTo.clear();
+  }
+
   /** Starts all daemons within 0.3 s of each other, in any order. */
   async startAll(): Promise<void> {
     const seeds = this.members.slice(0, 3).map(({ contact }) =>
--- a/packages/router/tests/fleet_test.ts
+++ b/packages/router/tests/fleet_test.ts
@@ -121,23 +121,13 @@
 // to find it again, though nobody was restarted.
 test("a failure domain that was cut off is heard of again", async (t) => {
   const { clock, fleet } = await settledFleet(t, LARGE);
-  const [inside, outside] = [0, 1].map((side) =>
-    fleet.members.filter(({ contact }) =>
-      (contact.failureDomain === "d-0") === (side === 0)
-    )
-  );
-  const cut = (from: readonly Member[], to: readonly Member[]) => {
-    for (const one of from) {
-      for (const { contact } of to) one.deafTo.add(contact.name);
-    }
-  };
-  cut(inside!, outside!);
-  cut(outside!, inside!);
-  inside![3]!.place("r-1");
-  outside![3]!.place("r-1");
+  const [inside, outside] = fleet.sides("d-0");
+  fleet.cutOff("d-0");
+  inside[3]!.place("r-1");
+  outside[3]!.place("r-1");
   await clock.pass(15_000);
   assertAllBelieve(fleet.alive, "r-1", 1);
-  for (const member of fleet.members) member.deafTo.clear();
+  fleet.heal();
   await clock.pass(10_000);
   assertAllBelieve(fleet.alive, "r-1", 2);
 });
--- a/packages/router/tests/limit_news_test.ts
+++ b/packages/router/tests/limit_news_test.ts
@@ -69,20 +69,14 @@
   const { clock, fleet } = await settledFleet(t, LARGE);
   hear(fleet.members[0]!, PER_S);
   await clock.pass(SPREAD_MS);
-  const isInside = ({ contact }: Member) => contact.failureDomain === "d-0";
-  const inside = fleet.members.filter(isInside);
-  const outside = fleet.members.filter((each) => !isInside(each));
-  for (const [from, to] of [[inside, outside], [outside, inside]] as const) {
-    for (const one of from) {
-      for (const { contact } of to) one.deafTo.add(contact.name);
-    }
-  }
+  const [inside, outside] = fleet.sides("d-0");
+  fleet.cutOff("d-0");
   await clock.pass(TAKEOVER_MS);
   hear(outside[0]!, undefined);
   await clock.pass(SPREAD_MS);
   assertAllKnow(outside, undefined);
   assertAllKnow(inside, PER_S);
-  for (const member of fleet.members) member.deafTo.clear();
+  fleet.heal();
   await clock.pass(2 * TAKEOVER_MS);
   assertAllKnow(fleet.members, undefined);
 });
