Work out parts of limits when daemons come or go only, and bound their log lines

At 2,400 runners that all name limits, a daemon worked its parts out anew each second: 32.6 ms, all that it may spend for control. A runner that names a limit in each second answer wrote a line of the log for each; two a second are left.

--- a/packages/router/src/connection/neighbour_news.ts
+++ b/packages/router/src/connection/neighbour_news.ts
@@ -95,10 +95,8 @@
   constructor(sources: NewsSources) {
     this.#sources = sources;
     this.#sums = new LoadSums(sources.loads);
-    const rate = {
-      perSecond: sources.controlBytesPerS,
-      burstSeconds: BURST_SECONDS,
-    };
+    const perSecond = sources.controlBytesPerS;
+    const rate = { perSecond, most: perSecond * BURST_SECONDS };
     this.#nearAllowance = new Allowance(rate);
     this.#allAllowance = new Allowance(rate);
   }
--- a/packages/router/src/process/allowance.ts
+++ b/packages/router/src/process/allowance.ts
@@ -4,41 +4,56 @@
  * @module
  */
 
+/** How much may be sent. */
+export interface Rate {
+  readonly perSecond: number;
+  /** Most that may be sent at once, after a pause. */
+  readonly most: number;
+}
+
 /**
- * Bytes that may be sent: so many a second, and those of some seconds at once
- * after a pause.
+ * Counts what may be sent: so much a second, and some at once after a pause.
  *
  * @example
  * ```ts
- * const allowance = new Allowance({ perSecond: 29_000, burstSeconds: 10 });
+ * const allowance = new Allowance({ perSecond: 29_000, most: 290_000 });
  * const bytes = allowance.left(performance.now());
  * ```
  */
 export class Allowance {
-  readonly #perMs: number;
-  readonly #most: number;
+  #rate: Rate;
   #left: number;
   #at = 0;
 
-  constructor(options: {
-    readonly perSecond: number;
-    readonly burstSeconds: number;
-  }) {
-    this.#perMs = options.perSecond / 1_000;
-    this.#most = options.perSecond * options.burstSeconds;
-    this.#left = this.#most;
+  /** @param left what may be sent at once at the start. */
+  constructor(rate: Rate, left = rate.most) {
+    this.#rate = rate;
+    this.#left = left;
   }
 
-  /** Bytes that may be sent now; negative after more was sent than that. */
+  /** What may be sent now; negative after more was sent than that. */
   left(now: number): number {
-    const elapsed = Math.max(0, now - this.#at);
-    this.#left = Math.min(this.#most, this.#left + elapsed * this.#perMs);
+    const { perSecond, most } = this.#rate;
+    const elapsedS = Math.max(0, now - this.#at) / 1_000;
+    this.#left = Math.min(most, this.#left + elapsedS * perSecond);
     this.#at = now;
     return this.#left;
   }
 
   /** Counts what was sent. */
-  take(bytes: number): void {
-    this.#left -= bytes;
+  take(amount: number): void {
+    this.#left -= amount;
+  }
+
+  /** Counts at another rate from now on. */
+  change(rate: Rate, now: number): void {
+    this.left(now);
+    this.#rate = rate;
+  }
+
+  /** Has nothing left now. */
+  empty(now: number): void {
+    this.#left = 0;
+    this.#at = now;
   }
 }
--- a/packages/router/src/process/crash_record.ts
+++ b/packages/router/src/process/crash_record.ts
@@ -32,9 +32,9 @@
  * is sent again after its quarantine goes back to it at the first end.
  */
 const MEMORY_MS = 3_600_000;
-/** Requests that are remembered: about 1 MB with the runs of each. */
+/** Requests that are remembered: 2.6 MB at most, with eight runs of each. */
 const MAX_REQUESTS = 2_000;
-/** Requests answered whole that are remembered: some 0.4 MB. */
+/** Requests answered whole that are remembered: 0.24 MB. */
 const MAX_ANSWERS = 4_000;
 /** Runs of which a daemon is told that has just been met. */
 const MAX_TOLD = 200;
--- a/packages/router/src/process/limit_share.ts
+++ b/packages/router/src/process/limit_share.ts
@@ -4,18 +4,11 @@
  * @module
  */
 import { Rendezvous } from "@umbermast/coordination/rendezvous";
+import type { Rate } from "./allowance.ts";
 import type { Sharers } from "./sharers.ts";
 
-/** A part of a limit. */
-export interface LimitPart {
-  /** Requests a second. */
-  readonly perS: number;
-  /** Requests at once after a pause. */
-  readonly burst: number;
-}
-
 /** No part at all. */
-export const NO_PART: LimitPart = { perS: 0, burst: 0 };
+export const NO_PART: Rate = { perSecond: 0, most: 0 };
 
 /**
  * Part of a limit that is given out. The rest is for daemons that see others
@@ -48,10 +41,10 @@
  * @example
  * ```ts
  * const sharers = { own: "a", names: ["a", "b", "c"], fleetSize: 3 };
- * partOf("r-1", 4.3, sharers).perS; // 1.29
+ * partOf("r-1", 4.3, sharers).perSecond; // 1.29
  * ```
  */
-export function partOf(key: string, perS: number, sharers: Sharers): LimitPart {
+export function partOf(key: string, perS: number, sharers: Sharers): Rate {
   const { own, names, fleetSize } = sharers;
   const most = Math.floor(HOLDERS_PER_S * perS + MORE_HOLDERS);
   if (fleetSize <= most) return equalPart(perS, fleetSize);
@@ -61,9 +54,9 @@
   return equalPart(perS, holders);
 }
 
-function equalPart(perS: number, holders: number): LimitPart {
+function equalPart(perS: number, holders: number): Rate {
   return {
-    perS: Math.max(LEAST_PER_S, GIVEN_SHARE * perS) / holders,
-    burst: Math.max(1, BURST_S * perS / holders),
+    perSecond: Math.max(LEAST_PER_S, GIVEN_SHARE * perS) / holders,
+    most: Math.max(1, BURST_S * perS / holders),
   };
 }
--- a/packages/router/src/process/runner_limits.ts
+++ b/packages/router/src/process/runner_limits.ts
@@ -3,9 +3,11 @@
  *
  * @module
  */
+import { isDeepStrictEqual } from "node:util";
+import { Allowance } from "./allowance.ts";
+import type { Rate } from "./allowance.ts";
 import type { EventLog } from "./event_log.ts";
 import { NO_PART, partOf } from "./limit_share.ts";
-import type { LimitPart } from "./limit_share.ts";
 import type { Sharers } from "./sharers.ts";
 
 /** What a runner's answer says of how much the runner takes. */
@@ -37,25 +39,28 @@
  * been cut off meanwhile.
  */
 const ENDED_MS = 600_000;
-/** Milliseconds for which a part is not worked out again. */
-const PART_MS = 1_000;
-/** Milliseconds between two lines of the log on one runner. */
-const LOG_AGAIN_MS = 1_000;
+/** Milliseconds between two looks who divides limits. */
+const LOOK_MS = 1_000;
+/** Lines of the log on one runner in a span: that it begins, and that it ends. */
+const MAX_LINES = 2;
+/** Milliseconds of such a span. */
+const LOG_MS = 1_000;
 /** Runners whose unreadable limits are remembered, so that each is logged once. */
 const MAX_UNREADABLE = 1_000;
-const MS_PER_SECOND = 1_000;
 
 interface Limit {
   perS: number | undefined;
   /** When the runner said so last, as far as known. */
   at: number;
   toldAt: number;
+  /** When the present span of the log began, and changes since. */
   loggedAt: number;
-  part: LimitPart;
-  partAt: number;
-  /** Requests that may be sent now, and when that was worked out. */
-  ready: number;
-  readyAt: number;
+  lines: number;
+  part: Rate;
+  /** What the part was worked out from: sharers, and a turn among them. */
+  partOf: string;
+  /** Requests that this daemon may send, by its part. */
+  readonly allowance: Allowance;
 }
 
 /**
@@ -74,6 +79,10 @@
   readonly #sharers: () => Sharers;
   readonly #limits = new Map<string, Limit>();
   readonly #unreadable = new Set<string>();
+  #divided: Sharers = { own: "", names: [], fleetSize: 0 };
+  /** Changes when the sharers do. */
+  #division = 0;
+  #lookedAt = -Infinity;
   readonly #listeners: (() => void)[] = [];
   #news = new Set<string>();
 
@@ -102,21 +111,23 @@
   hasPart(runner: string, now: number): boolean {
     const limit = this.#limits.get(runner);
     if (limit?.perS === undefined) return true;
-    return this.#partOf(runner, limit, now).perS > 0;
+    return this.#partOf(runner, limit, now).perSecond > 0;
   }
 
   /** Whether a request may be sent to a runner now. */
   mayTake(runner: string, now: number): boolean {
     const limit = this.#limits.get(runner);
     if (limit?.perS === undefined) return true;
-    return this.#readyOf(runner, limit, now) >= 1;
+    this.#partOf(runner, limit, now);
+    return limit.allowance.left(now) >= 1;
   }
 
   /** Counts a request that is sent to a runner. */
   take(runner: string, now: number): void {
     const limit = this.#limits.get(runner);
     if (limit?.perS === undefined) return;
-    limit.ready = this.#readyOf(runner, limit, now) - 1;
+    this.#partOf(runner, limit, now);
+    limit.allowance.take(1);
   }
 
   /**
@@ -201,7 +212,7 @@
 
   #set({ runner, perS, at }: LimitNews, now: number): true {
     const known = this.#limits.get(runner);
-    const limit = known ?? unlimited(now);
+    const limit = known ?? unlimited();
     this.#limits.set(runner, limit);
     const before = limit.perS;
     limit.perS = perS;
@@ -216,37 +227,38 @@
     readonly now: number;
   }): void {
     const { before, now } = change;
-    if (before === undefined) limit.ready = 0;
-    limit.partAt = -Infinity;
-    const often = before !== undefined && limit.perS !== undefined &&
-      now - limit.loggedAt < LOG_AGAIN_MS;
-    if (often) return;
-    limit.loggedAt = now;
+    // What is saved up while nothing is limited must not be sent at once.
+    if (before === undefined) limit.allowance.empty(now);
+    limit.partOf = "";
+    if (!mayLog(limit, now)) return;
     this.#log.event("runner_limit_changed", {
       runner,
       per_s: limit.perS,
       before,
-      own_per_s: limit.perS && this.#partOf(runner, limit, now).perS,
+      own_per_s: limit.perS && this.#partOf(runner, limit, now).perSecond,
       age_ms: Math.round(now - limit.at),
     });
   }
 
-  /** This daemon's part, worked out now and then, as daemons come and go. */
-  #partOf(runner: string, limit: Limit, now: number): LimitPart {
-    if (now - limit.partAt < PART_MS) return limit.part;
+  /** This daemon's part, worked out again when daemons come or go. */
+  #partOf(runner: string, limit: Limit, now: number): Rate {
+    this.#look(now);
     const turn = Math.floor(Math.max(0, now - limit.at) / SILENT_MS);
-    limit.part = partOf(`${runner}/${turn}`, limit.perS!, this.#sharers());
-    limit.partAt = now;
+    const from = `${this.#division}/${turn}`;
+    if (limit.partOf === from) return limit.part;
+    limit.part = partOf(`${runner}/${turn}`, limit.perS!, this.#divided);
+    limit.partOf = from;
+    limit.allowance.change(limit.part, now);
     return limit.part;
   }
 
-  /** Requests that this daemon may send now, one of them only in part. */
-  #readyOf(runner: string, limit: Limit, now: number): number {
-    const { perS, burst } = this.#partOf(runner, limit, now);
-    const elapsedS = (now - limit.readyAt) / MS_PER_SECOND;
-    limit.ready = Math.min(burst, limit.ready + elapsedS * perS);
-    limit.readyAt = now;
-    return limit.ready;
+  #look(now: number): void {
+    if (now - this.#lookedAt < LOOK_MS) return;
+    this.#lookedAt = now;
+    const sharers = this.#sharers();
+    if (isDeepStrictEqual(sharers, this.#divided)) return;
+    this.#divided = sharers;
+    this.#division += 1;
   }
 
   #leaveOut(runner: string, text: string): void {
@@ -257,15 +269,25 @@
   }
 }
 
-function unlimited(now: number): Limit {
+/** A runner may name another limit in each answer, or one in each second one. */
+function mayLog(limit: Limit, now: number): boolean {
+  if (now - limit.loggedAt >= LOG_MS) {
+    limit.loggedAt = now;
+    limit.lines = 0;
+  }
+  limit.lines += 1;
+  return limit.lines <= MAX_LINES;
+}
+
+function unlimited(): Limit {
   return {
     perS: undefined,
     at: -Infinity,
     toldAt: -Infinity,
     loggedAt: -Infinity,
+    lines: 0,
     part: NO_PART,
-    partAt: -Infinity,
-    ready: 0,
-    readyAt: now,
+    partOf: "",
+    allowance: new Allowance(NO_PART),
   };
 }
