Give what a runner takes to the most urgent request that waits for it

Where all runners of a service have named limits, requests wait for parts of them, and all look at the same tick whether one is there: whoever came first got it, so a less urgent request was served while an urgent one waited. They are in the order now in which requests wait for room: by rank, by whether they can still be on time, by age. Test: limited_runner_test.ts, "the urgent request goes first", fails without it (calm, calm, urgent).

What a daemon has for each service (budgets, paces, these waits) is made by one piece.

--- /dev/null
+++ b/packages/router/src/process/limit_waits.ts
@@ -0,0 +1,33 @@
+/**
+ * Requests that wait until a runner takes more.
+ *
+ * @module
+ */
+import { goesBefore } from "./runner_queue.ts";
+import type { Turn } from "./runner_queue.ts";
+
+/**
+ * The requests of this daemon that wait for runners of one service, all of which
+ * have had what they take. All look at the same moment whether one takes more;
+ * without an order a less urgent one would get it.
+ */
+export class LimitWaits {
+  readonly #turns = new Set<Turn>();
+
+  /** Waits from now on; {@linkcode leave} ends it. */
+  join(turn: Turn): void {
+    this.#turns.add(turn);
+  }
+
+  leave(turn: Turn): void {
+    this.#turns.delete(turn);
+  }
+
+  /** Whether no request that waits goes before this one. */
+  isFirst(turn: Turn, now: number): boolean {
+    for (const each of this.#turns) {
+      if (each !== turn && goesBefore(each, turn, now)) return false;
+    }
+    return true;
+  }
+}
--- a/packages/router/src/request/daemon.ts
+++ b/packages/router/src/request/daemon.ts
@@ -7,6 +7,7 @@
 import type { RunnerConnections } from "../connection/runner_connections.ts";
 import type { CrashRecord } from "../process/crash_record.ts";
 import type { EventLog } from "../process/event_log.ts";
+import type { LimitWaits } from "../process/limit_waits.ts";
 import type { Pulse } from "../process/pulse.ts";
 import type { PrefixRecord } from "../process/prefix_record.ts";
 import type { RetryBudget } from "../process/retry_budget.ts";
@@ -54,6 +55,8 @@
   connectionBroke(runner: Runner, run: BrokenRun): void;
   /** How fast the runners of a service make tokens. */
   pace(service: string): StreamPace;
+  /** Requests that wait until runners of a service take more. */
+  limitWaits(service: string): LimitWaits;
   /** Repeats that may be sent to a service. */
   budget(service: string): RetryBudget;
 }
--- a/packages/router/src/request/runner_search.ts
+++ b/packages/router/src/request/runner_search.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { LimitWaits } from "../process/limit_waits.ts";
 import type { Runner } from "../process/runner.ts";
 import type { Turn } from "../process/runner_queue.ts";
 import type { Daemon } from "./daemon.ts";
@@ -107,6 +108,7 @@
       return await this.#findRoom(wait, tried);
     } finally {
       wait.end();
+      this.#limitWaits.leave(this.#turn);
     }
   }
 
@@ -121,10 +123,11 @@
     const until = startedAt + HOLD_SHARE * Math.min(left, patienceMs);
     for (;;) {
       const choice = this.#choose(tried, wait.runner);
-      if (choice === undefined) {
+      if (choice === undefined || this.#yields(choice)) {
         const limited = this.#limitedLeft(tried);
         if (limited.length === 0) return undefined;
         if (!this.#mayAwait(limited, until)) return "overloaded";
+        this.#limitWaits.join(this.#turn);
         await this.#daemon.pulse.next();
         continue;
       }
@@ -156,6 +159,17 @@
     return choice;
   }
 
+  get #limitWaits(): LimitWaits {
+    return this.#daemon.limitWaits(this.#subject.service.name);
+  }
+
+  /** Whether the runner takes one more, which another request gets first. */
+  #yields({ runner }: Choice): boolean {
+    const limited = this.#daemon.limits.of(runner.id) !== undefined;
+    return limited &&
+      !this.#limitWaits.isFirst(this.#turn, this.#daemon.now());
+  }
+
   /** Runners that were not tried and have had what they take. */
   #limitedLeft(tried: ReadonlySet<string>): readonly Runner[] {
     const { runners, limits } = this.#daemon.fleet(this.#subject.service.name);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -21,9 +21,11 @@
 import type { EventLog } from "./process/event_log.ts";
 import { MemorySurvey } from "./process/memory_survey.ts";
 import type { EngineMemory } from "./process/memory_survey.ts";
+import { LimitWaits } from "./process/limit_waits.ts";
 import { Lifecycle } from "./process/lifecycle.ts";
 import { RequestMetrics } from "./process/metrics.ts";
 import { Pulse } from "./process/pulse.ts";
+import { PerService } from "./process/per_service.ts";
 import { PrefixRecord } from "./process/prefix_record.ts";
 import { RestartWatch } from "./process/restart_watch.ts";
 import { RetryBudget } from "./process/retry_budget.ts";
@@ -85,8 +87,14 @@
   readonly #lifecycle: Lifecycle;
   readonly #server: CallerServer;
   readonly #directory = new RunnerDirectory();
-  readonly #budgets = new Map<string, RetryBudget>();
-  readonly #paces = new Map<string, StreamPace>();
+  readonly #budgets = new PerService(() =>
+    new RetryBudget(
+      this.#settings.retries,
+      () => Math.max(LEAST_DAEMONS, this.#neighbourhood.fleetSize),
+    )
+  );
+  readonly #paces = new PerService(() => new StreamPace());
+  readonly #limitWaits = new PerService(() => new LimitWaits());
   readonly #neighbourhood: Neighbourhood;
   readonly #survey: MemorySurvey;
   readonly #restarts: RestartWatch;
@@ -197,9 +205,7 @@
   }
 
   pace(service: string): StreamPace {
-    const known = this.#paces.get(service) ?? new StreamPace();
-    this.#paces.set(service, known);
-    return known;
+    return this.#paces.of(service);
   }
 
   connectionBroke(runner: Runner, run: BrokenRun): void {
@@ -208,15 +214,12 @@
     void this.#restarts.suspect(runner);
   }
 
+  limitWaits(service: string): LimitWaits {
+    return this.#limitWaits.of(service);
+  }
+
   budget(service: string): RetryBudget {
-    const known = this.#budgets.get(service);
-    if (known !== undefined) return known;
-    const budget = new RetryBudget(
-      this.#settings.retries,
-      () => Math.max(LEAST_DAEMONS, this.#neighbourhood.fleetSize),
-    );
-    this.#budgets.set(service, budget);
-    return budget;
+    return this.#budgets.of(service);
   }
 
   /** The port that callers connect to. */
@@ -341,7 +344,7 @@
     this.loads.retain(ids);
     this.prefixes.retain(ids);
     this.limits.retain(ids);
-    for (const pace of this.#paces.values()) pace.retain(ids);
+    for (const pace of this.#paces.all()) pace.retain(ids);
     this.#surveyOnce();
   }
 
--- a/packages/router/tests/limited_runner_test.ts
+++ b/packages/router/tests/limited_runner_test.ts
@@ -167,3 +167,28 @@
   }
   assert.equal(only.requests.length, 2 + 20 - refused.length);
 });
+
+// Guards against less urgent requests that take what an urgent one waits for.
+test("where all runners have had their limits the urgent request goes first", async (t) => {
+  const linked = new LinkedRouters(t, [
+    { name: "calm", pathPrefix: "/calm/", tier: 1, timeoutMs: 3_000 },
+    { name: "urgent", pathPrefix: "/urgent/", tier: 0, timeoutMs: 3_000 },
+  ]);
+  const served: string[] = [];
+  const only = await playRunner(t, "only", (socket, text, id) => {
+    served.push(/ \/(\w+)\//.exec(text)![1]!);
+    socket.write(answer(id, "done", { headers: "X-Limit: 4\r\n" }));
+  });
+  linked.runners.set([only.runner]);
+  const router = await linked.add();
+  const now = router.now();
+  router.limits.heard("only", { kind: "limit", perS: 4 }, { sentAt: now, now });
+  const calm = Array.from(
+    { length: 6 },
+    () => linked.send("work", { path: "/calm/" }),
+  );
+  await pause(50);
+  await linked.send("work", { path: "/urgent/" });
+  assert.ok(served.indexOf("urgent") <= 1, served.join());
+  await Promise.all(calm);
+});
--- a/packages/router/tests/linked_routers.ts
+++ b/packages/router/tests/linked_routers.ts
@@ -39,12 +39,16 @@
   /** The runners that they know. */
   readonly runners = new SettableFeed<Runner>([]);
   readonly #context: TestContext;
-  readonly #route: Partial<Route>;
+  readonly #routes: readonly Partial<Route>[];
   #tries = 0;
 
-  constructor(context: TestContext, route: Partial<Route> = {}) {
+  /** @param routes one for every path, unless given. */
+  constructor(
+    context: TestContext,
+    routes: Partial<Route> | readonly Partial<Route>[] = {},
+  ) {
     this.#context = context;
-    this.#route = route;
+    this.#routes = [routes].flat();
   }
 
   /** Starts one more router and waits until it is ready and linked. */
@@ -60,7 +64,7 @@
     };
     const router = await startRouter(this.#context, {
       configurations: new SettableFeed([
-        testConfiguration([testRoute(this.#route)]),
+        testConfiguration(this.#routes.map(testRoute)),
       ]),
       runners: this.runners,
       log,
@@ -76,11 +80,15 @@
   }
 
   /** Sends a request to the next router; each try has an id of its own. */
-  send(body: string): Promise<CallerAnswer> {
+  send(
+    body: string,
+    options: { readonly path?: string } = {},
+  ): Promise<CallerAnswer> {
     const router = this.routers[this.#tries % this.routers.length]!;
     this.#tries += 1;
     return call(router, {
       method: "POST",
+      path: options.path ?? "/",
       body,
       headers: { "x-id": `try-${this.#tries}` },
     });
