--- a/packages/coordination/src/process/lease.ts
+++ b/packages/coordination/src/process/lease.ts
@@ -5,17 +5,16 @@
  */
 import { randomBytes } from "node:crypto";
 import * as Effect from "effect/Effect";
-import { elapsedSince, SYSTEM_CLOCK } from "./clock.ts";
+import { SYSTEM_CLOCK } from "./clock.ts";
 import type { Clock } from "./clock.ts";
 import { NO_CRASH_POINTS } from "./crash_points.ts";
 import type { CrashPoints } from "./crash_points.ts";
 import { LeaseObject } from "./lease_object.ts";
 import type { LeaseTerm } from "./lease_object.ts";
+import { leaseRemainingMs } from "./lease_rules.ts";
 import type { Store } from "./store.ts";
 
 const DEFAULT_DURATION_MS = 10_000;
-/** Part of the duration that the holder leaves unused. */
-const MARGIN_PART = 0.2;
 /** Renewals and looks in each duration. */
 const STEPS = 5;
 const HOLDER_ID_BYTES = 9;
@@ -139,8 +138,7 @@
 
   #remainingMs(term: LeaseTerm): number {
     if (term.ended) return 0;
-    const usableMs = this.#durationMs * (1 - MARGIN_PART);
-    return usableMs - elapsedSince(term.renewedAt, this.#clock);
+    return leaseRemainingMs(this.#durationMs, term.renewedAt, this.#clock);
   }
 
   #stepMs(): number {
--- a/packages/coordination/src/process/lease_object.ts
+++ b/packages/coordination/src/process/lease_object.ts
@@ -7,24 +7,13 @@
 import { momentOf } from "./clock.ts";
 import type { Clock, Moment } from "./clock.ts";
 import type { CrashPoints } from "./crash_points.ts";
+import { fencingAfter, LeaseSight } from "./lease_rules.ts";
+import type { LeaseHolding } from "./lease_rules.ts";
 import type { Conflict, Store, StoredObject, Unavailable } from "./store.ts";
 
 /** Kind of the leases in the store. */
 export const LEASE_KIND = "leases";
 
-/** Content of a lease's object. */
-interface LeaseValue {
-  /** Name of the holder's process; empty when nobody holds it. */
-  readonly holder: string;
-  /** Unique for each process that ever started; empty when nobody holds it. */
-  readonly holderId: string;
-  /** Number of the holder's term. */
-  readonly fencing: number;
-  /** Counts the holder's writes, so that each can be told from the one before. */
-  readonly attempt: number;
-  readonly durationMs: number;
-}
-
 /** A time of holding; changes with each renewal. */
 export interface LeaseTerm {
   readonly fencing: number;
@@ -61,12 +50,12 @@
  */
 export class LeaseObject {
   readonly #options: LeaseObjectOptions;
-  /** The version last seen, and when it was first seen. */
-  #seen: { readonly version: number; readonly at: number } | undefined;
+  readonly #sight: LeaseSight;
   #attempts = 0;
 
   constructor(options: LeaseObjectOptions) {
     this.#options = options;
+    this.#sight = new LeaseSight(options.holderId);
   }
 
   /** Looks at the lease once, and takes it if it is free. */
@@ -76,8 +65,7 @@
       const found = yield* store.read(LEASE_KIND, name);
       if (!this.#isFree(found)) return undefined;
       const ifVersion = found?.version ?? 0;
-      // Versions only grow, so this is above the number of any earlier term.
-      const fencing = ifVersion + 1;
+      const fencing = fencingAfter(ifVersion);
       const sentAt = momentOf(clock);
       const written = yield* this.#write(this.#value(fencing), ifVersion);
       if (written._tag !== "Written") return undefined;
@@ -113,7 +101,7 @@
       if (term.ended) return Effect.void;
       // Nothing may be done under it from here on, whether the write arrives.
       term.ended = true;
-      const value: LeaseValue = {
+      const value: LeaseHolding = {
         ...this.#value(term.fencing),
         holder: "",
         holderId: "",
@@ -124,7 +112,7 @@
   }
 
   /** After a lost reply the object tells whether the write took effect. */
-  #write(value: LeaseValue, ifVersion: number): Effect.Effect<Written> {
+  #write(value: LeaseHolding, ifVersion: number): Effect.Effect<Written> {
     const { store, name, crashPoints } = this.#options;
     const object = { kind: LEASE_KIND, name, value };
     return Effect.gen({ self: this }, function* () {
@@ -143,7 +131,7 @@
   }
 
   #resolve(
-    value: LeaseValue,
+    value: LeaseHolding,
     failure: Conflict | Unavailable,
   ): Effect.Effect<Written> {
     const unsure: Written = { _tag: "Unsure" };
@@ -155,7 +143,7 @@
     return Effect.match(store.read(LEASE_KIND, name), {
       onFailure: () => unsure,
       onSuccess: (found): Written => {
-        const stored = found?.value as LeaseValue | undefined;
+        const stored = found?.value as LeaseHolding | undefined;
         const own = stored?.holderId === value.holderId &&
           stored.fencing === value.fencing;
         if (!own) {
@@ -170,22 +158,15 @@
     });
   }
 
-  /**
-   * Whether the lease may be taken: nobody holds it, this process did, or its
-   * version has not changed for its whole duration while this process looked.
-   */
   #isFree(found: StoredObject | undefined): boolean {
-    if (found === undefined) return true;
-    const now = this.#options.clock.monotonic();
-    if (this.#seen?.version !== found.version) {
-      this.#seen = { version: found.version, at: now };
-    }
-    const { holderId, durationMs } = found.value as LeaseValue;
-    if (holderId === "" || holderId === this.#options.holderId) return true;
-    return now - this.#seen.at >= durationMs;
+    const seen = found && {
+      version: found.version,
+      holding: found.value as LeaseHolding,
+    };
+    return this.#sight.isFree(seen, this.#options.clock.monotonic());
   }
 
-  #value(fencing: number): LeaseValue {
+  #value(fencing: number): LeaseHolding {
     const { holder, holderId, durationMs } = this.#options;
     this.#attempts += 1;
     const attempt = this.#attempts;
--- a/packages/router/src/connection/neighbour_news.ts
+++ b/packages/router/src/connection/neighbour_news.ts
@@ -7,6 +7,9 @@
 import { Allowance } from "../process/allowance.ts";
 import type { Contact } from "../process/contact.ts";
 import type { ContactBook, ContactNews } from "../process/contact_book.ts";
+import type { FleetTime } from "../process/fleet_time.ts";
+import type { LeaderLease, LeaseNews } from "../process/leader_lease.ts";
+import type { UsageCount, UsageMeter } from "../process/usage_meter.ts";
 import type { CrashNews, CrashRecord } from "../process/crash_record.ts";
 import type { PartsNews, PrefixRecord } from "../process/prefix_record.ts";
 import type { LimitNews, RunnerLimits } from "../process/runner_limits.ts";
@@ -37,6 +40,8 @@
   readonly contacts: ContactNews;
   readonly crashes: CrashNews;
   readonly limits: readonly LimitNews[];
+  readonly usage: readonly UsageCount[];
+  readonly lease: LeaseNews | undefined;
 }
 
 /** A message without news. */
@@ -45,6 +50,8 @@
   contacts: { contacts: [], gone: [] },
   crashes: { crashed: [], answers: [] },
   limits: [],
+  usage: [],
+  lease: undefined,
 };
 
 /** What is told, and to whom. */
@@ -53,6 +60,9 @@
   readonly prefixes: PrefixRecord;
   readonly crashes: CrashRecord;
   readonly limits: RunnerLimits;
+  readonly time: FleetTime;
+  readonly usage: UsageMeter | undefined;
+  readonly lease: LeaderLease | undefined;
   readonly book: ContactBook;
   readonly counts: MembershipCounts;
   readonly overlay: Overlay;
@@ -73,6 +83,7 @@
   /** What of it was not known here. */
   readonly crashes: CrashNews;
   readonly limits: readonly LimitNews[];
+  readonly usage: readonly UsageCount[];
   /** Whether requests wait for the runners. */
   readonly urgent: boolean;
 }
@@ -91,6 +102,8 @@
   readonly #all = new Outbox();
   readonly #nearAllowance: Allowance;
   readonly #allAllowance: Allowance;
+  /** Revision of the leader's lease that was told last. */
+  #leaseTold = 0;
 
   constructor(sources: NewsSources) {
     this.#sources = sources;
@@ -118,6 +131,8 @@
     const parts = prefixes.takeNews();
     const crashNews = crashes.takeNews();
     const limitNews = limits.takeNews();
+    this.#near.addUsage(this.#sources.usage?.takeNews() ?? []);
+    this.#collectLease();
     const contacts = book.hasNews ? book.takeNews() : undefined;
     const outboxes = overlay.relays ? [this.#near, this.#all] : [this.#near];
     for (const outbox of outboxes) {
@@ -129,14 +144,25 @@
     }
   }
 
+  /** Who holds the lease tells of it; those that may take it hear of it. */
+  #collectLease(): void {
+    const { lease } = this.#sources;
+    const news = lease?.news;
+    if (news === undefined || news.revision === this.#leaseTold) return;
+    this.#leaseTold = news.revision;
+    if (lease!.isOwn) this.#near.addLease(news);
+  }
+
   /**
    * Notes what a neighbour told for those that lack it.
    *
    * @returns whether there is anybody to tell.
    */
   passOn({ name }: Peer, told: ToldNews): boolean {
-    const { changed, parts, crashes, limits, urgent } = told;
+    const { changed, parts, crashes, limits, usage, urgent } = told;
     const { overlay } = this.#sources;
+    // Counts go up the tree only, to those that may lead.
+    if (overlay.role(name) === "child") this.#near.addUsage(usage);
     const count = changed.size + parts.length + crashes.crashed.length +
       crashes.answers.length + limits.length;
     if (!overlay.relays || count === 0) return false;
@@ -175,7 +201,10 @@
     const limits = this.#sources.limits.all(now);
     const contacts = this.#contactsFor(peer);
     const loads = this.#sums.all(counts);
-    const news = { ...NOTHING, contacts, crashes, limits };
+    const isChild = this.#sources.overlay.role(peer.name) === "child";
+    const usage = isChild ? [] : this.#sources.usage?.all() ?? [];
+    const lease = this.#sources.lease?.news;
+    const news = { ...NOTHING, contacts, crashes, limits, usage, lease };
     return { ...this.#state(news, loads, counts), whole: true };
   }
 
@@ -234,12 +263,12 @@
       answers: post.crashes.answers.filter(isOthers),
     };
     const limits = post.limits.filter(isOthers);
-    const news = { ...post, parts, crashes, limits };
+    const news = { ...post, parts, crashes, limits, usage: [] };
     return encodeMessage(this.#state(news, loads, others));
   }
 
   #state(
-    { parts, contacts, crashes, limits }: StateNews,
+    { parts, contacts, crashes, limits, usage, lease }: StateNews,
     loads: readonly LoadShare[],
     counts: Neighbours,
   ): State {
@@ -258,6 +287,13 @@
         agoMs: ageOf(at, now),
       })),
       members: this.#sources.counts.sumBy(counts),
+      timeMs: Math.round(this.#sources.time.now()),
+      usage,
+      lease: lease && {
+        revision: lease.revision,
+        holderId: lease.holderId,
+        agoMs: ageOf(lease.at, now),
+      },
     };
   }
 
--- a/packages/router/src/connection/neighbourhood.ts
+++ b/packages/router/src/connection/neighbourhood.ts
@@ -135,6 +135,17 @@
     return this.#sharing.sharers;
   }
 
+  /** Whether this daemon may lead: others tell it what a leader has to know. */
+  get mayLead(): boolean {
+    const alone = this.#peers.count === 0 && this.fleetSize > 1;
+    return !alone && this.#sharing.isCentral;
+  }
+
+  /** Others should hear of the leader's lease. */
+  leaseChanged(): void {
+    this.#sharing.wake();
+  }
+
   /** Steady milliseconds at which the store last confirmed the runners. */
   get runnersConfirmedAt(): number {
     return this.#followers.runnersConfirmedAt;
--- a/packages/router/src/connection/outbox.ts
+++ b/packages/router/src/connection/outbox.ts
@@ -7,6 +7,8 @@
 import type { CrashedRun, WholeAnswer } from "../process/crash_entry.ts";
 import type { CrashNews } from "../process/crash_record.ts";
 import type { LimitNews } from "../process/runner_limits.ts";
+import type { LeaseNews } from "../process/leader_lease.ts";
+import type { UsageCount } from "../process/usage_meter.ts";
 import type { PartsNews } from "../process/prefix_record.ts";
 
 /**
@@ -49,6 +51,8 @@
   readonly contacts: ContactNews;
   readonly crashes: ToldCrashes;
   readonly limits: readonly (LimitNews & Told)[];
+  readonly usage: readonly UsageCount[];
+  readonly lease: LeaseNews | undefined;
 }
 
 /** Collects what has changed until it is sent to one group of neighbours. */
@@ -61,6 +65,9 @@
   readonly #answers: (WholeAnswer & Told)[] = [];
   /** What each runner said last. */
   readonly #limits = new Map<string, LimitNews & Told>();
+  /** By life and window, what was counted last for each workspace. */
+  readonly #usage = new Map<string, UsageCount>();
+  #lease: LeaseNews | undefined;
 
   /** Notes changed loads; urgent ones, where requests wait, go first. */
   addRunners(runners: Iterable<string>, urgent: boolean): void {
@@ -94,11 +101,28 @@
     for (const news of limits) this.#limits.set(news.runner, { ...news, from });
   }
 
+  /** Notes counts; they go with the next message that there is in any case. */
+  addUsage(usage: readonly UsageCount[]): void {
+    for (const each of usage) {
+      const key = `${each.life} ${each.window}`;
+      const counts = new Map(this.#usage.get(key)?.counts);
+      for (const [workspace, requests] of each.counts) {
+        counts.set(workspace, requests);
+      }
+      this.#usage.set(key, { ...each, counts: [...counts] });
+    }
+  }
+
+  /** Notes a renewal, which has time; that nobody leads goes out by itself. */
+  addLease(lease: LeaseNews): void {
+    this.#lease = lease;
+  }
+
   get empty(): boolean {
     return this.#urgent.size === 0 && this.#calm.size === 0 &&
       this.#parts.length === 0 && this.#contacts.length === 0 &&
       this.#crashed.length === 0 && this.#answers.length === 0 &&
-      this.#limits.size === 0;
+      this.#limits.size === 0 && this.#lease?.holderId !== "";
   }
 
   /** Whether others should know soon. */
@@ -125,7 +149,11 @@
         answers: this.#answers.splice(0, MAX_CRASHES),
       },
       limits: [...this.#limits.values()].slice(0, MAX_LIMITS),
+      usage: [...this.#usage.values()],
+      lease: this.#lease,
     };
+    this.#usage.clear();
+    this.#lease = undefined;
     for (const { runner } of post.limits) this.#limits.delete(runner);
     this.#parts = [];
     this.#contacts = [];
--- a/packages/router/src/connection/overlay.ts
+++ b/packages/router/src/connection/overlay.ts
@@ -88,6 +88,7 @@
   readonly #parting = new WeakSet<Peer>();
   readonly #startedAt = performance.now();
   #relayed = false;
+  #head = false;
   #smallSince = Infinity;
   #plannedAt = -Infinity;
   /** Relays of the own failure domain in the last plan. */
@@ -104,6 +105,11 @@
     return this.#relayed;
   }
 
+  /** Whether this daemon hears of its whole failure domain, and of the others. */
+  get isHead(): boolean {
+    return this.#head;
+  }
+
   /** Whether this daemon passes on what others tell. */
   get relays(): boolean {
     return [...this.#askedBy.values()].includes("fleet");
@@ -208,6 +214,7 @@
     this.#stale = false;
     if (!this.#relayed) return this.#linkAll(now);
     const plan = this.#plan(now);
+    this.#head = plan.parent === undefined;
     const wanted = wantedBy(plan);
     this.#host.peers.want(new Set(wanted.map(({ address }) => address)));
     this.#planned = new Set(wanted.map(({ name }) => name));
--- a/packages/router/src/connection/peer_encoding.ts
+++ b/packages/router/src/connection/peer_encoding.ts
@@ -11,11 +11,13 @@
 import type { Contact } from "../process/contact.ts";
 import type { DeadContact } from "../process/contact_book.ts";
 import type { PartsNews } from "../process/prefix_record.ts";
+import type { UsageCount, WorkspaceCount } from "../process/usage_meter.ts";
 import type { RunnerNews } from "../process/runner_directory.ts";
 import type { Configuration } from "../version/configuration.ts";
 import type {
   Give,
   Hello,
+  LeaseAge,
   LimitAge,
   LoadShare,
   PeerMessage,
@@ -62,6 +64,14 @@
 /** Without its last field the runner names no limit any more. */
 type PackedLimit = readonly [runner: string, agoMs: number, perS?: number];
 
+type PackedUsage = readonly [
+  life: string,
+  window: number,
+  workspacesAndCounts: readonly (string | number)[],
+];
+
+type PackedLease = readonly [revision: number, holderId: string, agoMs: number];
+
 type PackedState = readonly [
   configuration: number,
   runners: number,
@@ -72,9 +82,16 @@
   domain: number,
   contacts: readonly PackedContact[],
   gone: readonly PackedDead[],
-  /** Both are left out when there are none, as by daemons that know of none. */
-  crashes?: PackedCrashes,
-  limits?: readonly PackedLimit[],
+  /** Left out from the last one on that there is, as by daemons that know of none. */
+  ...later: PackedLater,
+];
+
+type PackedLater = readonly [
+  crashes?: PackedCrashes | undefined,
+  limits?: readonly PackedLimit[] | undefined,
+  timeMs?: number | undefined,
+  usage?: readonly PackedUsage[] | undefined,
+  lease?: PackedLease | undefined,
 ];
 
 const ADDRESS = /^[^\s:]+:\d{1,5}$/;
@@ -179,11 +196,46 @@
     state.contacts.map(packContact),
     state.gone.map(({ name, incarnation }) => [name, incarnation] as const),
   ] as const;
-  const { crashes, limits } = state;
-  if (limits.length > 0) {
-    return [...packed, packCrashes(crashes), limits.map(packLimit)];
+  return [...packed, ...packLater(state)];
+}
+
+/** The later fields up to the last one that there is. */
+function packLater(state: State): PackedLater {
+  const { crashes, limits, timeMs, usage, lease } = state;
+  const later: PackedLater = [
+    hasCrashes(crashes) ? packCrashes(crashes) : undefined,
+    limits.length === 0 ? undefined : limits.map(packLimit),
+    timeMs,
+    usage.length === 0 ? undefined : usage.map(packUsage),
+    lease && [lease.revision, lease.holderId, lease.agoMs],
+  ];
+  const last = later.findLastIndex((each) => each !== undefined);
+  return later.slice(0, last + 1) as unknown as PackedLater;
+}
+
+function packUsage({ life, window, counts }: UsageCount): PackedUsage {
+  return [life, window, counts.flat()];
+}
+
+function unpackUsage([life, window, packed]: PackedUsage): UsageCount {
+  const counts: WorkspaceCount[] = [];
+  for (let at = 0; at + 1 < packed.length; at += 2) {
+    const requests = checkCount(packed[at + 1] as number, "usage.counts");
+    counts.push([String(packed[at]), requests]);
   }
-  return hasCrashes(crashes) ? [...packed, packCrashes(crashes)] : packed;
+  return {
+    life: String(life),
+    window: checkCount(window, "usage.window"),
+    counts,
+  };
+}
+
+function unpackLease([revision, holderId, agoMs]: PackedLease): LeaseAge {
+  return {
+    revision: checkCount(revision, "lease.revision"),
+    holderId: String(holderId),
+    agoMs: checkCount(agoMs, "lease.agoMs"),
+  };
 }
 
 function unpackDead([name, incarnation]: PackedDead): DeadContact {
@@ -192,7 +244,8 @@
 
 function unpackState(packed: PackedState): State {
   const [configuration, runners, whole, loads, parts, fleet, domain] = packed;
-  const [, , , , , , , contacts, gone, crashes, limits = []] = packed;
+  const [, , , , , , , contacts, gone, ...later] = packed;
+  const [crashes, limits = [], timeMs, usage = [], lease] = later;
   return {
     kind: "state",
     configuration,
@@ -208,6 +261,9 @@
     gone: gone.map(unpackDead),
     crashes: crashes === undefined ? NO_CRASHES : unpackCrashes(crashes),
     limits: limits.map(unpackLimit),
+    timeMs: timeMs === undefined ? undefined : checkCount(timeMs, "timeMs"),
+    usage: usage.map(unpackUsage),
+    lease: lease && unpackLease(lease),
   };
 }
 
--- a/packages/router/src/connection/peer_message.ts
+++ b/packages/router/src/connection/peer_message.ts
@@ -6,10 +6,12 @@
 import type { CrashAges } from "./crash_ages.ts";
 import type { Contact } from "../process/contact.ts";
 import type { ContactNews } from "../process/contact_book.ts";
+import type { LeaseNews } from "../process/leader_lease.ts";
 import type { LimitNews } from "../process/runner_limits.ts";
 import type { PartsNews } from "../process/prefix_record.ts";
 import type { Share } from "../process/share.ts";
 import type { RunnerNews } from "../process/runner_directory.ts";
+import type { UsageCount } from "../process/usage_meter.ts";
 import type { Configuration } from "../version/configuration.ts";
 
 /**
@@ -61,6 +63,9 @@
 /** What a runner said of its limit, in ms before the message. */
 export type LimitAge = Omit<LimitNews, "at"> & { readonly agoMs: number };
 
+/** What was seen of the leader's lease, in ms before the message. */
+export type LeaseAge = Omit<LeaseNews, "at"> & { readonly agoMs: number };
+
 /** What changed on runners, put together from one daemon or many. */
 export interface LoadNews {
   /** Whether it names all loads, not only changed ones. */
@@ -76,6 +81,11 @@
 export interface State extends Versions, LoadNews, ContactNews {
   readonly kind: "state";
   readonly members: Members;
+  /** The time of day as the sender takes it to be, in epoch ms, if it tells. */
+  readonly timeMs: number | undefined;
+  /** Requests that runners began, for those that may lead. */
+  readonly usage: readonly UsageCount[];
+  readonly lease: LeaseAge | undefined;
 }
 
 /** Asks for what the other side has newer. */
--- a/packages/router/src/connection/sharing.ts
+++ b/packages/router/src/connection/sharing.ts
@@ -20,8 +20,9 @@
 import { StateTimer } from "./state_timer.ts";
 import { periodMs, settleMs } from "./sharing_pace.ts";
 import type { SharingMoment } from "./sharing_pace.ts";
+import { watches } from "../process/watch_plan.ts";
 import { takeNews } from "./told_news.ts";
-import type { RunnerKnowledge } from "./told_news.ts";
+import type { LeaderKnowledge, RunnerKnowledge } from "./told_news.ts";
 import { VersionExchange } from "./version_exchange.ts";
 import type { VersionedKnowledge } from "./version_exchange.ts";
 
@@ -43,7 +44,8 @@
 const MAX_CONTACTS = 48;
 
 /** What is shared, and who takes what peers give. */
-export interface SharedKnowledge extends VersionedKnowledge, RunnerKnowledge {}
+export interface SharedKnowledge
+  extends VersionedKnowledge, RunnerKnowledge, LeaderKnowledge {}
 
 /** Whom a daemon shares with. */
 export interface SharingOptions {
@@ -111,6 +113,9 @@
       prefixes: known.prefixes,
       crashes: known.crashes,
       limits: known.limits,
+      time: known.time,
+      usage: known.usage,
+      lease: known.lease,
       book: this.#book,
       knownFor: (peer) => this.knownFor(peer),
       counts: this.#counts,
@@ -163,6 +168,15 @@
     return { own, fleetSize, names: known.map(({ name }) => name) };
   }
 
+  /**
+   * Whether this daemon hears of all others what a leader has to know: every one
+   * of a small fleet, the heads of a large one.
+   */
+  get isCentral(): boolean {
+    if (this.#overlay.relayed) return this.#overlay.isHead;
+    return watches(this.#own, [this.#own, ...this.reachable]);
+  }
+
   /** Daemons that are known by address, without this one. */
   known(): readonly Contact[] {
     return this.#book.all();
@@ -268,6 +282,7 @@
   /** Forgets what a neighbour told, and has others forget it. */
   #forget(peer: Peer, role?: Role): void {
     const changed = this.#known.loads.forget(peer.name);
+    this.#known.time.forget(peer.name);
     this.#counts.forget(peer.name);
     this.#countsChanged ||= this.#overlay.relayed;
     this.#news.retract(changed, role);
--- a/packages/router/src/connection/sharing_test.ts
+++ b/packages/router/src/connection/sharing_test.ts
@@ -4,7 +4,7 @@
 import type { TestContext } from "node:test";
 import { decodeItem } from "@umbermast/coordination/codec";
 import { LENGTH_BYTES } from "@umbermast/coordination/frame_bytes";
-import { noLimits, SILENT_LOG } from "../../tests/fixtures.ts";
+import { noLeading, noLimits, SILENT_LOG } from "../../tests/fixtures.ts";
 import { CrashRecord } from "../process/crash_record.ts";
 import { PrefixRecord } from "../process/prefix_record.ts";
 import { RunnerDirectory } from "../process/runner_directory.ts";
@@ -30,6 +30,7 @@
       prefixes: new PrefixRecord(),
       crashes: new CrashRecord(SILENT_LOG),
       limits: noLimits(),
+      ...noLeading(),
       directory: new RunnerDirectory(),
       configuration: () => undefined,
       adopt() {},
--- a/packages/router/src/connection/told_news.ts
+++ b/packages/router/src/connection/told_news.ts
@@ -7,6 +7,9 @@
 import type { PrefixRecord } from "../process/prefix_record.ts";
 import type { RunnerLimits } from "../process/runner_limits.ts";
 import type { RunnerLoads } from "../process/runner_loads.ts";
+import type { FleetTime } from "../process/fleet_time.ts";
+import type { LeaderLease } from "../process/leader_lease.ts";
+import type { UsageMeter } from "../process/usage_meter.ts";
 import { newsOf } from "./crash_ages.ts";
 import type { ToldNews } from "./neighbour_news.ts";
 import type { LoadShare, State } from "./peer_message.ts";
@@ -19,18 +22,32 @@
   readonly limits: RunnerLimits;
 }
 
+/** What daemons tell each other so that one of them can act for all. */
+export interface LeaderKnowledge {
+  readonly time: FleetTime;
+  /** Absent where nobody asks for usage. */
+  readonly usage: UsageMeter | undefined;
+  /** Absent where nothing is done by one daemon for all. */
+  readonly lease: LeaderLease | undefined;
+}
+
 /**
  * Takes what a neighbour tells.
  *
  * @returns what of it others may lack.
  */
 export function takeNews(
-  known: RunnerKnowledge,
+  known: RunnerKnowledge & LeaderKnowledge,
   neighbour: string,
   state: State,
 ): ToldNews {
   const { whole, loads, parts, crashes, limits } = state;
   const now = performance.now();
+  const { timeMs, lease } = state;
+  if (timeMs !== undefined) known.time.toldBy(neighbour, timeMs);
+  if (lease !== undefined) {
+    known.lease?.hear({ ...lease, at: now - lease.agoMs });
+  }
   const changed = new Set(whole ? known.loads.forget(neighbour) : []);
   for (const share of loads) {
     changed.add(share.runner);
@@ -45,6 +62,7 @@
       limits.map(({ agoMs, ...news }) => ({ ...news, at: now - agoMs })),
       now,
     ),
+    usage: known.usage?.take(state.usage) ?? [],
     urgent: loads.some(({ waiting }) => waiting.length > 0),
   };
 }
--- a/packages/router/src/mod.ts
+++ b/packages/router/src/mod.ts
@@ -8,6 +8,20 @@
 export type { EventLog, TextSink } from "./process/event_log.ts";
 export { FeedError } from "./process/feed.ts";
 export type { Changes, Feed, Listing } from "./process/feed.ts";
+export type {
+  LeaderRecord,
+  LeaderStore,
+  RecordWritten,
+  StoredRecord,
+} from "./process/leader_record.ts";
+export type {
+  CallEnd,
+  Fence,
+  PlatformApi,
+  PlatformCall,
+} from "./process/platform_api.ts";
+export type { RunnerOrder } from "./process/runner_order.ts";
+export type { UsageReport } from "./process/leader_record.ts";
 export type { EngineMemory, HeldMemory } from "./process/memory_survey.ts";
 export type { PromptPart } from "./process/prefix_record.ts";
 export type { ReportedLoad } from "./process/runner_load.ts";
@@ -33,6 +47,7 @@
   Engine,
   Repetition,
   Route,
+  Scaling,
   Service,
   Workspace,
 } from "./version/configuration.ts";
--- /dev/null
+++ b/packages/router/src/process/leader.ts
@@ -0,0 +1,240 @@
+/**
+ * What one daemon does for all: it reports usage and orders runners.
+ *
+ * @module
+ */
+import type { EventLog } from "./event_log.ts";
+import type { LeaderLease } from "./leader_lease.ts";
+import type { LeaderWork, UsageReport } from "./leader_record.ts";
+import { OrderDesk } from "./order_desk.ts";
+import { pause } from "./pause.ts";
+import type { CallEnd, PlatformApi, PlatformCall } from "./platform_api.ts";
+import type { RunnerDemand } from "./runner_order.ts";
+import { checkpointOf, fixReports, withAccepted } from "./usage_reports.ts";
+import type { UsageSources, UsageTiming } from "./usage_reports.ts";
+import type { UsageMeter } from "./usage_meter.ts";
+
+/** Milliseconds after a start in which it shows who should lead. */
+const MEET_MS = 1_000;
+/** Milliseconds between two looks of a leader at what is to be done. */
+const STEP_MS = 200;
+/** The same of a daemon that would take over. */
+const WATCH_MS = 400;
+/** The same of one that would not. */
+const REST_MS = 1_000;
+/** Part of the lease after which it is renewed. */
+const RENEW_PART = 0.4;
+/**
+ * Part of the lease after which a daemon that would take over looks whether a
+ * leader of whom nothing is heard has renewed it. Neighbours tell sooner.
+ */
+const LOOK_PART = 0.6;
+/** Milliseconds for a call; what has not been answered then is broken off. */
+const CALL_MS = 900;
+/** Milliseconds until a failed call is tried again; doubled up to the longest. */
+const FIRST_RETRY_MS = 400;
+const LONGEST_RETRY_MS = 3_200;
+
+/** What a {@linkcode Leader} needs. */
+export interface LeaderOptions {
+  readonly name: string;
+  readonly lease: LeaderLease;
+  readonly leaseMs: number;
+  readonly api: PlatformApi;
+  /** Absent where nobody asks for usage. */
+  readonly usage: {
+    readonly meter: UsageMeter;
+    readonly timing: UsageTiming;
+  } | undefined;
+  /** Absent where nobody takes orders. */
+  readonly demand: RunnerDemand | undefined;
+  /** Whether this daemon should lead if nobody else does. */
+  readonly eligible: () => boolean;
+  /** Told when others should hear of the lease. */
+  readonly changed: () => void;
+  /** Epoch ms, as the fleet knows it. */
+  readonly now: () => number;
+  /** Steady ms. */
+  readonly steady: () => number;
+  /** In [0, 1). */
+  readonly random: () => number;
+  readonly log: EventLog;
+}
+
+/**
+ * Leads while it holds the lease, and sees to it that somebody does.
+ *
+ * Each step, in this order: the lease is renewed, with what is to be decided
+ * now; then calls are made for what stands decided in the store, one at a time
+ * and only while the lease leaves time for their end. So whoever takes over
+ * makes the same calls.
+ */
+export class Leader {
+  readonly #options: LeaderOptions;
+  readonly #orders: OrderDesk;
+  readonly #accepted = new Set<number>();
+  #stopped = false;
+  /** Ends when nothing that was begun is under way. */
+  #working: Promise<void> = Promise.resolve();
+  #retryMs = FIRST_RETRY_MS;
+  #reportFrom = -Infinity;
+
+  constructor(options: LeaderOptions) {
+    this.#options = options;
+    this.#orders = new OrderDesk(options.demand, options.log);
+  }
+
+  /** Works until {@linkcode leave}. */
+  async run(): Promise<void> {
+    await pause(MEET_MS, { background: true });
+    while (!this.#stopped) {
+      this.#working = this.#step();
+      await this.#working;
+      await pause(this.#restMs(), { background: true });
+    }
+  }
+
+  /** Makes no further calls. */
+  stop(): void {
+    this.#stopped = true;
+  }
+
+  /** Hands over. */
+  async leave(): Promise<void> {
+    this.stop();
+    await this.#working;
+    await this.#options.lease.release();
+    this.#options.changed();
+  }
+
+  #restMs(): number {
+    const { lease, eligible, random } = this.#options;
+    if (lease.held) return STEP_MS;
+    // Those that would take over do not ask in step.
+    return eligible() ? WATCH_MS * (0.5 + random()) : REST_MS;
+  }
+
+  async #step(): Promise<void> {
+    const { lease, eligible, changed } = this.#options;
+    if (lease.held) return await this.#lead();
+    if (!eligible()) return;
+    const look = lease.isGivenUp ||
+      lease.unchangedMs >= LOOK_PART * this.#options.leaseMs;
+    if (!look) return;
+    await lease.tryTake();
+    if (!lease.held) return;
+    this.#orders.begin();
+    this.#accepted.clear();
+    changed();
+  }
+
+  async #lead(): Promise<void> {
+    const { lease, eligible, changed } = this.#options;
+    if (!eligible()) {
+      await lease.release();
+      return changed();
+    }
+    const decided = this.#decide();
+    const due = lease.renewedAgoMs >= RENEW_PART * this.#options.leaseMs;
+    if (decided !== undefined || due) {
+      const work = this.#checkpointed(decided ?? lease.work);
+      if (!await lease.update(work)) return;
+      changed();
+    }
+    await this.#report();
+    await this.#order();
+  }
+
+  /** What is to be written besides a renewal. */
+  #decide(): LeaderWork | undefined {
+    const { lease, usage, log, steady } = this.#options;
+    let { work } = lease;
+    const sources = this.#sources();
+    const decision = sources && fixReports(work, sources);
+    if (decision !== undefined) {
+      work = decision.work;
+      for (const { window, counts } of decision.fixed) {
+        const requests = Object.values(counts)
+          .reduce((sum, each) => sum + each, 0);
+        const lives = usage?.meter.lives(window).size;
+        log.event("usage_fixed", { window, requests, daemons: lives });
+      }
+      for (const window of decision.missed) {
+        log.event("usage_missed", { window });
+      }
+    }
+    const orders = this.#orders.decide(work.orders, steady());
+    if (orders !== undefined) work = { ...work, orders };
+    return work === lease.work ? undefined : work;
+  }
+
+  #checkpointed(work: LeaderWork): LeaderWork {
+    const sources = this.#sources();
+    if (sources === undefined) return work;
+    const checkpoint = checkpointOf(work, sources);
+    return withAccepted({ ...work, checkpoint }, this.#accepted);
+  }
+
+  #sources(): UsageSources | undefined {
+    const { usage, now } = this.#options;
+    if (usage === undefined) return undefined;
+    return { meter: usage.meter, timing: usage.timing, now: now() };
+  }
+
+  /** Sends the oldest report that the platform has not taken. */
+  async #report(): Promise<void> {
+    const { lease, api, steady, log } = this.#options;
+    const report = lease.work.reports.find((each) => this.#isOpen(each));
+    if (report === undefined || steady() < this.#reportFrom) return;
+    const call = this.#call();
+    if (call === undefined) return;
+    const end = await this.#made(api.reportUsage(report, call));
+    log.event("usage_reported", {
+      window: report.window,
+      fencing: call.fence.fencing,
+      end: end.kind,
+      reason: end.kind === "failed" ? end.reason : undefined,
+    });
+    if (end.kind === "accepted") {
+      this.#accepted.add(report.window);
+      this.#retryMs = FIRST_RETRY_MS;
+      return;
+    }
+    this.#reportFrom = steady() + this.#retryMs;
+    this.#retryMs = Math.min(LONGEST_RETRY_MS, 2 * this.#retryMs);
+  }
+
+  #isOpen({ window, accepted }: UsageReport): boolean {
+    return !accepted && !this.#accepted.has(window);
+  }
+
+  /** Sends the orders that are due, one after the other. */
+  async #order(): Promise<void> {
+    const { lease, api, steady } = this.#options;
+    for (const order of this.#orders.due(lease.work.orders, steady())) {
+      const call = this.#call();
+      if (call === undefined) return;
+      const end = await this.#made(api.orderRunners(order, call));
+      this.#orders.ended(order, end, {
+        fencing: call.fence.fencing,
+        now: steady(),
+      });
+    }
+  }
+
+  /** The right to a call, if the lease leaves time for it. */
+  #call(): PlatformCall | undefined {
+    const { lease, name } = this.#options;
+    const { fencing } = lease;
+    if (fencing === undefined || !lease.mayAct(CALL_MS)) return undefined;
+    if (this.#stopped) return undefined;
+    lease.acted();
+    return { fence: { holder: name, fencing }, timeoutMs: CALL_MS };
+  }
+
+  async #made(call: Promise<CallEnd>): Promise<CallEnd> {
+    const end = await call;
+    this.#options.lease.acted();
+    return end;
+  }
+}
--- a/packages/router/src/process/settings.ts
+++ b/packages/router/src/process/settings.ts
@@ -21,6 +21,22 @@
 /** Bytes a second for what one neighbour is told, unless set. */
 const CONTROL_BYTES_PER_S = 29_000;
 
+/** What one daemon at a time does for all. */
+export interface LeadershipSettings {
+  /** The platform's API. */
+  readonly api: ListenAddress;
+  /** How long a silent leader keeps its lease, in ms. */
+  readonly leaseMs: number;
+  /** Whether runners are ordered. */
+  readonly ordersRunners: boolean;
+  /** Absent where no usage is reported. */
+  readonly usage: {
+    readonly windowMs: number;
+    /** Milliseconds after the end of a window by which its report is due. */
+    readonly delayMs: number;
+  } | undefined;
+}
+
 /** All that a router is told at its start. */
 export interface RouterSettings {
   /** Name of the host, unique in the fleet. */
@@ -58,6 +74,8 @@
     readonly extra: number;
     readonly windowMs: number;
   };
+  /** Absent where the platform has no API, and nothing is done for all. */
+  readonly leadership: LeadershipSettings | undefined;
 }
 
 /** One thing wrong with the settings. */
@@ -108,6 +126,18 @@
     });
   }
 
+  positive(from: unknown, place: string): number {
+    const value = this.number(from, place);
+    if (value > 0) return value;
+    return this.#wrong(place, "a number above 0", valueAt(from, place), 1);
+  }
+
+  flag(from: unknown, place: string): boolean {
+    const value = valueAt(from, place);
+    if (typeof value === "boolean") return value;
+    return this.#wrong(place, "true or false", value, false);
+  }
+
   optionalAddress(from: unknown, place: string): ListenAddress | undefined {
     if (valueAt(from, place) === undefined) return undefined;
     return this.address(from, place);
@@ -131,6 +161,27 @@
   return value;
 }
 
+const MS_PER_SECOND = 1_000;
+
+function leadershipIn(
+  json: unknown,
+  reader: Reader,
+): LeadershipSettings | undefined {
+  const address = valueAt(json, "leadership.api");
+  if (address === undefined || address === "") return undefined;
+  const reported = valueAt(json, "leadership.usage") !== undefined;
+  const seconds = (place: string) =>
+    reader.positive(json, `leadership.usage.${place}`) * MS_PER_SECOND;
+  return {
+    api: reader.address(json, "leadership.api"),
+    leaseMs: reader.positive(json, "leadership.leaseMs"),
+    ordersRunners: reader.flag(json, "leadership.ordersRunners"),
+    usage: reported
+      ? { windowMs: seconds("windowS"), delayMs: seconds("delayS") }
+      : undefined,
+  };
+}
+
 /**
  * Reads settings from JSON text.
  *
@@ -182,6 +233,7 @@
       extra: reader.number(json, "retries.extra"),
       windowMs: reader.number(json, "retries.windowMs"),
     },
+    leadership: leadershipIn(json, reader),
   };
   return reader.findings.length === 0 ? ok(settings) : err(reader.findings);
 }
--- /dev/null
+++ b/packages/router/src/process/usage_meter_test.ts
@@ -0,0 +1,77 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import type { UsageCount } from "./usage_meter.ts";
+import { UsageMeter } from "./usage_meter.ts";
+
+const WINDOW_MS = 5_000;
+
+function meterOf(life: string, clock: { now: number }): UsageMeter {
+  return new UsageMeter({ life, windowMs: WINDOW_MS, now: () => clock.now });
+}
+
+test("requests count in the window in which runners began them", () => {
+  const clock = { now: 4_999 };
+  const meter = meterOf("a", clock);
+  meter.began("fitters");
+  clock.now = 5_000;
+  meter.began("fitters");
+  meter.began("office");
+  assert.deepEqual([...meter.totals(0)], [["fitters", 1]]);
+  assert.deepEqual([...meter.totals(1)], [["fitters", 1], ["office", 1]]);
+});
+
+test("counts that come twice, late or in any order add up to the same", () => {
+  const began = fc.array(fc.tuple(fc.nat(3), fc.nat(2)), { maxLength: 60 });
+  fc.assert(
+    fc.property(began, fc.infiniteStream(fc.nat(9)), (requests, luck) => {
+      const clock = { now: 0 };
+      const lives = ["a", "b", "c", "d"];
+      const meters = lives.map((life) => meterOf(life, clock));
+      const leader = meterOf("leader", clock);
+      const waiting: (readonly UsageCount[])[] = [];
+      const chance = () => luck.next().value as number;
+      for (const [daemon, workspace] of requests) {
+        meters[daemon]!.began(`w-${workspace}`);
+        if (chance() < 5) waiting.push(meters[daemon]!.takeNews());
+        if (chance() < 5) {
+          const [news] = waiting.splice(chance() % (waiting.length + 1), 1);
+          for (let times = chance() % 3; times >= 0; times--) {
+            leader.take(news ?? []);
+          }
+        }
+      }
+      for (const meter of meters) leader.take(meter.all());
+      for (const news of waiting) leader.take(news);
+      const truth = new Map<string, number>();
+      for (const [, workspace] of requests) {
+        const name = `w-${workspace}`;
+        truth.set(name, (truth.get(name) ?? 0) + 1);
+      }
+      const sorted = (counts: ReadonlyMap<string, number>) =>
+        [...counts].sort();
+      assert.deepEqual(sorted(leader.totals(0)), sorted(truth));
+    }),
+  );
+});
+
+test("news tell only what has changed, and only what was not known goes on", () => {
+  const clock = { now: 0 };
+  const meter = meterOf("a", clock);
+  meter.began("fitters");
+  const news = meter.takeNews();
+  assert.deepEqual(news, [{ life: "a", window: 0, counts: [["fitters", 1]] }]);
+  assert.deepEqual(meter.takeNews(), []);
+  const other = meterOf("b", clock);
+  assert.deepEqual(other.take(news), news);
+  assert.deepEqual(other.take(news), []);
+});
+
+test("windows of long ago and far ahead are left out", () => {
+  const clock = { now: 100 * WINDOW_MS };
+  const meter = meterOf("a", clock);
+  for (const window of [1, 90, 102, 1_000_000]) {
+    meter.take([{ life: "b", window, counts: [["fitters", 1]] }]);
+  }
+  assert.deepEqual(meter.all(), []);
+});
--- /dev/null
+++ b/packages/router/src/process/usage_reports_test.ts
@@ -0,0 +1,111 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { NO_WORK } from "./leader_record.ts";
+import type { LeaderWork } from "./leader_record.ts";
+import { UsageMeter } from "./usage_meter.ts";
+import { checkpointOf, fixReports, withAccepted } from "./usage_reports.ts";
+
+const TIMING = { windowMs: 5_000, delayMs: 10_000 };
+
+function meterAt(clock: { now: number }, life = "a"): UsageMeter {
+  const { windowMs } = TIMING;
+  return new UsageMeter({ life, windowMs, now: () => clock.now });
+}
+
+function workFrom(nextWindow: number): LeaderWork {
+  return { ...NO_WORK, nextWindow };
+}
+
+test("a window is fixed once, after news of it can have come", () => {
+  const clock = { now: 1_000 };
+  const meter = meterAt(clock);
+  meter.began("fitters");
+  const at = (now: number) => {
+    clock.now = now;
+    return { meter, timing: TIMING, now };
+  };
+  const before = workFrom(0);
+  assert.equal(fixReports(before, at(9_000)), undefined);
+  const decision = fixReports(before, at(9_600));
+  assert.deepEqual(decision?.fixed, [
+    { window: 0, counts: { fitters: 1 }, accepted: false },
+  ]);
+  assert.equal(decision.work.nextWindow, 1);
+  assert.equal(fixReports(decision.work, at(9_700)), undefined);
+});
+
+test("the first leader begins with the present window", () => {
+  const clock = { now: 52_000 };
+  const sources = { meter: meterAt(clock), timing: TIMING, now: clock.now };
+  assert.equal(fixReports(NO_WORK, sources)?.work.nextWindow, 10);
+});
+
+test("a report stays the same whatever is heard later", () => {
+  const clock = { now: 1_000 };
+  const meter = meterAt(clock);
+  meter.began("fitters");
+  clock.now = 9_600;
+  const first = fixReports(workFrom(0), { meter, timing: TIMING, now: 9_600 });
+  meter.take([{ life: "b", window: 0, counts: [["fitters", 7]] }]);
+  clock.now = 14_600;
+  const sources = { meter, timing: TIMING, now: 14_600 };
+  const second = fixReports(first!.work, sources);
+  assert.deepEqual(second?.work.reports[0]?.counts, { fitters: 1 });
+});
+
+test("counts of all daemons outlast their loss", () => {
+  const clock = { now: 1_000 };
+  const meter = meterAt(clock);
+  meter.began("fitters");
+  meter.take([{
+    life: "b",
+    window: 0,
+    counts: [["fitters", 4], ["office", 2]],
+  }]);
+  const checkpoint = checkpointOf(workFrom(0), {
+    meter,
+    timing: TIMING,
+    now: clock.now,
+  });
+  const next = meterAt(clock, "c");
+  next.began("office");
+  clock.now = 9_600;
+  const sources = { meter: next, timing: TIMING, now: clock.now };
+  const decision = fixReports({ ...workFrom(0), checkpoint }, sources);
+  assert.deepEqual(decision?.fixed[0]?.counts, { fitters: 5, office: 3 });
+});
+
+test("counts that a checkpoint and living daemons both tell count once", () => {
+  const clock = { now: 1_000 };
+  const meter = meterAt(clock);
+  meter.began("fitters");
+  meter.take([{ life: "b", window: 0, counts: [["fitters", 4]] }]);
+  const sources = { meter, timing: TIMING, now: clock.now };
+  const checkpoint = checkpointOf(workFrom(0), sources);
+  // The daemon "a" is lost; "b" lives and has counted more since.
+  const next = meterAt(clock, "c");
+  next.take([{ life: "b", window: 0, counts: [["fitters", 4]] }]);
+  const again = checkpointOf({ ...workFrom(0), checkpoint }, {
+    ...sources,
+    meter: next,
+  });
+  assert.deepEqual(again.windows[0]?.counts, { fitters: 5 });
+});
+
+test("windows that are due no more are told as missed", () => {
+  const clock = { now: 100_000 };
+  const sources = { meter: meterAt(clock), timing: TIMING, now: clock.now };
+  const decision = fixReports(workFrom(10), sources);
+  assert.deepEqual(decision?.missed, [10, 11, 12, 13, 14, 15]);
+  assert.deepEqual(decision.fixed.map(({ window }) => window), [16, 17, 18]);
+});
+
+test("reports that wait are kept, accepted ones only for a while", () => {
+  const reports = [1, 2, 3, 4, 5]
+    .map((window) => ({ window, counts: {}, accepted: false }));
+  const { reports: kept } = withAccepted(
+    { ...workFrom(6), reports },
+    new Set([1, 2, 3, 5]),
+  );
+  assert.deepEqual(kept.map(({ window }) => window), [3, 4, 5]);
+});
--- a/packages/router/src/request/answer_relay.ts
+++ b/packages/router/src/request/answer_relay.ts
@@ -90,11 +90,16 @@
     if (subject.route.streaming && success) {
       return this.#passStream(subject, sent, parts);
     }
-    return this.#passWhole(sent, parts);
+    return this.#passWhole(subject, sent, parts);
   }
 
-  async #passWhole(sent: Answer, parts: TryParts): Promise<Passed> {
+  async #passWhole(
+    subject: Subject,
+    sent: Answer,
+    parts: TryParts,
+  ): Promise<Passed> {
     const { status, incoming } = sent;
+    if (sent.head.sealed) this.#daemon.began(subject);
     const whole = await readWhole(incoming, MAX_ANSWER_BYTES);
     if (whole.kind !== "whole") {
       return this.#brokeOff(parts, "answer broke off", whole.kind);
@@ -164,6 +169,7 @@
   /** The first event came: the prompt has been read. */
   #begin(subject: Subject, sent: Answer, parts: TryParts): void {
     const { load, placed, attempt } = parts;
+    this.#daemon.began(subject);
     load.started(placed);
     load.succeeded();
     const { prompt } = subject.call;
--- a/packages/router/src/request/daemon.ts
+++ b/packages/router/src/request/daemon.ts
@@ -16,7 +16,7 @@
 import type { RunnerLimits } from "../process/runner_limits.ts";
 import type { Runner } from "../process/runner.ts";
 import type { RequestMetrics } from "../process/metrics.ts";
-import type { Service } from "../version/configuration.ts";
+import type { Service, Workspace } from "../version/configuration.ts";
 import type { RoutingTable } from "../version/routing_table.ts";
 import type { Dialect } from "./call.ts";
 import type { Fleet } from "./demand.ts";
@@ -57,6 +57,8 @@
   pace(service: string): StreamPace;
   /** Requests that wait until runners of a service take more. */
   limitWaits(service: string): LimitWaits;
+  /** A runner has begun a request. */
+  began(subject: { readonly workspace: Workspace | undefined }): void;
   /** Repeats that may be sent to a service. */
   budget(service: string): RetryBudget;
 }
--- a/packages/router/src/version/configuration.ts
+++ b/packages/router/src/version/configuration.ts
@@ -60,6 +60,19 @@
   readonly fetchMsPerToken: number | undefined;
 }
 
+/** How many runners of a service may be ordered, and what they cost. */
+export interface Scaling {
+  /** Fewest and most runners in each failure domain, of both kinds together. */
+  readonly least: number;
+  readonly most: number;
+  /** Milliseconds from an order until its runners serve. */
+  readonly startMs: number;
+  /** Price of a preemptible runner, as a part of that of another one. */
+  readonly preemptiblePrice: number | undefined;
+  /** Price of a runner by failure domain, against each other. */
+  readonly prices: Readonly<Record<string, number>>;
+}
+
 /** Runners that answer the same requests. */
 export interface Service {
   readonly name: string;
@@ -67,6 +80,8 @@
   readonly maxConnections: number;
   /** Absent for a plain service. */
   readonly engine: Engine | undefined;
+  /** Absent where the number of runners is not for daemons to decide. */
+  readonly scaling?: Scaling | undefined;
 }
 
 /** Who sends requests, and the keys that prove it. */
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -14,6 +14,13 @@
 import type { DaemonRegistry } from "../src/process/daemon_registry.ts";
 import type { EventLog } from "../src/process/event_log.ts";
 import { FeedError } from "../src/process/feed.ts";
+import { FleetTime, HOST_CLOCKS } from "../src/process/fleet_time.ts";
+import type {
+  LeaderRecord,
+  LeaderStore,
+  RecordWritten,
+  StoredRecord,
+} from "../src/process/leader_record.ts";
 import type { Changes, Feed, Listing } from "../src/process/feed.ts";
 import type { Runner } from "../src/process/runner.ts";
 import { RunnerLimits } from "../src/process/runner_limits.ts";
@@ -84,6 +91,50 @@
   }));
 }
 
+/** What a daemon shares that has no part in leading. */
+export function noLeading() {
+  return {
+    time: new FleetTime(HOST_CLOCKS),
+    usage: undefined,
+    lease: undefined,
+  };
+}
+
+/** A store for the leader's record, which a test may have fail. */
+export class MemoryLeaderStore implements LeaderStore {
+  record: StoredRecord | undefined;
+  calls = 0;
+  /** Whether every call fails. */
+  down = false;
+  /** Whether answers to writes are lost. */
+  losesAnswers = false;
+
+  async read(): Promise<StoredRecord | undefined> {
+    await this.#called();
+    return this.record;
+  }
+
+  async write(
+    record: LeaderRecord,
+    ifRevision: number,
+  ): Promise<RecordWritten> {
+    await this.#called();
+    const revision = this.record?.revision ?? 0;
+    if (revision !== ifRevision) {
+      return { kind: "conflict", found: this.record };
+    }
+    this.record = { revision: revision + 1, record };
+    if (this.losesAnswers) throw new FeedError("unavailable", "answer lost");
+    return { kind: "written", revision: revision + 1 };
+  }
+
+  #called(): Promise<void> {
+    this.calls += 1;
+    if (!this.down) return Promise.resolve();
+    return Promise.reject(new FeedError("unavailable", "down"));
+  }
+}
+
 /** A message between daemons that tells nothing. */
 export function testState(fields: Partial<State> = {}): State {
   return {
@@ -96,6 +147,9 @@
     crashes: NO_CRASHES,
     limits: [],
     members: { fleet: 1, domain: 1 },
+    timeMs: undefined,
+    usage: [],
+    lease: undefined,
     contacts: [],
     gone: [],
     ...fields,
@@ -300,6 +354,7 @@
     maxConnections: 100,
     graceMs: 3_000,
     retries: { ratio: 10, extra: 100, windowMs: 10_000 },
+    leadership: undefined,
     ...fields,
   };
 }
@@ -329,6 +384,8 @@
       held: () => Promise.resolve({ startedAtMs: undefined, parts: [] }),
       startedAt: () => Promise.resolve(undefined),
     },
+    leaders: new MemoryLeaderStore(),
+    api: undefined,
   }, parts.log ?? SILENT_LOG);
   await router.start();
   context.after(() => router.stop());
--- a/packages/router/tests/fleet.ts
+++ b/packages/router/tests/fleet.ts
@@ -20,6 +20,17 @@
 import { CrashRecord } from "../src/process/crash_record.ts";
 import { FeedError } from "../src/process/feed.ts";
 import type { Changes, Feed, Listing } from "../src/process/feed.ts";
+import { FleetTime } from "../src/process/fleet_time.ts";
+import type { HostClocks } from "../src/process/fleet_time.ts";
+import { Leader } from "../src/process/leader.ts";
+import { LeaderLease } from "../src/process/leader_lease.ts";
+import type { LeaderStore, UsageReport } from "../src/process/leader_record.ts";
+import type {
+  CallEnd,
+  Fence,
+  PlatformApi,
+  PlatformCall,
+} from "../src/process/platform_api.ts";
 import type { Fields } from "../src/process/line.ts";
 import { PrefixRecord } from "../src/process/prefix_record.ts";
 import type { Runner } from "../src/process/runner.ts";
@@ -27,10 +38,11 @@
 import { RunnerLimits } from "../src/process/runner_limits.ts";
 import { RunnerLoads } from "../src/process/runner_loads.ts";
 import type { Placed } from "../src/process/runner_load.ts";
+import { UsageMeter } from "../src/process/usage_meter.ts";
 import type { Configuration } from "../src/version/configuration.ts";
 import type { TestContext } from "node:test";
 import { FakeClock } from "./fake_clock.ts";
-import { testConfiguration } from "./fixtures.ts";
+import { MemoryLeaderStore, testConfiguration } from "./fixtures.ts";
 
 /** One way between daemons, in ms. */
 const DELAY_MS = 1;
@@ -244,6 +256,49 @@
   );
 }
 
+/** Milliseconds in which requests of workspaces are counted together. */
+export const WINDOW_MS = 5_000;
+/** Milliseconds after the end of a window by which its report is due. */
+export const REPORT_DELAY_MS = 10_000;
+const LEASE_MS = 3_000;
+
+const FAKE_CLOCKS: HostClocks = {
+  shown: () => performance.now(),
+  steady: () => performance.now(),
+};
+
+/** A call to the platform, as it arrived. */
+export interface PlatformArrival {
+  readonly at: number;
+  readonly fence: Fence;
+  readonly window: number;
+  readonly counts: UsageReport["counts"];
+}
+
+/** The platform's API, which takes all that comes. */
+class RecordingApi implements PlatformApi {
+  readonly arrivals: PlatformArrival[] = [];
+
+  async reportUsage(
+    { window, counts }: UsageReport,
+    { fence }: PlatformCall,
+  ): Promise<CallEnd> {
+    this.arrivals.push({ at: performance.now(), fence, window, counts });
+    await sleep(ANSWER_MS);
+    return { kind: "accepted" };
+  }
+
+  orderRunners(): Promise<CallEnd> {
+    return Promise.resolve({ kind: "accepted" });
+  }
+}
+
+/** What all daemons of a fleet share to find their leader. */
+interface Leadership {
+  readonly store: MemoryLeaderStore;
+  readonly api: RecordingApi;
+}
+
 /** One daemon. */
 export class Member {
   readonly contact: Contact;
@@ -251,12 +306,18 @@
   readonly prefixes = new PrefixRecord();
   readonly crashes: CrashRecord;
   readonly limits: RunnerLimits;
+  readonly time = new FleetTime(FAKE_CLOCKS);
+  readonly usage: UsageMeter;
+  readonly lease: LeaderLease;
+  readonly leader: Leader;
   readonly directory = new RunnerDirectory();
   readonly links = new Set<FakeLink>();
   readonly events: { readonly name: string; readonly fields: Fields }[] = [];
   counts = noCounts();
   configuration: Configuration | undefined;
   alive = false;
+  /** Whether the leader's store does not answer this host. */
+  cutFromStore = false;
   /** Names of daemons that nothing from here reaches. */
   readonly deafTo = new Set<string>();
   accept: ((opening: LinkOpening) => void) | undefined;
@@ -268,8 +329,9 @@
   constructor(contact: Contact, fleet: Fleet, options: {
     readonly store: SharedStore;
     readonly sendMbps: number;
+    readonly leadership: Leadership;
   }) {
-    const { store, sendMbps } = options;
+    const { store, sendMbps, leadership } = options;
     this.contact = contact;
     this.#sendMbps = sendMbps;
     const log = {
@@ -280,11 +342,43 @@
     };
     this.crashes = new CrashRecord(log);
     this.limits = new RunnerLimits(log, () => this.neighbourhood.sharers);
+    this.usage = new UsageMeter({
+      life: contact.incarnation,
+      windowMs: WINDOW_MS,
+      now: () => this.time.now(),
+    });
+    this.lease = new LeaderLease({
+      store: this.#counting(leadership.store),
+      own: contact,
+      leaseMs: LEASE_MS,
+      clock: { now: FAKE_CLOCKS.shown, monotonic: FAKE_CLOCKS.steady },
+      log,
+    });
+    this.leader = new Leader({
+      name: contact.name,
+      lease: this.lease,
+      leaseMs: LEASE_MS,
+      api: leadership.api,
+      usage: {
+        meter: this.usage,
+        timing: { windowMs: WINDOW_MS, delayMs: REPORT_DELAY_MS },
+      },
+      demand: undefined,
+      eligible: () => this.neighbourhood.mayLead,
+      changed: () => this.neighbourhood.leaseChanged(),
+      now: () => this.time.now(),
+      steady: FAKE_CLOCKS.steady,
+      random: Math.random,
+      log,
+    });
     this.neighbourhood = new Neighbourhood({
       loads: this.loads,
       prefixes: this.prefixes,
       crashes: this.crashes,
       limits: this.limits,
+      time: this.time,
+      usage: this.usage,
+      lease: this.lease,
       directory: this.directory,
       configuration: () => this.configuration,
       adopt: (configuration) => this.#adopt(configuration),
@@ -321,6 +415,7 @@
     this.alive = true;
     void this.neighbourhood.open({ host: "", port: 0 });
     this.neighbourhood.start(seeds);
+    void this.leader.run();
   }
 
   /** Ends; the links are reset, unless the host has lost its power. */
@@ -331,6 +426,28 @@
     this.links.clear();
     this.accept = undefined;
     this.neighbourhood.stop();
+    this.leader.stop();
+  }
+
+  /** The leader's store, seen from this host. */
+  #counting(store: MemoryLeaderStore): LeaderStore {
+    const called = async () => {
+      this.counts.calls += 1;
+      await sleep(ANSWER_MS);
+      if (!this.alive || this.cutFromStore) {
+        throw new FeedError("unavailable", "no answer");
+      }
+    };
+    return {
+      read: async () => {
+        await called();
+        return store.read();
+      },
+      write: async (record, revision) => {
+        await called();
+        return store.write(record, revision);
+      },
+    };
   }
 
   place(runner: string): Placed {
@@ -367,6 +484,10 @@
   readonly #configurations = new SharedValues<Configuration>([]);
   readonly #runners: SharedValues<Runner>;
   readonly #entered = new Map<string, string>();
+  readonly leadership: Leadership = {
+    store: new MemoryLeaderStore(),
+    api: new RecordingApi(),
+  };
   readonly #shape: FleetShape;
   #starts = 0;
 
@@ -501,7 +622,9 @@
       },
     };
     const { sendMbps = Infinity } = this.#shape;
-    const member: Member = new Member(contact, this, { store, sendMbps });
+    const { leadership } = this;
+    const parts = { store, sendMbps, leadership };
+    const member: Member = new Member(contact, this, parts);
     return member;
   }
 }
