Order preemptible runners in place of others, as many as load needs

Preemptible ones cost 0.22 of them, and all of a failure domain are taken back at once.

Decision (runner_plan.ts, without network, clock or store): preemptible runners in all failure domains, so many that those of the others suffice; regular ones stay until as many serve in their place, and come for what is missing now while some are taken back. What is needed (runner_need.ts) follows how many runners have work, begins with what stood, rises at once and falls slowly. The leader keeps orders in its record, sends changes, and asks again less and less often.

Found by the tests: a leader that followed took the orders for what was needed together with those of the transition, and ordered 60 instead of 36.

--- a/packages/router/src/mod.ts
+++ b/packages/router/src/mod.ts
@@ -26,6 +26,7 @@
 export type { PromptPart } from "./process/prefix_record.ts";
 export type { ReportedLoad } from "./process/runner_load.ts";
 export type { StatedLimit } from "./process/runner_limits.ts";
+export type { Scaling } from "./process/scaling.ts";
 export { runnerId } from "./process/runner.ts";
 export type { Runner } from "./process/runner.ts";
 export { parseSettings } from "./process/settings.ts";
@@ -47,7 +48,6 @@
   Engine,
   Repetition,
   Route,
-  Scaling,
   Service,
   Workspace,
 } from "./version/configuration.ts";
--- a/packages/router/src/process/leader.ts
+++ b/packages/router/src/process/leader.ts
@@ -6,6 +6,7 @@
 import type { EventLog } from "./event_log.ts";
 import type { LeaderLease } from "./leader_lease.ts";
 import type { LeaderWork, UsageReport } from "./leader_record.ts";
+import type { RequestMetrics } from "./metrics.ts";
 import { OrderDesk } from "./order_desk.ts";
 import { pause } from "./pause.ts";
 import type { CallEnd, PlatformApi, PlatformCall } from "./platform_api.ts";
@@ -59,8 +60,15 @@
   /** In [0, 1). */
   readonly random: () => number;
   readonly log: EventLog;
+  readonly metrics: LeaderMetrics;
 }
 
+/** What is counted of a leader's work. */
+export type LeaderMetrics = Pick<
+  RequestMetrics,
+  "term" | "usageWindow" | "platformCall"
+>;
+
 /**
  * Leads while it holds the lease, and sees to it that somebody does.
  *
@@ -115,7 +123,8 @@
   }
 
   async #step(): Promise<void> {
-    const { lease, eligible, changed } = this.#options;
+    const { lease, eligible, changed, metrics } = this.#options;
+    metrics.term(lease.fencing ?? 0);
     if (lease.held) return await this.#lead();
     if (!eligible()) return;
     const look = lease.isGivenUp ||
@@ -147,7 +156,7 @@
 
   /** What is to be written besides a renewal. */
   #decide(): LeaderWork | undefined {
-    const { lease, usage, log, steady } = this.#options;
+    const { lease, usage, log, metrics, steady } = this.#options;
     let { work } = lease;
     const sources = this.#sources();
     const decision = sources && fixReports(work, sources);
@@ -157,9 +166,11 @@
         const requests = Object.values(counts)
           .reduce((sum, each) => sum + each, 0);
         const lives = usage?.meter.lives(window).size;
+        metrics.usageWindow("fixed", window);
         log.event("usage_fixed", { window, requests, daemons: lives });
       }
       for (const window of decision.missed) {
+        metrics.usageWindow("missed", window);
         log.event("usage_missed", { window });
       }
     }
@@ -183,7 +194,7 @@
 
   /** Sends the oldest report that the platform has not taken. */
   async #report(): Promise<void> {
-    const { lease, api, steady, log } = this.#options;
+    const { lease, api, steady, log, metrics } = this.#options;
     const report = lease.work.reports.find((each) => this.#isOpen(each));
     if (report === undefined || steady() < this.#reportFrom) return;
     const call = this.#call();
@@ -195,7 +206,9 @@
       end: end.kind,
       reason: end.kind === "failed" ? end.reason : undefined,
     });
+    metrics.platformCall("usage", end.kind);
     if (end.kind === "accepted") {
+      metrics.usageWindow("accepted", report.window);
       this.#accepted.add(report.window);
       this.#retryMs = FIRST_RETRY_MS;
       return;
@@ -210,11 +223,12 @@
 
   /** Sends the orders that are due, one after the other. */
   async #order(): Promise<void> {
-    const { lease, api, steady } = this.#options;
+    const { lease, api, steady, metrics } = this.#options;
     for (const order of this.#orders.due(lease.work.orders, steady())) {
       const call = this.#call();
       if (call === undefined) return;
       const end = await this.#made(api.orderRunners(order, call));
+      metrics.platformCall("runners", end.kind);
       this.#orders.ended(order, end, {
         fencing: call.fence.fencing,
         now: steady(),
--- a/packages/router/src/process/metrics.ts
+++ b/packages/router/src/process/metrics.ts
@@ -30,6 +30,10 @@
   readonly #ends: CounterType<"service">;
   readonly #version: GaugeType;
   readonly #dependency: GaugeType<"dependency">;
+  readonly #term: GaugeType;
+  readonly #windows: CounterType<"outcome">;
+  readonly #lastWindow: GaugeType<"outcome">;
+  readonly #calls: CounterType<"call" | "end">;
 
   constructor() {
     const registry = new Registry();
@@ -71,6 +75,29 @@
       labelNames: ["dependency"],
       registers,
     });
+    this.#term = new Gauge({
+      name: "umbermast_leader_term",
+      help: "Number of the term while this daemon leads, else 0",
+      registers,
+    });
+    this.#windows = new Counter({
+      name: "umbermast_usage_windows_total",
+      help: "Windows of usage that this daemon fixed, reported or missed",
+      labelNames: ["outcome"],
+      registers,
+    });
+    this.#lastWindow = new Gauge({
+      name: "umbermast_usage_last_window",
+      help: "Number of the last window of each outcome",
+      labelNames: ["outcome"],
+      registers,
+    });
+    this.#calls = new Counter({
+      name: "umbermast_platform_calls_total",
+      help: "Calls to the platform that this daemon made as the leader",
+      labelNames: ["call", "end"],
+      registers,
+    });
   }
 
   /** Counts a request that ended. */
@@ -99,6 +126,22 @@
     this.#dependency.set({ dependency }, up ? 1 : 0);
   }
 
+  /** Sets the number of the term; 0 while another daemon leads. */
+  term(fencing: number): void {
+    this.#term.set(fencing);
+  }
+
+  /** Counts a window of usage. */
+  usageWindow(outcome: "fixed" | "accepted" | "missed", window: number): void {
+    this.#windows.inc({ outcome });
+    this.#lastWindow.set({ outcome }, window);
+  }
+
+  /** Counts a call to the platform. */
+  platformCall(call: "usage" | "runners", end: string): void {
+    this.#calls.inc({ call, end });
+  }
+
   /** All measures in the text format of Prometheus. */
   text(): Promise<string> {
     return this.#registry.metrics();
--- a/packages/router/src/process/order_desk.ts
+++ b/packages/router/src/process/order_desk.ts
@@ -54,11 +54,18 @@
 
   /** Orders that have to be sent now. */
   due(orders: readonly RunnerOrder[], now: number): readonly RunnerOrder[] {
-    return orders.filter((order) => {
+    const due = orders.filter((order) => {
       const sending = this.#sendingOf(order);
       if (sending?.order.runners !== order.runners) return true;
       return !sending.accepted && now >= sending.notBefore;
     });
+    // Bounds hold for both kinds together: the fewer ones make room for others.
+    const isMore = ({ preemptible, runners }: RunnerOrder) =>
+      preemptible && runners > 0;
+    return [
+      ...due.filter((each) => !isMore(each)),
+      ...due.filter(isMore),
+    ];
   }
 
   /** An order has been sent. */
--- a/packages/router/src/process/runner.ts
+++ b/packages/router/src/process/runner.ts
@@ -21,6 +21,8 @@
   readonly slots: number;
   /** Whether it is about to leave and takes nothing new. */
   readonly draining: boolean;
+  /** Whether the platform may take it back, all of a failure domain at once. */
+  readonly preemptible?: boolean | undefined;
   /** Milliseconds for which it is still slow after its start. */
   readonly warmUpMs: number;
 }
--- /dev/null
+++ b/packages/router/src/process/runner_plan_test.ts
@@ -0,0 +1,119 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { planRunners } from "./runner_plan.ts";
+import type { RunnersNeeded } from "./runner_need.ts";
+import type { DomainPlan, DomainState, ScalingBounds } from "./runner_plan.ts";
+
+const BOUNDS: ScalingBounds = { least: 1, most: 42, preemptiblePrice: 0.22 };
+
+function domain(name: string, fields: Partial<DomainState> = {}): DomainState {
+  const empty = { price: 1, preemptible: 0, regular: 0, dry: false };
+  return { name, ...empty, ...fields };
+}
+
+/** Three failure domains of which all have the same. */
+function three(fields: Partial<DomainState> = {}): readonly DomainState[] {
+  return ["a", "b", "c"].map((name) => domain(name, fields));
+}
+
+/** A need that is now what it was at most. */
+function steady(runners: number): RunnersNeeded {
+  return { now: runners, most: runners };
+}
+
+function shown(plan: readonly DomainPlan[]): string {
+  return plan
+    .map(({ name, preemptible, regular }) =>
+      `${name}:${preemptible}+${regular}`
+    )
+    .join(" ");
+}
+
+test("what is needed is there when one failure domain is taken back", () => {
+  const plan = planRunners(steady(20), BOUNDS, three({ preemptible: 10 }));
+  assert.equal(shown(plan), "a:10+0 b:10+0 c:10+0");
+});
+
+test("regular runners stay until preemptible ones serve in their place", () => {
+  const standing = three({ regular: 10 });
+  const first = planRunners(steady(20), BOUNDS, standing);
+  assert.equal(shown(first), "a:10+10 b:10+10 c:10+10");
+  const serving = three({ regular: 10, preemptible: 6 });
+  assert.equal(
+    shown(planRunners(steady(20), BOUNDS, serving)),
+    "a:10+10 b:10+2 c:10+0",
+  );
+});
+
+test("bounds hold for both kinds together while one follows the other", () => {
+  const bounds = { ...BOUNDS, most: 8 };
+  const plan = planRunners(steady(12), bounds, three({ regular: 6 }));
+  assert.equal(shown(plan), "a:4+4 b:4+4 c:4+4");
+});
+
+test("regular runners go again when the others come back", () => {
+  const [a, ...others] = three({ preemptible: 8 });
+  const bounds = { ...BOUNDS, most: 8 };
+  const before = { ...a!, preemptible: 0, regular: 8 };
+  const needed = { now: 4, most: 14 };
+  const plan = planRunners(needed, bounds, [before, ...others]);
+  assert.equal(shown(plan), "a:3+5 b:7+0 c:7+0");
+});
+
+test("the other domains make up for one that is taken back", () => {
+  const [a, ...others] = three({ preemptible: 10 });
+  const lost = { ...a!, preemptible: 0, dry: true };
+  const plan = planRunners(steady(30), BOUNDS, [lost, ...others]);
+  assert.equal(shown(plan), "a:0+10 b:15+0 c:15+0");
+});
+
+test("regular runners come where no others are to be had, cheap ones first", () => {
+  const [a, b, c] = three({ dry: true, preemptible: 5 });
+  const domains = [a!, { ...b!, price: 0.5 }, { ...c!, preemptible: 0 }];
+  const plan = planRunners(steady(12), { ...BOUNDS, most: 10 }, domains);
+  assert.equal(shown(plan), "a:5+0 b:5+1 c:0+1");
+});
+
+test("without a price for preemptible runners all are regular", () => {
+  const bounds = { ...BOUNDS, preemptiblePrice: undefined };
+  const plan = planRunners(steady(7), bounds, three({ regular: 4 }));
+  assert.equal(shown(plan), "a:0+4 b:0+2 c:0+1");
+});
+
+test("no plan leaves the bounds of the operators", () => {
+  const state = fc.record({
+    price: fc.constantFrom(0.85, 1, 1.2),
+    preemptible: fc.nat(12),
+    regular: fc.nat(12),
+    dry: fc.boolean(),
+  });
+  const domains = fc.array(state, { minLength: 1, maxLength: 6 })
+    .map((states) => states.map((each, at) => ({ name: `d-${at}`, ...each })));
+  const bounds = fc.record({
+    least: fc.nat(3),
+    most: fc.integer({ min: 3, max: 24 }),
+    preemptiblePrice: fc.constantFrom(undefined, 0.22, 1.5),
+  });
+  fc.assert(
+    fc.property(
+      fc.nat(80),
+      fc.nat(80),
+      bounds,
+      domains,
+      (now, most, each, states) => {
+        for (
+          const { preemptible, regular } of planRunners(
+            { now, most },
+            each,
+            states,
+          )
+        ) {
+          assert.ok(preemptible >= 0 && regular >= 0);
+          assert.ok(preemptible + regular >= each.least);
+          assert.ok(preemptible + regular <= each.most);
+        }
+      },
+    ),
+  );
+});
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -18,6 +18,7 @@
   createReadinessServer,
 } from "./connection/status_server.ts";
 import { SYSTEM_CLOCK } from "@umbermast/coordination/clock";
+import { Autoscaler } from "./process/autoscaler.ts";
 import { CrashRecord } from "./process/crash_record.ts";
 import type { Contact } from "./process/contact.ts";
 import type { EventLog } from "./process/event_log.ts";
@@ -351,7 +352,8 @@
   }
 
   #leaderBy(lease: LeaderLease, { api }: Platform): Leader {
-    const { leaseMs, usage: timing } = this.#settings.leadership!;
+    const { leaseMs, usage: timing, ordersRunners } = this.#settings
+      .leadership!;
     const meter = this.#usage;
     return new Leader({
       name: this.#settings.name,
@@ -359,13 +361,23 @@
       leaseMs,
       api: api!,
       usage: meter && timing && { meter, timing },
-      demand: undefined,
+      demand: ordersRunners ? this.#autoscaler() : undefined,
       eligible: () => this.#neighbourhood.mayLead,
       changed: () => this.#neighbourhood.leaseChanged(),
       now: () => this.#time.now(),
       steady: () => this.now(),
       random: () => this.random(),
       log: this.log,
+      metrics: this.metrics,
+    });
+  }
+
+  #autoscaler(): Autoscaler {
+    return new Autoscaler({
+      loads: this.loads,
+      log: this.log,
+      runners: () => this.#directory.list.runners,
+      services: () => this.#configuration?.services ?? [],
     });
   }
 
--- a/packages/router/src/version/configuration.ts
+++ b/packages/router/src/version/configuration.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import type { Scaling } from "../process/scaling.ts";
+
 /** When a request may be sent to a second runner after it may have run. */
 export type Repetition =
   /** At any time: running it twice does no harm. */
@@ -60,19 +62,6 @@
   readonly fetchMsPerToken: number | undefined;
 }
 
-/** How many runners of a service may be ordered, and what they cost. */
-export interface Scaling {
-  /** Fewest and most runners in each failure domain, of both kinds together. */
-  readonly least: number;
-  readonly most: number;
-  /** Milliseconds from an order until its runners serve. */
-  readonly startMs: number;
-  /** Price of a preemptible runner, as a part of that of another one. */
-  readonly preemptiblePrice: number | undefined;
-  /** Price of a runner by failure domain, against each other. */
-  readonly prices: Readonly<Record<string, number>>;
-}
-
 /** Runners that answer the same requests. */
 export interface Service {
   readonly name: string;
--- a/packages/router/tests/fleet.ts
+++ b/packages/router/tests/fleet.ts
@@ -370,6 +370,7 @@
       steady: FAKE_CLOCKS.steady,
       random: Math.random,
       log,
+      metrics: { term() {}, usageWindow() {}, platformCall() {} },
     });
     this.neighbourhood = new Neighbourhood({
       loads: this.loads,
