--- a/packages/router/src/connection/neighbour_news.ts
+++ b/packages/router/src/connection/neighbour_news.ts
@@ -273,6 +273,7 @@
     counts: Neighbours,
   ): State {
     const now = performance.now();
+    const { time, usage: meter } = this.#sources;
     return {
       kind: "state",
       ...this.#sources.versions(),
@@ -287,7 +288,8 @@
         agoMs: ageOf(at, now),
       })),
       members: this.#sources.counts.sumBy(counts),
-      timeMs: Math.round(this.#sources.time.now()),
+      // Only windows of usage depend on it.
+      timeMs: meter && Math.round(time.now()),
       usage,
       lease: lease && {
         revision: lease.revision,
--- a/packages/router/src/process/autoscaler.ts
+++ b/packages/router/src/process/autoscaler.ts
@@ -128,10 +128,13 @@
     return now - before.since >= SETTLED_MS;
   }
 
+  /** Where only some leave they are replaced, or were not wanted any more. */
   #noteReclaims(runners: readonly Runner[], now: number): void {
-    for (const { service, failureDomain, preemptible, draining } of runners) {
-      if (!preemptible || !draining) continue;
-      const place = placeOf(service, failureDomain);
+    const preemptible = runners.filter((each) => each.preemptible);
+    const byDomain = groupBy(preemptible, (each) => each.failureDomain);
+    for (const [failureDomain, ofDomain] of byDomain) {
+      if (!ofDomain.every(({ draining }) => draining)) continue;
+      const place = placeOf(ofDomain[0]!.service, failureDomain);
       this.#dryUntil.set(place, now + RECLAIMED_MS);
     }
   }
--- a/packages/router/src/process/autoscaler_test.ts
+++ b/packages/router/src/process/autoscaler_test.ts
@@ -130,6 +130,15 @@
   assert.ok(Number(regular) > 0, played.shown);
 });
 
+test("some runners that leave are not taken for a failure domain taken back", () => {
+  const played = new Played(standing());
+  played.look(0, 4_000);
+  played.runners = preemptible(12)
+    .map((each, at) => at < 3 ? { ...each, draining: true } : each);
+  played.look(4_200, 5_000);
+  assert.equal(played.shown, "a:12+0 b:12+0 c:12+0");
+});
+
 test("where there are none left, it is not asked for a while", () => {
   const played = new Played(preemptible(8));
   played.look(0, 4_000);
