Have engines preempt by the route's tier, whatever the workspace's

The engine preempts the newest of the least urgent by the number that we name, and that put the workspace's tier before the route's.

--- a/packages/router/src/request/attempt_of.ts
+++ b/packages/router/src/request/attempt_of.ts
@@ -34,7 +34,7 @@
     runnerName: runner.name,
     deadlineMs: Math.max(1, Math.floor(leftMs)),
     workspace: workspace?.name,
-    rank: service.engine === undefined ? undefined : subject.rank,
+    rank: service.engine === undefined ? undefined : subject.preemptionRank,
     fetchFrom: fetchFrom && `${fetchFrom.address}:${fetchFrom.port}`,
     lastEventId,
   });
--- a/packages/router/src/request/subject.ts
+++ b/packages/router/src/request/subject.ts
@@ -24,6 +24,8 @@
   readonly version: number;
   /** Its rank among all kinds of requests, 0 being the most urgent. */
   readonly rank: number;
+  /** Its rank where an engine chooses whom it preempts. */
+  readonly preemptionRank: number;
   /** Kinds of requests that are less urgent. */
   readonly ranksBelow: number;
 }
@@ -61,6 +63,7 @@
     workspace,
     version: table.version,
     rank,
+    preemptionRank: table.preemptionRank(route, workspace),
     ranksBelow: table.ranksBelow(rank),
   };
 }
--- a/packages/router/src/version/routing_table.ts
+++ b/packages/router/src/version/routing_table.ts
@@ -60,6 +60,8 @@
   readonly #workspaces: ReadonlyMap<string, Workspace>;
   /** Pairs of tiers in use, each once, the most urgent first. */
   readonly #urgencies: readonly number[];
+  /** The same pairs with the route's tier first. */
+  readonly #preemptions: readonly number[];
 
   constructor(configuration: Configuration) {
     this.version = configuration.version;
@@ -69,6 +71,7 @@
       configuration.services.map((service) => [service.name, service]),
     );
     this.#urgencies = urgenciesOf(configuration);
+    this.#preemptions = this.#urgencies.map(swapped).sort(ascending);
     this.#workspaces = new Map(
       configuration.workspaces.flatMap((workspace) =>
         workspace.keys.map((key) => [key, workspace] as const)
@@ -114,6 +117,16 @@
     return this.#urgencies.filter((each) => each < urgency).length;
   }
 
+  /**
+   * The rank by which an engine chooses whom it preempts, 0 being the most
+   * urgent. Here the route's tier goes before the workspace's: what an engine has
+   * begun of an urgent class is never put out for another workspace's long prompt.
+   */
+  preemptionRank(route: Route, workspace: Workspace | undefined): number {
+    const urgency = urgencyOf(workspace?.tier ?? route.tier, route.tier);
+    return this.#preemptions.filter((each) => each < urgency).length;
+  }
+
   /** How many kinds of requests are less urgent than a rank. */
   ranksBelow(rank: number): number {
     return this.#urgencies.length - 1 - rank;
@@ -127,6 +140,16 @@
   return (workspaceTier ?? routeTier) * TIER_RANGE + routeTier;
 }
 
+/** The same pair of tiers with the other one first. */
+function swapped(urgency: number): number {
+  const second = urgency % TIER_RANGE;
+  return second * TIER_RANGE + (urgency - second) / TIER_RANGE;
+}
+
+function ascending(one: number, other: number): number {
+  return one - other;
+}
+
 function urgenciesOf(configuration: Configuration): readonly number[] {
   const { routes, workspaces } = configuration;
   const workspaceTiers = workspaces.length === 0
@@ -136,7 +159,7 @@
   const urgencies = routes.flatMap((route) =>
     [...workspaceTiers, ...anonymous].map((tier) => urgencyOf(route.tier, tier))
   );
-  return [...new Set(urgencies)].sort((one, other) => one - other);
+  return [...new Set(urgencies)].sort(ascending);
 }
 
 /**
--- a/packages/router/src/version/routing_table_test.ts
+++ b/packages/router/src/version/routing_table_test.ts
@@ -74,6 +74,20 @@
   assert.equal(table.workspace("k")?.name, "w");
 });
 
+// Guards against an urgent class put out for a long prompt of another workspace.
+test("engines preempt by the route's tier, whatever the workspace's", () => {
+  const answer = route({ tier: 0 });
+  const report = route({ tier: 2, name: "s" });
+  const first = { name: "v", keys: [], tier: 0 };
+  const other = { name: "w", keys: ["k"], tier: 1 };
+  const table = tableOf([answer, report], { workspaces: [first, other] });
+  const ranks = [answer, report].flatMap((each) =>
+    [first, other].map((workspace) => table.preemptionRank(each, workspace))
+  );
+  assert.deepEqual(ranks, [0, 1, 2, 3]);
+  assert.ok(table.rank(report, first) < table.rank(answer, other));
+});
+
 test("the route's tier counts where a workspace has none", () => {
   const routes = [route({ tier: 0 }), route({ tier: 2, name: "s" })];
   const workspace = { name: "v", keys: [], tier: undefined };
