Let a report that the platform refuses hold up no other one

The oldest report that was not taken was sent again and again, so one that the platform never takes kept all later windows from it. The one that was tried least goes first now. leader_test.ts, "a report without an answer is sent again", fails before: the window behind an older one was not sent at all within 14 s.

--- a/packages/router/src/process/leader.ts
+++ b/packages/router/src/process/leader.ts
@@ -81,6 +81,8 @@
   readonly #options: LeaderOptions;
   readonly #orders: OrderDesk;
   readonly #accepted = new Set<number>();
+  /** Sends of each window in this term. */
+  readonly #tries = new Map<number, number>();
   #stopped = false;
   /** Ends when nothing that was begun is under way. */
   #working: Promise<void> = Promise.resolve();
@@ -134,6 +136,7 @@
     if (!lease.held) return;
     this.#orders.begin();
     this.#accepted.clear();
+    this.#tries.clear();
     changed();
   }
 
@@ -192,13 +195,14 @@
     return { meter: usage.meter, timing: usage.timing, now: now() };
   }
 
-  /** Sends the oldest report that the platform has not taken. */
+  /** Sends one report that the platform has not taken. */
   async #report(): Promise<void> {
-    const { lease, api, steady, log, metrics } = this.#options;
-    const report = lease.work.reports.find((each) => this.#isOpen(each));
+    const { api, steady, log, metrics } = this.#options;
+    const report = this.#nextReport();
     if (report === undefined || steady() < this.#reportFrom) return;
     const call = this.#call();
     if (call === undefined) return;
+    this.#tries.set(report.window, this.#triesOf(report) + 1);
     const end = await this.#made(api.reportUsage(report, call));
     log.event("usage_reported", {
       window: report.window,
@@ -217,6 +221,22 @@
     this.#retryMs = Math.min(LONGEST_RETRY_MS, 2 * this.#retryMs);
   }
 
+  /** The one that was tried least, so that one that is refused holds up none. */
+  #nextReport(): UsageReport | undefined {
+    let next: UsageReport | undefined;
+    for (const each of this.#options.lease.work.reports) {
+      if (!this.#isOpen(each)) continue;
+      const less = next === undefined ||
+        this.#triesOf(each) < this.#triesOf(next);
+      if (less) next = each;
+    }
+    return next;
+  }
+
+  #triesOf({ window }: UsageReport): number {
+    return this.#tries.get(window) ?? 0;
+  }
+
   #isOpen({ window, accepted }: UsageReport): boolean {
     return !accepted && !this.#accepted.has(window);
   }
