--- /dev/null
+++ b/packages/router/src/leadership.ts
@@ -0,0 +1,118 @@
+/**
+ * A daemon's part in what one daemon does for all, put together.
+ *
+ * @module
+ */
+import { SYSTEM_CLOCK } from "@umbermast/coordination/clock";
+import type { Neighbourhood } from "./connection/neighbourhood.ts";
+import type { LeaderKnowledge } from "./connection/told_news.ts";
+import { Autoscaler } from "./process/autoscaler.ts";
+import type { AutoscalerSources } from "./process/autoscaler.ts";
+import type { Contact } from "./process/contact.ts";
+import type { EventLog } from "./process/event_log.ts";
+import { FleetTime, HOST_CLOCKS } from "./process/fleet_time.ts";
+import { Leader } from "./process/leader.ts";
+import type { LeaderMetrics } from "./process/leader.ts";
+import { LeaderLease } from "./process/leader_lease.ts";
+import type { LeaderStore } from "./process/leader_record.ts";
+import type { PlatformApi } from "./process/platform_api.ts";
+import type { LeadershipSettings } from "./process/settings.ts";
+import { UsageMeter } from "./process/usage_meter.ts";
+
+/** Where leaders agree, and whom they call. */
+export interface LeaderPlatform {
+  /** Where daemons agree who leads. */
+  readonly leaders: LeaderStore;
+  /** Absent where the platform has none. */
+  readonly api: PlatformApi | undefined;
+}
+
+/** What a daemon leads with. */
+export interface LeadershipParts extends Omit<AutoscalerSources, "log"> {
+  readonly own: Contact;
+  readonly log: EventLog;
+  readonly metrics: LeaderMetrics;
+  readonly neighbourhood: () => Neighbourhood;
+  /** In [0, 1). */
+  readonly random: () => number;
+}
+
+/**
+ * Counts what the platform is told, and leads in turn. Without an API of the
+ * platform it does nothing.
+ */
+export class Leadership implements LeaderKnowledge {
+  readonly time = new FleetTime(HOST_CLOCKS);
+  readonly usage: UsageMeter | undefined;
+  readonly lease: LeaderLease | undefined;
+  readonly #leader: Leader | undefined;
+  readonly #log: EventLog;
+
+  constructor(
+    settings: LeadershipSettings | undefined,
+    { leaders: store, api }: LeaderPlatform,
+    parts: LeadershipParts,
+  ) {
+    const { own, log } = parts;
+    this.#log = log;
+    if (settings === undefined || api === undefined) return;
+    const { leaseMs, usage } = settings;
+    this.usage = usage && new UsageMeter({
+      life: own.incarnation,
+      windowMs: usage.windowMs,
+      now: () => this.time.now(),
+    });
+    this.lease = new LeaderLease({
+      store,
+      own,
+      leaseMs,
+      clock: SYSTEM_CLOCK,
+      log,
+    });
+    this.#leader = this.#leaderBy(this.lease, api, { settings, parts });
+  }
+
+  /** A runner has begun a request of a workspace. */
+  began(workspace: string): void {
+    this.usage?.began(workspace);
+  }
+
+  start(): void {
+    if (this.#leader === undefined) this.#log.event("leadership_off", {});
+    void this.#leader?.run();
+  }
+
+  /** Ends at once. */
+  stop(): void {
+    this.#leader?.stop();
+  }
+
+  /** Hands over, if this daemon leads. */
+  async leave(): Promise<void> {
+    await this.#leader?.leave();
+  }
+
+  #leaderBy(lease: LeaderLease, api: PlatformApi, made: {
+    readonly settings: LeadershipSettings;
+    readonly parts: LeadershipParts;
+  }): Leader {
+    const { leaseMs, ordersRunners, usage: timing } = made.settings;
+    const { own, log, metrics, neighbourhood, random } = made.parts;
+    const meter = this.usage;
+    return new Leader({
+      name: own.name,
+      lease,
+      leaseMs,
+      api,
+      usage: meter && timing && { meter, timing },
+      demand: ordersRunners ? new Autoscaler(made.parts) : undefined,
+      eligible: () => neighbourhood().mayLead,
+      changed: () => neighbourhood().leaseChanged(),
+      now: () => this.time.now(),
+      steady: () => HOST_CLOCKS.steady(),
+      random,
+      log,
+      metrics,
+    });
+  }
+}
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -17,17 +17,8 @@
   createMetricsServer,
   createReadinessServer,
 } from "./connection/status_server.ts";
-import { SYSTEM_CLOCK } from "@umbermast/coordination/clock";
-import { Autoscaler } from "./process/autoscaler.ts";
 import { CrashRecord } from "./process/crash_record.ts";
-import type { Contact } from "./process/contact.ts";
 import type { EventLog } from "./process/event_log.ts";
-import { FleetTime, HOST_CLOCKS } from "./process/fleet_time.ts";
-import { Leader } from "./process/leader.ts";
-import { LeaderLease } from "./process/leader_lease.ts";
-import type { LeaderStore } from "./process/leader_record.ts";
-import type { PlatformApi } from "./process/platform_api.ts";
-import { UsageMeter } from "./process/usage_meter.ts";
 import { MemorySurvey } from "./process/memory_survey.ts";
 import type { EngineMemory } from "./process/memory_survey.ts";
 import { LimitWaits } from "./process/limit_waits.ts";
@@ -44,6 +35,8 @@
 import { RunnerLoads } from "./process/runner_loads.ts";
 import { StreamPace } from "./process/stream_pace.ts";
 import type { RouterSettings } from "./process/settings.ts";
+import { Leadership } from "./leadership.ts";
+import type { LeaderPlatform } from "./leadership.ts";
 import type { Dialect } from "./request/call.ts";
 import { Caller } from "./request/caller.ts";
 import type { Daemon } from "./request/daemon.ts";
@@ -57,13 +50,9 @@
 import { RoutingTable } from "./version/routing_table.ts";
 
 /** What the platform provides. */
-export interface Platform extends SharedStore {
+export interface Platform extends SharedStore, LeaderPlatform {
   readonly dialect: Dialect;
   readonly memory: EngineMemory;
-  /** Where daemons agree who leads. */
-  readonly leaders: LeaderStore;
-  /** Absent where the platform has none. */
-  readonly api: PlatformApi | undefined;
 }
 
 /** Milliseconds between two looks of waiting requests whether there is room. */
@@ -113,9 +102,7 @@
   readonly #paces = new PerService(() => new StreamPace());
   readonly #limitWaits = new PerService(() => new LimitWaits());
   readonly #neighbourhood: Neighbourhood;
-  readonly #time = new FleetTime(HOST_CLOCKS);
-  readonly #usage: UsageMeter | undefined;
-  readonly #leader: Leader | undefined;
+  readonly #leadership: Leadership;
   readonly #survey: MemorySurvey;
   readonly #restarts: RestartWatch;
   readonly #crashWatch: CrashWatch;
@@ -146,11 +133,20 @@
       failureDomain: settings.failureDomain,
       linkMbps: settings.linkMbps,
     };
-    const lease = this.#leaseIn(platform, own);
-    this.#usage = this.#meterOf(own);
+    this.#leadership = new Leadership(settings.leadership, platform, {
+      own,
+      log,
+      metrics: this.metrics,
+      loads: this.loads,
+      runners: () => this.#directory.list.runners,
+      services: () => this.#configuration?.services ?? [],
+      neighbourhood: () => this.#neighbourhood,
+      random: () => this.random(),
+    });
+    const { time, usage, lease } = this.#leadership;
     this.#neighbourhood = new Neighbourhood({
-      time: this.#time,
-      usage: this.#usage,
+      time,
+      usage,
       lease,
       loads: this.loads,
       prefixes: this.prefixes,
@@ -169,7 +165,6 @@
       controlBytesPerS: settings.controlBytesPerS,
       random: () => this.random(),
     });
-    this.#leader = lease && this.#leaderBy(lease, platform);
     const mayAsk = ({ id }: Runner) => this.#mayAsk(id);
     this.#survey = new MemorySurvey(platform.memory, {
       prefixes: this.prefixes,
@@ -241,7 +236,7 @@
   }
 
   began({ workspace }: { readonly workspace: Workspace | undefined }): void {
-    if (workspace !== undefined) this.#usage?.began(workspace.name);
+    if (workspace !== undefined) this.#leadership.began(workspace.name);
   }
 
   limitWaits(service: string): LimitWaits {
@@ -284,8 +279,7 @@
     ]);
     this.log.event("started", { name: this.#settings.name });
     this.#neighbourhood.start(this.#settings.seeds);
-    if (this.#leader === undefined) this.log.event("leadership_off", {});
-    void this.#leader?.run();
+    this.#leadership.start();
   }
 
   /**
@@ -310,7 +304,7 @@
 
   /** Ends at once, without hand-over. */
   stop(): void {
-    this.#leader?.stop();
+    this.#leadership.stop();
     this.#neighbourhood.stop();
     this.#server.destroy();
     for (const server of this.#statusServers) server.close();
@@ -323,7 +317,7 @@
    */
   async leave(): Promise<boolean> {
     this.#lifecycle.leave();
-    void this.#leader?.leave();
+    void this.#leadership.leave();
     void this.#neighbourhood.leave();
     const cut = await handOver(this.#server, {
       graceMs: () => this.#settings.graceMs,
@@ -333,54 +327,6 @@
     return cut === 0;
   }
 
-  #leaseIn(platform: Platform, own: Contact): LeaderLease | undefined {
-    const { leadership } = this.#settings;
-    if (leadership === undefined || platform.api === undefined) {
-      return undefined;
-    }
-    const { leaseMs } = leadership;
-    const { leaders: store } = platform;
-    const { log } = this;
-    return new LeaderLease({ store, own, leaseMs, clock: SYSTEM_CLOCK, log });
-  }
-
-  #meterOf({ incarnation: life }: Contact): UsageMeter | undefined {
-    const usage = this.#settings.leadership?.usage;
-    if (usage === undefined) return undefined;
-    const { windowMs } = usage;
-    return new UsageMeter({ life, windowMs, now: () => this.#time.now() });
-  }
-
-  #leaderBy(lease: LeaderLease, { api }: Platform): Leader {
-    const { leaseMs, usage: timing, ordersRunners } = this.#settings
-      .leadership!;
-    const meter = this.#usage;
-    return new Leader({
-      name: this.#settings.name,
-      lease,
-      leaseMs,
-      api: api!,
-      usage: meter && timing && { meter, timing },
-      demand: ordersRunners ? this.#autoscaler() : undefined,
-      eligible: () => this.#neighbourhood.mayLead,
-      changed: () => this.#neighbourhood.leaseChanged(),
-      now: () => this.#time.now(),
-      steady: () => this.now(),
-      random: () => this.random(),
-      log: this.log,
-      metrics: this.metrics,
-    });
-  }
-
-  #autoscaler(): Autoscaler {
-    return new Autoscaler({
-      loads: this.loads,
-      log: this.log,
-      runners: () => this.#directory.list.runners,
-      services: () => this.#configuration?.services ?? [],
-    });
-  }
-
   /** What daemons ask a runner counts among what it takes. */
   #mayAsk(id: string): boolean {
     const now = this.now();
