--- a/packages/router/src/process/autoscaler.ts
+++ b/packages/router/src/process/autoscaler.ts
@@ -57,7 +57,7 @@
   readonly #sources: AutoscalerSources;
   readonly #states = new Map<string, ServiceState>();
   /** Until when, in steady ms, a place is taken to have no preemptible runners. */
-  readonly #dryUntil = new Map<string, number>();
+  readonly #depletedUntil = new Map<string, number>();
   /** Most runners that were listed, by service, and since when. */
   readonly #listed = new Map<string, { count: number; since: number }>();
   readonly #unsound = new Set<string>();
@@ -86,7 +86,10 @@
   }
 
   noneLeft({ service, failureDomain }: RunnerOrder, now: number): void {
-    this.#dryUntil.set(placeOf(service, failureDomain), now + NONE_LEFT_MS);
+    this.#depletedUntil.set(
+      placeOf(service, failureDomain),
+      now + NONE_LEFT_MS,
+    );
   }
 
   #ordersOf(
@@ -135,7 +138,7 @@
     for (const [failureDomain, ofDomain] of byDomain) {
       if (!ofDomain.every(({ draining }) => draining)) continue;
       const place = placeOf(ofDomain[0]!.service, failureDomain);
-      this.#dryUntil.set(place, now + RECLAIMED_MS);
+      this.#depletedUntil.set(place, now + RECLAIMED_MS);
     }
   }
 
@@ -155,13 +158,14 @@
         each.failureDomain === name && !each.draining
       );
       const preemptible = ready.filter((each) => each.preemptible).length;
-      const dryUntil = this.#dryUntil.get(placeOf(service, name)) ?? -Infinity;
+      const depletedUntil = this.#depletedUntil.get(placeOf(service, name)) ??
+        -Infinity;
       return {
         name,
         price: scaling.prices[name] ?? 1,
         preemptible,
         regular: ready.length - preemptible,
-        dry: now < dryUntil,
+        depleted: now < depletedUntil,
       };
     });
   }
--- a/packages/router/src/process/runner_plan.ts
+++ b/packages/router/src/process/runner_plan.ts
@@ -23,7 +23,7 @@
   /** Others that serve. */
   readonly regular: number;
   /** Whether preemptible runners leave there, or are not to be had. */
-  readonly dry: boolean;
+  readonly depleted: boolean;
 }
 
 /** Numbers for one failure domain. */
@@ -51,13 +51,14 @@
   bounds: ScalingBounds,
   domains: readonly DomainState[],
 ): readonly DomainPlan[] {
-  const each = preemptibleEach(needed.most, bounds, domains);
-  const serving = sum(domains, (one) => one.preemptible + one.regular);
+  const perDomain = preemptiblePerDomain(needed.most, bounds, domains);
+  const serving = sum(domains, (each) => each.preemptible + each.regular);
   const spare = Math.max(0, serving - needed.most);
-  const preemptible = planPreemptible(each, bounds, domains, {
-    swapped: Math.floor(spare / Math.max(1, domains.length)),
+  const preemptible = planPreemptible(perDomain, bounds, domains, {
+    replaceable: Math.floor(spare / Math.max(1, domains.length)),
   });
-  const regular = planRegular(needed, { each, preemptible }, bounds, domains);
+  const wanted = regularWanted(needed, perDomain, domains);
+  const regular = planRegular(wanted, bounds, domains, preemptible);
   return domains.map(({ name }) => ({
     name,
     preemptible: preemptible.get(name) ?? 0,
@@ -66,74 +67,85 @@
 }
 
 /** Preemptible runners that each failure domain should have. */
-function preemptibleEach(
+function preemptiblePerDomain(
   needed: number,
   { most, preemptiblePrice }: ScalingBounds,
   domains: readonly DomainState[],
 ): number {
   if (preemptiblePrice === undefined || preemptiblePrice >= 1) return 0;
-  const wet = domains.filter(({ dry }) => !dry).length;
+  const available = domains.filter(({ depleted }) => !depleted).length;
   // While one domain is lost already, no second loss is planned for.
-  const sharing = wet < domains.length ? wet : wet - 1;
+  const sharing = available < domains.length ? available : available - 1;
   return Math.min(most, Math.ceil(needed / Math.max(1, sharing)));
 }
 
 /**
  * Preemptible runners by failure domain, as far as they may be ordered now.
  *
- * @param options how many regular ones a domain can spare while others start.
+ * @param options how many regular ones a domain can do without while others
+ * start.
  */
 function planPreemptible(
-  each: number,
+  perDomain: number,
   { most }: ScalingBounds,
   domains: readonly DomainState[],
-  options: { readonly swapped: number },
+  options: { readonly replaceable: number },
 ): ReadonlyMap<string, number> {
-  return new Map(domains.map(({ name, dry, preemptible, regular }) => {
-    const kept = Math.max(0, regular - options.swapped);
+  return new Map(domains.map(({ name, depleted, preemptible, regular }) => {
+    const kept = Math.max(0, regular - options.replaceable);
     const room = Math.max(0, most - kept);
-    return [name, Math.min(dry ? preemptible : each, room)];
+    return [name, Math.min(depleted ? preemptible : perDomain, room)];
   }));
 }
 
-/** Regular runners for what preemptible ones do not make up for. */
-function planRegular(
+/** Regular runners that are wanted in all, and whether more may come. */
+interface RegularWanted {
+  readonly runners: number;
+  /** Otherwise only some of those that there are stay. */
+  readonly more: boolean;
+}
+
+function regularWanted(
   needed: RunnersNeeded,
-  planned: {
-    readonly each: number;
-    readonly preemptible: ReadonlyMap<string, number>;
-  },
+  perDomain: number,
+  domains: readonly DomainState[],
+): RegularWanted {
+  const serving = sum(domains, (each) => each.preemptible);
+  const depleted = domains.some((each) => each.depleted);
+  // Without preemptible ones, regular runners are all that there is.
+  if (perDomain === 0) return { runners: needed.most - serving, more: true };
+  const total = perDomain * domains.length;
+  if (!depleted) return { runners: total - serving, more: false };
+  return { runners: Math.min(needed.now, total) - serving, more: true };
+}
+
+/** Regular runners by failure domain: those that are there first, then cheap ones. */
+function planRegular(
+  wanted: RegularWanted,
   { least, most }: ScalingBounds,
   domains: readonly DomainState[],
+  preemptible: ReadonlyMap<string, number>,
 ): ReadonlyMap<string, number> {
   const cheapFirst = [...domains].sort((one, other) =>
     one.price - other.price || (one.name < other.name ? -1 : 1)
   );
-  const ordered = (name: string) => planned.preemptible.get(name) ?? 0;
   const plan = new Map<string, number>();
-  const give = (name: string, runners: number): number => {
+  let missing = wanted.runners;
+  const add = (name: string, runners: number) => {
     const before = plan.get(name) ?? 0;
-    const given = Math.max(
-      0,
-      Math.min(runners, most - ordered(name) - before),
-    );
-    plan.set(name, before + given);
-    return given;
+    const room = most - (preemptible.get(name) ?? 0) - before;
+    const added = Math.max(0, Math.min(runners, room));
+    plan.set(name, before + added);
+    missing -= added;
   };
-  const serving = sum(domains, (each) => each.preemptible);
-  const dry = domains.some((each) => each.dry);
-  const steady = planned.each === 0
-    ? needed.most
-    : planned.each * domains.length;
-  let missing = (dry ? Math.min(needed.now, steady) : steady) - serving;
   for (const { name } of cheapFirst) {
-    missing -= give(name, least - ordered(name));
+    add(name, least - (preemptible.get(name) ?? 0));
   }
   for (const { name, regular } of cheapFirst) {
-    missing -= give(name, Math.min(regular - plan.get(name)!, missing));
+    add(name, Math.min(regular - plan.get(name)!, missing));
   }
-  if (!dry && planned.each > 0) return plan;
-  for (const { name } of cheapFirst) missing -= give(name, missing);
+  if (!wanted.more) return plan;
+  for (const { name } of cheapFirst) add(name, missing);
   return plan;
 }
 
--- a/packages/router/src/process/runner_plan_test.ts
+++ b/packages/router/src/process/runner_plan_test.ts
@@ -8,7 +8,7 @@
 const BOUNDS: ScalingBounds = { least: 1, most: 42, preemptiblePrice: 0.22 };
 
 function domain(name: string, fields: Partial<DomainState> = {}): DomainState {
-  const empty = { price: 1, preemptible: 0, regular: 0, dry: false };
+  const empty = { price: 1, preemptible: 0, regular: 0, depleted: false };
   return { name, ...empty, ...fields };
 }
 
@@ -63,13 +63,13 @@
 
 test("the other domains make up for one that is taken back", () => {
   const [a, ...others] = three({ preemptible: 10 });
-  const lost = { ...a!, preemptible: 0, dry: true };
+  const lost = { ...a!, preemptible: 0, depleted: true };
   const plan = planRunners(steady(30), BOUNDS, [lost, ...others]);
   assert.equal(shown(plan), "a:0+10 b:15+0 c:15+0");
 });
 
 test("regular runners come where no others are to be had, cheap ones first", () => {
-  const [a, b, c] = three({ dry: true, preemptible: 5 });
+  const [a, b, c] = three({ depleted: true, preemptible: 5 });
   const domains = [a!, { ...b!, price: 0.5 }, { ...c!, preemptible: 0 }];
   const plan = planRunners(steady(12), { ...BOUNDS, most: 10 }, domains);
   assert.equal(shown(plan), "a:5+0 b:5+1 c:0+1");
@@ -86,7 +86,7 @@
     price: fc.constantFrom(0.85, 1, 1.2),
     preemptible: fc.nat(12),
     regular: fc.nat(12),
-    dry: fc.boolean(),
+    depleted: fc.boolean(),
   });
   const domains = fc.array(state, { minLength: 1, maxLength: 6 })
     .map((states) => states.map((each, at) => ({ name: `d-${at}`, ...each })));
