Fix a window's counts later while some daemons are not heard of

While fewer daemons are heard of than lately, counts are fixed at 0.75 of the time for a report in place of 0.45; a loss of the leader in between costs the window. usage_reports_test.ts, "a window waits longer", fails before.

--- a/packages/router/src/connection/neighbourhood.ts
+++ b/packages/router/src/connection/neighbourhood.ts
@@ -141,6 +141,11 @@
     return !alone && this.#sharing.isCentral;
   }
 
+  /** Whether all daemons are heard of that there were lately. */
+  get hearsAll(): boolean {
+    return this.#sharing.hearsAll;
+  }
+
   /** Others should hear of the leader's lease. */
   leaseChanged(): void {
     this.#sharing.wake();
--- a/packages/router/src/connection/sharing.ts
+++ b/packages/router/src/connection/sharing.ts
@@ -145,6 +145,12 @@
     return Math.max(fleet, this.#book.size + 1);
   }
 
+  /** Whether all daemons are heard of that there were lately. */
+  get hearsAll(): boolean {
+    const { fleet } = this.#counts.sumBy(() => true);
+    return fleet >= this.#counts.recent(performance.now()).fleet;
+  }
+
   /** Steady milliseconds at which a peer gave something last. */
   get givenAt(): number {
     return this.#versions.givenAt;
--- a/packages/router/src/leadership.ts
+++ b/packages/router/src/leadership.ts
@@ -104,7 +104,11 @@
       lease,
       leaseMs,
       api,
-      usage: meter && timing && { meter, timing },
+      usage: meter && timing && {
+        meter,
+        timing,
+        complete: () => neighbourhood().hearsAll,
+      },
       demand: ordersRunners ? new Autoscaler(made.parts) : undefined,
       eligible: () => neighbourhood().mayLead,
       changed: () => neighbourhood().leaseChanged(),
--- a/packages/router/src/process/leader.ts
+++ b/packages/router/src/process/leader.ts
@@ -46,6 +46,8 @@
   readonly usage: {
     readonly meter: UsageMeter;
     readonly timing: UsageTiming;
+    /** Whether all daemons are heard of that there were lately. */
+    readonly complete: () => boolean;
   } | undefined;
   /** Absent where nobody takes orders. */
   readonly demand: RunnerDemand | undefined;
@@ -192,7 +194,8 @@
   #sources(): UsageSources | undefined {
     const { usage, now } = this.#options;
     if (usage === undefined) return undefined;
-    return { meter: usage.meter, timing: usage.timing, now: now() };
+    const { meter, timing, complete } = usage;
+    return { meter, timing, now: now(), complete: complete() };
   }
 
   /** Sends one report that the platform has not taken. */
--- a/packages/router/src/process/usage_reports.ts
+++ b/packages/router/src/process/usage_reports.ts
@@ -11,11 +11,16 @@
 import type { Counts, UsageMeter } from "./usage_meter.ts";
 
 /**
- * Part of the time for a report after which its counts are fixed. Before, news
- * of daemons that were cut off may come; after it, another daemon that has to
- * take over from the leader needs the rest of the time.
+ * Part of the time for a report after which its counts are fixed, while all
+ * daemons are heard of: another daemon that has to take over from the leader
+ * needs the rest of the time.
  */
 const FIXED_AFTER = 0.45;
+/**
+ * The same while some are not heard of. One that is cut off from the others for
+ * some seconds still serves its callers, and tells its counts when it is back.
+ */
+const FIXED_INCOMPLETE_AFTER = 0.75;
 /** Reports that the platform has taken which are kept, for the operators' eyes. */
 const KEPT_ACCEPTED = 2;
 /** Reports that wait; of more the oldest are given up. */
@@ -34,6 +39,8 @@
   readonly timing: UsageTiming;
   /** Epoch ms. */
   readonly now: number;
+  /** Whether all daemons are heard of that there were lately. */
+  readonly complete: boolean;
 }
 
 /** A decision on usage, and windows for which it comes too late. */
@@ -63,7 +70,8 @@
   if (work.nextWindow === undefined) {
     return { work: { ...work, nextWindow: present }, fixed: [], missed: [] };
   }
-  const fixedAfterMs = windowMs + FIXED_AFTER * delayMs;
+  const part = sources.complete ? FIXED_AFTER : FIXED_INCOMPLETE_AFTER;
+  const fixedAfterMs = windowMs + part * delayMs;
   const last = Math.floor((sources.now - fixedAfterMs) / windowMs);
   if (last < work.nextWindow) return undefined;
   // A report that comes a window late is of use; the counts of older ones are
--- a/packages/router/src/process/usage_reports_test.ts
+++ b/packages/router/src/process/usage_reports_test.ts
@@ -22,7 +22,7 @@
   meter.began("fitters");
   const at = (now: number) => {
     clock.now = now;
-    return { meter, timing: TIMING, now };
+    return { meter, timing: TIMING, now, complete: true };
   };
   const before = workFrom(0);
   assert.equal(fixReports(before, at(9_000)), undefined);
@@ -34,9 +34,27 @@
   assert.equal(fixReports(decision.work, at(9_700)), undefined);
 });
 
+// Guards against reports without what daemons count that are cut off from others.
+test("a window waits longer while some daemons are not heard of", () => {
+  const clock = { now: 1_000 };
+  const meter = meterAt(clock);
+  meter.began("fitters");
+  clock.now = 12_400;
+  const cut = { meter, timing: TIMING, now: 12_400, complete: false };
+  assert.equal(fixReports(workFrom(0), cut), undefined);
+  meter.take([{ life: "b", window: 0, counts: [["fitters", 7]] }]);
+  const late = fixReports(workFrom(0), { ...cut, now: 12_500 });
+  assert.deepEqual(late?.fixed[0]?.counts, { fitters: 8 });
+});
+
 test("the first leader begins with the present window", () => {
   const clock = { now: 52_000 };
-  const sources = { meter: meterAt(clock), timing: TIMING, now: clock.now };
+  const sources = {
+    meter: meterAt(clock),
+    timing: TIMING,
+    now: clock.now,
+    complete: true,
+  };
   assert.equal(fixReports(NO_WORK, sources)?.work.nextWindow, 10);
 });
 
@@ -45,10 +63,15 @@
   const meter = meterAt(clock);
   meter.began("fitters");
   clock.now = 9_600;
-  const first = fixReports(workFrom(0), { meter, timing: TIMING, now: 9_600 });
+  const first = fixReports(workFrom(0), {
+    meter,
+    timing: TIMING,
+    now: 9_600,
+    complete: true,
+  });
   meter.take([{ life: "b", window: 0, counts: [["fitters", 7]] }]);
   clock.now = 14_600;
-  const sources = { meter, timing: TIMING, now: 14_600 };
+  const sources = { meter, timing: TIMING, now: 14_600, complete: true };
   const second = fixReports(first!.work, sources);
   assert.deepEqual(second?.work.reports[0]?.counts, { fitters: 1 });
 });
@@ -66,11 +89,17 @@
     meter,
     timing: TIMING,
     now: clock.now,
+    complete: true,
   });
   const next = meterAt(clock, "c");
   next.began("office");
   clock.now = 9_600;
-  const sources = { meter: next, timing: TIMING, now: clock.now };
+  const sources = {
+    meter: next,
+    timing: TIMING,
+    now: clock.now,
+    complete: true,
+  };
   const decision = fixReports({ ...workFrom(0), checkpoint }, sources);
   assert.deepEqual(decision?.fixed[0]?.counts, { fitters: 5, office: 3 });
 });
@@ -80,7 +109,7 @@
   const meter = meterAt(clock);
   meter.began("fitters");
   meter.take([{ life: "b", window: 0, counts: [["fitters", 4]] }]);
-  const sources = { meter, timing: TIMING, now: clock.now };
+  const sources = { meter, timing: TIMING, now: clock.now, complete: true };
   const checkpoint = checkpointOf(workFrom(0), sources);
   // The daemon "a" is lost; "b" lives and has counted more since.
   const next = meterAt(clock, "c");
@@ -94,7 +123,12 @@
 
 test("windows that are due no more are told as missed", () => {
   const clock = { now: 100_000 };
-  const sources = { meter: meterAt(clock), timing: TIMING, now: clock.now };
+  const sources = {
+    meter: meterAt(clock),
+    timing: TIMING,
+    now: clock.now,
+    complete: true,
+  };
   const decision = fixReports(workFrom(10), sources);
   assert.deepEqual(decision?.missed, [10, 11, 12, 13, 14, 15]);
   assert.deepEqual(decision.fixed.map(({ window }) => window), [16, 17, 18]);
--- a/packages/router/tests/fleet.ts
+++ b/packages/router/tests/fleet.ts
@@ -362,6 +362,7 @@
       usage: {
         meter: this.usage,
         timing: { windowMs: WINDOW_MS, delayMs: REPORT_DELAY_MS },
+        complete: () => this.neighbourhood.hearsAll,
       },
       demand: undefined,
       eligible: () => this.neighbourhood.mayLead,
--- a/packages/router/tests/leader_test.ts
+++ b/packages/router/tests/leader_test.ts
@@ -85,7 +85,7 @@
       lease,
       leaseMs: LEASE_MS,
       api: this.api,
-      usage: { meter, timing: TIMING },
+      usage: { meter, timing: TIMING, complete: () => true },
       demand: this.demand,
       eligible: () => true,
       changed() {},
