--- a/packages/router/src/connection/peer_link_test.ts
+++ b/packages/router/src/connection/peer_link_test.ts
@@ -9,7 +9,7 @@
 import { encodeFrame } from "@umbermast/coordination/frame_bytes";
 import { testState } from "../../tests/fixtures.ts";
 import type { CrashAges } from "./crash_ages.ts";
-import { encodeMessage, PeerLink } from "./peer_link.ts";
+import { encodeMessage, PeerLink, SILENCE_MS } from "./peer_link.ts";
 import { NO_SHARE } from "../process/share.ts";
 import { PROTOCOL } from "./peer_message.ts";
 import type { PeerMessage } from "./peer_message.ts";
@@ -32,18 +32,18 @@
   const far = connect((server.address() as AddressInfo).port, "127.0.0.1");
   const [near] = await once(server, "connection");
   const faults: string[] = [];
-  const closed = new Promise<void>((resolve) => {
-    new PeerLink(near, {
-      onMessage,
-      onClose: resolve,
-      onFault: (reason) => faults.push(reason),
-    });
+  let onClose = () => {};
+  const closed = new Promise<void>((resolve) => onClose = resolve);
+  const link = new PeerLink(near, {
+    onMessage,
+    onClose,
+    onFault: (reason) => faults.push(reason),
   });
   context.after(() => {
     server.close();
     far.destroy();
   });
-  return { far, closed, faults };
+  return { link, far, closed, faults };
 }
 
 test("messages arrive whole, however their bytes are cut", async (t) => {
@@ -202,3 +202,18 @@
   await closed;
   assert.deepEqual(received, [{ ...hello, known: [sound] }]);
 });
+
+// Guards against a dead head whose failure domain nobody hears of for eleven seconds.
+test("a link closes when nothing comes, though this side goes on telling", async (t) => {
+  const { link, closed } = await openLink(t, () => {});
+  const telling = setInterval(() => link.send(WANT), 100);
+  t.after(() => clearInterval(telling));
+  const late = new Promise<string>((resolve) => {
+    const timer = setTimeout(() => resolve("still up"), 3 * SILENCE_MS);
+    t.after(() => clearTimeout(timer));
+  });
+  assert.equal(
+    await Promise.race([closed.then(() => "closed"), late]),
+    "closed",
+  );
+});
