--- a/packages/router/src/process/leader_lease.ts
+++ b/packages/router/src/process/leader_lease.ts
@@ -62,7 +62,6 @@
 interface UnsureWrite {
   readonly attempt: number;
   readonly sentAt: Moment;
-  readonly work: LeaderWork;
 }
 
 /**
@@ -148,13 +147,12 @@
     return this.#sight.version > 0 && this.#holderId === "";
   }
 
-  /** Takes what a neighbour told; whether it was new. */
-  hear({ revision, holderId, at }: LeaseNews): boolean {
-    if (revision <= this.#sight.version) return false;
+  /** Takes what a neighbour told. */
+  hear({ revision, holderId, at }: LeaseNews): void {
+    if (revision <= this.#sight.version) return;
     this.#sight.see(revision, at);
     this.#holderId = holderId;
     this.#writtenHere = false;
-    return true;
   }
 
   /** Whether a call that takes up to `callMs` may begin now. */
@@ -283,7 +281,7 @@
     );
     if (written === "unknown") {
       const { attempt } = record.holding;
-      this.#unsure = { attempt, sentAt, work: record.work };
+      this.#unsure = { attempt, sentAt };
     }
     return written;
   }
