--- a/packages/router/src/request/attempt_executor.ts
+++ b/packages/router/src/request/attempt_executor.ts
@@ -12,7 +12,7 @@
 import type { ResponseHead } from "./dialect.ts";
 import type { Caller } from "./caller.ts";
 import type { Daemon } from "./daemon.ts";
-import { logRunnerChosen } from "./decision_log.ts";
+import { logDrainingStated, logRunnerChosen } from "./decision_log.ts";
 import type { Outcome } from "./outcome.ts";
 import type { LocalOutcomes } from "./local_outcomes.ts";
 import type { RunnerChoice } from "./placement.ts";
@@ -173,6 +173,9 @@
     if (result.kind === "response" || result.kind === "not-executed") {
       load.recordActivity(now);
       this.#recordLimit(result.head, context);
+      if (result.head.draining) {
+        logDrainingStated(this.#daemon, routed.head.id, context.attempt.runner);
+      }
     }
     switch (result.kind) {
       case "unsent":
--- a/packages/router/src/request/dialect.ts
+++ b/packages/router/src/request/dialect.ts
@@ -61,6 +61,8 @@
   /** Whether the body has a content encoding, which no runner applies. */
   readonly encoded: boolean;
   readonly load: ReportedLoad | undefined;
+  /** Whether the runner states that it is shutting down. */
+  readonly draining: boolean;
   /** Rate limit that the runner states; absent when it states none. */
   readonly limit: StatedLimit | undefined;
 }
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -70,6 +70,7 @@
     misdirected: status === 421,
     encoded: false,
     load: undefined,
+    draining: headerOf(headers, "x-draining") !== undefined,
     limit: parseLimit(headerOf(headers, "x-limit")),
   }),
   eventId: (event) => {
