Heed and exchange what runners state about their shutdown

Cause: daemons knew a shutdown from the list of runners alone, and the list changes only once the store has accepted the runner's report. The class: a fact is taken from one source although its owner states it on every connection, and what one daemon hears dies there.

Why this is enough: a shutdown is final for an incarnation, so order and path of updates do not matter.

--- a/packages/router/src/connection/apply_update.ts
+++ b/packages/router/src/connection/apply_update.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { CrashRecord } from "../process/crash_record.ts";
+import type { DrainingRunners } from "../process/draining_runners.ts";
 import type { PrefixIndex } from "../process/prefix_index.ts";
 import type { RunnerLimits } from "../process/runner_limits.ts";
 import type { RunnerLoads } from "../process/runner_loads.ts";
@@ -20,6 +21,7 @@
   readonly prefixes: PrefixIndex;
   readonly crashes: CrashRecord;
   readonly limits: RunnerLimits;
+  readonly draining: DrainingRunners;
 }
 
 /** State that daemons exchange for the leader. */
@@ -64,6 +66,10 @@
       limits.map(({ agoMs, ...limit }) => ({ ...limit, at: now - agoMs })),
       now,
     ),
+    draining: shared.draining.applyUpdates(
+      update.draining.map(({ runner, agoMs }) => ({ runner, at: now - agoMs })),
+      now,
+    ),
     usage: shared.usage?.applyUpdates(update.usage) ?? [],
     urgent: loads.some(({ waiting }) => waiting.length > 0),
   };
--- a/packages/router/src/connection/compressed_item_test.ts
+++ b/packages/router/src/connection/compressed_item_test.ts
@@ -1,10 +1,13 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { encodeItem } from "@umbermast/coordination/codec";
-import { RunnerDirectory } from "../process/runner_directory.ts";
 import type { RunnerListUpdate } from "../process/runner_directory.ts";
 import type { Configuration, Route } from "../version/configuration.ts";
-import { testConfiguration, testRoute } from "../../tests/fixtures.ts";
+import {
+  emptyDirectory,
+  testConfiguration,
+  testRoute,
+} from "../../tests/fixtures.ts";
 import { compressItem } from "./compressed_item.ts";
 import { packMessage, unpackMessage } from "./peer_encoding.ts";
 
@@ -89,7 +92,7 @@
 });
 
 test("a list of runners is compressed once for all peers that request it", () => {
-  const directory = new RunnerDirectory();
+  const directory = emptyDirectory();
   directory.replace({ revision: 5, runners: runnerListOf(3).runners });
   const first = directory.updateSince(0);
   assert.equal(directory.updateSince(0), first);
--- a/packages/router/src/connection/outbox.ts
+++ b/packages/router/src/connection/outbox.ts
@@ -6,6 +6,7 @@
 import type { ContactUpdates } from "../process/contact_book.ts";
 import type { CompleteResponse, CrashedRun } from "../process/crash_entry.ts";
 import type { CrashUpdate } from "../process/crash_record.ts";
+import type { DrainingUpdate } from "../process/draining_runners.ts";
 import type { LimitUpdate } from "../process/runner_limits.ts";
 import type { LeaseObservation } from "../process/leader_lease.ts";
 import type { UsageCount } from "../process/usage_meter.ts";
@@ -32,6 +33,8 @@
 
 /** Maximum number of rate limits in one message, about 3 KB; others wait. */
 const MAX_LIMITS = 100;
+/** Maximum number of draining runners in one message, about 3 KB; others wait. */
+const MAX_DRAINING = 100;
 
 /** The origin of a change. */
 export interface Sourced {
@@ -53,6 +56,7 @@
   readonly contacts: ContactUpdates;
   readonly crashes: SourcedCrashes;
   readonly limits: readonly (LimitUpdate & Sourced)[];
+  readonly draining: readonly (DrainingUpdate & Sourced)[];
   readonly usage: readonly UsageCount[];
   readonly lease: LeaseObservation | undefined;
 }
@@ -67,6 +71,7 @@
   readonly #responses: (CompleteResponse & Sourced)[] = [];
   /** The last limit stated by each runner. */
   readonly #limits = new Map<string, LimitUpdate & Sourced>();
+  readonly #draining: (DrainingUpdate & Sourced)[] = [];
   /** The last counts of each workspace, by incarnation and window. */
   readonly #usage = new Map<string, UsageCount>();
   #lease: LeaseObservation | undefined;
@@ -111,6 +116,10 @@
     }
   }
 
+  addDraining(draining: readonly DrainingUpdate[], from?: string): void {
+    for (const update of draining) this.#draining.push({ ...update, from });
+  }
+
   /**
    * Adds usage counts. They do not trigger a message but go with the next one.
    */
@@ -138,7 +147,8 @@
     return this.#urgent.size === 0 && this.#normal.size === 0 &&
       this.#parts.length === 0 && this.#contacts.length === 0 &&
       this.#crashed.length === 0 && this.#responses.length === 0 &&
-      this.#limits.size === 0 && this.#lease?.holderId !== "";
+      this.#limits.size === 0 && this.#draining.length === 0 &&
+      this.#lease?.holderId !== "";
   }
 
   /** Whether requests wait for a runner whose load is to be sent. */
@@ -165,6 +175,7 @@
         responses: this.#responses.splice(0, MAX_CRASHES),
       },
       limits: [...this.#limits.values()].slice(0, MAX_LIMITS),
+      draining: this.#draining.splice(0, MAX_DRAINING),
       usage: [...this.#usage.values()],
       lease: this.#lease,
     };
--- a/packages/router/src/connection/peer_encoding.ts
+++ b/packages/router/src/connection/peer_encoding.ts
@@ -15,6 +15,7 @@
 import type { RunnerListUpdate } from "../process/runner_directory.ts";
 import type { Configuration } from "../version/configuration.ts";
 import type {
+  DrainingAge,
   FetchResponse,
   Hello,
   LeaseAge,
@@ -64,6 +65,8 @@
 /** A limit; without `perS` the runner no longer states one. */
 type PackedLimit = readonly [runner: string, agoMs: number, perS?: number];
 
+type PackedDraining = readonly [runner: string, agoMs: number];
+
 type PackedUsage = readonly [
   incarnation: string,
   window: number,
@@ -93,6 +96,7 @@
   timeMs?: number | undefined,
   usage?: readonly PackedUsage[] | undefined,
   lease?: PackedLease | undefined,
+  draining?: readonly PackedDraining[] | undefined,
 ];
 
 const ADDRESS = /^[^\s:]+:\d{1,5}$/;
@@ -216,13 +220,14 @@
 
 /** Packs the optional fields, up to the last one that has a value. */
 function packOptionalFields(state: StateUpdate): PackedOptionalFields {
-  const { crashes, limits, timeMs, usage, lease } = state;
+  const { crashes, limits, timeMs, usage, lease, draining } = state;
   const fields: PackedOptionalFields = [
     hasReports(crashes) ? packCrashes(crashes) : undefined,
     limits.length === 0 ? undefined : limits.map(packLimit),
     timeMs,
     usage.length === 0 ? undefined : usage.map(packUsage),
     lease && [lease.revision, lease.holderId, lease.agoMs],
+    draining.length === 0 ? undefined : draining.map(packDraining),
   ];
   const last = fields.findLastIndex((field) => field !== undefined);
   return fields.slice(0, last + 1) as unknown as PackedOptionalFields;
@@ -258,6 +263,17 @@
   };
 }
 
+function packDraining({ runner, agoMs }: DrainingAge): PackedDraining {
+  return [runner, agoMs];
+}
+
+function unpackDraining([runner, agoMs]: PackedDraining): DrainingAge {
+  return {
+    runner: String(runner),
+    agoMs: checkNonNegative(agoMs, "draining.agoMs"),
+  };
+}
+
 function unpackDead([name, incarnation]: PackedDead): DeadContact {
   return { name, incarnation };
 }
@@ -265,7 +281,8 @@
 function unpackState(packed: PackedState): StateUpdate {
   const [configuration, runners, whole, loads, parts, fleet, domain] = packed;
   const [, , , , , , , contacts, gone, ...optional] = packed;
-  const [crashes, limits = [], timeMs, usage = [], lease] = optional;
+  const [crashes, limits = [], timeMs, usage = [], lease, draining = []] =
+    optional;
   return {
     kind: "state",
     configuration,
@@ -286,6 +303,7 @@
       : checkNonNegative(timeMs, "timeMs"),
     usage: usage.map(unpackUsage),
     lease: lease && unpackLease(lease),
+    draining: draining.map(unpackDraining),
   };
 }
 
--- a/packages/router/src/connection/peer_message.ts
+++ b/packages/router/src/connection/peer_message.ts
@@ -8,6 +8,7 @@
 import type { Contact } from "../process/contact.ts";
 import type { ContactUpdates } from "../process/contact_book.ts";
 import type { LeaseObservation } from "../process/leader_lease.ts";
+import type { DrainingUpdate } from "../process/draining_runners.ts";
 import type { LimitUpdate } from "../process/runner_limits.ts";
 import type { PrefixUpdate } from "../process/prefix_index.ts";
 import type { LoadTotals } from "../process/load_totals.ts";
@@ -69,6 +70,14 @@
 /** A rate limit that a runner stated, with its age when the message was sent. */
 export type LimitAge = Omit<LimitUpdate, "at"> & { readonly agoMs: number };
 
+/**
+ * A runner that stated that it is shutting down, and how long before the message
+ * was sent.
+ */
+export type DrainingAge = Omit<DrainingUpdate, "at"> & {
+  readonly agoMs: number;
+};
+
 /**
  * An observation of the leader's lease, with its age when the message was sent.
  */
@@ -85,6 +94,7 @@
   /** Requests at crashed runners, and complete responses that clear some. */
   readonly crashes: CrashAges;
   readonly limits: readonly LimitAge[];
+  readonly draining: readonly DrainingAge[];
 }
 
 /** Changes since the sender's last update; also the heartbeat of a link. */
--- a/packages/router/src/connection/state_exchange.ts
+++ b/packages/router/src/connection/state_exchange.ts
@@ -121,6 +121,7 @@
       prefixes: shared.prefixes,
       crashes: shared.crashes,
       limits: shared.limits,
+      draining: shared.draining,
       time: shared.time,
       usage: shared.usage,
       lease: shared.lease,
@@ -139,6 +140,7 @@
     this.#state.prefixes.onUpdate(() => this.wake());
     this.#state.crashes.onUpdate(() => this.wake());
     this.#state.limits.onUpdate(() => this.wake());
+    this.#state.draining.onChange(() => this.wake());
     this.#state.directory.onChange(() => this.wake());
     this.#timer.start();
   }
--- a/packages/router/src/connection/state_exchange_test.ts
+++ b/packages/router/src/connection/state_exchange_test.ts
@@ -5,13 +5,14 @@
 import { decodeItem } from "@umbermast/coordination/codec";
 import { LENGTH_BYTES } from "@umbermast/coordination/frame_bytes";
 import {
+  emptyDirectory,
   emptyLimits,
   SILENT_LOG,
   withoutLeadership,
 } from "../../tests/fixtures.ts";
 import { CrashRecord } from "../process/crash_record.ts";
+import { DrainingRunners } from "../process/draining_runners.ts";
 import { PrefixIndex } from "../process/prefix_index.ts";
-import { RunnerDirectory } from "../process/runner_directory.ts";
 import { RunnerLoads } from "../process/runner_loads.ts";
 import { unpackMessage } from "./peer_encoding.ts";
 import type { PeerMessage, StateUpdate } from "./peer_message.ts";
@@ -34,8 +35,9 @@
       prefixes: new PrefixIndex(),
       crashes: new CrashRecord(SILENT_LOG),
       limits: emptyLimits(),
+      draining: new DrainingRunners(SILENT_LOG),
       ...withoutLeadership(),
-      directory: new RunnerDirectory(),
+      directory: emptyDirectory(),
       configuration: () => undefined,
       applyConfiguration() {},
     }, {
--- a/packages/router/src/connection/update_broadcaster.ts
+++ b/packages/router/src/connection/update_broadcaster.ts
@@ -13,6 +13,10 @@
 import type { UsageCount, UsageMeter } from "../process/usage_meter.ts";
 import type { CrashRecord, CrashUpdate } from "../process/crash_record.ts";
 import type { PrefixIndex, PrefixUpdate } from "../process/prefix_index.ts";
+import type {
+  DrainingRunners,
+  DrainingUpdate,
+} from "../process/draining_runners.ts";
 import type { LimitUpdate, RunnerLimits } from "../process/runner_limits.ts";
 import type { RunnerLoads } from "../process/runner_loads.ts";
 import type { NeighbourFilter } from "../process/runner_queue.ts";
@@ -43,6 +47,7 @@
   readonly contacts: ContactUpdates;
   readonly crashes: CrashUpdate;
   readonly limits: readonly LimitUpdate[];
+  readonly draining: readonly DrainingUpdate[];
   readonly usage: readonly UsageCount[];
   readonly lease: LeaseObservation | undefined;
 }
@@ -53,6 +58,7 @@
   contacts: { contacts: [], gone: [] },
   crashes: { crashed: [], responses: [] },
   limits: [],
+  draining: [],
   usage: [],
   lease: undefined,
 };
@@ -63,6 +69,7 @@
   readonly prefixes: PrefixIndex;
   readonly crashes: CrashRecord;
   readonly limits: RunnerLimits;
+  readonly draining: DrainingRunners;
   readonly time: FleetTime;
   readonly usage: UsageMeter | undefined;
   readonly lease: LeaderLease | undefined;
@@ -89,6 +96,7 @@
   /** The reported crashes that were new to this daemon. */
   readonly crashes: CrashUpdate;
   readonly limits: readonly LimitUpdate[];
+  readonly draining: readonly DrainingUpdate[];
   readonly usage: readonly UsageCount[];
   /** Whether requests wait for the runners. */
   readonly urgent: boolean;
@@ -139,6 +147,7 @@
     const parts = prefixes.takeUpdates();
     const crashUpdate = crashes.takeUpdates();
     const limitUpdates = limits.takeUpdates();
+    const drainingUpdates = this.#sources.draining.takeUpdates();
     this.#upstream.addUsage(this.#sources.usage?.takeUpdates() ?? []);
     this.#collectLease();
     const contacts = book.hasUpdates ? book.takeUpdates() : undefined;
@@ -150,6 +159,7 @@
       outbox.addParts(parts);
       outbox.addCrashes(crashUpdate);
       outbox.addLimits(limitUpdates);
+      outbox.addDraining(drainingUpdates);
       if (contacts !== undefined) outbox.addContacts(contacts);
     }
   }
@@ -175,12 +185,13 @@
    * @returns whether anything is to be sent because of it.
    */
   relay({ name }: Peer, received: ReceivedUpdate): boolean {
-    const { changedRunners, parts, crashes, limits, usage, urgent } = received;
+    const { changedRunners, parts, crashes, limits, draining } = received;
+    const { usage, urgent } = received;
     const { overlay } = this.#sources;
     // Usage goes up the tree only, to the daemons that may lead.
     if (overlay.role(name) === "child") this.#upstream.addUsage(usage);
     const count = changedRunners.size + parts.length + crashes.crashed.length +
-      crashes.responses.length + limits.length;
+      crashes.responses.length + limits.length + draining.length;
     if (!overlay.isRelay || count === 0) return false;
     const outboxes = overlay.role(name) === "child"
       ? [this.#downstream, this.#upstream]
@@ -190,6 +201,7 @@
       outbox.addParts(parts, name);
       outbox.addCrashes(crashes, name);
       outbox.addLimits(limits, name);
+      outbox.addDraining(draining, name);
     }
     return true;
   }
@@ -221,13 +233,15 @@
     const now = performance.now();
     const crashes = this.#sources.crashes.snapshot(now);
     const limits = this.#sources.limits.snapshot(now);
+    const draining = this.#sources.draining.snapshot();
     const contacts = this.#contactsFor(peer);
     const loads = this.#sums.snapshot(includes);
     const isChild = this.#sources.overlay.role(peer.name) === "child";
     const usage = isChild ? [] : this.#sources.usage?.snapshot() ?? [];
     const lease = this.#sources.lease?.observation;
-    const contents = { ...NO_CHANGES, contacts, crashes, limits, usage, lease };
-    return { ...this.#stateUpdate(contents, loads, includes), whole: true };
+    const contents = { contacts, crashes, limits, draining, usage, lease };
+    const update = { ...NO_CHANGES, ...contents };
+    return { ...this.#stateUpdate(update, loads, includes), whole: true };
   }
 
   /**
@@ -291,12 +305,15 @@
       responses: pending.crashes.responses.filter(isOthers),
     };
     const limits = pending.limits.filter(isOthers);
-    const contents = { ...pending, parts, crashes, limits, usage: [] };
+    const draining = pending.draining.filter(isOthers);
+    const received = { parts, crashes, limits, draining };
+    const contents = { ...pending, ...received, usage: [] };
     return encodeMessage(this.#stateUpdate(contents, loads, others));
   }
 
   #stateUpdate(
-    { parts, contacts, crashes, limits, usage, lease }: UpdateContents,
+    { parts, contacts, crashes, limits, draining, usage, lease }:
+      UpdateContents,
     loads: readonly RunnerLoadEntry[],
     includes: NeighbourFilter,
   ): StateUpdate {
@@ -315,6 +332,10 @@
         perS,
         agoMs: ageOf(at, now),
       })),
+      draining: draining.map(({ runner, at }) => ({
+        runner,
+        agoMs: ageOf(at, now),
+      })),
       members: this.#sources.counts.sumFrom(includes),
       // Only usage windows need the time.
       timeMs: meter && Math.round(time.now()),
--- a/packages/router/src/mod.ts
+++ b/packages/router/src/mod.ts
@@ -26,6 +26,10 @@
 export type { PromptPart } from "./process/prefix_index.ts";
 export type { ReportedLoad } from "./process/runner_load.ts";
 export type { StatedLimit } from "./process/runner_limits.ts";
+export type {
+  RunnerStatements,
+  StatementListener,
+} from "./process/runner_statements.ts";
 export type { Scaling } from "./process/scaling.ts";
 export { runnerId } from "./process/runner.ts";
 export type { Runner } from "./process/runner.ts";
--- a/packages/router/src/process/cache_survey.ts
+++ b/packages/router/src/process/cache_survey.ts
@@ -10,6 +10,7 @@
 import type { PrefixIndex, PromptPart } from "./prefix_index.ts";
 import { runnerId } from "./runner.ts";
 import type { Runner } from "./runner.ts";
+import type { StatementListener } from "./runner_statements.ts";
 
 /** Prompt cache of a runner. */
 export interface CachedParts {
@@ -18,14 +19,23 @@
   readonly parts: readonly PromptPart[];
 }
 
-/** Queries runners. Both calls reject if the runner does not respond. */
+/**
+ * Queries runners. Both calls reject if the runner does not respond, and pass
+ * what a response states to the listener.
+ */
 export interface EngineCache {
   /** Returns the prompt parts in a runner's cache. */
-  cachedParts(runner: Runner): Promise<CachedParts>;
+  cachedParts(
+    runner: Runner,
+    listener: StatementListener,
+  ): Promise<CachedParts>;
   /**
    * Returns the start of a runner's incarnation in Unix ms, if it reports it.
    */
-  startTime(runner: Runner): Promise<number | undefined>;
+  startTime(
+    runner: Runner,
+    listener: StatementListener,
+  ): Promise<number | undefined>;
 }
 
 /**
@@ -57,6 +67,7 @@
   readonly #prefixes: PrefixIndex;
   readonly #log: EventLog;
   readonly #mayQuery: (runner: Runner) => boolean;
+  readonly #recordStatements: StatementListener;
 
   constructor(
     cache: EngineCache,
@@ -67,12 +78,14 @@
        * Whether the runner's rate limit allows a query now; counts it if so.
        */
       readonly mayQuery: (runner: Runner) => boolean;
+      readonly recordStatements: StatementListener;
     },
   ) {
     this.#cache = cache;
     this.#prefixes = options.prefixes;
     this.#log = options.log;
     this.#mayQuery = options.mayQuery;
+    this.#recordStatements = options.recordStatements;
   }
 
   /** Queries this daemon's share of the runners. */
@@ -93,7 +106,10 @@
 
   async #query(runner: Runner): Promise<void> {
     try {
-      const { startedAtMs, parts } = await this.#cache.cachedParts(runner);
+      const { startedAtMs, parts } = await this.#cache.cachedParts(
+        runner,
+        this.#recordStatements,
+      );
       // The runner may have restarted since it was listed.
       const id = runnerId(runner.name, startedAtMs ?? runner.startedAtMs);
       this.#prefixes.recordCached(id, parts, performance.now());
--- a/packages/router/src/process/restart_detector.ts
+++ b/packages/router/src/process/restart_detector.ts
@@ -7,6 +7,7 @@
 import type { EngineCache } from "./cache_survey.ts";
 import { pause } from "./pause.ts";
 import type { Runner } from "./runner.ts";
+import type { StatementListener } from "./runner_statements.ts";
 import type { RunnerDirectory } from "./runner_directory.ts";
 
 /** Milliseconds between queries to a runner that does not respond. */
@@ -30,6 +31,7 @@
   readonly #directory: RunnerDirectory;
   readonly #log: EventLog;
   readonly #mayQuery: (runner: Runner) => boolean;
+  readonly #recordStatements: StatementListener;
   /** Ids of runners with a check in progress. */
   readonly #active = new Set<string>();
 
@@ -42,10 +44,12 @@
        * Whether the runner's rate limit allows a query now; counts it if so.
        */
       readonly mayQuery: (runner: Runner) => boolean;
+      readonly recordStatements: StatementListener;
     },
   ) {
     this.#cache = cache;
     this.#mayQuery = options.mayQuery;
+    this.#recordStatements = options.recordStatements;
     this.#directory = options.directory;
     this.#log = options.log;
   }
@@ -75,7 +79,10 @@
   /** @returns whether the runner has responded. */
   async #query(runner: Runner): Promise<boolean> {
     try {
-      const startedAtMs = await this.#cache.startTime(runner);
+      const startedAtMs = await this.#cache.startTime(
+        runner,
+        this.#recordStatements,
+      );
       if (startedAtMs === undefined) return true;
       this.#log.event("runner_start_checked", {
         runner: runner.id,
--- a/packages/router/src/process/restart_detector_test.ts
+++ b/packages/router/src/process/restart_detector_test.ts
@@ -1,9 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { SILENT_LOG } from "../../tests/fixtures.ts";
+import { emptyDirectory, SILENT_LOG } from "../../tests/fixtures.ts";
 import { RestartDetector } from "./restart_detector.ts";
 import { runnerId } from "./runner.ts";
-import { RunnerDirectory } from "./runner_directory.ts";
 import type { Runner } from "./runner.ts";
 
 function runnerStartedAt(startedAtMs: number | undefined): Runner {
@@ -27,7 +26,7 @@
   results: readonly (number | Error | undefined)[],
   mayQuery: () => boolean = () => true,
 ) {
-  const directory = new RunnerDirectory();
+  const directory = emptyDirectory();
   directory.replace({ revision: 1, runners: [runner] });
   let queryCount = 0;
   const detector = new RestartDetector({
@@ -38,7 +37,7 @@
         ? Promise.reject(result)
         : Promise.resolve(result);
     },
-  }, { directory, mayQuery, log: SILENT_LOG });
+  }, { directory, mayQuery, log: SILENT_LOG, recordStatements() {} });
   return { directory, detector, queryCount: () => queryCount };
 }
 
--- a/packages/router/src/process/runner_directory.ts
+++ b/packages/router/src/process/runner_directory.ts
@@ -5,6 +5,7 @@
  */
 
 import { isDeepStrictEqual } from "node:util";
+import type { DrainingRunners } from "./draining_runners.ts";
 import { groupBy } from "./group.ts";
 import { isStale, StaleEntries } from "./stale_entries.ts";
 import { runnerId } from "./runner.ts";
@@ -46,19 +47,36 @@
   readonly #removedAt = new Map<string, number>();
   /** Revision since which all removals are known. */
   #removalsSince = 0;
+  readonly #draining: DrainingRunners;
+  #runners: readonly Runner[] = [];
   #byService: ReadonlyMap<string, readonly Runner[]> = new Map();
   /** Cached updates to the current list, by base revision. */
   #updates = new Map<number, RunnerListUpdate>();
 
+  /**
+   * @param draining runners that stated that they are shutting down; their
+   * entries in the list may not say so yet.
+   */
+  constructor(draining: DrainingRunners) {
+    this.#draining = draining;
+    draining.onChange(() => this.#updateReady());
+  }
+
   /** Store revision of the list; 0 without a list. */
   get revision(): number {
     return this.#list.revision;
   }
 
+  /** The list as the store has it. */
   get list(): RunnerList {
     return this.#list;
   }
 
+  /** All runners, with their own statements applied to their entries. */
+  get runners(): readonly Runner[] {
+    return this.#runners;
+  }
+
   /**
    * Returns the changes since a revision. While runners start, the list changes
    * many times a second and every change goes to all daemons; updates are
@@ -198,8 +216,15 @@
     this.#recordChanges(list);
     this.#updates = new Map();
     this.#list = list;
-    const ready = list.runners.filter(({ draining }) => !draining);
-    this.#byService = groupBy(ready, ({ service }) => service);
+    this.#updateReady();
     for (const listener of this.#listeners) listener();
   }
+
+  #updateReady(): void {
+    this.#runners = this.#list.runners.map((runner) =>
+      this.#draining.has(runner.id) ? { ...runner, draining: true } : runner
+    );
+    const ready = this.#runners.filter(({ draining }) => !draining);
+    this.#byService = groupBy(ready, ({ service }) => service);
+  }
 }
--- a/packages/router/src/process/runner_directory_test.ts
+++ b/packages/router/src/process/runner_directory_test.ts
@@ -1,5 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { emptyDirectory, SILENT_LOG } from "../../tests/fixtures.ts";
+import { DrainingRunners } from "./draining_runners.ts";
 import { RunnerDirectory } from "./runner_directory.ts";
 import type { Runner } from "./runner.ts";
 
@@ -19,17 +21,37 @@
 }
 
 test("draining and removed runners are not ready", () => {
-  const directory = new RunnerDirectory();
+  const directory = emptyDirectory();
   directory.replace({ revision: 1, runners: [runner("a"), runner("b")] });
   directory.applyChange(2, [runner("a", true)], ["b"]);
   assert.deepEqual(directory.ready("s"), []);
 });
 
+// Guards against a list, of the store or a peer, that brings back a runner which has
+// said that it is shutting down.
+test("a runner that stated its shutdown stays out whatever lists say", () => {
+  const draining = new DrainingRunners(SILENT_LOG);
+  const directory = new RunnerDirectory(draining);
+  directory.replace({ revision: 1, runners: [runner("a"), runner("b")] });
+  draining.recordStated("a", 0);
+  const readyIds = () => directory.ready("s").map(({ id }) => id);
+  assert.deepEqual(readyIds(), ["b"]);
+  directory.applyChange(2, [runner("a")], []);
+  directory.replace({ revision: 3, runners: [runner("b")] });
+  directory.replace({ revision: 4, runners: [runner("a"), runner("b")] });
+  assert.deepEqual(readyIds(), ["b"]);
+  assert.deepEqual(directory.runners, [runner("a", true), runner("b")]);
+  // A later incarnation under the same name is another runner.
+  const next = { ...runner("a~2"), name: "a" };
+  directory.replace({ revision: 5, runners: [next, runner("b")] });
+  assert.deepEqual(readyIds(), ["a~2", "b"]);
+});
+
 // A peer that was frozen sends an older list, which still has a removed runner.
 // If it were applied, requests would go to an address that may already belong
 // to another service.
 test("an older list does not bring a removed runner back", () => {
-  const directory = new RunnerDirectory();
+  const directory = emptyDirectory();
   directory.replace({ revision: 5, runners: [] });
   assert.equal(
     directory.replace({ revision: 4, runners: [runner("a")] }),
@@ -50,7 +72,7 @@
 // would stay unused if the drain of the earlier incarnation applied to the new
 // one.
 test("a runner that crashed while it drained is used after its restart", () => {
-  const directory = new RunnerDirectory();
+  const directory = emptyDirectory();
   directory.replace({
     revision: 1,
     runners: [incarnation(100, { draining: true })],
@@ -64,7 +86,7 @@
 // routed by the cache of the old incarnation, or not at all because that was
 // draining.
 test("a delayed entry of an earlier incarnation is ignored", () => {
-  const directory = new RunnerDirectory();
+  const directory = emptyDirectory();
   directory.replace({ revision: 1, runners: [incarnation(200)] });
   directory.applyChange(2, [incarnation(100, { draining: true })], []);
   assert.deepEqual(directory.ready("s").map(({ id }) => id), ["a~200"]);
@@ -78,7 +100,7 @@
 // as stale forever, its drain or its return would never be applied.
 test("an entry with an earlier start that stands is accepted", (context) => {
   context.mock.timers.enable({ apis: ["setTimeout"] });
-  const directory = new RunnerDirectory();
+  const directory = emptyDirectory();
   directory.replace({ revision: 1, runners: [incarnation(200)] });
   directory.applyChange(2, [incarnation(100, { draining: true })], []);
   context.mock.timers.tick(5_000);
@@ -89,7 +111,7 @@
 // second. The stale one must not be accepted by its timer afterwards.
 test("a stale entry that is replaced is never accepted", (context) => {
   context.mock.timers.enable({ apis: ["setTimeout"] });
-  const directory = new RunnerDirectory();
+  const directory = emptyDirectory();
   directory.replace({ revision: 1, runners: [incarnation(200)] });
   directory.applyChange(2, [incarnation(100, { draining: true })], []);
   directory.applyChange(3, [incarnation(200)], []);
@@ -101,7 +123,7 @@
 // start time itself; a peer that does not know of it yet sends its list of the
 // same revision.
 test("a start time reported by the runner applies before its entry", () => {
-  const directory = new RunnerDirectory();
+  const directory = emptyDirectory();
   directory.replace({ revision: 5, runners: [incarnation(100)] });
   directory.recordStart("a", 300);
   directory.replace({ revision: 5, runners: [incarnation(100)] });
@@ -119,8 +141,8 @@
 // list sent each time, 109 starting runners cost each of 195 daemons a tenth of
 // its CPU.
 test("a lagging daemon is sent the changes only", () => {
-  const ahead = new RunnerDirectory();
-  const lagging = new RunnerDirectory();
+  const ahead = emptyDirectory();
+  const lagging = emptyDirectory();
   const all = Array.from({ length: 100 }, (_, index) => runner(`r-${index}`));
   ahead.replace({ revision: 5, runners: all });
   lagging.applyUpdate(ahead.updateSince(lagging.revision));
@@ -141,8 +163,8 @@
 // the first ones are no longer kept. With changes alone it would keep using
 // them.
 test("a daemon that lags far behind is sent the whole list", () => {
-  const ahead = new RunnerDirectory();
-  const lagging = new RunnerDirectory();
+  const ahead = emptyDirectory();
+  const lagging = emptyDirectory();
   ahead.replace({ revision: 1, runners: [runner("r-old"), runner("r-new")] });
   lagging.applyUpdate(ahead.updateSince(0));
   ahead.applyChange(2, [], ["r-old"]);
--- /dev/null
+++ b/packages/router/src/process/runner_statements.ts
@@ -0,0 +1,18 @@
+/**
+ * What runners state about themselves in any of their responses.
+ *
+ * @module
+ */
+import type { Runner } from "./runner.ts";
+
+/** Statements in one response of a runner. */
+export interface RunnerStatements {
+  /** Whether the runner is shutting down and accepts no new requests. */
+  readonly draining: boolean;
+}
+
+/** Receives the statements in a runner's response. */
+export type StatementListener = (
+  runner: Runner,
+  statements: RunnerStatements,
+) => void;
--- a/packages/router/src/request/attempt_executor.ts
+++ b/packages/router/src/request/attempt_executor.ts
@@ -12,7 +12,7 @@
 import type { ResponseHead } from "./dialect.ts";
 import type { Caller } from "./caller.ts";
 import type { Daemon } from "./daemon.ts";
-import { logDrainingStated, logRunnerChosen } from "./decision_log.ts";
+import { logRunnerChosen } from "./decision_log.ts";
 import type { Outcome } from "./outcome.ts";
 import type { LocalOutcomes } from "./local_outcomes.ts";
 import type { RunnerChoice } from "./placement.ts";
@@ -173,8 +173,9 @@
     if (result.kind === "response" || result.kind === "not-executed") {
       load.recordActivity(now);
       this.#recordLimit(result.head, context);
-      if (result.head.draining) {
-        logDrainingStated(this.#daemon, routed.head.id, context.attempt.runner);
+      // Another runner has the address of one that misdirects.
+      if (!result.head.misdirected) {
+        this.#daemon.recordStatements(context.attempt.runner, result.head);
       }
     }
     switch (result.kind) {
--- a/packages/router/src/request/daemon.ts
+++ b/packages/router/src/request/daemon.ts
@@ -6,6 +6,7 @@
 import type { BrokenRun } from "../connection/crash_detector.ts";
 import type { RunnerConnections } from "../connection/runner_connections.ts";
 import type { CrashRecord } from "../process/crash_record.ts";
+import type { RunnerStatements } from "../process/runner_statements.ts";
 import type { EventLog } from "../process/event_log.ts";
 import type { LimitQueue } from "../process/limit_queue.ts";
 import type { SharedTimer } from "../process/shared_timer.ts";
@@ -57,6 +58,8 @@
    * daemons.
    */
   propagationMs(): number;
+  /** Records what a runner states about itself in a response. */
+  recordStatements(runner: Runner, statements: RunnerStatements): void;
   /** Reports that a connection to a runner broke while a request was on it. */
   reportBrokenConnection(runner: Runner, run: BrokenRun): void;
   /** Returns how fast the runners of a service generate tokens. */
--- a/packages/router/src/request/decision_log.ts
+++ b/packages/router/src/request/decision_log.ts
@@ -9,7 +9,6 @@
  * @module
  */
 import type { Quarantine } from "../process/crash_record.ts";
-import type { Runner } from "../process/runner.ts";
 import type { QueueKey } from "../process/runner_queue.ts";
 import type { Daemon } from "./daemon.ts";
 import type { RunnerChoice } from "./placement.ts";
@@ -122,22 +121,6 @@
   });
 }
 
-/**
- * Logs that a response states that its runner is shutting down. `listed` says
- * whether the runner's entry in the list stated it, too, when it was chosen.
- */
-export function logDrainingStated(
-  daemon: Daemon,
-  requestId: string,
-  runner: Runner,
-): void {
-  daemon.log.decision("runner_draining_stated", requestId, {
-    runner: runner.id,
-    listed: runner.draining,
-    runners_age_ms: Math.round(daemon.runnerListAgeMs()),
-  });
-}
-
 /**
  * Logs the chosen runner and what is known of its state. `reported` is the number
  * of requests at the runner, from its own report if that is higher;
--- a/packages/router/src/request/dialect.ts
+++ b/packages/router/src/request/dialect.ts
@@ -7,6 +7,7 @@
 
 import type { PromptPart } from "../process/prefix_index.ts";
 import type { ReportedLoad } from "../process/runner_load.ts";
+import type { RunnerStatements } from "../process/runner_statements.ts";
 import type { StatedLimit } from "../process/runner_limits.ts";
 
 /** Alternating names and values as received, including repeated names. */
@@ -47,7 +48,7 @@
 }
 
 /** Head of a runner's response. */
-export interface ResponseHead {
+export interface ResponseHead extends RunnerStatements {
   /**
    * Attempt that the response belongs to; absent when the runner names none.
    */
@@ -61,8 +62,6 @@
   /** Whether the body has a content encoding, which no runner applies. */
   readonly encoded: boolean;
   readonly load: ReportedLoad | undefined;
-  /** Whether the runner states that it is shutting down. */
-  readonly draining: boolean;
   /** Rate limit that the runner states; absent when it states none. */
   readonly limit: StatedLimit | undefined;
 }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -18,6 +18,7 @@
   createReadinessServer,
 } from "./connection/status_server.ts";
 import { CrashRecord } from "./process/crash_record.ts";
+import { DrainingRunners } from "./process/draining_runners.ts";
 import type { EventLog } from "./process/event_log.ts";
 import { CacheSurvey } from "./process/cache_survey.ts";
 import type { EngineCache } from "./process/cache_survey.ts";
@@ -32,6 +33,10 @@
 import { RunnerDirectory } from "./process/runner_directory.ts";
 import type { Runner } from "./process/runner.ts";
 import { RunnerLimits } from "./process/runner_limits.ts";
+import type {
+  RunnerStatements,
+  StatementListener,
+} from "./process/runner_statements.ts";
 import { RunnerLoads } from "./process/runner_loads.ts";
 import { StreamPace } from "./process/stream_pace.ts";
 import type { RouterSettings } from "./process/settings.ts";
@@ -93,7 +98,8 @@
   #settings: RouterSettings;
   readonly #lifecycle: Lifecycle;
   readonly #server: CallerServer;
-  readonly #directory = new RunnerDirectory();
+  readonly #draining: DrainingRunners;
+  readonly #directory: RunnerDirectory;
   readonly #retryBudgets = new PerService(() =>
     new RetryBudget(
       this.#settings.retries,
@@ -118,6 +124,8 @@
     this.log = log;
     this.crashes = new CrashRecord(log);
     this.limits = new RunnerLimits(log, () => this.#fleetSync.view);
+    this.#draining = new DrainingRunners(log);
+    this.#directory = new RunnerDirectory(this.#draining);
     this.#lifecycle = new Lifecycle(log);
     this.#lifecycle.addRequirement(
       "configuration",
@@ -145,7 +153,7 @@
       log,
       metrics: this.metrics,
       loads: this.loads,
-      runners: () => this.#directory.list.runners,
+      runners: () => this.#directory.runners,
       services: () => this.#configuration?.services ?? [],
       fleetSync: () => this.#fleetSync,
       random: () => this.random(),
@@ -159,6 +167,7 @@
       prefixes: this.prefixes,
       crashes: this.crashes,
       limits: this.limits,
+      draining: this.#draining,
       directory: this.#directory,
       configuration: () => this.#configuration,
       applyConfiguration: (configuration, source) =>
@@ -174,15 +183,19 @@
       random: () => this.random(),
     });
     const mayQuery = ({ id }: Runner) => this.#mayQuery(id);
+    const recordStatements: StatementListener = (runner, statements) =>
+      this.recordStatements(runner, statements);
     this.#survey = new CacheSurvey(platform.engineCache, {
       prefixes: this.prefixes,
       log,
       mayQuery,
+      recordStatements,
     });
     this.#restartDetector = new RestartDetector(platform.engineCache, {
       directory: this.#directory,
       log,
       mayQuery,
+      recordStatements,
     });
     this.#crashDetector = new CrashDetector({
       log,
@@ -237,6 +250,10 @@
     return this.#streamPaces.of(service);
   }
 
+  recordStatements({ id }: Runner, { draining }: RunnerStatements): void {
+    if (draining) this.#draining.recordStated(id, this.now());
+  }
+
   reportBrokenConnection(runner: Runner, run: BrokenRun): void {
     this.#crashDetector.recordBrokenRun(runner, run);
     if (this.#routingTable?.service(runner.service)?.engine === undefined) {
@@ -387,6 +404,7 @@
     this.loads.retain(ids);
     this.prefixes.retain(ids);
     this.limits.retain(ids);
+    this.#draining.retain(ids, this.now());
     for (const pace of this.#streamPaces.all()) pace.retain(ids);
     this.#surveyOnce();
   }
--- a/packages/router/tests/draining_runner_test.ts
+++ b/packages/router/tests/draining_runner_test.ts
@@ -57,3 +57,17 @@
   // The other router may send one request before it has learned of it.
   assert.ok(arrivals <= 1, `${arrivals} of ${REQUESTS} requests`);
 });
+
+// Guards against the response of another program at a reused address.
+test("a runner at a reused address does not end its predecessor's work", async (t) => {
+  const linked = new LinkedRouters(t);
+  const other = await startFakeRunner(t, "other", (socket, _, id) => {
+    const status = "421 Misdirected Request";
+    const headers = "X-Not-Run: 1\r\nX-Draining: 1\r\n";
+    socket.write(runnerResponse(id, "", { status, headers }));
+  });
+  linked.runners.set([other.runner]);
+  const router = await linked.add();
+  assert.equal((await linked.send("work")).status, 503);
+  assert.equal(router.fleet("service").runners.length, 1);
+});
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -12,6 +12,7 @@
 import { NO_CRASHES } from "../src/connection/crash_ages.ts";
 import type { StateUpdate } from "../src/connection/peer_message.ts";
 import type { DaemonRegistry } from "../src/process/daemon_registry.ts";
+import { DrainingRunners } from "../src/process/draining_runners.ts";
 import type { EventLog } from "../src/process/event_log.ts";
 import { FeedError } from "../src/process/feed.ts";
 import { FleetTime, HOST_CLOCKS } from "../src/process/fleet_time.ts";
@@ -23,6 +24,7 @@
 } from "../src/process/leader_record.ts";
 import type { Changes, Feed, Listing } from "../src/process/feed.ts";
 import type { Runner } from "../src/process/runner.ts";
+import { RunnerDirectory } from "../src/process/runner_directory.ts";
 import { RunnerLimits } from "../src/process/runner_limits.ts";
 import type { StatedLimit } from "../src/process/runner_limits.ts";
 import type { RouterSettings } from "../src/process/settings.ts";
@@ -92,6 +94,11 @@
   }));
 }
 
+/** Returns a directory without runners, none of which is shutting down. */
+export function emptyDirectory(): RunnerDirectory {
+  return new RunnerDirectory(new DrainingRunners(SILENT_LOG));
+}
+
 /** Returns the leadership state of a daemon that never leads. */
 export function withoutLeadership() {
   return {
@@ -147,6 +154,7 @@
     parts: [],
     crashes: NO_CRASHES,
     limits: [],
+    draining: [],
     members: { fleet: 1, domain: 1 },
     timeMs: undefined,
     usage: [],
--- a/packages/router/tests/fleet.ts
+++ b/packages/router/tests/fleet.ts
@@ -18,6 +18,7 @@
 } from "../src/connection/peer_network.ts";
 import type { Contact } from "../src/process/contact.ts";
 import { CrashRecord } from "../src/process/crash_record.ts";
+import { DrainingRunners } from "../src/process/draining_runners.ts";
 import { FeedError } from "../src/process/feed.ts";
 import type { Changes, Feed, Listing } from "../src/process/feed.ts";
 import { FleetTime } from "../src/process/fleet_time.ts";
@@ -312,7 +313,8 @@
   readonly usage: UsageMeter;
   readonly lease: LeaderLease;
   readonly leader: Leader;
-  readonly directory = new RunnerDirectory();
+  readonly draining: DrainingRunners;
+  readonly directory: RunnerDirectory;
   readonly links = new Set<FakeLink>();
   readonly events: { readonly name: string; readonly fields: Fields }[] = [];
   counts = zeroCounts();
@@ -344,6 +346,8 @@
     };
     this.crashes = new CrashRecord(log);
     this.limits = new RunnerLimits(log, () => this.fleetSync.view);
+    this.draining = new DrainingRunners(log);
+    this.directory = new RunnerDirectory(this.draining);
     this.usage = new UsageMeter({
       incarnation: contact.incarnation,
       windowMs: WINDOW_MS,
@@ -380,6 +384,7 @@
       prefixes: this.prefixes,
       crashes: this.crashes,
       limits: this.limits,
+      draining: this.draining,
       time: this.time,
       usage: this.usage,
       lease: this.lease,
