--- a/packages/router/src/process/runner_statements.ts
+++ b/packages/router/src/process/runner_statements.ts
@@ -9,6 +9,11 @@
 export interface RunnerStatements {
   /** Whether the runner is shutting down and accepts no new requests. */
   readonly draining: boolean;
+  /**
+   * Milliseconds for which the runner wants no requests of this daemon, if it
+   * refuses one and asks for a pause.
+   */
+  readonly pauseMs: number | undefined;
 }
 
 /** Receives the statements in a runner's response. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -250,8 +250,11 @@
     return this.#streamPaces.of(service);
   }
 
-  recordStatements({ id }: Runner, { draining }: RunnerStatements): void {
+  recordStatements({ id }: Runner, statements: RunnerStatements): void {
+    const { draining, pauseMs } = statements;
     if (draining) this.#draining.recordStated(id, this.now());
+    if (pauseMs === undefined) return;
+    this.log.event("runner_paused", { runner: id, pause_ms: pauseMs });
   }
 
   reportBrokenConnection(runner: Runner, run: BrokenRun): void {
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -42,6 +42,10 @@
   return text === undefined ? undefined : { kind: "limit", perS: Number(text) };
 }
 
+function parseNumber(text: string | undefined): number | undefined {
+  return text === undefined ? undefined : Number(text);
+}
+
 /** The dialect of these tests, independent of any platform's. */
 export const TEST_DIALECT: Dialect = {
   parseRequest: (headers) => ({
@@ -73,6 +77,7 @@
     encoded: false,
     load: undefined,
     draining: headerOf(headers, "x-draining") !== undefined,
+    pauseMs: parseNumber(headerOf(headers, "x-pause-ms")),
     limit: parseLimit(headerOf(headers, "x-limit")),
   }),
   eventId: (event) => {
