Keep the pauses that runners ask for

Cause: a refusal left no mark. Nobody read Retry-After of a runner's 503, and a runner that refuses everything has nothing in flight, so that the choice of runners favours it. The class: back-pressure that is dropped on the way, and a load metric that takes fast failure for idleness.

Change: RunnerPauses keeps the longest pause that each runner asked this daemon for, read at the same places as rate limits: choice, waiting requests, retries and queries. When it ends, one request goes first.

--- a/packages/router/src/request/admission_test.ts
+++ b/packages/router/src/request/admission_test.ts
@@ -1,10 +1,11 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { emptyLimits } from "../../tests/fixtures.ts";
+import { emptyLimits, SILENT_LOG } from "../../tests/fixtures.ts";
 import { PrefixIndex } from "../process/prefix_index.ts";
 import type { Runner } from "../process/runner.ts";
 import type { QueueKey } from "../process/runner_queue.ts";
 import { RunnerLoads } from "../process/runner_loads.ts";
+import { RunnerPauses } from "../process/runner_pauses.ts";
 import { isOverloaded } from "./admission.ts";
 import type { Demand, RunnerFleet } from "./demand.ts";
 
@@ -66,6 +67,7 @@
     loads,
     prefixes: new PrefixIndex(),
     limits: emptyLimits(),
+    pauses: new RunnerPauses(SILENT_LOG),
     failureDomain: "d",
     now: 0,
   };
--- a/packages/router/src/request/daemon.ts
+++ b/packages/router/src/request/daemon.ts
@@ -15,6 +15,7 @@
 import type { StreamPace } from "../process/stream_pace.ts";
 import type { RunnerLoads } from "../process/runner_loads.ts";
 import type { RunnerLimits } from "../process/runner_limits.ts";
+import type { RunnerPauses } from "../process/runner_pauses.ts";
 import type { Runner } from "../process/runner.ts";
 import type { RequestMetrics } from "../process/metrics.ts";
 import type { Service, Workspace } from "../version/configuration.ts";
@@ -32,6 +33,8 @@
   readonly prefixes: PrefixIndex;
   /** Rate limits that runners state. */
   readonly limits: RunnerLimits;
+  /** Pauses that runners ask this daemon for. */
+  readonly pauses: RunnerPauses;
   /** Requests that crash the runners on which they run. */
   readonly crashes: CrashRecord;
   /** Wakes requests that wait for capacity. */
@@ -65,7 +68,8 @@
   /** Returns how fast the runners of a service generate tokens. */
   streamPace(service: string): StreamPace;
   /**
-   * Returns the requests that wait for the rate limits of a service's runners.
+   * Returns the requests that wait for a service's runners, all of which state
+   * rate limits or asked for a pause.
    */
   limitQueue(service: string): LimitQueue;
   /** Records that a runner has begun to run a request. */
--- a/packages/router/src/request/decision_log.ts
+++ b/packages/router/src/request/decision_log.ts
@@ -51,7 +51,7 @@
 
 /**
  * Logs that every suitable runner that the request has not tried yet is at its
- * rate limit.
+ * rate limit or asked for a pause.
  */
 export function logLimitsReached(
   daemon: Daemon,
@@ -59,6 +59,8 @@
   limits: {
     /** Number of untried runners that state a rate limit. */
     readonly limited: number;
+    /** Number of untried runners that asked for a pause. */
+    readonly paused: number;
     readonly waitedMs: number;
     /**
      * Whether this daemon has a share of any of these limits, which are divided
@@ -71,6 +73,7 @@
     service: routed.service.name,
     rank: routed.rank,
     limited: limits.limited,
+    paused: limits.paused,
     has_share: limits.hasShare,
     waited_ms: Math.round(limits.waitedMs),
     runners_age_ms: Math.round(daemon.runnerListAgeMs()),
--- a/packages/router/src/request/placement.ts
+++ b/packages/router/src/request/placement.ts
@@ -58,9 +58,10 @@
   fleet: RunnerFleet,
   excluded: ReadonlySet<string>,
 ): readonly Runner[] {
-  const { limits, now } = fleet;
+  const { limits, pauses, now } = fleet;
   const untried = fleet.runners.filter(({ id }) =>
-    !excluded.has(id) && (!limits.hasLimits || limits.allowsRequest(id, now))
+    !excluded.has(id) && (!limits.hasLimits || limits.allowsRequest(id, now)) &&
+    (!pauses.hasPauses || pauses.allowsRequest(id, now))
   );
   const healthy = untried.filter(({ id }) =>
     !fleet.loads.of(id).isEjected(fleet.now)
--- a/packages/router/src/request/runner_search.ts
+++ b/packages/router/src/request/runner_search.ts
@@ -143,9 +143,9 @@
     for (;;) {
       const choice = this.#choose(tried, wait.runnerId);
       if (choice === undefined || this.#mustYield(choice)) {
-        const limited = this.#limitedRunners(tried);
-        if (limited.length === 0) return undefined;
-        if (!this.#mayWaitForLimit(limited, waitUntil)) return "overloaded";
+        const restricted = this.#restrictedRunners(tried);
+        if (restricted.length === 0) return undefined;
+        if (!this.#mayWait(restricted, waitUntil)) return "overloaded";
         this.#limitQueue.add(this.#queueKey);
         await this.#daemon.sharedTimer.next();
         continue;
@@ -169,13 +169,15 @@
   }
 
   /**
-   * Counts the request against the runner's rate limit before anything else runs:
+   * Counts the request at the runner before anything else runs:
    * all requests that wait for a runner check at the same moment whether it accepts
    * another one.
    */
   #countRequest(choice: RunnerChoice | undefined): RunnerChoice | undefined {
     if (choice === undefined) return undefined;
-    this.#daemon.limits.recordRequest(choice.runner.id, this.#daemon.now());
+    const now = this.#daemon.now();
+    this.#daemon.limits.recordRequest(choice.runner.id, now);
+    this.#daemon.pauses.recordRequest(choice.runner.id, now);
     return choice;
   }
 
@@ -183,33 +185,40 @@
     return this.#daemon.limitQueue(this.#routed.service.name);
   }
 
-  /**
-   * Whether the runner is rate-limited and another waiting request goes first.
-   */
+  /** Whether the runner is restricted and another waiting request goes first. */
   #mustYield({ runner }: RunnerChoice): boolean {
-    const limited = this.#daemon.limits.perSecond(runner.id) !== undefined;
-    return limited &&
+    return this.#isRestricted(runner) &&
       !this.#limitQueue.isFirst(this.#queueKey, this.#daemon.now());
   }
 
-  /** Returns the untried runners that state a rate limit. */
-  #limitedRunners(tried: ReadonlySet<string>): readonly Runner[] {
-    const { runners, limits } = this.#daemon.fleet(this.#routed.service.name);
-    return runners.filter(({ id }) =>
-      !tried.has(id) && limits.perSecond(id) !== undefined
+  /** Whether a runner states a rate limit or asked this daemon for a pause. */
+  #isRestricted({ id }: Runner): boolean {
+    const { limits, pauses } = this.#daemon;
+    return limits.perSecond(id) !== undefined || pauses.isRestricted(id);
+  }
+
+  /** Returns the restricted runners that have not been tried. */
+  #restrictedRunners(tried: ReadonlySet<string>): readonly Runner[] {
+    const { runners } = this.#daemon.fleet(this.#routed.service.name);
+    return runners.filter((runner) =>
+      !tried.has(runner.id) && this.#isRestricted(runner)
     );
   }
 
   /** Whether one of the runners may accept the request before its wait ends. */
-  #mayWaitForLimit(limited: readonly Runner[], waitUntil: number): boolean {
+  #mayWait(restricted: readonly Runner[], waitUntil: number): boolean {
     const now = this.#daemon.now();
-    const { limits } = this.#daemon;
-    const mayWait = limited.some(({ id }) => limits.hasShare(id, now));
+    const { limits, pauses } = this.#daemon;
+    const mayWait = restricted.some(({ id }) =>
+      limits.hasShare(id, now) && pauses.endsBefore(id, waitUntil)
+    );
     if (mayWait && now <= waitUntil && !this.#limits.isAbandoned()) return true;
     logLimitsReached(this.#daemon, this.#routed, {
-      limited: limited.length,
+      limited: restricted.filter(({ id }) => limits.perSecond(id)).length,
+      paused: restricted.filter(({ id }) => !pauses.allowsRequest(id, now))
+        .length,
       waitedMs: now - this.#limits.receivedAt,
-      hasShare: mayWait,
+      hasShare: restricted.some(({ id }) => limits.hasShare(id, now)),
     });
     return false;
   }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -37,6 +37,7 @@
   RunnerStatements,
   StatementListener,
 } from "./process/runner_statements.ts";
+import { RunnerPauses } from "./process/runner_pauses.ts";
 import { RunnerLoads } from "./process/runner_loads.ts";
 import { StreamPace } from "./process/stream_pace.ts";
 import type { RouterSettings } from "./process/settings.ts";
@@ -92,6 +93,7 @@
   readonly prefixes = new PrefixIndex();
   readonly crashes: CrashRecord;
   readonly limits: RunnerLimits;
+  readonly pauses: RunnerPauses;
   readonly sharedTimer = new SharedTimer(CAPACITY_CHECK_MS);
   readonly metrics = new RequestMetrics();
   readonly log: EventLog;
@@ -124,6 +126,7 @@
     this.log = log;
     this.crashes = new CrashRecord(log);
     this.limits = new RunnerLimits(log, () => this.#fleetSync.view);
+    this.pauses = new RunnerPauses(log);
     this.#draining = new DrainingRunners(log);
     this.#directory = new RunnerDirectory(this.#draining);
     this.#lifecycle = new Lifecycle(log);
@@ -227,6 +230,7 @@
       loads: this.loads,
       prefixes: this.prefixes,
       limits: this.limits,
+      pauses: this.pauses,
       failureDomain: this.#settings.failureDomain,
       now: this.now(),
     };
@@ -254,7 +258,7 @@
     const { draining, pauseMs } = statements;
     if (draining) this.#draining.recordStated(id, this.now());
     if (pauseMs === undefined) return;
-    this.log.event("runner_paused", { runner: id, pause_ms: pauseMs });
+    this.pauses.recordAsked(id, pauseMs, this.now());
   }
 
   reportBrokenConnection(runner: Runner, run: BrokenRun): void {
@@ -362,9 +366,12 @@
     return cut === 0;
   }
 
-  /** Whether a runner's rate limit allows a query now; counts it if so. */
+  /**
+   * Whether a runner's pause and rate limit allow a query now; counts it if so.
+   */
   #mayQuery(id: string): boolean {
     const now = this.now();
+    if (!this.pauses.allowsRequest(id, now)) return false;
     if (!this.limits.allowsRequest(id, now)) return false;
     this.limits.recordRequest(id, now);
     return true;
@@ -407,6 +414,7 @@
     this.loads.retain(ids);
     this.prefixes.retain(ids);
     this.limits.retain(ids);
+    this.pauses.retain(ids, this.now());
     this.#draining.retain(ids, this.now());
     for (const pace of this.#streamPaces.all()) pace.retain(ids);
     this.#surveyOnce();
--- a/packages/router/tests/paused_runner_test.ts
+++ b/packages/router/tests/paused_runner_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { TestContext } from "node:test";
-import { runnerResponse, startFakeRunner } from "./fixtures.ts";
+import { runnerResponse, startFakeRunner, waitUntil } from "./fixtures.ts";
 import type { FakeRunner } from "./fixtures.ts";
 import { LinkedRouters } from "./linked_routers.ts";
 
@@ -43,3 +43,74 @@
   const arrivals = refusing.requests.length - refused;
   assert.equal(arrivals, 0, `${arrivals} of ${REQUESTS} requests`);
 });
+
+/** Routers before one runner that refuses its first request with a pause. */
+async function startPausedFleet(
+  t: TestContext,
+  pauseMs: number,
+): Promise<
+  {
+    readonly linked: LinkedRouters;
+    readonly refusing: Awaited<ReturnType<typeof startRefusingRunner>>;
+  }
+> {
+  const linked = new LinkedRouters(t, { timeoutMs: 4_000, patienceMs: 4_000 });
+  const refusing = await startRefusingRunner(t, "refusing");
+  refusing.pauseMs = pauseMs;
+  linked.runners.set([refusing.runner]);
+  await linked.add();
+  assert.equal((await linked.send("work")).status, 503);
+  refusing.pauseMs = undefined;
+  return { linked, refusing };
+}
+
+// Guards against refusals although the pause of the only runner is about to end.
+test("a request waits for the end of a short pause", async (t) => {
+  const { linked, refusing } = await startPausedFleet(t, 300);
+  const responses = await Promise.all(
+    Array.from({ length: 5 }, () => linked.send("work")),
+  );
+  assert.deepEqual(responses.map(({ status }) => status), Array(5).fill(200));
+  assert.equal(refusing.requests.length, 6);
+});
+
+// Guards against callers that are held although the pause outlasts their patience.
+test("a request is refused at once when all pauses last too long", async (t) => {
+  const { linked, refusing } = await startPausedFleet(t, LONG_PAUSE_MS);
+  const { status, headers, body } = await linked.send("work");
+  assert.equal(status, 503);
+  assert.deepEqual(JSON.parse(body), { error: "overloaded" });
+  assert.ok(Number(headers["retry-after"]) > 0);
+  assert.equal(refusing.requests.length, 1);
+});
+
+// Guards against a pause that keeps one router's requests from the others' runner.
+test("a runner that paused one router still serves the others", async (t) => {
+  const { linked, refusing } = await startPausedFleet(t, LONG_PAUSE_MS);
+  await linked.add();
+  const statuses = [];
+  for (let sent = 0; sent < 4; sent++) {
+    statuses.push((await linked.send("work")).status);
+  }
+  assert.deepEqual(statuses.sort(), [200, 200, 503, 503]);
+  assert.equal(refusing.requests.length, 3);
+});
+
+// Guards against retries that ignore pauses.
+test("a request is not retried at a runner that asked for a pause", async (t) => {
+  const linked = new LinkedRouters(t, {
+    repetition: "idempotent",
+    maxAttempts: 3,
+  });
+  const refusing = await Promise.all(
+    ["r-1", "r-2"].map((name) => startRefusingRunner(t, name)),
+  );
+  linked.runners.set(refusing.map(({ runner }) => runner));
+  await linked.add();
+  const count = () =>
+    refusing.reduce((sum, { requests }) => sum + requests.length, 0);
+  await linked.send("work");
+  await waitUntil(() => count() === 2);
+  await linked.send("work");
+  assert.equal(count(), 2);
+});
