--- a/packages/router/src/connection/store_followers.ts
+++ b/packages/router/src/connection/store_followers.ts
@@ -150,10 +150,12 @@
   }
 
   #followRunners(feed: Feed<Runner>): FeedFollower<Runner> {
-    const { directory } = this.#context;
+    const { directory, log } = this.#context;
     return new FeedFollower(feed, {
       listed: ({ revision, values }) => {
-        directory.replace({ revision, runners: values });
+        const known = directory.revision;
+        if (directory.replace({ revision, runners: values })) return;
+        log.event("runner_list_ignored", { revision, known });
       },
       changed: ({ revision, updated, removed }) => {
         directory.applyChange(revision, updated, removed);
