Follow a store that was restored from a copy

Cause: lists and changes of runners are ordered by the store's revision, which went back. Daemons, and the peers that they relay lists to, ignored all of them until the store had passed the revisions that it had lost. The class: a logical clock that is taken to be monotonic over restarts of its source.

Watches and pages across a restore expire. What the copy has forgotten of shutdowns and removals is remembered. Why this is enough: the epoch rises with each restore and stands in every response, so any read of the present epoch supersedes all before it, on whichever way it arrives.

--- a/packages/router/src/connection/peer_message.ts
+++ b/packages/router/src/connection/peer_message.ts
@@ -18,9 +18,9 @@
 
 /**
  * Version of this protocol. Daemons of different versions keep no links, because
- * each would misread the other's load totals.
+ * each would misread the other's load totals or revisions.
  */
-export const PROTOCOL_VERSION = 3;
+export const PROTOCOL_VERSION = 4;
 
 /** One request that waits for a runner, or several of the same rank. */
 export interface QueuedRequests {
--- a/packages/router/src/process/draining_runners.ts
+++ b/packages/router/src/process/draining_runners.ts
@@ -54,6 +54,16 @@
     this.#changed();
   }
 
+  /**
+   * Records runners that the list states to be shutting down. A restored store
+   * may list them as ready again. Other daemons have the list, too.
+   */
+  recordListed(runners: readonly string[], now: number): void {
+    for (const runner of runners) {
+      if (!this.#statedAt.has(runner)) this.#statedAt.set(runner, now);
+    }
+  }
+
   /**
    * Applies updates from other daemons.
    *
--- a/packages/router/src/process/feed.ts
+++ b/packages/router/src/process/feed.ts
@@ -4,9 +4,11 @@
  * @module
  */
 import { pause } from "./pause.ts";
+import { revisionOfStaleList } from "./store_revision.ts";
 
 /** All objects at one revision of the store. */
 export interface Listing<T> {
+  /** Also rises when the store is restored; see {@linkcode storeRevision}. */
   readonly revision: number;
   readonly values: readonly T[];
 }
@@ -23,8 +25,8 @@
 /** A failed call to the store. */
 export class FeedError extends Error {
   /**
-   * `expired` if the store no longer holds the changes since the given revision,
-   * so that a new list is needed.
+   * `expired` if the store does not hold the changes since the given revision,
+   * because it dropped them or was restored, so that a new list is needed.
    */
   readonly kind: "expired" | "unavailable";
 
@@ -205,7 +207,10 @@
     const stale = this.#firstList;
     this.#firstList = false;
     const listing = await this.#feed.list({ stale });
-    this.#sink.listed(listing);
+    const revision = stale
+      ? revisionOfStaleList(listing.revision)
+      : listing.revision;
+    this.#sink.listed({ ...listing, revision });
     this.#revision = listing.revision;
   }
 
--- a/packages/router/src/process/runner_directory.ts
+++ b/packages/router/src/process/runner_directory.ts
@@ -7,7 +7,9 @@
 import { isDeepStrictEqual } from "node:util";
 import type { DrainingRunners } from "./draining_runners.ts";
 import { groupBy } from "./group.ts";
+import { RevivedRunners } from "./revived_runners.ts";
 import { isStale, StaleEntries } from "./stale_entries.ts";
+import { epochOf } from "./store_revision.ts";
 import { runnerId } from "./runner.ts";
 import type { Runner } from "./runner.ts";
 
@@ -33,10 +35,20 @@
 /** Cached updates, by base revision; most daemons have one of the last few. */
 const MAX_CACHED_UPDATES = 16;
 
+/** A removed runner. */
+interface Removal {
+  /** Id of the incarnation. */
+  readonly id: string;
+  /** Revision of the list that no longer had it. */
+  readonly revision: number;
+}
+
 /**
  * Holds the newest list of runners, indexed by service. A list is only replaced
  * by one of a higher revision, whether from the store or a peer, so that an
- * older list cannot bring a removed runner back.
+ * older list cannot bring a removed runner back. Revisions rise over restores of
+ * the store (see {@linkcode storeRevision}), which lose the latest entries: what
+ * they said of shutdowns and removals is remembered.
  */
 export class RunnerDirectory {
   readonly #listeners: (() => void)[] = [];
@@ -44,7 +56,8 @@
   #list: RunnerList = { revision: 0, runners: [] };
   /** Revision at which each entry last changed here, by name. */
   readonly #changedAt = new Map<string, number>();
-  readonly #removedAt = new Map<string, number>();
+  readonly #removed = new Map<string, Removal>();
+  readonly #revived = new RevivedRunners(() => this.#changed());
   /** Revision since which all removals are known. */
   #removalsSince = 0;
   readonly #draining: DrainingRunners;
@@ -96,14 +109,15 @@
     const { revision, runners } = this.#list;
     const whole = since === 0 || since < this.#removalsSince;
     if (whole) return { revision, runners, whole, left: [] };
-    const isNew = ([, at]: readonly [string, number]) => at > since;
     return {
       revision,
       whole,
       runners: runners.filter(({ name }) =>
         (this.#changedAt.get(name) ?? 0) > since
       ),
-      left: [...this.#removedAt].filter(isNew).map(([name]) => name),
+      left: [...this.#removed]
+        .filter(([, removal]) => removal.revision > since)
+        .map(([name]) => name),
     };
   }
 
@@ -127,6 +141,8 @@
     if (list.revision <= this.#list.revision) return false;
     const known = this.#byName();
     this.#stale.clear();
+    const restored = epochOf(list.revision) > epochOf(this.#list.revision);
+    if (restored) this.#holdRevived(list.runners);
     const runners = list.runners.map((runner) => this.#newest(known, runner));
     this.#set({ revision: list.revision, runners });
     return true;
@@ -145,6 +161,7 @@
       this.#stale.forget(name);
     }
     for (const runner of updated) {
+      this.#revived.forget(runner.id);
       runners.set(runner.name, this.#newest(runners, runner));
     }
     this.#set({ revision, runners: [...runners.values()] });
@@ -173,19 +190,20 @@
     for (const runner of runners) {
       const known = before.get(runner.name);
       before.delete(runner.name);
-      this.#removedAt.delete(runner.name);
+      this.#removed.delete(runner.name);
       if (!isDeepStrictEqual(known, runner)) {
         this.#changedAt.set(runner.name, revision);
       }
     }
-    for (const name of before.keys()) {
+    for (const [name, { id }] of before) {
       this.#changedAt.delete(name);
-      this.#removedAt.set(name, revision);
+      this.#removed.set(name, { id, revision });
+      this.#revived.forget(id);
     }
-    for (const [name, at] of this.#removedAt) {
-      if (this.#removedAt.size <= MAX_REMOVED) break;
-      this.#removedAt.delete(name);
-      this.#removalsSince = at;
+    for (const [name, removal] of this.#removed) {
+      if (this.#removed.size <= MAX_REMOVED) break;
+      this.#removed.delete(name);
+      this.#removalsSince = removal.revision;
     }
   }
 
@@ -216,6 +234,22 @@
     this.#recordChanges(list);
     this.#updates = new Map();
     this.#list = list;
+    this.#changed();
+  }
+
+  /** Holds out runners that were removed before the store was restored. */
+  #holdRevived(runners: readonly Runner[]): void {
+    for (const { id, name } of runners) {
+      if (this.#removed.get(name)?.id === id) this.#revived.hold(id);
+    }
+  }
+
+  #changed(): void {
+    const draining = this.#list.runners.filter((runner) => runner.draining);
+    this.#draining.recordListed(
+      draining.map(({ id }) => id),
+      performance.now(),
+    );
     this.#updateReady();
     for (const listener of this.#listeners) listener();
   }
@@ -224,7 +258,9 @@
     this.#runners = this.#list.runners.map((runner) =>
       this.#draining.has(runner.id) ? { ...runner, draining: true } : runner
     );
-    const ready = this.#runners.filter(({ draining }) => !draining);
+    const ready = this.#runners.filter(({ id, draining }) =>
+      !draining && !this.#revived.has(id)
+    );
     this.#byService = groupBy(ready, ({ service }) => service);
   }
 }
--- a/packages/router/src/process/runner_directory_test.ts
+++ b/packages/router/src/process/runner_directory_test.ts
@@ -4,6 +4,7 @@
 import { DrainingRunners } from "./draining_runners.ts";
 import { RunnerDirectory } from "./runner_directory.ts";
 import type { Runner } from "./runner.ts";
+import { storeRevision } from "./store_revision.ts";
 
 function runner(id: string, draining = false): Runner {
   return {
@@ -175,3 +176,48 @@
   lagging.applyUpdate(ahead.updateSince(lagging.revision));
   assert.deepEqual(lagging.list.runners.map(({ name }) => name), ["r-new"]);
 });
+
+/** Before and after a restore, in which the counter has gone back. */
+const BEFORE = storeRevision(1, 50);
+const AFTER = storeRevision(2, 20);
+
+function readyIds(directory: RunnerDirectory): readonly string[] {
+  return directory.ready("s").map(({ id }) => id);
+}
+
+// Guards against a daemon that ignores a restored store, and against peers that
+// bring back the list from before.
+test("the list of a restored store replaces one with a higher counter", () => {
+  const directory = emptyDirectory();
+  directory.replace({ revision: BEFORE, runners: [runner("a")] });
+  assert.ok(directory.replace({ revision: AFTER, runners: [runner("b")] }));
+  assert.ok(!directory.replace({ revision: BEFORE + 9, runners: [] }));
+  assert.deepEqual(readyIds(directory), ["b"]);
+});
+
+// Guards against a shutdown that the restored store has forgotten.
+test("a runner that drained before a restore stays out after it", () => {
+  const directory = emptyDirectory();
+  directory.replace({
+    revision: BEFORE,
+    runners: [runner("a", true), runner("b")],
+  });
+  directory.replace({ revision: AFTER, runners: [runner("a"), runner("b")] });
+  assert.deepEqual(readyIds(directory), ["b"]);
+});
+
+// Guards against a removal that the restored store has forgotten.
+test("a runner that was removed before a restore is held out for a while", (t) => {
+  t.mock.timers.enable({ apis: ["setTimeout"] });
+  const directory = emptyDirectory();
+  const runners = [runner("a"), runner("b"), runner("c")];
+  directory.replace({ revision: BEFORE, runners });
+  directory.applyChange(BEFORE + 1, [], ["a", "b"]);
+  directory.replace({ revision: AFTER, runners });
+  assert.deepEqual(readyIds(directory), ["c"]);
+  // Its owner writes again: it is alive.
+  directory.applyChange(AFTER + 1, [runner("a")], []);
+  assert.deepEqual(readyIds(directory), ["a", "c"]);
+  t.mock.timers.tick(4_000);
+  assert.deepEqual(readyIds(directory), ["a", "b", "c"]);
+});
--- a/packages/router/tests/fleet.ts
+++ b/packages/router/tests/fleet.ts
@@ -39,6 +39,7 @@
 import { RunnerLimits } from "../src/process/runner_limits.ts";
 import { RunnerLoads } from "../src/process/runner_loads.ts";
 import type { PlacedRequest } from "../src/process/runner_load.ts";
+import { epochOf, storeRevision } from "../src/process/store_revision.ts";
 import { UsageMeter } from "../src/process/usage_meter.ts";
 import type { Configuration } from "../src/version/configuration.ts";
 import type { TestContext } from "node:test";
@@ -222,6 +223,9 @@
     ]);
     await sleep(RESPONSE_MS);
     if (signal.aborted) throw new FeedError("unavailable", "Request aborted");
+    if (epochOf(this.#shared.revision) > epochOf(since)) {
+      throw new FeedError("expired", "Store was restored");
+    }
     const { revision, values } = this.#shared;
     const entered = revision > since ? values : [];
     return { revision, updated: entered, removed: [] };
@@ -243,6 +247,14 @@
     for (const wake of this.#watchers.splice(0)) wake();
   }
 
+  /** Goes back to earlier values, as a store that is restored from a backup. */
+  restore(values: readonly T[]): void {
+    const epoch = epochOf(this.revision) + 1;
+    this.values = values;
+    this.revision = storeRevision(epoch, 1);
+    for (const wake of this.#watchers.splice(0)) wake();
+  }
+
   changedAfter(revision: number): Promise<void> {
     if (this.revision > revision) return Promise.resolve();
     return new Promise((resolve) => this.#watchers.push(resolve));
@@ -591,6 +603,20 @@
     await this.startAll();
   }
 
+  /** Replaces the runners in the store. */
+  setRunners(runners: readonly Runner[]): void {
+    this.#runners.replace(runners);
+  }
+
+  /** Restores the store to other runners than it has. */
+  restoreRunners(runners: readonly Runner[]): void {
+    this.#runners.restore(runners);
+  }
+
+  get runners(): readonly Runner[] {
+    return this.#runners.values;
+  }
+
   resetCounts(): void {
     for (const member of this.members) member.counts = zeroCounts();
   }
