Keep one leader over a restore of the store

No caller saw it: two daemons could lead at once, or with the same or a lower fencing number, when the restored store had lost the lease or the leader's record; and a leader took over the older state of the copy and would have decided windows of usage anew.

Change: no daemon takes the lease for its whole duration after it has first seen the store's epoch; the holder goes on and writes its newer state again; fencing numbers hold the epoch; a write that lands in a later epoch begins no term.

Evidence: the property of two hosts (6,000 histories), which now copies and restores the store, and three tests of their own.

--- a/packages/router/src/process/leader_lease.ts
+++ b/packages/router/src/process/leader_lease.ts
@@ -13,6 +13,7 @@
 import type { EventLog } from "./event_log.ts";
 import { FeedError } from "./feed.ts";
 import { INITIAL_STATE } from "./leader_record.ts";
+import { epochOf } from "./store_revision.ts";
 import type {
   LeaderRecord,
   LeaderState,
@@ -78,6 +79,8 @@
  * with it. Both are one object, so that a decision is stored exactly if its leader
  * held the lease at the time of the write. Another daemon takes the lease when its
  * object has been unchanged for the whole lease duration, or after its release.
+ * After a restore of the store, which may have lost the lease, it takes none for
+ * the whole duration, and a leader goes on and writes its state again.
  *
  * A leader may call the platform while {@linkcode mayAct} returns true. If another
  * daemon led before, the new leader first waits until a whole lease duration has
@@ -93,6 +96,8 @@
   readonly #log: EventLog;
   readonly #observer: LeaseObserver;
   readonly #startedAt: Timestamp;
+  /** Latest known epoch of the store, and since when it is known, in monotonic ms. */
+  #epoch = { number: -1, since: -Infinity };
   #holderId = "";
   #ownWrite = false;
   #actedAt: Timestamp;
@@ -159,6 +164,7 @@
 
   /** Records an observation of a neighbour; older revisions are ignored. */
   observe({ revision, holderId, at }: LeaseObservation): void {
+    this.#observeEpoch(revision);
     if (revision <= this.#observer.version) return;
     this.#observer.observe(revision, at);
     this.#holderId = holderId;
@@ -180,14 +186,28 @@
   async tryTake(): Promise<void> {
     const found = await this.#tryStore(() => this.#store.read());
     if (found === "unknown") return;
-    const observed = found && {
-      version: found.revision,
-      holding: found.record.holding,
-    };
+    this.#observeEpoch(found.revision);
+    const { revision: version, record } = found;
+    const observed = record && { version, holding: record.holding };
     const free = this.#observer.isFree(observed, this.#clock.monotonic());
-    this.#holderId = found?.record.holding.holderId ?? "";
+    this.#holderId = record?.holding.holderId ?? "";
     this.#ownWrite = false;
-    if (free) await this.#take(found);
+    if (free && this.#epochOutlastsLeases()) await this.#take(found);
+  }
+
+  #observeEpoch(revision: number): void {
+    const number = epochOf(revision);
+    if (number <= this.#epoch.number) return;
+    this.#epoch = { number, since: this.#clock.monotonic() };
+  }
+
+  /**
+   * Whether all leases that were renewed before the store's last restore have
+   * expired. The restored store may not know them, so that a lease that is held
+   * looks free there.
+   */
+  #epochOutlastsLeases(): boolean {
+    return this.#clock.monotonic() - this.#epoch.since >= this.#leaseMs;
   }
 
   /**
@@ -231,10 +251,10 @@
     this.#holderId = "";
   }
 
-  async #take(found: StoredRecord | undefined): Promise<void> {
-    const ifRevision = found?.revision ?? 0;
+  async #take(found: StoredRecord): Promise<void> {
+    const { revision: ifRevision, record: before } = found;
     const fencing = fencingAfter(ifRevision);
-    const state = found?.record.work ?? INITIAL_STATE;
+    const state = before?.work ?? INITIAL_STATE;
     const sentAt = timestampOf(this.#clock);
     const record = this.#record(fencing, state);
     const result = await this.#write(record, ifRevision, sentAt);
@@ -243,15 +263,17 @@
     this.#unconfirmed = undefined;
     if (result === "unknown" || result.kind === "conflict") return;
     const { revision } = result;
+    // Before the restore another daemon may have taken the lease with this token.
+    if (epochOf(revision) !== epochOf(ifRevision)) return;
     const since = this.#clock.monotonic();
     this.#term = { fencing, since, renewedAt: sentAt, revision, state };
     this.#recordOwnWrite(revision, since);
-    const before = found?.record.holding.holder ?? "";
-    this.#actsFrom = this.#firstActionAt(found);
+    const holder = before?.holding.holder ?? "";
+    this.#actsFrom = this.#firstActionAt(before);
     this.#log.event("leader_term_began", {
       fencing,
       revision,
-      before: before === "" ? undefined : before,
+      before: holder === "" ? undefined : holder,
       acts_in_ms: Math.max(0, Math.round(this.#actsFrom - since)),
     });
   }
@@ -260,9 +282,9 @@
    * Returns the monotonic ms from which actions of this daemon cannot fall between
    * actions of other leaders.
    */
-  #firstActionAt(found: StoredRecord | undefined): number {
+  #firstActionAt(before: LeaderRecord | undefined): number {
     const now = this.#clock.monotonic();
-    const own = found?.record.holding.holderId === this.#own.incarnation;
+    const own = before?.holding.holderId === this.#own.incarnation;
     if (own && Number.isFinite(this.#actsFrom)) return this.#actsFrom;
     const since = Math.max(
       this.#actedAt.monotonic,
@@ -313,17 +335,26 @@
   }
 
   /** Adopts the stored record after a conflict or a lost response. */
-  #reconcile(found: StoredRecord | undefined): void {
+  #reconcile(found: StoredRecord): void {
     const pending = this.#unconfirmed;
     this.#unconfirmed = undefined;
     const term = this.#term;
     if (term === undefined) return;
-    const holding = found?.record.holding;
+    const { revision, record } = found;
+    const holding = record?.holding;
     const own = holding?.holderId === this.#own.incarnation &&
       holding.fencing === term.fencing;
-    if (found === undefined || !own) return this.#end("taken by another one");
-    term.revision = found.revision;
-    term.state = found.record.work;
+    const restored = epochOf(revision) > epochOf(term.revision);
+    const current = own && (!restored || holding.attempt === pending?.attempt);
+    if (restored && !current && (holding?.fencing ?? 0) <= term.fencing) {
+      // The store has lost the latest state. It is still this daemon's to write, as
+      // others take no lease before all from before the restore have expired.
+      term.revision = revision;
+      return;
+    }
+    if (!current) return this.#end("taken by another one");
+    term.revision = revision;
+    term.state = record!.work;
     this.#recordOwnWrite(found.revision, this.#clock.monotonic());
     // Other daemons measure the lease from the stored write. Measuring it from a
     // later attempt would let this leader act while another one takes over.
--- a/packages/router/src/process/leader_lease_test.ts
+++ b/packages/router/src/process/leader_lease_test.ts
@@ -5,6 +5,7 @@
 import { FeedError } from "./feed.ts";
 import { LeaderLease } from "./leader_lease.ts";
 import type { LeaderRecord, StoredRecord } from "./leader_record.ts";
+import { counterOf, storeRevision } from "./store_revision.ts";
 
 const LEASE_MS = 3_000;
 const CALL_MS = 900;
@@ -12,17 +13,39 @@
 /** How the store handles the calls of one host. */
 type StoreMode = "normal" | "down" | "loses-responses" | "late";
 
+/** The leader's record, with the store's revision in the present epoch. */
+interface Versioned {
+  readonly counter: number;
+  readonly record: LeaderRecord | undefined;
+}
+
 /** Simulated time, a store that may delay writes, and the platform's calls. */
 class World {
   now = 0;
-  stored: StoredRecord | undefined;
+  #stored: Versioned = { counter: 0, record: undefined };
+  #copy = this.#stored;
+  #epoch = 1;
   /** Delayed writes. */
   readonly #delayed: (() => void)[] = [];
   readonly calls: Call[] = [];
+  /** Runs once, after a host has read the record and before it writes. */
+  beforeNextWrite: (() => Promise<void>) | undefined;
 
-  read(mode: StoreMode): StoredRecord | undefined {
+  read(mode: StoreMode): StoredRecord {
     if (mode === "down") throw new FeedError("unavailable", "down");
-    return this.stored;
+    const { counter, record } = this.#stored;
+    return { revision: storeRevision(this.#epoch, counter), record };
+  }
+
+  /** Copies the store, for a later restore. */
+  copy(): void {
+    this.#copy = this.#stored;
+  }
+
+  /** Loses all that was written since the copy. */
+  restore(): void {
+    this.#stored = this.#copy;
+    this.#epoch += 1;
   }
 
   write(record: LeaderRecord, ifRevision: number, mode: StoreMode) {
@@ -44,12 +67,13 @@
   }
 
   #replace(record: LeaderRecord, ifRevision: number) {
-    const revision = this.stored?.revision ?? 0;
-    if (revision !== ifRevision) {
-      return { kind: "conflict", found: this.stored } as const;
+    // As the store does, without regard to the epoch.
+    if (this.#stored.counter !== counterOf(ifRevision)) {
+      return { kind: "conflict", found: this.read("normal") } as const;
     }
-    this.stored = { revision: revision + 1, record };
-    return { kind: "written", revision: revision + 1 } as const;
+    this.#stored = { counter: this.#stored.counter + 1, record };
+    const { revision } = this.read("normal");
+    return { kind: "written", revision } as const;
   }
 }
 
@@ -101,6 +125,11 @@
     else await this.#lease.tryTake();
   }
 
+  /** Stores a decision with a renewal of the lease. */
+  async decide(nextWindow: number): Promise<void> {
+    await this.#lease.update({ ...this.#lease.state, nextWindow });
+  }
+
   async release(): Promise<void> {
     if (this.#world.now < this.#busyUntil) return;
     await this.#lease.release();
@@ -122,8 +151,12 @@
     return new LeaderLease({
       store: {
         read: () => this.#call(() => this.#world.read(this.storeMode)),
-        write: (record, revision) =>
-          this.#call(() => this.#world.write(record, revision, this.storeMode)),
+        write: async (record, revision) => {
+          const { beforeNextWrite } = this.#world;
+          this.#world.beforeNextWrite = undefined;
+          await beforeNextWrite?.();
+          return this.#world.write(record, revision, this.storeMode);
+        },
       },
       own: {
         name: `host-${this.#number}`,
@@ -153,7 +186,7 @@
   | { readonly kind: "suspend"; readonly host: number; readonly ms: number }
   | { readonly kind: "stepClock"; readonly host: number; readonly ms: number }
   | { readonly kind: "mode"; readonly host: number; readonly mode: StoreMode }
-  | { readonly kind: "applyDelayed" };
+  | { readonly kind: "applyDelayed" | "copy" | "restore" };
 
 const HOSTS = 2;
 const host = fc.nat(HOSTS - 1);
@@ -197,7 +230,13 @@
         "late",
       ),
     }),
-    fc.record({ kind: fc.constant("applyDelayed" as const) }),
+    fc.record({
+      kind: fc.constantFrom(
+        "applyDelayed" as const,
+        "copy" as const,
+        "restore" as const,
+      ),
+    }),
   );
   return fc.array(
     fc.oneof(
@@ -241,6 +280,12 @@
       case "applyDelayed":
         world.applyDelayed();
         break;
+      case "copy":
+        world.copy();
+        break;
+      case "restore":
+        world.restore();
+        break;
       case "release":
         await hosts[step.host]!.release();
         break;
@@ -296,6 +341,9 @@
   const world = new World();
   const hosts = Array.from({ length: 2 }, (_, at) => new Host(world, at));
   world.now = 10_000;
+  // Both hosts have known the store for as long as a lease lasts.
+  for (const host of hosts) await host.renewOrTake();
+  world.now += LEASE_MS;
   await hosts[first]!.renewOrTake();
   world.now += 300;
   hosts[first]!.act(0);
@@ -379,3 +427,53 @@
   hosts[0]!.act(0);
   assert.equal(world.calls.length, 1);
 });
+
+// Guards against two leaders at once, as the restored store calls the lease free.
+test("a lease that a restore has lost is not taken while it may be held", async () => {
+  const { world, hosts } = await ledBy(0);
+  world.restore();
+  await hosts[1]!.renewOrTake();
+  world.now += LEASE_MS - 1;
+  await hosts[1]!.renewOrTake();
+  assert.equal(hosts[1]!.leads, false);
+  world.now += 1;
+  await hosts[1]!.renewOrTake();
+  world.now += 300;
+  hosts[1]!.act(0);
+  assert.equal(world.calls.length, 2);
+  assert.ok(world.calls[1]!.fencing > world.calls[0]!.fencing);
+});
+
+// Guards against a gap in leadership, and against decisions that are made anew and
+// otherwise, after a restore.
+test("a leader goes on after a restore, and stores its state again", async () => {
+  const { world, hosts } = await ledBy(0);
+  world.copy();
+  world.now += 300;
+  await hosts[0]!.decide(7);
+  world.restore();
+  for (let renewals = 0; renewals < 6; renewals++) {
+    world.now += 700;
+    await hosts[0]!.renewOrTake();
+    await hosts[1]!.renewOrTake();
+  }
+  assert.deepEqual(hosts.map(({ leads }) => leads), [true, false]);
+  assert.equal(world.read("normal").record?.work.nextWindow, 7);
+  hosts[0]!.act(0);
+  assert.equal(world.calls[1]!.fencing, world.calls[0]!.fencing);
+});
+
+// Guards against two hosts with one fencing token, of which the restored store has
+// forgotten the first.
+test("a write that a restore lets pass does not begin a term", async () => {
+  const { world, hosts } = await ledBy(0);
+  await hosts[0]!.release();
+  world.copy();
+  world.beforeNextWrite = async () => {
+    await hosts[0]!.renewOrTake();
+    assert.equal(hosts[0]!.leads, true);
+    world.restore();
+  };
+  await hosts[1]!.renewOrTake();
+  assert.equal(hosts[1]!.leads, false);
+});
--- a/packages/router/src/process/leader_record.ts
+++ b/packages/router/src/process/leader_record.ts
@@ -47,29 +47,32 @@
   readonly work: LeaderState;
 }
 
-/** The record and its revision in the store. */
+/** The record and its revision in the store, of the store's present epoch. */
 export interface StoredRecord {
+  /** Start of the epoch if there is no record; see {@linkcode storeRevision}. */
   readonly revision: number;
-  readonly record: LeaderRecord;
+  /** Undefined if there is none. */
+  readonly record: LeaderRecord | undefined;
 }
 
 /** Result of a conditional write. */
 export type RecordWriteResult =
+  /** In a later epoch than the expected one, another record may be replaced. */
   | { readonly kind: "written"; readonly revision: number }
   /** The store holds another revision, or no record. */
-  | { readonly kind: "conflict"; readonly found: StoredRecord | undefined };
+  | { readonly kind: "conflict"; readonly found: StoredRecord };
 
 /**
  * Access to the record in the platform's store. Both calls reject with
  * `FeedError` if no response arrives; a write may have taken effect nevertheless.
  */
 export interface LeaderStore {
-  /** Returns the record, if there is one. */
-  read(): Promise<StoredRecord | undefined>;
+  /** Returns the record. */
+  read(): Promise<StoredRecord>;
   /**
    * Replaces the record.
    *
-   * @param ifRevision revision to be replaced; 0 if there is no record.
+   * @param ifRevision revision to be replaced, as it was read.
    */
   write(record: LeaderRecord, ifRevision: number): Promise<RecordWriteResult>;
 }
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -115,14 +115,14 @@
 
 /** An in-memory store for the leader's record, with faults that tests can set. */
 export class MemoryLeaderStore implements LeaderStore {
-  record: StoredRecord | undefined;
+  record: StoredRecord = { revision: 0, record: undefined };
   calls = 0;
   /** Whether every call fails. */
   down = false;
   /** Whether writes take effect, but their responses are lost. */
   losesReplies = false;
 
-  async read(): Promise<StoredRecord | undefined> {
+  async read(): Promise<StoredRecord> {
     await this.#called();
     return this.record;
   }
@@ -132,7 +132,7 @@
     ifRevision: number,
   ): Promise<RecordWriteResult> {
     await this.#called();
-    const revision = this.record?.revision ?? 0;
+    const { revision } = this.record;
     if (revision !== ifRevision) {
       return { kind: "conflict", found: this.record };
     }
--- a/packages/router/tests/leader_test.ts
+++ b/packages/router/tests/leader_test.ts
@@ -127,7 +127,7 @@
   fixture.api.result = { kind: "accepted" };
   await fixture.clock.advance(4_000);
   const before = fixture.api.reports.length;
-  const pending = fixture.store.record?.record.work.reports
+  const pending = fixture.store.record.record?.work.reports
     .filter(({ accepted }) => !accepted);
   assert.deepEqual(pending, []);
   await fixture.clock.advance(3_000);
@@ -145,10 +145,10 @@
   const stepDown = first.leader.stepDown();
   await fixture.clock.advance(100);
   // The holder's id is empty once the lease is released.
-  assert.notEqual(fixture.store.record?.record.holding.holderId, "");
+  assert.notEqual(fixture.store.record.record?.holding.holderId, "");
   await fixture.clock.advance(1_000);
   await stepDown;
-  assert.equal(fixture.store.record?.record.holding.holderId, "");
+  assert.equal(fixture.store.record.record?.holding.holderId, "");
 });
 
 test("a leader makes no calls while the store is unavailable, and leads again later", async (t) => {
@@ -187,7 +187,7 @@
   fixture.start("a");
   await fixture.clock.advance(ELECTION_MS + 5_000);
   assert.deepEqual(fixture.api.orders, [order]);
-  assert.deepEqual(fixture.store.record?.record.work.orders, [order]);
+  assert.deepEqual(fixture.store.record.record?.work.orders, [order]);
   desired = [{ ...order, runners: 7 }];
   await fixture.clock.advance(2_000);
   assert.deepEqual(fixture.api.orders.slice(1), desired);
