Skip windows of usage whose reports a restore may have lost

No caller saw it: if the leader is lost with the restore, its successor takes over the copy's state, finalizes windows again that had been reported, with other counts, and the platform gets two reports for one window.

Change: the leader's record says in which epoch it was written. A term that begins with a record of an earlier epoch skips the windows that could have been reported by the time at which the restore was noticed; they are missed, which is priced, and not reported twice.

--- a/packages/router/src/process/leader.ts
+++ b/packages/router/src/process/leader.ts
@@ -14,9 +14,14 @@
 import {
   checkpointOf,
   finalizeReports,
+  skipLostReports,
   withAccepted,
 } from "./usage_reports.ts";
-import type { UsageSources, UsageTiming } from "./usage_reports.ts";
+import type {
+  UsageDecision,
+  UsageSources,
+  UsageTiming,
+} from "./usage_reports.ts";
 import type { UsageMeter } from "./usage_meter.ts";
 
 /** Delay in ms after the start, in which the daemon learns whether it is eligible. */
@@ -171,29 +176,47 @@
 
   /** Returns the state with new decisions, or nothing if there are none. */
   #decide(): LeaderState | undefined {
-    const { lease, usage, log, metrics, monotonic } = this.#options;
+    const { lease, monotonic } = this.#options;
     let { state } = lease;
     const sources = this.#sources();
-    const decision = sources && finalizeReports(state, sources);
-    if (decision !== undefined) {
-      state = decision.state;
-      for (const { window, counts } of decision.finalized) {
-        const requests = Object.values(counts)
-          .reduce((sum, count) => sum + count, 0);
-        const daemons = usage?.meter.incarnations(window).size;
-        metrics.usageWindow("fixed", window);
-        log.event("usage_fixed", { window, requests, daemons });
-      }
-      for (const window of decision.missed) {
-        metrics.usageWindow("missed", window);
-        log.event("usage_missed", { window });
-      }
-    }
+    if (sources !== undefined) state = this.#decideReports(state, sources);
     const orders = this.#orders.reconcile(state.orders, monotonic());
     if (orders !== undefined) state = { ...state, orders };
     return state === lease.state ? undefined : state;
   }
 
+  /** Returns the state with the reports that are due. */
+  #decideReports(state: LeaderState, sources: UsageSources): LeaderState {
+    const { lease, monotonic } = this.#options;
+    const { restoredAt } = lease;
+    let kept = state;
+    if (restoredAt !== undefined) {
+      const noticedAt = sources.now - (monotonic() - restoredAt);
+      const skipped = skipLostReports(state, sources.timing, noticedAt);
+      this.#logReports(skipped);
+      kept = skipped.state;
+    }
+    const decision = finalizeReports(kept, sources);
+    if (decision === undefined) return kept;
+    this.#logReports(decision);
+    return decision.state;
+  }
+
+  #logReports({ finalized, missed }: UsageDecision): void {
+    const { usage, log, metrics } = this.#options;
+    for (const { window, counts } of finalized) {
+      const requests = Object.values(counts)
+        .reduce((sum, count) => sum + count, 0);
+      const daemons = usage?.meter.incarnations(window).size;
+      metrics.usageWindow("fixed", window);
+      log.event("usage_fixed", { window, requests, daemons });
+    }
+    for (const window of missed) {
+      metrics.usageWindow("missed", window);
+      log.event("usage_missed", { window });
+    }
+  }
+
   #withCheckpoint(state: LeaderState): LeaderState {
     const sources = this.#sources();
     if (sources === undefined) return state;
--- a/packages/router/src/process/leader_lease.ts
+++ b/packages/router/src/process/leader_lease.ts
@@ -62,6 +62,11 @@
   readonly fencing: number;
   /** Monotonic ms at which the term started. */
   readonly since: number;
+  /**
+   * If the term began with a state from before the store's last restore: monotonic
+   * ms at which the restore was noticed.
+   */
+  readonly restoredAt: number | undefined;
   /** When the last write that is known to have succeeded was sent. */
   renewedAt: Timestamp;
   revision: number;
@@ -134,6 +139,14 @@
     return this.#term?.state ?? INITIAL_STATE;
   }
 
+  /**
+   * Monotonic ms at which a restore of the store was noticed that may have lost
+   * decisions of an earlier leader; undefined if this term's state has them all.
+   */
+  get restoredAt(): number | undefined {
+    return this.#term?.restoredAt;
+  }
+
   /** Milliseconds since the last renewal of the lease. */
   get sinceRenewalMs(): number {
     const renewedAt = this.#term?.renewedAt.monotonic ?? -Infinity;
@@ -240,11 +253,10 @@
     if (term === undefined) return;
     // From here on this daemon must not act, whether or not the write arrives.
     this.#end("released");
-    const { holding, work } = this.#record(term.fencing, term.state);
-    const free = { ...holding, holder: "", holderId: "" };
-    const record = { holding: free, work };
+    const record = this.#record(term.fencing, term.state);
+    const free = { ...record.holding, holder: "", holderId: "" };
     const result = await this.#tryStore(() =>
-      this.#store.write(record, term.revision)
+      this.#store.write({ ...record, holding: free }, term.revision)
     );
     if (result === "unknown" || result.kind === "conflict") return;
     this.#recordOwnWrite(result.revision, this.#clock.monotonic());
@@ -266,7 +278,10 @@
     // Before the restore another daemon may have taken the lease with this token.
     if (epochOf(revision) !== epochOf(ifRevision)) return;
     const since = this.#clock.monotonic();
-    this.#term = { fencing, since, renewedAt: sentAt, revision, state };
+    const isOld = before !== undefined && before.epoch < epochOf(ifRevision);
+    const restoredAt = isOld ? this.#epoch.since : undefined;
+    const renewedAt = sentAt;
+    this.#term = { fencing, since, restoredAt, renewedAt, revision, state };
     this.#recordOwnWrite(revision, since);
     const holder = before?.holding.holder ?? "";
     this.#actsFrom = this.#firstActionAt(before);
@@ -296,6 +311,7 @@
   #record(fencing: number, state: LeaderState): LeaderRecord {
     this.#attempts += 1;
     return {
+      epoch: this.#epoch.number,
       holding: {
         holder: this.#own.name,
         holderId: this.#own.incarnation,
--- a/packages/router/src/process/leader_record.ts
+++ b/packages/router/src/process/leader_record.ts
@@ -41,6 +41,8 @@
 
 /** The object that the leader stores. */
 export interface LeaderRecord {
+  /** Epoch of the store when the leader last knew it; see `storeRevision`. */
+  readonly epoch: number;
   /** The leader's lease. */
   readonly holding: LeaseHolding;
   /** The leader's state, which its successor continues from. */
--- a/packages/router/src/process/usage_reports.ts
+++ b/packages/router/src/process/usage_reports.ts
@@ -82,8 +82,7 @@
   const fraction = sources.complete
     ? FINALIZE_FRACTION
     : INCOMPLETE_FINALIZE_FRACTION;
-  const finalizeAfterMs = windowMs + fraction * delayMs;
-  const last = Math.floor((sources.now - finalizeAfterMs) / windowMs);
+  const last = lastWindowToFinalize(sources.timing, sources.now, fraction);
   if (last < state.nextWindow) return undefined;
   // A report that is one window late is still useful. Older windows are missed:
   // the meter keeps counts for a limited number of windows only.
@@ -103,6 +102,39 @@
   };
 }
 
+/**
+ * Skips the windows that an earlier leader may have reported with counts that a
+ * restore of the store has lost. Other counts for the same window must not be
+ * reported, so these windows have no report.
+ *
+ * @param restoredAt when the restore was noticed, in epoch ms.
+ */
+export function skipLostReports(
+  state: LeaderState,
+  timing: UsageTiming,
+  restoredAt: number,
+): UsageDecision {
+  const { nextWindow } = state;
+  const last = lastWindowToFinalize(timing, restoredAt, FINALIZE_FRACTION);
+  if (nextWindow === undefined || last < nextWindow) {
+    return { state, finalized: [], missed: [] };
+  }
+  return {
+    state: { ...state, nextWindow: last + 1 },
+    finalized: [],
+    missed: range(nextWindow, last + 1),
+  };
+}
+
+/** The last window whose finalizing time has passed. */
+function lastWindowToFinalize(
+  { windowMs, delayMs }: UsageTiming,
+  now: number,
+  fraction: number,
+): number {
+  return Math.floor((now - windowMs - fraction * delayMs) / windowMs);
+}
+
 /**
  * Returns the known counts of all windows without a report. The leader stores
  * them, so that they survive the loss of all daemons. `lives` is the stored name
--- a/packages/router/src/process/usage_reports_test.ts
+++ b/packages/router/src/process/usage_reports_test.ts
@@ -6,6 +6,7 @@
 import {
   checkpointOf,
   finalizeReports,
+  skipLostReports,
   withAccepted,
 } from "./usage_reports.ts";
 
@@ -167,3 +168,12 @@
   );
   assert.deepEqual(kept.map(({ window }) => window), [3, 4, 5]);
 });
+
+test("only windows that could be reported before a restore are skipped", () => {
+  const at = (restoredAt: number) =>
+    skipLostReports(stateFrom(0), TIMING, restoredAt);
+  assert.equal(at(9_400).state.nextWindow, 0);
+  assert.deepEqual(at(9_400).missed, []);
+  assert.deepEqual(at(9_500).missed, [0]);
+  assert.equal(at(14_500).state.nextWindow, 2);
+});
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -27,6 +27,11 @@
 import { RunnerDirectory } from "../src/process/runner_directory.ts";
 import { RunnerLimits } from "../src/process/runner_limits.ts";
 import type { StatedLimit } from "../src/process/runner_limits.ts";
+import {
+  counterOf,
+  epochOf,
+  storeRevision,
+} from "../src/process/store_revision.ts";
 import type { RouterSettings } from "../src/process/settings.ts";
 import type { Dialect } from "../src/request/dialect.ts";
 import { endToEndHeaders, headerOf } from "../src/request/headers.ts";
@@ -141,6 +146,15 @@
     return { kind: "written", revision: revision + 1 };
   }
 
+  /** Goes back to an earlier record, as a store that is restored from a backup. */
+  restore({ revision, record }: StoredRecord): void {
+    const epoch = epochOf(this.record.revision) + 1;
+    this.record = {
+      revision: storeRevision(epoch, counterOf(revision)),
+      record,
+    };
+  }
+
   #called(): Promise<void> {
     this.calls += 1;
     if (!this.down) return Promise.resolve();
--- a/packages/router/tests/leader_test.ts
+++ b/packages/router/tests/leader_test.ts
@@ -192,3 +192,28 @@
   await fixture.clock.advance(2_000);
   assert.deepEqual(fixture.api.orders.slice(1), desired);
 });
+
+// Guards against a second report with other counts for a window whose report the
+// restored store has forgotten.
+test("a successor skips windows whose reports a restore may have lost", async (t) => {
+  const fixture = new LeaderFixture(t);
+  const { leader, meter } = fixture.start("a");
+  await fixture.clock.advance(ELECTION_MS);
+  meter.countRequest("fitters");
+  const { window } = meter;
+  const copy = fixture.store.record;
+  const isReported = () =>
+    fixture.api.reports.some((report) => report.window === window);
+  while (!isReported()) await fixture.clock.advance(100);
+  leader.stop();
+  fixture.store.restore(copy);
+  const successor = fixture.start("b");
+  successor.meter.countRequest("fitters");
+  await fixture.clock.advance(30_000);
+  const windows = fixture.api.reports.map((report) => report.window);
+  assert.deepEqual(
+    windows.filter((reported) => reported === window).length,
+    1,
+  );
+  assert.ok(Math.max(...windows) > window, windows.join());
+});
