Register again in a store that was restored

No caller saw it: a daemon enters itself in the store once, and a restore to a copy from before loses the entry for good, so that daemons that start later with dead seeds find nobody.

Change: a registration knows the epoch in which it was written and is repeated when the list of runners is of a later one. Fakes of the router's tests forget entries in a restore.

--- a/packages/router/src/connection/fleet_sync.ts
+++ b/packages/router/src/connection/fleet_sync.ts
@@ -14,6 +14,7 @@
 import type { Runner } from "../process/runner.ts";
 import type { ListenAddress } from "../process/settings.ts";
 import { StartGate } from "../process/start_gate.ts";
+import { epochOf } from "../process/store_revision.ts";
 import { isWatcher } from "../process/watch_plan.ts";
 import type { Configuration } from "../version/configuration.ts";
 import type { PeerNetwork } from "./peer_network.ts";
@@ -118,6 +119,7 @@
           this.#exchange.contacts().some((contact) =>
             contact.address === address
           ),
+        storeEpoch: () => epochOf(state.directory.revision),
         addressesFound: (addresses) =>
           this.#peers.discover([...this.#seeds, ...addresses]),
       },
--- a/packages/router/src/process/daemon_registry.ts
+++ b/packages/router/src/process/daemon_registry.ts
@@ -12,8 +12,13 @@
  * reject with {@linkcode FeedError} if the store fails.
  */
 export interface DaemonRegistry {
-  /** Adds a daemon's entry, or replaces it. */
-  register(name: string, address: string): Promise<void>;
+  /**
+   * Adds a daemon's entry, or replaces it.
+   *
+   * @returns the store's epoch, see `storeRevision`; a later one may lack the
+   * entry.
+   */
+  register(name: string, address: string): Promise<number>;
   /** Removes the entry of a daemon that shuts down. */
   deregister(name: string): Promise<void>;
   /** Returns the addresses of all registered daemons, as "IP:PORT". */
@@ -46,6 +51,8 @@
   isAlone(): boolean;
   /** Whether an address belongs to a known daemon. */
   isKnown(address: string): boolean;
+  /** Number of the store's restores, as far as known. */
+  storeEpoch(): number;
   /** Receives addresses at which daemons may be reachable. */
   addressesFound(addresses: readonly string[]): void;
 }
@@ -62,7 +69,8 @@
   readonly #name: string;
   readonly #address: string;
   readonly #log: EventLog;
-  #registered = false;
+  /** The store's epoch in which this daemon registered; -1 if it has not. */
+  #registeredIn = -1;
   #stopped = false;
 
   constructor(
@@ -95,27 +103,41 @@
   /** Stops, and removes the entry. If that fails, a dead address remains. */
   async deregister(): Promise<void> {
     this.stop();
-    if (!this.#registered) return;
+    if (this.#registeredIn < 0) return;
     await this.#tryCall("leave", () => this.#registry.deregister(this.#name));
   }
 
   async #registerWhenNeeded(): Promise<void> {
-    while (!this.#stopped && !this.#registered) {
+    while (!this.#stopped && this.#registeredIn < 0) {
       await pause(jitter(REGISTER_INTERVAL_MS), { background: true });
-      if (this.#stopped || !this.#context.shouldRegister()) continue;
-      this.#registered = await this.#tryCall(
-        "enter",
-        () => this.#registry.register(this.#name, this.#address),
-      );
+      if (!this.#stopped && this.#context.shouldRegister()) {
+        await this.#register();
+      }
     }
   }
 
+  async #register(): Promise<void> {
+    await this.#tryCall("enter", async () => {
+      this.#registeredIn = await this.#registry.register(
+        this.#name,
+        this.#address,
+      );
+    });
+  }
+
+  /** Whether the store was restored since this daemon registered. */
+  #isEntryLost(): boolean {
+    return this.#registeredIn >= 0 &&
+      this.#registeredIn < this.#context.storeEpoch();
+  }
+
   async #searchWhenNeeded(): Promise<void> {
     await pause(SEEDS_TIMEOUT_MS, { background: true });
     for (let checks = 1; !this.#stopped; checks++) {
       const rejoin = checks % REJOIN_CHECKS === 0 &&
         this.#context.shouldRegister();
       if (this.#context.isAlone() || rejoin) await this.#search();
+      if (this.#isEntryLost()) await this.#register();
       await pause(jitter(SEARCH_INTERVAL_MS), { background: true });
     }
   }
@@ -130,15 +152,12 @@
     });
   }
 
-  /** @returns whether the call has succeeded. */
-  async #tryCall(call: string, run: () => Promise<void>): Promise<boolean> {
+  async #tryCall(call: string, run: () => Promise<void>): Promise<void> {
     try {
       await run();
-      return true;
     } catch (error) {
       if (!(error instanceof FeedError)) throw error;
       this.#log.event("registry_call_failed", { call, reason: error.message });
-      return false;
     }
   }
 }
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -392,7 +392,7 @@
 }
 
 const NO_DAEMONS: DaemonRegistry = {
-  register: () => Promise.resolve(),
+  register: () => Promise.resolve(0),
   deregister: () => Promise.resolve(),
   addresses: () => Promise.resolve([]),
 };
--- a/packages/router/tests/fleet.ts
+++ b/packages/router/tests/fleet.ts
@@ -611,6 +611,12 @@
   /** Restores the store to other runners than it has. */
   restoreRunners(runners: readonly Runner[]): void {
     this.#runners.restore(runners);
+    this.#registered.clear();
+  }
+
+  /** Names of the daemons that are registered in the store. */
+  get registeredNames(): readonly string[] {
+    return [...this.#registered.keys()].sort();
   }
 
   get runners(): readonly Runner[] {
@@ -651,6 +657,7 @@
           countCall();
           await sleep(RESPONSE_MS);
           this.#registered.set(name, address);
+          return epochOf(this.#runners.revision);
         },
         deregister: async (name: string) => {
           countCall();
--- a/packages/router/tests/restored_store_test.ts
+++ b/packages/router/tests/restored_store_test.ts
@@ -7,6 +7,8 @@
 const PROPAGATION_MS = 1_000;
 /** Changes before the restore, whose revisions are given out again. */
 const LOST_CHANGES = 20;
+/** Time in which daemons register again, in ms: some searches. */
+const REGISTRATION_MS = 10_000;
 
 function drainingNames({ directory }: Member): readonly string[] {
   return directory.runners.filter(({ draining }) => draining)
@@ -36,3 +38,15 @@
     }
   });
 }
+
+// Guards against daemons that start later and find no others in the store.
+test("daemons register again after a restore that lost their entries", async (t) => {
+  const { clock, fleet } = await startSettledFleet(t, SIZES[0]!);
+  await clock.advance(REGISTRATION_MS);
+  const names = fleet.registeredNames;
+  assert.ok(names.length > 0);
+  fleet.restoreRunners(fleet.runners);
+  assert.deepEqual(fleet.registeredNames, []);
+  await clock.advance(REGISTRATION_MS);
+  assert.deepEqual(fleet.registeredNames, names);
+});
