Check rate limits and pauses in one place

The choice of a runner, waiting requests and queries each checked limits and pauses side by side. RunnerRestrictions does it once, and the log line of a search counts its runners itself: a limit of 0 requests a second now counts as one there.

--- /dev/null
+++ b/packages/router/src/process/runner_restrictions.ts
@@ -0,0 +1,59 @@
+/**
+ * What keeps this daemon from sending requests to a runner at the moment.
+ *
+ * @module
+ */
+import type { RunnerLimits } from "./runner_limits.ts";
+import type { RunnerPauses } from "./runner_pauses.ts";
+
+/**
+ * The restrictions that runners ask for: rate limits for all daemons together, and
+ * pauses for this daemon. Whatever sends to a runner checks them and counts its
+ * request here: the choice of a runner, waiting requests, retries and queries.
+ *
+ * @example
+ * ```ts
+ * if (restrictions.allowRequest(id, now)) restrictions.recordRequest(id, now);
+ * ```
+ */
+export class RunnerRestrictions {
+  readonly #limits: RunnerLimits;
+  readonly #pauses: RunnerPauses;
+
+  constructor(limits: RunnerLimits, pauses: RunnerPauses) {
+    this.#limits = limits;
+    this.#pauses = pauses;
+  }
+
+  /** Whether any runner has asked for a restriction. */
+  get exist(): boolean {
+    return this.#limits.hasLimits || this.#pauses.hasPauses;
+  }
+
+  /** Whether a runner is restricted, even if it accepts a request now. */
+  applyTo(runner: string): boolean {
+    return this.#limits.perSecond(runner) !== undefined ||
+      this.#pauses.isRestricted(runner);
+  }
+
+  /** Whether this daemon may send a request to a runner now. */
+  allowRequest(runner: string, now: number): boolean {
+    return this.#limits.allowsRequest(runner, now) &&
+      this.#pauses.allowsRequest(runner, now);
+  }
+
+  /** Whether this daemon may get to send a request to a runner by a time. */
+  mayAllowRequest(runner: string, times: {
+    readonly now: number;
+    readonly until: number;
+  }): boolean {
+    return this.#limits.hasShare(runner, times.now) &&
+      this.#pauses.endsBefore(runner, times.until);
+  }
+
+  /** Counts a request that is sent to a runner. */
+  recordRequest(runner: string, now: number): void {
+    this.#limits.recordRequest(runner, now);
+    this.#pauses.recordRequest(runner, now);
+  }
+}
--- a/packages/router/src/request/admission_test.ts
+++ b/packages/router/src/request/admission_test.ts
@@ -1,11 +1,10 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { emptyLimits, SILENT_LOG } from "../../tests/fixtures.ts";
+import { noRestrictions } from "../../tests/fixtures.ts";
 import { PrefixIndex } from "../process/prefix_index.ts";
 import type { Runner } from "../process/runner.ts";
 import type { QueueKey } from "../process/runner_queue.ts";
 import { RunnerLoads } from "../process/runner_loads.ts";
-import { RunnerPauses } from "../process/runner_pauses.ts";
 import { isOverloaded } from "./admission.ts";
 import type { Demand, RunnerFleet } from "./demand.ts";
 
@@ -66,8 +65,7 @@
     runners: [RUNNER],
     loads,
     prefixes: new PrefixIndex(),
-    limits: emptyLimits(),
-    pauses: new RunnerPauses(SILENT_LOG),
+    restrictions: noRestrictions(),
     failureDomain: "d",
     now: 0,
   };
--- a/packages/router/src/request/daemon.ts
+++ b/packages/router/src/request/daemon.ts
@@ -16,6 +16,7 @@
 import type { RunnerLoads } from "../process/runner_loads.ts";
 import type { RunnerLimits } from "../process/runner_limits.ts";
 import type { RunnerPauses } from "../process/runner_pauses.ts";
+import type { RunnerRestrictions } from "../process/runner_restrictions.ts";
 import type { Runner } from "../process/runner.ts";
 import type { RequestMetrics } from "../process/metrics.ts";
 import type { Service, Workspace } from "../version/configuration.ts";
@@ -35,6 +36,8 @@
   readonly limits: RunnerLimits;
   /** Pauses that runners ask this daemon for. */
   readonly pauses: RunnerPauses;
+  /** Rate limits and pauses, as they are checked before a request is sent. */
+  readonly restrictions: RunnerRestrictions;
   /** Requests that crash the runners on which they run. */
   readonly crashes: CrashRecord;
   /** Wakes requests that wait for capacity. */
@@ -68,8 +71,8 @@
   /** Returns how fast the runners of a service generate tokens. */
   streamPace(service: string): StreamPace;
   /**
-   * Returns the requests that wait for a service's runners, all of which state
-   * rate limits or asked for a pause.
+   * Returns the requests that wait for a service's runners, all of which are
+   * restricted.
    */
   limitQueue(service: string): LimitQueue;
   /** Records that a runner has begun to run a request. */
--- a/packages/router/src/request/decision_log.ts
+++ b/packages/router/src/request/decision_log.ts
@@ -9,6 +9,7 @@
  * @module
  */
 import type { Quarantine } from "../process/crash_record.ts";
+import type { Runner } from "../process/runner.ts";
 import type { QueueKey } from "../process/runner_queue.ts";
 import type { Daemon } from "./daemon.ts";
 import type { RunnerChoice } from "./placement.ts";
@@ -51,31 +52,33 @@
 
 /**
  * Logs that every suitable runner that the request has not tried yet is at its
- * rate limit or asked for a pause.
+ * rate limit or asked for a pause: the number of runners with `limited` rates and
+ * of those `paused` now, and whether this daemon `has_share` of any of the limits,
+ * which are divided among daemons.
  */
 export function logLimitsReached(
   daemon: Daemon,
   routed: RoutedRequest,
-  limits: {
-    /** Number of untried runners that state a rate limit. */
-    readonly limited: number;
-    /** Number of untried runners that asked for a pause. */
-    readonly paused: number;
+  search: {
+    /** The untried runners that state a limit or asked for a pause. */
+    readonly restricted: readonly Runner[];
     readonly waitedMs: number;
-    /**
-     * Whether this daemon has a share of any of these limits, which are divided
-     * among daemons.
-     */
-    readonly hasShare: boolean;
   },
 ): void {
+  const { limits, pauses } = daemon;
+  const now = daemon.now();
+  const { restricted, waitedMs } = search;
+  const limited = restricted.filter(({ id }) =>
+    limits.perSecond(id) !== undefined
+  );
+  const paused = restricted.filter(({ id }) => !pauses.allowsRequest(id, now));
   daemon.log.decision("limits_reached", routed.head.id, {
     service: routed.service.name,
     rank: routed.rank,
-    limited: limits.limited,
-    paused: limits.paused,
-    has_share: limits.hasShare,
-    waited_ms: Math.round(limits.waitedMs),
+    limited: limited.length,
+    paused: paused.length,
+    has_share: limited.some(({ id }) => limits.hasShare(id, now)),
+    waited_ms: Math.round(waitedMs),
     runners_age_ms: Math.round(daemon.runnerListAgeMs()),
   });
 }
--- a/packages/router/src/request/demand.ts
+++ b/packages/router/src/request/demand.ts
@@ -5,8 +5,7 @@
  */
 import type { PrefixIndex, PromptPart } from "../process/prefix_index.ts";
 import type { Runner } from "../process/runner.ts";
-import type { RunnerLimits } from "../process/runner_limits.ts";
-import type { RunnerPauses } from "../process/runner_pauses.ts";
+import type { RunnerRestrictions } from "../process/runner_restrictions.ts";
 import type { RunnerLoads } from "../process/runner_loads.ts";
 import type { QueueKey } from "../process/runner_queue.ts";
 import type { Engine } from "../version/configuration.ts";
@@ -37,8 +36,7 @@
   readonly runners: readonly Runner[];
   readonly loads: RunnerLoads;
   readonly prefixes: PrefixIndex;
-  readonly limits: RunnerLimits;
-  readonly pauses: RunnerPauses;
+  readonly restrictions: RunnerRestrictions;
   /** Failure domain of this daemon. */
   readonly failureDomain: string;
   /** Monotonic milliseconds. */
--- a/packages/router/src/request/placement.ts
+++ b/packages/router/src/request/placement.ts
@@ -58,10 +58,10 @@
   fleet: RunnerFleet,
   excluded: ReadonlySet<string>,
 ): readonly Runner[] {
-  const { limits, pauses, now } = fleet;
+  const { restrictions, now } = fleet;
+  const unrestricted = !restrictions.exist;
   const untried = fleet.runners.filter(({ id }) =>
-    !excluded.has(id) && (!limits.hasLimits || limits.allowsRequest(id, now)) &&
-    (!pauses.hasPauses || pauses.allowsRequest(id, now))
+    !excluded.has(id) && (unrestricted || restrictions.allowRequest(id, now))
   );
   const healthy = untried.filter(({ id }) =>
     !fleet.loads.of(id).isEjected(fleet.now)
--- a/packages/router/src/request/placement_test.ts
+++ b/packages/router/src/request/placement_test.ts
@@ -1,10 +1,9 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { emptyLimits, SILENT_LOG } from "../../tests/fixtures.ts";
+import { noRestrictions } from "../../tests/fixtures.ts";
 import { PrefixIndex } from "../process/prefix_index.ts";
 import type { Runner } from "../process/runner.ts";
 import { RunnerLoads } from "../process/runner_loads.ts";
-import { RunnerPauses } from "../process/runner_pauses.ts";
 import { chooseRunner } from "./placement.ts";
 import { poolsOf } from "./runner_pools.ts";
 import type { Demand, RunnerFleet } from "./demand.ts";
@@ -32,8 +31,7 @@
   return {
     runners,
     loads: new RunnerLoads(),
-    limits: emptyLimits(),
-    pauses: new RunnerPauses(SILENT_LOG),
+    restrictions: noRestrictions(),
     prefixes: new PrefixIndex(),
     failureDomain: "d-0",
     now: 1_000,
--- a/packages/router/src/request/runner_search.ts
+++ b/packages/router/src/request/runner_search.ts
@@ -175,9 +175,8 @@
    */
   #countRequest(choice: RunnerChoice | undefined): RunnerChoice | undefined {
     if (choice === undefined) return undefined;
-    const now = this.#daemon.now();
-    this.#daemon.limits.recordRequest(choice.runner.id, now);
-    this.#daemon.pauses.recordRequest(choice.runner.id, now);
+    const { restrictions } = this.#daemon;
+    restrictions.recordRequest(choice.runner.id, this.#daemon.now());
     return choice;
   }
 
@@ -187,40 +186,35 @@
 
   /** Whether the runner is restricted and another waiting request goes first. */
   #mustYield({ runner }: RunnerChoice): boolean {
-    return this.#isRestricted(runner) &&
+    return this.#daemon.restrictions.applyTo(runner.id) &&
       !this.#limitQueue.isFirst(this.#queueKey, this.#daemon.now());
   }
 
-  /** Whether a runner states a rate limit or asked this daemon for a pause. */
-  #isRestricted({ id }: Runner): boolean {
-    const { limits, pauses } = this.#daemon;
-    return limits.perSecond(id) !== undefined || pauses.isRestricted(id);
-  }
-
   /** Returns the restricted runners that have not been tried. */
   #restrictedRunners(tried: ReadonlySet<string>): readonly Runner[] {
-    const { runners } = this.#daemon.fleet(this.#routed.service.name);
-    return runners.filter((runner) =>
-      !tried.has(runner.id) && this.#isRestricted(runner)
+    const { runners, restrictions } = this.#daemon.fleet(
+      this.#routed.service.name,
+    );
+    return runners.filter(({ id }) =>
+      !tried.has(id) && restrictions.applyTo(id)
     );
   }
 
   /** Whether one of the runners may accept the request before its wait ends. */
   #mayWait(restricted: readonly Runner[], waitUntil: number): boolean {
     const now = this.#daemon.now();
-    const { limits, pauses } = this.#daemon;
-    const mayWait = restricted.some(({ id }) =>
-      limits.hasShare(id, now) && pauses.endsBefore(id, waitUntil)
-    );
-    if (mayWait && now <= waitUntil && !this.#limits.isAbandoned()) return true;
-    logLimitsReached(this.#daemon, this.#routed, {
-      limited: restricted.filter(({ id }) => limits.perSecond(id)).length,
-      paused: restricted.filter(({ id }) => !pauses.allowsRequest(id, now))
-        .length,
-      waitedMs: now - this.#limits.receivedAt,
-      hasShare: restricted.some(({ id }) => limits.hasShare(id, now)),
-    });
-    return false;
+    const { restrictions } = this.#daemon;
+    const mayWait = now <= waitUntil && !this.#limits.isAbandoned() &&
+      restricted.some(({ id }) =>
+        restrictions.mayAllowRequest(id, { now, until: waitUntil })
+      );
+    if (!mayWait) {
+      logLimitsReached(this.#daemon, this.#routed, {
+        restricted,
+        waitedMs: now - this.#limits.receivedAt,
+      });
+    }
+    return mayWait;
   }
 
   /**
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -38,6 +38,7 @@
   StatementListener,
 } from "./process/runner_statements.ts";
 import { RunnerPauses } from "./process/runner_pauses.ts";
+import { RunnerRestrictions } from "./process/runner_restrictions.ts";
 import { RunnerLoads } from "./process/runner_loads.ts";
 import { StreamPace } from "./process/stream_pace.ts";
 import type { RouterSettings } from "./process/settings.ts";
@@ -94,6 +95,7 @@
   readonly crashes: CrashRecord;
   readonly limits: RunnerLimits;
   readonly pauses: RunnerPauses;
+  readonly restrictions: RunnerRestrictions;
   readonly sharedTimer = new SharedTimer(CAPACITY_CHECK_MS);
   readonly metrics = new RequestMetrics();
   readonly log: EventLog;
@@ -127,6 +129,7 @@
     this.crashes = new CrashRecord(log);
     this.limits = new RunnerLimits(log, () => this.#fleetSync.view);
     this.pauses = new RunnerPauses(log);
+    this.restrictions = new RunnerRestrictions(this.limits, this.pauses);
     this.#draining = new DrainingRunners(log);
     this.#directory = new RunnerDirectory(this.#draining);
     this.#lifecycle = new Lifecycle(log);
@@ -229,8 +232,7 @@
       runners: this.#directory.ready(service),
       loads: this.loads,
       prefixes: this.prefixes,
-      limits: this.limits,
-      pauses: this.pauses,
+      restrictions: this.restrictions,
       failureDomain: this.#settings.failureDomain,
       now: this.now(),
     };
@@ -366,14 +368,11 @@
     return cut === 0;
   }
 
-  /**
-   * Whether a runner's pause and rate limit allow a query now; counts it if so.
-   */
+  /** Whether a runner's restrictions allow a query now; counts it if so. */
   #mayQuery(id: string): boolean {
     const now = this.now();
-    if (!this.pauses.allowsRequest(id, now)) return false;
-    if (!this.limits.allowsRequest(id, now)) return false;
-    this.limits.recordRequest(id, now);
+    if (!this.restrictions.allowRequest(id, now)) return false;
+    this.restrictions.recordRequest(id, now);
     return true;
   }
 
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -26,6 +26,8 @@
 import type { Runner } from "../src/process/runner.ts";
 import { RunnerDirectory } from "../src/process/runner_directory.ts";
 import { RunnerLimits } from "../src/process/runner_limits.ts";
+import { RunnerPauses } from "../src/process/runner_pauses.ts";
+import { RunnerRestrictions } from "../src/process/runner_restrictions.ts";
 import type { StatedLimit } from "../src/process/runner_limits.ts";
 import {
   counterOf,
@@ -104,6 +106,11 @@
   }));
 }
 
+/** Returns restrictions of runners none of which has asked for any. */
+export function noRestrictions(): RunnerRestrictions {
+  return new RunnerRestrictions(emptyLimits(), new RunnerPauses(SILENT_LOG));
+}
+
 /** Returns a directory without runners, none of which is shutting down. */
 export function emptyDirectory(): RunnerDirectory {
   return new RunnerDirectory(new DrainingRunners(SILENT_LOG));
