Read the lease once while others may hold it

A candidate that has just learned of the store's epoch takes no lease for its duration, and yet read it every 0.4 s; calls to the store are priced. It now waits, as neighbours tell whether a lease is renewed.

--- a/packages/router/src/process/leader.ts
+++ b/packages/router/src/process/leader.ts
@@ -144,7 +144,8 @@
     const { lease, eligible, leaseChanged, metrics } = this.#options;
     metrics.term(lease.fencing ?? 0);
     if (lease.held) return await this.#lead();
-    if (!eligible()) return;
+    // Until other leases have expired, neighbours tell whether one is renewed.
+    if (!eligible() || lease.awaitsExpiry) return;
     const shouldCheck = lease.isReleased ||
       lease.unchangedMs >= CHECK_FRACTION * this.#options.leaseMs;
     if (!shouldCheck) return;
--- a/packages/router/src/process/leader_lease.ts
+++ b/packages/router/src/process/leader_lease.ts
@@ -175,6 +175,14 @@
     return this.#observer.version > 0 && this.#holderId === "";
   }
 
+  /**
+   * Whether this daemon takes no lease yet, because it has learned of the store's
+   * epoch too recently.
+   */
+  get awaitsExpiry(): boolean {
+    return this.#epoch.number >= 0 && !this.#epochOutlastsLeases();
+  }
+
   /** Records an observation of a neighbour; older revisions are ignored. */
   observe({ revision, holderId, at }: LeaseObservation): void {
     this.#observeEpoch(revision);
