Let a successor trust what was written after a restore

A leader that goes on after a restore stored the epoch that it had known before with each renewal, so that every successor skipped windows of usage once more.

--- a/packages/router/src/process/leader_lease.ts
+++ b/packages/router/src/process/leader_lease.ts
@@ -13,6 +13,7 @@
 import type { EventLog } from "./event_log.ts";
 import { FeedError } from "./feed.ts";
 import { INITIAL_STATE } from "./leader_record.ts";
+import { KnownEpoch } from "./known_epoch.ts";
 import { epochOf } from "./store_revision.ts";
 import type {
   LeaderRecord,
@@ -101,8 +102,7 @@
   readonly #log: EventLog;
   readonly #observer: LeaseObserver;
   readonly #startedAt: Timestamp;
-  /** Latest known epoch of the store, and since when it is known, in monotonic ms. */
-  #epoch = { number: -1, since: -Infinity };
+  readonly #epoch: KnownEpoch;
   #holderId = "";
   #ownWrite = false;
   #actedAt: Timestamp;
@@ -120,6 +120,7 @@
     this.#clock = clock;
     this.#log = log;
     this.#observer = new LeaseObserver(own.incarnation);
+    this.#epoch = new KnownEpoch(() => clock.monotonic());
     this.#startedAt = timestampOf(clock);
     this.#actedAt = this.#startedAt;
   }
@@ -180,12 +181,12 @@
    * epoch too recently.
    */
   get awaitsExpiry(): boolean {
-    return this.#epoch.number >= 0 && !this.#epochOutlastsLeases();
+    return this.#epoch.epoch >= 0 && !this.#epochOutlastsLeases();
   }
 
   /** Records an observation of a neighbour; older revisions are ignored. */
   observe({ revision, holderId, at }: LeaseObservation): void {
-    this.#observeEpoch(revision);
+    this.#epoch.observe(revision);
     if (revision <= this.#observer.version) return;
     this.#observer.observe(revision, at);
     this.#holderId = holderId;
@@ -207,7 +208,7 @@
   async tryTake(): Promise<void> {
     const found = await this.#tryStore(() => this.#store.read());
     if (found === "unknown") return;
-    this.#observeEpoch(found.revision);
+    this.#epoch.observe(found.revision);
     const { revision: version, record } = found;
     const observed = record && { version, holding: record.holding };
     const free = this.#observer.isFree(observed, this.#clock.monotonic());
@@ -216,19 +217,13 @@
     if (free && this.#epochOutlastsLeases()) await this.#take(found);
   }
 
-  #observeEpoch(revision: number): void {
-    const number = epochOf(revision);
-    if (number <= this.#epoch.number) return;
-    this.#epoch = { number, since: this.#clock.monotonic() };
-  }
-
   /**
    * Whether all leases that were renewed before the store's last restore have
    * expired. The restored store may not know them, so that a lease that is held
    * looks free there.
    */
   #epochOutlastsLeases(): boolean {
-    return this.#clock.monotonic() - this.#epoch.since >= this.#leaseMs;
+    return this.#epoch.ageMs >= this.#leaseMs;
   }
 
   /**
@@ -319,7 +314,7 @@
   #record(fencing: number, state: LeaderState): LeaderRecord {
     this.#attempts += 1;
     return {
-      epoch: this.#epoch.number,
+      epoch: this.#epoch.epoch,
       holding: {
         holder: this.#own.name,
         holderId: this.#own.incarnation,
@@ -365,6 +360,7 @@
     const term = this.#term;
     if (term === undefined) return;
     const { revision, record } = found;
+    this.#epoch.observe(revision);
     const holding = record?.holding;
     const own = holding?.holderId === this.#own.incarnation &&
       holding.fencing === term.fencing;
@@ -390,6 +386,7 @@
     readonly sentAt: Timestamp;
     readonly state: LeaderState;
   }): void {
+    this.#epoch.observe(write.revision);
     term.revision = write.revision;
     term.renewedAt = write.sentAt;
     term.state = write.state;
--- a/packages/router/src/process/leader_lease_test.ts
+++ b/packages/router/src/process/leader_lease_test.ts
@@ -458,7 +458,10 @@
     await hosts[1]!.renewOrTake();
   }
   assert.deepEqual(hosts.map(({ leads }) => leads), [true, false]);
-  assert.equal(world.read("normal").record?.work.nextWindow, 7);
+  const { record } = world.read("normal");
+  assert.equal(record?.work.nextWindow, 7);
+  // A successor trusts the state, as it was written after the restore.
+  assert.equal(record.epoch, 2);
   hosts[0]!.act(0);
   assert.equal(world.calls[1]!.fencing, world.calls[0]!.fencing);
 });
