--- a/packages/router/src/process/runner_pauses.ts
+++ b/packages/router/src/process/runner_pauses.ts
@@ -47,14 +47,9 @@
     return this.#pauses.has(runner);
   }
 
-  /** Whether this daemon may send a request to a runner now. */
-  allowsRequest(runner: string, now: number): boolean {
-    return this.#allowedAt(runner) <= now;
-  }
-
-  /** Whether this daemon may send a request to a runner before a time. */
-  endsBefore(runner: string, time: number): boolean {
-    return this.#allowedAt(runner) <= time;
+  /** Whether this daemon may send a request to a runner at a time, as far as known. */
+  allowsRequest(runner: string, at: number): boolean {
+    return this.#allowedAt(runner) <= at;
   }
 
   /** Records that a request is sent to a runner. */
--- a/packages/router/src/process/runner_restrictions.ts
+++ b/packages/router/src/process/runner_restrictions.ts
@@ -48,7 +48,7 @@
     readonly until: number;
   }): boolean {
     return this.#limits.hasShare(runner, times.now) &&
-      this.#pauses.endsBefore(runner, times.until);
+      this.#pauses.allowsRequest(runner, times.until);
   }
 
   /** Counts a request that is sent to a runner. */
