Take the pace of runners from one interface, and say where scheduling adapts

Two customers have load that the constants for the pace of engines do not fit. Before the parts are built, every user of those constants takes them from RunnerPace (AssumedPace returns today's), and SchedulingMode tells by service whether the new parts are in force: by the setting "scheduling", by the guarantee "pressure" in the settings, or once a runner states how fast its host is. No behaviour changes.

--- a/packages/router/src/process/runner_load.ts
+++ b/packages/router/src/process/runner_load.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import { FailureRate } from "./failure_rate.ts";
-import { prefillMs } from "./prefill_time.ts";
 import { RunnerQueue } from "./runner_queue.ts";
 import type { NeighbourFilter, WaitingEntry } from "./runner_queue.ts";
 import { addLoads, NO_LOAD, subtractLoads } from "./load_totals.ts";
@@ -268,11 +267,13 @@
    * failures, or sends no data on any request in flight. Requests in flight
    * continue, as silence alone is no reason to abort them, but new ones would
    * only wait beside them.
+   *
+   * @param backlogMs time in which the runner prefills the queued prompts.
    */
-  isEjected(now: number): boolean {
+  isEjected(now: number, backlogMs = 0): boolean {
     if (now < this.#ejectedUntil) return true;
     return this.#own.inFlight > 0 &&
-      now - this.#lastActivityAt > this.#silenceTimeoutMs();
+      now - this.#lastActivityAt > this.#silenceTimeoutMs(backlogMs);
   }
 
   /**
@@ -282,10 +283,10 @@
    * out 7 runners at any moment, and the prompts that those had cached were
    * prefilled again elsewhere.
    */
-  #silenceTimeoutMs(): number {
+  #silenceTimeoutMs(backlogMs: number): number {
     const streaming = this.#inFlight.size > this.#prefilling.size;
     return SILENCE_TIMEOUT_MS +
-      (streaming ? 0 : prefillMs(this.#total.unreadTokens));
+      (streaming ? 0 : backlogMs);
   }
 
   #change(change: LoadTotals): void {
--- a/packages/router/src/process/runner_load_test.ts
+++ b/packages/router/src/process/runner_load_test.ts
@@ -88,12 +88,16 @@
   const others = { ...LOAD, unreadTokens: 50_000 };
   load.setNeighbourLoad("host-2", others, { now: 0 });
   load.place(REQUEST, 0);
-  assert.equal(load.isEjected(1_500), false);
-  assert.equal(load.isEjected(2_500), true);
+  assert.equal(load.isEjected(1_500, 1_000), false);
+  assert.equal(load.isEjected(2_500, 1_000), true);
   load.setNeighbourLoad("host-2", { ...others, unreadTokens: 40_000 }, {
     now: 2_500,
   });
-  assert.equal(load.isEjected(2_500), false, "one of the prompts is prefilled");
+  assert.equal(
+    load.isEjected(2_500, 800),
+    false,
+    "one of the prompts is prefilled",
+  );
 });
 
 // Once a stream has begun, an event is due every 250 ms, however many prompts
@@ -106,8 +110,8 @@
   load.place(REQUEST, 0);
   load.recordFirstEvent(REQUEST);
   load.recordActivity(100);
-  assert.equal(load.isEjected(900), false);
-  assert.equal(load.isEjected(1_100), true);
+  assert.equal(load.isEjected(900, 1_000), false);
+  assert.equal(load.isEjected(1_100, 1_000), true);
 });
 
 // One of three runners begins to fail, and each daemon has a response from it
--- /dev/null
+++ b/packages/router/src/process/runner_pace.ts
@@ -0,0 +1,50 @@
+/**
+ * Speed of runners, from which the duration of work is estimated.
+ *
+ * @module
+ */
+
+/** Estimates how long the runners of one service take for their work. */
+export interface RunnerPace {
+  /** Milliseconds in which a runner prefills a number of prompt tokens. */
+  prefillMs(runner: string, tokens: number, now: number): number;
+  /**
+   * Duration in ms of an engine step that includes a chunk of a prompt.
+   *
+   * @param runner id of the runner; undefined for the mean of the service.
+   */
+  chunkStepMs(runner: string | undefined, now: number): number;
+  /**
+   * Milliseconds that a runner of a plain service works on one request, without
+   * the time in its queue; undefined while unknown.
+   */
+  responseMs(runner: string, now: number): number | undefined;
+}
+
+/** Prompt tokens that an engine prefills per ms, beside its other work. */
+const PREFILL_TOKENS_PER_MS = 50;
+/**
+ * Duration in ms of an engine step that includes a chunk of a prompt: 2,048
+ * tokens at 62 tokens per ms, plus attention to the tokens prefilled before.
+ */
+const CHUNK_STEP_MS = 40;
+
+/**
+ * The same pace for all runners of any service, where runners are not observed.
+ */
+class AssumedPace implements RunnerPace {
+  prefillMs(_runner: string, tokens: number): number {
+    return tokens / PREFILL_TOKENS_PER_MS;
+  }
+
+  chunkStepMs(): number {
+    return CHUNK_STEP_MS;
+  }
+
+  responseMs(): undefined {
+    return undefined;
+  }
+}
+
+/** The pace that is assumed for all runners of a service that is not observed. */
+export const ASSUMED_PACE: RunnerPace = new AssumedPace();
--- a/packages/router/src/process/settings.ts
+++ b/packages/router/src/process/settings.ts
@@ -5,6 +5,8 @@
  */
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
+import { SCHEDULING_SETTINGS } from "./scheduling_mode.ts";
+import type { SchedulingSettings } from "./scheduling_mode.ts";
 
 /** Address at which a server listens or is reached. */
 export interface ListenAddress {
@@ -78,6 +80,7 @@
     readonly extra: number;
     readonly windowMs: number;
   };
+  readonly scheduling: SchedulingSettings;
   /** Absent if the platform has no API; the fleet then has no leader. */
   readonly leadership: LeadershipSettings | undefined;
 }
@@ -142,6 +145,27 @@
     return this.#reject(place, "true or false", value, false);
   }
 
+  flagOr(from: unknown, place: string, fallback: boolean): boolean {
+    if (valueAt(from, place) === undefined) return fallback;
+    return this.flag(from, place);
+  }
+
+  choiceOr<Choice extends string>(
+    from: unknown,
+    place: string,
+    options: {
+      readonly choices: readonly Choice[];
+      readonly fallback: Choice;
+    },
+  ): Choice {
+    const { choices, fallback } = options;
+    const value = valueAt(from, place);
+    if (value === undefined) return fallback;
+    const choice = choices.find((choice) => choice === value);
+    if (choice !== undefined) return choice;
+    return this.#reject(place, `one of ${choices.join(", ")}`, value, fallback);
+  }
+
   optionalAddress(from: unknown, place: string): ListenAddress | undefined {
     if (valueAt(from, place) === undefined) return undefined;
     return this.address(from, place);
@@ -238,6 +262,13 @@
       extra: reader.number(json, "retries.extra"),
       windowMs: reader.number(json, "retries.windowMs"),
     },
+    scheduling: {
+      scheduling: reader.choiceOr(json, "scheduling", {
+        choices: SCHEDULING_SETTINGS,
+        fallback: "auto",
+      }),
+      pressure: reader.flagOr(json, "guarantees.pressure", false),
+    },
     leadership: readLeadership(json, reader),
   };
   return reader.findings.length === 0 ? ok(settings) : err(reader.findings);
--- a/packages/router/src/request/admission.ts
+++ b/packages/router/src/request/admission.ts
@@ -5,7 +5,6 @@
  * @module
  */
 import type { Runner } from "../process/runner.ts";
-import { prefillMs } from "../process/prefill_time.ts";
 import { MAX_TIGHT_PREFILL_MS } from "./demand.ts";
 import type { Demand, RunnerFleet } from "./demand.ts";
 
@@ -71,6 +70,8 @@
   const neededTokens = memoryTokens + demand.promptTokens +
     demand.maxOutputTokens;
   const factor = urgencyFactor(lessUrgentRanks);
+  const prefillMs = (tokens: number) =>
+    fleet.pace.prefillMs(runner.id, tokens, fleet.now);
   return prefillMs(workTokens) > MAX_WORK_MS * factor ||
     prefillMs(unreadTokens + ahead.unreadTokens) > MAX_BACKLOG_MS * factor ||
     inFlight + ahead.requests >= share * engine!.slots ||
@@ -92,5 +93,7 @@
   if (tightStreams === 0) return false;
   const { prompt, promptTokens } = demand;
   const cached = fleet.prefixes.cachedTokens(runner.id, prompt, fleet.now);
-  return prefillMs(unreadTokens + promptTokens - cached) > MAX_TIGHT_PREFILL_MS;
+  const tokens = unreadTokens + promptTokens - cached;
+  return fleet.pace.prefillMs(runner.id, tokens, fleet.now) >
+    MAX_TIGHT_PREFILL_MS;
 }
--- a/packages/router/src/request/admission_test.ts
+++ b/packages/router/src/request/admission_test.ts
@@ -4,6 +4,7 @@
 import { PrefixIndex } from "../process/prefix_index.ts";
 import type { Runner } from "../process/runner.ts";
 import type { QueueKey } from "../process/runner_queue.ts";
+import { ASSUMED_PACE } from "../process/runner_pace.ts";
 import { RunnerLoads } from "../process/runner_loads.ts";
 import { isOverloaded } from "./admission.ts";
 import type { Demand, RunnerFleet } from "./demand.ts";
@@ -66,6 +67,7 @@
     loads,
     prefixes: new PrefixIndex(),
     restrictions: noRestrictions(),
+    pace: ASSUMED_PACE,
     failureDomain: "d",
     now: 0,
   };
--- a/packages/router/src/request/completion_check.ts
+++ b/packages/router/src/request/completion_check.ts
@@ -3,15 +3,14 @@
  *
  * @module
  */
-import { prefillMs } from "../process/prefill_time.ts";
 import { urgencyFactor } from "./admission.ts";
 
 /** Properties of a response that are known before its request is sent. */
 export interface ExpectedResponse {
   /** Milliseconds until the caller disconnects or gets a time-out. */
   readonly remainingMs: number;
-  /** Prompt tokens that the runner has to prefill. */
-  readonly prefillTokens: number;
+  /** Milliseconds in which the runner prefills the rest of the prompt. */
+  readonly prefillMs: number;
   /** Tokens that the caller expects in the response; 0 if it states none. */
   readonly outputTokens: number;
   /** Number of less urgent ranks. */
@@ -36,19 +35,19 @@
  *
  * @example
  * ```ts
- * finishesInTime({ remainingMs: 4_000, prefillTokens: 500, outputTokens: 200,
+ * finishesInTime({ remainingMs: 4_000, prefillMs: 10, outputTokens: 200,
  *   msPerToken: 40, lessUrgentRanks: 0 }); // false
  * ```
  */
 export function finishesInTime(expected: ExpectedResponse): boolean {
   const {
     remainingMs,
-    prefillTokens,
+    prefillMs,
     outputTokens,
     msPerToken,
     lessUrgentRanks,
   } = expected;
   if (msPerToken === undefined) return true;
-  const neededMs = prefillMs(prefillTokens) + outputTokens * msPerToken;
+  const neededMs = prefillMs + outputTokens * msPerToken;
   return neededMs <= remainingMs * urgencyFactor(lessUrgentRanks);
 }
--- a/packages/router/src/request/completion_check_test.ts
+++ b/packages/router/src/request/completion_check_test.ts
@@ -17,7 +17,7 @@
 function responseOf(tokens: number, msPerToken: number | undefined) {
   return {
     remainingMs: 8_000,
-    prefillTokens: 3_000,
+    prefillMs: 60,
     outputTokens: tokens,
     lessUrgentRanks: 0,
     msPerToken,
--- a/packages/router/src/request/daemon.ts
+++ b/packages/router/src/request/daemon.ts
@@ -12,6 +12,8 @@
 import type { SharedTimer } from "../process/shared_timer.ts";
 import type { PrefixIndex } from "../process/prefix_index.ts";
 import type { RetryBudget } from "../process/retry_budget.ts";
+import type { RunnerPace } from "../process/runner_pace.ts";
+import type { SchedulingMode } from "../process/scheduling_mode.ts";
 import type { StreamPace } from "../process/stream_pace.ts";
 import type { RunnerLoads } from "../process/runner_loads.ts";
 import type { RunnerLimits } from "../process/runner_limits.ts";
@@ -38,6 +40,8 @@
   readonly pauses: RunnerPauses;
   /** Rate limits and pauses, as they are checked before a request is sent. */
   readonly restrictions: RunnerRestrictions;
+  /** The services whose requests are scheduled adaptively. */
+  readonly scheduling: SchedulingMode;
   /** Requests that crash the runners on which they run. */
   readonly crashes: CrashRecord;
   /** Wakes requests that wait for capacity. */
@@ -68,6 +72,8 @@
   recordStatements(runner: Runner, statements: RunnerStatements): void;
   /** Reports that a connection to a runner broke while a request was on it. */
   reportBrokenConnection(runner: Runner, run: BrokenRun): void;
+  /** Returns how fast the runners of a service do their work. */
+  runnerPace(service: string): RunnerPace;
   /** Returns how fast the runners of a service generate tokens. */
   streamPace(service: string): StreamPace;
   /**
--- a/packages/router/src/request/demand.ts
+++ b/packages/router/src/request/demand.ts
@@ -5,6 +5,7 @@
  */
 import type { PrefixIndex, PromptPart } from "../process/prefix_index.ts";
 import type { Runner } from "../process/runner.ts";
+import type { RunnerPace } from "../process/runner_pace.ts";
 import type { RunnerRestrictions } from "../process/runner_restrictions.ts";
 import type { RunnerLoads } from "../process/runner_loads.ts";
 import type { QueueKey } from "../process/runner_queue.ts";
@@ -37,17 +38,14 @@
   readonly loads: RunnerLoads;
   readonly prefixes: PrefixIndex;
   readonly restrictions: RunnerRestrictions;
+  /** How fast the runners are. */
+  readonly pace: RunnerPace;
   /** Failure domain of this daemon. */
   readonly failureDomain: string;
   /** Monotonic milliseconds. */
   readonly now: number;
 }
 
-/**
- * Duration in ms of an engine step that includes a chunk of a prompt: 2,048
- * tokens at 62 tokens per ms, plus attention to the tokens prefilled before.
- */
-const CHUNK_STEP_MS = 40;
 /**
  * Share of a request's time-out that its response may take on an engine that
  * prefills back to back. Beyond it, the wait for the first token leaves too
@@ -70,10 +68,14 @@
  * Whether the request is a tight stream: one with so short a target for the gaps
  * between its events that prefill chunks in the same batch exceed it. An event holds several tokens, and each of them takes a whole step.
  */
-export function isTight(demand: Demand): boolean {
+export function isTight(
+  { pace, now }: Pick<RunnerFleet, "pace" | "now">,
+  demand: Demand,
+): boolean {
   const { engine, gapTargetMs } = demand;
   if (engine === undefined || gapTargetMs === undefined) return false;
-  return gapTargetMs <= GAP_MARGIN * engine.eventTokens * CHUNK_STEP_MS;
+  return gapTargetMs <= GAP_MARGIN * engine.eventTokens *
+      pace.chunkStepMs(undefined, now);
 }
 
 /**
@@ -82,8 +84,12 @@
  * expectation is right at the median and often far off, so it only decides
  * between runners.
  */
-export function hasLongOutput(demand: Demand): boolean {
+export function hasLongOutput(
+  { pace, now }: Pick<RunnerFleet, "pace" | "now">,
+  demand: Demand,
+): boolean {
   const { expectedOutputTokens, timeoutMs } = demand;
   if (expectedOutputTokens === undefined) return false;
-  return expectedOutputTokens * CHUNK_STEP_MS > LONG_OUTPUT_SHARE * timeoutMs;
+  return expectedOutputTokens * pace.chunkStepMs(undefined, now) >
+    LONG_OUTPUT_SHARE * timeoutMs;
 }
--- a/packages/router/src/request/placement.ts
+++ b/packages/router/src/request/placement.ts
@@ -63,14 +63,19 @@
   const untried = fleet.runners.filter(({ id }) =>
     !excluded.has(id) && (unrestricted || restrictions.allowRequest(id, now))
   );
-  const healthy = untried.filter(({ id }) =>
-    !fleet.loads.of(id).isEjected(fleet.now)
-  );
+  const healthy = untried.filter(({ id }) => !isEjected(fleet, id));
   // If all runners appear to be down, this daemon is probably partitioned or
   // mistaken.
   return healthy.length > 0 ? healthy : untried;
 }
 
+/** Whether a runner is ejected after failures, or silent for too long. */
+function isEjected({ loads, pace, now }: RunnerFleet, id: string): boolean {
+  const load = loads.of(id);
+  const backlogMs = pace.prefillMs(id, load.total.unreadTokens, now);
+  return load.isEjected(now, backlogMs);
+}
+
 function leastLoaded(
   fleet: RunnerFleet,
   runners: readonly Runner[],
@@ -124,7 +129,8 @@
   demand: Demand,
   runner: Runner,
 ): boolean {
-  return isTight(demand) || !poolsOf(fleet.runners).reserved.has(runner.name) ||
+  return isTight(fleet, demand) ||
+    !poolsOf(fleet.runners).reserved.has(runner.name) ||
     !delaysTightStreams(fleet, demand, runner);
 }
 
@@ -134,7 +140,7 @@
   runners: readonly Runner[],
 ): RunnerChoice {
   const pools = poolsOf(fleet.runners);
-  const tight = isTight(demand);
+  const tight = isTight(fleet, demand);
   const sharedPrefix = sharedPart(demand.prompt)!;
   const names = new Set(runners.map(({ name }) => name));
   const home = pools.home(sharedPrefix.id, { tight, usable: names });
--- a/packages/router/src/request/placement_test.ts
+++ b/packages/router/src/request/placement_test.ts
@@ -3,6 +3,7 @@
 import { noRestrictions } from "../../tests/fixtures.ts";
 import { PrefixIndex } from "../process/prefix_index.ts";
 import type { Runner } from "../process/runner.ts";
+import { ASSUMED_PACE } from "../process/runner_pace.ts";
 import { RunnerLoads } from "../process/runner_loads.ts";
 import { chooseRunner } from "./placement.ts";
 import { poolsOf } from "./runner_pools.ts";
@@ -32,6 +33,7 @@
     runners,
     loads: new RunnerLoads(),
     restrictions: noRestrictions(),
+    pace: ASSUMED_PACE,
     prefixes: new PrefixIndex(),
     failureDomain: "d-0",
     now: 1_000,
--- a/packages/router/src/request/runner_cost.ts
+++ b/packages/router/src/request/runner_cost.ts
@@ -5,7 +5,6 @@
  * @module
  */
 import type { Runner } from "../process/runner.ts";
-import { prefillMs } from "../process/prefill_time.ts";
 import { hasLongOutput, isTight, MAX_TIGHT_PREFILL_MS } from "./demand.ts";
 import type { Demand, RunnerFleet } from "./demand.ts";
 
@@ -135,9 +134,13 @@
  * Returns the cost in ms, to the request or to others, of the wrong kind of
  * runner.
  */
-function wrongPoolCostMs(demand: Demand, reserved: boolean): number {
-  if (isTight(demand)) return reserved ? 0 : TIGHT_AMONG_LONG_MS;
-  if (hasLongOutput(demand)) return reserved ? 0 : LONG_OUTPUT_MS;
+function wrongPoolCostMs(
+  fleet: RunnerFleet,
+  demand: Demand,
+  reserved: boolean,
+): number {
+  if (isTight(fleet, demand)) return reserved ? 0 : TIGHT_AMONG_LONG_MS;
+  if (hasLongOutput(fleet, demand)) return reserved ? 0 : LONG_OUTPUT_MS;
   return reserved ? LONG_AMONG_TIGHT_MS : 0;
 }
 
@@ -156,6 +159,8 @@
   const { runner, atHome, reserved, holdings } = options;
   const { holder, maxCachedTokens } = holdings;
   const load = fleet.loads.of(runner.id);
+  const prefillMs = (tokens: number) =>
+    fleet.pace.prefillMs(runner.id, tokens, fleet.now);
   const cached = cachedTokens(fleet, demand, runner);
   const missingTokens = holder === undefined ? 0 : holder.tokens - cached;
   const fetchMsPerToken = demand.engine!.fetchMsPerToken ?? Infinity;
@@ -166,7 +171,7 @@
   const duplicatePrefillMs = prefillMs(
     Math.max(0, maxCachedTokens - availableTokens),
   );
-  const tight = isTight(demand);
+  const tight = isTight(fleet, demand);
   const waitMs = prefillMs(
     load.total.unreadTokens +
       load.queue.workAhead(demand.queueKey, fleet.now).unreadTokens,
@@ -178,7 +183,7 @@
     : holder === undefined
     ? AWAY_FROM_HOME_UNCACHED_MS
     : AWAY_FROM_HOME_MS;
-  const wrongPoolMs = wrongPoolCostMs(demand, reserved);
+  const wrongPoolMs = wrongPoolCostMs(fleet, demand, reserved);
   const tightDelayMs = !tight && waitMs + ownPrefillMs > MAX_TIGHT_PREFILL_MS
     ? DELAYED_TIGHT_STREAM_MS * load.total.tightStreams
     : 0;
--- a/packages/router/src/request/runner_search.ts
+++ b/packages/router/src/request/runner_search.ts
@@ -224,11 +224,16 @@
   #finishesInTime(choice: RunnerChoice, remainingMs: number): boolean {
     const { head, service, lessUrgentRanks } = this.#routed;
     if (service.engine === undefined) return true;
+    const now = this.#daemon.now();
     const msPerToken = this.#daemon.streamPace(service.name)
-      .msPerToken(choice.runner.id, this.#daemon.now());
+      .msPerToken(choice.runner.id, now);
     return finishesInTime({
       remainingMs,
-      prefillTokens: choice.prefillTokens,
+      prefillMs: this.#daemon.runnerPace(service.name).prefillMs(
+        choice.runner.id,
+        choice.prefillTokens,
+        now,
+      ),
       outputTokens: Math.min(
         head.maxOutputTokens,
         head.expectedOutputTokens ?? 0,
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -37,9 +37,12 @@
   RunnerStatements,
   StatementListener,
 } from "./process/runner_statements.ts";
+import { ASSUMED_PACE } from "./process/runner_pace.ts";
+import type { RunnerPace } from "./process/runner_pace.ts";
 import { RunnerPauses } from "./process/runner_pauses.ts";
 import { RunnerRestrictions } from "./process/runner_restrictions.ts";
 import { RunnerLoads } from "./process/runner_loads.ts";
+import { SchedulingMode } from "./process/scheduling_mode.ts";
 import { StreamPace } from "./process/stream_pace.ts";
 import type { RouterSettings } from "./process/settings.ts";
 import { Leadership } from "./leadership.ts";
@@ -96,6 +99,7 @@
   readonly limits: RunnerLimits;
   readonly pauses: RunnerPauses;
   readonly restrictions: RunnerRestrictions;
+  readonly scheduling: SchedulingMode;
   readonly sharedTimer = new SharedTimer(CAPACITY_CHECK_MS);
   readonly metrics = new RequestMetrics();
   readonly log: EventLog;
@@ -126,6 +130,7 @@
     this.#settings = settings;
     this.dialect = platform.dialect;
     this.log = log;
+    this.scheduling = new SchedulingMode(settings.scheduling, log);
     this.crashes = new CrashRecord(log);
     this.limits = new RunnerLimits(log, () => this.#fleetSync.view);
     this.pauses = new RunnerPauses(log);
@@ -233,6 +238,7 @@
       loads: this.loads,
       prefixes: this.prefixes,
       restrictions: this.restrictions,
+      pace: this.runnerPace(service),
       failureDomain: this.#settings.failureDomain,
       now: this.now(),
     };
@@ -252,6 +258,10 @@
     return this.#fleetSync.propagationMs;
   }
 
+  runnerPace(_service: string): RunnerPace {
+    return ASSUMED_PACE;
+  }
+
   streamPace(service: string): StreamPace {
     return this.#streamPaces.of(service);
   }
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -393,6 +393,7 @@
     maxConnections: 100,
     graceMs: 3_000,
     retries: { ratio: 10, extra: 100, windowMs: 10_000 },
+    scheduling: { scheduling: "auto", pressure: false },
     leadership: undefined,
     ...fields,
   };
