Close a link after a time-out without received bytes

socket.setTimeout restarts at each write as well. The idle timer is now started again by received data and by a change of the time-out only.

--- a/packages/router/src/connection/peer_link.ts
+++ b/packages/router/src/connection/peer_link.ts
@@ -17,7 +17,7 @@
  * that arrives seconds late is misleading, and a new link starts with a snapshot.
  */
 const MAX_BUFFERED_BYTES = 1024 * 1024;
-/** Default time in ms without activity after which a link is closed. */
+/** Default time in ms without received bytes after which a link is closed. */
 export const IDLE_TIMEOUT_MS = 1_500;
 
 /** Encodes a message once, to be sent on many links. */
@@ -39,7 +39,7 @@
   send(message: PeerMessage): void;
   /** Sends a message that is already encoded. */
   sendEncoded(frame: Buffer): void;
-  /** Sets the time without activity after which the link is closed. */
+  /** Sets the time without received bytes after which the link is closed. */
   setIdleTimeout(timeoutMs: number): void;
   close(): void;
 }
@@ -50,6 +50,7 @@
   readonly #onMessage: (message: PeerMessage) => void;
   readonly #onFault: (reason: string) => void;
   #idleTimeoutMs = IDLE_TIMEOUT_MS;
+  #idleTimer: NodeJS.Timeout;
   #chunks: Buffer[] = [];
   #size = 0;
 
@@ -58,14 +59,17 @@
     this.#onMessage = events.onMessage;
     this.#onFault = events.onFault;
     socket.setNoDelay(true);
-    // Only bytes that move on the connection count as activity; both sides send
-    // heartbeats well within the time-out.
-    socket.setTimeout(IDLE_TIMEOUT_MS);
-    socket.on("timeout", () => socket.destroy());
+    // Both sides send heartbeats well within the time-out. `socket.setTimeout`
+    // restarts at each write as well, so a link to a peer without power would
+    // stay up while this side goes on sending.
+    this.#idleTimer = this.#startIdleTimer();
     socket.on("data", (chunk: Buffer) => this.#receive(chunk));
     // Errors are handled by the "close" event that follows.
     socket.on("error", () => {});
-    socket.once("close", events.onClose);
+    socket.once("close", () => {
+      clearTimeout(this.#idleTimer);
+      events.onClose();
+    });
   }
 
   send(message: PeerMessage): void {
@@ -81,7 +85,8 @@
   setIdleTimeout(timeoutMs: number): void {
     if (this.#idleTimeoutMs === timeoutMs) return;
     this.#idleTimeoutMs = timeoutMs;
-    this.#socket.setTimeout(timeoutMs);
+    clearTimeout(this.#idleTimer);
+    if (!this.#socket.destroyed) this.#idleTimer = this.#startIdleTimer();
   }
 
   close(): void {
@@ -102,7 +107,13 @@
     }
   }
 
+  #startIdleTimer(): NodeJS.Timeout {
+    return setTimeout(() => this.#socket.destroy(), this.#idleTimeoutMs)
+      .unref();
+  }
+
   #receive(chunk: Buffer): void {
+    this.#idleTimer.refresh();
     this.#chunks.push(chunk);
     this.#size += chunk.length;
     if (this.#size < LENGTH_BYTES) return;
