Estimate the pace of each runner from its responses

All engines were taken to prefill 50 tokens per ms in steps of 40 ms, so that admission held work back from engines that can take three times as much, and urgent streams ran where an event takes longer than their pause.

ObservedPace learns three parameters of the service's mean (prefill per token, base step, slope by batch size) and one factor by runner, with the assumed pace as prior. The step with a chunk is a quantile: gaps between events rarely hold chunks in each step, and prefills of other daemons are known 150 ms late.

A mean over gaps with a known backlog gave 24 ms instead of 70 and was dropped.

--- /dev/null
+++ b/packages/router/src/process/observed_pace.ts
@@ -0,0 +1,555 @@
+/**
+ * Speed of the runners of one service, estimated from their responses.
+ *
+ * @module
+ */
+import { DecayedFit } from "./decayed_fit.ts";
+import { DecayedSums, NO_SUMS, observedMs } from "./pace_sums.ts";
+import type { PaceSums } from "./pace_sums.ts";
+import { ASSUMED_PACE } from "./runner_pace.ts";
+import type { RunnerPace } from "./runner_pace.ts";
+import { meanOfFigures, StatedWork } from "./stated_work.ts";
+
+/**
+ * Half-life in ms of observations of one runner. Its speed changes when its host
+ * does; slower moments of some hundred ms are known from stated figures only.
+ */
+const RUNNER_HALF_LIFE_MS = 10_000;
+/** Half-life in ms of observations of all runners, which change only together. */
+const SERVICE_HALF_LIFE_MS = 30_000;
+/**
+ * Work in ms of the service's mean in the estimate for one runner: two or three
+ * first events outweigh it, a single one does not.
+ */
+const PRIOR_MS = 200;
+/** The assumed pace, before anything is observed: prompt tokens. */
+const PRIOR_PROMPT_TOKENS = 8_000;
+/** The same, in steps without prefill. */
+const PRIOR_STEPS = 40;
+/** Assumed duration in ms of a step without prefill and its growth by request. */
+const ASSUMED_STEP_MS = 5;
+const ASSUMED_STEP_MS_PER_REQUEST = 0.1;
+/** Longest growth of a step by request, in ms, that is believed. */
+const MAX_STEP_MS_PER_REQUEST = 1;
+/** Assumed time in ms from the end of a prefill to the first event. */
+const ASSUMED_FIRST_EVENT_MS = 20;
+const MAX_FIRST_EVENT_MS = 150;
+/** Batches in which the assumed steps count as observed, for the fit. */
+const PRIOR_BATCHES = [8, 40] as const;
+/** Weight of each of these, in steps. */
+const PRIOR_BATCH_WEIGHT = 20;
+/** Prompts of which the assumed prefill counts as observed, for the fit. */
+const PRIOR_PROMPTS = [0, 8_000] as const;
+/** Weight of each of these, in first events. */
+const PRIOR_PROMPT_WEIGHT = 2;
+/**
+ * Prompt tokens at which the weight of a first event is a quarter of that of an
+ * empty prompt: times of long prompts vary more.
+ */
+const PROMPT_WEIGHT_TOKENS = 1_000;
+/**
+ * Factor by which one observation may differ from its estimate; more counts as
+ * this much. A first event may wait for prompts that are not known here, and a
+ * daemon may have been paused. A runner that became much slower is followed in
+ * several observations.
+ */
+const MAX_DEVIATION = 2.5;
+/**
+ * The same for steps without prefill, upwards. Other daemons' prompts are known
+ * late, and a chunk makes a step up to ten times as long.
+ */
+const MAX_STEP_EXCESS = 1.3;
+/** Largest expected time in ms with which one observation counts. */
+const MAX_OBSERVATION_MS = 100;
+/** Share of a first event's time that is prefill at least. */
+const MIN_PROMPT_SHARE = 0.25;
+/** Prompts below this number of tokens tell nothing of prefill. */
+const MIN_PROMPT_TOKENS = 500;
+/**
+ * Share of steps beside prompts that are shorter than one with a full chunk. Most
+ * gaps hold few chunks, and the end of a prefill at another daemon is known late,
+ * so a mean tells little: in a simulation of 21 uneven engines it was 24 ms where
+ * a full step took 70. This quantile was 49 to 67 ms at half to twice the usual
+ * load, and 10 to 13 ms where a full step took 10.4.
+ */
+const CHUNK_QUANTILE = 0.98;
+/** Step by which one observation changes the logarithm of the quantile. */
+const CHUNK_GAIN = 0.05;
+/**
+ * Minimum time in ms between two observations of the quantile: after a pause of
+ * this daemon, the gaps of all streams are long at once.
+ */
+const CHUNK_INTERVAL_MS = 20;
+/** Bounds of a chunk, in prompt tokens. */
+const MIN_CHUNK_TOKENS = 128;
+const MAX_CHUNK_TOKENS = 16_384;
+/** Responses from which the time of work of a plain service is known. */
+const MIN_RESPONSES = 3;
+/** Shortest step in ms that is believed. */
+const MIN_STEP_MS = 0.2;
+/** Factor from its mean at which a stated figure is worth sending at once. */
+const UNUSUAL_FACTOR = 1.3;
+/**
+ * Milliseconds for which an estimate is kept unless its runner is observed: with
+ * new ones at each choice, a choice among 98 runners took 172 us instead of 55.
+ */
+const ESTIMATE_MS = 50;
+/** Bounds of a runner's factor on the service's mean. */
+const MIN_FACTOR = 0.05;
+const MAX_FACTOR = 20;
+
+const ASSUMED_MS_PER_TOKEN = ASSUMED_PACE.prefillMs("", 1, 0);
+const ASSUMED_CHUNK_STEP_MS = ASSUMED_PACE.chunkStepMs(undefined, 0);
+/** Assumed prompt tokens of a chunk. */
+const ASSUMED_CHUNK_TOKENS = ASSUMED_CHUNK_STEP_MS / ASSUMED_MS_PER_TOKEN;
+
+/** Time from sending a request to the first event of its stream. */
+export interface FirstEvent {
+  readonly ms: number;
+  /**
+   * Prompt tokens that the runner had to prefill for it, and for all requests
+   * that were ahead of it when it was sent.
+   */
+  readonly tokens: number;
+  /** Monotonic time in ms of the event. */
+  readonly now: number;
+}
+
+/** Time between two events of a stream, and the runner's other work in it. */
+export interface EventGap {
+  readonly ms: number;
+  /** Tokens of the stream in this time, each of which took a step. */
+  readonly tokens: number;
+  /** Requests at the runner. */
+  readonly requests: number;
+  /** Prompt tokens at the runner that awaited prefill at the start of the gap. */
+  readonly unreadBefore: number;
+  /** The same at its end. */
+  readonly unreadAfter: number;
+  /** Monotonic time in ms of the end. */
+  readonly now: number;
+}
+
+/** Time in which a plain runner responded. */
+export interface PlainResponse {
+  readonly ms: number;
+  /** Requests at the runner when the request was sent. */
+  readonly ahead: number;
+  /** Requests that the runner works on at the same time. */
+  readonly slots: number;
+  /** Monotonic time in ms of the end of the response. */
+  readonly now: number;
+}
+
+/** Estimated pace of one runner. */
+export interface PaceSample {
+  readonly runner: string;
+  /** Time of its work relative to the mean of the service, without moments. */
+  readonly factor: number;
+}
+
+/** Pace of a mean runner. */
+interface ServiceModel {
+  readonly msPerPromptToken: number;
+  /** Time from the end of a prefill to the first event, in ms. */
+  readonly firstEventMs: number;
+  /** Duration of a step without prefill and without requests, in ms. */
+  readonly stepMs: number;
+  readonly stepMsPerRequest: number;
+  readonly chunkStepMs: number;
+  /** Undefined while unknown, and for engines. */
+  readonly responseMs: number | undefined;
+  /** Mean of the figures that runners state. */
+  readonly statedWork: number;
+}
+
+interface RunnerState {
+  readonly sums: DecayedSums;
+  readonly stated: StatedWork;
+  /** Estimate without the last stated figure, as of `lastingAt`. */
+  lasting: number;
+  lastingAt: number;
+}
+
+/**
+ * Estimates the pace of each runner of a service by few parameters, since one
+ * daemon of a large fleet sees a few responses a second: the pace of a mean
+ * runner, and for each runner a factor for all kinds of its work. The factor is
+ * learned from the sums of all daemons; a figure that the runner states
+ * multiplies it while the figure is fresh.
+ *
+ * Answers two loads: engines that prefill three times as much as assumed, from
+ * which admission held work back, and engines that are up to 2.5 times slower
+ * than others, on which an event of a stream took longer than its pause.
+ *
+ * @example
+ * ```ts
+ * pace.recordFirstEvent("r-1", { ms: 130, tokens: 3_720, now });
+ * const ms = pace.prefillMs("r-1", 13_300, now);
+ * ```
+ */
+export class ObservedPace implements RunnerPace {
+  readonly #sums = new DecayedSums(SERVICE_HALF_LIFE_MS);
+  readonly #statedWork = meanOfFigures();
+  readonly #steps = new DecayedFit(
+    SERVICE_HALF_LIFE_MS,
+    PRIOR_BATCHES.map((requests) => ({
+      x: requests,
+      y: ASSUMED_STEP_MS + ASSUMED_STEP_MS_PER_REQUEST * requests,
+      weight: PRIOR_BATCH_WEIGHT,
+    })),
+  );
+  readonly #firstEvents = new DecayedFit(
+    SERVICE_HALF_LIFE_MS,
+    PRIOR_PROMPTS.map((tokens) => ({
+      x: tokens,
+      y: ASSUMED_FIRST_EVENT_MS + ASSUMED_MS_PER_TOKEN * tokens,
+      weight: PRIOR_PROMPT_WEIGHT * promptWeight(tokens),
+    })),
+  );
+  /** Prompt tokens in a chunk, as a quantile. */
+  #chunkTokens = ASSUMED_CHUNK_TOKENS;
+  #chunkSeenAt = -Infinity;
+  readonly #runners = new Map<string, RunnerState>();
+  /** Responses before the time of work is known. */
+  #firstResponses: { readonly runner: string; readonly ms: number }[] = [];
+  #model: ServiceModel | undefined;
+  #modelAt = NaN;
+
+  prefillMs(runner: string, tokens: number, now: number): number {
+    return tokens * this.#modelOf(now).msPerPromptToken *
+      this.#factor(runner, now, now);
+  }
+
+  chunkStepMs(runner: string | undefined, now: number): number {
+    const { chunkStepMs } = this.#modelOf(now);
+    if (runner === undefined) return chunkStepMs;
+    return chunkStepMs * this.#factor(runner, now, now);
+  }
+
+  responseMs(runner: string, now: number): number | undefined {
+    const { responseMs } = this.#modelOf(now);
+    return responseMs && responseMs * this.#factor(runner, now, now);
+  }
+
+  /** Duration in ms of a step without prefill, by requests in the batch. */
+  stepMs(runner: string, requests: number, now: number): number {
+    const { stepMs, stepMsPerRequest } = this.#modelOf(now);
+    return (stepMs + stepMsPerRequest * requests) *
+      this.#factor(runner, now, now);
+  }
+
+  /**
+   * Records the first event of a stream.
+   *
+   * @returns what was added to the runner's sums.
+   */
+  recordFirstEvent(
+    runner: string,
+    { ms, tokens, now }: FirstEvent,
+  ): PaceSums | undefined {
+    if (!isDuration(ms) || !(tokens >= 0)) return undefined;
+    const { firstEventMs, msPerPromptToken } = this.#modelOf(now);
+    const factor = this.#factor(runner, now - ms / 2, now);
+    const offsetMs = factor * firstEventMs;
+    const expectedMs = offsetMs + factor * msPerPromptToken * tokens;
+    const seenMs = limit(ms, expectedMs, MAX_DEVIATION);
+    this.#judge(runner, ms / expectedMs, now - ms / 2, now);
+    this.#firstEvents.record({
+      x: tokens,
+      y: seenMs / factor,
+      weight: promptWeight(tokens),
+    }, now);
+    if (tokens < MIN_PROMPT_TOKENS) return undefined;
+    const promptMs = Math.max(seenMs - offsetMs, MIN_PROMPT_SHARE * seenMs);
+    const weight = weightOf(expectedMs - offsetMs);
+    return this.#add(runner, {
+      ...NO_SUMS,
+      promptMs: weight * promptMs,
+      promptTokens: weight * tokens,
+    }, now);
+  }
+
+  /**
+   * Records the time between two events of a stream: of steps without prefill, if
+   * no prompt awaited any.
+   *
+   * @returns what was added to the runner's sums.
+   */
+  recordGap(runner: string, gap: EventGap): PaceSums | undefined {
+    const { ms, tokens, requests, unreadBefore, unreadAfter, now } = gap;
+    if (!isDuration(ms) || !(tokens > 0)) return undefined;
+    const at = now - ms / 2;
+    const factor = this.#factor(runner, at, now);
+    const model = this.#modelOf(now);
+    const stepMs = factor * (model.stepMs + model.stepMsPerRequest * requests);
+    if (unreadBefore === 0 && unreadAfter === 0) {
+      const expectedMs = tokens * stepMs;
+      const seenMs = clamp(
+        ms,
+        expectedMs / MAX_DEVIATION,
+        expectedMs * MAX_STEP_EXCESS,
+      );
+      this.#judge(runner, ms / expectedMs, at, now);
+      this.#steps.record({
+        x: requests,
+        y: seenMs / tokens / factor,
+        weight: 1,
+      }, now);
+      const weight = weightOf(expectedMs);
+      return this.#add(runner, {
+        ...NO_SUMS,
+        stepMs: weight * seenMs,
+        stepTokens: weight * tokens,
+        stepRequests: weight * tokens * requests,
+      }, now);
+    }
+    const msPerPromptToken = factor * model.msPerPromptToken;
+    this.#recordChunk(ms / tokens / msPerPromptToken, now);
+    return undefined;
+  }
+
+  /**
+   * Records a response of a plain runner. One that waited in the runner's queue
+   * counts, less its wait, only while there is no other.
+   *
+   * @returns what was added to the runner's sums.
+   */
+  recordResponse(
+    runner: string,
+    { ms, ahead, slots, now }: PlainResponse,
+  ): PaceSums | undefined {
+    if (!isDuration(ms)) return undefined;
+    const waits = Math.max(0, ahead + 1 - slots) / Math.max(1, slots);
+    const { responseMs } = this.#modelOf(now);
+    const workMs = ms / (1 + waits);
+    if (responseMs === undefined) {
+      return this.#recordFirstResponse(runner, workMs, now);
+    }
+    if (waits > 0 && this.#sums.at(now).responses >= 1) return undefined;
+    const at = now - ms / 2;
+    const expectedMs = responseMs * this.#factor(runner, at, now);
+    this.#judge(runner, workMs / expectedMs, at, now);
+    const weight = weightOf(expectedMs);
+    return this.#add(runner, {
+      ...NO_SUMS,
+      responseMs: weight * limit(workMs, expectedMs, MAX_DEVIATION),
+      responses: weight,
+    }, now);
+  }
+
+  /** Applies what other daemons added to the sums of a runner. */
+  apply(runner: string, change: PaceSums, now: number): void {
+    this.#add(runner, change, now);
+  }
+
+  /**
+   * Records how long work takes on a runner's host at a time, relative to the
+   * usual time, as the runner stated it.
+   *
+   * @returns whether no later figure was known.
+   */
+  recordStated(runner: string, work: number, at: number): boolean {
+    if (!this.#stateOf(runner).stated.record(work, at)) return false;
+    this.#statedWork.record(work, 1, at);
+    this.#invalidate(runner);
+    return true;
+  }
+
+  /** Estimated time of work relative to the service's mean, without moments. */
+  lastingFactor(runner: string, now: number): number {
+    const known = this.#runners.get(runner);
+    return known === undefined ? 1 : this.#lasting(known, now);
+  }
+
+  /** Whether a runner's last stated figure differs from its mean. */
+  hasUnusualFigure(runner: string, now: number): boolean {
+    const known = this.#runners.get(runner);
+    if (known === undefined) return false;
+    const ratio = known.stated.work /
+      known.stated.mean(this.#modelOf(now).statedWork, now);
+    return ratio > UNUSUAL_FACTOR || ratio < 1 / UNUSUAL_FACTOR;
+  }
+
+  /** Estimates of all observed runners. */
+  samples(now: number): readonly PaceSample[] {
+    return [...this.#runners].map(([runner, known]) => ({
+      runner,
+      factor: this.#lasting(known, now),
+    }));
+  }
+
+  /**
+   * Deletes runners that are not listed; one that starts again has another id.
+   */
+  retain(ids: ReadonlySet<string>): void {
+    for (const id of this.#runners.keys()) {
+      if (!ids.has(id)) this.#runners.delete(id);
+    }
+  }
+
+  /**
+   * Starts from the median of the first responses: the first one alone may have
+   * been delayed by seconds.
+   */
+  #recordFirstResponse(
+    runner: string,
+    ms: number,
+    now: number,
+  ): PaceSums | undefined {
+    this.#firstResponses.push({ runner, ms });
+    if (this.#firstResponses.length < MIN_RESPONSES) return undefined;
+    const sorted = [...this.#firstResponses].sort((one, other) =>
+      one.ms - other.ms
+    );
+    const median = sorted[Math.floor(sorted.length / 2)]!.ms;
+    this.#firstResponses = [];
+    return this.#add(runner, {
+      ...NO_SUMS,
+      responseMs: MIN_RESPONSES * median,
+      responses: MIN_RESPONSES,
+    }, now);
+  }
+
+  #add(runner: string, change: PaceSums, now: number): PaceSums {
+    this.#sums.add(change, now);
+    this.#stateOf(runner).sums.add(change, now);
+    this.#invalidate(runner);
+    return change;
+  }
+
+  /** @param tokens prompt tokens that would take as long as the step. */
+  #recordChunk(tokens: number, now: number): void {
+    if (now - this.#chunkSeenAt < CHUNK_INTERVAL_MS) return;
+    this.#chunkSeenAt = now;
+    const longer = tokens > this.#chunkTokens;
+    const change = CHUNK_GAIN *
+      (longer ? CHUNK_QUANTILE : CHUNK_QUANTILE - 1);
+    this.#chunkTokens = clamp(
+      this.#chunkTokens * Math.exp(change),
+      MIN_CHUNK_TOKENS,
+      MAX_CHUNK_TOKENS,
+    );
+    this.#modelAt = NaN;
+  }
+
+  /** Compares an observation with the figure that was stated near its time. */
+  #judge(runner: string, observed: number, at: number, now: number): void {
+    const known = this.#runners.get(runner);
+    if (known === undefined || known.stated.weight(at, now) === 0) return;
+    const current = this.#factor(runner, at, now) / this.#lasting(known, now);
+    const mean = known.stated.mean(this.#modelOf(now).statedWork, now);
+    known.stated.judge(observed * current, known.stated.work / mean, now);
+  }
+
+  /** Time of work at `at` relative to the service's mean. */
+  #factor(runner: string, at: number, now: number): number {
+    const known = this.#runners.get(runner);
+    if (known === undefined) return 1;
+    const lasting = this.#lasting(known, now);
+    const weight = known.stated.weight(at, now);
+    if (weight === 0) return lasting;
+    const mean = known.stated.mean(this.#modelOf(now).statedWork, now);
+    return bound(lasting * (known.stated.work / mean) ** weight);
+  }
+
+  #lasting(known: RunnerState, now: number): number {
+    if (isCurrent(known.lastingAt, now)) return known.lasting;
+    const model = this.#modelOf(now);
+    const { stated } = known;
+    const mean = stated.mean(model.statedWork, now);
+    const priorMs = PRIOR_MS * (mean / model.statedWork) ** stated.trust(now);
+    const sums = known.sums.at(now);
+    known.lasting = bound(
+      (priorMs + observedMs(sums)) / (PRIOR_MS + expectedMs(model, sums)),
+    );
+    known.lastingAt = now;
+    return known.lasting;
+  }
+
+  #modelOf(now: number): ServiceModel {
+    if (this.#model !== undefined && isCurrent(this.#modelAt, now)) {
+      return this.#model;
+    }
+    const sums = this.#sums.at(now);
+    const { slope } = this.#steps.line(now);
+    const stepMsPerRequest = clamp(slope, 0, MAX_STEP_MS_PER_REQUEST);
+    const { intercept } = this.#firstEvents.line(now);
+    const msPerPromptToken =
+      (sums.promptMs + PRIOR_PROMPT_TOKENS * ASSUMED_MS_PER_TOKEN) /
+      (sums.promptTokens + PRIOR_PROMPT_TOKENS);
+    const stepMs = (sums.stepMs - stepMsPerRequest * sums.stepRequests +
+      PRIOR_STEPS * ASSUMED_STEP_MS) / (sums.stepTokens + PRIOR_STEPS);
+    this.#model = {
+      msPerPromptToken,
+      firstEventMs: clamp(intercept, 0, MAX_FIRST_EVENT_MS),
+      stepMs: Math.max(MIN_STEP_MS, stepMs),
+      stepMsPerRequest,
+      chunkStepMs: this.#chunkTokens * msPerPromptToken,
+      responseMs: sums.responses > 0
+        ? sums.responseMs / sums.responses
+        : undefined,
+      statedWork: this.#statedWork.mean(now),
+    };
+    this.#modelAt = now;
+    return this.#model;
+  }
+
+  #stateOf(runner: string): RunnerState {
+    const known = this.#runners.get(runner);
+    if (known !== undefined) return known;
+    const state = {
+      sums: new DecayedSums(RUNNER_HALF_LIFE_MS),
+      stated: new StatedWork(),
+      lasting: 1,
+      lastingAt: NaN,
+    };
+    this.#runners.set(runner, state);
+    return state;
+  }
+
+  #invalidate(runner: string): void {
+    this.#modelAt = NaN;
+    this.#stateOf(runner).lastingAt = NaN;
+  }
+}
+
+/** Time in ms that a mean runner takes for the work in the sums. */
+function expectedMs(model: ServiceModel, sums: PaceSums): number {
+  return model.msPerPromptToken * sums.promptTokens +
+    model.stepMs * sums.stepTokens +
+    model.stepMsPerRequest * sums.stepRequests +
+    (model.responseMs ?? 0) * sums.responses;
+}
+
+/** Whether an estimate is used as it is. */
+function isCurrent(at: number, now: number): boolean {
+  return Math.abs(now - at) < ESTIMATE_MS;
+}
+
+/** Weight of a first event in the fit, by the prompt tokens before it. */
+function promptWeight(tokens: number): number {
+  return 1 / (1 + tokens / PROMPT_WEIGHT_TOKENS) ** 2;
+}
+
+/** Weight by which an observation of long work counts like one of short work. */
+function weightOf(expectedMs: number): number {
+  return Math.min(1, MAX_OBSERVATION_MS / expectedMs);
+}
+
+function isDuration(ms: number): boolean {
+  return ms > 0 && ms < Infinity;
+}
+
+function clamp(value: number, least: number, most: number): number {
+  return Math.min(most, Math.max(least, value));
+}
+
+/** Limits an observation to a factor around the value that was expected. */
+function limit(value: number, expected: number, deviation: number): number {
+  return clamp(value, expected / deviation, expected * deviation);
+}
+
+function bound(factor: number): number {
+  return clamp(factor, MIN_FACTOR, MAX_FACTOR);
+}
--- a/packages/router/src/process/runner_pace.ts
+++ b/packages/router/src/process/runner_pace.ts
@@ -21,8 +21,11 @@
   responseMs(runner: string, now: number): number | undefined;
 }
 
-/** Prompt tokens that an engine prefills per ms, beside its other work. */
-const PREFILL_TOKENS_PER_MS = 50;
+/**
+ * Prompt tokens that an engine prefills per ms, beside its other work, where
+ * nothing is observed. Costs and bounds in ms were chosen at this pace.
+ */
+export const PREFILL_TOKENS_PER_MS = 50;
 /**
  * Duration in ms of an engine step that includes a chunk of a prompt: 2,048
  * tokens at 62 tokens per ms, plus attention to the tokens prefilled before.
