Observe responses and exchange the observations between daemons

One daemon of 73 sees each runner twice a minute, too rarely to know its pace.

Each daemon records first events against the prompt tokens ahead, gaps between events without prefill beside them, and responses of plain runners, and sends cumulative sums by runner as the optional field at position 6: 20 runners in a message, one in 250 ms and in 100 ms for each receiver, a runner once a second. Receivers take differences; the first report of a neighbour is a baseline. Figures that differ from the usual one go first and keep their age. Values that are no number or off by a factor of 50 are left out with at most 10 lines and then one in 6 s.

Without adaptive scheduling no byte is sent.

--- a/packages/router/src/connection/apply_update.ts
+++ b/packages/router/src/connection/apply_update.ts
@@ -8,6 +8,7 @@
 import type { PrefixIndex } from "../process/prefix_index.ts";
 import type { RunnerLimits } from "../process/runner_limits.ts";
 import type { RunnerLoads } from "../process/runner_loads.ts";
+import type { RunnerPaces } from "../process/runner_paces.ts";
 import type { FleetTime } from "../process/fleet_time.ts";
 import type { LeaderLease } from "../process/leader_lease.ts";
 import type { UsageMeter } from "../process/usage_meter.ts";
@@ -22,6 +23,7 @@
   readonly crashes: CrashRecord;
   readonly limits: RunnerLimits;
   readonly draining: DrainingRunners;
+  readonly paces: RunnerPaces;
 }
 
 /** State that daemons exchange for the leader. */
@@ -70,6 +72,17 @@
       update.draining.map(({ runner, agoMs }) => ({ runner, at: now - agoMs })),
       now,
     ),
+    paces: shared.paces.applyUpdates(
+      neighbour,
+      update.paces.map(({ stated, ...pace }) => ({
+        ...pace,
+        stated: stated && {
+          hundredths: stated.hundredths,
+          at: now - stated.agoMs,
+        },
+      })),
+      now,
+    ),
     usage: shared.usage?.applyUpdates(update.usage) ?? [],
     urgent: loads.some(({ waiting }) => waiting.length > 0),
   };
--- a/packages/router/src/connection/peer_encoding.ts
+++ b/packages/router/src/connection/peer_encoding.ts
@@ -8,6 +8,8 @@
 import { NO_CRASHES } from "./crash_ages.ts";
 import { hasReports, packCrashes, unpackCrashes } from "./crash_encoding.ts";
 import type { PackedCrashes } from "./crash_encoding.ts";
+import { packPace, unpackPaces } from "./pace_encoding.ts";
+import type { PackedPace } from "./pace_encoding.ts";
 import type { Contact } from "../process/contact.ts";
 import type { DeadContact } from "../process/contact_book.ts";
 import type { PrefixUpdate } from "../process/prefix_index.ts";
@@ -97,6 +99,7 @@
   usage?: readonly PackedUsage[] | undefined,
   lease?: PackedLease | undefined,
   draining?: readonly PackedDraining[] | undefined,
+  paces?: readonly PackedPace[] | undefined,
 ];
 
 const ADDRESS = /^[^\s:]+:\d{1,5}$/;
@@ -220,7 +223,7 @@
 
 /** Packs the optional fields, up to the last one that has a value. */
 function packOptionalFields(state: StateUpdate): PackedOptionalFields {
-  const { crashes, limits, timeMs, usage, lease, draining } = state;
+  const { crashes, limits, timeMs, usage, lease, draining, paces } = state;
   const fields: PackedOptionalFields = [
     hasReports(crashes) ? packCrashes(crashes) : undefined,
     limits.length === 0 ? undefined : limits.map(packLimit),
@@ -228,6 +231,7 @@
     usage.length === 0 ? undefined : usage.map(packUsage),
     lease && [lease.revision, lease.holderId, lease.agoMs],
     draining.length === 0 ? undefined : draining.map(packDraining),
+    paces.length === 0 ? undefined : paces.map(packPace),
   ];
   const last = fields.findLastIndex((field) => field !== undefined);
   return fields.slice(0, last + 1) as unknown as PackedOptionalFields;
@@ -283,6 +287,7 @@
   const [, , , , , , , contacts, gone, ...optional] = packed;
   const [crashes, limits = [], timeMs, usage = [], lease, draining = []] =
     optional;
+  const [, , , , , , paces] = optional;
   return {
     kind: "state",
     configuration,
@@ -304,6 +309,7 @@
     usage: usage.map(unpackUsage),
     lease: lease && unpackLease(lease),
     draining: draining.map(unpackDraining),
+    paces: unpackPaces(paces),
   };
 }
 
--- a/packages/router/src/connection/peer_message.ts
+++ b/packages/router/src/connection/peer_message.ts
@@ -11,6 +11,7 @@
 import type { DrainingUpdate } from "../process/draining_runners.ts";
 import type { LimitUpdate } from "../process/runner_limits.ts";
 import type { PrefixUpdate } from "../process/prefix_index.ts";
+import type { PaceUpdate, StatedFigure } from "../process/runner_paces.ts";
 import type { LoadTotals } from "../process/load_totals.ts";
 import type { RunnerListUpdate } from "../process/runner_directory.ts";
 import type { UsageCount } from "../process/usage_meter.ts";
@@ -85,6 +86,13 @@
   readonly agoMs: number;
 };
 
+/** Observed pace of a runner, with the age of its figure when it was sent. */
+export type PaceAge = Omit<PaceUpdate, "stated"> & {
+  readonly stated:
+    | (Omit<StatedFigure, "at"> & { readonly agoMs: number })
+    | undefined;
+};
+
 /** Changes on runners, merged from one or more daemons. */
 export interface RunnerUpdate {
   /** Whether `loads` is a snapshot of all loads; otherwise it is a delta. */
@@ -95,6 +103,8 @@
   readonly crashes: CrashAges;
   readonly limits: readonly LimitAge[];
   readonly draining: readonly DrainingAge[];
+  /** Observed paces; none where requests are not scheduled adaptively. */
+  readonly paces: readonly PaceAge[];
 }
 
 /** Changes since the sender's last update; also the heartbeat of a link. */
--- a/packages/router/src/connection/state_exchange.ts
+++ b/packages/router/src/connection/state_exchange.ts
@@ -122,6 +122,7 @@
       crashes: shared.crashes,
       limits: shared.limits,
       draining: shared.draining,
+      paces: shared.paces,
       time: shared.time,
       usage: shared.usage,
       lease: shared.lease,
@@ -308,6 +309,7 @@
   #removeReports(peer: Peer, role?: Role): void {
     const changed = this.#state.loads.removeNeighbour(peer.name);
     this.#state.time.forget(peer.name);
+    this.#state.paces.removeNeighbour(peer.name);
     this.#counts.removeNeighbour(peer.name);
     this.#countsChanged ||= this.#overlay.relayed;
     this.#broadcaster.retract(changed, role);
--- a/packages/router/src/connection/state_exchange_test.ts
+++ b/packages/router/src/connection/state_exchange_test.ts
@@ -11,6 +11,8 @@
   withoutLeadership,
 } from "../../tests/fixtures.ts";
 import { CrashRecord } from "../process/crash_record.ts";
+import { RunnerPaces } from "../process/runner_paces.ts";
+import { SchedulingMode } from "../process/scheduling_mode.ts";
 import { DrainingRunners } from "../process/draining_runners.ts";
 import { PrefixIndex } from "../process/prefix_index.ts";
 import { RunnerLoads } from "../process/runner_loads.ts";
@@ -36,6 +38,13 @@
       crashes: new CrashRecord(SILENT_LOG),
       limits: emptyLimits(),
       draining: new DrainingRunners(SILENT_LOG),
+      paces: new RunnerPaces(
+        new SchedulingMode(
+          { scheduling: "basic", pressure: false },
+          SILENT_LOG,
+        ),
+        SILENT_LOG,
+      ),
       ...withoutLeadership(),
       directory: emptyDirectory(),
       configuration: () => undefined,
--- a/packages/router/src/connection/update_broadcaster.ts
+++ b/packages/router/src/connection/update_broadcaster.ts
@@ -19,6 +19,7 @@
 } from "../process/draining_runners.ts";
 import type { LimitUpdate, RunnerLimits } from "../process/runner_limits.ts";
 import type { RunnerLoads } from "../process/runner_loads.ts";
+import type { PaceUpdate, RunnerPaces } from "../process/runner_paces.ts";
 import type { NeighbourFilter } from "../process/runner_queue.ts";
 import { ageOf, toAges } from "./crash_ages.ts";
 import { LoadSums } from "./load_sums.ts";
@@ -26,6 +27,7 @@
 import { Outbox } from "./outbox.ts";
 import type { OutgoingUpdate, Sourced } from "./outbox.ts";
 import type { Overlay, Role } from "./overlay.ts";
+import { PaceOutbox } from "./pace_outbox.ts";
 import { encodeMessage } from "./peer_link.ts";
 import type { RunnerLoadEntry, StateUpdate, Versions } from "./peer_message.ts";
 import type { Peer, Peers } from "./peers.ts";
@@ -50,6 +52,7 @@
   readonly draining: readonly DrainingUpdate[];
   readonly usage: readonly UsageCount[];
   readonly lease: LeaseObservation | undefined;
+  readonly paces: readonly PaceUpdate[];
 }
 
 /** An update without changes. */
@@ -61,6 +64,7 @@
   draining: [],
   usage: [],
   lease: undefined,
+  paces: [],
 };
 
 /** The shared state to send, and the neighbours to send it to. */
@@ -70,6 +74,7 @@
   readonly crashes: CrashRecord;
   readonly limits: RunnerLimits;
   readonly draining: DrainingRunners;
+  readonly paces: RunnerPaces;
   readonly time: FleetTime;
   readonly usage: UsageMeter | undefined;
   readonly lease: LeaderLease | undefined;
@@ -97,6 +102,8 @@
   readonly crashes: CrashUpdate;
   readonly limits: readonly LimitUpdate[];
   readonly draining: readonly DrainingUpdate[];
+  /** Runners with new observations, and whether to send them at once. */
+  readonly paces: ReadonlyMap<string, boolean>;
   readonly usage: readonly UsageCount[];
   /** Whether requests wait for the runners. */
   readonly urgent: boolean;
@@ -116,6 +123,8 @@
   readonly #upstream = new Outbox();
   /** For children. */
   readonly #downstream = new Outbox();
+  readonly #upstreamPaces = new PaceOutbox();
+  readonly #downstreamPaces = new PaceOutbox();
   readonly #upstreamBudget: TokenBucket;
   readonly #downstreamBudget: TokenBucket;
   /** Revision of the leader's lease that was collected last. */
@@ -148,6 +157,9 @@
     const crashUpdate = crashes.takeUpdates();
     const limitUpdates = limits.takeUpdates();
     const drainingUpdates = this.#sources.draining.takeUpdates();
+    const paces = this.#sources.paces.takeChanged();
+    this.#upstreamPaces.add(paces);
+    if (overlay.isRelay) this.#downstreamPaces.add(paces);
     this.#upstream.addUsage(this.#sources.usage?.takeUpdates() ?? []);
     this.#collectLease();
     const contacts = book.hasUpdates ? book.takeUpdates() : undefined;
@@ -190,6 +202,12 @@
     const { overlay } = this.#sources;
     // Usage goes up the tree only, to the daemons that may lead.
     if (overlay.role(name) === "child") this.#upstream.addUsage(usage);
+    if (overlay.isRelay) {
+      this.#downstreamPaces.add(received.paces);
+      if (overlay.role(name) === "child") {
+        this.#upstreamPaces.add(received.paces);
+      }
+    }
     const count = changedRunners.size + parts.length + crashes.crashed.length +
       crashes.responses.length + limits.length + draining.length;
     if (!overlay.isRelay || count === 0) return false;
@@ -267,13 +285,18 @@
     const budget = relayed ? this.#upstreamBudget.available(now) : Infinity;
     const pending = this.#upstream.take(Math.max(0, budget / LOAD_BYTES));
     const loads = this.#sums.forRunners(pending.runners, this.#isChild);
-    const frame = encodeMessage(
-      this.#stateUpdate(pending, loads, this.#isChild),
-    );
-    this.#upstreamBudget.take(frame.length);
     const receivers = relayed
       ? overlay.peersWith("parent", "head")
       : peers().connected;
+    const paces = this.#upstreamPaces.take(receivers.length, now);
+    const contents = {
+      ...pending,
+      paces: this.#paceUpdates(paces, this.#isChild, now),
+    };
+    const frame = encodeMessage(
+      this.#stateUpdate(contents, loads, this.#isChild),
+    );
+    this.#upstreamBudget.take(frame.length);
     for (const { link } of receivers) link.sendEncoded(frame);
   }
 
@@ -282,8 +305,14 @@
     const pending = this.#downstream.take(Math.max(0, budget / LOAD_BYTES));
     const totals = this.#sums.forRunners(pending.runners, () => true);
     let maxBytes = 0;
-    for (const { name, link } of this.#sources.overlay.peersWith("child")) {
-      const frame = this.#frameFor(name, pending, totals);
+    const children = this.#sources.overlay.peersWith("child");
+    const paces = this.#downstreamPaces.take(children.length, now);
+    for (const { name, link } of children) {
+      const others: NeighbourFilter = (other) => other !== name;
+      const frame = this.#frameFor(name, {
+        ...pending,
+        paces: this.#paceUpdates(paces, others, now),
+      }, totals);
       maxBytes = Math.max(maxBytes, frame.length);
       link.sendEncoded(frame);
     }
@@ -293,7 +322,7 @@
   /** An encoded update for a child, without what the child reported itself. */
   #frameFor(
     child: string,
-    pending: OutgoingUpdate,
+    pending: OutgoingUpdate & Pick<UpdateContents, "paces">,
     totals: readonly RunnerLoadEntry[],
   ): Buffer {
     const others: NeighbourFilter = (name) => name !== child;
@@ -311,8 +340,18 @@
     return encodeMessage(this.#stateUpdate(contents, loads, others));
   }
 
+  #paceUpdates(
+    runners: readonly string[],
+    includes: NeighbourFilter,
+    now: number,
+  ): readonly PaceUpdate[] {
+    return runners.flatMap((runner) =>
+      this.#sources.paces.updateFor(runner, includes, now) ?? []
+    );
+  }
+
   #stateUpdate(
-    { parts, contacts, crashes, limits, draining, usage, lease }:
+    { parts, contacts, crashes, limits, draining, usage, lease, paces }:
       UpdateContents,
     loads: readonly RunnerLoadEntry[],
     includes: NeighbourFilter,
@@ -336,6 +375,14 @@
         runner,
         agoMs: ageOf(at, now),
       })),
+      paces: paces.map(({ runner, sums, stated }) => ({
+        runner,
+        sums,
+        stated: stated && {
+          hundredths: stated.hundredths,
+          agoMs: ageOf(stated.at, now),
+        },
+      })),
       members: this.#sources.counts.sumFrom(includes),
       // Only usage windows need the time.
       timeMs: meter && Math.round(time.now()),
--- a/packages/router/src/process/metrics.ts
+++ b/packages/router/src/process/metrics.ts
@@ -17,6 +17,13 @@
   Registry as RegistryType,
 } from "prom-client";
 
+/** Time that a runner takes for its work, relative to others of its service. */
+interface PaceSample {
+  readonly service: string;
+  readonly runner: string;
+  readonly factor: number;
+}
+
 const MS_PER_SECOND = 1_000;
 /** In seconds, from the targets of interactive classes up to long streams. */
 const LATENCY_BUCKETS = [0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5, 10, 30];
@@ -137,6 +144,27 @@
     this.#lastWindow.set({ outcome }, window);
   }
 
+  /**
+   * Shows the observed pace of runners.
+   *
+   * @param samples called at each reading of the metrics.
+   */
+  observePaces(samples: () => readonly PaceSample[]): void {
+    new Gauge({
+      name: "umbermast_runner_work_factor",
+      help: "Time that a runner takes for its work by that of a mean runner, " +
+        "for the runners of each service that differ most",
+      labelNames: ["service", "runner"],
+      registers: [this.#registry],
+      collect() {
+        this.reset();
+        for (const { service, runner, factor } of samples()) {
+          this.set({ service, runner }, factor);
+        }
+      },
+    });
+  }
+
   /** Counts a call to the platform. */
   platformCall(call: "usage" | "runners", end: string): void {
     this.#calls.inc({ call, end });
--- a/packages/router/src/process/runner_load.ts
+++ b/packages/router/src/process/runner_load.ts
@@ -14,6 +14,12 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /**
+   * How long work takes on the runner's host at the moment, in hundredths of
+   * the usual time; NaN if what it states is no number. Absent if it states
+   * none.
+   */
+  readonly workHundredths?: number | undefined;
 }
 
 /** A request that this daemon has sent to a runner. */
@@ -269,11 +275,13 @@
    * only wait beside them.
    *
    * @param backlogMs time in which the runner prefills the queued prompts.
+   * @param silenceFactor factor by which a slow runner may be silent for longer.
    */
-  isEjected(now: number, backlogMs = 0): boolean {
+  isEjected(now: number, backlogMs = 0, silenceFactor = 1): boolean {
     if (now < this.#ejectedUntil) return true;
     return this.#own.inFlight > 0 &&
-      now - this.#lastActivityAt > this.#silenceTimeoutMs(backlogMs);
+      now - this.#lastActivityAt >
+        this.#silenceTimeoutMs(backlogMs, silenceFactor);
   }
 
   /**
@@ -283,9 +291,9 @@
    * out 7 runners at any moment, and the prompts that those had cached were
    * prefilled again elsewhere.
    */
-  #silenceTimeoutMs(backlogMs: number): number {
+  #silenceTimeoutMs(backlogMs: number, silenceFactor: number): number {
     const streaming = this.#inFlight.size > this.#prefilling.size;
-    return SILENCE_TIMEOUT_MS +
+    return silenceFactor * SILENCE_TIMEOUT_MS +
       (streaming ? 0 : backlogMs);
   }
 
--- /dev/null
+++ b/packages/router/src/process/runner_paces_test.ts
@@ -0,0 +1,144 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Fields } from "./log_line.ts";
+import { NO_SUMS } from "./pace_sums.ts";
+import type { Runner } from "./runner.ts";
+import { RunnerPaces } from "./runner_paces.ts";
+import { SchedulingMode } from "./scheduling_mode.ts";
+
+const SLOW: Runner = {
+  id: "slow~1",
+  name: "slow",
+  startedAtMs: 1,
+  service: "llm",
+  address: "10.0.0.1",
+  port: 1,
+  failureDomain: "d",
+  slots: 64,
+  draining: false,
+  warmUpMs: 0,
+};
+const USUAL = { ...SLOW, id: "usual~1", name: "usual" };
+const PROMPT = { ms: 100, tokens: 3_000 };
+
+/** One daemon's paces, with the lines that it logs. */
+class Observer {
+  readonly events: { readonly name: string; readonly fields: Fields }[] = [];
+  readonly mode: SchedulingMode;
+  readonly paces: RunnerPaces;
+
+  constructor(pressure = true) {
+    const log = {
+      event: (name: string, fields: Fields) =>
+        void this.events.push({ name, fields }),
+      decision() {},
+    };
+    this.mode = new SchedulingMode({ scheduling: "auto", pressure }, log);
+    this.paces = new RunnerPaces(this.mode, log);
+    this.paces.retain([SLOW, USUAL]);
+  }
+
+  observe(runner: Runner, factor: number, now: number): void {
+    this.paces.recordFirstEvent(runner, {
+      ms: factor * PROMPT.ms,
+      tokens: PROMPT.tokens,
+      now,
+    });
+  }
+
+  /** Sends the observations of runners to another daemon. */
+  tell(other: Observer, now: number, name = "peer"): void {
+    const updates = [SLOW, USUAL].flatMap(({ id }) =>
+      this.paces.updateFor(id, () => true, now) ?? []
+    );
+    other.paces.applyUpdates(name, updates, now);
+  }
+
+  /** Time of the slow runner's work relative to the other's. */
+  ratio(now: number): number {
+    const pace = this.paces.of("llm");
+    return pace.prefillMs(SLOW.id, 1_000, now) /
+      pace.prefillMs(USUAL.id, 1_000, now);
+  }
+
+  named(name: string): readonly Fields[] {
+    return this.events.filter((event) => event.name === name)
+      .map(({ fields }) => fields);
+  }
+}
+
+test("a daemon that saw nothing of a runner knows its pace from others", () => {
+  const seeing = new Observer();
+  const other = new Observer();
+  for (let now = 0; now < 4_000; now += 200) {
+    seeing.observe(SLOW, 4, now);
+    seeing.observe(USUAL, 1, now);
+    seeing.tell(other, now);
+  }
+  assert.ok(other.ratio(4_000) > 3, `${other.ratio(4_000)}`);
+  assert.equal(other.named("runner_pace").length > 0, true);
+});
+
+// Guards against observations of an hour that count as if they were made now,
+// and against ones that count twice after the path between daemons changes.
+test("a neighbour's first report is a baseline, also after its link was lost", () => {
+  const seeing = new Observer();
+  const other = new Observer();
+  for (let now = 0; now < 4_000; now += 200) seeing.observe(SLOW, 5, now);
+  for (const link of ["first", "second"]) {
+    seeing.tell(other, 4_000, link);
+    other.paces.removeNeighbour(link);
+  }
+  assert.equal(other.ratio(4_000), 1);
+  assert.deepEqual(
+    other.paces.updateFor(SLOW.id, () => true, 4_000)?.sums,
+    NO_SUMS,
+  );
+});
+
+test("nothing is observed or sent where scheduling is not adaptive", () => {
+  const basic = new Observer(false);
+  basic.observe(SLOW, 5, 0);
+  assert.equal(basic.ratio(0), 1);
+  assert.equal(basic.paces.takeChanged().size, 0);
+  basic.paces.recordStated(SLOW, 250, 1);
+  assert.equal(basic.mode.isAdaptive("llm"), true);
+  assert.deepEqual([...basic.paces.takeChanged()], [[SLOW.id, true]]);
+});
+
+// Guards against a runner, or a faulty daemon, whose values are no number, not
+// positive or absurd: they must not count, nor fill the log.
+test("nonsense is left out with few log lines and nothing else is lost", () => {
+  const observer = new Observer(false);
+  for (const figure of [NaN, 0, -100, 1, 900_000, Infinity]) {
+    for (let now = 0; now < 100; now += 1) {
+      observer.paces.recordStated(SLOW, figure, now);
+    }
+  }
+  assert.equal(observer.mode.isAdaptive("llm"), false);
+  const peers = new Observer();
+  const report = (promptMs: number, promptTokens: number) =>
+    peers.paces.applyUpdates("peer", [
+      {
+        runner: SLOW.id,
+        sums: { ...NO_SUMS, promptMs, promptTokens },
+        stated: { hundredths: NaN, at: NaN },
+      },
+      {
+        runner: USUAL.id,
+        sums: { ...NO_SUMS, promptMs: promptTokens / 10, promptTokens },
+        stated: undefined,
+      },
+    ], 100);
+  report(0, 0);
+  report(NaN, 100_000);
+  report(9e9, 200_000);
+  report(-5, 300_000);
+  const usual = peers.paces.of("llm").prefillMs(USUAL.id, 1_000, 100);
+  const slow = peers.paces.of("llm").prefillMs(SLOW.id, 1_000, 100);
+  assert.ok(usual > slow, "the other runner's sums count");
+  for (const { events } of [observer, peers]) {
+    const lines = events.filter(({ name }) => name === "pace_left_out");
+    assert.ok(lines.length > 0 && lines.length <= 10, `${lines.length} lines`);
+  }
+});
--- a/packages/router/src/process/stated_work.ts
+++ b/packages/router/src/process/stated_work.ts
@@ -14,7 +14,7 @@
 /** Half-life in ms of the mean of figures. */
 const MEAN_HALF_LIFE_MS = 30_000;
 /** Weight of the prior in the mean of figures, in figures. */
-const PRIOR_FIGURES = 2;
+const PRIOR_FIGURES = 4;
 /**
  * Factor by which a figure must differ from the runner's mean to show whether
  * it is true: below it the observations vary more than the figure.
--- a/packages/router/src/request/attempt_executor.ts
+++ b/packages/router/src/request/attempt_executor.ts
@@ -93,6 +93,8 @@
       tight: choice.tight,
     };
     const sentAt = this.#daemon.now();
+    const requestsAhead = load.requestCount(sentAt);
+    const tokensAhead = this.#tokensAhead(choice, routed);
     this.#progress.triedRunners.add(runner.id);
     logRunnerChosen(this.#daemon, routed, { choice, fingerprint, remainingMs });
     load.place(placed, sentAt);
@@ -122,6 +124,8 @@
         attempt,
         inactivity,
         sentAt,
+        requestsAhead,
+        tokensAhead,
         run: { fingerprint, startedAt },
       });
     } finally {
@@ -131,6 +135,23 @@
     }
   }
 
+  /**
+   * Prompt tokens that the runner prefills before the first event of a request
+   * that is about to be sent. Undefined where the event may be delayed by other
+   * work: a fetch of the cache, a resumed stream or a wait for a slot.
+   */
+  #tokensAhead(
+    { runner, prefillTokens, fetchFrom }: RunnerChoice,
+    { service: { engine } }: RoutedRequest,
+  ): number | undefined {
+    const { inFlight, unreadTokens } = this.#daemon.loads.of(runner.id).total;
+    const resumed = this.#relay.lastEventId !== undefined;
+    if (engine === undefined || fetchFrom !== undefined || resumed) {
+      return undefined;
+    }
+    return inFlight < engine.slots ? unreadTokens + prefillTokens : undefined;
+  }
+
   /**
    * Withdraws the request from a runner that has not begun to respond, because
    * the request would crash it.
@@ -188,9 +209,7 @@
       case "broken":
         return this.#handleBrokenConnection(result.reason, context);
       case "not-executed":
-        if (result.head.load !== undefined) {
-          load.recordReport(result.head.load, now);
-        }
+        this.#recordLoad(result.head, context);
         if (result.head.misdirected) load.recordFailure(now);
         return retry(
           "refused by runner",
@@ -198,9 +217,7 @@
         );
       case "response":
         this.#progress.mayHaveRun = true;
-        if (result.head.load !== undefined) {
-          load.recordReport(result.head.load, now);
-        }
+        this.#recordLoad(result.head, context);
         return this.#finish(
           routed,
           await this.#relay.relay(routed, result, context),
@@ -208,6 +225,19 @@
     }
   }
 
+  /** Records the load that a response reports, and how fast the host is. */
+  #recordLoad(
+    { load: reported, misdirected }: ResponseHead,
+    { load, attempt: { runner } }: AttemptContext,
+  ): void {
+    if (reported === undefined) return;
+    const now = this.#daemon.now();
+    load.recordReport(reported, now);
+    const { workHundredths } = reported;
+    if (workHundredths === undefined || misdirected) return;
+    this.#daemon.paces.recordStated(runner, workHundredths, now);
+  }
+
   /**
    * Records the rate limit that a response states. Only a response with the
    * runner's own seal shows that the runner no longer states one.
--- a/packages/router/src/request/daemon.ts
+++ b/packages/router/src/request/daemon.ts
@@ -13,6 +13,7 @@
 import type { PrefixIndex } from "../process/prefix_index.ts";
 import type { RetryBudget } from "../process/retry_budget.ts";
 import type { RunnerPace } from "../process/runner_pace.ts";
+import type { RunnerPaces } from "../process/runner_paces.ts";
 import type { SchedulingMode } from "../process/scheduling_mode.ts";
 import type { StreamPace } from "../process/stream_pace.ts";
 import type { RunnerLoads } from "../process/runner_loads.ts";
@@ -42,6 +43,8 @@
   readonly restrictions: RunnerRestrictions;
   /** The services whose requests are scheduled adaptively. */
   readonly scheduling: SchedulingMode;
+  /** Observed pace of runners, where scheduling is adaptive. */
+  readonly paces: RunnerPaces;
   /** Requests that crash the runners on which they run. */
   readonly crashes: CrashRecord;
   /** Wakes requests that wait for capacity. */
--- a/packages/router/src/request/response_relay.ts
+++ b/packages/router/src/request/response_relay.ts
@@ -22,6 +22,11 @@
  * continues on another runner.
  */
 const GAP_TIMEOUT_TARGETS = 4;
+/**
+ * Minimum time in ms over which the pace of a stream is observed: events that
+ * arrive together count with the gap before them.
+ */
+const MIN_GAP_MS = 40;
 const MIN_ERROR_STATUS = 400;
 const MIN_SERVER_ERROR_STATUS = 500;
 
@@ -36,6 +41,13 @@
   readonly inactivity: InactivityTimer;
   /** Monotonic milliseconds. */
   readonly sentAt: number;
+  /** Requests at the runner when this one was sent. */
+  readonly requestsAhead: number;
+  /**
+   * Prompt tokens that the runner prefills before the first event, its own and
+   * those ahead; undefined if other work may delay the event.
+   */
+  readonly tokensAhead: number | undefined;
   readonly run: BrokenRun;
 }
 
@@ -128,6 +140,7 @@
     context.load.recordSuccess();
     const failed = status >= MIN_SERVER_ERROR_STATUS;
     context.load.recordResponse(failed, this.#daemon.now());
+    this.#recordPlainResponse(routed, response, context);
     const respond = () =>
       this.#caller.respond(status, incoming.rawHeaders, received.body);
     if (failed) return { kind: "failed", status, respond };
@@ -144,6 +157,7 @@
     const { status, incoming } = response;
     const stream = this.#streamRelay(routed);
     const recordPace = this.#paceRecorder(routed, context);
+    const recordGap = this.#gapRecorder(routed, stream, context);
     let started = false;
     const end = await stream.relay(incoming, () => {
       const now = this.#daemon.now();
@@ -153,6 +167,7 @@
         started = true;
         this.#handleFirstEvent(routed, response, context);
       }
+      recordGap(now);
       context.inactivity.restart(
         GAP_TIMEOUT_TARGETS * (route.gapTargetMs ?? route.targetMs),
       );
@@ -188,6 +203,65 @@
     };
   }
 
+  /**
+   * Returns a function that records the times between a stream's events, and
+   * whether the runner prefilled in them. Times in which the runner was paused
+   * for a slow caller do not count.
+   */
+  #gapRecorder(
+    { service }: RoutedRequest,
+    stream: StreamRelay,
+    { load, attempt: { runner } }: AttemptContext,
+  ): (now: number) => void {
+    const { scheduling, paces } = this.#daemon;
+    if (service.engine === undefined || !scheduling.isAdaptive(service.name)) {
+      return () => {};
+    }
+    const { eventTokens } = service.engine;
+    let startedAt: number | undefined;
+    let tokens = 0;
+    let unreadBefore = 0;
+    let pausesBefore = 0;
+    return (now) => {
+      if (startedAt !== undefined) {
+        tokens += eventTokens;
+        const ms = now - startedAt;
+        if (ms < MIN_GAP_MS) return;
+        if (stream.pauseCount === pausesBefore) {
+          const { inFlight: requests, unreadTokens: unreadAfter } = load.total;
+          paces.recordGap(runner, {
+            ms,
+            tokens,
+            requests,
+            unreadBefore,
+            unreadAfter,
+            now,
+          });
+        }
+      }
+      startedAt = now;
+      tokens = 0;
+      unreadBefore = load.total.unreadTokens;
+      pausesBefore = stream.pauseCount;
+    };
+  }
+
+  #recordPlainResponse(
+    { service }: RoutedRequest,
+    { status, head }: RunnerResponse,
+    { attempt: { runner }, sentAt, requestsAhead }: AttemptContext,
+  ): void {
+    const plain = service.engine === undefined;
+    if (!plain || !head.sealed || status >= MIN_ERROR_STATUS) return;
+    const now = this.#daemon.now();
+    this.#daemon.paces.recordResponse(runner, {
+      ms: now - sentAt,
+      ahead: requestsAhead,
+      slots: runner.slots,
+      now,
+    });
+  }
+
   #streamRelay(routed: RoutedRequest): StreamRelay {
     this.#stream ??= new StreamRelay(this.#caller.response, {
       dialect: this.#daemon.dialect,
@@ -204,15 +278,23 @@
     response: RunnerResponse,
     context: AttemptContext,
   ): void {
-    const { load, placed, attempt } = context;
+    const { load, placed, attempt, sentAt, tokensAhead } = context;
+    const now = this.#daemon.now();
     this.#daemon.requestStarted(routed);
+    if (tokensAhead !== undefined) {
+      this.#daemon.paces.recordFirstEvent(attempt.runner, {
+        ms: now - sentAt,
+        tokens: tokensAhead,
+        now,
+      });
+    }
     load.recordFirstEvent(placed);
     load.recordSuccess();
     const { prompt } = routed.head;
     this.#daemon.prefixes.recordPrefill(
       attempt.runner.id,
       prompt,
-      this.#daemon.now(),
+      now,
     );
     this.#caller.beginStream(response.status, response.incoming.rawHeaders);
   }
--- a/packages/router/src/request/stream_relay.ts
+++ b/packages/router/src/request/stream_relay.ts
@@ -28,6 +28,7 @@
    * caller says it has received.
    */
   #lastEventId: number | undefined;
+  #pauseCount = 0;
   #eventCount = 0;
 
   constructor(
@@ -55,6 +56,11 @@
     return this.#eventCount;
   }
 
+  /** Number of times that the runner was paused for a slow caller. */
+  get pauseCount(): number {
+    return this.#pauseCount;
+  }
+
   /**
    * Relays a runner's events until its response ends.
    *
@@ -101,6 +107,7 @@
   }
 
   #pause(incoming: IncomingMessage): void {
+    this.#pauseCount += 1;
     incoming.pause();
     this.#body.onceDrained(() => incoming.resume());
   }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -37,8 +37,8 @@
   RunnerStatements,
   StatementListener,
 } from "./process/runner_statements.ts";
-import { ASSUMED_PACE } from "./process/runner_pace.ts";
 import type { RunnerPace } from "./process/runner_pace.ts";
+import { RunnerPaces } from "./process/runner_paces.ts";
 import { RunnerPauses } from "./process/runner_pauses.ts";
 import { RunnerRestrictions } from "./process/runner_restrictions.ts";
 import { RunnerLoads } from "./process/runner_loads.ts";
@@ -100,6 +100,7 @@
   readonly pauses: RunnerPauses;
   readonly restrictions: RunnerRestrictions;
   readonly scheduling: SchedulingMode;
+  readonly paces: RunnerPaces;
   readonly sharedTimer = new SharedTimer(CAPACITY_CHECK_MS);
   readonly metrics = new RequestMetrics();
   readonly log: EventLog;
@@ -131,6 +132,8 @@
     this.dialect = platform.dialect;
     this.log = log;
     this.scheduling = new SchedulingMode(settings.scheduling, log);
+    this.paces = new RunnerPaces(this.scheduling, log);
+    this.metrics.observePaces(() => this.paces.samples(this.now()));
     this.crashes = new CrashRecord(log);
     this.limits = new RunnerLimits(log, () => this.#fleetSync.view);
     this.pauses = new RunnerPauses(log);
@@ -179,6 +182,7 @@
       crashes: this.crashes,
       limits: this.limits,
       draining: this.#draining,
+      paces: this.paces,
       directory: this.#directory,
       configuration: () => this.#configuration,
       applyConfiguration: (configuration, source) =>
@@ -258,8 +262,8 @@
     return this.#fleetSync.propagationMs;
   }
 
-  runnerPace(_service: string): RunnerPace {
-    return ASSUMED_PACE;
+  runnerPace(service: string): RunnerPace {
+    return this.paces.of(service);
   }
 
   streamPace(service: string): StreamPace {
@@ -418,7 +422,9 @@
   }
 
   #runnersChanged(): void {
-    const ids = new Set(this.#directory.list.runners.map(({ id }) => id));
+    const { runners } = this.#directory.list;
+    const ids = new Set(runners.map(({ id }) => id));
+    this.paces.retain(runners);
     this.connections.retain(ids);
     this.loads.retain(ids);
     this.prefixes.retain(ids);
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -25,6 +25,7 @@
 import type { Changes, Feed, Listing } from "../src/process/feed.ts";
 import type { Runner } from "../src/process/runner.ts";
 import { RunnerDirectory } from "../src/process/runner_directory.ts";
+import type { ReportedLoad } from "../src/process/runner_load.ts";
 import { RunnerLimits } from "../src/process/runner_limits.ts";
 import { RunnerPauses } from "../src/process/runner_pauses.ts";
 import { RunnerRestrictions } from "../src/process/runner_restrictions.ts";
@@ -49,6 +50,12 @@
   return text === undefined ? undefined : { kind: "limit", perS: Number(text) };
 }
 
+/** Parses how long work takes on a runner's host, in hundredths. */
+function parseLoad(text: string | undefined): ReportedLoad | undefined {
+  if (text === undefined) return undefined;
+  return { running: 1, waiting: 0, slots: 8, workHundredths: Number(text) };
+}
+
 function parseNumber(text: string | undefined): number | undefined {
   return text === undefined ? undefined : Number(text);
 }
@@ -82,7 +89,7 @@
     notExecuted: headerOf(headers, "x-not-run") !== undefined,
     misdirected: status === 421,
     encoded: false,
-    load: undefined,
+    load: parseLoad(headerOf(headers, "x-work")),
     draining: headerOf(headers, "x-draining") !== undefined,
     pauseMs: parseNumber(headerOf(headers, "x-pause-ms")),
     limit: parseLimit(headerOf(headers, "x-limit")),
@@ -181,6 +188,7 @@
     crashes: NO_CRASHES,
     limits: [],
     draining: [],
+    paces: [],
     members: { fleet: 1, domain: 1 },
     timeMs: undefined,
     usage: [],
--- a/packages/router/tests/fleet.ts
+++ b/packages/router/tests/fleet.ts
@@ -18,6 +18,7 @@
 } from "../src/connection/peer_network.ts";
 import type { Contact } from "../src/process/contact.ts";
 import { CrashRecord } from "../src/process/crash_record.ts";
+import { RunnerPaces } from "../src/process/runner_paces.ts";
 import { DrainingRunners } from "../src/process/draining_runners.ts";
 import { FeedError } from "../src/process/feed.ts";
 import type { Changes, Feed, Listing } from "../src/process/feed.ts";
@@ -326,6 +327,7 @@
   readonly lease: LeaderLease;
   readonly leader: Leader;
   readonly draining: DrainingRunners;
+  readonly paces: RunnerPaces;
   readonly directory: RunnerDirectory;
   readonly links = new Set<FakeLink>();
   readonly events: { readonly name: string; readonly fields: Fields }[] = [];
@@ -360,6 +362,11 @@
     this.limits = new RunnerLimits(log, () => this.fleetSync.view);
     this.draining = new DrainingRunners(log);
     this.directory = new RunnerDirectory(this.draining);
+    const scheduling = { isAdaptive: () => true, recordStatedSpeed() {} };
+    this.paces = new RunnerPaces(scheduling, log);
+    this.directory.onChange(() =>
+      this.paces.retain(this.directory.list.runners)
+    );
     this.usage = new UsageMeter({
       incarnation: contact.incarnation,
       windowMs: WINDOW_MS,
@@ -397,6 +404,7 @@
       crashes: this.crashes,
       limits: this.limits,
       draining: this.draining,
+      paces: this.paces,
       time: this.time,
       usage: this.usage,
       lease: this.lease,
