Use the observed pace for admission, costs, tight streams and silence

Costs and bounds stood for engines that prefill 50 tokens per ms in steps of 40 ms. They now scale with the observed pace: 160 ms of prefill beside tight streams become four steps with a chunk of the runner, and costs by prefill count at the pace of a mean runner, since an engine that takes 2.4 times as long stayed idle while prompts waited for the others.

A stream is tight by runner, and runners on which its events would miss their pause are left out while others keep it. Runners are reserved for tight streams only where prompts delay some stream on most runners, decided once a second. The silence time-out allows for the events of a slow engine, up to three times the usual. Plain requests go to the runner that is done first.

With the assumed pace all factors are exactly 1.

--- a/packages/router/src/request/admission.ts
+++ b/packages/router/src/request/admission.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { Runner } from "../process/runner.ts";
-import { MAX_TIGHT_PREFILL_MS } from "./demand.ts";
+import { maxTightPrefillMs } from "./demand.ts";
 import type { Demand, RunnerFleet } from "./demand.ts";
 
 /**
@@ -95,5 +95,5 @@
   const cached = fleet.prefixes.cachedTokens(runner.id, prompt, fleet.now);
   const tokens = unreadTokens + promptTokens - cached;
   return fleet.pace.prefillMs(runner.id, tokens, fleet.now) >
-    MAX_TIGHT_PREFILL_MS;
+    maxTightPrefillMs(fleet, runner.id);
 }
--- a/packages/router/src/request/decision_log.ts
+++ b/packages/router/src/request/decision_log.ts
@@ -9,12 +9,33 @@
  * @module
  */
 import type { Quarantine } from "../process/crash_record.ts";
+import type { Fields } from "../process/log_line.ts";
 import type { Runner } from "../process/runner.ts";
 import type { QueueKey } from "../process/runner_queue.ts";
 import type { Daemon } from "./daemon.ts";
 import type { RunnerChoice } from "./placement.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 
+/**
+ * Fields on the observed pace of a runner: `backlog_ms`, in which it prefills its
+ * backlog, and `chunk_step_ms`, the duration of its steps meanwhile. None where
+ * scheduling is not adaptive.
+ */
+function observedPaceFields(
+  daemon: Daemon,
+  { service }: RoutedRequest,
+  runner: string,
+): Fields {
+  if (!daemon.scheduling.isAdaptive(service.name)) return {};
+  const now = daemon.now();
+  const pace = daemon.runnerPace(service.name);
+  const { unreadTokens } = daemon.loads.of(runner).total;
+  return {
+    backlog_ms: Math.round(pace.prefillMs(runner, unreadTokens, now)),
+    chunk_step_ms: Math.round(pace.chunkStepMs(runner, now)),
+  };
+}
+
 /**
  * Logs that no runner has capacity for a request or can complete it before its
  * deadline, and the load of the best runner.
@@ -33,6 +54,7 @@
   const msPerToken = daemon.streamPace(routed.service.name)
     .msPerToken(choice.runner.id, daemon.now());
   const { total } = daemon.loads.of(choice.runner.id);
+  const pace = observedPaceFields(daemon, routed, choice.runner.id);
   daemon.log.decision("overload_detected", routed.head.id, {
     service: routed.service.name,
     runner: choice.runner.id,
@@ -46,6 +68,7 @@
     in_time: inTime,
     ms_per_token: msPerToken === undefined ? undefined : Math.round(msPerToken),
     expected_tokens: routed.head.expectedOutputTokens,
+    ...pace,
     runners_age_ms: Math.round(daemon.runnerListAgeMs()),
   });
 }
--- a/packages/router/src/request/demand.ts
+++ b/packages/router/src/request/demand.ts
@@ -40,6 +40,11 @@
   readonly restrictions: RunnerRestrictions;
   /** How fast the runners are. */
   readonly pace: RunnerPace;
+  /**
+   * Shortest gap target of the streams to the service, Infinity without any;
+   * undefined where pools are reserved for tight streams in any case.
+   */
+  readonly shortestGapMs?: number | undefined;
   /** Failure domain of this daemon. */
   readonly failureDomain: string;
   /** Monotonic milliseconds. */
@@ -57,25 +62,48 @@
 /** Margin for the steps between chunks, as a factor. */
 const GAP_MARGIN = 1.25;
 /**
- * Prefill in ms that streams with tight gap targets tolerate without a late
- * event: four chunks, so that an event of five tokens takes 170 ms of its 200.
- * With 100, fewer long prompts found a runner in a burst: 1,478 of 2,017 were
- * in time instead of 1,510.
+ * Steps with a chunk that streams with tight gap targets tolerate without a late
+ * event: with four of 40 ms, an event of five tokens takes 170 ms of its 200.
+ * With 100 ms instead of 160, fewer long prompts found a runner in a burst: 1,478
+ * of 2,017 were in time instead of 1,510.
  */
-export const MAX_TIGHT_PREFILL_MS = 160;
+const MAX_TIGHT_CHUNKS = 4;
+
+/** Prefill in ms on a runner that delays no event of a tight stream too much. */
+export function maxTightPrefillMs(
+  { pace, now }: Pick<RunnerFleet, "pace" | "now">,
+  runner: string,
+): number {
+  return MAX_TIGHT_CHUNKS * pace.chunkStepMs(runner, now);
+}
 
 /**
  * Whether the request is a tight stream: one with so short a target for the gaps
  * between its events that prefill chunks in the same batch exceed it. An event holds several tokens, and each of them takes a whole step.
+ *
+ * @param runner id of the runner; undefined for a mean one of the service.
  */
 export function isTight(
   { pace, now }: Pick<RunnerFleet, "pace" | "now">,
-  demand: Demand,
+  { engine, gapTargetMs }: Pick<Demand, "engine" | "gapTargetMs">,
+  runner?: string,
 ): boolean {
-  const { engine, gapTargetMs } = demand;
   if (engine === undefined || gapTargetMs === undefined) return false;
   return gapTargetMs <= GAP_MARGIN * engine.eventTokens *
-      pace.chunkStepMs(undefined, now);
+      pace.chunkStepMs(runner, now);
+}
+
+/**
+ * Whether an event of the stream takes longer than its gap target on a runner
+ * that prefills in each step.
+ */
+export function missesGaps(
+  { pace, now }: Pick<RunnerFleet, "pace" | "now">,
+  { engine, gapTargetMs }: Demand,
+  runner: string,
+): boolean {
+  if (engine === undefined || gapTargetMs === undefined) return false;
+  return engine.eventTokens * pace.chunkStepMs(runner, now) > gapTargetMs;
 }
 
 /**
--- a/packages/router/src/request/placement.ts
+++ b/packages/router/src/request/placement.ts
@@ -14,7 +14,9 @@
   WARM_UP_FACTOR,
 } from "./runner_cost.ts";
 import type { CostEstimate } from "./runner_cost.ts";
-import { poolsOf } from "./runner_pools.ts";
+import type { RunnerPools } from "./runner_pools.ts";
+import { silenceFactor } from "./silence.ts";
+import { fleetPools, keepingGaps } from "./tight_streams.ts";
 
 /** A selected runner, with the inputs of the decision for the log. */
 export interface RunnerChoice {
@@ -56,6 +58,7 @@
 
 function eligibleRunners(
   fleet: RunnerFleet,
+  demand: Demand,
   excluded: ReadonlySet<string>,
 ): readonly Runner[] {
   const { restrictions, now } = fleet;
@@ -63,17 +66,18 @@
   const untried = fleet.runners.filter(({ id }) =>
     !excluded.has(id) && (unrestricted || restrictions.allowRequest(id, now))
   );
-  const healthy = untried.filter(({ id }) => !isEjected(fleet, id));
+  const healthy = untried.filter(({ id }) => !isEjected(fleet, demand, id));
   // If all runners appear to be down, this daemon is probably partitioned or
   // mistaken.
   return healthy.length > 0 ? healthy : untried;
 }
 
 /** Whether a runner is ejected after failures, or silent for too long. */
-function isEjected({ loads, pace, now }: RunnerFleet, id: string): boolean {
+function isEjected(fleet: RunnerFleet, demand: Demand, id: string): boolean {
+  const { loads, pace, now } = fleet;
   const load = loads.of(id);
   const backlogMs = pace.prefillMs(id, load.total.unreadTokens, now);
-  return load.isEjected(now, backlogMs);
+  return load.isEjected(now, backlogMs, silenceFactor(fleet, demand, id));
 }
 
 function leastLoaded(
@@ -88,7 +92,8 @@
     const requests = load.requestCount(fleet.now);
     const slowdown = runner.warmUpMs > 0 ? WARM_UP_FACTOR : 1;
     const failureFactor = 1 + FAILURE_RATE_WEIGHT * load.failureRate(fleet.now);
-    return slowdown * failureFactor *
+    const workMs = fleet.pace.responseMs(runner.id, fleet.now) ?? 1;
+    return workMs * slowdown * failureFactor *
       (1 + requests + domainPenalty + load.failures) /
       Math.max(1, runner.slots);
   };
@@ -117,7 +122,10 @@
   runner: Runner,
 ): boolean {
   return !isOverloaded(fleet, demand, runner) &&
-    toleratesPrefill(fleet, demand, runner);
+    toleratesPrefill(fleet, demand, {
+      runner,
+      pools: fleetPools(fleet, demand),
+    });
 }
 
 /**
@@ -127,26 +135,27 @@
 function toleratesPrefill(
   fleet: RunnerFleet,
   demand: Demand,
-  runner: Runner,
+  { runner, pools }: { readonly runner: Runner; readonly pools: RunnerPools },
 ): boolean {
-  return isTight(fleet, demand) ||
-    !poolsOf(fleet.runners).reserved.has(runner.name) ||
+  return isTight(fleet, demand, runner.id) ||
+    !pools.reserved.has(runner.name) ||
     !delaysTightStreams(fleet, demand, runner);
 }
 
 function lowestCost(
   fleet: RunnerFleet,
   demand: Demand,
-  runners: readonly Runner[],
+  eligible: readonly Runner[],
 ): RunnerChoice {
-  const pools = poolsOf(fleet.runners);
+  const pools = fleetPools(fleet, demand);
+  const runners = keepingGaps(fleet, demand, eligible);
   const tight = isTight(fleet, demand);
   const sharedPrefix = sharedPart(demand.prompt)!;
   const names = new Set(runners.map(({ name }) => name));
   const home = pools.home(sharedPrefix.id, { tight, usable: names });
-  const holdings = findPrefixHoldings(fleet, demand, runners);
+  const holdings = findPrefixHoldings(fleet, demand, eligible);
   const tolerant = runners.filter((runner) =>
-    toleratesPrefill(fleet, demand, runner)
+    toleratesPrefill(fleet, demand, { runner, pools })
   );
   let best: CostEstimate | undefined;
   for (const runner of tolerant.length > 0 ? tolerant : runners) {
@@ -163,9 +172,9 @@
     runner,
     prefillTokens,
     fetchFrom,
-    tight,
+    tight: isTight(fleet, demand, runner.id),
     overloaded: !hasCapacity(fleet, demand, runner),
-    candidates: runners.length,
+    candidates: eligible.length,
     reason: runner.name === home ? "home" : "spread",
   };
 }
@@ -188,7 +197,7 @@
   demand: Demand,
   excluded: ReadonlySet<string>,
 ): RunnerChoice | undefined {
-  const runners = eligibleRunners(fleet, excluded);
+  const runners = eligibleRunners(fleet, demand, excluded);
   if (runners.length === 0) return undefined;
   if (demand.engine === undefined || demand.prompt.length === 0) {
     return leastLoaded(fleet, runners);
--- a/packages/router/src/request/runner_cost.ts
+++ b/packages/router/src/request/runner_cost.ts
@@ -1,11 +1,14 @@
 /**
  * Estimates what it costs to place a request on a runner, in ms of its own time
- * and of other requests' time.
+ * and of other requests' time. The costs below stand for work at the assumed pace
+ * and grow and shrink with the time that runners take for that work, so that a
+ * service whose engines are all three times as fast makes the same choices.
  *
  * @module
  */
 import type { Runner } from "../process/runner.ts";
-import { hasLongOutput, isTight, MAX_TIGHT_PREFILL_MS } from "./demand.ts";
+import { PREFILL_TOKENS_PER_MS } from "../process/runner_pace.ts";
+import { hasLongOutput, isTight, maxTightPrefillMs } from "./demand.ts";
 import type { Demand, RunnerFleet } from "./demand.ts";
 
 /**
@@ -14,6 +17,10 @@
  * burst on 23 engines, 3.9 million tokens were prefilled again with 2.5, 2.2
  * million with 5 and 1.5 million with 10; with 10, urgent short requests wait
  * too long for their home runners, and 25 of 245 got no response.
+ *
+ * All but the request's own wait for it counts at the pace of a mean runner: at
+ * its own pace, an engine that takes 2.4 times as long stays idle while prompts
+ * wait for the others.
  */
 const PREFILL_WEIGHT = 5;
 /**
@@ -137,9 +144,11 @@
 function wrongPoolCostMs(
   fleet: RunnerFleet,
   demand: Demand,
-  reserved: boolean,
+  { runner, reserved }: { readonly runner: Runner; readonly reserved: boolean },
 ): number {
-  if (isTight(fleet, demand)) return reserved ? 0 : TIGHT_AMONG_LONG_MS;
+  if (isTight(fleet, demand, runner.id)) {
+    return reserved ? 0 : TIGHT_AMONG_LONG_MS;
+  }
   if (hasLongOutput(fleet, demand)) return reserved ? 0 : LONG_OUTPUT_MS;
   return reserved ? LONG_AMONG_TIGHT_MS : 0;
 }
@@ -171,20 +180,29 @@
   const duplicatePrefillMs = prefillMs(
     Math.max(0, maxCachedTokens - availableTokens),
   );
-  const tight = isTight(fleet, demand);
+  const tight = isTight(fleet, demand, runner.id);
+  // Time that this runner, and a mean one, takes for what takes one ms at the
+  // assumed pace.
+  const ownScale = prefillMs(PREFILL_TOKENS_PER_MS);
+  const { pace, now } = fleet;
+  const meanShare = pace.chunkStepMs(undefined, now) /
+    pace.chunkStepMs(runner.id, now);
+  const meanScale = ownScale * meanShare;
   const waitMs = prefillMs(
     load.total.unreadTokens +
       load.queue.workAhead(demand.queueKey, fleet.now).unreadTokens,
   );
   const ownPrefillMs = prefillMs(prefillTokens) +
-    (shouldFetch ? fetchMs + FETCH_PENALTY_MS : 0);
+    (shouldFetch ? fetchMs + meanScale * FETCH_PENALTY_MS : 0);
   const awayMs = atHome
     ? 0
     : holder === undefined
     ? AWAY_FROM_HOME_UNCACHED_MS
     : AWAY_FROM_HOME_MS;
-  const wrongPoolMs = wrongPoolCostMs(fleet, demand, reserved);
-  const tightDelayMs = !tight && waitMs + ownPrefillMs > MAX_TIGHT_PREFILL_MS
+  const wrongPoolMs = wrongPoolCostMs(fleet, demand, { runner, reserved });
+  const delaysTight = !tight &&
+    waitMs + ownPrefillMs > maxTightPrefillMs(fleet, runner.id);
+  const tightDelayMs = delaysTight
     ? DELAYED_TIGHT_STREAM_MS * load.total.tightStreams
     : 0;
   const usedShare = load.total.inFlight / demand.engine!.slots;
@@ -192,9 +210,10 @@
     FULL_SLOTS_MS * usedShare ** 2;
   const slowdown = runner.warmUpMs > 0 ? WARM_UP_FACTOR : 1;
   const stayBonusMs = demand.awaitedRunner === runner.id ? STAY_BONUS_MS : 0;
-  const costMs = slowdown * (waitMs + PREFILL_WEIGHT * ownPrefillMs) +
-    DUPLICATE_PREFILL_WEIGHT * duplicatePrefillMs + awayMs + wrongPoolMs +
-    tightDelayMs + batchMs +
+  const prefillWeight = 1 + (PREFILL_WEIGHT - 1) * meanShare;
+  const costMs = slowdown * (waitMs + prefillWeight * ownPrefillMs) +
+    DUPLICATE_PREFILL_WEIGHT * meanShare * duplicatePrefillMs +
+    meanScale * (awayMs + wrongPoolMs + tightDelayMs) + ownScale * batchMs +
     FAILURE_PENALTY_MS * load.failures - stayBonusMs;
   return {
     runner,
--- a/packages/router/src/request/runner_pools.ts
+++ b/packages/router/src/request/runner_pools.ts
@@ -8,7 +8,7 @@
 import type { Runner } from "../process/runner.ts";
 
 /** Share of a service's runners reserved for streams with tight gap targets. */
-const TIGHT_SHARE = 0.3;
+export const TIGHT_SHARE = 0.3;
 /**
  * Maximum number of cached pools, one for each set of runner names. A service
  * uses one at a time.
@@ -22,9 +22,12 @@
   readonly #tight: Rendezvous;
   readonly #others: Rendezvous;
 
-  /** @param names of the runners, without duplicates. */
-  constructor(names: readonly string[]) {
-    const count = names.length < 2
+  /**
+   * @param names of the runners, without duplicates.
+   * @param reserve whether to reserve runners for tight streams.
+   */
+  constructor(names: readonly string[], reserve: boolean) {
+    const count = names.length < 2 || !reserve
       ? 0
       : Math.max(1, Math.round(names.length * TIGHT_SHARE));
     this.reserved = new Set(
@@ -48,12 +51,17 @@
       readonly usable: ReadonlySet<string>;
     },
   ): string | undefined {
-    const pool = options.tight ? this.#tight : this.#others;
+    const pool = options.tight && this.reserved.size > 0
+      ? this.#tight
+      : this.#others;
     return pool.first(part, (name) => options.usable.has(name));
   }
 }
 
-const poolsByList = new WeakMap<readonly Runner[], RunnerPools>();
+const poolsByList = {
+  reserved: new WeakMap<readonly Runner[], RunnerPools>(),
+  common: new WeakMap<readonly Runner[], RunnerPools>(),
+};
 const poolsByNames = new Map<string, RunnerPools>();
 
 /**
@@ -62,14 +70,21 @@
  * mostly because a runner reports a change of its own state. Computed for each
  * list, the pools of a thousand runners would take most of a daemon's processor
  * time in the seconds after a loss of all daemons, when all callers reconnect.
+ *
+ * @param reserve whether to reserve runners for tight streams.
  */
-export function poolsOf(runners: readonly Runner[]): RunnerPools {
-  const cached = poolsByList.get(runners);
+export function poolsOf(
+  runners: readonly Runner[],
+  reserve = true,
+): RunnerPools {
+  const byList = reserve ? poolsByList.reserved : poolsByList.common;
+  const cached = byList.get(runners);
   if (cached !== undefined) return cached;
   const names = runners.map(({ name }) => name).sort();
-  const key = names.join("\n");
-  const pools = poolsByNames.get(key) ?? remember(key, new RunnerPools(names));
-  poolsByList.set(runners, pools);
+  const key = [String(reserve), ...names].join("\n");
+  const pools = poolsByNames.get(key) ??
+    remember(key, new RunnerPools(names, reserve));
+  byList.set(runners, pools);
   return pools;
 }
 
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -243,6 +243,9 @@
       prefixes: this.prefixes,
       restrictions: this.restrictions,
       pace: this.runnerPace(service),
+      shortestGapMs: this.scheduling.isAdaptive(service)
+        ? this.#routingTable?.shortestGapMs(service)
+        : undefined,
       failureDomain: this.#settings.failureDomain,
       now: this.now(),
     };
--- a/packages/router/src/version/routing_table.ts
+++ b/packages/router/src/version/routing_table.ts
@@ -33,6 +33,20 @@
   return indexed;
 }
 
+function shortestGapsOf(
+  routes: readonly Route[],
+): ReadonlyMap<string, number> {
+  const shortest = new Map<string, number>();
+  for (const { destinations, streaming, gapTargetMs } of routes) {
+    if (!streaming || gapTargetMs === undefined) continue;
+    for (const { service } of destinations) {
+      const known = shortest.get(service) ?? Infinity;
+      shortest.set(service, Math.min(known, gapTargetMs));
+    }
+  }
+  return shortest;
+}
+
 function normalizeHost(host: string): string {
   return host.replace(/:\d+$/, "").toLowerCase();
 }
@@ -58,6 +72,8 @@
   readonly #hosts: ReadonlyMap<string, HostRoutes>;
   readonly #services: ReadonlyMap<string, Service>;
   readonly #workspaces: ReadonlyMap<string, Workspace>;
+  /** Shortest gap target of the streams to each service, in ms. */
+  readonly #shortestGaps: ReadonlyMap<string, number>;
   /** Distinct pairs of workspace and route tiers, the most urgent first. */
   readonly #urgencies: readonly number[];
   /** The same pairs, ordered by the route's tier first. */
@@ -70,6 +86,7 @@
     this.#services = new Map(
       configuration.services.map((service) => [service.name, service]),
     );
+    this.#shortestGaps = shortestGapsOf(configuration.routes);
     this.#urgencies = urgenciesOf(configuration);
     this.#preemptions = this.#urgencies.map(swapTiers).sort(ascending);
     this.#workspaces = new Map(
@@ -84,6 +101,13 @@
     return this.#workspaces.size > 0;
   }
 
+  /**
+   * Shortest gap target of the streams to a service; Infinity without any.
+   */
+  shortestGapMs(service: string): number {
+    return this.#shortestGaps.get(service) ?? Infinity;
+  }
+
   /** The route with the longest prefix of `target`, a path with its query. */
   route(host: string, target: string): Route | undefined {
     const routes = this.#hosts.get(normalizeHost(host));
