--- a/packages/router/src/process/runner_paces_test.ts
+++ b/packages/router/src/process/runner_paces_test.ts
@@ -1,25 +1,14 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { testEngine } from "../../tests/fixtures.ts";
 import type { Fields } from "./log_line.ts";
 import { NO_SUMS } from "./pace_sums.ts";
 import type { Runner } from "./runner.ts";
 import { RunnerPaces } from "./runner_paces.ts";
 import { SchedulingMode } from "./scheduling_mode.ts";
 
-const SLOW: Runner = {
-  id: "slow~1",
-  name: "slow",
-  startedAtMs: 1,
-  service: "llm",
-  address: "10.0.0.1",
-  port: 1,
-  failureDomain: "d",
-  slots: 64,
-  draining: false,
-  warmUpMs: 0,
-};
-const USUAL = { ...SLOW, id: "usual~1", name: "usual" };
-const PROMPT = { ms: 100, tokens: 3_000 };
+const SLOW = testEngine("slow");
+const USUAL = testEngine("usual");
 
 /** One daemon's paces, with the lines that it logs. */
 class Observer {
@@ -39,11 +28,8 @@
   }
 
   observe(runner: Runner, factor: number, now: number): void {
-    this.paces.recordFirstEvent(runner, {
-      ms: factor * PROMPT.ms,
-      tokens: PROMPT.tokens,
-      now,
-    });
+    const ms = 100 * factor;
+    this.paces.recordFirstEvent(runner, { ms, tokens: 3_000, now });
   }
 
   /** Sends the observations of runners to another daemon. */
@@ -61,9 +47,9 @@
       pace.prefillMs(USUAL.id, 1_000, now);
   }
 
-  named(name: string): readonly Fields[] {
-    return this.events.filter((event) => event.name === name)
-      .map(({ fields }) => fields);
+  /** Number of log lines of a name. */
+  count(name: string): number {
+    return this.events.filter((event) => event.name === name).length;
   }
 }
 
@@ -76,7 +62,7 @@
     seeing.tell(other, now);
   }
   assert.ok(other.ratio(4_000) > 3, `${other.ratio(4_000)}`);
-  assert.equal(other.named("runner_pace").length > 0, true);
+  assert.ok(other.count("runner_pace") > 0);
 });
 
 // Guards against observations of an hour that count as if they were made now,
@@ -117,35 +103,29 @@
   }
   assert.equal(observer.mode.isAdaptive("llm"), false);
   const peers = new Observer();
-  const report = (promptMs: number, promptTokens: number) =>
+  const report = (ms: number, promptTokens: number) => {
+    const stated = { hundredths: NaN, at: NaN };
+    const sums = (promptMs: number) => ({ ...NO_SUMS, promptMs, promptTokens });
     peers.paces.applyUpdates("peer", [
-      {
-        runner: SLOW.id,
-        sums: { ...NO_SUMS, promptMs, promptTokens },
-        stated: { hundredths: NaN, at: NaN },
-      },
-      {
-        runner: USUAL.id,
-        sums: { ...NO_SUMS, promptMs: promptTokens / 10, promptTokens },
-        stated: undefined,
-      },
+      { runner: SLOW.id, sums: sums(ms), stated },
+      { runner: USUAL.id, sums: sums(promptTokens / 10), stated: undefined },
     ], 100);
+  };
   report(0, 0);
   report(NaN, 100_000);
   report(9e9, 200_000);
   report(-5, 300_000);
   const pace = peers.paces.of("llm");
-  const assumedMs = 20;
   const usual = pace.prefillMs(USUAL.id, 1_000, 100);
-  assert.ok(usual > 3 * assumedMs, "the other runner's sums count");
+  assert.ok(usual > 60, "the other runner's sums count: 20 are assumed");
   report(0, 0);
-  const before = peers.paces.of("llm").prefillMs(SLOW.id, 1_000, 100);
+  const before = pace.prefillMs(SLOW.id, 1_000, 100);
   report(NaN, NaN);
   report(80_000, 100_000);
-  const after = peers.paces.of("llm").prefillMs(SLOW.id, 1_000, 100);
+  const after = pace.prefillMs(SLOW.id, 1_000, 100);
   assert.ok(after > 5 * before, "the sums after a faulty report count");
-  for (const { events } of [observer, peers]) {
-    const lines = events.filter(({ name }) => name === "pace_left_out");
-    assert.ok(lines.length > 0 && lines.length <= 10, `${lines.length} lines`);
+  for (const daemon of [observer, peers]) {
+    const lines = daemon.count("pace_left_out");
+    assert.ok(lines > 0 && lines <= 10, `${lines} lines`);
   }
 });
--- a/packages/router/src/request/tight_streams_test.ts
+++ b/packages/router/src/request/tight_streams_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { noRestrictions } from "../../tests/fixtures.ts";
+import { noRestrictions, testEngine } from "../../tests/fixtures.ts";
 import { PacedRunners } from "../../tests/paced_runners.ts";
 import { ObservedPace } from "../process/observed_pace.ts";
 import { PrefixIndex } from "../process/prefix_index.ts";
@@ -28,18 +28,7 @@
   shortestGapMs?: number,
 ): RunnerFleet {
   return {
-    runners: ids.map((id, port) => ({
-      id,
-      name: id,
-      startedAtMs: undefined,
-      service: "llm",
-      address: "10.0.0.1",
-      port,
-      failureDomain: "d",
-      slots: 64,
-      draining: false,
-      warmUpMs: 0,
-    })),
+    runners: ids.map(testEngine),
     loads: new RunnerLoads(),
     restrictions: noRestrictions(),
     pace,
@@ -96,9 +85,7 @@
   return choice.runner.id;
 }
 
-function topics(): readonly string[] {
-  return Array.from({ length: 40 }, (_, index) => `t-${index}`);
-}
+const TOPICS = Array.from({ length: 40 }, (_, index) => `t-${index}`);
 
 function observed(
   factors: Readonly<Record<string, number>>,
@@ -115,15 +102,12 @@
   const factors = { a: 0.7, b: 0.7, c: 1.7 };
   const pace = observed(factors, 38);
   const fleet = fleetOf(Object.keys(factors), pace, 300);
-  const urgent = chosen(fleet, topics().map((topic) => urgentStream(topic)));
+  const urgent = chosen(fleet, TOPICS.map((topic) => urgentStream(topic)));
   assert.deepEqual([...urgent].sort(), ["a", "b"]);
-  const long = topics().map((topic) => placed(fleet, longPrompt(topic)));
+  const long = TOPICS.map((topic) => placed(fleet, longPrompt(topic)));
   assert.ok(long.includes("c"), "the slow engine takes long prompts");
-  const onlySlow = new Set(["a", "b"]);
-  assert.equal(
-    chooseRunner(fleet, urgentStream("t"), onlySlow)!.runner.id,
-    "c",
-  );
+  const last = chooseRunner(fleet, urgentStream("t"), new Set(["a", "b"]));
+  assert.equal(last!.runner.id, "c");
 });
 
 // Guards against an urgent stream that is sent to an engine in the 600 ms in
@@ -131,7 +115,7 @@
 test("choices follow a stated figure at once and forget it in half a second", () => {
   const factors = { a: 1, b: 1, c: 1 };
   const pace = observed(factors, 38);
-  const demands = topics().map((topic) =>
+  const demands = TOPICS.map((topic) =>
     urgentStream(topic, { gapTargetMs: 400 })
   );
   for (let now = 0; now < FOLLOW_MS; now += 500) {
@@ -155,7 +139,7 @@
   assert.equal(reserved(observed(factors, 150), 120), 0);
   assert.equal(reserved(observed(factors, 20), 300), 3);
   const fast = fleetOf(ids, observed(factors, 150), 120);
-  const all = chosen(fast, topics().map(longPrompt));
+  const all = chosen(fast, TOPICS.map(longPrompt));
   assert.ok(all.size > 7, `${all.size} runners take long prompts`);
 });
 
@@ -165,7 +149,7 @@
   const ids = Array.from({ length: 8 }, (_, index) => `r-${index}`);
   const place = (pace: RunnerPace) => {
     const fleet = fleetOf(ids, pace);
-    return topics().flatMap((topic) => [longPrompt(topic), urgentStream(topic)])
+    return TOPICS.flatMap((topic) => [longPrompt(topic), urgentStream(topic)])
       .map((demand) => placed(fleet, demand));
   };
   const scaled = (factor: number): RunnerPace => ({
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -249,6 +249,22 @@
   }
 }
 
+/** Returns a ready engine of service `llm` with 64 slots. */
+export function testEngine(id: string): Runner {
+  return {
+    id,
+    name: id,
+    startedAtMs: undefined,
+    service: "llm",
+    address: "10.0.0.1",
+    port: 1,
+    failureDomain: "d",
+    slots: 64,
+    draining: false,
+    warmUpMs: 0,
+  };
+}
+
 /** Returns a route to service `service` for every path of host `test`. */
 export function testRoute(fields: Partial<Route> = {}): Route {
   return {
