Exchange the places of refused requests between daemons

Cause: a caller that comes back after a refusal stands last, because the daemon to which it returns knows nothing of its first try.

Change: `ReturnPlaces` holds the places of refused requests by fingerprint, at most 2,000, until their callers' deadlines. A place is used once; identical requests have one place for each refusal, at most eight. Places and their uses travel through relays in position 8 of a state update, at most 50 in each. A place that is used at two daemons within the propagation time belongs to the use with the lower random number; the other request is queued as new. `DrainRate` estimates how many requests a service starts in a second while its runners are busy.

An update without places has no more bytes than before.

--- a/packages/router/src/connection/apply_update.ts
+++ b/packages/router/src/connection/apply_update.ts
@@ -6,12 +6,14 @@
 import type { CrashRecord } from "../process/crash_record.ts";
 import type { DrainingRunners } from "../process/draining_runners.ts";
 import type { PrefixIndex } from "../process/prefix_index.ts";
+import type { ReturnPlaces } from "../process/return_places.ts";
 import type { RunnerLimits } from "../process/runner_limits.ts";
 import type { RunnerLoads } from "../process/runner_loads.ts";
 import type { FleetTime } from "../process/fleet_time.ts";
 import type { LeaderLease } from "../process/leader_lease.ts";
 import type { UsageMeter } from "../process/usage_meter.ts";
 import { fromAges } from "./crash_ages.ts";
+import { fromPlaceAges } from "./place_encoding.ts";
 import type { ReceivedUpdate } from "./update_broadcaster.ts";
 import type { RunnerLoadEntry, StateUpdate } from "./peer_message.ts";
 
@@ -22,6 +24,7 @@
   readonly crashes: CrashRecord;
   readonly limits: RunnerLimits;
   readonly draining: DrainingRunners;
+  readonly places: ReturnPlaces;
 }
 
 /** State that daemons exchange for the leader. */
@@ -70,6 +73,10 @@
       update.draining.map(({ runner, agoMs }) => ({ runner, at: now - agoMs })),
       now,
     ),
+    places: shared.places.applyUpdates(
+      fromPlaceAges(update.places, now),
+      now,
+    ),
     usage: shared.usage?.applyUpdates(update.usage) ?? [],
     urgent: loads.some(({ waiting }) => waiting.length > 0),
   };
--- a/packages/router/src/connection/crash_encoding.ts
+++ b/packages/router/src/connection/crash_encoding.ts
@@ -49,7 +49,7 @@
  * Splits a flat array into rows of `length` fields; ignores an incomplete row at
  * the end.
  */
-function rowsOf<Field>(
+export function rowsOf<Field>(
   fields: readonly Field[],
   length: number,
 ): readonly (readonly Field[])[] {
--- a/packages/router/src/connection/outbox.ts
+++ b/packages/router/src/connection/outbox.ts
@@ -11,6 +11,11 @@
 import type { LeaseObservation } from "../process/leader_lease.ts";
 import type { UsageCount } from "../process/usage_meter.ts";
 import type { PrefixUpdate } from "../process/prefix_index.ts";
+import type {
+  PlaceUpdates,
+  PlaceUse,
+  ReturnPlace,
+} from "../process/return_places.ts";
 
 /**
  * Maximum number of prompt updates in one message; beyond it the oldest are
@@ -36,6 +41,17 @@
 /** Maximum number of draining runners in one message, about 3 KB; others wait. */
 const MAX_DRAINING = 100;
 
+/**
+ * Maximum number of places and their uses in one message, about 1.3 KB; others
+ * wait for the next message.
+ */
+export const MAX_PLACES = 50;
+/**
+ * Maximum number of places, and of uses, that wait to be sent; beyond it the
+ * oldest are dropped. Their callers return before they would be sent.
+ */
+const MAX_PLACES_WAITING = 1_000;
+
 /** The origin of a change. */
 export interface Sourced {
   /** Name of the neighbour that reported it; undefined for this daemon. */
@@ -48,6 +64,12 @@
   readonly responses: readonly (CompleteResponse & Sourced)[];
 }
 
+/** Changes of places, with the neighbours that reported them. */
+export interface SourcedPlaces {
+  readonly places: readonly (ReturnPlace & Sourced)[];
+  readonly uses: readonly (PlaceUse & Sourced)[];
+}
+
 /** The changes to send in the next messages. */
 export interface OutgoingUpdate {
   /** Ids of runners whose loads have changed. */
@@ -57,6 +79,7 @@
   readonly crashes: SourcedCrashes;
   readonly limits: readonly (LimitUpdate & Sourced)[];
   readonly draining: readonly (DrainingUpdate & Sourced)[];
+  readonly places: SourcedPlaces;
   readonly usage: readonly UsageCount[];
   readonly lease: LeaseObservation | undefined;
 }
@@ -72,6 +95,8 @@
   /** The last limit stated by each runner. */
   readonly #limits = new Map<string, LimitUpdate & Sourced>();
   readonly #draining: (DrainingUpdate & Sourced)[] = [];
+  readonly #places: (ReturnPlace & Sourced)[] = [];
+  readonly #uses: (PlaceUse & Sourced)[] = [];
   /** The last counts of each workspace, by incarnation and window. */
   readonly #usage = new Map<string, UsageCount>();
   #lease: LeaseObservation | undefined;
@@ -106,8 +131,8 @@
     { crashed, responses }: CrashUpdate,
     from?: string,
   ): void {
-    enqueue(this.#crashed, crashed, from);
-    enqueue(this.#responses, responses, from);
+    enqueue(this.#crashed, crashed, { from, max: MAX_CRASHES_WAITING });
+    enqueue(this.#responses, responses, { from, max: MAX_CRASHES_WAITING });
   }
 
   addLimits(limits: readonly LimitUpdate[], from?: string): void {
@@ -120,6 +145,11 @@
     for (const update of draining) this.#draining.push({ ...update, from });
   }
 
+  addPlaces({ places, uses }: PlaceUpdates, from?: string): void {
+    enqueue(this.#places, places, { from, max: MAX_PLACES_WAITING });
+    enqueue(this.#uses, uses, { from, max: MAX_PLACES_WAITING });
+  }
+
   /**
    * Adds usage counts. They do not trigger a message but go with the next one.
    */
@@ -148,6 +178,7 @@
       this.#parts.length === 0 && this.#contacts.length === 0 &&
       this.#crashed.length === 0 && this.#responses.length === 0 &&
       this.#limits.size === 0 && this.#draining.length === 0 &&
+      this.#places.length === 0 && this.#uses.length === 0 &&
       this.#lease?.holderId !== "";
   }
 
@@ -163,6 +194,7 @@
   take(maxRunners: number): OutgoingUpdate {
     const urgent = takeFrom(this.#urgent, maxRunners);
     const normal = takeFrom(this.#normal, maxRunners - urgent.length);
+    const uses = this.#uses.splice(0, MAX_PLACES);
     const update = {
       runners: [...urgent, ...normal],
       parts: this.#parts,
@@ -176,6 +208,10 @@
       },
       limits: [...this.#limits.values()].slice(0, MAX_LIMITS),
       draining: this.#draining.splice(0, MAX_DRAINING),
+      places: {
+        places: this.#places.splice(0, MAX_PLACES - uses.length),
+        uses,
+      },
       usage: [...this.#usage.values()],
       lease: this.#lease,
     };
@@ -192,10 +228,10 @@
 function enqueue<Item>(
   waiting: (Item & Sourced)[],
   items: readonly Item[],
-  from: string | undefined,
+  { from, max }: Sourced & { readonly max: number },
 ): void {
   for (const item of items) waiting.push({ ...item, from });
-  const excess = waiting.length - MAX_CRASHES_WAITING;
+  const excess = waiting.length - max;
   if (excess > 0) waiting.splice(0, excess);
 }
 
--- a/packages/router/src/connection/peer_encoding.ts
+++ b/packages/router/src/connection/peer_encoding.ts
@@ -8,6 +8,8 @@
 import { NO_CRASHES } from "./crash_ages.ts";
 import { hasReports, packCrashes, unpackCrashes } from "./crash_encoding.ts";
 import type { PackedCrashes } from "./crash_encoding.ts";
+import { packPlaces, unpackPlaces } from "./place_encoding.ts";
+import type { PackedPlaces } from "./place_encoding.ts";
 import type { Contact } from "../process/contact.ts";
 import type { DeadContact } from "../process/contact_book.ts";
 import type { PrefixUpdate } from "../process/prefix_index.ts";
@@ -97,6 +99,10 @@
   usage?: readonly PackedUsage[] | undefined,
   lease?: PackedLease | undefined,
   draining?: readonly PackedDraining[] | undefined,
+  /** Positions 6 and 7 hold the paces of runners and the shares of workspaces. */
+  paces?: undefined,
+  shares?: undefined,
+  places?: PackedPlaces | undefined,
 ];
 
 const ADDRESS = /^[^\s:]+:\d{1,5}$/;
@@ -220,7 +226,7 @@
 
 /** Packs the optional fields, up to the last one that has a value. */
 function packOptionalFields(state: StateUpdate): PackedOptionalFields {
-  const { crashes, limits, timeMs, usage, lease, draining } = state;
+  const { crashes, limits, timeMs, usage, lease, draining, places } = state;
   const fields: PackedOptionalFields = [
     hasReports(crashes) ? packCrashes(crashes) : undefined,
     limits.length === 0 ? undefined : limits.map(packLimit),
@@ -228,6 +234,9 @@
     usage.length === 0 ? undefined : usage.map(packUsage),
     lease && [lease.revision, lease.holderId, lease.agoMs],
     draining.length === 0 ? undefined : draining.map(packDraining),
+    undefined,
+    undefined,
+    packPlaces(places),
   ];
   const last = fields.findLastIndex((field) => field !== undefined);
   return fields.slice(0, last + 1) as unknown as PackedOptionalFields;
@@ -283,6 +292,7 @@
   const [, , , , , , , contacts, gone, ...optional] = packed;
   const [crashes, limits = [], timeMs, usage = [], lease, draining = []] =
     optional;
+  const [, , , , , , , , places] = optional;
   return {
     kind: "state",
     configuration,
@@ -304,6 +314,7 @@
     usage: usage.map(unpackUsage),
     lease: lease && unpackLease(lease),
     draining: draining.map(unpackDraining),
+    places: unpackPlaces(places),
   };
 }
 
--- a/packages/router/src/connection/peer_message.ts
+++ b/packages/router/src/connection/peer_message.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { CrashAges } from "./crash_ages.ts";
+import type { PlaceAges } from "./place_encoding.ts";
 import type { Contact } from "../process/contact.ts";
 import type { ContactUpdates } from "../process/contact_book.ts";
 import type { LeaseObservation } from "../process/leader_lease.ts";
@@ -95,6 +96,8 @@
   readonly crashes: CrashAges;
   readonly limits: readonly LimitAge[];
   readonly draining: readonly DrainingAge[];
+  /** Places of refused requests, and the uses of such places. */
+  readonly places: PlaceAges;
 }
 
 /** Changes since the sender's last update; also the heartbeat of a link. */
--- a/packages/router/src/connection/state_exchange.ts
+++ b/packages/router/src/connection/state_exchange.ts
@@ -122,6 +122,7 @@
       crashes: shared.crashes,
       limits: shared.limits,
       draining: shared.draining,
+      places: shared.places,
       time: shared.time,
       usage: shared.usage,
       lease: shared.lease,
@@ -141,6 +142,7 @@
     this.#state.crashes.onUpdate(() => this.wake());
     this.#state.limits.onUpdate(() => this.wake());
     this.#state.draining.onChange(() => this.wake());
+    this.#state.places.onUpdate(() => this.wake());
     this.#state.directory.onChange(() => this.wake());
     this.#timer.start();
   }
@@ -220,7 +222,7 @@
     for (const contact of contacts) this.#book.add(contact, performance.now());
     this.#overlay.joined(peer);
     this.#setIdleTimeouts();
-    peer.link.send(this.#broadcaster.snapshotFor(peer));
+    this.#sendSnapshot(peer);
     this.wake();
   }
 
@@ -297,10 +299,17 @@
     this.#removeReports(peer, before);
     this.#setIdleTimeouts();
     const up = this.#peers().get(peer.name) === peer;
-    if (up) peer.link.send(this.#broadcaster.snapshotFor(peer));
+    if (up) this.#sendSnapshot(peer);
     this.wake();
   }
 
+  #sendSnapshot(peer: Peer): void {
+    peer.link.send(this.#broadcaster.snapshotFor(peer));
+    for (const update of this.#broadcaster.placesFor(peer)) {
+      peer.link.send(update);
+    }
+  }
+
   /**
    * Removes the loads and counts that a neighbour reported, and schedules updates
    * by which other daemons remove them.
--- a/packages/router/src/connection/state_exchange_test.ts
+++ b/packages/router/src/connection/state_exchange_test.ts
@@ -13,6 +13,7 @@
 import { CrashRecord } from "../process/crash_record.ts";
 import { DrainingRunners } from "../process/draining_runners.ts";
 import { PrefixIndex } from "../process/prefix_index.ts";
+import { ReturnPlaces } from "../process/return_places.ts";
 import { RunnerLoads } from "../process/runner_loads.ts";
 import { unpackMessage } from "./peer_encoding.ts";
 import type { PeerMessage, StateUpdate } from "./peer_message.ts";
@@ -36,6 +37,7 @@
       crashes: new CrashRecord(SILENT_LOG),
       limits: emptyLimits(),
       draining: new DrainingRunners(SILENT_LOG),
+      places: new ReturnPlaces(SILENT_LOG, Math.random),
       ...withoutLeadership(),
       directory: emptyDirectory(),
       configuration: () => undefined,
--- a/packages/router/src/connection/update_broadcaster.ts
+++ b/packages/router/src/connection/update_broadcaster.ts
@@ -13,6 +13,8 @@
 import type { UsageCount, UsageMeter } from "../process/usage_meter.ts";
 import type { CrashRecord, CrashUpdate } from "../process/crash_record.ts";
 import type { PrefixIndex, PrefixUpdate } from "../process/prefix_index.ts";
+import { NO_PLACES } from "../process/return_places.ts";
+import type { PlaceUpdates, ReturnPlaces } from "../process/return_places.ts";
 import type {
   DrainingRunners,
   DrainingUpdate,
@@ -23,10 +25,11 @@
 import { ageOf, toAges } from "./crash_ages.ts";
 import { LoadSums } from "./load_sums.ts";
 import type { MembershipCounts } from "./membership_counts.ts";
-import { Outbox } from "./outbox.ts";
+import { MAX_PLACES, Outbox } from "./outbox.ts";
 import type { OutgoingUpdate, Sourced } from "./outbox.ts";
 import type { Overlay, Role } from "./overlay.ts";
 import { encodeMessage } from "./peer_link.ts";
+import { toPlaceAges } from "./place_encoding.ts";
 import type { RunnerLoadEntry, StateUpdate, Versions } from "./peer_message.ts";
 import type { Peer, Peers } from "./peers.ts";
 
@@ -48,6 +51,7 @@
   readonly crashes: CrashUpdate;
   readonly limits: readonly LimitUpdate[];
   readonly draining: readonly DrainingUpdate[];
+  readonly places: PlaceUpdates;
   readonly usage: readonly UsageCount[];
   readonly lease: LeaseObservation | undefined;
 }
@@ -59,6 +63,7 @@
   crashes: { crashed: [], responses: [] },
   limits: [],
   draining: [],
+  places: NO_PLACES,
   usage: [],
   lease: undefined,
 };
@@ -70,6 +75,7 @@
   readonly crashes: CrashRecord;
   readonly limits: RunnerLimits;
   readonly draining: DrainingRunners;
+  readonly places: ReturnPlaces;
   readonly time: FleetTime;
   readonly usage: UsageMeter | undefined;
   readonly lease: LeaderLease | undefined;
@@ -97,6 +103,8 @@
   readonly crashes: CrashUpdate;
   readonly limits: readonly LimitUpdate[];
   readonly draining: readonly DrainingUpdate[];
+  /** The places and uses that were new to this daemon. */
+  readonly places: PlaceUpdates;
   readonly usage: readonly UsageCount[];
   /** Whether requests wait for the runners. */
   readonly urgent: boolean;
@@ -148,6 +156,7 @@
     const crashUpdate = crashes.takeUpdates();
     const limitUpdates = limits.takeUpdates();
     const drainingUpdates = this.#sources.draining.takeUpdates();
+    const placeUpdates = this.#sources.places.takeUpdates();
     this.#upstream.addUsage(this.#sources.usage?.takeUpdates() ?? []);
     this.#collectLease();
     const contacts = book.hasUpdates ? book.takeUpdates() : undefined;
@@ -160,6 +169,7 @@
       outbox.addCrashes(crashUpdate);
       outbox.addLimits(limitUpdates);
       outbox.addDraining(drainingUpdates);
+      outbox.addPlaces(placeUpdates);
       if (contacts !== undefined) outbox.addContacts(contacts);
     }
   }
@@ -186,12 +196,13 @@
    */
   relay({ name }: Peer, received: ReceivedUpdate): boolean {
     const { changedRunners, parts, crashes, limits, draining } = received;
-    const { usage, urgent } = received;
+    const { places, usage, urgent } = received;
     const { overlay } = this.#sources;
     // Usage goes up the tree only, to the daemons that may lead.
     if (overlay.role(name) === "child") this.#upstream.addUsage(usage);
     const count = changedRunners.size + parts.length + crashes.crashed.length +
-      crashes.responses.length + limits.length + draining.length;
+      crashes.responses.length + limits.length + draining.length +
+      places.places.length + places.uses.length;
     if (!overlay.isRelay || count === 0) return false;
     const outboxes = overlay.role(name) === "child"
       ? [this.#downstream, this.#upstream]
@@ -202,6 +213,7 @@
       outbox.addCrashes(crashes, name);
       outbox.addLimits(limits, name);
       outbox.addDraining(draining, name);
+      outbox.addPlaces(places, name);
     }
     return true;
   }
@@ -244,6 +256,28 @@
     return { ...this.#stateUpdate(update, loads, includes), whole: true };
   }
 
+  /**
+   * All places in updates that follow a snapshot, as many in each as in any other
+   * update.
+   */
+  placesFor(peer: Peer): readonly StateUpdate[] {
+    if (this.#sources.overlay.isSpare(peer)) return [];
+    const includes = this.#includedFor(peer);
+    const { places, uses } = this.#sources.places.snapshot(performance.now());
+    const updates: StateUpdate[] = [];
+    for (let start = 0; start < uses.length; start += MAX_PLACES) {
+      const part = uses.slice(start, start + MAX_PLACES);
+      const contents = { ...NO_CHANGES, places: { places: [], uses: part } };
+      updates.push(this.#stateUpdate(contents, [], includes));
+    }
+    for (let start = 0; start < places.length; start += MAX_PLACES) {
+      const part = places.slice(start, start + MAX_PLACES);
+      const contents = { ...NO_CHANGES, places: { places: part, uses: [] } };
+      updates.push(this.#stateUpdate(contents, [], includes));
+    }
+    return updates;
+  }
+
   /**
    * Contacts for a peer's snapshot. A child missed the updates between the
    * opening of its link and its subscription; without this it would permanently
@@ -306,13 +340,17 @@
     };
     const limits = pending.limits.filter(isOthers);
     const draining = pending.draining.filter(isOthers);
-    const received = { parts, crashes, limits, draining };
+    const places = {
+      places: pending.places.places.filter(isOthers),
+      uses: pending.places.uses.filter(isOthers),
+    };
+    const received = { parts, crashes, limits, draining, places };
     const contents = { ...pending, ...received, usage: [] };
     return encodeMessage(this.#stateUpdate(contents, loads, others));
   }
 
   #stateUpdate(
-    { parts, contacts, crashes, limits, draining, usage, lease }:
+    { parts, contacts, crashes, limits, draining, places, usage, lease }:
       UpdateContents,
     loads: readonly RunnerLoadEntry[],
     includes: NeighbourFilter,
@@ -336,6 +374,7 @@
         runner,
         agoMs: ageOf(at, now),
       })),
+      places: toPlaceAges(places, now),
       members: this.#sources.counts.sumFrom(includes),
       // Only usage windows need the time.
       timeMs: meter && Math.round(time.now()),
--- a/packages/router/src/process/metrics.ts
+++ b/packages/router/src/process/metrics.ts
@@ -21,6 +21,19 @@
 /** In seconds, from the targets of interactive classes up to long streams. */
 const LATENCY_BUCKETS = [0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5, 10, 30];
 
+/** What became of the place of a refused request. */
+export type PlaceOutcome = "kept" | "early" | "late" | "used" | "identical";
+/**
+ * How the return of a refused request ended. One that was `early` is served like a
+ * new request.
+ */
+export type ReturnOutcome =
+  | "early"
+  | "answered"
+  | "refused"
+  | "broken"
+  | "left";
+
 /** Metrics of the daemon, in the text format of Prometheus. */
 export class RequestMetrics {
   readonly #registry: RegistryType;
@@ -34,6 +47,8 @@
   readonly #windows: CounterType<"outcome">;
   readonly #lastWindow: GaugeType<"outcome">;
   readonly #calls: CounterType<"call" | "end">;
+  readonly #places: CounterType<"service" | "outcome">;
+  readonly #returns: CounterType<"service" | "outcome">;
 
   constructor() {
     const registry = new Registry();
@@ -98,6 +113,18 @@
       labelNames: ["call", "end"],
       registers,
     });
+    this.#places = new Counter({
+      name: "umbermast_return_places_total",
+      help: "Refused requests, by whether they keep a place for their return",
+      labelNames: ["service", "outcome"],
+      registers,
+    });
+    this.#returns = new Counter({
+      name: "umbermast_returns_total",
+      help: "Requests that came back after a refusal, by outcome",
+      labelNames: ["service", "outcome"],
+      registers,
+    });
   }
 
   /** Counts a request that has ended, and observes its duration. */
@@ -142,6 +169,20 @@
     this.#calls.inc({ call, end });
   }
 
+  /**
+   * Counts a refused request: its place was kept, it has one already (`early`), or
+   * it has none, because its turn comes too late (`late`), because it had one
+   * (`used`) or because too many identical requests have one (`identical`).
+   */
+  returnPlace(service: string, outcome: PlaceOutcome): void {
+    this.#places.inc({ service, outcome });
+  }
+
+  /** Counts a request that came back after a refusal. */
+  requestReturned(service: string, outcome: ReturnOutcome): void {
+    this.#returns.inc({ service, outcome });
+  }
+
   /** Returns all metrics in the text format of Prometheus. */
   text(): Promise<string> {
     return this.#registry.metrics();
--- a/packages/router/src/process/retry_budget.ts
+++ b/packages/router/src/process/retry_budget.ts
@@ -54,9 +54,9 @@
     this.#currentInterval(now).requests += 1;
   }
 
-  /** Takes one retry; returns false when the budget is exhausted. */
-  take(now: number): boolean {
-    const interval = this.#currentInterval(now);
+  /** Whether the budget has room for a retry now. */
+  allows(now: number): boolean {
+    this.#currentInterval(now);
     let requests = 0;
     let retries = 0;
     for (const counted of this.#intervals) {
@@ -65,8 +65,13 @@
     }
     const { ratio, extra } = this.#bounds;
     const share = EXTRA_FRACTION * extra / Math.max(1, this.#daemons());
-    if (retries + 1 > RATIO_FRACTION * ratio * requests + share) return false;
-    interval.retries += 1;
+    return retries + 1 <= RATIO_FRACTION * ratio * requests + share;
+  }
+
+  /** Takes one retry; returns false when the budget is exhausted. */
+  take(now: number): boolean {
+    if (!this.allows(now)) return false;
+    this.#currentInterval(now).retries += 1;
     return true;
   }
 
--- a/packages/router/src/process/runner_pauses.ts
+++ b/packages/router/src/process/runner_pauses.ts
@@ -52,6 +52,17 @@
     return this.#allowedAt(runner) <= at;
   }
 
+  /**
+   * Milliseconds since the end of a runner's pause after which no request has been
+   * sent; undefined if the runner does not await its first request.
+   */
+  awaitingTrialMs(runner: string, now: number): number | undefined {
+    const pause = this.#pauses.get(runner);
+    const awaits = pause !== undefined && pause.trialAt === undefined &&
+      pause.until <= now;
+    return awaits ? now - pause.until : undefined;
+  }
+
   /** Records that a request is sent to a runner. */
   recordRequest(runner: string, now: number): void {
     const pause = this.#pauses.get(runner);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -19,6 +19,7 @@
 } from "./connection/status_server.ts";
 import { CrashRecord } from "./process/crash_record.ts";
 import { DrainingRunners } from "./process/draining_runners.ts";
+import { DrainRate } from "./process/drain_rate.ts";
 import type { EventLog } from "./process/event_log.ts";
 import { CacheSurvey } from "./process/cache_survey.ts";
 import type { EngineCache } from "./process/cache_survey.ts";
@@ -40,6 +41,7 @@
 import { ASSUMED_PACE } from "./process/runner_pace.ts";
 import type { RunnerPace } from "./process/runner_pace.ts";
 import { RunnerPauses } from "./process/runner_pauses.ts";
+import { ReturnPlaces } from "./process/return_places.ts";
 import { RunnerRestrictions } from "./process/runner_restrictions.ts";
 import { RunnerLoads } from "./process/runner_loads.ts";
 import { SchedulingMode } from "./process/scheduling_mode.ts";
@@ -100,6 +102,7 @@
   readonly pauses: RunnerPauses;
   readonly restrictions: RunnerRestrictions;
   readonly scheduling: SchedulingMode;
+  readonly places: ReturnPlaces;
   readonly sharedTimer = new SharedTimer(CAPACITY_CHECK_MS);
   readonly metrics = new RequestMetrics();
   readonly log: EventLog;
@@ -115,6 +118,7 @@
     )
   );
   readonly #streamPaces = new PerService(() => new StreamPace());
+  readonly #drainRates = new PerService(() => new DrainRate());
   readonly #limitQueues = new PerService(() => new LimitQueue());
   readonly #fleetSync: FleetSync;
   readonly #leadership: Leadership;
@@ -131,6 +135,7 @@
     this.dialect = platform.dialect;
     this.log = log;
     this.scheduling = new SchedulingMode(settings.scheduling, log);
+    this.places = new ReturnPlaces(log, () => this.random());
     this.crashes = new CrashRecord(log);
     this.limits = new RunnerLimits(log, () => this.#fleetSync.view);
     this.pauses = new RunnerPauses(log);
@@ -179,6 +184,7 @@
       crashes: this.crashes,
       limits: this.limits,
       draining: this.#draining,
+      places: this.places,
       directory: this.#directory,
       configuration: () => this.#configuration,
       applyConfiguration: (configuration, source) =>
@@ -262,6 +268,10 @@
     return ASSUMED_PACE;
   }
 
+  drainRate(service: string): DrainRate {
+    return this.#drainRates.of(service);
+  }
+
   streamPace(service: string): StreamPace {
     return this.#streamPaces.of(service);
   }
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -10,6 +10,7 @@
 import { text } from "node:stream/consumers";
 import type { TestContext } from "node:test";
 import { NO_CRASHES } from "../src/connection/crash_ages.ts";
+import { NO_PLACE_AGES } from "../src/connection/place_encoding.ts";
 import type { StateUpdate } from "../src/connection/peer_message.ts";
 import type { DaemonRegistry } from "../src/process/daemon_registry.ts";
 import { DrainingRunners } from "../src/process/draining_runners.ts";
@@ -181,6 +182,7 @@
     crashes: NO_CRASHES,
     limits: [],
     draining: [],
+    places: NO_PLACE_AGES,
     members: { fleet: 1, domain: 1 },
     timeMs: undefined,
     usage: [],
--- a/packages/router/tests/fleet.ts
+++ b/packages/router/tests/fleet.ts
@@ -34,6 +34,7 @@
 } from "../src/process/platform_api.ts";
 import type { Fields } from "../src/process/log_line.ts";
 import { PrefixIndex } from "../src/process/prefix_index.ts";
+import { ReturnPlaces } from "../src/process/return_places.ts";
 import type { Runner } from "../src/process/runner.ts";
 import { RunnerDirectory } from "../src/process/runner_directory.ts";
 import { RunnerLimits } from "../src/process/runner_limits.ts";
@@ -326,6 +327,7 @@
   readonly lease: LeaderLease;
   readonly leader: Leader;
   readonly draining: DrainingRunners;
+  readonly places: ReturnPlaces;
   readonly directory: RunnerDirectory;
   readonly links = new Set<FakeLink>();
   readonly events: { readonly name: string; readonly fields: Fields }[] = [];
@@ -359,6 +361,7 @@
     this.crashes = new CrashRecord(log);
     this.limits = new RunnerLimits(log, () => this.fleetSync.view);
     this.draining = new DrainingRunners(log);
+    this.places = new ReturnPlaces(log, Math.random);
     this.directory = new RunnerDirectory(this.draining);
     this.usage = new UsageMeter({
       incarnation: contact.incarnation,
@@ -397,6 +400,7 @@
       crashes: this.crashes,
       limits: this.limits,
       draining: this.draining,
+      places: this.places,
       time: this.time,
       usage: this.usage,
       lease: this.lease,
