Give returning requests their places, and trials a second runner

Cause: a refusal stated a random part of a third of the caller's time. A request that went first after a runner's pause and was refused again found no second runner if the retry budget was used up or the others were paused.

Change, for services that are scheduled adaptively: Retry-After is determined by the rate at which the queue drains, the requests ahead and the places promised to others. A request that comes back at its time has the queue key of its first arrival and waits as long as its response can still be complete. A request that would wait twice as long as it may is refused at once.

A request goes first after a pause only if it may be sent to a second runner, unless no other runner is left or the runner has awaited its first request for some time. A request that runners refused waits for a second runner.

--- a/packages/router/src/request/attempt_executor.ts
+++ b/packages/router/src/request/attempt_executor.ts
@@ -116,7 +116,7 @@
       const startedAt = result.kind === "response"
         ? this.#daemon.now()
         : sentAt;
-      return await this.#handle(routed, result, {
+      const handled = await this.#handle(routed, result, {
         load,
         placed,
         attempt,
@@ -124,6 +124,8 @@
         sentAt,
         run: { fingerprint, startedAt },
       });
+      if (result.kind === "response") this.#recordEnd(routed, sentAt);
+      return handled;
     } finally {
       unwatch();
       inactivity.stop();
@@ -131,6 +133,14 @@
     }
   }
 
+  #recordEnd({ service, rank }: RoutedRequest, sentAt: number): void {
+    const now = this.#daemon.now();
+    this.#daemon.drainRate(service.name).recordEnd(
+      { rank, durationMs: now - sentAt },
+      now,
+    );
+  }
+
   /**
    * Withdraws the request from a runner that has not begun to respond, because
    * the request would crash it.
@@ -194,7 +204,7 @@
         if (result.head.misdirected) load.recordFailure(now);
         return retry(
           "refused by runner",
-          () => this.#outcomes.refusal("runner_full"),
+          () => this.#outcomes.runnersFull(),
         );
       case "response":
         this.#progress.mayHaveRun = true;
--- a/packages/router/src/request/capacity_wait.ts
+++ b/packages/router/src/request/capacity_wait.ts
@@ -23,7 +23,7 @@
  * s back to back, while its streams get one token per 40 ms and time out.
  */
 export class CapacityWait {
-  readonly #key: QueueKey;
+  #key: QueueKey;
   #position: QueuePosition | undefined;
 
   constructor(key: QueueKey) {
@@ -50,6 +50,12 @@
     return true;
   }
 
+  /** Leaves the queue; the request joins queues with another key from now on. */
+  changeKey(key: QueueKey): void {
+    this.end();
+    this.#key = key;
+  }
+
   /**
    * Whether the request may be sent to a runner that has capacity: it has not
    * waited at all, or has been in that runner's queue for so long that all
--- a/packages/router/src/request/daemon.ts
+++ b/packages/router/src/request/daemon.ts
@@ -6,6 +6,8 @@
 import type { BrokenRun } from "../connection/crash_detector.ts";
 import type { RunnerConnections } from "../connection/runner_connections.ts";
 import type { CrashRecord } from "../process/crash_record.ts";
+import type { DrainRate } from "../process/drain_rate.ts";
+import type { ReturnPlaces } from "../process/return_places.ts";
 import type { RunnerStatements } from "../process/runner_statements.ts";
 import type { EventLog } from "../process/event_log.ts";
 import type { LimitQueue } from "../process/limit_queue.ts";
@@ -44,6 +46,8 @@
   readonly scheduling: SchedulingMode;
   /** Requests that crash the runners on which they run. */
   readonly crashes: CrashRecord;
+  /** Places of refused requests whose callers may return. */
+  readonly places: ReturnPlaces;
   /** Wakes requests that wait for capacity. */
   readonly sharedTimer: SharedTimer;
   /** Whether new requests are refused because the process is about to exit. */
@@ -74,6 +78,8 @@
   reportBrokenConnection(runner: Runner, run: BrokenRun): void;
   /** Returns how fast the runners of a service do their work. */
   runnerPace(service: string): RunnerPace;
+  /** Returns how fast the runners of a service get through requests. */
+  drainRate(service: string): DrainRate;
   /** Returns how fast the runners of a service generate tokens. */
   streamPace(service: string): StreamPace;
   /**
--- a/packages/router/src/request/decision_log.ts
+++ b/packages/router/src/request/decision_log.ts
@@ -9,10 +9,13 @@
  * @module
  */
 import type { Quarantine } from "../process/crash_record.ts";
+import type { PlaceOutcome } from "../process/metrics.ts";
+import type { ReturnPlace } from "../process/return_places.ts";
 import type { Runner } from "../process/runner.ts";
 import type { QueueKey } from "../process/runner_queue.ts";
 import type { Daemon } from "./daemon.ts";
 import type { RunnerChoice } from "./placement.ts";
+import type { QueueOutlook } from "./retry_delay.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 
 /**
@@ -170,3 +173,101 @@
     left_ms: Math.round(remainingMs),
   });
 }
+
+/**
+ * Logs when the caller of a refused request is told to return, and why: `place` is
+ * what became of its place (see `RequestMetrics.returnPlace`), `turn_ms` the
+ * expected time until the request could be started, `ahead` the requests that wait
+ * before it, `promised` the places of others.
+ */
+export function logReturnDelay(
+  daemon: Daemon,
+  routed: RoutedRequest,
+  refused: {
+    readonly fingerprint: string;
+    readonly outlook: QueueOutlook;
+    readonly outcome: PlaceOutcome;
+    readonly delayMs: number;
+    readonly turnMs: number | undefined;
+    readonly remainingMs: number;
+    readonly responseMs: number;
+  },
+): void {
+  const { fingerprint, outlook, outcome, turnMs } = refused;
+  const { drainPerS } = outlook;
+  daemon.log.decision("return_delay_told", routed.head.id, {
+    fingerprint,
+    service: routed.service.name,
+    rank: routed.rank,
+    place: outcome,
+    delay_ms: Math.round(refused.delayMs),
+    turn_ms: turnMs === undefined ? undefined : Math.round(turnMs),
+    ahead: outlook.ahead,
+    promised: outlook.promised,
+    drain_per_s: drainPerS === undefined ? undefined : Math.round(drainPerS),
+    response_ms: Math.round(refused.responseMs),
+    left_ms: Math.round(refused.remainingMs),
+    runners_age_ms: Math.round(daemon.runnerListAgeMs()),
+  });
+}
+
+/** A request with the place that it had when it was refused. */
+interface ReturnedRequest {
+  readonly fingerprint: string;
+  readonly place: ReturnPlace;
+}
+
+/**
+ * Logs that a request has the place of its first try, which arrived `age_ms` ago;
+ * `late_ms` is the time since the caller was told to return.
+ */
+export function logReturn(
+  daemon: Daemon,
+  routed: RoutedRequest,
+  returned: ReturnedRequest,
+): void {
+  const { arrivedAt, returnAt, expiresAt } = returned.place;
+  const now = daemon.now();
+  daemon.log.decision("request_returned", routed.head.id, {
+    fingerprint: returned.fingerprint,
+    service: routed.service.name,
+    rank: routed.rank,
+    age_ms: Math.round(now - arrivedAt),
+    late_ms: Math.round(now - returnAt),
+    left_ms: Math.round(expiresAt - now),
+  });
+}
+
+/**
+ * Logs that a request came back `early_ms` before its time and is queued as a new
+ * one.
+ */
+export function logEarlyReturn(
+  daemon: Daemon,
+  routed: RoutedRequest,
+  { fingerprint, place }: ReturnedRequest,
+): void {
+  daemon.log.decision("request_returned_early", routed.head.id, {
+    fingerprint,
+    service: routed.service.name,
+    rank: routed.rank,
+    early_ms: Math.round(place.returnAt - daemon.now()),
+  });
+}
+
+/**
+ * Logs that a request is queued as a new one, because a request at another daemon
+ * used its place at the same time.
+ */
+export function logPlaceLost(
+  daemon: Daemon,
+  routed: RoutedRequest,
+  { fingerprint, place }: ReturnedRequest,
+): void {
+  daemon.log.decision("return_place_lost", routed.head.id, {
+    fingerprint,
+    service: routed.service.name,
+    rank: routed.rank,
+    age_ms: Math.round(daemon.now() - place.arrivedAt),
+  });
+}
--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -19,6 +19,7 @@
 import { routeRequest } from "./routed_request.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 import { readBody } from "./read_body.ts";
+import { RequestReturn } from "./request_return.ts";
 
 /** Minimum time left, in ms, for another attempt. */
 const MIN_ATTEMPT_TIME_MS = 30;
@@ -32,6 +33,7 @@
   readonly #progress: Progress;
   readonly #outcomes: LocalOutcomes;
   readonly #attempts: AttemptExecutor;
+  #timer: NodeJS.Timeout | undefined;
   /** Whether the request body is still being received. */
   #receivingBody = false;
 
@@ -55,7 +57,9 @@
     if ("status" in routed) {
       return this.#finish(head, { kind: "refused", refusal: routed });
     }
-    const timer = this.#startTimer(routed);
+    const { head: { deadlineMs }, route } = routed;
+    const timeoutMs = Math.min(route.timeoutMs, deadlineMs ?? Infinity);
+    this.#startTimer(this.#progress.startedAt + timeoutMs);
     this.#caller.response.once(
       "close",
       () => this.#attempts.cancel("caller disconnected"),
@@ -64,7 +68,7 @@
       const outcome = await this.#serve(routed);
       this.#finish(head, outcome, routed);
     } finally {
-      clearTimeout(timer);
+      clearTimeout(this.#timer);
     }
   }
 
@@ -72,15 +76,25 @@
    * Starts the request's time-out. The caller gets its final response when the
    * time-out expires, not some time after it.
    */
-  #startTimer({ head, route }: RoutedRequest): NodeJS.Timeout {
-    const timeoutMs = Math.min(route.timeoutMs, head.deadlineMs ?? Infinity);
-    this.#progress.expiresAt = this.#progress.startedAt + timeoutMs;
-    return setTimeout(() => {
+  #startTimer(expiresAt: number): void {
+    clearTimeout(this.#timer);
+    this.#progress.expiresAt = expiresAt;
+    this.#timer = setTimeout(() => {
       this.#progress.expired = true;
       this.#attempts.cancel("timeout");
       if (!this.#receivingBody) return;
       this.#caller.refuse({ status: 408, code: "body_timeout", close: true });
-    }, timeoutMs);
+    }, this.#progress.remainingMs);
+  }
+
+  /** Finds the place that the request had when it was refused before. */
+  #findPlace(routed: RoutedRequest): void {
+    if (!this.#daemon.scheduling.isAdaptive(routed.service.name)) return;
+    const returning = new RequestReturn(this.#daemon, routed, this.#progress);
+    this.#progress.returning = returning;
+    const expiresAt = returning.place?.expiresAt ?? Infinity;
+    // The caller's time counts from its first try.
+    if (expiresAt < this.#progress.expiresAt) this.#startTimer(expiresAt);
   }
 
   async #serve(routed: RoutedRequest): Promise<Outcome> {
@@ -99,6 +113,7 @@
     );
     const quarantine = this.#quarantine();
     if (quarantine !== undefined) return this.#refuse(routed, quarantine);
+    this.#findPlace(routed);
     return await this.#attemptOnRunners(routed, received.body);
   }
 
@@ -126,6 +141,8 @@
       receivedAt: progress.startedAt,
       expiresAt: progress.expiresAt,
       isAbandoned: () => progress.abandoned || this.#quarantine() !== undefined,
+      returning: progress.returning,
+      attemptsLeft: () => progress.attempts + 1 < routed.route.maxAttempts,
     });
     for (;;) {
       if (this.#caller.disconnected) return { kind: "left" };
@@ -134,7 +151,7 @@
       if (outOfTime) return fallback?.() ?? this.#outcomes.timeout();
       const choice = await search.find({
         tried: progress.triedRunners,
-        noRunnerReached: progress.attempts === 0,
+        mayWait: this.#mayWait,
       });
       const quarantine = this.#quarantine();
       if (quarantine !== undefined) {
@@ -162,6 +179,16 @@
     }
   }
 
+  /**
+   * Whether the request may wait for capacity. Where the service is scheduled
+   * adaptively, one that runners refused waits for a second one: it may have gone
+   * first after a pause while the others were paused or full.
+   */
+  get #mayWait(): boolean {
+    const { attempts, mayHaveRun, returning } = this.#progress;
+    return attempts === 0 || (returning !== undefined && !mayHaveRun);
+  }
+
   #mayRetry({ route, service }: RoutedRequest): boolean {
     const { abandoned, attempts, mayHaveRun, triedRunners } = this.#progress;
     if (abandoned || attempts >= route.maxAttempts) return false;
@@ -193,7 +220,8 @@
     const outcome: Outcome = disconnected ? { kind: "left" } : determined;
     if (outcome.kind === "refused") this.#caller.refuse(outcome.refusal);
     if (outcome.kind === "broken") this.#caller.abort();
-    const { startedAt, attempts } = this.#progress;
+    const { startedAt, attempts, returning } = this.#progress;
+    returning?.recordEnd(outcome);
     const elapsedMs = this.#daemon.now() - startedAt;
     const result = outcomeName(outcome);
     this.#daemon.metrics.requestEnded(
--- a/packages/router/src/request/fingerprint.ts
+++ b/packages/router/src/request/fingerprint.ts
@@ -12,6 +12,13 @@
  */
 const FINGERPRINT_BYTES = 9;
 
+/** Number of values of a character in base64url. */
+const BASE = 64;
+const BASE64URL =
+  "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_";
+/** Characters of a fingerprint that determine its spread. */
+const SPREAD_LENGTH = 3;
+
 /** The parts of a request that are the same in all its attempts. */
 export interface FingerprintInput {
   readonly host: string;
@@ -39,3 +46,15 @@
   return createHash("sha256").update(head).update(body).digest()
     .subarray(0, FINGERPRINT_BYTES).toString("base64url");
 }
+
+/**
+ * Returns a number in [0, 1) that is the same for each attempt of a request, and
+ * evenly distributed over requests.
+ */
+export function spreadOf(fingerprint: string): number {
+  let spread = 0;
+  for (const character of [...fingerprint.slice(0, SPREAD_LENGTH)].reverse()) {
+    spread = (spread + BASE64URL.indexOf(character)) / BASE;
+  }
+  return spread;
+}
--- a/packages/router/src/request/local_outcomes.ts
+++ b/packages/router/src/request/local_outcomes.ts
@@ -37,9 +37,21 @@
     return { kind: "refused", refusal };
   }
 
+  /** Returns the outcome when all runners that were tried refused the request. */
+  runnersFull(): Outcome {
+    const { returning, mayHaveRun } = this.#progress;
+    if (returning === undefined || mayHaveRun) {
+      return this.refusal("runner_full");
+    }
+    return { kind: "refused", refusal: returning.refusal("runner_full") };
+  }
+
   /** Returns the outcome when no runner had capacity for the request. */
   overload(): Outcome {
-    const { remainingMs } = this.#progress;
+    const { remainingMs, returning } = this.#progress;
+    if (returning !== undefined) {
+      return { kind: "refused", refusal: returning.refusal("overloaded") };
+    }
     const refusal = overloadRefusal(remainingMs, this.#daemon.random());
     return { kind: "refused", refusal };
   }
--- a/packages/router/src/request/progress.ts
+++ b/packages/router/src/request/progress.ts
@@ -5,6 +5,7 @@
  */
 import type { Caller } from "./caller.ts";
 import type { Daemon } from "./daemon.ts";
+import type { RequestReturn } from "./request_return.ts";
 
 /** State of one request, shared by all objects that handle it. */
 export class Progress {
@@ -35,6 +36,11 @@
    * received.
    */
   fingerprint = "";
+  /**
+   * The request's return after a refusal; undefined until the body is received, and
+   * where the service is not scheduled adaptively.
+   */
+  returning: RequestReturn | undefined;
 
   constructor(daemon: Daemon, caller: Caller) {
     this.#daemon = daemon;
--- a/packages/router/src/request/runner_search.ts
+++ b/packages/router/src/request/runner_search.ts
@@ -7,7 +7,7 @@
 import type { Runner } from "../process/runner.ts";
 import type { QueueKey } from "../process/runner_queue.ts";
 import type { Daemon } from "./daemon.ts";
-import type { Demand } from "./demand.ts";
+import type { Demand, RunnerFleet } from "./demand.ts";
 import {
   logCapacityWait,
   logLimitsReached,
@@ -17,6 +17,10 @@
 import { chooseRunner, hasCapacity } from "./placement.ts";
 import type { RunnerChoice } from "./placement.ts";
 import { CapacityWait } from "./capacity_wait.ts";
+import { START_BY_SHARE } from "./request_return.ts";
+import type { RequestReturn } from "./request_return.ts";
+import { isHopeless } from "./retry_delay.ts";
+import { withheldTrials } from "./trial_runners.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 
 /**
@@ -25,12 +29,6 @@
  * its callers have.
  */
 const MAX_WAIT_SHARE = 0.4;
-/**
- * Share of a request's target latency after which it can no longer start on
- * time. The rest is for the runner to prefill its prompt alongside the prompts
- * that it already has.
- */
-const START_BY_SHARE = 0.7;
 /**
  * Interval in ms at which a waiting request is evaluated against all runners
  * again. One evaluation takes 55 us with 98 runners, a check of a single runner
@@ -84,6 +82,10 @@
   readonly expiresAt: number;
   /** Whether the response is no longer needed. */
   isAbandoned(): boolean;
+  /** Whether the route allows another attempt after the next one. */
+  attemptsLeft(): boolean;
+  /** Absent where the service is not scheduled adaptively. */
+  readonly returning?: RequestReturn | undefined;
 }
 
 /** Selects runners for one request, one for each attempt. */
@@ -91,36 +93,41 @@
   readonly #daemon: Daemon;
   readonly #routed: RoutedRequest;
   readonly #limits: SearchLimits;
-  readonly #queueKey: QueueKey;
+  #queueKey: QueueKey;
 
   constructor(daemon: Daemon, routed: RoutedRequest, limits: SearchLimits) {
     this.#daemon = daemon;
     this.#routed = routed;
     this.#limits = limits;
-    const { targetMs } = routed.route;
-    this.#queueKey = {
-      rank: routed.rank,
-      arrivedAt: limits.receivedAt,
-      startBy: limits.receivedAt + START_BY_SHARE * targetMs,
-    };
+    const place = limits.returning?.place;
+    this.#queueKey = place === undefined
+      ? this.#newKey()
+      : limits.returning!.queueKey(place);
+  }
+
+  #newKey(): QueueKey {
+    const { rank, route } = this.#routed;
+    const { receivedAt } = this.#limits;
+    const startBy = receivedAt + START_BY_SHARE * route.targetMs;
+    return { rank, arrivedAt: receivedAt, startBy };
   }
 
   /**
    * Selects a runner that has not been tried, and counts the request against
    * the runner's rate limit, if it has one. While the best runner lacks
-   * capacity, a request that has not reached any runner waits for it for a
-   * limited time: most waits end within it, and a refusal costs the caller
-   * more.
+   * capacity, a request that may wait does so for a limited time: most waits end
+   * within it, and a refusal costs the caller more.
    *
    * @returns `undefined` when no runner is left, or "overloaded" when no runner has
    * capacity and the request may not wait any longer.
    */
   async find(options: {
     readonly tried: ReadonlySet<string>;
-    readonly noRunnerReached: boolean;
+    /** Whether no runner may have run the request. */
+    readonly mayWait: boolean;
   }): Promise<RunnerChoice | undefined | "overloaded"> {
-    const { tried, noRunnerReached } = options;
-    if (!noRunnerReached) return this.#countRequest(this.#choose(tried));
+    const { tried, mayWait } = options;
+    if (!mayWait) return this.#countRequest(this.#choose(tried));
     const wait = new CapacityWait(this.#queueKey);
     try {
       return await this.#findCapacity(wait, tried);
@@ -136,11 +143,9 @@
   ): Promise<RunnerChoice | undefined | "overloaded"> {
     const { receivedAt, expiresAt } = this.#limits;
     const startedAt = this.#daemon.now();
-    const remainingMs = expiresAt - startedAt;
-    const { patienceMs } = this.#routed.route;
-    const waitUntil = startedAt +
-      MAX_WAIT_SHARE * Math.min(remainingMs, patienceMs);
     for (;;) {
+      this.#dropLostPlace(wait);
+      const waitUntil = this.#waitUntil(startedAt);
       const choice = this.#choose(tried, wait.runnerId);
       if (choice === undefined || this.#mustYield(choice)) {
         const restricted = this.#restrictedRunners(tried);
@@ -155,7 +160,9 @@
       if (inTime && !choice.overloaded && this.#maySend(wait, choice.runner)) {
         return this.#countRequest(choice);
       }
-      if (!inTime || now > waitUntil || this.#limits.isAbandoned()) {
+      const refused = !inTime || now > waitUntil ||
+        this.#limits.isAbandoned() || this.#isHopeless(waitUntil - now);
+      if (refused) {
         logOverload(this.#daemon, this.#routed, {
           choice,
           waitedMs: now - receivedAt,
@@ -168,6 +175,42 @@
     }
   }
 
+  /**
+   * Returns the time until which the request waits for capacity. One that was
+   * refused before waits as long as its response can still be complete: its caller
+   * does not come back a second time.
+   */
+  #waitUntil(startedAt: number): number {
+    const { expiresAt, returning } = this.#limits;
+    if (returning?.place !== undefined) return expiresAt - returning.responseMs;
+    const remainingMs = expiresAt - startedAt;
+    const { patienceMs } = this.#routed.route;
+    return startedAt + MAX_WAIT_SHARE * Math.min(remainingMs, patienceMs);
+  }
+
+  /** Whether the request would wait much longer than it may. */
+  #isHopeless(waitMs: number): boolean {
+    const { returning } = this.#limits;
+    if (returning === undefined) return false;
+    const outlook = returning.outlook(this.#queueKey);
+    const promised = returning.place === undefined ? outlook.promised : 0;
+    return isHopeless({ ...outlook, promised }, waitMs);
+  }
+
+  /** Queues the request as a new one if its place was used elsewhere, too. */
+  #dropLostPlace(wait: CapacityWait): void {
+    if (!this.#hasLostPlace) return;
+    this.#limitQueue.remove(this.#queueKey);
+    this.#queueKey = this.#newKey();
+    wait.changeKey(this.#queueKey);
+  }
+
+  get #hasLostPlace(): boolean {
+    const { returning, receivedAt } = this.#limits;
+    return this.#queueKey.arrivedAt < receivedAt &&
+      returning?.place === undefined;
+  }
+
   /**
    * Counts the request at the runner before anything else runs:
    * all requests that wait for a runner check at the same moment whether it accepts
@@ -277,7 +320,7 @@
     const demand = this.#demand();
     do {
       await sharedTimer.next();
-      if (this.#limits.isAbandoned()) return;
+      if (this.#limits.isAbandoned() || this.#hasLostPlace) return;
       const fleet = this.#daemon.fleet(this.#routed.service.name);
       const capacity = hasCapacity(fleet, demand, runner);
       if (capacity && this.#maySend(wait, runner)) return;
@@ -296,7 +339,28 @@
     awaitedRunner?: string,
   ): RunnerChoice | undefined {
     const fleet = this.#daemon.fleet(this.#routed.service.name);
-    return chooseRunner(fleet, this.#demand(awaitedRunner), tried);
+    const excluded = this.#withoutTrials(fleet, tried);
+    return chooseRunner(fleet, this.#demand(awaitedRunner), excluded);
+  }
+
+  /** Adds the runners to which this request must not go first after a pause. */
+  #withoutTrials(
+    { runners, restrictions, now }: RunnerFleet,
+    tried: ReadonlySet<string>,
+  ): ReadonlySet<string> {
+    const { pauses } = this.#daemon;
+    const applies = this.#limits.returning !== undefined && pauses.hasPauses;
+    if (!applies) return tried;
+    const left = runners.filter(({ id }) =>
+      !tried.has(id) && restrictions.allowRequest(id, now)
+    );
+    const withheld = withheldTrials(left, pauses, {
+      attemptsLeft: this.#limits.attemptsLeft(),
+      withinBudget: this.#daemon.retryBudget(this.#routed.service.name)
+        .allows(now),
+      now,
+    });
+    return withheld.length === 0 ? tried : new Set([...tried, ...withheld]);
   }
 
   #demand(awaitedRunner?: string): Demand {
--- a/packages/router/tests/linked_routers.ts
+++ b/packages/router/tests/linked_routers.ts
@@ -8,8 +8,10 @@
 import type { AddressInfo } from "node:net";
 import type { TestContext } from "node:test";
 import type { Runner } from "../src/process/runner.ts";
+import type { SchedulingSettings } from "../src/process/scheduling_mode.ts";
+import type { RouterSettings } from "../src/process/settings.ts";
 import type { Router } from "../src/router.ts";
-import type { Route } from "../src/version/configuration.ts";
+import type { Configuration, Route } from "../src/version/configuration.ts";
 import {
   sendRequest,
   SettableFeed,
@@ -22,6 +24,12 @@
 
 const LOCALHOST = "127.0.0.1";
 
+/** Settings with which all services are scheduled adaptively. */
+export const ADAPTIVE: SchedulingSettings = {
+  scheduling: "adaptive",
+  pressure: false,
+};
+
 /** Returns a port that no process listens on. */
 async function unusedPort(): Promise<number> {
   const server = createServer();
@@ -40,15 +48,25 @@
   readonly runners = new SettableFeed<Runner>([]);
   readonly #context: TestContext;
   readonly #routes: readonly Partial<Route>[];
+  readonly #settings: Partial<RouterSettings>;
+  readonly #fields: Partial<Configuration>;
   #attempts = 0;
 
-  /** @param routes changes to the default route, which matches every path. */
+  /**
+   * @param routes changes to the default route, which matches every path.
+   * @param settings changes to the settings of all routers.
+   * @param fields changes to the rest of the configuration.
+   */
   constructor(
     context: TestContext,
     routes: Partial<Route> | readonly Partial<Route>[] = {},
+    settings: Partial<RouterSettings> = {},
+    fields: Partial<Configuration> = {},
   ) {
     this.#context = context;
     this.#routes = [routes].flat();
+    this.#settings = settings;
+    this.#fields = fields;
   }
 
   /** Starts a router and waits until it is ready and linked to all others. */
@@ -64,11 +82,12 @@
     };
     const router = await startRouter(this.#context, {
       configurations: new SettableFeed([
-        testConfiguration(this.#routes.map(testRoute)),
+        testConfiguration(this.#routes.map(testRoute), this.#fields),
       ]),
       runners: this.runners,
       log,
       settings: {
+        ...this.#settings,
         name: `host-${this.routers.length}`,
         peers: { host: LOCALHOST, port },
         seeds,
--- a/packages/router/tests/paused_runner_test.ts
+++ b/packages/router/tests/paused_runner_test.ts
@@ -3,7 +3,8 @@
 import type { TestContext } from "node:test";
 import { runnerResponse, startFakeRunner, waitUntil } from "./fixtures.ts";
 import type { FakeRunner } from "./fixtures.ts";
-import { LinkedRouters } from "./linked_routers.ts";
+import type { SchedulingSettings } from "../src/process/scheduling_mode.ts";
+import { ADAPTIVE, LinkedRouters } from "./linked_routers.ts";
 
 /** Longer than any test runs. */
 const LONG_PAUSE_MS = 600_000;
@@ -114,3 +115,66 @@
   await linked.send("work");
   assert.equal(count(), 2);
 });
+
+/** Requests each of which may be the first after a pause. */
+const TRIALS = 30;
+
+/**
+ * Sends requests to a router before a runner that refuses all of them with short
+ * pauses and one that serves; returns the statuses.
+ */
+async function sendWithTrials(
+  t: TestContext,
+  scheduling: SchedulingSettings,
+): Promise<{ readonly statuses: number[]; readonly trials: number }> {
+  const linked = new LinkedRouters(t, { maxAttempts: 2 }, {
+    scheduling,
+    retries: { ratio: 0.2, extra: 0, windowMs: 10_000 },
+  });
+  const refusing = await startRefusingRunner(t, "refusing");
+  refusing.pauseMs = 1;
+  const serving = await startFakeRunner(t, "serving", (socket, _, id) => {
+    socket.write(runnerResponse(id, "done"));
+  });
+  linked.runners.set([refusing.runner, serving.runner]);
+  await linked.add();
+  // The refusal that begins the first pause.
+  while (refusing.requests.length === 0) await linked.send("work");
+  const statuses = [];
+  for (let sent = 0; sent < TRIALS; sent++) {
+    statuses.push((await linked.send("work")).status);
+    // The pause ends, so that the next request may be the first after it.
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+  return { statuses, trials: refusing.requests.length - 1 };
+}
+
+// Guards against a request that goes first after a pause, is refused and finds no
+// second runner because the retry budget is used up, though another one is free.
+test("a request that goes first after a pause finds a second runner", async (t) => {
+  const { statuses, trials } = await sendWithTrials(t, ADAPTIVE);
+  assert.deepEqual(statuses, Array(TRIALS).fill(200));
+  assert.ok(trials >= 1, `${trials} requests went first after a pause`);
+});
+
+// Guards against a request that is refused after a pause and does not wait for the
+// second runner, whose pause is about to end.
+test("a request that is refused after a pause waits for a second runner", async (t) => {
+  const linked = new LinkedRouters(t, {
+    maxAttempts: 2,
+    timeoutMs: 4_000,
+    patienceMs: 4_000,
+  }, { scheduling: ADAPTIVE });
+  const [first, second] = [
+    await startRefusingRunner(t, "first"),
+    await startRefusingRunner(t, "second"),
+  ];
+  first.pauseMs = 1;
+  second.pauseMs = 300;
+  linked.runners.set([first.runner, second.runner]);
+  await linked.add();
+  assert.equal((await linked.send("work")).status, 503);
+  second.pauseMs = undefined;
+  assert.equal((await linked.send("work again")).status, 200);
+  assert.equal(first.requests.length, 2);
+});
