--- a/packages/router/src/process/return_places.ts
+++ b/packages/router/src/process/return_places.ts
@@ -304,14 +304,14 @@
     const known = this.#entries.get(keyOf(place));
     if (known !== undefined) {
       if (known.place !== undefined) return false;
-      known.place = place;
+      known.place = copyOf(place);
       this.#addPromise(known);
       return true;
     }
     this.#add({
       fingerprint: place.fingerprint,
       number: place.number,
-      place,
+      place: copyOf(place),
       claim: undefined,
       taken: undefined,
       own: source.own,
@@ -394,6 +394,23 @@
   }
 }
 
+/**
+ * Copies a place field by field. Copies by spread each have a hidden class of their
+ * own in Node 20, with which a count over 2,000 places took 2 ms.
+ */
+function copyOf(place: ReturnPlace): ReturnPlace {
+  return {
+    fingerprint: place.fingerprint,
+    number: place.number,
+    service: place.service,
+    rank: place.rank,
+    arrivedAt: place.arrivedAt,
+    returnAt: place.returnAt,
+    startBy: place.startBy,
+    expiresAt: place.expiresAt,
+  };
+}
+
 function hasPlace(entry: Entry): entry is PlacedEntry {
   return entry.place !== undefined;
 }
--- a/packages/router/src/request/capacity_wait_test.ts
+++ b/packages/router/src/request/capacity_wait_test.ts
@@ -195,6 +195,12 @@
   wait.moveTo(load, { runner: "r", prefillTokens: 5, now: 0 });
   assert.equal(wait.maySend(load, { now: 90, propagationMs: 90 }), false);
   assert.equal(wait.maySend(load, { now: 91, propagationMs: 90 }), true);
+  // A request whose place is used elsewhere, too, joins the queue again.
+  wait.changeKey({ rank: 0, arrivedAt: 7, startBy: Infinity });
+  assert.equal(load.queue.hasOwn, false);
+  wait.moveTo(load, { runner: "r", prefillTokens: 5, now: 95 });
+  assert.equal(load.queue.ownEntries[0]!.arrivedAt, 7);
+  assert.equal(wait.maySend(load, { now: 100, propagationMs: 90 }), false);
   wait.end();
   assert.deepEqual(load.queue.ownEntries, []);
 });
--- a/packages/router/tests/returning_request_test.ts
+++ b/packages/router/tests/returning_request_test.ts
@@ -75,3 +75,27 @@
   const metrics = await other.metrics.text();
   assert.match(metrics, /returns_total\{[^}]*outcome="answered"\} 1/);
 });
+
+// Guards against places, and bytes between daemons, where requests are scheduled as
+// before.
+for (
+  const { scheduling, kept } of [
+    { scheduling: { scheduling: "basic", pressure: true }, kept: 0 },
+    { scheduling: ADAPTIVE, kept: 1 },
+  ] as const
+) {
+  test(`a refused request has ${kept} places if scheduling is ${scheduling.scheduling}`, async (t) => {
+    const linked = new LinkedRouters(t, {}, { scheduling });
+    const full = await startFakeRunner(t, "full", (socket, _, id) => {
+      const status = "503 Service Unavailable";
+      const headers = "X-Not-Run: 1\r\n";
+      socket.write(runnerResponse(id, "", { status, headers }));
+    });
+    linked.runners.set([full.runner]);
+    const router = await linked.add();
+    const { status, headers } = await linked.send("work");
+    assert.equal(status, 503);
+    assert.ok(Number(headers["retry-after"]) > 0);
+    assert.equal(router.places.size, kept);
+  });
+}
