--- a/packages/router/src/connection/peer_encoding.ts
+++ b/packages/router/src/connection/peer_encoding.ts
@@ -10,6 +10,8 @@
 import type { PackedCrashes } from "./crash_encoding.ts";
 import { packPace, unpackPaces } from "./pace_encoding.ts";
 import type { PackedPace } from "./pace_encoding.ts";
+import { packPlaces, unpackPlaces } from "./place_encoding.ts";
+import type { PackedPlaces } from "./place_encoding.ts";
 import type { Contact } from "../process/contact.ts";
 import type { DeadContact } from "../process/contact_book.ts";
 import type { PrefixUpdate } from "../process/prefix_index.ts";
@@ -100,6 +102,9 @@
   lease?: PackedLease | undefined,
   draining?: readonly PackedDraining[] | undefined,
   paces?: readonly PackedPace[] | undefined,
+  /** Position 7 holds the shares of workspaces. */
+  shares?: undefined,
+  places?: PackedPlaces | undefined,
 ];
 
 const ADDRESS = /^[^\s:]+:\d{1,5}$/;
@@ -223,7 +228,8 @@
 
 /** Packs the optional fields, up to the last one that has a value. */
 function packOptionalFields(state: StateUpdate): PackedOptionalFields {
-  const { crashes, limits, timeMs, usage, lease, draining, paces } = state;
+  const { crashes, limits, timeMs, usage, lease, draining } = state;
+  const { paces, places } = state;
   const fields: PackedOptionalFields = [
     hasReports(crashes) ? packCrashes(crashes) : undefined,
     limits.length === 0 ? undefined : limits.map(packLimit),
@@ -232,6 +238,8 @@
     lease && [lease.revision, lease.holderId, lease.agoMs],
     draining.length === 0 ? undefined : draining.map(packDraining),
     paces.length === 0 ? undefined : paces.map(packPace),
+    undefined,
+    packPlaces(places),
   ];
   const last = fields.findLastIndex((field) => field !== undefined);
   return fields.slice(0, last + 1) as unknown as PackedOptionalFields;
@@ -287,7 +295,7 @@
   const [, , , , , , , contacts, gone, ...optional] = packed;
   const [crashes, limits = [], timeMs, usage = [], lease, draining = []] =
     optional;
-  const [, , , , , , paces] = optional;
+  const [, , , , , , paces, , places] = optional;
   return {
     kind: "state",
     configuration,
@@ -310,6 +318,7 @@
     lease: lease && unpackLease(lease),
     draining: draining.map(unpackDraining),
     paces: unpackPaces(paces),
+    places: unpackPlaces(places),
   };
 }
 
--- a/packages/router/src/connection/peer_message.ts
+++ b/packages/router/src/connection/peer_message.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { CrashAges } from "./crash_ages.ts";
+import type { PlaceAges } from "./place_encoding.ts";
 import type { Contact } from "../process/contact.ts";
 import type { ContactUpdates } from "../process/contact_book.ts";
 import type { LeaseObservation } from "../process/leader_lease.ts";
@@ -105,6 +106,8 @@
   readonly draining: readonly DrainingAge[];
   /** Observed paces; none where requests are not scheduled adaptively. */
   readonly paces: readonly PaceAge[];
+  /** Places of refused requests, and the uses of such places. */
+  readonly places: PlaceAges;
 }
 
 /** Changes since the sender's last update; also the heartbeat of a link. */
--- a/packages/router/src/connection/state_exchange_test.ts
+++ b/packages/router/src/connection/state_exchange_test.ts
@@ -15,6 +15,7 @@
 import { SchedulingMode } from "../process/scheduling_mode.ts";
 import { DrainingRunners } from "../process/draining_runners.ts";
 import { PrefixIndex } from "../process/prefix_index.ts";
+import { ReturnPlaces } from "../process/return_places.ts";
 import { RunnerLoads } from "../process/runner_loads.ts";
 import { unpackMessage } from "./peer_encoding.ts";
 import type { PeerMessage, StateUpdate } from "./peer_message.ts";
@@ -45,6 +46,7 @@
         ),
         SILENT_LOG,
       ),
+      places: new ReturnPlaces(SILENT_LOG, Math.random),
       ...withoutLeadership(),
       directory: emptyDirectory(),
       configuration: () => undefined,
--- a/packages/router/src/connection/update_broadcaster.ts
+++ b/packages/router/src/connection/update_broadcaster.ts
@@ -13,6 +13,8 @@
 import type { UsageCount, UsageMeter } from "../process/usage_meter.ts";
 import type { CrashRecord, CrashUpdate } from "../process/crash_record.ts";
 import type { PrefixIndex, PrefixUpdate } from "../process/prefix_index.ts";
+import { NO_PLACES } from "../process/return_places.ts";
+import type { PlaceUpdates, ReturnPlaces } from "../process/return_places.ts";
 import type {
   DrainingRunners,
   DrainingUpdate,
@@ -24,11 +26,12 @@
 import { ageOf, toAges } from "./crash_ages.ts";
 import { LoadSums } from "./load_sums.ts";
 import type { MembershipCounts } from "./membership_counts.ts";
-import { Outbox } from "./outbox.ts";
+import { MAX_PLACES, Outbox } from "./outbox.ts";
 import type { OutgoingUpdate, Sourced } from "./outbox.ts";
 import type { Overlay, Role } from "./overlay.ts";
 import { PaceOutbox } from "./pace_outbox.ts";
 import { encodeMessage } from "./peer_link.ts";
+import { toPlaceAges } from "./place_encoding.ts";
 import type { RunnerLoadEntry, StateUpdate, Versions } from "./peer_message.ts";
 import type { Peer, Peers } from "./peers.ts";
 
@@ -50,6 +53,7 @@
   readonly crashes: CrashUpdate;
   readonly limits: readonly LimitUpdate[];
   readonly draining: readonly DrainingUpdate[];
+  readonly places: PlaceUpdates;
   readonly usage: readonly UsageCount[];
   readonly lease: LeaseObservation | undefined;
   readonly paces: readonly PaceUpdate[];
@@ -62,6 +66,7 @@
   crashes: { crashed: [], responses: [] },
   limits: [],
   draining: [],
+  places: NO_PLACES,
   usage: [],
   lease: undefined,
   paces: [],
@@ -75,6 +80,7 @@
   readonly limits: RunnerLimits;
   readonly draining: DrainingRunners;
   readonly paces: RunnerPaces;
+  readonly places: ReturnPlaces;
   readonly time: FleetTime;
   readonly usage: UsageMeter | undefined;
   readonly lease: LeaderLease | undefined;
@@ -104,6 +110,8 @@
   readonly draining: readonly DrainingUpdate[];
   /** Runners with new observations, and whether to send them at once. */
   readonly paces: ReadonlyMap<string, boolean>;
+  /** The places and uses that were new to this daemon. */
+  readonly places: PlaceUpdates;
   readonly usage: readonly UsageCount[];
   /** Whether requests wait for the runners. */
   readonly urgent: boolean;
@@ -160,6 +168,7 @@
     const paces = this.#sources.paces.takeChanged();
     this.#upstreamPaces.add(paces);
     if (overlay.isRelay) this.#downstreamPaces.add(paces);
+    const placeUpdates = this.#sources.places.takeUpdates();
     this.#upstream.addUsage(this.#sources.usage?.takeUpdates() ?? []);
     this.#collectLease();
     const contacts = book.hasUpdates ? book.takeUpdates() : undefined;
@@ -172,6 +181,7 @@
       outbox.addCrashes(crashUpdate);
       outbox.addLimits(limitUpdates);
       outbox.addDraining(drainingUpdates);
+      outbox.addPlaces(placeUpdates);
       if (contacts !== undefined) outbox.addContacts(contacts);
     }
   }
@@ -198,7 +208,7 @@
    */
   relay({ name }: Peer, received: ReceivedUpdate): boolean {
     const { changedRunners, parts, crashes, limits, draining } = received;
-    const { usage, urgent } = received;
+    const { places, usage, urgent } = received;
     const { overlay } = this.#sources;
     // Usage goes up the tree only, to the daemons that may lead.
     if (overlay.role(name) === "child") this.#upstream.addUsage(usage);
@@ -209,7 +219,8 @@
       }
     }
     const count = changedRunners.size + parts.length + crashes.crashed.length +
-      crashes.responses.length + limits.length + draining.length;
+      crashes.responses.length + limits.length + draining.length +
+      places.places.length + places.uses.length;
     if (!overlay.isRelay || count === 0) return false;
     const outboxes = overlay.role(name) === "child"
       ? [this.#downstream, this.#upstream]
@@ -220,6 +231,7 @@
       outbox.addCrashes(crashes, name);
       outbox.addLimits(limits, name);
       outbox.addDraining(draining, name);
+      outbox.addPlaces(places, name);
     }
     return true;
   }
@@ -262,6 +274,28 @@
     return { ...this.#stateUpdate(update, loads, includes), whole: true };
   }
 
+  /**
+   * All places in updates that follow a snapshot, as many in each as in any other
+   * update.
+   */
+  placesFor(peer: Peer): readonly StateUpdate[] {
+    if (this.#sources.overlay.isSpare(peer)) return [];
+    const includes = this.#includedFor(peer);
+    const { places, uses } = this.#sources.places.snapshot(performance.now());
+    const updates: StateUpdate[] = [];
+    for (let start = 0; start < uses.length; start += MAX_PLACES) {
+      const part = uses.slice(start, start + MAX_PLACES);
+      const contents = { ...NO_CHANGES, places: { places: [], uses: part } };
+      updates.push(this.#stateUpdate(contents, [], includes));
+    }
+    for (let start = 0; start < places.length; start += MAX_PLACES) {
+      const part = places.slice(start, start + MAX_PLACES);
+      const contents = { ...NO_CHANGES, places: { places: part, uses: [] } };
+      updates.push(this.#stateUpdate(contents, [], includes));
+    }
+    return updates;
+  }
+
   /**
    * Contacts for a peer's snapshot. A child missed the updates between the
    * opening of its link and its subscription; without this it would permanently
@@ -335,7 +369,11 @@
     };
     const limits = pending.limits.filter(isOthers);
     const draining = pending.draining.filter(isOthers);
-    const received = { parts, crashes, limits, draining };
+    const places = {
+      places: pending.places.places.filter(isOthers),
+      uses: pending.places.uses.filter(isOthers),
+    };
+    const received = { parts, crashes, limits, draining, places };
     const contents = { ...pending, ...received, usage: [] };
     return encodeMessage(this.#stateUpdate(contents, loads, others));
   }
@@ -351,8 +389,17 @@
   }
 
   #stateUpdate(
-    { parts, contacts, crashes, limits, draining, usage, lease, paces }:
-      UpdateContents,
+    {
+      parts,
+      contacts,
+      crashes,
+      limits,
+      draining,
+      paces,
+      places,
+      usage,
+      lease,
+    }: UpdateContents,
     loads: readonly RunnerLoadEntry[],
     includes: NeighbourFilter,
   ): StateUpdate {
@@ -383,6 +430,7 @@
           agoMs: ageOf(stated.at, now),
         },
       })),
+      places: toPlaceAges(places, now),
       members: this.#sources.counts.sumFrom(includes),
       // Only usage windows need the time.
       timeMs: meter && Math.round(time.now()),
--- a/packages/router/src/request/attempt_executor.ts
+++ b/packages/router/src/request/attempt_executor.ts
@@ -118,7 +118,7 @@
       const startedAt = result.kind === "response"
         ? this.#daemon.now()
         : sentAt;
-      return await this.#handle(routed, result, {
+      const handled = await this.#handle(routed, result, {
         load,
         placed,
         attempt,
@@ -128,6 +128,8 @@
         tokensAhead,
         run: { fingerprint, startedAt },
       });
+      if (result.kind === "response") this.#recordEnd(routed, sentAt);
+      return handled;
     } finally {
       unwatch();
       inactivity.stop();
@@ -135,6 +137,18 @@
     }
   }
 
+  #recordEnd({ service, rank }: RoutedRequest, sentAt: number): void {
+    const { runners, loads, now } = this.#daemon.fleet(service.name);
+    const inFlight = runners.reduce(
+      (sum, { id }) => sum + loads.of(id).total.inFlight,
+      0,
+    );
+    this.#daemon.drainRate(service.name).recordEnd(
+      { rank, durationMs: now - sentAt, inFlight },
+      now,
+    );
+  }
+
   /**
    * Prompt tokens that the runner prefills before the first event of a request
    * that is about to be sent. Undefined where the event may be delayed by other
@@ -213,7 +227,7 @@
         if (result.head.misdirected) load.recordFailure(now);
         return retry(
           "refused by runner",
-          () => this.#outcomes.refusal("runner_full"),
+          () => this.#outcomes.runnersFull(),
         );
       case "response":
         this.#progress.mayHaveRun = true;
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -19,6 +19,7 @@
 } from "./connection/status_server.ts";
 import { CrashRecord } from "./process/crash_record.ts";
 import { DrainingRunners } from "./process/draining_runners.ts";
+import { DrainRate } from "./process/drain_rate.ts";
 import type { EventLog } from "./process/event_log.ts";
 import { CacheSurvey } from "./process/cache_survey.ts";
 import type { EngineCache } from "./process/cache_survey.ts";
@@ -40,6 +41,7 @@
 import type { RunnerPace } from "./process/runner_pace.ts";
 import { RunnerPaces } from "./process/runner_paces.ts";
 import { RunnerPauses } from "./process/runner_pauses.ts";
+import { ReturnPlaces } from "./process/return_places.ts";
 import { RunnerRestrictions } from "./process/runner_restrictions.ts";
 import { RunnerLoads } from "./process/runner_loads.ts";
 import { SchedulingMode } from "./process/scheduling_mode.ts";
@@ -101,6 +103,7 @@
   readonly restrictions: RunnerRestrictions;
   readonly scheduling: SchedulingMode;
   readonly paces: RunnerPaces;
+  readonly places: ReturnPlaces;
   readonly sharedTimer = new SharedTimer(CAPACITY_CHECK_MS);
   readonly metrics = new RequestMetrics();
   readonly log: EventLog;
@@ -116,6 +119,7 @@
     )
   );
   readonly #streamPaces = new PerService(() => new StreamPace());
+  readonly #drainRates = new PerService(() => new DrainRate());
   readonly #limitQueues = new PerService(() => new LimitQueue());
   readonly #fleetSync: FleetSync;
   readonly #leadership: Leadership;
@@ -134,6 +138,7 @@
     this.scheduling = new SchedulingMode(settings.scheduling, log);
     this.paces = new RunnerPaces(this.scheduling, log);
     this.metrics.observePaces(() => this.paces.samples(this.now()));
+    this.places = new ReturnPlaces(log, () => this.random());
     this.crashes = new CrashRecord(log);
     this.limits = new RunnerLimits(log, () => this.#fleetSync.view);
     this.pauses = new RunnerPauses(log);
@@ -183,6 +188,7 @@
       limits: this.limits,
       draining: this.#draining,
       paces: this.paces,
+      places: this.places,
       directory: this.#directory,
       configuration: () => this.#configuration,
       applyConfiguration: (configuration, source) =>
@@ -269,6 +275,10 @@
     return this.paces.of(service);
   }
 
+  drainRate(service: string): DrainRate {
+    return this.#drainRates.of(service);
+  }
+
   streamPace(service: string): StreamPace {
     return this.#streamPaces.of(service);
   }
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -10,6 +10,7 @@
 import { text } from "node:stream/consumers";
 import type { TestContext } from "node:test";
 import { NO_CRASHES } from "../src/connection/crash_ages.ts";
+import { NO_PLACE_AGES } from "../src/connection/place_encoding.ts";
 import type { StateUpdate } from "../src/connection/peer_message.ts";
 import type { DaemonRegistry } from "../src/process/daemon_registry.ts";
 import { DrainingRunners } from "../src/process/draining_runners.ts";
@@ -23,6 +24,7 @@
   StoredRecord,
 } from "../src/process/leader_record.ts";
 import type { Changes, Feed, Listing } from "../src/process/feed.ts";
+import type { PromptPart } from "../src/process/prefix_index.ts";
 import type { Runner } from "../src/process/runner.ts";
 import { RunnerDirectory } from "../src/process/runner_directory.ts";
 import type { ReportedLoad } from "../src/process/runner_load.ts";
@@ -56,6 +58,11 @@
   return { running: 1, waiting: 0, slots: 8, workHundredths: Number(text) };
 }
 
+/** Parses a prompt of one part, given by its id. */
+function parsePrompt(id: string | undefined): readonly PromptPart[] {
+  return id === undefined ? [] : [{ id, tokens: 0 }];
+}
+
 function parseNumber(text: string | undefined): number | undefined {
   return text === undefined ? undefined : Number(text);
 }
@@ -70,7 +77,7 @@
     promptTokens: 0,
     maxOutputTokens: 0,
     expectedOutputTokens: undefined,
-    prompt: [],
+    prompt: parsePrompt(headerOf(headers, "x-prompt")),
     lastEventId: undefined,
   }),
   runnerHeaders: (headers, head) => [
@@ -189,6 +196,7 @@
     limits: [],
     draining: [],
     paces: [],
+    places: NO_PLACE_AGES,
     members: { fleet: 1, domain: 1 },
     timeMs: undefined,
     usage: [],
--- a/packages/router/tests/fleet.ts
+++ b/packages/router/tests/fleet.ts
@@ -35,6 +35,7 @@
 } from "../src/process/platform_api.ts";
 import type { Fields } from "../src/process/log_line.ts";
 import { PrefixIndex } from "../src/process/prefix_index.ts";
+import { ReturnPlaces } from "../src/process/return_places.ts";
 import type { Runner } from "../src/process/runner.ts";
 import { RunnerDirectory } from "../src/process/runner_directory.ts";
 import { RunnerLimits } from "../src/process/runner_limits.ts";
@@ -328,6 +329,7 @@
   readonly leader: Leader;
   readonly draining: DrainingRunners;
   readonly paces: RunnerPaces;
+  readonly places: ReturnPlaces;
   readonly directory: RunnerDirectory;
   readonly links = new Set<FakeLink>();
   readonly events: { readonly name: string; readonly fields: Fields }[] = [];
@@ -361,6 +363,7 @@
     this.crashes = new CrashRecord(log);
     this.limits = new RunnerLimits(log, () => this.fleetSync.view);
     this.draining = new DrainingRunners(log);
+    this.places = new ReturnPlaces(log, Math.random);
     this.directory = new RunnerDirectory(this.draining);
     const scheduling = { isAdaptive: () => true, recordStatedSpeed() {} };
     this.paces = new RunnerPaces(scheduling, log);
@@ -405,6 +408,7 @@
       limits: this.limits,
       draining: this.draining,
       paces: this.paces,
+      places: this.places,
       time: this.time,
       usage: this.usage,
       lease: this.lease,
