--- a/packages/router/src/leadership.ts
+++ b/packages/router/src/leadership.ts
@@ -46,6 +46,7 @@
   readonly usage: UsageMeter | undefined;
   readonly lease: LeaderLease | undefined;
   readonly #leader: Leader | undefined;
+  readonly #autoscaler: Autoscaler | undefined;
   readonly #log: EventLog;
 
   constructor(
@@ -69,6 +70,9 @@
       clock: SYSTEM_CLOCK,
       log,
     });
+    this.#autoscaler = settings.ordersRunners
+      ? new Autoscaler(dependencies)
+      : undefined;
     this.#leader = this.#createLeader(this.lease, api, {
       settings,
       dependencies,
@@ -80,6 +84,11 @@
     this.usage?.countRequest(workspace);
   }
 
+  /** Records a change of the list of runners. */
+  runnersChanged(now: number): void {
+    this.#autoscaler?.runnersChanged(now);
+  }
+
   start(): void {
     if (this.#leader === undefined) this.#log.event("leadership_off", {});
     void this.#leader?.run();
@@ -99,7 +108,7 @@
     readonly settings: LeadershipSettings;
     readonly dependencies: LeadershipDependencies;
   }): Leader {
-    const { leaseMs, ordersRunners, usage: timing } = options.settings;
+    const { leaseMs, usage: timing } = options.settings;
     const { own, log, metrics, fleetSync, random } = options.dependencies;
     const meter = this.usage;
     return new Leader({
@@ -112,9 +121,7 @@
         timing,
         complete: () => fleetSync().seesWholeFleet,
       },
-      scalingPolicy: ordersRunners
-        ? new Autoscaler(options.dependencies)
-        : undefined,
+      scalingPolicy: this.#autoscaler,
       eligible: () => fleetSync().mayLead,
       leaseChanged: () => fleetSync().leaseChanged(),
       now: () => this.time.now(),
