--- a/packages/router/src/leadership.ts
+++ b/packages/router/src/leadership.ts
@@ -46,7 +46,6 @@
   readonly usage: UsageMeter | undefined;
   readonly lease: LeaderLease | undefined;
   readonly #leader: Leader | undefined;
-  readonly #autoscaler: Autoscaler | undefined;
   readonly #log: EventLog;
 
   constructor(
@@ -70,9 +69,6 @@
       clock: SYSTEM_CLOCK,
       log,
     });
-    this.#autoscaler = settings.ordersRunners
-      ? new Autoscaler(dependencies)
-      : undefined;
     this.#leader = this.#createLeader(this.lease, api, {
       settings,
       dependencies,
@@ -84,11 +80,6 @@
     this.usage?.countRequest(workspace);
   }
 
-  /** Records a change of the list of runners. */
-  runnersChanged(now: number): void {
-    this.#autoscaler?.runnersChanged(now);
-  }
-
   start(): void {
     if (this.#leader === undefined) this.#log.event("leadership_off", {});
     void this.#leader?.run();
@@ -108,7 +99,7 @@
     readonly settings: LeadershipSettings;
     readonly dependencies: LeadershipDependencies;
   }): Leader {
-    const { leaseMs, usage: timing } = options.settings;
+    const { leaseMs, ordersRunners, usage: timing } = options.settings;
     const { own, log, metrics, fleetSync, random } = options.dependencies;
     const meter = this.usage;
     return new Leader({
@@ -121,7 +112,9 @@
         timing,
         complete: () => fleetSync().seesWholeFleet,
       },
-      scalingPolicy: this.#autoscaler,
+      scalingPolicy: ordersRunners
+        ? new Autoscaler(options.dependencies)
+        : undefined,
       eligible: () => fleetSync().mayLead,
       leaseChanged: () => fleetSync().leaseChanged(),
       now: () => this.time.now(),
--- a/packages/router/src/process/autoscaler.ts
+++ b/packages/router/src/process/autoscaler.ts
@@ -43,13 +43,6 @@
   /** All listed runners. */
   runners(): readonly Runner[];
   services(): readonly ScaledService[];
-  /** Whether the requests to a service are scheduled adaptively. */
-  isAdaptive(service: string): boolean;
-  /**
-   * Estimated share of its time in which an engine prefills; undefined where
-   * the pace of engines is not observed.
-   */
-  prefillShare(runner: Runner, now: number): number | undefined;
 }
 
 type ScalableService = ScaledService & { readonly scaling: Scaling };
@@ -78,22 +71,6 @@
     this.#sources = sources;
   }
 
-  /**
-   * Records a change of the list of runners. A daemon that becomes the first
-   * leader of a fleet knows from it since when the list has been complete, and
-   * need not pay for more runners than it orders in the meantime.
-   */
-  runnersChanged(now: number): void {
-    const byService = groupBy(
-      this.#sources.runners(),
-      ({ service }) => service,
-    );
-    for (const [service, runners] of byService) {
-      if (!this.#sources.isAdaptive(service)) continue;
-      this.#isSettled(service, runners, now);
-    }
-  }
-
   desiredOrders(
     orders: readonly RunnerOrder[],
     now: number,
@@ -139,7 +116,7 @@
     const domains = this.#domains(service, inputs);
     const state = this.#stateOf(name, domains, orders);
     const ready = runners.filter(({ draining }) => !draining);
-    const busy = this.#busy(service, ready, now);
+    const busy = this.#busy(service, ready);
     state.estimator.observe(busy, now);
     const needed = state.estimator.estimate(now);
     const plan = planRunners(needed, scaling, domains);
@@ -225,30 +202,14 @@
   }
 
   /** Returns the current load, in units of fully busy runners. */
-  #busy(
-    { engine }: ScaledService,
-    ready: readonly Runner[],
-    now: number,
-  ): number {
-    return ready.reduce((sum, runner) => {
-      const { inFlight } = this.#sources.loads.of(runner.id).total;
-      const prefillShare = engine && this.#prefillShare(runner, now);
-      const share = Math.max(inFlight / runner.slots, prefillShare ?? 0);
-      return sum + Math.min(1, share);
+  #busy({ engine }: ScaledService, ready: readonly Runner[]): number {
+    return ready.reduce((sum, { id, slots }) => {
+      const { inFlight, unreadTokens } = this.#sources.loads.of(id).total;
+      const prefilling = engine !== undefined && unreadTokens > 0;
+      return sum + (prefilling ? 1 : Math.min(1, inFlight / slots));
     }, 0);
   }
 
-  /**
-   * Share of its time in which an engine prefills. Where its pace is not known, an
-   * engine with unread prompts counts as busy: loads reach the leader some 100 ms
-   * late, in which a fast engine has prefilled several prompts.
-   */
-  #prefillShare(runner: Runner, now: number): number {
-    const estimated = this.#sources.prefillShare(runner, now);
-    if (estimated !== undefined) return estimated;
-    return this.#sources.loads.of(runner.id).total.unreadTokens > 0 ? 1 : 0;
-  }
-
   #isValid(service: string, scaling: Scaling): boolean {
     const finding = validateScaling(scaling);
     if (finding === undefined) {
--- a/packages/router/src/process/autoscaler_test.ts
+++ b/packages/router/src/process/autoscaler_test.ts
@@ -46,8 +46,6 @@
   runners: readonly Runner[];
   services: readonly ScaledService[];
   orders: readonly RunnerOrder[] = [];
-  adaptive = false;
-  prefillShare: number | undefined;
   readonly scaler: Autoscaler;
 
   constructor(runners: readonly Runner[], service = SERVICE) {
@@ -61,8 +59,6 @@
       },
       runners: () => this.runners,
       services: () => this.services,
-      isAdaptive: () => this.adaptive,
-      prefillShare: () => this.prefillShare,
     });
   }
 
@@ -107,36 +103,6 @@
   assert.equal(simulation.shown, "a:12+8 b:12+8 c:12+8");
 });
 
-// Guards against paying for all standing runners for seconds after the election
-// of a fleet's first leader.
-test("a list that was complete before the election is not waited for", () => {
-  const simulation = new Simulation(standing());
-  simulation.adaptive = true;
-  simulation.scaler.runnersChanged(0);
-  simulation.run(3_000, 3_200);
-  assert.ok(simulation.orders.length > 0);
-});
-
-// Guards against orders for runners that only look busy: loads reach the leader
-// late, and fast engines always have an unread prompt then.
-test("engines that prefill for a tenth of their time are not counted as busy", () => {
-  const needed = (prefillShare: number | undefined) => {
-    const simulation = new Simulation(standing());
-    simulation.prefillShare = prefillShare;
-    simulation.run(0, 3_000);
-    for (const { id } of simulation.runners) {
-      simulation.loads.of(id).place(
-        { unreadTokens: 4_000, memoryTokens: 5_000, tight: false },
-        3_000,
-      );
-    }
-    simulation.run(3_200, 12_000);
-    return simulation.events.at(-1)!.fields.needed_now;
-  };
-  assert.ok(Number(needed(undefined)) >= 40);
-  assert.ok(Number(needed(0.1)) <= 8);
-});
-
 test("regular runners are removed when preemptible ones serve in their place", () => {
   const simulation = new Simulation(standing());
   simulation.run(0, 4_000);
--- a/packages/router/src/process/drain_rate.ts
+++ b/packages/router/src/process/drain_rate.ts
@@ -105,13 +105,6 @@
     return ends.count >= MIN_WEIGHT ? ends.durationMs / ends.count : undefined;
   }
 
-  /** Mean time in ms that a request spends at a runner; undefined while unknown. */
-  meanMsOfAll(now: number): number | undefined {
-    this.#applyDecay(now);
-    const ends = this.#sum(() => true);
-    return ends.count >= MIN_WEIGHT ? ends.durationMs / ends.count : undefined;
-  }
-
   /** Growth of the requests at runners, per ms; 0 while they become fewer. */
   #growthPerMs(inFlight: number, now: number): number {
     const elapsedMs = now - this.#levelAt;
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -174,8 +174,6 @@
       loads: this.loads,
       runners: () => this.#directory.runners,
       services: () => this.#configuration?.services ?? [],
-      isAdaptive: (service) => this.scheduling.isAdaptive(service),
-      prefillShare: (runner, now) => this.#prefillShare(runner, now),
       fleetSync: () => this.#fleetSync,
       random: () => this.random(),
     });
@@ -447,23 +445,9 @@
     this.pauses.retain(ids, this.now());
     this.#draining.retain(ids, this.now());
     for (const pace of this.#streamPaces.all()) pace.retain(ids);
-    this.#leadership.runnersChanged(this.now());
     this.#surveyOnce();
   }
 
-  /**
-   * Share of its time in which an engine prefills, by Little's law: the prompts of
-   * the requests at the engine were prefilled in the time that a request spends
-   * there. Undefined for a service whose engines are not observed.
-   */
-  #prefillShare({ id, service }: Runner, now: number): number | undefined {
-    if (!this.scheduling.isAdaptive(service)) return undefined;
-    const meanMs = this.drainRate(service).meanMsOfAll(now);
-    if (meanMs === undefined) return undefined;
-    const { workTokens } = this.loads.of(id).total;
-    return this.runnerPace(service).prefillMs(id, workTokens, now) / meanMs;
-  }
-
   /**
    * Surveys the engines' caches once, when configuration and runners are known.
    */
