Order waiting requests by the shares of their workspaces

Within a rank, requests went by age alone: a workspace that asked for three times what all runners serve left another one, which asked for 0.3 of it, an eighth of its requests.

Where a service is scheduled adaptively, daemons now account the recent cost of each workspace by rank (decayed with a half-life of 2 s), exchange cumulative sums (optional field at position 7 of a state update), and order waiting requests by rank, lateness, share and age. A waiting entry carries its share as its sixth figure. A less urgent rank that waits gets one twentieth of the cost of more urgent requests. Nothing changes where a service isn't adaptive.

--- a/packages/router/src/connection/apply_update.ts
+++ b/packages/router/src/connection/apply_update.ts
@@ -11,6 +11,7 @@
 import type { FleetTime } from "../process/fleet_time.ts";
 import type { LeaderLease } from "../process/leader_lease.ts";
 import type { UsageMeter } from "../process/usage_meter.ts";
+import type { WorkspaceShares } from "../process/workspace_shares.ts";
 import { fromAges } from "./crash_ages.ts";
 import type { ReceivedUpdate } from "./update_broadcaster.ts";
 import type { RunnerLoadEntry, StateUpdate } from "./peer_message.ts";
@@ -22,6 +23,7 @@
   readonly crashes: CrashRecord;
   readonly limits: RunnerLimits;
   readonly draining: DrainingRunners;
+  readonly shares: WorkspaceShares;
 }
 
 /** State that daemons exchange for the leader. */
@@ -55,7 +57,7 @@
   );
   for (const load of loads) {
     changedRunners.add(load.runner);
-    applyLoad(shared.loads, neighbour, { load, now });
+    applyLoad(shared, neighbour, { load, now });
   }
   for (const prefix of parts) shared.prefixes.applyUpdate(prefix, now);
   return {
@@ -71,22 +73,25 @@
       now,
     ),
     usage: shared.usage?.applyUpdates(update.usage) ?? [],
+    shares: shared.shares.applyUpdates(neighbour, update.shares, now),
     urgent: loads.some(({ waiting }) => waiting.length > 0),
   };
 }
 
-function applyLoad(loads: RunnerLoads, neighbour: string, received: {
-  readonly load: RunnerLoadEntry;
-  readonly now: number;
-}): void {
+function applyLoad(
+  { loads, shares }: SharedRunnerState,
+  neighbour: string,
+  received: { readonly load: RunnerLoadEntry; readonly now: number },
+): void {
   const { load, now } = received;
   const waiting = load.waiting.map(
-    ({ rank, ageMs, leftMs, requests, unreadTokens }) => ({
+    ({ rank, ageMs, leftMs, requests, unreadTokens, share }) => ({
       rank,
       requests,
       unreadTokens,
       arrivedAt: now - ageMs,
       startBy: now + leftMs,
+      share: shares.readShare(neighbour, share, now),
     }),
   );
   loads.of(load.runner).setNeighbourLoad(neighbour, load, { now, waiting });
--- a/packages/router/src/connection/load_sums.ts
+++ b/packages/router/src/connection/load_sums.ts
@@ -64,7 +64,7 @@
     now: number,
   ): RunnerLoadEntry {
     const load = this.#loads.of(runner);
-    const waiting = compact(load.queue.entriesFrom(includes), now);
+    const waiting = compact(load.queue.entriesFrom(includes, now), now);
     return {
       runner,
       ...load.sumFrom(includes),
@@ -78,18 +78,20 @@
 }
 
 function toQueuedRequests(waiting: WaitingEntry, now: number): QueuedRequests {
-  const { rank, arrivedAt, startBy, requests, unreadTokens } = waiting;
+  const { rank, arrivedAt, startBy, requests, unreadTokens, share } = waiting;
   return {
     rank,
     requests,
     unreadTokens,
     ageMs: Math.round(now - arrivedAt),
     leftMs: Math.round(Math.min(startBy - now, MAX_LEFT_MS)),
+    share: share === undefined ? undefined : Math.round(share),
   };
 }
 
 /**
- * Compacts a queue into a few entries: the first ones, then one for each rank.
+ * Compacts a queue into a few entries: the first ones, then one for each rank. A
+ * rank whose requests have shares gets up to three entries.
  */
 function compact(
   waiting: readonly WaitingEntry[],
@@ -102,11 +104,42 @@
   const others = groupBy(ordered.slice(MAX_SINGLE_ENTRIES), ({ rank }) => rank);
   return [
     ...ordered.slice(0, MAX_SINGLE_ENTRIES),
-    ...[...others.values()].map(merge),
+    ...[...others.values()].flatMap((ofRank) => split(ofRank, now)).map(merge),
   ];
 }
 
-/** Merges requests of one rank into one entry, with their mean age. */
+/**
+ * Splits the requests of a rank, in order, into those that are on time, at the
+ * greatest gap between their shares, and those that are late. In one entry, 200
+ * requests of a workspace would hide the one of a workspace that has received
+ * little, and daemons would send theirs before it.
+ */
+function split(
+  ordered: readonly WaitingEntry[],
+  now: number,
+): readonly (readonly WaitingEntry[])[] {
+  if (ordered.some(({ share }) => share === undefined)) return [ordered];
+  const [onTime, late] = partition(ordered, ({ startBy }) => startBy >= now);
+  let widest = 0;
+  let end = 0;
+  for (let index = 1; index < onTime.length; index += 1) {
+    const gap = onTime[index]!.share! - onTime[index - 1]!.share!;
+    if (gap <= widest) continue;
+    widest = gap;
+    end = index;
+  }
+  return [onTime.slice(0, end), onTime.slice(end), late]
+    .filter((entries) => entries.length > 0);
+}
+
+function partition<Item>(
+  items: readonly Item[],
+  belongs: (item: Item) => boolean,
+): readonly [Item[], Item[]] {
+  return [items.filter(belongs), items.filter((item) => !belongs(item))];
+}
+
+/** Merges requests of one rank into one entry, with their mean age and share. */
 function merge(waiting: readonly WaitingEntry[]): WaitingEntry {
   const [first] = waiting;
   if (waiting.length === 1) return first!;
@@ -114,11 +147,13 @@
   let unreadTokens = 0;
   let arrivedAt = 0;
   let startBy = 0;
+  let share = 0;
   for (const entry of waiting) {
     requests += entry.requests;
     unreadTokens += entry.unreadTokens;
     arrivedAt += entry.arrivedAt * entry.requests;
     startBy += entry.startBy * entry.requests;
+    share += (entry.share ?? NaN) * entry.requests;
   }
   return {
     rank: first!.rank,
@@ -126,5 +161,6 @@
     unreadTokens,
     arrivedAt: arrivedAt / requests,
     startBy: startBy / requests,
+    share: Number.isNaN(share) ? undefined : share / requests,
   };
 }
--- a/packages/router/src/connection/peer_encoding.ts
+++ b/packages/router/src/connection/peer_encoding.ts
@@ -9,6 +9,8 @@
 import { hasReports, packCrashes, unpackCrashes } from "./crash_encoding.ts";
 import type { PackedCrashes } from "./crash_encoding.ts";
 import type { Contact } from "../process/contact.ts";
+import { groupBy } from "../process/group.ts";
+import type { CostSum } from "../process/workspace_shares.ts";
 import type { DeadContact } from "../process/contact_book.ts";
 import type { PrefixUpdate } from "../process/prefix_index.ts";
 import type { UsageCount, WorkspaceCount } from "../process/usage_meter.ts";
@@ -32,6 +34,7 @@
   tokens: number,
   leftMs: number,
   requests: number,
+  share?: number,
 ];
 
 type PackedLoad = readonly [
@@ -75,6 +78,13 @@
 
 type PackedLease = readonly [revision: number, holderId: string, agoMs: number];
 
+/** Cumulative costs of the workspaces of one rank of a service. */
+type PackedShares = readonly [
+  service: string,
+  rank: number,
+  workspacesAndCosts: readonly (string | number)[],
+];
+
 type PackedState = readonly [
   configuration: number,
   runners: number,
@@ -97,6 +107,9 @@
   usage?: readonly PackedUsage[] | undefined,
   lease?: PackedLease | undefined,
   draining?: readonly PackedDraining[] | undefined,
+  /** Position of the paces of runners. */
+  paces?: undefined,
+  shares?: readonly PackedShares[] | undefined,
 ];
 
 const ADDRESS = /^[^\s:]+:\d{1,5}$/;
@@ -109,23 +122,29 @@
     load.workTokens,
     load.memoryTokens,
     load.tightStreams,
-    load.waiting.map(({ rank, ageMs, unreadTokens, leftMs, requests }) =>
-      [rank, ageMs, unreadTokens, leftMs, requests] as const
-    ),
+    load.waiting.map(packWaiting),
     load.answered,
     load.failed,
   ];
 }
 
+function packWaiting(waiting: QueuedRequests): PackedWaiting {
+  const { rank, ageMs, unreadTokens, leftMs, requests, share } = waiting;
+  const packed = [rank, ageMs, unreadTokens, leftMs, requests] as const;
+  return share === undefined ? packed : [...packed, share];
+}
+
+/** Reads a waiting entry. Its share is checked where it is applied. */
 function unpackWaiting(packed: PackedWaiting): QueuedRequests {
-  const [rank, ageMs, unreadTokens, leftMs, requests] = packed;
-  return {
+  const [rank, ageMs, unreadTokens, leftMs, requests, share] = packed;
+  const waiting = {
     rank,
     ageMs,
     leftMs,
     requests: checkNonNegative(requests, "waiting.requests"),
     unreadTokens: checkNonNegative(unreadTokens, "waiting.unreadTokens"),
   };
+  return share === undefined ? waiting : { ...waiting, share };
 }
 
 /**
@@ -220,7 +239,7 @@
 
 /** Packs the optional fields, up to the last one that has a value. */
 function packOptionalFields(state: StateUpdate): PackedOptionalFields {
-  const { crashes, limits, timeMs, usage, lease, draining } = state;
+  const { crashes, limits, timeMs, usage, lease, draining, shares } = state;
   const fields: PackedOptionalFields = [
     hasReports(crashes) ? packCrashes(crashes) : undefined,
     limits.length === 0 ? undefined : limits.map(packLimit),
@@ -228,11 +247,42 @@
     usage.length === 0 ? undefined : usage.map(packUsage),
     lease && [lease.revision, lease.holderId, lease.agoMs],
     draining.length === 0 ? undefined : draining.map(packDraining),
+    undefined,
+    shares.length === 0 ? undefined : packShares(shares),
   ];
   const last = fields.findLastIndex((field) => field !== undefined);
   return fields.slice(0, last + 1) as unknown as PackedOptionalFields;
 }
 
+function packShares(shares: readonly CostSum[]): readonly PackedShares[] {
+  const byRank = groupBy(shares, ({ service, rank }) => `${rank} ${service}`);
+  return [...byRank.values()].map((sums) => [
+    sums[0]!.service,
+    sums[0]!.rank,
+    sums.flatMap(({ workspace, cost }) => [workspace, cost]),
+  ]);
+}
+
+/** Reads costs of workspaces. Their values are checked where they are applied. */
+function unpackShares(packed: unknown): readonly CostSum[] {
+  if (!Array.isArray(packed)) return [];
+  return packed.flatMap((sums: unknown) => {
+    if (!Array.isArray(sums) || !Array.isArray(sums[2])) return [];
+    const [service, rank, values] = sums as unknown as PackedShares;
+    const costs: CostSum[] = [];
+    for (let index = 0; index + 1 < values.length; index += 2) {
+      const workspace = values[index] as string;
+      costs.push({
+        service,
+        rank,
+        workspace,
+        cost: values[index + 1] as number,
+      });
+    }
+    return costs;
+  });
+}
+
 function packUsage(
   { incarnation, window, counts }: UsageCount,
 ): PackedUsage {
@@ -281,8 +331,8 @@
 function unpackState(packed: PackedState): StateUpdate {
   const [configuration, runners, whole, loads, parts, fleet, domain] = packed;
   const [, , , , , , , contacts, gone, ...optional] = packed;
-  const [crashes, limits = [], timeMs, usage = [], lease, draining = []] =
-    optional;
+  const [crashes, limits = [], timeMs, usage = [], lease, ...later] = optional;
+  const [draining = [], , shares] = later;
   return {
     kind: "state",
     configuration,
@@ -304,6 +354,7 @@
     usage: usage.map(unpackUsage),
     lease: lease && unpackLease(lease),
     draining: draining.map(unpackDraining),
+    shares: unpackShares(shares),
   };
 }
 
--- a/packages/router/src/connection/peer_message.ts
+++ b/packages/router/src/connection/peer_message.ts
@@ -14,6 +14,7 @@
 import type { LoadTotals } from "../process/load_totals.ts";
 import type { RunnerListUpdate } from "../process/runner_directory.ts";
 import type { UsageCount } from "../process/usage_meter.ts";
+import type { CostSum } from "../process/workspace_shares.ts";
 import type { Configuration } from "../version/configuration.ts";
 
 /**
@@ -34,6 +35,8 @@
   readonly leftMs: number;
   readonly requests: number;
   readonly unreadTokens: number;
+  /** Share of the requests' workspaces; see `QueueKey`. */
+  readonly share?: number | undefined;
 }
 
 /** Load that the sender, and the daemons it relays for, put on one runner. */
@@ -106,6 +109,8 @@
   /** Counts of requests that runners started, for the daemons that may lead. */
   readonly usage: readonly UsageCount[];
   readonly lease: LeaseAge | undefined;
+  /** Cumulative costs of requests by workspace. */
+  readonly shares: readonly CostSum[];
 }
 
 /** Requests newer data from a peer. Its field names are on the wire. */
--- a/packages/router/src/connection/state_exchange.ts
+++ b/packages/router/src/connection/state_exchange.ts
@@ -122,6 +122,7 @@
       crashes: shared.crashes,
       limits: shared.limits,
       draining: shared.draining,
+      shares: shared.shares,
       time: shared.time,
       usage: shared.usage,
       lease: shared.lease,
@@ -261,6 +262,9 @@
       this.#applyMembers(peer, update.members);
       const received = applyUpdate(this.#state, peer.name, update);
       if (this.#broadcaster.relay(peer, received)) this.wake();
+      const reordered = received.shares.length > 0 &&
+        this.#state.loads.hasWaiting;
+      if (reordered) this.wake();
     }
     const hasParts = !relayed || role === "parent" || role === "head";
     this.#versions.requestNewer(peer, update, { hasParts });
@@ -307,6 +311,7 @@
    */
   #removeReports(peer: Peer, role?: Role): void {
     const changed = this.#state.loads.removeNeighbour(peer.name);
+    this.#state.shares.removeNeighbour(peer.name);
     this.#state.time.forget(peer.name);
     this.#counts.removeNeighbour(peer.name);
     this.#countsChanged ||= this.#overlay.relayed;
--- a/packages/router/src/connection/state_exchange_test.ts
+++ b/packages/router/src/connection/state_exchange_test.ts
@@ -14,6 +14,7 @@
 import { DrainingRunners } from "../process/draining_runners.ts";
 import { PrefixIndex } from "../process/prefix_index.ts";
 import { RunnerLoads } from "../process/runner_loads.ts";
+import { WorkspaceShares } from "../process/workspace_shares.ts";
 import { unpackMessage } from "./peer_encoding.ts";
 import type { PeerMessage, StateUpdate } from "./peer_message.ts";
 import type { Peers } from "./peers.ts";
@@ -36,6 +37,7 @@
       crashes: new CrashRecord(SILENT_LOG),
       limits: emptyLimits(),
       draining: new DrainingRunners(SILENT_LOG),
+      shares: new WorkspaceShares({ log: SILENT_LOG }),
       ...withoutLeadership(),
       directory: emptyDirectory(),
       configuration: () => undefined,
--- a/packages/router/src/connection/update_broadcaster.ts
+++ b/packages/router/src/connection/update_broadcaster.ts
@@ -20,6 +20,12 @@
 import type { LimitUpdate, RunnerLimits } from "../process/runner_limits.ts";
 import type { RunnerLoads } from "../process/runner_loads.ts";
 import type { NeighbourFilter } from "../process/runner_queue.ts";
+import type {
+  CostIncrease,
+  CostSum,
+  Flow,
+  WorkspaceShares,
+} from "../process/workspace_shares.ts";
 import { ageOf, toAges } from "./crash_ages.ts";
 import { LoadSums } from "./load_sums.ts";
 import type { MembershipCounts } from "./membership_counts.ts";
@@ -29,6 +35,7 @@
 import { encodeMessage } from "./peer_link.ts";
 import type { RunnerLoadEntry, StateUpdate, Versions } from "./peer_message.ts";
 import type { Peer, Peers } from "./peers.ts";
+import { MAX_SHARES, ShareOutbox } from "./share_outbox.ts";
 
 /**
  * Approximate bytes of a runner's load in a message while requests wait for it.
@@ -40,6 +47,8 @@
  * they were throttled, daemons would send to runners that others have filled.
  */
 const BURST_SECONDS = 600;
+/** Time in ms for which requests count as waiting after they were heard of. */
+const WAITING_MS = 1_000;
 
 /** Contents of a state update other than loads. */
 interface UpdateContents {
@@ -50,6 +59,7 @@
   readonly draining: readonly DrainingUpdate[];
   readonly usage: readonly UsageCount[];
   readonly lease: LeaseObservation | undefined;
+  readonly shares: readonly CostSum[];
 }
 
 /** An update without changes. */
@@ -61,6 +71,7 @@
   draining: [],
   usage: [],
   lease: undefined,
+  shares: [],
 };
 
 /** The shared state to send, and the neighbours to send it to. */
@@ -70,6 +81,7 @@
   readonly crashes: CrashRecord;
   readonly limits: RunnerLimits;
   readonly draining: DrainingRunners;
+  readonly shares: WorkspaceShares;
   readonly time: FleetTime;
   readonly usage: UsageMeter | undefined;
   readonly lease: LeaderLease | undefined;
@@ -98,6 +110,7 @@
   readonly limits: readonly LimitUpdate[];
   readonly draining: readonly DrainingUpdate[];
   readonly usage: readonly UsageCount[];
+  readonly shares: readonly CostIncrease[];
   /** Whether requests wait for the runners. */
   readonly urgent: boolean;
 }
@@ -116,6 +129,10 @@
   readonly #upstream = new Outbox();
   /** For children. */
   readonly #downstream = new Outbox();
+  readonly #upstreamShares = new ShareOutbox();
+  readonly #downstreamShares = new ShareOutbox();
+  /** When a request was last known to wait, here or elsewhere. */
+  #waitingAt = -Infinity;
   readonly #upstreamBudget: TokenBucket;
   readonly #downstreamBudget: TokenBucket;
   /** Revision of the leader's lease that was collected last. */
@@ -143,7 +160,12 @@
   /** Collects the changes of this daemon since the last call. */
   collect(): void {
     const { loads, prefixes, crashes, limits, book, overlay } = this.#sources;
+    loads.markReordered(performance.now());
     const changed = loads.takeChanged();
+    const shares = this.#sources.shares.takeUpdates();
+    this.#upstreamShares.add(shares);
+    if (overlay.isRelay) this.#downstreamShares.add(shares);
+    if (loads.hasWaiting) this.#waitingAt = performance.now();
     const parts = prefixes.takeUpdates();
     const crashUpdate = crashes.takeUpdates();
     const limitUpdates = limits.takeUpdates();
@@ -186,14 +208,18 @@
    */
   relay({ name }: Peer, received: ReceivedUpdate): boolean {
     const { changedRunners, parts, crashes, limits, draining } = received;
-    const { usage, urgent } = received;
+    const { usage, shares, urgent } = received;
     const { overlay } = this.#sources;
+    if (urgent) this.#waitingAt = performance.now();
+    const isChild = overlay.role(name) === "child";
     // Usage goes up the tree only, to the daemons that may lead.
-    if (overlay.role(name) === "child") this.#upstream.addUsage(usage);
+    if (isChild) this.#upstream.addUsage(usage);
+    if (isChild) this.#upstreamShares.add(shares);
+    if (overlay.isRelay) this.#downstreamShares.add(shares);
     const count = changedRunners.size + parts.length + crashes.crashed.length +
       crashes.responses.length + limits.length + draining.length;
     if (!overlay.isRelay || count === 0) return false;
-    const outboxes = overlay.role(name) === "child"
+    const outboxes = isChild
       ? [this.#downstream, this.#upstream]
       : [this.#downstream];
     for (const outbox of outboxes) {
@@ -239,7 +265,10 @@
     const isChild = this.#sources.overlay.role(peer.name) === "child";
     const usage = isChild ? [] : this.#sources.usage?.snapshot() ?? [];
     const lease = this.#sources.lease?.observation;
-    const contents = { contacts, crashes, limits, draining, usage, lease };
+    const costs = this.#sources.shares;
+    const shares = costs.sums(costs.greatest(MAX_SHARES, now), includes);
+    const runners = { crashes, limits, draining };
+    const contents = { contacts, ...runners, usage, lease, shares };
     const update = { ...NO_CHANGES, ...contents };
     return { ...this.#stateUpdate(update, loads, includes), whole: true };
   }
@@ -267,8 +296,10 @@
     const budget = relayed ? this.#upstreamBudget.available(now) : Infinity;
     const pending = this.#upstream.take(Math.max(0, budget / LOAD_BYTES));
     const loads = this.#sums.forRunners(pending.runners, this.#isChild);
+    const flows = this.#upstreamShares.take(now, this.#anyoneWaits(now));
+    const shares = this.#sources.shares.sums(flows, this.#isChild);
     const frame = encodeMessage(
-      this.#stateUpdate(pending, loads, this.#isChild),
+      this.#stateUpdate({ ...pending, shares }, loads, this.#isChild),
     );
     this.#upstreamBudget.take(frame.length);
     const receivers = relayed
@@ -281,9 +312,10 @@
     const budget = this.#downstreamBudget.available(now);
     const pending = this.#downstream.take(Math.max(0, budget / LOAD_BYTES));
     const totals = this.#sums.forRunners(pending.runners, () => true);
+    const flows = this.#downstreamShares.take(now, this.#anyoneWaits(now));
     let maxBytes = 0;
     for (const { name, link } of this.#sources.overlay.peersWith("child")) {
-      const frame = this.#frameFor(name, pending, totals);
+      const frame = this.#frameFor(name, { pending, totals, flows });
       maxBytes = Math.max(maxBytes, frame.length);
       link.sendEncoded(frame);
     }
@@ -293,8 +325,11 @@
   /** An encoded update for a child, without what the child reported itself. */
   #frameFor(
     child: string,
-    pending: OutgoingUpdate,
-    totals: readonly RunnerLoadEntry[],
+    { pending, totals, flows }: {
+      readonly pending: OutgoingUpdate;
+      readonly totals: readonly RunnerLoadEntry[];
+      readonly flows: readonly Flow[];
+    },
   ): Buffer {
     const others: NeighbourFilter = (name) => name !== child;
     const loads = this.#sums.without(child, totals);
@@ -307,12 +342,13 @@
     const limits = pending.limits.filter(isOthers);
     const draining = pending.draining.filter(isOthers);
     const received = { parts, crashes, limits, draining };
-    const contents = { ...pending, ...received, usage: [] };
+    const shares = this.#sources.shares.sums(flows, others);
+    const contents = { ...pending, ...received, usage: [], shares };
     return encodeMessage(this.#stateUpdate(contents, loads, others));
   }
 
   #stateUpdate(
-    { parts, contacts, crashes, limits, draining, usage, lease }:
+    { parts, contacts, crashes, limits, draining, usage, lease, shares }:
       UpdateContents,
     loads: readonly RunnerLoadEntry[],
     includes: NeighbourFilter,
@@ -345,9 +381,14 @@
         holderId: lease.holderId,
         agoMs: ageOf(lease.at, now),
       },
+      shares,
     };
   }
 
+  #anyoneWaits(now: number): boolean {
+    return now - this.#waitingAt < WAITING_MS;
+  }
+
   /** Selects the neighbours whose state an update for a peer includes. */
   #includedFor({ name }: Peer): NeighbourFilter {
     if (this.#sources.overlay.role(name) !== "child") return this.#isChild;
--- a/packages/router/src/process/metrics.ts
+++ b/packages/router/src/process/metrics.ts
@@ -10,6 +10,8 @@
 import Gauge from "prom-client/lib/gauge.js";
 import Histogram from "prom-client/lib/histogram.js";
 import Registry from "prom-client/lib/registry.js";
+import { groupBy } from "./group.ts";
+import type { ObservedShare } from "./workspace_shares.ts";
 import type {
   Counter as CounterType,
   Gauge as GaugeType,
@@ -21,6 +23,14 @@
 /** In seconds, from the targets of interactive classes up to long streams. */
 const LATENCY_BUCKETS = [0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5, 10, 30];
 
+/**
+ * Maximum number of workspaces with a share of their own for a service and rank;
+ * those with the greatest shares are named, and the others added up.
+ */
+const MAX_SHARES = 10;
+/** Label of the other workspaces. */
+const OTHERS = "other";
+
 /** Metrics of the daemon, in the text format of Prometheus. */
 export class RequestMetrics {
   readonly #registry: RegistryType;
@@ -100,6 +110,31 @@
     });
   }
 
+  /** Adds the shares of workspaces, which are read when metrics are collected. */
+  observeShares(read: () => readonly ObservedShare[]): void {
+    new Gauge({
+      name: "umbermast_workspace_share",
+      help: "Part of a workspace in the recent cost of a rank, by service",
+      labelNames: ["service", "rank", "workspace"],
+      registers: [this.#registry],
+      collect() {
+        this.reset();
+        const byRank = groupBy(
+          read(),
+          ({ service, rank }) => `${rank} ${service}`,
+        );
+        for (const shares of byRank.values()) {
+          shares.sort((one, other) => other.share - one.share);
+          for (const [index, each] of shares.entries()) {
+            const { service, rank, share } = each;
+            const workspace = index < MAX_SHARES ? each.workspace : OTHERS;
+            this.inc({ service, rank, workspace }, share);
+          }
+        }
+      },
+    });
+  }
+
   /** Counts a request that has ended, and observes its duration. */
   requestEnded(service: string, outcome: string, elapsedMs: number): void {
     this.#ended.inc({ service, outcome });
--- a/packages/router/src/process/runner_loads.ts
+++ b/packages/router/src/process/runner_loads.ts
@@ -41,6 +41,16 @@
     return count;
   }
 
+  /**
+   * Marks the runners for which requests of this daemon wait in an order that has
+   * changed since the last call.
+   */
+  markReordered(now: number): void {
+    for (const id of this.#queued) {
+      if (this.of(id).queue.takeReordered(now)) this.#changed.add(id);
+    }
+  }
+
   /**
    * Returns ids of runners on which this daemon's load changed since the last call.
    */
--- a/packages/router/src/request/attempt_executor.ts
+++ b/packages/router/src/request/attempt_executor.ts
@@ -11,6 +11,7 @@
 import { createAttempt } from "./create_attempt.ts";
 import type { ResponseHead } from "./dialect.ts";
 import type { Caller } from "./caller.ts";
+import { AttemptCost } from "./cost_account.ts";
 import type { Daemon } from "./daemon.ts";
 import { logRunnerChosen } from "./decision_log.ts";
 import type { Outcome } from "./outcome.ts";
@@ -96,6 +97,9 @@
     this.#progress.triedRunners.add(runner.id);
     logRunnerChosen(this.#daemon, routed, { choice, fingerprint, remainingMs });
     load.place(placed, sentAt);
+    const cost = new AttemptCost(this.#daemon, routed, choice.prefillTokens);
+    const eventsBefore = this.#relay.eventCount ?? 0;
+    let mayHaveRun = false;
     this.#daemon.prefixes.recordSent(runner.id, head.prompt, sentAt);
     const attempt = createAttempt(this.#daemon, routed, {
       request: this.#caller.request,
@@ -112,6 +116,7 @@
     );
     try {
       const result = await attempt.send();
+      mayHaveRun = result.kind === "response" || result.kind === "broken";
       if (attempt.mayHaveReachedRunner) this.#progress.attempts += 1;
       const startedAt = result.kind === "response"
         ? this.#daemon.now()
@@ -128,6 +133,9 @@
       unwatch();
       inactivity.stop();
       load.release(placed);
+      const { eventCount } = this.#relay;
+      const events = eventCount && eventCount - eventsBefore;
+      cost.settle({ mayHaveRun, events });
     }
   }
 
--- a/packages/router/src/request/capacity_wait.ts
+++ b/packages/router/src/request/capacity_wait.ts
@@ -13,6 +13,38 @@
   readonly joinedAt: number;
 }
 
+/** Entry whose place follows its key, which may change while it waits. */
+class QueuedRequest implements WaitingEntry {
+  readonly #key: QueueKey;
+  readonly requests = 1;
+  readonly unreadTokens: number;
+
+  constructor(key: QueueKey, unreadTokens: number) {
+    this.#key = key;
+    this.unreadTokens = unreadTokens;
+  }
+
+  get rank(): number {
+    return this.#key.rank;
+  }
+
+  get arrivedAt(): number {
+    return this.#key.arrivedAt;
+  }
+
+  get startBy(): number {
+    return this.#key.startBy;
+  }
+
+  get share(): number | undefined {
+    return this.#key.share;
+  }
+
+  announce(now: number): QueueKey | undefined {
+    return this.#key.announce?.(now);
+  }
+}
+
 /**
  * The entry of one request in the queue of a runner.
  *
@@ -44,7 +76,7 @@
     if (this.#position?.load === load) return false;
     this.end();
     const { runner, prefillTokens, now } = options;
-    const entry = { ...this.#key, requests: 1, unreadTokens: prefillTokens };
+    const entry = new QueuedRequest(this.#key, prefillTokens);
     this.#position = { runner, load, entry, joinedAt: now };
     load.queue.add(entry);
     return true;
--- a/packages/router/src/request/daemon.ts
+++ b/packages/router/src/request/daemon.ts
@@ -9,12 +9,14 @@
 import type { RunnerStatements } from "../process/runner_statements.ts";
 import type { EventLog } from "../process/event_log.ts";
 import type { LimitQueue } from "../process/limit_queue.ts";
+import type { ShareOrder } from "../process/share_order.ts";
 import type { SharedTimer } from "../process/shared_timer.ts";
 import type { PrefixIndex } from "../process/prefix_index.ts";
 import type { RetryBudget } from "../process/retry_budget.ts";
 import type { RunnerPace } from "../process/runner_pace.ts";
 import type { SchedulingMode } from "../process/scheduling_mode.ts";
 import type { StreamPace } from "../process/stream_pace.ts";
+import type { WorkspaceShares } from "../process/workspace_shares.ts";
 import type { RunnerLoads } from "../process/runner_loads.ts";
 import type { RunnerLimits } from "../process/runner_limits.ts";
 import type { RunnerPauses } from "../process/runner_pauses.ts";
@@ -42,6 +44,10 @@
   readonly restrictions: RunnerRestrictions;
   /** The services whose requests are scheduled adaptively. */
   readonly scheduling: SchedulingMode;
+  /** Recent cost of requests by workspace. */
+  readonly shares: WorkspaceShares;
+  /** Order of waiting requests by the shares of their workspaces. */
+  readonly shareOrder: ShareOrder;
   /** Requests that crash the runners on which they run. */
   readonly crashes: CrashRecord;
   /** Wakes requests that wait for capacity. */
--- a/packages/router/src/request/decision_log.ts
+++ b/packages/router/src/request/decision_log.ts
@@ -10,7 +10,9 @@
  */
 import type { Quarantine } from "../process/crash_record.ts";
 import type { Runner } from "../process/runner.ts";
-import type { QueueKey } from "../process/runner_queue.ts";
+import type { LaterRequests, QueueKey } from "../process/runner_queue.ts";
+import type { SharedKey } from "../process/share_order.ts";
+import { SHARE_UNITS } from "../process/workspace_shares.ts";
 import type { Daemon } from "./daemon.ts";
 import type { RunnerChoice } from "./placement.ts";
 import type { RoutedRequest } from "./routed_request.ts";
@@ -108,6 +110,39 @@
   });
 }
 
+/**
+ * Logs that a waiting request stands behind later ones of its rank, because its
+ * workspace has had more of the recent cost than theirs: the shares of its
+ * workspace and of the one that has had least, in percent, the number of later
+ * `requests` ahead, and the age of other daemons' sums.
+ */
+export function logPlaceBehindShare(
+  daemon: Daemon,
+  routed: RoutedRequest,
+  place: {
+    readonly runner: Runner;
+    readonly key: SharedKey;
+    readonly before: LaterRequests;
+  },
+): void {
+  const { runner, key, before } = place;
+  const { updatedAt } = daemon.shares;
+  const percent = (share: number) => Math.round(100 * share / SHARE_UNITS);
+  daemon.log.decision("share_exceeded", routed.head.id, {
+    service: routed.service.name,
+    runner: runner.id,
+    rank: routed.rank,
+    workspace: key.flow.workspace,
+    share_percent: percent(daemon.shares.share(key.flow, daemon.now())),
+    place_percent: percent(key.share),
+    lowest_percent: percent(before.lowestShare),
+    requests: before.requests,
+    sums_age_ms: updatedAt === undefined
+      ? undefined
+      : Math.round(daemon.now() - updatedAt),
+  });
+}
+
 /**
  * Logs that a request is not sent because runners crashed while running it.
  * `ends` is the number of crashes, and `left_ms` the remaining time of the
--- a/packages/router/src/request/runner_search.ts
+++ b/packages/router/src/request/runner_search.ts
@@ -6,12 +6,15 @@
 import type { LimitQueue } from "../process/limit_queue.ts";
 import type { Runner } from "../process/runner.ts";
 import type { QueueKey } from "../process/runner_queue.ts";
+import type { SharedKey } from "../process/share_order.ts";
 import type { Daemon } from "./daemon.ts";
+import { estimateRequestCost, flowOf } from "./cost_account.ts";
 import type { Demand } from "./demand.ts";
 import {
   logCapacityWait,
   logLimitsReached,
   logOverload,
+  logPlaceBehindShare,
 } from "./decision_log.ts";
 import { finishesInTime } from "./completion_check.ts";
 import { chooseRunner, hasCapacity } from "./placement.ts";
@@ -92,17 +95,28 @@
   readonly #routed: RoutedRequest;
   readonly #limits: SearchLimits;
   readonly #queueKey: QueueKey;
+  /** The same key where the service is scheduled in shares of workspaces. */
+  readonly #sharedKey: SharedKey | undefined;
+  #behindShareLogged = false;
 
   constructor(daemon: Daemon, routed: RoutedRequest, limits: SearchLimits) {
     this.#daemon = daemon;
     this.#routed = routed;
     this.#limits = limits;
     const { targetMs } = routed.route;
-    this.#queueKey = {
-      rank: routed.rank,
+    const times = {
       arrivedAt: limits.receivedAt,
       startBy: limits.receivedAt + START_BY_SHARE * targetMs,
     };
+    if (daemon.scheduling.isAdaptive(routed.service.name)) {
+      const { promptTokens } = routed.head;
+      const cost = estimateRequestCost(daemon, routed, promptTokens);
+      this.#sharedKey = daemon.shareOrder.key(flowOf(routed), {
+        ...times,
+        cost,
+      });
+    }
+    this.#queueKey = this.#sharedKey ?? { rank: routed.rank, ...times };
   }
 
   /**
@@ -122,11 +136,17 @@
     const { tried, noRunnerReached } = options;
     if (!noRunnerReached) return this.#countRequest(this.#choose(tried));
     const wait = new CapacityWait(this.#queueKey);
+    const key = this.#sharedKey;
+    if (key !== undefined) this.#daemon.shareOrder.join(key);
+    let started = false;
     try {
-      return await this.#findCapacity(wait, tried);
+      const choice = await this.#findCapacity(wait, tried);
+      started = typeof choice === "object";
+      return choice;
     } finally {
       wait.end();
       this.#limitQueue.remove(this.#queueKey);
+      if (key !== undefined) this.#daemon.shareOrder.leave(key, { started });
     }
   }
 
@@ -222,7 +242,7 @@
    * that would not is prefilled and generated in vain, and slows down the others.
    */
   #finishesInTime(choice: RunnerChoice, remainingMs: number): boolean {
-    const { head, service, lessUrgentRanks } = this.#routed;
+    const { head, service } = this.#routed;
     if (service.engine === undefined) return true;
     const now = this.#daemon.now();
     const msPerToken = this.#daemon.streamPace(service.name)
@@ -238,7 +258,7 @@
         head.maxOutputTokens,
         head.expectedOutputTokens ?? 0,
       ),
-      lessUrgentRanks,
+      lessUrgentRanks: this.#lessUrgentRanks,
       msPerToken,
     });
   }
@@ -250,6 +270,7 @@
       prefillTokens,
       now: this.#daemon.now(),
     });
+    this.#logPlaceBehindShare(runner);
     if (!joined) return;
     logCapacityWait(this.#daemon, this.#routed, {
       choice,
@@ -257,6 +278,28 @@
     });
   }
 
+  /** Logs once that requests that came later go first by their share. */
+  #logPlaceBehindShare(runner: Runner): void {
+    const key = this.#sharedKey;
+    if (key === undefined || this.#behindShareLogged) return;
+    const { queue } = this.#daemon.loads.of(runner.id);
+    const now = this.#daemon.now();
+    const before = queue.laterByShare(key, now);
+    if (before.requests === 0) return;
+    this.#behindShareLogged = true;
+    logPlaceBehindShare(this.#daemon, this.#routed, { runner, key, before });
+  }
+
+  /**
+   * Number of less urgent ranks; that of the most urgent rank for a request that
+   * the minimum share of its rank sends first. The limits of its own rank leave no
+   * capacity that more urgent requests do not take.
+   */
+  get #lessUrgentRanks(): number {
+    const { lessUrgentRanks, rank } = this.#routed;
+    return this.#sharedKey?.promoted ? lessUrgentRanks + rank : lessUrgentRanks;
+  }
+
   /**
    * Checks one runner until it has capacity and the request's entry in its queue has
    * reached all daemons, or until the next review is due.
@@ -274,10 +317,10 @@
       late ? LATE_REVIEW_INTERVAL_MS : 0,
     );
     const reviewAt = Math.min(waitUntil, this.#daemon.now() + intervalMs);
-    const demand = this.#demand();
     do {
       await sharedTimer.next();
       if (this.#limits.isAbandoned()) return;
+      const demand = this.#demand();
       const fleet = this.#daemon.fleet(this.#routed.service.name);
       const capacity = hasCapacity(fleet, demand, runner);
       if (capacity && this.#maySend(wait, runner)) return;
@@ -300,7 +343,7 @@
   }
 
   #demand(awaitedRunner?: string): Demand {
-    const { head, route, service, lessUrgentRanks } = this.#routed;
+    const { head, route, service } = this.#routed;
     return {
       prompt: head.prompt,
       promptTokens: head.promptTokens,
@@ -311,7 +354,7 @@
       gapTargetMs: route.gapTargetMs,
       queueKey: this.#queueKey,
       awaitedRunner,
-      lessUrgentRanks,
+      lessUrgentRanks: this.#lessUrgentRanks,
       engine: service.engine,
     };
   }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -25,6 +25,7 @@
 import { LimitQueue } from "./process/limit_queue.ts";
 import { Lifecycle } from "./process/lifecycle.ts";
 import { RequestMetrics } from "./process/metrics.ts";
+import { ShareOrder } from "./process/share_order.ts";
 import { SharedTimer } from "./process/shared_timer.ts";
 import { PerService } from "./process/per_service.ts";
 import { PrefixIndex } from "./process/prefix_index.ts";
@@ -44,6 +45,7 @@
 import { RunnerLoads } from "./process/runner_loads.ts";
 import { SchedulingMode } from "./process/scheduling_mode.ts";
 import { StreamPace } from "./process/stream_pace.ts";
+import { WorkspaceShares } from "./process/workspace_shares.ts";
 import type { RouterSettings } from "./process/settings.ts";
 import { Leadership } from "./leadership.ts";
 import type { LeaderPlatform } from "./leadership.ts";
@@ -100,6 +102,8 @@
   readonly pauses: RunnerPauses;
   readonly restrictions: RunnerRestrictions;
   readonly scheduling: SchedulingMode;
+  readonly shares: WorkspaceShares;
+  readonly shareOrder: ShareOrder;
   readonly sharedTimer = new SharedTimer(CAPACITY_CHECK_MS);
   readonly metrics = new RequestMetrics();
   readonly log: EventLog;
@@ -131,6 +135,18 @@
     this.dialect = platform.dialect;
     this.log = log;
     this.scheduling = new SchedulingMode(settings.scheduling, log);
+    this.shares = new WorkspaceShares({
+      log,
+      weightOf: (workspace) => this.#routingTable?.weightOf(workspace) ?? 1,
+    });
+    this.shareOrder = new ShareOrder({
+      shares: this.shares,
+      now: () => this.now(),
+      propagationMs: () => this.propagationMs(),
+      random: () => this.random(),
+      othersWaiting: (service, rank) => this.#othersWaiting(service, rank),
+    });
+    this.metrics.observeShares(() => this.shares.observed(this.now()));
     this.crashes = new CrashRecord(log);
     this.limits = new RunnerLimits(log, () => this.#fleetSync.view);
     this.pauses = new RunnerPauses(log);
@@ -179,6 +195,7 @@
       crashes: this.crashes,
       limits: this.limits,
       draining: this.#draining,
+      shares: this.shares,
       directory: this.#directory,
       configuration: () => this.#configuration,
       applyConfiguration: (configuration, source) =>
@@ -378,6 +395,15 @@
     return cut === 0;
   }
 
+  /** Requests of a rank to a service that wait at other daemons. */
+  #othersWaiting(service: string, rank: number): number {
+    let requests = 0;
+    for (const { id } of this.#directory.ready(service)) {
+      requests += this.loads.of(id).queue.othersOfRank(rank);
+    }
+    return requests;
+  }
+
   /** Whether a runner's restrictions allow a query now; counts it if so. */
   #mayQuery(id: string): boolean {
     const now = this.now();
--- a/packages/router/src/version/configuration.ts
+++ b/packages/router/src/version/configuration.ts
@@ -80,6 +80,8 @@
   readonly keys: readonly string[];
   /** Takes precedence over the tier of the route. */
   readonly tier: number | undefined;
+  /** Weight of its share of scarce capacity; 1 if absent. */
+  readonly weight?: number | undefined;
 }
 
 /** Limits on the size of callers' requests and on the time they take. */
--- a/packages/router/src/version/routing_table.ts
+++ b/packages/router/src/version/routing_table.ts
@@ -58,6 +58,8 @@
   readonly #hosts: ReadonlyMap<string, HostRoutes>;
   readonly #services: ReadonlyMap<string, Service>;
   readonly #workspaces: ReadonlyMap<string, Workspace>;
+  /** Weights other than 1, by name of the workspace. */
+  readonly #weights: ReadonlyMap<string, number>;
   /** Distinct pairs of workspace and route tiers, the most urgent first. */
   readonly #urgencies: readonly number[];
   /** The same pairs, ordered by the route's tier first. */
@@ -72,6 +74,11 @@
     );
     this.#urgencies = urgenciesOf(configuration);
     this.#preemptions = this.#urgencies.map(swapTiers).sort(ascending);
+    this.#weights = new Map(
+      configuration.workspaces.flatMap(({ name, weight = 1 }) =>
+        weight > 0 && weight !== 1 ? [[name, weight] as const] : []
+      ),
+    );
     this.#workspaces = new Map(
       configuration.workspaces.flatMap((workspace) =>
         workspace.keys.map((key) => [key, workspace] as const)
@@ -79,6 +86,11 @@
     );
   }
 
+  /** Weight of a workspace's share of scarce capacity. */
+  weightOf(workspace: string): number {
+    return this.#weights.get(workspace) ?? 1;
+  }
+
   /** Whether any workspace is configured; without one, requests need no key. */
   get hasWorkspaces(): boolean {
     return this.#workspaces.size > 0;
--- a/packages/router/tests/fleet.ts
+++ b/packages/router/tests/fleet.ts
@@ -41,6 +41,7 @@
 import type { PlacedRequest } from "../src/process/runner_load.ts";
 import { epochOf, storeRevision } from "../src/process/store_revision.ts";
 import { UsageMeter } from "../src/process/usage_meter.ts";
+import { WorkspaceShares } from "../src/process/workspace_shares.ts";
 import type { Configuration } from "../src/version/configuration.ts";
 import type { TestContext } from "node:test";
 import { FakeClock } from "./fake_clock.ts";
@@ -326,6 +327,7 @@
   readonly lease: LeaderLease;
   readonly leader: Leader;
   readonly draining: DrainingRunners;
+  readonly shares: WorkspaceShares;
   readonly directory: RunnerDirectory;
   readonly links = new Set<FakeLink>();
   readonly events: { readonly name: string; readonly fields: Fields }[] = [];
@@ -359,6 +361,7 @@
     this.crashes = new CrashRecord(log);
     this.limits = new RunnerLimits(log, () => this.fleetSync.view);
     this.draining = new DrainingRunners(log);
+    this.shares = new WorkspaceShares({ log });
     this.directory = new RunnerDirectory(this.draining);
     this.usage = new UsageMeter({
       incarnation: contact.incarnation,
@@ -397,6 +400,7 @@
       crashes: this.crashes,
       limits: this.limits,
       draining: this.draining,
+      shares: this.shares,
       time: this.time,
       usage: this.usage,
       lease: this.lease,
