--- a/packages/router/src/connection/load_sums_test.ts
+++ b/packages/router/src/connection/load_sums_test.ts
@@ -50,6 +50,32 @@
   assert.ok(first!.ageMs > second!.ageMs);
 });
 
+// Guards against a flood that hides others: in one entry with 200 requests of a
+// workspace, the single request of another would count as one of theirs.
+test("merged entries keep a request of a small workspace ahead of a flood", () => {
+  const loads = new RunnerLoads();
+  const urgent = Array.from(
+    { length: 4 },
+    (_, index) => ({ ...waiting(0, index), share: 500 }),
+  );
+  const flood = Array.from(
+    { length: 200 },
+    (_, index) => ({ ...waiting(1, index), share: 3_000 + index }),
+  );
+  const late = { ...waiting(1, 0), startBy: -Infinity, share: 3_000 };
+  const small = { ...waiting(1, 300), share: 100 };
+  loads.of("r").setNeighbourLoad("child", NO_LOAD, {
+    now: 0,
+    waiting: [...flood, late, small, ...urgent],
+  });
+  const [sent] = new LoadSums(loads).snapshot(() => true);
+  const ofRank = sent!.waiting.filter(({ rank }) => rank === 1);
+  assert.deepEqual(
+    ofRank.map(({ requests, share }) => [requests, share]),
+    [[1, 100], [200, 3_100], [1, 3_000]],
+  );
+});
+
 // A daemon with a long history moves to another relay. Without a baseline its
 // responses of an hour would count as if the runner had failed them just now.
 test("responses from before the first report of a neighbour do not count", () => {
--- a/packages/router/src/process/workspace_shares.ts
+++ b/packages/router/src/process/workspace_shares.ts
@@ -66,6 +66,8 @@
 /** Binary digits of the finest and of the coarsest grid of shares. */
 const FINEST_BITS = Math.log2(SHARE_UNITS);
 const COARSEST_BITS = Math.log2(MIN_TOTAL_REQUESTS);
+/** Keeps rounding errors from lowering a share that is on the grid. */
+const ROUNDING_ERROR = 1e-6;
 /** Maximum number of workspaces that are kept for a rank of a service. */
 const MAX_WORKSPACES = 310;
 /** Maximum number of services and of ranks that are kept. */
@@ -279,7 +281,7 @@
       : COARSEST_BITS;
     const steps = 2 **
       Math.min(FINEST_BITS, Math.max(COARSEST_BITS, bits));
-    return Math.floor(part * steps) * (SHARE_UNITS / steps);
+    return Math.floor(part * steps + ROUNDING_ERROR) * (SHARE_UNITS / steps);
   }
 
   /** Greatest share of any workspace in a rank. */
@@ -292,9 +294,15 @@
     return greatest;
   }
 
-  /** Mean cost of recent requests of a flow's rank; 0 while unknown. */
+  /**
+   * Mean cost of recent requests of a flow's rank, or of another rank of its
+   * service if there were none; 0 while unknown.
+   */
   typicalCost(flow: Flow): number {
-    return this.#known(flow)?.typicalCost ?? 0;
+    const known = this.#known(flow)?.typicalCost ?? 0;
+    if (known > 0) return known;
+    const ranks = [...this.#services.get(flow.service)?.values() ?? []];
+    return ranks.find(({ typicalCost }) => typicalCost > 0)?.typicalCost ?? 0;
   }
 
   /**
