--- a/packages/router/src/process/workspace_shares.ts
+++ b/packages/router/src/process/workspace_shares.ts
@@ -80,6 +80,8 @@
 const MAX_INCREASE = 1e9;
 /** Half-lives after which amounts are rebased, so that they stay finite. */
 const REBASE_HALF_LIVES = 32;
+/** Recent cost below which a workspace is forgotten. */
+const FORGOTTEN_COST = 1e-3;
 /** Maximum length of a name in a neighbour's report. */
 const MAX_NAME_LENGTH = 200;
 /** Minimum interval in ms between two log lines about invalid sums. */
@@ -167,7 +169,10 @@
     return Math.max(this.#total, least, Number.MIN_VALUE);
   }
 
-  /** Reduces the scale of all amounts before they become too large. */
+  /**
+   * Reduces the scale of all amounts before they become too large, and forgets
+   * the workspaces whose cost has decayed.
+   */
   rebase(now: number): void {
     if (now - this.#epoch < REBASE_HALF_LIVES * HALF_LIFE_MS) return;
     const factor = 1 / this.scale(now);
@@ -179,6 +184,9 @@
       account.recent *= factor;
       account.refund *= factor;
       this.#total += account.recent;
+      if (account.recent < FORGOTTEN_COST) {
+        this.accounts.delete(account.flow.workspace);
+      }
     }
   }
 
--- a/packages/router/src/process/workspace_shares_test.ts
+++ b/packages/router/src/process/workspace_shares_test.ts
@@ -138,7 +138,7 @@
   assert.deepEqual(events, ["shares_invalid"]);
 });
 
-test("the workspaces with the greatest costs are kept within the limit", () => {
+test("shares are kept of the greatest workspaces, and not of idle ones", () => {
   const shares = new WorkspaceShares({ log: SILENT_LOG });
   startMany(shares, flowOf("large"), { count: 50 });
   for (let index = 0; index < 2_000; index += 1) {
@@ -149,4 +149,8 @@
   assert.ok(observed.some(({ workspace }) => workspace === "large"));
   const total = observed.reduce((sum, { share }) => sum + share, 0);
   assert.ok(total > 0.99 && total < 1.01);
+  const idle = flowOf("w-1999");
+  shares.recordStart(flowOf("large"), 10, 100_000);
+  assert.deepEqual(shares.sums([idle], () => true), []);
+  assert.equal(shares.share(flowOf("large"), 100_000) > 0, true);
 });
