Make the test of merged entries independent of the time of the run

Its entries were on time for 0.5 s from the start of the process, so that it failed on a busy machine (once in two runs of all tests of the router). They are now on time or late whenever it runs; what is checked is the same.

--- a/packages/router/src/connection/load_sums_test.ts
+++ b/packages/router/src/connection/load_sums_test.ts
@@ -54,16 +54,21 @@
 // workspace, the single request of another would count as one of theirs.
 test("merged entries keep a request of a small workspace ahead of a flood", () => {
   const loads = new RunnerLoads();
+  const onTime = (rank: number, since: number, share: number) => ({
+    ...waiting(rank, since),
+    startBy: Infinity,
+    share,
+  });
   const urgent = Array.from(
     { length: 4 },
-    (_, index) => ({ ...waiting(0, index), share: 500 }),
+    (_, index) => onTime(0, index, 500),
   );
   const flood = Array.from(
     { length: 200 },
-    (_, index) => ({ ...waiting(1, index), share: 3_000 + index }),
+    (_, index) => onTime(1, index, 3_000 + index),
   );
   const late = { ...waiting(1, 0), startBy: -Infinity, share: 3_000 };
-  const small = { ...waiting(1, 300), share: 100 };
+  const small = onTime(1, 300, 100);
   loads.of("r").setNeighbourLoad("child", NO_LOAD, {
     now: 0,
     waiting: [...flood, late, small, ...urgent],
