Merge the shares of workspaces

Beside the pace of runners and the returns of callers: a returning request keeps its first arrival time within the share of its workspace, and its key in the order is replaced when it changes.

The test of a request that goes first after a pause relied on a tie between two idle runners, which the observed pace breaks at random (1 of 4 runs without a first request). Its serving runner now holds a request, so that the refusing one is the less loaded; all its checks stay.

--- a/packages/router/src/connection/peer_encoding.ts
+++ b/packages/router/src/connection/peer_encoding.ts
@@ -13,6 +13,8 @@
 import { packPlaces, unpackPlaces } from "./place_encoding.ts";
 import type { PackedPlaces } from "./place_encoding.ts";
 import type { Contact } from "../process/contact.ts";
+import { groupBy } from "../process/group.ts";
+import type { CostSum } from "../process/workspace_shares.ts";
 import type { DeadContact } from "../process/contact_book.ts";
 import type { PrefixUpdate } from "../process/prefix_index.ts";
 import type { UsageCount, WorkspaceCount } from "../process/usage_meter.ts";
@@ -36,6 +38,7 @@
   tokens: number,
   leftMs: number,
   requests: number,
+  share?: number,
 ];
 
 type PackedLoad = readonly [
@@ -79,6 +82,13 @@
 
 type PackedLease = readonly [revision: number, holderId: string, agoMs: number];
 
+/** Cumulative costs of the workspaces of one rank of a service. */
+type PackedShares = readonly [
+  service: string,
+  rank: number,
+  workspacesAndCosts: readonly (string | number)[],
+];
+
 type PackedState = readonly [
   configuration: number,
   runners: number,
@@ -102,8 +112,7 @@
   lease?: PackedLease | undefined,
   draining?: readonly PackedDraining[] | undefined,
   paces?: readonly PackedPace[] | undefined,
-  /** Position 7 holds the shares of workspaces. */
-  shares?: undefined,
+  shares?: readonly PackedShares[] | undefined,
   places?: PackedPlaces | undefined,
 ];
 
@@ -117,23 +126,29 @@
     load.workTokens,
     load.memoryTokens,
     load.tightStreams,
-    load.waiting.map(({ rank, ageMs, unreadTokens, leftMs, requests }) =>
-      [rank, ageMs, unreadTokens, leftMs, requests] as const
-    ),
+    load.waiting.map(packWaiting),
     load.answered,
     load.failed,
   ];
 }
 
+function packWaiting(waiting: QueuedRequests): PackedWaiting {
+  const { rank, ageMs, unreadTokens, leftMs, requests, share } = waiting;
+  const packed = [rank, ageMs, unreadTokens, leftMs, requests] as const;
+  return share === undefined ? packed : [...packed, share];
+}
+
+/** Reads a waiting entry. Its share is checked where it is applied. */
 function unpackWaiting(packed: PackedWaiting): QueuedRequests {
-  const [rank, ageMs, unreadTokens, leftMs, requests] = packed;
-  return {
+  const [rank, ageMs, unreadTokens, leftMs, requests, share] = packed;
+  const waiting = {
     rank,
     ageMs,
     leftMs,
     requests: checkNonNegative(requests, "waiting.requests"),
     unreadTokens: checkNonNegative(unreadTokens, "waiting.unreadTokens"),
   };
+  return share === undefined ? waiting : { ...waiting, share };
 }
 
 /**
@@ -229,7 +244,7 @@
 /** Packs the optional fields, up to the last one that has a value. */
 function packOptionalFields(state: StateUpdate): PackedOptionalFields {
   const { crashes, limits, timeMs, usage, lease, draining } = state;
-  const { paces, places } = state;
+  const { paces, shares, places } = state;
   const fields: PackedOptionalFields = [
     hasReports(crashes) ? packCrashes(crashes) : undefined,
     limits.length === 0 ? undefined : limits.map(packLimit),
@@ -238,13 +253,42 @@
     lease && [lease.revision, lease.holderId, lease.agoMs],
     draining.length === 0 ? undefined : draining.map(packDraining),
     paces.length === 0 ? undefined : paces.map(packPace),
-    undefined,
+    shares.length === 0 ? undefined : packShares(shares),
     packPlaces(places),
   ];
   const last = fields.findLastIndex((field) => field !== undefined);
   return fields.slice(0, last + 1) as unknown as PackedOptionalFields;
 }
 
+function packShares(shares: readonly CostSum[]): readonly PackedShares[] {
+  const byRank = groupBy(shares, ({ service, rank }) => `${rank} ${service}`);
+  return [...byRank.values()].map((sums) => [
+    sums[0]!.service,
+    sums[0]!.rank,
+    sums.flatMap(({ workspace, cost }) => [workspace, cost]),
+  ]);
+}
+
+/** Reads costs of workspaces. Their values are checked where they are applied. */
+function unpackShares(packed: unknown): readonly CostSum[] {
+  if (!Array.isArray(packed)) return [];
+  return packed.flatMap((sums: unknown) => {
+    if (!Array.isArray(sums) || !Array.isArray(sums[2])) return [];
+    const [service, rank, values] = sums as unknown as PackedShares;
+    const costs: CostSum[] = [];
+    for (let index = 0; index + 1 < values.length; index += 2) {
+      const workspace = values[index] as string;
+      costs.push({
+        service,
+        rank,
+        workspace,
+        cost: values[index + 1] as number,
+      });
+    }
+    return costs;
+  });
+}
+
 function packUsage(
   { incarnation, window, counts }: UsageCount,
 ): PackedUsage {
@@ -293,9 +337,8 @@
 function unpackState(packed: PackedState): StateUpdate {
   const [configuration, runners, whole, loads, parts, fleet, domain] = packed;
   const [, , , , , , , contacts, gone, ...optional] = packed;
-  const [crashes, limits = [], timeMs, usage = [], lease, draining = []] =
-    optional;
-  const [, , , , , , paces, , places] = optional;
+  const [crashes, limits = [], timeMs, usage = [], lease, ...later] = optional;
+  const [draining = [], paces, shares, places] = later;
   return {
     kind: "state",
     configuration,
@@ -319,6 +362,7 @@
     draining: draining.map(unpackDraining),
     paces: unpackPaces(paces),
     places: unpackPlaces(places),
+    shares: unpackShares(shares),
   };
 }
 
--- a/packages/router/src/connection/state_exchange_test.ts
+++ b/packages/router/src/connection/state_exchange_test.ts
@@ -5,18 +5,18 @@
 import { decodeItem } from "@umbermast/coordination/codec";
 import { LENGTH_BYTES } from "@umbermast/coordination/frame_bytes";
 import {
+  basicPaces,
   emptyDirectory,
   emptyLimits,
   SILENT_LOG,
   withoutLeadership,
 } from "../../tests/fixtures.ts";
 import { CrashRecord } from "../process/crash_record.ts";
-import { RunnerPaces } from "../process/runner_paces.ts";
-import { SchedulingMode } from "../process/scheduling_mode.ts";
 import { DrainingRunners } from "../process/draining_runners.ts";
 import { PrefixIndex } from "../process/prefix_index.ts";
 import { ReturnPlaces } from "../process/return_places.ts";
 import { RunnerLoads } from "../process/runner_loads.ts";
+import { WorkspaceShares } from "../process/workspace_shares.ts";
 import { unpackMessage } from "./peer_encoding.ts";
 import type { PeerMessage, StateUpdate } from "./peer_message.ts";
 import type { Peers } from "./peers.ts";
@@ -39,14 +39,9 @@
       crashes: new CrashRecord(SILENT_LOG),
       limits: emptyLimits(),
       draining: new DrainingRunners(SILENT_LOG),
-      paces: new RunnerPaces(
-        new SchedulingMode(
-          { scheduling: "basic", pressure: false },
-          SILENT_LOG,
-        ),
-        SILENT_LOG,
-      ),
+      paces: basicPaces(),
       places: new ReturnPlaces(SILENT_LOG, Math.random),
+      shares: new WorkspaceShares({ log: SILENT_LOG }),
       ...withoutLeadership(),
       directory: emptyDirectory(),
       configuration: () => undefined,
--- a/packages/router/src/connection/update_broadcaster.ts
+++ b/packages/router/src/connection/update_broadcaster.ts
@@ -23,6 +23,11 @@
 import type { RunnerLoads } from "../process/runner_loads.ts";
 import type { PaceUpdate, RunnerPaces } from "../process/runner_paces.ts";
 import type { NeighbourFilter } from "../process/runner_queue.ts";
+import type {
+  CostIncrease,
+  CostSum,
+  WorkspaceShares,
+} from "../process/workspace_shares.ts";
 import { ageOf, toAges } from "./crash_ages.ts";
 import { LoadSums } from "./load_sums.ts";
 import type { MembershipCounts } from "./membership_counts.ts";
@@ -34,6 +39,7 @@
 import { toPlaceAges } from "./place_encoding.ts";
 import type { RunnerLoadEntry, StateUpdate, Versions } from "./peer_message.ts";
 import type { Peer, Peers } from "./peers.ts";
+import { MAX_SHARES, ShareOutbox } from "./share_outbox.ts";
 
 /**
  * Approximate bytes of a runner's load in a message while requests wait for it.
@@ -45,6 +51,8 @@
  * they were throttled, daemons would send to runners that others have filled.
  */
 const BURST_SECONDS = 600;
+/** Time in ms for which requests count as waiting after they were heard of. */
+const WAITING_MS = 1_000;
 
 /** Contents of a state update other than loads. */
 interface UpdateContents {
@@ -57,6 +65,7 @@
   readonly usage: readonly UsageCount[];
   readonly lease: LeaseObservation | undefined;
   readonly paces: readonly PaceUpdate[];
+  readonly shares: readonly CostSum[];
 }
 
 /** An update without changes. */
@@ -70,6 +79,7 @@
   usage: [],
   lease: undefined,
   paces: [],
+  shares: [],
 };
 
 /** The shared state to send, and the neighbours to send it to. */
@@ -81,6 +91,7 @@
   readonly draining: DrainingRunners;
   readonly paces: RunnerPaces;
   readonly places: ReturnPlaces;
+  readonly shares: WorkspaceShares;
   readonly time: FleetTime;
   readonly usage: UsageMeter | undefined;
   readonly lease: LeaderLease | undefined;
@@ -113,6 +124,7 @@
   /** The places and uses that were new to this daemon. */
   readonly places: PlaceUpdates;
   readonly usage: readonly UsageCount[];
+  readonly shares: readonly CostIncrease[];
   /** Whether requests wait for the runners. */
   readonly urgent: boolean;
 }
@@ -133,6 +145,10 @@
   readonly #downstream = new Outbox();
   readonly #upstreamPaces = new PaceOutbox();
   readonly #downstreamPaces = new PaceOutbox();
+  readonly #upstreamShares = new ShareOutbox();
+  readonly #downstreamShares = new ShareOutbox();
+  /** When a request was last known to wait, here or elsewhere. */
+  #waitingAt = -Infinity;
   readonly #upstreamBudget: TokenBucket;
   readonly #downstreamBudget: TokenBucket;
   /** Revision of the leader's lease that was collected last. */
@@ -160,7 +176,12 @@
   /** Collects the changes of this daemon since the last call. */
   collect(): void {
     const { loads, prefixes, crashes, limits, book, overlay } = this.#sources;
+    loads.markReordered(performance.now());
     const changed = loads.takeChanged();
+    const shares = this.#sources.shares.takeUpdates();
+    this.#upstreamShares.add(shares);
+    if (overlay.isRelay) this.#downstreamShares.add(shares);
+    if (loads.hasWaiting) this.#waitingAt = performance.now();
     const parts = prefixes.takeUpdates();
     const crashUpdate = crashes.takeUpdates();
     const limitUpdates = limits.takeUpdates();
@@ -208,21 +229,25 @@
    */
   relay({ name }: Peer, received: ReceivedUpdate): boolean {
     const { changedRunners, parts, crashes, limits, draining } = received;
-    const { places, usage, urgent } = received;
+    const { places, usage, shares, urgent } = received;
     const { overlay } = this.#sources;
+    if (urgent) this.#waitingAt = performance.now();
+    const isChild = overlay.role(name) === "child";
     // Usage goes up the tree only, to the daemons that may lead.
-    if (overlay.role(name) === "child") this.#upstream.addUsage(usage);
+    if (isChild) {
+      this.#upstream.addUsage(usage);
+      this.#upstreamShares.add(shares);
+    }
     if (overlay.isRelay) {
+      this.#downstreamShares.add(shares);
       this.#downstreamPaces.add(received.paces);
-      if (overlay.role(name) === "child") {
-        this.#upstreamPaces.add(received.paces);
-      }
+      if (isChild) this.#upstreamPaces.add(received.paces);
     }
     const count = changedRunners.size + parts.length + crashes.crashed.length +
       crashes.responses.length + limits.length + draining.length +
       places.places.length + places.uses.length;
     if (!overlay.isRelay || count === 0) return false;
-    const outboxes = overlay.role(name) === "child"
+    const outboxes = isChild
       ? [this.#downstream, this.#upstream]
       : [this.#downstream];
     for (const outbox of outboxes) {
@@ -269,7 +294,10 @@
     const isChild = this.#sources.overlay.role(peer.name) === "child";
     const usage = isChild ? [] : this.#sources.usage?.snapshot() ?? [];
     const lease = this.#sources.lease?.observation;
-    const contents = { contacts, crashes, limits, draining, usage, lease };
+    const costs = this.#sources.shares;
+    const shares = costs.sums(costs.greatest(MAX_SHARES, now), includes);
+    const runners = { crashes, limits, draining };
+    const contents = { contacts, ...runners, usage, lease, shares };
     const update = { ...NO_CHANGES, ...contents };
     return { ...this.#stateUpdate(update, loads, includes), whole: true };
   }
@@ -319,6 +347,7 @@
     const budget = relayed ? this.#upstreamBudget.available(now) : Infinity;
     const pending = this.#upstream.take(Math.max(0, budget / LOAD_BYTES));
     const loads = this.#sums.forRunners(pending.runners, this.#isChild);
+    const flows = this.#upstreamShares.take(now, this.#anyoneWaits(now));
     const receivers = relayed
       ? overlay.peersWith("parent", "head")
       : peers().connected;
@@ -326,6 +355,7 @@
     const contents = {
       ...pending,
       paces: this.#paceUpdates(paces, this.#isChild, now),
+      shares: this.#sources.shares.sums(flows, this.#isChild),
     };
     const frame = encodeMessage(
       this.#stateUpdate(contents, loads, this.#isChild),
@@ -338,15 +368,20 @@
     const budget = this.#downstreamBudget.available(now);
     const pending = this.#downstream.take(Math.max(0, budget / LOAD_BYTES));
     const totals = this.#sums.forRunners(pending.runners, () => true);
+    const flows = this.#downstreamShares.take(now, this.#anyoneWaits(now));
     let maxBytes = 0;
     const children = this.#sources.overlay.peersWith("child");
     const paces = this.#downstreamPaces.take(children.length, now);
     for (const { name, link } of children) {
       const others: NeighbourFilter = (other) => other !== name;
       const frame = this.#frameFor(name, {
-        ...pending,
-        paces: this.#paceUpdates(paces, others, now),
-      }, totals);
+        pending: {
+          ...pending,
+          paces: this.#paceUpdates(paces, others, now),
+          shares: this.#sources.shares.sums(flows, others),
+        },
+        totals,
+      });
       maxBytes = Math.max(maxBytes, frame.length);
       link.sendEncoded(frame);
     }
@@ -356,8 +391,12 @@
   /** An encoded update for a child, without what the child reported itself. */
   #frameFor(
     child: string,
-    pending: OutgoingUpdate & Pick<UpdateContents, "paces">,
-    totals: readonly RunnerLoadEntry[],
+    { pending, totals }: {
+      readonly pending:
+        & OutgoingUpdate
+        & Pick<UpdateContents, "paces" | "shares">;
+      readonly totals: readonly RunnerLoadEntry[];
+    },
   ): Buffer {
     const others: NeighbourFilter = (name) => name !== child;
     const loads = this.#sums.without(child, totals);
@@ -396,6 +435,7 @@
       limits,
       draining,
       paces,
+      shares,
       places,
       usage,
       lease,
@@ -440,9 +480,14 @@
         holderId: lease.holderId,
         agoMs: ageOf(lease.at, now),
       },
+      shares,
     };
   }
 
+  #anyoneWaits(now: number): boolean {
+    return now - this.#waitingAt < WAITING_MS;
+  }
+
   /** Selects the neighbours whose state an update for a peer includes. */
   #includedFor({ name }: Peer): NeighbourFilter {
     if (this.#sources.overlay.role(name) !== "child") return this.#isChild;
--- a/packages/router/src/process/metrics.ts
+++ b/packages/router/src/process/metrics.ts
@@ -10,6 +10,8 @@
 import Gauge from "prom-client/lib/gauge.js";
 import Histogram from "prom-client/lib/histogram.js";
 import Registry from "prom-client/lib/registry.js";
+import { groupBy } from "./group.ts";
+import type { ObservedShare } from "./workspace_shares.ts";
 import type {
   Counter as CounterType,
   Gauge as GaugeType,
@@ -46,6 +48,13 @@
   | "refused"
   | "broken"
   | "left";
+/**
+ * Maximum number of workspaces with a share of their own for a service and rank;
+ * those with the greatest shares are named, and the others added up.
+ */
+const MAX_SHARES = 10;
+/** Label of the other workspaces. */
+const OTHERS = "other";
 
 /** Metrics of the daemon, in the text format of Prometheus. */
 export class RequestMetrics {
@@ -140,6 +149,31 @@
     });
   }
 
+  /** Adds the shares of workspaces, which are read when metrics are collected. */
+  observeShares(read: () => readonly ObservedShare[]): void {
+    new Gauge({
+      name: "umbermast_workspace_share",
+      help: "Part of a workspace in the recent cost of a rank, by service",
+      labelNames: ["service", "rank", "workspace"],
+      registers: [this.#registry],
+      collect() {
+        this.reset();
+        const byRank = groupBy(
+          read(),
+          ({ service, rank }) => `${rank} ${service}`,
+        );
+        for (const shares of byRank.values()) {
+          shares.sort((one, other) => other.share - one.share);
+          for (const [index, each] of shares.entries()) {
+            const { service, rank, share } = each;
+            const workspace = index < MAX_SHARES ? each.workspace : OTHERS;
+            this.inc({ service, rank, workspace }, share);
+          }
+        }
+      },
+    });
+  }
+
   /** Counts a request that has ended, and observes its duration. */
   requestEnded(service: string, outcome: string, elapsedMs: number): void {
     this.#ended.inc({ service, outcome });
--- a/packages/router/src/request/daemon.ts
+++ b/packages/router/src/request/daemon.ts
@@ -11,6 +11,7 @@
 import type { RunnerStatements } from "../process/runner_statements.ts";
 import type { EventLog } from "../process/event_log.ts";
 import type { LimitQueue } from "../process/limit_queue.ts";
+import type { ShareOrder } from "../process/share_order.ts";
 import type { SharedTimer } from "../process/shared_timer.ts";
 import type { PrefixIndex } from "../process/prefix_index.ts";
 import type { RetryBudget } from "../process/retry_budget.ts";
@@ -18,6 +19,7 @@
 import type { RunnerPaces } from "../process/runner_paces.ts";
 import type { SchedulingMode } from "../process/scheduling_mode.ts";
 import type { StreamPace } from "../process/stream_pace.ts";
+import type { WorkspaceShares } from "../process/workspace_shares.ts";
 import type { RunnerLoads } from "../process/runner_loads.ts";
 import type { RunnerLimits } from "../process/runner_limits.ts";
 import type { RunnerPauses } from "../process/runner_pauses.ts";
@@ -47,6 +49,10 @@
   readonly scheduling: SchedulingMode;
   /** Observed pace of runners, where scheduling is adaptive. */
   readonly paces: RunnerPaces;
+  /** Recent cost of requests by workspace. */
+  readonly shares: WorkspaceShares;
+  /** Order of waiting requests by the shares of their workspaces. */
+  readonly shareOrder: ShareOrder;
   /** Requests that crash the runners on which they run. */
   readonly crashes: CrashRecord;
   /** Places of refused requests whose callers may return. */
--- a/packages/router/src/request/runner_search.ts
+++ b/packages/router/src/request/runner_search.ts
@@ -6,12 +6,15 @@
 import type { LimitQueue } from "../process/limit_queue.ts";
 import type { Runner } from "../process/runner.ts";
 import type { QueueKey } from "../process/runner_queue.ts";
+import type { SharedKey } from "../process/share_order.ts";
 import type { Daemon } from "./daemon.ts";
+import { estimateRequestCost, flowOf } from "./cost_account.ts";
 import type { Demand, RunnerFleet } from "./demand.ts";
 import {
   logCapacityWait,
   logLimitsReached,
   logOverload,
+  logPlaceBehindShare,
 } from "./decision_log.ts";
 import { finishesInTime } from "./completion_check.ts";
 import { chooseRunner, hasCapacity } from "./placement.ts";
@@ -94,20 +97,42 @@
   readonly #routed: RoutedRequest;
   readonly #limits: SearchLimits;
   #queueKey: QueueKey;
+  /** The same key where the service is scheduled in shares of workspaces. */
+  #sharedKey: SharedKey | undefined;
+  #behindShareLogged = false;
 
   constructor(daemon: Daemon, routed: RoutedRequest, limits: SearchLimits) {
     this.#daemon = daemon;
     this.#routed = routed;
     this.#limits = limits;
-    this.#queueKey = this.#currentKey();
+    this.#queueKey = this.#createKey();
   }
 
-  #currentKey(): QueueKey {
-    const { rank, route } = this.#routed;
+  /** Returns the times of the request's key, which change if its place does. */
+  get #times(): Pick<QueueKey, "arrivedAt" | "startBy"> {
     const { receivedAt, returning } = this.#limits;
     if (returning !== undefined) return returning.queueKey;
-    const startBy = receivedAt + START_BY_SHARE * route.targetMs;
-    return { rank, arrivedAt: receivedAt, startBy };
+    const { targetMs } = this.#routed.route;
+    return {
+      arrivedAt: receivedAt,
+      startBy: receivedAt + START_BY_SHARE * targetMs,
+    };
+  }
+
+  #createKey(): QueueKey {
+    const { rank, service, head } = this.#routed;
+    const { arrivedAt, startBy } = this.#times;
+    const daemon = this.#daemon;
+    if (!daemon.scheduling.isAdaptive(service.name)) {
+      return { rank, arrivedAt, startBy };
+    }
+    const cost = estimateRequestCost(daemon, this.#routed, head.promptTokens);
+    this.#sharedKey = daemon.shareOrder.key(flowOf(this.#routed), {
+      arrivedAt,
+      startBy,
+      cost,
+    });
+    return this.#sharedKey;
   }
 
   /**
@@ -127,14 +152,35 @@
     const { tried, mayWait } = options;
     if (!mayWait) return this.#countRequest(this.#choose(tried));
     const wait = new CapacityWait(this.#queueKey);
+    this.#joinOrder();
+    let started = false;
     try {
-      return await this.#findCapacity(wait, tried);
+      const choice = await this.#findCapacity(wait, tried);
+      started = typeof choice === "object";
+      if (choice === "overloaded") this.#recordRefusal();
+      return choice;
     } finally {
       wait.end();
       this.#limitQueue.remove(this.#queueKey);
+      this.#leaveOrder(started);
     }
   }
 
+  #joinOrder(): void {
+    if (this.#sharedKey === undefined) return;
+    this.#daemon.shareOrder.join(this.#sharedKey);
+  }
+
+  #leaveOrder(started: boolean): void {
+    if (this.#sharedKey === undefined) return;
+    this.#daemon.shareOrder.leave(this.#sharedKey, { started });
+  }
+
+  #recordRefusal(): void {
+    if (this.#sharedKey === undefined) return;
+    this.#daemon.shareOrder.recordRefusal(this.#sharedKey.flow);
+  }
+
   async #findCapacity(
     wait: CapacityWait,
     tried: ReadonlySet<string>,
@@ -202,15 +248,18 @@
   #applyKeyChange(wait: CapacityWait): void {
     if (!this.#keyChanged) return;
     this.#limitQueue.remove(this.#queueKey);
-    this.#queueKey = this.#currentKey();
+    this.#leaveOrder(false);
+    this.#queueKey = this.#createKey();
+    this.#joinOrder();
     wait.changeKey(this.#queueKey);
   }
 
   get #keyChanged(): boolean {
     if (this.#limits.returning === undefined) return false;
-    const { arrivedAt, startBy } = this.#currentKey();
+    const { arrivedAt, startBy } = this.#times;
+    const key = this.#sharedKey;
     return arrivedAt !== this.#queueKey.arrivedAt ||
-      startBy !== this.#queueKey.startBy;
+      startBy !== (key?.latestStart ?? this.#queueKey.startBy);
   }
 
   /**
@@ -267,7 +316,7 @@
    * that would not is prefilled and generated in vain, and slows down the others.
    */
   #finishesInTime(choice: RunnerChoice, remainingMs: number): boolean {
-    const { head, service, lessUrgentRanks } = this.#routed;
+    const { head, service } = this.#routed;
     if (service.engine === undefined) return true;
     const now = this.#daemon.now();
     const msPerToken = this.#daemon.streamPace(service.name)
@@ -283,7 +332,7 @@
         head.maxOutputTokens,
         head.expectedOutputTokens ?? 0,
       ),
-      lessUrgentRanks,
+      lessUrgentRanks: this.#lessUrgentRanks,
       msPerToken,
     });
   }
@@ -295,6 +344,7 @@
       prefillTokens,
       now: this.#daemon.now(),
     });
+    this.#logPlaceBehindShare(runner);
     if (!joined) return;
     logCapacityWait(this.#daemon, this.#routed, {
       choice,
@@ -302,6 +352,28 @@
     });
   }
 
+  /** Logs once that requests that came later go first by their share. */
+  #logPlaceBehindShare(runner: Runner): void {
+    const key = this.#sharedKey;
+    if (key === undefined || this.#behindShareLogged) return;
+    const { queue } = this.#daemon.loads.of(runner.id);
+    const now = this.#daemon.now();
+    const before = queue.laterByShare(key, now);
+    if (before.requests === 0) return;
+    this.#behindShareLogged = true;
+    logPlaceBehindShare(this.#daemon, this.#routed, { runner, key, before });
+  }
+
+  /**
+   * Number of less urgent ranks; that of the most urgent rank for a request that
+   * the minimum share of its rank sends first. The limits of its own rank leave no
+   * capacity that more urgent requests do not take.
+   */
+  get #lessUrgentRanks(): number {
+    const { lessUrgentRanks, rank } = this.#routed;
+    return this.#sharedKey?.promoted ? lessUrgentRanks + rank : lessUrgentRanks;
+  }
+
   /**
    * Checks one runner until it has capacity and the request's entry in its queue has
    * reached all daemons, or until the next review is due.
@@ -319,10 +391,10 @@
       late ? LATE_REVIEW_INTERVAL_MS : 0,
     );
     const reviewAt = Math.min(waitUntil, this.#daemon.now() + intervalMs);
-    const demand = this.#demand();
     do {
       await sharedTimer.next();
       if (this.#limits.isAbandoned() || this.#keyChanged) return;
+      const demand = this.#demand();
       const fleet = this.#daemon.fleet(this.#routed.service.name);
       const capacity = hasCapacity(fleet, demand, runner);
       if (capacity && this.#maySend(wait, runner)) return;
@@ -366,7 +438,7 @@
   }
 
   #demand(awaitedRunner?: string): Demand {
-    const { head, route, service, lessUrgentRanks } = this.#routed;
+    const { head, route, service } = this.#routed;
     return {
       prompt: head.prompt,
       promptTokens: head.promptTokens,
@@ -377,7 +449,7 @@
       gapTargetMs: route.gapTargetMs,
       queueKey: this.#queueKey,
       awaitedRunner,
-      lessUrgentRanks,
+      lessUrgentRanks: this.#lessUrgentRanks,
       engine: service.engine,
     };
   }
--- a/packages/router/src/version/routing_table.ts
+++ b/packages/router/src/version/routing_table.ts
@@ -74,6 +74,8 @@
   readonly #workspaces: ReadonlyMap<string, Workspace>;
   /** Shortest gap target of the streams to each service, in ms. */
   readonly #shortestGaps: ReadonlyMap<string, number>;
+  /** Weights other than 1, by name of the workspace. */
+  readonly #weights: ReadonlyMap<string, number>;
   /** Distinct pairs of workspace and route tiers, the most urgent first. */
   readonly #urgencies: readonly number[];
   /** The same pairs, ordered by the route's tier first. */
@@ -89,6 +91,11 @@
     this.#shortestGaps = shortestGapsOf(configuration.routes);
     this.#urgencies = urgenciesOf(configuration);
     this.#preemptions = this.#urgencies.map(swapTiers).sort(ascending);
+    this.#weights = new Map(
+      configuration.workspaces.flatMap(({ name, weight = 1 }) =>
+        weight > 0 && weight !== 1 ? [[name, weight] as const] : []
+      ),
+    );
     this.#workspaces = new Map(
       configuration.workspaces.flatMap((workspace) =>
         workspace.keys.map((key) => [key, workspace] as const)
@@ -96,6 +103,11 @@
     );
   }
 
+  /** Weight of a workspace's share of scarce capacity. */
+  weightOf(workspace: string): number {
+    return this.#weights.get(workspace) ?? 1;
+  }
+
   /** Whether any workspace is configured; without one, requests need no key. */
   get hasWorkspaces(): boolean {
     return this.#workspaces.size > 0;
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -29,6 +29,7 @@
 import { RunnerDirectory } from "../src/process/runner_directory.ts";
 import type { ReportedLoad } from "../src/process/runner_load.ts";
 import { RunnerLimits } from "../src/process/runner_limits.ts";
+import { RunnerPaces } from "../src/process/runner_paces.ts";
 import { RunnerPauses } from "../src/process/runner_pauses.ts";
 import { RunnerRestrictions } from "../src/process/runner_restrictions.ts";
 import type { StatedLimit } from "../src/process/runner_limits.ts";
@@ -37,6 +38,7 @@
   epochOf,
   storeRevision,
 } from "../src/process/store_revision.ts";
+import { SchedulingMode } from "../src/process/scheduling_mode.ts";
 import type { RouterSettings } from "../src/process/settings.ts";
 import type { Dialect } from "../src/request/dialect.ts";
 import { endToEndHeaders, headerOf } from "../src/request/headers.ts";
@@ -125,6 +127,12 @@
   return new RunnerRestrictions(emptyLimits(), new RunnerPauses(SILENT_LOG));
 }
 
+/** Returns the paces of runners whose services are not scheduled adaptively. */
+export function basicPaces(): RunnerPaces {
+  const settings = { scheduling: "basic", pressure: false } as const;
+  return new RunnerPaces(new SchedulingMode(settings, SILENT_LOG), SILENT_LOG);
+}
+
 /** Returns a directory without runners, none of which is shutting down. */
 export function emptyDirectory(): RunnerDirectory {
   return new RunnerDirectory(new DrainingRunners(SILENT_LOG));
@@ -201,6 +209,7 @@
     timeMs: undefined,
     usage: [],
     lease: undefined,
+    shares: [],
     contacts: [],
     gone: [],
     ...fields,
--- a/packages/router/tests/fleet.ts
+++ b/packages/router/tests/fleet.ts
@@ -43,6 +43,7 @@
 import type { PlacedRequest } from "../src/process/runner_load.ts";
 import { epochOf, storeRevision } from "../src/process/store_revision.ts";
 import { UsageMeter } from "../src/process/usage_meter.ts";
+import { WorkspaceShares } from "../src/process/workspace_shares.ts";
 import type { Configuration } from "../src/version/configuration.ts";
 import type { TestContext } from "node:test";
 import { FakeClock } from "./fake_clock.ts";
@@ -330,6 +331,7 @@
   readonly draining: DrainingRunners;
   readonly paces: RunnerPaces;
   readonly places: ReturnPlaces;
+  readonly shares: WorkspaceShares;
   readonly directory: RunnerDirectory;
   readonly links = new Set<FakeLink>();
   readonly events: { readonly name: string; readonly fields: Fields }[] = [];
@@ -364,6 +366,7 @@
     this.limits = new RunnerLimits(log, () => this.fleetSync.view);
     this.draining = new DrainingRunners(log);
     this.places = new ReturnPlaces(log, Math.random);
+    this.shares = new WorkspaceShares({ log });
     this.directory = new RunnerDirectory(this.draining);
     const scheduling = { isAdaptive: () => true, recordStatedSpeed() {} };
     this.paces = new RunnerPaces(scheduling, log);
@@ -409,6 +412,7 @@
       draining: this.draining,
       paces: this.paces,
       places: this.places,
+      shares: this.shares,
       time: this.time,
       usage: this.usage,
       lease: this.lease,
--- a/packages/router/tests/paused_runner_test.ts
+++ b/packages/router/tests/paused_runner_test.ts
@@ -118,6 +118,8 @@
 
 /** Requests each of which may be the first after a pause. */
 const TRIALS = 30;
+/** Body of a request that its runner does not answer. */
+const HELD = "held";
 
 /**
  * Sends requests to a router before a runner that refuses all of them with short
@@ -133,20 +135,28 @@
   });
   const refusing = await startRefusingRunner(t, "refusing");
   refusing.pauseMs = 1;
-  const serving = await startFakeRunner(t, "serving", (socket, _, id) => {
-    socket.write(runnerResponse(id, "done"));
+  const serving = await startFakeRunner(t, "serving", (socket, request, id) => {
+    if (!request.includes(HELD)) socket.write(runnerResponse(id, "done"));
   });
   linked.runners.set([refusing.runner, serving.runner]);
   await linked.add();
+  // Makes the refusing runner the less loaded one, which is tried if it may be.
+  const isHeld = () =>
+    serving.requests.some((request) => request.includes(HELD));
+  while (!isHeld()) {
+    const sent = linked.send(HELD).catch(() => undefined);
+    await Promise.race([sent, waitUntil(isHeld)]);
+  }
   // The refusal that begins the first pause.
   while (refusing.requests.length === 0) await linked.send("work");
+  const before = refusing.requests.length;
   const statuses = [];
   for (let sent = 0; sent < TRIALS; sent++) {
     statuses.push((await linked.send("work")).status);
     // The pause ends, so that the next request may be the first after it.
     await new Promise((resolve) => setTimeout(resolve, 5));
   }
-  return { statuses, trials: refusing.requests.length - 1 };
+  return { statuses, trials: refusing.requests.length - before };
 }
 
 // Guards against a request that goes first after a pause, is refused and finds no
