--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -24,6 +24,7 @@
 } from "../src/process/leader_record.ts";
 import type { Changes, Feed, Listing } from "../src/process/feed.ts";
 import type { Runner } from "../src/process/runner.ts";
+import type { ReportedLoad } from "../src/process/runner_load.ts";
 import { RunnerDirectory } from "../src/process/runner_directory.ts";
 import { RunnerLimits } from "../src/process/runner_limits.ts";
 import { RunnerPauses } from "../src/process/runner_pauses.ts";
@@ -49,10 +50,25 @@
   return text === undefined ? undefined : { kind: "limit", perS: Number(text) };
 }
 
+/** Parses a load given as "RUNNING,WAITING,SLOTS". */
+function parseLoad(text: string | undefined): ReportedLoad | undefined {
+  if (text === undefined) return undefined;
+  const [running = 0, waiting = 0, slots = 0] = text.split(",").map(Number);
+  return { running, waiting, slots };
+}
+
 function parseNumber(text: string | undefined): number | undefined {
   return text === undefined ? undefined : Number(text);
 }
 
+/** Headers of callers that runners do not get; the router adds a length. */
+const DROPPED_HEADERS: ReadonlySet<string> = new Set([
+  "x-key",
+  "x-tenant",
+  "x-deadline",
+  "content-length",
+]);
+
 /** The dialect of these tests, independent of any platform's. */
 export const TEST_DIALECT: Dialect = {
   parseRequest: (headers) => ({
@@ -67,7 +83,7 @@
     lastEventId: undefined,
   }),
   runnerHeaders: (headers, head) => [
-    ...endToEndHeaders(headers, new Set(["x-key", "x-tenant", "x-deadline"])),
+    ...endToEndHeaders(headers, DROPPED_HEADERS),
     "X-Tenant",
     head.workspace ?? "",
     "X-Runner",
@@ -82,7 +98,7 @@
     notExecuted: headerOf(headers, "x-not-run") !== undefined,
     misdirected: status === 421,
     encoded: false,
-    load: undefined,
+    load: parseLoad(headerOf(headers, "x-load")),
     draining: headerOf(headers, "x-draining") !== undefined,
     pauseMs: parseNumber(headerOf(headers, "x-pause-ms")),
     limit: parseLimit(headerOf(headers, "x-limit")),
--- a/packages/router/tests/linked_routers.ts
+++ b/packages/router/tests/linked_routers.ts
@@ -23,7 +23,7 @@
 const LOCALHOST = "127.0.0.1";
 
 /** Returns a port that no process listens on. */
-async function unusedPort(): Promise<number> {
+export async function unusedPort(): Promise<number> {
   const server = createServer();
   server.listen(0, LOCALHOST);
   await once(server, "listening");
