Queue requests of plain services where scheduling is adaptive

Plain runners have slots and refuse when their short queue is full. The router sent at once, was refused, and refused the caller after 170 ms.

Requests now wait in the exchanged queues of runners. A runner is full at its slots, a slack that refusals lower and responses raise, and, for a request that has waited, the completions that daemons have not heard of yet. A request that arrives when the queue takes as long as its target allows is refused at once, at random shortly before that; one that becomes late gets what others leave. Among free slots the runner is drawn, since the least loaded one would get the requests of all daemons of one propagation time. Releases are sent at the interval for waiting requests as soon as any daemon has a request that waits for the plain runner.

--- a/packages/router/src/connection/fleet_sync.ts
+++ b/packages/router/src/connection/fleet_sync.ts
@@ -160,6 +160,11 @@
     return this.#exchange.seesWholeFleet;
   }
 
+  /** Share of the daemons recently in the fleet whose loads are received. */
+  get heardShare(): number {
+    return this.#exchange.heardShare;
+  }
+
   /** Schedules sending a change of the leader's lease. */
   leaseChanged(): void {
     this.#exchange.wake();
--- a/packages/router/src/connection/state_exchange.ts
+++ b/packages/router/src/connection/state_exchange.ts
@@ -161,6 +161,15 @@
     return fleet >= this.#counts.recentMax(performance.now()).fleet;
   }
 
+  /**
+   * Share of the daemons that were recently in the fleet for which neighbours
+   * account.
+   */
+  get heardShare(): number {
+    const { fleet } = this.#counts.sumFrom(() => true);
+    return fleet / this.#counts.recentMax(performance.now()).fleet;
+  }
+
   /** Time of a peer's last response to a `FetchRequest`, in monotonic ms. */
   get lastResponseAt(): number {
     return this.#versions.lastResponseAt;
@@ -324,7 +333,8 @@
       relayed: this.#overlay.relayed,
       domainSize: this.#counts.recentMax(performance.now()).domain,
       unsent: this.#versions.unsent,
-      requestsWaiting: this.#broadcaster.urgent || this.#state.loads.hasWaiting,
+      requestsWaiting: this.#broadcaster.urgent ||
+        this.#state.loads.hasWaiting || this.#state.loads.hasUrgentChange,
     };
   }
 
--- a/packages/router/src/connection/update_broadcaster.ts
+++ b/packages/router/src/connection/update_broadcaster.ts
@@ -156,6 +156,7 @@
       : [this.#upstream];
     for (const outbox of outboxes) {
       outbox.addRunners(changed, loads.hasWaiting);
+      outbox.addRunners(changed.filter((id) => loads.isUrgent(id)), true);
       outbox.addParts(parts);
       outbox.addCrashes(crashUpdate);
       outbox.addLimits(limitUpdates);
@@ -187,7 +188,10 @@
   relay({ name }: Peer, received: ReceivedUpdate): boolean {
     const { changedRunners, parts, crashes, limits, draining } = received;
     const { usage, urgent } = received;
-    const { overlay } = this.#sources;
+    const { overlay, loads } = this.#sources;
+    const urgentRunners = [...changedRunners].filter((id) =>
+      loads.isUrgent(id)
+    );
     // Usage goes up the tree only, to the daemons that may lead.
     if (overlay.role(name) === "child") this.#upstream.addUsage(usage);
     const count = changedRunners.size + parts.length + crashes.crashed.length +
@@ -198,6 +202,7 @@
       : [this.#downstream];
     for (const outbox of outboxes) {
       outbox.addRunners(changedRunners, urgent);
+      outbox.addRunners(urgentRunners, true);
       outbox.addParts(parts, name);
       outbox.addCrashes(crashes, name);
       outbox.addLimits(limits, name);
--- a/packages/router/src/process/metrics.ts
+++ b/packages/router/src/process/metrics.ts
@@ -26,6 +26,7 @@
   readonly #registry: RegistryType;
   readonly #ended: CounterType<"service" | "outcome">;
   readonly #seconds: HistogramType<"service">;
+  readonly #waiting: GaugeType<"service" | "rank">;
   readonly #connections: CounterType<"service">;
   readonly #ends: CounterType<"service">;
   readonly #version: GaugeType;
@@ -52,6 +53,12 @@
       buckets: LATENCY_BUCKETS,
       registers,
     });
+    this.#waiting = new Gauge({
+      name: "umbermast_waiting_requests",
+      help: "Requests that wait for a runner, by service and rank",
+      labelNames: ["service", "rank"],
+      registers,
+    });
     this.#connections = new Counter({
       name: "umbermast_runner_connections_total",
       help: "New connections to runners, by service",
@@ -106,6 +113,16 @@
     this.#seconds.observe({ service }, elapsedMs / MS_PER_SECOND);
   }
 
+  /** Counts a request that begins to wait for a runner. */
+  waitStarted(service: string, rank: number): void {
+    this.#waiting.inc({ service, rank });
+  }
+
+  /** Counts a request that no longer waits. */
+  waitEnded(service: string, rank: number): void {
+    this.#waiting.dec({ service, rank });
+  }
+
   /** Counts a new connection to a runner. */
   runnerConnected(service: string): void {
     this.#connections.inc({ service });
--- a/packages/router/src/process/runner_load.ts
+++ b/packages/router/src/process/runner_load.ts
@@ -218,9 +218,13 @@
     this.#reportedAt = now;
   }
 
-  /** Requests at the runner, from daemons' loads and its own fresh report. */
-  requestCount(now: number): number {
-    const report = this.#freshReport(now);
+  /**
+   * Requests at the runner, from daemons' loads and its own fresh report.
+   *
+   * @param reportTtlMs age at which a report expires.
+   */
+  requestCount(now: number, reportTtlMs = REPORT_TTL_MS): number {
+    const report = this.#freshReport(now, reportTtlMs);
     if (report === undefined) return this.#total.inFlight;
     return Math.max(this.#total.inFlight, report.running + report.waiting);
   }
@@ -295,7 +299,7 @@
     this.#onChange();
   }
 
-  #freshReport(now: number): ReportedLoad | undefined {
-    return now - this.#reportedAt < REPORT_TTL_MS ? this.#report : undefined;
+  #freshReport(now: number, ttlMs: number): ReportedLoad | undefined {
+    return now - this.#reportedAt < ttlMs ? this.#report : undefined;
   }
 }
--- a/packages/router/src/process/runner_loads.ts
+++ b/packages/router/src/process/runner_loads.ts
@@ -14,12 +14,38 @@
   /** Ids of runners for which requests of this daemon wait. */
   readonly #queued = new Set<string>();
   readonly #listeners: (() => void)[] = [];
+  #isQueued: (id: string) => boolean = () => false;
 
   /** Calls `listener` after each change of this daemon's load on any runner. */
   onChange(listener: () => void): void {
     this.#listeners.push(listener);
   }
 
+  /**
+   * Sets which runners are those of plain services whose requests are queued.
+   */
+  queueAt(isQueued: (id: string) => boolean): void {
+    this.#isQueued = isQueued;
+  }
+
+  /**
+   * Whether a release of a runner's slot is urgent to other daemons: requests
+   * wait for it at some of them, even if none does here. Sent at the interval
+   * for idle fleets, releases took 100 ms through two relays, and the slots
+   * of plain runners were idle for 15% of the time.
+   */
+  isUrgent(id: string): boolean {
+    return this.#loads.get(id)?.queue.hasAny === true && this.#isQueued(id);
+  }
+
+  /** Whether an urgent change of this daemon's load is still to be sent. */
+  get hasUrgentChange(): boolean {
+    for (const id of this.#changed) {
+      if (this.isUrgent(id)) return true;
+    }
+    return false;
+  }
+
   /** Returns the load of a runner; creates an empty one for an unknown id. */
   of(id: string): RunnerLoad {
     const known = this.#loads.get(id);
--- a/packages/router/src/process/runner_queue.ts
+++ b/packages/router/src/process/runner_queue.ts
@@ -74,6 +74,11 @@
     return this.#own.size > 0;
   }
 
+  /** Whether any request waits, at this or another daemon. */
+  get hasAny(): boolean {
+    return this.#own.size > 0 || this.#others.size > 0;
+  }
+
   /** Entries of this daemon and those reported by accepted neighbours. */
   entriesFrom(accepts: NeighbourFilter): readonly WaitingEntry[] {
     const reported = [...this.#others].filter(([name]) => accepts(name));
@@ -104,13 +109,19 @@
    * Sums up the requests at any daemon that go before a given one. Without
    * this, all daemons with a waiting request would send it as soon as the
    * runner has capacity: ten prompts at once, then none for seconds.
+   *
+   * @param since requests count if they go first now or went first at this
+   * time. One that another daemon sent in time may become late before this
+   * daemon hears that it was sent.
    */
-  workAhead(key: QueueKey, now: number): WorkAhead {
+  workAhead(key: QueueKey, now: number, since = now): WorkAhead {
     let requests = 0;
     let unreadTokens = 0;
     for (const list of [this.#own, ...this.#others.values()]) {
       for (const entry of list) {
-        if (!precedes(entry, key, now)) continue;
+        const first = precedes(entry, key, now) ||
+          (since < now && precedes(entry, key, since));
+        if (!first) continue;
         requests += entry.requests;
         unreadTokens += entry.unreadTokens;
       }
--- a/packages/router/src/request/attempt_executor.ts
+++ b/packages/router/src/request/attempt_executor.ts
@@ -6,7 +6,11 @@
 import type { Buffer } from "node:buffer";
 import type { PlacedRequest } from "../process/runner_load.ts";
 import { ResponseRelay } from "./response_relay.ts";
-import type { AttemptContext, RelayResult } from "./response_relay.ts";
+import type {
+  AttemptContext,
+  RelayResult,
+  RunnerResponse,
+} from "./response_relay.ts";
 import type { Attempt, SendResult } from "./attempt.ts";
 import { createAttempt } from "./create_attempt.ts";
 import type { ResponseHead } from "./dialect.ts";
@@ -15,6 +19,7 @@
 import { logRunnerChosen } from "./decision_log.ts";
 import type { Outcome } from "./outcome.ts";
 import type { LocalOutcomes } from "./local_outcomes.ts";
+import { workMsOf } from "./plain_admission.ts";
 import type { RunnerChoice } from "./placement.ts";
 import type { Progress } from "./progress.ts";
 import { InactivityTimer } from "./inactivity_timer.ts";
@@ -30,6 +35,7 @@
  * idempotent request is retried on another runner.
  */
 const RESPONSE_TIMEOUT_TARGETS = 1;
+const MIN_SERVER_ERROR_STATUS = 500;
 
 /** Result of one attempt. */
 export type AttemptResult =
@@ -123,6 +129,7 @@
         inactivity,
         sentAt,
         run: { fingerprint, startedAt },
+        room: choice.room,
       });
     } finally {
       unwatch();
@@ -192,6 +199,7 @@
           load.recordReport(result.head.load, now);
         }
         if (result.head.misdirected) load.recordFailure(now);
+        else this.#recordRefusal(routed, result.head, context);
         return retry(
           "refused by runner",
           () => this.#outcomes.refusal("runner_full"),
@@ -201,6 +209,7 @@
         if (result.head.load !== undefined) {
           load.recordReport(result.head.load, now);
         }
+        this.#recordAccepted(routed, result, context);
         return this.#finish(
           routed,
           await this.#relay.relay(routed, result, context),
@@ -219,6 +228,48 @@
     this.#daemon.limits.recordStated(attempt.runner.id, head.limit, times);
   }
 
+  /**
+   * Records that a queued request was refused, unless the runner states that it
+   * has free slots: it refused for another reason.
+   */
+  #recordRefusal(
+    { service }: RoutedRequest,
+    { load, draining, pauseMs }: ResponseHead,
+    { attempt, room }: AttemptContext,
+  ): void {
+    if (room === undefined || draining) return;
+    const full = load === undefined
+      ? pauseMs === undefined
+      : load.running + load.waiting >= load.slots;
+    if (!full) return;
+    this.#daemon.plainCapacity(service.name).recordRefusal(attempt.runner.id, {
+      load,
+      slots: attempt.runner.slots,
+      propagationMs: this.#daemon.propagationMs(),
+      now: this.#daemon.now(),
+    });
+  }
+
+  /** Records that a queued request was run, and how long that took. */
+  #recordAccepted(
+    { service, route }: RoutedRequest,
+    { status, head }: RunnerResponse,
+    { attempt, load, room, sentAt }: AttemptContext,
+  ): void {
+    if (room === undefined) return;
+    const capacity = this.#daemon.plainCapacity(service.name);
+    const { id, slots } = attempt.runner;
+    const stated = head.load;
+    const idle = stated !== undefined && load.queue.hasAny &&
+      stated.waiting === 0 && stated.running < stated.slots;
+    capacity.recordAccepted(id, { slots, idle });
+    // A runner that fails often does so at once.
+    if (route.streaming || status >= MIN_SERVER_ERROR_STATUS) return;
+    const now = this.#daemon.now();
+    const ms = workMsOf(room, now - sentAt);
+    capacity.times.record(id, { ms, now });
+  }
+
   /** Handles a connection that broke before the head of a response. */
   #handleBrokenConnection(
     reason: string,
--- a/packages/router/src/request/capacity_wait.ts
+++ b/packages/router/src/request/capacity_wait.ts
@@ -66,6 +66,11 @@
       now - this.#position.joinedAt > propagationMs;
   }
 
+  /** Milliseconds that the request has been in its queue; 0 if it is in none. */
+  waitedMs(now: number): number {
+    return this.#position === undefined ? 0 : now - this.#position.joinedAt;
+  }
+
   /** Id of the runner whose queue the request is in. */
   get runnerId(): string | undefined {
     return this.#position?.runner;
--- a/packages/router/src/request/daemon.ts
+++ b/packages/router/src/request/daemon.ts
@@ -10,6 +10,7 @@
 import type { EventLog } from "../process/event_log.ts";
 import type { LimitQueue } from "../process/limit_queue.ts";
 import type { SharedTimer } from "../process/shared_timer.ts";
+import type { PlainCapacity } from "../process/plain_capacity.ts";
 import type { PrefixIndex } from "../process/prefix_index.ts";
 import type { RetryBudget } from "../process/retry_budget.ts";
 import type { RunnerPace } from "../process/runner_pace.ts";
@@ -46,6 +47,8 @@
   readonly crashes: CrashRecord;
   /** Wakes requests that wait for capacity. */
   readonly sharedTimer: SharedTimer;
+  /** Wakes requests that wait for a runner of a plain service. */
+  readonly plainTimer: SharedTimer;
   /** Whether new requests are refused because the process is about to exit. */
   readonly closed: boolean;
   /** Monotonic time in milliseconds. */
@@ -74,6 +77,8 @@
   reportBrokenConnection(runner: Runner, run: BrokenRun): void;
   /** Returns how fast the runners of a service do their work. */
   runnerPace(service: string): RunnerPace;
+  /** Returns what is observed of the runners of a plain service. */
+  plainCapacity(service: string): PlainCapacity;
   /** Returns how fast the runners of a service generate tokens. */
   streamPace(service: string): StreamPace;
   /**
--- a/packages/router/src/request/decision_log.ts
+++ b/packages/router/src/request/decision_log.ts
@@ -4,6 +4,9 @@
  * - `backlog_tokens`: prompt tokens at the runner that await prefill;
  * - `prefill_tokens`: prompt tokens of the request that the runner has to prefill;
  * - `rank`: urgency of the request, 0 being the most urgent;
+ * - `requests`, `ahead`, `limit`, `expected_wait_ms`, `response_ms`: capacity of
+ *   the runner of a plain service, see {@linkcode PlainRoom};
+ * - `known_ms`: age at which changes at other daemons are known here;
  * - `runners_age_ms`: milliseconds since the list of runners was confirmed.
  *
  * @module
@@ -13,8 +16,23 @@
 import type { QueueKey } from "../process/runner_queue.ts";
 import type { Daemon } from "./daemon.ts";
 import type { RunnerChoice } from "./placement.ts";
+import type { PlainRoom } from "./plain_admission.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 
+/** The capacity of a plain service's runner, where its requests are queued. */
+function plainFields(daemon: Daemon, room: PlainRoom | undefined) {
+  if (room === undefined) return {};
+  const { requests, ahead, limit, unreported, delayMs, responseMs } = room;
+  return {
+    requests,
+    ahead,
+    limit: Math.round(limit + unreported),
+    expected_wait_ms: Math.round(delayMs),
+    response_ms: responseMs === undefined ? undefined : Math.round(responseMs),
+    known_ms: Math.round(daemon.propagationMs()),
+  };
+}
+
 /**
  * Logs that no runner has capacity for a request or can complete it before its
  * deadline, and the load of the best runner.
@@ -46,6 +64,7 @@
     in_time: inTime,
     ms_per_token: msPerToken === undefined ? undefined : Math.round(msPerToken),
     expected_tokens: routed.head.expectedOutputTokens,
+    ...plainFields(daemon, choice.room),
     runners_age_ms: Math.round(daemon.runnerListAgeMs()),
   });
 }
@@ -104,6 +123,7 @@
     ahead_tokens:
       load.queue.workAhead(wait.queueKey, daemon.now()).unreadTokens,
     prefill_tokens: prefillTokens,
+    ...plainFields(daemon, wait.choice.room),
     runners_age_ms: Math.round(daemon.runnerListAgeMs()),
   });
 }
--- a/packages/router/src/request/demand.ts
+++ b/packages/router/src/request/demand.ts
@@ -10,6 +10,7 @@
 import type { RunnerLoads } from "../process/runner_loads.ts";
 import type { QueueKey } from "../process/runner_queue.ts";
 import type { Engine } from "../version/configuration.ts";
+import type { PlainState } from "./plain_admission.ts";
 
 /** Resources and latency that a request needs from a runner. */
 export interface Demand {
@@ -26,6 +27,8 @@
   readonly queueKey: QueueKey;
   /** Id of the runner that the request waits for. */
   readonly awaitedRunner: string | undefined;
+  /** Milliseconds that the request has waited for it. */
+  readonly waitedMs?: number;
   /** Number of less urgent ranks. */
   readonly lessUrgentRanks: number;
   /** Absent for a plain service. */
@@ -42,6 +45,11 @@
   readonly pace: RunnerPace;
   /** Failure domain of this daemon. */
   readonly failureDomain: string;
+  /**
+   * What is observed of a plain service that is scheduled adaptively; absent
+   * for all other services.
+   */
+  readonly plain?: PlainState | undefined;
   /** Monotonic milliseconds. */
   readonly now: number;
 }
--- a/packages/router/src/request/placement.ts
+++ b/packages/router/src/request/placement.ts
@@ -14,6 +14,16 @@
   WARM_UP_FACTOR,
 } from "./runner_cost.ts";
 import type { CostEstimate } from "./runner_cost.ts";
+import {
+  choosePlainRunner,
+  isQueued,
+  maySendPlain,
+} from "./plain_admission.ts";
+import type { PlainFleet, PlainRoom } from "./plain_admission.ts";
+import {
+  FAILURE_RATE_WEIGHT,
+  REMOTE_DOMAIN_PENALTY,
+} from "./runner_penalties.ts";
 import { poolsOf } from "./runner_pools.ts";
 
 /** A selected runner, with the inputs of the decision for the log. */
@@ -29,22 +39,10 @@
   readonly overloaded: boolean;
   readonly candidates: number;
   readonly reason: "home" | "spread" | "least-loaded";
+  /** Capacity of the runner, where requests to its plain service are queued. */
+  readonly room?: PlainRoom;
 }
 
-/**
- * Number of requests by which a runner in another failure domain must be less
- * loaded to be selected.
- */
-const REMOTE_DOMAIN_PENALTY = 0.7;
-
-/**
- * Additional relative cost of a runner of a plain service when all its responses
- * are failures. A runner that fails at once appears idle: one was sent 19 of 46 requests in two seconds, half of which failed. With 16, a runner that
- * fails 4 of 10 requests is selected only when the others have seven times its
- * load.
- */
-const FAILURE_RATE_WEIGHT = 16;
-
 /**
  * Returns the deepest part of a prompt that other prompts share, which determines
  * most how much of its cache a runner can reuse. The last part of a prompt is
@@ -54,7 +52,8 @@
   return prompt.at(-2) ?? prompt[0];
 }
 
-function eligibleRunners(
+/** Returns the runners that a request may be sent to, or wait for. */
+export function eligibleRunners(
   fleet: RunnerFleet,
   excluded: ReadonlySet<string>,
 ): readonly Runner[] {
@@ -107,6 +106,50 @@
   };
 }
 
+/** Selects a runner of a plain service whose requests are queued. */
+function fromPlainFleet(
+  fleet: PlainFleet,
+  demand: Demand,
+  runners: readonly Runner[],
+): RunnerChoice {
+  const { room, overloaded } = choosePlainRunner(
+    fleet,
+    demand,
+    runners,
+  );
+  return {
+    runner: room.runner,
+    prefillTokens: 0,
+    fetchFrom: undefined,
+    tight: false,
+    overloaded,
+    candidates: runners.length,
+    reason: "least-loaded",
+    room,
+  };
+}
+
+/**
+ * Whether a request that waits for a runner may be sent: to this runner, or to
+ * another one of a plain service.
+ */
+export function maySendWaiting(
+  fleet: RunnerFleet,
+  demand: Demand,
+  waiting: {
+    readonly runner: Runner;
+    /** Whether all daemons know that the request waits for the runner. */
+    readonly settled: boolean;
+    /** Ids of the runners that were tried. */
+    readonly excluded: ReadonlySet<string>;
+  },
+): boolean {
+  const { runner, settled, excluded } = waiting;
+  if (!isQueued(fleet)) return settled && hasCapacity(fleet, demand, runner);
+  const runners = eligibleRunners(fleet, excluded);
+  return maySendPlain(fleet, demand, runners);
+}
+
 /**
  * Whether a runner has capacity for a request: its load is within the limits,
  * and a long prompt would not delay tight streams on a reserved runner.
@@ -190,6 +233,7 @@
 ): RunnerChoice | undefined {
   const runners = eligibleRunners(fleet, excluded);
   if (runners.length === 0) return undefined;
+  if (isQueued(fleet)) return fromPlainFleet(fleet, demand, runners);
   if (demand.engine === undefined || demand.prompt.length === 0) {
     return leastLoaded(fleet, runners);
   }
--- a/packages/router/src/request/response_relay.ts
+++ b/packages/router/src/request/response_relay.ts
@@ -9,6 +9,7 @@
 import type { Caller } from "./caller.ts";
 import type { Daemon } from "./daemon.ts";
 import type { InactivityTimer } from "./inactivity_timer.ts";
+import type { PlainRoom } from "./plain_admission.ts";
 import { StreamRelay } from "./stream_relay.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 import { readBody } from "./read_body.ts";
@@ -37,6 +38,8 @@
   /** Monotonic milliseconds. */
   readonly sentAt: number;
   readonly run: BrokenRun;
+  /** Capacity of the runner when the request was sent, if it was queued. */
+  readonly room: PlainRoom | undefined;
 }
 
 /** Result of relaying a response. */
--- a/packages/router/src/request/runner_search.ts
+++ b/packages/router/src/request/runner_search.ts
@@ -14,8 +14,9 @@
   logOverload,
 } from "./decision_log.ts";
 import { finishesInTime } from "./completion_check.ts";
-import { chooseRunner, hasCapacity } from "./placement.ts";
+import { chooseRunner, eligibleRunners, maySendWaiting } from "./placement.ts";
 import type { RunnerChoice } from "./placement.ts";
+import { isQueued, isWaitUseful, maxWaitMs } from "./plain_admission.ts";
 import { CapacityWait } from "./capacity_wait.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 
@@ -98,10 +99,12 @@
     this.#routed = routed;
     this.#limits = limits;
     const { targetMs } = routed.route;
+    const fleet = daemon.fleet(routed.service.name);
+    const waitMs = isQueued(fleet) ? maxWaitMs(fleet, targetMs) : undefined;
     this.#queueKey = {
       rank: routed.rank,
       arrivedAt: limits.receivedAt,
-      startBy: limits.receivedAt + START_BY_SHARE * targetMs,
+      startBy: limits.receivedAt + (waitMs ?? START_BY_SHARE * targetMs),
     };
   }
 
@@ -110,7 +113,8 @@
    * the runner's rate limit, if it has one. While the best runner lacks
    * capacity, a request that has not reached any runner waits for it for a
    * limited time: most waits end within it, and a refusal costs the caller
-   * more.
+   * more. At a plain service whose requests are queued each attempt waits, since
+   * a runner without capacity would only refuse it.
    *
    * @returns `undefined` when no runner is left, or "overloaded" when no runner has
    * capacity and the request may not wait any longer.
@@ -120,11 +124,14 @@
     readonly noRunnerReached: boolean;
   }): Promise<RunnerChoice | undefined | "overloaded"> {
     const { tried, noRunnerReached } = options;
-    if (!noRunnerReached) return this.#countRequest(this.#choose(tried));
+    if (!noRunnerReached && !this.#queued) {
+      return this.#countRequest(this.#choose(tried));
+    }
     const wait = new CapacityWait(this.#queueKey);
     try {
       return await this.#findCapacity(wait, tried);
     } finally {
+      if (wait.runnerId !== undefined) this.#recordWaitEnded();
       wait.end();
       this.#limitQueue.remove(this.#queueKey);
     }
@@ -141,7 +148,7 @@
     const waitUntil = startedAt +
       MAX_WAIT_SHARE * Math.min(remainingMs, patienceMs);
     for (;;) {
-      const choice = this.#choose(tried, wait.runnerId);
+      const choice = this.#choose(tried, wait);
       if (choice === undefined || this.#mustYield(choice)) {
         const restricted = this.#restrictedRunners(tried);
         if (restricted.length === 0) return undefined;
@@ -151,8 +158,10 @@
         continue;
       }
       const now = this.#daemon.now();
-      const inTime = this.#finishesInTime(choice, expiresAt - now);
-      if (inTime && !choice.overloaded && this.#maySend(wait, choice.runner)) {
+      const inTime = this.#finishesInTime(choice, tried, wait);
+      const maySend = choice.room !== undefined ||
+        this.#maySend(wait, choice.runner);
+      if (inTime && !choice.overloaded && maySend) {
         return this.#countRequest(choice);
       }
       if (!inTime || now > waitUntil || this.#limits.isAbandoned()) {
@@ -164,7 +173,7 @@
         return "overloaded";
       }
       this.#joinQueue(wait, choice);
-      await this.#awaitCapacity(wait, choice.runner, waitUntil);
+      await this.#awaitCapacity(wait, choice.runner, { tried, waitUntil });
     }
   }
 
@@ -221,10 +230,17 @@
    * Whether the response would be complete before the caller's time-out. A response
    * that would not is prefilled and generated in vain, and slows down the others.
    */
-  #finishesInTime(choice: RunnerChoice, remainingMs: number): boolean {
+  #finishesInTime(
+    choice: RunnerChoice,
+    tried: ReadonlySet<string>,
+    wait: CapacityWait,
+  ): boolean {
     const { head, service, lessUrgentRanks } = this.#routed;
-    if (service.engine === undefined) return true;
+    if (service.engine === undefined) {
+      return this.#mayAwaitPlain(choice, tried, wait);
+    }
     const now = this.#daemon.now();
+    const remainingMs = this.#limits.expiresAt - now;
     const msPerToken = this.#daemon.streamPace(service.name)
       .msPerToken(choice.runner.id, now);
     return finishesInTime({
@@ -243,8 +259,41 @@
     });
   }
 
+  /** Whether a plain request may be sent, or waiting is of use to it. */
+  #mayAwaitPlain(
+    choice: RunnerChoice,
+    tried: ReadonlySet<string>,
+    wait: CapacityWait,
+  ): boolean {
+    const fleet = this.#daemon.fleet(this.#routed.service.name);
+    if (!isQueued(fleet)) return true;
+    const { receivedAt, expiresAt } = this.#limits;
+    if (!choice.overloaded) {
+      return fleet.now + (choice.room?.responseMs ?? 0) <= expiresAt;
+    }
+    return isWaitUseful(fleet, this.#demand(wait), {
+      runners: eligibleRunners(fleet, tried),
+      receivedAt,
+      expiresAt,
+    });
+  }
+
+  /** Whether requests to the service are queued though it is a plain one. */
+  get #queued(): boolean {
+    return isQueued(this.#daemon.fleet(this.#routed.service.name));
+  }
+
+  #recordWaitEnded(): void {
+    const { service, rank } = this.#routed;
+    this.#daemon.metrics.waitEnded(service.name, rank);
+  }
+
   #joinQueue(wait: CapacityWait, choice: RunnerChoice): void {
     const { runner, prefillTokens } = choice;
+    const { service, rank } = this.#routed;
+    if (wait.runnerId === undefined) {
+      this.#daemon.metrics.waitStarted(service.name, rank);
+    }
     const joined = wait.moveTo(this.#daemon.loads.of(runner.id), {
       runner: runner.id,
       prefillTokens,
@@ -264,23 +313,33 @@
   async #awaitCapacity(
     wait: CapacityWait,
     runner: Runner,
-    waitUntil: number,
+    options: {
+      readonly tried: ReadonlySet<string>;
+      readonly waitUntil: number;
+    },
   ): Promise<void> {
-    const { sharedTimer, loads } = this.#daemon;
+    const { tried, waitUntil } = options;
+    const { sharedTimer, plainTimer, loads } = this.#daemon;
+    const timer = this.#queued ? plainTimer : sharedTimer;
     const propagationMs = this.#daemon.propagationMs();
-    const late = this.#daemon.now() > this.#queueKey.startBy;
+    const now = this.#daemon.now();
+    const late = now > this.#queueKey.startBy;
     const intervalMs = Math.max(
       reviewIntervalMs(loads.waitingCount, propagationMs),
-      late ? LATE_REVIEW_INTERVAL_MS : 0,
+      late && !this.#queued ? LATE_REVIEW_INTERVAL_MS : 0,
     );
-    const reviewAt = Math.min(waitUntil, this.#daemon.now() + intervalMs);
-    const demand = this.#demand();
+    // A request that becomes late hears at once if waiting is of no more use.
+    const lateAt = this.#queued && !late ? this.#queueKey.startBy : Infinity;
+    const reviewAt = Math.min(waitUntil, now + intervalMs, lateAt);
+    const awaited = this.#demand();
     do {
-      await sharedTimer.next();
+      await timer.next();
       if (this.#limits.isAbandoned()) return;
       const fleet = this.#daemon.fleet(this.#routed.service.name);
-      const capacity = hasCapacity(fleet, demand, runner);
-      if (capacity && this.#maySend(wait, runner)) return;
+      const settled = this.#maySend(wait, runner);
+      const demand = isQueued(fleet) ? this.#demand(wait) : awaited;
+      const waiting = { runner, settled, excluded: tried };
+      if (maySendWaiting(fleet, demand, waiting)) return;
     } while (this.#daemon.now() < reviewAt);
   }
 
@@ -293,13 +352,13 @@
 
   #choose(
     tried: ReadonlySet<string>,
-    awaitedRunner?: string,
+    wait?: CapacityWait,
   ): RunnerChoice | undefined {
     const fleet = this.#daemon.fleet(this.#routed.service.name);
-    return chooseRunner(fleet, this.#demand(awaitedRunner), tried);
+    return chooseRunner(fleet, this.#demand(wait), tried);
   }
 
-  #demand(awaitedRunner?: string): Demand {
+  #demand(wait?: CapacityWait): Demand {
     const { head, route, service, lessUrgentRanks } = this.#routed;
     return {
       prompt: head.prompt,
@@ -310,7 +369,8 @@
       targetMs: route.targetMs,
       gapTargetMs: route.gapTargetMs,
       queueKey: this.#queueKey,
-      awaitedRunner,
+      awaitedRunner: wait?.runnerId,
+      waitedMs: wait?.waitedMs(this.#daemon.now()) ?? 0,
       lessUrgentRanks,
       engine: service.engine,
     };
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -26,6 +26,7 @@
 import { Lifecycle } from "./process/lifecycle.ts";
 import { RequestMetrics } from "./process/metrics.ts";
 import { SharedTimer } from "./process/shared_timer.ts";
+import { PlainCapacity } from "./process/plain_capacity.ts";
 import { PerService } from "./process/per_service.ts";
 import { PrefixIndex } from "./process/prefix_index.ts";
 import { RestartDetector } from "./process/restart_detector.ts";
@@ -52,6 +53,7 @@
 import type { Daemon } from "./request/daemon.ts";
 import { Exchange } from "./request/exchange.ts";
 import type { RunnerFleet } from "./request/demand.ts";
+import type { PlainState } from "./request/plain_admission.ts";
 import type {
   Configuration,
   Service,
@@ -67,6 +69,11 @@
 
 /** Interval in ms at which waiting requests check for free capacity. */
 const CAPACITY_CHECK_MS = 20;
+/**
+ * The same for plain services. A slot that works 43 ms on a request is released
+ * every 43 ms, and is idle until a request that waits sees it.
+ */
+const PLAIN_CAPACITY_CHECK_MS = 5;
 /**
  * Minimum number of daemons among which the budget for extra retries is divided.
  * Until a
@@ -101,8 +108,10 @@
   readonly restrictions: RunnerRestrictions;
   readonly scheduling: SchedulingMode;
   readonly sharedTimer = new SharedTimer(CAPACITY_CHECK_MS);
+  readonly plainTimer = new SharedTimer(PLAIN_CAPACITY_CHECK_MS);
   readonly metrics = new RequestMetrics();
   readonly log: EventLog;
+  readonly #random = () => this.random();
   #settings: RouterSettings;
   readonly #lifecycle: Lifecycle;
   readonly #server: CallerServer;
@@ -115,6 +124,7 @@
     )
   );
   readonly #streamPaces = new PerService(() => new StreamPace());
+  readonly #plainCapacities = new PerService(() => new PlainCapacity());
   readonly #limitQueues = new PerService(() => new LimitQueue());
   readonly #fleetSync: FleetSync;
   readonly #leadership: Leadership;
@@ -123,6 +133,8 @@
   readonly #crashDetector: CrashDetector;
   #surveyed = false;
   #statusServers: readonly Server[] = [];
+  /** Services of the listed runners, by the runners' ids. */
+  #serviceOf: ReadonlyMap<string, string> = new Map();
   #configuration: Configuration | undefined;
   #routingTable: RoutingTable | undefined;
 
@@ -214,6 +226,10 @@
       record: this.crashes,
     });
     this.#directory.onChange(() => this.#runnersChanged());
+    this.loads.queueAt((id) => {
+      const service = this.#serviceOf.get(id);
+      return service !== undefined && this.#isQueued(service);
+    });
   }
 
   get closed(): boolean {
@@ -240,6 +256,7 @@
       restrictions: this.restrictions,
       pace: this.runnerPace(service),
       failureDomain: this.#settings.failureDomain,
+      plain: this.#plainState(service),
       now: this.now(),
     };
   }
@@ -262,6 +279,10 @@
     return ASSUMED_PACE;
   }
 
+  plainCapacity(service: string): PlainCapacity {
+    return this.#plainCapacities.of(service);
+  }
+
   streamPace(service: string): StreamPace {
     return this.#streamPaces.of(service);
   }
@@ -378,6 +399,23 @@
     return cut === 0;
   }
 
+  /** Whether requests of a service wait in the queues of its plain runners. */
+  #isQueued(service: string): boolean {
+    const plain = this.#routingTable?.service(service)?.engine === undefined;
+    return plain && this.scheduling.isAdaptive(service);
+  }
+
+  /** Returns the state of a plain service whose requests are queued. */
+  #plainState(service: string): PlainState | undefined {
+    if (!this.#isQueued(service)) return undefined;
+    return {
+      capacity: this.plainCapacity(service),
+      propagationMs: this.propagationMs(),
+      heardShare: this.#fleetSync.heardShare,
+      random: this.#random,
+    };
+  }
+
   /** Whether a runner's restrictions allow a query now; counts it if so. */
   #mayQuery(id: string): boolean {
     const now = this.now();
@@ -419,6 +457,9 @@
 
   #runnersChanged(): void {
     const ids = new Set(this.#directory.list.runners.map(({ id }) => id));
+    this.#serviceOf = new Map(
+      this.#directory.list.runners.map(({ id, service }) => [id, service]),
+    );
     this.connections.retain(ids);
     this.loads.retain(ids);
     this.prefixes.retain(ids);
@@ -426,6 +467,7 @@
     this.pauses.retain(ids, this.now());
     this.#draining.retain(ids, this.now());
     for (const pace of this.#streamPaces.all()) pace.retain(ids);
+    for (const capacity of this.#plainCapacities.all()) capacity.retain(ids);
     this.#surveyOnce();
   }
 
--- a/packages/router/tests/plain_queue_test.ts
+++ b/packages/router/tests/plain_queue_test.ts
@@ -1,16 +1,22 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { setTimeout as pause } from "node:timers/promises";
 import { PlainRig } from "./plain_rig.ts";
 
-/** Three times what eight slots serve that work 86 ms on a request. */
-const FLOOD = { name: "flood", perS: 3 * 8_000 / 86 };
+/** Slots of the rig's runners. */
+const SLOTS = 8;
+
+/** Returns a workspace that asks for a multiple of what the slots serve. */
+function asking(name: string, multiple: number, workMs = 86) {
+  return { name, perS: multiple * SLOTS * 1_000 / workMs };
+}
 
 // Guards against a rig whose counts do not agree with what its runners ran.
 test("the rig counts what its runners ran", async (t) => {
   const rig = await PlainRig.start(t, {
     daemons: 3,
     seed: 1,
-    workspaces: [FLOOD],
+    workspaces: [asking("flood", 3)],
     scheduling: "basic",
   });
   const report = await rig.run({ warmUpMs: 0, measuredMs: 1_500 });
@@ -22,8 +28,89 @@
   );
   assert.equal(served, completed);
   assert.equal(served + refused, sent);
-  assert.equal(report.refusedOffers > 0, true);
+  assert.ok(report.refusedOffers > 0);
   for (const { offers } of rig.runners) {
     for (const count of offers.values()) assert.equal(count, 1);
   }
 });
+
+// Guards against plain requests that are sent to full runners instead of
+// waiting, and against slots that are idle while requests wait. Without queues
+// runners refused two of three offers. With 30 daemons, changes take 90 ms
+// through relays, in which the slots are released three times.
+for (
+  const { daemons, workMs, maxRefused } of [
+    { daemons: 7, workMs: 86, maxRefused: 0.06 },
+    { daemons: 30, workMs: 120, maxRefused: 0.2 },
+  ]
+) {
+  test(`${daemons} daemons keep the slots of plain runners busy in a flood`, async (t) => {
+    const rig = await PlainRig.start(t, {
+      daemons,
+      seed: 1,
+      workMs,
+      workspaces: [asking("flood", 3, workMs)],
+    });
+    const report = await rig.run({ warmUpMs: 1_500, measuredMs: 5_000 });
+    t.diagnostic(report.describe());
+    assert.ok(report.servedShare >= 0.95, `${report.servedShare} served`);
+    const offers = report.counts().served + report.refusedOffers;
+    assert.ok(report.refusedOffers <= maxRefused * offers);
+    const offered = new Map<string, number>();
+    for (const runner of rig.runners) {
+      for (const [id, count] of runner.offers) {
+        offered.set(id, (offered.get(id) ?? 0) + count);
+      }
+    }
+    assert.deepEqual([...new Set(offered.values())], [1]);
+  });
+}
+
+// Guards against requests that are held only to be refused at the end.
+test("refused requests of a flood hear so at once", async (t) => {
+  const rig = await PlainRig.start(t, {
+    daemons: 7,
+    seed: 4,
+    workspaces: [asking("flood", 3)],
+  });
+  const report = await rig.run({ warmUpMs: 1_000, measuredMs: 3_000 });
+  const waits = report.results.filter(({ status }) => status === 503)
+    .map(({ latencyMs }) => latencyMs).sort((one, other) => one - other);
+  const late = waits.filter((ms) => ms > 100).length;
+  t.diagnostic(`${late} of ${waits.length} after 100 ms, ${waits.at(-1)} ms`);
+  assert.ok(late <= 0.1 * waits.length, `${late} of ${waits.length}`);
+  assert.ok(waits.at(-1)! < rig.deadlineMs / 2);
+});
+
+// Guards against a lost daemon whose waiting requests keep slots idle.
+test("the slots stay busy when a daemon is lost in a flood", async (t) => {
+  const rig = await PlainRig.start(t, {
+    daemons: 7,
+    seed: 2,
+    workspaces: [asking("flood", 3)],
+  });
+  const running = rig.run({ warmUpMs: 2_500, measuredMs: 3_000 });
+  await pause(1_500);
+  rig.stopDaemon(3);
+  const report = await running;
+  t.diagnostic(report.describe());
+  assert.ok(report.servedShare >= 0.95, `${report.servedShare} served`);
+});
+
+// Guards against requests of a lower rank that go before waiting ones of a
+// higher rank, at the same or at another daemon.
+test("urgent plain requests are served in a flood of others", async (t) => {
+  const rig = await PlainRig.start(t, {
+    daemons: 7,
+    seed: 3,
+    workspaces: [
+      { ...asking("flood", 3), tier: 1 },
+      { ...asking("urgent", 0.5), tier: 0 },
+    ],
+  });
+  const report = await rig.run({ warmUpMs: 1_500, measuredMs: 4_000 });
+  t.diagnostic(report.describe());
+  const { sent, servedInTarget } = report.counts("urgent");
+  assert.ok(servedInTarget >= 0.95 * sent, `${servedInTarget} of ${sent}`);
+  assert.ok(report.servedShare >= 0.95, `${report.servedShare} served`);
+});
--- a/packages/router/tests/plain_rig.ts
+++ b/packages/router/tests/plain_rig.ts
@@ -37,6 +37,7 @@
 const MAX_CONNECTIONS = 4_000;
 /** Share of these that the known daemons may use; see router.ts. */
 const CONNECTION_SHARE = 0.8;
+const TICK_MS = 10;
 const OK = 200;
 const UNAVAILABLE = 503;
 
@@ -172,6 +173,11 @@
     return small;
   }
 
+  /** Requests that are run or wait at the runner. */
+  get occupied(): number {
+    return this.#running + this.#waiting.length;
+  }
+
   /** Closes the port and all connections. */
   stop(): void {
     this.#server.close();
@@ -270,6 +276,32 @@
   }
 }
 
+type RunnerTotals = Pick<SmallRunner, "workedMs" | "completed" | "refusals">;
+
+function sumOf(
+  totals: readonly RunnerTotals[],
+  field: keyof RunnerTotals,
+): number {
+  return totals.reduce((sum, runner) => sum + runner[field], 0);
+}
+
+/** Measures by how many ms timers are late; the result ends it with the mean. */
+function measureLateness(): () => number {
+  let ticks = 0;
+  let lateMs = 0;
+  let before = performance.now();
+  const timer = setInterval(() => {
+    const now = performance.now();
+    lateMs += Math.max(0, now - before - TICK_MS);
+    ticks += 1;
+    before = now;
+  }, TICK_MS);
+  return () => {
+    clearInterval(timer);
+    return lateMs / Math.max(1, ticks);
+  };
+}
+
 /** Linked routers, their runners, and callers in workspaces. */
 export class PlainRig {
   readonly routers: Router[] = [];
@@ -277,6 +309,7 @@
   readonly #options: RigOptions;
   readonly #agent = new Agent({ keepAlive: true });
   readonly #random: () => number;
+  readonly #stopped = new Set<number>();
   #sent = 0;
 
   private constructor(context: TestContext, options: RigOptions) {
@@ -317,6 +350,12 @@
     return rig;
   }
 
+  /** Stops a daemon at once; callers no longer send to it. */
+  stopDaemon(index: number): void {
+    this.#stopped.add(index);
+    this.routers[index]!.stop();
+  }
+
   /** Milliseconds from a request to its response within which it is in target. */
   get targetMs(): number {
     return this.#options.targetMs ?? 500;
@@ -342,45 +381,47 @@
     );
     await pause(warmUpMs);
     const before = this.#totals();
-    const measuredFrom = performance.now();
-    const results = (await Promise.all(sending)).flat();
+    const lateness = measureLateness();
+    await pause(measuredMs);
     const after = this.#totals();
-    const slowest = performance.now() - measuredFrom;
-    const workMs = (after.workedMs - before.workedMs) /
-      Math.max(1, after.completed - before.completed);
-    const slots = this.runners.reduce(
-      (sum, { runner }) => sum + runner.slots,
-      0,
-    );
+    const lateMs = lateness();
+    const results = (await Promise.all(sending)).flat();
     return new RigReport(
       results.filter(({ sentMs }) => sentMs >= warmUpMs),
       {
         targetMs: this.targetMs,
-        capacity: this.#capacity(slots, workMs, measuredMs),
-        refusedOffers: Math.round(
-          (after.refusals - before.refusals) * measuredMs / slowest,
-        ),
+        capacity: this.#capacity({ before, after, measuredMs, lateMs }),
+        refusedOffers: sumOf(after, "refusals") - sumOf(before, "refusals"),
       },
     );
   }
 
-  #capacity(slots: number, workMs: number, measuredMs: number): number {
-    const factors = this.#options.workFactors;
-    if (factors === undefined) return slots * measuredMs / workMs;
-    return this.runners.reduce(
-      (sum, { runner, workMs }) => sum + runner.slots * measuredMs / workMs,
-      0,
-    );
+  /**
+   * Requests that the slots can serve: by the time that runners worked on each,
+   * and the delay of the process, which on a busy machine is late to work on a
+   * response and on the next request.
+   */
+  #capacity(measured: {
+    readonly before: readonly RunnerTotals[];
+    readonly after: readonly RunnerTotals[];
+    readonly measuredMs: number;
+    readonly lateMs: number;
+  }): number {
+    const { before, after, measuredMs, lateMs } = measured;
+    return this.runners.reduce((sum, { runner, workMs }, index) => {
+      const worked = after[index]!.workedMs - before[index]!.workedMs;
+      const count = after[index]!.completed - before[index]!.completed;
+      const meanMs = count === 0 ? workMs : worked / count;
+      return sum + runner.slots * measuredMs / (meanMs + lateMs);
+    }, 0);
   }
 
-  #totals() {
-    const sum = (of: (runner: SmallRunner) => number) =>
-      this.runners.reduce((total, runner) => total + of(runner), 0);
-    return {
-      workedMs: sum(({ workedMs }) => workedMs),
-      completed: sum(({ completed }) => completed),
-      refusals: sum(({ refusals }) => refusals),
-    };
+  #totals(): readonly RunnerTotals[] {
+    return this.runners.map(({ workedMs, completed, refusals }) => ({
+      workedMs,
+      completed,
+      refusals,
+    }));
   }
 
   get #configuration() {
@@ -489,8 +530,11 @@
   /** Returns the index of a random daemon other than the given one. */
   #daemon(other = -1): number {
     const count = this.routers.length;
-    const index = Math.floor(this.#random() * count);
-    return index === other ? (index + 1) % count : index;
+    let index = Math.floor(this.#random() * count);
+    while (index === other || this.#stopped.has(index)) {
+      index = (index + 1) % count;
+    }
+    return index;
   }
 
   async #try(workspace: RigWorkspace, options: {
