Queue no more plain requests than the slots serve in time

At 30 daemons, three times the capacity of runners of six slots filled the queues within a propagation time with requests that became late. Each daemon now queues its part of 1.2 times what the slots serve, counting the arrivals of a request's rank and of more urgent ones, while the queue ahead is longer than a sixth of the longest wait.

Waiting plain requests check every 10 ms instead of 5.

--- a/packages/router/src/process/plain_capacity.ts
+++ b/packages/router/src/process/plain_capacity.ts
@@ -9,6 +9,12 @@
 
 /** Half-life in ms of the completions from which the rate is estimated. */
 const RATE_HALF_LIFE_MS = 150;
+/**
+ * Half-life in ms of the arrivals at this daemon: 9 a second in a flood at 30
+ * daemons, and bursts of one kind of request last 3 s and more.
+ */
+const ARRIVAL_HALF_LIFE_MS = 700;
+const ARRIVAL_SPAN_MS = ARRIVAL_HALF_LIFE_MS / Math.LN2;
 /** Time in ms that the decayed completions stand for: half-life / ln 2. */
 const RATE_SPAN_MS = RATE_HALF_LIFE_MS / Math.LN2;
 /**
@@ -78,8 +84,28 @@
  */
 export class PlainCapacity {
   readonly times = new ResponseTimes();
+  /** Decayed numbers of arrivals by rank. */
+  #arrivals: number[] = [];
+  readonly #arrivalDecay = new Decay(ARRIVAL_HALF_LIFE_MS);
   readonly #runners = new Map<string, RunnerCapacity>();
 
+  /** Records a request that arrives at this daemon. */
+  recordArrival(rank: number, now: number): void {
+    this.#decayArrivals(now);
+    this.#arrivals[rank] = (this.#arrivals[rank] ?? 0) + 1;
+  }
+
+  /**
+   * Requests of a rank and of more urgent ones that arrive at this daemon in a
+   * millisecond.
+   */
+  arrivalsPerMs(rank: number, now: number): number {
+    this.#decayArrivals(now);
+    const count = this.#arrivals.slice(0, rank + 1)
+      .reduce((sum, arrivals) => sum + (arrivals ?? 0), 0);
+    return count / ARRIVAL_SPAN_MS;
+  }
+
   /**
    * Requests that a runner completes in a span of time, by its recent rate.
    *
@@ -159,6 +185,13 @@
     }
   }
 
+  #decayArrivals(now: number): void {
+    const factor = this.#arrivalDecay.remaining(now);
+    if (factor < 1) {
+      this.#arrivals = this.#arrivals.map((count) => factor * count);
+    }
+  }
+
   #of(runner: string): RunnerCapacity {
     const known = this.#runners.get(runner);
     if (known !== undefined) return known;
--- a/packages/router/src/request/plain_admission.ts
+++ b/packages/router/src/request/plain_admission.ts
@@ -23,6 +23,8 @@
    * than 1 while it is cut off from others.
    */
   readonly heardShare: number;
+  /** Number of daemons that send to the runners. */
+  readonly daemons: number;
   /** Returns a random number in [0, 1). */
   readonly random: () => number;
 }
@@ -57,17 +59,32 @@
  * that is late must be shorter. Newer requests that can still be on time go
  * first; beside a longer queue, a late one would wait only to be refused.
  */
-const LATE_QUEUE_SHARE = 0.25;
+const LATE_QUEUE_SHARE = 0.15;
 /**
- * Part of the time that a request may wait over which the share of refused
- * requests grows from none to all, at least. It is this many propagation times
- * where those are longer: daemons hear of each other's waiting requests late,
- * and with a sharp bound all of them queue requests at one moment and refuse
- * them at the next. At three times the capacity and 30 daemons, the queue then
- * varied by 270 ms, and requests in it became late.
+ * Part of the longest wait over which the share of refused requests grows from
+ * none to all, at least. It is this many propagation times where those are
+ * longer: daemons hear of each other's waiting requests late, and with a sharp
+ * bound all of them queue requests at one moment and refuse them at the next.
  */
 const MIN_RAMP_SHARE = 0.3;
 const RAMP_PROPAGATION_TIMES = 2;
+/** The same at most, so that none is refused while the queue is short. */
+const MAX_RAMP_SHARE = 0.8;
+/**
+ * Requests that daemons queue together, as a multiple of those that the slots
+ * serve. Each takes the same part of them. Without this, at 30 daemons, six
+ * slots and a target of 250 ms, three times the capacity filled the queues with
+ * requests that became late before daemons heard of them: 0.64 of what the slots
+ * can was served instead of 0.92.
+ */
+const QUOTA = 1.2;
+/**
+ * Part of the longest wait that the requests ahead must take for the quota to
+ * apply. Daemons that get few requests leave a part of their quota unused; while
+ * the queue is short, others take it. Requests that go first, by rank or share,
+ * are not refused for those behind them.
+ */
+const QUOTA_FROM = 0.15;
 
 /**
  * Share of the propagation time in which most daemons know of a change: 44 of
@@ -348,6 +365,20 @@
     openRooms(fleet, demand, rooms).length > 0;
 }
 
+/**
+ * Requests that the slots of all runners serve in a millisecond.
+ *
+ * @param usualMs time of work at runners of which it is unknown.
+ */
+function servedPerMs(fleet: PlainFleet, usualMs: number): number {
+  return fleet.runners.reduce(
+    (sum, runner) =>
+      sum +
+      Math.max(1, runner.slots) / (responseMsOf(fleet, runner) ?? usualMs),
+    0,
+  );
+}
+
 /** Times of a request, in monotonic ms. */
 export interface PlainTimes {
   readonly receivedAt: number;
@@ -358,8 +389,8 @@
  * Whether waiting is of use to a request, given the shortest wait at any
  * runner. A request that arrives while the queue takes as long as its target
  * allows is refused at once, so that the queue holds no more than can be served
- * on time. Shortly before that, a growing share of requests is refused. One
- * that becomes late nevertheless gets what others leave, as long as there is
+ * on time. Before that, a growing share of requests is refused, and each daemon
+ * queues only its part of what can be served. One that becomes late nevertheless gets what others leave, as long as there is
  * any: the queue is clearly shorter, and the response comes before the
  * deadline.
  */
@@ -369,7 +400,7 @@
   options: { readonly runners: readonly Runner[] } & PlainTimes,
 ): boolean {
   const { receivedAt, expiresAt, runners } = options;
-  const { queueKey: { startBy }, awaitedRunner } = demand;
+  const { queueKey: { rank, startBy }, awaitedRunner } = demand;
   const { now, plain } = fleet;
   let shortest: PlainRoom | undefined;
   for (const runner of runners) {
@@ -379,20 +410,26 @@
     }
   }
   if (shortest === undefined) return true;
-  const { delayMs, responseMs = 0 } = shortest;
+  const { delayMs, ahead, responseMs = 0 } = shortest;
   if (now + delayMs + responseMs > expiresAt) return false;
   const longestMs = startBy - receivedAt;
   if (now > startBy) return delayMs <= LATE_QUEUE_SHARE * longestMs;
   if (awaitedRunner !== undefined) return true;
+  const boundMs = longestMs - KNOWN_SHARE * plain.propagationMs;
   const rampMs = Math.min(
-    longestMs,
+    MAX_RAMP_SHARE * boundMs,
     Math.max(
-      MIN_RAMP_SHARE * longestMs,
+      MIN_RAMP_SHARE * boundMs,
       RAMP_PROPAGATION_TIMES * plain.propagationMs,
     ),
   );
-  const leftMs = longestMs - KNOWN_SHARE * plain.propagationMs - delayMs;
-  return leftMs > plain.random() * rampMs;
+  const share = (boundMs - delayMs) / rampMs;
+  const aheadMs = ahead * responseMs / Math.max(1, shortest.runner.slots);
+  const quota = Math.min(aheadMs, delayMs) > QUOTA_FROM * boundMs
+    ? QUOTA * servedPerMs(fleet, responseMs) /
+      (plain.daemons * plain.capacity.arrivalsPerMs(rank, now))
+    : 1;
+  return Math.min(1, share) * Math.min(1, quota) > plain.random();
 }
 
 /**
--- a/packages/router/src/request/plain_admission_test.ts
+++ b/packages/router/src/request/plain_admission_test.ts
@@ -59,6 +59,7 @@
         capacity: this.capacity,
         propagationMs: this.propagationMs,
         heardShare: this.heardShare,
+        daemons: 1,
         random: this.#random,
       },
       now: this.now,
--- a/packages/router/src/request/runner_search.ts
+++ b/packages/router/src/request/runner_search.ts
@@ -100,6 +100,9 @@
     this.#limits = limits;
     const { targetMs } = routed.route;
     const fleet = daemon.fleet(routed.service.name);
+    if (isQueued(fleet)) {
+      fleet.plain.capacity.recordArrival(routed.rank, fleet.now);
+    }
     const waitMs = isQueued(fleet) ? maxWaitMs(fleet, targetMs) : undefined;
     this.#queueKey = {
       rank: routed.rank,
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -73,7 +73,7 @@
  * The same for plain services. A slot that works 43 ms on a request is released
  * every 43 ms, and is idle until a request that waits sees it.
  */
-const PLAIN_CAPACITY_CHECK_MS = 5;
+const PLAIN_CAPACITY_CHECK_MS = 10;
 /**
  * Minimum number of daemons among which the budget for extra retries is divided.
  * Until a
@@ -412,6 +412,7 @@
       capacity: this.plainCapacity(service),
       propagationMs: this.propagationMs(),
       heardShare: this.#fleetSync.heardShare,
+      daemons: this.#fleetSync.fleetSize,
       random: this.#random,
     };
   }
