Bound plain queues by the first arrival, and with long propagation times

A request whose place counts from an earlier try had its longest wait measured from the later one. Where changes take longer than a request may wait, the bound of the queue was negative and let all requests queue; it is now at least half of the longest wait.

--- a/packages/router/src/request/plain_admission.ts
+++ b/packages/router/src/request/plain_admission.ts
@@ -60,6 +60,11 @@
  * first; beside a longer queue, a late one would wait only to be refused.
  */
 const LATE_QUEUE_SHARE = 0.15;
+/**
+ * Part of the longest wait up to which requests are queued in any case, however
+ * late daemons hear of each other's.
+ */
+const MIN_BOUND_SHARE = 0.5;
 /**
  * Part of the longest wait over which the share of refused requests grows from
  * none to all, at least. It is this many propagation times where those are
@@ -379,28 +384,26 @@
   );
 }
 
-/** Times of a request, in monotonic ms. */
-export interface PlainTimes {
-  readonly receivedAt: number;
-  readonly expiresAt: number;
-}
-
 /**
  * Whether waiting is of use to a request, given the shortest wait at any
  * runner. A request that arrives while the queue takes as long as its target
  * allows is refused at once, so that the queue holds no more than can be served
  * on time. Before that, a growing share of requests is refused, and each daemon
- * queues only its part of what can be served. One that becomes late nevertheless gets what others leave, as long as there is
- * any: the queue is clearly shorter, and the response comes before the
- * deadline.
+ * queues only its part of what can be served. One that becomes late nevertheless
+ * gets what others leave, as long as there is any: the queue is clearly shorter,
+ * and the response comes before the deadline.
  */
 export function isWaitUseful(
   fleet: PlainFleet,
   demand: Demand,
-  options: { readonly runners: readonly Runner[] } & PlainTimes,
+  options: {
+    readonly runners: readonly Runner[];
+    /** When the caller gets its final response at the latest. */
+    readonly expiresAt: number;
+  },
 ): boolean {
-  const { receivedAt, expiresAt, runners } = options;
-  const { queueKey: { rank, startBy }, awaitedRunner } = demand;
+  const { expiresAt, runners } = options;
+  const { queueKey: { rank, arrivedAt, startBy }, awaitedRunner } = demand;
   const { now, plain } = fleet;
   let shortest: PlainRoom | undefined;
   for (const runner of runners) {
@@ -412,10 +415,13 @@
   if (shortest === undefined) return true;
   const { delayMs, ahead, responseMs = 0 } = shortest;
   if (now + delayMs + responseMs > expiresAt) return false;
-  const longestMs = startBy - receivedAt;
+  const longestMs = startBy - arrivedAt;
   if (now > startBy) return delayMs <= LATE_QUEUE_SHARE * longestMs;
   if (awaitedRunner !== undefined) return true;
-  const boundMs = longestMs - KNOWN_SHARE * plain.propagationMs;
+  const boundMs = Math.max(
+    MIN_BOUND_SHARE * longestMs,
+    longestMs - KNOWN_SHARE * plain.propagationMs,
+  );
   const rampMs = Math.min(
     MAX_RAMP_SHARE * boundMs,
     Math.max(
--- a/packages/router/src/request/plain_admission_test.ts
+++ b/packages/router/src/request/plain_admission_test.ts
@@ -238,15 +238,21 @@
 function waits(options: {
   readonly ahead: number;
   readonly waitedMs?: number;
+  /** Longest wait with which the request is on time. */
+  readonly longestMs?: number;
+  readonly propagationMs?: number;
   readonly expiresInMs?: number;
 }): number {
   const { ahead, waitedMs = 0, expiresInMs = 1_500 } = options;
+  const { longestMs = 160, propagationMs = 36 } = options;
   const fleet = new TestFleet(1, 2);
-  fleet.propagationMs = 36;
+  fleet.propagationMs = propagationMs;
   const receivedAt = fleet.now;
-  const demand = fleet.demand(
-    waitedMs === 0 ? {} : { awaitedRunner: "r-0", waitedMs },
-  );
+  const startBy = receivedAt + longestMs;
+  const demand = fleet.demand({
+    queueKey: { rank: 0, arrivedAt: receivedAt, startBy },
+    ...(waitedMs === 0 ? {} : { awaitedRunner: "r-0", waitedMs }),
+  });
   fleet.now += waitedMs;
   fleet.report("r-0", 2, { requests: ahead });
   const decisions = Array.from(
@@ -254,7 +260,6 @@
     () =>
       isWaitUseful(fleet.view, demand, {
         runners: fleet.runners,
-        receivedAt,
         expiresAt: receivedAt + expiresInMs,
       }),
   );
@@ -270,6 +275,14 @@
   assert.equal(waits({ ahead: 9 }), 0);
 });
 
+// Guards against a bound that a long propagation time turns around.
+test("a queue is bounded where changes take longer than a request may wait", () => {
+  const tight = { longestMs: 40, propagationMs: 150 };
+  assert.equal(waits({ ahead: 9, ...tight }), 0);
+  assert.equal(waits({ ahead: 0, ...tight }), 0);
+  assert.ok(waits({ ahead: 0, longestMs: 60, propagationMs: 150 }) > 10);
+});
+
 // Guards against requests that are held only to be refused at the end.
 test("a late request waits for what others leave, if anything", () => {
   assert.equal(waits({ ahead: 0, waitedMs: 200 }), 100);
--- a/packages/router/src/request/plain_flood_test.ts
+++ b/packages/router/src/request/plain_flood_test.ts
@@ -198,15 +198,14 @@
       demand,
       this.#runners,
     );
-    const times = {
-      receivedAt: key.arrivedAt,
+    const waiting = {
+      runners: this.#runners,
       expiresAt: key.arrivedAt + DEADLINE_MS,
     };
-    const runners = this.#runners;
     if (!overloaded) {
       this.#end(request);
       this.#send(request, room);
-    } else if (isWaitUseful(fleet, demand, { runners, ...times })) {
+    } else if (isWaitUseful(fleet, demand, waiting)) {
       const runner = room.runner.id;
       const load = daemon.loads.of(runner);
       wait.moveTo(load, { runner, prefillTokens: 0, now: this.#now });
--- a/packages/router/src/request/runner_search.ts
+++ b/packages/router/src/request/runner_search.ts
@@ -270,13 +270,12 @@
   ): boolean {
     const fleet = this.#daemon.fleet(this.#routed.service.name);
     if (!isQueued(fleet)) return true;
-    const { receivedAt, expiresAt } = this.#limits;
+    const { expiresAt } = this.#limits;
     if (!choice.overloaded) {
       return fleet.now + (choice.room?.responseMs ?? 0) <= expiresAt;
     }
     return isWaitUseful(fleet, this.#demand(wait), {
       runners: eligibleRunners(fleet, tried),
-      receivedAt,
       expiresAt,
     });
   }
