Compute the speed of a runner once for each choice

A choice among 98 engines asked the pace of each one up to ten times, and each observation made the estimates of its runner and of the whole service invalid. Candidates now hold what several steps of a choice need, an estimate of a service or an observed runner is kept for 50 ms and of another runner for 250 ms, and what is known of stated figures is not computed anew for each use.

--- a/packages/router/src/process/observed_pace.ts
+++ b/packages/router/src/process/observed_pace.ts
@@ -8,7 +8,7 @@
 import { DecayedSums, NO_SUMS, observedMs } from "./pace_sums.ts";
 import type { PaceSums } from "./pace_sums.ts";
 import { ASSUMED_PACE } from "./runner_pace.ts";
-import type { RunnerPace } from "./runner_pace.ts";
+import type { EngineSpeed, RunnerPace } from "./runner_pace.ts";
 import { meanOfFigures, StatedWork } from "./stated_work.ts";
 
 /**
@@ -69,9 +69,7 @@
 /**
  * Share of steps beside prompts that are shorter than one with a full chunk. Most
  * gaps hold few chunks, and the end of a prefill at another daemon is known late,
- * so a mean tells little: in a simulation of 21 uneven engines it was 24 ms where
- * a full step took 70. This quantile was 49 to 67 ms at half to twice the usual
- * load, and 10 to 13 ms where a full step took 10.4.
+ * so a mean is far below the time of a full step.
  */
 const CHUNK_QUANTILE = 0.98;
 /** Step by which one observation changes the logarithm of the quantile. */
@@ -98,10 +96,15 @@
 /** Factor from its mean at which a stated figure is worth sending at once. */
 const UNUSUAL_FACTOR = 1.3;
 /**
- * Milliseconds for which an estimate is kept unless its runner is observed: with
- * new ones at each choice, a choice among 98 runners took 172 us instead of 55.
+ * Milliseconds for which an estimate is kept, so that neither each choice among
+ * all runners nor each event of a stream computes new ones.
  */
 const ESTIMATE_MS = 50;
+/**
+ * The same for the lasting estimate of a runner that is not observed: only decay
+ * and the service's mean change it.
+ */
+const UNOBSERVED_MS = 250;
 /** Half-life in ms of the spread of stated figures, and of their confirmation. */
 const SPREAD_HALF_LIFE_MS = 60_000;
 /** Figures that differ from nothing in the spread, before any is known. */
@@ -182,14 +185,40 @@
   readonly responseMs: number | undefined;
   /** Mean of the figures that runners state. */
   readonly statedWork: number;
+  readonly slowMomentFactor: number;
+}
+
+/** Speed of an engine by the model of the service and the runner's factor. */
+class ModelSpeed implements EngineSpeed {
+  chunkStepMs = ASSUMED_CHUNK_STEP_MS;
+  #msPerPromptToken = ASSUMED_MS_PER_TOKEN;
+
+  prefillMs(tokens: number): number {
+    return tokens * this.#msPerPromptToken;
+  }
+
+  set(model: ServiceModel, factor: number): void {
+    this.chunkStepMs = model.chunkStepMs * factor;
+    this.#msPerPromptToken = model.msPerPromptToken * factor;
+  }
 }
 
 interface RunnerState {
   readonly sums: DecayedSums;
   readonly stated: StatedWork;
+  readonly speed: ModelSpeed;
+  speedAt: number;
   /** Estimate without the last stated figure, as of `lastingAt`. */
   lasting: number;
   lastingAt: number;
+  /** When the runner was observed, in monotonic ms. */
+  observedAt: number;
+  /** Mean of its stated figures, and trust in them, as of `statedAt`. */
+  statedMean: number;
+  statedTrust: number;
+  /** Prior in ms of its sums. */
+  priorMs: number;
+  statedAt: number;
 }
 
 /**
@@ -246,16 +275,26 @@
   #firstResponses: { readonly runner: string; readonly ms: number }[] = [];
   #model: ServiceModel | undefined;
   #modelAt = NaN;
+  readonly #meanSpeed = new ModelSpeed();
+
+  engineSpeed(runner: string | undefined, now: number): EngineSpeed {
+    const known = runner === undefined ? undefined : this.#runners.get(runner);
+    if (known === undefined) {
+      this.#meanSpeed.set(this.#modelOf(now), 1);
+      return this.#meanSpeed;
+    }
+    if (isCurrent(known.speedAt, now, ESTIMATE_MS)) return known.speed;
+    known.speed.set(this.#modelOf(now), this.#factorOf(known, now, now));
+    known.speedAt = now;
+    return known.speed;
+  }
 
   prefillMs(runner: string, tokens: number, now: number): number {
-    return tokens * this.#modelOf(now).msPerPromptToken *
-      this.#factor(runner, now, now);
+    return this.engineSpeed(runner, now).prefillMs(tokens);
   }
 
   chunkStepMs(runner: string | undefined, now: number): number {
-    const { chunkStepMs } = this.#modelOf(now);
-    if (runner === undefined) return chunkStepMs;
-    return chunkStepMs * this.#factor(runner, now, now);
+    return this.engineSpeed(runner, now).chunkStepMs;
   }
 
   responseMs(runner: string, now: number): number | undefined {
@@ -264,9 +303,7 @@
   }
 
   slowMomentFactor(now: number): number {
-    if (this.#confirmed.mean(now) <= UNDECIDED) return 1;
-    const variance = Math.max(0, this.#spread.mean(now) - 1);
-    return 1 + SLOW_MOMENT_DEVIATIONS * Math.sqrt(variance);
+    return this.#modelOf(now).slowMomentFactor;
   }
 
   /** Duration in ms of a step without prefill, by requests in the batch. */
@@ -387,9 +424,11 @@
    * @returns whether no later figure was known.
    */
   recordStated(runner: string, work: number, at: number): boolean {
-    if (!this.#stateOf(runner).stated.record(work, at)) return false;
+    const known = this.#stateOf(runner);
+    if (!known.stated.record(work, at)) return false;
     this.#statedWork.record(work, 1, at);
-    this.#invalidate(runner);
+    known.speedAt = NaN;
+    known.statedAt = NaN;
     return true;
   }
 
@@ -452,6 +491,7 @@
     );
     const median = sorted[Math.floor(sorted.length / 2)]!.ms;
     this.#firstResponses = [];
+    this.#modelAt = NaN;
     return this.#add(runner, {
       ...NO_SUMS,
       responseMs: MIN_RESPONSES * median,
@@ -460,9 +500,10 @@
   }
 
   #add(runner: string, change: PaceSums, now: number): PaceSums {
+    const known = this.#stateOf(runner);
     this.#sums.add(change, now);
-    this.#stateOf(runner).sums.add(change, now);
-    this.#invalidate(runner);
+    known.sums.add(change, now);
+    known.observedAt = now;
     return change;
   }
 
@@ -478,48 +519,68 @@
       MIN_CHUNK_TOKENS,
       MAX_CHUNK_TOKENS,
     );
-    this.#modelAt = NaN;
   }
 
   /** Compares an observation with the figure that was stated near its time. */
   #judge(runner: string, observed: number, at: number, now: number): void {
     const known = this.#runners.get(runner);
-    if (known === undefined || known.stated.weight(at, now) === 0) return;
-    const current = this.#factor(runner, at, now) / this.#lasting(known, now);
-    const mean = known.stated.mean(this.#modelOf(now).statedWork, now);
-    const { stated } = known;
-    const near = stated.judge(observed * current, stated.work / mean, now);
+    if (known === undefined || known.stated.freshness(at) === 0) return;
+    this.#refreshStated(known, now);
+    if (known.statedTrust === 0) return;
+    const { stated, statedMean } = known;
+    const current = this.#factorOf(known, at, now) / this.#lasting(known, now);
+    const near = stated.judge(
+      observed * current,
+      stated.work / statedMean,
+      now,
+    );
+    known.statedAt = NaN;
     if (near !== undefined) this.#confirmed.record(near ? 1 : 0, 1, now);
   }
 
   /** Time of work at `at` relative to the service's mean. */
   #factor(runner: string, at: number, now: number): number {
     const known = this.#runners.get(runner);
-    if (known === undefined) return 1;
+    return known === undefined ? 1 : this.#factorOf(known, at, now);
+  }
+
+  #factorOf(known: RunnerState, at: number, now: number): number {
     const lasting = this.#lasting(known, now);
-    const weight = known.stated.weight(at, now);
-    if (weight === 0) return lasting;
-    const mean = known.stated.mean(this.#modelOf(now).statedWork, now);
-    return bound(lasting * (known.stated.work / mean) ** weight);
+    const freshness = known.stated.freshness(at);
+    if (freshness === 0) return lasting;
+    this.#refreshStated(known, now);
+    const ratio = known.stated.work / known.statedMean;
+    return bound(lasting * ratio ** (freshness * known.statedTrust));
   }
 
   #lasting(known: RunnerState, now: number): number {
-    if (isCurrent(known.lastingAt, now)) return known.lasting;
+    const observed = known.observedAt > known.lastingAt - ESTIMATE_MS;
+    const keptMs = observed ? ESTIMATE_MS : UNOBSERVED_MS;
+    if (isCurrent(known.lastingAt, now, keptMs)) return known.lasting;
+    this.#refreshStated(known, now);
     const model = this.#modelOf(now);
-    const { stated } = known;
-    const mean = stated.mean(model.statedWork, now);
-    const priorMs = PRIOR_MS * (mean / model.statedWork) ** stated.trust(now);
     const sums = known.sums.at(now);
     known.lasting = bound(
-      (priorMs + observedMs(sums)) / (PRIOR_MS + expectedMs(model, sums)),
+      (known.priorMs + observedMs(sums)) / (PRIOR_MS + expectedMs(model, sums)),
     );
     known.lastingAt = now;
     return known.lasting;
   }
 
+  #refreshStated(known: RunnerState, now: number): void {
+    if (isCurrent(known.statedAt, now, UNOBSERVED_MS)) return;
+    const { statedWork } = this.#modelOf(now);
+    known.statedMean = known.stated.mean(statedWork, now);
+    known.statedTrust = known.stated.trust(now);
+    known.priorMs = PRIOR_MS *
+      (known.statedMean / statedWork) ** known.statedTrust;
+    known.statedAt = now;
+  }
+
   #modelOf(now: number): ServiceModel {
-    if (this.#model !== undefined && isCurrent(this.#modelAt, now)) {
-      return this.#model;
+    const known = this.#model;
+    if (known !== undefined && isCurrent(this.#modelAt, now, ESTIMATE_MS)) {
+      return known;
     }
     const sums = this.#sums.at(now);
     const { slope } = this.#steps.line(now);
@@ -540,28 +601,37 @@
         ? sums.responseMs / sums.responses
         : undefined,
       statedWork: this.#statedWork.mean(now),
+      slowMomentFactor: this.#slowMomentFactor(now),
     };
     this.#modelAt = now;
     return this.#model;
   }
 
+  #slowMomentFactor(now: number): number {
+    if (this.#confirmed.mean(now) <= UNDECIDED) return 1;
+    const variance = Math.max(0, this.#spread.mean(now) - 1);
+    return 1 + SLOW_MOMENT_DEVIATIONS * Math.sqrt(variance);
+  }
+
   #stateOf(runner: string): RunnerState {
     const known = this.#runners.get(runner);
     if (known !== undefined) return known;
     const state = {
       sums: new DecayedSums(RUNNER_HALF_LIFE_MS),
       stated: new StatedWork(),
+      speed: new ModelSpeed(),
+      speedAt: NaN,
       lasting: 1,
       lastingAt: NaN,
+      observedAt: -Infinity,
+      statedMean: 1,
+      statedTrust: 1,
+      priorMs: PRIOR_MS,
+      statedAt: NaN,
     };
     this.#runners.set(runner, state);
     return state;
   }
-
-  #invalidate(runner: string): void {
-    this.#modelAt = NaN;
-    this.#stateOf(runner).lastingAt = NaN;
-  }
 }
 
 /** Time in ms that a mean runner takes for the work in the sums. */
@@ -573,8 +643,8 @@
 }
 
 /** Whether an estimate is used as it is. */
-function isCurrent(at: number, now: number): boolean {
-  return Math.abs(now - at) < ESTIMATE_MS;
+function isCurrent(at: number, now: number, keptMs: number): boolean {
+  return Math.abs(now - at) < keptMs;
 }
 
 /** Weight of a first event in the fit, by the prompt tokens before it. */
--- a/packages/router/src/process/pace_sums.ts
+++ b/packages/router/src/process/pace_sums.ts
@@ -65,7 +65,10 @@
 /** Sums in which earlier observations lose weight. */
 export class DecayedSums {
   readonly #decay: Decay;
-  #sums = NO_SUMS;
+  /** Changed in place: sums are added for each event of a stream. */
+  readonly #sums: { -readonly [Field in keyof PaceSums]: number } = {
+    ...NO_SUMS,
+  };
 
   /** @param halfLifeMs milliseconds after which an observation has half its weight. */
   constructor(halfLifeMs: number) {
@@ -73,12 +76,33 @@
   }
 
   add(change: PaceSums, now: number): void {
-    this.#sums = addSums(change, this.#sums, this.#decay.remaining(now));
+    this.#applyDecay(now);
+    const sums = this.#sums;
+    sums.promptMs += change.promptMs;
+    sums.promptTokens += change.promptTokens;
+    sums.stepMs += change.stepMs;
+    sums.stepTokens += change.stepTokens;
+    sums.stepRequests += change.stepRequests;
+    sums.responseMs += change.responseMs;
+    sums.responses += change.responses;
   }
 
+  /** The sums at a time; they hold until the next call. */
   at(now: number): PaceSums {
-    const factor = this.#decay.remaining(now);
-    if (factor < 1) this.#sums = addSums(NO_SUMS, this.#sums, factor);
+    this.#applyDecay(now);
     return this.#sums;
   }
+
+  #applyDecay(now: number): void {
+    const factor = this.#decay.remaining(now);
+    if (factor === 1) return;
+    const sums = this.#sums;
+    sums.promptMs *= factor;
+    sums.promptTokens *= factor;
+    sums.stepMs *= factor;
+    sums.stepTokens *= factor;
+    sums.stepRequests *= factor;
+    sums.responseMs *= factor;
+    sums.responses *= factor;
+  }
 }
--- a/packages/router/src/process/runner_pace.ts
+++ b/packages/router/src/process/runner_pace.ts
@@ -4,8 +4,25 @@
  * @module
  */
 
+/**
+ * Speed of one engine at the time for which it was asked. It may change when the
+ * pace is asked for a later time.
+ */
+export interface EngineSpeed {
+  /** Milliseconds in which the engine prefills a number of prompt tokens. */
+  prefillMs(tokens: number): number;
+  /** Duration in ms of a step that includes a chunk of a prompt. */
+  readonly chunkStepMs: number;
+}
+
 /** Estimates how long the runners of one service take for their work. */
 export interface RunnerPace {
+  /**
+   * Speed of an engine, for several estimates at the same time.
+   *
+   * @param runner id of the runner; undefined for the mean of the service.
+   */
+  engineSpeed(runner: string | undefined, now: number): EngineSpeed;
   /** Milliseconds in which a runner prefills a number of prompt tokens. */
   prefillMs(runner: string, tokens: number, now: number): number;
   /**
@@ -41,6 +58,15 @@
  * The same pace for all runners of any service, where runners are not observed.
  */
 class AssumedPace implements RunnerPace {
+  readonly #speed: EngineSpeed = {
+    prefillMs: (tokens) => tokens / PREFILL_TOKENS_PER_MS,
+    chunkStepMs: CHUNK_STEP_MS,
+  };
+
+  engineSpeed(): EngineSpeed {
+    return this.#speed;
+  }
+
   prefillMs(_runner: string, tokens: number): number {
     return tokens / PREFILL_TOKENS_PER_MS;
   }
--- a/packages/router/src/process/runner_queue.ts
+++ b/packages/router/src/process/runner_queue.ts
@@ -33,6 +33,8 @@
   readonly unreadTokens: number;
 }
 
+const NO_WORK: WorkAhead = { requests: 0, unreadTokens: 0 };
+
 /**
  * Whether one request is sent before another one. In a burst that exceeds the
  * engines' capacity, oldest-first alone would make all requests late: each
@@ -106,6 +108,7 @@
    * runner has capacity: ten prompts at once, then none for seconds.
    */
   workAhead(key: QueueKey, now: number): WorkAhead {
+    if (this.#own.size === 0 && this.#others.size === 0) return NO_WORK;
     let requests = 0;
     let unreadTokens = 0;
     for (const list of [this.#own, ...this.#others.values()]) {
--- a/packages/router/src/process/stated_work.ts
+++ b/packages/router/src/process/stated_work.ts
@@ -72,12 +72,9 @@
     return this.#mean.mean(now, prior);
   }
 
-  /**
-   * Weight of the figure for work at a time, from 0 to 1.
-   */
-  weight(at: number, now: number): number {
-    const freshness = 1 - Math.abs(at - this.#at) / STATED_TTL_MS;
-    return Math.max(0, freshness) * this.trust(now);
+  /** Weight of the figure for work at a time, by its age, from 0 to 1. */
+  freshness(at: number): number {
+    return Math.max(0, 1 - Math.abs(at - this.#at) / STATED_TTL_MS);
   }
 
   /** Share of the figures' effect that observations leave, from 0 to 1. */
--- a/packages/router/src/request/admission.ts
+++ b/packages/router/src/request/admission.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { Runner } from "../process/runner.ts";
+import type { Candidate } from "./candidate.ts";
 import { maxTightPrefillMs } from "./demand.ts";
 import type { Demand, RunnerFleet } from "./demand.ts";
 
@@ -70,10 +71,10 @@
   const neededTokens = memoryTokens + demand.promptTokens +
     demand.maxOutputTokens;
   const factor = urgencyFactor(lessUrgentRanks);
-  const prefillMs = (tokens: number) =>
-    fleet.pace.prefillMs(runner.id, tokens, fleet.now);
-  return prefillMs(workTokens) > MAX_WORK_MS * factor ||
-    prefillMs(unreadTokens + ahead.unreadTokens) > MAX_BACKLOG_MS * factor ||
+  const speed = fleet.pace.engineSpeed(runner.id, fleet.now);
+  const backlogTokens = unreadTokens + ahead.unreadTokens;
+  return speed.prefillMs(workTokens) > MAX_WORK_MS * factor ||
+    speed.prefillMs(backlogTokens) > MAX_BACKLOG_MS * factor ||
     inFlight + ahead.requests >= share * engine!.slots ||
     neededTokens > share * engine!.memoryTokens;
 }
@@ -85,15 +86,11 @@
  * seconds behind them.
  */
 export function delaysTightStreams(
-  fleet: RunnerFleet,
-  demand: Demand,
-  runner: Runner,
+  { promptTokens }: Demand,
+  { load, speed, cachedTokens }: Candidate,
 ): boolean {
-  const { tightStreams, unreadTokens } = fleet.loads.of(runner.id).total;
+  const { tightStreams, unreadTokens } = load.total;
   if (tightStreams === 0) return false;
-  const { prompt, promptTokens } = demand;
-  const cached = fleet.prefixes.cachedTokens(runner.id, prompt, fleet.now);
-  const tokens = unreadTokens + promptTokens - cached;
-  return fleet.pace.prefillMs(runner.id, tokens, fleet.now) >
-    maxTightPrefillMs(fleet, runner.id);
+  const tokens = unreadTokens + promptTokens - cachedTokens;
+  return speed.prefillMs(tokens) > maxTightPrefillMs(speed);
 }
--- a/packages/router/src/request/demand.ts
+++ b/packages/router/src/request/demand.ts
@@ -5,7 +5,7 @@
  */
 import type { PrefixIndex, PromptPart } from "../process/prefix_index.ts";
 import type { Runner } from "../process/runner.ts";
-import type { RunnerPace } from "../process/runner_pace.ts";
+import type { EngineSpeed, RunnerPace } from "../process/runner_pace.ts";
 import type { RunnerRestrictions } from "../process/runner_restrictions.ts";
 import type { RunnerLoads } from "../process/runner_loads.ts";
 import type { QueueKey } from "../process/runner_queue.ts";
@@ -61,10 +61,8 @@
 const LONG_OUTPUT_SHARE = 0.75;
 /**
  * Minimum margin of a gap target, as a factor, for the steps between chunks. Where
- * hosts have slow moments, the margin allows for these. In a simulation of 21
- * uneven engines, of which 15 in 100 were 2.5 times slower for moments, 0.94 of
- * urgent streams kept their gaps at 1.6 times the usual load with 1.25, 0.95 with
- * 1.8, 0.98 with 2, 0.96 with 2.2 and 2.6.
+ * hosts have slow moments, the margin allows for these: they are too short to be
+ * avoided, and streams last longer.
  */
 const GAP_MARGIN = 1.25;
 /**
@@ -76,28 +74,30 @@
 const MAX_TIGHT_CHUNKS = 4;
 
 /** Prefill in ms on a runner that delays no event of a tight stream too much. */
-export function maxTightPrefillMs(
+export function maxTightPrefillMs({ chunkStepMs }: EngineSpeed): number {
+  return MAX_TIGHT_CHUNKS * chunkStepMs;
+}
+
+/** Margin of gap targets, as a factor. */
+export function gapMargin(
   { pace, now }: Pick<RunnerFleet, "pace" | "now">,
-  runner: string,
 ): number {
-  return MAX_TIGHT_CHUNKS * pace.chunkStepMs(runner, now);
+  return Math.max(GAP_MARGIN, pace.slowMomentFactor?.(now) ?? 1);
 }
 
 /**
  * Whether the request is a tight stream: one with so short a target for the gaps
  * between its events that prefill chunks in the same batch exceed it. An event holds several tokens, and each of them takes a whole step.
  *
- * @param runner id of the runner; undefined for a mean one of the service.
+ * @param margin of gap targets; see {@linkcode gapMargin}.
  */
 export function isTight(
-  { pace, now }: Pick<RunnerFleet, "pace" | "now">,
   { engine, gapTargetMs }: Pick<Demand, "engine" | "gapTargetMs">,
-  runner?: string,
+  margin: number,
+  { chunkStepMs }: EngineSpeed,
 ): boolean {
   if (engine === undefined || gapTargetMs === undefined) return false;
-  const margin = Math.max(GAP_MARGIN, pace.slowMomentFactor?.(now) ?? 1);
-  return gapTargetMs <= margin * engine.eventTokens *
-      pace.chunkStepMs(runner, now);
+  return gapTargetMs <= margin * engine.eventTokens * chunkStepMs;
 }
 
 /**
@@ -105,12 +105,11 @@
  * that prefills in each step.
  */
 export function missesGaps(
-  { pace, now }: Pick<RunnerFleet, "pace" | "now">,
   { engine, gapTargetMs }: Demand,
-  runner: string,
+  { chunkStepMs }: EngineSpeed,
 ): boolean {
   if (engine === undefined || gapTargetMs === undefined) return false;
-  return engine.eventTokens * pace.chunkStepMs(runner, now) > gapTargetMs;
+  return engine.eventTokens * chunkStepMs > gapTargetMs;
 }
 
 /**
@@ -120,12 +119,9 @@
  * between runners.
  */
 export function hasLongOutput(
-  { pace, now }: Pick<RunnerFleet, "pace" | "now">,
-  demand: Demand,
-  runner: string,
+  { expectedOutputTokens, timeoutMs }: Demand,
+  { chunkStepMs }: EngineSpeed,
 ): boolean {
-  const { expectedOutputTokens, timeoutMs } = demand;
   if (expectedOutputTokens === undefined) return false;
-  return expectedOutputTokens * pace.chunkStepMs(runner, now) >
-    LONG_OUTPUT_SHARE * timeoutMs;
+  return expectedOutputTokens * chunkStepMs > LONG_OUTPUT_SHARE * timeoutMs;
 }
--- a/packages/router/src/request/placement.ts
+++ b/packages/router/src/request/placement.ts
@@ -6,7 +6,9 @@
 import type { PromptPart } from "../process/prefix_index.ts";
 import type { Runner } from "../process/runner.ts";
 import { delaysTightStreams, isOverloaded } from "./admission.ts";
-import { isTight } from "./demand.ts";
+import { candidatesOf } from "./candidate.ts";
+import type { Candidate } from "./candidate.ts";
+import { gapMargin, isTight } from "./demand.ts";
 import type { Demand, RunnerFleet } from "./demand.ts";
 import {
   estimateCost,
@@ -14,7 +16,6 @@
   WARM_UP_FACTOR,
 } from "./runner_cost.ts";
 import type { CostEstimate } from "./runner_cost.ts";
-import type { RunnerPools } from "./runner_pools.ts";
 import { silenceFactor } from "./silence.ts";
 import { fleetPools, keepingGaps } from "./tight_streams.ts";
 
@@ -76,6 +77,8 @@
 function isEjected(fleet: RunnerFleet, demand: Demand, id: string): boolean {
   const { loads, pace, now } = fleet;
   const load = loads.of(id);
+  // A runner that is slow or has a backlog may only be silent for longer.
+  if (!load.isEjected(now)) return false;
   const backlogMs = pace.prefillMs(id, load.total.unreadTokens, now);
   return load.isEjected(now, backlogMs, silenceFactor(fleet, demand, id));
 }
@@ -121,25 +124,19 @@
   demand: Demand,
   runner: Runner,
 ): boolean {
-  return !isOverloaded(fleet, demand, runner) &&
-    toleratesPrefill(fleet, demand, {
-      runner,
-      pools: fleetPools(fleet, demand),
-    });
+  if (isOverloaded(fleet, demand, runner)) return false;
+  const pools = fleetPools(fleet, demand);
+  const [candidate] = candidatesOf(fleet, demand, { runners: [runner], pools });
+  return toleratesPrefill(demand, candidate!);
 }
 
 /**
  * Whether a runner is not reserved for tight streams, or the prefill of the request
  * would not delay them.
  */
-function toleratesPrefill(
-  fleet: RunnerFleet,
-  demand: Demand,
-  { runner, pools }: { readonly runner: Runner; readonly pools: RunnerPools },
-): boolean {
-  return isTight(fleet, demand, runner.id) ||
-    !pools.reserved.has(runner.name) ||
-    !delaysTightStreams(fleet, demand, runner);
+function toleratesPrefill(demand: Demand, candidate: Candidate): boolean {
+  const { tight, reserved } = candidate;
+  return tight || !reserved || !delaysTightStreams(demand, candidate);
 }
 
 function lowestCost(
@@ -148,32 +145,39 @@
   eligible: readonly Runner[],
 ): RunnerChoice {
   const pools = fleetPools(fleet, demand);
-  const runners = keepingGaps(fleet, demand, eligible);
-  const tight = isTight(fleet, demand);
+  const all = candidatesOf(fleet, demand, { runners: eligible, pools });
+  const candidates = keepingGaps(demand, all);
+  const meanSpeed = fleet.pace.engineSpeed(undefined, fleet.now);
+  const tight = isTight(demand, gapMargin(fleet), meanSpeed);
   const sharedPrefix = sharedPart(demand.prompt)!;
-  const names = new Set(runners.map(({ name }) => name));
+  const names = new Set(candidates.map(({ runner }) => runner.name));
   const home = pools.home(sharedPrefix.id, { tight, usable: names });
-  const holdings = findPrefixHoldings(fleet, demand, eligible);
-  const tolerant = runners.filter((runner) =>
-    toleratesPrefill(fleet, demand, { runner, pools })
+  const holdings = findPrefixHoldings(fleet, demand, all);
+  const tolerant = candidates.filter((candidate) =>
+    toleratesPrefill(demand, candidate)
   );
   let best: CostEstimate | undefined;
-  for (const runner of tolerant.length > 0 ? tolerant : runners) {
+  let chosen: Candidate | undefined;
+  for (const candidate of tolerant.length > 0 ? tolerant : candidates) {
     const estimate = estimateCost(fleet, demand, {
-      runner,
-      atHome: runner.name === home,
-      reserved: pools.reserved.has(runner.name),
+      candidate,
+      atHome: candidate.runner.name === home,
       holdings,
+      meanSpeed,
     });
-    if (best === undefined || estimate.costMs < best.costMs) best = estimate;
+    if (best === undefined || estimate.costMs < best.costMs) {
+      best = estimate;
+      chosen = candidate;
+    }
   }
   const { runner, prefillTokens, fetchFrom } = best!;
   return {
     runner,
     prefillTokens,
     fetchFrom,
-    tight: isTight(fleet, demand, runner.id),
-    overloaded: !hasCapacity(fleet, demand, runner),
+    tight: chosen!.tight,
+    overloaded: isOverloaded(fleet, demand, runner) ||
+      !toleratesPrefill(demand, chosen!),
     candidates: eligible.length,
     reason: runner.name === home ? "home" : "spread",
   };
--- a/packages/router/src/request/runner_cost.ts
+++ b/packages/router/src/request/runner_cost.ts
@@ -8,7 +8,9 @@
  */
 import type { Runner } from "../process/runner.ts";
 import { PREFILL_TOKENS_PER_MS } from "../process/runner_pace.ts";
-import { hasLongOutput, isTight, maxTightPrefillMs } from "./demand.ts";
+import type { EngineSpeed } from "../process/runner_pace.ts";
+import type { Candidate } from "./candidate.ts";
+import { hasLongOutput, maxTightPrefillMs } from "./demand.ts";
 import type { Demand, RunnerFleet } from "./demand.ts";
 
 /**
@@ -100,14 +102,6 @@
   readonly tokens: number;
 }
 
-function cachedTokens(
-  fleet: RunnerFleet,
-  demand: Demand,
-  runner: Runner,
-): number {
-  return fleet.prefixes.cachedTokens(runner.id, demand.prompt, fleet.now);
-}
-
 /** Which part of a prompt runners have cached. */
 export interface PrefixHoldings {
   /**
@@ -120,18 +114,16 @@
 
 /** Finds which part of a prompt runners have cached. */
 export function findPrefixHoldings(
-  fleet: RunnerFleet,
-  demand: Demand,
-  runners: readonly Runner[],
+  { prefixes, now }: RunnerFleet,
+  { prompt }: Demand,
+  candidates: readonly Candidate[],
 ): PrefixHoldings {
   let holder: PrefixHolder | undefined;
   let maxCachedTokens = 0;
-  for (const runner of runners) {
-    const { id } = runner;
-    const cached = cachedTokens(fleet, demand, runner);
-    if (cached === 0) continue;
-    maxCachedTokens = Math.max(maxCachedTokens, cached);
-    const tokens = fleet.prefixes.fetchableTokens(id, demand.prompt, fleet.now);
+  for (const { runner, cachedTokens } of candidates) {
+    if (cachedTokens === 0) continue;
+    maxCachedTokens = Math.max(maxCachedTokens, cachedTokens);
+    const tokens = prefixes.fetchableTokens(runner.id, prompt, now);
     if (tokens > (holder?.tokens ?? 0)) holder = { runner, tokens };
   }
   return { holder, maxCachedTokens };
@@ -142,16 +134,11 @@
  * runner.
  */
 function wrongPoolCostMs(
-  fleet: RunnerFleet,
   demand: Demand,
-  { runner, reserved }: { readonly runner: Runner; readonly reserved: boolean },
+  { speed, tight, reserved }: Candidate,
 ): number {
-  if (isTight(fleet, demand, runner.id)) {
-    return reserved ? 0 : TIGHT_AMONG_LONG_MS;
-  }
-  if (hasLongOutput(fleet, demand, runner.id)) {
-    return reserved ? 0 : LONG_OUTPUT_MS;
-  }
+  if (tight) return reserved ? 0 : TIGHT_AMONG_LONG_MS;
+  if (hasLongOutput(demand, speed)) return reserved ? 0 : LONG_OUTPUT_MS;
   return reserved ? LONG_AMONG_TIGHT_MS : 0;
 }
 
@@ -160,55 +147,52 @@
   fleet: RunnerFleet,
   demand: Demand,
   options: {
-    readonly runner: Runner;
+    readonly candidate: Candidate;
     /** Whether rendezvous hashing makes the runner the prompt's home. */
     readonly atHome: boolean;
-    readonly reserved: boolean;
     readonly holdings: PrefixHoldings;
+    /** Speed of a mean runner of the service. */
+    readonly meanSpeed: EngineSpeed;
   },
 ): CostEstimate {
-  const { runner, atHome, reserved, holdings } = options;
+  const { candidate, atHome, holdings, meanSpeed } = options;
+  const { runner, load, speed, tight, cachedTokens } = candidate;
   const { holder, maxCachedTokens } = holdings;
-  const load = fleet.loads.of(runner.id);
-  const prefillMs = (tokens: number) =>
-    fleet.pace.prefillMs(runner.id, tokens, fleet.now);
-  const cached = cachedTokens(fleet, demand, runner);
-  const missingTokens = holder === undefined ? 0 : holder.tokens - cached;
+  const missingTokens = holder === undefined ? 0 : holder.tokens - cachedTokens;
   const fetchMsPerToken = demand.engine!.fetchMsPerToken ?? Infinity;
   const fetchMs = missingTokens * fetchMsPerToken;
-  const shouldFetch = missingTokens > 0 && fetchMs < prefillMs(missingTokens);
-  const availableTokens = cached + (shouldFetch ? missingTokens : 0);
+  const shouldFetch = missingTokens > 0 &&
+    fetchMs < speed.prefillMs(missingTokens);
+  const availableTokens = cachedTokens + (shouldFetch ? missingTokens : 0);
   const prefillTokens = Math.max(0, demand.promptTokens - availableTokens);
-  const duplicatePrefillMs = prefillMs(
+  const duplicatePrefillMs = speed.prefillMs(
     Math.max(0, maxCachedTokens - availableTokens),
   );
-  const tight = isTight(fleet, demand, runner.id);
   // Time that this runner, and a mean one, takes for what takes one ms at the
   // assumed pace.
-  const ownScale = prefillMs(PREFILL_TOKENS_PER_MS);
-  const { pace, now } = fleet;
-  const meanShare = pace.chunkStepMs(undefined, now) /
-    pace.chunkStepMs(runner.id, now);
+  const ownScale = speed.prefillMs(PREFILL_TOKENS_PER_MS);
+  const meanShare = meanSpeed.chunkStepMs / speed.chunkStepMs;
   const meanScale = ownScale * meanShare;
-  const waitMs = prefillMs(
-    load.total.unreadTokens +
+  const { total } = load;
+  const waitMs = speed.prefillMs(
+    total.unreadTokens +
       load.queue.workAhead(demand.queueKey, fleet.now).unreadTokens,
   );
-  const ownPrefillMs = prefillMs(prefillTokens) +
+  const ownPrefillMs = speed.prefillMs(prefillTokens) +
     (shouldFetch ? fetchMs + meanScale * FETCH_PENALTY_MS : 0);
   const awayMs = atHome
     ? 0
     : holder === undefined
     ? AWAY_FROM_HOME_UNCACHED_MS
     : AWAY_FROM_HOME_MS;
-  const wrongPoolMs = wrongPoolCostMs(fleet, demand, { runner, reserved });
+  const wrongPoolMs = wrongPoolCostMs(demand, candidate);
   const delaysTight = !tight &&
-    waitMs + ownPrefillMs > maxTightPrefillMs(fleet, runner.id);
+    waitMs + ownPrefillMs > maxTightPrefillMs(speed);
   const tightDelayMs = delaysTight
-    ? DELAYED_TIGHT_STREAM_MS * load.total.tightStreams
+    ? DELAYED_TIGHT_STREAM_MS * total.tightStreams
     : 0;
-  const usedShare = load.total.inFlight / demand.engine!.slots;
-  const batchMs = load.total.inFlight * BATCH_SLOWDOWN_MS +
+  const usedShare = total.inFlight / demand.engine!.slots;
+  const batchMs = total.inFlight * BATCH_SLOWDOWN_MS +
     FULL_SLOTS_MS * usedShare ** 2;
   const slowdown = runner.warmUpMs > 0 ? WARM_UP_FACTOR : 1;
   const stayBonusMs = demand.awaitedRunner === runner.id ? STAY_BONUS_MS : 0;
--- a/packages/router/src/request/tight_streams.ts
+++ b/packages/router/src/request/tight_streams.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import type { Runner } from "../process/runner.ts";
-import { isTight, missesGaps } from "./demand.ts";
+import type { Candidate } from "./candidate.ts";
+import { gapMargin, isTight, missesGaps } from "./demand.ts";
 import type { Demand, RunnerFleet } from "./demand.ts";
 import { poolsOf, TIGHT_SHARE } from "./runner_pools.ts";
 import type { RunnerPools } from "./runner_pools.ts";
@@ -35,14 +36,15 @@
   fleet: RunnerFleet,
   { engine }: Demand,
 ): RunnerPools {
-  const { runners, shortestGapMs: gapTargetMs, now } = fleet;
+  const { runners, shortestGapMs: gapTargetMs, pace, now } = fleet;
   if (gapTargetMs === undefined) return poolsOf(runners);
   const last = decisions.get(runners);
   const holds = last !== undefined && last.gapTargetMs === gapTargetMs &&
     Math.abs(now - last.at) < DECISION_MS;
   if (holds) return poolsOf(runners, last.reserve);
+  const margin = gapMargin(fleet);
   const keeping = runners.filter(({ id }) =>
-    !isTight(fleet, { engine, gapTargetMs }, id)
+    !isTight({ engine, gapTargetMs }, margin, pace.engineSpeed(id, now))
   );
   const reserve = keeping.length < TIGHT_SHARE * runners.length;
   decisions.set(runners, { reserve, gapTargetMs, at: now });
@@ -55,10 +57,9 @@
  * as long as usual an event took 330 ms, though the target was 300.
  */
 export function keepingGaps(
-  fleet: RunnerFleet,
   demand: Demand,
-  runners: readonly Runner[],
-): readonly Runner[] {
-  const keeping = runners.filter(({ id }) => !missesGaps(fleet, demand, id));
-  return keeping.length > 0 ? keeping : runners;
+  candidates: readonly Candidate[],
+): readonly Candidate[] {
+  const keeping = candidates.filter(({ speed }) => !missesGaps(demand, speed));
+  return keeping.length > 0 ? keeping : candidates;
 }
--- a/packages/router/src/request/tight_streams_test.ts
+++ b/packages/router/src/request/tight_streams_test.ts
@@ -153,6 +153,10 @@
       .map((demand) => placed(fleet, demand));
   };
   const scaled = (factor: number): RunnerPace => ({
+    engineSpeed: () => ({
+      prefillMs: (tokens) => factor * ASSUMED_PACE.prefillMs("", tokens, 0),
+      chunkStepMs: factor * ASSUMED_PACE.chunkStepMs(undefined, 0),
+    }),
     prefillMs: (_, tokens) => factor * ASSUMED_PACE.prefillMs("", tokens, 0),
     chunkStepMs: () => factor * ASSUMED_PACE.chunkStepMs(undefined, 0),
     responseMs: () => undefined,
