Count streams with the shortest pause as tight until chunk steps are known

At the start of a burst, a step with a chunk was assumed to take 40 ms where it took 92, so urgent streams did not count as tight and no engine was reserved. Until 20 such steps were observed, and observations have confirmed or refuted unusual figures that runners state, the streams with the shortest pause of a service are tight at any runner. Applies to observed paces only.

--- a/packages/router/src/process/observed_pace.ts
+++ b/packages/router/src/process/observed_pace.ts
@@ -79,6 +79,18 @@
  * this daemon, the gaps of all streams are long at once.
  */
 const CHUNK_INTERVAL_MS = 20;
+/**
+ * Observations of the quantile from which steps with a chunk are known. It can
+ * grow to 2.6 times the assumed chunk in these.
+ */
+const MIN_CHUNK_STEPS = 20;
+/**
+ * Observations beside an unusual figure from which it is known whether hosts have
+ * slow moments.
+ */
+const MIN_JUDGED_FIGURES = 10;
+/** Slow moments from which stated figures matter, as a factor. */
+const MIN_SLOW_MOMENTS = 1.25;
 /** Bounds of a chunk, in prompt tokens. */
 const MIN_CHUNK_TOKENS = 128;
 const MAX_CHUNK_TOKENS = 16_384;
@@ -185,6 +197,9 @@
   readonly responseMs: number | undefined;
   /** Mean of the figures that runners state. */
   readonly statedWork: number;
+  /** Factor of slow moments by the figures that runners state. */
+  readonly statedMoments: number;
+  /** The same, as far as observations confirm these figures. */
   readonly slowMomentFactor: number;
 }
 
@@ -270,6 +285,8 @@
   /** Prompt tokens in a chunk, as a quantile. */
   #chunkTokens = ASSUMED_CHUNK_TOKENS;
   #chunkSeenAt = -Infinity;
+  #chunkSteps = 0;
+  #judgedFigures = 0;
   readonly #runners = new Map<string, RunnerState>();
   /** Responses before the time of work is known. */
   #firstResponses: { readonly runner: string; readonly ms: number }[] = [];
@@ -306,6 +323,12 @@
     return this.#modelOf(now).slowMomentFactor;
   }
 
+  get knowsChunkSteps(): boolean {
+    if (this.#chunkSteps < MIN_CHUNK_STEPS) return false;
+    return this.#judgedFigures >= MIN_JUDGED_FIGURES ||
+      (this.#model?.statedMoments ?? 1) < MIN_SLOW_MOMENTS;
+  }
+
   /** Duration in ms of a step without prefill, by requests in the batch. */
   stepMs(runner: string, requests: number, now: number): number {
     const { stepMs, stepMsPerRequest } = this.#modelOf(now);
@@ -510,6 +533,7 @@
   /** @param tokens prompt tokens that would take as long as the step. */
   #recordChunk(tokens: number, now: number): void {
     if (now - this.#chunkSeenAt < CHUNK_INTERVAL_MS) return;
+    this.#chunkSteps += 1;
     this.#chunkSeenAt = now;
     const longer = tokens > this.#chunkTokens;
     const change = CHUNK_GAIN *
@@ -535,7 +559,10 @@
       now,
     );
     known.statedAt = NaN;
-    if (near !== undefined) this.#confirmed.record(near ? 1 : 0, 1, now);
+    if (near !== undefined) {
+      this.#judgedFigures += 1;
+      this.#confirmed.record(near ? 1 : 0, 1, now);
+    }
   }
 
   /** Time of work at `at` relative to the service's mean. */
@@ -591,6 +618,8 @@
       (sums.promptTokens + PRIOR_PROMPT_TOKENS);
     const stepMs = (sums.stepMs - stepMsPerRequest * sums.stepRequests +
       PRIOR_STEPS * ASSUMED_STEP_MS) / (sums.stepTokens + PRIOR_STEPS);
+    const variance = Math.max(0, this.#spread.mean(now) - 1);
+    const statedMoments = 1 + SLOW_MOMENT_DEVIATIONS * Math.sqrt(variance);
     this.#model = {
       msPerPromptToken,
       firstEventMs: clamp(intercept, 0, MAX_FIRST_EVENT_MS),
@@ -601,18 +630,15 @@
         ? sums.responseMs / sums.responses
         : undefined,
       statedWork: this.#statedWork.mean(now),
-      slowMomentFactor: this.#slowMomentFactor(now),
+      statedMoments,
+      slowMomentFactor: this.#confirmed.mean(now) > UNDECIDED
+        ? statedMoments
+        : 1,
     };
     this.#modelAt = now;
     return this.#model;
   }
 
-  #slowMomentFactor(now: number): number {
-    if (this.#confirmed.mean(now) <= UNDECIDED) return 1;
-    const variance = Math.max(0, this.#spread.mean(now) - 1);
-    return 1 + SLOW_MOMENT_DEVIATIONS * Math.sqrt(variance);
-  }
-
   #stateOf(runner: string): RunnerState {
     const known = this.#runners.get(runner);
     if (known !== undefined) return known;
--- a/packages/router/src/process/runner_pace.ts
+++ b/packages/router/src/process/runner_pace.ts
@@ -41,6 +41,11 @@
    * absent where none are known.
    */
   slowMomentFactor?(now: number): number;
+  /**
+   * Whether enough steps with a chunk were observed to tell which streams they
+   * disturb, slow moments included; absent where no steps are observed.
+   */
+  readonly knowsChunkSteps?: boolean;
 }
 
 /**
--- a/packages/router/src/request/candidate.ts
+++ b/packages/router/src/request/candidate.ts
@@ -37,7 +37,7 @@
 ): readonly Candidate[] {
   const { loads, pace, prefixes, now } = fleet;
   const { reserved } = options.pools;
-  const margin = gapMargin(fleet);
+  const margin = gapMargin(fleet, demand);
   return options.runners.map((runner) => {
     const { id, name } = runner;
     const speed = pace.engineSpeed(id, now);
--- a/packages/router/src/request/demand.ts
+++ b/packages/router/src/request/demand.ts
@@ -78,10 +78,23 @@
   return MAX_TIGHT_CHUNKS * chunkStepMs;
 }
 
-/** Margin of gap targets, as a factor. */
+/**
+ * Margin of the gap target of a stream, as a factor. Until steps with a chunk are
+ * known, the streams with the shortest gap target of the service count as tight
+ * at any runner: in the first seconds of a burst their events were late on
+ * engines whose steps take more than twice the assumed time.
+ */
 export function gapMargin(
-  { pace, now }: Pick<RunnerFleet, "pace" | "now">,
+  { pace, shortestGapMs, now }: Pick<
+    RunnerFleet,
+    "pace" | "shortestGapMs" | "now"
+  >,
+  { gapTargetMs }: Pick<Demand, "gapTargetMs">,
 ): number {
+  const unknown = pace.knowsChunkSteps === false;
+  if (unknown && shortestGapMs !== Infinity && gapTargetMs === shortestGapMs) {
+    return Infinity;
+  }
   return Math.max(GAP_MARGIN, pace.slowMomentFactor?.(now) ?? 1);
 }
 
--- a/packages/router/src/request/placement.ts
+++ b/packages/router/src/request/placement.ts
@@ -148,7 +148,7 @@
   const all = candidatesOf(fleet, demand, { runners: eligible, pools });
   const candidates = keepingGaps(demand, all);
   const meanSpeed = fleet.pace.engineSpeed(undefined, fleet.now);
-  const tight = isTight(demand, gapMargin(fleet), meanSpeed);
+  const tight = isTight(demand, gapMargin(fleet, demand), meanSpeed);
   const sharedPrefix = sharedPart(demand.prompt)!;
   const names = new Set(candidates.map(({ runner }) => runner.name));
   const home = pools.home(sharedPrefix.id, { tight, usable: names });
--- a/packages/router/src/request/tight_streams.ts
+++ b/packages/router/src/request/tight_streams.ts
@@ -42,7 +42,7 @@
   const holds = last !== undefined && last.gapTargetMs === gapTargetMs &&
     Math.abs(now - last.at) < DECISION_MS;
   if (holds) return poolsOf(runners, last.reserve);
-  const margin = gapMargin(fleet);
+  const margin = gapMargin(fleet, { gapTargetMs });
   const keeping = runners.filter(({ id }) =>
     !isTight({ engine, gapTargetMs }, margin, pace.engineSpeed(id, now))
   );
--- a/packages/router/src/request/tight_streams_test.ts
+++ b/packages/router/src/request/tight_streams_test.ts
@@ -143,6 +143,24 @@
   assert.ok(all.size > 7, `${all.size} runners take long prompts`);
 });
 
+// Guards against the start of a burst in which urgent streams run beside long
+// prompts because steps with a chunk are assumed to be short.
+test("before steps are observed, streams with the shortest pause are tight", () => {
+  const ids = Array.from({ length: 10 }, (_, index) => `r-${index}`);
+  const unknown = fleetOf(ids, new ObservedPace(), 300);
+  const { reserved } = fleetPools(unknown, urgentStream("t"));
+  assert.equal(reserved.size, 3);
+  const urgent = TOPICS.map((topic) =>
+    chooseRunner(unknown, urgentStream(topic), NONE)!
+  );
+  assert.ok(urgent.every(({ tight }) => tight));
+  assert.deepEqual(new Set(urgent.map(({ runner }) => runner.name)), reserved);
+  const other = urgentStream("t", { gapTargetMs: 500 });
+  assert.equal(chooseRunner(unknown, other, NONE)!.tight, false);
+  const none = fleetOf(ids, new ObservedPace(), Infinity);
+  assert.equal(fleetPools(none, urgentStream("t")).reserved.size, 0);
+});
+
 // Guards against costs and bounds that stand for the assumed pace: engines that
 // are all three times as fast must get the same choices for the same load.
 test("choices among equal engines do not depend on their speed", () => {
