Weight members in rendezvous hashing

Runners of a service differ in pace, so the share of prompts for which one is home must follow it. Members of equal weight keep their order, and a change of one weight moves keys only to or from that member. firstOf finds several first members in one pass, for prompts with more than one home.

--- a/packages/coordination/src/process/rendezvous.ts
+++ b/packages/coordination/src/process/rendezvous.ts
@@ -20,8 +20,15 @@
   readonly score: number;
 }
 
+interface Member {
+  readonly name: string;
+  readonly digest: Digest;
+  readonly weight: number;
+}
+
 const HIGH_BITS = 21;
 const LOW_RANGE = 2 ** 32;
+const SCORE_RANGE = 2 ** 53;
 
 /** Bound of the cache of member digests, about 100 bytes each. */
 const MAX_DIGESTS = 8_192;
@@ -68,19 +75,36 @@
   return second.score - first.score || (first.name < second.name ? -1 : 1);
 }
 
+/**
+ * The score of a member that gets its share of keys by weight. It grows with the
+ * unweighted score, so members of equal weight are in the same order (Schindelhauer
+ * and Schomaker, Weighted distributed hash tables, 2005).
+ */
+function weightedScoreOf(key: Digest, member: Member): number {
+  const uniform = (scoreOf(key, member.digest) + 0.5) / SCORE_RANGE;
+  return member.weight / -Math.log(uniform);
+}
+
 /** A fixed set of members, hashed once for many keys. */
 export class Rendezvous {
-  readonly #members: readonly {
-    readonly name: string;
-    readonly digest: Digest;
-  }[];
+  readonly #members: readonly Member[];
+  readonly #scoreOf: (key: Digest, member: Member) => number;
 
-  /** @param names of the members; their order does not matter. */
-  constructor(names: readonly string[]) {
+  /**
+   * @param names of the members; their order does not matter.
+   * @param weightOf weight of a member, above 0: it is first for a share of keys
+   * that is proportional to it. A change of one weight moves keys only to or from
+   * that member. Without it, all shares are equal.
+   */
+  constructor(names: readonly string[], weightOf?: (name: string) => number) {
     this.#members = names.map((name) => ({
       name,
       digest: cachedDigest(name),
+      weight: weightOf?.(name) ?? 1,
     }));
+    this.#scoreOf = weightOf === undefined
+      ? (key, { digest }) => scoreOf(key, digest)
+      : weightedScoreOf;
   }
 
   /**
@@ -114,13 +138,45 @@
       if (!accepts(member.name)) continue;
       const scored = {
         name: member.name,
-        score: scoreOf(keyDigest, member.digest),
+        score: this.#scoreOf(keyDigest, member),
       };
       if (best === undefined || compareScored(scored, best) < 0) best = scored;
     }
     return best?.name;
   }
 
+  /**
+   * The first members of {@linkcode order} that the predicate accepts, in order.
+   * Takes one pass for a small count.
+   *
+   * @example
+   * ```ts
+   * const [home, second] = members.firstOf("prompt", 2, () => true);
+   * ```
+   */
+  firstOf(
+    key: string,
+    count: number,
+    accepts: (name: string) => boolean,
+  ): readonly string[] {
+    const keyDigest = digestOf(key);
+    const best: Scored[] = [];
+    for (const member of this.#members) {
+      const { name } = member;
+      const scored = { name, score: this.#scoreOf(keyDigest, member) };
+      const last = best.at(-1);
+      const full = best.length >= count;
+      if (full && (last === undefined || compareScored(scored, last) > 0)) {
+        continue;
+      }
+      if (!accepts(name)) continue;
+      if (full) best.pop();
+      const place = best.findIndex((other) => compareScored(scored, other) < 0);
+      best.splice(place === -1 ? best.length : place, 0, scored);
+    }
+    return best.map(({ name }) => name);
+  }
+
   /**
    * Assigns an owner to each key, so that no member owns more than `loadBound`
    * times the mean, rounded up. A key whose first member is full goes to the
@@ -201,7 +257,7 @@
     const keyDigest = digestOf(key);
     return this.#members.map((member) => ({
       name: member.name,
-      score: scoreOf(keyDigest, member.digest),
+      score: this.#scoreOf(keyDigest, member),
     }));
   }
 }
--- a/packages/coordination/src/process/rendezvous_test.ts
+++ b/packages/coordination/src/process/rendezvous_test.ts
@@ -45,6 +45,50 @@
   }
 });
 
+test("keys are shared by weight, and equal weights change no order", () => {
+  const names = named("host", 12);
+  const weights = new Map(names.map((name, index) => [name, 1 + index % 3]));
+  const members = new Rendezvous(names, (name) => weights.get(name)!);
+  const keys = named("key", 12_000);
+  const owned = counts(keys.map((key) => members.first(key, () => true)!));
+  // 500 each and unit of weight; the bound is 5 standard deviations.
+  for (const name of names) {
+    const expected = 500 * weights.get(name)!;
+    const difference = Math.abs(owned.get(name)! - expected);
+    assert.ok(difference < 5 * Math.sqrt(expected), `${name}: ${difference}`);
+  }
+  const equal = new Rendezvous(names, () => 3);
+  for (const key of keys.slice(0, 200)) {
+    assert.deepEqual(equal.order(key), rendezvous(key, names));
+  }
+});
+
+test("a change of one weight moves keys only to or from that member", () => {
+  const names = named("host", 12);
+  const before = new Rendezvous(names, () => 1);
+  const after = new Rendezvous(names, (name) => name === "host-3" ? 0.6 : 1);
+  for (const key of named("key", 2_000)) {
+    const owner = before.first(key, () => true);
+    if (owner === "host-3") continue;
+    assert.equal(after.first(key, () => true), owner);
+  }
+});
+
+test("firstOf returns the first accepted members of the order", () => {
+  const names = named("host", 60);
+  const members = new Rendezvous(names);
+  const accepted = new Set(names.filter((_, index) => index % 7 === 0));
+  for (const key of named("key", 100)) {
+    const order = members.order(key).filter((name) => accepted.has(name));
+    for (const count of [0, 1, 3, 20]) {
+      assert.deepEqual(
+        members.firstOf(key, count, (name) => accepted.has(name)),
+        order.slice(0, count),
+      );
+    }
+  }
+});
+
 test("removing a member does not change the order of the others", () => {
   fc.assert(fc.property(fc.string(), NAMES, fc.nat(), (key, names, pick) => {
     const gone = names[pick % Math.max(1, names.length)];
