Size the reserve by demand and guard reserved engines

Three of ten engines were reserved for tight streams at any demand, and a reserved engine without a tight stream accepted any prompt, beside which the next urgent stream was late. For services whose pace is observed:

- The number of reserved engines follows the tight streams in flight at all daemons, their time at an engine and their prefill.
- Reserved engines are chosen in the order of rendezvous hashing, those slower than their class of speed last.
- A reserved engine accepts a prompt only if an event of the stream with the shortest pause keeps it beside all unread prompts and one more tight stream, in a slow moment of the host.
This also holds while no tight stream is there, and at an engine that was reserved until its tight streams have ended.
- Until observations refute stated figures, their spread counts as slow moments.

--- a/packages/router/src/process/observed_pace.ts
+++ b/packages/router/src/process/observed_pace.ts
@@ -8,7 +8,7 @@
 import { DecayedSums, NO_SUMS, observedMs } from "./pace_sums.ts";
 import type { PaceSums } from "./pace_sums.ts";
 import { ASSUMED_PACE } from "./runner_pace.ts";
-import type { EngineSpeed, RunnerPace } from "./runner_pace.ts";
+import type { EngineSpeed, EventLoad, RunnerPace } from "./runner_pace.ts";
 import { meanOfFigures, StatedWork } from "./stated_work.ts";
 
 /**
@@ -85,12 +85,10 @@
  */
 const MIN_CHUNK_STEPS = 20;
 /**
- * Observations beside an unusual figure from which it is known whether hosts have
- * slow moments.
+ * Factor by which events may take longer than estimated before these are known:
+ * engines differ by as much.
  */
-const MIN_JUDGED_FIGURES = 10;
-/** Slow moments from which stated figures matter, as a factor. */
-const MIN_SLOW_MOMENTS = 1.25;
+const UNKNOWN_STEP_FACTOR = 2;
 /** Bounds of a chunk, in prompt tokens. */
 const MIN_CHUNK_TOKENS = 128;
 const MAX_CHUNK_TOKENS = 16_384;
@@ -126,7 +124,7 @@
  * times the mean where 15 of 100 moments take 2.5 times as long as the others.
  */
 const SLOW_MOMENT_DEVIATIONS = 2.5;
-/** Share of confirmed figures up to which moments are not believed. */
+/** Share of confirmed figures below which moments are not believed. */
 const UNDECIDED = 0.5;
 /** Trust in a runner's figures from which they count in the spread. */
 const TRUSTED = 0.5;
@@ -197,24 +195,42 @@
   readonly responseMs: number | undefined;
   /** Mean of the figures that runners state. */
   readonly statedWork: number;
-  /** Factor of slow moments by the figures that runners state. */
-  readonly statedMoments: number;
-  /** The same, as far as observations confirm these figures. */
+  /** By the figures that runners state, unless observations refute these. */
   readonly slowMomentFactor: number;
+  /** Factor by which an event may take longer. */
+  readonly eventMargin: number;
 }
 
 /** Speed of an engine by the model of the service and the runner's factor. */
 class ModelSpeed implements EngineSpeed {
   chunkStepMs = ASSUMED_CHUNK_STEP_MS;
   #msPerPromptToken = ASSUMED_MS_PER_TOKEN;
+  #model: ServiceModel | undefined;
+  #slowFactor = 1;
 
   prefillMs(tokens: number): number {
     return tokens * this.#msPerPromptToken;
   }
 
-  set(model: ServiceModel, factor: number): void {
+  eventMs({ tokens, requests, unreadTokens }: EventLoad): number {
+    const model = this.#model!;
+    const stepMs = model.stepMs + model.stepMsPerRequest * requests;
+    const prefillMs = Math.min(
+      unreadTokens * model.msPerPromptToken,
+      tokens * model.chunkStepMs,
+    );
+    return this.#slowFactor * (tokens * stepMs + prefillMs);
+  }
+
+  /**
+   * @param factor time of work, relative to the mean of the service.
+   * @param lasting the same without the current moment.
+   */
+  set(model: ServiceModel, factor: number, lasting: number): void {
     this.chunkStepMs = model.chunkStepMs * factor;
     this.#msPerPromptToken = model.msPerPromptToken * factor;
+    this.#model = model;
+    this.#slowFactor = Math.max(factor, lasting * model.eventMargin);
   }
 }
 
@@ -286,7 +302,6 @@
   #chunkTokens = ASSUMED_CHUNK_TOKENS;
   #chunkSeenAt = -Infinity;
   #chunkSteps = 0;
-  #judgedFigures = 0;
   readonly #runners = new Map<string, RunnerState>();
   /** Responses before the time of work is known. */
   #firstResponses: { readonly runner: string; readonly ms: number }[] = [];
@@ -297,11 +312,12 @@
   engineSpeed(runner: string | undefined, now: number): EngineSpeed {
     const known = runner === undefined ? undefined : this.#runners.get(runner);
     if (known === undefined) {
-      this.#meanSpeed.set(this.#modelOf(now), 1);
+      this.#meanSpeed.set(this.#modelOf(now), 1, 1);
       return this.#meanSpeed;
     }
     if (isCurrent(known.speedAt, now, ESTIMATE_MS)) return known.speed;
-    known.speed.set(this.#modelOf(now), this.#factorOf(known, now, now));
+    const factor = this.#factorOf(known, now, now);
+    known.speed.set(this.#modelOf(now), factor, known.lasting);
     known.speedAt = now;
     return known.speed;
   }
@@ -324,9 +340,7 @@
   }
 
   get knowsChunkSteps(): boolean {
-    if (this.#chunkSteps < MIN_CHUNK_STEPS) return false;
-    return this.#judgedFigures >= MIN_JUDGED_FIGURES ||
-      (this.#model?.statedMoments ?? 1) < MIN_SLOW_MOMENTS;
+    return this.#chunkSteps >= MIN_CHUNK_STEPS;
   }
 
   /** Duration in ms of a step without prefill, by requests in the batch. */
@@ -559,10 +573,7 @@
       now,
     );
     known.statedAt = NaN;
-    if (near !== undefined) {
-      this.#judgedFigures += 1;
-      this.#confirmed.record(near ? 1 : 0, 1, now);
-    }
+    if (near !== undefined) this.#confirmed.record(near ? 1 : 0, 1, now);
   }
 
   /** Time of work at `at` relative to the service's mean. */
@@ -619,7 +630,9 @@
     const stepMs = (sums.stepMs - stepMsPerRequest * sums.stepRequests +
       PRIOR_STEPS * ASSUMED_STEP_MS) / (sums.stepTokens + PRIOR_STEPS);
     const variance = Math.max(0, this.#spread.mean(now) - 1);
-    const statedMoments = 1 + SLOW_MOMENT_DEVIATIONS * Math.sqrt(variance);
+    const slowMomentFactor = this.#confirmed.mean(now) >= UNDECIDED
+      ? 1 + SLOW_MOMENT_DEVIATIONS * Math.sqrt(variance)
+      : 1;
     this.#model = {
       msPerPromptToken,
       firstEventMs: clamp(intercept, 0, MAX_FIRST_EVENT_MS),
@@ -630,10 +643,10 @@
         ? sums.responseMs / sums.responses
         : undefined,
       statedWork: this.#statedWork.mean(now),
-      statedMoments,
-      slowMomentFactor: this.#confirmed.mean(now) > UNDECIDED
-        ? statedMoments
-        : 1,
+      slowMomentFactor,
+      eventMargin: this.knowsChunkSteps
+        ? slowMomentFactor
+        : Math.max(slowMomentFactor, UNKNOWN_STEP_FACTOR),
     };
     this.#modelAt = now;
     return this.#model;
--- a/packages/router/src/process/runner_pace.ts
+++ b/packages/router/src/process/runner_pace.ts
@@ -13,6 +13,21 @@
   prefillMs(tokens: number): number;
   /** Duration in ms of a step that includes a chunk of a prompt. */
   readonly chunkStepMs: number;
+  /**
+   * Time in ms of an event of a stream beside prompts, by the lasting speed of the
+   * engine and in a slow moment of its host; absent where none is observed.
+   */
+  eventMs?(event: EventLoad): number;
+}
+
+/** What an engine does while a stream waits for its next event. */
+export interface EventLoad {
+  /** Tokens of the event. */
+  readonly tokens: number;
+  /** Requests at the engine. */
+  readonly requests: number;
+  /** Prompt tokens that await prefill. */
+  readonly unreadTokens: number;
 }
 
 /** Estimates how long the runners of one service take for their work. */
@@ -43,9 +58,14 @@
   slowMomentFactor?(now: number): number;
   /**
    * Whether enough steps with a chunk were observed to tell which streams they
-   * disturb, slow moments included; absent where no steps are observed.
+   * disturb; absent where no steps are observed.
    */
   readonly knowsChunkSteps?: boolean;
+  /**
+   * Time of a runner's work relative to the mean of the service, without the
+   * moments of its host; absent where none is observed.
+   */
+  lastingFactor?(runner: string, now: number): number;
 }
 
 /**
--- a/packages/router/src/request/attempt_executor.ts
+++ b/packages/router/src/request/attempt_executor.ts
@@ -128,7 +128,9 @@
         tokensAhead,
         run: { fingerprint, startedAt },
       });
-      if (result.kind === "response") this.#recordEnd(routed, sentAt);
+      if (result.kind === "response") {
+        this.#recordEnd(routed, { placed, sentAt });
+      }
       return handled;
     } finally {
       unwatch();
@@ -137,8 +139,14 @@
     }
   }
 
-  #recordEnd({ service, rank }: RoutedRequest, sentAt: number): void {
-    const { runners, loads, now } = this.#daemon.fleet(service.name);
+  #recordEnd(
+    { service, rank }: RoutedRequest,
+    { placed, sentAt }: {
+      readonly placed: PlacedRequest;
+      readonly sentAt: number;
+    },
+  ): void {
+    const { runners, loads, demand, now } = this.#daemon.fleet(service.name);
     const inFlight = runners.reduce(
       (sum, { id }) => sum + loads.of(id).total.inFlight,
       0,
@@ -147,6 +155,11 @@
       { rank, durationMs: now - sentAt, inFlight },
       now,
     );
+    if (!placed.tight) return;
+    demand?.reserve.recordEnd(
+      { durationMs: now - sentAt, prefillTokens: placed.unreadTokens },
+      now,
+    );
   }
 
   /**
--- a/packages/router/src/request/candidate.ts
+++ b/packages/router/src/request/candidate.ts
@@ -24,6 +24,8 @@
   readonly tight: boolean;
   /** Whether it is reserved for tight streams. */
   readonly reserved: boolean;
+  /** Whether only prompts that delay no tight stream are prefilled there. */
+  readonly guarded: boolean;
 }
 
 /** Collects what a choice needs of each runner. */
@@ -36,7 +38,7 @@
   },
 ): readonly Candidate[] {
   const { loads, pace, prefixes, now } = fleet;
-  const { reserved } = options.pools;
+  const { reserved, guarded } = options.pools;
   const margin = gapMargin(fleet, demand);
   return options.runners.map((runner) => {
     const { id, name } = runner;
@@ -48,6 +50,7 @@
       cachedTokens: prefixes.cachedTokens(id, demand.prompt, now),
       tight: isTight(demand, margin, speed),
       reserved: reserved.has(name),
+      guarded: guarded.has(name),
     };
   });
 }
--- a/packages/router/src/request/demand.ts
+++ b/packages/router/src/request/demand.ts
@@ -6,6 +6,7 @@
 import type { PrefixIndex, PromptPart } from "../process/prefix_index.ts";
 import type { Runner } from "../process/runner.ts";
 import type { EngineSpeed, RunnerPace } from "../process/runner_pace.ts";
+import type { ServiceDemand } from "../process/service_demand.ts";
 import type { RunnerRestrictions } from "../process/runner_restrictions.ts";
 import type { RunnerLoads } from "../process/runner_loads.ts";
 import type { QueueKey } from "../process/runner_queue.ts";
@@ -45,6 +46,8 @@
    * undefined where pools are reserved for tight streams in any case.
    */
   readonly shortestGapMs?: number | undefined;
+  /** What is known of the service's demand, where it is scheduled adaptively. */
+  readonly demand?: ServiceDemand | undefined;
   /** Failure domain of this daemon. */
   readonly failureDomain: string;
   /** Monotonic milliseconds. */
--- a/packages/router/src/request/placement.ts
+++ b/packages/router/src/request/placement.ts
@@ -5,7 +5,7 @@
  */
 import type { PromptPart } from "../process/prefix_index.ts";
 import type { Runner } from "../process/runner.ts";
-import { delaysTightStreams, isOverloaded } from "./admission.ts";
+import { isOverloaded } from "./admission.ts";
 import { candidatesOf } from "./candidate.ts";
 import type { Candidate } from "./candidate.ts";
 import { gapMargin, isTight } from "./demand.ts";
@@ -17,7 +17,7 @@
 } from "./runner_cost.ts";
 import type { CostEstimate } from "./runner_cost.ts";
 import { silenceFactor } from "./silence.ts";
-import { fleetPools, keepingGaps } from "./tight_streams.ts";
+import { fleetPools, keepingGaps, toleratesPrefill } from "./tight_streams.ts";
 
 /** A selected runner, with the inputs of the decision for the log. */
 export interface RunnerChoice {
@@ -127,16 +127,7 @@
   if (isOverloaded(fleet, demand, runner)) return false;
   const pools = fleetPools(fleet, demand);
   const [candidate] = candidatesOf(fleet, demand, { runners: [runner], pools });
-  return toleratesPrefill(demand, candidate!);
-}
-
-/**
- * Whether a runner is not reserved for tight streams, or the prefill of the request
- * would not delay them.
- */
-function toleratesPrefill(demand: Demand, candidate: Candidate): boolean {
-  const { tight, reserved } = candidate;
-  return tight || !reserved || !delaysTightStreams(demand, candidate);
+  return toleratesPrefill(fleet, demand, candidate!);
 }
 
 function lowestCost(
@@ -154,7 +145,7 @@
   const home = pools.home(sharedPrefix.id, { tight, usable: names });
   const holdings = findPrefixHoldings(fleet, demand, all);
   const tolerant = candidates.filter((candidate) =>
-    toleratesPrefill(demand, candidate)
+    toleratesPrefill(fleet, demand, candidate)
   );
   let best: CostEstimate | undefined;
   let chosen: Candidate | undefined;
@@ -177,7 +168,7 @@
     fetchFrom,
     tight: chosen!.tight,
     overloaded: isOverloaded(fleet, demand, runner) ||
-      !toleratesPrefill(demand, chosen!),
+      !toleratesPrefill(fleet, demand, chosen!),
     candidates: eligible.length,
     reason: runner.name === home ? "home" : "spread",
   };
--- a/packages/router/src/request/runner_pools.ts
+++ b/packages/router/src/request/runner_pools.ts
@@ -19,23 +19,35 @@
 export class RunnerPools {
   /** Names of the runners reserved for tight streams. */
   readonly reserved: ReadonlySet<string>;
+  /**
+   * Names of the runners on which only prompts that delay no tight stream are
+   * prefilled: the reserved ones, and those that still have tight streams from
+   * the time when they were reserved.
+   */
+  readonly guarded: ReadonlySet<string>;
   readonly #tight: Rendezvous;
   readonly #others: Rendezvous;
 
   /**
    * @param names of the runners, without duplicates.
-   * @param reserve whether to reserve runners for tight streams.
+   * @param options.reserved names of the runners reserved for tight streams.
+   * @param options.leaving names of those that were, and have tight streams yet.
+   * @param options.speedOf relative speed of a runner, where they differ: it is
+   * home for a share of the prompts that is proportional to it.
    */
-  constructor(names: readonly string[], reserve: boolean) {
-    const count = names.length < 2 || !reserve
-      ? 0
-      : Math.max(1, Math.round(names.length * TIGHT_SHARE));
-    this.reserved = new Set(
-      new Rendezvous(names).order("tight").slice(0, count),
-    );
+  constructor(names: readonly string[], options: {
+    readonly reserved: readonly string[];
+    readonly leaving?: readonly string[];
+    readonly speedOf?: ((name: string) => number) | undefined;
+  }) {
+    const { reserved, leaving = [], speedOf } = options;
+    this.reserved = new Set(reserved);
+    this.guarded = leaving.length === 0
+      ? this.reserved
+      : new Set([...reserved, ...leaving]);
     const others = names.filter((name) => !this.reserved.has(name));
-    this.#tight = new Rendezvous([...this.reserved]);
-    this.#others = new Rendezvous(others);
+    this.#tight = new Rendezvous(reserved, speedOf);
+    this.#others = new Rendezvous(others, speedOf);
   }
 
   /**
@@ -51,13 +63,38 @@
       readonly usable: ReadonlySet<string>;
     },
   ): string | undefined {
-    const pool = options.tight && this.reserved.size > 0
-      ? this.#tight
-      : this.#others;
-    return pool.first(part, (name) => options.usable.has(name));
+    return this.#pool(options.tight)
+      .first(part, (name) => options.usable.has(name));
+  }
+
+  /** Returns the first home runners of a prompt part that are accepted. */
+  homes(part: string, options: {
+    readonly tight: boolean;
+    readonly count: number;
+    readonly accepts: (name: string) => boolean;
+  }): readonly string[] {
+    const { tight, count, accepts } = options;
+    return this.#pool(tight).firstOf(part, count, accepts);
+  }
+
+  #pool(tight: boolean): Rendezvous {
+    return tight && this.reserved.size > 0 ? this.#tight : this.#others;
   }
 }
 
+/**
+ * Order in which runners are reserved for tight streams: daemons that reserve
+ * different numbers of them agree on most.
+ */
+export function reserveOrder(names: readonly string[]): readonly string[] {
+  return new Rendezvous(names).order("tight");
+}
+
+/** Largest number of runners that are reserved for tight streams. */
+export function maxReserved(count: number): number {
+  return count < 2 ? 0 : Math.max(1, Math.round(count * TIGHT_SHARE));
+}
+
 const poolsByList = {
   reserved: new WeakMap<readonly Runner[], RunnerPools>(),
   common: new WeakMap<readonly Runner[], RunnerPools>(),
@@ -83,7 +120,14 @@
   const names = runners.map(({ name }) => name).sort();
   const key = [String(reserve), ...names].join("\n");
   const pools = poolsByNames.get(key) ??
-    remember(key, new RunnerPools(names, reserve));
+    remember(
+      key,
+      new RunnerPools(names, {
+        reserved: reserve
+          ? reserveOrder(names).slice(0, maxReserved(names.length))
+          : [],
+      }),
+    );
   byList.set(runners, pools);
   return pools;
 }
--- a/packages/router/src/request/tight_streams.ts
+++ b/packages/router/src/request/tight_streams.ts
@@ -3,12 +3,18 @@
  *
  * @module
  */
-import type { Runner } from "../process/runner.ts";
+import type { ServiceDemand } from "../process/service_demand.ts";
+import { delaysTightStreams } from "./admission.ts";
 import type { Candidate } from "./candidate.ts";
 import { gapMargin, isTight, missesGaps } from "./demand.ts";
 import type { Demand, RunnerFleet } from "./demand.ts";
-import { poolsOf, TIGHT_SHARE } from "./runner_pools.ts";
-import type { RunnerPools } from "./runner_pools.ts";
+import {
+  maxReserved,
+  poolsOf,
+  reserveOrder,
+  RunnerPools,
+  TIGHT_SHARE,
+} from "./runner_pools.ts";
 
 /**
  * Milliseconds for which a decision on reserving holds: pools decide on the home
@@ -18,13 +24,26 @@
  */
 const DECISION_MS = 1_000;
 
+/**
+ * Speed relative to the mean of the service below which engines are reserved
+ * last: events of tight streams take longer on them.
+ */
+const SLOW_SPEED = 0.8;
+
+/**
+ * Factor by which the margin of gap targets is larger while runners are reserved,
+ * so that the reserve does not come and go with the estimate of slow moments.
+ */
+const RESERVE_HYSTERESIS = 1.25;
+
 interface Decision {
-  readonly reserve: boolean;
   readonly gapTargetMs: number;
   readonly at: number;
+  readonly pools: RunnerPools;
 }
 
-const decisions = new WeakMap<readonly Runner[], Decision>();
+/** By list of runners, or by the demand of the service where that is known. */
+const decisions = new WeakMap<object, Decision>();
 
 /**
  * Returns the pools of the service's runners. Runners are reserved for tight
@@ -34,21 +53,127 @@
  */
 export function fleetPools(
   fleet: RunnerFleet,
-  { engine }: Demand,
+  demand: Demand,
 ): RunnerPools {
-  const { runners, shortestGapMs: gapTargetMs, pace, now } = fleet;
+  const { runners, shortestGapMs: gapTargetMs, now } = fleet;
   if (gapTargetMs === undefined) return poolsOf(runners);
-  const last = decisions.get(runners);
+  const key = fleet.demand ?? runners;
+  const last = decisions.get(key);
   const holds = last !== undefined && last.gapTargetMs === gapTargetMs &&
     Math.abs(now - last.at) < DECISION_MS;
-  if (holds) return poolsOf(runners, last.reserve);
-  const margin = gapMargin(fleet, { gapTargetMs });
+  if (holds) return last.pools;
+  const reserves = fleet.demand !== undefined && last !== undefined &&
+    last.pools.reserved.size > 0;
+  const needed = needsReserve(fleet, demand, {
+    gapTargetMs,
+    hysteresis: reserves ? RESERVE_HYSTERESIS : 1,
+  });
+  const pools = fleet.demand === undefined
+    ? poolsOf(runners, needed)
+    : demandPools(fleet, fleet.demand, {
+      engine: demand.engine,
+      needed,
+      before: last?.pools.guarded,
+    });
+  decisions.set(key, { gapTargetMs, at: now, pools });
+  return pools;
+}
+
+/** Whether prompts delay streams with this gap target on most runners. */
+function needsReserve(
+  fleet: RunnerFleet,
+  { engine }: Demand,
+  { gapTargetMs, hysteresis }: {
+    readonly gapTargetMs: number;
+    readonly hysteresis: number;
+  },
+): boolean {
+  const { runners, pace, now } = fleet;
+  const margin = hysteresis * gapMargin(fleet, { gapTargetMs });
   const keeping = runners.filter(({ id }) =>
     !isTight({ engine, gapTargetMs }, margin, pace.engineSpeed(id, now))
   );
-  const reserve = keeping.length < TIGHT_SHARE * runners.length;
-  decisions.set(runners, { reserve, gapTargetMs, at: now });
-  return poolsOf(runners, reserve);
+  return keeping.length < TIGHT_SHARE * runners.length;
+}
+
+/**
+ * Pools whose sizes follow the demand of tight streams, and whose homes follow
+ * the pace of the runners.
+ */
+function demandPools(
+  { runners, loads, pace, now }: RunnerFleet,
+  { reserve, speeds }: ServiceDemand,
+  { engine, needed, before }: Pick<Demand, "engine"> & {
+    readonly needed: boolean;
+    /** Runners that were guarded until now. */
+    readonly before: ReadonlySet<string> | undefined;
+  },
+): RunnerPools {
+  const speedOf = new Map(
+    runners.map(({ id, name }) => {
+      const factor = pace.lastingFactor?.(id, now) ?? 1;
+      return [name, speeds.speed(name, factor)];
+    }),
+  );
+  const names = [...speedOf.keys()];
+  speeds.retain(new Set(names));
+  const size = reserve.size({
+    needed,
+    most: maxReserved(names.length),
+    streams: runners.reduce(
+      (sum, { id }) => sum + loads.of(id).total.tightStreams,
+      0,
+    ),
+    slots: engine!.slots,
+    msPerToken: pace.engineSpeed(undefined, now).prefillMs(1),
+  }, now);
+  const order = size === 0 ? [] : reserveOrder(names);
+  const isSlow = (name: string) => speedOf.get(name)! < SLOW_SPEED;
+  const reserved = [
+    ...order.filter((name) => !isSlow(name)),
+    ...order.filter(isSlow),
+  ].slice(0, size);
+  const leaving = runners.filter(({ id, name }) =>
+    before?.has(name) && !reserved.includes(name) &&
+    loads.of(id).total.tightStreams > 0
+  );
+  return new RunnerPools(names, {
+    reserved,
+    leaving: leaving.map(({ name }) => name),
+    speedOf: (name) => speedOf.get(name)!,
+  });
+}
+
+/**
+ * Whether a prompt may be prefilled on a runner that is reserved for tight
+ * streams. Where the pace is observed, an event of the stream with the shortest
+ * gap target must keep it beside all unread prompts and that of another tight
+ * stream, also in a slow moment of the host and while no tight stream is there: in
+ * a burst of long prompts, reserved engines without a stream were filled by them,
+ * and the next urgent stream was late. A stream with the shortest gap target
+ * itself is always accepted.
+ */
+export function toleratesPrefill(
+  { shortestGapMs, demand: known, now }: RunnerFleet,
+  demand: Demand,
+  candidate: Candidate,
+): boolean {
+  const { load, speed, cachedTokens, tight, guarded } = candidate;
+  if (!guarded) return true;
+  if (speed.eventMs === undefined || shortestGapMs === undefined) {
+    return tight || !delaysTightStreams(demand, candidate);
+  }
+  if (demand.gapTargetMs === shortestGapMs) return true;
+  const { unreadTokens, inFlight, tightStreams } = load.total;
+  if (tightStreams === 0 && known?.reserve.arriving(now) === false) return true;
+  const tightTokens = known?.reserve.prefillTokens(now) ?? 0;
+  const eventMs = speed.eventMs({
+    tokens: demand.engine!.eventTokens,
+    requests: inFlight + 1,
+    unreadTokens: unreadTokens + demand.promptTokens - cachedTokens +
+      tightTokens,
+  });
+  return eventMs <= shortestGapMs;
 }
 
 /**
--- a/packages/router/src/request/tight_streams_test.ts
+++ b/packages/router/src/request/tight_streams_test.ts
@@ -7,8 +7,9 @@
 import { RunnerLoads } from "../process/runner_loads.ts";
 import { ASSUMED_PACE } from "../process/runner_pace.ts";
 import type { RunnerPace } from "../process/runner_pace.ts";
+import { ServiceDemand } from "../process/service_demand.ts";
 import type { Demand, RunnerFleet } from "./demand.ts";
-import { chooseRunner } from "./placement.ts";
+import { chooseRunner, hasCapacity } from "./placement.ts";
 import { silenceFactor } from "./silence.ts";
 import { fleetPools } from "./tight_streams.ts";
 
@@ -161,6 +162,54 @@
   assert.equal(fleetPools(none, urgentStream("t")).reserved.size, 0);
 });
 
+// Guards against reserved engines that long prompts fill while no urgent stream is
+// there: the next one has events of 360 ms.
+test("a reserved engine accepts only prompts beside which events keep the pause", () => {
+  const ids = Array.from({ length: 10 }, (_, index) => `r-${index}`);
+  const factors = Object.fromEntries(ids.map((id) => [id, 1]));
+  const pace = observed(factors, 20);
+  const fleet = { ...fleetOf(ids, pace, 300), demand: new ServiceDemand() };
+  const [reserved] = fleetPools(fleet, urgentStream("t")).reserved;
+  const accepts = (demand: Demand) =>
+    hasCapacity(fleet, demand, testEngine(reserved!));
+  const prompt = (tokens: number) =>
+    urgentStream("p", {
+      prompt: [{ id: "p", tokens: 100 }, { id: "own", tokens: tokens - 100 }],
+      promptTokens: tokens,
+      gapTargetMs: 1_200,
+    });
+  assert.equal(accepts(prompt(1_000)), true);
+  assert.equal(accepts(prompt(6_000)), false);
+  assert.equal(accepts(urgentStream("t")), true);
+  fleet.loads.of(reserved!).place(
+    { unreadTokens: 6_000, memoryTokens: 0, tight: false },
+    fleet.now,
+  );
+  assert.equal(accepts(prompt(1_000)), false);
+  assert.equal(accepts(urgentStream("t")), true);
+});
+
+// Guards against long prompts that fill an engine as soon as it is reserved no
+// longer, beside the streams that began there before.
+test("an engine stays guarded until its tight streams have ended", () => {
+  const ids = Array.from({ length: 20 }, (_, index) => `r-${index}`);
+  const factors = Object.fromEntries(ids.map((id) => [id, 1]));
+  const pace = observed(factors, 20);
+  const fleet = { ...fleetOf(ids, pace, 300), demand: new ServiceDemand() };
+  const poolsAt = (now: number) =>
+    fleetPools({ ...fleet, now }, urgentStream("t"));
+  const first = [...poolsAt(FOLLOW_MS).reserved];
+  const placed = { unreadTokens: 0, memoryTokens: 0, tight: true };
+  for (const id of first) fleet.loads.of(id).place(placed, FOLLOW_MS);
+  let now = FOLLOW_MS;
+  while (now < 5 * FOLLOW_MS) poolsAt(now += 1_000);
+  const left = first.filter((id) => !poolsAt(now).reserved.has(id));
+  assert.ok(left.length > 0 && left.length < first.length);
+  assert.ok(left.every((id) => poolsAt(now).guarded.has(id)));
+  for (const id of first) fleet.loads.of(id).release(placed);
+  assert.ok(left.every((id) => !poolsAt(now + 1_000).guarded.has(id)));
+});
+
 // Guards against costs and bounds that stand for the assumed pace: engines that
 // are all three times as fast must get the same choices for the same load.
 test("choices among equal engines do not depend on their speed", () => {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -45,6 +45,7 @@
 import { RunnerRestrictions } from "./process/runner_restrictions.ts";
 import { RunnerLoads } from "./process/runner_loads.ts";
 import { SchedulingMode } from "./process/scheduling_mode.ts";
+import { ServiceDemand } from "./process/service_demand.ts";
 import { StreamPace } from "./process/stream_pace.ts";
 import type { RouterSettings } from "./process/settings.ts";
 import { Leadership } from "./leadership.ts";
@@ -120,6 +121,7 @@
   );
   readonly #streamPaces = new PerService(() => new StreamPace());
   readonly #drainRates = new PerService(() => new DrainRate());
+  readonly #demands = new PerService(() => new ServiceDemand());
   readonly #limitQueues = new PerService(() => new LimitQueue());
   readonly #fleetSync: FleetSync;
   readonly #leadership: Leadership;
@@ -243,15 +245,17 @@
   }
 
   fleet(service: string): RunnerFleet {
+    const adaptive = this.scheduling.isAdaptive(service);
     return {
       runners: this.#directory.ready(service),
       loads: this.loads,
       prefixes: this.prefixes,
       restrictions: this.restrictions,
       pace: this.runnerPace(service),
-      shortestGapMs: this.scheduling.isAdaptive(service)
+      shortestGapMs: adaptive
         ? this.#routingTable?.shortestGapMs(service)
         : undefined,
+      demand: adaptive ? this.#demands.of(service) : undefined,
       failureDomain: this.#settings.failureDomain,
       now: this.now(),
     };
