Choose homes by pace, load and demand of prompts

One engine got up to 2.3 times the mean work in a burst, because homes followed names only, one prompt draws 0.29 of a kind's requests, and no cost counted work beyond a share. For services whose pace is observed:

- Homes are chosen by rendezvous hashing weighted by classes of speed.
A runner with more than 1.25 times its share of the work in flight is passed over while others have room.
- A prompt that draws more work than a home may have gets 2, 4, 8 or 16 homes, by what this daemon sees of it, and fewer again below 0.4 of that.
- Work beyond the share by pace costs more than a fetch of the prompt for streams that keep their pause at any candidate; copies away from home cost more.
- Streams go where events keep their gap target in slow moments of hosts, too, if at least 0.3 of the runners do: middle prompts missed it on slow engines.
- The number of tight streams is averaged over 2 s before the reserve follows it, and reserved engines prefill for them in 0.2 of the time instead of 0.15.

--- a/packages/coordination/src/process/rendezvous.ts
+++ b/packages/coordination/src/process/rendezvous.ts
@@ -163,12 +163,13 @@
     const best: Scored[] = [];
     for (const member of this.#members) {
       const { name } = member;
-      const scored = { name, score: this.#scoreOf(keyDigest, member) };
+      const score = this.#scoreOf(keyDigest, member);
       const last = best.at(-1);
       const full = best.length >= count;
-      if (full && (last === undefined || compareScored(scored, last) > 0)) {
-        continue;
-      }
+      // Most members end here; they cost no object.
+      if (full && (last === undefined || score < last.score)) continue;
+      const scored = { name, score };
+      if (full && compareScored(scored, last!) > 0) continue;
       if (!accepts(name)) continue;
       if (full) best.pop();
       const place = best.findIndex((other) => compareScored(scored, other) < 0);
--- a/packages/router/src/process/prompt_demand.ts
+++ b/packages/router/src/process/prompt_demand.ts
@@ -65,7 +65,7 @@
     const total = this.#work * this.#decay.remaining(now);
     this.#work = total;
     const needed = demand.requests < MIN_REQUESTS
-      ? 1
+      ? 0
       : demand.work / total / homeShare;
     while (needed > GROW_SHARE * demand.homes && demand.homes < MAX_HOMES) {
       demand.homes *= 2;
--- a/packages/router/src/process/speed_classes.ts
+++ b/packages/router/src/process/speed_classes.ts
@@ -33,7 +33,7 @@
   }
 
   /** Forgets runners that are not listed. */
-  retain(names: ReadonlySet<string>): void {
+  retain(names: { has(name: string): boolean }): void {
     for (const name of this.#classes.keys()) {
       if (!names.has(name)) this.#classes.delete(name);
     }
--- a/packages/router/src/process/tight_reserve.ts
+++ b/packages/router/src/process/tight_reserve.ts
@@ -3,10 +3,13 @@
  *
  * @module
  */
+import { Decay } from "./decay.ts";
 import { DecayedMean } from "./decayed_mean.ts";
 
 /** Half-life in ms of what is known of tight streams. */
 const HALF_LIFE_MS = 30_000;
+/** Half-life in ms of their number, which varies by half within a second. */
+const NUMBER_HALF_LIFE_MS = 2_000;
 /** Assumed time of a stream at an engine in ms, and prompt tokens to prefill. */
 const ASSUMED_DURATION_MS = 1_500;
 const ASSUMED_PREFILL_TOKENS = 1_500;
@@ -21,14 +24,14 @@
  * Share of time in which reserved engines prefill for tight streams. Beyond it,
  * several of their prompts often meet in the time of one event.
  */
-const PREFILL_SHARE = 0.15;
+const PREFILL_SHARE = 0.2;
 /**
  * Time in ms for which fewer engines must do before one is taken out. Prompts
  * move with each change.
  */
 const SHRINK_MS = 5_000;
 /** Time in ms for which none must be needed before the reserve goes. */
-const RELEASE_MS = 3_000;
+const RELEASE_MS = 1_000;
 /** Share of the largest reserve with which one begins: its demand is unknown. */
 const FIRST_SHARE = 0.5;
 /** Time in ms without a tight stream after which none are expected to arrive. */
@@ -51,7 +54,7 @@
 /**
  * Sizes the reserve of one service by the demand of tight streams: the slots that
  * they take, and the prefill of as many streams as arrive while one is in flight.
- * It grows at once and shrinks slowly.
+ * It grows within seconds and shrinks slowly.
  *
  * Answers a share of 0.3 of all engines that was reserved at any demand: long
  * prompts waited for the others, or filled reserved engines.
@@ -65,6 +68,9 @@
     mean: ASSUMED_PREFILL_TOKENS,
     weight: PRIOR_STREAMS,
   });
+  readonly #decay = new Decay(NUMBER_HALF_LIFE_MS);
+  /** Decayed mean of the number of tight streams in flight. */
+  #streams: number | undefined;
   #size = 0;
   /** Since when a smaller reserve would do. */
   #ampleSince: number | undefined;
@@ -95,7 +101,10 @@
   /** Decides on the number of reserved engines; called once a second. */
   size(input: ReserveInput, now: number): number {
     if (input.streams > 0 || this.#seenAt === undefined) this.#seenAt = now;
-    const wanted = this.#wanted(input, now);
+    const kept = this.#decay.remaining(now);
+    this.#streams = kept * (this.#streams ?? input.streams) +
+      (1 - kept) * input.streams;
+    const wanted = this.#wanted(input, this.#streams, now);
     const size = this.#size === 0 && wanted > 0
       ? Math.ceil(FIRST_SHARE * input.most)
       : this.#size;
@@ -114,7 +123,8 @@
   }
 
   #wanted(
-    { needed, most, streams, slots, msPerToken }: ReserveInput,
+    { needed, most, slots, msPerToken }: ReserveInput,
+    streams: number,
     now: number,
   ): number {
     if (!needed || most === 0) return 0;
--- a/packages/router/src/request/placement.ts
+++ b/packages/router/src/request/placement.ts
@@ -6,6 +6,7 @@
 import type { PromptPart } from "../process/prefix_index.ts";
 import type { Runner } from "../process/runner.ts";
 import { isOverloaded } from "./admission.ts";
+import { homesOf } from "./home_runners.ts";
 import { candidatesOf } from "./candidate.ts";
 import type { Candidate } from "./candidate.ts";
 import { gapMargin, isTight } from "./demand.ts";
@@ -141,8 +142,7 @@
   const meanSpeed = fleet.pace.engineSpeed(undefined, fleet.now);
   const tight = isTight(demand, gapMargin(fleet, demand), meanSpeed);
   const sharedPrefix = sharedPart(demand.prompt)!;
-  const names = new Set(candidates.map(({ runner }) => runner.name));
-  const home = pools.home(sharedPrefix.id, { tight, usable: names });
+  const homes = homesOf(fleet, sharedPrefix.id, { candidates, pools, tight });
   const holdings = findPrefixHoldings(fleet, demand, all);
   const tolerant = candidates.filter((candidate) =>
     toleratesPrefill(fleet, demand, candidate)
@@ -152,7 +152,7 @@
   for (const candidate of tolerant.length > 0 ? tolerant : candidates) {
     const estimate = estimateCost(fleet, demand, {
       candidate,
-      atHome: candidate.runner.name === home,
+      homes,
       holdings,
       meanSpeed,
     });
@@ -170,7 +170,7 @@
     overloaded: isOverloaded(fleet, demand, runner) ||
       !toleratesPrefill(fleet, demand, chosen!),
     candidates: eligible.length,
-    reason: runner.name === home ? "home" : "spread",
+    reason: homes.names.has(runner.name) ? "home" : "spread",
   };
 }
 
--- a/packages/router/src/request/runner_cost.ts
+++ b/packages/router/src/request/runner_cost.ts
@@ -9,6 +9,8 @@
 import type { Runner } from "../process/runner.ts";
 import { PREFILL_TOKENS_PER_MS } from "../process/runner_pace.ts";
 import type { EngineSpeed } from "../process/runner_pace.ts";
+import { excessTokens } from "./home_runners.ts";
+import type { Homes } from "./home_runners.ts";
 import type { Candidate } from "./candidate.ts";
 import { hasLongOutput, maxTightPrefillMs } from "./demand.ts";
 import type { Demand, RunnerFleet } from "./demand.ts";
@@ -88,6 +90,17 @@
 /** Cost in ms of each failure since the last success. */
 const FAILURE_PENALTY_MS = 300;
 
+/**
+ * Weight of a ms of work by which a runner exceeds its share by pace: what one
+ * request adds must be worth the fetch of its prompt to another runner.
+ */
+const EXCESS_WEIGHT = 6;
+/**
+ * Factor on the cost of a second copy where a request is moved for the sake of
+ * balance: copies at the homes of a prompt serve more requests.
+ */
+const AWAY_COPY_FACTOR = 3;
+
 /** Estimated cost of placing a request on a runner. */
 export interface CostEstimate {
   readonly runner: Runner;
@@ -148,14 +161,13 @@
   demand: Demand,
   options: {
     readonly candidate: Candidate;
-    /** Whether rendezvous hashing makes the runner the prompt's home. */
-    readonly atHome: boolean;
+    readonly homes: Homes;
     readonly holdings: PrefixHoldings;
     /** Speed of a mean runner of the service. */
     readonly meanSpeed: EngineSpeed;
   },
 ): CostEstimate {
-  const { candidate, atHome, holdings, meanSpeed } = options;
+  const { candidate, homes, holdings, meanSpeed } = options;
   const { runner, load, speed, tight, cachedTokens } = candidate;
   const { holder, maxCachedTokens } = holdings;
   const missingTokens = holder === undefined ? 0 : holder.tokens - cachedTokens;
@@ -178,8 +190,21 @@
     total.unreadTokens +
       load.queue.workAhead(demand.queueKey, fleet.now).unreadTokens,
   );
+  const atHome = homes.names.has(runner.name);
+  const copyFactor = homes.meanWork === undefined || atHome
+    ? 1
+    : AWAY_COPY_FACTOR;
+  const penaltyMs = FETCH_PENALTY_MS * copyFactor;
   const ownPrefillMs = speed.prefillMs(prefillTokens) +
-    (shouldFetch ? fetchMs + meanScale * FETCH_PENALTY_MS : 0);
+    (shouldFetch ? fetchMs + meanScale * penaltyMs : 0);
+  const { meanWork } = homes;
+  // A slow runner holds each request for longer than in proportion.
+  const shareBound = 1 / Math.sqrt(meanShare);
+  const excessMs = meanWork === undefined ? 0 : EXCESS_WEIGHT *
+    speed.prefillMs(excessTokens(candidate, meanWork, shareBound));
+  // Each home of a hot prompt needs a copy, if only by prefill.
+  const copies = homes.hot && atHome && fetchMsPerToken === Infinity;
+  const copyWeight = copies ? 0 : DUPLICATE_PREFILL_WEIGHT;
   const awayMs = atHome
     ? 0
     : holder === undefined
@@ -198,7 +223,7 @@
   const stayBonusMs = demand.awaitedRunner === runner.id ? STAY_BONUS_MS : 0;
   const prefillWeight = 1 + (PREFILL_WEIGHT - 1) * meanShare;
   const costMs = slowdown * (waitMs + prefillWeight * ownPrefillMs) +
-    DUPLICATE_PREFILL_WEIGHT * meanShare * duplicatePrefillMs +
+    copyWeight * meanShare * duplicatePrefillMs + excessMs +
     meanScale * (awayMs + wrongPoolMs + tightDelayMs) + ownScale * batchMs +
     FAILURE_PENALTY_MS * load.failures - stayBonusMs;
   return {
--- a/packages/router/src/request/runner_pools.ts
+++ b/packages/router/src/request/runner_pools.ts
@@ -27,27 +27,32 @@
   readonly guarded: ReadonlySet<string>;
   readonly #tight: Rendezvous;
   readonly #others: Rendezvous;
+  readonly #otherCount: number;
+  readonly #speedOf: ReadonlyMap<string, number> | undefined;
 
   /**
    * @param names of the runners, without duplicates.
    * @param options.reserved names of the runners reserved for tight streams.
    * @param options.leaving names of those that were, and have tight streams yet.
-   * @param options.speedOf relative speed of a runner, where they differ: it is
+   * @param options.speedOf relative speed of each runner, where they differ: it is
    * home for a share of the prompts that is proportional to it.
    */
   constructor(names: readonly string[], options: {
     readonly reserved: readonly string[];
     readonly leaving?: readonly string[];
-    readonly speedOf?: ((name: string) => number) | undefined;
+    readonly speedOf?: ReadonlyMap<string, number>;
   }) {
     const { reserved, leaving = [], speedOf } = options;
+    this.#speedOf = speedOf;
     this.reserved = new Set(reserved);
     this.guarded = leaving.length === 0
       ? this.reserved
       : new Set([...reserved, ...leaving]);
     const others = names.filter((name) => !this.reserved.has(name));
-    this.#tight = new Rendezvous(reserved, speedOf);
-    this.#others = new Rendezvous(others, speedOf);
+    const weightOf = speedOf && ((name: string) => speedOf.get(name)!);
+    this.#tight = new Rendezvous(reserved, weightOf);
+    this.#others = new Rendezvous(others, weightOf);
+    this.#otherCount = others.length;
   }
 
   /**
@@ -77,6 +82,34 @@
     return this.#pool(tight).firstOf(part, count, accepts);
   }
 
+  /**
+   * Whether pools of runners with these speeds would be the same.
+   *
+   * @param options.leaving names of guarded runners that have tight streams.
+   */
+  fits({ size, speedOf, leaving }: {
+    /** Number of reserved runners. */
+    readonly size: number;
+    readonly speedOf: ReadonlyMap<string, number>;
+    readonly leaving: readonly string[];
+  }): boolean {
+    const known = this.#speedOf;
+    if (known === undefined || known.size !== speedOf.size) return false;
+    if (this.reserved.size !== size) return false;
+    for (const [name, speed] of speedOf) {
+      if (known.get(name) !== speed) return false;
+    }
+    const count = leaving.filter((name) => !this.reserved.has(name)).length;
+    return this.guarded.size === size + count;
+  }
+
+  /** Number of runners among which the homes of a prompt are. */
+  sizeOf(tight: boolean): number {
+    return tight && this.reserved.size > 0
+      ? this.reserved.size
+      : this.#otherCount;
+  }
+
   #pool(tight: boolean): Rendezvous {
     return tight && this.reserved.size > 0 ? this.#tight : this.#others;
   }
--- a/packages/router/src/request/tight_streams.ts
+++ b/packages/router/src/request/tight_streams.ts
@@ -73,7 +73,7 @@
     : demandPools(fleet, fleet.demand, {
       engine: demand.engine,
       needed,
-      before: last?.pools.guarded,
+      before: last?.pools,
     });
   decisions.set(key, { gapTargetMs, at: now, pools });
   return pools;
@@ -105,43 +105,37 @@
   { reserve, speeds }: ServiceDemand,
   { engine, needed, before }: Pick<Demand, "engine"> & {
     readonly needed: boolean;
-    /** Runners that were guarded until now. */
-    readonly before: ReadonlySet<string> | undefined;
+    /** The pools until now. */
+    readonly before: RunnerPools | undefined;
   },
 ): RunnerPools {
-  const speedOf = new Map(
-    runners.map(({ id, name }) => {
-      const factor = pace.lastingFactor?.(id, now) ?? 1;
-      return [name, speeds.speed(name, factor)];
-    }),
-  );
-  const names = [...speedOf.keys()];
-  speeds.retain(new Set(names));
+  const speedOf = new Map<string, number>();
+  let streams = 0;
+  for (const { id, name } of runners) {
+    const factor = pace.lastingFactor?.(id, now) ?? 1;
+    speedOf.set(name, speeds.speed(name, factor));
+    streams += loads.of(id).total.tightStreams;
+  }
+  speeds.retain(speedOf);
   const size = reserve.size({
     needed,
-    most: maxReserved(names.length),
-    streams: runners.reduce(
-      (sum, { id }) => sum + loads.of(id).total.tightStreams,
-      0,
-    ),
+    most: maxReserved(speedOf.size),
+    streams,
     slots: engine!.slots,
     msPerToken: pace.engineSpeed(undefined, now).prefillMs(1),
   }, now);
+  const leaving = runners.filter(({ id, name }) =>
+    before?.guarded.has(name) && loads.of(id).total.tightStreams > 0
+  ).map(({ name }) => name);
+  if (before?.fits({ size, speedOf, leaving })) return before;
+  const names = [...speedOf.keys()];
   const order = size === 0 ? [] : reserveOrder(names);
   const isSlow = (name: string) => speedOf.get(name)! < SLOW_SPEED;
   const reserved = [
     ...order.filter((name) => !isSlow(name)),
     ...order.filter(isSlow),
   ].slice(0, size);
-  const leaving = runners.filter(({ id, name }) =>
-    before?.has(name) && !reserved.includes(name) &&
-    loads.of(id).total.tightStreams > 0
-  );
-  return new RunnerPools(names, {
-    reserved,
-    leaving: leaving.map(({ name }) => name),
-    speedOf: (name) => speedOf.get(name)!,
-  });
+  return new RunnerPools(names, { reserved, leaving, speedOf });
 }
 
 /**
@@ -178,13 +172,17 @@
 
 /**
  * Leaves out the runners on which events of the stream would miss their gap
- * target beside prompts, while others keep it. On an engine that takes 1.7 times
- * as long as usual an event took 330 ms, though the target was 300.
+ * target beside prompts, while others keep it: also in slow moments of hosts
+ * where enough runners do, else at their pace of this moment. On an engine that
+ * takes 1.7 times as long as usual an event took 330 ms, though the target was
+ * 300, and 900 ms in a slow moment.
  */
 export function keepingGaps(
   demand: Demand,
   candidates: readonly Candidate[],
 ): readonly Candidate[] {
+  const settled = candidates.filter(({ tight }) => !tight);
+  if (settled.length >= TIGHT_SHARE * candidates.length) return settled;
   const keeping = candidates.filter(({ speed }) => !missesGaps(demand, speed));
   return keeping.length > 0 ? keeping : candidates;
 }
