Weigh other failure domains by the time that they cost

A plain runner in another failure domain had to be less loaded by 0.7 requests, whatever a request takes. Where the time of work is observed, the round trip and the bytes of a request count instead: 0.2 requests for work of 86 ms on six slots. Engines of adaptive services get the same cost. Without an observed time the number stays as it was.

--- a/packages/router/src/request/placement.ts
+++ b/packages/router/src/request/placement.ts
@@ -11,6 +11,7 @@
 import type { Candidate } from "./candidate.ts";
 import { gapMargin, isTight } from "./demand.ts";
 import type { Demand, RunnerFleet } from "./demand.ts";
+import { remoteMs } from "./remote_cost.ts";
 import {
   estimateCost,
   findPrefixHoldings,
@@ -37,7 +38,7 @@
 
 /**
  * Number of requests by which a runner in another failure domain must be less
- * loaded to be selected.
+ * loaded to be selected, where the time of its work is not known.
  */
 const REMOTE_DOMAIN_PENALTY = 0.7;
 
@@ -86,17 +87,21 @@
 
 function leastLoaded(
   fleet: RunnerFleet,
+  demand: Demand,
   runners: readonly Runner[],
 ): RunnerChoice {
   const cost = (runner: Runner) => {
     const load = fleet.loads.of(runner.id);
+    const knownMs = fleet.pace.responseMs(runner.id, fleet.now);
     const domainPenalty = runner.failureDomain === fleet.failureDomain
       ? 0
-      : REMOTE_DOMAIN_PENALTY;
+      : knownMs === undefined
+      ? REMOTE_DOMAIN_PENALTY
+      : remoteMs(fleet, demand, runner) * runner.slots / knownMs;
     const requests = load.requestCount(fleet.now);
     const slowdown = runner.warmUpMs > 0 ? WARM_UP_FACTOR : 1;
     const failureFactor = 1 + FAILURE_RATE_WEIGHT * load.failureRate(fleet.now);
-    const workMs = fleet.pace.responseMs(runner.id, fleet.now) ?? 1;
+    const workMs = knownMs ?? 1;
     return workMs * slowdown * failureFactor *
       (1 + requests + domainPenalty + load.failures) /
       Math.max(1, runner.slots);
@@ -195,7 +200,7 @@
   const runners = eligibleRunners(fleet, demand, excluded);
   if (runners.length === 0) return undefined;
   if (demand.engine === undefined || demand.prompt.length === 0) {
-    return leastLoaded(fleet, runners);
+    return leastLoaded(fleet, demand, runners);
   }
   return lowestCost(fleet, demand, runners);
 }
--- a/packages/router/src/request/runner_cost.ts
+++ b/packages/router/src/request/runner_cost.ts
@@ -9,6 +9,7 @@
 import type { Runner } from "../process/runner.ts";
 import { PREFILL_TOKENS_PER_MS } from "../process/runner_pace.ts";
 import type { EngineSpeed } from "../process/runner_pace.ts";
+import { remoteMs } from "./remote_cost.ts";
 import { excessTokens } from "./home_runners.ts";
 import type { Homes } from "./home_runners.ts";
 import type { Candidate } from "./candidate.ts";
@@ -221,11 +222,14 @@
     FULL_SLOTS_MS * usedShare ** 2;
   const slowdown = runner.warmUpMs > 0 ? WARM_UP_FACTOR : 1;
   const stayBonusMs = demand.awaitedRunner === runner.id ? STAY_BONUS_MS : 0;
+  const domainMs = fleet.demand === undefined
+    ? 0
+    : remoteMs(fleet, demand, runner);
   const prefillWeight = 1 + (PREFILL_WEIGHT - 1) * meanShare;
   const costMs = slowdown * (waitMs + prefillWeight * ownPrefillMs) +
     copyWeight * meanShare * duplicatePrefillMs + excessMs +
     meanScale * (awayMs + wrongPoolMs + tightDelayMs) + ownScale * batchMs +
-    FAILURE_PENALTY_MS * load.failures - stayBonusMs;
+    FAILURE_PENALTY_MS * load.failures - stayBonusMs + domainMs;
   return {
     runner,
     prefillTokens,
--- a/packages/router/src/request/tight_streams_test.ts
+++ b/packages/router/src/request/tight_streams_test.ts
@@ -269,3 +269,32 @@
   const counts = ["a", "b", "c"].map((id) => fleet.loads.of(id).own.inFlight);
   assert.ok(counts[2]! <= 2, counts.join(", "));
 });
+
+// Guards against plain requests that wait in a failure domain whose traffic has
+// doubled while slots of another one are idle, and against needless transfers.
+test("work goes to another failure domain when the wait costs more than the way", () => {
+  const pace = new ObservedPace();
+  for (let now = 0; now < FOLLOW_MS; now += 50) {
+    const runner = ["a", "b"][(now / 50) % 2]!;
+    pace.recordResponse(runner, { ms: 86, ahead: 0, slots: 6, now });
+  }
+  const base = fleetOf(["a", "b"], pace);
+  const [near, far] = base.runners;
+  const runners = [near!, { ...far!, failureDomain: "e" }];
+  const fleet = {
+    ...base,
+    runners: runners.map((one) => ({ ...one, slots: 6 })),
+  };
+  const demand = urgentStream("t", { engine: undefined, promptTokens: 0 });
+  const placed = { unreadTokens: 0, memoryTokens: 0, tight: false };
+  const ids = Array.from({ length: 6 }, () => {
+    const { runner } = chooseRunner(fleet, demand, NONE)!;
+    fleet.loads.of(runner.id).place(placed, fleet.now);
+    return runner.id;
+  });
+  assert.deepEqual(ids, ["a", "b", "a", "b", "a", "b"]);
+  const large = { ...demand, promptTokens: 500_000 };
+  fleet.loads.of("a").place(placed, fleet.now);
+  assert.equal(chooseRunner(fleet, demand, NONE)!.runner.id, "b");
+  assert.equal(chooseRunner(fleet, large, NONE)!.runner.id, "a");
+});
