Record the demand of prompts where requests are sent

The demand of prompts was counted in the model of engines only, so that no prompt got more than one home. The test of a real stream now checks that prompts and tight streams reach the demand of their service; its route has a gap target for this.

--- a/packages/router/src/process/prompt_demand.ts
+++ b/packages/router/src/process/prompt_demand.ts
@@ -38,6 +38,11 @@
   readonly #decay = new Decay(HALF_LIFE_MS);
   #work = 0;
 
+  /** Number of prompts whose demand is kept. */
+  get size(): number {
+    return this.#prompts.size;
+  }
+
   /** Records a request that was sent to a runner. */
   record(part: string, work: number, now: number): void {
     const known = this.#prompts.get(part);
--- a/packages/router/src/process/prompt_demand_test.ts
+++ b/packages/router/src/process/prompt_demand_test.ts
@@ -53,6 +53,7 @@
   }
   for (let part = 0; part < 600; part += 1) demand.record(`t-${part}`, 1, 1);
   assert.equal(demand.homes("old", HOME_SHARE, 1), 1);
+  assert.equal(demand.size, 500);
 });
 
 // Guards against prompts that move while an estimate varies by a few percent.
--- a/packages/router/src/request/attempt_executor.ts
+++ b/packages/router/src/request/attempt_executor.ts
@@ -15,6 +15,7 @@
 import { logRunnerChosen } from "./decision_log.ts";
 import type { Outcome } from "./outcome.ts";
 import type { LocalOutcomes } from "./local_outcomes.ts";
+import { sharedPart } from "./placement.ts";
 import type { RunnerChoice } from "./placement.ts";
 import type { Progress } from "./progress.ts";
 import { InactivityTimer } from "./inactivity_timer.ts";
@@ -98,6 +99,7 @@
     this.#progress.triedRunners.add(runner.id);
     logRunnerChosen(this.#daemon, routed, { choice, fingerprint, remainingMs });
     load.place(placed, sentAt);
+    this.#recordPrompt(routed, { placed, sentAt });
     this.#daemon.prefixes.recordSent(runner.id, head.prompt, sentAt);
     const attempt = createAttempt(this.#daemon, routed, {
       request: this.#caller.request,
@@ -139,6 +141,19 @@
     }
   }
 
+  #recordPrompt(
+    { service, head: { prompt } }: RoutedRequest,
+    { placed, sentAt }: {
+      readonly placed: PlacedRequest;
+      readonly sentAt: number;
+    },
+  ): void {
+    const part = sharedPart(prompt);
+    if (service.engine === undefined || part === undefined) return;
+    const { demand } = this.#daemon.fleet(service.name);
+    demand?.prompts.record(part.id, placed.unreadTokens, sentAt);
+  }
+
   #recordEnd(
     { service, rank }: RoutedRequest,
     { placed, sentAt }: {
--- a/packages/router/src/request/placement.ts
+++ b/packages/router/src/request/placement.ts
@@ -55,7 +55,9 @@
  * most how much of its cache a runner can reuse. The last part of a prompt is
  * specific to the request.
  */
-function sharedPart(prompt: readonly PromptPart[]): PromptPart | undefined {
+export function sharedPart(
+  prompt: readonly PromptPart[],
+): PromptPart | undefined {
   return prompt.at(-2) ?? prompt[0];
 }
 
--- a/packages/router/tests/observed_runner_test.ts
+++ b/packages/router/tests/observed_runner_test.ts
@@ -37,9 +37,10 @@
   );
 });
 
-// Guards against a pace that is learned in unit tests only: first events and the
-// gaps between events must reach it from real streams.
-test("the events of a stream are observed", async (t) => {
+// Guards against a pace and a demand that are learned in unit tests only: first
+// events, the gaps between events, prompts and tight streams must reach them from
+// real streams.
+test("the events and the demand of a stream are observed", async (t) => {
   const events = 8;
   const runner = await startFakeRunner(t, "r-1", (socket, _, id) => {
     socket.write(streamHead(id).replace("\r\n\r\n", "\r\nX-Work: 100\r\n\r\n"));
@@ -51,10 +52,16 @@
     send(1);
   });
   const services = [{ name: "service", maxConnections: 10, engine: ENGINE }];
-  const route = { streaming: true };
+  const route = { streaming: true, gapTargetMs: 100 };
   const router = await startSingleRouteRouter(t, route, [runner], { services });
   const response = await sendRequest(router);
   assert.equal(response.truncated, false);
+  const known = router.fleet("service").demand!;
+  const before = known.reserve.prefillTokens(router.now());
+  const options = { headers: { "x-prompt": "hot" } };
+  assert.equal((await sendRequest(router, options)).truncated, false);
+  assert.equal(known.prompts.size, 1);
+  assert.ok(known.reserve.prefillTokens(router.now()) < before);
   const sums = router.paces.updateFor("r-1", () => true, router.now())!.sums;
   assert.ok(sums.stepTokens > 0, JSON.stringify(sums));
 });
