--- a/packages/router/src/request/placement.ts
+++ b/packages/router/src/request/placement.ts
@@ -134,6 +134,7 @@
 ): boolean {
   if (isOverloaded(fleet, demand, runner)) return false;
   const pools = fleetPools(fleet, demand);
+  if (!pools.guarded.has(runner.name)) return true;
   const [candidate] = candidatesOf(fleet, demand, { runners: [runner], pools });
   return toleratesPrefill(fleet, demand, candidate!);
 }
