--- a/packages/router/src/process/observed_pace.ts
+++ b/packages/router/src/process/observed_pace.ts
@@ -114,7 +114,7 @@
  * The same for the lasting estimate of a runner that is not observed: only decay
  * and the service's mean change it.
  */
-const UNOBSERVED_MS = 250;
+const UNOBSERVED_MS = 500;
 /** Half-life in ms of the spread of stated figures, and of their confirmation. */
 const SPREAD_HALF_LIFE_MS = 60_000;
 /** Figures that differ from nothing in the spread, before any is known. */
