--- a/packages/router/src/process/observed_pace.ts
+++ b/packages/router/src/process/observed_pace.ts
@@ -8,7 +8,7 @@
 import { DecayedSums, NO_SUMS, observedMs } from "./pace_sums.ts";
 import type { PaceSums } from "./pace_sums.ts";
 import { ASSUMED_PACE } from "./runner_pace.ts";
-import type { RunnerPace } from "./runner_pace.ts";
+import type { EngineSpeed, EventLoad, RunnerPace } from "./runner_pace.ts";
 import { meanOfFigures, StatedWork } from "./stated_work.ts";
 
 /**
@@ -69,9 +69,7 @@
 /**
  * Share of steps beside prompts that are shorter than one with a full chunk. Most
  * gaps hold few chunks, and the end of a prefill at another daemon is known late,
- * so a mean tells little: in a simulation of 21 uneven engines it was 24 ms where
- * a full step took 70. This quantile was 49 to 67 ms at half to twice the usual
- * load, and 10 to 13 ms where a full step took 10.4.
+ * so a mean is far below the time of a full step.
  */
 const CHUNK_QUANTILE = 0.98;
 /** Step by which one observation changes the logarithm of the quantile. */
@@ -81,6 +79,16 @@
  * this daemon, the gaps of all streams are long at once.
  */
 const CHUNK_INTERVAL_MS = 20;
+/**
+ * Observations of the quantile from which steps with a chunk are known. It can
+ * grow to 2.6 times the assumed chunk in these.
+ */
+const MIN_CHUNK_STEPS = 20;
+/**
+ * Factor by which events may take longer than estimated before these are known:
+ * engines differ by as much.
+ */
+const UNKNOWN_STEP_FACTOR = 2;
 /** Bounds of a chunk, in prompt tokens. */
 const MIN_CHUNK_TOKENS = 128;
 const MAX_CHUNK_TOKENS = 16_384;
@@ -98,10 +106,15 @@
 /** Factor from its mean at which a stated figure is worth sending at once. */
 const UNUSUAL_FACTOR = 1.3;
 /**
- * Milliseconds for which an estimate is kept unless its runner is observed: with
- * new ones at each choice, a choice among 98 runners took 172 us instead of 55.
+ * Milliseconds for which an estimate is kept, so that neither each choice among
+ * all runners nor each event of a stream computes new ones.
  */
 const ESTIMATE_MS = 50;
+/**
+ * The same for the lasting estimate of a runner that is not observed: only decay
+ * and the service's mean change it.
+ */
+const UNOBSERVED_MS = 500;
 /** Half-life in ms of the spread of stated figures, and of their confirmation. */
 const SPREAD_HALF_LIFE_MS = 60_000;
 /** Figures that differ from nothing in the spread, before any is known. */
@@ -111,7 +124,7 @@
  * times the mean where 15 of 100 moments take 2.5 times as long as the others.
  */
 const SLOW_MOMENT_DEVIATIONS = 2.5;
-/** Share of confirmed figures up to which moments are not believed. */
+/** Share of confirmed figures below which moments are not believed. */
 const UNDECIDED = 0.5;
 /** Trust in a runner's figures from which they count in the spread. */
 const TRUSTED = 0.5;
@@ -182,14 +195,61 @@
   readonly responseMs: number | undefined;
   /** Mean of the figures that runners state. */
   readonly statedWork: number;
+  /** By the figures that runners state, unless observations refute these. */
+  readonly slowMomentFactor: number;
+  /** Factor by which an event may take longer. */
+  readonly eventMargin: number;
+}
+
+/** Speed of an engine by the model of the service and the runner's factor. */
+class ModelSpeed implements EngineSpeed {
+  chunkStepMs = ASSUMED_CHUNK_STEP_MS;
+  #msPerPromptToken = ASSUMED_MS_PER_TOKEN;
+  #model: ServiceModel | undefined;
+  #slowFactor = 1;
+
+  prefillMs(tokens: number): number {
+    return tokens * this.#msPerPromptToken;
+  }
+
+  eventMs({ tokens, requests, unreadTokens }: EventLoad): number {
+    const model = this.#model!;
+    const stepMs = model.stepMs + model.stepMsPerRequest * requests;
+    const prefillMs = Math.min(
+      unreadTokens * model.msPerPromptToken,
+      tokens * model.chunkStepMs,
+    );
+    return this.#slowFactor * (tokens * stepMs + prefillMs);
+  }
+
+  /**
+   * @param factor time of work, relative to the mean of the service.
+   * @param lasting the same without the current moment.
+   */
+  set(model: ServiceModel, factor: number, lasting: number): void {
+    this.chunkStepMs = model.chunkStepMs * factor;
+    this.#msPerPromptToken = model.msPerPromptToken * factor;
+    this.#model = model;
+    this.#slowFactor = Math.max(factor, lasting * model.eventMargin);
+  }
 }
 
 interface RunnerState {
   readonly sums: DecayedSums;
   readonly stated: StatedWork;
+  readonly speed: ModelSpeed;
+  speedAt: number;
   /** Estimate without the last stated figure, as of `lastingAt`. */
   lasting: number;
   lastingAt: number;
+  /** When the runner was observed, in monotonic ms. */
+  observedAt: number;
+  /** Mean of its stated figures, and trust in them, as of `statedAt`. */
+  statedMean: number;
+  statedTrust: number;
+  /** Prior in ms of its sums. */
+  priorMs: number;
+  statedAt: number;
 }
 
 /**
@@ -241,21 +301,33 @@
   /** Prompt tokens in a chunk, as a quantile. */
   #chunkTokens = ASSUMED_CHUNK_TOKENS;
   #chunkSeenAt = -Infinity;
+  #chunkSteps = 0;
   readonly #runners = new Map<string, RunnerState>();
   /** Responses before the time of work is known. */
   #firstResponses: { readonly runner: string; readonly ms: number }[] = [];
   #model: ServiceModel | undefined;
   #modelAt = NaN;
+  readonly #meanSpeed = new ModelSpeed();
+
+  engineSpeed(runner: string | undefined, now: number): EngineSpeed {
+    const known = runner === undefined ? undefined : this.#runners.get(runner);
+    if (known === undefined) {
+      this.#meanSpeed.set(this.#modelOf(now), 1, 1);
+      return this.#meanSpeed;
+    }
+    if (isCurrent(known.speedAt, now, ESTIMATE_MS)) return known.speed;
+    const factor = this.#factorOf(known, now, now);
+    known.speed.set(this.#modelOf(now), factor, known.lasting);
+    known.speedAt = now;
+    return known.speed;
+  }
 
   prefillMs(runner: string, tokens: number, now: number): number {
-    return tokens * this.#modelOf(now).msPerPromptToken *
-      this.#factor(runner, now, now);
+    return this.engineSpeed(runner, now).prefillMs(tokens);
   }
 
   chunkStepMs(runner: string | undefined, now: number): number {
-    const { chunkStepMs } = this.#modelOf(now);
-    if (runner === undefined) return chunkStepMs;
-    return chunkStepMs * this.#factor(runner, now, now);
+    return this.engineSpeed(runner, now).chunkStepMs;
   }
 
   responseMs(runner: string, now: number): number | undefined {
@@ -264,9 +336,11 @@
   }
 
   slowMomentFactor(now: number): number {
-    if (this.#confirmed.mean(now) <= UNDECIDED) return 1;
-    const variance = Math.max(0, this.#spread.mean(now) - 1);
-    return 1 + SLOW_MOMENT_DEVIATIONS * Math.sqrt(variance);
+    return this.#modelOf(now).slowMomentFactor;
+  }
+
+  get knowsChunkSteps(): boolean {
+    return this.#chunkSteps >= MIN_CHUNK_STEPS;
   }
 
   /** Duration in ms of a step without prefill, by requests in the batch. */
@@ -387,9 +461,11 @@
    * @returns whether no later figure was known.
    */
   recordStated(runner: string, work: number, at: number): boolean {
-    if (!this.#stateOf(runner).stated.record(work, at)) return false;
+    const known = this.#stateOf(runner);
+    if (!known.stated.record(work, at)) return false;
     this.#statedWork.record(work, 1, at);
-    this.#invalidate(runner);
+    known.speedAt = NaN;
+    known.statedAt = NaN;
     return true;
   }
 
@@ -452,6 +528,7 @@
     );
     const median = sorted[Math.floor(sorted.length / 2)]!.ms;
     this.#firstResponses = [];
+    this.#modelAt = NaN;
     return this.#add(runner, {
       ...NO_SUMS,
       responseMs: MIN_RESPONSES * median,
@@ -460,15 +537,17 @@
   }
 
   #add(runner: string, change: PaceSums, now: number): PaceSums {
+    const known = this.#stateOf(runner);
     this.#sums.add(change, now);
-    this.#stateOf(runner).sums.add(change, now);
-    this.#invalidate(runner);
+    known.sums.add(change, now);
+    known.observedAt = now;
     return change;
   }
 
   /** @param tokens prompt tokens that would take as long as the step. */
   #recordChunk(tokens: number, now: number): void {
     if (now - this.#chunkSeenAt < CHUNK_INTERVAL_MS) return;
+    this.#chunkSteps += 1;
     this.#chunkSeenAt = now;
     const longer = tokens > this.#chunkTokens;
     const change = CHUNK_GAIN *
@@ -478,48 +557,68 @@
       MIN_CHUNK_TOKENS,
       MAX_CHUNK_TOKENS,
     );
-    this.#modelAt = NaN;
   }
 
   /** Compares an observation with the figure that was stated near its time. */
   #judge(runner: string, observed: number, at: number, now: number): void {
     const known = this.#runners.get(runner);
-    if (known === undefined || known.stated.weight(at, now) === 0) return;
-    const current = this.#factor(runner, at, now) / this.#lasting(known, now);
-    const mean = known.stated.mean(this.#modelOf(now).statedWork, now);
-    const { stated } = known;
-    const near = stated.judge(observed * current, stated.work / mean, now);
+    if (known === undefined || known.stated.freshness(at) === 0) return;
+    this.#refreshStated(known, now);
+    if (known.statedTrust === 0) return;
+    const { stated, statedMean } = known;
+    const current = this.#factorOf(known, at, now) / this.#lasting(known, now);
+    const near = stated.judge(
+      observed * current,
+      stated.work / statedMean,
+      now,
+    );
+    known.statedAt = NaN;
     if (near !== undefined) this.#confirmed.record(near ? 1 : 0, 1, now);
   }
 
   /** Time of work at `at` relative to the service's mean. */
   #factor(runner: string, at: number, now: number): number {
     const known = this.#runners.get(runner);
-    if (known === undefined) return 1;
+    return known === undefined ? 1 : this.#factorOf(known, at, now);
+  }
+
+  #factorOf(known: RunnerState, at: number, now: number): number {
     const lasting = this.#lasting(known, now);
-    const weight = known.stated.weight(at, now);
-    if (weight === 0) return lasting;
-    const mean = known.stated.mean(this.#modelOf(now).statedWork, now);
-    return bound(lasting * (known.stated.work / mean) ** weight);
+    const freshness = known.stated.freshness(at);
+    if (freshness === 0) return lasting;
+    this.#refreshStated(known, now);
+    const ratio = known.stated.work / known.statedMean;
+    return bound(lasting * ratio ** (freshness * known.statedTrust));
   }
 
   #lasting(known: RunnerState, now: number): number {
-    if (isCurrent(known.lastingAt, now)) return known.lasting;
+    const observed = known.observedAt > known.lastingAt - ESTIMATE_MS;
+    const keptMs = observed ? ESTIMATE_MS : UNOBSERVED_MS;
+    if (isCurrent(known.lastingAt, now, keptMs)) return known.lasting;
+    this.#refreshStated(known, now);
     const model = this.#modelOf(now);
-    const { stated } = known;
-    const mean = stated.mean(model.statedWork, now);
-    const priorMs = PRIOR_MS * (mean / model.statedWork) ** stated.trust(now);
     const sums = known.sums.at(now);
     known.lasting = bound(
-      (priorMs + observedMs(sums)) / (PRIOR_MS + expectedMs(model, sums)),
+      (known.priorMs + observedMs(sums)) / (PRIOR_MS + expectedMs(model, sums)),
     );
     known.lastingAt = now;
     return known.lasting;
   }
 
+  #refreshStated(known: RunnerState, now: number): void {
+    if (isCurrent(known.statedAt, now, UNOBSERVED_MS)) return;
+    const { statedWork } = this.#modelOf(now);
+    known.statedMean = known.stated.mean(statedWork, now);
+    known.statedTrust = known.stated.trust(now);
+    known.priorMs = PRIOR_MS *
+      (known.statedMean / statedWork) ** known.statedTrust;
+    known.statedAt = now;
+  }
+
   #modelOf(now: number): ServiceModel {
-    if (this.#model !== undefined && isCurrent(this.#modelAt, now)) {
-      return this.#model;
+    const known = this.#model;
+    if (known !== undefined && isCurrent(this.#modelAt, now, ESTIMATE_MS)) {
+      return known;
     }
     const sums = this.#sums.at(now);
     const { slope } = this.#steps.line(now);
@@ -530,6 +629,10 @@
       (sums.promptTokens + PRIOR_PROMPT_TOKENS);
     const stepMs = (sums.stepMs - stepMsPerRequest * sums.stepRequests +
       PRIOR_STEPS * ASSUMED_STEP_MS) / (sums.stepTokens + PRIOR_STEPS);
+    const variance = Math.max(0, this.#spread.mean(now) - 1);
+    const slowMomentFactor = this.#confirmed.mean(now) >= UNDECIDED
+      ? 1 + SLOW_MOMENT_DEVIATIONS * Math.sqrt(variance)
+      : 1;
     this.#model = {
       msPerPromptToken,
       firstEventMs: clamp(intercept, 0, MAX_FIRST_EVENT_MS),
@@ -540,6 +643,10 @@
         ? sums.responseMs / sums.responses
         : undefined,
       statedWork: this.#statedWork.mean(now),
+      slowMomentFactor,
+      eventMargin: this.knowsChunkSteps
+        ? slowMomentFactor
+        : Math.max(slowMomentFactor, UNKNOWN_STEP_FACTOR),
     };
     this.#modelAt = now;
     return this.#model;
@@ -551,17 +658,19 @@
     const state = {
       sums: new DecayedSums(RUNNER_HALF_LIFE_MS),
       stated: new StatedWork(),
+      speed: new ModelSpeed(),
+      speedAt: NaN,
       lasting: 1,
       lastingAt: NaN,
+      observedAt: -Infinity,
+      statedMean: 1,
+      statedTrust: 1,
+      priorMs: PRIOR_MS,
+      statedAt: NaN,
     };
     this.#runners.set(runner, state);
     return state;
   }
-
-  #invalidate(runner: string): void {
-    this.#modelAt = NaN;
-    this.#stateOf(runner).lastingAt = NaN;
-  }
 }
 
 /** Time in ms that a mean runner takes for the work in the sums. */
@@ -573,8 +682,8 @@
 }
 
 /** Whether an estimate is used as it is. */
-function isCurrent(at: number, now: number): boolean {
-  return Math.abs(now - at) < ESTIMATE_MS;
+function isCurrent(at: number, now: number, keptMs: number): boolean {
+  return Math.abs(now - at) < keptMs;
 }
 
 /** Weight of a first event in the fit, by the prompt tokens before it. */
--- a/packages/router/src/process/runner_pace.ts
+++ b/packages/router/src/process/runner_pace.ts
@@ -4,8 +4,40 @@
  * @module
  */
 
+/**
+ * Speed of one engine at the time for which it was asked. It may change when the
+ * pace is asked for a later time.
+ */
+export interface EngineSpeed {
+  /** Milliseconds in which the engine prefills a number of prompt tokens. */
+  prefillMs(tokens: number): number;
+  /** Duration in ms of a step that includes a chunk of a prompt. */
+  readonly chunkStepMs: number;
+  /**
+   * Time in ms of an event of a stream beside prompts, by the lasting speed of the
+   * engine and in a slow moment of its host; absent where none is observed.
+   */
+  eventMs?(event: EventLoad): number;
+}
+
+/** What an engine does while a stream waits for its next event. */
+export interface EventLoad {
+  /** Tokens of the event. */
+  readonly tokens: number;
+  /** Requests at the engine. */
+  readonly requests: number;
+  /** Prompt tokens that await prefill. */
+  readonly unreadTokens: number;
+}
+
 /** Estimates how long the runners of one service take for their work. */
 export interface RunnerPace {
+  /**
+   * Speed of an engine, for several estimates at the same time.
+   *
+   * @param runner id of the runner; undefined for the mean of the service.
+   */
+  engineSpeed(runner: string | undefined, now: number): EngineSpeed;
   /** Milliseconds in which a runner prefills a number of prompt tokens. */
   prefillMs(runner: string, tokens: number, now: number): number;
   /**
@@ -24,6 +56,16 @@
    * absent where none are known.
    */
   slowMomentFactor?(now: number): number;
+  /**
+   * Whether enough steps with a chunk were observed to tell which streams they
+   * disturb; absent where no steps are observed.
+   */
+  readonly knowsChunkSteps?: boolean;
+  /**
+   * Time of a runner's work relative to the mean of the service, without the
+   * moments of its host; absent where none is observed.
+   */
+  lastingFactor?(runner: string, now: number): number;
 }
 
 /**
@@ -41,6 +83,15 @@
  * The same pace for all runners of any service, where runners are not observed.
  */
 class AssumedPace implements RunnerPace {
+  readonly #speed: EngineSpeed = {
+    prefillMs: (tokens) => tokens / PREFILL_TOKENS_PER_MS,
+    chunkStepMs: CHUNK_STEP_MS,
+  };
+
+  engineSpeed(): EngineSpeed {
+    return this.#speed;
+  }
+
   prefillMs(_runner: string, tokens: number): number {
     return tokens / PREFILL_TOKENS_PER_MS;
   }
--- a/packages/router/src/process/runner_queue.ts
+++ b/packages/router/src/process/runner_queue.ts
@@ -51,6 +51,7 @@
   /** Infinity if there is none. */
   readonly lowestShare: number;
 }
+const NO_WORK: WorkAhead = { requests: 0, unreadTokens: 0 };
 
 /**
  * Whether one request is sent before another one. In a burst that exceeds the
@@ -195,6 +196,7 @@
    * daemon hears that it was sent.
    */
   workAhead(queueKey: QueueKey, now: number, since = now): WorkAhead {
+    if (this.#own.size === 0 && this.#others.size === 0) return NO_WORK;
     // Evaluated once, since the share of a waiting request is computed.
     const { rank, arrivedAt, startBy, share } = queueKey;
     const key = { rank, arrivedAt, startBy, share };
--- a/packages/router/src/request/attempt_executor.ts
+++ b/packages/router/src/request/attempt_executor.ts
@@ -21,6 +21,7 @@
 import type { Outcome } from "./outcome.ts";
 import type { LocalOutcomes } from "./local_outcomes.ts";
 import { workMsOf } from "./plain_admission.ts";
+import { sharedPart } from "./placement.ts";
 import type { RunnerChoice } from "./placement.ts";
 import type { Progress } from "./progress.ts";
 import { InactivityTimer } from "./inactivity_timer.ts";
@@ -108,6 +109,7 @@
     const cost = new AttemptCost(this.#daemon, routed, choice.prefillTokens);
     const eventsBefore = this.#relay.eventCount ?? 0;
     let mayHaveRun = false;
+    this.#recordPrompt(routed, { placed, sentAt });
     this.#daemon.prefixes.recordSent(runner.id, head.prompt, sentAt);
     const attempt = createAttempt(this.#daemon, routed, {
       request: this.#caller.request,
@@ -140,7 +142,9 @@
         run: { fingerprint, startedAt },
         room: choice.room,
       });
-      if (result.kind === "response") this.#recordEnd(routed, sentAt);
+      if (result.kind === "response") {
+        this.#recordEnd(routed, { placed, sentAt });
+      }
       return handled;
     } finally {
       unwatch();
@@ -152,8 +156,27 @@
     }
   }
 
-  #recordEnd({ service, rank }: RoutedRequest, sentAt: number): void {
-    const { runners, loads, now } = this.#daemon.fleet(service.name);
+  #recordPrompt(
+    { service, head: { prompt } }: RoutedRequest,
+    { placed, sentAt }: {
+      readonly placed: PlacedRequest;
+      readonly sentAt: number;
+    },
+  ): void {
+    const part = sharedPart(prompt);
+    if (service.engine === undefined || part === undefined) return;
+    const { demand } = this.#daemon.fleet(service.name);
+    demand?.prompts.record(part.id, placed.unreadTokens, sentAt);
+  }
+
+  #recordEnd(
+    { service, rank }: RoutedRequest,
+    { placed, sentAt }: {
+      readonly placed: PlacedRequest;
+      readonly sentAt: number;
+    },
+  ): void {
+    const { runners, loads, demand, now } = this.#daemon.fleet(service.name);
     const inFlight = runners.reduce(
       (sum, { id }) => sum + loads.of(id).total.inFlight,
       0,
@@ -162,6 +185,11 @@
       { rank, durationMs: now - sentAt, inFlight },
       now,
     );
+    if (!placed.tight) return;
+    demand?.reserve.recordEnd(
+      { durationMs: now - sentAt, prefillTokens: placed.unreadTokens },
+      now,
+    );
   }
 
   /**
--- a/packages/router/src/request/demand.ts
+++ b/packages/router/src/request/demand.ts
@@ -5,7 +5,8 @@
  */
 import type { PrefixIndex, PromptPart } from "../process/prefix_index.ts";
 import type { Runner } from "../process/runner.ts";
-import type { RunnerPace } from "../process/runner_pace.ts";
+import type { EngineSpeed, RunnerPace } from "../process/runner_pace.ts";
+import type { ServiceDemand } from "../process/service_demand.ts";
 import type { RunnerRestrictions } from "../process/runner_restrictions.ts";
 import type { RunnerLoads } from "../process/runner_loads.ts";
 import type { QueueKey } from "../process/runner_queue.ts";
@@ -48,6 +49,8 @@
    * undefined where pools are reserved for tight streams in any case.
    */
   readonly shortestGapMs?: number | undefined;
+  /** What is known of the service's demand, where it is scheduled adaptively. */
+  readonly demand?: ServiceDemand | undefined;
   /** Failure domain of this daemon. */
   readonly failureDomain: string;
   /**
@@ -69,43 +72,55 @@
 const LONG_OUTPUT_SHARE = 0.75;
 /**
  * Minimum margin of a gap target, as a factor, for the steps between chunks. Where
- * hosts have slow moments, the margin allows for these. In a simulation of 21
- * uneven engines, of which 15 in 100 were 2.5 times slower for moments, 0.94 of
- * urgent streams kept their gaps at 1.6 times the usual load with 1.25, 0.95 with
- * 1.8, 0.98 with 2, 0.96 with 2.2 and 2.6.
+ * hosts have slow moments, the margin allows for these: they are too short to be
+ * avoided, and streams last longer.
  */
 const GAP_MARGIN = 1.25;
 /**
  * Steps with a chunk that streams with tight gap targets tolerate without a late
  * event: with four of 40 ms, an event of five tokens takes 170 ms of its 200.
- * With 100 ms instead of 160, fewer long prompts found a runner in a burst: 1,478
- * of 2,017 were in time instead of 1,510.
+ * Fewer would keep more long prompts from a runner in a burst.
  */
 const MAX_TIGHT_CHUNKS = 4;
 
 /** Prefill in ms on a runner that delays no event of a tight stream too much. */
-export function maxTightPrefillMs(
-  { pace, now }: Pick<RunnerFleet, "pace" | "now">,
-  runner: string,
+export function maxTightPrefillMs({ chunkStepMs }: EngineSpeed): number {
+  return MAX_TIGHT_CHUNKS * chunkStepMs;
+}
+
+/**
+ * Margin of the gap target of a stream, as a factor. Until steps with a chunk are
+ * known, the streams with the shortest gap target of the service count as tight
+ * at any runner: in the first seconds of a burst their events were late on
+ * engines whose steps take more than twice the assumed time.
+ */
+export function gapMargin(
+  { pace, shortestGapMs, now }: Pick<
+    RunnerFleet,
+    "pace" | "shortestGapMs" | "now"
+  >,
+  { gapTargetMs }: Pick<Demand, "gapTargetMs">,
 ): number {
-  return MAX_TIGHT_CHUNKS * pace.chunkStepMs(runner, now);
+  const unknown = pace.knowsChunkSteps === false;
+  if (unknown && shortestGapMs !== Infinity && gapTargetMs === shortestGapMs) {
+    return Infinity;
+  }
+  return Math.max(GAP_MARGIN, pace.slowMomentFactor?.(now) ?? 1);
 }
 
 /**
  * Whether the request is a tight stream: one with so short a target for the gaps
  * between its events that prefill chunks in the same batch exceed it. An event holds several tokens, and each of them takes a whole step.
  *
- * @param runner id of the runner; undefined for a mean one of the service.
+ * @param margin of gap targets; see {@linkcode gapMargin}.
  */
 export function isTight(
-  { pace, now }: Pick<RunnerFleet, "pace" | "now">,
   { engine, gapTargetMs }: Pick<Demand, "engine" | "gapTargetMs">,
-  runner?: string,
+  margin: number,
+  { chunkStepMs }: EngineSpeed,
 ): boolean {
   if (engine === undefined || gapTargetMs === undefined) return false;
-  const margin = Math.max(GAP_MARGIN, pace.slowMomentFactor?.(now) ?? 1);
-  return gapTargetMs <= margin * engine.eventTokens *
-      pace.chunkStepMs(runner, now);
+  return gapTargetMs <= margin * engine.eventTokens * chunkStepMs;
 }
 
 /**
@@ -113,12 +128,11 @@
  * that prefills in each step.
  */
 export function missesGaps(
-  { pace, now }: Pick<RunnerFleet, "pace" | "now">,
   { engine, gapTargetMs }: Demand,
-  runner: string,
+  { chunkStepMs }: EngineSpeed,
 ): boolean {
   if (engine === undefined || gapTargetMs === undefined) return false;
-  return engine.eventTokens * pace.chunkStepMs(runner, now) > gapTargetMs;
+  return engine.eventTokens * chunkStepMs > gapTargetMs;
 }
 
 /**
@@ -128,12 +142,9 @@
  * between runners.
  */
 export function hasLongOutput(
-  { pace, now }: Pick<RunnerFleet, "pace" | "now">,
-  demand: Demand,
-  runner: string,
+  { expectedOutputTokens, timeoutMs }: Demand,
+  { chunkStepMs }: EngineSpeed,
 ): boolean {
-  const { expectedOutputTokens, timeoutMs } = demand;
   if (expectedOutputTokens === undefined) return false;
-  return expectedOutputTokens * pace.chunkStepMs(runner, now) >
-    LONG_OUTPUT_SHARE * timeoutMs;
+  return expectedOutputTokens * chunkStepMs > LONG_OUTPUT_SHARE * timeoutMs;
 }
--- a/packages/router/src/request/placement.ts
+++ b/packages/router/src/request/placement.ts
@@ -5,9 +5,13 @@
  */
 import type { PromptPart } from "../process/prefix_index.ts";
 import type { Runner } from "../process/runner.ts";
-import { delaysTightStreams, isOverloaded } from "./admission.ts";
-import { isTight } from "./demand.ts";
+import { isOverloaded } from "./admission.ts";
+import { homesOf } from "./home_runners.ts";
+import { candidatesOf } from "./candidate.ts";
+import type { Candidate } from "./candidate.ts";
+import { gapMargin, isTight } from "./demand.ts";
 import type { Demand, RunnerFleet } from "./demand.ts";
+import { remoteMs } from "./remote_cost.ts";
 import {
   estimateCost,
   findPrefixHoldings,
@@ -24,9 +28,8 @@
   FAILURE_RATE_WEIGHT,
   REMOTE_DOMAIN_PENALTY,
 } from "./runner_penalties.ts";
-import type { RunnerPools } from "./runner_pools.ts";
 import { silenceFactor } from "./silence.ts";
-import { fleetPools, keepingGaps } from "./tight_streams.ts";
+import { fleetPools, keepingGaps, toleratesPrefill } from "./tight_streams.ts";
 
 /** A selected runner, with the inputs of the decision for the log. */
 export interface RunnerChoice {
@@ -50,7 +53,9 @@
  * most how much of its cache a runner can reuse. The last part of a prompt is
  * specific to the request.
  */
-function sharedPart(prompt: readonly PromptPart[]): PromptPart | undefined {
+export function sharedPart(
+  prompt: readonly PromptPart[],
+): PromptPart | undefined {
   return prompt.at(-2) ?? prompt[0];
 }
 
@@ -75,23 +80,29 @@
 function isEjected(fleet: RunnerFleet, demand: Demand, id: string): boolean {
   const { loads, pace, now } = fleet;
   const load = loads.of(id);
+  // A runner that is slow or has a backlog may only be silent for longer.
+  if (!load.isEjected(now)) return false;
   const backlogMs = pace.prefillMs(id, load.total.unreadTokens, now);
   return load.isEjected(now, backlogMs, silenceFactor(fleet, demand, id));
 }
 
 function leastLoaded(
   fleet: RunnerFleet,
+  demand: Demand,
   runners: readonly Runner[],
 ): RunnerChoice {
   const cost = (runner: Runner) => {
     const load = fleet.loads.of(runner.id);
+    const knownMs = fleet.pace.responseMs(runner.id, fleet.now);
     const domainPenalty = runner.failureDomain === fleet.failureDomain
       ? 0
-      : REMOTE_DOMAIN_PENALTY;
+      : knownMs === undefined
+      ? REMOTE_DOMAIN_PENALTY
+      : remoteMs(fleet, demand, runner) * runner.slots / knownMs;
     const requests = load.requestCount(fleet.now);
     const slowdown = runner.warmUpMs > 0 ? WARM_UP_FACTOR : 1;
     const failureFactor = 1 + FAILURE_RATE_WEIGHT * load.failureRate(fleet.now);
-    const workMs = fleet.pace.responseMs(runner.id, fleet.now) ?? 1;
+    const workMs = knownMs ?? 1;
     return workMs * slowdown * failureFactor *
       (1 + requests + domainPenalty + load.failures) /
       Math.max(1, runner.slots);
@@ -164,25 +175,11 @@
   demand: Demand,
   runner: Runner,
 ): boolean {
-  return !isOverloaded(fleet, demand, runner) &&
-    toleratesPrefill(fleet, demand, {
-      runner,
-      pools: fleetPools(fleet, demand),
-    });
-}
-
-/**
- * Whether a runner is not reserved for tight streams, or the prefill of the request
- * would not delay them.
- */
-function toleratesPrefill(
-  fleet: RunnerFleet,
-  demand: Demand,
-  { runner, pools }: { readonly runner: Runner; readonly pools: RunnerPools },
-): boolean {
-  return isTight(fleet, demand, runner.id) ||
-    !pools.reserved.has(runner.name) ||
-    !delaysTightStreams(fleet, demand, runner);
+  if (isOverloaded(fleet, demand, runner)) return false;
+  const pools = fleetPools(fleet, demand);
+  if (!pools.guarded.has(runner.name)) return true;
+  const [candidate] = candidatesOf(fleet, demand, { runners: [runner], pools });
+  return toleratesPrefill(fleet, demand, candidate!);
 }
 
 function lowestCost(
@@ -191,34 +188,40 @@
   eligible: readonly Runner[],
 ): RunnerChoice {
   const pools = fleetPools(fleet, demand);
-  const runners = keepingGaps(fleet, demand, eligible);
-  const tight = isTight(fleet, demand);
+  const all = candidatesOf(fleet, demand, { runners: eligible, pools });
+  const candidates = keepingGaps(demand, all);
+  const meanSpeed = fleet.pace.engineSpeed(undefined, fleet.now);
+  const tight = isTight(demand, gapMargin(fleet, demand), meanSpeed);
   const sharedPrefix = sharedPart(demand.prompt)!;
-  const names = new Set(runners.map(({ name }) => name));
-  const home = pools.home(sharedPrefix.id, { tight, usable: names });
-  const holdings = findPrefixHoldings(fleet, demand, eligible);
-  const tolerant = runners.filter((runner) =>
-    toleratesPrefill(fleet, demand, { runner, pools })
+  const homes = homesOf(fleet, sharedPrefix.id, { candidates, pools, tight });
+  const holdings = findPrefixHoldings(fleet, demand, all);
+  const tolerant = candidates.filter((candidate) =>
+    toleratesPrefill(fleet, demand, candidate)
   );
   let best: CostEstimate | undefined;
-  for (const runner of tolerant.length > 0 ? tolerant : runners) {
+  let chosen: Candidate | undefined;
+  for (const candidate of tolerant.length > 0 ? tolerant : candidates) {
     const estimate = estimateCost(fleet, demand, {
-      runner,
-      atHome: runner.name === home,
-      reserved: pools.reserved.has(runner.name),
+      candidate,
+      homes,
       holdings,
+      meanSpeed,
     });
-    if (best === undefined || estimate.costMs < best.costMs) best = estimate;
+    if (best === undefined || estimate.costMs < best.costMs) {
+      best = estimate;
+      chosen = candidate;
+    }
   }
   const { runner, prefillTokens, fetchFrom } = best!;
   return {
     runner,
     prefillTokens,
     fetchFrom,
-    tight: isTight(fleet, demand, runner.id),
-    overloaded: !hasCapacity(fleet, demand, runner),
+    tight: chosen!.tight,
+    overloaded: isOverloaded(fleet, demand, runner) ||
+      !toleratesPrefill(fleet, demand, chosen!),
     candidates: eligible.length,
-    reason: runner.name === home ? "home" : "spread",
+    reason: homes.names.has(runner.name) ? "home" : "spread",
   };
 }
 
@@ -244,7 +247,7 @@
   if (runners.length === 0) return undefined;
   if (isQueued(fleet)) return fromPlainFleet(fleet, demand, runners);
   if (demand.engine === undefined || demand.prompt.length === 0) {
-    return leastLoaded(fleet, runners);
+    return leastLoaded(fleet, demand, runners);
   }
   return lowestCost(fleet, demand, runners);
 }
--- a/packages/router/src/request/runner_cost.ts
+++ b/packages/router/src/request/runner_cost.ts
@@ -8,7 +8,12 @@
  */
 import type { Runner } from "../process/runner.ts";
 import { PREFILL_TOKENS_PER_MS } from "../process/runner_pace.ts";
-import { hasLongOutput, isTight, maxTightPrefillMs } from "./demand.ts";
+import type { EngineSpeed } from "../process/runner_pace.ts";
+import { remoteMs } from "./remote_cost.ts";
+import { excessTokens } from "./home_runners.ts";
+import type { Homes } from "./home_runners.ts";
+import type { Candidate } from "./candidate.ts";
+import { hasLongOutput, maxTightPrefillMs } from "./demand.ts";
 import type { Demand, RunnerFleet } from "./demand.ts";
 
 /**
@@ -86,6 +91,17 @@
 /** Cost in ms of each failure since the last success. */
 const FAILURE_PENALTY_MS = 300;
 
+/**
+ * Weight of a ms of work by which a runner exceeds its share by pace: what one
+ * request adds must be worth the fetch of its prompt to another runner.
+ */
+const EXCESS_WEIGHT = 6;
+/**
+ * Factor on the cost of a second copy where a request is moved for the sake of
+ * balance: copies at the homes of a prompt serve more requests.
+ */
+const AWAY_COPY_FACTOR = 3;
+
 /** Estimated cost of placing a request on a runner. */
 export interface CostEstimate {
   readonly runner: Runner;
@@ -100,14 +116,6 @@
   readonly tokens: number;
 }
 
-function cachedTokens(
-  fleet: RunnerFleet,
-  demand: Demand,
-  runner: Runner,
-): number {
-  return fleet.prefixes.cachedTokens(runner.id, demand.prompt, fleet.now);
-}
-
 /** Which part of a prompt runners have cached. */
 export interface PrefixHoldings {
   /**
@@ -120,18 +128,16 @@
 
 /** Finds which part of a prompt runners have cached. */
 export function findPrefixHoldings(
-  fleet: RunnerFleet,
-  demand: Demand,
-  runners: readonly Runner[],
+  { prefixes, now }: RunnerFleet,
+  { prompt }: Demand,
+  candidates: readonly Candidate[],
 ): PrefixHoldings {
   let holder: PrefixHolder | undefined;
   let maxCachedTokens = 0;
-  for (const runner of runners) {
-    const { id } = runner;
-    const cached = cachedTokens(fleet, demand, runner);
-    if (cached === 0) continue;
-    maxCachedTokens = Math.max(maxCachedTokens, cached);
-    const tokens = fleet.prefixes.fetchableTokens(id, demand.prompt, fleet.now);
+  for (const { runner, cachedTokens } of candidates) {
+    if (cachedTokens === 0) continue;
+    maxCachedTokens = Math.max(maxCachedTokens, cachedTokens);
+    const tokens = prefixes.fetchableTokens(runner.id, prompt, now);
     if (tokens > (holder?.tokens ?? 0)) holder = { runner, tokens };
   }
   return { holder, maxCachedTokens };
@@ -142,16 +148,11 @@
  * runner.
  */
 function wrongPoolCostMs(
-  fleet: RunnerFleet,
   demand: Demand,
-  { runner, reserved }: { readonly runner: Runner; readonly reserved: boolean },
+  { speed, tight, reserved }: Candidate,
 ): number {
-  if (isTight(fleet, demand, runner.id)) {
-    return reserved ? 0 : TIGHT_AMONG_LONG_MS;
-  }
-  if (hasLongOutput(fleet, demand, runner.id)) {
-    return reserved ? 0 : LONG_OUTPUT_MS;
-  }
+  if (tight) return reserved ? 0 : TIGHT_AMONG_LONG_MS;
+  if (hasLongOutput(demand, speed)) return reserved ? 0 : LONG_OUTPUT_MS;
   return reserved ? LONG_AMONG_TIGHT_MS : 0;
 }
 
@@ -160,63 +161,75 @@
   fleet: RunnerFleet,
   demand: Demand,
   options: {
-    readonly runner: Runner;
-    /** Whether rendezvous hashing makes the runner the prompt's home. */
-    readonly atHome: boolean;
-    readonly reserved: boolean;
+    readonly candidate: Candidate;
+    readonly homes: Homes;
     readonly holdings: PrefixHoldings;
+    /** Speed of a mean runner of the service. */
+    readonly meanSpeed: EngineSpeed;
   },
 ): CostEstimate {
-  const { runner, atHome, reserved, holdings } = options;
+  const { candidate, homes, holdings, meanSpeed } = options;
+  const { runner, load, speed, tight, cachedTokens } = candidate;
   const { holder, maxCachedTokens } = holdings;
-  const load = fleet.loads.of(runner.id);
-  const prefillMs = (tokens: number) =>
-    fleet.pace.prefillMs(runner.id, tokens, fleet.now);
-  const cached = cachedTokens(fleet, demand, runner);
-  const missingTokens = holder === undefined ? 0 : holder.tokens - cached;
+  const missingTokens = holder === undefined ? 0 : holder.tokens - cachedTokens;
   const fetchMsPerToken = demand.engine!.fetchMsPerToken ?? Infinity;
   const fetchMs = missingTokens * fetchMsPerToken;
-  const shouldFetch = missingTokens > 0 && fetchMs < prefillMs(missingTokens);
-  const availableTokens = cached + (shouldFetch ? missingTokens : 0);
+  const shouldFetch = missingTokens > 0 &&
+    fetchMs < speed.prefillMs(missingTokens);
+  const availableTokens = cachedTokens + (shouldFetch ? missingTokens : 0);
   const prefillTokens = Math.max(0, demand.promptTokens - availableTokens);
-  const duplicatePrefillMs = prefillMs(
+  const duplicatePrefillMs = speed.prefillMs(
     Math.max(0, maxCachedTokens - availableTokens),
   );
-  const tight = isTight(fleet, demand, runner.id);
   // Time that this runner, and a mean one, takes for what takes one ms at the
   // assumed pace.
-  const ownScale = prefillMs(PREFILL_TOKENS_PER_MS);
-  const { pace, now } = fleet;
-  const meanShare = pace.chunkStepMs(undefined, now) /
-    pace.chunkStepMs(runner.id, now);
+  const ownScale = speed.prefillMs(PREFILL_TOKENS_PER_MS);
+  const meanShare = meanSpeed.chunkStepMs / speed.chunkStepMs;
   const meanScale = ownScale * meanShare;
-  const waitMs = prefillMs(
-    load.total.unreadTokens +
+  const { total } = load;
+  const waitMs = speed.prefillMs(
+    total.unreadTokens +
       load.queue.workAhead(demand.queueKey, fleet.now).unreadTokens,
   );
-  const ownPrefillMs = prefillMs(prefillTokens) +
-    (shouldFetch ? fetchMs + meanScale * FETCH_PENALTY_MS : 0);
+  const atHome = homes.names.has(runner.name);
+  const copyFactor = homes.meanWork === undefined || atHome
+    ? 1
+    : AWAY_COPY_FACTOR;
+  const penaltyMs = FETCH_PENALTY_MS * copyFactor;
+  const ownPrefillMs = speed.prefillMs(prefillTokens) +
+    (shouldFetch ? fetchMs + meanScale * penaltyMs : 0);
+  const { meanWork } = homes;
+  // A slow runner holds each request for longer than in proportion.
+  const shareBound = 1 / Math.sqrt(meanShare);
+  const excessMs = meanWork === undefined ? 0 : EXCESS_WEIGHT *
+    speed.prefillMs(excessTokens(candidate, meanWork, shareBound));
+  // Each home of a hot prompt needs a copy, if only by prefill.
+  const copies = homes.hot && atHome && fetchMsPerToken === Infinity;
+  const copyWeight = copies ? 0 : DUPLICATE_PREFILL_WEIGHT;
   const awayMs = atHome
     ? 0
     : holder === undefined
     ? AWAY_FROM_HOME_UNCACHED_MS
     : AWAY_FROM_HOME_MS;
-  const wrongPoolMs = wrongPoolCostMs(fleet, demand, { runner, reserved });
+  const wrongPoolMs = wrongPoolCostMs(demand, candidate);
   const delaysTight = !tight &&
-    waitMs + ownPrefillMs > maxTightPrefillMs(fleet, runner.id);
+    waitMs + ownPrefillMs > maxTightPrefillMs(speed);
   const tightDelayMs = delaysTight
-    ? DELAYED_TIGHT_STREAM_MS * load.total.tightStreams
+    ? DELAYED_TIGHT_STREAM_MS * total.tightStreams
     : 0;
-  const usedShare = load.total.inFlight / demand.engine!.slots;
-  const batchMs = load.total.inFlight * BATCH_SLOWDOWN_MS +
+  const usedShare = total.inFlight / demand.engine!.slots;
+  const batchMs = total.inFlight * BATCH_SLOWDOWN_MS +
     FULL_SLOTS_MS * usedShare ** 2;
   const slowdown = runner.warmUpMs > 0 ? WARM_UP_FACTOR : 1;
   const stayBonusMs = demand.awaitedRunner === runner.id ? STAY_BONUS_MS : 0;
+  const domainMs = fleet.demand === undefined
+    ? 0
+    : remoteMs(fleet, demand, runner);
   const prefillWeight = 1 + (PREFILL_WEIGHT - 1) * meanShare;
   const costMs = slowdown * (waitMs + prefillWeight * ownPrefillMs) +
-    DUPLICATE_PREFILL_WEIGHT * meanShare * duplicatePrefillMs +
+    copyWeight * meanShare * duplicatePrefillMs + excessMs +
     meanScale * (awayMs + wrongPoolMs + tightDelayMs) + ownScale * batchMs +
-    FAILURE_PENALTY_MS * load.failures - stayBonusMs;
+    FAILURE_PENALTY_MS * load.failures - stayBonusMs + domainMs;
   return {
     runner,
     prefillTokens,
--- a/packages/router/src/request/runner_pools.ts
+++ b/packages/router/src/request/runner_pools.ts
@@ -19,23 +19,40 @@
 export class RunnerPools {
   /** Names of the runners reserved for tight streams. */
   readonly reserved: ReadonlySet<string>;
+  /**
+   * Names of the runners on which only prompts that delay no tight stream are
+   * prefilled: the reserved ones, and those that still have tight streams from
+   * the time when they were reserved.
+   */
+  readonly guarded: ReadonlySet<string>;
   readonly #tight: Rendezvous;
   readonly #others: Rendezvous;
+  readonly #otherCount: number;
+  readonly #speedOf: ReadonlyMap<string, number> | undefined;
 
   /**
    * @param names of the runners, without duplicates.
-   * @param reserve whether to reserve runners for tight streams.
+   * @param options.reserved names of the runners reserved for tight streams.
+   * @param options.leaving names of those that were, and have tight streams yet.
+   * @param options.speedOf relative speed of each runner, where they differ: it is
+   * home for a share of the prompts that is proportional to it.
    */
-  constructor(names: readonly string[], reserve: boolean) {
-    const count = names.length < 2 || !reserve
-      ? 0
-      : Math.max(1, Math.round(names.length * TIGHT_SHARE));
-    this.reserved = new Set(
-      new Rendezvous(names).order("tight").slice(0, count),
-    );
+  constructor(names: readonly string[], options: {
+    readonly reserved: readonly string[];
+    readonly leaving?: readonly string[];
+    readonly speedOf?: ReadonlyMap<string, number>;
+  }) {
+    const { reserved, leaving = [], speedOf } = options;
+    this.#speedOf = speedOf;
+    this.reserved = new Set(reserved);
+    this.guarded = leaving.length === 0
+      ? this.reserved
+      : new Set([...reserved, ...leaving]);
     const others = names.filter((name) => !this.reserved.has(name));
-    this.#tight = new Rendezvous([...this.reserved]);
-    this.#others = new Rendezvous(others);
+    const weightOf = speedOf && ((name: string) => speedOf.get(name)!);
+    this.#tight = new Rendezvous(reserved, weightOf);
+    this.#others = new Rendezvous(others, weightOf);
+    this.#otherCount = others.length;
   }
 
   /**
@@ -51,13 +68,66 @@
       readonly usable: ReadonlySet<string>;
     },
   ): string | undefined {
-    const pool = options.tight && this.reserved.size > 0
-      ? this.#tight
-      : this.#others;
-    return pool.first(part, (name) => options.usable.has(name));
+    return this.#pool(options.tight)
+      .first(part, (name) => options.usable.has(name));
+  }
+
+  /** Returns the first home runners of a prompt part that are accepted. */
+  homes(part: string, options: {
+    readonly tight: boolean;
+    readonly count: number;
+    readonly accepts: (name: string) => boolean;
+  }): readonly string[] {
+    const { tight, count, accepts } = options;
+    return this.#pool(tight).firstOf(part, count, accepts);
+  }
+
+  /**
+   * Whether pools of runners with these speeds would be the same.
+   *
+   * @param options.leaving names of guarded runners that have tight streams.
+   */
+  fits({ size, speedOf, leaving }: {
+    /** Number of reserved runners. */
+    readonly size: number;
+    readonly speedOf: ReadonlyMap<string, number>;
+    readonly leaving: readonly string[];
+  }): boolean {
+    const known = this.#speedOf;
+    if (known === undefined || known.size !== speedOf.size) return false;
+    if (this.reserved.size !== size) return false;
+    for (const [name, speed] of speedOf) {
+      if (known.get(name) !== speed) return false;
+    }
+    const count = leaving.filter((name) => !this.reserved.has(name)).length;
+    return this.guarded.size === size + count;
+  }
+
+  /** Number of runners among which the homes of a prompt are. */
+  sizeOf(tight: boolean): number {
+    return tight && this.reserved.size > 0
+      ? this.reserved.size
+      : this.#otherCount;
+  }
+
+  #pool(tight: boolean): Rendezvous {
+    return tight && this.reserved.size > 0 ? this.#tight : this.#others;
   }
 }
 
+/**
+ * Order in which runners are reserved for tight streams: daemons that reserve
+ * different numbers of them agree on most.
+ */
+export function reserveOrder(names: readonly string[]): readonly string[] {
+  return new Rendezvous(names).order("tight");
+}
+
+/** Largest number of runners that are reserved for tight streams. */
+export function maxReserved(count: number): number {
+  return count < 2 ? 0 : Math.max(1, Math.round(count * TIGHT_SHARE));
+}
+
 const poolsByList = {
   reserved: new WeakMap<readonly Runner[], RunnerPools>(),
   common: new WeakMap<readonly Runner[], RunnerPools>(),
@@ -83,7 +153,14 @@
   const names = runners.map(({ name }) => name).sort();
   const key = [String(reserve), ...names].join("\n");
   const pools = poolsByNames.get(key) ??
-    remember(key, new RunnerPools(names, reserve));
+    remember(
+      key,
+      new RunnerPools(names, {
+        reserved: reserve
+          ? reserveOrder(names).slice(0, maxReserved(names.length))
+          : [],
+      }),
+    );
   byList.set(runners, pools);
   return pools;
 }
--- a/packages/router/src/request/tight_streams_test.ts
+++ b/packages/router/src/request/tight_streams_test.ts
@@ -7,8 +7,9 @@
 import { RunnerLoads } from "../process/runner_loads.ts";
 import { ASSUMED_PACE } from "../process/runner_pace.ts";
 import type { RunnerPace } from "../process/runner_pace.ts";
+import { ServiceDemand } from "../process/service_demand.ts";
 import type { Demand, RunnerFleet } from "./demand.ts";
-import { chooseRunner } from "./placement.ts";
+import { chooseRunner, hasCapacity } from "./placement.ts";
 import { silenceFactor } from "./silence.ts";
 import { fleetPools } from "./tight_streams.ts";
 
@@ -143,6 +144,72 @@
   assert.ok(all.size > 7, `${all.size} runners take long prompts`);
 });
 
+// Guards against the start of a burst in which urgent streams run beside long
+// prompts because steps with a chunk are assumed to be short.
+test("before steps are observed, streams with the shortest pause are tight", () => {
+  const ids = Array.from({ length: 10 }, (_, index) => `r-${index}`);
+  const unknown = fleetOf(ids, new ObservedPace(), 300);
+  const { reserved } = fleetPools(unknown, urgentStream("t"));
+  assert.equal(reserved.size, 3);
+  const urgent = TOPICS.map((topic) =>
+    chooseRunner(unknown, urgentStream(topic), NONE)!
+  );
+  assert.ok(urgent.every(({ tight }) => tight));
+  assert.deepEqual(new Set(urgent.map(({ runner }) => runner.name)), reserved);
+  const other = urgentStream("t", { gapTargetMs: 500 });
+  assert.equal(chooseRunner(unknown, other, NONE)!.tight, false);
+  const none = fleetOf(ids, new ObservedPace(), Infinity);
+  assert.equal(fleetPools(none, urgentStream("t")).reserved.size, 0);
+});
+
+// Guards against reserved engines that long prompts fill while no urgent stream is
+// there: the next one has events of 360 ms.
+test("a reserved engine accepts only prompts beside which events keep the pause", () => {
+  const ids = Array.from({ length: 10 }, (_, index) => `r-${index}`);
+  const factors = Object.fromEntries(ids.map((id) => [id, 1]));
+  const pace = observed(factors, 20);
+  const fleet = { ...fleetOf(ids, pace, 300), demand: new ServiceDemand() };
+  const [reserved] = fleetPools(fleet, urgentStream("t")).reserved;
+  const accepts = (demand: Demand) =>
+    hasCapacity(fleet, demand, testEngine(reserved!));
+  const prompt = (tokens: number) =>
+    urgentStream("p", {
+      prompt: [{ id: "p", tokens: 100 }, { id: "own", tokens: tokens - 100 }],
+      promptTokens: tokens,
+      gapTargetMs: 1_200,
+    });
+  assert.equal(accepts(prompt(1_000)), true);
+  assert.equal(accepts(prompt(6_000)), false);
+  assert.equal(accepts(urgentStream("t")), true);
+  fleet.loads.of(reserved!).place(
+    { unreadTokens: 6_000, memoryTokens: 0, tight: false },
+    fleet.now,
+  );
+  assert.equal(accepts(prompt(1_000)), false);
+  assert.equal(accepts(urgentStream("t")), true);
+});
+
+// Guards against long prompts that fill an engine as soon as it is reserved no
+// longer, beside the streams that began there before.
+test("an engine stays guarded until its tight streams have ended", () => {
+  const ids = Array.from({ length: 20 }, (_, index) => `r-${index}`);
+  const factors = Object.fromEntries(ids.map((id) => [id, 1]));
+  const pace = observed(factors, 20);
+  const fleet = { ...fleetOf(ids, pace, 300), demand: new ServiceDemand() };
+  const poolsAt = (now: number) =>
+    fleetPools({ ...fleet, now }, urgentStream("t"));
+  const first = [...poolsAt(FOLLOW_MS).reserved];
+  const placed = { unreadTokens: 0, memoryTokens: 0, tight: true };
+  for (const id of first) fleet.loads.of(id).place(placed, FOLLOW_MS);
+  let now = FOLLOW_MS;
+  while (now < 5 * FOLLOW_MS) poolsAt(now += 1_000);
+  const left = first.filter((id) => !poolsAt(now).reserved.has(id));
+  assert.ok(left.length > 0 && left.length < first.length);
+  assert.ok(left.every((id) => poolsAt(now).guarded.has(id)));
+  for (const id of first) fleet.loads.of(id).release(placed);
+  assert.ok(left.every((id) => !poolsAt(now + 1_000).guarded.has(id)));
+});
+
 // Guards against costs and bounds that stand for the assumed pace: engines that
 // are all three times as fast must get the same choices for the same load.
 test("choices among equal engines do not depend on their speed", () => {
@@ -153,6 +220,10 @@
       .map((demand) => placed(fleet, demand));
   };
   const scaled = (factor: number): RunnerPace => ({
+    engineSpeed: () => ({
+      prefillMs: (tokens) => factor * ASSUMED_PACE.prefillMs("", tokens, 0),
+      chunkStepMs: factor * ASSUMED_PACE.chunkStepMs(undefined, 0),
+    }),
     prefillMs: (_, tokens) => factor * ASSUMED_PACE.prefillMs("", tokens, 0),
     chunkStepMs: () => factor * ASSUMED_PACE.chunkStepMs(undefined, 0),
     responseMs: () => undefined,
@@ -198,3 +269,32 @@
   const counts = ["a", "b", "c"].map((id) => fleet.loads.of(id).own.inFlight);
   assert.ok(counts[2]! <= 2, counts.join(", "));
 });
+
+// Guards against plain requests that wait in a failure domain whose traffic has
+// doubled while slots of another one are idle, and against needless transfers.
+test("work goes to another failure domain when the wait costs more than the way", () => {
+  const pace = new ObservedPace();
+  for (let now = 0; now < FOLLOW_MS; now += 50) {
+    const runner = ["a", "b"][(now / 50) % 2]!;
+    pace.recordResponse(runner, { ms: 86, ahead: 0, slots: 6, now });
+  }
+  const base = fleetOf(["a", "b"], pace);
+  const [near, far] = base.runners;
+  const runners = [near!, { ...far!, failureDomain: "e" }];
+  const fleet = {
+    ...base,
+    runners: runners.map((one) => ({ ...one, slots: 6 })),
+  };
+  const demand = urgentStream("t", { engine: undefined, promptTokens: 0 });
+  const placed = { unreadTokens: 0, memoryTokens: 0, tight: false };
+  const ids = Array.from({ length: 6 }, () => {
+    const { runner } = chooseRunner(fleet, demand, NONE)!;
+    fleet.loads.of(runner.id).place(placed, fleet.now);
+    return runner.id;
+  });
+  assert.deepEqual(ids, ["a", "b", "a", "b", "a", "b"]);
+  const large = { ...demand, promptTokens: 500_000 };
+  fleet.loads.of("a").place(placed, fleet.now);
+  assert.equal(chooseRunner(fleet, demand, NONE)!.runner.id, "b");
+  assert.equal(chooseRunner(fleet, large, NONE)!.runner.id, "a");
+});
