--- a/packages/router/src/connection/apply_update.ts
+++ b/packages/router/src/connection/apply_update.ts
@@ -50,6 +50,7 @@
   if (lease !== undefined) {
     shared.lease?.observe({ ...lease, at: now - lease.agoMs });
   }
+  const returned = update.ends.filter((end) => shared.usage?.lacks(end));
   const changedRunners = new Set(
     whole ? shared.loads.removeNeighbour(neighbour) : [],
   );
@@ -71,6 +72,9 @@
       now,
     ),
     usage: shared.usage?.applyUpdates(update.usage) ?? [],
+    // After the counts that they cover.
+    ends: shared.usage?.applyEnds(update.ends) ?? [],
+    returned: whole ? returned : [],
     urgent: loads.some(({ waiting }) => waiting.length > 0),
   };
 }
--- a/packages/router/src/connection/fleet_sync.ts
+++ b/packages/router/src/connection/fleet_sync.ts
@@ -10,6 +10,7 @@
 import type { EventLog } from "../process/event_log.ts";
 import type { Feed } from "../process/feed.ts";
 import type { FleetView } from "../process/fleet_view.ts";
+import { pause } from "../process/pause.ts";
 import type { RequestMetrics } from "../process/metrics.ts";
 import type { Runner } from "../process/runner.ts";
 import type { ListenAddress } from "../process/settings.ts";
@@ -29,6 +30,14 @@
  */
 const INITIAL_READERS = 2;
 
+/**
+ * Maximum time in ms for sending the last usage counts; the process exits 300 ms
+ * before it is killed.
+ */
+const LEAVE_MS = 200;
+/** Interval in ms between two checks whether they have been sent. */
+const LEAVE_CHECK_MS = 5;
+
 /** The contents of the platform's store. */
 export interface SharedStore {
   readonly configurations: Feed<Configuration>;
@@ -155,9 +164,9 @@
     return !alone && this.#exchange.receivesFleetUpdates;
   }
 
-  /** Whether neighbours account for all daemons that were recently in the fleet. */
-  get seesWholeFleet(): boolean {
-    return this.#exchange.seesWholeFleet;
+  /** Number of daemons that neighbours account for, including this one. */
+  get linkedDaemons(): number {
+    return this.#exchange.linkedDaemons;
   }
 
   /** Schedules sending a change of the leader's lease. */
@@ -209,6 +218,25 @@
     this.#registration.stop();
   }
 
+  /**
+   * Sends the last usage counts, and closes the links once they have arrived. Does
+   * nothing where usage is not reported.
+   */
+  async leave(): Promise<void> {
+    if (this.#state.usage === undefined) return;
+    const end = performance.now() + LEAVE_MS;
+    const waitUntil = async (condition: () => boolean) => {
+      while (!condition() && performance.now() < end) {
+        await pause(LEAVE_CHECK_MS);
+      }
+    };
+    // The relay of this daemon may have just left, too.
+    await waitUntil(() => this.#exchange.reachesLeader || this.fleetSize === 1);
+    this.#exchange.sendLastUsage();
+    this.#peers.leave();
+    await waitUntil(() => this.#peers.count === 0);
+  }
+
   /** Removes this daemon's registration from the store. */
   deregister(): Promise<void> {
     return this.#registration.deregister();
--- a/packages/router/src/connection/outbox.ts
+++ b/packages/router/src/connection/outbox.ts
@@ -9,7 +9,8 @@
 import type { DrainingUpdate } from "../process/draining_runners.ts";
 import type { LimitUpdate } from "../process/runner_limits.ts";
 import type { LeaseObservation } from "../process/leader_lease.ts";
-import type { UsageCount } from "../process/usage_meter.ts";
+import { mergeEnds } from "../process/usage_meter.ts";
+import type { UsageCount, UsageEnd } from "../process/usage_meter.ts";
 import type { PrefixUpdate } from "../process/prefix_index.ts";
 
 /**
@@ -59,6 +60,7 @@
   readonly draining: readonly (DrainingUpdate & Sourced)[];
   readonly usage: readonly UsageCount[];
   readonly lease: LeaseObservation | undefined;
+  readonly ends: readonly UsageEnd[];
 }
 
 /** Collects changes until they are sent to one group of neighbours. */
@@ -74,6 +76,8 @@
   readonly #draining: (DrainingUpdate & Sourced)[] = [];
   /** The last counts of each workspace, by incarnation and window. */
   readonly #usage = new Map<string, UsageCount>();
+  /** The last end of each incarnation. */
+  readonly #ends = new Map<string, UsageEnd>();
   #lease: LeaseObservation | undefined;
 
   /**
@@ -128,12 +132,29 @@
       const key = `${update.incarnation} ${update.window}`;
       const counts = new Map(this.#usage.get(key)?.counts);
       for (const [workspace, requests] of update.counts) {
-        counts.set(workspace, requests);
+        // Counts never decrease; a late snapshot may hold an older one.
+        counts.set(workspace, Math.max(requests, counts.get(workspace) ?? 0));
       }
       this.#usage.set(key, { ...update, counts: [...counts] });
     }
   }
 
+  /**
+   * Adds the ends of usage windows. Like counts they do not trigger a message by
+   * themselves.
+   */
+  addEnds(ends: readonly UsageEnd[]): void {
+    for (const end of ends) {
+      const known = this.#ends.get(end.incarnation);
+      this.#ends.set(end.incarnation, known ? mergeEnds(known, end) : end);
+    }
+  }
+
+  /** Whether there are ends, for which the leader waits. */
+  get hasEnds(): boolean {
+    return this.#ends.size > 0;
+  }
+
   /**
    * Adds the state of the leader's lease. A renewal goes with the next message;
    * a release triggers one.
@@ -178,8 +199,10 @@
       draining: this.#draining.splice(0, MAX_DRAINING),
       usage: [...this.#usage.values()],
       lease: this.#lease,
+      ends: [...this.#ends.values()],
     };
     this.#usage.clear();
+    this.#ends.clear();
     this.#lease = undefined;
     for (const { runner } of update.limits) this.#limits.delete(runner);
     this.#parts = [];
--- a/packages/router/src/connection/peer_encoding.ts
+++ b/packages/router/src/connection/peer_encoding.ts
@@ -11,7 +11,12 @@
 import type { Contact } from "../process/contact.ts";
 import type { DeadContact } from "../process/contact_book.ts";
 import type { PrefixUpdate } from "../process/prefix_index.ts";
-import type { UsageCount, WorkspaceCount } from "../process/usage_meter.ts";
+import { groupBy } from "../process/group.ts";
+import type {
+  UsageCount,
+  UsageEnd,
+  WorkspaceCount,
+} from "../process/usage_meter.ts";
 import type { RunnerListUpdate } from "../process/runner_directory.ts";
 import type { Configuration } from "../version/configuration.ts";
 import type {
@@ -73,6 +78,13 @@
   workspacesAndCounts: readonly (string | number)[],
 ];
 
+/** The incarnations with the same end. */
+type PackedEnds = readonly [
+  window: number,
+  left: boolean,
+  incarnations: readonly string[],
+];
+
 type PackedLease = readonly [revision: number, holderId: string, agoMs: number];
 
 type PackedState = readonly [
@@ -97,6 +109,10 @@
   usage?: readonly PackedUsage[] | undefined,
   lease?: PackedLease | undefined,
   draining?: readonly PackedDraining[] | undefined,
+  paces?: undefined,
+  shares?: undefined,
+  places?: undefined,
+  ends?: readonly PackedEnds[] | undefined,
 ];
 
 const ADDRESS = /^[^\s:]+:\d{1,5}$/;
@@ -220,7 +236,7 @@
 
 /** Packs the optional fields, up to the last one that has a value. */
 function packOptionalFields(state: StateUpdate): PackedOptionalFields {
-  const { crashes, limits, timeMs, usage, lease, draining } = state;
+  const { crashes, limits, timeMs, usage, lease, draining, ends } = state;
   const fields: PackedOptionalFields = [
     hasReports(crashes) ? packCrashes(crashes) : undefined,
     limits.length === 0 ? undefined : limits.map(packLimit),
@@ -228,6 +244,10 @@
     usage.length === 0 ? undefined : usage.map(packUsage),
     lease && [lease.revision, lease.holderId, lease.agoMs],
     draining.length === 0 ? undefined : draining.map(packDraining),
+    undefined,
+    undefined,
+    undefined,
+    ends.length === 0 ? undefined : packEnds(ends),
   ];
   const last = fields.findLastIndex((field) => field !== undefined);
   return fields.slice(0, last + 1) as unknown as PackedOptionalFields;
@@ -255,6 +275,34 @@
   };
 }
 
+function packEnds(ends: readonly UsageEnd[]): readonly PackedEnds[] {
+  const groups = groupBy(ends, ({ window, left }) => `${window} ${left}`);
+  return [...groups.values()].map((group) => {
+    const { window, left } = group[0]!;
+    return [window, left, group.map(({ incarnation }) => incarnation)];
+  });
+}
+
+/**
+ * Reads ends; what is not one becomes an invalid end, so that the meter logs it
+ * and leaves it out.
+ */
+function unpackEnds(packed: unknown): readonly UsageEnd[] {
+  const groups: readonly unknown[] = Array.isArray(packed) ? packed : [[]];
+  return groups.flatMap((group) => {
+    const [window, left, incarnations]: readonly unknown[] =
+      Array.isArray(group) ? group : [];
+    const names: readonly unknown[] = Array.isArray(incarnations)
+      ? incarnations
+      : [""];
+    return names.map((name) => ({
+      incarnation: typeof name === "string" ? name : "",
+      window: typeof window === "number" ? window : NaN,
+      left: left === true,
+    }));
+  });
+}
+
 function unpackLease([revision, holderId, agoMs]: PackedLease): LeaseAge {
   return {
     revision: checkNonNegative(revision, "lease.revision"),
@@ -283,6 +331,7 @@
   const [, , , , , , , contacts, gone, ...optional] = packed;
   const [crashes, limits = [], timeMs, usage = [], lease, draining = []] =
     optional;
+  const [, , , , , , , , , ends] = optional;
   return {
     kind: "state",
     configuration,
@@ -304,6 +353,7 @@
     usage: usage.map(unpackUsage),
     lease: lease && unpackLease(lease),
     draining: draining.map(unpackDraining),
+    ends: ends === undefined ? [] : unpackEnds(ends),
   };
 }
 
--- a/packages/router/src/connection/peer_link.ts
+++ b/packages/router/src/connection/peer_link.ts
@@ -41,6 +41,8 @@
   sendEncoded(frame: Buffer): void;
   /** Sets the time without received bytes after which the link is closed. */
   setIdleTimeout(timeoutMs: number): void;
+  /** Closes the link once the peer has received all that was sent. */
+  end(): void;
   close(): void;
 }
 
@@ -77,7 +79,7 @@
   }
 
   sendEncoded(frame: Buffer): void {
-    if (this.#socket.destroyed) return;
+    if (this.#socket.destroyed || this.#socket.writableEnded) return;
     if (this.#socket.writableLength > MAX_BUFFERED_BYTES) return this.close();
     this.#socket.write(frame);
   }
@@ -89,6 +91,10 @@
     if (!this.#socket.destroyed) this.#idleTimer = this.#startIdleTimer();
   }
 
+  end(): void {
+    this.#socket.end();
+  }
+
   close(): void {
     this.#socket.destroy();
   }
--- a/packages/router/src/connection/peer_message.ts
+++ b/packages/router/src/connection/peer_message.ts
@@ -13,7 +13,7 @@
 import type { PrefixUpdate } from "../process/prefix_index.ts";
 import type { LoadTotals } from "../process/load_totals.ts";
 import type { RunnerListUpdate } from "../process/runner_directory.ts";
-import type { UsageCount } from "../process/usage_meter.ts";
+import type { UsageCount, UsageEnd } from "../process/usage_meter.ts";
 import type { Configuration } from "../version/configuration.ts";
 
 /**
@@ -106,6 +106,11 @@
   /** Counts of requests that runners started, for the daemons that may lead. */
   readonly usage: readonly UsageCount[];
   readonly lease: LeaseAge | undefined;
+  /**
+   * Announcements that the usage counts of daemons are complete, as sent so far
+   * or in this message.
+   */
+  readonly ends: readonly UsageEnd[];
 }
 
 /** Requests newer data from a peer. Its field names are on the wire. */
--- a/packages/router/src/connection/peers.ts
+++ b/packages/router/src/connection/peers.ts
@@ -144,10 +144,20 @@
 
   /** Closes all links. */
   stop(): void {
+    this.#stopDialling();
+    for (const { link } of this.#peers.values()) link.close();
+  }
+
+  /** Closes all links once the peers have received what was sent on them. */
+  leave(): void {
+    this.#stopDialling();
+    for (const { link } of this.#peers.values()) link.end();
+  }
+
+  #stopDialling(): void {
     this.#stopped = true;
     this.#network.close();
     for (const { timer } of this.#targets.values()) clearTimeout(timer);
-    for (const { link } of this.#peers.values()) link.close();
   }
 
   #isNeeded(address: string): boolean {
--- a/packages/router/src/connection/state_exchange.ts
+++ b/packages/router/src/connection/state_exchange.ts
@@ -155,10 +155,9 @@
     return Math.max(fleet, this.#book.size + 1);
   }
 
-  /** Whether neighbours account for all daemons that were recently in the fleet. */
-  get seesWholeFleet(): boolean {
-    const { fleet } = this.#counts.sumFrom(() => true);
-    return fleet >= this.#counts.recentMax(performance.now()).fleet;
+  /** Number of daemons that neighbours account for, including this one. */
+  get linkedDaemons(): number {
+    return this.#counts.sumFrom(() => true).fleet;
   }
 
   /** Time of a peer's last response to a `FetchRequest`, in monotonic ms. */
@@ -210,6 +209,19 @@
       : contacts;
   }
 
+  /** Whether a daemon is linked that may lead, or that relays to one. */
+  get reachesLeader(): boolean {
+    return this.#broadcaster.reachesLeader;
+  }
+
+  /** Sends the last usage counts, and stops. */
+  sendLastUsage(): void {
+    this.stop();
+    this.#state.usage?.leave();
+    this.#broadcaster.collect();
+    this.#broadcaster.broadcastUsage(performance.now());
+  }
+
   /** Schedules the sending of changes. */
   wake(): void {
     this.#timer.wake();
@@ -310,7 +322,7 @@
     this.#state.time.forget(peer.name);
     this.#counts.removeNeighbour(peer.name);
     this.#countsChanged ||= this.#overlay.relayed;
-    this.#broadcaster.retract(changed, role);
+    this.#broadcaster.retract(peer, changed, role);
   }
 
   /** Milliseconds until all daemons have received a change of this one. */
@@ -338,6 +350,8 @@
       this.#sentAt = now;
       this.#countsChanged = false;
       this.#broadcaster.broadcast(now);
+    } else if (this.#broadcaster.usageDue) {
+      this.#broadcaster.broadcastUsage(now);
     }
     this.#sendVersions(now);
     if (!this.#broadcaster.empty) this.wake();
--- a/packages/router/src/connection/update_broadcaster.ts
+++ b/packages/router/src/connection/update_broadcaster.ts
@@ -10,7 +10,11 @@
 import type { ContactBook, ContactUpdates } from "../process/contact_book.ts";
 import type { FleetTime } from "../process/fleet_time.ts";
 import type { LeaderLease, LeaseObservation } from "../process/leader_lease.ts";
-import type { UsageCount, UsageMeter } from "../process/usage_meter.ts";
+import type {
+  UsageCount,
+  UsageEnd,
+  UsageMeter,
+} from "../process/usage_meter.ts";
 import type { CrashRecord, CrashUpdate } from "../process/crash_record.ts";
 import type { PrefixIndex, PrefixUpdate } from "../process/prefix_index.ts";
 import type {
@@ -50,6 +54,7 @@
   readonly draining: readonly DrainingUpdate[];
   readonly usage: readonly UsageCount[];
   readonly lease: LeaseObservation | undefined;
+  readonly ends: readonly UsageEnd[];
 }
 
 /** An update without changes. */
@@ -61,6 +66,7 @@
   draining: [],
   usage: [],
   lease: undefined,
+  ends: [],
 };
 
 /** The shared state to send, and the neighbours to send it to. */
@@ -98,6 +104,9 @@
   readonly limits: readonly LimitUpdate[];
   readonly draining: readonly DrainingUpdate[];
   readonly usage: readonly UsageCount[];
+  readonly ends: readonly UsageEnd[];
+  /** The ends in a snapshot that show that a known daemon was cut off before. */
+  readonly returned: readonly UsageEnd[];
   /** Whether requests wait for the runners. */
   readonly urgent: boolean;
 }
@@ -118,6 +127,10 @@
   readonly #downstream = new Outbox();
   readonly #upstreamBudget: TokenBucket;
   readonly #downstreamBudget: TokenBucket;
+  /** Last window of each incarnation whose end was sent to the parent or heads. */
+  readonly #sentEnds = new Map<string, number>();
+  /** Names of the heads whose usage this daemon relays. */
+  readonly #relayedHeads = new Set<string>();
   /** Revision of the leader's lease that was collected last. */
   #collectedLease = 0;
 
@@ -140,6 +153,13 @@
     return this.#upstream.urgent || this.#downstream.urgent;
   }
 
+  /** Whether usage is to be sent that must not wait for the next message. */
+  get usageDue(): boolean {
+    // In a small fleet a message to each daemon would cost more than the wait for a
+    // heartbeat.
+    return this.#sources.overlay.relayed && this.#upstream.hasEnds;
+  }
+
   /** Collects the changes of this daemon since the last call. */
   collect(): void {
     const { loads, prefixes, crashes, limits, book, overlay } = this.#sources;
@@ -149,6 +169,7 @@
     const limitUpdates = limits.takeUpdates();
     const drainingUpdates = this.#sources.draining.takeUpdates();
     this.#upstream.addUsage(this.#sources.usage?.takeUpdates() ?? []);
+    this.#addEnds(this.#sources.usage?.takeEnds() ?? []);
     this.#collectLease();
     const contacts = book.hasUpdates ? book.takeUpdates() : undefined;
     const outboxes = overlay.isRelay
@@ -184,15 +205,21 @@
    *
    * @returns whether anything is to be sent because of it.
    */
-  relay({ name }: Peer, received: ReceivedUpdate): boolean {
+  relay(peer: Peer, received: ReceivedUpdate): boolean {
+    const { name } = peer;
     const { changedRunners, parts, crashes, limits, draining } = received;
-    const { usage, urgent } = received;
+    const { usage, ends, returned, urgent } = received;
     const { overlay } = this.#sources;
     // Usage goes up the tree only, to the daemons that may lead.
-    if (overlay.role(name) === "child") this.#upstream.addUsage(usage);
+    if (this.#relaysUsageOf(peer)) {
+      this.#upstream.addUsage(usage);
+      this.#addEnds(ends);
+    }
+    // In a small fleet the leader may be linked again seconds after this daemon.
+    if (!overlay.relayed) this.#addEnds(returned);
     const count = changedRunners.size + parts.length + crashes.crashed.length +
       crashes.responses.length + limits.length + draining.length;
-    if (!overlay.isRelay || count === 0) return false;
+    if (!overlay.isRelay || count === 0) return this.usageDue;
     const outboxes = overlay.role(name) === "child"
       ? [this.#downstream, this.#upstream]
       : [this.#downstream];
@@ -206,13 +233,73 @@
     return true;
   }
 
+  /**
+   * Whether to relay the usage that a neighbour sends. Where that begins, others may
+   * lack what was received before, and all is sent again.
+   */
+  #relaysUsageOf(peer: Peer): boolean {
+    const { name } = peer;
+    if (this.#sources.overlay.role(name) === "child") return true;
+    if (!this.#relaysUsageOfHead(peer)) {
+      this.#relayedHeads.delete(name);
+      return false;
+    }
+    const { usage } = this.#sources;
+    if (usage !== undefined && !this.#relayedHeads.has(name)) {
+      this.#relayedHeads.add(name);
+      this.#addEnds([...usage.ends().values()]);
+    }
+    return true;
+  }
+
+  /**
+   * Adds ends, and with them all counts of the windows that they add to the ends
+   * sent before. So no receiver has an end without the counts that it covers,
+   * although the counts may have arrived on another path and were not relayed then.
+   */
+  #addEnds(ends: readonly UsageEnd[]): void {
+    const { usage } = this.#sources;
+    if (usage === undefined || ends.length === 0) return;
+    const known = usage.ends();
+    for (const incarnation of this.#sentEnds.keys()) {
+      if (!known.has(incarnation)) this.#sentEnds.delete(incarnation);
+    }
+    for (const { incarnation } of ends) {
+      const end = known.get(incarnation);
+      if (end === undefined) continue;
+      const sent = this.#sentEnds.get(incarnation) ?? -Infinity;
+      this.#sentEnds.set(incarnation, end.window);
+      this.#upstream.addUsage(usage.countsAfter(incarnation, sent));
+      this.#upstream.addEnds([end]);
+    }
+  }
+
+  /**
+   * Whether to relay the usage of another failure domain, though its head sends it
+   * to the heads of all. After daemons were cut off, views of who is head differ for
+   * some time: a domain has two heads, or the supposed head of a domain is none.
+   */
+  #relaysUsageOfHead({ name, failureDomain }: Peer): boolean {
+    const { overlay } = this.#sources;
+    if (overlay.role(name) !== "head") return false;
+    return !overlay.isHead ||
+      overlay.peersWith("head").some((other) =>
+        other.name !== name && other.failureDomain === failureDomain
+      );
+  }
+
   /**
    * Marks runners whose loads changed because a neighbour's report was removed.
    *
    * @param role the neighbour's former role.
    */
-  retract(changed: Iterable<string>, role: Role | undefined): void {
+  retract(
+    { name }: Peer,
+    changed: Iterable<string>,
+    role: Role | undefined,
+  ): void {
     const ids = [...changed];
+    this.#relayedHeads.delete(name);
     if (this.#sources.overlay.isRelay) this.#downstream.addRunners(ids, true);
     if (role === "child") this.#upstream.addRunners(ids, true);
   }
@@ -223,6 +310,16 @@
     this.#sendDownstream(now);
   }
 
+  /** Whether a daemon is linked that may lead, or that relays to one. */
+  get reachesLeader(): boolean {
+    return this.#upstreamPeers.length > 0;
+  }
+
+  /** Sends the collected changes to the daemons that may lead. */
+  broadcastUsage(now: number): void {
+    this.#sendUpstream(now);
+  }
+
   /**
    * A snapshot for a peer that becomes a neighbour, or whose link has come up.
    */
@@ -238,8 +335,17 @@
     const loads = this.#sums.snapshot(includes);
     const isChild = this.#sources.overlay.role(peer.name) === "child";
     const usage = isChild ? [] : this.#sources.usage?.snapshot() ?? [];
+    const ends = isChild ? [] : [...this.#sources.usage?.ends().values() ?? []];
     const lease = this.#sources.lease?.observation;
-    const contents = { contacts, crashes, limits, draining, usage, lease };
+    const contents = {
+      contacts,
+      crashes,
+      limits,
+      draining,
+      usage,
+      lease,
+      ends,
+    };
     const update = { ...NO_CHANGES, ...contents };
     return { ...this.#stateUpdate(update, loads, includes), whole: true };
   }
@@ -262,8 +368,7 @@
   }
 
   #sendUpstream(now: number): void {
-    const { overlay, peers } = this.#sources;
-    const { relayed } = overlay;
+    const { relayed } = this.#sources.overlay;
     const budget = relayed ? this.#upstreamBudget.available(now) : Infinity;
     const pending = this.#upstream.take(Math.max(0, budget / LOAD_BYTES));
     const loads = this.#sums.forRunners(pending.runners, this.#isChild);
@@ -271,10 +376,14 @@
       this.#stateUpdate(pending, loads, this.#isChild),
     );
     this.#upstreamBudget.take(frame.length);
-    const receivers = relayed
+    for (const { link } of this.#upstreamPeers) link.sendEncoded(frame);
+  }
+
+  get #upstreamPeers(): readonly Peer[] {
+    const { overlay, peers } = this.#sources;
+    return overlay.relayed
       ? overlay.peersWith("parent", "head")
       : peers().connected;
-    for (const { link } of receivers) link.sendEncoded(frame);
   }
 
   #sendDownstream(now: number): void {
@@ -307,12 +416,12 @@
     const limits = pending.limits.filter(isOthers);
     const draining = pending.draining.filter(isOthers);
     const received = { parts, crashes, limits, draining };
-    const contents = { ...pending, ...received, usage: [] };
+    const contents = { ...pending, ...received, usage: [], ends: [] };
     return encodeMessage(this.#stateUpdate(contents, loads, others));
   }
 
   #stateUpdate(
-    { parts, contacts, crashes, limits, draining, usage, lease }:
+    { parts, contacts, crashes, limits, draining, usage, lease, ends }:
       UpdateContents,
     loads: readonly RunnerLoadEntry[],
     includes: NeighbourFilter,
@@ -345,6 +454,7 @@
         holderId: lease.holderId,
         agoMs: ageOf(lease.at, now),
       },
+      ends,
     };
   }
 
--- a/packages/router/src/leadership.ts
+++ b/packages/router/src/leadership.ts
@@ -61,6 +61,7 @@
       incarnation: own.incarnation,
       windowMs: usage.windowMs,
       now: () => this.time.now(),
+      log,
     });
     this.lease = new LeaderLease({
       store: leaderStore,
@@ -110,7 +111,8 @@
       usage: meter && timing && {
         meter,
         timing,
-        complete: () => fleetSync().seesWholeFleet,
+        daemons: () => fleetSync().linkedDaemons,
+        recentDaemons: () => fleetSync().fleetSize,
       },
       scalingPolicy: ordersRunners
         ? new Autoscaler(options.dependencies)
--- a/packages/router/src/process/leader.ts
+++ b/packages/router/src/process/leader.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { isDeepStrictEqual } from "node:util";
 import type { EventLog } from "./event_log.ts";
 import type { LeaderLease } from "./leader_lease.ts";
 import type { LeaderState, UsageReport } from "./leader_record.ts";
@@ -22,7 +23,7 @@
   UsageSources,
   UsageTiming,
 } from "./usage_reports.ts";
-import type { UsageMeter } from "./usage_meter.ts";
+import type { Counts, UsageMeter } from "./usage_meter.ts";
 
 /** Delay in ms after the start, in which the daemon learns whether it is eligible. */
 const STARTUP_DELAY_MS = 1_000;
@@ -40,6 +41,14 @@
  * renewal earlier.
  */
 const CHECK_FRACTION = 0.6;
+/**
+ * Share of the recent daemons that a candidate accounts for, below which it leaves
+ * the lease to others for a while: they receive more counts than it does. Daemons
+ * that were cut off remain in small groups for some seconds after their return.
+ */
+const FULL_VIEW_SHARE = 0.5;
+/** The time in ms, which lets each other candidate take several steps. */
+const HOLD_BACK_MS = 2_000;
 /** Time-out of a call to the platform, in ms; the call is then aborted. */
 const TIMEOUT_MS = 900;
 /** Backoff in ms after the first failed call; doubled after each one, up to the maximum. */
@@ -56,8 +65,10 @@
   readonly usage: {
     readonly meter: UsageMeter;
     readonly timing: UsageTiming;
-    /** Whether all daemons that were recently in the fleet are reachable. */
-    readonly complete: () => boolean;
+    /** Returns the number of daemons in the fleet, as far as they are linked. */
+    readonly daemons: () => number;
+    /** Returns the number of daemons that were recently in the fleet. */
+    readonly recentDaemons: () => number;
   } | undefined;
   /** Absent if runners are not ordered. */
   readonly scalingPolicy: ScalingPolicy | undefined;
@@ -75,6 +86,14 @@
   readonly metrics: LeaderMetrics;
 }
 
+/** A decision on a usage window that the store is not known to hold yet. */
+interface UnstoredDecision {
+  /** Counts of the report; undefined if the window is missed. */
+  readonly counts: Counts | undefined;
+  /** Number of daemons that the counts come from. */
+  readonly daemons: number;
+}
+
 /** Metrics that the leader updates. */
 export type LeaderMetrics = Pick<
   RequestMetrics,
@@ -96,6 +115,10 @@
   readonly #accepted = new Set<number>();
   /** Attempts to report each window in this term. */
   readonly #attempts = new Map<number, number>();
+  /** Decisions on windows, until the store is known to hold them. */
+  readonly #unstored = new Map<number, UnstoredDecision>();
+  /** Monotonic ms since which this daemon leaves a free lease to others. */
+  #heldBackSince: number | undefined;
   #stopped = false;
   /** Resolves when the current step has ended. */
   #currentStep: Promise<void> = Promise.resolve();
@@ -148,38 +171,64 @@
     if (!eligible() || lease.awaitsExpiry) return;
     const shouldCheck = lease.isReleased ||
       lease.unchangedMs >= CHECK_FRACTION * this.#options.leaseMs;
-    if (!shouldCheck) return;
+    if (!shouldCheck) {
+      this.#heldBackSince = undefined;
+      return;
+    }
+    if (await this.#holdsBack()) return;
     await lease.tryTake();
     if (!lease.held) return;
+    this.#heldBackSince = undefined;
+    // The response to the last write of an earlier term may have been lost.
+    this.#logStored();
+    this.#unstored.clear();
     this.#orders.reset();
     this.#accepted.clear();
     this.#attempts.clear();
     leaseChanged();
   }
 
+  /** Whether to leave the lease to others that may receive more counts. */
+  async #holdsBack(): Promise<boolean> {
+    const { lease, usage, monotonic } = this.#options;
+    if (usage === undefined) return false;
+    const hasFullView =
+      usage.daemons() >= FULL_VIEW_SHARE * usage.recentDaemons();
+    if (hasFullView) return false;
+    const isFree = await lease.tryTake({ observeOnly: true });
+    if (!isFree) this.#heldBackSince = undefined;
+    else this.#heldBackSince ??= monotonic();
+    return monotonic() < (this.#heldBackSince ?? Infinity) + HOLD_BACK_MS;
+  }
+
   async #lead(): Promise<void> {
     const { lease, eligible, leaseChanged } = this.#options;
     if (!eligible()) {
       await lease.release();
       return leaseChanged();
     }
-    const decided = this.#decide();
-    const renewalDue =
-      lease.sinceRenewalMs >= RENEWAL_FRACTION * this.#options.leaseMs;
+    const renewalMs = RENEWAL_FRACTION * this.#options.leaseMs;
+    const renewalDue = lease.sinceRenewalMs >= renewalMs;
+    const decided = this.#decide(renewalDue ? renewalMs : 0);
     if (decided !== undefined || renewalDue) {
       const state = this.#withCheckpoint(decided ?? lease.state);
       if (!await lease.update(state)) return;
+      this.#logStored();
       leaseChanged();
     }
     await this.#sendReport();
     await this.#sendOrders();
   }
 
-  /** Returns the state with new decisions, or nothing if there are none. */
-  #decide(): LeaderState | undefined {
+  /**
+   * Returns the state with new decisions, or nothing if there are none.
+   *
+   * @param renewalMs time until the next renewal, if one is due now; else 0.
+   */
+  #decide(renewalMs: number): LeaderState | undefined {
     const { lease, monotonic } = this.#options;
     let { state } = lease;
-    const sources = this.#sources();
+    const sources = this.#sources(renewalMs);
     if (sources !== undefined) state = this.#decideReports(state, sources);
     const orders = this.#orders.reconcile(state.orders, monotonic());
     if (orders !== undefined) state = { ...state, orders };
@@ -194,42 +243,60 @@
     if (restoredAt !== undefined) {
       const noticedAt = sources.now - (monotonic() - restoredAt);
       const skipped = skipLostReports(state, sources.timing, noticedAt);
-      this.#logReports(skipped);
+      this.#recordDecision(skipped);
       kept = skipped.state;
     }
     const decision = finalizeReports(kept, sources);
     if (decision === undefined) return kept;
-    this.#logReports(decision);
+    this.#recordDecision(decision);
     return decision.state;
   }
 
-  #logReports({ finalized, missed }: UsageDecision): void {
-    const { usage, log, metrics } = this.#options;
+  #recordDecision({ finalized, missed }: UsageDecision): void {
     for (const { window, counts } of finalized) {
-      const requests = Object.values(counts)
-        .reduce((sum, count) => sum + count, 0);
-      const daemons = usage?.meter.incarnations(window).size;
-      metrics.usageWindow("fixed", window);
-      log.event("usage_fixed", { window, requests, daemons });
+      const daemons = this.#options.usage!.meter.incarnations(window).size;
+      this.#unstored.set(window, { counts, daemons });
     }
     for (const window of missed) {
-      metrics.usageWindow("missed", window);
-      log.event("usage_missed", { window });
+      this.#unstored.set(window, { counts: undefined, daemons: 0 });
+    }
+  }
+
+  /** Logs the decisions on windows that the store is now known to hold. */
+  #logStored(): void {
+    const { lease, log, metrics } = this.#options;
+    const { reports, nextWindow, open = [] } = lease.state;
+    for (const [window, { counts, daemons }] of this.#unstored) {
+      const stored = reports.find((report) => report.window === window);
+      if (counts === undefined) {
+        const decided = stored === undefined && !open.includes(window) &&
+          window < (nextWindow ?? 0);
+        if (!decided) continue;
+        metrics.usageWindow("missed", window);
+        log.event("usage_missed", { window });
+      } else {
+        if (!isDeepStrictEqual(stored?.counts, counts)) continue;
+        const requests = Object.values(counts)
+          .reduce((sum, count) => sum + count, 0);
+        metrics.usageWindow("fixed", window);
+        log.event("usage_fixed", { window, requests, daemons });
+      }
+      this.#unstored.delete(window);
     }
   }
 
   #withCheckpoint(state: LeaderState): LeaderState {
-    const sources = this.#sources();
+    const sources = this.#sources(0);
     if (sources === undefined) return state;
     const checkpoint = checkpointOf(state, sources);
     return withAccepted({ ...state, checkpoint }, this.#accepted);
   }
 
-  #sources(): UsageSources | undefined {
+  #sources(renewalMs: number): UsageSources | undefined {
     const { usage, now } = this.#options;
     if (usage === undefined) return undefined;
-    const { meter, timing, complete } = usage;
-    return { meter, timing, now: now(), complete: complete() };
+    const { meter, timing, daemons } = usage;
+    return { meter, timing, now: now(), daemons: daemons(), renewalMs };
   }
 
   /** Sends one report that the platform has not accepted yet. */
--- a/packages/router/src/process/leader_lease.ts
+++ b/packages/router/src/process/leader_lease.ts
@@ -204,17 +204,26 @@
     this.#actedAt = timestampOf(this.#clock);
   }
 
-  /** Reads the lease from the store, and takes it if it is free. */
-  async tryTake(): Promise<void> {
+  /**
+   * Reads the lease from the store, and takes it if it is free.
+   *
+   * @param options with `observeOnly`, it is not taken.
+   * @returns whether the store has answered that the lease is free.
+   */
+  async tryTake(
+    options: { readonly observeOnly?: boolean } = {},
+  ): Promise<boolean> {
     const found = await this.#tryStore(() => this.#store.read());
-    if (found === "unknown") return;
+    if (found === "unknown") return false;
     this.#epoch.observe(found.revision);
     const { revision: version, record } = found;
     const observed = record && { version, holding: record.holding };
     const free = this.#observer.isFree(observed, this.#clock.monotonic());
     this.#holderId = record?.holding.holderId ?? "";
     this.#ownWrite = false;
-    if (free && this.#epochOutlastsLeases()) await this.#take(found);
+    const takeable = free && this.#epochOutlastsLeases();
+    if (takeable && !options.observeOnly) await this.#take(found);
+    return takeable;
   }
 
   /**
--- a/packages/router/src/process/leader_record.ts
+++ b/packages/router/src/process/leader_record.ts
@@ -25,13 +25,27 @@
   readonly windows: readonly {
     readonly window: number;
     readonly counts: Counts;
+    /**
+     * Further incarnations, whose counts of this window come from the checkpoint
+     * of an earlier leader; absent if there are none.
+     */
+    readonly carried?: readonly string[] | undefined;
   }[];
 }
 
 /** State that a leader hands over to its successor. */
 export interface LeaderState {
-  /** First window without a report; undefined until the first leader sets it. */
+  /**
+   * First window without a decision whether it is reported; undefined until the
+   * first leader sets it.
+   */
   readonly nextWindow: number | undefined;
+  /**
+   * Earlier windows that still wait for counts; absent if there are none. They are
+   * apart from `nextWindow` so that a leader of a version that does not know them
+   * leaves them out, and reports no later window twice.
+   */
+  readonly open?: readonly number[] | undefined;
   /** The latest reports, ordered by window. */
   readonly reports: readonly UsageReport[];
   readonly checkpoint: UsageCheckpoint;
--- a/packages/router/src/process/usage_meter_test.ts
+++ b/packages/router/src/process/usage_meter_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
+import { SILENT_LOG } from "../../tests/fixtures.ts";
 import type { UsageCount } from "./usage_meter.ts";
 import { UsageMeter } from "./usage_meter.ts";
 
@@ -11,6 +12,7 @@
     incarnation,
     windowMs: WINDOW_MS,
     now: () => clock.now,
+    log: SILENT_LOG,
   });
 }
 
--- a/packages/router/src/process/usage_reports.ts
+++ b/packages/router/src/process/usage_reports.ts
@@ -9,20 +9,20 @@
   UsageCheckpoint,
   UsageReport,
 } from "./leader_record.ts";
+import { isComplete, livesOf } from "./usage_completion.ts";
 import type { Counts, UsageMeter } from "./usage_meter.ts";
 
 /**
- * The counts of a window are finalized when this fraction of the reporting delay
- * has passed since its end, while all daemons are reachable. The rest of the delay
- * is time for a successor to send the report if the leader fails.
+ * Time in ms before a report is due at which the counts of its window are finalized
+ * although some are missing. It is enough for a step of the leader (200), a write
+ * to the store (700 until its time-out) and a call of the platform (900).
  */
-const FINALIZE_FRACTION = 0.45;
+const REPORT_TIME_MS = 2_000;
 /**
- * The same fraction while some daemons are unreachable. A daemon that is
- * partitioned from the others for some seconds still serves its callers, and
- * sends its counts when it is reconnected.
+ * The same as a fraction of the reporting delay, for delays so short that nothing
+ * would be left to wait.
  */
-const INCOMPLETE_FINALIZE_FRACTION = 0.75;
+const MIN_WAIT_FRACTION = 0.45;
 /** Accepted reports that are kept for inspection by operators. */
 const MAX_ACCEPTED = 2;
 /** Maximum number of pending reports; the oldest are dropped first. */
@@ -41,8 +41,12 @@
   readonly timing: UsageTiming;
   /** Current time in epoch ms, as the daemons estimate it together. */
   readonly now: number;
-  /** Whether all daemons that were recently in the fleet are reachable. */
-  readonly complete: boolean;
+  /** Number of daemons in the fleet, as far as they are linked. */
+  readonly daemons: number;
+  /**
+   * Milliseconds until the next renewal of the lease, if one is due now; else 0.
+   */
+  readonly renewalMs: number;
 }
 
 /** New reports, and the leader's state that includes them. */
@@ -54,14 +58,20 @@
 }
 
 /**
- * Finalizes the counts of all windows whose finalizing time has passed.
+ * Finalizes the counts of the windows that are complete, and of those whose reports
+ * could otherwise be late.
+ *
+ * A report goes out only after a write to the store has fixed its counts, and the
+ * store may be down at that time. Complete windows are therefore fixed at once.
+ * Others are fixed by the last renewal before their time, so that the store need
+ * not answer at that time.
  *
  * @returns undefined if there is no such window; at the first call ever, a state
  * that starts with the current window.
  *
  * @example
  * ```ts
- * const sources = { meter, timing, now: time.now(), complete: true };
+ * const sources = { meter, timing, now: time.now(), daemons, renewalMs: 0 };
  * const decision = finalizeReports(lease.state, sources);
  * if (decision !== undefined) await lease.update(decision.state);
  * ```
@@ -70,8 +80,10 @@
   state: LeaderState,
   sources: UsageSources,
 ): UsageDecision | undefined {
-  const { windowMs, delayMs } = sources.timing;
-  const current = Math.floor(sources.now / windowMs);
+  const { meter, timing, now, daemons, renewalMs } = sources;
+  const { windowMs, delayMs } = timing;
+  const { checkpoint } = state;
+  const current = Math.floor(now / windowMs);
   if (state.nextWindow === undefined) {
     return {
       state: { ...state, nextWindow: current },
@@ -79,24 +91,31 @@
       missed: [],
     };
   }
-  const fraction = sources.complete
-    ? FINALIZE_FRACTION
-    : INCOMPLETE_FINALIZE_FRACTION;
-  const last = lastWindowToFinalize(sources.timing, sources.now, fraction);
-  if (last < state.nextWindow) return undefined;
   // A report that is one window late is still useful. Older windows are missed:
   // the meter keeps counts for a limited number of windows only.
-  const windowsUntilDue = Math.ceil((windowMs + delayMs) / windowMs);
-  const first = Math.max(state.nextWindow, current - windowsUntilDue - 1);
-  const missed = range(state.nextWindow, Math.min(first, last + 1));
-  const finalized = range(first, last + 1).map((window): UsageReport => ({
-    window,
-    counts: countsOf(window, state.checkpoint, sources.meter),
-    accepted: false,
-  }));
+  const first = current - Math.ceil((windowMs + delayMs) / windowMs) - 1;
+  const unreported = unreportedWindows(state, current);
+  const missed = unreported.filter((window) => window < first);
+  const finalized = unreported
+    .filter((window) => window >= first)
+    .filter((window) =>
+      now + renewalMs >= latestFinalizing(window, timing) ||
+      isComplete(window, { meter, checkpoint, daemons })
+    )
+    .map((window): UsageReport => ({
+      window,
+      counts: countsOf(window, checkpoint, meter),
+      accepted: false,
+    }));
+  if (finalized.length === 0 && missed.length === 0) return undefined;
+  const decided = [...missed, ...finalized.map(({ window }) => window)];
+  const nextWindow = Math.max(state.nextWindow, ...decided.map(next));
+  const open = unreported.filter((window) =>
+    window < nextWindow && !decided.includes(window)
+  );
   const reports = prune([...state.reports, ...finalized]);
   return {
-    state: { ...state, nextWindow: last + 1, reports },
+    state: { ...withOpen(state, open), nextWindow, reports },
     finalized,
     missed,
   };
@@ -111,28 +130,48 @@
  */
 export function skipLostReports(
   state: LeaderState,
-  timing: UsageTiming,
+  { windowMs }: UsageTiming,
   restoredAt: number,
 ): UsageDecision {
-  const { nextWindow } = state;
-  const last = lastWindowToFinalize(timing, restoredAt, FINALIZE_FRACTION);
-  if (nextWindow === undefined || last < nextWindow) {
-    return { state, finalized: [], missed: [] };
-  }
+  // A window may be reported as soon as it has ended.
+  const missed = unreportedWindows(state, Math.floor(restoredAt / windowMs));
+  if (missed.length === 0) return { state, finalized: [], missed };
+  const nextWindow = Math.max(state.nextWindow ?? 0, ...missed.map(next));
   return {
-    state: { ...state, nextWindow: last + 1 },
+    state: { ...withOpen(state, []), nextWindow },
     finalized: [],
-    missed: range(nextWindow, last + 1),
+    missed,
   };
 }
 
-/** The last window whose finalizing time has passed. */
-function lastWindowToFinalize(
+/** Latest time at which the counts of a window are finalized, in epoch ms. */
+function latestFinalizing(
+  window: number,
   { windowMs, delayMs }: UsageTiming,
-  now: number,
-  fraction: number,
 ): number {
-  return Math.floor((now - windowMs - fraction * delayMs) / windowMs);
+  const waitMs = Math.max(
+    MIN_WAIT_FRACTION * delayMs,
+    delayMs - REPORT_TIME_MS,
+  );
+  return next(window) * windowMs + waitMs;
+}
+
+/** Windows before `current` that have no report. */
+function unreportedWindows(
+  { open = [], nextWindow }: LeaderState,
+  current: number,
+): readonly number[] {
+  return [...open, ...range(nextWindow ?? current, current)];
+}
+
+/** Returns the state with other open windows, without the field if there are none. */
+function withOpen(state: LeaderState, open: readonly number[]): LeaderState {
+  const { open: _, ...others } = state;
+  return open.length === 0 ? others : { ...others, open };
+}
+
+function next(window: number): number {
+  return window + 1;
 }
 
 /**
@@ -145,17 +184,20 @@
   { meter, timing, now }: UsageSources,
 ): UsageCheckpoint {
   const current = Math.floor(now / timing.windowMs);
-  const first = Math.max(state.nextWindow ?? current, current - MAX_PENDING);
-  const windows = range(first, current + 1);
-  const incarnations = new Set(
+  const windows = unreportedWindows(state, current + 1).slice(-MAX_PENDING);
+  const lives = new Set(
     windows.flatMap((window) => [...meter.incarnations(window)]),
   );
   return {
-    lives: [...incarnations],
-    windows: windows.map((window) => ({
-      window,
-      counts: countsOf(window, state.checkpoint, meter),
-    })),
+    lives: [...lives],
+    windows: windows.map((window) => {
+      const counts = countsOf(window, state.checkpoint, meter);
+      const carried = [...livesOf(state.checkpoint, window)]
+        .filter((incarnation) => !lives.has(incarnation));
+      return carried.length === 0
+        ? { window, counts }
+        : { window, counts, carried };
+    }),
   };
 }
 
@@ -185,7 +227,7 @@
 ): Counts {
   const counts = new Map(meter.totals(window));
   const stored = checkpoint.windows.find((entry) => entry.window === window);
-  const incarnations = new Set(checkpoint.lives);
+  const incarnations = livesOf(checkpoint, window);
   const known = meter.totals(
     window,
     (incarnation) => incarnations.has(incarnation),
--- a/packages/router/src/process/usage_reports_test.ts
+++ b/packages/router/src/process/usage_reports_test.ts
@@ -2,7 +2,9 @@
 import { test } from "node:test";
 import { INITIAL_STATE } from "./leader_record.ts";
 import type { LeaderState } from "./leader_record.ts";
+import { SILENT_LOG } from "../../tests/fixtures.ts";
 import { UsageMeter } from "./usage_meter.ts";
+import type { UsageSources } from "./usage_reports.ts";
 import {
   checkpointOf,
   finalizeReports,
@@ -14,56 +16,95 @@
 
 function meterAt(clock: { now: number }, incarnation = "a"): UsageMeter {
   const { windowMs } = TIMING;
-  return new UsageMeter({ incarnation, windowMs, now: () => clock.now });
+  const now = () => clock.now;
+  return new UsageMeter({ incarnation, windowMs, now, log: SILENT_LOG });
+}
+
+/** Inputs of a leader in a fleet of one daemon by default. */
+function sourcesAt(now: number, meter: UsageMeter, daemons = 1): UsageSources {
+  return { meter, timing: TIMING, now, daemons, renewalMs: 0 };
 }
 
 function stateFrom(nextWindow: number): LeaderState {
   return { ...INITIAL_STATE, nextWindow };
 }
 
-test("a window is finalized once, after its counts can have arrived", () => {
+test("a window is finalized once, as soon as all daemons have ended it", () => {
   const clock = { now: 1_000 };
   const meter = meterAt(clock);
   meter.countRequest("fitters");
+  meter.applyUpdates([{
+    incarnation: "b",
+    window: 0,
+    counts: [["fitters", 7]],
+  }]);
   const at = (now: number) => {
     clock.now = now;
-    return { meter, timing: TIMING, now, complete: true };
+    return sourcesAt(now, meter, 2);
   };
   const before = stateFrom(0);
-  assert.equal(finalizeReports(before, at(9_000)), undefined);
-  const decision = finalizeReports(before, at(9_600));
+  assert.equal(finalizeReports(before, at(5_100)), undefined);
+  meter.applyEnds([{ incarnation: "b", window: 0, left: false }]);
+  assert.equal(finalizeReports(before, at(4_990)), undefined);
+  const decision = finalizeReports(before, at(5_200));
   assert.deepEqual(decision?.finalized, [
-    { window: 0, counts: { fitters: 1 }, accepted: false },
+    { window: 0, counts: { fitters: 8 }, accepted: false },
   ]);
   assert.equal(decision.state.nextWindow, 1);
-  assert.equal(finalizeReports(decision.state, at(9_700)), undefined);
+  assert.equal(finalizeReports(decision.state, at(5_300)), undefined);
 });
 
 // Guards against reports that lack the counts of partitioned daemons.
-test("a window is finalized later while some daemons are unreachable", () => {
+test("a window is finalized shortly before its report is due while counts are missing", () => {
   const clock = { now: 1_000 };
   const meter = meterAt(clock);
   meter.countRequest("fitters");
-  clock.now = 12_400;
-  const partitioned = { meter, timing: TIMING, now: 12_400, complete: false };
+  clock.now = 12_900;
+  const partitioned = sourcesAt(12_900, meter, 2);
   assert.equal(finalizeReports(stateFrom(0), partitioned), undefined);
+  // The write of a renewal is used if none follows before that time.
+  const renewal = { ...partitioned, renewalMs: 1_200 };
+  assert.equal(finalizeReports(stateFrom(0), renewal)?.finalized.length, 1);
   meter.applyUpdates([{
     incarnation: "b",
     window: 0,
     counts: [["fitters", 7]],
   }]);
-  const late = finalizeReports(stateFrom(0), { ...partitioned, now: 12_500 });
+  clock.now = 13_000;
+  const late = finalizeReports(stateFrom(0), sourcesAt(13_000, meter, 2));
   assert.deepEqual(late?.finalized[0]?.counts, { fitters: 8 });
 });
 
+// Guards against a window that is complete, but waits for an earlier one until the
+// store is down.
+test("a complete window does not wait for an earlier one", () => {
+  const clock = { now: 1_000 };
+  const meter = meterAt(clock);
+  meter.countRequest("fitters");
+  meter.applyUpdates([{
+    incarnation: "dead",
+    window: 0,
+    counts: [["fitters", 7]],
+  }]);
+  clock.now = 10_200;
+  const decision = finalizeReports(stateFrom(0), sourcesAt(10_200, meter));
+  assert.deepEqual(decision?.finalized.map(({ window }) => window), [1]);
+  const { state } = decision;
+  assert.deepEqual([state.nextWindow, state.open], [2, [0]]);
+  const checkpoint = checkpointOf(state, sourcesAt(10_200, meter));
+  assert.deepEqual(checkpoint.windows[0], {
+    window: 0,
+    counts: { fitters: 8 },
+  });
+  clock.now = 13_000;
+  const late = finalizeReports(state, sourcesAt(13_000, meter));
+  assert.deepEqual(late?.finalized[0]?.counts, { fitters: 8 });
+  assert.equal(late?.state.open, undefined);
+});
+
 test("the first leader starts with the current window", () => {
   const clock = { now: 52_000 };
-  const sources = {
-    meter: meterAt(clock),
-    timing: TIMING,
-    now: clock.now,
-    complete: true,
-  };
+  const sources = sourcesAt(clock.now, meterAt(clock));
   assert.equal(finalizeReports(INITIAL_STATE, sources)?.state.nextWindow, 10);
 });
 
@@ -72,20 +113,14 @@
   const meter = meterAt(clock);
   meter.countRequest("fitters");
   clock.now = 9_600;
-  const first = finalizeReports(stateFrom(0), {
-    meter,
-    timing: TIMING,
-    now: 9_600,
-    complete: true,
-  });
+  const first = finalizeReports(stateFrom(0), sourcesAt(9_600, meter));
   meter.applyUpdates([{
     incarnation: "b",
     window: 0,
     counts: [["fitters", 7]],
   }]);
   clock.now = 14_600;
-  const sources = { meter, timing: TIMING, now: 14_600, complete: true };
-  const second = finalizeReports(first!.state, sources);
+  const second = finalizeReports(first!.state, sourcesAt(14_600, meter));
   assert.deepEqual(second?.state.reports[0]?.counts, { fitters: 1 });
 });
 
@@ -98,22 +133,15 @@
     window: 0,
     counts: [["fitters", 4], ["office", 2]],
   }]);
-  const checkpoint = checkpointOf(stateFrom(0), {
-    meter,
-    timing: TIMING,
-    now: clock.now,
-    complete: true,
-  });
+  const checkpoint = checkpointOf(stateFrom(0), sourcesAt(clock.now, meter));
   const next = meterAt(clock, "c");
   next.countRequest("office");
+  const state = { ...stateFrom(0), checkpoint };
+  // The leader cannot tell that the others are lost.
   clock.now = 9_600;
-  const sources = {
-    meter: next,
-    timing: TIMING,
-    now: clock.now,
-    complete: true,
-  };
-  const decision = finalizeReports({ ...stateFrom(0), checkpoint }, sources);
+  assert.equal(finalizeReports(state, sourcesAt(9_600, next)), undefined);
+  clock.now = 13_000;
+  const decision = finalizeReports(state, sourcesAt(13_000, next));
   assert.deepEqual(decision?.finalized[0]?.counts, { fitters: 5, office: 3 });
 });
 
@@ -126,8 +154,7 @@
     window: 0,
     counts: [["fitters", 4]],
   }]);
-  const sources = { meter, timing: TIMING, now: clock.now, complete: true };
-  const checkpoint = checkpointOf(stateFrom(0), sources);
+  const checkpoint = checkpointOf(stateFrom(0), sourcesAt(clock.now, meter));
   // The daemon "a" is lost; "b" lives and has counted more since.
   const next = meterAt(clock, "c");
   next.applyUpdates([{
@@ -135,27 +162,27 @@
     window: 0,
     counts: [["fitters", 4]],
   }]);
-  const again = checkpointOf({ ...stateFrom(0), checkpoint }, {
-    ...sources,
-    meter: next,
-  });
+  const second = { ...stateFrom(0), checkpoint };
+  const again = checkpointOf(second, sourcesAt(clock.now, next));
   assert.deepEqual(again.windows[0]?.counts, { fitters: 5 });
+  // The daemon "a" was only cut off; its counts reach the third leader.
+  const last = meterAt(clock, "d");
+  last.applyUpdates([...meter.snapshot(), ...next.snapshot()]);
+  const third = { ...stateFrom(0), checkpoint: again };
+  const { windows } = checkpointOf(third, sourcesAt(clock.now, last));
+  assert.deepEqual(windows[0]?.counts, { fitters: 5 });
 });
 
 test("windows that are too old to report are returned as missed", () => {
   const clock = { now: 100_000 };
-  const sources = {
-    meter: meterAt(clock),
-    timing: TIMING,
-    now: clock.now,
-    complete: true,
-  };
+  const sources = sourcesAt(clock.now, meterAt(clock));
   const decision = finalizeReports(stateFrom(10), sources);
   assert.deepEqual(decision?.missed, [10, 11, 12, 13, 14, 15]);
   assert.deepEqual(decision.finalized.map(({ window }) => window), [
     16,
     17,
     18,
+    19,
   ]);
 });
 
@@ -172,8 +199,11 @@
 test("only windows that could be reported before a restore are skipped", () => {
   const at = (restoredAt: number) =>
     skipLostReports(stateFrom(0), TIMING, restoredAt);
-  assert.equal(at(9_400).state.nextWindow, 0);
-  assert.deepEqual(at(9_400).missed, []);
-  assert.deepEqual(at(9_500).missed, [0]);
-  assert.equal(at(14_500).state.nextWindow, 2);
+  assert.equal(at(4_900).state.nextWindow, 0);
+  assert.deepEqual(at(4_900).missed, []);
+  assert.deepEqual(at(5_000).missed, [0]);
+  assert.equal(at(10_000).state.nextWindow, 2);
+  const open = { ...stateFrom(2), open: [0] };
+  const { state, missed } = skipLostReports(open, TIMING, 14_900);
+  assert.deepEqual([missed, state.open], [[0], undefined]);
 });
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -375,6 +375,7 @@
       lifecycle: this.#lifecycle,
       log: this.log,
     });
+    await this.#fleetSync.leave();
     return cut === 0;
   }
 
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -185,6 +185,7 @@
     timeMs: undefined,
     usage: [],
     lease: undefined,
+    ends: [],
     contacts: [],
     gone: [],
     ...fields,
--- a/packages/router/tests/fleet.ts
+++ b/packages/router/tests/fleet.ts
@@ -81,6 +81,8 @@
   #remote: FakeLink | undefined;
   #events: LinkEvents | undefined;
   #closed = false;
+  #ending = false;
+  #stalled = false;
   #silenceMs = 1_500;
   #receivedAt = performance.now();
 
@@ -110,10 +112,10 @@
   }
 
   sendEncoded(frame: Buffer): void {
-    if (this.#closed) return;
+    if (this.#closed || this.#ending) return;
     this.#from.counts.messages += 1;
     this.#from.counts.bytes += frame.length;
-    if (!this.#from.canReach(this.#to)) return;
+    if (!this.#reaches()) return;
     const sentMs = this.#from.timeToSend(frame.length);
     setTimeout(() => this.#remote!.#receive(frame), sentMs + LATENCY_MS);
   }
@@ -122,13 +124,33 @@
     this.#silenceMs = millis;
   }
 
+  end(): void {
+    if (this.#closed || this.#ending) return;
+    this.#ending = true;
+    if (!this.#reaches()) return;
+    const sentMs = this.#from.timeToSend(0);
+    setTimeout(() => {
+      this.#remote!.#end();
+      setTimeout(() => this.#end(), LATENCY_MS);
+    }, sentMs + LATENCY_MS);
+  }
+
   close(): void {
     if (this.#closed) return;
     this.#end();
-    if (!this.#from.canReach(this.#to)) return;
+    if (!this.#reaches()) return;
     setTimeout(() => this.#remote!.#end(), LATENCY_MS);
   }
 
+  /**
+   * Whether data that is sent now arrives. After data was lost nothing arrives any
+   * more, as TCP delivers in order and takes seconds to repeat.
+   */
+  #reaches(): boolean {
+    this.#stalled ||= !this.#from.canReach(this.#to);
+    return !this.#stalled;
+  }
+
   #end(): void {
     if (this.#closed) return;
     this.#closed = true;
@@ -332,6 +354,8 @@
   counts = zeroCounts();
   configuration: Configuration | undefined;
   alive = false;
+  /** Whether the daemon still serves requests. */
+  serving = true;
   /** Whether calls of this host to the leader's store fail. */
   storeUnreachable = false;
   /** Names of daemons to which this one cannot send. */
@@ -364,6 +388,7 @@
       incarnation: contact.incarnation,
       windowMs: WINDOW_MS,
       now: () => this.time.now(),
+      log,
     });
     this.lease = new LeaderLease({
       store: this.#wrapStore(leadership.store),
@@ -380,7 +405,8 @@
       usage: {
         meter: this.usage,
         timing: { windowMs: WINDOW_MS, delayMs: REPORT_DELAY_MS },
-        complete: () => this.fleetSync.seesWholeFleet,
+        daemons: () => this.fleetSync.linkedDaemons,
+        recentDaemons: () => this.fleetSync.fleetSize,
       },
       scalingPolicy: undefined,
       eligible: () => this.fleetSync.mayLead,
@@ -455,6 +481,21 @@
     this.leader.stop();
   }
 
+  /**
+   * Ends the daemon as SIGTERM does.
+   *
+   * @param graceMs time for which it goes on serving.
+   */
+  async terminate(graceMs: number): Promise<void> {
+    void this.leader.stepDown();
+    void this.fleetSync.deregister();
+    await sleep(graceMs);
+    this.serving = false;
+    if (!this.alive) return;
+    await this.fleetSync.leave();
+    this.end();
+  }
+
   /** Wraps the leader's store to count calls, and to fail them if it is unreachable. */
   #wrapStore(store: MemoryLeaderStore): LeaderStore {
     const beforeCall = async () => {
@@ -565,6 +606,17 @@
     }
   }
 
+  /** Cuts daemons off from all others, and from each other. */
+  isolate(isolated: readonly Member[]): void {
+    const names = isolated.map(({ contact }) => contact.name);
+    for (const { contact, blocked } of this.members) {
+      const others = names.includes(contact.name)
+        ? this.members.map((member) => member.contact.name)
+        : names;
+      for (const name of others) blocked.add(name);
+    }
+  }
+
   /** Ends all network partitions. */
   heal(): void {
     for (const { blocked } of this.members) blocked.clear();
--- a/packages/router/tests/leader_test.ts
+++ b/packages/router/tests/leader_test.ts
@@ -80,6 +80,7 @@
       incarnation: name,
       windowMs: TIMING.windowMs,
       now: () => time.now(),
+      log: SILENT_LOG,
     });
     const lease = new LeaderLease({
       store: this.store,
@@ -93,7 +94,12 @@
       lease,
       leaseMs: LEASE_MS,
       api: this.api,
-      usage: { meter, timing: TIMING, complete: () => true },
+      usage: {
+        meter,
+        timing: TIMING,
+        daemons: () => 1,
+        recentDaemons: () => 1,
+      },
       scalingPolicy: this.scalingPolicy,
       eligible: () => true,
       leaseChanged() {},
@@ -141,7 +147,8 @@
   const first = fixture.start("a");
   await fixture.clock.advance(ELECTION_MS);
   fixture.api.responseMs = 800;
-  while (fixture.api.calls.length === 0) await fixture.clock.advance(50);
+  const { length: before } = fixture.api.calls;
+  while (fixture.api.calls.length === before) await fixture.clock.advance(50);
   const stepDown = first.leader.stepDown();
   await fixture.clock.advance(100);
   // The holder's id is empty once the lease is released.
