Send held usage counts while the store does not answer

A window that waits for a lost or cut-off daemon was missed if the store failed before its report was due. From 4.5 s after its end each renewal now stores its counts as a held report.

A single absent daemon is waited for until 4.5 s after the end of a window, and two windows at most; groups of them until the report is due.

--- a/packages/router/src/connection/peer_link_test.ts
+++ b/packages/router/src/connection/peer_link_test.ts
@@ -9,6 +9,7 @@
 import { encodeFrame } from "@umbermast/coordination/frame_bytes";
 import { testUpdate } from "../../tests/fixtures.ts";
 import type { CrashAges } from "./crash_ages.ts";
+import { packMessage } from "./peer_encoding.ts";
 import { encodeMessage, IDLE_TIMEOUT_MS, PeerLink } from "./peer_link.ts";
 import { NO_LOAD } from "../process/load_totals.ts";
 import { PROTOCOL_VERSION } from "./peer_message.ts";
@@ -184,6 +185,51 @@
   assert.deepEqual(received, [testUpdate()]);
 });
 
+// Guards against other messages where usage is not reported, and against ends that
+// other versions would read as another field.
+test("ends of usage windows are the tenth optional field, if there are any", async (t) => {
+  const received: PeerMessage[] = [];
+  const { far, closed } = await openLink(
+    t,
+    (message) => received.push(message),
+  );
+  assert.equal((packMessage(testUpdate()) as unknown[]).length, 9);
+  const ends = [
+    { incarnation: "a", window: 7, left: false },
+    { incarnation: "b", window: 7, left: false },
+    { incarnation: "c", window: 7, left: true },
+  ];
+  const state = testUpdate({ ends });
+  assert.deepEqual((packMessage(state) as unknown[])[18], [
+    [7, false, ["a", "b"]],
+    [7, true, ["c"]],
+  ]);
+  far.write(encodeMessage(state));
+  const invalid = (packMessage(testUpdate()) as unknown[]).concat(
+    Array(9).fill(undefined),
+    ["none"],
+  );
+  far.end(encodeFrame([encodeItem(invalid)]));
+  await closed;
+  assert.deepEqual(received, [
+    state,
+    testUpdate({ ends: [{ incarnation: "", window: NaN, left: false }] }),
+  ]);
+});
+
+// Guards against the loss of the last usage counts of a daemon that stops.
+test("a link that ends delivers what was sent before", async (t) => {
+  const { link, far, closed } = await openLink(t, () => {});
+  const frame = encodeMessage(testUpdate({ runners: 700 }));
+  const chunks: Buffer[] = [];
+  far.on("data", (chunk: Buffer) => chunks.push(chunk));
+  for (let sent = 0; sent < 1_000; sent++) link.sendEncoded(frame);
+  link.end();
+  link.sendEncoded(frame);
+  await closed;
+  assert.equal(Buffer.concat(chunks).length, 1_000 * frame.length);
+});
+
 // Guards against one invalid address that makes all contacts of a message
 // unusable.
 test("a contact with an invalid address is skipped", async (t) => {
--- a/packages/router/src/process/leader.ts
+++ b/packages/router/src/process/leader.ts
@@ -51,6 +51,11 @@
 const HOLD_BACK_MS = 2_000;
 /** Time-out of a call to the platform, in ms; the call is then aborted. */
 const TIMEOUT_MS = 900;
+/**
+ * The same while the store does not answer: when a renewal has timed out (700 ms),
+ * 500 ms of a lease of 3 s are left.
+ */
+const SHORT_TIMEOUT_MS = 400;
 /** Backoff in ms after the first failed call; doubled after each one, up to the maximum. */
 const INITIAL_RETRY_MS = 400;
 const MAX_RETRY_MS = 3_200;
@@ -117,6 +122,11 @@
   readonly #attempts = new Map<number, number>();
   /** Decisions on windows, until the store is known to hold them. */
   readonly #unstored = new Map<number, UnstoredDecision>();
+  /**
+   * Windows whose held counts may have been sent: by an earlier leader, or by this
+   * one while the store did not answer.
+   */
+  readonly #frozen = new Set<number>();
   /** Monotonic ms since which this daemon leaves a free lease to others. */
   #heldBackSince: number | undefined;
   #stopped = false;
@@ -182,6 +192,7 @@
     // The response to the last write of an earlier term may have been lost.
     this.#logStored();
     this.#unstored.clear();
+    this.#freezeHeld();
     this.#orders.reset();
     this.#accepted.clear();
     this.#attempts.clear();
@@ -209,10 +220,10 @@
     }
     const renewalMs = RENEWAL_FRACTION * this.#options.leaseMs;
     const renewalDue = lease.sinceRenewalMs >= renewalMs;
-    const decided = this.#decide(renewalDue ? renewalMs : 0);
+    const decided = this.#decide(renewalDue);
     if (decided !== undefined || renewalDue) {
       const state = this.#withCheckpoint(decided ?? lease.state);
-      if (!await lease.update(state)) return;
+      if (!await lease.update(state)) return await this.#sendWithoutStore();
       this.#logStored();
       leaseChanged();
     }
@@ -223,12 +234,12 @@
   /**
    * Returns the state with new decisions, or nothing if there are none.
    *
-   * @param renewalMs time until the next renewal, if one is due now; else 0.
+   * @param writing whether the state is written in any case.
    */
-  #decide(renewalMs: number): LeaderState | undefined {
+  #decide(writing: boolean): LeaderState | undefined {
     const { lease, monotonic } = this.#options;
     let { state } = lease;
-    const sources = this.#sources(renewalMs);
+    const sources = this.#sources(writing);
     if (sources !== undefined) state = this.#decideReports(state, sources);
     const orders = this.#orders.reconcile(state.orders, monotonic());
     if (orders !== undefined) state = { ...state, orders };
@@ -286,25 +297,58 @@
   }
 
   #withCheckpoint(state: LeaderState): LeaderState {
-    const sources = this.#sources(0);
+    const sources = this.#sources(true);
     if (sources === undefined) return state;
     const checkpoint = checkpointOf(state, sources);
     return withAccepted({ ...state, checkpoint }, this.#accepted);
   }
 
-  #sources(renewalMs: number): UsageSources | undefined {
+  #sources(writing: boolean): UsageSources | undefined {
     const { usage, now } = this.#options;
     if (usage === undefined) return undefined;
     const { meter, timing, daemons } = usage;
-    return { meter, timing, now: now(), daemons: daemons(), renewalMs };
+    return {
+      meter,
+      timing,
+      now: now(),
+      daemons: daemons(),
+      writing,
+      frozen: this.#frozen,
+    };
+  }
+
+  /** Treats the held counts in the state of an earlier term as final. */
+  #freezeHeld(): void {
+    this.#frozen.clear();
+    for (const { window, held } of this.#options.lease.state.reports) {
+      if (held) this.#frozen.add(window);
+    }
+  }
+
+  /**
+   * Sends reports while the store does not answer, held ones among them: without the
+   * store this leader soon ends, and nobody can send them in time. A successor finds
+   * the same counts, whichever writes take effect.
+   */
+  async #sendWithoutStore(): Promise<void> {
+    const { lease } = this.#options;
+    for (const report of lease.state.reports) {
+      if (!this.#isPending(report) || !isFixed(report, lease)) continue;
+      if (report.held) this.#frozen.add(report.window);
+      await this.#send(report, SHORT_TIMEOUT_MS);
+    }
   }
 
   /** Sends one report that the platform has not accepted yet. */
   async #sendReport(): Promise<void> {
-    const { api, monotonic, log, metrics } = this.#options;
     const report = this.#nextReport();
-    if (report === undefined || monotonic() < this.#reportNotBefore) return;
-    const call = this.#beginCall();
+    if (report !== undefined) await this.#send(report, TIMEOUT_MS);
+  }
+
+  async #send(report: UsageReport, timeoutMs: number): Promise<void> {
+    const { api, monotonic, log, metrics } = this.#options;
+    if (monotonic() < this.#reportNotBefore) return;
+    const call = this.#beginCall(timeoutMs);
     if (call === undefined) return;
     this.#attempts.set(report.window, this.#attemptsOf(report) + 1);
     const outcome = await this.#endCall(api.reportUsage(report, call));
@@ -332,7 +376,7 @@
   #nextReport(): UsageReport | undefined {
     let next: UsageReport | undefined;
     for (const report of this.#options.lease.state.reports) {
-      if (!this.#isPending(report)) continue;
+      if (!this.#isPending(report) || report.held) continue;
       const fewer = next === undefined ||
         this.#attemptsOf(report) < this.#attemptsOf(next);
       if (fewer) next = report;
@@ -352,7 +396,7 @@
   async #sendOrders(): Promise<void> {
     const { lease, api, monotonic, metrics } = this.#options;
     for (const order of this.#orders.due(lease.state.orders, monotonic())) {
-      const call = this.#beginCall();
+      const call = this.#beginCall(TIMEOUT_MS);
       if (call === undefined) return;
       const outcome = await this.#endCall(api.orderRunners(order, call));
       metrics.platformCall("runners", outcome.kind);
@@ -367,13 +411,13 @@
    * Returns the parameters of a call, or nothing if the call could outlast the
    * lease.
    */
-  #beginCall(): PlatformCall | undefined {
+  #beginCall(timeoutMs: number): PlatformCall | undefined {
     const { lease, name } = this.#options;
     const { fencing } = lease;
-    if (fencing === undefined || !lease.mayAct(TIMEOUT_MS)) return undefined;
+    if (fencing === undefined || !lease.mayAct(timeoutMs)) return undefined;
     if (this.#stopped) return undefined;
     lease.recordAction();
-    return { fence: { holder: name, fencing }, timeoutMs: TIMEOUT_MS };
+    return { fence: { holder: name, fencing }, timeoutMs };
   }
 
   async #endCall(call: Promise<CallOutcome>): Promise<CallOutcome> {
@@ -382,3 +426,18 @@
     return outcome;
   }
 }
+
+/**
+ * Whether the store holds the counts of a report, whichever of the writes without
+ * response take effect.
+ */
+function isFixed(
+  { window, counts, held }: UsageReport,
+  { possibleStates }: Pick<LeaderLease, "possibleStates">,
+): boolean {
+  if (!held) return true;
+  return possibleStates.length > 0 && possibleStates.every(({ reports }) => {
+    const other = reports.find((report) => report.window === window);
+    return isDeepStrictEqual(other?.counts, counts);
+  });
+}
--- a/packages/router/src/process/leader_lease.ts
+++ b/packages/router/src/process/leader_lease.ts
@@ -72,6 +72,13 @@
   renewedAt: Timestamp;
   revision: number;
   state: LeaderState;
+  /** States of writes to replace `revision` whose results are unknown. */
+  possibleStates: LeaderState[];
+  /**
+   * After a restore, until a write has succeeded: number of the last write that the
+   * restored record, which may hold an older state, can be from.
+   */
+  lastLostAttempt: number | undefined;
 }
 
 /** A write whose response was lost. */
@@ -140,6 +147,14 @@
     return this.#term?.state ?? INITIAL_STATE;
   }
 
+  /**
+   * States that the store may hold, now or later, instead of {@linkcode state}: the
+   * responses to their writes were lost, and a write may take effect late.
+   */
+  get possibleStates(): readonly LeaderState[] {
+    return this.#term?.possibleStates ?? [];
+  }
+
   /**
    * Monotonic ms at which a restore of the store was noticed that may have lost
    * decisions of an earlier leader; undefined if this term's state has them all.
@@ -280,7 +295,11 @@
     const fencing = fencingAfter(ifRevision);
     const state = before?.work ?? INITIAL_STATE;
     const sentAt = timestampOf(this.#clock);
-    const record = this.#record(fencing, state);
+    const written = this.#record(fencing, state);
+    // A successor of this term, too, has to know that the state is from before the
+    // restore, until this term has written one without the lost decisions.
+    const epoch = before?.epoch ?? written.epoch;
+    const record = { ...written, epoch };
     const result = await this.#write(record, ifRevision, sentAt);
     // If the response was lost, the next read shows whether the write succeeded,
     // as the record then holds this incarnation.
@@ -293,7 +312,16 @@
     const isOld = before !== undefined && before.epoch < epochOf(ifRevision);
     const restoredAt = isOld ? this.#epoch.since : undefined;
     const renewedAt = sentAt;
-    this.#term = { fencing, since, restoredAt, renewedAt, revision, state };
+    this.#term = {
+      fencing,
+      since,
+      restoredAt,
+      renewedAt,
+      revision,
+      state,
+      possibleStates: [],
+      lastLostAttempt: undefined,
+    };
     this.#recordOwnWrite(revision, since);
     const holder = before?.holding.holder ?? "";
     this.#actsFrom = this.#firstActionAt(before);
@@ -346,6 +374,7 @@
     if (result === "unknown") {
       const { attempt } = record.holding;
       this.#unconfirmed = { attempt, sentAt };
+      this.#term?.possibleStates.push(record.work);
     }
     return result;
   }
@@ -374,15 +403,22 @@
     const own = holding?.holderId === this.#own.incarnation &&
       holding.fencing === term.fencing;
     const restored = epochOf(revision) > epochOf(term.revision);
-    const current = own && (!restored || holding.attempt === pending?.attempt);
-    if (restored && !current && (holding?.fencing ?? 0) <= term.fencing) {
+    if (restored) term.lastLostAttempt = this.#attempts;
+    const { lastLostAttempt = -1 } = term;
+    const current = own && (holding.attempt > lastLostAttempt ||
+      holding.attempt === pending?.attempt);
+    const lost = term.lastLostAttempt !== undefined && !current;
+    if (lost && (holding?.fencing ?? 0) <= term.fencing) {
       // The store has lost the latest state. It is still this daemon's to write, as
       // others take no lease before all from before the restore have expired.
       term.revision = revision;
       return;
     }
     if (!current) return this.#end("taken by another one");
+    // Writes to replace an earlier revision have no effect any more.
+    if (revision !== term.revision) term.possibleStates = [];
     term.revision = revision;
+    term.lastLostAttempt = undefined;
     term.state = record!.work;
     this.#recordOwnWrite(found.revision, this.#clock.monotonic());
     // Other daemons measure the lease from the stored write. Measuring it from a
@@ -397,6 +433,8 @@
   }): void {
     this.#epoch.observe(write.revision);
     term.revision = write.revision;
+    term.possibleStates = [];
+    term.lastLostAttempt = undefined;
     term.renewedAt = write.sentAt;
     term.state = write.state;
     this.#recordOwnWrite(write.revision, this.#clock.monotonic());
--- a/packages/router/src/process/leader_record.ts
+++ b/packages/router/src/process/leader_record.ts
@@ -16,6 +16,12 @@
   readonly counts: Counts;
   /** Whether the platform has accepted the report. */
   readonly accepted: boolean;
+  /**
+   * Whether the leader waits for further counts, and may replace these until it has
+   * sent them. It sends them while the store does not answer, so that a successor
+   * must not replace them. Absent if the counts are final.
+   */
+  readonly held?: true | undefined;
 }
 
 /** Usage counts collected so far for the windows without a report. */
--- a/packages/router/src/process/usage_completion.ts
+++ b/packages/router/src/process/usage_completion.ts
@@ -11,10 +11,10 @@
  * in which it last heard of them. Cuts last for some seconds; a daemon that is away
  * for longer cannot deliver its counts before the report is due.
  */
-const ABSENT_WINDOWS = 3;
+const ABSENT_WINDOWS = 2;
 /**
- * Share of the daemons that may be absent without being waited for, half of the
- * tolerance of a report (0.05). Hosts that fail one by one do not return.
+ * Share of the daemons that may be absent without being waited for to the end, half
+ * of the tolerance of a report (0.05). Hosts that fail one by one do not return.
  */
 const ABSENT_SHARE = 0.025;
 
@@ -24,6 +24,8 @@
   readonly checkpoint: UsageCheckpoint;
   /** Number of daemons in the fleet, as far as they are linked. */
   readonly daemons: number;
+  /** Whether few absent daemons have been waited for long enough. */
+  readonly waited: boolean;
 }
 
 /**
@@ -34,12 +36,12 @@
  *
  * @example
  * ```ts
- * isComplete(356_015_216, { meter, checkpoint, daemons: 66 });
+ * isComplete(356_015_216, { meter, checkpoint, daemons: 66, waited: false });
  * ```
  */
 export function isComplete(
   window: number,
-  { meter, checkpoint, daemons }: CompletionSources,
+  { meter, checkpoint, daemons, waited }: CompletionSources,
 ): boolean {
   const ends = meter.ends();
   const hasEnded = (incarnation: string) => {
@@ -67,7 +69,8 @@
   // A daemon that has just started, or is of a version without announcements, is
   // known by its number only.
   if (ended < daemons) return false;
-  return absent <= Math.max(1, ABSENT_SHARE * (ended + absent));
+  const few = Math.max(1, ABSENT_SHARE * (ended + absent));
+  return absent === 0 || (waited && absent <= few);
 }
 
 /** Incarnations whose counts of a window a checkpoint includes. */
--- a/packages/router/src/process/usage_meter_test.ts
+++ b/packages/router/src/process/usage_meter_test.ts
@@ -90,3 +90,38 @@
   }
   assert.deepEqual(meter.snapshot(), []);
 });
+
+// Guards against a request that is counted in a window whose end was announced.
+test("a daemon counts nothing in a window that it has ended", () => {
+  const clock = { now: 5_001 };
+  const meter = meterOf("a", clock);
+  const end = { incarnation: "a", window: 0, left: false };
+  assert.deepEqual(meter.takeEnds(), [end]);
+  assert.deepEqual(meter.takeEnds(), []);
+  clock.now = 4_990;
+  meter.countRequest("fitters");
+  assert.equal(meter.totals(0).size, 0);
+  assert.equal(meter.totals(1).get("fitters"), 1);
+  meter.leave();
+  assert.deepEqual(meter.takeEnds(), [{ ...end, left: true }]);
+});
+
+test("invalid ends are left out, and logged once in a window", () => {
+  const clock = { now: 50_000 };
+  const lines: unknown[] = [];
+  const meter = new UsageMeter({
+    incarnation: "a",
+    windowMs: WINDOW_MS,
+    now: () => clock.now,
+    log: { event: (_, fields) => lines.push(fields) },
+  });
+  const endOf = (window: number) => ({
+    incarnation: `b${window}`,
+    window,
+    left: false,
+  });
+  const ends = [NaN, -7, 2.5, 1e12, 9].map(endOf);
+  assert.deepEqual(meter.applyEnds(ends), [endOf(9)]);
+  assert.deepEqual(meter.applyEnds(ends), []);
+  assert.deepEqual(lines, [{ ends: 4 }]);
+});
--- a/packages/router/src/process/usage_reports.ts
+++ b/packages/router/src/process/usage_reports.ts
@@ -19,10 +19,12 @@
  */
 const REPORT_TIME_MS = 2_000;
 /**
- * The same as a fraction of the reporting delay, for delays so short that nothing
- * would be left to wait.
+ * Fraction of the reporting delay after which a window without all counts is held:
+ * its counts are stored with each renewal so that they can be sent if the store
+ * fails. Before, the store has time to come back; afterwards, a change of the leader
+ * fixes what was held.
  */
-const MIN_WAIT_FRACTION = 0.45;
+const HOLD_FRACTION = 0.45;
 /** Accepted reports that are kept for inspection by operators. */
 const MAX_ACCEPTED = 2;
 /** Maximum number of pending reports; the oldest are dropped first. */
@@ -43,10 +45,10 @@
   readonly now: number;
   /** Number of daemons in the fleet, as far as they are linked. */
   readonly daemons: number;
-  /**
-   * Milliseconds until the next renewal of the lease, if one is due now; else 0.
-   */
-  readonly renewalMs: number;
+  /** Whether the state is written now in any case. */
+  readonly writing: boolean;
+  /** Windows whose held counts may have been sent. */
+  readonly frozen: ReadonlySet<number>;
 }
 
 /** New reports, and the leader's state that includes them. */
@@ -62,17 +64,22 @@
  * could otherwise be late.
  *
  * A report goes out only after a write to the store has fixed its counts, and the
- * store may be down at that time. Complete windows are therefore fixed at once.
- * Others are fixed by the last renewal before their time, so that the store need
- * not answer at that time.
+ * store may be down at that time. Complete windows are therefore fixed at once, and
+ * others are held from some time on.
  *
- * @returns undefined if there is no such window; at the first call ever, a state
+ * @returns undefined if there is nothing to write; at the first call ever, a state
  * that starts with the current window.
  *
  * @example
  * ```ts
- * const sources = { meter, timing, now: time.now(), daemons, renewalMs: 0 };
- * const decision = finalizeReports(lease.state, sources);
+ * const decision = finalizeReports(lease.state, {
+ *   meter,
+ *   timing,
+ *   now: time.now(),
+ *   daemons,
+ *   writing: false,
+ *   frozen: new Set(),
+ * });
  * if (decision !== undefined) await lease.update(decision.state);
  * ```
  */
@@ -80,9 +87,8 @@
   state: LeaderState,
   sources: UsageSources,
 ): UsageDecision | undefined {
-  const { meter, timing, now, daemons, renewalMs } = sources;
+  const { meter, timing, now, writing, frozen } = sources;
   const { windowMs, delayMs } = timing;
-  const { checkpoint } = state;
   const current = Math.floor(now / windowMs);
   if (state.nextWindow === undefined) {
     return {
@@ -94,26 +100,36 @@
   // A report that is one window late is still useful. Older windows are missed:
   // the meter keeps counts for a limited number of windows only.
   const first = current - Math.ceil((windowMs + delayMs) / windowMs) - 1;
-  const unreported = unreportedWindows(state, current);
-  const missed = unreported.filter((window) => window < first);
-  const finalized = unreported
-    .filter((window) => window >= first)
-    .filter((window) =>
-      now + renewalMs >= latestFinalizing(window, timing) ||
-      isComplete(window, { meter, checkpoint, daemons })
-    )
-    .map((window): UsageReport => ({
-      window,
-      counts: countsOf(window, checkpoint, meter),
-      accepted: false,
-    }));
-  if (finalized.length === 0 && missed.length === 0) return undefined;
-  const decided = [...missed, ...finalized.map(({ window }) => window)];
-  const nextWindow = Math.max(state.nextWindow, ...decided.map(next));
-  const open = unreported.filter((window) =>
-    window < nextWindow && !decided.includes(window)
+  const heldBefore = state.reports.filter(({ held }) => held);
+  const missed = openWindows(state, current).filter((window) => window < first);
+  const finalized: UsageReport[] = [];
+  const held: UsageReport[] = [];
+  for (const window of undecidedWindows(state, current)) {
+    if (missed.includes(window)) continue;
+    const stored = heldBefore.find((report) => report.window === window);
+    if (stored !== undefined && frozen.has(window)) {
+      finalized.push(withoutHold(stored));
+      continue;
+    }
+    const counts = countsOf(window, state.checkpoint, meter);
+    const report = { window, counts, accepted: false };
+    if (isFinal(window, state, sources)) finalized.push(report);
+    else if (now >= endOf(window, timing) + HOLD_FRACTION * delayMs) {
+      held.push({ ...report, held: true });
+    }
+  }
+  const decided = finalized.length > 0 || missed.length > 0;
+  if (!decided && !(writing && held.length > 0)) return undefined;
+  const changed = [...finalized, ...held];
+  const windows = [...missed, ...changed.map(({ window }) => window)];
+  const nextWindow = Math.max(state.nextWindow, ...windows.map(next));
+  const open = openWindows(state, current).filter((window) =>
+    window < nextWindow && !windows.includes(window)
+  );
+  const unchanged = state.reports.filter(({ window }) =>
+    !windows.includes(window)
   );
-  const reports = prune([...state.reports, ...finalized]);
+  const reports = prune([...unchanged, ...changed]);
   return {
     state: { ...withOpen(state, open), nextWindow, reports },
     finalized,
@@ -121,6 +137,20 @@
   };
 }
 
+/** Whether the counts of a window are final now. */
+function isFinal(
+  window: number,
+  { checkpoint }: LeaderState,
+  { meter, timing, now, daemons }: UsageSources,
+): boolean {
+  const { delayMs } = timing;
+  const end = endOf(window, timing);
+  const waitMs = Math.max(HOLD_FRACTION * delayMs, delayMs - REPORT_TIME_MS);
+  if (now >= end + waitMs) return true;
+  const waited = now >= end + HOLD_FRACTION * delayMs;
+  return isComplete(window, { meter, checkpoint, daemons, waited });
+}
+
 /**
  * Skips the windows that an earlier leader may have reported with counts that a
  * restore of the store has lost. Other counts for the same window must not be
@@ -133,37 +163,49 @@
   { windowMs }: UsageTiming,
   restoredAt: number,
 ): UsageDecision {
-  // A window may be reported as soon as it has ended.
-  const missed = unreportedWindows(state, Math.floor(restoredAt / windowMs));
+  // A window may be reported as soon as it has ended. Held counts may have been
+  // replaced and sent since.
+  const missed = undecidedWindows(state, Math.floor(restoredAt / windowMs));
   if (missed.length === 0) return { state, finalized: [], missed };
   const nextWindow = Math.max(state.nextWindow ?? 0, ...missed.map(next));
+  const reports = state.reports.filter(({ window }) =>
+    !missed.includes(window)
+  );
   return {
-    state: { ...withOpen(state, []), nextWindow },
+    state: { ...withOpen(state, []), nextWindow, reports },
     finalized: [],
     missed,
   };
 }
 
-/** Latest time at which the counts of a window are finalized, in epoch ms. */
-function latestFinalizing(
-  window: number,
-  { windowMs, delayMs }: UsageTiming,
-): number {
-  const waitMs = Math.max(
-    MIN_WAIT_FRACTION * delayMs,
-    delayMs - REPORT_TIME_MS,
-  );
-  return next(window) * windowMs + waitMs;
+/** End of a window, in epoch ms. */
+function endOf(window: number, { windowMs }: UsageTiming): number {
+  return next(window) * windowMs;
 }
 
-/** Windows before `current` that have no report. */
-function unreportedWindows(
+/** Windows before `current` without a report, not even a held one. */
+function openWindows(
   { open = [], nextWindow }: LeaderState,
   current: number,
 ): readonly number[] {
   return [...open, ...range(nextWindow ?? current, current)];
 }
 
+/** Windows before `current` whose counts are not final. */
+function undecidedWindows(
+  state: LeaderState,
+  current: number,
+): readonly number[] {
+  const held = state.reports
+    .filter((report) => report.held && report.window < current)
+    .map(({ window }) => window);
+  return [...held, ...openWindows(state, current)].sort((a, b) => a - b);
+}
+
+function withoutHold({ held: _, ...report }: UsageReport): UsageReport {
+  return report;
+}
+
 /** Returns the state with other open windows, without the field if there are none. */
 function withOpen(state: LeaderState, open: readonly number[]): LeaderState {
   const { open: _, ...others } = state;
@@ -184,7 +226,7 @@
   { meter, timing, now }: UsageSources,
 ): UsageCheckpoint {
   const current = Math.floor(now / timing.windowMs);
-  const windows = unreportedWindows(state, current + 1).slice(-MAX_PENDING);
+  const windows = undecidedWindows(state, current + 1).slice(-MAX_PENDING);
   const lives = new Set(
     windows.flatMap((window) => [...meter.incarnations(window)]),
   );
--- a/packages/router/tests/leader_fleet_test.ts
+++ b/packages/router/tests/leader_fleet_test.ts
@@ -125,6 +125,23 @@
   assert.deepEqual(arrival!.counts, { fitters: requests });
 });
 
+// Guards against the loss of what a daemon counted since its last message, and of the
+// requests that it finished after SIGTERM.
+test("a daemon that stops delivers its last counts", async (t) => {
+  const fixture = await startFleet(t, shape!);
+  const { window, requests } = countAtAll(fixture);
+  const stopping = fixture.fleet.alive.slice(0, 9);
+  for (const member of stopping) void member.terminate(700);
+  await fixture.clock.advance(690);
+  for (const { usage } of stopping) usage.countRequest("fitters");
+  await fixture.clock.advance(WINDOW_MS + REPORT_DELAY_MS);
+  const [arrival] = arrivalsOf(fixture, window);
+  assert.deepEqual(arrival!.counts, { fitters: requests + 9 });
+  // Nobody waits for them.
+  const dueAt = (window + 1) * WINDOW_MS + REPORT_DELAY_MS;
+  assert.ok(dueAt - arrival!.at > 8_000, `${dueAt - arrival!.at} ms left`);
+});
+
 test("successive leaders report each window with the same counts", async (t) => {
   const fixture = await startFleet(t, shape!);
   for (let turn = 0; turn < 3; turn++) {
