--- a/packages/router/tests/leader_fleet_test.ts
+++ b/packages/router/tests/leader_fleet_test.ts
@@ -125,6 +125,25 @@
   assert.deepEqual(arrival!.counts, { fitters: requests });
 });
 
+// Guards against counts that the leader lacks for as long as it takes to dial a daemon
+// that was cut off, which others have reached before.
+test("the leader of a small fleet hears of a returned daemon from others", async (t) => {
+  const fixture = await startFleet(t, SIZES[0]!);
+  const { fleet, clock } = fixture;
+  const leader = leaderOf(fixture);
+  const returned = fleet.alive.find((member) => member !== leader)!;
+  fleet.isolate([returned]);
+  await clock.advance(2_000);
+  returned.usage.countRequest("fitters");
+  const { window } = returned.usage;
+  await clock.advance(WINDOW_MS);
+  fleet.heal();
+  returned.blocked.add(leader.contact.name);
+  leader.blocked.add(returned.contact.name);
+  await clock.advance(4_000);
+  assert.ok((leader.usage.totals(window).get("fitters") ?? 0) > 0);
+});
+
 // Guards against the loss of what a daemon counted since its last message, and of the
 // requests that it finished after SIGTERM.
 test("a daemon that stops delivers its last counts", async (t) => {
--- a/packages/router/tests/leader_test.ts
+++ b/packages/router/tests/leader_test.ts
@@ -118,9 +118,12 @@
       readonly store?: LeaderStore;
       /** Number of daemons in the fleet. */
       readonly daemons?: number;
+      /** Number of daemons that were recently in the fleet. */
+      readonly recentDaemons?: number;
     } = {},
   ): TestLeader {
     const { store = this.store, daemons = 1 } = options;
+    const { recentDaemons = daemons } = options;
     const monotonicNow = () => performance.now();
     const time = new FleetTime({ wall: monotonicNow, monotonic: monotonicNow });
     const meter = new UsageMeter({
@@ -145,7 +148,7 @@
         meter,
         timing: TIMING,
         daemons: () => daemons,
-        recentDaemons: () => daemons,
+        recentDaemons: () => recentDaemons,
       },
       scalingPolicy: this.scalingPolicy,
       eligible: () => true,
@@ -225,6 +228,20 @@
   assert.ok(fixture.api.calls.length > before);
 });
 
+// Guards against a leader that was cut off and lacks the counts of most daemons.
+test("a daemon that sees little of the fleet leaves the lease to others", async (t) => {
+  const fixture = new LeaderFixture(t);
+  const partial = fixture.start("a", { daemons: 4, recentDaemons: 9 });
+  await fixture.clock.advance(500);
+  const { lease, leader } = fixture.start("b", { daemons: 9 });
+  await fixture.clock.advance(ELECTION_MS);
+  assert.deepEqual([partial.lease.held, lease.held], [false, true]);
+  // Without others it leads all the same.
+  leader.stop();
+  await fixture.clock.advance(2 * LEASE_MS + 2_000);
+  assert.equal(partial.lease.held, true);
+});
+
 test("orders are stored and sent, and sent again when they change", async (t) => {
   const fixture = new LeaderFixture(t);
   const order = {
