--- a/packages/router/src/connection/peer_encoding.ts
+++ b/packages/router/src/connection/peer_encoding.ts
@@ -17,7 +17,11 @@
 import type { CostSum } from "../process/workspace_shares.ts";
 import type { DeadContact } from "../process/contact_book.ts";
 import type { PrefixUpdate } from "../process/prefix_index.ts";
-import type { UsageCount, WorkspaceCount } from "../process/usage_meter.ts";
+import type {
+  UsageCount,
+  UsageEnd,
+  WorkspaceCount,
+} from "../process/usage_meter.ts";
 import type { RunnerListUpdate } from "../process/runner_directory.ts";
 import type { Configuration } from "../version/configuration.ts";
 import type {
@@ -80,6 +84,13 @@
   workspacesAndCounts: readonly (string | number)[],
 ];
 
+/** The incarnations with the same end. */
+type PackedEnds = readonly [
+  window: number,
+  left: boolean,
+  incarnations: readonly string[],
+];
+
 type PackedLease = readonly [revision: number, holderId: string, agoMs: number];
 
 /** Cumulative costs of the workspaces of one rank of a service. */
@@ -114,6 +125,7 @@
   paces?: readonly PackedPace[] | undefined,
   shares?: readonly PackedShares[] | undefined,
   places?: PackedPlaces | undefined,
+  ends?: readonly PackedEnds[] | undefined,
 ];
 
 const ADDRESS = /^[^\s:]+:\d{1,5}$/;
@@ -244,7 +256,7 @@
 /** Packs the optional fields, up to the last one that has a value. */
 function packOptionalFields(state: StateUpdate): PackedOptionalFields {
   const { crashes, limits, timeMs, usage, lease, draining } = state;
-  const { paces, shares, places } = state;
+  const { paces, shares, places, ends } = state;
   const fields: PackedOptionalFields = [
     hasReports(crashes) ? packCrashes(crashes) : undefined,
     limits.length === 0 ? undefined : limits.map(packLimit),
@@ -255,6 +267,7 @@
     paces.length === 0 ? undefined : paces.map(packPace),
     shares.length === 0 ? undefined : packShares(shares),
     packPlaces(places),
+    ends.length === 0 ? undefined : packEnds(ends),
   ];
   const last = fields.findLastIndex((field) => field !== undefined);
   return fields.slice(0, last + 1) as unknown as PackedOptionalFields;
@@ -311,6 +324,34 @@
   };
 }
 
+function packEnds(ends: readonly UsageEnd[]): readonly PackedEnds[] {
+  const groups = groupBy(ends, ({ window, left }) => `${window} ${left}`);
+  return [...groups.values()].map((group) => {
+    const { window, left } = group[0]!;
+    return [window, left, group.map(({ incarnation }) => incarnation)];
+  });
+}
+
+/**
+ * Reads ends; what is not one becomes an invalid end, so that the meter logs it
+ * and leaves it out.
+ */
+function unpackEnds(packed: unknown): readonly UsageEnd[] {
+  const groups: readonly unknown[] = Array.isArray(packed) ? packed : [[]];
+  return groups.flatMap((group) => {
+    const [window, left, incarnations]: readonly unknown[] =
+      Array.isArray(group) ? group : [];
+    const names: readonly unknown[] = Array.isArray(incarnations)
+      ? incarnations
+      : [""];
+    return names.map((name) => ({
+      incarnation: typeof name === "string" ? name : "",
+      window: typeof window === "number" ? window : NaN,
+      left: left === true,
+    }));
+  });
+}
+
 function unpackLease([revision, holderId, agoMs]: PackedLease): LeaseAge {
   return {
     revision: checkNonNegative(revision, "lease.revision"),
@@ -338,7 +379,7 @@
   const [configuration, runners, whole, loads, parts, fleet, domain] = packed;
   const [, , , , , , , contacts, gone, ...optional] = packed;
   const [crashes, limits = [], timeMs, usage = [], lease, ...later] = optional;
-  const [draining = [], paces, shares, places] = later;
+  const [draining = [], paces, shares, places, ends] = later;
   return {
     kind: "state",
     configuration,
@@ -363,6 +404,7 @@
     paces: unpackPaces(paces),
     places: unpackPlaces(places),
     shares: unpackShares(shares),
+    ends: ends === undefined ? [] : unpackEnds(ends),
   };
 }
 
--- a/packages/router/src/connection/peer_message.ts
+++ b/packages/router/src/connection/peer_message.ts
@@ -15,7 +15,7 @@
 import type { PaceUpdate, StatedFigure } from "../process/runner_paces.ts";
 import type { LoadTotals } from "../process/load_totals.ts";
 import type { RunnerListUpdate } from "../process/runner_directory.ts";
-import type { UsageCount } from "../process/usage_meter.ts";
+import type { UsageCount, UsageEnd } from "../process/usage_meter.ts";
 import type { CostSum } from "../process/workspace_shares.ts";
 import type { Configuration } from "../version/configuration.ts";
 
@@ -124,6 +124,11 @@
   readonly lease: LeaseAge | undefined;
   /** Cumulative costs of requests by workspace. */
   readonly shares: readonly CostSum[];
+  /**
+   * Announcements that the usage counts of daemons are complete, as sent so far
+   * or in this message.
+   */
+  readonly ends: readonly UsageEnd[];
 }
 
 /** Requests newer data from a peer. Its field names are on the wire. */
--- a/packages/router/src/connection/update_broadcaster.ts
+++ b/packages/router/src/connection/update_broadcaster.ts
@@ -10,7 +10,11 @@
 import type { ContactBook, ContactUpdates } from "../process/contact_book.ts";
 import type { FleetTime } from "../process/fleet_time.ts";
 import type { LeaderLease, LeaseObservation } from "../process/leader_lease.ts";
-import type { UsageCount, UsageMeter } from "../process/usage_meter.ts";
+import type {
+  UsageCount,
+  UsageEnd,
+  UsageMeter,
+} from "../process/usage_meter.ts";
 import type { CrashRecord, CrashUpdate } from "../process/crash_record.ts";
 import type { PrefixIndex, PrefixUpdate } from "../process/prefix_index.ts";
 import { NO_PLACES } from "../process/return_places.ts";
@@ -66,6 +70,7 @@
   readonly lease: LeaseObservation | undefined;
   readonly paces: readonly PaceUpdate[];
   readonly shares: readonly CostSum[];
+  readonly ends: readonly UsageEnd[];
 }
 
 /** An update without changes. */
@@ -80,6 +85,7 @@
   lease: undefined,
   paces: [],
   shares: [],
+  ends: [],
 };
 
 /** The shared state to send, and the neighbours to send it to. */
@@ -125,6 +131,9 @@
   readonly places: PlaceUpdates;
   readonly usage: readonly UsageCount[];
   readonly shares: readonly CostIncrease[];
+  readonly ends: readonly UsageEnd[];
+  /** The ends in a snapshot that show that a known daemon was cut off before. */
+  readonly returned: readonly UsageEnd[];
   /** Whether requests wait for the runners. */
   readonly urgent: boolean;
 }
@@ -151,6 +160,10 @@
   #waitingAt = -Infinity;
   readonly #upstreamBudget: TokenBucket;
   readonly #downstreamBudget: TokenBucket;
+  /** Last window of each incarnation whose end was sent to the parent or heads. */
+  readonly #sentEnds = new Map<string, number>();
+  /** Names of the heads whose usage this daemon relays. */
+  readonly #relayedHeads = new Set<string>();
   /** Revision of the leader's lease that was collected last. */
   #collectedLease = 0;
 
@@ -173,6 +186,13 @@
     return this.#upstream.urgent || this.#downstream.urgent;
   }
 
+  /** Whether usage is to be sent that must not wait for the next message. */
+  get usageDue(): boolean {
+    // In a small fleet a message to each daemon would cost more than the wait for a
+    // heartbeat.
+    return this.#sources.overlay.relayed && this.#upstream.hasEnds;
+  }
+
   /** Collects the changes of this daemon since the last call. */
   collect(): void {
     const { loads, prefixes, crashes, limits, book, overlay } = this.#sources;
@@ -191,6 +211,7 @@
     if (overlay.isRelay) this.#downstreamPaces.add(paces);
     const placeUpdates = this.#sources.places.takeUpdates();
     this.#upstream.addUsage(this.#sources.usage?.takeUpdates() ?? []);
+    this.#addEnds(this.#sources.usage?.takeEnds() ?? []);
     this.#collectLease();
     const contacts = book.hasUpdates ? book.takeUpdates() : undefined;
     const outboxes = overlay.isRelay
@@ -228,9 +249,10 @@
    *
    * @returns whether anything is to be sent because of it.
    */
-  relay({ name }: Peer, received: ReceivedUpdate): boolean {
+  relay(peer: Peer, received: ReceivedUpdate): boolean {
+    const { name } = peer;
     const { changedRunners, parts, crashes, limits, draining } = received;
-    const { places, usage, shares, urgent } = received;
+    const { places, usage, ends, returned, shares, urgent } = received;
     const { overlay, loads } = this.#sources;
     if (urgent) this.#waitingAt = performance.now();
     const isChild = overlay.role(name) === "child";
@@ -238,10 +260,13 @@
       loads.isUrgent(id)
     );
     // Usage goes up the tree only, to the daemons that may lead.
-    if (isChild) {
+    if (this.#relaysUsageOf(peer)) {
       this.#upstream.addUsage(usage);
-      this.#upstreamShares.add(shares);
+      this.#addEnds(ends);
     }
+    // In a small fleet the leader may be linked again seconds after this daemon.
+    if (!overlay.relayed) this.#addEnds(returned);
+    if (isChild) this.#upstreamShares.add(shares);
     if (overlay.isRelay) {
       this.#downstreamShares.add(shares);
       this.#downstreamPaces.add(received.paces);
@@ -250,7 +275,7 @@
     const count = changedRunners.size + parts.length + crashes.crashed.length +
       crashes.responses.length + limits.length + draining.length +
       places.places.length + places.uses.length;
-    if (!overlay.isRelay || count === 0) return false;
+    if (!overlay.isRelay || count === 0) return this.usageDue;
     const outboxes = isChild
       ? [this.#downstream, this.#upstream]
       : [this.#downstream];
@@ -266,13 +291,73 @@
     return true;
   }
 
+  /**
+   * Whether to relay the usage that a neighbour sends. Where that begins, others may
+   * lack what was received before, and all is sent again.
+   */
+  #relaysUsageOf(peer: Peer): boolean {
+    const { name } = peer;
+    if (this.#sources.overlay.role(name) === "child") return true;
+    if (!this.#relaysUsageOfHead(peer)) {
+      this.#relayedHeads.delete(name);
+      return false;
+    }
+    const { usage } = this.#sources;
+    if (usage !== undefined && !this.#relayedHeads.has(name)) {
+      this.#relayedHeads.add(name);
+      this.#addEnds([...usage.ends().values()]);
+    }
+    return true;
+  }
+
+  /**
+   * Adds ends, and with them all counts of the windows that they add to the ends
+   * sent before. So no receiver has an end without the counts that it covers,
+   * although the counts may have arrived on another path and were not relayed then.
+   */
+  #addEnds(ends: readonly UsageEnd[]): void {
+    const { usage } = this.#sources;
+    if (usage === undefined || ends.length === 0) return;
+    const known = usage.ends();
+    for (const incarnation of this.#sentEnds.keys()) {
+      if (!known.has(incarnation)) this.#sentEnds.delete(incarnation);
+    }
+    for (const { incarnation } of ends) {
+      const end = known.get(incarnation);
+      if (end === undefined) continue;
+      const sent = this.#sentEnds.get(incarnation) ?? -Infinity;
+      this.#sentEnds.set(incarnation, end.window);
+      this.#upstream.addUsage(usage.countsAfter(incarnation, sent));
+      this.#upstream.addEnds([end]);
+    }
+  }
+
+  /**
+   * Whether to relay the usage of another failure domain, though its head sends it
+   * to the heads of all. After daemons were cut off, views of who is head differ for
+   * some time: a domain has two heads, or the supposed head of a domain is none.
+   */
+  #relaysUsageOfHead({ name, failureDomain }: Peer): boolean {
+    const { overlay } = this.#sources;
+    if (overlay.role(name) !== "head") return false;
+    return !overlay.isHead ||
+      overlay.peersWith("head").some((other) =>
+        other.name !== name && other.failureDomain === failureDomain
+      );
+  }
+
   /**
    * Marks runners whose loads changed because a neighbour's report was removed.
    *
    * @param role the neighbour's former role.
    */
-  retract(changed: Iterable<string>, role: Role | undefined): void {
+  retract(
+    { name }: Peer,
+    changed: Iterable<string>,
+    role: Role | undefined,
+  ): void {
     const ids = [...changed];
+    this.#relayedHeads.delete(name);
     if (this.#sources.overlay.isRelay) this.#downstream.addRunners(ids, true);
     if (role === "child") this.#upstream.addRunners(ids, true);
   }
@@ -283,6 +368,16 @@
     this.#sendDownstream(now);
   }
 
+  /** Whether a daemon is linked that may lead, or that relays to one. */
+  get reachesLeader(): boolean {
+    return this.#upstreamPeers.length > 0;
+  }
+
+  /** Sends the collected changes to the daemons that may lead. */
+  broadcastUsage(now: number): void {
+    this.#sendUpstream(now);
+  }
+
   /**
    * A snapshot for a peer that becomes a neighbour, or whose link has come up.
    */
@@ -298,11 +393,12 @@
     const loads = this.#sums.snapshot(includes);
     const isChild = this.#sources.overlay.role(peer.name) === "child";
     const usage = isChild ? [] : this.#sources.usage?.snapshot() ?? [];
+    const ends = isChild ? [] : [...this.#sources.usage?.ends().values() ?? []];
     const lease = this.#sources.lease?.observation;
     const costs = this.#sources.shares;
     const shares = costs.sums(costs.greatest(MAX_SHARES, now), includes);
     const runners = { crashes, limits, draining };
-    const contents = { contacts, ...runners, usage, lease, shares };
+    const contents = { contacts, ...runners, usage, lease, shares, ends };
     const update = { ...NO_CHANGES, ...contents };
     return { ...this.#stateUpdate(update, loads, includes), whole: true };
   }
@@ -347,15 +443,12 @@
   }
 
   #sendUpstream(now: number): void {
-    const { overlay, peers } = this.#sources;
-    const { relayed } = overlay;
+    const { relayed } = this.#sources.overlay;
     const budget = relayed ? this.#upstreamBudget.available(now) : Infinity;
     const pending = this.#upstream.take(Math.max(0, budget / LOAD_BYTES));
     const loads = this.#sums.forRunners(pending.runners, this.#isChild);
     const flows = this.#upstreamShares.take(now, this.#anyoneWaits(now));
-    const receivers = relayed
-      ? overlay.peersWith("parent", "head")
-      : peers().connected;
+    const receivers = this.#upstreamPeers;
     const paces = this.#upstreamPaces.take(receivers.length, now);
     const contents = {
       ...pending,
@@ -369,6 +462,13 @@
     for (const { link } of receivers) link.sendEncoded(frame);
   }
 
+  get #upstreamPeers(): readonly Peer[] {
+    const { overlay, peers } = this.#sources;
+    return overlay.relayed
+      ? overlay.peersWith("parent", "head")
+      : peers().connected;
+  }
+
   #sendDownstream(now: number): void {
     const budget = this.#downstreamBudget.available(now);
     const pending = this.#downstream.take(Math.max(0, budget / LOAD_BYTES));
@@ -418,7 +518,7 @@
       uses: pending.places.uses.filter(isOthers),
     };
     const received = { parts, crashes, limits, draining, places };
-    const contents = { ...pending, ...received, usage: [] };
+    const contents = { ...pending, ...received, usage: [], ends: [] };
     return encodeMessage(this.#stateUpdate(contents, loads, others));
   }
 
@@ -444,6 +544,7 @@
       places,
       usage,
       lease,
+      ends,
     }: UpdateContents,
     loads: readonly RunnerLoadEntry[],
     includes: NeighbourFilter,
@@ -486,6 +587,7 @@
         agoMs: ageOf(lease.at, now),
       },
       shares,
+      ends,
     };
   }
 
--- a/packages/router/src/process/leader.ts
+++ b/packages/router/src/process/leader.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { isDeepStrictEqual } from "node:util";
 import type { EventLog } from "./event_log.ts";
 import type { LeaderLease } from "./leader_lease.ts";
 import type { LeaderState, UsageReport } from "./leader_record.ts";
@@ -22,7 +23,7 @@
   UsageSources,
   UsageTiming,
 } from "./usage_reports.ts";
-import type { UsageMeter } from "./usage_meter.ts";
+import type { Counts, UsageMeter } from "./usage_meter.ts";
 
 /** Delay in ms after the start, in which the daemon learns whether it is eligible. */
 const STARTUP_DELAY_MS = 1_000;
@@ -40,8 +41,21 @@
  * renewal earlier.
  */
 const CHECK_FRACTION = 0.6;
+/**
+ * Share of the recent daemons that a candidate accounts for, below which it leaves
+ * the lease to others for a while: they receive more counts than it does. Daemons
+ * that were cut off remain in small groups for some seconds after their return.
+ */
+const FULL_VIEW_SHARE = 0.5;
+/** The time in ms, which lets each other candidate take several steps. */
+const HOLD_BACK_MS = 2_000;
 /** Time-out of a call to the platform, in ms; the call is then aborted. */
 const TIMEOUT_MS = 900;
+/**
+ * The same while the store does not answer: when a renewal has timed out (700 ms),
+ * 500 ms of a lease of 3 s are left.
+ */
+const SHORT_TIMEOUT_MS = 400;
 /** Backoff in ms after the first failed call; doubled after each one, up to the maximum. */
 const INITIAL_RETRY_MS = 400;
 const MAX_RETRY_MS = 3_200;
@@ -56,8 +70,10 @@
   readonly usage: {
     readonly meter: UsageMeter;
     readonly timing: UsageTiming;
-    /** Whether all daemons that were recently in the fleet are reachable. */
-    readonly complete: () => boolean;
+    /** Returns the number of daemons in the fleet, as far as they are linked. */
+    readonly daemons: () => number;
+    /** Returns the number of daemons that were recently in the fleet. */
+    readonly recentDaemons: () => number;
   } | undefined;
   /** Absent if runners are not ordered. */
   readonly scalingPolicy: ScalingPolicy | undefined;
@@ -75,6 +91,14 @@
   readonly metrics: LeaderMetrics;
 }
 
+/** A decision on a usage window that the store is not known to hold yet. */
+interface UnstoredDecision {
+  /** Counts of the report; undefined if the window is missed. */
+  readonly counts: Counts | undefined;
+  /** Number of daemons that the counts come from. */
+  readonly daemons: number;
+}
+
 /** Metrics that the leader updates. */
 export type LeaderMetrics = Pick<
   RequestMetrics,
@@ -96,6 +120,15 @@
   readonly #accepted = new Set<number>();
   /** Attempts to report each window in this term. */
   readonly #attempts = new Map<number, number>();
+  /** Decisions on windows, until the store is known to hold them. */
+  readonly #unstored = new Map<number, UnstoredDecision>();
+  /**
+   * Windows whose held counts may have been sent: by an earlier leader, or by this
+   * one while the store did not answer.
+   */
+  readonly #frozen = new Set<number>();
+  /** Monotonic ms since which this daemon leaves a free lease to others. */
+  #heldBackSince: number | undefined;
   #stopped = false;
   /** Resolves when the current step has ended. */
   #currentStep: Promise<void> = Promise.resolve();
@@ -148,38 +181,65 @@
     if (!eligible() || lease.awaitsExpiry) return;
     const shouldCheck = lease.isReleased ||
       lease.unchangedMs >= CHECK_FRACTION * this.#options.leaseMs;
-    if (!shouldCheck) return;
+    if (!shouldCheck) {
+      this.#heldBackSince = undefined;
+      return;
+    }
+    if (await this.#holdsBack()) return;
     await lease.tryTake();
     if (!lease.held) return;
+    this.#heldBackSince = undefined;
+    // The response to the last write of an earlier term may have been lost.
+    this.#logStored();
+    this.#unstored.clear();
+    this.#freezeHeld();
     this.#orders.reset();
     this.#accepted.clear();
     this.#attempts.clear();
     leaseChanged();
   }
 
+  /** Whether to leave the lease to others that may receive more counts. */
+  async #holdsBack(): Promise<boolean> {
+    const { lease, usage, monotonic } = this.#options;
+    if (usage === undefined) return false;
+    const hasFullView =
+      usage.daemons() >= FULL_VIEW_SHARE * usage.recentDaemons();
+    if (hasFullView) return false;
+    const isFree = await lease.tryTake({ observeOnly: true });
+    if (!isFree) this.#heldBackSince = undefined;
+    else this.#heldBackSince ??= monotonic();
+    return monotonic() < (this.#heldBackSince ?? Infinity) + HOLD_BACK_MS;
+  }
+
   async #lead(): Promise<void> {
     const { lease, eligible, leaseChanged } = this.#options;
     if (!eligible()) {
       await lease.release();
       return leaseChanged();
     }
-    const decided = this.#decide();
-    const renewalDue =
-      lease.sinceRenewalMs >= RENEWAL_FRACTION * this.#options.leaseMs;
+    const renewalMs = RENEWAL_FRACTION * this.#options.leaseMs;
+    const renewalDue = lease.sinceRenewalMs >= renewalMs;
+    const decided = this.#decide(renewalDue);
     if (decided !== undefined || renewalDue) {
       const state = this.#withCheckpoint(decided ?? lease.state);
-      if (!await lease.update(state)) return;
+      if (!await lease.update(state)) return await this.#sendWithoutStore();
+      this.#logStored();
       leaseChanged();
     }
     await this.#sendReport();
     await this.#sendOrders();
   }
 
-  /** Returns the state with new decisions, or nothing if there are none. */
-  #decide(): LeaderState | undefined {
+  /**
+   * Returns the state with new decisions, or nothing if there are none.
+   *
+   * @param writing whether the state is written in any case.
+   */
+  #decide(writing: boolean): LeaderState | undefined {
     const { lease, monotonic } = this.#options;
     let { state } = lease;
-    const sources = this.#sources();
+    const sources = this.#sources(writing);
     if (sources !== undefined) state = this.#decideReports(state, sources);
     const orders = this.#orders.reconcile(state.orders, monotonic());
     if (orders !== undefined) state = { ...state, orders };
@@ -194,50 +254,101 @@
     if (restoredAt !== undefined) {
       const noticedAt = sources.now - (monotonic() - restoredAt);
       const skipped = skipLostReports(state, sources.timing, noticedAt);
-      this.#logReports(skipped);
+      this.#recordDecision(skipped);
       kept = skipped.state;
     }
     const decision = finalizeReports(kept, sources);
     if (decision === undefined) return kept;
-    this.#logReports(decision);
+    this.#recordDecision(decision);
     return decision.state;
   }
 
-  #logReports({ finalized, missed }: UsageDecision): void {
-    const { usage, log, metrics } = this.#options;
+  #recordDecision({ finalized, missed }: UsageDecision): void {
     for (const { window, counts } of finalized) {
-      const requests = Object.values(counts)
-        .reduce((sum, count) => sum + count, 0);
-      const daemons = usage?.meter.incarnations(window).size;
-      metrics.usageWindow("fixed", window);
-      log.event("usage_fixed", { window, requests, daemons });
+      const daemons = this.#options.usage!.meter.incarnations(window).size;
+      this.#unstored.set(window, { counts, daemons });
     }
     for (const window of missed) {
-      metrics.usageWindow("missed", window);
-      log.event("usage_missed", { window });
+      this.#unstored.set(window, { counts: undefined, daemons: 0 });
+    }
+  }
+
+  /** Logs the decisions on windows that the store is now known to hold. */
+  #logStored(): void {
+    const { lease, log, metrics } = this.#options;
+    const { reports, nextWindow, open = [] } = lease.state;
+    for (const [window, { counts, daemons }] of this.#unstored) {
+      const stored = reports.find((report) => report.window === window);
+      if (counts === undefined) {
+        const decided = stored === undefined && !open.includes(window) &&
+          window < (nextWindow ?? 0);
+        if (!decided) continue;
+        metrics.usageWindow("missed", window);
+        log.event("usage_missed", { window });
+      } else {
+        if (!isDeepStrictEqual(stored?.counts, counts)) continue;
+        const requests = Object.values(counts)
+          .reduce((sum, count) => sum + count, 0);
+        metrics.usageWindow("fixed", window);
+        log.event("usage_fixed", { window, requests, daemons });
+      }
+      this.#unstored.delete(window);
     }
   }
 
   #withCheckpoint(state: LeaderState): LeaderState {
-    const sources = this.#sources();
+    const sources = this.#sources(true);
     if (sources === undefined) return state;
     const checkpoint = checkpointOf(state, sources);
     return withAccepted({ ...state, checkpoint }, this.#accepted);
   }
 
-  #sources(): UsageSources | undefined {
+  #sources(writing: boolean): UsageSources | undefined {
     const { usage, now } = this.#options;
     if (usage === undefined) return undefined;
-    const { meter, timing, complete } = usage;
-    return { meter, timing, now: now(), complete: complete() };
+    const { meter, timing, daemons } = usage;
+    return {
+      meter,
+      timing,
+      now: now(),
+      daemons: daemons(),
+      writing,
+      frozen: this.#frozen,
+    };
+  }
+
+  /** Treats the held counts in the state of an earlier term as final. */
+  #freezeHeld(): void {
+    this.#frozen.clear();
+    for (const { window, held } of this.#options.lease.state.reports) {
+      if (held) this.#frozen.add(window);
+    }
+  }
+
+  /**
+   * Sends reports while the store does not answer, held ones among them: without the
+   * store this leader soon ends, and nobody can send them in time. A successor finds
+   * the same counts, whichever writes take effect.
+   */
+  async #sendWithoutStore(): Promise<void> {
+    const { lease } = this.#options;
+    for (const report of lease.state.reports) {
+      if (!this.#isPending(report) || !isFixed(report, lease)) continue;
+      if (report.held) this.#frozen.add(report.window);
+      await this.#send(report, SHORT_TIMEOUT_MS);
+    }
   }
 
   /** Sends one report that the platform has not accepted yet. */
   async #sendReport(): Promise<void> {
-    const { api, monotonic, log, metrics } = this.#options;
     const report = this.#nextReport();
-    if (report === undefined || monotonic() < this.#reportNotBefore) return;
-    const call = this.#beginCall();
+    if (report !== undefined) await this.#send(report, TIMEOUT_MS);
+  }
+
+  async #send(report: UsageReport, timeoutMs: number): Promise<void> {
+    const { api, monotonic, log, metrics } = this.#options;
+    if (monotonic() < this.#reportNotBefore) return;
+    const call = this.#beginCall(timeoutMs);
     if (call === undefined) return;
     this.#attempts.set(report.window, this.#attemptsOf(report) + 1);
     const outcome = await this.#endCall(api.reportUsage(report, call));
@@ -265,7 +376,7 @@
   #nextReport(): UsageReport | undefined {
     let next: UsageReport | undefined;
     for (const report of this.#options.lease.state.reports) {
-      if (!this.#isPending(report)) continue;
+      if (!this.#isPending(report) || report.held) continue;
       const fewer = next === undefined ||
         this.#attemptsOf(report) < this.#attemptsOf(next);
       if (fewer) next = report;
@@ -285,7 +396,7 @@
   async #sendOrders(): Promise<void> {
     const { lease, api, monotonic, metrics } = this.#options;
     for (const order of this.#orders.due(lease.state.orders, monotonic())) {
-      const call = this.#beginCall();
+      const call = this.#beginCall(TIMEOUT_MS);
       if (call === undefined) return;
       const outcome = await this.#endCall(api.orderRunners(order, call));
       metrics.platformCall("runners", outcome.kind);
@@ -300,13 +411,13 @@
    * Returns the parameters of a call, or nothing if the call could outlast the
    * lease.
    */
-  #beginCall(): PlatformCall | undefined {
+  #beginCall(timeoutMs: number): PlatformCall | undefined {
     const { lease, name } = this.#options;
     const { fencing } = lease;
-    if (fencing === undefined || !lease.mayAct(TIMEOUT_MS)) return undefined;
+    if (fencing === undefined || !lease.mayAct(timeoutMs)) return undefined;
     if (this.#stopped) return undefined;
     lease.recordAction();
-    return { fence: { holder: name, fencing }, timeoutMs: TIMEOUT_MS };
+    return { fence: { holder: name, fencing }, timeoutMs };
   }
 
   async #endCall(call: Promise<CallOutcome>): Promise<CallOutcome> {
@@ -315,3 +426,18 @@
     return outcome;
   }
 }
+
+/**
+ * Whether the store holds the counts of a report, whichever of the writes without
+ * response take effect.
+ */
+function isFixed(
+  { window, counts, held }: UsageReport,
+  { possibleStates }: Pick<LeaderLease, "possibleStates">,
+): boolean {
+  if (!held) return true;
+  return possibleStates.length > 0 && possibleStates.every(({ reports }) => {
+    const other = reports.find((report) => report.window === window);
+    return isDeepStrictEqual(other?.counts, counts);
+  });
+}
--- a/packages/router/src/process/usage_reports.ts
+++ b/packages/router/src/process/usage_reports.ts
@@ -9,20 +9,22 @@
   UsageCheckpoint,
   UsageReport,
 } from "./leader_record.ts";
+import { isComplete, livesOf } from "./usage_completion.ts";
 import type { Counts, UsageMeter } from "./usage_meter.ts";
 
 /**
- * The counts of a window are finalized when this fraction of the reporting delay
- * has passed since its end, while all daemons are reachable. The rest of the delay
- * is time for a successor to send the report if the leader fails.
+ * Time in ms before a report is due at which the counts of its window are finalized
+ * although some are missing. It is enough for a step of the leader (200), a write
+ * to the store (700 until its time-out) and a call of the platform (900).
  */
-const FINALIZE_FRACTION = 0.45;
+const REPORT_TIME_MS = 2_000;
 /**
- * The same fraction while some daemons are unreachable. A daemon that is
- * partitioned from the others for some seconds still serves its callers, and
- * sends its counts when it is reconnected.
+ * Fraction of the reporting delay after which a window without all counts is held:
+ * its counts are stored with each renewal so that they can be sent if the store
+ * fails. Before, the store has time to come back; afterwards, a change of the leader
+ * fixes what was held.
  */
-const INCOMPLETE_FINALIZE_FRACTION = 0.75;
+const HOLD_FRACTION = 0.45;
 /** Accepted reports that are kept for inspection by operators. */
 const MAX_ACCEPTED = 2;
 /** Maximum number of pending reports; the oldest are dropped first. */
@@ -41,8 +43,12 @@
   readonly timing: UsageTiming;
   /** Current time in epoch ms, as the daemons estimate it together. */
   readonly now: number;
-  /** Whether all daemons that were recently in the fleet are reachable. */
-  readonly complete: boolean;
+  /** Number of daemons in the fleet, as far as they are linked. */
+  readonly daemons: number;
+  /** Whether the state is written now in any case. */
+  readonly writing: boolean;
+  /** Windows whose held counts may have been sent. */
+  readonly frozen: ReadonlySet<number>;
 }
 
 /** New reports, and the leader's state that includes them. */
@@ -54,15 +60,26 @@
 }
 
 /**
- * Finalizes the counts of all windows whose finalizing time has passed.
+ * Finalizes the counts of the windows that are complete, and of those whose reports
+ * could otherwise be late.
  *
- * @returns undefined if there is no such window; at the first call ever, a state
+ * A report goes out only after a write to the store has fixed its counts, and the
+ * store may be down at that time. Complete windows are therefore fixed at once, and
+ * others are held from some time on.
+ *
+ * @returns undefined if there is nothing to write; at the first call ever, a state
  * that starts with the current window.
  *
  * @example
  * ```ts
- * const sources = { meter, timing, now: time.now(), complete: true };
- * const decision = finalizeReports(lease.state, sources);
+ * const decision = finalizeReports(lease.state, {
+ *   meter,
+ *   timing,
+ *   now: time.now(),
+ *   daemons,
+ *   writing: false,
+ *   frozen: new Set(),
+ * });
  * if (decision !== undefined) await lease.update(decision.state);
  * ```
  */
@@ -70,8 +87,9 @@
   state: LeaderState,
   sources: UsageSources,
 ): UsageDecision | undefined {
-  const { windowMs, delayMs } = sources.timing;
-  const current = Math.floor(sources.now / windowMs);
+  const { meter, timing, now, writing, frozen } = sources;
+  const { windowMs, delayMs } = timing;
+  const current = Math.floor(now / windowMs);
   if (state.nextWindow === undefined) {
     return {
       state: { ...state, nextWindow: current },
@@ -79,29 +97,60 @@
       missed: [],
     };
   }
-  const fraction = sources.complete
-    ? FINALIZE_FRACTION
-    : INCOMPLETE_FINALIZE_FRACTION;
-  const last = lastWindowToFinalize(sources.timing, sources.now, fraction);
-  if (last < state.nextWindow) return undefined;
   // A report that is one window late is still useful. Older windows are missed:
   // the meter keeps counts for a limited number of windows only.
-  const windowsUntilDue = Math.ceil((windowMs + delayMs) / windowMs);
-  const first = Math.max(state.nextWindow, current - windowsUntilDue - 1);
-  const missed = range(state.nextWindow, Math.min(first, last + 1));
-  const finalized = range(first, last + 1).map((window): UsageReport => ({
-    window,
-    counts: countsOf(window, state.checkpoint, sources.meter),
-    accepted: false,
-  }));
-  const reports = prune([...state.reports, ...finalized]);
+  const first = current - Math.ceil((windowMs + delayMs) / windowMs) - 1;
+  const heldBefore = state.reports.filter(({ held }) => held);
+  const missed = openWindows(state, current).filter((window) => window < first);
+  const finalized: UsageReport[] = [];
+  const held: UsageReport[] = [];
+  for (const window of undecidedWindows(state, current)) {
+    if (missed.includes(window)) continue;
+    const stored = heldBefore.find((report) => report.window === window);
+    if (stored !== undefined && frozen.has(window)) {
+      finalized.push(withoutHold(stored));
+      continue;
+    }
+    const counts = countsOf(window, state.checkpoint, meter);
+    const report = { window, counts, accepted: false };
+    if (isFinal(window, state, sources)) finalized.push(report);
+    else if (now >= endOf(window, timing) + HOLD_FRACTION * delayMs) {
+      held.push({ ...report, held: true });
+    }
+  }
+  const decided = finalized.length > 0 || missed.length > 0;
+  if (!decided && !(writing && held.length > 0)) return undefined;
+  const changed = [...finalized, ...held];
+  const windows = [...missed, ...changed.map(({ window }) => window)];
+  const nextWindow = Math.max(state.nextWindow, ...windows.map(next));
+  const open = openWindows(state, current).filter((window) =>
+    window < nextWindow && !windows.includes(window)
+  );
+  const unchanged = state.reports.filter(({ window }) =>
+    !windows.includes(window)
+  );
+  const reports = prune([...unchanged, ...changed]);
   return {
-    state: { ...state, nextWindow: last + 1, reports },
+    state: { ...withOpen(state, open), nextWindow, reports },
     finalized,
     missed,
   };
 }
 
+/** Whether the counts of a window are final now. */
+function isFinal(
+  window: number,
+  { checkpoint }: LeaderState,
+  { meter, timing, now, daemons }: UsageSources,
+): boolean {
+  const { delayMs } = timing;
+  const end = endOf(window, timing);
+  const waitMs = Math.max(HOLD_FRACTION * delayMs, delayMs - REPORT_TIME_MS);
+  if (now >= end + waitMs) return true;
+  const waited = now >= end + HOLD_FRACTION * delayMs;
+  return isComplete(window, { meter, checkpoint, daemons, waited });
+}
+
 /**
  * Skips the windows that an earlier leader may have reported with counts that a
  * restore of the store has lost. Other counts for the same window must not be
@@ -111,28 +160,60 @@
  */
 export function skipLostReports(
   state: LeaderState,
-  timing: UsageTiming,
+  { windowMs }: UsageTiming,
   restoredAt: number,
 ): UsageDecision {
-  const { nextWindow } = state;
-  const last = lastWindowToFinalize(timing, restoredAt, FINALIZE_FRACTION);
-  if (nextWindow === undefined || last < nextWindow) {
-    return { state, finalized: [], missed: [] };
-  }
+  // A window may be reported as soon as it has ended. Held counts may have been
+  // replaced and sent since.
+  const missed = undecidedWindows(state, Math.floor(restoredAt / windowMs));
+  if (missed.length === 0) return { state, finalized: [], missed };
+  const nextWindow = Math.max(state.nextWindow ?? 0, ...missed.map(next));
+  const reports = state.reports.filter(({ window }) =>
+    !missed.includes(window)
+  );
   return {
-    state: { ...state, nextWindow: last + 1 },
+    state: { ...withOpen(state, []), nextWindow, reports },
     finalized: [],
-    missed: range(nextWindow, last + 1),
+    missed,
   };
 }
 
-/** The last window whose finalizing time has passed. */
-function lastWindowToFinalize(
-  { windowMs, delayMs }: UsageTiming,
-  now: number,
-  fraction: number,
-): number {
-  return Math.floor((now - windowMs - fraction * delayMs) / windowMs);
+/** End of a window, in epoch ms. */
+function endOf(window: number, { windowMs }: UsageTiming): number {
+  return next(window) * windowMs;
+}
+
+/** Windows before `current` without a report, not even a held one. */
+function openWindows(
+  { open = [], nextWindow }: LeaderState,
+  current: number,
+): readonly number[] {
+  return [...open, ...range(nextWindow ?? current, current)];
+}
+
+/** Windows before `current` whose counts are not final. */
+function undecidedWindows(
+  state: LeaderState,
+  current: number,
+): readonly number[] {
+  const held = state.reports
+    .filter((report) => report.held && report.window < current)
+    .map(({ window }) => window);
+  return [...held, ...openWindows(state, current)].sort((a, b) => a - b);
+}
+
+function withoutHold({ held: _, ...report }: UsageReport): UsageReport {
+  return report;
+}
+
+/** Returns the state with other open windows, without the field if there are none. */
+function withOpen(state: LeaderState, open: readonly number[]): LeaderState {
+  const { open: _, ...others } = state;
+  return open.length === 0 ? others : { ...others, open };
+}
+
+function next(window: number): number {
+  return window + 1;
 }
 
 /**
@@ -145,17 +226,20 @@
   { meter, timing, now }: UsageSources,
 ): UsageCheckpoint {
   const current = Math.floor(now / timing.windowMs);
-  const first = Math.max(state.nextWindow ?? current, current - MAX_PENDING);
-  const windows = range(first, current + 1);
-  const incarnations = new Set(
+  const windows = undecidedWindows(state, current + 1).slice(-MAX_PENDING);
+  const lives = new Set(
     windows.flatMap((window) => [...meter.incarnations(window)]),
   );
   return {
-    lives: [...incarnations],
-    windows: windows.map((window) => ({
-      window,
-      counts: countsOf(window, state.checkpoint, meter),
-    })),
+    lives: [...lives],
+    windows: windows.map((window) => {
+      const counts = countsOf(window, state.checkpoint, meter);
+      const carried = [...livesOf(state.checkpoint, window)]
+        .filter((incarnation) => !lives.has(incarnation));
+      return carried.length === 0
+        ? { window, counts }
+        : { window, counts, carried };
+    }),
   };
 }
 
@@ -185,7 +269,7 @@
 ): Counts {
   const counts = new Map(meter.totals(window));
   const stored = checkpoint.windows.find((entry) => entry.window === window);
-  const incarnations = new Set(checkpoint.lives);
+  const incarnations = livesOf(checkpoint, window);
   const known = meter.totals(
     window,
     (incarnation) => incarnations.has(incarnation),
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -227,6 +227,7 @@
     usage: [],
     lease: undefined,
     shares: [],
+    ends: [],
     contacts: [],
     gone: [],
     ...fields,
