Bound what a daemon buffers for slow callers and request bodies

A slow caller stopped the reading of its runner, which cut off a response that remained unread, and nothing bounded the bytes held for all callers.

With guarantees.pressure or bufferMb, BufferBudget counts bodies, answers that are received whole and unread bytes of streams. A body that does not fit is refused with 503 before it is read.

--- /dev/null
+++ b/packages/router/src/process/buffer_budget.ts
@@ -0,0 +1,311 @@
+/**
+ * Bounds the bytes that the daemon buffers for callers and runners.
+ *
+ * @module
+ */
+
+const BYTES_PER_MB = 1024 * 1024;
+/**
+ * Share of the total that request bodies may use, and that answers may use, so
+ * that neither kind leaves no room for the other: 16 callers that read nothing
+ * would otherwise make the daemon refuse every request with a body.
+ */
+const KIND_SHARE = 0.75;
+/** Share of the total that one caller may use. */
+const CALLER_SHARE = 0.5;
+/**
+ * Share of a limit below which runners that wait for room are read again. Without
+ * a margin, each chunk that a caller reads would resume a runner for one chunk.
+ */
+const RESUME_SHARE = 15 / 16;
+/** Most bytes that one read of a runner's connection returns. */
+const READ_BYTES = 64 * 1024;
+/**
+ * Share of the host's memory for buffers where the settings name none. The heap
+ * takes up to 120 MB, code and native memory about 50 MB; the smallest hosts
+ * have 210 MB, of which 17 MB go to buffers.
+ */
+const MEMORY_SHARE = 1 / 12;
+const MIN_DEFAULT_MB = 8;
+/** More is not needed for the answers of callers that read at all. */
+const MAX_DEFAULT_MB = 32;
+/** Used where the memory of the host is unknown, too. */
+const DEFAULT_MB = 16;
+
+/** Limits of the buffered bytes. */
+export interface BufferLimits {
+  /** For all callers together. */
+  readonly totalBytes: number;
+  readonly callerBytes: number;
+}
+
+/** Returns the limits for a budget of the given size. */
+export function bufferLimits(megabytes: number): BufferLimits {
+  const totalBytes = megabytes * BYTES_PER_MB;
+  return { totalBytes, callerBytes: CALLER_SHARE * totalBytes };
+}
+
+/** Returns the default size of the budget in MB on a host with this memory. */
+export function defaultBufferMb(memoryMb: number | undefined): number {
+  if (memoryMb === undefined) return DEFAULT_MB;
+  const size = memoryMb * MEMORY_SHARE;
+  return Math.min(MAX_DEFAULT_MB, Math.max(MIN_DEFAULT_MB, size));
+}
+
+/** Why an answer was cut, and what was known of its caller. */
+export interface AnswerCut {
+  /** Which limit was exceeded. */
+  readonly limit: "caller" | "total";
+  /** Bytes of the answer that the caller had not read. */
+  readonly bytes: number;
+  /** Bytes that the caller read since the first byte had to wait for it. */
+  readonly readBytes: number;
+  /** Time since then, in ms; 0 if the answer did not wait for its caller. */
+  readonly heldMs: number;
+  /** Buffered bytes of all callers before the cut. */
+  readonly totalBytes: number;
+}
+
+/** What happens to an answer whose bytes are counted. */
+export interface AnswerListener {
+  /** There is room again for an answer that waited for it. */
+  resume(): void;
+  /** The answer must end now; its bytes no longer count. */
+  cut(cut: AnswerCut): void;
+}
+
+/** A request body that is counted. */
+export interface CountedBody {
+  readonly caller: object;
+  bytes: number;
+}
+
+/** An answer that is counted. */
+export interface CountedAnswer {
+  readonly caller: object;
+  readonly listener: AnswerListener;
+  bytes: number;
+  /** Bytes that the caller has read since the first one had to wait for it. */
+  readBytes: number;
+  /** When that byte began to wait; undefined if nothing waits for the caller. */
+  heldSince: number | undefined;
+}
+
+/** Buffered bytes by kind. */
+export interface BufferedBytes {
+  readonly bodies: number;
+  readonly answers: number;
+}
+
+/**
+ * Time in ms that the caller of an answer will need for the rest of it at the pace
+ * at which it has read so far. An answer that has just begun to wait counts as
+ * fast, whatever its size; one of which nothing is read as slower the larger and
+ * older it is.
+ */
+function remainingMs(answer: CountedAnswer, now: number): number {
+  const heldMs = Math.max(1, now - answer.heldSince!);
+  return answer.bytes * heldMs / Math.max(1, answer.readBytes);
+}
+
+/**
+ * Counts the bytes that wait for callers or runners: bodies of requests, answers
+ * that are received whole before they are relayed, and unread bytes of streams.
+ * Load that it answers: callers that stop reading, 60 at once with answers of
+ * 6.4 MB each, beside ordinary requests on a host of 210 MB.
+ *
+ * A body that does not fit is not accepted. An answer that does not fit waits,
+ * which pauses its runner; if it has waited for as long as a runner may be left
+ * unread, {@linkcode makeRoom} cuts the answer of the slowest caller. Pausing
+ * first means that a caller that reads, though slower than a fast runner sends, is
+ * not cut.
+ *
+ * Bytes that the operating system holds for a connection are not counted, since
+ * Node does not show them.
+ *
+ * @example
+ * ```ts
+ * const budget = new BufferBudget(bufferLimits(16));
+ * const answer = budget.openAnswer(socket, listener);
+ * if (!budget.setUnread(answer, bytes, now)) incoming.pause();
+ * ```
+ */
+export class BufferBudget {
+  readonly #limits: BufferLimits;
+  readonly #byCaller = new WeakMap<object, number>();
+  readonly #answers = new Set<CountedAnswer>();
+  /** Answers that wait for room, in the order in which they began to wait. */
+  readonly #waiting = new Set<CountedAnswer>();
+  #bodyBytes = 0;
+  #answerBytes = 0;
+
+  constructor(limits: BufferLimits) {
+    this.#limits = limits;
+  }
+
+  get buffered(): BufferedBytes {
+    return { bodies: this.#bodyBytes, answers: this.#answerBytes };
+  }
+
+  /** Begins to count the body of a request. */
+  openBody(caller: object): CountedBody {
+    return { caller, bytes: 0 };
+  }
+
+  /**
+   * Counts a body up to a size.
+   *
+   * @returns false if it does not fit, and is not counted.
+   */
+  reserve(body: CountedBody, size: number): boolean {
+    const bytes = size - body.bytes;
+    if (bytes <= 0) return true;
+    const { totalBytes, callerBytes } = this.#limits;
+    const fits = this.#bytesOf(body.caller) + bytes <= callerBytes &&
+      this.#bodyBytes + bytes <= KIND_SHARE * totalBytes &&
+      this.#totalBytes + bytes <= totalBytes;
+    if (!fits) return false;
+    body.bytes = size;
+    this.#bodyBytes += bytes;
+    this.#addTo(body.caller, bytes);
+    return true;
+  }
+
+  release(body: CountedBody): void {
+    if (body.bytes === 0) return;
+    this.#bodyBytes -= body.bytes;
+    this.#addTo(body.caller, -body.bytes);
+    body.bytes = 0;
+    this.#resumeWaiting();
+  }
+
+  /** Begins to count an answer. */
+  openAnswer(caller: object, listener: AnswerListener): CountedAnswer {
+    const answer: CountedAnswer = {
+      caller,
+      listener,
+      bytes: 0,
+      readBytes: 0,
+      heldSince: undefined,
+    };
+    this.#answers.add(answer);
+    return answer;
+  }
+
+  /**
+   * Counts bytes that are received before the answer is relayed.
+   *
+   * @returns false if the answer waits for room; `AnswerListener.resume` or
+   * `AnswerListener.cut` follows.
+   */
+  receive(answer: CountedAnswer, bytes: number): boolean {
+    return this.#resize(answer, answer.bytes + bytes);
+  }
+
+  /**
+   * Sets the number of bytes that wait for the caller; a decrease means that the
+   * caller has read. The result is that of {@linkcode receive}.
+   */
+  setUnread(answer: CountedAnswer, bytes: number, now: number): boolean {
+    if (bytes === 0) {
+      answer.heldSince = undefined;
+    } else if (answer.heldSince === undefined) {
+      answer.heldSince = now;
+      answer.readBytes = 0;
+    }
+    answer.readBytes += Math.max(0, answer.bytes - bytes);
+    return this.#resize(answer, bytes);
+  }
+
+  #resize(answer: CountedAnswer, bytes: number): boolean {
+    // A cut answer is over; its last chunks are dropped.
+    if (!this.#answers.has(answer)) return true;
+    const change = bytes - answer.bytes;
+    answer.bytes = bytes;
+    this.#answerBytes += change;
+    this.#addTo(answer.caller, change);
+    if (change < 0) this.#resumeWaiting();
+    if (this.#waiting.has(answer)) return false;
+    if (this.#fits(answer, 1)) return true;
+    this.#waiting.add(answer);
+    return false;
+  }
+
+  /**
+   * Cuts answers until there is room for one that has waited for too long: its own
+   * if its caller has used up its part, else those of the slowest callers.
+   */
+  makeRoom(answer: CountedAnswer, now: number): void {
+    while (this.#waiting.has(answer)) {
+      const ownLimit = !this.#callerFits(answer, RESUME_SHARE);
+      const slowest = ownLimit ? answer : this.#slowest(now) ?? answer;
+      this.#cut(slowest, ownLimit ? "caller" : "total", now);
+    }
+  }
+
+  #slowest(now: number): CountedAnswer | undefined {
+    let slowest: CountedAnswer | undefined;
+    let longest = -1;
+    for (const answer of this.#answers) {
+      if (answer.heldSince === undefined || answer.bytes === 0) continue;
+      const ms = remainingMs(answer, now);
+      if (ms <= longest) continue;
+      slowest = answer;
+      longest = ms;
+    }
+    return slowest;
+  }
+
+  #cut(answer: CountedAnswer, limit: AnswerCut["limit"], now: number): void {
+    const { bytes, readBytes, heldSince = now } = answer;
+    const heldMs = now - heldSince;
+    const totalBytes = this.#totalBytes;
+    this.close(answer);
+    answer.listener.cut({ limit, bytes, readBytes, heldMs, totalBytes });
+  }
+
+  /** Ends the count of an answer. */
+  close(answer: CountedAnswer): void {
+    if (!this.#answers.delete(answer)) return;
+    this.#waiting.delete(answer);
+    this.#answerBytes -= answer.bytes;
+    this.#addTo(answer.caller, -answer.bytes);
+    answer.bytes = 0;
+    this.#resumeWaiting();
+  }
+
+  #resumeWaiting(): void {
+    // Each runner that is read again adds at least what one read returns.
+    let resumed = 0;
+    for (const answer of this.#waiting) {
+      if (!this.#fits(answer, RESUME_SHARE, resumed * READ_BYTES)) continue;
+      this.#waiting.delete(answer);
+      resumed += 1;
+      answer.listener.resume();
+    }
+  }
+
+  /** Whether what is buffered is within a share of the limits of the answer. */
+  #fits(answer: CountedAnswer, share: number, expected = 0): boolean {
+    const { totalBytes } = this.#limits;
+    return this.#callerFits(answer, share) &&
+      this.#answerBytes + expected <= share * KIND_SHARE * totalBytes &&
+      this.#totalBytes + expected <= share * totalBytes;
+  }
+
+  #callerFits({ caller }: CountedAnswer, share: number): boolean {
+    return this.#bytesOf(caller) <= share * this.#limits.callerBytes;
+  }
+
+  get #totalBytes(): number {
+    return this.#bodyBytes + this.#answerBytes;
+  }
+
+  #bytesOf(caller: object): number {
+    return this.#byCaller.get(caller) ?? 0;
+  }
+
+  #addTo(caller: object, bytes: number): void {
+    this.#byCaller.set(caller, this.#bytesOf(caller) + bytes);
+  }
+}
--- a/packages/router/src/process/metrics.ts
+++ b/packages/router/src/process/metrics.ts
@@ -17,6 +17,8 @@
   Registry as RegistryType,
 } from "prom-client";
 
+import type { BufferedBytes } from "./buffer_budget.ts";
+
 /** Time that a runner takes for its work, relative to others of its service. */
 interface PaceSample {
   readonly service: string;
@@ -62,6 +64,7 @@
   readonly #calls: CounterType<"call" | "end">;
   readonly #places: CounterType<"service" | "outcome">;
   readonly #returns: CounterType<"service" | "outcome">;
+  readonly #cutAnswers: CounterType<"service" | "limit">;
 
   constructor() {
     const registry = new Registry();
@@ -138,6 +141,12 @@
       labelNames: ["service", "outcome"],
       registers,
     });
+    this.#cutAnswers = new Counter({
+      name: "umbermast_answers_cut_total",
+      help: "Answers that ended because buffered bytes exceeded a limit",
+      labelNames: ["service", "limit"],
+      registers,
+    });
   }
 
   /** Counts a request that has ended, and observes its duration. */
@@ -198,6 +207,30 @@
     });
   }
 
+  /**
+   * Shows the buffered bytes by kind.
+   *
+   * @param buffered called at each reading of the metrics.
+   */
+  observeBuffers(buffered: () => BufferedBytes): void {
+    new Gauge({
+      name: "umbermast_buffered_bytes",
+      help: "Bytes of request bodies and of answers that are buffered",
+      labelNames: ["kind"],
+      registers: [this.#registry],
+      collect() {
+        const { bodies, answers } = buffered();
+        this.set({ kind: "body" }, bodies);
+        this.set({ kind: "answer" }, answers);
+      },
+    });
+  }
+
+  /** Counts an answer that ended because buffered bytes exceeded a limit. */
+  answerCut(service: string, limit: "caller" | "total"): void {
+    this.#cutAnswers.inc({ service, limit });
+  }
+
   /** Counts a call to the platform. */
   platformCall(call: "usage" | "runners", end: string): void {
     this.#calls.inc({ call, end });
--- a/packages/router/src/process/settings.ts
+++ b/packages/router/src/process/settings.ts
@@ -7,6 +7,8 @@
 import type { Result } from "neverthrow";
 import { SCHEDULING_SETTINGS } from "./scheduling_mode.ts";
 import type { SchedulingSettings } from "./scheduling_mode.ts";
+import { bufferLimits, defaultBufferMb } from "./buffer_budget.ts";
+import type { BufferLimits } from "./buffer_budget.ts";
 
 /** Address at which a server listens or is reached. */
 export interface ListenAddress {
@@ -81,6 +83,11 @@
     readonly windowMs: number;
   };
   readonly scheduling: SchedulingSettings;
+  /**
+   * Limits of the bytes that are buffered for callers and runners. Undefined if they
+   * are not bounded: neither is `bufferMb` set nor `guarantees.pressure` true.
+   */
+  readonly buffers: BufferLimits | undefined;
   /** Absent if the platform has no API; the fleet then has no leader. */
   readonly leadership: LeadershipSettings | undefined;
 }
@@ -190,6 +197,20 @@
   return value;
 }
 
+function readBuffers(
+  json: unknown,
+  reader: SettingsReader,
+): BufferLimits | undefined {
+  if (valueAt(json, "bufferMb") !== undefined) {
+    return bufferLimits(reader.positive(json, "bufferMb"));
+  }
+  if (valueAt(json, "guarantees.pressure") !== true) return undefined;
+  const memoryMb = valueAt(json, "memoryMb") === undefined
+    ? undefined
+    : reader.positive(json, "memoryMb");
+  return bufferLimits(defaultBufferMb(memoryMb));
+}
+
 const MS_PER_SECOND = 1_000;
 
 function readLeadership(
@@ -269,6 +290,7 @@
       }),
       pressure: reader.flagOr(json, "guarantees.pressure", false),
     },
+    buffers: readBuffers(json, reader),
     leadership: readLeadership(json, reader),
   };
   return reader.findings.length === 0 ? ok(settings) : err(reader.findings);
--- a/packages/router/src/request/attempt_executor.ts
+++ b/packages/router/src/request/attempt_executor.ts
@@ -283,6 +283,9 @@
 
   #finish(routed: RoutedRequest, relayed: RelayResult): AttemptResult {
     if (relayed.kind === "broken") return this.#retryOrTimeOut(relayed.reason);
+    if (relayed.kind === "no-room") {
+      return { kind: "done", outcome: this.#outcomes.answerCut() };
+    }
     const { fingerprint, abandoned } = this.#progress;
     this.#daemon.crashes.recordResponse(fingerprint, this.#daemon.now());
     const { status } = relayed;
--- a/packages/router/src/request/caller.ts
+++ b/packages/router/src/request/caller.ts
@@ -7,6 +7,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { endToEndHeaders, headerOf } from "./headers.ts";
 import type { RawHeaders } from "./dialect.ts";
+import { StreamBody } from "./stream_body.ts";
 
 /** A response that this daemon generates itself. */
 export interface Refusal {
@@ -44,6 +45,7 @@
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
   readonly #closesConnections: () => boolean;
+  #wasCutOff = false;
 
   /**
    * @param closesConnections whether connections close after their responses.
@@ -67,6 +69,11 @@
     return this.response.destroyed;
   }
 
+  /** Whether this daemon ended the response because it had no room for it. */
+  get wasCutOff(): boolean {
+    return this.#wasCutOff;
+  }
+
   /** Sends a refusal, unless a response has already begun. */
   refuse(refusal: Refusal): void {
     if (this.headersSent || this.disconnected) return;
@@ -84,15 +91,20 @@
   }
 
   /** Relays a runner's complete response. */
-  respond(status: number, headers: RawHeaders, body: Buffer): void {
+  respond(status: number, headers: RawHeaders, body: {
+    readonly chunks: readonly Buffer[];
+    /** Called with the number of bytes that wait for the caller. */
+    readonly onUnread?: ((bytes: number) => void) | undefined;
+  }): void {
     if (this.headersSent || this.disconnected) return;
+    const { chunks, onUnread } = body;
     const framed = isFramed(headers);
+    const length = chunks.reduce((sum, chunk) => sum + chunk.length, 0);
     this.#writeHead(status, endToEndHeaders(headers, RECOMPUTED_HEADERS), {
-      length: framed ? body.length : undefined,
+      length: framed ? length : undefined,
       close: !framed,
     });
-    this.response.write(body);
-    this.response.end();
+    new StreamBody(this.response, onUnread).end(chunks);
   }
 
   /** Relays the head of a runner's stream. */
@@ -104,11 +116,6 @@
     });
   }
 
-  /** Ends a complete stream. */
-  endStream(): void {
-    this.response.end();
-  }
-
   /**
    * Aborts a response that cannot be completed, by closing the connection:
    * without the last chunk it does not appear complete.
@@ -117,6 +124,18 @@
     this.response.destroy();
   }
 
+  /**
+   * Ends a response that has begun, for which there is no room. The connection is
+   * reset, so that a response without a length does not appear complete and the
+   * operating system discards what it holds for the connection.
+   */
+  cutOff(): void {
+    this.#wasCutOff = true;
+    if (!this.headersSent) return;
+    this.request.socket.resetAndDestroy();
+    this.response.destroy();
+  }
+
   #writeHead(
     status: number,
     headers: string[],
--- a/packages/router/src/request/daemon.ts
+++ b/packages/router/src/request/daemon.ts
@@ -5,6 +5,7 @@
  */
 import type { BrokenRun } from "../connection/crash_detector.ts";
 import type { RunnerConnections } from "../connection/runner_connections.ts";
+import type { BufferBudget } from "../process/buffer_budget.ts";
 import type { CrashRecord } from "../process/crash_record.ts";
 import type { DrainRate } from "../process/drain_rate.ts";
 import type { ReturnPlaces } from "../process/return_places.ts";
@@ -51,6 +52,8 @@
   readonly crashes: CrashRecord;
   /** Places of refused requests whose callers may return. */
   readonly places: ReturnPlaces;
+  /** Budget of the bytes that are buffered; absent if they are not bounded. */
+  readonly buffers: BufferBudget | undefined;
   /** Wakes requests that wait for capacity. */
   readonly sharedTimer: SharedTimer;
   /** Whether new requests are refused because the process is about to exit. */
--- a/packages/router/src/request/decision_log.ts
+++ b/packages/router/src/request/decision_log.ts
@@ -8,6 +8,8 @@
  *
  * @module
  */
+import type { IncomingMessage } from "node:http";
+import type { AnswerCut } from "../process/buffer_budget.ts";
 import type { Quarantine } from "../process/crash_record.ts";
 import type { Fields } from "../process/log_line.ts";
 import type { PlaceOutcome } from "../process/metrics.ts";
@@ -294,3 +296,43 @@
     age_ms: Math.round(daemon.now() - place.arrivedAt),
   });
 }
+
+/**
+ * Logs that a request is refused because its body does not fit beside the buffered
+ * bytes: `body_bytes` is the size that the request states.
+ */
+export function logBodyRefused(
+  daemon: Daemon,
+  routed: RoutedRequest,
+  { headers }: IncomingMessage,
+): void {
+  const { bodies, answers } = daemon.buffers!.buffered;
+  daemon.log.decision("body_refused", routed.head.id, {
+    service: routed.service.name,
+    rank: routed.rank,
+    body_bytes: headers["content-length"],
+    buffered_bodies: bodies,
+    buffered_answers: answers,
+  });
+}
+
+/**
+ * Logs that an answer ended because buffered bytes exceeded a `limit`, that of the
+ * caller or that of all callers together: `unread_bytes` waited for the caller, the
+ * first of them for `held_ms`, and it read `read_bytes` in that time.
+ */
+export function logAnswerCut(
+  daemon: Daemon,
+  routed: RoutedRequest,
+  cut: AnswerCut,
+): void {
+  daemon.log.decision("answer_cut", routed.head.id, {
+    service: routed.service.name,
+    rank: routed.rank,
+    limit: cut.limit,
+    unread_bytes: cut.bytes,
+    read_bytes: cut.readBytes,
+    held_ms: Math.round(cut.heldMs),
+    buffered_bytes: cut.totalBytes,
+  });
+}
--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -8,7 +8,7 @@
 import type { RequestHead } from "./dialect.ts";
 import type { Caller } from "./caller.ts";
 import type { Daemon } from "./daemon.ts";
-import { logQuarantine } from "./decision_log.ts";
+import { logBodyRefused, logQuarantine } from "./decision_log.ts";
 import { fingerprintOf } from "./fingerprint.ts";
 import { outcomeName } from "./outcome.ts";
 import type { Outcome } from "./outcome.ts";
@@ -100,11 +100,37 @@
   }
 
   async #serve(routed: RoutedRequest): Promise<Outcome> {
+    const { buffers } = this.#daemon;
+    if (buffers === undefined) return await this.#receive(routed);
+    const body = buffers.openBody(this.#caller.request.socket);
+    try {
+      return await this.#receive(routed, (size) => buffers.reserve(body, size));
+    } finally {
+      buffers.release(body);
+    }
+  }
+
+  /**
+   * Receives the body of the request, and serves it.
+   *
+   * @param reserve returns whether there is room for a body of this size.
+   */
+  async #receive(
+    routed: RoutedRequest,
+    reserve?: (size: number) => boolean,
+  ): Promise<Outcome> {
     const limits = this.#daemon.routingTable()!.limits;
     this.#receivingBody = true;
-    const received = await readBody(this.#caller.request, limits.maxBodyBytes);
+    const received = await readBody(this.#caller.request, {
+      maxBytes: limits.maxBodyBytes,
+      reserve,
+    });
     this.#receivingBody = false;
     if (received.kind === "broken") return { kind: "left" };
+    if (received.kind === "no-room") {
+      logBodyRefused(this.#daemon, routed, this.#caller.request);
+      return this.#outcomes.buffersFull();
+    }
     if (received.kind === "too-large") {
       const refusal = { status: 413, code: "body_too_large", close: true };
       return { kind: "refused", refusal };
@@ -213,14 +239,19 @@
     return this.#outcomes.quarantine(quarantine);
   }
 
+  #finalOutcome(determined: Outcome): Outcome {
+    const { disconnected, wasCutOff } = this.#caller;
+    if (determined.kind === "answered" || !disconnected) return determined;
+    if (wasCutOff) return { kind: "broken", reason: "answer cut" };
+    return { kind: "left" };
+  }
+
   #finish(
     head: RequestHead,
     determined: Outcome,
     routed?: RoutedRequest,
   ): void {
-    const disconnected = this.#caller.disconnected &&
-      determined.kind !== "answered";
-    const outcome: Outcome = disconnected ? { kind: "left" } : determined;
+    const outcome = this.#finalOutcome(determined);
     if (outcome.kind === "refused") this.#caller.refuse(outcome.refusal);
     if (outcome.kind === "broken") this.#caller.abort();
     const { startedAt, attempts, returning } = this.#progress;
--- a/packages/router/src/request/local_outcomes.ts
+++ b/packages/router/src/request/local_outcomes.ts
@@ -71,6 +71,22 @@
     return { kind: "refused", refusal: { status: 502, code: "runner_failed" } };
   }
 
+  /**
+   * Returns the outcome when there was no room for a response that had not begun
+   * to be relayed. The request has run.
+   */
+  answerCut(): Outcome {
+    const refusal = { status: 502, code: "answer_cut", close: true };
+    return { kind: "refused", refusal };
+  }
+
+  /** Returns the outcome when there is no room for the request's body. */
+  buffersFull(): Outcome {
+    const refusal = unavailableRefusal("buffers_full", this.#daemon.random());
+    // The rest of the body may be arriving.
+    return { kind: "refused", refusal: { ...refusal, close: true } };
+  }
+
   /** Returns the outcome when the time of the request has expired. */
   timeout(): Outcome {
     if (this.#caller.headersSent) return { kind: "broken", reason: "timeout" };
--- a/packages/router/src/request/response_relay.ts
+++ b/packages/router/src/request/response_relay.ts
@@ -3,15 +3,19 @@
  *
  * @module
  */
+import type { Buffer } from "node:buffer";
+import type { IncomingMessage } from "node:http";
 import type { BrokenRun } from "../connection/crash_detector.ts";
 import type { PlacedRequest, RunnerLoad } from "../process/runner_load.ts";
+import { AnswerBuffer } from "./answer_buffer.ts";
 import type { Attempt, SendResult } from "./attempt.ts";
 import type { Caller } from "./caller.ts";
 import type { Daemon } from "./daemon.ts";
 import type { InactivityTimer } from "./inactivity_timer.ts";
 import { StreamRelay } from "./stream_relay.ts";
 import type { RoutedRequest } from "./routed_request.ts";
-import { readBody } from "./read_body.ts";
+import { readBody, readChunks } from "./read_body.ts";
+import type { ChunksResult } from "./read_body.ts";
 
 /**
  * Maximum size in bytes of a response that is buffered before it is relayed.
@@ -62,7 +66,9 @@
     readonly kind: "failed";
     readonly status: number;
     readonly respond: () => void;
-  };
+  }
+  /** There was no room to buffer the response. */
+  | { readonly kind: "no-room" };
 
 /**
  * Relays the responses to the attempts of one request. A response that is not
@@ -77,6 +83,8 @@
    */
   readonly #cancelledLocally: () => boolean;
   #stream: StreamRelay | undefined;
+  /** What is buffered of the stream; undefined where that is not bounded. */
+  #streamBuffer: AnswerBuffer | undefined;
 
   constructor(
     daemon: Daemon,
@@ -129,7 +137,12 @@
   ): Promise<RelayResult> {
     const { status, incoming } = response;
     if (response.head.sealed) this.#daemon.requestStarted(routed);
-    const received = await readBody(incoming, MAX_BUFFERED_BYTES);
+    const buffer = this.#openBuffer(
+      routed,
+      () => context.attempt.cancel("no room for the response"),
+    );
+    const received = await this.#receive(incoming, buffer);
+    if (buffer?.wasCut) return { kind: "no-room" };
     if (received.kind !== "complete") {
       return this.#handleInterruption(
         context,
@@ -142,12 +155,53 @@
     context.load.recordResponse(failed, this.#daemon.now());
     this.#recordPlainResponse(routed, response, context);
     const respond = () =>
-      this.#caller.respond(status, incoming.rawHeaders, received.body);
+      this.#caller.respond(status, incoming.rawHeaders, {
+        chunks: received.chunks,
+        onUnread: buffer && ((bytes) => buffer.setUnread(bytes)),
+      });
     if (failed) return { kind: "failed", status, respond };
     respond();
     return { kind: "answered", status };
   }
 
+  /**
+   * Returns the count of an answer, if buffered bytes are bounded.
+   *
+   * @param onCut called when the answer must end, besides the end of the response
+   * to the caller.
+   */
+  #openBuffer(
+    routed: RoutedRequest,
+    onCut: () => void = () => {},
+  ): AnswerBuffer | undefined {
+    const { buffers } = this.#daemon;
+    if (buffers === undefined) return undefined;
+    const caller = this.#caller;
+    return new AnswerBuffer(this.#daemon, buffers, {
+      routed,
+      caller,
+      onCut: () => {
+        caller.cutOff();
+        onCut();
+      },
+    });
+  }
+
+  async #receive(
+    incoming: IncomingMessage,
+    buffer: AnswerBuffer | undefined,
+  ): Promise<ChunksResult> {
+    const limits = { maxBytes: MAX_BUFFERED_BYTES };
+    if (buffer === undefined) {
+      const received = await readBody(incoming, limits);
+      if (received.kind !== "complete") return received;
+      return { kind: "complete", chunks: [received.body] };
+    }
+    buffer.readFrom(incoming);
+    incoming.on("data", (chunk: Buffer) => buffer.receive(chunk.length));
+    return await readChunks(incoming, limits);
+  }
+
   async #relayStream(
     routed: RoutedRequest,
     response: RunnerResponse,
@@ -159,6 +213,12 @@
     const recordPace = this.#paceRecorder(routed, context);
     const recordGap = this.#gapRecorder(routed, stream, context);
     let started = false;
+    const gapTimeoutMs = GAP_TIMEOUT_TARGETS *
+      (route.gapTargetMs ?? route.targetMs);
+    this.#streamBuffer?.readFrom(
+      incoming,
+      (maxMs) => context.inactivity.restart(maxMs + gapTimeoutMs),
+    );
     const end = await stream.relay(incoming, () => {
       const now = this.#daemon.now();
       context.load.recordActivity(now);
@@ -168,9 +228,7 @@
         this.#handleFirstEvent(routed, response, context);
       }
       recordGap(now);
-      context.inactivity.restart(
-        GAP_TIMEOUT_TARGETS * (route.gapTargetMs ?? route.targetMs),
-      );
+      context.inactivity.restart(gapTimeoutMs);
     });
     if (end.kind !== "complete") {
       return this.#handleInterruption(
@@ -180,7 +238,7 @@
       );
     }
     this.#caller.beginStream(status, incoming.rawHeaders);
-    this.#caller.endStream();
+    stream.end();
     return { kind: "answered", status };
   }
 
@@ -263,9 +321,12 @@
   }
 
   #streamRelay(routed: RoutedRequest): StreamRelay {
-    this.#stream ??= new StreamRelay(this.#caller.response, {
+    if (this.#stream !== undefined) return this.#stream;
+    this.#streamBuffer = this.#openBuffer(routed);
+    this.#stream = new StreamRelay(this.#caller.response, {
       dialect: this.#daemon.dialect,
       lastEventId: routed.head.lastEventId,
+      buffer: this.#streamBuffer,
     });
     return this.#stream;
   }
--- a/packages/router/src/request/stream_body.ts
+++ b/packages/router/src/request/stream_body.ts
@@ -5,6 +5,7 @@
  */
 import { Buffer } from "node:buffer";
 import type { ServerResponse } from "node:http";
+import { BlockQueue } from "./block_queue.ts";
 
 const HEX_RADIX = 16;
 const CRLF = "\r\n";
@@ -31,22 +32,93 @@
  */
 export class StreamBody {
   readonly #response: ServerResponse;
+  readonly #onUnread: ((bytes: number) => void) | undefined;
+  /** What the caller has not made room for; used only if it is counted. */
+  readonly #held = new BlockQueue();
+  #blocked = false;
+  #ending = false;
   #headFlushed = false;
 
   /**
    * @param response response to write to; `writeHead` must be called on it before
    * the first event.
+   * @param onUnread if present, the body holds what the caller does not read yet,
+   * and calls this with the number of bytes that wait whenever it changes.
    */
-  constructor(response: ServerResponse) {
+  constructor(
+    response: ServerResponse,
+    onUnread?: (bytes: number) => void,
+  ) {
     this.#response = response;
+    this.#onUnread = onUnread;
+    if (onUnread === undefined) return;
+    response.once("close", () => this.#held.clear());
   }
 
   /**
    * Writes an event.
    *
-   * @returns false if the write buffer is full; see {@linkcode onceDrained}.
+   * @returns false if the write buffer is full; see {@linkcode onceDrained}. A body
+   * that holds what the caller does not read returns true.
    */
   write(event: Buffer): boolean {
+    if (this.#onUnread === undefined) return this.#writeNow(event);
+    if (this.#response.destroyed) return true;
+    if (this.#blocked) this.#held.push(event);
+    else this.#writeOrBlock(event);
+    if (this.#blocked) this.#countUnread();
+    return true;
+  }
+
+  /** Writes a body that is complete. */
+  end(chunks: readonly Buffer[] = []): void {
+    if (this.#onUnread === undefined) {
+      for (const chunk of chunks) this.#response.write(chunk);
+      this.#response.end();
+      return;
+    }
+    for (const chunk of chunks) this.#held.pushChunk(chunk);
+    this.#ending = true;
+    if (!this.#blocked) this.#writeHeld();
+  }
+
+  /** Calls the listener once the write buffer has been emptied. */
+  onceDrained(listener: () => void): void {
+    const { socket } = this.#response;
+    (socket ?? this.#response).once("drain", listener);
+  }
+
+  #writeOrBlock(bytes: Buffer): void {
+    this.#blocked = !this.#writeNow(bytes);
+    if (!this.#blocked) return;
+    this.onceDrained(() => {
+      this.#blocked = false;
+      this.#writeHeld();
+    });
+  }
+
+  /** Writes what is held until the write buffer is full. */
+  #writeHeld(): void {
+    if (this.#response.destroyed) return;
+    while (!this.#blocked) {
+      const block = this.#held.shift();
+      if (block === undefined) break;
+      this.#writeOrBlock(block);
+    }
+    if (this.#ending && this.#held.empty) {
+      this.#ending = false;
+      this.#response.end();
+    }
+    this.#countUnread();
+  }
+
+  #countUnread(): void {
+    const { socket, writableLength } = this.#response;
+    const unread = this.#blocked ? socket?.writableLength ?? writableLength : 0;
+    this.#onUnread!(this.#held.size + unread);
+  }
+
+  #writeNow(event: Buffer): boolean {
     const { socket } = this.#response;
     // The socket is null while an earlier response on the connection is unfinished.
     if (socket === null || !this.#mayWriteDirectly()) {
@@ -59,12 +131,6 @@
     return socket.write(encodeChunk(event));
   }
 
-  /** Calls the listener once the write buffer has been emptied. */
-  onceDrained(listener: () => void): void {
-    const { socket } = this.#response;
-    (socket ?? this.#response).once("drain", listener);
-  }
-
   /**
    * Whether the head has been written and the response is chunked and has a
    * body, so that its chunks may be written directly to the connection.
--- a/packages/router/src/request/stream_relay.ts
+++ b/packages/router/src/request/stream_relay.ts
@@ -5,6 +5,7 @@
  */
 import type { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { AnswerBuffer } from "./answer_buffer.ts";
 import type { Dialect } from "./dialect.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import { StreamBody } from "./stream_body.ts";
@@ -22,6 +23,7 @@
  */
 export class StreamRelay {
   readonly #body: StreamBody;
+  readonly #buffer: AnswerBuffer | undefined;
   readonly #dialect: Dialect;
   /**
    * Id of the last event relayed; at first, the id of the last event that the
@@ -36,9 +38,19 @@
     options: {
       readonly dialect: Dialect;
       readonly lastEventId: number | undefined;
+      /**
+       * Counts what the caller does not read; without it, the runner is paused for
+       * a slow caller.
+       */
+      readonly buffer?: AnswerBuffer | undefined;
     },
   ) {
-    this.#body = new StreamBody(response);
+    const { buffer } = options;
+    this.#buffer = buffer;
+    this.#body = new StreamBody(
+      response,
+      buffer && ((bytes) => buffer.setUnread(bytes)),
+    );
     this.#dialect = options.dialect;
     this.#lastEventId = options.lastEventId;
   }
@@ -56,9 +68,14 @@
     return this.#eventCount;
   }
 
-  /** Number of times that the runner was paused for a slow caller. */
+  /** Number of times that a runner was paused for a slow caller. */
   get pauseCount(): number {
-    return this.#pauseCount;
+    return this.#pauseCount + (this.#buffer?.pauseCount ?? 0);
+  }
+
+  /** Ends a complete stream once the caller has read it. */
+  end(): void {
+    this.#body.end();
   }
 
   /**
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -17,6 +17,7 @@
   createMetricsServer,
   createReadinessServer,
 } from "./connection/status_server.ts";
+import { BufferBudget } from "./process/buffer_budget.ts";
 import { CrashRecord } from "./process/crash_record.ts";
 import { DrainingRunners } from "./process/draining_runners.ts";
 import { DrainRate } from "./process/drain_rate.ts";
@@ -104,6 +105,7 @@
   readonly scheduling: SchedulingMode;
   readonly paces: RunnerPaces;
   readonly places: ReturnPlaces;
+  readonly buffers: BufferBudget | undefined;
   readonly sharedTimer = new SharedTimer(CAPACITY_CHECK_MS);
   readonly metrics = new RequestMetrics();
   readonly log: EventLog;
@@ -138,6 +140,11 @@
     this.scheduling = new SchedulingMode(settings.scheduling, log);
     this.paces = new RunnerPaces(this.scheduling, log);
     this.metrics.observePaces(() => this.paces.samples(this.now()));
+    const buffers = settings.buffers && new BufferBudget(settings.buffers);
+    if (buffers !== undefined) {
+      this.metrics.observeBuffers(() => buffers.buffered);
+    }
+    this.buffers = buffers;
     this.places = new ReturnPlaces(log, () => this.random());
     this.crashes = new CrashRecord(log);
     this.limits = new RunnerLimits(log, () => this.#fleetSync.view);
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -426,6 +426,7 @@
     graceMs: 3_000,
     retries: { ratio: 10, extra: 100, windowMs: 10_000 },
     scheduling: { scheduling: "auto", pressure: false },
+    buffers: undefined,
     leadership: undefined,
     ...fields,
   };
