Keep room in the buffer budget for callers that read

Streams of callers that read were paused again after each chunk while 60 others that read nothing filled the budget: the runner of the reader waited up to 1 s for each 64 KB. Callers that have read nothing for 500 ms now share three quarters of the room, and a runner that waits is read again from 128 KB below the limit on.

--- a/packages/router/src/process/buffer_budget.ts
+++ b/packages/router/src/process/buffer_budget.ts
@@ -14,12 +14,23 @@
 /** Share of the total that one caller may use. */
 const CALLER_SHARE = 0.5;
 /**
- * Share of a limit below which runners that wait for room are read again. Without
- * a margin, each chunk that a caller reads would resume a runner for one chunk.
+ * Share of the room for answers, and of the total, that callers may use which read
+ * nothing at the moment. Without it, 60 of them left no room for the stream of a
+ * caller that read, whose runner was paused again after each chunk.
  */
-const RESUME_SHARE = 15 / 16;
+const STALLED_SHARE = 0.75;
+/** Time in ms without any read after which a caller counts as stalled. */
+const STALL_MS = 500;
 /** Most bytes that one read of a runner's connection returns. */
 const READ_BYTES = 64 * 1024;
+/**
+ * Bytes below a limit from which on a runner that waits for room is read again, so
+ * that it is not resumed for a part of one read. With 512 KB, a caller that read
+ * 320 KB a second was cut, because its runner stayed unread for more than 1 s.
+ */
+const RESUME_BYTES = 2 * READ_BYTES;
+/** The same as a share of small limits. */
+const MAX_RESUME_SHARE = 1 / 16;
 /**
  * Share of the host's memory for buffers where the settings name none. The heap
  * takes up to 120 MB, code and native memory about 50 MB; the smallest hosts
@@ -89,6 +100,8 @@
   readBytes: number;
   /** When that byte began to wait; undefined if nothing waits for the caller. */
   heldSince: number | undefined;
+  /** When the caller last read, or that byte began to wait. */
+  lastReadAt: number;
 }
 
 /** Buffered bytes by kind. */
@@ -108,6 +121,11 @@
   return answer.bytes * heldMs / Math.max(1, answer.readBytes);
 }
 
+/** Returns the bytes up to which runners that wait for room are read again. */
+function resumable(limit: number): number {
+  return limit - Math.min(RESUME_BYTES, MAX_RESUME_SHARE * limit);
+}
+
 /**
  * Counts the bytes that wait for callers or runners: bodies of requests, answers
  * that are received whole before they are relayed, and unread bytes of streams.
@@ -171,12 +189,12 @@
     return true;
   }
 
-  release(body: CountedBody): void {
+  release(body: CountedBody, now: number): void {
     if (body.bytes === 0) return;
     this.#bodyBytes -= body.bytes;
     this.#addTo(body.caller, -body.bytes);
     body.bytes = 0;
-    this.#resumeWaiting();
+    this.#resumeWaiting(now);
   }
 
   /** Begins to count an answer. */
@@ -187,6 +205,7 @@
       bytes: 0,
       readBytes: 0,
       heldSince: undefined,
+      lastReadAt: Infinity,
     };
     this.#answers.add(answer);
     return answer;
@@ -198,8 +217,8 @@
    * @returns false if the answer waits for room; `AnswerListener.resume` or
    * `AnswerListener.cut` follows.
    */
-  receive(answer: CountedAnswer, bytes: number): boolean {
-    return this.#resize(answer, answer.bytes + bytes);
+  receive(answer: CountedAnswer, bytes: number, now: number): boolean {
+    return this.#resize(answer, answer.bytes + bytes, now);
   }
 
   /**
@@ -211,22 +230,26 @@
       answer.heldSince = undefined;
     } else if (answer.heldSince === undefined) {
       answer.heldSince = now;
+      answer.lastReadAt = now;
       answer.readBytes = 0;
     }
-    answer.readBytes += Math.max(0, answer.bytes - bytes);
-    return this.#resize(answer, bytes);
+    if (bytes < answer.bytes) {
+      answer.readBytes += answer.bytes - bytes;
+      answer.lastReadAt = now;
+    }
+    return this.#resize(answer, bytes, now);
   }
 
-  #resize(answer: CountedAnswer, bytes: number): boolean {
+  #resize(answer: CountedAnswer, bytes: number, now: number): boolean {
     // A cut answer is over; its last chunks are dropped.
     if (!this.#answers.has(answer)) return true;
     const change = bytes - answer.bytes;
     answer.bytes = bytes;
     this.#answerBytes += change;
     this.#addTo(answer.caller, change);
-    if (change < 0) this.#resumeWaiting();
+    if (change < 0) this.#resumeWaiting(now);
     if (this.#waiting.has(answer)) return false;
-    if (this.#fits(answer, 1)) return true;
+    if (this.#fits(answer, now, (limit) => limit)) return true;
     this.#waiting.add(answer);
     return false;
   }
@@ -237,7 +260,12 @@
    */
   makeRoom(answer: CountedAnswer, now: number): void {
     while (this.#waiting.has(answer)) {
-      const ownLimit = !this.#callerFits(answer, RESUME_SHARE);
+      // Room for one read may have gone to others that were resumed first.
+      if (this.#fits(answer, now, resumable)) {
+        this.#waiting.delete(answer);
+        return answer.listener.resume();
+      }
+      const ownLimit = !this.#callerFits(answer, resumable);
       const slowest = ownLimit ? answer : this.#slowest(now) ?? answer;
       this.#cut(slowest, ownLimit ? "caller" : "total", now);
     }
@@ -260,41 +288,55 @@
     const { bytes, readBytes, heldSince = now } = answer;
     const heldMs = now - heldSince;
     const totalBytes = this.#totalBytes;
-    this.close(answer);
+    this.close(answer, now);
     answer.listener.cut({ limit, bytes, readBytes, heldMs, totalBytes });
   }
 
   /** Ends the count of an answer. */
-  close(answer: CountedAnswer): void {
+  close(answer: CountedAnswer, now: number): void {
     if (!this.#answers.delete(answer)) return;
     this.#waiting.delete(answer);
     this.#answerBytes -= answer.bytes;
     this.#addTo(answer.caller, -answer.bytes);
     answer.bytes = 0;
-    this.#resumeWaiting();
+    this.#resumeWaiting(now);
   }
 
-  #resumeWaiting(): void {
+  #resumeWaiting(now: number): void {
     // Each runner that is read again adds at least what one read returns.
     let resumed = 0;
     for (const answer of this.#waiting) {
-      if (!this.#fits(answer, RESUME_SHARE, resumed * READ_BYTES)) continue;
+      const fits = this.#fits(
+        answer,
+        now,
+        (limit) => resumable(limit) - resumed * READ_BYTES,
+      );
+      if (!fits) continue;
       this.#waiting.delete(answer);
       resumed += 1;
       answer.listener.resume();
     }
   }
 
-  /** Whether what is buffered is within a share of the limits of the answer. */
-  #fits(answer: CountedAnswer, share: number, expected = 0): boolean {
+  /** Whether what is buffered is within the limits of an answer, as adjusted. */
+  #fits(
+    answer: CountedAnswer,
+    now: number,
+    adjust: (limit: number) => number,
+  ): boolean {
+    const stalled = now - answer.lastReadAt > STALL_MS;
     const { totalBytes } = this.#limits;
-    return this.#callerFits(answer, share) &&
-      this.#answerBytes + expected <= share * KIND_SHARE * totalBytes &&
-      this.#totalBytes + expected <= share * totalBytes;
+    const usable = stalled ? STALLED_SHARE * totalBytes : totalBytes;
+    return this.#callerFits(answer, adjust) &&
+      this.#answerBytes <= adjust(KIND_SHARE * usable) &&
+      this.#totalBytes <= adjust(usable);
   }
 
-  #callerFits({ caller }: CountedAnswer, share: number): boolean {
-    return this.#bytesOf(caller) <= share * this.#limits.callerBytes;
+  #callerFits(
+    { caller }: CountedAnswer,
+    adjust: (limit: number) => number,
+  ): boolean {
+    return this.#bytesOf(caller) <= adjust(this.#limits.callerBytes);
   }
 
   get #totalBytes(): number {
--- a/packages/router/src/request/answer_buffer.ts
+++ b/packages/router/src/request/answer_buffer.ts
@@ -53,7 +53,7 @@
     });
     caller.response.once("close", () => {
       clearTimeout(this.#timer);
-      budget.close(this.#answer);
+      budget.close(this.#answer, daemon.now());
     });
   }
 
@@ -82,7 +82,8 @@
 
   /** Counts bytes that are received before the answer is relayed. */
   receive(bytes: number): void {
-    this.#pauseUnless(this.#budget.receive(this.#answer, bytes));
+    const now = this.#daemon.now();
+    this.#pauseUnless(this.#budget.receive(this.#answer, bytes, now));
   }
 
   /** Sets the number of bytes that wait for the caller. */
--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -106,7 +106,7 @@
     try {
       return await this.#receive(routed, (size) => buffers.reserve(body, size));
     } finally {
-      buffers.release(body);
+      buffers.release(body, this.#daemon.now());
     }
   }
 
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -476,8 +476,13 @@
   route: Partial<Route>,
   runners: readonly FakeRunner[],
   fields: Partial<Configuration> = {},
+  parts: {
+    readonly settings?: Partial<RouterSettings>;
+    readonly log?: EventLog;
+  } = {},
 ): Promise<Router> {
   const router = await startRouter(context, {
+    ...parts,
     configurations: new SettableFeed([
       testConfiguration([testRoute(route)], fields),
     ]),
