Send engines no more than their memory holds

Where scheduling is adaptive, these ways led past the bound of an engine's memory, and an engine crashes if its requests exceed it:

- requests without a prompt hash went to the least loaded engine;
- retries and resumed streams passed admission;
- requests that wait for memory, here and at other daemons, counted with their slots and prefill but not with their memory;
- several retries chose an engine in the same turn of the event loop, before any of them was counted;
- requests that state no tokens counted as none;
- loads of lost and cut-off daemons counted as none, though the engine reports these requests;
- a request beyond all memory waited, was refused and came back: it gets 413 memory_exceeded now, before its body is read;
- a request beyond its rank's share of the memory was never sent, even to an idle engine;
- a prompt was fetched from an engine without memory to keep it.

--- a/packages/router/src/process/runner_load.ts
+++ b/packages/router/src/process/runner_load.ts
@@ -74,6 +74,8 @@
   #ejectedUntil = 0;
   #report: ReportedLoad | undefined;
   #reportedAt = -Infinity;
+  /** Requests in the report of which no daemon had told this one. */
+  #unknownRequests = 0;
   /** When the runner last sent any data, or got work after having been idle. */
   #lastActivityAt = 0;
 
@@ -222,6 +224,9 @@
   recordReport(load: ReportedLoad, now: number): void {
     this.#report = load;
     this.#reportedAt = now;
+    const { running, waiting } = load;
+    const unknown = running + waiting - this.#total.inFlight;
+    this.#unknownRequests = Math.max(0, unknown);
   }
 
   /** Requests at the runner, from daemons' loads and its own fresh report. */
@@ -231,6 +236,14 @@
     return Math.max(this.#total.inFlight, report.running + report.waiting);
   }
 
+  /**
+   * Requests at the runner that its fresh report counted beyond the loads of
+   * daemons that were known at that moment.
+   */
+  unknownRequests(now: number): number {
+    return this.#freshReport(now) === undefined ? 0 : this.#unknownRequests;
+  }
+
   /**
    * Recent fraction of complete responses, to all daemons, that were failures.
    */
--- a/packages/router/src/request/admission.ts
+++ b/packages/router/src/request/admission.ts
@@ -7,6 +7,7 @@
 import type { Runner } from "../process/runner.ts";
 import { maxTightPrefillMs } from "./demand.ts";
 import type { Demand, RunnerFleet } from "./demand.ts";
+import { lacksMemory } from "./runner_memory.ts";
 
 /**
  * Work in flight on a runner, in ms of prefill, up to which requests of the
@@ -75,7 +76,9 @@
   return prefillMs(workTokens) > MAX_WORK_MS * factor ||
     prefillMs(unreadTokens + ahead.unreadTokens) > MAX_BACKLOG_MS * factor ||
     inFlight + ahead.requests >= share * engine!.slots ||
-    neededTokens > share * engine!.memoryTokens;
+    (fleet.boundsMemory
+      ? lacksMemory(fleet, demand, { runner, share })
+      : neededTokens > share * engine!.memoryTokens);
 }
 
 /**
--- a/packages/router/src/request/attempt_executor.ts
+++ b/packages/router/src/request/attempt_executor.ts
@@ -19,6 +19,7 @@
 import type { Progress } from "./progress.ts";
 import { InactivityTimer } from "./inactivity_timer.ts";
 import type { RoutedRequest } from "./routed_request.ts";
+import { requestTokens } from "./runner_memory.ts";
 
 /**
  * Time without a first event, in multiples of the target latency, after which a
@@ -89,7 +90,7 @@
     const load = this.#daemon.loads.of(runner.id);
     const placed: PlacedRequest = {
       unreadTokens: choice.prefillTokens,
-      memoryTokens: head.promptTokens + head.maxOutputTokens,
+      memoryTokens: this.#memoryTokens(routed),
       tight: choice.tight,
     };
     const sentAt = this.#daemon.now();
@@ -137,6 +138,14 @@
     }
   }
 
+  #memoryTokens({ head, service }: RoutedRequest): number {
+    const { engine, name } = service;
+    if (engine === undefined || !this.#daemon.scheduling.isAdaptive(name)) {
+      return head.promptTokens + head.maxOutputTokens;
+    }
+    return requestTokens(head, engine);
+  }
+
   #recordEnd({ service, rank }: RoutedRequest, sentAt: number): void {
     const { runners, loads, now } = this.#daemon.fleet(service.name);
     const inFlight = runners.reduce(
--- a/packages/router/src/request/demand.ts
+++ b/packages/router/src/request/demand.ts
@@ -45,6 +45,8 @@
    * undefined where pools are reserved for tight streams in any case.
    */
   readonly shortestGapMs?: number | undefined;
+  /** Whether requests are sent only where engines have memory for them. */
+  readonly boundsMemory?: boolean;
   /** Failure domain of this daemon. */
   readonly failureDomain: string;
   /** Monotonic milliseconds. */
--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -18,6 +18,7 @@
 import { AttemptExecutor } from "./attempt_executor.ts";
 import { routeRequest } from "./routed_request.ts";
 import type { RoutedRequest } from "./routed_request.ts";
+import { exceedsMemory } from "./runner_memory.ts";
 import { readBody } from "./read_body.ts";
 import { RequestReturn } from "./request_return.ts";
 
@@ -57,7 +58,13 @@
     if ("status" in routed) {
       return this.#finish(head, { kind: "refused", refusal: routed });
     }
-    const { head: { deadlineMs }, route } = routed;
+    const { head: { deadlineMs }, route, service: { name, engine } } = routed;
+    const tooLarge = engine !== undefined && exceedsMemory(head, engine) &&
+      this.#daemon.scheduling.isAdaptive(name);
+    if (tooLarge) {
+      const refusal = { status: 413, code: "memory_exceeded", close: true };
+      return this.#finish(head, { kind: "refused", refusal }, routed);
+    }
     const timeoutMs = Math.min(route.timeoutMs, deadlineMs ?? Infinity);
     this.#startTimer(this.#progress.startedAt + timeoutMs);
     this.#caller.response.once(
@@ -192,6 +199,8 @@
       if (choice === undefined) {
         return fallback?.() ?? this.#outcomes.refusal("no_runner");
       }
+      // Another request may have been sent since the runner was selected.
+      if (!search.hasMemory(choice)) continue;
       const result = await this.#attempts.execute(choice, routed, body);
       if (result.kind === "done") return result.outcome;
       const retry = !progress.expired && this.#mayRetry(routed);
--- a/packages/router/src/request/placement.ts
+++ b/packages/router/src/request/placement.ts
@@ -15,6 +15,7 @@
 } from "./runner_cost.ts";
 import type { CostEstimate } from "./runner_cost.ts";
 import type { RunnerPools } from "./runner_pools.ts";
+import { runnersWithMemory } from "./runner_memory.ts";
 import { silenceFactor } from "./silence.ts";
 import { fleetPools, keepingGaps } from "./tight_streams.ts";
 
@@ -200,7 +201,9 @@
   const runners = eligibleRunners(fleet, demand, excluded);
   if (runners.length === 0) return undefined;
   if (demand.engine === undefined || demand.prompt.length === 0) {
-    return leastLoaded(fleet, runners);
+    const fitting = runnersWithMemory(fleet, demand, runners);
+    if (fitting.length > 0) return leastLoaded(fleet, fitting);
+    return { ...leastLoaded(fleet, runners), overloaded: true };
   }
   return lowestCost(fleet, demand, runners);
 }
--- a/packages/router/src/request/runner_cost.ts
+++ b/packages/router/src/request/runner_cost.ts
@@ -132,6 +132,11 @@
     if (cached === 0) continue;
     maxCachedTokens = Math.max(maxCachedTokens, cached);
     const tokens = fleet.prefixes.fetchableTokens(id, demand.prompt, fleet.now);
+    // An engine keeps a prompt in its memory while another one fetches it.
+    const inUse = fleet.loads.of(id).total.memoryTokens;
+    const full = fleet.boundsMemory &&
+      inUse + tokens > demand.engine!.memoryTokens;
+    if (full) continue;
     if (tokens > (holder?.tokens ?? 0)) holder = { runner, tokens };
   }
   return { holder, maxCachedTokens };
--- a/packages/router/src/request/runner_search.ts
+++ b/packages/router/src/request/runner_search.ts
@@ -22,6 +22,7 @@
 import { isHopeless } from "./retry_delay.ts";
 import { withheldTrials } from "./trial_runners.ts";
 import type { RoutedRequest } from "./routed_request.ts";
+import { runnersWithMemory } from "./runner_memory.ts";
 
 /**
  * Maximum share of a caller's remaining time for which its request waits for
@@ -125,7 +126,7 @@
     readonly mayWait: boolean;
   }): Promise<RunnerChoice | undefined | "overloaded"> {
     const { tried, mayWait } = options;
-    if (!mayWait) return this.#countRequest(this.#choose(tried));
+    if (!mayWait) return await this.#findMemory(tried);
     const wait = new CapacityWait(this.#queueKey);
     try {
       return await this.#findCapacity(wait, tried);
@@ -135,6 +136,46 @@
     }
   }
 
+  /** Whether a runner still has memory for the request, if that is bounded. */
+  hasMemory({ runner }: RunnerChoice): boolean {
+    const fleet = this.#daemon.fleet(this.#routed.service.name);
+    return runnersWithMemory(fleet, this.#demand(), [runner]).length > 0;
+  }
+
+  /**
+   * Selects a runner for another attempt, which does not wait for its turn but for
+   * memory where that is bounded.
+   */
+  async #findMemory(
+    tried: ReadonlySet<string>,
+  ): Promise<RunnerChoice | undefined | "overloaded"> {
+    const waitUntil = this.#waitUntil(this.#daemon.now());
+    for (;;) {
+      const fleet = this.#daemon.fleet(this.#routed.service.name);
+      const { runners } = fleet;
+      const fitting = new Set(
+        runnersWithMemory(fleet, this.#demand(), runners),
+      );
+      const full = runners.filter((runner) => !fitting.has(runner));
+      const choice = full.length === 0
+        ? this.#choose(tried)
+        : this.#choose(new Set([...tried, ...full.map(({ id }) => id)]));
+      if (choice !== undefined) return this.#countRequest(choice);
+      const best = full.length === 0 ? undefined : this.#choose(tried);
+      if (best === undefined) return undefined;
+      const now = this.#daemon.now();
+      if (now > waitUntil || this.#limits.isAbandoned()) {
+        logOverload(this.#daemon, this.#routed, {
+          choice: best,
+          waitedMs: now - this.#limits.receivedAt,
+          inTime: true,
+        });
+        return "overloaded";
+      }
+      await this.#daemon.sharedTimer.next();
+    }
+  }
+
   async #findCapacity(
     wait: CapacityWait,
     tried: ReadonlySet<string>,
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -259,6 +259,7 @@
       shortestGapMs: this.scheduling.isAdaptive(service)
         ? this.#routingTable?.shortestGapMs(service)
         : undefined,
+      boundsMemory: this.scheduling.isAdaptive(service),
       failureDomain: this.#settings.failureDomain,
       now: this.now(),
     };
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -74,7 +74,7 @@
     host: headerOf(headers, "host") ?? "",
     key: headerOf(headers, "x-key"),
     deadlineMs: Number(headerOf(headers, "x-deadline") ?? 5_000),
-    promptTokens: 0,
+    promptTokens: Number(headerOf(headers, "x-tokens") ?? 0),
     maxOutputTokens: 0,
     expectedOutputTokens: undefined,
     prompt: parsePrompt(headerOf(headers, "x-prompt")),
