Test held bodies on the wire, and log requests that only a runner reports

Held bodies are tested behind a previous response on one connection, for HEAD and for HTTP/1.0. overload_detected names the requests that count toward an engine's memory though no daemon reports them (unknown).

--- a/packages/router/src/request/decision_log.ts
+++ b/packages/router/src/request/decision_log.ts
@@ -43,7 +43,8 @@
 
 /**
  * Logs that no runner has capacity for a request or can complete it before its
- * deadline, and the load of the best runner.
+ * deadline, and the load of the best runner: `unknown` is the number of requests
+ * there that only the runner reports.
  */
 export function logOverload(
   daemon: Daemon,
@@ -58,7 +59,8 @@
   const { choice, waitedMs, inTime } = overload;
   const msPerToken = daemon.streamPace(routed.service.name)
     .msPerToken(choice.runner.id, daemon.now());
-  const { total } = daemon.loads.of(choice.runner.id);
+  const load = daemon.loads.of(choice.runner.id);
+  const { total } = load;
   const pace = observedPaceFields(daemon, routed, choice.runner.id);
   daemon.log.decision("overload_detected", routed.head.id, {
     service: routed.service.name,
@@ -69,6 +71,7 @@
     backlog_tokens: total.unreadTokens,
     work_tokens: total.workTokens,
     memory_tokens: total.memoryTokens,
+    unknown: load.unknownRequests(daemon.now()) || undefined,
     waited_ms: Math.round(waitedMs),
     in_time: inTime,
     ms_per_token: msPerToken === undefined ? undefined : Math.round(msPerToken),
--- a/packages/router/src/request/stream_body_test.ts
+++ b/packages/router/src/request/stream_body_test.ts
@@ -86,3 +86,48 @@
   assert.ok(received.indexOf("first") < received.indexOf("id: 1"), received);
   assert.match(received, /5\r\nfirst\r\n0|first/);
 });
+
+// Guards against events that are lost, or written between the chunks of the previous
+// response, when more of them are held than one write takes. The caller reads nothing
+// until all are written.
+for (const target of ["/stream", "/HEAD", "/1.0"]) {
+  test(`a body that is held for a slow caller comes whole (${target})`, async (t) => {
+    const events = Array.from(
+      { length: 400 },
+      (_, id) => Buffer.from(`id: ${id}\ndata: ${"x".repeat(40_000)}\n\n`),
+    );
+    let most = 0;
+    let left = Infinity;
+    const request = (path: string, method = "GET", version = "1.1") =>
+      `${method} ${path} HTTP/${version}\r\nHost: a\r\n\r\n`;
+    const sent = {
+      "/stream": request("/slow") + request(target),
+      "/HEAD": request(target, "HEAD"),
+      "/1.0": request(target, "GET", "1.0"),
+    }[target]!;
+    const received = await exchange(t, sent, (response, path) => {
+      if (path === "/slow") {
+        return void setTimeout(() => response.end("first"), 20);
+      }
+      response.writeHead(200, { Connection: "close" });
+      const body = new StreamBody(response, (unread) => {
+        most = Math.max(most, unread);
+        left = unread;
+      });
+      for (const event of events) assert.equal(body.write(event), true);
+      body.end();
+    });
+    const whole = events.map(String).join("");
+    const content = received.replace(/\r\n[0-9a-f]+\r\n/g, "");
+    if (target === "/HEAD") {
+      assert.match(received, /\r\n\r\n$/);
+      return;
+    }
+    assert.ok(most > 1_000_000, `${most} bytes held`);
+    assert.equal(left, 0);
+    // Without chunk sizes, the content is that of the events in their order.
+    const ids = (text: string) => text.match(/id: \d+/g)?.join();
+    assert.equal(ids(content), ids(whole));
+    assert.equal(content.match(/x/g)?.length, 400 * 40_000);
+  });
+}
