--- a/packages/router/src/request/admission.ts
+++ b/packages/router/src/request/admission.ts
@@ -8,6 +8,7 @@
 import type { Candidate } from "./candidate.ts";
 import { maxTightPrefillMs } from "./demand.ts";
 import type { Demand, RunnerFleet } from "./demand.ts";
+import { lacksMemory } from "./runner_memory.ts";
 
 /**
  * Work in flight on a runner, in ms of prefill, up to which requests of the
@@ -76,7 +77,9 @@
   return speed.prefillMs(workTokens) > MAX_WORK_MS * factor ||
     speed.prefillMs(backlogTokens) > MAX_BACKLOG_MS * factor ||
     inFlight + ahead.requests >= share * engine!.slots ||
-    neededTokens > share * engine!.memoryTokens;
+    (fleet.boundsMemory
+      ? lacksMemory(fleet, demand, { runner, share })
+      : neededTokens > share * engine!.memoryTokens);
 }
 
 /**
--- a/packages/router/src/request/attempt_executor.ts
+++ b/packages/router/src/request/attempt_executor.ts
@@ -26,6 +26,7 @@
 import type { Progress } from "./progress.ts";
 import { InactivityTimer } from "./inactivity_timer.ts";
 import type { RoutedRequest } from "./routed_request.ts";
+import { requestTokens } from "./runner_memory.ts";
 
 /**
  * Time without a first event, in multiples of the target latency, after which a
@@ -97,7 +98,7 @@
     const load = this.#daemon.loads.of(runner.id);
     const placed: PlacedRequest = {
       unreadTokens: choice.prefillTokens,
-      memoryTokens: head.promptTokens + head.maxOutputTokens,
+      memoryTokens: this.#memoryTokens(routed),
       tight: choice.tight,
     };
     const sentAt = this.#daemon.now();
@@ -156,6 +157,14 @@
     }
   }
 
+  #memoryTokens({ head, service }: RoutedRequest): number {
+    const { engine, name } = service;
+    if (engine === undefined || !this.#daemon.scheduling.isAdaptive(name)) {
+      return head.promptTokens + head.maxOutputTokens;
+    }
+    return requestTokens(head, engine);
+  }
+
   #recordPrompt(
     { service, head: { prompt } }: RoutedRequest,
     { placed, sentAt }: {
@@ -370,6 +379,9 @@
 
   #finish(routed: RoutedRequest, relayed: RelayResult): AttemptResult {
     if (relayed.kind === "broken") return this.#retryOrTimeOut(relayed.reason);
+    if (relayed.kind === "no-room") {
+      return { kind: "done", outcome: this.#outcomes.answerCut() };
+    }
     const { fingerprint, abandoned } = this.#progress;
     this.#daemon.crashes.recordResponse(fingerprint, this.#daemon.now());
     const { status } = relayed;
--- a/packages/router/src/request/decision_log.ts
+++ b/packages/router/src/request/decision_log.ts
@@ -11,6 +11,8 @@
  *
  * @module
  */
+import type { IncomingMessage } from "node:http";
+import type { AnswerCut } from "../process/buffer_budget.ts";
 import type { Quarantine } from "../process/crash_record.ts";
 import type { Fields } from "../process/log_line.ts";
 import type { PlaceOutcome } from "../process/metrics.ts";
@@ -61,7 +63,8 @@
 
 /**
  * Logs that no runner has capacity for a request or can complete it before its
- * deadline, and the load of the best runner.
+ * deadline, and the load of the best runner: `unknown` is the number of requests
+ * there that only the runner reports.
  */
 export function logOverload(
   daemon: Daemon,
@@ -76,7 +79,8 @@
   const { choice, waitedMs, inTime } = overload;
   const msPerToken = daemon.streamPace(routed.service.name)
     .msPerToken(choice.runner.id, daemon.now());
-  const { total } = daemon.loads.of(choice.runner.id);
+  const load = daemon.loads.of(choice.runner.id);
+  const { total } = load;
   const pace = observedPaceFields(daemon, routed, choice.runner.id);
   daemon.log.decision("overload_detected", routed.head.id, {
     service: routed.service.name,
@@ -87,6 +91,7 @@
     backlog_tokens: total.unreadTokens,
     work_tokens: total.workTokens,
     memory_tokens: total.memoryTokens,
+    unknown: load.unknownRequests(daemon.now()) || undefined,
     waited_ms: Math.round(waitedMs),
     in_time: inTime,
     ms_per_token: msPerToken === undefined ? undefined : Math.round(msPerToken),
@@ -349,3 +354,43 @@
     age_ms: Math.round(daemon.now() - place.arrivedAt),
   });
 }
+
+/**
+ * Logs that a request is refused because its body does not fit beside the buffered
+ * bytes: `body_bytes` is the size that the request states.
+ */
+export function logBodyRefused(
+  daemon: Daemon,
+  routed: RoutedRequest,
+  { headers }: IncomingMessage,
+): void {
+  const { bodies, answers } = daemon.buffers!.buffered;
+  daemon.log.decision("body_refused", routed.head.id, {
+    service: routed.service.name,
+    rank: routed.rank,
+    body_bytes: headers["content-length"],
+    buffered_bodies: bodies,
+    buffered_answers: answers,
+  });
+}
+
+/**
+ * Logs that an answer ended because buffered bytes exceeded a `limit`, that of the
+ * caller or that of all callers together: `unread_bytes` waited for the caller, the
+ * first of them for `held_ms`, and it read `read_bytes` in that time.
+ */
+export function logAnswerCut(
+  daemon: Daemon,
+  routed: RoutedRequest,
+  cut: AnswerCut,
+): void {
+  daemon.log.decision("answer_cut", routed.head.id, {
+    service: routed.service.name,
+    rank: routed.rank,
+    limit: cut.limit,
+    unread_bytes: cut.bytes,
+    read_bytes: cut.readBytes,
+    held_ms: Math.round(cut.heldMs),
+    buffered_bytes: cut.totalBytes,
+  });
+}
--- a/packages/router/src/request/demand.ts
+++ b/packages/router/src/request/demand.ts
@@ -51,6 +51,8 @@
   readonly shortestGapMs?: number | undefined;
   /** What is known of the service's demand, where it is scheduled adaptively. */
   readonly demand?: ServiceDemand | undefined;
+  /** Whether requests are sent only where engines have memory for them. */
+  readonly boundsMemory?: boolean;
   /** Failure domain of this daemon. */
   readonly failureDomain: string;
   /**
--- a/packages/router/src/request/placement.ts
+++ b/packages/router/src/request/placement.ts
@@ -28,6 +28,7 @@
   FAILURE_RATE_WEIGHT,
   REMOTE_DOMAIN_PENALTY,
 } from "./runner_penalties.ts";
+import { runnersWithMemory } from "./runner_memory.ts";
 import { silenceFactor } from "./silence.ts";
 import { fleetPools, keepingGaps, toleratesPrefill } from "./tight_streams.ts";
 
@@ -247,7 +248,9 @@
   if (runners.length === 0) return undefined;
   if (isQueued(fleet)) return fromPlainFleet(fleet, demand, runners);
   if (demand.engine === undefined || demand.prompt.length === 0) {
-    return leastLoaded(fleet, demand, runners);
+    const fitting = runnersWithMemory(fleet, demand, runners);
+    if (fitting.length > 0) return leastLoaded(fleet, demand, fitting);
+    return { ...leastLoaded(fleet, demand, runners), overloaded: true };
   }
   return lowestCost(fleet, demand, runners);
 }
--- a/packages/router/src/request/runner_cost.ts
+++ b/packages/router/src/request/runner_cost.ts
@@ -128,8 +128,8 @@
 
 /** Finds which part of a prompt runners have cached. */
 export function findPrefixHoldings(
-  { prefixes, now }: RunnerFleet,
-  { prompt }: Demand,
+  { prefixes, loads, boundsMemory, now }: RunnerFleet,
+  { prompt, engine }: Demand,
   candidates: readonly Candidate[],
 ): PrefixHoldings {
   let holder: PrefixHolder | undefined;
@@ -138,6 +138,10 @@
     if (cachedTokens === 0) continue;
     maxCachedTokens = Math.max(maxCachedTokens, cachedTokens);
     const tokens = prefixes.fetchableTokens(runner.id, prompt, now);
+    // An engine keeps a prompt in its memory while another one fetches it.
+    const inUse = loads.of(runner.id).total.memoryTokens;
+    const full = boundsMemory && inUse + tokens > engine!.memoryTokens;
+    if (full) continue;
     if (tokens > (holder?.tokens ?? 0)) holder = { runner, tokens };
   }
   return { holder, maxCachedTokens };
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -17,6 +17,7 @@
   createMetricsServer,
   createReadinessServer,
 } from "./connection/status_server.ts";
+import { BufferBudget } from "./process/buffer_budget.ts";
 import { CrashRecord } from "./process/crash_record.ts";
 import { DrainingRunners } from "./process/draining_runners.ts";
 import { DrainRate } from "./process/drain_rate.ts";
@@ -116,6 +117,7 @@
   readonly places: ReturnPlaces;
   readonly shares: WorkspaceShares;
   readonly shareOrder: ShareOrder;
+  readonly buffers: BufferBudget | undefined;
   readonly sharedTimer = new SharedTimer(CAPACITY_CHECK_MS);
   readonly plainTimer = new SharedTimer(PLAIN_CAPACITY_CHECK_MS);
   readonly metrics = new RequestMetrics();
@@ -156,6 +158,11 @@
     this.scheduling = new SchedulingMode(settings.scheduling, log);
     this.paces = new RunnerPaces(this.scheduling, log);
     this.metrics.observePaces(() => this.paces.samples(this.now()));
+    const buffers = settings.buffers && new BufferBudget(settings.buffers);
+    if (buffers !== undefined) {
+      this.metrics.observeBuffers(() => buffers.buffered);
+    }
+    this.buffers = buffers;
     this.places = new ReturnPlaces(log, () => this.random());
     this.shares = new WorkspaceShares({
       log,
@@ -289,6 +296,7 @@
         ? this.#routingTable?.shortestGapMs(service)
         : undefined,
       demand: adaptive ? this.#demands.of(service) : undefined,
+      boundsMemory: this.scheduling.isAdaptive(service),
       failureDomain: this.#settings.failureDomain,
       plain: this.#plainState(service),
       now: this.now(),
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -93,7 +93,7 @@
     host: headerOf(headers, "host") ?? "",
     key: headerOf(headers, "x-key"),
     deadlineMs: Number(headerOf(headers, "x-deadline") ?? 5_000),
-    promptTokens: 0,
+    promptTokens: Number(headerOf(headers, "x-tokens") ?? 0),
     maxOutputTokens: 0,
     expectedOutputTokens: undefined,
     prompt: parsePrompt(headerOf(headers, "x-prompt")),
@@ -453,6 +453,7 @@
     graceMs: 3_000,
     retries: { ratio: 10, extra: 100, windowMs: 10_000 },
     scheduling: { scheduling: "auto", pressure: false },
+    buffers: undefined,
     leadership: undefined,
     ...fields,
   };
@@ -502,8 +503,13 @@
   route: Partial<Route>,
   runners: readonly FakeRunner[],
   fields: Partial<Configuration> = {},
+  parts: {
+    readonly settings?: Partial<RouterSettings>;
+    readonly log?: EventLog;
+  } = {},
 ): Promise<Router> {
   const router = await startRouter(context, {
+    ...parts,
     configurations: new SettableFeed([
       testConfiguration([testRoute(route)], fields),
     ]),
