Keep links up after a pause of the process

Cause: timers fire before the sockets are read.

Change: when the idle timer fires, a link closes only if nothing is read in the following pass of the event loop. The new test fails without the change.

--- a/packages/router/src/connection/peer_link.ts
+++ b/packages/router/src/connection/peer_link.ts
@@ -53,6 +53,8 @@
   readonly #onFault: (reason: string) => void;
   #idleTimeoutMs = IDLE_TIMEOUT_MS;
   #idleTimer: NodeJS.Timeout;
+  /** Whether nothing was received since the idle timer fired. */
+  #silent = false;
   #chunks: Buffer[] = [];
   #size = 0;
 
@@ -114,11 +116,22 @@
   }
 
   #startIdleTimer(): NodeJS.Timeout {
-    return setTimeout(() => this.#socket.destroy(), this.#idleTimeoutMs)
-      .unref();
+    return setTimeout(() => this.#checkIdle(), this.#idleTimeoutMs).unref();
+  }
+
+  /**
+   * Closes the link unless bytes have arrived that were not read yet. After a
+   * pause of this process, its timers fire before it reads from its sockets.
+   */
+  #checkIdle(): void {
+    this.#silent = true;
+    setImmediate(() => {
+      if (this.#silent) this.#socket.destroy();
+    });
   }
 
   #receive(chunk: Buffer): void {
+    this.#silent = false;
     this.#idleTimer.refresh();
     this.#chunks.push(chunk);
     this.#size += chunk.length;
--- a/packages/router/src/connection/peer_link_test.ts
+++ b/packages/router/src/connection/peer_link_test.ts
@@ -272,3 +272,20 @@
     "closed",
   );
 });
+
+// Guards against a daemon that closes all of its links after each pause, because
+// timers fire before what arrived in the pause is read.
+test("a link stays up after a pause of the process in which data arrived", async (t) => {
+  const { far, closed } = await openLink(t, () => {});
+  far.write(encodeMessage(WANT));
+  const sleeping = new Int32Array(new SharedArrayBuffer(4));
+  Atomics.wait(sleeping, 0, 0, 1.2 * IDLE_TIMEOUT_MS);
+  const stillUp = new Promise<string>((resolve) => {
+    const timer = setTimeout(() => resolve("still up"), IDLE_TIMEOUT_MS / 2);
+    t.after(() => clearTimeout(timer));
+  });
+  assert.equal(
+    await Promise.race([closed.then(() => "closed"), stillUp]),
+    "still up",
+  );
+});
