Excuse only what the threads of the process cannot explain

On two cores without other work, the main thread waited for a processor for up to 0.086 of the time, because of the compiler and the garbage collector of its own process; 3 % would have repeated such measurements. The threshold is 0.1; beside three busy loops on two cores it was 0.55 to 0.58.

--- a/packages/router/tests/processor_time.ts
+++ b/packages/router/tests/processor_time.ts
@@ -14,10 +14,11 @@
 const US_PER_MS = 1_000;
 /**
  * Share of the time for which the main thread waited for a processor, above which
- * the machine counts as short of processor time. It was up to 0.014 with 12 cores,
- * and 0.08 where two cores left the slots of 7 daemons idle.
+ * the machine counts as short of processor time. On two cores without other work it
+ * was up to 0.086, because of the compiler and the garbage collector of the process
+ * itself; beside three busy loops it was 0.55.
  */
-const MAX_WAITED_SHARE = 0.03;
+const MAX_WAITED_SHARE = 0.1;
 /** Attempts of one measurement. */
 const MAX_ATTEMPTS = 3;
 /**
@@ -56,8 +57,8 @@
    * Time for which the main thread had work, but no processor: at least the time in
    * the run queue, and at least the time for which the event loop was active while
    * the thread did not run. Only the latter includes what the host of a virtual
-   * machine gave to others. Work of the process itself is in neither. 0 where the
-   * operating system does not state it, so that nothing is excused.
+   * machine gave to others. Work of the main thread is in neither, so that a slow
+   * router is not excused. 0 where the operating system does not state it.
    */
   readonly waitedMs: number;
 }
