--- a/packages/router/src/connection/peer_link.ts
+++ b/packages/router/src/connection/peer_link.ts
@@ -17,8 +17,12 @@
  * that arrives seconds late is misleading, and a new link starts with a snapshot.
  */
 const MAX_BUFFERED_BYTES = 1024 * 1024;
-/** Default time in ms without received bytes after which a link is closed. */
-export const IDLE_TIMEOUT_MS = 1_500;
+/**
+ * Default time in ms without received bytes after which a link is closed. With
+ * 1,500 ms, daemons that were short of processor time for longer lost all links
+ * and had none left for the snapshots of the new ones.
+ */
+export const IDLE_TIMEOUT_MS = 4_000;
 
 /** Encodes a message once, to be sent on many links. */
 export function encodeMessage(message: PeerMessage): Buffer {
