Schedule by pressure only where hosts have processor time for it

Cause: requests that wait are checked every 10 to 20 ms and make daemons send updates more often.

Change: the platform's quota is rendered into the setting processor; below 0.25 of a core, pressure alone does not make scheduling adaptive.

--- a/packages/router/src/connection/broadcast_timer.ts
+++ b/packages/router/src/connection/broadcast_timer.ts
@@ -10,6 +10,8 @@
   intervalMs(): number;
   /** Time between two calls while nothing changes, in ms. */
   readonly idleMs: number;
+  /** Called with the time in ms by which the timer was late. */
+  readonly onDelay?: (ms: number) => void;
 }
 
 /** Calls back soon after a change, rate-limited, and periodically without one. */
@@ -56,6 +58,7 @@
     this.#timer = setTimeout(() => {
       this.#awake = false;
       this.#tickedAt = performance.now();
+      this.#timing.onDelay?.(this.#tickedAt - this.#dueAt);
       this.#tick();
       // A call of `wake` in the callback has already set the timer.
       if (!this.#awake) this.#schedule(this.#timing.idleMs);
--- a/packages/router/src/connection/pace_outbox.ts
+++ b/packages/router/src/connection/pace_outbox.ts
@@ -10,14 +10,14 @@
 const MIN_INTERVAL_MS = 250;
 /**
  * Minimum milliseconds between two messages for each receiver: paces take at
- * most 12 KB a second of a daemon, however many neighbours it has.
+ * most 6 KB a second of a daemon, however many neighbours it has.
  */
-const INTERVAL_PER_RECEIVER_MS = 100;
+const INTERVAL_PER_RECEIVER_MS = 200;
 /**
  * Minimum milliseconds between two messages about one runner: each stream adds
  * observations many times a second, of which no single one matters.
  */
-const RUNNER_INTERVAL_MS = 1_000;
+const RUNNER_INTERVAL_MS = 2_000;
 /** Maximum number of runners that wait, and of those sent that are remembered. */
 const MAX_REMEMBERED = 5_000;
 
--- a/packages/router/src/connection/state_exchange.ts
+++ b/packages/router/src/connection/state_exchange.ts
@@ -93,6 +93,7 @@
   readonly #timer = new BroadcastTimer({
     intervalMs: () => broadcastIntervalMs(this.#intervalInputs),
     idleMs: IDLE_MS,
+    onDelay: (ms) => this.#state.paces.recordDelay(ms, performance.now()),
   }, () => this.#tick());
   #sentAt = -Infinity;
   #sentSpareAt = -Infinity;
--- a/packages/router/src/process/runner_paces.ts
+++ b/packages/router/src/process/runner_paces.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { EventLog } from "./event_log.ts";
+import { LoopDelay } from "./loop_delay.ts";
 import { ObservedPace } from "./observed_pace.ts";
 import type {
   EventGap,
@@ -46,6 +47,12 @@
 const MAX_UNLISTED = 200;
 /** Runners of one service whose pace is shown in metrics. */
 const MAX_SAMPLES = 50;
+/**
+ * Share of an observed time by which this process may have been late to see its
+ * end. A daemon that lacked processor time took engines for slow and held
+ * requests back, which cost it still more time.
+ */
+const MAX_DELAY_SHARE = 0.15;
 
 /** What daemons tell each other about the pace of a runner. */
 export interface PaceUpdate {
@@ -91,7 +98,7 @@
 export class RunnerPaces {
   readonly #scheduling: Pick<
     SchedulingMode,
-    "isAdaptive" | "recordStatedSpeed"
+    "isAdaptive" | "observesEngines" | "recordStatedSpeed"
   >;
   readonly #log: EventLog;
   readonly #paces = new Map<string, ObservedPace>();
@@ -102,41 +109,56 @@
   readonly #changed = new Map<string, boolean>();
   readonly #paceLines = new TokenBucket(LOG_RATE);
   readonly #faultLines = new TokenBucket(LOG_RATE);
+  readonly #delay = new LoopDelay();
 
   constructor(
-    scheduling: Pick<SchedulingMode, "isAdaptive" | "recordStatedSpeed">,
+    scheduling: Pick<
+      SchedulingMode,
+      "isAdaptive" | "observesEngines" | "recordStatedSpeed"
+    >,
     log: EventLog,
   ) {
     this.#scheduling = scheduling;
     this.#log = log;
   }
 
-  /** Pace of a service: observed where it is scheduled adaptively. */
+  /**
+   * Pace of a service: observed where its engines are, and for a plain service that
+   * is scheduled adaptively.
+   */
   of(service: string): RunnerPace {
-    return this.#scheduling.isAdaptive(service)
+    return this.#scheduling.observesEngines(service) ||
+        (this.#paces.has(service) && this.#scheduling.isAdaptive(service))
       ? this.#observed(service)
       : ASSUMED_PACE;
   }
 
+  /** Records by how many ms a timer of this process was late. */
+  recordDelay(ms: number, now: number): void {
+    this.#delay.record(ms, now);
+  }
+
   /** Records the first event of a stream from a runner. */
   recordFirstEvent(runner: Runner, event: FirstEvent): void {
+    if (!this.#scheduling.observesEngines(runner.service)) return;
     this.#record(
       runner,
-      event.now,
+      event,
       (pace) => pace.recordFirstEvent(runner.id, event),
     );
   }
 
   /** Records the time between two events of a stream. */
   recordGap(runner: Runner, gap: EventGap): void {
-    this.#record(runner, gap.now, (pace) => pace.recordGap(runner.id, gap));
+    if (!this.#scheduling.observesEngines(runner.service)) return;
+    this.#record(runner, gap, (pace) => pace.recordGap(runner.id, gap));
   }
 
   /** Records a response of a plain runner. */
   recordResponse(runner: Runner, response: PlainResponse): void {
     this.#record(
       runner,
-      response.now,
+      response,
       (pace) => pace.recordResponse(runner.id, response),
     );
   }
@@ -243,10 +265,11 @@
 
   #record(
     { id, service }: Runner,
-    now: number,
+    { ms, now }: { readonly ms: number; readonly now: number },
     observe: (pace: ObservedPace) => PaceSums | undefined,
   ): void {
     if (!this.#scheduling.isAdaptive(service)) return;
+    if (this.#delay.recentMs(now) > MAX_DELAY_SHARE * ms) return;
     const change = observe(this.#observed(service));
     if (change === undefined) return;
     const known = this.#observationsOf(id);
@@ -280,13 +303,18 @@
     const merged = known.neighbours.get(neighbour) ?? NO_SUMS;
     known.neighbours.set(neighbour, addSums(merged, change));
     const service = this.#services.get(runner);
-    if (service !== undefined && this.#scheduling.isAdaptive(service)) {
+    if (service !== undefined && this.#applies(service, change)) {
       this.#observed(service).apply(runner, change, now);
       this.#logPace(runner, service, now);
     }
     return true;
   }
 
+  #applies(service: string, change: PaceSums): boolean {
+    return this.#scheduling.observesEngines(service) ||
+      (change.responses > 0 && this.#scheduling.isAdaptive(service));
+  }
+
   /** @returns whether the figure is new here and differs from the usual one. */
   #applyReceivedFigure(neighbour: string, received: {
     readonly runner: string;
--- a/packages/router/src/process/scheduling_mode.ts
+++ b/packages/router/src/process/scheduling_mode.ts
@@ -15,19 +15,28 @@
   "basic",
 ];
 
+/**
+ * Cores from which pressure alone makes scheduling adaptive. Requests that wait cost
+ * processor time: with 0.12 of a core, daemons fell behind until they sent requests
+ * whose callers had left.
+ */
+const MIN_PROCESSOR = 0.25;
+
 /** Settings that determine how requests are scheduled. */
 export interface SchedulingSettings {
   /** `auto` unless an operator decides otherwise. */
   readonly scheduling: SchedulingSetting;
   /** Whether callers are expected to compete for more capacity than there is. */
   readonly pressure: boolean;
+  /** Processor time of this host in cores of usual speed; undefined if unknown. */
+  readonly processor?: number | undefined;
 }
 
 /**
  * Determines by service whether requests are scheduled adaptively: by the
  * observed pace of runners, in fair shares of workspaces and with queues for
  * plain services. With the setting `auto` this is done where the platform
- * announces pressure, and for services whose runners state how fast their hosts
+ * announces pressure and the host has the processor time for it, and for services whose runners state how fast their hosts
  * are at the moment; all others are scheduled as they were before.
  *
  * @example
@@ -49,9 +58,21 @@
 
   /** Whether the requests to a service are scheduled adaptively. */
   isAdaptive(service: string): boolean {
-    const { scheduling, pressure } = this.#settings;
+    const { scheduling, pressure, processor = Infinity } = this.#settings;
+    if (scheduling !== "auto") return scheduling === "adaptive";
+    return (pressure && processor >= MIN_PROCESSOR) ||
+      this.#statingSpeed.has(service);
+  }
+
+  /**
+   * Whether the pace of a service's engines is observed. Without stated figures it
+   * is not by default: where daemons are short of processor time, observed paces
+   * made more requests wait, and prompts were read again three times as often.
+   */
+  observesEngines(service: string): boolean {
+    const { scheduling } = this.#settings;
     if (scheduling !== "auto") return scheduling === "adaptive";
-    return pressure || this.#statingSpeed.has(service);
+    return this.#statingSpeed.has(service);
   }
 
   /** Records that a runner of a service states how fast its host is. */
--- a/packages/router/src/process/settings.ts
+++ b/packages/router/src/process/settings.ts
@@ -211,6 +211,16 @@
   return bufferLimits(defaultBufferMb(memoryMb));
 }
 
+/** Reads the processor time of the host: a quota of cores of a relative speed. */
+function readProcessor(
+  json: unknown,
+  reader: SettingsReader,
+): number | undefined {
+  if (valueAt(json, "processor") === undefined) return undefined;
+  return reader.positive(json, "processor.quota") *
+    reader.positive(json, "processor.speed");
+}
+
 const MS_PER_SECOND = 1_000;
 
 function readLeadership(
@@ -289,6 +299,7 @@
         fallback: "auto",
       }),
       pressure: reader.flagOr(json, "guarantees.pressure", false),
+      processor: readProcessor(json, reader),
     },
     buffers: readBuffers(json, reader),
     leadership: readLeadership(json, reader),
--- a/packages/router/src/request/response_relay.ts
+++ b/packages/router/src/request/response_relay.ts
@@ -32,6 +32,11 @@
  * arrive together count with the gap before them.
  */
 const MIN_GAP_MS = 40;
+/**
+ * Time in ms between two observed gaps of a stream. A few of them a second tell
+ * as much of a runner's pace as all, at a fraction of the processor time.
+ */
+const GAP_INTERVAL_MS = 300;
 const MIN_ERROR_STATUS = 400;
 const MIN_SERVER_ERROR_STATUS = 500;
 
@@ -275,15 +280,18 @@
     { load, attempt: { runner } }: AttemptContext,
   ): (now: number) => void {
     const { scheduling, paces } = this.#daemon;
-    if (service.engine === undefined || !scheduling.isAdaptive(service.name)) {
+    const { engine, name } = service;
+    if (engine === undefined || !scheduling.observesEngines(name)) {
       return () => {};
     }
-    const { eventTokens } = service.engine;
+    const { eventTokens } = engine;
     let startedAt: number | undefined;
+    let resumeAt = -Infinity;
     let tokens = 0;
     let unreadBefore = 0;
     let pausesBefore = 0;
     return (now) => {
+      if (now < resumeAt) return;
       if (startedAt !== undefined) {
         tokens += eventTokens;
         const ms = now - startedAt;
@@ -299,6 +307,9 @@
             now,
           });
         }
+        startedAt = undefined;
+        resumeAt = now + GAP_INTERVAL_MS;
+        return;
       }
       startedAt = now;
       tokens = 0;
