Send costs of workspaces less often to many receivers

Cause: in a fleet without relays each daemon received 40 sums a second from each of the others, and ten times as many while requests waited.

Change: the interval grows with the number of receivers, by 400 ms each, or 15 ms each while requests wait.

--- a/packages/router/src/connection/share_outbox.ts
+++ b/packages/router/src/connection/share_outbox.ts
@@ -14,6 +14,12 @@
 const IDLE_INTERVAL_MS = 1_000;
 /** The same while requests wait: at most 7 KB of a daemon's 29 KB a second. */
 const INTERVAL_MS = 100;
+/**
+ * The intervals for each receiver: what a daemon receives must not grow with the
+ * number of its neighbours.
+ */
+const IDLE_INTERVAL_PER_RECEIVER_MS = 400;
+const INTERVAL_PER_RECEIVER_MS = 15;
 
 /** Collects the workspaces whose costs are to be sent to a group of neighbours. */
 export class ShareOutbox {
@@ -34,10 +40,13 @@
    * Removes and returns the workspaces to send now, those with the largest change.
    * The others stay for a later call; their sums are sent then.
    *
+   * @param receivers number of neighbours that get the message.
    * @param waiting whether any requests wait.
    */
-  take(now: number, waiting: boolean): readonly Flow[] {
-    const intervalMs = waiting ? INTERVAL_MS : IDLE_INTERVAL_MS;
+  take(receivers: number, now: number, waiting: boolean): readonly Flow[] {
+    const intervalMs = waiting
+      ? Math.max(INTERVAL_MS, receivers * INTERVAL_PER_RECEIVER_MS)
+      : Math.max(IDLE_INTERVAL_MS, receivers * IDLE_INTERVAL_PER_RECEIVER_MS);
     if (now - this.#sentAt < intervalMs || this.#changed.size === 0) return [];
     this.#sentAt = now;
     const largest = [...this.#changed]
--- a/packages/router/src/connection/update_broadcaster.ts
+++ b/packages/router/src/connection/update_broadcaster.ts
@@ -447,8 +447,12 @@
     const budget = relayed ? this.#upstreamBudget.available(now) : Infinity;
     const pending = this.#upstream.take(Math.max(0, budget / LOAD_BYTES));
     const loads = this.#sums.forRunners(pending.runners, this.#isChild);
-    const flows = this.#upstreamShares.take(now, this.#anyoneWaits(now));
     const receivers = this.#upstreamPeers;
+    const flows = this.#upstreamShares.take(
+      receivers.length,
+      now,
+      this.#anyoneWaits(now),
+    );
     const paces = this.#upstreamPaces.take(receivers.length, now);
     const contents = {
       ...pending,
@@ -473,9 +477,13 @@
     const budget = this.#downstreamBudget.available(now);
     const pending = this.#downstream.take(Math.max(0, budget / LOAD_BYTES));
     const totals = this.#sums.forRunners(pending.runners, () => true);
-    const flows = this.#downstreamShares.take(now, this.#anyoneWaits(now));
     let maxBytes = 0;
     const children = this.#sources.overlay.peersWith("child");
+    const flows = this.#downstreamShares.take(
+      children.length,
+      now,
+      this.#anyoneWaits(now),
+    );
     const paces = this.#downstreamPaces.take(children.length, now);
     for (const { name, link } of children) {
       const others: NeighbourFilter = (other) => other !== name;
--- a/packages/router/tests/share_fleet.ts
+++ b/packages/router/tests/share_fleet.ts
@@ -94,11 +94,14 @@
   readonly #outbox = new ShareOutbox();
   readonly #state: SharedRunnerState & ReturnType<typeof withoutLeadership>;
 
-  constructor(name: string, options: {
+  readonly #neighbours: number;
+
+  constructor(name: string, neighbours: number, options: {
     readonly random: () => number;
     readonly propagationMs: () => number;
   }) {
     this.name = name;
+    this.#neighbours = neighbours;
     this.order = new ShareOrder({
       shares: this.shares,
       now: () => performance.now(),
@@ -123,7 +126,7 @@
   takeUpdate(now: number): StateUpdate {
     this.loads.markReordered(now);
     this.#outbox.add(this.shares.takeUpdates());
-    const flows = this.#outbox.take(now, true);
+    const flows = this.#outbox.take(this.#neighbours, now, true);
     const message = packMessage(testUpdate({
       loads: this.#sums.forRunners(this.loads.takeChanged(), () => false),
       shares: this.shares.sums(flows, () => false),
@@ -188,7 +191,7 @@
     this.daemons = Array.from(
       { length: options.daemons },
       (_, index) =>
-        new SharingDaemon(`host-${index}`, {
+        new SharingDaemon(`host-${index}`, options.daemons - 1, {
           random: this.#random,
           propagationMs: () => this.#propagationMs,
         }),
