Close links after 2.5 s without received bytes

4 s is longer than the 3 s after which no request may reach a runner that drains: a child whose parent is lost would hear of it too late. The tests of links pass.

--- a/packages/router/src/connection/peer_link.ts
+++ b/packages/router/src/connection/peer_link.ts
@@ -20,9 +20,10 @@
 /**
  * Default time in ms without received bytes after which a link is closed. With
  * 1,500 ms, daemons that were short of processor time for longer lost all links
- * and had none left for the snapshots of the new ones.
+ * and had none left for the snapshots of the new ones. A parent that is lost must
+ * be replaced within the 3 s in which a draining runner still takes requests.
  */
-export const IDLE_TIMEOUT_MS = 4_000;
+export const IDLE_TIMEOUT_MS = 2_500;
 
 /** Encodes a message once, to be sent on many links. */
 export function encodeMessage(message: PeerMessage): Buffer {
