--- a/packages/router/src/process/runner_paces.ts
+++ b/packages/router/src/process/runner_paces.ts
@@ -48,7 +48,7 @@
 /** Runners of one service whose pace is shown in metrics. */
 const MAX_SAMPLES = 50;
 /**
- * Share of an observed time by which this process may have been late to see its
+ * Share of an engine's observed time by which this process may have been late to see its
  * end. A daemon that lacked processor time took engines for slow and held
  * requests back, which cost it still more time.
  */
@@ -140,25 +140,25 @@
 
   /** Records the first event of a stream from a runner. */
   recordFirstEvent(runner: Runner, event: FirstEvent): void {
-    if (!this.#scheduling.observesEngines(runner.service)) return;
+    if (!this.#observes(runner, event)) return;
     this.#record(
       runner,
-      event,
+      event.now,
       (pace) => pace.recordFirstEvent(runner.id, event),
     );
   }
 
   /** Records the time between two events of a stream. */
   recordGap(runner: Runner, gap: EventGap): void {
-    if (!this.#scheduling.observesEngines(runner.service)) return;
-    this.#record(runner, gap, (pace) => pace.recordGap(runner.id, gap));
+    if (!this.#observes(runner, gap)) return;
+    this.#record(runner, gap.now, (pace) => pace.recordGap(runner.id, gap));
   }
 
   /** Records a response of a plain runner. */
   recordResponse(runner: Runner, response: PlainResponse): void {
     this.#record(
       runner,
-      response,
+      response.now,
       (pace) => pace.recordResponse(runner.id, response),
     );
   }
@@ -263,13 +263,21 @@
     });
   }
 
+  /** Whether a time of an engine counts. */
+  #observes(
+    { service }: Runner,
+    { ms, now }: Pick<FirstEvent, "ms" | "now">,
+  ): boolean {
+    return this.#scheduling.observesEngines(service) &&
+      this.#delay.recentMs(now) <= MAX_DELAY_SHARE * ms;
+  }
+
   #record(
     { id, service }: Runner,
-    { ms, now }: { readonly ms: number; readonly now: number },
+    now: number,
     observe: (pace: ObservedPace) => PaceSums | undefined,
   ): void {
     if (!this.#scheduling.isAdaptive(service)) return;
-    if (this.#delay.recentMs(now) > MAX_DELAY_SHARE * ms) return;
     const change = observe(this.#observed(service));
     if (change === undefined) return;
     const known = this.#observationsOf(id);
