--- a/packages/router/src/process/runner_paces.ts
+++ b/packages/router/src/process/runner_paces.ts
@@ -48,9 +48,8 @@
 /** Runners of one service whose pace is shown in metrics. */
 const MAX_SAMPLES = 50;
 /**
- * Share of an engine's observed time by which this process may have been late to see its
- * end. A daemon that lacked processor time took engines for slow and held
- * requests back, which cost it still more time.
+ * Share of an engine's observed time by which this process may have been late to
+ * see its end. One that is late by more would make the engine seem slower.
  */
 const MAX_DELAY_SHARE = 0.15;
 
