--- a/packages/router/src/process/scheduling_mode.ts
+++ b/packages/router/src/process/scheduling_mode.ts
@@ -66,8 +66,8 @@
 
   /**
    * Whether the pace of a service's engines is observed. Without stated figures it
-   * is not by default: where daemons are short of processor time, observed paces
-   * made more requests wait, and prompts were read again three times as often.
+   * is not by default: on hosts with little processor time up to 2.8 times as many
+   * prompt tokens were prefilled again.
    */
   observesEngines(service: string): boolean {
     const { scheduling } = this.#settings;
