Do no work for adaptive scheduling where it is off

Cause: each response summed the requests at all runners and recorded the drain rate, which only adaptive services read; each attempt and each update from a neighbour built lists that nothing used. All deployments paid for it.

The sum of requests at runners is one function. The mode derives one answer from the other.

--- a/packages/router/src/connection/apply_update.ts
+++ b/packages/router/src/connection/apply_update.ts
@@ -57,7 +57,9 @@
   if (lease !== undefined) {
     shared.lease?.observe({ ...lease, at: now - lease.agoMs });
   }
-  const returned = update.ends.filter((end) => shared.usage?.lacks(end));
+  const returned = whole
+    ? update.ends.filter((end) => shared.usage?.lacks(end))
+    : [];
   const changedRunners = new Set(
     whole ? shared.loads.removeNeighbour(neighbour) : [],
   );
@@ -97,7 +99,7 @@
     shares: shared.shares.applyUpdates(neighbour, update.shares, now),
     // After the counts that they cover.
     ends: shared.usage?.applyEnds(update.ends) ?? [],
-    returned: whole ? returned : [],
+    returned,
     urgent: loads.some(({ waiting }) => waiting.length > 0),
   };
 }
--- a/packages/router/src/connection/update_broadcaster.ts
+++ b/packages/router/src/connection/update_broadcaster.ts
@@ -30,6 +30,7 @@
 import type {
   CostIncrease,
   CostSum,
+  Flow,
   WorkspaceShares,
 } from "../process/workspace_shares.ts";
 import { ageOf, toAges } from "./crash_ages.ts";
@@ -217,9 +218,10 @@
     const outboxes = overlay.isRelay
       ? [this.#upstream, this.#downstream]
       : [this.#upstream];
+    const urgent = changed.filter((id) => loads.isUrgent(id));
     for (const outbox of outboxes) {
       outbox.addRunners(changed, loads.hasWaiting);
-      outbox.addRunners(changed.filter((id) => loads.isUrgent(id)), true);
+      outbox.addRunners(urgent, true);
       outbox.addParts(parts);
       outbox.addCrashes(crashUpdate);
       outbox.addLimits(limitUpdates);
@@ -256,9 +258,6 @@
     const { overlay, loads } = this.#sources;
     if (urgent) this.#waitingAt = performance.now();
     const isChild = overlay.role(name) === "child";
-    const urgentRunners = [...changedRunners].filter((id) =>
-      loads.isUrgent(id)
-    );
     // Usage goes up the tree only, to the daemons that may lead.
     if (this.#relaysUsageOf(peer)) {
       this.#upstream.addUsage(usage);
@@ -276,6 +275,9 @@
       crashes.responses.length + limits.length + draining.length +
       places.places.length + places.uses.length;
     if (!overlay.isRelay || count === 0) return this.usageDue;
+    const urgentRunners = [...changedRunners].filter((id) =>
+      loads.isUrgent(id)
+    );
     const outboxes = isChild
       ? [this.#downstream, this.#upstream]
       : [this.#downstream];
@@ -411,18 +413,16 @@
     if (this.#sources.overlay.isSpare(peer)) return [];
     const includes = this.#includedFor(peer);
     const { places, uses } = this.#sources.places.snapshot(performance.now());
-    const updates: StateUpdate[] = [];
-    for (let start = 0; start < uses.length; start += MAX_PLACES) {
-      const part = uses.slice(start, start + MAX_PLACES);
-      const contents = { ...NO_CHANGES, places: { places: [], uses: part } };
-      updates.push(this.#stateUpdate(contents, [], includes));
-    }
-    for (let start = 0; start < places.length; start += MAX_PLACES) {
-      const part = places.slice(start, start + MAX_PLACES);
-      const contents = { ...NO_CHANGES, places: { places: part, uses: [] } };
-      updates.push(this.#stateUpdate(contents, [], includes));
-    }
-    return updates;
+    const updates = [
+      ...partsOf(uses, MAX_PLACES).map((part) => ({ places: [], uses: part })),
+      ...partsOf(places, MAX_PLACES).map((part) => ({
+        places: part,
+        uses: [],
+      })),
+    ];
+    return updates.map((update) =>
+      this.#stateUpdate({ ...NO_CHANGES, places: update }, [], includes)
+    );
   }
 
   /**
@@ -486,14 +486,12 @@
     );
     const paces = this.#downstreamPaces.take(children.length, now);
     for (const { name, link } of children) {
-      const others: NeighbourFilter = (other) => other !== name;
       const frame = this.#frameFor(name, {
-        pending: {
-          ...pending,
-          paces: this.#paceUpdates(paces, others, now),
-          shares: this.#sources.shares.sums(flows, others),
-        },
+        pending,
         totals,
+        paces,
+        flows,
+        now,
       });
       maxBytes = Math.max(maxBytes, frame.length);
       link.sendEncoded(frame);
@@ -504,11 +502,14 @@
   /** An encoded update for a child, without what the child reported itself. */
   #frameFor(
     child: string,
-    { pending, totals }: {
-      readonly pending:
-        & OutgoingUpdate
-        & Pick<UpdateContents, "paces" | "shares">;
+    { pending, totals, paces, flows, now }: {
+      readonly pending: OutgoingUpdate;
       readonly totals: readonly RunnerLoadEntry[];
+      /** Ids of the runners whose pace is sent. */
+      readonly paces: readonly string[];
+      /** Flows whose costs are sent. */
+      readonly flows: readonly Flow[];
+      readonly now: number;
     },
   ): Buffer {
     const others: NeighbourFilter = (name) => name !== child;
@@ -526,7 +527,14 @@
       uses: pending.places.uses.filter(isOthers),
     };
     const received = { parts, crashes, limits, draining, places };
-    const contents = { ...pending, ...received, usage: [], ends: [] };
+    const contents = {
+      ...pending,
+      ...received,
+      paces: this.#paceUpdates(paces, others, now),
+      shares: this.#sources.shares.sums(flows, others),
+      usage: [],
+      ends: [],
+    };
     return encodeMessage(this.#stateUpdate(contents, loads, others));
   }
 
@@ -612,3 +620,14 @@
   readonly #isChild: NeighbourFilter = (name) =>
     this.#sources.overlay.role(name) === "child";
 }
+
+/** Splits a list into parts of at most `length` items. */
+function partsOf<Item>(
+  items: readonly Item[],
+  length: number,
+): readonly (readonly Item[])[] {
+  return Array.from(
+    { length: Math.ceil(items.length / length) },
+    (_, index) => items.slice(index * length, (index + 1) * length),
+  );
+}
--- a/packages/router/src/process/drain_rate.ts
+++ b/packages/router/src/process/drain_rate.ts
@@ -34,9 +34,9 @@
 /**
  * Estimates how many requests of a service are started in a second while all its
  * runners are busy: the requests at runners, as all daemons report them, divided
- * by the mean time that a request spends there, plus their growth. The starts that this daemon sees
- * would not do: a daemon of 73 sees a few a second, and before a burst they state
- * the demand and not the capacity.
+ * by the mean time that a request spends there, plus their growth. The starts that
+ * this daemon sees would not do: a daemon of 73 sees a few a second, and before a
+ * burst they state the demand and not the capacity.
  *
  * @example
  * ```ts
--- a/packages/router/src/process/scheduling_mode.ts
+++ b/packages/router/src/process/scheduling_mode.ts
@@ -36,8 +36,9 @@
  * Determines by service whether requests are scheduled adaptively: by the
  * observed pace of runners, in fair shares of workspaces and with queues for
  * plain services. With the setting `auto` this is done where the platform
- * announces pressure and the host has the processor time for it, and for services whose runners state how fast their hosts
- * are at the moment; all others are scheduled as they were before.
+ * announces pressure and the host has the processor time for it, and for services
+ * whose runners state how fast their hosts are at the moment; all others are
+ * scheduled as they were before.
  *
  * @example
  * ```ts
@@ -58,10 +59,9 @@
 
   /** Whether the requests to a service are scheduled adaptively. */
   isAdaptive(service: string): boolean {
+    if (this.observesEngines(service)) return true;
     const { scheduling, pressure, processor = Infinity } = this.#settings;
-    if (scheduling !== "auto") return scheduling === "adaptive";
-    return (pressure && processor >= MIN_PROCESSOR) ||
-      this.#statingSpeed.has(service);
+    return scheduling === "auto" && pressure && processor >= MIN_PROCESSOR;
   }
 
   /**
--- a/packages/router/src/request/attempt_executor.ts
+++ b/packages/router/src/request/attempt_executor.ts
@@ -17,6 +17,7 @@
 import type { Caller } from "./caller.ts";
 import { AttemptCost } from "./cost_account.ts";
 import type { Daemon } from "./daemon.ts";
+import { requestsInFlight } from "./demand.ts";
 import { logRunnerChosen } from "./decision_log.ts";
 import type { Outcome } from "./outcome.ts";
 import type { LocalOutcomes } from "./local_outcomes.ts";
@@ -172,6 +173,7 @@
       readonly sentAt: number;
     },
   ): void {
+    if (!this.#daemon.scheduling.isAdaptive(service.name)) return;
     const part = sharedPart(prompt);
     if (service.engine === undefined || part === undefined) return;
     const { demand } = this.#daemon.fleet(service.name);
@@ -185,13 +187,11 @@
       readonly sentAt: number;
     },
   ): void {
-    const { runners, loads, demand, now } = this.#daemon.fleet(service.name);
-    const inFlight = runners.reduce(
-      (sum, { id }) => sum + loads.of(id).total.inFlight,
-      0,
-    );
+    if (!this.#daemon.scheduling.isAdaptive(service.name)) return;
+    const fleet = this.#daemon.fleet(service.name);
+    const { demand, now } = fleet;
     this.#daemon.drainRate(service.name).recordEnd(
-      { rank, durationMs: now - sentAt, inFlight },
+      { rank, durationMs: now - sentAt, inFlight: requestsInFlight(fleet) },
       now,
     );
     if (!placed.tight) return;
--- a/packages/router/src/request/demand.ts
+++ b/packages/router/src/request/demand.ts
@@ -64,6 +64,16 @@
   readonly now: number;
 }
 
+/** Number of requests of all daemons that are at the runners. */
+export function requestsInFlight(
+  { runners, loads }: Pick<RunnerFleet, "runners" | "loads">,
+): number {
+  return runners.reduce(
+    (sum, { id }) => sum + loads.of(id).total.inFlight,
+    0,
+  );
+}
+
 /**
  * Share of a request's time-out that its response may take on an engine that
  * prefills back to back. Beyond it, the wait for the first token leaves too
@@ -112,7 +122,8 @@
 
 /**
  * Whether the request is a tight stream: one with so short a target for the gaps
- * between its events that prefill chunks in the same batch exceed it. An event holds several tokens, and each of them takes a whole step.
+ * between its events that prefill chunks in the same batch exceed it. An event
+ * holds several tokens, and each of them takes a whole step.
  *
  * @param margin of gap targets; see {@linkcode gapMargin}.
  */
--- a/packages/router/src/request/request_return.ts
+++ b/packages/router/src/request/request_return.ts
@@ -19,6 +19,7 @@
   logReturnDelay,
 } from "./decision_log.ts";
 import { spreadOf } from "./fingerprint.ts";
+import { requestsInFlight } from "./demand.ts";
 import type { Outcome } from "./outcome.ts";
 import type { Progress } from "./progress.ts";
 import { unavailableRefusal } from "./refusals.ts";
@@ -98,17 +99,15 @@
   /** Returns what is known of the queue in which a request has a key. */
   outlook(queueKey: QueueKey): QueueOutlook {
     const { service, rank } = this.#routed;
-    const { runners, loads, now } = this.#daemon.fleet(service.name);
-    let inFlight = 0;
+    const fleet = this.#daemon.fleet(service.name);
+    const { runners, loads, now } = fleet;
     let ahead = 0;
     for (const { id } of runners) {
-      const load = loads.of(id);
-      inFlight += load.total.inFlight;
-      ahead += load.queue.workAhead(queueKey, now).requests;
+      ahead += loads.of(id).queue.workAhead(queueKey, now).requests;
     }
     return {
       drainPerS: this.#daemon.drainRate(service.name)
-        .perSecond({ inFlight, rank }, now),
+        .perSecond({ inFlight: requestsInFlight(fleet), rank }, now),
       ahead,
       promised: this.#promises(now).expected,
     };
--- a/packages/router/src/request/runner_search.ts
+++ b/packages/router/src/request/runner_search.ts
@@ -415,8 +415,9 @@
     if (!choice.overloaded) {
       return fleet.now + (choice.room?.responseMs ?? 0) <= expiresAt;
     }
-    return isWaitUseful(fleet, this.#demand(wait), {
-      runners: eligibleRunners(fleet, this.#demand(wait), tried),
+    const demand = this.#demand(wait);
+    return isWaitUseful(fleet, demand, {
+      runners: eligibleRunners(fleet, demand, tried),
       expiresAt,
     });
   }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -296,7 +296,7 @@
         ? this.#routingTable?.shortestGapMs(service)
         : undefined,
       demand: adaptive ? this.#demands.of(service) : undefined,
-      boundsMemory: this.scheduling.isAdaptive(service),
+      boundsMemory: adaptive,
       failureDomain: this.#settings.failureDomain,
       plain: this.#plainState(service),
       now: this.now(),
