--- a/packages/router/src/connection/crash_encoding.ts
+++ b/packages/router/src/connection/crash_encoding.ts
@@ -5,6 +5,7 @@
  */
 import { checkNonNegative } from "./check_non_negative.ts";
 import type { CrashAges, RunnerCrash } from "./crash_ages.ts";
+import { rowsOf } from "./rows.ts";
 
 type PackedCrash = readonly [
   runner: string,
@@ -45,21 +46,6 @@
   ];
 }
 
-/**
- * Splits a flat array into rows of `length` fields; ignores an incomplete row at
- * the end.
- */
-export function rowsOf<Field>(
-  fields: readonly Field[],
-  length: number,
-): readonly (readonly Field[])[] {
-  const rows = [];
-  for (let start = 0; start + length <= fields.length; start += length) {
-    rows.push(fields.slice(start, start + length));
-  }
-  return rows;
-}
-
 function unpackCrash([runner, runs]: PackedCrash): RunnerCrash {
   return {
     runner: String(runner),
--- a/packages/router/src/connection/peer_encoding.ts
+++ b/packages/router/src/connection/peer_encoding.ts
@@ -35,6 +35,7 @@
   RunnerLoadEntry,
   StateUpdate,
 } from "./peer_message.ts";
+import { rowsOf } from "./rows.ts";
 
 type PackedWaiting = readonly [
   rank: number,
@@ -196,13 +197,10 @@
 }
 
 function unpackParts([runner, read, packed]: PackedParts): PrefixUpdate {
-  const parts = [];
-  for (let index = 0; index + 1 < packed.length; index += 2) {
-    parts.push({
-      id: packed[index] as string,
-      tokens: packed[index + 1] as number,
-    });
-  }
+  const parts = rowsOf(packed, 2).map(([id, tokens]) => ({
+    id: id as string,
+    tokens: tokens as number,
+  }));
   return { runner, read, parts };
 }
 
@@ -288,17 +286,12 @@
   return packed.flatMap((sums: unknown) => {
     if (!Array.isArray(sums) || !Array.isArray(sums[2])) return [];
     const [service, rank, values] = sums as unknown as PackedShares;
-    const costs: CostSum[] = [];
-    for (let index = 0; index + 1 < values.length; index += 2) {
-      const workspace = values[index] as string;
-      costs.push({
-        service,
-        rank,
-        workspace,
-        cost: values[index + 1] as number,
-      });
-    }
-    return costs;
+    return rowsOf(values, 2).map(([workspace, cost]) => ({
+      service,
+      rank,
+      workspace: workspace as string,
+      cost: cost as number,
+    }));
   });
 }
 
@@ -309,14 +302,10 @@
 }
 
 function unpackUsage([incarnation, window, packed]: PackedUsage): UsageCount {
-  const counts: WorkspaceCount[] = [];
-  for (let index = 0; index + 1 < packed.length; index += 2) {
-    const requests = checkNonNegative(
-      packed[index + 1] as number,
-      "usage.counts",
-    );
-    counts.push([String(packed[index]), requests]);
-  }
+  const counts = rowsOf(packed, 2).map(([workspace, count]): WorkspaceCount => [
+    String(workspace),
+    checkNonNegative(count as number, "usage.counts"),
+  ]);
   return {
     incarnation: String(incarnation),
     window: checkNonNegative(window, "usage.window"),
--- a/packages/router/src/connection/place_encoding.ts
+++ b/packages/router/src/connection/place_encoding.ts
@@ -12,7 +12,7 @@
   ReturnPlace,
 } from "../process/return_places.ts";
 import { ageOf } from "./crash_ages.ts";
-import { rowsOf } from "./crash_encoding.ts";
+import { rowsOf } from "./rows.ts";
 
 /** The place of a refused request, with times relative to the message. */
 export interface PlaceAge extends PlaceId {
--- a/packages/router/src/process/response_times.ts
+++ b/packages/router/src/process/response_times.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { Decay } from "./decay.ts";
+import { DecayedMean } from "./decayed_mean.ts";
 
 /**
  * Half-life of observations in ms. A runner on a shared host is slower for
@@ -17,29 +17,9 @@
  */
 const PRIOR_RESPONSES = 2;
 
-/** Mean of response times with exponential decay. */
-class DecayedMean {
-  #ms = 0;
-  #count = 0;
-  readonly #decay = new Decay(HALF_LIFE_MS);
-
-  record(ms: number, now: number): void {
-    this.#applyDecay(now);
-    this.#ms += ms;
-    this.#count += 1;
-  }
-
-  /** Mean of the observations, and of a prior with the given weight. */
-  mean(prior: number, weight: number, now: number): number {
-    this.#applyDecay(now);
-    return (this.#ms + weight * prior) / (this.#count + weight);
-  }
-
-  #applyDecay(now: number): void {
-    const factor = this.#decay.remaining(now);
-    this.#ms *= factor;
-    this.#count *= factor;
-  }
+/** Creates a mean of response times, whose prior is given where it is read. */
+function meanOfResponses(): DecayedMean {
+  return new DecayedMean(HALF_LIFE_MS, { mean: 0, weight: PRIOR_RESPONSES });
 }
 
 /**
@@ -54,7 +34,7 @@
  */
 export class ResponseTimes {
   readonly #runners = new Map<string, DecayedMean>();
-  readonly #all = new DecayedMean();
+  readonly #all = meanOfResponses();
   /** The service's mean when it was last observed. */
   #latest: number | undefined;
 
@@ -64,24 +44,18 @@
     observation: { readonly ms: number; readonly now: number },
   ): void {
     const { ms, now } = observation;
-    this.#all.record(ms, now);
+    this.#all.record(ms, 1, now);
     // The first observation is its own prior; later ones have the last mean.
-    this.#latest = this.#all.mean(this.#latest ?? ms, PRIOR_RESPONSES, now);
-    const own = this.#runners.get(runner) ?? new DecayedMean();
+    this.#latest = this.#all.mean(now, this.#latest ?? ms);
+    const own = this.#runners.get(runner) ?? meanOfResponses();
     this.#runners.set(runner, own);
-    own.record(ms, now);
+    own.record(ms, 1, now);
   }
 
   /** Milliseconds of work on a request; undefined before any response. */
   of(runner: string, now: number): number | undefined {
     if (this.#latest === undefined) return undefined;
-    const own = this.#runners.get(runner);
-    return own?.mean(this.#latest, PRIOR_RESPONSES, now) ?? this.#latest;
-  }
-
-  /** Mean over the service's runners; undefined before any response. */
-  get mean(): number | undefined {
-    return this.#latest;
+    return this.#runners.get(runner)?.mean(now, this.#latest) ?? this.#latest;
   }
 
   /** Deletes runners that are not listed. */
--- a/packages/router/src/request/placement.ts
+++ b/packages/router/src/request/placement.ts
@@ -12,11 +12,7 @@
 import { gapMargin, isTight } from "./demand.ts";
 import type { Demand, RunnerFleet } from "./demand.ts";
 import { remoteMs } from "./remote_cost.ts";
-import {
-  estimateCost,
-  findPrefixHoldings,
-  WARM_UP_FACTOR,
-} from "./runner_cost.ts";
+import { estimateCost, findPrefixHoldings } from "./runner_cost.ts";
 import type { CostEstimate } from "./runner_cost.ts";
 import {
   choosePlainRunner,
@@ -24,10 +20,7 @@
   maySendPlain,
 } from "./plain_admission.ts";
 import type { PlainFleet, PlainRoom } from "./plain_admission.ts";
-import {
-  FAILURE_RATE_WEIGHT,
-  REMOTE_DOMAIN_PENALTY,
-} from "./runner_penalties.ts";
+import { penaltyFactor, REMOTE_DOMAIN_PENALTY } from "./runner_penalties.ts";
 import { runnersWithMemory } from "./runner_memory.ts";
 import { silenceFactor } from "./silence.ts";
 import { fleetPools, keepingGaps, toleratesPrefill } from "./tight_streams.ts";
@@ -101,16 +94,16 @@
       ? REMOTE_DOMAIN_PENALTY
       : remoteMs(fleet, demand, runner) * runner.slots / knownMs;
     const requests = load.requestCount(fleet.now);
-    const slowdown = runner.warmUpMs > 0 ? WARM_UP_FACTOR : 1;
-    const failureFactor = 1 + FAILURE_RATE_WEIGHT * load.failureRate(fleet.now);
     const workMs = knownMs ?? 1;
-    return workMs * slowdown * failureFactor *
+    return workMs * penaltyFactor(runner, load, fleet.now) *
       (1 + requests + domainPenalty + load.failures) /
       Math.max(1, runner.slots);
   };
   let best = runners[0]!;
-  for (const runner of runners) {
-    if (cost(runner) < cost(best)) best = runner;
+  let lowest = cost(best);
+  for (const runner of runners.slice(1)) {
+    const other = cost(runner);
+    if (other < lowest) [best, lowest] = [runner, other];
   }
   return {
     runner: best,
--- a/packages/router/src/request/plain_admission.ts
+++ b/packages/router/src/request/plain_admission.ts
@@ -7,11 +7,7 @@
 import type { PlainCapacity } from "../process/plain_capacity.ts";
 import type { Runner } from "../process/runner.ts";
 import type { Demand, RunnerFleet } from "./demand.ts";
-import { WARM_UP_FACTOR } from "./runner_cost.ts";
-import {
-  FAILURE_RATE_WEIGHT,
-  REMOTE_DOMAIN_PENALTY,
-} from "./runner_penalties.ts";
+import { penaltyFactor, REMOTE_DOMAIN_PENALTY } from "./runner_penalties.ts";
 
 /** The state on which decisions about a plain service are based. */
 export interface PlainState {
@@ -257,9 +253,7 @@
   const remote = runner.failureDomain === fleet.failureDomain
     ? 0
     : REMOTE_DOMAIN_PENALTY / Math.max(1, runner.slots);
-  const slowdown = runner.warmUpMs > 0 ? WARM_UP_FACTOR : 1;
-  const failureFactor = 1 + FAILURE_RATE_WEIGHT * load.failureRate(fleet.now);
-  return responseMs * (1 + remote) * slowdown * failureFactor *
+  return responseMs * (1 + remote) * penaltyFactor(runner, load, fleet.now) *
     (1 + load.failures);
 }
 
@@ -301,8 +295,9 @@
 /**
  * Selects the runner whose queue a request joins: the better one of two that
  * are drawn, if it gets a slot in time there. If all daemons chose the shortest
- * queue, the requests of one propagation time would join the same. A request that waits changes its queue
- * only for one that is shorter by the time that the change costs.
+ * queue, the requests of one propagation time would join the same. A request that
+ * waits changes its queue only for one that is shorter by the time that the change
+ * costs.
  */
 function chooseQueue(
   fleet: PlainFleet,
--- a/packages/router/src/request/runner_cost.ts
+++ b/packages/router/src/request/runner_cost.ts
@@ -10,6 +10,7 @@
 import { PREFILL_TOKENS_PER_MS } from "../process/runner_pace.ts";
 import type { EngineSpeed } from "../process/runner_pace.ts";
 import { remoteMs } from "./remote_cost.ts";
+import { slowdownOf } from "./runner_penalties.ts";
 import { excessTokens } from "./home_runners.ts";
 import type { Homes } from "./home_runners.ts";
 import type { Candidate } from "./candidate.ts";
@@ -81,8 +82,6 @@
 const FULL_SLOTS_MS = 200;
 /** Slowdown in ms that each request in flight on a runner adds. */
 const BATCH_SLOWDOWN_MS = 4;
-/** Assumed slowdown factor of a runner that is warming up. */
-export const WARM_UP_FACTOR = 2;
 /**
  * Milliseconds by which the wait for the awaited runner may exceed the wait for
  * another one. Each change of runner restarts the wait.
@@ -224,13 +223,12 @@
   const usedShare = total.inFlight / demand.engine!.slots;
   const batchMs = total.inFlight * BATCH_SLOWDOWN_MS +
     FULL_SLOTS_MS * usedShare ** 2;
-  const slowdown = runner.warmUpMs > 0 ? WARM_UP_FACTOR : 1;
   const stayBonusMs = demand.awaitedRunner === runner.id ? STAY_BONUS_MS : 0;
   const domainMs = fleet.demand === undefined
     ? 0
     : remoteMs(fleet, demand, runner);
   const prefillWeight = 1 + (PREFILL_WEIGHT - 1) * meanShare;
-  const costMs = slowdown * (waitMs + prefillWeight * ownPrefillMs) +
+  const costMs = slowdownOf(runner) * (waitMs + prefillWeight * ownPrefillMs) +
     copyWeight * meanShare * duplicatePrefillMs + excessMs +
     meanScale * (awayMs + wrongPoolMs + tightDelayMs) + ownScale * batchMs +
     FAILURE_PENALTY_MS * load.failures - stayBonusMs + domainMs;
