Reproduce the config incident in simulated fleets

Nine daemons in three failure domains: the store turns the six away that watch it, or does not respond to them, and serves the other three. None of the nine has an edit or the removal of a runner after 5 s; of 380 daemons none after 7 s. Where the six lose power, the other three do not have an edit after 2 s. The simulated store treats the calls of each daemon as told.

--- a/packages/router/tests/fleet.ts
+++ b/packages/router/tests/fleet.ts
@@ -218,19 +218,29 @@
   close(): void {}
 }
 
+/** How the store treats the calls of a daemon's feeds. */
+export type StoreAccess =
+  | "served"
+  /** Calls fail at once, and so do the watches that wait. */
+  | "refused"
+  /** Calls get no response. */
+  | "silent";
+
+/** Time after which a call without a response fails, beyond its wait, in ms. */
+const CALL_TIMEOUT_MS = 700;
+
 /** A feed of values that all daemons share and that tests replace. */
 class FakeFeed<T> implements Feed<T> {
-  readonly #countCall: () => void;
+  readonly #member: () => Member;
   readonly #shared: SharedValues<T>;
 
-  constructor(shared: SharedValues<T>, countCall: () => void) {
+  constructor(shared: SharedValues<T>, member: () => Member) {
     this.#shared = shared;
-    this.#countCall = countCall;
+    this.#member = member;
   }
 
   async list(): Promise<Listing<T>> {
-    this.#countCall();
-    await sleep(RESPONSE_MS);
+    await this.#call(0, () => sleep(RESPONSE_MS));
     return { revision: this.#shared.revision, values: this.#shared.values };
   }
 
@@ -239,14 +249,14 @@
     waitMs: number,
     signal: AbortSignal,
   ): Promise<Changes<T>> {
-    this.#countCall();
-    const end = performance.now() + waitMs;
-    await Promise.race([
-      this.#shared.changedAfter(since),
-      sleep(end - performance.now()),
-      aborted(signal),
-    ]);
-    await sleep(RESPONSE_MS);
+    await this.#call(waitMs, async () => {
+      await Promise.race([
+        this.#shared.changedAfter(since),
+        sleep(waitMs),
+        aborted(signal),
+      ]);
+      await sleep(RESPONSE_MS);
+    });
     if (signal.aborted) throw new FeedError("unavailable", "Request aborted");
     if (epochOf(this.#shared.revision) > epochOf(since)) {
       throw new FeedError("expired", "Store was restored");
@@ -255,6 +265,20 @@
     const entered = revision > since ? values : [];
     return { revision, updated: entered, removed: [] };
   }
+
+  /** Calls the store, which treats the call as it treats the daemon. */
+  async #call(waitMs: number, respond: () => Promise<void>): Promise<void> {
+    const member = this.#member();
+    member.counts.calls += 1;
+    const refused = member.accessChanged().then(() => "changed" as const);
+    if (member.storeAccess === "served") {
+      const first = await Promise.race([respond(), refused]);
+      if (first !== "changed" || member.storeAccess === "served") return;
+    }
+    const silent = member.storeAccess === "silent";
+    await sleep(silent ? waitMs + CALL_TIMEOUT_MS : RESPONSE_MS);
+    throw new FeedError("unavailable", `Call is ${member.storeAccess}`);
+  }
 }
 
 class SharedValues<T> {
@@ -366,6 +390,8 @@
   storeUnreachable = false;
   /** Names of daemons to which this one cannot send. */
   readonly blocked = new Set<string>();
+  #storeAccess: StoreAccess = "served";
+  #accessListeners: (() => void)[] = [];
   accept: ((opening: LinkFactory) => void) | undefined;
   readonly fleetSync: FleetSync;
   /** Bandwidth for sending, shared by all links, in Mbit/s. */
@@ -479,6 +505,23 @@
     return this.configuration !== undefined && this.directory.revision > 0;
   }
 
+  /** How the store treats the feeds of this daemon; tests set it. */
+  get storeAccess(): StoreAccess {
+    return this.#storeAccess;
+  }
+
+  set storeAccess(access: StoreAccess) {
+    this.#storeAccess = access;
+    const listeners = this.#accessListeners;
+    this.#accessListeners = [];
+    for (const listener of listeners) listener();
+  }
+
+  /** Resolves when {@linkcode storeAccess} is set next. */
+  accessChanged(): Promise<void> {
+    return new Promise((resolve) => this.#accessListeners.push(resolve));
+  }
+
   start(seeds: readonly string[]): void {
     this.alive = true;
     void this.fleetSync.open({ host: "", port: 0 });
@@ -722,8 +765,8 @@
       member.counts.calls += 1;
     };
     const store = {
-      configurations: new FakeFeed(this.#configurations, countCall),
-      runners: new FakeFeed(this.#runners, countCall),
+      configurations: new FakeFeed(this.#configurations, () => member),
+      runners: new FakeFeed(this.#runners, () => member),
       daemons: {
         register: async (name: string, address: string) => {
           countCall();
--- /dev/null
+++ b/packages/router/tests/store_access_test.ts
@@ -0,0 +1,81 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { TestContext } from "node:test";
+import { isWatcher } from "../src/process/watch_plan.ts";
+import { startSettledFleet } from "./fleet.ts";
+import type { Fleet, FleetShape, Member, StoreAccess } from "./fleet.ts";
+
+/** Time within which a change is in force while the store serves all, in ms. */
+const PROPAGATION_MS = 2_000;
+/** The same while the store turns some daemons away, in ms. */
+const PARTIAL_OUTAGE_MS = 5_000;
+/** The same in a fleet of the planned size, in ms. */
+const LARGE_FLEET_MS = 7_000;
+
+const SMALL: FleetShape = { daemons: 9, domains: 3 };
+const LARGE: FleetShape = { daemons: 380, domains: 6 };
+
+/** Whether a daemon watches the store, as long as all daemons are well. */
+function watches(fleet: Fleet, { contact }: Member): boolean {
+  return isWatcher(contact, fleet.members.map((member) => member.contact));
+}
+
+function watchersOf(fleet: Fleet): readonly Member[] {
+  return fleet.members.filter((member) => watches(fleet, member));
+}
+
+function assertVersion(members: readonly Member[], version: number): void {
+  const behind = members.filter(({ configuration }) =>
+    configuration?.version !== version
+  );
+  assert.deepEqual(behind.map(({ contact }) => contact.name), []);
+}
+
+/** Checks that changes reach all while the store treats the watchers like this. */
+async function checkChanges(
+  t: TestContext,
+  access: StoreAccess,
+): Promise<void> {
+  const { clock, fleet } = await startSettledFleet(t, SMALL);
+  for (const watcher of watchersOf(fleet)) watcher.storeAccess = access;
+  await clock.advance(100);
+  const [removed, ...left] = fleet.runners;
+  fleet.configure(2);
+  fleet.setRunners(left);
+  await clock.advance(PARTIAL_OUTAGE_MS);
+  assertVersion(fleet.members, 2);
+  for (const { contact, directory } of fleet.members) {
+    const names = directory.runners.map(({ name }) => name);
+    assert.ok(!names.includes(removed!.name), contact.name);
+  }
+}
+
+// Guards against daemons that serve by an old version because a peer is linked.
+test("a change is in force though the store refuses all watchers", async (t) => {
+  await checkChanges(t, "refused");
+});
+
+// Guards against the same where nothing is reported as lost.
+test("a change is in force though watchers get no response", async (t) => {
+  await checkChanges(t, "silent");
+});
+
+// Guards against the same where relays connect the daemons.
+test("a change reaches 380 daemons though the store refuses all watchers", async (t) => {
+  const { clock, fleet } = await startSettledFleet(t, LARGE);
+  for (const watcher of watchersOf(fleet)) watcher.storeAccess = "refused";
+  await clock.advance(100);
+  fleet.configure(2);
+  await clock.advance(LARGE_FLEET_MS);
+  assertVersion(fleet.members, 2);
+});
+
+// Guards against waiting for silent peers that no longer watch the store.
+test("a change is in force in time at daemons whose watchers lost power", async (t) => {
+  const { clock, fleet } = await startSettledFleet(t, SMALL);
+  for (const watcher of watchersOf(fleet)) watcher.end({ power: true });
+  await clock.advance(100);
+  fleet.configure(2);
+  await clock.advance(PROPAGATION_MS);
+  assertVersion(fleet.alive, 2);
+});
