Log by how old data a daemon decides, refuses and watches

The three hypotheses could not be told apart.

Change, without any other decision on routing or reading: - request_ended of a request that routing itself refuses has status, host, path without its query, the time since the version came into force (in_force_ms) and the ages of the data: configuration_age_ms, runners_age_ms, heard_ms, behind_ms, peers. One line for each such request, as before, within the bound on decision lines. - configuration_in_force has before_ms and the ages; runner_chosen heard_ms. - runner_list_in_force: other runners are ready than before, and whether the store or which peer told so; at most 20 lines at once and one a second. - store_watch_started and store_watch_stopped, with dependency and reason. - versions_behind, once for each time that a daemon lacks a peer's versions for a second, with requests and responses since, and versions_caught_up. - Gauges umbermast_data_age_seconds{source} and umbermast_behind_seconds. Refusals by code are in umbermast_requests_total already.

--- a/packages/router/src/connection/fleet_sync.ts
+++ b/packages/router/src/connection/fleet_sync.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+import { ageOf } from "../process/data_ages.ts";
+import type { DataAges } from "../process/data_ages.ts";
 import { Registration } from "../process/daemon_registry.ts";
 import type { DaemonRegistry } from "../process/daemon_registry.ts";
 import { ranksBefore } from "../process/contact.ts";
@@ -187,6 +189,18 @@
     return this.#followers.runnersConfirmedAt;
   }
 
+  /** How long ago the store and peers confirmed the data of this daemon. */
+  get ages(): DataAges {
+    const now = performance.now();
+    return {
+      configurationMs: ageOf(this.#followers.configurationsConfirmedAt, now),
+      runnersMs: ageOf(this.#followers.runnersConfirmedAt, now),
+      heardMs: ageOf(this.#exchange.heardAt, now),
+      behindMs: this.#exchange.behindMs,
+      peers: this.#peers.count,
+    };
+  }
+
   /** Accepts links of other daemons. */
   open(address: ListenAddress): Promise<void> {
     return this.#peers.open(address);
--- a/packages/router/src/connection/state_exchange.ts
+++ b/packages/router/src/connection/state_exchange.ts
@@ -116,7 +116,7 @@
       members: () => this.#counts.recentMax(performance.now()),
       roleChanged: (peer, before) => this.#roleChanged(peer, before),
     });
-    this.#versions = new VersionExchange(shared, options.onNewerVersion);
+    this.#versions = new VersionExchange(shared, options);
     this.#broadcaster = new UpdateBroadcaster({
       loads: shared.loads,
       prefixes: shared.prefixes,
@@ -179,6 +179,16 @@
     return this.#versions.lastResponseAt;
   }
 
+  /** Time at which a peer last sent its versions, in monotonic ms. */
+  get heardAt(): number {
+    return this.#versions.heardAt;
+  }
+
+  /** See {@linkcode VersionExchange.behindMs}. */
+  get behindMs(): number | undefined {
+    return this.#versions.behindMs;
+  }
+
   /** Other daemons that are presumed alive. */
   get reachable(): readonly Contact[] {
     if (!this.#overlay.relayed) return this.#peers().connected;
--- a/packages/router/src/connection/store_followers.ts
+++ b/packages/router/src/connection/store_followers.ts
@@ -15,6 +15,9 @@
 import type { RequestMetrics } from "../process/metrics.ts";
 import type { Runner } from "../process/runner.ts";
 import type { RunnerDirectory } from "../process/runner_directory.ts";
+import { RunnerListLog } from "../process/runner_list_log.ts";
+import { WatchLog } from "../process/watch_log.ts";
+import type { WatchReason } from "../process/watch_log.ts";
 import { isWatcher, watchWaitMs } from "../process/watch_plan.ts";
 import type { WatchCandidate } from "../process/watch_plan.ts";
 import type { Configuration } from "../version/configuration.ts";
@@ -97,6 +100,14 @@
     this.#runners.restartWatch();
   }
 
+  /**
+   * Time at which the store last responded to this daemon about configurations,
+   * in monotonic ms.
+   */
+  get configurationsConfirmedAt(): number {
+    return this.#configurations.confirmedAt;
+  }
+
   /**
    * Time at which the store last confirmed the list of runners, in monotonic
    * ms.
@@ -143,6 +154,7 @@
     }, {
       connectivity: this.#connectivityListener("store_configuration"),
       timing: this.#timing(
+        "store_configuration",
         () => this.#context.configured(),
         () => this.#configurations,
       ),
@@ -151,18 +163,24 @@
 
   #followRunners(feed: Feed<Runner>): FeedFollower<Runner> {
     const { directory, log } = this.#context;
+    const listLog = new RunnerListLog(log, directory);
     return new FeedFollower(feed, {
       listed: ({ revision, values }) => {
         const known = directory.revision;
-        if (directory.replace({ revision, runners: values })) return;
+        const replace = () => directory.replace({ revision, runners: values });
+        if (listLog.apply("store", replace)) return;
         log.event("runner_list_ignored", { revision, known });
       },
       changed: ({ revision, updated, removed }) => {
-        directory.applyChange(revision, updated, removed);
+        listLog.apply(
+          "store",
+          () => directory.applyChange(revision, updated, removed),
+        );
       },
     }, {
       connectivity: this.#connectivityListener("store_runners"),
       timing: this.#timing(
+        "store_runners",
         () => directory.revision > 0,
         () => this.#runners,
       ),
@@ -172,20 +190,31 @@
   /**
    * Returns when a follower reads the store, and how long its watches wait.
    *
+   * @param dependency name of this kind of data in the log.
    * @param hasData whether the daemon has data of this kind.
    * @param follower is called later, because the follower is created with this
    * timing.
    */
   #timing(
+    dependency: string,
     hasData: () => boolean,
     follower: () => FeedFollower<unknown>,
   ): FollowerTiming {
-    const { own, peers, random } = this.#context;
+    const { own, peers, random, log } = this.#context;
+    const watchLog = new WatchLog(log, dependency);
+    const reason = (): WatchReason | undefined => {
+      if (peers().length === 0) return "alone";
+      if (isWatcher(own, [own, ...peers()])) return "rank";
+      if (!hasData() && this.#lacksResponses(follower())) return "no_data";
+      return undefined;
+    };
     return {
       waitMs: () => watchWaitMs([own, ...peers()], random()),
-      shouldRead: () =>
-        peers().length === 0 || isWatcher(own, [own, ...peers()]) ||
-        (!hasData() && this.#lacksResponses(follower())),
+      shouldRead: () => {
+        const watchReason = reason();
+        watchLog.record(watchReason, peers().length);
+        return watchReason !== undefined;
+      },
       untilNextCheck: () => this.#checks.next(),
     };
   }
--- a/packages/router/src/connection/version_exchange.ts
+++ b/packages/router/src/connection/version_exchange.ts
@@ -3,11 +3,14 @@
  *
  * @module
  */
+import type { EventLog } from "../process/event_log.ts";
 import type { PrefixIndex } from "../process/prefix_index.ts";
 import type { RunnerDirectory } from "../process/runner_directory.ts";
+import { RunnerListLog } from "../process/runner_list_log.ts";
 import type { Configuration } from "../version/configuration.ts";
 import type { FetchRequest, FetchResponse, Versions } from "./peer_message.ts";
 import type { Peer } from "./peers.ts";
+import { VersionLag } from "./version_lag.ts";
 
 /** Milliseconds without a response after which newer data is requested again. */
 const RETRY_MS = 300;
@@ -33,14 +36,25 @@
   /** The versions in each peer's last update. */
   readonly #versionsOf = new WeakMap<Peer, Versions>();
   #sent: Versions = { configuration: -1, runners: 0 };
+  readonly #lag: VersionLag;
+  readonly #listLog: RunnerListLog;
+  #heardAt = -Infinity;
   #lastResponseAt = -Infinity;
   #requestedAt = -Infinity;
   #partsRequested = false;
 
-  /** @param onNewerVersion called when newer data is requested from a peer. */
-  constructor(state: VersionedState, onNewerVersion: () => void) {
+  /** @param options `onNewerVersion` is called when newer data is requested from a peer. */
+  constructor(
+    state: VersionedState,
+    { log, onNewerVersion }: {
+      readonly log: EventLog;
+      readonly onNewerVersion: () => void;
+    },
+  ) {
     this.#state = state;
     this.#onNewerVersion = onNewerVersion;
+    this.#lag = new VersionLag(log);
+    this.#listLog = new RunnerListLog(log, state.directory);
   }
 
   /** Versions that this daemon has. */
@@ -56,6 +70,19 @@
     return this.#lastResponseAt;
   }
 
+  /** Time at which a peer last sent its versions, in monotonic ms. */
+  get heardAt(): number {
+    return this.#heardAt;
+  }
+
+  /**
+   * Milliseconds since a peer first sent newer versions that this daemon still
+   * lacks; undefined without any.
+   */
+  get behindMs(): number | undefined {
+    return this.#lag.behindMs(this.own, performance.now());
+  }
+
   /** Whether the versions are newer than those last sent to peers. */
   get unsent(): { readonly configuration: boolean; readonly runners: boolean } {
     const { configuration, runners } = this.own;
@@ -90,22 +117,26 @@
   requestNewer(peer: Peer, peerVersions: Versions, options: {
     readonly hasParts: boolean;
   }): void {
-    const { configuration: version, runners: revision } = this.own;
+    const { own } = this;
+    const { configuration: version, runners: revision } = own;
     const { configuration: peerVersion, runners: peerRevision } = peerVersions;
     this.#versionsOf.set(peer, {
       configuration: peerVersion,
       runners: peerRevision,
     });
+    const now = performance.now();
+    this.#heardAt = now;
+    this.#lag.record(peer.name, { own, theirs: peerVersions, now });
     const configuration = peerVersion > version;
     const runnersSince = peerRevision > revision ? revision : undefined;
     const parts = !this.#partsRequested && peerVersion >= 0 &&
       options.hasParts;
     if (!configuration && runnersSince === undefined && !parts) return;
-    const now = performance.now();
     if (!parts && now - this.#requestedAt < RETRY_MS) return;
     this.#requestedAt = now;
     this.#partsRequested ||= parts;
     this.#onNewerVersion();
+    this.#lag.requested();
     peer.link.send({ kind: "want", configuration, runnersSince, parts });
   }
 
@@ -133,10 +164,17 @@
     const now = performance.now();
     this.#requestedAt = -Infinity;
     this.#lastResponseAt = now;
+    this.#lag.responded();
     if (configuration) {
       this.#state.applyConfiguration(configuration, `peer ${peer.name}`);
     }
-    if (runners) this.#state.directory.applyUpdate(runners);
+    if (runners) {
+      this.#listLog.apply(
+        `peer ${peer.name}`,
+        () => this.#state.directory.applyUpdate(runners),
+      );
+    }
     for (const update of parts) this.#state.prefixes.applyUpdate(update, now);
+    this.#lag.check(this.own, now);
   }
 }
--- a/packages/router/src/process/metrics.ts
+++ b/packages/router/src/process/metrics.ts
@@ -20,6 +20,7 @@
 } from "prom-client";
 
 import type { BufferedBytes } from "./buffer_budget.ts";
+import type { DataAges } from "./data_ages.ts";
 
 /** Time that a runner takes for its work, relative to others of its service. */
 interface PaceSample {
@@ -277,6 +278,41 @@
     });
   }
 
+  /**
+   * Shows how old the data of this daemon is. An age is left out before its first
+   * event.
+   *
+   * @param ages called at each reading of the metrics.
+   */
+  observeAges(ages: () => DataAges): void {
+    const registers = [this.#registry];
+    new Gauge({
+      name: "umbermast_data_age_seconds",
+      help: "Seconds since the store or a peer last confirmed versions here",
+      labelNames: ["source"],
+      registers,
+      collect() {
+        const { configurationMs, runnersMs, heardMs } = ages();
+        const bySource = {
+          store_configuration: configurationMs,
+          store_runners: runnersMs,
+          peer: heardMs,
+        };
+        for (const [source, ms] of Object.entries(bySource)) {
+          if (ms !== undefined) this.set({ source }, ms / MS_PER_SECOND);
+        }
+      },
+    });
+    new Gauge({
+      name: "umbermast_behind_seconds",
+      help: "Seconds since a peer first had versions that this daemon lacks",
+      registers,
+      collect() {
+        this.set((ages().behindMs ?? 0) / MS_PER_SECOND);
+      },
+    });
+  }
+
   /** Counts an answer that ended because buffered bytes exceeded a limit. */
   answerCut(service: string, limit: "caller" | "total"): void {
     this.#cutAnswers.inc({ service, limit });
--- a/packages/router/src/process/runner_directory.ts
+++ b/packages/router/src/process/runner_directory.ts
@@ -185,6 +185,11 @@
     return this.#byService.get(service) ?? [];
   }
 
+  /** Ids of the runners of all services that accept new requests. */
+  get readyIds(): ReadonlySet<string> {
+    return new Set([...this.#byService.values()].flat().map(({ id }) => id));
+  }
+
   #recordChanges({ revision, runners }: RunnerList): void {
     const before = this.#byName();
     for (const runner of runners) {
--- a/packages/router/src/request/daemon.ts
+++ b/packages/router/src/request/daemon.ts
@@ -6,6 +6,7 @@
 import type { BrokenRun } from "../connection/crash_detector.ts";
 import type { RunnerConnections } from "../connection/runner_connections.ts";
 import type { BufferBudget } from "../process/buffer_budget.ts";
+import type { DataAges } from "../process/data_ages.ts";
 import type { CrashRecord } from "../process/crash_record.ts";
 import type { DrainRate } from "../process/drain_rate.ts";
 import type { ReturnPlaces } from "../process/return_places.ts";
@@ -75,6 +76,13 @@
   routingTable(): RoutingTable | undefined;
   /** Returns the runners of a service and their known state. */
   fleet(service: string): RunnerFleet;
+  /**
+   * Returns the milliseconds since the latest configuration came into force;
+   * undefined before there is one.
+   */
+  inForceMs(): number | undefined;
+  /** Returns how long ago the data of this daemon was last confirmed. */
+  dataAges(): DataAges;
   /** Returns the milliseconds since the list of runners was last confirmed. */
   runnerListAgeMs(): number;
   /**
--- a/packages/router/src/request/decision_log.ts
+++ b/packages/router/src/request/decision_log.ts
@@ -7,12 +7,15 @@
  * - `requests`, `ahead`, `limit`, `expected_wait_ms`, `response_ms`: capacity of
  *   the runner of a plain service, see {@linkcode PlainRoom};
  * - `known_ms`: age at which changes at other daemons are known here;
- * - `runners_age_ms`: milliseconds since the list of runners was confirmed.
+ * - `runners_age_ms`: milliseconds since the store last responded to this daemon
+ *   about runners; it grows at daemons that do not watch the store;
+ * - `heard_ms`: milliseconds since any peer last sent its versions.
  *
  * @module
  */
 import type { IncomingMessage } from "node:http";
 import type { AnswerCut } from "../process/buffer_budget.ts";
+import { ageFields } from "../process/data_ages.ts";
 import type { Quarantine } from "../process/crash_record.ts";
 import type { Fields } from "../process/log_line.ts";
 import type { PlaceOutcome } from "../process/metrics.ts";
@@ -21,12 +24,40 @@
 import type { LaterRequests, QueueKey } from "../process/runner_queue.ts";
 import type { SharedKey } from "../process/share_order.ts";
 import { SHARE_UNITS } from "../process/workspace_shares.ts";
+import type { Refusal } from "./caller.ts";
 import type { Daemon } from "./daemon.ts";
+import type { RequestHead } from "./dialect.ts";
 import type { RunnerChoice } from "./placement.ts";
 import type { QueueOutlook } from "./retry_delay.ts";
 import type { PlainRoom } from "./plain_admission.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 
+/** Maximum number of logged characters of a host or path. */
+const MAX_TARGET_LENGTH = 128;
+/** The scheme and authority of an absolute target, and a query or fragment. */
+const NOT_PATH = /^[a-z][a-z0-9+.-]*:\/\/[^/?#]*|[?#].*$/gis;
+
+/**
+ * Fields of the end of a request that routing itself refused: what was asked for,
+ * without the query, and how old the data is by which that was decided.
+ */
+export function refusalFields(
+  daemon: Daemon,
+  { host }: RequestHead,
+  refused: { readonly refusal: Refusal; readonly request: IncomingMessage },
+): Fields {
+  const { refusal, request } = refused;
+  const path = (request.url ?? "/").replace(NOT_PATH, "");
+  const inForceMs = daemon.inForceMs();
+  return {
+    status: refusal.status,
+    host: host.slice(0, MAX_TARGET_LENGTH),
+    path: path.slice(0, MAX_TARGET_LENGTH),
+    in_force_ms: inForceMs === undefined ? undefined : Math.round(inForceMs),
+    ...ageFields(daemon.dataAges()),
+  };
+}
+
 /** The capacity of a plain service's runner, where its requests are queued. */
 function plainFields(daemon: Daemon, room: PlainRoom | undefined) {
   if (room === undefined) return {};
@@ -232,6 +263,7 @@
 ): void {
   const { head, route, service, version } = routed;
   const { choice, fingerprint, remainingMs } = chosen;
+  const { heardMs } = daemon.dataAges();
   const load = daemon.loads.of(choice.runner.id);
   daemon.log.decision("runner_chosen", head.id, {
     fingerprint,
@@ -253,6 +285,7 @@
     shared_part: head.prompt.at(-2)?.id,
     rank: routed.rank,
     runners_age_ms: Math.round(daemon.runnerListAgeMs()),
+    heard_ms: heardMs === undefined ? undefined : Math.round(heardMs),
     left_ms: Math.round(remainingMs),
   });
 }
--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -5,10 +5,15 @@
  */
 import type { Buffer } from "node:buffer";
 import type { Quarantine } from "../process/crash_record.ts";
+import type { Fields } from "../process/log_line.ts";
 import type { RequestHead } from "./dialect.ts";
 import type { Caller } from "./caller.ts";
 import type { Daemon } from "./daemon.ts";
-import { logBodyRefused, logQuarantine } from "./decision_log.ts";
+import {
+  logBodyRefused,
+  logQuarantine,
+  refusalFields,
+} from "./decision_log.ts";
 import { fingerprintOf } from "./fingerprint.ts";
 import { outcomeName } from "./outcome.ts";
 import type { Outcome } from "./outcome.ts";
@@ -255,6 +260,18 @@
     return { kind: "left" };
   }
 
+  /** Fields for the log of a request that routing itself refused. */
+  #refusalFields(
+    head: RequestHead,
+    determined: Outcome,
+    routed: RoutedRequest | undefined,
+  ): Fields {
+    if (determined.kind !== "refused" || routed !== undefined) return {};
+    const { refusal } = determined;
+    const { request } = this.#caller;
+    return refusalFields(this.#daemon, head, { refusal, request });
+  }
+
   #finish(
     head: RequestHead,
     determined: Outcome,
@@ -280,6 +297,7 @@
       events: this.#attempts.eventCount,
       elapsed_ms: Math.round(elapsedMs),
       config: routed?.version ?? this.#daemon.routingTable()?.version,
+      ...this.#refusalFields(head, determined, routed),
     });
   }
 }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -19,6 +19,8 @@
 } from "./connection/status_server.ts";
 import { BufferBudget } from "./process/buffer_budget.ts";
 import { CrashRecord } from "./process/crash_record.ts";
+import { ageFields } from "./process/data_ages.ts";
+import type { DataAges } from "./process/data_ages.ts";
 import { DrainingRunners } from "./process/draining_runners.ts";
 import { DrainRate } from "./process/drain_rate.ts";
 import type { EventLog } from "./process/event_log.ts";
@@ -150,6 +152,8 @@
   #serviceOf: ReadonlyMap<string, string> = new Map();
   #configuration: Configuration | undefined;
   #routingTable: RoutingTable | undefined;
+  /** Time at which the current configuration came into force. */
+  #inForceAt: number | undefined;
 
   constructor(settings: RouterSettings, platform: Platform, log: EventLog) {
     this.#settings = settings;
@@ -241,6 +245,7 @@
       controlBytesPerS: settings.controlBytesPerS,
       random: () => this.random(),
     });
+    this.metrics.observeAges(() => this.dataAges());
     const mayQuery = ({ id }: Runner) => this.#mayQuery(id);
     const recordStatements: StatementListener = (runner, statements) =>
       this.recordStatements(runner, statements);
@@ -303,6 +308,16 @@
     };
   }
 
+  inForceMs(): number | undefined {
+    return this.#inForceAt === undefined
+      ? undefined
+      : this.now() - this.#inForceAt;
+  }
+
+  dataAges(): DataAges {
+    return this.#fleetSync.ages;
+  }
+
   runnerListAgeMs(): number {
     return this.now() - this.#fleetSync.runnersConfirmedAt;
   }
@@ -498,6 +513,9 @@
   #applyConfiguration(configuration: Configuration, source: string): void {
     const current = this.#routingTable?.version ?? -1;
     if (configuration.version <= current) return;
+    const ages = this.dataAges();
+    const beforeMs = this.inForceMs();
+    this.#inForceAt = this.now();
     this.#configuration = configuration;
     this.#routingTable = new RoutingTable(configuration);
     this.#server.applyLimits(configuration.limits);
@@ -507,6 +525,8 @@
       before: current,
       source,
       routes: configuration.routes.length,
+      before_ms: beforeMs === undefined ? undefined : Math.round(beforeMs),
+      ...ageFields(ages),
     });
     this.#fleetSync.configurationChanged();
     this.#surveyOnce();
