Read the store where nobody has confirmed the data

Cause: a daemon that does not watch took a linked peer for proof that it is up to date. Nothing bounded the age of what it served by, end to end: who reads the store followed from peers and rank alone.

Change: the time at which the store last confirmed the configuration and the list of runners travels with state updates, each confirmation once, so that it ages however often daemons exchange it. A daemon takes it over if it has the sender's versions. From 4 s on (5.6 s behind relays) data is stale: daemons read the store within a time that grows with the fleet, the first to succeed tells the others and watches until another daemon confirms; a watcher starts its watch anew and asks for no wait. Lists read then are current ones.

The simulated store now names removed runners in the response of a watch; it left them out.

--- a/packages/router/src/connection/fleet_sync.ts
+++ b/packages/router/src/connection/fleet_sync.ts
@@ -17,6 +17,8 @@
 import type { Runner } from "../process/runner.ts";
 import type { ListenAddress } from "../process/settings.ts";
 import { StartGate } from "../process/start_gate.ts";
+import { createConfirmed } from "../process/store_confirmations.ts";
+import type { Confirmed } from "../process/store_confirmations.ts";
 import { epochOf } from "../process/store_revision.ts";
 import { isWatcher } from "../process/watch_plan.ts";
 import type { Configuration } from "../version/configuration.ts";
@@ -76,7 +78,8 @@
  */
 export class FleetSync {
   readonly #own: Contact;
-  readonly #state: SharedState;
+  readonly #state: Omit<SharedState, "confirmed">;
+  readonly #confirmed: Confirmed;
   readonly #gate = new StartGate();
   readonly #peers: Peers;
   readonly #exchange: StateExchange;
@@ -85,11 +88,16 @@
   /** Addresses in the settings at which other daemons may be reached. */
   #seeds: readonly string[] = [];
 
-  constructor(state: SharedState, options: FleetSyncOptions) {
+  constructor(
+    state: Omit<SharedState, "confirmed">,
+    options: FleetSyncOptions,
+  ) {
     const { own, store, network, log, metrics } = options;
     this.#own = own;
     this.#state = state;
-    this.#exchange = new StateExchange(state, {
+    const confirmed = createConfirmed(own.incarnation, performance.now());
+    this.#confirmed = confirmed;
+    this.#exchange = new StateExchange({ ...state, confirmed }, {
       own,
       log,
       peers: () => this.#peers,
@@ -113,6 +121,11 @@
       log,
       metrics,
       directory: state.directory,
+      confirmed,
+      maxAgeMs: () => this.#exchange.maxAgeMs,
+      linkedDaemons: () => this.#exchange.linkedDaemons,
+      nextTick: () => this.#exchange.nextTick(),
+      staleConfirmed: () => this.#exchange.sendConfirmed(),
       peers: () => this.#reachable,
       random: options.random,
       configured: () => state.configuration() !== undefined,
@@ -182,19 +195,19 @@
   }
 
   /**
-   * Time at which the store last confirmed the list of runners, in monotonic
-   * ms.
+   * Milliseconds since the store last confirmed the list of runners, to this daemon
+   * or to another; before that, since the start.
    */
-  get runnersConfirmedAt(): number {
-    return this.#followers.runnersConfirmedAt;
+  get runnersAgeMs(): number {
+    return this.#confirmed.runners.ageMs(performance.now());
   }
 
   /** How long ago the store and peers confirmed the data of this daemon. */
   get ages(): DataAges {
     const now = performance.now();
     return {
-      configurationMs: ageOf(this.#followers.configurationsConfirmedAt, now),
-      runnersMs: ageOf(this.#followers.runnersConfirmedAt, now),
+      configurationMs: this.#confirmed.configuration.ageMs(now),
+      runnersMs: this.#confirmed.runners.ageMs(now),
       heardMs: ageOf(this.#exchange.heardAt, now),
       behindMs: this.#exchange.behindMs,
       peers: this.#peers.count,
--- a/packages/router/src/connection/peer_encoding.ts
+++ b/packages/router/src/connection/peer_encoding.ts
@@ -15,6 +15,7 @@
 import type { Contact } from "../process/contact.ts";
 import { groupBy } from "../process/group.ts";
 import type { CostSum } from "../process/workspace_shares.ts";
+import type { ConfirmationAge } from "../process/store_confirmations.ts";
 import type { DeadContact } from "../process/contact_book.ts";
 import type { PrefixUpdate } from "../process/prefix_index.ts";
 import type {
@@ -25,6 +26,7 @@
 import type { RunnerListUpdate } from "../process/runner_directory.ts";
 import type { Configuration } from "../version/configuration.ts";
 import type {
+  ConfirmationAges,
   DrainingAge,
   FetchResponse,
   Hello,
@@ -85,6 +87,12 @@
   workspacesAndCounts: readonly (string | number)[],
 ];
 
+/** What a daemon sends before the store has confirmed anything. */
+const NO_CONFIRMATIONS: ConfirmationAges = {
+  configuration: undefined,
+  runners: undefined,
+};
+
 /** The incarnations with the same end. */
 type PackedEnds = readonly [
   window: number,
@@ -92,6 +100,18 @@
   incarnations: readonly string[],
 ];
 
+type PackedConfirmation = readonly [
+  origin: string,
+  sequence: number,
+  agoMs: number,
+];
+
+/** The confirmations of a configuration and of the list of runners. */
+type PackedConfirmed = readonly [
+  configuration: PackedConfirmation | undefined,
+  runners: PackedConfirmation | undefined,
+];
+
 type PackedLease = readonly [revision: number, holderId: string, agoMs: number];
 
 /** Cumulative costs of the workspaces of one rank of a service. */
@@ -127,6 +147,7 @@
   shares?: readonly PackedShares[] | undefined,
   places?: PackedPlaces | undefined,
   ends?: readonly PackedEnds[] | undefined,
+  confirmed?: PackedConfirmed | undefined,
 ];
 
 const ADDRESS = /^[^\s:]+:\d{1,5}$/;
@@ -266,11 +287,44 @@
     shares.length === 0 ? undefined : packShares(shares),
     packPlaces(places),
     ends.length === 0 ? undefined : packEnds(ends),
+    packConfirmed(state.confirmed),
   ];
   const last = fields.findLastIndex((field) => field !== undefined);
   return fields.slice(0, last + 1) as unknown as PackedOptionalFields;
 }
 
+function packConfirmed(
+  { configuration, runners }: ConfirmationAges,
+): PackedConfirmed | undefined {
+  if (configuration === undefined && runners === undefined) return undefined;
+  return [packConfirmation(configuration), packConfirmation(runners)];
+}
+
+function packConfirmation(
+  confirmation: ConfirmationAge | undefined,
+): PackedConfirmation | undefined {
+  if (confirmation === undefined) return undefined;
+  return [confirmation.origin, confirmation.sequence, confirmation.agoMs];
+}
+
+function unpackConfirmed(packed: PackedConfirmed): ConfirmationAges {
+  const [configuration, runners] = packed;
+  return {
+    configuration: configuration && unpackConfirmation(configuration),
+    runners: runners && unpackConfirmation(runners),
+  };
+}
+
+function unpackConfirmation(
+  [origin, sequence, agoMs]: PackedConfirmation,
+): ConfirmationAge {
+  return {
+    origin: String(origin),
+    sequence: checkNonNegative(sequence, "confirmed.sequence"),
+    agoMs: checkNonNegative(agoMs, "confirmed.agoMs"),
+  };
+}
+
 function packShares(shares: readonly CostSum[]): readonly PackedShares[] {
   const byRank = groupBy(shares, ({ service, rank }) => `${rank} ${service}`);
   return [...byRank.values()].map((sums) => [
@@ -368,7 +422,7 @@
   const [configuration, runners, whole, loads, parts, fleet, domain] = packed;
   const [, , , , , , , contacts, gone, ...optional] = packed;
   const [crashes, limits = [], timeMs, usage = [], lease, ...later] = optional;
-  const [draining = [], paces, shares, places, ends] = later;
+  const [draining = [], paces, shares, places, ends, confirmed] = later;
   return {
     kind: "state",
     configuration,
@@ -394,6 +448,9 @@
     places: unpackPlaces(places),
     shares: unpackShares(shares),
     ends: ends === undefined ? [] : unpackEnds(ends),
+    confirmed: confirmed === undefined
+      ? NO_CONFIRMATIONS
+      : unpackConfirmed(confirmed),
   };
 }
 
--- a/packages/router/src/connection/peer_message.ts
+++ b/packages/router/src/connection/peer_message.ts
@@ -8,6 +8,7 @@
 import type { PlaceAges } from "./place_encoding.ts";
 import type { Contact } from "../process/contact.ts";
 import type { ContactUpdates } from "../process/contact_book.ts";
+import type { ConfirmationAge } from "../process/store_confirmations.ts";
 import type { LeaseObservation } from "../process/leader_lease.ts";
 import type { DrainingUpdate } from "../process/draining_runners.ts";
 import type { LimitUpdate } from "../process/runner_limits.ts";
@@ -65,6 +66,15 @@
   readonly runners: number;
 }
 
+/**
+ * When the store last confirmed the versions of the sender, or later ones that it
+ * has as well; absent before the first confirmation.
+ */
+export interface ConfirmationAges {
+  readonly configuration: ConfirmationAge | undefined;
+  readonly runners: ConfirmationAge | undefined;
+}
+
 /** Number of daemons whose load a message includes. */
 export interface MemberCounts {
   readonly fleet: number;
@@ -117,6 +127,7 @@
 export interface StateUpdate extends Versions, RunnerUpdate, ContactUpdates {
   readonly kind: "state";
   readonly members: MemberCounts;
+  readonly confirmed: ConfirmationAges;
   /** The sender's estimate of the time in epoch ms; absent without metering. */
   readonly timeMs: number | undefined;
   /** Counts of requests that runners started, for the daemons that may lead. */
--- a/packages/router/src/connection/state_exchange.ts
+++ b/packages/router/src/connection/state_exchange.ts
@@ -36,6 +36,14 @@
  * late by half of its interval at most.
  */
 const IDLE_MS = HEARTBEAT_MS / 2;
+/**
+ * Age of the store's last confirmation from which a daemon takes its data for stale,
+ * in ms. Six watchers whose watches end at random are confirmed more often in most
+ * seconds; a change is in force everywhere within 5 s while any daemon is served.
+ */
+const MAX_AGE_MS = 4_000;
+/** Time in which a confirmation passes all relays, in ms: four heartbeats. */
+const MAX_RELAYING_MS = 4 * HEARTBEAT_MS;
 /** Heartbeat interval on links that carry versions only. */
 const SPARE_HEARTBEAT_MS = 4_000;
 /** Idle time-out of links that carry versions only: two and a half heartbeats. */
@@ -95,9 +103,12 @@
     idleMs: IDLE_MS,
     onDelay: (ms) => this.#state.paces.recordDelay(ms, performance.now()),
   }, () => this.#tick());
+  #tickWaiters: (() => void)[] = [];
   #sentAt = -Infinity;
   #sentSpareAt = -Infinity;
   #countsChanged = false;
+  /** Whether peers wait for a confirmation of the store. */
+  #confirmedUnsent = false;
 
   constructor(shared: SharedState, options: StateExchangeOptions) {
     const { own, peers, log, relaysFrom, controlBytesPerS } = options;
@@ -135,6 +146,7 @@
       overlay: this.#overlay,
       peers,
       versions: () => this.#versions.own,
+      confirmed: shared.confirmed,
       controlBytesPerS,
     });
   }
@@ -154,6 +166,11 @@
     this.#timer.stop();
   }
 
+  /** Resolves at the next time at which this daemon may send, within 200 ms. */
+  nextTick(): Promise<void> {
+    return new Promise((resolve) => this.#tickWaiters.push(resolve));
+  }
+
   /** Number of daemons in the fleet: the largest recent count. */
   get fleetSize(): number {
     const { fleet } = this.#counts.recentMax(performance.now());
@@ -218,6 +235,15 @@
     return isWatcher(this.#own, [this.#own, ...this.reachable]);
   }
 
+  /**
+   * Age from which data that the store has confirmed is stale, in ms. In a large
+   * fleet confirmations pass relays, each of which holds them for up to a heartbeat.
+   */
+  get maxAgeMs(): number {
+    const { relayed, isHead } = this.#overlay;
+    return relayed && !isHead ? MAX_AGE_MS + MAX_RELAYING_MS : MAX_AGE_MS;
+  }
+
   /** Contacts of all other daemons. */
   contacts(): readonly Contact[] {
     return this.#book.all();
@@ -246,6 +272,15 @@
     this.#broadcaster.broadcastUsage(performance.now());
   }
 
+  /**
+   * Schedules sending when the store last confirmed the data, as it was stale: other
+   * daemons are about to read the store.
+   */
+  sendConfirmed(): void {
+    this.#confirmedUnsent = true;
+    this.wake();
+  }
+
   /** Schedules the sending of changes. */
   wake(): void {
     this.#timer.wake();
@@ -301,6 +336,7 @@
         this.#state.loads.hasWaiting;
       if (reordered) this.wake();
     }
+    this.#versions.recordConfirmed(update, update.confirmed);
     const hasParts = !relayed || role === "parent" || role === "head";
     this.#versions.requestNewer(peer, update, { hasParts });
   }
@@ -381,17 +417,21 @@
     const now = performance.now();
     this.#overlay.reconcile(now);
     this.#broadcaster.collect();
-    const due = this.#countsChanged || !this.#broadcaster.empty ||
-      now - this.#sentAt >= HEARTBEAT_MS;
+    const due = this.#countsChanged || this.#confirmedUnsent ||
+      !this.#broadcaster.empty || now - this.#sentAt >= HEARTBEAT_MS;
     if (due) {
       this.#sentAt = now;
       this.#countsChanged = false;
+      this.#confirmedUnsent = false;
       this.#broadcaster.broadcast(now);
     } else if (this.#broadcaster.usageDue) {
       this.#broadcaster.broadcastUsage(now);
     }
     this.#sendVersions(now);
     if (!this.#broadcaster.empty) this.wake();
+    const waiters = this.#tickWaiters;
+    this.#tickWaiters = [];
+    for (const resolve of waiters) resolve();
   }
 
   /**
--- a/packages/router/src/connection/state_exchange_test.ts
+++ b/packages/router/src/connection/state_exchange_test.ts
@@ -16,6 +16,7 @@
 import { PrefixIndex } from "../process/prefix_index.ts";
 import { ReturnPlaces } from "../process/return_places.ts";
 import { RunnerLoads } from "../process/runner_loads.ts";
+import { createConfirmed } from "../process/store_confirmations.ts";
 import { WorkspaceShares } from "../process/workspace_shares.ts";
 import { unpackMessage } from "./peer_encoding.ts";
 import type { PeerMessage, StateUpdate } from "./peer_message.ts";
@@ -44,6 +45,7 @@
       shares: new WorkspaceShares({ log: SILENT_LOG }),
       ...withoutLeadership(),
       directory: emptyDirectory(),
+      confirmed: createConfirmed("1", 0),
       configuration: () => undefined,
       applyConfiguration() {},
     }, {
--- a/packages/router/src/connection/store_followers.ts
+++ b/packages/router/src/connection/store_followers.ts
@@ -3,24 +3,21 @@
  *
  * @module
  */
-import type { EventLog } from "../process/event_log.ts";
+import { setImmediate as nextTurn } from "node:timers/promises";
 import { FeedFollower } from "../process/feed.ts";
-import type {
-  ConnectivityListener,
-  Feed,
-  FollowerTiming,
-} from "../process/feed.ts";
+import type { ConnectivityListener, Feed, FeedSink } from "../process/feed.ts";
 import { pause } from "../process/pause.ts";
-import { SharedTimer } from "../process/shared_timer.ts";
+import type {
+  Confirmed,
+  StoreConfirmations,
+} from "../process/store_confirmations.ts";
 import type { RequestMetrics } from "../process/metrics.ts";
 import type { Runner } from "../process/runner.ts";
 import type { RunnerDirectory } from "../process/runner_directory.ts";
 import { RunnerListLog } from "../process/runner_list_log.ts";
-import { WatchLog } from "../process/watch_log.ts";
-import type { WatchReason } from "../process/watch_log.ts";
-import { isWatcher, watchWaitMs } from "../process/watch_plan.ts";
-import type { WatchCandidate } from "../process/watch_plan.ts";
 import type { Configuration } from "../version/configuration.ts";
+import { ReadTiming } from "./read_timing.ts";
+import type { ReadContext } from "./read_timing.ts";
 
 /**
  * Time in ms that a starting daemon has to connect to the daemons that rank before
@@ -28,92 +25,60 @@
  */
 const DISCOVERY_MS = 500;
 
-/**
- * Time in ms without a response from the store or a peer after which a daemon that
- * lacks a configuration or the runners reads the store itself, although it has
- * neighbours. Until an operator has written the first configuration, each daemon
- * that watched the store for it would make a call every few seconds.
- */
-const RESPONSE_TIMEOUT_MS = 15_000;
-
-/**
- * Milliseconds between two checks whether this daemon has to watch the store. A
- * delay does no harm: the other watchers, in this failure domain and in others,
- * still watch.
- */
-const CHECK_MS = 500;
-
 /** The data and listeners that the followers need. */
-export interface FollowerContext {
-  /** This daemon. */
-  readonly own: WatchCandidate;
-  readonly log: EventLog;
+export interface FollowerContext extends ReadContext {
   readonly metrics: Pick<RequestMetrics, "dependency">;
   readonly directory: RunnerDirectory;
-  /** Other daemons that are presumed alive. */
-  peers(): readonly WatchCandidate[];
-  /** In [0, 1). */
-  random(): number;
+  /** What the store has confirmed last, to this daemon or to others. */
+  readonly confirmed: Confirmed;
+  /** Resolves when to check again whether to read. */
+  nextTick(): Promise<void>;
+  /** Called when the store has confirmed data that was stale. */
+  staleConfirmed(): void;
   /** Whether this daemon has a configuration. */
   configured(): boolean;
-  /** Time of a peer's last response to a `FetchRequest`, in monotonic ms. */
-  lastResponseAt(): number;
   /** Applies a configuration from the store. */
   applyConfiguration(configuration: Configuration): void;
 }
 
+/** A follower of one kind of data, and when it reads. */
+interface TimedFollower {
+  readonly follower: FeedFollower<unknown>;
+  readonly timing: ReadTiming;
+  hasData(): boolean;
+}
+
 /** Reads and watches the configurations and the runners until stopped. */
 export class StoreFollowers {
   readonly #context: FollowerContext;
-  readonly #configurations: FeedFollower<Configuration>;
-  readonly #runners: FeedFollower<Runner>;
-  /**
-   * Timer by which both followers, while this daemon does not watch, check again
-   * whether it should.
-   */
-  readonly #checks = new SharedTimer(CHECK_MS);
+  readonly #followers: readonly TimedFollower[];
+  #stopped = false;
 
   constructor(context: FollowerContext, feeds: {
     readonly configurations: Feed<Configuration>;
     readonly runners: Feed<Runner>;
   }) {
     this.#context = context;
-    this.#configurations = this.#followConfigurations(feeds.configurations);
-    this.#runners = this.#followRunners(feeds.runners);
+    this.#followers = [
+      this.#followConfigurations(feeds.configurations),
+      this.#followRunners(feeds.runners),
+    ];
   }
 
   /** @param mayRead resolves when the store may be read for the first time. */
   start(mayRead: Promise<void>): void {
-    const { configured, directory } = this.#context;
-    void this.#follow(this.#configurations, mayRead, configured);
-    void this.#follow(this.#runners, mayRead, () => directory.revision > 0);
+    for (const timed of this.#followers) void this.#follow(timed, mayRead);
+    void this.#restartStaleWatches();
   }
 
   stop(): void {
-    this.#configurations.stop();
-    this.#runners.stop();
+    this.#stopped = true;
+    for (const { follower } of this.#followers) follower.stop();
   }
 
   /** Ends the current watches; the next ones start on new connections. */
   restartWatches(): void {
-    this.#configurations.restartWatch();
-    this.#runners.restartWatch();
-  }
-
-  /**
-   * Time at which the store last responded to this daemon about configurations,
-   * in monotonic ms.
-   */
-  get configurationsConfirmedAt(): number {
-    return this.#configurations.confirmedAt;
-  }
-
-  /**
-   * Time at which the store last confirmed the list of runners, in monotonic
-   * ms.
-   */
-  get runnersConfirmedAt(): number {
-    return this.#runners.confirmedAt;
+    for (const { follower } of this.#followers) follower.restartWatch();
   }
 
   /**
@@ -122,49 +87,55 @@
    * decide whether it watches, and starts the follower.
    */
   async #follow(
-    follower: FeedFollower<unknown>,
+    { follower, timing, hasData }: TimedFollower,
     mayRead: Promise<void>,
-    hasData: () => boolean,
   ): Promise<void> {
     await mayRead;
-    if (!hasData() && this.#lacksResponses(follower)) await follower.readOnce();
+    if (!hasData() && timing.lacksResponses()) await follower.readOnce();
     await pause(DISCOVERY_MS);
     await follower.run();
   }
 
+  /** Restarts watches during which the data has become stale. */
+  async #restartStaleWatches(): Promise<void> {
+    while (!this.#stopped) {
+      await this.#nextCheck();
+      for (const { follower, timing } of this.#followers) {
+        if (!follower.isWatching || !timing.shouldRestartWatch()) continue;
+        follower.restartWatch();
+      }
+    }
+  }
+
   /**
-   * Whether neither the store nor a peer has responded within
-   * {@linkcode RESPONSE_TIMEOUT_MS}, or ever.
+   * Resolves at the next check. After a pause of this process, timers fire before
+   * what peers have sent meanwhile is read.
    */
-  #lacksResponses({ confirmedAt }: FeedFollower<unknown>): boolean {
-    const respondedAt = Math.max(confirmedAt, this.#context.lastResponseAt());
-    return performance.now() - respondedAt >= RESPONSE_TIMEOUT_MS;
+  async #nextCheck(): Promise<void> {
+    await this.#context.nextTick();
+    await nextTurn();
   }
 
-  #followConfigurations(
-    feed: Feed<Configuration>,
-  ): FeedFollower<Configuration> {
+  #followConfigurations(feed: Feed<Configuration>): TimedFollower {
+    const { confirmed, configured, applyConfiguration } = this.#context;
     const applyAll = (values: readonly Configuration[]) => {
-      for (const value of values) this.#context.applyConfiguration(value);
+      for (const value of values) applyConfiguration(value);
     };
-    return new FeedFollower(feed, {
+    return this.#createFollower(feed, {
       listed: ({ values }) => applyAll(values),
       // The removal of a configuration has no effect.
       changed: ({ updated }) => applyAll(updated),
     }, {
-      connectivity: this.#connectivityListener("store_configuration"),
-      timing: this.#timing(
-        "store_configuration",
-        () => this.#context.configured(),
-        () => this.#configurations,
-      ),
+      dependency: "store_configuration",
+      confirmations: confirmed.configuration,
+      hasData: configured,
     });
   }
 
-  #followRunners(feed: Feed<Runner>): FeedFollower<Runner> {
-    const { directory, log } = this.#context;
+  #followRunners(feed: Feed<Runner>): TimedFollower {
+    const { confirmed, directory, log } = this.#context;
     const listLog = new RunnerListLog(log, directory);
-    return new FeedFollower(feed, {
+    return this.#createFollower(feed, {
       listed: ({ revision, values }) => {
         const known = directory.revision;
         const replace = () => directory.replace({ revision, runners: values });
@@ -178,50 +149,42 @@
         );
       },
     }, {
-      connectivity: this.#connectivityListener("store_runners"),
-      timing: this.#timing(
-        "store_runners",
-        () => directory.revision > 0,
-        () => this.#runners,
-      ),
+      dependency: "store_runners",
+      confirmations: confirmed.runners,
+      hasData: () => directory.revision > 0,
     });
   }
 
-  /**
-   * Returns when a follower reads the store, and how long its watches wait.
-   *
-   * @param dependency name of this kind of data in the log.
-   * @param hasData whether the daemon has data of this kind.
-   * @param follower is called later, because the follower is created with this
-   * timing.
-   */
-  #timing(
-    dependency: string,
-    hasData: () => boolean,
-    follower: () => FeedFollower<unknown>,
-  ): FollowerTiming {
-    const { own, peers, random, log } = this.#context;
-    const watchLog = new WatchLog(log, dependency);
-    const reason = (): WatchReason | undefined => {
-      if (peers().length === 0) return "alone";
-      if (isWatcher(own, [own, ...peers()])) return "rank";
-      if (!hasData() && this.#lacksResponses(follower())) return "no_data";
-      return undefined;
-    };
-    return {
-      waitMs: () => watchWaitMs([own, ...peers()], random()),
-      shouldRead: () => {
-        const watchReason = reason();
-        watchLog.record(watchReason, peers().length);
-        return watchReason !== undefined;
-      },
-      untilNextCheck: () => this.#checks.next(),
+  #createFollower<T>(feed: Feed<T>, sink: FeedSink<T>, data: {
+    readonly dependency: string;
+    readonly confirmations: StoreConfirmations;
+    hasData(): boolean;
+  }): TimedFollower {
+    const { dependency, confirmations, hasData } = data;
+    const timing = new ReadTiming(this.#context, {
+      dependency,
+      confirmations,
+      hasData,
+      respondedAt: () => follower.respondedAt,
+      untilNextCheck: () => this.#nextCheck(),
+    });
+    const confirm = () => {
+      const wasStale = timing.isStale();
+      confirmations.recordOwn(performance.now());
+      if (wasStale) this.#context.staleConfirmed();
     };
+    const connectivity = this.#connectivityListener(dependency, confirm);
+    const follower = new FeedFollower(feed, sink, { connectivity, timing });
+    return { follower, timing, hasData };
   }
 
-  #connectivityListener(dependency: string): ConnectivityListener {
+  #connectivityListener(
+    dependency: string,
+    confirmed: () => void,
+  ): ConnectivityListener {
     const { log, metrics } = this.#context;
     return {
+      confirmed,
       lost: (reason) => {
         metrics.dependency(dependency, false);
         log.event("dependency_lost", { dependency, reason });
@@ -233,6 +196,10 @@
           after_ms: Math.round(outageMs),
         });
       },
+      unneeded: () => {
+        metrics.dependency(dependency, true);
+        log.event("dependency_unneeded", { dependency });
+      },
     };
   }
 }
--- a/packages/router/src/connection/update_broadcaster.ts
+++ b/packages/router/src/connection/update_broadcaster.ts
@@ -15,6 +15,7 @@
   UsageEnd,
   UsageMeter,
 } from "../process/usage_meter.ts";
+import type { Confirmed } from "../process/store_confirmations.ts";
 import type { CrashRecord, CrashUpdate } from "../process/crash_record.ts";
 import type { PrefixIndex, PrefixUpdate } from "../process/prefix_index.ts";
 import { NO_PLACES } from "../process/return_places.ts";
@@ -33,6 +34,7 @@
   Flow,
   WorkspaceShares,
 } from "../process/workspace_shares.ts";
+import { ConfirmationOutbox, toConfirmationAges } from "./confirmation_ages.ts";
 import { ageOf, toAges } from "./crash_ages.ts";
 import { LoadSums } from "./load_sums.ts";
 import type { MembershipCounts } from "./membership_counts.ts";
@@ -42,7 +44,12 @@
 import { PaceOutbox } from "./pace_outbox.ts";
 import { encodeMessage } from "./peer_link.ts";
 import { toPlaceAges } from "./place_encoding.ts";
-import type { RunnerLoadEntry, StateUpdate, Versions } from "./peer_message.ts";
+import type {
+  ConfirmationAges,
+  RunnerLoadEntry,
+  StateUpdate,
+  Versions,
+} from "./peer_message.ts";
 import type { Peer, Peers } from "./peers.ts";
 import { MAX_SHARES, ShareOutbox } from "./share_outbox.ts";
 
@@ -72,6 +79,8 @@
   readonly paces: readonly PaceUpdate[];
   readonly shares: readonly CostSum[];
   readonly ends: readonly UsageEnd[];
+  /** Confirmations that the receivers may lack. */
+  readonly confirmed: ConfirmationAges;
 }
 
 /** An update without changes. */
@@ -87,6 +96,7 @@
   paces: [],
   shares: [],
   ends: [],
+  confirmed: { configuration: undefined, runners: undefined },
 };
 
 /** The shared state to send, and the neighbours to send it to. */
@@ -110,6 +120,7 @@
   readonly contactsFor: (peer: Peer) => readonly Contact[];
   /** Versions included in each update. */
   readonly versions: () => Versions;
+  readonly confirmed: Confirmed;
   /**
    * Average bytes per second sent to one neighbour where loads go through
    * relays.
@@ -157,6 +168,8 @@
   readonly #downstreamPaces = new PaceOutbox();
   readonly #upstreamShares = new ShareOutbox();
   readonly #downstreamShares = new ShareOutbox();
+  readonly #upstreamConfirmed = new ConfirmationOutbox();
+  readonly #downstreamConfirmed = new ConfirmationOutbox();
   /** When a request was last known to wait, here or elsewhere. */
   #waitingAt = -Infinity;
   readonly #upstreamBudget: TokenBucket;
@@ -400,7 +413,16 @@
     const costs = this.#sources.shares;
     const shares = costs.sums(costs.greatest(MAX_SHARES, now), includes);
     const runners = { crashes, limits, draining };
-    const contents = { contacts, ...runners, usage, lease, shares, ends };
+    const confirmed = toConfirmationAges(this.#sources.confirmed);
+    const contents = {
+      contacts,
+      ...runners,
+      usage,
+      lease,
+      shares,
+      ends,
+      confirmed,
+    };
     const update = { ...NO_CHANGES, ...contents };
     return { ...this.#stateUpdate(update, loads, includes), whole: true };
   }
@@ -439,7 +461,9 @@
 
   /** An update with versions only. */
   versionsFor(peer: Peer): StateUpdate {
-    return this.#stateUpdate(NO_CHANGES, [], this.#includedFor(peer));
+    const confirmed = toConfirmationAges(this.#sources.confirmed);
+    const update = { ...NO_CHANGES, confirmed };
+    return this.#stateUpdate(update, [], this.#includedFor(peer));
   }
 
   #sendUpstream(now: number): void {
@@ -458,6 +482,7 @@
       ...pending,
       paces: this.#paceUpdates(paces, this.#isChild, now),
       shares: this.#sources.shares.sums(flows, this.#isChild),
+      confirmed: this.#upstreamConfirmed.take(this.#sources.confirmed),
     };
     const frame = encodeMessage(
       this.#stateUpdate(contents, loads, this.#isChild),
@@ -485,12 +510,14 @@
       this.#anyoneWaits(now),
     );
     const paces = this.#downstreamPaces.take(children.length, now);
+    const confirmed = this.#downstreamConfirmed.take(this.#sources.confirmed);
     for (const { name, link } of children) {
       const frame = this.#frameFor(name, {
         pending,
         totals,
         paces,
         flows,
+        confirmed,
         now,
       });
       maxBytes = Math.max(maxBytes, frame.length);
@@ -502,13 +529,14 @@
   /** An encoded update for a child, without what the child reported itself. */
   #frameFor(
     child: string,
-    { pending, totals, paces, flows, now }: {
+    { pending, totals, paces, flows, confirmed, now }: {
       readonly pending: OutgoingUpdate;
       readonly totals: readonly RunnerLoadEntry[];
       /** Ids of the runners whose pace is sent. */
       readonly paces: readonly string[];
       /** Flows whose costs are sent. */
       readonly flows: readonly Flow[];
+      readonly confirmed: ConfirmationAges;
       readonly now: number;
     },
   ): Buffer {
@@ -534,6 +562,7 @@
       shares: this.#sources.shares.sums(flows, others),
       usage: [],
       ends: [],
+      confirmed,
     };
     return encodeMessage(this.#stateUpdate(contents, loads, others));
   }
@@ -561,6 +590,7 @@
       usage,
       lease,
       ends,
+      confirmed,
     }: UpdateContents,
     loads: readonly RunnerLoadEntry[],
     includes: NeighbourFilter,
@@ -570,6 +600,7 @@
     return {
       kind: "state",
       ...this.#sources.versions(),
+      confirmed,
       ...contacts,
       whole: false,
       loads,
--- a/packages/router/src/connection/version_exchange.ts
+++ b/packages/router/src/connection/version_exchange.ts
@@ -7,8 +7,15 @@
 import type { PrefixIndex } from "../process/prefix_index.ts";
 import type { RunnerDirectory } from "../process/runner_directory.ts";
 import { RunnerListLog } from "../process/runner_list_log.ts";
+import type { Confirmed } from "../process/store_confirmations.ts";
 import type { Configuration } from "../version/configuration.ts";
-import type { FetchRequest, FetchResponse, Versions } from "./peer_message.ts";
+import { recordConfirmationAges } from "./confirmation_ages.ts";
+import type {
+  ConfirmationAges,
+  FetchRequest,
+  FetchResponse,
+  Versions,
+} from "./peer_message.ts";
 import type { Peer } from "./peers.ts";
 import { VersionLag } from "./version_lag.ts";
 
@@ -19,6 +26,8 @@
 export interface VersionedState {
   readonly prefixes: PrefixIndex;
   readonly directory: RunnerDirectory;
+  /** What the store has confirmed last, to this daemon or to others. */
+  readonly confirmed: Confirmed;
   /** The current configuration. */
   configuration(): Configuration | undefined;
   /** Applies a configuration from a peer. */
@@ -108,6 +117,12 @@
       known.runners < runners;
   }
 
+  /** Records when the store confirmed the versions of a peer. */
+  recordConfirmed(theirs: Versions, ages: ConfirmationAges): void {
+    const { own } = this;
+    recordConfirmationAges(this.#state.confirmed, ages, { own, theirs });
+  }
+
   /**
    * Requests newer data from a peer, if it has any.
    *
--- a/packages/router/src/process/data_ages.ts
+++ b/packages/router/src/process/data_ages.ts
@@ -6,16 +6,17 @@
 import type { Fields } from "./log_line.ts";
 
 /**
- * Milliseconds since what a daemon has was last confirmed. A value is undefined
- * before the first confirmation. A daemon that does not watch the store gets its
- * data from peers: there, only `heardMs` is expected to stay low.
+ * Milliseconds since what a daemon has was last confirmed.
  */
 export interface DataAges {
-  /** Since the store last responded to this daemon about configurations. */
-  readonly configurationMs: number | undefined;
-  /** Since the store last responded to this daemon about runners. */
-  readonly runnersMs: number | undefined;
-  /** Since any peer last sent its versions. */
+  /**
+   * Since the store last confirmed the configuration, to this daemon or to another;
+   * before that, since the start.
+   */
+  readonly configurationMs: number;
+  /** The same for the list of runners. */
+  readonly runnersMs: number;
+  /** Since any peer last sent its versions; undefined before. */
   readonly heardMs: number | undefined;
   /** Since a peer first sent newer versions; undefined unless still behind them. */
   readonly behindMs: number | undefined;
--- a/packages/router/src/process/feed.ts
+++ b/packages/router/src/process/feed.ts
@@ -79,6 +79,8 @@
   waitMs(): number;
   /** Whether to read the store now. */
   shouldRead(): boolean;
+  /** Whether the data may be out of date, so that a list must be current. */
+  isStale(): boolean;
   /** Resolves when {@linkcode shouldRead} should be checked again. */
   untilNextCheck(): Promise<void>;
 }
@@ -95,9 +97,13 @@
 
 /** Listener for when the store becomes unavailable, and when it responds again. */
 export interface ConnectivityListener {
+  /** Called when the store has confirmed that the data is current. */
+  confirmed(): void;
   lost(reason: string): void;
   /** @param outageMs time for which the store was unavailable, in ms. */
   regained(outageMs: number): void;
+  /** Called when an unavailable store is not needed, as peers have the data. */
+  unneeded(): void;
 }
 
 /**
@@ -113,7 +119,7 @@
   #revision: number | undefined;
   /** Whether no list has been requested yet. */
   #firstList = true;
-  #confirmedAt = -Infinity;
+  #respondedAt = -Infinity;
   #lostAt: number | undefined;
   #backoffMs = INITIAL_BACKOFF_MS;
   /** Aborts the current watch, if there is one. */
@@ -133,9 +139,14 @@
     this.#timing = options.timing;
   }
 
+  /** Whether a watch waits for changes. */
+  get isWatching(): boolean {
+    return this.#watchAbort !== undefined;
+  }
+
   /** Time of the store's last successful response, in monotonic ms. */
-  get confirmedAt(): number {
-    return this.#confirmedAt;
+  get respondedAt(): number {
+    return this.#respondedAt;
   }
 
   /**
@@ -149,8 +160,12 @@
   /** Lists and watches the feed until {@linkcode stop} is called. */
   async run(): Promise<void> {
     while (!this.#stopped) {
-      if (this.#timing.shouldRead()) await this.#tryStep();
-      else await this.#timing.untilNextCheck();
+      if (this.#timing.shouldRead()) {
+        await this.#tryStep();
+        continue;
+      }
+      if (!this.#timing.isStale()) this.#forgetLoss();
+      await this.#timing.untilNextCheck();
     }
   }
 
@@ -189,10 +204,13 @@
     }
     const changes = await this.#watch(this.#revision);
     if (changes === undefined) return false;
-    if (changes.revision <= this.#revision) return true;
-    this.#sink.changed(changes);
-    this.#revision = changes.revision;
-    await pause(COALESCE_MS);
+    const changed = changes.revision > this.#revision;
+    if (changed) {
+      this.#sink.changed(changes);
+      this.#revision = changes.revision;
+    }
+    this.#connectivity.confirmed();
+    if (changed) await pause(COALESCE_MS);
     return true;
   }
 
@@ -204,7 +222,7 @@
    * current: a stale one could be older than what this daemon already has.
    */
   async #list(): Promise<void> {
-    const stale = this.#firstList;
+    const stale = this.#firstList && !this.#timing.isStale();
     this.#firstList = false;
     const listing = await this.#feed.list({ stale });
     const revision = stale
@@ -212,6 +230,7 @@
       : listing.revision;
     this.#sink.listed({ ...listing, revision });
     this.#revision = listing.revision;
+    if (!stale) this.#connectivity.confirmed();
   }
 
   /** Waits for changes; returns undefined if the watch was aborted. */
@@ -230,14 +249,22 @@
   }
 
   #recordResponse(): void {
-    this.#confirmedAt = performance.now();
+    this.#respondedAt = performance.now();
     this.#backoffMs = INITIAL_BACKOFF_MS;
     if (this.#lostAt === undefined) return;
-    const outageMs = this.#confirmedAt - this.#lostAt;
+    const outageMs = this.#respondedAt - this.#lostAt;
     this.#lostAt = undefined;
     this.#connectivity.regained(outageMs);
   }
 
+  /** Forgets that the store was unavailable when this daemon last read it. */
+  #forgetLoss(): void {
+    if (this.#lostAt === undefined) return;
+    this.#lostAt = undefined;
+    this.#backoffMs = INITIAL_BACKOFF_MS;
+    this.#connectivity.unneeded();
+  }
+
   /**
    * Handles any error, so that the follower continues. An error that is not a
    * {@linkcode FeedError} is most likely caused by a malformed response; if it
--- a/packages/router/src/process/feed_test.ts
+++ b/packages/router/src/process/feed_test.ts
@@ -51,10 +51,13 @@
       connectivity: {
         lost: (reason) => seen.push(`lost ${reason}`),
         regained: () => seen.push("regained"),
+        confirmed() {},
+        unneeded() {},
       },
       timing: {
         waitMs: () => 1,
         shouldRead: () => true,
+        isStale: () => false,
         untilNextCheck: () => Promise.resolve(),
       },
     });
@@ -128,10 +131,16 @@
   );
   const feed = new ScriptedFeed(failures, () => {});
   const follower = new FeedFollower(feed, { listed() {}, changed() {} }, {
-    connectivity: { lost: () => follower.restartWatch(), regained() {} },
+    connectivity: {
+      lost: () => follower.restartWatch(),
+      regained() {},
+      confirmed() {},
+      unneeded() {},
+    },
     timing: {
       waitMs: () => 1,
       shouldRead: () => true,
+      isStale: () => false,
       untilNextCheck: () => Promise.resolve(),
     },
   });
@@ -158,10 +167,11 @@
     listed() {},
     changed: ({ updated }) => seen.push(...updated),
   }, {
-    connectivity: { lost() {}, regained() {} },
+    connectivity: { lost() {}, regained() {}, confirmed() {}, unneeded() {} },
     timing: {
       waitMs: () => 1,
       shouldRead: () => true,
+      isStale: () => false,
       untilNextCheck: () => Promise.resolve(),
     },
   });
--- a/packages/router/src/process/watch_log.ts
+++ b/packages/router/src/process/watch_log.ts
@@ -7,9 +7,10 @@
 
 /**
  * Why a daemon watches the store: it has no peers, ranks first in its failure
- * domain, or has neither data nor responses.
+ * domain, has neither data nor responses, or its data has not been confirmed for too
+ * long.
  */
-export type WatchReason = "alone" | "rank" | "no_data";
+export type WatchReason = "alone" | "rank" | "no_data" | "stale";
 
 /** Logs the beginnings and ends of the watch for one dependency. */
 export class WatchLog {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -319,7 +319,7 @@
   }
 
   runnerListAgeMs(): number {
-    return this.now() - this.#fleetSync.runnersConfirmedAt;
+    return this.#fleetSync.runnersAgeMs;
   }
 
   connectionShare(service: Service): number {
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -234,6 +234,7 @@
     lease: undefined,
     shares: [],
     ends: [],
+    confirmed: { configuration: undefined, runners: undefined },
     contacts: [],
     gone: [],
     ...fields,
--- a/packages/router/tests/fleet.ts
+++ b/packages/router/tests/fleet.ts
@@ -262,8 +262,8 @@
       throw new FeedError("expired", "Store was restored");
     }
     const { revision, values } = this.#shared;
-    const entered = revision > since ? values : [];
-    return { revision, updated: entered, removed: [] };
+    if (revision <= since) return { revision, updated: [], removed: [] };
+    return { revision, updated: values, removed: this.#shared.removed };
   }
 
   /** Calls the store, which treats the call as it treats the daemon. */
@@ -284,14 +284,26 @@
 class SharedValues<T> {
   revision = 1;
   values: readonly T[];
+  readonly #nameOf: (value: T) => string;
+  /** Names of all values so far. */
+  readonly #names = new Set<string>();
   #watchers: (() => void)[] = [];
 
-  constructor(values: readonly T[]) {
+  constructor(values: readonly T[], nameOf: (value: T) => string) {
+    this.#nameOf = nameOf;
     this.values = values;
+    this.#recordNames();
+  }
+
+  /** Names of all values that were removed. */
+  get removed(): readonly string[] {
+    const names = new Set(this.values.map(this.#nameOf));
+    return [...this.#names].filter((name) => !names.has(name));
   }
 
   replace(values: readonly T[]): void {
     this.values = values;
+    this.#recordNames();
     this.revision += 1;
     for (const wake of this.#watchers.splice(0)) wake();
   }
@@ -304,6 +316,10 @@
     for (const wake of this.#watchers.splice(0)) wake();
   }
 
+  #recordNames(): void {
+    for (const value of this.values) this.#names.add(this.#nameOf(value));
+  }
+
   changedAfter(revision: number): Promise<void> {
     if (this.revision > revision) return Promise.resolve();
     return new Promise((resolve) => this.#watchers.push(resolve));
@@ -612,7 +628,10 @@
 export class Fleet {
   readonly members: Member[] = [];
   readonly #clock: FakeClock;
-  readonly #configurations = new SharedValues<Configuration>([]);
+  readonly #configurations = new SharedValues<Configuration>(
+    [],
+    () => "main",
+  );
   readonly #runners: SharedValues<Runner>;
   readonly #registered = new Map<string, string>();
   readonly leadership: Leadership = {
@@ -625,7 +644,8 @@
   constructor(clock: FakeClock, shape: FleetShape) {
     this.#clock = clock;
     this.#shape = shape;
-    this.#runners = new SharedValues(createRunners(shape.runners ?? RUNNERS));
+    const runners = createRunners(shape.runners ?? RUNNERS);
+    this.#runners = new SharedValues(runners, ({ name }) => name);
     for (let index = 0; index < shape.daemons; index++) this.#add(index);
   }
 
