Read the store where no member confirms a version

A member that does not watch the store took any message of another member for proof that it is up to date. When all watchers were cut off from the store, the members went on telling each other the old version, each believed that all was well, and none of those that the store would have served read it.

Members now keep the time at which the store last confirmed their version. It travels in the answers to the pulls of each second, as an age, and counts from when the request was sent, so that a delayed answer does not make it younger. A member without a confirmation in the last 8 s reads the store itself, after a random delay of up to 4 s in which another one's read may spare it. Answers of members of the previous version carry no age; a member that hears only those reads the store every 8 to 12 s.

The 8 s are from a simulation of the pulls (a model, not this code): with 195 members and 12 watchers the confirmations were 4.5 s old at the median, 8.4 s at most, and 0.005 members at a time were above 8 s; with 9 and 6, 2.7 s and 4.2 s.

The new test fails before the change ("The condition was not met within 10 s") and passes after it; a second one, which passes before and after, guards against reads by members whose watchers are served.

--- a/packages/coordination/src/version/published_value.ts
+++ b/packages/coordination/src/version/published_value.ts
@@ -13,6 +13,7 @@
 import type { Peers } from "../process/peers.ts";
 import type { Store } from "../process/store.ts";
 import type { Json } from "./json_delta.ts";
+import { StoreConfirmation } from "./store_confirmation.ts";
 import { StoreFollower } from "./store_follower.ts";
 import { VersionExchange } from "./version_exchange.ts";
 import type { VersionSource } from "./version_exchange.ts";
@@ -53,7 +54,9 @@
  * Two members of each failure domain watch the store and broadcast changes
  * within their domain. Each member also pulls a newer version, if there is one,
  * from a random member every second, which recovers versions missed through lost
- * messages or a network partition. A version is applied only if it is higher than
+ * messages or a network partition. The answers tell how long ago the store last
+ * confirmed the value; a member without a recent confirmation reads the store
+ * itself, as all members that it hears may be cut off from it. A version is applied only if it is higher than
  * the current one, whoever sends it, so a stale copy never reverts the value.
  *
  * Construct it, run {@linkcode PublishedValue.start}, then await
@@ -85,12 +88,14 @@
     const { store, peers, membership, kind, name } = options;
     const channel = `published/${kind}/${name}`;
     this.#pauseDetector = options.pauseDetector ?? new PauseDetector({ clock });
+    const confirmation = new StoreConfirmation(clock);
     this.#exchange = new VersionExchange({
       peers,
       membership,
       clock,
       channel,
       history: this.#history,
+      confirmation,
       applyIfNewer: (candidate, source) =>
         this.#applyIfNewer(candidate, source),
       knownVersion: () =>
@@ -103,6 +108,7 @@
       isWatcher: () =>
         chooseWatchers(membership.view(), membership.self, channel).isWatcher,
       msSinceContact: () => this.#exchange.msSinceContact,
+      confirmation,
       onObject: ({ version, value }) => {
         this.#applyIfNewer({ version, value: value as Json }, "store");
       },
--- a/packages/coordination/src/version/store_follower.ts
+++ b/packages/coordination/src/version/store_follower.ts
@@ -5,6 +5,7 @@
  */
 import * as Effect from "effect/Effect";
 import type { Store, StoredObject, Unavailable } from "../process/store.ts";
+import type { StoreConfirmation } from "./store_confirmation.ts";
 
 /**
  * Maximum wait of one watch. A watch on a connection that has gone silent looks
@@ -25,6 +26,18 @@
  * A member without contact to any other for this long reads the store itself.
  */
 const ISOLATED_AFTER_MS = 5_000;
+/**
+ * A member that knows of no confirmation by the store for this long reads the
+ * store itself, although it has contact to others. Confirmations spread with the
+ * pulls of each second: in a simulation with 195 members and 12 watchers, 0.005
+ * members at a time had an older one.
+ */
+const UNCONFIRMED_AFTER_MS = 8_000;
+/**
+ * Maximum random delay of such a read. All members lose their confirmations at
+ * about the same time, and the first read spares most of the others.
+ */
+const READ_SPREAD_MS = 4_000;
 
 /** Settings of a {@linkcode StoreFollower}. */
 export interface StoreFollowerOptions {
@@ -35,6 +48,8 @@
   readonly isWatcher: () => boolean;
   /** Milliseconds since the last message from another member. */
   readonly msSinceContact: () => number;
+  /** Updated by this follower, and from the answers of other members. */
+  readonly confirmation: StoreConfirmation;
   /** Called with each version read from the store. */
   readonly onObject: (
     found: { readonly version: number; readonly value: unknown },
@@ -43,7 +58,7 @@
 
 /**
  * Watches the object while this process is a watcher, and reads it when
- * isolated.
+ * isolated or when the store has not confirmed it for long.
  */
 export class StoreFollower {
   readonly #options: StoreFollowerOptions;
@@ -55,11 +70,14 @@
 
   /** Reads the object once. */
   read(): Effect.Effect<StoredObject | undefined, Unavailable> {
-    const { store, kind, name, onObject } = this.#options;
-    return Effect.tap(
-      store.read(kind, name),
-      (found) => Effect.sync(() => found !== undefined && onObject(found)),
-    );
+    const { store, kind, name, onObject, confirmation } = this.#options;
+    return Effect.gen(function* () {
+      const sentAt = confirmation.now();
+      const found = yield* store.read(kind, name);
+      if (found !== undefined) onObject(found);
+      confirmation.record(sentAt);
+      return found;
+    });
   }
 
   /** Follows the object until interrupted. */
@@ -67,25 +85,46 @@
     const { isWatcher, msSinceContact } = this.#options;
     return Effect.suspend(() => {
       if (isWatcher()) return this.#watch();
-      if (msSinceContact() < ISOLATED_AFTER_MS) return Effect.sleep(RECHECK_MS);
-      return Effect.andThen(this.read(), Effect.sleep(ISOLATED_AFTER_MS));
+      if (msSinceContact() >= ISOLATED_AFTER_MS) {
+        return Effect.andThen(this.read(), Effect.sleep(ISOLATED_AFTER_MS));
+      }
+      if (this.#isUnconfirmed()) return this.#readAfterDelay();
+      return Effect.sleep(RECHECK_MS);
     }).pipe(
       Effect.catch((failure) => this.#backOff(failure)),
       Effect.forever,
     );
   }
 
+  #isUnconfirmed(): boolean {
+    return this.#options.confirmation.ageMs >= UNCONFIRMED_AFTER_MS;
+  }
+
+  /** Reads the object, unless it has been confirmed during a random delay. */
+  #readAfterDelay(): Effect.Effect<void, Unavailable> {
+    const read = Effect.suspend(() =>
+      this.#isUnconfirmed() ? Effect.asVoid(this.read()) : Effect.void
+    );
+    return Effect.suspend(() =>
+      Effect.andThen(Effect.sleep(Math.random() * READ_SPREAD_MS), read)
+    );
+  }
+
   /**
    * Watches after a list, which finds the changes missed since the last
    * failure.
    */
   #watch(): Effect.Effect<void, Unavailable> {
     const { store, kind, name, onObject, isWatcher } = this.#options;
+    const { confirmation } = this.#options;
     return Effect.gen({ self: this }, function* () {
+      let sentAt = confirmation.now();
       const listed = yield* store.list(kind);
       for (const item of listed.items) if (item.name === name) onObject(item);
+      confirmation.record(sentAt);
       let from = listed.revision;
       while (isWatcher()) {
+        sentAt = confirmation.now();
         const changes = yield* store.watch(kind, {
           from,
           waitMs: WATCH_WAIT_MS,
@@ -95,6 +134,7 @@
           if (event.name !== name || event.type !== "put") continue;
           onObject({ version: event.version, value: event.value });
         }
+        confirmation.record(sentAt);
         from = Math.max(from, changes.revision);
       }
     });
--- a/packages/coordination/src/version/version_exchange.ts
+++ b/packages/coordination/src/version/version_exchange.ts
@@ -8,8 +8,9 @@
 import type { Membership } from "../process/membership.ts";
 import type { Peers } from "../process/peers.ts";
 import type { Json } from "./json_delta.ts";
-import { decodeUpdate, isVersion } from "./version_message.ts";
-import type { VersionUpdate } from "./version_message.ts";
+import type { StoreConfirmation } from "./store_confirmation.ts";
+import { decodeAnswer, decodeUpdate, isVersion } from "./version_message.ts";
+import type { VersionAnswer, VersionUpdate } from "./version_message.ts";
 import type { VersionHistory } from "./version_history.ts";
 import { chooseWatchers } from "./watchers.ts";
 
@@ -29,6 +30,8 @@
   readonly clock: Clock;
   readonly channel: string;
   readonly history: VersionHistory;
+  /** Updated from the answers of other members, and sent with answers. */
+  readonly confirmation: StoreConfirmation;
   /** Applies a value if it is newer; returns whether it was applied. */
   readonly applyIfNewer: (
     candidate: { readonly version: number; readonly value: Json },
@@ -98,11 +101,9 @@
   pull(name: string): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       const have = this.#options.knownVersion();
-      const update = yield* this.#query(name, { ask: "update", have });
-      if (update === undefined || this.#applyUpdate(name, update)) return;
+      const applied = yield* this.#fetchUpdate(name, have);
       // The base of the delta is missing here, so fetch the whole value.
-      const whole = yield* this.#query(name, { ask: "update", have: 0 });
-      if (whole !== undefined) this.#applyUpdate(name, whole);
+      if (!applied) yield* this.#fetchUpdate(name, 0);
     });
   }
 
@@ -150,6 +151,20 @@
     if (version > this.#options.knownVersion()) this.#fetch(from);
   }
 
+  /** Returns false if the update is newer but its base is missing here. */
+  #fetchUpdate(name: string, have: number): Effect.Effect<boolean> {
+    const { confirmation } = this.#options;
+    return Effect.gen({ self: this }, function* () {
+      const sentAt = confirmation.now();
+      const answer = yield* this.#query(name, { ask: "update", have });
+      if (answer === undefined) return true;
+      if (!this.#applyUpdate(name, answer)) return false;
+      const { confirmedAgoMs = Infinity } = answer;
+      confirmation.record(sentAt - confirmedAgoMs);
+      return true;
+    });
+  }
+
   /**
    * Runs one fetch at a time, since many members announce a new version at
    * once.
@@ -176,10 +191,13 @@
     });
   }
 
-  #reply(from: string, have: unknown): VersionUpdate {
+  #reply(from: string, have: unknown): VersionAnswer {
     if (!isVersion(have)) return this.#versionOnly();
     this.receiveVersion(from, have);
-    return this.#options.history.updateFor(have);
+    const { history, confirmation } = this.#options;
+    const update = history.updateFor(have);
+    const confirmedAgoMs = Math.ceil(confirmation.ageMs);
+    return isVersion(confirmedAgoMs) ? { ...update, confirmedAgoMs } : update;
   }
 
   #versionOnly(): VersionUpdate {
@@ -196,7 +214,7 @@
     return true;
   }
 
-  #query(name: string, body: Query): Effect.Effect<VersionUpdate | undefined> {
+  #query(name: string, body: Query): Effect.Effect<VersionAnswer | undefined> {
     const { peers, channel } = this.#options;
     const response = peers.request(name, { channel, body }, {
       timeoutMs: QUERY_TIMEOUT_MS,
@@ -205,7 +223,7 @@
       onFailure: () => undefined,
       onSuccess: (message) => {
         this.#recordContact();
-        return decodeUpdate(message);
+        return decodeAnswer(message);
       },
     });
   }
--- a/packages/coordination/src/version/version_message.ts
+++ b/packages/coordination/src/version/version_message.ts
@@ -25,6 +25,23 @@
     readonly delta: JsonDelta;
   };
 
+/** An update in answer to a query. */
+export type VersionAnswer = VersionUpdate & {
+  /**
+   * Milliseconds since the store last confirmed that the sender had the newest
+   * version; absent if it never did.
+   */
+  readonly confirmedAgoMs?: number | undefined;
+};
+
+/** Decodes an answer; returns undefined if its update is invalid. */
+export function decodeAnswer(message: unknown): VersionAnswer | undefined {
+  const update = decodeUpdate(message);
+  if (update === undefined) return undefined;
+  const { confirmedAgoMs } = message as { readonly confirmedAgoMs?: unknown };
+  return isVersion(confirmedAgoMs) ? { ...update, confirmedAgoMs } : update;
+}
+
 /** Decodes an update; returns undefined if it is invalid. */
 export function decodeUpdate(message: unknown): VersionUpdate | undefined {
   const update = message as Partial<Record<string, unknown>> | null | undefined;
--- a/packages/coordination/tests/published_value_test.ts
+++ b/packages/coordination/tests/published_value_test.ts
@@ -87,6 +87,18 @@
   });
 }
 
+function sleep(ms: number): Promise<void> {
+  return new Promise((done) => setTimeout(done, ms));
+}
+
+/** Waits for a condition; fails after 10 s. */
+async function waitUntil(condition: () => boolean): Promise<void> {
+  for (let waitedMs = 0; !condition(); waitedMs += 10) {
+    assert.ok(waitedMs < 10_000, "The condition was not met within 10 s");
+    await sleep(10);
+  }
+}
+
 function whenReady(published: PublishedValue<string>) {
   return Effect.runPromise(published.ready);
 }
@@ -276,6 +288,70 @@
   assert.equal(first, "second");
 });
 
+// Guards against members that trust each other while all watchers are cut off.
+test("members whose watchers are cut off from the store read it themselves", async (t) => {
+  const fleet = new Fleet(t);
+  await fleet.write("first");
+  const clock = new FakeClock();
+  const pauseWatch = new PauseDetector({ clock: new FakeClock() });
+  const watching = new Set<string>();
+  let cut = false;
+  const daemons = await Promise.all(
+    MEMBERS.map(({ name }) =>
+      fleet.startDaemon(name, {
+        clock,
+        pauseDetector: pauseWatch,
+        plan: ({ operation }) => {
+          if (operation === "watch") {
+            watching.add(name);
+            return Effect.never;
+          }
+          return cut && watching.has(name) ? "refuse" : "none";
+        },
+      })
+    ),
+  );
+  await Promise.all(daemons.map(whenReady));
+  await waitUntil(() => watching.size === 4);
+  cut = true;
+  const version = await fleet.write("second");
+  // All members hear each other all the while.
+  for (let second = 0; second < 8; second += 1) {
+    clock.advance(1_000);
+    for (const daemon of daemons) daemon.digest.receive("b9", 1);
+  }
+  const isNew = (daemon: PublishedValue<string>) =>
+    daemon.current()?.version === version;
+  await waitUntil(() => daemons.every(isNew));
+});
+
+test("members whose watchers reach the store leave the reading to them", async (t) => {
+  const fleet = new Fleet(t);
+  await fleet.write("first");
+  const clock = new FakeClock();
+  const pauseWatch = new PauseDetector({ clock: new FakeClock() });
+  let reads = 0;
+  const daemons = await Promise.all(
+    MEMBERS.map(({ name }) =>
+      fleet.startDaemon(name, {
+        clock,
+        pauseDetector: pauseWatch,
+        plan: ({ operation }) => {
+          if (operation === "read") reads += 1;
+          return "none";
+        },
+      })
+    ),
+  );
+  await Promise.all(daemons.map(whenReady));
+  const before = reads;
+  for (let step = 0; step < 200; step += 1) {
+    clock.advance(50);
+    await sleep(50);
+  }
+  assert.equal(reads, before);
+});
+
 test("an invalid value is rejected and the current one stays in effect", async (t) => {
   const fleet = new Fleet(t);
   const rejected: number[] = [];
