--- a/packages/router/tests/fleet.ts
+++ b/packages/router/tests/fleet.ts
@@ -55,6 +55,8 @@
 const DIAL_TIMEOUT_MS = 250;
 /** Response time of the store and of the platform's API, in ms. */
 const RESPONSE_MS = 4;
+/** Time after which a call that gets no response fails, in ms. */
+const RESPONSE_TIMEOUT_MS = 700;
 /** Bytes that a link of 1 Mbit/s carries in a millisecond. */
 const BYTES_PER_MBIT_MS = 125;
 /** Time within which all daemons of a fleet start, in ms. */
@@ -218,19 +220,27 @@
   close(): void {}
 }
 
+/** What a feed asks of the host whose calls it makes. */
+interface FeedHost {
+  countCall(): void;
+  /** Fails, at once or later, if the store cannot be reached. */
+  reachStore(): Promise<void>;
+}
+
 /** A feed of values that all daemons share and that tests replace. */
 class FakeFeed<T> implements Feed<T> {
-  readonly #countCall: () => void;
+  readonly #host: FeedHost;
   readonly #shared: SharedValues<T>;
 
-  constructor(shared: SharedValues<T>, countCall: () => void) {
+  constructor(shared: SharedValues<T>, host: FeedHost) {
     this.#shared = shared;
-    this.#countCall = countCall;
+    this.#host = host;
   }
 
   async list(): Promise<Listing<T>> {
-    this.#countCall();
+    this.#host.countCall();
     await sleep(RESPONSE_MS);
+    await this.#host.reachStore();
     return { revision: this.#shared.revision, values: this.#shared.values };
   }
 
@@ -239,7 +249,8 @@
     waitMs: number,
     signal: AbortSignal,
   ): Promise<Changes<T>> {
-    this.#countCall();
+    this.#host.countCall();
+    await this.#host.reachStore();
     const end = performance.now() + waitMs;
     await Promise.race([
       this.#shared.changedAfter(since),
@@ -248,6 +259,7 @@
     ]);
     await sleep(RESPONSE_MS);
     if (signal.aborted) throw new FeedError("unavailable", "Request aborted");
+    await this.#host.reachStore();
     if (epochOf(this.#shared.revision) > epochOf(since)) {
       throw new FeedError("expired", "Store was restored");
     }
@@ -364,6 +376,10 @@
   serving = true;
   /** Whether calls of this host to the leader's store fail. */
   storeUnreachable = false;
+  /** Whether calls of this host's feeds fail at once. */
+  feedsUnreachable = false;
+  /** Whether calls of this host's feeds get no response. */
+  feedsSilent = false;
   /** Names of daemons to which this one cannot send. */
   readonly blocked = new Set<string>();
   accept: ((opening: LinkFactory) => void) | undefined;
@@ -461,6 +477,13 @@
     });
   }
 
+  /** Fails if the store does not respond to calls of this host's feeds. */
+  async reachStore(): Promise<void> {
+    if (this.feedsSilent) await sleep(RESPONSE_TIMEOUT_MS);
+    else if (!this.feedsUnreachable) return;
+    throw new FeedError("unavailable", "no response");
+  }
+
   /** Queues bytes for sending; returns the time until they are sent, in ms. */
   timeToSend(bytes: number): number {
     const now = performance.now();
@@ -721,9 +744,10 @@
     const countCall = () => {
       member.counts.calls += 1;
     };
+    const host = { countCall, reachStore: () => member.reachStore() };
     const store = {
-      configurations: new FakeFeed(this.#configurations, countCall),
-      runners: new FakeFeed(this.#runners, countCall),
+      configurations: new FakeFeed(this.#configurations, host),
+      runners: new FakeFeed(this.#runners, host),
       daemons: {
         register: async (name: string, address: string) => {
           countCall();
