--- a/packages/testing/src/process/fault_proxy.ts
+++ b/packages/testing/src/process/fault_proxy.ts
@@ -26,15 +26,20 @@
   /** Open connections are cut, and new ones and datagrams while it holds. */
   | { readonly fault: "cut"; readonly seconds?: number }
   /**
-   * Open connections swallow everything for good; new ones work. `direction`
-   * names the only way that is swallowed, `up` being towards the target.
+   * Open connections swallow everything for good; new ones work, after `seconds`
+   * if given. `direction` names the only way that is swallowed, `up` being towards
+   * the target.
    */
-  | { readonly fault: "silent"; readonly direction?: "up" | "down" }
+  | {
+    readonly fault: "silent";
+    readonly direction?: "up" | "down";
+    readonly seconds?: number;
+  }
   /** The next `count` answers (1) are lost, and their connections cut. */
   | { readonly fault: "lose-reply" } & Struck
   /** The next `count` answers (1) are held back whole for `holdMs`. */
   | { readonly fault: "reorder"; readonly holdMs: number } & Struck
-  /** Ends all but silence, and lets go of what was late or held back. */
+  /** Ends all but silence of open ones, and lets go of what was late or held back. */
   | { readonly fault: "none" };
 
 const ADDRESS = "127.0.0.1";
@@ -58,6 +63,8 @@
   readonly #links = new Set<Link>();
   #delay = { ms: 0, until: 0 };
   #cutUntil = 0;
+  #silence: { readonly direction?: "up" | "down"; readonly until: number } =
+    NO_SILENCE;
   #lost = NONE_STRUCK;
   #held = { ...NONE_STRUCK, holdMs: 0 };
   #accepted = 0;
@@ -127,6 +134,9 @@
         return;
       case "silent":
         for (const link of this.#links) link.silence(order.direction);
+        this.#silence = order.seconds === undefined
+          ? NO_SILENCE
+          : { ...order, until: until(order.seconds) };
         return;
       case "lose-reply":
         this.#lost = strikeNext(order);
@@ -137,6 +147,7 @@
       case "none":
         this.#delay = { ms: 0, until: 0 };
         this.#cutUntil = 0;
+        this.#silence = NO_SILENCE;
         this.#lost = NONE_STRUCK;
         this.#held = { ...NONE_STRUCK, holdMs: 0 };
         for (const link of this.#links) link.release();
@@ -183,6 +194,8 @@
       return;
     }
     const link = new Link(caller, this.#target, this.#faults());
+    const { direction, until } = this.#silence;
+    if (Date.now() < until) link.silence(direction);
     this.#links.add(link);
     link.ended.then(() => this.#links.delete(link));
   }
@@ -216,6 +229,7 @@
 }
 
 const NONE_STRUCK: ToStrike = { left: 0, match: "" };
+const NO_SILENCE = { until: 0 };
 
 function strikeNext(order: Struck): ToStrike {
   return { left: order.count ?? 1, match: order.match ?? "" };
--- a/packages/testing/src/process/fault_proxy_test.ts
+++ b/packages/testing/src/process/fault_proxy_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { Agent } from "node:http";
 import { describe, it, type TestContext } from "node:test";
+import { setTimeout as pause } from "node:timers/promises";
 import { Caller } from "../client.ts";
 import { startPlainService } from "../plain_service.ts";
 import { FaultProxy } from "./fault_proxy.ts";
@@ -76,6 +77,20 @@
     assert.equal((await silent).outcome, "cancelled");
   });
 
+  // A network that swallows all: who connects anew learns of nothing either.
+  it("silences new connections, too, for a while", async (t) => {
+    const { proxy, kept, fresh, ids } = await serviceBehindProxy(t);
+    proxy.order({ fault: "silent", seconds: 60 });
+    const leave = new AbortController();
+    const silent = kept("silent", leave.signal);
+    await pause(50);
+    leave.abort();
+    assert.equal((await silent).outcome, "cancelled");
+    proxy.order({ fault: "none" });
+    assert.equal((await fresh("new")).outcome, "complete");
+    assert.deepEqual(await ids(), ["new"]);
+  });
+
   it("loses one reply of a request that ran", async (t) => {
     const { proxy, fresh, ids } = await serviceBehindProxy(t);
     proxy.order({ fault: "lose-reply" });
