--- a/packages/router/tests/fleet.ts
+++ b/packages/router/tests/fleet.ts
@@ -531,6 +531,7 @@
   }
 
   set storeAccess(access: StoreAccess) {
+    if (access === this.#storeAccess) return;
     this.#storeAccess = access;
     const listeners = this.#accessListeners;
     this.#accessListeners = [];
