Let a daemon lead that replaces refused watchers of the store

What operators saw: while the store turns away all daemons that watch it, nobody leads: windows of usage are not reported in time and no runners are ordered, although other daemons reach the store and all reach each other.

Who may lead followed from rank alone, not from whether the daemons of that rank get through to the store.

Change: in a small fleet, where all daemons receive the updates that a leader needs, one that watches the store in place of those that cannot may lead, too. In a fleet with relays only the heads receive them; there this stays open.

Evidence: the new test failed before (the window was not reported) and passes; leader_fleet_test, usage_trouble_test and leader_lease_test pass.

--- a/packages/router/src/connection/fleet_sync.ts
+++ b/packages/router/src/connection/fleet_sync.ts
@@ -173,11 +173,16 @@
   }
 
   /**
-   * Whether this daemon may lead: it receives the updates that a leader needs.
+   * Whether this daemon may lead: it receives the updates that a leader needs. In a
+   * small fleet, where all do, it also watches the store, or does so in place of
+   * those that no longer get through.
    */
   get mayLead(): boolean {
     const alone = this.#peers.count === 0 && this.fleetSize > 1;
-    return !alone && this.#exchange.receivesFleetUpdates;
+    if (alone || !this.#exchange.receivesFleetUpdates) return false;
+    return this.#exchange.relayed ||
+      isWatcher(this.#own, [this.#own, ...this.#reachable]) ||
+      this.#followers.replacesWatchers;
   }
 
   /** Number of daemons that neighbours account for, including this one. */
--- a/packages/router/src/connection/read_timing.ts
+++ b/packages/router/src/connection/read_timing.ts
@@ -71,6 +71,7 @@
   readonly #data: ReadData;
   readonly #staleReads: StaleReads;
   readonly #watchLog: WatchLog;
+  #lastReason: WatchReason | undefined;
 
   constructor(context: ReadContext, data: ReadData) {
     this.#context = context;
@@ -87,8 +88,15 @@
     return latest === undefined ? Math.min(FIRST_WAIT_MS, waitMs) : waitMs;
   }
 
+  /** Whether this daemon watches the store as those that should cannot. */
+  get replacesWatchers(): boolean {
+    return this.#lastReason === "silence" ||
+      this.#staleReads.watches(this.#inputs());
+  }
+
   shouldRead(): boolean {
     const reason = this.#reason();
+    this.#lastReason = reason;
     this.#watchLog.record(reason, this.#context.peers().length);
     return reason !== undefined;
   }
--- a/packages/router/src/connection/state_exchange.ts
+++ b/packages/router/src/connection/state_exchange.ts
@@ -23,7 +23,6 @@
 import { BroadcastTimer } from "./broadcast_timer.ts";
 import { broadcastIntervalMs, propagationMs } from "./broadcast_interval.ts";
 import type { IntervalInputs } from "./broadcast_interval.ts";
-import { isWatcher } from "../process/watch_plan.ts";
 import { applyUpdate } from "./apply_update.ts";
 import type { SharedLeaderState, SharedRunnerState } from "./apply_update.ts";
 import { VersionExchange } from "./version_exchange.ts";
@@ -240,14 +239,17 @@
     return { own, fleetSize, names: shared.map(({ name }) => name) };
   }
 
+  /** Whether loads go through relays. */
+  get relayed(): boolean {
+    return this.#overlay.relayed;
+  }
+
   /**
-   * Whether this daemon receives the updates of all others and may therefore lead.
-   * In a large fleet only the heads receive them; in a small one all daemons do, and
-   * those that watch the store may lead.
+   * Whether this daemon receives the updates of all others. In a large fleet only the
+   * heads receive them; in a small one all daemons do.
    */
   get receivesFleetUpdates(): boolean {
-    if (this.#overlay.relayed) return this.#overlay.isHead;
-    return isWatcher(this.#own, [this.#own, ...this.reachable]);
+    return !this.#overlay.relayed || this.#overlay.isHead;
   }
 
   /**
--- a/packages/router/src/connection/store_followers.ts
+++ b/packages/router/src/connection/store_followers.ts
@@ -76,6 +76,11 @@
     for (const { follower } of this.#followers) follower.stop();
   }
 
+  /** Whether this daemon watches the store as those that should cannot. */
+  get replacesWatchers(): boolean {
+    return this.#followers.some(({ timing }) => timing.replacesWatchers);
+  }
+
   /** Ends the current watches; the next ones start on new connections. */
   restartWatches(): void {
     for (const { follower } of this.#followers) follower.restartWatch();
--- a/packages/router/tests/store_access_test.ts
+++ b/packages/router/tests/store_access_test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import type { TestContext } from "node:test";
 import { isWatcher } from "../src/process/watch_plan.ts";
-import { startSettledFleet } from "./fleet.ts";
+import { REPORT_DELAY_MS, startSettledFleet, WINDOW_MS } from "./fleet.ts";
 import type { Fleet, FleetShape, Member, StoreAccess } from "./fleet.ts";
 
 /** Time within which a change is in force while the store serves all, in ms. */
@@ -82,3 +82,21 @@
     clock.restore();
   }
 });
+
+// Guards against a fleet that nobody leads while daemons that could lead are idle.
+test("another daemon leads while the store refuses all that may lead", async (t) => {
+  const { clock, fleet } = await startSettledFleet(t, SMALL);
+  const { window } = fleet.members[0]!.usage;
+  for (const { usage } of fleet.members) usage.countRequest("fitters");
+  for (const watcher of watchersOf(fleet)) {
+    watcher.storeAccess = "refused";
+    watcher.storeUnreachable = true;
+  }
+  await clock.advance(WINDOW_MS + REPORT_DELAY_MS);
+  const report = fleet.leadership.api.arrivals.find((arrival) =>
+    arrival.window === window
+  );
+  assert.deepEqual(report?.counts, { fitters: fleet.members.length });
+  const dueAt = (window + 1) * WINDOW_MS + REPORT_DELAY_MS;
+  assert.ok(report.at <= dueAt, `${report.at - dueAt} ms late`);
+});
