Tell peers of removals that this daemon has not seen

Callers whose daemon gets its list from peers could be sent to runners that left long ago: the daemon logs nothing and asks nobody, as its revision is the newest.

Cause: a daemon answers a peer's "changes since R" from the removals that it saw itself, and it took itself to know all of them. It does not know those from before its first list (a peer with 50 got changes from a daemon that started at 100), those between two whole lists that it read (after an outage of the store), and those of runners that came and left within one watch: these are named in the change but were never in its own list.

Change: the revisions between two whole lists are kept as a gap, of which the first runs from 0 to the first list; a peer within a gap is sent the whole list. At most 16 gaps are kept. Removals named by a change are kept also if the runner was never listed here. Peers at a revision that this daemon had are still sent changes only.

--- a/packages/router/src/process/runner_directory.ts
+++ b/packages/router/src/process/runner_directory.ts
@@ -32,17 +32,28 @@
  * whose list is older than these removals receives the whole list.
  */
 const MAX_REMOVED = 500;
+/** Remembered gaps; a daemon with an older list receives the whole list. */
+const MAX_GAPS = 16;
 /** Cached updates, by base revision; most daemons have one of the last few. */
 const MAX_CACHED_UPDATES = 16;
 
 /** A removed runner. */
 interface Removal {
-  /** Id of the incarnation. */
-  readonly id: string;
+  /** Id of the incarnation; undefined if this daemon never had it. */
+  readonly id: string | undefined;
   /** Revision of the list that no longer had it. */
   readonly revision: number;
 }
 
+/**
+ * The revisions between two whole lists. What changed within them is unknown: a
+ * runner may have come and left.
+ */
+interface Gap {
+  readonly after: number;
+  readonly before: number;
+}
+
 /**
  * Holds the newest list of runners, indexed by service. A list is only replaced
  * by one of a higher revision, whether from the store or a peer, so that an
@@ -58,8 +69,9 @@
   readonly #changedAt = new Map<string, number>();
   readonly #removed = new Map<string, Removal>();
   readonly #revived = new RevivedRunners(() => this.#changed());
-  /** Revision since which all removals are known. */
+  /** Revision since which all removals are known, but for those in gaps. */
   #removalsSince = 0;
+  readonly #gaps: Gap[] = [];
   readonly #draining: DrainingRunners;
   #runners: readonly Runner[] = [];
   #byService: ReadonlyMap<string, readonly Runner[]> = new Map();
@@ -107,7 +119,8 @@
 
   #computeUpdate(since: number): RunnerListUpdate {
     const { revision, runners } = this.#list;
-    const whole = since === 0 || since < this.#removalsSince;
+    const whole = since === 0 || since < this.#removalsSince ||
+      this.#gaps.some(({ after, before }) => since > after && since < before);
     if (whole) return { revision, runners, whole, left: [] };
     return {
       revision,
@@ -144,6 +157,7 @@
     const restored = epochOf(list.revision) > epochOf(this.#list.revision);
     if (restored) this.#holdRevived(list.runners);
     const runners = list.runners.map((runner) => this.#newest(known, runner));
+    this.#recordGap({ after: this.#list.revision, before: list.revision });
     this.#set({ revision: list.revision, runners });
     return true;
   }
@@ -164,6 +178,7 @@
       this.#revived.forget(runner.id);
       runners.set(runner.name, this.#newest(runners, runner));
     }
+    this.#recordRemovals(removed, revision);
     this.#set({ revision, runners: [...runners.values()] });
   }
 
@@ -185,6 +200,22 @@
     return this.#byService.get(service) ?? [];
   }
 
+  #recordGap(gap: Gap): void {
+    this.#gaps.push(gap);
+    if (this.#gaps.length <= MAX_GAPS) return;
+    const { before } = this.#gaps.shift()!;
+    this.#removalsSince = Math.max(this.#removalsSince, before);
+  }
+
+  /** Records removals, also of runners that came and left meanwhile. */
+  #recordRemovals(names: readonly string[], revision: number): void {
+    for (const name of names) {
+      const id = this.#removed.get(name)?.id;
+      this.#removed.delete(name);
+      this.#removed.set(name, { id, revision });
+    }
+  }
+
   #recordChanges({ revision, runners }: RunnerList): void {
     const before = this.#byName();
     for (const runner of runners) {
--- a/packages/router/src/process/runner_directory_test.ts
+++ b/packages/router/src/process/runner_directory_test.ts
@@ -177,6 +177,41 @@
   assert.deepEqual(lagging.list.runners.map(({ name }) => name), ["r-new"]);
 });
 
+// Guards against removed runners that a peer keeps for ever. A daemon starts while
+// the peer is cut off from the store, and a removal was before the daemon's first list.
+test("a peer learns of removals from before the sender's first list", () => {
+  const starting = emptyDirectory();
+  const lagging = emptyDirectory();
+  lagging.replace({ revision: 50, runners: [runner("x"), runner("y")] });
+  starting.replace({ revision: 100, runners: [runner("y")] });
+  lagging.applyUpdate(starting.updateSince(lagging.revision));
+  assert.equal(lagging.revision, 100);
+  assert.deepEqual(lagging.list.runners, [runner("y")]);
+});
+
+// Guards against the same when the sender read a new list after an outage.
+test("a peer learns of removals between two lists of the sender", () => {
+  const ahead = emptyDirectory();
+  const lagging = emptyDirectory();
+  ahead.replace({ revision: 50, runners: [runner("y")] });
+  lagging.replace({ revision: 75, runners: [runner("x"), runner("y")] });
+  ahead.replace({ revision: 100, runners: [runner("y")] });
+  lagging.applyUpdate(ahead.updateSince(lagging.revision));
+  assert.deepEqual(lagging.list.runners, [runner("y")]);
+});
+
+// Guards against the same when a runner came and left within one watch.
+test("a peer learns of removals of runners that the sender never had", () => {
+  const ahead = emptyDirectory();
+  const lagging = emptyDirectory();
+  ahead.replace({ revision: 50, runners: [runner("y")] });
+  lagging.applyUpdate(ahead.updateSince(0));
+  lagging.applyChange(75, [runner("x")], []);
+  ahead.applyChange(100, [], ["x"]);
+  lagging.applyUpdate(ahead.updateSince(lagging.revision));
+  assert.deepEqual(lagging.list.runners, [runner("y")]);
+});
+
 /** Before and after a restore, in which the counter has gone back. */
 const BEFORE = storeRevision(1, 50);
 const AFTER = storeRevision(2, 20);
