Repair a list of runners by a current one of the same revision

A daemon whose list was wrong kept it while no runner changed, however often it read the list again: callers were sent to runners that had left, or not to those that had come.

Cause: a list is only replaced by one of a higher revision, and the store's revision of a list that it reads again is the same.

Change: a current list of the store replaces one of the same revision; a stale one, or one of a peer, does not. The follower tells its sink which of the two a list is, as only lists after the first are current. Without a difference, in any order of the entries, listeners are not called.

--- a/packages/router/src/connection/store_followers.ts
+++ b/packages/router/src/connection/store_followers.ts
@@ -152,9 +152,10 @@
   #followRunners(feed: Feed<Runner>): FeedFollower<Runner> {
     const { directory, log } = this.#context;
     return new FeedFollower(feed, {
-      listed: ({ revision, values }) => {
+      listed: ({ revision, values: runners }, { stale }) => {
         const known = directory.revision;
-        if (directory.replace({ revision, runners: values })) return;
+        const list = { revision, runners };
+        if (directory.replace(list, { current: !stale })) return;
         log.event("runner_list_ignored", { revision, known });
       },
       changed: ({ revision, updated, removed }) => {
--- a/packages/router/src/process/feed.ts
+++ b/packages/router/src/process/feed.ts
@@ -63,8 +63,12 @@
 
 /** Receives what a {@linkcode FeedFollower} reads. */
 export interface FeedSink<T> {
-  /** Called with all objects, which replace those received before. */
-  listed(listing: Listing<T>): void;
+  /**
+   * Called with all objects, which replace those received before.
+   *
+   * @param options `stale`: whether the list may be seconds old.
+   */
+  listed(listing: Listing<T>, options: { readonly stale: boolean }): void;
   /** Called with changes since the last call of either method. */
   changed(changes: Changes<T>): void;
 }
@@ -210,7 +214,7 @@
     const revision = stale
       ? revisionOfStaleList(listing.revision)
       : listing.revision;
-    this.#sink.listed({ ...listing, revision });
+    this.#sink.listed({ ...listing, revision }, { stale });
     this.#revision = listing.revision;
   }
 
--- a/packages/router/src/process/feed_test.ts
+++ b/packages/router/src/process/feed_test.ts
@@ -173,3 +173,30 @@
   for (let turn = 0; turn < 10; turn++) await new Promise(setImmediate);
   assert.deepEqual(seen, ["a", "b", "c"]);
 });
+
+// Guards against a stale list that replaces newer content of the same revision.
+test("the sink is told which lists are stale", async () => {
+  const stale: boolean[] = [];
+  await new Promise<void>((resolve) => {
+    const feed = new ScriptedFeed([
+      { revision: 3, values: [] },
+      new FeedError("expired", "gone"),
+      { revision: 3, values: [] },
+    ], resolve);
+    const follower = new FeedFollower(feed, {
+      listed: (_, options) => {
+        stale.push(options.stale);
+      },
+      changed() {},
+    }, {
+      connectivity: { lost() {}, regained() {} },
+      timing: {
+        waitMs: () => 1,
+        shouldRead: () => true,
+        untilNextCheck: () => Promise.resolve(),
+      },
+    });
+    void follower.run();
+  });
+  assert.deepEqual(stale, [true, false]);
+});
--- a/packages/router/src/process/runner_directory.ts
+++ b/packages/router/src/process/runner_directory.ts
@@ -13,6 +13,17 @@
 import { runnerId } from "./runner.ts";
 import type { Runner } from "./runner.ts";
 
+/** Whether entries equal the known ones, in any order. */
+function isSame(
+  known: ReadonlyMap<string, Runner>,
+  runners: readonly Runner[],
+): boolean {
+  return known.size === runners.length &&
+    runners.every((runner) =>
+      isDeepStrictEqual(known.get(runner.name), runner)
+    );
+}
+
 /** All runners at one revision of the platform's store. */
 export interface RunnerList {
   readonly revision: number;
@@ -57,7 +68,8 @@
 /**
  * Holds the newest list of runners, indexed by service. A list is only replaced
  * by one of a higher revision, whether from the store or a peer, so that an
- * older list cannot bring a removed runner back. Revisions rise over restores of
+ * older list cannot bring a removed runner back; a current list of the store also
+ * repairs one of the same revision. Revisions rise over restores of
  * the store (see {@linkcode storeRevision}), which lose the latest entries: what
  * they said of shutdowns and removals is remembered.
  */
@@ -148,15 +160,26 @@
   /**
    * Replaces the whole list, unless the new one is not newer.
    *
-   * @returns whether the list was replaced.
+   * @param options `current`: whether it is what the store has now; it then also
+   * repairs a list of the same revision.
+   * @returns whether this daemon has the new list.
    */
-  replace(list: RunnerList): boolean {
-    if (list.revision <= this.#list.revision) return false;
+  replace(
+    list: RunnerList,
+    { current = false }: { readonly current?: boolean } = {},
+  ): boolean {
+    if (list.revision < this.#list.revision) return false;
+    const repairs = list.revision === this.#list.revision;
+    if (repairs && !current) return false;
     const known = this.#byName();
     this.#stale.clear();
     const restored = epochOf(list.revision) > epochOf(this.#list.revision);
     if (restored) this.#holdRevived(list.runners);
     const runners = list.runners.map((runner) => this.#newest(known, runner));
+    if (repairs) {
+      if (!isSame(known, runners)) this.#set({ ...this.#list, runners });
+      return true;
+    }
     this.#recordGap({ after: this.#list.revision, before: list.revision });
     this.#set({ revision: list.revision, runners });
     return true;
--- a/packages/router/src/process/runner_directory_test.ts
+++ b/packages/router/src/process/runner_directory_test.ts
@@ -212,6 +212,27 @@
   assert.deepEqual(lagging.list.runners, [runner("y")]);
 });
 
+// Guards against a wrong list that is never repaired, as the store's revision stays the
+// same while no runner changes.
+test("a current list of the store repairs one of the same revision", () => {
+  const directory = emptyDirectory();
+  let changes = 0;
+  directory.onChange(() => changes++);
+  directory.replace({ revision: 5, runners: [runner("a"), runner("b")] });
+  const current = { revision: 5, runners: [runner("c"), runner("b")] };
+  assert.ok(!directory.replace(current), "of a peer");
+  assert.deepEqual(readyIds(directory), ["a", "b"]);
+  assert.ok(directory.replace(current, { current: true }));
+  assert.deepEqual(readyIds(directory), ["c", "b"]);
+  assert.equal(changes, 2);
+  // The store's order may differ from that after changes.
+  const same = { revision: 5, runners: current.runners.toReversed() };
+  assert.ok(directory.replace(same, { current: true }));
+  assert.equal(changes, 2, "without a change");
+  const older = { revision: 4, runners: [] };
+  assert.ok(!directory.replace(older, { current: true }));
+});
+
 /** Before and after a restore, in which the counter has gone back. */
 const BEFORE = storeRevision(1, 50);
 const AFTER = storeRevision(2, 20);
