--- a/packages/router/src/process/runner_directory.ts
+++ b/packages/router/src/process/runner_directory.ts
@@ -77,7 +77,7 @@
   readonly #listeners: (() => void)[] = [];
   readonly #stale = new StaleEntries((runner) => this.#accept(runner));
   #list: RunnerList = { revision: 0, runners: [] };
-  /** Revision at which each entry last changed here, by name. */
+  /** Revision at which each entry last changed or was sent again, by name. */
   readonly #changedAt = new Map<string, number>();
   readonly #removed = new Map<string, Removal>();
   readonly #revived = new RevivedRunners(() => this.#changed());
@@ -200,6 +200,8 @@
     for (const runner of updated) {
       this.#revived.forget(runner.id);
       runners.set(runner.name, this.#newest(runners, runner));
+      // Also without a difference: a list may have been ahead of its revision.
+      this.#changedAt.set(runner.name, revision);
     }
     this.#recordRemovals(removed, revision);
     this.#set({ revision, runners: [...runners.values()] });
--- a/packages/router/src/process/runner_directory_test.ts
+++ b/packages/router/src/process/runner_directory_test.ts
@@ -233,6 +233,19 @@
   assert.ok(!directory.replace(older, { current: true }));
 });
 
+// Guards against changes that peers are never sent. Between the pages of a list, later
+// objects change: the list has them before its watch repeats them.
+test("a repeated change is sent to peers", () => {
+  const ahead = emptyDirectory();
+  const lagging = emptyDirectory();
+  lagging.replace({ revision: 4, runners: [runner("a"), runner("b")] });
+  const runners = [runner("a"), runner("b", true)];
+  ahead.replace({ revision: 4, runners });
+  ahead.applyChange(5, [runner("b", true)], []);
+  lagging.applyUpdate(ahead.updateSince(lagging.revision));
+  assert.deepEqual(lagging.list.runners, runners);
+});
+
 /** Before and after a restore, in which the counter has gone back. */
 const BEFORE = storeRevision(1, 50);
 const AFTER = storeRevision(2, 20);
