Use a held runner entry though lists keep coming

A runner whose host's clock was set back before its restart was routed to by its entry of before, whose address or drain may be out of date, for as long as its daemon read whole lists more often than every 4 s (a store that cuts watches off, peers that send whole lists).

Cause: an entry of an earlier start time is held back for 4 s in case it is a delayed write; each whole list dropped the held entries and started their holds anew.

Change: a further entry of the held incarnation replaces the held one and keeps its timer, and a whole list only drops the held entries of runners that it lacks.

Evidence: the new test of lists every 3 s failed before the change (the old incarnation was still used) and passes now; the one of a list that lacks the held entry passed before, too (runner_directory_test 20 passed).

--- a/packages/router/src/process/runner_directory.ts
+++ b/packages/router/src/process/runner_directory.ts
@@ -172,7 +172,7 @@
     const repairs = list.revision === this.#list.revision;
     if (repairs && !current) return false;
     const known = this.#byName();
-    this.#stale.clear();
+    this.#stale.retain(new Set(list.runners.map(({ name }) => name)));
     const restored = epochOf(list.revision) > epochOf(this.#list.revision);
     if (restored) this.#holdRevived(list.runners);
     const runners = list.runners.map((runner) => this.#newest(known, runner));
@@ -270,10 +270,12 @@
   /** Returns the entry to use: the current one if the new one is stale. */
   #newest(known: ReadonlyMap<string, Runner>, entry: Runner): Runner {
     const current = known.get(entry.name);
+    if (current !== undefined && isStale(entry, current)) {
+      this.#stale.hold(entry);
+      return current;
+    }
     this.#stale.forget(entry.name);
-    if (current === undefined || !isStale(entry, current)) return entry;
-    this.#stale.hold(entry);
-    return current;
+    return entry;
   }
 
   #accept(runner: Runner): void {
--- a/packages/router/src/process/runner_directory_test.ts
+++ b/packages/router/src/process/runner_directory_test.ts
@@ -108,6 +108,35 @@
   assert.deepEqual(directory.ready("s"), []);
 });
 
+// Guards against an entry that is held for ever, as each list restarts its hold.
+test("an entry with an earlier start that every list has is accepted", (context) => {
+  context.mock.timers.enable({ apis: ["setTimeout"] });
+  const directory = emptyDirectory();
+  directory.replace({ revision: 1, runners: [incarnation(200)] });
+  const startTimes = () =>
+    directory.ready("s").map(({ startedAtMs }) => startedAtMs);
+  for (let revision = 2; revision < 4; revision++) {
+    const entry = incarnation(100, { warmUpMs: 10 - revision });
+    directory.replace({ revision, runners: [entry] });
+    assert.deepEqual(startTimes(), [200]);
+    context.mock.timers.tick(3_000);
+  }
+  assert.deepEqual(startTimes(), [100]);
+  assert.equal(directory.ready("s")[0]!.warmUpMs, 7, "of the last list");
+});
+
+// Guards against a removed runner that returns when its hold ends.
+test("a held entry that a list lacks is discarded", (context) => {
+  context.mock.timers.enable({ apis: ["setTimeout"] });
+  const directory = emptyDirectory();
+  directory.replace({ revision: 1, runners: [incarnation(200)] });
+  directory.replace({ revision: 2, runners: [incarnation(100)] });
+  directory.replace({ revision: 3, runners: [] });
+  directory.replace({ revision: 4, runners: [incarnation(200)] });
+  context.mock.timers.tick(5_000);
+  assert.deepEqual(directory.ready("s").map(({ id }) => id), ["a~200"]);
+});
+
 // The running incarnation's next entry follows a stale one within about a
 // second. The stale one must not be accepted by its timer afterwards.
 test("a stale entry that is replaced is never accepted", (context) => {
--- a/packages/router/src/process/stale_entries.ts
+++ b/packages/router/src/process/stale_entries.ts
@@ -21,36 +21,57 @@
   return entry.startedAtMs < known.startedAtMs;
 }
 
+/** An entry that is held back. */
+interface HeldEntry {
+  readonly entry: Runner;
+  readonly timer: NodeJS.Timeout;
+}
+
 /**
  * Holds back stale entries, and accepts those that are not replaced in time.
  */
 export class StaleEntries {
   readonly #accept: (runner: Runner) => void;
-  readonly #timersByName = new Map<string, NodeJS.Timeout>();
+  readonly #heldByName = new Map<string, HeldEntry>();
 
   /** @param accept called with an entry that was not replaced in time. */
   constructor(accept: (runner: Runner) => void) {
     this.#accept = accept;
   }
 
-  /** Holds an entry back until another one of the same name arrives. */
+  /**
+   * Holds an entry back until one of another incarnation of its name arrives. A
+   * later entry of the same incarnation replaces it without a longer hold:
+   * otherwise, lists every few seconds would hold it back for ever.
+   */
   hold(entry: Runner): void {
-    this.forget(entry.name);
-    const timer = setTimeout(() => {
-      this.#timersByName.delete(entry.name);
-      this.#accept(entry);
-    }, HOLD_MS);
-    this.#timersByName.set(entry.name, timer.unref());
+    const { id, name } = entry;
+    const held = this.#heldByName.get(name);
+    if (held?.entry.id === id) {
+      this.#heldByName.set(name, { entry, timer: held.timer });
+      return;
+    }
+    this.forget(name);
+    const timer = setTimeout(() => this.#release(name), HOLD_MS);
+    this.#heldByName.set(name, { entry, timer: timer.unref() });
   }
 
   /** Discards the held entry of a name that was replaced or removed. */
   forget(name: string): void {
-    clearTimeout(this.#timersByName.get(name));
-    this.#timersByName.delete(name);
+    clearTimeout(this.#heldByName.get(name)?.timer);
+    this.#heldByName.delete(name);
+  }
+
+  /** Discards the held entries of other names. */
+  retain(names: ReadonlySet<string>): void {
+    for (const name of [...this.#heldByName.keys()]) {
+      if (!names.has(name)) this.forget(name);
+    }
   }
 
-  /** Discards all held entries. */
-  clear(): void {
-    for (const name of [...this.#timersByName.keys()]) this.forget(name);
+  #release(name: string): void {
+    const { entry } = this.#heldByName.get(name)!;
+    this.#heldByName.delete(name);
+    this.#accept(entry);
   }
 }
