Send peers what changed without a new revision

Daemons that get their list from peers kept routing to a runner's earlier incarnation after the daemons that read the store had gone over to the later one, until the runner's entry changed again.

Cause: an entry that is accepted after its hold, a start that the runner itself reported, and a repair of the list change it without a new revision. They were recorded as changes at the list's revision; a peer that has this revision asks for what changed after it.

Change: such a change counts as one between the list's revision and the next (revision + 0.5, which only this daemon sees), so that the next update to a peer with the list's revision has it. Until that next revision, the peer keeps what it has.

--- a/packages/router/src/process/runner_directory.ts
+++ b/packages/router/src/process/runner_directory.ts
@@ -241,7 +241,12 @@
     }
   }
 
-  #recordChanges({ revision, runners }: RunnerList): void {
+  /**
+   * Records what differs in a new list. A change without a new revision counts as
+   * one between this revision and the next: peers that have this one lack it.
+   */
+  #recordChanges({ revision: listed, runners }: RunnerList): void {
+    const revision = listed === this.#list.revision ? listed + 0.5 : listed;
     const before = this.#byName();
     for (const runner of runners) {
       const known = before.get(runner.name);
--- a/packages/router/src/process/runner_directory_test.ts
+++ b/packages/router/src/process/runner_directory_test.ts
@@ -275,6 +275,38 @@
   assert.deepEqual(lagging.list.runners, runners);
 });
 
+// Guards against an earlier incarnation that peers keep: when the hold of an entry ends,
+// they may have its revision already, without the entry.
+test("an entry that was held is sent to peers with the next change", (context) => {
+  context.mock.timers.enable({ apis: ["setTimeout"] });
+  const ahead = emptyDirectory();
+  const lagging = emptyDirectory();
+  for (const directory of [ahead, lagging]) {
+    directory.replace({ revision: 1, runners: [incarnation(200)] });
+  }
+  ahead.applyChange(2, [incarnation(100)], []);
+  lagging.applyUpdate(ahead.updateSince(lagging.revision));
+  context.mock.timers.tick(5_000);
+  ahead.applyChange(3, [runner("b")], []);
+  lagging.applyUpdate(ahead.updateSince(lagging.revision));
+  context.mock.timers.tick(5_000);
+  assert.deepEqual(readyIds(lagging), ["a~100", "b"]);
+});
+
+// Guards against the same for runners that a repair of the list brings or removes.
+test("a repair is sent to peers of the same revision with the next change", () => {
+  const ahead = emptyDirectory();
+  const lagging = emptyDirectory();
+  for (const directory of [ahead, lagging]) {
+    directory.replace({ revision: 1, runners: [runner("a"), runner("b")] });
+  }
+  const repair = { revision: 1, runners: [runner("b"), runner("c")] };
+  ahead.replace(repair, { current: true });
+  ahead.applyChange(2, [runner("d")], []);
+  lagging.applyUpdate(ahead.updateSince(lagging.revision));
+  assert.deepEqual(readyIds(lagging), ["b", "c", "d"]);
+});
+
 /** Before and after a restore, in which the counter has gone back. */
 const BEFORE = storeRevision(1, 50);
 const AFTER = storeRevision(2, 20);
