List again when a stale list of a later epoch is ignored

After a restore of the store, a starting daemon could have a list in which runners from before the restore stay and others are missing, at the revision of the restored store, and so never repair it.

Cause: the revision of a stale list counts as one of the epoch before, as the list may be from then. A daemon that already has a list of that epoch with a higher counter from a peer ignores the stale one, but its follower went on from it: the first changes of the new epoch were applied to the list of the old one.

Change: the sink says when it ignored a list; if its revision had been lowered, the follower reads a current list next. In the first epoch, or if a current list is ignored, the follower goes on from the list as before: what the sink has is newer, and the changes since an earlier revision include those since its own. No call is added there, which a second test asserts.

--- a/packages/router/src/connection/store_followers.ts
+++ b/packages/router/src/connection/store_followers.ts
@@ -157,6 +157,7 @@
         const list = { revision, runners };
         if (directory.replace(list, { current: !stale })) return;
         log.event("runner_list_ignored", { revision, known });
+        return false;
       },
       changed: ({ revision, updated, removed }) => {
         directory.applyChange(revision, updated, removed);
--- a/packages/router/src/process/feed.ts
+++ b/packages/router/src/process/feed.ts
@@ -67,8 +67,12 @@
    * Called with all objects, which replace those received before.
    *
    * @param options `stale`: whether the list may be seconds old.
+   * @returns `false` if the objects were ignored.
    */
-  listed(listing: Listing<T>, options: { readonly stale: boolean }): void;
+  listed(
+    listing: Listing<T>,
+    options: { readonly stale: boolean },
+  ): false | void;
   /** Called with changes since the last call of either method. */
   changed(changes: Changes<T>): void;
 }
@@ -214,7 +218,10 @@
     const revision = stale
       ? revisionOfStaleList(listing.revision)
       : listing.revision;
-    this.#sink.listed({ ...listing, revision }, { stale });
+    const result = this.#sink.listed({ ...listing, revision }, { stale });
+    // The sink may have a list of an earlier epoch, to which changes since this one
+    // do not apply.
+    if (result === false && revision !== listing.revision) return;
     this.#revision = listing.revision;
   }
 
--- a/packages/router/src/process/feed_test.ts
+++ b/packages/router/src/process/feed_test.ts
@@ -2,6 +2,7 @@
 import { mock, test } from "node:test";
 import { FeedError, FeedFollower } from "./feed.ts";
 import type { Changes, Feed, Listing } from "./feed.ts";
+import { storeRevision } from "./store_revision.ts";
 
 /** Replays responses of a store in order, then never responds again. */
 class ScriptedFeed implements Feed<string> {
@@ -45,7 +46,9 @@
   await new Promise<void>((resolve) => {
     feed = new ScriptedFeed(responses, resolve);
     const follower = new FeedFollower(feed, {
-      listed: ({ values }) => seen.push(`listed ${values}`),
+      listed: ({ values }) => {
+        seen.push(`listed ${values}`);
+      },
       changed: ({ updated }) => seen.push(`changed ${updated}`),
     }, {
       connectivity: {
@@ -200,3 +203,46 @@
   });
   assert.deepEqual(stale, [true, false]);
 });
+
+/** Follows a script into a sink that ignores lists up to a revision. */
+async function followFrom(
+  known: number,
+  responses: (Listing<string> | Changes<string>)[],
+): Promise<readonly string[]> {
+  let feed: ScriptedFeed | undefined;
+  await new Promise<void>((resolve) => {
+    feed = new ScriptedFeed(responses, resolve);
+    const follower = new FeedFollower(feed, {
+      listed: ({ revision }) => revision > known ? undefined : false,
+      changed() {},
+    }, {
+      connectivity: { lost() {}, regained() {} },
+      timing: {
+        waitMs: () => 1,
+        shouldRead: () => true,
+        untilNextCheck: () => Promise.resolve(),
+      },
+    });
+    void follower.run();
+  });
+  return feed!.calls;
+}
+
+// Guards against changes that are applied to the wrong list. A starting daemon has a
+// peer's list from before a restore; the stale list from after it is ignored, as it
+// may be from before, too, but the changes since are not.
+test("an ignored stale list of a later epoch is followed by a current one", async () => {
+  const restored = storeRevision(1, 60);
+  const calls = await followFrom(70, [
+    { revision: restored, values: [] },
+    { revision: restored, values: [] },
+  ]);
+  assert.deepEqual(calls, ["stale list", "list", `watch ${restored}`]);
+});
+
+// Guards against calls without need: peers often have newer lists than a stale one, and
+// changes since an earlier revision include those since theirs.
+test("an ignored stale list of the first epoch is watched from", async () => {
+  const calls = await followFrom(70, [{ revision: 60, values: [] }]);
+  assert.deepEqual(calls, ["stale list", "watch 60"]);
+});
