Send peers from before a restore the whole list

After a restore of the store, a daemon that had the list from before could keep runners that the restored store does not have.

Cause: the stale first list of a starting daemon has a revision of the epoch before. A peer with a true list of that epoch and a higher counter was then sent only what changed since the restored list that this daemon had read.

Change: the revisions between the list and a first change of a later epoch are a gap, in which peers are sent the whole list.

--- a/packages/router/src/process/runner_directory.ts
+++ b/packages/router/src/process/runner_directory.ts
@@ -203,6 +203,10 @@
       // Also without a difference: a list may have been ahead of its revision.
       this.#changedAt.set(runner.name, revision);
     }
+    if (epochOf(revision) > epochOf(this.#list.revision)) {
+      // The list before was stale; others of that epoch are from before a restore.
+      this.#recordGap({ after: this.#list.revision, before: revision });
+    }
     this.#recordRemovals(removed, revision);
     this.#set({ revision, runners: [...runners.values()] });
   }
--- a/packages/router/src/process/runner_directory_test.ts
+++ b/packages/router/src/process/runner_directory_test.ts
@@ -4,7 +4,7 @@
 import { DrainingRunners } from "./draining_runners.ts";
 import { RunnerDirectory } from "./runner_directory.ts";
 import type { Runner } from "./runner.ts";
-import { storeRevision } from "./store_revision.ts";
+import { revisionOfStaleList, storeRevision } from "./store_revision.ts";
 
 function runner(id: string, draining = false): Runner {
   return {
@@ -351,3 +351,16 @@
   t.mock.timers.tick(4_000);
   assert.deepEqual(readyIds(directory), ["a", "b", "c"]);
 });
+
+// Guards against changes of a restored store that a peer applies to its list from
+// before. The revision of a stale first list is of the epoch before.
+test("a peer with a list from before a restore is sent the whole list", () => {
+  const starting = emptyDirectory();
+  const lagging = emptyDirectory();
+  lagging.replace({ revision: BEFORE, runners: [runner("a"), runner("b")] });
+  const stale = revisionOfStaleList(AFTER);
+  starting.replace({ revision: stale, runners: [runner("b")] });
+  starting.applyChange(AFTER + 1, [runner("c")], []);
+  lagging.applyUpdate(starting.updateSince(lagging.revision));
+  assert.deepEqual(readyIds(lagging), ["b", "c"]);
+});
