Announce a configuration only when it is in force

A daemon that cannot build the routing table of a configuration (an object of another shape than it expects) told its peers that it has the version, while it routed by the one before. Peers asked it for the configuration and closed the link as they could not apply it either, again and again; a starting daemon without the store got no configuration and never was ready.

Cause: the configuration was stored before the table was built, and stayed when that threw.

Change: the table is built first.

Evidence: in the new test a daemon that starts beside one which read a broken configuration was not ready after 10 s before the change; it is now, by the version in force (five runs of the file, 0.9 to 1.1 s each).

--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -498,8 +498,9 @@
   #applyConfiguration(configuration: Configuration, source: string): void {
     const current = this.#routingTable?.version ?? -1;
     if (configuration.version <= current) return;
-    this.#configuration = configuration;
+    // First, as it throws on a broken configuration, which peers must not be given.
     this.#routingTable = new RoutingTable(configuration);
+    this.#configuration = configuration;
     this.#server.applyLimits(configuration.limits);
     this.metrics.version(configuration.version);
     this.log.event("configuration_in_force", {
--- /dev/null
+++ b/packages/router/tests/broken_configuration_test.ts
@@ -0,0 +1,47 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Runner } from "../src/process/runner.ts";
+import type { Configuration, Route } from "../src/version/configuration.ts";
+import {
+  SettableFeed,
+  startRouter,
+  testConfiguration,
+  testRoute,
+  waitUntil,
+} from "./fixtures.ts";
+
+/** A configuration of a store with other formats, of which no table can be built. */
+function brokenConfiguration(): Configuration {
+  const route = { ...testRoute(), host: undefined } as unknown as Route;
+  return testConfiguration([route], {
+    version: 2,
+  });
+}
+
+// Guards against a daemon that announces a version which it does not route by: it gave
+// it to its peers, whose links broke each time, and never took the version again.
+test("a configuration that cannot be applied is not given to peers", async (t) => {
+  const configurations = new SettableFeed([testConfiguration([testRoute()])]);
+  const runners = new SettableFeed<Runner>([]);
+  const failures: string[] = [];
+  const first = await startRouter(t, {
+    configurations,
+    runners,
+    log: {
+      event: (name) => void failures.push(name),
+      decision() {},
+    },
+  });
+  await waitUntil(() => first.ready);
+  configurations.set([brokenConfiguration()]);
+  await waitUntil(() => failures.includes("dependency_lost"));
+  const noStore = new SettableFeed<Configuration>([]);
+  noStore.down = true;
+  const second = await startRouter(t, {
+    configurations: noStore,
+    runners,
+    settings: { name: "host-2", seeds: [`127.0.0.1:${first.peersPort}`] },
+  });
+  await waitUntil(() => second.ready, { maxMs: 10_000 });
+  assert.equal(second.routingTable()?.version, 1);
+});
