Apply a peer's runners before its configuration

A daemon that could not apply a peer's configuration did not get the runners of the same response either, and routed to those of before.

Cause: the configuration was applied first, and throws when it is broken.

Change: runners are applied first.

Evidence: the new test failed before (revision 0 of 5) and passes now; state_exchange_test (2) and fleet_start_test (3) pass.

--- a/packages/router/src/connection/version_exchange.ts
+++ b/packages/router/src/connection/version_exchange.ts
@@ -133,10 +133,11 @@
     const now = performance.now();
     this.#requestedAt = -Infinity;
     this.#lastResponseAt = now;
+    // First, as applying a broken configuration throws.
+    if (runners) this.#state.directory.applyUpdate(runners);
     if (configuration) {
       this.#state.applyConfiguration(configuration, `peer ${peer.name}`);
     }
-    if (runners) this.#state.directory.applyUpdate(runners);
     for (const update of parts) this.#state.prefixes.applyUpdate(update, now);
   }
 }
--- a/packages/router/tests/broken_configuration_test.ts
+++ b/packages/router/tests/broken_configuration_test.ts
@@ -1,8 +1,12 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { VersionExchange } from "../src/connection/version_exchange.ts";
+import type { Peer } from "../src/connection/peers.ts";
+import { PrefixIndex } from "../src/process/prefix_index.ts";
 import type { Runner } from "../src/process/runner.ts";
 import type { Configuration, Route } from "../src/version/configuration.ts";
 import {
+  emptyDirectory,
   SettableFeed,
   startRouter,
   testConfiguration,
@@ -45,3 +49,25 @@
   await waitUntil(() => second.ready, { maxMs: 10_000 });
   assert.equal(second.routingTable()?.version, 1);
 });
+
+// Guards against a broken configuration that withholds the runners it arrives with.
+test("runners are applied though the configuration beside them is broken", () => {
+  const directory = emptyDirectory();
+  const exchange = new VersionExchange({
+    prefixes: new PrefixIndex(),
+    directory,
+    configuration: () => undefined,
+    applyConfiguration: () => {
+      throw new TypeError("no host");
+    },
+  }, () => {});
+  const runners = { revision: 5, runners: [], whole: true, left: [] };
+  const response = {
+    kind: "give",
+    configuration: brokenConfiguration(),
+    runners,
+    parts: undefined,
+  } as const;
+  assert.throws(() => exchange.applyResponse({ name: "b" } as Peer, response));
+  assert.equal(directory.revision, 5);
+});
