Tell peers which changes of the list are unknown

A daemon could still get too few changes from a peer that had them from another one, and keep a removed runner at the newest revision.

Cause: a gap was known only to the daemon that had read the two lists. One that received its changes served peers within the gap as if it knew all of them.

Change: an update to a peer names the sender's gaps since the peer's revision, and the peer keeps them as its own.

--- a/packages/router/src/process/runner_directory.ts
+++ b/packages/router/src/process/runner_directory.ts
@@ -30,12 +30,26 @@
   readonly runners: readonly Runner[];
 }
 
+/**
+ * The revisions between two whole lists. What changed within them is unknown: a
+ * runner may have come and left.
+ */
+export interface Gap {
+  readonly after: number;
+  readonly before: number;
+}
+
 /** Changes since an earlier revision, or the whole list. */
 export interface RunnerListUpdate extends RunnerList {
   /** Whether `runners` is the whole list. */
   readonly whole: boolean;
   /** Names of removed runners; empty in a whole list. */
   readonly left: readonly string[];
+  /**
+   * The sender's gaps since the earlier revision; absent without any. The receiver
+   * does not know either what changed within them.
+   */
+  readonly gaps?: readonly Gap[];
 }
 
 /**
@@ -56,15 +70,6 @@
   readonly revision: number;
 }
 
-/**
- * The revisions between two whole lists. What changed within them is unknown: a
- * runner may have come and left.
- */
-interface Gap {
-  readonly after: number;
-  readonly before: number;
-}
-
 /**
  * Holds the newest list of runners, indexed by service. A list is only replaced
  * by one of a higher revision, whether from the store or a peer, so that an
@@ -134,7 +139,9 @@
     const whole = since === 0 || since < this.#removalsSince ||
       this.#gaps.some(({ after, before }) => since > after && since < before);
     if (whole) return { revision, runners, whole, left: [] };
+    const gaps = this.#gaps.filter(({ after }) => after >= since);
     return {
+      ...(gaps.length > 0 && { gaps }),
       revision,
       whole,
       runners: runners.filter(({ name }) =>
@@ -147,7 +154,10 @@
   }
 
   /** Applies an update from a peer. */
-  applyUpdate({ revision, runners, whole, left }: RunnerListUpdate): void {
+  applyUpdate(update: RunnerListUpdate): void {
+    const { revision, runners, whole, left, gaps = [] } = update;
+    if (revision <= this.#list.revision) return;
+    for (const gap of gaps) this.#recordGap(gap);
     if (whole) this.replace({ revision, runners });
     else this.applyChange(revision, runners, left);
   }
--- a/packages/router/src/process/runner_directory_test.ts
+++ b/packages/router/src/process/runner_directory_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import fc from "fast-check";
 import { emptyDirectory, SILENT_LOG } from "../../tests/fixtures.ts";
 import { DrainingRunners } from "./draining_runners.ts";
 import { RunnerDirectory } from "./runner_directory.ts";
@@ -364,3 +365,102 @@
   lagging.applyUpdate(starting.updateSince(lagging.revision));
   assert.deepEqual(readyIds(lagging), ["b", "c"]);
 });
+
+/** A store of runners that counts revisions and keeps its history. */
+class HistoryStore {
+  revision = 0;
+  readonly #slotsByName = new Map<string, number>();
+  readonly #namesByRevision: string[] = [];
+  readonly #listings: string[] = [""];
+
+  get runners(): readonly Runner[] {
+    return [...this.#slotsByName].map(([name, slots]) => ({
+      ...runner(name),
+      slots,
+    }));
+  }
+
+  /** The entries that the store had at a revision. */
+  at(revision: number): string {
+    return this.#listings[revision]!;
+  }
+
+  /** Sets the slots of a runner; 0 removes it. */
+  set(name: string, slots: number): void {
+    if ((this.#slotsByName.get(name) ?? 0) === slots) return;
+    if (slots === 0) this.#slotsByName.delete(name);
+    else this.#slotsByName.set(name, slots);
+    this.#namesByRevision[++this.revision] = name;
+    this.#listings[this.revision] = listingOf(this.runners);
+  }
+
+  /** Applies to a directory what changed since a revision. */
+  sendChanges(directory: RunnerDirectory, since: number): void {
+    const names = new Set(this.#namesByRevision.slice(since + 1));
+    const present = this.runners.filter(({ name }) => names.has(name));
+    for (const { name } of present) names.delete(name);
+    directory.applyChange(this.revision, present, [...names]);
+  }
+}
+
+function listingOf(runners: readonly Runner[]): string {
+  return runners.map(({ name, slots }) => `${name}:${slots}`).sort().join();
+}
+
+/** What happens at one daemon in one step of {@linkcode checkExchanges}. */
+interface ExchangeStep {
+  readonly kind: "change" | "list" | "watch" | "peer";
+  readonly daemon: number;
+  readonly peer: number;
+  readonly slots: number;
+}
+
+const DAEMONS = 4;
+
+/** Checks that each daemon has what the store had at the daemon's revision. */
+function checkExchanges(steps: readonly ExchangeStep[]): void {
+  const store = new HistoryStore();
+  store.set("r-0", 1);
+  const directories = Array.from({ length: DAEMONS }, emptyDirectory);
+  /** Revisions from which the daemons watch. */
+  const watched: number[] = [];
+  for (const { kind, daemon, peer, slots } of steps) {
+    const directory = directories[daemon]!;
+    const since = watched[daemon];
+    if (kind === "change") store.set(`r-${peer}`, slots);
+    if (kind === "list") {
+      const { revision, runners } = store;
+      directory.replace({ revision, runners }, { current: true });
+      watched[daemon] = revision;
+    }
+    if (kind === "watch" && since !== undefined) {
+      store.sendChanges(directory, since);
+      watched[daemon] = store.revision;
+    }
+    if (kind === "peer" && directories[peer]!.revision > directory.revision) {
+      directory.applyUpdate(directories[peer]!.updateSince(directory.revision));
+    }
+    const { list, revision } = directory;
+    assert.equal(listingOf(list.runners), store.at(revision));
+  }
+}
+
+// Guards against peers that tell each other less than what changed: neither of them
+// would notice, as they have the same revision.
+test("daemons have the store's list of their revision, however they got it", () => {
+  const index = fc.nat(DAEMONS - 1);
+  const kind = (...kinds: ExchangeStep["kind"][]) => fc.constantFrom(...kinds);
+  const step = fc.record({
+    kind: kind("change", "change", "change", "list", "watch", "peer", "peer"),
+    daemon: index,
+    peer: index,
+    slots: fc.nat(2),
+  });
+  fc.assert(
+    fc.property(
+      fc.array(step, { minLength: 30, maxLength: 80 }),
+      checkExchanges,
+    ),
+    { numRuns: 3_000, seed: 1 },
+  );
+});
