--- a/packages/router/src/connection/store_followers.ts
+++ b/packages/router/src/connection/store_followers.ts
@@ -141,11 +141,13 @@
     const { confirmed, directory, log } = this.#context;
     const listLog = new RunnerListLog(log, directory);
     return this.#createFollower(feed, {
-      listed: ({ revision, values }) => {
+      listed: ({ revision, values: runners }, { stale }) => {
         const known = directory.revision;
-        const replace = () => directory.replace({ revision, runners: values });
+        const list = { revision, runners };
+        const replace = () => directory.replace(list, { current: !stale });
         if (listLog.apply("store", replace)) return;
         log.event("runner_list_ignored", { revision, known });
+        return false;
       },
       changed: ({ revision, updated, removed }) => {
         listLog.apply(
--- a/packages/router/src/connection/version_exchange.ts
+++ b/packages/router/src/connection/version_exchange.ts
@@ -180,15 +180,16 @@
     this.#requestedAt = -Infinity;
     this.#lastResponseAt = now;
     this.#lag.responded();
-    if (configuration) {
-      this.#state.applyConfiguration(configuration, `peer ${peer.name}`);
-    }
+    // First, as applying a broken configuration throws.
     if (runners) {
       this.#listLog.apply(
         `peer ${peer.name}`,
         () => this.#state.directory.applyUpdate(runners),
       );
     }
+    if (configuration) {
+      this.#state.applyConfiguration(configuration, `peer ${peer.name}`);
+    }
     for (const update of parts) this.#state.prefixes.applyUpdate(update, now);
     this.#lag.check(this.own, now);
   }
--- a/packages/router/src/process/runner_directory.ts
+++ b/packages/router/src/process/runner_directory.ts
@@ -13,18 +13,43 @@
 import { runnerId } from "./runner.ts";
 import type { Runner } from "./runner.ts";
 
+/** Whether entries equal the known ones, in any order. */
+function isSame(
+  known: ReadonlyMap<string, Runner>,
+  runners: readonly Runner[],
+): boolean {
+  return known.size === runners.length &&
+    runners.every((runner) =>
+      isDeepStrictEqual(known.get(runner.name), runner)
+    );
+}
+
 /** All runners at one revision of the platform's store. */
 export interface RunnerList {
   readonly revision: number;
   readonly runners: readonly Runner[];
 }
 
+/**
+ * The revisions between two whole lists. What changed within them is unknown: a
+ * runner may have come and left.
+ */
+export interface Gap {
+  readonly after: number;
+  readonly before: number;
+}
+
 /** Changes since an earlier revision, or the whole list. */
 export interface RunnerListUpdate extends RunnerList {
   /** Whether `runners` is the whole list. */
   readonly whole: boolean;
   /** Names of removed runners; empty in a whole list. */
   readonly left: readonly string[];
+  /**
+   * The sender's gaps since the earlier revision; absent without any. The receiver
+   * does not know either what changed within them.
+   */
+  readonly gaps?: readonly Gap[];
 }
 
 /**
@@ -32,13 +57,15 @@
  * whose list is older than these removals receives the whole list.
  */
 const MAX_REMOVED = 500;
+/** Remembered gaps; a daemon with an older list receives the whole list. */
+const MAX_GAPS = 16;
 /** Cached updates, by base revision; most daemons have one of the last few. */
 const MAX_CACHED_UPDATES = 16;
 
 /** A removed runner. */
 interface Removal {
-  /** Id of the incarnation. */
-  readonly id: string;
+  /** Id of the incarnation; undefined if this daemon never had it. */
+  readonly id: string | undefined;
   /** Revision of the list that no longer had it. */
   readonly revision: number;
 }
@@ -46,7 +73,8 @@
 /**
  * Holds the newest list of runners, indexed by service. A list is only replaced
  * by one of a higher revision, whether from the store or a peer, so that an
- * older list cannot bring a removed runner back. Revisions rise over restores of
+ * older list cannot bring a removed runner back; a current list of the store also
+ * repairs one of the same revision. Revisions rise over restores of
  * the store (see {@linkcode storeRevision}), which lose the latest entries: what
  * they said of shutdowns and removals is remembered.
  */
@@ -54,12 +82,13 @@
   readonly #listeners: (() => void)[] = [];
   readonly #stale = new StaleEntries((runner) => this.#accept(runner));
   #list: RunnerList = { revision: 0, runners: [] };
-  /** Revision at which each entry last changed here, by name. */
+  /** Revision at which each entry last changed or was sent again, by name. */
   readonly #changedAt = new Map<string, number>();
   readonly #removed = new Map<string, Removal>();
   readonly #revived = new RevivedRunners(() => this.#changed());
-  /** Revision since which all removals are known. */
+  /** Revision since which all removals are known, but for those in gaps. */
   #removalsSince = 0;
+  readonly #gaps: Gap[] = [];
   readonly #draining: DrainingRunners;
   #runners: readonly Runner[] = [];
   #byService: ReadonlyMap<string, readonly Runner[]> = new Map();
@@ -107,9 +136,12 @@
 
   #computeUpdate(since: number): RunnerListUpdate {
     const { revision, runners } = this.#list;
-    const whole = since === 0 || since < this.#removalsSince;
+    const whole = since === 0 || since < this.#removalsSince ||
+      this.#gaps.some(({ after, before }) => since > after && since < before);
     if (whole) return { revision, runners, whole, left: [] };
+    const gaps = this.#gaps.filter(({ after }) => after >= since);
     return {
+      ...(gaps.length > 0 && { gaps }),
       revision,
       whole,
       runners: runners.filter(({ name }) =>
@@ -122,7 +154,10 @@
   }
 
   /** Applies an update from a peer. */
-  applyUpdate({ revision, runners, whole, left }: RunnerListUpdate): void {
+  applyUpdate(update: RunnerListUpdate): void {
+    const { revision, runners, whole, left, gaps = [] } = update;
+    if (revision <= this.#list.revision) return;
+    for (const gap of gaps) this.#recordGap(gap);
     if (whole) this.replace({ revision, runners });
     else this.applyChange(revision, runners, left);
   }
@@ -135,15 +170,27 @@
   /**
    * Replaces the whole list, unless the new one is not newer.
    *
-   * @returns whether the list was replaced.
+   * @param options `current`: whether it is what the store has now; it then also
+   * repairs a list of the same revision.
+   * @returns whether this daemon has the new list.
    */
-  replace(list: RunnerList): boolean {
-    if (list.revision <= this.#list.revision) return false;
+  replace(
+    list: RunnerList,
+    { current = false }: { readonly current?: boolean } = {},
+  ): boolean {
+    if (list.revision < this.#list.revision) return false;
+    const repairs = list.revision === this.#list.revision;
+    if (repairs && !current) return false;
     const known = this.#byName();
-    this.#stale.clear();
+    this.#stale.retain(new Set(list.runners.map(({ name }) => name)));
     const restored = epochOf(list.revision) > epochOf(this.#list.revision);
     if (restored) this.#holdRevived(list.runners);
     const runners = list.runners.map((runner) => this.#newest(known, runner));
+    if (repairs) {
+      if (!isSame(known, runners)) this.#set({ ...this.#list, runners });
+      return true;
+    }
+    this.#recordGap({ after: this.#list.revision, before: list.revision });
     this.#set({ revision: list.revision, runners });
     return true;
   }
@@ -163,7 +210,14 @@
     for (const runner of updated) {
       this.#revived.forget(runner.id);
       runners.set(runner.name, this.#newest(runners, runner));
+      // Also without a difference: a list may have been ahead of its revision.
+      this.#changedAt.set(runner.name, revision);
     }
+    if (epochOf(revision) > epochOf(this.#list.revision)) {
+      // The list before was stale; others of that epoch are from before a restore.
+      this.#recordGap({ after: this.#list.revision, before: revision });
+    }
+    this.#recordRemovals(removed, revision);
     this.#set({ revision, runners: [...runners.values()] });
   }
 
@@ -190,7 +244,28 @@
     return new Set([...this.#byService.values()].flat().map(({ id }) => id));
   }
 
-  #recordChanges({ revision, runners }: RunnerList): void {
+  #recordGap(gap: Gap): void {
+    this.#gaps.push(gap);
+    if (this.#gaps.length <= MAX_GAPS) return;
+    const { before } = this.#gaps.shift()!;
+    this.#removalsSince = Math.max(this.#removalsSince, before);
+  }
+
+  /** Records removals, also of runners that came and left meanwhile. */
+  #recordRemovals(names: readonly string[], revision: number): void {
+    for (const name of names) {
+      const id = this.#removed.get(name)?.id;
+      this.#removed.delete(name);
+      this.#removed.set(name, { id, revision });
+    }
+  }
+
+  /**
+   * Records what differs in a new list. A change without a new revision counts as
+   * one between this revision and the next: peers that have this one lack it.
+   */
+  #recordChanges({ revision: listed, runners }: RunnerList): void {
+    const revision = listed === this.#list.revision ? listed + 0.5 : listed;
     const before = this.#byName();
     for (const runner of runners) {
       const known = before.get(runner.name);
@@ -219,10 +294,12 @@
   /** Returns the entry to use: the current one if the new one is stale. */
   #newest(known: ReadonlyMap<string, Runner>, entry: Runner): Runner {
     const current = known.get(entry.name);
+    if (current !== undefined && isStale(entry, current)) {
+      this.#stale.hold(entry);
+      return current;
+    }
     this.#stale.forget(entry.name);
-    if (current === undefined || !isStale(entry, current)) return entry;
-    this.#stale.hold(entry);
-    return current;
+    return entry;
   }
 
   #accept(runner: Runner): void {
--- a/packages/router/src/process/runner_directory_test.ts
+++ b/packages/router/src/process/runner_directory_test.ts
@@ -1,10 +1,11 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import fc from "fast-check";
 import { emptyDirectory, SILENT_LOG } from "../../tests/fixtures.ts";
 import { DrainingRunners } from "./draining_runners.ts";
 import { RunnerDirectory } from "./runner_directory.ts";
 import type { Runner } from "./runner.ts";
-import { storeRevision } from "./store_revision.ts";
+import { revisionOfStaleList, storeRevision } from "./store_revision.ts";
 
 function runner(id: string, draining = false): Runner {
   return {
@@ -108,6 +109,35 @@
   assert.deepEqual(directory.ready("s"), []);
 });
 
+// Guards against an entry that is held for ever, as each list restarts its hold.
+test("an entry with an earlier start that every list has is accepted", (context) => {
+  context.mock.timers.enable({ apis: ["setTimeout"] });
+  const directory = emptyDirectory();
+  directory.replace({ revision: 1, runners: [incarnation(200)] });
+  const startTimes = () =>
+    directory.ready("s").map(({ startedAtMs }) => startedAtMs);
+  for (let revision = 2; revision < 4; revision++) {
+    const entry = incarnation(100, { warmUpMs: 10 - revision });
+    directory.replace({ revision, runners: [entry] });
+    assert.deepEqual(startTimes(), [200]);
+    context.mock.timers.tick(3_000);
+  }
+  assert.deepEqual(startTimes(), [100]);
+  assert.equal(directory.ready("s")[0]!.warmUpMs, 7, "of the last list");
+});
+
+// Guards against a removed runner that returns when its hold ends.
+test("a held entry that a list lacks is discarded", (context) => {
+  context.mock.timers.enable({ apis: ["setTimeout"] });
+  const directory = emptyDirectory();
+  directory.replace({ revision: 1, runners: [incarnation(200)] });
+  directory.replace({ revision: 2, runners: [incarnation(100)] });
+  directory.replace({ revision: 3, runners: [] });
+  directory.replace({ revision: 4, runners: [incarnation(200)] });
+  context.mock.timers.tick(5_000);
+  assert.deepEqual(directory.ready("s").map(({ id }) => id), ["a~200"]);
+});
+
 // The running incarnation's next entry follows a stale one within about a
 // second. The stale one must not be accepted by its timer afterwards.
 test("a stale entry that is replaced is never accepted", (context) => {
@@ -177,6 +207,107 @@
   assert.deepEqual(lagging.list.runners.map(({ name }) => name), ["r-new"]);
 });
 
+// Guards against removed runners that a peer keeps for ever. A daemon starts while
+// the peer is cut off from the store, and a removal was before the daemon's first list.
+test("a peer learns of removals from before the sender's first list", () => {
+  const starting = emptyDirectory();
+  const lagging = emptyDirectory();
+  lagging.replace({ revision: 50, runners: [runner("x"), runner("y")] });
+  starting.replace({ revision: 100, runners: [runner("y")] });
+  lagging.applyUpdate(starting.updateSince(lagging.revision));
+  assert.equal(lagging.revision, 100);
+  assert.deepEqual(lagging.list.runners, [runner("y")]);
+});
+
+// Guards against the same when the sender read a new list after an outage.
+test("a peer learns of removals between two lists of the sender", () => {
+  const ahead = emptyDirectory();
+  const lagging = emptyDirectory();
+  ahead.replace({ revision: 50, runners: [runner("y")] });
+  lagging.replace({ revision: 75, runners: [runner("x"), runner("y")] });
+  ahead.replace({ revision: 100, runners: [runner("y")] });
+  lagging.applyUpdate(ahead.updateSince(lagging.revision));
+  assert.deepEqual(lagging.list.runners, [runner("y")]);
+});
+
+// Guards against the same when a runner came and left within one watch.
+test("a peer learns of removals of runners that the sender never had", () => {
+  const ahead = emptyDirectory();
+  const lagging = emptyDirectory();
+  ahead.replace({ revision: 50, runners: [runner("y")] });
+  lagging.applyUpdate(ahead.updateSince(0));
+  lagging.applyChange(75, [runner("x")], []);
+  ahead.applyChange(100, [], ["x"]);
+  lagging.applyUpdate(ahead.updateSince(lagging.revision));
+  assert.deepEqual(lagging.list.runners, [runner("y")]);
+});
+
+// Guards against a wrong list that is never repaired, as the store's revision stays the
+// same while no runner changes.
+test("a current list of the store repairs one of the same revision", () => {
+  const directory = emptyDirectory();
+  let changes = 0;
+  directory.onChange(() => changes++);
+  directory.replace({ revision: 5, runners: [runner("a"), runner("b")] });
+  const current = { revision: 5, runners: [runner("c"), runner("b")] };
+  assert.ok(!directory.replace(current), "of a peer");
+  assert.deepEqual(readyIds(directory), ["a", "b"]);
+  assert.ok(directory.replace(current, { current: true }));
+  assert.deepEqual(readyIds(directory), ["c", "b"]);
+  assert.equal(changes, 2);
+  // The store's order may differ from that after changes.
+  const same = { revision: 5, runners: current.runners.toReversed() };
+  assert.ok(directory.replace(same, { current: true }));
+  assert.equal(changes, 2, "without a change");
+  const older = { revision: 4, runners: [] };
+  assert.ok(!directory.replace(older, { current: true }));
+});
+
+// Guards against changes that peers are never sent. Between the pages of a list, later
+// objects change: the list has them before its watch repeats them.
+test("a repeated change is sent to peers", () => {
+  const ahead = emptyDirectory();
+  const lagging = emptyDirectory();
+  lagging.replace({ revision: 4, runners: [runner("a"), runner("b")] });
+  const runners = [runner("a"), runner("b", true)];
+  ahead.replace({ revision: 4, runners });
+  ahead.applyChange(5, [runner("b", true)], []);
+  lagging.applyUpdate(ahead.updateSince(lagging.revision));
+  assert.deepEqual(lagging.list.runners, runners);
+});
+
+// Guards against an earlier incarnation that peers keep: when the hold of an entry ends,
+// they may have its revision already, without the entry.
+test("an entry that was held is sent to peers with the next change", (context) => {
+  context.mock.timers.enable({ apis: ["setTimeout"] });
+  const ahead = emptyDirectory();
+  const lagging = emptyDirectory();
+  for (const directory of [ahead, lagging]) {
+    directory.replace({ revision: 1, runners: [incarnation(200)] });
+  }
+  ahead.applyChange(2, [incarnation(100)], []);
+  lagging.applyUpdate(ahead.updateSince(lagging.revision));
+  context.mock.timers.tick(5_000);
+  ahead.applyChange(3, [runner("b")], []);
+  lagging.applyUpdate(ahead.updateSince(lagging.revision));
+  context.mock.timers.tick(5_000);
+  assert.deepEqual(readyIds(lagging), ["a~100", "b"]);
+});
+
+// Guards against the same for runners that a repair of the list brings or removes.
+test("a repair is sent to peers of the same revision with the next change", () => {
+  const ahead = emptyDirectory();
+  const lagging = emptyDirectory();
+  for (const directory of [ahead, lagging]) {
+    directory.replace({ revision: 1, runners: [runner("a"), runner("b")] });
+  }
+  const repair = { revision: 1, runners: [runner("b"), runner("c")] };
+  ahead.replace(repair, { current: true });
+  ahead.applyChange(2, [runner("d")], []);
+  lagging.applyUpdate(ahead.updateSince(lagging.revision));
+  assert.deepEqual(readyIds(lagging), ["b", "c", "d"]);
+});
+
 /** Before and after a restore, in which the counter has gone back. */
 const BEFORE = storeRevision(1, 50);
 const AFTER = storeRevision(2, 20);
@@ -221,3 +352,115 @@
   t.mock.timers.tick(4_000);
   assert.deepEqual(readyIds(directory), ["a", "b", "c"]);
 });
+
+// Guards against changes of a restored store that a peer applies to its list from
+// before. The revision of a stale first list is of the epoch before.
+test("a peer with a list from before a restore is sent the whole list", () => {
+  const starting = emptyDirectory();
+  const lagging = emptyDirectory();
+  lagging.replace({ revision: BEFORE, runners: [runner("a"), runner("b")] });
+  const stale = revisionOfStaleList(AFTER);
+  starting.replace({ revision: stale, runners: [runner("b")] });
+  starting.applyChange(AFTER + 1, [runner("c")], []);
+  lagging.applyUpdate(starting.updateSince(lagging.revision));
+  assert.deepEqual(readyIds(lagging), ["b", "c"]);
+});
+
+/** A store of runners that counts revisions and keeps its history. */
+class HistoryStore {
+  revision = 0;
+  readonly #slotsByName = new Map<string, number>();
+  readonly #namesByRevision: string[] = [];
+  readonly #listings: string[] = [""];
+
+  get runners(): readonly Runner[] {
+    return [...this.#slotsByName].map(([name, slots]) => ({
+      ...runner(name),
+      slots,
+    }));
+  }
+
+  /** The entries that the store had at a revision. */
+  at(revision: number): string {
+    return this.#listings[revision]!;
+  }
+
+  /** Sets the slots of a runner; 0 removes it. */
+  set(name: string, slots: number): void {
+    if ((this.#slotsByName.get(name) ?? 0) === slots) return;
+    if (slots === 0) this.#slotsByName.delete(name);
+    else this.#slotsByName.set(name, slots);
+    this.#namesByRevision[++this.revision] = name;
+    this.#listings[this.revision] = listingOf(this.runners);
+  }
+
+  /** Applies to a directory what changed since a revision. */
+  sendChanges(directory: RunnerDirectory, since: number): void {
+    const names = new Set(this.#namesByRevision.slice(since + 1));
+    const present = this.runners.filter(({ name }) => names.has(name));
+    for (const { name } of present) names.delete(name);
+    directory.applyChange(this.revision, present, [...names]);
+  }
+}
+
+function listingOf(runners: readonly Runner[]): string {
+  return runners.map(({ name, slots }) => `${name}:${slots}`).sort().join();
+}
+
+/** What happens at one daemon in one step of {@linkcode checkExchanges}. */
+interface ExchangeStep {
+  readonly kind: "change" | "list" | "watch" | "peer";
+  readonly daemon: number;
+  readonly peer: number;
+  readonly slots: number;
+}
+
+const DAEMONS = 4;
+
+/** Checks that each daemon has what the store had at the daemon's revision. */
+function checkExchanges(steps: readonly ExchangeStep[]): void {
+  const store = new HistoryStore();
+  store.set("r-0", 1);
+  const directories = Array.from({ length: DAEMONS }, emptyDirectory);
+  /** Revisions from which the daemons watch. */
+  const watched: number[] = [];
+  for (const { kind, daemon, peer, slots } of steps) {
+    const directory = directories[daemon]!;
+    const since = watched[daemon];
+    if (kind === "change") store.set(`r-${peer}`, slots);
+    if (kind === "list") {
+      const { revision, runners } = store;
+      directory.replace({ revision, runners }, { current: true });
+      watched[daemon] = revision;
+    }
+    if (kind === "watch" && since !== undefined) {
+      store.sendChanges(directory, since);
+      watched[daemon] = store.revision;
+    }
+    if (kind === "peer" && directories[peer]!.revision > directory.revision) {
+      directory.applyUpdate(directories[peer]!.updateSince(directory.revision));
+    }
+    const { list, revision } = directory;
+    assert.equal(listingOf(list.runners), store.at(revision));
+  }
+}
+
+// Guards against peers that tell each other less than what changed: neither of them
+// would notice, as they have the same revision.
+test("daemons have the store's list of their revision, however they got it", () => {
+  const index = fc.nat(DAEMONS - 1);
+  const kind = (...kinds: ExchangeStep["kind"][]) => fc.constantFrom(...kinds);
+  const step = fc.record({
+    kind: kind("change", "change", "change", "list", "watch", "peer", "peer"),
+    daemon: index,
+    peer: index,
+    slots: fc.nat(2),
+  });
+  fc.assert(
+    fc.property(
+      fc.array(step, { minLength: 30, maxLength: 80 }),
+      checkExchanges,
+    ),
+    { numRuns: 3_000, seed: 1 },
+  );
+});
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -515,9 +515,10 @@
     if (configuration.version <= current) return;
     const ages = this.dataAges();
     const beforeMs = this.inForceMs();
-    this.#inForceAt = this.now();
-    this.#configuration = configuration;
+    // First, as it throws on a broken configuration, which peers must not be given.
     this.#routingTable = new RoutingTable(configuration);
+    this.#configuration = configuration;
+    this.#inForceAt = this.now();
     this.#server.applyLimits(configuration.limits);
     this.metrics.version(configuration.version);
     this.log.event("configuration_in_force", {
