Go on with a read of the store until it succeeds or fails

Cause: whether to go on was asked before the store had responded. Where it has dropped its history, the list that must follow the expired watch waited for the daemon's next turn; and a stale watch that was restarted stopped instead, as the aborted call counts as no response.

Change: a read goes on until the store has responded, or has failed since it began. A watch in place of the watchers' waits 2 s at most, so that what it confirms does not become stale meanwhile.

--- a/packages/router/src/connection/read_timing.ts
+++ b/packages/router/src/connection/read_timing.ts
@@ -28,6 +28,11 @@
 const FIRST_WAIT_MS = 1_000;
 /** Wait in ms of a watch that only confirms that nothing has changed. */
 const CONFIRMING_WAIT_MS = 1;
+/**
+ * Maximum wait in ms of a watch in place of the watchers', of which there may be no
+ * other: the data of the fleet must be confirmed before it is stale.
+ */
+const REPLACEMENT_WAIT_MS = 2_000;
 
 /** The fleet, as far as it decides who reads the store. */
 export interface ReadContext {
@@ -57,6 +62,8 @@
   hasData(): boolean;
   /** Time of the store's last response to this daemon, in monotonic ms. */
   respondedAt(): number;
+  /** Time of the last failed call of this daemon to the store, in monotonic ms. */
+  failedAt(): number;
   /** Resolves when the decision should be checked again. */
   untilNextCheck(): Promise<void>;
 }
@@ -84,8 +91,12 @@
     if (this.isStale()) return CONFIRMING_WAIT_MS;
     const { own, peers, random } = this.#context;
     const waitMs = watchWaitMs([own, ...peers()], random());
-    const { latest } = this.#data.confirmations;
-    return latest === undefined ? Math.min(FIRST_WAIT_MS, waitMs) : waitMs;
+    if (this.#data.confirmations.latest === undefined) {
+      return Math.min(FIRST_WAIT_MS, waitMs);
+    }
+    return this.replacesWatchers
+      ? Math.min(REPLACEMENT_WAIT_MS, waitMs)
+      : waitMs;
   }
 
   /** Whether this daemon watches the store as those that should cannot. */
@@ -162,6 +173,7 @@
       ageMs: this.#data.confirmations.ageMs(now),
       maxAgeMs: this.#context.maxAgeMs(),
       respondedAt: this.#data.respondedAt(),
+      failedAt: this.#data.failedAt(),
       othersAt: this.#data.confirmations.othersAt,
       daemons: this.#context.linkedDaemons(),
     };
--- a/packages/router/src/connection/store_followers.ts
+++ b/packages/router/src/connection/store_followers.ts
@@ -173,6 +173,7 @@
       confirmations,
       hasData,
       respondedAt: () => follower.respondedAt,
+      failedAt: () => follower.failedAt,
       untilNextCheck: () => this.#nextCheck(),
     });
     const confirm = () => {
--- a/packages/router/src/process/feed.ts
+++ b/packages/router/src/process/feed.ts
@@ -128,6 +128,7 @@
   /** Whether no list has been requested yet. */
   #firstList = true;
   #respondedAt = -Infinity;
+  #failedAt = -Infinity;
   #lostAt: number | undefined;
   #backoffMs = INITIAL_BACKOFF_MS;
   /** Aborts the current watch, if there is one. */
@@ -152,6 +153,11 @@
     return this.#watchAbort !== undefined;
   }
 
+  /** Time of the last failed call to the store, in monotonic ms. */
+  get failedAt(): number {
+    return this.#failedAt;
+  }
+
   /** Time of the store's last successful response, in monotonic ms. */
   get respondedAt(): number {
     return this.#respondedAt;
@@ -298,8 +304,9 @@
    */
   async #backOff(reason: string): Promise<void> {
     this.#revision = undefined;
+    this.#failedAt = performance.now();
     if (this.#lostAt === undefined) {
-      this.#lostAt = performance.now();
+      this.#lostAt = this.#failedAt;
       this.#connectivity.lost(reason);
     }
     const backoffMs = this.#backoffMs * (0.5 + Math.random());
--- a/packages/router/src/process/stale_reads.ts
+++ b/packages/router/src/process/stale_reads.ts
@@ -19,6 +19,8 @@
   readonly maxAgeMs: number;
   /** Time of the last response of the store to this daemon, in monotonic ms. */
   readonly respondedAt: number;
+  /** Time of the last failed call of this daemon to the store, in monotonic ms. */
+  readonly failedAt: number;
   /** Time at which the store last confirmed it to another, in monotonic ms. */
   readonly othersAt: number;
   /** Daemons that may read the store at the same time. */
@@ -35,8 +37,8 @@
   readonly #random: () => number;
   /** Time of the next read while the data is stale. */
   #nextAt: number | undefined;
-  /** Time of the last read; `Infinity` before the first. */
-  #readAt = Infinity;
+  /** Time at which the last read began. */
+  #readAt: number | undefined;
   #attempts = 0;
 
   /** @param random returns numbers in [0, 1). */
@@ -61,11 +63,13 @@
   }
 
   /**
-   * Whether to watch the store after such a read: it has responded, and since then
-   * to no other daemon.
+   * Whether to go on after such a read has begun, and to watch the store: it has
+   * responded or not failed yet, and has confirmed the data to no other daemon since.
    */
-  watches({ respondedAt, othersAt }: StaleReadInputs): boolean {
-    return respondedAt >= this.#readAt && othersAt < this.#readAt;
+  watches({ respondedAt, failedAt, othersAt }: StaleReadInputs): boolean {
+    const readAt = this.#readAt;
+    if (readAt === undefined || othersAt >= readAt) return false;
+    return respondedAt >= readAt || failedAt < readAt;
   }
 
   /** Time over which the next reads of all daemons are spread, in ms. */
--- a/packages/router/src/process/stale_reads_test.ts
+++ b/packages/router/src/process/stale_reads_test.ts
@@ -17,6 +17,7 @@
       ageMs: MAX_AGE_MS + now,
       maxAgeMs: MAX_AGE_MS,
       respondedAt: -Infinity,
+      failedAt: now,
       othersAt: -Infinity,
       daemons,
     };
@@ -40,3 +41,24 @@
   const perSecond = later.reduce((sum, reads) => sum + reads, 0) / 29;
   assert.ok(perSecond <= 9 / 2 + 1, `${perSecond}`);
 });
+
+// Guards against a read that stops where the store has dropped its history: the list
+// that must follow waited for the next turn of this daemon.
+test("a read goes on until the store has responded or failed", () => {
+  const reads = new StaleReads(() => 0);
+  const inputs = {
+    now: 5_000,
+    ageMs: 5_000,
+    maxAgeMs: MAX_AGE_MS,
+    respondedAt: -Infinity,
+    failedAt: 1_000,
+    othersAt: -Infinity,
+    daemons: 9,
+  };
+  assert.ok(!reads.watches(inputs), "before the first read");
+  assert.ok(reads.shouldRead(inputs));
+  assert.ok(reads.watches({ ...inputs, now: 5_010 }));
+  assert.ok(!reads.watches({ ...inputs, failedAt: 5_010 }));
+  assert.ok(reads.watches({ ...inputs, respondedAt: 5_010, failedAt: 6_000 }));
+  assert.ok(!reads.watches({ ...inputs, respondedAt: 5_010, othersAt: 6_000 }));
+});
--- a/packages/router/tests/broken_configuration_test.ts
+++ b/packages/router/tests/broken_configuration_test.ts
@@ -3,11 +3,13 @@
 import { VersionExchange } from "../src/connection/version_exchange.ts";
 import type { Peer } from "../src/connection/peers.ts";
 import { PrefixIndex } from "../src/process/prefix_index.ts";
+import { createConfirmed } from "../src/process/store_confirmations.ts";
 import type { Runner } from "../src/process/runner.ts";
 import type { Configuration, Route } from "../src/version/configuration.ts";
 import {
   emptyDirectory,
   SettableFeed,
+  SILENT_LOG,
   startRouter,
   testConfiguration,
   testRoute,
@@ -56,11 +58,12 @@
   const exchange = new VersionExchange({
     prefixes: new PrefixIndex(),
     directory,
+    confirmed: createConfirmed("own", 0),
     configuration: () => undefined,
     applyConfiguration: () => {
       throw new TypeError("no host");
     },
-  }, () => {});
+  }, { log: SILENT_LOG, onNewerVersion() {} });
   const runners = { revision: 5, runners: [], whole: true, left: [] };
   const response = {
     kind: "give",
