Keep the link to a daemon that sends an invalid figure

Over such a link neither versions nor runners arrive in time, and a daemon that others cannot hear is without all of them.

An entry with an invalid figure (load, waiting requests of a load, crash report, limit, draining runner, usage count, lease, time, member counts) is now left out and the rest of its message counts; `peer_entry_invalid` tells so once a minute at most. What its sender said before about the runner is removed, as it is when the link ends: kept, it would count for good, since rests of sums stay (one request in flight of 0.3, 4.8 and 5.8 tokens, then -1.8e-15 for ever). A value that is no number at all is another layout and still ends the link, as before.

--- a/packages/router/src/connection/apply_update.ts
+++ b/packages/router/src/connection/apply_update.ts
@@ -67,6 +67,11 @@
     changedRunners.add(load.runner);
     applyLoad(shared, neighbour, { load, now });
   }
+  for (const runner of update.unreadableLoads ?? []) {
+    // The last load known would count forever if the next ones are invalid, too.
+    if (!shared.loads.of(runner).removeNeighbour(neighbour)) continue;
+    changedRunners.add(runner);
+  }
   for (const prefix of parts) shared.prefixes.applyUpdate(prefix, now);
   return {
     changedRunners,
--- a/packages/router/src/connection/crash_encoding.ts
+++ b/packages/router/src/connection/crash_encoding.ts
@@ -6,6 +6,7 @@
 import { checkNonNegative } from "./check_non_negative.ts";
 import type { CrashAges, RunnerCrash } from "./crash_ages.ts";
 import { rowsOf } from "./rows.ts";
+import type { ValidEntries } from "./valid_entries.ts";
 
 type PackedCrash = readonly [
   runner: string,
@@ -46,10 +47,13 @@
   ];
 }
 
-function unpackCrash([runner, runs]: PackedCrash): RunnerCrash {
+function unpackCrash(
+  [runner, runs]: PackedCrash,
+  entries: ValidEntries,
+): RunnerCrash {
   return {
     runner: String(runner),
-    runs: rowsOf(runs, RUN_FIELDS).map((
+    runs: entries.all(rowsOf(runs, RUN_FIELDS), (
       [fingerprint, startedAgoMs, endedAgoMs],
     ) => ({
       fingerprint: String(fingerprint),
@@ -59,11 +63,17 @@
   };
 }
 
-/** Decodes a crash report that {@linkcode packCrashes} encoded. */
-export function unpackCrashes([crashed, responses]: PackedCrashes): CrashAges {
+/**
+ * Decodes a crash report that {@linkcode packCrashes} encoded, without the
+ * requests and responses of which an age is invalid.
+ */
+export function unpackCrashes(
+  [crashed, responses]: PackedCrashes,
+  entries: ValidEntries,
+): CrashAges {
   return {
-    crashed: crashed.map(unpackCrash),
-    responses: rowsOf(responses, RESPONSE_FIELDS).map((
+    crashed: crashed.map((crash) => unpackCrash(crash, entries)),
+    responses: entries.all(rowsOf(responses, RESPONSE_FIELDS), (
       [fingerprint, agoMs],
     ) => ({
       fingerprint: String(fingerprint),
--- a/packages/router/src/connection/peer_encoding.ts
+++ b/packages/router/src/connection/peer_encoding.ts
@@ -30,12 +30,14 @@
   Hello,
   LeaseAge,
   LimitAge,
+  MemberCounts,
   PeerMessage,
   QueuedRequests,
   RunnerLoadEntry,
   StateUpdate,
 } from "./peer_message.ts";
 import { rowsOf } from "./rows.ts";
+import { ValidEntries } from "./valid_entries.ts";
 
 type PackedWaiting = readonly [
   rank: number,
@@ -107,8 +109,8 @@
   whole: boolean,
   loads: readonly PackedLoad[],
   parts: readonly PackedParts[],
-  fleet: number,
-  domain: number,
+  fleet: number | undefined,
+  domain: number | undefined,
   contacts: readonly PackedContact[],
   gone: readonly PackedDead[],
   /** Trailing fields without a value are omitted. */
@@ -184,7 +186,7 @@
     unreadTokens: checkNonNegative(unreadTokens, "unreadTokens"),
     workTokens: checkNonNegative(workTokens, "workTokens"),
     memoryTokens: checkNonNegative(memoryTokens, "memoryTokens"),
-    tightStreams: checkNonNegative(tightStreams, "tight"),
+    tightStreams: checkNonNegative(tightStreams, "tightStreams"),
     answered: checkNonNegative(answered, "answered"),
     failed: checkNonNegative(failed, "failed"),
     waiting: waiting.map(unpackWaiting),
@@ -243,8 +245,8 @@
     whole,
     state.loads.map(packLoad),
     state.parts.map(packParts),
-    members.fleet,
-    members.domain,
+    members?.fleet,
+    members?.domain,
     state.contacts.map(packContact),
     state.gone.map(({ name, incarnation }) => [name, incarnation] as const),
   ] as const;
@@ -364,7 +366,32 @@
   return { name, incarnation };
 }
 
-function unpackState(packed: PackedState): StateUpdate {
+/** Reads loads, and tells the runners of those that are invalid. */
+function unpackLoads(
+  packed: readonly PackedLoad[],
+  entries: ValidEntries,
+): Pick<StateUpdate, "loads" | "unreadableLoads"> {
+  const loads = entries.all(packed, unpackLoad);
+  if (loads.length === packed.length) return { loads };
+  const valid = new Set(loads.map(({ runner }) => runner));
+  const runners = packed.map(([runner]) => runner);
+  return {
+    loads,
+    unreadableLoads: runners.filter((runner) => !valid.has(runner)),
+  };
+}
+
+function unpackMembers(fleet: unknown, domain: unknown): MemberCounts {
+  return {
+    fleet: checkNonNegative(fleet, "members.fleet"),
+    domain: checkNonNegative(domain, "members.domain"),
+  };
+}
+
+function unpackState(
+  packed: PackedState,
+  entries: ValidEntries,
+): StateUpdate {
   const [configuration, runners, whole, loads, parts, fleet, domain] = packed;
   const [, , , , , , , contacts, gone, ...optional] = packed;
   const [crashes, limits = [], timeMs, usage = [], lease, ...later] = optional;
@@ -374,22 +401,21 @@
     configuration,
     runners,
     whole,
-    loads: loads.map(unpackLoad),
+    ...unpackLoads(loads, entries),
     parts: parts.map(unpackParts),
-    members: {
-      fleet: checkNonNegative(fleet, "members.fleet"),
-      domain: checkNonNegative(domain, "members.domain"),
-    },
+    members: entries.one(() => unpackMembers(fleet, domain)),
     contacts: unpackContacts(contacts),
     gone: gone.map(unpackDead),
-    crashes: crashes === undefined ? NO_CRASHES : unpackCrashes(crashes),
-    limits: limits.map(unpackLimit),
+    crashes: crashes === undefined
+      ? NO_CRASHES
+      : unpackCrashes(crashes, entries),
+    limits: entries.all(limits, unpackLimit),
     timeMs: timeMs === undefined
       ? undefined
-      : checkNonNegative(timeMs, "timeMs"),
-    usage: usage.map(unpackUsage),
-    lease: lease && unpackLease(lease),
-    draining: draining.map(unpackDraining),
+      : entries.one(() => checkNonNegative(timeMs, "timeMs")),
+    usage: entries.all(usage, unpackUsage),
+    lease: lease && entries.one(() => unpackLease(lease)),
+    draining: entries.all(draining, unpackDraining),
     paces: unpackPaces(paces),
     places: unpackPlaces(places),
     shares: unpackShares(shares),
@@ -458,10 +484,15 @@
 /**
  * Reads a message in the layout of {@linkcode packMessage}.
  *
- * @throws {TypeError} when the layout differs, as another version's may, or when
- * a count or age in it is invalid.
+ * @param onInvalidEntry called with the reason for each entry of a state update
+ * that is left out because a count or age in it is invalid.
+ * @throws {TypeError} when the layout differs, as another version's may.
  */
-export function unpackMessage(item: unknown): PeerMessage {
-  if (Array.isArray(item)) return unpackState(item as unknown as PackedState);
-  return unpackMap(item as PackedMap);
+export function unpackMessage(
+  item: unknown,
+  onInvalidEntry: (reason: string) => void = () => {},
+): PeerMessage {
+  if (!Array.isArray(item)) return unpackMap(item as PackedMap);
+  const entries = new ValidEntries(onInvalidEntry);
+  return unpackState(item as unknown as PackedState, entries);
 }
--- a/packages/router/src/connection/peer_link.ts
+++ b/packages/router/src/connection/peer_link.ts
@@ -36,6 +36,11 @@
   readonly onClose: () => void;
   /** Called with the reason when a message is invalid; the link closes. */
   readonly onFault: (reason: string) => void;
+  /**
+   * Called with the reason when an entry of a message is invalid; the rest of the
+   * message counts.
+   */
+  readonly onInvalidEntry: (reason: string) => void;
 }
 
 /** A link to another daemon. */
@@ -56,6 +61,7 @@
   readonly #socket: Socket;
   readonly #onMessage: (message: PeerMessage) => void;
   readonly #onFault: (reason: string) => void;
+  readonly #onInvalidEntry: (reason: string) => void;
   #idleTimeoutMs = IDLE_TIMEOUT_MS;
   #idleTimer: NodeJS.Timeout;
   /** Whether nothing was received since the idle timer fired. */
@@ -67,6 +73,7 @@
     this.#socket = socket;
     this.#onMessage = events.onMessage;
     this.#onFault = events.onFault;
+    this.#onInvalidEntry = events.onInvalidEntry;
     socket.setNoDelay(true);
     // Both sides send heartbeats well within the time-out. `socket.setTimeout`
     // restarts at each write as well, so a link to a peer without power would
@@ -112,7 +119,7 @@
    */
   #handle(item: unknown): boolean {
     try {
-      this.#onMessage(unpackMessage(item));
+      this.#onMessage(unpackMessage(item, this.#onInvalidEntry));
       return true;
     } catch (error) {
       this.#onFault(String(error));
--- a/packages/router/src/connection/peer_message.ts
+++ b/packages/router/src/connection/peer_message.ts
@@ -116,7 +116,13 @@
 /** Changes since the sender's last update; also the heartbeat of a link. */
 export interface StateUpdate extends Versions, RunnerUpdate, ContactUpdates {
   readonly kind: "state";
-  readonly members: MemberCounts;
+  /** Undefined in a received update if they were invalid. */
+  readonly members: MemberCounts | undefined;
+  /**
+   * Runners whose loads were invalid in a received update, and are not among
+   * `loads`.
+   */
+  readonly unreadableLoads?: readonly string[];
   /** The sender's estimate of the time in epoch ms; absent without metering. */
   readonly timeMs: number | undefined;
   /** Counts of requests that runners started, for the daemons that may lead. */
--- a/packages/router/src/connection/peers.ts
+++ b/packages/router/src/connection/peers.ts
@@ -34,6 +34,11 @@
  * logged once.
  */
 const MAX_MISMATCHED = 1_000;
+/**
+ * Minimum ms between two lines about invalid entries, which may be in each update
+ * of a peer.
+ */
+const INVALID_LOG_MS = 60_000;
 
 /** A daemon whose link is up. */
 export interface Peer extends Contact {
@@ -87,6 +92,8 @@
   /** Addresses of daemons of another version that have been logged. */
   readonly #mismatched = new Set<string>();
   #stopped = false;
+  /** When an invalid entry of a message was logged last. */
+  #invalidLoggedAt = -Infinity;
 
   constructor(own: Contact, options: {
     readonly network: PeerNetwork;
@@ -237,6 +244,7 @@
       onFault: (reason) => {
         this.#log.event("peer_message_invalid", { name: peer?.name, reason });
       },
+      onInvalidEntry: (reason) => this.#logInvalidEntry(peer, reason),
       onClose: () => {
         if (peer !== undefined) this.#linkLost(peer);
         this.#linkClosed(dialledAddress ?? peer?.address, peer !== undefined);
@@ -247,6 +255,13 @@
     if (dialledAddress !== undefined) link.send(this.#hello(undefined));
   }
 
+  #logInvalidEntry(peer: Peer | undefined, reason: string): void {
+    const now = performance.now();
+    if (now - this.#invalidLoggedAt < INVALID_LOG_MS) return;
+    this.#invalidLoggedAt = now;
+    this.#log.event("peer_entry_invalid", { name: peer?.name, reason });
+  }
+
   #linkClosed(address: string | undefined, connected: boolean): void {
     if (address === undefined || this.#byAddress.has(address)) return;
     const target = this.#targets.get(address);
--- a/packages/router/src/connection/state_exchange.ts
+++ b/packages/router/src/connection/state_exchange.ts
@@ -284,7 +284,9 @@
     const role = this.#overlay.role(peer.name);
     const { relayed } = this.#overlay;
     if (role !== undefined || !relayed) {
-      this.#applyMembers(peer, update.members);
+      if (update.members !== undefined) {
+        this.#applyMembers(peer, update.members);
+      }
       const received = applyUpdate(this.#state, peer.name, update);
       if (this.#broadcaster.relay(peer, received)) this.wake();
       const reordered = received.shares.length > 0 &&
