Go on following a value after an error is thrown

A daemon could stay at one version of the table for good, without a line in its log. What follows a published value are fibres in endless loops; they recovered from failures, but an error thrown inside them (a defect) ended the loop: a listener that threw once, an error while a value is taken from the store or a peer, a delta that does not fit (DeltaMismatch). A listener that threw at the start also kept the daemon from becoming ready, and the value from the listeners after it.

Each listener is now called by itself. A delta that does not fit is treated as one whose base is missing: the whole value is fetched. Each error is reported to the new option `onFault`; the daemon writes it as the warning `update_failed`.

--- a/packages/coordination/src/version/published_value.ts
+++ b/packages/coordination/src/version/published_value.ts
@@ -9,6 +9,7 @@
 import { SYSTEM_CLOCK } from "../process/clock.ts";
 import type { Clock } from "../process/clock.ts";
 import type { Membership } from "../process/membership.ts";
+import { notifyListeners } from "../process/notify_listeners.ts";
 import { PauseDetector } from "../process/pause_detector.ts";
 import type { Peers } from "../process/peers.ts";
 import type { Store } from "../process/store.ts";
@@ -43,6 +44,11 @@
    * Called with a version that `decode` rejects; the current value is then kept.
    */
   readonly onRejected?: (version: number, error: unknown) => void;
+  /**
+   * Called with an error that a listener throws, or that is thrown while a
+   * version is received. The value is followed on.
+   */
+  readonly onFault?: (error: unknown) => void;
   readonly clock?: Clock;
   /** Detects pauses of the process; a new detector by default. */
   readonly pauseDetector?: PauseDetector;
@@ -96,6 +102,7 @@
       channel,
       history: this.#history,
       confirmation,
+      onFault: (error) => this.#options.onFault?.(error),
       applyIfNewer: (candidate, source) =>
         this.#applyIfNewer(candidate, source),
       knownVersion: () =>
@@ -109,6 +116,7 @@
         chooseWatchers(membership.view(), membership.self, channel).isWatcher,
       msSinceContact: () => this.#exchange.msSinceContact,
       confirmation,
+      onFault: (error) => this.#options.onFault?.(error),
       onObject: ({ version, value }) => {
         this.#applyIfNewer({ version, value: value as Json }, "store");
       },
@@ -207,10 +215,7 @@
     return Effect.gen({ self: this }, function* () {
       while (true) {
         const [storeRead, { reached }] = yield* Effect.all([
-          Effect.match(this.#follower.read(), {
-            onFailure: () => false,
-            onSuccess: () => true,
-          }),
+          this.#follower.tryRead(),
           this.#exchange.catchUp(),
         ], { concurrency: "unbounded" });
         const hasValue = this.#current !== undefined;
@@ -254,7 +259,9 @@
     this.#current = { version, value: decoded };
     this.#history.add(version, value);
     this.#exchange.broadcast(source, { previous });
-    for (const listener of [...this.#listeners]) listener(this.#current);
+    notifyListeners(this.#listeners, this.#current, {
+      onFault: (error) => this.#options.onFault?.(error),
+    });
     this.#completeReady();
     return true;
   }
--- a/packages/coordination/src/version/store_follower.ts
+++ b/packages/coordination/src/version/store_follower.ts
@@ -54,6 +54,8 @@
   readonly onObject: (
     found: { readonly version: number; readonly value: unknown },
   ) => void;
+  /** Called with an error that is thrown, after which the follower goes on. */
+  readonly onFault: (error: unknown) => void;
 }
 
 /**
@@ -80,6 +82,14 @@
     });
   }
 
+  /** Reads the object once; returns whether the store responded. */
+  tryRead(): Effect.Effect<boolean> {
+    return Effect.match(this.read(), {
+      onFailure: () => false,
+      onSuccess: () => true,
+    }).pipe(Effect.catchDefect((defect) => this.#report(defect, false)));
+  }
+
   /** Follows the object until interrupted. */
   run(): Effect.Effect<never> {
     const { isWatcher, msSinceContact } = this.#options;
@@ -92,10 +102,21 @@
       return Effect.sleep(RECHECK_MS);
     }).pipe(
       Effect.catch((failure) => this.#backOff(failure)),
+      // Uncaught, a defect would end this fibre, and nothing would tell so.
+      Effect.catchDefect((defect) =>
+        Effect.andThen(this.#report(defect, undefined), this.#backOff({}))
+      ),
       Effect.forever,
     );
   }
 
+  #report<T>(defect: unknown, result: T): Effect.Effect<T> {
+    return Effect.sync(() => {
+      this.#options.onFault(defect);
+      return result;
+    });
+  }
+
   #isUnconfirmed(): boolean {
     return this.#options.confirmation.ageMs >= UNCONFIRMED_AFTER_MS;
   }
@@ -140,7 +161,7 @@
     });
   }
 
-  #backOff(failure: Unavailable): Effect.Effect<void> {
+  #backOff(failure: Pick<Unavailable, "retryAfterMs">): Effect.Effect<void> {
     return Effect.suspend(() => {
       const jitter = 0.5 + Math.random();
       const waitMs = Math.max(
--- a/packages/coordination/src/version/version_exchange.ts
+++ b/packages/coordination/src/version/version_exchange.ts
@@ -32,6 +32,11 @@
   readonly history: VersionHistory;
   /** Updated from the answers of other members, and sent with answers. */
   readonly confirmation: StoreConfirmation;
+  /**
+   * Called with an error that is thrown while a version is received, and with
+   * deltas that do not fit.
+   */
+  readonly onFault: (error: unknown) => void;
   /** Applies a value if it is newer; returns whether it was applied. */
   readonly applyIfNewer: (
     candidate: { readonly version: number; readonly value: Json },
@@ -102,9 +107,13 @@
     return Effect.gen({ self: this }, function* () {
       const have = this.#options.knownVersion();
       const applied = yield* this.#fetchUpdate(name, have);
-      // The base of the delta is missing here, so fetch the whole value.
+      // The delta cannot be applied here, so fetch the whole value.
       if (!applied) yield* this.#fetchUpdate(name, 0);
-    });
+    }).pipe(
+      Effect.catchDefect((defect) =>
+        Effect.sync(() => this.#options.onFault(defect))
+      ),
+    );
   }
 
   /**
@@ -204,11 +213,21 @@
     return { kind: "version", version: this.#options.history.newestVersion };
   }
 
+  /** Returns the value of an update; undefined if it must be fetched whole. */
+  #resolve(update: VersionUpdate): Json | undefined {
+    try {
+      return this.#options.history.resolveUpdate(update);
+    } catch (error) {
+      this.#options.onFault(error);
+      return undefined;
+    }
+  }
+
   /** Returns false if the update is newer but its base is missing here. */
   #applyUpdate(from: string, update: VersionUpdate): boolean {
-    const { knownVersion, history, applyIfNewer } = this.#options;
+    const { knownVersion, applyIfNewer } = this.#options;
     if (update.version <= knownVersion()) return true;
-    const value = history.resolveUpdate(update);
+    const value = this.#resolve(update);
     if (value === undefined) return false;
     applyIfNewer({ version: update.version, value }, this.#sourceOf(from));
     return true;
--- a/packages/coordination/tests/published_value_test.ts
+++ b/packages/coordination/tests/published_value_test.ts
@@ -367,6 +367,115 @@
   assert.equal(daemon.current()?.version, 5);
 });
 
+/** Starts a daemon that knows no other, with the faults that it reports. */
+async function startAlone(
+  fleet: Fleet,
+  options: Partial<PublishedValueOptions<string>> = {},
+) {
+  const [self = memberNamed("")] = MEMBERS;
+  const faults: unknown[] = [];
+  const daemon = await fleet.startDaemon(self.name, {
+    membership: new FakeMembership(self, []),
+    onFault: (error) => faults.push(error),
+    ...options,
+  });
+  return { daemon, faults };
+}
+
+// Guards against a daemon that stays at one version for good, without a word,
+// because a part of it failed once.
+test("a listener that throws does not end the watch, nor keep the value from others", async (t) => {
+  const fleet = new Fleet(t);
+  const { daemon, faults } = await startAlone(fleet);
+  const fault = new Error("listener");
+  let throwing = true;
+  daemon.subscribe(() => {
+    if (throwing) throw fault;
+  });
+  const seen: string[] = [];
+  daemon.subscribe(({ value }) => seen.push(value));
+  await fleet.write("first");
+  await waitUntil(() => daemon.isReady);
+  assert.equal(daemon.current()?.value, "first");
+  assert.deepEqual(faults, [fault]);
+  throwing = false;
+  const version = await fleet.write("second");
+  await waitUntil(() => daemon.current()?.version === version);
+  assert.deepEqual(seen, ["first", "second"]);
+});
+
+test("an error while the store's value is taken does not end the watch", async (t) => {
+  const fleet = new Fleet(t);
+  await fleet.write("first");
+  const fault = new Error("reporter");
+  const { daemon, faults } = await startAlone(fleet, {
+    decode: (value) => {
+      if (value === "bad") throw new Error("Bad");
+      return decodeText(value);
+    },
+    onRejected: () => {
+      throw fault;
+    },
+  });
+  await whenReady(daemon);
+  await fleet.write("bad");
+  await waitUntil(() => faults.length > 0);
+  assert.deepEqual(faults, [fault]);
+  const version = await fleet.write("second");
+  await waitUntil(() => daemon.current()?.version === version);
+});
+
+/** Starts a daemon whose one peer gives the answers in turn, then the last. */
+async function startBesidePeer(
+  fleet: Fleet,
+  answers: readonly unknown[],
+  options: Partial<PublishedValueOptions<string>> = {},
+) {
+  const [self = memberNamed(""), peer = memberNamed("")] = MEMBERS;
+  let asked = 0;
+  fleet.network.peers(peer.name).handle(CHANNEL, (_, message) => {
+    const { ask } = message as { readonly ask: string };
+    if (ask !== "update") {
+      return Effect.succeed({ kind: "version", version: 0 });
+    }
+    asked += 1;
+    return Effect.succeed(answers[Math.min(asked, answers.length) - 1]);
+  });
+  const faults: unknown[] = [];
+  const daemon = await fleet.startDaemon(self.name, {
+    plan: () => "refuse",
+    membership: new FakeMembership(self, [peer]),
+    onFault: (error) => faults.push(error),
+    ...options,
+  });
+  daemon.publish({ version: 1, value: "first" });
+  return { daemon, faults };
+}
+
+test("a delta that does not fit is replaced by the whole value", async (t) => {
+  const delta = { op: "splice", head: 1, tail: 1, items: [] };
+  const { daemon, faults } = await startBesidePeer(new Fleet(t), [
+    { kind: "delta", version: 2, from: 1, delta },
+    { kind: "whole", version: 2, value: "second" },
+  ]);
+  await waitUntil(() => daemon.current()?.value === "second");
+  assert.match(String(faults), /^DeltaMismatch/);
+});
+
+test("an error while a peer's value is taken does not end the pulls", async (t) => {
+  const fault = new Error("reporter");
+  const { daemon, faults } = await startBesidePeer(new Fleet(t), [
+    { kind: "whole", version: 2, value: 2 },
+    { kind: "whole", version: 3, value: "third" },
+  ], {
+    onRejected: () => {
+      throw fault;
+    },
+  });
+  await waitUntil(() => daemon.current()?.value === "third");
+  assert.deepEqual(faults, [fault]);
+});
+
 test("peerVersions lists the members that are behind or unreachable", async (t) => {
   const fleet = new Fleet(t);
   const daemon = await fleet.startDaemon("a1", { plan: () => "refuse" });
--- a/packages/daemon/src/fleet.ts
+++ b/packages/daemon/src/fleet.ts
@@ -159,6 +159,8 @@
       decode: checkStoredTable,
       onRejected: (version, error) =>
         log.warning("table_invalid", { version, reason: String(error) }),
+      onFault: (error) =>
+        log.warning("update_failed", { of: "table", reason: String(error) }),
     });
     const feed = new SourcedTableFeed(published, log);
     yield* published.start();
