Go on polling the list of hosts after an error is thrown

A listener or callback of the list of hosts that threw once ended the fibre that polls it: the daemon kept its list of runners and peers for good, and nothing said so.

Listeners and `onFindings` are now called one by one; an error of any other part of a poll counts as a failed poll, with the usual backoff, and the revision is recorded only once its hosts have been read. Errors go to the new option `onFault`; the daemon writes them as the warning `update_failed`.

--- a/packages/coordination/src/process/host_list_client.ts
+++ b/packages/coordination/src/process/host_list_client.ts
@@ -9,6 +9,7 @@
 import type { Host, HostFinding, HostList } from "./host_list.ts";
 import { parseHosts } from "./host_list.ts";
 import { HttpClient } from "./http_client.ts";
+import { notifyListeners } from "./notify_listeners.ts";
 
 /** Options of {@linkcode followHostList}. */
 export interface HostListClientOptions {
@@ -28,6 +29,8 @@
   readonly onFindings?: (findings: readonly HostFinding[]) => void;
   /** Called when the platform starts or stops answering. */
   readonly onCurrent?: (current: boolean, reason: string) => void;
+  /** Called with an error that a listener throws. The list is followed on. */
+  readonly onFault?: (error: unknown) => void;
 }
 
 /** The platform did not answer a poll, or its response is not a host list. */
@@ -114,14 +117,12 @@
     function* (): Effect.fn.Return<never> {
       let backoffMs = MIN_BACKOFF_MS;
       while (true) {
-        const failure = yield* this.#pollOnce();
+        const failure = yield* this.#tryPoll();
         if (failure === undefined) {
           backoffMs = MIN_BACKOFF_MS;
           yield* Effect.sleep(this.#options.pauseMs ?? DEFAULT_PAUSE_MS);
           continue;
         }
-        if (failure.gone) this.#revision = undefined;
-        this.#setCurrent(false, failure.reason);
         // Jitter, so that the whole fleet does not retry at the same time.
         yield* Effect.sleep(
           yield* Random.nextBetween(backoffMs / 2, backoffMs),
@@ -131,6 +132,26 @@
     },
   );
 
+  /** Polls once; an error that a callback throws counts as a failure. */
+  #tryPoll(): Effect.Effect<PollFailed | undefined> {
+    return this.#pollOnce().pipe(
+      Effect.tap((failure) => Effect.sync(() => this.#recordFailure(failure))),
+      // Uncaught, a defect would end this fibre, and nothing would tell so.
+      Effect.catchDefect((defect) =>
+        Effect.sync(() => {
+          this.#options.onFault?.(defect);
+          return pollFailed(String(defect));
+        })
+      ),
+    );
+  }
+
+  #recordFailure(failure: PollFailed | undefined): void {
+    if (failure === undefined) return;
+    if (failure.gone) this.#revision = undefined;
+    this.#setCurrent(false, failure.reason);
+  }
+
   #pollOnce(): Effect.Effect<PollFailed | undefined> {
     const waitMs = this.#options.waitMs ?? DEFAULT_WAIT_MS;
     const timeoutMs = waitMs + RESPONSE_MARGIN_MS;
@@ -148,11 +169,14 @@
   #accept(response: HostListResponse): undefined {
     this.#setCurrent(true, "answered");
     if (response.revision === this.#revision) return;
-    this.#revision = response.revision;
     const { hosts, findings } = parseHosts(response.hosts);
-    if (findings.length > 0) this.#options.onFindings?.(findings);
+    this.#revision = response.revision;
     this.#hosts = hosts;
-    for (const listener of [...this.#listeners]) listener(hosts);
+    const { onFindings, onFault = () => {} } = this.#options;
+    if (onFindings !== undefined && findings.length > 0) {
+      notifyListeners([onFindings], findings, { onFault });
+    }
+    notifyListeners(this.#listeners, hosts, { onFault });
   }
 
   /** Closes the connection. */
--- a/packages/coordination/src/process/host_list_client_test.ts
+++ b/packages/coordination/src/process/host_list_client_test.ts
@@ -125,6 +125,36 @@
     assert.equal(list.current(), true);
   }))));
 
+// Guards against a daemon that keeps its first list of hosts for good because a
+// part of it failed once.
+test("callbacks that throw neither end the polls nor keep the hosts from others", () =>
+  Effect.runPromise(Effect.scoped(
+    Effect.gen(function* () {
+      const platform = yield* Platform.open;
+      const faults: string[] = [];
+      const fail = (reason: string) => () => {
+        throw new Error(reason);
+      };
+      const list = yield* follow(platform, {
+        onCurrent: fail("current"),
+        onFindings: fail("findings"),
+        onFault: (error) => faults.push((error as Error).message),
+      });
+      list.subscribe(fail("listener"));
+      const seen: (readonly string[])[] = [];
+      list.subscribe((hosts) => seen.push(hosts.map(({ name }) => name)));
+      const hosts = [hostNamed("a"), { ...hostNamed("b"), port: "x" }];
+      // The first one is lost with `onCurrent`, so its revision is sent again.
+      yield* platform.answer(200, { revision: 1, hosts: [] });
+      yield* platform.answer(200, { revision: 1, hosts });
+      yield* platform.answer(200, { revision: 2, hosts: [hostNamed("c")] });
+      yield* platform.answer(200, { revision: 2, hosts: [] });
+      assert.deepEqual(seen, [["a"], ["c"]]);
+      assert.deepEqual(names(list), ["c"]);
+      assert.deepEqual(faults, ["current", "findings", "listener", "listener"]);
+    }).pipe(Effect.timeout(10_000)),
+  )));
+
 test("an expired revision is not requested again", () =>
   Effect.runPromise(Effect.scoped(Effect.gen(function* () {
     const platform = yield* Platform.open;
--- a/packages/daemon/src/fleet.ts
+++ b/packages/daemon/src/fleet.ts
@@ -86,6 +86,8 @@
         }),
       onCurrent: (current, reason) =>
         log.event("host_list_changed", { current, reason }),
+      onFault: (error) =>
+        log.warning("update_failed", { of: "hosts", reason: String(error) }),
     });
     return yield* startNode({
       name,
