Let a damaged copy of a peer not bar the store's value

A copy that does not decode marked its version as rejected, whoever sent it. The store's own value of that version was then refused without being looked at, and the daemon kept the version before until the next edit.

Only versions from the store, or of this process's own write, are marked now. A copy of a peer is reported once a version (`onRejected`), and makes a daemon that does not watch the store read it, after the random delay of up to 4 s that other reads have, so that the store decides. Until then the copy is not fetched at each heartbeat of its senders, only by the pull of each second.

Left: while the store cannot be read, the whole value of a peer's invalid version is fetched once a second by each daemon that has not decoded it.

--- a/packages/coordination/src/version/published_value.ts
+++ b/packages/coordination/src/version/published_value.ts
@@ -86,7 +86,11 @@
   #ready = Deferred.makeUnsafe<VersionedValue<T>>();
   #isSynced = false;
   #current: VersionedValue<T> | undefined;
+  /** The highest invalid version from the store or this process. */
   #rejectedVersion = 0;
+  /** The invalid version that was reported last. */
+  #reportedVersion = 0;
+  readonly #confirmation: StoreConfirmation;
 
   constructor(options: PublishedValueOptions<T>) {
     this.#options = options;
@@ -95,6 +99,7 @@
     const channel = `published/${kind}/${name}`;
     this.#pauseDetector = options.pauseDetector ?? new PauseDetector({ clock });
     const confirmation = new StoreConfirmation(clock);
+    this.#confirmation = confirmation;
     this.#exchange = new VersionExchange({
       peers,
       membership,
@@ -241,6 +246,15 @@
     Deferred.doneUnsafe(this.#ready, Effect.succeed(this.#current));
   }
 
+  /**
+   * Records an invalid version. A copy of another member may be damaged, so it does
+   * not mark the version: the store's own value of that version may be valid.
+   */
+  #reject(version: number, source: VersionSource): void {
+    if (source === "store" || source === "own") this.#rejectedVersion = version;
+    else this.#confirmation.doubt();
+  }
+
   #applyIfNewer(
     candidate: { readonly version: number; readonly value: Json },
     source: VersionSource,
@@ -252,7 +266,9 @@
     try {
       decoded = this.#options.decode(value);
     } catch (error) {
-      this.#rejectedVersion = version;
+      this.#reject(version, source);
+      if (version === this.#reportedVersion) return false;
+      this.#reportedVersion = version;
       this.#options.onRejected?.(version, error);
       return false;
     }
--- a/packages/coordination/src/version/store_confirmation.ts
+++ b/packages/coordination/src/version/store_confirmation.ts
@@ -13,6 +13,7 @@
 export class StoreConfirmation {
   readonly #clock: Clock;
   #confirmedAt = -Infinity;
+  #isDoubted = false;
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -23,6 +24,25 @@
     return this.#clock.monotonic() - this.#confirmedAt;
   }
 
+  /**
+   * Whether a member sent a newer version that is invalid. It may be a damaged copy
+   * of a valid one, or of none at all; only the store can tell.
+   */
+  get isDoubted(): boolean {
+    return this.#isDoubted;
+  }
+
+  /** Records that a member sent a newer version that is invalid. */
+  doubt(): void {
+    this.#isDoubted = true;
+  }
+
+  /** Records an answer of the store itself to a request sent at the given time. */
+  recordOwn(at: number): void {
+    this.#isDoubted = false;
+    this.record(at);
+  }
+
   /** The current time, to pass to {@linkcode StoreConfirmation.record}. */
   now(): number {
     return this.#clock.monotonic();
--- a/packages/coordination/src/version/store_follower.ts
+++ b/packages/coordination/src/version/store_follower.ts
@@ -60,7 +60,8 @@
 
 /**
  * Watches the object while this process is a watcher, and reads it when
- * isolated or when the store has not confirmed it for long.
+ * isolated, when the store has not confirmed it for long, or when a member sent an
+ * invalid copy.
  */
 export class StoreFollower {
   readonly #options: StoreFollowerOptions;
@@ -77,7 +78,7 @@
       const sentAt = confirmation.now();
       const found = yield* store.read(kind, name);
       if (found !== undefined) onObject(found);
-      confirmation.record(sentAt);
+      confirmation.recordOwn(sentAt);
       return found;
     });
   }
@@ -98,7 +99,7 @@
       if (msSinceContact() >= ISOLATED_AFTER_MS) {
         return Effect.andThen(this.read(), Effect.sleep(ISOLATED_AFTER_MS));
       }
-      if (this.#isUnconfirmed()) return this.#readAfterDelay();
+      if (this.#needsRead()) return this.#readAfterDelay();
       return Effect.sleep(RECHECK_MS);
     }).pipe(
       Effect.catch((failure) => this.#backOff(failure)),
@@ -117,14 +118,15 @@
     });
   }
 
-  #isUnconfirmed(): boolean {
-    return this.#options.confirmation.ageMs >= UNCONFIRMED_AFTER_MS;
+  #needsRead(): boolean {
+    const { isDoubted, ageMs } = this.#options.confirmation;
+    return isDoubted || ageMs >= UNCONFIRMED_AFTER_MS;
   }
 
-  /** Reads the object, unless it has been confirmed during a random delay. */
+  /** Reads the object after a random delay, unless that is no longer needed. */
   #readAfterDelay(): Effect.Effect<void, Unavailable> {
     const read = Effect.suspend(() =>
-      this.#isUnconfirmed() ? Effect.asVoid(this.read()) : Effect.void
+      this.#needsRead() ? Effect.asVoid(this.read()) : Effect.void
     );
     return Effect.suspend(() =>
       Effect.andThen(Effect.sleep(Math.random() * READ_SPREAD_MS), read)
@@ -142,7 +144,7 @@
       let sentAt = confirmation.now();
       const listed = yield* store.list(kind);
       for (const item of listed.items) if (item.name === name) onObject(item);
-      confirmation.record(sentAt);
+      confirmation.recordOwn(sentAt);
       let from = listed.revision;
       while (isWatcher()) {
         sentAt = confirmation.now();
@@ -155,7 +157,7 @@
           if (event.name !== name || event.type !== "put") continue;
           onObject({ version: event.version, value: event.value });
         }
-        confirmation.record(sentAt);
+        confirmation.recordOwn(sentAt);
         from = Math.max(from, changes.revision);
       }
     });
--- a/packages/coordination/src/version/version_exchange.ts
+++ b/packages/coordination/src/version/version_exchange.ts
@@ -43,7 +43,8 @@
     source: VersionSource,
   ) => boolean;
   /**
-   * Returns the highest version known: the current one, or one found invalid.
+   * Returns the highest version known: the current one, or one of the store that
+   * is invalid.
    */
   readonly knownVersion: () => number;
 }
@@ -157,7 +158,10 @@
   receiveVersion(from: string, version: unknown): void {
     if (!isVersion(version)) return;
     this.#recordContact();
-    if (version > this.#options.knownVersion()) this.#fetch(from);
+    const { confirmation, knownVersion } = this.#options;
+    // While the store is asked, the pulls of each second are enough.
+    if (confirmation.isDoubted) return;
+    if (version > knownVersion()) this.#fetch(from);
   }
 
   /** Returns false if the update is newer but its base is missing here. */
--- a/packages/coordination/tests/published_value_test.ts
+++ b/packages/coordination/tests/published_value_test.ts
@@ -476,6 +476,55 @@
   assert.deepEqual(faults, [fault]);
 });
 
+// Guards against one damaged copy that keeps the store's valid value out.
+test("a damaged copy of a peer does not bar the store's value of that version", async (t) => {
+  const fleet = new Fleet(t);
+  const rejected: number[] = [];
+  const { daemon } = await startAlone(fleet, {
+    onRejected: (version) => rejected.push(version),
+  });
+  await fleet.write("first");
+  await waitUntil(() => daemon.isReady);
+  const copy = { kind: "whole", version: 2, value: 2 };
+  for (let sent = 0; sent < 3; sent += 1) {
+    fleet.network.peers("b1").send("a1", CHANNEL, copy);
+  }
+  await waitUntil(() => rejected.length > 0);
+  assert.equal(await fleet.write("second"), 2);
+  await waitUntil(() => daemon.current()?.value === "second");
+  assert.deepEqual(rejected, [2]);
+});
+
+test("a member that does not watch reads the store after a damaged copy", async (t) => {
+  const fleet = new Fleet(t);
+  await fleet.write("first");
+  await fleet.write("second");
+  const watching = new Set<string>();
+  let reads = 0;
+  const daemons = await Promise.all(
+    ["a1", "a2", "a3"].map((name) =>
+      fleet.startDaemon(name, {
+        plan: ({ operation }) => {
+          if (operation === "watch") watching.add(name);
+          if (operation === "read") reads += 1;
+          return "none";
+        },
+      })
+    ),
+  );
+  await Promise.all(daemons.map(whenReady));
+  await waitUntil(() => watching.size === 2);
+  const name = ["a1", "a2", "a3"].find((name) => !watching.has(name))!;
+  const before = reads;
+  const copy = { kind: "whole", version: 3, value: 3 };
+  fleet.network.peers("b1").send(name, CHANNEL, copy);
+  await waitUntil(() => reads > before);
+  const version = await fleet.write("third");
+  await waitUntil(() =>
+    daemons.every((daemon) => daemon.current()?.version === version)
+  );
+});
+
 test("peerVersions lists the members that are behind or unreachable", async (t) => {
   const fleet = new Fleet(t);
   const daemon = await fleet.startDaemon("a1", { plan: () => "refuse" });
