--- a/packages/coordination/src/version/published_value.ts
+++ b/packages/coordination/src/version/published_value.ts
@@ -9,6 +9,7 @@
 import { SYSTEM_CLOCK } from "../process/clock.ts";
 import type { Clock } from "../process/clock.ts";
 import type { Membership } from "../process/membership.ts";
+import { notifyListeners } from "../process/notify_listeners.ts";
 import { PauseDetector } from "../process/pause_detector.ts";
 import type { Peers } from "../process/peers.ts";
 import type { Store } from "../process/store.ts";
@@ -43,6 +44,11 @@
    * Called with a version that `decode` rejects; the current value is then kept.
    */
   readonly onRejected?: (version: number, error: unknown) => void;
+  /**
+   * Called with an error that a listener throws, or that is thrown while a
+   * version is received. The value is followed on.
+   */
+  readonly onFault?: (error: unknown) => void;
   readonly clock?: Clock;
   /** Detects pauses of the process; a new detector by default. */
   readonly pauseDetector?: PauseDetector;
@@ -80,7 +86,11 @@
   #ready = Deferred.makeUnsafe<VersionedValue<T>>();
   #isSynced = false;
   #current: VersionedValue<T> | undefined;
+  /** The highest invalid version from the store or this process. */
   #rejectedVersion = 0;
+  /** The invalid version that was reported last. */
+  #reportedVersion = 0;
+  readonly #confirmation: StoreConfirmation;
 
   constructor(options: PublishedValueOptions<T>) {
     this.#options = options;
@@ -89,6 +99,7 @@
     const channel = `published/${kind}/${name}`;
     this.#pauseDetector = options.pauseDetector ?? new PauseDetector({ clock });
     const confirmation = new StoreConfirmation(clock);
+    this.#confirmation = confirmation;
     this.#exchange = new VersionExchange({
       peers,
       membership,
@@ -96,6 +107,7 @@
       channel,
       history: this.#history,
       confirmation,
+      onFault: (error) => this.#options.onFault?.(error),
       applyIfNewer: (candidate, source) =>
         this.#applyIfNewer(candidate, source),
       knownVersion: () =>
@@ -109,6 +121,7 @@
         chooseWatchers(membership.view(), membership.self, channel).isWatcher,
       msSinceContact: () => this.#exchange.msSinceContact,
       confirmation,
+      onFault: (error) => this.#options.onFault?.(error),
       onObject: ({ version, value }) => {
         this.#applyIfNewer({ version, value: value as Json }, "store");
       },
@@ -207,10 +220,7 @@
     return Effect.gen({ self: this }, function* () {
       while (true) {
         const [storeRead, { reached }] = yield* Effect.all([
-          Effect.match(this.#follower.read(), {
-            onFailure: () => false,
-            onSuccess: () => true,
-          }),
+          this.#follower.tryRead(),
           this.#exchange.catchUp(),
         ], { concurrency: "unbounded" });
         const hasValue = this.#current !== undefined;
@@ -236,6 +246,15 @@
     Deferred.doneUnsafe(this.#ready, Effect.succeed(this.#current));
   }
 
+  /**
+   * Records an invalid version. A copy of another member may be damaged, so it does
+   * not mark the version: the store's own value of that version may be valid.
+   */
+  #reject(version: number, source: VersionSource): void {
+    if (source === "store" || source === "own") this.#rejectedVersion = version;
+    else this.#confirmation.doubt();
+  }
+
   #applyIfNewer(
     candidate: { readonly version: number; readonly value: Json },
     source: VersionSource,
@@ -247,14 +266,18 @@
     try {
       decoded = this.#options.decode(value);
     } catch (error) {
-      this.#rejectedVersion = version;
+      this.#reject(version, source);
+      if (version === this.#reportedVersion) return false;
+      this.#reportedVersion = version;
       this.#options.onRejected?.(version, error);
       return false;
     }
     this.#current = { version, value: decoded };
     this.#history.add(version, value);
     this.#exchange.broadcast(source, { previous });
-    for (const listener of [...this.#listeners]) listener(this.#current);
+    notifyListeners(this.#listeners, this.#current, {
+      onFault: (error) => this.#options.onFault?.(error),
+    });
     this.#completeReady();
     return true;
   }
--- a/packages/coordination/src/version/store_follower.ts
+++ b/packages/coordination/src/version/store_follower.ts
@@ -54,11 +54,14 @@
   readonly onObject: (
     found: { readonly version: number; readonly value: unknown },
   ) => void;
+  /** Called with an error that is thrown, after which the follower goes on. */
+  readonly onFault: (error: unknown) => void;
 }
 
 /**
  * Watches the object while this process is a watcher, and reads it when
- * isolated or when the store has not confirmed it for long.
+ * isolated, when the store has not confirmed it for long, or when a member sent an
+ * invalid copy.
  */
 export class StoreFollower {
   readonly #options: StoreFollowerOptions;
@@ -75,11 +78,19 @@
       const sentAt = confirmation.now();
       const found = yield* store.read(kind, name);
       if (found !== undefined) onObject(found);
-      confirmation.record(sentAt);
+      confirmation.recordOwn(sentAt);
       return found;
     });
   }
 
+  /** Reads the object once; returns whether the store responded. */
+  tryRead(): Effect.Effect<boolean> {
+    return Effect.match(this.read(), {
+      onFailure: () => false,
+      onSuccess: () => true,
+    }).pipe(Effect.catchDefect((defect) => this.#report(defect, false)));
+  }
+
   /** Follows the object until interrupted. */
   run(): Effect.Effect<never> {
     const { isWatcher, msSinceContact } = this.#options;
@@ -88,22 +99,34 @@
       if (msSinceContact() >= ISOLATED_AFTER_MS) {
         return Effect.andThen(this.read(), Effect.sleep(ISOLATED_AFTER_MS));
       }
-      if (this.#isUnconfirmed()) return this.#readAfterDelay();
+      if (this.#needsRead()) return this.#readAfterDelay();
       return Effect.sleep(RECHECK_MS);
     }).pipe(
       Effect.catch((failure) => this.#backOff(failure)),
+      // Uncaught, a defect would end this fibre, and nothing would tell so.
+      Effect.catchDefect((defect) =>
+        Effect.andThen(this.#report(defect, undefined), this.#backOff({}))
+      ),
       Effect.forever,
     );
   }
 
-  #isUnconfirmed(): boolean {
-    return this.#options.confirmation.ageMs >= UNCONFIRMED_AFTER_MS;
+  #report<T>(defect: unknown, result: T): Effect.Effect<T> {
+    return Effect.sync(() => {
+      this.#options.onFault(defect);
+      return result;
+    });
+  }
+
+  #needsRead(): boolean {
+    const { isDoubted, ageMs } = this.#options.confirmation;
+    return isDoubted || ageMs >= UNCONFIRMED_AFTER_MS;
   }
 
-  /** Reads the object, unless it has been confirmed during a random delay. */
+  /** Reads the object after a random delay, unless that is no longer needed. */
   #readAfterDelay(): Effect.Effect<void, Unavailable> {
     const read = Effect.suspend(() =>
-      this.#isUnconfirmed() ? Effect.asVoid(this.read()) : Effect.void
+      this.#needsRead() ? Effect.asVoid(this.read()) : Effect.void
     );
     return Effect.suspend(() =>
       Effect.andThen(Effect.sleep(Math.random() * READ_SPREAD_MS), read)
@@ -121,7 +144,7 @@
       let sentAt = confirmation.now();
       const listed = yield* store.list(kind);
       for (const item of listed.items) if (item.name === name) onObject(item);
-      confirmation.record(sentAt);
+      confirmation.recordOwn(sentAt);
       let from = listed.revision;
       while (isWatcher()) {
         sentAt = confirmation.now();
@@ -134,13 +157,13 @@
           if (event.name !== name || event.type !== "put") continue;
           onObject({ version: event.version, value: event.value });
         }
-        confirmation.record(sentAt);
+        confirmation.recordOwn(sentAt);
         from = Math.max(from, changes.revision);
       }
     });
   }
 
-  #backOff(failure: Unavailable): Effect.Effect<void> {
+  #backOff(failure: Pick<Unavailable, "retryAfterMs">): Effect.Effect<void> {
     return Effect.suspend(() => {
       const jitter = 0.5 + Math.random();
       const waitMs = Math.max(
--- a/packages/daemon/src/fleet.ts
+++ b/packages/daemon/src/fleet.ts
@@ -86,6 +86,8 @@
         }),
       onCurrent: (current, reason) =>
         log.event("host_list_changed", { current, reason }),
+      onFault: (error) =>
+        log.warning("update_failed", { of: "hosts", reason: String(error) }),
     });
     return yield* startNode({
       name,
@@ -159,6 +161,8 @@
       decode: checkStoredTable,
       onRejected: (version, error) =>
         log.warning("table_invalid", { version, reason: String(error) }),
+      onFault: (error) =>
+        log.warning("update_failed", { of: "table", reason: String(error) }),
     });
     const feed = new SourcedTableFeed(published, log);
     yield* published.start();
--- a/packages/router/src/connection/peer_message.ts
+++ b/packages/router/src/connection/peer_message.ts
@@ -126,7 +126,13 @@
 /** Changes since the sender's last update; also the heartbeat of a link. */
 export interface StateUpdate extends Versions, RunnerUpdate, ContactUpdates {
   readonly kind: "state";
-  readonly members: MemberCounts;
+  /** Undefined in a received update if they were invalid. */
+  readonly members: MemberCounts | undefined;
+  /**
+   * Runners whose loads were invalid in a received update, and are not among
+   * `loads`.
+   */
+  readonly unreadableLoads?: readonly string[];
   readonly confirmed: ConfirmationAges;
   /** Whether the sender's last calls to the store have failed. */
   readonly storeLost: boolean;
