Bound retries of stale readers; confirm only what is held

It now stops at the first failure after a response and reads again in its turn; - in packages/coordination a member took over a confirmation with a version that it had found invalid, and passed it on. It does neither now.

stale_reads_test (its last case now asks for the stop), store_access_test and published_value_test pass.

--- a/packages/coordination/src/version/version_exchange.ts
+++ b/packages/coordination/src/version/version_exchange.ts
@@ -166,13 +166,15 @@
 
   /** Returns false if the update is newer but its base is missing here. */
   #fetchUpdate(name: string, have: number): Effect.Effect<boolean> {
-    const { confirmation } = this.#options;
+    const { confirmation, history } = this.#options;
     return Effect.gen({ self: this }, function* () {
       const sentAt = confirmation.now();
       const answer = yield* this.#query(name, { ask: "update", have });
       if (answer === undefined) return true;
       if (!this.#applyUpdate(name, answer)) return false;
-      const { confirmedAgoMs = Infinity } = answer;
+      const { version, confirmedAgoMs = Infinity } = answer;
+      // A version that was found invalid here is not held.
+      if (history.newestVersion < version) return true;
       confirmation.record(sentAt - confirmedAgoMs);
       return true;
     });
@@ -209,6 +211,7 @@
     this.receiveVersion(from, have);
     const { history, confirmation } = this.#options;
     const update = history.updateFor(have);
+    if (confirmation.isDoubted) return update;
     const confirmedAgoMs = Math.ceil(confirmation.ageMs);
     return isVersion(confirmedAgoMs) ? { ...update, confirmedAgoMs } : update;
   }
--- a/packages/router/src/process/stale_reads.ts
+++ b/packages/router/src/process/stale_reads.ts
@@ -63,13 +63,14 @@
   }
 
   /**
-   * Whether to go on after such a read has begun, and to watch the store: it has
-   * responded or not failed yet, and has confirmed the data to no other daemon since.
+   * Whether to go on after such a read has begun, and to watch the store: it has not
+   * failed since the read began or since it last responded, and has confirmed the
+   * data to no other daemon since the read began.
    */
   watches({ respondedAt, failedAt, othersAt }: StaleReadInputs): boolean {
     const readAt = this.#readAt;
     if (readAt === undefined || othersAt >= readAt) return false;
-    return respondedAt >= readAt || failedAt < readAt;
+    return failedAt < Math.max(readAt, respondedAt);
   }
 
   /** Time over which the next reads of all daemons are spread, in ms. */
--- a/packages/router/src/process/stale_reads_test.ts
+++ b/packages/router/src/process/stale_reads_test.ts
@@ -59,6 +59,7 @@
   assert.ok(reads.shouldRead(inputs));
   assert.ok(reads.watches({ ...inputs, now: 5_010 }));
   assert.ok(!reads.watches({ ...inputs, failedAt: 5_010 }));
-  assert.ok(reads.watches({ ...inputs, respondedAt: 5_010, failedAt: 6_000 }));
+  assert.ok(reads.watches({ ...inputs, respondedAt: 6_000, failedAt: 5_010 }));
+  assert.ok(!reads.watches({ ...inputs, respondedAt: 5_010, failedAt: 6_000 }));
   assert.ok(!reads.watches({ ...inputs, respondedAt: 5_010, othersAt: 6_000 }));
 });
