Name what stale reads do after what they do

After a reading as a newcomer: begin and continues in place of questions that change state, store status in place of word, one ageOf, fixtures of the feed's tests.

--- a/packages/router/src/connection/fleet_sync.ts
+++ b/packages/router/src/connection/fleet_sync.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import { ageOf } from "../process/data_ages.ts";
 import type { DataAges } from "../process/data_ages.ts";
 import { Registration } from "../process/daemon_registry.ts";
 import type { DaemonRegistry } from "../process/daemon_registry.ts";
@@ -126,7 +125,7 @@
       maxAgeMs: () => this.#exchange.maxAgeMs,
       linkedDaemons: () => this.#exchange.linkedDaemons,
       nextTick: () => this.#exchange.nextTick(),
-      storeWordChanged: () => this.#exchange.sendStoreWord(),
+      storeStatusChanged: () => this.#exchange.sendStoreStatus(),
       peers: () => this.#reachable,
       unableToWatch: () => this.#exchange.unableToWatch,
       random: options.random,
@@ -212,10 +211,11 @@
   /** How long ago the store and peers confirmed the data of this daemon. */
   get ages(): DataAges {
     const now = performance.now();
+    const { heardAt } = this.#exchange;
     return {
       configurationMs: this.#confirmed.configuration.ageMs(now),
       runnersMs: this.#confirmed.runners.ageMs(now),
-      heardMs: ageOf(this.#exchange.heardAt, now),
+      heardMs: heardAt === -Infinity ? undefined : now - heardAt,
       behindMs: this.#exchange.behindMs,
       peers: this.#peers.count,
     };
--- a/packages/router/src/connection/read_timing.ts
+++ b/packages/router/src/connection/read_timing.ts
@@ -104,7 +104,7 @@
   /** Whether this daemon watches the store as those that should cannot. */
   get replacesWatchers(): boolean {
     return this.#lastReason === "replacement" ||
-      this.#staleReads.watches(this.#inputs());
+      this.#staleReads.continues(this.#inputs());
   }
 
   shouldRead(): boolean {
@@ -123,9 +123,13 @@
     return this.#data.confirmations.othersAt > time;
   }
 
-  /** Whether to restart the current watch: its connection may be dead. */
-  shouldRestartWatch(): boolean {
-    return this.#staleReads.shouldRead(this.#inputs());
+  /**
+   * Begins a read in place of the current watch if one is due.
+   *
+   * @returns whether to restart the watch; its connection may be dead.
+   */
+  beginWatchRestart(): boolean {
+    return this.#staleReads.begin(this.#inputs());
   }
 
   /**
@@ -153,8 +157,8 @@
     if (this.#ranksAmongAble(others)) return "replacement";
     if (!this.#data.hasData() && this.lacksResponses()) return "no_data";
     const inputs = this.#inputs();
-    const stale = this.#staleReads.watches(inputs) ||
-      this.#staleReads.shouldRead(inputs);
+    const stale = this.#staleReads.continues(inputs) ||
+      this.#staleReads.begin(inputs);
     return stale ? "stale" : undefined;
   }
 
--- a/packages/router/src/connection/state_exchange.ts
+++ b/packages/router/src/connection/state_exchange.ts
@@ -116,8 +116,8 @@
   #sentAt = -Infinity;
   #sentSpareAt = -Infinity;
   #countsChanged = false;
-  /** Whether peers wait for word of the store. */
-  #storeWordUnsent = false;
+  /** Whether peers wait for the status of the store. */
+  #storeStatusUnsent = false;
 
   constructor(shared: SharedState, options: StateExchangeOptions) {
     const { own, peers, log, relaysFrom, controlBytesPerS } = options;
@@ -302,8 +302,8 @@
    * Schedules sending whether the store serves this daemon, and when it last
    * confirmed the data: other daemons may be about to read it.
    */
-  sendStoreWord(): void {
-    this.#storeWordUnsent = true;
+  sendStoreStatus(): void {
+    this.#storeStatusUnsent = true;
     this.wake();
   }
 
@@ -447,12 +447,12 @@
     const now = performance.now();
     this.#overlay.reconcile(now);
     this.#broadcaster.collect();
-    const due = this.#countsChanged || this.#storeWordUnsent ||
+    const due = this.#countsChanged || this.#storeStatusUnsent ||
       !this.#broadcaster.empty || now - this.#sentAt >= HEARTBEAT_MS;
     if (due) {
       this.#sentAt = now;
       this.#countsChanged = false;
-      this.#storeWordUnsent = false;
+      this.#storeStatusUnsent = false;
       this.#broadcaster.broadcast(now);
     } else if (this.#broadcaster.usageDue) {
       this.#broadcaster.broadcastUsage(now);
--- a/packages/router/src/connection/store_followers.ts
+++ b/packages/router/src/connection/store_followers.ts
@@ -37,7 +37,7 @@
    * Called when the store no longer serves this daemon or does so again, or has
    * confirmed data that was stale.
    */
-  storeWordChanged(): void;
+  storeStatusChanged(): void;
   /** Whether this daemon has a configuration. */
   configured(): boolean;
   /** Applies a configuration from the store. */
@@ -114,7 +114,7 @@
     while (!this.#stopped) {
       await this.#nextCheck();
       for (const { follower, timing } of this.#followers) {
-        if (!follower.isWatching || !timing.shouldRestartWatch()) continue;
+        if (!follower.isWatching || !timing.beginWatchRestart()) continue;
         follower.restartWatch();
       }
     }
@@ -188,7 +188,7 @@
     const confirm = () => {
       const wasStale = timing.isStale();
       confirmations.recordOwn(performance.now());
-      if (wasStale) this.#context.storeWordChanged();
+      if (wasStale) this.#context.storeStatusChanged();
     };
     const connectivity = this.#connectivityListener(dependency, confirm);
     const follower = new FeedFollower(feed, sink, { connectivity, timing });
@@ -199,13 +199,13 @@
     dependency: string,
     confirmed: () => void,
   ): ConnectivityListener {
-    const { log, metrics, storeWordChanged } = this.#context;
+    const { log, metrics, storeStatusChanged } = this.#context;
     return {
       confirmed,
       lost: (reason) => {
         metrics.dependency(dependency, false);
         log.event("dependency_lost", { dependency, reason });
-        storeWordChanged();
+        storeStatusChanged();
       },
       regained: (outageMs) => {
         metrics.dependency(dependency, true);
@@ -213,12 +213,12 @@
           dependency,
           after_ms: Math.round(outageMs),
         });
-        storeWordChanged();
+        storeStatusChanged();
       },
       unneeded: () => {
         metrics.dependency(dependency, true);
         log.event("dependency_unneeded", { dependency });
-        storeWordChanged();
+        storeStatusChanged();
       },
     };
   }
--- a/packages/router/src/process/data_ages.ts
+++ b/packages/router/src/process/data_ages.ts
@@ -24,11 +24,6 @@
   readonly peers: number;
 }
 
-/** Returns the time since an event, in ms; undefined if it has not occurred. */
-export function ageOf(at: number, now: number): number | undefined {
-  return at === -Infinity ? undefined : now - at;
-}
-
 function rounded(ms: number | undefined): number | undefined {
   return ms === undefined ? undefined : Math.round(ms);
 }
--- a/packages/router/src/process/feed_test.ts
+++ b/packages/router/src/process/feed_test.ts
@@ -1,7 +1,13 @@
 import assert from "node:assert/strict";
 import { mock, test } from "node:test";
 import { FeedError, FeedFollower } from "./feed.ts";
-import type { Changes, Feed, Listing } from "./feed.ts";
+import type {
+  Changes,
+  ConnectivityListener,
+  Feed,
+  FollowerTiming,
+  Listing,
+} from "./feed.ts";
 import { storeRevision } from "./store_revision.ts";
 
 /** Replays responses of a store in order, then never responds again. */
@@ -37,6 +43,22 @@
   }
 }
 
+/** Timing of a daemon that watches the store. */
+const ALWAYS_READ: FollowerTiming = {
+  waitMs: () => 1,
+  shouldRead: () => true,
+  isStale: () => false,
+  isConfirmedToOthersSince: () => false,
+  untilNextCheck: () => Promise.resolve(),
+};
+
+const IGNORED: ConnectivityListener = {
+  confirmed() {},
+  lost() {},
+  regained() {},
+  unneeded() {},
+};
+
 /** Follows a scripted feed until its responses are used up. */
 async function follow(
   responses: (Listing<string> | Changes<string> | Error)[],
@@ -57,13 +79,7 @@
         confirmed() {},
         unneeded() {},
       },
-      timing: {
-        waitMs: () => 1,
-        shouldRead: () => true,
-        isStale: () => false,
-        isConfirmedToOthersSince: () => false,
-        untilNextCheck: () => Promise.resolve(),
-      },
+      timing: ALWAYS_READ,
     });
     void follower.run();
   });
@@ -141,13 +157,7 @@
       confirmed() {},
       unneeded() {},
     },
-    timing: {
-      waitMs: () => 1,
-      shouldRead: () => true,
-      isStale: () => false,
-      isConfirmedToOthersSince: () => false,
-      untilNextCheck: () => Promise.resolve(),
-    },
+    timing: ALWAYS_READ,
   });
   void follower.run();
   for (let turn = 0; turn < 10; turn++) await new Promise(setImmediate);
@@ -172,14 +182,8 @@
     listed() {},
     changed: ({ updated }) => seen.push(...updated),
   }, {
-    connectivity: { lost() {}, regained() {}, confirmed() {}, unneeded() {} },
-    timing: {
-      waitMs: () => 1,
-      shouldRead: () => true,
-      isStale: () => false,
-      isConfirmedToOthersSince: () => false,
-      untilNextCheck: () => Promise.resolve(),
-    },
+    connectivity: IGNORED,
+    timing: ALWAYS_READ,
   });
   void follower.run();
   for (let turn = 0; turn < 10; turn++) await new Promise(setImmediate);
@@ -205,14 +209,8 @@
       },
       changed() {},
     }, {
-      connectivity: { lost() {}, regained() {}, confirmed() {}, unneeded() {} },
-      timing: {
-        waitMs: () => 1,
-        shouldRead: () => true,
-        isStale: () => false,
-        isConfirmedToOthersSince: () => false,
-        untilNextCheck: () => Promise.resolve(),
-      },
+      connectivity: IGNORED,
+      timing: ALWAYS_READ,
     });
     void follower.run();
   });
@@ -231,14 +229,8 @@
       listed: ({ revision }) => revision > known ? undefined : false,
       changed() {},
     }, {
-      connectivity: { lost() {}, regained() {}, confirmed() {}, unneeded() {} },
-      timing: {
-        waitMs: () => 1,
-        shouldRead: () => true,
-        isStale: () => false,
-        isConfirmedToOthersSince: () => false,
-        untilNextCheck: () => Promise.resolve(),
-      },
+      connectivity: IGNORED,
+      timing: ALWAYS_READ,
     });
     void follower.run();
   });
--- a/packages/router/src/process/stale_reads.ts
+++ b/packages/router/src/process/stale_reads.ts
@@ -10,6 +10,7 @@
 const MIN_SPREAD_MS = 500;
 /** Time over which repeated reads of a small fleet are spread, in ms. */
 const MAX_SPREAD_MS = 2_000;
+
 /** State of the data, and of the fleet that has it. */
 export interface StaleReadInputs {
   readonly now: number;
@@ -46,8 +47,12 @@
     this.#random = random;
   }
 
-  /** Whether to read now; the caller then does. */
-  shouldRead(inputs: StaleReadInputs): boolean {
+  /**
+   * Begins a read if one is due.
+   *
+   * @returns whether the caller is to read the store now.
+   */
+  begin(inputs: StaleReadInputs): boolean {
     const { now, ageMs, maxAgeMs } = inputs;
     if (ageMs < maxAgeMs) {
       this.#nextAt = undefined;
@@ -67,7 +72,7 @@
    * failed since the read began or since it last responded, and has confirmed the
    * data to no other daemon since the read began.
    */
-  watches({ respondedAt, failedAt, othersAt }: StaleReadInputs): boolean {
+  continues({ respondedAt, failedAt, othersAt }: StaleReadInputs): boolean {
     const readAt = this.#readAt;
     if (readAt === undefined || othersAt >= readAt) return false;
     return failedAt < Math.max(readAt, respondedAt);
--- a/packages/router/src/process/stale_reads_test.ts
+++ b/packages/router/src/process/stale_reads_test.ts
@@ -21,7 +21,7 @@
       othersAt: -Infinity,
       daemons,
     };
-    const reading = fleet.filter((reader) => reader.shouldRead(inputs));
+    const reading = fleet.filter((reader) => reader.begin(inputs));
     reads[Math.floor(now / 1_000)]! += reading.length;
   }
   return reads;
@@ -55,11 +55,17 @@
     othersAt: -Infinity,
     daemons: 9,
   };
-  assert.ok(!reads.watches(inputs), "before the first read");
-  assert.ok(reads.shouldRead(inputs));
-  assert.ok(reads.watches({ ...inputs, now: 5_010 }));
-  assert.ok(!reads.watches({ ...inputs, failedAt: 5_010 }));
-  assert.ok(reads.watches({ ...inputs, respondedAt: 6_000, failedAt: 5_010 }));
-  assert.ok(!reads.watches({ ...inputs, respondedAt: 5_010, failedAt: 6_000 }));
-  assert.ok(!reads.watches({ ...inputs, respondedAt: 5_010, othersAt: 6_000 }));
+  assert.ok(!reads.continues(inputs), "before the first read");
+  assert.ok(reads.begin(inputs));
+  assert.ok(reads.continues({ ...inputs, now: 5_010 }));
+  assert.ok(!reads.continues({ ...inputs, failedAt: 5_010 }));
+  assert.ok(
+    reads.continues({ ...inputs, respondedAt: 6_000, failedAt: 5_010 }),
+  );
+  assert.ok(
+    !reads.continues({ ...inputs, respondedAt: 5_010, failedAt: 6_000 }),
+  );
+  assert.ok(
+    !reads.continues({ ...inputs, respondedAt: 5_010, othersAt: 6_000 }),
+  );
 });
