--- a/packages/router/src/connection/crash_detector.ts
+++ b/packages/router/src/connection/crash_detector.ts
@@ -71,7 +71,8 @@
   }
 
   async #probe(runner: Runner): Promise<void> {
-    const crashed = await refusesConnections(runner);
+    const response = await connectTo(runner);
+    const crashed = response === "refused";
     const runs = this.#broken.get(runner.id) ?? [];
     this.#broken.delete(runner.id);
     this.#probed.add(runner.id);
@@ -83,24 +84,28 @@
       runner: runner.id,
       service: runner.service,
       ended: crashed,
+      response,
       broken_off: runs.length,
       fingerprints: logged.join(","),
     });
   }
 }
 
-function refusesConnections({ address, port }: Runner): Promise<boolean> {
+/** How a runner responded to a new connection. */
+type ConnectResponse = "accepted" | "refused" | "failed" | "timeout";
+
+function connectTo({ address, port }: Runner): Promise<ConnectResponse> {
   return new Promise((resolve) => {
     const socket = connect({ host: address, port });
-    const decide = (refused: boolean) => {
+    const settle = (response: ConnectResponse) => {
       clearTimeout(timer);
       socket.destroy();
-      resolve(refused);
+      resolve(response);
     };
-    const timer = setTimeout(() => decide(false), CONNECT_TIMEOUT_MS);
-    socket.once("connect", () => decide(false));
+    const timer = setTimeout(() => settle("timeout"), CONNECT_TIMEOUT_MS);
+    socket.once("connect", () => settle("accepted"));
     socket.on("error", (error: NodeJS.ErrnoException) => {
-      decide(error.code === "ECONNREFUSED");
+      settle(error.code === "ECONNREFUSED" ? "refused" : "failed");
     });
   });
 }
--- a/packages/router/src/process/metrics.ts
+++ b/packages/router/src/process/metrics.ts
@@ -66,6 +66,7 @@
   readonly #seconds: HistogramType<"service">;
   readonly #waiting: GaugeType<"service" | "rank">;
   readonly #connections: CounterType<"service">;
+  readonly #failures: CounterType<"service" | "kind">;
   readonly #ends: CounterType<"service">;
   readonly #version: GaugeType;
   readonly #dependency: GaugeType<"dependency">;
@@ -106,6 +107,13 @@
       labelNames: ["service"],
       registers,
     });
+    this.#failures = new Counter({
+      name: "umbermast_runner_failures_total",
+      help: "Attempts without a response, by service and whether they were " +
+        "unsent or may have run",
+      labelNames: ["service", "kind"],
+      registers,
+    });
     this.#ends = new Counter({
       name: "umbermast_runner_ends_total",
       help: "Runners that ended with requests of this daemon, by service",
@@ -212,6 +220,11 @@
     this.#connections.inc({ service });
   }
 
+  /** Counts an attempt to which the runner did not respond. */
+  runnerFailed(service: string, kind: "unsent" | "broken"): void {
+    this.#failures.inc({ service, kind });
+  }
+
   /** Counts a runner that crashed while it had requests of this daemon. */
   runnerCrashed(service: string): void {
     this.#ends.inc({ service });
--- a/packages/router/src/request/attempt_executor.ts
+++ b/packages/router/src/request/attempt_executor.ts
@@ -259,6 +259,7 @@
     const now = this.#daemon.now();
     if (result.kind === "response" || result.kind === "not-executed") {
       load.recordActivity(now);
+      this.#daemon.reachability.recordResponse(now);
       this.#recordLimit(result.head, context);
       // Another runner has the address of one that misdirects.
       if (!result.head.misdirected) {
@@ -267,12 +268,18 @@
     }
     switch (result.kind) {
       case "unsent":
-        if (!this.#progress.abandoned) load.recordFailure(now);
+        if (!this.#progress.abandoned) {
+          load.recordFailure(now);
+          this.#recordUnreached(routed, result, context);
+        }
         return retry(
           result.reason,
           () => this.#outcomes.refusal("runner_unreachable"),
         );
       case "broken":
+        if (!this.#progress.abandoned) {
+          this.#recordUnreached(routed, result, context);
+        }
         return this.#handleBrokenConnection(result.reason, context);
       case "not-executed":
         this.#recordLoad(result.head, context);
@@ -293,6 +300,16 @@
     }
   }
 
+  #recordUnreached(
+    { service }: RoutedRequest,
+    { kind, reason }: Extract<SendResult, { readonly reason: string }>,
+    { attempt: { runner } }: AttemptContext,
+  ): void {
+    const now = this.#daemon.now();
+    this.#daemon.reachability.recordFailure(runner.id, { reason, now });
+    this.#daemon.metrics.runnerFailed(service.name, kind);
+  }
+
   /** Records the load that a response reports, and how fast the host is. */
   #recordLoad(
     { load: reported, misdirected }: ResponseHead,
--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -215,6 +215,7 @@
         reason: result.reason,
         attempt: progress.attempts,
         again: retry,
+        silent_ms: this.#silentMs,
       });
       if (progress.expired) return this.#outcomes.timeout();
       fallback = result.fallback;
@@ -232,6 +233,12 @@
     return attempts === 0 || (returning !== undefined && !mayHaveRun);
   }
 
+  /** Milliseconds since any runner last responded to this daemon. */
+  get #silentMs(): number | undefined {
+    const ms = this.#daemon.reachability.silentMs(this.#daemon.now());
+    return ms === undefined ? undefined : Math.round(ms);
+  }
+
   #mayRetry({ route, service }: RoutedRequest): boolean {
     const { abandoned, attempts, mayHaveRun, triedRunners } = this.#progress;
     if (abandoned || attempts >= route.maxAttempts) return false;
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -47,6 +47,7 @@
 import { RunnerPaces } from "./process/runner_paces.ts";
 import { RunnerPauses } from "./process/runner_pauses.ts";
 import { ReturnPlaces } from "./process/return_places.ts";
+import { RunnerReachability } from "./process/runner_reachability.ts";
 import { RunnerRestrictions } from "./process/runner_restrictions.ts";
 import { RunnerLoads } from "./process/runner_loads.ts";
 import { SchedulingMode } from "./process/scheduling_mode.ts";
@@ -114,6 +115,7 @@
   readonly limits: RunnerLimits;
   readonly pauses: RunnerPauses;
   readonly restrictions: RunnerRestrictions;
+  readonly reachability: RunnerReachability;
   readonly scheduling: SchedulingMode;
   readonly paces: RunnerPaces;
   readonly places: ReturnPlaces;
@@ -181,6 +183,7 @@
     });
     this.metrics.observeShares(() => this.shares.observed(this.now()));
     this.crashes = new CrashRecord(log);
+    this.reachability = new RunnerReachability(log);
     this.limits = new RunnerLimits(log, () => this.#fleetSync.view);
     this.pauses = new RunnerPauses(log);
     this.restrictions = new RunnerRestrictions(this.limits, this.pauses);
