--- a/packages/router/src/connection/crash_detector.ts
+++ b/packages/router/src/connection/crash_detector.ts
@@ -3,12 +3,12 @@
  *
  * @module
  */
-import { connect } from "node:net";
 import type { CrashedRun } from "../process/crash_entry.ts";
 import type { CrashRecord } from "../process/crash_record.ts";
 import type { EventLog } from "../process/event_log.ts";
 import type { RequestMetrics } from "../process/metrics.ts";
 import type { Runner } from "../process/runner.ts";
+import type { RunnerNetwork } from "./runner_network.ts";
 
 /**
  * Delay in ms from the first interrupted response until the runner is probed. The
@@ -37,6 +37,7 @@
   readonly #log: EventLog;
   readonly #metrics: Pick<RequestMetrics, "runnerCrashed">;
   readonly #record: CrashRecord;
+  readonly #network: RunnerNetwork;
   readonly #broken = new Map<string, CrashedRun[]>();
   /** Ids of runners that were probed in the last probe interval. */
   readonly #probed = new Set<string>();
@@ -46,9 +47,11 @@
     readonly metrics: Pick<RequestMetrics, "runnerCrashed">;
     /** Receives the requests that were at a crashed runner. */
     readonly record: CrashRecord;
+    readonly network: RunnerNetwork;
   }) {
     this.#log = options.log;
     this.#record = options.record;
+    this.#network = options.network;
     this.#metrics = options.metrics;
   }
 
@@ -71,7 +74,7 @@
   }
 
   async #probe(runner: Runner): Promise<void> {
-    const response = await connectTo(runner);
+    const response = await connectTo(this.#network, runner);
     const crashed = response === "refused";
     const runs = this.#broken.get(runner.id) ?? [];
     this.#broken.delete(runner.id);
@@ -94,9 +97,12 @@
 /** How a runner responded to a new connection. */
 type ConnectResponse = "accepted" | "refused" | "failed" | "timeout";
 
-function connectTo({ address, port }: Runner): Promise<ConnectResponse> {
+function connectTo(
+  network: RunnerNetwork,
+  runner: Runner,
+): Promise<ConnectResponse> {
   return new Promise((resolve) => {
-    const socket = connect({ host: address, port });
+    const socket = network.connect(runner);
     const settle = (response: ConnectResponse) => {
       clearTimeout(timer);
       socket.destroy();
--- a/packages/router/src/connection/crash_detector_test.ts
+++ b/packages/router/src/connection/crash_detector_test.ts
@@ -9,6 +9,7 @@
 import { CrashRecord } from "../process/crash_record.ts";
 import type { Fields } from "../process/log_line.ts";
 import { CrashDetector } from "./crash_detector.ts";
+import { TcpRunnerNetwork } from "./runner_network.ts";
 
 /** A detector, and the log lines of its probes. */
 function createDetector(): {
@@ -25,6 +26,7 @@
       log,
       metrics: { runnerCrashed() {} },
       record: new CrashRecord(SILENT_LOG),
+      network: new TcpRunnerNetwork(),
     }),
     found,
   };
--- a/packages/router/src/connection/runner_connections.ts
+++ b/packages/router/src/connection/runner_connections.ts
@@ -4,9 +4,10 @@
  * @module
  */
 import { Agent } from "node:http";
-import type { ClientRequest } from "node:http";
+import type { AgentOptions, ClientRequest } from "node:http";
 import type { Socket } from "node:net";
 import type { Runner } from "../process/runner.ts";
+import type { RunnerAddress, RunnerNetwork } from "./runner_network.ts";
 
 /** Idle time-out of connections to a runner that does not state one. */
 const DEFAULT_IDLE_MS = 1_500;
@@ -39,6 +40,24 @@
 
 /** An agent whose idle time-outs stay below the runner's. */
 class RunnerAgent extends Agent {
+  readonly #network: RunnerNetwork;
+  readonly #runner: RunnerAddress;
+
+  constructor(
+    network: RunnerNetwork,
+    runner: RunnerAddress,
+    options: AgentOptions,
+  ) {
+    super(options);
+    this.#network = network;
+    this.#runner = runner;
+  }
+
+  // Called by Node when a request needs a new connection.
+  override createConnection(): Socket {
+    return this.#network.connect(this.#runner);
+  }
+
   // Called by Node when a connection becomes idle; false closes it.
   override keepSocketAlive(socket: Socket): boolean {
     const idleMs = idleMsOf(socket as KeptSocket);
@@ -57,8 +76,13 @@
 
 /** One agent for each incarnation of a runner. */
 export class RunnerConnections {
+  readonly #network: RunnerNetwork;
   readonly #agents = new Map<string, Agent>();
 
+  constructor(network: RunnerNetwork) {
+    this.#network = network;
+  }
+
   /**
    * The agent for a runner; incarnations share no connections.
    *
@@ -72,7 +96,7 @@
       existing.maxSockets = maxConnections;
       return existing;
     }
-    const agent = new RunnerAgent({
+    const agent = new RunnerAgent(this.#network, runner, {
       keepAlive: true,
       // Reuses the connection that has been idle longest: a duplicate response
       // to an earlier request has had the most time to arrive there and be
--- /dev/null
+++ b/packages/router/src/connection/runner_network.ts
@@ -0,0 +1,24 @@
+/**
+ * Opens connections to runners.
+ *
+ * @module
+ */
+import { connect } from "node:net";
+import type { Socket } from "node:net";
+import type { Runner } from "../process/runner.ts";
+
+/** Where a runner accepts connections. */
+export type RunnerAddress = Pick<Runner, "address" | "port">;
+
+/** The network between this daemon and the runners. */
+export interface RunnerNetwork {
+  /** Starts to open a connection. */
+  connect(runner: RunnerAddress): Socket;
+}
+
+/** Connections over TCP. */
+export class TcpRunnerNetwork implements RunnerNetwork {
+  connect({ address, port }: RunnerAddress): Socket {
+    return connect({ host: address, port });
+  }
+}
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -13,6 +13,8 @@
 import type { SharedStore } from "./connection/fleet_sync.ts";
 import { TcpPeerNetwork } from "./connection/peer_network.ts";
 import { RunnerConnections } from "./connection/runner_connections.ts";
+import { TcpRunnerNetwork } from "./connection/runner_network.ts";
+import type { RunnerNetwork } from "./connection/runner_network.ts";
 import {
   createMetricsServer,
   createReadinessServer,
@@ -108,7 +110,7 @@
 /** A daemon that routes requests until it is shut down. */
 export class Router implements Daemon {
   readonly dialect: Dialect;
-  readonly connections = new RunnerConnections();
+  readonly connections: RunnerConnections;
   readonly loads = new RunnerLoads();
   readonly prefixes = new PrefixIndex();
   readonly crashes: CrashRecord;
@@ -157,7 +159,15 @@
   /** Time at which the current configuration came into force. */
   #inForceAt: number | undefined;
 
-  constructor(settings: RouterSettings, platform: Platform, log: EventLog) {
+  /** @param options.network how runners are reached; by default over TCP. */
+  constructor(
+    settings: RouterSettings,
+    platform: Platform,
+    log: EventLog,
+    options: { readonly network?: RunnerNetwork | undefined } = {},
+  ) {
+    const { network = new TcpRunnerNetwork() } = options;
+    this.connections = new RunnerConnections(network);
     this.#settings = settings;
     this.dialect = platform.dialect;
     this.log = log;
@@ -268,6 +278,7 @@
       log,
       metrics: this.metrics,
       record: this.crashes,
+      network,
     });
     this.#directory.onChange(() => this.#runnersChanged());
     this.loads.queueAt((id) => {
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -12,6 +12,7 @@
 import { NO_CRASHES } from "../src/connection/crash_ages.ts";
 import { NO_PLACE_AGES } from "../src/connection/place_encoding.ts";
 import type { StateUpdate } from "../src/connection/peer_message.ts";
+import type { RunnerNetwork } from "../src/connection/runner_network.ts";
 import type { DaemonRegistry } from "../src/process/daemon_registry.ts";
 import { DrainingRunners } from "../src/process/draining_runners.ts";
 import type { EventLog } from "../src/process/event_log.ts";
@@ -487,20 +488,27 @@
     readonly runners: Feed<Runner>;
     readonly settings?: Partial<RouterSettings>;
     readonly log?: EventLog;
+    readonly network?: RunnerNetwork | undefined;
   },
 ): Promise<Router> {
-  const router = new Router(testSettings(parts.settings ?? {}), {
-    dialect: TEST_DIALECT,
-    configurations: parts.configurations,
-    runners: parts.runners,
-    daemons: NO_DAEMONS,
-    engineCache: {
-      cachedParts: () => Promise.resolve({ startedAtMs: undefined, parts: [] }),
-      startTime: () => Promise.resolve(undefined),
+  const router = new Router(
+    testSettings(parts.settings ?? {}),
+    {
+      dialect: TEST_DIALECT,
+      configurations: parts.configurations,
+      runners: parts.runners,
+      daemons: NO_DAEMONS,
+      engineCache: {
+        cachedParts: () =>
+          Promise.resolve({ startedAtMs: undefined, parts: [] }),
+        startTime: () => Promise.resolve(undefined),
+      },
+      leaderStore: new MemoryLeaderStore(),
+      api: undefined,
     },
-    leaderStore: new MemoryLeaderStore(),
-    api: undefined,
-  }, parts.log ?? SILENT_LOG);
+    parts.log ?? SILENT_LOG,
+    { network: parts.network },
+  );
   await router.start();
   context.after(() => router.stop());
   return router;
--- a/packages/router/tests/linked_routers.ts
+++ b/packages/router/tests/linked_routers.ts
@@ -7,6 +7,8 @@
 import { createServer } from "node:net";
 import type { AddressInfo } from "node:net";
 import type { TestContext } from "node:test";
+import type { RunnerNetwork } from "../src/connection/runner_network.ts";
+import type { EventLog } from "../src/process/event_log.ts";
 import type { Runner } from "../src/process/runner.ts";
 import type { SchedulingSettings } from "../src/process/scheduling_mode.ts";
 import type { RouterSettings } from "../src/process/settings.ts";
@@ -15,6 +17,7 @@
 import {
   sendRequest,
   SettableFeed,
+  SILENT_LOG,
   startRouter,
   testConfiguration,
   testRoute,
@@ -69,22 +72,34 @@
     this.#fields = fields;
   }
 
-  /** Starts a router and waits until it is ready and linked to all others. */
-  async add(): Promise<Router> {
+  /**
+   * Starts a router and waits until it is ready and linked to all others.
+   *
+   * @param parts.network how this router reaches runners.
+   */
+  async add(parts: {
+    readonly network?: RunnerNetwork;
+    readonly log?: EventLog | undefined;
+  } = {}): Promise<Router> {
     const seeds = this.routers.map(({ peersPort }) =>
       `${LOCALHOST}:${peersPort}`
     );
     const port = await unusedPort();
     let links = 0;
-    const log = {
-      event: (name: string) => void (links += name === "peer_joined" ? 1 : 0),
-      decision() {},
+    const { log: lines = SILENT_LOG } = parts;
+    const log: EventLog = {
+      event(name, fields) {
+        if (name === "peer_joined") links += 1;
+        lines.event(name, fields);
+      },
+      decision: (...line) => lines.decision(...line),
     };
     const router = await startRouter(this.#context, {
       configurations: new SettableFeed([
         testConfiguration(this.#routes.map(testRoute), this.#fields),
       ]),
       runners: this.runners,
+      network: parts.network,
       log,
       settings: {
         ...this.#settings,
