--- a/packages/router/src/connection/crash_detector.ts
+++ b/packages/router/src/connection/crash_detector.ts
@@ -8,7 +8,9 @@
 import type { EventLog } from "../process/event_log.ts";
 import type { RequestMetrics } from "../process/metrics.ts";
 import type { Runner } from "../process/runner.ts";
+import type { RunnerPaths } from "../process/runner_paths.ts";
 import type { RunnerNetwork } from "./runner_network.ts";
+import { connectTo } from "./runner_probe.ts";
 
 /**
  * Delay in ms from the first interrupted response until the runner is probed. The
@@ -17,8 +19,6 @@
 const PROBE_DELAY_MS = 30;
 /** Minimum ms between two probes of a runner that interrupts many responses. */
 const PROBE_INTERVAL_MS = 200;
-/** Time-out in ms for a live runner to accept a connection. */
-const CONNECT_TIMEOUT_MS = 300;
 /** Maximum number of fingerprints in a log line. */
 const MAX_LOGGED = 8;
 
@@ -38,6 +38,7 @@
   readonly #metrics: Pick<RequestMetrics, "runnerCrashed">;
   readonly #record: CrashRecord;
   readonly #network: RunnerNetwork;
+  readonly #paths: Pick<RunnerPaths, "pathTo" | "check" | "askPeers">;
   readonly #broken = new Map<string, CrashedRun[]>();
   /** Ids of runners that were probed in the last probe interval. */
   readonly #probed = new Set<string>();
@@ -48,10 +49,12 @@
     /** Receives the requests that were at a crashed runner. */
     readonly record: CrashRecord;
     readonly network: RunnerNetwork;
+    readonly paths: Pick<RunnerPaths, "pathTo" | "check" | "askPeers">;
   }) {
     this.#log = options.log;
     this.#record = options.record;
     this.#network = options.network;
+    this.#paths = options.paths;
     this.#metrics = options.metrics;
   }
 
@@ -74,8 +77,7 @@
   }
 
   async #probe(runner: Runner): Promise<void> {
-    const response = await connectTo(this.#network, runner);
-    const crashed = response === "refused";
+    const crashed = await this.#hasCrashed(runner);
     const runs = this.#broken.get(runner.id) ?? [];
     this.#broken.delete(runner.id);
     this.#probed.add(runner.id);
@@ -87,31 +89,23 @@
       runner: runner.id,
       service: runner.service,
       ended: crashed,
-      response,
+      path: this.#paths.pathTo(runner),
       broken_off: runs.length,
       fingerprints: logged.join(","),
     });
   }
-}
-
-/** How a runner responded to a new connection. */
-type ConnectResponse = "accepted" | "refused" | "failed" | "timeout";
 
-function connectTo(
-  network: RunnerNetwork,
-  runner: Runner,
-): Promise<ConnectResponse> {
-  return new Promise((resolve) => {
-    const socket = network.connect(runner);
-    const settle = (response: ConnectResponse) => {
-      clearTimeout(timer);
-      socket.destroy();
-      resolve(response);
-    };
-    const timer = setTimeout(() => settle("timeout"), CONNECT_TIMEOUT_MS);
-    socket.once("connect", () => settle("accepted"));
-    socket.on("error", (error: NodeJS.ErrnoException) => {
-      settle(error.code === "ECONNREFUSED" ? "refused" : "failed");
-    });
-  });
+  /**
+   * Whether a runner's address refuses connections. If it does so to this daemon
+   * only, the path is to blame.
+   */
+  async #hasCrashed(runner: Runner): Promise<boolean> {
+    if (this.#paths.pathTo(runner) === "relayed") {
+      return await this.#paths.askPeers(runner) === "refused";
+    }
+    const response = await connectTo(this.#network, runner);
+    if (response === "accepted") return false;
+    const pathLost = await this.#paths.check(runner);
+    return response === "refused" && !pathLost;
+  }
 }
--- a/packages/router/src/connection/crash_detector_test.ts
+++ b/packages/router/src/connection/crash_detector_test.ts
@@ -8,11 +8,23 @@
 import type { FakeRunner } from "../../tests/fixtures.ts";
 import { CrashRecord } from "../process/crash_record.ts";
 import type { Fields } from "../process/log_line.ts";
+import type { RunnerPaths } from "../process/runner_paths.ts";
 import { CrashDetector } from "./crash_detector.ts";
 import { TcpRunnerNetwork } from "./runner_network.ts";
 
+/** Paths of a daemon whose peers reach a runner, or do not. */
+function createPaths(
+  reachedByPeers: boolean,
+): Pick<RunnerPaths, "pathTo" | "check" | "askPeers"> {
+  return {
+    pathTo: () => "direct",
+    check: () => Promise.resolve(reachedByPeers),
+    askPeers: () => Promise.resolve("unknown"),
+  };
+}
+
 /** A detector, and the log lines of its probes. */
-function createDetector(): {
+function createDetector(reachedByPeers = false): {
   readonly detector: CrashDetector;
   readonly found: Fields[];
 } {
@@ -27,6 +39,7 @@
       metrics: { runnerCrashed() {} },
       record: new CrashRecord(SILENT_LOG),
       network: new TcpRunnerNetwork(),
+      paths: createPaths(reachedByPeers),
     }),
     found,
   };
@@ -58,3 +71,13 @@
   await waitUntil(() => found.length > 0);
   assert.equal(found[0]!.ended, false);
 });
+
+// Guards against requests that are blamed for a lost path.
+test("a runner that refuses this daemon only has not crashed", async (t) => {
+  const { detector, found } = createDetector(true);
+  const runner = await startFakeRunner(t, "r-1", () => {});
+  await runner.end();
+  recordTwoBrokenRuns(detector, runner);
+  await waitUntil(() => found.length > 0);
+  assert.deepEqual(found.map(({ ended }) => ended), [false]);
+});
--- a/packages/router/src/connection/fleet_sync.ts
+++ b/packages/router/src/connection/fleet_sync.ts
@@ -126,7 +126,7 @@
       linkedDaemons: () => this.#exchange.linkedDaemons,
       nextTick: () => this.#exchange.nextTick(),
       storeStatusChanged: () => this.#exchange.sendStoreStatus(),
-      peers: () => this.#reachable,
+      peers: () => this.reachable,
       unableToWatch: () => this.#exchange.unableToWatch,
       random: options.random,
       configured: () => state.configuration() !== undefined,
@@ -181,7 +181,7 @@
     const alone = this.#peers.count === 0 && this.fleetSize > 1;
     if (alone || !this.#exchange.receivesFleetUpdates) return false;
     return this.#exchange.relayed ||
-      isWatcher(this.#own, [this.#own, ...this.#reachable]) ||
+      isWatcher(this.#own, [this.#own, ...this.reachable]) ||
       this.#followers.replacesWatchers;
   }
 
@@ -281,7 +281,8 @@
     return this.#registration.deregister();
   }
 
-  get #reachable(): readonly Contact[] {
+  /** Other daemons that are presumed alive. */
+  get reachable(): readonly Contact[] {
     return this.#exchange.reachable;
   }
 
@@ -301,7 +302,7 @@
   /** Whether to register: others discover the daemons that watch the store. */
   #shouldRegister(): boolean {
     return this.#peers.count === 0 ||
-      isWatcher(this.#own, [this.#own, ...this.#reachable]);
+      isWatcher(this.#own, [this.#own, ...this.reachable]);
   }
 
   #left(peer: Peer): void {
--- a/packages/router/src/connection/graceful_shutdown.ts
+++ b/packages/router/src/connection/graceful_shutdown.ts
@@ -31,19 +31,22 @@
     readonly graceMs: () => number;
     readonly lifecycle: Lifecycle;
     readonly log: EventLog;
+    /** Number of connections that are relayed for peers. */
+    readonly relayed: () => number;
   },
 ): Promise<number> {
-  const { graceMs, lifecycle, log } = options;
+  const { graceMs, lifecycle, log, relayed } = options;
   const startedAt = performance.now();
   const elapsedMs = () => performance.now() - startedAt;
   log.event("leaving", { in_flight: server.inFlight });
   await pause(ACCEPT_MS);
   lifecycle.close();
   server.stopAccepting();
-  while (server.inFlight > 0 && elapsedMs() < graceMs() - EXIT_MARGIN_MS) {
+  const inFlight = () => server.inFlight + relayed();
+  while (inFlight() > 0 && elapsedMs() < graceMs() - EXIT_MARGIN_MS) {
     await pause(CHECK_MS);
   }
-  const cut = server.inFlight;
+  const cut = inFlight();
   log.event("stopped", { cut, after_ms: Math.round(elapsedMs()) });
   return cut;
 }
--- a/packages/router/src/connection/peer_link.ts
+++ b/packages/router/src/connection/peer_link.ts
@@ -3,15 +3,14 @@
  *
  * @module
  */
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
 import { decodeItem, encodeItem } from "@umbermast/coordination/codec";
-import { encodeFrame, LENGTH_BYTES } from "@umbermast/coordination/frame_bytes";
+import { encodeFrame } from "@umbermast/coordination/frame_bytes";
+import { FrameBuffer } from "./frame_buffer.ts";
 import { packMessage, unpackMessage } from "./peer_encoding.ts";
 import type { PeerMessage } from "./peer_message.ts";
 
-/** Maximum size of a frame; a configuration of a megabyte fits. */
-const MAX_FRAME_BYTES = 8 * 1024 * 1024;
 /**
  * Maximum bytes buffered for a slow peer. Beyond them the link is closed: an update
  * that arrives seconds late is misleading, and a new link starts with a snapshot.
@@ -68,8 +67,7 @@
   #idleTimer: NodeJS.Timeout;
   /** Whether nothing was received since the idle timer fired. */
   #silent = false;
-  #chunks: Buffer[] = [];
-  #size = 0;
+  readonly #frames = new FrameBuffer();
   #receivedAt = performance.now();
 
   constructor(socket: Socket, events: LinkEvents) {
@@ -153,21 +151,10 @@
     this.#silent = false;
     this.#receivedAt = performance.now();
     this.#idleTimer.refresh();
-    this.#chunks.push(chunk);
-    this.#size += chunk.length;
-    if (this.#size < LENGTH_BYTES) return;
-    let bytes = this.#chunks.length === 1 ? chunk : Buffer.concat(this.#chunks);
-    while (bytes.length >= LENGTH_BYTES) {
-      const length = bytes.readUInt32BE(0);
-      if (length > MAX_FRAME_BYTES) return this.close();
-      if (bytes.length < LENGTH_BYTES + length) break;
-      const item = bytes.subarray(LENGTH_BYTES, LENGTH_BYTES + length);
-      bytes = bytes.subarray(LENGTH_BYTES + length);
-      const decoded = decodeItem(item);
-      if (decoded.isErr()) return this.close();
-      if (!this.#handle(decoded.value)) return this.close();
-    }
-    this.#chunks = bytes.length === 0 ? [] : [bytes];
-    this.#size = bytes.length;
+    const valid = this.#frames.push(chunk, (frame) => {
+      const decoded = decodeItem(frame);
+      return decoded.isOk() && this.#handle(decoded.value);
+    });
+    if (!valid) this.close();
   }
 }
--- a/packages/router/src/connection/peer_network.ts
+++ b/packages/router/src/connection/peer_network.ts
@@ -3,11 +3,13 @@
  *
  * @module
  */
+import { Buffer } from "node:buffer";
 import { connect, createServer } from "node:net";
 import type { AddressInfo, Server, Socket } from "node:net";
 import type { ListenAddress } from "../process/settings.ts";
 import { PeerLink } from "./peer_link.ts";
 import type { Link, LinkEvents } from "./peer_link.ts";
+import { RELAY_PREFACE } from "./relay_channel.ts";
 
 /**
  * Time-out in ms for opening a link. The first packet of a dial to a host without power
@@ -36,10 +38,22 @@
   close(): void;
 }
 
-/** Links over TCP. */
+/**
+ * Time in ms in which an accepted connection must show whether it is a link or a
+ * relay channel.
+ */
+const PREFACE_TIMEOUT_MS = 2_500;
+
+/** Links over TCP; the port also accepts relay channels. */
 export class TcpPeerNetwork implements PeerNetwork {
+  readonly #acceptRelay: (socket: Socket) => void;
   #server: Server | undefined;
 
+  /** @param acceptRelay called with a connection that is a relay channel. */
+  constructor(acceptRelay: (socket: Socket) => void) {
+    this.#acceptRelay = acceptRelay;
+  }
+
   get port(): number {
     return (this.#server?.address() as AddressInfo).port;
   }
@@ -48,7 +62,12 @@
     address: ListenAddress,
     accepted: (createLink: LinkFactory) => void,
   ): Promise<void> {
-    const server = createServer((socket) => accepted(linkFactoryFor(socket)));
+    const server = createServer((socket) => {
+      readPreface(socket, {
+        link: () => accepted(linkFactoryFor(socket)),
+        relay: () => this.#acceptRelay(socket),
+      });
+    });
     this.#server = server;
     return new Promise((resolve, reject) => {
       server.once("error", reject);
@@ -82,6 +101,30 @@
   }
 }
 
+/** Reads the first bytes of a connection, which show what it is. */
+function readPreface(socket: Socket, handlers: {
+  readonly link: () => void;
+  readonly relay: () => void;
+}): void {
+  let received = Buffer.alloc(0);
+  const discard = () => socket.destroy();
+  socket.setTimeout(PREFACE_TIMEOUT_MS, discard);
+  socket.on("error", discard);
+  socket.on("data", function receive(chunk: Buffer) {
+    received = Buffer.concat([received, chunk]);
+    if (received.length < RELAY_PREFACE.length) return;
+    socket.off("data", receive).pause();
+    socket.off("error", discard).off("timeout", discard).setTimeout(0);
+    const preface = received.subarray(0, RELAY_PREFACE.length);
+    const isRelay = preface.equals(RELAY_PREFACE);
+    if (isRelay) handlers.relay();
+    else handlers.link();
+    const rest = isRelay ? received.subarray(RELAY_PREFACE.length) : received;
+    if (rest.length > 0) socket.unshift(rest);
+    socket.resume();
+  });
+}
+
 function linkFactoryFor(socket: Socket): LinkFactory {
   return (events) => new PeerLink(socket, events);
 }
--- /dev/null
+++ b/packages/router/src/connection/relay_channel.ts
@@ -0,0 +1,103 @@
+/**
+ * A channel between two daemons that carries one connection to a runner.
+ *
+ * @module
+ */
+import { Buffer } from "node:buffer";
+import type { Socket } from "node:net";
+import { FrameBuffer } from "./frame_buffer.ts";
+import { decodeRelayMessage, encodeRelayMessage } from "./relay_message.ts";
+import type { RelayMessage } from "./relay_message.ts";
+
+/**
+ * First bytes of a relay channel, by which the accepting daemon distinguishes it
+ * from a link. An older daemon reads them as the length of a frame that is too
+ * large, and closes the connection.
+ */
+export const RELAY_PREFACE = Buffer.from("UMR1", "latin1");
+/** Idle time in ms after which the system probes whether the other side is there. */
+const KEEP_ALIVE_MS = 1_000;
+
+/** Callbacks of a channel. */
+export interface RelayEvents {
+  readonly onMessage: (message: RelayMessage) => void;
+  /** Called once, when the channel has closed without {@linkcode RelayChannel.close}. */
+  readonly onLost: () => void;
+}
+
+/** A relay channel over TCP. */
+export class RelayChannel {
+  readonly #socket: Socket;
+  readonly #frames = new FrameBuffer();
+  #events: RelayEvents;
+  #closed = false;
+
+  constructor(socket: Socket, events: RelayEvents) {
+    this.#socket = socket;
+    this.#events = events;
+    socket.setNoDelay(true);
+    socket.setKeepAlive(true, KEEP_ALIVE_MS);
+    socket.on("data", (chunk: Buffer) => this.#receive(chunk));
+    // Errors are handled by the "close" event that follows.
+    socket.on("error", () => {});
+    socket.once("close", () => {
+      if (this.#closed) return;
+      this.#closed = true;
+      this.#events.onLost();
+    });
+  }
+
+  /** Replaces the callbacks. */
+  listen(events: RelayEvents): void {
+    this.#events = events;
+  }
+
+  /**
+   * Sends a message; on a closed channel it is dropped.
+   *
+   * @returns false if the write buffer is full; see {@linkcode onceDrained}.
+   */
+  send(message: RelayMessage): boolean {
+    if (this.#closed || this.#socket.writableEnded) return true;
+    return this.#socket.write(encodeRelayMessage(message));
+  }
+
+  /** Calls the listener once the write buffer has been emptied. */
+  onceDrained(listener: () => void): void {
+    this.#socket.once("drain", listener);
+  }
+
+  /** Stops receiving until {@linkcode resume}. */
+  pause(): void {
+    this.#socket.pause();
+  }
+
+  resume(): void {
+    this.#socket.resume();
+  }
+
+  /** Closes the channel once the other side has received all that was sent. */
+  end(): void {
+    this.#closed = true;
+    this.#socket.end();
+    this.#socket.resume();
+  }
+
+  close(): void {
+    this.#closed = true;
+    this.#socket.destroy();
+  }
+
+  #receive(chunk: Buffer): void {
+    const valid = this.#frames.push(chunk, (frame) => {
+      if (this.#closed) return true;
+      try {
+        this.#events.onMessage(decodeRelayMessage(frame));
+        return true;
+      } catch {
+        return false;
+      }
+    });
+    if (!valid) this.#socket.destroy();
+  }
+}
--- /dev/null
+++ b/packages/router/src/connection/relayed_socket.ts
@@ -0,0 +1,150 @@
+/**
+ * A connection to a runner by way of a peer.
+ *
+ * @module
+ */
+import type { Buffer } from "node:buffer";
+import { Duplex } from "node:stream";
+import type { RelayChannel } from "./relay_channel.ts";
+import type { RelayMessage } from "./relay_message.ts";
+
+/** The channel to the peer was lost: the runner is not to blame. */
+export class RelayLostError extends Error {
+  override readonly name = "RelayLostError";
+}
+
+/**
+ * The part of a socket that Node's HTTP client uses, over a relay channel. The peer
+ * says how the runner's connection ended: without that, the end of a peer would look
+ * like the end of a response that has no length.
+ */
+export class RelayedSocket extends Duplex {
+  /** Whether the peer has not yet opened the connection. */
+  connecting = true;
+  readonly #open: () => Promise<RelayChannel>;
+  readonly #onLeaving: () => void;
+  #channel: RelayChannel | undefined;
+  #leaving = false;
+  /** Whether the runner has ended the connection as it should. */
+  #ended = false;
+  #idleMs = 0;
+  #idleTimer: NodeJS.Timeout | undefined;
+
+  /**
+   * @param open opens a channel on which the connection to the runner is open.
+   * @param onLeaving called when the connection takes no further requests.
+   */
+  constructor(open: () => Promise<RelayChannel>, onLeaving: () => void) {
+    super({ allowHalfOpen: false });
+    this.#open = open;
+    this.#onLeaving = onLeaving;
+  }
+
+  /** Whether the peer is shutting down: the connection takes no further requests. */
+  get leaving(): boolean {
+    return this.#leaving;
+  }
+
+  override _construct(callback: (error?: Error | null) => void): void {
+    this.#open().then((channel) => {
+      if (this.destroyed) return channel.close();
+      this.#channel = channel;
+      channel.listen({
+        onMessage: (message) => this.#receive(message),
+        onLost: () => this.#lost(),
+      });
+      this.connecting = false;
+      this.emit("connect");
+      callback();
+    }, callback);
+  }
+
+  override _read(): void {
+    this.#channel?.resume();
+  }
+
+  override _write(
+    bytes: Buffer,
+    _encoding: BufferEncoding,
+    callback: () => void,
+  ): void {
+    this.#restartIdleTimer();
+    const channel = this.#channel!;
+    if (channel.send({ kind: "data", bytes })) return callback();
+    channel.onceDrained(callback);
+  }
+
+  override _final(callback: () => void): void {
+    this.#channel?.send({ kind: "end" });
+    callback();
+  }
+
+  override _destroy(
+    error: Error | null,
+    callback: (error: Error | null) => void,
+  ): void {
+    clearTimeout(this.#idleTimer);
+    this.connecting = false;
+    this.#channel?.close();
+    callback(error);
+  }
+
+  /** Emits "timeout" when the connection carries nothing for a time; 0: never. */
+  setTimeout(ms: number): this {
+    this.#idleMs = ms;
+    this.#restartIdleTimer();
+    return this;
+  }
+
+  /** Has no effect: channels send without delay. */
+  setNoDelay(): this {
+    return this;
+  }
+
+  /** Has no effect: channels are probed by the system. */
+  setKeepAlive(): this {
+    return this;
+  }
+
+  /** Has no effect: the process is kept alive by its servers. */
+  ref(): this {
+    return this;
+  }
+
+  /** Has no effect: the process is kept alive by its servers. */
+  unref(): this {
+    return this;
+  }
+
+  #lost(): void {
+    if (!this.#ended) this.destroy(new RelayLostError("Relay is lost"));
+  }
+
+  #restartIdleTimer(): void {
+    clearTimeout(this.#idleTimer);
+    if (this.#idleMs === 0) return;
+    this.#idleTimer = setTimeout(() => this.emit("timeout"), this.#idleMs)
+      .unref();
+  }
+
+  #receive(message: RelayMessage): void {
+    this.#restartIdleTimer();
+    switch (message.kind) {
+      case "data":
+        if (!this.push(message.bytes)) this.#channel?.pause();
+        return;
+      case "end":
+        this.#ended = true;
+        this.push(null);
+        // Nothing reads from an idle connection, which must close, too.
+        return void this.read(0);
+      case "broken":
+        return void this.destroy(new Error(message.reason));
+      case "leaving":
+        this.#leaving = true;
+        return this.#onLeaving();
+      default:
+        return void this.destroy(new RelayLostError("Relay is out of order"));
+    }
+  }
+}
--- a/packages/router/src/connection/runner_connections.ts
+++ b/packages/router/src/connection/runner_connections.ts
@@ -6,8 +6,12 @@
 import { Agent } from "node:http";
 import type { AgentOptions, ClientRequest } from "node:http";
 import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
 import type { Runner } from "../process/runner.ts";
-import type { RunnerAddress, RunnerNetwork } from "./runner_network.ts";
+import type { Path } from "../process/runner_paths.ts";
+import type { RelayChannel } from "./relay_channel.ts";
+import { RelayedSocket } from "./relayed_socket.ts";
+import type { RunnerNetwork } from "./runner_network.ts";
 
 /** Idle time-out of connections to a runner that does not state one. */
 const DEFAULT_IDLE_MS = 1_500;
@@ -22,6 +26,8 @@
 const TIMEOUT_HINT = /timeout=(\d+)/i;
 
 interface KeptSocket extends Socket {
+  /** Whether a relayed connection takes no further requests. */
+  readonly leaving?: boolean;
   /**
    * Where Node's agent keeps the request and its response until they are done.
    */
@@ -38,73 +44,90 @@
   return Number(seconds) * MS_PER_SECOND * IDLE_SHARE;
 }
 
+/** Opens a connection to a runner, directly or by way of a peer. */
+type Dial = () => Duplex;
+
 /** An agent whose idle time-outs stay below the runner's. */
 class RunnerAgent extends Agent {
-  readonly #network: RunnerNetwork;
-  readonly #runner: RunnerAddress;
+  readonly #dial: Dial;
 
-  constructor(
-    network: RunnerNetwork,
-    runner: RunnerAddress,
-    options: AgentOptions,
-  ) {
+  constructor(dial: Dial, options: AgentOptions) {
     super(options);
-    this.#network = network;
-    this.#runner = runner;
+    this.#dial = dial;
   }
 
   // Called by Node when a request needs a new connection.
-  override createConnection(): Socket {
-    return this.#network.connect(this.#runner);
+  override createConnection(): Duplex {
+    return this.#dial();
   }
 
   // Called by Node when a connection becomes idle; false closes it.
-  override keepSocketAlive(socket: Socket): boolean {
-    const idleMs = idleMsOf(socket as KeptSocket);
-    if (idleMs <= 0) return false;
-    socket.setKeepAlive(true, MS_PER_SECOND);
-    socket.setTimeout(idleMs);
+  override keepSocketAlive(socket: Duplex): boolean {
+    const kept = socket as KeptSocket;
+    const idleMs = idleMsOf(kept);
+    if (idleMs <= 0 || kept.leaving === true) return false;
+    kept.setKeepAlive(true, MS_PER_SECOND);
+    kept.setTimeout(idleMs);
     return true;
   }
 
   // Called by Node when an idle connection gets a request.
-  override reuseSocket(socket: Socket, request: ClientRequest): void {
+  override reuseSocket(socket: Duplex, request: ClientRequest): void {
     super.reuseSocket(socket, request);
-    socket.setTimeout(0);
+    (socket as KeptSocket).setTimeout(0);
   }
 }
 
-/** One agent for each incarnation of a runner. */
+/** Opens connections to runners by way of peers. */
+export interface RelayDialer {
+  connect(runner: Runner): Promise<RelayChannel>;
+}
+
+/** One agent for each incarnation of a runner and each kind of path to it. */
 export class RunnerConnections {
   readonly #network: RunnerNetwork;
-  readonly #agents = new Map<string, Agent>();
+  readonly #relays: RelayDialer;
+  readonly #agents: Readonly<Record<Path, Map<string, Agent>>> = {
+    direct: new Map(),
+    relayed: new Map(),
+  };
 
-  constructor(network: RunnerNetwork) {
+  constructor(network: RunnerNetwork, relays: RelayDialer) {
     this.#network = network;
+    this.#relays = relays;
   }
 
   /**
    * The agent for a runner; incarnations share no connections.
    *
-   * @param maxConnections this daemon's share of the connections that the runner
-   * accepts. Beyond its limit the runner resets connections, and requests with
-   * them.
+   * @param options.maxConnections this daemon's share of the connections that the
+   * runner accepts. Beyond its limit the runner resets connections, and requests
+   * with them.
    */
-  agent(runner: Runner, maxConnections: number): Agent {
-    const existing = this.#agents.get(runner.id);
+  agent(
+    runner: Runner,
+    options: { readonly path: Path; readonly maxConnections: number },
+  ): Agent {
+    const { path, maxConnections } = options;
+    const existing = this.#agents[path].get(runner.id);
     if (existing !== undefined) {
       existing.maxSockets = maxConnections;
       return existing;
     }
-    const agent = new RunnerAgent(this.#network, runner, {
-      keepAlive: true,
-      // Reuses the connection that has been idle longest: a duplicate response
-      // to an earlier request has had the most time to arrive there and be
-      // detected.
-      scheduling: "fifo",
-      maxSockets: maxConnections,
-    });
-    this.#agents.set(runner.id, agent);
+    const agent: Agent = new RunnerAgent(
+      path === "direct"
+        ? () => this.#network.connect(runner)
+        : () => this.#dialRelay(runner, () => agent),
+      {
+        keepAlive: true,
+        // Reuses the connection that has been idle longest: a duplicate response
+        // to an earlier request has had the most time to arrive there and be
+        // detected.
+        scheduling: "fifo",
+        maxSockets: maxConnections,
+      },
+    );
+    this.#agents[path].set(runner.id, agent);
     return agent;
   }
 
@@ -113,20 +136,49 @@
    * lost the state of one connection has often lost that of the others, too.
    */
   dropIdle(runner: Runner): void {
-    const agent = this.#agents.get(runner.id);
-    if (agent === undefined) return;
-    closeIdle(agent);
+    for (const agents of Object.values(this.#agents)) {
+      const agent = agents.get(runner.id);
+      if (agent !== undefined) closeIdle(agent);
+    }
+  }
+
+  /** Uses the relayed connections to a runner for no further requests. */
+  closeRelayed(runner: Runner): void {
+    this.#remove(this.#agents.relayed, runner.id);
   }
 
   /** Closes the idle connections of runners that are not listed. */
   retain(ids: ReadonlySet<string>): void {
-    for (const [id, agent] of this.#agents) {
-      if (ids.has(id)) continue;
-      this.#agents.delete(id);
-      agent.maxFreeSockets = 0;
-      closeIdle(agent);
+    for (const agents of Object.values(this.#agents)) {
+      for (const id of agents.keys()) {
+        if (!ids.has(id)) this.#remove(agents, id);
+      }
     }
   }
+
+  #remove(agents: Map<string, Agent>, id: string): void {
+    const agent = agents.get(id);
+    if (agent === undefined) return;
+    agents.delete(id);
+    agent.maxFreeSockets = 0;
+    closeIdle(agent);
+  }
+
+  #dialRelay(runner: Runner, agent: () => Agent): RelayedSocket {
+    const socket: RelayedSocket = new RelayedSocket(
+      () => this.#relays.connect(runner),
+      () => {
+        if (isIdle(agent(), socket)) socket.destroy();
+      },
+    );
+    return socket;
+  }
+}
+
+function isIdle(agent: Agent, socket: Duplex): boolean {
+  return Object.values(agent.freeSockets).some((free) =>
+    free?.includes(socket as Socket)
+  );
 }
 
 function closeIdle(agent: Agent): void {
--- /dev/null
+++ b/packages/router/src/connection/runner_probe.ts
@@ -0,0 +1,79 @@
+/**
+ * Probes of runners, on connections of their own.
+ *
+ * @module
+ */
+import { request } from "node:http";
+import type { Runner } from "../process/runner.ts";
+import type { RunnerNetwork } from "./runner_network.ts";
+
+/** Time-out in ms for a live runner to accept a connection. */
+const CONNECT_TIMEOUT_MS = 300;
+/**
+ * Time in ms for which an accepted connection must stay open: a partition may accept
+ * it and then reset it.
+ */
+const HOLD_MS = 30;
+
+/** How a runner's address responded to a new connection. */
+export type ConnectResult = "accepted" | "refused" | "failed" | "timeout";
+
+/** Opens and closes a connection to a runner. */
+export function connectTo(
+  network: RunnerNetwork,
+  runner: Runner,
+): Promise<ConnectResult> {
+  return new Promise((resolve) => {
+    const socket = network.connect(runner);
+    const settle = (result: ConnectResult) => {
+      clearTimeout(timer);
+      socket.destroy();
+      resolve(result);
+    };
+    let timer = setTimeout(() => settle("timeout"), CONNECT_TIMEOUT_MS);
+    socket.once("connect", () => {
+      clearTimeout(timer);
+      timer = setTimeout(() => settle("accepted"), HOLD_MS);
+    });
+    socket.on("error", (error: NodeJS.ErrnoException) => {
+      settle(error.code === "ECONNREFUSED" ? "refused" : "failed");
+    });
+    socket.once("close", () => settle("failed"));
+  });
+}
+
+/**
+ * Sends a health check to a runner, and returns whether there is any response. A
+ * connection that is accepted may lead nowhere; a response shows that the path
+ * carries data both ways.
+ *
+ * @param options.path path of the service's health check.
+ */
+export function respondsToProbe(
+  runner: Runner,
+  options: {
+    readonly network: RunnerNetwork;
+    readonly path: string;
+    readonly timeoutMs: number;
+  },
+): Promise<boolean> {
+  const { network, path, timeoutMs } = options;
+  return new Promise((resolve) => {
+    const probe = request({
+      createConnection: () => network.connect(runner),
+      host: runner.address,
+      port: runner.port,
+      path,
+      headers: { connection: "close" },
+    });
+    const settle = (responds: boolean) => {
+      clearTimeout(timer);
+      resolve(responds);
+      probe.destroy();
+    };
+    const timer = setTimeout(() => settle(false), timeoutMs);
+    probe.once("response", () => settle(true));
+    probe.on("error", () => settle(false));
+    probe.end();
+  });
+}
--- a/packages/router/src/process/metrics.ts
+++ b/packages/router/src/process/metrics.ts
@@ -66,6 +66,7 @@
   readonly #seconds: HistogramType<"service">;
   readonly #waiting: GaugeType<"service" | "rank">;
   readonly #connections: CounterType<"service">;
+  readonly #relayed: CounterType<"service" | "role">;
   readonly #failures: CounterType<"service" | "kind">;
   readonly #ends: CounterType<"service">;
   readonly #version: GaugeType;
@@ -107,6 +108,13 @@
       labelNames: ["service"],
       registers,
     });
+    this.#relayed = new Counter({
+      name: "umbermast_relayed_connections_total",
+      help: "Connections to runners by way of a peer, by whether this daemon " +
+        "opened them or served them for a peer",
+      labelNames: ["service", "role"],
+      registers,
+    });
     this.#failures = new Counter({
       name: "umbermast_runner_failures_total",
       help: "Attempts without a response, by service and whether they were " +
@@ -220,6 +228,27 @@
     this.#connections.inc({ service });
   }
 
+  /** Counts a connection to a runner by way of a peer. */
+  relayed(service: string, role: "opened" | "served"): void {
+    this.#relayed.inc({ service, role });
+  }
+
+  /**
+   * Shows the number of runners whose direct paths are lost.
+   *
+   * @param lost called at each reading of the metrics.
+   */
+  observeLostPaths(lost: () => number): void {
+    new Gauge({
+      name: "umbermast_lost_paths",
+      help: "Runners that this daemon reaches by way of a peer only",
+      registers: [this.#registry],
+      collect() {
+        this.set(lost());
+      },
+    });
+  }
+
   /** Counts an attempt to which the runner did not respond. */
   runnerFailed(service: string, kind: "unsent" | "broken"): void {
     this.#failures.inc({ service, kind });
--- a/packages/router/src/process/runner_reachability.ts
+++ b/packages/router/src/process/runner_reachability.ts
@@ -1,5 +1,5 @@
 /**
- * Whether this daemon reaches any runner at all.
+ * When runners last responded to this daemon on direct connections.
  *
  * @module
  */
@@ -15,14 +15,20 @@
  * @example
  * ```ts
  * reachability.recordFailure("r-1", { reason: "connect timeout", now });
- * reachability.recordResponse(now);
+ * reachability.recordResponse("r-2", now);
  * ```
  */
 export class RunnerReachability {
   readonly #log: EventLog;
   /** Runners that failed since any runner last responded. */
   readonly #failed = new Set<string>();
-  #respondedAt: number | undefined;
+  /** Time of the last response by runner, in monotonic ms. */
+  readonly #respondedAt = new Map<string, number>();
+  #lastResponseAt: number | undefined;
+  /** Requests in flight. */
+  #awaited = 0;
+  /** Since when requests are in flight and no runner has sent anything. */
+  #silentSince = -Infinity;
   #unreachableSince: number | undefined;
 
   constructor(log: EventLog) {
@@ -34,19 +40,44 @@
     return this.#failed.size >= RUNNERS_TO_SUSPECT;
   }
 
+  /** When any runner last responded, in monotonic ms. */
+  get lastResponseAt(): number {
+    return this.#lastResponseAt ?? -Infinity;
+  }
+
+  /** When a runner last responded, in monotonic ms. */
+  respondedAt(runner: string): number {
+    return this.#respondedAt.get(runner) ?? -Infinity;
+  }
+
+  /**
+   * Milliseconds for which requests have been in flight without data from any
+   * runner.
+   */
+  silentMs(now: number): number {
+    return this.#awaited === 0 ? 0 : now - this.#silentSince;
+  }
+
   /**
-   * Milliseconds since a runner last responded to this daemon; undefined before the
-   * first response.
+   * Records a request that is sent to a runner.
+   *
+   * @returns a function to call when it is no longer in flight.
    */
-  silentMs(now: number): number | undefined {
-    return this.#respondedAt === undefined
-      ? undefined
-      : now - this.#respondedAt;
+  recordSent(now: number): () => void {
+    if (this.#awaited === 0) this.#silentSince = now;
+    this.#awaited += 1;
+    let inFlight = true;
+    return () => {
+      if (inFlight) this.#awaited -= 1;
+      inFlight = false;
+    };
   }
 
-  /** Records that a runner has responded. */
-  recordResponse(now: number): void {
-    this.#respondedAt = now;
+  /** Records that a runner has sent something. */
+  recordResponse(runner: string, now: number): void {
+    this.#respondedAt.set(runner, now);
+    this.#lastResponseAt = now;
+    this.#silentSince = now;
     this.#failed.clear();
     if (this.#unreachableSince === undefined) return;
     this.#log.event("runners_reachable", {
@@ -63,11 +94,18 @@
     this.#failed.add(runner);
     if (!this.reachesNone || this.#unreachableSince !== undefined) return;
     this.#unreachableSince = now;
-    const silentMs = this.silentMs(now);
+    const silentMs = now - this.lastResponseAt;
     this.#log.event("runners_unreachable", {
       runners: [...this.#failed].join(","),
       reason,
-      silent_ms: silentMs === undefined ? undefined : Math.round(silentMs),
+      silent_ms: silentMs === Infinity ? undefined : Math.round(silentMs),
     });
   }
+
+  /** Forgets the runners that are not listed. */
+  retain(ids: ReadonlySet<string>): void {
+    for (const id of this.#respondedAt.keys()) {
+      if (!ids.has(id)) this.#respondedAt.delete(id);
+    }
+  }
 }
--- a/packages/router/src/request/attempt.ts
+++ b/packages/router/src/request/attempt.ts
@@ -6,8 +6,10 @@
 import { request } from "node:http";
 import type { ClientRequest, IncomingMessage } from "node:http";
 import type { Buffer } from "node:buffer";
+import { RelayLostError } from "../connection/relayed_socket.ts";
 import type { RunnerConnections } from "../connection/runner_connections.ts";
 import type { Runner } from "../process/runner.ts";
+import type { Path } from "../process/runner_paths.ts";
 import type { Dialect, ResponseHead } from "./dialect.ts";
 
 /**
@@ -16,6 +18,8 @@
  * after 1,000 ms, by which time another runner has long responded.
  */
 const CONNECT_TIMEOUT_MS = 300;
+/** Time-out in ms for opening a connection by way of a peer; three may be tried. */
+const RELAY_TIMEOUT_MS = 1_000;
 
 /** The request as it is sent to the runner. */
 export interface OutgoingRequest {
@@ -56,10 +60,14 @@
 /** Sends a request once; {@linkcode cancel} aborts it at any time. */
 export class Attempt {
   readonly runner: Runner;
+  readonly path: Path;
   readonly #dialect: Dialect;
   readonly #request: OutgoingRequest;
   readonly #clientRequest: ClientRequest;
   #mayHaveReachedRunner = false;
+  #hadSocket = false;
+  #connectTimedOut = false;
+  #lostByPeer = false;
   #incoming: IncomingMessage | undefined;
   #settle: (result: SendResult) => void = () => {};
 
@@ -69,6 +77,7 @@
     options: {
       readonly dialect: Dialect;
       readonly connections: RunnerConnections;
+      readonly path: Path;
       /** Maximum number of connections to one runner. */
       readonly maxConnections: number;
       /** Called for each new connection that is opened. */
@@ -76,13 +85,14 @@
     },
   ) {
     this.runner = runner;
+    this.path = options.path;
     this.#dialect = options.dialect;
     this.#request = outgoing;
     const length = hasNoBody(outgoing)
       ? []
       : ["Content-Length", String(outgoing.body.length)];
     this.#clientRequest = request({
-      agent: options.connections.agent(runner, options.maxConnections),
+      agent: options.connections.agent(runner, options),
       host: runner.address,
       port: runner.port,
       method: outgoing.method,
@@ -97,6 +107,24 @@
     return this.#mayHaveReachedRunner;
   }
 
+  /**
+   * Whether a connection could not be opened, and not merely none was free below the
+   * limit.
+   */
+  get failedToConnect(): boolean {
+    return this.#hadSocket && !this.#mayHaveReachedRunner;
+  }
+
+  /** Whether the time for opening a connection has expired. */
+  get connectTimedOut(): boolean {
+    return this.#connectTimedOut;
+  }
+
+  /** Whether the peer that relayed the request is to blame for its failure. */
+  get lostByPeer(): boolean {
+    return this.#lostByPeer;
+  }
+
   /** Whether the runner has begun to respond. */
   get responseStarted(): boolean {
     return this.#incoming !== undefined;
@@ -126,11 +154,15 @@
 
   #watchConnection(onConnect: () => void): void {
     const timer = setTimeout(
-      () => this.#clientRequest.destroy(new Error("connect timeout")),
-      CONNECT_TIMEOUT_MS,
+      () => {
+        this.#connectTimedOut = true;
+        this.#clientRequest.destroy(new Error("connect timeout"));
+      },
+      this.path === "direct" ? CONNECT_TIMEOUT_MS : RELAY_TIMEOUT_MS,
     );
     this.#clientRequest.once("close", () => clearTimeout(timer));
     this.#clientRequest.once("socket", (socket) => {
+      this.#hadSocket = true;
       const connected = () => {
         clearTimeout(timer);
         this.#mayHaveReachedRunner = true;
@@ -148,6 +180,7 @@
    * pass for a complete one.
    */
   #handleError(error: Error): void {
+    if (error instanceof RelayLostError) this.#lostByPeer = true;
     this.#fail(error.message);
     this.#incoming?.destroy(error);
   }
--- a/packages/router/src/request/attempt_executor.ts
+++ b/packages/router/src/request/attempt_executor.ts
@@ -4,7 +4,9 @@
  * @module
  */
 import type { Buffer } from "node:buffer";
+import { pause } from "../process/pause.ts";
 import type { PlacedRequest } from "../process/runner_load.ts";
+import type { Path } from "../process/runner_paths.ts";
 import { ResponseRelay } from "./response_relay.ts";
 import type {
   AttemptContext,
@@ -40,6 +42,8 @@
  */
 const RESPONSE_TIMEOUT_TARGETS = 1;
 const MIN_SERVER_ERROR_STATUS = 500;
+/** Maximum ms for which a request waits for a check of the paths to runners. */
+const MAX_CHECK_WAIT_MS = 100;
 
 /** Result of one attempt. */
 export type AttemptResult =
@@ -53,6 +57,23 @@
     readonly fallback: () => Outcome;
   };
 
+/** A request that is to be sent to the selected runner. */
+interface OutgoingAttempt {
+  readonly choice: RunnerChoice;
+  readonly routed: RoutedRequest;
+  readonly body: Buffer;
+}
+
+/** An attempt that was sent, up to the head of its response. */
+interface SentAttempt {
+  readonly attempt: Attempt;
+  readonly result: SendResult;
+  /** Monotonic milliseconds. */
+  readonly sentAt: number;
+  /** To be called when the request is no longer in flight. */
+  readonly recordEnd: () => void;
+}
+
 /** Executes the attempts of one request, one after the other. */
 export class AttemptExecutor {
   readonly #daemon: Daemon;
@@ -113,21 +134,16 @@
     let mayHaveRun = false;
     this.#recordPrompt(routed, { placed, sentAt });
     this.#daemon.prefixes.recordSent(runner.id, head.prompt, sentAt);
-    const attempt = createAttempt(this.#daemon, routed, {
-      request: this.#caller.request,
-      choice,
-      body,
-      remainingMs,
-      lastEventId: this.#relay.lastEventId,
-    });
-    this.#attempt = attempt;
-    const inactivity = this.#watchInactivity(routed, attempt);
+    const inactivity = this.#watchInactivity(routed);
     const unwatch = this.#daemon.crashes.watch(
       fingerprint,
-      () => this.#withdraw(attempt),
+      () => this.#withdraw(),
     );
+    let recordEnd = () => {};
     try {
-      const result = await attempt.send();
+      const sent = await this.#send({ choice, routed, body });
+      const { attempt, result } = sent;
+      recordEnd = sent.recordEnd;
       mayHaveRun = result.kind === "response" || result.kind === "broken";
       if (attempt.mayHaveReachedRunner) this.#progress.attempts += 1;
       const startedAt = result.kind === "response"
@@ -149,6 +165,7 @@
       }
       return handled;
     } finally {
+      recordEnd();
       unwatch();
       inactivity.stop();
       load.release(placed);
@@ -158,6 +175,73 @@
     }
   }
 
+  /**
+   * Sends the request to a runner: by way of a peer if the direct path is lost, or
+   * turns out to be while nothing was sent.
+   */
+  async #send(request: OutgoingAttempt): Promise<SentAttempt> {
+    const { paths } = this.#daemon;
+    const { runner } = request.choice;
+    await this.#checkIfSilent(request.routed);
+    const first = await this.#sendOn(paths.pathTo(runner), request);
+    const { attempt } = first;
+    if (!attempt.failedToConnect || this.#progress.abandoned) return first;
+    if (attempt.path === "relayed") {
+      paths.recordUnrelayed(runner);
+      return await this.#sendOn("direct", request);
+    }
+    const isLost = await this.#isLost(first);
+    if (!isLost || this.#progress.abandoned) return first;
+    return await this.#sendOn("relayed", request);
+  }
+
+  /**
+   * Checks the paths if no runner sends anything. The request does not wait for long:
+   * runners may only be slow.
+   */
+  async #checkIfSilent({ service }: RoutedRequest): Promise<void> {
+    const awaited = () => {
+      const { runners, loads } = this.#daemon.fleet(service.name);
+      return runners.filter(({ id }) => loads.of(id).own.inFlight > 0);
+    };
+    const check = this.#daemon.paths.checkIfSilent(awaited);
+    if (check === undefined) return;
+    await Promise.race([check, pause(MAX_CHECK_WAIT_MS)]);
+  }
+
+  /** Whether the path is to blame for a connection that could not be opened. */
+  async #isLost({ attempt, sentAt }: SentAttempt): Promise<boolean> {
+    const check = this.#daemon.paths.check(attempt.runner);
+    const { lastResponseAt } = this.#daemon.reachability;
+    // Others respond, so that this runner is probably down. Peers would tell so only
+    // after a time-out, too.
+    if (attempt.connectTimedOut && lastResponseAt >= sentAt) return false;
+    return await check;
+  }
+
+  async #sendOn(
+    path: Path,
+    { choice, routed, body }: OutgoingAttempt,
+  ): Promise<SentAttempt> {
+    const { reachability } = this.#daemon;
+    const sentAt = this.#daemon.now();
+    const attempt = createAttempt(this.#daemon, routed, {
+      request: this.#caller.request,
+      choice,
+      path,
+      body,
+      remainingMs: this.#progress.remainingMs,
+      lastEventId: this.#relay.lastEventId,
+    });
+    this.#attempt = attempt;
+    const recordEnd = path === "direct"
+      ? reachability.recordSent(sentAt)
+      : () => {};
+    const result = await attempt.send();
+    if (result.kind !== "response") recordEnd();
+    return { attempt, result, sentAt, recordEnd };
+  }
+
   #memoryTokens({ head, service }: RoutedRequest): number {
     const { engine, name } = service;
     if (engine === undefined || !this.#daemon.scheduling.isAdaptive(name)) {
@@ -222,26 +306,23 @@
    * Withdraws the request from a runner that has not begun to respond, because
    * the request would crash it.
    */
-  #withdraw(attempt: Attempt): void {
-    if (attempt.responseStarted) return;
+  #withdraw(): void {
+    if (this.#attempt?.responseStarted) return;
     this.#progress.withdrawn = true;
-    attempt.cancel("quarantined");
+    this.#attempt?.cancel("quarantined");
   }
 
   /**
    * Cancels the attempt if the runner is silent for too long and another one may
    * continue: callers disconnect from a silent stream after two seconds or more.
    */
-  #watchInactivity(
-    { route }: RoutedRequest,
-    attempt: Attempt,
-  ): InactivityTimer {
+  #watchInactivity({ route }: RoutedRequest): InactivityTimer {
     const isLast = route.maxAttempts <= this.#progress.attempts + 1;
     if (route.repetition === "never" || isLast) {
       return new InactivityTimer(() => {});
     }
     const inactivity = new InactivityTimer(() =>
-      attempt.cancel("runner inactive")
+      this.#attempt?.cancel("runner inactive")
     );
     const targets = route.streaming
       ? FIRST_EVENT_TIMEOUT_TARGETS
@@ -259,7 +340,7 @@
     const now = this.#daemon.now();
     if (result.kind === "response" || result.kind === "not-executed") {
       load.recordActivity(now);
-      this.#daemon.reachability.recordResponse(now);
+      this.#recordResponse(context);
       this.#recordLimit(result.head, context);
       // Another runner has the address of one that misdirects.
       if (!result.head.misdirected) {
@@ -277,6 +358,7 @@
           () => this.#outcomes.refusal("runner_unreachable"),
         );
       case "broken":
+        this.#checkUnanswered(context);
         if (!this.#progress.abandoned) {
           this.#recordUnreached(routed, result, context);
         }
@@ -300,14 +382,26 @@
     }
   }
 
+  #checkUnanswered(
+    { attempt: { runner, path }, sentAt }: AttemptContext,
+  ): void {
+    if (path === "direct") this.#daemon.paths.checkUnanswered(runner, sentAt);
+  }
+
+  #recordResponse({ attempt: { runner, path } }: AttemptContext): void {
+    if (path === "relayed") return;
+    this.#daemon.reachability.recordResponse(runner.id, this.#daemon.now());
+  }
+
   #recordUnreached(
     { service }: RoutedRequest,
     { kind, reason }: Extract<SendResult, { readonly reason: string }>,
-    { attempt: { runner } }: AttemptContext,
+    { attempt: { runner, path } }: AttemptContext,
   ): void {
     const now = this.#daemon.now();
-    this.#daemon.reachability.recordFailure(runner.id, { reason, now });
     this.#daemon.metrics.runnerFailed(service.name, kind);
+    if (path === "relayed") return;
+    this.#daemon.reachability.recordFailure(runner.id, { reason, now });
   }
 
   /** Records the load that a response reports, and how fast the host is. */
@@ -387,7 +481,7 @@
     if (!this.#caller.disconnected) {
       this.#daemon.connections.dropIdle(attempt.runner);
     }
-    if (!this.#progress.abandoned) {
+    if (!this.#progress.abandoned && !attempt.lostByPeer) {
       load.recordFailure(this.#daemon.now());
       this.#daemon.reportBrokenConnection(attempt.runner, run);
     }
--- a/packages/router/src/request/create_attempt.ts
+++ b/packages/router/src/request/create_attempt.ts
@@ -5,6 +5,7 @@
  */
 import type { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
+import type { Path } from "../process/runner_paths.ts";
 import { Attempt } from "./attempt.ts";
 import type { Daemon } from "./daemon.ts";
 import type { RunnerChoice } from "./placement.ts";
@@ -20,6 +21,7 @@
   options: {
     readonly request: IncomingMessage;
     readonly choice: RunnerChoice;
+    readonly path: Path;
     readonly body: Buffer;
     /** Milliseconds until the caller gets its final response at the latest. */
     readonly remainingMs: number;
@@ -30,7 +32,7 @@
     readonly lastEventId: number | undefined;
   },
 ): Attempt {
-  const { request, choice, body, remainingMs, lastEventId } = options;
+  const { request, choice, path, body, remainingMs, lastEventId } = options;
   const { head, service, workspace } = routed;
   const { runner, fetchFrom } = choice;
   const headers = daemon.dialect.runnerHeaders(request.rawHeaders, {
@@ -50,6 +52,7 @@
   }, {
     dialect: daemon.dialect,
     connections: daemon.connections,
+    path,
     maxConnections: daemon.connectionShare(service),
     onConnect: () => daemon.metrics.runnerConnected(service.name),
   });
--- a/packages/router/src/request/daemon.ts
+++ b/packages/router/src/request/daemon.ts
@@ -18,6 +18,7 @@
 import type { PlainCapacity } from "../process/plain_capacity.ts";
 import type { PrefixIndex } from "../process/prefix_index.ts";
 import type { RetryBudget } from "../process/retry_budget.ts";
+import type { RunnerPaths } from "../process/runner_paths.ts";
 import type { RunnerReachability } from "../process/runner_reachability.ts";
 import type { RunnerPace } from "../process/runner_pace.ts";
 import type { RunnerPaces } from "../process/runner_paces.ts";
@@ -51,8 +52,10 @@
   readonly restrictions: RunnerRestrictions;
   /** The services whose requests are scheduled adaptively. */
   readonly scheduling: SchedulingMode;
-  /** Whether this daemon reaches any runner. */
+  /** When runners last responded to this daemon. */
   readonly reachability: RunnerReachability;
+  /** How requests reach the runners. */
+  readonly paths: RunnerPaths;
   /** Observed pace of runners, where scheduling is adaptive. */
   readonly paces: RunnerPaces;
   /** Recent cost of requests by workspace. */
--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -233,10 +233,11 @@
     return attempts === 0 || (returning !== undefined && !mayHaveRun);
   }
 
-  /** Milliseconds since any runner last responded to this daemon. */
+  /** Milliseconds since any runner last responded to this daemon directly. */
   get #silentMs(): number | undefined {
-    const ms = this.#daemon.reachability.silentMs(this.#daemon.now());
-    return ms === undefined ? undefined : Math.round(ms);
+    const { lastResponseAt } = this.#daemon.reachability;
+    if (lastResponseAt === -Infinity) return undefined;
+    return Math.round(this.#daemon.now() - lastResponseAt);
   }
 
   #mayRetry({ route, service }: RoutedRequest): boolean {
--- a/packages/router/src/request/response_relay.ts
+++ b/packages/router/src/request/response_relay.ts
@@ -230,6 +230,7 @@
     const end = await stream.relay(incoming, () => {
       const now = this.#daemon.now();
       context.load.recordActivity(now);
+      this.#recordResponse(context, now);
       recordPace(now);
       if (!started) {
         started = true;
@@ -250,6 +251,14 @@
     return { kind: "answered", status };
   }
 
+  #recordResponse(
+    { attempt: { runner, path } }: AttemptContext,
+    now: number,
+  ): void {
+    if (path === "relayed") return;
+    this.#daemon.reachability.recordResponse(runner.id, now);
+  }
+
   /** Returns a function that records the times of a stream's events. */
   #paceRecorder(
     routed: RoutedRequest,
@@ -380,7 +389,7 @@
     reason: string,
   ): RelayResult {
     context.attempt.cancel(cause);
-    if (!this.#cancelledLocally()) {
+    if (!this.#cancelledLocally() && !context.attempt.lostByPeer) {
       context.load.recordFailure(this.#daemon.now());
       this.#daemon.reportBrokenConnection(context.attempt.runner, context.run);
     }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -12,6 +12,8 @@
 import { FleetSync } from "./connection/fleet_sync.ts";
 import type { SharedStore } from "./connection/fleet_sync.ts";
 import { TcpPeerNetwork } from "./connection/peer_network.ts";
+import { RelayPeers } from "./connection/relay_peers.ts";
+import { RelayServer } from "./connection/relay_server.ts";
 import { RunnerConnections } from "./connection/runner_connections.ts";
 import { TcpRunnerNetwork } from "./connection/runner_network.ts";
 import type { RunnerNetwork } from "./connection/runner_network.ts";
@@ -49,6 +51,9 @@
 import { RunnerPaces } from "./process/runner_paces.ts";
 import { RunnerPauses } from "./process/runner_pauses.ts";
 import { ReturnPlaces } from "./process/return_places.ts";
+import { connectTo, respondsToProbe } from "./connection/runner_probe.ts";
+import { RunnerPaths } from "./process/runner_paths.ts";
+import type { PeerVerdict } from "./process/runner_paths.ts";
 import { RunnerReachability } from "./process/runner_reachability.ts";
 import { RunnerRestrictions } from "./process/runner_restrictions.ts";
 import { RunnerLoads } from "./process/runner_loads.ts";
@@ -98,6 +103,10 @@
 const CONNECTION_SHARE = 0.8;
 /** Connections to a runner that each daemon may open in any case. */
 const MIN_CONNECTIONS = 2;
+/** Time-out in ms for the response to a probe of a runner. */
+const PROBE_TIMEOUT_MS = 500;
+/** Time in ms for which a response of any runner shows that the path is usable. */
+const PROOF_OF_PATH_MS = 1_000;
 /** Random bytes that distinguish the incarnations of a daemon. */
 const INCARNATION_BYTES = 6;
 /** Settings that take effect without a restart. */
@@ -118,6 +127,7 @@
   readonly pauses: RunnerPauses;
   readonly restrictions: RunnerRestrictions;
   readonly reachability: RunnerReachability;
+  readonly paths: RunnerPaths;
   readonly scheduling: SchedulingMode;
   readonly paces: RunnerPaces;
   readonly places: ReturnPlaces;
@@ -145,6 +155,9 @@
   readonly #plainCapacities = new PerService(() => new PlainCapacity());
   readonly #demands = new PerService(() => new ServiceDemand());
   readonly #limitQueues = new PerService(() => new LimitQueue());
+  readonly #network: RunnerNetwork;
+  readonly #relayPeers: RelayPeers;
+  readonly #relayServer: RelayServer;
   readonly #fleetSync: FleetSync;
   readonly #leadership: Leadership;
   readonly #survey: CacheSurvey;
@@ -167,7 +180,7 @@
     options: { readonly network?: RunnerNetwork | undefined } = {},
   ) {
     const { network = new TcpRunnerNetwork() } = options;
-    this.connections = new RunnerConnections(network);
+    this.#network = network;
     this.#settings = settings;
     this.dialect = platform.dialect;
     this.log = log;
@@ -194,6 +207,26 @@
     this.metrics.observeShares(() => this.shares.observed(this.now()));
     this.crashes = new CrashRecord(log);
     this.reachability = new RunnerReachability(log);
+    this.paths = this.#createPaths(log);
+    this.metrics.observeLostPaths(() => this.paths.lost);
+    this.#relayPeers = new RelayPeers({
+      log,
+      metrics: this.metrics,
+      failureDomain: settings.failureDomain,
+      peers: () => this.#fleetSync.reachable,
+      random: () => this.random(),
+    });
+    this.connections = new RunnerConnections(network, this.#relayPeers);
+    this.#relayServer = new RelayServer({
+      network,
+      log,
+      metrics: this.metrics,
+      runner: (id) => this.#directory.runners.find((each) => each.id === id),
+      isUnreachable: (runner) => this.paths.pathTo(runner) === "relayed",
+      recordUnreached: ({ id }, reason) =>
+        this.reachability.recordFailure(id, { reason, now: this.now() }),
+      check: (runner, withinMs) => this.#checkForPeer(runner, withinMs),
+    });
     this.limits = new RunnerLimits(log, () => this.#fleetSync.view);
     this.pauses = new RunnerPauses(log);
     this.restrictions = new RunnerRestrictions(this.limits, this.pauses);
@@ -252,7 +285,7 @@
       own,
       log,
       store: platform,
-      network: new TcpPeerNetwork(),
+      network: new TcpPeerNetwork((socket) => this.#relayServer.accept(socket)),
       metrics: this.metrics,
       relaysFrom: settings.relaysFrom,
       controlBytesPerS: settings.controlBytesPerS,
@@ -279,6 +312,7 @@
       metrics: this.metrics,
       record: this.crashes,
       network,
+      paths: this.paths,
     });
     this.#directory.onChange(() => this.#runnersChanged());
     this.loads.queueAt((id) => {
@@ -454,6 +488,7 @@
     this.#leadership.stop();
     this.#fleetSync.stop();
     this.#server.destroy();
+    this.#relayServer.destroy();
     for (const server of this.#statusServers) server.close();
   }
 
@@ -466,15 +501,59 @@
     this.#lifecycle.startShutdown();
     void this.#leadership.stepDown();
     void this.#fleetSync.deregister();
+    this.#relayServer.leave();
     const cut = await shutDownGracefully(this.#server, {
       graceMs: () => this.#settings.graceMs,
       lifecycle: this.#lifecycle,
       log: this.log,
+      relayed: () => this.#relayServer.relayed,
     });
     await this.#fleetSync.leave();
     return cut === 0;
   }
 
+  #createPaths(log: EventLog): RunnerPaths {
+    return new RunnerPaths({
+      reachability: this.reachability,
+      log,
+      askPeers: (runner, withinMs) => this.#relayPeers.check(runner, withinMs),
+      respondsDirectly: (runner) => this.#respondsDirectly(runner),
+      pathLost: (runner) => {
+        this.connections.dropIdle(runner);
+        // Its failures were those of the path.
+        this.loads.of(runner.id).recordSuccess();
+      },
+      pathRegained: (runner) => this.connections.closeRelayed(runner),
+      now: () => this.now(),
+      random: this.#random,
+    });
+  }
+
+  async #respondsDirectly(runner: Runner): Promise<boolean> {
+    if (!this.#mayQuery(runner.id)) return false;
+    return await respondsToProbe(runner, {
+      network: this.#network,
+      path: this.#routingTable?.service(runner.service)?.healthPath ?? "/",
+      timeoutMs: PROBE_TIMEOUT_MS,
+    });
+  }
+
+  /** Finds out for a peer whether this daemon reaches a runner. */
+  async #checkForPeer(
+    runner: Runner,
+    withinMs: number,
+  ): Promise<PeerVerdict> {
+    const since = this.now() - withinMs;
+    if (this.reachability.respondedAt(runner.id) > since) return "reached";
+    if (this.paths.pathTo(runner) === "relayed") return "unknown";
+    const result = await connectTo(this.#network, runner);
+    if (result === "accepted") return "reached";
+    const reachesOthers = this.now() - this.reachability.lastResponseAt <
+      PROOF_OF_PATH_MS;
+    if (!reachesOthers) return "unknown";
+    return result === "refused" ? "refused" : "unreached";
+  }
+
   /** Requests of a rank to a service that wait at other daemons. */
   #othersWaiting(service: string, rank: number): number {
     let requests = 0;
@@ -558,6 +637,8 @@
     this.loads.retain(ids);
     this.prefixes.retain(ids);
     this.limits.retain(ids);
+    this.paths.retain(ids);
+    this.reachability.retain(ids);
     this.pauses.retain(ids, this.now());
     this.#draining.retain(ids, this.now());
     for (const pace of this.#streamPaces.all()) pace.retain(ids);
--- a/packages/router/src/version/configuration.ts
+++ b/packages/router/src/version/configuration.ts
@@ -68,6 +68,8 @@
   readonly name: string;
   /** Connections that one runner accepts from all callers together. */
   readonly maxConnections: number;
+  /** Path of the runners' health check; "/" if absent. */
+  readonly healthPath?: string | undefined;
   /** Absent for a plain service. */
   readonly engine: Engine | undefined;
   /** Absent where daemons do not scale the service. */
--- a/packages/router/tests/partition_proxy.ts
+++ b/packages/router/tests/partition_proxy.ts
@@ -12,8 +12,10 @@
 
 /** How a partition shows on the connections of a path. */
 export type Partition =
-  /** Open connections and new ones carry nothing. */
+  /** Open connections carry nothing, and new ones are never accepted. */
   | "hang"
+  /** Open connections and new ones carry nothing. */
+  | "swallow"
   /** Open connections and new ones are reset. */
   | "reset"
   /** Open connections are reset, and new ones refused. */
@@ -65,7 +67,7 @@
       this.#server.close();
     }
     if (partition === "reset" || partition === "refuse") this.#reset();
-    if (partition !== "hang") return;
+    if (partition !== "hang" && partition !== "swallow") return;
     for (const [socket, other] of this.#pairs) {
       socket.unpipe(other).pause();
       other.unpipe(socket).pause();
@@ -77,7 +79,7 @@
     const before = this.#partition;
     this.#partition = undefined;
     if (!this.#server.listening) await this.#listen(this.#port);
-    if (before !== "hang") return;
+    if (before !== "hang" && before !== "swallow") return;
     for (const [socket, other] of this.#pairs) {
       socket.pipe(other).pipe(socket);
     }
--- a/packages/router/tests/partition_test.ts
+++ b/packages/router/tests/partition_test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import type { TestContext } from "node:test";
 import { setTimeout as pause } from "node:timers/promises";
+import { waitUntil } from "./fixtures.ts";
 import type { Partition } from "./partition_proxy.ts";
 import { PartitionedFleet, servedShare } from "./partitioned_fleet.ts";
 
@@ -40,6 +41,8 @@
 
 const TESTS: Readonly<Record<Partition, string>> = {
   "hang": "two of five routers whose paths hang serve their callers",
+  "swallow":
+    "two of five routers whose paths carry nothing serve their callers",
   "reset": "two of five routers whose paths are reset serve their callers",
   "refuse": "two of five routers whose paths are refused serve their callers",
   "refuse-new":
@@ -74,3 +77,61 @@
   t.diagnostic(`${own} of ${cut.length}, ${other} of ${others.length}`);
   assert.ok(own >= SERVED_RATIO * other, `${own}, others ${other}`);
 });
+
+// Guards against a router that uses its peers' links for good.
+test("a router uses its own paths again after a partition", async (t) => {
+  const fleet = await PartitionedFleet.start(t, { routers: 3, runners: 4 });
+  const [router] = fleet.routers;
+  fleet.partition([0], "refuse");
+  const calls = fleet.call({ callersPerRouter: 2, forMs: 6_000 });
+  await waitUntil(() => router!.paths.isolated);
+  await fleet.heal([0]);
+  await waitUntil(() => router!.paths.lost === 0);
+  const healedAt = performance.now();
+  await calls;
+  const after = fleet.tries.filter(({ startedAt }) => startedAt > healedAt);
+  assert.equal(servedShare(after), 1);
+  assert.match(await router!.metrics.text(), /umbermast_lost_paths 0/);
+});
+
+// Guards against a service that is lost at a router that reaches other runners.
+test("a router that does not reach one runner sends to it by way of a peer", async (t) => {
+  const fleet = await PartitionedFleet.start(t, { routers: 3, runners: 1 });
+  fleet.partition([0], "refuse");
+  const { served } = await fleet.send(0, "/once/");
+  assert.equal(served, true);
+});
+
+// Guards against a runner that is taken for unreachable because it has crashed.
+test("a runner that no peer reaches either is not sent to by way of peers", async (t) => {
+  const fleet = await PartitionedFleet.start(t, { routers: 3, runners: 2 });
+  await fleet.runners[0]!.end();
+  for (let sent = 0; sent < 4; sent++) {
+    const { served } = await fleet.send(0, "/get/");
+    assert.equal(served, true);
+  }
+  assert.equal(fleet.routers[0]!.paths.lost, 0);
+});
+
+// Guards against a shutdown that cuts off what a host relays for another one.
+test("a router that shuts down finishes the requests that it relays", async (t) => {
+  const fleet = await PartitionedFleet.start(t, { routers: 2, runners: 2 });
+  fleet.partition([0], "refuse");
+  await fleet.send(0, "/once/");
+  const slow = fleet.send(0, "/slow/");
+  await waitUntil(() => fleet.slowRequests === 1);
+  assert.equal(await fleet.routers[1]!.shutDown(), true);
+  fleet.routers[1]!.stop();
+  assert.equal((await slow).served, true);
+});
+
+// Guards against the end of a peer that passes for the end of a response without length.
+test("a response without a length is not complete when its relay is lost", async (t) => {
+  const fleet = await PartitionedFleet.start(t, { routers: 2, runners: 2 });
+  fleet.partition([0], "refuse");
+  await fleet.send(0, "/once/");
+  const unframed = fleet.send(0, "/unframed/");
+  await waitUntil(() => fleet.unframedResponses === 1);
+  fleet.routers[1]!.stop();
+  assert.equal((await unframed).served, false);
+});
--- a/packages/router/tests/partitioned_fleet.ts
+++ b/packages/router/tests/partitioned_fleet.ts
@@ -6,6 +6,7 @@
  */
 import { Agent, request } from "node:http";
 import type { IncomingMessage } from "node:http";
+import type { Socket } from "node:net";
 import { text } from "node:stream/consumers";
 import type { TestContext } from "node:test";
 import { setTimeout as pause } from "node:timers/promises";
@@ -43,6 +44,15 @@
   { name: "once", pathPrefix: "/once/" },
   { name: "stream", pathPrefix: "/stream/", streaming: true },
 ];
+/** Routes of single requests. */
+const OTHER_ROUTES: readonly Partial<Route>[] = [
+  { name: "slow", pathPrefix: "/slow/", timeoutMs: 10_000 },
+  { name: "unframed", pathPrefix: "/unframed/" },
+];
+/** Time in which a router shuts down, in ms. */
+const GRACE_MS = 8_000;
+/** Duration of a request to the slow route, in ms. */
+const SLOW_MS = 4_000;
 
 /** What became of one request. */
 export interface Try {
@@ -64,6 +74,10 @@
   readonly runners: FakeRunner[] = [];
   /** Requests that runners ran, by the ids of the callers' tries. */
   readonly runs = new Map<string, number>();
+  /** Requests of the slow route that have reached runners. */
+  slowRequests = 0;
+  /** Responses without a length that runners have begun. */
+  unframedResponses = 0;
   readonly #context: TestContext;
   /** By router, one proxy for each runner. */
   readonly #proxies: PartitionProxy[][] = [];
@@ -72,7 +86,9 @@
 
   private constructor(context: TestContext) {
     this.#context = context;
-    this.linked = new LinkedRouters(context, ROUTES);
+    this.linked = new LinkedRouters(context, [...ROUTES, ...OTHER_ROUTES], {
+      graceMs: GRACE_MS,
+    });
     context.after(() => this.#over = true);
   }
 
@@ -218,7 +234,10 @@
         return void socket.write(runnerResponse(id, "healthy"));
       }
       this.runs.set(id, (this.runs.get(id) ?? 0) + 1);
+      if (text.includes(" /unframed/")) return this.#beginUnframed(socket, id);
       const streams = text.includes(" /stream/");
+      const slow = text.includes(" /slow/");
+      if (slow) this.slowRequests += 1;
       const finish = () => {
         if (!streams) return void socket.write(runnerResponse(id, id));
         const events = Array.from(
@@ -227,7 +246,12 @@
         );
         socket.write(`${streamHead(id)}${events.join("")}0\r\n\r\n`);
       };
-      setTimeout(finish, WORK_MS);
+      setTimeout(finish, slow ? SLOW_MS : WORK_MS);
     });
   }
+
+  #beginUnframed(socket: Socket, id: string): void {
+    socket.write(`HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nX-Seal: s\r\n\r\n${id}`);
+    this.unframedResponses += 1;
+  }
 }
