Let the soak cut daemons off from all runners

Each daemon of a run connects from a loopback address of its own, by which the proxies before the runners partition some of them: connections hang, are reset, or live on while new ones are refused.

--- a/packages/testing/src/mod.ts
+++ b/packages/testing/src/mod.ts
@@ -25,6 +25,7 @@
   Traffic,
 } from "./process/deployment.ts";
 export { FaultProxy } from "./process/fault_proxy.ts";
+export type { PartitionKind } from "./process/fault_proxy.ts";
 export type { ProxyFault } from "./process/fault_proxy.ts";
 export { freePort } from "./process/free_port.ts";
 export type { Fault, FaultName } from "./process/faults.ts";
--- a/packages/testing/src/process/fault_proxy.ts
+++ b/packages/testing/src/process/fault_proxy.ts
@@ -15,6 +15,9 @@
   readonly match?: string;
 }
 
+/** How a partition shows on connections. */
+export type PartitionKind = "hang" | "reset" | "refuse-new";
+
 /** Faults of a proxy. Each holds until `none`, or for `seconds`. */
 export type ProxyFault =
   /** Each chunk is `delayMs` late in both directions, and each datagram. */
@@ -35,6 +38,16 @@
     readonly direction?: "up" | "down";
     readonly seconds?: number;
   }
+  /**
+   * Connections from some addresses are partitioned; an empty list ends that.
+   * `hang`: they carry nothing; `reset`: they are cut; `refuse-new`: open ones live
+   * on, and new ones are cut.
+   */
+  | {
+    readonly fault: "partition";
+    readonly sources: readonly string[];
+    readonly how: PartitionKind;
+  }
   /** The next `count` answers (1) are lost, and their connections cut. */
   | { readonly fault: "lose-reply" } & Struck
   /** The next `count` answers (1) are held back whole for `holdMs`. */
@@ -60,7 +73,12 @@
   readonly port: number;
   readonly #server: Server;
   readonly #target: Place;
-  readonly #links = new Set<Link>();
+  /** Open connections, by the addresses from which they came. */
+  readonly #links = new Map<Link, string | undefined>();
+  #partition: {
+    readonly sources: ReadonlySet<string>;
+    readonly how: PartitionKind;
+  } = NO_PARTITION;
   #delay = { ms: 0, until: 0 };
   #cutUntil = 0;
   #silence: { readonly direction?: "up" | "down"; readonly until: number } =
@@ -130,10 +148,12 @@
         return;
       case "cut":
         this.#cutUntil = order.seconds === undefined ? 0 : until(order.seconds);
-        for (const link of this.#links) link.cut();
+        for (const link of this.#links.keys()) link.cut();
         return;
+      case "partition":
+        return this.#startPartition(order);
       case "silent":
-        for (const link of this.#links) link.silence(order.direction);
+        for (const link of this.#links.keys()) link.silence(order.direction);
         this.#silence = order.seconds === undefined
           ? NO_SILENCE
           : { ...order, until: until(order.seconds) };
@@ -150,7 +170,8 @@
         this.#silence = NO_SILENCE;
         this.#lost = NONE_STRUCK;
         this.#held = { ...NONE_STRUCK, holdMs: 0 };
-        for (const link of this.#links) link.release();
+        this.#partition = NO_PARTITION;
+        for (const link of this.#links.keys()) link.release();
     }
   }
 
@@ -167,7 +188,7 @@
 
   /** Ends the proxy and all its connections. */
   async close(): Promise<void> {
-    for (const link of this.#links) link.cut();
+    for (const link of this.#links.keys()) link.cut();
     await this.#datagrams?.close();
     await new Promise((resolve) => this.#server.close(resolve));
   }
@@ -189,17 +210,36 @@
 
   #accept(caller: Socket): void {
     this.#accepted += 1;
-    if (Date.now() < this.#cutUntil) {
+    const { remoteAddress } = caller;
+    const { how } = this.#partition;
+    const partitioned = this.#isPartitioned(remoteAddress);
+    if (Date.now() < this.#cutUntil || (partitioned && how !== "hang")) {
       caller.destroy();
       return;
     }
     const link = new Link(caller, this.#target, this.#faults());
     const { direction, until } = this.#silence;
     if (Date.now() < until) link.silence(direction);
-    this.#links.add(link);
+    if (partitioned) link.silence();
+    this.#links.set(link, remoteAddress);
     link.ended.then(() => this.#links.delete(link));
   }
 
+  #startPartition(
+    { sources, how }: Extract<ProxyFault, { fault: "partition" }>,
+  ): void {
+    this.#partition = { sources: new Set(sources), how };
+    for (const [link, source] of this.#links) {
+      if (how === "refuse-new" || !this.#isPartitioned(source)) continue;
+      if (how === "hang") link.silence();
+      else link.cut();
+    }
+  }
+
+  #isPartitioned(source: string | undefined): boolean {
+    return source !== undefined && this.#partition.sources.has(source);
+  }
+
   #faults(): LinkFaults {
     return {
       delayMs: () => this.#delayMs(),
@@ -230,6 +270,7 @@
 
 const NONE_STRUCK: ToStrike = { left: 0, match: "" };
 const NO_SILENCE = { until: 0 };
+const NO_PARTITION = { sources: new Set<string>(), how: "hang" } as const;
 
 function strikeNext(order: Struck): ToStrike {
   return { left: order.count ?? 1, match: order.match ?? "" };
@@ -247,7 +288,16 @@
   return Date.now() + seconds * MS_PER_SECOND;
 }
 
-const FAULTS = ["delay", "cut", "silent", "lose-reply", "reorder", "none"];
+const FAULTS = [
+  "delay",
+  "cut",
+  "silent",
+  "partition",
+  "lose-reply",
+  "reorder",
+  "none",
+];
+const PARTITION_KINDS = ["hang", "reset", "refuse-new"];
 
 /** Reads an order of `POST /control`; a text when it is not one. */
 export function readProxyFault(value: unknown): ProxyFault | string {
@@ -261,6 +311,13 @@
   if (given.fault === "delay" && !(Number(given.delayMs) >= 0)) {
     return "/delayMs: expected a number of at least 0";
   }
+  const isPartition = given.fault === "partition";
+  if (isPartition && !Array.isArray(given.sources)) {
+    return "/sources: expected a list of addresses";
+  }
+  if (isPartition && !PARTITION_KINDS.includes(given.how as string)) {
+    return `/how: expected one of ${PARTITION_KINDS.join(", ")}`;
+  }
   if (given.fault === "reorder" && !(Number(given.holdMs) >= 0)) {
     return "/holdMs: expected a number of at least 0";
   }
