--- a/packages/router/src/connection/crash_detector.ts
+++ b/packages/router/src/connection/crash_detector.ts
@@ -100,7 +100,7 @@
    * only, the path is to blame.
    */
   async #hasCrashed(runner: Runner): Promise<boolean> {
-    if (this.#paths.pathTo(runner) === "relayed") {
+    if (this.#paths.pathTo(runner) === "tunnel") {
       return await this.#paths.askPeers(runner) === "refused";
     }
     const response = await connectTo(this.#network, runner);
--- a/packages/router/src/connection/graceful_shutdown.ts
+++ b/packages/router/src/connection/graceful_shutdown.ts
@@ -31,18 +31,18 @@
     readonly graceMs: () => number;
     readonly lifecycle: Lifecycle;
     readonly log: EventLog;
-    /** Number of connections that are relayed for peers. */
-    readonly relayed: () => number;
+    /** Number of tunnels that are served for peers. */
+    readonly tunnels: () => number;
   },
 ): Promise<number> {
-  const { graceMs, lifecycle, log, relayed } = options;
+  const { graceMs, lifecycle, log, tunnels } = options;
   const startedAt = performance.now();
   const elapsedMs = () => performance.now() - startedAt;
   log.event("leaving", { in_flight: server.inFlight });
   await pause(ACCEPT_MS);
   lifecycle.close();
   server.stopAccepting();
-  const inFlight = () => server.inFlight + relayed();
+  const inFlight = () => server.inFlight + tunnels();
   while (inFlight() > 0 && elapsedMs() < graceMs() - EXIT_MARGIN_MS) {
     await pause(CHECK_MS);
   }
--- a/packages/router/src/connection/peer_network.ts
+++ b/packages/router/src/connection/peer_network.ts
@@ -9,7 +9,7 @@
 import type { ListenAddress } from "../process/settings.ts";
 import { PeerLink } from "./peer_link.ts";
 import type { Link, LinkEvents } from "./peer_link.ts";
-import { RELAY_PREFACE } from "./relay_channel.ts";
+import { TUNNEL_PREFACE } from "./tunnel_channel.ts";
 
 /**
  * Time-out in ms for opening a link. The first packet of a dial to a host without power
@@ -40,18 +40,18 @@
 
 /**
  * Time in ms in which an accepted connection must show whether it is a link or a
- * relay channel.
+ * tunnel channel.
  */
 const PREFACE_TIMEOUT_MS = 2_500;
 
-/** Links over TCP; the port also accepts relay channels. */
+/** Links over TCP; the port also accepts tunnel channels. */
 export class TcpPeerNetwork implements PeerNetwork {
-  readonly #acceptRelay: (socket: Socket) => void;
+  readonly #acceptTunnel: (socket: Socket) => void;
   #server: Server | undefined;
 
-  /** @param acceptRelay called with a connection that is a relay channel. */
-  constructor(acceptRelay: (socket: Socket) => void) {
-    this.#acceptRelay = acceptRelay;
+  /** @param acceptTunnel called with a connection that is a tunnel channel. */
+  constructor(acceptTunnel: (socket: Socket) => void) {
+    this.#acceptTunnel = acceptTunnel;
   }
 
   get port(): number {
@@ -65,7 +65,7 @@
     const server = createServer((socket) => {
       readPreface(socket, {
         link: () => accepted(linkFactoryFor(socket)),
-        relay: () => this.#acceptRelay(socket),
+        tunnel: () => this.#acceptTunnel(socket),
       });
     });
     this.#server = server;
@@ -104,7 +104,7 @@
 /** Reads the first bytes of a connection, which show what it is. */
 function readPreface(socket: Socket, handlers: {
   readonly link: () => void;
-  readonly relay: () => void;
+  readonly tunnel: () => void;
 }): void {
   let received = Buffer.alloc(0);
   const discard = () => socket.destroy();
@@ -112,14 +112,14 @@
   socket.on("error", discard);
   socket.on("data", function receive(chunk: Buffer) {
     received = Buffer.concat([received, chunk]);
-    if (received.length < RELAY_PREFACE.length) return;
+    if (received.length < TUNNEL_PREFACE.length) return;
     socket.off("data", receive).pause();
     socket.off("error", discard).off("timeout", discard).setTimeout(0);
-    const preface = received.subarray(0, RELAY_PREFACE.length);
-    const isRelay = preface.equals(RELAY_PREFACE);
-    if (isRelay) handlers.relay();
+    const preface = received.subarray(0, TUNNEL_PREFACE.length);
+    const isTunnel = preface.equals(TUNNEL_PREFACE);
+    if (isTunnel) handlers.tunnel();
     else handlers.link();
-    const rest = isRelay ? received.subarray(RELAY_PREFACE.length) : received;
+    const rest = isTunnel ? received.subarray(TUNNEL_PREFACE.length) : received;
     if (rest.length > 0) socket.unshift(rest);
     socket.resume();
   });
--- a/packages/router/src/connection/runner_connections.ts
+++ b/packages/router/src/connection/runner_connections.ts
@@ -9,8 +9,8 @@
 import type { Duplex } from "node:stream";
 import type { Runner } from "../process/runner.ts";
 import type { Path } from "../process/runner_paths.ts";
-import type { RelayChannel } from "./relay_channel.ts";
-import { RelayedSocket } from "./relayed_socket.ts";
+import type { TunnelChannel } from "./tunnel_channel.ts";
+import { TunnelSocket } from "./tunnel_socket.ts";
 import type { RunnerNetwork } from "./runner_network.ts";
 
 /** Idle time-out of connections to a runner that does not state one. */
@@ -26,7 +26,7 @@
 const TIMEOUT_HINT = /timeout=(\d+)/i;
 
 interface KeptSocket extends Socket {
-  /** Whether a relayed connection takes no further requests. */
+  /** Whether a tunnel takes no further requests. */
   readonly leaving?: boolean;
   /**
    * Where Node's agent keeps the request and its response until they are done.
@@ -79,22 +79,22 @@
 }
 
 /** Opens connections to runners by way of peers. */
-export interface RelayDialer {
-  connect(runner: Runner): Promise<RelayChannel>;
+export interface TunnelDialer {
+  connect(runner: Runner): Promise<TunnelChannel>;
 }
 
 /** One agent for each incarnation of a runner and each kind of path to it. */
 export class RunnerConnections {
   readonly #network: RunnerNetwork;
-  readonly #relays: RelayDialer;
+  readonly #tunnels: TunnelDialer;
   readonly #agents: Readonly<Record<Path, Map<string, Agent>>> = {
     direct: new Map(),
-    relayed: new Map(),
+    tunnel: new Map(),
   };
 
-  constructor(network: RunnerNetwork, relays: RelayDialer) {
+  constructor(network: RunnerNetwork, tunnels: TunnelDialer) {
     this.#network = network;
-    this.#relays = relays;
+    this.#tunnels = tunnels;
   }
 
   /**
@@ -117,7 +117,7 @@
     const agent: Agent = new RunnerAgent(
       path === "direct"
         ? () => this.#network.connect(runner)
-        : () => this.#dialRelay(runner, () => agent),
+        : () => this.#dialTunnel(runner, () => agent),
       {
         keepAlive: true,
         // Reuses the connection that has been idle longest: a duplicate response
@@ -142,9 +142,9 @@
     }
   }
 
-  /** Uses the relayed connections to a runner for no further requests. */
-  closeRelayed(runner: Runner): void {
-    this.#remove(this.#agents.relayed, runner.id);
+  /** Uses the tunnels to a runner for no further requests. */
+  closeTunnels(runner: Runner): void {
+    this.#remove(this.#agents.tunnel, runner.id);
   }
 
   /** Closes the idle connections of runners that are not listed. */
@@ -164,9 +164,9 @@
     closeIdle(agent);
   }
 
-  #dialRelay(runner: Runner, agent: () => Agent): RelayedSocket {
-    const socket: RelayedSocket = new RelayedSocket(
-      () => this.#relays.connect(runner),
+  #dialTunnel(runner: Runner, agent: () => Agent): TunnelSocket {
+    const socket: TunnelSocket = new TunnelSocket(
+      () => this.#tunnels.connect(runner),
       () => {
         if (isIdle(agent(), socket)) socket.destroy();
       },
--- a/packages/router/src/connection/relay_channel.ts
+++ b/packages/router/src/connection/tunnel_channel.ts
@@ -6,33 +6,33 @@
 import { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
 import { FrameBuffer } from "./frame_buffer.ts";
-import { decodeRelayMessage, encodeRelayMessage } from "./relay_message.ts";
-import type { RelayMessage } from "./relay_message.ts";
+import { decodeTunnelMessage, encodeTunnelMessage } from "./tunnel_message.ts";
+import type { TunnelMessage } from "./tunnel_message.ts";
 
 /**
- * First bytes of a relay channel, by which the accepting daemon distinguishes it
+ * First bytes of a tunnel channel, by which the accepting daemon distinguishes it
  * from a link. An older daemon reads them as the length of a frame that is too
  * large, and closes the connection.
  */
-export const RELAY_PREFACE = Buffer.from("UMR1", "latin1");
+export const TUNNEL_PREFACE = Buffer.from("UMT1", "latin1");
 /** Idle time in ms after which the system probes whether the other side is there. */
 const KEEP_ALIVE_MS = 1_000;
 
 /** Callbacks of a channel. */
-export interface RelayEvents {
-  readonly onMessage: (message: RelayMessage) => void;
-  /** Called once, when the channel has closed without {@linkcode RelayChannel.close}. */
+export interface TunnelEvents {
+  readonly onMessage: (message: TunnelMessage) => void;
+  /** Called once, when the channel has closed without {@linkcode TunnelChannel.close}. */
   readonly onLost: () => void;
 }
 
-/** A relay channel over TCP. */
-export class RelayChannel {
+/** A tunnel channel over TCP. */
+export class TunnelChannel {
   readonly #socket: Socket;
   readonly #frames = new FrameBuffer();
-  #events: RelayEvents;
+  #events: TunnelEvents;
   #closed = false;
 
-  constructor(socket: Socket, events: RelayEvents) {
+  constructor(socket: Socket, events: TunnelEvents) {
     this.#socket = socket;
     this.#events = events;
     socket.setNoDelay(true);
@@ -48,7 +48,7 @@
   }
 
   /** Replaces the callbacks. */
-  listen(events: RelayEvents): void {
+  listen(events: TunnelEvents): void {
     this.#events = events;
   }
 
@@ -57,9 +57,9 @@
    *
    * @returns false if the write buffer is full; see {@linkcode onceDrained}.
    */
-  send(message: RelayMessage): boolean {
+  send(message: TunnelMessage): boolean {
     if (this.#closed || this.#socket.writableEnded) return true;
-    return this.#socket.write(encodeRelayMessage(message));
+    return this.#socket.write(encodeTunnelMessage(message));
   }
 
   /** Calls the listener once the write buffer has been emptied. */
@@ -92,7 +92,7 @@
     const valid = this.#frames.push(chunk, (frame) => {
       if (this.#closed) return true;
       try {
-        this.#events.onMessage(decodeRelayMessage(frame));
+        this.#events.onMessage(decodeTunnelMessage(frame));
         return true;
       } catch {
         return false;
--- a/packages/router/src/connection/relay_message.ts
+++ b/packages/router/src/connection/tunnel_message.ts
@@ -9,8 +9,8 @@
 import type { PeerVerdict } from "../process/runner_paths.ts";
 import { encodeFrame } from "@umbermast/coordination/frame_bytes";
 
-/** A message on a relay channel. */
-export type RelayMessage =
+/** A message on a tunnel channel. */
+export type TunnelMessage =
   /** Requests a connection to a runner. First message of a channel. */
   | { readonly kind: "connect"; readonly runner: string }
   /** The connection is open. */
@@ -47,7 +47,7 @@
   end: 6,
   broken: 7,
   leaving: 8,
-} as const satisfies Record<RelayMessage["kind"], number>;
+} as const satisfies Record<TunnelMessage["kind"], number>;
 
 const VERDICTS: readonly PeerVerdict[] = [
   "reached",
@@ -56,12 +56,12 @@
   "unknown",
 ];
 
-/** A relay message that is malformed. */
-export class RelayMessageError extends Error {
-  override readonly name = "RelayMessageError";
+/** A tunnel message that is malformed. */
+export class TunnelMessageError extends Error {
+  override readonly name = "TunnelMessageError";
 }
 
-function fieldsOf(message: RelayMessage): readonly unknown[] {
+function fieldsOf(message: TunnelMessage): readonly unknown[] {
   switch (message.kind) {
     case "connect":
       return [message.runner];
@@ -82,43 +82,43 @@
 }
 
 /** Encodes a message as a frame. */
-export function encodeRelayMessage(message: RelayMessage): Buffer {
+export function encodeTunnelMessage(message: TunnelMessage): Buffer {
   const item = [CODES[message.kind], ...fieldsOf(message)];
   return encodeFrame([encodeItem(item)]);
 }
 
 function textOf(value: unknown): string {
   if (typeof value === "string") return value;
-  throw new RelayMessageError("Cannot read relay message: a text is needed");
+  throw new TunnelMessageError("Cannot read tunnel message: a text is needed");
 }
 
 function durationOf(value: unknown): number {
   if (typeof value === "number" && value >= 0) return value;
-  throw new RelayMessageError("Cannot read relay message: a time is needed");
+  throw new TunnelMessageError("Cannot read tunnel message: a time is needed");
 }
 
 function bytesOf(value: unknown): Buffer {
   if (value instanceof Uint8Array) {
     return Buffer.from(value.buffer, value.byteOffset, value.byteLength);
   }
-  throw new RelayMessageError("Cannot read relay message: bytes are needed");
+  throw new TunnelMessageError("Cannot read tunnel message: bytes are needed");
 }
 
 function verdictOf(value: unknown): PeerVerdict {
   const verdict = VERDICTS.find((known) => known === value);
   if (verdict !== undefined) return verdict;
-  throw new RelayMessageError("Cannot read relay message: unknown verdict");
+  throw new TunnelMessageError("Cannot read tunnel message: unknown verdict");
 }
 
 /**
  * Decodes the content of a frame.
  *
- * @throws {RelayMessageError} if it is no relay message.
+ * @throws {TunnelMessageError} if it is no tunnel message.
  */
-export function decodeRelayMessage(frame: Buffer): RelayMessage {
+export function decodeTunnelMessage(frame: Buffer): TunnelMessage {
   const decoded = decodeItem(frame);
   if (decoded.isErr() || !Array.isArray(decoded.value)) {
-    throw new RelayMessageError("Cannot read relay message: no CBOR array");
+    throw new TunnelMessageError("Cannot read tunnel message: no CBOR array");
   }
   const [code, first, second] = decoded.value;
   switch (code) {
@@ -145,8 +145,8 @@
     case CODES.leaving:
       return { kind: "leaving" };
     default:
-      throw new RelayMessageError(
-        `Cannot read relay message: unknown code "${code}"`,
+      throw new TunnelMessageError(
+        `Cannot read tunnel message: unknown code "${code}"`,
       );
   }
 }
--- a/packages/router/src/connection/relay_peers.ts
+++ b/packages/router/src/connection/tunnel_peers.ts
@@ -9,9 +9,9 @@
 import type { RequestMetrics } from "../process/metrics.ts";
 import type { Runner } from "../process/runner.ts";
 import type { PeerVerdict } from "../process/runner_paths.ts";
-import { RELAY_PREFACE, RelayChannel } from "./relay_channel.ts";
-import type { RelayMessage } from "./relay_message.ts";
-import { RelayLostError } from "./relayed_socket.ts";
+import { TUNNEL_PREFACE, TunnelChannel } from "./tunnel_channel.ts";
+import type { TunnelMessage } from "./tunnel_message.ts";
+import { TunnelLostError } from "./tunnel_socket.ts";
 
 /** Time-out in ms for opening a channel to a peer. */
 const DIAL_TIMEOUT_MS = 250;
@@ -27,10 +27,10 @@
 /** Time in ms for which a peer that rejected a connection is asked last. */
 const BACKOFF_MS = 1_000;
 
-/** What the relays use of the daemon. */
-export interface RelayPeersContext {
+/** What the tunnels use of the daemon. */
+export interface TunnelPeersContext {
   readonly log: EventLog;
-  readonly metrics: Pick<RequestMetrics, "relayed">;
+  readonly metrics: Pick<RequestMetrics, "tunnelOpened">;
   readonly failureDomain: string;
   /** Other daemons that are presumed alive. */
   peers(): readonly Contact[];
@@ -38,23 +38,23 @@
   random(): number;
 }
 
-/** Chooses the peers that relay, and opens channels to them. */
-export class RelayPeers {
-  readonly #context: RelayPeersContext;
+/** Chooses the peers that tunnel connections, and opens channels to them. */
+export class TunnelPeers {
+  readonly #context: TunnelPeersContext;
   /** When peers last rejected a connection, by their names; monotonic ms. */
   readonly #rejectedAt = new Map<string, number>();
 
-  constructor(context: RelayPeersContext) {
+  constructor(context: TunnelPeersContext) {
     this.#context = context;
   }
 
   /**
    * Opens a channel on which a connection to a runner is open.
    *
-   * @throws {RelayLostError} if no peer that was tried opens it; nothing was sent to
+   * @throws {TunnelLostError} if no peer that was tried opens it; nothing was sent to
    * the runner then.
    */
-  async connect(runner: Runner): Promise<RelayChannel> {
+  async connect(runner: Runner): Promise<TunnelChannel> {
     let reason = "no peers";
     for (const peer of this.#candidates(runner).slice(0, MAX_TRIES)) {
       try {
@@ -63,7 +63,7 @@
           runner: runner.id,
         });
         if (reply.kind === "connected") {
-          this.#context.metrics.relayed(runner.service, "opened");
+          this.#context.metrics.tunnelOpened(runner.service, "opened");
           return channel;
         }
         channel.close();
@@ -73,7 +73,7 @@
       }
       this.#recordRejection(peer, { runner: runner.id, reason });
     }
-    throw new RelayLostError(`Cannot connect by way of a peer: ${reason}`);
+    throw new TunnelLostError(`Cannot connect by way of a peer: ${reason}`);
   }
 
   /**
@@ -144,7 +144,7 @@
       if (now - at >= BACKOFF_MS) this.#rejectedAt.delete(name);
     }
     this.#rejectedAt.set(peer.name, now);
-    this.#context.log.event("relay_failed", {
+    this.#context.log.event("tunnel_failed", {
       peer: peer.name,
       runner,
       reason,
@@ -152,9 +152,9 @@
   }
 
   /** Opens a channel, sends its first message and returns the reply. */
-  #request(peer: Contact, message: RelayMessage): Promise<{
-    readonly channel: RelayChannel;
-    readonly reply: RelayMessage;
+  #request(peer: Contact, message: TunnelMessage): Promise<{
+    readonly channel: TunnelChannel;
+    readonly reply: TunnelMessage;
   }> {
     const [host = "", port = ""] = peer.address.split(":");
     const socket = connect({ host, port: Number(port) });
@@ -162,10 +162,10 @@
       const fail = (reason: string) => {
         clearTimeout(timer);
         channel.close();
-        reject(new RelayLostError(reason));
+        reject(new TunnelLostError(reason));
       };
       let timer = setTimeout(() => fail("dial timeout"), DIAL_TIMEOUT_MS);
-      const channel: RelayChannel = new RelayChannel(socket, {
+      const channel: TunnelChannel = new TunnelChannel(socket, {
         onMessage: (reply) => {
           clearTimeout(timer);
           resolve({ channel, reply });
@@ -175,7 +175,7 @@
       socket.once("connect", () => {
         clearTimeout(timer);
         timer = setTimeout(() => fail("no reply"), REPLY_TIMEOUT_MS);
-        socket.write(RELAY_PREFACE);
+        socket.write(TUNNEL_PREFACE);
         channel.send(message);
       });
     });
--- a/packages/router/src/connection/relay_server.ts
+++ b/packages/router/src/connection/tunnel_server.ts
@@ -9,8 +9,8 @@
 import type { RequestMetrics } from "../process/metrics.ts";
 import type { Runner } from "../process/runner.ts";
 import type { PeerVerdict } from "../process/runner_paths.ts";
-import { RelayChannel } from "./relay_channel.ts";
-import type { RelayMessage } from "./relay_message.ts";
+import { TunnelChannel } from "./tunnel_channel.ts";
+import type { TunnelMessage } from "./tunnel_message.ts";
 import type { RunnerNetwork } from "./runner_network.ts";
 
 /** Time in ms in which the first message of a channel must arrive. */
@@ -18,16 +18,16 @@
 /** Time-out in ms for opening a connection to a runner. */
 const CONNECT_TIMEOUT_MS = 300;
 /**
- * Maximum number of connections that are relayed. With two descriptors each they
+ * Maximum number of tunnels that are served. With two descriptors each they
  * leave most of those that a host has to its own callers and runners.
  */
-const MAX_RELAYED = 500;
+const MAX_TUNNELS = 500;
 
 /** What the server uses of the daemon. */
-export interface RelayServerContext {
+export interface TunnelServerContext {
   readonly network: RunnerNetwork;
   readonly log: EventLog;
-  readonly metrics: Pick<RequestMetrics, "relayed">;
+  readonly metrics: Pick<RequestMetrics, "tunnelOpened">;
   /** Returns the listed runner with an id. */
   runner(id: string): Runner | undefined;
   /** Whether this daemon itself does not reach a runner, or any. */
@@ -39,27 +39,27 @@
 }
 
 /**
- * Accepts relay channels. It connects to listed runners only, and directly, so that
+ * Accepts tunnel channels. It connects to listed runners only, and directly, so that
  * no connection goes round in a circle of peers.
  */
-export class RelayServer {
-  readonly #context: RelayServerContext;
-  readonly #channels = new Set<RelayChannel>();
+export class TunnelServer {
+  readonly #context: TunnelServerContext;
+  readonly #channels = new Set<TunnelChannel>();
   #leaving = false;
 
-  constructor(context: RelayServerContext) {
+  constructor(context: TunnelServerContext) {
     this.#context = context;
   }
 
-  /** Number of connections that are relayed. */
-  get relayed(): number {
+  /** Number of tunnels that are served. */
+  get tunnels(): number {
     return this.#channels.size;
   }
 
   /** Serves a channel on an accepted connection. */
   accept(socket: Socket): void {
     const timer = setTimeout(() => channel.close(), FIRST_MESSAGE_MS);
-    const channel: RelayChannel = new RelayChannel(socket, {
+    const channel: TunnelChannel = new TunnelChannel(socket, {
       onMessage: (message) => {
         clearTimeout(timer);
         this.#begin(channel, message);
@@ -81,7 +81,7 @@
     this.#channels.clear();
   }
 
-  #begin(channel: RelayChannel, message: RelayMessage): void {
+  #begin(channel: TunnelChannel, message: TunnelMessage): void {
     switch (message.kind) {
       case "check":
         return void this.#check(channel, message);
@@ -93,8 +93,8 @@
   }
 
   async #check(
-    channel: RelayChannel,
-    { runner: id, withinMs }: Extract<RelayMessage, { kind: "check" }>,
+    channel: TunnelChannel,
+    { runner: id, withinMs }: Extract<TunnelMessage, { kind: "check" }>,
   ): Promise<void> {
     const runner = this.#context.runner(id);
     const verdict = runner === undefined
@@ -104,7 +104,7 @@
     channel.end();
   }
 
-  #connect(channel: RelayChannel, id: string): void {
+  #connect(channel: TunnelChannel, id: string): void {
     const runner = this.#context.runner(id);
     const reason = this.#rejection(runner);
     if (reason !== undefined || runner === undefined) {
@@ -131,26 +131,26 @@
     socket.once("connect", () => {
       clearTimeout(timer);
       socket.off("error", failed);
-      this.#relay(channel, runner, socket);
+      this.#tunnel(channel, runner, socket);
     });
   }
 
   #rejection(runner: Runner | undefined): string | undefined {
     if (this.#leaving) return "leaving";
-    if (this.#channels.size >= MAX_RELAYED) return "too many connections";
+    if (this.#channels.size >= MAX_TUNNELS) return "too many connections";
     if (runner === undefined) return "unknown runner";
     return this.#context.isUnreachable(runner) ? "unreachable" : undefined;
   }
 
-  #reject(channel: RelayChannel, runner: string, reason: string): void {
-    this.#context.log.event("relay_rejected", { runner, reason });
+  #reject(channel: TunnelChannel, runner: string, reason: string): void {
+    this.#context.log.event("tunnel_rejected", { runner, reason });
     channel.send({ kind: "rejected", reason });
     channel.end();
   }
 
-  #relay(channel: RelayChannel, runner: Runner, socket: Socket): void {
+  #tunnel(channel: TunnelChannel, runner: Runner, socket: Socket): void {
     this.#channels.add(channel);
-    this.#context.metrics.relayed(runner.service, "served");
+    this.#context.metrics.tunnelOpened(runner.service, "served");
     const finish = () => this.#channels.delete(channel);
     channel.listen({
       onMessage: (message) => this.#forward(channel, socket, message),
@@ -178,9 +178,9 @@
   }
 
   #forward(
-    channel: RelayChannel,
+    channel: TunnelChannel,
     socket: Socket,
-    message: RelayMessage,
+    message: TunnelMessage,
   ): void {
     if (message.kind === "end") return void socket.end();
     if (message.kind !== "data") return void socket.destroy();
--- a/packages/router/src/connection/relayed_socket.ts
+++ b/packages/router/src/connection/tunnel_socket.ts
@@ -5,25 +5,25 @@
  */
 import type { Buffer } from "node:buffer";
 import { Duplex } from "node:stream";
-import type { RelayChannel } from "./relay_channel.ts";
-import type { RelayMessage } from "./relay_message.ts";
+import type { TunnelChannel } from "./tunnel_channel.ts";
+import type { TunnelMessage } from "./tunnel_message.ts";
 
 /** The channel to the peer was lost: the runner is not to blame. */
-export class RelayLostError extends Error {
-  override readonly name = "RelayLostError";
+export class TunnelLostError extends Error {
+  override readonly name = "TunnelLostError";
 }
 
 /**
- * The part of a socket that Node's HTTP client uses, over a relay channel. The peer
+ * The part of a socket that Node's HTTP client uses, over a tunnel channel. The peer
  * says how the runner's connection ended: without that, the end of a peer would look
  * like the end of a response that has no length.
  */
-export class RelayedSocket extends Duplex {
+export class TunnelSocket extends Duplex {
   /** Whether the peer has not yet opened the connection. */
   connecting = true;
-  readonly #open: () => Promise<RelayChannel>;
+  readonly #open: () => Promise<TunnelChannel>;
   readonly #onLeaving: () => void;
-  #channel: RelayChannel | undefined;
+  #channel: TunnelChannel | undefined;
   #leaving = false;
   /** Whether the runner has ended the connection as it should. */
   #ended = false;
@@ -34,7 +34,7 @@
    * @param open opens a channel on which the connection to the runner is open.
    * @param onLeaving called when the connection takes no further requests.
    */
-  constructor(open: () => Promise<RelayChannel>, onLeaving: () => void) {
+  constructor(open: () => Promise<TunnelChannel>, onLeaving: () => void) {
     super({ allowHalfOpen: false });
     this.#open = open;
     this.#onLeaving = onLeaving;
@@ -117,7 +117,7 @@
   }
 
   #lost(): void {
-    if (!this.#ended) this.destroy(new RelayLostError("Relay is lost"));
+    if (!this.#ended) this.destroy(new TunnelLostError("Tunnel is lost"));
   }
 
   #restartIdleTimer(): void {
@@ -127,7 +127,7 @@
       .unref();
   }
 
-  #receive(message: RelayMessage): void {
+  #receive(message: TunnelMessage): void {
     this.#restartIdleTimer();
     switch (message.kind) {
       case "data":
@@ -144,7 +144,7 @@
         this.#leaving = true;
         return this.#onLeaving();
       default:
-        return void this.destroy(new RelayLostError("Relay is out of order"));
+        return void this.destroy(new TunnelLostError("Tunnel is out of order"));
     }
   }
 }
--- a/packages/router/src/process/metrics.ts
+++ b/packages/router/src/process/metrics.ts
@@ -66,7 +66,7 @@
   readonly #seconds: HistogramType<"service">;
   readonly #waiting: GaugeType<"service" | "rank">;
   readonly #connections: CounterType<"service">;
-  readonly #relayed: CounterType<"service" | "role">;
+  readonly #tunnels: CounterType<"service" | "role">;
   readonly #failures: CounterType<"service" | "kind">;
   readonly #ends: CounterType<"service">;
   readonly #version: GaugeType;
@@ -108,8 +108,8 @@
       labelNames: ["service"],
       registers,
     });
-    this.#relayed = new Counter({
-      name: "umbermast_relayed_connections_total",
+    this.#tunnels = new Counter({
+      name: "umbermast_tunnels_total",
       help: "Connections to runners by way of a peer, by whether this daemon " +
         "opened them or served them for a peer",
       labelNames: ["service", "role"],
@@ -229,8 +229,8 @@
   }
 
   /** Counts a connection to a runner by way of a peer. */
-  relayed(service: string, role: "opened" | "served"): void {
-    this.#relayed.inc({ service, role });
+  tunnelOpened(service: string, role: "opened" | "served"): void {
+    this.#tunnels.inc({ service, role });
   }
 
   /**
--- a/packages/router/src/process/runner_paths.ts
+++ b/packages/router/src/process/runner_paths.ts
@@ -26,7 +26,7 @@
 const NEXT_PROBE_MS = 50;
 
 /** How a request reaches its runner. */
-export type Path = "direct" | "relayed";
+export type Path = "direct" | "tunnel";
 
 /** Whether a peer reaches a runner. */
 export type PeerVerdict =
@@ -70,7 +70,7 @@
  *
  * @example
  * ```ts
- * if (await paths.check(runner)) paths.pathTo(runner); // "relayed"
+ * if (await paths.check(runner)) paths.pathTo(runner); // "tunnel"
  * ```
  */
 export class RunnerPaths {
@@ -102,7 +102,7 @@
 
   /** Returns how to reach a runner. */
   pathTo({ id }: Pick<Runner, "id">): Path {
-    return this.#lost.has(id) || this.isolated ? "relayed" : "direct";
+    return this.#lost.has(id) || this.isolated ? "tunnel" : "direct";
   }
 
   /**
@@ -153,7 +153,7 @@
   }
 
   /** Records that no peer could connect to a runner either. */
-  recordUnrelayed({ id }: Pick<Runner, "id">): void {
+  recordTunnelFailure({ id }: Pick<Runner, "id">): void {
     const lost = this.#lost.get(id);
     if (lost !== undefined) this.#regain(lost.runner);
   }
--- a/packages/router/src/process/runner_reachability.ts
+++ b/packages/router/src/process/runner_reachability.ts
@@ -5,8 +5,10 @@
  */
 import type { EventLog } from "./event_log.ts";
 
-/** Runners in a row that cannot be reached before the path is suspected. */
+/** Different runners in a row that fail before the daemon seems to reach none. */
 const RUNNERS_TO_SUSPECT = 2;
+/** Minimum time in ms without a response before that is logged. */
+const MIN_SILENCE_MS = 500;
 
 /**
  * Tells failures of single runners from a daemon that reaches none: different
@@ -92,9 +94,10 @@
     { reason, now }: { readonly reason: string; readonly now: number },
   ): void {
     this.#failed.add(runner);
-    if (!this.reachesNone || this.#unreachableSince !== undefined) return;
-    this.#unreachableSince = now;
     const silentMs = now - this.lastResponseAt;
+    const unreachable = this.reachesNone && silentMs >= MIN_SILENCE_MS;
+    if (!unreachable || this.#unreachableSince !== undefined) return;
+    this.#unreachableSince = now;
     this.#log.event("runners_unreachable", {
       runners: [...this.#failed].join(","),
       reason,
--- a/packages/router/src/request/attempt.ts
+++ b/packages/router/src/request/attempt.ts
@@ -6,7 +6,7 @@
 import { request } from "node:http";
 import type { ClientRequest, IncomingMessage } from "node:http";
 import type { Buffer } from "node:buffer";
-import { RelayLostError } from "../connection/relayed_socket.ts";
+import { TunnelLostError } from "../connection/tunnel_socket.ts";
 import type { RunnerConnections } from "../connection/runner_connections.ts";
 import type { Runner } from "../process/runner.ts";
 import type { Path } from "../process/runner_paths.ts";
@@ -19,7 +19,7 @@
  */
 const CONNECT_TIMEOUT_MS = 300;
 /** Time-out in ms for opening a connection by way of a peer; three may be tried. */
-const RELAY_TIMEOUT_MS = 1_000;
+const TUNNEL_TIMEOUT_MS = 1_000;
 
 /** The request as it is sent to the runner. */
 export interface OutgoingRequest {
@@ -120,7 +120,7 @@
     return this.#connectTimedOut;
   }
 
-  /** Whether the peer that relayed the request is to blame for its failure. */
+  /** Whether the peer at the other end of a tunnel is to blame for its failure. */
   get lostByPeer(): boolean {
     return this.#lostByPeer;
   }
@@ -158,7 +158,7 @@
         this.#connectTimedOut = true;
         this.#clientRequest.destroy(new Error("connect timeout"));
       },
-      this.path === "direct" ? CONNECT_TIMEOUT_MS : RELAY_TIMEOUT_MS,
+      this.path === "direct" ? CONNECT_TIMEOUT_MS : TUNNEL_TIMEOUT_MS,
     );
     this.#clientRequest.once("close", () => clearTimeout(timer));
     this.#clientRequest.once("socket", (socket) => {
@@ -180,7 +180,7 @@
    * pass for a complete one.
    */
   #handleError(error: Error): void {
-    if (error instanceof RelayLostError) this.#lostByPeer = true;
+    if (error instanceof TunnelLostError) this.#lostByPeer = true;
     this.#fail(error.message);
     this.#incoming?.destroy(error);
   }
--- a/packages/router/src/request/attempt_executor.ts
+++ b/packages/router/src/request/attempt_executor.ts
@@ -186,13 +186,13 @@
     const first = await this.#sendOn(paths.pathTo(runner), request);
     const { attempt } = first;
     if (!attempt.failedToConnect || this.#progress.abandoned) return first;
-    if (attempt.path === "relayed") {
-      paths.recordUnrelayed(runner);
+    if (attempt.path === "tunnel") {
+      paths.recordTunnelFailure(runner);
       return await this.#sendOn("direct", request);
     }
     const isLost = await this.#isLost(first);
     if (!isLost || this.#progress.abandoned) return first;
-    return await this.#sendOn("relayed", request);
+    return await this.#sendOn("tunnel", request);
   }
 
   /**
@@ -389,7 +389,7 @@
   }
 
   #recordResponse({ attempt: { runner, path } }: AttemptContext): void {
-    if (path === "relayed") return;
+    if (path === "tunnel") return;
     this.#daemon.reachability.recordResponse(runner.id, this.#daemon.now());
   }
 
@@ -400,7 +400,7 @@
   ): void {
     const now = this.#daemon.now();
     this.#daemon.metrics.runnerFailed(service.name, kind);
-    if (path === "relayed") return;
+    if (path === "tunnel") return;
     this.#daemon.reachability.recordFailure(runner.id, { reason, now });
   }
 
--- a/packages/router/src/request/response_relay.ts
+++ b/packages/router/src/request/response_relay.ts
@@ -255,7 +255,7 @@
     { attempt: { runner, path } }: AttemptContext,
     now: number,
   ): void {
-    if (path === "relayed") return;
+    if (path === "tunnel") return;
     this.#daemon.reachability.recordResponse(runner.id, now);
   }
 
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -12,9 +12,7 @@
 import { FleetSync } from "./connection/fleet_sync.ts";
 import type { SharedStore } from "./connection/fleet_sync.ts";
 import { TcpPeerNetwork } from "./connection/peer_network.ts";
-import { RelayPeers } from "./connection/relay_peers.ts";
-import { RelayServer } from "./connection/relay_server.ts";
-import { RunnerConnections } from "./connection/runner_connections.ts";
+import type { RunnerConnections } from "./connection/runner_connections.ts";
 import { TcpRunnerNetwork } from "./connection/runner_network.ts";
 import type { RunnerNetwork } from "./connection/runner_network.ts";
 import {
@@ -51,10 +49,8 @@
 import { RunnerPaces } from "./process/runner_paces.ts";
 import { RunnerPauses } from "./process/runner_pauses.ts";
 import { ReturnPlaces } from "./process/return_places.ts";
-import { connectTo, respondsToProbe } from "./connection/runner_probe.ts";
-import { RunnerPaths } from "./process/runner_paths.ts";
-import type { PeerVerdict } from "./process/runner_paths.ts";
-import { RunnerReachability } from "./process/runner_reachability.ts";
+import type { RunnerPaths } from "./process/runner_paths.ts";
+import type { RunnerReachability } from "./process/runner_reachability.ts";
 import { RunnerRestrictions } from "./process/runner_restrictions.ts";
 import { RunnerLoads } from "./process/runner_loads.ts";
 import { SchedulingMode } from "./process/scheduling_mode.ts";
@@ -62,6 +58,7 @@
 import { StreamPace } from "./process/stream_pace.ts";
 import { WorkspaceShares } from "./process/workspace_shares.ts";
 import type { RouterSettings } from "./process/settings.ts";
+import { RunnerAccess } from "./runner_access.ts";
 import { Leadership } from "./leadership.ts";
 import type { LeaderPlatform } from "./leadership.ts";
 import type { Dialect } from "./request/dialect.ts";
@@ -103,10 +100,6 @@
 const CONNECTION_SHARE = 0.8;
 /** Connections to a runner that each daemon may open in any case. */
 const MIN_CONNECTIONS = 2;
-/** Time-out in ms for the response to a probe of a runner. */
-const PROBE_TIMEOUT_MS = 500;
-/** Time in ms for which a response of any runner shows that the path is usable. */
-const PROOF_OF_PATH_MS = 1_000;
 /** Random bytes that distinguish the incarnations of a daemon. */
 const INCARNATION_BYTES = 6;
 /** Settings that take effect without a restart. */
@@ -155,9 +148,7 @@
   readonly #plainCapacities = new PerService(() => new PlainCapacity());
   readonly #demands = new PerService(() => new ServiceDemand());
   readonly #limitQueues = new PerService(() => new LimitQueue());
-  readonly #network: RunnerNetwork;
-  readonly #relayPeers: RelayPeers;
-  readonly #relayServer: RelayServer;
+  readonly #access: RunnerAccess;
   readonly #fleetSync: FleetSync;
   readonly #leadership: Leadership;
   readonly #survey: CacheSurvey;
@@ -180,7 +171,6 @@
     options: { readonly network?: RunnerNetwork | undefined } = {},
   ) {
     const { network = new TcpRunnerNetwork() } = options;
-    this.#network = network;
     this.#settings = settings;
     this.dialect = platform.dialect;
     this.log = log;
@@ -206,27 +196,23 @@
     });
     this.metrics.observeShares(() => this.shares.observed(this.now()));
     this.crashes = new CrashRecord(log);
-    this.reachability = new RunnerReachability(log);
-    this.paths = this.#createPaths(log);
-    this.metrics.observeLostPaths(() => this.paths.lost);
-    this.#relayPeers = new RelayPeers({
+    this.#access = new RunnerAccess({
+      network,
       log,
       metrics: this.metrics,
       failureDomain: settings.failureDomain,
       peers: () => this.#fleetSync.reachable,
-      random: () => this.random(),
-    });
-    this.connections = new RunnerConnections(network, this.#relayPeers);
-    this.#relayServer = new RelayServer({
-      network,
-      log,
-      metrics: this.metrics,
       runner: (id) => this.#directory.runners.find((each) => each.id === id),
-      isUnreachable: (runner) => this.paths.pathTo(runner) === "relayed",
-      recordUnreached: ({ id }, reason) =>
-        this.reachability.recordFailure(id, { reason, now: this.now() }),
-      check: (runner, withinMs) => this.#checkForPeer(runner, withinMs),
+      healthPath: ({ service }) =>
+        this.#routingTable?.service(service)?.healthPath ?? "/",
+      mayQuery: ({ id }) => this.#mayQuery(id),
+      cleared: ({ id }) => this.loads.of(id).recordSuccess(),
+      now: () => this.now(),
+      random: () => this.random(),
     });
+    this.reachability = this.#access.reachability;
+    this.paths = this.#access.paths;
+    this.connections = this.#access.connections;
     this.limits = new RunnerLimits(log, () => this.#fleetSync.view);
     this.pauses = new RunnerPauses(log);
     this.restrictions = new RunnerRestrictions(this.limits, this.pauses);
@@ -285,7 +271,9 @@
       own,
       log,
       store: platform,
-      network: new TcpPeerNetwork((socket) => this.#relayServer.accept(socket)),
+      network: new TcpPeerNetwork((socket) =>
+        this.#access.acceptTunnel(socket)
+      ),
       metrics: this.metrics,
       relaysFrom: settings.relaysFrom,
       controlBytesPerS: settings.controlBytesPerS,
@@ -488,7 +476,7 @@
     this.#leadership.stop();
     this.#fleetSync.stop();
     this.#server.destroy();
-    this.#relayServer.destroy();
+    this.#access.destroy();
     for (const server of this.#statusServers) server.close();
   }
 
@@ -501,59 +489,17 @@
     this.#lifecycle.startShutdown();
     void this.#leadership.stepDown();
     void this.#fleetSync.deregister();
-    this.#relayServer.leave();
+    this.#access.leave();
     const cut = await shutDownGracefully(this.#server, {
       graceMs: () => this.#settings.graceMs,
       lifecycle: this.#lifecycle,
       log: this.log,
-      relayed: () => this.#relayServer.relayed,
+      tunnels: () => this.#access.servedTunnels,
     });
     await this.#fleetSync.leave();
     return cut === 0;
   }
 
-  #createPaths(log: EventLog): RunnerPaths {
-    return new RunnerPaths({
-      reachability: this.reachability,
-      log,
-      askPeers: (runner, withinMs) => this.#relayPeers.check(runner, withinMs),
-      respondsDirectly: (runner) => this.#respondsDirectly(runner),
-      pathLost: (runner) => {
-        this.connections.dropIdle(runner);
-        // Its failures were those of the path.
-        this.loads.of(runner.id).recordSuccess();
-      },
-      pathRegained: (runner) => this.connections.closeRelayed(runner),
-      now: () => this.now(),
-      random: this.#random,
-    });
-  }
-
-  async #respondsDirectly(runner: Runner): Promise<boolean> {
-    if (!this.#mayQuery(runner.id)) return false;
-    return await respondsToProbe(runner, {
-      network: this.#network,
-      path: this.#routingTable?.service(runner.service)?.healthPath ?? "/",
-      timeoutMs: PROBE_TIMEOUT_MS,
-    });
-  }
-
-  /** Finds out for a peer whether this daemon reaches a runner. */
-  async #checkForPeer(
-    runner: Runner,
-    withinMs: number,
-  ): Promise<PeerVerdict> {
-    const since = this.now() - withinMs;
-    if (this.reachability.respondedAt(runner.id) > since) return "reached";
-    if (this.paths.pathTo(runner) === "relayed") return "unknown";
-    const result = await connectTo(this.#network, runner);
-    if (result === "accepted") return "reached";
-    const reachesOthers = this.now() - this.reachability.lastResponseAt <
-      PROOF_OF_PATH_MS;
-    if (!reachesOthers) return "unknown";
-    return result === "refused" ? "refused" : "unreached";
-  }
-
   /** Requests of a rank to a service that wait at other daemons. */
   #othersWaiting(service: string, rank: number): number {
     let requests = 0;
@@ -633,12 +579,10 @@
     this.#serviceOf = new Map(
       runners.map(({ id, service }) => [id, service]),
     );
-    this.connections.retain(ids);
     this.loads.retain(ids);
     this.prefixes.retain(ids);
     this.limits.retain(ids);
-    this.paths.retain(ids);
-    this.reachability.retain(ids);
+    this.#access.retain(ids);
     this.pauses.retain(ids, this.now());
     this.#draining.retain(ids, this.now());
     for (const pace of this.#streamPaces.all()) pace.retain(ids);
--- a/packages/router/tests/partition_test.ts
+++ b/packages/router/tests/partition_test.ts
@@ -113,8 +113,8 @@
   assert.equal(fleet.routers[0]!.paths.lost, 0);
 });
 
-// Guards against a shutdown that cuts off what a host relays for another one.
-test("a router that shuts down finishes the requests that it relays", async (t) => {
+// Guards against a shutdown that cuts off a tunnel that a host serves for another one.
+test("a router that shuts down finishes the requests in its tunnels", async (t) => {
   const fleet = await PartitionedFleet.start(t, { routers: 2, runners: 2 });
   fleet.partition([0], "refuse");
   await fleet.send(0, "/once/");
@@ -126,7 +126,7 @@
 });
 
 // Guards against the end of a peer that passes for the end of a response without length.
-test("a response without a length is not complete when its relay is lost", async (t) => {
+test("a response without a length is not complete when its tunnel is lost", async (t) => {
   const fleet = await PartitionedFleet.start(t, { routers: 2, runners: 2 });
   fleet.partition([0], "refuse");
   await fleet.send(0, "/once/");
