--- a/packages/router/src/connection/crash_detector.ts
+++ b/packages/router/src/connection/crash_detector.ts
@@ -19,14 +19,18 @@
 const PROBE_DELAY_MS = 30;
 /** Minimum ms between two probes of a runner that interrupts many responses. */
 const PROBE_INTERVAL_MS = 200;
-/** Maximum number of fingerprints in a log line. */
+/** Maximum number of fingerprints, and of parts of prompts, in a log line. */
 const MAX_LOGGED = 8;
 
 /**
  * A request that was at a runner when its connection broke. Its start is that of
  * the response or, without one, the time at which the request was sent.
  */
-export type BrokenRun = Pick<CrashedRun, "fingerprint" | "startedAt">;
+export interface BrokenRun
+  extends Pick<CrashedRun, "fingerprint" | "startedAt"> {
+  /** Parts of the prompt that other prompts may share. */
+  readonly parts: readonly string[];
+}
 
 /**
  * Probes a runner once after its responses were interrupted. The runner has crashed
@@ -39,7 +43,7 @@
   readonly #record: CrashRecord;
   readonly #network: RunnerNetwork;
   readonly #paths: Pick<RunnerPaths, "pathTo" | "check" | "askPeers">;
-  readonly #broken = new Map<string, CrashedRun[]>();
+  readonly #broken = new Map<string, (BrokenRun & CrashedRun)[]>();
   /** Ids of runners that were probed in the last probe interval. */
   readonly #probed = new Set<string>();
 
@@ -85,6 +89,7 @@
     if (crashed) this.#metrics.runnerCrashed(runner.service);
     if (crashed) this.#record.recordCrashes(runs, performance.now());
     const logged = runs.slice(0, MAX_LOGGED).map((run) => run.fingerprint);
+    const parts = new Set(runs.flatMap((run) => run.parts));
     this.#log.event("runner_probed", {
       runner: runner.id,
       service: runner.service,
@@ -92,6 +97,7 @@
       path: this.#paths.pathTo(runner),
       broken_off: runs.length,
       fingerprints: logged.join(","),
+      parts: [...parts].slice(0, MAX_LOGGED).join(","),
     });
   }
 
--- a/packages/router/src/connection/crash_detector_test.ts
+++ b/packages/router/src/connection/crash_detector_test.ts
@@ -49,8 +49,16 @@
   detector: CrashDetector,
   { runner }: FakeRunner,
 ): void {
-  detector.recordBrokenRun(runner, { fingerprint: "one", startedAt: 0 });
-  detector.recordBrokenRun(runner, { fingerprint: "two", startedAt: 0 });
+  detector.recordBrokenRun(runner, {
+    fingerprint: "one",
+    parts: ["a"],
+    startedAt: 0,
+  });
+  detector.recordBrokenRun(runner, {
+    fingerprint: "two",
+    parts: ["a", "b"],
+    startedAt: 0,
+  });
 }
 
 test("a crashed runner is probed once, for all its requests", async (t) => {
@@ -62,6 +70,7 @@
   assert.equal(found.length, 1);
   assert.equal(found[0]!.ended, true);
   assert.equal(found[0]!.fingerprints, "one,two");
+  assert.equal(found[0]!.parts, "a,b");
 });
 
 test("a live runner that broke off responses has not crashed", async (t) => {
--- a/packages/router/src/request/attempt_executor.ts
+++ b/packages/router/src/request/attempt_executor.ts
@@ -24,7 +24,7 @@
 import type { Outcome } from "./outcome.ts";
 import type { LocalOutcomes } from "./local_outcomes.ts";
 import { workMsOf } from "./plain_admission.ts";
-import { sharedPart } from "./placement.ts";
+import { sharedPart, sharedParts } from "./placement.ts";
 import type { RunnerChoice } from "./placement.ts";
 import type { Progress } from "./progress.ts";
 import { InactivityTimer } from "./inactivity_timer.ts";
@@ -157,7 +157,7 @@
         sentAt,
         requestsAhead,
         tokensAhead,
-        run: { fingerprint, startedAt },
+        run: { fingerprint, parts: sharedParts(head.prompt), startedAt },
         room: choice.room,
       });
       if (result.kind === "response") {
--- a/packages/router/src/request/decision_log.ts
+++ b/packages/router/src/request/decision_log.ts
@@ -3,6 +3,8 @@
  *
  * - `backlog_tokens`: prompt tokens at the runner that await prefill;
  * - `prefill_tokens`: prompt tokens of the request that the runner has to prefill;
+ * - `parts`: parts of the prompt that other prompts may share, `shared_part` being the
+ *   deepest;
  * - `rank`: urgency of the request, 0 being the most urgent;
  * - `requests`, `ahead`, `limit`, `expected_wait_ms`, `response_ms`: capacity of
  *   the runner of a plain service, see {@linkcode PlainRoom};
@@ -27,11 +29,14 @@
 import type { Refusal } from "./caller.ts";
 import type { Daemon } from "./daemon.ts";
 import type { RequestHead } from "./dialect.ts";
+import { sharedParts } from "./placement.ts";
 import type { RunnerChoice } from "./placement.ts";
 import type { QueueOutlook } from "./retry_delay.ts";
 import type { PlainRoom } from "./plain_admission.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 
+/** Maximum number of logged parts of a prompt. */
+const MAX_PARTS = 8;
 /** Maximum number of logged characters of a host or path. */
 const MAX_TARGET_LENGTH = 128;
 /** The scheme and authority of an absolute target, and a query or fragment. */
@@ -283,6 +288,7 @@
     prompt_tokens: head.promptTokens,
     // The last part of a prompt is specific to the request.
     shared_part: head.prompt.at(-2)?.id,
+    parts: sharedParts(head.prompt).slice(0, MAX_PARTS).join(",") || undefined,
     rank: routed.rank,
     runners_age_ms: Math.round(daemon.runnerListAgeMs()),
     heard_ms: heardMs === undefined ? undefined : Math.round(heardMs),
