--- a/packages/router/tests/crashing_fleet.ts
+++ b/packages/router/tests/crashing_fleet.ts
@@ -26,8 +26,10 @@
   readonly linked: LinkedRouters;
   /** Bodies of all requests that reached runners, in order of arrival. */
   readonly arrivals: string[] = [];
-  /** Number of runners that have crashed. */
-  crashedRunners = 0;
+  /** Times of the arrivals, in monotonic ms. */
+  readonly arrivedAt: number[] = [];
+  /** Times of the crashes of runners, in monotonic ms. */
+  readonly crashedAt: number[] = [];
   /** How many of the next crashing requests stay queued at their runners. */
   requestsToQueue = 0;
   /** Number of requests that were withdrawn while they were queued. */
@@ -59,6 +61,18 @@
     return fleet;
   }
 
+  /** Number of runners that have crashed. */
+  get crashedRunners(): number {
+    return this.crashedAt.length;
+  }
+
+  /** Number of requests with this prefix of the body that have reached runners. */
+  countArrivals(prefix: string, since = -Infinity): number {
+    return this.arrivals.filter((body, index) =>
+      body.startsWith(prefix) && this.arrivedAt[index]! > since
+    ).length;
+  }
+
   /** Waits until all routers see a replacement for each crashed runner. */
   async waitUntilRestored(): Promise<void> {
     await waitUntil(() => this.#listed.size === this.#size);
@@ -71,11 +85,6 @@
     );
   }
 
-  /** Number of requests with this prefix of the body that have reached runners. */
-  countArrivals(prefix: string): number {
-    return this.arrivals.filter((body) => body.startsWith(prefix)).length;
-  }
-
   async #add(): Promise<void> {
     this.#runnersStarted += 1;
     const fake: FakeRunner = await startFakeRunner(
@@ -94,6 +103,7 @@
   }): Promise<void> {
     const body = request.text.slice(request.text.indexOf("\r\n\r\n") + 4);
     this.arrivals.push(body);
+    this.arrivedAt.push(performance.now());
     if (!body.startsWith(CRASHING)) {
       await pause(REQUEST_MS);
       request.socket.write(runnerResponse(request.id, body));
@@ -106,7 +116,7 @@
     }
     await pause(CRASH_DELAY_MS);
     if (!this.#listed.delete(fake.runner.id)) return;
-    this.crashedRunners += 1;
+    this.crashedAt.push(performance.now());
     await fake.end();
     // The entry of a crashed runner stays listed until its replacement's is added.
     await pause(REPLACEMENT_MS, undefined, { ref: false });
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -76,9 +76,9 @@
   return { running, waiting, slots, workHundredths };
 }
 
-/** Parses a prompt of one part, given by its id. */
-function parsePrompt(id: string | undefined): readonly PromptPart[] {
-  return id === undefined ? [] : [{ id, tokens: 0 }];
+/** Parses the ids of a prompt's parts. */
+function parsePrompt(ids: string | undefined): readonly PromptPart[] {
+  return ids?.split(",").map((id) => ({ id, tokens: 0 })) ?? [];
 }
 
 function parseNumber(text: string | undefined): number | undefined {
--- a/packages/router/tests/linked_routers.ts
+++ b/packages/router/tests/linked_routers.ts
@@ -116,7 +116,7 @@
   /** Sends a request to the routers in turn; each attempt has its own id. */
   send(
     body: string,
-    options: { readonly path?: string } = {},
+    options: { readonly path?: string; readonly prompt?: string } = {},
   ): Promise<CallerResponse> {
     const router = this.routers[this.#attempts % this.routers.length]!;
     this.#attempts += 1;
@@ -124,7 +124,10 @@
       method: "POST",
       path: options.path ?? "/",
       body,
-      headers: { "x-id": `try-${this.#attempts}` },
+      headers: {
+        "x-id": `try-${this.#attempts}`,
+        ...(options.prompt === undefined ? {} : { "x-prompt": options.prompt }),
+      },
     });
   }
 }
