Serve tunnels until a daemon that shuts down takes no more requests

It now serves new tunnels as long as it takes requests, and says on each that it takes no further one.

A peer that is cut as well says "unreached" for 300 ms after its last response, 1 s before, and that it cannot tell from then on: its answers had kept the first path from being found lost for a second.

--- a/packages/router/src/connection/tunnel_server.ts
+++ b/packages/router/src/connection/tunnel_server.ts
@@ -30,6 +30,8 @@
   readonly metrics: Pick<RequestMetrics, "tunnelOpened">;
   /** Returns the listed runner with an id. */
   runner(id: string): Runner | undefined;
+  /** Whether this daemon takes no more requests, as it is about to exit. */
+  isClosed(): boolean;
   /** Whether this daemon itself does not reach a runner, or any. */
   isUnreachable(runner: Runner): boolean;
   /** Records that a connection to a runner could not be opened. */
@@ -68,7 +70,11 @@
     });
   }
 
-  /** Accepts no more connections, and lets peers finish what they have sent. */
+  /**
+   * Lets peers finish what they have sent, and use no tunnel for a further request.
+   * New tunnels are served until the daemon takes no more requests: it may be the
+   * only one that reaches the runners.
+   */
   leave(): void {
     this.#leaving = true;
     for (const channel of this.#channels) channel.send({ kind: "leaving" });
@@ -76,7 +82,6 @@
 
   /** Closes all channels at once. */
   destroy(): void {
-    this.#leaving = true;
     for (const channel of this.#channels) channel.close();
     this.#channels.clear();
   }
@@ -136,7 +141,7 @@
   }
 
   #rejection(runner: Runner | undefined): string | undefined {
-    if (this.#leaving) return "leaving";
+    if (this.#context.isClosed()) return "leaving";
     if (this.#channels.size >= MAX_TUNNELS) return "too many connections";
     if (runner === undefined) return "unknown runner";
     return this.#context.isUnreachable(runner) ? "unreachable" : undefined;
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -203,6 +203,7 @@
       failureDomain: settings.failureDomain,
       peers: () => this.#fleetSync.reachable,
       runner: (id) => this.#directory.runners.find((each) => each.id === id),
+      isClosed: () => this.closed,
       healthPath: ({ service }) =>
         this.#routingTable?.service(service)?.healthPath ?? "/",
       mayQuery: ({ id }) => this.#mayQuery(id),
--- a/packages/router/src/runner_access.ts
+++ b/packages/router/src/runner_access.ts
@@ -19,8 +19,11 @@
 
 /** Time-out in ms for the response to a probe of a runner. */
 const PROBE_TIMEOUT_MS = 500;
-/** Time in ms for which a response of any runner shows that paths are usable. */
-const PROOF_OF_PATH_MS = 1_000;
+/**
+ * Time in ms for which a response of any runner shows that paths are usable. Streams
+ * send an event every 30 to 250 ms.
+ */
+const PROOF_OF_PATH_MS = 300;
 
 /** The parts of the router that reaching runners depends on. */
 export interface RunnerAccessContext {
@@ -32,6 +35,8 @@
   peers(): readonly Contact[];
   /** Returns the listed runner with an id. */
   runner(id: string): Runner | undefined;
+  /** Whether this daemon takes no more requests, as it is about to exit. */
+  isClosed(): boolean;
   /** Returns the path of the health check of a runner. */
   healthPath(runner: Runner): string;
   /** Whether the runner's restrictions allow a probe now; counts it if so. */
@@ -76,6 +81,7 @@
       log,
       metrics,
       runner: (id) => context.runner(id),
+      isClosed: () => context.isClosed(),
       isUnreachable: (runner) => this.paths.pathTo(runner) === "tunnel",
       recordUnreached: ({ id }, reason) =>
         this.reachability.recordFailure(id, { reason, now: context.now() }),
@@ -93,7 +99,7 @@
     this.#server.accept(socket);
   }
 
-  /** Serves no more peers, and lets them finish what they have sent. */
+  /** Lets peers finish what they have sent; see {@linkcode TunnelServer.leave}. */
   leave(): void {
     this.#server.leave();
   }
