Blame a part of prompts for the crashes of runners that ran it

Cause: crashes were counted by request alone. Each request was another one, so that nothing was known of the next. Class: a cause is looked for in one place only, the whole; what several failures have in common is not.

Each part of a prompt but the last is a suspect beside the request. As with requests, crashes count that began after the one before, a whole answer to any request with the part ends them, three blame it, and six if it has been answered before. What differs, as thousands may share a part: of several requests with it at one runner the last to start counts; one that has been answered before is kept back for 5 s only, doubled at each further crash; a failure of a runner (4xx, 5xx) does not speak for it. A completion that another daemon reports clears an entry also where this daemon had one of its own within 2 s.

--- a/packages/router/src/connection/crash_ages.ts
+++ b/packages/router/src/connection/crash_ages.ts
@@ -12,7 +12,7 @@
   /** Id of the runner, which differs for each incarnation. */
   readonly runner: string;
   readonly runs: readonly {
-    readonly fingerprint: string;
+    readonly suspect: string;
     readonly startedAgoMs: number;
     readonly endedAgoMs: number;
   }[];
@@ -20,7 +20,7 @@
 
 /** A request that got a complete response. */
 export interface ResponseAge {
-  readonly fingerprint: string;
+  readonly suspect: string;
   readonly agoMs: number;
 }
 
@@ -47,14 +47,14 @@
   return {
     crashed: [...byRunner].map(([runner, runs]) => ({
       runner,
-      runs: runs.map(({ fingerprint, startedAt, endedAt }) => ({
-        fingerprint,
+      runs: runs.map(({ suspect, startedAt, endedAt }) => ({
+        suspect,
         startedAgoMs: ageOf(startedAt, now),
         endedAgoMs: ageOf(endedAt, now),
       })),
     })),
-    responses: responses.map(({ fingerprint, at }) => ({
-      fingerprint,
+    responses: responses.map(({ suspect, at }) => ({
+      suspect,
       agoMs: ageOf(at, now),
     })),
   };
@@ -68,16 +68,16 @@
   return {
     crashed: crashed.flatMap(({ runner, runs }) =>
       runs.map((
-        { fingerprint, startedAgoMs, endedAgoMs },
+        { suspect, startedAgoMs, endedAgoMs },
       ): CrashedRun => ({
-        fingerprint,
+        suspect,
         runner,
         startedAt: now - startedAgoMs,
         endedAt: now - endedAgoMs,
       }))
     ),
-    responses: responses.map(({ fingerprint, agoMs }): CompleteResponse => ({
-      fingerprint,
+    responses: responses.map(({ suspect, agoMs }): CompleteResponse => ({
+      suspect,
       at: now - agoMs,
     })),
   };
--- a/packages/router/src/connection/crash_detector.ts
+++ b/packages/router/src/connection/crash_detector.ts
@@ -3,11 +3,12 @@
  *
  * @module
  */
-import type { CrashedRun } from "../process/crash_entry.ts";
 import type { CrashRecord } from "../process/crash_record.ts";
 import type { EventLog } from "../process/event_log.ts";
 import type { RequestMetrics } from "../process/metrics.ts";
 import type { Runner } from "../process/runner.ts";
+import { isPart } from "../process/suspect.ts";
+import type { Suspect } from "../process/suspect.ts";
 import type { RunnerPaths } from "../process/runner_paths.ts";
 import type { RunnerNetwork } from "./runner_network.ts";
 import { connectTo } from "./runner_probe.ts";
@@ -26,10 +27,16 @@
  * A request that was at a runner when its connection broke. Its start is that of
  * the response or, without one, the time at which the request was sent.
  */
-export interface BrokenRun
-  extends Pick<CrashedRun, "fingerprint" | "startedAt"> {
-  /** Parts of the prompt that other prompts may share. */
-  readonly parts: readonly string[];
+export interface BrokenRun {
+  /** The request, and the parts of its prompt that others may share. */
+  readonly suspects: readonly Suspect[];
+  /** Monotonic ms. */
+  readonly startedAt: number;
+}
+
+interface EndedRun extends BrokenRun {
+  /** Monotonic ms. */
+  readonly endedAt: number;
 }
 
 /**
@@ -43,7 +50,7 @@
   readonly #record: CrashRecord;
   readonly #network: RunnerNetwork;
   readonly #paths: Pick<RunnerPaths, "pathTo" | "check" | "askPeers">;
-  readonly #broken = new Map<string, (BrokenRun & CrashedRun)[]>();
+  readonly #broken = new Map<string, EndedRun[]>();
   /** Ids of runners that were probed in the last probe interval. */
   readonly #probed = new Set<string>();
 
@@ -67,7 +74,7 @@
    * probe.
    */
   recordBrokenRun(runner: Runner, broken: BrokenRun): void {
-    const run = { ...broken, runner: runner.id, endedAt: performance.now() };
+    const run = { ...broken, endedAt: performance.now() };
     const pending = this.#broken.get(runner.id);
     if (pending !== undefined) {
       pending.push(run);
@@ -87,17 +94,22 @@
     this.#probed.add(runner.id);
     setTimeout(() => this.#probed.delete(runner.id), PROBE_INTERVAL_MS).unref();
     if (crashed) this.#metrics.runnerCrashed(runner.service);
-    if (crashed) this.#record.recordCrashes(runs, performance.now());
-    const logged = runs.slice(0, MAX_LOGGED).map((run) => run.fingerprint);
-    const parts = new Set(runs.flatMap((run) => run.parts));
+    const suspected = runs.flatMap(({ suspects, ...times }) =>
+      suspects.map((suspect) => ({ suspect, runner: runner.id, ...times }))
+    );
+    if (crashed) this.#record.recordCrashes(suspected, performance.now());
+    const [parts, fingerprints] = partition(
+      new Set(suspected.map(({ suspect }) => suspect)),
+      isPart,
+    );
     this.#log.event("runner_probed", {
       runner: runner.id,
       service: runner.service,
       ended: crashed,
       path: this.#paths.pathTo(runner),
       broken_off: runs.length,
-      fingerprints: logged.join(","),
-      parts: [...parts].slice(0, MAX_LOGGED).join(","),
+      fingerprints: fingerprints.slice(0, MAX_LOGGED).join(","),
+      parts: parts.slice(0, MAX_LOGGED).join(","),
     });
   }
 
@@ -115,3 +127,12 @@
     return response === "refused" && !pathLost;
   }
 }
+
+/** Splits items into those that meet a condition, and the others. */
+function partition<Item>(
+  items: Iterable<Item>,
+  meets: (item: Item) => boolean,
+): readonly [meeting: readonly Item[], others: readonly Item[]] {
+  const all = [...items];
+  return [all.filter(meets), all.filter((item) => !meets(item))];
+}
--- a/packages/router/src/connection/crash_detector_test.ts
+++ b/packages/router/src/connection/crash_detector_test.ts
@@ -50,13 +50,11 @@
   { runner }: FakeRunner,
 ): void {
   detector.recordBrokenRun(runner, {
-    fingerprint: "one",
-    parts: ["a"],
+    suspects: ["one", "service/a"],
     startedAt: 0,
   });
   detector.recordBrokenRun(runner, {
-    fingerprint: "two",
-    parts: ["a", "b"],
+    suspects: ["two", "service/a", "service/b"],
     startedAt: 0,
   });
 }
@@ -70,7 +68,7 @@
   assert.equal(found.length, 1);
   assert.equal(found[0]!.ended, true);
   assert.equal(found[0]!.fingerprints, "one,two");
-  assert.equal(found[0]!.parts, "a,b");
+  assert.equal(found[0]!.parts, "service/a,service/b");
 });
 
 test("a live runner that broke off responses has not crashed", async (t) => {
--- a/packages/router/src/connection/crash_encoding.ts
+++ b/packages/router/src/connection/crash_encoding.ts
@@ -12,7 +12,7 @@
   runner: string,
   /**
    * A flat array with three fields for each request that was at the runner: its
-   * fingerprint, and the ages of its start and its end in ms.
+   * suspect, and the ages of its start and its end in ms.
    */
   runs: readonly (string | number)[],
 ];
@@ -22,7 +22,7 @@
   crashed: readonly PackedCrash[],
   /**
    * A flat array with two fields for each complete response: the request's
-   * fingerprint, and the age of the response in ms.
+   * suspect, and the age of the response in ms.
    */
   responses: readonly (string | number)[],
 ];
@@ -40,10 +40,10 @@
     crashed.map(({ runner, runs }) => [
       runner,
       runs.flatMap((
-        { fingerprint, startedAgoMs, endedAgoMs },
-      ) => [fingerprint, startedAgoMs, endedAgoMs]),
+        { suspect, startedAgoMs, endedAgoMs },
+      ) => [suspect, startedAgoMs, endedAgoMs]),
     ]),
-    responses.flatMap(({ fingerprint, agoMs }) => [fingerprint, agoMs]),
+    responses.flatMap(({ suspect, agoMs }) => [suspect, agoMs]),
   ];
 }
 
@@ -54,9 +54,9 @@
   return {
     runner: String(runner),
     runs: entries.all(rowsOf(runs, RUN_FIELDS), (
-      [fingerprint, startedAgoMs, endedAgoMs],
+      [suspect, startedAgoMs, endedAgoMs],
     ) => ({
-      fingerprint: String(fingerprint),
+      suspect: String(suspect),
       startedAgoMs: checkNonNegative(startedAgoMs, "crashes.startedAgoMs"),
       endedAgoMs: checkNonNegative(endedAgoMs, "crashes.endedAgoMs"),
     })),
@@ -74,9 +74,9 @@
   return {
     crashed: crashed.map((crash) => unpackCrash(crash, entries)),
     responses: entries.all(rowsOf(responses, RESPONSE_FIELDS), (
-      [fingerprint, agoMs],
+      [suspect, agoMs],
     ) => ({
-      fingerprint: String(fingerprint),
+      suspect: String(suspect),
       agoMs: checkNonNegative(agoMs, "crashes.agoMs"),
     })),
   };
--- a/packages/router/src/connection/peer_link_test.ts
+++ b/packages/router/src/connection/peer_link_test.ts
@@ -219,11 +219,11 @@
   crashed: [{
     runner: "r",
     runs: [
-      { fingerprint: "one", startedAgoMs: 90, endedAgoMs: 40 },
-      { fingerprint: "two", startedAgoMs: 70, endedAgoMs: 40 },
+      { suspect: "one", startedAgoMs: 90, endedAgoMs: 40 },
+      { suspect: "two", startedAgoMs: 70, endedAgoMs: 40 },
     ],
   }],
-  responses: [{ fingerprint: "three", agoMs: 10 }],
+  responses: [{ suspect: "three", agoMs: 10 }],
 };
 
 test("a crash report is decoded unchanged", async (t) => {
@@ -251,12 +251,12 @@
       runner: "r",
       runs: [
         ...crash!.runs,
-        { ...run!, fingerprint: "late", startedAgoMs: -1 },
-        { ...run!, fingerprint: "never", endedAgoMs: Infinity },
+        { ...run!, suspect: "late", startedAgoMs: -1 },
+        { ...run!, suspect: "never", endedAgoMs: Infinity },
       ],
     }],
     responses: [
-      { fingerprint: "four", agoMs: NaN },
+      { suspect: "four", agoMs: NaN },
       ...CRASHES.responses,
     ],
   };
--- a/packages/router/src/process/crash_entry.ts
+++ b/packages/router/src/process/crash_entry.ts
@@ -1,15 +1,17 @@
 /**
- * Crashes of runners while they ran one request.
+ * Crashes of runners while they ran a request, or requests with one part of a prompt.
  *
  * @module
  */
 
+import { isPart } from "./suspect.ts";
+import type { Suspect } from "./suspect.ts";
+
 /**
  * A run of a request at a runner that crashed meanwhile; times in monotonic ms.
  */
 export interface CrashedRun {
-  /** Identifies the request across attempts. */
-  readonly fingerprint: string;
+  readonly suspect: Suspect;
   /** Id of the runner's incarnation that crashed. */
   readonly runner: string;
   readonly startedAt: number;
@@ -18,7 +20,7 @@
 
 /** A run of a request that its runner completed. */
 export interface CompleteResponse {
-  readonly fingerprint: string;
+  readonly suspect: Suspect;
   /** End of the response, in monotonic ms. */
   readonly at: number;
 }
@@ -30,10 +32,21 @@
  * may well be at three runners in turn that crash for another reason.
  */
 const CRASHES_TO_BLAME_COMPLETED = 6;
-/** Crashed runs remembered per request. */
+/** Milliseconds within which two starts of a run count as the same. */
+const SAME_START_MS = 100;
+/** Crashed runs remembered per suspect. */
 const MAX_RUNS = 8;
 
-/** Crashed runs of one request, and its last complete response. */
+/** Duration of a quarantine in ms, from the last crash. */
+const QUARANTINE_MS = 600_000;
+/**
+ * The same for a part of prompts that has completed before, doubled at each further
+ * crash. Thousands of requests may share it, and none of them could show that it is
+ * not to blame for runners that crash for another reason.
+ */
+const SHARED_QUARANTINE_MS = 5_000;
+
+/** Crashed runs of one suspect, and its last complete response. */
 export interface CrashEntry {
   /** In the order of their crashes. */
   readonly runs: readonly CrashedRun[];
@@ -44,7 +57,7 @@
   readonly lastCrashAt: number;
 }
 
-/** The entry of a request without crashes. */
+/** The entry of a suspect without crashes. */
 export const EMPTY_ENTRY: CrashEntry = {
   runs: [],
   completedAt: undefined,
@@ -52,27 +65,53 @@
   lastCrashAt: -Infinity,
 };
 
-/** Returns the entry with one more run; drops the oldest beyond the maximum. */
-export function withRun(entry: CrashEntry, run: CrashedRun): CrashEntry {
-  const runs = [...entry.runs, run]
+/**
+ * Returns the entry with one more run, or undefined if it says nothing new; drops the
+ * oldest beyond the maximum. Of several requests with the same part at one runner the
+ * one that started last counts: the others had been there before.
+ */
+export function withRun(
+  entry: CrashEntry,
+  run: CrashedRun,
+): CrashEntry | undefined {
+  const known = entry.runs.find(({ runner }) => runner === run.runner);
+  if (known !== undefined && !startedLater(run, known)) return undefined;
+  const runs = [...entry.runs.filter((each) => each !== known), run]
     .sort((one, other) => one.endedAt - other.endedAt)
     .slice(-MAX_RUNS);
   return entryOf(runs, entry.completedAt);
 }
 
+/**
+ * Whether a run at the same runner started later; updates arrive over several paths,
+ * and each yields a slightly different age.
+ */
+function startedLater(run: CrashedRun, known: CrashedRun): boolean {
+  return isPart(run.suspect) &&
+    run.startedAt - known.startedAt > SAME_START_MS;
+}
+
 /** Returns the entry after a complete response. */
 export function withCompletion(entry: CrashEntry, at: number): CrashEntry {
   return entryOf(entry.runs, at);
 }
 
-/**
- * Whether the request is blamed for so many crashes that it must not be sent.
- */
-export function isBlamed(
-  { crashes, completedAt }: CrashEntry,
-): boolean {
-  return crashes >=
-    (completedAt === undefined ? CRASHES_TO_BLAME : CRASHES_TO_BLAME_COMPLETED);
+/** Whether the suspect is blamed for so many crashes that it must not be sent. */
+export function isBlamed(entry: CrashEntry): boolean {
+  return entry.crashes >= crashesToBlame(entry);
+}
+
+function crashesToBlame({ completedAt }: CrashEntry): number {
+  return completedAt === undefined
+    ? CRASHES_TO_BLAME
+    : CRASHES_TO_BLAME_COMPLETED;
+}
+
+/** Milliseconds from the last crash for which a blamed suspect is not sent. */
+export function quarantineMs(suspect: Suspect, entry: CrashEntry): number {
+  if (entry.completedAt === undefined || !isPart(suspect)) return QUARANTINE_MS;
+  const further = entry.crashes - crashesToBlame(entry);
+  return Math.min(QUARANTINE_MS, SHARED_QUARANTINE_MS * 2 ** further);
 }
 
 function entryOf(
--- a/packages/router/src/process/crash_record.ts
+++ b/packages/router/src/process/crash_record.ts
@@ -1,12 +1,13 @@
 /**
  * Record of requests that were running when runners crashed, and quarantine of
- * those that crash runners repeatedly.
+ * those that crash runners repeatedly, or of the parts of prompts that do.
  *
  * @module
  */
 import {
   EMPTY_ENTRY,
   isBlamed,
+  quarantineMs,
   withCompletion,
   withRun,
 } from "./crash_entry.ts";
@@ -16,6 +17,8 @@
   CrashEntry,
 } from "./crash_entry.ts";
 import type { EventLog } from "./event_log.ts";
+import { isPart } from "./suspect.ts";
+import type { Suspect } from "./suspect.ts";
 
 /** Crashes and complete responses, as exchanged between daemons. */
 export interface CrashUpdate {
@@ -26,6 +29,8 @@
 
 /** Why a request is not sent. */
 export interface Quarantine {
+  /** The request, or the part of its prompt, that is to blame. */
+  readonly suspect: Suspect;
   /** Consecutive crashes of runners that ran the request. */
   readonly crashes: number;
   /** Time of the last crash, in monotonic ms. */
@@ -34,17 +39,15 @@
   readonly leftMs: number;
 }
 
-/** Duration of a quarantine in ms, from the last crash. */
-const QUARANTINE_MS = 600_000;
 /**
  * Milliseconds for which crashes and complete responses are kept. A request that is
  * sent again after its quarantine is quarantined at the next crash.
  */
 const RETENTION_MS = 3_600_000;
-/** Maximum number of requests kept for crashes: 2.6 MB, with eight runs each. */
-const MAX_REQUESTS = 2_000;
-/** Maximum number of completed requests kept: 0.24 MB. */
-const MAX_COMPLETED = 4_000;
+/** Maximum number of suspects kept for crashes: 2.6 MB, with eight runs each. */
+const MAX_SUSPECTS = 2_000;
+/** Maximum number of completed suspects kept: 0.5 MB. */
+const MAX_COMPLETED = 8_000;
 /** Maximum number of runs sent to a daemon that has just connected. */
 const MAX_SNAPSHOT_RUNS = 200;
 /**
@@ -54,31 +57,32 @@
 const SAME_RESPONSE_MS = 2_000;
 
 /**
- * Counts, for each request that was at a crashing runner, the consecutive
- * crashes. A request that crashes any runner is retried at any daemon, with
- * another id each time. Health tracking of runners alone would send it to the
- * next healthy runner as long as it is retried.
+ * Counts, for each request that was at a crashing runner, and for each part of its
+ * prompt that others may share, the consecutive crashes. A request that crashes any
+ * runner is retried at any daemon, with another id each time, and a part that does so
+ * comes in requests that are never alike. Health tracking of runners alone would send
+ * them to the next healthy runner as long as they come.
  *
- * All requests at a crashing runner are suspect. The one that caused the crash
- * differs from the others in that it is sent again and the next runner crashes
- * as well, whereas the others see one crash, or complete in between.
+ * All requests at a crashing runner are suspect, and so are the parts. What caused the
+ * crash differs from the rest in that it is sent again and the next runner crashes as
+ * well, whereas the others see one crash, or complete in between.
  *
  * @example
  * ```ts
  * const record = new CrashRecord(log);
  * record.recordCrashes(runs, performance.now());
- * record.quarantine(fingerprint, performance.now())?.leftMs;
+ * record.quarantine(suspect, performance.now())?.leftMs;
  * ```
  */
 export class CrashRecord {
   readonly #log: EventLog;
-  /** By fingerprint, in the order in which their last crashes were recorded. */
-  readonly #entries = new Map<string, CrashEntry>();
-  /** Time of the last complete response by fingerprint, oldest first. */
-  readonly #completedAt = new Map<string, number>();
+  /** By suspect, in the order in which their last crashes were recorded. */
+  readonly #entries = new Map<Suspect, CrashEntry>();
+  /** Time of the last complete response by suspect, oldest first. */
+  readonly #completedAt = new Map<Suspect, number>();
   readonly #listeners: (() => void)[] = [];
-  /** Callbacks for the quarantine of a request, by fingerprint. */
-  readonly #watchers = new Map<string, Set<() => void>>();
+  /** Callbacks for the quarantine of a request, by suspect. */
+  readonly #watchers = new Map<Suspect, Set<() => void>>();
   #crashUpdates: CrashedRun[] = [];
   #responseUpdates: CompleteResponse[] = [];
 
@@ -91,27 +95,53 @@
     this.#listeners.push(listener);
   }
 
-  /** Returns the quarantine of a request that must not be sent now, if any. */
-  quarantine(fingerprint: string, now: number): Quarantine | undefined {
-    const entry = this.#entries.get(fingerprint);
+  /**
+   * Returns the quarantine that lasts longest of a request's suspects, if any: the
+   * request must not be sent now.
+   */
+  quarantineOf(
+    suspects: readonly Suspect[],
+    now: number,
+  ): Quarantine | undefined {
+    if (this.#entries.size === 0) return undefined;
+    let longest: Quarantine | undefined;
+    for (const suspect of suspects) {
+      const quarantine = this.quarantine(suspect, now);
+      if (quarantine === undefined) continue;
+      if (longest !== undefined && longest.leftMs >= quarantine.leftMs) {
+        continue;
+      }
+      longest = quarantine;
+    }
+    return longest;
+  }
+
+  /** Returns the quarantine of a suspect, if any. */
+  quarantine(suspect: Suspect, now: number): Quarantine | undefined {
+    const entry = this.#entries.get(suspect);
     if (entry === undefined || !isBlamed(entry)) return undefined;
     const { crashes, lastCrashAt } = entry;
-    const leftMs = lastCrashAt + QUARANTINE_MS - now;
-    return leftMs > 0 ? { crashes, lastCrashAt, leftMs } : undefined;
+    const leftMs = lastCrashAt + quarantineMs(suspect, entry) - now;
+    return leftMs > 0 ? { suspect, crashes, lastCrashAt, leftMs } : undefined;
   }
 
   /**
-   * Calls `quarantined` when the request is quarantined.
+   * Calls `quarantined` when one of a request's suspects is quarantined.
    *
    * @returns a function that ends the watch.
    */
-  watch(fingerprint: string, quarantined: () => void): () => void {
-    const watchers = this.#watchers.get(fingerprint) ?? new Set();
-    this.#watchers.set(fingerprint, watchers);
-    watchers.add(quarantined);
+  watch(suspects: readonly Suspect[], quarantined: () => void): () => void {
+    for (const suspect of suspects) {
+      const watchers = this.#watchers.get(suspect) ?? new Set();
+      this.#watchers.set(suspect, watchers);
+      watchers.add(quarantined);
+    }
     return () => {
-      watchers.delete(quarantined);
-      if (watchers.size === 0) this.#watchers.delete(fingerprint);
+      for (const suspect of suspects) {
+        const watchers = this.#watchers.get(suspect);
+        watchers?.delete(quarantined);
+        if (watchers?.size === 0) this.#watchers.delete(suspect);
+      }
     };
   }
 
@@ -124,11 +154,13 @@
   }
 
   /** Records that a runner has completed a request of this daemon. */
-  recordResponse(fingerprint: string, now: number): void {
-    this.#rememberCompletion({ fingerprint, at: now });
-    const entry = this.#entries.get(fingerprint);
-    if (entry === undefined || entry.crashes === 0) return;
-    this.#publishResponse({ fingerprint, at: now });
+  recordResponse(suspects: readonly Suspect[], now: number): void {
+    for (const suspect of suspects) {
+      this.#rememberCompletion({ suspect, at: now });
+      const entry = this.#entries.get(suspect);
+      if (entry === undefined || entry.crashes === 0) continue;
+      this.#publishResponse({ suspect, at: now });
+    }
   }
 
   /**
@@ -169,7 +201,7 @@
     const crashed: CrashedRun[] = [];
     const responses: CompleteResponse[] = [];
     for (
-      const [fingerprint, { runs, completedAt }] of [
+      const [suspect, { runs, completedAt }] of [
         ...blamed,
         ...others,
       ]
@@ -177,7 +209,7 @@
       if (crashed.length + runs.length > MAX_SNAPSHOT_RUNS) break;
       crashed.push(...runs);
       if (completedAt !== undefined) {
-        responses.push({ fingerprint, at: completedAt });
+        responses.push({ suspect, at: completedAt });
       }
     }
     return { crashed, responses };
@@ -189,25 +221,26 @@
    * @returns whether the run was new.
    */
   #add(run: CrashedRun, now: number): boolean {
-    const { fingerprint, runner } = run;
+    const { suspect } = run;
     this.#evict(now);
-    const before = this.#entries.get(fingerprint) ?? EMPTY_ENTRY;
-    const wasQuarantined = this.quarantine(fingerprint, now) !== undefined;
+    const before = this.#entries.get(suspect) ?? EMPTY_ENTRY;
+    const wasQuarantined = this.quarantine(suspect, now) !== undefined;
     if (now - run.endedAt > RETENTION_MS) return false;
-    if (before.runs.some((known) => known.runner === runner)) return false;
+    const after = withRun(before, run);
+    if (after === undefined) return false;
     const completedBefore = before.completedAt === undefined &&
-      this.#completedAt.has(fingerprint);
-    this.#entries.delete(fingerprint);
-    this.#entries.set(fingerprint, withRun(before, run));
+      this.#completedAt.has(suspect);
+    this.#entries.delete(suspect);
+    this.#entries.set(suspect, after);
     if (completedBefore) {
       this.#publishResponse({
-        fingerprint,
-        at: this.#completedAt.get(fingerprint)!,
+        suspect,
+        at: this.#completedAt.get(suspect)!,
       });
     }
     const isNew = !wasQuarantined &&
-      this.quarantine(fingerprint, now) !== undefined;
-    if (isNew) this.#startQuarantine(fingerprint);
+      this.quarantine(suspect, now) !== undefined;
+    if (isNew) this.#startQuarantine(suspect);
     return true;
   }
 
@@ -219,25 +252,26 @@
   }
 
   #applyResponse(run: CompleteResponse): boolean {
-    const known = this.#completedAt.get(run.fingerprint) ?? -Infinity;
-    if (run.at - known <= SAME_RESPONSE_MS) return false;
-    this.#rememberCompletion(run);
+    const known = this.#completedAt.get(run.suspect) ?? -Infinity;
+    const isNew = run.at - known > SAME_RESPONSE_MS;
+    if (isNew) this.#rememberCompletion(run);
+    const before = this.#entries.get(run.suspect)?.crashes;
     this.#recordCompletion(run);
-    return true;
+    return isNew || this.#entries.get(run.suspect)?.crashes !== before;
   }
 
   /** @returns whether the entry has changed. */
-  #recordCompletion({ fingerprint, at }: CompleteResponse): boolean {
-    const prev = this.#entries.get(fingerprint);
+  #recordCompletion({ suspect, at }: CompleteResponse): boolean {
+    const prev = this.#entries.get(suspect);
     if (prev === undefined) return false;
     if (prev.completedAt !== undefined && at <= prev.completedAt) return false;
-    this.#entries.set(fingerprint, withCompletion(prev, at));
+    this.#entries.set(suspect, withCompletion(prev, at));
     return true;
   }
 
-  #rememberCompletion({ fingerprint, at }: CompleteResponse): void {
-    this.#completedAt.delete(fingerprint);
-    this.#completedAt.set(fingerprint, at);
+  #rememberCompletion({ suspect, at }: CompleteResponse): void {
+    this.#completedAt.delete(suspect);
+    this.#completedAt.set(suspect, at);
     for (const [oldest, since] of this.#completedAt) {
       const old = at - since > RETENTION_MS;
       if (!old && this.#completedAt.size <= MAX_COMPLETED) break;
@@ -249,15 +283,15 @@
    * Evicts expired entries; if too many remain, the oldest, blamed ones last.
    */
   #evict(now: number): void {
-    for (const [fingerprint, { lastCrashAt }] of this.#entries) {
+    for (const [suspect, { lastCrashAt }] of this.#entries) {
       if (now - lastCrashAt <= RETENTION_MS) break;
-      this.#entries.delete(fingerprint);
+      this.#entries.delete(suspect);
     }
     for (const keepBlamed of [true, false]) {
-      for (const [fingerprint, entry] of this.#entries) {
-        if (this.#entries.size <= MAX_REQUESTS) return;
+      for (const [suspect, entry] of this.#entries) {
+        if (this.#entries.size <= MAX_SUSPECTS) return;
         if (keepBlamed && isBlamed(entry)) continue;
-        this.#entries.delete(fingerprint);
+        this.#entries.delete(suspect);
       }
     }
   }
@@ -266,16 +300,23 @@
     for (const listener of this.#listeners) listener();
   }
 
-  /** Notifies the watchers of a request that its quarantine has started. */
-  #startQuarantine(fingerprint: string): void {
-    const entry = this.#entries.get(fingerprint)!;
-    for (const watcher of this.#watchers.get(fingerprint) ?? []) watcher();
-    this.#log.event("request_quarantined", {
-      fingerprint,
+  /** Notifies the watchers of a suspect that its quarantine has started. */
+  #startQuarantine(suspect: Suspect): void {
+    const entry = this.#entries.get(suspect)!;
+    for (const watcher of this.#watchers.get(suspect) ?? []) watcher();
+    const fields = {
       ends: entry.crashes,
       runners: entry.runs.map(({ runner }) => runner).join(","),
       span_ms: Math.round(entry.lastCrashAt - entry.runs[0]!.startedAt),
       answered_before: entry.completedAt !== undefined,
-    });
+    };
+    if (isPart(suspect)) {
+      this.#log.event("prompt_part_quarantined", { part: suspect, ...fields });
+    } else {
+      this.#log.event("request_quarantined", {
+        fingerprint: suspect,
+        ...fields,
+      });
+    }
   }
 }
--- a/packages/router/src/process/crash_record_test.ts
+++ b/packages/router/src/process/crash_record_test.ts
@@ -22,7 +22,7 @@
 /** A run on a runner of its own, which crashes `RUN_MS` after the start. */
 function runAt(at: number, fields: Partial<CrashedRun> = {}): CrashedRun {
   return {
-    fingerprint: "bad",
+    suspect: "bad",
     runner: `r-${at}`,
     startedAt: at,
     endedAt: at + RUN_MS,
@@ -30,8 +30,8 @@
   };
 }
 
-function isQuarantined(record: CrashRecord, fingerprint: string, now: number) {
-  return record.quarantine(fingerprint, now) !== undefined;
+function isQuarantined(record: CrashRecord, suspect: string, now: number) {
+  return record.quarantine(suspect, now) !== undefined;
 }
 
 /** Records consecutive crashes of runners that run a request. */
@@ -40,12 +40,12 @@
   options: {
     readonly count: number;
     readonly from?: number;
-    readonly fingerprint?: string;
+    readonly suspect?: string;
   },
 ): void {
-  const { count, from = 0, fingerprint = "bad" } = options;
+  const { count, from = 0, suspect = "bad" } = options;
   for (let index = 0; index < count; index++) {
-    const run = runAt(from + 100 * index, { fingerprint });
+    const run = runAt(from + 100 * index, { suspect });
     record.recordCrashes([run], run.endedAt);
   }
 }
@@ -65,7 +65,7 @@
   const { record } = recordWithLog();
   for (const at of [0, 100, 200]) {
     const victim = `victim-${at}`;
-    record.recordCrashes([runAt(at), runAt(at, { fingerprint: victim })], at);
+    record.recordCrashes([runAt(at), runAt(at, { suspect: victim })], at);
     assert.equal(isQuarantined(record, victim, at), false);
   }
   assert.equal(isQuarantined(record, "bad", 300), true);
@@ -106,14 +106,14 @@
   const { record } = recordWithLog();
   for (let round = 0; round < 20; round++) {
     recordConsecutive(record, { count: 2, from: 1_000 * round });
-    record.recordResponse("bad", 1_000 * round + 500);
+    record.recordResponse(["bad"], 1_000 * round + 500);
   }
   assert.equal(isQuarantined(record, "bad", 20_000), false);
 });
 
 test("a request that has completed is quarantined after six crashes", () => {
   const { record } = recordWithLog();
-  record.recordResponse("bad", 0);
+  record.recordResponse(["bad"], 0);
   recordConsecutive(record, { count: 5, from: 100 });
   assert.equal(isQuarantined(record, "bad", 700), false);
   recordConsecutive(record, { count: 1, from: 700 });
@@ -124,11 +124,11 @@
 // must learn of one from another daemon, or it would blame the request.
 test("a daemon that saw a request complete reports this to the others", () => {
   const [observer, witness] = [recordWithLog().record, recordWithLog().record];
-  witness.recordResponse("bad", 0);
+  witness.recordResponse(["bad"], 0);
   recordConsecutive(observer, { count: 2, from: 100 });
   witness.applyUpdate(observer.takeUpdates(), 300);
   const reported = witness.takeUpdates();
-  assert.deepEqual(reported.responses, [{ fingerprint: "bad", at: 0 }]);
+  assert.deepEqual(reported.responses, [{ suspect: "bad", at: 0 }]);
   observer.applyUpdate(reported, 300);
   recordConsecutive(observer, { count: 1, from: 400 });
   assert.equal(isQuarantined(observer, "bad", 500), false);
@@ -138,7 +138,7 @@
   const { record } = recordWithLog();
   const update = {
     crashed: [runAt(0)],
-    responses: [{ fingerprint: "bad", at: 90 }],
+    responses: [{ suspect: "bad", at: 90 }],
   };
   assert.deepEqual(record.applyUpdate(update, 100), update);
   assert.deepEqual(record.applyUpdate(update, 100), {
@@ -154,7 +154,7 @@
   assert.equal(isQuarantined(record, "bad", freeAt - 1), true);
   assert.equal(isQuarantined(record, "bad", freeAt), false);
   let watched = 0;
-  record.watch("bad", () => watched += 1);
+  record.watch(["bad"], () => watched += 1);
   recordConsecutive(record, { count: 1, from: freeAt });
   assert.equal(isQuarantined(record, "bad", freeAt + 100), true);
   assert.equal(watched, 1);
@@ -174,18 +174,18 @@
   const { record } = recordWithLog();
   recordConsecutive(record, { count: 3 });
   for (let index = 0; index < 10_000; index++) {
-    const fingerprint = `varied-${index}`;
+    const suspect = `varied-${index}`;
     record.recordCrashes(
-      [runAt(1_000 + index, { fingerprint })],
+      [runAt(1_000 + index, { suspect })],
       1_100 + index,
     );
-    record.recordResponse(`answered-${index}`, 1_100 + index);
+    record.recordResponse([`answered-${index}`], 1_100 + index);
   }
   assert.equal(isQuarantined(record, "bad", 20_000), true);
   const { crashed } = record.snapshot(20_000);
   assert.ok(crashed.length <= 200, `${crashed.length} reported`);
-  assert.equal(crashed[0]!.fingerprint, "bad");
-  record.recordResponse("varied-0", 20_000);
+  assert.equal(crashed[0]!.suspect, "bad");
+  record.recordResponse(["varied-0"], 20_000);
   assert.deepEqual(record.takeUpdates().responses, []);
 });
 
@@ -196,3 +196,63 @@
   fresh.applyUpdate(record.snapshot(300), 300);
   assert.equal(isQuarantined(fresh, "bad", 300), true);
 });
+
+/** A part of prompts, as a suspect. */
+const PART = "service/part";
+
+test("a part of prompts is quarantined though no two requests are alike", () => {
+  const { record, logged } = recordWithLog();
+  recordConsecutive(record, { count: 3, suspect: PART });
+  const { suspect } = record.quarantineOf(["other", PART], 400)!;
+  assert.equal(suspect, PART);
+  assert.equal(logged[0]!.part, PART);
+  assert.equal(record.quarantineOf(["other", "service/other"], 400), undefined);
+});
+
+// Guards against the part that sound requests share, which is at most crashes, too.
+test("a part that completes between crashes is not quarantined", () => {
+  const { record } = recordWithLog();
+  for (let index = 0; index < 20; index++) {
+    recordConsecutive(record, { count: 1, from: 100 * index, suspect: PART });
+    record.recordResponse([PART], 100 * index + 60);
+  }
+  assert.equal(isQuarantined(record, PART, 2_100), false);
+});
+
+// Guards against a route that is lost for long because runners crash for another reason.
+test("a part that has completed is quarantined for a short time, then for longer", () => {
+  const { record } = recordWithLog();
+  record.recordResponse([PART], 0);
+  recordConsecutive(record, { count: 6, from: 100, suspect: PART });
+  assert.equal(isQuarantined(record, PART, 5_600), true);
+  assert.equal(isQuarantined(record, PART, 5_700), false);
+  recordConsecutive(record, { count: 1, from: 6_000, suspect: PART });
+  assert.equal(isQuarantined(record, PART, 16_000), true);
+  record.recordResponse([PART], 16_100);
+  assert.equal(isQuarantined(record, PART, 16_200), false);
+});
+
+// Guards against a crash that does not count because another request with the part had
+// been at the runner for long.
+test("of several requests with a part at a runner the last to start counts", () => {
+  const { record } = recordWithLog();
+  for (const at of [0, 1_000, 2_000]) {
+    const first = runAt(at, { suspect: PART, startedAt: at - 1_500 });
+    const last = runAt(at, { suspect: PART });
+    record.recordCrashes([first], at + RUN_MS);
+    record.recordCrashes([last], at + RUN_MS);
+  }
+  assert.equal(isQuarantined(record, PART, 2_100), true);
+});
+
+// Guards against a completion that is taken for one that was known before the crash.
+test("a completion at another daemon clears a part though it completed here before", () => {
+  const { record } = recordWithLog();
+  record.recordResponse([PART], 0);
+  recordConsecutive(record, { count: 6, from: 100, suspect: PART });
+  record.applyUpdate({
+    crashed: [],
+    responses: [{ suspect: PART, at: 1_500 }],
+  }, 1_600);
+  assert.equal(isQuarantined(record, PART, 1_600), false);
+});
--- a/packages/router/src/request/attempt_executor.ts
+++ b/packages/router/src/request/attempt_executor.ts
@@ -24,7 +24,7 @@
 import type { Outcome } from "./outcome.ts";
 import type { LocalOutcomes } from "./local_outcomes.ts";
 import { workMsOf } from "./plain_admission.ts";
-import { sharedPart, sharedParts } from "./placement.ts";
+import { sharedPart } from "./placement.ts";
 import type { RunnerChoice } from "./placement.ts";
 import type { Progress } from "./progress.ts";
 import { InactivityTimer } from "./inactivity_timer.ts";
@@ -41,6 +41,7 @@
  * idempotent request is retried on another runner.
  */
 const RESPONSE_TIMEOUT_TARGETS = 1;
+const MIN_ERROR_STATUS = 400;
 const MIN_SERVER_ERROR_STATUS = 500;
 /** Maximum ms for which a request waits for a check of the paths to runners. */
 const MAX_CHECK_WAIT_MS = 100;
@@ -136,7 +137,7 @@
     this.#daemon.prefixes.recordSent(runner.id, head.prompt, sentAt);
     const inactivity = this.#watchInactivity(routed);
     const unwatch = this.#daemon.crashes.watch(
-      fingerprint,
+      this.#progress.suspects,
       () => this.#withdraw(),
     );
     let recordEnd = () => {};
@@ -157,7 +158,7 @@
         sentAt,
         requestsAhead,
         tokensAhead,
-        run: { fingerprint, parts: sharedParts(head.prompt), startedAt },
+        run: { suspects: this.#progress.suspects, startedAt },
         room: choice.room,
       });
       if (result.kind === "response") {
@@ -493,9 +494,13 @@
     if (relayed.kind === "no-room") {
       return { kind: "done", outcome: this.#outcomes.answerCut() };
     }
-    const { fingerprint, abandoned } = this.#progress;
-    this.#daemon.crashes.recordResponse(fingerprint, this.#daemon.now());
+    const { suspects, abandoned } = this.#progress;
     const { status } = relayed;
+    // A runner that fails a request has not shown that the prompt does it no harm.
+    const complete = status < MIN_ERROR_STATUS
+      ? suspects
+      : suspects.slice(0, 1);
+    this.#daemon.crashes.recordResponse(complete, this.#daemon.now());
     const outcome: Outcome = { kind: "answered", status };
     if (relayed.kind === "answered") return { kind: "done", outcome };
     const respond = () => {
--- a/packages/router/src/request/decision_log.ts
+++ b/packages/router/src/request/decision_log.ts
@@ -29,14 +29,13 @@
 import type { Refusal } from "./caller.ts";
 import type { Daemon } from "./daemon.ts";
 import type { RequestHead } from "./dialect.ts";
-import { sharedParts } from "./placement.ts";
+import { partSuspects } from "./part_suspects.ts";
+import { isPart } from "../process/suspect.ts";
 import type { RunnerChoice } from "./placement.ts";
 import type { QueueOutlook } from "./retry_delay.ts";
 import type { PlainRoom } from "./plain_admission.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 
-/** Maximum number of logged parts of a prompt. */
-const MAX_PARTS = 8;
 /** Maximum number of logged characters of a host or path. */
 const MAX_TARGET_LENGTH = 128;
 /** The scheme and authority of an absolute target, and a query or fragment. */
@@ -243,6 +242,7 @@
   const { quarantine, fingerprint } = refusal;
   daemon.log.decision("quarantine_applied", requestId, {
     fingerprint,
+    part: isPart(quarantine.suspect) ? quarantine.suspect : undefined,
     ends: quarantine.crashes,
     last_end_age_ms: Math.round(daemon.now() - quarantine.lastCrashAt),
     left_ms: Math.round(quarantine.leftMs),
@@ -288,7 +288,7 @@
     prompt_tokens: head.promptTokens,
     // The last part of a prompt is specific to the request.
     shared_part: head.prompt.at(-2)?.id,
-    parts: sharedParts(head.prompt).slice(0, MAX_PARTS).join(",") || undefined,
+    parts: partSuspects(routed).join(",") || undefined,
     rank: routed.rank,
     runners_age_ms: Math.round(daemon.runnerListAgeMs()),
     heard_ms: heardMs === undefined ? undefined : Math.round(heardMs),
--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -15,6 +15,7 @@
   refusalFields,
 } from "./decision_log.ts";
 import { fingerprintOf } from "./fingerprint.ts";
+import { partSuspects } from "./part_suspects.ts";
 import { outcomeName } from "./outcome.ts";
 import type { Outcome } from "./outcome.ts";
 import { LocalOutcomes } from "./local_outcomes.ts";
@@ -148,6 +149,10 @@
       return { kind: "refused", refusal };
     }
     this.#progress.fingerprint = this.#fingerprintOf(routed, received.body);
+    this.#progress.suspects = [
+      this.#progress.fingerprint,
+      ...partSuspects(routed),
+    ];
     this.#progress.hasBody = received.body.length > 0;
     this.#daemon.retryBudget(routed.service.name).recordRequest(
       this.#daemon.now(),
@@ -249,10 +254,13 @@
     return this.#daemon.retryBudget(service.name).take(this.#daemon.now());
   }
 
-  /** Returns the request's quarantine if runners crashed while running it. */
+  /**
+   * Returns the request's quarantine if runners crashed while running it, or requests
+   * with a part of its prompt.
+   */
   #quarantine(): Quarantine | undefined {
-    const { fingerprint } = this.#progress;
-    return this.#daemon.crashes.quarantine(fingerprint, this.#daemon.now());
+    const { suspects } = this.#progress;
+    return this.#daemon.crashes.quarantineOf(suspects, this.#daemon.now());
   }
 
   #refuse({ head }: RoutedRequest, quarantine: Quarantine): Outcome {
--- a/packages/router/src/request/placement.ts
+++ b/packages/router/src/request/placement.ts
@@ -53,14 +53,6 @@
   return prompt.at(-2) ?? prompt[0];
 }
 
-/**
- * Returns the ids of the parts of a prompt that other prompts may share: all but the
- * last.
- */
-export function sharedParts(prompt: readonly PromptPart[]): readonly string[] {
-  return prompt.slice(0, -1).map(({ id }) => id);
-}
-
 /** Returns the runners that a request may be sent to, or wait for. */
 export function eligibleRunners(
   fleet: RunnerFleet,
--- a/packages/router/src/request/progress.ts
+++ b/packages/router/src/request/progress.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import type { Suspect } from "../process/suspect.ts";
 import type { Caller } from "./caller.ts";
 import type { Daemon } from "./daemon.ts";
 import type { RequestReturn } from "./request_return.ts";
@@ -36,6 +37,11 @@
    * received.
    */
   fingerprint = "";
+  /**
+   * The request, and the parts of its prompt that others may share, as suspects of
+   * crashes; empty until the body is received.
+   */
+  suspects: readonly Suspect[] = [];
   /**
    * Whether the request has a body; callers of one workspace often send the same
    * request without one.
--- a/packages/router/tests/crash_updates_test.ts
+++ b/packages/router/tests/crash_updates_test.ts
@@ -15,7 +15,7 @@
 /** Simulates the crash of a runner while it runs a request of this daemon. */
 function crashRunner(
   member: Member,
-  options: { readonly fingerprint: string; readonly runner: string },
+  options: { readonly suspect: string; readonly runner: string },
 ): void {
   const now = performance.now();
   const run = { ...options, startedAt: now - CRASH_DELAY_MS, endedAt: now };
@@ -26,23 +26,23 @@
 async function crashThreeRunners(
   clock: FakeClock,
   members: readonly Member[],
-  fingerprint: string,
+  suspect: string,
 ): Promise<void> {
   for (const index of [0, 1, 2]) {
     await clock.advance(RETRY_MS);
     const member = members[(7 * index) % members.length]!;
-    crashRunner(member, { fingerprint, runner: `${fingerprint}-${index}` });
+    crashRunner(member, { suspect, runner: `${suspect}-${index}` });
   }
 }
 
-function refusingDaemons(members: readonly Member[], fingerprint: string) {
+function refusingDaemons(members: readonly Member[], suspect: string) {
   return members.filter(({ crashes }) =>
-    crashes.quarantine(fingerprint, performance.now()) !== undefined
+    crashes.quarantine(suspect, performance.now()) !== undefined
   );
 }
 
-function assertAllRefuse(members: readonly Member[], fingerprint: string) {
-  const { length } = refusingDaemons(members, fingerprint);
+function assertAllRefuse(members: readonly Member[], suspect: string) {
+  const { length } = refusingDaemons(members, suspect);
   assert.equal(length, members.length, `${length} of ${members.length}`);
 }
 
@@ -98,7 +98,7 @@
   for (let count = 0; count < 200 * seconds; count++) {
     const member = fleet.members[count % LARGE.daemons]!;
     const runner = `r-${Math.floor(count / 10)}`;
-    crashRunner(member, { fingerprint: `varied-${count}`, runner });
+    crashRunner(member, { suspect: `varied-${count}`, runner });
     await clock.advance(5);
   }
   for (const { counts, links, contact } of fleet.members) {
