Try a peer with one tunnel until something arrives by way of it

A peer that is not proven gets one tunnel, and is asked last until something arrives from a runner. What gets no response counts from the first request on, also over several that end sooner than 600 ms. A daemon learns of its own paths from the tunnels that it serves.

--- a/packages/router/src/connection/runner_connections.ts
+++ b/packages/router/src/connection/runner_connections.ts
@@ -9,7 +9,7 @@
 import type { Duplex } from "node:stream";
 import type { Runner } from "../process/runner.ts";
 import type { Path } from "../process/runner_paths.ts";
-import type { TunnelChannel } from "./tunnel_channel.ts";
+import type { Tunnel } from "./tunnel_channel.ts";
 import { TunnelSocket } from "./tunnel_socket.ts";
 import type { RunnerNetwork } from "./runner_network.ts";
 
@@ -80,7 +80,9 @@
 
 /** Opens connections to runners by way of peers. */
 export interface TunnelDialer {
-  connect(runner: Runner): Promise<TunnelChannel>;
+  connect(runner: Runner): Promise<Tunnel>;
+  /** Records that something has arrived from a runner by way of a peer. */
+  recordResponse(peer: string): void;
 }
 
 /** One agent for each incarnation of a runner and each kind of path to it. */
@@ -167,8 +169,11 @@
   #dialTunnel(runner: Runner, agent: () => Agent): TunnelSocket {
     const socket: TunnelSocket = new TunnelSocket(
       () => this.#tunnels.connect(runner),
-      () => {
-        if (isIdle(agent(), socket)) socket.destroy();
+      {
+        onLeaving: () => {
+          if (isIdle(agent(), socket)) socket.destroy();
+        },
+        onResponse: (peer) => this.#tunnels.recordResponse(peer),
       },
     );
     return socket;
--- a/packages/router/src/connection/tunnel_channel.ts
+++ b/packages/router/src/connection/tunnel_channel.ts
@@ -101,3 +101,10 @@
     if (!valid) this.#socket.destroy();
   }
 }
+
+/** A channel on which the connection to a runner is open. */
+export interface Tunnel {
+  readonly channel: TunnelChannel;
+  /** Name of the peer. */
+  readonly peer: string;
+}
--- a/packages/router/src/connection/tunnel_peers.ts
+++ b/packages/router/src/connection/tunnel_peers.ts
@@ -10,6 +10,7 @@
 import type { Runner } from "../process/runner.ts";
 import type { PeerVerdict } from "../process/runner_paths.ts";
 import { TUNNEL_PREFACE, TunnelChannel } from "./tunnel_channel.ts";
+import type { Tunnel } from "./tunnel_channel.ts";
 import type { TunnelMessage } from "./tunnel_message.ts";
 import { TunnelLostError } from "./tunnel_socket.ts";
 
@@ -25,7 +26,13 @@
  */
 const ASKED_PEERS = [2, 4];
 /** Time in ms for which a peer that rejected a connection is asked last. */
-const BACKOFF_MS = 1_000;
+const REJECTED_MS = 1_000;
+/** The same for a peer whose tunnel carried nothing: it may not know so itself. */
+const SILENT_MS = 3_000;
+/** Time in ms for which a response shows that a peer reaches runners. */
+const PROVEN_MS = 5_000;
+/** Time in ms without a response after which a tunnel is taken for silent. */
+const SILENCE_MS = 600;
 
 /** What the tunnels use of the daemon. */
 export interface TunnelPeersContext {
@@ -41,8 +48,12 @@
 /** Chooses the peers that tunnel connections, and opens channels to them. */
 export class TunnelPeers {
   readonly #context: TunnelPeersContext;
-  /** When peers last rejected a connection, by their names; monotonic ms. */
-  readonly #rejectedAt = new Map<string, number>();
+  /** Until when peers are asked last, by their names; monotonic ms. */
+  readonly #avoidedUntil = new Map<string, number>();
+  /** When the first request was sent that got no response, and none did since. */
+  readonly #unansweredSince = new Map<string, number>();
+  /** When something last arrived from runners by way of peers; monotonic ms. */
+  readonly #respondedAt = new Map<string, number>();
 
   constructor(context: TunnelPeersContext) {
     this.#context = context;
@@ -54,9 +65,10 @@
    * @throws {TunnelLostError} if no peer that was tried opens it; nothing was sent to
    * the runner then.
    */
-  async connect(runner: Runner): Promise<TunnelChannel> {
+  async connect(runner: Runner): Promise<Tunnel> {
     let reason = "no peers";
     for (const peer of this.#candidates(runner).slice(0, MAX_TRIES)) {
+      this.#beginTrial(peer.name);
       try {
         const { channel, reply } = await this.#request(peer, {
           kind: "connect",
@@ -64,18 +76,57 @@
         });
         if (reply.kind === "connected") {
           this.#context.metrics.tunnelOpened(runner.service, "opened");
-          return channel;
+          return { channel, peer: peer.name };
         }
         channel.close();
         reason = reply.kind === "rejected" ? reply.reason : reply.kind;
       } catch (error) {
         reason = error instanceof Error ? error.message : String(error);
       }
-      this.#recordRejection(peer, { runner: runner.id, reason });
+      this.#avoid(peer.name, REJECTED_MS);
+      this.#context.log.event("tunnel_failed", {
+        peer: peer.name,
+        runner: runner.id,
+        reason,
+      });
     }
     throw new TunnelLostError(`Cannot connect by way of a peer: ${reason}`);
   }
 
+  /**
+   * Asks a peer last until something arrives by way of it, if nothing has for some
+   * time: its paths may carry nothing, and it may not know.
+   */
+  #beginTrial(peer: string): void {
+    const now = performance.now();
+    const respondedAt = this.#respondedAt.get(peer) ?? -Infinity;
+    if (now - respondedAt < PROVEN_MS) return;
+    const since = this.#unansweredSince.get(peer) ?? -Infinity;
+    if (now - since >= SILENT_MS) this.#unansweredSince.set(peer, now);
+  }
+
+  /** Records that something has arrived from a runner by way of a peer. */
+  recordResponse(peer: string): void {
+    this.#unansweredSince.delete(peer);
+    this.#respondedAt.set(peer, performance.now());
+  }
+
+  /**
+   * Records that a request by way of a peer got no response.
+   *
+   * @param sentAt monotonic ms.
+   */
+  recordUnanswered(peer: string, sentAt: number): void {
+    const respondedAt = this.#respondedAt.get(peer) ?? -Infinity;
+    if (respondedAt >= sentAt) return;
+    const since = this.#unansweredSince.get(peer) ?? sentAt;
+    this.#unansweredSince.set(peer, since);
+    if (performance.now() - since < SILENCE_MS) return;
+    this.#unansweredSince.delete(peer);
+    this.#avoid(peer, SILENT_MS);
+    this.#context.log.event("tunnel_failed", { peer, reason: "silent" });
+  }
+
   /**
    * Asks some peers whether they reach a runner.
    *
@@ -120,8 +171,9 @@
   #candidates({ failureDomain }: Runner): readonly Contact[] {
     const now = performance.now();
     const costOf = (peer: Contact) => {
-      const rejectedAt = this.#rejectedAt.get(peer.name) ?? -Infinity;
-      if (now - rejectedAt < BACKOFF_MS) return 3;
+      if (now < (this.#avoidedUntil.get(peer.name) ?? -Infinity)) return 4;
+      const since = this.#unansweredSince.get(peer.name) ?? -Infinity;
+      if (now - since < SILENT_MS) return 3;
       if (peer.failureDomain === failureDomain) return 0;
       return peer.failureDomain === this.#context.failureDomain ? 1 : 2;
     };
@@ -135,20 +187,14 @@
       .map(({ peer }) => peer);
   }
 
-  #recordRejection(
-    peer: Contact,
-    { runner, reason }: { readonly runner: string; readonly reason: string },
-  ): void {
+  /** Asks a peer last for a time. */
+  #avoid(peer: string, ms: number): void {
     const now = performance.now();
-    for (const [name, at] of this.#rejectedAt) {
-      if (now - at >= BACKOFF_MS) this.#rejectedAt.delete(name);
+    for (const [name, until] of this.#avoidedUntil) {
+      if (until <= now) this.#avoidedUntil.delete(name);
     }
-    this.#rejectedAt.set(peer.name, now);
-    this.#context.log.event("tunnel_failed", {
-      peer: peer.name,
-      runner,
-      reason,
-    });
+    const until = this.#avoidedUntil.get(peer) ?? now;
+    this.#avoidedUntil.set(peer, Math.max(until, now + ms));
   }
 
   /** Opens a channel, sends its first message and returns the reply. */
--- a/packages/router/src/connection/tunnel_server.ts
+++ b/packages/router/src/connection/tunnel_server.ts
@@ -3,12 +3,13 @@
  *
  * @module
  */
-import type { Buffer } from "node:buffer";
 import type { Socket } from "node:net";
 import type { EventLog } from "../process/event_log.ts";
 import type { RequestMetrics } from "../process/metrics.ts";
 import type { Runner } from "../process/runner.ts";
 import type { PeerVerdict } from "../process/runner_paths.ts";
+import type { RunnerReachability } from "../process/runner_reachability.ts";
+import { ServedTunnel } from "./served_tunnel.ts";
 import { TunnelChannel } from "./tunnel_channel.ts";
 import type { TunnelMessage } from "./tunnel_message.ts";
 import type { RunnerNetwork } from "./runner_network.ts";
@@ -28,12 +29,22 @@
   readonly network: RunnerNetwork;
   readonly log: EventLog;
   readonly metrics: Pick<RequestMetrics, "tunnelOpened">;
+  readonly reachability: Pick<
+    RunnerReachability,
+    "recordSent" | "recordResponse"
+  >;
   /** Returns the listed runner with an id. */
   runner(id: string): Runner | undefined;
   /** Whether this daemon takes no more requests, as it is about to exit. */
   isClosed(): boolean;
   /** Whether this daemon itself does not reach a runner, or any. */
   isUnreachable(runner: Runner): boolean;
+  /**
+   * Records that a runner did not respond to what a peer had sent.
+   *
+   * @param sentAt monotonic ms.
+   */
+  unanswered(runner: Runner, sentAt: number): void;
   /** Records that a connection to a runner could not be opened. */
   recordUnreached(runner: Runner, reason: string): void;
   /** Returns whether this daemon reaches a runner, or did so within some time. */
@@ -46,7 +57,7 @@
  */
 export class TunnelServer {
   readonly #context: TunnelServerContext;
-  readonly #channels = new Set<TunnelChannel>();
+  readonly #tunnels = new Set<ServedTunnel>();
   #leaving = false;
 
   constructor(context: TunnelServerContext) {
@@ -55,7 +66,7 @@
 
   /** Number of tunnels that are served. */
   get tunnels(): number {
-    return this.#channels.size;
+    return this.#tunnels.size;
   }
 
   /** Serves a channel on an accepted connection. */
@@ -77,13 +88,12 @@
    */
   leave(): void {
     this.#leaving = true;
-    for (const channel of this.#channels) channel.send({ kind: "leaving" });
+    for (const tunnel of this.#tunnels) tunnel.leave();
   }
 
   /** Closes all channels at once. */
   destroy(): void {
-    for (const channel of this.#channels) channel.close();
-    this.#channels.clear();
+    for (const tunnel of this.#tunnels) tunnel.close();
   }
 
   #begin(channel: TunnelChannel, message: TunnelMessage): void {
@@ -136,13 +146,13 @@
     socket.once("connect", () => {
       clearTimeout(timer);
       socket.off("error", failed);
-      this.#tunnel(channel, runner, socket);
+      this.#serve(channel, runner, socket);
     });
   }
 
   #rejection(runner: Runner | undefined): string | undefined {
     if (this.#context.isClosed()) return "leaving";
-    if (this.#channels.size >= MAX_TUNNELS) return "too many connections";
+    if (this.#tunnels.size >= MAX_TUNNELS) return "too many connections";
     if (runner === undefined) return "unknown runner";
     return this.#context.isUnreachable(runner) ? "unreachable" : undefined;
   }
@@ -153,44 +163,17 @@
     channel.end();
   }
 
-  #tunnel(channel: TunnelChannel, runner: Runner, socket: Socket): void {
-    this.#channels.add(channel);
-    this.#context.metrics.tunnelOpened(runner.service, "served");
-    const finish = () => this.#channels.delete(channel);
-    channel.listen({
-      onMessage: (message) => this.#forward(channel, socket, message),
-      onLost: () => {
-        finish();
-        socket.destroy();
-      },
+  #serve(channel: TunnelChannel, runner: Runner, socket: Socket): void {
+    const { metrics, reachability } = this.#context;
+    metrics.tunnelOpened(runner.service, "served");
+    const tunnel: ServedTunnel = new ServedTunnel(channel, socket, {
+      sent: () => reachability.recordSent(performance.now()),
+      responded: () =>
+        reachability.recordResponse(runner.id, performance.now()),
+      unanswered: (sentAt) => this.#context.unanswered(runner, sentAt),
+      ended: () => this.#tunnels.delete(tunnel),
     });
-    socket.setNoDelay(true);
-    socket.on("data", (bytes: Buffer) => {
-      if (channel.send({ kind: "data", bytes })) return;
-      socket.pause();
-      channel.onceDrained(() => socket.resume());
-    });
-    socket.once("end", () => channel.send({ kind: "end" }));
-    socket.once("error", (error) => {
-      channel.send({ kind: "broken", reason: error.message });
-    });
-    socket.once("close", () => {
-      finish();
-      channel.end();
-    });
-    channel.send({ kind: "connected" });
-    if (this.#leaving) channel.send({ kind: "leaving" });
-  }
-
-  #forward(
-    channel: TunnelChannel,
-    socket: Socket,
-    message: TunnelMessage,
-  ): void {
-    if (message.kind === "end") return void socket.end();
-    if (message.kind !== "data") return void socket.destroy();
-    if (socket.write(message.bytes)) return;
-    channel.pause();
-    socket.once("drain", () => channel.resume());
+    this.#tunnels.add(tunnel);
+    if (this.#leaving) tunnel.leave();
   }
 }
--- a/packages/router/src/connection/tunnel_socket.ts
+++ b/packages/router/src/connection/tunnel_socket.ts
@@ -5,7 +5,7 @@
  */
 import type { Buffer } from "node:buffer";
 import { Duplex } from "node:stream";
-import type { TunnelChannel } from "./tunnel_channel.ts";
+import type { Tunnel, TunnelChannel } from "./tunnel_channel.ts";
 import type { TunnelMessage } from "./tunnel_message.ts";
 
 /** The channel to the peer was lost: the runner is not to blame. */
@@ -13,6 +13,14 @@
   override readonly name = "TunnelLostError";
 }
 
+/** Callbacks of a {@linkcode TunnelSocket}. */
+export interface TunnelSocketEvents {
+  /** Called when the connection takes no further requests. */
+  readonly onLeaving: () => void;
+  /** Called when something arrives from the runner, with the name of the peer. */
+  readonly onResponse: (peer: string) => void;
+}
+
 /**
  * The part of a socket that Node's HTTP client uses, over a tunnel channel. The peer
  * says how the runner's connection ended: without that, the end of a peer would look
@@ -21,9 +29,10 @@
 export class TunnelSocket extends Duplex {
   /** Whether the peer has not yet opened the connection. */
   connecting = true;
-  readonly #open: () => Promise<TunnelChannel>;
-  readonly #onLeaving: () => void;
+  readonly #open: () => Promise<Tunnel>;
+  readonly #events: TunnelSocketEvents;
   #channel: TunnelChannel | undefined;
+  #peer: string | undefined;
   #leaving = false;
   /** Whether the runner has ended the connection as it should. */
   #ended = false;
@@ -32,12 +41,16 @@
 
   /**
    * @param open opens a channel on which the connection to the runner is open.
-   * @param onLeaving called when the connection takes no further requests.
    */
-  constructor(open: () => Promise<TunnelChannel>, onLeaving: () => void) {
+  constructor(open: () => Promise<Tunnel>, events: TunnelSocketEvents) {
     super({ allowHalfOpen: false });
     this.#open = open;
-    this.#onLeaving = onLeaving;
+    this.#events = events;
+  }
+
+  /** Name of the peer; undefined before the connection is open. */
+  get peer(): string | undefined {
+    return this.#peer;
   }
 
   /** Whether the peer is shutting down: the connection takes no further requests. */
@@ -46,9 +59,10 @@
   }
 
   override _construct(callback: (error?: Error | null) => void): void {
-    this.#open().then((channel) => {
+    this.#open().then(({ channel, peer }) => {
       if (this.destroyed) return channel.close();
       this.#channel = channel;
+      this.#peer = peer;
       channel.listen({
         onMessage: (message) => this.#receive(message),
         onLost: () => this.#lost(),
@@ -131,6 +145,7 @@
     this.#restartIdleTimer();
     switch (message.kind) {
       case "data":
+        this.#events.onResponse(this.#peer!);
         if (!this.push(message.bytes)) this.#channel?.pause();
         return;
       case "end":
@@ -142,7 +157,7 @@
         return void this.destroy(new Error(message.reason));
       case "leaving":
         this.#leaving = true;
-        return this.#onLeaving();
+        return this.#events.onLeaving();
       default:
         return void this.destroy(new TunnelLostError("Tunnel is out of order"));
     }
--- a/packages/router/src/process/runner_paths.ts
+++ b/packages/router/src/process/runner_paths.ts
@@ -80,6 +80,8 @@
   readonly #checks = new Map<string, Promise<boolean>>();
   readonly #checkedAt = new Map<string, number>();
   #probing = false;
+  /** When the first request was sent since the last response that got none. */
+  #unansweredSince = -Infinity;
 
   constructor(context: PathContext) {
     this.#context = context;
@@ -141,10 +143,12 @@
    */
   checkUnanswered(runner: Runner, sentAt: number): void {
     const { reachability, now } = this.#context;
-    const silentMs = now() - sentAt;
-    const silent = silentMs >= SILENCE_MS &&
-      reachability.lastResponseAt < sentAt;
-    if (silent && !this.isolated) void this.#checkSilence(runner, silentMs);
+    const { lastResponseAt } = reachability;
+    if (lastResponseAt >= sentAt) return;
+    if (lastResponseAt >= this.#unansweredSince) this.#unansweredSince = sentAt;
+    const silentMs = now() - this.#unansweredSince;
+    if (silentMs < SILENCE_MS || this.isolated) return;
+    void this.#checkSilence(runner, silentMs);
   }
 
   /** Asks peers whether they reach a runner now. */
--- a/packages/router/src/request/attempt.ts
+++ b/packages/router/src/request/attempt.ts
@@ -6,7 +6,7 @@
 import { request } from "node:http";
 import type { ClientRequest, IncomingMessage } from "node:http";
 import type { Buffer } from "node:buffer";
-import { TunnelLostError } from "../connection/tunnel_socket.ts";
+import { TunnelLostError, TunnelSocket } from "../connection/tunnel_socket.ts";
 import type { RunnerConnections } from "../connection/runner_connections.ts";
 import type { Runner } from "../process/runner.ts";
 import type { Path } from "../process/runner_paths.ts";
@@ -120,6 +120,12 @@
     return this.#connectTimedOut;
   }
 
+  /** Name of the peer that the request goes by way of. */
+  get tunnelPeer(): string | undefined {
+    const { socket } = this.#clientRequest;
+    return socket instanceof TunnelSocket ? socket.peer : undefined;
+  }
+
   /** Whether the peer at the other end of a tunnel is to blame for its failure. */
   get lostByPeer(): boolean {
     return this.#lostByPeer;
--- a/packages/router/src/request/attempt_executor.ts
+++ b/packages/router/src/request/attempt_executor.ts
@@ -383,10 +383,11 @@
     }
   }
 
-  #checkUnanswered(
-    { attempt: { runner, path }, sentAt }: AttemptContext,
-  ): void {
+  #checkUnanswered({ attempt, sentAt }: AttemptContext): void {
+    const { runner, path, tunnelPeer } = attempt;
     if (path === "direct") this.#daemon.paths.checkUnanswered(runner, sentAt);
+    if (tunnelPeer === undefined) return;
+    this.#daemon.tunnels.recordUnanswered(tunnelPeer, sentAt);
   }
 
   #recordResponse({ attempt: { runner, path } }: AttemptContext): void {
--- a/packages/router/src/request/daemon.ts
+++ b/packages/router/src/request/daemon.ts
@@ -5,6 +5,7 @@
  */
 import type { BrokenRun } from "../connection/crash_detector.ts";
 import type { RunnerConnections } from "../connection/runner_connections.ts";
+import type { TunnelPeers } from "../connection/tunnel_peers.ts";
 import type { BufferBudget } from "../process/buffer_budget.ts";
 import type { DataAges } from "../process/data_ages.ts";
 import type { CrashRecord } from "../process/crash_record.ts";
@@ -56,6 +57,8 @@
   readonly reachability: RunnerReachability;
   /** How requests reach the runners. */
   readonly paths: RunnerPaths;
+  /** Peers by way of which runners are reached. */
+  readonly tunnels: Pick<TunnelPeers, "recordUnanswered">;
   /** Observed pace of runners, where scheduling is adaptive. */
   readonly paces: RunnerPaces;
   /** Recent cost of requests by workspace. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -13,6 +13,7 @@
 import type { SharedStore } from "./connection/fleet_sync.ts";
 import { TcpPeerNetwork } from "./connection/peer_network.ts";
 import type { RunnerConnections } from "./connection/runner_connections.ts";
+import type { TunnelPeers } from "./connection/tunnel_peers.ts";
 import { TcpRunnerNetwork } from "./connection/runner_network.ts";
 import type { RunnerNetwork } from "./connection/runner_network.ts";
 import {
@@ -121,6 +122,7 @@
   readonly restrictions: RunnerRestrictions;
   readonly reachability: RunnerReachability;
   readonly paths: RunnerPaths;
+  readonly tunnels: TunnelPeers;
   readonly scheduling: SchedulingMode;
   readonly paces: RunnerPaces;
   readonly places: ReturnPlaces;
@@ -213,6 +215,7 @@
     });
     this.reachability = this.#access.reachability;
     this.paths = this.#access.paths;
+    this.tunnels = this.#access.tunnels;
     this.connections = this.#access.connections;
     this.limits = new RunnerLimits(log, () => this.#fleetSync.view);
     this.pauses = new RunnerPauses(log);
--- a/packages/router/src/runner_access.ts
+++ b/packages/router/src/runner_access.ts
@@ -53,6 +53,7 @@
   readonly reachability: RunnerReachability;
   readonly paths: RunnerPaths;
   readonly connections: RunnerConnections;
+  readonly tunnels: TunnelPeers;
   readonly #context: RunnerAccessContext;
   readonly #server: TunnelServer;
 
@@ -60,12 +61,12 @@
     const { network, log, metrics } = context;
     this.#context = context;
     this.reachability = new RunnerReachability(log);
-    const tunnels = new TunnelPeers(context);
-    this.connections = new RunnerConnections(network, tunnels);
+    this.tunnels = new TunnelPeers(context);
+    this.connections = new RunnerConnections(network, this.tunnels);
     this.paths = new RunnerPaths({
       reachability: this.reachability,
       log,
-      askPeers: (runner, withinMs) => tunnels.check(runner, withinMs),
+      askPeers: (runner, withinMs) => this.tunnels.check(runner, withinMs),
       respondsDirectly: (runner) => this.#respondsDirectly(runner),
       pathLost: (runner) => {
         this.connections.dropIdle(runner);
@@ -82,6 +83,9 @@
       metrics,
       runner: (id) => context.runner(id),
       isClosed: () => context.isClosed(),
+      reachability: this.reachability,
+      unanswered: (runner, sentAt) =>
+        this.paths.checkUnanswered(runner, sentAt),
       isUnreachable: (runner) => this.paths.pathTo(runner) === "tunnel",
       recordUnreached: ({ id }, reason) =>
         this.reachability.recordFailure(id, { reason, now: context.now() }),
--- a/packages/router/tests/partition_test.ts
+++ b/packages/router/tests/partition_test.ts
@@ -135,3 +135,15 @@
   fleet.routers[1]!.stop();
   assert.equal((await unframed).served, false);
 });
+
+// Guards against requests that go on by way of a peer whose own paths carry nothing.
+test("a peer whose tunnels carry nothing is used no more", async (t) => {
+  const fleet = await PartitionedFleet.start(t, { routers: 3, runners: 4 });
+  fleet.partition([0], "refuse");
+  fleet.partition([1], "swallow");
+  for (let sent = 0; sent < 6; sent++) await fleet.send(0, "/get/");
+  const tries = await Promise.all(
+    Array.from({ length: 10 }, () => fleet.send(0, "/once/")),
+  );
+  assert.ok(servedShare(tries) >= SERVED_RATIO, `${servedShare(tries)}`);
+});
