Reset a stream without a length that cannot be completed

Callers saw a part of a stream as the whole (MIXED): a runner's stream may have neither a length nor chunks and end with its connection. If it was reset, ended inside an event or exceeded its time, the caller's connection ended in the usual way, which is the mark of a complete one.

unframed_stream_test: the three cases failed before; the whole one is relayed without a length, as before.

--- a/packages/router/src/request/caller.ts
+++ b/packages/router/src/request/caller.ts
@@ -46,6 +46,8 @@
   readonly response: ServerResponse;
   readonly #closesConnections: () => boolean;
   #wasCutOff = false;
+  /** Whether the body of the response has no other end than its connection's. */
+  #endsWithConnection = false;
 
   /**
    * @param closesConnections whether connections close after their responses.
@@ -117,10 +119,12 @@
   }
 
   /**
-   * Aborts a response that cannot be completed, by closing the connection:
-   * without the last chunk it does not appear complete.
+   * Aborts a response that cannot be completed, by closing the connection: without
+   * the last chunk it does not appear complete. One without a length ends with its
+   * connection, which is reset.
    */
   abort(): void {
+    if (this.#endsWithConnection) this.request.socket.resetAndDestroy();
     this.response.destroy();
   }
 
@@ -151,6 +155,7 @@
     if (options.close && options.length === undefined) {
       // Node then writes the body unframed, up to the end of the connection.
       this.response.useChunkedEncodingByDefault = false;
+      this.#endsWithConnection = true;
     }
     this.response.writeHead(status, headers);
   }
