--- a/packages/router/tests/unframed_stream_test.ts
+++ b/packages/router/tests/unframed_stream_test.ts
@@ -1,5 +1,4 @@
 import assert from "node:assert/strict";
-import { once } from "node:events";
 import { connect } from "node:net";
 import type { Socket } from "node:net";
 import { test } from "node:test";
@@ -26,7 +25,8 @@
   socket.on("data", (chunk) => text += chunk.toString("latin1"));
   socket.on("error", () => reset = true);
   socket.write("GET / HTTP/1.1\r\nHost: test\r\nX-Id: a\r\n\r\n");
-  await once(socket, "close");
+  // `once` of "node:events" would reject at the error.
+  await new Promise((resolve) => socket.once("close", resolve));
   return { text, reset };
 }
 
