Keep requests from brittle runners that would reject them

Runners of a service may state that they fall over when they reject more than so many requests a second (Server-Brittle, rule LIMIT), and nothing read it: daemons went on sending to full runners.

--- a/packages/router/src/process/runner_restrictions.ts
+++ b/packages/router/src/process/runner_restrictions.ts
@@ -3,12 +3,13 @@
  *
  * @module
  */
+import type { BrittleServices } from "./brittle_services.ts";
 import type { RunnerLimits } from "./runner_limits.ts";
 import type { RunnerPauses } from "./runner_pauses.ts";
 
 /**
- * The restrictions that runners ask for: rate limits for all daemons together, and
- * pauses for this daemon. Whatever sends to a runner checks them and counts its
+ * The restrictions that runners ask for: rate limits for all daemons together, pauses
+ * for this daemon, and no requests beyond their room. Whatever sends to a runner checks them and counts its
  * request here: the choice of a runner, waiting requests, retries and queries.
  *
  * @example
@@ -19,27 +20,35 @@
 export class RunnerRestrictions {
   readonly #limits: RunnerLimits;
   readonly #pauses: RunnerPauses;
+  readonly #brittle: BrittleServices;
 
-  constructor(limits: RunnerLimits, pauses: RunnerPauses) {
+  constructor(
+    limits: RunnerLimits,
+    pauses: RunnerPauses,
+    brittle: BrittleServices,
+  ) {
     this.#limits = limits;
     this.#pauses = pauses;
+    this.#brittle = brittle;
   }
 
   /** Whether any runner has asked for a restriction. */
   get exist(): boolean {
-    return this.#limits.hasLimits || this.#pauses.hasPauses;
+    return this.#limits.hasLimits || this.#pauses.hasPauses ||
+      this.#brittle.exist;
   }
 
   /** Whether a runner is restricted, even if it accepts a request now. */
   applyTo(runner: string): boolean {
     return this.#limits.perSecond(runner) !== undefined ||
-      this.#pauses.isRestricted(runner);
+      this.#pauses.isRestricted(runner) || this.#brittle.appliesTo(runner);
   }
 
   /** Whether this daemon may send a request to a runner now. */
   allowRequest(runner: string, now: number): boolean {
     return this.#limits.allowsRequest(runner, now) &&
-      this.#pauses.allowsRequest(runner, now);
+      this.#pauses.allowsRequest(runner, now) &&
+      this.#brittle.allowsRequest(runner, now);
   }
 
   /** Whether this daemon may get to send a request to a runner by a time. */
--- a/packages/router/src/process/runner_statements.ts
+++ b/packages/router/src/process/runner_statements.ts
@@ -14,6 +14,11 @@
    * refuses one and asks for a pause.
    */
   readonly pauseMs: number | undefined;
+  /**
+   * Rejections in a second beyond which the runner falls over; absent if it states
+   * none.
+   */
+  readonly brittlePerS: number | undefined;
 }
 
 /** Receives the statements in a runner's response. */
--- a/packages/router/src/request/attempt_executor.ts
+++ b/packages/router/src/request/attempt_executor.ts
@@ -368,6 +368,9 @@
         this.#recordLoad(result.head, context);
         if (result.head.misdirected) load.recordFailure(now);
         else this.#recordRefusal(routed, result.head, context);
+        if (!result.head.misdirected && !result.head.draining) {
+          this.#daemon.brittle.recordRejection(context.attempt.runner.id, now);
+        }
         return retry(
           "refused by runner",
           () => this.#outcomes.runnersFull(),
--- a/packages/router/src/request/daemon.ts
+++ b/packages/router/src/request/daemon.ts
@@ -6,6 +6,7 @@
 import type { BrokenRun } from "../connection/crash_detector.ts";
 import type { RunnerConnections } from "../connection/runner_connections.ts";
 import type { TunnelPeers } from "../connection/tunnel_peers.ts";
+import type { BrittleServices } from "../process/brittle_services.ts";
 import type { BufferBudget } from "../process/buffer_budget.ts";
 import type { DataAges } from "../process/data_ages.ts";
 import type { CrashRecord } from "../process/crash_record.ts";
@@ -49,6 +50,8 @@
   readonly limits: RunnerLimits;
   /** Pauses that runners ask this daemon for. */
   readonly pauses: RunnerPauses;
+  /** Services whose runners fall over when they reject too much. */
+  readonly brittle: BrittleServices;
   /** Rate limits and pauses, as they are checked before a request is sent. */
   readonly restrictions: RunnerRestrictions;
   /** The services whose requests are scheduled adaptively. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -20,6 +20,8 @@
   createMetricsServer,
   createReadinessServer,
 } from "./connection/status_server.ts";
+import { BrittleServices } from "./process/brittle_services.ts";
+import type { RunnerRoom } from "./process/brittle_services.ts";
 import { BufferBudget } from "./process/buffer_budget.ts";
 import { CrashRecord } from "./process/crash_record.ts";
 import { ageFields } from "./process/data_ages.ts";
@@ -119,6 +121,7 @@
   readonly crashes: CrashRecord;
   readonly limits: RunnerLimits;
   readonly pauses: RunnerPauses;
+  readonly brittle: BrittleServices;
   readonly restrictions: RunnerRestrictions;
   readonly reachability: RunnerReachability;
   readonly paths: RunnerPaths;
@@ -158,8 +161,8 @@
   readonly #crashDetector: CrashDetector;
   #surveyed = false;
   #statusServers: readonly Server[] = [];
-  /** Services of the listed runners, by the runners' ids. */
-  #serviceOf: ReadonlyMap<string, string> = new Map();
+  /** The listed runners by their ids. */
+  #runnersById: ReadonlyMap<string, Runner> = new Map();
   #configuration: Configuration | undefined;
   #routingTable: RoutingTable | undefined;
   /** Time at which the current configuration came into force. */
@@ -204,7 +207,7 @@
       metrics: this.metrics,
       failureDomain: settings.failureDomain,
       peers: () => this.#fleetSync.reachable,
-      runner: (id) => this.#directory.runners.find((each) => each.id === id),
+      runner: (id) => this.#runnersById.get(id),
       isClosed: () => this.closed,
       healthPath: ({ service }) =>
         this.#routingTable?.service(service)?.healthPath ?? "/",
@@ -219,7 +222,15 @@
     this.connections = this.#access.connections;
     this.limits = new RunnerLimits(log, () => this.#fleetSync.view);
     this.pauses = new RunnerPauses(log);
-    this.restrictions = new RunnerRestrictions(this.limits, this.pauses);
+    this.brittle = new BrittleServices(log, {
+      room: (id) => this.#roomOf(id),
+      daemons: () => this.#fleetSync.fleetSize,
+    });
+    this.restrictions = new RunnerRestrictions(
+      this.limits,
+      this.pauses,
+      this.brittle,
+    );
     this.#draining = new DrainingRunners(log);
     this.#directory = new RunnerDirectory(this.#draining);
     this.#lifecycle = new Lifecycle(log);
@@ -308,7 +319,7 @@
     });
     this.#directory.onChange(() => this.#runnersChanged());
     this.loads.queueAt((id) => {
-      const service = this.#serviceOf.get(id);
+      const service = this.#runnersById.get(id)?.service;
       return service !== undefined && this.#isQueued(service);
     });
   }
@@ -388,8 +399,10 @@
     return this.#streamPaces.of(service);
   }
 
-  recordStatements({ id }: Runner, statements: RunnerStatements): void {
-    const { draining, pauseMs } = statements;
+  recordStatements(runner: Runner, statements: RunnerStatements): void {
+    const { id, service } = runner;
+    const { draining, pauseMs, brittlePerS } = statements;
+    this.brittle.recordStated(service, brittlePerS, this.now());
     if (draining) this.#draining.recordStated(id, this.now());
     if (pauseMs === undefined) return;
     this.pauses.recordAsked(id, pauseMs, this.now());
@@ -513,6 +526,15 @@
     return requests;
   }
 
+  #roomOf(id: string): RunnerRoom | undefined {
+    const runner = this.#runnersById.get(id);
+    return runner && {
+      service: runner.service,
+      slots: runner.slots,
+      requests: (now) => this.loads.of(id).requestCount(now),
+    };
+  }
+
   /** Whether requests of a service wait in the queues of its plain runners. */
   #isQueued(service: string): boolean {
     const plain = this.#routingTable?.service(service)?.engine === undefined;
@@ -580,13 +602,12 @@
     const { runners } = this.#directory.list;
     const ids = new Set(runners.map(({ id }) => id));
     this.paces.retain(runners);
-    this.#serviceOf = new Map(
-      runners.map(({ id, service }) => [id, service]),
-    );
+    this.#runnersById = new Map(runners.map((runner) => [runner.id, runner]));
     this.loads.retain(ids);
     this.prefixes.retain(ids);
     this.limits.retain(ids);
     this.#access.retain(ids);
+    this.brittle.retain(ids);
     this.pauses.retain(ids, this.now());
     this.#draining.retain(ids, this.now());
     for (const pace of this.#streamPaces.all()) pace.retain(ids);
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -14,6 +14,7 @@
 import type { StateUpdate } from "../src/connection/peer_message.ts";
 import type { RunnerNetwork } from "../src/connection/runner_network.ts";
 import type { DaemonRegistry } from "../src/process/daemon_registry.ts";
+import { BrittleServices } from "../src/process/brittle_services.ts";
 import { DrainingRunners } from "../src/process/draining_runners.ts";
 import type { EventLog } from "../src/process/event_log.ts";
 import { FeedError } from "../src/process/feed.ts";
@@ -125,6 +126,7 @@
     load: parseLoad(headerOf(headers, "x-load"), headerOf(headers, "x-work")),
     draining: headerOf(headers, "x-draining") !== undefined,
     pauseMs: parseNumber(headerOf(headers, "x-pause-ms")),
+    brittlePerS: parseNumber(headerOf(headers, "x-brittle")),
     limit: parseLimit(headerOf(headers, "x-limit")),
   }),
   eventId: (event) => {
@@ -148,7 +150,14 @@
 
 /** Returns restrictions of runners none of which has asked for any. */
 export function noRestrictions(): RunnerRestrictions {
-  return new RunnerRestrictions(emptyLimits(), new RunnerPauses(SILENT_LOG));
+  return new RunnerRestrictions(
+    emptyLimits(),
+    new RunnerPauses(SILENT_LOG),
+    new BrittleServices(SILENT_LOG, {
+      room: () => undefined,
+      daemons: () => 1,
+    }),
+  );
 }
 
 /** Returns the paces of runners whose services are not scheduled adaptively. */
