Turn new connections away while one daemon has most of the requests

The platform may hand most new connections of a region to one daemon. A daemon whose timers are 250 ms late and that has four times the others' mean in flight and 16 more is not ready, closes new connections unread, so that they are tried at other daemons, and closes the others after their responses, until it is in time again. Where all are late it does nothing.

--- a/packages/router/src/connection/caller_server.ts
+++ b/packages/router/src/connection/caller_server.ts
@@ -38,7 +38,14 @@
   readonly #connections = new Map<Socket, number>();
   #inFlight = 0;
 
-  constructor(handler: RequestHandler, maxConnections: number) {
+  /**
+   * @param options.accepts returns whether new connections are served; others are
+   * closed unread.
+   */
+  constructor(handler: RequestHandler, options: {
+    readonly maxConnections: number;
+    readonly accepts: () => boolean;
+  }) {
     this.#server = createServer({
       maxHeaderSize: MAX_HEAD_BYTES,
       connectionsCheckingInterval: CHECK_MS,
@@ -51,10 +58,11 @@
       handler(request, response);
     });
     this.#server.on("connection", (socket) => {
+      if (!options.accepts()) return void socket.destroy();
       this.#connections.set(socket, 0);
       socket.once("close", () => this.#connections.delete(socket));
     });
-    this.#server.maxConnections = maxConnections;
+    this.#server.maxConnections = options.maxConnections;
   }
 
   /** Number of requests whose responses are not finished. */
--- a/packages/router/src/process/runner_loads.ts
+++ b/packages/router/src/process/runner_loads.ts
@@ -86,6 +86,17 @@
     return changed;
   }
 
+  /** Requests in flight at all runners: of this daemon, and of all others. */
+  get inFlight(): { readonly own: number; readonly others: number } {
+    let own = 0;
+    let total = 0;
+    for (const load of this.#loads.values()) {
+      own += load.own.inFlight;
+      total += load.total.inFlight;
+    }
+    return { own, others: total - own };
+  }
+
   /** Ids of all runners with a load entry. */
   ids(): readonly string[] {
     return [...this.#loads.keys()];
--- a/packages/router/src/process/runner_paces.ts
+++ b/packages/router/src/process/runner_paces.ts
@@ -137,6 +137,11 @@
     this.#delay.record(ms, now);
   }
 
+  /** The longest lateness of a timer of the last half second, in ms. */
+  recentDelayMs(now: number): number {
+    return this.#delay.recentMs(now);
+  }
+
   /** Records the first event of a stream from a runner. */
   recordFirstEvent(runner: Runner, event: FirstEvent): void {
     if (!this.#observes(runner, event)) return;
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -36,6 +36,7 @@
 import { RequestMetrics } from "./process/metrics.ts";
 import { ShareOrder } from "./process/share_order.ts";
 import { SharedTimer } from "./process/shared_timer.ts";
+import { OverloadGuard } from "./process/overload_guard.ts";
 import { PlainCapacity } from "./process/plain_capacity.ts";
 import { PerService } from "./process/per_service.ts";
 import { PrefixIndex } from "./process/prefix_index.ts";
@@ -139,6 +140,7 @@
   readonly #random = () => this.random();
   #settings: RouterSettings;
   readonly #lifecycle: Lifecycle;
+  readonly #overload: OverloadGuard;
   readonly #server: CallerServer;
   readonly #draining: DrainingRunners;
   readonly #directory: RunnerDirectory;
@@ -242,9 +244,22 @@
       "runners",
       () => this.#directory.revision > 0,
     );
+    this.#overload = new OverloadGuard({
+      log,
+      delayMs: (now) => this.paces.recentDelayMs(now),
+      ownRequests: () => this.loads.inFlight.own,
+      meanRequests: () => {
+        const others = this.#fleetSync.fleetSize - 1;
+        return others < 1 ? undefined : this.loads.inFlight.others / others;
+      },
+    });
+    this.#lifecycle.addRequirement("load", () => !this.#overloaded);
     this.#server = new CallerServer(
       (request, response) => this.#handle(request, response),
-      settings.maxConnections,
+      {
+        maxConnections: settings.maxConnections,
+        accepts: () => !this.#overloaded,
+      },
     );
     const { host, port } = settings.advertised ?? settings.peers;
     const address = `${host}:${port}`;
@@ -526,6 +541,11 @@
     return requests;
   }
 
+  /** Whether this daemon takes no new connections for now. */
+  get #overloaded(): boolean {
+    return this.#overload.isOverloaded(this.now());
+  }
+
   #roomOf(id: string): RunnerRoom | undefined {
     const runner = this.#runnersById.get(id);
     return runner && {
@@ -565,7 +585,7 @@
     const caller = new Caller(
       request,
       response,
-      () => this.#lifecycle.shuttingDown,
+      () => this.#lifecycle.shuttingDown || this.#overloaded,
     );
     new Exchange(this, caller).run().catch((error: unknown) => {
       const reason = error instanceof Error ? error.stack : String(error);
