Do not resume a stream for a second of silence; close tunnels by own timers

A sound runner may fall silent for a second or so and go on. It waits for 1.5 s now.

A tunnel that is ended toward a host without power waited until the system gave up, which keep-alive and TCP_USER_TIMEOUT decide; it is destroyed after 2 s.

--- a/packages/router/src/connection/tunnel_channel.ts
+++ b/packages/router/src/connection/tunnel_channel.ts
@@ -15,6 +15,8 @@
  * large, and closes the connection.
  */
 export const TUNNEL_PREFACE = Buffer.from("UMT1", "latin1");
+/** Time-out in ms for the other side to receive what was sent before the end. */
+const END_TIMEOUT_MS = 2_000;
 /** Idle time in ms after which the system probes whether the other side is there. */
 const KEEP_ALIVE_MS = 1_000;
 
@@ -76,11 +78,16 @@
     this.#socket.resume();
   }
 
-  /** Closes the channel once the other side has received all that was sent. */
+  /**
+   * Closes the channel once the other side has received all that was sent, or has not
+   * for some time: the system would wait for a host without power for minutes.
+   */
   end(): void {
     this.#closed = true;
     this.#socket.end();
     this.#socket.resume();
+    const timer = setTimeout(() => this.#socket.destroy(), END_TIMEOUT_MS);
+    this.#socket.once("close", () => clearTimeout(timer));
   }
 
   close(): void {
--- /dev/null
+++ b/packages/router/src/connection/tunnel_channel_test.ts
@@ -0,0 +1,27 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { connect, createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { test } from "node:test";
+import { TunnelChannel } from "./tunnel_channel.ts";
+
+// Guards against sockets that wait for a host without power until the system gives up:
+// keep-alive probes and TCP_USER_TIMEOUT decide that otherwise.
+test("a channel whose other side does not respond closes by a timer of its own", async (t) => {
+  const server = createServer({ allowHalfOpen: true }, (socket) => {
+    socket.on("error", () => {});
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  t.after(() => server.close());
+  const socket = connect((server.address() as AddressInfo).port, "127.0.0.1");
+  await once(socket, "connect");
+  const channel = new TunnelChannel(socket, {
+    onMessage() {},
+    onLost: () => assert.fail("closed by the other side"),
+  });
+  channel.send({ kind: "connected" });
+  channel.end();
+  await once(socket, "close");
+  assert.equal(socket.destroyed, true);
+});
--- a/packages/router/src/request/response_relay.ts
+++ b/packages/router/src/request/response_relay.ts
@@ -27,6 +27,12 @@
  * continues on another runner.
  */
 const GAP_TIMEOUT_TARGETS = 4;
+/**
+ * Minimum of that time in ms. A sound runner may fall silent for a second or so; it
+ * then does not notice either that its connection was closed, and would run the
+ * stream beside the other runner.
+ */
+const MIN_GAP_TIMEOUT_MS = 1_500;
 /**
  * Minimum time in ms over which the pace of a stream is observed: events that
  * arrive together count with the gap before them.
@@ -221,8 +227,10 @@
     const recordPace = this.#paceRecorder(routed, context);
     const recordGap = this.#gapRecorder(routed, stream, context);
     let started = false;
-    const gapTimeoutMs = GAP_TIMEOUT_TARGETS *
-      (route.gapTargetMs ?? route.targetMs);
+    const gapTimeoutMs = Math.max(
+      MIN_GAP_TIMEOUT_MS,
+      GAP_TIMEOUT_TARGETS * (route.gapTargetMs ?? route.targetMs),
+    );
     this.#streamBuffer?.readFrom(
       incoming,
       (maxMs) => context.inactivity.restart(maxMs + gapTimeoutMs),
