End a tunnel in a turn of its own, so that no response is missed

Traced by the log of its host (chosen, never ended) and reproduced by a test: where the beginning of a response and the end of the tunnel arrive in one piece, Node ends the response before the attempt listens to it, and nothing ends it again, as the request counts as destroyed. With a socket the end comes in a turn of its own.

The tunnel's end is handled so as well, and who begins to read a response that is destroyed already takes it for broken. tunnel_socket_test hung before; a tunnel that was given up while it was being opened never closed, which is mended too.

--- a/packages/router/src/connection/tunnel_socket.ts
+++ b/packages/router/src/connection/tunnel_socket.ts
@@ -25,6 +25,9 @@
  * The part of a socket that Node's HTTP client uses, over a tunnel channel. The peer
  * says how the runner's connection ended: without that, the end of a peer would look
  * like the end of a response that has no length.
+ *
+ * The end is handled in a turn of its own, as with a socket: a response that arrives in
+ * one piece with it would otherwise break before anybody listens to it.
  */
 export class TunnelSocket extends Duplex {
   /** Whether the peer has not yet opened the connection. */
@@ -60,9 +63,10 @@
 
   override _construct(callback: (error?: Error | null) => void): void {
     this.#open().then(({ channel, peer }) => {
-      if (this.destroyed) return channel.close();
       this.#channel = channel;
       this.#peer = peer;
+      // It is destroyed only now, as its construction is over.
+      if (this.destroyed) return callback();
       channel.listen({
         onMessage: (message) => this.#receive(message),
         onLost: () => this.#lost(),
@@ -130,8 +134,16 @@
     return this;
   }
 
+  #endReadable(): void {
+    if (this.destroyed) return;
+    this.push(null);
+    // Nothing reads from an idle connection, which must close, too.
+    this.read(0);
+  }
+
   #lost(): void {
-    if (!this.#ended) this.destroy(new TunnelLostError("Tunnel is lost"));
+    if (this.#ended) return;
+    setImmediate(() => this.destroy(new TunnelLostError("Tunnel is lost")));
   }
 
   #restartIdleTimer(): void {
@@ -150,11 +162,9 @@
         return;
       case "end":
         this.#ended = true;
-        this.push(null);
-        // Nothing reads from an idle connection, which must close, too.
-        return void this.read(0);
+        return void setImmediate(() => this.#endReadable());
       case "broken":
-        return void this.destroy(new Error(message.reason));
+        return void setImmediate(() => this.destroy(new Error(message.reason)));
       case "leaving":
         this.#leaving = true;
         return this.#events.onLeaving();
--- a/packages/router/src/request/read_body.ts
+++ b/packages/router/src/request/read_body.ts
@@ -61,6 +61,9 @@
     if (stated > maxBytes) return Promise.resolve({ kind: "too-large" });
     if (!reserve(stated)) return Promise.resolve({ kind: "no-room" });
   }
+  if (incoming.destroyed) {
+    return Promise.resolve({ kind: "broken", reason: "connection closed" });
+  }
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let size = 0;
--- a/packages/router/src/request/stream_relay.ts
+++ b/packages/router/src/request/stream_relay.ts
@@ -86,6 +86,9 @@
    */
   relay(incoming: IncomingMessage, onEvent: () => void): Promise<StreamEnd> {
     const splitter = new EventSplitter();
+    if (incoming.destroyed) {
+      return Promise.resolve({ kind: "broken", reason: "connection closed" });
+    }
     return new Promise((resolve) => {
       const resolveBroken = (reason: string) =>
         resolve({ kind: "broken", reason });
