--- a/review/lib/daemon.mjs
+++ b/review/lib/daemon.mjs
@@ -112,6 +112,13 @@
     this.#child.stderr.pipe(log);
   }
 
+  /** How the process ended, if it has. */
+  get ended() {
+    if (this.#child === undefined || this.runs) return {};
+    const { exitCode, signalCode } = this.#child;
+    return { exit_status: exitCode ?? "none", signal: signalCode ?? "none" };
+  }
+
   signal(name) {
     if (this.runs) this.#child.kill(name);
   }
