review: a resumed stream that fails is never answered

Case 5, rule CONFIG: when the runner that goes on with a broken stream answers 500, the client gets neither an end nor a close.

--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -24,13 +24,14 @@
   deadlineMs,
   key,
   agent = false,
-  onData,
+  gapMs,
 }) {
   const began = performance.now();
   return new Promise((resolve) => {
     const result = { id, status: 0, headers: {}, text: "", whole: false };
     const end = (reason) => {
       clearTimeout(timer);
+      clearTimeout(gap);
       result.reason ??= reason;
       result.ms = Math.round(performance.now() - began);
       resolve(result);
@@ -50,10 +51,18 @@
         ...headers,
       },
     });
-    const timer = setTimeout(() => {
-      result.reason = "deadline";
+    const leave = (reason) => {
+      result.reason = reason;
       sent.destroy();
-    }, deadlineMs);
+    };
+    const timer = setTimeout(() => leave("deadline"), deadlineMs);
+    // Clients abandon a stream after a long gap.
+    let gap;
+    const awaitEvent = () => {
+      clearTimeout(gap);
+      if (gapMs !== undefined) gap = setTimeout(() => leave("gap"), gapMs);
+    };
+    awaitEvent();
     sent.on("error", (error) => end(error.code ?? error.message));
     sent.on("close", () => end("closed"));
     sent.on("response", (answer) => {
@@ -62,7 +71,7 @@
       answer.setEncoding("utf8");
       answer.on("data", (text) => {
         result.text += text;
-        onData?.(text, sent);
+        awaitEvent();
       });
       answer.on("error", (error) => end(error.code ?? error.message));
       answer.on("end", () => {
