--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,8 +1,8 @@
-// A plain service of which one runner sends additional bytes after some answers.
+// Streams whose runner crashes, while the other runners fail part of their requests.
 import { dirname, join } from "node:path";
 import { fileURLToPath } from "node:url";
 import { play, TROUBLE } from "../lib/case.mjs";
-import { keptConnection, newId, send } from "../lib/client.mjs";
+import { newId, send } from "../lib/client.mjs";
 import { BOUNDS, Daemon, freePorts } from "../lib/daemon.mjs";
 import { Runner, sleep } from "../lib/runner.mjs";
 import { Store } from "../lib/store.mjs";
@@ -11,38 +11,59 @@
 const HOST = "ficu95.example";
 const KEY = "n2ctnfzs989anu6wsjnb";
 const DAEMONS = 3;
-const CLIENTS = 8;
-const REQUESTS = 100;
-const WORK_MS = 20;
-/** Part of the answers of one of the three runners after which bytes follow. */
-const SHARE = 0.05;
-const LATE_MS = 5;
-/** Bytes that belong to no request. */
-const BYTES = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
-const PROMISES = [408, 421, 429, 503];
+const RUNNERS = 4;
+/** Streams at each daemon. */
+const STREAMS = 50;
+const EVENTS = 10;
+const GAP_MS = 250;
+/** When the runner crashes, after the last stream was sent. */
+const CRASH_MS = 1_600;
+/** Part of the requests that the other runners fail. */
+const FAILED = 0.45;
+const TIMEOUT_MS = 3_000;
+const DEADLINE_MS = 5_000;
+/** Four times the objective, eight times the pause or two seconds: the longest. */
+const PATIENCE_MS = 2_400;
+const SLACK_MS = 500;
+const LEAST = 8;
 
 const CONFIG = {
   version: 7,
   http_routes: [{
-    name: "r-jobcard",
+    name: "r-quote",
     hostname: HOST,
-    path_prefix: "/puxa403/",
-    type: "non_idempotent",
-    timeout_ms: 800,
-    slo_ms: 300,
-    priority_class: 2,
-    backend: "wuno96b",
-    max_attempts: 1,
+    path_prefix: "/pufi791/",
+    type: "streaming",
+    timeout_ms: TIMEOUT_MS,
+    slo_ms: 500,
+    priority_class: 1,
+    backend: "huvo11a",
+    max_attempts: 2,
     anonymous: false,
-    session_affinity: false,
-    resumable: false,
+    session_affinity: true,
+    resumable: true,
+    itl_target_ms: 300,
   }],
   services: [{
-    name: "wuno96b",
+    name: "huvo11a",
     health_path: "/healthz",
-    max_connections: 100,
+    max_connections: 360,
     protocol: "h1",
     tls: false,
+    engine: {
+      capacity: 64,
+      kv_capacity: 629084,
+      kv_token_bytes: 163840,
+      link_mbps: 1100000.0,
+      migrations: true,
+      backups: true,
+      stride: 5,
+      most: 12,
+      pin_ms: 4000.0,
+      hold_ms: 2000.0,
+      handle_ttl_s: 5.0,
+      models: [{ name: "m" }],
+    },
   }],
   limits: {
     max_header_bytes: 16384,
@@ -57,26 +78,32 @@
   const { record } = test;
   const store = await Store.start();
   test.atEnd(() => store.close());
-  const runs = new Map();
+  let grey = false;
+  let failed = 0;
   const runners = [];
-  for (let i = 0; i < 3; i++) {
-    let answered = 0;
+  for (let i = 0; i < RUNNERS; i++) {
     const runner = await Runner.start({
       id: `i-${newId().slice(0, 8)}`,
-      service: "wuno96b",
-      capacity: 6,
+      service: "huvo11a",
+      capacity: 64,
       record,
-      async answer({ id, request, response, runner }) {
-        runs.set(id, (runs.get(id) ?? 0) + 1);
-        await sleep(WORK_MS);
-        if (response.destroyed) return;
-        response.end(JSON.stringify({ jobcard: id }));
-        answered += 1;
-        const spoils = TROUBLE && i === 0 && answered % (1 / SHARE) === 0;
-        if (!spoils) return;
-        await sleep(LATE_MS);
-        record("additional bytes", { after: id, runner: runner.id });
-        request.socket.write(BYTES);
+      async answer({ id, last, response, runner }) {
+        await sleep(20);
+        // Evenly, so that each run fails the same part.
+        if (grey) failed += FAILED;
+        if (grey && failed >= 1) {
+          failed -= 1;
+          record("failed", { id, runner: runner.id, last });
+          response.statusCode = 500;
+          return void response.end("failed");
+        }
+        response.setHeader("Content-Type", "text/event-stream");
+        for (let number = last + 1; number <= EVENTS; number++) {
+          if (response.destroyed) return;
+          response.write(`id: ${number}\ndata: ${id}/${number}\n\n`);
+          await sleep(GAP_MS);
+        }
+        response.end();
       },
     });
     test.atEnd(() => runner.close());
@@ -107,49 +134,56 @@
     if (!await daemon.ready()) throw new Error(`${daemon.name} is not ready`);
   }
   await sleep(BOUNDS.contact_ms + 1_000);
-  const results = [];
-  const client = async (index) => {
-    const agent = keptConnection();
-    const daemon = daemons[index % DAEMONS];
-    for (let i = 0; i < REQUESTS; i++) {
+  const answers = [];
+  for (let i = 0; i < STREAMS; i++) {
+    for (const daemon of daemons) {
       const id = newId();
       record("sent", { id, to: daemon.name });
-      const result = await send({
+      answers.push(send({
         port: daemon.ingress,
         host: HOST,
-        path: "/puxa403/2f",
+        path: "/pufi791/2f",
         id,
-        deadlineMs: 1_500,
+        deadlineMs: DEADLINE_MS,
+        gapMs: PATIENCE_MS,
         key: KEY,
-        agent,
-        body: `a job card ${id}`,
-      });
-      record("answered", {
-        id,
-        status: result.status,
-        seal: result.headers["umbermast-response-seal"],
-        text: result.text,
-      });
-      results.push(result);
+        body: `a prompt of ${id}`,
+        headers: {
+          "Umbermast-Model": "m",
+          "Umbermast-Token-Usage": "1460,80",
+          "Umbermast-Prefix-Hash": `${id.slice(0, 8)}:800,${id.slice(8)}:410`,
+        },
+      }));
     }
-    agent.destroy();
-  };
-  await Promise.all(Array.from({ length: CLIENTS }, (_, index) => client(index)));
-  await sleep(1_000);
-  const breaches = [];
+    await sleep(12);
+  }
+  if (TROUBLE) {
+    await sleep(CRASH_MS);
+    grey = true;
+    // The one with the most streams.
+    const [struck] = [...runners].sort((a, b) => b.active - a.active);
+    record("crash", { runner: struck.id, streams: struck.active });
+    struck.close();
+    store.remove("servers", struck.id);
+  }
+  const results = await Promise.all(answers);
+  const late = [];
+  const unanswered = [];
   const counts = {};
-  for (const { id, status, text } of results) {
-    counts[status] = (counts[status] ?? 0) + 1;
-    const ran = runs.get(id) ?? 0;
-    if (PROMISES.includes(status) && ran > 0) {
-      breaches.push(`${id} was answered ${status} and has run`);
-    }
-    if (ran > 1) breaches.push(`${id} has run ${ran} times`);
-    if (status === 200 && text !== JSON.stringify({ jobcard: id })) {
-      breaches.push(`${id} was answered ${text}`);
+  for (const { id, status, text, whole, reason, ms } of results) {
+    const events = text.split("\n\n").length - 1;
+    record("answered", { id, status, events, whole, reason, ms });
+    const left = reason === "deadline" || reason === "gap";
+    const kind = whole ? status : left ? "the client left" : "cut";
+    counts[kind] = (counts[kind] ?? 0) + 1;
+    if (ms > TIMEOUT_MS) late.push(id);
+    if (ms > TIMEOUT_MS + SLACK_MS) {
+      unanswered.push(`${id} stood open after ${events} events for ${ms} ms`);
     }
   }
-  record("counts", counts);
-  console.log(counts);
-  return breaches;
+  record("counts", { ...counts, past_timeout: late.length });
+  console.log(counts, "past the timeout:", late.length);
+  const broken = unanswered.length >= LEAST &&
+    unanswered.length > late.length / 2;
+  return broken ? unanswered : [];
 });
