review: case 3 leaves the crashed runner in the store

A runner that crashes sends nothing and its entry stays for three heartbeats; the case removed it at once.

--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -164,7 +164,6 @@
     const [struck] = [...runners].sort((a, b) => b.active - a.active);
     record("crash", { runner: struck.id, streams: struck.active });
     struck.close();
-    store.remove("servers", struck.id);
   }
   const results = await Promise.all(answers);
   const late = [];
