Fail only its own request for a response that cannot be relayed

On a plain route the daemon lives, but the caller's connection closes without the 502 that it is owed.

Cause: Node's parser accepts a status that ServerResponse.writeHead refuses. For a stream it is written in a listener of "data", where nothing catches the error; for a plain response in a promise, whose last resort only closed the connection. Ruled out: an error of the parser (it takes the head).

Change: heads that cannot be written are discarded where they are read, for all ways of answering, as a broken attempt. Listeners that read or write what runners send pass errors to their own request. A request that ends by an error of ours gets 502 (`internal`).

Why it works: no status or header that Node refuses reaches a writer, and a listener that throws ends its own request.

--- a/packages/router/src/mod.ts
+++ b/packages/router/src/mod.ts
@@ -4,6 +4,8 @@
  * @module
  */
 export type { DaemonRegistry } from "./process/daemon_registry.ts";
+export { guarded } from "./process/guarded.ts";
+export { stopOnUncaughtError } from "./process/uncaught_errors.ts";
 export { BufferedLog } from "./process/event_log.ts";
 export type { EventLog, TextSink } from "./process/event_log.ts";
 export { FeedError } from "./process/feed.ts";
--- a/packages/router/src/request/attempt.ts
+++ b/packages/router/src/request/attempt.ts
@@ -10,7 +10,9 @@
 import type { RunnerConnections } from "../connection/runner_connections.ts";
 import type { Runner } from "../process/runner.ts";
 import type { Path } from "../process/runner_paths.ts";
+import { guarded } from "../process/guarded.ts";
 import type { Dialect, ResponseHead } from "./dialect.ts";
+import { headFault } from "./relayable_head.ts";
 
 /**
  * Time-out in ms for opening a connection. A round trip between failure domains
@@ -138,11 +140,11 @@
 
   /** Sends the request and waits for the head of the response. */
   send(): Promise<SendResult> {
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
       this.#settle = resolve;
       this.#clientRequest.on(
         "response",
-        (incoming) => resolve(this.#classify(incoming)),
+        guarded((incoming) => resolve(this.#classify(incoming)), reject),
       );
       this.#clientRequest.on("error", (error) => this.#handleError(error));
       this.#clientRequest.on("close", () => this.#fail("connection closed"));
@@ -200,14 +202,16 @@
 
   #classify(incoming: IncomingMessage): SendResult {
     const status = incoming.statusCode!;
+    const fault = headFault(status, incoming.rawHeaders);
+    if (fault !== undefined) {
+      return this.#discard(incoming, `malformed response: ${fault}`);
+    }
     const head = this.#dialect.parseResponse(status, incoming.rawHeaders);
     if (head.id !== undefined && head.id !== this.#request.id) {
       // A late duplicate response to an earlier request. The response to this
       // one may still follow, but nothing on this connection can be attributed
       // to this request any more.
-      incoming.on("error", () => {});
-      this.#clientRequest.destroy();
-      return { kind: "broken", reason: "response to another request" };
+      return this.#discard(incoming, "response to another request");
     }
     if (head.notExecuted) {
       incoming.on("error", () => {});
@@ -217,4 +221,11 @@
     this.#incoming = incoming;
     return { kind: "response", status, head, incoming };
   }
+
+  /** Closes the connection of a response that cannot be used. */
+  #discard(incoming: IncomingMessage, reason: string): SendResult {
+    incoming.on("error", () => {});
+    this.#clientRequest.destroy();
+    return { kind: "broken", reason };
+  }
 }
--- a/packages/router/src/request/caller.ts
+++ b/packages/router/src/request/caller.ts
@@ -92,6 +92,12 @@
     this.response.end(body);
   }
 
+  /** Ends the response after an error of this daemon; the request may have run. */
+  fail(): void {
+    this.refuse({ status: 502, code: "internal", close: true });
+    if (!this.response.writableEnded) this.abort();
+  }
+
   /** Relays a runner's complete response. */
   respond(status: number, headers: RawHeaders, body: {
     readonly chunks: readonly Buffer[];
--- a/packages/router/src/request/stream_relay.ts
+++ b/packages/router/src/request/stream_relay.ts
@@ -5,6 +5,7 @@
  */
 import type { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { guarded } from "../process/guarded.ts";
 import type { AnswerBuffer } from "./answer_buffer.ts";
 import type { Dialect } from "./dialect.ts";
 import { EventSplitter } from "./event_splitter.ts";
@@ -79,7 +80,8 @@
   }
 
   /**
-   * Relays a runner's events until its response ends.
+   * Relays a runner's events until its response ends. Rejects with what `onEvent`
+   * throws.
    *
    * @param onEvent called for each event of the runner, before it is relayed or
    * dropped; at the first one it must write the head of the caller's response.
@@ -89,15 +91,16 @@
     if (incoming.destroyed) {
       return Promise.resolve({ kind: "broken", reason: "connection closed" });
     }
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
       const resolveBroken = (reason: string) =>
         resolve({ kind: "broken", reason });
-      incoming.on("data", (chunk: Buffer) => {
+      const relayEvents = (chunk: Buffer) => {
         for (const event of splitter.push(chunk)) {
           onEvent();
           if (!this.#write(event)) this.#pause(incoming);
         }
-      });
+      };
+      incoming.on("data", guarded(relayEvents, reject));
       incoming.on("end", () => {
         if (!incoming.complete) return resolveBroken("incomplete response");
         if (splitter.pending) return resolveBroken("ended within an event");
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -601,7 +601,7 @@
     new Exchange(this, caller).run().catch((error: unknown) => {
       const reason = error instanceof Error ? error.stack : String(error);
       this.log.event("request_failed", { reason });
-      caller.abort();
+      caller.fail();
     });
   }
 
