End what is open before the daemon exits

Callers saw: a daemon that gets SIGTERM exits at the end of its grace period with streams open. A request without a response lost its connection.

Cause: shutDownGracefully counts what is open, and the process exits; no response is ended by us. Found on related paths: a grace period that is shorter than the time for which connections are accepted (2.6 s) passed before anything was ended; a caller of HTTP/1.0 gets no chunks, so that a stream in chunks that we broke off looked whole to it; a reset waited until a slow caller had read what was written, and came after the exit.

Change: at the end of the grace period each request gets its final response (502 "stopped", or 503 if it was not sent); streams are broken off, and those without a length reset. Whether an abort must reset follows from the framing that the caller gets, not from the runner's.

--- a/packages/router/src/connection/graceful_shutdown.ts
+++ b/packages/router/src/connection/graceful_shutdown.ts
@@ -38,13 +38,16 @@
   const { graceMs, lifecycle, log, tunnels } = options;
   const startedAt = performance.now();
   const elapsedMs = () => performance.now() - startedAt;
+  const leftMs = () => graceMs() - EXIT_MARGIN_MS - elapsedMs();
   log.event("leaving", { in_flight: server.inFlight });
-  await pause(ACCEPT_MS);
+  while (elapsedMs() < ACCEPT_MS && leftMs() > 0) {
+    await pause(Math.min(CHECK_MS, ACCEPT_MS - elapsedMs(), leftMs()));
+  }
   lifecycle.close();
   server.stopAccepting();
   const inFlight = () => server.inFlight + tunnels();
-  while (inFlight() > 0 && elapsedMs() < graceMs() - EXIT_MARGIN_MS) {
-    await pause(CHECK_MS);
+  while (inFlight() > 0 && leftMs() > 0) {
+    await pause(Math.min(CHECK_MS, leftMs()));
   }
   const cut = inFlight();
   log.event("stopped", { cut, after_ms: Math.round(elapsedMs()) });
--- a/packages/router/src/request/attempt_executor.ts
+++ b/packages/router/src/request/attempt_executor.ts
@@ -559,7 +559,7 @@
    */
   #retryOrTimeOut(reason: string): AttemptResult {
     if (this.#progress.expired) {
-      return { kind: "done", outcome: this.#outcomes.timeout() };
+      return { kind: "done", outcome: this.#outcomes.expiry() };
     }
     return retry(reason, () => this.#outcomes.failure(reason));
   }
--- a/packages/router/src/request/caller.ts
+++ b/packages/router/src/request/caller.ts
@@ -46,8 +46,8 @@
   readonly response: ServerResponse;
   readonly #closesConnections: () => boolean;
   #wasCutOff = false;
-  /** Whether the body of the response has no other end than its connection's. */
-  #endsWithConnection = false;
+  /** Whether the head of the response states the length of its body. */
+  #statesLength = false;
 
   /**
    * @param closesConnections whether connections close after their responses.
@@ -130,7 +130,9 @@
    * connection, which is reset.
    */
   abort(): void {
+    if (this.disconnected) return;
     if (this.#endsWithConnection) this.request.socket.resetAndDestroy();
+    // At once: a reset would wait until the caller has read what was written.
     this.response.destroy();
   }
 
@@ -146,6 +148,12 @@
     this.response.destroy();
   }
 
+  /** Whether the body of the response has no other end than its connection's. */
+  get #endsWithConnection(): boolean {
+    return this.headersSent && !this.#statesLength &&
+      !this.response.chunkedEncoding;
+  }
+
   #writeHead(
     status: number,
     headers: string[],
@@ -153,6 +161,7 @@
   ): void {
     if (options.length !== undefined && status !== 204 && status !== 304) {
       headers.push("Content-Length", String(options.length));
+      this.#statesLength = true;
     }
     if (options.close || this.#closesConnections()) {
       headers.push("Connection", "close");
@@ -161,7 +170,6 @@
     if (options.close && options.length === undefined) {
       // Node then writes the body unframed, up to the end of the connection.
       this.response.useChunkedEncodingByDefault = false;
-      this.#endsWithConnection = true;
     }
     this.response.writeHead(status, headers);
   }
--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -21,6 +21,7 @@
 import type { Outcome } from "./outcome.ts";
 import { LocalOutcomes } from "./local_outcomes.ts";
 import { Progress } from "./progress.ts";
+import type { Expiry } from "./progress.ts";
 import { RunnerSearch } from "./runner_search.ts";
 import { AttemptExecutor } from "./attempt_executor.ts";
 import { routeRequest } from "./routed_request.ts";
@@ -87,6 +88,16 @@
     }
   }
 
+  /** Gives the caller its final response soon, as the daemon is about to exit. */
+  stop(): void {
+    this.#expire("stopped");
+  }
+
+  /** Ends a response that is still open, without its end. */
+  abort(): void {
+    this.#caller.abort();
+  }
+
   /**
    * Starts the request's time-out. The caller gets its final response when the
    * time-out expires, not some time after it.
@@ -94,12 +105,17 @@
   #startTimer(expiresAt: number): void {
     clearTimeout(this.#timer);
     this.#progress.expiresAt = expiresAt;
-    this.#timer = setTimeout(() => {
-      this.#progress.expired = true;
-      this.#attempts.cancel("timeout");
-      if (!this.#receivingBody) return;
-      this.#caller.refuse({ status: 408, code: "body_timeout", close: true });
-    }, this.#progress.remainingMs);
+    this.#timer = setTimeout(
+      () => this.#expire("timeout"),
+      this.#progress.remainingMs,
+    );
+  }
+
+  #expire(expiry: Expiry): void {
+    this.#progress.expiry = expiry;
+    this.#attempts.cancel(expiry);
+    if (!this.#receivingBody) return;
+    this.#caller.refuse({ status: 408, code: "body_timeout", close: true });
   }
 
   /** Finds the place that the request had when it was refused before. */
@@ -212,7 +228,7 @@
       if (this.#caller.disconnected) return { kind: "left" };
       const outOfTime = progress.expired ||
         progress.remainingMs < MIN_ATTEMPT_TIME_MS;
-      if (outOfTime) return fallback?.() ?? this.#outcomes.timeout();
+      if (outOfTime) return fallback?.() ?? this.#outcomes.expiry();
       const choice = await search.find({
         tried: progress.triedRunners,
         mayWait: this.#mayWait,
@@ -242,7 +258,7 @@
         again: retry,
         silent_ms: this.#silentMs,
       });
-      if (progress.expired) return this.#outcomes.timeout();
+      if (progress.expired) return this.#outcomes.expiry();
       fallback = result.fallback;
       if (!retry) return fallback();
     }
--- a/packages/router/src/request/local_outcomes.ts
+++ b/packages/router/src/request/local_outcomes.ts
@@ -99,11 +99,12 @@
     return { kind: "refused", refusal: { ...refusal, close: true } };
   }
 
-  /** Returns the outcome when the time of the request has expired. */
-  timeout(): Outcome {
-    if (this.#caller.headersSent) return { kind: "broken", reason: "timeout" };
-    const { mayHaveRun, attempts } = this.#progress;
-    if (!mayHaveRun && attempts === 0) return this.refusal("timeout");
-    return { kind: "refused", refusal: { status: 504, code: "timeout" } };
+  /** Returns the outcome when the time for the final response has expired. */
+  expiry(): Outcome {
+    const { mayHaveRun, attempts, expiry = "timeout" } = this.#progress;
+    if (this.#caller.headersSent) return { kind: "broken", reason: expiry };
+    if (!mayHaveRun && attempts === 0) return this.refusal(expiry);
+    const status = expiry === "timeout" ? 504 : 502;
+    return { kind: "refused", refusal: { status, code: expiry } };
   }
 }
--- a/packages/router/src/request/progress.ts
+++ b/packages/router/src/request/progress.ts
@@ -9,6 +9,13 @@
 import type { Daemon } from "./daemon.ts";
 import type { RequestReturn } from "./request_return.ts";
 
+/** Why a request gets its final response before a runner has given one. */
+export type Expiry =
+  /** The caller's time or that of the route has passed. */
+  | "timeout"
+  /** The daemon is about to exit. */
+  | "stopped";
+
 /** State of one request, shared by all objects that handle it. */
 export class Progress {
   readonly startedAt: number;
@@ -22,8 +29,8 @@
    * Whether any byte may have reached a runner that did not refuse the request.
    */
   mayHaveRun = false;
-  /** Whether the time for the final response has expired. */
-  expired = false;
+  /** Why the final response is due now; undefined while there is time left. */
+  expiry: Expiry | undefined;
   /**
    * Whether the request was withdrawn from a runner before the runner
    * began to run it.
@@ -65,6 +72,11 @@
     this.startedAt = daemon.now();
   }
 
+  /** Whether the time for the final response has expired. */
+  get expired(): boolean {
+    return this.expiry !== undefined;
+  }
+
   /** Whether a runner's response is no longer needed. */
   get abandoned(): boolean {
     return this.expired || this.withdrawn || this.#caller.disconnected;
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -71,6 +71,7 @@
 import { Caller } from "./request/caller.ts";
 import type { Daemon } from "./request/daemon.ts";
 import { Exchange } from "./request/exchange.ts";
+import { OpenRequests } from "./request/open_requests.ts";
 import type { RunnerFleet } from "./request/demand.ts";
 import type { PlainState } from "./request/plain_admission.ts";
 import type {
@@ -152,6 +153,7 @@
   readonly #lifecycle: Lifecycle;
   readonly #overload: OverloadGuard;
   readonly #server: CallerServer;
+  readonly #openRequests = new OpenRequests();
   readonly #draining: DrainingRunners;
   readonly #directory: RunnerDirectory;
   readonly #retryBudgets = new PerService(() =>
@@ -518,6 +520,7 @@
   stop(): void {
     this.#leadership.stop();
     this.#fleetSync.stop();
+    this.#openRequests.abort();
     this.#server.destroy();
     this.#access.destroy();
     for (const server of this.#statusServers) server.close();
@@ -539,6 +542,7 @@
       log: this.log,
       tunnels: () => this.#access.servedTunnels,
     });
+    await this.#openRequests.stop();
     await this.#fleetSync.leave();
     return cut === 0;
   }
@@ -598,7 +602,10 @@
       response,
       () => this.#lifecycle.shuttingDown || this.#overloaded,
     );
-    new Exchange(this, caller).run().catch((error: unknown) => {
+    const exchange = new Exchange(this, caller);
+    this.#openRequests.add(exchange);
+    response.once("close", () => this.#openRequests.delete(exchange));
+    exchange.run().catch((error: unknown) => {
       const reason = error instanceof Error ? error.stack : String(error);
       this.log.event("request_failed", { reason });
       caller.fail();
