Give every request one end, which leaves no response open

Cause: Caller.respond and Caller.refuse did nothing, silently, once a head had been sent, and what called them reported "answered" or "refused"; each path had to remember to ask, and overload, runnersFull, noRunner, quarantine and a relayed failure did not. Ruled out: an attempt that is never over (request_ended is logged with outcome=500 within milliseconds) and the retry budget (streams without room in it are cut at once).

Change: Caller.end takes the outcome, does what the state of the response allows, and returns what the caller got, which is logged. A stream that has begun continues only with a response of its own status; any other is a failure. A continuation that ends before the last event relayed is broken off: 204, no event and another status of success used to end the stream as complete.

Why it works: no outcome passes by Caller.end, and each of its cases ends or destroys the response.

--- a/packages/router/src/request/attempt_executor.ts
+++ b/packages/router/src/request/attempt_executor.ts
@@ -534,23 +534,17 @@
       return { kind: "done", outcome: this.#outcomes.answerCut() };
     }
     const { suspects, abandoned } = this.#progress;
-    const { status } = relayed;
+    const outcome = relayed.kind === "failed" ? relayed.outcome : relayed;
+    const { status } = outcome;
     // A runner that fails a request has not shown that the prompt does it no harm.
     const complete = status < MIN_ERROR_STATUS
       ? suspects
       : suspects.slice(0, 1);
     this.#daemon.crashes.recordResponse(complete, this.#daemon.now());
-    const outcome: Outcome = { kind: "answered", status };
-    if (relayed.kind === "answered") return { kind: "done", outcome };
-    const respond = () => {
-      relayed.respond();
-      return outcome;
-    };
-    // The runner returned a server error, which stands if no other attempt does
-    // better.
-    const mayRetry = routed.route.repetition !== "never" && !abandoned;
-    if (mayRetry) return retry(`status ${status}`, respond);
-    return { kind: "done", outcome: respond() };
+    const mayRetry = relayed.kind === "failed" && !abandoned &&
+      routed.route.repetition !== "never";
+    if (mayRetry) return retry(`status ${status}`, () => outcome);
+    return { kind: "done", outcome };
   }
 
   /**
--- a/packages/router/src/request/caller.ts
+++ b/packages/router/src/request/caller.ts
@@ -7,22 +7,11 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { endToEndHeaders, headerOf } from "./headers.ts";
 import type { RawHeaders } from "./dialect.ts";
+import { outcomeName } from "./outcome.ts";
+import type { Outcome } from "./outcome.ts";
+import type { Refusal } from "./refusal.ts";
 import { StreamBody } from "./stream_body.ts";
 
-/** A response that this daemon generates itself. */
-export interface Refusal {
-  readonly status: number;
-  /** Stable code of the reason, listed in docs/codes.md. */
-  readonly code: string;
-  /**
-   * Milliseconds after which a retry makes sense; only if the request has not
-   * run.
-   */
-  readonly retryAfterMs?: number | undefined;
-  /** Whether the connection closes after the response. */
-  readonly close?: boolean;
-}
-
 const MS_PER_SECOND = 1_000;
 /**
  * Headers not relayed from a runner's response; the daemon sets the length of
@@ -40,7 +29,12 @@
     headerOf(headers, "transfer-encoding") !== undefined;
 }
 
-/** Responds to one request, exactly once. */
+/**
+ * Responds to one request, exactly once.
+ *
+ * A response that is relayed as it arrives begins with {@linkcode beginStream}.
+ * Whatever becomes of the request, its response ends with {@linkcode end}.
+ */
 export class Caller {
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
@@ -71,9 +65,28 @@
     return this.response.destroyed;
   }
 
-  /** Whether this daemon ended the response because it had no room for it. */
-  get wasCutOff(): boolean {
-    return this.#wasCutOff;
+  /**
+   * Ends the response as the outcome says, or aborts it where that cannot be done.
+   *
+   * @returns the outcome for the caller.
+   */
+  end(determined: Outcome): Outcome {
+    const outcome = this.#feasible(determined);
+    switch (outcome.kind) {
+      case "answered":
+        outcome.send();
+        break;
+      case "streamed":
+        outcome.end();
+        break;
+      case "refused":
+        this.refuse(outcome.refusal);
+        break;
+      case "broken":
+      case "left":
+        if (!this.response.writableEnded) this.abort();
+    }
+    return outcome;
   }
 
   /** Sends a refusal, unless a response has already begun. */
@@ -148,6 +161,18 @@
     this.response.destroy();
   }
 
+  /** A stream that has begun can only be completed or broken off. */
+  #feasible(outcome: Outcome): Outcome {
+    if (this.disconnected) {
+      return this.#wasCutOff
+        ? { kind: "broken", reason: "answer cut" }
+        : { kind: "left" };
+    }
+    const replaces = outcome.kind === "answered" || outcome.kind === "refused";
+    if (!replaces || !this.headersSent) return outcome;
+    return { kind: "broken", reason: outcomeName(outcome) };
+  }
+
   /** Whether the body of the response has no other end than its connection's. */
   get #endsWithConnection(): boolean {
     return this.headersSent && !this.#statesLength &&
--- a/packages/router/src/request/decision_log.ts
+++ b/packages/router/src/request/decision_log.ts
@@ -27,7 +27,7 @@
 import type { LaterRequests, QueueKey } from "../process/runner_queue.ts";
 import type { SharedKey } from "../process/share_order.ts";
 import { SHARE_UNITS } from "../process/workspace_shares.ts";
-import type { Refusal } from "./caller.ts";
+import type { Refusal } from "./refusal.ts";
 import type { Daemon } from "./daemon.ts";
 import type { RequestHead } from "./dialect.ts";
 import { partSuspects } from "./part_suspects.ts";
--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -305,13 +305,6 @@
     return this.#outcomes.quarantine(quarantine);
   }
 
-  #finalOutcome(determined: Outcome): Outcome {
-    const { disconnected, wasCutOff } = this.#caller;
-    if (determined.kind === "answered" || !disconnected) return determined;
-    if (wasCutOff) return { kind: "broken", reason: "answer cut" };
-    return { kind: "left" };
-  }
-
   /** Fields for the log of a request that routing itself refused. */
   #refusalFields(
     head: RequestHead,
@@ -329,9 +322,7 @@
     determined: Outcome,
     routed?: RoutedRequest,
   ): void {
-    const outcome = this.#finalOutcome(determined);
-    if (outcome.kind === "refused") this.#caller.refuse(outcome.refusal);
-    if (outcome.kind === "broken") this.#caller.abort();
+    const outcome = this.#caller.end(determined);
     const { startedAt, attempts, returning } = this.#progress;
     returning?.recordEnd(outcome);
     const elapsedMs = this.#daemon.now() - startedAt;
--- a/packages/router/src/request/refusals.ts
+++ b/packages/router/src/request/refusals.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Refusal } from "./caller.ts";
+import type { Refusal } from "./refusal.ts";
 
 /** Minimum retry delay in ms; random jitter adds up to as much again. */
 const MIN_RETRY_DELAY_MS = 250;
--- a/packages/router/src/request/request_return.ts
+++ b/packages/router/src/request/request_return.ts
@@ -10,7 +10,7 @@
   ReturnPlace,
 } from "../process/return_places.ts";
 import type { QueueKey } from "../process/runner_queue.ts";
-import type { Refusal } from "./caller.ts";
+import type { Refusal } from "./refusal.ts";
 import type { Daemon } from "./daemon.ts";
 import {
   logEarlyReturn,
@@ -165,7 +165,8 @@
 
   /** Counts the end of a request that came back. */
   recordEnd(outcome: Outcome): void {
-    if (this.#return.kind === "returned") this.#count(outcome.kind);
+    if (this.#return.kind !== "returned") return;
+    this.#count(outcome.kind === "streamed" ? "answered" : outcome.kind);
   }
 
   /**
--- a/packages/router/src/request/response_relay.ts
+++ b/packages/router/src/request/response_relay.ts
@@ -13,6 +13,7 @@
 import type { Caller } from "./caller.ts";
 import type { Daemon } from "./daemon.ts";
 import type { InactivityTimer } from "./inactivity_timer.ts";
+import type { Outcome } from "./outcome.ts";
 import type { PlainRoom } from "./plain_admission.ts";
 import { StreamRelay } from "./stream_relay.ts";
 import type { RoutedRequest } from "./routed_request.ts";
@@ -44,6 +45,7 @@
  * as much of a runner's pace as all, at a fraction of the processor time.
  */
 const GAP_INTERVAL_MS = 300;
+const MIN_REDIRECT_STATUS = 300;
 const MIN_ERROR_STATUS = 400;
 const MIN_SERVER_ERROR_STATUS = 500;
 
@@ -70,18 +72,17 @@
   readonly room: PlainRoom | undefined;
 }
 
+/** What a runner responded. */
+type RunnerOutcome = Extract<Outcome, { readonly status: number }>;
+
 /** Result of relaying a response. */
 export type RelayResult =
-  /** The caller has the complete response. */
-  | { readonly kind: "answered"; readonly status: number }
+  /** The complete response of the runner, or the end of its stream. */
+  | RunnerOutcome
   /** The response was cut off, or is not the runner's own. */
   | { readonly kind: "broken"; readonly reason: string }
-  /** The runner returned a server error; `respond` relays it to the caller. */
-  | {
-    readonly kind: "failed";
-    readonly status: number;
-    readonly respond: () => void;
-  }
+  /** The runner responded with a failure, which stands if no other does better. */
+  | { readonly kind: "failed"; readonly outcome: RunnerOutcome }
   /** There was no room to buffer the response. */
   | { readonly kind: "no-room" };
 
@@ -145,9 +146,10 @@
         reason: "response without seal",
       });
     }
-    if (routed.route.streaming && success) {
-      return this.#relayStream(routed, response, context);
-    }
+    const streamed = this.#caller.headersSent
+      ? status === this.#caller.response.statusCode
+      : routed.route.streaming && status < MIN_REDIRECT_STATUS;
+    if (streamed) return this.#relayStream(routed, response, context);
     return this.#relayBuffered(routed, response, context);
   }
 
@@ -175,14 +177,15 @@
     const failed = status >= MIN_SERVER_ERROR_STATUS;
     context.load.recordResponse(failed, this.#daemon.now());
     this.#recordPlainResponse(routed, response, context);
-    const respond = () =>
+    const send = () =>
       this.#caller.respond(status, incoming.rawHeaders, {
         chunks: received.chunks,
         onUnread: buffer && ((bytes) => buffer.setUnread(bytes)),
       });
-    if (failed) return { kind: "failed", status, respond };
-    respond();
-    return { kind: "answered", status };
+    const outcome = { kind: "answered", status, send } as const;
+    // A stream that has begun goes on with events only.
+    const usable = !failed && !this.#caller.headersSent;
+    return usable ? outcome : { kind: "failed", outcome };
   }
 
   /**
@@ -261,9 +264,11 @@
         end.reason,
       );
     }
-    this.#caller.beginStream(status, incoming.rawHeaders);
-    stream.end();
-    return { kind: "answered", status };
+    const finish = () => {
+      this.#caller.beginStream(status, incoming.rawHeaders);
+      stream.end();
+    };
+    return { kind: "streamed", status, end: finish };
   }
 
   #recordResponse(
--- a/packages/router/src/request/routed_request.ts
+++ b/packages/router/src/request/routed_request.ts
@@ -8,7 +8,7 @@
 import { pickDestination } from "../version/routing_table.ts";
 import type { RoutingTable } from "../version/routing_table.ts";
 import type { RequestHead } from "./dialect.ts";
-import type { Refusal } from "./caller.ts";
+import type { Refusal } from "./refusal.ts";
 import type { Daemon } from "./daemon.ts";
 import { headerBytes } from "./headers.ts";
 
--- a/packages/router/src/request/stream_relay.ts
+++ b/packages/router/src/request/stream_relay.ts
@@ -33,6 +33,11 @@
   #lastEventId: number | undefined;
   #pauseCount = 0;
   #eventCount = 0;
+  /**
+   * Whether the runner's response has come to the last event relayed. One that ends
+   * before says nothing of whether the caller has the whole stream.
+   */
+  #caughtUp = false;
 
   constructor(
     response: ServerResponse,
@@ -88,6 +93,8 @@
    */
   relay(incoming: IncomingMessage, onEvent: () => void): Promise<StreamEnd> {
     const splitter = new EventSplitter();
+    const continued = this.#eventCount > 0;
+    this.#caughtUp = false;
     if (incoming.destroyed) {
       return Promise.resolve({ kind: "broken", reason: "connection closed" });
     }
@@ -104,6 +111,9 @@
       incoming.on("end", () => {
         if (!incoming.complete) return resolveBroken("incomplete response");
         if (splitter.pending) return resolveBroken("ended within an event");
+        if (continued && !this.#caughtUp) {
+          return resolveBroken("ended before the last event relayed");
+        }
         resolve({ kind: "complete" });
       });
       incoming.on("error", (error) => resolveBroken(error.message));
@@ -119,6 +129,7 @@
    */
   #write(event: Buffer): boolean {
     const id = this.#dialect.eventId(event.toString("latin1"));
+    this.#caughtUp ||= id === undefined || id >= (this.#lastEventId ?? id);
     if (id !== undefined) {
       if (this.#lastEventId !== undefined && id <= this.#lastEventId) {
         return true;
--- a/packages/router/src/request/stream_resumption.ts
+++ b/packages/router/src/request/stream_resumption.ts
@@ -5,7 +5,7 @@
  */
 import { streamKey } from "../process/stream_origins.ts";
 import type { StreamOrigin } from "../process/stream_origin.ts";
-import type { Refusal } from "./caller.ts";
+import type { Refusal } from "./refusal.ts";
 import type { Daemon } from "./daemon.ts";
 import { logStreamResumed, logStreamUnknown } from "./decision_log.ts";
 import { unavailableRefusal } from "./refusals.ts";
