Close kept connections on which something arrives without a request

Seen in a test: a runner that goes on sending after its response is read for as long as it sends, as nobody listens on an idle connection and each piece restarts its idle time-out. Such bytes belong to no request.

unsolicited_bytes_test: open after 10 s before, closed at the first bytes now.

--- a/packages/router/src/connection/runner_connections.ts
+++ b/packages/router/src/connection/runner_connections.ts
@@ -44,6 +44,11 @@
   return Number(seconds) * MS_PER_SECOND * IDLE_SHARE;
 }
 
+/** Closes an idle connection on which something arrives: it is no response. */
+function closeUnsolicited(this: Duplex): void {
+  this.destroy();
+}
+
 /** Opens a connection to a runner, directly or by way of a peer. */
 type Dial = () => Duplex;
 
@@ -68,12 +73,14 @@
     if (idleMs <= 0 || kept.leaving === true) return false;
     kept.setKeepAlive(true, MS_PER_SECOND);
     kept.setTimeout(idleMs);
+    kept.on("data", closeUnsolicited);
     return true;
   }
 
   // Called by Node when an idle connection gets a request.
   override reuseSocket(socket: Duplex, request: ClientRequest): void {
     super.reuseSocket(socket, request);
+    socket.off("data", closeUnsolicited);
     (socket as KeptSocket).setTimeout(0);
   }
 }
