Give up responses that make no progress

Cause: what a runner sends had bounds in time only, unless it became a head, a body or an event. Interim responses, line ends before a head, digits of a chunk's length and events had none; an event was joined and searched anew with each chunk, in time that grows with the square.

Change: bytes on the connection since the last progress are counted, 64 KB up to the head, 256 KB after it; beyond, the attempt is broken. Events are split in linear time. Repeated events are no progress.

--- a/packages/router/src/request/attempt.ts
+++ b/packages/router/src/request/attempt.ts
@@ -13,6 +13,7 @@
 import { guarded } from "../process/guarded.ts";
 import type { Dialect, ResponseHead } from "./dialect.ts";
 import { headFault } from "./relayable_head.ts";
+import { ResponseBytes } from "./response_bytes.ts";
 
 /**
  * Time-out in ms for opening a connection. A round trip between failure domains
@@ -23,6 +24,9 @@
 /** Time-out in ms for opening a connection by way of a peer; three may be tried. */
 const TUNNEL_TIMEOUT_MS = 1_000;
 
+/** Maximum size in bytes of the head of a response, with interim responses. */
+const MAX_HEAD_BYTES = 64 * 1024;
+
 /** The request as it is sent to the runner. */
 export interface OutgoingRequest {
   readonly id: string;
@@ -71,6 +75,7 @@
   #connectTimedOut = false;
   #lostByPeer = false;
   #incoming: IncomingMessage | undefined;
+  #bytes: ResponseBytes | undefined;
   #settle: (result: SendResult) => void = () => {};
 
   constructor(
@@ -152,6 +157,15 @@
     });
   }
 
+  /**
+   * Records that a part of the response has arrived which is of use.
+   *
+   * @param maxBytes bytes that there may be up to the next one; by default as before.
+   */
+  recordProgress(maxBytes?: number): void {
+    this.#bytes?.recordProgress(maxBytes);
+  }
+
   /**
    * Aborts the request; the runner sees its connection close and stops work.
    */
@@ -168,9 +182,16 @@
       },
       this.path === "direct" ? CONNECT_TIMEOUT_MS : TUNNEL_TIMEOUT_MS,
     );
-    this.#clientRequest.once("close", () => clearTimeout(timer));
+    this.#clientRequest.once("close", () => {
+      clearTimeout(timer);
+      this.#bytes?.stop();
+    });
     this.#clientRequest.once("socket", (socket) => {
       this.#hadSocket = true;
+      this.#bytes = new ResponseBytes(socket, {
+        maxBytes: MAX_HEAD_BYTES,
+        onExceeded: () => this.#abort(new Error("response makes no progress")),
+      });
       const connected = () => {
         clearTimeout(timer);
         this.#mayHaveReachedRunner = true;
@@ -182,6 +203,11 @@
     });
   }
 
+  #abort(error: Error): void {
+    this.#handleError(error);
+    this.#clientRequest.destroy(error);
+  }
+
   /**
    * Aborts a response whose connection failed. Node's parser takes a connection
    * reset for the end of a response without a length, so a partial body would
--- a/packages/router/src/request/event_splitter.ts
+++ b/packages/router/src/request/event_splitter.ts
@@ -7,49 +7,76 @@
 
 const LF = 0x0a;
 const CR = 0x0d;
-const EMPTY = Buffer.alloc(0);
 
-/** Returns the index after the blank line that ends the first event, or -1. */
-function endOfEvent(bytes: Buffer, from: number): number {
-  let index = bytes.indexOf(LF, from);
-  while (index !== -1) {
-    const next = bytes[index + 1];
-    if (next === LF) return index + 2;
-    if (next === CR && bytes[index + 2] === LF) return index + 3;
-    index = bytes.indexOf(LF, index + 1);
-  }
-  return -1;
-}
+/** What the bytes so far end with. */
+type LineState =
+  /** A part of a line. */
+  | "line"
+  /** The end of a line. */
+  | "end"
+  /** The end of a line and a carriage return. */
+  | "return";
 
 /**
  * Returns only complete events. When a runner stops in the middle of one, the
- * caller has no partial event that a second runner would have to repeat.
+ * caller has no partial event that a second runner would have to repeat. Each byte
+ * is looked at once, however many chunks an event comes in.
  */
 export class EventSplitter {
-  #rest: Buffer = EMPTY;
+  /** The partial event. */
+  #chunks: Buffer[] = [];
+  #state: LineState = "line";
 
   /**
    * Adds a chunk and returns the events that it completes, with their blank
    * lines.
    */
   push(chunk: Buffer): readonly Buffer[] {
-    const bytes = this.#rest.length === 0
-      ? chunk
-      : Buffer.concat([this.#rest, chunk]);
     const events: Buffer[] = [];
     let start = 0;
     for (;;) {
-      const end = endOfEvent(bytes, start);
+      const end = this.#endOfEvent(chunk, start);
       if (end === -1) break;
-      events.push(bytes.subarray(start, end));
+      events.push(this.#complete(chunk.subarray(start, end)));
       start = end;
     }
-    this.#rest = bytes.subarray(start);
+    if (start < chunk.length) this.#chunks.push(chunk.subarray(start));
     return events;
   }
 
   /** Whether a partial event is buffered. */
   get pending(): boolean {
-    return this.#rest.length > 0;
+    return this.#chunks.length > 0;
+  }
+
+  /** Returns the index after the blank line that ends the event, or -1. */
+  #endOfEvent(chunk: Buffer, from: number): number {
+    let index = from;
+    while (index < chunk.length) {
+      if (this.#state === "line") {
+        const lineEnd = chunk.indexOf(LF, index);
+        if (lineEnd === -1) return -1;
+        this.#state = "end";
+        index = lineEnd + 1;
+        continue;
+      }
+      const byte = chunk[index]!;
+      if (byte === LF) {
+        this.#state = "line";
+        return index + 1;
+      }
+      const returns = this.#state === "end" && byte === CR;
+      this.#state = returns ? "return" : "line";
+      index += 1;
+    }
+    return -1;
+  }
+
+  /** Returns the event that ends with these bytes. */
+  #complete(last: Buffer): Buffer {
+    if (this.#chunks.length === 0) return last;
+    const event = Buffer.concat([...this.#chunks, last]);
+    this.#chunks = [];
+    return event;
   }
 }
--- a/packages/router/src/request/response_relay.ts
+++ b/packages/router/src/request/response_relay.ts
@@ -25,6 +25,12 @@
  * Maximum size in bytes of a response that is buffered before it is relayed.
  */
 const MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
+/**
+ * Maximum size in bytes of an event with its frames: an event holds some tokens, and
+ * of each perhaps the probabilities of others. Also bounds the frames of other bodies,
+ * and what is on its way while a response is paused.
+ */
+const MAX_EVENT_BYTES = 256 * 1024;
 /**
  * Time without an event, in multiples of the gap target, after which a stream
  * continues on another runner.
@@ -139,6 +145,7 @@
   ): Promise<RelayResult> {
     const { status, head } = response;
     const success = status < MIN_ERROR_STATUS;
+    context.attempt.recordProgress(MAX_EVENT_BYTES);
     if (success && (!head.sealed || head.encoded)) {
       context.attempt.cancel("response without seal");
       context.load.recordFailure(this.#daemon.now());
@@ -165,6 +172,8 @@
       routed,
       () => context.attempt.cancel("no room for the response"),
     );
+    // The size of the body is bounded; each part of it is progress.
+    incoming.on("data", () => context.attempt.recordProgress());
     const received = await this.#receive(incoming, buffer);
     if (buffer?.wasCut) return { kind: "no-room" };
     if (received.kind !== "complete") {
@@ -246,7 +255,7 @@
       incoming,
       (maxMs) => context.inactivity.restart(maxMs + gapTimeoutMs),
     );
-    const end = await stream.relay(incoming, () => {
+    const onEvent = () => {
       const now = this.#daemon.now();
       context.load.recordActivity(now);
       this.#recordResponse(context, now);
@@ -257,7 +266,9 @@
       }
       recordGap(now);
       context.inactivity.restart(gapTimeoutMs);
-    });
+    };
+    const onProgress = () => context.attempt.recordProgress();
+    const end = await stream.relay(incoming, { onEvent, onProgress });
     if (end.kind !== "complete") {
       return this.#handleInterruption(
         context,
--- a/packages/router/src/request/stream_relay.ts
+++ b/packages/router/src/request/stream_relay.ts
@@ -88,11 +88,20 @@
    * Relays a runner's events until its response ends. Rejects with what `onEvent`
    * throws.
    *
-   * @param onEvent called for each event of the runner, before it is relayed or
+   * @param listener.onEvent called for each event of the runner, before it is relayed or
    * dropped; at the first one it must write the head of the caller's response.
+   * @param listener.onProgress called for each event that is not a repetition of one
+   * in the same response.
    */
-  relay(incoming: IncomingMessage, onEvent: () => void): Promise<StreamEnd> {
+  relay(
+    incoming: IncomingMessage,
+    { onEvent, onProgress }: {
+      readonly onEvent: () => void;
+      readonly onProgress: () => void;
+    },
+  ): Promise<StreamEnd> {
     const splitter = new EventSplitter();
+    let highestId = -Infinity;
     const continued = this.#eventCount > 0;
     this.#caughtUp = false;
     if (incoming.destroyed) {
@@ -104,7 +113,10 @@
       const relayEvents = (chunk: Buffer) => {
         for (const event of splitter.push(chunk)) {
           onEvent();
-          if (!this.#write(event)) this.#pause(incoming);
+          const id = this.#dialect.eventId(event.toString("latin1"));
+          if (id === undefined || id > highestId) onProgress();
+          highestId = Math.max(highestId, id ?? highestId);
+          if (!this.#write(event, id)) this.#pause(incoming);
         }
       };
       incoming.on("data", guarded(relayEvents, reject));
@@ -127,8 +139,7 @@
    *
    * @returns false if the runner is to be paused until the caller has read more.
    */
-  #write(event: Buffer): boolean {
-    const id = this.#dialect.eventId(event.toString("latin1"));
+  #write(event: Buffer, id: number | undefined): boolean {
     this.#caughtUp ||= id === undefined || id >= (this.#lastEventId ?? id);
     if (id !== undefined) {
       if (this.#lastEventId !== undefined && id <= this.#lastEventId) {
