Take no response without an id for that of a request with one

Cause: a response with another id was discarded, one without any was taken for the request's. Runners echo the id, which identifies a late response.

Change: a response to a request with an id must name it, or the attempt is broken (502). unidentified_response_test: 4 of 5 failed before, 5 pass.

--- a/packages/router/src/request/attempt.ts
+++ b/packages/router/src/request/attempt.ts
@@ -233,11 +233,12 @@
       return this.#discard(incoming, `malformed response: ${fault}`);
     }
     const head = this.#dialect.parseResponse(status, incoming.rawHeaders);
-    if (head.id !== undefined && head.id !== this.#request.id) {
-      // A late duplicate response to an earlier request. The response to this
-      // one may still follow, but nothing on this connection can be attributed
-      // to this request any more.
-      return this.#discard(incoming, "response to another request");
+    if (this.#request.id !== "" && head.id !== this.#request.id) {
+      // A duplicate of an earlier response, or bytes that belong to no request. The
+      // response to this one may still follow, but nothing on this connection can
+      // be attributed to this request any more.
+      const whose = head.id === undefined ? "no" : "another";
+      return this.#discard(incoming, `response to ${whose} request`);
     }
     if (head.notExecuted) {
       incoming.on("error", () => {});
