Give a silent runner up only when another attempt may be made

Cause: the timer of inactivity cancelled the attempt, and the budget was asked afterwards; whether there is another runner was asked only once an event had arrived. A timer that had fired was not started again.

Change: the retry is taken from the budget before the attempt is cancelled and kept for it. Without room, or without another runner, the timer asks again every 200 ms.

--- a/packages/router/src/request/attempt_executor.ts
+++ b/packages/router/src/request/attempt_executor.ts
@@ -45,6 +45,8 @@
  * idempotent request is retried on another runner.
  */
 const RESPONSE_TIMEOUT_TARGETS = 1;
+/** Interval in ms at which an inactive attempt checks whether a retry is possible. */
+const RETRY_CHECK_MS = 200;
 const MIN_ERROR_STATUS = 400;
 const MIN_SERVER_ERROR_STATUS = 500;
 /** Maximum ms for which a request waits for a check of the paths to runners. */
@@ -336,8 +338,10 @@
     if (route.repetition === "never" || isLast) {
       return new InactivityTimer(() => {});
     }
-    const inactivity = new InactivityTimer(() => {
-      if (!this.#hasAlternative(service)) return;
+    const inactivity: InactivityTimer = new InactivityTimer(() => {
+      if (!this.#hasAlternative(service) || !this.#reserveRetry(service)) {
+        return inactivity.restart(RETRY_CHECK_MS);
+      }
       this.#attempt?.cancel("runner inactive");
     });
     const targets = route.streaming
@@ -358,12 +362,22 @@
     );
   }
 
-  /** Whether a runner that was not tried may continue the stream. */
+  /** Takes the retry that follows when the attempt is cancelled. */
+  #reserveRetry({ name }: Service): boolean {
+    const { attempts } = this.#progress;
+    if (attempts === 0 && !this.#attempt?.mayHaveReachedRunner) return true;
+    this.#progress.retryReserved = this.#daemon.retryBudget(name).take(
+      this.#daemon.now(),
+    );
+    return this.#progress.retryReserved;
+  }
+
+  /** Whether a runner that was not tried may take or continue the request. */
   #hasAlternative({ name }: Service): boolean {
     const { origin, triedRunners } = this.#progress;
-    if (origin === undefined) return true;
     return this.#daemon.fleet(name).runners.some((runner) =>
-      !triedRunners.has(runner.id) && mayContinue(origin, runner)
+      !triedRunners.has(runner.id) &&
+      (origin === undefined || mayContinue(origin, runner))
     );
   }
 
--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -283,10 +283,13 @@
 
   #mayRetry({ route, service }: RoutedRequest): boolean {
     const { abandoned, attempts, mayHaveRun, triedRunners } = this.#progress;
+    const reserved = this.#progress.retryReserved;
+    this.#progress.retryReserved = false;
     if (abandoned || attempts >= route.maxAttempts) return false;
     if (mayHaveRun && route.repetition === "never") return false;
     // Attempts that never reached a runner do not count as retries.
     if (attempts === 0) return triedRunners.size < MAX_UNREACHABLE_RUNNERS;
+    if (reserved) return true;
     return this.#daemon.retryBudget(service.name).take(this.#daemon.now());
   }
 
--- a/packages/router/src/request/inactivity_timer.ts
+++ b/packages/router/src/request/inactivity_timer.ts
@@ -26,7 +26,11 @@
 
   #checkDeadline(): void {
     const remainingMs = this.#deadline - performance.now();
-    if (remainingMs <= 0) return this.#onInactive();
-    this.#timer = setTimeout(() => this.#checkDeadline(), remainingMs);
+    if (remainingMs > 0) {
+      this.#timer = setTimeout(() => this.#checkDeadline(), remainingMs);
+      return;
+    }
+    this.#timer = undefined;
+    this.#onInactive();
   }
 }
--- a/packages/router/src/request/progress.ts
+++ b/packages/router/src/request/progress.ts
@@ -31,6 +31,8 @@
   mayHaveRun = false;
   /** Why the final response is due now; undefined while there is time left. */
   expiry: Expiry | undefined;
+  /** Whether the next retry was taken from the budget before its attempt began. */
+  retryReserved = false;
   /**
    * Whether the request was withdrawn from a runner before the runner
    * began to run it.
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -515,7 +515,7 @@
   parts: {
     readonly configurations: Feed<Configuration>;
     readonly runners: Feed<Runner>;
-    readonly settings?: Partial<RouterSettings>;
+    readonly settings?: Partial<RouterSettings> | undefined;
     readonly log?: EventLog;
     readonly network?: RunnerNetwork | undefined;
   },
@@ -572,7 +572,7 @@
   runners: readonly FakeRunner[],
   fields: Partial<Configuration> = {},
   parts: {
-    readonly settings?: Partial<RouterSettings>;
+    readonly settings?: Partial<RouterSettings> | undefined;
     readonly log?: EventLog;
   } = {},
 ): Promise<Router> {
