Tidy the end of requests, of streams and of the grace period

Caller.fail refused and aborted by itself what Caller.end does for any outcome; LocalOutcomes.expiry asked whether the head was sent, which Caller.end asks for all; whether a continued stream had caught up was a field that each response reset, and is a variable of the response now; the grace period had one waiting loop twice. Copies of a set that is not changed meanwhile are gone. Behaviour is meant to be the same: an expired stream ends with the same reason, its code.

No test was changed.

--- a/packages/router/src/connection/graceful_shutdown.ts
+++ b/packages/router/src/connection/graceful_shutdown.ts
@@ -39,16 +39,17 @@
   const startedAt = performance.now();
   const elapsedMs = () => performance.now() - startedAt;
   const leftMs = () => graceMs() - EXIT_MARGIN_MS - elapsedMs();
+  const waitFor = async (remainingMs: () => number) => {
+    for (let ms = remainingMs(); ms > 0; ms = remainingMs()) {
+      await pause(Math.min(CHECK_MS, ms));
+    }
+  };
   log.event("leaving", { in_flight: server.inFlight });
-  while (elapsedMs() < ACCEPT_MS && leftMs() > 0) {
-    await pause(Math.min(CHECK_MS, ACCEPT_MS - elapsedMs(), leftMs()));
-  }
+  await waitFor(() => Math.min(ACCEPT_MS - elapsedMs(), leftMs()));
   lifecycle.close();
   server.stopAccepting();
   const inFlight = () => server.inFlight + tunnels();
-  while (inFlight() > 0 && leftMs() > 0) {
-    await pause(Math.min(CHECK_MS, leftMs()));
-  }
+  await waitFor(() => inFlight() > 0 ? leftMs() : 0);
   const cut = inFlight();
   log.event("stopped", { cut, after_ms: Math.round(elapsedMs()) });
   return cut;
--- a/packages/router/src/request/caller.ts
+++ b/packages/router/src/request/caller.ts
@@ -97,8 +97,8 @@
 
   /** Ends the response after an error of this daemon; the request may have run. */
   fail(): void {
-    this.refuse({ status: 502, code: "internal", close: true });
-    if (!this.response.writableEnded) this.abort();
+    const refusal = { status: 502, code: "internal", close: true };
+    this.end({ kind: "refused", refusal });
   }
 
   /**
--- a/packages/router/src/request/local_outcomes.ts
+++ b/packages/router/src/request/local_outcomes.ts
@@ -102,7 +102,6 @@
   /** Returns the outcome when the time for the final response has expired. */
   expiry(): Outcome {
     const { mayHaveRun, attempts, expiry = "timeout" } = this.#progress;
-    if (this.#caller.headersSent) return { kind: "broken", reason: expiry };
     if (!mayHaveRun && attempts === 0) return this.refusal(expiry);
     const status = expiry === "timeout" ? 504 : 502;
     return { kind: "refused", refusal: { status, code: expiry } };
--- a/packages/router/src/request/open_requests.ts
+++ b/packages/router/src/request/open_requests.ts
@@ -35,13 +35,13 @@
   /** Gives all callers their final responses, as far as they can be given. */
   async stop(): Promise<void> {
     if (this.#requests.size === 0) return;
-    for (const request of [...this.#requests]) request.stop();
+    for (const request of this.#requests) request.stop();
     await pause(STOP_MS);
     this.abort();
   }
 
   /** Ends all responses at once. */
   abort(): void {
-    for (const request of [...this.#requests]) request.abort();
+    for (const request of this.#requests) request.abort();
   }
 }
--- a/packages/router/src/request/stream_relay.ts
+++ b/packages/router/src/request/stream_relay.ts
@@ -33,11 +33,6 @@
   #lastEventId: number | undefined;
   #pauseCount = 0;
   #eventCount = 0;
-  /**
-   * Whether the runner's response has come to the last event relayed. One that ends
-   * before says nothing of whether the caller has the whole stream.
-   */
-  #caughtUp = false;
 
   constructor(
     response: ServerResponse,
@@ -102,8 +97,10 @@
   ): Promise<StreamEnd> {
     const splitter = new EventSplitter();
     let highestId = -Infinity;
-    const continued = this.#eventCount > 0;
-    this.#caughtUp = false;
+    const lastBefore = this.#lastEventId;
+    // A response that ends before the last event relayed says nothing of whether the
+    // caller has the whole stream.
+    let caughtUp = this.#eventCount === 0;
     if (incoming.destroyed) {
       return Promise.resolve({ kind: "broken", reason: "connection closed" });
     }
@@ -116,6 +113,7 @@
           const id = this.#dialect.eventId(event.toString("latin1"));
           if (id === undefined || id > highestId) onProgress();
           highestId = Math.max(highestId, id ?? highestId);
+          caughtUp ||= id === undefined || id >= (lastBefore ?? id);
           if (!this.#write(event, id)) this.#pause(incoming);
         }
       };
@@ -123,7 +121,7 @@
       incoming.on("end", () => {
         if (!incoming.complete) return resolveBroken("incomplete response");
         if (splitter.pending) return resolveBroken("ended within an event");
-        if (continued && !this.#caughtUp) {
+        if (!caughtUp) {
           return resolveBroken("ended before the last event relayed");
         }
         resolve({ kind: "complete" });
@@ -140,7 +138,6 @@
    * @returns false if the runner is to be paused until the caller has read more.
    */
   #write(event: Buffer, id: number | undefined): boolean {
-    this.#caughtUp ||= id === undefined || id >= (this.#lastEventId ?? id);
     if (id !== undefined) {
       if (this.#lastEventId !== undefined && id <= this.#lastEventId) {
         return true;
