Listen again instead of ending while an address is in use

Cause: `Router.start` opened the four ports together with one attempt each, and any error ended the process with status 70. A port that another socket holds for a moment, or an address that is not assigned yet, was met again by each restart.

What callers saw: no daemon on that host, and a process that ends by itself three times or more before the port is free; a held port for metrics or readiness kept the callers' port closed.

The fleet's data is fetched meanwhile. The daemon is not ready before the callers' port is open (`callers_port`). Errors that stay (no permission, port 99999) still end the start, except for metrics, without which the daemon serves. `started` is logged when the callers' port is open.

--- a/packages/router/src/connection/caller_server.ts
+++ b/packages/router/src/connection/caller_server.ts
@@ -5,9 +5,11 @@
  */
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import type { EventLog } from "../process/event_log.ts";
 import type { ListenAddress } from "../process/settings.ts";
-import type { AddressInfo, Socket } from "node:net";
 import type { CallerLimits } from "../version/configuration.ts";
+import { Listening } from "./listening.ts";
 
 /** Milliseconds between checks for requests that take too long to arrive. */
 const CHECK_MS = 500;
@@ -23,17 +25,10 @@
   response: ServerResponse,
 ) => void;
 
-/** Starts listening at an address. */
-export function listen(server: Server, address: ListenAddress): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(address.port, address.host, resolve);
-  });
-}
-
 /** Accepts connections of callers and enforces the configured time-outs. */
 export class CallerServer {
   readonly #server: Server;
+  readonly #listening: Listening;
   /** Number of requests in flight on each open connection. */
   readonly #connections = new Map<Socket, number>();
   #inFlight = 0;
@@ -45,6 +40,7 @@
   constructor(handler: RequestHandler, options: {
     readonly maxConnections: number;
     readonly accepts: () => boolean;
+    readonly log: EventLog;
   }) {
     this.#server = createServer({
       maxHeaderSize: MAX_HEAD_BYTES,
@@ -63,6 +59,8 @@
       socket.once("close", () => this.#connections.delete(socket));
     });
     this.#server.maxConnections = options.maxConnections;
+    const { log } = options;
+    this.#listening = new Listening(this.#server, { name: "callers", log });
   }
 
   /** Number of requests whose responses are not finished. */
@@ -70,13 +68,19 @@
     return this.#inFlight;
   }
 
-  /** The port that the server listens on. */
+  /** The port that the server listens on; 0 before it does. */
   get port(): number {
-    return (this.#server.address() as AddressInfo).port;
+    return this.#listening.port;
+  }
+
+  /** Whether connections are accepted. */
+  get isOpen(): boolean {
+    return this.#listening.isOpen;
   }
 
+  /** Accepts connections; see {@linkcode Listening.open}. */
   open(address: ListenAddress): Promise<void> {
-    return listen(this.#server, address);
+    return this.#listening.open(address);
   }
 
   /** Applies limits, which open connections use from their next request on. */
@@ -94,7 +98,7 @@
    * count as idle.
    */
   stopAccepting(): void {
-    this.#server.close();
+    this.#listening.close();
     for (const [socket, inFlight] of this.#connections) {
       if (inFlight === 0) socket.end();
     }
@@ -102,7 +106,7 @@
 
   /** Closes the server and all connections at once. */
   destroy(): void {
-    this.#server.close();
+    this.#listening.close();
     for (const socket of this.#connections.keys()) socket.destroy();
   }
 
--- a/packages/router/src/connection/caller_server_test.ts
+++ b/packages/router/src/connection/caller_server_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { Agent, get } from "node:http";
 import { test } from "node:test";
+import { SILENT_LOG } from "../../tests/fixtures.ts";
 import { CallerServer } from "./caller_server.ts";
 
 const LOCALHOST = "127.0.0.1";
@@ -23,7 +24,7 @@
   const server = new CallerServer((_, response) => {
     handled += 1;
     response.end();
-  }, { maxConnections: 10, accepts: () => accepts });
+  }, { maxConnections: 10, accepts: () => accepts, log: SILENT_LOG });
   await server.open({ host: LOCALHOST, port: 0 });
   const [kept, other] = [new Agent({ keepAlive: true }), new Agent()];
   t.after(() => {
--- a/packages/router/src/connection/fleet_sync.ts
+++ b/packages/router/src/connection/fleet_sync.ts
@@ -70,8 +70,8 @@
  * Synchronizes configurations, runners and their loads with neighbours and the
  * store.
  *
- * A daemon starts as follows. It opens its ports and dials the addresses in its
- * settings. It waits a moment for a neighbour to offer newer data, then reads
+ * A daemon starts as follows. It opens its ports as soon as they are free, and dials
+ * the addresses in its settings. It waits a moment for a neighbour to offer newer data, then reads
  * the store. Later some daemons register in the store, where others discover
  * them, and some watch the store for all.
  */
@@ -152,7 +152,7 @@
     state.directory.onChange(() => this.#openGateIfComplete());
   }
 
-  /** The port on which links of other daemons are accepted. */
+  /** The port on which links of other daemons are accepted; 0 before they are. */
   get port(): number {
     return this.#peers.port;
   }
@@ -226,7 +226,7 @@
     };
   }
 
-  /** Accepts links of other daemons. */
+  /** Accepts links of other daemons as soon as the address is free. */
   open(address: ListenAddress): Promise<void> {
     return this.#peers.open(address);
   }
--- a/packages/router/src/connection/peer_network.ts
+++ b/packages/router/src/connection/peer_network.ts
@@ -5,8 +5,10 @@
  */
 import { Buffer } from "node:buffer";
 import { connect, createServer } from "node:net";
-import type { AddressInfo, Server, Socket } from "node:net";
+import type { Socket } from "node:net";
+import type { EventLog } from "../process/event_log.ts";
 import type { ListenAddress } from "../process/settings.ts";
+import { Listening } from "./listening.ts";
 import { PeerLink } from "./peer_link.ts";
 import type { Link, LinkEvents } from "./peer_link.ts";
 import { TUNNEL_PREFACE } from "./tunnel_channel.ts";
@@ -22,9 +24,9 @@
 
 /** Dials other daemons and accepts their links. */
 export interface PeerNetwork {
-  /** The port on which links are accepted. */
+  /** The port on which links are accepted; 0 before they are. */
   readonly port: number;
-  /** Accepts links from now on. */
+  /** Accepts links as soon as the address is free. */
   open(
     address: ListenAddress,
     accepted: (createLink: LinkFactory) => void,
@@ -47,15 +49,17 @@
 /** Links over TCP; the port also accepts tunnel channels. */
 export class TcpPeerNetwork implements PeerNetwork {
   readonly #acceptTunnel: (socket: Socket) => void;
-  #server: Server | undefined;
+  readonly #log: EventLog;
+  #listening: Listening | undefined;
 
   /** @param acceptTunnel called with a connection that is a tunnel channel. */
-  constructor(acceptTunnel: (socket: Socket) => void) {
+  constructor(acceptTunnel: (socket: Socket) => void, log: EventLog) {
     this.#acceptTunnel = acceptTunnel;
+    this.#log = log;
   }
 
   get port(): number {
-    return (this.#server?.address() as AddressInfo).port;
+    return this.#listening?.port ?? 0;
   }
 
   open(
@@ -68,11 +72,9 @@
         tunnel: () => this.#acceptTunnel(socket),
       });
     });
-    this.#server = server;
-    return new Promise((resolve, reject) => {
-      server.once("error", reject);
-      server.listen(address.port, address.host, resolve);
-    });
+    const log = this.#log;
+    this.#listening = new Listening(server, { name: "peers", log });
+    return this.#listening.open(address);
   }
 
   dial(address: string, outcome: {
@@ -97,7 +99,7 @@
   }
 
   close(): void {
-    this.#server?.close();
+    this.#listening?.close();
   }
 }
 
--- a/packages/router/src/connection/peers.ts
+++ b/packages/router/src/connection/peers.ts
@@ -121,7 +121,7 @@
     return this.#peers.size;
   }
 
-  /** The port on which links are accepted. */
+  /** The port on which links are accepted; 0 before they are. */
   get port(): number {
     return this.#network.port;
   }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -3,14 +3,15 @@
  *
  * @module
  */
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { randomBytes } from "node:crypto";
 import { shutDownGracefully } from "./connection/graceful_shutdown.ts";
-import { CallerServer, listen } from "./connection/caller_server.ts";
+import { CallerServer } from "./connection/caller_server.ts";
 import { CrashDetector } from "./connection/crash_detector.ts";
 import type { BrokenRun } from "./connection/crash_detector.ts";
 import { FleetSync } from "./connection/fleet_sync.ts";
 import type { SharedStore } from "./connection/fleet_sync.ts";
+import { Listening } from "./connection/listening.ts";
 import { TcpPeerNetwork } from "./connection/peer_network.ts";
 import type { RunnerConnections } from "./connection/runner_connections.ts";
 import type { TunnelPeers } from "./connection/tunnel_peers.ts";
@@ -174,7 +175,7 @@
   readonly #restartDetector: RestartDetector;
   readonly #crashDetector: CrashDetector;
   #surveyed = false;
-  #statusServers: readonly Server[] = [];
+  #statusServers: readonly Listening[] = [];
   /** The listed runners by their ids. */
   #runnersById: ReadonlyMap<string, Runner> = new Map();
   #configuration: Configuration | undefined;
@@ -248,6 +249,7 @@
     this.#draining = new DrainingRunners(log);
     this.#directory = new RunnerDirectory(this.#draining);
     this.#lifecycle = new Lifecycle(log);
+    this.#lifecycle.addRequirement("callers_port", () => this.#server.isOpen);
     this.#lifecycle.addRequirement(
       "configuration",
       () => this.#routingTable !== undefined,
@@ -271,6 +273,7 @@
       {
         maxConnections: settings.maxConnections,
         accepts: () => !this.#overloaded,
+        log,
       },
     );
     const { host, port } = settings.advertised ?? settings.peers;
@@ -314,8 +317,9 @@
       own,
       log,
       store: platform,
-      network: new TcpPeerNetwork((socket) =>
-        this.#access.acceptTunnel(socket)
+      network: new TcpPeerNetwork(
+        (socket) => this.#access.acceptTunnel(socket),
+        log,
       ),
       metrics: this.metrics,
       relaysFrom: settings.relaysFrom,
@@ -464,12 +468,12 @@
     return this.#retryBudgets.of(service);
   }
 
-  /** The port that callers connect to. */
+  /** The port that callers connect to; 0 before it is open. */
   get callersPort(): number {
     return this.#server.port;
   }
 
-  /** The port on which links of other daemons are accepted. */
+  /** The port on which links of other daemons are accepted; 0 before they are. */
   get peersPort(): number {
     return this.#fleetSync.port;
   }
@@ -479,24 +483,22 @@
     return this.#lifecycle.missing().length === 0;
   }
 
-  /** Opens the ports, and starts to read and watch the store. */
+  /**
+   * Opens the ports, and starts to read and watch the store. Each port is opened as
+   * soon as it is free, and a port that is not does not delay the others.
+   *
+   * @returns settles when all ports but that of metrics are open or can never be.
+   */
   async start(): Promise<void> {
-    const { readiness, metrics } = this.#settings;
-    const readinessServer = createReadinessServer(
-      readiness.path,
-      this.#lifecycle,
-    );
-    const metricsServer = createMetricsServer(metrics.path, this.metrics);
-    this.#statusServers = [readinessServer, metricsServer];
-    await Promise.all([
-      this.#server.open(this.#settings.callers),
-      this.#fleetSync.open(this.#settings.peers),
-      listen(readinessServer, readiness),
-      listen(metricsServer, metrics),
-    ]);
-    this.log.event("started", { name: this.#settings.name });
-    this.#fleetSync.start(this.#settings.seeds);
+    const { callers, peers, seeds } = this.#settings;
+    const opened = [
+      this.#server.open(callers).then(() => this.#logStart()),
+      this.#fleetSync.open(peers),
+      this.#openStatusServers(),
+    ];
+    this.#fleetSync.start(seeds);
     this.#leadership.start();
+    await Promise.all(opened);
   }
 
   /**
@@ -551,6 +553,29 @@
     return cut === 0;
   }
 
+  #logStart(): void {
+    if (!this.#server.isOpen) return;
+    this.log.event("started", { name: this.#settings.name });
+  }
+
+  /** @returns settles as the opening of the readiness server does. */
+  #openStatusServers(): Promise<void> {
+    const settings = this.#settings;
+    const { log } = this;
+    const readiness = new Listening(
+      createReadinessServer(settings.readiness.path, this.#lifecycle),
+      { name: "readiness", log },
+    );
+    const metrics = new Listening(
+      createMetricsServer(settings.metrics.path, this.metrics),
+      { name: "metrics", log },
+    );
+    this.#statusServers = [readiness, metrics];
+    // A daemon serves without metrics. The failure has been logged.
+    metrics.open(settings.metrics).catch(() => {});
+    return readiness.open(settings.readiness);
+  }
+
   /** Requests of a rank to a service that wait at other daemons. */
   #othersWaiting(service: string, rank: number): number {
     let requests = 0;
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -509,18 +509,18 @@
   after(cleanup: () => void | Promise<void>): void;
 }
 
-/** Starts a router; it is ready unless it has no configuration. */
-export async function startRouter(
-  context: CleanupContext,
-  parts: {
-    readonly configurations: Feed<Configuration>;
-    readonly runners: Feed<Runner>;
-    readonly settings?: Partial<RouterSettings> | undefined;
-    readonly log?: EventLog;
-    readonly network?: RunnerNetwork | undefined;
-  },
-): Promise<Router> {
-  const router = new Router(
+/** What a router of a test consists of. */
+export interface RouterParts {
+  readonly configurations: Feed<Configuration>;
+  readonly runners: Feed<Runner>;
+  readonly settings?: Partial<RouterSettings> | undefined;
+  readonly log?: EventLog;
+  readonly network?: RunnerNetwork | undefined;
+}
+
+/** Returns a router that has not been started. */
+export function createRouter(parts: RouterParts): Router {
+  return new Router(
     testSettings(parts.settings ?? {}),
     {
       dialect: TEST_DIALECT,
@@ -538,6 +538,14 @@
     parts.log ?? SILENT_LOG,
     { network: parts.network },
   );
+}
+
+/** Starts a router; it is ready unless it has no configuration. */
+export async function startRouter(
+  context: CleanupContext,
+  parts: RouterParts,
+): Promise<Router> {
+  const router = createRouter(parts);
   await router.start();
   context.after(() => router.stop());
   return router;
