Log errors of accepting connections instead of ending

Cause: the servers had a listener for "error" only for the first error after listening. The next one, such as EMFILE or EPROTO of accept, had none, so it was an uncaught exception that ended the process.

What callers saw: a daemon that shuts down with status 70 while its descriptors are short for a moment.

Change: `Listening`, which all servers share, keeps a listener and logs `accept_failed`, at most one line in 30 s for a server. Tunnels come in through the peers' server and have none of their own.

--- a/packages/router/src/connection/listening.ts
+++ b/packages/router/src/connection/listening.ts
@@ -9,7 +9,7 @@
 
 /** Interval in ms between attempts to listen at an address. */
 const RETRY_MS = 100;
-/** Minimum time in ms between two log lines about failed attempts. */
+/** Minimum time in ms between two log lines about the same kind of failure. */
 const LOG_INTERVAL_MS = 30_000;
 /** Errors of an address that stay until the settings change. */
 const LASTING_ERRORS: ReadonlySet<string> = new Set([
@@ -49,6 +49,8 @@
   #startedAt = 0;
   #failures = 0;
   #loggedAt = -Infinity;
+  /** When an error of accepting connections was logged last. */
+  #acceptLoggedAt = -Infinity;
 
   /** @param options.name name of the server in the log. */
   constructor(
@@ -58,6 +60,8 @@
     this.#server = server;
     this.#name = options.name;
     this.#log = options.log;
+    // Without a listener, each error of accepting a connection ends the process.
+    server.on("error", (error) => this.#logAcceptFailure(error));
   }
 
   /** Whether the server accepts connections. */
@@ -157,6 +161,17 @@
     });
   }
 
+  #logAcceptFailure(error: Error): void {
+    if (!this.isOpen) return;
+    const now = performance.now();
+    if (now - this.#acceptLoggedAt < LOG_INTERVAL_MS) return;
+    this.#acceptLoggedAt = now;
+    this.#log.event("accept_failed", {
+      server: this.#name,
+      reason: error.message,
+    });
+  }
+
   #elapsedMs(): number {
     return Math.round(performance.now() - this.#startedAt);
   }
