Survive connections that cannot be accepted in the daemon and in links

Cause: the servers of umbermastd and of coordination's links had no lasting handler of "error", which Node emits when accept fails (no descriptors or memory left); the first or the second such error was an uncaught exception. What callers saw: a daemon that ends by itself while the machine is short of descriptors, with all its requests. Change: a handler that stays. Evidence: listener_test.ts and dial_test.ts failed before ("Error: accept EMFILE"), pass now.

--- a/packages/coordination/src/connection/dial.ts
+++ b/packages/coordination/src/connection/dial.ts
@@ -45,7 +45,9 @@
       socket.on("error", () => socket.destroy());
       onConnection(socket);
     });
-    server.once(
+    // Stays for connections that cannot be accepted later, which would otherwise
+    // end the process.
+    server.on(
       "error",
       (error) => resume(Effect.fail(listenFailed(endpoint, error))),
     );
--- a/packages/daemon/src/connection/listener.ts
+++ b/packages/daemon/src/connection/listener.ts
@@ -35,6 +35,8 @@
     server.once("error", refused);
     server.listen(at.port, at.address, () => {
       server.off("error", refused);
+      // One connection could not be accepted; without a handler the process ends.
+      server.on("error", () => {});
       resume(Effect.void);
     });
   });
