Quote untrusted values in bounded time, depth and length

Cause: DecoderNode.reject encoded the whole value with JSON.stringify, which throws on values that JSON.parse accepts. An entry with lists within lists, 6,000 deep, made each read of the runners fail, and ended the process among the daemons' entries. A configuration with 100,000 invalid items became a text of 44,644,602 characters in the log. Seen by callers: no daemon followed the runners any longer; after a restart of all, every request was refused.

--- a/packages/router/src/mod.ts
+++ b/packages/router/src/mod.ts
@@ -36,6 +36,7 @@
 export type { Scaling } from "./process/scaling.ts";
 export { runnerId } from "./process/runner.ts";
 export type { Runner } from "./process/runner.ts";
+export { quoteValue } from "./process/value_quote.ts";
 export { parseSettings } from "./process/settings.ts";
 export type { RouterSettings, SettingFinding } from "./process/settings.ts";
 export type {
--- a/packages/router/src/process/settings.ts
+++ b/packages/router/src/process/settings.ts
@@ -7,6 +7,7 @@
 import type { Result } from "neverthrow";
 import { SCHEDULING_SETTINGS } from "./scheduling_mode.ts";
 import type { SchedulingSettings } from "./scheduling_mode.ts";
+import { quoteValue } from "./value_quote.ts";
 import { bufferLimits, defaultBufferMb } from "./buffer_budget.ts";
 import type { BufferLimits } from "./buffer_budget.ts";
 
@@ -179,7 +180,7 @@
   }
 
   #reject<T>(place: string, expected: string, value: unknown, fallback: T): T {
-    const found = JSON.stringify(value) ?? "nothing";
+    const found = quoteValue(value);
     const text =
       `Cannot read settings: "${place}" needs ${expected}, not ${found}`;
     this.findings.push({ place, text });
