Bound delays from outside by what a timer takes

Cause: numbers from outside reached Node's timers as they were. 400 digits as the time-out of Keep-Alive became Infinity, on which Node throws in a listener, so that the daemon ended; a delay above 2^31 - 1 ms fires at once. So did the time-out for inactivity of a route without a target latency, every millisecond of each of its requests. One Retry-After of 400 digits kept a runner out of use for good. Change: timerDelay bounds every such delay.

--- a/packages/router/src/connection/caller_server.ts
+++ b/packages/router/src/connection/caller_server.ts
@@ -5,8 +5,9 @@
  */
 import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import type { ListenAddress } from "../process/settings.ts";
 import type { AddressInfo, Socket } from "node:net";
+import type { ListenAddress } from "../process/settings.ts";
+import { timerDelay } from "../process/timer_delay.ts";
 import type { CallerLimits } from "../version/configuration.ts";
 
 /** Milliseconds between checks for requests that take too long to arrive. */
@@ -81,11 +82,11 @@
 
   /** Applies limits, which open connections use from their next request on. */
   applyLimits(limits: CallerLimits): void {
-    this.#server.keepAliveTimeout = limits.idleTimeoutMs;
+    const idleMs = timerDelay(limits.idleTimeoutMs);
+    this.#server.keepAliveTimeout = idleMs;
     // Also bounds how long a connection may be open before its first request.
-    this.#server.headersTimeout = limits.idleTimeoutMs;
-    this.#server.requestTimeout = limits.idleTimeoutMs +
-      limits.headerTimeoutMs;
+    this.#server.headersTimeout = idleMs;
+    this.#server.requestTimeout = timerDelay(idleMs + limits.headerTimeoutMs);
   }
 
   /**
--- a/packages/router/src/connection/caller_server_test.ts
+++ b/packages/router/src/connection/caller_server_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { Agent, get } from "node:http";
 import { test } from "node:test";
+import { pause } from "../process/pause.ts";
 import { CallerServer } from "./caller_server.ts";
 
 const LOCALHOST = "127.0.0.1";
@@ -36,3 +37,33 @@
   assert.equal(handled, 1);
   assert.equal(await statusOf(server.port, kept), 200);
 });
+
+// Guards against an error in a listener, which ends the daemon: Node's timers throw on
+// numbers that are not finite, and take one that is too long for 1 ms.
+for (const ms of [Infinity, 1e300, 2 ** 31, NaN]) {
+  test(`connections stay open with an idle time-out of ${ms} ms`, async (t) => {
+    const server = new CallerServer((_, response) => response.end(), {
+      maxConnections: 10,
+      accepts: () => true,
+    });
+    server.applyLimits({
+      maxHeaderBytes: 1_000,
+      maxBodyBytes: 1_000,
+      headerTimeoutMs: ms,
+      idleTimeoutMs: ms,
+    });
+    await server.open({ host: LOCALHOST, port: 0 });
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    const sockets = new Set<unknown>();
+    agent.on("free", (socket: unknown) => sockets.add(socket));
+    t.after(() => {
+      agent.destroy();
+      server.destroy();
+    });
+    for (let requests = 0; requests < 3; requests++) {
+      assert.equal(await statusOf(server.port, agent), 200);
+      await pause(20);
+    }
+    assert.equal(sockets.size, 1);
+  });
+}
--- a/packages/router/src/connection/runner_connections.ts
+++ b/packages/router/src/connection/runner_connections.ts
@@ -9,6 +9,7 @@
 import type { Duplex } from "node:stream";
 import type { Runner } from "../process/runner.ts";
 import type { Path } from "../process/runner_paths.ts";
+import { timerDelay } from "../process/timer_delay.ts";
 import type { Tunnel } from "./tunnel_channel.ts";
 import { TunnelSocket } from "./tunnel_socket.ts";
 import type { RunnerNetwork } from "./runner_network.ts";
@@ -41,7 +42,7 @@
   if (typeof hint !== "string") return DEFAULT_IDLE_MS;
   const seconds = TIMEOUT_HINT.exec(hint)?.[1];
   if (seconds === undefined) return DEFAULT_IDLE_MS;
-  return Number(seconds) * MS_PER_SECOND * IDLE_SHARE;
+  return timerDelay(Number(seconds) * MS_PER_SECOND * IDLE_SHARE);
 }
 
 /** Closes an idle connection on which something arrives: it is no response. */
--- a/packages/router/src/process/pause.ts
+++ b/packages/router/src/process/pause.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import { timerDelay } from "./timer_delay.ts";
+
 /**
  * Resolves after `ms` milliseconds.
  *
@@ -14,7 +16,7 @@
   options: { readonly background?: boolean } = {},
 ): Promise<void> {
   return new Promise((resolve) => {
-    const timer = setTimeout(resolve, ms);
+    const timer = setTimeout(resolve, timerDelay(ms));
     if (options.background) timer.unref();
   });
 }
--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -6,6 +6,7 @@
 import type { Buffer } from "node:buffer";
 import type { Quarantine } from "../process/crash_record.ts";
 import type { Fields } from "../process/log_line.ts";
+import { timerDelay } from "../process/timer_delay.ts";
 import type { RequestHead } from "./dialect.ts";
 import type { Caller } from "./caller.ts";
 import type { Daemon } from "./daemon.ts";
@@ -107,7 +108,7 @@
     this.#progress.expiresAt = expiresAt;
     this.#timer = setTimeout(
       () => this.#expire("timeout"),
-      this.#progress.remainingMs,
+      timerDelay(this.#progress.remainingMs),
     );
   }
 
--- a/packages/router/src/request/inactivity_timer.ts
+++ b/packages/router/src/request/inactivity_timer.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import { timerDelay } from "../process/timer_delay.ts";
+
 /** Calls back once a time-out has elapsed without a restart. */
 export class InactivityTimer {
   readonly #onInactive: () => void;
@@ -17,17 +19,21 @@
   /** Starts or restarts the timer with a time-out that begins now. */
   restart(timeoutMs: number): void {
     this.#deadline = performance.now() + timeoutMs;
-    this.#timer ??= setTimeout(() => this.#checkDeadline(), timeoutMs);
+    this.#timer ??= this.#start(timeoutMs);
   }
 
   stop(): void {
     clearTimeout(this.#timer);
   }
 
+  #start(ms: number): NodeJS.Timeout {
+    return setTimeout(() => this.#checkDeadline(), timerDelay(ms));
+  }
+
   #checkDeadline(): void {
     const remainingMs = this.#deadline - performance.now();
     if (remainingMs > 0) {
-      this.#timer = setTimeout(() => this.#checkDeadline(), remainingMs);
+      this.#timer = this.#start(remainingMs);
       return;
     }
     this.#timer = undefined;
