--- a/packages/router/src/connection/caller_server.ts
+++ b/packages/router/src/connection/caller_server.ts
@@ -8,6 +8,7 @@
 import type { Socket } from "node:net";
 import type { EventLog } from "../process/event_log.ts";
 import type { ListenAddress } from "../process/settings.ts";
+import { timerDelay } from "../process/timer_delay.ts";
 import type { CallerLimits } from "../version/configuration.ts";
 import { Listening } from "./listening.ts";
 
@@ -85,11 +86,11 @@
 
   /** Applies limits, which open connections use from their next request on. */
   applyLimits(limits: CallerLimits): void {
-    this.#server.keepAliveTimeout = limits.idleTimeoutMs;
+    const idleMs = timerDelay(limits.idleTimeoutMs);
+    this.#server.keepAliveTimeout = idleMs;
     // Also bounds how long a connection may be open before its first request.
-    this.#server.headersTimeout = limits.idleTimeoutMs;
-    this.#server.requestTimeout = limits.idleTimeoutMs +
-      limits.headerTimeoutMs;
+    this.#server.headersTimeout = idleMs;
+    this.#server.requestTimeout = timerDelay(idleMs + limits.headerTimeoutMs);
   }
 
   /**
