--- a/packages/router/src/connection/caller_server_test.ts
+++ b/packages/router/src/connection/caller_server_test.ts
@@ -46,6 +46,7 @@
     const server = new CallerServer((_, response) => response.end(), {
       maxConnections: 10,
       accepts: () => true,
+      log: SILENT_LOG,
     });
     server.applyLimits({
       maxHeaderBytes: 1_000,
