Write in the last line why the process ends

Cause: the ways to an end had nothing in common. An error before the router existed went to standard error, or nowhere; a shutdown that failed had status 70 and no reason; one that hung had no limit of time. At the exit the lines that waited for an outstanding write were lost, and Node waits for a write that blocks, without limit.

What callers saw: operators of processes that ended had no line that tells why.

Change: `ProcessEnd` is the only way to an end. It writes `process_ending` with status and reason as the last line, waits at most 1 s for the reader, and ends a shutdown 200 ms before the end of the grace period at the latest.

--- a/packages/router/src/mod.ts
+++ b/packages/router/src/mod.ts
@@ -6,6 +6,12 @@
 export type { DaemonRegistry } from "./process/daemon_registry.ts";
 export { guarded } from "./process/guarded.ts";
 export { stopOnUncaughtError } from "./process/uncaught_errors.ts";
+export {
+  describeError,
+  EXIT_CONFIG,
+  EXIT_SOFTWARE,
+  ProcessEnd,
+} from "./process/process_end.ts";
 export { BufferedLog } from "./process/event_log.ts";
 export type { EventLog, TextSink } from "./process/event_log.ts";
 export { FeedError } from "./process/feed.ts";
--- a/packages/router/src/process/event_log.ts
+++ b/packages/router/src/process/event_log.ts
@@ -15,6 +15,12 @@
   decision(name: string, requestId: string, fields: Fields): void;
 }
 
+/** An event with its fields. */
+export interface LoggedEvent {
+  readonly event: string;
+  readonly fields: Fields;
+}
+
 /** Writes text, and calls `done` when it has been written. */
 export type TextSink = (text: string, done: () => void) => void;
 
@@ -44,6 +50,8 @@
   #dropped = 0;
   #writing = false;
   #timer: NodeJS.Timeout | undefined;
+  /** Called after each write once the log is closed. */
+  #onWritten: (() => void) | undefined;
 
   /** @param clock returns epoch milliseconds. */
   constructor(sink: TextSink, clock: () => number = Date.now) {
@@ -76,21 +84,44 @@
     clearTimeout(this.#timer);
     this.#timer = undefined;
     if (this.#writing || this.#lines.length === 0) return;
+    this.#addDropped();
     const lines = this.#lines;
-    if (this.#dropped > 0) {
-      lines.push(this.#line("lines_dropped", { count: this.#dropped }));
-    }
     this.#lines = [];
     this.#size = 0;
     this.#decisions = 0;
-    this.#dropped = 0;
     this.#writing = true;
     this.#sink(`${lines.join("\n")}\n`, () => {
       this.#writing = false;
-      if (this.#lines.length > 0) this.#schedule();
+      if (this.#onWritten !== undefined) this.#onWritten();
+      else if (this.#lines.length > 0) this.#schedule();
+    });
+  }
+
+  /**
+   * Writes what is buffered and a last event; what is logged later is discarded.
+   *
+   * @param maxMs time after which the reader is not waited for any more.
+   */
+  close(last: LoggedEvent, maxMs: number): Promise<void> {
+    this.#addDropped();
+    this.#lines.push(this.#line(last.event, last.fields));
+    return new Promise((resolve) => {
+      const timer = setTimeout(resolve, maxMs);
+      this.#onWritten = () => {
+        if (this.#lines.length > 0) return this.flush();
+        clearTimeout(timer);
+        resolve();
+      };
+      this.flush();
     });
   }
 
+  #addDropped(): void {
+    if (this.#dropped === 0) return;
+    this.#lines.push(this.#line("lines_dropped", { count: this.#dropped }));
+    this.#dropped = 0;
+  }
+
   #write(name: string, fields: Fields): void {
     this.#logger.info({ line: this.#line(name, fields) });
   }
@@ -100,6 +131,7 @@
   }
 
   #add(line: string): void {
+    if (this.#onWritten !== undefined) return;
     if (this.#size + line.length > MAX_BUFFERED) {
       this.#drop();
       return;
@@ -110,6 +142,7 @@
   }
 
   #drop(): void {
+    if (this.#onWritten !== undefined) return;
     this.#dropped += 1;
     this.#schedule();
   }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -478,6 +478,11 @@
     return this.#fleetSync.port;
   }
 
+  /** Time in ms from SIGTERM to the kill, by the settings in force. */
+  get graceMs(): number {
+    return this.#settings.graceMs;
+  }
+
   /** Whether the daemon is ready for traffic. */
   get ready(): boolean {
     return this.#lifecycle.missing().length === 0;
