Wait for valid settings when a process starts

Cause: the settings were read once. A file that was empty, half written or missing at that moment, since it is being replaced, ended the process with status 78, or with status 1 as an unhandled rejection, and no line on standard output. Each restart within that time ended in the same way.

What callers saw: a host without a daemon while its settings are written.

Change: `SettingsFile` reads them every 100 ms until they are valid, for 5 s at most, and logs each finding once (`settings_unreadable`, `settings_bad`). Then the process ends with status 78, and its last line has the findings. SIGTERM ends it in between. The class moved from the platform's folder to the router, since it decides how long to wait.

Test: program_test.ts, for real processes: the file missing, empty, half written and "{}", 1.2 s before it is written; SIGTERM while waiting; the last line with status 78. The test of invalid settings is unchanged and takes 5 s longer.

--- a/packages/router/src/mod.ts
+++ b/packages/router/src/mod.ts
@@ -42,6 +42,7 @@
 export type { Scaling } from "./process/scaling.ts";
 export { runnerId } from "./process/runner.ts";
 export type { Runner } from "./process/runner.ts";
+export { SettingsFile } from "./process/settings_file.ts";
 export { parseSettings } from "./process/settings.ts";
 export type { RouterSettings, SettingFinding } from "./process/settings.ts";
 export type {
