Bound the bytes held for callers and runners on every deployment

Cause: the bound of the sum of held bytes existed only with `bufferMb` or `guarantees.pressure`. Elsewhere each body was bounded by 16 MB and their sum by nothing: 30 failures whose bodies do not end exceed 350 MB.

Change: the budget is always there, from the memory of the host (an eighth, 16 to 32 MB; unknown: 32 MB). Whether the unread part of a stream is held or its runner is paused stays as it was (`holdsStreams`), and so do the sizes where `bufferMb` or `guarantees.pressure` is set. The body of a failure (5xx, or without seal) is given up at 256 KB, counts as a failure of the runner and is logged as `response_too_large`. Without room, if no caller is waited for, the largest answer ends rather than the one that asks; an answer of one read that is received whole may use the room of bodies.

The test of the default size names the mode; its old figures stand. The fixture's settings have a budget, since a router without one no longer exists.

--- a/packages/router/src/process/buffer_budget.ts
+++ b/packages/router/src/process/buffer_budget.ts
@@ -31,19 +31,30 @@
 const RESUME_BYTES = 2 * READ_BYTES;
 /** The same as a share of small limits. */
 const MAX_RESUME_SHARE = 1 / 16;
+/** How the size of the budget follows from the memory of the host. */
+interface DefaultSize {
+  readonly memoryShare: number;
+  readonly minMb: number;
+  readonly maxMb: number;
+}
+
 /**
- * Share of the host's memory for buffers where the settings name none. The heap
- * takes up to 120 MB, code and native memory about 50 MB, which leaves 40 MB on
- * the smallest hosts with 210 MB.
+ * Where streams are held. The heap takes up to 120 MB, code and native memory about
+ * 50 MB, which leaves 40 MB on the smallest hosts with 210 MB. The maximum leaves
+ * 8 MB to one caller, enough for an answer of 6.4 MB. A larger budget mainly holds
+ * more for callers that read nothing: with 16 MB and 60 of them, memory peaked 9 to
+ * 15 MB above that of a daemon that holds nothing.
  */
-const MEMORY_SHARE = 1 / 12;
-const MIN_DEFAULT_MB = 8;
+const HELD_STREAMS: DefaultSize = { memoryShare: 1 / 12, minMb: 8, maxMb: 16 };
 /**
- * Leaves 8 MB to one caller, enough for an answer of 6.4 MB. A larger budget mainly
- * holds more for callers that read nothing: with 16 MB and 60 of them, memory
- * peaked 9 to 15 MB above that of a daemon that holds nothing.
+ * Where the runner of a stream is paused for its caller. Only bodies and whole
+ * answers count then; the maximum leaves one caller an answer of 16 MB.
  */
-const MAX_DEFAULT_MB = 16;
+const PAUSED_STREAMS: DefaultSize = {
+  memoryShare: 1 / 8,
+  minMb: 16,
+  maxMb: 32,
+};
 
 /** Limits of the buffered bytes. */
 export interface BufferLimits {
@@ -58,11 +69,20 @@
   return { totalBytes, callerBytes: CALLER_SHARE * totalBytes };
 }
 
-/** Returns the default size of the budget in MB on a host with this memory. */
-export function defaultBufferMb(memoryMb: number | undefined): number {
-  if (memoryMb === undefined) return MAX_DEFAULT_MB;
-  const size = memoryMb * MEMORY_SHARE;
-  return Math.min(MAX_DEFAULT_MB, Math.max(MIN_DEFAULT_MB, size));
+/**
+ * Returns the default size of the budget in MB on a host with this memory.
+ *
+ * @param options.holdsStreams whether what callers do not read of streams is held.
+ */
+export function defaultBufferMb(
+  memoryMb: number | undefined,
+  { holdsStreams }: { readonly holdsStreams: boolean },
+): number {
+  const { memoryShare, minMb, maxMb } = holdsStreams
+    ? HELD_STREAMS
+    : PAUSED_STREAMS;
+  if (memoryMb === undefined) return maxMb;
+  return Math.min(maxMb, Math.max(minMb, memoryMb * memoryShare));
 }
 
 /** Why an answer was cut, and what was known of its caller. */
@@ -258,7 +278,8 @@
 
   /**
    * Cuts answers until there is room for one that has waited for too long: its own
-   * if its caller has used up its part, else those of the slowest callers.
+   * if its caller has used up its part, else those of the slowest callers. Where no
+   * caller is waited for, the largest ends: runners may send answers without end.
    */
   makeRoom(answer: CountedAnswer, now: number): void {
     while (this.#waiting.has(answer)) {
@@ -268,8 +289,10 @@
         return answer.listener.resume();
       }
       const ownLimit = !this.#callerFits(answer, resumable);
-      const slowest = ownLimit ? answer : this.#slowest(now) ?? answer;
-      this.#cut(slowest, ownLimit ? "caller" : "total", now);
+      const chosen = ownLimit
+        ? answer
+        : this.#slowest(now) ?? this.#largest(answer);
+      this.#cut(chosen, ownLimit ? "caller" : "total", now);
     }
   }
 
@@ -286,6 +309,15 @@
     return slowest;
   }
 
+  /** Returns the largest answer, which is that of `asking` if none is larger. */
+  #largest(asking: CountedAnswer): CountedAnswer {
+    let largest = asking;
+    for (const answer of this.#answers) {
+      if (answer.bytes > largest.bytes) largest = answer;
+    }
+    return largest;
+  }
+
   #cut(answer: CountedAnswer, limit: AnswerCut["limit"], now: number): void {
     const { bytes, readBytes, heldSince = now } = answer;
     const heldMs = now - heldSince;
@@ -329,8 +361,11 @@
     const stalled = now - answer.lastReadAt > STALL_MS;
     const { totalBytes } = this.#limits;
     const usable = stalled ? STALLED_SHARE * totalBytes : totalBytes;
+    const small = answer.heldSince === undefined && answer.bytes <= READ_BYTES;
+    // A small answer that is received whole need not wait for larger ones.
+    const kindShare = small ? 1 : KIND_SHARE;
     return this.#callerFits(answer, adjust) &&
-      this.#answerBytes <= adjust(KIND_SHARE * usable) &&
+      this.#answerBytes <= adjust(kindShare * usable) &&
       this.#totalBytes <= adjust(usable);
   }
 
--- a/packages/router/src/process/buffer_budget_test.ts
+++ b/packages/router/src/process/buffer_budget_test.ts
@@ -78,6 +78,21 @@
   assert.equal(budget.buffered.answers, 2 * MB);
 });
 
+// Guards against small answers that are given up for those without end.
+test("where no caller is waited for, the largest answer ends", () => {
+  const budget = new BufferBudget(bufferLimits(16));
+  const [large, small] = [new Reader(budget), new Reader(budget)];
+  const third = new Reader(budget);
+  budget.receive(third.answer, 5 * MB, 0);
+  budget.receive(large.answer, 7 * MB, 0);
+  assert.equal(budget.receive(small.answer, CHUNK, 0), true);
+  assert.equal(budget.receive(small.answer, CHUNK, 0), false);
+  budget.makeRoom(small.answer, 1_000);
+  assert.equal(small.cut, undefined);
+  assert.equal(third.cut, undefined);
+  assert.equal(large.cut?.limit, "total");
+});
+
 test("a runner that waits for room is read again once its caller has read", () => {
   const budget = new BufferBudget(bufferLimits(16));
   const reader = new Reader(budget);
@@ -106,6 +121,9 @@
 });
 
 test("the default size follows the memory of the host", () => {
-  const sizes = [undefined, 60, 150, 210].map(defaultBufferMb);
-  assert.deepEqual(sizes, [16, 8, 12.5, 16]);
+  const memories = [undefined, 60, 150, 210, 350];
+  const sizes = (holdsStreams: boolean) =>
+    memories.map((memory) => defaultBufferMb(memory, { holdsStreams }));
+  assert.deepEqual(sizes(true), [16, 8, 12.5, 16, 16]);
+  assert.deepEqual(sizes(false), [32, 16, 18.75, 26.25, 32]);
 });
--- a/packages/router/src/process/settings.ts
+++ b/packages/router/src/process/settings.ts
@@ -83,11 +83,13 @@
     readonly windowMs: number;
   };
   readonly scheduling: SchedulingSettings;
+  /** Limits of the bytes that are buffered for callers and runners. */
+  readonly buffers: BufferLimits;
   /**
-   * Limits of the bytes that are buffered for callers and runners. Undefined if they
-   * are not bounded: neither is `bufferMb` set nor `guarantees.pressure` true.
+   * Whether what the caller of a stream does not read is buffered. Otherwise the
+   * stream's runner is paused.
    */
-  readonly buffers: BufferLimits | undefined;
+  readonly holdsStreams: boolean;
   /** Absent if the platform has no API; the fleet then has no leader. */
   readonly leadership: LeadershipSettings | undefined;
 }
@@ -197,18 +199,20 @@
   return value;
 }
 
-function readBuffers(
-  json: unknown,
-  reader: SettingsReader,
-): BufferLimits | undefined {
+function holdsStreams(json: unknown): boolean {
+  return valueAt(json, "bufferMb") !== undefined ||
+    valueAt(json, "guarantees.pressure") === true;
+}
+
+function readBuffers(json: unknown, reader: SettingsReader): BufferLimits {
   if (valueAt(json, "bufferMb") !== undefined) {
     return bufferLimits(reader.positive(json, "bufferMb"));
   }
-  if (valueAt(json, "guarantees.pressure") !== true) return undefined;
   const memoryMb = valueAt(json, "memoryMb") === undefined
     ? undefined
     : reader.positive(json, "memoryMb");
-  return bufferLimits(defaultBufferMb(memoryMb));
+  const options = { holdsStreams: holdsStreams(json) };
+  return bufferLimits(defaultBufferMb(memoryMb, options));
 }
 
 /** Reads the processor time of the host: a quota of cores of a relative speed. */
@@ -302,6 +306,7 @@
       processor: readProcessor(json, reader),
     },
     buffers: readBuffers(json, reader),
+    holdsStreams: holdsStreams(json),
     leadership: readLeadership(json, reader),
   };
   return reader.findings.length === 0 ? ok(settings) : err(reader.findings);
--- a/packages/router/src/request/daemon.ts
+++ b/packages/router/src/request/daemon.ts
@@ -78,8 +78,10 @@
   readonly origins: Pick<StreamOrigins, "begin" | "find" | "ask">;
   /** Software versions at which runners have served. */
   readonly softwareVersions: Pick<SoftwareVersions, "only">;
-  /** Budget of the bytes that are buffered; absent if they are not bounded. */
-  readonly buffers: BufferBudget | undefined;
+  /** Budget of the bytes that are buffered. */
+  readonly buffers: BufferBudget;
+  /** Whether what the caller of a stream does not read is buffered. */
+  readonly holdsStreams: boolean;
   /** Wakes requests that wait for capacity. */
   readonly sharedTimer: SharedTimer;
   /** Wakes requests that wait for a runner of a plain service. */
--- a/packages/router/src/request/decision_log.ts
+++ b/packages/router/src/request/decision_log.ts
@@ -469,7 +469,7 @@
   routed: RoutedRequest,
   { headers }: IncomingMessage,
 ): void {
-  const { bodies, answers } = daemon.buffers!.buffered;
+  const { bodies, answers } = daemon.buffers.buffered;
   daemon.log.decision("body_refused", routed.head.id, {
     service: routed.service.name,
     rank: routed.rank,
--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -132,7 +132,6 @@
 
   async #serve(routed: RoutedRequest): Promise<Outcome> {
     const { buffers } = this.#daemon;
-    if (buffers === undefined) return await this.#receive(routed);
     const body = buffers.openBody(this.#caller.request.socket);
     try {
       return await this.#receive(routed, (size) => buffers.reserve(body, size));
@@ -148,7 +147,7 @@
    */
   async #receive(
     routed: RoutedRequest,
-    reserve?: (size: number) => boolean,
+    reserve: (size: number) => boolean,
   ): Promise<Outcome> {
     const limits = this.#daemon.routingTable()!.limits;
     this.#receivingBody = true;
--- a/packages/router/src/request/response_relay.ts
+++ b/packages/router/src/request/response_relay.ts
@@ -18,13 +18,18 @@
 import type { PlainRoom } from "./plain_admission.ts";
 import { StreamRelay } from "./stream_relay.ts";
 import type { RoutedRequest } from "./routed_request.ts";
-import { readBody, readChunks } from "./read_body.ts";
+import { readChunks } from "./read_body.ts";
 import type { ChunksResult } from "./read_body.ts";
 
 /**
  * Maximum size in bytes of a response that is buffered before it is relayed.
  */
 const MAX_BUFFERED_BYTES = 16 * 1024 * 1024;
+/**
+ * Maximum size in bytes of the body of a failure, which holds a message and perhaps
+ * its trace. Nobody needs the whole of a larger one.
+ */
+const MAX_FAILURE_BYTES = 256 * 1024;
 /**
  * Maximum size in bytes of an event with its frames: an event holds some tokens, and
  * of each perhaps the probabilities of others. Also bounds the frames of other bodies,
@@ -107,7 +112,7 @@
   readonly #cancelledLocally: () => boolean;
   readonly #streamBegan: (routed: RoutedRequest, runner: Runner) => void;
   #stream: StreamRelay | undefined;
-  /** What is buffered of the stream; undefined where that is not bounded. */
+  /** What is buffered of the stream; undefined where its runner is paused. */
   #streamBuffer: AnswerBuffer | undefined;
 
   constructor(
@@ -174,8 +179,11 @@
     );
     // The size of the body is bounded; each part of it is progress.
     incoming.on("data", () => context.attempt.recordProgress());
-    const received = await this.#receive(incoming, buffer);
-    if (buffer?.wasCut) return { kind: "no-room" };
+    const received = await this.#receive(response, buffer);
+    if (buffer.wasCut) return { kind: "no-room" };
+    if (received.kind === "too-large") {
+      this.#recordTooLarge(routed, response, context);
+    }
     if (received.kind !== "complete") {
       return this.#handleInterruption(
         context,
@@ -190,7 +198,7 @@
     const send = () =>
       this.#caller.respond(status, incoming.rawHeaders, {
         chunks: received.chunks,
-        onUnread: buffer && ((bytes) => buffer.setUnread(bytes)),
+        onUnread: (bytes) => buffer.setUnread(bytes),
       });
     const outcome = { kind: "answered", status, send } as const;
     // A stream that has begun goes on with events only.
@@ -199,7 +207,7 @@
   }
 
   /**
-   * Returns the count of an answer, if buffered bytes are bounded.
+   * Returns the count of an answer.
    *
    * @param onCut called when the answer must end, besides the end of the response
    * to the caller.
@@ -207,11 +215,9 @@
   #openBuffer(
     routed: RoutedRequest,
     onCut: () => void = () => {},
-  ): AnswerBuffer | undefined {
-    const { buffers } = this.#daemon;
-    if (buffers === undefined) return undefined;
+  ): AnswerBuffer {
     const caller = this.#caller;
-    return new AnswerBuffer(this.#daemon, buffers, {
+    return new AnswerBuffer(this.#daemon, this.#daemon.buffers, {
       routed,
       caller,
       onCut: () => {
@@ -222,18 +228,27 @@
   }
 
   async #receive(
-    incoming: IncomingMessage,
-    buffer: AnswerBuffer | undefined,
+    { status, head, incoming }: RunnerResponse,
+    buffer: AnswerBuffer,
   ): Promise<ChunksResult> {
-    const limits = { maxBytes: MAX_BUFFERED_BYTES };
-    if (buffer === undefined) {
-      const received = await readBody(incoming, limits);
-      if (received.kind !== "complete") return received;
-      return { kind: "complete", chunks: [received.body] };
-    }
+    const isAnswer = head.sealed && status < MIN_SERVER_ERROR_STATUS;
+    const maxBytes = isAnswer ? MAX_BUFFERED_BYTES : MAX_FAILURE_BYTES;
     buffer.readFrom(incoming);
     incoming.on("data", (chunk: Buffer) => buffer.receive(chunk.length));
-    return await readChunks(incoming, limits);
+    return await readChunks(incoming, { maxBytes });
+  }
+
+  #recordTooLarge(
+    routed: RoutedRequest,
+    { status }: RunnerResponse,
+    { load, attempt: { runner } }: AttemptContext,
+  ): void {
+    load.recordResponse(true, this.#daemon.now());
+    this.#daemon.log.decision("response_too_large", routed.head.id, {
+      service: routed.service.name,
+      runner: runner.id,
+      status,
+    });
   }
 
   async #relayStream(
@@ -396,7 +411,9 @@
 
   #streamRelay(routed: RoutedRequest): StreamRelay {
     if (this.#stream !== undefined) return this.#stream;
-    this.#streamBuffer = this.#openBuffer(routed);
+    if (this.#daemon.holdsStreams) {
+      this.#streamBuffer = this.#openBuffer(routed);
+    }
     this.#stream = new StreamRelay(this.#caller.response, {
       dialect: this.#daemon.dialect,
       lastEventId: routed.head.lastEventId,
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -143,7 +143,8 @@
   });
   readonly shares: WorkspaceShares;
   readonly shareOrder: ShareOrder;
-  readonly buffers: BufferBudget | undefined;
+  readonly buffers: BufferBudget;
+  readonly holdsStreams: boolean;
   readonly sharedTimer = new SharedTimer(CAPACITY_CHECK_MS);
   readonly plainTimer = new SharedTimer(PLAIN_CAPACITY_CHECK_MS);
   readonly metrics = new RequestMetrics();
@@ -196,11 +197,9 @@
     this.scheduling = new SchedulingMode(settings.scheduling, log);
     this.paces = new RunnerPaces(this.scheduling, log);
     this.metrics.observePaces(() => this.paces.samples(this.now()));
-    const buffers = settings.buffers && new BufferBudget(settings.buffers);
-    if (buffers !== undefined) {
-      this.metrics.observeBuffers(() => buffers.buffered);
-    }
-    this.buffers = buffers;
+    this.buffers = new BufferBudget(settings.buffers);
+    this.metrics.observeBuffers(() => this.buffers.buffered);
+    this.holdsStreams = settings.holdsStreams;
     this.places = new ReturnPlaces(log, () => this.random());
     this.shares = new WorkspaceShares({
       log,
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -15,6 +15,7 @@
 import type { StateUpdate } from "../src/connection/peer_message.ts";
 import type { RunnerNetwork } from "../src/connection/runner_network.ts";
 import type { DaemonRegistry } from "../src/process/daemon_registry.ts";
+import { bufferLimits } from "../src/process/buffer_budget.ts";
 import { BrittleServices } from "../src/process/brittle_services.ts";
 import { DrainingRunners } from "../src/process/draining_runners.ts";
 import type { EventLog } from "../src/process/event_log.ts";
@@ -491,7 +492,8 @@
     graceMs: 3_000,
     retries: { ratio: 10, extra: 100, windowMs: 10_000 },
     scheduling: { scheduling: "auto", pressure: false },
-    buffers: undefined,
+    buffers: bufferLimits(32),
+    holdsStreams: false,
     leadership: undefined,
     ...fields,
   };
--- a/packages/router/tests/slow_caller_test.ts
+++ b/packages/router/tests/slow_caller_test.ts
@@ -103,7 +103,7 @@
       route,
       [runner],
       { services, limits },
-      { settings: { buffers }, log },
+      { settings: { buffers, holdsStreams: true }, log },
     );
     return new BoundedRouter(router, log, sockets);
   }
@@ -131,7 +131,7 @@
   }
 
   get buffered(): number {
-    const { bodies, answers } = this.router.buffers!.buffered;
+    const { bodies, answers } = this.router.buffers.buffered;
     return bodies + answers;
   }
 }
