Copy a large frame of a peer once

Cause: FrameBuffer joined all received pieces with each further piece of a frame, so that a frame of 8 MB in pieces of 500 bytes copied 67 GB.

Seen: the event loop of the daemon stood still for 11 s, with garbage of the size of the frame for each piece.

Change: pieces are joined once the frame that they begin is whole.

--- a/packages/router/src/connection/frame_buffer.ts
+++ b/packages/router/src/connection/frame_buffer.ts
@@ -13,6 +13,8 @@
 export class FrameBuffer {
   #chunks: Buffer[] = [];
   #size = 0;
+  /** Bytes without which no further frame is whole, or its length not known. */
+  #needed = LENGTH_BYTES;
 
   /**
    * Adds received bytes, and handles the frames that they complete.
@@ -23,12 +25,16 @@
   push(chunk: Buffer, handle: (frame: Buffer) => boolean): boolean {
     this.#chunks.push(chunk);
     this.#size += chunk.length;
-    if (this.#size < LENGTH_BYTES) return true;
+    if (this.#size < this.#needed) return true;
     let bytes = this.#chunks.length === 1 ? chunk : Buffer.concat(this.#chunks);
+    this.#needed = LENGTH_BYTES;
     while (bytes.length >= LENGTH_BYTES) {
       const length = bytes.readUInt32BE(0);
       if (length > MAX_FRAME_BYTES) return false;
-      if (bytes.length < LENGTH_BYTES + length) break;
+      if (bytes.length < LENGTH_BYTES + length) {
+        this.#needed = LENGTH_BYTES + length;
+        break;
+      }
       const frame = bytes.subarray(LENGTH_BYTES, LENGTH_BYTES + length);
       bytes = bytes.subarray(LENGTH_BYTES + length);
       if (!handle(frame)) return false;
