Bound the prompt parts that are kept of all runners together

Cause: PrefixIndex bounded the parts of each runner, not their sum nor the length of an id.

Seen: with 300 runners 300,000 parts are kept; at 100 bytes each, 2,000 runners take more than the heap's bound of 120 MB, at which a process aborts.

Change: at most 100,000 parts, the oldest of the runners that were not updated for longest go first; ids of more than 200 characters are not kept.

--- a/packages/router/src/process/prefix_index.ts
+++ b/packages/router/src/process/prefix_index.ts
@@ -43,12 +43,19 @@
 const REPUBLISH_MS = PART_TTL_MS / 3;
 /** Maximum number of parts per runner: at 100 bytes each, about 10 MB for 98 runners. */
 const MAX_PARTS = 1_000;
+/** Maximum number of parts of all runners together, about 10 MB. */
+const MAX_ALL_PARTS = 100_000;
+/** Maximum number of characters of a part's id; a longer one is not kept. */
+const MAX_ID_LENGTH = 200;
 
 /**
  * Tracks the parts that this daemon believes to be in the caches of runners.
  */
 export class PrefixIndex {
+  /** The parts of each runner; the runner that was updated last comes last. */
   readonly #parts = new Map<string, Map<string, CachedPart>>();
+  /** Number of parts of all runners. */
+  #count = 0;
   readonly #listeners: (() => void)[] = [];
   #pending: PrefixUpdate[] = [];
 
@@ -133,8 +140,10 @@
 
   /** Deletes runners that are not listed. */
   retain(ids: ReadonlySet<string>): void {
-    for (const id of this.#parts.keys()) {
-      if (!ids.has(id)) this.#parts.delete(id);
+    for (const [id, { size }] of this.#parts) {
+      if (ids.has(id)) continue;
+      this.#parts.delete(id);
+      this.#count -= size;
     }
   }
 
@@ -160,8 +169,11 @@
   ): void {
     const cached = this.#parts.get(update.runner) ??
       new Map<string, CachedPart>();
+    const sizeBefore = cached.size;
+    this.#parts.delete(update.runner);
     this.#parts.set(update.runner, cached);
     for (const { id, tokens } of update.parts) {
+      if (id.length > MAX_ID_LENGTH) continue;
       const before = cached.get(id);
       const read = update.read || (before?.read ?? false);
       const publication = isPublished(id) || before === undefined
@@ -173,9 +185,19 @@
       cached.delete(id);
       cached.set(id, { tokens, at: now, read, ...publication });
     }
-    for (const id of cached.keys()) {
-      if (cached.size <= MAX_PARTS) break;
-      cached.delete(id);
+    dropOldest(cached, cached.size - MAX_PARTS);
+    this.#count += cached.size - sizeBefore;
+    this.#boundAll();
+  }
+
+  /** Drops the oldest parts of the runners that were not updated for longest. */
+  #boundAll(): void {
+    for (const cached of this.#parts.values()) {
+      const excess = this.#count - MAX_ALL_PARTS;
+      if (excess <= 0) return;
+      const sizeBefore = cached.size;
+      dropOldest(cached, excess);
+      this.#count -= sizeBefore - cached.size;
     }
   }
 
@@ -196,6 +218,15 @@
   }
 }
 
+function dropOldest(cached: Map<string, CachedPart>, count: number): void {
+  let left = count;
+  for (const id of cached.keys()) {
+    if (left <= 0) return;
+    cached.delete(id);
+    left -= 1;
+  }
+}
+
 /** Whether a part, or its prefill, has to be published to other daemons. */
 function needsPublishing(
   cached: CachedPart | undefined,
--- a/packages/router/src/process/prefix_index_test.ts
+++ b/packages/router/src/process/prefix_index_test.ts
@@ -47,3 +47,26 @@
   assert.equal(index.cachedTokens("r-1", PROMPT, 31_000), 13_000);
   assert.equal(index.cachedTokens("r-1", PROMPT, 40_000), 0);
 });
+
+// Guards against a heap that grows to its bound with the number of runners.
+test("the parts of all runners together are bounded", () => {
+  const index = new PrefixIndex();
+  const parts = Array.from({ length: 1_001 }, (_, part) => ({
+    id: `part-${part}`,
+    tokens: 16,
+  }));
+  for (let runner = 0; runner < 300; runner += 1) {
+    index.recordPrefill(`r-${runner}`, parts, 0);
+  }
+  const counts = index.snapshot().map(({ parts }) => parts.length);
+  const total = counts.reduce((sum, count) => sum + count, 0);
+  assert.ok(total <= 100_000, `${total} parts`);
+  assert.equal(counts.at(-1), 1_000);
+});
+
+test("an id that is too long is not kept", () => {
+  const index = new PrefixIndex();
+  const prompt = [{ id: "a".repeat(1_000), tokens: 16 }];
+  index.recordCached("r-1", prompt, 0);
+  assert.equal(index.cachedTokens("r-1", prompt, 1), 0);
+});
