Log when memory comes near its limits, and show it

Cause: a process above the memory of its host is killed, and one that reaches the bound of its heap aborts; neither leaves a line that tells why.

`umbermast_memory_bytes` shows resident memory, used heap and its bound.

--- a/packages/router/src/process/metrics.ts
+++ b/packages/router/src/process/metrics.ts
@@ -21,6 +21,7 @@
 
 import type { BufferedBytes } from "./buffer_budget.ts";
 import type { DataAges } from "./data_ages.ts";
+import type { MemoryUse } from "./memory_watch.ts";
 
 /** Time that a runner takes for its work, relative to others of its service. */
 interface PaceSample {
@@ -320,6 +321,27 @@
     });
   }
 
+  /**
+   * Shows the memory of the process and the bound of its heap.
+   *
+   * @param use called at each reading of the metrics.
+   */
+  observeMemory(use: () => MemoryUse): void {
+    new Gauge({
+      name: "umbermast_memory_bytes",
+      help:
+        "Resident memory, used heap, and the heap at which the process aborts",
+      labelNames: ["kind"],
+      registers: [this.#registry],
+      collect() {
+        const { residentBytes, heapBytes, heapLimitBytes } = use();
+        this.set({ kind: "resident" }, residentBytes);
+        this.set({ kind: "heap" }, heapBytes);
+        this.set({ kind: "heap_limit" }, heapLimitBytes);
+      },
+    });
+  }
+
   /**
    * Shows how old the data of this daemon is. An age is left out before its first
    * event.
--- a/packages/router/src/process/settings.ts
+++ b/packages/router/src/process/settings.ts
@@ -83,6 +83,8 @@
     readonly windowMs: number;
   };
   readonly scheduling: SchedulingSettings;
+  /** Memory of the host in MB; undefined if unknown. */
+  readonly memoryMb: number | undefined;
   /** Limits of the bytes that are buffered for callers and runners. */
   readonly buffers: BufferLimits;
   /**
@@ -204,17 +206,26 @@
     valueAt(json, "guarantees.pressure") === true;
 }
 
-function readBuffers(json: unknown, reader: SettingsReader): BufferLimits {
+function readBuffers(
+  json: unknown,
+  reader: SettingsReader,
+  memoryMb: number | undefined,
+): BufferLimits {
   if (valueAt(json, "bufferMb") !== undefined) {
     return bufferLimits(reader.positive(json, "bufferMb"));
   }
-  const memoryMb = valueAt(json, "memoryMb") === undefined
-    ? undefined
-    : reader.positive(json, "memoryMb");
   const options = { holdsStreams: holdsStreams(json) };
   return bufferLimits(defaultBufferMb(memoryMb, options));
 }
 
+function readMemoryMb(
+  json: unknown,
+  reader: SettingsReader,
+): number | undefined {
+  if (valueAt(json, "memoryMb") === undefined) return undefined;
+  return reader.positive(json, "memoryMb");
+}
+
 /** Reads the processor time of the host: a quota of cores of a relative speed. */
 function readProcessor(
   json: unknown,
@@ -267,6 +278,7 @@
     return err([{ place: "", text: `Cannot read settings: ${reason}` }]);
   }
   const reader = new SettingsReader();
+  const memoryMb = readMemoryMb(json, reader);
   const settings: RouterSettings = {
     name: reader.text(json, "name"),
     failureDomain: reader.text(json, "failureDomain"),
@@ -305,7 +317,8 @@
       pressure: reader.flagOr(json, "guarantees.pressure", false),
       processor: readProcessor(json, reader),
     },
-    buffers: readBuffers(json, reader),
+    memoryMb,
+    buffers: readBuffers(json, reader, memoryMb),
     holdsStreams: holdsStreams(json),
     leadership: readLeadership(json, reader),
   };
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -34,6 +34,7 @@
 import { LimitQueue } from "./process/limit_queue.ts";
 import { Lifecycle } from "./process/lifecycle.ts";
 import { RequestMetrics } from "./process/metrics.ts";
+import { memoryUse, MemoryWatch } from "./process/memory_watch.ts";
 import { ShareOrder } from "./process/share_order.ts";
 import { SharedTimer } from "./process/shared_timer.ts";
 import { OverloadGuard } from "./process/overload_guard.ts";
@@ -153,6 +154,7 @@
   #settings: RouterSettings;
   readonly #lifecycle: Lifecycle;
   readonly #overload: OverloadGuard;
+  readonly #memoryWatch: MemoryWatch;
   readonly #server: CallerServer;
   readonly #openRequests = new OpenRequests();
   readonly #draining: DrainingRunners;
@@ -200,6 +202,13 @@
     this.buffers = new BufferBudget(settings.buffers);
     this.metrics.observeBuffers(() => this.buffers.buffered);
     this.holdsStreams = settings.holdsStreams;
+    this.metrics.observeMemory(memoryUse);
+    this.#memoryWatch = new MemoryWatch({
+      log,
+      memoryMb: settings.memoryMb,
+      use: memoryUse,
+      now: () => this.now(),
+    });
     this.places = new ReturnPlaces(log, () => this.random());
     this.shares = new WorkspaceShares({
       log,
@@ -496,6 +505,7 @@
     this.log.event("started", { name: this.#settings.name });
     this.#fleetSync.start(this.#settings.seeds);
     this.#leadership.start();
+    this.#memoryWatch.start();
   }
 
   /**
@@ -521,6 +531,7 @@
 
   /** Stops at once, without a graceful shutdown. */
   stop(): void {
+    this.#memoryWatch.stop();
     this.#leadership.stop();
     this.#fleetSync.stop();
     this.#openRequests.abort();
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -492,6 +492,7 @@
     graceMs: 3_000,
     retries: { ratio: 10, extra: 100, windowMs: 10_000 },
     scheduling: { scheduling: "auto", pressure: false },
+    memoryMb: undefined,
     buffers: bufferLimits(32),
     holdsStreams: false,
     leadership: undefined,
