--- a/packages/router/src/process/settings.ts
+++ b/packages/router/src/process/settings.ts
@@ -84,11 +84,15 @@
     readonly windowMs: number;
   };
   readonly scheduling: SchedulingSettings;
+  /** Memory of the host in MB; undefined if unknown. */
+  readonly memoryMb: number | undefined;
+  /** Limits of the bytes that are buffered for callers and runners. */
+  readonly buffers: BufferLimits;
   /**
-   * Limits of the bytes that are buffered for callers and runners. Undefined if they
-   * are not bounded: neither is `bufferMb` set nor `guarantees.pressure` true.
+   * Whether what the caller of a stream does not read is buffered. Otherwise the
+   * stream's runner is paused.
    */
-  readonly buffers: BufferLimits | undefined;
+  readonly holdsStreams: boolean;
   /** Absent if the platform has no API; the fleet then has no leader. */
   readonly leadership: LeadershipSettings | undefined;
 }
@@ -198,18 +202,29 @@
   return value;
 }
 
+function holdsStreams(json: unknown): boolean {
+  return valueAt(json, "bufferMb") !== undefined ||
+    valueAt(json, "guarantees.pressure") === true;
+}
+
 function readBuffers(
   json: unknown,
   reader: SettingsReader,
-): BufferLimits | undefined {
+  memoryMb: number | undefined,
+): BufferLimits {
   if (valueAt(json, "bufferMb") !== undefined) {
     return bufferLimits(reader.positive(json, "bufferMb"));
   }
-  if (valueAt(json, "guarantees.pressure") !== true) return undefined;
-  const memoryMb = valueAt(json, "memoryMb") === undefined
-    ? undefined
-    : reader.positive(json, "memoryMb");
-  return bufferLimits(defaultBufferMb(memoryMb));
+  const options = { holdsStreams: holdsStreams(json) };
+  return bufferLimits(defaultBufferMb(memoryMb, options));
+}
+
+function readMemoryMb(
+  json: unknown,
+  reader: SettingsReader,
+): number | undefined {
+  if (valueAt(json, "memoryMb") === undefined) return undefined;
+  return reader.positive(json, "memoryMb");
 }
 
 /** Reads the processor time of the host: a quota of cores of a relative speed. */
@@ -264,6 +279,7 @@
     return err([{ place: "", text: `Cannot read settings: ${reason}` }]);
   }
   const reader = new SettingsReader();
+  const memoryMb = readMemoryMb(json, reader);
   const settings: RouterSettings = {
     name: reader.text(json, "name"),
     failureDomain: reader.text(json, "failureDomain"),
@@ -302,7 +318,9 @@
       pressure: reader.flagOr(json, "guarantees.pressure", false),
       processor: readProcessor(json, reader),
     },
-    buffers: readBuffers(json, reader),
+    memoryMb,
+    buffers: readBuffers(json, reader, memoryMb),
+    holdsStreams: holdsStreams(json),
     leadership: readLeadership(json, reader),
   };
   return reader.findings.length === 0 ? ok(settings) : err(reader.findings);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -35,6 +35,7 @@
 import { LimitQueue } from "./process/limit_queue.ts";
 import { Lifecycle } from "./process/lifecycle.ts";
 import { RequestMetrics } from "./process/metrics.ts";
+import { memoryUse, MemoryWatch } from "./process/memory_watch.ts";
 import { ShareOrder } from "./process/share_order.ts";
 import { SharedTimer } from "./process/shared_timer.ts";
 import { OverloadGuard } from "./process/overload_guard.ts";
@@ -144,7 +145,8 @@
   });
   readonly shares: WorkspaceShares;
   readonly shareOrder: ShareOrder;
-  readonly buffers: BufferBudget | undefined;
+  readonly buffers: BufferBudget;
+  readonly holdsStreams: boolean;
   readonly sharedTimer = new SharedTimer(CAPACITY_CHECK_MS);
   readonly plainTimer = new SharedTimer(PLAIN_CAPACITY_CHECK_MS);
   readonly metrics = new RequestMetrics();
@@ -153,6 +155,7 @@
   #settings: RouterSettings;
   readonly #lifecycle: Lifecycle;
   readonly #overload: OverloadGuard;
+  readonly #memoryWatch: MemoryWatch;
   readonly #server: CallerServer;
   readonly #openRequests = new OpenRequests();
   readonly #draining: DrainingRunners;
@@ -197,11 +200,16 @@
     this.scheduling = new SchedulingMode(settings.scheduling, log);
     this.paces = new RunnerPaces(this.scheduling, log);
     this.metrics.observePaces(() => this.paces.samples(this.now()));
-    const buffers = settings.buffers && new BufferBudget(settings.buffers);
-    if (buffers !== undefined) {
-      this.metrics.observeBuffers(() => buffers.buffered);
-    }
-    this.buffers = buffers;
+    this.buffers = new BufferBudget(settings.buffers);
+    this.metrics.observeBuffers(() => this.buffers.buffered);
+    this.holdsStreams = settings.holdsStreams;
+    this.metrics.observeMemory(memoryUse);
+    this.#memoryWatch = new MemoryWatch({
+      log,
+      memoryMb: settings.memoryMb,
+      use: memoryUse,
+      now: () => this.now(),
+    });
     this.places = new ReturnPlaces(log, () => this.random());
     this.shares = new WorkspaceShares({
       log,
@@ -503,6 +511,7 @@
     ];
     this.#fleetSync.start(seeds);
     this.#leadership.start();
+    this.#memoryWatch.start();
     await Promise.all(opened);
   }
 
@@ -529,6 +538,7 @@
 
   /** Stops at once, without a graceful shutdown. */
   stop(): void {
+    this.#memoryWatch.stop();
     this.#leadership.stop();
     this.#fleetSync.stop();
     this.#openRequests.abort();
