Keep the process when a task in the background fails

Cause: promises that nobody awaits, and callbacks of timers, passed errors on to the process, which ends gracefully with status 70. Input from outside reached them: `net.connect` throws for a port such as 99999, which the settings, an entry of another daemon and the contacts of peers may hold; `http.request` throws for a health path with a space; an odd entry among the registered daemons threw an error that is no `FeedError`.

What callers saw: one wrong address or path ended daemons again and again, all of the fleet where it comes from the configuration or a peer.

Change: `openSocket` returns a socket that fails like a refused one. A probe whose path cannot be sent has no response. `Registration` logs any error of a call and calls again. The other tasks that nobody awaits (`restart_check`, `cache_survey`, `crash_probe`, `silence_check`, `path_check`, `deregister`, `step_down`) run by `inBackground`, which logs `task_failed`. A path check that fails is no longer kept as running for ever.

--- a/packages/router/src/connection/crash_detector.ts
+++ b/packages/router/src/connection/crash_detector.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { inBackground } from "../process/background.ts";
 import type { CrashRecord } from "../process/crash_record.ts";
 import type { EventLog } from "../process/event_log.ts";
 import type { RequestMetrics } from "../process/metrics.ts";
@@ -84,7 +85,10 @@
     const delayMs = this.#probed.has(runner.id)
       ? PROBE_INTERVAL_MS
       : PROBE_DELAY_MS;
-    setTimeout(() => void this.#probe(runner), delayMs).unref();
+    setTimeout(() => {
+      const name = "crash_probe";
+      inBackground(this.#probe(runner), { name, log: this.#log });
+    }, delayMs).unref();
   }
 
   /**
--- a/packages/router/src/connection/peer_network.ts
+++ b/packages/router/src/connection/peer_network.ts
@@ -4,11 +4,12 @@
  * @module
  */
 import { Buffer } from "node:buffer";
-import { connect, createServer } from "node:net";
+import { createServer } from "node:net";
 import type { Socket } from "node:net";
 import type { EventLog } from "../process/event_log.ts";
 import type { ListenAddress } from "../process/settings.ts";
 import { Listening } from "./listening.ts";
+import { openSocketTo } from "./open_socket.ts";
 import { PeerLink } from "./peer_link.ts";
 import type { Link, LinkEvents } from "./peer_link.ts";
 import { TUNNEL_PREFACE } from "./tunnel_channel.ts";
@@ -81,8 +82,7 @@
     opened(createLink: LinkFactory): void;
     failed(): void;
   }): void {
-    const [host = "", port = ""] = address.split(":");
-    const socket = connect({ host, port: Number(port) });
+    const socket = openSocketTo(address);
     const timer = setTimeout(() => socket.destroy(), CONNECT_TIMEOUT_MS);
     const failed = () => {
       clearTimeout(timer);
--- a/packages/router/src/connection/runner_network.ts
+++ b/packages/router/src/connection/runner_network.ts
@@ -3,9 +3,9 @@
  *
  * @module
  */
-import { connect } from "node:net";
 import type { Socket } from "node:net";
 import type { Runner } from "../process/runner.ts";
+import { openSocket } from "./open_socket.ts";
 
 /** Where a runner accepts connections. */
 export type RunnerAddress = Pick<Runner, "address" | "port">;
@@ -19,6 +19,6 @@
 /** Connections over TCP. */
 export class TcpRunnerNetwork implements RunnerNetwork {
   connect({ address, port }: RunnerAddress): Socket {
-    return connect({ host: address, port });
+    return openSocket({ host: address, port });
   }
 }
--- a/packages/router/src/connection/runner_probe.ts
+++ b/packages/router/src/connection/runner_probe.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { request } from "node:http";
+import type { ClientRequest } from "node:http";
 import type { Runner } from "../process/runner.ts";
 import type { RunnerNetwork } from "./runner_network.ts";
 
@@ -47,7 +48,7 @@
  * connection that is accepted may lead nowhere; a response shows that the path
  * carries data both ways.
  *
- * @param options.path path of the service's health check.
+ * @param options.path path of the service's health check; false if it is unusable.
  */
 export function respondsToProbe(
   runner: Runner,
@@ -57,15 +58,10 @@
     readonly timeoutMs: number;
   },
 ): Promise<boolean> {
-  const { network, path, timeoutMs } = options;
+  const { timeoutMs } = options;
   return new Promise((resolve) => {
-    const probe = request({
-      createConnection: () => network.connect(runner),
-      host: runner.address,
-      port: runner.port,
-      path,
-      headers: { connection: "close" },
-    });
+    const probe = createProbe(runner, options);
+    if (probe === undefined) return resolve(false);
     const settle = (responds: boolean) => {
       clearTimeout(timer);
       resolve(responds);
@@ -77,3 +73,22 @@
     probe.end();
   });
 }
+
+/** Returns the request of a probe; undefined if Node rejects its path. */
+function createProbe(runner: Runner, options: {
+  readonly network: RunnerNetwork;
+  readonly path: string;
+}): ClientRequest | undefined {
+  const { network, path } = options;
+  try {
+    return request({
+      createConnection: () => network.connect(runner),
+      host: runner.address,
+      port: runner.port,
+      path,
+      headers: { connection: "close" },
+    });
+  } catch {
+    return undefined;
+  }
+}
--- a/packages/router/src/connection/tunnel_server.ts
+++ b/packages/router/src/connection/tunnel_server.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Socket } from "node:net";
+import { inBackground } from "../process/background.ts";
 import type { EventLog } from "../process/event_log.ts";
 import type { RequestMetrics } from "../process/metrics.ts";
 import type { Runner } from "../process/runner.ts";
@@ -99,7 +100,10 @@
   #begin(channel: TunnelChannel, message: TunnelMessage): void {
     switch (message.kind) {
       case "check":
-        return void this.#check(channel, message);
+        return inBackground(this.#check(channel, message), {
+          name: "path_check",
+          log: this.#context.log,
+        });
       case "connect":
         return this.#connect(channel, message.runner);
       default:
--- a/packages/router/src/process/daemon_registry.ts
+++ b/packages/router/src/process/daemon_registry.ts
@@ -156,8 +156,9 @@
     try {
       await run();
     } catch (error) {
-      if (!(error instanceof FeedError)) throw error;
-      this.#log.event("registry_call_failed", { call, reason: error.message });
+      // An entry of another writer may be malformed in any way.
+      const reason = error instanceof FeedError ? error.message : String(error);
+      this.#log.event("registry_call_failed", { call, reason });
     }
   }
 }
--- a/packages/router/src/process/runner_paths.ts
+++ b/packages/router/src/process/runner_paths.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { inBackground } from "./background.ts";
 import type { EventLog } from "./event_log.ts";
 import { pause } from "./pause.ts";
 import type { Runner } from "./runner.ts";
@@ -148,7 +149,9 @@
     if (lastResponseAt >= this.#unansweredSince) this.#unansweredSince = sentAt;
     const silentMs = now() - this.#unansweredSince;
     if (silentMs < SILENCE_MS || this.isolated) return;
-    void this.#checkSilence(runner, silentMs);
+    const { log } = this.#context;
+    const name = "silence_check";
+    inBackground(this.#checkSilence(runner, silentMs), { name, log });
   }
 
   /** Asks peers whether they reach a runner now. */
@@ -186,11 +189,12 @@
     const checkedAt = this.#checkedAt.get(id) ?? -Infinity;
     if (now - checkedAt < CHECK_INTERVAL_MS) return Promise.resolve(false);
     this.#checkedAt.set(id, now);
-    const check = isLost().then((lost) => {
-      this.#checks.delete(id);
-      if (lost) this.#lose(runner);
-      return lost;
-    });
+    const check = isLost().finally(() => this.#checks.delete(id)).then(
+      (lost) => {
+        if (lost) this.#lose(runner);
+        return lost;
+      },
+    );
     this.#checks.set(id, check);
     return check;
   }
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -21,6 +21,7 @@
   createMetricsServer,
   createReadinessServer,
 } from "./connection/status_server.ts";
+import { inBackground } from "./process/background.ts";
 import { BrittleServices } from "./process/brittle_services.ts";
 import type { RunnerRoom } from "./process/brittle_services.ts";
 import { BufferBudget } from "./process/buffer_budget.ts";
@@ -445,7 +446,7 @@
     if (this.#routingTable?.service(runner.service)?.engine === undefined) {
       return;
     }
-    void this.#restartDetector.check(runner);
+    this.#inBackground("restart_check", this.#restartDetector.check(runner));
   }
 
   hasCrashed(runner: Runner): Promise<boolean> {
@@ -544,8 +545,8 @@
    */
   async shutDown(): Promise<boolean> {
     this.#lifecycle.startShutdown();
-    void this.#leadership.stepDown();
-    void this.#fleetSync.deregister();
+    this.#inBackground("step_down", this.#leadership.stepDown());
+    this.#inBackground("deregister", this.#fleetSync.deregister());
     this.#access.leave();
     const cut = await shutDownGracefully(this.#server, {
       graceMs: () => this.#settings.graceMs,
@@ -558,6 +559,10 @@
     return cut === 0;
   }
 
+  #inBackground(name: string, task: Promise<unknown>): void {
+    inBackground(task, { name, log: this.log });
+  }
+
   #logStart(): void {
     if (!this.#server.isOpen) return;
     this.log.event("started", { name: this.#settings.name });
@@ -696,12 +701,13 @@
     if (this.#surveyed || this.#routingTable === undefined) return;
     if (this.#directory.revision === 0) return;
     this.#surveyed = true;
-    void this.#survey.run({
+    const survey = this.#survey.run({
       engines: () =>
         this.#directory.list.runners.filter(({ service }) =>
           this.#routingTable?.service(service)?.engine !== undefined
         ),
       view: () => this.#fleetSync.view,
     });
+    this.#inBackground("cache_survey", survey);
   }
 }
