Count streams whose runners are paused among the held bytes

Cause: where streams are not held, neither partial events (up to 256 KB each) nor what the connections of paused streams have not taken was in the budget.

Seen: 600 streams with partial events of 200 KB brought a daemon from 217 to 266 MB, above the 250 MB of the smallest machine.

Change: both are counted from 16 KB on. The runner is paused as before; if there is no room for 1 s, the stream that needs longest ends, with 502 before its first event and without its end after it.

--- a/packages/router/src/request/answer_buffer.ts
+++ b/packages/router/src/request/answer_buffer.ts
@@ -17,12 +17,18 @@
  */
 const MAX_UNREAD_MS = 1_000;
 
+/** A response of a runner that can be paused. */
+export type PausableSource = Pick<
+  IncomingMessage,
+  "readableEnded" | "pause" | "resume"
+>;
+
 /** Counts one answer, and pauses its runner while there is no room for it. */
 export class AnswerBuffer {
   readonly #daemon: Daemon;
   readonly #budget: BufferBudget;
   readonly #answer: CountedAnswer;
-  #source: IncomingMessage | undefined;
+  #source: PausableSource | undefined;
   #onPause: (maxMs: number) => void = () => {};
   #timer: NodeJS.Timeout | undefined;
   #wasCut = false;
@@ -73,7 +79,7 @@
    * @param onPause called with the longest duration of the pause in ms.
    */
   readFrom(
-    source: IncomingMessage,
+    source: PausableSource,
     onPause: (maxMs: number) => void = () => {},
   ): void {
     this.#source = source;
--- a/packages/router/src/request/event_splitter.ts
+++ b/packages/router/src/request/event_splitter.ts
@@ -25,6 +25,7 @@
 export class EventSplitter {
   /** The partial event. */
   #chunks: Buffer[] = [];
+  #size = 0;
   #state: LineState = "line";
 
   /**
@@ -40,10 +41,18 @@
       events.push(this.#complete(chunk.subarray(start, end)));
       start = end;
     }
-    if (start < chunk.length) this.#chunks.push(chunk.subarray(start));
+    if (start < chunk.length) {
+      this.#chunks.push(chunk.subarray(start));
+      this.#size += chunk.length - start;
+    }
     return events;
   }
 
+  /** Size of the partial event. */
+  get size(): number {
+    return this.#size;
+  }
+
   /** Whether a partial event is buffered. */
   get pending(): boolean {
     return this.#chunks.length > 0;
@@ -77,6 +86,7 @@
     if (this.#chunks.length === 0) return last;
     const event = Buffer.concat([...this.#chunks, last]);
     this.#chunks = [];
+    this.#size = 0;
     return event;
   }
 }
--- a/packages/router/src/request/response_relay.ts
+++ b/packages/router/src/request/response_relay.ts
@@ -112,8 +112,10 @@
   readonly #cancelledLocally: () => boolean;
   readonly #streamBegan: (routed: RoutedRequest, runner: Runner) => void;
   #stream: StreamRelay | undefined;
-  /** What is buffered of the stream; undefined where its runner is paused. */
+  /** What is buffered of the stream. */
   #streamBuffer: AnswerBuffer | undefined;
+  /** The attempt whose stream is relayed. */
+  #streamAttempt: Attempt | undefined;
 
   constructor(
     daemon: Daemon,
@@ -266,8 +268,9 @@
       MIN_GAP_TIMEOUT_MS,
       GAP_TIMEOUT_TARGETS * (route.gapTargetMs ?? route.targetMs),
     );
+    this.#streamAttempt = context.attempt;
     this.#streamBuffer?.readFrom(
-      incoming,
+      stream.pausable(incoming),
       (maxMs) => context.inactivity.restart(maxMs + gapTimeoutMs),
     );
     const onEvent = () => {
@@ -284,6 +287,7 @@
     };
     const onProgress = () => context.attempt.recordProgress();
     const end = await stream.relay(incoming, { onEvent, onProgress });
+    if (this.#streamBuffer?.wasCut) return { kind: "no-room" };
     if (end.kind !== "complete") {
       return this.#handleInterruption(
         context,
@@ -411,13 +415,15 @@
 
   #streamRelay(routed: RoutedRequest): StreamRelay {
     if (this.#stream !== undefined) return this.#stream;
-    if (this.#daemon.holdsStreams) {
-      this.#streamBuffer = this.#openBuffer(routed);
-    }
+    this.#streamBuffer = this.#openBuffer(
+      routed,
+      () => this.#streamAttempt?.cancel("no room for the response"),
+    );
     this.#stream = new StreamRelay(this.#caller.response, {
       dialect: this.#daemon.dialect,
       lastEventId: routed.head.lastEventId,
       buffer: this.#streamBuffer,
+      holds: this.#daemon.holdsStreams,
     });
     return this.#stream;
   }
--- a/packages/router/src/request/stream_body.ts
+++ b/packages/router/src/request/stream_body.ts
@@ -82,6 +82,12 @@
     if (!this.#blocked) this.#writeHeld();
   }
 
+  /** Bytes that the caller's connection has not taken. */
+  get unread(): number {
+    const { socket, writableLength } = this.#response;
+    return socket?.writableLength ?? writableLength;
+  }
+
   /** Calls the listener once the write buffer has been emptied. */
   onceDrained(listener: () => void): void {
     const { socket } = this.#response;
@@ -113,8 +119,7 @@
   }
 
   #countUnread(): void {
-    const { socket, writableLength } = this.#response;
-    const unread = this.#blocked ? socket?.writableLength ?? writableLength : 0;
+    const unread = this.#blocked ? this.unread : 0;
     this.#onUnread!(this.#held.size + unread);
   }
 
--- a/packages/router/src/request/stream_relay.ts
+++ b/packages/router/src/request/stream_relay.ts
@@ -6,11 +6,17 @@
 import type { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { guarded } from "../process/guarded.ts";
-import type { AnswerBuffer } from "./answer_buffer.ts";
+import type { AnswerBuffer, PausableSource } from "./answer_buffer.ts";
 import type { Dialect } from "./dialect.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import { StreamBody } from "./stream_body.ts";
 
+/**
+ * Bytes from which on a stream counts that is not held: nearly all have less, and
+ * their events need no count each.
+ */
+const MIN_COUNTED_BYTES = 16 * 1024;
+
 /** How a stream ended. */
 export type StreamEnd =
   | { readonly kind: "complete" }
@@ -25,6 +31,11 @@
 export class StreamRelay {
   readonly #body: StreamBody;
   readonly #buffer: AnswerBuffer | undefined;
+  readonly #holds: boolean;
+  /** Whether the runner is paused until the caller has read more. */
+  #paused = false;
+  /** Bytes that are counted where they are not held. */
+  #counted = 0;
   readonly #dialect: Dialect;
   /**
    * Id of the last event relayed; at first, the id of the last event that the
@@ -39,18 +50,21 @@
     options: {
       readonly dialect: Dialect;
       readonly lastEventId: number | undefined;
+      /** Counts what is buffered. */
+      readonly buffer?: AnswerBuffer | undefined;
       /**
-       * Counts what the caller does not read; without it, the runner is paused for
-       * a slow caller.
+       * Whether what the caller does not read is held; otherwise the runner is
+       * paused for a slow caller.
        */
-      readonly buffer?: AnswerBuffer | undefined;
+      readonly holds?: boolean;
     },
   ) {
-    const { buffer } = options;
+    const { buffer, holds = buffer !== undefined } = options;
     this.#buffer = buffer;
+    this.#holds = holds;
     this.#body = new StreamBody(
       response,
-      buffer && ((bytes) => buffer.setUnread(bytes)),
+      holds ? (bytes) => buffer?.setUnread(bytes) : undefined,
     );
     this.#dialect = options.dialect;
     this.#lastEventId = options.lastEventId;
@@ -74,6 +88,18 @@
     return this.#pauseCount + (this.#buffer?.pauseCount ?? 0);
   }
 
+  /** Returns a runner's response as it is paused where there is no room. */
+  pausable(incoming: IncomingMessage): PausableSource {
+    const resume = () => this.#paused ? incoming : incoming.resume();
+    return {
+      get readableEnded() {
+        return incoming.readableEnded;
+      },
+      pause: () => incoming.pause(),
+      resume,
+    };
+  }
+
   /** Ends a complete stream once the caller has read it. */
   end(): void {
     this.#body.end();
@@ -114,8 +140,9 @@
           if (id === undefined || id > highestId) onProgress();
           highestId = Math.max(highestId, id ?? highestId);
           caughtUp ||= id === undefined || id >= (lastBefore ?? id);
-          if (!this.#write(event, id)) this.#pause(incoming);
+          if (!this.#write(event, id)) this.#pause(incoming, splitter);
         }
+        this.#count(splitter.size);
       };
       incoming.on("data", guarded(relayEvents, reject));
       incoming.on("end", () => {
@@ -148,9 +175,26 @@
     return this.#body.write(event);
   }
 
-  #pause(incoming: IncomingMessage): void {
+  #pause(incoming: IncomingMessage, splitter: EventSplitter): void {
     this.#pauseCount += 1;
     incoming.pause();
-    this.#body.onceDrained(() => incoming.resume());
+    if (this.#paused) return;
+    this.#paused = true;
+    this.#body.onceDrained(() => {
+      this.#paused = false;
+      incoming.resume();
+      this.#count(splitter.size);
+    });
+  }
+
+  /** Counts a partial event, and what a paused stream's caller has yet to read. */
+  #count(partialBytes: number): void {
+    if (this.#holds || this.#buffer === undefined) return;
+    const unread = this.#paused ? this.#body.unread : 0;
+    const bytes = partialBytes + unread;
+    const counted = bytes < MIN_COUNTED_BYTES ? 0 : bytes;
+    if (counted === this.#counted) return;
+    this.#counted = counted;
+    this.#buffer.setUnread(counted);
   }
 }
