Bound the leader's work by the windows that can be reported

Cause: all usage windows since the record's next one counted as open, and lists of them were searched for each window. Beyond some 125,000 windows the arguments of Math.max exceeded the stack, and an error in a step of the leader ended the process.

Change: only windows that can still be reported are looked at, 24 at most; the others are decided at once, as a range with a count, which usage_missed logs in one line. A record whose next window is far ahead, after a clock that was corrected or by another writer, is started anew from the current window; a window with a report is not decided again. Lists of a record are cut to what a leader would store itself, orders are looked up by pool, and orders of a record count up to the bound of their service. Sending of orders stops when the lease is to be renewed. An error in a step of the leader is logged (leader_failed), the lease is released, and the daemon steps again after 1 to 30 s.

Tests: the new tests failed before. usage_reports_test did not end within the 300 s of a test file (with 400 days), the step of a leader that throws ended the test with "RangeError: Maximum call stack size exceeded". Three existing assertions compare a range with a count instead of the list of missed windows; first, last and count fix the same windows.

--- a/packages/router/src/process/autoscaler.ts
+++ b/packages/router/src/process/autoscaler.ts
@@ -79,12 +79,13 @@
       this.#sources.runners(),
       ({ service }) => service,
     );
+    const ordersByService = groupBy(orders, ({ service }) => service);
     return this.#sources.services().flatMap((service) => {
       const { name, scaling } = service;
       if (scaling === undefined || !this.#isValid(name, scaling)) return [];
       return this.#ordersOf({ ...service, scaling }, {
         runners: byService.get(name) ?? [],
-        orders: orders.filter((order) => order.service === name),
+        orders: ordersByService.get(name) ?? [],
         now,
       });
     });
@@ -114,7 +115,12 @@
     if (!started) return [];
     this.#markReclaimed(runners, now);
     const domains = this.#domains(service, inputs);
-    const state = this.#stateOf(name, domains, orders);
+    // Another writer may have stored more than there can be.
+    const possible = orders.map((order) => ({
+      ...order,
+      runners: Math.min(order.runners, scaling.most),
+    }));
+    const state = this.#stateOf(name, domains, possible);
     const ready = runners.filter(({ draining }) => !draining);
     const busy = this.#busy(service, ready);
     state.estimator.observe(busy, now);
--- a/packages/router/src/process/leader.ts
+++ b/packages/router/src/process/leader.ts
@@ -19,6 +19,7 @@
   withAccepted,
 } from "./usage_reports.ts";
 import type {
+  MissedWindows,
   UsageDecision,
   UsageSources,
   UsageTiming,
@@ -59,6 +60,11 @@
 /** Backoff in ms after the first failed call; doubled after each one, up to the maximum. */
 const INITIAL_RETRY_MS = 400;
 const MAX_RETRY_MS = 3_200;
+/** Backoff in ms after a step that failed; doubled after each one, up to the maximum. */
+const INITIAL_BACKOFF_MS = 1_000;
+const MAX_BACKOFF_MS = 30_000;
+/** Maximum length of the reason that a failed step is logged with. */
+const MAX_REASON_LENGTH = 1_000;
 
 /** Options of a {@linkcode Leader}. */
 export interface LeaderOptions {
@@ -91,10 +97,9 @@
   readonly metrics: LeaderMetrics;
 }
 
-/** A decision on a usage window that the store is not known to hold yet. */
-interface UnstoredDecision {
-  /** Counts of the report; undefined if the window is missed. */
-  readonly counts: Counts | undefined;
+/** Final counts of a usage window that the store is not known to hold yet. */
+interface UnstoredCounts {
+  readonly counts: Counts;
   /** Number of daemons that the counts come from. */
   readonly daemons: number;
 }
@@ -120,8 +125,10 @@
   readonly #accepted = new Set<number>();
   /** Attempts to report each window in this term. */
   readonly #attempts = new Map<number, number>();
-  /** Decisions on windows, until the store is known to hold them. */
-  readonly #unstored = new Map<number, UnstoredDecision>();
+  /** Final counts by window, until the store is known to hold them. */
+  readonly #unstored = new Map<number, UnstoredCounts>();
+  /** Missed windows by the first, until the store is known to hold the decision. */
+  readonly #unstoredMissed = new Map<number, MissedWindows>();
   /**
    * Windows whose held counts may have been sent: by an earlier leader, or by this
    * one while the store did not answer.
@@ -133,6 +140,8 @@
   /** Resolves when the current step has ended. */
   #currentStep: Promise<void> = Promise.resolve();
   #retryMs = INITIAL_RETRY_MS;
+  /** Delay in ms after the next step that fails. */
+  #backoffMs = INITIAL_BACKOFF_MS;
   /** Earliest time of the next report, in monotonic ms. */
   #reportNotBefore = -Infinity;
 
@@ -145,12 +154,50 @@
   async run(): Promise<void> {
     await pause(STARTUP_DELAY_MS, { background: true });
     while (!this.#stopped) {
-      this.#currentStep = this.#step();
+      let delayMs = 0;
+      this.#currentStep = this.#tryStep().then((ms) => void (delayMs = ms));
       await this.#currentStep;
-      await pause(this.#intervalMs(), { background: true });
+      await pause(delayMs, { background: true });
     }
   }
 
+  /**
+   * Performs a step. If it fails, gives up the lease, so that another daemon may
+   * lead; requests do not depend on the leader.
+   *
+   * @returns the delay in ms until the next step.
+   */
+  async #tryStep(): Promise<number> {
+    try {
+      // The step that takes the lease does not lead yet.
+      const leads = this.#options.lease.held;
+      await this.#step();
+      if (leads) this.#backoffMs = INITIAL_BACKOFF_MS;
+      return this.#intervalMs();
+    } catch (error) {
+      const delayMs = this.#backoffMs;
+      this.#backoffMs = Math.min(MAX_BACKOFF_MS, 2 * delayMs);
+      this.#logFailure("step", error);
+      await this.#giveUp();
+      return delayMs;
+    }
+  }
+
+  async #giveUp(): Promise<void> {
+    try {
+      await this.#options.lease.release();
+      this.#options.leaseChanged();
+    } catch (error) {
+      this.#logFailure("release", error);
+    }
+  }
+
+  #logFailure(action: "step" | "release", error: unknown): void {
+    const text = error instanceof Error ? error.stack : String(error);
+    const reason = text?.slice(0, MAX_REASON_LENGTH);
+    this.#options.log.event("leader_failed", { action, reason });
+  }
+
   /** Stops; no further calls are started. */
   stop(): void {
     this.#stopped = true;
@@ -192,6 +239,7 @@
     // The response to the last write of an earlier term may have been lost.
     this.#logStored();
     this.#unstored.clear();
+    this.#unstoredMissed.clear();
     this.#freezeHeld();
     this.#orders.reset();
     this.#accepted.clear();
@@ -268,32 +316,29 @@
       const daemons = this.#options.usage!.meter.incarnations(window).size;
       this.#unstored.set(window, { counts, daemons });
     }
-    for (const window of missed) {
-      this.#unstored.set(window, { counts: undefined, daemons: 0 });
-    }
+    if (missed !== undefined) this.#unstoredMissed.set(missed.first, missed);
   }
 
   /** Logs the decisions on windows that the store is now known to hold. */
   #logStored(): void {
     const { lease, log, metrics } = this.#options;
-    const { reports, nextWindow, open = [] } = lease.state;
     for (const [window, { counts, daemons }] of this.#unstored) {
-      const stored = reports.find((report) => report.window === window);
-      if (counts === undefined) {
-        const decided = stored === undefined && !open.includes(window) &&
-          window < (nextWindow ?? 0);
-        if (!decided) continue;
-        metrics.usageWindow("missed", window);
-        log.event("usage_missed", { window });
-      } else {
-        if (!isDeepStrictEqual(stored?.counts, counts)) continue;
-        const requests = Object.values(counts)
-          .reduce((sum, count) => sum + count, 0);
-        metrics.usageWindow("fixed", window);
-        log.event("usage_fixed", { window, requests, daemons });
-      }
+      const stored = lease.state.reports
+        .find((report) => report.window === window);
+      if (!isDeepStrictEqual(stored?.counts, counts)) continue;
+      const requests = Object.values(counts)
+        .reduce((sum, count) => sum + count, 0);
+      metrics.usageWindow("fixed", window);
+      log.event("usage_fixed", { window, requests, daemons });
       this.#unstored.delete(window);
     }
+    for (const [first, missed] of this.#unstoredMissed) {
+      if (!isMissed(missed, lease.state)) continue;
+      const { last, count } = missed;
+      metrics.usageWindow("missed", last, count);
+      log.event("usage_missed", { window: last, first, windows: count });
+      this.#unstoredMissed.delete(first);
+    }
   }
 
   #withCheckpoint(state: LeaderState): LeaderState {
@@ -394,8 +439,10 @@
 
   /** Sends the orders that are due, one after the other. */
   async #sendOrders(): Promise<void> {
-    const { lease, api, monotonic, metrics } = this.#options;
+    const { lease, leaseMs, api, monotonic, metrics } = this.#options;
     for (const order of this.#orders.due(lease.state.orders, monotonic())) {
+      // The next step renews the lease, and sends the others.
+      if (lease.sinceRenewalMs >= RENEWAL_FRACTION * leaseMs) return;
       const call = this.#beginCall(TIMEOUT_MS);
       if (call === undefined) return;
       const outcome = await this.#endCall(api.orderRunners(order, call));
@@ -421,12 +468,24 @@
   }
 
   async #endCall(call: Promise<CallOutcome>): Promise<CallOutcome> {
-    const outcome = await call;
-    this.#options.lease.recordAction();
-    return outcome;
+    try {
+      return await call;
+    } finally {
+      this.#options.lease.recordAction();
+    }
   }
 }
 
+/** Whether a state holds the decision that windows are missed. */
+function isMissed(
+  { last }: MissedWindows,
+  { nextWindow = 0, open = [], reports }: LeaderState,
+): boolean {
+  if (last >= nextWindow) return false;
+  const waits = open.some((window) => window <= last);
+  return !waits && !reports.some(({ held, window }) => held && window <= last);
+}
+
 /**
  * Whether the store holds the counts of a report, whichever of the writes without
  * response take effect.
--- a/packages/router/src/process/leader_lease.ts
+++ b/packages/router/src/process/leader_lease.ts
@@ -14,6 +14,7 @@
 import { FeedError } from "./feed.ts";
 import { INITIAL_STATE } from "./leader_record.ts";
 import { KnownEpoch } from "./known_epoch.ts";
+import { boundedState } from "./leader_state_bounds.ts";
 import { epochOf } from "./store_revision.ts";
 import type {
   LeaderRecord,
@@ -293,7 +294,7 @@
   async #take(found: StoredRecord): Promise<void> {
     const { revision: ifRevision, record: before } = found;
     const fencing = fencingAfter(ifRevision);
-    const state = before?.work ?? INITIAL_STATE;
+    const state = boundedState(before?.work ?? INITIAL_STATE);
     const sentAt = timestampOf(this.#clock);
     const written = this.#record(fencing, state);
     // A successor of this term, too, has to know that the state is from before the
@@ -419,7 +420,7 @@
     if (revision !== term.revision) term.possibleStates = [];
     term.revision = revision;
     term.lastLostAttempt = undefined;
-    term.state = record!.work;
+    term.state = boundedState(record!.work);
     this.#recordOwnWrite(found.revision, this.#clock.monotonic());
     // Other daemons measure the lease from the stored write. Measuring it from a
     // later attempt would let this leader act while another one takes over.
--- a/packages/router/src/process/metrics.ts
+++ b/packages/router/src/process/metrics.ts
@@ -274,9 +274,13 @@
     this.#term.set(fencing);
   }
 
-  /** Counts a usage window, and sets the last one of its outcome. */
-  usageWindow(outcome: "fixed" | "accepted" | "missed", window: number): void {
-    this.#windows.inc({ outcome });
+  /** Counts `count` usage windows, and sets the last one of their outcome. */
+  usageWindow(
+    outcome: "fixed" | "accepted" | "missed",
+    window: number,
+    count = 1,
+  ): void {
+    this.#windows.inc({ outcome }, count);
     this.#lastWindow.set({ outcome }, window);
   }
 
--- a/packages/router/src/process/order_tracker.ts
+++ b/packages/router/src/process/order_tracker.ts
@@ -6,7 +6,7 @@
  */
 import type { EventLog } from "./event_log.ts";
 import type { CallOutcome } from "./platform_api.ts";
-import { isSamePool } from "./runner_order.ts";
+import { poolKey } from "./runner_order.ts";
 import type { RunnerOrder, ScalingPolicy } from "./runner_order.ts";
 
 /**
@@ -30,7 +30,8 @@
 export class OrderTracker {
   readonly #policy: ScalingPolicy | undefined;
   readonly #log: EventLog;
-  #sent: readonly SentOrder[] = [];
+  /** The last order that was sent for each pool. */
+  readonly #sent = new Map<string, SentOrder>();
 
   constructor(policy: ScalingPolicy | undefined, log: EventLog) {
     this.#policy = policy;
@@ -42,7 +43,7 @@
    * those of an earlier leader arrived.
    */
   reset(): void {
-    this.#sent = [];
+    this.#sent.clear();
   }
 
   /**
@@ -54,13 +55,13 @@
     now: number,
   ): readonly RunnerOrder[] | undefined {
     const desired = this.#policy?.desiredOrders(orders, now) ?? [];
+    const ordered = new Map(orders.map((order) => [poolKey(order), order]));
     const changed = desired.filter((order) =>
-      runnersOf(orders, order) !== order.runners
+      ordered.get(poolKey(order))?.runners !== order.runners
     );
     if (changed.length === 0) return undefined;
-    const kept = orders.filter((order) =>
-      !changed.some((other) => isSamePool(order, other))
-    );
+    const pools = new Set(changed.map(poolKey));
+    const kept = orders.filter((order) => !pools.has(poolKey(order)));
     return [...kept, ...changed];
   }
 
@@ -96,10 +97,8 @@
       : INITIAL_RETRY_MS;
     const accepted = end.kind === "accepted";
     const notBefore = call.now + retryMs;
-    this.#sent = [
-      ...this.#sent.filter((other) => !isSamePool(other.order, order)),
-      { order, accepted, retryMs, notBefore },
-    ];
+    const sent = { order, accepted, retryMs, notBefore };
+    this.#sent.set(poolKey(order), sent);
     if (end.kind === "none-left") this.#policy?.recordDepleted(order, call.now);
     this.#log.event("runners_ordered", {
       service: order.service,
@@ -113,13 +112,6 @@
   }
 
   #sentOrderOf(order: RunnerOrder): SentOrder | undefined {
-    return this.#sent.find((other) => isSamePool(other.order, order));
+    return this.#sent.get(poolKey(order));
   }
 }
-
-function runnersOf(
-  orders: readonly RunnerOrder[],
-  order: RunnerOrder,
-): number | undefined {
-  return orders.find((other) => isSamePool(other, order))?.runners;
-}
--- a/packages/router/src/process/runner_order.ts
+++ b/packages/router/src/process/runner_order.ts
@@ -30,9 +30,9 @@
   recordDepleted(order: RunnerOrder, now: number): void;
 }
 
-/** Whether both are for the same service, failure domain and kind. */
-export function isSamePool(one: RunnerPool, other: RunnerPool): boolean {
-  return one.service === other.service &&
-    one.failureDomain === other.failureDomain &&
-    one.preemptible === other.preemptible;
+/** Returns a key that only the orders for the same pool have. */
+export function poolKey(
+  { service, failureDomain, preemptible }: RunnerPool,
+): string {
+  return JSON.stringify([service, failureDomain, preemptible]);
 }
--- a/packages/router/src/process/usage_reports.ts
+++ b/packages/router/src/process/usage_reports.ts
@@ -9,6 +9,7 @@
   UsageCheckpoint,
   UsageReport,
 } from "./leader_record.ts";
+import { MAX_PENDING, prune } from "./leader_state_bounds.ts";
 import { isComplete, livesOf } from "./usage_completion.ts";
 import type { Counts, UsageMeter } from "./usage_meter.ts";
 
@@ -25,10 +26,11 @@
  * fixes what was held.
  */
 const HOLD_FRACTION = 0.45;
-/** Accepted reports that are kept for inspection by operators. */
-const MAX_ACCEPTED = 2;
-/** Maximum number of pending reports; the oldest are dropped first. */
-const MAX_PENDING = 24;
+/**
+ * Windows by which the next one of a state may be ahead, if the clock of an earlier
+ * leader was fast. The leader waits for them, as some may have been reported.
+ */
+const MAX_AHEAD = MAX_PENDING;
 
 /** Length of usage windows, and when their reports are due. */
 export interface UsageTiming {
@@ -55,8 +57,25 @@
 export interface UsageDecision {
   readonly state: LeaderState;
   readonly finalized: readonly UsageReport[];
-  /** Windows that are too old to be reported. */
-  readonly missed: readonly number[];
+  /** Windows that are not reported; undefined if there are none. */
+  readonly missed: MissedWindows | undefined;
+}
+
+/**
+ * Windows that are not reported. There may be millions after a long time without a
+ * daemon, so that they are not listed.
+ */
+export interface MissedWindows {
+  readonly first: number;
+  readonly last: number;
+  readonly count: number;
+}
+
+/** The windows that can be reported: those that have ended, but not long ago. */
+interface ReportableWindows {
+  readonly first: number;
+  /** The current window, which has not ended. */
+  readonly current: number;
 }
 
 /**
@@ -88,25 +107,25 @@
   sources: UsageSources,
 ): UsageDecision | undefined {
   const { meter, timing, now, writing, frozen } = sources;
-  const { windowMs, delayMs } = timing;
-  const current = Math.floor(now / windowMs);
-  if (state.nextWindow === undefined) {
+  const { delayMs } = timing;
+  const reportable = reportableAt(now, timing);
+  const { first, current } = reportable;
+  const { nextWindow: nextBefore = Infinity } = state;
+  if (nextBefore > current + MAX_AHEAD) {
     return {
       state: { ...state, nextWindow: current },
       finalized: [],
-      missed: [],
+      missed: undefined,
     };
   }
-  // A report that is one window late is still useful. Older windows are missed:
-  // the meter keeps counts for a limited number of windows only.
-  const first = current - Math.ceil((windowMs + delayMs) / windowMs) - 1;
-  const heldBefore = state.reports.filter(({ held }) => held);
-  const missed = openWindows(state, current).filter((window) => window < first);
+  const missed = extentOf(
+    (state.open ?? []).filter((window) => window < first),
+    { from: nextBefore, to: first },
+  );
   const finalized: UsageReport[] = [];
   const held: UsageReport[] = [];
-  for (const window of undecidedWindows(state, current)) {
-    if (missed.includes(window)) continue;
-    const stored = heldBefore.find((report) => report.window === window);
+  for (const window of undecidedWindows(state, reportable)) {
+    const stored = state.reports.find((report) => report.window === window);
     if (stored !== undefined && frozen.has(window)) {
       finalized.push(withoutHold(stored));
       continue;
@@ -118,17 +137,19 @@
       held.push({ ...report, held: true });
     }
   }
-  const decided = finalized.length > 0 || missed.length > 0;
+  const decided = finalized.length > 0 || missed !== undefined;
   if (!decided && !(writing && held.length > 0)) return undefined;
   const changed = [...finalized, ...held];
-  const windows = [...missed, ...changed.map(({ window }) => window)];
-  const nextWindow = Math.max(state.nextWindow, ...windows.map(next));
-  const open = openWindows(state, current).filter((window) =>
-    window < nextWindow && !windows.includes(window)
+  const windows = new Set(changed.map(({ window }) => window));
+  const nextWindow = Math.max(
+    nextBefore,
+    next(missed?.last ?? -Infinity),
+    ...[...windows].map(next),
   );
-  const unchanged = state.reports.filter(({ window }) =>
-    !windows.includes(window)
+  const open = openWindows(state, reportable).filter((window) =>
+    window < nextWindow && !windows.has(window)
   );
+  const unchanged = state.reports.filter(({ window }) => !windows.has(window));
   const reports = prune([...unchanged, ...changed]);
   return {
     state: { ...withOpen(state, open), nextWindow, reports },
@@ -165,12 +186,17 @@
 ): UsageDecision {
   // A window may be reported as soon as it has ended. Held counts may have been
   // replaced and sent since.
-  const missed = undecidedWindows(state, Math.floor(restoredAt / windowMs));
-  if (missed.length === 0) return { state, finalized: [], missed };
-  const nextWindow = Math.max(state.nextWindow ?? 0, ...missed.map(next));
-  const reports = state.reports.filter(({ window }) =>
-    !missed.includes(window)
-  );
+  const current = Math.floor(restoredAt / windowMs);
+  const { open = [] } = state;
+  const isLost = ({ held, window }: UsageReport) => held && window < current;
+  const held = state.reports.filter(isLost).map(({ window }) => window);
+  const missed = extentOf([...held, ...open], {
+    from: state.nextWindow ?? current,
+    to: current,
+  });
+  if (missed === undefined) return { state, finalized: [], missed };
+  const nextWindow = Math.max(state.nextWindow ?? 0, next(missed.last));
+  const reports = state.reports.filter((report) => !isLost(report));
   return {
     state: { ...withOpen(state, []), nextWindow, reports },
     finalized: [],
@@ -183,23 +209,58 @@
   return next(window) * windowMs;
 }
 
-/** Windows before `current` without a report, not even a held one. */
+/** Returns the windows that can be reported at a time, in epoch ms. */
+function reportableAt(
+  now: number,
+  { windowMs, delayMs }: UsageTiming,
+): ReportableWindows {
+  const current = Math.floor(now / windowMs);
+  // A report that is one window late is still useful. Older windows are missed:
+  // the meter keeps counts for a limited number of windows only.
+  const windows = Math.ceil((windowMs + delayMs) / windowMs) + 1;
+  return { first: current - Math.min(windows, MAX_PENDING), current };
+}
+
+/** Returns the extent of the listed windows and of a range of others. */
+function extentOf(
+  listed: readonly number[],
+  { from, to }: { readonly from: number; readonly to: number },
+): MissedWindows | undefined {
+  const others = Math.max(0, to - from);
+  const count = listed.length + others;
+  if (count === 0) return undefined;
+  let first = others > 0 ? from : Infinity;
+  let last = others > 0 ? to - 1 : -Infinity;
+  for (const window of listed) {
+    first = Math.min(first, window);
+    last = Math.max(last, window);
+  }
+  return { first, last, count };
+}
+
+/** Windows that can be reported and have no report, not even a held one. */
 function openWindows(
-  { open = [], nextWindow }: LeaderState,
-  current: number,
+  { open = [], nextWindow, reports }: LeaderState,
+  { first, current }: ReportableWindows,
 ): readonly number[] {
-  return [...open, ...range(nextWindow ?? current, current)];
+  const reported = new Set(reports.map(({ window }) => window));
+  const from = Math.max(first, nextWindow ?? current);
+  const all = new Set([
+    ...open.filter((window) => window >= first && window < current),
+    ...range(from, current),
+  ]);
+  return [...all].filter((window) => !reported.has(window));
 }
 
-/** Windows before `current` whose counts are not final. */
+/** Windows before the current one whose counts are not final. */
 function undecidedWindows(
   state: LeaderState,
-  current: number,
+  reportable: ReportableWindows,
 ): readonly number[] {
   const held = state.reports
-    .filter((report) => report.held && report.window < current)
+    .filter((report) => report.held && report.window < reportable.current)
     .map(({ window }) => window);
-  return [...held, ...openWindows(state, current)].sort((a, b) => a - b);
+  return [...held, ...openWindows(state, reportable)].sort((a, b) => a - b);
 }
 
 function withoutHold({ held: _, ...report }: UsageReport): UsageReport {
@@ -225,8 +286,9 @@
   state: LeaderState,
   { meter, timing, now }: UsageSources,
 ): UsageCheckpoint {
-  const current = Math.floor(now / timing.windowMs);
-  const windows = undecidedWindows(state, current + 1).slice(-MAX_PENDING);
+  const { first, current } = reportableAt(now, timing);
+  const windows = undecidedWindows(state, { first, current: current + 1 })
+    .slice(-MAX_PENDING);
   const lives = new Set(
     windows.flatMap((window) => [...meter.incarnations(window)]),
   );
@@ -283,16 +345,6 @@
   return Object.fromEntries(sorted);
 }
 
-/** Drops the oldest accepted and pending reports beyond their limits. */
-function prune(reports: readonly UsageReport[]): readonly UsageReport[] {
-  const accepted = reports.filter((report) => report.accepted);
-  const pending = reports.filter((report) => !report.accepted);
-  return [
-    ...accepted.slice(-MAX_ACCEPTED),
-    ...pending.slice(-MAX_PENDING),
-  ].sort((a, b) => a.window - b.window);
-}
-
 /** Returns the integers from `from` up to, but not including, `to`. */
 function range(from: number, to: number): readonly number[] {
   return Array.from(
--- a/packages/router/src/process/usage_reports_test.ts
+++ b/packages/router/src/process/usage_reports_test.ts
@@ -111,7 +111,8 @@
     { window: 0, counts: { fitters: 8 }, accepted: false },
   ]);
   const restored = skipLostReports(replaced.state, TIMING, 12_000);
-  assert.deepEqual([restored.missed, restored.state.reports], [[0, 1], []]);
+  assert.deepEqual(restored.missed, { first: 0, last: 1, count: 2 });
+  assert.deepEqual(restored.state.reports, []);
 });
 
 // Guards against a window that is complete, but waits for an earlier one until the
@@ -219,7 +220,7 @@
   const clock = { now: 100_000 };
   const sources = sourcesAt(clock.now, meterAt(clock));
   const decision = finalizeReports(stateFrom(10), sources);
-  assert.deepEqual(decision?.missed, [10, 11, 12, 13, 14, 15]);
+  assert.deepEqual(decision?.missed, { first: 10, last: 15, count: 6 });
   assert.deepEqual(decision.finalized.map(({ window }) => window), [
     16,
     17,
@@ -242,10 +243,98 @@
   const at = (restoredAt: number) =>
     skipLostReports(stateFrom(0), TIMING, restoredAt);
   assert.equal(at(4_900).state.nextWindow, 0);
-  assert.deepEqual(at(4_900).missed, []);
-  assert.deepEqual(at(5_000).missed, [0]);
+  assert.deepEqual(at(4_900).missed, undefined);
+  assert.deepEqual(at(5_000).missed, { first: 0, last: 0, count: 1 });
   assert.equal(at(10_000).state.nextWindow, 2);
   const open = { ...stateFrom(2), open: [0] };
   const { state, missed } = skipLostReports(open, TIMING, 14_900);
-  assert.deepEqual([missed, state.open], [[0], undefined]);
+  assert.deepEqual(missed, { first: 0, last: 0, count: 1 });
+  assert.equal(state.open, undefined);
+});
+
+const NOW = 1_796_000_000_000;
+const CURRENT = NOW / TIMING.windowMs;
+const MAX_DECISION_BYTES = 2_000;
+
+/** A list that counts the reads of its items. */
+function countingList(items: readonly number[]) {
+  const work = { reads: 0 };
+  const list = new Proxy([...items], {
+    get(target, key, receiver) {
+      if (typeof key === "string" && /^\d+$/.test(key)) work.reads += 1;
+      return Reflect.get(target, key, receiver);
+    },
+  });
+  return { list, work };
+}
+
+// Guards against a leader that stands still, or ends, after days without a daemon.
+for (const days of [5, 9, 400]) {
+  test(`windows of ${days} days without a daemon are missed at once`, () => {
+    const windows = days * 24 * 3_600_000 / TIMING.windowMs;
+    const before = {
+      ...stateFrom(CURRENT - windows),
+      open: [CURRENT - windows - 2],
+    };
+    const decision = finalizeReports(
+      before,
+      sourcesAt(NOW, meterAt({ now: NOW })),
+    )!;
+    assert.deepEqual(decision.missed, {
+      first: CURRENT - windows - 2,
+      last: CURRENT - 5,
+      count: windows - 4 + 1,
+    });
+    assert.deepEqual(
+      decision.finalized.map(({ window }) => CURRENT - window),
+      [4, 3, 2, 1],
+    );
+    assert.ok(JSON.stringify(decision).length < MAX_DECISION_BYTES);
+    const skipped = skipLostReports(before, TIMING, NOW);
+    assert.equal(skipped.state.nextWindow, CURRENT);
+    assert.ok(JSON.stringify(skipped).length < MAX_DECISION_BYTES);
+  });
+}
+
+test("a long list of open windows is read a few times at most", () => {
+  const length = 100_000;
+  const items = Array.from({ length }, (_, at) => CURRENT - length + at);
+  const { list, work } = countingList(items);
+  const before = { ...stateFrom(CURRENT), open: list };
+  const sources = sourcesAt(NOW, meterAt({ now: NOW }));
+  const decision = finalizeReports(before, sources)!;
+  assert.equal(decision.missed?.count, length - 4);
+  assert.ok(JSON.stringify(decision).length < MAX_DECISION_BYTES);
+  assert.ok(work.reads <= 10 * length, `${work.reads} reads`);
+  skipLostReports(before, TIMING, NOW);
+  checkpointOf(before, sources);
+  assert.ok(work.reads <= 20 * length, `${work.reads} reads`);
+});
+
+// Guards against usage that is not reported until a time that a wrong clock gave.
+for (const next of [1e15, CURRENT + 1_000, -1e15]) {
+  test(`reports go on after a record whose next window is ${next}`, () => {
+    const clock = { now: NOW };
+    const meter = meterAt(clock);
+    const first = finalizeReports(stateFrom(next), sourcesAt(NOW, meter))!;
+    assert.ok(JSON.stringify(first).length < MAX_DECISION_BYTES);
+    meter.countRequest("fitters");
+    clock.now += TIMING.windowMs;
+    const second = finalizeReports(first.state, sourcesAt(clock.now, meter))!;
+    assert.deepEqual(second.finalized, [
+      { window: CURRENT, counts: { fitters: 1 }, accepted: false },
+    ]);
+  });
+}
+
+test("a window with a fixed report is not decided again after the clock went back", () => {
+  const report = { window: CURRENT, counts: { fitters: 3 }, accepted: true };
+  const state = { ...stateFrom(CURRENT + 1_000), reports: [report] };
+  const clock = { now: NOW };
+  const meter = meterAt(clock);
+  const first = finalizeReports(state, sourcesAt(NOW, meter))!;
+  clock.now += 2 * TIMING.windowMs;
+  const second = finalizeReports(first.state, sourcesAt(clock.now, meter))!;
+  assert.deepEqual(second.finalized.map(({ window }) => window), [CURRENT + 1]);
+  assert.deepEqual(second.state.reports[0], report);
 });
--- a/packages/router/tests/leader_test.ts
+++ b/packages/router/tests/leader_test.ts
@@ -105,6 +105,8 @@
   readonly clock: FakeClock;
   readonly store = new MemoryLeaderStore();
   readonly api = new FakeApi();
+  /** Names of the events that were logged. */
+  readonly events: string[] = [];
   /** Has to be set before {@linkcode start}. */
   scalingPolicy: ScalingPolicy | undefined;
 
@@ -156,7 +158,7 @@
       now: () => time.now(),
       monotonic: monotonicNow,
       random: Math.random,
-      log: SILENT_LOG,
+      log: { ...SILENT_LOG, event: (name) => void this.events.push(name) },
       metrics: { term() {}, usageWindow() {}, platformCall() {} },
     });
     void leader.run();
@@ -289,6 +291,32 @@
   assert.ok(Math.max(...windows) > window, windows.join());
 });
 
+// Guards against a process that ends because a step of its leader fails.
+test("a leader whose step fails gives up the lease, and goes on", async (t) => {
+  const fixture = new LeaderFixture(t);
+  let fails = true;
+  fixture.scalingPolicy = {
+    desiredOrders() {
+      if (fails) throw new RangeError("Maximum call stack size exceeded");
+      return [];
+    },
+    recordDepleted() {},
+  };
+  const { lease } = fixture.start("a");
+  await fixture.clock.advance(ELECTION_MS);
+  assert.ok(fixture.events.includes("leader_failed"), fixture.events.join());
+  assert.equal(lease.held, false);
+  assert.equal(fixture.store.record.record?.holding.holderId, "");
+  const { length: before } = fixture.events;
+  await fixture.clock.advance(300_000);
+  const failures = fixture.events.slice(before)
+    .filter((name) => name === "leader_failed").length;
+  assert.ok(failures >= 8 && failures <= 16, `${failures} failures`);
+  fails = false;
+  await fixture.clock.advance(35_000);
+  assert.equal(lease.held, true);
+});
+
 const HOSTS = 2;
 
 type Step =
