Ask a runner for its start before a stream continues there

Cause: where a stream may continue was decided by the software version in the runner's entry, which may be old, as while the store is down. A runner was asked for its start only after a connection to it had broken during a request; one that had no request when it started again kept the version of its earlier life.

Change: before a stream continues at an engine whose entry has a start time, inside a response or resumed by its caller, the daemon asks the engine for it, for 300 ms at most and a quarter of the caller's time. Streams that break off together share the query, which counts against the runner's limits. Another start is recorded, and the stream continues elsewhere, as it does without an answer; after four such runners it ends as without a runner. An engine that is reached through a tunnel can't be asked, and is used as before.

--- a/packages/router/src/process/restart_detector.ts
+++ b/packages/router/src/process/restart_detector.ts
@@ -18,6 +18,11 @@
  * its next entry contains the new start time.
  */
 const MAX_QUERIES = 8;
+/**
+ * Milliseconds for which a confirmation serves other streams, which break off
+ * together; a runner takes longer to start again.
+ */
+const CONFIRMATION_MS = 100;
 
 /**
  * Queries a runner's start time after a connection to it has broken. Its new
@@ -25,6 +30,9 @@
  * from this daemon, a runner that crashed and restarted under the same name
  * would keep attracting prompts that it no longer has cached, for up to half a
  * minute.
+ *
+ * Before a stream continues at a runner, the runner is queried as well: it may have
+ * come back with other software, and have had no connection that broke.
  */
 export class RestartDetector {
   readonly #cache: EngineCache;
@@ -34,6 +42,8 @@
   readonly #recordStatements: StatementListener;
   /** Ids of runners with a check in progress. */
   readonly #active = new Set<string>();
+  /** Confirmations in progress and recent ones, by the id of the runner. */
+  readonly #confirmations = new Map<string, Promise<boolean>>();
 
   constructor(
     cache: EngineCache,
@@ -64,7 +74,8 @@
     try {
       for (let queries = 0; queries < MAX_QUERIES; queries++) {
         if (!this.#isListed(runner)) return;
-        if (this.#mayQuery(runner) && await this.#query(runner)) return;
+        const answer = this.#mayQuery(runner) && await this.#query(runner);
+        if (answer) return;
         await pause(QUERY_INTERVAL_MS, { background: true });
       }
     } finally {
@@ -72,31 +83,63 @@
     }
   }
 
+  /**
+   * Returns whether a runner confirms within `maxMs` that it has not started again
+   * since its entry was written. A runner whose entry has no start time cannot tell.
+   */
+  async confirm(runner: Runner, maxMs: number): Promise<boolean> {
+    if (runner.startedAtMs === undefined) return true;
+    return await Promise.race([
+      this.#confirmation(runner),
+      pause(maxMs, { background: true }).then(() => false),
+    ]);
+  }
+
+  #confirmation(runner: Runner): Promise<boolean> {
+    const { id } = runner;
+    const known = this.#confirmations.get(id);
+    if (known !== undefined) return known;
+    const confirmation = this.#askStart(runner);
+    this.#confirmations.set(id, confirmation);
+    void confirmation
+      .then(() => pause(CONFIRMATION_MS, { background: true }))
+      .then(() => this.#confirmations.delete(id));
+    return confirmation;
+  }
+
+  async #askStart(runner: Runner): Promise<boolean> {
+    if (!this.#mayQuery(runner)) return false;
+    const answer = await this.#query(runner);
+    return answer?.startedAtMs === runner.startedAtMs;
+  }
+
   #isListed(runner: Runner): boolean {
     return this.#directory.list.runners.some(({ id }) => id === runner.id);
   }
 
-  /** @returns whether the runner has responded. */
-  async #query(runner: Runner): Promise<boolean> {
+  /** Returns what the runner has responded, if it has. */
+  async #query(
+    runner: Runner,
+  ): Promise<{ readonly startedAtMs: number | undefined } | undefined> {
     try {
       const startedAtMs = await this.#cache.startTime(
         runner,
         this.#recordStatements,
       );
-      if (startedAtMs === undefined) return true;
+      if (startedAtMs === undefined) return { startedAtMs };
       this.#log.event("runner_start_checked", {
         runner: runner.id,
         restarted: startedAtMs !== runner.startedAtMs,
       });
       this.#directory.recordStart(runner.name, startedAtMs);
-      return true;
+      return { startedAtMs };
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
       this.#log.event("runner_start_check_failed", {
         runner: runner.id,
         reason,
       });
-      return false;
+      return undefined;
     }
   }
 }
--- a/packages/router/src/process/restart_detector_test.ts
+++ b/packages/router/src/process/restart_detector_test.ts
@@ -78,6 +78,24 @@
   assert.equal(directory.ready("s")[0]?.id, runner.id);
 });
 
+test("a runner confirms its start once for streams that break off together", async () => {
+  const runner = runnerStartedAt(100);
+  const { detector, queryCount } = detectorFor(runner, [100]);
+  const confirmed = await Promise.all(
+    [1, 2, 3].map(() => detector.confirm(runner, 300)),
+  );
+  assert.deepEqual(confirmed, [true, true, true]);
+  assert.equal(queryCount(), 1);
+});
+
+// Guards against streams that continue at a runner with other software.
+test("a runner with another start confirms nothing, and the start is recorded", async () => {
+  const runner = runnerStartedAt(100);
+  const { directory, detector } = detectorFor(runner, [200]);
+  assert.equal(await detector.confirm(runner, 300), false);
+  assert.equal(directory.ready("s")[0]?.startedAtMs, 200);
+});
+
 // Queries count against the rate limit that a runner states.
 test("a runner at its rate limit is not queried", async (t) => {
   t.mock.timers.enable({ apis: ["setTimeout"] });
--- a/packages/router/src/request/daemon.ts
+++ b/packages/router/src/request/daemon.ts
@@ -117,6 +117,11 @@
   recordStatements(runner: Runner, statements: RunnerStatements): void;
   /** Reports that a connection to a runner broke while a request was on it. */
   reportBrokenConnection(runner: Runner, run: BrokenRun): void;
+  /**
+   * Returns whether a runner has not started again since its entry was written, as
+   * far as it tells within `maxMs`. It may have come back with other software.
+   */
+  confirmStart(runner: Runner, maxMs: number): Promise<boolean>;
   /** Whether a runner's address refuses connections. */
   hasCrashed(runner: Runner): Promise<boolean>;
   /** Returns how fast the runners of a service do their work. */
--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -6,6 +6,7 @@
 import type { Buffer } from "node:buffer";
 import type { Quarantine } from "../process/crash_record.ts";
 import type { Fields } from "../process/log_line.ts";
+import type { Runner } from "../process/runner.ts";
 import type { RequestHead } from "./dialect.ts";
 import type { Caller } from "./caller.ts";
 import type { Daemon } from "./daemon.ts";
@@ -35,6 +36,12 @@
 const MIN_ATTEMPT_TIME_MS = 30;
 /** Maximum number of runners tried in turn when none of them can be reached. */
 const MAX_UNREACHABLE_RUNNERS = 3;
+/** Maximum time in ms for which a runner is asked before it continues a stream. */
+const CONFIRM_MS = 300;
+/** Maximum share of the caller's remaining time for that. */
+const MAX_CONFIRM_SHARE = 0.25;
+/** Maximum number of runners that are asked in turn without an answer that suits. */
+const MAX_UNCONFIRMED_RUNNERS = 4;
 
 /** Handles one request: selects runners, sends attempts and retries. */
 export class Exchange {
@@ -229,8 +236,12 @@
       const outOfTime = progress.expired ||
         progress.remainingMs < MIN_ATTEMPT_TIME_MS;
       if (outOfTime) return fallback?.() ?? this.#outcomes.expiry();
+      const { triedRunners, unconfirmedRunners } = progress;
+      if (unconfirmedRunners.size >= MAX_UNCONFIRMED_RUNNERS) {
+        return fallback?.() ?? this.#outcomes.noRunner();
+      }
       const choice = await search.find({
-        tried: progress.triedRunners,
+        tried: new Set([...triedRunners, ...unconfirmedRunners]),
         mayWait: this.#mayWait,
       });
       const quarantine = this.#quarantine();
@@ -244,6 +255,10 @@
         logVersionUnavailable(this.#daemon, routed, progress);
         return fallback?.() ?? this.#outcomes.noRunner();
       }
+      if (!await this.#isConfirmed(choice.runner, routed)) {
+        progress.unconfirmedRunners.add(choice.runner.id);
+        continue;
+      }
       // Another request may have been sent since the runner was selected.
       if (!search.hasMemory(choice)) continue;
       const result = await this.#attempts.execute(choice, routed, body);
@@ -264,6 +279,31 @@
     }
   }
 
+  /**
+   * Whether a runner may take the request: one that is to continue a stream must
+   * still have the software that its entry states. The entry may be old, as while
+   * the store is down. A runner that is reached by way of a peer cannot be asked.
+   */
+  async #isConfirmed(
+    runner: Runner,
+    { head }: RoutedRequest,
+  ): Promise<boolean> {
+    const { origin, remainingMs } = this.#progress;
+    if (origin === undefined) return true;
+    if (this.#daemon.paths.pathTo(runner) === "tunnel") return true;
+    const askedAt = this.#daemon.now();
+    const maxMs = Math.min(CONFIRM_MS, MAX_CONFIRM_SHARE * remainingMs);
+    const confirmed = await this.#daemon.confirmStart(runner, maxMs);
+    if (!confirmed) {
+      const waitedMs = Math.round(this.#daemon.now() - askedAt);
+      this.#daemon.log.decision("runner_unconfirmed", head.id, {
+        runner: runner.id,
+        waited_ms: waitedMs,
+      });
+    }
+    return confirmed;
+  }
+
   /**
    * Whether the request may wait for capacity. Where the service is scheduled
    * adaptively, one that runners refused waits for a second one: it may have gone
--- a/packages/router/src/request/progress.ts
+++ b/packages/router/src/request/progress.ts
@@ -23,6 +23,11 @@
   readonly #caller: Caller;
   /** Ids of the runners tried so far. */
   readonly triedRunners = new Set<string>();
+  /**
+   * Ids of the runners that did not confirm that their entries hold, so that they
+   * must not continue the stream.
+   */
+  readonly unconfirmedRunners = new Set<string>();
   /** Number of attempts that may have reached their runners. */
   attempts = 0;
   /**
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -444,6 +444,12 @@
     void this.#restartDetector.check(runner);
   }
 
+  async confirmStart(runner: Runner, maxMs: number): Promise<boolean> {
+    const service = this.#routingTable?.service(runner.service);
+    if (service?.engine === undefined) return true;
+    return await this.#restartDetector.confirm(runner, maxMs);
+  }
+
   hasCrashed(runner: Runner): Promise<boolean> {
     return this.#crashDetector.hasCrashed(runner);
   }
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -30,6 +30,7 @@
 import type { PromptPart } from "../src/process/prefix_index.ts";
 import type { Runner } from "../src/process/runner.ts";
 import type { ReportedLoad } from "../src/process/runner_load.ts";
+import type { EngineCache } from "../src/process/cache_survey.ts";
 import { RunnerDirectory } from "../src/process/runner_directory.ts";
 import { RunnerLimits } from "../src/process/runner_limits.ts";
 import { RunnerPaces } from "../src/process/runner_paces.ts";
@@ -518,6 +519,8 @@
     readonly settings?: Partial<RouterSettings> | undefined;
     readonly log?: EventLog;
     readonly network?: RunnerNetwork | undefined;
+    /** What runners answer when asked for their start; nothing by default. */
+    readonly startTime?: EngineCache["startTime"];
   },
 ): Promise<Router> {
   const router = new Router(
@@ -530,7 +533,7 @@
       engineCache: {
         cachedParts: () =>
           Promise.resolve({ startedAtMs: undefined, parts: [] }),
-        startTime: () => Promise.resolve(undefined),
+        startTime: parts.startTime ?? (() => Promise.resolve(undefined)),
       },
       leaderStore: new MemoryLeaderStore(),
       api: undefined,
