--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -31,6 +31,7 @@
 import type { PromptPart } from "../src/process/prefix_index.ts";
 import type { Runner } from "../src/process/runner.ts";
 import type { ReportedLoad } from "../src/process/runner_load.ts";
+import type { EngineCache } from "../src/process/cache_survey.ts";
 import { RunnerDirectory } from "../src/process/runner_directory.ts";
 import { RunnerLimits } from "../src/process/runner_limits.ts";
 import { RunnerPaces } from "../src/process/runner_paces.ts";
@@ -519,6 +520,8 @@
   readonly settings?: Partial<RouterSettings> | undefined;
   readonly log?: EventLog;
   readonly network?: RunnerNetwork | undefined;
+  /** What runners answer when asked for their start; nothing by default. */
+  readonly startTime?: EngineCache["startTime"];
 }
 
 /** Returns a router that has not been started. */
@@ -533,7 +536,7 @@
       engineCache: {
         cachedParts: () =>
           Promise.resolve({ startedAtMs: undefined, parts: [] }),
-        startTime: () => Promise.resolve(undefined),
+        startTime: parts.startTime ?? (() => Promise.resolve(undefined)),
       },
       leaderStore: new MemoryLeaderStore(),
       api: undefined,
