Confirm the only version of a service at the store before a stream is resumed

Cause: a daemon that does not know where a stream began inferred the version from its own list of runners: up to 4 s old while it is out of step, and 20 s of it counted as knowledge of what was before its start.

Callers saw streams whose events came from two software versions: resumed at a daemon that had lost the store and its links while a version joined, and at daemons that were started after all had been killed.

Change: the versions that services have had are recorded in the platform's store (kind umbermast-versions, conditional writes), before a list from the store with a new version is used. A daemon removes one that it has not seen for the time in which streams may be resumed (60 s, or the longest time-out). The inference holds only if the record and the list, both read after the request came, have exactly one version; reads are shared by all requests that wait, and bounded. While the store does not answer the request is refused with Retry-After. Versions that have left count for 60 s instead of 20 s.

The tests of SoftwareVersions.only are replaced, as the method is gone: what they demanded of a start is demanded more strictly by the tests of the record (a new daemon proves nothing by its own list, however old).

--- a/packages/router/src/connection/fleet_sync.ts
+++ b/packages/router/src/connection/fleet_sync.ts
@@ -19,6 +19,8 @@
 import { createConfirmed } from "../process/store_confirmations.ts";
 import type { Confirmed } from "../process/store_confirmations.ts";
 import { epochOf } from "../process/store_revision.ts";
+import type { VersionStore } from "../process/version_record.ts";
+import type { VersionConfirmation } from "../process/confirmed_versions.ts";
 import { isWatcher } from "../process/watch_plan.ts";
 import type { Configuration } from "../version/configuration.ts";
 import type { PeerNetwork } from "./peer_network.ts";
@@ -27,6 +29,7 @@
 import { StateExchange } from "./state_exchange.ts";
 import type { SharedState } from "./state_exchange.ts";
 import { StoreFollowers } from "./store_followers.ts";
+import { VersionSync } from "./version_sync.ts";
 
 /**
  * Number of daemons that read the store at their start on behalf of the others.
@@ -46,6 +49,7 @@
   readonly configurations: Feed<Configuration>;
   readonly runners: Feed<Runner>;
   readonly daemons: DaemonRegistry;
+  readonly versions: VersionStore;
 }
 
 /** Options of a {@linkcode FleetSync}. */
@@ -62,6 +66,8 @@
    * relays.
    */
   readonly controlBytesPerS: number;
+  /** Time in ms for which streams may be resumed. */
+  readonly retentionMs: () => number;
   /** In [0, 1). */
   readonly random: () => number;
 }
@@ -83,6 +89,7 @@
   readonly #peers: Peers;
   readonly #exchange: StateExchange;
   readonly #followers: StoreFollowers;
+  readonly #versions: VersionSync;
   readonly #registration: Registration;
   /** Addresses in the settings at which other daemons may be reached. */
   #seeds: readonly string[] = [];
@@ -116,6 +123,17 @@
         unreachable: (address) => this.#exchange.unreachable(address),
       },
     });
+    this.#versions = new VersionSync({
+      ...store,
+      address: own.address,
+      directory: state.directory,
+      log,
+      retentionMs: options.retentionMs,
+      runnersAgeMs: () => this.runnersAgeMs,
+      fleetSize: () => this.fleetSize,
+      isWatcher: () => isWatcher(own, [own, ...this.reachable]),
+      isAlone: () => this.#peers.count === 0,
+    });
     this.#followers = new StoreFollowers({
       own,
       log,
@@ -133,7 +151,10 @@
       lastResponseAt: () => this.#exchange.lastResponseAt,
       applyConfiguration: (configuration) =>
         state.applyConfiguration(configuration, "store"),
-    }, store);
+    }, {
+      configurations: store.configurations,
+      runners: this.#versions.runners,
+    });
     this.#registration = new Registration(store.daemons, {
       own,
       log,
@@ -213,6 +234,11 @@
     return this.#confirmed.runners.ageMs(performance.now());
   }
 
+  /** Returns the only version of a service; see {@linkcode VersionSync}. */
+  confirmVersion(service: string, maxMs: number): Promise<VersionConfirmation> {
+    return this.#versions.confirm(service, maxMs);
+  }
+
   /** How long ago the store and peers confirmed the data of this daemon. */
   get ages(): DataAges {
     const now = performance.now();
@@ -239,6 +265,7 @@
     if (seeds.includes(this.#own.address)) this.#gate.open();
     this.#followers.start(this.#gate.wait(() => !this.#readsForOthers()));
     this.#registration.start();
+    this.#versions.start();
   }
 
   /** Replaces the seeds and dials them. */
@@ -260,6 +287,7 @@
     this.#exchange.stop();
     this.#peers.stop();
     this.#registration.stop();
+    this.#versions.stop();
   }
 
   /**
--- /dev/null
+++ b/packages/router/src/connection/version_sync.ts
@@ -0,0 +1,152 @@
+/**
+ * Keeps the record of software versions in the store in step with the list of
+ * runners, and confirms by it where streams began.
+ *
+ * @module
+ */
+import { ConfirmedVersions } from "../process/confirmed_versions.ts";
+import type { VersionConfirmation } from "../process/confirmed_versions.ts";
+import type { DaemonRegistry } from "../process/daemon_registry.ts";
+import type { EventLog } from "../process/event_log.ts";
+import { FeedError } from "../process/feed.ts";
+import type { Feed } from "../process/feed.ts";
+import { readListed } from "../process/listed_versions.ts";
+import { pause } from "../process/pause.ts";
+import { RecordedRunnerFeed } from "../process/recorded_runner_feed.ts";
+import { RecordedVersions } from "../process/recorded_versions.ts";
+import type { Runner } from "../process/runner.ts";
+import type { RunnerDirectory } from "../process/runner_directory.ts";
+import { epochOf } from "../process/store_revision.ts";
+import type { VersionStore } from "../process/version_record.ts";
+
+/**
+ * Time in ms from the start to the first check: daemons register from 500 ms on, and
+ * the first record must be written before.
+ */
+const FIRST_CHECK_MS = 300;
+/** Interval in ms between checks of what is to be recorded. */
+const CHECK_INTERVAL_MS = 1_000;
+/** Time in ms from the start in which a daemon without links does not record. */
+const LINKING_MS = 3_000;
+/** Age of the list, and of the last check, from which changes may be missed. */
+const MAX_GAP_MS = 5_000;
+/** Shortest interval in ms between two reads for streams that are resumed. */
+const MIN_READ_INTERVAL_MS = 50;
+/** The same for each daemon of the fleet: 200 reads a second, each of two calls. */
+const READ_INTERVAL_PER_DAEMON_MS = 5;
+
+/** Options of a {@linkcode VersionSync}. */
+export interface VersionSyncOptions {
+  readonly versions: VersionStore;
+  readonly runners: Feed<Runner>;
+  readonly daemons: DaemonRegistry;
+  /** Address of this daemon in the registry. */
+  readonly address: string;
+  readonly directory: RunnerDirectory;
+  readonly log: EventLog;
+  /** Time in ms for which streams may be resumed. */
+  readonly retentionMs: () => number;
+  /** Milliseconds since the store confirmed the list of runners. */
+  readonly runnersAgeMs: () => number;
+  readonly fleetSize: () => number;
+  /** Whether this daemon ranks among those that watch the store for all. */
+  readonly isWatcher: () => boolean;
+  readonly isAlone: () => boolean;
+}
+
+/** Records versions until stopped. */
+export class VersionSync {
+  readonly #options: VersionSyncOptions;
+  readonly #recorded: RecordedVersions;
+  readonly #confirmed: ConfirmedVersions;
+  /** The feed of runners to be followed. */
+  readonly runners: Feed<Runner>;
+  readonly #startedAt = performance.now();
+  #stopped = false;
+
+  constructor(options: VersionSyncOptions) {
+    const { versions, runners, directory, log, retentionMs } = options;
+    this.#options = options;
+    const listed = () => readListed(runners, directory.list);
+    const recorded = new RecordedVersions(versions, {
+      log,
+      now: () => performance.now(),
+      retentionMs,
+      readListed: listed,
+      isFirst: () => this.#isFirst(),
+    });
+    this.#recorded = recorded;
+    this.#confirmed = new ConfirmedVersions(async () => {
+      const [stored, runners] = await Promise.all([recorded.read(), listed()]);
+      return { stored, runners };
+    }, { intervalMs: () => this.#readIntervalMs() });
+    this.runners = new RecordedRunnerFeed(runners, recorded);
+    directory.onChange(() => recorded.observe(directory.list.runners));
+  }
+
+  start(): void {
+    void this.#run();
+  }
+
+  stop(): void {
+    this.#stopped = true;
+  }
+
+  /**
+   * Returns the only version that a service has had for as long as streams may be
+   * resumed, as the store confirms it now.
+   */
+  confirm(service: string, maxMs: number): Promise<VersionConfirmation> {
+    return this.#confirmed.confirm(service, maxMs);
+  }
+
+  async #run(): Promise<void> {
+    const { runnersAgeMs } = this.#options;
+    let checkedAt = performance.now();
+    await pause(FIRST_CHECK_MS, { background: true });
+    while (!this.#stopped) {
+      const sinceMs = performance.now() - checkedAt;
+      checkedAt = performance.now();
+      if (Math.max(sinceMs, runnersAgeMs()) > MAX_GAP_MS) {
+        this.#recorded.interrupted();
+      }
+      await this.#check();
+      await pause(CHECK_INTERVAL_MS, { background: true });
+    }
+  }
+
+  async #check(): Promise<void> {
+    const { directory, log } = this.#options;
+    const recorded = this.#recorded;
+    const records = this.#recordsForOthers;
+    if (!records && !recorded.isPending) return;
+    recorded.restored(epochOf(directory.revision));
+    try {
+      await recorded.add(directory.list.runners);
+      if (records) await recorded.maintain();
+    } catch (error) {
+      if (!(error instanceof FeedError)) throw error;
+      log.event("versions_not_recorded", { reason: error.message });
+    }
+  }
+
+  get #recordsForOthers(): boolean {
+    const { isWatcher, isAlone } = this.#options;
+    const isLinking = performance.now() - this.#startedAt < LINKING_MS;
+    return isWatcher() && !(isLinking && isAlone());
+  }
+
+  /** Whether no other daemon is registered, so that none has served. */
+  async #isFirst(): Promise<boolean> {
+    const { daemons, address } = this.#options;
+    const addresses = await daemons.addresses();
+    return addresses.every((registered) => registered === address);
+  }
+
+  #readIntervalMs(): number {
+    return Math.max(
+      MIN_READ_INTERVAL_MS,
+      READ_INTERVAL_PER_DAEMON_MS * this.#options.fleetSize(),
+    );
+  }
+}
--- a/packages/router/src/mod.ts
+++ b/packages/router/src/mod.ts
@@ -22,6 +22,13 @@
   PlatformApi,
   PlatformCall,
 } from "./process/platform_api.ts";
+export type {
+  RecordedVersion,
+  StoredVersions,
+  VersionRecord,
+  VersionStore,
+  VersionWriteResult,
+} from "./process/version_record.ts";
 export type { RunnerOrder } from "./process/runner_order.ts";
 export type { UsageReport } from "./process/leader_record.ts";
 export type { CachedParts, EngineCache } from "./process/cache_survey.ts";
--- a/packages/router/src/process/metrics.ts
+++ b/packages/router/src/process/metrics.ts
@@ -78,6 +78,7 @@
   readonly #places: CounterType<"service" | "outcome">;
   readonly #returns: CounterType<"service" | "outcome">;
   readonly #cutAnswers: CounterType<"service" | "limit">;
+  readonly #resumptions: CounterType<"service" | "origin">;
 
   constructor() {
     const registry = new Registry();
@@ -180,6 +181,13 @@
       labelNames: ["service", "limit"],
       registers,
     });
+    this.#resumptions = new Counter({
+      name: "umbermast_stream_resumptions_total",
+      help: "Streams that callers resumed, by service and how their origin " +
+        "became known or why it is unknown",
+      labelNames: ["service", "origin"],
+      registers,
+    });
   }
 
   /** Adds the shares of workspaces, which are read when metrics are collected. */
@@ -360,6 +368,15 @@
     this.#cutAnswers.inc({ service, limit });
   }
 
+  /**
+   * Counts a stream that a caller resumes.
+   *
+   * @param origin how its origin became known, or why it is unknown.
+   */
+  streamResumption(service: string, origin: string): void {
+    this.#resumptions.inc({ service, origin });
+  }
+
   /** Counts a call to the platform. */
   platformCall(call: "usage" | "runners", end: string): void {
     this.#calls.inc({ call, end });
--- /dev/null
+++ b/packages/router/src/process/recorded_versions.ts
@@ -0,0 +1,230 @@
+/**
+ * Keeps the record of the software versions that services have had.
+ *
+ * @module
+ */
+import { CoalescedCall } from "./coalesced_call.ts";
+import type { EventLog } from "./event_log.ts";
+import { FeedError } from "./feed.ts";
+import type { Runner } from "./runner.ts";
+import { epochOf } from "./store_revision.ts";
+import {
+  versionKey,
+  versionsOf,
+  withLeaving,
+  withListed,
+  withoutVersions,
+} from "./version_record.ts";
+import type {
+  RecordedVersion,
+  StoredVersions,
+  VersionRecord,
+  VersionStore,
+} from "./version_record.ts";
+
+/** Maximum number of writes until a change of the record is given up for now. */
+const MAX_WRITES = 5;
+
+/** Options of {@linkcode RecordedVersions}. */
+export interface RecordedVersionsOptions {
+  readonly log: EventLog;
+  /** Monotonic time in ms. */
+  readonly now: () => number;
+  /**
+   * Time in ms for which a version that is no longer listed is kept, because streams
+   * that began there may be resumed.
+   */
+  readonly retentionMs: () => number;
+  /** Returns all runners that the store lists now. */
+  readonly readListed: () => Promise<readonly Runner[]>;
+  /**
+   * Whether no daemon has served before: the first record is complete then. Another
+   * one is complete after the retention time.
+   */
+  readonly isFirst: () => Promise<boolean>;
+}
+
+type Change = (record: VersionRecord) => VersionRecord;
+
+/**
+ * Adds the versions that this daemon sees listed to the record, and removes those
+ * that it has not seen for the retention time.
+ *
+ * A version is marked before it is removed, the list is read in between, and the
+ * removal fails if the record has changed since. A daemon that sees the version
+ * listed again reads the record: before the mark, and the version is in the list
+ * that is read after it; or after the mark, and it removes the mark.
+ */
+export class RecordedVersions {
+  readonly #store: VersionStore;
+  readonly #options: RecordedVersionsOptions;
+  readonly #writePending: CoalescedCall<void>;
+  /** The record as last read or written. */
+  #stored: StoredVersions | undefined;
+  /** Whether the store has had a record, which a restore may have lost. */
+  #hadRecord = false;
+  /** Keys of listed versions that are known to be in the record. */
+  readonly #added = new Set<string>();
+  /** Versions that the record may lack, by their keys. */
+  readonly #pending = new Map<string, RecordedVersion>();
+  #listed: ReadonlySet<string> = new Set();
+  /** When versions were last listed, in monotonic ms, by their keys. */
+  readonly #listedAt = new Map<string, number>();
+  /** Since when all changes of the list have been known here, in monotonic ms. */
+  #knownSince: number;
+
+  constructor(store: VersionStore, options: RecordedVersionsOptions) {
+    this.#store = store;
+    this.#options = options;
+    this.#knownSince = options.now();
+    this.#writePending = new CoalescedCall(() => this.#addPending(), {
+      intervalMs: () => 0,
+    });
+  }
+
+  /** Whether a version that was listed may be missing in the record. */
+  get isPending(): boolean {
+    return this.#pending.size > 0;
+  }
+
+  /** Reads the record. Rejects with {@linkcode FeedError} if that fails. */
+  async read(): Promise<StoredVersions> {
+    const stored = await this.#store.read();
+    this.#setStored(stored);
+    return stored;
+  }
+
+  /**
+   * Adds the versions of listed runners. Reads the record first if one is newly
+   * listed. If it fails, the versions are added later, also if they have left.
+   */
+  async add(runners: readonly Runner[]): Promise<void> {
+    for (const [key, version] of versionsOf(runners)) {
+      if (!this.#added.has(key)) this.#pending.set(key, version);
+    }
+    if (this.#pending.size === 0 && this.#stored !== undefined) return;
+    await this.#writePending.next();
+  }
+
+  /** Records which runners are listed from now on. */
+  observe(runners: readonly Runner[]): void {
+    const now = this.#options.now();
+    const listed = new Set(versionsOf(runners).keys());
+    for (const key of [...this.#listed, ...listed]) {
+      this.#listedAt.set(key, now);
+    }
+    for (const key of this.#added) {
+      if (!listed.has(key)) this.#added.delete(key);
+    }
+    this.#listed = listed;
+  }
+
+  /**
+   * Has the record read again if the store was restored since: it may have lost what
+   * was added.
+   */
+  restored(epoch: number): void {
+    if (this.#stored === undefined) return;
+    if (epochOf(this.#stored.revision) >= epoch) return;
+    this.#stored = undefined;
+    this.#added.clear();
+  }
+
+  /** Records that this daemon may have missed changes of the list until now. */
+  interrupted(): void {
+    this.#knownSince = this.#options.now();
+  }
+
+  /**
+   * Marks the record as complete, and removes versions, as far as this daemon has
+   * seen the list for long enough.
+   */
+  async maintain(): Promise<void> {
+    const { now, retentionMs } = this.#options;
+    const lastBefore = now() - retentionMs();
+    if (this.#stored?.record === undefined || this.isPending) return;
+    if (this.#knownSince > lastBefore) return;
+    for (const [key, at] of this.#listedAt) {
+      if (at <= lastBefore) this.#listedAt.delete(key);
+    }
+    const { record, revision } = this.#stored;
+    const completeIn = epochOf(revision);
+    if (record.completeIn !== completeIn) {
+      await this.#update(
+        "completed",
+        (current) =>
+          current.completeIn === completeIn
+            ? current
+            : { ...current, completeIn },
+      );
+    }
+    const left = record.versions.map(versionKey)
+      .filter((key) => !this.#listedAt.has(key) && !this.#listed.has(key));
+    if (left.length > 0) await this.#remove(new Set(left));
+  }
+
+  async #addPending(): Promise<void> {
+    const pending = new Map(this.#pending);
+    await this.#update("added", (record) => withListed(record, pending));
+    for (const key of pending.keys()) {
+      this.#pending.delete(key);
+      this.#added.add(key);
+    }
+  }
+
+  async #remove(keys: ReadonlySet<string>): Promise<void> {
+    await this.#update("leaving", (record) => withLeaving(record, keys));
+    const { revision, record } = this.#stored!;
+    const listed = versionsOf(await this.#options.readListed());
+    const removed = new Set([...keys].filter((key) => !listed.has(key)));
+    const next = withoutVersions(record!, removed);
+    if (next.versions.length === record!.versions.length) return;
+    await this.#write("removed", next, revision);
+  }
+
+  /** Reads the record, and writes it if that changes it. */
+  async #update(name: string, change: Change): Promise<void> {
+    let stored = await this.read();
+    for (let writes = 0; writes < MAX_WRITES; writes++) {
+      const record = stored.record ?? await this.#firstRecord(stored);
+      const next = change(record);
+      if (next === stored.record) return;
+      if (await this.#write(name, next, stored.revision)) return;
+      stored = this.#stored!;
+    }
+    throw new FeedError("unavailable", "Record of versions keeps changing");
+  }
+
+  /** Writes the record if it has not changed; returns whether it was written. */
+  async #write(
+    change: string,
+    record: VersionRecord,
+    ifRevision: number,
+  ): Promise<boolean> {
+    const result = await this.#store.write(record, ifRevision);
+    if (result.kind === "conflict") {
+      this.#setStored(result.found);
+      return false;
+    }
+    this.#setStored({ revision: result.revision, record });
+    this.#options.log.event("versions_recorded", {
+      change,
+      versions: record.versions.length,
+      complete: record.completeIn === epochOf(result.revision),
+      revision: result.revision,
+    });
+    return true;
+  }
+
+  async #firstRecord({ revision }: StoredVersions): Promise<VersionRecord> {
+    const epoch = epochOf(revision);
+    const isFirst = !this.#hadRecord && await this.#options.isFirst();
+    return { completeIn: isFirst ? epoch : undefined, versions: [] };
+  }
+
+  #setStored(stored: StoredVersions): void {
+    this.restored(epochOf(stored.revision));
+    this.#hadRecord ||= stored.record !== undefined;
+    this.#stored = stored;
+  }
+}
--- a/packages/router/src/process/software_versions.ts
+++ b/packages/router/src/process/software_versions.ts
@@ -5,13 +5,6 @@
  */
 import type { Runner } from "./runner.ts";
 
-/**
- * Time in ms after which a version that is no longer listed does not count any more,
- * and for which the list must have been known to tell that there was no other one.
- * Callers resume their streams within seconds.
- */
-const WINDOW_MS = 20_000;
-
 /** The versions of a service that are listed, and when others were listed last. */
 interface ServiceVersions {
   listed: ReadonlySet<string>;
@@ -21,12 +14,18 @@
 /** Observes the versions in the list of runners. */
 export class SoftwareVersions {
   readonly #services = new Map<string, ServiceVersions>();
-  /** When the list was first known, in monotonic ms. */
-  #knownSince = Infinity;
+  readonly #retentionMs: () => number;
+
+  /**
+   * @param retentionMs time in ms for which a version counts that is no longer
+   * listed.
+   */
+  constructor(retentionMs: () => number) {
+    this.#retentionMs = retentionMs;
+  }
 
   /** Records the runners that are listed from now on. */
   record(runners: readonly Runner[], now: number): void {
-    this.#knownSince = Math.min(this.#knownSince, now);
     const listed = new Map<string, Set<string>>();
     for (const { service, softwareVersion = "" } of runners) {
       const versions = listed.get(service) ?? new Set();
@@ -49,21 +48,12 @@
     return this.#recent(service, now).size > 1;
   }
 
-  /**
-   * Returns the only version at which runners have served a service recently;
-   * undefined if there were several, or it is not known.
-   */
-  only(service: string, now: number): string | undefined {
-    if (now - this.#knownSince < WINDOW_MS) return undefined;
-    const [version, ...others] = this.#recent(service, now);
-    return others.length === 0 && version !== "" ? version : undefined;
-  }
-
   #recent(service: string, now: number): ReadonlySet<string> {
     const versions = this.#services.get(service);
     if (versions === undefined) return new Set();
+    const retentionMs = this.#retentionMs();
     const left = [...versions.leftAt]
-      .filter(([, at]) => now - at < WINDOW_MS)
+      .filter(([, at]) => now - at < retentionMs)
       .map(([version]) => version);
     return new Set([...versions.listed, ...left]);
   }
--- a/packages/router/src/process/stream_origins.ts
+++ b/packages/router/src/process/stream_origins.ts
@@ -8,7 +8,7 @@
 import type { StreamOrigin } from "./stream_origin.ts";
 
 /** Time in ms after the end of a response in which its stream may be resumed. */
-const RETENTION_MS = 60_000;
+export const RETENTION_MS = 60_000;
 /** Interval in ms at which the origin of a long stream is sent to peers again. */
 const REFRESH_MS = 30_000;
 /** Interval in ms at which expired origins are deleted. */
--- a/packages/router/src/request/daemon.ts
+++ b/packages/router/src/request/daemon.ts
@@ -11,6 +11,7 @@
 import type { DataAges } from "../process/data_ages.ts";
 import type { CrashRecord } from "../process/crash_record.ts";
 import type { DrainRate } from "../process/drain_rate.ts";
+import type { VersionConfirmation } from "../process/confirmed_versions.ts";
 import type { SoftwareVersions } from "../process/software_versions.ts";
 import type { StreamOrigins } from "../process/stream_origins.ts";
 import type { ReturnPlaces } from "../process/return_places.ts";
@@ -77,7 +78,7 @@
   /** Where streams began that callers may resume. */
   readonly origins: Pick<StreamOrigins, "begin" | "find" | "ask">;
   /** Software versions at which runners have served. */
-  readonly softwareVersions: Pick<SoftwareVersions, "only">;
+  readonly softwareVersions: Pick<SoftwareVersions, "isMixed">;
   /** Budget of the bytes that are buffered; absent if they are not bounded. */
   readonly buffers: BufferBudget | undefined;
   /** Wakes requests that wait for capacity. */
@@ -101,6 +102,13 @@
   inForceMs(): number | undefined;
   /** Returns how long ago the data of this daemon was last confirmed. */
   dataAges(): DataAges;
+  /**
+   * Returns the only software version that a service has had for as long as streams
+   * may be resumed, as the store confirms it after this call.
+   *
+   * @param maxMs time after which it counts as unknown.
+   */
+  confirmVersion(service: string, maxMs: number): Promise<VersionConfirmation>;
   /** Returns the milliseconds since the list of runners was last confirmed. */
   runnerListAgeMs(): number;
   /**
--- a/packages/router/src/request/decision_log.ts
+++ b/packages/router/src/request/decision_log.ts
@@ -36,7 +36,7 @@
 import type { QueueOutlook } from "./retry_delay.ts";
 import type { PlainRoom } from "./plain_admission.ts";
 import type { Progress } from "./progress.ts";
-import type { FoundOrigin } from "./stream_resumption.ts";
+import type { FoundOrigin, UnknownReason } from "./stream_resumption.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 
 /** Maximum number of logged characters of a host or path. */
@@ -278,13 +278,14 @@
 export function logStreamUnknown(
   daemon: Daemon,
   { head, service }: RoutedRequest,
-  waitedMs: number,
+  unknown: { readonly reason: UnknownReason; readonly waitedMs: number },
 ): void {
   daemon.log.decision("stream_unknown", head.id, {
     resumes: head.resumes,
     from_event: head.lastEventId,
     service: service.name,
-    waited_ms: Math.round(waitedMs),
+    reason: unknown.reason,
+    waited_ms: Math.round(unknown.waitedMs),
     ...ageFields(daemon.dataAges()),
   });
 }
--- a/packages/router/src/request/stream_resumption.ts
+++ b/packages/router/src/request/stream_resumption.ts
@@ -3,7 +3,10 @@
  *
  * @module
  */
+import type { UnconfirmedReason } from "../process/confirmed_versions.ts";
+import { pause } from "../process/pause.ts";
 import { streamKey } from "../process/stream_origins.ts";
+import type { KnownOrigin } from "../process/stream_origins.ts";
 import type { StreamOrigin } from "../process/stream_origin.ts";
 import type { Refusal } from "./refusal.ts";
 import type { Daemon } from "./daemon.ts";
@@ -20,8 +23,11 @@
 const MIN_ASK_MS = 500;
 /** Maximum share of the caller's remaining time for which peers are asked. */
 const MAX_ASK_SHARE = 0.25;
-/** Age in ms up to which data counts as current. */
-const CURRENT_MS = 4_000;
+/**
+ * Time for which only peers are asked, in the same multiples, before the store is
+ * read, too.
+ */
+const PEERS_FIRST_PROPAGATIONS = 2;
 
 const SERVICE_UNAVAILABLE = 503;
 
@@ -33,8 +39,16 @@
   | "peer"
   /** A peer told it when asked. */
   | "asked"
-  /** The service has had one software version only. */
-  | "only_version";
+  /** The store has confirmed that the service has had one software version only. */
+  | "confirmed_version";
+
+/** Why the origin of a stream is not known. */
+export type UnknownReason =
+  | UnconfirmedReason
+  /** The stream has the key of another one, which began elsewhere. */
+  | "several_origins"
+  /** The route has several services, or has been edited lately. */
+  | "route_changed";
 
 /** An origin, and how it became known. */
 export interface FoundOrigin extends StreamOrigin {
@@ -45,6 +59,11 @@
   readonly ageMs: number;
 }
 
+/** An origin that is not known. */
+interface UnknownOrigin {
+  readonly reason: UnknownReason;
+}
+
 /** A request that resumes a stream and can be sent to the stream's service. */
 export interface ResumedRequest {
   readonly routed: RoutedRequest;
@@ -75,8 +94,8 @@
  *
  * The origin is not guessed: the events of two versions do not fit together, nor do
  * those of two services if an edit has moved the route since. Without an origin the
- * request is refused at once. A later attempt may do better only if this daemon
- * still lacks links to others.
+ * request is refused at once. A later attempt may do better if this daemon still
+ * lacks links to others, or the store: another daemon may know more.
  */
 export async function resumeStream(
   daemon: Daemon,
@@ -90,13 +109,17 @@
   const askedAt = daemon.now();
   const origin = await findOrigin(daemon, routed, request);
   const waitedMs = daemon.now() - askedAt;
-  if (origin === undefined) {
-    logStreamUnknown(daemon, routed, waitedMs);
+  const { name } = routed.service;
+  if ("reason" in origin) {
+    const { reason } = origin;
+    daemon.metrics.streamResumption(name, reason);
+    logStreamUnknown(daemon, routed, { reason, waitedMs });
     const linked = daemon.dataAges().peers > 0;
-    return linked
+    return linked && reason !== "store_unreachable"
       ? { status: SERVICE_UNAVAILABLE, code: "stream_unknown" }
       : unavailableRefusal("stream_unknown", daemon.random());
   }
+  daemon.metrics.streamResumption(name, origin.source);
   logStreamResumed(daemon, routed, { origin, waitedMs });
   const service = serviceOf(daemon, routed, origin);
   if (service === undefined) {
@@ -112,50 +135,85 @@
     readonly fingerprint: string;
     readonly remainingMs: number;
   },
-): Promise<FoundOrigin | undefined> {
-  const { origins } = daemon;
+): Promise<FoundOrigin | UnknownOrigin> {
   const [byAttempt] = streamKeys(routed, fingerprint);
   const named = routed.head.resumes !== undefined;
   const stream = named ? byAttempt! : fingerprint;
-  const here = origins.find(stream);
-  const known = here ?? await origins.ask(stream, askMs(daemon, remainingMs));
-  if (known === undefined) return onlyOrigin(daemon, routed);
-  const { service, software, peer, knownAt } = known;
-  if (software === undefined) return undefined;
-  const ageMs = daemon.now() - knownAt;
-  if (here === undefined) {
-    return { service, software, source: "asked", peer, ageMs };
+  const here = daemon.origins.find(stream);
+  if (here !== undefined) {
+    const source = here.peer === undefined ? "own" : "peer";
+    return foundOrigin(daemon, here, source);
   }
-  const source = peer === undefined ? "own" : "peer";
-  return { service, software, source, peer, ageMs };
+  return await searchOrigin(daemon, routed, { stream, remainingMs });
 }
 
-function askMs(daemon: Daemon, remainingMs: number): number {
-  if (daemon.dataAges().peers === 0) return 0;
-  const ms = Math.max(MIN_ASK_MS, ASK_PROPAGATIONS * daemon.propagationMs());
-  return Math.min(ms, MAX_ASK_SHARE * remainingMs);
+/**
+ * Asks peers for an origin, and soon the store whether there is only one that the
+ * stream can have.
+ */
+async function searchOrigin(
+  daemon: Daemon,
+  routed: RoutedRequest,
+  { stream, remainingMs }: {
+    readonly stream: string;
+    readonly remainingMs: number;
+  },
+): Promise<FoundOrigin | UnknownOrigin> {
+  const linked = daemon.dataAges().peers > 0;
+  const propagationMs = linked ? daemon.propagationMs() : 0;
+  const maxMs = MAX_ASK_SHARE * remainingMs;
+  const askMs = Math.max(MIN_ASK_MS, ASK_PROPAGATIONS * propagationMs);
+  const asked = linked
+    ? daemon.origins.ask(stream, Math.min(askMs, maxMs))
+    : Promise.resolve(undefined);
+  const aloneMs = Math.min(maxMs, PEERS_FIRST_PROPAGATIONS * propagationMs);
+  const early = await Promise.race([
+    asked,
+    pause(aloneMs, { background: true }),
+  ]);
+  if (early) return foundOrigin(daemon, early, "asked");
+  const confirmed = onlyOrigin(daemon, routed, maxMs - aloneMs);
+  const fromPeers = asked.then((known) =>
+    known === undefined ? confirmed : foundOrigin(daemon, known, "asked")
+  );
+  const fromStore = confirmed.then((origin) =>
+    "reason" in origin ? fromPeers : origin
+  );
+  return await Promise.race([fromPeers, fromStore]);
+}
+
+function foundOrigin(
+  daemon: Daemon,
+  { service, software, peer, knownAt }: KnownOrigin,
+  source: OriginSource,
+): FoundOrigin | UnknownOrigin {
+  if (software === undefined) return { reason: "several_origins" };
+  return { service, software, source, peer, ageMs: daemon.now() - knownAt };
 }
 
 /**
  * Returns the only origin that a stream of the route can have: the route has one
- * service, and the service has had one version, for longer than callers wait.
+ * service, and the store confirms that this has had one version, for longer than
+ * callers wait.
  */
-function onlyOrigin(
+async function onlyOrigin(
   daemon: Daemon,
   { route, service }: RoutedRequest,
-): FoundOrigin | undefined {
+  maxMs: number,
+): Promise<FoundOrigin | UnknownOrigin> {
   const [, ...others] = route.destinations;
-  const ageMs = daemon.runnerListAgeMs();
-  const { heardMs = Infinity } = daemon.dataAges();
-  const current = Math.min(ageMs, heardMs) <= CURRENT_MS;
   const settled = (daemon.inForceMs() ?? 0) > route.timeoutMs;
-  if (others.length > 0 || !current || !settled) return undefined;
-  const software = daemon.softwareVersions.only(service.name, daemon.now());
-  if (software === undefined) return undefined;
+  if (others.length > 0 || !settled) return { reason: "route_changed" };
+  if (daemon.softwareVersions.isMixed(service.name, daemon.now())) {
+    return { reason: "several_versions" };
+  }
+  const confirmation = await daemon.confirmVersion(service.name, maxMs);
+  if (confirmation.kind === "unconfirmed") return confirmation;
+  const { software, ageMs } = confirmation;
   return {
     service: service.name,
     software,
-    source: "only_version",
+    source: "confirmed_version",
     peer: undefined,
     ageMs,
   };
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -23,6 +23,7 @@
 import { BrittleServices } from "./process/brittle_services.ts";
 import type { RunnerRoom } from "./process/brittle_services.ts";
 import { BufferBudget } from "./process/buffer_budget.ts";
+import type { VersionConfirmation } from "./process/confirmed_versions.ts";
 import { CrashRecord } from "./process/crash_record.ts";
 import { ageFields } from "./process/data_ages.ts";
 import type { DataAges } from "./process/data_ages.ts";
@@ -53,7 +54,7 @@
 import { RunnerPaces } from "./process/runner_paces.ts";
 import { RunnerPauses } from "./process/runner_pauses.ts";
 import { SoftwareVersions } from "./process/software_versions.ts";
-import { StreamOrigins } from "./process/stream_origins.ts";
+import { RETENTION_MS, StreamOrigins } from "./process/stream_origins.ts";
 import { ReturnPlaces } from "./process/return_places.ts";
 import type { RunnerPaths } from "./process/runner_paths.ts";
 import type { RunnerReachability } from "./process/runner_reachability.ts";
@@ -133,7 +134,7 @@
   readonly scheduling: SchedulingMode;
   readonly paces: RunnerPaces;
   readonly places: ReturnPlaces;
-  readonly softwareVersions = new SoftwareVersions();
+  readonly softwareVersions = new SoftwareVersions(() => this.#retentionMs());
   readonly origins = new StreamOrigins({
     // In a large fleet, only while a mistake is possible.
     isPublished: (service) =>
@@ -320,6 +321,7 @@
       metrics: this.metrics,
       relaysFrom: settings.relaysFrom,
       controlBytesPerS: settings.controlBytesPerS,
+      retentionMs: () => this.#retentionMs(),
       random: () => this.random(),
     });
     this.metrics.observeAges(() => this.dataAges());
@@ -397,6 +399,10 @@
     return this.#fleetSync.ages;
   }
 
+  confirmVersion(service: string, maxMs: number): Promise<VersionConfirmation> {
+    return this.#fleetSync.confirmVersion(service, maxMs);
+  }
+
   runnerListAgeMs(): number {
     return this.#fleetSync.runnersAgeMs;
   }
@@ -551,6 +557,13 @@
     return cut === 0;
   }
 
+  /** Time in ms for which streams may be resumed that began at a version. */
+  #retentionMs(): number {
+    const timeouts = (this.#configuration?.routes ?? [])
+      .map(({ timeoutMs }) => timeoutMs);
+    return Math.max(RETENTION_MS, ...timeouts);
+  }
+
   /** Requests of a rank to a service that wait at other daemons. */
   #othersWaiting(service: string, rank: number): number {
     let requests = 0;
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -26,6 +26,12 @@
   RecordWriteResult,
   StoredRecord,
 } from "../src/process/leader_record.ts";
+import type {
+  StoredVersions,
+  VersionRecord,
+  VersionStore,
+  VersionWriteResult,
+} from "../src/process/version_record.ts";
 import type { Changes, Feed, Listing } from "../src/process/feed.ts";
 import type { PromptPart } from "../src/process/prefix_index.ts";
 import type { Runner } from "../src/process/runner.ts";
@@ -242,6 +248,49 @@
   }
 }
 
+/** An in-memory store for the record of software versions. */
+export class MemoryVersionStore implements VersionStore {
+  stored: StoredVersions = { revision: 0, record: undefined };
+  reads = 0;
+  writes = 0;
+  /** Whether every call fails. */
+  down = false;
+
+  async read(): Promise<StoredVersions> {
+    this.reads += 1;
+    await this.#called();
+    return this.stored;
+  }
+
+  async write(
+    record: VersionRecord,
+    ifRevision: number,
+  ): Promise<VersionWriteResult> {
+    this.writes += 1;
+    await this.#called();
+    const { revision } = this.stored;
+    if (revision !== ifRevision) {
+      return { kind: "conflict", found: this.stored };
+    }
+    this.stored = { revision: revision + 1, record };
+    return { kind: "written", revision: revision + 1 };
+  }
+
+  /** Goes back to an earlier record, as a store that is restored from a backup. */
+  restore({ revision, record }: StoredVersions): void {
+    const epoch = epochOf(this.stored.revision) + 1;
+    this.stored = {
+      revision: storeRevision(epoch, counterOf(revision)),
+      record,
+    };
+  }
+
+  #called(): Promise<void> {
+    if (!this.down) return Promise.resolve();
+    return Promise.reject(new FeedError("unavailable", "down"));
+  }
+}
+
 /** Returns a state update without any changes, except for the given fields. */
 export function testUpdate(fields: Partial<StateUpdate> = {}): StateUpdate {
   return {
@@ -298,14 +347,19 @@
 
   async watch(
     since: number,
-    _waitMs: number,
+    waitMs: number,
     signal: AbortSignal,
   ): Promise<Changes<T>> {
     if (this.down) throw new FeedError("unavailable", "down");
     if (this.#listing.revision <= since) {
       await new Promise<void>((resolve) => {
-        this.#watchers.push(resolve);
-        signal.addEventListener("abort", () => resolve());
+        const timer = setTimeout(resolve, waitMs);
+        const end = () => {
+          clearTimeout(timer);
+          resolve();
+        };
+        this.#watchers.push(end);
+        signal.addEventListener("abort", end);
       });
     }
     const { revision, values } = this.#listing;
@@ -321,6 +375,46 @@
   }
 }
 
+/** A feed, as a host reads it whose path to the store tests cut. */
+export class CuttableFeed<T> implements Feed<T> {
+  readonly #feed: Feed<T>;
+  #isCut = false;
+  #cut = new AbortController();
+
+  constructor(feed: Feed<T>) {
+    this.#feed = feed;
+  }
+
+  /** Makes all calls fail, those that wait among them. */
+  cut(): void {
+    this.#isCut = true;
+    this.#cut.abort();
+  }
+
+  heal(): void {
+    this.#isCut = false;
+    this.#cut = new AbortController();
+  }
+
+  async list(): Promise<Listing<T>> {
+    if (this.#isCut) throw new FeedError("unavailable", "cut");
+    return await this.#feed.list();
+  }
+
+  async watch(
+    since: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<Changes<T>> {
+    if (this.#isCut) throw new FeedError("unavailable", "cut");
+    const cut = this.#cut.signal;
+    const either = AbortSignal.any([signal, cut]);
+    const changes = await this.#feed.watch(since, waitMs, either);
+    if (cut.aborted) throw new FeedError("unavailable", "cut");
+    return changes;
+  }
+}
+
 /** Returns a ready engine of service `llm` with 64 slots. */
 export function testEngine(id: string): Runner {
   return {
@@ -518,6 +612,7 @@
     readonly settings?: Partial<RouterSettings> | undefined;
     readonly log?: EventLog;
     readonly network?: RunnerNetwork | undefined;
+    readonly versions?: VersionStore | undefined;
   },
 ): Promise<Router> {
   const router = new Router(
@@ -527,6 +622,7 @@
       configurations: parts.configurations,
       runners: parts.runners,
       daemons: NO_DAEMONS,
+      versions: parts.versions ?? new MemoryVersionStore(),
       engineCache: {
         cachedParts: () =>
           Promise.resolve({ startedAtMs: undefined, parts: [] }),
--- a/packages/router/tests/fleet.ts
+++ b/packages/router/tests/fleet.ts
@@ -35,6 +35,7 @@
 } from "../src/process/platform_api.ts";
 import type { Fields } from "../src/process/log_line.ts";
 import { PrefixIndex } from "../src/process/prefix_index.ts";
+import { RETENTION_MS } from "../src/process/stream_origins.ts";
 import type { StreamOrigins } from "../src/process/stream_origins.ts";
 import { ReturnPlaces } from "../src/process/return_places.ts";
 import type { Runner } from "../src/process/runner.ts";
@@ -43,6 +44,7 @@
 import { RunnerLoads } from "../src/process/runner_loads.ts";
 import type { PlacedRequest } from "../src/process/runner_load.ts";
 import { epochOf, storeRevision } from "../src/process/store_revision.ts";
+import type { VersionRecord } from "../src/process/version_record.ts";
 import { UsageMeter } from "../src/process/usage_meter.ts";
 import { WorkspaceShares } from "../src/process/workspace_shares.ts";
 import type { Configuration } from "../src/version/configuration.ts";
@@ -50,6 +52,7 @@
 import { FakeClock } from "./fake_clock.ts";
 import {
   MemoryLeaderStore,
+  MemoryVersionStore,
   publishedOrigins,
   testConfiguration,
 } from "./fixtures.ts";
@@ -512,6 +515,7 @@
       log,
       metrics: { dependency() {} },
       relaysFrom: 25,
+      retentionMs: () => RETENTION_MS,
       controlBytesPerS: 29_000,
       random: Math.random,
     });
@@ -653,6 +657,7 @@
     store: new MemoryLeaderStore(),
     api: new RecordingApi(),
   };
+  readonly versions = new MemoryVersionStore();
   readonly #shape: FleetShape;
   #starts = 0;
 
@@ -820,6 +825,18 @@
           return [...this.#registered.values()];
         },
       },
+      versions: {
+        read: async () => {
+          countCall();
+          await sleep(RESPONSE_MS);
+          return await this.versions.read();
+        },
+        write: async (record: VersionRecord, ifRevision: number) => {
+          countCall();
+          await sleep(RESPONSE_MS);
+          return await this.versions.write(record, ifRevision);
+        },
+      },
     };
     const { sendMbps = Infinity } = this.#shape;
     const { leadership } = this;
--- a/packages/router/tests/linked_routers.ts
+++ b/packages/router/tests/linked_routers.ts
@@ -9,12 +9,15 @@
 import type { TestContext } from "node:test";
 import type { RunnerNetwork } from "../src/connection/runner_network.ts";
 import type { EventLog } from "../src/process/event_log.ts";
+import type { Feed } from "../src/process/feed.ts";
 import type { Runner } from "../src/process/runner.ts";
+import type { VersionStore } from "../src/process/version_record.ts";
 import type { SchedulingSettings } from "../src/process/scheduling_mode.ts";
 import type { RouterSettings } from "../src/process/settings.ts";
 import type { Router } from "../src/router.ts";
 import type { Configuration, Route } from "../src/version/configuration.ts";
 import {
+  MemoryVersionStore,
   sendRequest,
   SettableFeed,
   SILENT_LOG,
@@ -49,6 +52,8 @@
   readonly routers: Router[] = [];
   /** The runners that all routers use. */
   readonly runners = new SettableFeed<Runner>([]);
+  /** The record of software versions that all routers use. */
+  readonly versions = new MemoryVersionStore();
   readonly #context: TestContext;
   readonly #routes: readonly Partial<Route>[];
   readonly #settings: Partial<RouterSettings>;
@@ -76,14 +81,19 @@
    * Starts a router and waits until it is ready and linked to all others.
    *
    * @param parts.network how this router reaches runners.
+   * @param parts.runners how it reads the runners, if not as the others do.
+   * @param parts.versions how it reaches the record of versions.
+   * @param parts.alone whether it has no links.
    */
   async add(parts: {
     readonly network?: RunnerNetwork;
     readonly log?: EventLog | undefined;
+    readonly runners?: Feed<Runner>;
+    readonly versions?: VersionStore;
+    readonly alone?: boolean;
   } = {}): Promise<Router> {
-    const seeds = this.routers.map(({ peersPort }) =>
-      `${LOCALHOST}:${peersPort}`
-    );
+    const others = parts.alone ? [] : this.routers;
+    const seeds = others.map(({ peersPort }) => `${LOCALHOST}:${peersPort}`);
     const port = await unusedPort();
     let links = 0;
     const { log: lines = SILENT_LOG } = parts;
@@ -98,7 +108,8 @@
       configurations: new SettableFeed([
         testConfiguration(this.#routes.map(testRoute), this.#fields),
       ]),
-      runners: this.runners,
+      runners: parts.runners ?? this.runners,
+      versions: parts.versions ?? this.versions,
       network: parts.network,
       log,
       settings: {
