Survive ports of other daemons that are out of range

Cause: seeds of the settings and contacts of peers could have ports up to 99999, and a hello any address; Node's connect throws on a port above 65535, in a timer where nothing catches it. Change: one module checks and dials addresses of peers; a connection to anything else fails as to an address that nobody listens at. A hello without a valid contact ends its link. Settings name ports above 65535 and windows of 0 ms.

--- a/packages/router/src/connection/peer_encoding.ts
+++ b/packages/router/src/connection/peer_encoding.ts
@@ -5,6 +5,7 @@
  */
 import { compressItem, expandItem } from "./compressed_item.ts";
 import { checkNonNegative } from "./check_non_negative.ts";
+import { isPeerAddress } from "./peer_address.ts";
 import { NO_CRASHES } from "./crash_ages.ts";
 import { hasReports, packCrashes, unpackCrashes } from "./crash_encoding.ts";
 import type { PackedCrashes } from "./crash_encoding.ts";
@@ -156,8 +157,6 @@
   streams?: PackedOrigins | undefined,
 ];
 
-const ADDRESS = /^[^\s:]+:\d{1,5}$/;
-
 function packLoad(load: RunnerLoadEntry): PackedLoad {
   return [
     load.runner,
@@ -240,9 +239,9 @@
 function unpackContacts(packed: readonly PackedContact[]): Contact[] {
   return packed.flatMap((contact) => {
     const [name, incarnation, address, failureDomain, linkMbps] = contact;
-    const texts = [name, incarnation, address, failureDomain];
+    const texts = [name, incarnation, failureDomain];
     const valid = texts.every((text) => typeof text === "string") &&
-      ADDRESS.test(address) && Number.isFinite(linkMbps);
+      isPeerAddress(address) && Number.isFinite(linkMbps);
     if (!valid) return [];
     return [{ name, incarnation, address, failureDomain, linkMbps }];
   });
@@ -522,10 +521,19 @@
   };
 }
 
+type PackedHello = Extract<PackedMap, { readonly kind: "hello" }>;
+
+/** Reads a hello, whose own contact must be valid, as the link needs it. */
+function unpackHello(packed: PackedHello): Hello {
+  const [own] = unpackContacts([packContact(packed)]);
+  if (own === undefined) throw new TypeError("Invalid hello: no contact");
+  return { ...packed, known: unpackContacts(packed.known) };
+}
+
 function unpackMap(packed: PackedMap): PeerMessage {
   switch (packed.kind) {
     case "hello":
-      return { ...packed, known: unpackContacts(packed.known) };
+      return unpackHello(packed);
     case "give":
       return unpackFetchResponse(packed);
     default:
--- a/packages/router/src/connection/peer_network.ts
+++ b/packages/router/src/connection/peer_network.ts
@@ -4,9 +4,10 @@
  * @module
  */
 import { Buffer } from "node:buffer";
-import { connect, createServer } from "node:net";
+import { createServer } from "node:net";
 import type { AddressInfo, Server, Socket } from "node:net";
 import type { ListenAddress } from "../process/settings.ts";
+import { connectToPeer } from "./peer_address.ts";
 import { PeerLink } from "./peer_link.ts";
 import type { Link, LinkEvents } from "./peer_link.ts";
 import { TUNNEL_PREFACE } from "./tunnel_channel.ts";
@@ -79,8 +80,7 @@
     opened(createLink: LinkFactory): void;
     failed(): void;
   }): void {
-    const [host = "", port = ""] = address.split(":");
-    const socket = connect({ host, port: Number(port) });
+    const socket = connectToPeer(address);
     const timer = setTimeout(() => socket.destroy(), CONNECT_TIMEOUT_MS);
     const failed = () => {
       clearTimeout(timer);
--- a/packages/router/src/connection/tunnel_peers.ts
+++ b/packages/router/src/connection/tunnel_peers.ts
@@ -3,12 +3,12 @@
  *
  * @module
  */
-import { connect } from "node:net";
 import type { Contact } from "../process/contact.ts";
 import type { EventLog } from "../process/event_log.ts";
 import type { RequestMetrics } from "../process/metrics.ts";
 import type { Runner } from "../process/runner.ts";
 import type { PeerVerdict } from "../process/runner_paths.ts";
+import { connectToPeer } from "./peer_address.ts";
 import { TUNNEL_PREFACE, TunnelChannel } from "./tunnel_channel.ts";
 import type { Tunnel } from "./tunnel_channel.ts";
 import type { TunnelMessage } from "./tunnel_message.ts";
@@ -202,8 +202,7 @@
     readonly channel: TunnelChannel;
     readonly reply: TunnelMessage;
   }> {
-    const [host = "", port = ""] = peer.address.split(":");
-    const socket = connect({ host, port: Number(port) });
+    const socket = connectToPeer(peer.address);
     return new Promise((resolve, reject) => {
       const fail = (reason: string) => {
         clearTimeout(timer);
--- a/packages/router/src/process/settings.ts
+++ b/packages/router/src/process/settings.ts
@@ -100,6 +100,8 @@
   readonly text: string;
 }
 
+const MAX_PORT = 65_535;
+
 /** Reads values, and collects findings for invalid ones. */
 class SettingsReader {
   readonly findings: SettingFinding[] = [];
@@ -134,7 +136,8 @@
   address(from: unknown, place: string): ListenAddress {
     const text = this.text(from, place);
     const match = /^(.+):(\d{1,5})$/.exec(text);
-    if (match !== null) return { host: match[1]!, port: Number(match[2]) };
+    const port = Number(match?.[2]);
+    if (match !== null && port <= MAX_PORT) return { host: match[1]!, port };
     return this.#reject(place, "an address like 10.0.0.1:80", text, {
       host: "",
       port: 0,
@@ -292,7 +295,7 @@
     retries: {
       ratio: reader.number(json, "retries.ratio"),
       extra: reader.number(json, "retries.extra"),
-      windowMs: reader.number(json, "retries.windowMs"),
+      windowMs: reader.positive(json, "retries.windowMs"),
     },
     scheduling: {
       scheduling: reader.choiceOr(json, "scheduling", {
