--- a/packages/router/tests/odd_addresses_test.ts
+++ b/packages/router/tests/odd_addresses_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { SILENT_LOG } from "./fixtures.ts";
 import { TcpPeerNetwork } from "../src/connection/peer_network.ts";
 import { unpackMessage } from "../src/connection/peer_encoding.ts";
 import { parseSettings } from "../src/process/settings.ts";
@@ -20,7 +21,7 @@
 // is out of range, as one seed or contact may have.
 for (const address of ODD_ADDRESSES) {
   test(`the address "${address}" cannot be dialled`, async () => {
-    const network = new TcpPeerNetwork(() => {});
+    const network = new TcpPeerNetwork(() => {}, SILENT_LOG);
     await new Promise<void>((failed, reject) => {
       network.dial(address, { opened: reject, failed });
     });
