--- a/packages/router/src/mod.ts
+++ b/packages/router/src/mod.ts
@@ -6,6 +6,12 @@
 export type { DaemonRegistry } from "./process/daemon_registry.ts";
 export { guarded } from "./process/guarded.ts";
 export { stopOnUncaughtError } from "./process/uncaught_errors.ts";
+export {
+  describeError,
+  EXIT_CONFIG,
+  EXIT_SOFTWARE,
+  ProcessEnd,
+} from "./process/process_end.ts";
 export { BufferedLog } from "./process/event_log.ts";
 export type { EventLog, TextSink } from "./process/event_log.ts";
 export { FeedError } from "./process/feed.ts";
@@ -22,6 +28,13 @@
   PlatformApi,
   PlatformCall,
 } from "./process/platform_api.ts";
+export type {
+  RecordedVersion,
+  StoredVersions,
+  VersionRecord,
+  VersionStore,
+  VersionWriteResult,
+} from "./process/version_record.ts";
 export type { RunnerOrder } from "./process/runner_order.ts";
 export type { UsageReport } from "./process/leader_record.ts";
 export type { CachedParts, EngineCache } from "./process/cache_survey.ts";
@@ -36,6 +49,8 @@
 export type { Scaling } from "./process/scaling.ts";
 export { runnerId } from "./process/runner.ts";
 export type { Runner } from "./process/runner.ts";
+export { quoteValue } from "./process/value_quote.ts";
+export { SettingsFile } from "./process/settings_file.ts";
 export { parseSettings } from "./process/settings.ts";
 export type { RouterSettings, SettingFinding } from "./process/settings.ts";
 export type {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -3,14 +3,15 @@
  *
  * @module
  */
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { randomBytes } from "node:crypto";
 import { shutDownGracefully } from "./connection/graceful_shutdown.ts";
-import { CallerServer, listen } from "./connection/caller_server.ts";
+import { CallerServer } from "./connection/caller_server.ts";
 import { CrashDetector } from "./connection/crash_detector.ts";
 import type { BrokenRun } from "./connection/crash_detector.ts";
 import { FleetSync } from "./connection/fleet_sync.ts";
 import type { SharedStore } from "./connection/fleet_sync.ts";
+import { Listening } from "./connection/listening.ts";
 import { TcpPeerNetwork } from "./connection/peer_network.ts";
 import type { RunnerConnections } from "./connection/runner_connections.ts";
 import type { TunnelPeers } from "./connection/tunnel_peers.ts";
@@ -20,9 +21,11 @@
   createMetricsServer,
   createReadinessServer,
 } from "./connection/status_server.ts";
+import { inBackground } from "./process/background.ts";
 import { BrittleServices } from "./process/brittle_services.ts";
 import type { RunnerRoom } from "./process/brittle_services.ts";
 import { BufferBudget } from "./process/buffer_budget.ts";
+import type { VersionConfirmation } from "./process/confirmed_versions.ts";
 import { CrashRecord } from "./process/crash_record.ts";
 import { ageFields } from "./process/data_ages.ts";
 import type { DataAges } from "./process/data_ages.ts";
@@ -54,7 +57,7 @@
 import { RunnerPaces } from "./process/runner_paces.ts";
 import { RunnerPauses } from "./process/runner_pauses.ts";
 import { SoftwareVersions } from "./process/software_versions.ts";
-import { StreamOrigins } from "./process/stream_origins.ts";
+import { RETENTION_MS, StreamOrigins } from "./process/stream_origins.ts";
 import { ReturnPlaces } from "./process/return_places.ts";
 import type { RunnerPaths } from "./process/runner_paths.ts";
 import type { RunnerReachability } from "./process/runner_reachability.ts";
@@ -134,7 +137,7 @@
   readonly scheduling: SchedulingMode;
   readonly paces: RunnerPaces;
   readonly places: ReturnPlaces;
-  readonly softwareVersions = new SoftwareVersions();
+  readonly softwareVersions = new SoftwareVersions(() => this.#retentionMs());
   readonly origins = new StreamOrigins({
     // In a large fleet, only while a mistake is possible.
     isPublished: (service) =>
@@ -177,7 +180,7 @@
   readonly #restartDetector: RestartDetector;
   readonly #crashDetector: CrashDetector;
   #surveyed = false;
-  #statusServers: readonly Server[] = [];
+  #statusServers: readonly Listening[] = [];
   /** The listed runners by their ids. */
   #runnersById: ReadonlyMap<string, Runner> = new Map();
   #configuration: Configuration | undefined;
@@ -256,6 +259,7 @@
     this.#draining = new DrainingRunners(log);
     this.#directory = new RunnerDirectory(this.#draining);
     this.#lifecycle = new Lifecycle(log);
+    this.#lifecycle.addRequirement("callers_port", () => this.#server.isOpen);
     this.#lifecycle.addRequirement(
       "configuration",
       () => this.#routingTable !== undefined,
@@ -279,6 +283,7 @@
       {
         maxConnections: settings.maxConnections,
         accepts: () => !this.#overloaded,
+        log,
       },
     );
     const { host, port } = settings.advertised ?? settings.peers;
@@ -322,12 +327,14 @@
       own,
       log,
       store: platform,
-      network: new TcpPeerNetwork((socket) =>
-        this.#access.acceptTunnel(socket)
+      network: new TcpPeerNetwork(
+        (socket) => this.#access.acceptTunnel(socket),
+        log,
       ),
       metrics: this.metrics,
       relaysFrom: settings.relaysFrom,
       controlBytesPerS: settings.controlBytesPerS,
+      retentionMs: () => this.#retentionMs(),
       random: () => this.random(),
     });
     this.metrics.observeAges(() => this.dataAges());
@@ -405,6 +412,10 @@
     return this.#fleetSync.ages;
   }
 
+  confirmVersion(service: string, maxMs: number): Promise<VersionConfirmation> {
+    return this.#fleetSync.confirmVersion(service, maxMs);
+  }
+
   runnerListAgeMs(): number {
     return this.#fleetSync.runnersAgeMs;
   }
@@ -449,7 +460,13 @@
     if (this.#routingTable?.service(runner.service)?.engine === undefined) {
       return;
     }
-    void this.#restartDetector.check(runner);
+    this.#inBackground("restart_check", this.#restartDetector.check(runner));
+  }
+
+  async confirmStart(runner: Runner, maxMs: number): Promise<boolean> {
+    const service = this.#routingTable?.service(runner.service);
+    if (service?.engine === undefined) return true;
+    return await this.#restartDetector.confirm(runner, maxMs);
   }
 
   hasCrashed(runner: Runner): Promise<boolean> {
@@ -472,40 +489,43 @@
     return this.#retryBudgets.of(service);
   }
 
-  /** The port that callers connect to. */
+  /** The port that callers connect to; 0 before it is open. */
   get callersPort(): number {
     return this.#server.port;
   }
 
-  /** The port on which links of other daemons are accepted. */
+  /** The port on which links of other daemons are accepted; 0 before they are. */
   get peersPort(): number {
     return this.#fleetSync.port;
   }
 
+  /** Time in ms from SIGTERM to the kill, by the settings in force. */
+  get graceMs(): number {
+    return this.#settings.graceMs;
+  }
+
   /** Whether the daemon is ready for traffic. */
   get ready(): boolean {
     return this.#lifecycle.missing().length === 0;
   }
 
-  /** Opens the ports, and starts to read and watch the store. */
+  /**
+   * Opens the ports, and starts to read and watch the store. Each port is opened as
+   * soon as it is free, and a port that is not does not delay the others.
+   *
+   * @returns settles when all ports but that of metrics are open or can never be.
+   */
   async start(): Promise<void> {
-    const { readiness, metrics } = this.#settings;
-    const readinessServer = createReadinessServer(
-      readiness.path,
-      this.#lifecycle,
-    );
-    const metricsServer = createMetricsServer(metrics.path, this.metrics);
-    this.#statusServers = [readinessServer, metricsServer];
-    await Promise.all([
-      this.#server.open(this.#settings.callers),
-      this.#fleetSync.open(this.#settings.peers),
-      listen(readinessServer, readiness),
-      listen(metricsServer, metrics),
-    ]);
-    this.log.event("started", { name: this.#settings.name });
-    this.#fleetSync.start(this.#settings.seeds);
+    const { callers, peers, seeds } = this.#settings;
+    const opened = [
+      this.#server.open(callers).then(() => this.#logStart()),
+      this.#fleetSync.open(peers),
+      this.#openStatusServers(),
+    ];
+    this.#fleetSync.start(seeds);
     this.#leadership.start();
     this.#memoryWatch.start();
+    await Promise.all(opened);
   }
 
   /**
@@ -547,8 +567,8 @@
    */
   async shutDown(): Promise<boolean> {
     this.#lifecycle.startShutdown();
-    void this.#leadership.stepDown();
-    void this.#fleetSync.deregister();
+    this.#inBackground("step_down", this.#leadership.stepDown());
+    this.#inBackground("deregister", this.#fleetSync.deregister());
     this.#access.leave();
     const cut = await shutDownGracefully(this.#server, {
       graceMs: () => this.#settings.graceMs,
@@ -561,6 +581,42 @@
     return cut === 0;
   }
 
+  #inBackground(name: string, task: Promise<unknown>): void {
+    inBackground(task, { name, log: this.log });
+  }
+
+  #logStart(): void {
+    if (!this.#server.isOpen) return;
+    this.log.event("started", { name: this.#settings.name });
+  }
+
+  /** @returns settles as the opening of the readiness server does. */
+  #openStatusServers(): Promise<void> {
+    const settings = this.#settings;
+    const { log } = this;
+    const readiness = new Listening(
+      createReadinessServer(settings.readiness.path, this.#lifecycle),
+      { name: "readiness", log },
+    );
+    const metrics = new Listening(
+      createMetricsServer(settings.metrics.path, this.metrics),
+      { name: "metrics", log },
+    );
+    this.#statusServers = [readiness, metrics];
+    // A daemon serves without metrics. The failure has been logged.
+    metrics.open(settings.metrics).catch(() => {});
+    return readiness.open(settings.readiness);
+  }
+
+  /** Time in ms for which streams may be resumed that began at a version. */
+  #retentionMs(): number {
+    const { routes = [] } = this.#configuration ?? {};
+    return routes.reduce(
+      (longest, { timeoutMs }) => Math.max(longest, timeoutMs),
+      RETENTION_MS,
+    );
+  }
+
   /** Requests of a rank to a service that wait at other daemons. */
   #othersWaiting(service: string, rank: number): number {
     let requests = 0;
@@ -676,12 +732,13 @@
     if (this.#surveyed || this.#routingTable === undefined) return;
     if (this.#directory.revision === 0) return;
     this.#surveyed = true;
-    void this.#survey.run({
+    const survey = this.#survey.run({
       engines: () =>
         this.#directory.list.runners.filter(({ service }) =>
           this.#routingTable?.service(service)?.engine !== undefined
         ),
       view: () => this.#fleetSync.view,
     });
+    this.#inBackground("cache_survey", survey);
   }
 }
