Relay long responses without a length in chunks

Cause: a plain response without a length was handed to the caller without a length or chunks, too. If the process was killed while it still held a part, the operating system ended the connection in the ordinary way.

Change: a response without a length of more than 16 KB is relayed in chunks, as streams are. For a long one that ended with its connection the runner is checked first: if its address refuses connections, the response is broken. Callers of HTTP/1.0 get no chunks, as before.

--- a/packages/router/src/request/caller.ts
+++ b/packages/router/src/request/caller.ts
@@ -18,6 +18,11 @@
  * the body itself.
  */
 const RECOMPUTED_HEADERS: ReadonlySet<string> = new Set(["content-length"]);
+/**
+ * Size in bytes up to which a body without a length is written without chunks, too. The
+ * operating system takes it at once, so that the end of this process cannot cut it.
+ */
+export const MAX_UNFRAMED_BYTES = 16 * 1024;
 
 /**
  * Responds to one request, exactly once.
@@ -103,7 +108,8 @@
 
   /**
    * Relays a runner's complete response. One without a length may have been truncated
-   * without notice, and is relayed without a length, too.
+   * without notice, and is relayed without a length, too; a long one in chunks, because
+   * the end of this daemon would otherwise look like that of the response.
    */
   respond(status: number, headers: RawHeaders, body: {
     readonly chunks: readonly Buffer[];
@@ -116,7 +122,7 @@
     const length = chunks.reduce((sum, chunk) => sum + chunk.length, 0);
     this.#writeHead(status, endToEndHeaders(headers, RECOMPUTED_HEADERS), {
       length: framed ? length : undefined,
-      close: !framed,
+      close: !framed && length <= MAX_UNFRAMED_BYTES,
     });
     new StreamBody(this.response, onUnread).end(chunks);
   }
--- a/packages/router/src/request/response_relay.ts
+++ b/packages/router/src/request/response_relay.ts
@@ -10,6 +10,7 @@
 import type { PlacedRequest, RunnerLoad } from "../process/runner_load.ts";
 import { AnswerBuffer } from "./answer_buffer.ts";
 import type { Attempt, SendResult } from "./attempt.ts";
+import { MAX_UNFRAMED_BYTES } from "./caller.ts";
 import type { Caller } from "./caller.ts";
 import type { Daemon } from "./daemon.ts";
 import { isFramed } from "./headers.ts";
@@ -183,6 +184,15 @@
         received.kind,
       );
     }
+    // A long one is relayed in chunks, whose end states that it is whole.
+    const isLong = sizeOf(received.chunks) > MAX_UNFRAMED_BYTES;
+    if (isLong && await this.#endedByCrash(incoming, context)) {
+      return this.#handleInterruption(
+        context,
+        "response interrupted",
+        "runner crashed",
+      );
+    }
     context.load.recordSuccess();
     const failed = status >= MIN_SERVER_ERROR_STATUS;
     context.load.recordResponse(failed, this.#daemon.now());
@@ -291,7 +301,7 @@
   }
 
   /**
-   * Whether a stream without a length may have ended early: the operating system ends
+   * Whether a body without a length may have ended early: the operating system ends
    * the connections of a process that crashes in the ordinary way.
    */
   async #endedByCrash(
@@ -448,3 +458,7 @@
     return { kind: "broken", reason };
   }
 }
+
+function sizeOf(chunks: readonly Buffer[]): number {
+  return chunks.reduce((sum, { length }) => sum + length, 0);
+}
