Tell a store that fails from one that is late, and give it most of the wait

Cause: peers were asked alone for twice the time of a change, up to all of the time that a resumed stream may wait; callers with little time left were told that the store cannot be reached, when it had not been given 30 ms.

Change: peers are asked alone for a quarter of the time at most, reads begin at most every 20 ms instead of 50 ms (in a larger fleet as before), and the reason is store_late if the time ends first. Both reasons carry Retry-After.

--- a/packages/router/src/connection/version_sync.ts
+++ b/packages/router/src/connection/version_sync.ts
@@ -36,7 +36,7 @@
 /** Age of the list, and of the last check, from which changes may be missed. */
 const MAX_GAP_MS = 5_000;
 /** Shortest interval in ms between two reads for streams that are resumed. */
-const MIN_READ_INTERVAL_MS = 50;
+const MIN_READ_INTERVAL_MS = 20;
 /** The same for each daemon of the fleet: 200 reads a second, each of two calls. */
 const READ_INTERVAL_PER_DAEMON_MS = 5;
 
--- a/packages/router/src/process/confirmed_versions.ts
+++ b/packages/router/src/process/confirmed_versions.ts
@@ -16,8 +16,10 @@
 
 /** Why the only version of a service is not known. */
 export type UnconfirmedReason =
-  /** The store did not answer in time. */
+  /** Calls to the store fail. */
   | "store_unreachable"
+  /** The store did not answer in the time that the caller leaves. */
+  | "store_late"
   /** The service has, or had, runners of several versions. */
   | "several_versions"
   /** The route leads, or led, to several services. */
@@ -79,10 +81,11 @@
     maxMs: number,
   ): Promise<VersionConfirmation> {
     const snapshot = await Promise.race([
-      this.#reads.next().catch(() => undefined),
+      this.#reads.next().catch(() => "failed" as const),
       pause(maxMs),
     ]);
-    if (!snapshot) return unconfirmed("store_unreachable");
+    if (snapshot === "failed") return unconfirmed("store_unreachable");
+    if (!snapshot) return unconfirmed("store_late");
     const ageMs = performance.now() - snapshot.at;
     const software = onlyVersion(origin, snapshot);
     return typeof software === "string"
--- a/packages/router/src/process/confirmed_versions_test.ts
+++ b/packages/router/src/process/confirmed_versions_test.ts
@@ -119,6 +119,19 @@
   assert.ok(reads[1]! > Math.max(...asked));
 });
 
+// Guards against a daemon that takes a failed call for a store without versions.
+test("a store whose calls fail confirms nothing", async () => {
+  const versions = new ConfirmedVersions(
+    () => Promise.reject(new Error("down")),
+    { intervalMs: () => 0 },
+  );
+  const confirmation = await versions.confirm(ORIGIN, MAX_MS);
+  assert.deepEqual(confirmation, {
+    kind: "unconfirmed",
+    reason: "store_unreachable",
+  });
+});
+
 // Guards against callers that wait for a store that does not answer.
 test("a store that is silent confirms nothing, in time", async () => {
   const versions = new ConfirmedVersions(() => new Promise(() => {}), {
@@ -127,6 +140,6 @@
   const confirmation = await versions.confirm(ORIGIN, 30);
   assert.deepEqual(confirmation, {
     kind: "unconfirmed",
-    reason: "store_unreachable",
+    reason: "store_late",
   });
 });
--- a/packages/router/src/request/stream_resumption.ts
+++ b/packages/router/src/request/stream_resumption.ts
@@ -28,6 +28,8 @@
  * read, too.
  */
 const PEERS_FIRST_PROPAGATIONS = 2;
+/** Maximum share of the time for both in which only peers are asked. */
+const MAX_PEERS_FIRST_SHARE = 0.25;
 
 const SERVICE_UNAVAILABLE = 503;
 
@@ -57,6 +59,12 @@
   readonly ageMs: number;
 }
 
+/** Reasons for which a later attempt, or one at another daemon, may do better. */
+const LATER_REASONS: ReadonlySet<UnknownReason> = new Set([
+  "store_unreachable",
+  "store_late",
+]);
+
 /** An origin that is not known. */
 interface UnknownOrigin {
   readonly reason: UnknownReason;
@@ -112,10 +120,9 @@
     const { reason } = origin;
     daemon.metrics.streamResumption(name, reason);
     logStreamUnknown(daemon, routed, { reason, waitedMs });
-    const linked = daemon.dataAges().peers > 0;
-    return linked && reason !== "store_unreachable"
-      ? { status: SERVICE_UNAVAILABLE, code: "stream_unknown" }
-      : unavailableRefusal("stream_unknown", daemon.random());
+    return daemon.dataAges().peers === 0 || LATER_REASONS.has(reason)
+      ? unavailableRefusal("stream_unknown", daemon.random())
+      : { status: SERVICE_UNAVAILABLE, code: "stream_unknown" };
   }
   daemon.metrics.streamResumption(name, origin.source);
   logStreamResumed(daemon, routed, { origin, waitedMs });
@@ -164,7 +171,10 @@
   const asked = linked
     ? daemon.origins.ask(stream, Math.min(askMs, maxMs))
     : Promise.resolve(undefined);
-  const aloneMs = Math.min(maxMs, PEERS_FIRST_PROPAGATIONS * propagationMs);
+  const aloneMs = Math.min(
+    MAX_PEERS_FIRST_SHARE * maxMs,
+    PEERS_FIRST_PROPAGATIONS * propagationMs,
+  );
   const early = await Promise.race([
     asked,
     pause(aloneMs, { background: true }),
