Record versions before a daemon registers, so that a new fleet's record is complete

Cause: the first record was complete only if it was written before any daemon had registered, in the first 0.5 s. Where daemons start seconds apart, the record of a new fleet was incomplete for a minute, and streams were refused after a loss of all.

Change: a daemon records before it registers (for 400 ms at most). Entries in the registry without a record are those of daemons that keep none. The check 0.3 s after the start is gone.

--- a/packages/router/src/connection/fleet_sync.ts
+++ b/packages/router/src/connection/fleet_sync.ts
@@ -161,7 +161,7 @@
       configurations: this.#versions.configurations,
       runners: this.#versions.runners,
     });
-    this.#registration = new Registration(store.daemons, {
+    this.#registration = new Registration(this.#versions.daemons, {
       own,
       log,
       context: {
--- a/packages/router/src/connection/version_sync.ts
+++ b/packages/router/src/connection/version_sync.ts
@@ -15,7 +15,7 @@
 import type { Feed } from "../process/feed.ts";
 import { readListed } from "../process/listed_versions.ts";
 import { pause } from "../process/pause.ts";
-import { RecordedFeed } from "../process/recorded_feed.ts";
+import { RecordedFeed, recordInTime } from "../process/recorded_feed.ts";
 import { RecordedVersions } from "../process/recorded_versions.ts";
 import type { Runner } from "../process/runner.ts";
 import type { RunnerDirectory } from "../process/runner_directory.ts";
@@ -24,11 +24,6 @@
 import type { Entries, VersionStore } from "../process/version_record.ts";
 import type { Configuration } from "../version/configuration.ts";
 
-/**
- * Time in ms from the start to the first check: daemons register from 500 ms on, and
- * the first record must be written before.
- */
-const FIRST_CHECK_MS = 300;
 /** Interval in ms between checks of what is to be recorded. */
 const CHECK_INTERVAL_MS = 1_000;
 /** Time in ms from the start in which a daemon without links does not record. */
@@ -68,6 +63,11 @@
   /** The feeds to be followed. */
   readonly runners: Feed<Runner>;
   readonly configurations: Feed<Configuration>;
+  /**
+   * The registry in which to register: a daemon records first, so that an entry
+   * without a record is that of a daemon which keeps none.
+   */
+  readonly daemons: DaemonRegistry;
   readonly #startedAt = performance.now();
   #stopped = false;
 
@@ -101,6 +101,15 @@
       recorded,
       entriesOf: (configurations) => entriesOf([], configurations),
     });
+    const { daemons } = options;
+    this.daemons = {
+      register: async (name, address) => {
+        await recordInTime(recorded, this.#entries);
+        return await daemons.register(name, address);
+      },
+      deregister: (name) => daemons.deregister(name),
+      addresses: () => daemons.addresses(),
+    };
     directory.onChange(() => this.observe());
   }
 
@@ -131,15 +140,15 @@
   async #run(): Promise<void> {
     const { agesMs } = this.#options;
     let checkedAt = performance.now();
-    await pause(FIRST_CHECK_MS, { background: true });
     while (!this.#stopped) {
+      await pause(CHECK_INTERVAL_MS, { background: true });
+      if (this.#stopped) return;
       const sinceMs = performance.now() - checkedAt;
       checkedAt = performance.now();
       if (Math.max(sinceMs, ...agesMs()) > MAX_GAP_MS) {
         this.#recorded.interrupted();
       }
       await this.#check();
-      await pause(CHECK_INTERVAL_MS, { background: true });
     }
   }
 
@@ -174,10 +183,7 @@
     return isWatcher() && !(isLinking && isAlone());
   }
 
-  /**
-   * Whether no daemon is registered, so that none has served. An entry with the
-   * address of this daemon may be that of a process before.
-   */
+  /** Whether no daemon is registered, so that none has served without a record. */
   async #isFirst(): Promise<boolean> {
     const addresses = await this.#options.daemons.addresses();
     return addresses.length === 0;
--- a/packages/router/src/process/recorded_feed.ts
+++ b/packages/router/src/process/recorded_feed.ts
@@ -14,6 +14,15 @@
  */
 const MAX_RECORD_MS = 400;
 
+/** Records entries, or has them recorded later if that takes too long or fails. */
+export async function recordInTime(
+  recorded: Pick<RecordedVersions, "add">,
+  entries: Entries,
+): Promise<void> {
+  const added = recorded.add(entries).catch(() => {});
+  await Promise.race([added, pause(MAX_RECORD_MS, { background: true })]);
+}
+
 /** Options of a {@linkcode RecordedFeed}. */
 export interface RecordedFeedOptions<T> {
   readonly recorded: Pick<RecordedVersions, "add">;
@@ -51,10 +60,8 @@
     return changes;
   }
 
-  /** Records values; what fails is tried again later. */
   async #record(values: readonly T[]): Promise<void> {
     const { recorded, entriesOf } = this.#options;
-    const added = recorded.add(entriesOf(values)).catch(() => {});
-    await Promise.race([added, pause(MAX_RECORD_MS, { background: true })]);
+    await recordInTime(recorded, entriesOf(values));
   }
 }
