--- a/packages/router/src/mod.ts
+++ b/packages/router/src/mod.ts
@@ -29,7 +29,7 @@
   PlatformCall,
 } from "./process/platform_api.ts";
 export type {
-  RecordedVersion,
+  RecordedEntry,
   StoredVersions,
   VersionRecord,
   VersionStore,
--- a/packages/router/src/request/stream_resumption.ts
+++ b/packages/router/src/request/stream_resumption.ts
@@ -28,6 +28,8 @@
  * read, too.
  */
 const PEERS_FIRST_PROPAGATIONS = 2;
+/** Maximum share of the time for both in which only peers are asked. */
+const MAX_PEERS_FIRST_SHARE = 0.25;
 
 const SERVICE_UNAVAILABLE = 503;
 
@@ -46,9 +48,7 @@
 export type UnknownReason =
   | UnconfirmedReason
   /** The stream has the key of another one, which began elsewhere. */
-  | "several_origins"
-  /** The route has several services, or has been edited lately. */
-  | "route_changed";
+  | "several_origins";
 
 /** An origin, and how it became known. */
 export interface FoundOrigin extends StreamOrigin {
@@ -59,6 +59,12 @@
   readonly ageMs: number;
 }
 
+/** Reasons for which a later attempt, or one at another daemon, may do better. */
+const LATER_REASONS: ReadonlySet<UnknownReason> = new Set([
+  "store_unreachable",
+  "store_late",
+]);
+
 /** An origin that is not known. */
 interface UnknownOrigin {
   readonly reason: UnknownReason;
@@ -114,10 +120,9 @@
     const { reason } = origin;
     daemon.metrics.streamResumption(name, reason);
     logStreamUnknown(daemon, routed, { reason, waitedMs });
-    const linked = daemon.dataAges().peers > 0;
-    return linked && reason !== "store_unreachable"
-      ? { status: SERVICE_UNAVAILABLE, code: "stream_unknown" }
-      : unavailableRefusal("stream_unknown", daemon.random());
+    return daemon.dataAges().peers === 0 || LATER_REASONS.has(reason)
+      ? unavailableRefusal("stream_unknown", daemon.random())
+      : { status: SERVICE_UNAVAILABLE, code: "stream_unknown" };
   }
   daemon.metrics.streamResumption(name, origin.source);
   logStreamResumed(daemon, routed, { origin, waitedMs });
@@ -166,7 +171,10 @@
   const asked = linked
     ? daemon.origins.ask(stream, Math.min(askMs, maxMs))
     : Promise.resolve(undefined);
-  const aloneMs = Math.min(maxMs, PEERS_FIRST_PROPAGATIONS * propagationMs);
+  const aloneMs = Math.min(
+    MAX_PEERS_FIRST_SHARE * maxMs,
+    PEERS_FIRST_PROPAGATIONS * propagationMs,
+  );
   const early = await Promise.race([
     asked,
     pause(aloneMs, { background: true }),
@@ -192,9 +200,9 @@
 }
 
 /**
- * Returns the only origin that a stream of the route can have: the route has one
- * service, and the store confirms that this has had one version, for longer than
- * callers wait.
+ * Returns the only origin that a stream of the route can have: the store confirms
+ * that the route has led to one service, and that this has had one version, for
+ * longer than callers wait.
  */
 async function onlyOrigin(
   daemon: Daemon,
@@ -202,12 +210,12 @@
   maxMs: number,
 ): Promise<FoundOrigin | UnknownOrigin> {
   const [, ...others] = route.destinations;
-  const settled = (daemon.inForceMs() ?? 0) > route.timeoutMs;
-  if (others.length > 0 || !settled) return { reason: "route_changed" };
+  if (others.length > 0) return { reason: "several_services" };
   if (daemon.softwareVersions.isMixed(service.name, daemon.now())) {
     return { reason: "several_versions" };
   }
-  const confirmation = await daemon.confirmVersion(service.name, maxMs);
+  const possible = { route: route.name, service: service.name };
+  const confirmation = await daemon.confirmVersion(possible, maxMs);
   if (confirmation.kind === "unconfirmed") return confirmation;
   const { software, ageMs } = confirmation;
   return {
