Confirm the start of an engine at which a stream begins

Cause: the origin of a stream was the software version in the entry of its runner. At an engine that had started again under its id, with other software and before this daemon knew it, a stream was recorded under the version before.

What callers saw: such a stream, when it broke off, went on at runners of the version before.

Change: the origin is known once the engine has told the start that its entry has, when asked after the oldest of its open connections was opened: all of them lead to one process. The query is sent in the background, once while a direct connection stays open. Until the answer, and without it, the stream does not continue. Plain runners, engines whose entries have no start time and those reached through tunnels are used as before.

Tests: without the query, "a stream that begins at a runner that has started again does not continue" failed (1 continuation, 0 expected).

--- a/packages/router/src/connection/runner_connections.ts
+++ b/packages/router/src/connection/runner_connections.ts
@@ -92,6 +92,13 @@
   recordResponse(peer: string): void;
 }
 
+/** The direct connections to a runner that are open. */
+interface OpenConnections {
+  count: number;
+  /** Monotonic ms since which at least one has been open at any time. */
+  readonly since: number;
+}
+
 /** One agent for each incarnation of a runner and each kind of path to it. */
 export class RunnerConnections {
   readonly #network: RunnerNetwork;
@@ -101,6 +108,8 @@
     tunnel: new Map(),
   };
 
+  readonly #open = new Map<string, OpenConnections>();
+
   constructor(network: RunnerNetwork, tunnels: TunnelDialer) {
     this.#network = network;
     this.#tunnels = tunnels;
@@ -125,7 +134,7 @@
     }
     const agent: Agent = new RunnerAgent(
       path === "direct"
-        ? () => this.#network.connect(runner)
+        ? () => this.#dialDirect(runner)
         : () => this.#dialTunnel(runner, () => agent),
       {
         keepAlive: true,
@@ -140,6 +149,15 @@
     return agent;
   }
 
+  /**
+   * Returns the monotonic ms since which there has always been a direct connection to
+   * a runner; undefined if there is none. All of them lead to the same process, whose
+   * end closes its connections.
+   */
+  connectedSince({ id }: Runner): number | undefined {
+    return this.#open.get(id)?.since;
+  }
+
   /**
    * Closes the idle connections to a runner. A device on the network path that
    * lost the state of one connection has often lost that of the others, too.
@@ -173,6 +191,26 @@
     closeIdle(agent);
   }
 
+  #dialDirect(runner: Runner): Duplex {
+    const { id } = runner;
+    const socket = this.#network.connect(runner);
+    socket.once("connect", () => {
+      const open = this.#open.get(id) ?? { count: 0, since: performance.now() };
+      open.count += 1;
+      this.#open.set(id, open);
+      let ended = false;
+      const end = () => {
+        if (ended) return;
+        ended = true;
+        open.count -= 1;
+        if (open.count === 0) this.#open.delete(id);
+      };
+      socket.once("end", end);
+      socket.once("close", end);
+    });
+    return socket;
+  }
+
   #dialTunnel(runner: Runner, agent: () => Agent): TunnelSocket {
     const socket: TunnelSocket = new TunnelSocket(
       () => this.#tunnels.connect(runner),
--- a/packages/router/src/process/restart_detector.ts
+++ b/packages/router/src/process/restart_detector.ts
@@ -24,6 +24,14 @@
  */
 const CONFIRMATION_MS = 100;
 
+/** A query that confirmed a start. */
+interface Confirmation {
+  /** Id of the incarnation. */
+  readonly id: string;
+  /** When the query was sent, in monotonic ms. */
+  readonly askedAt: number;
+}
+
 /**
  * Queries a runner's start time after a connection to it has broken. Its new
  * entry may arrive only seconds later. While the store is down or unreachable
@@ -44,6 +52,8 @@
   readonly #active = new Set<string>();
   /** Confirmations in progress and recent ones, by the id of the runner. */
   readonly #confirmations = new Map<string, Promise<boolean>>();
+  /** When the last query was sent that confirmed a start, by the runner's name. */
+  readonly #confirmedAt = new Map<string, Confirmation>();
 
   constructor(
     cache: EngineCache,
@@ -95,6 +105,13 @@
     ]);
   }
 
+  /** Whether a runner has confirmed its start when asked at a time or later. */
+  isConfirmedSince({ id, name, startedAtMs }: Runner, since: number): boolean {
+    if (startedAtMs === undefined) return true;
+    const confirmation = this.#confirmedAt.get(name);
+    return confirmation?.id === id && confirmation.askedAt >= since;
+  }
+
   #confirmation(runner: Runner): Promise<boolean> {
     const { id } = runner;
     const known = this.#confirmations.get(id);
@@ -109,8 +126,21 @@
 
   async #askStart(runner: Runner): Promise<boolean> {
     if (!this.#mayQuery(runner)) return false;
+    const askedAt = performance.now();
     const answer = await this.#query(runner);
-    return answer?.startedAtMs === runner.startedAtMs;
+    if (answer?.startedAtMs !== runner.startedAtMs) return false;
+    this.#forgetUnlisted();
+    this.#confirmedAt.set(runner.name, { id: runner.id, askedAt });
+    return true;
+  }
+
+  #forgetUnlisted(): void {
+    const { runners } = this.#directory.list;
+    if (this.#confirmedAt.size <= 2 * runners.length) return;
+    const names = new Set(runners.map(({ name }) => name));
+    for (const name of [...this.#confirmedAt.keys()]) {
+      if (!names.has(name)) this.#confirmedAt.delete(name);
+    }
   }
 
   #isListed(runner: Runner): boolean {
--- a/packages/router/src/request/attempt_executor.ts
+++ b/packages/router/src/request/attempt_executor.ts
@@ -9,6 +9,7 @@
 import type { Runner } from "../process/runner.ts";
 import type { Path } from "../process/runner_paths.ts";
 import { mayContinue, originAt } from "../process/stream_origin.ts";
+import type { StreamOrigin } from "../process/stream_origin.ts";
 import type { Service } from "../version/configuration.ts";
 import { ResponseRelay } from "./response_relay.ts";
 import type {
@@ -353,7 +354,29 @@
 
   /** Records where the stream began, for this request and for later ones. */
   #recordOrigin(routed: RoutedRequest, runner: Runner): void {
-    const origin = this.#progress.origin ??= originAt(runner);
+    if (this.#progress.origin !== undefined) {
+      return this.#publishOrigin(routed, this.#progress.origin);
+    }
+    const origin = originAt(runner);
+    const isListed = this.#daemon.isListedStart(runner);
+    if (isListed === true) {
+      this.#progress.origin = origin;
+      return this.#publishOrigin(routed, origin);
+    }
+    // Unknown until the runner has answered.
+    this.#progress.origin = { ...origin, software: undefined };
+    let ended = false;
+    this.#endStream = () => void (ended = true);
+    void isListed.then((confirmed) => {
+      if (!confirmed) return;
+      const hasEnded = ended;
+      this.#progress.origin = origin;
+      this.#publishOrigin(routed, origin);
+      if (hasEnded) this.#endStream();
+    });
+  }
+
+  #publishOrigin(routed: RoutedRequest, origin: StreamOrigin): void {
     if (routed.route.repetition !== "resumable") return;
     this.#endStream();
     this.#endStream = this.#daemon.origins.begin(
--- a/packages/router/src/request/daemon.ts
+++ b/packages/router/src/request/daemon.ts
@@ -122,6 +122,11 @@
    * far as it tells within `maxMs`. It may have come back with other software.
    */
   confirmStart(runner: Runner, maxMs: number): Promise<boolean>;
+  /**
+   * Returns whether the process that a runner's connections lead to is the one that
+   * its entry tells of; a promise if the runner has to be asked.
+   */
+  isListedStart(runner: Runner): true | Promise<boolean>;
   /** Whether a runner's address refuses connections. */
   hasCrashed(runner: Runner): Promise<boolean>;
   /** Returns how fast the runners of a service do their work. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -40,6 +40,7 @@
 import { PlainCapacity } from "./process/plain_capacity.ts";
 import { PerService } from "./process/per_service.ts";
 import { PrefixIndex } from "./process/prefix_index.ts";
+import { pause } from "./process/pause.ts";
 import { RestartDetector } from "./process/restart_detector.ts";
 import { RetryBudget } from "./process/retry_budget.ts";
 import { RunnerDirectory } from "./process/runner_directory.ts";
@@ -89,6 +90,13 @@
 
 /** Interval in ms at which waiting requests check for free capacity. */
 const CAPACITY_CHECK_MS = 20;
+/**
+ * Maximum time in ms, number and interval in ms of the queries that find out whether
+ * the runner at which a stream has begun is the one that its entry tells of.
+ */
+const START_QUERY_MS = 300;
+const START_QUERIES = 2;
+const START_QUERY_INTERVAL_MS = 150;
 /**
  * The same for plain services. A slot that works 43 ms on a request is released
  * every 43 ms, and is idle until a request that waits sees it.
@@ -445,11 +453,43 @@
   }
 
   async confirmStart(runner: Runner, maxMs: number): Promise<boolean> {
-    const service = this.#routingTable?.service(runner.service);
-    if (service?.engine === undefined) return true;
+    if (!this.#tellsStart(runner)) return true;
     return await this.#restartDetector.confirm(runner, maxMs);
   }
 
+  /** Whether a runner can be asked for its start: engines report theirs. */
+  #tellsStart({ service, startedAtMs }: Runner): boolean {
+    return startedAtMs !== undefined &&
+      this.#routingTable?.service(service)?.engine !== undefined;
+  }
+
+  isListedStart(runner: Runner): true | Promise<boolean> {
+    if (!this.#tellsStart(runner)) return true;
+    if (this.paths.pathTo(runner) === "tunnel") return true;
+    const since = this.connections.connectedSince(runner);
+    const isKnown = since !== undefined &&
+      this.#restartDetector.isConfirmedSince(runner, since);
+    if (isKnown) return true;
+    return this.#confirmConnected(runner, since);
+  }
+
+  /** Whether a runner confirms its start while connections to it stay open. */
+  async #confirmConnected(
+    runner: Runner,
+    since: number | undefined,
+  ): Promise<boolean> {
+    for (let query = 0; query < START_QUERIES; query++) {
+      if (!await this.confirmStart(runner, START_QUERY_MS)) return false;
+      if (this.connections.connectedSince(runner) !== since) return false;
+      const isRecent = since === undefined ||
+        this.#restartDetector.isConfirmedSince(runner, since);
+      if (isRecent) return true;
+      // The query had been sent before the connection was open.
+      await pause(START_QUERY_INTERVAL_MS, { background: true });
+    }
+    return false;
+  }
+
   hasCrashed(runner: Runner): Promise<boolean> {
     return this.#crashDetector.hasCrashed(runner);
   }
--- a/packages/router/tests/restarted_runner_test.ts
+++ b/packages/router/tests/restarted_runner_test.ts
@@ -21,6 +21,8 @@
 };
 const LISTED_START = 1_000;
 const TIMEOUT_MS = 8_000;
+/** Time in ms after which a stream breaks off; a daemon asks a runner in less. */
+const BREAK_MS = 100;
 
 /** What a runner answers when it is asked for its start. */
 type Answer = () => Promise<number | undefined>;
@@ -42,7 +44,8 @@
       startFakeRunner(t, `r-${index}`, (socket, request, id) => {
         if (!/last-event-id: 1/i.test(request)) {
           const first = streamHead(id) + encodeChunk("id: 1\ndata: a\n\n");
-          return void socket.write(first, () => socket.destroy());
+          socket.write(first);
+          return void setTimeout(() => socket.destroy(), BREAK_MS);
         }
         continued += 1;
         const second = encodeChunk("id: 2\ndata: b\n\n") + encodeChunk("");
@@ -93,6 +96,16 @@
   });
 }
 
+// Guards against a stream that began at new software under an old entry, and goes on at
+// a runner of the old one.
+for (const answers of [[RESTARTED, SAME], [SAME, RESTARTED]]) {
+  test("a stream that begins at a runner that has started again does not continue", async (t) => {
+    const { response, continued } = await breakStream(t, answers);
+    assert.equal(continued, 0);
+    assert.equal(response.truncated, true);
+  });
+}
+
 test("a stream continues at a runner that has not started again", async (t) => {
   const { response, continued, asked } = await breakStream(t, [SAME, SAME]);
   assert.equal(response.truncated, false);
