Take impossible numbers of the store for failures of the store

Cause: an epoch above 32,767 or a revision of 2^38 made storeRevision throw an error that is no FeedError; the loop that keeps the record of versions passed it on, as a rejection that nothing awaits, and the process ended with status 70. What callers saw: daemons that end again and again for one odd response.

--- a/packages/router/src/connection/version_sync.ts
+++ b/packages/router/src/connection/version_sync.ts
@@ -11,7 +11,6 @@
 } from "../process/confirmed_versions.ts";
 import type { DaemonRegistry } from "../process/daemon_registry.ts";
 import type { EventLog } from "../process/event_log.ts";
-import { FeedError } from "../process/feed.ts";
 import type { Feed } from "../process/feed.ts";
 import { readListed } from "../process/listed_versions.ts";
 import { pause } from "../process/pause.ts";
@@ -162,8 +161,9 @@
       await recorded.add(this.#entries);
       if (records) await recorded.maintain();
     } catch (error) {
-      if (!(error instanceof FeedError)) throw error;
-      log.event("versions_not_recorded", { reason: error.message });
+      // Also of a response that cannot be: the next check reads the record again.
+      const reason = error instanceof Error ? error.message : String(error);
+      log.event("versions_not_recorded", { reason });
     }
   }
 
--- a/packages/router/src/mod.ts
+++ b/packages/router/src/mod.ts
@@ -45,7 +45,13 @@
   RunnerStatements,
   StatementListener,
 } from "./process/runner_statements.ts";
-export { counterOf, epochOf, storeRevision } from "./process/store_revision.ts";
+export {
+  counterOf,
+  epochOf,
+  isStoreCounter,
+  isStoreEpoch,
+  storeRevision,
+} from "./process/store_revision.ts";
 export type { Scaling } from "./process/scaling.ts";
 export { runnerId } from "./process/runner.ts";
 export type { Runner } from "./process/runner.ts";
--- a/packages/router/src/process/store_revision.ts
+++ b/packages/router/src/process/store_revision.ts
@@ -29,15 +29,25 @@
  * @throws {RangeError} when the epoch or the counter is out of range.
  */
 export function storeRevision(epoch: number, counter: number): number {
-  if (!isIntegerUpTo(epoch, MAX_EPOCH)) {
+  if (!isStoreEpoch(epoch)) {
     throw new RangeError(`Store epoch ${epoch} is not in 0 to ${MAX_EPOCH}`);
   }
-  if (!isIntegerUpTo(counter, COUNTERS - 1)) {
+  if (!isStoreCounter(counter)) {
     throw new RangeError(`Store revision ${counter} is not in 0 to 2^38 - 1`);
   }
   return epoch * COUNTERS + counter;
 }
 
+/** Whether a value can be the store's own revision in an epoch. */
+export function isStoreCounter(value: unknown): value is number {
+  return isIntegerUpTo(value, COUNTERS - 1);
+}
+
+/** Whether a value can be an epoch of the store. */
+export function isStoreEpoch(value: unknown): value is number {
+  return isIntegerUpTo(value, MAX_EPOCH);
+}
+
 /** The epoch of a revision. */
 export function epochOf(revision: number): number {
   return Math.floor(revision / COUNTERS);
@@ -57,6 +67,6 @@
   return storeRevision(epoch, counterOf(revision));
 }
 
-function isIntegerUpTo(value: number, max: number): boolean {
-  return Number.isInteger(value) && value >= 0 && value <= max;
+function isIntegerUpTo(value: unknown, max: number): value is number {
+  return Number.isInteger(value) && Number(value) >= 0 && Number(value) <= max;
 }
