Pause between lists of a store that keeps no history

Evidence: feed_test.ts, "history that expires each time is not listed without pauses"; on the code before, the test does not end.

--- a/packages/router/src/process/feed.ts
+++ b/packages/router/src/process/feed.ts
@@ -133,6 +133,8 @@
   #failedAt = -Infinity;
   #lostAt: number | undefined;
   #backoffMs = INITIAL_BACKOFF_MS;
+  /** Lists in a row whose watch expired at once. */
+  #expiries = 0;
   /** Aborts the current watch, if there is one. */
   #watchAbort: AbortController | undefined;
 
@@ -225,6 +227,7 @@
     }
     const changes = await this.#watch(this.#revision);
     if (changes === undefined) return false;
+    this.#expiries = 0;
     const changed = changes.revision > this.#revision;
     if (changed) {
       this.#sink.changed(changes);
@@ -302,12 +305,24 @@
     const expired = error instanceof FeedError && error.kind === "expired";
     if (expired) {
       this.#revision = undefined;
+      await this.#pauseAfterExpiry();
       return;
     }
     const reason = error instanceof FeedError ? error.message : String(error);
     await this.#backOff(reason);
   }
 
+  /**
+   * Waits unless a watch has succeeded since the last expiry. A store that drops its
+   * history at once would otherwise be called without a pause.
+   */
+  async #pauseAfterExpiry(): Promise<void> {
+    const doublings = this.#expiries;
+    this.#expiries += 1;
+    if (doublings === 0) return;
+    await pause(Math.min(INITIAL_BACKOFF_MS * 2 ** doublings, MAX_BACKOFF_MS));
+  }
+
   /**
    * Waits, after which all objects are listed again. If a watch continued at the
    * old revision, it could miss changes when the store has dropped its history
--- a/packages/router/src/process/feed_test.ts
+++ b/packages/router/src/process/feed_test.ts
@@ -255,3 +255,26 @@
   const calls = await followFrom(70, [{ revision: 60, values: [] }]);
   assert.deepEqual(calls, ["stale list", "watch 60"]);
 });
+
+// Guards against thousands of calls a second to a store that keeps no history.
+test("history that expires each time is not listed without pauses", async (t) => {
+  t.mock.timers.enable({ apis: ["setTimeout"] });
+  let lists = 0;
+  const feed: Feed<string> = {
+    list() {
+      lists += 1;
+      return Promise.resolve({ revision: 3, values: [] });
+    },
+    watch: () => Promise.reject(new FeedError("expired", "gone")),
+  };
+  const follower = new FeedFollower(feed, { listed() {}, changed() {} }, {
+    connectivity: IGNORED,
+    timing: ALWAYS_READ,
+  });
+  void follower.run();
+  for (let turn = 0; turn < 100; turn++) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  follower.stop();
+  assert.equal(lists, 2);
+});
