Ask a limited runner for its start, and let callers of unconfirmed runners return

And a stream whose runners did not confirm was refused as if its version had left, without Retry-After. Change: the query is counted at the runner but not refused; what begins in the background still keeps to the limit. Unconfirmed runners count as runners that are there.

--- a/packages/router/src/process/restart_detector.ts
+++ b/packages/router/src/process/restart_detector.ts
@@ -47,6 +47,7 @@
   readonly #directory: RunnerDirectory;
   readonly #log: EventLog;
   readonly #mayQuery: (runner: Runner) => boolean;
+  readonly #recordQuery: (runner: Runner) => void;
   readonly #recordStatements: StatementListener;
   /** Ids of runners with a check in progress. */
   readonly #active = new Set<string>();
@@ -64,11 +65,14 @@
        * Whether the runner's rate limit allows a query now; counts it if so.
        */
       readonly mayQuery: (runner: Runner) => boolean;
+      /** Counts a query for a request that the runner's rate limit has allowed. */
+      readonly recordQuery: (runner: Runner) => void;
       readonly recordStatements: StatementListener;
     },
   ) {
     this.#cache = cache;
     this.#mayQuery = options.mayQuery;
+    this.#recordQuery = options.recordQuery;
     this.#recordStatements = options.recordStatements;
     this.#directory = options.directory;
     this.#log = options.log;
@@ -96,6 +100,7 @@
   /**
    * Returns whether a runner confirms within `maxMs` that it has not started again
    * since its entry was written. A runner whose entry has no start time cannot tell.
+   * The query is counted, but not subject to the runner's rate limit.
    */
   async confirm(runner: Runner, maxMs: number): Promise<boolean> {
     if (runner.startedAtMs === undefined) return true;
@@ -125,7 +130,7 @@
   }
 
   async #askStart(runner: Runner): Promise<boolean> {
-    if (!this.#mayQuery(runner)) return false;
+    this.#recordQuery(runner);
     const askedAt = performance.now();
     const answer = await this.#query(runner);
     if (answer?.startedAtMs !== runner.startedAtMs) return false;
--- a/packages/router/src/request/local_outcomes.ts
+++ b/packages/router/src/request/local_outcomes.ts
@@ -42,8 +42,10 @@
    * if the runners of a stream's software version are gone.
    */
   noRunner(): Outcome {
-    const { origin, mayHaveRun, triedRunners } = this.#progress;
-    const gone = origin !== undefined && triedRunners.size === 0;
+    const { origin, mayHaveRun, triedRunners, unconfirmedRunners } =
+      this.#progress;
+    const gone = origin !== undefined &&
+      triedRunners.size + unconfirmedRunners.size === 0;
     if (!gone || mayHaveRun) return this.refusal("no_runner");
     const refusal = { status: 503, code: "version_unavailable" };
     return { kind: "refused", refusal };
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -362,6 +362,7 @@
       directory: this.#directory,
       log,
       mayQuery,
+      recordQuery: ({ id }) => this.restrictions.recordRequest(id, this.now()),
       recordStatements,
     });
     this.#crashDetector = new CrashDetector({
@@ -504,6 +505,7 @@
     since: number | undefined,
   ): Promise<boolean> {
     for (let query = 0; query < START_QUERIES; query++) {
+      if (!this.restrictions.allowRequest(runner.id, this.now())) return false;
       if (!await this.confirmStart(runner, START_QUERY_MS)) return false;
       if (this.connections.connectedSince(runner) !== since) return false;
       const isRecent = since === undefined ||
