Keep what left lately in a record that was lost, and call it incomplete

Cause: after a restore of the store, or when another program overwrote or deleted the record, only what was listed at that moment was added again, and a daemon that had watched for a minute called the record complete at its next check. A version that had left a moment before was missing: a daemon that started then inferred the only version wrongly. A destination of weight 0 counted as a second service. Change: all entries of the retention time are added again, the record is incomplete, and the retention time begins anew. Destinations of weight 0 are left out.

--- a/packages/router/src/process/recorded_versions.ts
+++ b/packages/router/src/process/recorded_versions.ts
@@ -44,6 +44,12 @@
   readonly isFirst: () => Promise<boolean>;
 }
 
+/** An entry and when it was last listed, in monotonic ms. */
+interface RecentEntry {
+  readonly entry: RecordedEntry;
+  readonly at: number;
+}
+
 type Change = (record: VersionRecord) => VersionRecord;
 
 /**
@@ -68,8 +74,10 @@
   /** Entries that the record may lack, by their keys. */
   readonly #pending = new Map<string, RecordedEntry>();
   #listed: ReadonlySet<string> = new Set();
-  /** When entries were last listed, in monotonic ms, by their keys. */
-  readonly #listedAt = new Map<string, number>();
+  /** Entries that were listed within the retention time, by their keys. */
+  readonly #recent = new Map<string, RecentEntry>();
+  /** Whether the record has lost entries and must not count as complete. */
+  #isDamaged = false;
   /** Since when all changes of the lists have been known here, in monotonic ms. */
   #knownSince: number;
 
@@ -110,8 +118,12 @@
   observe(entries: Entries): void {
     const now = this.#options.now();
     const listed = new Set(entries.keys());
-    for (const key of [...this.#listed, ...listed]) {
-      this.#listedAt.set(key, now);
+    for (const key of this.#listed) {
+      const recent = this.#recent.get(key);
+      if (recent !== undefined) this.#recent.set(key, { ...recent, at: now });
+    }
+    for (const [key, entry] of entries) {
+      this.#recent.set(key, { entry, at: now });
     }
     for (const key of this.#added) {
       if (!listed.has(key)) this.#added.delete(key);
@@ -127,7 +139,18 @@
     if (this.#stored === undefined) return;
     if (epochOf(this.#stored.revision) >= epoch) return;
     this.#stored = undefined;
+    this.#addAgain();
+  }
+
+  /**
+   * Has all recent entries added again, also those that have left: the record may
+   * have lost them, and is complete only after the retention time.
+   */
+  #addAgain(): void {
     this.#added.clear();
+    this.#isDamaged = true;
+    this.interrupted();
+    for (const [key, { entry }] of this.#recent) this.#pending.set(key, entry);
   }
 
   /** Records that this daemon may have missed changes of the lists until now. */
@@ -144,8 +167,8 @@
     const lastBefore = now() - retentionMs();
     if (this.#stored?.record === undefined || this.isPending) return;
     if (this.#knownSince > lastBefore) return;
-    for (const [key, at] of this.#listedAt) {
-      if (at <= lastBefore) this.#listedAt.delete(key);
+    for (const [key, { at }] of this.#recent) {
+      if (at <= lastBefore) this.#recent.delete(key);
     }
     const { record, revision } = this.#stored;
     const completeIn = epochOf(revision);
@@ -159,13 +182,20 @@
       );
     }
     const left = record.entries.map(entryKey)
-      .filter((key) => !this.#listedAt.has(key) && !this.#listed.has(key));
+      .filter((key) => !this.#recent.has(key) && !this.#listed.has(key));
     if (left.length > 0) await this.#remove(new Set(left));
   }
 
   async #addPending(): Promise<void> {
     const pending = new Map(this.#pending);
-    await this.#update("added", (record) => withListed(record, pending));
+    await this.#update("added", (record) => {
+      const listed = withListed(record, pending);
+      const isComplete = listed.completeIn === epochOf(this.#stored!.revision);
+      return this.#isDamaged && isComplete
+        ? { ...listed, completeIn: undefined }
+        : listed;
+    });
+    this.#isDamaged = false;
     for (const key of pending.keys()) {
       this.#pending.delete(key);
       this.#added.add(key);
@@ -224,7 +254,15 @@
 
   #setStored(stored: StoredVersions): void {
     this.restored(epochOf(stored.revision));
+    if (this.#lacksAdded(stored.record)) this.#addAgain();
     this.#hadRecord ||= stored.record !== undefined;
     this.#stored = stored;
   }
+
+  /** Whether a record lacks what was added, as after a write of another program. */
+  #lacksAdded(record: VersionRecord | undefined): boolean {
+    if (record === undefined) return this.#hadRecord && this.#added.size > 0;
+    const keys = new Set(record.entries.map(entryKey));
+    return [...this.#added].some((key) => !keys.has(key));
+  }
 }
--- a/packages/router/src/process/recorded_versions_test.ts
+++ b/packages/router/src/process/recorded_versions_test.ts
@@ -174,6 +174,50 @@
   assert.equal(fixture.store.stored.record?.completeIn, 0);
 });
 
+// Guards against a restored record that is called complete without a version that has
+// left since the copy.
+test("a version that left before a restore stays in the record for the retention time", async () => {
+  const fixture = new Fixture();
+  const daemon = fixture.daemon();
+  await fixture.list([V1], daemon);
+  const copy = fixture.store.stored;
+  fixture.now = 2 * RETENTION_MS;
+  await fixture.list([V1, V2], daemon);
+  await fixture.list([V1], daemon);
+  fixture.store.restore(copy);
+  daemon.restored(1);
+  await fixture.list([V1], daemon);
+  fixture.now += RETENTION_MS - 1;
+  await daemon.maintain();
+  assert.deepEqual(fixture.versions, ["v1", "v2"]);
+  assert.notEqual(fixture.store.stored.record?.completeIn, 1);
+});
+
+// Guards against a record of another program, or none, that stays as it is.
+for (
+  const [name, record] of Object.entries({
+    "is overwritten": { completeIn: 0, entries: [] },
+    "is deleted": undefined,
+  })
+) {
+  test(`a record that ${name} is written again, and complete after the retention time`, async () => {
+    const fixture = new Fixture();
+    const daemon = fixture.daemon();
+    await fixture.list([V1, V2], daemon);
+    fixture.now = 2 * RETENTION_MS;
+    await fixture.list([V1], daemon);
+    fixture.store.stored = { revision: 9, record };
+    await daemon.read();
+    await fixture.list([V1], daemon);
+    await daemon.maintain();
+    assert.deepEqual(fixture.versions, ["v1", "v2"]);
+    assert.equal(fixture.store.stored.record?.completeIn, undefined);
+    fixture.now += RETENTION_MS;
+    await daemon.maintain();
+    assert.equal(fixture.store.stored.record?.completeIn, 0);
+  });
+}
+
 // Guards against a restore to the time before the first record.
 test("a record that a restored store has lost is not complete when it is written again", async () => {
   const fixture = new Fixture();
--- a/packages/router/src/process/version_record.ts
+++ b/packages/router/src/process/version_record.ts
@@ -10,7 +10,10 @@
 /** A route, as far as it is recorded. */
 export interface RecordedRoute {
   readonly name: string;
-  readonly destinations: readonly { readonly service: string }[];
+  readonly destinations: readonly {
+    readonly service: string;
+    readonly weight: number;
+  }[];
 }
 
 /** Maximum length of a version in the record; a longer one is recorded by a hash. */
@@ -110,7 +113,7 @@
 export function destinationsOf(routes: readonly RecordedRoute[]): Entries {
   return byKey(
     routes.flatMap(({ name, destinations }) =>
-      destinations.map(({ service }) => ({
+      destinations.filter(({ weight }) => weight > 0).map(({ service }) => ({
         subject: "route",
         name,
         value: service,
--- a/packages/router/src/request/stream_resumption.ts
+++ b/packages/router/src/request/stream_resumption.ts
@@ -209,7 +209,7 @@
   { route, service }: RoutedRequest,
   maxMs: number,
 ): Promise<FoundOrigin | UnknownOrigin> {
-  const [, ...others] = route.destinations;
+  const [, ...others] = route.destinations.filter(({ weight }) => weight > 0);
   if (others.length > 0) return { reason: "several_services" };
   if (daemon.softwareVersions.isMixed(service.name, daemon.now())) {
     return { reason: "several_versions" };
