--- a/packages/testing/src/mod.ts
+++ b/packages/testing/src/mod.ts
@@ -24,6 +24,10 @@
   Sender,
   Traffic,
 } from "./process/deployment.ts";
+export { ClientCrowd } from "./process/client_crowd.ts";
+export type { CrowdOptions } from "./process/client_crowd.ts";
+export { openBody, repeated, requestHead } from "./process/crowd_shapes.ts";
+export { openDescriptors, peakMemoryMb } from "./process/process_use.ts";
 export { FaultProxy } from "./process/fault_proxy.ts";
 export type { PartitionKind } from "./process/fault_proxy.ts";
 export type { ProxyFault } from "./process/fault_proxy.ts";
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -20,11 +20,16 @@
 /** Test files at a time: a file that has to share a core misses its times. */
 const CONCURRENCY = Math.min(4, availableParallelism());
 /**
- * Files that run after the others, one at a time. Their daemons, runners and callers
- * share a process that uses 0.8 of a core: beside other files, 0.81 of what slots
- * can serve was served in CI instead of 0.95.
+ * Files that run after the others, one at a time. The daemons, runners and callers of
+ * plain_queue_test share a process that uses 0.8 of a core: beside other files, 0.81 of
+ * what slots can serve was served in CI instead of 0.95. The crowds of clients fill
+ * what their processes may hold.
  */
-const ALONE = ["packages/router/tests/plain_queue_test.ts"];
+const ALONE = [
+  "packages/router/tests/plain_queue_test.ts",
+  "packages/testing/tests/daemon_crowds_test.ts",
+  "platform/tests/client_crowds_test.ts",
+];
 /**
  * Time-out of one test file, in ms. The slowest takes 45 s, and 100 s on a busy
  * machine. A file that hangs fails with its name instead of blocking CI.
