--- a/packages/router/src/process/buffer_budget.ts
+++ b/packages/router/src/process/buffer_budget.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import { ArrivingBodies } from "./arriving_bodies.ts";
+
 const BYTES_PER_MB = 1024 * 1024;
 /**
  * Share of the total that request bodies may use, and that answers may use, so
@@ -111,6 +113,8 @@
 export interface CountedBody {
   readonly caller: object;
   bytes: number;
+  /** Ends the request while its body arrives; the body no longer counts. */
+  readonly end: () => void;
 }
 
 /** An answer that is counted. */
@@ -173,6 +177,7 @@
 export class BufferBudget {
   readonly #limits: BufferLimits;
   readonly #byCaller = new WeakMap<object, number>();
+  readonly #arriving = new ArrivingBodies<CountedBody>();
   readonly #answers = new Set<CountedAnswer>();
   /** Answers that wait for room, in the order in which they began to wait. */
   readonly #waiting = new Set<CountedAnswer>();
@@ -187,31 +192,59 @@
     return { bodies: this.#bodyBytes, answers: this.#answerBytes };
   }
 
-  /** Begins to count the body of a request. */
-  openBody(caller: object): CountedBody {
-    return { caller, bytes: 0 };
+  /**
+   * Begins to count the body of a request.
+   *
+   * @param end ends the request, if its body hardly arrives and others need the room.
+   */
+  openBody(caller: object, end: () => void = () => {}): CountedBody {
+    return { caller, bytes: 0, end };
   }
 
   /**
-   * Counts a body up to a size.
+   * Counts a body up to a size. Where there is no room, those end that hardly arrive.
    *
    * @returns false if it does not fit, and is not counted.
    */
-  reserve(body: CountedBody, size: number): boolean {
+  reserve(
+    body: CountedBody,
+    size: number,
+    { now, arrived = size }: {
+      readonly now: number;
+      /** Bytes that have arrived; all by default. */
+      readonly arrived?: number;
+    },
+  ): boolean {
+    this.#arriving.record(body, arrived, now);
     const bytes = size - body.bytes;
     if (bytes <= 0) return true;
-    const { totalBytes, callerBytes } = this.#limits;
-    const fits = this.#bytesOf(body.caller) + bytes <= callerBytes &&
-      this.#bodyBytes + bytes <= KIND_SHARE * totalBytes &&
-      this.#totalBytes + bytes <= totalBytes;
-    if (!fits) return false;
+    while (!this.#bodyFits(body, bytes)) {
+      const stalled = this.#arriving.stalled(now);
+      if (stalled === undefined) return false;
+      this.release(stalled, now);
+      stalled.end();
+    }
     body.bytes = size;
     this.#bodyBytes += bytes;
     this.#addTo(body.caller, bytes);
     return true;
   }
 
+  /** Whether a body may grow by some bytes. */
+  #bodyFits({ caller }: CountedBody, bytes: number): boolean {
+    const { totalBytes, callerBytes } = this.#limits;
+    return this.#bytesOf(caller) + bytes <= callerBytes &&
+      this.#bodyBytes + bytes <= KIND_SHARE * totalBytes &&
+      this.#totalBytes + bytes <= totalBytes;
+  }
+
+  /** Notes that a body has arrived; it is counted until it is released. */
+  bodyArrived(body: CountedBody): void {
+    this.#arriving.delete(body);
+  }
+
   release(body: CountedBody, now: number): void {
+    this.#arriving.delete(body);
     if (body.bytes === 0) return;
     this.#bodyBytes -= body.bytes;
     this.#addTo(body.caller, -body.bytes);
--- a/packages/router/src/process/buffer_budget_test.ts
+++ b/packages/router/src/process/buffer_budget_test.ts
@@ -5,7 +5,7 @@
   bufferLimits,
   defaultBufferMb,
 } from "./buffer_budget.ts";
-import type { AnswerCut, CountedAnswer } from "./buffer_budget.ts";
+import type { AnswerCut, CountedAnswer, CountedBody } from "./buffer_budget.ts";
 
 const MB = 1024 * 1024;
 const CHUNK = 64 * 1024;
@@ -110,13 +110,15 @@
   const stalled = [new Reader(budget), new Reader(budget)];
   for (const reader of stalled) reader.step(6 * MB, 0, 0);
   const body = budget.openBody({});
-  assert.equal(budget.reserve(body, 4 * MB), true);
-  assert.equal(budget.reserve(budget.openBody({}), 1), false);
+  assert.equal(budget.reserve(body, 4 * MB, { now: 0 }), true);
+  assert.equal(budget.reserve(budget.openBody({}), 1, { now: 0 }), false);
   budget.release(body, 1);
   assert.deepEqual(budget.buffered, { bodies: 0, answers: 12 * MB });
   for (const { answer } of stalled) budget.close(answer, 1);
   const bodies = [1, 2, 3].map(() => budget.openBody({}));
-  const fits = bodies.map((counted) => budget.reserve(counted, 6 * MB));
+  const fits = bodies.map((counted) =>
+    budget.reserve(counted, 6 * MB, { now: 0 })
+  );
   assert.deepEqual(fits, [true, true, false]);
 });
 
@@ -127,3 +129,24 @@
   assert.deepEqual(sizes(true), [16, 8, 12.5, 16, 16]);
   assert.deepEqual(sizes(false), [32, 16, 18.75, 26.25, 32]);
 });
+
+// Guards against bodies without an end that keep those of other callers out.
+test("bodies that hardly arrive make room for others, the largest first", () => {
+  const budget = new BufferBudget(bufferLimits(16));
+  const ended: string[] = [];
+  const open = (name: string) => budget.openBody({}, () => ended.push(name));
+  const [small, large, steady, whole] = ["small", "large", "steady", "whole"]
+    .map(open) as [CountedBody, CountedBody, CountedBody, CountedBody];
+  assert.ok(budget.reserve(small, 2 * MB, { now: 0 }));
+  assert.ok(budget.reserve(large, 5 * MB, { now: 0 }));
+  assert.ok(budget.reserve(steady, 2 * MB, { now: 0 }));
+  assert.ok(budget.reserve(whole, 2 * MB, { now: 0 }));
+  budget.bodyArrived(whole);
+  assert.ok(budget.reserve(steady, 3 * MB, { now: 900 }));
+  const other = open("other");
+  assert.equal(budget.reserve(other, 4 * MB, { now: 950 }), false);
+  assert.deepEqual(ended, []);
+  assert.ok(budget.reserve(other, 4 * MB, { now: 1_100 }));
+  assert.deepEqual(ended, ["large"]);
+  assert.equal(budget.buffered.bodies, 11 * MB);
+});
--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Buffer } from "node:buffer";
+import type { CountedBody } from "../process/buffer_budget.ts";
 import type { Quarantine } from "../process/crash_record.ts";
 import type { Fields } from "../process/log_line.ts";
 import { timerDelay } from "../process/timer_delay.ts";
@@ -126,6 +127,11 @@
     this.#caller.refuse({ status: 408, code: "body_timeout", close: true });
   }
 
+  /** Ends the request while its body hardly arrives; others need the room. */
+  #refuseStalledBody(): void {
+    this.#caller.refuse({ status: 408, code: "body_stalled", close: true });
+  }
+
   /** Finds the place that the request had when it was refused before. */
   #findPlace(routed: RoutedRequest): void {
     if (!this.#daemon.scheduling.isAdaptive(routed.service.name)) return;
@@ -140,30 +146,32 @@
 
   async #serve(routed: RoutedRequest): Promise<Outcome> {
     const { buffers } = this.#daemon;
-    const body = buffers.openBody(this.#caller.request.socket);
+    const body = buffers.openBody(
+      this.#caller.request.socket,
+      () => this.#refuseStalledBody(),
+    );
     try {
-      return await this.#receive(routed, (size) => buffers.reserve(body, size));
+      return await this.#receive(routed, body);
     } finally {
       buffers.release(body, this.#daemon.now());
     }
   }
 
-  /**
-   * Receives the body of the request, and serves it.
-   *
-   * @param reserve returns whether there is room for a body of this size.
-   */
+  /** Receives the body of the request, and serves it. */
   async #receive(
     routed: RoutedRequest,
-    reserve: (size: number) => boolean,
+    counted: CountedBody,
   ): Promise<Outcome> {
+    const { buffers } = this.#daemon;
     const limits = this.#daemon.routingTable()!.limits;
     this.#receivingBody = true;
     const received = await readBody(this.#caller.request, {
       maxBytes: limits.maxBodyBytes,
-      reserve,
+      reserve: (size, arrived) =>
+        buffers.reserve(counted, size, { now: this.#daemon.now(), arrived }),
     });
     this.#receivingBody = false;
+    buffers.bodyArrived(counted);
     if (received.kind === "broken") return { kind: "left" };
     if (received.kind === "no-room") {
       logBodyRefused(this.#daemon, routed, this.#caller.request);
--- a/packages/router/src/request/read_body.ts
+++ b/packages/router/src/request/read_body.ts
@@ -3,8 +3,9 @@
  *
  * @module
  */
-import { Buffer } from "node:buffer";
+import type { Buffer } from "node:buffer";
 import type { IncomingMessage } from "node:http";
+import { BodyBlocks } from "./body_blocks.ts";
 
 /** A complete body, or why there is none. */
 export type BodyResult =
@@ -18,19 +19,19 @@
   | { readonly kind: "no-room" }
   | { readonly kind: "broken"; readonly reason: string };
 
-/** The chunks of a complete body, or why there is none. */
-export type ChunksResult =
-  | { readonly kind: "complete"; readonly chunks: readonly Buffer[] }
+/** The bytes of a complete body, or why there is none. */
+export type BlocksResult =
+  | { readonly kind: "complete"; readonly blocks: BodyBlocks }
   | IncompleteBody;
 
 /** Limits of a body. */
 export interface BodyLimits {
   readonly maxBytes: number;
   /**
-   * Called with the size that the body has or states; returns false if there is no
-   * room for it.
+   * Called with the bytes that the body takes or states, and those that have arrived;
+   * returns false if there is no room for it.
    */
-  readonly reserve?: ((size: number) => boolean) | undefined;
+  readonly reserve?: ((size: number, arrived: number) => boolean) | undefined;
 }
 
 /** Returns the size that a message states for its body, if it states one. */
@@ -44,35 +45,40 @@
   incoming: IncomingMessage,
   limits: BodyLimits,
 ): Promise<BodyResult> {
-  const received = await readChunks(incoming, limits);
+  const received = await readBlocks(incoming, limits);
   if (received.kind !== "complete") return received;
-  const { chunks } = received;
-  const body = chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-  return { kind: "complete", body };
+  return { kind: "complete", body: received.blocks.join() };
 }
 
-/** Like {@linkcode readBody}, without joining the chunks. */
-export function readChunks(
+/** Like {@linkcode readBody}, without joining what has arrived. */
+export function readBlocks(
   incoming: IncomingMessage,
   { maxBytes, reserve }: BodyLimits,
-): Promise<ChunksResult> {
+): Promise<BlocksResult> {
   if (reserve !== undefined) {
     const stated = statedSize(incoming) ?? 0;
     if (stated > maxBytes) return Promise.resolve({ kind: "too-large" });
-    if (!reserve(stated)) return Promise.resolve({ kind: "no-room" });
+    if (!reserve(stated, 0)) return Promise.resolve({ kind: "no-room" });
   }
   if (incoming.destroyed) {
     return Promise.resolve({ kind: "broken", reason: "connection closed" });
   }
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    incoming.on("data", (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > maxBytes) return resolve({ kind: "too-large" });
-      if (reserve?.(size) === false) return resolve({ kind: "no-room" });
-      chunks.push(chunk);
-    });
+    const blocks = new BodyBlocks();
+    // Reads on without keeping anything, as the caller may read only after it has sent.
+    const reject = (kind: "too-large" | "no-room") => {
+      incoming.off("data", add).resume();
+      blocks.clear();
+      resolve({ kind });
+    };
+    const add = (chunk: Buffer) => {
+      if (blocks.length + chunk.length > maxBytes) return reject("too-large");
+      blocks.add(chunk);
+      if (reserve?.(blocks.heldBytes, blocks.length) === false) {
+        reject("no-room");
+      }
+    };
+    incoming.on("data", add);
     incoming.on("end", () => {
       if (!incoming.complete) {
         return resolve({
@@ -80,7 +86,7 @@
           reason: "incomplete message",
         });
       }
-      resolve({ kind: "complete", chunks });
+      resolve({ kind: "complete", blocks });
     });
     incoming.on("error", (error) => {
       resolve({ kind: "broken", reason: error.message });
--- a/packages/router/src/request/response_relay.ts
+++ b/packages/router/src/request/response_relay.ts
@@ -19,8 +19,8 @@
 import type { PlainRoom } from "./plain_admission.ts";
 import { StreamRelay } from "./stream_relay.ts";
 import type { RoutedRequest } from "./routed_request.ts";
-import { readChunks } from "./read_body.ts";
-import type { ChunksResult } from "./read_body.ts";
+import { readBlocks } from "./read_body.ts";
+import type { BlocksResult } from "./read_body.ts";
 
 /**
  * Maximum size in bytes of a response that is buffered before it is relayed.
@@ -195,7 +195,8 @@
       );
     }
     // A long one is relayed in chunks, whose end states that it is whole.
-    const isLong = sizeOf(received.chunks) > MAX_UNFRAMED_BYTES;
+    const { blocks } = received;
+    const isLong = blocks.length > MAX_UNFRAMED_BYTES;
     if (isLong && await this.#endedByCrash(incoming, context)) {
       return this.#handleInterruption(
         context,
@@ -209,7 +210,7 @@
     this.#recordPlainResponse(routed, response, context);
     const send = () =>
       this.#caller.respond(status, incoming.rawHeaders, {
-        chunks: received.chunks,
+        chunks: blocks.parts(),
         onUnread: (bytes) => buffer.setUnread(bytes),
       });
     const outcome = { kind: "answered", status, send } as const;
@@ -242,12 +243,12 @@
   async #receive(
     { status, head, incoming }: RunnerResponse,
     buffer: AnswerBuffer,
-  ): Promise<ChunksResult> {
+  ): Promise<BlocksResult> {
     const isAnswer = head.sealed && status < MIN_SERVER_ERROR_STATUS;
     const maxBytes = isAnswer ? MAX_BUFFERED_BYTES : MAX_FAILURE_BYTES;
     buffer.readFrom(incoming);
     incoming.on("data", (chunk: Buffer) => buffer.receive(chunk.length));
-    return await readChunks(incoming, { maxBytes });
+    return await readBlocks(incoming, { maxBytes });
   }
 
   #recordTooLarge(
@@ -481,7 +482,3 @@
     return { kind: "broken", reason };
   }
 }
-
-function sizeOf(chunks: readonly Buffer[]): number {
-  return chunks.reduce((sum, { length }) => sum + length, 0);
-}
