--- a/packages/router/src/process/memory_watch.ts
+++ b/packages/router/src/process/memory_watch.ts
@@ -17,17 +17,33 @@
 
 /** Memory of the process, in bytes. */
 export interface MemoryUse {
-  readonly residentBytes: number;
+  /** Undefined if it cannot be read now. */
+  readonly residentBytes: number | undefined;
   readonly heapBytes: number;
   /** Size of the heap at which the process aborts. */
   readonly heapLimitBytes: number;
 }
 
-/** Reads the memory of this process. */
-export function memoryUse(): MemoryUse {
+/** Reading the resident memory opens a file, which needs a descriptor. */
+function residentBytes(read: () => number): number | undefined {
+  try {
+    return read();
+  } catch {
+    return undefined;
+  }
+}
+
+/**
+ * Reads the memory of this process.
+ *
+ * @param readResident reads the resident memory in bytes.
+ */
+export function memoryUse(
+  readResident: () => number = process.memoryUsage.rss,
+): MemoryUse {
   const { used_heap_size, heap_size_limit } = getHeapStatistics();
   return {
-    residentBytes: process.memoryUsage.rss(),
+    residentBytes: residentBytes(readResident),
     heapBytes: used_heap_size,
     heapLimitBytes: heap_size_limit,
   };
@@ -70,7 +86,8 @@
     const { log, memoryMb, use, now } = this.#options;
     const { residentBytes, heapBytes, heapLimitBytes } = use();
     const high = heapBytes > HIGH_SHARE * heapLimitBytes ||
-      residentBytes > HIGH_SHARE * (memoryMb ?? Infinity) * BYTES_PER_MB;
+      (residentBytes ?? 0) >
+        HIGH_SHARE * (memoryMb ?? Infinity) * BYTES_PER_MB;
     if (!high || now() - this.#loggedAt < LOG_INTERVAL_MS) return;
     this.#loggedAt = now();
     log.event("memory_high", {
@@ -82,6 +99,6 @@
   }
 }
 
-function inMegabytes(bytes: number): number {
-  return Math.round(bytes / BYTES_PER_MB);
+function inMegabytes(bytes: number | undefined): number | undefined {
+  return bytes === undefined ? undefined : Math.round(bytes / BYTES_PER_MB);
 }
--- a/packages/router/src/process/memory_watch_test.ts
+++ b/packages/router/src/process/memory_watch_test.ts
@@ -8,7 +8,11 @@
 /** A watch on a host of 350 MB whose heap is bounded by 120 MB. */
 function watchOf() {
   const lines: (Fields & { readonly name: string })[] = [];
-  const state = { residentMb: 100, heapMb: 50, now: 0 };
+  const state = {
+    residentMb: 100 as number | undefined,
+    heapMb: 50,
+    now: 0,
+  };
   const watch = new MemoryWatch({
     log: {
       event: (name, fields) => void lines.push({ ...fields, name }),
@@ -16,7 +20,7 @@
     },
     memoryMb: 350,
     use: () => ({
-      residentBytes: state.residentMb * MB,
+      residentBytes: state.residentMb && state.residentMb * MB,
       heapBytes: state.heapMb * MB,
       heapLimitBytes: 120 * MB,
     }),
@@ -52,6 +56,21 @@
 
 test("the memory of this process is read", () => {
   const { residentBytes, heapBytes, heapLimitBytes } = memoryUse();
-  assert.ok(residentBytes > heapBytes);
+  assert.ok(residentBytes! > heapBytes);
   assert.ok(heapLimitBytes > heapBytes);
 });
+
+// Guards against a process that ends because it has no descriptor left to read its
+// memory.
+test("the heap is watched while the resident memory cannot be read", () => {
+  const failed = () => {
+    throw new Error("EMFILE: too many open files, uv_resident_set_memory");
+  };
+  const { residentBytes, heapBytes } = memoryUse(failed);
+  assert.equal(residentBytes, undefined);
+  assert.ok(heapBytes > 0);
+  const { watch, state, lines } = watchOf();
+  Object.assign(state, { residentMb: undefined, heapMb: 110 });
+  watch.check();
+  assert.equal(lines.length, 1);
+});
--- a/packages/router/src/process/metrics.ts
+++ b/packages/router/src/process/metrics.ts
@@ -347,7 +347,9 @@
       registers: [this.#registry],
       collect() {
         const { residentBytes, heapBytes, heapLimitBytes } = use();
-        this.set({ kind: "resident" }, residentBytes);
+        if (residentBytes !== undefined) {
+          this.set({ kind: "resident" }, residentBytes);
+        }
         this.set({ kind: "heap" }, heapBytes);
         this.set({ kind: "heap_limit" }, heapLimitBytes);
       },
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -216,11 +216,11 @@
     this.buffers = new BufferBudget(settings.buffers);
     this.metrics.observeBuffers(() => this.buffers.buffered);
     this.holdsStreams = settings.holdsStreams;
-    this.metrics.observeMemory(memoryUse);
+    this.metrics.observeMemory(() => memoryUse());
     this.#memoryWatch = new MemoryWatch({
       log,
       memoryMb: settings.memoryMb,
-      use: memoryUse,
+      use: () => memoryUse(),
       now: () => this.now(),
     });
     this.places = new ReturnPlaces(log, () => this.random());
