--- a/packages/router/src/connection/caller_server.ts
+++ b/packages/router/src/connection/caller_server.ts
@@ -3,14 +3,17 @@
  *
  * @module
  */
-import { createServer } from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import type { ConnectionLimits } from "../process/connection_limits.ts";
 import type { EventLog } from "../process/event_log.ts";
 import type { ListenAddress } from "../process/settings.ts";
 import { timerDelay } from "../process/timer_delay.ts";
 import type { CallerLimits } from "../version/configuration.ts";
+import { ConnectionPool } from "./connection_pool.ts";
+import { EvictionLog } from "./eviction_log.ts";
 import { Listening } from "./listening.ts";
+import { createSerialServer } from "./serial_server.ts";
 
 /** Milliseconds between checks for requests that take too long to arrive. */
 const CHECK_MS = 500;
@@ -39,28 +42,33 @@
    * closed unread.
    */
   constructor(handler: RequestHandler, options: {
-    readonly maxConnections: number;
+    readonly limits: ConnectionLimits;
     readonly accepts: () => boolean;
     readonly log: EventLog;
   }) {
-    this.#server = createServer({
+    const { accepts, limits, log } = options;
+    const evictions = new EvictionLog(log, "callers");
+    const pool = new ConnectionPool(limits, (reason) => evictions.add(reason));
+    this.#server = createSerialServer({
       maxHeaderSize: MAX_HEAD_BYTES,
       connectionsCheckingInterval: CHECK_MS,
       keepAlive: true,
       noDelay: true,
-    }, (request, response) => {
-      const { socket } = request;
-      this.#count(socket, 1);
-      response.once("close", () => this.#count(socket, -1));
-      handler(request, response);
+    }, {
+      pool,
+      accepts,
+      serve: (request, response) => {
+        const { socket } = request;
+        this.#count(socket, 1);
+        response.once("close", () => this.#count(socket, -1));
+        handler(request, response);
+      },
     });
-    this.#server.on("connection", (socket) => {
-      if (!options.accepts()) return void socket.destroy();
+    this.#server.on("connection", (socket: Socket) => {
+      if (socket.destroyed) return;
       this.#connections.set(socket, 0);
       socket.once("close", () => this.#connections.delete(socket));
     });
-    this.#server.maxConnections = options.maxConnections;
-    const { log } = options;
     this.#listening = new Listening(this.#server, { name: "callers", log });
   }
 
--- a/packages/router/src/connection/caller_server_test.ts
+++ b/packages/router/src/connection/caller_server_test.ts
@@ -6,6 +6,7 @@
 import { CallerServer } from "./caller_server.ts";
 
 const LOCALHOST = "127.0.0.1";
+const LIMITS = { connections: 10, heldBytes: 1_000_000 };
 
 /** Sends a request; returns the status, or undefined if the connection closes. */
 function statusOf(port: number, agent: Agent): Promise<number | undefined> {
@@ -25,7 +26,7 @@
   const server = new CallerServer((_, response) => {
     handled += 1;
     response.end();
-  }, { maxConnections: 10, accepts: () => accepts, log: SILENT_LOG });
+  }, { limits: LIMITS, accepts: () => accepts, log: SILENT_LOG });
   await server.open({ host: LOCALHOST, port: 0 });
   const [kept, other] = [new Agent({ keepAlive: true }), new Agent()];
   t.after(() => {
@@ -44,7 +45,7 @@
 for (const ms of [Infinity, 1e300, 2 ** 31, NaN]) {
   test(`connections stay open with an idle time-out of ${ms} ms`, async (t) => {
     const server = new CallerServer((_, response) => response.end(), {
-      maxConnections: 10,
+      limits: LIMITS,
       accepts: () => true,
       log: SILENT_LOG,
     });
--- /dev/null
+++ b/packages/router/src/connection/connection_pool.ts
@@ -0,0 +1,108 @@
+/**
+ * Bounds what the connections of a server hold together.
+ *
+ * @module
+ */
+import type { ConnectionLimits } from "../process/connection_limits.ts";
+
+/** A connection that is counted. */
+export interface PooledConnection {
+  /** Bytes that it holds of what is not complete. */
+  readonly heldBytes: number;
+  /** Whether it is in use, and is not closed for a new one. */
+  readonly isBusy: boolean;
+  /** Monotonic time in ms at which it was last in use. */
+  readonly activeAt: number;
+  /** Closes it at once. */
+  close(): void;
+}
+
+/** Why a connection was closed to make room. */
+export type EvictionReason = "connections" | "held_bytes";
+
+/** The open connections of a server. */
+export class ConnectionPool {
+  readonly #limits: ConnectionLimits;
+  readonly #onEvicted: (reason: EvictionReason) => void;
+  /** What each connection holds, as counted in the sum. */
+  readonly #held = new Map<PooledConnection, number>();
+  #heldBytes = 0;
+
+  /** @param onEvicted called for each connection that is closed to make room. */
+  constructor(
+    limits: ConnectionLimits,
+    onEvicted: (reason: EvictionReason) => void = () => {},
+  ) {
+    this.#limits = limits;
+    this.#onEvicted = onEvicted;
+  }
+
+  /** Number of open connections. */
+  get size(): number {
+    return this.#held.size;
+  }
+
+  /** Bytes that the connections hold together. */
+  get heldBytes(): number {
+    return this.#heldBytes;
+  }
+
+  /**
+   * Adds a connection. If there are too many, the one that has been idle the longest is
+   * closed, or the new one if none is idle.
+   */
+  add(connection: PooledConnection): void {
+    this.#held.set(connection, 0);
+    if (this.#held.size <= this.#limits.connections) return;
+    this.#evict(this.#longestIdle() ?? connection, "connections");
+  }
+
+  /**
+   * Counts what a connection holds now. If all hold too much, those that hold the most
+   * are closed.
+   */
+  update(connection: PooledConnection): void {
+    const before = this.#held.get(connection);
+    if (before === undefined) return;
+    const bytes = connection.heldBytes;
+    this.#held.set(connection, bytes);
+    this.#heldBytes += bytes - before;
+    while (this.#heldBytes > this.#limits.heldBytes) {
+      this.#evict(this.#largest(connection), "held_bytes");
+    }
+  }
+
+  /** Removes a connection that has closed. */
+  remove(connection: PooledConnection): void {
+    this.#heldBytes -= this.#held.get(connection) ?? 0;
+    this.#held.delete(connection);
+  }
+
+  #evict(connection: PooledConnection, reason: EvictionReason): void {
+    this.remove(connection);
+    connection.close();
+    this.#onEvicted(reason);
+  }
+
+  #longestIdle(): PooledConnection | undefined {
+    let longest: PooledConnection | undefined;
+    for (const connection of this.#held.keys()) {
+      if (connection.isBusy) continue;
+      const isOlder = longest === undefined ||
+        connection.activeAt < longest.activeAt;
+      if (isOlder) longest = connection;
+    }
+    return longest;
+  }
+
+  #largest(first: PooledConnection): PooledConnection {
+    let largest = first;
+    let most = this.#held.get(first) ?? 0;
+    for (const [connection, bytes] of this.#held) {
+      if (bytes <= most) continue;
+      largest = connection;
+      most = bytes;
+    }
+    return largest;
+  }
+}
--- a/packages/router/src/connection/status_server.ts
+++ b/packages/router/src/connection/status_server.ts
@@ -3,10 +3,23 @@
  *
  * @module
  */
-import { createServer } from "node:http";
-import type { Server } from "node:http";
+import type { RequestListener, Server } from "node:http";
 import type { Lifecycle } from "../process/lifecycle.ts";
 import type { RequestMetrics } from "../process/metrics.ts";
+import { ConnectionPool } from "./connection_pool.ts";
+import { createSerialServer } from "./serial_server.ts";
+
+/** Limits of each server: it has a few clients, which send short heads. */
+const LIMITS = { connections: 16, heldBytes: 512 * 1024 };
+/** Time in ms for a request to arrive. */
+const REQUEST_TIMEOUT_MS = 5_000;
+
+function createStatusServer(serve: RequestListener): Server {
+  return createSerialServer({
+    headersTimeout: REQUEST_TIMEOUT_MS,
+    requestTimeout: REQUEST_TIMEOUT_MS,
+  }, { pool: new ConnectionPool(LIMITS), serve });
+}
 
 /**
  * Responds 200 while the daemon is ready, otherwise 503 with the unmet
@@ -16,7 +29,7 @@
   path: string,
   lifecycle: Lifecycle,
 ): Server {
-  return createServer((request, response) => {
+  return createStatusServer((request, response) => {
     if (request.url !== path) {
       response.writeHead(404).end();
       return;
@@ -32,7 +45,7 @@
   path: string,
   metrics: RequestMetrics,
 ): Server {
-  return createServer((request, response) => {
+  return createStatusServer((request, response) => {
     if (request.url !== path) {
       response.writeHead(404).end();
       return;
