--- a/packages/router/src/process/settings.ts
+++ b/packages/router/src/process/settings.ts
@@ -10,6 +10,8 @@
 import { quoteValue } from "./value_quote.ts";
 import { bufferLimits, defaultBufferMb } from "./buffer_budget.ts";
 import type { BufferLimits } from "./buffer_budget.ts";
+import { acceptLimits } from "./connection_limits.ts";
+import type { AcceptLimits, ProcessResources } from "./connection_limits.ts";
 
 /** Address at which a server listens or is reached. */
 export interface ListenAddress {
@@ -74,8 +76,8 @@
   readonly seeds: readonly string[];
   /** Address of the platform's store. */
   readonly store: ListenAddress;
-  /** Maximum number of open connections of callers. */
-  readonly maxConnections: number;
+  /** Limits of the connections that are accepted. */
+  readonly accepts: AcceptLimits;
   /** Time in ms from SIGTERM to the kill by the platform. */
   readonly graceMs: number;
   readonly retries: {
@@ -230,6 +232,38 @@
   return reader.positive(json, "memoryMb");
 }
 
+/** Reads a number that may be absent; `available` is the most that there can be. */
+function readAtMost(
+  json: unknown,
+  reader: SettingsReader,
+  { place, available }: {
+    readonly place: string;
+    readonly available: number | undefined;
+  },
+): number | undefined {
+  if (valueAt(json, place) === undefined) return available;
+  return Math.min(reader.positive(json, place), available ?? Infinity);
+}
+
+function readAcceptLimits(
+  json: unknown,
+  reader: SettingsReader,
+  resources: ProcessResources,
+): AcceptLimits {
+  const limits = acceptLimits({
+    ...resources,
+    descriptors: readAtMost(json, reader, {
+      place: "maxDescriptors",
+      available: resources.descriptors,
+    }),
+  });
+  const connections = readAtMost(json, reader, {
+    place: "maxConnections",
+    available: limits.callers.connections,
+  })!;
+  return { ...limits, callers: { ...limits.callers, connections } };
+}
+
 /** Reads the processor time of the host: a quota of cores of a relative speed. */
 function readProcessor(
   json: unknown,
@@ -264,6 +298,8 @@
 /**
  * Reads settings from JSON text.
  *
+ * @param options.descriptors number that the operating system lets the process open;
+ * fewer may be set.
  * @returns the settings, or all findings.
  *
  * @example
@@ -273,6 +309,7 @@
  */
 export function parseSettings(
   text: string,
+  options: { readonly descriptors?: number | undefined } = {},
 ): Result<RouterSettings, readonly SettingFinding[]> {
   let json: unknown;
   try {
@@ -306,7 +343,10 @@
     ),
     seeds: reader.texts(json, "seeds"),
     store: reader.address(json, "store"),
-    maxConnections: reader.number(json, "maxConnections"),
+    accepts: readAcceptLimits(json, reader, {
+      descriptors: options.descriptors,
+      memoryMb,
+    }),
     graceMs: reader.number(json, "graceMs"),
     retries: {
       ratio: reader.number(json, "retries.ratio"),
--- a/packages/router/src/process/settings_file.ts
+++ b/packages/router/src/process/settings_file.ts
@@ -6,6 +6,7 @@
 import { readFileSync } from "node:fs";
 import { err, ok } from "neverthrow";
 import type { Result } from "neverthrow";
+import { descriptorLimit } from "./connection_limits.ts";
 import type { EventLog } from "./event_log.ts";
 import { pause } from "./pause.ts";
 import { parseSettings } from "./settings.ts";
@@ -74,7 +75,7 @@
         reasons: [reason],
       });
     }
-    const settings = parseSettings(text);
+    const settings = parseSettings(text, { descriptors: descriptorLimit() });
     if (settings.isErr()) {
       const reasons = settings.error.map((finding) => finding.text);
       return this.#reject(text, {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -122,8 +122,6 @@
 const CONNECTION_SHARE = 0.8;
 /** Connections to a runner that each daemon may open in any case. */
 const MIN_CONNECTIONS = 2;
-/** Bytes of requests that have not begun, of all callers together. */
-const MAX_HELD_BYTES = 8 * 1024 * 1024;
 /** Random bytes that distinguish the incarnations of a daemon. */
 const INCARNATION_BYTES = 6;
 /** Settings that take effect without a restart. */
@@ -294,10 +292,7 @@
     this.#server = new CallerServer(
       (request, response) => this.#handle(request, response),
       {
-        limits: {
-          connections: settings.maxConnections,
-          heldBytes: MAX_HELD_BYTES,
-        },
+        limits: settings.accepts.callers,
         accepts: () => !this.#overloaded,
         log,
       },
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -15,6 +15,7 @@
 import type { StateUpdate } from "../src/connection/peer_message.ts";
 import type { RunnerNetwork } from "../src/connection/runner_network.ts";
 import type { DaemonRegistry } from "../src/process/daemon_registry.ts";
+import { acceptLimits } from "../src/process/connection_limits.ts";
 import { bufferLimits } from "../src/process/buffer_budget.ts";
 import { BrittleServices } from "../src/process/brittle_services.ts";
 import { DrainingRunners } from "../src/process/draining_runners.ts";
@@ -583,7 +584,7 @@
     controlBytesPerS: 29_000,
     seeds: [],
     store: address,
-    maxConnections: 100,
+    accepts: acceptLimits({ descriptors: undefined, memoryMb: undefined }),
     graceMs: 3_000,
     retries: { ratio: 10, extra: 100, windowMs: 10_000 },
     scheduling: { scheduling: "auto", pressure: false },
--- a/packages/router/tests/plain_rig.ts
+++ b/packages/router/tests/plain_rig.ts
@@ -492,7 +492,6 @@
         seeds: this.routers.slice(0, SEEDS).map(({ peersPort }) =>
           `${LOCALHOST}:${peersPort}`
         ),
-        maxConnections: MAX_CONNECTIONS,
         scheduling: { scheduling, pressure: false },
       },
     });
