--- a/packages/router/src/connection/frame_buffer.ts
+++ b/packages/router/src/connection/frame_buffer.ts
@@ -16,6 +16,11 @@
   /** Bytes without which no further frame is whole, or its length not known. */
   #needed = LENGTH_BYTES;
 
+  /** Bytes of a frame that is not whole. */
+  get size(): number {
+    return this.#size;
+  }
+
   /**
    * Adds received bytes, and handles the frames that they complete.
    *
--- a/packages/router/src/connection/peer_link.ts
+++ b/packages/router/src/connection/peer_link.ts
@@ -93,6 +93,11 @@
     return this.#receivedAt;
   }
 
+  /** Bytes of a message that is not complete. */
+  get incompleteBytes(): number {
+    return this.#frames.size;
+  }
+
   send(message: PeerMessage): void {
     this.sendEncoded(encodeMessage(message));
   }
--- a/packages/router/src/connection/peer_network.ts
+++ b/packages/router/src/connection/peer_network.ts
@@ -6,8 +6,13 @@
 import { Buffer } from "node:buffer";
 import { createServer } from "node:net";
 import type { Socket } from "node:net";
+import type { ConnectionLimits } from "../process/connection_limits.ts";
 import type { EventLog } from "../process/event_log.ts";
 import type { ListenAddress } from "../process/settings.ts";
+import { AcceptedPeer } from "./accepted_peer.ts";
+import type { MessageReceiver } from "./accepted_peer.ts";
+import { ConnectionPool } from "./connection_pool.ts";
+import { EvictionLog } from "./eviction_log.ts";
 import { Listening } from "./listening.ts";
 import { openSocketTo } from "./open_socket.ts";
 import { PeerLink } from "./peer_link.ts";
@@ -49,14 +54,23 @@
 
 /** Links over TCP; the port also accepts tunnel channels. */
 export class TcpPeerNetwork implements PeerNetwork {
-  readonly #acceptTunnel: (socket: Socket) => void;
+  readonly #acceptTunnel: (socket: Socket) => MessageReceiver;
+  readonly #pool: ConnectionPool;
   readonly #log: EventLog;
   #listening: Listening | undefined;
 
-  /** @param acceptTunnel called with a connection that is a tunnel channel. */
-  constructor(acceptTunnel: (socket: Socket) => void, log: EventLog) {
+  constructor(options: {
+    /** Takes over a connection that is a tunnel channel. */
+    readonly acceptTunnel: (socket: Socket) => MessageReceiver;
+    /** Limits of the connections that are accepted. */
+    readonly limits: ConnectionLimits;
+    readonly log: EventLog;
+  }) {
+    const { acceptTunnel, limits, log } = options;
     this.#acceptTunnel = acceptTunnel;
     this.#log = log;
+    const evictions = new EvictionLog(log, "peers");
+    this.#pool = new ConnectionPool(limits, (reason) => evictions.add(reason));
   }
 
   get port(): number {
@@ -68,9 +82,15 @@
     accepted: (createLink: LinkFactory) => void,
   ): Promise<void> {
     const server = createServer((socket) => {
+      const peer = new AcceptedPeer(socket, this.#pool);
       readPreface(socket, {
-        link: () => accepted(linkFactoryFor(socket)),
-        tunnel: () => this.#acceptTunnel(socket),
+        link: () =>
+          accepted((events) => {
+            const link = new PeerLink(socket, events);
+            peer.watch(link);
+            return link;
+          }),
+        tunnel: () => peer.watch(this.#acceptTunnel(socket)),
       });
     });
     const log = this.#log;
--- a/packages/router/src/connection/tunnel_channel.ts
+++ b/packages/router/src/connection/tunnel_channel.ts
@@ -49,6 +49,11 @@
     });
   }
 
+  /** Bytes of a message that is not complete. */
+  get incompleteBytes(): number {
+    return this.#frames.size;
+  }
+
   /** Replaces the callbacks. */
   listen(events: TunnelEvents): void {
     this.#events = events;
--- a/packages/router/src/connection/tunnel_server.ts
+++ b/packages/router/src/connection/tunnel_server.ts
@@ -71,7 +71,7 @@
   }
 
   /** Serves a channel on an accepted connection. */
-  accept(socket: Socket): void {
+  accept(socket: Socket): TunnelChannel {
     const timer = setTimeout(() => channel.close(), FIRST_MESSAGE_MS);
     const channel: TunnelChannel = new TunnelChannel(socket, {
       onMessage: (message) => {
@@ -80,6 +80,7 @@
       },
       onLost: () => clearTimeout(timer),
     });
+    return channel;
   }
 
   /**
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -338,10 +338,11 @@
       own,
       log,
       store: platform,
-      network: new TcpPeerNetwork(
-        (socket) => this.#access.acceptTunnel(socket),
+      network: new TcpPeerNetwork({
+        acceptTunnel: (socket) => this.#access.acceptTunnel(socket),
+        limits: settings.accepts.peers,
         log,
-      ),
+      }),
       metrics: this.metrics,
       relaysFrom: settings.relaysFrom,
       controlBytesPerS: settings.controlBytesPerS,
--- a/packages/router/src/runner_access.ts
+++ b/packages/router/src/runner_access.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Socket } from "node:net";
+import type { MessageReceiver } from "./connection/accepted_peer.ts";
 import { RunnerConnections } from "./connection/runner_connections.ts";
 import type { RunnerNetwork } from "./connection/runner_network.ts";
 import { connectTo, respondsToProbe } from "./connection/runner_probe.ts";
@@ -99,8 +100,8 @@
   }
 
   /** Serves a peer that does not reach a runner. */
-  acceptTunnel(socket: Socket): void {
-    this.#server.accept(socket);
+  acceptTunnel(socket: Socket): MessageReceiver {
+    return this.#server.accept(socket);
   }
 
   /** Lets peers finish what they have sent; see {@linkcode TunnelServer.leave}. */
--- a/packages/router/tests/odd_addresses_test.ts
+++ b/packages/router/tests/odd_addresses_test.ts
@@ -21,7 +21,11 @@
 // is out of range, as one seed or contact may have.
 for (const address of ODD_ADDRESSES) {
   test(`the address "${address}" cannot be dialled`, async () => {
-    const network = new TcpPeerNetwork(() => {}, SILENT_LOG);
+    const network = new TcpPeerNetwork({
+      acceptTunnel: () => ({ incompleteBytes: 0 }),
+      limits: { connections: 10, heldBytes: 1_000_000 },
+      log: SILENT_LOG,
+    });
     await new Promise<void>((failed, reject) => {
       network.dial(address, { opened: reject, failed });
     });
--- a/packages/router/tests/unusable_address_test.ts
+++ b/packages/router/tests/unusable_address_test.ts
@@ -31,7 +31,11 @@
 
 // Guards against one daemon with a wrong address that ends all others.
 test("a dial of an unusable address fails as one that is refused", async () => {
-  const network = new TcpPeerNetwork(() => {}, SILENT_LOG);
+  const network = new TcpPeerNetwork({
+    acceptTunnel: () => ({ incompleteBytes: 0 }),
+    limits: { connections: 10, heldBytes: 1_000_000 },
+    log: SILENT_LOG,
+  });
   for (const address of UNUSABLE) {
     await new Promise<void>((resolve, reject) => {
       network.dial(address, {
