--- a/packages/router/src/process/connection_limits.ts
+++ b/packages/router/src/process/connection_limits.ts
@@ -24,6 +24,10 @@
 const HELD_SHARE = 1 / 16;
 const MIN_HELD_MB = 8;
 const MAX_HELD_MB = 32;
+/** Share of the host's memory for open requests without their bodies. */
+const REQUEST_SHARE = 1 / 8;
+/** Memory in MB of a host of which it is not known. */
+const DEFAULT_MEMORY_MB = 1_024;
 
 /** Limits of the connections that one server accepts. */
 export interface ConnectionLimits {
@@ -36,6 +40,8 @@
 export interface AcceptLimits {
   readonly callers: ConnectionLimits;
   readonly peers: ConnectionLimits;
+  /** Bytes that open requests take together, without their bodies. */
+  readonly requestBytes: number;
 }
 
 /** What the process has. */
@@ -64,10 +70,13 @@
   { descriptors, memoryMb }: ProcessResources,
 ): AcceptLimits {
   const held = heldBytes(memoryMb);
+  const requestBytes = BYTES_PER_MB * REQUEST_SHARE *
+    (memoryMb ?? DEFAULT_MEMORY_MB);
   if (descriptors === undefined) {
     return {
       callers: { connections: DEFAULT_CALLER_CONNECTIONS, heldBytes: held },
       peers: { connections: MAX_PEER_CONNECTIONS, heldBytes: held },
+      requestBytes,
     };
   }
   const files = Math.min(FILE_DESCRIPTORS, MAX_FILE_SHARE * descriptors);
@@ -77,6 +86,7 @@
   return {
     callers: { connections: shareOf(CALLER_SHARE), heldBytes: held },
     peers: { connections: peers, heldBytes: held },
+    requestBytes,
   };
 }
 
--- a/packages/router/src/request/daemon.ts
+++ b/packages/router/src/request/daemon.ts
@@ -25,6 +25,7 @@
 import type { SharedTimer } from "../process/shared_timer.ts";
 import type { PlainCapacity } from "../process/plain_capacity.ts";
 import type { PrefixIndex } from "../process/prefix_index.ts";
+import type { RequestBudget } from "../process/request_budget.ts";
 import type { RetryBudget } from "../process/retry_budget.ts";
 import type { RunnerPaths } from "../process/runner_paths.ts";
 import type { RunnerReachability } from "../process/runner_reachability.ts";
@@ -82,6 +83,8 @@
   readonly origins: Pick<StreamOrigins, "begin" | "find" | "ask">;
   /** Software versions at which runners have served. */
   readonly softwareVersions: Pick<SoftwareVersions, "isMixed">;
+  /** Budget of the memory of open requests. */
+  readonly requests: RequestBudget;
   /** Budget of the bytes that are buffered. */
   readonly buffers: BufferBudget;
   /** Whether what the caller of a stream does not read is buffered. */
--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -18,6 +18,7 @@
   logVersionUnavailable,
   refusalFields,
 } from "./decision_log.ts";
+import { headerBytes } from "./headers.ts";
 import { fingerprintOf } from "./fingerprint.ts";
 import { partSuspects } from "./part_suspects.ts";
 import { outcomeName } from "./outcome.ts";
@@ -72,7 +73,13 @@
     const head = this.#daemon.dialect.parseRequest(
       this.#caller.request.rawHeaders,
     );
-    const routed = routeRequest(this.#daemon, this.#caller.request, head);
+    const { request, response } = this.#caller;
+    const close = this.#daemon.requests.open(headerBytes(request.rawHeaders));
+    if (close === undefined) {
+      return this.#finish(head, this.#outcomes.tooMany());
+    }
+    response.once("close", close);
+    const routed = routeRequest(this.#daemon, request, head);
     if ("status" in routed) {
       return this.#finish(head, { kind: "refused", refusal: routed });
     }
--- a/packages/router/src/request/local_outcomes.ts
+++ b/packages/router/src/request/local_outcomes.ts
@@ -94,6 +94,13 @@
     return { kind: "refused", refusal };
   }
 
+  /** Returns the outcome when the open requests leave no room for this one. */
+  tooMany(): Outcome {
+    const code = "too_many_requests";
+    const refusal = unavailableRefusal(code, this.#daemon.random());
+    return { kind: "refused", refusal };
+  }
+
   /** Returns the outcome when there is no room for the request's body. */
   buffersFull(): Outcome {
     const refusal = unavailableRefusal("buffers_full", this.#daemon.random());
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -48,6 +48,7 @@
 import { PerService } from "./process/per_service.ts";
 import { PrefixIndex } from "./process/prefix_index.ts";
 import { pause } from "./process/pause.ts";
+import { RequestBudget } from "./process/request_budget.ts";
 import { RestartDetector } from "./process/restart_detector.ts";
 import { RetryBudget } from "./process/retry_budget.ts";
 import { RunnerDirectory } from "./process/runner_directory.ts";
@@ -158,6 +159,7 @@
   });
   readonly shares: WorkspaceShares;
   readonly shareOrder: ShareOrder;
+  readonly requests: RequestBudget;
   readonly buffers: BufferBudget;
   readonly holdsStreams: boolean;
   readonly sharedTimer = new SharedTimer(CAPACITY_CHECK_MS);
@@ -213,6 +215,7 @@
     this.scheduling = new SchedulingMode(settings.scheduling, log);
     this.paces = new RunnerPaces(this.scheduling, log);
     this.metrics.observePaces(() => this.paces.samples(this.now()));
+    this.requests = new RequestBudget(settings.accepts.requestBytes);
     this.buffers = new BufferBudget(settings.buffers);
     this.metrics.observeBuffers(() => this.buffers.buffered);
     this.holdsStreams = settings.holdsStreams;
