--- a/packages/daemon/src/process/settings_limits.ts
+++ b/packages/daemon/src/process/settings_limits.ts
@@ -16,6 +16,11 @@
     text: "Largest request body, in bytes. A longer one is refused with 413.",
     default: 8 * MIB,
   }),
+  heldBodyBytes: setting.integer(1, 1024 * MIB, {
+    text:
+      "Bytes that the bodies of all callers take together, until their requests have ended; at least one body of the largest size fits. Further ones are refused with 503, after bodies that hardly come were ended with 408.",
+    default: 32 * MIB,
+  }),
   headerBytes: setting.integer(1024, MIB, {
     text:
       "Largest request head, in bytes. A longer one is refused with 431 and the connection is closed.",
--- a/packages/daemon/src/request/caller_requests.ts
+++ b/packages/daemon/src/request/caller_requests.ts
@@ -5,6 +5,7 @@
  */
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { bodyLimits, BufferBudget } from "@umbermast/router/budget";
 import * as Cause from "effect/Cause";
 import * as Effect from "effect/Effect";
 import * as Exit from "effect/Exit";
@@ -20,11 +21,15 @@
 import type { ArrivedRequest } from "./admission.ts";
 import { readBody } from "./body_reader.ts";
 import type { Call, CallResult, CallRunner, Problem } from "./call.ts";
+import { HeldBody } from "./held_body.ts";
 import { headerLines } from "./end_to_end_headers.ts";
 import { HttpReply } from "./http_reply.ts";
 import { modelList } from "./model_list.ts";
 import { problem, rawResponse } from "./problems.ts";
 
+/** Bytes that the largest body may take beside its content. */
+const BODY_OVERHEAD_BYTES = 256 * 1024;
+
 /** Observes the ends of requests, for metrics. */
 export interface RequestObserver {
   /** Reports the result of a call. */
@@ -80,10 +85,15 @@
 export class CallerRequests implements CallerHandler {
   readonly #dependencies: CallerDependencies;
   readonly #active = new TrackedSet<ActiveRequest>();
+  readonly #bodies: BufferBudget;
   #stopped = false;
 
   constructor(dependencies: CallerDependencies) {
     this.#dependencies = dependencies;
+    const { bodyBytes, heldBodyBytes } = dependencies.limits;
+    this.#bodies = new BufferBudget(
+      bodyLimits(Math.max(heldBodyBytes, bodyBytes + BODY_OVERHEAD_BYTES)),
+    );
   }
 
   /** Number of requests being served. */
@@ -124,7 +134,8 @@
       writeTimeoutMs: this.#dependencies.limits.callerWriteTimeoutMs,
       isShuttingDown: this.#dependencies.isShuttingDown,
     });
-    const fiber = Effect.runFork(this.#handle(arrival, reply));
+    const held = new HeldBody(this.#bodies, request.socket);
+    const fiber = Effect.runFork(this.#handle(arrival, { reply, held }));
     const active = { fiber, reply };
     this.#active.add(active);
     // When the caller disconnects, the fiber is interrupted immediately, which
@@ -138,6 +149,7 @@
       if (Exit.isFailure(exit)) {
         this.#handleFailure(arrival, { reply, cause: exit.cause });
       }
+      held.release();
       this.#active.delete(active);
     });
   }
@@ -154,7 +166,10 @@
     this.#dependencies.observer.connectionDropped();
   }
 
-  #handle(arrival: ArrivedRequest, reply: HttpReply): Effect.Effect<void> {
+  #handle(
+    arrival: ArrivedRequest,
+    { reply, held }: { readonly reply: HttpReply; readonly held: HeldBody },
+  ): Effect.Effect<void> {
     return Effect.gen({ self: this }, function* () {
       const { isShuttingDown, limits, runner, table } = this.#dependencies;
       if (isShuttingDown()) return yield* Effect.fail(shutdownProblem());
@@ -163,7 +178,7 @@
         return yield* Effect.fail(overLimitProblem(limits.queuedRequests));
       }
       reply.sendContinue();
-      const body = yield* readBody(arrival.request, limits);
+      const body = yield* readBody(arrival.request, { limits, held });
       if (admitted.route._tag === "Models") {
         return reply.sendJson(modelList(admitted.table.table));
       }
--- a/packages/daemon/src/request/http_reply.ts
+++ b/packages/daemon/src/request/http_reply.ts
@@ -13,6 +13,8 @@
 
 /** How long the remaining body of a refused request is read and discarded. */
 const LINGER_TIMEOUT_MS = 1000;
+/** Most bytes of it that are read; the time-out passes without reading more. */
+const LINGER_BYTES = 256 * 1024;
 
 const HEX = 16;
 const LINE_END = "\r\n";
@@ -176,6 +178,11 @@
     const timer = setTimeout(end, LINGER_TIMEOUT_MS);
     request.once("end", end);
     request.once("close", end);
+    let bytes = 0;
+    request.on("data", (chunk: Uint8Array) => {
+      bytes += chunk.length;
+      if (bytes > LINGER_BYTES) request.pause();
+    });
     request.resume();
   }
 
--- a/packages/daemon/tests/caller_fixture.ts
+++ b/packages/daemon/tests/caller_fixture.ts
@@ -65,6 +65,7 @@
 }
 
 export const LIMITS: CallerLimits = {
+  heldBodyBytes: 1_000_000,
   bodyBytes: 65_536,
   headerBytes: 4096,
   headerTimeoutMs: 60_000,
--- a/packages/router/src/process/buffer_budget.ts
+++ b/packages/router/src/process/buffer_budget.ts
@@ -71,6 +71,11 @@
   return { totalBytes, callerBytes: CALLER_SHARE * totalBytes };
 }
 
+/** Returns the limits for a budget in which only bodies are counted. */
+export function bodyLimits(bytes: number): BufferLimits {
+  return { totalBytes: bytes / KIND_SHARE, callerBytes: bytes };
+}
+
 /**
  * Returns the default size of the budget in MB on a host with this memory.
  *
--- a/packages/testing/tests/golden_errors_test.ts
+++ b/packages/testing/tests/golden_errors_test.ts
@@ -342,6 +342,8 @@
 /** Codes that no session of stand-ins brings about, and why. */
 const WITHOUT_SESSION: Readonly<Record<string, string>> = {
   internal: "A fault of the daemon itself; see caller_connections_test.ts",
+  body_stalled: "Needs callers that fill all room; see body_reader_test.ts",
+  buffers_full: "Needs callers that fill all room; see body_reader_test.ts",
   queue_full: "Needs a thousand waiting requests; see fair_queue_test.ts",
   grant_expired: "Needs a slot that lapses between grant and send",
 };
