--- a/packages/daemon/src/connection/caller_server.ts
+++ b/packages/daemon/src/connection/caller_server.ts
@@ -3,10 +3,14 @@
  *
  * @module
  */
-import { createServer } from "node:http";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
+import {
+  acceptLimits,
+  ConnectionPool,
+  createSerialServer,
+  descriptorLimit,
+} from "@umbermast/router/connections";
 import * as Effect from "effect/Effect";
 import type { CallerLimits } from "../process/settings.ts";
 import { TrackedSet } from "../process/tracked_set.ts";
@@ -38,6 +42,21 @@
 /** Idle time after which the system sends TCP keep-alive probes. */
 const KEEP_ALIVE_PROBE_MS = 10_000;
 
+/** One that is served, and one that came too early and is refused. */
+const MAX_OPEN_REQUESTS = 2;
+
+/** Limits that leave descriptors for runners, other daemons and the platform. */
+function connectionLimits({ connections }: CallerLimits) {
+  const { callers } = acceptLimits({
+    descriptors: descriptorLimit(),
+    memoryMb: undefined,
+  });
+  return {
+    ...callers,
+    connections: Math.min(connections, callers.connections),
+  };
+}
+
 /** An open server for callers. */
 export interface CallerServer {
   /** Address and port, as `IP:PORT`. */
@@ -96,7 +115,11 @@
     if (!socket.writable || latest.isAwaited(socket)) return socket.destroy();
     socket.end(handler.faultResponse(fault), () => socket.destroy());
   };
-  const server = createServer({
+  const pool = new ConnectionPool(
+    connectionLimits(limits),
+    () => handler.connectionDropped(),
+  );
+  const server = createSerialServer({
     maxHeaderSize: limits.headerBytes,
     headersTimeout: limits.headerTimeoutMs,
     // Bodies have their own time-out, whose error response names the cause.
@@ -107,25 +130,21 @@
     noDelay: true,
     keepAlive: true,
     keepAliveInitialDelay: KEEP_ALIVE_PROBE_MS,
-  }, serve);
-  const sockets = new Set<Socket>();
-  server.maxConnections = limits.connections;
-  server.on("connection", (socket) => {
-    sockets.add(socket);
-    socket.once("close", () => sockets.delete(socket));
+  }, {
+    pool,
+    maxOpen: MAX_OPEN_REQUESTS,
+    serve,
+    expect: serve,
+    connect: (socket) => refuse(socket, CONNECT_FAULT),
   });
-  server.on("checkContinue", serve);
-  server.on("checkExpectation", serve);
-  server.on("connect", (_request, socket) => refuse(socket, CONNECT_FAULT));
   server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
     refuse(socket, connectionFault(error));
   });
-  server.on("drop", () => handler.connectionDropped());
   yield* listen(server, listenAt);
   const opened: CallerServer = {
     address: addressOf(server),
     get connections() {
-      return sockets.size;
+      return pool.size;
     },
     flushed: unsent.whenEmpty,
     close: () => {
--- a/packages/daemon/src/connection/operator_server.ts
+++ b/packages/daemon/src/connection/operator_server.ts
@@ -4,8 +4,16 @@
  * @module
  */
 import { createHash, timingSafeEqual } from "node:crypto";
-import { createServer } from "node:http";
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type {
+  IncomingMessage,
+  RequestListener,
+  ServerResponse,
+} from "node:http";
+import { BodyBlocks } from "@umbermast/router/body";
+import {
+  ConnectionPool,
+  createSerialServer,
+} from "@umbermast/router/connections";
 import * as Effect from "effect/Effect";
 import { addressOf, listen } from "./listener.ts";
 import type { ListenOptions } from "./listener.ts";
@@ -36,7 +44,8 @@
 
 const HEADER_TIMEOUT_MS = 5000;
 const BODY_TIMEOUT_MS = 5000;
-const MAX_CONNECTIONS = 256;
+/** Limits of all connections: operators and their tools are few. */
+const CONNECTION_LIMITS = { connections: 256, heldBytes: 4 * 1024 * 1024 };
 /** Fits the largest table with its history, and the surrounding JSON. */
 const MAX_BODY_BYTES = 1_200_000;
 const BEARER = /^Bearer +(.+)$/i;
@@ -78,18 +87,16 @@
 
 /** Reads the body of a request; `undefined` when it is too long or incomplete. */
 async function readBody(request: IncomingMessage): Promise<string | undefined> {
-  const chunks: Uint8Array[] = [];
-  let bytes = 0;
+  const blocks = new BodyBlocks();
   try {
     for await (const chunk of request) {
-      bytes += chunk.length;
-      if (bytes > MAX_BODY_BYTES) return undefined;
-      chunks.push(chunk);
+      blocks.add(chunk);
+      if (blocks.length > MAX_BODY_BYTES) return undefined;
     }
   } catch {
     return undefined;
   }
-  return Buffer.concat(chunks).toString("utf8");
+  return blocks.join().toString("utf8");
 }
 
 async function handlePost(
@@ -160,25 +167,19 @@
   options: { readonly postHandlers?: OperatorPostHandlers } = {},
 ) {
   const { postHandlers = {} } = options;
-  const server = createServer(
-    {
-      headersTimeout: HEADER_TIMEOUT_MS,
-      requestTimeout: HEADER_TIMEOUT_MS + BODY_TIMEOUT_MS,
-      noDelay: true,
-    },
-    (request, response) => {
-      handleRequest(request, { token: listenAt.token, resources, postHandlers })
-        .then(
-          (result) => send(response, result),
-          () =>
-            send(
-              response,
-              errorResponse(500, "internal", "Cannot answer: fault"),
-            ),
-        );
-    },
-  );
-  server.maxConnections = MAX_CONNECTIONS;
+  const { token } = listenAt;
+  const serve: RequestListener = (request, response) => {
+    handleRequest(request, { token, resources, postHandlers }).then(
+      (result) => send(response, result),
+      () =>
+        send(response, errorResponse(500, "internal", "Cannot answer: fault")),
+    );
+  };
+  const server = createSerialServer({
+    headersTimeout: HEADER_TIMEOUT_MS,
+    requestTimeout: HEADER_TIMEOUT_MS + BODY_TIMEOUT_MS,
+    noDelay: true,
+  }, { pool: new ConnectionPool(CONNECTION_LIMITS), serve });
   yield* listen(server, listenAt);
   const opened: OperatorServer = {
     address: addressOf(server),
--- a/packages/daemon/src/process/settings_limits.ts
+++ b/packages/daemon/src/process/settings_limits.ts
@@ -48,7 +48,8 @@
     default: 65_536,
   }),
   connections: setting.integer(1, MAX_COUNT, {
-    text: "Open connections of callers. Further ones are closed at once.",
+    text:
+      "Open connections of callers; fewer where the process may not open some more than twice as many descriptors. A further one takes the place of the one that has been idle the longest, or is closed at once.",
     default: 10_000,
   }),
   queuedRequests: setting.integer(1, MAX_COUNT, {
