--- a/packages/router/src/connection/serial_connection.ts
+++ b/packages/router/src/connection/serial_connection.ts
@@ -132,6 +132,10 @@
   #responded(): void {
     this.#open -= 1;
     this.#activeAt = performance.now();
+    if (this.#open === 0 && this.#request?.complete === true) {
+      this.#request = undefined;
+      this.#response = undefined;
+    }
     this.#schedule();
   }
 
@@ -202,7 +206,7 @@
   get #mustWait(): boolean {
     // After an error or a last response, the parser may serve another connection.
     if (this.#stopped || !this.#socket.writable || this.#isClosing) return true;
-    if (this.#request?.complete !== true) return this.#isFull;
+    if (this.#request?.complete === false) return this.#isFull;
     return this.#open >= this.#maxOpen;
   }
 
--- a/packages/router/src/process/request_budget.ts
+++ b/packages/router/src/process/request_budget.ts
@@ -7,7 +7,7 @@
 /** Bytes of memory that an open request takes beside its head and its body. */
 const REQUEST_BYTES = 16 * 1024;
 /** Bytes of memory for each byte of a head, which is kept as text in several forms. */
-const HEAD_FACTOR = 4;
+const HEAD_FACTOR = 8;
 
 /** Counts the open requests of all callers by what they take. */
 export class RequestBudget {
--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -32,6 +32,7 @@
 import type { RoutedRequest } from "./routed_request.ts";
 import { exceedsMemory } from "./runner_memory.ts";
 import { readBody } from "./read_body.ts";
+import { onceReceived } from "./received.ts";
 import { resumesStream, resumeStream } from "./stream_resumption.ts";
 import { RequestReturn } from "./request_return.ts";
 
@@ -74,11 +75,10 @@
       this.#caller.request.rawHeaders,
     );
     const { request, response } = this.#caller;
-    const close = this.#daemon.requests.open(headerBytes(request.rawHeaders));
-    if (close === undefined) {
-      return this.#finish(head, this.#outcomes.tooMany());
-    }
-    response.once("close", close);
+    const end = this.#daemon.requests.open(headerBytes(request.rawHeaders));
+    if (end === undefined) return this.#finish(head, this.#outcomes.tooMany());
+    // A refused request is held as long as its body does not end.
+    response.once("close", () => onceReceived(request, end));
     const routed = routeRequest(this.#daemon, request, head);
     if ("status" in routed) {
       return this.#finish(head, { kind: "refused", refusal: routed });
--- a/packages/router/src/request/local_outcomes.ts
+++ b/packages/router/src/request/local_outcomes.ts
@@ -98,7 +98,8 @@
   tooMany(): Outcome {
     const code = "too_many_requests";
     const refusal = unavailableRefusal(code, this.#daemon.random());
-    return { kind: "refused", refusal };
+    // Its body, which may never end, would keep the request.
+    return { kind: "refused", refusal: { ...refusal, close: true } };
   }
 
   /** Returns the outcome when there is no room for the request's body. */
--- a/packages/router/tests/request_limit_test.ts
+++ b/packages/router/tests/request_limit_test.ts
@@ -1,4 +1,6 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
+import { connect } from "node:net";
 import { test } from "node:test";
 import { acceptLimits } from "../src/process/connection_limits.ts";
 import {
@@ -33,3 +35,24 @@
   assert.equal((await third).status, 200);
   assert.equal(runner.requests.length, 2);
 });
+
+// Guards against refused requests that are held, uncounted, as their bodies do not end.
+test("a refused request is counted as long as its body does not end", async (t) => {
+  const limits = acceptLimits({ descriptors: undefined, memoryMb: undefined });
+  const router = await startSingleRouteRouter(t, {}, [], {}, {
+    settings: { accepts: { ...limits, requestBytes: 30_000 } },
+  });
+  const socket = connect(router.callersPort, "127.0.0.1");
+  t.after(() => socket.destroy());
+  socket.write("POST / HTTP/1.1\r\nHost: none\r\nContent-Length: 2\r\n\r\n");
+  const [refusal] = await once(socket, "data");
+  assert.match(String(refusal), /^HTTP\/1.1 404 /);
+  assert.ok(router.requests.bytes > 0);
+  socket.write("ab");
+  await waitUntil(() => router.requests.bytes === 0);
+  socket.write("POST / HTTP/1.1\r\nHost: none\r\nContent-Length: 2\r\n\r\n");
+  await once(socket, "data");
+  assert.ok(router.requests.bytes > 0);
+  socket.destroy();
+  await waitUntil(() => router.requests.bytes === 0);
+});
