--- a/packages/router/src/connection/caller_server.ts
+++ b/packages/router/src/connection/caller_server.ts
@@ -33,6 +33,7 @@
 export class CallerServer {
   readonly #server: Server;
   readonly #listening: Listening;
+  readonly #pool: ConnectionPool;
   /** Number of requests in flight on each open connection. */
   readonly #connections = new Map<Socket, number>();
   #inFlight = 0;
@@ -48,14 +49,14 @@
   }) {
     const { accepts, limits, log } = options;
     const evictions = new EvictionLog(log, "callers");
-    const pool = new ConnectionPool(limits, (reason) => evictions.add(reason));
+    this.#pool = new ConnectionPool(limits, (reason) => evictions.add(reason));
     this.#server = createSerialServer({
       maxHeaderSize: MAX_HEAD_BYTES,
       connectionsCheckingInterval: CHECK_MS,
       keepAlive: true,
       noDelay: true,
     }, {
-      pool,
+      pool: this.#pool,
       accepts,
       serve: (request, response) => {
         const { socket } = request;
@@ -77,6 +78,16 @@
     return this.#inFlight;
   }
 
+  /** Number of open connections. */
+  get connections(): number {
+    return this.#pool.size;
+  }
+
+  /** Bytes of requests that have not begun. */
+  get unreadBytes(): number {
+    return this.#pool.heldBytes;
+  }
+
   /** The port that the server listens on; 0 before it does. */
   get port(): number {
     return this.#listening.port;
--- a/packages/router/src/process/metrics.ts
+++ b/packages/router/src/process/metrics.ts
@@ -30,6 +30,15 @@
   readonly factor: number;
 }
 
+/** What callers hold besides bodies and answers. */
+export interface HeldByCallers {
+  readonly connections: number;
+  /** Bytes of requests that have not begun. */
+  readonly unreadBytes: number;
+  /** Bytes that open requests take without their bodies. */
+  readonly requestBytes: number;
+}
+
 const MS_PER_SECOND = 1_000;
 /** In seconds, from the targets of interactive classes up to long streams. */
 const LATENCY_BUCKETS = [0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5, 10, 30];
@@ -333,6 +342,35 @@
     });
   }
 
+  /**
+   * Shows what callers hold besides bodies and answers.
+   *
+   * @param held called at each reading of the metrics.
+   */
+  observeCallers(held: () => HeldByCallers): void {
+    const registers = [this.#registry];
+    new Gauge({
+      name: "umbermast_caller_connections",
+      help: "Open connections of callers",
+      registers,
+      collect() {
+        this.set(held().connections);
+      },
+    });
+    new Gauge({
+      name: "umbermast_caller_bytes",
+      help: "Bytes of requests that have not begun, and that open requests " +
+        "take without their bodies",
+      labelNames: ["kind"],
+      registers,
+      collect() {
+        const { unreadBytes, requestBytes } = held();
+        this.set({ kind: "unread" }, unreadBytes);
+        this.set({ kind: "request" }, requestBytes);
+      },
+    });
+  }
+
   /**
    * Shows the memory of the process and the bound of its heap.
    *
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -219,6 +219,11 @@
     this.buffers = new BufferBudget(settings.buffers);
     this.metrics.observeBuffers(() => this.buffers.buffered);
     this.holdsStreams = settings.holdsStreams;
+    this.metrics.observeCallers(() => ({
+      connections: this.#server.connections,
+      unreadBytes: this.#server.unreadBytes,
+      requestBytes: this.requests.bytes,
+    }));
     this.metrics.observeMemory(() => memoryUse());
     this.#memoryWatch = new MemoryWatch({
       log,
