--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import process from "node:process";
+import { getHeapStatistics } from "node:v8";
 import type { ListenFailed as PeersListenFailed } from "@umbermast/coordination";
 import * as Effect from "effect/Effect";
 import * as Schedule from "effect/Schedule";
@@ -31,6 +32,8 @@
 import { RequestMetrics } from "./request/request_metrics.ts";
 import { makeCallRunner } from "./routing.ts";
 
+/** Share of the heap that open requests may take without their bodies. */
+const REQUEST_SHARE = 1 / 4;
 const EXIT_DRAINED = 0;
 const EXIT_INTERRUPTED = 1;
 const READINESS_INTERVAL_MS = 100;
@@ -133,6 +136,7 @@
         placement.counter,
       ),
       limits: settings.limits,
+      requestBytes: REQUEST_SHARE * getHeapStatistics().heap_size_limit,
       log,
       observer: new RequestMetrics(metrics),
       table: () => fleet.feed.current(),
--- a/packages/daemon/src/request/caller_requests.ts
+++ b/packages/daemon/src/request/caller_requests.ts
@@ -6,6 +6,7 @@
 import { randomUUID } from "node:crypto";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { bodyLimits, BufferBudget } from "@umbermast/router/budget";
+import { countRequest, RequestBudget } from "@umbermast/router/requests";
 import * as Cause from "effect/Cause";
 import * as Effect from "effect/Effect";
 import * as Exit from "effect/Exit";
@@ -51,6 +52,8 @@
 export interface CallerDependencies {
   readonly runner: CallRunner;
   readonly limits: CallerLimits;
+  /** Bytes that open requests may take without their bodies. */
+  readonly requestBytes: number;
   readonly log: Log;
   readonly observer: RequestObserver;
   /** The current table; undefined until one has been read. */
@@ -86,10 +89,12 @@
   readonly #dependencies: CallerDependencies;
   readonly #active = new TrackedSet<ActiveRequest>();
   readonly #bodies: BufferBudget;
+  readonly #requests: RequestBudget;
   #stopped = false;
 
   constructor(dependencies: CallerDependencies) {
     this.#dependencies = dependencies;
+    this.#requests = new RequestBudget(dependencies.requestBytes);
     const { bodyBytes, heldBodyBytes } = dependencies.limits;
     this.#bodies = new BufferBudget(
       bodyLimits(Math.max(heldBodyBytes, bodyBytes + BODY_OVERHEAD_BYTES)),
@@ -121,11 +126,13 @@
     response: ServerResponse,
     options: { readonly pipelined: boolean },
   ): void {
+    const hasRoom = countRequest(this.#requests, { request, response });
+    const { queuedRequests } = this.#dependencies.limits;
     const arrival: ArrivedRequest = {
       requestId: randomUUID(),
       request,
       pipelined: options.pipelined,
-      overLimit: this.#active.size >= this.#dependencies.limits.queuedRequests,
+      overLimit: !hasRoom || this.#active.size >= queuedRequests,
       headers: headerLines(request.rawHeaders),
       arrivedAt: Date.now(),
     };
--- a/packages/daemon/tests/caller_connections_test.ts
+++ b/packages/daemon/tests/caller_connections_test.ts
@@ -321,3 +321,15 @@
   assert.equal(error.status, 503);
   first.destroy();
 });
+
+// Guards against open requests whose sum is bounded by their number only.
+test("requests beyond the memory for open ones are refused", async (context) => {
+  const { play, started } = waitingPlay();
+  const side = await opened(context, { play, requestBytes: 30_000 });
+  const first = await dial(side.port);
+  first.write(chatText());
+  await Effect.runPromise(Deferred.await(started));
+  const error = errorOf(await exchange(side.port, chatText()));
+  assert.equal(error.code, "too_many_requests");
+  first.destroy();
+});
--- a/packages/daemon/tests/caller_fixture.ts
+++ b/packages/daemon/tests/caller_fixture.ts
@@ -118,6 +118,8 @@
 export async function openCallerSide(options: {
   readonly play?: Play;
   readonly limits?: Partial<CallerLimits>;
+  /** Bytes that open requests may take; unbounded by default. */
+  readonly requestBytes?: number;
   /** The table that is in force; none when `null`. */
   readonly table?: Table | null;
 } = {}): Promise<CallerSide> {
@@ -131,6 +133,7 @@
   const requests = new CallerRequests({
     runner: { run: options.play ?? echo },
     limits,
+    requestBytes: options.requestBytes ?? Infinity,
     log: new LineLog((line) => lines.push(line), {
       decisions: new DecisionHistory(),
     }),
--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -18,7 +18,7 @@
   logVersionUnavailable,
   refusalFields,
 } from "./decision_log.ts";
-import { headerBytes } from "./headers.ts";
+import { countRequest } from "./open_request.ts";
 import { fingerprintOf } from "./fingerprint.ts";
 import { partSuspects } from "./part_suspects.ts";
 import { outcomeName } from "./outcome.ts";
@@ -32,7 +32,6 @@
 import type { RoutedRequest } from "./routed_request.ts";
 import { exceedsMemory } from "./runner_memory.ts";
 import { readBody } from "./read_body.ts";
-import { onceReceived } from "./received.ts";
 import { resumesStream, resumeStream } from "./stream_resumption.ts";
 import { RequestReturn } from "./request_return.ts";
 
@@ -74,12 +73,10 @@
     const head = this.#daemon.dialect.parseRequest(
       this.#caller.request.rawHeaders,
     );
-    const { request, response } = this.#caller;
-    const end = this.#daemon.requests.open(headerBytes(request.rawHeaders));
-    if (end === undefined) return this.#finish(head, this.#outcomes.tooMany());
-    // A refused request is held as long as its body does not end.
-    response.once("close", () => onceReceived(request, end));
-    const routed = routeRequest(this.#daemon, request, head);
+    if (!countRequest(this.#daemon.requests, this.#caller)) {
+      return this.#finish(head, this.#outcomes.tooMany());
+    }
+    const routed = routeRequest(this.#daemon, this.#caller.request, head);
     if ("status" in routed) {
       return this.#finish(head, { kind: "refused", refusal: routed });
     }
