--- a/packages/router/src/connection/connection_pool.ts
+++ b/packages/router/src/connection/connection_pool.ts
@@ -49,12 +49,13 @@
 
   /**
    * Adds a connection. If there are too many, the one that has been idle the longest is
-   * closed, or the new one if none is idle.
+   * closed; if none is idle, the one that holds the most, or the new one.
    */
   add(connection: PooledConnection): void {
     this.#held.set(connection, 0);
     if (this.#held.size <= this.#limits.connections) return;
-    this.#evict(this.#longestIdle() ?? connection, "connections");
+    const evicted = this.#longestIdle(connection) ?? this.#largest(connection);
+    this.#evict(evicted, "connections");
   }
 
   /**
@@ -84,10 +85,11 @@
     this.#onEvicted(reason);
   }
 
-  #longestIdle(): PooledConnection | undefined {
+  /** Returns the connection that is idle the longest, of all but a new one. */
+  #longestIdle(added: PooledConnection): PooledConnection | undefined {
     let longest: PooledConnection | undefined;
     for (const connection of this.#held.keys()) {
-      if (connection.isBusy) continue;
+      if (connection === added || connection.isBusy) continue;
       const isOlder = longest === undefined ||
         connection.activeAt < longest.activeAt;
       if (isOlder) longest = connection;
--- a/packages/router/src/connection/serial_connection.ts
+++ b/packages/router/src/connection/serial_connection.ts
@@ -21,6 +21,9 @@
  */
 const MAX_WAITING_BYTES = 16 * 1024;
 
+/** Time in ms without a byte after which the body of a request is stalled. */
+const STALL_MS = 1_000;
+
 /** Parses bytes of a connection; the HTTP server's own listener. */
 export type Parse = (bytes: Buffer) => void;
 
@@ -89,8 +92,11 @@
     return unparsed + this.#headBytes;
   }
 
-  /** Whether a request is open, or has begun to arrive. */
+  /** Whether a request is open or has begun to arrive, and its body is not stalled. */
   get isBusy(): boolean {
+    const isStalled = this.#request?.complete === false &&
+      performance.now() - this.#activeAt > STALL_MS;
+    if (isStalled) return false;
     return this.#open > 0 || this.heldBytes > 0;
   }
 
--- a/packages/router/src/connection/serial_server_test.ts
+++ b/packages/router/src/connection/serial_server_test.ts
@@ -180,6 +180,34 @@
   assert.equal(busy.destroyed, false);
 });
 
+// Guards against clients that send ahead, or never end a body, and keep others out.
+test("a new connection takes the place of one that sends ahead or is stalled", async (t) => {
+  const pool = new ConnectionPool({ connections: 3, heldBytes: 1_000_000 });
+  const { server } = await startServer(
+    t,
+    (request, response) => void (request.url === "/" && response.end("ok")),
+    { pool },
+  );
+  const busy = await dial(t, server);
+  busy.write(head("GET /wait"));
+  const ahead = await dial(t, server);
+  ahead.write(head("GET /wait").repeat(100));
+  const stalled = await dial(t, server);
+  stalled.write(head("POST /wait", ["Content-Length: 10"]));
+  await pause(50);
+  const [aheadClosed, stalledClosed] = [closed(ahead), closed(stalled)];
+  const first = await dial(t, server);
+  first.write(head("GET /wait"));
+  await aheadClosed;
+  await pause(1_100);
+  const second = await dial(t, server);
+  second.write(head("GET /", ["Connection: close"]));
+  assert.match(await text(second), /^HTTP\/1.1 200/);
+  await stalledClosed;
+  assert.equal(busy.destroyed, false);
+  assert.equal(first.destroyed, false);
+});
+
 test("a request without a host, or with an expectation, is refused in its turn", async (t) => {
   const { server } = await startServer(t, (_, response) => {
     response.end("ok");
