--- a/packages/router/src/process/turn_queue.ts
+++ b/packages/router/src/process/turn_queue.ts
@@ -12,7 +12,7 @@
   #waiting: (() => void)[] = [];
   #scheduled = false;
 
-  /** Adds a turn. It must be short, and not throw. */
+  /** Adds a turn, which must be short. */
   add(turn: () => void): void {
     this.#waiting.push(turn);
     this.#schedule();
@@ -31,10 +31,12 @@
     // What is added meanwhile has its turn after these.
     this.#waiting = [];
     let next = 0;
-    while (next < turns.length && performance.now() < endAt) turns[next++]!();
-    if (next < turns.length) {
+    try {
+      while (next < turns.length && performance.now() < endAt) turns[next++]!();
+    } finally {
+      // An error in a turn ends the process gracefully; until then others go on.
       this.#waiting = [...turns.slice(next), ...this.#waiting];
+      if (this.#waiting.length > 0) this.#schedule();
     }
-    if (this.#waiting.length > 0) this.#schedule();
   }
 }
