--- a/packages/router/src/connection/caller_server.ts
+++ b/packages/router/src/connection/caller_server.ts
@@ -88,6 +88,11 @@
     return this.#pool.heldBytes;
   }
 
+  /** Takes fewer connections, as no descriptor is left for the process's own work. */
+  shrink(): void {
+    this.#pool.shrink();
+  }
+
   /** The port that the server listens on; 0 before it does. */
   get port(): number {
     return this.#listening.port;
--- a/packages/router/src/connection/connection_pool.ts
+++ b/packages/router/src/connection/connection_pool.ts
@@ -20,6 +20,9 @@
 /** Why a connection was closed to make room. */
 export type EvictionReason = "connections" | "held_bytes";
 
+/** Share of the connections that a server keeps when no descriptor is left. */
+const SHRINK_SHARE = 0.7;
+
 /** The open connections of a server. */
 export class ConnectionPool {
   readonly #limits: ConnectionLimits;
@@ -27,6 +30,7 @@
   /** What each connection holds, as counted in the sum. */
   readonly #held = new Map<PooledConnection, number>();
   #heldBytes = 0;
+  #maxConnections: number;
 
   /** @param onEvicted called for each connection that is closed to make room. */
   constructor(
@@ -34,6 +38,7 @@
     onEvicted: (reason: EvictionReason) => void = () => {},
   ) {
     this.#limits = limits;
+    this.#maxConnections = limits.connections;
     this.#onEvicted = onEvicted;
   }
 
@@ -53,7 +58,7 @@
    */
   add(connection: PooledConnection): void {
     this.#held.set(connection, 0);
-    if (this.#held.size <= this.#limits.connections) return;
+    if (this.#held.size <= this.#maxConnections) return;
     const evicted = this.#longestIdle(connection) ?? this.#largest(connection);
     this.#evict(evicted, "connections");
   }
@@ -73,6 +78,19 @@
     }
   }
 
+  /**
+   * Takes fewer connections from now on, as the process may open fewer descriptors than
+   * was known, and closes idle ones.
+   */
+  shrink(): void {
+    this.#maxConnections = Math.ceil(SHRINK_SHARE * this.#held.size);
+    while (this.#held.size > this.#maxConnections) {
+      const idle = this.#longestIdle();
+      if (idle === undefined) return;
+      this.#evict(idle, "connections");
+    }
+  }
+
   /** Removes a connection that has closed. */
   remove(connection: PooledConnection): void {
     this.#heldBytes -= this.#held.get(connection) ?? 0;
@@ -86,7 +104,7 @@
   }
 
   /** Returns the connection that is idle the longest, of all but a new one. */
-  #longestIdle(added: PooledConnection): PooledConnection | undefined {
+  #longestIdle(added?: PooledConnection): PooledConnection | undefined {
     let longest: PooledConnection | undefined;
     for (const connection of this.#held.keys()) {
       if (connection === added || connection.isBusy) continue;
--- a/packages/router/src/connection/serial_server_test.ts
+++ b/packages/router/src/connection/serial_server_test.ts
@@ -180,6 +180,25 @@
   assert.equal(busy.destroyed, false);
 });
 
+// Guards against callers that take the descriptors which a process was wrongly told of.
+test("a pool that lacks descriptors closes idle connections, and takes fewer", async (t) => {
+  const { server, pool } = await startServer(t, () => {});
+  const idle = await Promise.all(
+    Array.from({ length: 9 }, () => dial(t, server)),
+  );
+  const busy = await dial(t, server);
+  busy.write(head("GET /"));
+  for (const socket of idle) socket.resume();
+  while (pool.size < 10 || pool.heldBytes > 0) await pause(1);
+  await pause(20);
+  pool.shrink();
+  assert.equal(pool.size, 7);
+  await dial(t, server);
+  await pause(20);
+  assert.equal(pool.size, 7);
+  assert.equal(busy.destroyed, false);
+});
+
 // Guards against clients that send ahead, or never end a body, and keep others out.
 test("a new connection takes the place of one that sends ahead or is stalled", async (t) => {
   const pool = new ConnectionPool({ connections: 3, heldBytes: 1_000_000 });
--- a/packages/router/src/process/memory_watch.ts
+++ b/packages/router/src/process/memory_watch.ts
@@ -19,17 +19,26 @@
 export interface MemoryUse {
   /** Undefined if it cannot be read now. */
   readonly residentBytes: number | undefined;
+  /** Whether it cannot be read because no descriptor is left. */
+  readonly lacksDescriptors: boolean;
   readonly heapBytes: number;
   /** Size of the heap at which the process aborts. */
   readonly heapLimitBytes: number;
 }
 
+/** Errors of a process, or of the system, that has no descriptor left. */
+const DESCRIPTOR_ERRORS: ReadonlySet<string> = new Set(["EMFILE", "ENFILE"]);
+
 /** Reading the resident memory opens a file, which needs a descriptor. */
-function residentBytes(read: () => number): number | undefined {
+function readResidentMemory(
+  read: () => number,
+): Pick<MemoryUse, "residentBytes" | "lacksDescriptors"> {
   try {
-    return read();
-  } catch {
-    return undefined;
+    return { residentBytes: read(), lacksDescriptors: false };
+  } catch (error) {
+    const { code = "" } = error as NodeJS.ErrnoException;
+    const lacksDescriptors = DESCRIPTOR_ERRORS.has(code);
+    return { residentBytes: undefined, lacksDescriptors };
   }
 }
 
@@ -43,7 +52,7 @@
 ): MemoryUse {
   const { used_heap_size, heap_size_limit } = getHeapStatistics();
   return {
-    residentBytes: residentBytes(readResident),
+    ...readResidentMemory(readResident),
     heapBytes: used_heap_size,
     heapLimitBytes: heap_size_limit,
   };
@@ -54,6 +63,8 @@
   readonly log: EventLog;
   /** Memory of the host in MB; undefined if unknown. */
   readonly memoryMb: number | undefined;
+  /** Called while no descriptor is left. */
+  readonly onDescriptorsLacking: () => void;
   /** Returns the current use. */
   readonly use: () => MemoryUse;
   /** Monotonic time in milliseconds. */
@@ -61,7 +72,8 @@
 }
 
 /**
- * Logs when the process comes near the memory of its host or the bound of its heap. A
+ * Logs when the process comes near the memory of its host or the bound of its heap, and
+ * tells when it has no descriptor left. A
  * process beyond them ends without a last line.
  */
 export class MemoryWatch {
@@ -83,8 +95,10 @@
 
   /** Reads the memory once. */
   check(): void {
-    const { log, memoryMb, use, now } = this.#options;
-    const { residentBytes, heapBytes, heapLimitBytes } = use();
+    const { log, memoryMb, use, now, onDescriptorsLacking } = this.#options;
+    const { residentBytes, lacksDescriptors, heapBytes, heapLimitBytes } =
+      use();
+    if (lacksDescriptors) onDescriptorsLacking();
     const high = heapBytes > HIGH_SHARE * heapLimitBytes ||
       (residentBytes ?? 0) >
         HIGH_SHARE * (memoryMb ?? Infinity) * BYTES_PER_MB;
--- a/packages/router/src/process/memory_watch_test.ts
+++ b/packages/router/src/process/memory_watch_test.ts
@@ -11,22 +11,26 @@
   const state = {
     residentMb: 100 as number | undefined,
     heapMb: 50,
+    lacksDescriptors: false,
     now: 0,
   };
+  let lacking = 0;
   const watch = new MemoryWatch({
     log: {
       event: (name, fields) => void lines.push({ ...fields, name }),
       decision: () => {},
     },
     memoryMb: 350,
+    onDescriptorsLacking: () => lacking += 1,
     use: () => ({
       residentBytes: state.residentMb && state.residentMb * MB,
+      lacksDescriptors: state.lacksDescriptors,
       heapBytes: state.heapMb * MB,
       heapLimitBytes: 120 * MB,
     }),
     now: () => state.now,
   });
-  return { watch, state, lines };
+  return { watch, state, lines, lacking: () => lacking };
 }
 
 // Guards against a process that ends for its memory without a line that tells so.
@@ -64,13 +68,18 @@
 // memory.
 test("the heap is watched while the resident memory cannot be read", () => {
   const failed = () => {
-    throw new Error("EMFILE: too many open files, uv_resident_set_memory");
+    throw Object.assign(new Error("too many open files"), { code: "EMFILE" });
   };
-  const { residentBytes, heapBytes } = memoryUse(failed);
+  const { residentBytes, heapBytes, lacksDescriptors } = memoryUse(failed);
+  assert.ok(lacksDescriptors);
   assert.equal(residentBytes, undefined);
   assert.ok(heapBytes > 0);
-  const { watch, state, lines } = watchOf();
+  const { watch, state, lines, lacking } = watchOf();
+  watch.check();
+  assert.equal(lacking(), 0);
   Object.assign(state, { residentMb: undefined, heapMb: 110 });
+  state.lacksDescriptors = true;
   watch.check();
   assert.equal(lines.length, 1);
+  assert.equal(lacking(), 1);
 });
--- a/packages/router/src/process/settings.ts
+++ b/packages/router/src/process/settings.ts
@@ -224,25 +224,13 @@
   return bufferLimits(defaultBufferMb(memoryMb, options));
 }
 
-function readMemoryMb(
+function readOptional(
   json: unknown,
   reader: SettingsReader,
+  place: string,
 ): number | undefined {
-  if (valueAt(json, "memoryMb") === undefined) return undefined;
-  return reader.positive(json, "memoryMb");
-}
-
-/** Reads a number that may be absent; `available` is the most that there can be. */
-function readAtMost(
-  json: unknown,
-  reader: SettingsReader,
-  { place, available }: {
-    readonly place: string;
-    readonly available: number | undefined;
-  },
-): number | undefined {
-  if (valueAt(json, place) === undefined) return available;
-  return Math.min(reader.positive(json, place), available ?? Infinity);
+  if (valueAt(json, place) === undefined) return undefined;
+  return reader.positive(json, place);
 }
 
 function readAcceptLimits(
@@ -250,17 +238,15 @@
   reader: SettingsReader,
   resources: ProcessResources,
 ): AcceptLimits {
+  const { descriptors, memoryMb } = resources;
   const limits = acceptLimits({
-    ...resources,
-    descriptors: readAtMost(json, reader, {
-      place: "maxDescriptors",
-      available: resources.descriptors,
-    }),
+    descriptors: readOptional(json, reader, "maxDescriptors") ?? descriptors,
+    memoryMb,
   });
-  const connections = readAtMost(json, reader, {
-    place: "maxConnections",
-    available: limits.callers.connections,
-  })!;
+  const connections = Math.min(
+    limits.callers.connections,
+    readOptional(json, reader, "maxConnections") ?? Infinity,
+  );
   return { ...limits, callers: { ...limits.callers, connections } };
 }
 
@@ -298,8 +284,7 @@
 /**
  * Reads settings from JSON text.
  *
- * @param options.descriptors number that the operating system lets the process open;
- * fewer may be set.
+ * @param options.descriptors number that the process may open if the settings tell none.
  * @returns the settings, or all findings.
  *
  * @example
@@ -319,7 +304,7 @@
     return err([{ place: "", text: `Cannot read settings: ${reason}` }]);
   }
   const reader = new SettingsReader();
-  const memoryMb = readMemoryMb(json, reader);
+  const memoryMb = readOptional(json, reader, "memoryMb");
   const settings: RouterSettings = {
     name: reader.text(json, "name"),
     failureDomain: reader.text(json, "failureDomain"),
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -228,6 +228,7 @@
     this.#memoryWatch = new MemoryWatch({
       log,
       memoryMb: settings.memoryMb,
+      onDescriptorsLacking: () => this.#server.shrink(),
       use: () => memoryUse(),
       now: () => this.now(),
     });
