--- a/packages/router/src/connection/crash_detector.ts
+++ b/packages/router/src/connection/crash_detector.ts
@@ -10,9 +10,14 @@
 import type { Runner } from "../process/runner.ts";
 import { isPart } from "../process/suspect.ts";
 import type { Suspect } from "../process/suspect.ts";
-import type { RunnerPaths } from "../process/runner_paths.ts";
+import type {
+  Path,
+  PeerVerdict,
+  RunnerPaths,
+} from "../process/runner_paths.ts";
 import type { RunnerNetwork } from "./runner_network.ts";
 import { connectTo } from "./runner_probe.ts";
+import type { ConnectResult } from "./runner_probe.ts";
 
 /**
  * Delay in ms from the first interrupted response until the runner is probed. The
@@ -35,6 +40,14 @@
   readonly startedAt: number;
 }
 
+/** Whether a runner has crashed, and how that was found out. */
+export interface RunnerCheck {
+  readonly path: Path;
+  /** How its address answered a new connection, or what peers say of it. */
+  readonly response: ConnectResult | PeerVerdict;
+  readonly crashed: boolean;
+}
+
 interface EndedRun extends BrokenRun {
   /** Monotonic ms. */
   readonly endedAt: number;
@@ -92,21 +105,22 @@
   }
 
   /**
-   * Whether a runner's address refuses connections. If it does so to this daemon
-   * only, the path is to blame.
+   * Finds out whether a runner has crashed: whether its address refuses connections. If
+   * it does so to this daemon only, the path is to blame.
    */
-  async hasCrashed(runner: Runner): Promise<boolean> {
+  async check(runner: Runner): Promise<RunnerCheck> {
     if (this.#paths.pathTo(runner) === "tunnel") {
-      return await this.#paths.askPeers(runner) === "refused";
+      const response = await this.#paths.askPeers(runner);
+      return { path: "tunnel", response, crashed: response === "refused" };
     }
     const response = await connectTo(this.#network, runner);
-    if (response === "accepted") return false;
-    const pathLost = await this.#paths.check(runner);
-    return response === "refused" && !pathLost;
+    const pathLost = response !== "accepted" && await this.#paths.check(runner);
+    const crashed = response === "refused" && !pathLost;
+    return { path: "direct", response, crashed };
   }
 
   async #probe(runner: Runner): Promise<void> {
-    const crashed = await this.hasCrashed(runner);
+    const { crashed, response, path } = await this.check(runner);
     const runs = this.#broken.get(runner.id) ?? [];
     this.#broken.delete(runner.id);
     this.#probed.add(runner.id);
@@ -124,7 +138,8 @@
       runner: runner.id,
       service: runner.service,
       ended: crashed,
-      path: this.#paths.pathTo(runner),
+      path,
+      response,
       broken_off: runs.length,
       fingerprints: fingerprints.slice(0, MAX_LOGGED).join(","),
       parts: parts.slice(0, MAX_LOGGED).join(","),
--- a/packages/router/src/request/daemon.ts
+++ b/packages/router/src/request/daemon.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { BrokenRun } from "../connection/crash_detector.ts";
+import type { BrokenRun, RunnerCheck } from "../connection/crash_detector.ts";
 import type { RunnerConnections } from "../connection/runner_connections.ts";
 import type { TunnelPeers } from "../connection/tunnel_peers.ts";
 import type { BrittleServices } from "../process/brittle_services.ts";
@@ -146,8 +146,8 @@
    * its entry tells of; a promise if the runner has to be asked.
    */
   isListedStart(runner: Runner): true | Promise<boolean>;
-  /** Whether a runner's address refuses connections. */
-  hasCrashed(runner: Runner): Promise<boolean>;
+  /** Finds out whether a runner has crashed. */
+  checkRunner(runner: Runner): Promise<RunnerCheck>;
   /** Returns how fast the runners of a service do their work. */
   runnerPace(service: string): RunnerPace;
   /** Returns how fast the runners of a service get through requests. */
--- a/packages/router/src/request/decision_log.ts
+++ b/packages/router/src/request/decision_log.ts
@@ -28,6 +28,8 @@
 import type { SharedKey } from "../process/share_order.ts";
 import { SHARE_UNITS } from "../process/workspace_shares.ts";
 import type { Refusal } from "./refusal.ts";
+import type { RunnerCheck } from "../connection/crash_detector.ts";
+import type { Attempt } from "./attempt.ts";
 import type { Daemon } from "./daemon.ts";
 import type { RequestHead } from "./dialect.ts";
 import { partSuspects } from "./part_suspects.ts";
@@ -500,3 +502,30 @@
     buffered_bytes: cut.totalBytes,
   });
 }
+
+/**
+ * Logs that a response ended with its connection, as nothing in it states its end, and
+ * what a check of its runner found then.
+ */
+export function logUnframedEnd(
+  daemon: Daemon,
+  routed: RoutedRequest,
+  end: {
+    readonly attempt: Attempt;
+    readonly status: number;
+    readonly bytes: number | undefined;
+    readonly events: number | undefined;
+    readonly check: RunnerCheck | undefined;
+  },
+): void {
+  const { attempt, check, ...fields } = end;
+  daemon.log.decision("unframed_response_ended", routed.head.id, {
+    service: routed.service.name,
+    runner: attempt.runner.id,
+    path: attempt.path,
+    peer: attempt.tunnelPeer,
+    ...fields,
+    check: check?.response ?? "none",
+    crashed: check?.crashed ?? false,
+  });
+}
--- a/packages/router/src/request/response_relay.ts
+++ b/packages/router/src/request/response_relay.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import type { Buffer } from "node:buffer";
-import type { IncomingMessage } from "node:http";
 import type { BrokenRun } from "../connection/crash_detector.ts";
 import type { Runner } from "../process/runner.ts";
 import type { PlacedRequest, RunnerLoad } from "../process/runner_load.ts";
@@ -13,6 +12,7 @@
 import { MAX_UNFRAMED_BYTES } from "./caller.ts";
 import type { Caller } from "./caller.ts";
 import type { Daemon } from "./daemon.ts";
+import { logUnframedEnd } from "./decision_log.ts";
 import { isFramed } from "./headers.ts";
 import type { InactivityTimer } from "./inactivity_timer.ts";
 import type { Outcome } from "./outcome.ts";
@@ -85,6 +85,15 @@
   readonly room: PlainRoom | undefined;
 }
 
+/** A body that has ended with its connection. */
+interface EndedBody {
+  readonly attempt: Attempt;
+  /** Undefined for a stream. */
+  readonly bytes: number | undefined;
+  /** Events that were relayed of a stream. */
+  readonly events: number | undefined;
+}
+
 /** What a runner responded. */
 type RunnerOutcome = Extract<Outcome, { readonly status: number }>;
 
@@ -194,10 +203,14 @@
         received.kind,
       );
     }
-    // A long one is relayed in chunks, whose end states that it is whole.
     const { blocks } = received;
-    const isLong = blocks.length > MAX_UNFRAMED_BYTES;
-    if (isLong && await this.#endedByCrash(incoming, context)) {
+    const ended = { bytes: blocks.length, events: undefined };
+    if (
+      await this.#endedByCrash(routed, response, {
+        attempt: context.attempt,
+        ...ended,
+      })
+    ) {
       return this.#handleInterruption(
         context,
         "response interrupted",
@@ -306,7 +319,13 @@
         end.reason,
       );
     }
-    if (await this.#endedByCrash(incoming, context)) {
+    const ended = { bytes: undefined, events: stream.eventCount };
+    if (
+      await this.#endedByCrash(routed, response, {
+        attempt: context.attempt,
+        ...ended,
+      })
+    ) {
       return this.#handleInterruption(
         context,
         "stream interrupted",
@@ -325,11 +344,19 @@
    * the connections of a process that crashes in the ordinary way.
    */
   async #endedByCrash(
-    { rawHeaders }: IncomingMessage,
-    { attempt: { runner } }: AttemptContext,
+    routed: RoutedRequest,
+    { status, incoming: { rawHeaders } }: RunnerResponse,
+    { attempt, bytes, events }: EndedBody,
   ): Promise<boolean> {
     if (isFramed(rawHeaders)) return false;
-    return await this.#daemon.hasCrashed(runner);
+    // A long one is relayed in chunks, whose end states that it is whole.
+    const checked = bytes === undefined || bytes > MAX_UNFRAMED_BYTES;
+    const check = checked
+      ? await this.#daemon.checkRunner(attempt.runner)
+      : undefined;
+    const end = { attempt, status, bytes, events, check };
+    logUnframedEnd(this.#daemon, routed, end);
+    return check?.crashed ?? false;
   }
 
   #recordResponse(
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -8,6 +8,7 @@
 import { shutDownGracefully } from "./connection/graceful_shutdown.ts";
 import { CallerServer } from "./connection/caller_server.ts";
 import { CrashDetector } from "./connection/crash_detector.ts";
+import type { RunnerCheck } from "./connection/crash_detector.ts";
 import type { BrokenRun } from "./connection/crash_detector.ts";
 import { FleetSync } from "./connection/fleet_sync.ts";
 import type { SharedStore } from "./connection/fleet_sync.ts";
@@ -527,8 +528,8 @@
     return false;
   }
 
-  hasCrashed(runner: Runner): Promise<boolean> {
-    return this.#crashDetector.hasCrashed(runner);
+  checkRunner(runner: Runner): Promise<RunnerCheck> {
+    return this.#crashDetector.check(runner);
   }
 
   requestStarted(
