Confirm the end of a connection before it is reported

Cause: when bytes and a reset lie in the socket at the same moment, the runtime's read does not fill its buffer, the poll said "hung up", and an end of file is reported without another read; ECONNRESET stays in the kernel. Node shows end and complete, and no error anywhere. Class: an end that is inferred from a connection which closed, taken for one that was stated.

ClientSocket holds the end back for one turn of the event loop and writes nothing in it: the system tells the pending error to whatever comes next. Where a write is in progress (a request that is answered before it was read), that write fails in the same turn. All connections of the router to runners, direct, probes and those that it serves for peers, are opened by openSocket, so that tunnels pass on "broken" in place of "end".

The caller of HTTP/1.0 in reset_response_test reads with ClientSocket, too: with a plain one it could not see the reset.

--- a/packages/router/src/connection/open_socket.ts
+++ b/packages/router/src/connection/open_socket.ts
@@ -3,7 +3,8 @@
  *
  * @module
  */
-import { connect, Socket } from "node:net";
+import { connectClient } from "@umbermast/coordination/client_socket";
+import { Socket } from "node:net";
 import type { ListenAddress } from "../process/settings.ts";
 
 /**
@@ -12,7 +13,7 @@
  */
 export function openSocket({ host, port }: ListenAddress): Socket {
   try {
-    return connect({ host, port });
+    return connectClient({ host, port });
   } catch (error) {
     return new Socket().destroy(error as Error);
   }
--- a/packages/router/tests/reset_response_test.ts
+++ b/packages/router/tests/reset_response_test.ts
@@ -1,5 +1,5 @@
 import assert from "node:assert/strict";
-import { connect } from "node:net";
+import { connectClient } from "@umbermast/coordination/client_socket";
 import type { Socket } from "node:net";
 import { test } from "node:test";
 import type { TestContext } from "node:test";
@@ -222,7 +222,8 @@
 /** Whether the connection of a caller of HTTP/1.0 ends without a reset. */
 function endsInOrder(port: number): Promise<boolean> {
   return new Promise((resolve) => {
-    const socket = connect(port, LOCALHOST);
+    // Node shows an ordinary end of a reset that comes with the last bytes.
+    const socket = connectClient({ port, host: LOCALHOST });
     let error: Error | undefined;
     socket.on("error", (reason) => error = reason);
     socket.on("close", () => resolve(error === undefined));
