Take a connection that the other side ended for ended, also if a reset follows

A runner that answers before it has read the request, ends the connection and does not read on is reset by the system as more of the request arrives. Its answer was complete, but since the end of a connection is confirmed by a write, callers got a 502 for it: that write, or the one of the request that was in progress, failed with EPIPE.

The system tells EPIPE where the other side had ended the connection before the reset, and ECONNRESET where it had not. ClientSocket lets such writes succeed once it has seen the end: what they say is of no use to the other side.

--- a/packages/coordination/src/connection/client_socket.ts
+++ b/packages/coordination/src/connection/client_socket.ts
@@ -8,6 +8,8 @@
 import { Socket } from "node:net";
 import type { TcpNetConnectOpts } from "node:net";
 
+type WriteCallback = (error?: Error | null) => void;
+
 /**
  * A connection that reports a reset as an error, also where it arrives together with
  * the last bytes. Node reports an ordinary end then: a part of a message that ends with
@@ -18,15 +20,46 @@
  * is then reported as it comes.
  */
 export class ClientSocket extends Socket {
+  #ending = false;
+
   // Called by Node with what has been read; null at the end.
   override push(chunk: Buffer | null, encoding?: BufferEncoding): boolean {
     if (chunk !== null) return super.push(chunk, encoding);
+    this.#ending = true;
     // A write that is in progress fails by itself.
     if (this.writable && this.writableLength === 0) this.write("");
     setImmediate(() => this.#reportEnd());
     return false;
   }
 
+  // Called by Node's streams to write.
+  override _write(
+    chunk: Buffer | string,
+    encoding: BufferEncoding,
+    callback: WriteCallback,
+  ): void {
+    super._write(chunk, encoding, this.#withoutBrokenPipe(callback));
+  }
+
+  // Called by Node's streams to write what has been buffered.
+  override _writev(
+    chunks: { chunk: Buffer | string; encoding: BufferEncoding }[],
+    callback: WriteCallback,
+  ): void {
+    super._writev!(chunks, this.#withoutBrokenPipe(callback));
+  }
+
+  /**
+   * A pipe is broken, and not reset, if the other side has ended the connection before:
+   * all that it sent has arrived, and what it has not read is of no use to it.
+   */
+  #withoutBrokenPipe(callback: WriteCallback): WriteCallback {
+    return (error) => {
+      const code = (error as NodeJS.ErrnoException | null | undefined)?.code;
+      callback(this.#ending && code === "EPIPE" ? null : error);
+    };
+  }
+
   #reportEnd(): void {
     if (this.destroyed) return;
     super.push(null);
--- a/packages/coordination/src/connection/client_socket_test.ts
+++ b/packages/coordination/src/connection/client_socket_test.ts
@@ -80,6 +80,12 @@
   socket.end(PART);
 }
 
+/** Ends the connection, and resets it as the client goes on to write. */
+function closeThenReset(socket: Socket): void {
+  socket.pause();
+  socket.end(PART, () => socket.resetAndDestroy());
+}
+
 /** Clients that read at once, late, and while they write. */
 const CLIENTS = {
   "": {},
@@ -104,6 +110,16 @@
   });
 }
 
+// Guards against a whole response that is lost as its request was not read to the end.
+for (const [whose, options] of Object.entries(CLIENTS)) {
+  test(`a close${whose} that a reset follows is an end`, async (t) => {
+    const port = await startServer(t, closeThenReset);
+    for (const seen of await observeAll(port, options)) {
+      assert.deepEqual(seen, { received: PART, ended: true, error: undefined });
+    }
+  });
+}
+
 test("a connection that ends on both sides is closed without an error", async (t) => {
   const port = await startServer(t, (socket) => socket.end(PART));
   const socket = connectClient({ host: LOCALHOST, port });
--- a/packages/router/tests/reset_response_test.ts
+++ b/packages/router/tests/reset_response_test.ts
@@ -209,6 +209,18 @@
   assert.equal((await wholeAnswers(router, request)).length, TRIES);
 });
 
+// Guards against a whole answer that is lost as its runner reads no more of the request.
+test("a closed answer is whole if a reset follows it", async (t) => {
+  const runner = await startFakeRunner(t, "r-1", (socket, _, id) => {
+    if (id === "") return;
+    socket.pause();
+    socket.end(unframed(id, FIRST), () => socket.resetAndDestroy());
+  });
+  const router = await startDirect(t, { repetition: "never" }, [runner]);
+  const request = { method: "POST", body: "x".repeat(LONG_REQUEST_BYTES) };
+  assert.equal((await wholeAnswers(router, request)).length, TRIES);
+});
+
 // Guards against a part that a caller of HTTP/1.0 takes for the whole.
 test("a reset stream is reset for a caller of HTTP/1.0", async (t) => {
   const runners = await startEnding(t, "reset");
