Read answers in tests and load with connections whose end is confirmed

clientRequest opens ClientSocket connections and destroys a response whose connection fails; Node would end a body without a length as if it were whole. sendRequest, versioned_streams and partitioned_fleet of the router, Caller of packages/testing and the load of packages/bench use it. The caller of packages/testing also asks for an error of the response: complete is true of one that was destroyed.

--- a/packages/bench/src/faults_callers.ts
+++ b/packages/bench/src/faults_callers.ts
@@ -4,7 +4,8 @@
  *
  * @module
  */
-import { Agent } from "node:http";
+import type { Agent } from "node:http";
+import { ClientAgent } from "@umbermast/coordination/client_socket";
 import { setTimeout as pause } from "node:timers/promises";
 import { type Answer, Caller } from "@umbermast/testing";
 import type { Arrival } from "./arrivals.ts";
@@ -52,7 +53,7 @@
   sent: readonly Arrival[],
   callers: Callers,
 ): Promise<readonly CallerStory[]> {
-  const agent = new Agent({ keepAlive: true, maxSockets: Infinity });
+  const agent = new ClientAgent({ keepAlive: true, maxSockets: Infinity });
   const startedAt = nowMs();
   const stories: Promise<CallerStory>[] = [];
   for (const arrival of sent) {
--- a/packages/bench/src/load.ts
+++ b/packages/bench/src/load.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { Agent } from "node:http";
+import { ClientAgent } from "@umbermast/coordination/client_socket";
 import { setTimeout as pause } from "node:timers/promises";
 import { Caller, type CallOptions } from "@umbermast/testing";
 import type { Arrival } from "./arrivals.ts";
@@ -62,7 +62,7 @@
 class Sender {
   readonly #destination: Destination;
   readonly #sending: Sending;
-  readonly #agent = new Agent({
+  readonly #agent = new ClientAgent({
     keepAlive: true,
     maxSockets: Infinity,
     maxFreeSockets: Infinity,
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { once } from "node:events";
-import { request } from "node:http";
+import { clientRequest } from "@umbermast/coordination/client_request";
 import { createServer } from "node:net";
 import type { AddressInfo, Socket } from "node:net";
 import { text } from "node:stream/consumers";
@@ -717,13 +717,12 @@
     readonly headers?: Readonly<Record<string, string>>;
   } = {},
 ): Promise<CallerResponse> {
-  const outgoing = request({
+  const outgoing = clientRequest({
     host: LOCALHOST,
     port: router.callersPort,
     method: options.method ?? "GET",
     path: options.path ?? "/",
     headers: { host: "test", "x-id": "try-1", ...options.headers },
-    agent: false,
   });
   outgoing.end(options.body);
   const [incoming] = await once(outgoing, "response");
--- a/packages/router/tests/partitioned_fleet.ts
+++ b/packages/router/tests/partitioned_fleet.ts
@@ -4,7 +4,9 @@
  *
  * @module
  */
-import { Agent, request } from "node:http";
+import { clientRequest } from "@umbermast/coordination/client_request";
+import { ClientAgent } from "@umbermast/coordination/client_socket";
+import type { Agent } from "node:http";
 import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 import { text } from "node:stream/consumers";
@@ -165,7 +167,7 @@
     caller: number,
     until: number,
   ): Promise<void> {
-    const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+    const agent = new ClientAgent({ keepAlive: true, maxSockets: 1 });
     for (let turn = caller; performance.now() < until; turn++) {
       if (this.#over) break;
       const { pathPrefix } = ROUTES[turn % ROUTES.length]!;
@@ -184,7 +186,7 @@
     },
   ): Promise<boolean> {
     return new Promise((resolve) => {
-      const outgoing = request({
+      const outgoing = clientRequest({
         host: LOCALHOST,
         port: this.routers[router]!.callersPort,
         method: path.startsWith("/get/") ? "GET" : "POST",
--- a/packages/router/tests/versioned_streams.ts
+++ b/packages/router/tests/versioned_streams.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { request } from "node:http";
+import { clientRequest } from "@umbermast/coordination/client_request";
 import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 import type { TestContext } from "node:test";
@@ -132,7 +132,7 @@
   send(router: Router, stream: StreamRequest): Promise<ReceivedStream> {
     const { id, key, path = "/", resumes, lastEventId } = stream;
     const { leaveAfter = Infinity } = stream;
-    const outgoing = request({
+    const outgoing = clientRequest({
       host: LOCALHOST,
       port: router.callersPort,
       path,
@@ -143,7 +143,6 @@
         ...(resumes !== undefined && { "x-resumes": resumes }),
         ...(lastEventId !== undefined && { "last-event-id": lastEventId }),
       },
-      agent: false,
     });
     return new Promise((resolve) => {
       const versions: string[] = [];
--- a/packages/testing/src/client.ts
+++ b/packages/testing/src/client.ts
@@ -3,7 +3,10 @@
  *
  * @module
  */
-import { Agent, request } from "node:http";
+import { clientRequest } from "@umbermast/coordination/client_request";
+import { ClientAgent } from "@umbermast/coordination/client_socket";
+import type { Agent } from "node:http";
+import { urlToHttpOptions } from "node:url";
 import type { Answer } from "./request/answer.ts";
 import { Progress } from "./request/progress.ts";
 import {
@@ -79,7 +82,7 @@
   constructor(url: string, options: CallerOptions = {}) {
     this.#url = url;
     this.#key = options.key;
-    this.#agent = options.agent ?? new Agent({ keepAlive: true });
+    this.#agent = options.agent ?? new ClientAgent({ keepAlive: true });
   }
 
   /** Sends a chat call; never rejects. */
@@ -123,7 +126,8 @@
   ): Promise<Answer> {
     return new Promise((resolve) => {
       const progress = new Progress();
-      const call = request(`${this.#url}${path}`, {
+      const call = clientRequest({
+        ...urlToHttpOptions(new URL(`${this.#url}${path}`)),
         method: options.method ?? "POST",
         headers: this.#headers(options),
         agent: this.#agent,
@@ -147,7 +151,8 @@
         response.on("data", (text: string) => chosen.take(text));
         response.on("error", () => {});
         response.on("close", () => {
-          const answer = chosen.end(response.complete);
+          const whole = response.complete && response.errored === null;
+          const answer = chosen.end(whole);
           resolve(left() ? { ...answer, outcome: "cancelled" } : answer);
         });
       });
