Deliver a whole response whose connection is reset before it is read

A response with a length, or in chunks, that had arrived whole was cut where its reader was late (a slow caller) and the connection was reset behind it: since a reset behind the last bytes is seen as one, the request's error destroyed the response. It must be destroyed only while Node has not parsed all of it; that is never the case at the error of a body without a length.

Attempt uses clientRequest, so that there is one copy of this rule.

--- a/packages/coordination/src/connection/client_request.ts
+++ b/packages/coordination/src/connection/client_request.ts
@@ -24,7 +24,9 @@
   const agent = options.agent || new ClientAgent();
   const outgoing = request({ ...options, agent });
   outgoing.prependOnceListener("response", (incoming) => {
-    outgoing.on("error", (error) => incoming.destroy(error));
+    outgoing.on("error", (error) => {
+      if (!incoming.complete) incoming.destroy(error);
+    });
   });
   return outgoing;
 }
--- a/packages/router/src/request/attempt.ts
+++ b/packages/router/src/request/attempt.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { request } from "node:http";
+import { clientRequest } from "@umbermast/coordination/client_request";
 import type { ClientRequest, IncomingMessage } from "node:http";
 import type { Buffer } from "node:buffer";
 import { TunnelLostError, TunnelSocket } from "../connection/tunnel_socket.ts";
@@ -98,7 +98,7 @@
     const length = hasNoBody(outgoing)
       ? []
       : ["Content-Length", String(outgoing.body.length)];
-    this.#clientRequest = request({
+    this.#clientRequest = clientRequest({
       agent: options.connections.agent(runner, options),
       host: runner.address,
       port: runner.port,
@@ -205,18 +205,13 @@
 
   #abort(error: Error): void {
     this.#handleError(error);
+    this.#incoming?.destroy(error);
     this.#clientRequest.destroy(error);
   }
 
-  /**
-   * Aborts a response whose connection failed. Node's parser takes a connection
-   * reset for the end of a response without a length, so a partial body would
-   * pass for a complete one.
-   */
   #handleError(error: Error): void {
     if (error instanceof TunnelLostError) this.#lostByPeer = true;
     this.#fail(error.message);
-    this.#incoming?.destroy(error);
   }
 
   #fail(reason: string): void {
