Give connections of ClientAgent the options of its connections

Nothing was seen by callers yet: the agent had no user. Its connections lacked what Node's own agent sets on a socket when it opens it: noDelay, which Node's agents set by default, the time-out and the sizes of buffers.

Cause: connectClient made the socket without options, and connect() takes only those of the address.

Evidence: the new test compares a connection's time-out and high-water mark with those of Node's agent: undefined and 16384 in place of 60000 and 1024 before, equal now. noDelay can't be read back; it goes the same way.

--- a/packages/coordination/src/connection/client_socket.ts
+++ b/packages/coordination/src/connection/client_socket.ts
@@ -44,7 +44,9 @@
  * ```
  */
 export function connectClient(options: TcpNetConnectOpts): ClientSocket {
-  return new ClientSocket().connect(options);
+  const socket = new ClientSocket(options);
+  if (options.timeout !== undefined) socket.setTimeout(options.timeout);
+  return socket.connect(options);
 }
 
 /**
--- a/packages/coordination/src/connection/client_socket_test.ts
+++ b/packages/coordination/src/connection/client_socket_test.ts
@@ -1,10 +1,11 @@
 import assert from "node:assert/strict";
 import { once } from "node:events";
+import { Agent, get } from "node:http";
 import { createServer } from "node:net";
 import type { AddressInfo, Socket } from "node:net";
 import { test } from "node:test";
 import type { TestContext } from "node:test";
-import { connectClient } from "./client_socket.ts";
+import { ClientAgent, connectClient } from "./client_socket.ts";
 
 const LOCALHOST = "127.0.0.1";
 const PART = "a part";
@@ -112,3 +113,24 @@
   await once(socket, "close");
   assert.equal(socket.errored, null);
 });
+
+/** Sends a request, and returns its connection. */
+async function socketOf(t: TestContext, agent: Agent, port: number) {
+  const request = get({ agent, host: LOCALHOST, port });
+  request.on("error", () => {});
+  const [socket] = await once(request, "socket") as [Socket];
+  t.after(() => socket.destroy());
+  return socket;
+}
+
+// Guards against an option that connections of an agent of Node have and these lack.
+test("connections of an agent have its options", async (t) => {
+  const port = await startServer(t, () => {});
+  const options = { keepAlive: true, timeout: 60_000, highWaterMark: 1_024 };
+  const socket = await socketOf(t, new ClientAgent(options), port);
+  const ordinary = await socketOf(t, new Agent(options), port);
+  assert.deepEqual(
+    [socket.timeout, socket.readableHighWaterMark],
+    [ordinary.timeout, ordinary.readableHighWaterMark],
+  );
+});
