Take no reset of a runner's connection for the end of its answer

Callers of umbermastd got a part of an answer as a whole one, 200 with the part's length, where a runner sent it without a length and reset the connection: a number, or the first of several JSON lines, whose part parses by itself. Other answers without a length are whole only by their own marks.

It acted in two ways. A reset right behind the bytes is an ordinary end to Node. And after a later reset Node reports the error of the request, then ends the response as complete with no error of its own; RunnerResponse listened to the response alone, as the error was thought to come there.

Runners are called over ClientAgent, load reports included (their JSON objects can't be cut unseen; the agent is harmless there). RunnerResponse takes an error of its request for an interruption, unless Node has read all of the body already: a whole answer with a length stays whole.

Evidence: before, five tests of cut_answer_test fail in each of two runs, and the test of runner_response_test that resets after the part was read; with the listener alone the five still fail, with the agent alone (three runs) too. All pass now. Streams were safe before by their end mark; the tests keep it.

--- a/packages/daemon/src/connection/runner_connections.ts
+++ b/packages/daemon/src/connection/runner_connections.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { ClientAgent } from "@umbermast/coordination/client_socket";
 import * as http from "node:http";
 import type { Runner } from "../process/runner.ts";
 
@@ -43,7 +44,7 @@
 export class RunnerConnections {
   readonly #limits: ConnectionLimits;
   readonly #agents = new Map<string, http.Agent>();
-  readonly #oneShot = new http.Agent({ keepAlive: false });
+  readonly #oneShot = new ClientAgent({ keepAlive: false });
 
   constructor(limits: ConnectionLimits = DEFAULT_CONNECTION_LIMITS) {
     this.#limits = limits;
@@ -100,7 +101,7 @@
     const key = keyOf(runner);
     const known = this.#agents.get(key);
     if (known !== undefined) return known;
-    const agent = new http.Agent({
+    const agent = new ClientAgent({
       keepAlive: true,
       maxSockets: this.#limits.perRunner,
       maxFreeSockets: this.#limits.idlePerRunner,
--- a/packages/daemon/src/connection/runner_response.ts
+++ b/packages/daemon/src/connection/runner_response.ts
@@ -50,20 +50,24 @@
     const wake = () => this.#wake?.();
     response.on("readable", wake);
     response.on("end", () => {
-      // Node emits "error" for a truncated message, never "end".
-      this.#ended = true;
-      wake();
-    });
-    response.on("error", () => {
-      this.#failure ??= "reset";
+      this.#ended = this.#failure === undefined;
       wake();
     });
+    response.on("error", () => this.#interrupt());
     response.on("close", () => {
       if (!this.#ended) this.#failure ??= "reset";
       wake();
     });
   }
 
+  /**
+   * Takes note of an error of the request's connection. Node reports the end of a
+   * body without a length after it, and no error of the response.
+   */
+  connectionFailed(): void {
+    if (!this.message.complete) this.#interrupt();
+  }
+
   get status(): number {
     return this.message.statusCode ?? 0;
   }
@@ -74,7 +78,7 @@
   }
 
   /**
-   * Returns the next chunk; `undefined` at the declared end of the response. The
+   * Returns the next chunk; `undefined` at the end of the response. The
    * idle time-out runs only during this call, so a slow caller is not mistaken
    * for an unresponsive runner.
    */
@@ -91,7 +95,7 @@
 
   /**
    * Passes chunks to a function as they arrive, until it returns false or the
-   * declared end is reached. Nothing but the function runs between two chunks.
+   * end is reached. Nothing but the function runs between two chunks.
    *
    * @returns whether the end was reached.
    */
@@ -122,6 +126,11 @@
     this.message.destroy();
   }
 
+  #interrupt(): void {
+    this.#failure ??= "reset";
+    this.#wake?.();
+  }
+
   /** Passes on the buffered chunks; `undefined` if more must be awaited. */
   #drain(
     onChunk: (bytes: Buffer) => boolean,
@@ -221,6 +230,7 @@
     outgoing.on("response", (response) => {
       const received = new RunnerResponse(response);
       if (this.#end !== undefined) return received.destroy();
+      outgoing.on("error", () => received.connectionFailed());
       this.#settle(Effect.succeed(received));
     });
     outgoing.on("error", (error: NodeJS.ErrnoException) => {
--- a/packages/daemon/src/connection/runner_response_test.ts
+++ b/packages/daemon/src/connection/runner_response_test.ts
@@ -1,10 +1,14 @@
 import assert from "node:assert/strict";
 import { once } from "node:events";
 import * as http from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { test } from "node:test";
+import type { TestContext } from "node:test";
 import * as Effect from "effect/Effect";
-import { RunnerResponse } from "./runner_response.ts";
+import { startRunner } from "../../tests/runner_fixture.ts";
+import type { FixtureRunner } from "../../tests/runner_fixture.ts";
+import { RunnerConnections } from "./runner_connections.ts";
+import { exchange, RunnerResponse } from "./runner_response.ts";
 
 const LONG_MS = 60_000;
 
@@ -59,3 +63,49 @@
   server.close();
   server.closeAllConnections();
 });
+
+/** Sends a request, and returns the response once its head was received. */
+async function responseOf(t: TestContext, { runner, close }: FixtureRunner) {
+  const connections = new RunnerConnections();
+  t.after(async () => {
+    connections.close();
+    await close();
+  });
+  const request = {
+    method: "GET",
+    path: "/",
+    headers: [],
+    body: new Uint8Array(),
+    fresh: true,
+  };
+  const limits = { connectMs: LONG_MS, headMs: LONG_MS };
+  const sent = exchange({ connections, runner }, request, limits);
+  return await Effect.runPromise(sent);
+}
+
+// Guards against an end that Node reports after the error of a reset.
+test("a body without a length that is reset after its part was read is interrupted", async (t) => {
+  let socket: Socket | undefined;
+  const runner = await startRunner("a", (exchanged) => {
+    socket = exchanged.socket;
+    socket.write("HTTP/1.1 200 OK\r\n\r\npart");
+  });
+  const response = await responseOf(t, runner);
+  const part = await Effect.runPromise(response.next(LONG_MS));
+  socket?.resetAndDestroy();
+  const end = await Effect.runPromise(Effect.flip(response.next(LONG_MS)));
+  assert.deepEqual([String(part), end.reason], ["part", "reset"]);
+});
+
+// Guards against a whole answer that is taken for cut as its connection is reset.
+test("a body with a length that is reset before it is read is whole", async (t) => {
+  const runner = await startRunner("a", ({ socket }) => {
+    socket.write("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole");
+    socket.resetAndDestroy();
+  });
+  const response = await responseOf(t, runner);
+  await new Promise((done) => response.message.socket.once("close", done));
+  const body = await Effect.runPromise(response.next(LONG_MS));
+  const end = await Effect.runPromise(response.next(LONG_MS));
+  assert.deepEqual([String(body), end], ["whole", undefined]);
+});
--- a/packages/daemon/src/process/scheduling/load_reports.ts
+++ b/packages/daemon/src/process/scheduling/load_reports.ts
@@ -5,6 +5,7 @@
  */
 import http from "node:http";
 import type { Clock } from "@umbermast/coordination";
+import { ClientAgent } from "@umbermast/coordination/client_socket";
 import * as Effect from "effect/Effect";
 import * as Fiber from "effect/Fiber";
 import type * as Scope from "effect/Scope";
@@ -35,7 +36,7 @@
 export class LoadReports {
   readonly #clock: Clock;
   readonly #intervalMs: number;
-  readonly #agent = new http.Agent({ keepAlive: true });
+  readonly #agent = new ClientAgent({ keepAlive: true });
   readonly #reports = new Map<string, LoadReport>();
   readonly #listeners = new Set<(runner: string) => void>();
   readonly #watched = new Set<string>();
