Deliver an answer without a length only if it shows its own end

Callers of umbermastd got a part of an answer as a whole 200 where a runner's process was killed in the middle of an answer without a length: "12" of "1234", or the first of several JSON lines.

Cause: the system closes the connections of a killed process in the ordinary way, as a runner closes a whole answer. Such an answer counted as whole if it parsed as JSON. A part of an object, list, text or word never parses; a part of a number does, and a line of JSON lines.

Without a length, an answer is now whole only if its type holds one JSON value and it doesn't end in a digit. That needs no second look at the runner, whose address may answer again by then: a new process, or one that is just ending. The price: a sound single JSON line, or number without a line end, that is sent without a length is answered 502 answer_broken, as are other texts without a length and several JSON lines already.

--- a/packages/daemon/src/request/buffered_relay.ts
+++ b/packages/daemon/src/request/buffered_relay.ts
@@ -28,6 +28,10 @@
   readonly settings: AttemptSettings;
 }
 
+/** Media types of one JSON value, such as `application/problem+json`. */
+const ONE_JSON_VALUE = /^[^;]*[/+]json\s*(?:;|$)/;
+const ENDS_IN_DIGIT = /\d$/;
+
 const NO_USAGE: Usage = { promptTokens: undefined, outputTokens: undefined };
 
 /**
@@ -105,8 +109,8 @@
 /**
  * Checks that a response is complete. One that neither declares its length nor
  * ends in a last chunk ends when the connection closes, which also happens when
- * the runner crashes; it counts as complete only if it is valid JSON. JSON of an
- * engine is always parsed, since it contains the usage.
+ * the runner crashes; it counts as complete only if it is valid JSON that shows its
+ * own end. JSON of an engine is always parsed, since it contains the usage.
  */
 function checkComplete(
   response: RunnerResponse,
@@ -114,14 +118,25 @@
   call: Call,
 ): BufferedResult {
   const declared = hasDeclaredEnd(response, call);
-  const json = response.header("content-type")?.includes("json") === true;
+  const type = response.header("content-type") ?? "";
+  const json = type.includes("json");
   if (!json) return declared ? complete(NO_USAGE) : truncated("no-end");
   if (call.model === undefined && declared) return complete(NO_USAGE);
-  const value = parseJson(body.toString("utf8"));
+  const text = body.toString("utf8");
+  const value = parseJson(text);
   if (value === undefined) return truncated("no-end");
+  if (!declared && !showsEnd(type, text)) return truncated("no-end");
   return complete(usageOf(value));
 }
 
+/**
+ * Whether valid JSON is no part of a longer text of its type: more digits may follow
+ * a number, and more values a line of JSON lines.
+ */
+function showsEnd(type: string, json: string): boolean {
+  return ONE_JSON_VALUE.test(type) && !ENDS_IN_DIGIT.test(json);
+}
+
 function hasDeclaredEnd(response: RunnerResponse, call: Call): boolean {
   if (call.method === "HEAD") return true;
   if (response.status === 204 || response.status === 304) return true;
--- a/packages/daemon/tests/cut_answer_test.ts
+++ b/packages/daemon/tests/cut_answer_test.ts
@@ -1,12 +1,15 @@
 import assert from "node:assert/strict";
+import { spawn } from "node:child_process";
+import { once } from "node:events";
 import type { Socket } from "node:net";
+import process from "node:process";
 import { test } from "node:test";
 import type { TestContext } from "node:test";
 import * as Effect from "effect/Effect";
 import type { Call } from "../src/request/call.ts";
 import { callBench, callOf, jobCard } from "./call_fixture.ts";
 import { RecordingReply } from "./reply_fixture.ts";
-import { echo, startRunner } from "./runner_fixture.ts";
+import { echo, runnerAt, startRunner } from "./runner_fixture.ts";
 import type { Received } from "./runner_fixture.ts";
 import { DONE, tokenEvents } from "./stream_fixture.ts";
 
@@ -104,6 +107,52 @@
   });
 }
 
+const CUT: readonly Part[] = [
+  ["a closed part of a number is not whole", ONCE, NUMBER],
+  ["a closed part of an idempotent number is not whole", REPEATED, NUMBER],
+  ["a closed part of JSON lines is not whole", ONCE, LINE],
+  ["a closed part of idempotent JSON lines is not whole", REPEATED, LINE],
+  ["a closed part of an engine's JSON lines is not whole", ENGINE, LINE],
+];
+
+// Guards against a part that parses by itself, of a runner that ended.
+for (const [name, call, part] of CUT) {
+  test(name, async (t) => {
+    const replies = await answers(t, call, { ...part, by: "close" });
+    assert.deepEqual(replies.filter(({ ended }) => ended), []);
+  });
+}
+
+/** Answers its first request with a part of a number, and kills itself. */
+const KILLED_RUNNER = `
+require("node:http").createServer(({ headers, socket }) => {
+  const id = headers["umbermast-attempt-id"];
+  socket.write(
+    "HTTP/1.1 200 OK\\r\\ncontent-type: application/json\\r\\n" +
+      "umbermast-attempt-id: " + id + "\\r\\n\\r\\n12",
+    () => process.kill(process.pid, "SIGKILL"),
+  );
+}).listen(0, "127.0.0.1", function () {
+  console.log(this.address().port);
+});
+`;
+
+test("a part of a runner whose process is killed is not whole", async (t) => {
+  const child = spawn(process.execPath, ["-e", KILLED_RUNNER]);
+  const ended = once(child, "exit");
+  const [port] = await once(child.stdout, "data") as [Buffer];
+  const bench = callBench([runnerAt("a", Number(port.toString()))]);
+  t.after(() => {
+    bench.connections.close();
+    child.kill("SIGKILL");
+  });
+  const reply = new RecordingReply();
+  await Effect.runPromise(bench.callRunner.run(ONCE, reply));
+  await ended;
+  assert.equal(reply.ended, false);
+  assert.equal(reply.problem?.code, "answer_broken");
+});
+
 // Guards against a stream that ends as complete before its last event.
 for (const by of ["reset", "close"] as const) {
   test(`a stream whose connection ends by ${by} is resumed`, async (t) => {
@@ -124,6 +173,14 @@
   ["a closed answer is whole", ONCE, OBJECT],
   ["a closed idempotent answer is whole", REPEATED, OBJECT],
   ["a closed answer of an engine is whole", ENGINE, OBJECT],
+  ["a closed number that ends its line is whole", ONCE, {
+    type: "application/json; charset=utf-8",
+    body: "1234\n",
+  }],
+  ["a closed problem report is whole", ONCE, {
+    type: "application/problem+json",
+    body: '{"title":"No such van"}',
+  }],
   ["a closed stream is whole", callOf(), {
     type: "text/event-stream",
     body: WHOLE_STREAM,
