--- a/packages/daemon/tests/cut_answer_test.ts
+++ b/packages/daemon/tests/cut_answer_test.ts
@@ -21,19 +21,24 @@
 /** A body without a length, and how its connection ends right behind it. */
 interface Ending {
   readonly type: string;
+  /** Value of `transfer-encoding`, if it has one. */
+  readonly coding?: string;
   readonly body: string;
   readonly by: "reset" | "close";
 }
 
 /** Returns the head of a response without a length. */
-function headOf(request: Received, type: string): string {
+function headOf(request: Received, { type, coding }: Ending): string {
   const id = echo(request)["umbermast-attempt-id"];
+  const framing = coding === undefined
+    ? ""
+    : `transfer-encoding: ${coding}\r\n`;
   return `HTTP/1.1 200 OK\r\ncontent-type: ${type}\r\n` +
-    `umbermast-attempt-id: ${id}\r\n\r\n`;
+    `umbermast-attempt-id: ${id}\r\n${framing}\r\n`;
 }
 
 function send(socket: Socket, request: Received, ending: Ending): void {
-  socket.write(headOf(request, ending.type) + ending.body);
+  socket.write(headOf(request, ending) + ending.body);
   // In the same turn of the event loop: both arrive before the daemon polls again.
   if (ending.by === "reset") socket.resetAndDestroy();
   else socket.end();
@@ -123,6 +128,33 @@
   });
 }
 
+// Guards against a coding that is taken for chunks, whose end would be stated.
+for (const coding of ["chunked, gzip", "xchunked", "identity"]) {
+  test(`a closed part in the coding ${coding} is not whole`, async (t) => {
+    const replies = await answers(t, ONCE, {
+      type: "text/plain",
+      coding,
+      body: "a part",
+      by: "close",
+    });
+    assert.deepEqual(replies.filter(({ ended }) => ended), []);
+  });
+}
+
+for (const coding of ["chunked", "Chunked", "gzip, chunked"]) {
+  test(`an answer in the coding ${coding} is whole`, async (t) => {
+    const replies = await answers(t, ONCE, {
+      type: "text/plain",
+      coding,
+      body: "5\r\nwhole\r\n0\r\n\r\n",
+      by: "close",
+    });
+    for (const { body, ended } of replies) {
+      assert.deepEqual([body, ended], ["whole", true]);
+    }
+  });
+}
+
 /** Answers its first request with a part of a number, and kills itself. */
 const KILLED_RUNNER = `
 require("node:http").createServer(({ headers, socket }) => {
