Pass on no status of a runner that HTTP does not define

Callers of umbermastd got 600 and 999 of a plain service as its answer, a 101 that no upgrade followed with an empty body, and a 500 "internal" where the status was 000 or 099. They get 502 answer_lost now, outcome unknown, as for any head that is no HTTP, and what may be repeated is tried at another runner.

Cause: Node's parser reads any three digits, and its server refuses to write those below 100 by an exception, which ended the request as a mistake of ours. HTTP defines 100 to 599; an interim status can't end a request.

Evidence: of 28 tests, 16 fail before (000, 099, 101, 600, 999, each at a plain service, an engine and a stream, in each of two runs, and the retry; an engine's 600 and 999 were 502 runner_failed). 199 and 1000 were refused by the parser and still are; 200, 299, 304, 404, 500 and 599 are passed on. All pass now, in each run.

--- a/packages/daemon/src/connection/runner_response.ts
+++ b/packages/daemon/src/connection/runner_response.ts
@@ -8,7 +8,10 @@
 import type { Runner } from "../process/runner.ts";
 import type { RunnerConnections, RunnerRequest } from "./runner_connections.ts";
 
-/** No head of a response was received. */
+const FIRST_FINAL_STATUS = 200;
+const LAST_STATUS = 599;
+
+/** No valid head of a response was received. */
 export interface NoResponse {
   readonly _tag: "NoResponse";
   /**
@@ -178,6 +181,11 @@
   setImmediate(action);
 }
 
+/** Whether a status may end a request: HTTP defines 100 to 599, 1xx as interim. */
+function isFinalStatus(status: number): boolean {
+  return status >= FIRST_FINAL_STATUS && status <= LAST_STATUS;
+}
+
 const STOPPED: Effect.Effect<boolean> = Effect.succeed(false);
 const ENDED: Effect.Effect<boolean> = Effect.succeed(true);
 
@@ -230,6 +238,10 @@
     outgoing.on("response", (response) => {
       const received = new RunnerResponse(response);
       if (this.#end !== undefined) return received.destroy();
+      if (!isFinalStatus(received.status)) {
+        received.destroy();
+        return this.#fail("malformed", `Invalid status ${received.status}`);
+      }
       outgoing.on("error", () => received.connectionFailed());
       this.#settle(Effect.succeed(received));
     });
