Show that no cut report or response of an engine passes

None takes a part for the whole: a report is a JSON object, whose parts don't parse, and the outcome of an order is its status, which stands in the head. A 412 whose body is cut gives a fencing token of 0, which nothing uses.

--- a/packages/daemon/src/process/placement/placement_orders_http_test.ts
+++ b/packages/daemon/src/process/placement/placement_orders_http_test.ts
@@ -120,3 +120,37 @@
   await once(server, "close");
   assert.equal((await sendOrder(port, tenureOf()))._tag, "NotSent");
 });
+
+/** Status lines of responses, and the outcomes that they state. */
+const STATUSES = [
+  ["200 OK", "Taken"],
+  ["412 Precondition Failed", "Stale"],
+  ["507 Insufficient Storage", "Refused"],
+] as const;
+
+// Guards against a part of a head that is taken for a status. A status stands also
+// where its body is cut.
+for (const [status, stated] of STATUSES) {
+  const head = `HTTP/1.1 ${status}\r\n\r\n`;
+  const text = `${head}{"fencing":9}`;
+  // Whether a reset is seen behind the head depends on Node: "Unknown" is right, too.
+  for (const [by, cuts] of [["reset", head], ["close", text]] as const) {
+    test(`a response of ${status} cut by ${by} states nothing before its head ends`, async (context) => {
+      let length = 0;
+      const server = createTcpServer((socket) => {
+        socket.on("error", () => {});
+        socket.once("data", () => {
+          socket.write(text.slice(0, length));
+          if (by === "reset") socket.resetAndDestroy();
+          else socket.end();
+        });
+      });
+      const port = await listen(context, server);
+      for (length = 0; length < cuts.length; length++) {
+        const { _tag } = await sendOrder(port, tenureOf());
+        const expected = length < head.length ? "Unknown" : stated;
+        assert.equal(_tag, expected, `cut after ${length} bytes`);
+      }
+    });
+  }
+}
--- a/packages/daemon/src/process/scheduling/load_reports_test.ts
+++ b/packages/daemon/src/process/scheduling/load_reports_test.ts
@@ -26,6 +26,15 @@
   }
 });
 
+// Guards against a report that is cut by the end of its connection.
+test("no part of a report is one", () => {
+  const whole = JSON.stringify(REPORT);
+  for (let bytes = 0; bytes < whole.length; bytes++) {
+    assert.equal(parseReport(whole.slice(0, bytes), 7), undefined);
+  }
+  assert.equal(parseReport(whole, 7)?.running, REPORT.running);
+});
+
 test("polls the runners of watched services only", { timeout: 30_000 }, () => {
   // Polling all runners from all daemons would cost each runner hundreds of polls
   // a second in a full-size deployment; only a service's broker needs the reports.
