--- a/packages/daemon/src/connection/runner_response.ts
+++ b/packages/daemon/src/connection/runner_response.ts
@@ -8,7 +8,10 @@
 import type { Runner } from "../process/runner.ts";
 import type { RunnerConnections, RunnerRequest } from "./runner_connections.ts";
 
-/** No head of a response was received. */
+const FIRST_FINAL_STATUS = 200;
+const LAST_STATUS = 599;
+
+/** No valid head of a response was received. */
 export interface NoResponse {
   readonly _tag: "NoResponse";
   /**
@@ -50,20 +53,24 @@
     const wake = () => this.#wake?.();
     response.on("readable", wake);
     response.on("end", () => {
-      // Node emits "error" for a truncated message, never "end".
-      this.#ended = true;
-      wake();
-    });
-    response.on("error", () => {
-      this.#failure ??= "reset";
+      this.#ended = this.#failure === undefined;
       wake();
     });
+    response.on("error", () => this.#interrupt());
     response.on("close", () => {
       if (!this.#ended) this.#failure ??= "reset";
       wake();
     });
   }
 
+  /**
+   * Takes note of an error of the request's connection. Node reports the end of a
+   * body without a length after it, and no error of the response.
+   */
+  connectionFailed(): void {
+    if (!this.message.complete) this.#interrupt();
+  }
+
   get status(): number {
     return this.message.statusCode ?? 0;
   }
@@ -74,7 +81,7 @@
   }
 
   /**
-   * Returns the next chunk; `undefined` at the declared end of the response. The
+   * Returns the next chunk; `undefined` at the end of the response. The
    * idle time-out runs only during this call, so a slow caller is not mistaken
    * for an unresponsive runner.
    */
@@ -91,7 +98,7 @@
 
   /**
    * Passes chunks to a function as they arrive, until it returns false or the
-   * declared end is reached. Nothing but the function runs between two chunks.
+   * end is reached. Nothing but the function runs between two chunks.
    *
    * @returns whether the end was reached.
    */
@@ -122,6 +129,11 @@
     this.message.destroy();
   }
 
+  #interrupt(): void {
+    this.#failure ??= "reset";
+    this.#wake?.();
+  }
+
   /** Passes on the buffered chunks; `undefined` if more must be awaited. */
   #drain(
     onChunk: (bytes: Buffer) => boolean,
@@ -169,6 +181,11 @@
   setImmediate(action);
 }
 
+/** Whether a status may end a request: HTTP defines 100 to 599, 1xx as interim. */
+function isFinalStatus(status: number): boolean {
+  return status >= FIRST_FINAL_STATUS && status <= LAST_STATUS;
+}
+
 const STOPPED: Effect.Effect<boolean> = Effect.succeed(false);
 const ENDED: Effect.Effect<boolean> = Effect.succeed(true);
 
@@ -221,6 +238,11 @@
     outgoing.on("response", (response) => {
       const received = new RunnerResponse(response);
       if (this.#end !== undefined) return received.destroy();
+      if (!isFinalStatus(received.status)) {
+        received.destroy();
+        return this.#fail("malformed", `Invalid status ${received.status}`);
+      }
+      outgoing.on("error", () => received.connectionFailed());
       this.#settle(Effect.succeed(received));
     });
     outgoing.on("error", (error: NodeJS.ErrnoException) => {
