Treat a status that HTTP does not define as a malformed response

Callers got status 600 or 999 with the runner's seal, where a faulty runner sent one: a client cannot know what that is, and HTTP leaves it without a meaning (RFC 9110, section 15: 100 to 599, values outside are invalid and to be processed as a failure of the server). 000, 099, 20, 1000, 101 and 199 reached nobody before.

Cause: the check of the head knew the bounds of what Node's server writes, 200 to 999, not those of HTTP. Now 200 to 599. Such a response may have run: it is retried where the route allows it, else the caller gets 502.

--- a/packages/router/src/request/relayable_head.ts
+++ b/packages/router/src/request/relayable_head.ts
@@ -6,13 +6,14 @@
 import { validateHeaderName, validateHeaderValue } from "node:http";
 import type { RawHeaders } from "./dialect.ts";
 
-/** Statuses below are not final responses, or no HTTP statuses at all. */
+/** Statuses of final responses (RFC 9110, section 15). */
 const MIN_STATUS = 200;
-const MAX_STATUS = 999;
+const MAX_STATUS = 599;
 
 /**
- * Returns why the head of a response cannot be written to a caller, or undefined
- * if it can. Node's parser accepts heads that its server refuses to write.
+ * Returns why the head of a response cannot be relayed to a caller, or undefined
+ * if it can. Node's parser accepts heads that its server refuses to write, and
+ * statuses that HTTP does not define.
  */
 export function headFault(
   status: number,
