Test resets of answers below the rule of their content

The contract of RunnerResponse is tested itself: a reset with the last bytes is an interruption, a close is the end.

Beside it: a runner that answers before it has read a long request, and resets or closes.

--- a/packages/daemon/src/connection/runner_response_test.ts
+++ b/packages/daemon/src/connection/runner_response_test.ts
@@ -97,6 +97,29 @@
   assert.deepEqual([String(part), end.reason], ["part", "reset"]);
 });
 
+// Guards against a reset right behind a part, of which Node shows an ordinary end.
+test("a body without a length that is reset with its part is interrupted", async (t) => {
+  const runner = await startRunner("a", ({ socket }) => {
+    socket.write("HTTP/1.1 200 OK\r\n\r\npart");
+    socket.resetAndDestroy();
+  });
+  const response = await responseOf(t, runner);
+  const part = await Effect.runPromise(response.next(LONG_MS));
+  const end = await Effect.runPromise(Effect.flip(response.next(LONG_MS)));
+  assert.deepEqual([String(part), end.reason], ["part", "reset"]);
+});
+
+// Guards against an end that is taken for a reset.
+test("a body without a length that is closed with its last part is whole", async (t) => {
+  const runner = await startRunner("a", ({ socket }) => {
+    socket.end("HTTP/1.1 200 OK\r\n\r\nwhole");
+  });
+  const response = await responseOf(t, runner);
+  const body = await Effect.runPromise(response.next(LONG_MS));
+  const end = await Effect.runPromise(response.next(LONG_MS));
+  assert.deepEqual([String(body), end], ["whole", undefined]);
+});
+
 // Guards against a whole answer that is taken for cut as its connection is reset.
 test("a body with a length that is reset before it is read is whole", async (t) => {
   const runner = await startRunner("a", ({ socket }) => {
--- a/packages/daemon/tests/cut_answer_test.ts
+++ b/packages/daemon/tests/cut_answer_test.ts
@@ -1,7 +1,8 @@
 import assert from "node:assert/strict";
 import { spawn } from "node:child_process";
 import { once } from "node:events";
-import type { Socket } from "node:net";
+import { createServer } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import process from "node:process";
 import { test } from "node:test";
 import type { TestContext } from "node:test";
@@ -28,17 +29,17 @@
 }
 
 /** Returns the head of a response without a length. */
-function headOf(request: Received, { type, coding }: Ending): string {
-  const id = echo(request)["umbermast-attempt-id"];
+function headOf(attemptId: string, { type, coding }: Ending): string {
   const framing = coding === undefined
     ? ""
     : `transfer-encoding: ${coding}\r\n`;
   return `HTTP/1.1 200 OK\r\ncontent-type: ${type}\r\n` +
-    `umbermast-attempt-id: ${id}\r\n${framing}\r\n`;
+    `umbermast-attempt-id: ${attemptId}\r\n${framing}\r\n`;
 }
 
 function send(socket: Socket, request: Received, ending: Ending): void {
-  socket.write(headOf(request, ending) + ending.body);
+  const id = echo(request)["umbermast-attempt-id"] ?? "";
+  socket.write(headOf(id, ending) + ending.body);
   // In the same turn of the event loop: both arrive before the daemon polls again.
   if (ending.by === "reset") socket.resetAndDestroy();
   else socket.end();
@@ -239,3 +240,61 @@
     assert.deepEqual([body, ended], [WHOLE_STREAM, true]);
   }
 });
+
+/** Size of a request that its runner answers before it has read it. */
+const LONG_REQUEST_BYTES = 3_500_000;
+
+/** Sends long requests to a runner that answers before it has read them. */
+async function earlyAnswers(
+  t: TestContext,
+  answer: (socket: Socket, attemptId: string) => void,
+): Promise<readonly RecordingReply[]> {
+  const sockets = new Set<Socket>();
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    socket.on("error", () => {});
+    socket.once("data", (head) => {
+      const id = /umbermast-attempt-id: (.*)\r\n/i.exec(
+        head.toString("latin1"),
+      );
+      socket.pause();
+      answer(socket, id?.[1] ?? "");
+    });
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const bench = callBench([runnerAt("a", port)]);
+  t.after(() => {
+    bench.connections.close();
+    server.close();
+    for (const socket of sockets) socket.destroy();
+  });
+  const call = jobCard({ body: Buffer.alloc(LONG_REQUEST_BYTES) });
+  const replies: RecordingReply[] = [];
+  for (let i = 0; i < TRIES; i++) {
+    const reply = new RecordingReply();
+    await Effect.runPromise(bench.callRunner.run(call, reply));
+    replies.push(reply);
+  }
+  return replies;
+}
+
+// Guards against the same where the answer and the reset come while the request is sent.
+test("a reset part is not whole while its request is being sent", async (t) => {
+  const replies = await earlyAnswers(t, (socket, id) => {
+    socket.write(headOf(id, { ...NUMBER, by: "reset" }) + NUMBER.body);
+    socket.resetAndDestroy();
+  });
+  assert.deepEqual(replies.filter(({ ended }) => ended), []);
+});
+
+// Guards against an answer that waits until a runner has read the whole request.
+test("a closed answer is whole while its request is being sent", async (t) => {
+  const replies = await earlyAnswers(t, (socket, id) => {
+    socket.end(headOf(id, { ...OBJECT, by: "close" }) + OBJECT.body);
+  });
+  for (const { body, ended } of replies) {
+    assert.deepEqual([body, ended], [OBJECT.body, true]);
+  }
+});
