Make the cancellation of a request a state, so that a later attempt is cancelled

Callers got no answer, for good, after their time had ended; and runners got requests whose callers had left, or which were quarantined already.

Cause: the time-out, the caller's leaving and a quarantine were messages to whichever attempt was there. While an executor waits for a check of the paths (up to 100 ms), there is none: the message was lost, and the attempt that began after it was never cancelled. The same class: a quarantine asked the attempt of before whether it had a response, and then did nothing; a runner that was given up on as silent before the request was sent was not watched any more, nor was an attempt by way of a peer after a direct one.

Now the executor keeps the cancellation, and the one place that begins an attempt asks for it. Waits for checks end with it, so that the final response does not wait for peers. What was not sent is told as not run: 503 with Retry-After, or the refusal of a quarantine; what an earlier runner answered still stands. The time for a response belongs to one attempt and begins when that is sent.

--- a/packages/router/src/request/attempt_executor.ts
+++ b/packages/router/src/request/attempt_executor.ts
@@ -63,7 +63,9 @@
     readonly kind: "retry";
     readonly reason: string;
     readonly fallback: () => Outcome;
-  };
+  }
+  /** The request was cancelled before it was sent to the runner. */
+  | { readonly kind: "cancelled"; readonly reason: string };
 
 /** A request that is to be sent to the selected runner. */
 interface OutgoingAttempt {
@@ -76,6 +78,7 @@
 interface SentAttempt {
   readonly attempt: Attempt;
   readonly result: SendResult;
+  readonly inactivity: InactivityTimer;
   /** Monotonic milliseconds. */
   readonly sentAt: number;
   /** To be called when the request is no longer in flight. */
@@ -89,6 +92,9 @@
   readonly #progress: Progress;
   readonly #outcomes: LocalOutcomes;
   readonly #relay: ResponseRelay;
+  /** Aborted when the request is to be sent to no runner any more. */
+  readonly #cancellation = new AbortController();
+  /** The attempt under way. */
   #attempt: Attempt | undefined;
   /** Records that this daemon no longer relays the stream. */
   #endStream: () => void = () => {};
@@ -114,8 +120,9 @@
     return this.#relay.eventCount;
   }
 
-  /** Cancels the current attempt, if any. */
+  /** Cancels the attempt under way, and any that would begin later. */
   cancel(reason: string): void {
+    this.#cancellation.abort(reason);
     this.#attempt?.cancel(reason);
   }
 
@@ -150,16 +157,15 @@
     let mayHaveRun = false;
     this.#recordPrompt(routed, { placed, sentAt });
     this.#daemon.prefixes.recordSent(runner.id, head.prompt, sentAt);
-    const inactivity = this.#watchInactivity(routed);
     const unwatch = this.#daemon.crashes.watch(
       this.#progress.suspects,
       () => this.#withdraw(),
     );
-    let recordEnd = () => {};
+    let sent: SentAttempt | undefined;
     try {
-      const sent = await this.#send({ choice, routed, body });
-      const { attempt, result } = sent;
-      recordEnd = sent.recordEnd;
+      sent = await this.#send({ choice, routed, body });
+      if (sent === undefined) return this.#cancelled;
+      const { attempt, result, inactivity } = sent;
       mayHaveRun = result.kind === "response" || result.kind === "broken";
       if (attempt.mayHaveReachedRunner) this.#progress.attempts += 1;
       const startedAt = result.kind === "response"
@@ -181,9 +187,10 @@
       }
       return handled;
     } finally {
-      recordEnd();
+      sent?.recordEnd();
+      sent?.inactivity.stop();
       unwatch();
-      inactivity.stop();
+      this.#attempt = undefined;
       load.release(placed);
       const { eventCount } = this.#relay;
       const events = eventCount && eventCount - eventsBefore;
@@ -196,21 +203,45 @@
   /**
    * Sends the request to a runner: by way of a peer if the direct path is lost, or
    * turns out to be while nothing was sent.
+   *
+   * @returns undefined if the request was cancelled before that.
    */
-  async #send(request: OutgoingAttempt): Promise<SentAttempt> {
+  async #send(request: OutgoingAttempt): Promise<SentAttempt | undefined> {
     const { paths } = this.#daemon;
     const { runner } = request.choice;
-    await this.#checkIfSilent(request.routed);
+    await this.#unlessCancelled(this.#checkIfSilent(request.routed));
     const first = await this.#sendOn(paths.pathTo(runner), request);
-    const { attempt } = first;
-    if (!attempt.failedToConnect || this.#progress.abandoned) return first;
-    if (attempt.path === "tunnel") {
+    const mayRepeat = first?.attempt.failedToConnect &&
+      !this.#cancellation.signal.aborted;
+    if (!mayRepeat) return first;
+    if (first.attempt.path === "tunnel") {
       paths.recordTunnelFailure(runner);
-      return await this.#sendOn("direct", request);
+      return await this.#sendOn("direct", request) ?? first;
+    }
+    const isLost = await this.#unlessCancelled(this.#isLost(first));
+    if (!isLost) return first;
+    return await this.#sendOn("tunnel", request) ?? first;
+  }
+
+  /** Waits for what is of no use any more once the request is cancelled. */
+  async #unlessCancelled<T>(awaited: Promise<T>): Promise<T | undefined> {
+    const { signal } = this.#cancellation;
+    if (signal.aborted) return undefined;
+    let end = () => {};
+    const aborted = new Promise<undefined>((resolve) => {
+      end = () => resolve(undefined);
+    });
+    signal.addEventListener("abort", end);
+    try {
+      return await Promise.race([awaited, aborted]);
+    } finally {
+      signal.removeEventListener("abort", end);
     }
-    const isLost = await this.#isLost(first);
-    if (!isLost || this.#progress.abandoned) return first;
-    return await this.#sendOn("tunnel", request);
+  }
+
+  get #cancelled(): AttemptResult {
+    const { reason } = this.#cancellation.signal;
+    return { kind: "cancelled", reason: String(reason) };
   }
 
   /**
@@ -237,10 +268,12 @@
     return await check;
   }
 
+  /** @returns undefined, and sends nothing, once the request is cancelled. */
   async #sendOn(
     path: Path,
     { choice, routed, body }: OutgoingAttempt,
-  ): Promise<SentAttempt> {
+  ): Promise<SentAttempt | undefined> {
+    if (this.#cancellation.signal.aborted) return undefined;
     const { reachability } = this.#daemon;
     const sentAt = this.#daemon.now();
     const attempt = createAttempt(this.#daemon, routed, {
@@ -252,12 +285,20 @@
       lastEventId: this.#relay.lastEventId,
     });
     this.#attempt = attempt;
+    const inactivity = this.#watchInactivity(routed, attempt);
     const recordEnd = path === "direct"
       ? reachability.recordSent(sentAt)
       : () => {};
-    const result = await attempt.send();
-    if (result.kind !== "response") recordEnd();
-    return { attempt, result, sentAt, recordEnd };
+    let result: SendResult | undefined;
+    try {
+      result = await attempt.send();
+      return { attempt, result, inactivity, sentAt, recordEnd };
+    } finally {
+      if (result?.kind !== "response") {
+        recordEnd();
+        inactivity.stop();
+      }
+    }
   }
 
   #memoryTokens({ head, service }: RoutedRequest): number {
@@ -327,23 +368,26 @@
   #withdraw(): void {
     if (this.#attempt?.responseStarted) return;
     this.#progress.withdrawn = true;
-    this.#attempt?.cancel("quarantined");
+    this.cancel("quarantined");
   }
 
   /**
    * Cancels the attempt if the runner is silent for too long and another one may
    * continue: callers disconnect from a silent stream after two seconds or more.
    */
-  #watchInactivity({ route, service }: RoutedRequest): InactivityTimer {
+  #watchInactivity(
+    { route, service }: RoutedRequest,
+    attempt: Attempt,
+  ): InactivityTimer {
     const isLast = route.maxAttempts <= this.#progress.attempts + 1;
     if (route.repetition === "never" || isLast) {
       return new InactivityTimer(() => {});
     }
     const inactivity: InactivityTimer = new InactivityTimer(() => {
-      if (!this.#hasAlternative(service) || !this.#reserveRetry(service)) {
-        return inactivity.restart(RETRY_CHECK_MS);
-      }
-      this.#attempt?.cancel("runner inactive");
+      const mayRetry = this.#hasAlternative(service) &&
+        this.#reserveRetry(service, attempt);
+      if (!mayRetry) return inactivity.restart(RETRY_CHECK_MS);
+      attempt.cancel("runner inactive");
     });
     const targets = route.streaming
       ? FIRST_EVENT_TIMEOUT_TARGETS
@@ -386,9 +430,9 @@
   }
 
   /** Takes the retry that follows when the attempt is cancelled. */
-  #reserveRetry({ name }: Service): boolean {
+  #reserveRetry({ name }: Service, attempt: Attempt): boolean {
     const { attempts } = this.#progress;
-    if (attempts === 0 && !this.#attempt?.mayHaveReachedRunner) return true;
+    if (attempts === 0 && !attempt.mayHaveReachedRunner) return true;
     this.#progress.retryReserved = this.#daemon.retryBudget(name).take(
       this.#daemon.now(),
     );
--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -275,7 +275,8 @@
       if (!search.hasMemory(choice)) continue;
       const result = await this.#attempts.execute(choice, routed, body);
       if (result.kind === "done") return result.outcome;
-      const retry = !progress.expired && this.#mayRetry(routed);
+      const retry = result.kind === "retry" && !progress.expired &&
+        this.#mayRetry(routed);
       this.#daemon.log.decision("attempt_failed", routed.head.id, {
         fingerprint: progress.fingerprint,
         runner: choice.runner.id,
@@ -285,6 +286,9 @@
         again: retry,
         silent_ms: this.#silentMs,
       });
+      if (result.kind === "cancelled") {
+        return fallback?.() ?? this.#cancelled(routed);
+      }
       if (progress.expired) return this.#outcomes.expiry();
       fallback = result.fallback;
       if (!retry) return fallback();
@@ -333,6 +337,16 @@
     return Math.round(this.#daemon.now() - lastResponseAt);
   }
 
+  /** Returns the outcome of a request that was cancelled before it was sent. */
+  #cancelled(routed: RoutedRequest): Outcome {
+    if (this.#caller.disconnected) return { kind: "left" };
+    if (this.#progress.expired) return this.#outcomes.expiry();
+    const quarantine = this.#quarantine();
+    return quarantine === undefined
+      ? this.#outcomes.noRunner()
+      : this.#refuse(routed, quarantine);
+  }
+
   #mayRetry({ route, service }: RoutedRequest): boolean {
     const { abandoned, attempts, mayHaveRun, triedRunners } = this.#progress;
     const reserved = this.#progress.retryReserved;
--- a/packages/router/tests/fixtures.ts
+++ b/packages/router/tests/fixtures.ts
@@ -709,7 +709,7 @@
 
 /** Sends a request to a router as a caller, and reads the response. */
 export async function sendRequest(
-  router: Router,
+  router: Pick<Router, "callersPort">,
   options: {
     readonly method?: string;
     readonly path?: string;
