Withdraw a request that is quarantined while its next runner is asked

A stream that crashed its runners went on at one more, which it would crash, too.

Cause: a runner that is to continue a stream is asked first, for up to 300 ms. The quarantine was checked before that, and the watch that follows reports only new quarantines. A crash is recorded 30 ms or more after a stream broke, so that it falls into this time.

The watch now begins with a look at the quarantines that there are.

Evidence: without that look, the test in cancelled_request_test counts two requests at runners, with it one.

--- a/packages/router/src/request/attempt_executor.ts
+++ b/packages/router/src/request/attempt_executor.ts
@@ -157,10 +157,7 @@
     let mayHaveRun = false;
     this.#recordPrompt(routed, { placed, sentAt });
     this.#daemon.prefixes.recordSent(runner.id, head.prompt, sentAt);
-    const unwatch = this.#daemon.crashes.watch(
-      this.#progress.suspects,
-      () => this.#withdraw(),
-    );
+    const unwatch = this.#watchQuarantine();
     let sent: SentAttempt | undefined;
     try {
       sent = await this.#send({ choice, routed, body });
@@ -361,6 +358,18 @@
     return inFlight < engine.slots ? unreadTokens + prefillTokens : undefined;
   }
 
+  /**
+   * Withdraws the request once it is quarantined, as it may be already: runners were
+   * asked since that was checked.
+   */
+  #watchQuarantine(): () => void {
+    const { crashes } = this.#daemon;
+    const { suspects } = this.#progress;
+    const quarantine = crashes.quarantineOf(suspects, this.#daemon.now());
+    if (quarantine !== undefined) this.#withdraw();
+    return crashes.watch(suspects, () => this.#withdraw());
+  }
+
   /**
    * Withdraws the request from a runner that has not begun to respond, because
    * the request would crash it.
--- a/packages/router/tests/cancelled_request_test.ts
+++ b/packages/router/tests/cancelled_request_test.ts
@@ -13,11 +13,13 @@
 import type { Router } from "../src/router.ts";
 import type { Route } from "../src/version/configuration.ts";
 import {
+  encodeChunk,
   runnerResponse,
   sendRequest,
   SILENT_LOG,
   startFakeRunner,
   startSingleRouteRouter,
+  streamHead,
 } from "./fixtures.ts";
 import type { FakeRunner, RequestHandler } from "./fixtures.ts";
 
@@ -187,6 +189,26 @@
   assert.deepEqual([status, body], [500, "failed"]);
 });
 
+// Guards against a stream that crashes its runners and is continued at one more.
+test("a stream that is quarantined while its next runner is asked does not go on", async (t) => {
+  const { send, runners, router } = await startRig(t, {
+    route: { streaming: true, repetition: "resumable", maxAttempts: 2 },
+    runners: ["r-1", "r-2"],
+    handle: () => (socket, _, id) => {
+      const event = encodeChunk("id: 1\ndata: a\n\n");
+      socket.write(streamHead(id) + event, () => socket.resetAndDestroy());
+    },
+    onCheck: () => {},
+  });
+  t.mock.method(router, "confirmStart", () => {
+    quarantine(router);
+    return Promise.resolve(true);
+  });
+  const { truncated } = await send();
+  assert.equal(requestsOf(runners), 1);
+  assert.equal(truncated, true);
+});
+
 // Guards against a silent runner that is given up on before it has the request.
 test("a runner's time for a response begins when the request is sent", async (t) => {
   let first: unknown;
