Tell a request at once that it gets no connection to its runner

Callers waited for the whole of their time behind a runner all of whose connections were busy, and the next runner was tried only when one of them was free.

The attempt now settles by itself when that time ends, as it does when it is cancelled; nothing of it was sent.

--- a/packages/router/src/request/attempt.ts
+++ b/packages/router/src/request/attempt.ts
@@ -178,7 +178,8 @@
     const timer = setTimeout(
       () => {
         this.#connectTimedOut = true;
-        this.#clientRequest.destroy(new Error("connect timeout"));
+        // A request that still waits for a connection reports no error before it has one.
+        this.#abort(new Error("connect timeout"));
       },
       this.path === "direct" ? CONNECT_TIMEOUT_MS : TUNNEL_TIMEOUT_MS,
     );
