Count a router's probes as no runs in the tests of partitions

Two of the first six runs of one test failed beside others with 7 and 14 runs of a request without an id (two allowed). The fake runner knew probes by "GET /health", but a service without a health path is probed at "/": where a busy machine made routers probe, their probes were counted as runs. A trace of such requests showed nothing else. The fake runner now knows probes by that path. All requests of callers have ids and other paths, and are counted as before.

--- a/packages/router/tests/partitioned_fleet.ts
+++ b/packages/router/tests/partitioned_fleet.ts
@@ -25,6 +25,8 @@
 import type { Partition } from "./partition_proxy.ts";
 
 const LOCALHOST = "127.0.0.1";
+/** Beginning of a router's probe of a runner, which is no run of a request. */
+const PROBE = "GET / HTTP/1.1\r\n";
 /** Duration of a request at its runner, in ms. */
 const WORK_MS = 15;
 /** Events of a stream. */
@@ -230,7 +232,7 @@
 
   #startRunner(name: string): Promise<FakeRunner> {
     return startFakeRunner(this.#context, name, (socket, text, id) => {
-      if (text.startsWith("GET /health")) {
+      if (text.startsWith(PROBE)) {
         return void socket.write(runnerResponse(id, "healthy"));
       }
       this.runs.set(id, (this.runs.get(id) ?? 0) + 1);
