Close the connection of a refusal whose rest does not arrive

A runner that refused a request and sent only a part of the refusal's body, or whose path was lost in it, cost a router one of its connections to that runner for as long as the runner kept it. A router's share is two or more, so that some such refusals would leave it none (by reading; not run).

Cause: the head of a refusal settles its attempt, the next one begins, and nobody holds the one before any more: neither the time-out nor the caller's leaving reaches it.

The rest has one second now. A refusal that is complete keeps its connection.

--- a/packages/router/src/request/attempt.ts
+++ b/packages/router/src/request/attempt.ts
@@ -27,6 +27,12 @@
 /** Maximum size in bytes of the head of a response, with interim responses. */
 const MAX_HEAD_BYTES = 64 * 1024;
 
+/**
+ * Time in ms for the rest of a refusal, which is not used: its connection is kept for
+ * other requests. A long one takes some round trips.
+ */
+const REFUSAL_TIMEOUT_MS = 1_000;
+
 /** The request as it is sent to the runner. */
 export interface OutgoingRequest {
   readonly id: string;
@@ -242,14 +248,24 @@
       return this.#discard(incoming, `response to ${whose} request`);
     }
     if (head.notExecuted) {
-      incoming.on("error", () => {});
-      incoming.resume();
+      this.#skip(incoming);
       return { kind: "not-executed", status, head };
     }
     this.#incoming = incoming;
     return { kind: "response", status, head, incoming };
   }
 
+  /** Reads the rest of a response that is not used, if it arrives soon. */
+  #skip(incoming: IncomingMessage): void {
+    const timer = setTimeout(
+      () => this.#clientRequest.destroy(),
+      REFUSAL_TIMEOUT_MS,
+    );
+    this.#clientRequest.once("close", () => clearTimeout(timer));
+    incoming.on("error", () => {});
+    incoming.resume();
+  }
+
   /** Closes the connection of a response that cannot be used. */
   #discard(incoming: IncomingMessage, reason: string): SendResult {
     incoming.on("error", () => {});
