Keep an inactivity timer stopped that has elapsed

A timer that had elapsed and was then stopped started again when the buffer of its stream paused: it took a retry from the budget for an attempt that was over, and, when the timer cancelled whichever attempt was there, broke off the next one (by reading; callers were not seen to meet it).

Evidence: inactivity_timer_test on the code before: elapsed twice for once.

--- a/packages/router/src/request/inactivity_timer.ts
+++ b/packages/router/src/request/inactivity_timer.ts
@@ -11,6 +11,7 @@
   readonly #onInactive: () => void;
   #timer: NodeJS.Timeout | undefined;
   #deadline = 0;
+  #stopped = false;
 
   constructor(onInactive: () => void) {
     this.#onInactive = onInactive;
@@ -19,10 +20,13 @@
   /** Starts or restarts the timer with a time-out that begins now. */
   restart(timeoutMs: number): void {
     this.#deadline = performance.now() + timeoutMs;
+    if (this.#stopped) return;
     this.#timer ??= this.#start(timeoutMs);
   }
 
+  /** Stops the timer for good. */
   stop(): void {
+    this.#stopped = true;
     clearTimeout(this.#timer);
   }
 
