Take a body whose transfer coding states no end for one that ends with its connection

A stream whose head names a transfer coding in which chunks are not the last ("identity", "chunked, gzip") ended as complete after a part when its runner's process was killed: Node reads such a body until the connection closes, but any Transfer-Encoding counted as a stated end, so that the runner was not checked.

One function, endsInChunks, serves both now.

--- a/packages/daemon/src/request/buffered_relay.ts
+++ b/packages/daemon/src/request/buffered_relay.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { endsInChunks } from "@umbermast/coordination/transfer_coding";
 import * as Effect from "effect/Effect";
 import type {
   ResponseInterrupted,
@@ -30,8 +31,6 @@
 
 /** Media types of one JSON value, such as `application/problem+json`. */
 const ONE_JSON_VALUE = /^[^;]*[/+]json\s*(?:;|$)/;
-/** Only as the last coding do chunks state an end (RFC 9112, section 6.3). */
-const CHUNKED_LAST = /(?:^|,)\s*chunked\s*$/i;
 const ENDS_IN_DIGIT = /\d$/;
 
 const NO_USAGE: Usage = { promptTokens: undefined, outputTokens: undefined };
@@ -143,7 +142,7 @@
   if (call.method === "HEAD") return true;
   if (response.status === 204 || response.status === 304) return true;
   if (response.header("content-length") !== undefined) return true;
-  return CHUNKED_LAST.test(response.header("transfer-encoding") ?? "");
+  return endsInChunks(response.header("transfer-encoding") ?? "");
 }
 
 /** Adds the exact length, so that the caller can detect a truncated response. */
--- a/packages/router/src/request/headers.ts
+++ b/packages/router/src/request/headers.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+import { endsInChunks } from "@umbermast/coordination/transfer_coding";
 import type { RawHeaders } from "./dialect.ts";
 
 /** Hop-by-hop headers (RFC 9110, section 7.6.1), in lower case. */
@@ -66,6 +67,7 @@
 
 /** Whether a message states where its body ends, other than with its connection. */
 export function isFramed(headers: RawHeaders): boolean {
-  return headerOf(headers, "content-length") !== undefined ||
-    headerOf(headers, "transfer-encoding") !== undefined;
+  const codings = headerOf(headers, "transfer-encoding");
+  if (codings !== undefined) return endsInChunks(codings);
+  return headerOf(headers, "content-length") !== undefined;
 }
--- a/packages/router/tests/unframed_stream_test.ts
+++ b/packages/router/tests/unframed_stream_test.ts
@@ -21,11 +21,14 @@
 const MAX_END_MS = 15_000;
 
 /** Returns the head of a stream that ends with its connection. */
-function unframedHead(id: string): string {
+function unframedHead(id: string, headers = ""): string {
   return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" +
-    `X-Id: ${id}\r\nX-Seal: s\r\n\r\n`;
+    `X-Id: ${id}\r\nX-Seal: s\r\n${headers}\r\n`;
 }
 
+/** Transfer codings that state no end. */
+const UNFRAMED_CODINGS = ["identity", "xchunked", "chunked, gzip"];
+
 /** Protocols of callers; one of HTTP/1.0 gets no chunks. */
 const PROTOCOLS = ["HTTP/1.1", "HTTP/1.0"] as const;
 type Protocol = typeof PROTOCOLS[number];
@@ -90,15 +93,16 @@
   stream: {
     readonly events: string;
     readonly finish: (socket: Socket, runner: FakeRunner) => void;
+    readonly headers?: string;
     readonly timeoutMs?: number;
   },
 ): Promise<Received> {
-  const { events, finish, timeoutMs = 2_000 } = stream;
+  const { events, finish, headers, timeoutMs = 2_000 } = stream;
   const runner: FakeRunner = await startFakeRunner(
     t,
     "r-1",
     (socket, _, id) => {
-      socket.write(unframedHead(id) + events);
+      socket.write(unframedHead(id, headers) + events);
       setTimeout(() => finish(socket, runner), DELIVERY_MS);
     },
   );
@@ -202,6 +206,18 @@
   }
 }
 
+for (const coding of UNFRAMED_CODINGS) {
+  // Guards against a part that passes for whole as its head names a transfer coding.
+  test(`a stream of coding "${coding}" whose runner crashes is cut off`, async (t) => {
+    const { body, complete } = await receiveStream(t, "HTTP/1.1", {
+      events: FIRST,
+      headers: `Transfer-Encoding: ${coding}\r\n`,
+      finish: (_, runner) => void runner.end(),
+    });
+    assert.deepEqual([body, complete], [FIRST, false]);
+  });
+}
+
 test("a stream in chunks that exceeds its time is cut off for a caller of HTTP/1.0", async (t) => {
   const runner = await startFakeRunner(t, "r-1", (socket, _, id) => {
     socket.write(streamHead(id) + encodeChunk(FIRST));
