Bound the frames of a body that is no stream

A faulty runner kept a request open, and a core of the daemon busy, with an answer in chunks of one byte or in chunks with long extensions: given up neither within 20 s of a time-out of 60 s, directly nor by way of a peer; a failure's body in extended chunks after 8 and 18 s. Requests of an idempotent route did not get to another runner.

Cause: each part of a buffered body counted as progress of any size, and set the count of bytes without progress back, so that only the 16 MB of the body itself were bounded: 16 million parts, each with up to 16 KB of extensions. Now a part of a body is progress by its bytes; what goes with it, 2 MB in all (the frames of 400,000 chunks), is not. A body in 200,000 chunks of one byte is whole.

--- a/packages/router/src/request/attempt.ts
+++ b/packages/router/src/request/attempt.ts
@@ -166,6 +166,11 @@
     this.#bytes?.recordProgress(maxBytes);
   }
 
+  /** Records bytes of a body, which is of use by its bytes and not by its parts. */
+  recordBody(bytes: number): void {
+    this.#bytes?.recordBody(bytes);
+  }
+
   /**
    * Aborts the request; the runner sees its connection close and stops work.
    */
--- a/packages/router/src/request/response_bytes.ts
+++ b/packages/router/src/request/response_bytes.ts
@@ -41,6 +41,11 @@
     this.#count = 0;
   }
 
+  /** Records bytes of a body: only what goes with them remains counted. */
+  recordBody(bytes: number): void {
+    this.#count -= bytes;
+  }
+
   /** Stops counting, as the response is over. */
   stop(): void {
     this.#socket.off("data", this.#onData);
--- a/packages/router/src/request/response_relay.ts
+++ b/packages/router/src/request/response_relay.ts
@@ -33,10 +33,15 @@
 const MAX_FAILURE_BYTES = 256 * 1024;
 /**
  * Maximum size in bytes of an event with its frames: an event holds some tokens, and
- * of each perhaps the probabilities of others. Also bounds the frames of other bodies,
- * and what is on its way while a response is paused.
+ * of each perhaps the probabilities of others. Also bounds what is on its way while a
+ * response is paused.
  */
 const MAX_EVENT_BYTES = 256 * 1024;
+/**
+ * Maximum size in bytes of the frames of a body that is no stream: those of 400,000
+ * chunks, as of a runner that sends each token in one.
+ */
+const MAX_FRAMING_BYTES = 2 * 1024 * 1024;
 /**
  * Time without an event, in multiples of the gap target, after which a stream
  * continues on another runner.
@@ -189,8 +194,12 @@
       routed,
       () => context.attempt.cancel("no room for the response"),
     );
-    // The size of the body is bounded; each part of it is progress.
-    incoming.on("data", () => context.attempt.recordProgress());
+    // The size of the body is bounded; what goes with it is, too.
+    context.attempt.recordProgress(MAX_FRAMING_BYTES);
+    incoming.on(
+      "data",
+      (chunk: Buffer) => context.attempt.recordBody(chunk.length),
+    );
     const received = await this.#receive(response, buffer);
     if (buffer.wasCut) return { kind: "no-room" };
     if (received.kind === "too-large") {
--- a/packages/router/tests/linked_routers.ts
+++ b/packages/router/tests/linked_routers.ts
@@ -7,6 +7,7 @@
 import { createServer } from "node:net";
 import type { AddressInfo } from "node:net";
 import type { TestContext } from "node:test";
+import { openSocket } from "../src/connection/open_socket.ts";
 import type { RunnerNetwork } from "../src/connection/runner_network.ts";
 import type { EventLog } from "../src/process/event_log.ts";
 import type { Feed } from "../src/process/feed.ts";
@@ -26,7 +27,7 @@
   testRoute,
   waitUntil,
 } from "./fixtures.ts";
-import type { CallerResponse } from "./fixtures.ts";
+import type { CallerResponse, FakeRunner } from "./fixtures.ts";
 
 const LOCALHOST = "127.0.0.1";
 
@@ -142,3 +143,19 @@
     });
   }
 }
+
+/** Starts a router that reaches its runners by way of a peer only. */
+export async function startTunnelled(
+  context: TestContext,
+  route: Partial<Route>,
+  runners: readonly FakeRunner[],
+): Promise<Router> {
+  const fleet = new LinkedRouters(context, route);
+  fleet.runners.set(runners.map(({ runner }) => runner));
+  await fleet.add();
+  const port = await unusedPort();
+  const network: RunnerNetwork = {
+    connect: () => openSocket({ host: LOCALHOST, port }),
+  };
+  return await fleet.add({ network });
+}
--- a/packages/router/tests/malformed_response_test.ts
+++ b/packages/router/tests/malformed_response_test.ts
@@ -1,9 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { TestContext } from "node:test";
-import { openSocket } from "../src/connection/open_socket.ts";
-import type { RunnerNetwork } from "../src/connection/runner_network.ts";
-import type { Router } from "../src/router.ts";
 import type { Route } from "../src/version/configuration.ts";
 import {
   runnerResponse,
@@ -12,7 +9,7 @@
   startSingleRouteRouter,
 } from "./fixtures.ts";
 import type { FakeRunner } from "./fixtures.ts";
-import { LinkedRouters, unusedPort } from "./linked_routers.ts";
+import { startTunnelled } from "./linked_routers.ts";
 
 const EVENT = "id: 1\ndata: a\n\n";
 
@@ -62,22 +59,6 @@
   assert.ok(faulty.requests.length > 0);
 });
 
-/** Starts a router that reaches its runners by way of a peer only. */
-async function startTunnelled(
-  t: TestContext,
-  runners: readonly FakeRunner[],
-  route: Partial<Route>,
-): Promise<Router> {
-  const fleet = new LinkedRouters(t, route);
-  fleet.runners.set(runners.map(({ runner }) => runner));
-  await fleet.add();
-  const port = await unusedPort();
-  const network: RunnerNetwork = {
-    connect: () => openSocket({ host: "127.0.0.1", port }),
-  };
-  return await fleet.add({ network });
-}
-
 /** Starts runners, all of which answer with a status. */
 function startRunners(t: TestContext, status: string): Promise<FakeRunner[]> {
   return Promise.all(
@@ -116,7 +97,7 @@
 
     test(`status ${status} on ${name} behind a peer is a failure of its runner`, async (t) => {
       const runners = await startRunners(t, `${status} Odd`);
-      const router = await startTunnelled(t, runners, route);
+      const router = await startTunnelled(t, route, runners);
       const response = await sendRequest(router);
       assert.equal(response.status, 502);
       assert.equal(response.headers["x-seal"], undefined);
