Close the connection behind a stream that outlasts the accept time

A caller whose stream had begun before SIGTERM kept its connection: the head of the stream had been sent, without Connection: close. Behind the stream the connection stayed open until the idle time-out or the end of the process, which follows the last answer within 50 ms, so that a request sent behind the stream crossed that end.

Cause: stopAccepting closed the connections that had no request in flight, and left the others to their heads. Now each one closes behind its last response.

--- a/packages/router/src/connection/caller_server.ts
+++ b/packages/router/src/connection/caller_server.ts
@@ -37,6 +37,8 @@
   /** Number of requests in flight on each open connection. */
   readonly #connections = new Map<Socket, number>();
   #inFlight = 0;
+  /** Whether connections close behind their last responses. */
+  #closing = false;
 
   /**
    * @param options.accepts returns whether new connections are served; others are
@@ -120,9 +122,11 @@
   /**
    * Stops accepting connections and closes those without a request in flight.
    * These include connections that never had a request, which Node does not
-   * count as idle.
+   * count as idle. Others close behind their responses: that of a stream may have
+   * begun before, and kept its connection.
    */
   stopAccepting(): void {
+    this.#closing = true;
     this.#listening.close();
     for (const [socket, inFlight] of this.#connections) {
       if (inFlight === 0) socket.end();
@@ -138,8 +142,9 @@
   #count(socket: Socket, change: number): void {
     this.#inFlight += change;
     const previous = this.#connections.get(socket);
-    if (previous !== undefined) {
-      this.#connections.set(socket, previous + change);
-    }
+    if (previous === undefined) return;
+    const inFlight = previous + change;
+    this.#connections.set(socket, inFlight);
+    if (this.#closing && inFlight === 0) socket.end();
   }
 }
