Refuse a request whose body ends after the accept time of a shutdown

A request whose head had come before the daemon took no more (2.6 s after SIGTERM) and whose body ended at any later moment of the grace period was sent to a runner, and cut at the end of that period: a stream without its end, another one with 502, having run.

Cause: whether the daemon still takes requests was asked at the head only, though a request is read whole at the end of its body. Now it is asked there, too, with the same answer: 503 leaving, Retry-After 0, not run, before any runner has it. It is told so early that another daemon serves it; how long its work takes is not known here, and a wrong guess costs a run.

Evidence: late_requests_test: a plain and a streamed request whose body ended after the accept time got 200 from a runner before, 503 now; beside them one whose body ends before gets its answer, and one whose body never ends gets 408 at the end of the grace period, as before.

--- a/packages/router/src/request/exchange.ts
+++ b/packages/router/src/request/exchange.ts
@@ -28,6 +28,7 @@
 import type { Expiry } from "./progress.ts";
 import { RunnerSearch } from "./runner_search.ts";
 import { AttemptExecutor } from "./attempt_executor.ts";
+import { leavingRefusal } from "./refusals.ts";
 import { routeRequest } from "./routed_request.ts";
 import type { RoutedRequest } from "./routed_request.ts";
 import { exceedsMemory } from "./runner_memory.ts";
@@ -185,6 +186,10 @@
       const refusal = { status: 413, code: "body_too_large", close: true };
       return { kind: "refused", refusal };
     }
+    // The time to accept requests may have passed while the body arrived.
+    if (this.#daemon.closed) {
+      return { kind: "refused", refusal: leavingRefusal() };
+    }
     const fingerprint = this.#fingerprintOf(routed, received.body);
     this.#progress.fingerprint = fingerprint;
     const { remainingMs } = this.#progress;
--- a/packages/router/src/request/refusals.ts
+++ b/packages/router/src/request/refusals.ts
@@ -39,6 +39,15 @@
   };
 }
 
+/**
+ * Refuses a request that has been read too late before this daemon exits. Another one
+ * takes it at once.
+ */
+export function leavingRefusal(): Refusal {
+  const status = SERVICE_UNAVAILABLE;
+  return { status, code: "leaving", retryAfterMs: 0, close: true };
+}
+
 /**
  * Refuses a request because of overload. The retry delay is a share of the
  * caller's remaining time: overload lasts seconds, and callers that retry at
--- a/packages/router/src/request/routed_request.ts
+++ b/packages/router/src/request/routed_request.ts
@@ -9,6 +9,7 @@
 import type { RoutingTable } from "../version/routing_table.ts";
 import type { RequestHead } from "./dialect.ts";
 import type { Refusal } from "./refusal.ts";
+import { leavingRefusal } from "./refusals.ts";
 import type { Daemon } from "./daemon.ts";
 import { headerBytes } from "./headers.ts";
 
@@ -49,10 +50,7 @@
   head: RequestHead,
 ): RoutedRequest | Refusal {
   const table = daemon.routingTable();
-  if (daemon.closed) {
-    // This daemon is shutting down.
-    return { status: 503, code: "leaving", retryAfterMs: 0, close: true };
-  }
+  if (daemon.closed) return leavingRefusal();
   if (table === undefined) {
     return {
       status: 503,
--- a/packages/router/tests/late_requests_test.ts
+++ b/packages/router/tests/late_requests_test.ts
@@ -19,6 +19,8 @@
 const EVENT = "id: 1\ndata: a\n\n";
 const LAST_EVENT = "id: 2\ndata: b\n\n";
 const LAST_CHUNK = "0\r\n\r\n";
+const BODY = "0123456789";
+const CONTINUE = "HTTP/1.1 100 ";
 /** Time in ms that no request of these tests takes. */
 const LONG_MS = 60_000;
 /** Milliseconds from SIGTERM to the kill, of which 2.6 s are for new requests. */
@@ -268,3 +270,45 @@
     assert.ok(!received.endsWith(LAST_CHUNK));
   }
 });
+
+// Guards against a request that is read whole late in the grace period, passed on, and
+// cut at its end.
+for (const streaming of [false, true]) {
+  const kind = streaming ? "streamed" : "plain";
+  test(`a ${kind} request whose body ends after the accept time is refused`, async (t) => {
+    const held = await HeldRunner.start(t, answerPlain);
+    const router = await startDraining(t, held, { streaming });
+    const [early, late, unfinished] = ["early", "late", "unfinished"].map(
+      (id) => {
+        const caller = new RawCaller(router);
+        caller.socket.write(
+          head(
+            id,
+            "/soon",
+            `Expect: 100-continue\r\nContent-Length: ${BODY.length}\r\n`,
+          ),
+        );
+        return caller;
+      },
+    );
+    const callers = [early!, late!, unfinished!];
+    // The heads have been read.
+    await waitUntil(() =>
+      callers.every(({ received }) => received.startsWith(CONTINUE))
+    );
+    const stopped = router.shutDown();
+    early!.socket.write(BODY);
+    await early!.closed();
+    assert.deepEqual(early!.statuses, [200]);
+    await waitUntil(() => router.closed);
+    late!.socket.write(BODY);
+    await late!.closed();
+    assert.deepEqual(late!.statuses, [503]);
+    assert.match(late!.received, /retry-after: 0.00\r\n/i);
+    assert.match(late!.received, /"leaving"/);
+    await unfinished!.closed();
+    assert.deepEqual(unfinished!.statuses, [408]);
+    assert.equal(await stopped, false);
+    assert.deepEqual(held.ids, ["early"]);
+  });
+}
