--- a/packages/router/tests/reset_response_test.ts
+++ b/packages/router/tests/reset_response_test.ts
@@ -3,8 +3,6 @@
 import type { Socket } from "node:net";
 import { test } from "node:test";
 import type { TestContext } from "node:test";
-import type { RunnerNetwork } from "../src/connection/runner_network.ts";
-import { openSocket } from "../src/connection/open_socket.ts";
 import type { Route } from "../src/version/configuration.ts";
 import type { Router } from "../src/router.ts";
 import {
@@ -13,7 +11,7 @@
   startSingleRouteRouter,
 } from "./fixtures.ts";
 import type { FakeRunner } from "./fixtures.ts";
-import { LinkedRouters, unusedPort } from "./linked_routers.ts";
+import { startTunnelled } from "./linked_routers.ts";
 
 const LOCALHOST = "127.0.0.1";
 const FIRST = "id: 1\ndata: a\n\n";
@@ -77,22 +75,6 @@
   });
 }
 
-/** Starts a router that reaches its runners by way of a peer only. */
-async function startTunnelled(
-  t: TestContext,
-  route: Partial<Route>,
-  runners: readonly FakeRunner[],
-): Promise<Router> {
-  const fleet = new LinkedRouters(t, route);
-  fleet.runners.set(runners.map(({ runner }) => runner));
-  await fleet.add();
-  const port = await unusedPort();
-  const network: RunnerNetwork = {
-    connect: () => openSocket({ host: LOCALHOST, port }),
-  };
-  return await fleet.add({ network });
-}
-
 const PATHS = { direct: startDirect, tunnel: startTunnelled } as const;
 
 /** What a caller got whose answer it takes for whole. */
