Let a probe see what arrived while this process stalled

A probe of a runner counted as accepted when its connection was still open 30 ms later. In the same way, a connection that was open all along timed out.

The timers now wait until what has arrived is handled, and an end counts at once.

--- a/packages/router/src/connection/runner_probe.ts
+++ b/packages/router/src/connection/runner_probe.ts
@@ -5,6 +5,7 @@
  */
 import { request } from "node:http";
 import type { ClientRequest } from "node:http";
+import { arrivalsHandled } from "../process/arrivals.ts";
 import type { Runner } from "../process/runner.ts";
 import type { RunnerNetwork } from "./runner_network.ts";
 
@@ -12,9 +13,9 @@
 const CONNECT_TIMEOUT_MS = 300;
 /**
  * Time in ms for which an accepted connection must stay open: a partition may accept
- * it and then reset it.
+ * it and then reset it, and so does the system for a process that is ending.
  */
-const HOLD_MS = 30;
+export const HOLD_MS = 30;
 
 /** How a runner's address responded to a new connection. */
 export type ConnectResult = "accepted" | "refused" | "failed" | "timeout";
@@ -31,14 +32,25 @@
       socket.destroy();
       resolve(result);
     };
-    let timer = setTimeout(() => settle("timeout"), CONNECT_TIMEOUT_MS);
+    let connected = false;
+    const expire = async () => {
+      await arrivalsHandled();
+      if (!connected) settle("timeout");
+    };
+    const accept = async () => {
+      await arrivalsHandled();
+      settle("accepted");
+    };
+    let timer = setTimeout(() => void expire(), CONNECT_TIMEOUT_MS);
     socket.once("connect", () => {
+      connected = true;
       clearTimeout(timer);
-      timer = setTimeout(() => settle("accepted"), HOLD_MS);
+      timer = setTimeout(() => void accept(), HOLD_MS);
     });
     socket.on("error", (error: NodeJS.ErrnoException) => {
       settle(error.code === "ECONNREFUSED" ? "refused" : "failed");
     });
+    socket.once("end", () => settle("failed"));
     socket.once("close", () => settle("failed"));
   });
 }
