Count an end that no length states only if its runner is shown to live

The system closes the connections of such a process in the ordinary way, and one boolean answered two questions: whether a crash is shown, for blame, and whether a life is, for the end. Only a refused connection counted as a crash, so that failed (the listener of a dying process accepts and then resets), timeout, and peers' unknown and unreached counted as alive, and so did a new process at its address.

LifeDetector asks for evidence of life: other direct connections that were open and read stay open; a new one is accepted and held, where the runner states its start only with its own confirmation since; or a peer reaches it. Otherwise streams are cut or continue, idempotent requests are repeated, others get 502. Blame still needs a refused connection. unframed_response_ended tells the sign.

--- a/packages/router/src/connection/crash_detector.ts
+++ b/packages/router/src/connection/crash_detector.ts
@@ -41,7 +41,7 @@
 }
 
 /** Whether a runner has crashed, and how that was found out. */
-export interface RunnerCheck {
+interface RunnerCheck {
   readonly path: Path;
   /** How its address answered a new connection, or what peers say of it. */
   readonly response: ConnectResult | PeerVerdict;
@@ -108,7 +108,7 @@
    * Finds out whether a runner has crashed: whether its address refuses connections. If
    * it does so to this daemon only, the path is to blame.
    */
-  async check(runner: Runner): Promise<RunnerCheck> {
+  async #check(runner: Runner): Promise<RunnerCheck> {
     if (this.#paths.pathTo(runner) === "tunnel") {
       const response = await this.#paths.askPeers(runner);
       return { path: "tunnel", response, crashed: response === "refused" };
@@ -120,7 +120,7 @@
   }
 
   async #probe(runner: Runner): Promise<void> {
-    const { crashed, response, path } = await this.check(runner);
+    const { crashed, response, path } = await this.#check(runner);
     const runs = this.#broken.get(runner.id) ?? [];
     this.#broken.delete(runner.id);
     this.#probed.add(runner.id);
--- a/packages/router/src/connection/runner_connections.ts
+++ b/packages/router/src/connection/runner_connections.ts
@@ -9,6 +9,7 @@
 import type { Duplex } from "node:stream";
 import type { Runner } from "../process/runner.ts";
 import type { Path } from "../process/runner_paths.ts";
+import { arrivalsHandled } from "../process/arrivals.ts";
 import { timerDelay } from "../process/timer_delay.ts";
 import type { Tunnel } from "./tunnel_channel.ts";
 import { TunnelSocket } from "./tunnel_socket.ts";
@@ -95,9 +96,16 @@
 
 /** The direct connections to a runner that are open. */
 interface OpenConnections {
-  count: number;
+  readonly sockets: Set<Duplex>;
   /** Monotonic ms since which at least one has been open at any time. */
   readonly since: number;
+  /** Called when one of them has ended. */
+  readonly onEnd: Set<() => void>;
+}
+
+/** Whether the end of a connection would be seen. */
+function isRead(socket: Duplex): boolean {
+  return socket.readableFlowing === true;
 }
 
 /** One agent for each incarnation of a runner and each kind of path to it. */
@@ -159,6 +167,29 @@
     return this.#open.get(id)?.since;
   }
 
+  /**
+   * Returns whether all direct connections to a runner that are open now stay open for
+   * a time in ms, and there are any. Those that are not being read do not count.
+   */
+  async stayOpen({ id }: Runner, ms: number): Promise<boolean> {
+    const open = this.#open.get(id);
+    const watched = [...open?.sockets ?? []].filter(isRead);
+    if (open === undefined || watched.length === 0) return false;
+    await new Promise<void>((resolve) => {
+      const settle = () => {
+        clearTimeout(timer);
+        open.onEnd.delete(settle);
+        resolve();
+      };
+      const timer = setTimeout(settle, ms);
+      open.onEnd.add(settle);
+    });
+    await arrivalsHandled();
+    return watched.every((socket) =>
+      open.sockets.has(socket) && isRead(socket)
+    );
+  }
+
   /**
    * Closes the idle connections to a runner. A device on the network path that
    * lost the state of one connection has often lost that of the others, too.
@@ -196,15 +227,17 @@
     const { id } = runner;
     const socket = this.#network.connect(runner);
     socket.once("connect", () => {
-      const open = this.#open.get(id) ?? { count: 0, since: performance.now() };
-      open.count += 1;
+      const open = this.#open.get(id) ?? {
+        sockets: new Set<Duplex>(),
+        since: performance.now(),
+        onEnd: new Set<() => void>(),
+      };
+      open.sockets.add(socket);
       this.#open.set(id, open);
-      let ended = false;
       const end = () => {
-        if (ended) return;
-        ended = true;
-        open.count -= 1;
-        if (open.count === 0) this.#open.delete(id);
+        if (!open.sockets.delete(socket)) return;
+        if (open.sockets.size === 0) this.#open.delete(id);
+        for (const listener of [...open.onEnd]) listener();
       };
       socket.once("end", end);
       socket.once("close", end);
--- a/packages/router/src/request/daemon.ts
+++ b/packages/router/src/request/daemon.ts
@@ -3,7 +3,8 @@
  *
  * @module
  */
-import type { BrokenRun, RunnerCheck } from "../connection/crash_detector.ts";
+import type { BrokenRun } from "../connection/crash_detector.ts";
+import type { RunnerLife } from "../connection/life_detector.ts";
 import type { RunnerConnections } from "../connection/runner_connections.ts";
 import type { TunnelPeers } from "../connection/tunnel_peers.ts";
 import type { BrittleServices } from "../process/brittle_services.ts";
@@ -27,7 +28,7 @@
 import type { PrefixIndex } from "../process/prefix_index.ts";
 import type { RequestBudget } from "../process/request_budget.ts";
 import type { RetryBudget } from "../process/retry_budget.ts";
-import type { RunnerPaths } from "../process/runner_paths.ts";
+import type { Path, RunnerPaths } from "../process/runner_paths.ts";
 import type { RunnerReachability } from "../process/runner_reachability.ts";
 import type { RunnerPace } from "../process/runner_pace.ts";
 import type { RunnerPaces } from "../process/runner_paces.ts";
@@ -146,8 +147,11 @@
    * its entry tells of; a promise if the runner has to be asked.
    */
   isListedStart(runner: Runner): true | Promise<boolean>;
-  /** Finds out whether a runner has crashed. */
-  checkRunner(runner: Runner): Promise<RunnerCheck>;
+  /**
+   * Finds out whether a runner's process lives on, right after a connection to it has
+   * ended.
+   */
+  checkLife(runner: Runner, path: Path): Promise<RunnerLife>;
   /** Returns how fast the runners of a service do their work. */
   runnerPace(service: string): RunnerPace;
   /** Returns how fast the runners of a service get through requests. */
--- a/packages/router/src/request/decision_log.ts
+++ b/packages/router/src/request/decision_log.ts
@@ -28,7 +28,7 @@
 import type { SharedKey } from "../process/share_order.ts";
 import { SHARE_UNITS } from "../process/workspace_shares.ts";
 import type { Refusal } from "./refusal.ts";
-import type { RunnerCheck } from "../connection/crash_detector.ts";
+import type { RunnerLife } from "../connection/life_detector.ts";
 import type { Attempt } from "./attempt.ts";
 import type { Daemon } from "./daemon.ts";
 import type { RequestHead } from "./dialect.ts";
@@ -515,17 +515,17 @@
     readonly status: number;
     readonly bytes: number | undefined;
     readonly events: number | undefined;
-    readonly check: RunnerCheck | undefined;
+    readonly life: RunnerLife;
   },
 ): void {
-  const { attempt, check, ...fields } = end;
+  const { attempt, life, ...fields } = end;
   daemon.log.decision("unframed_response_ended", routed.head.id, {
     service: routed.service.name,
     runner: attempt.runner.id,
     path: attempt.path,
     peer: attempt.tunnelPeer,
     ...fields,
-    check: check?.response ?? "none",
-    crashed: check?.crashed ?? false,
+    check: life.sign,
+    whole: life.alive,
   });
 }
--- a/packages/router/src/request/response_relay.ts
+++ b/packages/router/src/request/response_relay.ts
@@ -204,17 +204,16 @@
       );
     }
     const { blocks } = received;
-    const ended = { bytes: blocks.length, events: undefined };
-    if (
-      await this.#endedByCrash(routed, response, {
-        attempt: context.attempt,
-        ...ended,
-      })
-    ) {
+    const ended = {
+      attempt: context.attempt,
+      bytes: blocks.length,
+      events: undefined,
+    };
+    if (!await this.#hasEnded(routed, response, ended)) {
       return this.#handleInterruption(
         context,
         "response interrupted",
-        "runner crashed",
+        "end not confirmed",
       );
     }
     context.load.recordSuccess();
@@ -319,17 +318,16 @@
         end.reason,
       );
     }
-    const ended = { bytes: undefined, events: stream.eventCount };
-    if (
-      await this.#endedByCrash(routed, response, {
-        attempt: context.attempt,
-        ...ended,
-      })
-    ) {
+    const ended = {
+      attempt: context.attempt,
+      bytes: undefined,
+      events: stream.eventCount,
+    };
+    if (!await this.#hasEnded(routed, response, ended)) {
       return this.#handleInterruption(
         context,
         "stream interrupted",
-        "runner crashed",
+        "end not confirmed",
       );
     }
     const finish = () => {
@@ -340,23 +338,28 @@
   }
 
   /**
-   * Whether a body without a length may have ended early: the operating system ends
-   * the connections of a process that crashes in the ordinary way.
+   * Whether a body that has ended is whole. The system ends the connections of a
+   * process that crashes in the ordinary way, so the end of a body without a length
+   * counts only if its runner is shown to live on.
    */
-  async #endedByCrash(
+  async #hasEnded(
     routed: RoutedRequest,
     { status, incoming: { rawHeaders } }: RunnerResponse,
     { attempt, bytes, events }: EndedBody,
   ): Promise<boolean> {
-    if (isFramed(rawHeaders)) return false;
     // A long one is relayed in chunks, whose end states that it is whole.
-    const checked = bytes === undefined || bytes > MAX_UNFRAMED_BYTES;
-    const check = checked
-      ? await this.#daemon.checkRunner(attempt.runner)
-      : undefined;
-    const end = { attempt, status, bytes, events, check };
-    logUnframedEnd(this.#daemon, routed, end);
-    return check?.crashed ?? false;
+    const isShort = bytes !== undefined && bytes <= MAX_UNFRAMED_BYTES;
+    if (isFramed(rawHeaders) || isShort) return true;
+    const { runner, path } = attempt;
+    const life = await this.#daemon.checkLife(runner, path);
+    logUnframedEnd(this.#daemon, routed, {
+      attempt,
+      status,
+      bytes,
+      events,
+      life,
+    });
+    return life.alive;
   }
 
   #recordResponse(
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -8,7 +8,8 @@
 import { shutDownGracefully } from "./connection/graceful_shutdown.ts";
 import { CallerServer } from "./connection/caller_server.ts";
 import { CrashDetector } from "./connection/crash_detector.ts";
-import type { RunnerCheck } from "./connection/crash_detector.ts";
+import { LifeDetector } from "./connection/life_detector.ts";
+import type { RunnerLife } from "./connection/life_detector.ts";
 import type { BrokenRun } from "./connection/crash_detector.ts";
 import { FleetSync } from "./connection/fleet_sync.ts";
 import type { SharedStore } from "./connection/fleet_sync.ts";
@@ -65,7 +66,7 @@
 import { SoftwareVersions } from "./process/software_versions.ts";
 import { RETENTION_MS, StreamOrigins } from "./process/stream_origins.ts";
 import { ReturnPlaces } from "./process/return_places.ts";
-import type { RunnerPaths } from "./process/runner_paths.ts";
+import type { Path, RunnerPaths } from "./process/runner_paths.ts";
 import type { RunnerReachability } from "./process/runner_reachability.ts";
 import { RunnerRestrictions } from "./process/runner_restrictions.ts";
 import { RunnerLoads } from "./process/runner_loads.ts";
@@ -106,6 +107,11 @@
 const START_QUERY_MS = 300;
 const START_QUERIES = 2;
 const START_QUERY_INTERVAL_MS = 150;
+/**
+ * Maximum time in ms of a query that finds out whether a response which states no end
+ * is whole; a sound runner may fall silent for a part of it.
+ */
+const LIFE_QUERY_MS = 1_000;
 /**
  * The same for plain services. A slot that works 43 ms on a request is released
  * every 43 ms, and is idle until a request that waits sees it.
@@ -193,6 +199,7 @@
   readonly #survey: CacheSurvey;
   readonly #restartDetector: RestartDetector;
   readonly #crashDetector: CrashDetector;
+  readonly #lifeDetector: LifeDetector;
   #surveyed = false;
   #statusServers: readonly Listening[] = [];
   /** The listed runners by their ids. */
@@ -383,6 +390,12 @@
       network,
       paths: this.paths,
     });
+    this.#lifeDetector = new LifeDetector({
+      network,
+      paths: this.paths,
+      connections: this.connections,
+      confirmsStart: (runner, since) => this.#confirmsStart(runner, since),
+    });
     this.#directory.onChange(() => this.#runnersChanged());
     this.loads.queueAt((id) => {
       const service = this.#runnersById.get(id)?.service;
@@ -528,8 +541,20 @@
     return false;
   }
 
-  checkRunner(runner: Runner): Promise<RunnerCheck> {
-    return this.#crashDetector.check(runner);
+  checkLife(runner: Runner, path: Path): Promise<RunnerLife> {
+    return this.#lifeDetector.check(runner, path);
+  }
+
+  /** Whether a runner, asked after a time, confirms the start in its entry. */
+  async #confirmsStart(runner: Runner, since: number): Promise<boolean> {
+    if (!this.#tellsStart(runner)) return true;
+    for (let query = 0; query < START_QUERIES; query++) {
+      if (!await this.confirmStart(runner, LIFE_QUERY_MS)) return false;
+      if (this.#restartDetector.isConfirmedSince(runner, since)) return true;
+      // The query had been sent before.
+      await pause(START_QUERY_INTERVAL_MS, { background: true });
+    }
+    return false;
   }
 
   requestStarted(
