Check the end of short responses without a length, too

It now counts only if its runner is shown to live on, as a long one and a stream do. If other connections to the runner stay open, that costs no new connection. Responses without a body (HEAD, 204, 304) need no check, and streams of that kind had one.

15 of the 19 tests that are added to ended_process_test fail on the code before: 12 of parts that passed for whole (refused, failed and timeout, directly and by way of a peer), one that counts connections, and 204 and HEAD, which were logged as ended with their connections.

--- a/packages/router/src/request/response_relay.ts
+++ b/packages/router/src/request/response_relay.ts
@@ -9,7 +9,6 @@
 import type { PlacedRequest, RunnerLoad } from "../process/runner_load.ts";
 import { AnswerBuffer } from "./answer_buffer.ts";
 import type { Attempt, SendResult } from "./attempt.ts";
-import { MAX_UNFRAMED_BYTES } from "./caller.ts";
 import type { Caller } from "./caller.ts";
 import type { Daemon } from "./daemon.ts";
 import { logUnframedEnd } from "./decision_log.ts";
@@ -61,6 +60,8 @@
 const MIN_REDIRECT_STATUS = 300;
 const MIN_ERROR_STATUS = 400;
 const MIN_SERVER_ERROR_STATUS = 500;
+/** Statuses of responses that have no body. */
+const BODYLESS_STATUSES: readonly number[] = [204, 304];
 
 /** A response that a runner has begun. */
 export type RunnerResponse = Extract<SendResult, { readonly kind: "response" }>;
@@ -347,9 +348,7 @@
     { status, incoming: { rawHeaders } }: RunnerResponse,
     { attempt, bytes, events }: EndedBody,
   ): Promise<boolean> {
-    // A long one is relayed in chunks, whose end states that it is whole.
-    const isShort = bytes !== undefined && bytes <= MAX_UNFRAMED_BYTES;
-    if (isFramed(rawHeaders) || isShort) return true;
+    if (isFramed(rawHeaders) || this.#isBodyless(status)) return true;
     const { runner, path } = attempt;
     const life = await this.#daemon.checkLife(runner, path);
     logUnframedEnd(this.#daemon, routed, {
@@ -362,6 +361,11 @@
     return life.alive;
   }
 
+  #isBodyless(status: number): boolean {
+    return BODYLESS_STATUSES.includes(status) ||
+      this.#caller.request.method === "HEAD";
+  }
+
   #recordResponse(
     { attempt: { runner, path } }: AttemptContext,
     now: number,
--- a/packages/router/tests/ended_process_test.ts
+++ b/packages/router/tests/ended_process_test.ts
@@ -172,11 +172,16 @@
 
 /** Kinds of responses that can't be had again. */
 const ONCE: Readonly<Record<string, Kind>> = {
+  "plain response": PLAIN,
   "long plain response": { ...PLAIN, part: LONG, whole: LONG + LONG },
   "stream": STREAM,
 };
 /** Kinds of which another runner gives the whole. */
 const AGAIN: Readonly<Record<string, Kind>> = {
+  "idempotent response": {
+    ...PLAIN,
+    route: { repetition: "idempotent", maxAttempts: 2 },
+  },
   "long idempotent response": {
     part: LONG,
     whole: LONG + LONG,
@@ -326,3 +331,64 @@
   const same = () => Promise.resolve(LISTED_START);
   assert.equal((await callRestarted(t, same)).truncated, false);
 });
+
+/** Statuses and methods whose responses have no body. */
+const BODYLESS = [["GET", "204 No Content"], ["HEAD", "200 OK"]] as const;
+
+// Guards against a check, and a response withheld, where there is nothing to be cut.
+for (const [method, status] of BODYLESS) {
+  test(`a ${status} to ${method} needs no sign of its runner's life`, async (t) => {
+    const { log, ends } = endLog();
+    const runner: FakeRunner = await startFakeRunner(
+      t,
+      "r-1",
+      (socket, _, id) => {
+        if (id === "") return;
+        const head = `HTTP/1.1 ${status}\r\nX-Id: ${id}\r\nX-Seal: s\r\n\r\n`;
+        socket.write(head, () => void runner.end());
+      },
+    );
+    const route = { repetition: "never" } as const;
+    const router = await startDirect(t, route, { runners: [runner], log });
+    const headers = { "x-id": "try" };
+    const response = await sendRequest(router, { method, headers });
+    assert.equal(String(response.status), status.slice(0, 3));
+    assert.deepEqual(ends, []);
+  });
+}
+
+// Guards against a connection and its delay for each of many short responses.
+test("a response needs no new connection while others to its runner stay open", async (t) => {
+  const { log, ends } = endLog();
+  let connections = 0;
+  const runner = await startFakeRunner(t, "r-1", (socket, request, id) => {
+    if (request.includes("/held")) {
+      return void socket.write(streamHead(id) + encodeChunk(FIRST));
+    }
+    if (id !== "") socket.end(unframed(id, "all"));
+  });
+  const network: RunnerNetwork = {
+    connect({ port }) {
+      connections += 1;
+      return openSocket({ host: LOCALHOST, port });
+    },
+  };
+  const route = { repetition: "never", timeoutMs: 10_000 } as const;
+  const router = await startDirect(t, route, {
+    runners: [runner],
+    network,
+    log,
+  });
+  const held = sendRequest(router, {
+    path: "/held",
+    headers: { "x-id": "held" },
+  });
+  await waitUntil(() => runner.requests.length === 1);
+  assert.equal((await send(router)).body, "all");
+  assert.equal(connections, 2);
+  assert.deepEqual(ends.map(({ check, whole }) => ({ check, whole })), [
+    { check: "connected", whole: true },
+  ]);
+  await runner.end();
+  assert.equal((await held).status, 502);
+});
