--- a/packages/router/src/request/response_relay.ts
+++ b/packages/router/src/request/response_relay.ts
@@ -9,7 +9,6 @@
 import type { PlacedRequest, RunnerLoad } from "../process/runner_load.ts";
 import { AnswerBuffer } from "./answer_buffer.ts";
 import type { Attempt, SendResult } from "./attempt.ts";
-import { MAX_UNFRAMED_BYTES } from "./caller.ts";
 import type { Caller } from "./caller.ts";
 import type { Daemon } from "./daemon.ts";
 import { logUnframedEnd } from "./decision_log.ts";
@@ -66,6 +65,8 @@
 const MIN_REDIRECT_STATUS = 300;
 const MIN_ERROR_STATUS = 400;
 const MIN_SERVER_ERROR_STATUS = 500;
+/** Statuses of responses that have no body. */
+const BODYLESS_STATUSES: readonly number[] = [204, 304];
 
 /** A response that a runner has begun. */
 export type RunnerResponse = Extract<SendResult, { readonly kind: "response" }>;
@@ -213,17 +214,16 @@
       );
     }
     const { blocks } = received;
-    const ended = { bytes: blocks.length, events: undefined };
-    if (
-      await this.#endedByCrash(routed, response, {
-        attempt: context.attempt,
-        ...ended,
-      })
-    ) {
+    const ended = {
+      attempt: context.attempt,
+      bytes: blocks.length,
+      events: undefined,
+    };
+    if (!await this.#hasEnded(routed, response, ended)) {
       return this.#handleInterruption(
         context,
         "response interrupted",
-        "runner crashed",
+        "end not confirmed",
       );
     }
     context.load.recordSuccess();
@@ -328,17 +328,16 @@
         end.reason,
       );
     }
-    const ended = { bytes: undefined, events: stream.eventCount };
-    if (
-      await this.#endedByCrash(routed, response, {
-        attempt: context.attempt,
-        ...ended,
-      })
-    ) {
+    const ended = {
+      attempt: context.attempt,
+      bytes: undefined,
+      events: stream.eventCount,
+    };
+    if (!await this.#hasEnded(routed, response, ended)) {
       return this.#handleInterruption(
         context,
         "stream interrupted",
-        "runner crashed",
+        "end not confirmed",
       );
     }
     const finish = () => {
@@ -349,23 +348,31 @@
   }
 
   /**
-   * Whether a body without a length may have ended early: the operating system ends
-   * the connections of a process that crashes in the ordinary way.
+   * Whether a body that has ended is whole. The system ends the connections of a
+   * process that crashes in the ordinary way, so the end of a body without a length
+   * counts only if its runner is shown to live on.
    */
-  async #endedByCrash(
+  async #hasEnded(
     routed: RoutedRequest,
     { status, incoming: { rawHeaders } }: RunnerResponse,
     { attempt, bytes, events }: EndedBody,
   ): Promise<boolean> {
-    if (isFramed(rawHeaders)) return false;
-    // A long one is relayed in chunks, whose end states that it is whole.
-    const checked = bytes === undefined || bytes > MAX_UNFRAMED_BYTES;
-    const check = checked
-      ? await this.#daemon.checkRunner(attempt.runner)
-      : undefined;
-    const end = { attempt, status, bytes, events, check };
-    logUnframedEnd(this.#daemon, routed, end);
-    return check?.crashed ?? false;
+    if (isFramed(rawHeaders) || this.#isBodyless(status)) return true;
+    const { runner, path } = attempt;
+    const life = await this.#daemon.checkLife(runner, path);
+    logUnframedEnd(this.#daemon, routed, {
+      attempt,
+      status,
+      bytes,
+      events,
+      life,
+    });
+    return life.alive;
+  }
+
+  #isBodyless(status: number): boolean {
+    return BODYLESS_STATUSES.includes(status) ||
+      this.#caller.request.method === "HEAD";
   }
 
   #recordResponse(
