Pass a reset on through the fault proxy

Cause: a link read the runner with Node's own socket, which reports an ordinary end when bytes and a reset come together, and it closed the other side with destroy(), an ordinary close, also where it knew of an error or cut the connection itself.

The link now opens its side with connectClient, and resets the other side where one broke, and both where the proxy cuts.

--- a/packages/testing/src/process/fault_proxy_test.ts
+++ b/packages/testing/src/process/fault_proxy_test.ts
@@ -1,5 +1,9 @@
 import assert from "node:assert/strict";
+import { connectClient } from "@umbermast/coordination/client_socket";
+import { once } from "node:events";
 import { Agent } from "node:http";
+import { createServer } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { describe, it, type TestContext } from "node:test";
 import { setTimeout as pause } from "node:timers/promises";
 import { Caller } from "../client.ts";
@@ -47,7 +51,58 @@
   };
 }
 
+/** Connections that each ending is tried on, as timing may hide a fault in some. */
+const TRIES = 10;
+
+/** Returns how connections end whose server writes a part and ends them. */
+async function endings(
+  t: TestContext,
+  end: (connection: Socket) => void,
+): Promise<readonly string[]> {
+  const server = createServer().listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const proxy = await FaultProxy.start({ address: "127.0.0.1", port });
+  t.after(async () => {
+    await proxy.close();
+    server.close();
+  });
+  server.on("connection", (connection) => {
+    // A reset before the proxy is connected would take the part along.
+    connection.once("data", () => {
+      connection.write("part");
+      end(connection);
+    });
+  });
+  const ends: string[] = [];
+  while (ends.length < TRIES) {
+    const socket = connectClient({ host: "127.0.0.1", port: proxy.port });
+    socket.write("request");
+    let got = "";
+    socket.on("data", (chunk) => got += chunk);
+    const error = await new Promise<Error | undefined>((resolve) => {
+      socket.on("error", resolve);
+      socket.on("close", () => resolve(undefined));
+    });
+    ends.push(`${got} ${(error as NodeJS.ErrnoException)?.code ?? "end"}`);
+  }
+  return ends;
+}
+
 describe("fault proxy", () => {
+  // Guards against a proxy that turns a reset into an ordinary end.
+  it("passes on a reset right behind the last bytes", async (t) => {
+    const reset = (connection: Socket) => void connection.resetAndDestroy();
+    const expected = Array.from({ length: TRIES }, () => "part ECONNRESET");
+    assert.deepEqual(await endings(t, reset), expected);
+  });
+
+  it("passes on an ordinary end", async (t) => {
+    const end = (connection: Socket) => void connection.end();
+    const expected = Array.from({ length: TRIES }, () => "part end");
+    assert.deepEqual(await endings(t, end), expected);
+  });
+
   // An open connection goes silent: the request sent on it never arrives and no
   // error tells so. A new connection works at once.
   it("silences open connections for good, while new ones work", async (t) => {
--- a/packages/testing/src/process/link.ts
+++ b/packages/testing/src/process/link.ts
@@ -3,7 +3,8 @@
  *
  * @module
  */
-import { connect, type Socket } from "node:net";
+import { connectClient } from "@umbermast/coordination/client_socket";
+import type { Socket } from "node:net";
 
 /** Faults of the proxy that a connection asks about. */
 export interface LinkFaults {
@@ -77,7 +78,7 @@
   ) {
     this.#caller = caller;
     this.#faults = faults;
-    this.#target = connect({
+    this.#target = connectClient({
       host: target.address,
       port: target.port,
       allowHalfOpen: true,
@@ -89,10 +90,10 @@
     );
   }
 
-  /** Breaks the connection at both ends. */
+  /** Resets the connection at both ends. */
   cut(): void {
-    this.#caller.destroy();
-    this.#target.destroy();
+    this.#caller.resetAndDestroy();
+    this.#target.resetAndDestroy();
   }
 
   /**
@@ -123,7 +124,7 @@
     from.on("end", () => this.#later(way, () => to.end()));
     return new Promise((resolve) => {
       from.on("close", (broken) => {
-        if (broken) this.#later(way, () => to.destroy());
+        if (broken) this.#later(way, () => to.resetAndDestroy());
         resolve();
       });
     });
