Let the fault proxy close what Node cannot reset

Cause: Node's resetAndDestroy of a connection that is being ended fails with EINVAL in the same turn, emits that, marks the handle closed and never closes it. The bare trial: end() and resetAndDestroy() in one turn, the process does not exit; a turn later it does.

A link now closes a connection that is being opened or ended, and resets others.

--- a/packages/testing/src/process/fault_proxy_test.ts
+++ b/packages/testing/src/process/fault_proxy_test.ts
@@ -5,7 +5,10 @@
 import { createServer } from "node:net";
 import type { AddressInfo, Socket } from "node:net";
 import { describe, it, type TestContext } from "node:test";
-import { setTimeout as pause } from "node:timers/promises";
+import {
+  setImmediate as nextTurn,
+  setTimeout as pause,
+} from "node:timers/promises";
 import { Caller } from "../client.ts";
 import { startPlainService } from "../plain_service.ts";
 import { FaultProxy } from "./fault_proxy.ts";
@@ -53,12 +56,14 @@
 
 /** Connections that each ending is tried on, as timing may hide a fault in some. */
 const TRIES = 10;
+/** Turns of the event loop in which an end of a connection passes. */
+const TURNS = 10;
 
-/** Returns how connections end whose server writes a part and ends them. */
-async function endings(
+/** Starts a proxy before a server that answers "part" and ends the connection. */
+async function proxyBefore(
   t: TestContext,
   end: (connection: Socket) => void,
-): Promise<readonly string[]> {
+): Promise<FaultProxy> {
   const server = createServer().listen(0, "127.0.0.1");
   await once(server, "listening");
   const { port } = server.address() as AddressInfo;
@@ -68,16 +73,28 @@
     server.close();
   });
   server.on("connection", (connection) => {
+    connection.on("error", () => {});
     // A reset before the proxy is connected would take the part along.
     connection.once("data", () => {
       connection.write("part");
       end(connection);
     });
   });
+  return proxy;
+}
+
+function sendTo(proxy: FaultProxy): Socket {
+  const socket = connectClient({ host: "127.0.0.1", port: proxy.port });
+  socket.on("error", () => {});
+  socket.write("request");
+  return socket;
+}
+
+/** Returns what connections bring, and how they end. */
+async function endings(proxy: FaultProxy): Promise<readonly string[]> {
   const ends: string[] = [];
   while (ends.length < TRIES) {
-    const socket = connectClient({ host: "127.0.0.1", port: proxy.port });
-    socket.write("request");
+    const socket = sendTo(proxy);
     let got = "";
     socket.on("data", (chunk) => got += chunk);
     const error = await new Promise<Error | undefined>((resolve) => {
@@ -92,15 +109,32 @@
 describe("fault proxy", () => {
   // Guards against a proxy that turns a reset into an ordinary end.
   it("passes on a reset right behind the last bytes", async (t) => {
-    const reset = (connection: Socket) => void connection.resetAndDestroy();
+    const proxy = await proxyBefore(t, (each) => void each.resetAndDestroy());
     const expected = Array.from({ length: TRIES }, () => "part ECONNRESET");
-    assert.deepEqual(await endings(t, reset), expected);
+    assert.deepEqual(await endings(proxy), expected);
   });
 
   it("passes on an ordinary end", async (t) => {
-    const end = (connection: Socket) => void connection.end();
+    const proxy = await proxyBefore(t, (each) => void each.end());
     const expected = Array.from({ length: TRIES }, () => "part end");
-    assert.deepEqual(await endings(t, end), expected);
+    assert.deepEqual(await endings(proxy), expected);
+  });
+
+  // Guards against a reset that Node refuses, after which it keeps the connection.
+  it("lets go of connections that it cuts as they end", async (t) => {
+    let ended = () => {};
+    const proxy = await proxyBefore(t, (each) => each.end(() => ended()));
+    for (let sent = 0; sent < TRIES; sent++) {
+      proxy.order({ fault: "reorder", holdMs: 60_000 });
+      await new Promise<void>((resolve) => {
+        ended = resolve;
+        sendTo(proxy);
+      });
+      for (let turn = 0; turn < TURNS; turn++) await nextTurn();
+      proxy.order({ fault: "none" });
+      proxy.order({ fault: "cut" });
+    }
+    while (proxy.open > 0) await nextTurn();
   });
 
   // An open connection goes silent: the request sent on it never arrives and no
--- a/packages/testing/src/process/link.ts
+++ b/packages/testing/src/process/link.ts
@@ -92,8 +92,8 @@
 
   /** Resets the connection at both ends. */
   cut(): void {
-    this.#caller.resetAndDestroy();
-    this.#target.resetAndDestroy();
+    reset(this.#caller);
+    reset(this.#target);
   }
 
   /**
@@ -124,7 +124,7 @@
     from.on("end", () => this.#later(way, () => to.end()));
     return new Promise((resolve) => {
       from.on("close", (broken) => {
-        if (broken) this.#later(way, () => to.resetAndDestroy());
+        if (broken) this.#later(way, () => reset(to));
         resolve();
       });
     });
@@ -161,3 +161,12 @@
     });
   }
 }
+
+/**
+ * Resets a connection; closes one that is still being opened or is being ended, which
+ * Node would never let go of: the process would not exit.
+ */
+function reset(socket: Socket): void {
+  if (socket.connecting || socket.writableEnded) socket.destroy();
+  else socket.resetAndDestroy();
+}
