Keep what follows the reply of a peer until somebody listens

A request that began late in the grace period of a host went by way of a tunnel of that host, after the host took no more requests, and was cut at the end of the period (tunnel lost, 502, having run).

Cause: a host that stops opens tunnels for one request each, and says "leaving" right behind "connected". Both arrive in one piece; the second one was told to the listener of the dial, which had its reply, before the tunnel's own listened. The tunnel was kept as if nothing had been said. The loss of the channel, and the end or reset of a runner's connection, could go the same way, and leave a request on a tunnel that is gone. Now a channel keeps what follows a reply, and tells it to the listener that comes next.

--- a/packages/router/src/connection/tunnel_channel.ts
+++ b/packages/router/src/connection/tunnel_channel.ts
@@ -32,7 +32,11 @@
   readonly #socket: Socket;
   readonly #frames = new FrameBuffer();
   #events: TunnelEvents;
+  /** Messages that wait for a listener; undefined if there is one. */
+  #held: TunnelMessage[] | undefined;
   #closed = false;
+  /** Whether the channel was lost while there was no listener. */
+  #lost = false;
 
   constructor(socket: Socket, events: TunnelEvents) {
     this.#socket = socket;
@@ -45,7 +49,8 @@
     socket.once("close", () => {
       if (this.#closed) return;
       this.#closed = true;
-      this.#events.onLost();
+      if (this.#held === undefined) return this.#events.onLost();
+      this.#lost = true;
     });
   }
 
@@ -54,9 +59,22 @@
     return this.#frames.size;
   }
 
-  /** Replaces the callbacks. */
+  /**
+   * Keeps what arrives until {@linkcode listen}: what follows a reply may arrive in one
+   * piece with it, before whoever waits for the reply can listen.
+   */
+  hold(): void {
+    this.#held ??= [];
+  }
+
+  /** Replaces the callbacks, and tells them what was kept. */
   listen(events: TunnelEvents): void {
     this.#events = events;
+    const held = this.#held ?? [];
+    this.#held = undefined;
+    for (const message of held) events.onMessage(message);
+    if (this.#lost) events.onLost();
+    this.#lost = false;
   }
 
   /**
@@ -104,7 +122,9 @@
     const valid = this.#frames.push(chunk, (frame) => {
       if (this.#closed) return true;
       try {
-        this.#events.onMessage(decodeTunnelMessage(frame));
+        const message = decodeTunnelMessage(frame);
+        if (this.#held === undefined) this.#events.onMessage(message);
+        else this.#held.push(message);
         return true;
       } catch {
         return false;
--- a/packages/router/src/connection/tunnel_peers.ts
+++ b/packages/router/src/connection/tunnel_peers.ts
@@ -213,6 +213,7 @@
       const channel: TunnelChannel = new TunnelChannel(socket, {
         onMessage: (reply) => {
           clearTimeout(timer);
+          channel.hold();
           resolve({ channel, reply });
         },
         onLost: () => fail("channel is lost"),
