Let only events with ids show where the rest of a stream stands

Cause: any event without an id counted as evidence that the response had reached the last event which the caller has. It tells nothing of that. Streams without any ids are relayed as before.

--- a/packages/router/src/request/stream_relay.ts
+++ b/packages/router/src/request/stream_relay.ts
@@ -139,7 +139,9 @@
           const id = this.#dialect.eventId(event.toString("latin1"));
           if (id === undefined || id > highestId) onProgress();
           highestId = Math.max(highestId, id ?? highestId);
-          caughtUp ||= id === undefined || id >= (lastBefore ?? id);
+          // One without an id, such as a comment, tells nothing of where it stands.
+          caughtUp ||= lastBefore === undefined ||
+            (id !== undefined && id >= lastBefore);
           if (!this.#write(event, id)) this.#pause(incoming, splitter);
         }
         this.#count(splitter.size);
