Observe whether a response ended with its connection, instead of reading its head

A killed runner's part got the last chunk, or a length that the router states.

Heads without bodies (HEAD, 204, 304) need no rule of their own any more. Heads still decide how a response is relayed; all their lines are read for that, and behind "chunked" spaces only are passed over.

--- a/packages/router/src/request/headers.ts
+++ b/packages/router/src/request/headers.ts
@@ -65,9 +65,16 @@
   return undefined;
 }
 
+/** Returns the values of all lines of a header, by its name in lower case. */
+function valuesOf(headers: RawHeaders, name: string): readonly string[] {
+  return headers.filter((_, i) =>
+    i % 2 === 1 && headers[i - 1]!.toLowerCase() === name
+  );
+}
+
 /** Whether a message states where its body ends, other than with its connection. */
 export function isFramed(headers: RawHeaders): boolean {
-  const codings = headerOf(headers, "transfer-encoding");
-  if (codings !== undefined) return endsInChunks(codings);
+  const codings = valuesOf(headers, "transfer-encoding");
+  if (codings.length > 0) return endsInChunks(codings.join(", "));
   return headerOf(headers, "content-length") !== undefined;
 }
--- a/packages/router/src/request/response_relay.ts
+++ b/packages/router/src/request/response_relay.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Buffer } from "node:buffer";
+import { endedWithConnection } from "@umbermast/coordination/client_request";
 import type { BrokenRun } from "../connection/crash_detector.ts";
 import type { Runner } from "../process/runner.ts";
 import type { PlacedRequest, RunnerLoad } from "../process/runner_load.ts";
@@ -12,7 +13,6 @@
 import type { Caller } from "./caller.ts";
 import type { Daemon } from "./daemon.ts";
 import { logUnframedEnd } from "./decision_log.ts";
-import { isFramed } from "./headers.ts";
 import type { InactivityTimer } from "./inactivity_timer.ts";
 import type { Outcome } from "./outcome.ts";
 import type { PlainRoom } from "./plain_admission.ts";
@@ -65,8 +65,6 @@
 const MIN_REDIRECT_STATUS = 300;
 const MIN_ERROR_STATUS = 400;
 const MIN_SERVER_ERROR_STATUS = 500;
-/** Statuses of responses that have no body. */
-const BODYLESS_STATUSES: readonly number[] = [204, 304];
 
 /** A response that a runner has begun. */
 export type RunnerResponse = Extract<SendResult, { readonly kind: "response" }>;
@@ -354,10 +352,10 @@
    */
   async #hasEnded(
     routed: RoutedRequest,
-    { status, incoming: { rawHeaders } }: RunnerResponse,
+    { status, incoming }: RunnerResponse,
     { attempt, bytes, events }: EndedBody,
   ): Promise<boolean> {
-    if (isFramed(rawHeaders) || this.#isBodyless(status)) return true;
+    if (!endedWithConnection(incoming)) return true;
     const { runner, path } = attempt;
     const life = await this.#daemon.checkLife(runner, path);
     logUnframedEnd(this.#daemon, routed, {
@@ -370,11 +368,6 @@
     return life.alive;
   }
 
-  #isBodyless(status: number): boolean {
-    return BODYLESS_STATUSES.includes(status) ||
-      this.#caller.request.method === "HEAD";
-  }
-
   #recordResponse(
     { attempt: { runner, path } }: AttemptContext,
     now: number,
