--- a/packages/coordination/src/connection/client_request.ts
+++ b/packages/coordination/src/connection/client_request.ts
@@ -4,11 +4,7 @@
  * @module
  */
 import { request } from "node:http";
-import type {
-  ClientRequest,
-  IncomingMessage,
-  RequestOptions,
-} from "node:http";
+import type { ClientRequest, IncomingMessage, RequestOptions } from "node:http";
 import { ClientAgent } from "./client_socket.ts";
 
 /** Responses that were not complete when their connections ended. */
