Ask a leaving host for tunnels last

A host that is cut off from the runners went on opening tunnels at a host that was shutting down, for requests which could not end before it exits, though another host reached the same runners.

Cause: that a host leaves was known of its tunnels only, not in the choice of the next. Now it is asked after all others for 30 s, as one that rejects is for 1 s; while it is the only one that reaches the runner, it serves until the end of its accept time, as before.

--- a/packages/router/src/connection/runner_connections.ts
+++ b/packages/router/src/connection/runner_connections.ts
@@ -91,6 +91,8 @@
   connect(runner: Runner): Promise<Tunnel>;
   /** Records that something has arrived from a runner by way of a peer. */
   recordResponse(peer: string): void;
+  /** Records that a peer is shutting down. */
+  recordLeaving(peer: string): void;
 }
 
 /** The direct connections to a runner that are open. */
@@ -216,7 +218,8 @@
     const socket: TunnelSocket = new TunnelSocket(
       () => this.#tunnels.connect(runner),
       {
-        onLeaving: () => {
+        onLeaving: (peer) => {
+          this.#tunnels.recordLeaving(peer);
           if (isIdle(agent(), socket)) socket.destroy();
         },
         onResponse: (peer) => this.#tunnels.recordResponse(peer),
--- a/packages/router/src/connection/tunnel_peers.ts
+++ b/packages/router/src/connection/tunnel_peers.ts
@@ -29,6 +29,11 @@
 const REJECTED_MS = 1_000;
 /** The same for a peer whose tunnel carried nothing: it may not know so itself. */
 const SILENT_MS = 3_000;
+/**
+ * The same for a peer that is shutting down: its tunnels end with its process. Longer
+ * than most have for that.
+ */
+const LEAVING_MS = 30_000;
 /** Time in ms for which a response shows that a peer reaches runners. */
 const PROVEN_MS = 5_000;
 /** Time in ms without a response after which a tunnel is taken for silent. */
@@ -111,6 +116,11 @@
     this.#respondedAt.set(peer, performance.now());
   }
 
+  /** Records that a peer is shutting down; it is asked last while others are there. */
+  recordLeaving(peer: string): void {
+    this.#avoid(peer, LEAVING_MS);
+  }
+
   /**
    * Records that a request by way of a peer got no response.
    *
--- a/packages/router/src/connection/tunnel_socket.ts
+++ b/packages/router/src/connection/tunnel_socket.ts
@@ -15,8 +15,11 @@
 
 /** Callbacks of a {@linkcode TunnelSocket}. */
 export interface TunnelSocketEvents {
-  /** Called when the connection takes no further requests. */
-  readonly onLeaving: () => void;
+  /**
+   * Called when the connection takes no further requests, with the name of the peer,
+   * which is shutting down.
+   */
+  readonly onLeaving: (peer: string) => void;
   /** Called when something arrives from the runner, with the name of the peer. */
   readonly onResponse: (peer: string) => void;
 }
@@ -167,7 +170,7 @@
         return void setImmediate(() => this.destroy(new Error(message.reason)));
       case "leaving":
         this.#leaving = true;
-        return this.#events.onLeaving();
+        return this.#events.onLeaving(this.#peer!);
       default:
         return void this.destroy(new TunnelLostError("Tunnel is out of order"));
     }
--- a/packages/router/tests/late_tunnels_test.ts
+++ b/packages/router/tests/late_tunnels_test.ts
@@ -5,7 +5,12 @@
 import type { RunnerNetwork } from "../src/connection/runner_network.ts";
 import type { Router } from "../src/router.ts";
 import type { CallerResponse, FakeRunner } from "./fixtures.ts";
-import { runnerResponse, sendRequest, startFakeRunner } from "./fixtures.ts";
+import {
+  runnerResponse,
+  sendRequest,
+  startFakeRunner,
+  waitUntil,
+} from "./fixtures.ts";
 import { LinkedRouters, unusedPort } from "./linked_routers.ts";
 
 const LOCALHOST = "127.0.0.1";
@@ -18,6 +23,7 @@
 const SERVICES = [
   { name: "service", maxConnections: 400, engine: undefined },
 ];
+const CONCURRENT = 12;
 
 /** A host, and the connections that it has opened to the runner. */
 class CountedHost {
@@ -94,3 +100,32 @@
   assert.equal((await send(cut)).status, 503);
   assert.equal(await stopped, true);
 });
+
+// Guards against requests that begin at a host which is about to exit, while another
+// one reaches their runner.
+test("a leaving host gets no tunnels while another one reaches the runner", async (t) => {
+  const held: (() => void)[] = [];
+  const runner = await startFakeRunner(t, "r-1", (socket, _, id) => {
+    if (id === "") return;
+    held.push(() => socket.write(runnerResponse(id, "x")));
+  });
+  const { hosts, cut } = await startHosts(t, runner, 2);
+  const [leaving, staying] = hosts;
+  /** Sends requests at once, and returns when all have been answered. */
+  const sendTogether = async () => {
+    const responses = Array.from({ length: CONCURRENT }, () => send(cut));
+    await waitUntil(() => held.length === CONCURRENT);
+    for (const answer of held.splice(0)) answer();
+    for (const { status } of await Promise.all(responses)) {
+      assert.equal(status, 200);
+    }
+  };
+  while (leaving!.dials === 0 || staying!.dials === 0) await sendTogether();
+  const before = leaving!.dials;
+  const stopped = leaving!.router.shutDown();
+  // Its idle tunnels have been closed.
+  await waitUntil(() => runner.closed >= before);
+  await sendTogether();
+  assert.equal(leaving!.dials, before);
+  assert.equal(await stopped, true);
+});
