Read what was sent ahead before a connection closes

Cause: the connection of an answer with Connection: close was closed once the answer had been handed to the system. The system resets a connection that is closed with bytes unread, and discards what it has not delivered (RFC 9112, section 9.6). Bytes that are sent ahead are read up to 16 KB and wait in the socket beyond. Now such a connection is closed for writing only, and what comes is read, for 1 s and 1 MB at most, until the caller closes. Others close as before.

Bodies that are refused before they are read whole are not covered.

--- a/packages/router/src/connection/serial_connection.ts
+++ b/packages/router/src/connection/serial_connection.ts
@@ -24,6 +24,11 @@
 /** Time in ms without a byte after which the body of a request is stalled. */
 const STALL_MS = 1_000;
 
+/** Time in ms for which what was sent ahead is read behind the last response. */
+const LINGER_MS = 1_000;
+/** Most bytes that are read there. */
+const MAX_LINGER_BYTES = 1024 * 1024;
+
 /** Parses bytes of a connection; the HTTP server's own listener. */
 export type Parse = (bytes: Buffer) => void;
 
@@ -76,6 +81,10 @@
     this.#maxOpen = maxOpen;
     this.#turns = turns;
     this.#onHeld = onHeld;
+    // Called by Node behind a last response.
+    const destroySoon = socket.destroySoon.bind(socket);
+    socket.destroySoon = () =>
+      this.#hasSentAhead ? this.#linger() : destroySoon();
     socket.off("data", parse);
     socket.on("data", (bytes: Buffer) => this.#receive(bytes));
     socket.on("resume", () => this.#resumed());
@@ -135,6 +144,29 @@
     this.#socket.destroy();
   }
 
+  /** Whether the caller has sent more than the requests that have begun. */
+  get #hasSentAhead(): boolean {
+    return this.#waiting !== undefined && this.#request?.complete !== false;
+  }
+
+  /**
+   * Closes the connection once the caller has, or after some time. The system resets a
+   * connection that is closed with bytes unread, and discards the end of the response
+   * (RFC 9112, section 9.6).
+   */
+  #linger(): void {
+    this.stop();
+    let left = MAX_LINGER_BYTES;
+    this.#socket.on("data", ({ length }: Buffer) => {
+      left -= length;
+      if (left < 0) this.#socket.destroy();
+    });
+    this.#socket.end();
+    this.#socket.resume();
+    const timer = setTimeout(() => this.#socket.destroy(), LINGER_MS);
+    this.#socket.once("close", () => clearTimeout(timer));
+  }
+
   #responded(): void {
     this.#open -= 1;
     this.#activeAt = performance.now();
--- a/packages/router/tests/late_requests_test.ts
+++ b/packages/router/tests/late_requests_test.ts
@@ -20,6 +20,10 @@
 const LAST_EVENT = "id: 2\ndata: b\n\n";
 const LAST_CHUNK = "0\r\n\r\n";
 const BODY = "0123456789";
+/** More than a caller's system takes while the caller reads nothing. */
+const LONG_ANSWER = "x".repeat(600_000);
+/** More than is read ahead of a request's turn. */
+const LONG_BODY = "y".repeat(500_000);
 const CONTINUE = "HTTP/1.1 100 ";
 /** Time in ms that no request of these tests takes. */
 const LONG_MS = 60_000;
@@ -312,3 +316,26 @@
     assert.deepEqual(held.ids, ["early"]);
   });
 }
+
+// Guards against a reset that discards the end of an answer, since a request that was
+// sent ahead has not been read when its connection closes.
+test("an answer is whole whose caller has sent a long request ahead", async (t) => {
+  const held = await HeldRunner.start(
+    t,
+    (socket, id) => void socket.write(runnerResponse(id, LONG_ANSWER)),
+  );
+  const router = await startDraining(t, held);
+  const caller = new RawCaller(router);
+  caller.socket.pause();
+  const next = head("next", "/", `Content-Length: ${LONG_BODY.length}\r\n`);
+  caller.socket.write(`${head("first")}${next}${LONG_BODY}`);
+  await waitUntil(() => held.waiting === 1);
+  const stopped = router.shutDown();
+  await waitUntil(() => router.closed);
+  held.release();
+  assert.equal(await stopped, true);
+  caller.socket.resume();
+  await caller.closed();
+  assert.deepEqual(caller.statuses, [200]);
+  assert.ok(caller.received.endsWith(LONG_ANSWER));
+});
