--- a/packages/router/src/connection/runner_connections_test.ts
+++ b/packages/router/src/connection/runner_connections_test.ts
@@ -28,6 +28,7 @@
   const connections = new RunnerConnections(new TcpRunnerNetwork(), {
     connect: () => Promise.reject(new Error("no peers")),
     recordResponse() {},
+    recordLeaving() {},
   });
   t.after(() => connections.retain(new Set()));
   return { fake, connections };
