--- a/packages/coordination/src/connection/client_request_test.ts
+++ b/packages/coordination/src/connection/client_request_test.ts
@@ -1,12 +1,11 @@
 import assert from "node:assert/strict";
 import { once } from "node:events";
 import type { IncomingMessage } from "node:http";
-import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
 import { text } from "node:stream/consumers";
 import { test } from "node:test";
 import type { TestContext } from "node:test";
 import { setTimeout as pause } from "node:timers/promises";
+import { CuttingServer } from "../testing/mod.ts";
 import { clientRequest } from "./client_request.ts";
 
 const LOCALHOST = "127.0.0.1";
@@ -19,17 +18,9 @@
 
 /** Starts a server that sends bytes and resets the connection. */
 async function startResetting(t: TestContext, bytes: string): Promise<number> {
-  const server = createServer((socket) => {
-    socket.on("error", () => {});
-    socket.once("data", () => {
-      socket.write(bytes);
-      socket.resetAndDestroy();
-    });
-  });
-  t.after(() => void server.close());
-  server.listen(0, LOCALHOST);
-  await once(server, "listening");
-  return (server.address() as AddressInfo).port;
+  const server = await CuttingServer.start(bytes, "reset");
+  t.after(() => server.close());
+  return server.port;
 }
 
 /** Returns the bodies that look whole, read at once or late. */
--- a/packages/coordination/src/testing/mod.ts
+++ b/packages/coordination/src/testing/mod.ts
@@ -3,6 +3,8 @@
  *
  * @module
  */
+export { CuttingServer, ENDINGS } from "./cutting_server.ts";
+export type { Ending } from "./cutting_server.ts";
 export { FakeClock } from "./fake_clock.ts";
 export { FakeMembership, memberNamed } from "./fake_membership.ts";
 export { MemoryNetwork } from "./memory_network.ts";
--- a/packages/coordination/tests/cut_response_test.ts
+++ b/packages/coordination/tests/cut_response_test.ts
@@ -1,50 +1,23 @@
 import assert from "node:assert/strict";
-import { once } from "node:events";
-import { createServer } from "node:net";
-import type { AddressInfo, Socket } from "node:net";
 import { test } from "node:test";
 import type { TestContext } from "node:test";
 import * as Effect from "effect/Effect";
 import { HttpStore } from "../src/process/http_store.ts";
 import type { Conflict, Unavailable } from "../src/process/store.ts";
+import { CuttingServer, ENDINGS } from "../src/testing/mod.ts";
+import type { Ending } from "../src/testing/mod.ts";
 
-const LOCALHOST = "127.0.0.1";
 /** Long, so that a call that never ends fails its test. */
 const TIMEOUT_MS = 3_600_000;
 
-/** How the connection ends right behind a part of a response. */
-const ENDINGS = {
-  reset: (socket: Socket) => void socket.resetAndDestroy(),
-  close: (socket: Socket) => void socket.end(),
-} as const;
-
-/** A server that cuts its response, which has no length, after some bytes. */
-interface CuttingServer {
-  readonly url: string;
-  cutAt(bytes: number): void;
-}
-
 async function startServer(
   t: TestContext,
   response: string,
-  end: (socket: Socket) => void,
+  ending: Ending,
 ): Promise<CuttingServer> {
-  let length = response.length;
-  const server = createServer((socket) => {
-    socket.on("error", () => {});
-    socket.once("data", () => {
-      socket.write(response.slice(0, length));
-      end(socket);
-    });
-  });
-  server.listen(0, LOCALHOST);
-  await once(server, "listening");
+  const server = await CuttingServer.start(response, ending);
   t.after(() => server.close());
-  const { port } = server.address() as AddressInfo;
-  return {
-    url: `http://${LOCALHOST}:${port}`,
-    cutAt: (bytes) => length = bytes,
-  };
+  return server;
 }
 
 /** How a response states its end, if it does. */
@@ -102,9 +75,9 @@
 // Guards against a part of a response of the store that is taken for all of it, and
 // against a call that does not end with its response.
 for (const [name, text, call] of CASES) {
-  for (const [ending, end] of Object.entries(ENDINGS)) {
+  for (const ending of ENDINGS) {
     test(`a ${name} that is cut at any byte by ${ending} fails`, async (t) => {
-      const server = await startServer(t, text, end);
+      const server = await startServer(t, text, ending);
       const store = new HttpStore({ url: server.url, timeoutMs: TIMEOUT_MS });
       t.after(() => store.close());
       for (let bytes = 0; bytes < text.length; bytes++) {
@@ -116,7 +89,7 @@
   }
 
   test(`a ${name} that is closed in order succeeds`, async (t) => {
-    const { url } = await startServer(t, text, ENDINGS.close);
+    const { url } = await startServer(t, text, "close");
     const store = new HttpStore({ url, timeoutMs: TIMEOUT_MS });
     t.after(() => store.close());
     await Effect.runPromise(call(store));
