--- a/packages/router/tests/partition_proxy.ts
+++ b/packages/router/tests/partition_proxy.ts
@@ -3,8 +3,9 @@
  *
  * @module
  */
+import { connectClient } from "@umbermast/coordination/client_socket";
 import { once } from "node:events";
-import { connect, createServer, Socket } from "node:net";
+import { createServer, Socket } from "node:net";
 import type { AddressInfo, Server } from "node:net";
 import type { CleanupContext } from "./fixtures.ts";
 
@@ -23,6 +24,10 @@
   /** Open connections live on, and new ones are refused. */
   | "refuse-new";
 
+function connectTo(port: number): Socket {
+  return connectClient({ port, host: LOCALHOST });
+}
+
 /**
  * Forwards connections to a runner until the path is partitioned. A partition that
  * hangs swallows opening packets, too: {@linkcode connect} never connects.
@@ -56,7 +61,7 @@
 
   /** Starts to open a connection by way of the proxy. */
   connect(): Socket {
-    if (this.#partition !== "hang") return connect(this.#port, LOCALHOST);
+    if (this.#partition !== "hang") return connectTo(this.#port);
     return Object.assign(new Socket(), { connecting: true });
   }
 
@@ -88,14 +93,16 @@
   #accept(socket: Socket): void {
     socket.on("error", () => {});
     if (this.#partition === "reset") return void socket.resetAndDestroy();
-    const other = connect(this.#target, LOCALHOST);
+    const other = connectTo(this.#target);
     other.on("error", () => {});
     const pair = [socket, other] as const;
     this.#pairs.add(pair);
     for (const [one, opposite] of [pair, [other, socket] as const]) {
-      one.once("close", () => {
+      one.once("close", (broken: boolean) => {
         this.#pairs.delete(pair);
-        opposite.destroy();
+        // Node never closes a connection that is reset while it is being ended.
+        if (broken && !opposite.writableEnded) opposite.resetAndDestroy();
+        else opposite.destroy();
       });
     }
     if (this.#partition === undefined) socket.pipe(other).pipe(socket);
