--- a/packages/router/tests/endless_response_test.ts
+++ b/packages/router/tests/endless_response_test.ts
@@ -208,6 +208,8 @@
 // with it the requests of others, until its caller leaves.
 for (const [name, response] of Object.entries(RESPONSES)) {
   for (const [path, start] of Object.entries(STARTS)) {
+    // In KNOWN-RED.txt:
+    // "a response of an event after the first without end behind a peer is given up"
     test(`a response of ${name} without end${path} is given up`, async (t) => {
       const started = await startEndlessRunner(t, response, start);
       const { runner, router } = started;
