--- a/packages/router/src/request/caller.ts
+++ b/packages/router/src/request/caller.ts
@@ -22,7 +22,7 @@
  * Size in bytes up to which a body without a length is written without chunks, too. The
  * operating system takes it at once, so that the end of this process cannot cut it.
  */
-export const MAX_UNFRAMED_BYTES = 16 * 1024;
+const MAX_UNFRAMED_BYTES = 16 * 1024;
 
 /**
  * Responds to one request, exactly once.
